--- /dev/null
+++ b/crates/lagoon-entry/src/main.rs
@@ -0,0 +1,2 @@
+//! lagoon-entry.
+fn main() {}
--- /dev/null
+++ b/crates/lagoon-net/src/lib.rs
@@ -0,0 +1,15 @@
+//! Adapters of lagoonline: callers, upstreams, the platform, and its own processes.
+//!
+//! Everything that guesses a foreign interface stays in one module each: `engine` for model
+//! engines, `service` for plain services, `platform` for the table service, the object store and
+//! the list of hosts.
+//!
+//! ```
+//! use lagoon_net::wire;
+//! let key = wire::Key::new(b"shared by all hosts of a fleet");
+//! assert_eq!(key.tag(b"frame"), key.tag(b"frame"));
+//! assert_ne!(key.tag(b"frame"), key.tag(b"other"));
+//! ```
+
+pub mod logs;
+pub mod wire;
--- /dev/null
+++ b/crates/lagoon-net/src/logs.rs
@@ -0,0 +1,72 @@
+//! Logs of a program: level and target from its settings, one line for a change of state.
+
+use std::fmt;
+use std::io;
+use std::path;
+
+use lagoonline::check;
+
+/// Where log lines go.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Target {
+    /// Standard error.
+    Stderr,
+    /// Appended to a file.
+    File(path::PathBuf),
+}
+
+/// Settings of the logs.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Lines below this level are dropped.
+    pub level: log::LevelFilter,
+    /// Where lines go.
+    pub target: Target,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { level: log::LevelFilter::Info, target: Target::Stderr }
+    }
+}
+
+impl Settings {
+    /// Reads `{"level": "info", "target": "stderr"}`; a target other than `stderr` is a path.
+    ///
+    /// ```
+    /// use lagoon_net::logs;
+    /// use lagoonline::check;
+    /// let settings = check::parse(r#"{"level": "warn"}"#, logs::Settings::read).unwrap();
+    /// assert_eq!(settings.level, log::LevelFilter::Warn);
+    /// assert_eq!(settings.target, logs::Target::Stderr);
+    /// ```
+    pub fn read(reader: &check::Reader<'_>) -> Settings {
+        let level = reader.parsed("level", "off, error, warn, info, debug or trace");
+        let target = match reader.text("target", "stderr").as_str() {
+            "stderr" => Target::Stderr,
+            path => Target::File(path.into()),
+        };
+        Settings { level: level.unwrap_or(log::LevelFilter::Info), target }
+    }
+}
+
+/// Starts the logs of the process; lines carry time in milliseconds, level, program and text.
+///
+/// # Errors
+///
+/// The file cannot be opened, or logs were started before.
+pub fn start(settings: &Settings, program: &'static str) -> io::Result<()> {
+    let began = std::time::Instant::now();
+    let layout = move |out: fern::FormatCallback<'_>,
+                       text: &fmt::Arguments<'_>,
+                       record: &log::Record<'_>| {
+        let millis = began.elapsed().as_millis();
+        out.finish(format_args!("{millis} {} {program} {text}", record.level()));
+    };
+    let dispatch = fern::Dispatch::new().format(layout).level(settings.level);
+    let dispatch = match &settings.target {
+        Target::Stderr => dispatch.chain(io::stderr()),
+        Target::File(path) => dispatch.chain(fern::log_file(path)?),
+    };
+    dispatch.apply().map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/lagoon-net/src/wire/codec.rs
@@ -0,0 +1,200 @@
+//! Frames on a byte stream: length, tag, message; bounded and checked before it is decoded.
+
+use prost::Message;
+use prost::bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio_util::codec;
+
+use super::auth;
+use super::message;
+
+/// Largest frame, in bytes: a section's text is the largest thing sent.
+pub const FRAME_LIMIT: usize = 8 << 20;
+
+/// Largest datagram, in bytes.
+pub const DATAGRAM_LIMIT: usize = 1_400;
+
+/// Bytes of the length that precedes a frame: it counts the tag and the message.
+const LENGTH_BYTES: usize = 4;
+
+/// Why a frame was refused. The connection it came on is closed.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// Longer than the limit.
+    #[error("a frame of {0} bytes is over the limit")]
+    TooLong(usize),
+    /// Too short to hold its tag.
+    #[error("a frame of {0} bytes is too short")]
+    TooShort(usize),
+    /// Not tagged with the fleet's key.
+    #[error("a frame's tag is wrong")]
+    BadTag,
+    /// Not a message.
+    #[error("a frame is no message: {0}")]
+    Malformed(#[from] prost::DecodeError),
+    /// Of a version that this build does not speak.
+    #[error("a frame's version {0} is not spoken here")]
+    Version(u32),
+    /// Not the next in its connection, or of another connection.
+    #[error("a frame came again or out of order")]
+    Replayed,
+    /// The connection failed.
+    #[error(transparent)]
+    Io(#[from] std::io::Error),
+}
+
+impl Error {
+    /// The word used in metrics.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Error::TooLong(_) => "too_long",
+            Error::TooShort(_) => "too_short",
+            Error::BadTag => "bad_tag",
+            Error::Malformed(_) => "malformed",
+            Error::Version(_) => "version",
+            Error::Replayed => "replayed",
+            Error::Io(_) => "io",
+        }
+    }
+}
+
+/// Encodes and decodes the frames of one connection.
+///
+/// Failure answered: a recorded frame is sent again, on this connection or another. Symptom: an
+/// old mark or call takes effect twice. Every frame carries the nonce that the receiving side
+/// chose for this connection and a sequence number one higher than the last; both are under the
+/// tag, so a recorded frame fits no other place.
+#[derive(Debug)]
+pub struct Codec {
+    key: auth::Key,
+    sender: String,
+    incarnation: u64,
+    sent: u64,
+    received: u64,
+    /// Nonce that the other side must carry.
+    own_nonce: Bytes,
+    /// Nonce that the other side gave us.
+    peer_nonce: Bytes,
+}
+
+impl Codec {
+    /// A codec for one side of a new connection; `own_nonce` must be new and random.
+    pub fn new(key: auth::Key, sender: String, incarnation: u64, own_nonce: Bytes) -> Self {
+        let (sent, received) = (0, 0);
+        let peer_nonce = Bytes::new();
+        Codec { key, sender, incarnation, sent, received, own_nonce, peer_nonce }
+    }
+
+    /// This side's nonce, to be told in its [`message::Challenge`] or [`message::Hello`].
+    pub fn own_nonce(&self) -> Bytes {
+        self.own_nonce.clone()
+    }
+
+    fn learn_nonce(&mut self, frame: &message::Frame) {
+        match &frame.body {
+            Some(message::Body::Challenge(challenge)) => {
+                self.peer_nonce = challenge.nonce.clone();
+            }
+            Some(message::Body::Hello(hello)) => self.peer_nonce = hello.nonce.clone(),
+            _ => {}
+        }
+    }
+
+    fn check_place(&mut self, frame: &message::Frame) -> Result<(), Error> {
+        let first = matches!(frame.body, Some(message::Body::Challenge(_)));
+        let fits = if first { self.received == 0 } else { frame.nonce == self.own_nonce };
+        if !fits || frame.sequence != self.received + 1 {
+            return Err(Error::Replayed);
+        }
+        self.received += 1;
+        Ok(())
+    }
+}
+
+impl codec::Encoder<message::Body> for Codec {
+    type Error = Error;
+
+    fn encode(&mut self, body: message::Body, out: &mut BytesMut) -> Result<(), Error> {
+        self.sent += 1;
+        let frame = message::Frame {
+            version: message::VERSION,
+            sender: self.sender.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sent,
+            wall_ms: 0,
+            nonce: self.peer_nonce.clone(),
+            body: Some(body),
+        };
+        let sealed = seal(&self.key, &frame);
+        if sealed.len() > FRAME_LIMIT {
+            return Err(Error::TooLong(sealed.len()));
+        }
+        out.reserve(LENGTH_BYTES + sealed.len());
+        out.put_u32(u32::try_from(sealed.len()).unwrap_or(u32::MAX));
+        out.put_slice(&sealed);
+        Ok(())
+    }
+}
+
+impl codec::Decoder for Codec {
+    type Error = Error;
+    type Item = message::Frame;
+
+    fn decode(&mut self, source: &mut BytesMut) -> Result<Option<message::Frame>, Error> {
+        if source.len() < LENGTH_BYTES {
+            return Ok(None);
+        }
+        let length = source.as_ref().get_u32() as usize;
+        if length > FRAME_LIMIT {
+            return Err(Error::TooLong(length));
+        }
+        if source.len() < LENGTH_BYTES + length {
+            source.reserve(LENGTH_BYTES + length - source.len());
+            return Ok(None);
+        }
+        source.advance(LENGTH_BYTES);
+        let sealed = source.split_to(length).freeze();
+        let frame = open(&self.key, &sealed)?;
+        self.check_place(&frame)?;
+        self.learn_nonce(&frame);
+        Ok(Some(frame))
+    }
+}
+
+/// A frame as bytes: its tag, then its message.
+///
+/// ```
+/// use lagoon_net::wire;
+/// let key = wire::Key::new(b"secret");
+/// let frame = wire::Frame { version: wire::VERSION, sequence: 1, ..Default::default() };
+/// let sealed = wire::seal(&key, &frame);
+/// assert_eq!(wire::open(&key, &sealed).unwrap(), frame);
+/// assert!(wire::open(&wire::Key::new(b"other"), &sealed).is_err());
+/// ```
+pub fn seal(key: &auth::Key, frame: &message::Frame) -> Bytes {
+    let text = frame.encode_to_vec();
+    let mut sealed = BytesMut::with_capacity(auth::TAG_BYTES + text.len());
+    sealed.put_slice(&key.tag(&text));
+    sealed.put_slice(&text);
+    sealed.freeze()
+}
+
+/// Checks the tag and the version of what [`seal`] made, and decodes it.
+///
+/// # Errors
+///
+/// Too short, a wrong tag, no message, or a version not spoken here.
+pub fn open(key: &auth::Key, sealed: &[u8]) -> Result<message::Frame, Error> {
+    let Some((tag, text)) = sealed.split_at_checked(auth::TAG_BYTES) else {
+        return Err(Error::TooShort(sealed.len()));
+    };
+    if !key.verify(text, tag) {
+        return Err(Error::BadTag);
+    }
+    let frame = message::Frame::decode(text)?;
+    // A newer sender is accepted: fields are only ever added. One older than this build knows is
+    // not, and the operators' page says to upgrade in steps.
+    if frame.version < message::OLDEST_VERSION {
+        return Err(Error::Version(frame.version));
+    }
+    Ok(frame)
+}
--- /dev/null
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -0,0 +1,388 @@
+//! Messages, as prost derives: no generator is needed. Field numbers are never reused, and an
+//! unknown body is skipped, so that hosts of two versions work together.
+
+/// Newest version of the messages that this build speaks.
+pub const VERSION: u32 = 1;
+/// Oldest version that it accepts.
+pub const OLDEST_VERSION: u32 = 1;
+
+/// What one frame carries, under its tag.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Version of the sender's messages.
+    #[prost(uint32, tag = "1")]
+    pub version: u32,
+    /// Name of the sending host, or of the operator's program.
+    #[prost(string, tag = "2")]
+    pub sender: String,
+    /// The sender's life.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Counts the sender's frames on this connection, or all its datagrams, from 1.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
+    /// The sender's wall clock in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "5")]
+    pub wall_ms: u64,
+    /// Nonce of the receiving side's challenge on this connection; empty in datagrams.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub nonce: prost::bytes::Bytes,
+    /// The message.
+    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27")]
+    pub body: Option<Body>,
+}
+
+/// The messages.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// First frame of the accepting side.
+    #[prost(message, tag = "16")]
+    Challenge(Challenge),
+    /// First frame of the connecting side.
+    #[prost(message, tag = "17")]
+    Hello(Hello),
+    /// Datagram between stewards.
+    #[prost(message, tag = "18")]
+    Heartbeat(Heartbeat),
+    /// Versions that the sender has in force.
+    #[prost(message, tag = "19")]
+    Digest(Digest),
+    /// Sections that the receiver lacks.
+    #[prost(message, tag = "20")]
+    Sections(Sections),
+    /// Lagging load of upstreams.
+    #[prost(message, tag = "21")]
+    Loads(Loads),
+    /// Upstreams that leave, or came back in a new life.
+    #[prost(message, tag = "22")]
+    Marks(Marks),
+    /// State of an entry process.
+    #[prost(message, tag = "23")]
+    Status(Status),
+    /// What customers used lately at one entry host.
+    #[prost(message, tag = "24")]
+    Spending(Spending),
+    /// Places on upstreams that an entry host may use.
+    #[prost(message, tag = "25")]
+    Credits(Credits),
+    /// An operator's call.
+    #[prost(message, tag = "26")]
+    Call(Call),
+    /// Answer to an operator's call.
+    #[prost(message, tag = "27")]
+    Reply(Reply),
+}
+
+/// The accepting side's nonce, which every later frame of the other side carries.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Challenge {
+    /// Random bytes, new for each connection.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub nonce: prost::bytes::Bytes,
+}
+
+/// Who connects.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Hello {
+    /// Its part in the system.
+    #[prost(enumeration = "Role", tag = "1")]
+    pub role: i32,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// The connecting side's own nonce, which every frame of the accepting side carries.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub nonce: prost::bytes::Bytes,
+}
+
+/// Parts in the system.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
+#[repr(i32)]
+pub enum Role {
+    /// Not said.
+    Unspecified = 0,
+    /// The entry process.
+    Entry = 1,
+    /// The control process.
+    Steward = 2,
+    /// An operator's program.
+    Operator = 3,
+}
+
+/// "I live, and this is whom I doubt."
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Heartbeat {
+    /// The sender's availability zone.
+    #[prost(string, tag = "1")]
+    pub zone: String,
+    /// Whether the sender's entry process is ready.
+    #[prost(bool, tag = "2")]
+    pub entry_ready: bool,
+    /// Hash of the versions that the sender has in force; equal hashes need no digest.
+    #[prost(fixed64, tag = "3")]
+    pub digest: u64,
+    /// Hosts that the sender suspects.
+    #[prost(message, repeated, tag = "4")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// One suspected host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its life that is suspected.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+}
+
+/// Version of one team's section.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct TeamVersion {
+    /// The team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// The version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+}
+
+/// Versions in force at the sender.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Digest {
+    /// One line for each team.
+    #[prost(message, repeated, tag = "1")]
+    pub versions: Vec<TeamVersion>,
+}
+
+/// One section's text.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Section {
+    /// The team.
+    #[prost(string, tag = "1")]
+    pub team: String,
+    /// Its version.
+    #[prost(uint64, tag = "2")]
+    pub version: u64,
+    /// Its JSON text.
+    #[prost(string, tag = "3")]
+    pub text: String,
+}
+
+/// Sections; the receiver applies those of a higher version than its own.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Sections {
+    /// The sections.
+    #[prost(message, repeated, tag = "1")]
+    pub sections: Vec<Section>,
+    /// Whether the sender has reached the highest version it can reach: only after such a message
+    /// may a newcomer be ready.
+    #[prost(bool, tag = "2")]
+    pub complete: bool,
+}
+
+/// Load of one upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Load {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Streams in the batch.
+    #[prost(uint32, tag = "2")]
+    pub running: u32,
+    /// Requests accepted and not yet in the batch.
+    #[prost(uint32, tag = "3")]
+    pub waiting: u32,
+    /// Prompt tokens accepted and not yet prefilled.
+    #[prost(uint64, tag = "4")]
+    pub prefill_tokens: u64,
+    /// Free KV memory, in tokens.
+    #[prost(uint64, tag = "5")]
+    pub kv_free_tokens: u64,
+    /// All KV memory, in tokens.
+    #[prost(uint64, tag = "6")]
+    pub kv_tokens: u64,
+    /// Tokens prefilled in a second.
+    #[prost(double, tag = "7")]
+    pub prefill_rate: f64,
+    /// Counts the upstream's reports.
+    #[prost(uint64, tag = "8")]
+    pub sequence: u64,
+    /// The upstream's life.
+    #[prost(uint64, tag = "9")]
+    pub incarnation: u64,
+    /// Milliseconds since the observer read it.
+    #[prost(uint64, tag = "10")]
+    pub age_ms: u64,
+}
+
+/// Loads that changed since the last message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loads {
+    /// The loads.
+    #[prost(message, repeated, tag = "1")]
+    pub loads: Vec<Load>,
+}
+
+/// A mark on an upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Mark {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its life that the mark speaks of.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// True: no new work. False: this life is in service.
+    #[prost(bool, tag = "3")]
+    pub leaving: bool,
+}
+
+/// Marks that changed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Marks {
+    /// The marks.
+    #[prost(message, repeated, tag = "1")]
+    pub marks: Vec<Mark>,
+}
+
+/// State of an entry process, told to its steward, and by stewards to each other.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Status {
+    /// The entry host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Life of its entry process.
+    #[prost(uint64, tag = "3")]
+    pub incarnation: u64,
+    /// Whether it takes requests.
+    #[prost(bool, tag = "4")]
+    pub ready: bool,
+    /// Whether it is shutting down.
+    #[prost(bool, tag = "5")]
+    pub draining: bool,
+    /// Requests under way.
+    #[prost(uint64, tag = "6")]
+    pub in_flight: u64,
+    /// Sections that its data path works with.
+    #[prost(message, repeated, tag = "7")]
+    pub in_force: Vec<TeamVersion>,
+}
+
+/// What one customer used at one entry host since the last message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Spend {
+    /// The customer.
+    #[prost(string, tag = "1")]
+    pub customer: String,
+    /// Requests admitted.
+    #[prost(uint64, tag = "2")]
+    pub requests: u64,
+    /// Tokens admitted.
+    #[prost(uint64, tag = "3")]
+    pub tokens: u64,
+}
+
+/// Use by customers, only of those that were active.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Spending {
+    /// The entry host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Time covered, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub span_ms: u64,
+    /// The lines.
+    #[prost(message, repeated, tag = "3")]
+    pub lines: Vec<Spend>,
+}
+
+/// Places on one upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Credit {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Requests that may be under way there from this entry host.
+    #[prost(uint32, tag = "2")]
+    pub slots: u32,
+    /// Milliseconds until the credit lapses.
+    #[prost(uint64, tag = "3")]
+    pub expires_ms: u64,
+}
+
+/// Credits of the receiving entry host.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Credits {
+    /// The credits.
+    #[prost(message, repeated, tag = "1")]
+    pub credits: Vec<Credit>,
+}
+
+/// What an operator asks for.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, prost::Enumeration)]
+#[repr(i32)]
+pub enum Verb {
+    /// Not said.
+    Unspecified = 0,
+    /// The team's section as it is in force here.
+    SectionGet = 1,
+    /// Checks a section and says what would change.
+    SectionCheck = 2,
+    /// Stores a section as the version after `version`.
+    SectionPut = 3,
+    /// Where the section's version is in force.
+    SectionStatus = 4,
+    /// State of hosts and upstreams.
+    Status = 5,
+    /// Drains an entry host or an upstream.
+    Drain = 6,
+    /// Orders to engines: those wanted, given and outstanding.
+    Orders = 7,
+    /// Idle cost.
+    Usage = 8,
+}
+
+/// One call of an operator.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Call {
+    /// Echoed in the reply.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// What is asked for.
+    #[prost(enumeration = "Verb", tag = "2")]
+    pub verb: i32,
+    /// The team, where one is needed.
+    #[prost(string, tag = "3")]
+    pub team: String,
+    /// The team's key, or the operators'.
+    #[prost(string, tag = "4")]
+    pub key: String,
+    /// Version that a put was edited from.
+    #[prost(uint64, tag = "5")]
+    pub version: u64,
+    /// A section's text, or further arguments as a JSON object.
+    #[prost(string, tag = "6")]
+    pub text: String,
+    /// Names this put, so that its fate can be read back after a lost answer.
+    #[prost(string, tag = "7")]
+    pub put: String,
+}
+
+/// Answer to a call.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Reply {
+    /// The call's id.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Whether it was carried out.
+    #[prost(bool, tag = "2")]
+    pub good: bool,
+    /// The result, or what went wrong, as JSON.
+    #[prost(string, tag = "3")]
+    pub text: String,
+}
--- /dev/null
+++ b/crates/lagoon-net/src/wire/mod.rs
@@ -0,0 +1,10 @@
+//! Frames between the system's own processes, and from operators: prost messages in length
+//! prefixed frames, each authenticated with a key that the fleet shares.
+
+mod auth;
+mod codec;
+mod message;
+
+pub use auth::*;
+pub use codec::*;
+pub use message::*;
--- /dev/null
+++ b/crates/lagoon-standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! lagoon-standin.
--- /dev/null
+++ b/crates/lagoon-steward/src/main.rs
@@ -0,0 +1,2 @@
+//! lagoon-steward.
+fn main() {}
--- /dev/null
+++ b/crates/lagoonctl/src/main.rs
@@ -0,0 +1,2 @@
+//! lagoonctl.
+fn main() {}
--- /dev/null
+++ b/crates/lagoonline/src/clock.rs
@@ -0,0 +1,130 @@
+//! Monotonic time as plain numbers, so that every decision can be tested with a fake clock.
+
+use std::ops;
+use std::sync::atomic;
+use std::time;
+
+pub use std::time::Duration as Span;
+
+/// A point on one process's monotonic clock, in microseconds since that process started.
+///
+/// Moments of two processes cannot be compared; what crosses a wire is the time left.
+///
+/// ```
+/// use lagoonline::clock::{Moment, Span};
+/// let start = Moment::from_millis(10);
+/// assert_eq!((start + Span::from_millis(5)).since(start), Span::from_millis(5));
+/// assert_eq!(start.since(start + Span::from_millis(5)), Span::ZERO);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Moment(u64);
+
+impl Moment {
+    /// The first moment of the process.
+    pub const START: Moment = Moment(0);
+    /// A moment that never comes.
+    pub const NEVER: Moment = Moment(u64::MAX);
+
+    /// A moment `micros` microseconds after the start.
+    pub const fn from_micros(micros: u64) -> Self {
+        Moment(micros)
+    }
+
+    /// A moment `millis` milliseconds after the start.
+    pub const fn from_millis(millis: u64) -> Self {
+        Moment(millis * 1_000)
+    }
+
+    /// Microseconds since the start.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Milliseconds since the start, rounded down.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1_000
+    }
+
+    /// Time from `earlier` to `self`; zero when `earlier` is the later of the two.
+    pub const fn since(self, earlier: Moment) -> Span {
+        Span::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl ops::Add<Span> for Moment {
+    type Output = Moment;
+
+    fn add(self, span: Span) -> Moment {
+        Moment(self.0.saturating_add(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// Where the time comes from.
+pub trait Clock: Clone + Send + Sync + 'static {
+    /// The current moment of this process's monotonic clock.
+    fn now(&self) -> Moment;
+
+    /// Milliseconds since the Unix epoch by the host's wall clock, which may jump.
+    fn wall_millis(&self) -> u64;
+}
+
+/// The host's clocks.
+///
+/// ```
+/// use lagoonline::clock::{Clock, Host};
+/// let clock = Host::default();
+/// let first = clock.now();
+/// assert!(clock.now() >= first);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Host {
+    start: time::Instant,
+}
+
+impl Default for Host {
+    fn default() -> Self {
+        Host { start: time::Instant::now() }
+    }
+}
+
+impl Clock for Host {
+    fn now(&self) -> Moment {
+        Moment::START + self.start.elapsed()
+    }
+
+    fn wall_millis(&self) -> u64 {
+        let since = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+        since.map_or(0, |span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX))
+    }
+}
+
+/// A clock that moves only when told to; clones share the same time.
+///
+/// ```
+/// use lagoonline::clock::{Clock, Fake, Moment, Span};
+/// let clock = Fake::default();
+/// clock.advance(Span::from_millis(7));
+/// assert_eq!(clock.now(), Moment::from_millis(7));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Fake {
+    micros: std::sync::Arc<atomic::AtomicU64>,
+}
+
+impl Fake {
+    /// Moves the clock forward by `span`.
+    pub fn advance(&self, span: Span) {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        self.micros.fetch_add(micros, atomic::Ordering::SeqCst);
+    }
+}
+
+impl Clock for Fake {
+    fn now(&self) -> Moment {
+        Moment::from_micros(self.micros.load(atomic::Ordering::SeqCst))
+    }
+
+    fn wall_millis(&self) -> u64 {
+        self.now().as_millis()
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/control/mod.rs
@@ -0,0 +1,3 @@
+//! What the control processes agree on: the document, membership, leases, the ledger.
+
+pub mod document;
--- /dev/null
+++ b/crates/lagoonline/src/id.rs
@@ -0,0 +1,181 @@
+//! Names and numbers that identify things; each its own type, so that they cannot be mixed up.
+
+use std::borrow;
+use std::fmt;
+use std::sync;
+
+use serde::{Deserialize, Serialize};
+
+macro_rules! name {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(transparent)]
+        pub struct $name(sync::Arc<str>);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                $name(sync::Arc::from(""))
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                $name(sync::Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                $name(sync::Arc::from(text))
+            }
+        }
+
+        impl borrow::Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name! {
+    /// A team: the owner of one section of the document.
+    Team
+}
+name! {
+    /// A customer: the holder of caller keys, limits and a deadline.
+    Customer
+}
+name! {
+    /// A model, as callers name it.
+    Model
+}
+name! {
+    /// A plain service, as callers name it in `/services/NAME/`.
+    Service
+}
+name! {
+    /// An upstream: one model engine or one replica of a plain service.
+    Upstream
+}
+name! {
+    /// An availability zone.
+    Zone
+}
+name! {
+    /// A region: availability zones with cheap links between them.
+    Region
+}
+name! {
+    /// An entry host.
+    Host
+}
+
+/// Which life of a process: higher is later. Made from the wall clock at start by adapters.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// Version of one team's section: 0 before the first, then counted up by one.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+/// Fencing number of a lease: higher is later.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+/// One dispatch of one request to one upstream; 128 random bits, written as 32 hex digits.
+///
+/// ```
+/// use lagoonline::id::Attempt;
+/// let attempt = Attempt(0xab);
+/// assert_eq!(attempt.to_string(), "000000000000000000000000000000ab");
+/// assert_eq!("000000000000000000000000000000ab".parse(), Ok(attempt));
+/// assert!("ab".parse::<Attempt>().is_err());
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Attempt(pub u128);
+
+/// Hex digits of an attempt's written form.
+const ATTEMPT_DIGITS: usize = 32;
+
+impl fmt::Display for Attempt {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+/// The text is not 32 hex digits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an attempt is {ATTEMPT_DIGITS} hex digits")]
+pub struct BadAttempt;
+
+impl std::str::FromStr for Attempt {
+    type Err = BadAttempt;
+
+    fn from_str(text: &str) -> Result<Self, BadAttempt> {
+        if text.len() != ATTEMPT_DIGITS || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(BadAttempt);
+        }
+        u128::from_str_radix(text, 16).map(Attempt).map_err(|_| BadAttempt)
+    }
+}
+
+/// Who holds something on an upstream: an entry host in one of its lives.
+///
+/// ```
+/// use lagoonline::id::{Host, Incarnation, Owner};
+/// let owner = Owner { host: Host::from("suva-1"), incarnation: Incarnation(7) };
+/// assert_eq!(owner.to_string(), "suva-1/7");
+/// assert_eq!("suva-1/7".parse(), Ok(owner));
+/// ```
+#[derive(Clone, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Owner {
+    /// The entry host's name.
+    pub host: Host,
+    /// Its life.
+    pub incarnation: Incarnation,
+}
+
+impl fmt::Display for Owner {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.host, self.incarnation.0)
+    }
+}
+
+/// The text is not `HOST/INCARNATION`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("an owner is HOST/INCARNATION")]
+pub struct BadOwner;
+
+impl std::str::FromStr for Owner {
+    type Err = BadOwner;
+
+    fn from_str(text: &str) -> Result<Self, BadOwner> {
+        let (host, number) = text.rsplit_once('/').ok_or(BadOwner)?;
+        let number = number.parse().map_err(|_| BadOwner)?;
+        Ok(Owner { host: Host::from(host), incarnation: Incarnation(number) })
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/lib.rs
@@ -0,0 +1,25 @@
+//! Decisions and state machines of a serving layer for prompts of very unlike lengths.
+//!
+//! Nothing here opens a socket, reads a clock or starts a task: time and randomness are passed
+//! in, foreign systems are reached through the traits of [`port`]. The adapters live in the crate
+//! `lagoon-net`.
+//!
+//! ```
+//! use lagoonline::{clock, id, outcome};
+//!
+//! let model = id::Model::from("tin-label");
+//! let deadline = clock::Moment::from_millis(5) + clock::Span::from_millis(250);
+//! assert_eq!(model.as_str(), "tin-label");
+//! assert_eq!(deadline, clock::Moment::from_millis(255));
+//! assert_eq!(outcome::Outcome::NotRun.as_str(), "not-run");
+//! ```
+
+pub mod check;
+pub mod clock;
+pub mod control;
+pub mod id;
+pub mod life;
+pub mod load;
+pub mod outcome;
+pub mod port;
+pub mod view;
--- /dev/null
+++ b/crates/lagoonline/src/life/mod.rs
@@ -0,0 +1,4 @@
+//! The life of a request: what was sent, what may have run, what the caller is told.
+
+pub mod request;
+pub mod stream;
