Check a section against the whole document and store it once

Cause: a section was only read by itself; nothing refused a name of another team, an unknown reference or claims above the fleet, and nothing stored it. Conclusion: two operators or two teams that race, and lost or late answers, end in one version of the history.

--- /dev/null
+++ b/crates/lagoonline/src/control/document/diff.rs
@@ -0,0 +1,63 @@
+//! Difference of two sections as lines that an operator can read.
+
+use std::fmt;
+
+use serde_json::Value;
+
+/// One difference, named by JSON pointer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Line {
+    /// Only the newer text has the value.
+    Added(String, Value),
+    /// Only the older text has the value.
+    Removed(String, Value),
+    /// Both have the place, with different values.
+    Changed(String, Value, Value),
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Line::Added(pointer, value) => write!(f, "+ {pointer}: {value}"),
+            Line::Removed(pointer, value) => write!(f, "- {pointer}: {value}"),
+            Line::Changed(pointer, old, new) => write!(f, "~ {pointer}: {old} -> {new}"),
+        }
+    }
+}
+
+/// Differences from `old` to `new`, in pointer order; a text that is no JSON counts as `null`.
+///
+/// ```
+/// use lagoonline::control::document;
+/// let lines = document::diff(r#"{"a": 1, "b": {"c": 2}}"#, r#"{"a": 3, "b": {}, "d": 4}"#);
+/// let lines: Vec<_> = lines.iter().map(ToString::to_string).collect();
+/// assert_eq!(lines, ["~ /a: 1 -> 3", "- /b/c: 2", "+ /d: 4"]);
+/// ```
+pub fn diff(old: &str, new: &str) -> Vec<Line> {
+    let parse = |text| serde_json::from_str(text).unwrap_or(Value::Null);
+    let mut lines = Vec::new();
+    compare(&mut lines, "", &parse(old), &parse(new));
+    lines
+}
+
+fn compare(lines: &mut Vec<Line>, pointer: &str, old: &Value, new: &Value) {
+    let (Value::Object(before), Value::Object(after)) = (old, new) else {
+        if old != new {
+            let place = if pointer.is_empty() { "/" } else { pointer };
+            lines.push(Line::Changed(place.to_owned(), old.clone(), new.clone()));
+        }
+        return;
+    };
+    let mut names: Vec<&String> = before.keys().chain(after.keys()).collect();
+    names.sort();
+    names.dedup();
+    for name in names {
+        let place = format!("{pointer}/{}", name.replace('~', "~0").replace('/', "~1"));
+        match (before.get(name), after.get(name)) {
+            (Some(old), Some(new)) => compare(lines, &place, old, new),
+            (Some(old), None) => lines.push(Line::Removed(place, old.clone())),
+            (None, Some(new)) => lines.push(Line::Added(place, new.clone())),
+            (None, None) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/control/document/whole.rs
@@ -0,0 +1,277 @@
+//! Checks that need every section: owned names, references between sections, claims.
+
+use std::collections;
+use std::fmt;
+
+use super::body;
+use super::section;
+use crate::check;
+use crate::id;
+
+/// Checks that `candidate` fits beside the `others`, of which its own team's section is ignored.
+///
+/// Failure answered: two teams give one name two meanings, or a section names what nobody has.
+/// Symptom: requests of one team go to the upstreams of another, or nowhere. The check runs on
+/// the sections of one document version, and the store compares that version again when it
+/// writes, so no other section can slip in between.
+///
+/// # Errors
+///
+/// All faults, by JSON pointer within the candidate.
+///
+/// ```
+/// use lagoonline::control::document::{check_whole, Section};
+/// use lagoonline::id::{Team, Version};
+/// let text = r#"{"claims": {"m": {"engines": 1}}}"#;
+/// let candidate = Section::parse(Team::from("a"), Version(1), text).unwrap();
+/// let faults = check_whole([], &candidate).unwrap_err();
+/// assert_eq!(faults.to_string(), "/claims/m: no section has this model");
+/// ```
+pub fn check_whole<'a, I>(others: I, candidate: &'a section::Section) -> Result<(), check::Faults>
+where
+    I: IntoIterator<Item = &'a section::Section>,
+{
+    let others = others.into_iter().filter(|section| section.team != candidate.team).collect();
+    let mut whole = Whole { others, candidate, faults: Vec::new() };
+    whole.check_owners();
+    whole.check_keys();
+    whole.check_references();
+    whole.check_removed();
+    whole.check_claims();
+    whole.finish()
+}
+
+/// What a name stands for; the word is the field of the section.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Kind {
+    Customer,
+    Model,
+    Service,
+    Upstream,
+}
+
+impl Kind {
+    const ALL: [Kind; 4] = [Kind::Customer, Kind::Model, Kind::Service, Kind::Upstream];
+
+    const fn field(self) -> &'static str {
+        match self {
+            Kind::Customer => "customers",
+            Kind::Model => "models",
+            Kind::Service => "services",
+            Kind::Upstream => "upstreams",
+        }
+    }
+
+    const fn word(self) -> &'static str {
+        match self {
+            Kind::Customer => "customer",
+            Kind::Model => "model",
+            Kind::Service => "service",
+            Kind::Upstream => "upstream",
+        }
+    }
+
+    fn names(self, body: &body::Body) -> Vec<&str> {
+        match self {
+            Kind::Customer => body.customers.keys().map(id::Customer::as_str).collect(),
+            Kind::Model => body.models.keys().map(id::Model::as_str).collect(),
+            Kind::Service => body.services.keys().map(id::Service::as_str).collect(),
+            Kind::Upstream => body.upstreams.keys().map(id::Upstream::as_str).collect(),
+        }
+    }
+
+    fn has(self, body: &body::Body, name: &str) -> bool {
+        match self {
+            Kind::Customer => body.customers.contains_key(name),
+            Kind::Model => body.models.contains_key(name),
+            Kind::Service => body.services.contains_key(name),
+            Kind::Upstream => body.upstreams.contains_key(name),
+        }
+    }
+}
+
+/// A place in a section that names a model or service.
+struct Reference<'a> {
+    pointer: String,
+    kind: Kind,
+    name: &'a str,
+}
+
+fn references(body: &body::Body) -> Vec<Reference<'_>> {
+    let mut found = Vec::new();
+    for (name, customer) in &body.customers {
+        let place = format!("/customers/{name}");
+        add_list(&mut found, &place, Kind::Model, customer.models.iter().map(id::Model::as_str));
+        let services = customer.services.iter().map(id::Service::as_str);
+        add_list(&mut found, &place, Kind::Service, services);
+    }
+    for (name, upstream) in &body.upstreams {
+        let place = format!("/upstreams/{name}");
+        match &upstream.serves {
+            body::Serves::Models(models) => {
+                add_list(&mut found, &place, Kind::Model, models.iter().map(id::Model::as_str));
+            }
+            body::Serves::Service(service) => {
+                let pointer = format!("{place}/service");
+                found.push(Reference { pointer, kind: Kind::Service, name: service.as_str() });
+            }
+        }
+    }
+    for model in body.claims.keys() {
+        let pointer = format!("/claims/{model}");
+        found.push(Reference { pointer, kind: Kind::Model, name: model.as_str() });
+    }
+    found
+}
+
+fn add_list<'a, I>(found: &mut Vec<Reference<'a>>, place: &str, kind: Kind, names: I)
+where
+    I: Iterator<Item = &'a str>,
+{
+    for (index, name) in names.enumerate() {
+        let pointer = format!("{place}/{}/{index}", kind.field());
+        found.push(Reference { pointer, kind, name });
+    }
+}
+
+struct Whole<'a> {
+    others: Vec<&'a section::Section>,
+    candidate: &'a section::Section,
+    faults: Vec<check::Fault>,
+}
+
+impl Whole<'_> {
+    fn fault<R>(&mut self, pointer: String, reason: R)
+    where
+        R: fmt::Display,
+    {
+        self.faults.push(check::Fault { pointer, reason: reason.to_string() });
+    }
+
+    fn check_owners(&mut self) {
+        for kind in Kind::ALL {
+            for name in kind.names(&self.candidate.body) {
+                let owner = self.others.iter().find(|other| kind.has(&other.body, name));
+                if let Some(team) = owner.map(|other| other.team.clone()) {
+                    let pointer = format!("/{}/{name}", kind.field());
+                    self.fault(pointer, format!("belongs to the section of team {team}"));
+                }
+            }
+        }
+    }
+
+    fn check_keys(&mut self) {
+        let mut seen = collections::HashMap::new();
+        for other in &self.others {
+            for (name, customer) in &other.body.customers {
+                seen.extend(customer.keys.iter().map(|key| (*key, name.clone())));
+            }
+        }
+        for (name, customer) in &self.candidate.body.customers {
+            for (index, key) in customer.keys.iter().enumerate() {
+                if seen.insert(*key, name.clone()).is_some() {
+                    let pointer = format!("/customers/{name}/keys/{index}");
+                    self.fault(pointer, "names a customer already");
+                }
+            }
+        }
+    }
+
+    fn resolves(&self, reference: &Reference<'_>) -> bool {
+        reference.kind.has(&self.candidate.body, reference.name)
+            || self.others.iter().any(|other| reference.kind.has(&other.body, reference.name))
+    }
+
+    fn check_references(&mut self) {
+        for reference in references(&self.candidate.body) {
+            if !self.resolves(&reference) {
+                let reason = format!("no section has this {}", reference.kind.word());
+                self.fault(reference.pointer, reason);
+            }
+        }
+    }
+
+    /// A section that drops a name which another team's section uses would break that one.
+    fn check_removed(&mut self) {
+        for other in self.others.clone() {
+            for reference in references(&other.body) {
+                if !self.resolves(&reference) {
+                    let pointer = format!("/{}/{}", reference.kind.field(), reference.name);
+                    let place = reference.pointer;
+                    let reason = format!("is needed by team {} at {place}", other.team);
+                    self.fault(pointer, reason);
+                }
+            }
+        }
+    }
+
+    /// Claims fit when every claimed engine can be given one of the fleet that serves the model.
+    fn check_claims(&mut self) {
+        let candidate = self.candidate;
+        let all = || self.others.iter().copied().chain([candidate]);
+        let engines: Vec<&[id::Model]> = all()
+            .flat_map(|section| section.body.upstreams.values())
+            .filter_map(|upstream| match &upstream.serves {
+                body::Serves::Models(models) => Some(models.as_slice()),
+                body::Serves::Service(_) => None,
+            })
+            .collect();
+        let claims = all().flat_map(|section| &section.body.claims);
+        let mut wanted = collections::BTreeMap::<&id::Model, u64>::new();
+        for (model, claim) in claims {
+            *wanted.entry(model).or_default() += u64::from(claim.engines);
+        }
+        let Some((short, have)) = unmet(&engines, &wanted) else { return };
+        let total: u64 = short.iter().map(|model| wanted[model]).sum();
+        let named: Vec<_> = short.iter().map(|model| model.as_str()).collect();
+        let reason =
+            format!("claims of {total} engines for {} are above the {have}", named.join(", "));
+        let own: Vec<_> = short
+            .into_iter()
+            .filter(|model| candidate.body.claims.contains_key(*model))
+            .cloned()
+            .collect();
+        if own.is_empty() {
+            self.fault("/upstreams".to_owned(), reason);
+            return;
+        }
+        for model in own {
+            self.fault(format!("/claims/{model}/engines"), &reason);
+        }
+    }
+
+    fn finish(mut self) -> Result<(), check::Faults> {
+        if self.faults.is_empty() {
+            return Ok(());
+        }
+        self.faults.sort();
+        self.faults.dedup();
+        Err(check::Faults(self.faults))
+    }
+}
+
+/// Most claimed models for which every combination is looked at.
+const COMBINED_MODELS: usize = 12;
+
+/// A set of models with more claims than engines (Hall's condition), and those engines' number.
+fn unmet<'a>(
+    engines: &[&[id::Model]],
+    wanted: &collections::BTreeMap<&'a id::Model, u64>,
+) -> Option<(Vec<&'a id::Model>, u64)> {
+    let models: Vec<&id::Model> = wanted.keys().copied().collect();
+    let combined = models.len().min(COMBINED_MODELS);
+    let sets = (1..1_u32 << combined).map(|bits| {
+        let chosen = models
+            .iter()
+            .enumerate()
+            .filter(move |(index, _)| *index < 32 && bits & (1 << index) != 0);
+        chosen.map(|(_, model)| *model).collect::<Vec<_>>()
+    });
+    let single = models.iter().skip(combined).map(|model| vec![*model]);
+    sets.chain(single).chain([models.clone()]).find_map(|set| {
+        let have = engines.iter().filter(|can| set.iter().any(|model| can.contains(model))).count();
+        let have = u64::try_from(have).unwrap_or(u64::MAX);
+        let want: u64 = set.iter().map(|model| wanted[model]).sum();
+        (want > have).then_some((set, have))
+    })
+}
--- /dev/null
+++ b/crates/lagoonline/src/control/owner.rs
@@ -0,0 +1,51 @@
+//! Who of the live stewards watches an upstream: rendezvous hashing.
+//!
+//! Load pattern: hosts come and go all day. With a table of modulo N every change would move most
+//! upstreams; here a host that leaves moves only its own, one in N.
+
+/// Score of `owner` for `thing`; the highest of the live owners wins.
+fn score(owner: &str, thing: &str) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in owner.bytes().chain([0]).chain(thing.bytes()) {
+        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+    }
+    // FNV leaves the high bits of short texts alike; this finish (of splitmix64) spreads them.
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// The owner of `thing` among the live `owners`; `None` when there are none.
+///
+/// ```
+/// use lagoonline::control::owner;
+/// let three = ["a", "b", "c"];
+/// let chosen = owner::choose(three, "engine-1").unwrap();
+/// let without = three.into_iter().filter(|name| *name != chosen);
+/// assert_ne!(owner::choose(without, "engine-1").unwrap(), chosen);
+/// assert_eq!(owner::choose([], "engine-1"), None);
+/// ```
+pub fn choose<'a, I>(owners: I, thing: &str) -> Option<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    owners.into_iter().max_by_key(|owner| (score(owner, thing), *owner))
+}
+
+/// The first `count` owners of `thing`, best first.
+///
+/// ```
+/// use lagoonline::control::owner;
+/// let two = owner::rank(["a", "b", "c"], "gateway", 2);
+/// assert_eq!(two[0], owner::choose(["a", "b", "c"], "gateway").unwrap());
+/// assert_eq!(two.len(), 2);
+/// ```
+pub fn rank<'a, I>(owners: I, thing: &str, count: usize) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut ranked: Vec<_> = owners.into_iter().collect();
+    ranked.sort_by_key(|owner| std::cmp::Reverse((score(owner, thing), *owner)));
+    ranked.truncate(count);
+    ranked
+}
--- /dev/null
+++ b/crates/lagoonline/src/control/spread.rs
@@ -0,0 +1,183 @@
+//! Versions in force here, what others lack, and where a version is in force.
+//!
+//! Load pattern: one change of the document, then every host of every zone within seconds, also
+//! while the platform is out. Without the rule "only higher versions" a host that was cut off
+//! would bring back what others have replaced.
+
+use std::collections;
+use std::sync;
+
+use crate::control::document;
+use crate::id;
+
+/// Versions by team.
+pub type Versions = collections::BTreeMap<id::Team, id::Version>;
+
+/// The sections in force at one host.
+#[derive(Clone, Debug, Default)]
+pub struct Replica {
+    sections: collections::BTreeMap<id::Team, sync::Arc<document::Section>>,
+}
+
+impl Replica {
+    /// Puts `section` in force if its version is higher than the one in force.
+    ///
+    /// ```
+    /// use lagoonline::control::{document::Section, spread::Replica};
+    /// use lagoonline::id::{Team, Version};
+    /// let section = |version| Section::parse(Team::from("a"), Version(version), "{}").unwrap();
+    /// let mut replica = Replica::default();
+    /// assert!(replica.apply(section(2)));
+    /// assert!(!replica.apply(section(1)));
+    /// assert_eq!(replica.versions()["a"], Version(2));
+    /// ```
+    pub fn apply(&mut self, section: document::Section) -> bool {
+        if self.version(&section.team) >= section.version {
+            return false;
+        }
+        self.sections.insert(section.team.clone(), sync::Arc::new(section));
+        true
+    }
+
+    /// Version in force of a team's section; 0 when there is none.
+    pub fn version(&self, team: &id::Team) -> id::Version {
+        self.sections.get(team).map_or(id::Version(0), |section| section.version)
+    }
+
+    /// All versions in force.
+    pub fn versions(&self) -> Versions {
+        self.sections.iter().map(|(team, section)| (team.clone(), section.version)).collect()
+    }
+
+    /// The sections in force.
+    pub fn sections(&self) -> impl Iterator<Item = &sync::Arc<document::Section>> {
+        self.sections.values()
+    }
+
+    /// One team's section.
+    pub fn section(&self, team: &id::Team) -> Option<&sync::Arc<document::Section>> {
+        self.sections.get(team)
+    }
+
+    /// Sections that a host with `versions` lacks.
+    pub fn lacking(&self, versions: &Versions) -> Vec<sync::Arc<document::Section>> {
+        let newer = |section: &&sync::Arc<document::Section>| {
+            versions.get(&section.team).is_none_or(|version| *version < section.version)
+        };
+        self.sections.values().filter(newer).cloned().collect()
+    }
+
+    /// Whether every version of `versions` or a higher one is in force here.
+    pub fn covers(&self, versions: &Versions) -> bool {
+        versions.iter().all(|(team, version)| self.version(team) >= *version)
+    }
+
+    /// A hash of the versions in force: hosts with equal hashes need not compare further.
+    pub fn digest(&self) -> u64 {
+        let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+        for (team, section) in &self.sections {
+            let version = section.version.0.to_be_bytes();
+            for byte in team.as_str().bytes().chain([0]).chain(version) {
+                hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+            }
+        }
+        hash
+    }
+}
+
+/// What an entry host said of itself last.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Report {
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Life of its entry process.
+    pub incarnation: id::Incarnation,
+    /// Whether it takes requests.
+    pub ready: bool,
+    /// Whether it is shutting down.
+    pub draining: bool,
+    /// Requests under way.
+    pub in_flight: u64,
+    /// Versions that its data path works with.
+    pub in_force: Versions,
+}
+
+/// A host where a version is not in force yet.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Missing {
+    /// The host.
+    pub host: id::Host,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// The version that it reported last; 0 when it never did.
+    pub version: id::Version,
+}
+
+/// Reports of all entry hosts known.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    reports: collections::BTreeMap<id::Host, Report>,
+}
+
+impl Board {
+    /// Takes a report; false when it says nothing new.
+    ///
+    /// A report of an earlier life is dropped, and within one life versions only rise, so reports
+    /// that cross on their way cannot make a version seem lost or a host seem ahead.
+    pub fn take(&mut self, host: &id::Host, report: Report) -> bool {
+        let Some(known) = self.reports.get_mut(host) else {
+            self.reports.insert(host.clone(), report);
+            return true;
+        };
+        if report.incarnation < known.incarnation || *known == report {
+            return false;
+        }
+        let same_life = report.incarnation == known.incarnation;
+        let behind = |(team, version): (&id::Team, &id::Version)| {
+            report.in_force.get(team).is_none_or(|newer| newer < version)
+        };
+        if same_life && known.in_force.iter().any(behind) {
+            return false;
+        }
+        *known = report;
+        true
+    }
+
+    /// Forgets a host that is gone.
+    pub fn remove(&mut self, host: &id::Host) {
+        self.reports.remove(host);
+    }
+
+    /// All reports.
+    pub fn reports(&self) -> impl Iterator<Item = (&id::Host, &Report)> {
+        self.reports.iter()
+    }
+
+    /// Hosts where `version` of the team's section is not in force: *accepted* is said when this
+    /// is empty. `expected` are hosts known to live that may not have reported yet.
+    ///
+    /// ```
+    /// use lagoonline::control::spread::{Board, Report};
+    /// use lagoonline::id::{Host, Team, Version, Zone};
+    /// let mut board = Board::default();
+    /// board.take(&Host::from("h"), Report::default());
+    /// let missing = board.missing(&Team::from("a"), Version(1), [(Host::from("i"), Zone::from("z"))]);
+    /// assert_eq!(missing.len(), 2);
+    /// ```
+    pub fn missing<I>(&self, team: &id::Team, version: id::Version, expected: I) -> Vec<Missing>
+    where
+        I: IntoIterator<Item = (id::Host, id::Zone)>,
+    {
+        let mut hosts: collections::BTreeMap<_, _> = expected.into_iter().collect();
+        hosts.extend(self.reports.iter().map(|(host, report)| (host.clone(), report.zone.clone())));
+        let in_force = |host: &id::Host| {
+            let report = self.reports.get(host);
+            report.and_then(|report| report.in_force.get(team)).copied().unwrap_or_default()
+        };
+        let lines = hosts.into_iter().map(|(host, zone)| {
+            let version = in_force(&host);
+            Missing { host, zone, version }
+        });
+        lines.filter(|line| line.version < version).collect()
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/tests/control/mod.rs
@@ -0,0 +1,196 @@
+//! A table service in memory with the faults of the real one, for the control tests.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::cell;
+use std::collections;
+use std::future;
+use std::pin;
+use std::rc;
+use std::task;
+
+use lagoonline::port::table;
+
+/// What happens to the next commits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    /// It takes effect and its answer is lost.
+    LoseAnswer,
+    /// Its answer is lost at once; it takes effect when [`Table::settle`] is called.
+    Delay,
+    /// It is refused: nothing is written.
+    Refuse,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    rows: collections::BTreeMap<String, table::Row>,
+    down: bool,
+    faults: collections::VecDeque<Fault>,
+    delayed: Vec<table::Transaction>,
+    commits: usize,
+}
+
+/// Rows in memory; clones share them. Every call first yields once, so that polls of several
+/// callers interleave.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    inner: rc::Rc<cell::RefCell<Inner>>,
+}
+
+impl Table {
+    /// Makes the next commit that reaches the table fail so.
+    pub fn fail_next(&self, fault: Fault) {
+        self.inner.borrow_mut().faults.push_back(fault);
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_down(&self, down: bool) {
+        self.inner.borrow_mut().down = down;
+    }
+
+    /// Lets delayed commits take effect, as far as their checks hold.
+    pub fn settle(&self) {
+        let delayed = std::mem::take(&mut self.inner.borrow_mut().delayed);
+        for transaction in delayed {
+            let _ = self.inner.borrow_mut().apply(&transaction);
+        }
+    }
+
+    /// All rows whose key starts with `prefix`.
+    pub fn rows(&self, prefix: &str) -> Vec<table::Row> {
+        let inner = self.inner.borrow();
+        inner.rows.values().filter(|row| row.key.starts_with(prefix)).cloned().collect()
+    }
+
+    /// Commits that took effect.
+    pub fn commits(&self) -> usize {
+        self.inner.borrow().commits
+    }
+
+    fn check_up(&self) -> Result<(), table::Error> {
+        if self.inner.borrow().down {
+            return Err(refused());
+        }
+        Ok(())
+    }
+}
+
+fn refused() -> table::Error {
+    table::Error::Refused { step: "call", peer: "fake".to_owned(), why: "out".to_owned() }
+}
+
+fn unknown() -> table::Error {
+    table::Error::Unknown { step: "commit", peer: "fake".to_owned(), why: "lost".to_owned() }
+}
+
+impl Inner {
+    fn version(&self, key: &str) -> u64 {
+        self.rows.get(key).map_or(0, |row| row.version)
+    }
+
+    fn apply(&mut self, transaction: &table::Transaction) -> Result<Vec<u64>, table::Error> {
+        let holds = |check: &table::Check| self.version(&check.key) == check.version;
+        if !transaction.checks.iter().all(holds) {
+            return Err(table::Error::Conflict { step: "commit" });
+        }
+        self.commits += 1;
+        let mut versions = Vec::new();
+        for change in &transaction.changes {
+            match change {
+                table::Change::Put { key, value } => {
+                    let version = self.version(key) + 1;
+                    let row = table::Row { key: key.clone(), value: value.clone(), version };
+                    self.rows.insert(key.clone(), row);
+                    versions.push(version);
+                }
+                table::Change::Delete { key } => {
+                    self.rows.remove(key);
+                    versions.push(0);
+                }
+            }
+        }
+        Ok(versions)
+    }
+}
+
+/// Is pending at its first poll.
+#[derive(Default)]
+struct Yield {
+    yielded: bool,
+}
+
+impl future::Future for Yield {
+    type Output = ();
+
+    fn poll(mut self: pin::Pin<&mut Self>, _: &mut task::Context<'_>) -> task::Poll<()> {
+        if self.yielded {
+            return task::Poll::Ready(());
+        }
+        self.yielded = true;
+        task::Poll::Pending
+    }
+}
+
+impl table::Table for Table {
+    async fn read(&self, key: &str) -> Result<Option<table::Row>, table::Error> {
+        Yield::default().await;
+        self.check_up()?;
+        Ok(self.inner.borrow().rows.get(key).cloned())
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<table::Row>, table::Error> {
+        Yield::default().await;
+        self.check_up()?;
+        let rows = self.rows(prefix).into_iter().filter(|row| row.key.as_str() > after);
+        Ok(rows.take(limit).collect())
+    }
+
+    async fn commit(&self, transaction: table::Transaction) -> Result<Vec<u64>, table::Error> {
+        Yield::default().await;
+        self.check_up()?;
+        let mut inner = self.inner.borrow_mut();
+        match inner.faults.pop_front() {
+            None => inner.apply(&transaction),
+            Some(Fault::Refuse) => Err(refused()),
+            Some(Fault::Delay) => {
+                inner.delayed.push(transaction);
+                Err(unknown())
+            }
+            Some(Fault::LoseAnswer) => {
+                let _ = inner.apply(&transaction);
+                Err(unknown())
+            }
+        }
+    }
+}
+
+/// Polls a future to its end; it may only wait for a [`Table`].
+pub fn finish<F>(future: F) -> F::Output
+where
+    F: future::Future,
+{
+    let mut future = pin::pin!(future);
+    loop {
+        if let Some(output) = poll_once(future.as_mut()) {
+            return output;
+        }
+    }
+}
+
+/// Polls a future once.
+pub fn poll_once<F>(future: pin::Pin<&mut F>) -> Option<F::Output>
+where
+    F: future::Future + ?Sized,
+{
+    let mut context = task::Context::from_waker(task::Waker::noop());
+    match future.poll(&mut context) {
+        task::Poll::Ready(output) => Some(output),
+        task::Poll::Pending => None,
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/tests/control_document.rs
@@ -0,0 +1,150 @@
+//! The document: whole checks, compare-and-set, lost answers.
+
+mod control;
+
+use control::{Fault, Table, finish};
+use lagoonline::control::document;
+use lagoonline::id;
+use rstest::rstest;
+
+fn put(team: &str, from: u64, name: &str, text: &str) -> document::Put {
+    document::Put {
+        team: id::Team::from(team),
+        from: id::Version(from),
+        put: name.to_owned(),
+        text: text.to_owned(),
+    }
+}
+
+fn section(team: &str, text: &str) -> document::Section {
+    document::Section::parse(id::Team::from(team), id::Version(1), text).unwrap()
+}
+
+const ENGINES: &str = r#"{"models": {"m": {}, "n": {}}, "services": {"s": {}},
+    "customers": {"c": {"keys": ["0101010101010101010101010101010101010101010101010101010101010101"]}},
+    "upstreams": {
+        "e1": {"zone": "z", "address": "127.0.0.1:1", "models": ["m", "n"]},
+        "e2": {"zone": "z", "address": "127.0.0.1:2", "models": ["m"]}}}"#;
+
+#[rstest]
+#[case::model(
+    r#"{"customers": {"d": {"models": ["x"]}}}"#,
+    "/customers/d/models/0: no section has this model"
+)]
+#[case::service(
+    r#"{"customers": {"d": {"services": ["x"]}}}"#,
+    "/customers/d/services/0: no section has this service"
+)]
+#[case::upstream(
+    r#"{"upstreams": {"f": {"zone": "z", "address": "127.0.0.1:3", "models": ["m", "x"]}}}"#,
+    "/upstreams/f/models/1: no section has this model"
+)]
+#[case::owned(r#"{"models": {"m": {}}}"#, "/models/m: belongs to the section of team fleet")]
+#[case::owned_customer(
+    r#"{"customers": {"c": {}}}"#,
+    "/customers/c: belongs to the section of team fleet"
+)]
+#[case::key(
+    r#"{"customers": {"d": {"keys": ["0101010101010101010101010101010101010101010101010101010101010101"]}}}"#,
+    "/customers/d/keys/0: names a customer already"
+)]
+#[case::claim(
+    r#"{"claims": {"m": {"engines": 3}}}"#,
+    "/claims/m/engines: claims of 3 engines for m are above the 2"
+)]
+#[case::claims_together(
+    r#"{"claims": {"m": {"engines": 2}, "n": {"engines": 1}}}"#,
+    "/claims/m/engines: claims of 3 engines for m, n are above the 2\n\
+     /claims/n/engines: claims of 3 engines for m, n are above the 2"
+)]
+fn a_section_that_does_not_fit_is_refused_by_pointer(#[case] text: &str, #[case] faults: &str) {
+    let others = [section("fleet", ENGINES)];
+    let candidate = section("labels", text);
+    let found = document::check_whole(&others, &candidate).unwrap_err();
+    assert_eq!(found.to_string(), faults);
+}
+
+#[test]
+fn names_and_claims_that_fit_are_taken() {
+    let others = [section("fleet", ENGINES)];
+    let text = r#"{"models": {"k": {}}, "customers": {"d": {"models": ["m", "k"]}},
+        "claims": {"m": {"engines": 1}, "n": {"engines": 1}}}"#;
+    assert_eq!(document::check_whole(&others, &section("labels", text)), Ok(()));
+    assert_eq!(document::check_whole(&others, &section("fleet", ENGINES)), Ok(()));
+}
+
+#[test]
+fn a_name_that_another_team_needs_is_not_removed() {
+    let others =
+        [section("fleet", ENGINES), section("labels", r#"{"claims": {"m": {"engines": 1}}}"#)];
+    let text = r#"{"models": {"n": {}}}"#;
+    let faults = document::check_whole(&others, &section("fleet", text)).unwrap_err();
+    assert_eq!(
+        faults.to_string(),
+        "/models/m: is needed by team labels at /claims/m\n/upstreams: claims of 1 engines for m are above the 0"
+    );
+}
+
+#[test]
+fn of_two_operators_that_race_one_wins_and_the_other_sees_what_changed() {
+    // Both operators edit version 1. The first put makes version 2; the second is refused, and
+    // its operator is shown the first one's change. Nothing of the second is stored.
+    let table = Table::default();
+    finish(document::store(&table, &put("a", 0, "p0", r#"{"models": {"m": {}}}"#))).unwrap();
+    finish(document::store(&table, &put("a", 1, "p1", r#"{"models": {"m": {"max_tokens": 9}}}"#)))
+        .unwrap();
+    let lost = finish(document::store(&table, &put("a", 1, "p2", "{}"))).unwrap_err();
+    let document::Refusal::Raced { version, changes } = lost else { panic!("{lost}") };
+    assert_eq!(version, id::Version(2));
+    let changes: Vec<_> = changes.iter().map(ToString::to_string).collect();
+    assert_eq!(changes, ["+ /models/m/max_tokens: 9"]);
+    assert_eq!(table.rows("history/a/").len(), 2);
+}
+
+#[rstest]
+#[case::effect_without_answer(Fault::LoseAnswer)]
+#[case::effect_after_the_answer_was_lost(Fault::Delay)]
+fn a_put_whose_answer_was_lost_is_stored_once(#[case] fault: Fault) {
+    // The table takes the put and its answer is lost, or the put takes effect only later. The
+    // operator is told version 1 in the end, and the history has one row.
+    let table = Table::default();
+    table.fail_next(fault);
+    let version = finish(document::store(&table, &put("a", 0, "p0", "{}"))).unwrap();
+    table.settle();
+    assert_eq!(version, id::Version(1));
+    assert_eq!(table.rows("history/a/").len(), 1);
+    let again = finish(document::store(&table, &put("a", 0, "p0", "{}"))).unwrap();
+    assert_eq!(again, id::Version(1), "the same put asked again");
+    assert_eq!(table.commits(), 1);
+}
+
+#[test]
+fn a_lost_put_is_found_though_another_team_wrote_after_it() {
+    // The answer to the first put is lost and the operator's program asks again later, when
+    // another version stands in the row: it is told its own version from the history.
+    let table = Table::default();
+    finish(document::store(&table, &put("a", 0, "p0", "{}"))).unwrap();
+    finish(document::store(&table, &put("a", 1, "p1", r#"{"models": {"m": {}}}"#))).unwrap();
+    let again = finish(document::store(&table, &put("a", 0, "p0", "{}"))).unwrap();
+    assert_eq!(again, id::Version(1));
+    assert_eq!(table.rows("history/a/").len(), 2);
+}
+
+#[test]
+fn two_teams_that_add_one_name_at_once_cannot_both_have_it() {
+    // Both puts are checked against a document without the name. The table takes the first; the
+    // second finds the head changed, checks anew, and is refused by pointer.
+    let table = Table::default();
+    let texts = r#"{"models": {"m": {}}}"#;
+    let (first, second) = (put("a", 0, "p0", texts), put("b", 0, "p1", texts));
+    let mut first = Box::pin(document::store(&table, &first));
+    let mut second = Box::pin(document::store(&table, &second));
+    let (mut one, mut two) = (None, None);
+    while one.is_none() || two.is_none() {
+        one = one.or_else(|| control::poll_once(first.as_mut()));
+        two = two.or_else(|| control::poll_once(second.as_mut()));
+    }
+    assert_eq!(one, Some(Ok(id::Version(1))));
+    let Some(Err(document::Refusal::Faulty(faults))) = two else { panic!("{two:?}") };
+    assert_eq!(faults.to_string(), "/models/m: belongs to the section of team a");
+}
