--- a/crates/lagoonline/src/control/document/whole.rs
+++ b/crates/lagoonline/src/control/document/whole.rs
@@ -22,7 +22,7 @@
 /// ```
 /// use lagoonline::control::document::{check_whole, Section};
 /// use lagoonline::id::{Team, Version};
-/// let text = r#"{"claims": {"m": {"engines": 1}}}"#;
+/// let text = r#"{"claims": {"m": {"engines": 0}}}"#;
 /// let candidate = Section::parse(Team::from("a"), Version(1), text).unwrap();
 /// let faults = check_whole([], &candidate).unwrap_err();
 /// assert_eq!(faults.to_string(), "/claims/m: no section has this model");
--- /dev/null
+++ b/crates/lagoonline/src/control/membership/mod.rs
@@ -0,0 +1,15 @@
+//! Which stewards live, and who watches whom.
+//!
+//! Load pattern: one datagram in twenty is lost, delays vary, a process may be paused; 20 hosts
+//! fail and 330 restart in a day, sometimes a rack or a zone at once. Heartbeats of everybody to
+//! everybody would cost a host of a 39-host zone several times its whole budget, so each host is
+//! watched by [`Settings::watchers`] others only. A watcher that hears nothing votes against the
+//! host; votes reach everybody, and each host counts them by itself: dead is who has the majority
+//! of its watchers against it. A vote is taken back when its voter hears the host again, so there
+//! is no verdict that could be wrong for good.
+
+mod group;
+mod roster;
+
+pub use group::*;
+pub use roster::*;
--- a/crates/lagoonline/src/control/mod.rs
+++ b/crates/lagoonline/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod document;
 pub mod membership;
+pub mod mesh;
 pub mod owner;
 pub mod platform;
 pub mod spread;
