Client of the platform, and the entry process's side of the steward's link

Change: table, objects, hosts list and weight store over HTTP with deadline, budget and breaker; a channel of frames after its handshake; link::open gives merged fleets, loads and marks to a sink and says how old the view is. Wire: message Members, Spending.sequence.

--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -11,5 +11,7 @@
 //! assert_ne!(key.tag(b"frame"), key.tag(b"other"));
 //! ```
 
+pub mod link;
 pub mod logs;
+pub mod platform;
 pub mod wire;
--- /dev/null
+++ b/crates/lagoon-net/src/platform/hosts.rs
@@ -0,0 +1,55 @@
+//! The platform's list of hosts.
+
+use lagoonline::id;
+use lagoonline::port::hosts;
+use lagoonline::port::table;
+use ntex::http;
+use serde::Deserialize;
+
+use super::client;
+
+#[derive(Deserialize)]
+struct Line {
+    name: String,
+    zone: String,
+    #[serde(default)]
+    incarnation: u64,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct List {
+    hosts: Vec<Line>,
+}
+
+impl From<Line> for hosts::Line {
+    fn from(line: Line) -> Self {
+        let leaving = line.state == "leaving";
+        hosts::Line {
+            name: line.name,
+            zone: id::Zone::from(line.zone),
+            incarnation: id::Incarnation(line.incarnation),
+            state: if leaving { hosts::State::Leaving } else { hosts::State::Live },
+        }
+    }
+}
+
+impl hosts::Hosts for client::Client {
+    async fn list(&self) -> Result<Vec<hosts::Line>, table::Error> {
+        let step = "list hosts";
+        let call = client::Call {
+            step,
+            kind: client::Kind::Read,
+            method: http::Method::GET,
+            path: "/hosts".to_owned(),
+            query: &[],
+            body: None,
+        };
+        let answer = self.call(call).await?;
+        if answer.status != http::StatusCode::OK {
+            return Err(self.refused(step, answer.status));
+        }
+        let list: List = self.parse(step, &answer.body)?;
+        Ok(list.hosts.into_iter().map(hosts::Line::from).collect())
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/wire/convert.rs
@@ -0,0 +1,144 @@
+//! Between messages and the types of the library.
+
+use lagoonline::control::document;
+use lagoonline::control::membership;
+use lagoonline::control::spread;
+use lagoonline::id;
+use lagoonline::port::engine;
+
+use super::message;
+
+/// Versions as a message has them.
+///
+/// ```
+/// use lagoon_net::wire;
+/// let versions = [("a".into(), lagoonline::id::Version(3))].into();
+/// assert_eq!(wire::versions(&wire::team_versions(&versions)), versions);
+/// ```
+pub fn team_versions(versions: &spread::Versions) -> Vec<message::TeamVersion> {
+    let line = |(team, version): (&id::Team, &id::Version)| message::TeamVersion {
+        team: team.to_string(),
+        version: version.0,
+    };
+    versions.iter().map(line).collect()
+}
+
+/// Versions from a message.
+pub fn versions(lines: &[message::TeamVersion]) -> spread::Versions {
+    let pair = |line: &message::TeamVersion| {
+        (id::Team::from(line.team.as_str()), id::Version(line.version))
+    };
+    lines.iter().map(pair).collect()
+}
+
+/// A section as a message has it.
+pub fn section(section: &document::Section) -> message::Section {
+    message::Section {
+        team: section.team.to_string(),
+        version: section.version.0,
+        text: section.text.to_string(),
+    }
+}
+
+/// A report of an entry process from its message.
+pub fn report(status: &message::Status) -> spread::Report {
+    spread::Report {
+        zone: id::Zone::from(status.zone.as_str()),
+        incarnation: id::Incarnation(status.incarnation),
+        ready: status.ready,
+        draining: status.draining,
+        in_flight: status.in_flight,
+        in_force: versions(&status.in_force),
+    }
+}
+
+/// A report of an entry process as a message.
+pub fn status(host: &id::Host, report: &spread::Report) -> message::Status {
+    message::Status {
+        host: host.to_string(),
+        zone: report.zone.to_string(),
+        incarnation: report.incarnation.0,
+        ready: report.ready,
+        draining: report.draining,
+        in_flight: report.in_flight,
+        in_force: team_versions(&report.in_force),
+    }
+}
+
+/// News of members from a message; members whose address is malformed are left out.
+pub fn news(members: &message::Members) -> Vec<membership::News> {
+    let member = |line: &message::Member| {
+        Some(membership::News::Member(membership::Member {
+            host: id::Host::from(line.host.as_str()),
+            zone: id::Zone::from(line.zone.as_str()),
+            address: line.address.parse().ok()?,
+            incarnation: id::Incarnation(line.incarnation),
+        }))
+    };
+    let vote = |line: &message::Vote| {
+        membership::News::Vote(membership::Vote {
+            by: id::Host::from(line.by.as_str()),
+            by_incarnation: id::Incarnation(line.by_incarnation),
+            number: line.number,
+            host: id::Host::from(line.host.as_str()),
+            incarnation: id::Incarnation(line.incarnation),
+            against: line.against,
+        })
+    };
+    let all = members.members.iter().filter_map(member);
+    all.chain(members.votes.iter().map(vote)).collect()
+}
+
+/// News of members as a message.
+pub fn members(news: &[membership::News]) -> message::Members {
+    let mut message = message::Members::default();
+    for item in news {
+        match item {
+            membership::News::Member(member) => message.members.push(message::Member {
+                host: member.host.to_string(),
+                zone: member.zone.to_string(),
+                address: member.address.to_string(),
+                incarnation: member.incarnation.0,
+            }),
+            membership::News::Vote(vote) => message.votes.push(message::Vote {
+                by: vote.by.to_string(),
+                by_incarnation: vote.by_incarnation.0,
+                number: vote.number,
+                host: vote.host.to_string(),
+                incarnation: vote.incarnation.0,
+                against: vote.against,
+            }),
+        }
+    }
+    message
+}
+
+/// A load as a message has it, `age_ms` milliseconds after it was read.
+pub fn load(upstream: &id::Upstream, load: &engine::Load, age_ms: u64) -> message::Load {
+    message::Load {
+        upstream: upstream.to_string(),
+        running: load.running,
+        waiting: load.waiting,
+        prefill_tokens: load.prefill_tokens,
+        kv_free_tokens: load.kv_free_tokens,
+        kv_tokens: load.kv_tokens,
+        prefill_rate: load.prefill_rate,
+        sequence: load.sequence,
+        incarnation: load.incarnation,
+        age_ms,
+    }
+}
+
+/// A load from its message.
+pub fn engine_load(load: &message::Load) -> engine::Load {
+    engine::Load {
+        running: load.running,
+        waiting: load.waiting,
+        prefill_tokens: load.prefill_tokens,
+        kv_free_tokens: load.kv_free_tokens,
+        kv_tokens: load.kv_tokens,
+        prefill_rate: load.prefill_rate,
+        sequence: load.sequence,
+        incarnation: load.incarnation,
+    }
+}
--- a/crates/lagoon-net/src/wire/message.rs
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -28,7 +28,7 @@
     #[prost(bytes = "bytes", tag = "6")]
     pub nonce: prost::bytes::Bytes,
     /// The message.
-    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27")]
+    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28")]
     pub body: Option<Body>,
 }
 
@@ -71,6 +71,9 @@
     /// Answer to an operator's call.
     #[prost(message, tag = "27")]
     Reply(Reply),
+    /// Stewards, and votes on them.
+    #[prost(message, tag = "28")]
+    Members(Members),
 }
 
 /// The accepting side's nonce, which every later frame of the other side carries.
@@ -148,6 +151,57 @@
     pub version: u64,
 }
 
+/// A steward.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Member {
+    /// Its host.
+    #[prost(string, tag = "1")]
+    pub host: String,
+    /// Its availability zone.
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    /// Where it listens, as `IP:PORT`.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its life.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+}
+
+/// A watcher's word on a steward.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Vote {
+    /// The watcher.
+    #[prost(string, tag = "1")]
+    pub by: String,
+    /// The watcher's life.
+    #[prost(uint64, tag = "2")]
+    pub by_incarnation: u64,
+    /// Counts the watcher's votes.
+    #[prost(uint64, tag = "3")]
+    pub number: u64,
+    /// The steward voted on.
+    #[prost(string, tag = "4")]
+    pub host: String,
+    /// Its life.
+    #[prost(uint64, tag = "5")]
+    pub incarnation: u64,
+    /// True: silent. False: heard again.
+    #[prost(bool, tag = "6")]
+    pub against: bool,
+}
+
+/// Members and votes that the receiver may not know.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Members {
+    /// The members.
+    #[prost(message, repeated, tag = "1")]
+    pub members: Vec<Member>,
+    /// The votes.
+    #[prost(message, repeated, tag = "2")]
+    pub votes: Vec<Vote>,
+}
+
 /// Versions in force at the sender.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Digest {
@@ -299,6 +353,9 @@
     /// The lines.
     #[prost(message, repeated, tag = "3")]
     pub lines: Vec<Spend>,
+    /// Counts the host's messages, so that one that comes by two ways counts once.
+    #[prost(uint64, tag = "4")]
+    pub sequence: u64,
 }
 
 /// Places on one upstream.
--- a/crates/lagoon-net/src/wire/mod.rs
+++ b/crates/lagoon-net/src/wire/mod.rs
@@ -3,8 +3,10 @@
 
 mod auth;
 mod codec;
+mod convert;
 mod message;
 
 pub use auth::*;
 pub use codec::*;
+pub use convert::*;
 pub use message::*;
--- a/crates/lagoonline/src/control/spread.rs
+++ b/crates/lagoonline/src/control/spread.rs
@@ -120,7 +120,7 @@
 }
 
 impl Board {
-    /// Takes a report; false when it says nothing new.
+    /// Takes a report; false when it says nothing new but how many requests are under way.
     ///
     /// A report of an earlier life is dropped, and within one life versions only rise, so reports
     /// that cross on their way cannot make a version seem lost or a host seem ahead.
@@ -129,7 +129,7 @@
             self.reports.insert(host.clone(), report);
             return true;
         };
-        if report.incarnation < known.incarnation || *known == report {
+        if report.incarnation < known.incarnation {
             return false;
         }
         let same_life = report.incarnation == known.incarnation;
@@ -139,8 +139,14 @@
         if same_life && known.in_force.iter().any(behind) {
             return false;
         }
+        let same = *known == Report { in_flight: known.in_flight, ..report.clone() };
         *known = report;
-        true
+        !same
+    }
+
+    /// What a host reported last.
+    pub fn report(&self, host: &id::Host) -> Option<&Report> {
+        self.reports.get(host)
     }
 
     /// Forgets a host that is gone.
