Steward process, and the operators' command line

Change: steward::start runs membership, links, fetching, spreading, observation, marks and operators' calls on one thread; lagoon-steward and lagoonctl are thin over it; a put is asked again with its id until its fate is known, then waited for until every zone has it in force.

--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -13,5 +13,7 @@
 
 pub mod link;
 pub mod logs;
+pub mod operator;
 pub mod platform;
+pub mod steward;
 pub mod wire;
--- a/crates/lagoon-net/src/link/client.rs
+++ b/crates/lagoon-net/src/link/client.rs
@@ -277,13 +277,15 @@
         Some(wire::Body::Sections(wire::Sections { sections, complete: false }))
     }
 
-    /// A mark on this entry host itself is an operator's word to drain.
+    /// A mark on this entry host itself, in this life, is an operator's word to drain.
     fn take_marks<S>(&self, marks: Vec<wire::Mark>, sink: &mut S)
     where
         S: Sink,
     {
         let own = |mark: &wire::Mark| mark.upstream == self.settings.host.as_str();
-        if marks.iter().any(|mark| own(mark) && mark.leaving) {
+        let incarnation = self.settings.incarnation.0;
+        let drains = |mark: &wire::Mark| mark.leaving && mark.incarnation >= incarnation;
+        if marks.iter().any(|mark| own(mark) && drains(mark)) {
             sink.take(Update::Drain);
         }
         let marks: Vec<_> = marks.into_iter().filter(|mark| !own(mark)).collect();
--- /dev/null
+++ b/crates/lagoon-net/src/steward/calls.rs
@@ -0,0 +1,318 @@
+//! Operators' calls.
+
+use std::collections;
+
+use lagoonline::check;
+use lagoonline::control::document;
+use lagoonline::control::spread;
+use lagoonline::id;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use sha2::Digest;
+
+use super::Context;
+use super::core;
+use super::zones;
+use crate::platform;
+use crate::wire;
+
+/// Why a call was not carried out; `code` is for programs, `message` for people.
+#[derive(Debug)]
+struct Failure {
+    code: &'static str,
+    message: String,
+    details: serde_json::Value,
+}
+
+impl Failure {
+    fn new<M>(code: &'static str, message: M) -> Self
+    where
+        M: ToString,
+    {
+        Failure { code, message: message.to_string(), details: serde_json::Value::Null }
+    }
+}
+
+type Outcome = Result<serde_json::Value, Failure>;
+
+/// Carries out a call and replies on its link.
+pub(super) async fn answer(context: Context, link: core::LinkId, call: wire::Call) {
+    let outcome = dispatch(&context, &call).await;
+    let (good, value) = match outcome {
+        Ok(value) => (true, value),
+        Err(failure) => {
+            let error = json!({
+                "code": failure.code,
+                "message": failure.message,
+                "details": failure.details,
+            });
+            (false, json!({ "error": error }))
+        }
+    };
+    let reply = wire::Reply { id: call.id, good, text: value.to_string() };
+    context.core.borrow_mut().send(link, wire::Body::Reply(reply));
+}
+
+async fn dispatch(context: &Context, call: &wire::Call) -> Outcome {
+    match call.verb() {
+        wire::Verb::SectionGet => section_get(context, call).await,
+        wire::Verb::SectionCheck => section_check(context, call).await,
+        wire::Verb::SectionPut => section_put(context, call).await,
+        wire::Verb::SectionStatus => section_status(context, call).await,
+        wire::Verb::Status => status(context, call).await,
+        wire::Verb::Drain => drain(context, call).await,
+        wire::Verb::Orders | wire::Verb::Usage | wire::Verb::Unspecified => {
+            Err(Failure::new("unknown_call", "this steward does not know the call"))
+        }
+    }
+}
+
+/// Whether the call's key is an operators' key.
+fn is_operator(context: &Context, hash: &document::KeyHash) -> bool {
+    context.settings.operator_keys.iter().any(|key| is_same(key, hash))
+}
+
+/// Compares in constant time: how long it takes says nothing of the key.
+fn is_same(one: &document::KeyHash, other: &document::KeyHash) -> bool {
+    use subtle::ConstantTimeEq;
+    one.ct_eq(other).into()
+}
+
+/// Allows the call when its key is the operators' or one of the team's section in force.
+fn authorize(context: &Context, call: &wire::Call) -> Result<(), Failure> {
+    let hash: document::KeyHash = sha2::Sha256::digest(call.key.as_bytes()).into();
+    let core = context.core.borrow();
+    let section = core.replica.section(&id::Team::from(call.team.as_str()));
+    let keys = section.map(|section| section.body.policy.team_keys.as_slice()).unwrap_or_default();
+    if is_operator(context, &hash) || keys.iter().any(|key| is_same(key, &hash)) {
+        return Ok(());
+    }
+    Err(Failure::new("denied", format!("the key may not act for team {}", call.team)))
+}
+
+fn authorize_operator(context: &Context, call: &wire::Call) -> Result<(), Failure> {
+    let hash: document::KeyHash = sha2::Sha256::digest(call.key.as_bytes()).into();
+    if is_operator(context, &hash) {
+        return Ok(());
+    }
+    Err(Failure::new("denied", "the key is not an operators' key"))
+}
+
+fn platform(context: &Context) -> Result<&platform::Client, Failure> {
+    let none = || Failure::new("no_platform", "this steward has no platform in its settings");
+    context.platform.as_ref().ok_or_else(none)
+}
+
+fn refusal(refusal: document::Refusal) -> Failure {
+    let message = refusal.to_string();
+    let (code, details) = match refusal {
+        document::Refusal::Faulty(check::Faults(faults)) => {
+            let line = |fault: &check::Fault| json!([fault.pointer, fault.reason]);
+            ("faulty", json!({ "faults": faults.iter().map(line).collect::<Vec<_>>() }))
+        }
+        document::Refusal::Raced { version, changes } => {
+            let changes: Vec<_> = changes.iter().map(ToString::to_string).collect();
+            ("raced", json!({ "version": version, "changes": changes }))
+        }
+        document::Refusal::Table(lagoonline::port::table::Error::Unknown { .. }) => {
+            ("unknown", serde_json::Value::Null)
+        }
+        document::Refusal::Table(_) => ("platform", serde_json::Value::Null),
+    };
+    Failure { code, message, details }
+}
+
+fn put_of(call: &wire::Call) -> document::Put {
+    document::Put {
+        team: id::Team::from(call.team.as_str()),
+        from: id::Version(call.version),
+        put: call.put.clone(),
+        text: call.text.clone(),
+    }
+}
+
+async fn section_get(context: &Context, call: &wire::Call) -> Outcome {
+    authorize(context, call)?;
+    let team = id::Team::from(call.team.as_str());
+    // The table is asked first: what is edited should be the newest. Without it, what is in force.
+    if let Some(platform) = &context.platform
+        && let Ok(Some((version, stored))) = document::read_section(platform, &team).await
+    {
+        return Ok(json!({ "version": version, "text": stored.text, "source": "platform" }));
+    }
+    let core = context.core.borrow();
+    match core.replica.section(&team) {
+        Some(section) => Ok(json!({
+            "version": section.version, "text": &*section.text, "source": "in force",
+        })),
+        None => Ok(json!({ "version": 0, "text": "{}", "source": "none" })),
+    }
+}
+
+async fn section_check(context: &Context, call: &wire::Call) -> Outcome {
+    authorize(context, call)?;
+    let put = put_of(call);
+    document::check(platform(context)?, &put).await.map_err(refusal)?;
+    let current = document::read_section(platform(context)?, &put.team).await;
+    let current = current.map_err(|error| refusal(error.into()))?;
+    let text = current.map_or_else(|| "{}".to_owned(), |(_, stored)| stored.text);
+    let changes: Vec<_> =
+        document::diff(&text, &put.text).iter().map(ToString::to_string).collect();
+    Ok(json!({ "changes": changes }))
+}
+
+async fn section_put(context: &Context, call: &wire::Call) -> Outcome {
+    authorize(context, call)?;
+    if call.put.is_empty() {
+        return Err(Failure::new("bad_call", "a put needs an id"));
+    }
+    let put = put_of(call);
+    let version = document::store(platform(context)?, &put).await.map_err(refusal)?;
+    let section = document::Section::parse(put.team.clone(), version, &put.text);
+    if let Ok(section) = section {
+        context.core.borrow_mut().apply(vec![section], None);
+    }
+    Ok(json!({ "version": version }))
+}
+
+/// What one zone says of a version.
+#[derive(Deserialize, Serialize)]
+struct ZoneStatus {
+    zone: String,
+    /// Entry hosts known.
+    hosts: usize,
+    /// Those where the version is not in force: host and its version.
+    missing: Vec<(String, u64)>,
+}
+
+/// Argument that a steward gives another so that only its zone is looked at.
+const ZONE_ONLY: &str = r#"{"zone_only":true}"#;
+
+fn zone_status(context: &Context, team: &id::Team, version: id::Version) -> ZoneStatus {
+    let core = context.core.borrow();
+    let zone = core.zone();
+    let live = core.group.live().filter(|member| member.zone == *zone);
+    let expected = live.map(|member| (member.host.clone(), member.zone.clone()));
+    let expected: collections::BTreeMap<_, _> = expected.collect();
+    let reported = core.board.reports().filter(|(host, _)| !expected.contains_key(*host));
+    let hosts = expected.len() + reported.count();
+    let missing = core.board.missing(team, version, expected);
+    let line = |line: &spread::Missing| (line.host.to_string(), line.version.0);
+    ZoneStatus { zone: zone.to_string(), hosts, missing: missing.iter().map(line).collect() }
+}
+
+async fn section_status(context: &Context, call: &wire::Call) -> Outcome {
+    let team = id::Team::from(call.team.as_str());
+    if call.text == ZONE_ONLY {
+        let version = id::Version(call.version);
+        return serde_json::to_value(zone_status(context, &team, version))
+            .map_err(|error| Failure::new("internal", error));
+    }
+    authorize(context, call)?;
+    let in_force = context.core.borrow().replica.version(&team);
+    let version = if call.version == 0 { in_force } else { id::Version(call.version) };
+    let mut zones = vec![json!(zone_status(context, &team, version))];
+    let question = wire::Call {
+        version: version.0,
+        text: ZONE_ONLY.to_owned(),
+        key: String::new(),
+        ..call.clone()
+    };
+    for answer in zones::ask(context, &question).await {
+        let parsed = answer.text.and_then(|text| serde_json::from_str::<ZoneStatus>(&text).ok());
+        zones.push(match parsed {
+            Some(status) => json!(status),
+            None => json!({ "zone": answer.zone.as_str(), "silent": true }),
+        });
+    }
+    let is_done = |zone: &serde_json::Value| zone["missing"].as_array().is_some_and(Vec::is_empty);
+    let accepted = zones.iter().all(is_done);
+    Ok(json!({ "version": version, "accepted": accepted, "zones": zones }))
+}
+
+async fn status(context: &Context, call: &wire::Call) -> Outcome {
+    if call.text == ZONE_ONLY {
+        return Ok(zone_state(context));
+    }
+    authorize_operator(context, call)?;
+    let question = wire::Call { text: ZONE_ONLY.to_owned(), key: String::new(), ..call.clone() };
+    let mut zones = vec![zone_state(context)];
+    for answer in zones::ask(context, &question).await {
+        let parsed = answer.text.and_then(|text| serde_json::from_str(&text).ok());
+        let silent = || json!({ "zone": answer.zone.as_str(), "silent": true });
+        zones.push(parsed.unwrap_or_else(silent));
+    }
+    Ok(json!({ "zones": zones }))
+}
+
+fn zone_state(context: &Context) -> serde_json::Value {
+    let core = context.core.borrow();
+    let zone = core.zone();
+    let members = core.group.roster().members().filter(|member| member.zone == *zone);
+    let host = |member: &lagoonline::control::membership::Member| {
+        let report = core.board.report(&member.host);
+        json!({
+            "host": member.host.as_str(),
+            "steward": if core.group.is_live(&member.host) { "live" } else { "dead" },
+            "ready": report.is_some_and(|report| report.ready),
+            "draining": report.is_some_and(|report| report.draining),
+            "in_flight": report.map(|report| report.in_flight),
+            "in_force": report.map(|report| report.in_force.clone()),
+        })
+    };
+    let hosts: Vec<_> = members.map(host).collect();
+    let leaving = core.marks.values().filter(|mark| mark.leaving);
+    let leaving: Vec<_> = leaving.map(|mark| mark.upstream.as_str()).collect();
+    let upstreams: Vec<_> = core
+        .loads
+        .iter()
+        .map(|(name, observed)| {
+            let load = &observed.load;
+            json!({
+                "upstream": name.as_str(), "running": load.running, "waiting": load.waiting,
+                "kv_free_tokens": load.kv_free_tokens,
+            })
+        })
+        .collect();
+    json!({
+        "zone": zone.as_str(), "complete": core.complete, "hosts": hosts,
+        "upstreams": upstreams, "leaving": leaving,
+    })
+}
+
+/// Drains an entry host or an upstream of the fleet; `text` names it.
+async fn drain(context: &Context, call: &wire::Call) -> Outcome {
+    let name = call.text.as_str();
+    let upstream = context.core.borrow().fleet.upstream(&id::Upstream::from(name)).cloned();
+    if let Some(upstream) = upstream {
+        let call = wire::Call { team: upstream.team.to_string(), ..call.clone() };
+        authorize(context, &call)?;
+        let core = context.core.borrow();
+        let known = core.loads.get(&upstream.name);
+        let incarnation = known.map_or(0, |known| known.load.incarnation);
+        drop(core);
+        return Ok(mark_leaving(context, name, incarnation));
+    }
+    authorize_operator(context, call)?;
+    let host = id::Host::from(name);
+    let member = context.core.borrow().group.roster().member(&host).cloned();
+    let Some(member) = member else {
+        let message = format!("no entry host or upstream is {name}");
+        return Err(Failure::new("unknown_name", message));
+    };
+    if member.zone != context.settings.zone {
+        let text = zones::ask_in(context, &member.zone, call).await;
+        let value = text.and_then(|text| serde_json::from_str(&text).ok());
+        return value
+            .ok_or_else(|| Failure::new("silent", format!("no answer from {}", member.zone)));
+    }
+    let report = context.core.borrow().board.report(&host).cloned();
+    let incarnation = report.map_or(0, |report| report.incarnation.0);
+    Ok(mark_leaving(context, name, incarnation))
+}
+
+fn mark_leaving(context: &Context, name: &str, incarnation: u64) -> serde_json::Value {
+    let mark = wire::Mark { upstream: name.to_owned(), incarnation, leaving: true };
+    context.core.borrow_mut().take_marks(&[mark], None);
+    json!({ "draining": name, "incarnation": incarnation })
+}
--- /dev/null
+++ b/crates/lagoon-net/src/steward/dial.rs
@@ -0,0 +1,97 @@
+//! Keeps the links that the mesh wants, and finds the first peers.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use lagoonline::clock::Clock;
+use lagoonline::control::membership;
+use lagoonline::control::mesh;
+use lagoonline::id;
+use ntex::rt;
+
+use super::Context;
+use super::session;
+use crate::link;
+
+/// Time between two looks at which links are missing.
+const LOOK: time::Duration = time::Duration::from_millis(250);
+
+/// Looks between two tries of an address that failed: drawn up to this many.
+const RETRY_LOOKS: u32 = 8;
+
+/// Looks between two tries to reach some dead member, on average.
+const DEAD_LOOKS: u32 = 16;
+
+pub(super) async fn run(context: Context) {
+    let mut waits = collections::HashMap::<net::SocketAddr, u32>::new();
+    let mut first = true;
+    loop {
+        for (host, address) in wanted(&context, first) {
+            let wait = waits.entry(address).or_default();
+            if *wait > 0 {
+                *wait -= 1;
+                continue;
+            }
+            *wait = 1 + rand::random_range(0..RETRY_LOOKS);
+            rt::spawn(dial(context.clone(), host, address));
+        }
+        first = false;
+        tokio::time::sleep(LOOK).await;
+        let mut core = context.core.borrow_mut();
+        core.repair();
+        core.prune();
+    }
+}
+
+/// Hosts to connect to: those of the mesh, and settings' peers while there are no others.
+fn wanted(context: &Context, first: bool) -> Vec<(Option<id::Host>, net::SocketAddr)> {
+    let core = context.core.borrow();
+    let mut found = Vec::new();
+    for host in mesh::wanted(&core.group) {
+        if core.is_linked(&host) || core.dialing.contains(&host) {
+            continue;
+        }
+        if let Some(member) = core.group.roster().member(&host) {
+            found.push((Some(host), member.address));
+        }
+    }
+    // After a cut, each side holds the other dead and nobody would call again.
+    let dead: Vec<_> = core.group.dead().filter(|member| member.zone == *core.zone()).collect();
+    if rand::random_ratio(1, DEAD_LOOKS) && !dead.is_empty() {
+        let member = dead[rand::random_range(0..dead.len())];
+        found.push((Some(member.host.clone()), member.address));
+    }
+    if first || core.steward_links() == 0 {
+        let others = context.settings.peers.iter().filter(|peer| **peer != context.address);
+        found.extend(others.map(|peer| (None, *peer)));
+    }
+    found
+}
+
+async fn dial(context: Context, host: Option<id::Host>, address: net::SocketAddr) {
+    let name = host.unwrap_or_else(|| id::Host::from(address.to_string()));
+    context.core.borrow_mut().dialing.insert(name.clone());
+    let connected = link::Channel::connect(address, &session::identity(&context)).await;
+    context.core.borrow_mut().dialing.remove(&name);
+    match connected {
+        Ok((channel, mut peer)) => {
+            let roster_zone = {
+                let core = context.core.borrow();
+                let member = core.group.roster().member(&id::Host::from(peer.sender.as_str()));
+                member.map(|member| member.zone.clone())
+            };
+            peer.zone = roster_zone.unwrap_or_default();
+            session::serve(&context, channel, peer, true).await;
+        }
+        Err(error) => log::debug!("{error}"),
+    }
+}
+
+/// Takes members that the platform's table names.
+pub(super) fn meet(context: &Context, members: Vec<membership::Member>) {
+    let news: Vec<_> = members.into_iter().map(membership::News::Member).collect();
+    let mut core = context.core.borrow_mut();
+    let fresh = core.group.take(&news, context.clock.now());
+    core.tell_members(&fresh, None);
+}
--- /dev/null
+++ b/crates/lagoon-net/src/steward/session.rs
@@ -0,0 +1,102 @@
+//! One connection: frames in, messages out.
+
+use std::net;
+
+use ntex::rt;
+use tokio::net as tokio_net;
+use tokio::sync::mpsc;
+
+use super::Context;
+use super::calls;
+use super::core;
+use crate::link;
+use crate::wire;
+
+/// Most connections at once: hosts of a zone, gateways, an entry process and some operators.
+const CONNECTIONS: usize = 256;
+
+/// Wait after a failed accept, such as without free descriptors.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+pub(super) fn identity(context: &Context) -> link::Identity {
+    link::Identity {
+        sender: context.settings.host.to_string(),
+        incarnation: context.incarnation,
+        zone: context.settings.zone.clone(),
+        role: wire::Role::Steward,
+        key: context.settings.key.clone(),
+    }
+}
+
+/// Accepts connections.
+pub(super) async fn listen(context: Context, listener: tokio_net::TcpListener) {
+    let places = std::sync::Arc::new(tokio::sync::Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                let context = context.clone();
+                rt::spawn(async move {
+                    accept(context, stream, address).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                log::warn!("accept: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn accept(context: Context, stream: tokio_net::TcpStream, address: net::SocketAddr) {
+    match link::Channel::accept(stream, address, &identity(&context)).await {
+        Ok((channel, peer)) => serve(&context, channel, peer, false).await,
+        Err(error) => {
+            log::debug!("{error}");
+            let counters = context.core.borrow().counters.clone();
+            core::Counters::add(&counters.connections_refused, 1);
+        }
+    }
+}
+
+/// Serves a connection until it ends.
+pub(super) async fn serve(
+    context: &Context,
+    channel: link::Channel,
+    peer: link::Peer,
+    is_dialed: bool,
+) {
+    let sender = peer.sender.clone();
+    let (name, receiver) = context.core.borrow_mut().open(peer, is_dialed);
+    let ended = exchange(context, channel, name, receiver).await;
+    context.core.borrow_mut().close(name);
+    if let Err(error) = ended {
+        log::debug!("link with {sender}: {error}");
+    }
+}
+
+async fn exchange(
+    context: &Context,
+    mut channel: link::Channel,
+    name: core::LinkId,
+    mut receiver: mpsc::Receiver<wire::Body>,
+) -> Result<(), link::Error> {
+    let counters = context.core.borrow().counters.clone();
+    loop {
+        tokio::select! {
+            frame = channel.receive() => match frame?.body {
+                Some(wire::Body::Call(call)) => {
+                    rt::spawn(calls::answer(context.clone(), name, call));
+                }
+                Some(body) => context.core.borrow_mut().take(body, name),
+                None => {}
+            },
+            body = receiver.recv() => {
+                let Some(body) = body else { return Ok(()) };
+                core::Counters::add(&counters.frames_sent, 1);
+                channel.send(body).await?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -0,0 +1,130 @@
+//! Settings of a steward.
+
+use std::net;
+
+use lagoonline::check;
+use lagoonline::clock;
+use lagoonline::control::document;
+use lagoonline::control::membership;
+use lagoonline::id;
+
+use crate::logs;
+use crate::platform;
+use crate::wire;
+
+/// Settings of a steward.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This entry host.
+    pub host: id::Host,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Where to listen, by TCP and UDP on the same port; port 0 takes a free one.
+    pub listen: net::SocketAddr,
+    /// The address that others reach it at, if not the one it listens at.
+    pub advertise: Option<net::SocketAddr>,
+    /// The fleet's key.
+    pub key: wire::Key,
+    /// The platform; without it, sections come from peers only.
+    pub platform: Option<platform::Settings>,
+    /// Stewards to ask at first, besides those that the platform's table names.
+    pub peers: Vec<net::SocketAddr>,
+    /// SHA-256 of each operators' key, which may change every section.
+    pub operator_keys: Vec<document::KeyHash>,
+    /// Heartbeats.
+    pub membership: membership::Settings,
+    /// Time between two reads of the document's head by the zone's fetcher.
+    pub poll: clock::Span,
+    /// Time between two reads of the load of an upstream that this steward observes.
+    pub observe: clock::Span,
+    /// Logs.
+    pub logs: logs::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            host: id::Host::from("host"),
+            zone: id::Zone::from("zone"),
+            listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            advertise: None,
+            key: wire::Key::new(&[]),
+            platform: None,
+            peers: Vec::new(),
+            operator_keys: Vec::new(),
+            membership: membership::Settings::default(),
+            poll: clock::Span::from_millis(500),
+            observe: clock::Span::from_millis(500),
+            logs: logs::Settings::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads a steward's settings; `key`, `host`, `zone` and `listen` must be given.
+    ///
+    /// ```
+    /// use lagoon_net::steward;
+    /// use lagoonline::check;
+    /// let text = r#"{"host": "suva-1", "zone": "suva", "listen": "127.0.0.1:0", "key": "secret"}"#;
+    /// let settings = check::parse(text, steward::Settings::read).unwrap();
+    /// assert_eq!(settings.zone.as_str(), "suva");
+    /// ```
+    pub fn read(reader: &check::Reader<'_>) -> Settings {
+        let usual = Settings::default();
+        let poll = reader.number("poll_ms", 500, 10..=60_000);
+        let observe = reader.number("observe_ms", 500, 10..=60_000);
+        Settings {
+            host: id::Host::from(reader.required("host")),
+            zone: id::Zone::from(reader.required("zone")),
+            listen: reader.required_parsed("listen", "IP:PORT", usual.listen),
+            advertise: reader.parsed("advertise", "IP:PORT"),
+            key: wire::Key::new(reader.required("key").as_bytes()),
+            platform: reader.child("platform", platform::Settings::read),
+            peers: read_peers(reader),
+            operator_keys: read_keys(reader),
+            membership: reader.child("membership", read_membership).unwrap_or_default(),
+            poll: clock::Span::from_millis(poll),
+            observe: clock::Span::from_millis(observe),
+            logs: reader.child("logs", logs::Settings::read).unwrap_or_default(),
+        }
+    }
+}
+
+fn read_peers(reader: &check::Reader<'_>) -> Vec<net::SocketAddr> {
+    let texts = reader.texts("peers");
+    let mut peers = Vec::with_capacity(texts.len());
+    for (index, text) in texts.iter().enumerate() {
+        match text.parse() {
+            Ok(address) => peers.push(address),
+            Err(_) => reader.fault(&format!("peers/{index}"), "must be IP:PORT"),
+        }
+    }
+    peers
+}
+
+fn read_keys(reader: &check::Reader<'_>) -> Vec<document::KeyHash> {
+    let texts = reader.texts("operator_keys");
+    let mut keys = Vec::with_capacity(texts.len());
+    for (index, text) in texts.iter().enumerate() {
+        match document::parse_key_hash(text) {
+            Some(key) => keys.push(key),
+            None => reader.fault(&format!("operator_keys/{index}"), "must be 64 hex digits"),
+        }
+    }
+    keys
+}
+
+fn read_membership(reader: &check::Reader<'_>) -> membership::Settings {
+    let usual = membership::Settings::default();
+    let interval = reader.number("interval_ms", 500, 10..=60_000);
+    let silence = reader.number("silence_ms", 2_200, 20..=600_000);
+    if silence < 2 * interval {
+        reader.fault("silence_ms", "is below two intervals");
+    }
+    membership::Settings {
+        interval: clock::Span::from_millis(interval),
+        silence: clock::Span::from_millis(silence),
+        ..usual
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/steward/zones.rs
@@ -0,0 +1,85 @@
+//! Asks a steward of each other zone, for answers that need the whole fleet.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use futures_util::future;
+use lagoonline::control::mesh;
+use lagoonline::id;
+
+use super::Context;
+use super::session;
+use crate::link;
+use crate::wire;
+
+/// Longest time for one steward's answer.
+const ANSWER_TIME: time::Duration = time::Duration::from_millis(800);
+
+/// Stewards of a zone that are tried.
+const TRIES: usize = 3;
+
+/// One zone's answer: `None` when none of its stewards answered.
+pub(super) struct Answer {
+    pub(super) zone: id::Zone,
+    pub(super) text: Option<String>,
+}
+
+/// Sends `call` to one steward of every other zone known.
+pub(super) async fn ask(context: &Context, call: &wire::Call) -> Vec<Answer> {
+    let zones = addresses(context);
+    let asked = zones.into_iter().map(|(zone, addresses)| ask_zone(context, zone, addresses, call));
+    future::join_all(asked).await
+}
+
+/// Sends `call` to one steward of `zone`.
+pub(super) async fn ask_in(
+    context: &Context,
+    zone: &id::Zone,
+    call: &wire::Call,
+) -> Option<String> {
+    let addresses = addresses(context).remove(zone)?;
+    ask_zone(context, zone.clone(), addresses, call).await.text
+}
+
+/// Stewards of the other zones, gateways first.
+fn addresses(context: &Context) -> collections::BTreeMap<id::Zone, Vec<net::SocketAddr>> {
+    let core = context.core.borrow();
+    let mut zones = collections::BTreeMap::<_, Vec<_>>::new();
+    for member in core.group.roster().members().filter(|member| member.zone != *core.zone()) {
+        zones.entry(member.zone.clone()).or_default().push((member.host.clone(), member.address));
+    }
+    let ordered = zones.into_iter().map(|(zone, mut members)| {
+        let gateways = mesh::gateways(&core.group, &zone);
+        members.sort_by_key(|(host, _)| !gateways.contains(host));
+        (zone, members.into_iter().map(|(_, address)| address).collect())
+    });
+    ordered.collect()
+}
+
+async fn ask_zone(
+    context: &Context,
+    zone: id::Zone,
+    addresses: Vec<net::SocketAddr>,
+    call: &wire::Call,
+) -> Answer {
+    for address in addresses.into_iter().take(TRIES) {
+        let asked = ask_one(context, address, call);
+        if let Ok(Some(text)) = tokio::time::timeout(ANSWER_TIME, asked).await {
+            return Answer { zone, text: Some(text) };
+        }
+    }
+    Answer { zone, text: None }
+}
+
+async fn ask_one(context: &Context, address: net::SocketAddr, call: &wire::Call) -> Option<String> {
+    let identity = link::Identity { role: wire::Role::Operator, ..session::identity(context) };
+    let (mut channel, _) = link::Channel::connect(address, &identity).await.ok()?;
+    channel.send(wire::Body::Call(call.clone())).await.ok()?;
+    loop {
+        let frame = channel.receive().await.ok()?;
+        if let Some(wire::Body::Reply(reply)) = frame.body {
+            return reply.good.then_some(reply.text);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonctl/src/arguments.rs
@@ -0,0 +1,140 @@
+//! The command line.
+
+use std::process;
+
+use argh::FromArgs;
+
+/// Exit code for bad usage or settings.
+pub(crate) const BAD_USAGE: i32 = 2;
+
+/// Drive a lagoonline fleet.
+#[derive(FromArgs)]
+pub(crate) struct Arguments {
+    /// file of settings, in JSON
+    #[argh(option, default = "String::from(\"lagoonctl.json\")")]
+    pub(crate) settings: String,
+    /// print JSON
+    #[argh(switch)]
+    pub(crate) json: bool,
+    #[argh(subcommand)]
+    pub(crate) command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum Command {
+    Section(Section),
+    Status(Status),
+    Drain(Drain),
+    Orders(Orders),
+    Usage(Usage),
+}
+
+/// A team's section of the document.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "section")]
+pub(crate) struct Section {
+    #[argh(subcommand)]
+    pub(crate) command: SectionCommand,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub(crate) enum SectionCommand {
+    Get(Get),
+    Check(Check),
+    Put(Put),
+    Status(SectionStatus),
+}
+
+/// Print a section; its version goes to standard error.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "get")]
+pub(crate) struct Get {
+    #[argh(positional)]
+    pub(crate) team: String,
+}
+
+/// Check a section against the whole document and show what it would change.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+pub(crate) struct Check {
+    #[argh(positional)]
+    pub(crate) team: String,
+    #[argh(positional)]
+    pub(crate) file: String,
+    /// version that the file was edited from
+    #[argh(option)]
+    pub(crate) from: u64,
+}
+
+/// Store a section and wait until it is in force in every availability zone.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "put")]
+pub(crate) struct Put {
+    #[argh(positional)]
+    pub(crate) team: String,
+    #[argh(positional)]
+    pub(crate) file: String,
+    /// version that the file was edited from; 0 for a new section
+    #[argh(option)]
+    pub(crate) from: u64,
+    /// longest wait in milliseconds until it is in force everywhere (default 10000)
+    #[argh(option, default = "10_000")]
+    pub(crate) wait_ms: u64,
+}
+
+/// Say where a section's version is in force; exit code 1 when one entry host lacks it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct SectionStatus {
+    #[argh(positional)]
+    pub(crate) team: String,
+    /// the version (default: the one in force at the steward asked)
+    #[argh(option, default = "0")]
+    pub(crate) version: u64,
+}
+
+/// State of entry hosts and upstreams.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub(crate) struct Status {}
+
+/// Drain an entry host or an upstream.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "drain")]
+pub(crate) struct Drain {
+    #[argh(positional)]
+    pub(crate) name: String,
+}
+
+/// Orders to engines: those wanted, given and outstanding.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "orders")]
+pub(crate) struct Orders {}
+
+/// Idle cost.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "usage")]
+pub(crate) struct Usage {
+    /// team, customer, model, upstream or day (default: team)
+    #[argh(option, default = "String::from(\"team\")")]
+    pub(crate) by: String,
+}
+
+/// The arguments of this process; ends it with 2 when they are wrong.
+pub(crate) fn read() -> Arguments {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match Arguments::from_args(&["lagoonctl"], &words) {
+        Ok(arguments) => arguments,
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            process::exit(0);
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            process::exit(BAD_USAGE);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoonctl/src/run.rs
@@ -0,0 +1,131 @@
+//! The commands.
+
+use std::fs;
+
+use lagoon_net::operator;
+use lagoon_net::wire;
+use lagoonline::check;
+use lagoonline::clock;
+
+use super::arguments;
+use super::print;
+
+/// Exit codes; bad usage is told apart in [`arguments`].
+const GOOD: i32 = 0;
+const FAILED: i32 = 1;
+
+/// Reads the settings; the message names the file, the place and the reason.
+pub(crate) fn settings(path: &str) -> Result<operator::Settings, String> {
+    let text = fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
+    check::parse(&text, operator::Settings::read).map_err(|faults| {
+        let lines = faults.0.iter().map(|fault| format!("{path}: {fault}"));
+        lines.collect::<Vec<_>>().join("\n")
+    })
+}
+
+/// Carries out a command; its exit code.
+pub(crate) async fn run(settings: operator::Settings, arguments: arguments::Arguments) -> i32 {
+    let client = operator::Client::new(settings);
+    let json = arguments.json;
+    let result = match arguments.command {
+        arguments::Command::Section(section) => match section.command {
+            arguments::SectionCommand::Get(get) => section_get(&client, get, json).await,
+            arguments::SectionCommand::Check(check) => section_check(&client, check, json).await,
+            arguments::SectionCommand::Put(put) => section_put(&client, put, json).await,
+            arguments::SectionCommand::Status(status) => {
+                let standing = client.standing(&status.team, status.version).await;
+                standing.map(|standing| finish(&status.team, &standing, json))
+            }
+        },
+        arguments::Command::Status(_) => {
+            show(&client, wire::Verb::Status, String::new(), json).await
+        }
+        arguments::Command::Drain(drain) => {
+            show(&client, wire::Verb::Drain, drain.name, json).await
+        }
+        arguments::Command::Orders(_) => {
+            show(&client, wire::Verb::Orders, String::new(), json).await
+        }
+        arguments::Command::Usage(usage) => show(&client, wire::Verb::Usage, usage.by, json).await,
+    };
+    result.unwrap_or_else(|error| {
+        print::error(&error, json);
+        FAILED
+    })
+}
+
+async fn show(
+    client: &operator::Client,
+    verb: wire::Verb,
+    text: String,
+    json: bool,
+) -> Result<i32, operator::Error> {
+    let request = operator::Request { verb: Some(verb), text, ..operator::Request::default() };
+    let value = client.call(&request).await?;
+    print::value(&value, json);
+    Ok(GOOD)
+}
+
+fn read_file(path: &str) -> Result<String, i32> {
+    fs::read_to_string(path).map_err(|error| {
+        eprintln!("{path}: {error}");
+        arguments::BAD_USAGE
+    })
+}
+
+async fn section_get(
+    client: &operator::Client,
+    get: arguments::Get,
+    json: bool,
+) -> Result<i32, operator::Error> {
+    let verb = Some(wire::Verb::SectionGet);
+    let request = operator::Request { verb, team: get.team, ..operator::Request::default() };
+    let value = client.call(&request).await?;
+    if json {
+        print::value(&value, true);
+    } else {
+        println!("{}", value["text"].as_str().unwrap_or_default());
+        eprintln!("version {}", value["version"]);
+    }
+    Ok(GOOD)
+}
+
+async fn section_check(
+    client: &operator::Client,
+    check: arguments::Check,
+    json: bool,
+) -> Result<i32, operator::Error> {
+    let text = match read_file(&check.file) {
+        Ok(text) => text,
+        Err(code) => return Ok(code),
+    };
+    let verb = Some(wire::Verb::SectionCheck);
+    let request = operator::Request { verb, team: check.team, version: check.from, text };
+    let value = client.call(&request).await?;
+    print::changes(&value, json);
+    Ok(GOOD)
+}
+
+async fn section_put(
+    client: &operator::Client,
+    put: arguments::Put,
+    json: bool,
+) -> Result<i32, operator::Error> {
+    let text = match read_file(&put.file) {
+        Ok(text) => text,
+        Err(code) => return Ok(code),
+    };
+    let (verb, team) = (Some(wire::Verb::SectionPut), put.team.clone());
+    let request = operator::Request { verb, team, version: put.from, text };
+    let value = client.call(&request).await?;
+    let version = value["version"].as_u64().unwrap_or_default();
+    eprintln!("stored as version {version}");
+    let limit = clock::Span::from_millis(put.wait_ms);
+    let standing = client.wait_accepted(&put.team, version, limit).await?;
+    Ok(finish(&put.team, &standing, json))
+}
+
+fn finish(team: &str, standing: &operator::Standing, json: bool) -> i32 {
+    print::standing(team, standing, json);
+    if standing.accepted { GOOD } else { FAILED }
+}
--- a/crates/lagoonline/src/control/membership/group.rs
+++ b/crates/lagoonline/src/control/membership/group.rs
@@ -38,7 +38,7 @@
 /// A change of who lives.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// A member joined, or came back.
+    /// A member joined, or came back in a new life.
     Live(id::Host),
     /// The majority of a member's watchers is against it.
     Dead(id::Host),
@@ -52,6 +52,9 @@
     roster: roster::Roster,
     heard: collections::HashMap<id::Host, clock::Moment>,
     dead: collections::HashMap<id::Host, clock::Moment>,
+    /// Watchers of each live member; computed again when the live members change.
+    watchers: collections::HashMap<id::Host, Vec<id::Host>>,
+    joined: Vec<id::Host>,
     votes: u64,
     ticked: clock::Moment,
 }
@@ -71,7 +74,7 @@
     /// };
     /// let mut group = Group::new(member("a"), Settings::default(), Moment::START);
     /// group.take(&[News::Member(member("b"))], Moment::START);
-    /// assert_eq!(group.watchers().len(), 1);
+    /// assert_eq!(group.watchers(), [Host::from("b")]);
     /// for millis in (0..3_000).step_by(100) {
     ///     group.tick(Moment::from_millis(millis));
     /// }
@@ -80,8 +83,8 @@
     pub fn new(own: roster::Member, settings: Settings, now: clock::Moment) -> Self {
         let mut roster = roster::Roster::default();
         roster.take(&roster::News::Member(own.clone()));
-        let (heard, dead) = Default::default();
-        Group { own, settings, roster, heard, dead, votes: 0, ticked: now }
+        let (heard, dead, watchers, joined) = Default::default();
+        Group { own, settings, roster, heard, dead, watchers, joined, votes: 0, ticked: now }
     }
 
     /// This steward.
@@ -104,6 +107,11 @@
         self.roster.members().filter(|member| !self.dead.contains_key(&member.host))
     }
 
+    /// Dead members that are not forgotten yet.
+    pub fn dead(&self) -> impl Iterator<Item = &roster::Member> {
+        self.roster.members().filter(|member| self.dead.contains_key(&member.host))
+    }
+
     /// Names of the live members of `zone`.
     pub fn live_in<'a>(&'a self, zone: &'a id::Zone) -> impl Iterator<Item = &'a str> {
         self.live().filter(move |member| member.zone == *zone).map(|member| member.host.as_str())
@@ -111,7 +119,10 @@
 
     /// Whom this steward sends its heartbeats to, and keeps links with.
     pub fn watchers(&self) -> Vec<id::Host> {
-        self.watchers_of(&self.own)
+        match self.watchers.get(&self.own.host) {
+            Some(watchers) => watchers.clone(),
+            None => self.watchers_of(&self.own),
+        }
     }
 
     fn watchers_of(&self, member: &roster::Member) -> Vec<id::Host> {
@@ -120,6 +131,14 @@
         chosen.into_iter().map(id::Host::from).collect()
     }
 
+    fn update_watchers(&mut self) {
+        if !self.watchers.is_empty() {
+            return;
+        }
+        let lists = self.live().map(|member| (member.host.clone(), self.watchers_of(member)));
+        self.watchers = lists.collect();
+    }
+
     /// A heartbeat came from a member in this life.
     pub fn hear(
         &mut self,
@@ -166,18 +185,27 @@
                 continue;
             }
             if let roster::News::Member(member) = item {
-                self.heard.insert(member.host.clone(), now);
-                self.dead.remove(&member.host);
+                self.welcome(member, now);
             }
             passed.push(item.clone());
         }
         passed
     }
 
-    /// Votes against watched members that are silent, counts votes, and forgets the long dead.
+    fn welcome(&mut self, member: &roster::Member, now: clock::Moment) {
+        self.heard.insert(member.host.clone(), now);
+        self.dead.remove(&member.host);
+        self.joined.push(member.host.clone());
+        self.watchers.clear();
+    }
+
+    /// Votes against watched members that are silent, counts votes, answers votes against this
+    /// steward, and forgets the long dead.
     pub fn tick(&mut self, now: clock::Moment) -> (Vec<roster::News>, Vec<Change>) {
+        self.update_watchers();
         self.excuse_pause(now);
-        let news = self.vote_on_silent(now);
+        let mut news = self.vote_on_silent(now);
+        news.extend(self.refute());
         let changes = self.count(now);
         self.forget(now);
         (news, changes)
@@ -196,63 +224,69 @@
 
     fn vote_on_silent(&mut self, now: clock::Moment) -> Vec<roster::News> {
         let mut silent = Vec::new();
-        for member in self.roster.members() {
-            let watched = member.host != self.own.host
-                && member.zone == self.own.zone
-                && self.watchers_of(member).contains(&self.own.host);
-            if !watched {
+        for (host, watchers) in &self.watchers {
+            if !watchers.contains(&self.own.host) {
                 // Whoever starts to watch a host gives it the whole time from then on.
-                self.heard.remove(&member.host);
+                self.heard.remove(host);
+                continue;
+            }
+            let heard = *self.heard.entry(host.clone()).or_insert(now);
+            if now.since(heard) < self.settings.silence {
                 continue;
             }
-            let heard = *self.heard.entry(member.host.clone()).or_insert(now);
-            let is_against = self.roster.is_against(&self.own.host, &member.host);
-            if !is_against && now.since(heard) >= self.settings.silence {
-                silent.push((member.host.clone(), member.incarnation));
+            let member = self.roster.member(host);
+            if let Some(member) = member.filter(|_| !self.roster.is_against(&self.own.host, host)) {
+                silent.push((host.clone(), member.incarnation));
             }
         }
+        silent.sort();
         silent.iter().map(|(host, incarnation)| self.vote(host, *incarnation, true)).collect()
     }
 
-    /// A rack that went at once takes watchers with it; those that have most of their own
-    /// watchers' votes against them, or this steward's, have no say.
-    fn has_say(&self, watcher: &id::Host) -> bool {
-        *watcher == self.own.host || !self.roster.is_against(&self.own.host, watcher)
+    /// Answers votes against this life with a new one.
+    ///
+    /// Failure answered: the hosts of a zone were cut in two, each half holds the other dead, and
+    /// the votes outlive the cut. Symptom: the halves never join again. A new life voids them.
+    fn refute(&mut self) -> Option<roster::News> {
+        let known = self.roster.member(&self.own.host).map(|member| member.incarnation);
+        let is_replaced = known.is_some_and(|known| known > self.own.incarnation);
+        if !is_replaced && !self.roster.is_doubted(&self.own.host) {
+            return None;
+        }
+        let last = known.unwrap_or_default().max(self.own.incarnation);
+        self.own.incarnation = id::Incarnation(last.0 + 1);
+        let news = roster::News::Member(self.own.clone());
+        self.roster.take(&news);
+        Some(news)
     }
 
-    fn is_condemned(&self, member: &roster::Member) -> bool {
-        let watchers = self.watchers_of(member);
-        let with_say: Vec<_> = watchers.iter().filter(|watcher| self.has_say(watcher)).collect();
-        let against = |watcher: &&&id::Host| self.roster.is_against(watcher, &member.host);
-        2 * with_say.iter().filter(against).count() > with_say.len()
+    /// Watchers that went at once with the host they watch have no say in it: those that are
+    /// doubted themselves are left out of the count.
+    fn is_condemned(&self, host: &id::Host, watchers: &[id::Host]) -> bool {
+        let has_say =
+            |watcher: &&id::Host| **watcher == self.own.host || !self.roster.is_doubted(watcher);
+        let with_say: Vec<_> = watchers.iter().filter(has_say).collect();
+        let against = with_say.iter().filter(|watcher| self.roster.is_against(watcher, host));
+        2 * against.count() > with_say.len()
     }
 
     fn count(&mut self, now: clock::Moment) -> Vec<Change> {
-        let mut changes = Vec::new();
-        let members: Vec<roster::Member> = self.roster.members().cloned().collect();
-        for member in members.iter().filter(|member| member.host != self.own.host) {
-            let condemned = self.is_condemned(member);
-            let dead = self.dead.contains_key(&member.host);
-            if condemned && !dead {
-                self.dead.insert(member.host.clone(), now);
-                changes.push(Change::Dead(member.host.clone()));
-            } else if !condemned && dead && self.is_heard(member, now) {
-                self.dead.remove(&member.host);
-                changes.push(Change::Live(member.host.clone()));
-            }
+        let joined = std::mem::take(&mut self.joined);
+        let mut changes: Vec<_> = joined.into_iter().map(Change::Live).collect();
+        let condemned = |(host, watchers): &(&id::Host, &Vec<id::Host>)| {
+            **host != self.own.host && self.is_condemned(host, watchers)
+        };
+        let died = self.watchers.iter().filter(condemned).map(|(host, _)| host.clone());
+        let mut died: Vec<id::Host> = died.collect();
+        died.sort();
+        if !died.is_empty() {
+            self.watchers.clear();
         }
-        changes
-    }
-
-    /// When watchers die after a host they watched, their votes no longer count; that alone must
-    /// not bring the host back.
-    fn is_heard(&self, member: &roster::Member, now: clock::Moment) -> bool {
-        let watchers = self.watchers_of(member);
-        if watchers.contains(&self.own.host) {
-            let heard = self.heard.get(&member.host);
-            return heard.is_some_and(|heard| now.since(*heard) < self.settings.silence);
+        for host in died {
+            self.dead.insert(host.clone(), now);
+            changes.push(Change::Dead(host));
         }
-        !watchers.iter().any(|watcher| self.roster.is_against(watcher, &member.host))
+        changes
     }
 
     fn forget(&mut self, now: clock::Moment) {
--- a/crates/lagoonline/src/control/membership/mod.rs
+++ b/crates/lagoonline/src/control/membership/mod.rs
@@ -5,8 +5,9 @@
 //! everybody would cost a host of a 39-host zone several times its whole budget, so each host is
 //! watched by [`Settings::watchers`] others only. A watcher that hears nothing votes against the
 //! host; votes reach everybody, and each host counts them by itself: dead is who has the majority
-//! of its watchers against it. A vote is taken back when its voter hears the host again, so there
-//! is no verdict that could be wrong for good.
+//! of its watchers against it. A vote is taken back when its voter hears the host again, and a
+//! host that learns of a vote against it goes on in a new life, which voids the votes; so no
+//! verdict is wrong for good.
 
 mod group;
 mod roster;
--- a/crates/lagoonline/src/control/membership/roster.rs
+++ b/crates/lagoonline/src/control/membership/roster.rs
@@ -102,6 +102,12 @@
         vote.is_some_and(|vote| vote.against && life == Some(vote.by_incarnation))
     }
 
+    /// Whether any member, in the life that it is known in, has voted against `host`.
+    pub fn is_doubted(&self, host: &id::Host) -> bool {
+        let votes = self.votes.get(host).into_iter().flat_map(collections::BTreeMap::keys);
+        votes.into_iter().any(|by| self.is_against(by, host))
+    }
+
     /// Forgets a member and its votes.
     pub fn remove(&mut self, host: &id::Host) {
         self.members.remove(host);
