--- /dev/null
+++ b/crates/lagoon-net/src/entry/call.rs
@@ -0,0 +1,128 @@
+//! What the head of a caller's request says: who asks, until when, under which names.
+
+use std::sync;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::control::document;
+use lagoonline::id;
+use lagoonline::outcome;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use lagoonline::view;
+use ntex::http;
+use sha2::Digest as _;
+use subtle::ConstantTimeEq as _;
+
+use super::fault;
+use super::state;
+
+/// Longest `X-Request-Id` that is echoed.
+const REQUEST_ID_LIMIT: usize = 128;
+/// Longest `Idempotency-Key`.
+const KEY_LIMIT: usize = 255;
+
+/// A request whose caller is known.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub(crate) view: sync::Arc<state::View>,
+    pub(crate) customer: view::CustomerIndex,
+    pub(crate) arrived: clock::Moment,
+    pub(crate) deadline: clock::Moment,
+    pub(crate) key: Option<String>,
+}
+
+impl Call {
+    /// Reads a request's head.
+    pub(crate) fn read(
+        state: &state::State,
+        arrived: clock::Moment,
+        headers: &http::HeaderMap,
+    ) -> Result<Call, fault::Fault> {
+        let view = state.view();
+        let customer = authenticate(&view.fleet, headers)?;
+        let entry = &view.fleet.customers[customer.0 as usize].entry;
+        let deadline = arrived + read_deadline(entry, headers)?;
+        let key = read_key(headers)?;
+        state.metrics.customer(&view.fleet.customers[customer.0 as usize].name);
+        Ok(Call { view, customer, arrived, deadline, key })
+    }
+
+    pub(crate) fn customer(&self) -> &view::Customer {
+        &self.view.fleet.customers[self.customer.0 as usize]
+    }
+
+    pub(crate) fn left(&self, state: &state::State) -> clock::Span {
+        self.deadline.since(state.clock.now())
+    }
+}
+
+fn authenticate(
+    fleet: &view::Fleet,
+    headers: &http::HeaderMap,
+) -> Result<view::CustomerIndex, fault::Fault> {
+    let refusal = || fault::new(Reason::Unauthenticated, Step::Authenticate, Outcome::NotRun);
+    let value = headers.get("authorization").and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer ")).ok_or_else(refusal)?;
+    let hash: document::KeyHash = sha2::Sha256::digest(key.as_bytes()).into();
+    let customer = fleet.customer(&hash).ok_or_else(refusal)?;
+    let matches = customer
+        .entry
+        .keys
+        .iter()
+        .fold(0, |found, known| found | known.as_slice().ct_eq(hash.as_slice()).unwrap_u8());
+    if matches == 0 {
+        return Err(refusal());
+    }
+    let index = fleet.customers.iter().position(|other| std::ptr::eq(other, customer));
+    let index = index.and_then(|index| u32::try_from(index).ok()).ok_or_else(refusal)?;
+    Ok(view::CustomerIndex(index))
+}
+
+fn read_deadline(
+    customer: &document::Customer,
+    headers: &http::HeaderMap,
+) -> Result<clock::Span, fault::Fault> {
+    let Some(value) = headers.get("lagoon-deadline-ms") else {
+        return Ok(customer.default_deadline);
+    };
+    let millis = value.to_str().ok().and_then(|text| text.parse::<u64>().ok());
+    let span = millis.filter(|millis| *millis > 0).map(clock::Span::from_millis);
+    match span {
+        Some(span) if span <= customer.max_deadline => Ok(span),
+        _ => {
+            let most = customer.max_deadline.as_millis();
+            let detail = format!("Lagoon-Deadline-Ms must be a whole number of 1 to {most}");
+            Err(malformed(detail))
+        }
+    }
+}
+
+fn read_key(headers: &http::HeaderMap) -> Result<Option<String>, fault::Fault> {
+    let Some(value) = headers.get("idempotency-key") else { return Ok(None) };
+    let bytes = value.as_bytes();
+    if bytes.is_empty() || bytes.len() > KEY_LIMIT || !bytes.iter().all(u8::is_ascii_graphic) {
+        let detail = "Idempotency-Key must be 1 to 255 visible ASCII characters";
+        return Err(malformed(detail.to_owned()));
+    }
+    Ok(value.to_str().ok().map(str::to_owned))
+}
+
+/// A fault of the caller's request, with what is wrong in it.
+pub(crate) fn malformed(detail: String) -> fault::Fault {
+    let failure = outcome::Failure::new(Reason::Malformed, Step::Read, Outcome::NotRun);
+    fault::Fault { failure, detail }
+}
+
+/// The caller's own request id, or a new one.
+pub(crate) fn request_id(headers: &http::HeaderMap) -> String {
+    let given = headers.get("x-request-id").and_then(|value| value.to_str().ok());
+    let usable = |id: &&str| {
+        !id.is_empty() && id.len() <= REQUEST_ID_LIMIT && id.bytes().all(|b| b.is_ascii_graphic())
+    };
+    given.filter(usable).map_or_else(|| new_attempt().to_string(), str::to_owned)
+}
+
+/// A new attempt's id.
+pub(crate) fn new_attempt() -> id::Attempt {
+    id::Attempt(rand::random())
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/fault.rs
@@ -0,0 +1,118 @@
+//! Failures on their way to a caller, as the error object, its status and its headers.
+
+use lagoonline::clock;
+use lagoonline::outcome;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use ntex::http;
+use ntex::web;
+use serde_json::json;
+
+/// A failure with words for the caller.
+#[derive(Clone, Debug)]
+pub(crate) struct Fault {
+    pub(crate) failure: outcome::Failure,
+    pub(crate) detail: String,
+}
+
+pub(crate) fn new(reason: Reason, step: Step, outcome: Outcome) -> Fault {
+    Fault::from(outcome::Failure::new(reason, step, outcome))
+}
+
+impl From<outcome::Failure> for Fault {
+    fn from(failure: outcome::Failure) -> Fault {
+        Fault { failure, detail: String::new() }
+    }
+}
+
+/// When a caller may ask again after a refusal that names no time.
+const USUAL_RETRY: clock::Span = clock::Span::from_secs(1);
+
+impl Fault {
+    pub(crate) fn at<P>(self, peer: P) -> Fault
+    where
+        P: Into<String>,
+    {
+        Fault { failure: self.failure.at(peer), ..self }
+    }
+
+    pub(crate) fn with_detail<D>(self, detail: D) -> Fault
+    where
+        D: Into<String>,
+    {
+        Fault { detail: detail.into(), ..self }
+    }
+
+    /// The same fault with the outcome that the request's life gives.
+    pub(crate) fn with_outcome(mut self, outcome: Outcome) -> Fault {
+        self.failure.outcome = outcome;
+        self
+    }
+
+    /// The error object as JSON.
+    pub(crate) fn object(&self) -> String {
+        let failure = &self.failure;
+        let mut message = failure.to_string();
+        if !self.detail.is_empty() {
+            message = format!("{message}: {}", self.detail);
+        }
+        let object = json!({"error": {
+            "type": kind(failure.reason),
+            "code": failure.reason.as_str(),
+            "message": message,
+            "step": failure.step.as_str(),
+            "peer": failure.peer,
+            "outcome": failure.outcome.as_str(),
+        }});
+        object.to_string()
+    }
+
+    /// The whole answer. The connection is closed when `close` says so, or when the rest of the
+    /// caller's body was not read.
+    pub(crate) fn answer(&self, request_id: &str, close: bool) -> web::HttpResponse {
+        let status = http::StatusCode::from_u16(self.failure.reason.status());
+        let status = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+        let mut answer = web::HttpResponse::build(status);
+        answer.set_header("X-Request-Id", request_id);
+        answer.set_header("Lagoon-Outcome", self.failure.outcome.as_str());
+        if let Some(span) = self.retry_after() {
+            answer.set_header("Retry-After", whole_seconds(span));
+        }
+        if close || self.failure.step == Step::Read {
+            answer.force_close();
+        }
+        answer.content_type("application/json").body(self.object())
+    }
+
+    fn retry_after(&self) -> Option<clock::Span> {
+        let refusal = matches!(self.failure.reason.status(), 429 | 503);
+        self.failure.retry_after.or(refusal.then_some(USUAL_RETRY))
+    }
+}
+
+fn whole_seconds(span: clock::Span) -> u64 {
+    span.as_millis().div_ceil(1_000).max(1).try_into().unwrap_or(u64::MAX)
+}
+
+/// The `type` that model clients know.
+fn kind(reason: Reason) -> &'static str {
+    match reason {
+        Reason::Unauthenticated => "authentication_error",
+        Reason::Forbidden => "permission_error",
+        Reason::OverLimit => "rate_limit_error",
+        Reason::Malformed
+        | Reason::UnknownName
+        | Reason::SlowCaller
+        | Reason::KeyReused
+        | Reason::EarlierUnknown
+        | Reason::TooLong => "invalid_request_error",
+        Reason::CannotMeetDeadline
+        | Reason::Saturated
+        | Reason::Draining
+        | Reason::NoUpstream
+        | Reason::PlatformDown
+        | Reason::DeadlinePassed
+        | Reason::UpstreamFailed
+        | Reason::CallerLeft
+        | Reason::Internal => "server_error",
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -0,0 +1,282 @@
+//! Metrics of an entry host; docs/METRICS.md lists them.
+//!
+//! Label sets are bounded: models and zones come from the document, customers have a fixed cap
+//! and an `other` line, and no histogram has a customer label.
+
+use std::collections;
+use std::fmt;
+use std::sync;
+use std::sync::atomic;
+
+use lagoonline::clock;
+use lagoonline::control::document;
+use lagoonline::id;
+use lagoonline::outcome;
+use prometheus_client::encoding;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use prometheus_client::metrics::gauge;
+use prometheus_client::metrics::histogram;
+use prometheus_client::registry;
+
+/// Customers with a line of their own in each counter.
+const CUSTOMER_LINES: usize = 20;
+/// Upper bounds of histogram buckets, in seconds: 10 ms to 10 minutes.
+const BOUNDS: [f64; 18] = [
+    0.01, 0.02, 0.035, 0.058, 0.1, 0.2, 0.35, 0.49, 0.75, 1.0, 2.0, 5.0, 10.0, 20.0, 60.0, 120.0,
+    300.0, 600.0,
+];
+
+fn new_histogram() -> histogram::Histogram {
+    histogram::Histogram::new(BOUNDS)
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RequestLabels {
+    kind: &'static str,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct FirstLabels {
+    class: &'static str,
+    model: String,
+    zone: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CompletionLabels {
+    class: &'static str,
+    model: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ModelLabels {
+    model: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CustomerLabels {
+    customer: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct TeamLabels {
+    team: String,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
+type Counters<L> = family::Family<L, counter::Counter>;
+type Histograms<L> = family::Family<L, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// All metrics, cheap to share.
+#[derive(Debug)]
+pub(crate) struct Metrics {
+    registry: registry::Registry,
+    requests: Counters<RequestLabels>,
+    refusals: Counters<CauseLabels>,
+    attempts: Counters<CauseLabels>,
+    retries: Counters<CauseLabels>,
+    resumes: Counters<CauseLabels>,
+    chunks_refused: Counters<CauseLabels>,
+    cancels: Counters<CauseLabels>,
+    pub(crate) cancels_pending: gauge::Gauge,
+    pub(crate) active: gauge::Gauge,
+    pub(crate) draining: gauge::Gauge,
+    waiting: family::Family<ModelLabels, gauge::Gauge>,
+    section_version: family::Family<TeamLabels, gauge::Gauge>,
+    pub(crate) view_age: gauge::Gauge<f64, atomic::AtomicU64>,
+    customers: Counters<CustomerLabels>,
+    customer_lines: sync::Mutex<collections::HashSet<id::Customer>>,
+    tokens: Counters<ModelLabels>,
+    prompt_tokens: Counters<ModelLabels>,
+    cached_tokens: Counters<ModelLabels>,
+    first_token: Histograms<FirstLabels>,
+    between_tokens: Histograms<ModelLabels>,
+    completion: Histograms<CompletionLabels>,
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let histograms = new_histogram as fn() -> histogram::Histogram;
+        let mut metrics = Metrics {
+            registry: registry::Registry::with_prefix("lagoon"),
+            requests: family::Family::default(),
+            refusals: family::Family::default(),
+            attempts: family::Family::default(),
+            retries: family::Family::default(),
+            resumes: family::Family::default(),
+            chunks_refused: family::Family::default(),
+            cancels: family::Family::default(),
+            cancels_pending: gauge::Gauge::default(),
+            active: gauge::Gauge::default(),
+            draining: gauge::Gauge::default(),
+            waiting: family::Family::default(),
+            section_version: family::Family::default(),
+            view_age: gauge::Gauge::default(),
+            customers: family::Family::default(),
+            customer_lines: sync::Mutex::default(),
+            tokens: family::Family::default(),
+            prompt_tokens: family::Family::default(),
+            cached_tokens: family::Family::default(),
+            first_token: family::Family::new_with_constructor(histograms),
+            between_tokens: family::Family::new_with_constructor(histograms),
+            completion: family::Family::new_with_constructor(histograms),
+        };
+        metrics.register_counters();
+        metrics.register_others();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register_counters(&mut self) {
+        let Metrics { registry, .. } = self;
+        registry.register("requests", "Requests ended", self.requests.clone());
+        registry.register("refusals", "Requests refused or failed", self.refusals.clone());
+        registry.register("attempts", "Dispatches to upstreams", self.attempts.clone());
+        registry.register("retries", "Further dispatches of a request", self.retries.clone());
+        registry.register("resumes", "Streams taken up again", self.resumes.clone());
+        let chunks = self.chunks_refused.clone();
+        registry.register("chunks_refused", "Chunks never delivered", chunks);
+        registry.register("cancels", "Cancels of attempts", self.cancels.clone());
+        registry.register("customer_requests", "Requests of a customer", self.customers.clone());
+        registry.register("tokens", "Answer tokens delivered", self.tokens.clone());
+        registry.register("prompt_tokens", "Prompt tokens", self.prompt_tokens.clone());
+        registry.register(
+            "cached_tokens",
+            "Prompt tokens found cached",
+            self.cached_tokens.clone(),
+        );
+    }
+
+    fn register_others(&mut self) {
+        let Metrics { registry, .. } = self;
+        registry.register("cancels_pending", "Unacknowledged", self.cancels_pending.clone());
+        registry.register("active_requests", "Requests under way", self.active.clone());
+        registry.register("draining", "1 while draining", self.draining.clone());
+        registry.register("waiting_requests", "Requests queued", self.waiting.clone());
+        registry.register("section_version", "In force", self.section_version.clone());
+        let seconds = registry::Unit::Seconds;
+        let age = self.view_age.clone();
+        registry.register_with_unit("view_age", "Since the last change", seconds, age);
+        let seconds = || registry::Unit::Seconds;
+        let first = self.first_token.clone();
+        registry.register_with_unit("first_token", "To the first token", seconds(), first);
+        let between = self.between_tokens.clone();
+        registry.register_with_unit("between_tokens", "Between tokens", seconds(), between);
+        let completion = self.completion.clone();
+        registry.register_with_unit("completion", "To the whole answer", seconds(), completion);
+    }
+
+    /// All metrics as OpenMetrics text.
+    pub(crate) fn encode(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encoding::text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    /// A request ended with its answer.
+    pub(crate) fn done(&self, kind: &'static str) {
+        self.ended(kind, outcome::Outcome::Done, "");
+    }
+
+    fn ended(&self, kind: &'static str, outcome: outcome::Outcome, reason: &'static str) {
+        let labels = RequestLabels { kind, outcome: outcome.as_str(), reason };
+        self.requests.get_or_create(&labels).inc();
+    }
+
+    /// A request ended with a failure.
+    pub(crate) fn failed(&self, kind: &'static str, failure: &outcome::Failure) {
+        let cause = failure.reason.as_str();
+        self.ended(kind, failure.outcome, cause);
+        self.refusals.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    /// A request of `customer` began.
+    pub(crate) fn customer(&self, customer: &id::Customer) {
+        let lines = &self.customer_lines;
+        let mut lines = lines.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let known = lines.contains(customer);
+        if !known && lines.len() < CUSTOMER_LINES {
+            lines.insert(customer.clone());
+        }
+        let listed = lines.contains(customer);
+        drop(lines);
+        let customer = if listed { customer.to_string() } else { "other".to_owned() };
+        self.customers.get_or_create(&CustomerLabels { customer }).inc();
+    }
+
+    pub(crate) fn attempt(&self, cause: &'static str) {
+        self.attempts.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    pub(crate) fn retry(&self, cause: &'static str) {
+        self.retries.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    pub(crate) fn resume(&self, cause: &'static str) {
+        self.resumes.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    pub(crate) fn chunk_refused(&self, cause: &'static str) {
+        self.chunks_refused.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    pub(crate) fn cancel(&self, cause: &'static str) {
+        self.cancels.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    pub(crate) fn set_waiting(&self, model: &id::Model, count: usize) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.waiting.get_or_create(&ModelLabels { model: model.to_string() }).set(count);
+    }
+
+    pub(crate) fn set_version(&self, team: &id::Team, version: id::Version) {
+        let version = i64::try_from(version.0).unwrap_or(i64::MAX);
+        self.section_version.get_or_create(&TeamLabels { team: team.to_string() }).set(version);
+    }
+
+    pub(crate) fn first_token(
+        &self,
+        class: document::Class,
+        model: &id::Model,
+        zone: &id::Zone,
+        span: clock::Span,
+    ) {
+        let (model, zone) = (model.to_string(), zone.to_string());
+        let labels = FirstLabels { class: class.as_str(), model, zone };
+        self.first_token.get_or_create(&labels).observe(span.as_secs_f64());
+    }
+
+    /// `count` tokens came together, `span` after those before them.
+    pub(crate) fn tokens(&self, model: &id::Model, count: u64, span: Option<clock::Span>) {
+        let labels = ModelLabels { model: model.to_string() };
+        self.tokens.get_or_create(&labels).inc_by(count);
+        let Some(span) = span else { return };
+        let between = self.between_tokens.get_or_create(&labels);
+        for _ in 0..count {
+            between.observe(span.as_secs_f64() / count as f64);
+        }
+    }
+
+    pub(crate) fn completion(
+        &self,
+        class: document::Class,
+        model: &id::Model,
+        span: clock::Span,
+        prompt: (u64, u64),
+    ) {
+        let labels = ModelLabels { model: model.to_string() };
+        self.prompt_tokens.get_or_create(&labels).inc_by(prompt.0);
+        self.cached_tokens.get_or_create(&labels).inc_by(prompt.1);
+        let labels = CompletionLabels { class: class.as_str(), model: labels.model };
+        self.completion.get_or_create(&labels).observe(span.as_secs_f64());
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -0,0 +1,28 @@
+//! Data path of an entry host: callers' HTTP in, upstreams' HTTP out.
+//!
+//! `server` listens and drains, `call` reads a request's head, `model` and `services` answer the
+//! two kinds of calls, `desk` waits for places, `pull` follows one model call through dispatch,
+//! resumption and continuation, `relay` streams to the caller, `cancel` repeats cancels. Decisions
+//! are made in `lagoonline::load` and `lagoonline::life`.
+
+mod body;
+mod call;
+mod cancel;
+mod desk;
+mod fault;
+mod limit;
+mod metrics;
+mod model;
+mod prompt;
+mod pull;
+mod relay;
+mod render;
+mod replica;
+mod server;
+mod services;
+mod settings;
+mod state;
+mod worker;
+
+pub use server::{Ending, Handle, Running, start};
+pub use settings::{Cause, Limits, Settings, Unusable, parse_document};
--- /dev/null
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -0,0 +1,129 @@
+//! Model calls: completions, chat completions and the list of models.
+
+use std::rc;
+use std::sync;
+
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use ntex::http;
+use ntex::web;
+use serde_json::json;
+
+use super::body;
+use super::call;
+use super::fault;
+use super::limit;
+use super::prompt;
+use super::pull;
+use super::relay;
+use super::render;
+use super::state;
+use super::worker;
+
+/// Answers a model call.
+pub(crate) async fn answer(
+    worker: &rc::Rc<worker::Worker>,
+    form: prompt::Form,
+    request: &web::HttpRequest,
+    payload: http::Payload,
+    request_id: &str,
+) -> Result<web::HttpResponse, fault::Fault> {
+    let state = &worker.state;
+    let active = state::Active::new(state);
+    let call = call::Call::read(state, state.clock.now(), request.headers())?;
+    let read = body::collect(&state.settings.limits, request.headers(), payload);
+    let body = limit::within(state, call.deadline, read).await;
+    let body = body.map_err(|stop| stop.fault(Step::Read, Outcome::NotRun))??;
+    let prompt = prompt::scan(form, &body).map_err(call::malformed)?;
+    let job = new_job(call, &prompt, body)?;
+    let title = render::Title {
+        form,
+        id: call::new_attempt(),
+        model: job.ask.model.clone(),
+        created: state.clock.wall_millis() / 1_000,
+    };
+    let mut pull = pull::Pull::new(worker.clone(), job);
+    pull.start().await?;
+    let mut answer = web::HttpResponse::Ok();
+    answer.set_header("X-Request-Id", request_id);
+    if state.phase() >= state::Phase::Draining {
+        answer.force_close();
+    }
+    if prompt.stream {
+        let outcome_event = request.headers().get("lagoon-outcome-event");
+        let outcome_event = outcome_event.is_some_and(|value| value.as_bytes() == b"1");
+        let writer = render::Writer::new(title);
+        let feed = relay::start(state.clone(), pull, writer, active, outcome_event);
+        answer.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
+        answer.set_header("Cache-Control", "no-cache");
+        return Ok(answer.content_type("text/event-stream").streaming(feed));
+    }
+    let mut text = render::Gather::default();
+    let end = loop {
+        if let Some(end) = pull.next(&mut text).await? {
+            break end;
+        }
+    };
+    state.metrics.done("model");
+    answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+    let json = text.finish(&title, relay::usage(&pull, end));
+    Ok(answer.content_type("application/json").body(json))
+}
+
+fn new_job(
+    call: call::Call,
+    prompt: &prompt::Prompt,
+    body: ntex::util::Bytes,
+) -> Result<pull::Job, fault::Fault> {
+    let model = id::Model::from(prompt.model.as_str());
+    let fleet = &call.view.fleet;
+    let unknown = || fault::new(Reason::UnknownName, Step::Admit, Outcome::NotRun);
+    let known = fleet.models.get(&model).ok_or_else(unknown)?;
+    let desk = call.view.desks.get(&model).ok_or_else(unknown)?;
+    let customer = call.customer();
+    if !customer.entry.models.is_empty() && !customer.entry.models.contains(&model) {
+        return Err(fault::new(Reason::Forbidden, Step::Admit, Outcome::NotRun));
+    }
+    let tokens = |bytes: usize| (bytes as f64 / known.bytes_per_token).ceil() as u64;
+    let prompt_tokens = tokens(prompt.bytes).max(1);
+    if prompt_tokens.saturating_add(prompt.answer_tokens) > known.max_tokens {
+        let detail = format!("about {prompt_tokens} and {} tokens", prompt.answer_tokens);
+        let fault = fault::new(Reason::TooLong, Step::Admit, Outcome::NotRun);
+        return Err(fault.with_detail(detail));
+    }
+    let prefixes = prompt.prefixes.iter().map(|(hash, bytes)| (*hash, tokens(*bytes)));
+    let ask = load::Ask {
+        customer: customer.name.clone(),
+        team: customer.team.clone(),
+        weight: customer.entry.weight,
+        model,
+        prompt_tokens,
+        answer_tokens: prompt.answer_tokens,
+        bytes: body.len() as u64,
+        arrived: call.arrived,
+        deadline: call.deadline,
+        prefixes: prefixes.collect(),
+    };
+    let (desk, continues) = (sync::Arc::clone(desk), known.continues);
+    Ok(pull::Job { call, ask, desk, continues, body })
+}
+
+/// The models that the caller may use.
+pub(crate) fn list(
+    state: &state::State,
+    request: &web::HttpRequest,
+    request_id: &str,
+) -> Result<web::HttpResponse, fault::Fault> {
+    let call = call::Call::read(state, state.clock.now(), request.headers())?;
+    let allowed = &call.customer().entry.models;
+    let models = call.view.fleet.models.keys();
+    let models = models.filter(|model| allowed.is_empty() || allowed.contains(model));
+    let entry = |model: &id::Model| json!({"id": model, "object": "model", "created": 0, "owned_by": "lagoonline"});
+    let data: Vec<_> = models.map(entry).collect();
+    let mut answer = web::HttpResponse::Ok();
+    answer.set_header("X-Request-Id", request_id);
+    answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+    Ok(answer.json(&json!({"object": "list", "data": data})))
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/prompt.rs
@@ -0,0 +1,145 @@
+//! What has to be known of a model call's JSON body, found without building a tree of it.
+
+use std::borrow;
+
+use serde_json::value::RawValue;
+
+/// Interval of prefix hashes, in bytes of prompt text.
+const PREFIX_STEP: usize = 4_096;
+/// Answer tokens of a call that names no bound.
+const DEFAULT_ANSWER_TOKENS: u64 = 1_024;
+
+#[derive(serde::Deserialize)]
+struct Fields<'a> {
+    #[serde(borrow)]
+    model: borrow::Cow<'a, str>,
+    #[serde(default)]
+    stream: Option<bool>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    max_completion_tokens: Option<u64>,
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
+}
+
+/// The parts of a call that decisions need.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Prompt {
+    pub(crate) model: String,
+    pub(crate) stream: bool,
+    pub(crate) answer_tokens: u64,
+    /// Length of the prompt's text, in bytes.
+    pub(crate) bytes: usize,
+    /// FNV-1a hashes at each multiple of [`PREFIX_STEP`] bytes, with the length in bytes.
+    pub(crate) prefixes: Vec<(u64, usize)>,
+}
+
+/// Which of the two calls a body belongs to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Form {
+    Text,
+    Chat,
+}
+
+/// Finds the parts of `body`; serde checks that it is JSON and UTF-8 on the way.
+pub(crate) fn scan(form: Form, body: &[u8]) -> Result<Prompt, String> {
+    let fields: Fields<'_> = serde_json::from_slice(body).map_err(|error| error.to_string())?;
+    let (name, prompt) = match form {
+        Form::Text => ("prompt", fields.prompt),
+        Form::Chat => ("messages", fields.messages),
+    };
+    let prompt = prompt.ok_or_else(|| format!("missing field `{name}`"))?.get();
+    check_kind(form, prompt)?;
+    let answer_tokens = fields.max_completion_tokens.or(fields.max_tokens);
+    let answer_tokens = answer_tokens.unwrap_or(DEFAULT_ANSWER_TOKENS);
+    if answer_tokens == 0 {
+        return Err("max_tokens must be at least 1".to_owned());
+    }
+    let (bytes, prefixes) = hash(prompt);
+    let stream = fields.stream.unwrap_or(false);
+    Ok(Prompt { model: fields.model.into_owned(), stream, answer_tokens, bytes, prefixes })
+}
+
+fn check_kind(form: Form, prompt: &str) -> Result<(), String> {
+    match (form, prompt.as_bytes().first()) {
+        (Form::Text, Some(b'"' | b'[')) | (Form::Chat, Some(b'[')) => Ok(()),
+        (Form::Text, _) => Err("prompt must be a text or an array".to_owned()),
+        (Form::Chat, _) => Err("messages must be an array".to_owned()),
+    }
+}
+
+/// Hashes the prompt as engines do: texts one after the other, with nothing between them.
+fn hash(prompt: &str) -> (usize, Vec<(u64, usize)>) {
+    let mut hasher = Hasher { hash: FNV_BASIS, bytes: 0, prefixes: Vec::new() };
+    hasher.value(prompt);
+    (hasher.bytes, hasher.prefixes)
+}
+
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// One message, or one part of a message's content.
+#[derive(serde::Deserialize)]
+struct Part<'a> {
+    #[serde(borrow, default)]
+    content: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    text: Option<&'a RawValue>,
+}
+
+struct Hasher {
+    hash: u64,
+    bytes: usize,
+    prefixes: Vec<(u64, usize)>,
+}
+
+impl Hasher {
+    /// Takes in a JSON text, or an array of texts, messages or parts; anything else has no text.
+    fn value(&mut self, json: &str) {
+        match json.as_bytes().first() {
+            Some(b'"') => self.json_text(json),
+            Some(b'[') => {
+                let items: Vec<&RawValue> = serde_json::from_str(json).unwrap_or_default();
+                items.into_iter().for_each(|item| self.value(item.get()));
+            }
+            Some(b'{') => {
+                let part = serde_json::from_str::<Part<'_>>(json).ok();
+                let text = part.and_then(|part| part.content.or(part.text));
+                text.into_iter().for_each(|text| self.value(text.get()));
+            }
+            _ => {}
+        }
+    }
+
+    /// Only a text with escapes has to be decoded.
+    fn json_text(&mut self, json: &str) {
+        let text = &json[1..json.len() - 1];
+        if text.as_bytes().contains(&b'\\') {
+            let decoded: String = serde_json::from_str(json).unwrap_or_default();
+            self.text(decoded.as_bytes());
+        } else {
+            self.text(text.as_bytes());
+        }
+    }
+
+    fn text(&mut self, mut text: &[u8]) {
+        while !text.is_empty() {
+            let missing = PREFIX_STEP - self.bytes % PREFIX_STEP;
+            let (block, rest) = text.split_at(missing.min(text.len()));
+            for byte in block {
+                self.hash = (self.hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+            }
+            self.bytes += block.len();
+            if self.bytes.is_multiple_of(PREFIX_STEP) {
+                self.prefixes.push((self.hash, self.bytes));
+            }
+            text = rest;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/lagoon-net/src/entry/relay.rs
@@ -0,0 +1,150 @@
+//! Streams an answer to its caller, with bounded buffers and a visible end.
+//!
+//! Failure answered: a stream that broke off ends like a whole one, or a slow caller makes this
+//! host buffer without bound. The answer's task fills a bounded channel, and while it is full the
+//! engine's connection is not read. How the stream ended travels beside the channel, so it
+//! reaches the caller also when the channel is full; a task that ends without a word, as by a
+//! panic, cuts the connection. That is enough because only [`Ending::Whole`] ends the body
+//! normally.
+
+use std::cell;
+use std::io;
+use std::pin;
+use std::rc;
+use std::task;
+
+use futures_util::Stream;
+use lagoonline::outcome::{Reason, Step};
+use ntex::util;
+use tokio::sync as async_sync;
+
+use super::fault;
+use super::limit;
+use super::pull;
+use super::render;
+use super::state;
+
+#[derive(Debug)]
+enum Ending {
+    Open,
+    Whole,
+    Failed(util::Bytes),
+}
+
+type Shared = rc::Rc<cell::RefCell<Ending>>;
+
+/// The body of a streamed answer.
+#[derive(Debug)]
+pub(crate) struct Feed {
+    batches: async_sync::mpsc::Receiver<util::Bytes>,
+    ending: Shared,
+    _active: rc::Rc<state::Active>,
+}
+
+impl Stream for Feed {
+    type Item = Result<util::Bytes, io::Error>;
+
+    fn poll_next(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        match task::ready!(self.batches.poll_recv(context)) {
+            Some(batch) => task::Poll::Ready(Some(Ok(batch))),
+            None => task::Poll::Ready(self.end()),
+        }
+    }
+}
+
+impl Feed {
+    fn end(&self) -> Option<Result<util::Bytes, io::Error>> {
+        match self.ending.replace(Ending::Whole) {
+            Ending::Whole => None,
+            Ending::Failed(event) => Some(Ok(event)),
+            Ending::Open => Some(Err(io::Error::other("the answer broke off"))),
+        }
+    }
+}
+
+/// Sends the rest of `pull` to the body that is returned.
+pub(crate) fn start(
+    state: std::sync::Arc<state::State>,
+    pull: pull::Pull,
+    writer: render::Writer,
+    active: state::Active,
+    outcome_event: bool,
+) -> Feed {
+    let active = rc::Rc::new(active);
+    let (sender, batches) = async_sync::mpsc::channel(state.settings.limits.stream_batches);
+    let ending = rc::Rc::new(cell::RefCell::new(Ending::Open));
+    let relay = Relay { state, pull, writer, sender, ending: ending.clone(), outcome_event };
+    let kept = active.clone();
+    drop(ntex::rt::spawn(async move {
+        relay.run().await;
+        drop(kept);
+    }));
+    Feed { batches, ending, _active: active }
+}
+
+struct Relay {
+    state: std::sync::Arc<state::State>,
+    pull: pull::Pull,
+    writer: render::Writer,
+    sender: async_sync::mpsc::Sender<util::Bytes>,
+    ending: Shared,
+    outcome_event: bool,
+}
+
+impl Relay {
+    async fn run(mut self) {
+        let sender = self.sender.clone();
+        let ended = tokio::select! {
+            biased;
+            () = sender.closed() => None,
+            ended = self.copy() => Some(ended),
+        };
+        let metrics = &self.state.metrics;
+        match ended {
+            Some(Ok(())) => {
+                metrics.done("model");
+                self.ending.replace(Ending::Whole);
+            }
+            Some(Err(fault)) => {
+                metrics.failed("model", &fault.failure);
+                self.writer.fail(&fault.object());
+                self.ending.replace(Ending::Failed(self.writer.take()));
+            }
+            None => {
+                let fault = fault::new(Reason::CallerLeft, Step::Stream, self.pull.leave());
+                metrics.failed("model", &fault.failure);
+            }
+        }
+    }
+
+    async fn copy(&mut self) -> Result<(), fault::Fault> {
+        loop {
+            let end = self.pull.next(&mut self.writer).await?;
+            if let Some(end) = end {
+                let usage = usage(&self.pull, end);
+                self.writer.finish(usage, self.outcome_event);
+            }
+            let batch = self.writer.take();
+            let deadline = self.pull.job().call.deadline;
+            let sent = limit::within(&self.state, deadline, self.sender.send(batch)).await;
+            if let Err(stop) = sent {
+                return Err(stop.fault(Step::Stream, self.pull.leave()));
+            }
+            if end.is_some() {
+                return Ok(());
+            }
+        }
+    }
+}
+
+/// What the end of an answer says of its length.
+pub(crate) fn usage(pull: &pull::Pull, end: pull::End) -> render::Usage {
+    render::Usage {
+        prompt_tokens: end.prompt_tokens,
+        answer_tokens: end.answer_tokens,
+        cut_by_limit: end.answer_tokens >= pull.job().ask.answer_tokens,
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/render.rs
@@ -0,0 +1,183 @@
+//! Answers in the form that model clients know.
+//!
+//! A token's text stays the JSON text that the engine wrote: it is copied once, into the bytes
+//! that go to the caller, and never decoded.
+
+use lagoonline::id;
+use ntex::util;
+use serde_json::json;
+use serde_json::value::RawValue;
+
+use super::prompt;
+
+/// Takes the tokens of an answer in order.
+pub(crate) trait Sink {
+    fn token(&mut self, text: &RawValue);
+}
+
+/// What an answer ends with.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Usage {
+    pub(crate) prompt_tokens: u64,
+    pub(crate) answer_tokens: u64,
+    pub(crate) cut_by_limit: bool,
+}
+
+impl Usage {
+    fn finish_reason(self) -> &'static str {
+        if self.cut_by_limit { "length" } else { "stop" }
+    }
+
+    fn json(self) -> serde_json::Value {
+        json!({
+            "prompt_tokens": self.prompt_tokens,
+            "completion_tokens": self.answer_tokens,
+            "total_tokens": self.prompt_tokens + self.answer_tokens,
+        })
+    }
+}
+
+/// What all parts of one answer have in common.
+#[derive(Clone, Debug)]
+pub(crate) struct Title {
+    pub(crate) form: prompt::Form,
+    pub(crate) id: id::Attempt,
+    pub(crate) model: id::Model,
+    /// Seconds since the Unix epoch.
+    pub(crate) created: u64,
+}
+
+impl Title {
+    fn name(&self) -> String {
+        match self.form {
+            prompt::Form::Text => format!("cmpl-{}", self.id),
+            prompt::Form::Chat => format!("chatcmpl-{}", self.id),
+        }
+    }
+
+    /// Everything of a streamed chunk up to its choices. Model names are checked to hold no
+    /// character that JSON escapes.
+    fn head(&self) -> String {
+        let object = match self.form {
+            prompt::Form::Text => "text_completion",
+            prompt::Form::Chat => "chat.completion.chunk",
+        };
+        let (name, created, model) = (self.name(), self.created, &self.model);
+        format!(
+            "data: {{\"id\":\"{name}\",\"object\":\"{object}\",\"created\":{created},\
+             \"model\":\"{model}\",\"choices\":["
+        )
+    }
+}
+
+/// Writes server-sent events; tokens that came together leave together.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    title: Title,
+    prefix: Vec<u8>,
+    suffix: &'static [u8],
+    buffer: util::BytesMut,
+}
+
+impl Writer {
+    pub(crate) fn new(title: Title) -> Writer {
+        let mut buffer = util::BytesMut::new();
+        let (opening, suffix): (_, &'static [u8]) = match title.form {
+            prompt::Form::Text => {
+                ("{\"index\":0,\"text\":", b",\"logprobs\":null,\"finish_reason\":null}]}\n\n")
+            }
+            prompt::Form::Chat => {
+                buffer.extend_from_slice(title.head().as_bytes());
+                buffer.extend_from_slice(
+                    b"{\"index\":0,\"delta\":{\"role\":\"assistant\",\"content\":\"\"},\
+                      \"finish_reason\":null}]}\n\n",
+                );
+                ("{\"index\":0,\"delta\":{\"content\":", b"},\"finish_reason\":null}]}\n\n")
+            }
+        };
+        let prefix = format!("{}{opening}", title.head()).into_bytes();
+        Writer { title, prefix, suffix, buffer }
+    }
+
+    /// What was written since the last call.
+    pub(crate) fn take(&mut self) -> util::Bytes {
+        self.buffer.take()
+    }
+
+    /// Writes the end of a whole answer.
+    pub(crate) fn finish(&mut self, usage: Usage, outcome_event: bool) {
+        let reason = usage.finish_reason();
+        let choice = match self.title.form {
+            prompt::Form::Text => {
+                format!(
+                    "{{\"index\":0,\"text\":\"\",\"logprobs\":null,\"finish_reason\":\"{reason}\"}}"
+                )
+            }
+            prompt::Form::Chat => {
+                format!("{{\"index\":0,\"delta\":{{}},\"finish_reason\":\"{reason}\"}}")
+            }
+        };
+        let event = format!("{}{choice}],\"usage\":{}}}\n\n", self.title.head(), usage.json());
+        self.buffer.extend_from_slice(event.as_bytes());
+        if outcome_event {
+            self.buffer.extend_from_slice(b"event: outcome\ndata: done\n\n");
+        }
+        self.buffer.extend_from_slice(b"data: [DONE]\n\n");
+    }
+
+    /// Writes the end of an answer that failed: no `[DONE]` follows.
+    pub(crate) fn fail(&mut self, object: &str) {
+        self.buffer.extend_from_slice(b"event: error\ndata: ");
+        self.buffer.extend_from_slice(object.as_bytes());
+        self.buffer.extend_from_slice(b"\n\n");
+    }
+}
+
+impl Sink for Writer {
+    fn token(&mut self, text: &RawValue) {
+        let text = text.get().as_bytes();
+        self.buffer.reserve(self.prefix.len() + text.len() + self.suffix.len());
+        self.buffer.extend_from_slice(&self.prefix);
+        self.buffer.extend_from_slice(text);
+        self.buffer.extend_from_slice(self.suffix);
+    }
+}
+
+/// Gathers an answer that is not streamed.
+#[derive(Debug, Default)]
+pub(crate) struct Gather {
+    /// JSON text without its quotes.
+    text: String,
+}
+
+impl Sink for Gather {
+    fn token(&mut self, text: &RawValue) {
+        let text = text.get();
+        self.text.push_str(&text[1..text.len() - 1]);
+    }
+}
+
+impl Gather {
+    /// The answer as JSON.
+    pub(crate) fn finish(&self, title: &Title, usage: Usage) -> String {
+        let (object, opening, closing) = match title.form {
+            prompt::Form::Text => ("text_completion", "\"text\":\"", "\",\"logprobs\":null"),
+            prompt::Form::Chat => (
+                "chat.completion",
+                "\"message\":{\"role\":\"assistant\",\"content\":\"",
+                "\"},\"logprobs\":null",
+            ),
+        };
+        format!(
+            "{{\"id\":\"{}\",\"object\":\"{object}\",\"created\":{},\"model\":\"{}\",\
+             \"choices\":[{{\"index\":0,{opening}{}{closing},\"finish_reason\":\"{}\"}}],\
+             \"usage\":{}}}",
+            title.name(),
+            title.created,
+            title.model,
+            self.text,
+            usage.finish_reason(),
+            usage.json(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -0,0 +1,320 @@
+//! The listening side: worker threads, routes, drain.
+
+use std::io;
+use std::net;
+use std::rc;
+use std::sync;
+use std::thread;
+
+use lagoonline::clock;
+use lagoonline::control::document;
+use lagoonline::id;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use ntex::http;
+use ntex::web;
+
+use super::call;
+use super::cancel;
+use super::desk;
+use super::fault;
+use super::model;
+use super::prompt;
+use super::services;
+use super::settings;
+use super::state;
+use super::worker;
+
+/// How long answers that are complete may take to leave when the server stops.
+const FLUSH: ntex::time::Seconds = ntex::time::Seconds(5);
+/// How long failures told at the grace limit may take to be written.
+const LAST_WORDS: clock::Span = clock::Span::from_millis(500);
+
+/// A running entry host. Dropping it leaves the server running; call [`Running::drain`].
+#[derive(Debug)]
+pub struct Running {
+    handle: Handle,
+    thread: thread::JoinHandle<io::Result<()>>,
+}
+
+/// Controls a running entry host from any thread.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    address: net::SocketAddr,
+    state: sync::Arc<state::State>,
+}
+
+/// How a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ending {
+    /// Every request that was let in ended by itself.
+    Clean,
+    /// The drain was cut short; so many requests failed by it.
+    Cut(usize),
+}
+
+impl Running {
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.handle.address
+    }
+
+    /// A handle to control it by.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Starts a drain: unready, then no new requests, then the end.
+    pub fn drain(&self) {
+        self.handle.drain();
+    }
+
+    /// Waits for the end.
+    ///
+    /// # Errors
+    ///
+    /// The server's thread failed.
+    pub fn wait(self) -> io::Result<Ending> {
+        let ended = self.thread.join();
+        ended.map_err(|_| io::Error::other("the server's thread panicked"))??;
+        Ok(match self.handle.state.aborted() {
+            0 => Ending::Clean,
+            count => Ending::Cut(count),
+        })
+    }
+}
+
+impl Handle {
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Starts a drain.
+    pub fn drain(&self) {
+        self.state.advance(state::Phase::Unready);
+    }
+
+    /// Ends at once: requests under way fail, and their callers are told so.
+    pub fn abort(&self) {
+        self.state.advance(state::Phase::Aborting);
+    }
+
+    /// Requests under way.
+    pub fn active(&self) -> usize {
+        self.state.active()
+    }
+
+    /// The host and its incarnation, as upstreams know it.
+    pub fn owner(&self) -> &id::Owner {
+        &self.state.owner
+    }
+
+    /// Puts sections in force; one whose version is not above the one in force is passed over.
+    pub fn install(&self, sections: Vec<document::Section>) {
+        self.state.install(sections);
+    }
+
+    /// Marks an upstream as leaving, or takes the mark back for a new incarnation.
+    pub fn set_leaving(&self, upstream: &id::Upstream, leaving: bool) {
+        self.state.set_leaving(upstream, leaving);
+    }
+
+    /// Takes in a load report of an engine.
+    pub fn observe(&self, upstream: &id::Upstream, load: &lagoonline::port::engine::Load) {
+        for desk in self.state.view().desks.values() {
+            desk.observe(upstream, load);
+        }
+    }
+}
+
+/// Starts an entry host on threads of its own.
+///
+/// # Errors
+///
+/// The address cannot be listened on.
+///
+/// ```
+/// use lagoon_net::entry;
+/// let settings = entry::Settings { unready: std::time::Duration::ZERO, ..Default::default() };
+/// let running = entry::start(settings).unwrap();
+/// assert_ne!(running.address().port(), 0);
+/// running.drain();
+/// assert_eq!(running.wait().unwrap(), entry::Ending::Clean);
+/// ```
+pub fn start(settings: settings::Settings) -> io::Result<Running> {
+    let listener = net::TcpListener::bind(settings.listen)?;
+    let address = listener.local_addr()?;
+    let (state, chores) = state::State::new(settings);
+    let handle = Handle { address, state: state.clone() };
+    let name = format!("entry-{}", state.settings.host);
+    let system = move || {
+        let system = ntex::rt::System::build().name(&name).build(ntex::rt::DefaultRuntime);
+        system.block_on(serve(state, listener, chores))
+    };
+    let thread = thread::Builder::new().name("lagoon-entry".to_owned()).spawn(system)?;
+    Ok(Running { handle, thread })
+}
+
+async fn serve(
+    state: sync::Arc<state::State>,
+    listener: net::TcpListener,
+    chores: state::Chores,
+) -> io::Result<()> {
+    let limits = state.settings.limits;
+    let config = http::HttpServiceConfig::new()
+        .set_max_headers(limits.headers)
+        .set_max_buf_size(limits.head_bytes)
+        .set_keepalive(seconds(limits.keep_alive))
+        .set_client_timeout(seconds(limits.head_timeout));
+    let config = ntex::SharedCfg::new("entry").add(config);
+    let shared = state.clone();
+    let server = web::HttpServer::new(async move || {
+        let worker = rc::Rc::new(worker::Worker::new(shared.clone()).await);
+        web::App::new().state(worker).default_service(web::to(route))
+    });
+    let server = server
+        .workers(state.settings.workers)
+        .disable_signals()
+        .shutdown_timeout(FLUSH)
+        .config(config)
+        .listen(listener)?
+        .run();
+    let client = worker::new_client(1).await;
+    drop(ntex::rt::spawn(cancel::run(state.clone(), client, chores.cancels)));
+    drop(ntex::rt::spawn(keep_desks(chores.desks)));
+    drain(&state).await;
+    server.stop(true).await;
+    Ok(())
+}
+
+fn seconds(span: clock::Span) -> ntex::time::Seconds {
+    ntex::time::Seconds(u16::try_from(span.as_millis().div_ceil(1_000)).unwrap_or(u16::MAX))
+}
+
+async fn keep_desks(mut desks: tokio::sync::mpsc::UnboundedReceiver<sync::Weak<desk::Desk>>) {
+    while let Some(desk) = desks.recv().await {
+        drop(ntex::rt::spawn(desk::Desk::keep(desk)));
+    }
+}
+
+/// Returns when the server may stop.
+async fn drain(state: &sync::Arc<state::State>) {
+    let mut phase = state.watch_phase();
+    // The sender is in `state`, so the wait ends only by a change.
+    reach(&mut phase, state::Phase::Unready).await;
+    log::info!("draining with {} requests under way", state.active());
+    let early = reach(&mut phase, state::Phase::Draining);
+    let _timeout = tokio::time::timeout(state.settings.unready, early).await;
+    state.advance(state::Phase::Draining);
+    tokio::select! {
+        biased;
+        () = idle(state) => {}
+        () = tokio::time::sleep(state.settings.grace) => {}
+        () = reach(&mut phase, state::Phase::Aborting) => {}
+    }
+    if state.active() > 0 {
+        log::warn!("drain cut short with {} requests under way", state.active());
+        state.advance(state::Phase::Aborting);
+        let _timeout = tokio::time::timeout(LAST_WORDS, idle(state)).await;
+    }
+    // Cancels of the requests that failed just now are still on their way.
+    let settled = async {
+        while state.metrics.cancels_pending.get() > 0 {
+            tokio::time::sleep(clock::Span::from_millis(10)).await;
+        }
+    };
+    let _timeout = tokio::time::timeout(LAST_WORDS, settled).await;
+    log::info!("drained");
+}
+
+/// Waits for a phase. The value that was seen is let go at once: it holds the channel's lock.
+async fn reach(phase: &mut tokio::sync::watch::Receiver<state::Phase>, wanted: state::Phase) {
+    drop(phase.wait_for(|phase| *phase >= wanted).await);
+}
+
+/// Waits until no request is under way.
+async fn idle(state: &state::State) {
+    drop(state.watch_active().wait_for(|count| *count == 0).await);
+}
+
+async fn route(
+    request: web::HttpRequest,
+    payload: web::types::Payload,
+    worker: web::types::State<rc::Rc<worker::Worker>>,
+) -> web::HttpResponse {
+    let state = &worker.state;
+    let path = request.path();
+    match path {
+        "/healthz" => return web::HttpResponse::Ok().body("ok\n"),
+        "/readyz" => return ready(state),
+        "/metrics" => return metrics(state),
+        _ => {}
+    }
+    let request_id = call::request_id(request.headers());
+    let kind = if path.starts_with("/services/") { "service" } else { "model" };
+    if state.phase() >= state::Phase::Draining {
+        let fault = fault::new(Reason::Draining, Step::Admit, Outcome::NotRun);
+        state.metrics.failed(kind, &fault.failure);
+        return fault.answer(&request_id, true);
+    }
+    let work = dispatch(&worker, &request, payload.into_inner(), &request_id);
+    let result = match request.io() {
+        Some(io) => tokio::select! {
+            biased;
+            result = work => result,
+            () = io.on_disconnect() => {
+                Err(fault::new(Reason::CallerLeft, Step::Stream, Outcome::Unknown))
+            }
+        },
+        None => work.await,
+    };
+    result.unwrap_or_else(|fault| {
+        state.metrics.failed(kind, &fault.failure);
+        fault.answer(&request_id, state.phase() >= state::Phase::Draining)
+    })
+}
+
+async fn dispatch(
+    worker: &rc::Rc<worker::Worker>,
+    request: &web::HttpRequest,
+    payload: http::Payload,
+    request_id: &str,
+) -> Result<web::HttpResponse, fault::Fault> {
+    let path = request.path();
+    let post = *request.method() == http::Method::POST;
+    let get = *request.method() == http::Method::GET;
+    match path {
+        "/v1/completions" if post => {
+            model::answer(worker, prompt::Form::Text, request, payload, request_id).await
+        }
+        "/v1/chat/completions" if post => {
+            model::answer(worker, prompt::Form::Chat, request, payload, request_id).await
+        }
+        "/v1/models" if get => model::list(&worker.state, request, request_id),
+        path if path.starts_with("/services/") => {
+            services::answer(worker, request, payload, request_id).await
+        }
+        _ => {
+            let fault = fault::new(Reason::UnknownName, Step::Read, Outcome::NotRun);
+            Err(fault.with_detail(format!("{} {path} is not served", request.method())))
+        }
+    }
+}
+
+fn ready(state: &state::State) -> web::HttpResponse {
+    if state.phase() == state::Phase::Serving {
+        return web::HttpResponse::Ok().body("ready\n");
+    }
+    let mut answer = web::HttpResponse::ServiceUnavailable();
+    answer.set_header("Retry-After", "1").body("draining\n")
+}
+
+fn metrics(state: &state::State) -> web::HttpResponse {
+    state.refresh();
+    match state.metrics.encode() {
+        Ok(text) => web::HttpResponse::Ok()
+            .content_type("application/openmetrics-text; version=1.0.0; charset=utf-8")
+            .body(text),
+        Err(_) => web::HttpResponse::InternalServerError().finish(),
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -0,0 +1,325 @@
+//! Settings of an entry host: one JSON file, checked whole before anything starts.
+
+use std::fs;
+use std::net;
+use std::path;
+
+use lagoonline::check;
+use lagoonline::clock;
+use lagoonline::control::document;
+use lagoonline::id;
+use lagoonline::load;
+use serde_json::Value;
+
+use crate::logs;
+
+/// Bounds on what a caller may send and how long it may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Limits {
+    /// Longest request head, in bytes.
+    pub head_bytes: usize,
+    /// Most headers of a request.
+    pub headers: usize,
+    /// Longest body of a model call, in bytes; it is kept whole in memory until it is sent on.
+    pub body_bytes: usize,
+    /// Longest body of a service call, in bytes; it passes as it comes.
+    pub service_body_bytes: u64,
+    /// Longest time for a request's head.
+    pub head_timeout: clock::Span,
+    /// Longest silence of a caller within its body.
+    pub body_timeout: clock::Span,
+    /// How long an idle connection is kept.
+    pub keep_alive: clock::Span,
+    /// Most dispatches of one request.
+    pub attempts: u32,
+    /// Batches of a streamed answer that wait for a slow caller before the engine has to wait.
+    pub stream_batches: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            head_bytes: 64 << 10,
+            headers: 96,
+            body_bytes: 64 << 20,
+            service_body_bytes: 1 << 30,
+            head_timeout: clock::Span::from_secs(5),
+            body_timeout: clock::Span::from_secs(10),
+            keep_alive: clock::Span::from_secs(75),
+            attempts: 4,
+            stream_batches: 16,
+        }
+    }
+}
+
+/// Settings of an entry host.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Where callers connect; port 0 lets the kernel choose.
+    pub listen: net::SocketAddr,
+    /// Worker threads.
+    pub workers: usize,
+    /// Name of this entry host.
+    pub host: id::Host,
+    /// Its availability zone.
+    pub zone: id::Zone,
+    /// Its region.
+    pub region: id::Region,
+    /// The steward that sections come from; without one the sections below are all there is.
+    pub steward: Option<net::SocketAddr>,
+    /// Sections in force at the start.
+    pub sections: Vec<document::Section>,
+    /// Bounds on callers.
+    pub limits: Limits,
+    /// How long a drain shows the host as unready before new requests are refused.
+    pub unready: clock::Span,
+    /// Longest drain; requests still running then fail.
+    pub grace: clock::Span,
+    /// Queue bounds and the like.
+    pub load: load::Settings,
+    /// Logs of the program.
+    pub logs: logs::Settings,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            listen: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+            workers: 2,
+            host: id::Host::from("entry"),
+            zone: id::Zone::default(),
+            region: id::Region::default(),
+            steward: None,
+            sections: Vec::new(),
+            limits: Limits::default(),
+            unready: clock::Span::from_millis(500),
+            grace: clock::Span::from_secs(600),
+            load: load::Settings::default(),
+            logs: logs::Settings::default(),
+        }
+    }
+}
+
+/// Why a settings file cannot be used.
+#[derive(Debug, thiserror::Error)]
+#[error("{file}: {cause}")]
+pub struct Unusable {
+    /// The file.
+    pub file: path::PathBuf,
+    /// What is wrong with it.
+    pub cause: Cause,
+}
+
+/// What is wrong with a file.
+#[derive(Debug, thiserror::Error)]
+pub enum Cause {
+    /// It cannot be read.
+    #[error("{0}")]
+    Unreadable(std::io::Error),
+    /// Its contents are refused.
+    #[error("{0}")]
+    Refused(check::Faults),
+}
+
+impl Settings {
+    /// Reads a settings file and the document file that it may name.
+    ///
+    /// # Errors
+    ///
+    /// The file with all its faults, each with its JSON pointer.
+    pub fn load(file: &path::Path) -> Result<Settings, Unusable> {
+        let text = read_file(file)?;
+        let refuse = |faults| Unusable { file: file.to_owned(), cause: Cause::Refused(faults) };
+        let (mut settings, document) = Settings::parse(&text).map_err(refuse)?;
+        if let Some(path) = document {
+            settings.sections.extend(load_document(&path)?);
+        }
+        Ok(settings)
+    }
+
+    /// Reads settings; the second part is the path of a document file, if one is named.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the text, by JSON pointer.
+    ///
+    /// ```
+    /// use lagoon_net::entry::Settings;
+    /// let text = r#"{"listen": "127.0.0.1:0", "host": "suva-1", "zone": "suva",
+    ///     "sections": {"labels": {"version": 1, "models": {"tin-label": {}}}}}"#;
+    /// let (settings, document) = Settings::parse(text).unwrap();
+    /// assert_eq!(settings.zone.as_str(), "suva");
+    /// assert_eq!(settings.sections.len(), 1);
+    /// assert!(document.is_none());
+    /// let faults = Settings::parse(r#"{"listen": "here", "host": "a"}"#).unwrap_err();
+    /// assert_eq!(
+    ///     faults.to_string(),
+    ///     "/listen: must be IP:PORT\n/zone: must be given and not be empty"
+    /// );
+    /// ```
+    pub fn parse(text: &str) -> Result<(Settings, Option<path::PathBuf>), check::Faults> {
+        let mut value: Value = serde_json::from_str(text).map_err(bad_json)?;
+        let sections = value.as_object_mut().and_then(|fields| fields.remove("sections"));
+        let mut faults = Vec::new();
+        let read = match check::object(&value, read_settings) {
+            Ok(read) => Some(read),
+            Err(found) => {
+                faults.extend(found.0);
+                None
+            }
+        };
+        let sections = sections.map(|value| read_sections(value, "/sections", &mut faults));
+        faults.sort();
+        match read {
+            Some((settings, document)) if faults.is_empty() => {
+                let sections = sections.unwrap_or_default();
+                Ok((Settings { sections, ..settings }, document))
+            }
+            _ => Err(check::Faults(faults)),
+        }
+    }
+}
+
+fn bad_json(error: serde_json::Error) -> check::Faults {
+    check::Faults(vec![check::Fault { pointer: String::new(), reason: error.to_string() }])
+}
+
+fn read_file(file: &path::Path) -> Result<String, Unusable> {
+    let unreadable = |error| Unusable { file: file.to_owned(), cause: Cause::Unreadable(error) };
+    fs::read_to_string(file).map_err(unreadable)
+}
+
+fn load_document(file: &path::Path) -> Result<Vec<document::Section>, Unusable> {
+    let text = read_file(file)?;
+    parse_document(&text)
+        .map_err(|faults| Unusable { file: file.to_owned(), cause: Cause::Refused(faults) })
+}
+
+/// Reads a whole document: `{"sections": {TEAM: {"version": N, ...}}}`.
+///
+/// # Errors
+///
+/// All faults of all sections, by JSON pointer.
+///
+/// ```
+/// use lagoon_net::entry;
+/// let text = r#"{"sections": {"a": {"version": 4, "models": {"m": {}}}}}"#;
+/// let sections = entry::parse_document(text).unwrap();
+/// assert_eq!(sections[0].version.0, 4);
+/// ```
+pub fn parse_document(text: &str) -> Result<Vec<document::Section>, check::Faults> {
+    let mut value: Value = serde_json::from_str(text).map_err(bad_json)?;
+    let sections = value.as_object_mut().and_then(|fields| fields.remove("sections"));
+    let mut faults = Vec::new();
+    if let Err(found) = check::object(&value, |_| ()) {
+        faults.extend(found.0);
+    }
+    let sections = sections.unwrap_or_else(|| Value::Object(serde_json::Map::new()));
+    let sections = read_sections(sections, "/sections", &mut faults);
+    if faults.is_empty() { Ok(sections) } else { Err(check::Faults(faults)) }
+}
+
+fn read_sections(
+    value: Value,
+    pointer: &str,
+    faults: &mut Vec<check::Fault>,
+) -> Vec<document::Section> {
+    let Value::Object(teams) = value else {
+        let reason = "must be an object".to_owned();
+        faults.push(check::Fault { pointer: pointer.to_owned(), reason });
+        return Vec::new();
+    };
+    let mut sections = Vec::new();
+    for (team, mut body) in teams {
+        let place = format!("{pointer}/{}", team.replace('~', "~0").replace('/', "~1"));
+        let version = body.as_object_mut().and_then(|fields| fields.remove("version"));
+        let version = version.map_or(Some(1), |version| version.as_u64());
+        let Some(version) = version else {
+            let reason = "must be a whole number".to_owned();
+            faults.push(check::Fault { pointer: format!("{place}/version"), reason });
+            continue;
+        };
+        let (team, version) = (id::Team::from(team), id::Version(version));
+        match document::Section::parse(team, version, &body.to_string()) {
+            Ok(section) => sections.push(section),
+            Err(found) => faults.extend(found.0.into_iter().map(|fault| check::Fault {
+                pointer: format!("{place}{}", fault.pointer),
+                reason: fault.reason,
+            })),
+        }
+    }
+    sections
+}
+
+fn read_settings(reader: &check::Reader<'_>) -> (Settings, Option<path::PathBuf>) {
+    let usual = Settings::default();
+    let zone = id::Zone::from(reader.required("zone"));
+    let load = reader.child("queue", |reader| read_queue(reader, &zone));
+    let settings = Settings {
+        listen: reader.required_parsed("listen", "IP:PORT", usual.listen),
+        workers: read_size(reader, "workers", usual.workers, 1, 256),
+        host: id::Host::from(reader.required("host")),
+        region: id::Region::from(reader.text("region", "")),
+        steward: reader.parsed("steward", "IP:PORT"),
+        sections: Vec::new(),
+        limits: reader.child("limits", read_limits).unwrap_or_default(),
+        unready: read_span(reader, "unready_ms", usual.unready, 0, 60_000),
+        grace: read_span(reader, "grace_ms", usual.grace, 0, 86_400_000),
+        load: load.unwrap_or_else(|| load::Settings { zone: zone.clone(), ..usual.load }),
+        logs: reader.child("logs", logs::Settings::read).unwrap_or_default(),
+        zone,
+    };
+    let document = reader.text("document", "");
+    (settings, (!document.is_empty()).then(|| path::PathBuf::from(document)))
+}
+
+fn read_queue(reader: &check::Reader<'_>, zone: &id::Zone) -> load::Settings {
+    let mut settings = load::Settings { zone: zone.clone(), ..load::Settings::default() };
+    let hosts = reader.number("hosts_in_zone", u64::from(settings.hosts_in_zone), 1..=10_000);
+    settings.hosts_in_zone = u32::try_from(hosts).unwrap_or(settings.hosts_in_zone);
+    settings.queue_requests = read_size(reader, "requests", settings.queue_requests, 1, 1_000_000);
+    settings.queue_bytes = reader.number("bytes", settings.queue_bytes, 1..=1 << 40);
+    settings
+}
+
+fn read_limits(reader: &check::Reader<'_>) -> Limits {
+    let usual = Limits::default();
+    let attempts = reader.number("attempts", u64::from(usual.attempts), 1..=100);
+    Limits {
+        head_bytes: read_size(reader, "head_bytes", usual.head_bytes, 1_024, 1 << 20),
+        headers: read_size(reader, "headers", usual.headers, 8, 1_024),
+        body_bytes: read_size(reader, "body_bytes", usual.body_bytes, 1_024, 1 << 30),
+        service_body_bytes: reader.number(
+            "service_body_bytes",
+            usual.service_body_bytes,
+            0..=1 << 40,
+        ),
+        head_timeout: read_span(reader, "head_timeout_ms", usual.head_timeout, 1_000, 600_000),
+        body_timeout: read_span(reader, "body_timeout_ms", usual.body_timeout, 10, 600_000),
+        keep_alive: read_span(reader, "keep_alive_ms", usual.keep_alive, 1_000, 3_600_000),
+        attempts: u32::try_from(attempts).unwrap_or(usual.attempts),
+        stream_batches: read_size(reader, "stream_batches", usual.stream_batches, 1, 4_096),
+    }
+}
+
+fn read_size(
+    reader: &check::Reader<'_>,
+    name: &str,
+    default: usize,
+    least: u64,
+    most: u64,
+) -> usize {
+    let number = reader.number(name, default as u64, least..=most);
+    usize::try_from(number).unwrap_or(default)
+}
+
+fn read_span(
+    reader: &check::Reader<'_>,
+    name: &str,
+    default: clock::Span,
+    least: u64,
+    most: u64,
+) -> clock::Span {
+    let usual = u64::try_from(default.as_millis()).unwrap_or(most);
+    clock::Span::from_millis(reader.number(name, usual, least..=most))
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -0,0 +1,210 @@
+//! What the worker threads of an entry host share.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use arc_swap::ArcSwap;
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::control::document;
+use lagoonline::id;
+use lagoonline::load;
+use lagoonline::view;
+use tokio::sync as async_sync;
+
+use super::cancel;
+use super::desk;
+use super::metrics;
+use super::replica;
+use super::settings;
+
+/// How far the shutdown of this host has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Phase {
+    Serving,
+    /// `/readyz` says no; requests are still let in, for balancers that have not looked yet.
+    Unready,
+    /// New requests are refused, those under way go on.
+    Draining,
+    /// Requests under way fail.
+    Aborting,
+}
+
+/// All sections in force, and the desks of their models.
+#[derive(Debug, Default)]
+pub(crate) struct View {
+    pub(crate) fleet: view::Shared,
+    pub(crate) shards: load::Shards,
+    pub(crate) desks: collections::HashMap<id::Model, sync::Arc<desk::Desk>>,
+    pub(crate) replicas: replica::Replicas,
+}
+
+/// State shared by all threads of one entry host.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: settings::Settings,
+    pub(crate) clock: clock::Host,
+    pub(crate) owner: id::Owner,
+    pub(crate) metrics: metrics::Metrics,
+    pub(crate) cancels: cancel::Sender,
+    view: ArcSwap<View>,
+    sections: sync::Mutex<collections::BTreeMap<id::Team, document::Section>>,
+    changed: sync::Mutex<clock::Moment>,
+    desks: async_sync::mpsc::UnboundedSender<sync::Weak<desk::Desk>>,
+    phase: async_sync::watch::Sender<Phase>,
+    active: async_sync::watch::Sender<usize>,
+    failed_drain: atomic::AtomicUsize,
+}
+
+/// Receiving ends of the work that the control thread does for the others.
+#[derive(Debug)]
+pub(crate) struct Chores {
+    pub(crate) desks: async_sync::mpsc::UnboundedReceiver<sync::Weak<desk::Desk>>,
+    pub(crate) cancels: cancel::Receiver,
+}
+
+impl State {
+    pub(crate) fn new(settings: settings::Settings) -> (sync::Arc<State>, Chores) {
+        let clock = clock::Host::default();
+        let incarnation = id::Incarnation(clock.wall_millis());
+        let (desks, desks_in) = async_sync::mpsc::unbounded_channel();
+        let (cancels, cancels_in) = cancel::channel();
+        let sections = settings.sections.clone();
+        let state = sync::Arc::new(State {
+            owner: id::Owner { host: settings.host.clone(), incarnation },
+            settings,
+            clock,
+            metrics: metrics::Metrics::default(),
+            cancels,
+            view: ArcSwap::default(),
+            sections: sync::Mutex::default(),
+            changed: sync::Mutex::default(),
+            desks,
+            phase: async_sync::watch::Sender::new(Phase::Serving),
+            active: async_sync::watch::Sender::new(0),
+            failed_drain: atomic::AtomicUsize::new(0),
+        });
+        state.install(sections);
+        (state, Chores { desks: desks_in, cancels: cancels_in })
+    }
+
+    pub(crate) fn view(&self) -> sync::Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Puts sections in force; one whose version is not above the one in force is passed over, so
+    /// that a late or replayed message never takes a section back.
+    pub(crate) fn install(&self, sections: Vec<document::Section>) {
+        let held = &self.sections;
+        let mut held = held.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        for section in sections {
+            let newer = held.get(&section.team).is_none_or(|old| old.version < section.version);
+            if newer {
+                self.metrics.set_version(&section.team, section.version);
+                held.insert(section.team.clone(), section);
+            }
+        }
+        let fleet = sync::Arc::new(view::Fleet::merge(held.values()));
+        let old = self.view();
+        let now = self.clock.now();
+        let shards = old.shards.with_fleet(now, &fleet, &self.settings.load);
+        let desks = self.desks(&old, &shards);
+        let replicas = old.replicas.with_fleet(&fleet);
+        for desk in desks.values() {
+            desk.turn();
+        }
+        self.view.store(sync::Arc::new(View { fleet, shards, desks, replicas }));
+        *self.changed.lock().unwrap_or_else(sync::PoisonError::into_inner) = now;
+    }
+
+    fn desks(
+        &self,
+        old: &View,
+        shards: &load::Shards,
+    ) -> collections::HashMap<id::Model, sync::Arc<desk::Desk>> {
+        let mut desks = collections::HashMap::new();
+        for (model, shard) in shards.iter() {
+            let kept = old.desks.get(model).cloned();
+            let desk = kept.unwrap_or_else(|| {
+                let desk = desk::Desk::new(self.clock, shard.clone());
+                // The control thread ends only with the process, so the receiver is there.
+                let _ended = self.desks.send(sync::Arc::downgrade(&desk));
+                desk
+            });
+            desks.insert(model.clone(), desk);
+        }
+        desks
+    }
+
+    pub(crate) fn set_leaving(&self, upstream: &id::Upstream, leaving: bool) {
+        let view = self.view();
+        for desk in view.desks.values() {
+            desk.set_leaving(upstream, leaving);
+        }
+        view.replicas.set_leaving(upstream, leaving);
+    }
+
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    pub(crate) fn watch_phase(&self) -> async_sync::watch::Receiver<Phase> {
+        self.phase.subscribe()
+    }
+
+    /// Goes on to `phase`; never back.
+    pub(crate) fn advance(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let later = *current < phase;
+            *current = phase.max(*current);
+            later
+        });
+        self.metrics.draining.set(i64::from(self.phase() > Phase::Serving));
+    }
+
+    pub(crate) fn active(&self) -> usize {
+        *self.active.borrow()
+    }
+
+    pub(crate) fn watch_active(&self) -> async_sync::watch::Receiver<usize> {
+        self.active.subscribe()
+    }
+
+    /// Requests that failed because the drain was cut short.
+    pub(crate) fn aborted(&self) -> usize {
+        self.failed_drain.load(atomic::Ordering::Relaxed)
+    }
+
+    pub(crate) fn count_aborted(&self) {
+        self.failed_drain.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
+    /// Refreshes the gauges that are read only when asked for.
+    pub(crate) fn refresh(&self) {
+        let changed = *self.changed.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        self.metrics.view_age.set(self.clock.now().since(changed).as_secs_f64());
+        for (model, desk) in &self.view().desks {
+            self.metrics.set_waiting(model, desk.waiters());
+        }
+    }
+}
+
+/// Counts a request as under way until dropped.
+#[derive(Debug)]
+pub(crate) struct Active(sync::Arc<State>);
+
+impl Active {
+    pub(crate) fn new(state: &sync::Arc<State>) -> Active {
+        state.active.send_modify(|count| *count += 1);
+        state.metrics.active.inc();
+        Active(state.clone())
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.send_modify(|count| *count -= 1);
+        self.0.metrics.active.dec();
+    }
+}
--- /dev/null
+++ b/crates/lagoon-net/src/entry/worker.rs
@@ -0,0 +1,42 @@
+//! What one worker thread has of its own: its connections to upstreams.
+
+use std::sync;
+
+use ntex::SharedCfg;
+use ntex::client;
+
+use super::state;
+
+/// One worker thread.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) state: sync::Arc<state::State>,
+    /// Connections that are used again.
+    pub(crate) client: client::Client,
+    /// A new connection for each call.
+    ///
+    /// Failure answered: a call that may not repeat goes out on a connection that the service is
+    /// just closing, and ends as unknown though nothing is wrong.
+    pub(crate) once: client::Client,
+}
+
+impl Worker {
+    pub(crate) async fn new(state: sync::Arc<state::State>) -> Worker {
+        let (client, once) = (new_client(15).await, new_client(0).await);
+        Worker { state, client, once }
+    }
+}
+
+/// A client without limits of its own: deadlines and queues are ours.
+pub(crate) async fn new_client(keep_alive: u16) -> client::Client {
+    let connector = client::Connector::new().limit(0).keep_alive(ntex::time::Seconds(keep_alive));
+    let builder = client::Client::builder().connector::<()>(connector);
+    let builder = builder.disable_timeout().disable_redirects().no_default_headers();
+    match builder.build(SharedCfg::default()).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::error!("client settings were refused, usual ones are used: {error}");
+            client::Client::new().await
+        }
+    }
+}
--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -11,5 +11,9 @@
 //! assert_ne!(key.tag(b"frame"), key.tag(b"other"));
 //! ```
 
+pub mod engine;
+pub mod entry;
 pub mod logs;
+pub mod service;
+pub mod signals;
 pub mod wire;
