Stand-in model engine

Cause: everything else is measured against an engine that behaves as the protocol page says. Change: engine::start and start_all (any number of engines on shared threads), continuous batching in scaled time, limited KV memory with owners and expiries, prefix cache with events, resume, cancel, groups, export and import, orders, faults and record.

--- /dev/null
+++ b/crates/lagoon-standin/src/engine/http.rs
@@ -0,0 +1,357 @@
+//! An engine's calls, as in `docs/PROTOCOLS.md`.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use lagoonline::id;
+use lagoonline::port::engine;
+use ntex::http;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+
+use super::delivery;
+use super::kv;
+use super::orders;
+use super::state;
+use crate::fault;
+use crate::port;
+use crate::prompt;
+
+/// Deadline of an attempt that names none.
+const USUAL_DEADLINE_MS: u64 = 600_000;
+/// Answer tokens of an attempt that names none.
+const USUAL_ANSWER_TOKENS: u64 = 16;
+
+type Shared = sync::Arc<super::Engine>;
+
+pub(crate) async fn handle(engine: Shared, mut request: http::Request) -> http::Response {
+    let path = request.path().to_owned();
+    let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+    let method = request.method().clone();
+    let method = method.as_str();
+    if let Some(answer) = administer(&engine, &mut request, method, &parts).await {
+        return answer;
+    }
+    if port::pass(&request, || engine.port_faults()).await.is_err() {
+        return port::vanish(&request);
+    }
+    match (method, parts.as_slice()) {
+        ("POST", ["generate"]) => generate(engine, request).await,
+        ("GET", ["streams", attempt]) => resume(engine, &request, attempt),
+        ("POST", ["streams", attempt, "cancel"]) => cancel(&engine, &request, attempt),
+        ("GET", ["load"]) => port::json(200, &engine.lock().published()),
+        ("GET", ["cache", "events"]) => events(&engine, &request),
+        ("GET", ["holdings"]) => holdings(&engine),
+        ("POST", ["holdings", id, "release"]) => {
+            engine.lock().release(&port::decode(id), time::Instant::now());
+            port::json(200, &json!({}))
+        }
+        ("POST", ["kv", "reserve"]) => reserve(&engine, &mut request).await,
+        ("POST", ["kv", "export"]) => export(&engine, &mut request).await,
+        ("GET", ["kv", "exports", id]) => exported(&engine, &port::decode(id)),
+        ("POST", ["kv", "import"]) => import(&engine, &mut request).await,
+        ("POST", ["orders"]) => order(&engine, &mut request).await,
+        ("GET", ["orders"]) => {
+            let state = engine.lock();
+            port::json(200, &state.orders.json(state.incarnation))
+        }
+        ("POST", ["leave"]) => {
+            engine.leave();
+            port::json(200, &json!({}))
+        }
+        _ => port::refuse(404, "unknown_call"),
+    }
+}
+
+/// Faults and the record are reached also when the engine is down.
+async fn administer(
+    engine: &Shared,
+    request: &mut http::Request,
+    method: &str,
+    parts: &[&str],
+) -> Option<http::Response> {
+    match (method, parts) {
+        ("GET", ["faults"]) => Some(port::json(200, &engine.faults())),
+        ("GET", ["record"]) => Some(port::json(200, &engine.record())),
+        ("POST", ["faults"]) => Some(match port::read_json::<Value>(request).await {
+            Ok(change) => match fault::merge(&engine.faults(), &change) {
+                Ok(faults) => {
+                    engine.set_faults(faults);
+                    port::json(200, &engine.faults())
+                }
+                Err(error) => port::refuse(400, &error.to_string()),
+            },
+            Err(error) => port::malformed(&error),
+        }),
+        _ => None,
+    }
+}
+
+async fn generate(engine: Shared, mut request: http::Request) -> http::Response {
+    let Ok(attempt) = port::header(&request, "Lagoon-Attempt").parse::<id::Attempt>() else {
+        return port::refuse(400, "malformed");
+    };
+    let body = match port::read(&mut request).await {
+        Ok(body) => body,
+        Err(error) => return port::malformed(&error),
+    };
+    let Some(text) = prompt::text(&body) else { return port::refuse(400, "malformed") };
+    let mut call = read_call(&request, attempt, &text);
+    let groups = port::header(&request, "Lagoon-Group");
+    if !groups.is_empty() {
+        let need = engine.settings.tokens(text.len()) + call.answer_tokens;
+        call.group = group(&engine, groups, need).await;
+        if call.group.is_none() {
+            return port::refuse(429, "full");
+        }
+    }
+    let accepted = engine.lock().accept(call, time::Instant::now());
+    if let Err(refusal) = accepted {
+        let (status, code) = refusal.code();
+        return port::refuse(status, code);
+    }
+    stream(engine, &request, attempt, None)
+}
+
+fn read_call(request: &http::Request, attempt: id::Attempt, text: &str) -> state::Call {
+    let deadline = port::number(request, "Lagoon-Deadline-Ms").unwrap_or(USUAL_DEADLINE_MS);
+    let priority = port::number(request, "Lagoon-Priority").unwrap_or(0);
+    let answer = port::number(request, "Lagoon-Answer-Tokens").unwrap_or(USUAL_ANSWER_TOKENS);
+    state::Call {
+        attempt,
+        owner: port::header(request, "Lagoon-Owner").to_owned(),
+        priority: u8::try_from(priority).unwrap_or(u8::MAX),
+        model: port::header(request, "Lagoon-Model").to_owned(),
+        deadline: time::Duration::from_millis(deadline.min(86_400_000)),
+        prompt: prompt::Prompt::new(text),
+        skip: port::number(request, "Lagoon-Skip-Tokens").unwrap_or(0),
+        answer_tokens: answer,
+        group: None,
+    }
+}
+
+fn stream(
+    engine: Shared,
+    request: &http::Request,
+    attempt: id::Attempt,
+    from: Option<u64>,
+) -> http::Response {
+    let zone = port::header(request, "Lagoon-Zone").to_owned();
+    let load = serde_json::to_string(&engine.lock().load()).unwrap_or_default();
+    let Some(delivery) = delivery::Delivery::new(engine, attempt, zone, from) else {
+        return port::refuse(404, "unknown_stream");
+    };
+    let pieces = futures_util::stream::unfold(delivery, |mut delivery| async {
+        delivery.piece().await.map(|piece| (piece, delivery))
+    });
+    http::Response::build(http::StatusCode::OK)
+        .content_type("text/event-stream")
+        .header("Lagoon-Attempt", attempt.to_string())
+        .header("Lagoon-Load", load)
+        .streaming(Box::pin(pieces))
+}
+
+fn resume(engine: Shared, request: &http::Request, attempt: &str) -> http::Response {
+    let Ok(attempt) = attempt.parse() else { return port::refuse(404, "unknown_stream") };
+    let from = port::query(request, "from").parse().unwrap_or(0);
+    stream(engine, request, attempt, Some(from))
+}
+
+fn cancel(engine: &Shared, request: &http::Request, attempt: &str) -> http::Response {
+    let Ok(attempt) = attempt.parse() else { return port::refuse(400, "malformed") };
+    let mut state = engine.lock();
+    if state.faults.lose_cancel {
+        return port::vanish(request);
+    }
+    state.cancel(attempt, time::Instant::now());
+    port::json(200, &json!({}))
+}
+
+fn events(engine: &Shared, request: &http::Request) -> http::Response {
+    let after = port::query(request, "after").parse().unwrap_or(0);
+    let state = engine.lock();
+    let lag = time::Duration::from_millis(engine.settings.cache_lag_ms);
+    let events = state.cache.events(after, lag, time::Instant::now());
+    port::json(200, &json!({"incarnation": state.incarnation, "events": events}))
+}
+
+/// The answer to `GET /holdings`.
+#[derive(Debug, Deserialize, Serialize)]
+struct Holdings {
+    incarnation: u64,
+    holdings: Vec<engine::Holding>,
+}
+
+fn holdings(engine: &Shared) -> http::Response {
+    let now = time::Instant::now();
+    let state = engine.lock();
+    let listed = state.kv.iter().map(|(id, piece)| engine::Holding {
+        id: id.clone(),
+        owner: piece.owner.clone(),
+        kind: piece.kind,
+        bytes: piece.tokens * engine.settings.kv_bytes_per_token,
+        expires_ms: u64::try_from(piece.expires.saturating_duration_since(now).as_millis())
+            .unwrap_or(u64::MAX),
+    });
+    let holdings = listed.collect();
+    port::json(200, &Holdings { incarnation: state.incarnation, holdings })
+}
+
+/// This engine's reservation in a group, when all of its reservations stand and together hold
+/// `need` tokens.
+async fn group(engine: &Shared, members: &str, need: u64) -> Option<String> {
+    let mut own = None;
+    let mut tokens = 0;
+    for member in members.split(',') {
+        let (id, address) = member.trim().split_once('@')?;
+        let address: net::SocketAddr = address.parse().ok()?;
+        if address == engine.settings.address {
+            tokens += engine.lock().kv.get(id)?.tokens;
+            own = Some(id.to_owned());
+        } else {
+            tokens += reserved_at(engine, address, id).await?;
+        }
+    }
+    own.filter(|_| tokens >= need)
+}
+
+async fn reserved_at(engine: &Shared, address: net::SocketAddr, id: &str) -> Option<u64> {
+    let client = ntex::client::Client::new().await;
+    let answer = client.get(format!("http://{address}/holdings")).send().await.ok()?;
+    let listed: Holdings = answer.json().limit(16 << 20).await.ok()?;
+    let bytes = listed.holdings.iter().find(|holding| holding.id == id)?.bytes;
+    Some(bytes / engine.settings.kv_bytes_per_token)
+}
+
+#[derive(Debug, Deserialize)]
+struct Reserve {
+    id: String,
+    owner: String,
+    tokens: u64,
+    ttl_ms: u64,
+}
+
+fn until(ttl_ms: u64) -> time::Instant {
+    time::Instant::now() + time::Duration::from_millis(ttl_ms.min(86_400_000))
+}
+
+async fn reserve(engine: &Shared, request: &mut http::Request) -> http::Response {
+    let asked: Reserve = match port::read_json(request).await {
+        Ok(asked) => asked,
+        Err(error) => return port::malformed(&error),
+    };
+    let mut state = engine.lock();
+    if state.leaving {
+        return port::refuse(503, "leaving");
+    }
+    if state.kv.get(&asked.id).is_some() {
+        state.kv.set_expiry(&asked.id, until(asked.ttl_ms));
+        return port::json(200, &json!({}));
+    }
+    if state.faults.refuse_full || !state.make_room(asked.tokens, time::Instant::now()) {
+        return port::refuse(429, "full");
+    }
+    let piece = kv::Piece {
+        owner: asked.owner,
+        kind: engine::Kind::Reservation,
+        tokens: asked.tokens,
+        expires: until(asked.ttl_ms),
+        prefixes: Vec::new(),
+    };
+    state.kv.take(asked.id, piece);
+    port::json(200, &json!({}))
+}
+
+#[derive(Debug, Deserialize)]
+struct Export {
+    id: String,
+    owner: String,
+    prefix: u64,
+    ttl_ms: u64,
+}
+
+async fn export(engine: &Shared, request: &mut http::Request) -> http::Response {
+    let asked: Export = match port::read_json(request).await {
+        Ok(asked) => asked,
+        Err(error) => return port::malformed(&error),
+    };
+    let mut state = engine.lock();
+    let Some(prefixes) = state.cache.chain(asked.prefix) else {
+        return port::refuse(404, "unknown_prefix");
+    };
+    let tokens = prefixes.len() as u64 * engine.settings.tokens(prompt::BLOCK_BYTES);
+    let bytes = tokens * engine.settings.kv_bytes_per_token;
+    if state.kv.get(&asked.id).is_none() {
+        if !state.make_room(tokens, time::Instant::now()) {
+            return port::refuse(429, "full");
+        }
+        let (owner, expires) = (asked.owner, until(asked.ttl_ms));
+        let kind = engine::Kind::Export;
+        state.kv.take(asked.id, kv::Piece { owner, kind, tokens, expires, prefixes });
+    }
+    port::json(200, &json!({"bytes": bytes}))
+}
+
+/// What an exporter hands over: block hashes stand for the cache itself.
+#[derive(Debug, Deserialize, Serialize)]
+struct Exported {
+    prefixes: Vec<u64>,
+    tokens: u64,
+    bytes: u64,
+}
+
+fn exported(engine: &Shared, id: &str) -> http::Response {
+    let state = engine.lock();
+    let piece = state.kv.get(id).filter(|piece| piece.kind == engine::Kind::Export);
+    let Some(piece) = piece else { return port::refuse(404, "unknown_export") };
+    let bytes = piece.tokens * engine.settings.kv_bytes_per_token;
+    let prefixes = piece.prefixes.clone();
+    port::json(200, &Exported { prefixes, tokens: piece.tokens, bytes })
+}
+
+#[derive(Debug, Deserialize)]
+struct Import {
+    id: String,
+    from: net::SocketAddr,
+}
+
+async fn import(engine: &Shared, request: &mut http::Request) -> http::Response {
+    let asked: Import = match port::read_json(request).await {
+        Ok(asked) => asked,
+        Err(error) => return port::malformed(&error),
+    };
+    let Some(exported) = fetch(&asked).await else { return port::refuse(502, "no_export") };
+    let seconds = exported.bytes as f64 / engine.settings.import_rate as f64;
+    tokio::time::sleep(time::Duration::from_secs_f64(seconds)).await;
+    let mut state = engine.lock();
+    state.remember(&exported.prefixes, time::Instant::now());
+    let tokens = state.cache.lookup(&exported.prefixes);
+    port::json(200, &json!({"tokens": tokens}))
+}
+
+async fn fetch(asked: &Import) -> Option<Exported> {
+    let client = ntex::client::Client::new().await;
+    let uri = format!("http://{}/kv/exports/{}", asked.from, asked.id);
+    let answer = client.get(uri).send().await.ok()?;
+    answer.json().limit(16 << 20).await.ok()
+}
+
+async fn order(engine: &Shared, request: &mut http::Request) -> http::Response {
+    let envelope: orders::Envelope = match port::read_json(request).await {
+        Ok(envelope) => envelope,
+        Err(error) => return port::malformed(&error),
+    };
+    let mut state = engine.lock();
+    match state.orders.take(envelope, engine.settings.checks_fence) {
+        Err(orders::Stale) => port::refuse(409, "stale_fence"),
+        Ok(load) => {
+            if let Some(number) = load {
+                ntex::rt::spawn(orders::load(engine.clone(), number));
+            }
+            let orders = &state.orders;
+            let (model, role, fence) = (&orders.model, orders.role, orders.fence);
+            port::json(200, &json!({"model": model, "role": role, "fence": fence}))
+        }
+    }
+}
--- /dev/null
+++ b/crates/lagoon-standin/src/server.rs
@@ -0,0 +1,160 @@
+//! Starts stand-ins: many listeners on one set of worker threads, and one thread for their time.
+
+use std::io;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::sync::mpsc;
+use std::thread;
+use std::time;
+
+use ntex::http;
+use ntex::service;
+
+use crate::engine;
+
+/// Time between two looks at what the stand-ins have to do, in real time.
+const TICK: time::Duration = time::Duration::from_millis(2);
+/// Worker threads of one process's stand-ins.
+const WORKERS: usize = 2;
+/// Seconds that an idle connection stays open.
+const KEEP_ALIVE: u16 = 75;
+
+/// One stand-in of any kind.
+#[derive(Clone, Debug)]
+pub enum Node {
+    /// A model engine.
+    Engine(sync::Arc<engine::Engine>),
+}
+
+impl Node {
+    async fn handle(self, request: http::Request) -> http::Response {
+        match self {
+            Node::Engine(engine) => engine::http::handle(engine, request).await,
+        }
+    }
+
+    fn tick(&self, now: time::Instant) {
+        match self {
+            Node::Engine(engine) => engine.tick(now),
+        }
+    }
+}
+
+/// The server threads of a set of stand-ins; they end when it is dropped.
+#[derive(Debug)]
+pub struct Server {
+    stop: sync::Arc<atomic::AtomicBool>,
+    /// Behind a lock only because it may not be shared between threads without one.
+    control: sync::Mutex<ntex::server::Server>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop.store(true, atomic::Ordering::Release);
+        let control = self.control.get_mut().unwrap_or_else(sync::PoisonError::into_inner);
+        drop(control.stop(false));
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a stand-in thread panicked");
+            }
+        }
+    }
+}
+
+/// Serves each node on its listener.
+///
+/// # Errors
+///
+/// A thread could not be started or a listener not be used.
+pub fn serve(nodes: Vec<(net::TcpListener, Node)>) -> io::Result<Server> {
+    let stop = sync::Arc::new(atomic::AtomicBool::new(false));
+    let clocks: Vec<Node> = nodes.iter().map(|(_, node)| node.clone()).collect();
+    let (sender, receiver) = mpsc::channel();
+    let http = thread::Builder::new().name("standin-http".to_owned()).spawn(move || {
+        ntex::rt::System::new("standin", ntex::rt::DefaultRuntime).block_on(run(nodes, sender));
+    })?;
+    let control = receiver.recv().map_err(io::Error::other)??;
+    let stopped = stop.clone();
+    let clock = thread::Builder::new().name("standin-clock".to_owned()).spawn(move || {
+        while !stopped.load(atomic::Ordering::Acquire) {
+            let now = time::Instant::now();
+            clocks.iter().for_each(|node| node.tick(now));
+            thread::sleep(TICK);
+        }
+    })?;
+    let control = sync::Mutex::new(control);
+    Ok(Server { stop, control, threads: vec![http, clock] })
+}
+
+async fn run(
+    nodes: Vec<(net::TcpListener, Node)>,
+    sender: mpsc::Sender<io::Result<ntex::server::Server>>,
+) {
+    let built = build(nodes);
+    let server = built.map(ntex::server::ServerBuilder::run);
+    match server {
+        Ok(server) => {
+            // The receiver waits for just this message.
+            let _ = sender.send(Ok(server.clone()));
+            if let Err(error) = server.await {
+                log::error!("stand-in server: {error}");
+            }
+        }
+        Err(error) => drop(sender.send(Err(error))),
+    }
+}
+
+fn build(nodes: Vec<(net::TcpListener, Node)>) -> io::Result<ntex::server::ServerBuilder> {
+    let mut builder = ntex::server::ServerBuilder::new().workers(WORKERS).disable_signals();
+    let keep_alive = http::KeepAlive::Timeout(ntex::time::Seconds(KEEP_ALIVE));
+    let settings = http::HttpServiceConfig::new().set_keepalive(keep_alive);
+    let shared = ntex::SharedCfg::from(ntex::SharedCfg::new("standin").add(settings));
+    for (listener, node) in nodes {
+        let name = listener.local_addr()?.to_string();
+        let shared = shared.clone();
+        builder = builder.listen(name, listener, async move |config| {
+            config.config(shared.clone());
+            let node = node.clone();
+            http::HttpService::new(service::fn_service(move |request: http::Request| {
+                let node = node.clone();
+                async move { Ok::<_, io::Error>(node.handle(request).await) }
+            }))
+        })?;
+    }
+    Ok(builder)
+}
+
+/// One running stand-in.
+#[derive(Debug)]
+pub struct Running<T> {
+    address: net::SocketAddr,
+    node: sync::Arc<T>,
+    server: sync::Arc<Server>,
+}
+
+impl<T> Running<T> {
+    pub(crate) fn new(
+        address: net::SocketAddr,
+        node: sync::Arc<T>,
+        server: sync::Arc<Server>,
+    ) -> Self {
+        Running { address, node, server }
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+
+    /// Its faults and record.
+    pub fn node(&self) -> &sync::Arc<T> {
+        &self.node
+    }
+
+    /// Stops it; the last one of those started together ends their threads.
+    pub fn stop(self) {
+        drop(self.server);
+    }
+}
--- /dev/null
+++ b/crates/lagoon-standin/tests/common/mod.rs
@@ -0,0 +1,129 @@
+//! A small client for the tests of the stand-ins.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::net;
+
+use ntex::client;
+use serde_json::Value;
+
+/// Runs `test` on a runtime of its own.
+pub fn run<F>(test: F)
+where
+    F: Future<Output = ()> + 'static,
+{
+    ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(test);
+}
+
+/// An attempt of this number, as 32 hex digits.
+pub fn attempt(number: u128) -> String {
+    format!("{number:032x}")
+}
+
+/// Sends JSON; the answer's status and JSON, or null.
+pub async fn post(address: net::SocketAddr, path: &str, body: Value) -> (u16, Value) {
+    let client = client::Client::new().await;
+    let sent = client.post(format!("http://{address}{path}")).send_json(&body).await;
+    finish(sent).await
+}
+
+/// Fetches JSON.
+pub async fn get(address: net::SocketAddr, path: &str) -> (u16, Value) {
+    let client = client::Client::new().await;
+    finish(client.get(format!("http://{address}{path}")).send().await).await
+}
+
+async fn finish<E: std::fmt::Debug>(sent: Result<client::ClientResponse, E>) -> (u16, Value) {
+    let Ok(answer) = sent.inspect_err(|error| eprintln!("no answer: {error:?}")) else {
+        return (0, Value::Null);
+    };
+    let status = answer.status().as_u16();
+    (status, answer.json().limit(64 << 20).await.unwrap_or(Value::Null))
+}
+
+/// A generate call that is being read.
+pub struct Reader {
+    pub status: u16,
+    answer: Option<client::ClientResponse>,
+}
+
+/// What came of an answer.
+#[derive(Debug, Default)]
+pub struct Answer {
+    pub status: u16,
+    pub text: String,
+    pub numbers: Vec<u64>,
+    pub attempts: Vec<String>,
+    pub end: Option<Value>,
+    pub error: Option<Value>,
+    pub broken: bool,
+}
+
+/// Starts a generate call with these headers besides the attempt and model.
+pub async fn generate(
+    address: net::SocketAddr,
+    attempt: &str,
+    prompt: &str,
+    headers: &[(&str, &str)],
+) -> Reader {
+    let client = client::Client::builder()
+        .disable_timeout()
+        .response_payload_timeout(ntex::time::Millis(0))
+        .build(ntex::SharedCfg::default())
+        .await
+        .unwrap();
+    let mut request = client.post(format!("http://{address}/generate"));
+    let usual = [("Lagoon-Attempt", attempt), ("Lagoon-Model", "model"), ("Lagoon-Owner", "a/1")];
+    for (name, value) in usual.iter().chain(headers) {
+        request = request.set_header(*name, *value);
+    }
+    let sent = request.send_json(&serde_json::json!({"prompt": prompt})).await;
+    read(sent.inspect_err(|error| eprintln!("no answer: {error:?}")).ok())
+}
+
+/// Resumes a stream.
+pub async fn resume(address: net::SocketAddr, attempt: &str, from: u64) -> Reader {
+    let client = client::Client::new().await;
+    let uri = format!("http://{address}/streams/{attempt}?from={from}");
+    read(client.get(uri).send().await.ok())
+}
+
+fn read(answer: Option<client::ClientResponse>) -> Reader {
+    Reader { status: answer.as_ref().map_or(0, |answer| answer.status().as_u16()), answer }
+}
+
+impl Reader {
+    /// Reads to the end.
+    pub async fn all(self) -> Answer {
+        let mut result = Answer { status: self.status, ..Answer::default() };
+        let Some(answer) = self.answer else { return result };
+        let mut payload = answer.take_payload();
+        let mut buffer = String::new();
+        while let Some(piece) = payload.recv().await {
+            let Ok(piece) = piece else {
+                result.broken = true;
+                break;
+            };
+            buffer.push_str(std::str::from_utf8(&piece).unwrap());
+            while let Some(at) = buffer.find("\n\n") {
+                let event: String = buffer.drain(..at + 2).collect();
+                result.add(event.trim().trim_start_matches("data: "));
+            }
+        }
+        result
+    }
+}
+
+impl Answer {
+    fn add(&mut self, event: &str) {
+        let event: Value = serde_json::from_str(event).unwrap();
+        if event.get("end").is_some() {
+            self.end = Some(event);
+        } else if event.get("error").is_some() {
+            self.error = Some(event);
+        } else {
+            self.numbers.push(event["n"].as_u64().unwrap());
+            self.attempts.push(event["a"].as_str().unwrap().to_owned());
+            self.text.push_str(event["t"].as_str().unwrap());
+        }
+    }
+}
