Entry host against a stand-in engine: tests, metrics page, bounded resumption

Cause: 80 requests at once hung until their deadline: ntex's client pool with limit 0 never wakes the calls that wait while a connection to the same upstream is opened. A stream whose engine sends a crossed chunk at the same number each time was resumed for ever. Change: a pool limit that is never reached; resumptions without a token are bounded; known causes are listed in metrics from the start.

--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -75,6 +75,12 @@
 type Counters<L> = family::Family<L, counter::Counter>;
 type Histograms<L> = family::Family<L, histogram::Histogram, fn() -> histogram::Histogram>;
 
+fn start(family: &Counters<CauseLabels>, causes: &[&'static str]) {
+    for &cause in causes {
+        drop(family.get_or_create(&CauseLabels { cause }));
+    }
+}
+
 /// All metrics, cheap to share.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -131,6 +137,7 @@
         };
         metrics.register_counters();
         metrics.register_others();
+        metrics.begin();
         metrics
     }
 }
@@ -175,6 +182,19 @@
         registry.register_with_unit("completion", "To the whole answer", seconds(), completion);
     }
 
+    /// Lists every known cause from the start, so that a rate can be taken over its first count.
+    fn begin(&self) {
+        let reasons = outcome::Reason::ALL.map(outcome::Reason::as_str);
+        start(&self.refusals, &reasons);
+        start(&self.attempts, &["answered", "unsent", "lost", "refused", "full", "leaving"]);
+        start(&self.attempts, &["unknown_model", "too_long", "attempt_exists"]);
+        start(&self.retries, &["unsent", "lost", "full", "leaving", "broken", "service"]);
+        start(&self.retries, &["unknown_model", "attempt_exists", "unknown_upstream"]);
+        start(&self.resumes, &["resumed", "failed"]);
+        start(&self.chunks_refused, &["crossed", "repeated", "gap", "count", "after_end"]);
+        start(&self.cancels, &["acknowledged", "repeated", "given_up", "dropped"]);
+    }
+
     /// All metrics as OpenMetrics text.
     pub(crate) fn encode(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/lagoon-net/src/entry/pull.rs
+++ b/crates/lagoon-net/src/entry/pull.rs
@@ -26,7 +26,7 @@
 
 /// Tries to take a broken stream up again on its own engine before going elsewhere.
 const RESUMES: u32 = 3;
-/// Pause before the second such try; it doubles.
+/// Pause before the second such try; it grows by as much with each.
 const RESUME_PAUSE: clock::Span = clock::Span::from_millis(20);
 
 /// What a model call needs on its way.
@@ -56,6 +56,12 @@
     place: desk::Place,
     cancel: cancel::Guard,
     address: std::net::SocketAddr,
+    /// Number of the chunk that the last resumption asked for, and how often it was asked for.
+    ///
+    /// Failure answered: an engine breaks each resumption at the same chunk. Symptom: the stream
+    /// is taken up again for ever without a token. Only [`RESUMES`] go without one, then the
+    /// attempt is given up.
+    resumed: (u64, u32),
 }
 
 #[derive(Debug)]
@@ -175,7 +181,8 @@
                 }
                 let checker = stream::Checker::starting_at(attempt, self.delivered);
                 let answering = dispatched.answering();
-                let open = Open { answering, events, checker, place, cancel, address };
+                let resumed = (self.delivered, 0);
+                let open = Open { answering, events, checker, place, cancel, address, resumed };
                 return Ok(Sent::Open(Box::new(open)));
             }
             Err(failure) => failure,
@@ -378,9 +385,13 @@
     /// True when the same attempt's stream goes on where it broke off.
     async fn resume(&self, open: &mut Open) -> Result<bool, limit::Stop> {
         let state = &self.worker.state;
-        let mut pause = clock::Span::ZERO;
-        for _ in 0..RESUMES {
-            let (attempt, from) = (open.answering.attempt(), open.checker.next());
+        let (attempt, from) = (open.answering.attempt(), open.checker.next());
+        if open.resumed.0 != from {
+            open.resumed = (from, 0);
+        }
+        while open.resumed.1 < RESUMES {
+            let pause = RESUME_PAUSE * open.resumed.1;
+            open.resumed.1 += 1;
             let work = async {
                 tokio::time::sleep(pause).await;
                 let zone = &state.settings.zone;
@@ -398,7 +409,6 @@
                     | engine::Failure::Unsent(_),
                 ) => return Ok(false),
             }
-            pause = (pause * 2).max(RESUME_PAUSE);
         }
         Ok(false)
     }
--- a/crates/lagoon-net/src/entry/worker.rs
+++ b/crates/lagoon-net/src/entry/worker.rs
@@ -27,9 +27,16 @@
     }
 }
 
+/// Most connections of one worker's pool.
+///
+/// Not 0, which means no limit: ntex then never wakes the calls that wait while another connection
+/// to the same upstream is being opened, and they hang until their deadline.
+const CONNECTIONS: usize = 1 << 20;
+
 /// A client without limits of its own: deadlines and queues are ours.
 pub(crate) async fn new_client(keep_alive: u16) -> client::Client {
-    let connector = client::Connector::new().limit(0).keep_alive(ntex::time::Seconds(keep_alive));
+    let connector = client::Connector::new().limit(CONNECTIONS);
+    let connector = connector.keep_alive(ntex::time::Seconds(keep_alive));
     let builder = client::Client::builder().connector::<()>(connector);
     let builder = builder.disable_timeout().disable_redirects().no_default_headers();
     match builder.build(SharedCfg::default()).await {
--- /dev/null
+++ b/crates/lagoon-net/tests/entry/host.rs
@@ -0,0 +1,177 @@
+//! One entry host beside stand-in engines, and a caller that speaks plain bytes.
+
+use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::time;
+
+use lagoon_net::entry;
+use lagoon_standin::engine;
+use lagoon_standin::server;
+use lagoonline::control::document;
+use lagoonline::id;
+use serde_json::json;
+use sha2::Digest as _;
+
+/// Caller key of the customer `crew`.
+pub const KEY: &str = "crew-key";
+/// Longest time that any wait of a test takes.
+pub const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+pub struct Host {
+    pub running: entry::Running,
+    pub engines: Vec<server::Running<engine::Engine>>,
+}
+
+pub fn key_hash(key: &str) -> String {
+    let hash = sha2::Sha256::digest(key.as_bytes());
+    hash.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Engines that answer quickly.
+pub fn quick() -> engine::Settings {
+    engine::Settings { time_scale: 50.0, ..engine::Settings::default() }
+}
+
+/// A section with the customer `crew`, the model `model`, and these upstreams.
+pub fn section(
+    engines: &[net::SocketAddr],
+    services: &[(&str, net::SocketAddr)],
+    continues: bool,
+) -> document::Section {
+    let mut upstreams = serde_json::Map::new();
+    for (index, address) in engines.iter().enumerate() {
+        let upstream = json!({"zone": "suva", "address": address, "models": ["model"]});
+        upstreams.insert(format!("engine-{index}"), upstream);
+    }
+    let mut names = serde_json::Map::new();
+    for (index, (name, address)) in services.iter().enumerate() {
+        let upstream = json!({"zone": "suva", "address": address, "service": name});
+        upstreams.insert(format!("runner-{index}"), upstream);
+        names.insert((*name).to_owned(), json!({}));
+    }
+    let text = json!({
+        "customers": {"crew": {"keys": [key_hash(KEY)], "max_deadline_ms": 60_000}},
+        "models": {"model": {"continues": continues}},
+        "services": names,
+        "upstreams": upstreams,
+    });
+    let version = id::Version(1);
+    document::Section::parse(id::Team::from("tin"), version, &text.to_string()).unwrap()
+}
+
+pub fn settings(sections: Vec<document::Section>) -> entry::Settings {
+    let limits = entry::Limits {
+        body_timeout: time::Duration::from_millis(300),
+        body_bytes: 16 << 20,
+        ..entry::Limits::default()
+    };
+    let unready = time::Duration::ZERO;
+    let host = id::Host::from("suva-1");
+    let zone = id::Zone::from("suva");
+    entry::Settings { host, zone, limits, sections, unready, ..entry::Settings::default() }
+}
+
+impl Host {
+    pub fn start(engines: Vec<engine::Settings>) -> Host {
+        Host::start_with(engines, true, |settings| settings)
+    }
+
+    pub fn start_with<Change>(
+        engines: Vec<engine::Settings>,
+        continues: bool,
+        change: Change,
+    ) -> Host
+    where
+        Change: FnOnce(entry::Settings) -> entry::Settings,
+    {
+        let engines = engine::start_all(engines).unwrap();
+        let addresses: Vec<_> = engines.iter().map(server::Running::address).collect();
+        let settings = settings(vec![section(&addresses, &[], continues)]);
+        Host { running: entry::start(change(settings)).unwrap(), engines }
+    }
+
+    pub fn address(&self) -> net::SocketAddr {
+        self.running.address()
+    }
+
+    pub fn connect(&self) -> net::TcpStream {
+        connect(self.address())
+    }
+
+    /// Sends these bytes and reads until the host closes the connection.
+    pub fn exchange(&self, bytes: &[u8]) -> String {
+        let mut stream = self.connect();
+        stream.write_all(bytes).unwrap();
+        read_all(&mut stream)
+    }
+
+    /// Posts a JSON body on a connection of its own.
+    pub fn post(&self, path: &str, headers: &str, body: &str) -> String {
+        self.exchange(&request("POST", path, headers, body))
+    }
+
+    pub fn metrics(&self) -> String {
+        self.exchange(&request("GET", "/metrics", "", ""))
+    }
+
+    /// Ends the host and checks that nothing is left of its requests.
+    pub fn finish(self) {
+        self.running.drain();
+        assert_eq!(self.running.wait().unwrap(), entry::Ending::Clean);
+    }
+}
+
+pub fn connect(address: net::SocketAddr) -> net::TcpStream {
+    let stream = net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_write_timeout(Some(PATIENCE)).unwrap();
+    stream
+}
+
+/// A request of the customer `crew` after which the connection is closed.
+pub fn request(method: &str, path: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {length}\r\n{headers}\r\n"
+    );
+    [head.as_bytes(), body.as_bytes()].concat()
+}
+
+/// Everything until the other side closes; a reset ends it too.
+pub fn read_all(stream: &mut net::TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4_096];
+    loop {
+        match stream.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionReset => break,
+            Err(error) => panic!("{error} after {}", String::from_utf8_lossy(&bytes)),
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// A completion's body.
+pub fn completion(prompt: &str, tokens: u64, stream: bool) -> String {
+    json!({"model": "model", "prompt": prompt, "max_tokens": tokens, "stream": stream}).to_string()
+}
+
+pub fn status(answer: &str) -> &str {
+    answer.get(9..12).unwrap_or("none")
+}
+
+/// Waits until `met` says so.
+pub fn wait_until<Met>(what: &str, mut met: Met)
+where
+    Met: FnMut() -> bool,
+{
+    let began = time::Instant::now();
+    while !met() {
+        assert!(began.elapsed() < PATIENCE, "{what}");
+        std::thread::sleep(time::Duration::from_millis(5));
+    }
+}
