--- a/crates/lagoonline/src/check.rs
+++ b/crates/lagoonline/src/check.rs
@@ -153,6 +153,15 @@
         self.faults.borrow_mut().push(fault);
     }
 
+    /// Records a fault of one item of the array in the field `name`.
+    pub fn fault_item<R>(&self, name: &str, index: usize, reason: R)
+    where
+        R: Into<String>,
+    {
+        let pointer = format!("{}/{index}", self.join(name));
+        self.faults.borrow_mut().push(Fault { pointer, reason: reason.into() });
+    }
+
     /// Records a fault of the object itself.
     pub fn fault_here<R>(&self, reason: R)
     where
@@ -243,7 +252,7 @@
         for (index, item) in items.into_iter().flatten().enumerate() {
             match item.as_str() {
                 Some(text) => texts.push(text.to_owned()),
-                None => self.fault(&format!("{name}/{index}"), "must be a text"),
+                None => self.fault_item(name, index, "must be a text"),
             }
         }
         texts
--- a/crates/lagoonline/src/control/document/section.rs
+++ b/crates/lagoonline/src/control/document/section.rs
@@ -115,7 +115,7 @@
     for (index, text) in texts.iter().enumerate() {
         match parse_key_hash(text) {
             Some(key) => keys.push(key),
-            None => reader.fault(&format!("{name}/{index}"), "must be 64 hex digits (SHA-256)"),
+            None => reader.fault_item(name, index, "must be 64 hex digits (SHA-256)"),
         }
     }
     keys
