Report service-level burn from saved scrapes

Cause: operators need to see which promise is being used up, how fast, and by whom, also when hosts restart or are missing. A reason tells whether it blames the caller.

--- /dev/null
+++ b/crates/lagoon-burn/src/text.rs
@@ -0,0 +1,68 @@
+//! The report as plain text.
+
+use std::fmt::Write;
+
+use crate::report;
+use crate::window;
+
+/// Writes a share as a percentage, or a dash.
+pub(crate) fn percent(share: Option<f64>) -> String {
+    share.map_or_else(|| "-".to_owned(), |share| format!("{:.2}%", share * 100.0))
+}
+
+/// Writes a burn, or a dash.
+pub(crate) fn burn(burn: Option<f64>) -> String {
+    burn.map_or_else(|| "-".to_owned(), |burn| format!("{burn:.1}"))
+}
+
+/// The word for how urgent an alert is.
+pub(crate) fn urgency(urgency: window::Urgency) -> &'static str {
+    match urgency {
+        window::Urgency::Page => "PAGE",
+        window::Urgency::Ticket => "ticket",
+    }
+}
+
+/// The report for a terminal: one block for each objective, alerts first.
+///
+/// ```
+/// use lagoon_burn::{report, store, text};
+/// let report = report::Report::new(&[], &store::Store::default(), 0);
+/// assert!(text::write(&report).contains("no entry host was scraped"));
+/// ```
+pub fn write(report: &report::Report) -> String {
+    let mut out = String::new();
+    let _ = writeln!(out, "service-level burn at {} over {} s", report.at, report.span);
+    for objective in &report.objectives {
+        write_objective(&mut out, objective);
+    }
+    for missing in &report.missing {
+        let _ = writeln!(out, "missing: {missing}");
+    }
+    out
+}
+
+fn write_objective(out: &mut String, objective: &report::Objective) {
+    let (team, name) = (&objective.team, &objective.name);
+    let _ = writeln!(out, "\n{team}/{name}: {}", objective.indicator);
+    let _ = writeln!(
+        out,
+        "  good {} of {:.0} (promised {}), budget left {}",
+        percent(objective.good_share),
+        objective.events,
+        percent(Some(objective.target)),
+        percent(objective.budget_left),
+    );
+    let burns = objective.burns.iter().map(|line| format!("{} {}", line.window, burn(line.burn)));
+    let _ = writeln!(out, "  burn {}", burns.collect::<Vec<_>>().join(", "));
+    for alert in &objective.alerts {
+        let word = urgency(alert.urgency);
+        let (long, short, rate) = (alert.long, alert.short, alert.rate);
+        let _ = writeln!(out, "  {word}: burn at or above {rate} over {long} and {short}");
+    }
+    for offender in &objective.offenders {
+        let share = percent(Some(offender.good_share));
+        let (kind, name, bad) = (offender.kind, &offender.name, offender.bad);
+        let _ = writeln!(out, "  {kind} {name}: {bad:.0} bad, good {share}");
+    }
+}
--- a/crates/lagoonline/src/outcome.rs
+++ b/crates/lagoonline/src/outcome.rs
@@ -160,6 +160,31 @@
         }
     }
 
+    /// Whether the caller's own doing made the request fail, so that it says nothing of the
+    /// service.
+    pub const fn blames_caller(self) -> bool {
+        match self {
+            Reason::Malformed
+            | Reason::Unauthenticated
+            | Reason::Forbidden
+            | Reason::UnknownName
+            | Reason::SlowCaller
+            | Reason::KeyReused
+            | Reason::TooLong
+            | Reason::OverLimit
+            | Reason::CallerLeft => true,
+            Reason::EarlierUnknown
+            | Reason::CannotMeetDeadline
+            | Reason::Saturated
+            | Reason::Draining
+            | Reason::NoUpstream
+            | Reason::PlatformDown
+            | Reason::DeadlinePassed
+            | Reason::UpstreamFailed
+            | Reason::Internal => false,
+        }
+    }
+
     /// The HTTP status told to the caller.
     pub const fn status(self) -> u16 {
         match self {
