--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -46,7 +46,7 @@
             head_timeout: clock::Span::from_secs(5),
             body_timeout: clock::Span::from_secs(10),
             keep_alive: clock::Span::from_secs(75),
-            attempts: 4,
+            attempts: 6,
             stream_batches: 16,
         }
     }
