Claims: idempotency keys over the table and object ports

Cause: a caller that lost its answer asks again, perhaps at another entry host. Change: life::claim writes a row before dispatch, reads lost commits back, replays stored answers and settles claims that were given up; life::safeguard lists what tests switch off.

--- /dev/null
+++ b/crates/lagoonline/src/life/claim/driver.rs
@@ -0,0 +1,404 @@
+//! Writes claim rows through the ports; every await is one call of a port.
+
+use bytes::Bytes;
+
+use super::decision;
+use super::record;
+use super::ticket;
+use crate::clock;
+use crate::id;
+use crate::life::request;
+use crate::life::safeguard;
+use crate::outcome;
+use crate::port::objects;
+use crate::port::table;
+
+/// Limits of the claims.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The entry host, in this life.
+    pub owner: id::Owner,
+    /// Longest answer body kept in the row, in bytes; longer ones are objects.
+    pub inline_bytes: usize,
+    /// Commits tried for one change of a row before it is given up.
+    pub rounds: u32,
+    /// When a caller refused for the platform's sake is told to come back.
+    pub retry_after: clock::Span,
+    /// All but in tests of the oracle.
+    pub safeguards: safeguard::Set,
+}
+
+/// Three commits ride out a lost answer and a lost race; more would add load to an outage.
+const ROUNDS: u32 = 3;
+/// Most bookings answer in less; it keeps a scanned row small.
+const INLINE_BYTES: usize = 4_096;
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            owner: id::Owner::default(),
+            inline_bytes: INLINE_BYTES,
+            rounds: ROUNDS,
+            retry_after: clock::Span::from_secs(1),
+            safeguards: safeguard::Set::default(),
+        }
+    }
+}
+
+/// How a keyed request goes on.
+#[derive(Debug)]
+pub enum Begin {
+    /// It has the key: dispatch it.
+    Run(ticket::Ticket),
+    /// A repeatable request, with the platform out of reach: run it without a claim.
+    Unclaimed,
+    /// A repeatable request runs elsewhere: resume its stream, or [`Claims::take_over`].
+    Running(ticket::Running),
+    /// It ran before: this is its answer, whole.
+    Replay(record::Answer),
+}
+
+/// A claim given up whose commit may have landed or may yet land. It was never dispatched and,
+/// its ticket being gone, never can be. Give it to [`Claims::settle`] until that says `true`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Abandoned {
+    row: String,
+    record: record::Record,
+    /// The highest version that one of its commits may still match.
+    last: u64,
+}
+
+/// Why a keyed request does not run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Refusal {
+    /// What the caller is told.
+    pub failure: outcome::Failure,
+    /// To be settled in the background.
+    pub abandoned: Option<Abandoned>,
+}
+
+impl From<outcome::Failure> for Box<Refusal> {
+    fn from(failure: outcome::Failure) -> Self {
+        Box::new(Refusal { failure, abandoned: None })
+    }
+}
+
+/// An answer that is not stored yet: try [`Claims::finish`] again with its parts.
+#[derive(Debug)]
+pub struct Unstored {
+    /// The claim.
+    pub sent: ticket::Sent,
+    /// Its answer, which its own caller has.
+    pub answer: record::Answer,
+}
+
+/// How a rewrite of one's own row ended.
+enum Written {
+    Yes,
+    Superseded,
+    Unsure { last: u64 },
+}
+
+/// The idempotency keys of one entry host.
+#[derive(Clone, Debug)]
+pub struct Claims<T, O> {
+    table: T,
+    objects: O,
+    settings: Settings,
+}
+
+impl<T, O> Claims<T, O>
+where
+    T: table::Table,
+    O: objects::Objects,
+{
+    /// Claims through these ports.
+    pub fn new(table: T, objects: O, settings: Settings) -> Self {
+        Claims { table, objects, settings }
+    }
+
+    /// Claims the key, or says why not. One write when the key is new.
+    ///
+    /// # Errors
+    ///
+    /// `KeyReused`, `EarlierUnknown`, or `PlatformDown`; in each this request did not run, and the
+    /// outcome is `unknown` where an earlier one with its key may have.
+    pub async fn begin(&self, ask: record::Ask) -> Result<Begin, Box<Refusal>> {
+        self.claim(ask, 0, 0).await
+    }
+
+    /// Claims the key of a repeatable call whose stream cannot be resumed.
+    ///
+    /// # Errors
+    ///
+    /// As [`Claims::begin`].
+    pub async fn take_over(
+        &self,
+        ask: record::Ask,
+        running: &ticket::Running,
+    ) -> Result<Begin, Box<Refusal>> {
+        let over = match ask.repeat {
+            request::Repeat::Allowed => running.version,
+            request::Repeat::Never => 0,
+        };
+        self.claim(ask, over, over).await
+    }
+
+    /// `at` is the version to write over; `over` a running claim's version that may be taken.
+    async fn claim(&self, ask: record::Ask, mut at: u64, over: u64) -> Result<Begin, Box<Refusal>> {
+        let row = self.row(&ask);
+        let record = self.record(&ask, claimed(&ask, ask.token));
+        let mut unsure = None;
+        let mut refused = false;
+        for _ in 0..self.settings.rounds {
+            match self.commit(&row, &record, at).await {
+                Ok(version) => return Ok(Begin::Run(self.ticket(ask, row, version))),
+                // Reads may still be served, and the row may hold the answer.
+                Err(table::Error::Refused { .. }) => refused = true,
+                Err(table::Error::Conflict { .. }) => {}
+                Err(table::Error::Unknown { .. }) => {
+                    unsure = Some(at.max(unsure.unwrap_or(0)));
+                    if !self.settings.safeguards.has(safeguard::Safeguard::ReadBack) {
+                        return Ok(Begin::Run(self.ticket(ask, row, at + 1)));
+                    }
+                }
+            }
+            let Ok(found) = self.table.read(&row).await else {
+                continue;
+            };
+            match decision::decide(found.as_ref(), &ask, self.settings.safeguards) {
+                decision::Verdict::Free(_) if refused => break,
+                decision::Verdict::Free(version) => at = version,
+                decision::Verdict::Mine(version) => {
+                    return Ok(Begin::Run(self.ticket(ask, row, version)));
+                }
+                decision::Verdict::Running(running) if running.version == over => at = over,
+                verdict => return self.other(verdict).await,
+            }
+        }
+        self.give_up(&ask, row, record, unsure)
+    }
+
+    /// The key is not this request's.
+    async fn other(&self, verdict: decision::Verdict) -> Result<Begin, Box<Refusal>> {
+        match verdict {
+            decision::Verdict::Reused => {
+                Err(failure(outcome::Reason::KeyReused, outcome::Outcome::NotRun).into())
+            }
+            decision::Verdict::Running(running) => Ok(Begin::Running(running)),
+            decision::Verdict::Replay(record) => self.replay(record).await,
+            _ => {
+                let failure = failure(outcome::Reason::EarlierUnknown, outcome::Outcome::Unknown);
+                Err(failure.retry_after(self.settings.retry_after).into())
+            }
+        }
+    }
+
+    /// Failure answered: a commit without an answer is taken for one that failed, and lands later
+    /// on a request that ran all the same. Here no ticket comes about, so nothing is dispatched.
+    fn give_up(
+        &self,
+        ask: &record::Ask,
+        row: String,
+        record: record::Record,
+        unsure: Option<u64>,
+    ) -> Result<Begin, Box<Refusal>> {
+        if ask.repeat == request::Repeat::Allowed {
+            return Ok(Begin::Unclaimed);
+        }
+        let failure = failure(outcome::Reason::PlatformDown, outcome::Outcome::NotRun)
+            .retry_after(self.settings.retry_after);
+        let abandoned = unsure.map(|last| Abandoned { row, record, last });
+        Err(Box::new(Refusal { failure, abandoned }))
+    }
+
+    async fn replay(&self, record: record::Record) -> Result<Begin, Box<Refusal>> {
+        let record::State::Done { status, content_type, kept, bytes, sha256 } = record.state else {
+            return Err(failure(outcome::Reason::Internal, outcome::Outcome::Unknown).into());
+        };
+        let body = match kept {
+            record::Kept::Inline(text) => Bytes::from(text),
+            record::Kept::Object(key) => match self.objects.get(&key).await {
+                Ok(body) => body.unwrap_or_default(),
+                Err(_) => {
+                    let failure = failure(outcome::Reason::PlatformDown, outcome::Outcome::Unknown);
+                    return Err(failure.retry_after(self.settings.retry_after).into());
+                }
+            },
+        };
+        // An object can be gone or replaced by its retention while its row is being read.
+        let whole = body.len() as u64 == bytes && record::sha256(&body) == sha256;
+        if !whole && self.settings.safeguards.has(safeguard::Safeguard::AnswerCheck) {
+            return Err(failure(outcome::Reason::EarlierUnknown, outcome::Outcome::Unknown).into());
+        }
+        Ok(Begin::Replay(record::Answer { status, content_type, body }))
+    }
+
+    /// Records where a repeatable call was sent instead, so that its stream can be taken over.
+    pub async fn retarget(
+        &self,
+        ticket: &mut ticket::Ticket,
+        upstream: id::Upstream,
+        attempt: id::Attempt,
+    ) {
+        ticket.ask.upstream = upstream;
+        let state = claimed(&ticket.ask, attempt);
+        // Not knowing is harmless: later writes find the version by the claim's name.
+        self.rewrite(ticket, state).await;
+    }
+
+    /// The request did not run and never will: frees its key.
+    ///
+    /// The caller may be told `not-run` before this ends: the ticket is gone.
+    pub async fn release(&self, ticket: ticket::Ticket) -> Option<Abandoned> {
+        match self.rewrite(&ticket, record::State::Released).await {
+            Written::Yes | Written::Superseded => None,
+            Written::Unsure { last } => {
+                let record = self.record(&ticket.ask, record::State::Released);
+                Some(Abandoned { row: ticket.row, record, last })
+            }
+        }
+    }
+
+    /// The request may have run and its answer will not come. If this cannot be written the row
+    /// stays `claimed`, which means the same to others.
+    pub async fn lose(&self, sent: ticket::Sent) {
+        let keep = self.settings.safeguards.has(safeguard::Safeguard::UnknownKept);
+        let state = if keep { record::State::Unknown } else { record::State::Released };
+        self.rewrite(&sent.0, state).await;
+    }
+
+    /// Stores the answer for replay; a long one as an object, written before the row names it.
+    ///
+    /// # Errors
+    ///
+    /// What to try again; until it is stored, callers with this key hear `EarlierUnknown`.
+    pub async fn finish(
+        &self,
+        sent: ticket::Sent,
+        answer: record::Answer,
+    ) -> Result<(), Box<Unstored>> {
+        let Some(kept) = self.keep(&sent, &answer).await else {
+            return Err(Box::new(Unstored { sent, answer }));
+        };
+        let state = record::State::Done {
+            status: answer.status,
+            content_type: answer.content_type.clone(),
+            kept,
+            bytes: answer.body.len() as u64,
+            sha256: record::sha256(&answer.body),
+        };
+        match self.rewrite(&sent.0, state).await {
+            Written::Yes | Written::Superseded => Ok(()),
+            Written::Unsure { .. } => Err(Box::new(Unstored { sent, answer })),
+        }
+    }
+
+    async fn keep(&self, sent: &ticket::Sent, answer: &record::Answer) -> Option<record::Kept> {
+        let short = answer.body.len() <= self.settings.inline_bytes;
+        if let (true, Ok(text)) = (short, std::str::from_utf8(&answer.body)) {
+            return Some(record::Kept::Inline(text.to_owned()));
+        }
+        let key = format!("answer/{}/{}", sent.0.row, sent.0.ask.token);
+        self.objects.put(&key, answer.body.clone()).await.ok()?;
+        Some(record::Kept::Object(key))
+    }
+
+    /// One try to free the key of a claim that was given up; `true` when nothing is left to do.
+    ///
+    /// Failure answered: the lost commit lands after all, and the key answers 409 until retention
+    /// ends. A `released` row above every version that the commit can match shuts it out.
+    pub async fn settle(&self, abandoned: &Abandoned) -> bool {
+        if !self.settings.safeguards.has(safeguard::Safeguard::Settle) {
+            return true;
+        }
+        let Ok(found) = self.table.read(&abandoned.row).await else {
+            return false;
+        };
+        let version = found.as_ref().map_or(0, |row| row.version);
+        let done = match found.map(|row| serde_json::from_str::<record::Record>(&row.value)) {
+            None => false,
+            Some(Ok(record)) if record.state == record::State::Released => version > abandoned.last,
+            Some(Ok(record)) => record.token != abandoned.record.token,
+            Some(Err(_)) => true,
+        };
+        if done {
+            return true;
+        }
+        let tombstone =
+            record::Record { state: record::State::Released, ..abandoned.record.clone() };
+        self.commit(&abandoned.row, &tombstone, version).await.is_ok()
+    }
+
+    /// Writes one's own row; `Unsure` when no round got an answer.
+    async fn rewrite(&self, ticket: &ticket::Ticket, state: record::State) -> Written {
+        let record = self.record(&ticket.ask, state);
+        let mut at = ticket.version;
+        for _ in 0..self.settings.rounds {
+            match self.commit(&ticket.row, &record, at).await {
+                Ok(_) => return Written::Yes,
+                Err(table::Error::Refused { .. }) => continue,
+                Err(table::Error::Conflict { .. } | table::Error::Unknown { .. }) => {}
+            }
+            let Ok(found) = self.table.read(&ticket.row).await else {
+                continue;
+            };
+            let Some(found) = found else {
+                return Written::Superseded;
+            };
+            match serde_json::from_str::<record::Record>(&found.value) {
+                Ok(standing) if standing == record => return Written::Yes,
+                Ok(standing) if standing.token == record.token => at = found.version,
+                _ => return Written::Superseded,
+            }
+        }
+        Written::Unsure { last: at }
+    }
+
+    async fn commit(
+        &self,
+        row: &str,
+        record: &record::Record,
+        at: u64,
+    ) -> Result<u64, table::Error> {
+        let value = serde_json::to_string(record).unwrap_or_default();
+        let check = table::Check { key: row.to_owned(), version: at };
+        let checked = self.settings.safeguards.has(safeguard::Safeguard::VersionCheck);
+        let transaction = table::Transaction {
+            checks: checked.then_some(check).into_iter().collect(),
+            changes: vec![table::Change::Put { key: row.to_owned(), value }],
+        };
+        let versions = self.table.commit(transaction).await?;
+        Ok(versions.first().copied().unwrap_or(at + 1))
+    }
+
+    fn row(&self, ask: &record::Ask) -> String {
+        if self.settings.safeguards.has(safeguard::Safeguard::CustomerScope) {
+            record::row_key(&ask.customer, &ask.key)
+        } else {
+            record::row_key(&id::Customer::default(), &ask.key)
+        }
+    }
+
+    fn record(&self, ask: &record::Ask, state: record::State) -> record::Record {
+        record::Record {
+            token: ask.token.to_string(),
+            body: ask.body.clone(),
+            holder: self.settings.owner.to_string(),
+            written_ms: ask.wall_ms,
+            state,
+        }
+    }
+
+    fn ticket(&self, ask: record::Ask, row: String, version: u64) -> ticket::Ticket {
+        ticket::Ticket { ask, row, version, safeguards: self.settings.safeguards }
+    }
+}
+
+fn claimed(ask: &record::Ask, attempt: id::Attempt) -> record::State {
+    record::State::Claimed { attempt: attempt.to_string(), upstream: ask.upstream.clone() }
+}
+
+fn failure(reason: outcome::Reason, outcome: outcome::Outcome) -> outcome::Failure {
+    outcome::Failure::new(reason, outcome::Step::Claim, outcome)
+}
--- /dev/null
+++ b/crates/lagoonline/src/life/claim/sweep.rs
@@ -0,0 +1,78 @@
+//! Removes claims whose retention has ended, a bounded number of rows at a time.
+//!
+//! One sweeper a region suffices; two at once cost reads, never a row that is still in use: each
+//! row is deleted only at the version that was read.
+
+use super::record;
+use crate::clock;
+use crate::port::table;
+
+/// Limits of a sweep.
+#[derive(Clone, Debug)]
+pub struct Sweep {
+    /// How long a claim is kept; hours longer than the longest deadline, which keeps a paused
+    /// holder from dispatching without its row.
+    pub retention: clock::Span,
+    /// Rows read and at most deleted in one step: one read and one write.
+    pub batch: usize,
+}
+
+/// A day covers a caller's retries after an outage.
+const RETENTION: clock::Span = clock::Span::from_secs(24 * 3_600);
+/// One read and one commit of this many rows.
+const BATCH: usize = 200;
+
+impl Default for Sweep {
+    fn default() -> Self {
+        Sweep { retention: RETENTION, batch: BATCH }
+    }
+}
+
+/// Goes through all claim rows in the order of their keys, again and again.
+#[derive(Clone, Debug, Default)]
+pub struct Sweeper {
+    settings: Sweep,
+    after: String,
+}
+
+impl Sweeper {
+    /// Starts before the first row.
+    pub fn new(settings: Sweep) -> Self {
+        Sweeper { settings, after: String::new() }
+    }
+
+    /// One read and at most one write; returns the rows deleted. Call it at a steady pace.
+    ///
+    /// # Errors
+    ///
+    /// Those of the table; the next step goes on from the same place.
+    pub async fn step<T>(&mut self, table: &T, wall_ms: u64) -> Result<usize, table::Error>
+    where
+        T: table::Table,
+    {
+        let rows = table.scan("claim/", &self.after, self.settings.batch).await?;
+        let old: Vec<_> = rows.iter().filter(|row| self.is_over(row, wall_ms)).collect();
+        if !old.is_empty() {
+            let check =
+                |row: &&table::Row| table::Check { key: row.key.clone(), version: row.version };
+            let delete = |row: &&table::Row| table::Change::Delete { key: row.key.clone() };
+            table
+                .commit(table::Transaction {
+                    checks: old.iter().map(check).collect(),
+                    changes: old.iter().map(delete).collect(),
+                })
+                .await?;
+        }
+        self.after = match rows.last() {
+            Some(last) if rows.len() == self.settings.batch => last.key.clone(),
+            _ => String::new(),
+        };
+        Ok(old.len())
+    }
+
+    fn is_over(&self, row: &table::Row, wall_ms: u64) -> bool {
+        let retention = u64::try_from(self.settings.retention.as_millis()).unwrap_or(u64::MAX);
+        serde_json::from_str::<record::Record>(&row.value)
+            .is_ok_and(|record| wall_ms.saturating_sub(record.written_ms) > retention)
+    }
+}
--- a/crates/lagoonline/src/life/mod.rs
+++ b/crates/lagoonline/src/life/mod.rs
@@ -1,4 +1,6 @@
 //! The life of a request: what was sent, what may have run, what the caller is told.
 
+pub mod claim;
 pub mod request;
+pub mod safeguard;
 pub mod stream;
