Claims: stateful fuzzing, and a mutation for each safeguard

Cause: the claims' rules were not proved. Change: hosts, platform and upstream as tasks that stop before and after each effect; an oracle of what ran and what was told. A host writes nothing past its patience: a paused one could free another's claim after retention. Limit: a commit that lands after retention removed the row that shut it out holds its key for one more retention.

--- a/crates/lagoonline/src/life/claim/driver.rs
+++ b/crates/lagoonline/src/life/claim/driver.rs
@@ -22,6 +22,9 @@
     pub inline_bytes: usize,
     /// Commits tried for one change of a row before it is given up.
     pub rounds: u32,
+    /// How long after the request's deadline its row may still be written; hours less than
+    /// retention.
+    pub patience: clock::Span,
     /// When a caller refused for the platform's sake is told to come back.
     pub retry_after: clock::Span,
     /// All but in tests of the oracle.
@@ -30,6 +33,8 @@
 
 /// Three commits ride out a lost answer and a lost race; more would add load to an outage.
 const ROUNDS: u32 = 3;
+/// An outage of the platform may last this long before an answer stays unstored.
+const PATIENCE: clock::Span = clock::Span::from_secs(3_600);
 /// Most bookings answer in less; it keeps a scanned row small.
 const INLINE_BYTES: usize = 4_096;
 
@@ -39,6 +44,7 @@
             owner: id::Owner::default(),
             inline_bytes: INLINE_BYTES,
             rounds: ROUNDS,
+            patience: PATIENCE,
             retry_after: clock::Span::from_secs(1),
             safeguards: safeguard::Set::default(),
         }
@@ -64,6 +70,7 @@
 pub struct Abandoned {
     row: String,
     record: record::Record,
+    deadline: clock::Moment,
     /// The highest version that one of its commits may still match.
     last: u64,
 }
@@ -96,25 +103,28 @@
 enum Written {
     Yes,
     Superseded,
+    TooLate,
     Unsure { last: u64 },
 }
 
 /// The idempotency keys of one entry host.
 #[derive(Clone, Debug)]
-pub struct Claims<T, O> {
+pub struct Claims<T, O, C> {
     table: T,
     objects: O,
+    clock: C,
     settings: Settings,
 }
 
-impl<T, O> Claims<T, O>
+impl<T, O, C> Claims<T, O, C>
 where
     T: table::Table,
     O: objects::Objects,
+    C: clock::Clock,
 {
     /// Claims through these ports.
-    pub fn new(table: T, objects: O, settings: Settings) -> Self {
-        Claims { table, objects, settings }
+    pub fn new(table: T, objects: O, clock: C, settings: Settings) -> Self {
+        Claims { table, objects, clock, settings }
     }
 
     /// Claims the key, or says why not. One write when the key is new.
@@ -208,7 +218,7 @@
         }
         let failure = failure(outcome::Reason::PlatformDown, outcome::Outcome::NotRun)
             .retry_after(self.settings.retry_after);
-        let abandoned = unsure.map(|last| Abandoned { row, record, last });
+        let abandoned = unsure.map(|last| Abandoned { row, record, deadline: ask.deadline, last });
         Err(Box::new(Refusal { failure, abandoned }))
     }
 
@@ -252,10 +262,10 @@
     /// The caller may be told `not-run` before this ends: the ticket is gone.
     pub async fn release(&self, ticket: ticket::Ticket) -> Option<Abandoned> {
         match self.rewrite(&ticket, record::State::Released).await {
-            Written::Yes | Written::Superseded => None,
+            Written::Yes | Written::Superseded | Written::TooLate => None,
             Written::Unsure { last } => {
                 let record = self.record(&ticket.ask, record::State::Released);
-                Some(Abandoned { row: ticket.row, record, last })
+                Some(Abandoned { row: ticket.row, record, deadline: ticket.ask.deadline, last })
             }
         }
     }
@@ -289,7 +299,7 @@
             sha256: record::sha256(&answer.body),
         };
         match self.rewrite(&sent.0, state).await {
-            Written::Yes | Written::Superseded => Ok(()),
+            Written::Yes | Written::Superseded | Written::TooLate => Ok(()),
             Written::Unsure { .. } => Err(Box::new(Unstored { sent, answer })),
         }
     }
@@ -305,6 +315,7 @@
     }
 
     /// One try to free the key of a claim that was given up; `true` when nothing is left to do.
+    /// Try about once a second.
     ///
     /// Failure answered: the lost commit lands after all, and the key answers 409 until retention
     /// ends. A `released` row above every version that the commit can match shuts it out.
@@ -312,6 +323,9 @@
         if !self.settings.safeguards.has(safeguard::Safeguard::Settle) {
             return true;
         }
+        if self.is_too_late(abandoned.deadline) {
+            return true;
+        }
         let Ok(found) = self.table.read(&abandoned.row).await else {
             return false;
         };
@@ -335,6 +349,9 @@
         let record = self.record(&ticket.ask, state);
         let mut at = ticket.version;
         for _ in 0..self.settings.rounds {
+            if self.is_too_late(ticket.ask.deadline) {
+                return Written::TooLate;
+            }
             match self.commit(&ticket.row, &record, at).await {
                 Ok(_) => return Written::Yes,
                 Err(table::Error::Refused { .. }) => continue,
@@ -355,6 +372,15 @@
         Written::Unsure { last: at }
     }
 
+    /// Failure answered: a host pauses for longer than retention, its row is deleted and another
+    /// host's claim stands at the same version number; the first resumes, frees "its" key, and a
+    /// third host runs the call again. Past its patience a host writes nothing; the row then
+    /// counts as one that may have run until retention ends.
+    fn is_too_late(&self, deadline: clock::Moment) -> bool {
+        self.clock.now() >= deadline + self.settings.patience
+            && self.settings.safeguards.has(safeguard::Safeguard::WriteDeadline)
+    }
+
     async fn commit(
         &self,
         row: &str,
--- a/crates/lagoonline/src/life/safeguard.rs
+++ b/crates/lagoonline/src/life/safeguard.rs
@@ -22,13 +22,15 @@
     AnswerCheck,
     /// A claim is not dispatched after its deadline.
     DispatchDeadline,
+    /// A host writes to a claim's row only until well before its retention ends.
+    WriteDeadline,
     /// A claim that was given up is settled, so that its key is free again.
     Settle,
 }
 
 impl Safeguard {
     /// Every safeguard.
-    pub const ALL: [Safeguard; 9] = [
+    pub const ALL: [Safeguard; 10] = [
         Safeguard::VersionCheck,
         Safeguard::ReadBack,
         Safeguard::BodyMatch,
@@ -37,6 +39,7 @@
         Safeguard::CustomerScope,
         Safeguard::AnswerCheck,
         Safeguard::DispatchDeadline,
+        Safeguard::WriteDeadline,
         Safeguard::Settle,
     ];
 }
--- /dev/null
+++ b/crates/lagoonline/tests/life_fuzz/machine.rs
@@ -0,0 +1,205 @@
+//! The steps, and how each is carried out.
+
+use std::cell::{Cell, RefCell};
+
+use lagoonline::clock;
+use lagoonline::life::safeguard;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+use super::oracle;
+use super::platform::Fault;
+use super::world::{Call, HOSTS, World};
+
+/// What happens next.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Call {
+        host: usize,
+        customer: u8,
+        key: Option<u8>,
+        body: u8,
+        never: bool,
+    },
+    Poll {
+        pick: usize,
+        times: usize,
+    },
+    TableFault(Fault),
+    UpstreamFault(Fault),
+    Down(bool),
+    Land(usize),
+    Run(usize),
+    Crash(usize),
+    Pause(usize),
+    Resume(usize),
+    Advance(u64),
+    /// More than the retention passes.
+    Retain,
+    Sweep,
+    Damage(usize),
+}
+
+/// What a test run did.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub steps: u64,
+    pub calls: u64,
+    pub ran: u64,
+    pub replayed: u64,
+    pub faults: u64,
+    pub crashes: u64,
+}
+
+thread_local! {
+    static SAFEGUARDS: Cell<safeguard::Set> = Cell::new(safeguard::Set::default());
+    static TALLY: RefCell<Tally> = RefCell::new(Tally::default());
+}
+
+pub fn reset(safeguards: safeguard::Set) {
+    SAFEGUARDS.set(safeguards);
+    TALLY.replace(Tally::default());
+}
+
+pub fn tally() -> Tally {
+    TALLY.with_borrow(|tally| *tally)
+}
+
+fn count<F>(change: F)
+where
+    F: FnOnce(&mut Tally),
+{
+    TALLY.with_borrow_mut(change);
+}
+
+fn fault() -> BoxedStrategy<Fault> {
+    prop_oneof![
+        Just(Fault::LoseAnswer),
+        Just(Fault::LoseRequest),
+        Just(Fault::Late),
+        Just(Fault::Refuse),
+    ]
+    .boxed()
+}
+
+pub struct Script;
+
+impl ReferenceStateMachine for Script {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        let key = prop_oneof![1 => Just(None), 5 => (0..2_u8).prop_map(Some)];
+        let body = prop_oneof![6 => Just(0_u8), 1 => Just(1_u8)];
+        let never = prop::bool::weighted(0.8);
+        let call =
+            (0..HOSTS, 0..2_u8, key, body, never).prop_map(|(host, customer, key, body, never)| {
+                Step::Call { host, customer, key, body, never }
+            });
+        prop_oneof![
+            10 => call,
+            40 => (any::<usize>(), 1..8_usize).prop_map(|(pick, times)| Step::Poll { pick, times }),
+            8 => fault().prop_map(Step::TableFault),
+            4 => fault().prop_map(Step::UpstreamFault),
+            2 => any::<bool>().prop_map(Step::Down),
+            4 => any::<usize>().prop_map(Step::Land),
+            2 => any::<usize>().prop_map(Step::Run),
+            1 => (0..HOSTS).prop_map(Step::Crash),
+            2 => (0..HOSTS).prop_map(Step::Pause),
+            3 => (0..HOSTS).prop_map(Step::Resume),
+            3 => (1..12_000_u64).prop_map(Step::Advance),
+            1 => Just(Step::Retain),
+            2 => Just(Step::Sweep),
+            1 => any::<usize>().prop_map(Step::Damage),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+pub struct Machine;
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = World;
+    type Reference = Script;
+
+    fn init_test((): &()) -> World {
+        World::new(SAFEGUARDS.get())
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        count(|tally| tally.steps += 1);
+        carry_out(&mut world, step);
+        world
+    }
+
+    fn check_invariants(world: &World, (): &()) {
+        oracle::check(world);
+    }
+
+    /// The faults end; everything must come to rest, and what was late lands at the worst time.
+    fn teardown(mut world: World) {
+        let outside = world.outside.clone();
+        outside.platform.heal();
+        outside.upstream.heal();
+        world.paused = [false; HOSTS];
+        world.advance(clock::Span::ZERO);
+        for round in 0..2_000 {
+            if world.is_idle() {
+                break;
+            }
+            world.poll(round, 3);
+        }
+        while outside.platform.late() + outside.upstream.late() > 0 {
+            outside.platform.land(0);
+            outside.upstream.land(0);
+        }
+        oracle::check_end(&world);
+        let replayed = world
+            .tasks
+            .iter()
+            .filter(|task| task.case.told.borrow().as_ref().is_some_and(|told| told.replayed));
+        let replayed = replayed.count() as u64;
+        count(|tally| {
+            tally.calls += world.tasks.len() as u64;
+            tally.ran += outside.upstream.runs().len() as u64;
+            tally.replayed += replayed;
+            tally.faults += outside.platform.hit() + outside.upstream.hit();
+        });
+    }
+}
+
+fn carry_out(world: &mut World, step: Step) {
+    let outside = world.outside.clone();
+    match step {
+        Step::Call { host, customer, key, body, never } => {
+            let number = u32::try_from(world.tasks.len()).expect("few calls");
+            world.call(host, Call { number, customer, key, body, never });
+        }
+        Step::Poll { pick, times } => world.poll(pick, times),
+        Step::TableFault(fault) => outside.platform.fault(fault),
+        Step::UpstreamFault(fault) => outside.upstream.fault(fault),
+        Step::Down(down) => outside.platform.set_down(down),
+        Step::Land(pick) => outside.platform.land(pick),
+        Step::Run(pick) => outside.upstream.land(pick),
+        Step::Crash(host) => {
+            count(|tally| tally.crashes += 1);
+            world.crash(host);
+        }
+        Step::Pause(host) => world.paused[host] = true,
+        Step::Resume(host) => world.resume(host),
+        Step::Advance(millis) => world.advance(clock::Span::from_millis(millis)),
+        Step::Retain => {
+            outside.platform.forget_late();
+            world.oversleep();
+            world.advance(clock::Span::from_secs(25 * 3_600));
+        }
+        Step::Sweep => world.sweep(),
+        Step::Damage(pick) => outside.platform.damage(pick),
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/tests/life_fuzz/platform.rs
@@ -0,0 +1,218 @@
+//! A fake table and object store whose calls stop before and after their effect.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::future;
+use std::rc::Rc;
+use std::task::Poll;
+
+use bytes::Bytes;
+use lagoonline::port::{objects, table};
+
+/// What happens to the next call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    LoseAnswer,
+    LoseRequest,
+    /// The answer is lost and the effect comes later.
+    Late,
+    Refuse,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<String, table::Row>,
+    objects: BTreeMap<String, Bytes>,
+    late: Vec<table::Transaction>,
+    faults: VecDeque<Fault>,
+    down: bool,
+    epoch: u64,
+    hit: u64,
+}
+
+#[derive(Clone, Default)]
+pub struct Platform(Rc<RefCell<State>>);
+
+/// Lets other calls go first.
+pub async fn pause() {
+    let mut paused = false;
+    future::poll_fn(|_| {
+        let ready = if paused { Poll::Ready(()) } else { Poll::Pending };
+        paused = true;
+        ready
+    })
+    .await;
+}
+
+fn refused() -> table::Error {
+    table::Error::Refused { step: "fuzz", peer: "fake".into(), why: "refused".into() }
+}
+
+fn unknown() -> table::Error {
+    table::Error::Unknown { step: "fuzz", peer: "fake".into(), why: "lost".into() }
+}
+
+impl State {
+    fn apply(&mut self, transaction: &table::Transaction) -> Result<Vec<u64>, table::Error> {
+        let version = |state: &State, key: &str| state.rows.get(key).map_or(0, |row| row.version);
+        if transaction.checks.iter().any(|check| version(self, &check.key) != check.version) {
+            return Err(table::Error::Conflict { step: "fuzz" });
+        }
+        let mut versions = Vec::new();
+        for change in &transaction.changes {
+            match change {
+                table::Change::Put { key, value } => {
+                    let version = version(self, key) + 1;
+                    let row = table::Row { key: key.clone(), value: value.clone(), version };
+                    self.rows.insert(key.clone(), row);
+                    versions.push(version);
+                }
+                table::Change::Delete { key } => {
+                    self.rows.remove(key);
+                    versions.push(0);
+                }
+            }
+        }
+        Ok(versions)
+    }
+
+    fn fault(&mut self) -> Option<Fault> {
+        if self.down {
+            return Some(Fault::Refuse);
+        }
+        let fault = self.faults.pop_front();
+        self.hit += u64::from(fault.is_some());
+        fault
+    }
+}
+
+impl Platform {
+    pub fn fault(&self, fault: Fault) {
+        self.0.borrow_mut().faults.push_back(fault);
+    }
+
+    pub fn set_down(&self, down: bool) {
+        self.0.borrow_mut().down = down;
+    }
+
+    pub fn heal(&self) {
+        let mut state = self.0.borrow_mut();
+        state.down = false;
+        state.faults.clear();
+    }
+
+    /// A late transaction takes effect, if its checks still hold.
+    pub fn land(&self, pick: usize) {
+        let mut state = self.0.borrow_mut();
+        if !state.late.is_empty() {
+            let index = pick % state.late.len();
+            let transaction = state.late.remove(index);
+            // A check that fails by now is what it is for.
+            let _ = state.apply(&transaction);
+        }
+    }
+
+    /// More than an hour passes: what was sent before has landed by now or never will.
+    pub fn forget_late(&self) {
+        let mut state = self.0.borrow_mut();
+        state.late.clear();
+        state.epoch += 1;
+    }
+
+    pub fn damage(&self, pick: usize) {
+        let mut state = self.0.borrow_mut();
+        let count = state.objects.len().max(1);
+        if let Some(body) = state.objects.values_mut().nth(pick % count) {
+            *body = Bytes::from_static(b"another");
+        }
+    }
+
+    pub fn late(&self) -> usize {
+        self.0.borrow().late.len()
+    }
+
+    pub fn hit(&self) -> u64 {
+        self.0.borrow().hit
+    }
+
+    pub fn values(&self) -> Vec<String> {
+        self.0.borrow().rows.values().map(|row| row.value.clone()).collect()
+    }
+
+    async fn ask<A, F>(&self, effect: F) -> Result<A, table::Error>
+    where
+        F: FnOnce(&mut State) -> Result<A, table::Error>,
+    {
+        let epoch = self.0.borrow().epoch;
+        pause().await;
+        let answer = {
+            let mut state = self.0.borrow_mut();
+            if state.epoch != epoch {
+                return Err(unknown());
+            }
+            match state.fault() {
+                None => effect(&mut state),
+                Some(Fault::Refuse) => Err(refused()),
+                Some(Fault::LoseAnswer) => {
+                    let _ = effect(&mut state);
+                    Err(unknown())
+                }
+                Some(Fault::LoseRequest | Fault::Late) => Err(unknown()),
+            }
+        };
+        pause().await;
+        answer
+    }
+}
+
+impl table::Table for Platform {
+    async fn read(&self, key: &str) -> Result<Option<table::Row>, table::Error> {
+        self.ask(|state| Ok(state.rows.get(key).cloned())).await
+    }
+
+    async fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<table::Row>, table::Error> {
+        self.ask(|state| {
+            let rows = state.rows.values();
+            let wanted = rows.filter(|row| row.key.starts_with(prefix) && row.key.as_str() > after);
+            Ok(wanted.take(limit).cloned().collect())
+        })
+        .await
+    }
+
+    async fn commit(&self, transaction: table::Transaction) -> Result<Vec<u64>, table::Error> {
+        let late = {
+            let mut state = self.0.borrow_mut();
+            let late = !state.down && state.faults.front() == Some(&Fault::Late);
+            if late {
+                state.faults.pop_front();
+                state.hit += 1;
+                state.late.push(transaction.clone());
+            }
+            late
+        };
+        if late {
+            pause().await;
+            return Err(unknown());
+        }
+        self.ask(|state| state.apply(&transaction)).await
+    }
+}
+
+impl objects::Objects for Platform {
+    async fn put(&self, key: &str, body: Bytes) -> Result<(), table::Error> {
+        self.ask(|state| {
+            state.objects.insert(key.to_owned(), body.clone());
+            Ok(())
+        })
+        .await
+    }
+
+    async fn get(&self, key: &str) -> Result<Option<Bytes>, table::Error> {
+        self.ask(|state| Ok(state.objects.get(key).cloned())).await
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/tests/life_fuzz/upstream.rs
@@ -0,0 +1,102 @@
+//! A fake upstream that records what ran.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use lagoonline::clock;
+
+use super::platform::{Fault, pause};
+use super::world::Call;
+
+/// One execution.
+#[derive(Clone, Debug)]
+pub struct Run {
+    pub call: Call,
+    /// When the entry host dispatched it.
+    pub dispatched: clock::Moment,
+    pub answer: Bytes,
+}
+
+#[derive(Debug)]
+pub enum Failed {
+    Refused,
+    Lost,
+}
+
+#[derive(Default)]
+struct State {
+    runs: Vec<Run>,
+    late: Vec<(Call, clock::Moment)>,
+    faults: VecDeque<Fault>,
+    hit: u64,
+}
+
+#[derive(Clone, Default)]
+pub struct Upstream(Rc<RefCell<State>>);
+
+impl State {
+    fn run(&mut self, call: &Call, dispatched: clock::Moment) -> Bytes {
+        let long = "x".repeat(self.runs.len() % 2 * 40);
+        let name = (call.customer, call.key, call.body, self.runs.len());
+        let answer = Bytes::from(format!("{name:?}{long}"));
+        self.runs.push(Run { call: call.clone(), dispatched, answer: answer.clone() });
+        answer
+    }
+}
+
+impl Upstream {
+    pub fn fault(&self, fault: Fault) {
+        self.0.borrow_mut().faults.push_back(fault);
+    }
+
+    pub fn heal(&self) {
+        self.0.borrow_mut().faults.clear();
+    }
+
+    pub fn land(&self, pick: usize) {
+        let mut state = self.0.borrow_mut();
+        if !state.late.is_empty() {
+            let index = pick % state.late.len();
+            let (call, dispatched) = state.late.remove(index);
+            state.run(&call, dispatched);
+        }
+    }
+
+    pub fn late(&self) -> usize {
+        self.0.borrow().late.len()
+    }
+
+    pub fn hit(&self) -> u64 {
+        self.0.borrow().hit
+    }
+
+    pub fn runs(&self) -> Vec<Run> {
+        self.0.borrow().runs.clone()
+    }
+
+    pub async fn call(&self, call: &Call, dispatched: clock::Moment) -> Result<Bytes, Failed> {
+        pause().await;
+        let answer = {
+            let mut state = self.0.borrow_mut();
+            let fault = state.faults.pop_front();
+            state.hit += u64::from(fault.is_some());
+            match fault {
+                None => Ok(state.run(call, dispatched)),
+                Some(Fault::Refuse) => Err(Failed::Refused),
+                Some(Fault::LoseRequest) => Err(Failed::Lost),
+                Some(Fault::LoseAnswer) => {
+                    state.run(call, dispatched);
+                    Err(Failed::Lost)
+                }
+                Some(Fault::Late) => {
+                    state.late.push((call.clone(), dispatched));
+                    Err(Failed::Lost)
+                }
+            }
+        };
+        pause().await;
+        answer
+    }
+}
