Decisions under load: modules behind the scheduler's face

Cause: the first version was least outstanding before a first-come queue. Change: token ratio, pace, forecast, admission, fair queue, routing, circuit, ramp, retry budget, prefix map, clear share and group plan, each a module; the first version stays as the baseline least-outstanding.

--- /dev/null
+++ b/crates/lagoonline/src/load/baseline.rs
@@ -0,0 +1,35 @@
+//! Baselines that the full policy is measured against: one first-come queue, a simple choice.
+
+use crate::clock;
+use crate::load::settings;
+use crate::load::upstream;
+
+/// The upstream that a baseline policy picks; `turn` counts its choices and `draw` is random.
+pub(crate) fn choose(
+    policy: settings::Policy,
+    now: clock::Moment,
+    upstreams: &[upstream::Upstream],
+    turn: u64,
+    draw: u64,
+) -> Option<usize> {
+    let free = |index: &usize| {
+        let upstream = &upstreams[*index];
+        upstream.is_open(now, false) && upstream.requests < upstream.slots
+    };
+    let count = upstreams.len().max(1);
+    let all = || (0..upstreams.len()).filter(free);
+    let requests = |index: &usize| upstreams[*index].requests;
+    match policy {
+        settings::Policy::RoundRobin => {
+            let start = (turn % count as u64) as usize;
+            (0..upstreams.len()).map(|step| (start + step) % count).find(free)
+        }
+        settings::Policy::TwoChoices => {
+            let (first, second) = (draw as u32 as usize % count, (draw >> 32) as usize % count);
+            let two = [first, second].into_iter().filter(|index| *index < upstreams.len());
+            two.filter(free).min_by_key(requests).or_else(|| all().min_by_key(requests))
+        }
+        settings::Policy::FirstCome => all().next(),
+        settings::Policy::Full | settings::Policy::LeastOutstanding => all().min_by_key(requests),
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/clear.rs
@@ -0,0 +1,71 @@
+//! A share of the engines is kept clear of long prompts.
+//!
+//! Load pattern: long among short. Even with priorities, a short prompt on an engine that prefills
+//! a long one waits for the chunk under way, and its tokens come between chunks. Engines without
+//! long prompts spare it that. The share follows the short prompts' part of the prefill work,
+//! scaled by what the owners weigh. It moves by one engine at most every five seconds and only
+//! when it is off by three quarters of one: an engine that changes sides at every burst is of no
+//! use to either, since long prompts stay for tens of seconds.
+
+use crate::clock;
+use crate::control::document;
+
+/// Time over which the seen mix halves its weight, in seconds.
+const HALF_LIFE: f64 = 30.0;
+/// Shortest time between two moves.
+const STEP: clock::Span = clock::Span::from_secs(5);
+/// Distance from the wanted number that makes it move.
+const HYSTERESIS: f64 = 0.75;
+/// Most of the engines that are kept clear while there are long prompts.
+const MOST: f64 = 0.6;
+
+/// How many engines are kept clear.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Share {
+    work: [f64; 4],
+    seen: clock::Moment,
+    engines: usize,
+    moved: clock::Moment,
+}
+
+impl Share {
+    /// A prompt of this class and length came.
+    pub fn offered(&mut self, now: clock::Moment, class: document::Class, tokens: u64) {
+        let fade = (-now.since(self.seen).as_secs_f64() / HALF_LIFE).exp2();
+        self.seen = now;
+        for work in &mut self.work {
+            *work *= fade;
+        }
+        self.work[class as usize] += tokens as f64;
+    }
+
+    /// Part of the prefill work that comes from prompts of this class and shorter ones.
+    pub fn up_to(&self, class: document::Class) -> f64 {
+        let all: f64 = self.work.iter().sum();
+        let part: f64 = self.work[..=class as usize].iter().sum();
+        if all > 0.0 { part / all } else { 1.0 }
+    }
+
+    /// Part of the prefill work of each class.
+    pub fn mix(&self) -> [f64; 4] {
+        let all: f64 = self.work.iter().sum();
+        if all > 0.0 { self.work.map(|work| work / all) } else { [1.0, 0.0, 0.0, 0.0] }
+    }
+
+    /// Engines of `all` to keep clear now, where `short_share` is the owners' weight of short
+    /// requests from 0 to 1.
+    pub fn engines(&mut self, now: clock::Moment, all: usize, short_share: f64) -> usize {
+        let part = self.up_to(document::Class::Short);
+        let long = 1.0 - self.up_to(document::Class::Medium);
+        let wanted = if long > 0.0 { (part * 2.0 * short_share).min(MOST) } else { 0.0 };
+        let wanted = wanted * all as f64;
+        let most = all.saturating_sub(1);
+        let off = wanted - self.engines as f64;
+        if off.abs() >= HYSTERESIS && now.since(self.moved) >= STEP {
+            self.engines = if off > 0.0 { self.engines + 1 } else { self.engines - 1 };
+            self.moved = now;
+        }
+        self.engines = self.engines.min(most);
+        self.engines
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/group.rs
@@ -0,0 +1,54 @@
+//! Prompts that no single engine can hold.
+//!
+//! Load pattern: several prompts of twice an engine's memory at once. Taken engine by engine, each
+//! could hold half of what it needs and neither would start. Members are therefore chosen all or
+//! nothing, under one lock, in the fleet's one order of engines.
+
+/// Most engines of one group: over twice one engine's memory needs three; more cost more links.
+pub const MOST: usize = 8;
+
+/// Engines of a group and the tokens that each holds, in the fleet's order.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Plan {
+    spans: [(usize, u64); MOST],
+    length: usize,
+}
+
+impl Plan {
+    /// The members with their spans.
+    pub fn spans(&self) -> &[(usize, u64)] {
+        &self.spans[..self.length]
+    }
+}
+
+/// The fewest engines whose free memory holds `need` tokens, or none if they cannot.
+///
+/// ```
+/// use lagoonline::load::group;
+/// let free = [400, 100, 300, 400];
+/// let plan = group::plan(1_000, free.len(), |engine| free[engine]).unwrap();
+/// assert_eq!(plan.spans(), [(0, 400), (2, 200), (3, 400)]);
+/// assert!(group::plan(1_300, free.len(), |engine| free[engine]).is_none());
+/// ```
+pub fn plan<F>(need: u64, engines: usize, free: F) -> Option<Plan>
+where
+    F: Fn(usize) -> u64,
+{
+    let mut plan = Plan::default();
+    let mut left = need;
+    while left > 0 && plan.length < MOST {
+        let taken = |engine: &usize| plan.spans().iter().any(|(other, _)| other == engine);
+        let rest = (0..engines).filter(|engine| !taken(engine));
+        let best = rest.max_by_key(|&engine| (free(engine), engines - engine))?;
+        let span = free(best).min(left);
+        if span == 0 {
+            return None;
+        }
+        plan.spans[plan.length] = (best, span);
+        plan.length += 1;
+        left -= span;
+    }
+    let length = plan.length;
+    plan.spans[..length].sort_unstable();
+    if left == 0 { Some(plan) } else { None }
+}
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -1,5 +1,29 @@
 //! Decisions under load: what is let in, what waits, what is turned away, where work goes.
+//!
+//! [`Scheduler`] is the face; each other module has one decision. A request passes [`admit`] by
+//! the [`predict`]ions, the queue ([`fair`] within length classes), the routing (by each
+//! upstream's [`rate`], [`ramp`], [`outlier`] state and [`prefix`] cache, with some engines kept
+//! [`clear`]), and perhaps [`retry`]; prompts beyond one engine go to a [`group`].
 
+pub mod admit;
+mod baseline;
+pub mod clear;
+pub mod fair;
+pub mod group;
+pub mod outlier;
+pub mod predict;
+pub mod prefix;
+mod queue;
+pub mod ramp;
+pub mod rate;
+pub mod retry;
+mod route;
 mod scheduler;
+mod settings;
+mod shards;
+pub mod tokens;
+mod upstream;
 
 pub use scheduler::*;
+pub use settings::*;
+pub use shards::*;
--- /dev/null
+++ b/crates/lagoonline/src/load/predict.rs
@@ -0,0 +1,76 @@
+//! When a request would get its first token and end.
+//!
+//! Load pattern: saturation. A queue that takes everything in answers everything too late.
+//! The wait at this host is the work that goes before (by class and fair share) over the rate at
+//! which the queue really empties, learned while something waits, because either prefill, slots or
+//! memory may be what is scarce. Answers rarely use all the tokens they may, so their length and
+//! pace are learned too.
+
+use crate::clock;
+
+/// Shortest window over which the queue's rate is measured, in seconds.
+const WINDOW: f64 = 0.5;
+/// Weight of a new sample.
+const GAIN: f64 = 0.3;
+/// Weight of one answer's length and pace.
+const ANSWER_GAIN: f64 = 0.05;
+/// Time for each answer token taken before any answer was seen, in seconds.
+const TOKEN_SECONDS: f64 = 0.03;
+
+/// Learned figures of one model at one host.
+#[derive(Clone, Copy, Debug)]
+pub struct Forecast {
+    rate: Option<f64>,
+    window: Option<(clock::Moment, u64)>,
+    answer_part: f64,
+    token_seconds: f64,
+}
+
+impl Default for Forecast {
+    fn default() -> Self {
+        let token_seconds = TOKEN_SECONDS;
+        Forecast { rate: None, window: None, answer_part: 1.0, token_seconds }
+    }
+}
+
+impl Forecast {
+    /// Work of `tokens` went out, while others still waited or not.
+    pub fn dispatched(&mut self, now: clock::Moment, tokens: u64, waiting: bool) {
+        if !waiting {
+            self.window = None;
+            return;
+        }
+        let (start, sum) = self.window.unwrap_or((now, 0));
+        let sum = sum + tokens;
+        let seconds = now.since(start).as_secs_f64();
+        if seconds < WINDOW {
+            self.window = Some((start, sum));
+            return;
+        }
+        let sample = sum as f64 / seconds;
+        self.rate = Some(self.rate.map_or(sample, |rate| rate + GAIN * (sample - rate)));
+        self.window = Some((now, 0));
+    }
+
+    /// An answer ended: its tokens, the most it might have had, the time since its first token.
+    pub fn answered(&mut self, tokens: u64, most: u64, took: clock::Span) {
+        if tokens == 0 || most == 0 {
+            return;
+        }
+        let part = (tokens as f64 / most as f64).min(1.0);
+        let pace = took.as_secs_f64() / tokens as f64;
+        self.answer_part += ANSWER_GAIN * (part - self.answer_part);
+        self.token_seconds += ANSWER_GAIN * (pace - self.token_seconds);
+    }
+
+    /// Seconds until work of `tokens` ahead has left this host; `rate` is taken before any was
+    /// learned.
+    pub fn wait(&self, tokens: u64, rate: f64) -> f64 {
+        tokens as f64 / self.rate.unwrap_or(rate).max(1.0)
+    }
+
+    /// Seconds from first token to end of an answer of at most `most` tokens.
+    pub fn answer(&self, most: u64) -> f64 {
+        most as f64 * self.answer_part * self.token_seconds
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/ramp.rs
@@ -0,0 +1,29 @@
+//! A new upstream gets its load little by little.
+//!
+//! Load pattern: an engine joins or restarts under load with an empty cache and cold kernels. It
+//! looks idle, so every host of the zone sends it its whole queue at once, and those requests wait
+//! together. Its slots open from an eighth to all within ten seconds, about the time in which the
+//! zone's hot prefixes come by again.
+
+use crate::clock;
+
+/// Time from joining to full load, in seconds.
+const SPAN: f64 = 10.0;
+/// Share at the start.
+const START: f64 = 0.125;
+
+/// Slots of `slots` that an upstream which joined at `joined` may use at `now`; none for one that
+/// was there from the start.
+///
+/// ```
+/// use lagoonline::{clock::Moment, load::ramp};
+/// let joined = Some(Moment::from_millis(1_000));
+/// assert_eq!(ramp::slots(32, joined, Moment::from_millis(1_000)), 4);
+/// assert_eq!(ramp::slots(32, joined, Moment::from_millis(20_000)), 32);
+/// assert_eq!(ramp::slots(32, None, Moment::START), 32);
+/// ```
+pub fn slots(slots: u32, joined: Option<clock::Moment>, now: clock::Moment) -> u32 {
+    let Some(joined) = joined else { return slots };
+    let share = START + (1.0 - START) * now.since(joined).as_secs_f64() / SPAN;
+    if share >= 1.0 { slots } else { ((f64::from(slots) * share) as u32).max(1) }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/route.rs
@@ -0,0 +1,184 @@
+//! Which upstream a request goes to.
+//!
+//! Load pattern: upstreams of unlike load, pace, cache and distance. The request goes where its
+//! first token is predicted soonest: prefill ahead of it there, less what is cached, over the
+//! learned rate, plus the delay and cost of another zone or region. Nothing goes to an upstream
+//! without a free slot, memory for it, or with more prefill ahead than keeps it busy; that waits
+//! here instead, where order can still change. Long prompts go only where no other long prefill
+//! exceeds the bound, and never to the engines kept clear.
+
+use crate::clock;
+use crate::control::document;
+use crate::load::group;
+use crate::load::settings;
+use crate::load::upstream;
+use crate::port::engine;
+
+/// Extra time counted for short prompts on an engine meant for long ones, in seconds.
+const WRONG_ROLE: f64 = 0.2;
+/// Random pairs tried before all upstreams are looked at.
+const PAIRS: usize = 2;
+
+/// What a request needs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Need {
+    pub class: document::Class,
+    pub tokens: u64,
+    /// KV memory for prompt and answer, in tokens.
+    pub kv: u64,
+    /// Engines by number with the tokens of this prompt that they have cached.
+    pub hits: [(u32, u64); 4],
+}
+
+impl Need {
+    /// Tokens of the prompt cached on the engine of this number.
+    pub fn cached(&self, number: u32) -> u64 {
+        let hits = self.hits.iter().filter(|(engine, _)| *engine == number);
+        hits.map(|(_, tokens)| *tokens).max().unwrap_or(0).min(self.tokens)
+    }
+}
+
+/// Where, and when its first token is expected.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum Route {
+    One { index: usize, seconds: f64 },
+    Group { plan: group::Plan, seconds: f64 },
+}
+
+/// What one look over the upstreams shows.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Survey {
+    /// Upstreams that are neither leaving nor gone.
+    pub open: usize,
+    /// Sum of the local upstreams' learned rates, in tokens a second.
+    pub rate: f64,
+    /// Soonest first token if its dispatch were possible now, in seconds.
+    pub soonest: f64,
+    /// Most KV memory of one upstream, and of all.
+    pub largest: u64,
+    pub memory: u64,
+}
+
+/// The rules that one decision goes by.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Rules<'a> {
+    pub settings: &'a settings::Settings,
+    pub upstreams: &'a [upstream::Upstream],
+    /// Local upstreams kept clear of long prompts.
+    pub clear: usize,
+    pub now: clock::Moment,
+}
+
+impl Rules<'_> {
+    fn safeguards(&self) -> settings::Safeguards {
+        self.settings.safeguards
+    }
+
+    /// Class whose prefill, with that of shorter ones, goes before the request.
+    fn ahead_class(&self, need: &Need) -> document::Class {
+        if self.safeguards().priority { need.class } else { document::Class::Huge }
+    }
+
+    /// Seconds to the first token there.
+    pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need) -> f64 {
+        let tokens = need.tokens - need.cached(upstream.number);
+        let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64);
+        let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
+        if wrong { seconds + WRONG_ROLE } else { seconds }
+    }
+
+    /// Whether the upstream can take the request now.
+    fn fits(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+        let safeguards = self.safeguards();
+        upstream.is_open(self.now, safeguards.outlier)
+            && upstream.free_slots(self.now, safeguards.ramp) > 0
+            && upstream.free_kv() >= need.kv
+            && self.has_room(upstream, need)
+    }
+
+    fn has_room(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+        let clear = upstream.local.is_some_and(|rank| rank < self.clear)
+            || upstream.role == engine::Role::Short;
+        if clear && need.class > document::Class::Short {
+            return false;
+        }
+        if need.class >= document::Class::Long && self.safeguards().long_bound {
+            let pending = upstream.long_pending();
+            return pending <= 0.0
+                || pending + need.tokens as f64 <= self.settings.long_tokens as f64;
+        }
+        let bound = self.settings.ahead.as_secs_f64() * upstream.rate(self.now);
+        upstream.ahead(self.now, self.ahead_class(need)) < bound
+    }
+
+    /// Looks over all upstreams once.
+    pub fn survey(&self, need: &Need) -> Survey {
+        let mut survey = Survey { soonest: f64::MAX, ..Survey::default() };
+        for upstream in self.upstreams {
+            if upstream.leaving || upstream.gone {
+                continue;
+            }
+            survey.open += 1;
+            survey.largest = survey.largest.max(upstream.kv_tokens);
+            survey.memory += upstream.kv_tokens;
+            survey.soonest = survey.soonest.min(self.seconds(upstream, need));
+            if upstream.local.is_some() {
+                survey.rate += upstream.rate(self.now);
+            }
+        }
+        survey
+    }
+
+    /// The upstream to send to now; `draw` is random.
+    pub fn choose(&self, need: &Need, draw: u64) -> Option<Route> {
+        let two = match self.settings.choice {
+            settings::Choice::Shortest => None,
+            settings::Choice::Two => self.better_of_two(need, draw),
+        };
+        let (index, seconds) = two.or_else(|| self.shortest(need, draw))?;
+        Some(Route::One { index, seconds })
+    }
+
+    /// Engines that hold the prompt together, none if they cannot now.
+    pub fn group(&self, need: &Need) -> Option<Route> {
+        let free = |index: usize| {
+            let upstream = &self.upstreams[index];
+            let local = upstream.local.is_some_and(|rank| rank >= self.clear);
+            let open = upstream.is_open(self.now, self.safeguards().outlier);
+            let slot = upstream.free_slots(self.now, self.safeguards().ramp) > 0;
+            if local && open && slot { upstream.free_kv() } else { 0 }
+        };
+        let plan = group::plan(need.kv, self.upstreams.len(), free)?;
+        let (first, _) = plan.spans()[0];
+        let seconds = self.seconds(&self.upstreams[first], need);
+        Some(Route::Group { plan, seconds })
+    }
+
+    fn shortest(&self, need: &Need, draw: u64) -> Option<(usize, f64)> {
+        let count = self.upstreams.len();
+        let start = (draw % count.max(1) as u64) as usize;
+        let mut best: Option<(usize, f64)> = None;
+        for index in (start..count).chain(0..start) {
+            let upstream = &self.upstreams[index];
+            if !self.fits(upstream, need) {
+                continue;
+            }
+            let seconds = self.seconds(upstream, need);
+            if best.is_none_or(|(_, other)| seconds < other) {
+                best = Some((index, seconds));
+            }
+        }
+        best
+    }
+
+    fn better_of_two(&self, need: &Need, draw: u64) -> Option<(usize, f64)> {
+        let count = self.upstreams.len().max(1) as u64;
+        let draws = (0..2 * PAIRS as u64).map(|shift| (draw >> (16 * shift)) % count);
+        let indexes = draws.map(|index| index as usize);
+        let fitting = indexes.filter(|&index| {
+            self.upstreams.get(index).is_some_and(|upstream| self.fits(upstream, need))
+        });
+        let timed = fitting.map(|index| (index, self.seconds(&self.upstreams[index], need)));
+        timed.take(2).min_by(|(_, a), (_, b)| a.total_cmp(b))
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -0,0 +1,314 @@
+//! The path of one request through admission, queue and routing.
+
+use crate::clock;
+use crate::control::document;
+use crate::load::admit;
+use crate::load::baseline;
+use crate::load::prefix;
+use crate::load::queue;
+use crate::load::route;
+use crate::load::scheduler;
+use crate::load::settings;
+use crate::outcome;
+
+/// Priorities that engines are asked to honour, by length class.
+const PRIORITY: [u8; 4] = [208, 160, 96, 64];
+/// Priority of every request where priorities are off.
+const ONE_PRIORITY: u8 = 128;
+/// What a request gains that has aged at this host.
+const AGED: u8 = 24;
+/// A waiter moves up one class each time it has waited this part of its longest wait.
+const AGEING: u32 = 4;
+/// Part of the time left that is kept for the engine when a wait is bounded.
+const ENGINE_PART: f64 = 0.5;
+
+impl scheduler::Scheduler {
+    pub(super) fn enter(&mut self, now: clock::Moment, ask: scheduler::Ask) -> scheduler::Verdict {
+        if !self.upstreams.iter().any(|upstream| !upstream.leaving && !upstream.gone) {
+            return self.refuse(outcome::Reason::NoUpstream, 1.0);
+        }
+        let band = self.band(&ask);
+        let first = (0..=band).all(|band| self.queue.band_is_empty(band));
+        if first && let Some(placement) = self.place(now, &ask, false) {
+            self.forecast.dispatched(now, queue::cost(&ask), false);
+            return scheduler::Verdict::Dispatch(placement);
+        }
+        let give_up = match self.admit(now, band, &ask) {
+            Ok(give_up) => give_up,
+            Err(failure) => return scheduler::Verdict::Refuse(failure),
+        };
+        if !self.make_room(&ask) {
+            return self.refuse(outcome::Reason::Saturated, 1.0);
+        }
+        self.next += 1;
+        let waiter = scheduler::Waiter(self.next);
+        self.queue.push(band, queue::Item { waiter, ask, give_up });
+        scheduler::Verdict::Wait(waiter)
+    }
+
+    /// Refuses waiters whose time is up.
+    pub(super) fn expire(&mut self, now: clock::Moment, wakes: &mut Vec<scheduler::Wake>) {
+        while let Some((expiry, waiter)) = self.queue.first_expiry()
+            && expiry <= now
+        {
+            let deadline = self.queue.remove(waiter).map(|item| item.ask.deadline);
+            let passed = deadline.is_none_or(|deadline| deadline <= now);
+            let reason =
+                if passed { outcome::Reason::DeadlinePassed } else { outcome::Reason::Saturated };
+            let draw = self.draw();
+            let mut failure = admit::refusal(reason, 1.0, draw);
+            failure.step = outcome::Step::Queue;
+            wakes.push(scheduler::Wake::Refuse(waiter, failure));
+        }
+    }
+
+    /// Places one waiter, the most urgent first; none when nothing that waits can be placed.
+    pub(super) fn dispatch_next(
+        &mut self,
+        now: clock::Moment,
+        queue: &mut queue::Queue,
+    ) -> Option<scheduler::Wake> {
+        let mut held = false;
+        for (rank, band) in self.order(now, queue) {
+            // Memory for an aged long prompt frees up only if no other one takes it first.
+            if held && band > document::Class::Short as usize {
+                continue;
+            }
+            let Some(item) = queue.head(band) else { continue };
+            let waiter = item.waiter;
+            let aged = rank < band as i64;
+            if let Some(placement) = self.place(now, &item.ask, aged) {
+                let cost = queue::cost(&item.ask);
+                queue.pop(band);
+                self.forecast.dispatched(now, cost, !queue.is_empty());
+                return Some(scheduler::Wake::Dispatch(waiter, placement));
+            }
+            held |= aged;
+        }
+        None
+    }
+
+    pub(super) fn draw(&mut self) -> u64 {
+        // SplitMix64: a few instructions, and the same draws for the same seed.
+        self.draws = self.draws.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mixed = (self.draws ^ (self.draws >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+
+    fn full(&self) -> bool {
+        self.settings.policy == settings::Policy::Full
+    }
+
+    fn band(&self, ask: &scheduler::Ask) -> usize {
+        let split = self.full() && self.settings.safeguards.priority;
+        if split { scheduler::class(ask) as usize } else { 0 }
+    }
+
+    /// Bands with waiters, most urgent first, each with the class that its age has moved it to.
+    fn order(&self, now: clock::Moment, queue: &queue::Queue) -> [(i64, usize); queue::BANDS] {
+        let mut order = [(0, 0); queue::BANDS];
+        for (band, slot) in order.iter_mut().enumerate() {
+            let arrived = queue.head(band).map_or(now, |item| item.ask.arrived);
+            let step = (self.settings.longest_wait[band] / AGEING).as_micros().max(1);
+            let moved = now.since(arrived).as_micros() / step;
+            *slot = (band as i64 - moved.min(4) as i64, band);
+        }
+        order.sort_unstable();
+        order
+    }
+
+    /// Whether it may wait, and until when.
+    fn admit(
+        &mut self,
+        now: clock::Moment,
+        band: usize,
+        ask: &scheduler::Ask,
+    ) -> Result<clock::Moment, outcome::Failure> {
+        if !self.full() {
+            return Ok(ask.deadline);
+        }
+        let need = self.need(ask);
+        let survey = self.rules(now).survey(&need);
+        let draw = self.draw();
+        if need.kv > survey.memory {
+            return Err(admit::refusal(outcome::Reason::TooLong, 60.0, draw));
+        }
+        if !self.settings.safeguards.admit {
+            return Ok(ask.deadline);
+        }
+        let rate = survey.rate / f64::from(self.settings.hosts_in_zone.max(1));
+        let prediction = admit::Prediction {
+            wait: self.forecast.wait(self.queue.tokens_before(band, ask), rate),
+            first_token: survey.soonest,
+            answer: self.forecast.answer(ask.answer_tokens),
+        };
+        let left = ask.deadline.since(now);
+        let longest = self.settings.longest_wait[need.class as usize];
+        admit::check(prediction, longest, left, draw)?;
+        let engine = prediction.first_token + prediction.answer;
+        let engine = engine.min(left.as_secs_f64() * ENGINE_PART);
+        let spare = left.saturating_sub(clock::Span::from_secs_f64(engine));
+        Ok(now + longest.min(spare))
+    }
+
+    /// Keeps the queue within its bounds, at the cost of the customer with most waiters.
+    fn make_room(&mut self, ask: &scheduler::Ask) -> bool {
+        let bytes = self.queue.bytes() + ask.bytes;
+        if self.queue.len() < self.settings.queue_requests && bytes <= self.settings.queue_bytes {
+            return true;
+        }
+        let Some(waiter) = self.queue.displaced_by(ask) else { return false };
+        let Some(item) = self.queue.remove(waiter) else { return false };
+        let draw = self.draw();
+        let failure = admit::refusal(outcome::Reason::Saturated, 1.0, draw);
+        self.displaced.push(scheduler::Wake::Refuse(item.waiter, failure));
+        let bytes = self.queue.bytes() + ask.bytes;
+        self.queue.len() < self.settings.queue_requests && bytes <= self.settings.queue_bytes
+    }
+
+    fn place(
+        &mut self,
+        now: clock::Moment,
+        ask: &scheduler::Ask,
+        aged: bool,
+    ) -> Option<scheduler::Placement> {
+        let need = self.need(ask);
+        let draw = self.draw();
+        let largest = self.upstreams.iter().map(|upstream| upstream.kv_tokens).max().unwrap_or(0);
+        let full = self.full();
+        let clear = if full { self.clear(now) } else { 0 };
+        let rules = self.rules_with(now, clear);
+        let route = if need.kv > largest {
+            rules.group(&need)?
+        } else if full {
+            rules.choose(&need, draw)?
+        } else {
+            let (policy, turn) = (self.settings.policy, self.next);
+            let index = baseline::choose(policy, now, &self.upstreams, turn, draw)?;
+            route::Route::One { index, seconds: 0.0 }
+        };
+        Some(self.dispatch(now, ask, &need, route, aged))
+    }
+
+    fn dispatch(
+        &mut self,
+        now: clock::Moment,
+        ask: &scheduler::Ask,
+        need: &route::Need,
+        route: route::Route,
+        aged: bool,
+    ) -> scheduler::Placement {
+        self.next += 1;
+        let ticket = scheduler::Ticket(self.next);
+        let parts = self.take(now, need, &route);
+        if let route::Route::One { index, seconds } = route {
+            let upstream = &mut self.upstreams[index];
+            upstream.health.sent();
+            if need.class <= document::Class::Medium {
+                let expected = (seconds - upstream.delay) / upstream.pace.slowness(now);
+                upstream.pace.sent(now, ticket, expected);
+            }
+        }
+        let mut names = parts.iter().map(|part| part.upstream.clone());
+        let upstream = names.next().unwrap_or_default();
+        let members = names.collect();
+        let priority = self.priority(need.class, aged);
+        let (class, answer_tokens) = (need.class, ask.answer_tokens);
+        let prefixes = ask.prefixes.clone();
+        let work = scheduler::Work { class, parts, answer_tokens, first_token: None, prefixes };
+        self.tickets.insert(ticket, work);
+        scheduler::Placement { ticket, upstream, members, priority }
+    }
+
+    /// Takes what the request needs on all its engines.
+    fn take(
+        &mut self,
+        now: clock::Moment,
+        need: &route::Need,
+        route: &route::Route,
+    ) -> Vec<scheduler::Part> {
+        let one = |index: usize| [(index, need.kv)];
+        match route {
+            route::Route::One { index, .. } => self.take_spans(now, need, &one(*index)),
+            route::Route::Group { plan, .. } => self.take_spans(now, need, plan.spans()),
+        }
+    }
+
+    fn take_spans(
+        &mut self,
+        now: clock::Moment,
+        need: &route::Need,
+        spans: &[(usize, u64)],
+    ) -> Vec<scheduler::Part> {
+        let mut parts = Vec::with_capacity(spans.len());
+        for &(index, kv) in spans {
+            let upstream = &mut self.upstreams[index];
+            let left = need.tokens - need.cached(upstream.number);
+            let prefill = left.min(kv);
+            upstream.requests += 1;
+            upstream.add(now, need.class, prefill, kv);
+            parts.push(scheduler::Part { upstream: upstream.name.clone(), kv, prefill });
+        }
+        parts
+    }
+
+    fn priority(&self, class: document::Class, aged: bool) -> u8 {
+        if !self.full() || !self.settings.safeguards.priority {
+            return ONE_PRIORITY;
+        }
+        PRIORITY[class as usize] + if aged { AGED } else { 0 }
+    }
+
+    fn clear(&mut self, now: clock::Moment) -> usize {
+        if !self.settings.safeguards.clear {
+            return 0;
+        }
+        self.share.engines(now, self.locals, self.weights.short_share())
+    }
+
+    fn rules(&self, now: clock::Moment) -> route::Rules<'_> {
+        self.rules_with(now, 0)
+    }
+
+    fn rules_with(&self, now: clock::Moment, clear: usize) -> route::Rules<'_> {
+        route::Rules { settings: &self.settings, upstreams: &self.upstreams, clear, now }
+    }
+
+    fn need(&self, ask: &scheduler::Ask) -> route::Need {
+        let affinity = self.full() && self.settings.safeguards.affinity;
+        let hits = if affinity { self.hits(&ask.prefixes) } else { Default::default() };
+        let kv = ask.prompt_tokens + ask.answer_tokens;
+        route::Need { class: scheduler::class(ask), tokens: ask.prompt_tokens, kv, hits }
+    }
+
+    /// Engines that hold the longest known prefix. A prefix is cached only together with the
+    /// shorter ones, so the longest one known is found by halving.
+    fn hits(&self, prefixes: &[(u64, u64)]) -> [(u32, u64); 4] {
+        let mut hits = [(0, 0); 4];
+        let known = &prefixes[..prefixes.len().min(scheduler::PREFIXES)];
+        let holds = |(hash, _): &(u64, u64)| {
+            self.prefixes.holders(*hash).iter().flatten().any(|place| self.is_current(place))
+        };
+        let length = known.partition_point(holds);
+        let Some((hash, tokens)) = length.checked_sub(1).map(|index| known[index]) else {
+            return hits;
+        };
+        let places = self.prefixes.holders(hash);
+        let current = places.iter().flatten().filter(|place| self.is_current(place));
+        for (hit, place) in hits.iter_mut().zip(current) {
+            *hit = (place.engine, tokens);
+        }
+        hits
+    }
+
+    fn is_current(&self, place: &prefix::Place) -> bool {
+        let index = self.by_number.get(&place.engine);
+        index.is_some_and(|&index| self.upstreams[index].epoch == place.epoch)
+    }
+
+    fn refuse(&mut self, reason: outcome::Reason, seconds: f64) -> scheduler::Verdict {
+        let draw = self.draw();
+        scheduler::Verdict::Refuse(admit::refusal(reason, seconds, draw))
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/tokens.rs
@@ -0,0 +1,46 @@
+//! Tokens from bytes, corrected by what engines count.
+//!
+//! Load pattern: prompts in languages and formats whose bytes for each token differ from the
+//! model's first estimate. Without the correction a label of dense numbers is taken for half its
+//! length, and queues and memory are planned wrong for every request of that model. One answer
+//! moves the estimate by a twentieth, so one odd prompt cannot bend it; bounds of 0.5 to 16 bytes
+//! keep a faulty engine's counts from breaking admission.
+
+/// Share by which one answer moves the estimate.
+const GAIN: f64 = 0.05;
+/// Fewest and most bytes for each token believed.
+const BOUNDS: (f64, f64) = (0.5, 16.0);
+
+/// Bytes for each token of one model.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Ratio {
+    bytes_per_token: f64,
+}
+
+impl Ratio {
+    /// Starts from the model's first estimate.
+    ///
+    /// ```
+    /// let mut ratio = lagoonline::load::tokens::Ratio::new(4.0);
+    /// assert_eq!(ratio.tokens(400), 100);
+    /// for _ in 0..200 { ratio.learn(400, 200); }
+    /// assert!((195..=205).contains(&ratio.tokens(400)));
+    /// ```
+    pub fn new(bytes_per_token: f64) -> Self {
+        Ratio { bytes_per_token: bytes_per_token.clamp(BOUNDS.0, BOUNDS.1) }
+    }
+
+    /// Tokens expected in a prompt of `bytes` bytes.
+    pub fn tokens(&self, bytes: u64) -> u64 {
+        (bytes as f64 / self.bytes_per_token).ceil() as u64
+    }
+
+    /// Takes in the engine's count for a prompt.
+    pub fn learn(&mut self, bytes: u64, tokens: u64) {
+        if bytes == 0 || tokens == 0 {
+            return;
+        }
+        let seen = (bytes as f64 / tokens as f64).clamp(BOUNDS.0, BOUNDS.1);
+        self.bytes_per_token += GAIN * (seen - self.bytes_per_token);
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -0,0 +1,147 @@
+//! What one host knows of one upstream: its own work there, and a lagging report of the rest.
+//!
+//! Load pattern: load views that lag by up to a second. On the report alone every host sends its
+//! queue to the engine that was idle a moment ago. So the work of this host is counted exactly,
+//! only the part of other hosts comes from the report, and prefill drains at the known rate
+//! between reports.
+
+use crate::clock;
+use crate::control::document;
+use crate::id;
+use crate::load::outlier;
+use crate::load::ramp;
+use crate::load::rate;
+use crate::port::engine;
+
+/// Tokens that an engine prefills in one step, which a newcomer of any priority waits for.
+const CHUNK: f64 = 1_024.0;
+
+/// One upstream as seen from this host.
+#[derive(Debug, Default)]
+pub(crate) struct Upstream {
+    pub name: id::Upstream,
+    /// Stable while the scheduler lives.
+    pub number: u32,
+    /// Raised when what is known of its cache becomes void.
+    pub epoch: u32,
+    /// Its place among the upstreams of this host's zone, none for those of other zones.
+    pub local: Option<usize>,
+    /// Time by which its wait must be shorter than a local one's, in seconds.
+    pub delay: f64,
+    pub slots: u32,
+    pub kv_tokens: u64,
+    pub role: engine::Role,
+    pub leaving: bool,
+    /// No longer in the fleet; kept until its work ends.
+    pub gone: bool,
+    pub joined: Option<clock::Moment>,
+    pub full_until: clock::Moment,
+    pub health: outlier::Health,
+    pub pace: rate::Pace,
+    /// Our requests, those before their first token by class in tokens, and our KV memory.
+    pub requests: u32,
+    pub pending: [u64; 4],
+    pub kv: u64,
+    pub nominal: f64,
+    pub incarnation: u64,
+    pub cache_sequence: u64,
+    others_requests: u32,
+    others_kv: u64,
+    own: [f64; 4],
+    others: [f64; 4],
+    drained: clock::Moment,
+}
+
+impl Upstream {
+    /// Prefill rate by what was learned, in tokens a second.
+    pub fn rate(&self, now: clock::Moment) -> f64 {
+        self.nominal / self.pace.slowness(now)
+    }
+
+    /// Prefill of this class and shorter ones that is outstanding, in tokens.
+    pub fn ahead(&self, now: clock::Moment, class: document::Class) -> f64 {
+        let upto = class as usize;
+        let all: f64 = (0..=upto).map(|class| self.own[class] + self.others[class]).sum();
+        let drained = now.since(self.drained).as_secs_f64() * self.rate(now);
+        (all - drained).max(0.0)
+    }
+
+    /// Seconds until the first token of a prompt with `tokens` tokens to prefill.
+    pub fn first_token(&self, now: clock::Moment, class: document::Class, tokens: f64) -> f64 {
+        let rate = self.rate(now).max(1.0);
+        let longer = (class as usize + 1..4).any(|class| self.pending[class] > 0);
+        let residual = if longer { CHUNK / 2.0 } else { 0.0 };
+        (self.ahead(now, class) + tokens + residual) / rate + self.delay
+    }
+
+    /// Long prefill that is outstanding here, by our count and the last report, in tokens.
+    pub fn long_pending(&self) -> f64 {
+        (self.pending[2] + self.pending[3]) as f64 + self.others[2] + self.others[3]
+    }
+
+    /// Slots that are free for this host.
+    pub fn free_slots(&self, now: clock::Moment, ramped: bool) -> u32 {
+        let joined = if ramped { self.joined } else { None };
+        let slots = ramp::slots(self.slots, joined, now);
+        slots.saturating_sub(self.requests + self.others_requests)
+    }
+
+    /// KV memory that is free, in tokens.
+    pub fn free_kv(&self) -> u64 {
+        self.kv_tokens.saturating_sub(self.kv + self.others_kv)
+    }
+
+    /// Whether anything new may go there.
+    pub fn is_open(&self, now: clock::Moment, outliers: bool) -> bool {
+        let healthy = !outliers || self.health.allows(now);
+        !self.gone && !self.leaving && healthy && self.full_until <= now
+    }
+
+    /// Takes in a report; `mix` is the part of prefill work of each class.
+    pub fn observe(&mut self, now: clock::Moment, load: &engine::Load, mix: [f64; 4]) {
+        self.drain(now);
+        if load.prefill_rate > 0.0 {
+            self.nominal = load.prefill_rate;
+        }
+        if load.kv_tokens > 0 {
+            self.kv_tokens = load.kv_tokens;
+            let used = load.kv_tokens.saturating_sub(load.kv_free_tokens);
+            self.others_kv = used.saturating_sub(self.kv);
+        }
+        self.others_requests = (load.running + load.waiting).saturating_sub(self.requests);
+        let own: f64 = self.own.iter().sum();
+        let others = (load.prefill_tokens as f64 - own).max(0.0);
+        self.others = mix.map(|part| part * others);
+    }
+
+    /// Adds prefill of ours.
+    pub fn add(&mut self, now: clock::Moment, class: document::Class, tokens: u64, kv: u64) {
+        self.drain(now);
+        self.own[class as usize] += tokens as f64;
+        self.pending[class as usize] += tokens;
+        self.kv += kv;
+    }
+
+    /// Prefill of ours is done or given up.
+    pub fn prefilled(&mut self, now: clock::Moment, class: document::Class, tokens: u64) {
+        self.drain(now);
+        let class = class as usize;
+        self.pending[class] = self.pending[class].saturating_sub(tokens);
+        self.own[class] = self.own[class].min(self.pending[class] as f64);
+    }
+
+    /// Moves the outstanding prefill on, shorter classes first as the engine does.
+    fn drain(&mut self, now: clock::Moment) {
+        let mut work = now.since(self.drained).as_secs_f64() * self.rate(now);
+        for (own, others) in self.own.iter_mut().zip(&mut self.others) {
+            let all = *own + *others;
+            if all > 0.0 {
+                let left = (1.0 - work / all).max(0.0);
+                work = (work - all).max(0.0);
+                *own *= left;
+                *others *= left;
+            }
+        }
+        self.drained = now;
+    }
+}
