lagoon-load bench: decisions before fake engines in virtual time

Cause: no figures of any policy existed. Change: open-loop arrivals from a seed, named scenarios and policies, HDR histograms, medians over seeds as JSON, an SVG plot.

--- /dev/null
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -0,0 +1,182 @@
+//! Load and experiment tool.
+
+use std::error;
+use std::fs;
+use std::path;
+use std::process;
+
+use lagoon_load::bench::arrival;
+use lagoon_load::bench::plot;
+use lagoon_load::bench::report;
+use lagoon_load::bench::scenario;
+use lagoon_load::bench::world;
+use lagoonline::load;
+
+/// Load and experiment tool.
+#[derive(argh::FromArgs)]
+struct Args {
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(argh::FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Bench(Bench),
+}
+
+/// The decisions under load before fake engines, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "bench")]
+struct Bench {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// policy by name; may be repeated; all by default
+    #[argh(option)]
+    policy: Vec<String>,
+    /// safeguard of the full policy to turn off; may be repeated
+    #[argh(option)]
+    off: Vec<String>,
+    /// how the full policy picks: shortest or two
+    #[argh(option, default = "String::from(\"shortest\")")]
+    choice: String,
+    /// what the owners weigh: even, lakeshore or vatuwaqa
+    #[argh(option, default = "String::from(\"even\")")]
+    weights: String,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// seconds of arrivals
+    #[argh(option, default = "300.0")]
+    seconds: f64,
+    /// file for the figures; standard output by default
+    #[argh(option)]
+    json: Option<path::PathBuf>,
+    /// file for a plot
+    #[argh(option)]
+    svg: Option<path::PathBuf>,
+    /// figure of the plot
+    #[argh(option, default = "String::from(\"short_p95_ms\")")]
+    figure: String,
+}
+
+/// The command line names something that there is not.
+#[derive(Debug, thiserror::Error)]
+#[error("unknown {kind} {name:?}")]
+struct Unknown {
+    kind: &'static str,
+    name: String,
+}
+
+fn main() -> process::ExitCode {
+    let args: Args = argh::from_env();
+    let Command::Bench(bench) = args.command;
+    match run(&bench) {
+        Ok(()) => process::ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("lagoon-load: {error}");
+            let usage = error.downcast_ref::<Unknown>().is_some();
+            process::ExitCode::from(if usage { 2 } else { 1 })
+        }
+    }
+}
+
+fn run(bench: &Bench) -> Result<(), Box<dyn error::Error>> {
+    let scenarios = scenarios(&bench.scenario)?;
+    let policies = policies(&bench.policy)?;
+    let safeguards = safeguards(&bench.off)?;
+    let weights = weights(&bench.weights)?;
+    let choice = choice(&bench.choice)?;
+    let mut rows = Vec::new();
+    for scenario in &scenarios {
+        for &policy in &policies {
+            let weights = Some(weights);
+            let settings =
+                load::Settings { policy, choice, safeguards, weights, ..Default::default() };
+            let runs = (1..=bench.seeds).map(|seed| one(scenario, &settings, seed, bench));
+            let runs: Vec<_> = runs.collect();
+            rows.push(report::row(scenario.name, policy.as_str(), &runs));
+        }
+    }
+    let text = serde_json::to_string_pretty(&rows)?;
+    match &bench.json {
+        Some(file) => fs::write(file, text)?,
+        None => println!("{text}"),
+    }
+    if let Some(file) = &bench.svg {
+        plot::bars(file, &bench.figure, &rows)?;
+    }
+    Ok(())
+}
+
+fn one(
+    scenario: &scenario::Scenario,
+    settings: &load::Settings,
+    seed: u64,
+    bench: &Bench,
+) -> report::Tally {
+    let arrivals = arrival::draw(scenario, seed, bench.seconds);
+    let settings = load::Settings { seed: seed * 1_000, ..settings.clone() };
+    world::World::new(scenario, &arrivals, &settings, bench.seconds).run()
+}
+
+fn scenarios(names: &[String]) -> Result<Vec<scenario::Scenario>, Unknown> {
+    let all = scenario::all();
+    if names.is_empty() {
+        return Ok(all);
+    }
+    let find = |name: &String| {
+        let found = all.iter().find(|scenario| scenario.name == name);
+        found.copied().ok_or_else(|| Unknown { kind: "scenario", name: name.clone() })
+    };
+    names.iter().map(find).collect()
+}
+
+fn policies(names: &[String]) -> Result<Vec<load::Policy>, Unknown> {
+    if names.is_empty() {
+        return Ok(load::Policy::ALL.to_vec());
+    }
+    let find = |name: &String| {
+        let found = load::Policy::ALL.into_iter().find(|policy| policy.as_str() == name);
+        found.ok_or_else(|| Unknown { kind: "policy", name: name.clone() })
+    };
+    names.iter().map(find).collect()
+}
+
+fn safeguards(off: &[String]) -> Result<load::Safeguards, Unknown> {
+    let mut safeguards = load::Safeguards::default();
+    for name in off {
+        let flag = match name.as_str() {
+            "admit" => &mut safeguards.admit,
+            "fair" => &mut safeguards.fair,
+            "priority" => &mut safeguards.priority,
+            "long-bound" => &mut safeguards.long_bound,
+            "clear" => &mut safeguards.clear,
+            "affinity" => &mut safeguards.affinity,
+            "outlier" => &mut safeguards.outlier,
+            "ramp" => &mut safeguards.ramp,
+            "retry-budget" => &mut safeguards.retry_budget,
+            _ => return Err(Unknown { kind: "safeguard", name: name.clone() }),
+        };
+        *flag = false;
+    }
+    Ok(safeguards)
+}
+
+fn weights(name: &str) -> Result<load::Weights, Unknown> {
+    match name {
+        "even" => Ok(load::Weights::default()),
+        "lakeshore" => Ok(load::Weights { first_token: [4.0; 4], short_slowdown: 1.0 }),
+        "vatuwaqa" => Ok(load::Weights { first_token: [1.0; 4], short_slowdown: 4.0 }),
+        _ => Err(Unknown { kind: "weights", name: name.to_owned() }),
+    }
+}
+
+fn choice(name: &str) -> Result<load::Choice, Unknown> {
+    match name {
+        "shortest" => Ok(load::Choice::Shortest),
+        "two" => Ok(load::Choice::Two),
+        _ => Err(Unknown { kind: "choice", name: name.to_owned() }),
+    }
+}
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,1 +1,3 @@
-//! lagoon-load.
+//! lagoon-load: load and experiment tools.
+
+pub mod bench;
