--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -152,6 +152,7 @@
             "fair" => &mut safeguards.fair,
             "priority" => &mut safeguards.priority,
             "long-bound" => &mut safeguards.long_bound,
+            "floor" => &mut safeguards.floor,
             "clear" => &mut safeguards.clear,
             "affinity" => &mut safeguards.affinity,
             "outlier" => &mut safeguards.outlier,
--- a/crates/lagoonline/src/load/clear.rs
+++ b/crates/lagoonline/src/load/clear.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: long among short. Even with priorities, a short prompt on an engine that prefills
 //! a long one waits for the chunk under way, and its tokens come between chunks. Engines without
-//! long prompts spare it that. The share follows the short prompts' part of the prefill work,
+//! long prompts spare it that. The share is what the long prompts' part of the prefill work leaves,
 //! scaled by what the owners weigh. It moves by one engine at most every five seconds and only
 //! when it is off by three quarters of one: an engine that changes sides at every burst is of no
 //! use to either, since long prompts stay for tens of seconds.
@@ -17,7 +17,10 @@
 /// Distance from the wanted number that makes it move.
 const HYSTERESIS: f64 = 0.75;
 /// Most of the engines that are kept clear while there are long prompts.
-const MOST: f64 = 0.6;
+const MOST: f64 = 0.8;
+/// Engines left to long prompts, as a multiple of their part of the work: they share these with
+/// the short prompts that the clear ones cannot take.
+const ROOM: f64 = 3.0;
 
 /// How many engines are kept clear.
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,18 +49,12 @@
         if all > 0.0 { part / all } else { 1.0 }
     }
 
-    /// Part of the prefill work of each class.
-    pub fn mix(&self) -> [f64; 4] {
-        let all: f64 = self.work.iter().sum();
-        if all > 0.0 { self.work.map(|work| work / all) } else { [1.0, 0.0, 0.0, 0.0] }
-    }
-
     /// Engines of `all` to keep clear now, where `short_share` is the owners' weight of short
     /// requests from 0 to 1.
     pub fn engines(&mut self, now: clock::Moment, all: usize, short_share: f64) -> usize {
-        let part = self.up_to(document::Class::Short);
         let long = 1.0 - self.up_to(document::Class::Medium);
-        let wanted = if long > 0.0 { (part * 2.0 * short_share).min(MOST) } else { 0.0 };
+        let room = (1.0 - ROOM * long).clamp(0.0, MOST);
+        let wanted = if long > 0.0 { room * short_share } else { 0.0 };
         let wanted = wanted * all as f64;
         let most = all.saturating_sub(1);
         let off = wanted - self.engines as f64;
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -9,6 +9,7 @@
 mod baseline;
 pub mod clear;
 pub mod fair;
+pub mod floor;
 pub mod group;
 pub mod outlier;
 pub mod predict;
@@ -23,6 +24,7 @@
 mod shards;
 pub mod tokens;
 mod upstream;
+pub mod usage;
 
 pub use scheduler::*;
 pub use settings::*;
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Need {
     pub class: document::Class,
+    /// Class that it counts as, by length and the customer's share.
+    pub rank: document::Class,
     pub tokens: u64,
     /// KV memory for prompt and answer, in tokens.
     pub kv: u64,
@@ -76,7 +78,7 @@
 
     /// Class whose prefill, with that of shorter ones, goes before the request.
     fn ahead_class(&self, need: &Need) -> document::Class {
-        if self.safeguards().priority { need.class } else { document::Class::Huge }
+        if self.safeguards().priority { need.rank } else { document::Class::Huge }
     }
 
     /// Seconds to the first token there.
@@ -107,6 +109,13 @@
             return pending <= 0.0
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64;
         }
+        if need.rank == document::Class::Short
+            && self.safeguards().floor
+            && upstream.has_later(need.rank)
+            && !upstream.floor.allows(self.now, upstream.nominal, self.settings.hosts_in_zone)
+        {
+            return false;
+        }
         let bound = self.settings.ahead.as_secs_f64() * upstream.rate(self.now);
         upstream.ahead(self.now, self.ahead_class(need)) < bound
     }
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -15,6 +15,7 @@
 use crate::load::retry;
 use crate::load::settings;
 use crate::load::upstream;
+use crate::load::usage;
 use crate::outcome;
 use crate::port::engine;
 use crate::view;
@@ -131,6 +132,9 @@
     tickets: collections::HashMap<Ticket, Work>,
     budget: retry::Budget,
     share: clear::Share,
+    usage: usage::Usage,
+    /// Prefill that other hosts usually have on one engine, in tokens.
+    typical: f64,
     forecast: predict::Forecast,
     prefixes: prefix::Map,
     next: u64,
@@ -142,7 +146,8 @@
 /// A dispatched request.
 #[derive(Debug)]
 struct Work {
-    class: document::Class,
+    /// Class that it counted as, by length and the customer's share.
+    rank: document::Class,
     /// Engines with the KV memory and the prefill that this request takes there, in tokens; the
     /// first one answers.
     parts: Vec<Part>,
@@ -230,7 +235,6 @@
     /// Takes in a lagging load report.
     pub fn observe(&mut self, now: clock::Moment, upstream: &id::Upstream, load: &engine::Load) {
         let Some(&index) = self.index.get(upstream) else { return };
-        let mix = self.share.mix();
         let upstream = &mut self.upstreams[index];
         if upstream.incarnation != 0 && load.incarnation != upstream.incarnation {
             upstream.epoch += 1;
@@ -238,7 +242,7 @@
             upstream.health = outlier::Health::default();
         }
         upstream.incarnation = load.incarnation;
-        upstream.observe(now, load, mix);
+        upstream.observe(now, load, &mut self.typical);
     }
 
     /// Takes in one change of an engine's prefix cache; a gap voids what was known of it.
@@ -268,6 +272,8 @@
     pub fn offer(&mut self, now: clock::Moment, ask: Ask) -> Verdict {
         self.budget.first_attempt();
         self.share.offered(now, class(&ask), ask.prompt_tokens);
+        let cost = queue::cost(&ask);
+        self.usage.record(now, &ask.customer, ask.weight, cost);
         self.enter(now, ask)
     }
 
@@ -305,7 +311,7 @@
         for part in &work.parts {
             let Some(&index) = self.index.get(&part.upstream) else { continue };
             let upstream = &mut self.upstreams[index];
-            upstream.prefilled(now, work.class, part.prefill);
+            upstream.prefilled(now, work.rank, part.prefill);
             upstream.pace.first_token(now, ticket);
             let place = prefix::Place { engine: upstream.number, epoch: upstream.epoch };
             for (hash, _) in work.prefixes.iter().take(PREFIXES) {
@@ -328,7 +334,7 @@
             upstream.requests = upstream.requests.saturating_sub(1);
             upstream.kv = upstream.kv.saturating_sub(part.kv);
             if work.first_token.is_none() {
-                upstream.prefilled(now, work.class, part.prefill);
+                upstream.prefilled(now, work.rank, part.prefill);
             }
             upstream.pace.ended(ticket);
             if place == 0 {
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -4,6 +4,7 @@
 use crate::control::document;
 use crate::load::admit;
 use crate::load::baseline;
+use crate::load::floor;
 use crate::load::prefix;
 use crate::load::queue;
 use crate::load::route;
@@ -19,6 +20,9 @@
 const AGED: u8 = 24;
 /// A waiter moves up one class each time it has waited this part of its longest wait.
 const AGEING: u32 = 4;
+/// Part of the longest wait up to which a wait may be predicted: the rest is for prompts that
+/// come later and go first, so that few are refused after having waited.
+const ADMIT_PART: f64 = 0.6;
 /// Part of the time left that is kept for the engine when a wait is bounded.
 const ENGINE_PART: f64 = 0.5;
 
@@ -27,7 +31,7 @@
         if !self.upstreams.iter().any(|upstream| !upstream.leaving && !upstream.gone) {
             return self.refuse(outcome::Reason::NoUpstream, 1.0);
         }
-        let band = self.band(&ask);
+        let band = self.rank(now, &ask) as usize;
         let first = (0..=band).all(|band| self.queue.band_is_empty(band));
         if first && let Some(placement) = self.place(now, &ask, false) {
             self.forecast.dispatched(now, queue::cost(&ask), false);
@@ -100,9 +104,18 @@
         self.settings.policy == settings::Policy::Full
     }
 
-    fn band(&self, ask: &scheduler::Ask) -> usize {
-        let split = self.full() && self.settings.safeguards.priority;
-        if split { scheduler::class(ask) as usize } else { 0 }
+    /// Class that a request counts as: a later one for customers over their share, and the same
+    /// for all where priorities are off.
+    fn rank(&self, now: clock::Moment, ask: &scheduler::Ask) -> document::Class {
+        let safeguards = self.settings.safeguards;
+        if !self.full() || !safeguards.priority {
+            return document::Class::Short;
+        }
+        let class = scheduler::class(ask);
+        if !safeguards.fair || !self.usage.is_over(now, &ask.customer) {
+            return class;
+        }
+        document::Class::ALL[(class as usize + 1).min(document::Class::ALL.len() - 1)]
     }
 
     /// Bands with waiters, most urgent first, each with the class that its age has moved it to.
@@ -128,7 +141,7 @@
         if !self.full() {
             return Ok(ask.deadline);
         }
-        let need = self.need(ask);
+        let need = self.need(now, ask);
         let survey = self.rules(now).survey(&need);
         let draw = self.draw();
         if need.kv > survey.memory {
@@ -138,14 +151,16 @@
             return Ok(ask.deadline);
         }
         let rate = survey.rate / f64::from(self.settings.hosts_in_zone.max(1));
+        // Longer prompts are sure of the floor of an engine's rate only.
+        let slowest = if need.rank == document::Class::Short { 1.0 } else { floor::PART };
         let prediction = admit::Prediction {
             wait: self.forecast.wait(self.queue.tokens_before(band, ask), rate),
-            first_token: survey.soonest,
+            first_token: survey.soonest / slowest,
             answer: self.forecast.answer(ask.answer_tokens),
         };
         let left = ask.deadline.since(now);
         let longest = self.settings.longest_wait[need.class as usize];
-        admit::check(prediction, longest, left, draw)?;
+        admit::check(prediction, longest.mul_f64(ADMIT_PART), left, draw)?;
         let engine = prediction.first_token + prediction.answer;
         let engine = engine.min(left.as_secs_f64() * ENGINE_PART);
         let spare = left.saturating_sub(clock::Span::from_secs_f64(engine));
@@ -173,7 +188,7 @@
         ask: &scheduler::Ask,
         aged: bool,
     ) -> Option<scheduler::Placement> {
-        let need = self.need(ask);
+        let need = self.need(now, ask);
         let draw = self.draw();
         let largest = self.upstreams.iter().map(|upstream| upstream.kv_tokens).max().unwrap_or(0);
         let full = self.full();
@@ -205,7 +220,7 @@
         if let route::Route::One { index, seconds } = route {
             let upstream = &mut self.upstreams[index];
             upstream.health.sent();
-            if need.class <= document::Class::Medium {
+            if need.rank == document::Class::Short {
                 let expected = (seconds - upstream.delay) / upstream.pace.slowness(now);
                 upstream.pace.sent(now, ticket, expected);
             }
@@ -213,10 +228,10 @@
         let mut names = parts.iter().map(|part| part.upstream.clone());
         let upstream = names.next().unwrap_or_default();
         let members = names.collect();
-        let priority = self.priority(need.class, aged);
-        let (class, answer_tokens) = (need.class, ask.answer_tokens);
+        let priority = self.priority(need.rank, aged);
+        let (rank, answer_tokens) = (need.rank, ask.answer_tokens);
         let prefixes = ask.prefixes.clone();
-        let work = scheduler::Work { class, parts, answer_tokens, first_token: None, prefixes };
+        let work = scheduler::Work { rank, parts, answer_tokens, first_token: None, prefixes };
         self.tickets.insert(ticket, work);
         scheduler::Placement { ticket, upstream, members, priority }
     }
@@ -247,17 +262,21 @@
             let left = need.tokens - need.cached(upstream.number);
             let prefill = left.min(kv);
             upstream.requests += 1;
-            upstream.add(now, need.class, prefill, kv);
+            upstream.add(now, need.rank, prefill, kv);
+            if need.rank == document::Class::Short {
+                let (rate, hosts) = (upstream.nominal, self.settings.hosts_in_zone);
+                upstream.floor.sent(now, prefill as f64, rate, hosts);
+            }
             parts.push(scheduler::Part { upstream: upstream.name.clone(), kv, prefill });
         }
         parts
     }
 
-    fn priority(&self, class: document::Class, aged: bool) -> u8 {
+    fn priority(&self, rank: document::Class, aged: bool) -> u8 {
         if !self.full() || !self.settings.safeguards.priority {
             return ONE_PRIORITY;
         }
-        PRIORITY[class as usize] + if aged { AGED } else { 0 }
+        PRIORITY[rank as usize] + if aged { AGED } else { 0 }
     }
 
     fn clear(&mut self, now: clock::Moment) -> usize {
@@ -275,11 +294,12 @@
         route::Rules { settings: &self.settings, upstreams: &self.upstreams, clear, now }
     }
 
-    fn need(&self, ask: &scheduler::Ask) -> route::Need {
+    fn need(&self, now: clock::Moment, ask: &scheduler::Ask) -> route::Need {
         let affinity = self.full() && self.settings.safeguards.affinity;
         let hits = if affinity { self.hits(&ask.prefixes) } else { Default::default() };
         let kv = ask.prompt_tokens + ask.answer_tokens;
-        route::Need { class: scheduler::class(ask), tokens: ask.prompt_tokens, kv, hits }
+        let (class, rank) = (scheduler::class(ask), self.rank(now, ask));
+        route::Need { class, rank, tokens: ask.prompt_tokens, kv, hits }
     }
 
     /// Engines that hold the longest known prefix. A prefix is cached only together with the
--- a/crates/lagoonline/src/load/settings.rs
+++ b/crates/lagoonline/src/load/settings.rs
@@ -67,6 +67,8 @@
     pub priority: bool,
     /// Bound the long prefill on one engine.
     pub long_bound: bool,
+    /// Keep a part of each engine's rate for longer prompts pending there.
+    pub floor: bool,
     /// Keep a share of the engines clear of long prompts.
     pub clear: bool,
     /// Prefer engines that have cached the prefix.
@@ -86,6 +88,7 @@
             fair: true,
             priority: true,
             long_bound: true,
+            floor: true,
             clear: true,
             affinity: true,
             outlier: true,
@@ -175,7 +178,7 @@
             choice: Choice::Shortest,
             safeguards: Safeguards::default(),
             weights: None,
-            longest_wait: [2, 10, 60, 300].map(clock::Span::from_secs),
+            longest_wait: [5, 20, 60, 300].map(clock::Span::from_secs),
             ahead: clock::Span::from_millis(300),
             long_tokens: 65_536,
             remote_zones: Vec::new(),
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::control::document;
 use crate::id;
+use crate::load::floor;
 use crate::load::outlier;
 use crate::load::ramp;
 use crate::load::rate;
@@ -16,6 +17,12 @@
 /// Tokens that an engine prefills in one step, which a newcomer of any priority waits for.
 const CHUNK: f64 = 1_024.0;
 
+/// Prefill of other hosts that can be short prompts only, in seconds of the engine's rate: each
+/// host's own bound on what is ahead, with some for the lag.
+const SHORT_SECONDS: f64 = 0.4;
+/// Weight of one report in what others usually have.
+const TYPICAL_GAIN: f64 = 0.05;
+
 /// One upstream as seen from this host.
 #[derive(Debug, Default)]
 pub(crate) struct Upstream {
@@ -49,6 +56,7 @@
     others_kv: u64,
     own: [f64; 4],
     others: [f64; 4],
+    pub floor: floor::Floor,
     drained: clock::Moment,
 }
 
@@ -69,8 +77,7 @@
     /// Seconds until the first token of a prompt with `tokens` tokens to prefill.
     pub fn first_token(&self, now: clock::Moment, class: document::Class, tokens: f64) -> f64 {
         let rate = self.rate(now).max(1.0);
-        let longer = (class as usize + 1..4).any(|class| self.pending[class] > 0);
-        let residual = if longer { CHUNK / 2.0 } else { 0.0 };
+        let residual = if self.has_later(class) { CHUNK / 2.0 } else { 0.0 };
         (self.ahead(now, class) + tokens + residual) / rate + self.delay
     }
 
@@ -97,8 +104,15 @@
         !self.gone && !self.leaving && healthy && self.full_until <= now
     }
 
-    /// Takes in a report; `mix` is the part of prefill work of each class.
-    pub fn observe(&mut self, now: clock::Moment, load: &engine::Load, mix: [f64; 4]) {
+    /// Whether prompts of a later rank are pending here.
+    pub fn has_later(&self, rank: document::Class) -> bool {
+        (rank as usize + 1..4).any(|rank| self.pending[rank] > 0 || self.others[rank] > 0.0)
+    }
+
+    /// Takes in a report. Reports do not tell prompts apart by length, but every host keeps short
+    /// prefill below a bound: `typical` is what others usually have, and what exceeds that in a
+    /// large report must be long.
+    pub fn observe(&mut self, now: clock::Moment, load: &engine::Load, typical: &mut f64) {
         self.drain(now);
         if load.prefill_rate > 0.0 {
             self.nominal = load.prefill_rate;
@@ -111,7 +125,12 @@
         self.others_requests = (load.running + load.waiting).saturating_sub(self.requests);
         let own: f64 = self.own.iter().sum();
         let others = (load.prefill_tokens as f64 - own).max(0.0);
-        self.others = mix.map(|part| part * others);
+        if others <= self.nominal * SHORT_SECONDS {
+            *typical += TYPICAL_GAIN * (others - *typical);
+            self.others = [others, 0.0, 0.0, 0.0];
+        } else {
+            self.others = [typical.min(others), 0.0, (others - *typical).max(0.0), 0.0];
+        }
     }
 
     /// Adds prefill of ours.
--- /dev/null
+++ b/crates/lagoonline/src/load/usage.rs
@@ -0,0 +1,94 @@
+//! Who uses more than its share now.
+//!
+//! Load pattern: one customer that sends ten times its share. Fair turns at this host are not
+//! enough: what it has dispatched already stands before the others inside the engines. So requests
+//! of a customer over twice its share rank one length class later, here and in the engine, and
+//! those of the others pass them. Twice, because shares of a busy moment vary by chance; a
+//! customer alone is never over its share, so nothing is taken from it while nobody else asks.
+
+use std::collections;
+
+use crate::clock;
+use crate::id;
+
+/// Time over which use halves its weight, in seconds: some queue lengths, not a whole minute, so
+/// that a customer which stops sending is soon on par again.
+const HALF_LIFE: f64 = 5.0;
+/// Multiple of the fair share from which on a customer is over it.
+const OVER: f64 = 2.0;
+/// Decayed tokens below which a customer counts as away.
+const AWAY: f64 = 1.0;
+/// Customers remembered before those that are away are dropped.
+const KEPT: usize = 64;
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    tokens: f64,
+    weight: u32,
+    at: clock::Moment,
+}
+
+/// Recent use of one model at one host, by customer.
+#[derive(Debug, Default)]
+pub struct Usage {
+    uses: collections::HashMap<id::Customer, Use>,
+    total: f64,
+    weights: u64,
+    at: clock::Moment,
+    limit: usize,
+}
+
+impl Usage {
+    /// A customer asked for work of `tokens` tokens.
+    pub fn record(
+        &mut self,
+        now: clock::Moment,
+        customer: &id::Customer,
+        weight: u32,
+        tokens: u64,
+    ) {
+        self.total = self.total * fade(self.at, now) + tokens as f64;
+        self.at = now;
+        if let Some(used) = self.uses.get_mut(customer) {
+            used.tokens = used.tokens * fade(used.at, now) + tokens as f64;
+            used.at = now;
+            return;
+        }
+        self.forget(now);
+        self.uses.insert(customer.clone(), Use { tokens: tokens as f64, weight, at: now });
+        self.weights += u64::from(weight);
+    }
+
+    /// Whether the customer uses more than twice its share.
+    ///
+    /// ```
+    /// use lagoonline::{clock::Moment, id::Customer, load::usage::Usage};
+    /// let (few, many) = (Customer::from("few"), Customer::from("many"));
+    /// let mut usage = Usage::default();
+    /// usage.record(Moment::START, &many, 1, 900);
+    /// assert!(!usage.is_over(Moment::START, &many));
+    /// for name in ["a", "b", "few"] { usage.record(Moment::START, &name.into(), 1, 100); }
+    /// assert!(usage.is_over(Moment::START, &many));
+    /// assert!(!usage.is_over(Moment::START, &few));
+    /// ```
+    pub fn is_over(&self, now: clock::Moment, customer: &id::Customer) -> bool {
+        let Some(used) = self.uses.get(customer) else { return false };
+        let total = self.total * fade(self.at, now);
+        let fair = total * f64::from(used.weight) / self.weights.max(1) as f64;
+        used.tokens * fade(used.at, now) > OVER * fair
+    }
+
+    /// Drops customers that are away, each time their number has doubled.
+    fn forget(&mut self, now: clock::Moment) {
+        if self.uses.len() < self.limit.max(KEPT) {
+            return;
+        }
+        self.uses.retain(|_, used| used.tokens * fade(used.at, now) >= AWAY);
+        self.weights = self.uses.values().map(|used| u64::from(used.weight)).sum();
+        self.limit = 2 * self.uses.len();
+    }
+}
+
+fn fade(then: clock::Moment, now: clock::Moment) -> f64 {
+    (-now.since(then).as_secs_f64() / HALF_LIFE).exp2()
+}
