--- a/crates/lagoonline/src/load/floor.rs
+++ b/crates/lagoonline/src/load/floor.rs
@@ -2,42 +2,57 @@
 //!
 //! Load pattern: saturation by short prompts. Engines prefill strictly by priority, so a long
 //! prompt that was admitted would make no progress until the short load falls, and miss its
-//! deadline. While longer prompts are pending on an engine, short ones are sent there at no more
-//! than the rest of its rate. A fifth is enough: a million tokens at a fifth of 20,000 a second
-//! take 250 s of the usual 600 s, and short prompts lose nothing below four fifths of capacity.
+//! deadline. While longer prompts come, short ones are sent to an engine at no more than the rest
+//! of its rate. The floor is one and a half times the longer prompts' part of the work, so that
+//! they catch up, and a quarter at most: a million tokens at a fifth of 20,000 a second take 250 s
+//! of the usual 600 s. It holds for every engine, because a host does not know in time where the
+//! others have sent theirs.
 
 use crate::clock;
 
-/// Part of an engine's rate kept for longer prompts that are pending there.
-pub const PART: f64 = 0.2;
+/// Floor as a multiple of the longer prompts' part of the work.
+const MULTIPLE: f64 = 1.5;
+/// Highest and lowest floor, the lowest for predictions while few longer prompts come.
+const BOUNDS: (f64, f64) = (0.05, 0.25);
+
+/// Part of an engine's rate kept for longer prompts, by their part of the work.
+///
+/// ```
+/// use lagoonline::load::floor;
+/// assert_eq!(floor::part(0.0), 0.05);
+/// assert_eq!(floor::part(0.5), 0.25);
+/// ```
+pub fn part(longer: f64) -> f64 {
+    (MULTIPLE * longer).clamp(BOUNDS.0, BOUNDS.1)
+}
+
 /// By how much one host's part of the rest may exceed an even one: hosts are not equally busy.
-const UNEVEN: f64 = 1.25;
+const UNEVEN: f64 = 1.1;
 /// Short prefill that may come at once, in seconds of the engine's rate.
 const BURST: f64 = 0.5;
 
 /// Short prefill that one host may still send to one engine.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Floor {
-    /// Tokens sent beyond the rate, none when longer prompts were not pending.
+    /// Tokens sent beyond the rate.
     sent: f64,
     at: clock::Moment,
 }
 
 impl Floor {
-    /// Whether short prefill may be sent now to an engine of `rate` tokens a second that
-    /// `hosts` hosts share.
-    pub fn allows(&self, now: clock::Moment, rate: f64, hosts: u32) -> bool {
-        self.left(now, rate, hosts) < BURST * rate / f64::from(hosts.max(1)) * UNEVEN
+    /// Whether short prefill may be sent now to an engine of which this host may use `rate`
+    /// tokens a second.
+    pub fn allows(&self, now: clock::Moment, rate: f64) -> bool {
+        self.left(now, rate) < BURST * rate * UNEVEN
     }
 
     /// Short prefill of `tokens` is sent.
-    pub fn sent(&mut self, now: clock::Moment, tokens: f64, rate: f64, hosts: u32) {
-        self.sent = self.left(now, rate, hosts) + tokens;
+    pub fn sent(&mut self, now: clock::Moment, tokens: f64, rate: f64) {
+        self.sent = self.left(now, rate) + tokens;
         self.at = now;
     }
 
-    fn left(&self, now: clock::Moment, rate: f64, hosts: u32) -> f64 {
-        let rest = (1.0 - PART) * rate * UNEVEN / f64::from(hosts.max(1));
-        (self.sent - rest * now.since(self.at).as_secs_f64()).max(0.0)
+    fn left(&self, now: clock::Moment, rate: f64) -> f64 {
+        (self.sent - rate * UNEVEN * now.since(self.at).as_secs_f64()).max(0.0)
     }
 }
--- a/crates/lagoonline/src/load/predict.rs
+++ b/crates/lagoonline/src/load/predict.rs
@@ -17,25 +17,15 @@
 /// Time for each answer token taken before any answer was seen, in seconds.
 const TOKEN_SECONDS: f64 = 0.03;
 
-/// Learned figures of one model at one host.
-#[derive(Clone, Copy, Debug)]
-pub struct Forecast {
+/// Rate at which a queue empties.
+#[derive(Clone, Copy, Debug, Default)]
+struct Rate {
     rate: Option<f64>,
     window: Option<(clock::Moment, u64)>,
-    answer_part: f64,
-    token_seconds: f64,
 }
 
-impl Default for Forecast {
-    fn default() -> Self {
-        let token_seconds = TOKEN_SECONDS;
-        Forecast { rate: None, window: None, answer_part: 1.0, token_seconds }
-    }
-}
-
-impl Forecast {
-    /// Work of `tokens` went out, while others still waited or not.
-    pub fn dispatched(&mut self, now: clock::Moment, tokens: u64, waiting: bool) {
+impl Rate {
+    fn dispatched(&mut self, now: clock::Moment, tokens: u64, waiting: bool) {
         if !waiting {
             self.window = None;
             return;
@@ -51,6 +41,38 @@
         self.rate = Some(self.rate.map_or(sample, |rate| rate + GAIN * (sample - rate)));
         self.window = Some((now, 0));
     }
+}
+
+/// Learned figures of one model at one host.
+#[derive(Clone, Copy, Debug)]
+pub struct Forecast {
+    /// By class: rates of the work of that class and shorter ones.
+    queues: [Rate; 4],
+    answer_part: f64,
+    token_seconds: f64,
+}
+
+impl Default for Forecast {
+    fn default() -> Self {
+        let token_seconds = TOKEN_SECONDS;
+        Forecast { queues: [Rate::default(); 4], answer_part: 1.0, token_seconds }
+    }
+}
+
+impl Forecast {
+    /// Work of `tokens` and this class went out; `waiting` says, by class, whether work of that
+    /// class or a shorter one still waits.
+    pub fn dispatched(
+        &mut self,
+        now: clock::Moment,
+        class: usize,
+        tokens: u64,
+        waiting: [bool; 4],
+    ) {
+        for upto in class..self.queues.len() {
+            self.queues[upto].dispatched(now, tokens, waiting[upto]);
+        }
+    }
 
     /// An answer ended: its tokens, the most it might have had, the time since its first token.
     pub fn answered(&mut self, tokens: u64, most: u64, took: clock::Span) {
@@ -63,10 +85,10 @@
         self.token_seconds += ANSWER_GAIN * (pace - self.token_seconds);
     }
 
-    /// Seconds until work of `tokens` ahead has left this host; `rate` is taken before any was
-    /// learned.
-    pub fn wait(&self, tokens: u64, rate: f64) -> f64 {
-        tokens as f64 / self.rate.unwrap_or(rate).max(1.0)
+    /// Seconds until work of `tokens` ahead of a request of this class has left this host; `rate`
+    /// is taken before any was learned.
+    pub fn wait(&self, class: usize, tokens: u64, rate: f64) -> f64 {
+        tokens as f64 / self.queues[class].rate.unwrap_or(rate).max(1.0)
     }
 
     /// Seconds from first token to end of an answer of at most `most` tokens.
--- a/crates/lagoonline/src/load/queue.rs
+++ b/crates/lagoonline/src/load/queue.rs
@@ -94,6 +94,17 @@
         self.bands[band].requests == 0
     }
 
+    /// Whether anything waits, by class, in its band or one of shorter prompts.
+    pub fn waiting_up_to(&self) -> [bool; BANDS] {
+        let mut any = false;
+        let mut waiting = [false; BANDS];
+        for (slot, band) in waiting.iter_mut().zip(&self.bands) {
+            any |= band.requests > 0;
+            *slot = any;
+        }
+        waiting
+    }
+
     /// The next waiter to be refused for having waited too long.
     pub fn first_expiry(&self) -> Option<(clock::Moment, scheduler::Waiter)> {
         self.expiries.first().copied()
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -16,6 +16,9 @@
 
 /// Extra time counted for short prompts on an engine meant for long ones, in seconds.
 const WRONG_ROLE: f64 = 0.2;
+/// Extra time counted for medium prompts where a long one is pending, in seconds: they would take
+/// the floor of the engine's rate that keeps it going.
+const PASSES_LONG: f64 = 2.0;
 /// Random pairs tried before all upstreams are looked at.
 const PAIRS: usize = 2;
 
@@ -68,6 +71,8 @@
     pub upstreams: &'a [upstream::Upstream],
     /// Local upstreams kept clear of long prompts.
     pub clear: usize,
+    /// Part of an engine's rate that short prompts may use, 1 while no longer ones come.
+    pub short_part: f64,
     pub now: clock::Moment,
 }
 
@@ -81,11 +86,18 @@
         if self.safeguards().priority { need.rank } else { document::Class::Huge }
     }
 
+    /// Rate at which this host may send short prefill there, in tokens a second.
+    pub fn short_rate(&self, upstream: &upstream::Upstream) -> f64 {
+        self.short_part * upstream.nominal / f64::from(self.settings.hosts_in_zone.max(1))
+    }
+
     /// Seconds to the first token there.
     pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need) -> f64 {
         let tokens = need.tokens - need.cached(upstream.number);
         let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64);
         let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
+        let passes = need.class == document::Class::Medium && upstream.has_later(need.rank);
+        let seconds = if passes { seconds + PASSES_LONG } else { seconds };
         if wrong { seconds + WRONG_ROLE } else { seconds }
     }
 
@@ -101,7 +113,7 @@
     fn has_room(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
         let clear = upstream.local.is_some_and(|rank| rank < self.clear)
             || upstream.role == engine::Role::Short;
-        if clear && need.class > document::Class::Short {
+        if clear && need.class > document::Class::Medium {
             return false;
         }
         if need.class >= document::Class::Long && self.safeguards().long_bound {
@@ -110,9 +122,8 @@
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64;
         }
         if need.rank == document::Class::Short
-            && self.safeguards().floor
-            && upstream.has_later(need.rank)
-            && !upstream.floor.allows(self.now, upstream.nominal, self.settings.hosts_in_zone)
+            && self.short_part < 1.0
+            && !upstream.floor.allows(self.now, self.short_rate(upstream))
         {
             return false;
         }
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -34,7 +34,7 @@
         let band = self.rank(now, &ask) as usize;
         let first = (0..=band).all(|band| self.queue.band_is_empty(band));
         if first && let Some(placement) = self.place(now, &ask, false) {
-            self.forecast.dispatched(now, queue::cost(&ask), false);
+            self.forecast.dispatched(now, band, queue::cost(&ask), [false; queue::BANDS]);
             return scheduler::Verdict::Dispatch(placement);
         }
         let give_up = match self.admit(now, band, &ask) {
@@ -84,7 +84,7 @@
             if let Some(placement) = self.place(now, &item.ask, aged) {
                 let cost = queue::cost(&item.ask);
                 queue.pop(band);
-                self.forecast.dispatched(now, cost, !queue.is_empty());
+                self.forecast.dispatched(now, band, cost, queue.waiting_up_to());
                 return Some(scheduler::Wake::Dispatch(waiter, placement));
             }
             held |= aged;
@@ -152,9 +152,11 @@
         }
         let rate = survey.rate / f64::from(self.settings.hosts_in_zone.max(1));
         // Longer prompts are sure of the floor of an engine's rate only.
-        let slowest = if need.rank == document::Class::Short { 1.0 } else { floor::PART };
+        let longer = 1.0 - self.share.up_to(document::Class::Short);
+        let is_short = need.rank == document::Class::Short;
+        let slowest = if is_short { 1.0 } else { floor::part(longer) };
         let prediction = admit::Prediction {
-            wait: self.forecast.wait(self.queue.tokens_before(band, ask), rate),
+            wait: self.forecast.wait(band, self.queue.tokens_before(band, ask), rate),
             first_token: survey.soonest / slowest,
             answer: self.forecast.answer(ask.answer_tokens),
         };
@@ -256,6 +258,7 @@
         need: &route::Need,
         spans: &[(usize, u64)],
     ) -> Vec<scheduler::Part> {
+        let short_part = self.short_part();
         let mut parts = Vec::with_capacity(spans.len());
         for &(index, kv) in spans {
             let upstream = &mut self.upstreams[index];
@@ -264,8 +267,9 @@
             upstream.requests += 1;
             upstream.add(now, need.rank, prefill, kv);
             if need.rank == document::Class::Short {
-                let (rate, hosts) = (upstream.nominal, self.settings.hosts_in_zone);
-                upstream.floor.sent(now, prefill as f64, rate, hosts);
+                let hosts = f64::from(self.settings.hosts_in_zone.max(1));
+                let rate = short_part * upstream.nominal / hosts;
+                upstream.floor.sent(now, prefill as f64, rate);
             }
             parts.push(scheduler::Part { upstream: upstream.name.clone(), kv, prefill });
         }
@@ -286,12 +290,26 @@
         self.share.engines(now, self.locals, self.weights.short_share())
     }
 
+    /// Part of an engine's rate that short prompts may use.
+    fn short_part(&self) -> f64 {
+        let longer = 1.0 - self.share.up_to(document::Class::Short);
+        let floor = self.settings.safeguards.floor && longer > 0.0;
+        if floor { 1.0 - floor::part(longer) } else { 1.0 }
+    }
+
     fn rules(&self, now: clock::Moment) -> route::Rules<'_> {
         self.rules_with(now, 0)
     }
 
     fn rules_with(&self, now: clock::Moment, clear: usize) -> route::Rules<'_> {
-        route::Rules { settings: &self.settings, upstreams: &self.upstreams, clear, now }
+        let short_part = self.short_part();
+        route::Rules {
+            settings: &self.settings,
+            upstreams: &self.upstreams,
+            clear,
+            short_part,
+            now,
+        }
     }
 
     fn need(&self, now: clock::Moment, ask: &scheduler::Ask) -> route::Need {
