--- a/crates/lagoon-load/src/bench/report.rs
+++ b/crates/lagoon-load/src/bench/report.rs
@@ -159,6 +159,8 @@
             put(&format!("{word}_offered"), self.offered[index] as f64);
             put(&format!("{word}_good"), self.good[index] as f64);
             put(&format!("{word}_refused"), self.refusals[index] as f64);
+            let late = self.offered[index] - self.good[index] - self.refusals[index];
+            put(&format!("{word}_late"), late as f64);
         }
         let offered: u64 = self.offered.iter().sum();
         put("others_p95_ms", self.others.value_at_quantile(0.95) as f64 / 1e3);
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -19,6 +19,8 @@
 /// Extra time counted for medium prompts where a long one is pending, in seconds: they would take
 /// the floor of the engine's rate that keeps it going.
 const PASSES_LONG: f64 = 2.0;
+/// Part of the bound on long prefill that medium prompts may fill.
+const MEDIUM_PART: f64 = 0.5;
 /// Random pairs tried before all upstreams are looked at.
 const PAIRS: usize = 2;
 
@@ -127,6 +129,12 @@
         {
             return false;
         }
+        if need.class == document::Class::Medium && self.safeguards().long_bound {
+            // In the engine a medium prompt moves at the floor of its rate when short ones abound.
+            let pending = upstream.later_pending();
+            return pending <= 0.0
+                || pending + need.tokens as f64 <= self.settings.long_tokens as f64 * MEDIUM_PART;
+        }
         let bound = self.settings.ahead.as_secs_f64() * upstream.rate(self.now);
         upstream.ahead(self.now, self.ahead_class(need)) < bound
     }
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -151,13 +151,9 @@
             return Ok(ask.deadline);
         }
         let rate = survey.rate / f64::from(self.settings.hosts_in_zone.max(1));
-        // Longer prompts are sure of the floor of an engine's rate only.
-        let longer = 1.0 - self.share.up_to(document::Class::Short);
-        let is_short = need.rank == document::Class::Short;
-        let slowest = if is_short { 1.0 } else { floor::part(longer) };
         let prediction = admit::Prediction {
             wait: self.forecast.wait(band, self.queue.tokens_before(band, ask), rate),
-            first_token: survey.soonest / slowest,
+            first_token: survey.soonest / self.sure_part(&need),
             answer: self.forecast.answer(ask.answer_tokens),
         };
         let left = ask.deadline.since(now);
@@ -205,9 +201,31 @@
             let index = baseline::choose(policy, now, &self.upstreams, turn, draw)?;
             route::Route::One { index, seconds: 0.0 }
         };
+        if full && self.settings.safeguards.admit && self.is_late(now, ask, &need, &route) {
+            return None;
+        }
         Some(self.dispatch(now, ask, &need, route, aged))
     }
 
+    /// Part of an engine's rate that a request is sure of: longer prompts of the floor only.
+    fn sure_part(&self, need: &route::Need) -> f64 {
+        let longer = 1.0 - self.share.up_to(document::Class::Short);
+        if need.rank == document::Class::Short { 1.0 } else { floor::part(longer) }
+    }
+
+    /// Whether its answer would end after its deadline there.
+    fn is_late(
+        &self,
+        now: clock::Moment,
+        ask: &scheduler::Ask,
+        need: &route::Need,
+        route: &route::Route,
+    ) -> bool {
+        let (route::Route::One { seconds, .. } | route::Route::Group { seconds, .. }) = *route;
+        let end = seconds / self.sure_part(need) + self.forecast.answer(ask.answer_tokens);
+        end > ask.deadline.since(now).as_secs_f64()
+    }
+
     fn dispatch(
         &mut self,
         now: clock::Moment,
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -86,6 +86,11 @@
         (self.pending[2] + self.pending[3]) as f64 + self.others[2] + self.others[3]
     }
 
+    /// Prefill of all but the first rank that is outstanding here, in tokens.
+    pub fn later_pending(&self) -> f64 {
+        self.pending[1] as f64 + self.long_pending()
+    }
+
     /// Slots that are free for this host.
     pub fn free_slots(&self, now: clock::Moment, ramped: bool) -> u32 {
         let joined = if ramped { self.joined } else { None };
