--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -11,6 +11,7 @@
 pub mod fair;
 pub mod floor;
 pub mod group;
+pub mod limit;
 pub mod outlier;
 pub mod predict;
 pub mod prefix;
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -132,7 +132,7 @@
     tickets: collections::HashMap<Ticket, Work>,
     budget: retry::Budget,
     share: clear::Share,
-    usage: usage::Usage,
+    usage: [usage::Usage; 4],
     /// Prefill that other hosts usually have on one engine, in tokens.
     typical: f64,
     forecast: predict::Forecast,
@@ -273,7 +273,7 @@
         self.budget.first_attempt();
         self.share.offered(now, class(&ask), ask.prompt_tokens);
         let cost = queue::cost(&ask);
-        self.usage.record(now, &ask.customer, ask.weight, cost);
+        self.usage[class(&ask) as usize].record(now, &ask.customer, ask.weight, cost);
         self.enter(now, ask)
     }
 
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -112,12 +112,16 @@
             return document::Class::Short;
         }
         let class = scheduler::class(ask);
-        if !safeguards.fair || !self.usage.is_over(now, &ask.customer) {
+        if !safeguards.fair || !self.is_over(now, class, ask) {
             return class;
         }
         document::Class::ALL[(class as usize + 1).min(document::Class::ALL.len() - 1)]
     }
 
+    fn is_over(&self, now: clock::Moment, class: document::Class, ask: &scheduler::Ask) -> bool {
+        self.usage[class as usize].is_over(now, &ask.customer, queue::cost(ask))
+    }
+
     /// Bands with waiters, most urgent first, each with the class that its age has moved it to.
     fn order(&self, now: clock::Moment, queue: &queue::Queue) -> [(i64, usize); queue::BANDS] {
         let mut order = [(0, 0); queue::BANDS];
--- a/crates/lagoonline/src/load/usage.rs
+++ b/crates/lagoonline/src/load/usage.rs
@@ -28,7 +28,8 @@
     at: clock::Moment,
 }
 
-/// Recent use of one model at one host, by customer.
+/// Recent use of one model at one host in one length class, by customer. Classes are apart, or a
+/// customer's one survey would hold up its short prompts for minutes.
 #[derive(Debug, Default)]
 pub struct Usage {
     uses: collections::HashMap<id::Customer, Use>,
@@ -59,23 +60,24 @@
         self.weights += u64::from(weight);
     }
 
-    /// Whether the customer uses more than twice its share.
+    /// Whether the customer uses more than twice its share and the request of `tokens` tokens: one
+    /// or two requests are no pattern.
     ///
     /// ```
     /// use lagoonline::{clock::Moment, id::Customer, load::usage::Usage};
     /// let (few, many) = (Customer::from("few"), Customer::from("many"));
     /// let mut usage = Usage::default();
     /// usage.record(Moment::START, &many, 1, 900);
-    /// assert!(!usage.is_over(Moment::START, &many));
+    /// assert!(!usage.is_over(Moment::START, &many, 100));
     /// for name in ["a", "b", "few"] { usage.record(Moment::START, &name.into(), 1, 100); }
-    /// assert!(usage.is_over(Moment::START, &many));
-    /// assert!(!usage.is_over(Moment::START, &few));
+    /// assert!(usage.is_over(Moment::START, &many, 100));
+    /// assert!(!usage.is_over(Moment::START, &few, 100));
     /// ```
-    pub fn is_over(&self, now: clock::Moment, customer: &id::Customer) -> bool {
+    pub fn is_over(&self, now: clock::Moment, customer: &id::Customer, tokens: u64) -> bool {
         let Some(used) = self.uses.get(customer) else { return false };
         let total = self.total * fade(self.at, now);
         let fair = total * f64::from(used.weight) / self.weights.max(1) as f64;
-        used.tokens * fade(used.at, now) > OVER * fair
+        used.tokens * fade(used.at, now) > OVER * (fair + tokens as f64)
     }
 
     /// Drops customers that are away, each time their number has doubled.
--- /dev/null
+++ b/crates/lagoonline/tests/load_limit.rs
@@ -0,0 +1,78 @@
+//! Limits that hold over all entry hosts of a zone.
+
+use lagoonline::clock::Moment;
+use lagoonline::id::Customer;
+use lagoonline::load::limit;
+use rstest::rstest;
+
+const RATE: limit::Rate = limit::Rate { requests: 100.0, tokens: 1e9 };
+const SECONDS: u64 = 20;
+
+/// Requests let in by all hosts when each is asked every millisecond, with reports every
+/// `report_ms` that arrive at once, or never.
+fn let_in(hosts: usize, report_ms: Option<u64>) -> u64 {
+    let customer = Customer::from("c");
+    let new = || limit::Limits::new(u32::try_from(hosts).unwrap());
+    let mut all: Vec<_> = (0..hosts).map(|_| new()).collect();
+    let mut count = 0;
+    for ms in 0..SECONDS * 1_000 {
+        let now = Moment::from_millis(ms);
+        for host in &mut all {
+            count += u64::from(host.take(now, &customer, RATE, 1).is_ok());
+        }
+        if report_ms.is_some_and(|period| ms % period == 0) {
+            exchange(now, &mut all);
+        }
+    }
+    count
+}
+
+fn exchange(now: Moment, hosts: &mut [limit::Limits]) {
+    let reports: Vec<_> = hosts.iter_mut().map(limit::Limits::report).collect();
+    for (index, host) in hosts.iter_mut().enumerate() {
+        for (other, report) in reports.iter().enumerate() {
+            if other != index {
+                host.heard(now, report);
+            }
+        }
+    }
+}
+
+// A customer asks every host of the zone far over its limit. All hosts together let in no more
+// than the rate, the burst, and what the others could use within one report's lag.
+#[rstest]
+#[case::small(3, 250)]
+#[case::slow_reports(3, 1_000)]
+#[case::large(39, 250)]
+fn a_zone_lets_in_no_more_than_the_error_bound(#[case] hosts: u64, #[case] lag_ms: u64) {
+    let count = let_in(usize::try_from(hosts).unwrap(), Some(lag_ms));
+    let rate = 100;
+    let burst = (2 * rate).max(hosts);
+    let bound = rate * SECONDS + burst + (hosts - 1) * rate * lag_ms / 1_000 + hosts;
+    assert!(count <= bound, "{count} let in, bound {bound}");
+    assert!(count >= rate * SECONDS * 9 / 10, "{count} let in, limit {}", rate * SECONDS);
+}
+
+// One host serves the customer alone: it may use the whole zone's limit.
+#[test]
+fn a_host_alone_may_use_the_whole_limit() {
+    let customer = Customer::from("c");
+    let mut host = limit::Limits::new(10);
+    let mut count = 0;
+    for ms in 0..SECONDS * 1_000 {
+        let now = Moment::from_millis(ms);
+        count += u64::from(host.take(now, &customer, RATE, 1).is_ok());
+        host.heard(now, &[]);
+    }
+    assert!((1_990..=2_030).contains(&count), "{count}");
+}
+
+// Hosts hear nothing from each other. Each falls back to its even share after three seconds, so
+// the zone lets in three seconds' worth at every host, then the rate.
+#[test]
+fn hosts_cut_off_from_each_other_fall_back_to_shares() {
+    let count = let_in(4, None);
+    let bound = 4 * 3 * 100 + (SECONDS - 3) * 100 + 200 + 4;
+    assert!(count <= bound, "{count} let in, bound {bound}");
+    assert!(count >= SECONDS * 100, "{count}");
+}
