--- a/crates/lagoon-load/src/bench/arrival.rs
+++ b/crates/lagoon-load/src/bench/arrival.rs
@@ -59,6 +59,14 @@
     }
 }
 
+/// Tokens a second that one customer's even share of the short prompts comes to.
+pub fn share(scenario: &scenario::Scenario) -> f64 {
+    let capacity = f64::from(scenario.zones * scenario.engines) * scenario::RATE;
+    let answer = (SHORT.answer.0 + SHORT.answer.1) as f64 / 2.0;
+    let tokens = scenario.short * capacity * (1.0 + answer / SHORT.mean());
+    tokens / f64::from(CUSTOMERS)
+}
+
 /// All arrivals of `seconds`, in order. Each kind has a random stream of its own, so that the same
 /// short prompts come whatever comes beside them.
 pub fn draw(scenario: &scenario::Scenario, seed: u64, seconds: f64) -> Vec<Arrival> {
--- a/crates/lagoon-load/src/bench/scenario.rs
+++ b/crates/lagoon-load/src/bench/scenario.rs
@@ -37,6 +37,8 @@
     pub burst: f64,
     /// The first of ten customers sends this many times its share.
     pub heavy: f64,
+    /// Every customer's limit, as a multiple of its share of the short load; 0 for none.
+    pub limit: f64,
     /// Share of short prompts that start with one of eight prefixes of 1,536 tokens.
     pub shared: f64,
     /// What goes wrong.
@@ -55,6 +57,7 @@
             long: 0.0,
             burst: 1.0,
             heavy: 1.0,
+            limit: 0.0,
             shared: 0.0,
             fault: Fault::None,
         }
@@ -73,6 +76,10 @@
 pub const REPORT: (clock::Span, clock::Span) =
     (clock::Span::from_millis(500), clock::Span::from_millis(250));
 
+/// Time between two exchanges of spending, and their lag.
+pub const SPENDING: (clock::Span, clock::Span) =
+    (clock::Span::from_millis(250), clock::Span::from_millis(50));
+
 /// Every scenario.
 pub fn all() -> Vec<Scenario> {
     let base = Scenario::default();
@@ -87,6 +94,8 @@
         Scenario { name: "burst", short: 0.4, burst: 5.0, ..mixed },
         Scenario { name: "even-customers", short: 0.5, ..base },
         Scenario { name: "few-customers", short: 0.5, heavy: 10.0, ..base },
+        Scenario { name: "even-customers-limited", short: 0.5, limit: 2.0, ..base },
+        Scenario { name: "few-customers-limited", short: 0.5, heavy: 10.0, limit: 2.0, ..base },
         Scenario { name: "few-prefixes", short: 0.9, shared: 0.8, ..base },
         Scenario { name: "slow-upstream", short: 0.55, fault: Fault::Slow(5.0), ..base },
         Scenario { name: "no-slow-upstream", short: 0.55, ..base },
--- a/crates/lagoon-load/src/bench/world.rs
+++ b/crates/lagoon-load/src/bench/world.rs
@@ -32,6 +32,8 @@
     Report(usize),
     Observe(usize, port::engine::Load),
     Wake(usize),
+    Spending,
+    Heard { host: usize, spends: Vec<load::limit::Spend> },
     Begin,
     Finish,
 }
@@ -61,6 +63,7 @@
     engines: Vec<engine::Engine>,
     names: collections::HashMap<id::Upstream, usize>,
     hosts: Vec<load::Scheduler>,
+    limits: Vec<load::limit::Limits>,
     wakes: Vec<clock::Moment>,
     waiters: collections::HashMap<(usize, load::Waiter), usize>,
     requests: Vec<Request>,
@@ -104,6 +107,7 @@
             engines: engines.collect(),
             names: names.map(|(index, upstream)| (upstream.name.clone(), index)).collect(),
             hosts: (0..count).map(host).collect(),
+            limits: (0..count).map(|_| load::limit::Limits::new(scenario.hosts)).collect(),
             wakes: vec![clock::Moment::NEVER; count],
             waiters: collections::HashMap::new(),
             requests: arrivals.iter().map(|_| Request::default()).collect(),
@@ -127,6 +131,9 @@
             let part = scenario::REPORT.0 * index as u32 / self.engines.len() as u32;
             self.at(clock::Moment::START + part, Event::Report(index));
         }
+        if self.scenario.limit > 0.0 {
+            self.at(clock::Moment::START, Event::Spending);
+        }
         while self.open > 0
             && let Some(((now, _), event)) = self.events.pop_first()
         {
@@ -155,6 +162,8 @@
                 self.wakes[host] = clock::Moment::NEVER;
                 self.poll(host);
             }
+            Event::Spending => self.spending(),
+            Event::Heard { host, spends } => self.limits[host].heard(self.now, &spends),
             Event::Begin => self.begin(),
             Event::Finish => self.finish_fault(),
         }
@@ -181,11 +190,41 @@
         let host = self.arrivals[index].host;
         self.requests[index].host = host;
         let ask = self.ask(index);
+        if let Err(failure) = self.limit(host, &ask) {
+            self.refused(index, failure.reason);
+            return;
+        }
         let verdict = self.hosts[host].offer(self.now, ask);
         self.verdict(index, verdict);
         self.poll(host);
     }
 
+    fn limit(&mut self, host: usize, ask: &load::Ask) -> Result<(), lagoonline::outcome::Failure> {
+        if self.scenario.limit <= 0.0 {
+            return Ok(());
+        }
+        let tokens = arrival::share(self.scenario) * self.scenario.limit;
+        let rate = load::limit::Rate { requests: f64::MAX, tokens };
+        let cost = ask.prompt_tokens + ask.answer_tokens;
+        self.limits[host].take(self.now, &ask.customer, rate, cost)
+    }
+
+    /// Hosts of a zone tell each other what they let in.
+    fn spending(&mut self) {
+        let at = self.now + scenario::SPENDING.1;
+        for from in 0..self.limits.len() {
+            let spends = self.limits[from].report();
+            for host in 0..self.limits.len() {
+                let together =
+                    host as u32 / self.scenario.hosts == from as u32 / self.scenario.hosts;
+                if host != from && together {
+                    self.at(at, Event::Heard { host, spends: spends.clone() });
+                }
+            }
+        }
+        self.at(self.now + scenario::SPENDING.0, Event::Spending);
+    }
+
     fn verdict(&mut self, index: usize, verdict: load::Verdict) {
         match verdict {
             load::Verdict::Dispatch(placement) => self.send(index, &placement),
