--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -13,7 +13,11 @@
 
 pub mod engine;
 pub mod entry;
+pub mod link;
 pub mod logs;
+pub mod operator;
+pub mod platform;
 pub mod service;
 pub mod signals;
+pub mod steward;
 pub mod wire;
