--- a/crates/lagoon-load/src/bench/arrival.rs
+++ b/crates/lagoon-load/src/bench/arrival.rs
@@ -101,8 +101,11 @@
     arrivals: &mut Vec<Arrival>,
 ) {
     let hosts = (scenario.zones * scenario.hosts) as usize;
+    if rate <= 0.0 {
+        return;
+    }
     let mut at = 0.0;
-    while rate > 0.0 {
+    loop {
         let factor = if at % 30.0 >= 27.0 { burst } else { 1.0 };
         at -= (1.0 - random.random::<f64>()).ln() / (rate * factor);
         if at >= seconds {
--- a/crates/lagoon-load/src/bench/world.rs
+++ b/crates/lagoon-load/src/bench/world.rs
@@ -240,11 +240,15 @@
             match wake {
                 load::Wake::Dispatch(waiter, placement) => {
                     let index = self.waiters.remove(&(host, waiter));
-                    index.map(|index| self.send(index, &placement));
+                    if let Some(index) = index {
+                        self.send(index, &placement);
+                    }
                 }
                 load::Wake::Refuse(waiter, failure) => {
                     let index = self.waiters.remove(&(host, waiter));
-                    index.map(|index| self.refused(index, failure.reason));
+                    if let Some(index) = index {
+                        self.refused(index, failure.reason);
+                    }
                 }
             }
         }
--- a/crates/lagoonline/src/load/predict.rs
+++ b/crates/lagoonline/src/load/predict.rs
@@ -69,8 +69,8 @@
         tokens: u64,
         waiting: [bool; 4],
     ) {
-        for upto in class..self.queues.len() {
-            self.queues[upto].dispatched(now, tokens, waiting[upto]);
+        for (queue, waits) in self.queues.iter_mut().zip(waiting).skip(class) {
+            queue.dispatched(now, tokens, waits);
         }
     }
 
