An upstream's prefill rate in the document

Cause: until an engine has reported its load, admission took 20,000 tokens a second for every engine and refused what a faster one could do. Change: the section gives the first estimate for each engine; the setting that stood for all is gone. Conclusion: the estimate is replaced by the engine's own report.

--- a/crates/lagoonline/src/control/document/body.rs
+++ b/crates/lagoonline/src/control/document/body.rs
@@ -129,6 +129,9 @@
     pub role: engine::Role,
     /// KV memory of an engine, in tokens.
     pub kv_tokens: u64,
+    /// Tokens that an engine prefills in a second when it does nothing else: the first estimate,
+    /// until it reports its own.
+    pub prefill_rate: f64,
     /// Requests that an engine batches, or a service handles, at once.
     pub slots: u32,
     /// Whether it refuses an order that carries an old fencing number.
@@ -145,6 +148,7 @@
             serves: Serves::Models(Vec::new()),
             role: engine::Role::Mixed,
             kv_tokens: 400_000,
+            prefill_rate: 20_000.0,
             slots: 32,
             checks_fence: true,
             accelerators: 1,
--- a/crates/lagoonline/src/control/document/section.rs
+++ b/crates/lagoonline/src/control/document/section.rs
@@ -186,6 +186,7 @@
         serves,
         role: read_role(reader),
         kv_tokens: reader.number("kv_tokens", usual.kv_tokens, 1..=1 << 40),
+        prefill_rate: reader.float("prefill_rate", usual.prefill_rate, 1.0..=1e9),
         slots: read_u32(reader, "slots", usual.slots, 1, 65_536),
         checks_fence: reader.flag("checks_fence", usual.checks_fence),
         accelerators: read_u32(reader, "accelerators", usual.accelerators, 1, 4_096),
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -212,7 +212,7 @@
         if fresh {
             self.numbers += 1;
             upstream.number = self.numbers;
-            upstream.nominal = self.settings.prefill_rate;
+            upstream.nominal = entry.entry.prefill_rate;
             upstream.joined = if self.started { Some(now) } else { None };
         }
         let is_local = entry.entry.zone == self.settings.zone;
--- a/crates/lagoonline/src/load/settings.rs
+++ b/crates/lagoonline/src/load/settings.rs
@@ -161,8 +161,6 @@
     pub remote_zones: Vec<(id::Zone, clock::Span)>,
     /// The same for zones not listed.
     pub remote_default: clock::Span,
-    /// Prefill rate taken for an upstream that has reported none, in tokens a second.
-    pub prefill_rate: f64,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -183,7 +181,6 @@
             long_tokens: 65_536,
             remote_zones: Vec::new(),
             remote_default: clock::Span::from_millis(50),
-            prefill_rate: 20_000.0,
             seed: 1,
         }
     }
