--- a/crates/lagoonline/src/load/predict.rs
+++ b/crates/lagoonline/src/load/predict.rs
@@ -30,7 +30,11 @@
             self.window = None;
             return;
         }
-        let (start, sum) = self.window.unwrap_or((now, 0));
+        let Some((start, sum)) = self.window else {
+            // What opens the window left before it.
+            self.window = Some((now, 0));
+            return;
+        };
         let sum = sum + tokens;
         let seconds = now.since(start).as_secs_f64();
         if seconds < WINDOW {
@@ -46,7 +50,8 @@
 /// Learned figures of one model at one host.
 #[derive(Clone, Copy, Debug)]
 pub struct Forecast {
-    /// By class: rates of the work of that class and shorter ones.
+    /// By rank: rate at which work of that rank leaves while more of it waits. Work of earlier
+    /// ranks that comes later and goes first is thus counted in.
     queues: [Rate; 4],
     answer_part: f64,
     token_seconds: f64,
@@ -60,18 +65,9 @@
 }
 
 impl Forecast {
-    /// Work of `tokens` and this class went out; `waiting` says, by class, whether work of that
-    /// class or a shorter one still waits.
-    pub fn dispatched(
-        &mut self,
-        now: clock::Moment,
-        class: usize,
-        tokens: u64,
-        waiting: [bool; 4],
-    ) {
-        for upto in class..self.queues.len() {
-            self.queues[upto].dispatched(now, tokens, waiting[upto]);
-        }
+    /// Work of `tokens` and this rank went out, while more of it still waits or not.
+    pub fn dispatched(&mut self, now: clock::Moment, rank: usize, tokens: u64, waiting: bool) {
+        self.queues[rank].dispatched(now, tokens, waiting);
     }
 
     /// An answer ended: its tokens, the most it might have had, the time since its first token.
@@ -85,10 +81,12 @@
         self.token_seconds += ANSWER_GAIN * (pace - self.token_seconds);
     }
 
-    /// Seconds until work of `tokens` ahead of a request of this class has left this host; `rate`
-    /// is taken before any was learned.
-    pub fn wait(&self, class: usize, tokens: u64, rate: f64) -> f64 {
-        tokens as f64 / self.queues[class].rate.unwrap_or(rate).max(1.0)
+    /// Seconds until work ahead, in tokens by rank, has left this host; `rate` is taken for ranks
+    /// of which none was learned.
+    pub fn wait(&self, ahead: [u64; 4], rate: f64) -> f64 {
+        let seconds =
+            |(tokens, queue): (u64, &Rate)| tokens as f64 / queue.rate.unwrap_or(rate).max(1.0);
+        ahead.into_iter().zip(&self.queues).map(seconds).sum()
     }
 
     /// Seconds from first token to end of an answer of at most `most` tokens.
--- a/crates/lagoonline/src/load/queue.rs
+++ b/crates/lagoonline/src/load/queue.rs
@@ -94,17 +94,6 @@
         self.bands[band].requests == 0
     }
 
-    /// Whether anything waits, by class, in its band or one of shorter prompts.
-    pub fn waiting_up_to(&self) -> [bool; BANDS] {
-        let mut any = false;
-        let mut waiting = [false; BANDS];
-        for (slot, band) in waiting.iter_mut().zip(&self.bands) {
-            any |= band.requests > 0;
-            *slot = any;
-        }
-        waiting
-    }
-
     /// The next waiter to be refused for having waited too long.
     pub fn first_expiry(&self) -> Option<(clock::Moment, scheduler::Waiter)> {
         self.expiries.first().copied()
@@ -170,19 +159,27 @@
         Some(item)
     }
 
-    /// Tokens that go before a newcomer's last token, by class and by fair share.
-    pub fn tokens_before(&self, band: usize, ask: &scheduler::Ask) -> u64 {
-        let shorter: u64 = self.bands[..band].iter().map(|band| band.tokens).sum();
+    /// Tokens by band that go before a newcomer's last token, by rank and by fair share.
+    pub fn tokens_before(&self, band: usize, ask: &scheduler::Ask) -> [u64; BANDS] {
+        let mut before = [0; BANDS];
+        for (slot, band) in before.iter_mut().zip(&self.bands[..band]) {
+            *slot = band.tokens;
+        }
+        before[band] = self.own_band(band, ask);
+        before
+    }
+
+    fn own_band(&self, band: usize, ask: &scheduler::Ask) -> u64 {
         let key = self.key(band, ask);
         let band = &self.bands[band];
+        let teams = band.turn.active() as u64;
         let Some(team) = band.teams.get(&key.team) else {
-            let teams = band.turn.active() as u64;
-            return shorter + band.tokens.min(teams * cost(ask));
+            return band.tokens.min(teams * cost(ask));
         };
         let own = team.lines.get(&key.customer).map_or(0, |line| line.tokens);
         let customers = team.turn.active().max(1) as u64;
-        let turns = customers * band.turn.active().max(1) as u64;
-        shorter + band.tokens.min(own + turns * (own + cost(ask)))
+        let turns = customers * teams.max(1);
+        band.tokens.min(own + turns * (own + cost(ask)))
     }
 
     /// The last waiter of the customer with most waiters, if that is more than twice those of
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -23,6 +23,8 @@
 /// Part of the longest wait up to which a wait may be predicted: the rest is for prompts that
 /// come later and go first, so that few are refused after having waited.
 const ADMIT_PART: f64 = 0.6;
+/// The same for customers over their share, whom those of all others pass.
+const OVER_PART: f64 = 0.2;
 /// Part of the time left that is kept for the engine when a wait is bounded.
 const ENGINE_PART: f64 = 0.5;
 
@@ -34,7 +36,7 @@
         let band = self.rank(now, &ask) as usize;
         let first = (0..=band).all(|band| self.queue.band_is_empty(band));
         if first && let Some(placement) = self.place(now, &ask, false) {
-            self.forecast.dispatched(now, band, queue::cost(&ask), [false; queue::BANDS]);
+            self.forecast.dispatched(now, band, queue::cost(&ask), false);
             return scheduler::Verdict::Dispatch(placement);
         }
         let give_up = match self.admit(now, band, &ask) {
@@ -84,7 +86,7 @@
             if let Some(placement) = self.place(now, &item.ask, aged) {
                 let cost = queue::cost(&item.ask);
                 queue.pop(band);
-                self.forecast.dispatched(now, band, cost, queue.waiting_up_to());
+                self.forecast.dispatched(now, band, cost, !queue.band_is_empty(band));
                 return Some(scheduler::Wake::Dispatch(waiter, placement));
             }
             held |= aged;
@@ -155,14 +157,16 @@
             return Ok(ask.deadline);
         }
         let rate = survey.rate / f64::from(self.settings.hosts_in_zone.max(1));
+        let rate = rate * self.sure_part(&need);
         let prediction = admit::Prediction {
-            wait: self.forecast.wait(band, self.queue.tokens_before(band, ask), rate),
+            wait: self.forecast.wait(self.queue.tokens_before(band, ask), rate),
             first_token: survey.soonest / self.sure_part(&need),
             answer: self.forecast.answer(ask.answer_tokens),
         };
         let left = ask.deadline.since(now);
         let longest = self.settings.longest_wait[need.class as usize];
-        admit::check(prediction, longest.mul_f64(ADMIT_PART), left, draw)?;
+        let part = if need.rank > need.class { OVER_PART } else { ADMIT_PART };
+        admit::check(prediction, longest.mul_f64(part), left, draw)?;
         let engine = prediction.first_token + prediction.answer;
         let engine = engine.min(left.as_secs_f64() * ENGINE_PART);
         let spare = left.saturating_sub(clock::Span::from_secs_f64(engine));
--- a/crates/lagoonline/src/load/usage.rs
+++ b/crates/lagoonline/src/load/usage.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: one customer that sends ten times its share. Fair turns at this host are not
 //! enough: what it has dispatched already stands before the others inside the engines. So requests
-//! of a customer over twice its share rank one length class later, here and in the engine, and
-//! those of the others pass them. Twice, because shares of a busy moment vary by chance; a
+//! of a customer over one and a half times its share rank one length class later, here and in the engine, and
+//! those of the others pass them. Not at once, because shares of a busy moment vary by chance; a
 //! customer alone is never over its share, so nothing is taken from it while nobody else asks.
 
 use std::collections;
@@ -15,7 +15,7 @@
 /// that a customer which stops sending is soon on par again.
 const HALF_LIFE: f64 = 5.0;
 /// Multiple of the fair share from which on a customer is over it.
-const OVER: f64 = 2.0;
+const OVER: f64 = 1.5;
 /// Decayed tokens below which a customer counts as away.
 const AWAY: f64 = 1.0;
 /// Customers remembered before those that are away are dropped.
@@ -60,7 +60,7 @@
         self.weights += u64::from(weight);
     }
 
-    /// Whether the customer uses more than twice its share and the request of `tokens` tokens: one
+    /// Whether the customer uses more than one and a half times its share and the request of `tokens` tokens: one
     /// or two requests are no pattern.
     ///
     /// ```
