--- a/crates/lagoon-load/src/bench/report.rs
+++ b/crates/lagoon-load/src/bench/report.rs
@@ -166,6 +166,8 @@
         put("others_p95_ms", self.others.value_at_quantile(0.95) as f64 / 1e3);
         put("slowdown_mean", self.slowdown.mean() / 100.0);
         put("slowdown_p95", self.slowdown.value_at_quantile(0.95) as f64 / 100.0);
+        put("refusal_p50_ms", self.refusal.value_at_quantile(0.5) as f64 / 1e3);
+        put("refusal_p95_ms", self.refusal.value_at_quantile(0.95) as f64 / 1e3);
         put("refusal_p99_ms", self.refusal.value_at_quantile(0.99) as f64 / 1e3);
         put("offered", offered as f64);
         put("good", self.good.iter().sum::<u64>() as f64);
--- a/crates/lagoonline/src/load/queue.rs
+++ b/crates/lagoonline/src/load/queue.rs
@@ -169,17 +169,18 @@
         before
     }
 
+    /// In its own band a request waits until its customer's line has had its turns, while every
+    /// other customer that waits now may go on sending.
     fn own_band(&self, band: usize, ask: &scheduler::Ask) -> u64 {
         let key = self.key(band, ask);
         let band = &self.bands[band];
-        let teams = band.turn.active() as u64;
+        let teams = band.turn.active().max(1) as u64;
         let Some(team) = band.teams.get(&key.team) else {
             return band.tokens.min(teams * cost(ask));
         };
         let own = team.lines.get(&key.customer).map_or(0, |line| line.tokens);
         let customers = team.turn.active().max(1) as u64;
-        let turns = customers * teams.max(1);
-        band.tokens.min(own + turns * (own + cost(ask)))
+        customers * teams * (own + cost(ask))
     }
 
     /// The last waiter of the customer with most waiters, if that is more than twice those of
