--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -65,7 +65,8 @@
 }
 
 impl State {
-    pub(crate) fn new(settings: settings::Settings) -> (sync::Arc<State>, Chores) {
+    pub(crate) fn new(mut settings: settings::Settings) -> (sync::Arc<State>, Chores) {
+        settings.load.zone = settings.zone.clone();
         let clock = clock::Host::default();
         let incarnation = id::Incarnation(clock.wall_millis());
         let (desks, desks_in) = async_sync::mpsc::unbounded_channel();
