Entry host: link to its steward and customers' limits over the zone

Cause: sections, marks and loads come from the steward; limits had no place on the data path. Change: entry/link.rs takes fleets, loads, marks, drain and spending, and reports state, loads, leaving refusals and spending off the request path; readiness waits for a complete view.

--- a/crates/lagoon-net/src/entry/call.rs
+++ b/crates/lagoon-net/src/entry/call.rs
@@ -6,6 +6,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::control::document;
 use lagoonline::id;
+use lagoonline::load::limit;
 use lagoonline::outcome;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::view;
@@ -51,6 +52,12 @@
         &self.view.fleet.customers[self.customer.0 as usize]
     }
 
+    /// The customer's limits over the zone.
+    pub(crate) fn rate(&self) -> limit::Rate {
+        let entry = &self.customer().entry;
+        limit::Rate { requests: entry.requests_per_second, tokens: entry.tokens_per_second }
+    }
+
     pub(crate) fn left(&self, state: &state::State) -> clock::Span {
         self.deadline.since(state.clock.now())
     }
--- /dev/null
+++ b/crates/lagoon-net/src/entry/link.rs
@@ -0,0 +1,175 @@
+//! What the data path says to its steward and hears from it.
+//!
+//! Nothing here is on a request's path: loads and spending are gathered and sent by a timer.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load::limit;
+use lagoonline::port::engine;
+
+use super::settings;
+use super::state;
+use crate::link;
+use crate::wire;
+
+/// Time between two looks at what there is to say.
+const TICK: clock::Span = clock::Span::from_millis(250);
+/// Ticks after which a host that let nothing in says so, for others to know that it can be heard.
+const QUIET_TICKS: u64 = 4;
+
+/// The data path's end of the link.
+#[derive(Debug, Default)]
+pub(crate) struct Link {
+    handle: Option<link::Handle>,
+    complete: atomic::AtomicBool,
+    seen: sync::Mutex<Seen>,
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    loads: collections::HashMap<id::Upstream, engine::Load>,
+    incarnations: collections::HashMap<id::Upstream, u64>,
+}
+
+impl Link {
+    /// A link to the steward of the settings; without one it says and hears nothing.
+    pub(crate) fn open(
+        settings: &settings::Settings,
+        incarnation: id::Incarnation,
+    ) -> (Link, Option<link::Task>) {
+        let Some(steward) = settings.steward else {
+            return (Link { complete: true.into(), ..Link::default() }, None);
+        };
+        let (handle, task) = link::open(link::Settings {
+            steward,
+            host: settings.host.clone(),
+            zone: settings.zone.clone(),
+            incarnation,
+            key: settings.key.clone(),
+            ..link::Settings::default()
+        });
+        (Link { handle: Some(handle), ..Link::default() }, Some(task))
+    }
+
+    /// Whether the sections in force are the highest versions in reach.
+    pub(crate) fn is_complete(&self) -> bool {
+        self.complete.load(atomic::Ordering::Acquire)
+    }
+
+    /// Time since the steward was heard of; `None` without a steward.
+    pub(crate) fn view_age(&self) -> Option<clock::Span> {
+        self.handle.as_ref()?.view_age()
+    }
+
+    fn seen(&self) -> sync::MutexGuard<'_, Seen> {
+        self.seen.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// A load that came with an answer, to be passed on.
+    pub(crate) fn saw_load(&self, upstream: &id::Upstream, load: &engine::Load) {
+        if self.handle.is_none() {
+            return;
+        }
+        let mut seen = self.seen();
+        seen.incarnations.insert(upstream.clone(), load.incarnation);
+        seen.loads.insert(upstream.clone(), *load);
+    }
+
+    /// An upstream refused work because it leaves; told at once, so that others stop too.
+    pub(crate) fn saw_leaving(&self, upstream: &id::Upstream) {
+        let Some(handle) = &self.handle else { return };
+        let incarnation = self.seen().incarnations.get(upstream).copied().unwrap_or_default();
+        handle.mark(wire::Mark { upstream: upstream.to_string(), incarnation, leaving: true });
+    }
+
+    fn flush_loads(&self, handle: &link::Handle) {
+        let loads = std::mem::take(&mut self.seen().loads);
+        if !loads.is_empty() {
+            handle.loads(loads.iter().map(|(name, load)| wire::load(name, load, 0)).collect());
+        }
+    }
+}
+
+/// Reports to the steward until the process ends.
+pub(crate) async fn report(state: sync::Arc<state::State>) {
+    let Some(handle) = state.link.handle.clone() else { return };
+    let mut ticks = 0;
+    let mut sequence = 0;
+    loop {
+        let phase = state.phase();
+        handle.report(link::State {
+            ready: state.is_ready(),
+            draining: phase > state::Phase::Serving,
+            in_flight: state.active() as u64,
+            in_force: state.view().fleet.versions.clone(),
+        });
+        state.link.flush_loads(&handle);
+        let spends = state.limits().report();
+        if !spends.is_empty() || ticks % QUIET_TICKS == 0 {
+            sequence += 1;
+            handle.spending(spending(&state, &spends, sequence));
+        }
+        ticks += 1;
+        tokio::time::sleep(TICK).await;
+    }
+}
+
+fn spending(state: &state::State, spends: &[limit::Spend], sequence: u64) -> wire::Spending {
+    let line = |spend: &limit::Spend| wire::Spend {
+        customer: spend.customer.to_string(),
+        requests: spend.requests,
+        tokens: spend.tokens,
+    };
+    wire::Spending {
+        host: state.settings.host.to_string(),
+        span_ms: u64::try_from(TICK.as_millis()).unwrap_or(u64::MAX),
+        lines: spends.iter().map(line).collect(),
+        sequence,
+    }
+}
+
+/// Takes the steward's updates into the shared state.
+pub(crate) struct Sink(pub(crate) sync::Arc<state::State>);
+
+impl link::Sink for Sink {
+    fn take(&mut self, update: link::Update) {
+        let state = &self.0;
+        match update {
+            link::Update::Fleet { fleet, complete } => {
+                state.put(fleet);
+                state.link.complete.fetch_or(complete, atomic::Ordering::AcqRel);
+            }
+            link::Update::Loads(loads) => {
+                let view = state.view();
+                for load in &loads {
+                    let upstream = id::Upstream::from(load.upstream.as_str());
+                    let load = wire::engine_load(load);
+                    view.desks.values().for_each(|desk| desk.observe(&upstream, &load));
+                    state.link.seen().incarnations.insert(upstream, load.incarnation);
+                }
+            }
+            link::Update::Marks(marks) => {
+                for mark in &marks {
+                    state.set_leaving(&id::Upstream::from(mark.upstream.as_str()), mark.leaving);
+                }
+            }
+            link::Update::Drain => state.advance(state::Phase::Unready),
+            link::Update::Spending(spending) => {
+                let spend = |line: &wire::Spend| limit::Spend {
+                    customer: id::Customer::from(line.customer.as_str()),
+                    requests: line.requests,
+                    tokens: line.tokens,
+                };
+                let spends: Vec<_> = spending.lines.iter().map(spend).collect();
+                state.limits().heard(state.clock.now(), &spends);
+            }
+            // Engines refuse beyond their places themselves; the scheduler has no use for credits.
+            link::Update::Credits(_) => {}
+        }
+    }
+}
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod desk;
 mod fault;
 mod limit;
+mod link;
 mod metrics;
 mod model;
 mod prompt;
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -44,6 +44,10 @@
         model: job.ask.model.clone(),
         created: state.clock.wall_millis() / 1_000,
     };
+    let customer = job.call.customer();
+    let rate = job.call.rate();
+    let tokens = job.ask.prompt_tokens + job.ask.answer_tokens;
+    state.limits().take(state.clock.now(), &customer.name, rate, tokens)?;
     let mut pull = pull::Pull::new(worker.clone(), job);
     pull.start().await?;
     let mut answer = web::HttpResponse::Ok();
--- a/crates/lagoon-net/src/entry/pull.rs
+++ b/crates/lagoon-net/src/entry/pull.rs
@@ -178,6 +178,7 @@
                 state.metrics.attempt("answered");
                 if let Some(load) = events.take_load() {
                     self.job.desk.observe(&upstream, &load);
+                    state.link.saw_load(&upstream, &load);
                 }
                 let checker = stream::Checker::starting_at(attempt, self.delivered);
                 let answering = dispatched.answering();
@@ -206,7 +207,11 @@
                 cancel.disarm();
                 let ending = match refusal {
                     engine::Refusal::Full => load::Ending::Full,
-                    engine::Refusal::Leaving => load::Ending::Leaving,
+                    engine::Refusal::Leaving => {
+                        state.set_leaving(&upstream, true);
+                        state.link.saw_leaving(&upstream);
+                        load::Ending::Leaving
+                    }
                     engine::Refusal::UnknownModel
                     | engine::Refusal::TooLong
                     | engine::Refusal::AttemptExists => load::Ending::Failed,
@@ -288,6 +293,7 @@
                     open.checker.end(attempt, count)?;
                     if let Some(load) = load {
                         self.job.desk.observe(open.place.upstream(), &load);
+                        self.worker.state.link.saw_load(open.place.upstream(), &load);
                     }
                     found = Some(End { answer_tokens: count, prompt_tokens, cached_tokens });
                 }
--- a/crates/lagoon-net/src/entry/server.rs
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -17,6 +17,7 @@
 use super::cancel;
 use super::desk;
 use super::fault;
+use super::link;
 use super::model;
 use super::prompt;
 use super::services;
@@ -182,6 +183,10 @@
     let client = worker::new_client(1).await;
     drop(ntex::rt::spawn(cancel::run(state.clone(), client, chores.cancels)));
     drop(ntex::rt::spawn(keep_desks(chores.desks)));
+    if let Some(task) = chores.link {
+        drop(ntex::rt::spawn(task.run(link::Sink(state.clone()))));
+        drop(ntex::rt::spawn(link::report(state.clone())));
+    }
     drain(&state).await;
     server.stop(true).await;
     Ok(())
@@ -302,11 +307,13 @@
 }
 
 fn ready(state: &state::State) -> web::HttpResponse {
-    if state.phase() == state::Phase::Serving {
+    if state.is_ready() {
         return web::HttpResponse::Ok().body("ready\n");
     }
+    let why =
+        if state.phase() > state::Phase::Serving { "draining\n" } else { "no sections yet\n" };
     let mut answer = web::HttpResponse::ServiceUnavailable();
-    answer.set_header("Retry-After", "1").body("draining\n")
+    answer.set_header("Retry-After", "1").body(why)
 }
 
 fn metrics(state: &state::State) -> web::HttpResponse {
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -61,6 +61,7 @@
     if !allowed.is_empty() && !allowed.contains(&service) {
         return refuse(Reason::Forbidden);
     }
+    state.limits().take(state.clock.now(), &call.customer().name, call.rate(), 0)?;
     let method = request.method().as_str();
     let repeats = known.idempotent_methods.iter().any(|known| known == method);
     if call.key.is_some() && !repeats {
--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -12,6 +12,8 @@
 use serde_json::Value;
 
 use crate::logs;
+use crate::platform;
+use crate::wire;
 
 /// Bounds on what a caller may send and how long it may take.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -67,6 +69,11 @@
     pub region: id::Region,
     /// The steward that sections come from; without one the sections below are all there is.
     pub steward: Option<net::SocketAddr>,
+    /// The fleet's key, which the steward has too.
+    pub key: wire::Key,
+    /// The platform, for idempotency keys; without one, keyed calls that may not repeat are
+    /// refused.
+    pub platform: Option<platform::Settings>,
     /// Sections in force at the start.
     pub sections: Vec<document::Section>,
     /// Bounds on callers.
@@ -90,6 +97,8 @@
             zone: id::Zone::default(),
             region: id::Region::default(),
             steward: None,
+            key: wire::Key::new(&[]),
+            platform: None,
             sections: Vec::new(),
             limits: Limits::default(),
             unready: clock::Span::from_millis(500),
@@ -261,6 +270,8 @@
         host: id::Host::from(reader.required("host")),
         region: id::Region::from(reader.text("region", "")),
         steward: reader.parsed("steward", "IP:PORT"),
+        key: wire::Key::new(read_key(reader).as_bytes()),
+        platform: reader.child("platform", platform::Settings::read),
         sections: Vec::new(),
         limits: reader.child("limits", read_limits).unwrap_or_default(),
         unready: read_span(reader, "unready_ms", usual.unready, 0, 60_000),
@@ -273,6 +284,11 @@
     (settings, (!document.is_empty()).then(|| path::PathBuf::from(document)))
 }
 
+/// With a steward there must be a key.
+fn read_key(reader: &check::Reader<'_>) -> String {
+    if reader.has("steward") { reader.required("key") } else { reader.text("key", "") }
+}
+
 fn read_queue(reader: &check::Reader<'_>, zone: &id::Zone) -> load::Settings {
     let mut settings = load::Settings { zone: zone.clone(), ..load::Settings::default() };
     let hosts = reader.number("hosts_in_zone", u64::from(settings.hosts_in_zone), 1..=10_000);
--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -10,11 +10,13 @@
 use lagoonline::control::document;
 use lagoonline::id;
 use lagoonline::load;
+use lagoonline::load::limit;
 use lagoonline::view;
 use tokio::sync as async_sync;
 
 use super::cancel;
 use super::desk;
+use super::link;
 use super::metrics;
 use super::replica;
 use super::settings;
@@ -48,6 +50,8 @@
     pub(crate) owner: id::Owner,
     pub(crate) metrics: metrics::Metrics,
     pub(crate) cancels: cancel::Sender,
+    pub(crate) link: link::Link,
+    limits: sync::Mutex<limit::Limits>,
     view: ArcSwap<View>,
     sections: sync::Mutex<collections::BTreeMap<id::Team, document::Section>>,
     changed: sync::Mutex<clock::Moment>,
@@ -62,6 +66,7 @@
 pub(crate) struct Chores {
     pub(crate) desks: async_sync::mpsc::UnboundedReceiver<sync::Weak<desk::Desk>>,
     pub(crate) cancels: cancel::Receiver,
+    pub(crate) link: Option<crate::link::Task>,
 }
 
 impl State {
@@ -71,6 +76,8 @@
         let incarnation = id::Incarnation(clock.wall_millis());
         let (desks, desks_in) = async_sync::mpsc::unbounded_channel();
         let (cancels, cancels_in) = cancel::channel();
+        let (link, task) = link::Link::open(&settings, incarnation);
+        let limits = limit::Limits::new(settings.load.hosts_in_zone);
         let sections = settings.sections.clone();
         let state = sync::Arc::new(State {
             owner: id::Owner { host: settings.host.clone(), incarnation },
@@ -78,6 +85,8 @@
             clock,
             metrics: metrics::Metrics::default(),
             cancels,
+            link,
+            limits: sync::Mutex::new(limits),
             view: ArcSwap::default(),
             sections: sync::Mutex::default(),
             changed: sync::Mutex::default(),
@@ -87,7 +96,7 @@
             failed_drain: atomic::AtomicUsize::new(0),
         });
         state.install(sections);
-        (state, Chores { desks: desks_in, cancels: cancels_in })
+        (state, Chores { desks: desks_in, cancels: cancels_in, link: task })
     }
 
     pub(crate) fn view(&self) -> sync::Arc<View> {
@@ -102,11 +111,18 @@
         for section in sections {
             let newer = held.get(&section.team).is_none_or(|old| old.version < section.version);
             if newer {
-                self.metrics.set_version(&section.team, section.version);
                 held.insert(section.team.clone(), section);
             }
         }
-        let fleet = sync::Arc::new(view::Fleet::merge(held.values()));
+        self.put(sync::Arc::new(view::Fleet::merge(held.values())));
+    }
+
+    /// Works with `fleet` from now on. One caller at a time: either [`State::install`] under its
+    /// lock, or the link.
+    pub(crate) fn put(&self, fleet: view::Shared) {
+        for (team, version) in &fleet.versions {
+            self.metrics.set_version(team, *version);
+        }
         let old = self.view();
         let now = self.clock.now();
         let shards = old.shards.with_fleet(now, &fleet, &self.settings.load);
@@ -146,6 +162,16 @@
         view.replicas.set_leaving(upstream, leaving);
     }
 
+    /// Customers' limits. One lock for all: it is held for a map lookup once a request.
+    pub(crate) fn limits(&self) -> sync::MutexGuard<'_, limit::Limits> {
+        self.limits.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Whether the balancer may send callers here.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.link.is_complete()
+    }
+
     pub(crate) fn phase(&self) -> Phase {
         *self.phase.borrow()
     }
@@ -184,7 +210,8 @@
     /// Refreshes the gauges that are read only when asked for.
     pub(crate) fn refresh(&self) {
         let changed = *self.changed.lock().unwrap_or_else(sync::PoisonError::into_inner);
-        self.metrics.view_age.set(self.clock.now().since(changed).as_secs_f64());
+        let age = self.link.view_age().unwrap_or_else(|| self.clock.now().since(changed));
+        self.metrics.view_age.set(age.as_secs_f64());
         for (model, desk) in &self.view().desks {
             self.metrics.set_waiting(model, desk.waiters());
         }
