--- a/crates/lagoonline/src/control/document/section.rs
+++ b/crates/lagoonline/src/control/document/section.rs
@@ -115,7 +115,7 @@
     for (index, text) in texts.iter().enumerate() {
         match parse_key_hash(text) {
             Some(key) => keys.push(key),
-            None => reader.fault(&format!("{name}/{index}"), "must be 64 hex digits (SHA-256)"),
+            None => reader.fault_item(name, index, "must be 64 hex digits (SHA-256)"),
         }
     }
     keys
@@ -186,6 +186,7 @@
         serves,
         role: read_role(reader),
         kv_tokens: reader.number("kv_tokens", usual.kv_tokens, 1..=1 << 40),
+        prefill_rate: reader.float("prefill_rate", usual.prefill_rate, 1.0..=1e9),
         slots: read_u32(reader, "slots", usual.slots, 1, 65_536),
         checks_fence: reader.flag("checks_fence", usual.checks_fence),
         accelerators: read_u32(reader, "accelerators", usual.accelerators, 1, 4_096),
