Orders and the idle ledger in the steward; state split by job

Change: one lease a zone for orders, held only while something is outstanding; weights taken before a load; late orders counted and repaired.

--- a/crates/lagoon-net/src/steward/calls.rs
+++ b/crates/lagoon-net/src/steward/calls.rs
@@ -4,6 +4,7 @@
 
 use lagoonline::check;
 use lagoonline::control::document;
+use lagoonline::control::ledger;
 use lagoonline::control::spread;
 use lagoonline::id;
 use serde::{Deserialize, Serialize};
@@ -12,6 +13,7 @@
 
 use super::Context;
 use super::core;
+use super::usage;
 use super::zones;
 use crate::platform;
 use crate::wire;
@@ -61,7 +63,9 @@
         wire::Verb::SectionStatus => section_status(context, call).await,
         wire::Verb::Status => status(context, call).await,
         wire::Verb::Drain => drain(context, call).await,
-        wire::Verb::Orders | wire::Verb::Usage | wire::Verb::Unspecified => {
+        wire::Verb::Orders => orders(context, call).await,
+        wire::Verb::Usage => usage_report(context, call).await,
+        wire::Verb::Unspecified => {
             Err(Failure::new("unknown_call", "this steward does not know the call"))
         }
     }
@@ -316,3 +320,34 @@
     context.core.borrow_mut().take_marks(&[mark], None);
     json!({ "draining": name, "incarnation": incarnation })
 }
+
+/// Orders of every zone: each steward says what it saw and decided while it was the orderer.
+async fn orders(context: &Context, call: &wire::Call) -> Outcome {
+    if call.text == ZONE_ONLY {
+        let core = context.core.borrow();
+        let lines: Vec<_> = core.orders.values().cloned().collect();
+        return Ok(json!(lines));
+    }
+    authorize_operator(context, call)?;
+    let question = wire::Call { text: ZONE_ONLY.to_owned(), key: String::new(), ..call.clone() };
+    let mut lines = Vec::new();
+    let mut silent = Vec::new();
+    for answer in zones::ask_orderers(context, &question).await {
+        let parsed = answer.text.and_then(|text| serde_json::from_str(&text).ok());
+        match parsed {
+            Some(serde_json::Value::Array(found)) => lines.extend(found),
+            _ => silent.push(answer.zone.to_string()),
+        }
+    }
+    Ok(json!({ "engines": lines, "silent_zones": silent }))
+}
+
+/// Sums of the idle ledger; `text` says by what.
+async fn usage_report(context: &Context, call: &wire::Call) -> Outcome {
+    authorize_operator(context, call)?;
+    let grouping = call.text.parse::<ledger::Grouping>();
+    let grouping = grouping.map_err(|error| Failure::new("bad_call", error))?;
+    let sums = usage::report(platform(context)?, grouping).await;
+    let sums = sums.map_err(|error| refusal(error.into()))?;
+    Ok(json!({ "by": call.text, "accelerator_ms": sums }))
+}
--- /dev/null
+++ b/crates/lagoon-net/src/steward/core/mod.rs
@@ -0,0 +1,273 @@
+//! State of a steward, and what each message does to it.
+
+mod document;
+mod message;
+mod traffic;
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock;
+use lagoonline::control::ledger;
+use lagoonline::control::membership;
+use lagoonline::control::mesh;
+use lagoonline::control::owner;
+use lagoonline::control::spread;
+use lagoonline::id;
+use lagoonline::port::engine;
+use lagoonline::view;
+use tokio::sync::mpsc;
+
+use super::orders;
+use super::settings;
+use crate::link;
+use crate::wire;
+
+/// Messages that may wait on one link: beyond it the link is closed, and the next one brings the
+/// whole state again.
+pub(in crate::steward) const LINK_QUEUE: usize = 1_024;
+
+/// Age below which a link is kept though the mesh does not want it.
+const LINK_GRACE: clock::Span = clock::Span::from_secs(10);
+
+/// What a steward counts.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Datagrams sent.
+    pub datagrams_sent: atomic::AtomicU64,
+    /// Bytes of datagrams sent, without headers below UDP.
+    pub datagram_bytes_sent: atomic::AtomicU64,
+    /// Datagrams refused: wrong tag, too old, or sent again.
+    pub datagrams_refused: atomic::AtomicU64,
+    /// Frames sent on links.
+    pub frames_sent: atomic::AtomicU64,
+    /// Connections refused.
+    pub connections_refused: atomic::AtomicU64,
+    /// Sections applied.
+    pub sections_applied: atomic::AtomicU64,
+    /// Members held to be dead.
+    pub deaths: atomic::AtomicU64,
+    /// Orders that were written after their lease had ended.
+    pub late_orders: atomic::AtomicU64,
+    /// Failed calls of the platform.
+    pub platform_failures: atomic::AtomicU64,
+}
+
+impl Counters {
+    pub(in crate::steward) fn add(counter: &atomic::AtomicU64, number: u64) {
+        counter.fetch_add(number, atomic::Ordering::Relaxed);
+    }
+}
+
+/// One connection.
+pub(in crate::steward) struct Link {
+    pub(in crate::steward) peer: link::Peer,
+    sender: mpsc::Sender<wire::Body>,
+    versions: spread::Versions,
+    has_digest: bool,
+    is_dialed: bool,
+    opened: clock::Moment,
+}
+
+/// Names a connection.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(in crate::steward) struct LinkId(u64);
+
+/// What the platform said last.
+#[derive(Default)]
+struct Platform {
+    head: Option<spread::Versions>,
+    failed: bool,
+}
+
+/// State of a steward.
+pub(in crate::steward) struct Core {
+    pub(in crate::steward) group: membership::Group,
+    pub(in crate::steward) replica: spread::Replica,
+    pub(in crate::steward) board: spread::Board,
+    pub(in crate::steward) fleet: view::Shared,
+    pub(in crate::steward) counters: sync::Arc<Counters>,
+    pub(in crate::steward) complete: bool,
+    pub(in crate::steward) loads: collections::BTreeMap<id::Upstream, Observed>,
+    pub(in crate::steward) marks: collections::BTreeMap<id::Upstream, wire::Mark>,
+    /// Whose the time of each engine is, by the sections in force.
+    pub(in crate::steward) accounts: collections::BTreeMap<id::Upstream, ledger::Accounts>,
+    /// What was last seen and decided of each engine that orders went to.
+    pub(in crate::steward) orders: collections::BTreeMap<id::Upstream, orders::Line>,
+    /// Tokens that customers used lately in this zone.
+    spending: collections::HashMap<id::Customer, (u64, clock::Moment)>,
+    /// Dead stewards whose rows were removed from the table.
+    pub(in crate::steward) removed: collections::BTreeSet<id::Host>,
+    pub(in crate::steward) dialing: collections::BTreeSet<id::Host>,
+    links: collections::BTreeMap<LinkId, Link>,
+    spent: collections::HashMap<String, (u64, u64)>,
+    platform: Platform,
+    pull: Option<clock::Moment>,
+    next_link: u64,
+    began: clock::Moment,
+    clock: clock::Host,
+}
+
+/// A load and when it was read.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::steward) struct Observed {
+    pub(in crate::steward) load: engine::Load,
+    pub(in crate::steward) read: clock::Moment,
+    told: engine::Load,
+    told_at: clock::Moment,
+}
+
+impl Core {
+    pub(in crate::steward) fn new(
+        own: membership::Member,
+        settings: &settings::Settings,
+        counters: sync::Arc<Counters>,
+        clock: clock::Host,
+    ) -> Self {
+        let now = clock.now();
+        Core {
+            group: membership::Group::new(own, settings.membership, now),
+            replica: spread::Replica::default(),
+            board: spread::Board::default(),
+            fleet: view::Shared::default(),
+            counters,
+            complete: false,
+            loads: collections::BTreeMap::new(),
+            marks: collections::BTreeMap::new(),
+            accounts: collections::BTreeMap::new(),
+            orders: collections::BTreeMap::new(),
+            spending: collections::HashMap::new(),
+            removed: collections::BTreeSet::new(),
+            dialing: collections::BTreeSet::new(),
+            links: collections::BTreeMap::new(),
+            spent: collections::HashMap::new(),
+            platform: Platform::default(),
+            pull: None,
+            next_link: 0,
+            began: now,
+            clock,
+        }
+    }
+
+    pub(in crate::steward) fn zone(&self) -> &id::Zone {
+        &self.group.own().zone
+    }
+
+    /// Whether this steward is the one of its zone that looks after `thing`.
+    pub(in crate::steward) fn owns(&self, thing: &str) -> bool {
+        let own = &self.group.own();
+        owner::choose(self.group.live_in(&own.zone), thing) == Some(own.host.as_str())
+    }
+
+    /// Takes a new link in, and tells the other side what is known here.
+    pub(in crate::steward) fn open(
+        &mut self,
+        peer: link::Peer,
+        is_dialed: bool,
+    ) -> (LinkId, mpsc::Receiver<wire::Body>) {
+        let (sender, receiver) = mpsc::channel(LINK_QUEUE);
+        self.next_link += 1;
+        let name = LinkId(self.next_link);
+        let role = peer.role;
+        let (versions, has_digest) = (spread::Versions::new(), false);
+        let opened = self.clock.now();
+        let link = Link { peer, sender, versions, has_digest, is_dialed, opened };
+        self.links.insert(name, link);
+        match role {
+            wire::Role::Steward => self.greet_steward(name),
+            wire::Role::Entry => self.greet_entry(name),
+            wire::Role::Operator | wire::Role::Unspecified => {}
+        }
+        (name, receiver)
+    }
+
+    fn greet_steward(&mut self, name: LinkId) {
+        let members = wire::members(&self.group.roster().news());
+        self.send(name, wire::Body::Members(members));
+        self.send(name, self.digest());
+        let reports = self.board.reports().filter(|(_, report)| report.zone == *self.zone());
+        let statuses: Vec<_> = reports.map(|(host, report)| wire::status(host, report)).collect();
+        for status in statuses {
+            self.send(name, wire::Body::Status(status));
+        }
+        let marks = self.marks.values().cloned().collect();
+        self.send(name, wire::Body::Marks(wire::Marks { marks }));
+    }
+
+    fn greet_entry(&mut self, name: LinkId) {
+        self.send(name, self.digest());
+        let sections = self.replica.sections().map(|section| wire::section(section)).collect();
+        let sections = wire::Sections { sections, complete: self.complete };
+        self.send(name, wire::Body::Sections(sections));
+        let now = self.clock.now();
+        let load = |(upstream, observed): (&id::Upstream, &Observed)| {
+            wire::load(upstream, &observed.load, age_ms(now, observed.read))
+        };
+        let loads = self.loads.iter().map(load).collect();
+        self.send(name, wire::Body::Loads(wire::Loads { loads }));
+        let marks = self.marks.values().cloned().collect();
+        self.send(name, wire::Body::Marks(wire::Marks { marks }));
+    }
+
+    pub(in crate::steward) fn close(&mut self, name: LinkId) {
+        let Some(link) = self.links.remove(&name) else { return };
+        if link.peer.role != wire::Role::Entry {
+            return;
+        }
+        let host = id::Host::from(link.peer.sender);
+        let Some(report) = self.board.report(&host) else { return };
+        log::warn!("entry process of {host} is gone");
+        let report = spread::Report { ready: false, ..report.clone() };
+        self.take_report(&host, report, name);
+    }
+
+    pub(in crate::steward) fn send(&mut self, name: LinkId, body: wire::Body) {
+        let Some(link) = self.links.get(&name) else { return };
+        // A peer that does not read is dropped; it gets the whole state when it comes back.
+        if link.sender.try_send(body).is_err() {
+            self.links.remove(&name);
+        }
+    }
+
+    pub(super) fn send_all<F>(&mut self, body: &wire::Body, wanted: F)
+    where
+        F: Fn(LinkId, &Link) -> bool,
+    {
+        let links = self.links.iter().filter(|(name, link)| wanted(**name, link));
+        let names: Vec<LinkId> = links.map(|(name, _)| *name).collect();
+        for name in names {
+            self.send(name, body.clone());
+        }
+    }
+
+    pub(in crate::steward) fn is_linked(&self, host: &id::Host) -> bool {
+        let linked = |link: &Link| {
+            link.peer.role == wire::Role::Steward && link.peer.sender == host.as_str()
+        };
+        self.links.values().any(linked)
+    }
+
+    /// Closes links that this side made and that the mesh no longer wants: else, as hosts come and
+    /// go, links and the messages on them would grow without end.
+    pub(in crate::steward) fn prune(&mut self) {
+        let now = self.clock.now();
+        let wanted = mesh::wanted(&self.group);
+        let is_wanted = |link: &Link| wanted.iter().any(|host| link.peer.sender == host.as_str());
+        if !self.links.values().any(is_wanted) {
+            return;
+        }
+        self.links.retain(|_, link| {
+            !link.is_dialed || is_wanted(link) || now.since(link.opened) < LINK_GRACE
+        });
+    }
+
+    pub(in crate::steward) fn steward_links(&self) -> usize {
+        self.links.values().filter(|link| link.peer.role == wire::Role::Steward).count()
+    }
+}
+
+fn age_ms(now: clock::Moment, read: clock::Moment) -> u64 {
+    u64::try_from(now.since(read).as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/lagoon-net/src/steward/mod.rs
+++ b/crates/lagoon-net/src/steward/mod.rs
@@ -8,8 +8,10 @@
 mod dial;
 mod fetch;
 mod observe;
+mod orders;
 mod session;
 mod settings;
+mod usage;
 mod zones;
 
 use std::cell;
@@ -183,7 +185,9 @@
         rt::spawn(dial::run(context.clone())),
         rt::spawn(fetch::run(context.clone())),
         rt::spawn(fetch::run_hosts(context.clone())),
-        rt::spawn(observe::run(context)),
+        rt::spawn(observe::run(context.clone())),
+        rt::spawn(orders::run(context.clone())),
+        rt::spawn(usage::run(context)),
     ];
     let _ = stopped.wait_for(|stop| *stop).await;
     for task in tasks {
--- a/crates/lagoon-net/src/steward/settings.rs
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -5,6 +5,7 @@
 use lagoonline::check;
 use lagoonline::clock;
 use lagoonline::control::document;
+use lagoonline::control::lease;
 use lagoonline::control::membership;
 use lagoonline::id;
 
@@ -33,6 +34,8 @@
     pub operator_keys: Vec<document::KeyHash>,
     /// Heartbeats.
     pub membership: membership::Settings,
+    /// Leases of orders.
+    pub lease: lease::Settings,
     /// Time between two reads of the document's head by the zone's fetcher.
     pub poll: clock::Span,
     /// Time between two reads of the load of an upstream that this steward observes.
@@ -53,6 +56,7 @@
             peers: Vec::new(),
             operator_keys: Vec::new(),
             membership: membership::Settings::default(),
+            lease: lease::Settings::default(),
             poll: clock::Span::from_millis(500),
             observe: clock::Span::from_millis(500),
             logs: logs::Settings::default(),
@@ -84,6 +88,7 @@
             peers: read_peers(reader),
             operator_keys: read_keys(reader),
             membership: reader.child("membership", read_membership).unwrap_or_default(),
+            lease: usual.lease,
             poll: clock::Span::from_millis(poll),
             observe: clock::Span::from_millis(observe),
             logs: reader.child("logs", logs::Settings::read).unwrap_or_default(),
--- /dev/null
+++ b/crates/lagoon-net/src/steward/usage.rs
@@ -0,0 +1,114 @@
+//! The idle ledger: meters of the engines that this steward observes, and its report.
+
+use std::collections;
+
+use lagoonline::clock::Clock;
+use lagoonline::control::ledger;
+use lagoonline::id;
+use lagoonline::port::table;
+
+use super::Context;
+use super::core;
+use crate::platform;
+
+/// Time between two readings of the meters.
+const READING: std::time::Duration = std::time::Duration::from_millis(500);
+
+/// Age of a load beyond which nobody is said to have seen the engine.
+const STALE: std::time::Duration = std::time::Duration::from_secs(3);
+
+/// Finished rows kept while the table is out: an hour of every engine that one steward observes.
+/// Beyond it the oldest are dropped, and the report shows their time as unobserved.
+const KEPT_ROWS: usize = 1_024;
+
+/// Rows read at once for a report.
+const SCAN_LIMIT: usize = 500;
+
+pub(super) async fn run(context: Context) {
+    let Some(platform) = context.platform.clone() else { return };
+    let mut meters = collections::HashMap::<id::Upstream, ledger::Meter>::new();
+    let mut finished = collections::VecDeque::<(id::Upstream, ledger::Row)>::new();
+    let mut last = context.clock.now();
+    loop {
+        tokio::time::sleep(READING).await;
+        // A pause of this process is time that nobody saw, whatever the engine did before.
+        let was_paused = context.clock.now().since(last) >= STALE;
+        last = context.clock.now();
+        read_meters(&context, was_paused, &mut meters, &mut finished);
+        while finished.len() > KEPT_ROWS {
+            finished.pop_front();
+        }
+        write_one(&platform, &mut finished).await;
+    }
+}
+
+/// Advances the meters of the engines owned here; those that moved away are dropped.
+fn read_meters(
+    context: &Context,
+    was_paused: bool,
+    meters: &mut collections::HashMap<id::Upstream, ledger::Meter>,
+    finished: &mut collections::VecDeque<(id::Upstream, ledger::Row)>,
+) {
+    let core = context.core.borrow();
+    let (wall_ms, now) = (context.clock.wall_millis(), context.clock.now());
+    let accounts = &core.accounts;
+    let in_zone = |name: &id::Upstream| {
+        core.fleet.upstream(name).is_some_and(|upstream| upstream.entry.zone == *core.zone())
+    };
+    meters.retain(|name, _| accounts.contains_key(name) && core.owns(name.as_str()));
+    for (name, account) in accounts.iter() {
+        if !in_zone(name) || !core.owns(name.as_str()) {
+            continue;
+        }
+        let meter = meters.entry(name.clone()).or_insert_with(|| ledger::Meter::new(wall_ms));
+        meter.set_accounts(account);
+        let is_fresh = |seen: &&core::Observed| !was_paused && now.since(seen.read) < STALE;
+        let seen = core.loads.get(name).filter(is_fresh);
+        let activity = match seen {
+            None => ledger::Activity::Unobserved,
+            Some(seen) if seen.load.running + seen.load.waiting == 0 => ledger::Activity::Idle,
+            Some(_) => ledger::Activity::Working(core.shares()),
+        };
+        meter.advance(wall_ms, &activity);
+        finished.extend(meter.take().into_iter().map(|row| (name.clone(), row)));
+    }
+}
+
+/// Writes the oldest row; one that fails stays first and is written again.
+async fn write_one(
+    platform: &platform::Client,
+    finished: &mut collections::VecDeque<(id::Upstream, ledger::Row)>,
+) {
+    let Some((upstream, row)) = finished.front() else { return };
+    if ledger::write(platform, upstream, row).await.is_ok() {
+        finished.pop_front();
+    }
+}
+
+/// Reads all rows and sums them.
+pub(super) async fn report<T>(
+    table: &T,
+    grouping: ledger::Grouping,
+) -> Result<collections::BTreeMap<String, ledger::Sum>, table::Error>
+where
+    T: table::Table,
+{
+    let mut rows = Vec::new();
+    let mut after = String::new();
+    loop {
+        let found = table.scan("usage/", &after, SCAN_LIMIT).await?;
+        let is_last = found.len() < SCAN_LIMIT;
+        for row in found {
+            after.clone_from(&row.key);
+            let name = row.key.strip_prefix("usage/").and_then(|rest| rest.rsplit_once('/'));
+            let parsed = serde_json::from_str::<ledger::Row>(&row.value).ok();
+            if let Some(((name, _), parsed)) = name.zip(parsed) {
+                rows.push((id::Upstream::from(name), parsed));
+            }
+        }
+        if is_last {
+            break;
+        }
+    }
+    Ok(ledger::sum(rows.iter().map(|(upstream, row)| (upstream, row)), grouping))
+}
--- a/crates/lagoon-net/src/steward/zones.rs
+++ b/crates/lagoon-net/src/steward/zones.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future;
 use lagoonline::control::mesh;
+use lagoonline::control::owner;
 use lagoonline::id;
 
 use super::Context;
@@ -32,6 +33,25 @@
     future::join_all(asked).await
 }
 
+/// Sends `call` to the steward of each zone, this one included, that gives orders there.
+pub(super) async fn ask_orderers(context: &Context, call: &wire::Call) -> Vec<Answer> {
+    let asked = orderers(context);
+    let asked =
+        asked.into_iter().map(|(zone, address)| ask_zone(context, zone, vec![address], call));
+    future::join_all(asked).await
+}
+
+fn orderers(context: &Context) -> Vec<(id::Zone, net::SocketAddr)> {
+    let core = context.core.borrow();
+    let zones: collections::BTreeSet<_> = core.group.live().map(|member| &member.zone).collect();
+    let orderer = |zone: &&id::Zone| {
+        let host = owner::choose(core.group.live_in(zone), super::orders::ORDERER)?;
+        let member = core.group.roster().member(&id::Host::from(host))?;
+        Some(((*zone).clone(), member.address))
+    };
+    zones.iter().filter_map(orderer).collect()
+}
+
 /// Sends `call` to one steward of `zone`.
 pub(super) async fn ask_in(
     context: &Context,
--- a/crates/lagoonctl/src/print.rs
+++ b/crates/lagoonctl/src/print.rs
@@ -60,3 +60,41 @@
         }
     }
 }
+
+/// Milliseconds of an hour.
+const HOUR_MS: f64 = 3_600_000.0;
+
+/// Prints sums of the idle ledger as a table, in accelerator-hours.
+pub(crate) fn usage(value: &serde_json::Value, json: bool) {
+    if json {
+        return println!("{value}");
+    }
+    let by = value["by"].as_str().unwrap_or_default();
+    println!(
+        "{by:<32} {:>12} {:>14} {:>16} {:>12}",
+        "work", "claimed idle", "unclaimed idle", "unobserved"
+    );
+    for (name, sum) in value["accelerator_ms"].as_object().into_iter().flatten() {
+        let hours = |field: &str| sum[field].as_f64().unwrap_or_default() / HOUR_MS;
+        let (work, claimed) = (hours("work_ms"), hours("claimed_idle_ms"));
+        let (unclaimed, unobserved) = (hours("unclaimed_idle_ms"), hours("unobserved_ms"));
+        println!("{name:<32} {work:>12.3} {claimed:>14.3} {unclaimed:>16.3} {unobserved:>12.3}");
+    }
+}
+
+/// Prints orders as one line for each engine.
+pub(crate) fn orders(value: &serde_json::Value, json: bool) {
+    if json {
+        return println!("{value}");
+    }
+    for line in value["engines"].as_array().into_iter().flatten() {
+        let text = |field: &str| line[field].as_str().unwrap_or_default().to_owned();
+        let model = line["actual"]["model"].as_str().unwrap_or("?");
+        let (name, decision) = (text("upstream"), text("decision"));
+        let (sent, repaired) = (&line["sent"], &line["repaired"]);
+        println!("{name:<32} {model:<24} {decision} (sent {sent}, repaired {repaired})");
+    }
+    for zone in value["silent_zones"].as_array().into_iter().flatten() {
+        println!("zone {}: no steward answers", zone.as_str().unwrap_or_default());
+    }
+}
--- a/crates/lagoonctl/src/run.rs
+++ b/crates/lagoonctl/src/run.rs
@@ -62,7 +62,11 @@
 ) -> Result<i32, operator::Error> {
     let request = operator::Request { verb: Some(verb), text, ..operator::Request::default() };
     let value = client.call(&request).await?;
-    print::value(&value, json);
+    match verb {
+        wire::Verb::Usage => print::usage(&value, json),
+        wire::Verb::Orders => print::orders(&value, json),
+        _ => print::value(&value, json),
+    }
     Ok(GOOD)
 }
 
--- a/crates/lagoonline/tests/control_document_fuzz.rs
+++ b/crates/lagoonline/tests/control_document_fuzz.rs
@@ -7,6 +7,7 @@
 use std::future;
 use std::pin;
 use std::rc;
+use std::sync;
 
 use control::{Fault, Table};
 use lagoonline::control::document;
@@ -45,6 +46,10 @@
     Fetch { host: usize },
     /// A host passes on all it has to another.
     Gossip { from: usize, to: usize },
+    /// A host sends all it has, and the message stays on its way.
+    Send { from: usize },
+    /// The oldest message on its way arrives.
+    Arrive { to: usize },
     /// A host is replaced by one that has nothing, and takes the maximum of the table and of the
     /// peers it reaches.
     Replace { host: usize },
@@ -74,6 +79,8 @@
             1 => any::<bool>().prop_map(Transition::Down),
             3 => host.clone().prop_map(|host| Transition::Fetch { host }),
             3 => (host.clone(), host.clone()).prop_map(|(from, to)| Transition::Gossip { from, to }),
+            2 => host.clone().prop_map(|from| Transition::Send { from }),
+            2 => host.clone().prop_map(|to| Transition::Arrive { to }),
             1 => host.prop_map(|host| Transition::Replace { host }),
         ]
         .boxed()
@@ -97,6 +104,7 @@
     down: bool,
     operators: collections::BTreeMap<usize, Operator>,
     hosts: Vec<spread::Replica>,
+    sent: collections::VecDeque<Vec<sync::Arc<document::Section>>>,
     /// Puts that were said to be stored, and as what.
     stored: collections::BTreeMap<String, (id::Team, id::Version)>,
     /// Puts whose fate was said to be unknown: a later refusal by the table says nothing of the
@@ -253,6 +261,15 @@
             }
             Transition::Fetch { host } => system.fetch(host),
             Transition::Gossip { from, to } => system.gossip(from, to),
+            Transition::Send { from } => {
+                let sections = system.hosts[from].sections().cloned().collect();
+                system.sent.push_back(sections);
+            }
+            Transition::Arrive { to } => {
+                for section in system.sent.pop_front().into_iter().flatten() {
+                    system.hosts[to].apply((*section).clone());
+                }
+            }
             Transition::Replace { host } => {
                 system.hosts[host] = spread::Replica::default();
                 replaced = Some(host);
