Engines load two at a time in a zone; fake table answers late

Cause: engines fetch weights by themselves, so a steward that took them too charged the weight store twice. Change: the orders' lease holds two load tokens a zone; the fake's answers are on their way for a poll.

--- a/crates/lagoon-net/src/platform/mod.rs
+++ b/crates/lagoon-net/src/platform/mod.rs
@@ -1,4 +1,4 @@
-//! The platform's table service, object store, list of hosts and weight store, by HTTP.
+//! The platform's table service, object store and list of hosts, by HTTP.
 //!
 //! Everything that guesses the platform's interface is here; see `docs/PROTOCOLS.md`.
 
@@ -7,7 +7,6 @@
 mod objects;
 mod settings;
 mod table;
-mod weights;
 
 pub use client::*;
 pub use settings::*;
--- a/crates/lagoon-net/src/steward/orders.rs
+++ b/crates/lagoon-net/src/steward/orders.rs
@@ -26,6 +26,11 @@
 /// Longest time for reading an engine's state.
 const READ_TIME: time::Millis = time::Millis(1_000);
 
+/// Engines of a zone that load at once. The weight store's rate is shared by all zones; with the
+/// orders' lease a zone holds this many tokens of it, so that after a change of many engines some
+/// serve again soon instead of all loading for as long as the sum of them takes.
+const LOADS_AT_ONCE: usize = 2;
+
 /// What only the zone's chosen steward does.
 pub(super) const ORDERER: &str = "orderer";
 
@@ -48,7 +53,6 @@
     address: net::SocketAddr,
     wanted: order::Wanted,
     checks_fence: bool,
-    weight_bytes: u64,
 }
 
 #[derive(Serialize)]
@@ -62,6 +66,8 @@
     http: client::Client,
     platform: platform::Client,
     lease: lease::Lease<clock::Host>,
+    /// Engines of the zone seen loading.
+    loading: usize,
 }
 
 pub(super) async fn run(context: Context) {
@@ -70,7 +76,7 @@
     let name = format!("orders/{}", context.settings.zone);
     let lease = lease::Lease::new(&name, own, context.settings.lease, context.clock);
     let http = client::Client::new().await;
-    let mut task = Task { context, http, platform, lease };
+    let mut task = Task { context, http, platform, lease, loading: 0 };
     loop {
         tokio::time::sleep(LOOK.mul_f64(rand::random_range(0.9..1.1))).await;
         if task.context.core.borrow().owns(ORDERER) {
@@ -85,11 +91,9 @@
     let here = core.fleet.upstreams.iter().filter(|upstream| upstream.entry.zone == *core.zone());
     let target = |upstream: &lagoonline::view::Upstream| {
         let wanted = order::Wanted::of(&upstream.entry)?;
-        let model = wanted.models.first().and_then(|model| core.fleet.models.get(model));
         Some(Target {
             name: upstream.name.clone(),
             address: upstream.entry.address,
-            weight_bytes: model.map_or(0, |model| model.weight_bytes),
             checks_fence: upstream.entry.checks_fence,
             wanted,
         })
@@ -100,8 +104,15 @@
 impl Task {
     async fn look(&mut self) {
         let mut outstanding = false;
+        let mut seen = Vec::new();
         for target in targets(&self.context) {
-            outstanding |= self.look_at(&target).await;
+            let actual = self.read(&target).await;
+            seen.push((target, actual));
+        }
+        let actual = seen.iter().filter_map(|(_, actual)| actual.as_ref());
+        self.loading = actual.filter(|actual| actual.loading).count();
+        for (target, actual) in seen {
+            outstanding |= self.decide(&target, actual).await;
         }
         if !outstanding {
             // The lease ends by itself if this fails.
@@ -109,9 +120,9 @@
         }
     }
 
-    /// Looks at one engine and orders what is missing; whether something is outstanding.
-    async fn look_at(&mut self, target: &Target) -> bool {
-        let Some(actual) = self.read(target).await else {
+    /// Orders what one engine is missing; whether something is outstanding.
+    async fn decide(&mut self, target: &Target, actual: Option<order::Actual>) -> bool {
+        let Some(actual) = actual else {
             self.note(target, None, "no answer", 0, 0);
             return false;
         };
@@ -166,13 +177,9 @@
     }
 
     async fn send(&mut self, target: &Target, order: &engine::Order) -> Fate {
-        if matches!(order, engine::Order::Load { .. }) {
-            let holder = self.context.settings.host.as_str();
-            // The weight store's rate is taken before the engine is told, so that loads of many
-            // engines do not all wait for it at once.
-            if self.platform.take_weights(target.weight_bytes, holder).await.is_err() {
-                return Fate::NoWeights;
-            }
+        let is_load = matches!(order, engine::Order::Load { .. });
+        if is_load && self.loading >= LOADS_AT_ONCE {
+            return Fate::NoWeights;
         }
         let Some(permit) = self.lease.permit() else { return Fate::NoLease };
         let request = self.http.post(format!("http://{}/orders", target.address));
@@ -187,7 +194,10 @@
             core::Counters::add(&counters.late_orders, 1);
         }
         match answer {
-            Ok(Ok(response)) if response.status() == http::StatusCode::OK => Fate::Taken,
+            Ok(Ok(response)) if response.status() == http::StatusCode::OK => {
+                self.loading += usize::from(is_load);
+                Fate::Taken
+            }
             Ok(Ok(_)) => Fate::Refused,
             // Whether it was obeyed shows at the next look.
             Ok(Err(_)) | Err(()) => Fate::Unknown,
@@ -227,7 +237,7 @@
 impl Fate {
     const fn word(self) -> &'static str {
         match self {
-            Fate::NoWeights => "waits for the weight store",
+            Fate::NoWeights => "others load first",
             Fate::NoLease => "the lease ended",
             Fate::Taken => "ordered",
             Fate::Refused => "the engine refused",
--- a/crates/lagoonline/tests/control/mod.rs
+++ b/crates/lagoonline/tests/control/mod.rs
@@ -89,6 +89,21 @@
         self.rows.get(key).map_or(0, |row| row.version)
     }
 
+    fn take(&mut self, transaction: table::Transaction) -> Result<Vec<u64>, table::Error> {
+        match self.faults.pop_front() {
+            None => self.apply(&transaction),
+            Some(Fault::Refuse) => Err(refused()),
+            Some(Fault::Delay) => {
+                self.delayed.push(transaction);
+                Err(unknown())
+            }
+            Some(Fault::LoseAnswer) => {
+                let _ = self.apply(&transaction);
+                Err(unknown())
+            }
+        }
+    }
+
     fn apply(&mut self, transaction: &table::Transaction) -> Result<Vec<u64>, table::Error> {
         let holds = |check: &table::Check| self.version(&check.key) == check.version;
         if !transaction.checks.iter().all(holds) {
@@ -154,19 +169,10 @@
     async fn commit(&self, transaction: table::Transaction) -> Result<Vec<u64>, table::Error> {
         Yield::default().await;
         self.check_up()?;
-        let mut inner = self.inner.borrow_mut();
-        match inner.faults.pop_front() {
-            None => inner.apply(&transaction),
-            Some(Fault::Refuse) => Err(refused()),
-            Some(Fault::Delay) => {
-                inner.delayed.push(transaction);
-                Err(unknown())
-            }
-            Some(Fault::LoseAnswer) => {
-                let _ = inner.apply(&transaction);
-                Err(unknown())
-            }
-        }
+        let answer = self.inner.borrow_mut().take(transaction);
+        // The answer is on its way for a while.
+        Yield::default().await;
+        answer
     }
 }
 
