--- a/crates/lagoon-net/src/steward/core/mod.rs
+++ b/crates/lagoon-net/src/steward/core/mod.rs
@@ -43,6 +43,10 @@
     pub datagrams_refused: atomic::AtomicU64,
     /// Frames sent on links.
     pub frames_sent: atomic::AtomicU64,
+    /// Bytes of frames sent on links, entry process included.
+    pub frame_bytes_sent: atomic::AtomicU64,
+    /// Bytes of frames sent to other hosts.
+    pub peer_bytes_sent: atomic::AtomicU64,
     /// Connections refused.
     pub connections_refused: atomic::AtomicU64,
     /// Sections applied.
--- a/crates/lagoon-net/src/steward/session.rs
+++ b/crates/lagoon-net/src/steward/session.rs
@@ -15,6 +15,10 @@
 /// Most connections at once: hosts of a zone, gateways, an entry process and some operators.
 const CONNECTIONS: usize = 256;
 
+/// Bytes of a frame besides its message, for the counters: length, tag, sender, life, sequence and
+/// nonce.
+const FRAME_HEAD: usize = 85;
+
 /// Wait after a failed accept, such as without free descriptors.
 const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
 
@@ -68,8 +72,9 @@
     is_dialed: bool,
 ) {
     let sender = peer.sender.clone();
+    let is_peer = peer.role == wire::Role::Steward;
     let (name, receiver) = context.core.borrow_mut().open(peer, is_dialed);
-    let ended = exchange(context, channel, name, receiver).await;
+    let ended = exchange(context, channel, (name, is_peer), receiver).await;
     context.core.borrow_mut().close(name);
     if let Err(error) = ended {
         log::debug!("link with {sender}: {error}");
@@ -79,7 +84,7 @@
 async fn exchange(
     context: &Context,
     mut channel: link::Channel,
-    name: core::LinkId,
+    (name, is_peer): (core::LinkId, bool),
     mut receiver: mpsc::Receiver<wire::Body>,
 ) -> Result<(), link::Error> {
     let counters = context.core.borrow().counters.clone();
@@ -94,7 +99,10 @@
             },
             body = receiver.recv() => {
                 let Some(body) = body else { return Ok(()) };
+                let bytes = (body.encoded_len() + FRAME_HEAD) as u64;
                 core::Counters::add(&counters.frames_sent, 1);
+                core::Counters::add(&counters.frame_bytes_sent, bytes);
+                core::Counters::add(&counters.peer_bytes_sent, if is_peer { bytes } else { 0 });
                 channel.send(body).await?;
             }
         }
--- /dev/null
+++ b/crates/lagoon-net/tests/control.rs
@@ -0,0 +1,348 @@
+//! Stewards, links and operators over loopback, with the stand-in of the platform.
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use lagoon_net::link;
+use lagoon_net::operator;
+use lagoon_net::platform as client;
+use lagoon_net::steward;
+use lagoon_net::wire;
+use lagoon_standin::engine;
+use lagoon_standin::platform;
+use lagoon_standin::server;
+use lagoonline::control::spread;
+use lagoonline::id;
+use sha2::Digest;
+
+/// Far above what any step takes, so that a slow machine fails no test.
+const LONG: time::Duration = time::Duration::from_secs(30);
+
+const OPERATOR_KEY: &str = "operators";
+
+/// Fleets that an entry process saw, newest last.
+type Seen = sync::Arc<sync::Mutex<Vec<spread::Versions>>>;
+
+/// Upstreams whose load an entry process heard of.
+type Heard = sync::Arc<sync::Mutex<collections::BTreeSet<String>>>;
+
+/// An entry process as far as its link goes: it works with what it is told at once.
+struct Entry {
+    seen: Seen,
+    loads: Heard,
+    stop: Option<tokio::sync::oneshot::Sender<()>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+struct Sink {
+    handle: link::Handle,
+    seen: Seen,
+    loads: Heard,
+}
+
+impl link::Sink for Sink {
+    fn take(&mut self, update: link::Update) {
+        if let link::Update::Loads(loads) = &update {
+            let names = loads.iter().map(|load| load.upstream.clone());
+            self.loads.lock().unwrap().extend(names);
+        }
+        if let link::Update::Fleet { fleet, complete } = update {
+            let in_force = fleet.versions.clone();
+            if complete {
+                self.seen.lock().unwrap().push(in_force.clone());
+            }
+            self.handle.report(link::State { ready: complete, in_force, ..Default::default() });
+        }
+    }
+}
+
+impl Entry {
+    fn start(steward: net::SocketAddr, host: &str, zone: &str) -> Entry {
+        let settings = link::Settings {
+            steward,
+            host: id::Host::from(host),
+            zone: id::Zone::from(zone),
+            incarnation: id::Incarnation(1),
+            key: wire::Key::new(b"fleet"),
+            ..link::Settings::default()
+        };
+        let seen = Seen::default();
+        let (stop, stopped) = tokio::sync::oneshot::channel();
+        let loads = Heard::default();
+        let (thread_seen, thread_loads) = (seen.clone(), loads.clone());
+        let thread = thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let (handle, task) = link::open(settings);
+            let sink = Sink { handle, seen: thread_seen, loads: thread_loads };
+            runtime.unwrap().block_on(async {
+                tokio::select! {
+                    () = task.run(sink) => {}
+                    _ = stopped => {}
+                }
+            });
+        });
+        Entry { seen, loads, stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// The versions that a ready entry process works with.
+    fn last(&self) -> Option<spread::Versions> {
+        self.seen.lock().unwrap().last().cloned()
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        if let Some(stop) = self.stop.take() {
+            let _ = stop.send(());
+        }
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+struct Host {
+    steward: steward::Running,
+    entry: Entry,
+}
+
+struct Fleet {
+    platform: server::Running<platform::Platform>,
+    hosts: collections::BTreeMap<String, Host>,
+}
+
+impl Fleet {
+    fn start(hosts_per_zone: usize) -> Fleet {
+        let platform = platform::start(platform::Settings::default()).unwrap();
+        let mut fleet = Fleet { platform, hosts: collections::BTreeMap::new() };
+        for zone in ["suva", "nausori", "lautoka"] {
+            for index in 0..hosts_per_zone {
+                fleet.add(zone, &format!("{zone}-{index}"));
+            }
+        }
+        fleet
+    }
+
+    fn add(&mut self, zone: &str, host: &str) {
+        let peers = self.hosts.values().map(|host| host.steward.address()).collect();
+        let platform = client::Settings {
+            address: self.platform.address(),
+            reads_per_second: 100.0,
+            writes_per_second: 50.0,
+            timeout: time::Duration::from_millis(500),
+            ..client::Settings::default()
+        };
+        let settings = steward::Settings {
+            host: id::Host::from(host),
+            zone: id::Zone::from(zone),
+            key: wire::Key::new(b"fleet"),
+            platform: Some(platform),
+            peers,
+            operator_keys: vec![sha2::Sha256::digest(OPERATOR_KEY).into()],
+            ..steward::Settings::default()
+        };
+        let steward = steward::start(settings).unwrap();
+        let entry = Entry::start(steward.address(), host, zone);
+        self.hosts.insert(host.to_owned(), Host { steward, entry });
+    }
+
+    fn client(&self) -> operator::Client {
+        let stewards = self.hosts.values().map(|host| host.steward.address()).collect();
+        operator::Client::new(operator::Settings {
+            stewards,
+            fleet_key: wire::Key::new(b"fleet"),
+            key: OPERATOR_KEY.to_owned(),
+            patience: LONG,
+            ..operator::Settings::default()
+        })
+    }
+
+    fn put(&self, version: u64, text: &str) -> Result<u64, operator::Error> {
+        let request = operator::Request {
+            verb: Some(wire::Verb::SectionPut),
+            team: "labels".to_owned(),
+            version,
+            text: text.to_owned(),
+        };
+        let value = block_on(self.client().call(&request))?;
+        Ok(value["version"].as_u64().unwrap())
+    }
+
+    fn wait_accepted(&self, version: u64) -> operator::Standing {
+        block_on(self.client().wait_accepted("labels", version, LONG)).unwrap()
+    }
+
+    fn set_faults<F>(&self, change: F)
+    where
+        F: FnOnce(&mut platform::Faults),
+    {
+        let mut faults = self.platform.node().faults();
+        change(&mut faults);
+        self.platform.node().set_faults(faults);
+    }
+
+    /// Every entry process that is ready works with `version`, and none ever went back.
+    fn assert_in_force(&self, version: u64) {
+        for (name, host) in &self.hosts {
+            let last = host.entry.last().unwrap_or_default();
+            assert_eq!(last.get("labels"), Some(&id::Version(version)), "{name}");
+            let seen = host.entry.seen.lock().unwrap();
+            assert!(seen.is_sorted_by_key(|versions| versions.get("labels").copied()), "{name}");
+        }
+    }
+
+    fn wait_ready(&self) {
+        wait(|| self.hosts.values().all(|host| host.entry.last().is_some()));
+    }
+}
+
+fn block_on<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.unwrap().block_on(future)
+}
+
+fn wait<F>(holds: F)
+where
+    F: Fn() -> bool,
+{
+    let began = time::Instant::now();
+    while !holds() {
+        assert!(began.elapsed() < LONG, "did not come about");
+        thread::sleep(time::Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn an_accepted_section_is_in_force_in_every_zone() {
+    // An operator puts a section. When it is said to be accepted, each of the nine entry hosts
+    // in three zones works with it. A second version follows, edited from the first; one that was
+    // edited from the first again is refused and shown the change.
+    let fleet = Fleet::start(3);
+    fleet.wait_ready();
+    assert_eq!(fleet.put(0, r#"{"models": {"m": {}}}"#).unwrap(), 1);
+    let standing = fleet.wait_accepted(1);
+    assert!(standing.accepted, "{standing:?}");
+    fleet.assert_in_force(1);
+    assert_eq!(fleet.put(1, r#"{"models": {"m": {"max_tokens": 9}}}"#).unwrap(), 2);
+    assert!(fleet.wait_accepted(2).accepted);
+    fleet.assert_in_force(2);
+    let operator::Error::Refused { code, details, .. } = fleet.put(1, "{}").unwrap_err() else {
+        panic!("not refused");
+    };
+    assert_eq!(code, "raced");
+    assert_eq!(details["changes"][0], "+ /models/m/max_tokens: 9");
+}
+
+#[test]
+fn a_put_whose_answers_are_lost_is_stored_once() {
+    // The platform takes writes and loses their answers. The steward reads the put back and says
+    // that it is stored; the history has one row.
+    let fleet = Fleet::start(1);
+    fleet.wait_ready();
+    fleet.set_faults(|faults| faults.lose_answer = true);
+    assert_eq!(fleet.put(0, "{}").unwrap(), 1);
+    fleet.set_faults(|faults| faults.lose_answer = false);
+    assert!(fleet.wait_accepted(1).accepted);
+    assert_eq!(fleet.platform.node().rows("history/labels/").len(), 1);
+}
+
+#[test]
+fn a_zone_that_does_not_reach_the_platform_gets_sections_from_the_others() {
+    // Zone suva is cut off from the platform only. A put made in another zone is in force there
+    // as well, passed on by the gateways.
+    let fleet = Fleet::start(2);
+    fleet.wait_ready();
+    fleet.set_faults(|faults| faults.cut = vec!["suva".to_owned()]);
+    assert_eq!(fleet.put(0, "{}").unwrap(), 1);
+    let standing = fleet.wait_accepted(1);
+    assert!(standing.accepted, "{standing:?}");
+    fleet.assert_in_force(1);
+}
+
+#[test]
+fn replacing_a_zone_during_an_outage_reverts_nothing() {
+    // A section is accepted; then the platform goes out and every host of zone suva is replaced.
+    // The new hosts have no disk and no platform: they wait for peers of the other zones, become
+    // ready with the accepted version, and never with less.
+    let mut fleet = Fleet::start(2);
+    fleet.wait_ready();
+    assert_eq!(fleet.put(0, r#"{"models": {"m": {}}}"#).unwrap(), 1);
+    assert!(fleet.wait_accepted(1).accepted);
+    fleet.set_faults(|faults| faults.down = true);
+    for index in 0..2 {
+        fleet.hosts.remove(&format!("suva-{index}"));
+    }
+    for index in 2..4 {
+        fleet.add("suva", &format!("suva-{index}"));
+    }
+    fleet.wait_ready();
+    fleet.assert_in_force(1);
+}
+
+#[test]
+fn a_host_that_hears_nobody_is_not_ready() {
+    // The platform is out and the host knows no peer: it cannot tell whether there is a document,
+    // so it stays unready instead of serving without one. When the platform is back it is ready.
+    let platform = platform::start(platform::Settings::default()).unwrap();
+    let mut fleet = Fleet { platform, hosts: collections::BTreeMap::new() };
+    fleet.set_faults(|faults| faults.down = true);
+    fleet.add("suva", "suva-0");
+    thread::sleep(time::Duration::from_secs(2));
+    assert_eq!(fleet.hosts["suva-0"].entry.last(), None);
+    fleet.set_faults(|faults| faults.down = false);
+    fleet.wait_ready();
+}
+
+fn engine(name: &str, model: &str) -> server::Running<engine::Engine> {
+    engine::start(engine::Settings {
+        name: name.to_owned(),
+        model: model.to_owned(),
+        ..engine::Settings::default()
+    })
+    .unwrap()
+}
+
+fn section_of(engines: &[(&str, &str, net::SocketAddr)]) -> String {
+    let upstream = |(name, zone, address): &(&str, &str, net::SocketAddr)| {
+        let value = serde_json::json!({ "zone": zone, "address": address, "models": ["m"] });
+        ((*name).to_owned(), value)
+    };
+    let upstreams: serde_json::Map<_, _> = engines.iter().map(upstream).collect();
+    serde_json::json!({ "models": { "m": {} }, "upstreams": upstreams }).to_string()
+}
+
+#[test]
+fn engines_are_observed_for_every_host_of_their_zone_and_ordered_to_their_model() {
+    // Two engines of one zone serve another model than the document says. One steward of the zone
+    // reads each one's load, and both entry processes of the zone hear of it; the zone's orderer
+    // takes the lease, and both engines serve the wanted model. One steward is stopped: the other
+    // takes over its engine within seconds.
+    let mut fleet = Fleet::start(2);
+    fleet.wait_ready();
+    let engines = [engine("e1", "x"), engine("e2", "x")];
+    let lines = [("e1", "suva", engines[0].address()), ("e2", "suva", engines[1].address())];
+    fleet.put(0, &section_of(&lines)).unwrap();
+    let orders = operator::Request { verb: Some(wire::Verb::Orders), ..Default::default() };
+    let has_model = || {
+        let value = block_on(fleet.client().call(&orders)).unwrap();
+        let lines = value["engines"].as_array().cloned().unwrap_or_default();
+        lines.iter().filter(|line| line["actual"]["model"] == "m").count() == 2
+    };
+    wait(has_model);
+    let heard = |host: &str| {
+        let loads = fleet.hosts[host].entry.loads.lock().unwrap();
+        loads.contains("e1") && loads.contains("e2")
+    };
+    wait(|| heard("suva-0") && heard("suva-1"));
+    fleet.hosts.remove("suva-0");
+    let entry = &fleet.hosts["suva-1"].entry;
+    thread::sleep(time::Duration::from_secs(4));
+    entry.loads.lock().unwrap().clear();
+    wait(|| entry.loads.lock().unwrap().len() == 2);
+}
