Stand-in service and platform

Change: service (any method, streamed body hashed, record of calls), platform (table, objects, lagging hosts, weight store), faults over HTTP and in process. A server stopped while its workers still start hung its owner on a join once (a doctest, 10 minutes): HTTP threads are no longer joined. Conclusion: one process can hold the stand-ins of a fleet.

--- a/crates/lagoon-standin/src/lib.rs
+++ b/crates/lagoon-standin/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod answer;
 pub mod engine;
 pub mod fault;
+pub mod platform;
 pub mod port;
 pub mod prompt;
 pub mod server;
+pub mod service;
--- a/crates/lagoon-standin/src/server.rs
+++ b/crates/lagoon-standin/src/server.rs
@@ -12,6 +12,8 @@
 use ntex::service;
 
 use crate::engine;
+use crate::platform;
+use crate::service as plain;
 
 /// Time between two looks at what the stand-ins have to do, in real time.
 const TICK: time::Duration = time::Duration::from_millis(2);
@@ -25,18 +27,25 @@
 pub enum Node {
     /// A model engine.
     Engine(sync::Arc<engine::Engine>),
+    /// The platform.
+    Platform(sync::Arc<platform::Platform>),
+    /// A replica of a plain service.
+    Service(sync::Arc<plain::Service>),
 }
 
 impl Node {
     async fn handle(self, request: http::Request) -> http::Response {
         match self {
             Node::Engine(engine) => engine::http::handle(engine, request).await,
+            Node::Platform(platform) => platform::handle(platform, request).await,
+            Node::Service(service) => plain::handle(service, request).await,
         }
     }
 
     fn tick(&self, now: time::Instant) {
         match self {
             Node::Engine(engine) => engine.tick(now),
+            Node::Platform(_) | Node::Service(_) => {}
         }
     }
 }
@@ -47,7 +56,7 @@
     stop: sync::Arc<atomic::AtomicBool>,
     /// Behind a lock only because it may not be shared between threads without one.
     control: sync::Mutex<ntex::server::Server>,
-    threads: Vec<thread::JoinHandle<()>>,
+    clock: Option<thread::JoinHandle<()>>,
 }
 
 impl Drop for Server {
@@ -55,10 +64,11 @@
         self.stop.store(true, atomic::Ordering::Release);
         let control = self.control.get_mut().unwrap_or_else(sync::PoisonError::into_inner);
         drop(control.stop(false));
-        for thread in self.threads.drain(..) {
-            if thread.join().is_err() {
-                log::error!("a stand-in thread panicked");
-            }
+        // The HTTP threads end by themselves. They are not waited for: a server that is stopped
+        // while its workers still start may never say that it has stopped, and its owner would
+        // hang on a join.
+        if self.clock.take().is_some_and(|clock| clock.join().is_err()) {
+            log::error!("the stand-ins' clock thread panicked");
         }
     }
 }
@@ -72,7 +82,7 @@
     let stop = sync::Arc::new(atomic::AtomicBool::new(false));
     let clocks: Vec<Node> = nodes.iter().map(|(_, node)| node.clone()).collect();
     let (sender, receiver) = mpsc::channel();
-    let http = thread::Builder::new().name("standin-http".to_owned()).spawn(move || {
+    thread::Builder::new().name("standin-http".to_owned()).spawn(move || {
         ntex::rt::System::new("standin", ntex::rt::DefaultRuntime).block_on(run(nodes, sender));
     })?;
     let control = receiver.recv().map_err(io::Error::other)??;
@@ -85,7 +95,7 @@
         }
     })?;
     let control = sync::Mutex::new(control);
-    Ok(Server { stop, control, threads: vec![http, clock] })
+    Ok(Server { stop, control, clock: Some(clock) })
 }
 
 async fn run(
--- /dev/null
+++ b/crates/lagoon-standin/tests/service.rs
@@ -0,0 +1,71 @@
+//! A plain service as its callers see it.
+
+mod common;
+
+use common::{get, post, run};
+use lagoon_standin::service;
+use ntex::client;
+use rstest::rstest;
+use serde_json::json;
+
+async fn call(address: std::net::SocketAddr, method: &str) -> Option<client::ClientResponse> {
+    let client = client::Client::new().await;
+    let method = method.parse().unwrap();
+    let request = client.request(method, format!("http://{address}/bookings/7"));
+    request.set_header("Lagoon-Attempt", "abc").send_body("tin").await.ok()
+}
+
+#[rstest]
+#[case("POST")]
+#[case("PUT")]
+#[case("DELETE")]
+#[case("PATCH")]
+fn any_method_runs_and_is_recorded(#[case] method: &'static str) {
+    run(async move {
+        let service = service::start(service::Settings::default()).unwrap();
+        let answer = call(service.address(), method).await.unwrap();
+        assert_eq!(answer.status().as_u16(), 200);
+        assert_eq!(answer.headers().get("Lagoon-Attempt").unwrap(), "abc");
+        let record = service.node().record();
+        assert_eq!(record.calls.len(), 1);
+        let call = &record.calls[0];
+        assert_eq!((call.method.as_str(), call.path.as_str()), (method, "/bookings/7"));
+        assert!(call.ran && call.body_sha256.len() == 64);
+    });
+}
+
+// The booking is made, and the connection goes before the answer: the caller cannot know, and the
+// record says that it ran, once.
+#[test]
+fn a_lost_answer_is_of_a_call_that_ran() {
+    run(async {
+        let service = service::start(service::Settings::default()).unwrap();
+        post(service.address(), "/faults", json!({"lose_answer": true})).await;
+        assert!(call(service.address(), "POST").await.is_none());
+        assert_eq!(service.node().record().calls.len(), 1);
+    });
+}
+
+#[rstest]
+#[case::down(json!({"down": true}))]
+#[case::loss(json!({"loss": 1.0}))]
+fn a_lost_request_does_not_run(#[case] change: serde_json::Value) {
+    run(async move {
+        let service = service::start(service::Settings::default()).unwrap();
+        post(service.address(), "/faults", change).await;
+        assert!(call(service.address(), "POST").await.is_none());
+        assert_eq!(get(service.address(), "/record").await.1["calls"], json!([]));
+    });
+}
+
+#[test]
+fn a_leaving_replica_says_that_the_call_did_not_run() {
+    run(async {
+        let service = service::start(service::Settings::default()).unwrap();
+        service.node().leave();
+        let answer = call(service.address(), "POST").await.unwrap();
+        assert_eq!(answer.status().as_u16(), 503);
+        assert_eq!(answer.headers().get("Lagoon-Not-Run").unwrap(), "1");
+        assert!(service.node().record().calls.is_empty());
+    });
+}
