Entry host: idempotency keys of calls that may not repeat

Cause: keyed calls were refused for want of a place to record the key. Change: entry/claims.rs claims the key before dispatch, runs the call in a task of its own so that it ends also when the caller leaves, and stores the answer for replay; settings name the platform.

--- /dev/null
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -0,0 +1,269 @@
+//! Keyed calls that may not repeat: the key is claimed before dispatch, the answer stored for
+//! replay.
+//!
+//! Failure answered: a caller loses its answer and asks again, perhaps at another entry host.
+//! Symptom: a filing is made twice. The call goes out only with a ticket of
+//! `lagoonline::life::claim`, and runs in a task of its own: a caller that leaves does not end it,
+//! so the answer is there when it asks again. Storing and freeing go on after the caller has its
+//! answer, and a drain waits for them.
+
+use std::rc;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::life::claim;
+use lagoonline::life::request;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use ntex::http;
+use ntex::util;
+use ntex::web;
+use tokio::sync as async_sync;
+
+use super::body;
+use super::call;
+use super::fault;
+use super::limit;
+use super::services;
+use super::state;
+use super::worker;
+use crate::platform;
+
+/// The claims of one worker thread.
+pub(crate) type Claims = claim::Claims<platform::Client, platform::Client, clock::Host>;
+
+/// Tries to store an answer, a second apart: an outage that lasts longer leaves the key as one
+/// that may have run.
+const STORE_TRIES: u32 = 10;
+const PAUSE: clock::Span = clock::Span::from_secs(1);
+
+/// Claims through the platform of the settings, if there is one.
+pub(crate) async fn open(state: &state::State) -> Option<Claims> {
+    let limits = state.platform.clone()?;
+    let client = platform::Client::new(limits, state.settings.zone.as_str()).await;
+    let owner = state.owner.clone();
+    let settings = claim::Settings { owner, ..claim::Settings::default() };
+    Some(claim::Claims::new(client.clone(), client, state.clock, settings))
+}
+
+/// A keyed call.
+pub(crate) struct Keyed {
+    pub(crate) worker: rc::Rc<worker::Worker>,
+    pub(crate) call: call::Call,
+    pub(crate) key: String,
+    pub(crate) request: web::HttpRequest,
+    pub(crate) service: id::Service,
+    pub(crate) target: String,
+    pub(crate) request_id: String,
+    /// Longest answer that is kept, in bytes.
+    pub(crate) max_answer: u64,
+    pub(crate) active: rc::Rc<state::Active>,
+}
+
+/// Answers a keyed call.
+pub(crate) async fn answer(
+    keyed: Keyed,
+    payload: http::Payload,
+) -> Result<web::HttpResponse, fault::Fault> {
+    let Some(claims) = keyed.worker.claims.clone() else {
+        let fault = fault::new(Reason::PlatformDown, Step::Claim, Outcome::NotRun);
+        return Err(fault.with_detail("no table service is set up to record the key"));
+    };
+    let (sender, receiver) = async_sync::oneshot::channel();
+    drop(ntex::rt::spawn(async move {
+        let result = keyed.run(claims, payload).await;
+        // Nobody listens when the caller left; the answer is stored all the same.
+        let _left = sender.send(result);
+    }));
+    let gone = |_| Err(fault::new(Reason::Internal, Step::Claim, Outcome::Unknown));
+    receiver.await.unwrap_or_else(gone)
+}
+
+impl Keyed {
+    async fn run(
+        self,
+        claims: Claims,
+        payload: http::Payload,
+    ) -> Result<web::HttpResponse, fault::Fault> {
+        let state = self.worker.state.clone();
+        let read = body::collect(&state.settings.limits, self.request.headers(), payload);
+        let body = limit::within(&state, self.call.deadline, read).await;
+        let body = body.map_err(|stop| stop.fault(Step::Read, Outcome::NotRun))??;
+        match self.begin(&claims, &body).await? {
+            claim::Begin::Run(ticket) => self.dispatch(claims, ticket, body).await,
+            claim::Begin::Replay(answer) => {
+                state.metrics.claim("replayed");
+                Ok(self.head(answer.status, &answer.content_type).body(answer.body.to_vec()))
+            }
+            // Both are for calls that may repeat.
+            claim::Begin::Unclaimed | claim::Begin::Running(_) => {
+                Err(fault::new(Reason::EarlierUnknown, Step::Claim, Outcome::Unknown))
+            }
+        }
+    }
+
+    fn ask(&self, body: &[u8]) -> claim::Ask {
+        let path = format!("/services/{}{}", self.service, self.target);
+        claim::Ask {
+            customer: self.call.customer().name.clone(),
+            key: self.key.clone(),
+            body: claim::body_hash(self.request.method().as_str(), &path, body),
+            repeat: request::Repeat::Never,
+            token: call::new_attempt(),
+            upstream: id::Upstream::default(),
+            deadline: self.call.deadline,
+            wall_ms: self.worker.state.clock.wall_millis(),
+        }
+    }
+
+    async fn begin(&self, claims: &Claims, body: &[u8]) -> Result<claim::Begin, fault::Fault> {
+        let (ask, own) = (self.ask(body), claims.clone());
+        let mut begin = Box::pin(async move { own.begin(ask).await });
+        let state = &self.worker.state;
+        let result = limit::within(state, self.call.deadline, &mut begin).await;
+        let result = match result {
+            Ok(result) => result,
+            Err(stop) => {
+                // The claim may still come about: it is freed, since nothing was dispatched.
+                let claims = claims.clone();
+                drop(ntex::rt::spawn(async move {
+                    match begin.await {
+                        Ok(claim::Begin::Run(ticket)) => {
+                            settle(&claims, claims.release(ticket).await).await;
+                        }
+                        Ok(_) => {}
+                        Err(refusal) => settle(&claims, refusal.abandoned).await,
+                    }
+                }));
+                return Err(stop.fault(Step::Claim, Outcome::NotRun));
+            }
+        };
+        result.map_err(|refusal| {
+            state.metrics.claim("refused");
+            let (claims, abandoned) = (claims.clone(), refusal.abandoned);
+            drop(ntex::rt::spawn(async move { settle(&claims, abandoned).await }));
+            fault::Fault::from(refusal.failure)
+        })
+    }
+
+    async fn dispatch(
+        self,
+        claims: Claims,
+        ticket: claim::Ticket,
+        body: util::Bytes,
+    ) -> Result<web::HttpResponse, fault::Fault> {
+        let state = self.worker.state.clone();
+        state.metrics.claim("claimed");
+        let sent = match ticket.dispatch(state.clock.now()) {
+            Ok(sent) => sent,
+            Err(claim::Expired(ticket)) => {
+                self.after(claims, |claims| async move {
+                    settle(&claims, claims.release(*ticket).await).await;
+                });
+                return Err(fault::new(Reason::DeadlinePassed, Step::Claim, Outcome::NotRun));
+            }
+        };
+        match self.send(body).await {
+            Ok(answer) => {
+                let kept = answer.clone();
+                let metrics = state.clone();
+                self.after(claims, |claims| async move {
+                    let stored = store(&claims, sent, kept).await;
+                    metrics.metrics.claim(if stored { "stored" } else { "unstored" });
+                });
+                Ok(self.head(answer.status, &answer.content_type).body(answer.body.to_vec()))
+            }
+            Err(fault) => {
+                let ran = fault.failure.outcome != Outcome::NotRun;
+                state.metrics.claim(if ran { "lost" } else { "released" });
+                self.after(claims, move |claims| async move {
+                    if ran {
+                        claims.lose(sent).await;
+                    } else {
+                        settle(&claims, claims.release(sent.refused()).await).await;
+                    }
+                });
+                Err(fault)
+            }
+        }
+    }
+
+    async fn send(&self, body: util::Bytes) -> Result<claim::Answer, fault::Fault> {
+        let job = services::Job {
+            worker: self.worker.clone(),
+            call: self.call.clone(),
+            request: self.request.clone(),
+            service: self.service.clone(),
+            target: self.target.clone(),
+            body: services::Source::whole(&self.worker.state, body),
+        };
+        let held = request::Held::new(request::Repeat::Never);
+        let (answer, answering, slot) = job.send(held).await?;
+        let (status, kind) = (answer.status().as_u16(), answer.header("content-type"));
+        let kind = kind.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
+        let mut payload = answer.take_payload();
+        let limit = usize::try_from(self.max_answer).unwrap_or(usize::MAX);
+        let work = services::whole(&mut payload, limit);
+        match limit::within(&self.worker.state, self.call.deadline, work).await {
+            Ok(Some(whole)) => {
+                let _done = answering.complete();
+                self.worker.state.metrics.done("service");
+                let body = bytes::Bytes::copy_from_slice(&whole);
+                Ok(claim::Answer { status, content_type: kind, body })
+            }
+            Ok(None) => {
+                let outcome = answering.broken().end();
+                let fault = fault::new(Reason::UpstreamFailed, Step::Stream, outcome);
+                Err(fault.at(slot.upstream.as_str()))
+            }
+            Err(stop) => Err(stop.fault(Step::Stream, answering.broken().end())),
+        }
+    }
+
+    fn head(&self, status: u16, kind: &str) -> http::ResponseBuilder {
+        let status = http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::OK);
+        let mut head = web::HttpResponse::build(status);
+        head.set_header("X-Request-Id", self.request_id.as_str());
+        head.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+        if !kind.is_empty() {
+            head.set_header("Content-Type", kind);
+        }
+        if self.worker.state.phase() >= state::Phase::Draining {
+            head.force_close();
+        }
+        head
+    }
+
+    /// Does something that the caller need not wait for, and a drain does.
+    fn after<Work, Done>(&self, claims: Claims, work: Work)
+    where
+        Work: FnOnce(Claims) -> Done + 'static,
+        Done: std::future::Future<Output = ()> + 'static,
+    {
+        let active = self.active.clone();
+        drop(ntex::rt::spawn(async move {
+            work(claims).await;
+            drop(active);
+        }));
+    }
+}
+
+async fn store(claims: &Claims, sent: claim::Sent, answer: claim::Answer) -> bool {
+    let (mut sent, mut answer) = (sent, answer);
+    for _ in 0..STORE_TRIES {
+        match claims.finish(sent, answer).await {
+            Ok(()) => return true,
+            Err(unstored) => (sent, answer) = (unstored.sent, unstored.answer),
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    false
+}
+
+/// Frees a key whose claim may yet land; a drain need not wait, since retention frees it too.
+async fn settle(claims: &Claims, abandoned: Option<claim::Abandoned>) {
+    let Some(abandoned) = abandoned else { return };
+    while !claims.settle(&abandoned).await {
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -92,6 +92,7 @@
     resumes: Counters<CauseLabels>,
     chunks_refused: Counters<CauseLabels>,
     cancels: Counters<CauseLabels>,
+    claims: Counters<CauseLabels>,
     pub(crate) cancels_pending: gauge::Gauge,
     pub(crate) active: gauge::Gauge,
     pub(crate) draining: gauge::Gauge,
@@ -120,6 +121,7 @@
             resumes: family::Family::default(),
             chunks_refused: family::Family::default(),
             cancels: family::Family::default(),
+            claims: family::Family::default(),
             cancels_pending: gauge::Gauge::default(),
             active: gauge::Gauge::default(),
             draining: gauge::Gauge::default(),
@@ -152,6 +154,7 @@
         registry.register("resumes", "Streams taken up again", self.resumes.clone());
         let chunks = self.chunks_refused.clone();
         registry.register("chunks_refused", "Chunks never delivered", chunks);
+        registry.register("claims", "Idempotency keys", self.claims.clone());
         registry.register("cancels", "Cancels of attempts", self.cancels.clone());
         registry.register("customer_requests", "Requests of a customer", self.customers.clone());
         registry.register("tokens", "Answer tokens delivered", self.tokens.clone());
@@ -192,6 +195,8 @@
         start(&self.retries, &["unknown_model", "attempt_exists", "unknown_upstream"]);
         start(&self.resumes, &["resumed", "failed"]);
         start(&self.chunks_refused, &["crossed", "repeated", "gap", "count", "after_end"]);
+        start(&self.claims, &["claimed", "replayed", "refused", "released", "lost"]);
+        start(&self.claims, &["stored", "unstored"]);
         start(&self.cancels, &["acknowledged", "repeated", "given_up", "dropped"]);
     }
 
@@ -253,6 +258,10 @@
         self.cancels.get_or_create(&CauseLabels { cause }).inc();
     }
 
+    pub(crate) fn claim(&self, cause: &'static str) {
+        self.claims.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     pub(crate) fn set_waiting(&self, model: &id::Model, count: usize) {
         let count = i64::try_from(count).unwrap_or(i64::MAX);
         self.waiting.get_or_create(&ModelLabels { model: model.to_string() }).set(count);
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -8,6 +8,7 @@
 mod body;
 mod call;
 mod cancel;
+mod claims;
 mod desk;
 mod fault;
 mod limit;
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -19,6 +19,7 @@
 
 use super::body;
 use super::call;
+use super::claims;
 use super::fault;
 use super::limit;
 use super::replica;
@@ -32,13 +33,13 @@
 const WHOLE_ANSWER: usize = 256 << 10;
 
 /// A service call under way.
-struct Job<'a> {
-    worker: &'a rc::Rc<worker::Worker>,
-    call: call::Call,
-    request: &'a web::HttpRequest,
-    service: id::Service,
-    target: String,
-    body: Source,
+pub(crate) struct Job {
+    pub(crate) worker: rc::Rc<worker::Worker>,
+    pub(crate) call: call::Call,
+    pub(crate) request: web::HttpRequest,
+    pub(crate) service: id::Service,
+    pub(crate) target: String,
+    pub(crate) body: Source,
 }
 
 /// Answers a service call.
@@ -64,12 +65,22 @@
     state.limits().take(state.clock.now(), &call.customer().name, call.rate(), 0)?;
     let method = request.method().as_str();
     let repeats = known.idempotent_methods.iter().any(|known| known == method);
-    if call.key.is_some() && !repeats {
-        // A keyed call goes out only after its claim is recorded; see `super::claims`.
-        let fault = fault::new(Reason::PlatformDown, Step::Claim, Outcome::NotRun);
-        return Err(fault.with_detail("no table service is set up to record the key"));
+    if let (Some(key), false) = (call.key.clone(), repeats) {
+        let keyed = claims::Keyed {
+            worker: worker.clone(),
+            key,
+            request: request.clone(),
+            service,
+            target,
+            request_id: request_id.to_owned(),
+            max_answer: known.max_answer_bytes,
+            active: rc::Rc::new(active),
+            call,
+        };
+        return claims::answer(keyed, payload).await;
     }
     let body = Source::new(state, request.headers(), payload)?;
+    let (worker, request) = (worker.clone(), request.clone());
     let job = Job { worker, call, request, service, target, body };
     let repeat = if repeats { request::Repeat::Allowed } else { request::Repeat::Never };
     let (answer, answering, slot) = job.send(request::Held::new(repeat)).await?;
@@ -85,8 +96,8 @@
     (name.to_owned(), format!("/{path}{query}"))
 }
 
-impl Job<'_> {
-    async fn send(
+impl Job {
+    pub(crate) async fn send(
         &self,
         mut held: request::Held,
     ) -> Result<(client::ClientResponse, request::Answering, replica::Slot), fault::Fault> {
@@ -192,7 +203,8 @@
         let mut payload = answer.take_payload();
         let bodyless = *self.request.method() == http::Method::HEAD;
         if bodyless || length.is_some_and(|length| length <= WHOLE_ANSWER as u64) {
-            let whole = limit::within(state, self.call.deadline, whole(&mut payload)).await;
+            let whole =
+                limit::within(state, self.call.deadline, whole(&mut payload, WHOLE_ANSWER)).await;
             let whole = match whole {
                 Ok(Some(whole)) => whole,
                 Ok(None) => {
@@ -258,20 +270,26 @@
     }
 }
 
-async fn whole(payload: &mut http::Payload) -> Option<util::Bytes> {
+/// A whole answer; `None` when it breaks off or has more than `limit` bytes.
+pub(crate) async fn whole(payload: &mut http::Payload, limit: usize) -> Option<util::Bytes> {
     let mut body = util::BytesMut::new();
     while let Some(chunk) = payload.recv().await {
         body.extend_from_slice(&chunk.ok()?);
+        if body.len() > limit {
+            return None;
+        }
     }
     Some(body.freeze())
 }
 
 /// The caller's body: passed on as it comes, and therefore once.
 #[derive(Clone)]
-struct Source(rc::Rc<Inner>);
+pub(crate) struct Source(rc::Rc<Inner>);
 
 struct Inner {
     payload: cell::RefCell<Option<http::Payload>>,
+    /// The whole body, when it was read before; it can be sent any number of times.
+    whole: Option<util::Bytes>,
     empty: bool,
     length: Option<u64>,
     fault: cell::RefCell<Option<fault::Fault>>,
@@ -292,6 +310,7 @@
         let chunked = headers.contains_key("transfer-encoding");
         let inner = Inner {
             payload: cell::RefCell::new(Some(payload)),
+            whole: None,
             empty: !chunked && length.unwrap_or(0) == 0,
             length,
             fault: cell::RefCell::default(),
@@ -300,9 +319,21 @@
         Ok(Source(rc::Rc::new(inner)))
     }
 
+    /// A body that was read before.
+    pub(crate) fn whole(state: &sync::Arc<state::State>, body: util::Bytes) -> Source {
+        Source(rc::Rc::new(Inner {
+            payload: cell::RefCell::default(),
+            empty: body.is_empty(),
+            length: Some(body.len() as u64),
+            whole: Some(body),
+            fault: cell::RefCell::default(),
+            state: state.clone(),
+        }))
+    }
+
     /// Whether a further dispatch would send the same body.
     fn is_untouched(&self) -> bool {
-        self.0.empty || self.0.payload.borrow().is_some()
+        self.0.empty || self.0.whole.is_some() || self.0.payload.borrow().is_some()
     }
 
     /// What the caller did wrong while its body was passed on.
@@ -314,6 +345,9 @@
         if self.0.empty {
             return http_body::Body::None;
         }
+        if let Some(whole) = &self.0.whole {
+            return http_body::Body::from(whole.clone());
+        }
         let source = self.clone();
         let stream = stream::unfold((source, None, 0), |(source, payload, passed)| async move {
             let mut payload = match payload {
--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -20,6 +20,7 @@
 use super::metrics;
 use super::replica;
 use super::settings;
+use crate::platform;
 
 /// How far the shutdown of this host has come.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -51,6 +52,7 @@
     pub(crate) metrics: metrics::Metrics,
     pub(crate) cancels: cancel::Sender,
     pub(crate) link: link::Link,
+    pub(crate) platform: Option<sync::Arc<platform::Limits>>,
     limits: sync::Mutex<limit::Limits>,
     view: ArcSwap<View>,
     sections: sync::Mutex<collections::BTreeMap<id::Team, document::Section>>,
@@ -77,6 +79,7 @@
         let (desks, desks_in) = async_sync::mpsc::unbounded_channel();
         let (cancels, cancels_in) = cancel::channel();
         let (link, task) = link::Link::open(&settings, incarnation);
+        let platform = settings.platform.clone().map(platform::Limits::new);
         let limits = limit::Limits::new(settings.load.hosts_in_zone);
         let sections = settings.sections.clone();
         let state = sync::Arc::new(State {
@@ -86,6 +89,7 @@
             metrics: metrics::Metrics::default(),
             cancels,
             link,
+            platform,
             limits: sync::Mutex::new(limits),
             view: ArcSwap::default(),
             sections: sync::Mutex::default(),
--- a/crates/lagoon-net/src/entry/worker.rs
+++ b/crates/lagoon-net/src/entry/worker.rs
@@ -5,6 +5,7 @@
 use ntex::SharedCfg;
 use ntex::client;
 
+use super::claims;
 use super::state;
 
 /// One worker thread.
@@ -18,12 +19,15 @@
     /// Failure answered: a call that may not repeat goes out on a connection that the service is
     /// just closing, and ends as unknown though nothing is wrong.
     pub(crate) once: client::Client,
+    /// Idempotency keys, when there is a platform.
+    pub(crate) claims: Option<claims::Claims>,
 }
 
 impl Worker {
     pub(crate) async fn new(state: sync::Arc<state::State>) -> Worker {
         let (client, once) = (new_client(15).await, new_client(0).await);
-        Worker { state, client, once }
+        let claims = claims::open(&state).await;
+        Worker { state, client, once, claims }
     }
 }
 
