--- a/crates/lagoon-entry/src/main.rs
+++ b/crates/lagoon-entry/src/main.rs
@@ -74,10 +74,11 @@
 fn run(settings: entry::Settings) -> io::Result<entry::Ending> {
     logs::start(&settings.logs, "lagoon-entry")?;
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
+    // Before anything can be asked to end: a signal that comes early drains too.
+    let mut terminations = signals::Terminations::new()?;
     let running = entry::start(settings)?;
     log::info!("{host} in {zone} listens on {}", running.address());
     let handle = running.handle();
-    let mut terminations = signals::Terminations::new()?;
     thread::spawn(move || {
         terminations.wait();
         handle.drain();
