Groups: memory reserved on every engine of a prompt that no single one holds

Cause: placements name further members, but the prompt went to the first engine alone, which refused it as too long. Change: load::Placement carries the tokens of each engine; entry/group.rs reserves all or nothing in the fleet's order, sends Lagoon-Group, and gives reservations back by the repeated releases that cancels use. Conclusion: prompts of over twice an engine's memory are served.

--- a/crates/lagoon-net/src/engine/mod.rs
+++ b/crates/lagoon-net/src/engine/mod.rs
@@ -32,6 +32,8 @@
     pub answer_tokens: u64,
     /// Answer tokens that the caller has already, for a continuation.
     pub skip: u64,
+    /// Reservations of a group, as its header has them; empty for none.
+    pub group: String,
     /// The caller's JSON body, shared and not copied.
     pub body: util::Bytes,
 }
@@ -149,6 +151,9 @@
     if order.skip > 0 {
         request = request.header("Lagoon-Skip-Tokens", order.skip);
     }
+    if !order.group.is_empty() {
+        request = request.header("Lagoon-Group", order.group.as_str());
+    }
     let answer = request.send_body(order.body.clone()).await;
     open(answer, order.attempt).await
 }
@@ -181,6 +186,58 @@
     answer.is_ok_and(|answer| answer.status() == http::StatusCode::OK)
 }
 
+/// A reservation of KV memory.
+#[derive(Clone, Debug)]
+pub struct Reservation {
+    /// Its name, new for each.
+    pub id: id::Attempt,
+    /// Who holds it.
+    pub owner: id::Owner,
+    /// KV tokens.
+    pub tokens: u64,
+    /// When the engine drops it by itself.
+    pub ttl: clock::Span,
+}
+
+/// Reserves KV memory on the engine at `address`.
+///
+/// # Errors
+///
+/// `Refused(Full)` when it has too little, `Lost` when the reservation may stand.
+pub async fn reserve(
+    client: &client::Client,
+    address: net::SocketAddr,
+    zone: &id::Zone,
+    reservation: &Reservation,
+) -> Result<(), Failure> {
+    let body = serde_json::json!({
+        "id": reservation.id.to_string(),
+        "owner": reservation.owner.to_string(),
+        "tokens": reservation.tokens,
+        "ttl_ms": millis(reservation.ttl),
+    });
+    let request = client.post(format!("http://{address}/kv/reserve"));
+    let request = request.header("Lagoon-Zone", zone.as_str());
+    match request.send_json(&body).await {
+        Ok(answer) if answer.status() == http::StatusCode::OK => Ok(()),
+        Ok(answer) => Err(refusal(&answer).await),
+        Err(error) if is_unsent(&error) => Err(Failure::Unsent(error.to_string())),
+        Err(error) => Err(Failure::Lost(error.to_string())),
+    }
+}
+
+/// Frees a reservation; true once the engine said so.
+pub async fn release(
+    client: &client::Client,
+    address: net::SocketAddr,
+    id: id::Attempt,
+    zone: &id::Zone,
+) -> bool {
+    let url = format!("http://{address}/holdings/{id}/release");
+    let answer = client.post(url).header("Lagoon-Zone", zone.as_str()).send().await;
+    answer.is_ok_and(|answer| answer.status() == http::StatusCode::OK)
+}
+
 async fn open(
     answer: Result<client::ClientResponse, client::error::ClientError>,
     attempt: id::Attempt,
--- a/crates/lagoon-net/src/entry/cancel.rs
+++ b/crates/lagoon-net/src/entry/cancel.rs
@@ -1,4 +1,4 @@
-//! Cancels, repeated until the engine acknowledges them.
+//! Cancels and releases, repeated until the engine acknowledges them.
 //!
 //! Failure answered: a cancel is lost, or its engine is cut off for a while. Symptom: an attempt
 //! that nobody reads holds a place in the batch and KV memory. A [`Guard`] whose attempt did not
@@ -28,11 +28,20 @@
 /// Most cancels that are pending; one more is counted and dropped.
 const PENDING_LIMIT: i64 = 100_000;
 
-/// An attempt to be stopped.
+/// What an engine holds that is to be given back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Holding {
+    /// An attempt's stream.
+    Stream(id::Attempt),
+    /// A reservation of a group.
+    Reservation(id::Attempt),
+}
+
+/// A holding to be given back.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Pending {
     address: net::SocketAddr,
-    attempt: id::Attempt,
+    holding: Holding,
 }
 
 pub(crate) type Sender = async_sync::mpsc::UnboundedSender<Pending>;
@@ -42,7 +51,7 @@
     async_sync::mpsc::unbounded_channel()
 }
 
-/// Cancels its attempt when dropped, unless the attempt ended.
+/// Gives its holding back when dropped, unless it ended by itself.
 #[derive(Debug)]
 pub(crate) struct Guard {
     state: sync::Arc<state::State>,
@@ -53,9 +62,9 @@
     pub(crate) fn new(
         state: &sync::Arc<state::State>,
         address: net::SocketAddr,
-        attempt: id::Attempt,
+        holding: Holding,
     ) -> Guard {
-        Guard { state: state.clone(), pending: Some(Pending { address, attempt }) }
+        Guard { state: state.clone(), pending: Some(Pending { address, holding }) }
     }
 
     /// The attempt ended by itself, or never began.
@@ -100,8 +109,14 @@
 async fn repeat(state: &state::State, client: &client::Client, pending: Pending) -> &'static str {
     let mut pause = FIRST_PAUSE;
     for _ in 0..TRIES {
-        let cancel = engine::cancel(client, pending.address, pending.attempt, &state.settings.zone);
-        if tokio::time::timeout(PATIENCE, cancel).await == Ok(true) {
+        let (address, zone) = (pending.address, &state.settings.zone);
+        let give_back = async {
+            match pending.holding {
+                Holding::Stream(id) => engine::cancel(client, address, id, zone).await,
+                Holding::Reservation(id) => engine::release(client, address, id, zone).await,
+            }
+        };
+        if tokio::time::timeout(PATIENCE, give_back).await == Ok(true) {
             return "acknowledged";
         }
         state.metrics.cancel("repeated");
--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -155,6 +155,13 @@
         self.placement.as_ref().map_or(0, |placement| placement.priority)
     }
 
+    /// The engines of a group with the tokens of each; empty when one engine holds the prompt.
+    pub(crate) fn group(&self) -> Vec<(&id::Upstream, u64)> {
+        let Some(placement) = &self.placement else { return Vec::new() };
+        let names = std::iter::once(&placement.upstream).chain(&placement.members);
+        names.zip(placement.spans.iter().copied()).collect()
+    }
+
     pub(crate) fn first_token(&self) {
         if let Some(placement) = &self.placement {
             let now = self.desk.clock.now();
--- /dev/null
+++ b/crates/lagoon-net/src/entry/group.rs
@@ -0,0 +1,56 @@
+//! Reservations for a prompt that no single engine holds.
+//!
+//! Failure answered: two such prompts each reserve half of what they need and neither starts.
+//! Members are reserved in the placement's order, which is the fleet's, and all or nothing: the
+//! first refusal drops the reservations made so far, and each gives itself back when dropped. Their
+//! expiry, a little after the deadline, covers a host that dies in between.
+
+use std::sync;
+
+use lagoonline::clock;
+use lagoonline::id;
+use ntex::client;
+
+use super::call;
+use super::cancel;
+use super::state;
+use crate::engine;
+
+/// Time by which a reservation outlives its request's deadline.
+const MARGIN: clock::Span = clock::Span::from_secs(5);
+
+/// Reservations on all engines of a group, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Group {
+    /// Value of the `Lagoon-Group` header.
+    pub(crate) header: String,
+    _guards: Vec<cancel::Guard>,
+}
+
+/// One engine of a group with its tokens.
+pub(crate) type Member<'a> = (&'a id::Upstream, u64);
+
+/// Reserves at every member, or at none.
+pub(crate) async fn reserve(
+    state: &sync::Arc<state::State>,
+    client: &client::Client,
+    members: &[Member<'_>],
+    left: clock::Span,
+) -> Result<Group, engine::Failure> {
+    let view = state.view();
+    let mut parts = Vec::with_capacity(members.len());
+    let mut guards = Vec::with_capacity(members.len());
+    for (upstream, tokens) in members {
+        let Some(known) = view.fleet.upstream(upstream) else {
+            return Err(engine::Failure::Unsent(format!("{upstream} is not known")));
+        };
+        let (id, address) = (call::new_attempt(), known.entry.address);
+        let (owner, ttl) = (state.owner.clone(), left + MARGIN);
+        let reservation = engine::Reservation { id, owner, tokens: *tokens, ttl };
+        // Before it is sent: a reservation whose answer is lost is given back too.
+        guards.push(cancel::Guard::new(state, address, cancel::Holding::Reservation(id)));
+        engine::reserve(client, address, &state.settings.zone, &reservation).await?;
+        parts.push(format!("{id}@{address}"));
+    }
+    Ok(Group { header: parts.join(","), _guards: guards })
+}
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -11,6 +11,7 @@
 mod claims;
 mod desk;
 mod fault;
+mod group;
 mod limit;
 mod link;
 mod metrics;
--- a/crates/lagoon-net/src/entry/pull.rs
+++ b/crates/lagoon-net/src/entry/pull.rs
@@ -19,6 +19,7 @@
 use super::cancel;
 use super::desk;
 use super::fault;
+use super::group;
 use super::limit;
 use super::render;
 use super::worker;
@@ -55,6 +56,7 @@
     checker: stream::Checker,
     place: desk::Place,
     cancel: cancel::Guard,
+    _group: Option<group::Group>,
     address: std::net::SocketAddr,
     /// Number of the chunk that the last resumption asked for, and how often it was asked for.
     ///
@@ -115,7 +117,8 @@
         mut held: request::Held,
         mut offer: desk::Offer,
     ) -> Result<Open, fault::Fault> {
-        loop {
+        // Counts rounds, not dispatches: a group that cannot be reserved is never dispatched.
+        for round in 1.. {
             let place = match self.seat(offer).await {
                 Ok(place) => place,
                 Err(fault) => return Err(fault.with_outcome(held.end())),
@@ -125,7 +128,7 @@
                 Sent::Back(back, place, ending, cause) => ((back, place), ending, cause),
             };
             let (next, place) = back;
-            if next.attempts() >= self.worker.state.settings.limits.attempts {
+            if round >= self.worker.state.settings.limits.attempts {
                 let peer = place.upstream().to_string();
                 place.finish(ending);
                 let reason = exhausted(ending);
@@ -135,6 +138,7 @@
             held = next;
             offer = place.again(ending, self.job.ask.clone());
         }
+        Err(fault::new(Reason::Internal, Step::Dispatch, held.end()))
     }
 
     async fn seat(&self, offer: desk::Offer) -> Result<desk::Place, fault::Fault> {
@@ -162,9 +166,18 @@
             return Ok(Sent::Back(held, place, load::Ending::Leaving, "unknown_upstream"));
         };
         let (attempt, address) = (call::new_attempt(), known.entry.address);
-        let order = self.order(attempt, &place);
+        let group = match self.reserve(&place).await {
+            Ok(group) => group,
+            Err(Unreserved::Stop(stop)) => return Err(stop.fault(Step::Route, held.end())),
+            Err(Unreserved::Engine(failure)) => {
+                let full = failure == engine::Failure::Refused(engine::Refusal::Full);
+                let ending = if full { load::Ending::Full } else { load::Ending::Failed };
+                return Ok(Sent::Back(held, place, ending, "group"));
+            }
+        };
+        let order = self.order(attempt, &place, group.as_ref());
         let dispatched = held.dispatch(attempt);
-        let mut cancel = cancel::Guard::new(state, address, attempt);
+        let mut cancel = cancel::Guard::new(state, address, cancel::Holding::Stream(attempt));
         let work = engine::generate(&self.worker.client, address, &order);
         let result = match limit::within(state, self.job.call.deadline, work).await {
             Ok(result) => result,
@@ -183,7 +196,16 @@
                 let checker = stream::Checker::starting_at(attempt, self.delivered);
                 let answering = dispatched.answering();
                 let resumed = (self.delivered, 0);
-                let open = Open { answering, events, checker, place, cancel, address, resumed };
+                let open = Open {
+                    answering,
+                    events,
+                    checker,
+                    place,
+                    cancel,
+                    _group: group,
+                    address,
+                    resumed,
+                };
                 return Ok(Sent::Open(Box::new(open)));
             }
             Err(failure) => failure,
@@ -229,7 +251,26 @@
         }
     }
 
-    fn order(&self, attempt: id::Attempt, place: &desk::Place) -> engine::Order {
+    /// Reserves memory on the engines of a group; most prompts need none.
+    async fn reserve(&self, place: &desk::Place) -> Result<Option<group::Group>, Unreserved> {
+        let members = place.group();
+        if members.is_empty() {
+            return Ok(None);
+        }
+        let state = &self.worker.state;
+        let left = self.job.call.left(state);
+        let work = group::reserve(state, &self.worker.client, &members, left);
+        let result = limit::within(state, self.job.call.deadline, work).await;
+        let result = result.map_err(Unreserved::Stop)?;
+        result.map(Some).map_err(Unreserved::Engine)
+    }
+
+    fn order(
+        &self,
+        attempt: id::Attempt,
+        place: &desk::Place,
+        group: Option<&group::Group>,
+    ) -> engine::Order {
         let state = &self.worker.state;
         engine::Order {
             attempt,
@@ -240,6 +281,7 @@
             model: self.job.ask.model.clone(),
             answer_tokens: self.job.ask.answer_tokens,
             skip: self.delivered,
+            group: group.map(|group| group.header.clone()).unwrap_or_default(),
             body: self.job.body.clone(),
         }
     }
@@ -420,6 +462,12 @@
     }
 }
 
+/// Why there is no group.
+enum Unreserved {
+    Stop(limit::Stop),
+    Engine(engine::Failure),
+}
+
 #[derive(Debug)]
 enum Sent {
     Open(Box<Open>),
--- a/crates/lagoon-net/tests/entry/host.rs
+++ b/crates/lagoon-net/tests/entry/host.rs
@@ -102,6 +102,18 @@
         Host { running: entry::start(change(settings)).unwrap(), engines }
     }
 
+    /// A host whose document gives each engine this KV memory.
+    pub fn start_sized(engines: Vec<engine::Settings>, kv_tokens: u64) -> Host {
+        Host::start_with(engines, true, |settings| {
+            let resized = settings.sections.iter().map(|section| {
+                let (old, new) = (KV_TOKENS.to_string(), kv_tokens.to_string());
+                let text = section.text.replace(&old, &new);
+                document::Section::parse(section.team.clone(), section.version, &text).unwrap()
+            });
+            entry::Settings { sections: resized.collect(), ..settings }
+        })
+    }
+
     pub fn address(&self) -> net::SocketAddr {
         self.running.address()
     }
--- a/crates/lagoon-net/tests/entry/model.rs
+++ b/crates/lagoon-net/tests/entry/model.rs
@@ -84,3 +84,28 @@
     });
     host.finish();
 }
+
+// A prompt of over twice one engine's memory. The entry host reserves memory on three engines and
+// sends the prompt with their reservations; the caller sees a whole answer, and afterwards every
+// engine has all memory back.
+#[test]
+fn a_group_holds_what_no_engine_can() {
+    let small = lagoon_standin::engine::Settings {
+        kv_tokens: 400_000,
+        time_scale: 10_000.0,
+        resume_ms: 100,
+        ..host::quick()
+    };
+    let host = host::Host::start_sized(vec![small; 3], 400_000);
+    let prompt = "a".repeat(4 * 1_000_000);
+    let answer = host.post("/v1/completions", "", &host::completion(&prompt, 4, false));
+    assert_eq!(host::status(&answer), "200", "{answer}");
+    assert_eq!(body(&answer)["usage"]["prompt_tokens"], 1_000_000);
+    for engine in &host.engines {
+        host::wait_until("the engine has its memory back", || {
+            let record = engine.node().record();
+            record.bytes_reserved > 0 && record.bytes_reserved == record.bytes_returned
+        });
+    }
+    host.finish();
+}
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -71,6 +71,8 @@
     pub upstream: id::Upstream,
     /// Further engines that hold spans of the KV cache, in order; empty for most prompts.
     pub members: Vec<id::Upstream>,
+    /// KV tokens to reserve at the upstream and each member, in this order; only for a group.
+    pub spans: Vec<u64>,
     /// Priority that the engine is asked to honour; higher goes first.
     pub priority: u8,
 }
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -253,6 +253,8 @@
                 upstream.pace.sent(now, ticket, expected);
             }
         }
+        let is_group = parts.len() > 1;
+        let spans = parts.iter().filter(|_| is_group).map(|part| part.kv).collect();
         let mut names = parts.iter().map(|part| part.upstream.clone());
         let upstream = names.next().unwrap_or_default();
         let members = names.collect();
@@ -261,7 +263,7 @@
         let prefixes = ask.prefixes.clone();
         let work = scheduler::Work { rank, parts, answer_tokens, first_token: None, prefixes };
         self.tickets.insert(ticket, work);
-        scheduler::Placement { ticket, upstream, members, priority }
+        scheduler::Placement { ticket, upstream, members, spans, priority }
     }
 
     /// Takes what the request needs on all its engines.
