--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -117,6 +117,11 @@
         self.waiting().len()
     }
 
+    /// Places that were given out and not given back.
+    pub(crate) fn dispatched(&self) -> usize {
+        load::lock(&self.shard).dispatched()
+    }
+
     /// Gives out due turns until the desk is dropped.
     pub(crate) async fn keep(desk: sync::Weak<Desk>) {
         while let Some(desk) = desk.upgrade() {
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -27,5 +27,5 @@
 mod state;
 mod worker;
 
-pub use server::{Ending, Handle, Running, start};
+pub use server::{Ending, Handle, Held, Running, start};
 pub use settings::{Cause, Limits, Settings, Unusable, parse_document};
--- a/crates/lagoon-net/src/entry/server.rs
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -44,6 +44,17 @@
     state: sync::Arc<state::State>,
 }
 
+/// What requests hold; all zero when none is under way.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Held {
+    /// Places on upstreams.
+    pub places: usize,
+    /// Turns in queues.
+    pub waiting: usize,
+    /// Cancels not acknowledged yet.
+    pub cancels: usize,
+}
+
 /// How a server ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Ending {
@@ -105,6 +116,17 @@
         self.state.active()
     }
 
+    /// What requests hold now: places on upstreams, turns in queues, cancels not acknowledged.
+    pub fn held(&self) -> Held {
+        let view = self.state.view();
+        let desks = || view.desks.values();
+        Held {
+            places: desks().map(|desk| desk.dispatched()).sum(),
+            waiting: desks().map(|desk| desk.waiters()).sum(),
+            cancels: usize::try_from(self.state.metrics.cancels_pending.get()).unwrap_or(0),
+        }
+    }
+
     /// The host and its incarnation, as upstreams know it.
     pub fn owner(&self) -> &id::Owner {
         &self.state.owner
--- a/crates/lagoon-net/tests/entry/bad_input.rs
+++ b/crates/lagoon-net/tests/entry/bad_input.rs
@@ -113,3 +113,45 @@
     assert_eq!(host::status(rest), "200", "{answer}");
     host.finish();
 }
+
+#[test]
+fn a_slow_head_is_closed() {
+    let host = host::Host::start_with(vec![host::quick()], true, |settings| {
+        let limits = lagoon_net::entry::Limits {
+            head_timeout: std::time::Duration::from_secs(1),
+            ..settings.limits
+        };
+        lagoon_net::entry::Settings { limits, ..settings }
+    });
+    let answer = host.exchange(b"GET /healthz HTTP/1.1\r\nHost: a\r\nX-S");
+    assert_eq!(host::status(&answer), "408", "{answer}");
+    host.finish();
+}
+
+// Many callers vanish at every stage at once: with half a head, half a body, while waiting, in
+// mid-stream. Nothing stays held, and the host still answers.
+#[test]
+fn callers_that_vanish_leave_nothing() {
+    let engine = lagoon_standin::engine::Settings { decode_ms: 200.0, ..host::quick() };
+    let host = host::Host::start(vec![engine]);
+    let call = host::completion("tin", 5_000, true);
+    let request = host::request("POST", "/v1/completions", "", &call);
+    std::thread::scope(|scope| {
+        for index in 0..60 {
+            let (host, request) = (&host, &request);
+            scope.spawn(move || {
+                let cut = if index % 3 == 0 { request.len() * index / 60 } else { request.len() };
+                let mut stream = host.connect();
+                stream.write_all(&request[..cut]).unwrap();
+                std::thread::sleep(std::time::Duration::from_millis(index as u64));
+            });
+        }
+    });
+    host::wait_until("the engine has its memory back", || {
+        let record = host.engines[0].node().record();
+        record.bytes_reserved == record.bytes_returned
+    });
+    let answer = host.post("/v1/completions", "", &host::completion("a", 3, false));
+    assert_eq!(host::status(&answer), "200", "{answer}");
+    host.finish();
+}
--- a/crates/lagoon-net/tests/entry/host.rs
+++ b/crates/lagoon-net/tests/entry/host.rs
@@ -140,6 +140,10 @@
 
     /// Ends the host and checks that nothing is left of its requests.
     pub fn finish(self) {
+        let handle = self.running.handle();
+        wait_until("nothing is held", || {
+            handle.active() == 0 && handle.held() == entry::Held::default()
+        });
         self.running.drain();
         assert_eq!(self.running.wait().unwrap(), entry::Ending::Clean);
     }
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -151,3 +151,48 @@
     assert!(answer.to_lowercase().contains("lagoon-outcome: not-run"), "{answer}");
     host.finish();
 }
+
+// A caller sends half of a booking and then nothing, or closes. The runner may have seen the half,
+// so the caller, if it is still there, hears 408 with `unknown`; the runner's connection is cut,
+// so it cannot take the half for a whole.
+#[rstest]
+#[case::silent(false)]
+#[case::gone(true)]
+fn half_a_booking(#[case] leaves: bool) {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let head = format!(
+        "POST /services/pickup/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: 500000\r\n\r\n{}",
+        host::KEY,
+        "a".repeat(200_000)
+    );
+    let mut stream = host.connect();
+    stream.write_all(head.as_bytes()).unwrap();
+    if leaves {
+        drop(stream);
+    } else {
+        let answer = host::read_all(&mut stream);
+        assert_eq!(host::status(&answer), "408", "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    host::wait_until("the runner's connection was cut", || {
+        calls.lock().unwrap().iter().any(|call| call.len() < 500_000)
+    });
+    host.finish();
+}
+
+// Without a table service the key cannot be recorded. The booking is not sent, and the caller
+// hears that it did not run and when to come back.
+#[test]
+fn a_keyed_booking_needs_the_platform() {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let headers = "Idempotency-Key: k1\r\n";
+    let answer = host.exchange(&host::request("POST", "/services/pickup/x", headers, "tin"));
+    assert_eq!(host::status(&answer), "503", "{answer}");
+    let head = answer.to_lowercase();
+    assert!(head.contains("lagoon-outcome: not-run") && head.contains("retry-after"), "{answer}");
+    assert!(calls.lock().unwrap().is_empty());
+    host.finish();
+}
--- a/crates/lagoon-net/tests/entry/stream.rs
+++ b/crates/lagoon-net/tests/entry/stream.rs
@@ -61,9 +61,17 @@
     let answer = format!("{}{rest}", String::from_utf8_lossy(&first));
     assert_eq!(answer.matches("\"finish_reason\":null").count(), 60, "{answer}");
     assert!(answer.contains("data: [DONE]"), "{answer}");
+    revive(&host);
     host.finish();
 }
 
+/// Cancels to a dead engine are repeated; once it is back it acknowledges them.
+fn revive(host: &host::Host) {
+    for engine in &host.engines {
+        engine.node().set_faults(engine::Faults::default());
+    }
+}
+
 // As above, but the model must not be continued elsewhere. The caller sees an `error` event with
 // the outcome `unknown` and no `[DONE]`.
 #[test]
@@ -82,6 +90,7 @@
     assert!(rest.contains("event: error"), "{rest}");
     assert!(rest.contains("\"outcome\":\"unknown\""), "{rest}");
     assert!(!rest.contains("[DONE]"), "{rest}");
+    revive(&host);
     host.finish();
 }
 
