Entry: claims over sockets, outcomes from the request's life alone, smaller modules

Change: pull/dispatch.rs holds getting an answer that begins; the word told at the end of an answer is what life::request gives; tests of keys with a table service that is a map under a lock. Conclusion: a key books once, a lost booking is not sent again, a refused one frees its key, a caller that left finds its answer.

--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -208,8 +208,8 @@
     }
 
     /// A request ended with its answer.
-    pub(crate) fn done(&self, kind: &'static str) {
-        self.ended(kind, outcome::Outcome::Done, "");
+    pub(crate) fn done(&self, kind: &'static str, outcome: outcome::Outcome) {
+        self.ended(kind, outcome, "");
     }
 
     fn ended(&self, kind: &'static str, outcome: outcome::Outcome, reason: &'static str) {
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -70,8 +70,8 @@
             break end;
         }
     };
-    state.metrics.done("model");
-    answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+    state.metrics.done("model", end.outcome);
+    answer.set_header("Lagoon-Outcome", end.outcome.as_str());
     let json = text.finish(&title, relay::usage(&pull, end));
     Ok(answer.content_type("application/json").body(json))
 }
--- a/crates/lagoon-net/src/entry/pull.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -3,13 +3,14 @@
 //! What the caller is told is derived from `lagoonline::life::request` alone. Dropping a
 //! [`Pull`] at any point gives its place back and cancels its attempt.
 
+mod dispatch;
+
 use std::mem;
 use std::rc;
 
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::control::document;
-use lagoonline::id;
 use lagoonline::life::request;
 use lagoonline::life::stream;
 use lagoonline::load;
@@ -46,6 +47,8 @@
     pub(crate) answer_tokens: u64,
     pub(crate) prompt_tokens: u64,
     pub(crate) cached_tokens: u64,
+    /// What the caller is told, by the request's life.
+    pub(crate) outcome: Outcome,
 }
 
 /// An attempt whose answer is arriving.
@@ -112,180 +115,6 @@
         Ok(())
     }
 
-    async fn open(
-        &self,
-        mut held: request::Held,
-        mut offer: desk::Offer,
-    ) -> Result<Open, fault::Fault> {
-        // Counts rounds, not dispatches: a group that cannot be reserved is never dispatched.
-        for round in 1.. {
-            let place = match self.seat(offer).await {
-                Ok(place) => place,
-                Err(fault) => return Err(fault.with_outcome(held.end())),
-            };
-            let (back, ending, cause) = match self.dispatch(held, place).await? {
-                Sent::Open(open) => return Ok(*open),
-                Sent::Back(back, place, ending, cause) => ((back, place), ending, cause),
-            };
-            let (next, place) = back;
-            if round >= self.worker.state.settings.limits.attempts {
-                let peer = place.upstream().to_string();
-                place.finish(ending);
-                let reason = exhausted(ending);
-                return Err(fault::new(reason, Step::Dispatch, next.end()).at(peer));
-            }
-            self.worker.state.metrics.retry(cause);
-            held = next;
-            offer = place.again(ending, self.job.ask.clone());
-        }
-        Err(fault::new(Reason::Internal, Step::Dispatch, held.end()))
-    }
-
-    async fn seat(&self, offer: desk::Offer) -> Result<desk::Place, fault::Fault> {
-        let seat = match offer {
-            desk::Offer::Place(place) => return Ok(place),
-            desk::Offer::Refuse(failure) => return Err(failure.into()),
-            desk::Offer::Wait(seat) => seat,
-        };
-        let turn = limit::within(&self.worker.state, self.job.call.deadline, seat.turn()).await;
-        match turn {
-            Ok(turn) => turn.map_err(fault::Fault::from),
-            Err(stop) => Err(stop.fault(Step::Queue, Outcome::NotRun)),
-        }
-    }
-
-    async fn dispatch(
-        &self,
-        held: request::Held,
-        place: desk::Place,
-    ) -> Result<Sent, fault::Fault> {
-        let state = &self.worker.state;
-        let upstream = place.upstream().clone();
-        let view = state.view();
-        let Some(known) = view.fleet.upstream(&upstream) else {
-            return Ok(Sent::Back(held, place, load::Ending::Leaving, "unknown_upstream"));
-        };
-        let (attempt, address) = (call::new_attempt(), known.entry.address);
-        let group = match self.reserve(&place).await {
-            Ok(group) => group,
-            Err(Unreserved::Stop(stop)) => return Err(stop.fault(Step::Route, held.end())),
-            Err(Unreserved::Engine(failure)) => {
-                let full = failure == engine::Failure::Refused(engine::Refusal::Full);
-                let ending = if full { load::Ending::Full } else { load::Ending::Failed };
-                return Ok(Sent::Back(held, place, ending, "group"));
-            }
-        };
-        let order = self.order(attempt, &place, group.as_ref());
-        let dispatched = held.dispatch(attempt);
-        let mut cancel = cancel::Guard::new(state, address, cancel::Holding::Stream(attempt));
-        let work = engine::generate(&self.worker.client, address, &order);
-        let result = match limit::within(state, self.job.call.deadline, work).await {
-            Ok(result) => result,
-            Err(stop) => {
-                let fault = stop.fault(Step::Dispatch, dispatched.lost().end());
-                return Err(fault.at(upstream.as_str()));
-            }
-        };
-        let failure = match result {
-            Ok(mut events) => {
-                state.metrics.attempt("answered");
-                if let Some(load) = events.take_load() {
-                    self.job.desk.observe(&upstream, &load);
-                    state.link.saw_load(&upstream, &load);
-                }
-                let checker = stream::Checker::starting_at(attempt, self.delivered);
-                let answering = dispatched.answering();
-                let resumed = (self.delivered, 0);
-                let open = Open {
-                    answering,
-                    events,
-                    checker,
-                    place,
-                    cancel,
-                    _group: group,
-                    address,
-                    resumed,
-                };
-                return Ok(Sent::Open(Box::new(open)));
-            }
-            Err(failure) => failure,
-        };
-        let peer = upstream.as_str();
-        match failure {
-            engine::Failure::Unsent(_) => {
-                state.metrics.attempt("unsent");
-                cancel.disarm();
-                Ok(Sent::Back(dispatched.refused(), place, load::Ending::Failed, "unsent"))
-            }
-            engine::Failure::Refused(engine::Refusal::TooLong) => {
-                state.metrics.attempt("too_long");
-                cancel.disarm();
-                place.finish(load::Ending::Abandoned);
-                let outcome = dispatched.refused().end();
-                Err(fault::new(Reason::TooLong, Step::Dispatch, outcome).at(peer))
-            }
-            engine::Failure::Refused(refusal) => {
-                state.metrics.attempt(refusal.as_str());
-                cancel.disarm();
-                let ending = match refusal {
-                    engine::Refusal::Full => load::Ending::Full,
-                    engine::Refusal::Leaving => {
-                        state.set_leaving(&upstream, true);
-                        state.link.saw_leaving(&upstream);
-                        load::Ending::Leaving
-                    }
-                    engine::Refusal::UnknownModel
-                    | engine::Refusal::TooLong
-                    | engine::Refusal::AttemptExists => load::Ending::Failed,
-                };
-                Ok(Sent::Back(dispatched.refused(), place, ending, refusal.as_str()))
-            }
-            engine::Failure::NoStream | engine::Failure::Lost(_) => {
-                state.metrics.attempt("lost");
-                let lost = dispatched.lost().again();
-                let lost = lost.map_err(|outcome| {
-                    fault::new(Reason::UpstreamFailed, Step::Dispatch, outcome).at(peer)
-                })?;
-                Ok(Sent::Back(lost, place, load::Ending::Failed, "lost"))
-            }
-        }
-    }
-
-    /// Reserves memory on the engines of a group; most prompts need none.
-    async fn reserve(&self, place: &desk::Place) -> Result<Option<group::Group>, Unreserved> {
-        let members = place.group();
-        if members.is_empty() {
-            return Ok(None);
-        }
-        let state = &self.worker.state;
-        let left = self.job.call.left(state);
-        let work = group::reserve(state, &self.worker.client, &members, left);
-        let result = limit::within(state, self.job.call.deadline, work).await;
-        let result = result.map_err(Unreserved::Stop)?;
-        result.map(Some).map_err(Unreserved::Engine)
-    }
-
-    fn order(
-        &self,
-        attempt: id::Attempt,
-        place: &desk::Place,
-        group: Option<&group::Group>,
-    ) -> engine::Order {
-        let state = &self.worker.state;
-        engine::Order {
-            attempt,
-            owner: state.owner.clone(),
-            zone: state.settings.zone.clone(),
-            left: self.job.call.left(state),
-            priority: place.priority(),
-            model: self.job.ask.model.clone(),
-            answer_tokens: self.job.ask.answer_tokens,
-            skip: self.delivered,
-            group: group.map(|group| group.header.clone()).unwrap_or_default(),
-            body: self.job.body.clone(),
-        }
-    }
-
     /// Hands the next tokens to `sink`; the end, once the whole answer was checked.
     pub(crate) async fn next<S>(&mut self, sink: &mut S) -> Result<Option<End>, fault::Fault>
     where
@@ -337,7 +166,9 @@
                         self.job.desk.observe(open.place.upstream(), &load);
                         self.worker.state.link.saw_load(open.place.upstream(), &load);
                     }
-                    found = Some(End { answer_tokens: count, prompt_tokens, cached_tokens });
+                    let outcome = Outcome::Unknown;
+                    found =
+                        Some(End { answer_tokens: count, prompt_tokens, cached_tokens, outcome });
                 }
                 engine::Event::Error { code } => return Err(engine::Broken::GivenUp(code)),
             }
@@ -367,14 +198,13 @@
         self.last = Some(now);
     }
 
-    fn complete(&mut self, end: End) -> End {
+    fn complete(&mut self, mut end: End) -> End {
         if let Stage::Open(mut open) = mem::replace(&mut self.stage, Stage::Over) {
             open.cancel.disarm();
-            let End { answer_tokens, prompt_tokens, cached_tokens } = end;
+            let End { answer_tokens, prompt_tokens, cached_tokens, .. } = end;
             let ending = load::Ending::Done { prompt_tokens, cached_tokens, answer_tokens };
             open.place.finish(ending);
-            // `Done` is told by the answer itself.
-            let _done = open.answering.complete();
+            end.outcome = open.answering.complete();
         }
         let ask = &self.job.ask;
         let span = self.worker.state.clock.now().since(ask.arrived);
@@ -462,29 +292,6 @@
     }
 }
 
-/// Why there is no group.
-enum Unreserved {
-    Stop(limit::Stop),
-    Engine(engine::Failure),
-}
-
-#[derive(Debug)]
-enum Sent {
-    Open(Box<Open>),
-    /// Held again: the place to give back, how its attempt ended, and the metric's word for it.
-    Back(request::Held, desk::Place, load::Ending, &'static str),
-}
-
-fn exhausted(ending: load::Ending) -> Reason {
-    match ending {
-        load::Ending::Full => Reason::Saturated,
-        load::Ending::Leaving => Reason::NoUpstream,
-        load::Ending::Done { .. } | load::Ending::Failed | load::Ending::Abandoned => {
-            Reason::UpstreamFailed
-        }
-    }
-}
-
 fn violation_name(violation: &stream::Violation) -> &'static str {
     match violation {
         stream::Violation::Crossed => "crossed",
--- a/crates/lagoon-net/src/entry/relay.rs
+++ b/crates/lagoon-net/src/entry/relay.rs
@@ -14,7 +14,7 @@
 use std::task;
 
 use futures_util::Stream;
-use lagoonline::outcome::{Reason, Step};
+use lagoonline::outcome::{Outcome, Reason, Step};
 use ntex::util;
 use tokio::sync as async_sync;
 
@@ -104,8 +104,8 @@
         };
         let metrics = &self.state.metrics;
         match ended {
-            Some(Ok(())) => {
-                metrics.done("model");
+            Some(Ok(outcome)) => {
+                metrics.done("model", outcome);
                 self.ending.replace(Ending::Whole);
             }
             Some(Err(fault)) => {
@@ -120,7 +120,7 @@
         }
     }
 
-    async fn copy(&mut self) -> Result<(), fault::Fault> {
+    async fn copy(&mut self) -> Result<Outcome, fault::Fault> {
         loop {
             let end = self.pull.next(&mut self.writer).await?;
             if let Some(end) = end {
@@ -133,8 +133,8 @@
             if let Err(stop) = sent {
                 return Err(stop.fault(Step::Stream, self.pull.leave()));
             }
-            if end.is_some() {
-                return Ok(());
+            if let Some(end) = end {
+                return Ok(end.outcome);
             }
         }
     }
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -216,8 +216,9 @@
                     return Err(stop.fault(Step::Stream, answering.broken().end()));
                 }
             };
-            state.metrics.done("service");
-            head.set_header("Lagoon-Outcome", answering.complete().as_str());
+            let outcome = answering.complete();
+            state.metrics.done("service", outcome);
+            head.set_header("Lagoon-Outcome", outcome.as_str());
             return Ok(head.body(whole));
         }
         head.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
@@ -251,8 +252,7 @@
                     return Some((Ok(chunk), (state, Some((payload, answering, slot, active)))));
                 }
                 Ok(None) => {
-                    let _done = answering.complete();
-                    state.metrics.done("service");
+                    state.metrics.done("service", answering.complete());
                     return None;
                 }
                 Ok(Some(Err(error))) => {
--- /dev/null
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -0,0 +1,156 @@
+//! Idempotency keys over sockets, with a table service that is a map under a lock.
+
+use std::collections;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::thread;
+
+use lagoon_net::entry;
+use lagoon_net::platform;
+use serde_json::{Value, json};
+
+use crate::host;
+use crate::runner::{self, Runner};
+
+type Rows = sync::Arc<sync::Mutex<collections::HashMap<String, (String, u64)>>>;
+
+/// Takes `GET /table/row` and `POST /table/commit`.
+fn start_table() -> (net::SocketAddr, Rows) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let rows = Rows::default();
+    let shared = rows.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let call = runner::read_call(&mut stream);
+            let (status, body) = answer(&shared, &call);
+            let length = body.len();
+            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n");
+            let _sent = write!(stream, "{head}Connection: close\r\n\r\n{body}");
+        }
+    });
+    (address, rows)
+}
+
+fn answer(rows: &Rows, call: &str) -> (u16, String) {
+    let mut rows = rows.lock().unwrap();
+    if call.starts_with("get ") {
+        let key = call.split("key=").nth(1).unwrap().split([' ', '&']).next().unwrap();
+        let key = key.replace("%2f", "/");
+        return match rows.get(&key) {
+            Some((value, version)) => {
+                (200, json!({"key": key, "value": value, "version": version}).to_string())
+            }
+            None => (404, String::new()),
+        };
+    }
+    let (_, body) = call.split_once("\r\n\r\n").unwrap();
+    let commit: Value = serde_json::from_str(body).unwrap();
+    let version_of = |rows: &collections::HashMap<String, (String, u64)>, key: &Value| {
+        rows.get(key.as_str().unwrap()).map_or(0, |row| row.1)
+    };
+    let checks = commit["checks"].as_array().unwrap();
+    if checks
+        .iter()
+        .any(|check| Some(version_of(&rows, &check["key"])) != check["version"].as_u64())
+    {
+        return (409, String::new());
+    }
+    let mut versions = Vec::new();
+    for put in commit["puts"].as_array().unwrap() {
+        let version = version_of(&rows, &put["key"]) + 1;
+        let value = put["value"].as_str().unwrap().to_owned();
+        rows.insert(put["key"].as_str().unwrap().to_owned(), (value, version));
+        versions.push(version);
+    }
+    (200, json!({"versions": versions}).to_string())
+}
+
+fn start(runner: Runner) -> (host::Host, sync::Arc<sync::Mutex<Vec<String>>>, Rows) {
+    let (address, calls) = runner::start(runner);
+    let (table, rows) = start_table();
+    let settings = host::settings(vec![host::section(&[], &[("pickup", address)], true)]);
+    let settings = entry::Settings {
+        platform: Some(platform::Settings { address: table, ..platform::Settings::default() }),
+        ..settings
+    };
+    (host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() }, calls, rows)
+}
+
+fn book(host: &host::Host, body: &str) -> String {
+    let headers = "Idempotency-Key: k1\r\n";
+    host.exchange(&host::request("POST", "/services/pickup/x", headers, body))
+}
+
+// A crew books, loses the answer and books again with the same key. It gets the same answer, and
+// the runner saw one booking. Another body with the key is refused as never run.
+#[test]
+fn a_key_books_once() {
+    let (host, calls, rows) = start(Runner::Answer);
+    let first = book(&host, "tin");
+    assert_eq!(host::status(&first), "201", "{first}");
+    host::wait_until("the answer is stored", || {
+        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
+    });
+    let again = book(&host, "tin");
+    assert_eq!(host::status(&again), "201", "{again}");
+    assert!(again.ends_with("bin"), "{again}");
+    assert!(again.to_lowercase().contains("lagoon-outcome: done"), "{again}");
+    let other = book(&host, "can");
+    assert_eq!(host::status(&other), "409", "{other}");
+    assert!(other.to_lowercase().contains("lagoon-outcome: not-run"), "{other}");
+    assert_eq!(calls.lock().unwrap().len(), 1);
+    host.finish();
+}
+
+// The runner reads the booking and closes. The crew hears `unknown`, and asking again with the
+// key hears so too: nothing is sent again.
+#[test]
+fn a_lost_booking_is_not_sent_again() {
+    let (host, calls, _rows) = start(Runner::CloseAfterReading);
+    for status in ["502", "409"] {
+        let answer = book(&host, "tin");
+        assert_eq!(host::status(&answer), status, "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    assert_eq!(calls.lock().unwrap().len(), 1);
+    host.finish();
+}
+
+// The runner says that the booking did not run. The key is free again, and asking again sends it.
+#[test]
+fn a_refused_booking_frees_its_key() {
+    let (host, calls, rows) = start(Runner::RefuseAsNotRun);
+    for sent in 1..=2 {
+        let answer = book(&host, "tin");
+        assert_eq!(host::status(&answer), "503", "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: not-run"), "{answer}");
+        assert_eq!(calls.lock().unwrap().len(), sent);
+        host::wait_until("the key is free", || {
+            rows.lock().unwrap().values().any(|(value, _)| value.contains("\"released\""))
+        });
+    }
+    host.finish();
+}
+
+// The crew closes its connection before the answer. The booking runs to its end all the same, so
+// that the crew finds its answer under the key.
+#[test]
+fn a_caller_that_leaves_finds_its_answer() {
+    let (host, calls, rows) = start(Runner::Answer);
+    let headers = "Idempotency-Key: k1\r\n";
+    let request = host::request("POST", "/services/pickup/x", headers, "tin");
+    let mut stream = host.connect();
+    stream.write_all(&request).unwrap();
+    host::wait_until("the booking was claimed", || !rows.lock().unwrap().is_empty());
+    drop(stream);
+    host::wait_until("the answer is stored", || {
+        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
+    });
+    let again = book(&host, "tin");
+    assert_eq!(host::status(&again), "201", "{again}");
+    assert_eq!(calls.lock().unwrap().len(), 1);
+    host.finish();
+}
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -1,9 +1,11 @@
 //! An entry host over real sockets, beside stand-in engines and services.
 
 mod bad_input;
+mod claims;
 mod drain;
 mod host;
 mod metrics;
 mod model;
+mod runner;
 mod service;
 mod stream;
--- /dev/null
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -0,0 +1,74 @@
+//! A runner of a plain service that does one thing with every call.
+
+use std::io::Read as _;
+use std::io::Write as _;
+use std::net;
+use std::sync;
+use std::thread;
+
+/// What the runner does with a call.
+#[derive(Clone, Copy)]
+pub enum Runner {
+    Answer,
+    AnswerOtherAttempt,
+    CloseAfterReading,
+    RefuseAsNotRun,
+}
+
+/// A runner that takes one call on each connection; the heads and bodies that it read.
+pub fn start(runner: Runner) -> (net::SocketAddr, sync::Arc<sync::Mutex<Vec<String>>>) {
+    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let calls = sync::Arc::new(sync::Mutex::new(Vec::new()));
+    let seen = calls.clone();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let call = read_call(&mut stream);
+            let attempt = call.split("lagoon-attempt: ").nth(1).unwrap_or_default();
+            let attempt = attempt.split("\r\n").next().unwrap_or_default().to_owned();
+            seen.lock().unwrap().push(call);
+            let _sent = stream.write_all(answer(runner, &attempt).as_bytes());
+        }
+    });
+    (address, calls)
+}
+
+fn answer(runner: Runner, attempt: &str) -> String {
+    let other = "0".repeat(32);
+    match runner {
+        Runner::Answer => format!(
+            "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nX-Tin: 7\r\n\
+             Content-Length: 3\r\nConnection: close\r\n\r\nbin"
+        ),
+        Runner::AnswerOtherAttempt => {
+            format!("HTTP/1.1 200 OK\r\nLagoon-Attempt: {other}\r\nContent-Length: 3\r\n\r\nbad")
+        }
+        Runner::CloseAfterReading => String::new(),
+        Runner::RefuseAsNotRun => "HTTP/1.1 503 Service Unavailable\r\nLagoon-Not-Run: 1\r\n\
+             Content-Length: 0\r\nConnection: close\r\n\r\n"
+            .to_owned(),
+    }
+}
+
+/// A call's head in lower case and its body, whether chunked or not.
+pub fn read_call(stream: &mut net::TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 65_536];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some((head, body)) = text.split_once("\r\n\r\n") {
+            let head = head.to_lowercase();
+            let length = head.split("content-length: ").nth(1).unwrap_or("0");
+            let length: usize = length.split("\r\n").next().unwrap().parse().unwrap();
+            let chunked = head.contains("transfer-encoding: chunked");
+            if (chunked && body.ends_with("0\r\n\r\n")) || (!chunked && body.len() >= length) {
+                return format!("{head}\r\n\r\n{body}");
+            }
+        }
+        match stream.read(&mut buffer) {
+            Ok(0) | Err(_) => return text,
+            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
