--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -11,5 +11,13 @@
 //! assert_ne!(key.tag(b"frame"), key.tag(b"other"));
 //! ```
 
+pub mod engine;
+pub mod entry;
+pub mod link;
 pub mod logs;
+pub mod operator;
+pub mod platform;
+pub mod service;
+pub mod signals;
+pub mod steward;
 pub mod wire;
--- /dev/null
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -0,0 +1,129 @@
+//! Plain services: what is passed on, and what a caller is told when it fails.
+
+use std::io::Write as _;
+use std::net;
+
+use lagoon_net::entry;
+use rstest::rstest;
+
+use crate::host;
+use crate::runner::{Runner, start};
+
+fn start_host(services: &[(&str, net::SocketAddr)]) -> host::Host {
+    let settings = host::settings(vec![host::section(&[], services, true)]);
+    host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() }
+}
+
+#[test]
+fn passes_method_path_query_headers_and_body() {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let headers = "X-Crew: 3\r\nConnection: close\r\n";
+    let request = host::request("PROPFIND", "/services/pickup/a/b?c=d", headers, "tin");
+    let answer = host.exchange(&request);
+    assert_eq!(host::status(&answer), "201", "{answer}");
+    assert!(answer.ends_with("bin"), "{answer}");
+    let head = answer.to_lowercase();
+    assert!(head.contains("lagoon-outcome: done") && head.contains("x-tin: 7"), "{answer}");
+    let call = calls.lock().unwrap().join("");
+    assert!(call.starts_with("propfind /a/b?c=d http/1.1\r\n"), "{call}");
+    assert!(call.contains("x-crew: 3") && call.ends_with("tin"), "{call}");
+    assert!(call.contains("lagoon-deadline-ms: ") && call.contains("lagoon-owner: suva-1/"));
+    assert!(!call.contains("authorization"), "{call}");
+    host.finish();
+}
+
+#[test]
+fn passes_a_chunked_body() {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let request = format!(
+        "POST /services/pickup/x HTTP/1.1\r\nAuthorization: Bearer {}\r\nConnection: close\r\n\
+         Transfer-Encoding: chunked\r\n\r\n3\r\ntin\r\n3\r\ncan\r\n0\r\n\r\n",
+        host::KEY
+    );
+    let answer = host.exchange(request.as_bytes());
+    assert_eq!(host::status(&answer), "201", "{answer}");
+    let call = calls.lock().unwrap().join("");
+    assert!(call.contains("tin") && call.contains("can"), "{call}");
+    host.finish();
+}
+
+// The runner reads a booking and closes the connection. Nobody here can tell whether it ran, so
+// the caller hears `unknown` and the booking is not sent again; a GET is sent to the other one.
+#[rstest]
+#[case("POST", Runner::CloseAfterReading, 1)]
+#[case("POST", Runner::AnswerOtherAttempt, 1)]
+#[case("GET", Runner::CloseAfterReading, 2)]
+fn a_lost_answer(#[case] method: &str, #[case] runner: Runner, #[case] sent: usize) {
+    let (first, first_calls) = start(runner);
+    let (second, second_calls) = start(runner);
+    let host = start_host(&[("pickup", first), ("pickup", second)]);
+    let body = if method == "POST" { "tin" } else { "" };
+    let answer = host.exchange(&host::request(method, "/services/pickup/x", "", body));
+    assert_eq!(host::status(&answer), "502", "{answer}");
+    assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    let calls = first_calls.lock().unwrap().len() + second_calls.lock().unwrap().len();
+    assert_eq!(calls, sent);
+    host.finish();
+}
+
+// No connection comes about, or the runner says that the call did not run: the caller hears
+// `not-run`, which is true.
+#[rstest]
+#[case(true)]
+#[case(false)]
+fn a_call_that_did_not_run_is_told_so(#[case] listens: bool) {
+    let (address, _calls) = start(Runner::RefuseAsNotRun);
+    let closed = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let host = start_host(&[("pickup", if listens { address } else { closed })]);
+    let answer = host.exchange(&host::request("POST", "/services/pickup/x", "", "tin"));
+    assert_eq!(host::status(&answer), "503", "{answer}");
+    assert!(answer.to_lowercase().contains("lagoon-outcome: not-run"), "{answer}");
+    host.finish();
+}
+
+// A caller sends half of a booking and then nothing, or closes. The runner may have seen the half,
+// so the caller, if it is still there, hears 408 with `unknown`; the runner's connection is cut,
+// so it cannot take the half for a whole.
+#[rstest]
+#[case::silent(false)]
+#[case::gone(true)]
+fn half_a_booking(#[case] leaves: bool) {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let head = format!(
+        "POST /services/pickup/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: 500000\r\n\r\n{}",
+        host::KEY,
+        "a".repeat(200_000)
+    );
+    let mut stream = host.connect();
+    stream.write_all(head.as_bytes()).unwrap();
+    if leaves {
+        drop(stream);
+    } else {
+        let answer = host::read_all(&mut stream);
+        assert_eq!(host::status(&answer), "408", "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    host::wait_until("the runner's connection was cut", || {
+        calls.lock().unwrap().iter().any(|call| call.len() < 500_000)
+    });
+    host.finish();
+}
+
+// Without a table service the key cannot be recorded. The booking is not sent, and the caller
+// hears that it did not run and when to come back.
+#[test]
+fn a_keyed_booking_needs_the_platform() {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let headers = "Idempotency-Key: k1\r\n";
+    let answer = host.exchange(&host::request("POST", "/services/pickup/x", headers, "tin"));
+    assert_eq!(host::status(&answer), "503", "{answer}");
+    let head = answer.to_lowercase();
+    assert!(head.contains("lagoon-outcome: not-run") && head.contains("retry-after"), "{answer}");
+    assert!(calls.lock().unwrap().is_empty());
+    host.finish();
+}
