--- a/crates/lagoon-standin/src/engine/mod.rs
+++ b/crates/lagoon-standin/src/engine/mod.rs
@@ -98,13 +98,21 @@
     let mut nodes = Vec::with_capacity(settings.len());
     let mut bound: Vec<(net::SocketAddr, sync::Arc<Engine>)> = Vec::new();
     for settings in settings {
-        let listener = port::bind(settings.address)?;
-        let address = listener.local_addr()?;
-        let engine = sync::Arc::new(Engine::new(Settings { address, ..settings }));
-        nodes.push((listener, server::Node::Engine(engine.clone())));
+        let (node, address, engine) = bind(settings)?;
+        nodes.push(node);
         bound.push((address, engine));
     }
     let server = sync::Arc::new(server::serve(nodes)?);
     let running = |(address, engine)| server::Running::new(address, engine, server.clone());
     Ok(bound.into_iter().map(running).collect())
 }
+
+type Bound = ((net::TcpListener, server::Node), net::SocketAddr, sync::Arc<Engine>);
+
+/// Binds an engine that is not served yet.
+pub(crate) fn bind(settings: Settings) -> io::Result<Bound> {
+    let listener = port::bind(settings.address)?;
+    let address = listener.local_addr()?;
+    let engine = sync::Arc::new(Engine::new(Settings { address, ..settings }));
+    Ok(((listener, server::Node::Engine(engine.clone())), address, engine))
+}
--- /dev/null
+++ b/crates/lagoon-standin/src/fleet.rs
@@ -0,0 +1,109 @@
+//! A whole fleet's stand-ins in one process, from one settings text.
+
+use std::io;
+use std::sync;
+
+use lagoonline::check;
+
+use crate::engine;
+use crate::platform;
+use crate::server;
+use crate::service;
+
+/// Settings of a fleet's stand-ins.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Settings {
+    /// The platform, if there is one.
+    pub platform: Option<platform::Settings>,
+    /// Model engines.
+    pub engines: Vec<engine::Settings>,
+    /// Replicas of plain services.
+    pub services: Vec<service::Settings>,
+}
+
+impl Settings {
+    /// Reads a settings text: `{"platform": {...}, "engines": [...], "services": [...]}`.
+    ///
+    /// # Errors
+    ///
+    /// All faults of the text, by JSON pointer.
+    ///
+    /// ```
+    /// use lagoon_standin::fleet::Settings;
+    /// let text = r#"{"engines": [{"address": "127.0.0.1:0"}], "services": []}"#;
+    /// assert_eq!(Settings::parse(text).unwrap().engines.len(), 1);
+    /// let faults = Settings::parse(r#"{"engines": [{"slots": 0}], "x": 1}"#).unwrap_err();
+    /// assert_eq!(faults.0.len(), 3);
+    /// ```
+    pub fn parse(text: &str) -> Result<Self, check::Faults> {
+        check::parse(text, |reader| Settings {
+            platform: reader.child("platform", platform::Settings::read),
+            engines: reader.list("engines", engine::Settings::read),
+            services: reader.list("services", service::Settings::read),
+        })
+    }
+}
+
+/// A running fleet of stand-ins.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform, if there is one.
+    pub platform: Option<server::Running<platform::Platform>>,
+    /// Model engines, in the order of the settings.
+    pub engines: Vec<server::Running<engine::Engine>>,
+    /// Replicas of plain services, in the order of the settings.
+    pub services: Vec<server::Running<service::Service>>,
+}
+
+/// Starts all stand-ins on one set of threads.
+///
+/// # Errors
+///
+/// There is nothing to start, an address cannot be bound, or a thread not be started.
+///
+/// ```
+/// use lagoon_standin::{engine, fleet, service};
+/// let settings = fleet::Settings {
+///     engines: vec![engine::Settings::default(); 2],
+///     services: vec![service::Settings::default()],
+///     ..fleet::Settings::default()
+/// };
+/// let fleet = fleet::start(settings).unwrap();
+/// assert_eq!((fleet.engines.len(), fleet.services.len()), (2, 1));
+/// ```
+pub fn start(settings: Settings) -> io::Result<Fleet> {
+    let platform = settings.platform.map(platform::bind).transpose()?;
+    let engines: io::Result<Vec<_>> = settings.engines.into_iter().map(engine::bind).collect();
+    let services: io::Result<Vec<_>> = settings.services.into_iter().map(service::bind).collect();
+    let (engines, services) = (engines?, services?);
+    let mut nodes = Vec::with_capacity(engines.len() + services.len() + 1);
+    let platform = platform.map(|(node, address, platform)| {
+        nodes.push(node);
+        (address, platform)
+    });
+    let mut kept_engines = Vec::with_capacity(engines.len());
+    for (node, address, engine) in engines {
+        nodes.push(node);
+        kept_engines.push((address, engine));
+    }
+    let mut kept_services = Vec::with_capacity(services.len());
+    for (node, address, service) in services {
+        nodes.push(node);
+        kept_services.push((address, service));
+    }
+    if nodes.is_empty() {
+        return Err(io::Error::other("the settings name no stand-in"));
+    }
+    let server = sync::Arc::new(server::serve(nodes)?);
+    Ok(Fleet {
+        platform: platform.map(|(at, node)| server::Running::new(at, node, server.clone())),
+        engines: kept_engines
+            .into_iter()
+            .map(|(at, node)| server::Running::new(at, node, server.clone()))
+            .collect(),
+        services: kept_services
+            .into_iter()
+            .map(|(at, node)| server::Running::new(at, node, server.clone()))
+            .collect(),
+    })
+}
--- a/crates/lagoon-standin/src/lib.rs
+++ b/crates/lagoon-standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod answer;
 pub mod engine;
 pub mod fault;
+pub mod fleet;
 pub mod platform;
 pub mod port;
 pub mod prompt;
