--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -117,6 +117,11 @@
         self.waiting().len()
     }
 
+    /// Places that were given out and not given back.
+    pub(crate) fn dispatched(&self) -> usize {
+        load::lock(&self.shard).dispatched()
+    }
+
     /// Gives out due turns until the desk is dropped.
     pub(crate) async fn keep(desk: sync::Weak<Desk>) {
         while let Some(desk) = desk.upgrade() {
@@ -155,6 +160,13 @@
         self.placement.as_ref().map_or(0, |placement| placement.priority)
     }
 
+    /// The engines of a group with the tokens of each; empty when one engine holds the prompt.
+    pub(crate) fn group(&self) -> Vec<(&id::Upstream, u64)> {
+        let Some(placement) = &self.placement else { return Vec::new() };
+        let names = std::iter::once(&placement.upstream).chain(&placement.members);
+        names.zip(placement.spans.iter().copied()).collect()
+    }
+
     pub(crate) fn first_token(&self) {
         if let Some(placement) = &self.placement {
             let now = self.desk.clock.now();
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -8,8 +8,10 @@
 mod body;
 mod call;
 mod cancel;
+mod claims;
 mod desk;
 mod fault;
+mod group;
 mod limit;
 mod link;
 mod metrics;
@@ -25,5 +27,5 @@
 mod state;
 mod worker;
 
-pub use server::{Ending, Handle, Running, start};
+pub use server::{Ending, Handle, Held, Running, start};
 pub use settings::{Cause, Limits, Settings, Unusable, parse_document};
