--- a/crates/lagoonline/src/life/safeguard.rs
+++ b/crates/lagoonline/src/life/safeguard.rs
@@ -26,11 +26,19 @@
     WriteDeadline,
     /// A claim that was given up is settled, so that its key is free again.
     Settle,
+    /// A cancel is repeated until acknowledged.
+    CancelRepeat,
+    /// An owner is dead only after a silence.
+    OwnerSilence,
+    /// A sweeper that hears few hosts releases nothing of theirs.
+    CutOffSweeper,
+    /// A sign that is older than a leaving mark does not end it.
+    StaleMark,
 }
 
 impl Safeguard {
     /// Every safeguard.
-    pub const ALL: [Safeguard; 10] = [
+    pub const ALL: [Safeguard; 14] = [
         Safeguard::VersionCheck,
         Safeguard::ReadBack,
         Safeguard::BodyMatch,
@@ -41,6 +49,10 @@
         Safeguard::DispatchDeadline,
         Safeguard::WriteDeadline,
         Safeguard::Settle,
+        Safeguard::CancelRepeat,
+        Safeguard::OwnerSilence,
+        Safeguard::CutOffSweeper,
+        Safeguard::StaleMark,
     ];
 }
 
--- /dev/null
+++ b/crates/lagoonline/tests/life_upkeep/marks.rs
@@ -0,0 +1,156 @@
+//! Two entry hosts that hear of leaving upstreams from three sources, late and in any order.
+
+use lagoonline::id;
+use lagoonline::life::leaving;
+use lagoonline::port::hosts;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const HOSTS: usize = 2;
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// The upstream begins to leave.
+    Leave,
+    /// A new life of it starts.
+    Restart,
+    /// A host reads the platform's list as it was some changes ago.
+    List { host: usize, age: usize },
+    /// A host dispatches and, if it is leaving, hears so.
+    Dispatch { host: usize },
+    /// A word of one host reaches the other, perhaps late, perhaps again.
+    Peer { host: usize, pick: usize },
+}
+
+/// The upstream as it is, and all that was ever said of it.
+pub struct World {
+    truth: Vec<leaving::Mark>,
+    marks: Vec<leaving::Marks>,
+    /// What each host knows of the upstream's lives by first-hand signs: the oracle's own notes.
+    signs: Vec<Vec<leaving::Mark>>,
+    words: Vec<leaving::Mark>,
+}
+
+pub struct Script;
+
+impl ReferenceStateMachine for Script {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            1 => Just(Step::Leave),
+            1 => Just(Step::Restart),
+            4 => (0..HOSTS, 0..5_usize).prop_map(|(host, age)| Step::List { host, age }),
+            4 => (0..HOSTS).prop_map(|host| Step::Dispatch { host }),
+            4 => (0..HOSTS, any::<usize>()).prop_map(|(host, pick)| Step::Peer { host, pick }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+fn upstream() -> id::Upstream {
+    id::Upstream::from("engine")
+}
+
+impl World {
+    fn now(&self) -> leaving::Mark {
+        *self.truth.last().expect("it has a first state")
+    }
+
+    fn list(&mut self, host: usize, age: usize) {
+        let mark = self.truth[self.truth.len().saturating_sub(1 + age)];
+        let state = if mark.leaving { hosts::State::Leaving } else { hosts::State::Live };
+        let line = hosts::Line {
+            name: upstream().as_str().to_owned(),
+            zone: id::Zone::from("suva"),
+            incarnation: mark.incarnation,
+            state,
+        };
+        let changed = self.marks[host].listed(&[line]);
+        self.words.extend(changed.into_iter().map(|(_, mark)| mark));
+        self.signs[host].push(mark);
+    }
+
+    /// The oracle: no dispatch to a life of which this host has had a sign of leaving, unless a
+    /// later life was heard of.
+    fn dispatch(&mut self, host: usize) {
+        let latest = self.signs[host].iter().map(|mark| mark.incarnation).max();
+        let left = |mark: &leaving::Mark| mark.leaving && Some(mark.incarnation) == latest;
+        let told = self.signs[host].iter().any(left);
+        let blocked = self.marks[host].is_leaving(&upstream());
+        assert_eq!(blocked, told, "signs {:?}, marks {:?}", self.signs[host], self.marks[host]);
+        if !blocked && self.now().leaving {
+            let known = latest.unwrap_or_default();
+            let changed = self.marks[host].refused(&upstream());
+            self.words.extend(changed);
+            if latest.is_some() {
+                self.signs[host].push(leaving::Mark { incarnation: known, leaving: true });
+            } else {
+                assert!(self.marks[host].is_leaving(&upstream()));
+                // The life is learnt at once from the refused connection's load report.
+                let now = self.now();
+                self.words.extend(self.marks[host].merge(&upstream(), now));
+                self.signs[host].push(now);
+            }
+        }
+    }
+
+    fn peer(&mut self, host: usize, pick: usize) {
+        let count = self.words.len().max(1);
+        if let Some(word) = self.words.get(pick % count).copied() {
+            self.marks[host].merge(&upstream(), word);
+            self.signs[host].push(word);
+        }
+    }
+}
+
+pub struct Machine;
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = World;
+    type Reference = Script;
+
+    fn init_test((): &()) -> World {
+        let first = leaving::Mark { incarnation: id::Incarnation(1), leaving: false };
+        World {
+            truth: vec![first],
+            marks: (0..HOSTS).map(|_| leaving::Marks::new(super::safeguards())).collect(),
+            signs: vec![Vec::new(); HOSTS],
+            words: Vec::new(),
+        }
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        super::count_step();
+        let now = world.now();
+        match step {
+            Step::Leave => world.truth.push(leaving::Mark { leaving: true, ..now }),
+            Step::Restart => {
+                let incarnation = id::Incarnation(now.incarnation.0 + 1);
+                world.truth.push(leaving::Mark { incarnation, leaving: false });
+            }
+            Step::List { host, age } => world.list(host, age),
+            Step::Dispatch { host } => world.dispatch(host),
+            Step::Peer { host, pick } => world.peer(host, pick),
+        }
+        world
+    }
+
+    /// After every word has reached every host, all hosts agree.
+    fn teardown(mut world: World) {
+        for host in 0..HOSTS {
+            for word in world.words.clone() {
+                world.marks[host].merge(&upstream(), word);
+            }
+        }
+        let mark = |marks: &leaving::Marks| marks.iter().map(|(_, mark)| mark).next();
+        assert_eq!(mark(&world.marks[0]), mark(&world.marks[1]));
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/tests/life_upkeep/memory.rs
@@ -0,0 +1,258 @@
+//! Entry hosts that die, pause and are cut off, engines that lose cancels, and a sweeper.
+//!
+//! The engines here never expire anything by themselves, so that only the sweep and the cancels
+//! bring memory back.
+
+use std::collections::BTreeMap;
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::id;
+use lagoonline::life::reap;
+use lagoonline::port::engine;
+use proptest::prelude::*;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+
+const HOSTS: usize = 4;
+const ENGINES: usize = 2;
+const BEAT: Span = Span::from_secs(1);
+
+#[derive(Clone, Debug)]
+pub enum Step {
+    Hold {
+        host: usize,
+        engine: usize,
+        bytes: u64,
+    },
+    /// The host cancels one of its holdings; the request, or its answer, may be lost.
+    Cancel {
+        pick: usize,
+    },
+    Lose(bool),
+    Crash(usize),
+    /// The host dies and nothing takes its place.
+    Die(usize),
+    RestartEngine(usize),
+    /// The sweeper hears no host.
+    CutOff(bool),
+    Pass {
+        seconds: u64,
+    },
+}
+
+struct Held {
+    host: usize,
+    incarnation: u64,
+    engine: usize,
+    bytes: u64,
+    cancelled: bool,
+}
+
+struct Host {
+    incarnation: u64,
+    alive: bool,
+    cancels: reap::Cancels,
+}
+
+pub struct World {
+    now: Moment,
+    hosts: Vec<Host>,
+    held: BTreeMap<u128, Held>,
+    next: u128,
+    sweep: reap::Sweep,
+    lose: bool,
+    cut_off: bool,
+    reserved: u64,
+    returned: u64,
+}
+
+pub struct Script;
+
+impl ReferenceStateMachine for Script {
+    type State = ();
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<Step> {
+        prop_oneof![
+            8 => (0..HOSTS, 0..ENGINES, 1..100_u64)
+                .prop_map(|(host, engine, bytes)| Step::Hold { host, engine, bytes }),
+            5 => any::<usize>().prop_map(|pick| Step::Cancel { pick }),
+            2 => any::<bool>().prop_map(Step::Lose),
+            2 => (0..HOSTS).prop_map(Step::Crash),
+            1 => (1..HOSTS).prop_map(Step::Die),
+            1 => (0..ENGINES).prop_map(Step::RestartEngine),
+            2 => any::<bool>().prop_map(Step::CutOff),
+            8 => (1..50_u64).prop_map(|seconds| Step::Pass { seconds }),
+        ]
+        .boxed()
+    }
+
+    fn apply((): (), _: &Step) {}
+}
+
+fn name(engine: usize) -> id::Upstream {
+    id::Upstream::from(format!("engine-{engine}"))
+}
+
+fn owner(host: usize, incarnation: u64) -> id::Owner {
+    let host = id::Host::from(format!("host-{host}"));
+    id::Owner { host, incarnation: id::Incarnation(incarnation) }
+}
+
+fn cancels() -> reap::Cancels {
+    let pace = reap::Pace { safeguards: super::safeguards(), ..reap::Pace::default() };
+    reap::Cancels::new(pace)
+}
+
+impl World {
+    fn new() -> Self {
+        let host = |_| Host { incarnation: 1, alive: true, cancels: cancels() };
+        let settings =
+            reap::Settings { safeguards: super::safeguards(), ..reap::Settings::default() };
+        World {
+            now: Moment::START,
+            hosts: (0..HOSTS).map(host).collect(),
+            held: BTreeMap::new(),
+            next: 1,
+            sweep: reap::Sweep::new(settings),
+            lose: false,
+            cut_off: false,
+            reserved: 0,
+            returned: 0,
+        }
+    }
+
+    fn hold(&mut self, host: usize, engine: usize, bytes: u64) {
+        if !self.hosts[host].alive {
+            return;
+        }
+        let incarnation = self.hosts[host].incarnation;
+        let held = Held { host, incarnation, engine, bytes, cancelled: false };
+        self.held.insert(self.next, held);
+        self.next += 1;
+        self.reserved += bytes;
+    }
+
+    fn cancel(&mut self, pick: usize) {
+        let count = self.held.len().max(1);
+        let Some((id, held)) = self.held.iter_mut().nth(pick % count) else {
+            return;
+        };
+        let host = &mut self.hosts[held.host];
+        if host.alive && host.incarnation == held.incarnation && !held.cancelled {
+            held.cancelled = true;
+            host.cancels.add(name(held.engine), id::Attempt(*id), self.now);
+        }
+    }
+
+    fn give_back(&mut self, id: u128) {
+        if let Some(held) = self.held.remove(&id) {
+            self.returned += held.bytes;
+        }
+    }
+
+    fn restart_engine(&mut self, engine: usize) {
+        let gone: Vec<_> =
+            self.held.iter().filter(|(_, held)| held.engine == engine).map(|(id, _)| *id).collect();
+        gone.into_iter().for_each(|id| self.give_back(id));
+        for host in &mut self.hosts {
+            host.cancels.restarted(&name(engine));
+        }
+    }
+
+    /// A second: heartbeats, due cancels, one sweep of each engine.
+    fn second(&mut self) {
+        self.now = self.now + BEAT;
+        for number in 0..HOSTS {
+            if self.hosts[number].alive && !self.cut_off {
+                self.sweep.heard(&owner(number, self.hosts[number].incarnation), self.now);
+            }
+            self.send_cancels(number);
+        }
+        // The sweeper's own host always hears itself.
+        self.sweep.heard(&owner(0, self.hosts[0].incarnation), self.now);
+        for engine in 0..ENGINES {
+            self.sweep_engine(engine);
+        }
+    }
+
+    fn send_cancels(&mut self, number: usize) {
+        if !self.hosts[number].alive {
+            return;
+        }
+        for (upstream, attempt) in self.hosts[number].cancels.due(self.now) {
+            if !self.lose {
+                self.give_back(attempt.0);
+                self.hosts[number].cancels.acknowledged(&upstream, attempt);
+            }
+        }
+    }
+
+    fn sweep_engine(&mut self, engine: usize) {
+        let listed = self.held.iter().filter(|(_, held)| held.engine == engine);
+        let holding = |(id, held): (&u128, &Held)| engine::Holding {
+            id: id::Attempt(*id).to_string(),
+            owner: owner(held.host, held.incarnation).to_string(),
+            kind: engine::Kind::Stream,
+            bytes: held.bytes,
+            expires_ms: 1,
+        };
+        let listed: Vec<_> = listed.map(holding).collect();
+        for id in self.sweep.releases(&name(engine), &listed, self.now) {
+            let id = id.parse::<id::Attempt>().expect("an id of ours").0;
+            let held = &self.held[&id];
+            let host = &self.hosts[held.host];
+            let used = host.alive && host.incarnation == held.incarnation && !held.cancelled;
+            assert!(!used, "released what host {} still uses", held.host);
+            self.give_back(id);
+        }
+    }
+}
+
+pub struct Machine;
+
+impl StateMachineTest for Machine {
+    type SystemUnderTest = World;
+    type Reference = Script;
+
+    fn init_test((): &()) -> World {
+        World::new()
+    }
+
+    fn apply(mut world: World, (): &(), step: Step) -> World {
+        super::count_step();
+        match step {
+            Step::Hold { host, engine, bytes } => world.hold(host, engine, bytes),
+            Step::Cancel { pick } => world.cancel(pick),
+            Step::Lose(lose) => world.lose = lose,
+            Step::Crash(host) => {
+                let host = &mut world.hosts[host];
+                *host = Host { incarnation: host.incarnation + 1, alive: true, cancels: cancels() };
+            }
+            // At most one host is dead for good: more together look like a cut.
+            Step::Die(host) if world.hosts.iter().all(|host| host.alive) => {
+                world.hosts[host].alive = false;
+            }
+            Step::Die(_) => {}
+            Step::RestartEngine(engine) => world.restart_engine(engine),
+            Step::CutOff(cut_off) => world.cut_off = cut_off,
+            Step::Pass { seconds } => (0..seconds).for_each(|_| world.second()),
+        }
+        world
+    }
+
+    /// Faults end, hosts cancel what they hold: within a minute and a half nothing is left.
+    fn teardown(mut world: World) {
+        world.lose = false;
+        world.cut_off = false;
+        let ids: Vec<_> = world.held.keys().copied().collect();
+        for pick in 0..ids.len() {
+            world.cancel(pick);
+        }
+        (0..90).for_each(|_| world.second());
+        assert_eq!(world.reserved, world.returned, "memory is left");
+    }
+}
