--- a/crates/lagoonline/tests/life_fuzz/machine.rs
+++ b/crates/lagoonline/tests/life_fuzz/machine.rs
@@ -37,6 +37,8 @@
     /// More than the retention passes.
     Retain,
     Sweep,
+    /// A host is paused until its rows are swept.
+    Oversleep(usize),
     Damage(usize),
 }
 
@@ -114,6 +116,7 @@
             3 => (1..12_000_u64).prop_map(Step::Advance),
             1 => Just(Step::Retain),
             2 => Just(Step::Sweep),
+            1 => (0..HOSTS).prop_map(Step::Oversleep),
             1 => any::<usize>().prop_map(Step::Damage),
         ]
         .boxed()
@@ -194,12 +197,19 @@
         Step::Pause(host) => world.paused[host] = true,
         Step::Resume(host) => world.resume(host),
         Step::Advance(millis) => world.advance(clock::Span::from_millis(millis)),
-        Step::Retain => {
-            outside.platform.forget_late();
-            world.oversleep();
-            world.advance(clock::Span::from_secs(25 * 3_600));
+        Step::Retain => retain(world),
+        Step::Oversleep(host) => {
+            world.paused[host] = true;
+            retain(world);
+            (0..4).for_each(|_| world.sweep());
         }
         Step::Sweep => world.sweep(),
         Step::Damage(pick) => outside.platform.damage(pick),
     }
 }
+
+fn retain(world: &mut World) {
+    world.outside.platform.forget_late();
+    world.oversleep();
+    world.advance(clock::Span::from_secs(25 * 3_600));
+}
--- a/crates/lagoonline/tests/life_fuzz/main.rs
+++ b/crates/lagoonline/tests/life_fuzz/main.rs
@@ -5,6 +5,7 @@
 mod machine;
 mod oracle;
 mod platform;
+mod scenarios;
 mod upstream;
 mod world;
 
--- /dev/null
+++ b/crates/lagoonline/tests/life_fuzz/scenarios.rs
@@ -0,0 +1,142 @@
+//! Single histories of a key, step by step.
+
+use std::future::Future;
+use std::pin::pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use futures_util::task::noop_waker;
+use lagoonline::clock::{self, Span};
+use lagoonline::life::{claim, request};
+use lagoonline::outcome::{Outcome, Reason};
+use lagoonline::{id, life};
+
+use super::platform::{Fault, Platform};
+
+type Claims = claim::Claims<Platform, Platform, clock::Fake>;
+
+fn wait<F>(future: F) -> F::Output
+where
+    F: Future,
+{
+    let mut future = pin!(future);
+    loop {
+        let polled = future.as_mut().poll(&mut Context::from_waker(&noop_waker()));
+        if let Poll::Ready(output) = polled {
+            return output;
+        }
+    }
+}
+
+fn claims(platform: &Platform, clock: &clock::Fake) -> Claims {
+    let settings = claim::Settings { inline_bytes: 8, ..claim::Settings::default() };
+    claim::Claims::new(platform.clone(), platform.clone(), clock.clone(), settings)
+}
+
+fn ask(token: u128, repeat: request::Repeat) -> claim::Ask {
+    claim::Ask {
+        customer: id::Customer::from("crew"),
+        key: "pickup-7".into(),
+        body: claim::body_hash("POST", "/book", b"tins"),
+        repeat,
+        token: id::Attempt(token),
+        upstream: id::Upstream::from("engine-3"),
+        deadline: clock::Moment::from_millis(10_000),
+        wall_ms: 0,
+    }
+}
+
+fn ticket(begun: Result<claim::Begin, Box<claim::Refusal>>) -> claim::Ticket {
+    match begun {
+        Ok(claim::Begin::Run(ticket)) => ticket,
+        other => panic!("no ticket: {other:?}"),
+    }
+}
+
+/// A caller loses its entry host in the middle of a long answer and asks again elsewhere with the
+/// same key. The row tells the new host the engine and the attempt to resume there; and if the
+/// stream is gone, the new host takes the claim, and the old one's writes no longer count.
+#[test]
+fn a_running_stream_is_found_by_its_key() {
+    let (platform, clock) = (Platform::default(), clock::Fake::default());
+    let claims = claims(&platform, &clock);
+    let allowed = request::Repeat::Allowed;
+    let first = ticket(wait(claims.begin(ask(1, allowed)))).dispatch(clock::Moment::START);
+    let Ok(claim::Begin::Running(running)) = wait(claims.begin(ask(2, allowed))) else {
+        panic!("it runs");
+    };
+    assert_eq!((running.attempt, running.upstream.as_str()), (id::Attempt(1), "engine-3"));
+    let mut second = ticket(wait(claims.take_over(ask(3, allowed), &running)));
+    wait(claims.retarget(&mut second, id::Upstream::from("engine-4"), id::Attempt(9)));
+    wait(claims.lose(first.expect("in time")));
+    let Ok(claim::Begin::Running(running)) = wait(claims.begin(ask(4, allowed))) else {
+        panic!("it runs");
+    };
+    assert_eq!((running.attempt, running.upstream.as_str()), (id::Attempt(9), "engine-4"));
+}
+
+/// A call ran and its caller has the answer, but the platform is down when it is to be stored.
+/// The next caller with the key hears `unknown`, never a second run; once the store is back, it
+/// gets the whole answer.
+#[test]
+fn an_unstored_answer_is_unknown_until_it_is_stored() {
+    let (platform, clock) = (Platform::default(), clock::Fake::default());
+    let claims = claims(&platform, &clock);
+    let never = request::Repeat::Never;
+    let sent = ticket(wait(claims.begin(ask(1, never)))).dispatch(clock::Moment::START);
+    let body = Bytes::from_static(b"booked for Nausori");
+    let answer = claim::Answer { status: 201, content_type: "text/plain".into(), body };
+    platform.set_down(true);
+    let unstored = wait(claims.finish(sent.expect("in time"), answer.clone()));
+    let unstored = unstored.expect_err("the platform is down");
+    platform.set_down(false);
+    let refusal = wait(claims.begin(ask(2, never))).expect_err("it may have run").failure;
+    assert_eq!((refusal.reason, refusal.outcome), (Reason::EarlierUnknown, Outcome::Unknown));
+    wait(claims.finish(unstored.sent, unstored.answer)).expect("the platform is back");
+    match wait(claims.begin(ask(3, never))) {
+        Ok(claim::Begin::Replay(replayed)) => assert_eq!(replayed, answer),
+        other => panic!("no replay: {other:?}"),
+    }
+}
+
+/// The platform answers none of the claim's commits, and the caller hears `not-run`. The commits
+/// land a second later; the host settles the row, so the caller's next try runs.
+#[test]
+fn a_late_claim_does_not_hold_its_key() {
+    let (platform, clock) = (Platform::default(), clock::Fake::default());
+    let claims = claims(&platform, &clock);
+    let never = request::Repeat::Never;
+    for fault in [Fault::Late, Fault::LoseRequest].repeat(3) {
+        platform.fault(fault);
+    }
+    let refusal = wait(claims.begin(ask(1, never))).expect_err("no commit was answered");
+    assert_eq!(refusal.failure.outcome, Outcome::NotRun);
+    let abandoned = refusal.abandoned.expect("commits may land");
+    while platform.late() > 0 {
+        platform.land(0);
+    }
+    assert!(wait(claims.begin(ask(2, never))).is_err());
+    assert!(wait(claims.settle(&abandoned)));
+    ticket(wait(claims.begin(ask(3, never))));
+}
+
+/// The sweep removes a row once its retention has ended and not before, one read and at most one
+/// write a step.
+#[test]
+fn retention_ends_after_its_time() {
+    let (platform, clock) = (Platform::default(), clock::Fake::default());
+    let claims = claims(&platform, &clock);
+    drop(ticket(wait(claims.begin(ask(1, request::Repeat::Never)))));
+    let mut sweeper = claim::Sweeper::new(claim::Sweep::default());
+    let day = u64::try_from(Span::from_secs(86_400).as_millis()).expect("small");
+    assert_eq!(wait(sweeper.step(&platform, day)), Ok(0));
+    assert_eq!(wait(sweeper.step(&platform, day + 1)), Ok(1));
+    assert!(platform.values().is_empty());
+}
+
+/// Two customers choose the same key; neither reads or blocks the other's.
+#[test]
+fn a_key_belongs_to_its_customer() {
+    let key = |customer: &str| life::claim::row_key(&id::Customer::from(customer), "k");
+    assert_ne!(key("crew"), key("clerk"));
+}
