--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -8,8 +8,10 @@
 mod body;
 mod call;
 mod cancel;
+mod claims;
 mod desk;
 mod fault;
+mod group;
 mod limit;
 mod link;
 mod metrics;
