Routing weighs the delay caused to long prompts

Cause: short prompts spread over engines that prefill long ones, although each delays those. Change: the choice adds the delay caused, weighed by the owners' weights; 150 ms ahead.

--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -10,6 +10,7 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::world;
+use lagoonline::clock;
 use lagoonline::load;
 
 /// Load and experiment tool.
@@ -44,6 +45,9 @@
     /// what the owners weigh: even, lakeshore or vatuwaqa
     #[argh(option, default = "String::from(\"even\")")]
     weights: String,
+    /// prefill that an engine may have ahead, in milliseconds
+    #[argh(option, default = "150")]
+    ahead_ms: u64,
     /// seeds, from 1
     #[argh(option, default = "5")]
     seeds: u64,
@@ -92,8 +96,9 @@
     for scenario in &scenarios {
         for &policy in &policies {
             let weights = Some(weights);
+            let ahead = clock::Span::from_millis(bench.ahead_ms);
             let settings =
-                load::Settings { policy, choice, safeguards, weights, ..Default::default() };
+                load::Settings { policy, choice, safeguards, weights, ahead, ..Default::default() };
             let runs = (1..=bench.seeds).map(|seed| one(scenario, &settings, seed, bench));
             let runs: Vec<_> = runs.collect();
             rows.push(report::row(scenario.name, policy.as_str(), &runs));
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -75,6 +75,8 @@
     pub clear: usize,
     /// Part of an engine's rate that short prompts may use, 1 while no longer ones come.
     pub short_part: f64,
+    /// Weight of the delay of long prompts beside that of the request itself.
+    pub long_weight: f64,
     pub now: clock::Moment,
 }
 
@@ -100,9 +102,18 @@
         let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
         let passes = need.class == document::Class::Medium && upstream.has_later(need.rank);
         let seconds = if passes { seconds + PASSES_LONG } else { seconds };
+        let seconds = seconds + self.delay_to_longer(upstream, need, tokens as f64);
         if wrong { seconds + WRONG_ROLE } else { seconds }
     }
 
+    /// Delay that the request would cause to long prompts pending there, weighed against its own.
+    fn delay_to_longer(&self, upstream: &upstream::Upstream, need: &Need, tokens: f64) -> f64 {
+        if self.long_weight <= 0.0 || !upstream.has_later(need.rank) {
+            return 0.0;
+        }
+        self.long_weight * tokens / upstream.rate(self.now).max(1.0)
+    }
+
     /// Whether the upstream can take the request now.
     fn fits(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
         let safeguards = self.safeguards();
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -28,6 +28,9 @@
 /// Part of the time left that is kept for the engine when a wait is bounded.
 const ENGINE_PART: f64 = 0.5;
 
+/// Weight of a long prompt's delay beside a short one's where only first tokens count.
+const LONG_WEIGHT: f64 = 8.0;
+
 impl scheduler::Scheduler {
     pub(super) fn enter(&mut self, now: clock::Moment, ask: scheduler::Ask) -> scheduler::Verdict {
         if !self.upstreams.iter().any(|upstream| !upstream.leaving && !upstream.gone) {
@@ -329,11 +332,13 @@
 
     fn rules_with(&self, now: clock::Moment, clear: usize) -> route::Rules<'_> {
         let short_part = self.short_part();
+        let long_weight = LONG_WEIGHT * (1.0 - self.weights.short_share());
         route::Rules {
             settings: &self.settings,
             upstreams: &self.upstreams,
             clear,
             short_part,
+            long_weight,
             now,
         }
     }
--- a/crates/lagoonline/src/load/settings.rs
+++ b/crates/lagoonline/src/load/settings.rs
@@ -179,7 +179,7 @@
             safeguards: Safeguards::default(),
             weights: None,
             longest_wait: [5, 20, 60, 300].map(clock::Span::from_secs),
-            ahead: clock::Span::from_millis(300),
+            ahead: clock::Span::from_millis(150),
             long_tokens: 65_536,
             remote_zones: Vec::new(),
             remote_default: clock::Span::from_millis(50),
