--- a/crates/lagoon-load/src/bench/report.rs
+++ b/crates/lagoon-load/src/bench/report.rs
@@ -23,6 +23,8 @@
     pub first_token: [hdr::Histogram<u64>; 4],
     /// The same of short prompts of all customers but the first.
     pub others: hdr::Histogram<u64>,
+    /// Sum of the ideal times to first token by class, in microseconds.
+    pub ideal: [f64; 4],
     /// Time to first token over the ideal one of short prompts, in hundredths.
     pub slowdown: hdr::Histogram<u64>,
     /// Time to a refusal, in microseconds.
@@ -72,6 +74,7 @@
     pub fn new(seconds: f64) -> Self {
         Tally {
             first_token: [(); 4].map(|()| histogram()),
+            ideal: [0.0; 4],
             others: histogram(),
             slowdown: histogram(),
             refusal: histogram(),
@@ -105,8 +108,9 @@
         self.offered[class] += 1;
         let took = micros(first.since(arrival.at));
         self.first_token[class].saturating_record(took);
+        let ideal = arrival.tokens as f64 / super::scenario::RATE * 1e6;
+        self.ideal[class] += ideal;
         if class == 0 {
-            let ideal = arrival.tokens as f64 / super::scenario::RATE * 1e6;
             self.slowdown.saturating_record((took as f64 / ideal * 100.0).max(1.0) as u64);
             if arrival.customer != 0 {
                 self.others.saturating_record(took);
@@ -144,6 +148,16 @@
         self.refusal.saturating_record(micros(at.since(arrival.at)));
     }
 
+    /// Mean time to first token over the ideal one, each length class counted alike.
+    fn first_token_by_length(&self) -> f64 {
+        let classes = self.first_token.iter().zip(self.ideal);
+        let stretch = |(histogram, ideal): (&hdr::Histogram<u64>, f64)| {
+            (ideal > 0.0).then(|| histogram.mean() * histogram.len() as f64 / ideal)
+        };
+        let stretches: Vec<f64> = classes.filter_map(stretch).collect();
+        stretches.iter().sum::<f64>() / stretches.len().max(1) as f64
+    }
+
     /// The figures by name; times in milliseconds.
     pub fn figures(&self) -> collections::BTreeMap<String, f64> {
         let mut figures = collections::BTreeMap::new();
@@ -163,6 +177,7 @@
             put(&format!("{word}_late"), late as f64);
         }
         let offered: u64 = self.offered.iter().sum();
+        put("first_token_by_length", self.first_token_by_length());
         put("others_p95_ms", self.others.value_at_quantile(0.95) as f64 / 1e3);
         put("slowdown_mean", self.slowdown.mean() / 100.0);
         put("slowdown_p95", self.slowdown.value_at_quantile(0.95) as f64 / 100.0);
--- /dev/null
+++ b/crates/lagoonline/benches/decision.rs
@@ -0,0 +1,139 @@
+//! Cost of one admission and one routing decision, at today's size and at the target's.
+
+use std::hint;
+use std::sync;
+use std::time;
+
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+use lagoonline::clock::{Moment, Span};
+use lagoonline::control::document;
+use lagoonline::load::{self, Ending, Scheduler, Verdict};
+use lagoonline::{id, view};
+
+struct Size {
+    name: &'static str,
+    runners: usize,
+    hosts: u32,
+    customers: usize,
+}
+
+const SIZES: [Size; 2] = [
+    Size { name: "today", runners: 8, hosts: 3, customers: 10 },
+    Size { name: "target", runners: 133, hosts: 39, customers: 26_000 },
+];
+
+fn fleet(runners: usize) -> view::Shared {
+    let mut fleet = view::Fleet::default();
+    for index in 0..runners {
+        let entry = document::Upstream {
+            serves: document::Serves::Models(vec![id::Model::from("m")]),
+            ..document::Upstream::default()
+        };
+        let name = id::Upstream::from(format!("e{index:03}"));
+        fleet.upstreams.push(view::Upstream { name, team: id::Team::from("t"), entry });
+    }
+    sync::Arc::new(fleet)
+}
+
+fn scheduler(size: &Size) -> Scheduler {
+    let settings = load::Settings { hosts_in_zone: size.hosts, ..load::Settings::default() };
+    let mut scheduler = Scheduler::new(settings);
+    scheduler.set_fleet(Moment::START, &fleet(size.runners), &id::Model::from("m"));
+    scheduler
+}
+
+fn asks(size: &Size) -> Vec<load::Ask> {
+    let ask = |index: usize| load::Ask {
+        customer: id::Customer::from(format!("c{index}")),
+        team: id::Team::from(format!("t{}", index % 8)),
+        weight: 1,
+        model: id::Model::from("m"),
+        prompt_tokens: 1_000,
+        answer_tokens: 64,
+        bytes: 4_000,
+        arrived: Moment::START,
+        deadline: Moment::START + Span::from_secs(3_600),
+        prefixes: vec![(index as u64 % 64, 512)],
+    };
+    (0..size.customers).map(ask).collect()
+}
+
+/// A request that finds a place: admission and routing together.
+fn place(criterion: &mut Criterion) {
+    for size in &SIZES {
+        let (mut scheduler, asks) = (scheduler(size), asks(size));
+        let mut turn = 0;
+        criterion.bench_function(&format!("offer that is placed, {}", size.name), |bencher| {
+            bencher.iter_custom(|count| {
+                let mut spent = Span::ZERO;
+                for _ in 0..count {
+                    turn += 1;
+                    let now = Moment::from_micros(turn as u64 * 1_000);
+                    let ask = load::Ask { arrived: now, ..asks[turn % asks.len()].clone() };
+                    let start = time::Instant::now();
+                    let verdict = hint::black_box(scheduler.offer(now, ask));
+                    spent += start.elapsed();
+                    end(&mut scheduler, now, &verdict);
+                }
+                spent
+            });
+        });
+    }
+}
+
+fn end(scheduler: &mut Scheduler, now: Moment, verdict: &Verdict) {
+    let Verdict::Dispatch(placement) = verdict else { return };
+    scheduler.first_token(now, placement.ticket);
+    let ending = Ending::Done { prompt_tokens: 1_000, cached_tokens: 0, answer_tokens: 10 };
+    scheduler.finish(now, placement.ticket, ending);
+}
+
+/// A request that finds every engine taken and waits, then leaves.
+fn wait(criterion: &mut Criterion) {
+    for size in &SIZES {
+        let (mut scheduler, asks) = (scheduler(size), asks(size));
+        for ask in asks.iter().cycle().take(100_000) {
+            if let Verdict::Wait(_) = scheduler.offer(Moment::START, ask.clone()) {
+                break;
+            }
+        }
+        let mut turn = 0;
+        criterion.bench_function(&format!("offer that waits, {}", size.name), |bencher| {
+            let next = || {
+                turn += 1;
+                asks[turn % asks.len()].clone()
+            };
+            bencher.iter_batched(
+                next,
+                |ask| {
+                    let verdict = scheduler.offer(Moment::START, ask);
+                    if let Verdict::Wait(waiter) = verdict {
+                        scheduler.leave(waiter);
+                    }
+                },
+                BatchSize::LargeInput,
+            );
+        });
+    }
+}
+
+/// One check of a customer's limit.
+fn limit(criterion: &mut Criterion) {
+    for size in &SIZES {
+        let mut limits = load::limit::Limits::new(size.hosts);
+        let asks = asks(size);
+        let rate = load::limit::Rate { requests: 1e6, tokens: 1e12 };
+        let mut turn = 0;
+        criterion.bench_function(&format!("limit, {}", size.name), |bencher| {
+            bencher.iter(|| {
+                turn += 1;
+                let now = Moment::from_micros(turn as u64 * 100);
+                let customer = &asks[turn % asks.len()].customer;
+                hint::black_box(limits.take(now, customer, rate, 1_000).is_ok())
+            });
+        });
+    }
+}
+
+criterion_group!(benches, place, wait, limit);
+criterion_main!(benches);
--- a/crates/lagoonline/src/load/rate.rs
+++ b/crates/lagoonline/src/load/rate.rs
@@ -48,7 +48,7 @@
     /// Its first token came.
     pub fn first_token(&mut self, now: clock::Moment, ticket: scheduler::Ticket) {
         let Some(pending) = self.take(ticket) else { return };
-        let took = now.since(pending.sent).as_secs_f64();
+        let took = seconds(pending.sent, now);
         let sample = (took / (pending.expected + GRACE)).clamp(BOUNDS.0, BOUNDS.1);
         self.learn(now, sample.max(1.0));
     }
@@ -61,9 +61,10 @@
     /// By how much the upstream is slower than it says: 1 or more.
     pub fn slowness(&self, now: clock::Moment) -> f64 {
         let learned = 1.0 + self.decayed(now);
-        let late = self.pending.front().map_or(0.0, |pending| {
-            now.since(pending.sent).as_secs_f64() / (pending.expected + GRACE)
-        });
+        let late = self
+            .pending
+            .front()
+            .map_or(0.0, |pending| seconds(pending.sent, now) / (pending.expected + GRACE));
         learned.max(late.min(BOUNDS.1))
     }
 
@@ -77,7 +78,7 @@
         if self.excess == 0.0 {
             return 0.0;
         }
-        self.excess * (-now.since(self.learned).as_secs_f64() / HALF_LIFE).exp2()
+        self.excess * (-seconds(self.learned, now) / HALF_LIFE).exp2()
     }
 
     fn take(&mut self, ticket: scheduler::Ticket) -> Option<Pending> {
@@ -85,3 +86,9 @@
         self.pending.remove(index)
     }
 }
+
+/// Seconds from one moment to a later one; routing asks this of every upstream, and the detour
+/// over a duration costs a division of 128 bits.
+pub(crate) fn seconds(from: clock::Moment, to: clock::Moment) -> f64 {
+    to.as_micros().saturating_sub(from.as_micros()) as f64 * 1e-6
+}
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -77,6 +77,8 @@
     pub short_part: f64,
     /// Weight of the delay of long prompts beside that of the request itself.
     pub long_weight: f64,
+    /// Prefill that an engine may have ahead, in seconds of its rate.
+    pub ahead_seconds: f64,
     pub now: clock::Moment,
 }
 
@@ -96,34 +98,32 @@
     }
 
     /// Seconds to the first token there.
-    pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need) -> f64 {
+    pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> f64 {
         let tokens = need.tokens - need.cached(upstream.number);
-        let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64);
+        let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64, rate);
         let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
         let passes = need.class == document::Class::Medium && upstream.has_later(need.rank);
         let seconds = if passes { seconds + PASSES_LONG } else { seconds };
-        let seconds = seconds + self.delay_to_longer(upstream, need, tokens as f64);
+        let seconds = seconds + self.delay_to_longer(upstream, need, tokens as f64 / rate.max(1.0));
         if wrong { seconds + WRONG_ROLE } else { seconds }
     }
 
     /// Delay that the request would cause to long prompts pending there, weighed against its own.
-    fn delay_to_longer(&self, upstream: &upstream::Upstream, need: &Need, tokens: f64) -> f64 {
-        if self.long_weight <= 0.0 || !upstream.has_later(need.rank) {
-            return 0.0;
-        }
-        self.long_weight * tokens / upstream.rate(self.now).max(1.0)
+    fn delay_to_longer(&self, upstream: &upstream::Upstream, need: &Need, seconds: f64) -> f64 {
+        let delays = self.long_weight > 0.0 && upstream.has_later(need.rank);
+        if delays { self.long_weight * seconds } else { 0.0 }
     }
 
     /// Whether the upstream can take the request now.
-    fn fits(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+    fn fits(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> bool {
         let safeguards = self.safeguards();
         upstream.is_open(self.now, safeguards.outlier)
             && upstream.free_slots(self.now, safeguards.ramp) > 0
             && upstream.free_kv() >= need.kv
-            && self.has_room(upstream, need)
+            && self.has_room(upstream, need, rate)
     }
 
-    fn has_room(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+    fn has_room(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> bool {
         let clear = upstream.local.is_some_and(|rank| rank < self.clear)
             || upstream.role == engine::Role::Short;
         if clear && need.class > document::Class::Medium {
@@ -146,8 +146,8 @@
             return pending <= 0.0
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64 * MEDIUM_PART;
         }
-        let bound = self.settings.ahead.as_secs_f64() * upstream.rate(self.now);
-        upstream.ahead(self.now, self.ahead_class(need)) < bound
+        let bound = self.ahead_seconds * rate;
+        upstream.ahead(self.now, self.ahead_class(need), rate) < bound
     }
 
     /// Looks over all upstreams once.
@@ -160,9 +160,10 @@
             survey.open += 1;
             survey.largest = survey.largest.max(upstream.kv_tokens);
             survey.memory += upstream.kv_tokens;
-            survey.soonest = survey.soonest.min(self.seconds(upstream, need));
+            let rate = upstream.rate(self.now);
+            survey.soonest = survey.soonest.min(self.seconds(upstream, need, rate));
             if upstream.local.is_some() {
-                survey.rate += upstream.rate(self.now);
+                survey.rate += rate;
             }
         }
         survey
@@ -189,7 +190,8 @@
         };
         let plan = group::plan(need.kv, self.upstreams.len(), free)?;
         let (first, _) = plan.spans()[0];
-        let seconds = self.seconds(&self.upstreams[first], need);
+        let upstream = &self.upstreams[first];
+        let seconds = self.seconds(upstream, need, upstream.rate(self.now));
         Some(Route::Group { plan, seconds })
     }
 
@@ -199,10 +201,11 @@
         let mut best: Option<(usize, f64)> = None;
         for index in (start..count).chain(0..start) {
             let upstream = &self.upstreams[index];
-            if !self.fits(upstream, need) {
+            let rate = upstream.rate(self.now);
+            if !self.fits(upstream, need, rate) {
                 continue;
             }
-            let seconds = self.seconds(upstream, need);
+            let seconds = self.seconds(upstream, need, rate);
             if best.is_none_or(|(_, other)| seconds < other) {
                 best = Some((index, seconds));
             }
@@ -214,10 +217,12 @@
         let count = self.upstreams.len().max(1) as u64;
         let draws = (0..2 * PAIRS as u64).map(|shift| (draw >> (16 * shift)) % count);
         let indexes = draws.map(|index| index as usize);
-        let fitting = indexes.filter(|&index| {
-            self.upstreams.get(index).is_some_and(|upstream| self.fits(upstream, need))
+        let timed = indexes.filter_map(|index| {
+            let upstream = self.upstreams.get(index)?;
+            let rate = upstream.rate(self.now);
+            let fits = self.fits(upstream, need, rate);
+            fits.then(|| (index, self.seconds(upstream, need, rate)))
         });
-        let timed = fitting.map(|index| (index, self.seconds(&self.upstreams[index], need)));
         timed.take(2).min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 }
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -127,6 +127,8 @@
     by_number: collections::HashMap<u32, usize>,
     started: bool,
     locals: usize,
+    /// KV memory of the largest engine, in tokens.
+    largest: u64,
     queue: queue::Queue,
     displaced: Vec<Wake>,
     tickets: collections::HashMap<Ticket, Work>,
@@ -195,6 +197,7 @@
         self.index = names.map(|(index, upstream)| (upstream.name.clone(), index)).collect();
         let numbers = self.upstreams.iter().enumerate();
         self.by_number = numbers.map(|(index, upstream)| (upstream.number, index)).collect();
+        self.measure();
         self.started = true;
         if self.settings.weights.is_none() {
             self.weights = mean_weights(fleet);
@@ -242,7 +245,16 @@
             upstream.health = outlier::Health::default();
         }
         upstream.incarnation = load.incarnation;
+        let before = upstream.kv_tokens;
         upstream.observe(now, load, &mut self.typical);
+        if upstream.kv_tokens != before {
+            self.measure();
+        }
+    }
+
+    fn measure(&mut self) {
+        let sizes = self.upstreams.iter().map(|upstream| upstream.kv_tokens);
+        self.largest = sizes.max().unwrap_or(0);
     }
 
     /// Takes in one change of an engine's prefix cache; a gap voids what was known of it.
@@ -326,7 +338,8 @@
         if let (Ending::Done { answer_tokens, .. }, Some(first)) = (ending, work.first_token) {
             self.forecast.answered(answer_tokens, work.answer_tokens, now.since(first));
         }
-        let out = self.upstreams.iter().filter(|upstream| upstream.health.is_out()).count();
+        let failed = ending == Ending::Failed;
+        let out = if failed { self.out() } else { 0 };
         let all = self.upstreams.len();
         for (place, part) in work.parts.iter().enumerate() {
             let Some(&index) = self.index.get(&part.upstream) else { continue };
@@ -343,6 +356,11 @@
         }
     }
 
+    /// Upstreams whose circuit is open.
+    fn out(&self) -> usize {
+        self.upstreams.iter().filter(|upstream| upstream.health.is_out()).count()
+    }
+
     /// Waiting requests that get a place or are refused now. Call after every change and at
     /// [`Scheduler::next_wake`].
     pub fn poll(&mut self, now: clock::Moment) -> Vec<Wake> {
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -199,11 +199,10 @@
     ) -> Option<scheduler::Placement> {
         let need = self.need(now, ask);
         let draw = self.draw();
-        let largest = self.upstreams.iter().map(|upstream| upstream.kv_tokens).max().unwrap_or(0);
         let full = self.full();
         let clear = if full { self.clear(now) } else { 0 };
         let rules = self.rules_with(now, clear);
-        let route = if need.kv > largest {
+        let route = if need.kv > self.largest {
             rules.group(&need)?
         } else if full {
             rules.choose(&need, draw)?
@@ -339,6 +338,7 @@
             clear,
             short_part,
             long_weight,
+            ahead_seconds: self.settings.ahead.as_secs_f64(),
             now,
         }
     }
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -66,19 +66,25 @@
         self.nominal / self.pace.slowness(now)
     }
 
-    /// Prefill of this class and shorter ones that is outstanding, in tokens.
-    pub fn ahead(&self, now: clock::Moment, class: document::Class) -> f64 {
+    /// Prefill of this class and shorter ones that is outstanding, in tokens, at the learned rate.
+    pub fn ahead(&self, now: clock::Moment, class: document::Class, rate: f64) -> f64 {
         let upto = class as usize;
         let all: f64 = (0..=upto).map(|class| self.own[class] + self.others[class]).sum();
-        let drained = now.since(self.drained).as_secs_f64() * self.rate(now);
+        let drained = rate::seconds(self.drained, now) * rate;
         (all - drained).max(0.0)
     }
 
-    /// Seconds until the first token of a prompt with `tokens` tokens to prefill.
-    pub fn first_token(&self, now: clock::Moment, class: document::Class, tokens: f64) -> f64 {
-        let rate = self.rate(now).max(1.0);
+    /// Seconds until the first token of a prompt with `tokens` tokens to prefill, at the rate that
+    /// was learned.
+    pub fn first_token(
+        &self,
+        now: clock::Moment,
+        class: document::Class,
+        tokens: f64,
+        rate: f64,
+    ) -> f64 {
         let residual = if self.has_later(class) { CHUNK / 2.0 } else { 0.0 };
-        (self.ahead(now, class) + tokens + residual) / rate + self.delay
+        (self.ahead(now, class, rate) + tokens + residual) / rate.max(1.0) + self.delay
     }
 
     /// Long prefill that is outstanding here, by our count and the last report, in tokens.
@@ -156,7 +162,7 @@
 
     /// Moves the outstanding prefill on, shorter classes first as the engine does.
     fn drain(&mut self, now: clock::Moment) {
-        let mut work = now.since(self.drained).as_secs_f64() * self.rate(now);
+        let mut work = rate::seconds(self.drained, now) * self.rate(now);
         for (own, others) in self.own.iter_mut().zip(&mut self.others) {
             let all = *own + *others;
             if all > 0.0 {
