--- a/crates/lagoon-load/src/bench/report.rs
+++ b/crates/lagoon-load/src/bench/report.rs
@@ -198,10 +198,16 @@
         for (reason, count) in &self.reasons {
             put(&format!("refused_{reason}"), *count as f64);
         }
+        figures.values_mut().for_each(|value| *value = rounded(*value));
         figures
     }
 }
 
+/// Four decimal places, more than the runs' spread tells apart.
+fn rounded(value: f64) -> f64 {
+    (value * 1e4).round() / 1e4
+}
+
 /// All runs of one scenario under one policy.
 #[derive(Clone, Debug, Serialize)]
 pub struct Row {
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -101,10 +101,13 @@
                 load::Settings { policy, choice, safeguards, weights, ahead, ..Default::default() };
             let runs = (1..=bench.seeds).map(|seed| one(scenario, &settings, seed, bench));
             let runs: Vec<_> = runs.collect();
-            rows.push(report::row(scenario.name, policy.as_str(), &runs));
+            let off: String = bench.off.iter().map(|name| format!(" -{name}")).collect();
+            let name = format!("{}{off}", policy.as_str());
+            rows.push(report::row(scenario.name, &name, &runs));
         }
     }
-    let text = serde_json::to_string_pretty(&rows)?;
+    let lines: Result<Vec<_>, _> = rows.iter().map(serde_json::to_string).collect();
+    let text = format!("[\n{}\n]\n", lines?.join(",\n"));
     match &bench.json {
         Some(file) => fs::write(file, text)?,
         None => println!("{text}"),
--- a/crates/lagoonline/src/load/group.rs
+++ b/crates/lagoonline/src/load/group/mod.rs
@@ -4,6 +4,8 @@
 //! could hold half of what it needs and neither would start. Members are therefore chosen all or
 //! nothing, under one lock, in the fleet's one order of engines.
 
+pub mod arbiter;
+
 /// Most engines of one group: over twice one engine's memory needs three; more cost more links.
 pub const MOST: usize = 8;
 
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -23,6 +23,7 @@
 mod scheduler;
 mod settings;
 mod shards;
+pub mod shift;
 pub mod tokens;
 mod upstream;
 pub mod usage;
--- /dev/null
+++ b/crates/lagoonline/src/load/shift.rs
@@ -0,0 +1,159 @@
+//! How fast engines move between short prompts, long prompts and models.
+//!
+//! Load pattern: a mix that changes over the day, and demand that jumps from one model to another.
+//! Without hysteresis engines load weights back and forth and serve nobody meanwhile; without
+//! the weight store's rate, ten engines that shift at once all wait for the same store. So a model
+//! must want an engine by a whole one more than it has, for a time, before one moves; an engine
+//! that has moved stays; loads are spread over time at the store's rate. A team's claim goes first:
+//! idle capacity may be borrowed, and is ordered back within [`RETURN`], because a returned engine
+//! moves before any other, without hysteresis, and does not wait for loads that were only lent.
+
+use std::collections;
+
+use crate::clock;
+use crate::id;
+
+/// Time for which demand must exceed what a model has by an engine: longer than a burst.
+pub const HOLD: clock::Span = clock::Span::from_secs(30);
+/// Time for which an engine stays where it moved to: many times a load of weights.
+pub const STAY: clock::Span = clock::Span::from_secs(300);
+/// Time within which a borrowed engine is ordered back to a claim that needs it.
+pub const RETURN: clock::Span = clock::Span::from_secs(10);
+/// Demand over capacity by which a model must be short of engines, in engines.
+const SHORT_BY: f64 = 1.0;
+/// Part of its engines that a model may not need before it gives one away.
+const SPARE: f64 = 1.25;
+
+/// What one model wants and may claim.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Engines that its load keeps busy, by prefill and decode work over an engine's rate.
+    pub engines: f64,
+    /// Engines that teams claim for it.
+    pub claimed: u32,
+    /// Weights to load, in bytes.
+    pub weight_bytes: u64,
+}
+
+/// One engine that may move.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Engine {
+    /// Its name.
+    pub name: id::Upstream,
+    /// The model that it serves now.
+    pub model: id::Model,
+    /// When it moved there.
+    pub since: clock::Moment,
+    /// Whether an order to it is under way.
+    pub moving: bool,
+    /// Requests that it works on: the idlest one moves.
+    pub requests: u32,
+}
+
+/// An order that should be given now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Move {
+    /// Which engine.
+    pub engine: id::Upstream,
+    /// The model to load.
+    pub to: id::Model,
+    /// Whether it goes back to a claim.
+    pub returned: bool,
+}
+
+/// Decides moves of one zone's engines.
+#[derive(Debug)]
+pub struct Shift {
+    /// The weight store's rate, in bytes a second.
+    store_rate: f64,
+    short_since: collections::BTreeMap<id::Model, clock::Moment>,
+    /// When the store will have served the loads ordered so far.
+    store_free: clock::Moment,
+}
+
+impl Shift {
+    /// Moves within the weight store's rate, in bytes a second.
+    pub fn new(store_rate: f64) -> Self {
+        let short_since = collections::BTreeMap::new();
+        Shift { store_rate, short_since, store_free: clock::Moment::START }
+    }
+
+    /// The next move, if one is due; call again after it was ordered, and every second.
+    pub fn next(
+        &mut self,
+        now: clock::Moment,
+        demands: &collections::BTreeMap<id::Model, Demand>,
+        engines: &[Engine],
+    ) -> Option<Move> {
+        let mut short = Vec::new();
+        for (model, demand) in demands {
+            if let Some(returned) = self.is_short(now, model, demand, engines) {
+                short.push((!returned, model, demand));
+            }
+        }
+        // Claims first, then by name, so that every steward decides alike.
+        short.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)));
+        for (borrowing, model, demand) in short {
+            let returned = !borrowing;
+            if borrowing && self.store_free > now {
+                continue;
+            }
+            let Some(engine) = donor(now, model, demands, engines, returned) else { continue };
+            self.ordered(now, model, demand);
+            return Some(Move { engine: engine.name.clone(), to: model.clone(), returned });
+        }
+        None
+    }
+
+    /// Whether the model is short of an engine now, and if so whether by its claim.
+    fn is_short(
+        &mut self,
+        now: clock::Moment,
+        model: &id::Model,
+        demand: &Demand,
+        engines: &[Engine],
+    ) -> Option<bool> {
+        let has = count(model, engines);
+        let wants = demand.engines.ceil() as u32;
+        if has < wants.min(demand.claimed) {
+            return Some(true);
+        }
+        if demand.engines < f64::from(has) + SHORT_BY {
+            self.short_since.remove(model);
+            return None;
+        }
+        let since = *self.short_since.entry(model.clone()).or_insert(now);
+        (now.since(since) >= HOLD).then_some(false)
+    }
+
+    fn ordered(&mut self, now: clock::Moment, model: &id::Model, demand: &Demand) {
+        let seconds = demand.weight_bytes as f64 / self.store_rate.max(1.0);
+        self.store_free = self.store_free.max(now) + clock::Span::from_secs_f64(seconds);
+        self.short_since.remove(model);
+    }
+}
+
+fn count(model: &id::Model, engines: &[Engine]) -> u32 {
+    let serving = engines.iter().filter(|engine| engine.model == *model);
+    u32::try_from(serving.count()).unwrap_or(u32::MAX)
+}
+
+/// The idlest engine of a model that can spare one.
+fn donor<'a>(
+    now: clock::Moment,
+    to: &id::Model,
+    demands: &collections::BTreeMap<id::Model, Demand>,
+    engines: &'a [Engine],
+    returned: bool,
+) -> Option<&'a Engine> {
+    let can_spare = |engine: &&Engine| {
+        let demand = demands.get(&engine.model).copied().unwrap_or_default();
+        let left = count(&engine.model, engines).saturating_sub(1);
+        let keeps_claim = left >= demand.claimed.min(demand.engines.ceil() as u32);
+        let is_free = f64::from(left) >= demand.engines * SPARE;
+        let rested = now.since(engine.since) >= STAY;
+        let movable = engine.model != *to && !engine.moving;
+        movable && keeps_claim && (returned || (is_free && rested))
+    };
+    engines.iter().filter(can_spare).min_by_key(|engine| (engine.requests, &engine.name))
+}
