--- a/crates/lagoon-load/src/bench/world.rs
+++ b/crates/lagoon-load/src/bench/world/mod.rs
@@ -16,6 +16,9 @@
 use super::report;
 use super::scenario;
 
+mod fault;
+mod send;
+
 /// Attempts of one request at most.
 const ATTEMPTS: u32 = 4;
 /// How long a host waits for an upstream that does not answer.
@@ -257,88 +260,6 @@
         }
     }
 
-    fn send(&mut self, index: usize, placement: &load::Placement) {
-        let arrival = &self.arrivals[index];
-        let engine = self.names[&placement.upstream];
-        let need = arrival.tokens + arrival.answer;
-        let spans = self.spans(engine, placement, need);
-        let request = &mut self.requests[index];
-        request.attempts += 1;
-        request.ticket = Some(placement.ticket);
-        request.engine = engine;
-        request.lives = spans.iter().map(|(part, _)| self.engines[*part].incarnation).collect();
-        request.parts = spans;
-        let attempt = request.attempts;
-        self.tally.attempts += 1;
-        let ending = self.reach(index, engine, placement.priority);
-        if let Err((delay, ending)) = ending {
-            self.requests[index].parts.clear();
-            self.at(self.now + delay, Event::Lost { request: index, attempt, ending });
-        }
-        self.start(engine);
-    }
-
-    /// Memory on each engine: as much as it can hold, in the order of the placement.
-    fn spans(&self, engine: usize, placement: &load::Placement, need: u64) -> Vec<(usize, u64)> {
-        if placement.members.is_empty() {
-            return vec![(engine, need)];
-        }
-        let mut left = need;
-        let names = std::iter::once(&placement.upstream).chain(&placement.members);
-        let engines = names.map(|name| self.names[name]);
-        let span = |engine: usize| {
-            let span = (self.engines[engine].kv - self.engines[engine].kv_used).min(left);
-            left -= span;
-            (engine, span)
-        };
-        engines.map(span).collect()
-    }
-
-    fn reach(
-        &mut self,
-        index: usize,
-        engine: usize,
-        priority: u8,
-    ) -> Result<(), (clock::Span, load::Ending)> {
-        let request = &self.requests[index];
-        let (parts, attempt) = (request.parts.clone(), request.attempts);
-        let host_zone = request.host as u32 / self.scenario.hosts;
-        let reachable = |engine: &usize| {
-            let zone = *engine as u32 / self.scenario.engines;
-            let last = self.scenario.zones - 1;
-            self.engines[*engine].alive && !(self.cut && (zone == last) != (host_zone == last))
-        };
-        if !parts.iter().all(|(engine, _)| reachable(engine)) {
-            return Err((TIMEOUT, load::Ending::Failed));
-        }
-        let full = (clock::Span::from_millis(1), load::Ending::Full);
-        let held: u64 = parts.iter().map(|(_, kv)| kv).sum();
-        let arrival = &self.arrivals[index];
-        if held < arrival.tokens + arrival.answer {
-            return Err(full);
-        }
-        let fits = |(engine, kv): &(usize, u64)| {
-            self.engines[*engine].kv_used + kv <= self.engines[*engine].kv
-        };
-        if parts.len() > 1 && !parts.iter().all(fits) {
-            return Err(full);
-        }
-        let cached = self.engines[engine].cached_tokens(&arrival.prefixes);
-        self.sequence += 1;
-        let left = (arrival.tokens - cached).max(1);
-        let (kv, sequence) = (parts[0].1, self.sequence);
-        let job = engine::Job { request: index, attempt, priority, sequence, left, kv };
-        if !self.engines[engine].accept(job) {
-            return Err(full);
-        }
-        self.tally.prefilled += left;
-        self.tally.cached += cached;
-        for (member, kv) in &parts[1..] {
-            self.engines[*member].reserve(*kv);
-        }
-        Ok(())
-    }
-
     fn start(&mut self, engine: usize) {
         let incarnation = self.engines[engine].incarnation;
         if let Some(end) = self.engines[engine].start(self.now) {
@@ -458,40 +379,6 @@
         }
     }
 
-    fn begin(&mut self) {
-        match self.scenario.fault {
-            scenario::Fault::None => {}
-            scenario::Fault::Slow(factor) => self.engines[0].slow = factor,
-            scenario::Fault::Cut => self.cut = true,
-            scenario::Fault::Death => {
-                self.engines[0].die();
-                let held = |request: &Request| request.parts.iter().any(|(part, _)| *part == 0);
-                let lost = (0..self.requests.len()).filter(|&index| held(&self.requests[index]));
-                let lost: Vec<usize> = lost.collect();
-                for request in lost {
-                    self.lose(request);
-                }
-            }
-        }
-    }
-
-    /// The engine that answers a request died, or one that holds a span of its memory.
-    fn lose(&mut self, request: usize) {
-        // An answering engine that lives goes on to its end unread, as for a cancel that is lost;
-        // this overstates the cost.
-        self.free_members(request);
-        let attempt = self.requests[request].attempts;
-        let ending = load::Ending::Failed;
-        self.at(self.now + TIMEOUT, Event::Lost { request, attempt, ending });
-    }
-
-    fn finish_fault(&mut self) {
-        self.cut = false;
-        if self.scenario.fault == scenario::Fault::Death {
-            self.engines[0].revive();
-        }
-    }
-
     /// Whether the job is its request's last attempt, still awaited.
     fn is_current(&self, job: &engine::Job) -> bool {
         let request = &self.requests[job.request];
--- /dev/null
+++ b/crates/lagoonline/src/load/scheduler/fleet.rs
@@ -0,0 +1,145 @@
+//! What the scheduler is told of upstreams: the fleet, load reports, cache events, leaving marks.
+
+use std::collections;
+use std::mem;
+
+use crate::clock;
+use crate::id;
+use crate::load::group;
+use crate::load::outlier;
+use crate::load::prefix;
+use crate::load::scheduler;
+use crate::load::settings;
+use crate::load::upstream;
+use crate::port::engine;
+use crate::view;
+
+impl scheduler::Scheduler {
+    /// Takes over the engines of `model` from a new fleet; work under way keeps its tickets.
+    pub fn set_fleet(&mut self, now: clock::Moment, fleet: &view::Shared, model: &id::Model) {
+        let old = mem::take(&mut self.upstreams);
+        let mut old: collections::HashMap<_, _> =
+            old.into_iter().map(|upstream| (upstream.name.clone(), upstream)).collect();
+        let mut entries: Vec<_> = fleet.engines(model).collect();
+        let is_remote = |entry: &view::Upstream| entry.entry.zone != self.settings.zone;
+        entries.sort_by(|a, b| (is_remote(a), &a.name).cmp(&(is_remote(b), &b.name)));
+        self.locals = 0;
+        for entry in entries {
+            let known = old.remove(&entry.name);
+            let upstream = self.refreshed(now, known, entry);
+            self.upstreams.push(upstream);
+        }
+        let working = old.into_values().filter(|upstream| upstream.requests > 0);
+        self.upstreams.extend(working.map(|mut old| {
+            old.gone = true;
+            old
+        }));
+        let names = self.upstreams.iter().enumerate();
+        self.index = names.map(|(index, upstream)| (upstream.name.clone(), index)).collect();
+        let numbers = self.upstreams.iter().enumerate();
+        self.by_number = numbers.map(|(index, upstream)| (upstream.number, index)).collect();
+        self.measure();
+        self.started = true;
+        if self.settings.weights.is_none() {
+            self.weights = mean_weights(fleet);
+        }
+    }
+
+    fn refreshed(
+        &mut self,
+        now: clock::Moment,
+        known: Option<upstream::Upstream>,
+        entry: &view::Upstream,
+    ) -> upstream::Upstream {
+        let fresh = known.is_none();
+        let mut upstream = known.unwrap_or_default();
+        if fresh {
+            self.numbers += 1;
+            upstream.number = self.numbers;
+            upstream.nominal = self.settings.prefill_rate;
+            upstream.joined = if self.started { Some(now) } else { None };
+        }
+        let is_local = entry.entry.zone == self.settings.zone;
+        upstream.name = entry.name.clone();
+        upstream.gone = false;
+        upstream.slots = entry.entry.slots;
+        upstream.kv_tokens = entry.entry.kv_tokens;
+        upstream.role = entry.entry.role;
+        upstream.local = if is_local { Some(self.locals) } else { None };
+        upstream.delay = if is_local { 0.0 } else { self.delay(&entry.entry.zone) };
+        self.locals += usize::from(is_local);
+        upstream
+    }
+
+    fn delay(&self, zone: &id::Zone) -> f64 {
+        let listed = self.settings.remote_zones.iter().find(|(name, _)| name == zone);
+        listed.map_or(self.settings.remote_default, |(_, span)| *span).as_secs_f64()
+    }
+
+    /// Takes in a lagging load report.
+    pub fn observe(&mut self, now: clock::Moment, upstream: &id::Upstream, load: &engine::Load) {
+        let Some(&index) = self.index.get(upstream) else { return };
+        let upstream = &mut self.upstreams[index];
+        if upstream.incarnation != 0 && load.incarnation != upstream.incarnation {
+            upstream.epoch += 1;
+            upstream.joined = Some(now);
+            upstream.health = outlier::Health::default();
+        }
+        upstream.incarnation = load.incarnation;
+        let before = upstream.kv_tokens;
+        upstream.observe(now, load, &mut self.typical);
+        if upstream.kv_tokens != before {
+            self.measure();
+        }
+    }
+
+    fn measure(&mut self) {
+        let sizes = self.upstreams.iter().map(|upstream| upstream.kv_tokens);
+        self.largest = sizes.max().unwrap_or(0);
+        // Members of a group are of one zone; without any here, one engine is all there is.
+        let locals = self.upstreams[..self.locals].iter().map(|upstream| upstream.kv_tokens);
+        self.memory = group::reach(locals).max(self.largest);
+        let delays = self.upstreams[self.locals..].iter().map(|upstream| upstream.delay);
+        self.nearest = delays.fold(f64::MAX, f64::min);
+    }
+
+    /// Takes in one change of an engine's prefix cache; a gap voids what was known of it.
+    pub fn cache_event(&mut self, upstream: &id::Upstream, event: &engine::CacheEvent) {
+        let Some(&index) = self.index.get(upstream) else { return };
+        let upstream = &mut self.upstreams[index];
+        if event.sequence != upstream.cache_sequence + 1 {
+            upstream.epoch += 1;
+        }
+        upstream.cache_sequence = event.sequence;
+        let place = prefix::Place { engine: upstream.number, epoch: upstream.epoch };
+        if event.cached {
+            self.prefixes.cached(event.prefix, place);
+        } else {
+            self.prefixes.evicted(event.prefix, place.engine);
+        }
+    }
+
+    /// Marks an upstream as leaving, or takes the mark back for a new incarnation.
+    pub fn set_leaving(&mut self, _now: clock::Moment, upstream: &id::Upstream, leaving: bool) {
+        if let Some(&index) = self.index.get(upstream) {
+            self.upstreams[index].leaving = leaving;
+        }
+    }
+}
+
+/// Mean of what the teams of the fleet weigh.
+fn mean_weights(fleet: &view::Fleet) -> settings::Weights {
+    let count = fleet.policies.len() as f64;
+    if count == 0.0 {
+        return settings::Weights::default();
+    }
+    let mut first_token = [0.0; 4];
+    let mut short_slowdown = 0.0;
+    for policy in fleet.policies.values() {
+        short_slowdown += policy.short_slowdown_weight / count;
+        for (sum, weight) in first_token.iter_mut().zip(policy.first_token_weight) {
+            *sum += weight / count;
+        }
+    }
+    settings::Weights { first_token, short_slowdown }
+}
