--- a/crates/lagoonline/src/load/group.rs
+++ b/crates/lagoonline/src/load/group/mod.rs
@@ -4,6 +4,8 @@
 //! could hold half of what it needs and neither would start. Members are therefore chosen all or
 //! nothing, under one lock, in the fleet's one order of engines.
 
+pub mod arbiter;
+
 /// Most engines of one group: over twice one engine's memory needs three; more cost more links.
 pub const MOST: usize = 8;
 
@@ -21,6 +23,21 @@
     }
 }
 
+/// Tokens that the largest group of engines of these sizes holds.
+///
+/// ```
+/// use lagoonline::load::group;
+/// assert_eq!(group::reach([5; 20]), 40);
+/// ```
+pub fn reach<I>(sizes: I) -> u64
+where
+    I: IntoIterator<Item = u64>,
+{
+    let mut sizes: Vec<u64> = sizes.into_iter().collect();
+    sizes.sort_unstable_by(|a, b| b.cmp(a));
+    sizes.into_iter().take(MOST).sum()
+}
+
 /// The fewest engines whose free memory holds `need` tokens, or none if they cannot.
 ///
 /// ```
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -28,6 +28,9 @@
 /// Part of the time left that is kept for the engine when a wait is bounded.
 const ENGINE_PART: f64 = 0.5;
 
+/// Weight of a long prompt's delay beside a short one's where only first tokens count.
+const LONG_WEIGHT: f64 = 8.0;
+
 impl scheduler::Scheduler {
     pub(super) fn enter(&mut self, now: clock::Moment, ask: scheduler::Ask) -> scheduler::Verdict {
         if !self.upstreams.iter().any(|upstream| !upstream.leaving && !upstream.gone) {
@@ -148,9 +151,9 @@
             return Ok(ask.deadline);
         }
         let need = self.need(now, ask);
-        let survey = self.rules(now).survey(&need);
         let draw = self.draw();
-        if need.kv > survey.memory {
+        let survey = self.rules(now).survey(&need, draw);
+        if need.kv > self.memory {
             return Err(admit::refusal(outcome::Reason::TooLong, 60.0, draw));
         }
         if !self.settings.safeguards.admit {
@@ -196,11 +199,10 @@
     ) -> Option<scheduler::Placement> {
         let need = self.need(now, ask);
         let draw = self.draw();
-        let largest = self.upstreams.iter().map(|upstream| upstream.kv_tokens).max().unwrap_or(0);
         let full = self.full();
         let clear = if full { self.clear(now) } else { 0 };
         let rules = self.rules_with(now, clear);
-        let route = if need.kv > largest {
+        let route = if need.kv > self.largest {
             rules.group(&need)?
         } else if full {
             rules.choose(&need, draw)?
@@ -331,11 +333,17 @@
 
     fn rules_with(&self, now: clock::Moment, clear: usize) -> route::Rules<'_> {
         let short_part = self.short_part();
+        let long_weight = LONG_WEIGHT * (1.0 - self.weights.short_share());
         route::Rules {
             settings: &self.settings,
             upstreams: &self.upstreams,
+            locals: self.locals,
+            by_number: &self.by_number,
+            remote_seconds: self.nearest,
             clear,
             short_part,
+            long_weight,
+            ahead_seconds: self.settings.ahead.as_secs_f64(),
             now,
         }
     }
