--- /dev/null
+++ b/crates/lagoon-load/src/bin/lagoon-try.rs
@@ -0,0 +1,48 @@
+//! The main job on embedded stand-ins, in one process.
+
+use std::process;
+
+use lagoon_load::trial;
+
+/// Serve mixed prompts over three zones on embedded stand-ins, with a few faults, and print the
+/// measures. Exit code: 0 only if every check held.
+#[derive(argh::FromArgs)]
+struct Args {
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
+    /// seconds of arrivals (default 32, at most 45)
+    #[argh(option, default = "32.0")]
+    seconds: f64,
+    /// seed of the arrivals (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
+}
+
+/// Shortest and longest run, in seconds of arrivals.
+const SECONDS: std::ops::RangeInclusive<f64> = 4.0..=45.0;
+/// Exit code of bad usage.
+const USAGE: u8 = 2;
+
+fn main() -> process::ExitCode {
+    let args: Args = argh::from_env();
+    if !SECONDS.contains(&args.seconds) {
+        eprintln!("lagoon-try: --seconds must be from {} to {}", SECONDS.start(), SECONDS.end());
+        return process::ExitCode::from(USAGE);
+    }
+    let settings =
+        trial::Settings { seconds: args.seconds, seed: args.seed, ..trial::Settings::default() };
+    let report = match trial::run(&settings) {
+        Ok(report) => report,
+        Err(error) => {
+            eprintln!("lagoon-try: {error}");
+            return process::ExitCode::FAILURE;
+        }
+    };
+    if args.json {
+        println!("{}", serde_json::json!(report));
+    } else {
+        println!("{report}");
+    }
+    if report.holds { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
+}
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,3 +1,4 @@
 //! lagoon-load: load and experiment tools.
 
 pub mod bench;
+pub mod trial;
--- /dev/null
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -0,0 +1,242 @@
+//! Everything that a run needs, started on loopback: stand-ins, stewards, entry hosts.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::thread;
+use std::time;
+
+use lagoon_net::{entry, platform, steward, wire};
+use lagoon_standin::{engine, fleet, platform as stand_in, service};
+use lagoonline::id;
+use serde_json::json;
+use sha2::Digest;
+
+/// Availability zones.
+pub(super) const ZONES: [&str; 3] = ["suva", "nausori", "lautoka"];
+/// Entry hosts of each zone.
+pub(super) const HOSTS: usize = 2;
+/// Engines of each zone.
+pub(super) const ENGINES: usize = 3;
+/// Replicas of the booking service in each zone.
+const REPLICAS: usize = 1;
+/// Customers; each one's key is its name.
+pub(super) const CUSTOMERS: u32 = 10;
+/// Engine seconds that pass in a real one, so that a million tokens fit a short run.
+pub(super) const TIME_SCALE: f64 = 4.0;
+/// Tokens that an engine prefills in an engine second.
+const PREFILL_RATE: f64 = 50_000.0;
+/// KV memory of one engine, in tokens: the longest prompts are more than twice that.
+const KV_TOKENS: u64 = 400_000;
+/// Writes a second that each entry host may make for idempotency keys.
+const WRITES: f64 = 50.0;
+/// Longest time until all entry hosts are ready.
+const READY: time::Duration = time::Duration::from_secs(10);
+
+/// Running parts.
+pub(super) struct Fleet {
+    pub(super) stand_ins: fleet::Fleet,
+    pub(super) entries: Vec<entry::Running>,
+    stewards: Vec<steward::Running>,
+}
+
+/// What the stand-ins say they did.
+#[derive(Debug, Default)]
+pub(super) struct Record {
+    /// Hashes of prompts that an engine accepted.
+    pub(super) prompts: collections::BTreeSet<u64>,
+    /// How often each body ran at the booking service.
+    pub(super) bookings: collections::BTreeMap<String, u64>,
+    /// KV memory not returned, in bytes.
+    pub(super) bytes_left: u64,
+}
+
+fn hex(text: &str) -> String {
+    sha2::Sha256::digest(text.as_bytes()).iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Name of a customer; also its caller key.
+pub(super) fn customer(draw: u32) -> String {
+    format!("crew-{}", draw % CUSTOMERS)
+}
+
+/// Hash under which a service's record has a body.
+pub(super) fn body_hash(body: &str) -> String {
+    hex(body)
+}
+
+fn stand_ins() -> io::Result<fleet::Fleet> {
+    let mut settings = fleet::Settings { platform: Some(Default::default()), ..Default::default() };
+    for zone in ZONES {
+        for number in 0..ENGINES {
+            settings.engines.push(engine::Settings {
+                name: format!("{zone}-engine-{number}"),
+                model: "label".to_owned(),
+                time_scale: TIME_SCALE,
+                prefill_rate: PREFILL_RATE,
+                kv_tokens: KV_TOKENS,
+                ..engine::Settings::default()
+            });
+        }
+        for number in 0..REPLICAS {
+            let name = format!("{zone}-pickup-{number}");
+            settings.services.push(service::Settings { name, ..service::Settings::default() });
+        }
+    }
+    fleet::start(settings)
+}
+
+/// The one team's section.
+fn section(stand_ins: &fleet::Fleet) -> String {
+    let mut upstreams = serde_json::Map::new();
+    for running in &stand_ins.engines {
+        let name = running.node().settings.name.clone();
+        let upstream = json!({
+            "zone": zone_of(&name),
+            "address": running.address(),
+            "models": ["label"],
+            "kv_tokens": KV_TOKENS,
+            "prefill_rate": PREFILL_RATE * TIME_SCALE,
+        });
+        upstreams.insert(name, upstream);
+    }
+    for running in &stand_ins.services {
+        let name = running.node().settings.name.clone();
+        let upstream =
+            json!({"zone": zone_of(&name), "address": running.address(), "service": "pickup"});
+        upstreams.insert(name, upstream);
+    }
+    let customers: serde_json::Map<_, _> = (0..CUSTOMERS)
+        .map(customer)
+        .map(|name| (name.clone(), json!({"keys": [hex(&name)], "requests_per_second": 1_000})))
+        .collect();
+    json!({
+        "customers": customers,
+        "models": {"label": {"max_tokens": 1_100_000}},
+        "services": {"pickup": {}},
+        "upstreams": upstreams,
+    })
+    .to_string()
+}
+
+/// Zone of a name such as `suva-engine-1`.
+pub(super) fn zone_of(name: &str) -> &str {
+    name.split('-').next().unwrap_or_default()
+}
+
+/// Starts everything and waits until every entry host is ready.
+///
+/// # Errors
+///
+/// A part could not be started, or a host is not ready in time.
+pub(super) fn start() -> io::Result<Fleet> {
+    let stand_ins = stand_ins()?;
+    let running = stand_ins.platform.as_ref().ok_or_else(|| io::Error::other("no platform"))?;
+    let row = json!({"put": "first", "text": section(&stand_ins)}).to_string();
+    running.node().put("section/crews", &row);
+    let address = running.address();
+    let key = wire::Key::new(b"key of the trial");
+    let mut fleet = Fleet { stand_ins, entries: Vec::new(), stewards: Vec::new() };
+    for zone in ZONES {
+        for number in 0..HOSTS {
+            fleet.start_host(zone, number, address, &key)?;
+        }
+    }
+    fleet.wait_until_ready()?;
+    Ok(fleet)
+}
+
+impl Fleet {
+    fn start_host(
+        &mut self,
+        zone: &str,
+        number: usize,
+        platform: net::SocketAddr,
+        key: &wire::Key,
+    ) -> io::Result<()> {
+        let host = id::Host::from(format!("{zone}-{number}"));
+        let zone = id::Zone::from(zone);
+        let reach = platform::Settings { address: platform, ..platform::Settings::default() };
+        let peers = self.stewards.iter().map(steward::Running::address).collect();
+        let steward = steward::start(steward::Settings {
+            host: host.clone(),
+            zone: zone.clone(),
+            key: key.clone(),
+            platform: Some(reach.clone()),
+            peers,
+            ..steward::Settings::default()
+        })?;
+        let reach = platform::Settings { writes_per_second: WRITES, ..reach };
+        let entry = entry::start(entry::Settings {
+            host,
+            zone,
+            steward: Some(steward.address()),
+            key: key.clone(),
+            platform: Some(reach),
+            ..entry::Settings::default()
+        })?;
+        self.stewards.push(steward);
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    fn wait_until_ready(&self) -> io::Result<()> {
+        let deadline = time::Instant::now() + READY;
+        for entry in &self.entries {
+            while !super::caller::is_ready(entry.address()) {
+                if time::Instant::now() > deadline {
+                    return Err(io::Error::other("an entry host is not ready in time"));
+                }
+                thread::sleep(time::Duration::from_millis(50));
+            }
+        }
+        Ok(())
+    }
+
+    /// Addresses of the entry hosts.
+    pub(super) fn entry_hosts(&self) -> Vec<net::SocketAddr> {
+        self.entries.iter().map(entry::Running::address).collect()
+    }
+
+    /// Waits until the engines have returned all memory; what is left after `most`, in bytes.
+    pub(super) fn wait_for_memory(&self, most: time::Duration) -> u64 {
+        let deadline = time::Instant::now() + most;
+        loop {
+            let left = self.bytes_left();
+            if left == 0 || time::Instant::now() > deadline {
+                return left;
+            }
+            thread::sleep(time::Duration::from_millis(100));
+        }
+    }
+
+    fn bytes_left(&self) -> u64 {
+        let records = self.stand_ins.engines.iter().map(|engine| engine.node().record());
+        records.map(|record| record.bytes_reserved - record.bytes_returned).sum()
+    }
+
+    /// What the stand-ins did.
+    pub(super) fn record(&self, bytes_left: u64) -> Record {
+        let mut record = Record { bytes_left, ..Record::default() };
+        for engine in &self.stand_ins.engines {
+            let attempts = engine.node().record().attempts;
+            record.prompts.extend(attempts.iter().map(|attempt| attempt.prompt_hash));
+        }
+        for service in &self.stand_ins.services {
+            for call in service.node().record().calls.into_iter().filter(|call| call.ran) {
+                *record.bookings.entry(call.body_sha256).or_insert(0) += 1;
+            }
+        }
+        record
+    }
+
+    /// Drains the entry hosts, then ends the rest.
+    pub(super) fn stop(self) -> io::Result<()> {
+        self.entries.iter().for_each(entry::Running::drain);
+        for entry in self.entries {
+            entry.wait()?;
+        }
+        self.stewards.into_iter().for_each(steward::Running::stop);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -0,0 +1,147 @@
+//! The measures of the brief, printed or as one JSON object.
+
+use std::fmt;
+use std::time;
+
+use hdrhistogram::Histogram;
+use lagoonline::control::document;
+use serde::Serialize;
+
+use super::Settings;
+use super::caller;
+use super::fleet;
+use super::plan;
+use super::verdict;
+
+/// Median and 95th percentile of a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Times {
+    /// How many there were.
+    pub count: u64,
+    /// Median, in milliseconds.
+    pub p50_ms: f64,
+    /// 95th percentile, in milliseconds.
+    pub p95_ms: f64,
+}
+
+impl Times {
+    fn new<I>(times: I) -> Times
+    where
+        I: Iterator<Item = time::Duration>,
+    {
+        // Two significant digits more than are printed; the largest value grows as needed.
+        let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Times::default() };
+        for time in times {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            histogram.saturating_record(micros);
+        }
+        let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+        Times { count: histogram.len(), p50_ms: at(0.5), p95_ms: at(0.95) }
+    }
+}
+
+/// Time to first token of one length class.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Class {
+    /// The class.
+    pub class: &'static str,
+    /// Time to first token, faults included.
+    pub first_token: Times,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Report {
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Engine seconds that passed in a real one.
+    pub time_scale: f64,
+    /// Time to first token by length class.
+    pub classes: Vec<Class>,
+    /// Time between tokens.
+    pub between_tokens: Times,
+    /// Time to first token of short prompts alone.
+    pub short_alone: Times,
+    /// The same beside all lengths, before the faults.
+    pub short_mixed: Times,
+    /// 95th percentile beside all lengths as a multiple of that alone.
+    pub short_slowdown: f64,
+    /// The counts.
+    pub verdict: verdict::Verdict,
+    /// Whether every check held.
+    pub holds: bool,
+}
+
+impl Report {
+    pub(super) fn new(
+        settings: &Settings,
+        results: &[caller::Told],
+        verdict: &verdict::Verdict,
+    ) -> Report {
+        let of_class = |class| {
+            results.iter().filter(move |told: &&caller::Told| told.call.class() == Some(class))
+        };
+        let classes = document::Class::ALL.map(|class| {
+            let mixed = of_class(class).filter(|told| told.call.phase != plan::Phase::Alone);
+            let first_token = Times::new(mixed.filter_map(|told| told.first_token));
+            Class { class: class.as_str(), first_token }
+        });
+        let short_in = |phase| {
+            let short = of_class(document::Class::Short);
+            Times::new(short.filter(move |told| told.call.phase == phase).filter_map(|told| told.first_token))
+        };
+        let (alone, mixed) = (short_in(plan::Phase::Alone), short_in(plan::Phase::Mixed));
+        Report {
+            seed: settings.seed,
+            time_scale: fleet::TIME_SCALE,
+            classes: classes.to_vec(),
+            between_tokens: Times::new(results.iter().flat_map(|told| told.gaps.iter().copied())),
+            short_alone: alone,
+            short_mixed: mixed,
+            short_slowdown: mixed.p95_ms / alone.p95_ms.max(f64::MIN_POSITIVE),
+            verdict: verdict.clone(),
+            holds: verdict.holds(),
+        }
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "first token      count   p50 ms   p95 ms")?;
+        for Class { class, first_token: Times { count, p50_ms, p95_ms } } in &self.classes {
+            writeln!(f, "  {class:<12}{count:>8}{p50_ms:>9.1}{p95_ms:>9.1}")?;
+        }
+        let Times { count, p50_ms, p95_ms } = self.between_tokens;
+        writeln!(f, "between tokens{count:>8}{p50_ms:>9.1}{p95_ms:>9.1}")?;
+        let (alone, mixed) = (self.short_alone.p95_ms, self.short_mixed.p95_ms);
+        writeln!(
+            f,
+            "short prompts: p95 {alone:.1} ms alone, {mixed:.1} ms beside long ones: {:.2} times",
+            self.short_slowdown
+        )?;
+        let verdict = &self.verdict;
+        writeln!(
+            f,
+            "calls {}: done {}, not-run {}, unknown {}",
+            verdict.calls, verdict.done, verdict.not_run, verdict.unknown
+        )?;
+        writeln!(
+            f,
+            "past deadline {}, cut {}, doubled {}, crossed {}, false not-run {}, false done {}, \
+             no clear end {}, engine bytes not returned {}",
+            verdict.past_deadline,
+            verdict.cut,
+            verdict.doubled,
+            verdict.crossed,
+            verdict.false_not_run,
+            verdict.false_done,
+            verdict.no_clear_end,
+            verdict.bytes_left
+        )?;
+        for (failure, count) in &verdict.failures {
+            writeln!(f, "  {count:>6} {failure}")?;
+        }
+        let word = if self.holds { "every check held" } else { "A CHECK FAILED" };
+        write!(f, "engine time runs {} times faster than real time; {word}", self.time_scale)
+    }
+}
