Model calls with idempotency keys: replay, and taking over a stream from another entry host

Cause: a caller whose entry host died started its prompt anew at the next one. Change: the claim's row names engine and attempt before dispatch; a caller that comes back with its key at any entry host gets the running stream from Lagoon-Resume-From on, or the kept answer.

--- a/crates/lagoon-net/src/entry/call.rs
+++ b/crates/lagoon-net/src/entry/call.rs
@@ -30,6 +30,8 @@
     pub(crate) arrived: clock::Moment,
     pub(crate) deadline: clock::Moment,
     pub(crate) key: Option<String>,
+    /// Number of the first chunk wanted.
+    pub(crate) from: u64,
 }
 
 impl Call {
@@ -44,8 +46,9 @@
         let entry = &view.fleet.customers[customer.0 as usize].entry;
         let deadline = arrived + read_deadline(entry, headers)?;
         let key = read_key(headers)?;
+        let from = read_from(headers, key.is_some())?;
         state.metrics.customer(&view.fleet.customers[customer.0 as usize].name);
-        Ok(Call { view, customer, arrived, deadline, key })
+        Ok(Call { view, customer, arrived, deadline, key, from })
     }
 
     pub(crate) fn customer(&self) -> &view::Customer {
@@ -114,6 +117,15 @@
     Ok(value.to_str().ok().map(str::to_owned))
 }
 
+fn read_from(headers: &http::HeaderMap, keyed: bool) -> Result<u64, fault::Fault> {
+    let Some(value) = headers.get("lagoon-resume-from") else { return Ok(0) };
+    let from = value.to_str().ok().and_then(|text| text.parse().ok());
+    from.filter(|_| keyed).ok_or_else(|| {
+        let detail = "Lagoon-Resume-From must be a whole number beside an Idempotency-Key";
+        malformed(detail.to_owned())
+    })
+}
+
 /// A fault of the caller's request, with what is wrong in it.
 pub(crate) fn malformed(detail: String) -> fault::Fault {
     let failure = outcome::Failure::new(Reason::Malformed, Step::Read, Outcome::NotRun);
--- a/crates/lagoon-net/src/entry/claims.rs
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -247,7 +247,8 @@
     }
 }
 
-async fn store(claims: &Claims, sent: claim::Sent, answer: claim::Answer) -> bool {
+/// Stores an answer; true once it stands.
+pub(crate) async fn store(claims: &Claims, sent: claim::Sent, answer: claim::Answer) -> bool {
     let (mut sent, mut answer) = (sent, answer);
     for _ in 0..STORE_TRIES {
         match claims.finish(sent, answer).await {
--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -174,6 +174,12 @@
         }
     }
 
+    /// Gives the place back; what is left names no upstream and may ask again.
+    pub(crate) fn detached(mut self) -> Place {
+        self.give_back(load::Ending::Abandoned);
+        self
+    }
+
     pub(crate) fn finish(mut self, ending: load::Ending) {
         self.give_back(ending);
     }
--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -193,7 +193,7 @@
         start(&self.attempts, &["unknown_model", "too_long", "attempt_exists"]);
         start(&self.retries, &["unsent", "lost", "full", "leaving", "broken", "service"]);
         start(&self.retries, &["unknown_model", "attempt_exists", "unknown_upstream", "group"]);
-        start(&self.resumes, &["resumed", "failed"]);
+        start(&self.resumes, &["resumed", "failed", "taken_over"]);
         start(&self.chunks_refused, &["crossed", "repeated", "gap", "count", "after_end"]);
         start(&self.claims, &["claimed", "replayed", "refused", "released", "lost"]);
         start(&self.claims, &["stored", "unstored"]);
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -5,6 +5,7 @@
 
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::life::claim;
 use lagoonline::load;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use ntex::http;
@@ -48,8 +49,9 @@
     let rate = job.call.rate();
     let tokens = job.ask.prompt_tokens + job.ask.answer_tokens;
     state.limits().take(state.clock.now(), &customer.name, rate, tokens)?;
-    let mut pull = pull::Pull::new(worker.clone(), job);
-    pull.start().await?;
+    let (claim, from) = (new_claim(worker, request, &job), job.call.from);
+    let mut pull = pull::Pull::new(worker.clone(), job, claim, from);
+    let replay = pull.start().await?;
     let mut answer = web::HttpResponse::Ok();
     answer.set_header("X-Request-Id", request_id);
     if state.phase() >= state::Phase::Draining {
@@ -58,13 +60,29 @@
     if prompt.stream {
         let outcome_event = request.headers().get("lagoon-outcome-event");
         let outcome_event = outcome_event.is_some_and(|value| value.as_bytes() == b"1");
-        let writer = render::Writer::new(title);
+        let mut writer = render::Writer::new(title);
+        answer.set_header("Cache-Control", "no-cache");
+        answer.content_type("text/event-stream");
+        if let Some(kept) = replay {
+            let usage = replay_usage(&pull, pull::replay(&kept, from, &mut writer))?;
+            state.metrics.claim("replayed");
+            state.metrics.done("model", Outcome::Done);
+            writer.finish(usage, outcome_event);
+            answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+            return Ok(answer.body(writer.take()));
+        }
         let feed = relay::start(state.clone(), pull, writer, active, outcome_event);
         answer.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
-        answer.set_header("Cache-Control", "no-cache");
-        return Ok(answer.content_type("text/event-stream").streaming(feed));
+        return Ok(answer.streaming(feed));
     }
     let mut text = render::Gather::default();
+    if let Some(kept) = replay {
+        let usage = replay_usage(&pull, pull::replay(&kept, from, &mut text))?;
+        state.metrics.claim("replayed");
+        state.metrics.done("model", Outcome::Done);
+        answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
+        return Ok(answer.content_type("application/json").body(text.finish(&title, usage)));
+    }
     let end = loop {
         if let Some(end) = pull.next(&mut text).await? {
             break end;
@@ -76,6 +94,29 @@
     Ok(answer.content_type("application/json").body(json))
 }
 
+/// The claim of a keyed call, when there is a platform to record it.
+fn new_claim(worker: &worker::Worker, request: &web::HttpRequest, job: &pull::Job) -> pull::Claim {
+    match (&job.call.key, &worker.claims) {
+        (Some(key), Some(claims)) => pull::Claim::Wanted(Box::new(pull::Wanted {
+            claims: claims.clone(),
+            key: key.clone(),
+            body: claim::body_hash("POST", request.path(), &job.body),
+        })),
+        _ => pull::Claim::None,
+    }
+}
+
+/// What a replayed answer says of its length.
+fn replay_usage(
+    pull: &pull::Pull,
+    found: Option<(u64, u64)>,
+) -> Result<render::Usage, fault::Fault> {
+    let unreadable = || fault::new(Reason::EarlierUnknown, Step::Claim, Outcome::Unknown);
+    let (prompt_tokens, answer_tokens) = found.ok_or_else(unreadable)?;
+    let cut_by_limit = answer_tokens >= pull.job().ask.answer_tokens;
+    Ok(render::Usage { prompt_tokens, answer_tokens, cut_by_limit })
+}
+
 fn new_job(
     call: call::Call,
     prompt: &prompt::Prompt,
--- a/crates/lagoon-net/src/entry/pull/dispatch.rs
+++ b/crates/lagoon-net/src/entry/pull/dispatch.rs
@@ -6,7 +6,7 @@
 use lagoonline::load;
 use lagoonline::outcome::{Outcome, Reason, Step};
 
-use super::{Open, Pull};
+use super::{Open, Pull, key};
 use crate::engine;
 use crate::entry::call;
 use crate::entry::cancel;
@@ -17,10 +17,10 @@
 
 impl Pull {
     pub(super) async fn open(
-        &self,
+        &mut self,
         mut held: request::Held,
         mut offer: desk::Offer,
-    ) -> Result<Open, fault::Fault> {
+    ) -> Result<Opened, fault::Fault> {
         // Counts rounds, not dispatches: a group that cannot be reserved is never dispatched.
         for round in 1.. {
             let place = match self.seat(offer).await {
@@ -28,7 +28,8 @@
                 Err(fault) => return Err(fault.with_outcome(held.end())),
             };
             let (back, ending, cause) = match self.dispatch(held, place).await? {
-                Sent::Open(open) => return Ok(*open),
+                Sent::Open(open) => return Ok(Opened::Open(open)),
+                Sent::Found(held, place, found) => return Ok(Opened::Found(held, place, found)),
                 Sent::Back(back, place, ending, cause) => ((back, place), ending, cause),
             };
             let (next, place) = back;
@@ -59,11 +60,12 @@
     }
 
     async fn dispatch(
-        &self,
+        &mut self,
         held: request::Held,
         place: desk::Place,
     ) -> Result<Sent, fault::Fault> {
-        let state = &self.worker.state;
+        let worker = self.worker.clone();
+        let state = &worker.state;
         let upstream = place.upstream().clone();
         let view = state.view();
         let Some(known) = view.fleet.upstream(&upstream) else {
@@ -79,6 +81,12 @@
                 return Ok(Sent::Back(held, place, ending, "group"));
             }
         };
+        match self.claim(&upstream, attempt).await {
+            Ok(None) => {}
+            Ok(Some(found)) => return Ok(Sent::Found(held, place, found)),
+            Err(fault) if held.attempts() == 0 => return Err(fault),
+            Err(fault) => return Err(fault.with_outcome(held.end())),
+        }
         let order = self.order(attempt, &place, group.as_ref());
         let dispatched = held.dispatch(attempt);
         let mut cancel = cancel::Guard::new(state, address, cancel::Holding::Stream(attempt));
@@ -197,9 +205,18 @@
     Engine(engine::Failure),
 }
 
+/// What came of all attempts.
+pub(super) enum Opened {
+    Open(Box<Open>),
+    /// Nothing was sent: something stands under the call's key.
+    Found(request::Held, desk::Place, key::Found),
+}
+
 #[derive(Debug)]
 enum Sent {
     Open(Box<Open>),
+    /// Something stands under the call's key.
+    Found(request::Held, desk::Place, key::Found),
     /// Held again: the place to give back, how its attempt ended, and the metric's word for it.
     Back(request::Held, desk::Place, load::Ending, &'static str),
 }
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -4,6 +4,7 @@
 //! [`Pull`] at any point gives its place back and cancels its attempt.
 
 mod dispatch;
+mod key;
 
 use std::mem;
 use std::rc;
@@ -11,6 +12,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::control::document;
+use lagoonline::life::claim;
 use lagoonline::life::request;
 use lagoonline::life::stream;
 use lagoonline::load;
@@ -26,6 +28,8 @@
 use super::worker;
 use crate::engine;
 
+pub(crate) use key::{Claim, Wanted, replay};
+
 /// Tries to take a broken stream up again on its own engine before going elsewhere.
 const RESUMES: u32 = 3;
 /// Pause before the second such try; it grows by as much with each.
@@ -85,12 +89,18 @@
     /// Tokens handed over so far.
     delivered: u64,
     last: Option<clock::Moment>,
+    claim: Claim,
+    /// Tokens so far, each followed by a comma, when they are kept for replay.
+    kept: Option<String>,
 }
 
 impl Pull {
-    pub(crate) fn new(worker: rc::Rc<worker::Worker>, job: Job) -> Pull {
+    /// A call whose caller has the first `from` tokens already.
+    pub(crate) fn new(worker: rc::Rc<worker::Worker>, job: Job, claim: Claim, from: u64) -> Pull {
         let stage = Stage::Held(request::Held::new(request::Repeat::Allowed));
-        Pull { worker, job, stage, delivered: 0, last: None }
+        let keeps = from == 0 && matches!(claim, Claim::Wanted(_));
+        let kept = keeps.then(String::new);
+        Pull { worker, job, stage, delivered: from, last: None, claim, kept }
     }
 
     pub(crate) fn job(&self) -> &Job {
@@ -106,13 +116,31 @@
         }
     }
 
-    /// Waits for a place and for the answer to begin.
-    pub(crate) async fn start(&mut self) -> Result<(), fault::Fault> {
-        let Stage::Held(held) = mem::replace(&mut self.stage, Stage::Over) else { return Ok(()) };
-        let offer = self.job.desk.offer(self.job.ask.clone());
-        let open = self.open(held, offer).await?;
-        self.stage = Stage::Open(Box::new(open));
-        Ok(())
+    /// Waits for a place and for the answer to begin; the answer that stands under the call's
+    /// key, if there is one.
+    pub(crate) async fn start(&mut self) -> Result<Option<claim::Answer>, fault::Fault> {
+        let Stage::Held(mut held) = mem::replace(&mut self.stage, Stage::Over) else {
+            return Ok(None);
+        };
+        // Once for what stands under the key, once more when that was gone.
+        loop {
+            let offer = self.job.desk.offer(self.job.ask.clone());
+            match self.open(held, offer).await? {
+                dispatch::Opened::Open(open) => {
+                    self.stage = Stage::Open(open);
+                    return Ok(None);
+                }
+                dispatch::Opened::Found(_, _, key::Found::Answer(answer)) => {
+                    return Ok(Some(answer));
+                }
+                dispatch::Opened::Found(back, place, key::Found::Running(wanted, running)) => {
+                    match self.take_over(back, place, wanted, running).await? {
+                        None => return Ok(None),
+                        Some(back) => held = back,
+                    }
+                }
+            }
+        }
     }
 
     /// Hands the next tokens to `sink`; the end, once the whole answer was checked.
@@ -158,6 +186,10 @@
                 engine::Event::Chunk { attempt, number, text } => {
                     open.checker.chunk(attempt, number)?;
                     sink.token(text);
+                    if let Some(kept) = &mut self.kept {
+                        kept.push_str(text.get());
+                        kept.push(',');
+                    }
                     self.delivered = open.checker.next();
                 }
                 engine::Event::End { attempt, count, prompt_tokens, cached_tokens, load } => {
@@ -206,6 +238,7 @@
             open.place.finish(ending);
             end.outcome = open.answering.complete();
         }
+        self.keep(end.prompt_tokens);
         let ask = &self.job.ask;
         let span = self.worker.state.clock.now().since(ask.arrived);
         let class = document::Class::of(ask.prompt_tokens);
@@ -255,8 +288,13 @@
         }
         metrics.retry("broken");
         let offer = place.again(load::Ending::Failed, self.job.ask.clone());
-        let open = self.open(held, offer).await?;
-        self.stage = Stage::Open(Box::new(open));
+        match self.open(held, offer).await? {
+            dispatch::Opened::Open(open) => self.stage = Stage::Open(open),
+            // Its key is this call's since its first dispatch.
+            dispatch::Opened::Found(held, ..) => {
+                return Err(fault::new(Reason::Internal, Step::Claim, held.end()));
+            }
+        }
         Ok(())
     }
 
--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -121,9 +121,10 @@
         self.put(sync::Arc::new(view::Fleet::merge(held.values())));
     }
 
-    /// Works with `fleet` from now on. One caller at a time: either [`State::install`] under its
-    /// lock, or the link.
+    /// Works with `fleet` from now on.
     pub(crate) fn put(&self, fleet: view::Shared) {
+        // Held to the end: of two changes at once, the later one keeps the desks of the first.
+        let mut changed = self.changed.lock().unwrap_or_else(sync::PoisonError::into_inner);
         for (team, version) in &fleet.versions {
             self.metrics.set_version(team, *version);
         }
@@ -136,7 +137,7 @@
             desk.turn();
         }
         self.view.store(sync::Arc::new(View { fleet, shards, desks, replicas }));
-        *self.changed.lock().unwrap_or_else(sync::PoisonError::into_inner) = now;
+        *changed = now;
     }
 
     fn desks(
--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -8,6 +8,7 @@
 
 use lagoon_net::entry;
 use lagoon_net::platform;
+use lagoon_standin::engine;
 use serde_json::{Value, json};
 
 use crate::host;
@@ -154,3 +155,69 @@
     assert_eq!(calls.lock().unwrap().len(), 1);
     host.finish();
 }
+
+/// Two entry hosts before the same engine and table service.
+fn start_two(engine: engine::Settings) -> (host::Host, host::Host, Rows) {
+    let (table, rows) = start_table();
+    let platform = platform::Settings { address: table, ..platform::Settings::default() };
+    let with_platform = |settings| entry::Settings { platform: Some(platform), ..settings };
+    let first = host::Host::start_with(vec![engine], true, with_platform.clone());
+    let section = host::section(&[first.engines[0].address()], &[], true);
+    let settings = entry::Settings {
+        host: lagoonline::id::Host::from("suva-2"),
+        ..with_platform(host::settings(vec![section]))
+    };
+    let second = host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() };
+    (first, second, rows)
+}
+
+// A caller has 5 tokens of its answer from one entry host and goes on at another with its key. It
+// gets the tokens from number 5 on, of the same attempt: the engine ran one. When the answer has
+// ended it is kept: asking once more gives all of it, and the engine still ran one attempt.
+#[test]
+fn another_host_takes_a_stream_over() {
+    let slow = engine::Settings { decode_ms: 1_000.0, ..host::quick() };
+    let (first, second, rows) = start_two(slow);
+    let call = host::completion("tin", 60, true);
+    let key = "Idempotency-Key: k1\r\n";
+    let mut stream = first.connect();
+    stream.write_all(&host::request("POST", "/v1/completions", key, &call)).unwrap();
+    let engine = first.engines[0].node();
+    host::wait_until("the engine works", || !engine.record().attempts.is_empty());
+    let resume = format!("{key}Lagoon-Resume-From: 5\r\n");
+    let rest = second.post("/v1/completions", &resume, &call);
+    assert_eq!(rest.matches("\"finish_reason\":null").count(), 55, "{rest}");
+    assert!(rest.contains("\"text\":\"5:") && !rest.contains("\"text\":\"4:"), "{rest}");
+    assert!(rest.contains("data: [DONE]"), "{rest}");
+    let whole = host::read_all(&mut stream);
+    assert_eq!(whole.matches("\"finish_reason\":null").count(), 60, "{whole}");
+    host::wait_until("the answer is kept", || {
+        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
+    });
+    let again = second.post("/v1/completions", key, &call);
+    assert_eq!(again.matches("\"finish_reason\":null").count(), 60, "{again}");
+    assert!(again.contains("data: [DONE]"), "{again}");
+    assert_eq!(engine.record().attempts.len(), 1);
+    first.finish();
+    second.finish();
+}
+
+// The stream that the row names is gone with its engine's memory. The caller gets a new answer
+// under its key.
+#[test]
+fn a_stream_that_is_gone_runs_again() {
+    let (first, second, _rows) = start_two(host::quick());
+    let faults = engine::Faults { cut_after_chunks: 3, ..engine::Faults::default() };
+    let engine = first.engines[0].node().clone();
+    engine.set_faults(engine::Faults { down: true, ..faults });
+    let call = host::completion("tin", 20, true);
+    let key = "Idempotency-Key: k1\r\n";
+    let failed = first.post("/v1/completions", key, &call);
+    assert_eq!(host::status(&failed), "502", "{failed}");
+    engine.set_faults(engine::Faults::default());
+    let answer = second.post("/v1/completions", key, &call);
+    assert_eq!(answer.matches("\"finish_reason\":null").count(), 20, "{answer}");
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+    first.finish();
+    second.finish();
+}
