--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -7,6 +7,9 @@
 //! here instead, where order can still change. Long prompts go only where no other long prefill
 //! exceeds the bound, and never to the engines kept clear.
 
+use std::collections;
+use std::ops;
+
 use crate::clock;
 use crate::control::document;
 use crate::load::group;
@@ -21,6 +24,11 @@
 const PASSES_LONG: f64 = 2.0;
 /// Part of the bound on long prefill that medium prompts may fill.
 const MEDIUM_PART: f64 = 0.5;
+/// Upstreams that fit among which the best is taken. The best of 32 random ones is within a few
+/// percent of the best of all, and the cost stays the same however large the fleet grows.
+const LOOKED: usize = 32;
+/// Upstreams of other zones looked at, whether they fit or not.
+const REMOTE_TRIES: usize = 64;
 /// Random pairs tried before all upstreams are looked at.
 const PAIRS: usize = 2;
 
@@ -52,29 +60,35 @@
     Group { plan: group::Plan, seconds: f64 },
 }
 
-/// What one look over the upstreams shows.
+/// What one look over the upstreams of the zone shows.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Survey {
-    /// Upstreams that are neither leaving nor gone.
-    pub open: usize,
-    /// Sum of the local upstreams' learned rates, in tokens a second.
+    /// Sum of their learned rates, in tokens a second.
     pub rate: f64,
     /// Soonest first token if its dispatch were possible now, in seconds.
     pub soonest: f64,
-    /// Most KV memory of one upstream, and of all.
-    pub largest: u64,
-    pub memory: u64,
 }
 
 /// The rules that one decision goes by.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Rules<'a> {
     pub settings: &'a settings::Settings,
+    /// Those of this host's zone first.
     pub upstreams: &'a [upstream::Upstream],
+    /// How many are of this zone.
+    pub locals: usize,
+    /// Where each stands, by number.
+    pub by_number: &'a collections::HashMap<u32, usize>,
+    /// Predicted wait in this zone from which on other zones are looked at, in seconds.
+    pub remote_seconds: f64,
     /// Local upstreams kept clear of long prompts.
     pub clear: usize,
     /// Part of an engine's rate that short prompts may use, 1 while no longer ones come.
     pub short_part: f64,
+    /// Weight of the delay of long prompts beside that of the request itself.
+    pub long_weight: f64,
+    /// Prefill that an engine may have ahead, in seconds of its rate.
+    pub ahead_seconds: f64,
     pub now: clock::Moment,
 }
 
@@ -94,25 +108,32 @@
     }
 
     /// Seconds to the first token there.
-    pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need) -> f64 {
+    pub fn seconds(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> f64 {
         let tokens = need.tokens - need.cached(upstream.number);
-        let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64);
+        let seconds = upstream.first_token(self.now, self.ahead_class(need), tokens as f64, rate);
         let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
         let passes = need.class == document::Class::Medium && upstream.has_later(need.rank);
         let seconds = if passes { seconds + PASSES_LONG } else { seconds };
+        let seconds = seconds + self.delay_to_longer(upstream, need, tokens as f64 / rate.max(1.0));
         if wrong { seconds + WRONG_ROLE } else { seconds }
     }
 
+    /// Delay that the request would cause to long prompts pending there, weighed against its own.
+    fn delay_to_longer(&self, upstream: &upstream::Upstream, need: &Need, seconds: f64) -> f64 {
+        let delays = self.long_weight > 0.0 && upstream.has_later(need.rank);
+        if delays { self.long_weight * seconds } else { 0.0 }
+    }
+
     /// Whether the upstream can take the request now.
-    fn fits(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+    fn fits(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> bool {
         let safeguards = self.safeguards();
         upstream.is_open(self.now, safeguards.outlier)
             && upstream.free_slots(self.now, safeguards.ramp) > 0
             && upstream.free_kv() >= need.kv
-            && self.has_room(upstream, need)
+            && self.has_room(upstream, need, rate)
     }
 
-    fn has_room(&self, upstream: &upstream::Upstream, need: &Need) -> bool {
+    fn has_room(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> bool {
         let clear = upstream.local.is_some_and(|rank| rank < self.clear)
             || upstream.role == engine::Role::Short;
         if clear && need.class > document::Class::Medium {
@@ -135,24 +156,24 @@
             return pending <= 0.0
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64 * MEDIUM_PART;
         }
-        let bound = self.settings.ahead.as_secs_f64() * upstream.rate(self.now);
-        upstream.ahead(self.now, self.ahead_class(need)) < bound
+        let bound = self.ahead_seconds * rate;
+        upstream.ahead(self.now, self.ahead_class(need), rate) < bound
     }
 
-    /// Looks over all upstreams once.
-    pub fn survey(&self, need: &Need) -> Survey {
+    /// Looks at some upstreams of the zone from a random one on, or of the others if it has none.
+    pub fn survey(&self, need: &Need, draw: u64) -> Survey {
         let mut survey = Survey { soonest: f64::MAX, ..Survey::default() };
-        for upstream in self.upstreams {
+        let count = if self.locals > 0 { self.locals } else { self.upstreams.len() };
+        let looked = count.min(LOOKED);
+        for step in 0..looked {
+            let index = (draw % count as u64) as usize + step;
+            let upstream = &self.upstreams[if index < count { index } else { index - count }];
             if upstream.leaving || upstream.gone {
                 continue;
             }
-            survey.open += 1;
-            survey.largest = survey.largest.max(upstream.kv_tokens);
-            survey.memory += upstream.kv_tokens;
-            survey.soonest = survey.soonest.min(self.seconds(upstream, need));
-            if upstream.local.is_some() {
-                survey.rate += upstream.rate(self.now);
-            }
+            let rate = upstream.rate(self.now);
+            survey.soonest = survey.soonest.min(self.seconds(upstream, need, rate));
+            survey.rate += rate * count as f64 / looked as f64;
         }
         survey
     }
@@ -178,35 +199,71 @@
         };
         let plan = group::plan(need.kv, self.upstreams.len(), free)?;
         let (first, _) = plan.spans()[0];
-        let seconds = self.seconds(&self.upstreams[first], need);
+        let upstream = &self.upstreams[first];
+        let seconds = self.seconds(upstream, need, upstream.rate(self.now));
         Some(Route::Group { plan, seconds })
     }
 
     fn shortest(&self, need: &Need, draw: u64) -> Option<(usize, f64)> {
-        let count = self.upstreams.len();
-        let start = (draw % count.max(1) as u64) as usize;
-        let mut best: Option<(usize, f64)> = None;
-        for index in (start..count).chain(0..start) {
-            let upstream = &self.upstreams[index];
-            if !self.fits(upstream, need) {
-                continue;
-            }
-            let seconds = self.seconds(upstream, need);
-            if best.is_none_or(|(_, other)| seconds < other) {
-                best = Some((index, seconds));
+        let mut best = None;
+        for &(number, tokens) in &need.hits {
+            if tokens > 0
+                && let Some(&index) = self.by_number.get(&number)
+            {
+                self.consider(index, need, &mut best);
             }
         }
+        self.look(0..self.locals, draw, need, &mut best);
+        if best.is_none_or(|(_, seconds)| seconds > self.remote_seconds) {
+            self.look(self.locals..self.upstreams.len(), draw, need, &mut best);
+        }
         best
     }
 
+    /// Looks at upstreams of the range from a random one on, until enough of them fit.
+    fn look(
+        &self,
+        range: ops::Range<usize>,
+        draw: u64,
+        need: &Need,
+        best: &mut Option<(usize, f64)>,
+    ) {
+        let tries = if range.start == 0 { range.len() } else { range.len().min(REMOTE_TRIES) };
+        let mut index = range.start + (draw % range.len().max(1) as u64) as usize;
+        let mut fitting = 0;
+        for _ in 0..tries {
+            fitting += usize::from(self.consider(index, need, best));
+            if fitting >= LOOKED {
+                return;
+            }
+            index = if index + 1 == range.end { range.start } else { index + 1 };
+        }
+    }
+
+    /// Takes the upstream if it fits and is better than the best; says whether it fits.
+    fn consider(&self, index: usize, need: &Need, best: &mut Option<(usize, f64)>) -> bool {
+        let upstream = &self.upstreams[index];
+        let rate = upstream.rate(self.now);
+        if !self.fits(upstream, need, rate) {
+            return false;
+        }
+        let seconds = self.seconds(upstream, need, rate);
+        if best.is_none_or(|(_, other)| seconds < other) {
+            *best = Some((index, seconds));
+        }
+        true
+    }
+
     fn better_of_two(&self, need: &Need, draw: u64) -> Option<(usize, f64)> {
         let count = self.upstreams.len().max(1) as u64;
         let draws = (0..2 * PAIRS as u64).map(|shift| (draw >> (16 * shift)) % count);
         let indexes = draws.map(|index| index as usize);
-        let fitting = indexes.filter(|&index| {
-            self.upstreams.get(index).is_some_and(|upstream| self.fits(upstream, need))
+        let timed = indexes.filter_map(|index| {
+            let upstream = self.upstreams.get(index)?;
+            let rate = upstream.rate(self.now);
+            let fits = self.fits(upstream, need, rate);
+            fits.then(|| (index, self.seconds(upstream, need, rate)))
         });
-        let timed = fitting.map(|index| (index, self.seconds(&self.upstreams[index], need)));
         timed.take(2).min_by(|(_, a), (_, b)| a.total_cmp(b))
     }
 }
