--- a/crates/lagoon-net/src/entry/pull/dispatch.rs
+++ b/crates/lagoon-net/src/entry/pull/dispatch.rs
@@ -122,23 +122,35 @@
             }
             Err(failure) => failure,
         };
+        if matches!(failure, engine::Failure::Unsent(_) | engine::Failure::Refused(_)) {
+            cancel.disarm();
+        }
+        self.after(dispatched, place, failure)
+    }
+
+    /// Where a dispatch that got no answer leads: back to held, or to the caller.
+    fn after(
+        &self,
+        dispatched: request::Dispatched,
+        place: desk::Place,
+        failure: engine::Failure,
+    ) -> Result<Sent, fault::Fault> {
+        let state = &self.worker.state;
+        let upstream = place.upstream().clone();
         let peer = upstream.as_str();
         match failure {
             engine::Failure::Unsent(_) => {
                 state.metrics.attempt("unsent");
-                cancel.disarm();
                 Ok(Sent::Back(dispatched.refused(), place, load::Ending::Failed, "unsent"))
             }
             engine::Failure::Refused(engine::Refusal::TooLong) => {
                 state.metrics.attempt("too_long");
-                cancel.disarm();
                 place.finish(load::Ending::Abandoned);
                 let outcome = dispatched.refused().end();
                 Err(fault::new(Reason::TooLong, Step::Dispatch, outcome).at(peer))
             }
             engine::Failure::Refused(refusal) => {
                 state.metrics.attempt(refusal.as_str());
-                cancel.disarm();
                 let ending = match refusal {
                     engine::Refusal::Full => load::Ending::Full,
                     engine::Refusal::Leaving => {
