Claims: a chosen steward removes rows after their retention

Cause: nothing swept the table, so every key ever used stayed. Change: steward/retain.rs steps claim::Sweeper: 5 reads a second during a pass, one each 10 minutes when idle; setting claim_retention_hours (24; at least 3).

--- a/crates/lagoon-net/src/steward/mod.rs
+++ b/crates/lagoon-net/src/steward/mod.rs
@@ -8,6 +8,7 @@
 mod dial;
 mod fetch;
 mod observe;
+mod retain;
 mod session;
 mod settings;
 mod zones;
@@ -183,6 +184,7 @@
         rt::spawn(dial::run(context.clone())),
         rt::spawn(fetch::run(context.clone())),
         rt::spawn(fetch::run_hosts(context.clone())),
+        rt::spawn(retain::run(context.clone())),
         rt::spawn(observe::run(context)),
     ];
     let _ = stopped.wait_for(|stop| *stop).await;
--- a/crates/lagoon-net/src/steward/settings.rs
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -7,6 +7,7 @@
 use lagoonline::control::document;
 use lagoonline::control::membership;
 use lagoonline::id;
+use lagoonline::life::claim;
 
 use crate::logs;
 use crate::platform;
@@ -37,6 +38,8 @@
     pub poll: clock::Span,
     /// Time between two reads of the load of an upstream that this steward observes.
     pub observe: clock::Span,
+    /// Retention of idempotency keys.
+    pub claims: claim::Sweep,
     /// Logs.
     pub logs: logs::Settings,
 }
@@ -55,6 +58,7 @@
             membership: membership::Settings::default(),
             poll: clock::Span::from_millis(500),
             observe: clock::Span::from_millis(500),
+            claims: claim::Sweep::default(),
             logs: logs::Settings::default(),
         }
     }
@@ -86,6 +90,7 @@
             membership: reader.child("membership", read_membership).unwrap_or_default(),
             poll: clock::Span::from_millis(poll),
             observe: clock::Span::from_millis(observe),
+            claims: read_claims(reader),
             logs: reader.child("logs", logs::Settings::read).unwrap_or_default(),
         }
     }
@@ -103,6 +108,13 @@
     peers
 }
 
+/// At least three hours: a row is written until an hour after its request's deadline.
+fn read_claims(reader: &check::Reader<'_>) -> claim::Sweep {
+    let hours = reader.number("claim_retention_hours", 24, 3..=8_760);
+    let retention = clock::Span::from_secs(hours * 3_600);
+    claim::Sweep { retention, ..claim::Sweep::default() }
+}
+
 fn read_keys(reader: &check::Reader<'_>) -> Vec<document::KeyHash> {
     let texts = reader.texts("operator_keys");
     let mut keys = Vec::with_capacity(texts.len());
--- a/crates/lagoonline/src/life/claim/sweep.rs
+++ b/crates/lagoonline/src/life/claim/sweep.rs
@@ -15,16 +15,24 @@
     pub retention: clock::Span,
     /// Rows read and at most deleted in one step: one read and one write.
     pub batch: usize,
+    /// Time between two steps of a pass over all rows.
+    pub pace: clock::Span,
+    /// Time between two passes, and after an error.
+    pub rest: clock::Span,
 }
 
 /// A day covers a caller's retries after an outage.
 const RETENTION: clock::Span = clock::Span::from_secs(24 * 3_600);
 /// One read and one commit of this many rows.
 const BATCH: usize = 200;
+/// Five reads a second of the platform's two thousand.
+const PACE: clock::Span = clock::Span::from_millis(200);
+/// An idle site reads one empty page in this time.
+const REST: clock::Span = clock::Span::from_secs(600);
 
 impl Default for Sweep {
     fn default() -> Self {
-        Sweep { retention: RETENTION, batch: BATCH }
+        Sweep { retention: RETENTION, batch: BATCH, pace: PACE, rest: REST }
     }
 }
 
@@ -33,15 +41,26 @@
 pub struct Sweeper {
     settings: Sweep,
     after: String,
+    resting: bool,
 }
 
 impl Sweeper {
     /// Starts before the first row.
     pub fn new(settings: Sweep) -> Self {
-        Sweeper { settings, after: String::new() }
+        Sweeper { settings, after: String::new(), resting: true }
     }
 
-    /// One read and at most one write; returns the rows deleted. Call it at a steady pace.
+    /// Time to wait before the next step; a new sweeper rests first.
+    pub fn wait(&self) -> clock::Span {
+        if self.resting { self.settings.rest } else { self.settings.pace }
+    }
+
+    /// Rests before the next step, as after an error.
+    pub fn rest(&mut self) {
+        self.resting = true;
+    }
+
+    /// One read and at most one write; returns the rows deleted. Wait for [`Sweeper::wait`] first.
     ///
     /// # Errors
     ///
@@ -67,6 +86,7 @@
             Some(last) if rows.len() == self.settings.batch => last.key.clone(),
             _ => String::new(),
         };
+        self.resting = self.after.is_empty();
         Ok(old.len())
     }
 
--- a/crates/lagoonline/tests/life_fuzz/scenarios.rs
+++ b/crates/lagoonline/tests/life_fuzz/scenarios.rs
@@ -134,6 +134,30 @@
     assert!(platform.values().is_empty());
 }
 
+/// An idle table is read seldom, a full one page by page, and after an error the sweeper rests.
+#[test]
+fn the_sweep_rests_between_passes() {
+    let (platform, clock) = (Platform::default(), clock::Fake::default());
+    let claims = claims(&platform, &clock);
+    for token in 1..=3 {
+        let key = format!("pickup-{token}");
+        let ask = claim::Ask { key, ..ask(token, request::Repeat::Never) };
+        drop(ticket(wait(claims.begin(ask))));
+    }
+    let settings = claim::Sweep { batch: 2, ..claim::Sweep::default() };
+    let (pace, rest) = (settings.pace, settings.rest);
+    let mut sweeper = claim::Sweeper::new(settings);
+    assert_eq!(sweeper.wait(), rest);
+    assert_eq!(wait(sweeper.step(&platform, 0)), Ok(0));
+    assert_eq!(sweeper.wait(), pace);
+    assert_eq!(wait(sweeper.step(&platform, 0)), Ok(0));
+    assert_eq!(sweeper.wait(), rest);
+    assert_eq!(wait(sweeper.step(&platform, 0)), Ok(0));
+    assert_eq!(sweeper.wait(), pace);
+    sweeper.rest();
+    assert_eq!(sweeper.wait(), rest);
+}
+
 /// Two customers choose the same key; neither reads or blocks the other's.
 #[test]
 fn a_key_belongs_to_its_customer() {
