--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -1,82 +1,13 @@
 //! Plain services: what is passed on, and what a caller is told when it fails.
 
-use std::io::Read as _;
 use std::io::Write as _;
 use std::net;
-use std::sync;
-use std::thread;
 
 use lagoon_net::entry;
 use rstest::rstest;
 
 use crate::host;
-
-/// What the runner does with a call.
-#[derive(Clone, Copy)]
-enum Runner {
-    Answer,
-    AnswerOtherAttempt,
-    CloseAfterReading,
-    RefuseAsNotRun,
-}
-
-/// A runner that takes one call on each connection; the heads and bodies that it read.
-fn start(runner: Runner) -> (net::SocketAddr, sync::Arc<sync::Mutex<Vec<String>>>) {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let calls = sync::Arc::new(sync::Mutex::new(Vec::new()));
-    let seen = calls.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let call = read_call(&mut stream);
-            let attempt = call.split("lagoon-attempt: ").nth(1).unwrap_or_default();
-            let attempt = attempt.split("\r\n").next().unwrap_or_default().to_owned();
-            seen.lock().unwrap().push(call);
-            let _sent = stream.write_all(answer(runner, &attempt).as_bytes());
-        }
-    });
-    (address, calls)
-}
-
-fn answer(runner: Runner, attempt: &str) -> String {
-    let other = "0".repeat(32);
-    match runner {
-        Runner::Answer => format!(
-            "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nX-Tin: 7\r\n\
-             Content-Length: 3\r\nConnection: close\r\n\r\nbin"
-        ),
-        Runner::AnswerOtherAttempt => {
-            format!("HTTP/1.1 200 OK\r\nLagoon-Attempt: {other}\r\nContent-Length: 3\r\n\r\nbad")
-        }
-        Runner::CloseAfterReading => String::new(),
-        Runner::RefuseAsNotRun => "HTTP/1.1 503 Service Unavailable\r\nLagoon-Not-Run: 1\r\n\
-             Content-Length: 0\r\nConnection: close\r\n\r\n"
-            .to_owned(),
-    }
-}
-
-/// A call's head in lower case and its body, whether chunked or not.
-fn read_call(stream: &mut net::TcpStream) -> String {
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 65_536];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some((head, body)) = text.split_once("\r\n\r\n") {
-            let head = head.to_lowercase();
-            let length = head.split("content-length: ").nth(1).unwrap_or("0");
-            let length: usize = length.split("\r\n").next().unwrap().parse().unwrap();
-            let chunked = head.contains("transfer-encoding: chunked");
-            if (chunked && body.ends_with("0\r\n\r\n")) || (!chunked && body.len() >= length) {
-                return format!("{head}\r\n\r\n{body}");
-            }
-        }
-        match stream.read(&mut buffer) {
-            Ok(0) | Err(_) => return text,
-            Ok(count) => bytes.extend_from_slice(&buffer[..count]),
-        }
-    }
-}
+use crate::runner::{Runner, start};
 
 fn start_host(services: &[(&str, net::SocketAddr)]) -> host::Host {
     let settings = host::settings(vec![host::section(&[], services, true)]);
@@ -151,3 +82,48 @@
     assert!(answer.to_lowercase().contains("lagoon-outcome: not-run"), "{answer}");
     host.finish();
 }
+
+// A caller sends half of a booking and then nothing, or closes. The runner may have seen the half,
+// so the caller, if it is still there, hears 408 with `unknown`; the runner's connection is cut,
+// so it cannot take the half for a whole.
+#[rstest]
+#[case::silent(false)]
+#[case::gone(true)]
+fn half_a_booking(#[case] leaves: bool) {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let head = format!(
+        "POST /services/pickup/x HTTP/1.1\r\nAuthorization: Bearer {}\r\n\
+         Content-Length: 500000\r\n\r\n{}",
+        host::KEY,
+        "a".repeat(200_000)
+    );
+    let mut stream = host.connect();
+    stream.write_all(head.as_bytes()).unwrap();
+    if leaves {
+        drop(stream);
+    } else {
+        let answer = host::read_all(&mut stream);
+        assert_eq!(host::status(&answer), "408", "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    host::wait_until("the runner's connection was cut", || {
+        calls.lock().unwrap().iter().any(|call| call.len() < 500_000)
+    });
+    host.finish();
+}
+
+// Without a table service the key cannot be recorded. The booking is not sent, and the caller
+// hears that it did not run and when to come back.
+#[test]
+fn a_keyed_booking_needs_the_platform() {
+    let (address, calls) = start(Runner::Answer);
+    let host = start_host(&[("pickup", address)]);
+    let headers = "Idempotency-Key: k1\r\n";
+    let answer = host.exchange(&host::request("POST", "/services/pickup/x", headers, "tin"));
+    assert_eq!(host::status(&answer), "503", "{answer}");
+    let head = answer.to_lowercase();
+    assert!(head.contains("lagoon-outcome: not-run") && head.contains("retry-after"), "{answer}");
+    assert!(calls.lock().unwrap().is_empty());
+    host.finish();
+}
