--- a/crates/lagoon-net/src/steward/mod.rs
+++ b/crates/lagoon-net/src/steward/mod.rs
@@ -8,9 +8,11 @@
 mod dial;
 mod fetch;
 mod observe;
+mod orders;
 mod retain;
 mod session;
 mod settings;
+mod usage;
 mod zones;
 
 use std::cell;
@@ -184,8 +186,10 @@
         rt::spawn(dial::run(context.clone())),
         rt::spawn(fetch::run(context.clone())),
         rt::spawn(fetch::run_hosts(context.clone())),
+        rt::spawn(observe::run(context.clone())),
+        rt::spawn(orders::run(context.clone())),
         rt::spawn(retain::run(context.clone())),
-        rt::spawn(observe::run(context)),
+        rt::spawn(usage::run(context)),
     ];
     let _ = stopped.wait_for(|stop| *stop).await;
     for task in tasks {
