Entry host: a stale word of its steward does not end a refusal

Cause: marks were taken as they came; a steward that restarted, or had not heard, put a leaving upstream back to live in the same life. Change: the link keeps marks in life::leaving, with loads naming new lives; two regression tests. link.rs becomes link/mod.rs for its tests file.

--- a/crates/lagoon-net/src/entry/link.rs
+++ b/crates/lagoon-net/src/entry/link/mod.rs
@@ -9,6 +9,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::life::leaving;
 use lagoonline::load::limit;
 use lagoonline::port::engine;
 
@@ -28,6 +29,7 @@
     handle: Option<link::Handle>,
     complete: atomic::AtomicBool,
     seen: sync::Mutex<Seen>,
+    marks: sync::Mutex<leaving::Marks>,
 }
 
 #[derive(Debug, Default)]
@@ -82,11 +84,36 @@
 
     /// An upstream refused work because it leaves; told at once, so that others stop too.
     pub(crate) fn saw_leaving(&self, upstream: &id::Upstream) {
+        let seen = self.seen().incarnations.get(upstream).copied();
+        let incarnation = self.refused(upstream, seen.map(id::Incarnation)).0;
         let Some(handle) = &self.handle else { return };
-        let incarnation = self.seen().incarnations.get(upstream).copied().unwrap_or_default();
         handle.mark(wire::Mark { upstream: upstream.to_string(), incarnation, leaving: true });
     }
 
+    /// Records a refusal; returns the life that it is taken to speak of, 0 when none is known.
+    fn refused(&self, upstream: &id::Upstream, seen: Option<id::Incarnation>) -> id::Incarnation {
+        let mut marks = self.marks();
+        if let Some(incarnation) = seen {
+            marks.merge(upstream, leaving::Mark { incarnation, leaving: false });
+        }
+        marks.refused(upstream);
+        marks.mark(upstream).unwrap_or_default().incarnation
+    }
+
+    /// Whether the upstream leaves, if a sign changed that.
+    ///
+    /// Failure answered: a steward that did not take in this host's refusal, as after a restart,
+    /// says that the upstream is live. Symptom: a leaving upstream gets new work again.
+    fn merge(&self, upstream: &id::Upstream, mark: leaving::Mark) -> Option<bool> {
+        let mut marks = self.marks();
+        marks.merge(upstream, mark)?;
+        Some(marks.is_leaving(upstream))
+    }
+
+    fn marks(&self) -> sync::MutexGuard<'_, leaving::Marks> {
+        self.marks.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
     fn flush_loads(&self, handle: &link::Handle) {
         let loads = std::mem::take(&mut self.seen().loads);
         if !loads.is_empty() {
@@ -133,6 +160,12 @@
     }
 }
 
+fn mark(state: &state::State, upstream: &id::Upstream, mark: leaving::Mark) {
+    if let Some(leaving) = state.link.merge(upstream, mark) {
+        state.set_leaving(upstream, leaving);
+    }
+}
+
 /// Takes the steward's updates into the shared state.
 pub(crate) struct Sink(pub(crate) sync::Arc<state::State>);
 
@@ -150,12 +183,16 @@
                     let upstream = id::Upstream::from(load.upstream.as_str());
                     let load = wire::engine_load(load);
                     view.desks.values().for_each(|desk| desk.observe(&upstream, &load));
+                    let incarnation = id::Incarnation(load.incarnation);
+                    mark(state, &upstream, leaving::Mark { incarnation, leaving: false });
                     state.link.seen().incarnations.insert(upstream, load.incarnation);
                 }
             }
             link::Update::Marks(marks) => {
-                for mark in &marks {
-                    state.set_leaving(&id::Upstream::from(mark.upstream.as_str()), mark.leaving);
+                for line in &marks {
+                    let incarnation = id::Incarnation(line.incarnation);
+                    let upstream = id::Upstream::from(line.upstream.as_str());
+                    mark(state, &upstream, leaving::Mark { incarnation, leaving: line.leaving });
                 }
             }
             link::Update::Drain => state.advance(state::Phase::Unready),
@@ -173,3 +210,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/lagoonline/src/life/leaving.rs
+++ b/crates/lagoonline/src/life/leaving.rs
@@ -89,6 +89,11 @@
         leaving || self.unnamed.contains(upstream)
     }
 
+    /// The mark of an upstream of which a life is known.
+    pub fn mark(&self, upstream: &id::Upstream) -> Option<Mark> {
+        self.marks.get(upstream).copied()
+    }
+
     /// Every mark, for a peer that has just connected.
     pub fn iter(&self) -> impl Iterator<Item = (&id::Upstream, Mark)> {
         self.marks.iter().map(|(upstream, mark)| (upstream, *mark))
