--- a/crates/lagoonline/src/life/claim/driver.rs
+++ b/crates/lagoonline/src/life/claim/driver.rs
@@ -4,6 +4,7 @@
 
 use super::decision;
 use super::record;
+use super::settings;
 use super::ticket;
 use crate::clock;
 use crate::id;
@@ -13,44 +14,6 @@
 use crate::port::objects;
 use crate::port::table;
 
-/// Limits of the claims.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// The entry host, in this life.
-    pub owner: id::Owner,
-    /// Longest answer body kept in the row, in bytes; longer ones are objects.
-    pub inline_bytes: usize,
-    /// Commits tried for one change of a row before it is given up.
-    pub rounds: u32,
-    /// How long after the request's deadline its row may still be written; hours less than
-    /// retention.
-    pub patience: clock::Span,
-    /// When a caller refused for the platform's sake is told to come back.
-    pub retry_after: clock::Span,
-    /// All but in tests of the oracle.
-    pub safeguards: safeguard::Set,
-}
-
-/// Three commits ride out a lost answer and a lost race; more would add load to an outage.
-const ROUNDS: u32 = 3;
-/// An outage of the platform may last this long before an answer stays unstored.
-const PATIENCE: clock::Span = clock::Span::from_secs(3_600);
-/// Most bookings answer in less; it keeps a scanned row small.
-const INLINE_BYTES: usize = 4_096;
-
-impl Default for Settings {
-    fn default() -> Self {
-        Settings {
-            owner: id::Owner::default(),
-            inline_bytes: INLINE_BYTES,
-            rounds: ROUNDS,
-            patience: PATIENCE,
-            retry_after: clock::Span::from_secs(1),
-            safeguards: safeguard::Set::default(),
-        }
-    }
-}
-
 /// How a keyed request goes on.
 #[derive(Debug)]
 pub enum Begin {
@@ -113,7 +76,7 @@
     table: T,
     objects: O,
     clock: C,
-    settings: Settings,
+    settings: settings::Settings,
 }
 
 impl<T, O, C> Claims<T, O, C>
@@ -123,7 +86,7 @@
     C: clock::Clock,
 {
     /// Claims through these ports.
-    pub fn new(table: T, objects: O, clock: C, settings: Settings) -> Self {
+    pub fn new(table: T, objects: O, clock: C, settings: settings::Settings) -> Self {
         Claims { table, objects, clock, settings }
     }
 
--- a/crates/lagoonline/src/life/claim/mod.rs
+++ b/crates/lagoonline/src/life/claim/mod.rs
@@ -8,11 +8,13 @@
 mod decision;
 mod driver;
 mod record;
+mod settings;
 mod sweep;
 mod ticket;
 
 pub use decision::{Verdict, decide};
-pub use driver::{Abandoned, Begin, Claims, Refusal, Settings, Unstored};
+pub use driver::{Abandoned, Begin, Claims, Refusal, Unstored};
 pub use record::{Answer, Ask, Kept, Record, State, body_hash, row_key};
+pub use settings::Settings;
 pub use sweep::{Sweep, Sweeper};
 pub use ticket::{Expired, Running, Sent, Ticket};
