--- a/crates/lagoon-load/src/bin/lagoon-try.rs
+++ b/crates/lagoon-load/src/bin/lagoon-try.rs
@@ -3,6 +3,7 @@
 use std::process;
 
 use lagoon_load::trial;
+use lagoon_net::logs;
 
 /// Serve mixed prompts over three zones on embedded stand-ins, with a few faults, and print the
 /// measures. Exit code: 0 only if every check held.
@@ -14,6 +15,9 @@
     /// seconds of arrivals (default 32, at most 45)
     #[argh(option, default = "32.0")]
     seconds: f64,
+    /// level of log lines on standard error (default error)
+    #[argh(option, default = "log::LevelFilter::Error")]
+    log: log::LevelFilter,
     /// seed of the arrivals (default 1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -30,6 +34,10 @@
         eprintln!("lagoon-try: --seconds must be from {} to {}", SECONDS.start(), SECONDS.end());
         return process::ExitCode::from(USAGE);
     }
+    let logs = logs::Settings { level: args.log, ..logs::Settings::default() };
+    if let Err(error) = logs::start(&logs, "lagoon-try") {
+        eprintln!("lagoon-try: logs: {error}");
+    }
     let settings =
         trial::Settings { seconds: args.seconds, seed: args.seed, ..trial::Settings::default() };
     let report = match trial::run(&settings) {
--- a/crates/lagoon-load/src/trial/caller.rs
+++ b/crates/lagoon-load/src/trial/caller.rs
@@ -39,9 +39,8 @@
     }
 
     fn pick(&self, draw: u32) -> net::SocketAddr {
-        let ready = |host: &&(net::SocketAddr, atomic::AtomicBool)| {
-            host.1.load(atomic::Ordering::Relaxed)
-        };
+        let ready =
+            |host: &&(net::SocketAddr, atomic::AtomicBool)| host.1.load(atomic::Ordering::Relaxed);
         let count = self.hosts.iter().filter(ready).count().max(1);
         let mut chosen = self.hosts.iter().filter(ready).map(|host| host.0);
         chosen.nth(draw as usize % count).unwrap_or(self.hosts[0].0)
@@ -171,7 +170,11 @@
     told
 }
 
-fn request(client: &client::Client, address: net::SocketAddr, call: &plan::Call) -> client::ClientRequest {
+fn request(
+    client: &client::Client,
+    address: net::SocketAddr,
+    call: &plan::Call,
+) -> client::ClientRequest {
     let path = match call.ask {
         plan::Ask::Model { .. } => "v1/completions",
         plan::Ask::Booking { .. } => "services/pickup/bookings",
--- a/crates/lagoon-load/src/trial/fleet.rs
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -7,7 +7,7 @@
 use std::time;
 
 use lagoon_net::{entry, platform, steward, wire};
-use lagoon_standin::{engine, fleet, platform as stand_in, service};
+use lagoon_standin::{engine, fleet, service};
 use lagoonline::id;
 use serde_json::json;
 use sha2::Digest;
--- a/crates/lagoon-load/src/trial/mod.rs
+++ b/crates/lagoon-load/src/trial/mod.rs
@@ -65,7 +65,8 @@
             .collect();
         fault::run(&fleet, &balancer, began, faults);
         for caller in callers {
-            let share = caller.join().map_err(|_| io::Error::other("a caller's thread panicked"))?;
+            let share =
+                caller.join().map_err(|_| io::Error::other("a caller's thread panicked"))?;
             results.extend(share);
         }
         Ok::<_, io::Error>(())
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -14,7 +14,8 @@
 /// Part of the run at whose end faults begin.
 pub(super) const CALM: f64 = 0.55;
 /// Prompt tokens, and the share of calls that have them: one in fifty is over 100,000.
-const LENGTHS: [(u64, f64); 4] = [(1_000, 0.80), (10_000, 0.14), (100_000, 0.04), (1_000_000, 0.02)];
+const LENGTHS: [(u64, f64); 4] =
+    [(1_000, 0.80), (10_000, 0.14), (100_000, 0.04), (1_000_000, 0.02)];
 /// Bytes of prompt text for each token, as in the document.
 const BYTES_PER_TOKEN: usize = 4;
 /// Share of model calls that are streamed.
--- a/crates/lagoon-load/src/trial/report.rs
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -88,7 +88,11 @@
         });
         let short_in = |phase| {
             let short = of_class(document::Class::Short);
-            Times::new(short.filter(move |told| told.call.phase == phase).filter_map(|told| told.first_token))
+            Times::new(
+                short
+                    .filter(move |told| told.call.phase == phase)
+                    .filter_map(|told| told.first_token),
+            )
         };
         let (alone, mixed) = (short_in(plan::Phase::Alone), short_in(plan::Phase::Mixed));
         Report {
