--- a/crates/lagoonline/src/load/floor.rs
+++ b/crates/lagoonline/src/load/floor.rs
@@ -52,7 +52,8 @@
         self.at = now;
     }
 
-    fn left(&self, now: clock::Moment, rate: f64) -> f64 {
+    /// Tokens sent beyond that rate that it has not caught up with.
+    pub fn left(&self, now: clock::Moment, rate: f64) -> f64 {
         (self.sent - rate * UNEVEN * now.since(self.at).as_secs_f64()).max(0.0)
     }
 }
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -29,6 +29,8 @@
 const LOOKED: usize = 32;
 /// Upstreams of other zones looked at, whether they fit or not.
 const REMOTE_TRIES: usize = 64;
+/// Weight of what this host has sent beyond its share.
+const UNEVEN_WEIGHT: f64 = 2.0;
 /// Random pairs tried before all upstreams are looked at.
 const PAIRS: usize = 2;
 
@@ -114,10 +116,21 @@
         let wrong = upstream.role == engine::Role::Long && need.class == document::Class::Short;
         let passes = need.class == document::Class::Medium && upstream.has_later(need.rank);
         let seconds = if passes { seconds + PASSES_LONG } else { seconds };
+        let seconds = seconds + self.uneven(upstream, need, rate);
         let seconds = seconds + self.delay_to_longer(upstream, need, tokens as f64 / rate.max(1.0));
         if wrong { seconds + WRONG_ROLE } else { seconds }
     }
 
+    /// Time by which this host has sent an upstream more short prefill than its share. Reports lag
+    /// by longer than a short queue lasts, so they say less of it than sending evenly does.
+    fn uneven(&self, upstream: &upstream::Upstream, need: &Need, rate: f64) -> f64 {
+        if need.rank != document::Class::Short {
+            return 0.0;
+        }
+        let sent = upstream.floor.left(self.now, self.short_rate(upstream));
+        UNEVEN_WEIGHT * sent / rate.max(1.0)
+    }
+
     /// Delay that the request would cause to long prompts pending there, weighed against its own.
     fn delay_to_longer(&self, upstream: &upstream::Upstream, need: &Need, seconds: f64) -> f64 {
         let delays = self.long_weight > 0.0 && upstream.has_later(need.rank);
@@ -214,12 +227,21 @@
             }
         }
         self.look(0..self.locals, draw, need, &mut best);
-        if best.is_none_or(|(_, seconds)| seconds > self.remote_seconds) {
+        if best.is_none_or(|(index, _)| self.wait(index, need) > self.remote_seconds) {
             self.look(self.locals..self.upstreams.len(), draw, need, &mut best);
         }
         best
     }
 
+    /// Predicted wait before the request's own prefill there, in seconds: what another zone could
+    /// save. Preferences among the zone's upstreams are left out, or a cut link would be tried for
+    /// no better reason than evenness.
+    fn wait(&self, index: usize, need: &Need) -> f64 {
+        let upstream = &self.upstreams[index];
+        let rate = upstream.rate(self.now);
+        upstream.first_token(self.now, self.ahead_class(need), 0.0, rate)
+    }
+
     /// Looks at upstreams of the range from a random one on, until enough of them fit.
     fn look(
         &self,
