--- a/crates/lagoon-load/src/bin/lagoon-try.rs
+++ b/crates/lagoon-load/src/bin/lagoon-try.rs
@@ -1,34 +1,56 @@
-//! The main job on embedded stand-ins: `lagoon-try [--json] [--seconds N]`.
-//!
-//! Exit codes: 0 every check held, 1 one did not, or the trial could not run.
+//! The main job on embedded stand-ins, in one process.
 
 use std::process;
 
-use argh::FromArgs;
 use lagoon_load::trial;
+use lagoon_net::logs;
 
-/// Serves mixed prompts in three zones on loopback, with faults, and checks what callers got.
-#[derive(FromArgs)]
+/// Serve mixed prompts over three zones on embedded stand-ins, with a few faults, and print the
+/// measures. Exit code: 0 only if every check held.
+#[derive(argh::FromArgs)]
 struct Args {
     /// print one JSON object
     #[argh(switch)]
     json: bool,
-    /// seconds of load, 10 to 40 (default 20)
-    #[argh(option, default = "20")]
-    seconds: u64,
+    /// seconds of arrivals (default 32, at most 45)
+    #[argh(option, default = "32.0")]
+    seconds: f64,
+    /// level of log lines on standard error (default error)
+    #[argh(option, default = "log::LevelFilter::Error")]
+    log: log::LevelFilter,
+    /// seed of the arrivals (default 1)
+    #[argh(option, default = "1")]
+    seed: u64,
 }
 
+/// Shortest and longest run, in seconds of arrivals.
+const SECONDS: std::ops::RangeInclusive<f64> = 4.0..=45.0;
+/// Exit code of bad usage.
+const USAGE: u8 = 2;
+
 fn main() -> process::ExitCode {
     let args: Args = argh::from_env();
-    let settings = trial::Settings { seconds: args.seconds.clamp(10, 40), ..Default::default() };
-    match trial::run(&settings) {
-        Ok(report) => {
-            println!("{}", if args.json { report.json() } else { report.to_string() });
-            if report.holds() { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
-        }
+    if !SECONDS.contains(&args.seconds) {
+        eprintln!("lagoon-try: --seconds must be from {} to {}", SECONDS.start(), SECONDS.end());
+        return process::ExitCode::from(USAGE);
+    }
+    let logs = logs::Settings { level: args.log, ..logs::Settings::default() };
+    if let Err(error) = logs::start(&logs, "lagoon-try") {
+        eprintln!("lagoon-try: logs: {error}");
+    }
+    let settings =
+        trial::Settings { seconds: args.seconds, seed: args.seed, ..trial::Settings::default() };
+    let report = match trial::run(&settings) {
+        Ok(report) => report,
         Err(error) => {
             eprintln!("lagoon-try: {error}");
-            process::ExitCode::FAILURE
+            return process::ExitCode::FAILURE;
         }
+    };
+    if args.json {
+        println!("{}", serde_json::json!(report));
+    } else {
+        println!("{report}");
     }
+    if report.holds { process::ExitCode::SUCCESS } else { process::ExitCode::FAILURE }
 }
--- a/crates/lagoon-load/src/trial/mod.rs
+++ b/crates/lagoon-load/src/trial/mod.rs
@@ -1,88 +1,78 @@
-//! The main job in one process: three zones, mixed lengths, faults, and a check of every answer.
+//! The main job on embedded stand-ins: three zones, mixed lengths, a few faults, in one process.
 //!
-//! What is checked comes from the stand-ins' records and from what callers saw, never from the
-//! entry hosts' own counters.
+//! `plan` says what callers ask and when, `fleet` starts everything on loopback, `fault` does the
+//! damage, `caller` asks and checks each answer, `verdict` compares what callers were told with the
+//! stand-ins' own records, `report` prints it. No check reads a counter of lagoonline.
 
-mod call;
+mod caller;
+mod fault;
+mod fleet;
 mod plan;
 mod report;
-mod world;
+mod verdict;
 
-use std::cell;
 use std::io;
-use std::rc;
+use std::sync;
+use std::thread;
 use std::time;
 
-pub use report::{Class, Counts, Report};
+pub use report::Report;
 
-/// Settings of a trial.
-#[derive(Clone, Debug)]
+/// How long a trial takes and what it asks.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
-    /// Seconds of load.
-    pub seconds: u64,
-    /// Model requests a second, over all zones.
-    pub requests_per_second: f64,
-    /// Bookings a second, over all zones.
-    pub bookings_per_second: f64,
-    /// Seed of arrivals and lengths.
+    /// Seconds of arrivals: short requests alone, then all lengths, then with faults.
+    pub seconds: f64,
+    /// Seed of the arrivals.
     pub seed: u64,
+    /// Model calls a second.
+    pub rate: f64,
+    /// Bookings a second.
+    pub bookings: f64,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { seconds: 20, requests_per_second: 20.0, bookings_per_second: 6.0, seed: 7 }
+        Settings { seconds: 32.0, seed: 1, rate: 40.0, bookings: 10.0 }
     }
 }
 
-/// Runs a trial; it takes the load's seconds and up to half a minute more.
+/// Time after the last arrival within which every engine must have returned all memory.
+const SETTLE: time::Duration = time::Duration::from_secs(15);
+/// Threads of callers.
+const CALLERS: usize = 3;
+
+/// Runs a trial.
 ///
 /// # Errors
 ///
-/// A server could not be started.
-///
-/// ```no_run
-/// use lagoon_load::trial;
-/// let report = trial::run(&trial::Settings::default()).unwrap();
-/// assert!(report.holds(), "{report}");
-/// ```
+/// A process part could not be started, or a thread failed.
 pub fn run(settings: &Settings) -> io::Result<Report> {
-    let world = world::World::start()?;
-    let settings = settings.clone();
-    let system = ntex::rt::System::new("trial", ntex::rt::DefaultRuntime);
-    system.block_on(async move {
-        let results = load(&settings, &world).await;
-        let settled = world.settle().await;
-        Ok(report::Report::new(&results, &world, settled))
-    })
-}
-
-/// Plays the plan: each call starts at its time, whatever the earlier ones do.
-async fn load(settings: &Settings, world: &world::World) -> Vec<call::Result> {
-    let plan = plan::Plan::new(settings);
-    let start = time::Instant::now();
-    let results = rc::Rc::new(cell::RefCell::new(Vec::new()));
-    let mut running = Vec::with_capacity(plan.calls.len());
-    let mut faults = plan.faults.into_iter().peekable();
-    for planned in plan.calls {
-        while let Some(fault) = faults.next_if(|fault| fault.at <= planned.at) {
-            tokio::time::sleep_until((start + fault.at).into()).await;
-            world.play(fault.kind);
+    let fleet = fleet::start()?;
+    let plan = plan::new(settings);
+    let began = time::Instant::now();
+    let balancer = sync::Arc::new(caller::Balancer::new(fleet.entry_hosts()));
+    let faults = (settings.seconds * plan::CALM, settings.seconds);
+    let mut results = Vec::new();
+    thread::scope(|scope| {
+        let callers: Vec<_> = plan
+            .split(CALLERS)
+            .into_iter()
+            .map(|share| {
+                let balancer = balancer.clone();
+                scope.spawn(move || caller::run(began, &balancer, share))
+            })
+            .collect();
+        fault::run(&fleet, &balancer, began, faults);
+        for caller in callers {
+            let share =
+                caller.join().map_err(|_| io::Error::other("a caller's thread panicked"))?;
+            results.extend(share);
         }
-        tokio::time::sleep_until((start + planned.at).into()).await;
-        let results = results.clone();
-        let address = world.host(planned.zone);
-        running.push(ntex::rt::spawn(async move {
-            let result = call::run(planned, address).await;
-            results.borrow_mut().push(result);
-        }));
-    }
-    for fault in faults {
-        world.play(fault.kind);
-    }
-    for call in running {
-        if call.await.is_err() {
-            log::error!("a call of the trial did not end");
-        }
-    }
-    results.take()
+        Ok::<_, io::Error>(())
+    })?;
+    let bytes_left = fleet.wait_for_memory(SETTLE);
+    let record = fleet.record(bytes_left);
+    fleet.stop()?;
+    Ok(report::Report::new(settings, &results, &verdict::judge(&results, &record)))
 }
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -1,112 +1,188 @@
-//! What a trial does and when: arrivals, lengths and faults, from one seed.
+//! What callers ask and when, drawn from a seed before the run: arrivals never wait for answers.
 
 use std::time;
 
+use lagoonline::control::document;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs;
 
-/// Prompt lengths in tokens, and how many of 1,000 prompts have each: one in fifty is over 100k.
-pub(super) const LENGTHS: [(u64, u32); 4] =
-    [(1_000, 720), (10_000, 210), (100_000, 50), (1_000_000, 20)];
-/// Availability zones of the trial.
-pub(super) const ZONES: [&str; 3] = ["suva", "nausori", "lautoka"];
-/// Share of the load's time in which short prompts come alone, for comparison.
-const ALONE: f64 = 0.2;
+use super::Settings;
 
-/// What a call asks for.
+/// Part of the run at whose end short requests are no longer alone.
+const ALONE: f64 = 0.25;
+/// Part of the run at whose end faults begin.
+pub(super) const CALM: f64 = 0.55;
+/// Prompt tokens, and the share of calls that have them: one in fifty is over 100,000.
+const LENGTHS: [(u64, f64); 4] =
+    [(1_000, 0.80), (10_000, 0.14), (100_000, 0.04), (1_000_000, 0.02)];
+/// Bytes of prompt text for each token, as in the document.
+const BYTES_PER_TOKEN: usize = 4;
+/// Share of model calls that are streamed.
+const STREAMED: f64 = 0.7;
+/// Share of bookings with an idempotency key.
+const KEYED: f64 = 0.5;
+/// Answer tokens.
+const ANSWER: std::ops::Range<u64> = 16..64;
+/// Deadlines of short and of other calls.
+const DEADLINE_SHORT: time::Duration = time::Duration::from_secs(10);
+const DEADLINE_LONG: time::Duration = time::Duration::from_secs(40);
+
+/// What is asked.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) enum Ask {
+    /// A completion.
+    Model {
+        /// Prompt tokens.
+        tokens: u64,
+        /// Answer tokens.
+        answer: u64,
+        /// Whether the answer is streamed.
+        stream: bool,
+    },
+    /// A call of a plain service that may not run twice.
+    Booking {
+        /// Whether it carries an idempotency key.
+        keyed: bool,
+    },
+}
+
+/// Part of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Kind {
-    /// A prompt of the length at this index of [`LENGTHS`].
-    Prompt { class: usize, streamed: bool },
-    /// A booking, which may run at most once.
-    Booking { keyed: bool },
+pub(super) enum Phase {
+    /// Short prompts alone.
+    Alone,
+    /// All lengths.
+    Mixed,
+    /// All lengths, with faults.
+    Faults,
+}
+
+impl Phase {
+    fn at(part: f64) -> Phase {
+        match part {
+            part if part < ALONE => Phase::Alone,
+            part if part < CALM => Phase::Mixed,
+            _ => Phase::Faults,
+        }
+    }
 }
 
 /// One call.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Call {
+    /// Its number: makes its text and its key unlike any other's.
     pub(super) number: u64,
+    /// When it is made, from the start.
     pub(super) at: time::Duration,
-    pub(super) zone: usize,
-    pub(super) kind: Kind,
-    /// Whether it comes while there are only short prompts.
-    pub(super) alone: bool,
+    /// What it asks.
+    pub(super) ask: Ask,
+    /// Time it has.
+    pub(super) deadline: time::Duration,
+    /// Part of the run in which it is made.
+    pub(super) phase: Phase,
+    /// Number that picks its customer and entry host.
+    pub(super) draw: u32,
 }
 
-/// What goes wrong.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Trouble {
-    /// An engine dies.
-    Kill,
-    /// It comes back, empty.
-    Revive,
-    /// The last zone is cut off from the others and from the platform.
-    Cut,
-    /// The cut heals.
-    Heal,
-    /// An entry host of the first zone drains; the balancer knows.
-    Drain,
-}
+impl Call {
+    /// Its length class, for model calls.
+    pub(super) fn class(&self) -> Option<document::Class> {
+        match self.ask {
+            Ask::Model { tokens, .. } => Some(document::Class::of(tokens)),
+            Ask::Booking { .. } => None,
+        }
+    }
 
-/// A fault at its time.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Fault {
-    pub(super) at: time::Duration,
-    pub(super) kind: Trouble,
+    /// Its prompt: of its full length, and unlike any other from the first bytes on.
+    pub(super) fn prompt(&self) -> String {
+        let Ask::Model { tokens, .. } = self.ask else { return String::new() };
+        let length = usize::try_from(tokens).unwrap_or(0) * BYTES_PER_TOKEN;
+        let line = format!("{} tin label and lease filing of the season. ", self.number);
+        let mut text = line.repeat(length / line.len() + 1);
+        text.truncate(length);
+        text
+    }
+
+    /// Body of a booking.
+    pub(super) fn booking(&self) -> String {
+        format!("{{\"booking\":{}}}", self.number)
+    }
 }
 
-/// All of a trial.
-#[derive(Debug)]
+/// All calls of a run, in order of time.
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct Plan {
-    pub(super) calls: Vec<Call>,
-    pub(super) faults: Vec<Fault>,
+    calls: Vec<Call>,
 }
 
 impl Plan {
-    pub(super) fn new(settings: &super::Settings) -> Self {
-        let mut random = rngs::SmallRng::seed_from_u64(settings.seed);
-        let seconds = settings.seconds as f64;
-        let total = settings.requests_per_second + settings.bookings_per_second;
-        let mut calls = Vec::new();
-        let mut at = 0.0;
-        loop {
-            at -= (1.0 - random.random::<f64>()).ln() / total;
-            if at > seconds {
-                break;
-            }
-            let alone = at < seconds * ALONE;
-            let booking = random.random_bool(settings.bookings_per_second / total);
-            let kind = if booking {
-                Kind::Booking { keyed: random.random_bool(0.5) }
-            } else {
-                let class = if alone { 0 } else { class(&mut random) };
-                Kind::Prompt { class, streamed: random.random_bool(0.8) }
-            };
-            let number = calls.len() as u64;
-            let zone = random.random_range(0..ZONES.len());
-            calls.push(Call { number, at: time::Duration::from_secs_f64(at), zone, kind, alone });
+    /// Deals the calls out to `threads` callers.
+    pub(super) fn split(&self, threads: usize) -> Vec<Vec<Call>> {
+        let mut shares = vec![Vec::new(); threads];
+        for (index, call) in self.calls.iter().enumerate() {
+            shares[index % threads].push(call.clone());
         }
-        let fault =
-            |share: f64, kind| Fault { at: time::Duration::from_secs_f64(seconds * share), kind };
-        let faults = vec![
-            fault(0.4, Trouble::Kill),
-            fault(0.5, Trouble::Drain),
-            fault(0.6, Trouble::Revive),
-            fault(0.65, Trouble::Cut),
-            fault(0.8, Trouble::Heal),
-        ];
-        Plan { calls, faults }
+        shares
     }
 }
 
-fn class(random: &mut rngs::SmallRng) -> usize {
-    let mut point = random.random_range(0..1_000);
-    for (index, &(_, share)) in LENGTHS.iter().enumerate() {
-        if point < share {
-            return index;
+/// Draws the calls of a run.
+pub(super) fn new(settings: &Settings) -> Plan {
+    let mut random = rngs::SmallRng::seed_from_u64(settings.seed);
+    let phase = |at: f64| Phase::at(at / settings.seconds);
+    let mut calls = Vec::new();
+    for at in arrivals(settings.rate, settings.seconds, &mut random) {
+        let drawn = length(&mut random);
+        let is_short = document::Class::of(drawn) == document::Class::Short;
+        // The same short load alone: the longer calls of the first part are left out.
+        if is_short || phase(at) != Phase::Alone {
+            calls.push(model(at, phase(at), drawn, &mut random));
         }
-        point -= share;
     }
-    0
+    for at in arrivals(settings.bookings, settings.seconds, &mut random) {
+        let ask = Ask::Booking { keyed: random.random_bool(KEYED) };
+        calls.push(call(at, phase(at), ask, DEADLINE_SHORT, random.random()));
+    }
+    calls.sort_by_key(|call| call.at);
+    for (number, call) in (0..).zip(&mut calls) {
+        call.number = number;
+    }
+    Plan { calls }
+}
+
+/// Times of arrivals at `rate` a second, in seconds: a Poisson process.
+fn arrivals(rate: f64, seconds: f64, random: &mut rngs::SmallRng) -> Vec<f64> {
+    let mut times = Vec::new();
+    let mut at = 0.0;
+    while rate > 0.0 && at < seconds {
+        at -= (1.0 - random.random::<f64>()).ln() / rate;
+        times.push(at);
+    }
+    times.pop();
+    times
+}
+
+fn length(random: &mut rngs::SmallRng) -> u64 {
+    let mut draw: f64 = random.random();
+    for (tokens, share) in LENGTHS {
+        if draw < share {
+            return tokens;
+        }
+        draw -= share;
+    }
+    LENGTHS[0].0
+}
+
+fn model(at: f64, phase: Phase, tokens: u64, random: &mut rngs::SmallRng) -> Call {
+    let answer = random.random_range(ANSWER);
+    let ask = Ask::Model { tokens, answer, stream: random.random_bool(STREAMED) };
+    let is_short = document::Class::of(tokens) == document::Class::Short;
+    let deadline = if is_short { DEADLINE_SHORT } else { DEADLINE_LONG };
+    call(at, phase, ask, deadline, random.random())
+}
+
+fn call(at: f64, phase: Phase, ask: Ask, deadline: time::Duration, draw: u32) -> Call {
+    let at = time::Duration::from_secs_f64(at);
+    Call { number: 0, at, ask, deadline, phase, draw }
 }
--- a/crates/lagoon-load/src/trial/report.rs
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -1,185 +1,151 @@
-//! What a trial found: measures, counts, and the checks that decide its exit code.
+//! The measures of the brief, printed or as one JSON object.
 
-use std::collections;
 use std::fmt;
 use std::time;
 
+use hdrhistogram::Histogram;
+use lagoonline::control::document;
 use serde::Serialize;
 
-use super::call;
+use super::Settings;
+use super::caller;
+use super::fleet;
 use super::plan;
-use super::world;
+use super::verdict;
 
-/// Time to first token of one length class, in milliseconds.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct Class {
-    /// Length of the prompts, in tokens.
-    pub tokens: u64,
-    /// Answers measured.
-    pub count: usize,
-    /// Half were faster.
+/// Median and 95th percentile of a time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Times {
+    /// How many there were.
+    pub count: u64,
+    /// Median, in milliseconds.
     pub p50_ms: f64,
-    /// 95 of 100 were faster.
+    /// 95th percentile, in milliseconds.
     pub p95_ms: f64,
 }
 
-/// How the calls ended.
-#[derive(Clone, Copy, Debug, Default, Serialize)]
-pub struct Counts {
-    /// Whole and their own.
-    pub done: usize,
-    /// Told that they did not run.
-    pub not_run: usize,
-    /// Told that they may have run.
-    pub unknown: usize,
-    /// Ended after their deadline.
-    pub past_deadline: usize,
-    /// Broke off without a word, or lacked a part.
-    pub cut: usize,
-    /// Bookings that ran more than once.
-    pub doubled: usize,
-    /// Text of another answer.
-    pub crossed: usize,
-    /// Told that they did not run, and a stand-in's record says that they did.
-    pub false_not_run: usize,
-    /// Bookings told done that no record has.
-    pub false_done: usize,
+impl Times {
+    fn new<I>(times: I) -> Times
+    where
+        I: Iterator<Item = time::Duration>,
+    {
+        // Two significant digits more than are printed; the largest value grows as needed.
+        let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Times::default() };
+        for time in times {
+            let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+            histogram.saturating_record(micros);
+        }
+        let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
+        Times { count: histogram.len(), p50_ms: at(0.5), p95_ms: at(0.95) }
+    }
 }
 
-/// What a trial found.
-#[derive(Clone, Debug, Default, Serialize)]
+/// Time to first token of one length class.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Class {
+    /// The class.
+    pub class: &'static str,
+    /// Time to first token, faults included.
+    pub first_token: Times,
+}
+
+/// What a run showed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Report {
+    /// Seed of the arrivals.
+    pub seed: u64,
+    /// Engine seconds that passed in a real one.
+    pub time_scale: f64,
     /// Time to first token by length class.
-    pub first_token: Vec<Class>,
-    /// Time between tokens that 95 of 100 kept to, in milliseconds.
-    pub between_tokens_p95_ms: f64,
-    /// p95 time to first token of short prompts beside long ones over that alone.
+    pub classes: Vec<Class>,
+    /// Time between tokens.
+    pub between_tokens: Times,
+    /// Time to first token of short prompts alone.
+    pub short_alone: Times,
+    /// The same beside all lengths, before the faults.
+    pub short_mixed: Times,
+    /// 95th percentile beside all lengths as a multiple of that alone.
     pub short_slowdown: f64,
-    /// How the calls ended.
-    pub counts: Counts,
-    /// Failed calls by error code.
-    pub codes: collections::BTreeMap<String, usize>,
-    /// KV memory that engines did not get back, in bytes.
-    pub engine_bytes_not_returned: u64,
-    /// Requests that the drained entry host still had at the end.
-    pub drained_host_active: usize,
+    /// The counts.
+    pub verdict: verdict::Verdict,
+    /// Whether every check held.
+    pub holds: bool,
 }
 
 impl Report {
     pub(super) fn new(
-        results: &[call::Result],
-        world: &world::World,
-        settled: world::Settled,
-    ) -> Self {
-        let short = |alone| {
-            let matching = results.iter().filter(move |result| {
-                result.call.alone == alone
-                    && matches!(result.call.kind, plan::Kind::Prompt { class: 0, .. })
-            });
-            quantile(matching.filter_map(|result| result.first_token).collect(), 0.95)
+        settings: &Settings,
+        results: &[caller::Told],
+        verdict: &verdict::Verdict,
+    ) -> Report {
+        let of_class = |class| {
+            results.iter().filter(move |told: &&caller::Told| told.call.class() == Some(class))
         };
-        let gaps = results.iter().flat_map(|result| result.gaps.iter().copied()).collect();
-        let mut codes = collections::BTreeMap::new();
-        for result in results.iter().filter(|result| !result.code.is_empty()) {
-            *codes.entry(result.code.clone()).or_default() += 1;
-        }
+        let classes = document::Class::ALL.map(|class| {
+            let mixed = of_class(class).filter(|told| told.call.phase != plan::Phase::Alone);
+            let first_token = Times::new(mixed.filter_map(|told| told.first_token));
+            Class { class: class.as_str(), first_token }
+        });
+        let short_in = |phase| {
+            let short = of_class(document::Class::Short);
+            Times::new(
+                short
+                    .filter(move |told| told.call.phase == phase)
+                    .filter_map(|told| told.first_token),
+            )
+        };
+        let (alone, mixed) = (short_in(plan::Phase::Alone), short_in(plan::Phase::Mixed));
         Report {
-            first_token: (0..plan::LENGTHS.len()).map(|class| measure(results, class)).collect(),
-            between_tokens_p95_ms: quantile(gaps, 0.95),
-            short_slowdown: short(false) / short(true).max(0.001),
-            counts: count(results, world),
-            codes,
-            engine_bytes_not_returned: world.bytes_out(),
-            drained_host_active: settled.drained_active,
+            seed: settings.seed,
+            time_scale: fleet::TIME_SCALE,
+            classes: classes.to_vec(),
+            between_tokens: Times::new(results.iter().flat_map(|told| told.gaps.iter().copied())),
+            short_alone: alone,
+            short_mixed: mixed,
+            short_slowdown: mixed.p95_ms / alone.p95_ms.max(f64::MIN_POSITIVE),
+            verdict: verdict.clone(),
+            holds: verdict.holds(),
         }
     }
-
-    /// Whether every check held.
-    pub fn holds(&self) -> bool {
-        let counts = &self.counts;
-        let broken = counts.past_deadline + counts.cut + counts.doubled + counts.crossed;
-        let false_words = counts.false_not_run + counts.false_done;
-        let measured = self.first_token.iter().all(|class| class.count > 0);
-        let returned = self.engine_bytes_not_returned == 0 && self.drained_host_active == 0;
-        broken + false_words == 0 && measured && returned && counts.done > 0
-    }
-
-    /// The same as one JSON object.
-    pub fn json(&self) -> String {
-        let mut value = serde_json::to_value(self).unwrap_or_default();
-        value["holds"] = self.holds().into();
-        value.to_string()
-    }
-}
-
-fn measure(results: &[call::Result], wanted: usize) -> Class {
-    let matching = results.iter().filter(
-        |result| matches!(result.call.kind, plan::Kind::Prompt { class, .. } if class == wanted),
-    );
-    let times: Vec<_> = matching.filter_map(|result| result.first_token).collect();
-    Class {
-        tokens: plan::LENGTHS[wanted].0,
-        count: times.len(),
-        p50_ms: quantile(times.clone(), 0.5),
-        p95_ms: quantile(times, 0.95),
-    }
-}
-
-fn quantile(mut times: Vec<time::Duration>, share: f64) -> f64 {
-    times.sort();
-    let index = (times.len() as f64 * share) as usize;
-    let found = times.get(index.min(times.len().saturating_sub(1)));
-    found.map_or(0.0, |time| time.as_secs_f64() * 1_000.0)
-}
-
-fn count(results: &[call::Result], world: &world::World) -> Counts {
-    let engines = world.fleet.engines.iter().map(|engine| engine.node().record());
-    let ran_prompts: collections::HashSet<u64> =
-        engines.flat_map(|record| record.attempts).map(|attempt| attempt.prompt_hash).collect();
-    let mut ran_bookings: collections::HashMap<String, usize> = collections::HashMap::new();
-    let services = world.fleet.services.iter().map(|service| service.node().record());
-    for call in services.flat_map(|record| record.calls).filter(|call| call.ran) {
-        *ran_bookings.entry(call.body_sha256).or_default() += 1;
-    }
-    let mut counts = Counts::default();
-    for result in results {
-        let booking = matches!(result.call.kind, plan::Kind::Booking { .. });
-        let times = ran_bookings.get(&result.body_sha256).copied().unwrap_or(0);
-        let ran = if booking { times > 0 } else { ran_prompts.contains(&result.prompt_hash) };
-        match result.end {
-            call::End::Done => counts.done += 1,
-            call::End::NotRun => counts.not_run += 1,
-            call::End::Unknown => counts.unknown += 1,
-            call::End::Cut => counts.cut += 1,
-            call::End::Crossed => counts.crossed += 1,
-        }
-        counts.past_deadline += usize::from(result.late);
-        counts.doubled += usize::from(booking && times > 1);
-        counts.false_not_run += usize::from(result.end == call::End::NotRun && ran);
-        counts.false_done += usize::from(result.end == call::End::Done && !ran);
-    }
-    counts
 }
 
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for class in &self.first_token {
-            let Class { tokens, count, p50_ms, p95_ms } = class;
-            write!(f, "first token, {tokens} tokens: ")?;
-            writeln!(f, "p50 {p50_ms:.0} ms, p95 {p95_ms:.0} ms ({count} answers)")?;
+        writeln!(f, "first token      count   p50 ms   p95 ms")?;
+        for Class { class, first_token: Times { count, p50_ms, p95_ms } } in &self.classes {
+            writeln!(f, "  {class:<12}{count:>8}{p50_ms:>9.1}{p95_ms:>9.1}")?;
+        }
+        let Times { count, p50_ms, p95_ms } = self.between_tokens;
+        writeln!(f, "between tokens{count:>8}{p50_ms:>9.1}{p95_ms:>9.1}")?;
+        let (alone, mixed) = (self.short_alone.p95_ms, self.short_mixed.p95_ms);
+        writeln!(
+            f,
+            "short prompts: p95 {alone:.1} ms alone, {mixed:.1} ms beside long ones: {:.2} times",
+            self.short_slowdown
+        )?;
+        let verdict = &self.verdict;
+        writeln!(
+            f,
+            "calls {}: done {}, not-run {}, unknown {}",
+            verdict.calls, verdict.done, verdict.not_run, verdict.unknown
+        )?;
+        writeln!(
+            f,
+            "past deadline {}, cut {}, doubled {}, crossed {}, false not-run {}, false done {}, \
+             no clear end {}, engine bytes not returned {}",
+            verdict.past_deadline,
+            verdict.cut,
+            verdict.doubled,
+            verdict.crossed,
+            verdict.false_not_run,
+            verdict.false_done,
+            verdict.no_clear_end,
+            verdict.bytes_left
+        )?;
+        for (failure, count) in &verdict.failures {
+            writeln!(f, "  {count:>6} {failure}")?;
         }
-        writeln!(f, "between tokens: p95 {:.1} ms", self.between_tokens_p95_ms)?;
-        writeln!(f, "short beside long against alone: {:.2} times", self.short_slowdown)?;
-        let counts = &self.counts;
-        write!(f, "done {}, not-run {}, ", counts.done, counts.not_run)?;
-        write!(f, "unknown {}, past deadline {}, ", counts.unknown, counts.past_deadline)?;
-        write!(f, "cut {}, doubled {}, ", counts.cut, counts.doubled)?;
-        writeln!(f, "crossed {}", counts.crossed)?;
-        write!(f, "told not-run but ran {}, ", counts.false_not_run)?;
-        writeln!(f, "told done but not in a record {}", counts.false_done)?;
-        writeln!(f, "failures by code: {:?}", self.codes)?;
-        writeln!(f, "engine bytes not returned: {}", self.engine_bytes_not_returned)?;
-        writeln!(f, "requests left on the drained host: {}", self.drained_host_active)?;
-        write!(f, "{}", if self.holds() { "every check held" } else { "A CHECK FAILED" })
+        let word = if self.holds { "every check held" } else { "A CHECK FAILED" };
+        write!(f, "engine time runs {} times faster than real time; {word}", self.time_scale)
     }
 }
--- a/crates/lagoon-net/src/steward/mod.rs
+++ b/crates/lagoon-net/src/steward/mod.rs
@@ -9,6 +9,7 @@
 mod fetch;
 mod observe;
 mod orders;
+mod retain;
 mod session;
 mod settings;
 mod usage;
@@ -187,6 +188,7 @@
         rt::spawn(fetch::run_hosts(context.clone())),
         rt::spawn(observe::run(context.clone())),
         rt::spawn(orders::run(context.clone())),
+        rt::spawn(retain::run(context.clone())),
         rt::spawn(usage::run(context)),
     ];
     let _ = stopped.wait_for(|stop| *stop).await;
