lagoon-try puts its section as an operator does; times are counted

Cause: rows written past the operators' way lack the document's head, so no steward ever saw them and every caller was unknown; and a histogram that saturates read every time as 0. Change: the section goes through a steward and the run waits for acceptance. Faults of settings arrays are named by the item everywhere.

--- a/crates/lagoon-load/src/trial/fleet.rs
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -6,8 +6,9 @@
 use std::thread;
 use std::time;
 
-use lagoon_net::{entry, platform, steward, wire};
+use lagoon_net::{entry, operator, platform, steward, wire};
 use lagoon_standin::{engine, fleet, service};
+use lagoonline::control::document;
 use lagoonline::id;
 use serde_json::json;
 use sha2::Digest;
@@ -30,6 +31,9 @@
 const KV_TOKENS: u64 = 400_000;
 /// Writes a second that each entry host may make for idempotency keys.
 const WRITES: f64 = 50.0;
+/// The one team, and the key that may change every section.
+const TEAM: &str = "crews";
+const OPERATORS_KEY: &str = "operators' key of the trial";
 /// Longest time until all entry hosts are ready.
 const READY: time::Duration = time::Duration::from_secs(10);
 
@@ -132,8 +136,6 @@
 pub(super) fn start() -> io::Result<Fleet> {
     let stand_ins = stand_ins()?;
     let running = stand_ins.platform.as_ref().ok_or_else(|| io::Error::other("no platform"))?;
-    let row = json!({"put": "first", "text": section(&stand_ins)}).to_string();
-    running.node().put("section/crews", &row);
     let address = running.address();
     let key = wire::Key::new(b"key of the trial");
     let mut fleet = Fleet { stand_ins, entries: Vec::new(), stewards: Vec::new() };
@@ -143,6 +145,7 @@
         }
     }
     fleet.wait_until_ready()?;
+    fleet.put_section(key)?;
     Ok(fleet)
 }
 
@@ -163,6 +166,7 @@
             zone: zone.clone(),
             key: key.clone(),
             platform: Some(reach.clone()),
+            operator_keys: document::parse_key_hash(&hex(OPERATORS_KEY)).into_iter().collect(),
             peers,
             ..steward::Settings::default()
         })?;
@@ -180,6 +184,32 @@
         Ok(())
     }
 
+    /// Puts the team's section as an operator does, and waits until it is in force everywhere.
+    fn put_section(&self, fleet_key: wire::Key) -> io::Result<()> {
+        let client = operator::Client::new(operator::Settings {
+            stewards: self.stewards.iter().map(steward::Running::address).collect(),
+            fleet_key,
+            key: OPERATORS_KEY.to_owned(),
+            ..operator::Settings::default()
+        });
+        let request = operator::Request {
+            verb: Some(wire::Verb::SectionPut),
+            team: TEAM.to_owned(),
+            text: section(&self.stand_ins),
+            ..operator::Request::default()
+        };
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+        let standing = runtime.block_on(async {
+            client.call(&request).await?;
+            client.wait_accepted(TEAM, 1, READY).await
+        });
+        match standing {
+            Ok(standing) if standing.accepted => Ok(()),
+            Ok(standing) => Err(io::Error::other(format!("not accepted: {:?}", standing.missing))),
+            Err(error) => Err(io::Error::other(error.to_string())),
+        }
+    }
+
     fn wait_until_ready(&self) -> io::Result<()> {
         let deadline = time::Instant::now() + READY;
         for entry in &self.entries {
--- a/crates/lagoon-load/src/trial/report.rs
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -29,11 +29,13 @@
     where
         I: Iterator<Item = time::Duration>,
     {
-        // Two significant digits more than are printed; the largest value grows as needed.
         let Ok(mut histogram) = Histogram::<u64>::new(3) else { return Times::default() };
         for time in times {
             let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-            histogram.saturating_record(micros);
+            // Not the saturating way: that does not grow the histogram, and all times read as 0.
+            if histogram.record(micros).is_err() {
+                log::error!("a time of {micros} us is not counted");
+            }
         }
         let at = |share| histogram.value_at_quantile(share) as f64 / 1_000.0;
         Times { count: histogram.len(), p50_ms: at(0.5), p95_ms: at(0.95) }
--- a/crates/lagoon-net/src/operator/settings.rs
+++ b/crates/lagoon-net/src/operator/settings.rs
@@ -49,7 +49,7 @@
         for (index, text) in reader.texts("stewards").iter().enumerate() {
             match text.parse() {
                 Ok(address) => stewards.push(address),
-                Err(_) => reader.fault(&format!("stewards/{index}"), "must be IP:PORT"),
+                Err(_) => reader.fault_item("stewards", index, "must be IP:PORT"),
             }
         }
         if !reader.has("stewards") {
--- a/crates/lagoon-net/src/steward/settings.rs
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -107,7 +107,7 @@
     for (index, text) in texts.iter().enumerate() {
         match text.parse() {
             Ok(address) => peers.push(address),
-            Err(_) => reader.fault(&format!("peers/{index}"), "must be IP:PORT"),
+            Err(_) => reader.fault_item("peers", index, "must be IP:PORT"),
         }
     }
     peers
@@ -126,7 +126,7 @@
     for (index, text) in texts.iter().enumerate() {
         match document::parse_key_hash(text) {
             Some(key) => keys.push(key),
-            None => reader.fault(&format!("operator_keys/{index}"), "must be 64 hex digits"),
+            None => reader.fault_item("operator_keys", index, "must be 64 hex digits"),
         }
     }
     keys
