Admission: nothing is refused for what was never learned

Cause: three. (1) Before any answer was seen, an answer counted as all the tokens its caller allows at 30 ms each, so a first call allowing 10,000 tokens within 60 s was refused on an idle engine. (2) A load report shows work of ours that has ended since; it was taken for other hosts' work, the engine looked full, nothing was sent and no newer report came. (3) A report counted for ever once its observer was gone.

Change: length and pace of answers count as nothing until the first answer, whose weight is that of a plain mean; of a report, the most that we had within 500 ms is taken off as ours; a report lapses after 2 s. The entry tests run with the full policy; their document now names the engines' real prefill rate, by which a million tokens are possible within the deadline.

Conclusion: refusals when cold were guesses; what remains is predicted from something seen.

--- a/crates/lagoon-net/tests/entry/host.rs
+++ b/crates/lagoon-net/tests/entry/host.rs
@@ -11,7 +11,6 @@
 use lagoon_standin::server;
 use lagoonline::control::document;
 use lagoonline::id;
-use lagoonline::load;
 use serde_json::json;
 use sha2::Digest as _;
 
@@ -19,6 +18,8 @@
 pub const KEY: &str = "crew-key";
 /// KV memory of each engine, in tokens.
 pub const KV_TOKENS: u64 = 2_000_000;
+/// Prefill rate of each engine, in tokens a second: what [`quick`] ones have at least.
+pub const PREFILL_RATE: f64 = 1e6;
 /// Longest time that any wait of a test takes.
 pub const PATIENCE: time::Duration = time::Duration::from_secs(20);
 
@@ -47,6 +48,7 @@
     for (index, address) in engines.iter().enumerate() {
         let upstream = json!({
             "zone": "suva", "address": address, "models": ["model"], "kv_tokens": KV_TOKENS,
+            "prefill_rate": PREFILL_RATE,
         });
         upstreams.insert(format!("engine-{index}"), upstream);
     }
@@ -66,11 +68,8 @@
     document::Section::parse(id::Team::from("tin"), version, &text.to_string()).unwrap()
 }
 
-/// Settings without the prediction at admission: many tests here play what happens to a request
-/// that then does not meet its deadline.
+/// Settings with the full policy.
 pub fn settings(sections: Vec<document::Section>) -> entry::Settings {
-    let safeguards = load::Safeguards { admit: false, ..load::Safeguards::default() };
-    let load = load::Settings { safeguards, ..load::Settings::default() };
     let limits = entry::Limits {
         body_timeout: time::Duration::from_millis(300),
         body_bytes: 16 << 20,
@@ -80,7 +79,7 @@
     let host = id::Host::from("suva-1");
     let zone = id::Zone::from("suva");
     let usual = entry::Settings::default();
-    entry::Settings { host, zone, limits, sections, unready, load, ..usual }
+    entry::Settings { host, zone, limits, sections, unready, ..usual }
 }
 
 impl Host {
--- a/crates/lagoonline/src/load/predict.rs
+++ b/crates/lagoonline/src/load/predict.rs
@@ -5,6 +5,11 @@
 //! which the queue really empties, learned while something waits, because either prefill, slots or
 //! memory may be what is scarce. Answers rarely use all the tokens they may, so their length and
 //! pace are learned too.
+//!
+//! Before the first answer, nothing is known of either, and an answer counts as no time. Taking all
+//! the tokens it may have at a usual pace instead refuses every call that allows for a long answer,
+//! on an idle engine, and no answer ever comes that would correct it. What is let in too much until
+//! then is bounded by the slots: the first answers end before those that waited for a slot.
 
 use crate::clock;
 
@@ -12,10 +17,8 @@
 const WINDOW: f64 = 0.5;
 /// Weight of a new sample.
 const GAIN: f64 = 0.3;
-/// Weight of one answer's length and pace.
+/// Least weight of one answer's length and pace; the first ones count as a plain mean.
 const ANSWER_GAIN: f64 = 0.05;
-/// Time for each answer token taken before any answer was seen, in seconds.
-const TOKEN_SECONDS: f64 = 0.03;
 
 /// Rate at which a queue empties.
 #[derive(Clone, Copy, Debug, Default)]
@@ -48,22 +51,16 @@
 }
 
 /// Learned figures of one model at one host.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 pub struct Forecast {
     /// By rank: rate at which work of that rank leaves while more of it waits. Work of earlier
     /// ranks that comes later and goes first is thus counted in.
     queues: [Rate; 4],
+    answers: u32,
     answer_part: f64,
     token_seconds: f64,
 }
 
-impl Default for Forecast {
-    fn default() -> Self {
-        let token_seconds = TOKEN_SECONDS;
-        Forecast { queues: [Rate::default(); 4], answer_part: 1.0, token_seconds }
-    }
-}
-
 impl Forecast {
     /// Work of `tokens` and this rank went out, while more of it still waits or not.
     pub fn dispatched(&mut self, now: clock::Moment, rank: usize, tokens: u64, waiting: bool) {
@@ -77,8 +74,10 @@
         }
         let part = (tokens as f64 / most as f64).min(1.0);
         let pace = took.as_secs_f64() / tokens as f64;
-        self.answer_part += ANSWER_GAIN * (part - self.answer_part);
-        self.token_seconds += ANSWER_GAIN * (pace - self.token_seconds);
+        self.answers = self.answers.saturating_add(1);
+        let gain = ANSWER_GAIN.max(1.0 / f64::from(self.answers));
+        self.answer_part += gain * (part - self.answer_part);
+        self.token_seconds += gain * (pace - self.token_seconds);
     }
 
     /// Seconds until work ahead, in tokens by rank, has left this host; `rate` is taken for ranks
@@ -89,7 +88,16 @@
         ahead.into_iter().zip(&self.queues).map(seconds).sum()
     }
 
-    /// Seconds from first token to end of an answer of at most `most` tokens.
+    /// Seconds from first token to end of an answer of at most `most` tokens; none before the
+    /// first answer.
+    ///
+    /// ```
+    /// use lagoonline::{clock::Span, load::predict};
+    /// let mut forecast = predict::Forecast::default();
+    /// assert_eq!(forecast.answer(10_000), 0.0);
+    /// forecast.answered(50, 100, Span::from_secs(1));
+    /// assert_eq!(forecast.answer(10_000), 100.0);
+    /// ```
     pub fn answer(&self, most: u64) -> f64 {
         most as f64 * self.answer_part * self.token_seconds
     }
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -142,7 +142,7 @@
         let safeguards = self.safeguards();
         upstream.is_open(self.now, safeguards.outlier)
             && upstream.free_slots(self.now, safeguards.ramp) > 0
-            && upstream.free_kv() >= need.kv
+            && upstream.free_kv(self.now) >= need.kv
             && self.has_room(upstream, need, rate)
     }
 
@@ -208,7 +208,7 @@
             let local = upstream.local.is_some_and(|rank| rank >= self.clear);
             let open = upstream.is_open(self.now, self.safeguards().outlier);
             let slot = upstream.free_slots(self.now, self.safeguards().ramp) > 0;
-            if local && open && slot { upstream.free_kv() } else { 0 }
+            if local && open && slot { upstream.free_kv(self.now) } else { 0 }
         };
         let plan = group::plan(need.kv, self.upstreams.len(), free)?;
         let (first, _) = plan.spans()[0];
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -243,8 +243,7 @@
         for (place, part) in work.parts.iter().enumerate() {
             let Some(&index) = self.index.get(&part.upstream) else { continue };
             let upstream = &mut self.upstreams[index];
-            upstream.requests = upstream.requests.saturating_sub(1);
-            upstream.kv = upstream.kv.saturating_sub(part.kv);
+            upstream.ended(now, part.kv);
             if work.first_token.is_none() {
                 upstream.prefilled(now, work.rank, part.prefill);
             }
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -22,6 +22,42 @@
 const SHORT_SECONDS: f64 = 0.4;
 /// Weight of one report in what others usually have.
 const TYPICAL_GAIN: f64 = 0.05;
+/// How old the work that a report shows may be.
+const REPORT_LAG: clock::Span = clock::Span::from_millis(500);
+/// How long a report counts without a newer one: several reports may be lost, and a short prompt
+/// that waits for it to lapse is still answered.
+const REPORT_LIFE: clock::Span = clock::Span::from_secs(2);
+
+/// Most that this host had there of late.
+///
+/// Failure answered: requests of ours end while a report that still shows them is on its way.
+/// Symptom: they count as other hosts' work, the engine looks full, nothing is sent to it, and so
+/// no answer brings a newer report; callers are refused as saturated before an idle engine. What
+/// we had within the lag is taken off instead, which at worst counts too little, and then the
+/// engine's own refusal is final.
+#[derive(Clone, Copy, Debug, Default)]
+struct Peak {
+    since: clock::Moment,
+    before: u64,
+    now: u64,
+}
+
+impl Peak {
+    fn saw(&mut self, now: clock::Moment, amount: u64) {
+        let age = now.since(self.since);
+        if age >= REPORT_LAG {
+            self.before = if age < REPORT_LAG * 2 { self.now } else { 0 };
+            (self.now, self.since) = (0, now);
+        }
+        self.now = self.now.max(amount);
+    }
+
+    /// The peak, `amount` being what is there at the moment.
+    fn most(&mut self, now: clock::Moment, amount: u64) -> u64 {
+        self.saw(now, amount);
+        self.before.max(self.now)
+    }
+}
 
 /// One upstream as seen from this host.
 #[derive(Debug, Default)]
@@ -54,6 +90,9 @@
     pub cache_sequence: u64,
     others_requests: u32,
     others_kv: u64,
+    reported: clock::Moment,
+    requests_peak: Peak,
+    kv_peak: Peak,
     own: [f64; 4],
     others: [f64; 4],
     pub floor: floor::Floor,
@@ -101,12 +140,28 @@
     pub fn free_slots(&self, now: clock::Moment, ramped: bool) -> u32 {
         let joined = if ramped { self.joined } else { None };
         let slots = ramp::slots(self.slots, joined, now);
-        slots.saturating_sub(self.requests + self.others_requests)
+        let others = if self.is_current(now) { self.others_requests } else { 0 };
+        slots.saturating_sub(self.requests + others)
     }
 
     /// KV memory that is free, in tokens.
-    pub fn free_kv(&self) -> u64 {
-        self.kv_tokens.saturating_sub(self.kv + self.others_kv)
+    pub fn free_kv(&self, now: clock::Moment) -> u64 {
+        let others = if self.is_current(now) { self.others_kv } else { 0 };
+        self.kv_tokens.saturating_sub(self.kv + others)
+    }
+
+    /// Whether the last report still counts: with the observer dead, an engine that was full when
+    /// it died would otherwise look full for ever.
+    fn is_current(&self, now: clock::Moment) -> bool {
+        now.since(self.reported) < REPORT_LIFE
+    }
+
+    /// Work of ours ends there.
+    pub fn ended(&mut self, now: clock::Moment, kv: u64) {
+        self.requests_peak.saw(now, u64::from(self.requests));
+        self.kv_peak.saw(now, self.kv);
+        self.requests = self.requests.saturating_sub(1);
+        self.kv = self.kv.saturating_sub(kv);
     }
 
     /// Whether anything new may go there.
@@ -131,9 +186,12 @@
         if load.kv_tokens > 0 {
             self.kv_tokens = load.kv_tokens;
             let used = load.kv_tokens.saturating_sub(load.kv_free_tokens);
-            self.others_kv = used.saturating_sub(self.kv);
+            self.others_kv = used.saturating_sub(self.kv_peak.most(now, self.kv));
         }
-        self.others_requests = (load.running + load.waiting).saturating_sub(self.requests);
+        self.reported = now;
+        let own = self.requests_peak.most(now, u64::from(self.requests));
+        let own = u32::try_from(own).unwrap_or(u32::MAX);
+        self.others_requests = load.running.saturating_add(load.waiting).saturating_sub(own);
         let own: f64 = self.own.iter().sum();
         let others = (load.prefill_tokens as f64 - own).max(0.0);
         if others <= self.nominal * SHORT_SECONDS {
--- /dev/null
+++ b/crates/lagoonline/tests/load_cold.rs
@@ -0,0 +1,88 @@
+//! What is refused before anything was learned, and after a report that lags.
+
+use std::sync;
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::control::document;
+use lagoonline::load::{self, Ending, Scheduler, Verdict};
+use lagoonline::port::engine;
+use lagoonline::{id, view};
+
+const SLOTS: u64 = 4;
+
+fn scheduler() -> Scheduler {
+    let text = r#"{"models": {"m": {}}, "upstreams": {"e": {"zone": "suva",
+        "address": "127.0.0.1:1", "models": ["m"], "slots": 4, "kv_tokens": 1000000}}}"#;
+    let section = document::Section::parse(id::Team::from("t"), id::Version(1), text).unwrap();
+    let fleet = sync::Arc::new(view::Fleet::merge([&section]));
+    let settings = load::Settings { zone: id::Zone::from("suva"), ..load::Settings::default() };
+    let mut scheduler = Scheduler::new(settings);
+    scheduler.set_fleet(Moment::START, &fleet, &id::Model::from("m"));
+    scheduler
+}
+
+fn ask(now: Moment, answer_tokens: u64) -> load::Ask {
+    load::Ask {
+        customer: id::Customer::from("crew"),
+        team: id::Team::from("t"),
+        weight: 1,
+        model: id::Model::from("m"),
+        prompt_tokens: 10,
+        answer_tokens,
+        bytes: 40,
+        arrived: now,
+        deadline: now + Span::from_secs(60),
+        prefixes: Vec::new(),
+    }
+}
+
+// An idle engine and a first call that allows for a long answer, as most callers do who expect a
+// short one. The caller got "cannot meet the deadline" at once: every token it allowed for was
+// counted at a usual pace, and nothing was ever let in that would have shown otherwise.
+#[test]
+fn a_first_call_is_not_refused_for_the_tokens_it_allows() {
+    let mut scheduler = scheduler();
+    let verdict = scheduler.offer(Moment::START, ask(Moment::START, 100_000));
+    assert!(matches!(verdict, Verdict::Dispatch(_)), "{verdict:?}");
+}
+
+// Four calls fill the engine and end; the report that the last answer carries was made while they
+// ran. The next caller waited before an idle engine and was refused as saturated: the four were
+// taken for other hosts' work, and with nothing sent, no newer report came.
+#[test]
+fn a_late_report_of_own_work_is_not_other_hosts_work() {
+    let mut scheduler = scheduler();
+    let offers = (0..SLOTS).map(|_| scheduler.offer(Moment::START, ask(Moment::START, 8)));
+    let verdicts: Vec<_> = offers.collect();
+    let now = Moment::from_millis(50);
+    for verdict in verdicts {
+        let Verdict::Dispatch(placement) = verdict else { panic!("{verdict:?}") };
+        scheduler.first_token(now, placement.ticket);
+        let ending = Ending::Done { prompt_tokens: 10, cached_tokens: 0, answer_tokens: 8 };
+        scheduler.finish(now, placement.ticket, ending);
+    }
+    let full = engine::Load { running: 4, kv_tokens: 1_000_000, incarnation: 1, ..no_load() };
+    scheduler.observe(now, &id::Upstream::from("e"), &full);
+    let now = Moment::from_millis(60);
+    let verdict = scheduler.offer(now, ask(now, 8));
+    assert!(matches!(verdict, Verdict::Dispatch(_)), "{verdict:?}");
+}
+
+// The observer dies after a report of a full engine, whose work is all of other hosts. Once that
+// report is seconds old the engine is asked again; its own refusal is final.
+#[test]
+fn a_report_that_nothing_follows_stops_counting() {
+    let mut scheduler = scheduler();
+    let full = engine::Load { running: 4, kv_tokens: 1_000_000, incarnation: 1, ..no_load() };
+    let now = Moment::from_millis(1_000);
+    scheduler.observe(now, &id::Upstream::from("e"), &full);
+    let verdict = scheduler.offer(now, ask(now, 8));
+    assert!(matches!(verdict, Verdict::Wait(_)), "{verdict:?}");
+    assert_eq!(scheduler.poll(Moment::from_millis(2_900)), []);
+    let wakes = scheduler.poll(Moment::from_millis(3_100));
+    assert!(matches!(wakes[..], [load::Wake::Dispatch(..)]), "{wakes:?}");
+}
+
+fn no_load() -> engine::Load {
+    engine::Load { kv_free_tokens: 1_000_000, prefill_rate: 20_000.0, ..engine::Load::default() }
+}
