Entry: the queue settings read all that an operator sets

Cause: queue read three of the decisions' settings; weights, policy, waits and the delay and cost of other zones could be set in code only. Also every host drew with the same seed, so the hosts of a zone made the same random choices.

--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -18,6 +18,7 @@
 mod model;
 mod prompt;
 mod pull;
+mod queue;
 mod relay;
 mod render;
 mod replica;
--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -11,6 +11,7 @@
 use lagoonline::load;
 use serde_json::Value;
 
+use super::queue;
 use crate::logs;
 use crate::platform;
 use crate::wire;
@@ -263,7 +264,7 @@
 fn read_settings(reader: &check::Reader<'_>) -> (Settings, Option<path::PathBuf>) {
     let usual = Settings::default();
     let zone = id::Zone::from(reader.required("zone"));
-    let load = reader.child("queue", |reader| read_queue(reader, &zone));
+    let load = reader.child("queue", |reader| queue::read(reader, &zone));
     let settings = Settings {
         listen: reader.required_parsed("listen", "IP:PORT", usual.listen),
         workers: read_size(reader, "workers", usual.workers, 1, 256),
@@ -289,15 +290,6 @@
     if reader.has("steward") { reader.required("key") } else { reader.text("key", "") }
 }
 
-fn read_queue(reader: &check::Reader<'_>, zone: &id::Zone) -> load::Settings {
-    let mut settings = load::Settings { zone: zone.clone(), ..load::Settings::default() };
-    let hosts = reader.number("hosts_in_zone", u64::from(settings.hosts_in_zone), 1..=10_000);
-    settings.hosts_in_zone = u32::try_from(hosts).unwrap_or(settings.hosts_in_zone);
-    settings.queue_requests = read_size(reader, "requests", settings.queue_requests, 1, 1_000_000);
-    settings.queue_bytes = reader.number("bytes", settings.queue_bytes, 1..=1 << 40);
-    settings
-}
-
 fn read_limits(reader: &check::Reader<'_>) -> Limits {
     let usual = Limits::default();
     let attempts = reader.number("attempts", u64::from(usual.attempts), 1..=100);
@@ -318,7 +310,7 @@
     }
 }
 
-fn read_size(
+pub(crate) fn read_size(
     reader: &check::Reader<'_>,
     name: &str,
     default: usize,
@@ -329,7 +321,7 @@
     usize::try_from(number).unwrap_or(default)
 }
 
-fn read_span(
+pub(crate) fn read_span(
     reader: &check::Reader<'_>,
     name: &str,
     default: clock::Span,
--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -74,6 +74,8 @@
 impl State {
     pub(crate) fn new(mut settings: settings::Settings) -> (sync::Arc<State>, Chores) {
         settings.load.zone = settings.zone.clone();
+        // With one seed for all, the hosts of a zone draw the same upstreams at the same time.
+        settings.load.seed = rand::random();
         let clock = clock::Host::default();
         let incarnation = id::Incarnation(clock.wall_millis());
         let (desks, desks_in) = async_sync::mpsc::unbounded_channel();
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -9,4 +9,5 @@
 mod model;
 mod runner;
 mod service;
+mod settings;
 mod stream;
--- a/crates/lagoonline/src/load/settings.rs
+++ b/crates/lagoonline/src/load/settings.rs
@@ -56,6 +56,23 @@
     Two,
 }
 
+impl Choice {
+    /// Every choice.
+    pub const ALL: [Choice; 2] = [Choice::Shortest, Choice::Two];
+
+    /// The word used in settings and reports.
+    ///
+    /// ```
+    /// assert_eq!(lagoonline::load::Choice::Two.as_str(), "two");
+    /// ```
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Choice::Shortest => "shortest",
+            Choice::Two => "two",
+        }
+    }
+}
+
 /// Safeguards of the full policy, each of which can be turned off to measure what it is worth.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Safeguards {
