A refusal reaches a caller that is still sending its body

Cause: a call refused by its head (wrong key, drain, limit) was answered and closed while a long body still arrived; the kernel reset the connection, and the caller saw a broken pipe. Change: what nobody read of a refused body is read away first, bounded in bytes and time. Conclusion: no refusal is lost for bodies within the limit; beyond it a reset is still possible.

--- a/crates/lagoon-net/src/entry/body.rs
+++ b/crates/lagoon-net/src/entry/body.rs
@@ -1,5 +1,8 @@
 //! Reading a caller's body, bounded in size and in silence.
 
+use std::cell;
+
+use lagoonline::clock;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use ntex::http;
 use ntex::util;
@@ -33,6 +36,52 @@
     }
 }
 
+/// Longest silence of a refused caller while the rest of its body is read away.
+const DISCARD_SILENCE: clock::Span = clock::Span::from_secs(1);
+/// Longest time for which that is done.
+const DISCARD_TIME: clock::Span = clock::Span::from_secs(5);
+
+/// A caller's body that may not have been read yet.
+///
+/// Failure answered: a call is refused by its head, as for a wrong key or a drain, while its long
+/// body still arrives. Symptom: this side closes with bytes unread, the kernel resets the
+/// connection, and the caller sees a broken pipe in place of the refusal. [`Unread::discard`]
+/// reads the body away first, bounded in size and time; beyond the bounds the caller is one that
+/// sends more than it may or not at all.
+#[derive(Debug)]
+pub(crate) struct Unread(cell::RefCell<Option<http::Payload>>);
+
+impl Unread {
+    pub(crate) fn new(payload: http::Payload) -> Unread {
+        Unread(cell::RefCell::new(Some(payload)))
+    }
+
+    /// The body, for its one reader.
+    pub(crate) fn take(&self) -> http::Payload {
+        self.0.borrow_mut().take().unwrap_or(http::Payload::None)
+    }
+
+    /// Reads away what nobody took, unless it is announced as longer than `most` bytes.
+    pub(crate) async fn discard(&self, headers: &http::HeaderMap, most: usize) {
+        if content_length(headers).is_some_and(|length| length > most as u64) {
+            return;
+        }
+        let mut payload = self.take();
+        let read = async {
+            let mut left = most;
+            while let Ok(Some(Ok(chunk))) =
+                tokio::time::timeout(DISCARD_SILENCE, payload.recv()).await
+            {
+                left = left.saturating_sub(chunk.len());
+                if left == 0 {
+                    return;
+                }
+            }
+        };
+        let _timeout = tokio::time::timeout(DISCARD_TIME, read).await;
+    }
+}
+
 /// The length that the caller announced.
 pub(crate) fn content_length(headers: &http::HeaderMap) -> Option<u64> {
     headers.get("content-length")?.to_str().ok()?.parse().ok()
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -28,13 +28,13 @@
     worker: &rc::Rc<worker::Worker>,
     form: prompt::Form,
     request: &web::HttpRequest,
-    payload: http::Payload,
+    unread: &body::Unread,
     request_id: &str,
 ) -> Result<web::HttpResponse, fault::Fault> {
     let state = &worker.state;
     let active = state::Active::new(state);
     let call = call::Call::read(state, state.clock.now(), request.headers())?;
-    let read = body::collect(&state.settings.limits, request.headers(), payload);
+    let read = body::collect(&state.settings.limits, request.headers(), unread.take());
     let body = limit::within(state, call.deadline, read).await;
     let body = body.map_err(|stop| stop.fault(Step::Read, Outcome::NotRun))??;
     let prompt = prompt::scan(form, &body).map_err(call::malformed)?;
--- a/crates/lagoon-net/src/entry/server.rs
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -13,6 +13,7 @@
 use ntex::http;
 use ntex::web;
 
+use super::body;
 use super::call;
 use super::cancel;
 use super::desk;
@@ -271,6 +272,8 @@
 ) -> web::HttpResponse {
     let state = &worker.state;
     let path = request.path();
+    let unread = body::Unread::new(payload.into_inner());
+    let most = state.settings.limits.body_bytes;
     match path {
         "/healthz" => return web::HttpResponse::Ok().body("ok\n"),
         "/readyz" => return ready(state),
@@ -282,9 +285,16 @@
     if state.phase() >= state::Phase::Draining {
         let fault = fault::new(Reason::Draining, Step::Admit, Outcome::NotRun);
         state.metrics.failed(kind, &fault.failure);
+        unread.discard(request.headers(), most).await;
         return fault.answer(&request_id, true);
     }
-    let work = dispatch(&worker, &request, payload.into_inner(), &request_id);
+    let work = async {
+        let result = dispatch(&worker, &request, &unread, &request_id).await;
+        if result.is_err() {
+            unread.discard(request.headers(), most).await;
+        }
+        result
+    };
     let result = match request.io() {
         Some(io) => tokio::select! {
             biased;
@@ -304,7 +314,7 @@
 async fn dispatch(
     worker: &rc::Rc<worker::Worker>,
     request: &web::HttpRequest,
-    payload: http::Payload,
+    unread: &body::Unread,
     request_id: &str,
 ) -> Result<web::HttpResponse, fault::Fault> {
     let path = request.path();
@@ -312,14 +322,14 @@
     let get = *request.method() == http::Method::GET;
     match path {
         "/v1/completions" if post => {
-            model::answer(worker, prompt::Form::Text, request, payload, request_id).await
+            model::answer(worker, prompt::Form::Text, request, unread, request_id).await
         }
         "/v1/chat/completions" if post => {
-            model::answer(worker, prompt::Form::Chat, request, payload, request_id).await
+            model::answer(worker, prompt::Form::Chat, request, unread, request_id).await
         }
         "/v1/models" if get => model::list(&worker.state, request, request_id),
         path if path.starts_with("/services/") => {
-            services::answer(worker, request, payload, request_id).await
+            services::answer(worker, request, unread, request_id).await
         }
         _ => {
             let fault = fault::new(Reason::UnknownName, Step::Read, Outcome::NotRun);
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -46,7 +46,7 @@
 pub(crate) async fn answer(
     worker: &rc::Rc<worker::Worker>,
     request: &web::HttpRequest,
-    payload: http::Payload,
+    unread: &body::Unread,
     request_id: &str,
 ) -> Result<web::HttpResponse, fault::Fault> {
     let state = &worker.state;
@@ -77,9 +77,9 @@
             active: rc::Rc::new(active),
             call,
         };
-        return claims::answer(keyed, payload).await;
+        return claims::answer(keyed, unread.take()).await;
     }
-    let body = Source::new(state, request.headers(), payload)?;
+    let body = Source::new(state, request.headers(), unread.take())?;
     let (worker, request) = (worker.clone(), request.clone());
     let job = Job { worker, call, request, service, target, body };
     let repeat = if repeats { request::Repeat::Allowed } else { request::Repeat::Never };
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -7,6 +7,7 @@
 mod link;
 mod metrics;
 mod model;
+mod refuse;
 mod runner;
 mod service;
 mod settings;
