--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -8,7 +8,6 @@
 use lagoonline::life::claim;
 use lagoonline::load;
 use lagoonline::outcome::{Outcome, Reason, Step};
-use ntex::http;
 use ntex::web;
 use serde_json::json;
 
--- a/crates/lagoon-standin/src/platform/http.rs
+++ b/crates/lagoon-standin/src/platform/http.rs
@@ -31,6 +31,7 @@
         return port::vanish(&request);
     }
     if platform.faults().down {
+        port::discard(&mut request).await;
         return refused(&platform, 503, "out");
     }
     match (method.as_str(), path.as_str()) {
--- a/crates/lagoon-standin/src/port.rs
+++ b/crates/lagoon-standin/src/port.rs
@@ -53,6 +53,15 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Reads away the body of a call that is refused.
+///
+/// Failure answered: the refusal is sent and the connection closed while the body arrives.
+/// Symptom: the sender sees a broken connection, and cannot tell that nothing was done.
+pub(crate) async fn discard(request: &mut http::Request) {
+    // A body that breaks off is refused all the same.
+    let _broken = read(request).await;
+}
+
 /// A header's text; empty when absent or not ASCII.
 pub(crate) fn header<'a>(request: &'a http::Request, name: &str) -> &'a str {
     request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
--- a/crates/lagoon-standin/src/service/http.rs
+++ b/crates/lagoon-standin/src/service/http.rs
@@ -26,6 +26,7 @@
     }
     let slot = Slot::new(&service);
     if slot.number > service.settings.slots || service.leaving.load(atomic::Ordering::Acquire) {
+        port::discard(&mut request).await;
         return not_run(&request);
     }
     let answer = run(&service, &mut request).await;
