A silent engine does not hold a call that another could answer

Cause: an engine that is frozen, or whose link drops what it says, breaks no connection; a call there was held until its deadline beside idle engines. Change: load::silence bounds the silence before the first token by its prediction and within a stream by the usual gap. Past it a stream is taken up again once; then the call, if it may, is cancelled there and goes elsewhere, when another upstream has room and the retry budget a retry, else it waits on. The silent engine's circuit opens at once and its pace counts as slowest.

--- a/crates/lagoon-net/src/engine/event.rs
+++ b/crates/lagoon-net/src/engine/event.rs
@@ -22,6 +22,9 @@
     /// The connection failed.
     #[error("connection failed: {0}")]
     Connection(String),
+    /// Nothing came for longer than the decisions allow.
+    #[error("silent for too long")]
+    Silent,
     /// An event that is none.
     #[error("not an event: {0}")]
     Malformed(String),
--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -167,6 +167,21 @@
         names.zip(placement.spans.iter().copied()).collect()
     }
 
+    /// Longest silence before the first token and between tokens.
+    pub(crate) fn silence(&self) -> (clock::Span, clock::Span) {
+        let usual = load::silence::between(0.0);
+        self.placement.as_ref().map_or((usual, usual), |known| (known.silence, known.gap))
+    }
+
+    /// Whether another upstream could take the request over from a silent one; never for a place
+    /// that was given back.
+    pub(crate) fn is_better_elsewhere(&self, ask: &load::Ask) -> bool {
+        self.placement.as_ref().is_some_and(|placement| {
+            let now = self.desk.clock.now();
+            load::lock(&self.desk.shard).is_better_elsewhere(now, placement.ticket, ask)
+        })
+    }
+
     pub(crate) fn first_token(&self) {
         if let Some(placement) = &self.placement {
             let now = self.desk.clock.now();
--- a/crates/lagoon-net/src/entry/pull/dispatch.rs
+++ b/crates/lagoon-net/src/entry/pull/dispatch.rs
@@ -1,5 +1,10 @@
 //! Getting a place and an answer that begins, over as many attempts as may be made.
 
+use std::future;
+use std::pin;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::life::request;
 use lagoonline::life::stream;
@@ -90,9 +95,14 @@
         let order = self.order(attempt, &place, group.as_ref());
         let dispatched = held.dispatch(attempt);
         let mut cancel = cancel::Guard::new(state, address, cancel::Holding::Stream(attempt));
+        let sent = state.clock.now();
         let work = engine::generate(&self.worker.client, address, &order);
-        let result = match limit::within(state, self.job.call.deadline, work).await {
-            Ok(result) => result,
+        let result = match self.head(&place, sent, work).await {
+            Ok(Some(result)) => result,
+            Ok(None) => {
+                state.metrics.attempt("silent");
+                return back_lost(dispatched, place, load::Ending::Silent, "silent");
+            }
             Err(stop) => {
                 let fault = stop.fault(Step::Dispatch, dispatched.lost().end());
                 return Err(fault.at(upstream.as_str()));
@@ -117,6 +127,8 @@
                     _group: group,
                     address,
                     resumed,
+                    heard: sent,
+                    begun: false,
                 };
                 return Ok(Sent::Open(Box::new(open)));
             }
@@ -166,15 +178,40 @@
             }
             engine::Failure::NoStream | engine::Failure::Lost(_) => {
                 state.metrics.attempt("lost");
-                let lost = dispatched.lost().again();
-                let lost = lost.map_err(|outcome| {
-                    fault::new(Reason::UpstreamFailed, Step::Dispatch, outcome).at(peer)
-                })?;
-                Ok(Sent::Back(lost, place, load::Ending::Failed, "lost"))
+                back_lost(dispatched, place, load::Ending::Failed, "lost")
             }
         }
     }
 
+    /// Waits for the head of an answer; none when the engine is silent and another could answer.
+    async fn head<F>(
+        &self,
+        place: &desk::Place,
+        sent: clock::Moment,
+        work: F,
+    ) -> Result<Option<F::Output>, limit::Stop>
+    where
+        F: future::Future,
+    {
+        let state = &self.worker.state;
+        let deadline = self.job.call.deadline;
+        let (silence, _) = place.silence();
+        let mut work = pin::pin!(work);
+        let mut heard = sent;
+        loop {
+            let until = heard + silence;
+            match limit::within(state, until.min(deadline), work.as_mut()).await {
+                Ok(result) => return Ok(Some(result)),
+                Err(limit::Stop::Deadline) if until < deadline => {}
+                Err(stop) => return Err(stop),
+            }
+            if place.is_better_elsewhere(&self.job.ask) {
+                return Ok(None);
+            }
+            heard = state.clock.now();
+        }
+    }
+
     /// Reserves memory on the engines of a group; most prompts need none.
     async fn reserve(&self, place: &desk::Place) -> Result<Option<group::Group>, Unreserved> {
         let members = place.group();
@@ -233,12 +270,27 @@
     Back(request::Held, desk::Place, load::Ending, &'static str),
 }
 
+/// Where a dispatch leads whose fate is not known.
+fn back_lost(
+    dispatched: request::Dispatched,
+    place: desk::Place,
+    ending: load::Ending,
+    cause: &'static str,
+) -> Result<Sent, fault::Fault> {
+    let lost = dispatched.lost().again().map_err(|outcome| {
+        let fault = fault::new(Reason::UpstreamFailed, Step::Dispatch, outcome);
+        fault.at(place.upstream().as_str())
+    })?;
+    Ok(Sent::Back(lost, place, ending, cause))
+}
+
 fn exhausted(ending: load::Ending) -> Reason {
     match ending {
         load::Ending::Full => Reason::Saturated,
         load::Ending::Leaving => Reason::NoUpstream,
-        load::Ending::Done { .. } | load::Ending::Failed | load::Ending::Abandoned => {
-            Reason::UpstreamFailed
-        }
+        load::Ending::Done { .. }
+        | load::Ending::Failed
+        | load::Ending::Silent
+        | load::Ending::Abandoned => Reason::UpstreamFailed,
     }
 }
--- a/crates/lagoon-net/src/entry/pull/key.rs
+++ b/crates/lagoon-net/src/entry/pull/key.rs
@@ -164,6 +164,8 @@
                     _group: None,
                     address,
                     resumed: (from, 0),
+                    heard: state.clock.now(),
+                    begun: false,
                 }));
                 return Ok(None);
             }
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -32,6 +32,8 @@
 
 /// Tries to take a broken stream up again on its own engine before going elsewhere.
 const RESUMES: u32 = 3;
+/// The same for a stream that is silent.
+const SILENT_RESUMES: u32 = 1;
 /// Pause before the second such try; it grows by as much with each.
 const RESUME_PAUSE: clock::Span = clock::Span::from_millis(20);
 
@@ -71,6 +73,24 @@
     /// is taken up again for ever without a token. Only [`RESUMES`] go without one, then the
     /// attempt is given up.
     resumed: (u64, u32),
+    /// When it was sent, or its last tokens came, or its silence was last looked at.
+    heard: clock::Moment,
+    /// Whether a token of this attempt came.
+    begun: bool,
+}
+
+impl Open {
+    /// When its silence has lasted too long.
+    fn patience(&self) -> clock::Moment {
+        let (first, gap) = self.place.silence();
+        self.heard + if self.begun { gap } else { first }
+    }
+
+    /// Whether taking up a silent stream again is still worth a try: a connection may be dead
+    /// while its engine lives, but once shows that.
+    fn may_resume_silent(&self) -> bool {
+        self.begun && self.resumed != (self.checker.next(), SILENT_RESUMES)
+    }
 }
 
 #[derive(Debug)]
@@ -153,11 +173,14 @@
             let Stage::Open(open) = &mut self.stage else {
                 return Err(fault::new(Reason::Internal, Step::Stream, self.leave()));
             };
+            let deadline = self.job.call.deadline;
+            let patience = open.patience();
             let work = open.events.batch();
-            let batch = limit::within(&self.worker.state, self.job.call.deadline, work).await;
+            let batch = limit::within(&self.worker.state, patience.min(deadline), work).await;
             let result = match batch {
                 Ok(Ok(batch)) => self.take(&batch, sink),
                 Ok(Err(broken)) => Err(broken),
+                Err(limit::Stop::Deadline) if patience < deadline => self.silent(),
                 Err(stop) => return Err(stop.fault(Step::Stream, self.leave())),
             };
             self.measure(before);
@@ -175,6 +198,24 @@
         }
     }
 
+    /// What a silence leads to: a broken stream where something can be done about it.
+    fn silent(&mut self) -> Result<Option<End>, engine::Broken> {
+        let now = self.worker.state.clock.now();
+        let Stage::Open(open) = &mut self.stage else { return Err(engine::Broken::Cut) };
+        open.heard = now;
+        if open.may_resume_silent() || self.is_better_elsewhere() {
+            return Err(engine::Broken::Silent);
+        }
+        Ok(None)
+    }
+
+    /// Whether the call may leave its silent engine for another one that could take it.
+    fn is_better_elsewhere(&self) -> bool {
+        let Stage::Open(open) = &self.stage else { return false };
+        let may_move = self.delivered == 0 || self.job.continues;
+        may_move && open.place.is_better_elsewhere(&self.job.ask)
+    }
+
     fn take<S>(&mut self, batch: &[u8], sink: &mut S) -> Result<Option<End>, engine::Broken>
     where
         S: render::Sink,
@@ -191,6 +232,7 @@
                         kept.push(',');
                     }
                     self.delivered = open.checker.next();
+                    open.begun = true;
                 }
                 engine::Event::End { attempt, count, prompt_tokens, cached_tokens, load } => {
                     open.checker.end(attempt, count)?;
@@ -228,6 +270,9 @@
         }
         state.metrics.tokens(&ask.model, came, self.last.map(|last| now.since(last)));
         self.last = Some(now);
+        if let Stage::Open(open) = &mut self.stage {
+            open.heard = now;
+        }
     }
 
     fn complete(&mut self, mut end: End) -> End {
@@ -256,7 +301,13 @@
         if let engine::Broken::Violation(violation) = &broken {
             metrics.chunk_refused(violation_name(violation));
         }
-        if !matches!(broken, engine::Broken::GivenUp(_)) {
+        let silent = broken == engine::Broken::Silent;
+        let resumes = match broken {
+            engine::Broken::GivenUp(_) => false,
+            engine::Broken::Silent => open.may_resume_silent(),
+            _ => true,
+        };
+        if resumes {
             match self.resume(&mut open).await {
                 Ok(true) => {
                     metrics.resume("resumed");
@@ -269,12 +320,23 @@
                 }
             }
         }
+        if silent {
+            self.stage = Stage::Open(open);
+            if !self.is_better_elsewhere() {
+                return Ok(());
+            }
+            let Stage::Open(moved) = mem::replace(&mut self.stage, Stage::Over) else {
+                return Ok(());
+            };
+            open = moved;
+        }
+        let ending = if silent { load::Ending::Silent } else { load::Ending::Failed };
         let Open { answering, place, cancel, .. } = *open;
         drop(cancel);
         let lost = answering.broken();
         let peer = place.upstream().to_string();
         if self.delivered > 0 && !self.job.continues {
-            place.finish(load::Ending::Failed);
+            place.finish(ending);
             let fault = fault::new(Reason::UpstreamFailed, Step::Stream, lost.end());
             return Err(fault.at(peer).with_detail(broken.to_string()));
         }
@@ -282,12 +344,12 @@
             fault::new(Reason::UpstreamFailed, Step::Stream, outcome).at(peer.as_str())
         })?;
         if held.attempts() >= self.worker.state.settings.limits.attempts {
-            place.finish(load::Ending::Failed);
+            place.finish(ending);
             let fault = fault::new(Reason::UpstreamFailed, Step::Stream, held.end());
             return Err(fault.at(peer).with_detail(broken.to_string()));
         }
-        metrics.retry("broken");
-        let offer = place.again(load::Ending::Failed, self.job.ask.clone());
+        metrics.retry(if silent { "silent" } else { "broken" });
+        let offer = place.again(ending, self.job.ask.clone());
         match self.open(held, offer).await? {
             dispatch::Opened::Open(open) => self.stage = Stage::Open(open),
             // Its key is this call's since its first dispatch.
@@ -313,7 +375,15 @@
                 let zone = &state.settings.zone;
                 engine::resume(&self.worker.client, open.address, attempt, zone, from).await
             };
-            match limit::within(state, self.job.call.deadline, work).await? {
+            let (_, gap) = open.place.silence();
+            let (now, deadline) = (state.clock.now(), self.job.call.deadline);
+            let until = now + gap;
+            let result = match limit::within(state, until.min(deadline), work).await {
+                Ok(result) => result,
+                Err(limit::Stop::Deadline) if until < deadline => return Ok(false),
+                Err(stop) => return Err(stop),
+            };
+            match result {
                 Ok(events) => {
                     open.events = events;
                     return Ok(true);
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -10,4 +10,5 @@
 mod runner;
 mod service;
 mod settings;
+mod silence;
 mod stream;
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -24,6 +24,7 @@
 mod settings;
 mod shards;
 pub mod shift;
+pub mod silence;
 pub mod tokens;
 mod upstream;
 pub mod usage;
--- a/crates/lagoonline/src/load/outlier.rs
+++ b/crates/lagoonline/src/load/outlier.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// It said nothing for longer than a busy one would; `out` of `all` upstreams are out already.
+    /// Each further try costs a caller seconds, so its circuit opens at once.
+    pub fn silent(&mut self, now: clock::Moment, out: usize, all: usize) {
+        self.failures = self.failures.max(FAILURES);
+        self.failed(now, out, all);
+    }
+
     /// It failed; `out` of `all` upstreams are out already.
     pub fn failed(&mut self, now: clock::Moment, out: usize, all: usize) {
         self.failures += 1;
--- a/crates/lagoonline/src/load/predict.rs
+++ b/crates/lagoonline/src/load/predict.rs
@@ -80,6 +80,11 @@
         self.token_seconds += gain * (pace - self.token_seconds);
     }
 
+    /// Usual seconds between tokens; 0 before the first answer.
+    pub fn gap(&self) -> f64 {
+        self.token_seconds
+    }
+
     /// Seconds until work ahead, in tokens by rank, has left this host; `rate` is taken for ranks
     /// of which none was learned.
     pub fn wait(&self, ahead: [u64; 4], rate: f64) -> f64 {
--- a/crates/lagoonline/src/load/rate.rs
+++ b/crates/lagoonline/src/load/rate.rs
@@ -53,6 +53,13 @@
         self.learn(now, sample.max(1.0));
     }
 
+    /// It was given up for its silence.
+    pub fn silent(&mut self, now: clock::Moment, ticket: scheduler::Ticket) {
+        if self.take(ticket).is_some() {
+            self.learn(now, BOUNDS.1);
+        }
+    }
+
     /// It ended, perhaps without a first token.
     pub fn ended(&mut self, ticket: scheduler::Ticket) {
         self.take(ticket);
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -35,10 +35,15 @@
         self.left = (self.left + SHARE).min(BURST);
     }
 
+    /// Whether a retry is left.
+    pub fn has_one(&self) -> bool {
+        // Sums of tenths fall a rounding error short of a whole.
+        self.left >= 1.0 - 1e-9
+    }
+
     /// Takes one retry, or says that there is none left.
     pub fn take(&mut self) -> bool {
-        // Sums of tenths fall a rounding error short of a whole.
-        if self.left < 1.0 - 1e-9 {
+        if !self.has_one() {
             return false;
         }
         self.left -= 1.0;
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -73,6 +73,11 @@
     pub spans: Vec<u64>,
     /// Priority that the engine is asked to honour; higher goes first.
     pub priority: u8,
+    /// Silence before the first token after which [`Scheduler::is_better_elsewhere`] is worth
+    /// asking.
+    pub silence: clock::Span,
+    /// The same between tokens.
+    pub gap: clock::Span,
 }
 
 /// Answer to an offer.
@@ -113,6 +118,8 @@
     Leaving,
     /// The upstream failed or broke its protocol.
     Failed,
+    /// The upstream said nothing for too long.
+    Silent,
     /// The caller left or the deadline passed; says nothing of the upstream.
     Abandoned,
 }
@@ -237,7 +244,7 @@
         if let (Ending::Done { answer_tokens, .. }, Some(first)) = (ending, work.first_token) {
             self.forecast.answered(answer_tokens, work.answer_tokens, now.since(first));
         }
-        let failed = ending == Ending::Failed;
+        let failed = matches!(ending, Ending::Failed | Ending::Silent);
         let out = if failed { self.out() } else { 0 };
         let all = self.upstreams.len();
         for (place, part) in work.parts.iter().enumerate() {
@@ -247,6 +254,9 @@
             if work.first_token.is_none() {
                 upstream.prefilled(now, work.rank, part.prefill);
             }
+            if ending == Ending::Silent {
+                upstream.pace.silent(now, ticket);
+            }
             upstream.pace.ended(ticket);
             if place == 0 {
                 judge(upstream, now, ending, out, all);
@@ -309,6 +319,7 @@
     match ending {
         Ending::Done { .. } => upstream.health.succeeded(),
         Ending::Failed => upstream.health.failed(now, out, all),
+        Ending::Silent => upstream.health.silent(now, out, all),
         Ending::Full => {
             upstream.full_until = now + FULL_SPAN;
             upstream.health.untold(now);
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -10,6 +10,7 @@
 use crate::load::route;
 use crate::load::scheduler;
 use crate::load::settings;
+use crate::load::silence;
 use crate::outcome;
 
 /// Priorities that engines are asked to honour, by length class.
@@ -265,7 +266,35 @@
         let prefixes = ask.prefixes.clone();
         let work = scheduler::Work { rank, parts, answer_tokens, first_token: None, prefixes };
         self.tickets.insert(ticket, work);
-        scheduler::Placement { ticket, upstream, members, spans, priority }
+        let (route::Route::One { seconds, .. } | route::Route::Group { seconds, .. }) = route;
+        let silence = silence::first_token(seconds / self.sure_part(need));
+        let gap = silence::between(self.forecast.gap());
+        scheduler::Placement { ticket, upstream, members, spans, priority, silence, gap }
+    }
+
+    /// Whether a dispatched request that got silence would be better off with another upstream:
+    /// one that has a place and memory for it now, with a retry left in the budget.
+    pub fn is_better_elsewhere(
+        &self,
+        now: clock::Moment,
+        ticket: scheduler::Ticket,
+        ask: &scheduler::Ask,
+    ) -> bool {
+        let Some(work) = self.tickets.get(&ticket) else { return false };
+        let limited = self.full() && self.settings.safeguards.retry_budget;
+        if limited && !self.budget.has_one() {
+            return false;
+        }
+        let silent = work.parts.first().map(|part| &part.upstream);
+        let safeguards = self.settings.safeguards;
+        let others = self.upstreams.iter().filter(|upstream| {
+            Some(&upstream.name) != silent
+                && upstream.is_open(now, safeguards.outlier)
+                && upstream.free_slots(now, safeguards.ramp) > 0
+        });
+        let need = ask.prompt_tokens + ask.answer_tokens;
+        let mut free = others.map(|upstream| upstream.free_kv(now));
+        if need > self.largest { free.sum::<u64>() >= need } else { free.any(|free| free >= need) }
     }
 
     /// Takes what the request needs on all its engines.
