A caller that stops reading is cut off after its deadline

Cause: an answer that failed at its deadline keeps its body, its place in the count of requests under way and, for a service, its replica's slot until the caller reads or closes; a drain waited for it up to the grace limit. Change: entry::linger closes such a connection limits.linger_ms (10 s) after the deadline.

--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -13,6 +13,7 @@
 mod fault;
 mod group;
 mod limit;
+mod linger;
 mod link;
 mod metrics;
 mod model;
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -71,7 +71,7 @@
             answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
             return Ok(answer.body(writer.take()));
         }
-        let feed = relay::start(state.clone(), pull, writer, active, outcome_event);
+        let feed = relay::start(state.clone(), pull, writer, active, outcome_event, request.io());
         answer.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
         return Ok(answer.streaming(feed));
     }
--- a/crates/lagoon-net/src/entry/relay.rs
+++ b/crates/lagoon-net/src/entry/relay.rs
@@ -8,18 +8,20 @@
 //! normally.
 
 use std::cell;
-use std::io;
 use std::pin;
 use std::rc;
 use std::task;
 
 use futures_util::Stream;
+use lagoonline::clock;
 use lagoonline::outcome::{Outcome, Reason, Step};
+use ntex::io;
 use ntex::util;
 use tokio::sync as async_sync;
 
 use super::fault;
 use super::limit;
+use super::linger;
 use super::pull;
 use super::render;
 use super::state;
@@ -39,10 +41,11 @@
     batches: async_sync::mpsc::Receiver<util::Bytes>,
     ending: Shared,
     _active: rc::Rc<state::Active>,
+    _open: linger::Open,
 }
 
 impl Stream for Feed {
-    type Item = Result<util::Bytes, io::Error>;
+    type Item = Result<util::Bytes, std::io::Error>;
 
     fn poll_next(
         mut self: pin::Pin<&mut Self>,
@@ -56,11 +59,11 @@
 }
 
 impl Feed {
-    fn end(&self) -> Option<Result<util::Bytes, io::Error>> {
+    fn end(&self) -> Option<Result<util::Bytes, std::io::Error>> {
         match self.ending.replace(Ending::Whole) {
             Ending::Whole => None,
             Ending::Failed(event) => Some(Ok(event)),
-            Ending::Open => Some(Err(io::Error::other("the answer broke off"))),
+            Ending::Open => Some(Err(std::io::Error::other("the answer broke off"))),
         }
     }
 }
@@ -72,17 +75,20 @@
     writer: render::Writer,
     active: state::Active,
     outcome_event: bool,
+    io: Option<&io::IoRef>,
 ) -> Feed {
     let active = rc::Rc::new(active);
     let (sender, batches) = async_sync::mpsc::channel(state.settings.limits.stream_batches);
     let ending = rc::Rc::new(cell::RefCell::new(Ending::Open));
     let relay = Relay { state, pull, writer, sender, ending: ending.clone(), outcome_event };
     let kept = active.clone();
+    let (open, watch) = linger::pair(io);
     drop(ntex::rt::spawn(async move {
-        relay.run().await;
+        let left = relay.run().await;
         drop(kept);
+        watch.bound(left).await;
     }));
-    Feed { batches, ending, _active: active }
+    Feed { batches, ending, _active: active, _open: open }
 }
 
 struct Relay {
@@ -95,7 +101,8 @@
 }
 
 impl Relay {
-    async fn run(mut self) {
+    /// Returns how long the caller may take to read the rest.
+    async fn run(mut self) -> clock::Span {
         let sender = self.sender.clone();
         let ended = tokio::select! {
             biased;
@@ -118,6 +125,7 @@
                 metrics.failed("model", &fault.failure);
             }
         }
+        self.pull.job().call.left(&self.state) + self.state.settings.limits.linger
     }
 
     async fn copy(&mut self) -> Result<Outcome, fault::Fault> {
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -22,6 +22,7 @@
 use super::claims;
 use super::fault;
 use super::limit;
+use super::linger;
 use super::replica;
 use super::state;
 use super::worker;
@@ -243,24 +244,28 @@
     {
         let state = self.worker.state.clone();
         let deadline = self.call.deadline;
-        let first = Some((payload, answering, slot, active));
+        let (open, watch) = linger::pair(self.request.io());
+        let left = self.call.left(&state) + state.settings.limits.linger;
+        drop(ntex::rt::spawn(watch.bound(left)));
+        let held = (answering, slot, active, open);
+        let first = Some((payload, held));
         stream::unfold((state, first), move |(state, held)| async move {
-            let (mut payload, answering, slot, active) = held?;
+            let (mut payload, held) = held?;
             let next = limit::within(&state, deadline, payload.recv()).await;
             let fault = match next {
                 Ok(Some(Ok(chunk))) => {
-                    return Some((Ok(chunk), (state, Some((payload, answering, slot, active)))));
+                    return Some((Ok(chunk), (state, Some((payload, held)))));
                 }
                 Ok(None) => {
-                    state.metrics.done("service", answering.complete());
+                    state.metrics.done("service", held.0.complete());
                     return None;
                 }
                 Ok(Some(Err(error))) => {
-                    let outcome = answering.broken().end();
+                    let outcome = held.0.broken().end();
                     let fault = fault::new(Reason::UpstreamFailed, Step::Stream, outcome);
                     fault.with_detail(error.to_string())
                 }
-                Err(stop) => stop.fault(Step::Stream, answering.broken().end()),
+                Err(stop) => stop.fault(Step::Stream, held.0.broken().end()),
             };
             state.metrics.failed("service", &fault.failure);
             let error = io::Error::other(fault.failure.to_string());
--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -33,6 +33,8 @@
     pub body_timeout: clock::Span,
     /// How long an idle connection is kept.
     pub keep_alive: clock::Span,
+    /// How long a caller may take to read what is left of an answer after its deadline.
+    pub linger: clock::Span,
     /// Most dispatches of one request.
     pub attempts: u32,
     /// Batches of a streamed answer that wait for a slow caller before the engine has to wait.
@@ -49,6 +51,7 @@
             head_timeout: clock::Span::from_secs(5),
             body_timeout: clock::Span::from_secs(10),
             keep_alive: clock::Span::from_secs(75),
+            linger: clock::Span::from_secs(10),
             attempts: 6,
             stream_batches: 16,
         }
@@ -305,6 +308,7 @@
         head_timeout: read_span(reader, "head_timeout_ms", usual.head_timeout, 1_000, 600_000),
         body_timeout: read_span(reader, "body_timeout_ms", usual.body_timeout, 10, 600_000),
         keep_alive: read_span(reader, "keep_alive_ms", usual.keep_alive, 1_000, 3_600_000),
+        linger: read_span(reader, "linger_ms", usual.linger, 0, 3_600_000),
         attempts: u32::try_from(attempts).unwrap_or(usual.attempts),
         stream_batches: read_size(reader, "stream_batches", usual.stream_batches, 1, 4_096),
     }
--- a/crates/lagoon-net/tests/entry/stream.rs
+++ b/crates/lagoon-net/tests/entry/stream.rs
@@ -3,6 +3,7 @@
 use std::io::Read as _;
 use std::io::Write as _;
 
+use lagoon_net::entry;
 use lagoon_standin::engine;
 use rstest::rstest;
 
@@ -175,3 +176,26 @@
     assert!(!answer.contains("[DONE]"));
     host.finish();
 }
+
+// As above, but the caller never reads at all and keeps its connection. Its request failed at the
+// deadline, yet counted as under way until the caller closed, and a drain waited for it. Now the
+// connection is closed shortly after the deadline.
+#[test]
+fn a_caller_that_never_reads_is_cut_off() {
+    let fast = engine::Settings { decode_ms: 1.0, ..host::quick() };
+    let host = host::Host::start_with(vec![fast], true, |settings| {
+        let linger = std::time::Duration::from_millis(100);
+        let limits = entry::Limits { linger, ..settings.limits };
+        entry::Settings { limits, ..settings }
+    });
+    let mut stream = host.connect();
+    let call = host::completion("tin", 1_000_000, true);
+    let headers = "Lagoon-Deadline-Ms: 1500\r\n";
+    stream.write_all(&host::request("POST", "/v1/completions", headers, &call)).unwrap();
+    host::wait_until("the request is under way", || host.running.handle().active() > 0);
+    host::wait_until("nothing is under way", || host.running.handle().active() == 0);
+    host.finish();
+    let rest = host::read_all(&mut stream);
+    assert!(rest.contains("HTTP/1.1 200"), "{rest}");
+    assert!(!rest.contains("[DONE]"));
+}
