--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -11,4 +11,5 @@
 mod runner;
 mod service;
 mod settings;
+mod silence;
 mod stream;
