Life tests: one fuzz binary, shared scripts and faults; narrower excuse, own timer

Change: life_upkeep merged into life_fuzz: one runner, one Script for all machines, one table of mutations, one queue of faults for both fakes; life_drain is a table. What a caller hears at its deadline comes from the request's typestate, by a timer around each wait, and the oracle checks that callers of running hosts were told by then. Oversleep asks the key again elsewhere before the host wakes.

--- a/crates/lagoonline/tests/life_drain.rs
+++ b/crates/lagoonline/tests/life_drain.rs
@@ -4,52 +4,45 @@
 use lagoonline::life::drain::{Drain, Settings, State};
 use rstest::rstest;
 
-fn drain() -> Drain {
-    let mut drain =
-        Drain::new(Settings { unready: Span::from_secs(3), grace: Span::from_secs(100) });
-    assert!(drain.is_ready() && drain.accepts() && !drain.closes_connections());
-    assert_eq!(drain.signal(Moment::START, 2), State::Unready);
-    drain
-}
-
-/// The balancer goes on sending for two probes after the signal. Callers that it sends are served
-/// as before, their connections closed after the answer; nobody is reset or refused.
-#[test]
-fn serves_what_the_balancer_still_sends() {
-    let mut drain = drain();
-    assert!(!drain.is_ready() && drain.accepts() && drain.closes_connections());
-    assert_eq!(drain.tick(Moment::from_millis(2_999), 0), State::Unready);
-    assert_eq!(drain.tick(Moment::from_millis(3_000), 2), State::Draining);
-    assert!(!drain.accepts());
-}
+const UNREADY: Span = Span::from_secs(3);
+const GRACE: Span = Span::from_secs(100);
+const CUT: State = State::Ended { cut: true };
+const CLEAN: State = State::Ended { cut: false };
 
-/// A caller reads a long stream when the host is told to go. It gets the stream to its end; only
-/// then, and not before, does the process exit.
-#[test]
-fn waits_for_the_last_stream() {
-    let mut drain = drain();
-    assert_eq!(drain.tick(Moment::from_millis(99_999), 1), State::Draining);
-    assert_eq!(drain.tick(Moment::from_millis(99_999), 0), State::Ended { cut: false });
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    Tick,
+    Signal,
 }
 
-/// A stream outlasts the limit, or an operator insists by a second signal. Its caller hears a
-/// clear failure and the process exits; with nothing under way the end is clean.
+/// After the first signal, with two requests under way, a host is not ready, closes connections
+/// after their answers, and then:
+///
+/// - the balancer goes on sending for two probes; callers that it sends are served as before, and
+///   nobody is reset or refused;
+/// - a caller that reads a long stream gets it to its end; only then does the process exit;
+/// - a second signal ends it, with a clear failure to callers still served, and so does the limit,
+///   also where the host was never ticked between; what comes later changes nothing.
 #[rstest]
-#[case(2, true)]
-#[case(0, false)]
-fn second_signal_ends_it(#[case] open: usize, #[case] cut: bool) {
-    let mut drain = drain();
-    assert_eq!(drain.signal(Moment::from_millis(10), open), State::Ended { cut });
-    assert_eq!(drain.signal(Moment::from_millis(20), 9), State::Ended { cut });
-    assert_eq!(drain.tick(Moment::from_millis(30), 9), State::Ended { cut });
-}
-
-/// As above, by the limit; also where the host was never ticked between.
-#[test]
-fn limit_ends_it() {
-    let mut drain = drain();
-    assert_eq!(drain.tick(Moment::from_millis(100_000), 1), State::Ended { cut: true });
-    assert!(!drain.is_ready() && !drain.accepts() && drain.closes_connections());
+#[case::balancer(&[(2_999, Event::Tick, 0, State::Unready), (3_000, Event::Tick, 2, State::Draining)])]
+#[case::stream(&[(99_999, Event::Tick, 1, State::Draining), (99_999, Event::Tick, 0, CLEAN)])]
+#[case::insisted(&[(10, Event::Signal, 2, CUT), (20, Event::Signal, 9, CUT), (30, Event::Tick, 9, CUT)])]
+#[case::insisted_idle(&[(10, Event::Signal, 0, CLEAN), (20, Event::Signal, 9, CLEAN), (30, Event::Tick, 9, CLEAN)])]
+#[case::limit(&[(100_000, Event::Tick, 1, CUT)])]
+fn drains(#[case] events: &[(u64, Event, usize, State)]) {
+    let mut drain = Drain::new(Settings { unready: UNREADY, grace: GRACE });
+    assert!(drain.is_ready() && drain.accepts() && !drain.closes_connections());
+    assert_eq!(drain.signal(Moment::START, 2), State::Unready);
+    for &(millis, event, open, state) in events {
+        let now = Moment::from_millis(millis);
+        let reached = match event {
+            Event::Tick => drain.tick(now, open),
+            Event::Signal => drain.signal(now, open),
+        };
+        assert_eq!(reached, state, "after {event:?} at {millis} ms");
+        assert!(!drain.is_ready() && drain.closes_connections());
+        assert_eq!(drain.accepts(), state == State::Unready);
+    }
 }
 
 /// A host that was told nothing serves for ever.
--- a/crates/lagoonline/tests/life_fuzz/machine.rs
+++ b/crates/lagoonline/tests/life_fuzz/machine.rs
@@ -1,11 +1,10 @@
 //! The steps, and how each is carried out.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 
 use lagoonline::clock;
-use lagoonline::life::safeguard;
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
 
 use super::oracle;
 use super::platform::Fault;
@@ -37,7 +36,7 @@
     /// More than the retention passes.
     Retain,
     Sweep,
-    /// A host is paused until its rows are swept.
+    /// A host is paused until its rows are swept and one of its calls is asked for again elsewhere.
     Oversleep(usize),
     Damage(usize),
 }
@@ -45,7 +44,6 @@
 /// What a test run did.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Tally {
-    pub steps: u64,
     pub calls: u64,
     pub ran: u64,
     pub replayed: u64,
@@ -54,47 +52,29 @@
 }
 
 thread_local! {
-    static SAFEGUARDS: Cell<safeguard::Set> = Cell::new(safeguard::Set::default());
-    static TALLY: RefCell<Tally> = RefCell::new(Tally::default());
-}
-
-pub fn reset(safeguards: safeguard::Set) {
-    SAFEGUARDS.set(safeguards);
-    TALLY.replace(Tally::default());
+    static TALLY: Cell<Tally> = Cell::new(Tally::default());
 }
 
 pub fn tally() -> Tally {
-    TALLY.with_borrow(|tally| *tally)
+    TALLY.get()
 }
 
 fn count<F>(change: F)
 where
     F: FnOnce(&mut Tally),
 {
-    TALLY.with_borrow_mut(change);
+    let mut tally = TALLY.get();
+    change(&mut tally);
+    TALLY.set(tally);
 }
 
 fn fault() -> BoxedStrategy<Fault> {
-    prop_oneof![
-        Just(Fault::LoseAnswer),
-        Just(Fault::LoseRequest),
-        Just(Fault::Late),
-        Just(Fault::Refuse),
-    ]
-    .boxed()
+    let faults = [Fault::LoseAnswer, Fault::LoseRequest, Fault::Late, Fault::Refuse];
+    prop::sample::select(faults.to_vec()).boxed()
 }
 
-pub struct Script;
-
-impl ReferenceStateMachine for Script {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl super::Steps for Step {
+    fn steps() -> BoxedStrategy<Step> {
         let key = prop_oneof![1 => Just(None), 5 => (0..2_u8).prop_map(Some)];
         let body = prop_oneof![6 => Just(0_u8), 1 => Just(1_u8)];
         let never = prop::bool::weighted(0.8);
@@ -121,22 +101,20 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 pub struct Machine;
 
 impl StateMachineTest for Machine {
     type SystemUnderTest = World;
-    type Reference = Script;
+    type Reference = super::Script<Step>;
 
     fn init_test((): &()) -> World {
-        World::new(SAFEGUARDS.get())
+        World::new(super::safeguards())
     }
 
     fn apply(mut world: World, (): &(), step: Step) -> World {
-        count(|tally| tally.steps += 1);
+        super::count_step();
         carry_out(&mut world, step);
         world
     }
@@ -202,6 +180,7 @@
             world.paused[host] = true;
             retain(world);
             (0..4).for_each(|_| world.sweep());
+            world.ask_again(host);
         }
         Step::Sweep => world.sweep(),
         Step::Damage(pick) => outside.platform.damage(pick),
--- a/crates/lagoonline/tests/life_fuzz/main.rs
+++ b/crates/lagoonline/tests/life_fuzz/main.rs
@@ -1,27 +1,73 @@
-//! Stateful fuzzing of the claims: random calls, hosts and faults against records kept apart.
+//! Stateful fuzzing of claims, engine memory, leaving marks and streams against simple oracles.
 //!
 //! `LAGOON_FUZZ_CASES` and `LAGOON_FUZZ_SEED` change the number of cases and the seed.
 
 mod machine;
+mod marks;
+mod memory;
 mod oracle;
 mod platform;
 mod scenarios;
+mod streams;
 mod upstream;
 mod world;
 
-use std::env;
+use std::cell::Cell;
+use std::{env, fmt, marker, ops};
 
-use lagoonline::life::safeguard;
-use proptest::strategy::Strategy;
+use lagoonline::life::safeguard::{Safeguard, Set};
+use proptest::strategy::{BoxedStrategy, Just, Strategy};
 use proptest::test_runner;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
 use rstest::rstest;
 
-const CASES: u32 = 500;
 const SEED: u64 = 20_261_202;
-const STEPS: usize = 80;
+const CLAIM_STEPS: ops::Range<usize> = 20..80;
+const OTHER_STEPS: ops::Range<usize> = 20..120;
 /// Cases within which the absence of a safeguard must be noticed.
 const MUTANT_CASES: u32 = 6_000;
+const MUTANT_SHRINKS: u32 = 200;
+
+thread_local! {
+    static STEPS: Cell<u64> = const { Cell::new(0) };
+    static SAFEGUARDS: Cell<Set> = Cell::new(Set::default());
+}
+
+/// The safeguards of this test.
+fn safeguards() -> Set {
+    SAFEGUARDS.get()
+}
+
+fn count_step() {
+    STEPS.set(STEPS.get() + 1);
+}
+
+/// What a machine's steps are drawn from.
+pub trait Steps: Clone + fmt::Debug + 'static {
+    /// One step of any kind.
+    fn steps() -> BoxedStrategy<Self>;
+}
+
+/// Steps in any order: the oracles, not a reference state, say what holds.
+pub struct Script<S>(marker::PhantomData<S>);
+
+impl<S> ReferenceStateMachine for Script<S>
+where
+    S: Steps,
+{
+    type State = ();
+    type Transition = S;
+
+    fn init_state() -> BoxedStrategy<()> {
+        Just(()).boxed()
+    }
+
+    fn transitions((): &()) -> BoxedStrategy<S> {
+        S::steps()
+    }
+
+    fn apply((): (), _: &S) {}
+}
 
 fn number<N>(name: &str, default: N) -> N
 where
@@ -30,54 +76,105 @@
     env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-fn config(cases: u32) -> test_runner::Config {
-    test_runner::Config {
+fn run<M, S>(cases: u32, shrinks: u32, steps: ops::Range<usize>) -> Result<(), String>
+where
+    M: StateMachineTest<Reference = Script<S>>,
+    S: Steps,
+{
+    let config = test_runner::Config {
         cases,
         failure_persistence: None,
-        max_shrink_iters: 2_000,
+        max_shrink_iters: shrinks,
         rng_seed: test_runner::RngSeed::Fixed(number("LAGOON_FUZZ_SEED", SEED)),
         ..test_runner::Config::default()
-    }
+    };
+    let mut runner = test_runner::TestRunner::new(config.clone());
+    let strategy = M::Reference::sequential_strategy(steps);
+    let result = runner.run(&strategy, |(state, steps, seen)| {
+        M::test_sequential(config.clone(), state, steps, seen);
+        Ok(())
+    });
+    println!("{cases} cases at most, {} steps, {:?}", STEPS.get(), machine::tally());
+    result.map_err(|error| error.to_string())
 }
 
-fn run(config: test_runner::Config) -> Result<(), String> {
-    let strategy = machine::Script::sequential_strategy(20..STEPS);
-    let mut runner = test_runner::TestRunner::new(config.clone());
-    runner
-        .run(&strategy.prop_map(|case| case), |(state, steps, seen)| {
-            machine::Machine::test_sequential(config.clone(), state, steps, seen);
-            Ok(())
-        })
-        .map_err(|error| error.to_string())
+/// Whether all `usual` cases, or as many as were asked for, were run.
+fn holds<M, S>(usual: u32, steps: ops::Range<usize>) -> bool
+where
+    M: StateMachineTest<Reference = Script<S>>,
+    S: Steps,
+{
+    let cases = number("LAGOON_FUZZ_CASES", usual);
+    assert_eq!(run::<M, S>(cases, 2_000, steps), Ok(()));
+    assert!(cases < usual || STEPS.get() >= 10_000, "{} steps", STEPS.get());
+    cases >= usual
 }
 
 #[test]
 fn claims_hold_under_faults() {
-    let cases = number("LAGOON_FUZZ_CASES", CASES);
-    machine::reset(safeguard::Set::default());
-    let result = run(config(cases));
+    let is_full = holds::<machine::Machine, _>(500, CLAIM_STEPS);
     let tally = machine::tally();
-    println!("{cases} cases: {tally:?}");
-    assert_eq!(result, Ok(()));
-    assert!(cases < CASES || tally.steps >= 10_000, "{tally:?}");
-    assert!(cases < CASES || tally.ran > 500 && tally.replayed > 50, "{tally:?}");
+    assert!(!is_full || tally.ran > 500 && tally.replayed > 50, "{tally:?}");
+}
+
+#[test]
+fn memory_returns() {
+    holds::<memory::Machine, _>(300, OTHER_STEPS);
+}
+
+#[test]
+fn leaving_upstreams_get_nothing_new() {
+    holds::<marks::Machine, _>(300, OTHER_STEPS);
+}
+
+#[test]
+fn streams_are_whole() {
+    holds::<streams::Machine, _>(300, OTHER_STEPS);
 }
 
 #[rstest]
-#[case(safeguard::Safeguard::VersionCheck)]
-#[case(safeguard::Safeguard::ReadBack)]
-#[case(safeguard::Safeguard::BodyMatch)]
-#[case(safeguard::Safeguard::NoTakeover)]
-#[case(safeguard::Safeguard::UnknownKept)]
-#[case(safeguard::Safeguard::CustomerScope)]
-#[case(safeguard::Safeguard::AnswerCheck)]
-#[case(safeguard::Safeguard::DispatchDeadline)]
-#[case(safeguard::Safeguard::WriteDeadline)]
-#[case(safeguard::Safeguard::Settle)]
-fn oracle_notices_absent(#[case] missing: safeguard::Safeguard) {
-    machine::reset(safeguard::Set::without(missing));
-    let config = test_runner::Config { max_shrink_iters: 200, ..config(MUTANT_CASES) };
-    let result = run(config);
-    println!("{missing:?}: after {:?}", machine::tally());
+fn oracle_notices_absent(
+    #[values(
+        Safeguard::VersionCheck,
+        Safeguard::ReadBack,
+        Safeguard::BodyMatch,
+        Safeguard::NoTakeover,
+        Safeguard::UnknownKept,
+        Safeguard::CustomerScope,
+        Safeguard::AnswerCheck,
+        Safeguard::DispatchDeadline,
+        Safeguard::WriteDeadline,
+        Safeguard::Settle,
+        Safeguard::CancelRepeat,
+        Safeguard::OwnerSilence,
+        Safeguard::CutOffSweeper,
+        Safeguard::StaleMark
+    )]
+    missing: Safeguard,
+) {
+    SAFEGUARDS.set(Set::without(missing));
+    let result = match missing {
+        Safeguard::CancelRepeat | Safeguard::OwnerSilence | Safeguard::CutOffSweeper => {
+            run::<memory::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, OTHER_STEPS)
+        }
+        Safeguard::StaleMark => run::<marks::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, OTHER_STEPS),
+        _ => run::<machine::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, CLAIM_STEPS),
+    };
     assert!(result.is_err(), "no case noticed that {missing:?} was missing");
 }
+
+/// The checker's safeguards are its single checks: each is left out by the consumer in turn.
+#[rstest]
+fn oracle_notices_ignored(
+    #[values(
+        streams::Ignore::Crossed,
+        streams::Ignore::Repeated,
+        streams::Ignore::Gap,
+        streams::Ignore::Count
+    )]
+    ignore: streams::Ignore,
+) {
+    streams::ignore(ignore);
+    let result = run::<streams::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, OTHER_STEPS);
+    assert!(result.is_err(), "{ignore:?} was not missed");
+}
--- a/crates/lagoonline/tests/life_upkeep/marks.rs
+++ b/crates/lagoonline/tests/life_fuzz/marks.rs
@@ -4,7 +4,7 @@
 use lagoonline::life::leaving;
 use lagoonline::port::hosts;
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
 
 const HOSTS: usize = 2;
 
@@ -31,17 +31,8 @@
     words: Vec<leaving::Mark>,
 }
 
-pub struct Script;
-
-impl ReferenceStateMachine for Script {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl super::Steps for Step {
+    fn steps() -> BoxedStrategy<Step> {
         prop_oneof![
             1 => Just(Step::Leave),
             1 => Just(Step::Restart),
@@ -51,8 +42,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 fn upstream() -> id::Upstream {
@@ -115,7 +104,7 @@
 
 impl StateMachineTest for Machine {
     type SystemUnderTest = World;
-    type Reference = Script;
+    type Reference = super::Script<Step>;
 
     fn init_test((): &()) -> World {
         let first = leaving::Mark { incarnation: id::Incarnation(1), leaving: false };
--- a/crates/lagoonline/tests/life_upkeep/memory.rs
+++ b/crates/lagoonline/tests/life_fuzz/memory.rs
@@ -10,7 +10,7 @@
 use lagoonline::life::reap;
 use lagoonline::port::engine;
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
 
 const HOSTS: usize = 4;
 const ENGINES: usize = 2;
@@ -65,17 +65,8 @@
     returned: u64,
 }
 
-pub struct Script;
-
-impl ReferenceStateMachine for Script {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl super::Steps for Step {
+    fn steps() -> BoxedStrategy<Step> {
         prop_oneof![
             8 => (0..HOSTS, 0..ENGINES, 1..100_u64)
                 .prop_map(|(host, engine, bytes)| Step::Hold { host, engine, bytes }),
@@ -89,8 +80,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 fn name(engine: usize) -> id::Upstream {
@@ -216,7 +205,7 @@
 
 impl StateMachineTest for Machine {
     type SystemUnderTest = World;
-    type Reference = Script;
+    type Reference = super::Script<Step>;
 
     fn init_test((): &()) -> World {
         World::new()
--- a/crates/lagoonline/tests/life_fuzz/oracle.rs
+++ b/crates/lagoonline/tests/life_fuzz/oracle.rs
@@ -2,12 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use lagoonline::clock;
+use lagoonline::clock::{self, Clock as _};
 use lagoonline::life::claim;
 use lagoonline::outcome::Outcome;
 
 use super::upstream::Run;
-use super::world::{Case, Told, World};
+use super::world::{Case, Task, Told, World};
 
 /// A key may run again after its retention, which counts from a claim up to a deadline earlier.
 const KEPT: clock::Span = clock::Span::from_secs(23 * 3_600);
@@ -17,8 +17,9 @@
     let runs = world.outside.upstream.runs();
     check_once(&runs);
     for task in &world.tasks {
-        if let Some(told) = &*task.case.told.borrow() {
-            check_told(&task.case, told, &runs);
+        match &*task.case.told.borrow() {
+            Some(told) => check_told(&task.case, told, &runs),
+            None => check_waiting(world, task),
         }
     }
 }
@@ -38,6 +39,13 @@
     }
 }
 
+/// The caller of a host that runs hears by the deadline what the request's state says then.
+fn check_waiting(world: &World, task: &Task) {
+    let overdue = world.outside.clock.now() >= task.case.deadline;
+    let is_served = !task.crashed && !world.paused[task.case.host];
+    assert!(!(overdue && is_served), "told nothing by its deadline: {:?}", task.case.call);
+}
+
 fn check_told(case: &Case, told: &Told, runs: &[Run]) {
     let call = &case.call;
     let own = |run: &&Run| run.call.number == call.number;
@@ -70,8 +78,8 @@
     }
 }
 
-/// A call that may not repeat and was never dispatched may hold its key only if its host died meanwhile, or it
-/// overslept its patience.
+/// A call that may not repeat and was never dispatched may hold its key only if its host died
+/// meanwhile, its patience passed, or a sweep removed the row that shut out its late commit.
 fn check_row(world: &World, value: &str) {
     let record: claim::Record = serde_json::from_str(value).expect("a claim row");
     if !matches!(record.state, claim::State::Claimed { .. }) {
--- a/crates/lagoonline/tests/life_fuzz/platform.rs
+++ b/crates/lagoonline/tests/life_fuzz/platform.rs
@@ -1,12 +1,13 @@
 //! A fake table and object store whose calls stop before and after their effect.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::future;
 use std::rc::Rc;
 use std::task::Poll;
 
 use bytes::Bytes;
+use lagoonline::life::claim;
 use lagoonline::port::{objects, table};
 
 /// What happens to the next call.
@@ -19,15 +20,34 @@
     Refuse,
 }
 
+/// Faults to come, and how many came.
+#[derive(Default)]
+pub struct Faults {
+    pub queue: VecDeque<Fault>,
+    pub hit: u64,
+}
+
+impl Faults {
+    pub fn next(&mut self) -> Option<Fault> {
+        let fault = self.queue.pop_front();
+        self.hit += u64::from(fault.is_some());
+        fault
+    }
+}
+
+/// Takes one of what is late.
+pub fn take<L>(late: &mut Vec<L>, pick: usize) -> Option<L> {
+    (!late.is_empty()).then(|| late.remove(pick % late.len()))
+}
+
 #[derive(Default)]
 struct State {
     rows: BTreeMap<String, table::Row>,
     objects: BTreeMap<String, Bytes>,
     late: Vec<table::Transaction>,
-    faults: VecDeque<Fault>,
+    faults: Faults,
     down: bool,
     epoch: u64,
-    hit: u64,
 }
 
 #[derive(Clone, Default)]
@@ -77,18 +97,13 @@
     }
 
     fn fault(&mut self) -> Option<Fault> {
-        if self.down {
-            return Some(Fault::Refuse);
-        }
-        let fault = self.faults.pop_front();
-        self.hit += u64::from(fault.is_some());
-        fault
+        if self.down { Some(Fault::Refuse) } else { self.faults.next() }
     }
 }
 
 impl Platform {
     pub fn fault(&self, fault: Fault) {
-        self.0.borrow_mut().faults.push_back(fault);
+        self.0.borrow_mut().faults.queue.push_back(fault);
     }
 
     pub fn set_down(&self, down: bool) {
@@ -98,15 +113,13 @@
     pub fn heal(&self) {
         let mut state = self.0.borrow_mut();
         state.down = false;
-        state.faults.clear();
+        state.faults.queue.clear();
     }
 
     /// A late transaction takes effect, if its checks still hold.
     pub fn land(&self, pick: usize) {
         let mut state = self.0.borrow_mut();
-        if !state.late.is_empty() {
-            let index = pick % state.late.len();
-            let transaction = state.late.remove(index);
+        if let Some(transaction) = take(&mut state.late, pick) {
             // A check that fails by now is what it is for.
             let _ = state.apply(&transaction);
         }
@@ -131,8 +144,22 @@
         self.0.borrow().late.len()
     }
 
+    /// Tokens of late claims whose keys have rows, which they cannot replace.
+    pub fn late_over_rows(&self) -> BTreeSet<String> {
+        let state = self.0.borrow();
+        let changes = state.late.iter().flat_map(|transaction| &transaction.changes);
+        let token = |change: &table::Change| match change {
+            table::Change::Put { key, value } if state.rows.contains_key(key) => {
+                let record: claim::Record = serde_json::from_str(value).expect("a claim row");
+                Some(record.token)
+            }
+            _ => None,
+        };
+        changes.filter_map(token).collect()
+    }
+
     pub fn hit(&self) -> u64 {
-        self.0.borrow().hit
+        self.0.borrow().faults.hit
     }
 
     pub fn values(&self) -> Vec<String> {
@@ -187,10 +214,9 @@
     async fn commit(&self, transaction: table::Transaction) -> Result<Vec<u64>, table::Error> {
         let late = {
             let mut state = self.0.borrow_mut();
-            let late = !state.down && state.faults.front() == Some(&Fault::Late);
+            let late = !state.down && state.faults.queue.front() == Some(&Fault::Late);
             if late {
-                state.faults.pop_front();
-                state.hit += 1;
+                state.faults.next();
                 state.late.push(transaction.clone());
             }
             late
--- a/crates/lagoonline/tests/life_upkeep/streams.rs
+++ b/crates/lagoonline/tests/life_fuzz/streams.rs
@@ -5,7 +5,7 @@
 use lagoonline::id::Attempt;
 use lagoonline::life::stream::{Checker, Violation};
 use proptest::prelude::*;
-use proptest_state_machine::{ReferenceStateMachine, StateMachineTest};
+use proptest_state_machine::StateMachineTest;
 
 const OWN: Attempt = Attempt(1);
 const OTHER: Attempt = Attempt(2);
@@ -56,17 +56,8 @@
     told_whole: bool,
 }
 
-pub struct Script;
-
-impl ReferenceStateMachine for Script {
-    type State = ();
-    type Transition = Step;
-
-    fn init_state() -> BoxedStrategy<()> {
-        Just(()).boxed()
-    }
-
-    fn transitions((): &()) -> BoxedStrategy<Step> {
+impl super::Steps for Step {
+    fn steps() -> BoxedStrategy<Step> {
         prop_oneof![
             8 => (1..4_u64).prop_map(Step::Next),
             1 => (1..3_u64).prop_map(Step::Skip),
@@ -78,8 +69,6 @@
         ]
         .boxed()
     }
-
-    fn apply((): (), _: &Step) {}
 }
 
 fn is_ignored(violation: Violation) -> bool {
@@ -129,7 +118,7 @@
 
 impl StateMachineTest for Machine {
     type SystemUnderTest = World;
-    type Reference = Script;
+    type Reference = super::Script<Step>;
 
     fn init_test((): &()) -> World {
         let checker = Checker::new(OWN);
--- a/crates/lagoonline/tests/life_fuzz/upstream.rs
+++ b/crates/lagoonline/tests/life_fuzz/upstream.rs
@@ -1,13 +1,12 @@
 //! A fake upstream that records what ran.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use lagoonline::clock;
 
-use super::platform::{Fault, pause};
+use super::platform::{Fault, Faults, pause, take};
 use super::world::Call;
 
 /// One execution.
@@ -29,8 +28,7 @@
 struct State {
     runs: Vec<Run>,
     late: Vec<(Call, clock::Moment)>,
-    faults: VecDeque<Fault>,
-    hit: u64,
+    faults: Faults,
 }
 
 #[derive(Clone, Default)]
@@ -48,18 +46,16 @@
 
 impl Upstream {
     pub fn fault(&self, fault: Fault) {
-        self.0.borrow_mut().faults.push_back(fault);
+        self.0.borrow_mut().faults.queue.push_back(fault);
     }
 
     pub fn heal(&self) {
-        self.0.borrow_mut().faults.clear();
+        self.0.borrow_mut().faults.queue.clear();
     }
 
     pub fn land(&self, pick: usize) {
         let mut state = self.0.borrow_mut();
-        if !state.late.is_empty() {
-            let index = pick % state.late.len();
-            let (call, dispatched) = state.late.remove(index);
+        if let Some((call, dispatched)) = take(&mut state.late, pick) {
             state.run(&call, dispatched);
         }
     }
@@ -69,7 +65,7 @@
     }
 
     pub fn hit(&self) -> u64 {
-        self.0.borrow().hit
+        self.0.borrow().faults.hit
     }
 
     pub fn runs(&self) -> Vec<Run> {
@@ -80,9 +76,7 @@
         pause().await;
         let answer = {
             let mut state = self.0.borrow_mut();
-            let fault = state.faults.pop_front();
-            state.hit += u64::from(fault.is_some());
-            match fault {
+            match state.faults.next() {
                 None => Ok(state.run(call, dispatched)),
                 Some(Fault::Refuse) => Err(Failed::Refused),
                 Some(Fault::LoseRequest) => Err(Failed::Lost),
--- a/crates/lagoonline/tests/life_fuzz/world.rs
+++ b/crates/lagoonline/tests/life_fuzz/world.rs
@@ -1,8 +1,8 @@
 //! Entry hosts as tasks that go on only when the fuzz says so.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
-use std::future::Future;
+use std::future::{self, Future};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -13,10 +13,12 @@
 use lagoonline::life::{claim, request, safeguard};
 use lagoonline::{id, outcome};
 
-use super::platform::{Platform, pause};
+use super::platform::{Fault, Platform, pause};
 use super::upstream::{Failed, Upstream};
 
 pub const HOSTS: usize = 3;
+/// After so many an undisturbed call has run, and its answer is not stored yet.
+const POLLS: usize = 4;
 const DEADLINE: clock::Span = clock::Span::from_secs(10);
 
 /// What a caller sends.
@@ -43,7 +45,6 @@
     pub host: usize,
     pub deadline: clock::Moment,
     pub told: RefCell<Option<Told>>,
-    sent: Cell<bool>,
 }
 
 impl Case {
@@ -70,7 +71,7 @@
     pub token: id::Attempt,
     future: Option<Pin<Box<dyn Future<Output = ()>>>>,
     pub crashed: bool,
-    /// Time passed by more than its patience before it ended.
+    /// Its patience passed before it ended, or retention before its late commit landed.
     pub overslept: bool,
 }
 
@@ -115,7 +116,7 @@
         let ports = (outside.platform.clone(), outside.platform.clone(), outside.clock.clone());
         let claims = claim::Claims::new(ports.0, ports.1, ports.2, settings);
         let told = RefCell::new(None);
-        let case = Rc::new(Case { call, host, deadline, told, sent: Cell::new(false) });
+        let case = Rc::new(Case { call, host, deadline, told });
         let future = Box::pin(serve(claims, outside, Rc::clone(&case), token));
         self.tokens.insert(token.to_string(), self.tasks.len());
         self.tasks.push(Task {
@@ -141,6 +142,22 @@
         }
     }
 
+    /// A caller of the paused `host` goes to the next one and is being served there when `host`
+    /// wakes to hear that the upstream had refused.
+    pub fn ask_again(&mut self, host: usize) {
+        let open = |task: &&Task| task.future.is_some() && task.case.host == host;
+        let Some(call) = self.tasks.iter().find(open).map(|task| task.case.call.clone()) else {
+            return;
+        };
+        let number = u32::try_from(self.tasks.len()).expect("few calls");
+        self.call((host + 1) % HOSTS, Call { number, ..call });
+        if !self.paused[(host + 1) % HOSTS] {
+            (0..POLLS).for_each(|_| self.tasks[number as usize].step());
+        }
+        self.outside.upstream.fault(Fault::Refuse);
+        self.resume(host);
+    }
+
     pub fn is_idle(&self) -> bool {
         self.tasks.iter().all(|task| task.future.is_none())
     }
@@ -155,26 +172,19 @@
 
     pub fn resume(&mut self, host: usize) {
         self.paused[host] = false;
-        self.end_overdue();
+        self.wake_overdue();
     }
 
     pub fn advance(&mut self, span: clock::Span) {
         self.outside.clock.advance(span);
-        self.end_overdue();
+        self.wake_overdue();
     }
 
-    /// The timer of each running host: a caller hears by its deadline what is known.
-    fn end_overdue(&self) {
-        let now = self.outside.clock.now();
-        for task in &self.tasks {
-            let case = &task.case;
-            let due = now >= case.deadline && !self.paused[case.host] && !task.crashed;
-            if due && case.sent.get() {
-                case.tell(outcome::Outcome::Unknown, None, false);
-            } else if due {
-                case.tell(outcome::Outcome::NotRun, None, false);
-            }
-        }
+    /// Timers of running hosts wake what is overdue.
+    fn wake_overdue(&mut self) {
+        let (now, paused) = (self.outside.clock.now(), self.paused);
+        let due = |task: &&mut Task| now >= task.case.deadline && !paused[task.case.host];
+        self.tasks.iter_mut().filter(due).for_each(Task::step);
     }
 
     pub fn oversleep(&mut self) {
@@ -183,23 +193,20 @@
         }
     }
 
-    /// Retention may remove the row that shuts out a late commit. The key is then held until
-    /// retention ends once more: a stated limit, so these calls are excused from that check.
-    fn excuse_late(&mut self) {
-        if self.outside.platform.late() > 0 {
-            for task in &mut self.tasks {
-                task.overslept = true;
-            }
-        }
-    }
-
+    /// A sweep that removes the row which shuts out a late commit of a claim lets that commit hold
+    /// the key for one more retention: a stated limit, so these calls, and no others, are excused.
     pub fn sweep(&mut self) {
-        self.excuse_late();
+        let before = self.outside.platform.late_over_rows();
         let now = self.outside.clock.wall_millis();
         let platform = self.outside.platform.clone();
         let mut step = Box::pin(self.sweeper.step(&platform, now));
         // A lost answer only delays the sweep.
         while poll(step.as_mut()).is_pending() {}
+        drop(step);
+        let after = platform.late_over_rows();
+        for token in before.difference(&after) {
+            self.tasks[self.tokens[token]].overslept = true;
+        }
     }
 }
 
@@ -219,6 +226,19 @@
     future.poll(&mut Context::from_waker(&noop_waker()))
 }
 
+/// The entry host's timer: `None` at the deadline, as `work` stands then.
+async fn within<F>(outside: &Outside, case: &Case, mut work: Pin<&mut F>) -> Option<F::Output>
+where
+    F: Future,
+{
+    let timed = future::poll_fn(|context| match work.as_mut().poll(context) {
+        Poll::Ready(output) => Poll::Ready(Some(output)),
+        Poll::Pending if outside.clock.now() >= case.deadline => Poll::Ready(None),
+        Poll::Pending => Poll::Pending,
+    });
+    timed.await
+}
+
 /// What the entry host's adapter does with one call.
 async fn serve(claims: Claims, outside: Outside, case: Rc<Case>, token: id::Attempt) {
     let Some(key) = case.call.key else {
@@ -235,11 +255,20 @@
         deadline: case.deadline,
         wall_ms: outside.clock.wall_millis(),
     };
-    let mut begun = claims.begin(ask.clone()).await;
-    if let Ok(claim::Begin::Running(running)) = &begun {
-        // This fake engine keeps no streams to resume.
-        begun = claims.take_over(ask, running).await;
+    let mut begin = Box::pin(async {
+        match claims.begin(ask.clone()).await {
+            // This fake engine keeps no streams to resume.
+            Ok(claim::Begin::Running(running)) => claims.take_over(ask, &running).await,
+            begun => begun,
+        }
+    });
+    let mut begun = within(&outside, &case, begin.as_mut()).await;
+    if begun.is_none() {
+        case.tell(request::Held::new(repeat(&case.call)).end(), None, false);
+        begun = Some(begin.as_mut().await);
     }
+    drop(begin);
+    let Some(begun) = begun else { return };
     match begun {
         Ok(claim::Begin::Run(ticket)) => claimed(&claims, &outside, &case, ticket).await,
         Ok(claim::Begin::Replay(answer)) => {
@@ -283,17 +312,24 @@
             }
         };
         outside.dispatched.borrow_mut().insert(sent.token());
-        case.sent.set(true);
         let attempt = id::Attempt(u128::from(held.attempts()));
         let dispatched = held.dispatch(attempt);
-        match outside.upstream.call(&case.call, now).await {
+        let mut call = Box::pin(outside.upstream.call(&case.call, now));
+        let Some(result) = within(outside, case, call.as_mut()).await else {
+            case.tell(dispatched.lost().end(), None, false);
+            return match call.await {
+                Ok(body) => finish(claims, sent, body).await,
+                Err(Failed::Refused) => settle(claims, claims.release(sent.refused()).await).await,
+                Err(Failed::Lost) => claims.lose(sent).await,
+            };
+        };
+        match result {
             Ok(body) => {
                 let outcome = dispatched.answering().complete();
                 case.tell(outcome, Some(body.clone()), false);
                 return finish(claims, sent, body).await;
             }
             Err(Failed::Refused) => {
-                case.sent.set(false);
                 held = dispatched.refused();
                 ticket = sent.refused();
             }
@@ -327,17 +363,19 @@
         if now >= case.deadline || held.attempts() >= 2 {
             return case.tell(held.end(), None, false);
         }
-        case.sent.set(true);
         let attempt = id::Attempt(u128::from(held.attempts()));
         let dispatched = held.dispatch(attempt);
-        match outside.upstream.call(&case.call, now).await {
+        let mut call = Box::pin(outside.upstream.call(&case.call, now));
+        let Some(result) = within(outside, case, call.as_mut()).await else {
+            case.tell(dispatched.lost().end(), None, false);
+            // The upstream does not hear that its caller left.
+            return drop(call.await);
+        };
+        match result {
             Ok(body) => {
                 return case.tell(dispatched.answering().complete(), Some(body), false);
             }
-            Err(Failed::Refused) => {
-                held = dispatched.refused();
-                case.sent.set(held.attempts() > 1);
-            }
+            Err(Failed::Refused) => held = dispatched.refused(),
             Err(Failed::Lost) => match dispatched.lost().again() {
                 Ok(again) => held = again,
                 Err(outcome) => return case.tell(outcome, None, false),
--- a/crates/lagoonline/tests/life_regressions.rs
+++ b/crates/lagoonline/tests/life_regressions.rs
@@ -5,6 +5,15 @@
 use lagoonline::life::{leaving, reap};
 use lagoonline::port::engine;
 
+fn owner(text: &str) -> Owner {
+    text.parse().expect("an owner")
+}
+
+fn stream_of(owner: &str) -> engine::Holding {
+    let (id, owner, kind) = ("s".into(), owner.into(), engine::Kind::Stream);
+    engine::Holding { id, owner, kind, bytes: 1, expires_ms: 1 }
+}
+
 /// Callers get `no upstream` although an engine is in service. The engine refuses as leaving
 /// before any life of it is known, its life is then named with the mark, and it restarts: the new
 /// life took on the old refusal as well, because the first naming did not use it up.
@@ -23,15 +32,8 @@
 /// start knows the other host only by its stream; half of two hosts heard was taken for enough.
 #[test]
 fn a_sweeper_that_hears_only_itself_releases_nothing() {
-    let owner = |text: &str| text.parse::<Owner>().expect("an owner");
     let mut sweep = reap::Sweep::new(reap::Settings::default());
-    let holding = engine::Holding {
-        id: "a".into(),
-        owner: "other/1".into(),
-        kind: engine::Kind::Stream,
-        bytes: 1,
-        expires_ms: 1,
-    };
+    let holding = stream_of("other/1");
     let mut now = Moment::START;
     for _ in 0..300 {
         now = now + Span::from_secs(1);
@@ -46,19 +48,12 @@
 /// cut off, still counted as heard.
 #[test]
 fn hosts_fall_silent_together() {
-    let owner = |text: &str| text.parse::<Owner>().expect("an owner");
     let mut sweep = reap::Sweep::new(reap::Settings::default());
     let hosts = ["own/1", "a/1", "b/1", "c/1"];
     for (host, millis) in hosts.iter().zip([900, 100, 500, 900]) {
         sweep.heard(&owner(host), Moment::from_millis(millis));
     }
-    let holding = engine::Holding {
-        id: "s".into(),
-        owner: "a/1".into(),
-        kind: engine::Kind::Stream,
-        bytes: 1,
-        expires_ms: 1,
-    };
+    let holding = stream_of("a/1");
     for tenths in 10..900 {
         let now = Moment::from_millis(tenths * 100);
         sweep.heard(&owner("own/1"), now);
