Examples: entry hosts, stewards and three teams for each fleet, and a script that starts them

Cause: only stand-ins and one section a fleet had example settings; nobody could start a fleet. Change: examples/{lakeshore,vatuwaqa}: 9 and 8 entry hosts over three zones, a steward each, three teams, lagoonctl's settings; examples/fleet.sh starts and ends them by process id; docs/RUNNING.md with its real output. The example test moves to lagoon-load, whose dependencies have every parser, and now checks entry, steward and operator settings, addresses and the whole-document check too. ntex's lines at start are held back below warnings: 20 of an entry host's 24 lines were theirs.

--- /dev/null
+++ b/crates/lagoon-load/tests/examples.rs
@@ -0,0 +1,121 @@
+//! The example settings parse by the parsers of their programs, fit together, and have the sizes
+//! that they stand for.
+
+use std::collections;
+use std::fs;
+use std::net;
+use std::path;
+
+use lagoon_net::{entry, operator, steward};
+use lagoon_standin::fleet;
+use lagoonline::control::document;
+use lagoonline::{check, id};
+use rstest::rstest;
+
+struct Example {
+    folder: path::PathBuf,
+    stand_ins: fleet::Settings,
+    entries: Vec<entry::Settings>,
+    stewards: Vec<steward::Settings>,
+}
+
+impl Example {
+    fn read(name: &str) -> Example {
+        let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples");
+        let folder = root.join(name);
+        let text = fs::read_to_string(folder.join("standin.json")).unwrap();
+        let stand_ins = fleet::Settings::parse(&text).unwrap();
+        let mut example = Example { folder, stand_ins, entries: Vec::new(), stewards: Vec::new() };
+        for host in fs::read_dir(example.folder.join("hosts")).unwrap() {
+            let host = host.unwrap().path();
+            example.entries.push(entry::Settings::load(&host.join("entry.json")).unwrap());
+            let text = fs::read_to_string(host.join("steward.json")).unwrap();
+            example.stewards.push(check::parse(&text, steward::Settings::read).unwrap());
+        }
+        example
+    }
+
+    fn section(&self, team: &str) -> document::Section {
+        let file = self.folder.join(format!("section-{team}.json"));
+        let text = fs::read_to_string(file).unwrap();
+        document::Section::parse(id::Team::from(team), id::Version(1), &text).unwrap()
+    }
+
+    /// Every address that something listens at.
+    fn addresses(&self) -> Vec<net::SocketAddr> {
+        let stand_ins = &self.stand_ins;
+        let mut addresses = vec![stand_ins.platform.as_ref().unwrap().address];
+        addresses.extend(stand_ins.engines.iter().map(|engine| engine.address));
+        addresses.extend(stand_ins.services.iter().map(|service| service.address));
+        addresses.extend(self.entries.iter().map(|entry| entry.listen));
+        addresses.extend(self.stewards.iter().map(|steward| steward.listen));
+        addresses
+    }
+}
+
+#[rstest]
+#[case("lakeshore", 9, 25)]
+#[case("vatuwaqa", 8, 20)]
+fn an_example_fleet_fits_together(
+    #[case] name: &str,
+    #[case] hosts: usize,
+    #[case] engines: usize,
+) {
+    let example = Example::read(name);
+    let Example { stand_ins, entries, stewards, .. } = &example;
+    assert_eq!((entries.len(), stewards.len()), (hosts, hosts));
+    assert_eq!((stand_ins.engines.len(), stand_ins.services.len()), (engines, 3));
+    for (entry, steward) in entries.iter().zip(stewards) {
+        assert_eq!((&entry.host, &entry.zone), (&steward.host, &steward.zone));
+        assert_eq!(entry.steward, Some(steward.listen));
+        let platform = stand_ins.platform.as_ref().unwrap().address;
+        assert_eq!(entry.platform.as_ref().unwrap().address, platform);
+        assert_eq!(steward.platform.as_ref().unwrap().address, platform);
+        let zone = entries.iter().filter(|other| other.zone == entry.zone).count();
+        assert_eq!(entry.load.hosts_in_zone as usize, zone);
+    }
+    let addresses = example.addresses();
+    let distinct: collections::HashSet<_> = addresses.iter().collect();
+    assert_eq!(distinct.len(), addresses.len());
+    assert!(addresses.iter().all(|address| address.ip().is_loopback()));
+}
+
+#[rstest]
+#[case("lakeshore", &["assessment", "register", "planning"])]
+#[case("vatuwaqa", &["labels", "pickup", "audits"])]
+fn example_sections_pass_the_whole_check_one_after_the_other(
+    #[case] name: &str,
+    #[case] teams: &[&str],
+) {
+    let example = Example::read(name);
+    let mut stored: Vec<document::Section> = Vec::new();
+    for team in teams {
+        let section = example.section(team);
+        document::check_whole(&stored, &section).unwrap();
+        stored.push(section);
+    }
+    let customers: usize = stored.iter().map(|section| section.body.customers.len()).sum();
+    assert_eq!(customers, 10);
+    let upstreams: Vec<_> =
+        stored.iter().flat_map(|section| section.body.upstreams.values()).collect();
+    assert_eq!(upstreams.len(), example.stand_ins.engines.len() + 3);
+    let zones: collections::BTreeSet<_> = example.entries.iter().map(|entry| &entry.zone).collect();
+    for upstream in upstreams {
+        assert!(example.addresses().contains(&upstream.address));
+        assert!(zones.contains(&upstream.zone));
+    }
+}
+
+#[rstest]
+#[case("lakeshore")]
+#[case("vatuwaqa")]
+fn an_example_operator_reaches_the_fleet(#[case] name: &str) {
+    let example = Example::read(name);
+    let text = fs::read_to_string(example.folder.join("lagoonctl.json")).unwrap();
+    let settings = check::parse(&text, operator::Settings::read).unwrap();
+    assert_eq!(settings.stewards.len(), 3);
+    for address in &settings.stewards {
+        let steward = example.stewards.iter().find(|steward| steward.listen == *address).unwrap();
+        assert_eq!(steward.operator_keys.len(), 1);
+    }
+}
--- a/crates/lagoon-net/src/logs.rs
+++ b/crates/lagoon-net/src/logs.rs
@@ -50,6 +50,10 @@
     }
 }
 
+/// Libraries that log each worker and setting at their start: of no use to whoever runs a host.
+const CHATTY: [&str; 6] =
+    ["ntex", "ntex_net", "ntex_rt", "ntex_server", "ntex_service", "ntex_util"];
+
 /// Starts the logs of the process; lines carry time in milliseconds, level, program and text.
 ///
 /// # Errors
@@ -63,7 +67,10 @@
         let millis = began.elapsed().as_millis();
         out.finish(format_args!("{millis} {} {program} {text}", record.level()));
     };
-    let dispatch = fern::Dispatch::new().format(layout).level(settings.level);
+    let mut dispatch = fern::Dispatch::new().format(layout).level(settings.level);
+    for library in CHATTY {
+        dispatch = dispatch.level_for(library, settings.level.min(log::LevelFilter::Warn));
+    }
     let dispatch = match &settings.target {
         Target::Stderr => dispatch.chain(io::stderr()),
         Target::File(path) => dispatch.chain(fern::log_file(path)?),
