lagoon-load soak: callers, fault switches and checks against real processes

Callers and checks are lagoon-trys; a caller with a key that is told nothing asks once more elsewhere.

--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -10,6 +10,9 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::world;
+use lagoon_load::soak;
+use lagoon_net::logs;
+use lagoonline::check;
 use lagoonline::clock;
 use lagoonline::load;
 
@@ -24,6 +27,20 @@
 #[argh(subcommand)]
 enum Command {
     Bench(Bench),
+    Soak(Soak),
+}
+
+/// Callers and fault switches against a running fleet of processes. Exit code: 0 only if every
+/// check held.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "soak")]
+struct Soak {
+    /// settings file (JSON)
+    #[argh(option)]
+    settings: path::PathBuf,
+    /// print one JSON object
+    #[argh(switch)]
+    json: bool,
 }
 
 /// The decisions under load before fake engines, in virtual time.
@@ -75,17 +92,34 @@
 
 fn main() -> process::ExitCode {
     let args: Args = argh::from_env();
-    let Command::Bench(bench) = args.command;
-    match run(&bench) {
-        Ok(()) => process::ExitCode::SUCCESS,
+    let result = match args.command {
+        Command::Bench(bench) => run(&bench).map(|()| true),
+        Command::Soak(soak) => run_soak(&soak),
+    };
+    match result {
+        Ok(true) => process::ExitCode::SUCCESS,
+        Ok(false) => process::ExitCode::FAILURE,
         Err(error) => {
             eprintln!("lagoon-load: {error}");
-            let usage = error.downcast_ref::<Unknown>().is_some();
+            let usage = error.is::<Unknown>() || error.is::<check::Faults>();
             process::ExitCode::from(if usage { 2 } else { 1 })
         }
     }
 }
 
+/// Whether every check held.
+fn run_soak(soak: &Soak) -> Result<bool, Box<dyn error::Error>> {
+    let settings = check::parse(&fs::read_to_string(&soak.settings)?, soak::Settings::read)?;
+    logs::start(&logs::Settings::default(), "lagoon-load")?;
+    let report = soak::run(&settings)?;
+    if soak.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(report.holds)
+}
+
 fn run(bench: &Bench) -> Result<(), Box<dyn error::Error>> {
     let scenarios = scenarios(&bench.scenario)?;
     let policies = policies(&bench.policy)?;
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,4 +1,5 @@
 //! lagoon-load: load and experiment tools.
 
 pub mod bench;
+pub mod soak;
 pub mod trial;
--- a/crates/lagoon-load/src/trial/caller.rs
+++ b/crates/lagoon-load/src/trial/caller.rs
@@ -2,6 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net;
+use std::sync;
 use std::sync::atomic;
 use std::time;
 
@@ -9,7 +10,6 @@
 use ntex::client;
 use serde_json::Value;
 
-use super::fleet;
 use super::plan;
 
 /// Longest wait beyond a call's deadline: a call that has not ended by then has no clear end.
@@ -19,20 +19,34 @@
 /// Longest answer that is read whole.
 const ANSWER_LIMIT: usize = 1 << 20;
 
+/// What callers ask for, and as whom.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Target {
+    /// Keys of the customers.
+    pub(crate) keys: Vec<String>,
+    /// The model.
+    pub(crate) model: String,
+    /// Path of the service call that may not run twice.
+    pub(crate) booking: String,
+    /// Whether a caller with an idempotency key that was told nothing asks once more elsewhere.
+    pub(crate) again: bool,
+}
+
 /// Stands for the platform's balancer: sends calls to the entry hosts that say they are ready.
 #[derive(Debug)]
-pub(super) struct Balancer {
+pub(crate) struct Balancer {
     hosts: Vec<(net::SocketAddr, atomic::AtomicBool)>,
+    target: sync::Arc<Target>,
 }
 
 impl Balancer {
-    pub(super) fn new(hosts: Vec<net::SocketAddr>) -> Self {
+    pub(crate) fn new(hosts: Vec<net::SocketAddr>, target: Target) -> Self {
         let ready = |address| (address, atomic::AtomicBool::new(true));
-        Balancer { hosts: hosts.into_iter().map(ready).collect() }
+        Balancer { hosts: hosts.into_iter().map(ready).collect(), target: sync::Arc::new(target) }
     }
 
     /// Checks each host's readiness.
-    pub(super) fn look(&self) {
+    pub(crate) fn look(&self) {
         for (address, ready) in &self.hosts {
             ready.store(is_ready(*address), atomic::Ordering::Relaxed);
         }
@@ -48,7 +62,7 @@
 }
 
 /// Whether the entry host at `address` says that it is ready.
-pub(super) fn is_ready(address: net::SocketAddr) -> bool {
+pub(crate) fn is_ready(address: net::SocketAddr) -> bool {
     let ask = || {
         let mut stream = net::TcpStream::connect_timeout(&address, CHECK)?;
         stream.set_read_timeout(Some(CHECK))?;
@@ -62,7 +76,7 @@
 
 /// How what came compares with the answer that belongs to the call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Content {
+pub(crate) enum Content {
     /// All of it.
     Whole,
     /// Its beginning, or nothing.
@@ -73,39 +87,48 @@
 
 /// What a caller saw of one call.
 #[derive(Clone, Debug)]
-pub(super) struct Told {
-    pub(super) call: plan::Call,
+pub(crate) struct Told {
+    pub(crate) call: plan::Call,
+    /// Entry host that it was asked at last.
+    pub(crate) host: net::SocketAddr,
+    /// When the call was made.
+    pub(crate) made: time::SystemTime,
+    /// What was seen of a first try that told nothing, where the caller asked again.
+    pub(crate) first: Option<Box<Told>>,
     /// The outcome, when the caller was told one.
-    pub(super) outcome: Option<String>,
+    pub(crate) outcome: Option<String>,
     /// The error's code, or what the caller saw instead.
-    pub(super) code: String,
-    pub(super) content: Content,
+    pub(crate) code: String,
+    pub(crate) content: Content,
     /// Time to first token, of streamed answers.
-    pub(super) first_token: Option<time::Duration>,
+    pub(crate) first_token: Option<time::Duration>,
     /// Times between tokens, of streamed answers.
-    pub(super) gaps: Vec<time::Duration>,
-    pub(super) took: time::Duration,
+    pub(crate) gaps: Vec<time::Duration>,
+    pub(crate) took: time::Duration,
 }
 
 /// Makes `calls`, each at its time after `began`; returns when all have ended.
-pub(super) fn run(began: time::Instant, balancer: &Balancer, calls: Vec<plan::Call>) -> Vec<Told> {
+pub(crate) fn run(began: time::Instant, balancer: &Balancer, calls: Vec<plan::Call>) -> Vec<Told> {
     let hosts: Vec<_> = balancer.hosts.iter().map(|host| host.0).collect();
     let system = ntex::rt::System::new("callers", ntex::rt::DefaultRuntime);
     // What runs on the system must own what it uses; the balancer's view is read when a call is
     // made, on this thread, and only the address chosen then moves into the call's task.
-    let (sender, receiver) = std::sync::mpsc::channel::<(plan::Call, net::SocketAddr)>();
+    let (sender, receiver) = std::sync::mpsc::channel::<(plan::Call, [net::SocketAddr; 2])>();
+    let target = balancer.target.clone();
     std::thread::scope(|scope| {
         scope.spawn(move || {
             for call in calls {
                 let wait = (began + call.at).saturating_duration_since(time::Instant::now());
                 std::thread::sleep(wait);
-                let address = balancer.pick(call.draw / fleet::CUSTOMERS);
-                if sender.send((call, address)).is_err() {
+                let customers = u32::try_from(balancer.target.keys.len()).unwrap_or(1);
+                let draw = call.draw / customers.max(1);
+                let hosts = [balancer.pick(draw), balancer.pick(draw.wrapping_add(1))];
+                if sender.send((call, hosts)).is_err() {
                     return;
                 }
             }
         });
-        system.block_on(serve(receiver, hosts.len()))
+        system.block_on(serve(receiver, target, hosts.len()))
     })
 }
 
@@ -113,16 +136,17 @@
 const TICK: time::Duration = time::Duration::from_millis(1);
 
 async fn serve(
-    due: std::sync::mpsc::Receiver<(plan::Call, net::SocketAddr)>,
+    due: std::sync::mpsc::Receiver<(plan::Call, [net::SocketAddr; 2])>,
+    target: sync::Arc<Target>,
     hosts: usize,
 ) -> Vec<Told> {
     let client = new_client(hosts).await;
     let mut tasks = Vec::new();
     loop {
         match due.try_recv() {
-            Ok((call, address)) => {
-                let client = client.clone();
-                tasks.push(ntex::rt::spawn(async move { make(client, address, call).await }));
+            Ok((call, hosts)) => {
+                let (client, target) = (client.clone(), target.clone());
+                tasks.push(ntex::rt::spawn(async move { ask(client, target, hosts, call).await }));
             }
             Err(std::sync::mpsc::TryRecvError::Empty) => ntex::time::sleep(TICK).await,
             Err(std::sync::mpsc::TryRecvError::Disconnected) => break,
@@ -150,9 +174,32 @@
     }
 }
 
-async fn make(client: client::Client, address: net::SocketAddr, call: plan::Call) -> Told {
+async fn ask(
+    client: client::Client,
+    target: sync::Arc<Target>,
+    [host, other]: [net::SocketAddr; 2],
+    call: plan::Call,
+) -> Told {
+    let keyed = matches!(call.ask, plan::Ask::Booking { keyed: true });
+    let told = make(&client, &target, host, call).await;
+    if told.outcome.is_some() || !keyed || !target.again {
+        return told;
+    }
+    let again = make(&client, &target, other, told.call.clone()).await;
+    Told { first: Some(Box::new(told)), ..again }
+}
+
+async fn make(
+    client: &client::Client,
+    target: &Target,
+    address: net::SocketAddr,
+    call: plan::Call,
+) -> Told {
     let began = time::Instant::now();
     let mut told = Told {
+        host: address,
+        made: time::SystemTime::now(),
+        first: None,
         outcome: None,
         code: "no_end".to_owned(),
         content: Content::Part,
@@ -162,7 +209,7 @@
         call,
     };
     let patience = told.call.deadline + PATIENCE;
-    let ended = tokio::time::timeout(patience, exchange(&client, address, &mut told, began)).await;
+    let ended = tokio::time::timeout(patience, exchange(client, target, &mut told, began)).await;
     if let Ok(Err(seen)) = ended {
         told.code = seen;
     }
@@ -172,17 +219,19 @@
 
 fn request(
     client: &client::Client,
+    target: &Target,
     address: net::SocketAddr,
     call: &plan::Call,
 ) -> client::ClientRequest {
     let path = match call.ask {
         plan::Ask::Model { .. } => "v1/completions",
-        plan::Ask::Booking { .. } => "services/pickup/bookings",
+        plan::Ask::Booking { .. } => &target.booking,
     };
+    let key = &target.keys[call.draw as usize % target.keys.len()];
     let request = client
         .post(format!("http://{address}/{path}"))
         .header("Content-Type", "application/json")
-        .header("Authorization", format!("Bearer {}", fleet::customer(call.draw)))
+        .header("Authorization", format!("Bearer {key}"))
         .header("Lagoon-Deadline-Ms", call.deadline.as_millis().to_string());
     match call.ask {
         plan::Ask::Booking { keyed: true } => {
@@ -192,10 +241,11 @@
     }
 }
 
-fn body(call: &plan::Call, prompt: &str) -> String {
+fn body(target: &Target, call: &plan::Call, prompt: &str) -> String {
     match call.ask {
         plan::Ask::Model { answer, stream, .. } => format!(
-            "{{\"model\":\"label\",\"max_tokens\":{answer},\"stream\":{stream},\"prompt\":\"{prompt}\"}}"
+            "{{\"model\":\"{}\",\"max_tokens\":{answer},\"stream\":{stream},\"prompt\":\"{prompt}\"}}",
+            target.model
         ),
         plan::Ask::Booking { .. } => call.booking(),
     }
@@ -208,14 +258,14 @@
 /// What the caller saw in place of an HTTP answer.
 async fn exchange(
     client: &client::Client,
-    address: net::SocketAddr,
+    target: &Target,
     told: &mut Told,
     began: time::Instant,
 ) -> Result<(), String> {
     let prompt = told.call.prompt();
     let expected = prompt::Prompt::new(&prompt).hash;
-    let request = request(client, address, &told.call);
-    let answer = request.send_body(body(&told.call, &prompt)).await;
+    let request = request(client, target, told.host, &told.call);
+    let answer = request.send_body(body(target, &told.call, &prompt)).await;
     drop(prompt);
     let answer = answer.map_err(|error| format!("no_answer: {error}"))?;
     let header = answer.headers().get("lagoon-outcome").and_then(|value| value.to_str().ok());
--- a/crates/lagoon-load/src/trial/fleet.rs
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -12,18 +12,20 @@
 use serde_json::json;
 use sha2::Digest;
 
+use super::caller;
+
 /// Availability zones.
-pub(super) const ZONES: [&str; 3] = ["suva", "nausori", "lautoka"];
+pub(crate) const ZONES: [&str; 3] = ["suva", "nausori", "lautoka"];
 /// Entry hosts of each zone.
-pub(super) const HOSTS: usize = 2;
+pub(crate) const HOSTS: usize = 2;
 /// Engines of each zone.
-pub(super) const ENGINES: usize = 3;
+pub(crate) const ENGINES: usize = 3;
 /// Replicas of the booking service in each zone.
 const REPLICAS: usize = 1;
 /// Customers; each one's key is its name.
-pub(super) const CUSTOMERS: u32 = 10;
+pub(crate) const CUSTOMERS: u32 = 10;
 /// Engine seconds that pass in a real one, so that a million tokens fit a short run.
-pub(super) const TIME_SCALE: f64 = 4.0;
+pub(crate) const TIME_SCALE: f64 = 4.0;
 /// Tokens that an engine prefills in an engine second.
 const PREFILL_RATE: f64 = 50_000.0;
 /// KV memory of one engine, in tokens: the longest prompts are more than twice that.
@@ -34,21 +36,21 @@
 const READY: time::Duration = time::Duration::from_secs(10);
 
 /// Running parts.
-pub(super) struct Fleet {
-    pub(super) stand_ins: fleet::Fleet,
-    pub(super) entries: Vec<entry::Running>,
+pub(crate) struct Fleet {
+    pub(crate) stand_ins: fleet::Fleet,
+    pub(crate) entries: Vec<entry::Running>,
     stewards: Vec<steward::Running>,
 }
 
 /// What the stand-ins say they did.
 #[derive(Debug, Default)]
-pub(super) struct Record {
+pub(crate) struct Record {
     /// Hashes of prompts that an engine accepted.
-    pub(super) prompts: collections::BTreeSet<u64>,
+    pub(crate) prompts: collections::BTreeSet<u64>,
     /// How often each body ran at the booking service.
-    pub(super) bookings: collections::BTreeMap<String, u64>,
+    pub(crate) bookings: collections::BTreeMap<String, u64>,
     /// KV memory not returned, in bytes.
-    pub(super) bytes_left: u64,
+    pub(crate) bytes_left: u64,
 }
 
 fn hex(text: &str) -> String {
@@ -56,12 +58,22 @@
 }
 
 /// Name of a customer; also its caller key.
-pub(super) fn customer(draw: u32) -> String {
+pub(crate) fn customer(draw: u32) -> String {
     format!("crew-{}", draw % CUSTOMERS)
 }
 
+/// What callers of the trial ask for.
+pub(crate) fn target() -> caller::Target {
+    caller::Target {
+        keys: (0..CUSTOMERS).map(customer).collect(),
+        model: "label".to_owned(),
+        booking: "services/pickup/bookings".to_owned(),
+        again: false,
+    }
+}
+
 /// Hash under which a service's record has a body.
-pub(super) fn body_hash(body: &str) -> String {
+pub(crate) fn body_hash(body: &str) -> String {
     hex(body)
 }
 
@@ -120,7 +132,7 @@
 }
 
 /// Zone of a name such as `suva-engine-1`.
-pub(super) fn zone_of(name: &str) -> &str {
+pub(crate) fn zone_of(name: &str) -> &str {
     name.split('-').next().unwrap_or_default()
 }
 
@@ -129,7 +141,7 @@
 /// # Errors
 ///
 /// A part could not be started, or a host is not ready in time.
-pub(super) fn start() -> io::Result<Fleet> {
+pub(crate) fn start() -> io::Result<Fleet> {
     let stand_ins = stand_ins()?;
     let running = stand_ins.platform.as_ref().ok_or_else(|| io::Error::other("no platform"))?;
     let row = json!({"put": "first", "text": section(&stand_ins)}).to_string();
@@ -194,12 +206,12 @@
     }
 
     /// Addresses of the entry hosts.
-    pub(super) fn entry_hosts(&self) -> Vec<net::SocketAddr> {
+    pub(crate) fn entry_hosts(&self) -> Vec<net::SocketAddr> {
         self.entries.iter().map(entry::Running::address).collect()
     }
 
     /// Waits until the engines have returned all memory; what is left after `most`, in bytes.
-    pub(super) fn wait_for_memory(&self, most: time::Duration) -> u64 {
+    pub(crate) fn wait_for_memory(&self, most: time::Duration) -> u64 {
         let deadline = time::Instant::now() + most;
         loop {
             let left = self.bytes_left();
@@ -216,7 +228,7 @@
     }
 
     /// What the stand-ins did.
-    pub(super) fn record(&self, bytes_left: u64) -> Record {
+    pub(crate) fn record(&self, bytes_left: u64) -> Record {
         let mut record = Record { bytes_left, ..Record::default() };
         for engine in &self.stand_ins.engines {
             let attempts = engine.node().record().attempts;
@@ -231,7 +243,7 @@
     }
 
     /// Drains the entry hosts, then ends the rest.
-    pub(super) fn stop(self) -> io::Result<()> {
+    pub(crate) fn stop(self) -> io::Result<()> {
         self.entries.iter().for_each(entry::Running::drain);
         for entry in self.entries {
             entry.wait()?;
--- a/crates/lagoon-load/src/trial/mod.rs
+++ b/crates/lagoon-load/src/trial/mod.rs
@@ -4,12 +4,12 @@
 //! damage, `caller` asks and checks each answer, `verdict` compares what callers were told with the
 //! stand-ins' own records, `report` prints it. No check reads a counter of lagoonline.
 
-mod caller;
+pub(crate) mod caller;
 mod fault;
-mod fleet;
-mod plan;
+pub(crate) mod fleet;
+pub(crate) mod plan;
 mod report;
-mod verdict;
+pub(crate) mod verdict;
 
 use std::io;
 use std::sync;
@@ -51,7 +51,7 @@
     let fleet = fleet::start()?;
     let plan = plan::new(settings);
     let began = time::Instant::now();
-    let balancer = sync::Arc::new(caller::Balancer::new(fleet.entry_hosts()));
+    let balancer = sync::Arc::new(caller::Balancer::new(fleet.entry_hosts(), fleet::target()));
     let faults = (settings.seconds * plan::CALM, settings.seconds);
     let mut results = Vec::new();
     thread::scope(|scope| {
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -12,7 +12,7 @@
 /// Part of the run at whose end short requests are no longer alone.
 const ALONE: f64 = 0.25;
 /// Part of the run at whose end faults begin.
-pub(super) const CALM: f64 = 0.55;
+pub(crate) const CALM: f64 = 0.55;
 /// Prompt tokens, and the share of calls that have them: one in fifty is over 100,000.
 const LENGTHS: [(u64, f64); 4] =
     [(1_000, 0.80), (10_000, 0.14), (100_000, 0.04), (1_000_000, 0.02)];
@@ -30,7 +30,7 @@
 
 /// What is asked.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) enum Ask {
+pub(crate) enum Ask {
     /// A completion.
     Model {
         /// Prompt tokens.
@@ -49,7 +49,7 @@
 
 /// Part of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Phase {
+pub(crate) enum Phase {
     /// Short prompts alone.
     Alone,
     /// All lengths.
@@ -70,24 +70,24 @@
 
 /// One call.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct Call {
+pub(crate) struct Call {
     /// Its number: makes its text and its key unlike any other's.
-    pub(super) number: u64,
+    pub(crate) number: u64,
     /// When it is made, from the start.
-    pub(super) at: time::Duration,
+    pub(crate) at: time::Duration,
     /// What it asks.
-    pub(super) ask: Ask,
+    pub(crate) ask: Ask,
     /// Time it has.
-    pub(super) deadline: time::Duration,
+    pub(crate) deadline: time::Duration,
     /// Part of the run in which it is made.
-    pub(super) phase: Phase,
+    pub(crate) phase: Phase,
     /// Number that picks its customer and entry host.
-    pub(super) draw: u32,
+    pub(crate) draw: u32,
 }
 
 impl Call {
     /// Its length class, for model calls.
-    pub(super) fn class(&self) -> Option<document::Class> {
+    pub(crate) fn class(&self) -> Option<document::Class> {
         match self.ask {
             Ask::Model { tokens, .. } => Some(document::Class::of(tokens)),
             Ask::Booking { .. } => None,
@@ -95,7 +95,7 @@
     }
 
     /// Its prompt: of its full length, and unlike any other from the first bytes on.
-    pub(super) fn prompt(&self) -> String {
+    pub(crate) fn prompt(&self) -> String {
         let Ask::Model { tokens, .. } = self.ask else { return String::new() };
         let length = usize::try_from(tokens).unwrap_or(0) * BYTES_PER_TOKEN;
         let line = format!("{} tin label and lease filing of the season. ", self.number);
@@ -105,20 +105,20 @@
     }
 
     /// Body of a booking.
-    pub(super) fn booking(&self) -> String {
+    pub(crate) fn booking(&self) -> String {
         format!("{{\"booking\":{}}}", self.number)
     }
 }
 
 /// All calls of a run, in order of time.
 #[derive(Clone, Debug, PartialEq)]
-pub(super) struct Plan {
+pub(crate) struct Plan {
     calls: Vec<Call>,
 }
 
 impl Plan {
     /// Deals the calls out to `threads` callers.
-    pub(super) fn split(&self, threads: usize) -> Vec<Vec<Call>> {
+    pub(crate) fn split(&self, threads: usize) -> Vec<Vec<Call>> {
         let mut shares = vec![Vec::new(); threads];
         for (index, call) in self.calls.iter().enumerate() {
             shares[index % threads].push(call.clone());
@@ -128,7 +128,7 @@
 }
 
 /// Draws the calls of a run.
-pub(super) fn new(settings: &Settings) -> Plan {
+pub(crate) fn new(settings: &Settings) -> Plan {
     let mut random = rngs::SmallRng::seed_from_u64(settings.seed);
     let phase = |at: f64| Phase::at(at / settings.seconds);
     let mut calls = Vec::new();
@@ -152,7 +152,7 @@
 }
 
 /// Times of arrivals at `rate` a second, in seconds: a Poisson process.
-fn arrivals(rate: f64, seconds: f64, random: &mut rngs::SmallRng) -> Vec<f64> {
+pub(crate) fn arrivals(rate: f64, seconds: f64, random: &mut rngs::SmallRng) -> Vec<f64> {
     let mut times = Vec::new();
     let mut at = 0.0;
     while rate > 0.0 && at < seconds {
--- a/crates/lagoon-load/src/trial/verdict.rs
+++ b/crates/lagoon-load/src/trial/verdict.rs
@@ -62,7 +62,7 @@
 }
 
 /// How often upstreams ran the call.
-fn ran(call: &plan::Call, record: &fleet::Record) -> u64 {
+pub(crate) fn ran(call: &plan::Call, record: &fleet::Record) -> u64 {
     match call.ask {
         plan::Ask::Model { .. } => {
             let hash = prompt::Prompt::new(&call.prompt()).hash;
@@ -75,7 +75,7 @@
 }
 
 /// Judges a run.
-pub(super) fn judge(results: &[caller::Told], record: &fleet::Record) -> Verdict {
+pub(crate) fn judge(results: &[caller::Told], record: &fleet::Record) -> Verdict {
     let mut verdict = Verdict { bytes_left: record.bytes_left, ..Verdict::default() };
     for told in results {
         add(&mut verdict, told, ran(&told.call, record));
@@ -99,10 +99,29 @@
         _ => verdict.no_clear_end += 1,
     }
     verdict.crossed += u64::from(told.content == caller::Content::Foreign);
-    verdict.past_deadline += u64::from(told.took > told.call.deadline + SLACK);
+    verdict.past_deadline += u64::from(is_late(told));
     verdict.doubled += u64::from(told.call.class().is_none() && ran > 1);
     if told.outcome.as_deref() != Some("done") {
         let outcome = told.outcome.as_deref().unwrap_or("nothing");
         *verdict.failures.entry(format!("{outcome}: {}", told.code)).or_insert(0) += 1;
     }
 }
+
+/// Whether the caller had its end after the deadline.
+pub(crate) fn is_late(told: &caller::Told) -> bool {
+    told.took > told.call.deadline + SLACK
+}
+
+/// The first check that this call breaks, for a report of single cases.
+pub(crate) fn fault(told: &caller::Told, record: &fleet::Record) -> Option<&'static str> {
+    let mut alone = Verdict::default();
+    add(&mut alone, told, ran(&told.call, record));
+    let checks = [
+        (alone.doubled, "doubled"),
+        (alone.crossed, "crossed"),
+        (alone.cut, "cut"),
+        (alone.false_not_run, "false not-run"),
+        (alone.false_done, "false done"),
+    ];
+    checks.into_iter().find(|(count, _)| *count > 0).map(|(_, name)| name)
+}
