lagoon-try: four engines a zone, time eight times faster, settling time shown

Cause: with three engines a zone one million-token prompt took the KV memory of a whole zone; more of them arrived than could be held, half were refused, and a call that met the cut held the run beyond a minute. Change: four engines, engine time at 8, deadlines of longer prompts 22 s; the report tells how long the engines took to return all memory; calls that did not end well are logged at level info.

--- a/crates/lagoon-load/src/trial/fleet.rs
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -20,13 +20,13 @@
 /// Entry hosts of each zone.
 pub(crate) const HOSTS: usize = 2;
 /// Engines of each zone.
-pub(crate) const ENGINES: usize = 3;
+pub(crate) const ENGINES: usize = 4;
 /// Replicas of the booking service in each zone.
 const REPLICAS: usize = 1;
 /// Customers; each one's key is its name.
 pub(crate) const CUSTOMERS: u32 = 10;
 /// Engine seconds that pass in a real one, so that a million tokens fit a short run.
-pub(crate) const TIME_SCALE: f64 = 4.0;
+pub(crate) const TIME_SCALE: f64 = 8.0;
 /// Tokens that an engine prefills in an engine second.
 const PREFILL_RATE: f64 = 50_000.0;
 /// KV memory of one engine, in tokens: the longest prompts are more than twice that.
@@ -240,13 +240,14 @@
         self.entries.iter().map(entry::Running::address).collect()
     }
 
-    /// Waits until the engines have returned all memory; what is left after `most`, in bytes.
-    pub(crate) fn wait_for_memory(&self, most: time::Duration) -> u64 {
-        let deadline = time::Instant::now() + most;
+    /// Waits until the engines have returned all memory; what is left after `most`, in bytes, and
+    /// how long it took.
+    pub(crate) fn wait_for_memory(&self, most: time::Duration) -> (u64, time::Duration) {
+        let began = time::Instant::now();
         loop {
             let left = self.bytes_left();
-            if left == 0 || time::Instant::now() > deadline {
-                return left;
+            if left == 0 || began.elapsed() > most {
+                return (left, began.elapsed());
             }
             thread::sleep(time::Duration::from_millis(100));
         }
--- a/crates/lagoon-load/src/trial/mod.rs
+++ b/crates/lagoon-load/src/trial/mod.rs
@@ -71,8 +71,12 @@
         }
         Ok::<_, io::Error>(())
     })?;
-    let bytes_left = fleet.wait_for_memory(SETTLE);
+    let (bytes_left, settled) = fleet.wait_for_memory(SETTLE);
+    log::info!("memory settled in {} ms", settled.as_millis());
+    for told in results.iter().filter(|told| told.outcome.as_deref() != Some("done")) {
+        log::info!("{told:?}");
+    }
     let record = fleet.record(bytes_left);
     fleet.stop()?;
-    Ok(report::Report::new(settings, &results, &verdict::judge(&results, &record)))
+    Ok(report::Report::new(settings, &results, &verdict::judge(&results, &record), settled))
 }
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -26,7 +26,7 @@
 const ANSWER: std::ops::Range<u64> = 16..64;
 /// Deadlines of short and of other calls.
 const DEADLINE_SHORT: time::Duration = time::Duration::from_secs(10);
-const DEADLINE_LONG: time::Duration = time::Duration::from_secs(40);
+const DEADLINE_LONG: time::Duration = time::Duration::from_secs(22);
 
 /// What is asked.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/lagoon-load/src/trial/report.rs
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -68,6 +68,8 @@
     pub short_mixed: Times,
     /// 95th percentile beside all lengths as a multiple of that alone.
     pub short_slowdown: f64,
+    /// Time from the last answer until the engines had returned all memory, in milliseconds.
+    pub memory_settled_ms: f64,
     /// The counts.
     pub verdict: verdict::Verdict,
     /// Whether every check held.
@@ -79,6 +81,7 @@
         settings: &Settings,
         results: &[caller::Told],
         verdict: &verdict::Verdict,
+        settled: time::Duration,
     ) -> Report {
         let of_class = |class| {
             results.iter().filter(move |told: &&caller::Told| told.call.class() == Some(class))
@@ -106,6 +109,7 @@
             short_mixed: mixed,
             short_slowdown: mixed.p95_ms / alone.p95_ms.max(f64::MIN_POSITIVE),
             verdict: verdict.clone(),
+            memory_settled_ms: settled.as_secs_f64() * 1_000.0,
             holds: verdict.holds(),
         }
     }
@@ -144,6 +148,11 @@
             verdict.no_clear_end,
             verdict.bytes_left
         )?;
+        writeln!(
+            f,
+            "engine memory settled {:.0} ms after the last answer",
+            self.memory_settled_ms
+        )?;
         for (failure, count) in &verdict.failures {
             writeln!(f, "  {count:>6} {failure}")?;
         }
