Services: bounded wait for a slot, HEAD keeps its length, one stand-in platform

Cause: a service call that found every slot taken got 503 at once, though a slot is often free within milliseconds; an answer to HEAD said Content-Length 0; the claim tests had a table service of their own beside the stand-in's. Change: calls wait first come first served, limits.service_wait_ms (5 s) and service_waiting (1024) at most; the length that the service names is passed on; the claim tests use lagoon_standin::platform.

--- a/crates/lagoon-net/src/entry/replica.rs
+++ b/crates/lagoon-net/src/entry/replica.rs
@@ -1,17 +1,20 @@
 //! Which replica of a plain service gets a call.
 //!
 //! Pattern answered: calls of unlike length over few replicas. Each call goes to the replica with
-//! the fewest calls of this host under way, the own zone first; a call that finds every replica's
-//! slots taken is refused at once, since a plain service has no queue of ours to wait in.
+//! the fewest calls of this host under way, the own zone first. A call that finds every replica's
+//! slots taken waits for one, first come first served; newcomers do not pass those that wait. The
+//! wait is bounded in time and number, so that what cannot be served soon is told so.
 
 use std::collections;
 use std::net;
 use std::sync;
 use std::sync::atomic;
 
+use lagoonline::clock;
 use lagoonline::control::document;
 use lagoonline::id;
 use lagoonline::view;
+use tokio::sync as async_sync;
 
 #[derive(Debug, Default)]
 struct Replica {
@@ -19,21 +22,69 @@
     leaving: atomic::AtomicBool,
 }
 
+impl Replica {
+    /// Takes one of `slots`; how many were taken before.
+    fn take(&self, slots: u32) -> Option<u32> {
+        let more = |taken| (taken < slots).then_some(taken + 1);
+        let (set, get) = (atomic::Ordering::Relaxed, atomic::Ordering::Relaxed);
+        self.outstanding.fetch_update(set, get, more).ok()
+    }
+
+    fn give_back(&self) {
+        self.outstanding.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Calls of one service that wait for a slot.
+#[derive(Debug, Default)]
+struct Lobby {
+    freed: async_sync::Notify,
+    waiting: atomic::AtomicUsize,
+}
+
+/// How often a waiting call looks by itself: slots also come with a new document, and of slots
+/// that are freed at once a wake may be lost.
+const RECHECK: clock::Span = clock::Span::from_millis(50);
+
+/// A waiting call's turn; it leaves the queue when dropped.
+#[derive(Debug)]
+pub(crate) struct Turn(sync::Arc<Lobby>);
+
+impl Turn {
+    /// Waits until a slot may be free.
+    pub(crate) async fn next(&self) {
+        let _timeout = tokio::time::timeout(RECHECK, self.0.freed.notified()).await;
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.0.waiting.fetch_sub(1, atomic::Ordering::Relaxed);
+        // The wake that this call took and did not use is the next one's.
+        self.0.freed.notify_one();
+    }
+}
+
 /// Calls under way at each replica of this host's view.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Replicas(collections::HashMap<id::Upstream, sync::Arc<Replica>>);
+pub(crate) struct Replicas {
+    replicas: collections::HashMap<id::Upstream, sync::Arc<Replica>>,
+    lobbies: collections::HashMap<id::Service, sync::Arc<Lobby>>,
+}
 
 /// One call's place at a replica, free again when dropped.
 #[derive(Debug)]
 pub(crate) struct Slot {
     replica: sync::Arc<Replica>,
+    lobby: sync::Arc<Lobby>,
     pub(crate) upstream: id::Upstream,
     pub(crate) address: net::SocketAddr,
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        self.replica.outstanding.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.replica.give_back();
+        self.lobby.freed.notify_one();
     }
 }
 
@@ -49,51 +100,73 @@
 impl Replicas {
     pub(crate) fn with_fleet(&self, fleet: &view::Fleet) -> Replicas {
         let mut replicas = collections::HashMap::new();
+        let mut lobbies = collections::HashMap::new();
         for upstream in &fleet.upstreams {
-            if let document::Serves::Service(_) = upstream.entry.serves {
-                let kept = self.0.get(&upstream.name).cloned().unwrap_or_default();
+            if let document::Serves::Service(service) = &upstream.entry.serves {
+                let kept = self.replicas.get(&upstream.name).cloned().unwrap_or_default();
                 replicas.insert(upstream.name.clone(), kept);
+                let kept = self.lobbies.get(service).cloned().unwrap_or_default();
+                lobbies.insert(service.clone(), kept);
             }
         }
-        Replicas(replicas)
+        Replicas { replicas, lobbies }
     }
 
     pub(crate) fn set_leaving(&self, upstream: &id::Upstream, leaving: bool) {
-        if let Some(replica) = self.0.get(upstream) {
+        if let Some(replica) = self.replicas.get(upstream) {
             replica.leaving.store(leaving, atomic::Ordering::Relaxed);
         }
     }
 
-    /// Takes a slot at a replica that is not among `tried`.
+    /// Joins those that wait for a slot of the service; none when `most` do already.
+    pub(crate) fn wait(&self, service: &id::Service, most: usize) -> Option<Turn> {
+        let lobby = self.lobbies.get(service)?;
+        let turn = Turn(lobby.clone());
+        let before = lobby.waiting.fetch_add(1, atomic::Ordering::Relaxed);
+        (before < most).then_some(turn)
+    }
+
+    /// Takes a slot at a replica that is not among `tried`; `waited` says that it is this call's
+    /// turn before newcomers.
     pub(crate) fn take(
         &self,
         fleet: &view::Fleet,
         service: &id::Service,
         zone: &id::Zone,
         tried: &[id::Upstream],
+        waited: bool,
     ) -> Result<Slot, Shortage> {
+        let lobby = self.lobbies.get(service).ok_or(Shortage::None)?;
+        if !waited && lobby.waiting.load(atomic::Ordering::Relaxed) > 0 {
+            return Err(Shortage::Full);
+        }
         let mut shortage = Shortage::None;
-        let mut best: Option<(bool, u32, Slot)> = None;
+        let mut best: Option<(bool, u32, &sync::Arc<Replica>, &view::Upstream)> = None;
         for upstream in fleet.replicas(service) {
-            let Some(replica) = self.0.get(&upstream.name) else { continue };
+            let Some(replica) = self.replicas.get(&upstream.name) else { continue };
             if tried.contains(&upstream.name) || replica.leaving.load(atomic::Ordering::Relaxed) {
                 continue;
             }
-            let outstanding = replica.outstanding.fetch_add(1, atomic::Ordering::Relaxed);
-            let slot = Slot {
-                replica: replica.clone(),
-                upstream: upstream.name.clone(),
-                address: upstream.entry.address,
-            };
-            if outstanding >= upstream.entry.slots {
+            let slots = upstream.entry.slots;
+            let Some(outstanding) = replica.take(slots) else {
                 shortage = Shortage::Full;
                 continue;
-            }
+            };
             let far = upstream.entry.zone != *zone;
-            if best.as_ref().is_none_or(|(f, o, _)| (far, outstanding) < (*f, *o)) {
-                best = Some((far, outstanding, slot));
+            if best.as_ref().is_some_and(|(f, o, ..)| (far, outstanding) >= (*f, *o)) {
+                replica.give_back();
+                continue;
+            }
+            if let Some((_, _, other, _)) = best.replace((far, outstanding, replica, upstream)) {
+                other.give_back();
             }
         }
-        best.map(|(_, _, slot)| slot).ok_or(shortage)
+        let (_, _, replica, upstream) = best.ok_or(shortage)?;
+        Ok(Slot {
+            replica: replica.clone(),
+            lobby: lobby.clone(),
+            upstream: upstream.name.clone(),
+            address: upstream.entry.address,
+        })
     }
 }
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -33,6 +33,9 @@
 /// Answers up to this length are taken in whole, so that their head can say `done`.
 const WHOLE_ANSWER: usize = 256 << 10;
 
+/// A piece of an answer's body.
+type Chunk = Result<util::Bytes, rc::Rc<dyn std::error::Error>>;
+
 /// A service call under way.
 pub(crate) struct Job {
     pub(crate) worker: rc::Rc<worker::Worker>,
@@ -106,16 +109,9 @@
         let mut tried = Vec::new();
         let mut last = fault::new(Reason::NoUpstream, Step::Route, Outcome::NotRun);
         loop {
-            let view = state.view();
-            let zone = &state.settings.zone;
-            let slot = view.replicas.take(&view.fleet, &self.service, zone, &tried);
-            let slot = match slot {
+            let slot = match self.slot(&tried, &last).await {
                 Ok(slot) => slot,
-                Err(replica::Shortage::Full) => {
-                    let reason = Reason::Saturated;
-                    return Err(fault::new(reason, Step::Admit, held.end()));
-                }
-                Err(replica::Shortage::None) => return Err(last.with_outcome(held.end())),
+                Err(fault) => return Err(fault.with_outcome(held.end())),
             };
             tried.push(slot.upstream.clone());
             let attempt = call::new_attempt();
@@ -162,6 +158,41 @@
         }
     }
 
+    /// A slot at a replica not among `tried`, if need be after a bounded wait; `last` is what
+    /// the caller is told when there is no such replica.
+    async fn slot(
+        &self,
+        tried: &[id::Upstream],
+        last: &fault::Fault,
+    ) -> Result<replica::Slot, fault::Fault> {
+        let state = &self.worker.state;
+        let limits = state.settings.limits;
+        let until = (state.clock.now() + limits.service_wait).min(self.call.deadline);
+        let mut turn = None;
+        loop {
+            let view = state.view();
+            let (zone, waited) = (&state.settings.zone, turn.is_some());
+            let slot = view.replicas.take(&view.fleet, &self.service, zone, tried, waited);
+            match slot {
+                Ok(slot) => return Ok(slot),
+                Err(replica::Shortage::None) => return Err(last.clone()),
+                Err(replica::Shortage::Full) => {}
+            }
+            let saturated = || fault::new(Reason::Saturated, Step::Queue, Outcome::NotRun);
+            if turn.is_none() {
+                turn = view.replicas.wait(&self.service, limits.service_waiting);
+            }
+            let waiting = turn.as_ref().ok_or_else(saturated)?;
+            match limit::within(state, until, waiting.next()).await {
+                Ok(()) => {}
+                Err(limit::Stop::Deadline) if until < self.call.deadline => {
+                    return Err(saturated());
+                }
+                Err(stop) => return Err(stop.fault(Step::Queue, Outcome::NotRun)),
+            }
+        }
+    }
+
     async fn dispatch(
         &self,
         slot: &replica::Slot,
@@ -220,7 +251,13 @@
             let outcome = answering.complete();
             state.metrics.done("service", outcome);
             head.set_header("Lagoon-Outcome", outcome.as_str());
-            return Ok(head.body(whole));
+            return Ok(match length {
+                // The length is that of the body which a GET would have had.
+                Some(length) if bodyless => {
+                    head.body(http_body::SizedStream::new(length, stream::empty::<Chunk>()))
+                }
+                _ => head.body(whole),
+            });
         }
         head.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
         let stream = self.stream(payload, answering, slot, active);
--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -35,6 +35,10 @@
     pub keep_alive: clock::Span,
     /// How long a caller may take to read what is left of an answer after its deadline.
     pub linger: clock::Span,
+    /// Longest wait of a service call for a replica with a free slot.
+    pub service_wait: clock::Span,
+    /// Most calls of one service that wait so.
+    pub service_waiting: usize,
     /// Most dispatches of one request.
     pub attempts: u32,
     /// Batches of a streamed answer that wait for a slow caller before the engine has to wait.
@@ -52,6 +56,8 @@
             body_timeout: clock::Span::from_secs(10),
             keep_alive: clock::Span::from_secs(75),
             linger: clock::Span::from_secs(10),
+            service_wait: clock::Span::from_secs(5),
+            service_waiting: 1_024,
             attempts: 6,
             stream_batches: 16,
         }
@@ -309,6 +315,8 @@
         body_timeout: read_span(reader, "body_timeout_ms", usual.body_timeout, 10, 600_000),
         keep_alive: read_span(reader, "keep_alive_ms", usual.keep_alive, 1_000, 3_600_000),
         linger: read_span(reader, "linger_ms", usual.linger, 0, 3_600_000),
+        service_wait: read_span(reader, "service_wait_ms", usual.service_wait, 0, 3_600_000),
+        service_waiting: read_size(reader, "service_waiting", usual.service_waiting, 0, 1_000_000),
         attempts: u32::try_from(attempts).unwrap_or(usual.attempts),
         stream_batches: read_size(reader, "stream_batches", usual.stream_batches, 1, 4_096),
     }
--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -1,83 +1,39 @@
-//! Idempotency keys over sockets, with a table service that is a map under a lock.
+//! Idempotency keys over sockets, with the stand-in platform.
 
-use std::collections;
 use std::io::Write as _;
-use std::net;
 use std::sync;
-use std::thread;
 
 use lagoon_net::entry;
 use lagoon_net::platform;
 use lagoon_standin::engine;
-use serde_json::{Value, json};
+use lagoon_standin::platform as standin;
+use lagoon_standin::server;
 
 use crate::host;
 use crate::runner::{self, Runner};
 
-type Rows = sync::Arc<sync::Mutex<collections::HashMap<String, (String, u64)>>>;
+type Table = server::Running<standin::Platform>;
 
-/// Takes `GET /table/row` and `POST /table/commit`.
-fn start_table() -> (net::SocketAddr, Rows) {
-    let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    let rows = Rows::default();
-    let shared = rows.clone();
-    thread::spawn(move || {
-        for stream in listener.incoming() {
-            let mut stream = stream.unwrap();
-            let call = runner::read_call(&mut stream);
-            let (status, body) = answer(&shared, &call);
-            let length = body.len();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n");
-            let _sent = write!(stream, "{head}Connection: close\r\n\r\n{body}");
-        }
-    });
-    (address, rows)
+fn start_table() -> Table {
+    standin::start(standin::Settings::default()).unwrap()
 }
 
-fn answer(rows: &Rows, call: &str) -> (u16, String) {
-    let mut rows = rows.lock().unwrap();
-    if call.starts_with("get ") {
-        let key = call.split("key=").nth(1).unwrap().split([' ', '&']).next().unwrap();
-        let key = key.replace("%2f", "/");
-        return match rows.get(&key) {
-            Some((value, version)) => {
-                (200, json!({"key": key, "value": value, "version": version}).to_string())
-            }
-            None => (404, String::new()),
-        };
-    }
-    let (_, body) = call.split_once("\r\n\r\n").unwrap();
-    let commit: Value = serde_json::from_str(body).unwrap();
-    let version_of = |rows: &collections::HashMap<String, (String, u64)>, key: &Value| {
-        rows.get(key.as_str().unwrap()).map_or(0, |row| row.1)
-    };
-    let checks = commit["checks"].as_array().unwrap();
-    if checks
-        .iter()
-        .any(|check| Some(version_of(&rows, &check["key"])) != check["version"].as_u64())
-    {
-        return (409, String::new());
-    }
-    let mut versions = Vec::new();
-    for put in commit["puts"].as_array().unwrap() {
-        let version = version_of(&rows, &put["key"]) + 1;
-        let value = put["value"].as_str().unwrap().to_owned();
-        rows.insert(put["key"].as_str().unwrap().to_owned(), (value, version));
-        versions.push(version);
-    }
-    (200, json!({"versions": versions}).to_string())
+fn any_row(table: &Table, text: &str) -> bool {
+    table.node().rows("").iter().any(|row| row.value.contains(text))
 }
 
-fn start(runner: Runner) -> (host::Host, sync::Arc<sync::Mutex<Vec<String>>>, Rows) {
+fn start(runner: Runner) -> (host::Host, sync::Arc<sync::Mutex<Vec<String>>>, Table) {
     let (address, calls) = runner::start(runner);
-    let (table, rows) = start_table();
+    let table = start_table();
     let settings = host::settings(vec![host::section(&[], &[("pickup", address)], true)]);
     let settings = entry::Settings {
-        platform: Some(platform::Settings { address: table, ..platform::Settings::default() }),
+        platform: Some(platform::Settings {
+            address: table.address(),
+            ..platform::Settings::default()
+        }),
         ..settings
     };
-    (host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() }, calls, rows)
+    (host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() }, calls, table)
 }
 
 fn book(host: &host::Host, body: &str) -> String {
@@ -89,12 +45,10 @@
 // the runner saw one booking. Another body with the key is refused as never run.
 #[test]
 fn a_key_books_once() {
-    let (host, calls, rows) = start(Runner::Answer);
+    let (host, calls, table) = start(Runner::Answer);
     let first = book(&host, "tin");
     assert_eq!(host::status(&first), "201", "{first}");
-    host::wait_until("the answer is stored", || {
-        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
-    });
+    host::wait_until("the answer is stored", || any_row(&table, "\"done\""));
     let again = book(&host, "tin");
     assert_eq!(host::status(&again), "201", "{again}");
     assert!(again.ends_with("bin"), "{again}");
@@ -110,7 +64,7 @@
 // key hears so too: nothing is sent again.
 #[test]
 fn a_lost_booking_is_not_sent_again() {
-    let (host, calls, _rows) = start(Runner::CloseAfterReading);
+    let (host, calls, _table) = start(Runner::CloseAfterReading);
     for status in ["502", "409"] {
         let answer = book(&host, "tin");
         assert_eq!(host::status(&answer), status, "{answer}");
@@ -123,15 +77,13 @@
 // The runner says that the booking did not run. The key is free again, and asking again sends it.
 #[test]
 fn a_refused_booking_frees_its_key() {
-    let (host, calls, rows) = start(Runner::RefuseAsNotRun);
+    let (host, calls, table) = start(Runner::RefuseAsNotRun);
     for sent in 1..=2 {
         let answer = book(&host, "tin");
         assert_eq!(host::status(&answer), "503", "{answer}");
         assert!(answer.to_lowercase().contains("lagoon-outcome: not-run"), "{answer}");
         assert_eq!(calls.lock().unwrap().len(), sent);
-        host::wait_until("the key is free", || {
-            rows.lock().unwrap().values().any(|(value, _)| value.contains("\"released\""))
-        });
+        host::wait_until("the key is free", || any_row(&table, "\"released\""));
     }
     host.finish();
 }
@@ -140,16 +92,14 @@
 // that the crew finds its answer under the key.
 #[test]
 fn a_caller_that_leaves_finds_its_answer() {
-    let (host, calls, rows) = start(Runner::Answer);
+    let (host, calls, table) = start(Runner::Answer);
     let headers = "Idempotency-Key: k1\r\n";
     let request = host::request("POST", "/services/pickup/x", headers, "tin");
     let mut stream = host.connect();
     stream.write_all(&request).unwrap();
-    host::wait_until("the booking was claimed", || !rows.lock().unwrap().is_empty());
+    host::wait_until("the booking was claimed", || any_row(&table, ""));
     drop(stream);
-    host::wait_until("the answer is stored", || {
-        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
-    });
+    host::wait_until("the answer is stored", || any_row(&table, "\"done\""));
     let again = book(&host, "tin");
     assert_eq!(host::status(&again), "201", "{again}");
     assert_eq!(calls.lock().unwrap().len(), 1);
@@ -157,9 +107,9 @@
 }
 
 /// Two entry hosts before the same engine and table service.
-fn start_two(engine: engine::Settings) -> (host::Host, host::Host, Rows) {
-    let (table, rows) = start_table();
-    let platform = platform::Settings { address: table, ..platform::Settings::default() };
+fn start_two(engine: engine::Settings) -> (host::Host, host::Host, Table) {
+    let table = start_table();
+    let platform = platform::Settings { address: table.address(), ..platform::Settings::default() };
     let with_platform = |settings| entry::Settings { platform: Some(platform), ..settings };
     let first = host::Host::start_with(vec![engine], true, with_platform.clone());
     let section = host::section(&[first.engines[0].address()], &[], true);
@@ -168,7 +118,7 @@
         ..with_platform(host::settings(vec![section]))
     };
     let second = host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() };
-    (first, second, rows)
+    (first, second, table)
 }
 
 // A caller has 5 tokens of its answer from one entry host and goes on at another with its key. It
@@ -177,7 +127,7 @@
 #[test]
 fn another_host_takes_a_stream_over() {
     let slow = engine::Settings { decode_ms: 1_000.0, ..host::quick() };
-    let (first, second, rows) = start_two(slow);
+    let (first, second, table) = start_two(slow);
     let call = host::completion("tin", 60, true);
     let key = "Idempotency-Key: k1\r\n";
     let mut stream = first.connect();
@@ -191,9 +141,7 @@
     assert!(rest.contains("data: [DONE]"), "{rest}");
     let whole = host::read_all(&mut stream);
     assert_eq!(whole.matches("\"finish_reason\":null").count(), 60, "{whole}");
-    host::wait_until("the answer is kept", || {
-        rows.lock().unwrap().values().any(|(value, _)| value.contains("\"done\""))
-    });
+    host::wait_until("the answer is kept", || any_row(&table, "\"done\""));
     let again = second.post("/v1/completions", key, &call);
     assert_eq!(again.matches("\"finish_reason\":null").count(), 60, "{again}");
     assert!(again.contains("data: [DONE]"), "{again}");
@@ -206,7 +154,7 @@
 // under its key.
 #[test]
 fn a_stream_that_is_gone_runs_again() {
-    let (first, second, _rows) = start_two(host::quick());
+    let (first, second, _table) = start_two(host::quick());
     let faults = engine::Faults { cut_after_chunks: 3, ..engine::Faults::default() };
     let engine = first.engines[0].node().clone();
     engine.set_faults(engine::Faults { down: true, ..faults });
--- a/crates/lagoon-net/tests/entry/runner.rs
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -5,11 +5,16 @@
 use std::net;
 use std::sync;
 use std::thread;
+use std::time;
 
 /// What the runner does with a call.
 #[derive(Clone, Copy)]
 pub enum Runner {
     Answer,
+    /// Like `Answer`, after a while.
+    AnswerSlowly,
+    /// The head of a long body, as an answer to HEAD.
+    AnswerHead,
     AnswerOtherAttempt,
     CloseAfterReading,
     RefuseAsNotRun,
@@ -28,6 +33,9 @@
             let attempt = call.split("lagoon-attempt: ").nth(1).unwrap_or_default();
             let attempt = attempt.split("\r\n").next().unwrap_or_default().to_owned();
             seen.lock().unwrap().push(call);
+            if matches!(runner, Runner::AnswerSlowly) {
+                thread::sleep(time::Duration::from_millis(100));
+            }
             let _sent = stream.write_all(answer(runner, &attempt).as_bytes());
         }
     });
@@ -37,7 +45,11 @@
 fn answer(runner: Runner, attempt: &str) -> String {
     let other = "0".repeat(32);
     match runner {
-        Runner::Answer => format!(
+        Runner::AnswerHead => format!(
+            "HTTP/1.1 200 OK\r\nLagoon-Attempt: {attempt}\r\nContent-Length: 12345\r\n\
+             Connection: close\r\n\r\n"
+        ),
+        Runner::Answer | Runner::AnswerSlowly => format!(
             "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nX-Tin: 7\r\n\
              Content-Length: 3\r\nConnection: close\r\n\r\nbin"
         ),
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -2,8 +2,10 @@
 
 use std::io::Write as _;
 use std::net;
+use std::time;
 
 use lagoon_net::entry;
+use lagoonline::control::document;
 use rstest::rstest;
 
 use crate::host;
@@ -127,3 +129,66 @@
     assert!(calls.lock().unwrap().is_empty());
     host.finish();
 }
+
+/// A host before one runner with one slot.
+fn start_narrow(address: net::SocketAddr, service_wait: time::Duration) -> host::Host {
+    let section = host::section(&[], &[("pickup", address)], true);
+    let narrow = r#""service":"pickup","slots":1"#;
+    let text = section.text.replace(r#""service":"pickup""#, narrow);
+    let section = document::Section::parse(section.team, section.version, &text).unwrap();
+    let settings = host::settings(vec![section]);
+    let limits = entry::Limits { service_wait, ..settings.limits };
+    let settings = entry::Settings { limits, ..settings };
+    host::Host { running: entry::start(settings).unwrap(), engines: Vec::new() }
+}
+
+fn call_at_once(host: &host::Host, calls: usize) -> Vec<String> {
+    let request = host::request("POST", "/services/pickup/x", "", "tin");
+    std::thread::scope(|scope| {
+        let calls: Vec<_> = (0..calls).map(|_| scope.spawn(|| host.exchange(&request))).collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    })
+}
+
+// Six crews call a runner with one slot at once. Five got 503 although the runner would have been
+// free within a second; now they wait their turn and all are served.
+#[test]
+fn calls_wait_for_a_free_slot() {
+    let (address, calls) = start(Runner::AnswerSlowly);
+    let host = start_narrow(address, host::PATIENCE);
+    for answer in call_at_once(&host, 6) {
+        assert_eq!(host::status(&answer), "201", "{answer}");
+    }
+    assert_eq!(calls.lock().unwrap().len(), 6);
+    host.finish();
+}
+
+// The same without a wait: who finds no slot is told at once that the call did not run, and when
+// to come back.
+#[test]
+fn a_wait_for_a_slot_is_bounded() {
+    let (address, calls) = start(Runner::AnswerSlowly);
+    let host = start_narrow(address, time::Duration::ZERO);
+    let answers = call_at_once(&host, 12);
+    let refused = answers.iter().filter(|answer| host::status(answer) == "503");
+    let refused: Vec<_> = refused.map(|answer| answer.to_lowercase()).collect();
+    assert!(!refused.is_empty());
+    for answer in &refused {
+        assert!(answer.contains("retry-after") && answer.contains("\"saturated\""), "{answer}");
+        assert!(answer.contains("lagoon-outcome: not-run"), "{answer}");
+    }
+    assert_eq!(calls.lock().unwrap().len(), answers.len() - refused.len());
+    host.finish();
+}
+
+/// The head that HEAD gets names the length that GET would have had.
+#[test]
+fn an_answer_to_head_keeps_its_length() {
+    let (address, _calls) = start(Runner::AnswerHead);
+    let host = start_host(&[("pickup", address)]);
+    let answer = host.exchange(&host::request("HEAD", "/services/pickup/x", "", ""));
+    assert_eq!(host::status(&answer), "200", "{answer}");
+    assert!(answer.to_lowercase().contains("content-length: 12345"), "{answer}");
+    assert!(answer.ends_with("\r\n\r\n"), "{answer}");
+    host.finish();
+}
