--- a/crates/lagoon-net/src/entry/claims.rs
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -25,6 +25,7 @@
 use super::fault;
 use super::limit;
 use super::services;
+use super::source;
 use super::state;
 use super::worker;
 use crate::platform;
@@ -195,7 +196,7 @@
             request: self.request.clone(),
             service: self.service.clone(),
             target: self.target.clone(),
-            body: services::Source::whole(&self.worker.state, body),
+            body: source::Source::whole(&self.worker.state, body),
         };
         let held = request::Held::new(request::Repeat::Never);
         let (answer, answering, slot) = job.send(held).await?;
--- a/crates/lagoon-net/src/entry/mod.rs
+++ b/crates/lagoon-net/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod server;
 mod services;
 mod settings;
+mod source;
 mod state;
 mod worker;
 
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -5,6 +5,7 @@
 
 mod dispatch;
 mod key;
+mod mend;
 
 use std::mem;
 use std::rc;
@@ -30,13 +31,6 @@
 
 pub(crate) use key::{Claim, Wanted, replay};
 
-/// Tries to take a broken stream up again on its own engine before going elsewhere.
-const RESUMES: u32 = 3;
-/// The same for a stream that is silent.
-const SILENT_RESUMES: u32 = 1;
-/// Pause before the second such try; it grows by as much with each.
-const RESUME_PAUSE: clock::Span = clock::Span::from_millis(20);
-
 /// What a model call needs on its way.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -70,7 +64,7 @@
     /// Number of the chunk that the last resumption asked for, and how often it was asked for.
     ///
     /// Failure answered: an engine breaks each resumption at the same chunk. Symptom: the stream
-    /// is taken up again for ever without a token. Only [`RESUMES`] go without one, then the
+    /// is taken up again for ever without a token. Only a few go without one, then the
     /// attempt is given up.
     resumed: (u64, u32),
     /// When it was sent, or its last tokens came, or its silence was last looked at.
@@ -85,12 +79,6 @@
         let (first, gap) = self.place.silence();
         self.heard + if self.begun { gap } else { first }
     }
-
-    /// Whether taking up a silent stream again is still worth a try: a connection may be dead
-    /// while its engine lives, but once shows that.
-    fn may_resume_silent(&self) -> bool {
-        self.begun && self.resumed != (self.checker.next(), SILENT_RESUMES)
-    }
 }
 
 #[derive(Debug)]
@@ -198,24 +186,6 @@
         }
     }
 
-    /// What a silence leads to: a broken stream where something can be done about it.
-    fn silent(&mut self) -> Result<Option<End>, engine::Broken> {
-        let now = self.worker.state.clock.now();
-        let Stage::Open(open) = &mut self.stage else { return Err(engine::Broken::Cut) };
-        open.heard = now;
-        if open.may_resume_silent() || self.is_better_elsewhere() {
-            return Err(engine::Broken::Silent);
-        }
-        Ok(None)
-    }
-
-    /// Whether the call may leave its silent engine for another one that could take it.
-    fn is_better_elsewhere(&self) -> bool {
-        let Stage::Open(open) = &self.stage else { return false };
-        let may_move = self.delivered == 0 || self.job.continues;
-        may_move && open.place.is_better_elsewhere(&self.job.ask)
-    }
-
     fn take<S>(&mut self, batch: &[u8], sink: &mut S) -> Result<Option<End>, engine::Broken>
     where
         S: render::Sink,
@@ -291,121 +261,4 @@
         self.worker.state.metrics.completion(class, &ask.model, span, prompt);
         end
     }
-
-    /// Takes a broken answer up again: on its own engine, or elsewhere.
-    async fn mend(&mut self, broken: engine::Broken) -> Result<(), fault::Fault> {
-        let Stage::Open(mut open) = mem::replace(&mut self.stage, Stage::Over) else {
-            return Ok(());
-        };
-        let metrics = &self.worker.state.metrics;
-        if let engine::Broken::Violation(violation) = &broken {
-            metrics.chunk_refused(violation_name(violation));
-        }
-        let silent = broken == engine::Broken::Silent;
-        let resumes = match broken {
-            engine::Broken::GivenUp(_) => false,
-            engine::Broken::Silent => open.may_resume_silent(),
-            _ => true,
-        };
-        if resumes {
-            match self.resume(&mut open).await {
-                Ok(true) => {
-                    metrics.resume("resumed");
-                    self.stage = Stage::Open(open);
-                    return Ok(());
-                }
-                Ok(false) => metrics.resume("failed"),
-                Err(stop) => {
-                    return Err(stop.fault(Step::Stream, open.answering.broken().end()));
-                }
-            }
-        }
-        if silent {
-            self.stage = Stage::Open(open);
-            if !self.is_better_elsewhere() {
-                return Ok(());
-            }
-            let Stage::Open(moved) = mem::replace(&mut self.stage, Stage::Over) else {
-                return Ok(());
-            };
-            open = moved;
-        }
-        let ending = if silent { load::Ending::Silent } else { load::Ending::Failed };
-        let Open { answering, place, cancel, .. } = *open;
-        drop(cancel);
-        let lost = answering.broken();
-        let peer = place.upstream().to_string();
-        if self.delivered > 0 && !self.job.continues {
-            place.finish(ending);
-            let fault = fault::new(Reason::UpstreamFailed, Step::Stream, lost.end());
-            return Err(fault.at(peer).with_detail(broken.to_string()));
-        }
-        let held = lost.again().map_err(|outcome| {
-            fault::new(Reason::UpstreamFailed, Step::Stream, outcome).at(peer.as_str())
-        })?;
-        if held.attempts() >= self.worker.state.settings.limits.attempts {
-            place.finish(ending);
-            let fault = fault::new(Reason::UpstreamFailed, Step::Stream, held.end());
-            return Err(fault.at(peer).with_detail(broken.to_string()));
-        }
-        metrics.retry(if silent { "silent" } else { "broken" });
-        let offer = place.again(ending, self.job.ask.clone());
-        match self.open(held, offer).await? {
-            dispatch::Opened::Open(open) => self.stage = Stage::Open(open),
-            // Its key is this call's since its first dispatch.
-            dispatch::Opened::Found(held, ..) => {
-                return Err(fault::new(Reason::Internal, Step::Claim, held.end()));
-            }
-        }
-        Ok(())
-    }
-
-    /// True when the same attempt's stream goes on where it broke off.
-    async fn resume(&self, open: &mut Open) -> Result<bool, limit::Stop> {
-        let state = &self.worker.state;
-        let (attempt, from) = (open.answering.attempt(), open.checker.next());
-        if open.resumed.0 != from {
-            open.resumed = (from, 0);
-        }
-        while open.resumed.1 < RESUMES {
-            let pause = RESUME_PAUSE * open.resumed.1;
-            open.resumed.1 += 1;
-            let work = async {
-                tokio::time::sleep(pause).await;
-                let zone = &state.settings.zone;
-                engine::resume(&self.worker.client, open.address, attempt, zone, from).await
-            };
-            let (_, gap) = open.place.silence();
-            let (now, deadline) = (state.clock.now(), self.job.call.deadline);
-            let until = now + gap;
-            let result = match limit::within(state, until.min(deadline), work).await {
-                Ok(result) => result,
-                Err(limit::Stop::Deadline) if until < deadline => return Ok(false),
-                Err(stop) => return Err(stop),
-            };
-            match result {
-                Ok(events) => {
-                    open.events = events;
-                    return Ok(true);
-                }
-                Err(engine::Failure::Lost(_)) => {}
-                Err(
-                    engine::Failure::NoStream
-                    | engine::Failure::Refused(_)
-                    | engine::Failure::Unsent(_),
-                ) => return Ok(false),
-            }
-        }
-        Ok(false)
-    }
-}
-
-fn violation_name(violation: &stream::Violation) -> &'static str {
-    match violation {
-        stream::Violation::Crossed => "crossed",
-        stream::Violation::Repeated { .. } => "repeated",
-        stream::Violation::Gap { .. } => "gap",
-        stream::Violation::Count { .. } => "count",
-        stream::Violation::AfterEnd => "after_end",
-    }
 }
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -1,11 +1,8 @@
 //! Calls of plain services: any method, bodies streamed both ways.
 
-use std::cell;
 use std::io;
 use std::rc;
-use std::sync;
 
-use futures_util::StreamExt as _;
 use futures_util::stream;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
@@ -24,6 +21,7 @@
 use super::limit;
 use super::linger;
 use super::replica;
+use super::source;
 use super::state;
 use super::worker;
 use crate::service;
@@ -43,7 +41,7 @@
     pub(crate) request: web::HttpRequest,
     pub(crate) service: id::Service,
     pub(crate) target: String,
-    pub(crate) body: Source,
+    pub(crate) body: source::Source,
 }
 
 /// Answers a service call.
@@ -83,7 +81,7 @@
         };
         return claims::answer(keyed, unread.take()).await;
     }
-    let body = Source::new(state, request.headers(), unread.take())?;
+    let body = source::Source::new(state, request.headers(), unread.take())?;
     let (worker, request) = (worker.clone(), request.clone());
     let job = Job { worker, call, request, service, target, body };
     let repeat = if repeats { request::Repeat::Allowed } else { request::Repeat::Never };
@@ -323,110 +321,3 @@
     }
     Some(body.freeze())
 }
-
-/// The caller's body: passed on as it comes, and therefore once.
-#[derive(Clone)]
-pub(crate) struct Source(rc::Rc<Inner>);
-
-struct Inner {
-    payload: cell::RefCell<Option<http::Payload>>,
-    /// The whole body, when it was read before; it can be sent any number of times.
-    whole: Option<util::Bytes>,
-    empty: bool,
-    length: Option<u64>,
-    fault: cell::RefCell<Option<fault::Fault>>,
-    state: sync::Arc<state::State>,
-}
-
-impl Source {
-    fn new(
-        state: &sync::Arc<state::State>,
-        headers: &http::HeaderMap,
-        payload: http::Payload,
-    ) -> Result<Source, fault::Fault> {
-        let length = body::content_length(headers);
-        let most = state.settings.limits.service_body_bytes;
-        if length.is_some_and(|length| length > most) {
-            return Err(body::too_long(most));
-        }
-        let chunked = headers.contains_key("transfer-encoding");
-        let inner = Inner {
-            payload: cell::RefCell::new(Some(payload)),
-            whole: None,
-            empty: !chunked && length.unwrap_or(0) == 0,
-            length,
-            fault: cell::RefCell::default(),
-            state: state.clone(),
-        };
-        Ok(Source(rc::Rc::new(inner)))
-    }
-
-    /// A body that was read before.
-    pub(crate) fn whole(state: &sync::Arc<state::State>, body: util::Bytes) -> Source {
-        Source(rc::Rc::new(Inner {
-            payload: cell::RefCell::default(),
-            empty: body.is_empty(),
-            length: Some(body.len() as u64),
-            whole: Some(body),
-            fault: cell::RefCell::default(),
-            state: state.clone(),
-        }))
-    }
-
-    /// Whether a further dispatch would send the same body.
-    fn is_untouched(&self) -> bool {
-        self.0.empty || self.0.whole.is_some() || self.0.payload.borrow().is_some()
-    }
-
-    /// What the caller did wrong while its body was passed on.
-    fn fault(&self) -> Option<fault::Fault> {
-        self.0.fault.borrow().clone()
-    }
-
-    fn open(&self) -> http_body::Body {
-        if self.0.empty {
-            return http_body::Body::None;
-        }
-        if let Some(whole) = &self.0.whole {
-            return http_body::Body::from(whole.clone());
-        }
-        let source = self.clone();
-        let stream = stream::unfold((source, None, 0), |(source, payload, passed)| async move {
-            let mut payload = match payload {
-                Some(payload) => payload,
-                None => source.0.payload.borrow_mut().take()?,
-            };
-            let item = source.read(&mut payload, passed).await?;
-            let passed = passed + item.as_ref().map_or(0, |chunk| chunk.len() as u64);
-            Some((item, (source, Some(payload), passed)))
-        });
-        let stream = Box::pin(stream.fuse());
-        match self.0.length {
-            Some(length) => http_body::Body::from(http_body::SizedStream::new(length, stream)),
-            None => http_body::Body::from_message(http_body::BoxedBodyStream::new(stream)),
-        }
-    }
-
-    async fn read(
-        &self,
-        payload: &mut http::Payload,
-        passed: u64,
-    ) -> Option<Result<util::Bytes, rc::Rc<dyn std::error::Error>>> {
-        let limits = &self.0.state.settings.limits;
-        let fault = match tokio::time::timeout(limits.body_timeout, payload.recv()).await {
-            Ok(None) => return None,
-            Ok(Some(Ok(chunk))) => {
-                if passed + chunk.len() as u64 <= limits.service_body_bytes {
-                    return Some(Ok(chunk));
-                }
-                body::too_long(limits.service_body_bytes)
-            }
-            Ok(Some(Err(error))) => call::malformed(format!("body: {error}")),
-            Err(_) => body::slow(),
-        };
-        let error = io::Error::other(fault.failure.to_string());
-        self.0.fault.replace(Some(fault));
-        let error: rc::Rc<dyn std::error::Error> = rc::Rc::new(error);
-        Some(Err(error))
-    }
-}
