Stand-ins: a dead one refuses connections, a cut holds answers, refusals come after the body

Cause: down closed connections after the request was read, so callers had no proof that nothing ran; cut let a service's answer under way pass. a_cancelled_attempt_that_comes_later_is_refused failed once: cancel answered without reading its body, and the connection was reset under the sender ('Send(NotConnected)') when the body came in a later packet. The same held for release, leave, a service's not-run refusal and the platform's 503. Change: gate.rs stops listening and ends connections while down; control.rs, one address for the switches, records and leaves of all stand-ins, also dead ones; healed() holds answers in a cut; every answer that does not need the body reads it first. Tests: a dead engine and a dead replica refuse connections (was: give no answer); the down case of a_lost_request_does_not_run moved to a_dead_replica_refuses_connections, which also asks that it comes back; the dead engine is revived in process, since its own port is closed.

--- a/crates/lagoon-load/src/soak/fault.rs
+++ b/crates/lagoon-load/src/soak/fault.rs
@@ -1,6 +1,5 @@
 //! The fault switches that a soak sets, by HTTP, and when.
 
-use std::net;
 use std::thread;
 use std::time;
 
@@ -139,15 +138,18 @@
     }
 }
 
+/// Name of the platform at the control address.
+const PLATFORM: &str = "platform";
+
 fn apply(fleet: &settings::Fleet, event: Event) {
     match event {
         Event::Engine(index, name, switch) => {
-            set(fleet.engines[index].address, name, &switch.json())
+            set(fleet, &fleet.engines[index].name, name, &switch.json());
         }
         Event::Service(index, name, switch) => {
-            set(fleet.services[index].address, name, &switch.json());
+            set(fleet, &fleet.services[index].name, name, &switch.json());
         }
-        Event::Platform(name, switch) => set(fleet.platform, name, &switch.json()),
+        Event::Platform(name, switch) => set(fleet, PLATFORM, name, &switch.json()),
         Event::Cut => cut(fleet, true),
         Event::Heal => cut(fleet, false),
     }
@@ -161,13 +163,14 @@
         (true, false) => json!([last]),
     };
     for upstream in fleet.engines.iter().chain(&fleet.services) {
-        set(upstream.address, "cut", &unheard(&upstream.zone));
+        set(fleet, &upstream.name, "cut", &unheard(&upstream.zone));
     }
-    set(fleet.platform, "cut", &unheard(""));
+    set(fleet, PLATFORM, "cut", &unheard(""));
 }
 
-fn set(address: net::SocketAddr, name: &str, value: &Value) {
-    if let Err(error) = remote::post(address, "/faults", &json!({name: value})) {
-        log::error!("switch {name} at {address} was not set: {error}");
+fn set(fleet: &settings::Fleet, of: &str, name: &str, value: &Value) {
+    let path = format!("/{of}/faults");
+    if let Err(error) = remote::post(fleet.control, &path, &json!({name: value})) {
+        log::error!("switch {name} of {of} was not set: {error}");
     }
 }
--- a/crates/lagoon-load/src/soak/remote.rs
+++ b/crates/lagoon-load/src/soak/remote.rs
@@ -72,7 +72,7 @@
     let deadline = time::Instant::now() + most;
     let engines = loop {
         let records: io::Result<Vec<engine::Record>> =
-            of.engines.iter().map(|engine| get(engine.address, "/record")).collect();
+            of.engines.iter().map(|engine| read(of, &engine.name)).collect();
         let records = records?;
         if left(&records) == 0 || time::Instant::now() > deadline {
             break records;
@@ -85,7 +85,7 @@
     }
     let mut bookings = collections::BTreeMap::new();
     for upstream in &of.services {
-        let service: service::Record = get(upstream.address, "/record")?;
+        let service: service::Record = read(of, &upstream.name)?;
         for call in service.calls.into_iter().filter(|call| call.ran) {
             *bookings.entry(call.body_sha256).or_insert(0) += 1;
         }
@@ -93,6 +93,13 @@
     Ok(fleet::Record { bookings, ..record })
 }
 
+fn read<T>(of: &settings::Fleet, name: &str) -> io::Result<T>
+where
+    T: de::DeserializeOwned + 'static,
+{
+    get(of.control, &format!("/{name}/record"))
+}
+
 fn left(records: &[engine::Record]) -> u64 {
     records.iter().map(|record| record.bytes_reserved - record.bytes_returned).sum()
 }
--- a/crates/lagoon-load/src/soak/settings.rs
+++ b/crates/lagoon-load/src/soak/settings.rs
@@ -67,10 +67,10 @@
     }
 }
 
-/// One stand-in: where it is, and in which zone.
+/// One stand-in: its name there, and its zone.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Upstream {
-    pub(super) address: net::SocketAddr,
+    pub(super) name: String,
     pub(super) zone: String,
 }
 
@@ -79,7 +79,8 @@
 pub(super) struct Fleet {
     pub(super) hosts: Vec<net::SocketAddr>,
     pub(super) zones: Vec<String>,
-    pub(super) platform: net::SocketAddr,
+    /// Where the stand-ins' switches and records are.
+    pub(super) control: net::SocketAddr,
     pub(super) engines: Vec<Upstream>,
     pub(super) services: Vec<Upstream>,
 }
@@ -93,7 +94,7 @@
     pub(super) fn read(folder: &path::Path) -> io::Result<Fleet> {
         let text = fs::read_to_string(folder.join("standin.json"))?;
         let stand_ins = fleet::Settings::parse(&text).map_err(io::Error::other)?;
-        let platform = stand_ins.platform.ok_or_else(|| io::Error::other("no platform"))?;
+        let control = stand_ins.control.ok_or_else(|| io::Error::other("no control address"))?;
         let mut hosts = Vec::new();
         let mut zones = collections::BTreeSet::new();
         for host in sorted(&folder.join("hosts"))? {
@@ -103,16 +104,18 @@
             zones.insert(settings.zone.to_string());
         }
         let zone_of = zones_of_upstreams(folder)?;
-        let upstream = |address| Upstream {
-            address,
+        let upstream = |name: &str, address| Upstream {
+            name: name.to_owned(),
             zone: zone_of.get(&address).cloned().unwrap_or_default(),
         };
+        let engines = stand_ins.engines.iter().map(|engine| upstream(&engine.name, engine.address));
+        let services = stand_ins.services.iter().map(|one| upstream(&one.name, one.address));
         Ok(Fleet {
             hosts,
             zones: zones.into_iter().collect(),
-            platform: platform.address,
-            engines: stand_ins.engines.iter().map(|engine| upstream(engine.address)).collect(),
-            services: stand_ins.services.iter().map(|service| upstream(service.address)).collect(),
+            control,
+            engines: engines.collect(),
+            services: services.collect(),
         })
     }
 }
--- a/crates/lagoon-load/tests/examples.rs
+++ b/crates/lagoon-load/tests/examples.rs
@@ -45,6 +45,7 @@
     fn addresses(&self) -> Vec<net::SocketAddr> {
         let stand_ins = &self.stand_ins;
         let mut addresses = vec![stand_ins.platform.as_ref().unwrap().address];
+        addresses.push(stand_ins.control.unwrap());
         addresses.extend(stand_ins.engines.iter().map(|engine| engine.address));
         addresses.extend(stand_ins.services.iter().map(|service| service.address));
         addresses.extend(self.entries.iter().map(|entry| entry.listen));
--- a/crates/lagoon-standin/src/engine/faults.rs
+++ b/crates/lagoon-standin/src/engine/faults.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// It is dead: connections are closed, and all that it held is gone.
+    /// It is dead: connections are refused, and all that it held is gone.
     pub down: bool,
     /// Milliseconds for which it does nothing, from when the switch is set.
     pub freeze_ms: u64,
--- a/crates/lagoon-standin/src/engine/http.rs
+++ b/crates/lagoon-standin/src/engine/http.rs
@@ -39,11 +39,15 @@
     match (method, parts.as_slice()) {
         ("POST", ["generate"]) => generate(engine, request).await,
         ("GET", ["streams", attempt]) => resume(engine, &request, attempt),
-        ("POST", ["streams", attempt, "cancel"]) => cancel(&engine, &request, attempt),
+        ("POST", ["streams", attempt, "cancel"]) => {
+            port::drain(&mut request).await;
+            cancel(&engine, &request, attempt)
+        }
         ("GET", ["load"]) => port::json(200, &engine.lock().published()),
         ("GET", ["cache", "events"]) => events(&engine, &request),
         ("GET", ["holdings"]) => holdings(&engine),
         ("POST", ["holdings", id, "release"]) => {
+            port::drain(&mut request).await;
             engine.lock().release(&port::decode(id), time::Instant::now());
             port::json(200, &json!({}))
         }
@@ -56,15 +60,14 @@
             let state = engine.lock();
             port::json(200, &state.orders.json(state.incarnation))
         }
-        ("POST", ["leave"]) => {
-            engine.leave();
-            port::json(200, &json!({}))
+        _ => {
+            port::drain(&mut request).await;
+            port::refuse(404, "unknown_call")
         }
-        _ => port::refuse(404, "unknown_call"),
     }
 }
 
-/// Faults and the record are reached also when the engine is down.
+/// Faults, the record and the word to leave are reached through every fault.
 async fn administer(
     engine: &Shared,
     request: &mut http::Request,
@@ -74,6 +77,11 @@
     match (method, parts) {
         ("GET", ["faults"]) => Some(port::json(200, &engine.faults())),
         ("GET", ["record"]) => Some(port::json(200, &engine.record())),
+        ("POST", ["leave"]) => {
+            port::drain(request).await;
+            engine.leave();
+            Some(port::json(200, &json!({})))
+        }
         ("POST", ["faults"]) => Some(match port::read_json::<Value>(request).await {
             Ok(change) => match fault::merge(&engine.faults(), &change) {
                 Ok(faults) => {
--- a/crates/lagoon-standin/src/engine/mod.rs
+++ b/crates/lagoon-standin/src/engine/mod.rs
@@ -20,6 +20,7 @@
 pub use state::{AttemptRecord, Record};
 
 use crate::fault;
+use crate::gate;
 use crate::port;
 use crate::server;
 
@@ -28,6 +29,7 @@
 pub struct Engine {
     /// What it was started with.
     pub settings: sync::Arc<Settings>,
+    pub(crate) gate: gate::Gate,
     state: sync::Mutex<state::State>,
 }
 
@@ -36,7 +38,7 @@
     pub fn new(settings: Settings) -> Self {
         let settings = sync::Arc::new(settings);
         let state = state::State::new(settings.clone(), time::Instant::now());
-        Engine { settings, state: sync::Mutex::new(state) }
+        Engine { settings, gate: gate::Gate::default(), state: sync::Mutex::new(state) }
     }
 
     pub(crate) fn lock(&self) -> sync::MutexGuard<'_, state::State> {
@@ -56,9 +58,10 @@
         self.lock().faults.clone()
     }
 
-    /// Sets the switches. `down` loses all that the engine held; when it comes back it is a new
-    /// incarnation.
+    /// Sets the switches. `down` loses all that the engine held, ends its connections and refuses
+    /// new ones; when it comes back it is a new incarnation.
     pub fn set_faults(&self, faults: Faults) {
+        self.gate.set(!faults.down);
         self.lock().set_faults(faults, time::Instant::now());
     }
 
@@ -114,5 +117,6 @@
     let listener = port::bind(settings.address)?;
     let address = listener.local_addr()?;
     let engine = sync::Arc::new(Engine::new(Settings { address, ..settings }));
+    engine.gate.hold(&listener)?;
     Ok(((listener, server::Node::Engine(engine.clone())), address, engine))
 }
--- a/crates/lagoon-standin/src/fleet.rs
+++ b/crates/lagoon-standin/src/fleet.rs
@@ -1,18 +1,23 @@
 //! A whole fleet's stand-ins in one process, from one settings text.
 
 use std::io;
+use std::net;
 use std::sync;
 
 use lagoonline::check;
 
+use crate::control;
 use crate::engine;
 use crate::platform;
+use crate::port;
 use crate::server;
 use crate::service;
 
 /// Settings of a fleet's stand-ins.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Settings {
+    /// Where switches and records are reached also when their stand-in is down.
+    pub control: Option<net::SocketAddr>,
     /// The platform, if there is one.
     pub platform: Option<platform::Settings>,
     /// Model engines.
@@ -22,7 +27,8 @@
 }
 
 impl Settings {
-    /// Reads a settings text: `{"platform": {...}, "engines": [...], "services": [...]}`.
+    /// Reads a settings text:
+    /// `{"control": "IP:PORT", "platform": {...}, "engines": [...], "services": [...]}`.
     ///
     /// # Errors
     ///
@@ -37,6 +43,7 @@
     /// ```
     pub fn parse(text: &str) -> Result<Self, check::Faults> {
         check::parse(text, |reader| Settings {
+            control: reader.parsed("control", "IP:PORT"),
             platform: reader.child("platform", platform::Settings::read),
             engines: reader.list("engines", engine::Settings::read),
             services: reader.list("services", service::Settings::read),
@@ -44,6 +51,15 @@
     }
 }
 
+fn named(nodes: &[(net::TcpListener, server::Node)]) -> Vec<(String, server::Node)> {
+    let name = |node: &server::Node| match node {
+        server::Node::Engine(engine) => engine.settings.name.clone(),
+        server::Node::Service(service) => service.settings.name.clone(),
+        server::Node::Platform(_) | server::Node::Control(_) => "platform".to_owned(),
+    };
+    nodes.iter().map(|(_, node)| (name(node), node.clone())).collect()
+}
+
 /// A running fleet of stand-ins.
 #[derive(Debug)]
 pub struct Fleet {
@@ -91,6 +107,10 @@
         nodes.push(node);
         kept_services.push((address, service));
     }
+    if let Some(address) = settings.control {
+        let control = server::Node::Control(sync::Arc::new(control::Control::new(named(&nodes))));
+        nodes.push((port::bind(address)?, control));
+    }
     if nodes.is_empty() {
         return Err(io::Error::other("the settings name no stand-in"));
     }
--- a/crates/lagoon-standin/src/lib.rs
+++ b/crates/lagoon-standin/src/lib.rs
@@ -12,9 +12,11 @@
 //! ```
 
 pub mod answer;
+pub mod control;
 pub mod engine;
 pub mod fault;
 pub mod fleet;
+mod gate;
 pub mod platform;
 pub mod port;
 pub mod prompt;
--- a/crates/lagoon-standin/src/platform/http.rs
+++ b/crates/lagoon-standin/src/platform/http.rs
@@ -31,6 +31,7 @@
         return port::vanish(&request);
     }
     if platform.faults().down {
+        port::drain(&mut request).await;
         return refused(&platform, 503, "out");
     }
     match (method.as_str(), path.as_str()) {
@@ -47,7 +48,10 @@
         ("POST", "/weights/take") => take(&platform, &mut request).await,
         (method, path) => match path.strip_prefix("/objects/") {
             Some(key) => object(&platform, &mut request, method, &port::decode(key)).await,
-            None => port::refuse(404, "unknown_call"),
+            None => {
+                port::drain(&mut request).await;
+                port::refuse(404, "unknown_call")
+            }
         },
     }
 }
--- a/crates/lagoon-standin/src/port.rs
+++ b/crates/lagoon-standin/src/port.rs
@@ -44,6 +44,13 @@
     Ok(Bytes::from(body))
 }
 
+/// Reads a body that is of no use here. An answer that overtakes the body closes the connection
+/// under the sender's hands, who may then see a reset in place of the answer.
+pub(crate) async fn drain(request: &mut http::Request) {
+    let mut payload = request.take_payload();
+    while let Some(Ok(_)) = payload.recv().await {}
+}
+
 /// Reads a body of JSON.
 pub(crate) async fn read_json<T>(request: &mut http::Request) -> Result<T, BodyError>
 where
@@ -129,7 +136,6 @@
 where
     Look: Fn() -> fault::Port,
 {
-    let zone = header(request, "Lagoon-Zone").to_owned();
     let faults = look();
     if faults.down || (faults.loss > 0.0 && rand::rng().random_bool(faults.loss.clamp(0.0, 1.0))) {
         return Err(Gone);
@@ -137,6 +143,20 @@
     if faults.delay_ms > 0 {
         tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
     }
+    healed(request, &look).await?;
+    if look().down { Err(Gone) } else { Ok(()) }
+}
+
+/// Holds what belongs to a request from a cut zone, until the cut heals.
+///
+/// # Errors
+///
+/// It did not heal in time.
+pub(crate) async fn healed<Look>(request: &http::Request, look: Look) -> Result<(), Gone>
+where
+    Look: Fn() -> fault::Port,
+{
+    let zone = header(request, "Lagoon-Zone").to_owned();
     let arrived = time::Instant::now();
     while !zone.is_empty() && look().cut.contains(&zone) {
         if arrived.elapsed() > CUT_HOLD {
@@ -144,7 +164,7 @@
         }
         tokio::time::sleep(CUT_LOOK).await;
     }
-    if look().down { Err(Gone) } else { Ok(()) }
+    Ok(())
 }
 
 /// Reads a settings address and binds it.
--- a/crates/lagoon-standin/src/server.rs
+++ b/crates/lagoon-standin/src/server.rs
@@ -11,7 +11,9 @@
 use ntex::http;
 use ntex::service;
 
+use crate::control;
 use crate::engine;
+use crate::gate;
 use crate::platform;
 use crate::service as plain;
 
@@ -31,21 +33,41 @@
     Platform(sync::Arc<platform::Platform>),
     /// A replica of a plain service.
     Service(sync::Arc<plain::Service>),
+    /// The switches of others.
+    Control(sync::Arc<control::Control>),
 }
 
 impl Node {
-    async fn handle(self, request: http::Request) -> http::Response {
+    pub(crate) async fn handle(self, request: http::Request) -> http::Response {
         match self {
             Node::Engine(engine) => engine::http::handle(engine, request).await,
             Node::Platform(platform) => platform::handle(platform, request).await,
             Node::Service(service) => plain::handle(service, request).await,
+            Node::Control(control) => control.handle(request).await,
         }
     }
 
     fn tick(&self, now: time::Instant) {
         match self {
             Node::Engine(engine) => engine.tick(now),
-            Node::Platform(_) | Node::Service(_) => {}
+            Node::Platform(_) | Node::Service(_) | Node::Control(_) => {}
+        }
+    }
+}
+
+impl Node {
+    /// The port that closes when the stand-in is down; the platform answers that it is out.
+    fn gate(&self) -> Option<&gate::Gate> {
+        match self {
+            Node::Engine(engine) => Some(&engine.gate),
+            Node::Service(service) => Some(&service.gate),
+            Node::Platform(_) | Node::Control(_) => None,
+        }
+    }
+
+    async fn watch(self, connection: ntex::io::IoRef) {
+        if let Some(gate) = self.gate() {
+            gate.watch(connection).await;
         }
     }
 }
@@ -126,11 +148,17 @@
         let shared = shared.clone();
         builder = builder.listen(name, listener, async move |config| {
             config.config(shared.clone());
-            let node = node.clone();
-            http::HttpService::new(service::fn_service(move |request: http::Request| {
-                let node = node.clone();
-                async move { Ok::<_, io::Error>(node.handle(request).await) }
-            }))
+            let (node, watched) = (node.clone(), node.clone());
+            let watch = move |connection: ntex::io::Io| {
+                ntex::rt::spawn(watched.clone().watch(connection.get_ref()));
+                async move { Ok::<_, http::error::DispatchError>(connection) }
+            };
+            let serve =
+                http::HttpService::new(service::fn_service(move |request: http::Request| {
+                    let node = node.clone();
+                    async move { Ok::<_, io::Error>(node.handle(request).await) }
+                }));
+            service::chain_factory(service::fn_service(watch)).and_then(serve)
         })?;
     }
     Ok(builder)
--- a/crates/lagoon-standin/src/service/http.rs
+++ b/crates/lagoon-standin/src/service/http.rs
@@ -19,6 +19,11 @@
         ("GET", "/faults") => return port::json(200, &service.faults()),
         ("POST", "/faults") => return change(&service, &mut request).await,
         ("GET", "/record") => return port::json(200, &service.record()),
+        ("POST", "/leave") => {
+            port::drain(&mut request).await;
+            service.leave();
+            return port::json(200, &json!({}));
+        }
         _ => {}
     }
     if port::pass(&request, || service.port_faults()).await.is_err() {
@@ -26,10 +31,12 @@
     }
     let slot = Slot::new(&service);
     if slot.number > service.settings.slots || service.leaving.load(atomic::Ordering::Acquire) {
+        port::drain(&mut request).await;
         return not_run(&request);
     }
     let answer = run(&service, &mut request).await;
-    if service.faults().lose_answer || service.faults().down {
+    let healed = port::healed(&request, || service.port_faults()).await;
+    if healed.is_err() || service.faults().lose_answer || service.faults().down {
         return port::vanish(&request);
     }
     answer
--- a/crates/lagoon-standin/src/service/mod.rs
+++ b/crates/lagoon-standin/src/service/mod.rs
@@ -14,6 +14,7 @@
 pub use settings::Settings;
 
 use crate::fault;
+use crate::gate;
 use crate::port;
 use crate::server;
 
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Faults {
-    /// It is dead: connections are closed.
+    /// It is dead: connections are refused, and those there were are closed.
     pub down: bool,
     /// Milliseconds before a request is looked at.
     pub delay_ms: u64,
@@ -63,6 +64,7 @@
     faults: sync::Mutex<Faults>,
     calls: sync::Mutex<Vec<CallRecord>>,
     running: atomic::AtomicUsize,
+    pub(crate) gate: gate::Gate,
     leaving: atomic::AtomicBool,
 }
 
@@ -74,6 +76,7 @@
             faults: sync::Mutex::default(),
             calls: sync::Mutex::default(),
             running: atomic::AtomicUsize::new(0),
+            gate: gate::Gate::default(),
             leaving: atomic::AtomicBool::new(false),
         }
     }
@@ -83,8 +86,9 @@
         self.faults.lock().unwrap_or_else(sync::PoisonError::into_inner).clone()
     }
 
-    /// Sets the switches.
+    /// Sets the switches. `down` ends its connections and refuses new ones.
     pub fn set_faults(&self, faults: Faults) {
+        self.gate.set(!faults.down);
         *self.faults.lock().unwrap_or_else(sync::PoisonError::into_inner) = faults;
     }
 
@@ -133,5 +137,6 @@
     let listener = port::bind(settings.address)?;
     let address = listener.local_addr()?;
     let service = sync::Arc::new(Service::new(Settings { address, ..settings }));
+    service.gate.hold(&listener)?;
     Ok(((listener, server::Node::Service(service.clone())), address, service))
 }
--- a/crates/lagoon-standin/tests/common/mod.rs
+++ b/crates/lagoon-standin/tests/common/mod.rs
@@ -19,6 +19,12 @@
     format!("{number:032x}")
 }
 
+/// Whether nothing listens at `address`.
+pub fn refuses(address: net::SocketAddr) -> bool {
+    net::TcpStream::connect(address)
+        .is_err_and(|error| error.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
 /// Sends JSON; the answer's status and JSON, or null.
 pub async fn post(address: net::SocketAddr, path: &str, body: Value) -> (u16, Value) {
     let client = client::Client::new().await;
--- a/crates/lagoon-standin/tests/engine.rs
+++ b/crates/lagoon-standin/tests/engine.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{attempt, generate, get, post, resume, run};
+use common::{attempt, generate, get, post, refuses, resume, run};
 use lagoon_standin::{answer, engine, prompt};
 use rstest::rstest;
 use serde_json::json;
@@ -247,10 +247,11 @@
         let answer = reader.all().await;
         assert!(answer.broken && answer.end.is_none());
         assert_eq!(get(engine.address(), "/load").await.0, 0);
+        assert!(refuses(engine.address()));
         let record = engine.node().record();
         assert_eq!(record.bytes_returned, record.bytes_reserved);
         assert_eq!(record.attempts[0].state, "lost");
-        post(engine.address(), "/faults", json!({"down": false})).await;
+        engine.node().set_faults(engine::Faults::default());
         assert!(get(engine.address(), "/load").await.1["incarnation"].as_u64() > Some(before));
     });
 }
--- a/crates/lagoon-standin/tests/service.rs
+++ b/crates/lagoon-standin/tests/service.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{get, post, run};
+use std::time;
+
+use common::{get, post, refuses, run};
 use lagoon_standin::service;
 use ntex::client;
 use rstest::rstest;
@@ -46,23 +48,58 @@
     });
 }
 
-#[rstest]
-#[case::down(json!({"down": true}))]
-#[case::loss(json!({"loss": 1.0}))]
-fn a_lost_request_does_not_run(#[case] change: serde_json::Value) {
+#[test]
+fn a_lost_request_does_not_run() {
     run(async move {
         let service = service::start(service::Settings::default()).unwrap();
-        post(service.address(), "/faults", change).await;
+        post(service.address(), "/faults", json!({"loss": 1.0})).await;
         assert!(call(service.address(), "POST").await.is_none());
         assert_eq!(get(service.address(), "/record").await.1["calls"], json!([]));
     });
 }
 
+// The replica dies: new connections are refused, so that a caller knows that its call did not run.
+// When it is back, calls run again.
+#[test]
+fn a_dead_replica_refuses_connections() {
+    run(async move {
+        let service = service::start(service::Settings::default()).unwrap();
+        service.node().set_faults(service::Faults { down: true, ..service::Faults::default() });
+        assert!(refuses(service.address()));
+        assert!(call(service.address(), "POST").await.is_none());
+        assert_eq!(service.node().record().calls, []);
+        service.node().set_faults(service::Faults::default());
+        assert_eq!(call(service.address(), "POST").await.unwrap().status().as_u16(), 200);
+    });
+}
+
+// The zone of the caller's entry host is cut off while its booking is being made: the booking runs,
+// and its answer comes only when the cut has healed.
+#[test]
+fn a_cut_holds_an_answer_under_way() {
+    run(async {
+        let settings = service::Settings { work_ms: 100, ..service::Settings::default() };
+        let service = service::start(settings).unwrap();
+        let client = client::Client::new().await;
+        let request = client.post(format!("http://{}/bookings/7", service.address()));
+        let answer = ntex::rt::spawn(request.set_header("Lagoon-Zone", "suva").send_body("tin"));
+        while service.node().record().calls.is_empty() {
+            tokio::time::sleep(time::Duration::from_millis(2)).await;
+        }
+        let cut = vec!["suva".to_owned()];
+        service.node().set_faults(service::Faults { cut, ..service::Faults::default() });
+        tokio::time::sleep(time::Duration::from_millis(300)).await;
+        assert!(!answer.is_finished());
+        service.node().set_faults(service::Faults::default());
+        assert_eq!(answer.await.unwrap().unwrap().status().as_u16(), 200);
+    });
+}
+
 #[test]
 fn a_leaving_replica_says_that_the_call_did_not_run() {
     run(async {
         let service = service::start(service::Settings::default()).unwrap();
-        service.node().leave();
+        assert_eq!(post(service.address(), "/leave", json!({})).await.0, 200);
         let answer = call(service.address(), "POST").await.unwrap();
         assert_eq!(answer.status().as_u16(), 503);
         assert_eq!(answer.headers().get("Lagoon-Not-Run").unwrap(), "1");
