One module for arguments and exit codes of all programs

Change: lagoon_net::program; the programs keep what is theirs. Conclusion: one place for exit codes.

--- a/crates/lagoon-entry/src/main.rs
+++ b/crates/lagoon-entry/src/main.rs
@@ -7,13 +7,13 @@
 use std::process;
 use std::thread;
 
-use argh::FromArgs;
 use lagoon_net::entry;
 use lagoon_net::logs;
+use lagoon_net::program;
 use lagoon_net::signals;
 
 /// Data path of an entry host.
-#[derive(FromArgs)]
+#[derive(argh::FromArgs)]
 struct Args {
     /// settings file (JSON)
     #[argh(option)]
@@ -23,20 +23,16 @@
     check: bool,
 }
 
-const FAILED: u8 = 1;
-const BAD_USAGE: u8 = 2;
+const PROGRAM: &str = "lagoon-entry";
 
 fn main() -> process::ExitCode {
-    let args = match read_args() {
+    let args: Args = match program::arguments(PROGRAM) {
         Ok(args) => args,
         Err(code) => return code,
     };
     let settings = match entry::Settings::load(&args.settings) {
         Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return process::ExitCode::from(BAD_USAGE);
-        }
+        Err(error) => return program::bad_usage(&error),
     };
     if args.check {
         return process::ExitCode::SUCCESS;
@@ -44,35 +40,14 @@
     match run(settings) {
         Ok(entry::Ending::Clean) => process::ExitCode::SUCCESS,
         Ok(entry::Ending::Cut(count)) => {
-            eprintln!("the drain was cut short: {count} requests failed");
-            process::ExitCode::from(FAILED)
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            process::ExitCode::from(FAILED)
+            program::failed(PROGRAM, &format!("the drain was cut short: {count} requests failed"))
         }
+        Err(error) => program::failed(PROGRAM, &error),
     }
 }
 
-/// Like `argh::from_env`, but bad usage exits with 2.
-fn read_args() -> Result<Args, process::ExitCode> {
-    let texts: Vec<String> = std::env::args().collect();
-    let texts: Vec<&str> = texts.iter().map(String::as_str).collect();
-    let (name, rest) = texts.split_first().map_or(("lagoon-entry", &[][..]), |(n, r)| (*n, r));
-    Args::from_args(&[name], rest).map_err(|early| match early.status {
-        Ok(()) => {
-            println!("{}", early.output);
-            process::ExitCode::SUCCESS
-        }
-        Err(()) => {
-            eprintln!("{}", early.output);
-            process::ExitCode::from(BAD_USAGE)
-        }
-    })
-}
-
 fn run(settings: entry::Settings) -> io::Result<entry::Ending> {
-    logs::start(&settings.logs, "lagoon-entry")?;
+    logs::start(&settings.logs, PROGRAM)?;
     let (host, zone) = (settings.host.clone(), settings.zone.clone());
     // Before anything can be asked to end: a signal that comes early drains too.
     let mut terminations = signals::Terminations::new()?;
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -12,6 +12,7 @@
 use lagoon_load::bench::world;
 use lagoon_load::soak;
 use lagoon_net::logs;
+use lagoon_net::program;
 use lagoonline::check;
 use lagoonline::clock;
 use lagoonline::load;
@@ -90,8 +91,13 @@
     name: String,
 }
 
+const PROGRAM: &str = "lagoon-load";
+
 fn main() -> process::ExitCode {
-    let args: Args = argh::from_env();
+    let args: Args = match program::arguments(PROGRAM) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let result = match args.command {
         Command::Bench(bench) => run(&bench).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
@@ -100,9 +106,8 @@
         Ok(true) => process::ExitCode::SUCCESS,
         Ok(false) => process::ExitCode::FAILURE,
         Err(error) => {
-            eprintln!("lagoon-load: {error}");
             let usage = error.is::<Unknown>() || error.is::<check::Faults>();
-            process::ExitCode::from(if usage { 2 } else { 1 })
+            if usage { program::bad_usage(&error) } else { program::failed(PROGRAM, &error) }
         }
     }
 }
@@ -110,7 +115,7 @@
 /// Whether every check held.
 fn run_soak(soak: &Soak) -> Result<bool, Box<dyn error::Error>> {
     let settings = check::parse(&fs::read_to_string(&soak.settings)?, soak::Settings::read)?;
-    logs::start(&logs::Settings::default(), "lagoon-load")?;
+    logs::start(&logs::Settings::default(), PROGRAM)?;
     let report = soak::run(&settings)?;
     if soak.json {
         println!("{}", serde_json::to_string(&report)?);
--- a/crates/lagoon-load/src/bin/lagoon-try.rs
+++ b/crates/lagoon-load/src/bin/lagoon-try.rs
@@ -4,6 +4,7 @@
 
 use lagoon_load::trial;
 use lagoon_net::logs;
+use lagoon_net::program;
 
 /// Serve mixed prompts over three zones on embedded stand-ins, with a few faults, and print the
 /// measures. Exit code: 0 only if every check held.
@@ -25,27 +26,26 @@
 
 /// Shortest and longest run, in seconds of arrivals.
 const SECONDS: std::ops::RangeInclusive<f64> = 4.0..=45.0;
-/// Exit code of bad usage.
-const USAGE: u8 = 2;
+const PROGRAM: &str = "lagoon-try";
 
 fn main() -> process::ExitCode {
-    let args: Args = argh::from_env();
+    let args: Args = match program::arguments(PROGRAM) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     if !SECONDS.contains(&args.seconds) {
-        eprintln!("lagoon-try: --seconds must be from {} to {}", SECONDS.start(), SECONDS.end());
-        return process::ExitCode::from(USAGE);
+        let (least, most) = (SECONDS.start(), SECONDS.end());
+        return program::bad_usage(&format!("{PROGRAM}: --seconds must be from {least} to {most}"));
     }
     let logs = logs::Settings { level: args.log, ..logs::Settings::default() };
-    if let Err(error) = logs::start(&logs, "lagoon-try") {
+    if let Err(error) = logs::start(&logs, PROGRAM) {
         eprintln!("lagoon-try: logs: {error}");
     }
     let settings =
         trial::Settings { seconds: args.seconds, seed: args.seed, ..trial::Settings::default() };
     let report = match trial::run(&settings) {
         Ok(report) => report,
-        Err(error) => {
-            eprintln!("lagoon-try: {error}");
-            return process::ExitCode::FAILURE;
-        }
+        Err(error) => return program::failed(PROGRAM, &error),
     };
     if args.json {
         println!("{}", serde_json::json!(report));
--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod logs;
 pub mod operator;
 pub mod platform;
+pub mod program;
 pub mod service;
 pub mod signals;
 pub mod steward;
--- a/crates/lagoon-standin/src/main.rs
+++ b/crates/lagoon-standin/src/main.rs
@@ -2,16 +2,15 @@
 //!
 //! Exit codes: 0 good, 1 failed, 2 bad settings.
 
-use std::fs;
 use std::path;
 use std::process;
 use std::thread;
 
-use argh::FromArgs;
+use lagoon_net::{logs, program};
 use lagoon_standin::fleet;
 
 /// Stand-ins of a platform, engines and services, with fault switches over HTTP.
-#[derive(FromArgs)]
+#[derive(argh::FromArgs)]
 struct Args {
     /// settings file (JSON)
     #[argh(option)]
@@ -21,37 +20,28 @@
     check: bool,
 }
 
-const FAILED: u8 = 1;
-const BAD_USAGE: u8 = 2;
+const PROGRAM: &str = "lagoon-standin";
 
 fn main() -> process::ExitCode {
-    let args: Args = argh::from_env();
-    let file = args.settings.display();
-    let text = match fs::read_to_string(&args.settings) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("{file}: {error}");
-            return process::ExitCode::from(BAD_USAGE);
-        }
+    let args: Args = match program::arguments(PROGRAM) {
+        Ok(args) => args,
+        Err(code) => return code,
     };
-    let settings = match fleet::Settings::parse(&text) {
+    let settings = match program::settings(&args.settings, fleet::Settings::parse) {
         Ok(settings) => settings,
-        Err(faults) => {
-            eprintln!("{file}:\n{faults}");
-            return process::ExitCode::from(BAD_USAGE);
-        }
+        Err(code) => return code,
     };
     if args.check {
         return process::ExitCode::SUCCESS;
     }
+    if let Err(error) = logs::start(&logs::Settings::default(), PROGRAM) {
+        return program::failed(PROGRAM, &error);
+    }
     match fleet::start(settings) {
         // The stand-ins serve on their own threads until a signal ends the process.
         Ok(_fleet) => loop {
             thread::park();
         },
-        Err(error) => {
-            eprintln!("{file}: {error}");
-            process::ExitCode::from(FAILED)
-        }
+        Err(error) => program::failed(PROGRAM, &error),
     }
 }
--- a/crates/lagoonctl/src/arguments.rs
+++ b/crates/lagoonctl/src/arguments.rs
@@ -1,18 +1,15 @@
 //! The command line.
 
-use std::process;
+use std::path;
 
 use argh::FromArgs;
 
-/// Exit code for bad usage or settings.
-pub(crate) const BAD_USAGE: i32 = 2;
-
 /// Drive a lagoonline fleet.
 #[derive(FromArgs)]
 pub(crate) struct Arguments {
     /// file of settings, in JSON
-    #[argh(option, default = "String::from(\"lagoonctl.json\")")]
-    pub(crate) settings: String,
+    #[argh(option, default = "path::PathBuf::from(\"lagoonctl.json\")")]
+    pub(crate) settings: path::PathBuf,
     /// print JSON
     #[argh(switch)]
     pub(crate) json: bool,
@@ -121,20 +118,3 @@
     #[argh(option, default = "String::from(\"team\")")]
     pub(crate) by: String,
 }
-
-/// The arguments of this process; ends it with 2 when they are wrong.
-pub(crate) fn read() -> Arguments {
-    let words: Vec<String> = std::env::args().skip(1).collect();
-    let words: Vec<&str> = words.iter().map(String::as_str).collect();
-    match Arguments::from_args(&["lagoonctl"], &words) {
-        Ok(arguments) => arguments,
-        Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
-            process::exit(0);
-        }
-        Err(exit) => {
-            eprintln!("{}", exit.output);
-            process::exit(BAD_USAGE);
-        }
-    }
-}
--- a/crates/lagoonctl/src/main.rs
+++ b/crates/lagoonctl/src/main.rs
@@ -8,19 +8,25 @@
 
 use std::process;
 
-fn main() {
-    let arguments = arguments::read();
-    let settings = run::settings(&arguments.settings).unwrap_or_else(|message| {
-        eprintln!("{message}");
-        process::exit(arguments::BAD_USAGE);
-    });
+use lagoon_net::operator;
+use lagoon_net::program;
+use lagoonline::check;
+
+const PROGRAM: &str = "lagoonctl";
+
+fn main() -> process::ExitCode {
+    let arguments: arguments::Arguments = match program::arguments(PROGRAM) {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let parse = |text: &str| check::parse(text, operator::Settings::read);
+    let settings = match program::settings(&arguments.settings, parse) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let code = match runtime {
+    match runtime {
         Ok(runtime) => runtime.block_on(run::run(settings, arguments)),
-        Err(error) => {
-            eprintln!("lagoonctl: {error}");
-            1
-        }
-    };
-    process::exit(code);
+        Err(error) => program::failed(PROGRAM, &error),
+    }
 }
--- a/crates/lagoonctl/src/run.rs
+++ b/crates/lagoonctl/src/run.rs
@@ -1,30 +1,23 @@
 //! The commands.
 
 use std::fs;
+use std::process;
 
 use lagoon_net::operator;
+use lagoon_net::program;
 use lagoon_net::wire;
-use lagoonline::check;
 use lagoonline::clock;
 
 use super::arguments;
 use super::print;
 
-/// Exit codes; bad usage is told apart in [`arguments`].
-const GOOD: i32 = 0;
-const FAILED: i32 = 1;
-
-/// Reads the settings; the message names the file, the place and the reason.
-pub(crate) fn settings(path: &str) -> Result<operator::Settings, String> {
-    let text = fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-    check::parse(&text, operator::Settings::read).map_err(|faults| {
-        let lines = faults.0.iter().map(|fault| format!("{path}: {fault}"));
-        lines.collect::<Vec<_>>().join("\n")
-    })
-}
+const GOOD: u8 = 0;
 
 /// Carries out a command; its exit code.
-pub(crate) async fn run(settings: operator::Settings, arguments: arguments::Arguments) -> i32 {
+pub(crate) async fn run(
+    settings: operator::Settings,
+    arguments: arguments::Arguments,
+) -> process::ExitCode {
     let client = operator::Client::new(settings);
     let json = arguments.json;
     let result = match arguments.command {
@@ -48,10 +41,11 @@
         }
         arguments::Command::Usage(usage) => show(&client, wire::Verb::Usage, usage.by, json).await,
     };
-    result.unwrap_or_else(|error| {
+    let code = result.unwrap_or_else(|error| {
         print::error(&error, json);
-        FAILED
-    })
+        program::FAILED
+    });
+    process::ExitCode::from(code)
 }
 
 async fn show(
@@ -59,7 +53,7 @@
     verb: wire::Verb,
     text: String,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let request = operator::Request { verb: Some(verb), text, ..operator::Request::default() };
     let value = client.call(&request).await?;
     match verb {
@@ -70,10 +64,10 @@
     Ok(GOOD)
 }
 
-fn read_file(path: &str) -> Result<String, i32> {
+fn read_file(path: &str) -> Result<String, u8> {
     fs::read_to_string(path).map_err(|error| {
         eprintln!("{path}: {error}");
-        arguments::BAD_USAGE
+        program::BAD_USAGE
     })
 }
 
@@ -81,7 +75,7 @@
     client: &operator::Client,
     get: arguments::Get,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let verb = Some(wire::Verb::SectionGet);
     let request = operator::Request { verb, team: get.team, ..operator::Request::default() };
     let value = client.call(&request).await?;
@@ -98,7 +92,7 @@
     client: &operator::Client,
     check: arguments::Check,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let text = match read_file(&check.file) {
         Ok(text) => text,
         Err(code) => return Ok(code),
@@ -114,7 +108,7 @@
     client: &operator::Client,
     put: arguments::Put,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let text = match read_file(&put.file) {
         Ok(text) => text,
         Err(code) => return Ok(code),
@@ -129,7 +123,7 @@
     Ok(finish(&put.team, &standing, json))
 }
 
-fn finish(team: &str, standing: &operator::Standing, json: bool) -> i32 {
+fn finish(team: &str, standing: &operator::Standing, json: bool) -> u8 {
     print::standing(team, standing, json);
-    if standing.accepted { GOOD } else { FAILED }
+    if standing.accepted { GOOD } else { program::FAILED }
 }
