--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -8,7 +8,6 @@
 use lagoonline::life::claim;
 use lagoonline::load;
 use lagoonline::outcome::{Outcome, Reason, Step};
-use ntex::http;
 use ntex::web;
 use serde_json::json;
 
@@ -28,13 +27,13 @@
     worker: &rc::Rc<worker::Worker>,
     form: prompt::Form,
     request: &web::HttpRequest,
-    payload: http::Payload,
+    unread: &body::Unread,
     request_id: &str,
 ) -> Result<web::HttpResponse, fault::Fault> {
     let state = &worker.state;
     let active = state::Active::new(state);
     let call = call::Call::read(state, state.clock.now(), request.headers())?;
-    let read = body::collect(&state.settings.limits, request.headers(), payload);
+    let read = body::collect(&state.settings.limits, request.headers(), unread.take());
     let body = limit::within(state, call.deadline, read).await;
     let body = body.map_err(|stop| stop.fault(Step::Read, Outcome::NotRun))??;
     let prompt = prompt::scan(form, &body).map_err(call::malformed)?;
@@ -71,7 +70,7 @@
             answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
             return Ok(answer.body(writer.take()));
         }
-        let feed = relay::start(state.clone(), pull, writer, active, outcome_event);
+        let feed = relay::start(state.clone(), pull, writer, active, outcome_event, request.io());
         answer.set_header("Lagoon-Outcome", Outcome::Unknown.as_str());
         return Ok(answer.streaming(feed));
     }
--- a/crates/lagoon-standin/src/control.rs
+++ b/crates/lagoon-standin/src/control.rs
@@ -35,7 +35,7 @@
     pub(crate) async fn handle(&self, mut request: http::Request) -> http::Response {
         let path = request.path().trim_start_matches('/').to_owned();
         let Some((node, uri)) = self.find(&path) else {
-            port::drain(&mut request).await;
+            port::discard(&mut request).await;
             return port::refuse(404, "unknown_call");
         };
         request.head_mut().uri = uri;
--- a/crates/lagoon-standin/src/engine/http.rs
+++ b/crates/lagoon-standin/src/engine/http.rs
@@ -40,14 +40,14 @@
         ("POST", ["generate"]) => generate(engine, request).await,
         ("GET", ["streams", attempt]) => resume(engine, &request, attempt),
         ("POST", ["streams", attempt, "cancel"]) => {
-            port::drain(&mut request).await;
+            port::discard(&mut request).await;
             cancel(&engine, &request, attempt)
         }
         ("GET", ["load"]) => port::json(200, &engine.lock().published()),
         ("GET", ["cache", "events"]) => events(&engine, &request),
         ("GET", ["holdings"]) => holdings(&engine),
         ("POST", ["holdings", id, "release"]) => {
-            port::drain(&mut request).await;
+            port::discard(&mut request).await;
             engine.lock().release(&port::decode(id), time::Instant::now());
             port::json(200, &json!({}))
         }
@@ -61,7 +61,7 @@
             port::json(200, &state.orders.json(state.incarnation))
         }
         _ => {
-            port::drain(&mut request).await;
+            port::discard(&mut request).await;
             port::refuse(404, "unknown_call")
         }
     }
@@ -78,7 +78,7 @@
         ("GET", ["faults"]) => Some(port::json(200, &engine.faults())),
         ("GET", ["record"]) => Some(port::json(200, &engine.record())),
         ("POST", ["leave"]) => {
-            port::drain(request).await;
+            port::discard(request).await;
             engine.leave();
             Some(port::json(200, &json!({})))
         }
--- a/crates/lagoon-standin/src/platform/http.rs
+++ b/crates/lagoon-standin/src/platform/http.rs
@@ -31,7 +31,7 @@
         return port::vanish(&request);
     }
     if platform.faults().down {
-        port::drain(&mut request).await;
+        port::discard(&mut request).await;
         return refused(&platform, 503, "out");
     }
     match (method.as_str(), path.as_str()) {
@@ -49,7 +49,7 @@
         (method, path) => match path.strip_prefix("/objects/") {
             Some(key) => object(&platform, &mut request, method, &port::decode(key)).await,
             None => {
-                port::drain(&mut request).await;
+                port::discard(&mut request).await;
                 port::refuse(404, "unknown_call")
             }
         },
--- a/crates/lagoon-standin/src/port.rs
+++ b/crates/lagoon-standin/src/port.rs
@@ -44,13 +44,6 @@
     Ok(Bytes::from(body))
 }
 
-/// Reads a body that is of no use here. An answer that overtakes the body closes the connection
-/// under the sender's hands, who may then see a reset in place of the answer.
-pub(crate) async fn drain(request: &mut http::Request) {
-    let mut payload = request.take_payload();
-    while let Some(Ok(_)) = payload.recv().await {}
-}
-
 /// Reads a body of JSON.
 pub(crate) async fn read_json<T>(request: &mut http::Request) -> Result<T, BodyError>
 where
@@ -60,6 +53,15 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
+/// Reads away the body of a call that has no use for it.
+///
+/// Failure answered: the refusal is sent and the connection closed while the body arrives.
+/// Symptom: the sender sees a broken connection, and cannot tell that nothing was done.
+pub(crate) async fn discard(request: &mut http::Request) {
+    // A body that breaks off is refused all the same.
+    let _broken = read(request).await;
+}
+
 /// A header's text; empty when absent or not ASCII.
 pub(crate) fn header<'a>(request: &'a http::Request, name: &str) -> &'a str {
     request.headers().get(name).and_then(|value| value.to_str().ok()).unwrap_or("")
--- a/crates/lagoon-standin/src/service/http.rs
+++ b/crates/lagoon-standin/src/service/http.rs
@@ -20,7 +20,7 @@
         ("POST", "/faults") => return change(&service, &mut request).await,
         ("GET", "/record") => return port::json(200, &service.record()),
         ("POST", "/leave") => {
-            port::drain(&mut request).await;
+            port::discard(&mut request).await;
             service.leave();
             return port::json(200, &json!({}));
         }
@@ -31,7 +31,7 @@
     }
     let slot = Slot::new(&service);
     if slot.number > service.settings.slots || service.leaving.load(atomic::Ordering::Acquire) {
-        port::drain(&mut request).await;
+        port::discard(&mut request).await;
         return not_run(&request);
     }
     let answer = run(&service, &mut request).await;
