--- a/crates/lagoon-load/src/soak/report.rs
+++ b/crates/lagoon-load/src/soak/report.rs
@@ -43,6 +43,8 @@
     /// Calls told `unknown`, by code, kind of call, whether an upstream ran it, and the faults that
     /// were on meanwhile.
     pub unknown: collections::BTreeMap<String, u64>,
+    /// Calls that did not end with `done`, by end, in each twentieth of the run.
+    pub timeline: collections::BTreeMap<String, [u64; PARTS]>,
     /// Calls told `unknown` while no fault was on.
     pub unexplained_unknown: u64,
     /// Calls with an idempotency key that were told nothing, and were told an end at another host.
@@ -57,6 +59,8 @@
     pub holds: bool,
 }
 
+/// Parts of the run in the timeline.
+pub const PARTS: usize = 20;
 /// Most cases that are listed.
 const CASES: usize = 40;
 
@@ -75,6 +79,7 @@
             unexplained_nothing: 0,
             unexplained_late: 0,
             unknown: collections::BTreeMap::new(),
+            timeline: collections::BTreeMap::new(),
             unexplained_unknown: 0,
             asked_again: 0,
             told_again: collections::BTreeMap::new(),
@@ -84,6 +89,7 @@
         };
         for told in results {
             report.add(told, noted);
+            report.place(told);
             if let Some(first) = &told.first {
                 report.asked_again += 1;
                 *report.told_again.entry(end(told)).or_insert(0) += 1;
@@ -122,6 +128,15 @@
         }
     }
 
+    fn place(&mut self, told: &caller::Told) {
+        if told.outcome.as_deref() == Some("done") {
+            return;
+        }
+        let part = told.call.at.as_secs_f64() / self.seconds * PARTS as f64;
+        let row = self.timeline.entry(end(told)).or_insert([0; PARTS]);
+        row[(part as usize).min(PARTS - 1)] += 1;
+    }
+
     fn add_unknown(&mut self, told: &caller::Told, ran: u64, noted: &[notes::Note]) {
         let at = told.call.at.as_secs_f64();
         let mut faults = fault::active(self.seconds, (at, at + told.took.as_secs_f64()));
@@ -206,9 +221,10 @@
             verdict.past_deadline,
             verdict.bytes_left
         )?;
-        writeln!(f, "ends that are not done:")?;
-        for (failure, count) in &verdict.failures {
-            writeln!(f, "  {count:>6} {failure}")?;
+        writeln!(f, "ends that are not done, and how many in each twentieth of the run:")?;
+        for (failure, parts) in &self.timeline {
+            let parts: Vec<String> = parts.iter().map(u64::to_string).collect();
+            writeln!(f, "  {:>6} {failure}: {}", verdict.failures[failure], parts.join(" "))?;
         }
         writeln!(
             f,
