Steward: engine memory of dead entry hosts is given back, also across zones

Memory of a dead host came back by the engine's expiry only: ten minutes and more with million-token streams. Change: the steward that observes an engine lists its holdings every 20 s. Owners of its own zone are judged by their reports, their host's liveness and the platform's list; of others it asks their zone (verb Owners) when they are new or quiet for 15 s; an owner that nobody in reach can judge is left alone (safeguard UnsureOwner).

--- a/crates/lagoon-net/src/engine/mod.rs
+++ b/crates/lagoon-net/src/engine/mod.rs
@@ -158,7 +158,7 @@
     open(answer, order.attempt).await
 }
 
-/// Resumes an attempt's stream from chunk `from`.
+/// Resumes an attempt's stream from chunk `from`; it is `owner`'s from then on.
 ///
 /// # Errors
 ///
@@ -167,11 +167,12 @@
     client: &client::Client,
     address: net::SocketAddr,
     attempt: id::Attempt,
-    zone: &id::Zone,
+    (owner, zone): (&id::Owner, &id::Zone),
     from: u64,
 ) -> Result<Events, Failure> {
     let url = format!("http://{address}/streams/{attempt}?from={from}");
-    open(client.get(url).header("Lagoon-Zone", zone.as_str()).send().await, attempt).await
+    let request = client.get(url).header("Lagoon-Zone", zone.as_str());
+    open(request.header("Lagoon-Owner", owner.to_string()).send().await, attempt).await
 }
 
 /// Stops an attempt and frees its memory; true once the engine said so.
@@ -238,6 +239,30 @@
     answer.is_ok_and(|answer| answer.status() == http::StatusCode::OK)
 }
 
+#[derive(serde::Deserialize)]
+struct Holdings {
+    holdings: Vec<engine::Holding>,
+}
+
+/// Longest list of holdings that is read, in bytes: some 8,000 of them.
+const HOLDINGS_LIMIT: usize = 1 << 20;
+
+/// All that the engine at `address` holds; `None` when it does not say.
+pub async fn holdings(
+    client: &client::Client,
+    address: net::SocketAddr,
+    zone: &id::Zone,
+) -> Option<Vec<engine::Holding>> {
+    let url = format!("http://{address}/holdings");
+    let request = client.get(url).header("Lagoon-Zone", zone.as_str());
+    let answer = request.send().await.ok()?;
+    if answer.status() != http::StatusCode::OK {
+        return None;
+    }
+    let body = answer.body().limit(HOLDINGS_LIMIT).await.ok()?;
+    Some(serde_json::from_slice::<Holdings>(&body).ok()?.holdings)
+}
+
 async fn open(
     answer: Result<client::ClientResponse, client::error::ClientError>,
     attempt: id::Attempt,
--- a/crates/lagoon-net/src/entry/pull/key.rs
+++ b/crates/lagoon-net/src/entry/pull/key.rs
@@ -142,8 +142,8 @@
         let address = view.fleet.upstream(&running.upstream).map(|known| known.entry.address);
         let dispatched = held.dispatch(attempt);
         if let Some(address) = address {
-            let zone = &state.settings.zone;
-            let work = engine::resume(&self.worker.client, address, attempt, zone, from);
+            let who = (&state.owner, &state.settings.zone);
+            let work = engine::resume(&self.worker.client, address, attempt, who, from);
             let result = limit::within(&state, self.job.call.deadline, work).await;
             let events = match result {
                 Ok(events) => events,
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -310,8 +310,8 @@
             open.resumed.1 += 1;
             let work = async {
                 tokio::time::sleep(pause).await;
-                let zone = &state.settings.zone;
-                engine::resume(&self.worker.client, open.address, attempt, zone, from).await
+                let who = (&state.owner, &state.settings.zone);
+                engine::resume(&self.worker.client, open.address, attempt, who, from).await
             };
             match limit::within(state, self.job.call.deadline, work).await? {
                 Ok(events) => {
--- a/crates/lagoon-net/src/steward/calls.rs
+++ b/crates/lagoon-net/src/steward/calls.rs
@@ -13,6 +13,7 @@
 
 use super::Context;
 use super::core;
+use super::sweep;
 use super::usage;
 use super::zones;
 use crate::platform;
@@ -65,6 +66,7 @@
         wire::Verb::Drain => drain(context, call).await,
         wire::Verb::Orders => orders(context, call).await,
         wire::Verb::Usage => usage_report(context, call).await,
+        wire::Verb::Owners => Ok(json!(sweep::words(context, &call.text).await)),
         wire::Verb::Unspecified => {
             Err(Failure::new("unknown_call", "this steward does not know the call"))
         }
--- a/crates/lagoon-net/src/steward/core/mod.rs
+++ b/crates/lagoon-net/src/steward/core/mod.rs
@@ -55,6 +55,8 @@
     pub deaths: atomic::AtomicU64,
     /// Orders that were written after their lease had ended.
     pub late_orders: atomic::AtomicU64,
+    /// Holdings of dead owners that engines gave back.
+    pub holdings_released: atomic::AtomicU64,
     /// Failed calls of the platform.
     pub platform_failures: atomic::AtomicU64,
 }
--- a/crates/lagoon-net/src/steward/mod.rs
+++ b/crates/lagoon-net/src/steward/mod.rs
@@ -12,6 +12,7 @@
 mod retain;
 mod session;
 mod settings;
+mod sweep;
 mod usage;
 mod zones;
 
@@ -189,6 +190,7 @@
         rt::spawn(observe::run(context.clone())),
         rt::spawn(orders::run(context.clone())),
         rt::spawn(retain::run(context.clone())),
+        rt::spawn(sweep::run(context.clone())),
         rt::spawn(usage::run(context)),
     ];
     let _ = stopped.wait_for(|stop| *stop).await;
--- a/crates/lagoon-net/src/steward/observe.rs
+++ b/crates/lagoon-net/src/steward/observe.rs
@@ -25,7 +25,7 @@
 }
 
 /// Engines of this zone for which this steward is the observer.
-fn owned(context: &Context) -> Vec<(id::Upstream, std::net::SocketAddr)> {
+pub(super) fn owned(context: &Context) -> Vec<(id::Upstream, std::net::SocketAddr)> {
     let core = context.core.borrow();
     let here = |upstream: &&lagoonline::view::Upstream| {
         let is_engine = matches!(upstream.entry.serves, document::Serves::Models(_));
--- a/crates/lagoon-net/src/steward/settings.rs
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -9,6 +9,7 @@
 use lagoonline::control::membership;
 use lagoonline::id;
 use lagoonline::life::claim;
+use lagoonline::life::reap;
 
 use crate::logs;
 use crate::platform;
@@ -41,12 +42,19 @@
     pub poll: clock::Span,
     /// Time between two reads of the load of an upstream that this steward observes.
     pub observe: clock::Span,
+    /// Time between two looks at what an engine that this steward observes holds.
+    pub sweep: clock::Span,
+    /// When an owner of engine memory counts as dead.
+    pub reap: reap::Settings,
     /// Retention of idempotency keys.
     pub claims: claim::Sweep,
     /// Logs.
     pub logs: logs::Settings,
 }
 
+/// Lists of some two kilobytes from each of three or four engines are then 0.4 KB a second.
+const SWEEP_MS: u64 = 20_000;
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
@@ -62,6 +70,8 @@
             lease: lease::Settings::default(),
             poll: clock::Span::from_millis(500),
             observe: clock::Span::from_millis(500),
+            sweep: clock::Span::from_millis(SWEEP_MS),
+            reap: reap::Settings::default(),
             claims: claim::Sweep::default(),
             logs: logs::Settings::default(),
         }
@@ -82,6 +92,7 @@
         let usual = Settings::default();
         let poll = reader.number("poll_ms", 500, 10..=60_000);
         let observe = reader.number("observe_ms", 500, 10..=60_000);
+        let sweep = reader.number("sweep_ms", SWEEP_MS, 10..=600_000);
         Settings {
             host: id::Host::from(reader.required("host")),
             zone: id::Zone::from(reader.required("zone")),
@@ -95,6 +106,8 @@
             lease: usual.lease,
             poll: clock::Span::from_millis(poll),
             observe: clock::Span::from_millis(observe),
+            sweep: clock::Span::from_millis(sweep),
+            reap: usual.reap,
             claims: read_claims(reader),
             logs: reader.child("logs", logs::Settings::read).unwrap_or_default(),
         }
--- a/crates/lagoon-net/src/wire/message.rs
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -402,6 +402,8 @@
     Orders = 7,
     /// Idle cost.
     Usage = 8,
+    /// What is known of entry processes of the zone; asked by stewards of other zones.
+    Owners = 9,
 }
 
 /// One call of an operator.
--- a/crates/lagoon-standin/src/engine/http.rs
+++ b/crates/lagoon-standin/src/engine/http.rs
@@ -155,6 +155,10 @@
 fn resume(engine: Shared, request: &http::Request, attempt: &str) -> http::Response {
     let Ok(attempt) = attempt.parse() else { return port::refuse(404, "unknown_stream") };
     let from = port::query(request, "from").parse().unwrap_or(0);
+    let owner = port::header(request, "Lagoon-Owner");
+    if !owner.is_empty() {
+        engine.lock().set_owner(attempt, owner);
+    }
     stream(engine, request, attempt, Some(from))
 }
 
--- a/crates/lagoon-standin/src/engine/kv.rs
+++ b/crates/lagoon-standin/src/engine/kv.rs
@@ -71,6 +71,12 @@
         }
     }
 
+    pub(crate) fn set_owner(&mut self, id: &str, owner: &str) {
+        if let Some(piece) = self.pieces.get_mut(id) {
+            owner.clone_into(&mut piece.owner);
+        }
+    }
+
     /// Ids of the pieces whose expiry has come.
     pub(crate) fn expired(&self, now: time::Instant) -> Vec<String> {
         let due = self.pieces.iter().filter(|(_, piece)| piece.expires <= now);
--- a/crates/lagoon-standin/src/engine/state.rs
+++ b/crates/lagoon-standin/src/engine/state.rs
@@ -370,6 +370,14 @@
         self.admit(now);
     }
 
+    /// Another entry host has taken the stream over.
+    pub(crate) fn set_owner(&mut self, attempt: id::Attempt, owner: &str) {
+        if let Some(stream) = self.streams.get_mut(&attempt) {
+            owner.clone_into(&mut stream.owner);
+            self.kv.set_owner(&attempt.to_string(), owner);
+        }
+    }
+
     /// The whole answer went out: its memory comes back at once.
     pub(crate) fn delivered(&mut self, attempt: id::Attempt, now: time::Instant) {
         self.kv.give_back(&attempt.to_string());
--- a/crates/lagoonline/src/life/mod.rs
+++ b/crates/lagoonline/src/life/mod.rs
@@ -3,6 +3,7 @@
 pub mod claim;
 pub mod drain;
 pub mod leaving;
+pub mod owner;
 pub mod reap;
 pub mod request;
 pub mod safeguard;
--- a/crates/lagoonline/src/life/reap.rs
+++ b/crates/lagoonline/src/life/reap.rs
@@ -10,6 +10,7 @@
 
 use crate::clock;
 use crate::id;
+use crate::life::owner;
 use crate::life::safeguard;
 use crate::port::engine;
 
@@ -119,6 +120,8 @@
     pub forget: clock::Span,
     /// Unless more than this share of hosts is heard, the sweeper takes itself for the one cut off.
     pub heard_share: f64,
+    /// How long a dead owner's stream is left to a caller that comes back for it elsewhere.
+    pub takeover: clock::Span,
     /// All but in tests of the oracle.
     pub safeguards: safeguard::Set,
 }
@@ -130,12 +133,16 @@
 /// A rack is fewer than half of a zone's hosts, a cut takes all but the sweeper's own.
 const HEARD_SHARE: f64 = 0.5;
 
+/// A client's first few retries; a host that restarts at once proves its streams dead at once.
+const TAKEOVER: clock::Span = clock::Span::from_secs(15);
+
 impl Default for Settings {
     fn default() -> Self {
         Settings {
             silence: SILENCE,
             forget: FORGET,
             heard_share: HEARD_SHARE,
+            takeover: TAKEOVER,
             safeguards: safeguard::Set::default(),
         }
     }
@@ -148,6 +155,8 @@
     heard: clock::Moment,
     /// The last heartbeat; none for an owner known only from holdings.
     beat: Option<clock::Moment>,
+    /// Judged by the word of another zone, not by heartbeats.
+    apart: bool,
 }
 
 /// Decides which holdings no live owner can use.
@@ -156,7 +165,7 @@
 /// use lagoonline::{clock::{Moment, Span}, id::Owner, life::reap::{Settings, Sweep}};
 /// use lagoonline::port::engine::{Holding, Kind};
 /// let holding = |id: &str| Holding {
-///     id: id.into(), owner: "suva-1/6".into(), kind: Kind::Stream, bytes: 1, expires_ms: 9,
+///     id: id.into(), owner: "suva-1/6".into(), kind: Kind::Export, bytes: 1, expires_ms: 9,
 /// };
 /// let mut sweep = Sweep::new(Settings::default());
 /// let engine = lagoonline::id::Upstream::from("e");
@@ -170,6 +179,8 @@
     lives: collections::BTreeMap<id::Host, Life>,
     /// Ids that each engine listed last time.
     listed: collections::BTreeMap<id::Upstream, collections::BTreeSet<String>>,
+    /// When each of them was first seen to be a dead owner's.
+    over: collections::BTreeMap<id::Upstream, collections::BTreeMap<String, clock::Moment>>,
 }
 
 impl Sweep {
@@ -183,11 +194,77 @@
         self.alive(owner, now, Some(now));
     }
 
+    /// The word of another zone's steward that the owner lives there.
+    ///
+    /// Such owners do not count in the share of hosts heard: that is of heartbeats.
+    pub fn told(&mut self, owner: &id::Owner, now: clock::Moment) {
+        self.alive(owner, now, None);
+        if let Some(life) = self.lives.get_mut(&owner.host) {
+            life.apart = true;
+        }
+    }
+
+    /// Nobody in reach can tell whether the owner lives, as when its availability zone is cut off:
+    /// what it holds is left to the engine's own expiry.
+    ///
+    /// Failure answered: a zone cut off from the sweeper's is taken for dead. Symptom: streams
+    /// that the engine still serves to it, by a way that is not cut, break off. Such owners do not
+    /// count as silent.
+    pub fn unsure(&mut self, owner: &id::Owner, now: clock::Moment) {
+        if self.settings.safeguards.has(safeguard::Safeguard::UnsureOwner) {
+            self.told(owner, now);
+        }
+    }
+
+    /// The word of its zone's steward that the owner's process is gone, or not known there. It
+    /// counts as dead after the same silence: the process may only have lost its steward.
+    pub fn gone(&mut self, owner: &id::Owner, now: clock::Moment) {
+        let known = self.lives.get(&owner.host);
+        if known.is_none_or(|known| known.incarnation < owner.incarnation) {
+            self.alive(owner, now, None);
+        }
+        if let Some(life) = self.lives.get_mut(&owner.host) {
+            life.apart = true;
+        }
+    }
+
+    /// Takes in the word of the owner's zone: of the sweeper's own, whose hosts it hears, or of
+    /// another.
+    pub fn take(&mut self, word: &owner::Word, is_own: bool, now: clock::Moment) {
+        let Ok(owner) = word.owner.parse::<id::Owner>() else { return };
+        match word.sign {
+            owner::Sign::Serving if is_own => self.heard(&owner, now),
+            owner::Sign::Serving => self.told(&owner, now),
+            owner::Sign::Gone => self.gone(&owner, now),
+            owner::Sign::Unsure => self.unsure(&owner, now),
+        }
+    }
+
+    /// Owners among `holdings` to ask other zones about: those never heard of, and those of which
+    /// nothing was heard for half of the silence after which they count as dead.
+    pub fn questions(
+        &self,
+        holdings: &[engine::Holding],
+        now: clock::Moment,
+    ) -> collections::BTreeSet<id::Owner> {
+        let owners = holdings.iter().filter_map(|holding| holding.owner.parse::<id::Owner>().ok());
+        let is_quiet = |owner: &id::Owner| match self.lives.get(&owner.host) {
+            Some(life) if life.incarnation > owner.incarnation => false,
+            Some(life) => {
+                let is_stranger = life.beat.is_none() && !life.apart;
+                is_stranger || now.since(life.heard) >= self.settings.silence / 2
+            }
+            None => true,
+        };
+        owners.filter(is_quiet).collect()
+    }
+
     fn alive(&mut self, owner: &id::Owner, now: clock::Moment, beat: Option<clock::Moment>) {
-        let life = Life { incarnation: owner.incarnation, heard: now, beat };
+        let life = Life { incarnation: owner.incarnation, heard: now, beat, apart: false };
         let known = self.lives.entry(owner.host.clone()).or_insert(life);
         if owner.incarnation >= known.incarnation {
-            *known = Life { beat: beat.or(known.beat), ..life };
+            *known =
+                Life { beat: beat.or(known.beat), apart: known.apart && beat.is_none(), ..life };
         }
     }
 
@@ -211,8 +288,23 @@
         let forget = self.settings.forget;
         self.lives.retain(|_, life| now.since(life.heard) <= forget);
         let cut_off = self.is_cut_off(now);
-        let over = |holding: &&engine::Holding| self.is_over(holding, cut_off, now);
-        holdings.iter().filter(over).map(|holding| holding.id.clone()).collect()
+        let before = self.over.remove(upstream).unwrap_or_default();
+        let over = holdings.iter().filter(|holding| self.is_over(holding, cut_off, now));
+        let since = |id: &String| before.get(id).copied().unwrap_or(now);
+        let over: Vec<_> = over.map(|holding| (holding, since(&holding.id))).collect();
+        let noted = over.iter().map(|(holding, since)| (holding.id.clone(), *since));
+        self.over.insert(upstream.clone(), noted.collect());
+        let due = over.iter().filter(|(holding, since)| self.is_due(holding, *since, now));
+        due.map(|(holding, _)| holding.id.clone()).collect()
+    }
+
+    /// Failure answered: a host restarts at once, its old streams are proven dead at once, and a
+    /// caller that comes back for one a second later has its million tokens prefilled again.
+    fn is_due(&self, holding: &engine::Holding, since: clock::Moment, now: clock::Moment) -> bool {
+        match holding.kind {
+            engine::Kind::Stream => now.since(since) >= self.settings.takeover,
+            engine::Kind::Reservation | engine::Kind::Export => true,
+        }
     }
 
     fn is_over(&self, holding: &engine::Holding, cut_off: bool, now: clock::Moment) -> bool {
@@ -239,8 +331,9 @@
     fn is_cut_off(&self, now: clock::Moment) -> bool {
         let recent = self.settings.silence / 2;
         let fresh = |beat: clock::Moment| now.since(beat) <= recent;
-        let heard = self.lives.values().filter(|life| life.beat.is_some_and(fresh)).count();
-        let share = heard as f64 / self.lives.len().max(1) as f64;
+        let sure = self.lives.values().filter(|life| !life.apart);
+        let heard = sure.clone().filter(|life| life.beat.is_some_and(fresh)).count();
+        let share = heard as f64 / sure.count().max(1) as f64;
         share <= self.settings.heard_share
             && self.settings.safeguards.has(safeguard::Safeguard::CutOffSweeper)
     }
--- a/crates/lagoonline/src/life/safeguard.rs
+++ b/crates/lagoonline/src/life/safeguard.rs
@@ -32,13 +32,15 @@
     OwnerSilence,
     /// A sweeper that hears few hosts releases nothing of theirs.
     CutOffSweeper,
+    /// An owner that nobody in reach can judge is not dead.
+    UnsureOwner,
     /// A sign that is older than a leaving mark does not end it.
     StaleMark,
 }
 
 impl Safeguard {
     /// Every safeguard.
-    pub const ALL: [Safeguard; 14] = [
+    pub const ALL: [Safeguard; 15] = [
         Safeguard::VersionCheck,
         Safeguard::ReadBack,
         Safeguard::BodyMatch,
@@ -52,6 +54,7 @@
         Safeguard::CancelRepeat,
         Safeguard::OwnerSilence,
         Safeguard::CutOffSweeper,
+        Safeguard::UnsureOwner,
         Safeguard::StaleMark,
     ];
 }
--- a/crates/lagoonline/tests/life_fuzz/main.rs
+++ b/crates/lagoonline/tests/life_fuzz/main.rs
@@ -148,13 +148,17 @@
         Safeguard::CancelRepeat,
         Safeguard::OwnerSilence,
         Safeguard::CutOffSweeper,
+        Safeguard::UnsureOwner,
         Safeguard::StaleMark
     )]
     missing: Safeguard,
 ) {
     SAFEGUARDS.set(Set::without(missing));
     let result = match missing {
-        Safeguard::CancelRepeat | Safeguard::OwnerSilence | Safeguard::CutOffSweeper => {
+        Safeguard::CancelRepeat
+        | Safeguard::OwnerSilence
+        | Safeguard::CutOffSweeper
+        | Safeguard::UnsureOwner => {
             run::<memory::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, OTHER_STEPS)
         }
         Safeguard::StaleMark => run::<marks::Machine, _>(MUTANT_CASES, MUTANT_SHRINKS, OTHER_STEPS),
--- a/crates/lagoonline/tests/life_fuzz/memory.rs
+++ b/crates/lagoonline/tests/life_fuzz/memory.rs
@@ -12,7 +12,9 @@
 use proptest::prelude::*;
 use proptest_state_machine::StateMachineTest;
 
-const HOSTS: usize = 4;
+/// The last two are of another zone, heard of by its word only.
+const HOSTS: usize = 6;
+const OWN_ZONE: usize = 4;
 const ENGINES: usize = 2;
 const BEAT: Span = Span::from_secs(1);
 
@@ -34,6 +36,8 @@
     RestartEngine(usize),
     /// The sweeper hears no host.
     CutOff(bool),
+    /// The other zone is out of the sweeper's reach.
+    CutZone(bool),
     Pass {
         seconds: u64,
     },
@@ -61,6 +65,7 @@
     sweep: reap::Sweep,
     lose: bool,
     cut_off: bool,
+    zone_cut: bool,
     reserved: u64,
     returned: u64,
 }
@@ -76,6 +81,7 @@
             1 => (1..HOSTS).prop_map(Step::Die),
             1 => (0..ENGINES).prop_map(Step::RestartEngine),
             2 => any::<bool>().prop_map(Step::CutOff),
+            2 => any::<bool>().prop_map(Step::CutZone),
             8 => (1..50_u64).prop_map(|seconds| Step::Pass { seconds }),
         ]
         .boxed()
@@ -87,8 +93,11 @@
 }
 
 fn owner(host: usize, incarnation: u64) -> id::Owner {
-    let host = id::Host::from(format!("host-{host}"));
-    id::Owner { host, incarnation: id::Incarnation(incarnation) }
+    id::Owner { host: name_of(host), incarnation: id::Incarnation(incarnation) }
+}
+
+fn name_of(host: usize) -> id::Host {
+    id::Host::from(format!("host-{host}"))
 }
 
 fn cancels() -> reap::Cancels {
@@ -109,6 +118,7 @@
             sweep: reap::Sweep::new(settings),
             lose: false,
             cut_off: false,
+            zone_cut: false,
             reserved: 0,
             returned: 0,
         }
@@ -156,7 +166,7 @@
     fn second(&mut self) {
         self.now = self.now + BEAT;
         for number in 0..HOSTS {
-            if self.hosts[number].alive && !self.cut_off {
+            if self.hosts[number].alive && !self.cut_off && number < OWN_ZONE {
                 self.sweep.heard(&owner(number, self.hosts[number].incarnation), self.now);
             }
             self.send_cancels(number);
@@ -180,6 +190,23 @@
         }
     }
 
+    /// The word of an owner's zone, if it can be had.
+    fn answer(&mut self, owner: &id::Owner) {
+        let number = (0..HOSTS).find(|number| name_of(*number) == owner.host).expect("a host");
+        let host = &self.hosts[number];
+        if number < OWN_ZONE {
+            return;
+        }
+        if self.cut_off || self.zone_cut {
+            self.sweep.unsure(owner, self.now);
+        } else if host.alive {
+            let incarnation = id::Incarnation(host.incarnation);
+            self.sweep.told(&id::Owner { incarnation, ..owner.clone() }, self.now);
+        } else {
+            self.sweep.gone(owner, self.now);
+        }
+    }
+
     fn sweep_engine(&mut self, engine: usize) {
         let listed = self.held.iter().filter(|(_, held)| held.engine == engine);
         let holding = |(id, held): (&u128, &Held)| engine::Holding {
@@ -190,6 +217,9 @@
             expires_ms: 1,
         };
         let listed: Vec<_> = listed.map(holding).collect();
+        for owner in self.sweep.questions(&listed, self.now) {
+            self.answer(&owner);
+        }
         for id in self.sweep.releases(&name(engine), &listed, self.now) {
             let id = id.parse::<id::Attempt>().expect("an id of ours").0;
             let held = &self.held[&id];
@@ -228,6 +258,7 @@
             Step::Die(_) => {}
             Step::RestartEngine(engine) => world.restart_engine(engine),
             Step::CutOff(cut_off) => world.cut_off = cut_off,
+            Step::CutZone(cut) => world.zone_cut = cut,
             Step::Pass { seconds } => (0..seconds).for_each(|_| world.second()),
         }
         world
@@ -237,6 +268,7 @@
     fn teardown(mut world: World) {
         world.lose = false;
         world.cut_off = false;
+        world.zone_cut = false;
         let ids: Vec<_> = world.held.keys().copied().collect();
         for pick in 0..ids.len() {
             world.cancel(pick);
--- /dev/null
+++ b/crates/lagoonline/tests/life_reap.rs
@@ -0,0 +1,35 @@
+//! When a dead owner's holdings are released, by kind.
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::id::{Owner, Upstream};
+use lagoonline::life::reap::{Settings, Sweep};
+use lagoonline::port::engine::{Holding, Kind};
+use rstest::rstest;
+
+/// An entry host restarts. A caller that comes back elsewhere within the time for taking over
+/// finds its stream on the engine; once it is taken over it is a live owner's and stays. What no
+/// caller can come back for is released at once.
+#[rstest]
+#[case(Kind::Reservation, &[true, true])]
+#[case(Kind::Export, &[true, true])]
+#[case(Kind::Stream, &[false, true])]
+fn streams_wait_for_their_callers(#[case] kind: Kind, #[case] released: &[bool]) {
+    let owner = |text: &str| text.parse::<Owner>().expect("an owner");
+    let takeover = Settings::default().takeover;
+    let mut sweep = Sweep::new(Settings::default());
+    let engine = Upstream::from("e");
+    let held = |owner: &str| Holding {
+        id: "a".into(),
+        owner: owner.into(),
+        kind,
+        bytes: 1,
+        expires_ms: 1,
+    };
+    sweep.releases(&engine, &[held("h/1")], Moment::START);
+    sweep.heard(&owner("h/2"), Moment::START);
+    for (at, expected) in [Span::ZERO, takeover].iter().zip(released) {
+        let ids = sweep.releases(&engine, &[held("h/1")], Moment::START + *at);
+        assert_eq!(!ids.is_empty(), *expected, "after {at:?}");
+    }
+    assert!(sweep.releases(&engine, &[held("h/2")], Moment::START + takeover).is_empty());
+}
