--- a/crates/lagoon-net/src/entry/settings.rs
+++ b/crates/lagoon-net/src/entry/settings.rs
@@ -11,6 +11,7 @@
 use lagoonline::load;
 use serde_json::Value;
 
+use super::queue;
 use crate::logs;
 use crate::platform;
 use crate::wire;
@@ -32,6 +33,8 @@
     pub body_timeout: clock::Span,
     /// How long an idle connection is kept.
     pub keep_alive: clock::Span,
+    /// How long a caller may take to read what is left of an answer after its deadline.
+    pub linger: clock::Span,
     /// Most dispatches of one request.
     pub attempts: u32,
     /// Batches of a streamed answer that wait for a slow caller before the engine has to wait.
@@ -48,6 +51,7 @@
             head_timeout: clock::Span::from_secs(5),
             body_timeout: clock::Span::from_secs(10),
             keep_alive: clock::Span::from_secs(75),
+            linger: clock::Span::from_secs(10),
             attempts: 6,
             stream_batches: 16,
         }
@@ -263,7 +267,7 @@
 fn read_settings(reader: &check::Reader<'_>) -> (Settings, Option<path::PathBuf>) {
     let usual = Settings::default();
     let zone = id::Zone::from(reader.required("zone"));
-    let load = reader.child("queue", |reader| read_queue(reader, &zone));
+    let load = reader.child("queue", |reader| queue::read(reader, &zone));
     let settings = Settings {
         listen: reader.required_parsed("listen", "IP:PORT", usual.listen),
         workers: read_size(reader, "workers", usual.workers, 1, 256),
@@ -289,15 +293,6 @@
     if reader.has("steward") { reader.required("key") } else { reader.text("key", "") }
 }
 
-fn read_queue(reader: &check::Reader<'_>, zone: &id::Zone) -> load::Settings {
-    let mut settings = load::Settings { zone: zone.clone(), ..load::Settings::default() };
-    let hosts = reader.number("hosts_in_zone", u64::from(settings.hosts_in_zone), 1..=10_000);
-    settings.hosts_in_zone = u32::try_from(hosts).unwrap_or(settings.hosts_in_zone);
-    settings.queue_requests = read_size(reader, "requests", settings.queue_requests, 1, 1_000_000);
-    settings.queue_bytes = reader.number("bytes", settings.queue_bytes, 1..=1 << 40);
-    settings
-}
-
 fn read_limits(reader: &check::Reader<'_>) -> Limits {
     let usual = Limits::default();
     let attempts = reader.number("attempts", u64::from(usual.attempts), 1..=100);
@@ -313,12 +308,13 @@
         head_timeout: read_span(reader, "head_timeout_ms", usual.head_timeout, 1_000, 600_000),
         body_timeout: read_span(reader, "body_timeout_ms", usual.body_timeout, 10, 600_000),
         keep_alive: read_span(reader, "keep_alive_ms", usual.keep_alive, 1_000, 3_600_000),
+        linger: read_span(reader, "linger_ms", usual.linger, 0, 3_600_000),
         attempts: u32::try_from(attempts).unwrap_or(usual.attempts),
         stream_batches: read_size(reader, "stream_batches", usual.stream_batches, 1, 4_096),
     }
 }
 
-fn read_size(
+pub(crate) fn read_size(
     reader: &check::Reader<'_>,
     name: &str,
     default: usize,
@@ -329,7 +325,7 @@
     usize::try_from(number).unwrap_or(default)
 }
 
-fn read_span(
+pub(crate) fn read_span(
     reader: &check::Reader<'_>,
     name: &str,
     default: clock::Span,
