Cancels: the entry host repeats them by reap::Cancels, its own repetition goes

Cause: the entry host repeated cancels by a loop of its own while life::reap::Cancels, which the fuzz runs, was used by nothing; the loop gave up after some two minutes, before a long stream's expiry. Change: Cancels takes any key, a jitter and a limit of an hour; entry/cancel.rs drives it. The method for restarted engines goes: they acknowledge cancels of what they do not hold. The test of repeated cancels looked for a metric's line that is there from the start, also at 0; it now asks for a count above 0. Conclusion: one repetition, the one that is fuzzed.

--- a/crates/lagoon-net/src/entry/cancel.rs
+++ b/crates/lagoon-net/src/entry/cancel.rs
@@ -3,15 +3,18 @@
 //! Failure answered: a cancel is lost, or its engine is cut off for a while. Symptom: an attempt
 //! that nobody reads holds a place in the batch and KV memory. A [`Guard`] whose attempt did not
 //! end hands it over when dropped, on every path, a panic's included; the control thread repeats
-//! the cancel with growing pauses. It stops after [`TRIES`], since by then the engine has dropped
-//! the stream by its own expiry or a sweep finds it by its owner.
+//! the cancel at the pace of `lagoonline::life::reap::Cancels`, until the engine acknowledges it or
+//! has dropped the stream by its own expiry.
 
+use std::cell;
 use std::net;
 use std::rc;
 use std::sync;
 
 use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::life::reap;
 use ntex::client;
 use rand::Rng as _;
 use tokio::sync as async_sync;
@@ -19,17 +22,15 @@
 use super::state;
 use crate::engine;
 
-/// Most cancels of one attempt: about two minutes with the pauses below.
-const TRIES: u32 = 12;
-const FIRST_PAUSE: clock::Span = clock::Span::from_millis(50);
-const LONGEST_PAUSE: clock::Span = clock::Span::from_secs(20);
+/// Time between two looks at what is to be repeated.
+const TICK: clock::Span = clock::Span::from_millis(25);
 /// How long an engine may take to acknowledge.
 const PATIENCE: clock::Span = clock::Span::from_secs(2);
 /// Most cancels that are pending; one more is counted and dropped.
 const PENDING_LIMIT: i64 = 100_000;
 
 /// What an engine holds that is to be given back.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) enum Holding {
     /// An attempt's stream.
     Stream(id::Attempt),
@@ -38,7 +39,7 @@
 }
 
 /// A holding to be given back.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(crate) struct Pending {
     address: net::SocketAddr,
     holding: Holding,
@@ -89,40 +90,51 @@
     }
 }
 
+type Cancels = rc::Rc<cell::RefCell<reap::Cancels<Pending>>>;
+
 /// Sends cancels until the process ends.
 pub(crate) async fn run(
     state: sync::Arc<state::State>,
     client: client::Client,
     mut receiver: Receiver,
 ) {
-    let client = rc::Rc::new(client);
-    while let Some(pending) = receiver.recv().await {
-        let (state, client) = (state.clone(), client.clone());
-        drop(ntex::rt::spawn(async move {
-            let result = repeat(&state, &client, pending).await;
-            state.metrics.cancels_pending.dec();
-            state.metrics.cancel(result);
-        }));
+    let cancels = Cancels::new(cell::RefCell::new(reap::Cancels::new(reap::Pace::default())));
+    loop {
+        let is_idle = cancels.borrow().is_empty();
+        tokio::select! {
+            received = receiver.recv() => match received {
+                Some(pending) => cancels.borrow_mut().add(pending, state.clock.now()),
+                None => return,
+            },
+            () = tokio::time::sleep(TICK), if !is_idle => {}
+        }
+        let now = state.clock.now();
+        let given_up = cancels.borrow_mut().expire(now);
+        (0..given_up).for_each(|_| end(&state, "given_up"));
+        let due = cancels.borrow_mut().due(now, rand::rng().random_range(0.5..1.5));
+        for pending in due {
+            let (state, client, cancels) = (state.clone(), client.clone(), cancels.clone());
+            drop(ntex::rt::spawn(async move { send(&state, &client, &cancels, pending).await }));
+        }
     }
 }
 
-async fn repeat(state: &state::State, client: &client::Client, pending: Pending) -> &'static str {
-    let mut pause = FIRST_PAUSE;
-    for _ in 0..TRIES {
-        let (address, zone) = (pending.address, &state.settings.zone);
-        let give_back = async {
-            match pending.holding {
-                Holding::Stream(id) => engine::cancel(client, address, id, zone).await,
-                Holding::Reservation(id) => engine::release(client, address, id, zone).await,
-            }
-        };
-        if tokio::time::timeout(PATIENCE, give_back).await == Ok(true) {
-            return "acknowledged";
+fn end(state: &state::State, result: &'static str) {
+    state.metrics.cancels_pending.dec();
+    state.metrics.cancel(result);
+}
+
+async fn send(state: &state::State, client: &client::Client, cancels: &Cancels, pending: Pending) {
+    let (address, zone) = (pending.address, &state.settings.zone);
+    let give_back = async {
+        match pending.holding {
+            Holding::Stream(id) => engine::cancel(client, address, id, zone).await,
+            Holding::Reservation(id) => engine::release(client, address, id, zone).await,
         }
+    };
+    if tokio::time::timeout(PATIENCE, give_back).await != Ok(true) {
         state.metrics.cancel("repeated");
-        let jitter = rand::rng().random_range(0.5..1.5);
-        tokio::time::sleep(pause.mul_f64(jitter)).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+    } else if cancels.borrow_mut().acknowledged(&pending) {
+        end(state, "acknowledged");
     }
-    "given_up"
 }
--- a/crates/lagoon-net/tests/entry/stream.rs
+++ b/crates/lagoon-net/tests/entry/stream.rs
@@ -144,7 +144,9 @@
     let answer = host.post("/v1/completions", "Lagoon-Deadline-Ms: 300\r\n", &call);
     assert!(answer.contains("deadline_passed"), "{answer}");
     host::wait_until("a cancel was repeated", || {
-        host.metrics().contains("lagoon_cancels_total{cause=\"repeated\"}")
+        let metrics = host.metrics();
+        let line = "lagoon_cancels_total{cause=\"repeated\"} ";
+        metrics.contains(line) && !metrics.contains(&format!("{line}0"))
     });
     engine.set_faults(engine::Faults::default());
     host::wait_until("a cancel was acknowledged", || {
--- a/crates/lagoonline/src/life/reap.rs
+++ b/crates/lagoonline/src/life/reap.rs
@@ -2,7 +2,7 @@
 //!
 //! Failure answered: a cancel is lost, or an entry host dies between two steps of a handover.
 //! Symptom: an engine's memory shrinks until it refuses work. A cancel is repeated until the
-//! engine acknowledges it or starts anew, and whatever an engine lists for an owner that is dead
+//! engine acknowledges it, and whatever an engine lists for an owner that is dead
 //! is released. That is enough because every holding names its owner and an engine's list is
 //! complete; the engine's own expiry stands behind both.
 
@@ -21,18 +21,22 @@
     pub first: clock::Span,
     /// Longest time between two.
     pub most: clock::Span,
+    /// Time after which a cancel is given up: the engine's own expiry has come by then.
+    pub limit: clock::Span,
     /// All but in tests of the oracle.
     pub safeguards: safeguard::Set,
 }
 
-/// Longer than a round trip between regions.
-const FIRST: clock::Span = clock::Span::from_millis(250);
-/// An engine that comes back is relieved within this; 100 cancels are then 50 calls a second.
-const MOST: clock::Span = clock::Span::from_secs(2);
+/// A lost packet costs the engine's place no longer than this.
+const FIRST: clock::Span = clock::Span::from_millis(50);
+/// An engine that comes back is relieved within this; 1,000 cancels are then 50 calls a second.
+const MOST: clock::Span = clock::Span::from_secs(20);
+/// Longer than a long prompt's deadline and the time for which engines keep finished streams.
+const LIMIT: clock::Span = clock::Span::from_secs(3_600);
 
 impl Default for Pace {
     fn default() -> Self {
-        Pace { first: FIRST, most: MOST, safeguards: safeguard::Set::default() }
+        Pace { first: FIRST, most: MOST, limit: LIMIT, safeguards: safeguard::Set::default() }
     }
 }
 
@@ -40,46 +44,50 @@
 struct Next {
     at: clock::Moment,
     wait: clock::Span,
+    until: clock::Moment,
 }
 
-/// Cancels that are not acknowledged yet.
+/// Cancels that are not acknowledged yet, each named by a key.
 ///
 /// ```
-/// use lagoonline::{clock::{Moment, Span}, id::{Attempt, Upstream}, life::reap::{Cancels, Pace}};
-/// let (engine, now) = (Upstream::from("e"), Moment::START);
+/// use lagoonline::{clock::{Moment, Span}, life::reap::{Cancels, Pace}};
+/// let now = Moment::START;
 /// let mut cancels = Cancels::new(Pace::default());
-/// cancels.add(engine.clone(), Attempt(1), now);
-/// assert_eq!(cancels.due(now).len(), 1);
-/// assert_eq!(cancels.due(now).len(), 0);
-/// assert_eq!(cancels.due(now + Span::from_secs(1)).len(), 1);
-/// cancels.acknowledged(&engine, Attempt(1));
+/// cancels.add("a", now);
+/// assert_eq!(cancels.due(now, 1.0), ["a"]);
+/// assert!(cancels.due(now, 1.0).is_empty());
+/// assert_eq!(cancels.due(now + Span::from_secs(1), 1.0), ["a"]);
+/// assert!(cancels.acknowledged(&"a"));
 /// assert!(cancels.is_empty());
 /// ```
-#[derive(Clone, Debug, Default)]
-pub struct Cancels {
+#[derive(Clone, Debug)]
+pub struct Cancels<K> {
     pace: Pace,
-    open: collections::BTreeMap<(id::Upstream, id::Attempt), Next>,
+    open: collections::BTreeMap<K, Next>,
 }
 
-impl Cancels {
+impl<K> Cancels<K>
+where
+    K: Clone + Ord,
+{
     /// None yet.
     pub fn new(pace: Pace) -> Self {
         Cancels { pace, open: collections::BTreeMap::new() }
     }
 
     /// A cancel to send at once and until it is acknowledged.
-    pub fn add(&mut self, upstream: id::Upstream, attempt: id::Attempt, now: clock::Moment) {
-        let next = Next { at: now, wait: self.pace.first };
-        self.open.entry((upstream, attempt)).or_insert(next);
+    pub fn add(&mut self, key: K, now: clock::Moment) {
+        let next = Next { at: now, wait: self.pace.first, until: now + self.pace.limit };
+        self.open.entry(key).or_insert(next);
     }
 
-    /// The cancels to send now.
-    pub fn due(&mut self, now: clock::Moment) -> Vec<(id::Upstream, id::Attempt)> {
+    /// The cancels to send now; `jitter`, about 1, stretches the time to their next repetition.
+    pub fn due(&mut self, now: clock::Moment, jitter: f64) -> Vec<K> {
         let most = self.pace.most;
         let due = self.open.iter_mut().filter(|(_, next)| next.at <= now);
         let sent: Vec<_> = due
             .map(|(key, next)| {
-                next.at = now + next.wait;
+                next.at = now + next.wait.mul_f64(jitter);
                 next.wait = (next.wait * 2).min(most);
                 key.clone()
             })
@@ -90,22 +98,19 @@
         sent
     }
 
-    /// The engine answered 200.
-    pub fn acknowledged(&mut self, upstream: &id::Upstream, attempt: id::Attempt) {
-        self.open.remove(&(upstream.clone(), attempt));
-    }
-
-    /// The engine started anew: it holds nothing from before.
-    pub fn restarted(&mut self, upstream: &id::Upstream) {
-        self.open.retain(|(name, _), _| name != upstream);
+    /// The engine answered 200; false when that is not news.
+    pub fn acknowledged(&mut self, key: &K) -> bool {
+        self.open.remove(key).is_some()
     }
 
-    /// Cancels not acknowledged.
-    pub fn len(&self) -> usize {
-        self.open.len()
+    /// Gives up those that are past their limit; how many.
+    pub fn expire(&mut self, now: clock::Moment) -> usize {
+        let before = self.open.len();
+        self.open.retain(|_, next| now < next.until);
+        before - self.open.len()
     }
 
-    /// Whether all are acknowledged.
+    /// Whether all are acknowledged or given up.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
--- a/crates/lagoonline/tests/life_fuzz/memory.rs
+++ b/crates/lagoonline/tests/life_fuzz/memory.rs
@@ -54,7 +54,7 @@
 struct Host {
     incarnation: u64,
     alive: bool,
-    cancels: reap::Cancels,
+    cancels: reap::Cancels<(usize, u128)>,
 }
 
 pub struct World {
@@ -100,9 +100,11 @@
     id::Host::from(format!("host-{host}"))
 }
 
-fn cancels() -> reap::Cancels {
-    let pace = reap::Pace { safeguards: super::safeguards(), ..reap::Pace::default() };
-    reap::Cancels::new(pace)
+fn cancels() -> reap::Cancels<(usize, u128)> {
+    // These engines have no expiry to wait for.
+    let limit = Span::from_secs(1_000_000);
+    let safeguards = super::safeguards();
+    reap::Cancels::new(reap::Pace { limit, safeguards, ..reap::Pace::default() })
 }
 
 impl World {
@@ -143,7 +145,7 @@
         let host = &mut self.hosts[held.host];
         if host.alive && host.incarnation == held.incarnation && !held.cancelled {
             held.cancelled = true;
-            host.cancels.add(name(held.engine), id::Attempt(*id), self.now);
+            host.cancels.add((held.engine, *id), self.now);
         }
     }
 
@@ -157,9 +159,6 @@
         let gone: Vec<_> =
             self.held.iter().filter(|(_, held)| held.engine == engine).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.give_back(id));
-        for host in &mut self.hosts {
-            host.cancels.restarted(&name(engine));
-        }
     }
 
     /// A second: heartbeats, due cancels, one sweep of each engine.
@@ -182,10 +181,10 @@
         if !self.hosts[number].alive {
             return;
         }
-        for (upstream, attempt) in self.hosts[number].cancels.due(self.now) {
+        for (engine, id) in self.hosts[number].cancels.due(self.now, 1.0) {
             if !self.lose {
-                self.give_back(attempt.0);
-                self.hosts[number].cancels.acknowledged(&upstream, attempt);
+                self.give_back(id);
+                self.hosts[number].cancels.acknowledged(&(engine, id));
             }
         }
     }
