--- /dev/null
+++ b/crates/lagoon-net/tests/entry/leaving.rs
@@ -0,0 +1,161 @@
+//! Upstreams that leave, as two entry hosts with their stewards hear of it.
+
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use lagoon_net::entry;
+use lagoon_net::steward;
+use lagoon_net::wire;
+use lagoon_standin::engine;
+use lagoon_standin::platform;
+use lagoon_standin::server;
+use lagoonline::id;
+use rstest::rstest;
+
+use crate::host;
+use crate::link;
+
+const HOSTS: [&str; 2] = ["suva-1", "suva-2"];
+/// By then what was on its way has arrived; twice the time that is promised.
+const SETTLED: time::Duration = time::Duration::from_secs(4);
+/// Slow enough for the customer's rate.
+const PACE: time::Duration = time::Duration::from_millis(40);
+const WATCHED: time::Duration = time::Duration::from_secs(3);
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sign {
+    List,
+    Refusal,
+    Peer,
+}
+
+struct Site {
+    platform: server::Running<platform::Platform>,
+    engines: Vec<server::Running<engine::Engine>>,
+    stewards: Vec<steward::Running>,
+    hosts: Vec<host::Host>,
+}
+
+impl Site {
+    fn start() -> Site {
+        let faults = platform::Faults { hosts_lag_ms: 0, ..Default::default() };
+        let settings = platform::Settings { faults, ..Default::default() };
+        let platform = platform::start(settings).unwrap();
+        let engines = engine::start_all(vec![host::quick(), host::quick()]).unwrap();
+        let addresses: Vec<_> = engines.iter().map(server::Running::address).collect();
+        link::store(platform.address(), &host::section(&addresses, &[], true));
+        let mut site = Site { platform, engines, stewards: Vec::new(), hosts: Vec::new() };
+        HOSTS.iter().for_each(|name| site.add(name));
+        for host in &site.hosts {
+            let ready = || host.exchange(&host::request("GET", "/readyz", "", ""));
+            host::wait_until("the host is ready", || host::status(&ready()) == "200");
+        }
+        site
+    }
+
+    fn add(&mut self, name: &str) {
+        let peers = self.stewards.iter().map(steward::Running::address).collect();
+        let steward = link::start_steward(name, self.platform.address(), peers);
+        let running = entry::start(entry::Settings {
+            host: id::Host::from(name),
+            steward: Some(steward.address()),
+            key: wire::Key::new(b"fleet"),
+            ..host::settings(Vec::new())
+        });
+        self.stewards.push(steward);
+        self.hosts.push(host::Host { running: running.unwrap(), engines: Vec::new() });
+    }
+
+    /// Everything that was sent to the first engine: what it took, and what it refused as leaving.
+    fn sent(&self) -> usize {
+        let refused: usize = self.hosts.iter().map(refused).sum();
+        self.engines[0].node().record().attempts.len() + refused
+    }
+
+    fn list(&self, state: &str) {
+        let incarnation = self.engines[0].node().record().incarnation;
+        let (name, zone, state) = ("engine-0".into(), "suva".into(), state.into());
+        let line = platform::HostLine { name, zone, incarnation, state };
+        self.platform.node().set_hosts(vec![line]);
+    }
+}
+
+/// Calls of a host that were refused as leaving.
+fn refused(host: &host::Host) -> usize {
+    let metrics = host.metrics();
+    let name = "lagoon_attempts_total{cause=\"leaving\"} ";
+    let line = metrics.lines().find_map(|line| line.strip_prefix(name));
+    line.map_or(0, |count| count.trim().parse().unwrap())
+}
+
+fn call(host: &host::Host) {
+    let answer = host.post("/v1/completions", "", &host::completion("tin", 2, false));
+    assert_eq!(host::status(&answer), "200", "{answer}");
+    thread::sleep(PACE);
+}
+
+/// Callers call both hosts all the time, and each gets its answer. One engine is to leave: the
+/// platform's list says so, or the engine itself when it is called, or that is heard of from the
+/// other host. Soon no call goes there, also when the list is stale and says live again, and also
+/// with the platform down; and calls go there again once it is back in a new life.
+#[rstest]
+#[case(Sign::List, false)]
+#[case(Sign::Refusal, false)]
+#[case(Sign::Refusal, true)]
+#[case(Sign::Peer, false)]
+#[case(Sign::Peer, true)]
+fn a_leaving_engine_gets_nothing_new(#[case] sign: Sign, #[case] platform_down: bool) {
+    let site = Site::start();
+    site.list("live");
+    let leaving = site.engines[0].node().clone();
+    let (stop, second) = (atomic::AtomicBool::new(false), atomic::AtomicBool::new(true));
+    let is_on = |flag: &atomic::AtomicBool| flag.load(atomic::Ordering::Relaxed);
+    thread::scope(|scope| {
+        let callers = site.hosts.iter().enumerate().map(|(index, host)| {
+            let (stop, second) = (&stop, &second);
+            scope.spawn(move || {
+                while !is_on(stop) {
+                    let calls = index == 0 || is_on(second);
+                    if calls { call(host) } else { thread::sleep(time::Duration::from_millis(5)) }
+                }
+            })
+        });
+        let callers: Vec<_> = callers.collect();
+        host::wait_until("the engine works", || leaving.record().attempts.len() > 20);
+        let down = platform::Faults { down: platform_down, ..site.platform.node().faults() };
+        site.platform.node().set_faults(down);
+        second.store(sign != Sign::Peer, atomic::Ordering::Relaxed);
+        thread::sleep(time::Duration::from_millis(200));
+
+        let (began, mut last, mut sent) = (time::Instant::now(), time::Duration::ZERO, 0);
+        match sign {
+            Sign::List => site.list("leaving"),
+            Sign::Refusal | Sign::Peer => leaving.leave(),
+        }
+        while began.elapsed() < SETTLED {
+            // The word of the first host alone; the second one's calls come later.
+            second.fetch_or(began.elapsed() > SETTLED / 2, atomic::Ordering::Relaxed);
+            let now = site.sent();
+            if now != sent {
+                (sent, last) = (now, began.elapsed());
+            }
+        }
+        if sign == Sign::List {
+            site.list("live");
+        }
+        thread::sleep(WATCHED);
+        assert_eq!(site.sent(), sent, "it got new calls");
+        let by_host: Vec<_> = site.hosts.iter().map(refused).collect();
+        println!("{sign:?}, platform down {platform_down}: last call after {last:?}, {by_host:?}");
+        assert!(sign != Sign::Peer || by_host[1] == 0, "the second host was not told");
+
+        let faults = leaving.faults();
+        leaving.set_faults(engine::Faults { down: true, ..faults.clone() });
+        leaving.set_faults(faults);
+        host::wait_until("the new life gets calls", || site.sent() > sent);
+        stop.store(true, atomic::Ordering::Relaxed);
+        callers.into_iter().for_each(|caller| caller.join().unwrap());
+    });
+    site.hosts.into_iter().for_each(host::Host::finish);
+}
--- a/crates/lagoon-net/tests/entry/link.rs
+++ b/crates/lagoon-net/tests/entry/link.rs
@@ -11,20 +11,25 @@
 
 use crate::host;
 
-fn start_steward(platform: net::SocketAddr) -> steward::Running {
+pub fn start_steward(
+    host: &str,
+    platform: net::SocketAddr,
+    peers: Vec<net::SocketAddr>,
+) -> steward::Running {
     let platform = platform::Settings { address: platform, ..platform::Settings::default() };
     let settings = steward::Settings {
-        host: id::Host::from("suva-1"),
+        host: id::Host::from(host),
         zone: id::Zone::from("suva"),
         key: wire::Key::new(b"fleet"),
         platform: Some(platform),
+        peers,
         ..steward::Settings::default()
     };
     steward::start(settings).unwrap()
 }
 
 /// Stores a section as an operator's program does.
-fn store(platform: net::SocketAddr, section: &document::Section) {
+pub fn store(platform: net::SocketAddr, section: &document::Section) {
     let settings = platform::Settings { address: platform, ..platform::Settings::default() };
     let limits = platform::Limits::new(settings);
     let put = document::Put {
@@ -51,7 +56,7 @@
     let section = host::section(&[engine.address()], &[], true);
     store(standin.address(), &section);
     let nobody = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let steward = start_steward(standin.address());
+    let steward = start_steward("suva-1", standin.address(), Vec::new());
     for (address, ready) in [(nobody, false), (steward.address(), true)] {
         let settings = entry::Settings {
             steward: Some(address),
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -4,6 +4,7 @@
 mod claims;
 mod drain;
 mod host;
+mod leaving;
 mod link;
 mod metrics;
 mod model;
