Takeover: tested with what a dead host leaves, the time saved measured, a false rest refused

Cause: taking over was tested with the first host alive, streamed, with a position. Change: such a call ends with 502 and the request's outcome. Conclusion: a caller that comes back saves the prefill, and hears the truth where it cannot.

--- a/crates/lagoon-net/src/entry/pull/dispatch.rs
+++ b/crates/lagoon-net/src/entry/pull/dispatch.rs
@@ -87,6 +87,9 @@
             }
         };
         match self.claim(&upstream, attempt).await {
+            Ok(None) if self.delivered > 0 && !self.job.continues => {
+                return Err(torn(held.end(), &upstream));
+            }
             Ok(None) => {}
             Ok(Some(found)) => return Ok(Sent::Found(held, place, found)),
             Err(fault) if held.attempts() == 0 => return Err(fault),
@@ -248,6 +251,15 @@
     }
 }
 
+/// Failure answered: a caller comes back for the rest of its stream, which is gone, and gets the
+/// rest of another answer to its prompt. Symptom: a text that is no answer at all, and looks whole.
+/// Where the model does not allow continuing elsewhere, the caller is told, and asks again for all
+/// of it.
+fn torn(outcome: Outcome, upstream: &id::Upstream) -> fault::Fault {
+    let fault = fault::new(Reason::UpstreamFailed, Step::Dispatch, outcome);
+    fault.at(upstream.as_str()).with_detail("the stream that was named is gone")
+}
+
 /// Why there is no group.
 enum Unreserved {
     Stop(limit::Stop),
--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -14,7 +14,7 @@
 use crate::host;
 use crate::runner::{self, Runner};
 
-type Rows = sync::Arc<sync::Mutex<collections::HashMap<String, (String, u64)>>>;
+pub type Rows = sync::Arc<sync::Mutex<collections::HashMap<String, (String, u64)>>>;
 
 /// Takes `GET /table/row` and `POST /table/commit`.
 fn start_table() -> (net::SocketAddr, Rows) {
@@ -156,6 +156,14 @@
     host.finish();
 }
 
+/// One entry host before an engine and the table service.
+pub fn start_one(engine: engine::Settings, continues: bool) -> (host::Host, Rows) {
+    let (table, rows) = start_table();
+    let platform = platform::Settings { address: table, ..platform::Settings::default() };
+    let with_platform = |settings| entry::Settings { platform: Some(platform), ..settings };
+    (host::Host::start_with(vec![engine], continues, with_platform), rows)
+}
+
 /// Two entry hosts before the same engine and table service.
 fn start_two(engine: engine::Settings) -> (host::Host, host::Host, Rows) {
     let (table, rows) = start_table();
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -14,3 +14,4 @@
 mod settings;
 mod silence;
 mod stream;
+mod takeover;
--- /dev/null
+++ b/crates/lagoon-net/tests/entry/takeover.rs
@@ -0,0 +1,156 @@
+//! A caller whose entry host died comes back with its key at another.
+//!
+//! The dead host is what it leaves: a claim's row in the table, and a stream on the engine that
+//! nobody reads.
+
+use std::io::{Read as _, Write as _};
+use std::time;
+
+use lagoon_standin::engine;
+use lagoonline::id;
+use lagoonline::life::claim;
+use rstest::rstest;
+use serde_json::Value;
+
+use crate::claims;
+use crate::host;
+
+const ATTEMPT: id::Attempt = id::Attempt(7);
+const TOKENS: u64 = 40;
+
+struct Left {
+    host: host::Host,
+    rows: claims::Rows,
+    call: String,
+}
+
+/// Starts a host, and leaves what another one left that died while it served `prompt`.
+fn leave(prompt: &str, stream: bool, continues: bool, scale: f64) -> Left {
+    let settings = engine::Settings { time_scale: scale, resume_ms: 600_000, ..host::quick() };
+    let (host, rows) = claims::start_one(settings, continues);
+    let call = host::completion(prompt, TOKENS, stream);
+    let record = claim::Record {
+        token: ATTEMPT.to_string(),
+        body: claim::body_hash("POST", "/v1/completions", call.as_bytes()),
+        holder: "suva-0/1".to_owned(),
+        written_ms: 1,
+        state: claim::State::Claimed {
+            attempt: ATTEMPT.to_string(),
+            upstream: id::Upstream::from("engine-0"),
+        },
+    };
+    let key = claim::row_key(&id::Customer::from("crew"), "k1");
+    rows.lock().unwrap().insert(key, (serde_json::to_string(&record).unwrap(), 1));
+    let mut dying = host::connect(host.engines[0].address());
+    let head = format!(
+        "POST /generate HTTP/1.1\r\nHost: e\r\nContent-Length: {}\r\nLagoon-Attempt: {ATTEMPT}\r\n\
+         Lagoon-Owner: suva-0/1\r\nLagoon-Model: model\r\nLagoon-Answer-Tokens: {TOKENS}\r\n\
+         Lagoon-Deadline-Ms: 600000\r\n\r\n{call}",
+        call.len()
+    );
+    dying.write_all(head.as_bytes()).unwrap();
+    // It dies with the answer's head and some tokens read.
+    let (mut read, mut buffer) = (0, [0; 1_024]);
+    while read < 1_000 {
+        read += dying.read(&mut buffer).unwrap();
+    }
+    Left { host, rows, call }
+}
+
+fn from_header(from: Option<u64>) -> String {
+    let resume = from.map(|from| format!("Lagoon-Resume-From: {from}\r\n"));
+    format!("Idempotency-Key: k1\r\n{}", resume.unwrap_or_default())
+}
+
+fn tokens(answer: &str, stream: bool) -> u64 {
+    if stream {
+        assert!(answer.contains("data: [DONE]"), "{answer}");
+        return answer.matches("\"finish_reason\":null").count() as u64;
+    }
+    let body: Value = serde_json::from_str(answer.split_once("\r\n\r\n").unwrap().1).unwrap();
+    let text = body["choices"][0]["text"].as_str().unwrap();
+    text.split_whitespace().count() as u64
+}
+
+/// The caller gets the rest of its answer from the position that it names, or all of it when it
+/// names none, streamed or not. The engine ran one attempt, which is the new host's now, and gives
+/// its memory back.
+#[rstest]
+#[case(true, Some(5))]
+#[case(true, None)]
+#[case(false, Some(5))]
+#[case(false, None)]
+fn its_stream_goes_on(#[case] stream: bool, #[case] from: Option<u64>) {
+    let left = leave("tin", stream, false, 50.0);
+    let answer = left.host.post("/v1/completions", &from_header(from), &left.call);
+    assert_eq!(host::status(&answer), "200", "{answer}");
+    assert_eq!(tokens(&answer, stream), TOKENS - from.unwrap_or(0), "{answer}");
+    let engine = left.host.engines[0].node().clone();
+    assert_eq!(engine.record().attempts.len(), 1);
+    host::wait_until("the memory is back", || {
+        engine.record().bytes_reserved == engine.record().bytes_returned
+    });
+    left.host.finish();
+}
+
+/// The engine has restarted as well, so the stream is gone. A caller that names no position gets a
+/// new answer; one that does gets it continued where its model allows that, and else a clear
+/// failure, since the rest of another answer is not the rest of its own.
+#[rstest]
+#[case(None, false, "200")]
+#[case(Some(5), true, "200")]
+#[case(Some(5), false, "502")]
+fn its_engine_is_gone(
+    #[case] from: Option<u64>,
+    #[case] continues: bool,
+    #[case] status: &str,
+    #[values(true, false)] stream: bool,
+) {
+    let left = leave("tin", stream, continues, 50.0);
+    let engine = left.host.engines[0].node().clone();
+    engine.set_faults(engine::Faults { down: true, ..engine.faults() });
+    engine.set_faults(engine::Faults::default());
+    let answer = left.host.post("/v1/completions", &from_header(from), &left.call);
+    assert_eq!(host::status(&answer), status, "{answer}");
+    if status == "200" {
+        assert_eq!(tokens(&answer, stream), TOKENS - from.unwrap_or(0), "{answer}");
+    } else {
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    assert!(!left.rows.lock().unwrap().is_empty());
+    left.host.finish();
+}
+
+/// Seconds from the call to its first token.
+fn first_token(host: &host::Host, headers: &str, call: &str) -> f64 {
+    let began = time::Instant::now();
+    let mut stream = host.connect();
+    stream.write_all(&host::request("POST", "/v1/completions", headers, call)).unwrap();
+    let (mut text, mut buffer) = (String::new(), [0; 4_096]);
+    while !text.contains("\"finish_reason\":null") {
+        let count = stream.read(&mut buffer).unwrap();
+        assert!(count > 0, "{text}");
+        text.push_str(&String::from_utf8_lossy(&buffer[..count]));
+    }
+    let first = began.elapsed().as_secs_f64();
+    host::read_all(&mut stream);
+    first
+}
+
+/// The prompt has a million tokens, which the engine prefilled for the host that died. Taken over,
+/// its answer goes on without a second prefill; another caller's prompt of that length shows what
+/// one costs.
+#[test]
+fn a_million_tokens_are_not_prefilled_again() {
+    let prompt = "a".repeat(4 * 1_000_000);
+    let left = leave(&prompt, true, true, 10.0);
+    let taken = first_token(&left.host, &from_header(Some(5)), &left.call);
+    let engine = left.host.engines[0].node().clone();
+    assert_eq!(engine.record().attempts.len(), 1);
+    let other = host::completion(&"b".repeat(4 * 1_000_000), TOKENS, true);
+    let anew = first_token(&left.host, "", &other);
+    println!(
+        "first token: {taken:.3} s taken over, {anew:.3} s prefilled, engine 10 times as fast"
+    );
+    left.host.finish();
+}
