--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -12,7 +12,7 @@
 use crate::host;
 use crate::runner::{self, Runner};
 
-type Table = server::Running<standin::Platform>;
+pub type Table = server::Running<standin::Platform>;
 
 fn start_table() -> Table {
     standin::start(standin::Settings::default()).unwrap()
@@ -106,6 +106,14 @@
     host.finish();
 }
 
+/// One entry host before an engine and the table service.
+pub fn start_one(engine: engine::Settings, continues: bool) -> (host::Host, Table) {
+    let table = start_table();
+    let platform = platform::Settings { address: table.address(), ..platform::Settings::default() };
+    let with_platform = |settings| entry::Settings { platform: Some(platform), ..settings };
+    (host::Host::start_with(vec![engine], continues, with_platform), table)
+}
+
 /// Two entry hosts before the same engine and table service.
 fn start_two(engine: engine::Settings) -> (host::Host, host::Host, Table) {
     let table = start_table();
