Statuses go together by what changed; an entry process that is gone does not count

Change: stewards gather states for 100 ms and tell what changed; reports of one life are numbered by the host's steward; after 10 s without an entry process the steward says that it is gone, and the host does not count until one is back.

--- a/crates/lagoon-net/examples/control_bench/main.rs
+++ b/crates/lagoon-net/examples/control_bench/main.rs
@@ -222,6 +222,7 @@
             put(&format!("team-{index}"), 0, &customers_of(index, customers / TEAMS, 0));
         }
         first = 1;
+        thread::sleep(time::Duration::from_secs(5));
     }
     let started = probe::Costs::read(&stewards);
     let began_puts = time::Instant::now();
--- a/crates/lagoon-net/src/link/client.rs
+++ b/crates/lagoon-net/src/link/client.rs
@@ -222,6 +222,7 @@
             draining: state.draining,
             in_flight: state.in_flight,
             in_force: wire::team_versions(&state.in_force),
+            ..wire::Status::default()
         })
     }
 
--- a/crates/lagoon-net/src/steward/beat.rs
+++ b/crates/lagoon-net/src/steward/beat.rs
@@ -108,6 +108,8 @@
     let mut core = context.core.borrow_mut();
     let (news, changes) = core.group.tick(context.clock.now());
     core.tell_members(&news, None);
+    core.watch_entry();
+    core.flush_reports();
     for change in changes {
         match change {
             membership::Change::Live(host) => log::info!("{host} lives"),
--- a/crates/lagoon-net/src/steward/core/message.rs
+++ b/crates/lagoon-net/src/steward/core/message.rs
@@ -2,7 +2,6 @@
 
 use lagoonline::clock::Clock;
 use lagoonline::control::membership;
-use lagoonline::control::spread;
 use lagoonline::id;
 
 use super::{Core, LinkId};
@@ -16,8 +15,9 @@
             wire::Body::Members(members) => self.take_members(&members, from),
             wire::Body::Status(status) => {
                 let host = id::Host::from(status.host.as_str());
-                self.take_report(&host, wire::report(&status), from);
+                self.take_own_report(&host, wire::report(&status));
             }
+            wire::Body::Statuses(statuses) => self.take_statuses(&statuses, from),
             wire::Body::Loads(loads) => self.take_loads(&loads, from),
             wire::Body::Marks(marks) => self.take_marks(&marks.marks, Some(from)),
             wire::Body::Spending(spending) => self.take_own_spending(&spending, from),
@@ -47,15 +47,4 @@
             link.peer.role == wire::Role::Steward && Some(name) != from
         });
     }
-
-    pub(super) fn take_report(&mut self, host: &id::Host, report: spread::Report, from: LinkId) {
-        let status = wire::status(host, &report);
-        if report.zone == *self.zone() && self.board.take(host, report) {
-            let zone = self.zone().clone();
-            self.send_all(&wire::Body::Status(status), |name, link| {
-                let near = link.peer.zone == zone || link.peer.zone.as_str().is_empty();
-                link.peer.role == wire::Role::Steward && near && name != from
-            });
-        }
-    }
 }
--- a/crates/lagoon-net/src/steward/core/mod.rs
+++ b/crates/lagoon-net/src/steward/core/mod.rs
@@ -3,6 +3,7 @@
 mod brief;
 mod document;
 mod message;
+mod report;
 mod spending;
 mod traffic;
 
@@ -78,7 +79,7 @@
 }
 
 /// Kinds of messages that stewards send each other.
-pub const KINDS: [&str; 6] = ["digest", "sections", "loads", "marks", "members", "status"];
+pub const KINDS: [&str; 6] = ["digest", "sections", "loads", "marks", "members", "statuses"];
 
 /// Place of a message's kind in [`KINDS`]; those that no host sends to another have none.
 pub(in crate::steward) fn kind(body: &wire::Body) -> Option<usize> {
@@ -88,11 +89,12 @@
         wire::Body::Loads(_) => "loads",
         wire::Body::Marks(_) => "marks",
         wire::Body::Members(_) => "members",
-        wire::Body::Status(_) => "status",
+        wire::Body::Statuses(_) => "statuses",
         wire::Body::Challenge(_)
         | wire::Body::Hello(_)
         | wire::Body::Heartbeat(_)
         | wire::Body::Spending(_)
+        | wire::Body::Status(_)
         | wire::Body::Call(_)
         | wire::Body::Reply(_) => return None,
     };
@@ -150,6 +152,7 @@
     /// Upstreams by the codes of their names; `None` where two share one.
     codes: collections::HashMap<u32, Option<id::Upstream>>,
     spending: spending::Spending,
+    reports: report::Reports,
     /// Dead stewards whose rows were removed from the table.
     pub(in crate::steward) removed: collections::BTreeSet<id::Host>,
     pub(in crate::steward) dialing: collections::BTreeSet<id::Host>,
@@ -195,6 +198,7 @@
             lives: collections::BTreeMap::new(),
             codes: collections::HashMap::new(),
             spending: spending::Spending::default(),
+            reports: report::Reports::default(),
             removed: collections::BTreeSet::new(),
             dialing: collections::BTreeSet::new(),
             links: collections::BTreeMap::new(),
@@ -242,11 +246,7 @@
         let members = wire::members(&self.group.roster().news());
         self.send(name, wire::Body::Members(members));
         self.send(name, self.digest());
-        let reports = self.board.reports().filter(|(_, report)| report.zone == *self.zone());
-        let statuses: Vec<_> = reports.map(|(host, report)| wire::status(host, report)).collect();
-        for status in statuses {
-            self.send(name, wire::Body::Status(status));
-        }
+        self.send(name, self.statuses());
         let marks = self.marks.values().cloned().collect();
         self.send(name, wire::Body::Marks(wire::Marks { marks }));
         self.send_loads(name);
@@ -280,7 +280,7 @@
         let Some(report) = self.board.report(&host) else { return };
         log::warn!("entry process of {host} is gone");
         let report = spread::Report { ready: false, ..report.clone() };
-        self.take_report(&host, report, name);
+        self.take_own_report(&host, report);
     }
 
     pub(in crate::steward) fn send(&mut self, name: LinkId, body: wire::Body) {
--- a/crates/lagoon-net/src/wire/convert.rs
+++ b/crates/lagoon-net/src/wire/convert.rs
@@ -92,6 +92,8 @@
     spread::Report {
         zone: id::Zone::from(status.zone.as_str()),
         incarnation: id::Incarnation(status.incarnation),
+        number: status.number,
+        gone: status.gone,
         ready: status.ready,
         draining: status.draining,
         in_flight: status.in_flight,
@@ -109,6 +111,9 @@
         draining: report.draining,
         in_flight: report.in_flight,
         in_force: team_versions(&report.in_force),
+        number: report.number,
+        gone: report.gone,
+        changes: false,
     }
 }
 
--- a/crates/lagoon-net/src/wire/message.rs
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -28,7 +28,7 @@
     #[prost(bytes = "bytes", tag = "6")]
     pub nonce: prost::bytes::Bytes,
     /// The message. Tag 25 was used once.
-    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 26, 27, 28")]
+    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 26, 27, 28, 29")]
     pub body: Option<Body>,
 }
 
@@ -71,6 +71,9 @@
     /// Stewards, and votes on them.
     #[prost(message, tag = "28")]
     Members(Members),
+    /// States of entry processes, from steward to steward.
+    #[prost(message, tag = "29")]
+    Statuses(Statuses),
 }
 
 /// The accepting side's nonce, which every later frame of the other side carries.
@@ -369,6 +372,24 @@
     /// Sections that its data path works with.
     #[prost(message, repeated, tag = "7")]
     pub in_force: Vec<TeamVersion>,
+    /// Counts the reports of its life, by its steward.
+    #[prost(uint64, tag = "8")]
+    pub number: u64,
+    /// Whether there has been no entry process for long.
+    #[prost(bool, tag = "9")]
+    pub gone: bool,
+    /// Whether only those sections are named that changed since the sender's last message; the
+    /// zone is then left out.
+    #[prost(bool, tag = "10")]
+    pub changes: bool,
+}
+
+/// States of several entry processes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Statuses {
+    /// The states.
+    #[prost(message, repeated, tag = "1")]
+    pub statuses: Vec<Status>,
 }
 
 /// What one customer used at one entry host since the last message.
--- a/crates/lagoon-net/tests/control.rs
+++ b/crates/lagoon-net/tests/control.rs
@@ -346,3 +346,70 @@
     entry.loads.lock().unwrap().clear();
     wait(|| entry.loads.lock().unwrap().len() == 2);
 }
+
+#[test]
+fn a_host_whose_entry_process_died_does_not_hold_up_acceptance() {
+    // The entry process of one host ends while its steward lives, and nobody starts it again. The
+    // steward says so; after ten seconds the host does not count, and a section put meanwhile is
+    // accepted. An entry process that starts later is ready with that section.
+    let mut fleet = Fleet::start(2);
+    fleet.wait_ready();
+    let Host { steward, entry } = fleet.hosts.remove("suva-1").unwrap();
+    drop(entry);
+    assert_eq!(fleet.put(0, "{}").unwrap(), 1);
+    let standing = fleet.wait_accepted(1);
+    assert!(standing.accepted, "{standing:?}");
+    let entry = Entry::start(steward.address(), "suva-1", "suva");
+    fleet.hosts.insert("suva-1".to_owned(), Host { steward, entry });
+    fleet.wait_ready();
+    fleet.assert_in_force(1);
+}
+
+#[test]
+fn of_operators_who_race_one_wins_and_the_others_are_shown_what_changed() {
+    // Four operators put from the same version at once, by different stewards. One is told version
+    // 2; each other is refused and shown the winner's change. The history has one row of it.
+    let fleet = Fleet::start(1);
+    fleet.wait_ready();
+    assert_eq!(fleet.put(0, r#"{"models": {"m": {}}}"#).unwrap(), 1);
+    let text = |tokens: usize| format!(r#"{{"models": {{"m": {{"max_tokens": {tokens}}}}}}}"#);
+    let outcomes: Vec<_> = thread::scope(|scope| {
+        let fleet = &fleet;
+        let put = |tokens: usize| {
+            let text = text(tokens);
+            scope.spawn(move || fleet.put(1, &text))
+        };
+        let puts: Vec<_> = (1..5).map(put).collect();
+        puts.into_iter().map(|put| put.join().unwrap()).collect()
+    });
+    let (won, lost): (Vec<_>, Vec<_>) = outcomes.into_iter().partition(Result::is_ok);
+    assert_eq!(won.len(), 1);
+    assert_eq!(*won[0].as_ref().unwrap(), 2);
+    for outcome in lost {
+        let operator::Error::Refused { code, details, .. } = outcome.unwrap_err() else {
+            panic!("not refused");
+        };
+        assert_eq!(code, "raced");
+        let change = details["changes"][0].as_str().unwrap().to_owned();
+        assert!(change.starts_with("+ /models/m/max_tokens: "), "{change}");
+    }
+    assert_eq!(fleet.platform.node().rows("history/labels/").len(), 2);
+}
+
+#[test]
+fn a_put_during_an_outage_of_the_platform_is_stored_when_it_is_back() {
+    // The platform goes out, an operator puts, and the platform comes back 3 s later. The put is
+    // tried again until then, stored once, and in force in every zone.
+    let fleet = Fleet::start(1);
+    fleet.wait_ready();
+    fleet.set_faults(|faults| faults.down = true);
+    thread::scope(|scope| {
+        let put = scope.spawn(|| fleet.put(0, "{}"));
+        thread::sleep(time::Duration::from_secs(3));
+        fleet.set_faults(|faults| faults.down = false);
+        assert_eq!(put.join().unwrap().unwrap(), 1);
+    });
+    assert!(fleet.wait_accepted(1).accepted);
+    fleet.assert_in_force(1);
+    assert_eq!(fleet.platform.node().rows("history/labels/").len(), 1);
+}
--- a/crates/lagoonline/src/control/spread.rs
+++ b/crates/lagoonline/src/control/spread.rs
@@ -92,6 +92,10 @@
     pub zone: id::Zone,
     /// Life of its entry process.
     pub incarnation: id::Incarnation,
+    /// Counts the reports of that life as its steward passes them on.
+    pub number: u64,
+    /// Whether its steward has had no entry process for so long that nothing can be served there.
+    pub gone: bool,
     /// Whether it takes requests.
     pub ready: bool,
     /// Whether it is shutting down.
@@ -133,13 +137,19 @@
             return false;
         }
         let same_life = report.incarnation == known.incarnation;
+        // Reports come by several ways: an older one after a newer one would be passed on again as
+        // news, and the newer one after it, without end.
+        if same_life && report.number < known.number {
+            return false;
+        }
         let behind = |(team, version): (&id::Team, &id::Version)| {
             report.in_force.get(team).is_none_or(|newer| newer < version)
         };
         if same_life && known.in_force.iter().any(behind) {
             return false;
         }
-        let same = *known == Report { in_flight: known.in_flight, ..report.clone() };
+        let unlike = Report { in_flight: known.in_flight, number: known.number, ..report.clone() };
+        let same = *known == unlike;
         *known = report;
         !same
     }
@@ -159,8 +169,21 @@
         self.reports.iter()
     }
 
+    /// Takes a report that names only the versions that changed in its life.
+    pub fn take_changes(&mut self, host: &id::Host, mut report: Report) -> bool {
+        let known = self.reports.get(host);
+        let known = known.filter(|known| known.incarnation == report.incarnation);
+        for (team, version) in known.into_iter().flat_map(|known| &known.in_force) {
+            let newer = report.in_force.entry(team.clone()).or_default();
+            *newer = version.max(newer).to_owned();
+        }
+        self.take(host, report)
+    }
+
     /// Hosts where `version` of the team's section is not in force: *accepted* is said when this
-    /// is empty. `expected` are hosts known to live that may not have reported yet.
+    /// is empty. `expected` are hosts known to live that may not have reported yet. Hosts whose
+    /// entry process is gone do not count: nothing is served there, and the next entry process is
+    /// not ready before it has the version.
     ///
     /// ```
     /// use lagoonline::control::spread::{Board, Report};
@@ -184,6 +207,7 @@
             let version = in_force(&host);
             Missing { host, zone, version }
         });
-        lines.filter(|line| line.version < version).collect()
+        let is_gone = |host: &id::Host| self.reports.get(host).is_some_and(|report| report.gone);
+        lines.filter(|line| line.version < version && !is_gone(&line.host)).collect()
     }
 }
