--- a/crates/lagoon-net/src/operator/client.rs
+++ b/crates/lagoon-net/src/operator/client.rs
@@ -5,6 +5,7 @@
 use lagoonline::clock;
 use lagoonline::control::platform;
 use lagoonline::id;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 use tokio::time;
 
@@ -63,6 +64,30 @@
     pub missing: Vec<String>,
 }
 
+/// Which part of the idle ledger is summed, and by what.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Days {
+    /// What it is summed by: a `ledger::Grouping`.
+    pub by: String,
+    /// First day, counted from the Unix epoch.
+    pub from_day: u64,
+    /// Last day.
+    pub to_day: u64,
+}
+
+impl Days {
+    /// As [`Request::text`].
+    ///
+    /// ```
+    /// use lagoon_net::operator;
+    /// let days = operator::Days { by: "team".to_owned(), from_day: 20_000, to_day: 20_001 };
+    /// assert_eq!(days.text(), r#"{"by":"team","from_day":20000,"to_day":20001}"#);
+    /// ```
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
 impl Client {
     /// A client; nothing is connected yet.
     pub fn new(settings: settings::Settings) -> Self {
@@ -86,7 +111,7 @@
             text: request.text.clone(),
             put: id::Attempt(rand::random()).to_string(),
         };
-        let backoff = platform::Backoff::default();
+        let backoff = platform::Backoff { limit: RETRY_LIMIT, ..platform::Backoff::default() };
         let deadline = time::Instant::now() + self.settings.patience;
         let mut last = Error::Silent("none is in the settings".to_owned());
         let mut failures = 0;
@@ -176,6 +201,13 @@
     }
 }
 
+/// Longest wait between two tries.
+///
+/// Failure answered: the platform is out for 3 s during a put. Symptom: with waits that grow to
+/// 5 s, one put in thirty was in force after 7.4 s. Operators are few: a try a second stampedes
+/// nobody.
+const RETRY_LIMIT: clock::Span = clock::Span::from_secs(1);
+
 /// Time between two looks at where a version is in force.
 const LOOK: clock::Span = clock::Span::from_millis(100);
 
--- a/crates/lagoon-net/src/steward/calls.rs
+++ b/crates/lagoon-net/src/steward/calls.rs
@@ -15,6 +15,7 @@
 use super::core;
 use super::usage;
 use super::zones;
+use crate::operator;
 use crate::platform;
 use crate::wire;
 
@@ -342,12 +343,21 @@
     Ok(json!({ "engines": lines, "silent_zones": silent }))
 }
 
-/// Sums of the idle ledger; `text` says by what.
+/// Sums of the idle ledger; `text` says of which days and by what.
 async fn usage_report(context: &Context, call: &wire::Call) -> Outcome {
     authorize_operator(context, call)?;
-    let grouping = call.text.parse::<ledger::Grouping>();
-    let grouping = grouping.map_err(|error| Failure::new("bad_call", error))?;
-    let sums = usage::report(platform(context)?, grouping).await;
-    let sums = sums.map_err(|error| refusal(error.into()))?;
-    Ok(json!({ "by": call.text, "accelerator_ms": sums }))
+    let bad = |message: String| Failure::new("bad_call", message);
+    let days: operator::Days =
+        serde_json::from_str(&call.text).map_err(|error| bad(error.to_string()))?;
+    let grouping = days.by.parse::<ledger::Grouping>().map_err(|error| bad(error.to_string()))?;
+    let found = usage::report(platform(context)?, grouping, &days).await;
+    let found = found.map_err(|error| refusal(error.into()))?;
+    let usage::Report { sums, rows } = found.ok_or_else(|| {
+        let message = format!("more than {} rows: ask for fewer days", usage::MOST_ROWS);
+        Failure::new("too_much", message)
+    })?;
+    Ok(json!({
+        "by": days.by, "from_day": days.from_day, "to_day": days.to_day, "rows": rows,
+        "accelerator_ms": sums,
+    }))
 }
--- a/crates/lagoon-net/src/steward/core/report.rs
+++ b/crates/lagoon-net/src/steward/core/report.rs
@@ -47,11 +47,8 @@
 
     pub(super) fn take_statuses(&mut self, statuses: &wire::Statuses, from: LinkId) {
         for status in &statuses.statuses {
-            let mut report = wire::report(status);
-            if status.changes {
-                report.zone = self.zone().clone();
-            }
-            self.take_report(&id::Host::from(status.host.as_str()), report, Some(from));
+            let host = id::Host::from(status.host.as_str());
+            self.take_report(&host, wire::report(status), Some(from));
         }
     }
 
@@ -91,7 +88,7 @@
                 told.get(line.team.as_str()) == Some(&id::Version(line.version))
             };
             status.in_force.retain(|line| !is_told(line));
-            (status.changes, status.zone) = (true, String::new());
+            status.changes = true;
         }
         let told = (report.incarnation, report.in_force.clone());
         self.reports.told.insert(host.clone(), told);
--- a/crates/lagoon-net/src/steward/usage.rs
+++ b/crates/lagoon-net/src/steward/usage.rs
@@ -9,6 +9,7 @@
 
 use super::Context;
 use super::core;
+use crate::operator;
 use crate::platform;
 
 /// Time between two readings of the meters.
@@ -85,30 +86,66 @@
     }
 }
 
-/// Reads all rows and sums them.
+/// Most rows summed for one report: a day of 139 engines. Beyond it the answer would outlast the
+/// operator's wait and the steward's budget of reads.
+pub(super) const MOST_ROWS: usize = 200_000;
+
+/// Pause between two reads of a report: they leave half of this process's budget to the rest.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(100);
+
+/// Sums, and how many rows they are of.
+pub(super) struct Report {
+    pub(super) sums: collections::BTreeMap<String, ledger::Sum>,
+    pub(super) rows: usize,
+}
+
+/// Reads the rows of the days asked for and sums them; `None` when they are too many.
+///
+/// Keys sort by upstream and then by interval, so each upstream's part is read from the first day
+/// on, and what follows its last day is skipped.
 pub(super) async fn report<T>(
     table: &T,
     grouping: ledger::Grouping,
-) -> Result<collections::BTreeMap<String, ledger::Sum>, table::Error>
+    days: &operator::Days,
+) -> Result<Option<Report>, table::Error>
 where
     T: table::Table,
 {
+    let per_day = DAY_MS / ledger::INTERVAL_MS;
+    let first = days.from_day.saturating_mul(per_day);
+    let end = days.to_day.saturating_add(1).saturating_mul(per_day);
     let mut rows = Vec::new();
     let mut after = String::new();
     loop {
         let found = table.scan("usage/", &after, SCAN_LIMIT).await?;
-        let is_last = found.len() < SCAN_LIMIT;
-        for row in found {
-            after.clone_from(&row.key);
-            let name = row.key.strip_prefix("usage/").and_then(|rest| rest.rsplit_once('/'));
+        let Some(last) = found.last() else { break };
+        let place = |key: &str| {
+            let (name, interval) = key.strip_prefix("usage/")?.rsplit_once('/')?;
+            Some((id::Upstream::from(name), interval.parse::<u64>().ok()?))
+        };
+        after = match place(&last.key) {
+            // Just before the first day, or past everything of this upstream.
+            Some((name, interval)) if interval < first => ledger::key(&name, first - 1),
+            Some((name, interval)) if interval >= end => ledger::key(&name, LAST_INTERVAL),
+            _ => last.key.clone(),
+        };
+        for row in &found {
             let parsed = serde_json::from_str::<ledger::Row>(&row.value).ok();
-            if let Some(((name, _), parsed)) = name.zip(parsed) {
-                rows.push((id::Upstream::from(name), parsed));
+            let Some(((name, interval), parsed)) = place(&row.key).zip(parsed) else { continue };
+            if (first..end).contains(&interval) {
+                rows.push((name, parsed));
             }
         }
-        if is_last {
-            break;
+        if rows.len() > MOST_ROWS {
+            return Ok(None);
         }
+        tokio::time::sleep(PAUSE).await;
     }
-    Ok(ledger::sum(rows.iter().map(|(upstream, row)| (upstream, row)), grouping))
+    let sums = ledger::sum(rows.iter().map(|(upstream, row)| (upstream, row)), grouping);
+    Ok(Some(Report { sums, rows: rows.len() }))
 }
+
+const DAY_MS: u64 = 86_400_000;
+
+/// The highest interval that a key has room for.
+const LAST_INTERVAL: u64 = 999_999_999_999;
--- a/crates/lagoon-net/src/wire/message.rs
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -378,8 +378,7 @@
     /// Whether there has been no entry process for long.
     #[prost(bool, tag = "9")]
     pub gone: bool,
-    /// Whether only those sections are named that changed since the sender's last message; the
-    /// zone is then left out.
+    /// Whether only those sections are named that changed since the sender's last message.
     #[prost(bool, tag = "10")]
     pub changes: bool,
 }
--- a/crates/lagoonctl/src/arguments.rs
+++ b/crates/lagoonctl/src/arguments.rs
@@ -120,6 +120,12 @@
     /// team, customer, model, upstream or day (default: team)
     #[argh(option, default = "String::from(\"team\")")]
     pub(crate) by: String,
+    /// first day, YYYY-MM-DD in UTC (default: today)
+    #[argh(option)]
+    pub(crate) from: Option<String>,
+    /// last day (default: the first one)
+    #[argh(option)]
+    pub(crate) to: Option<String>,
 }
 
 /// The arguments of this process; ends it with 2 when they are wrong.
--- a/crates/lagoonctl/src/main.rs
+++ b/crates/lagoonctl/src/main.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 good, 1 failed, 2 bad usage or settings.
 
 mod arguments;
+mod date;
 mod print;
 mod run;
 
--- a/crates/lagoonctl/src/print.rs
+++ b/crates/lagoonctl/src/print.rs
@@ -3,6 +3,8 @@
 use lagoon_net::operator;
 use serde_json::json;
 
+use super::date;
+
 /// Prints a value: JSON on one line, or indented for people.
 pub(crate) fn value(value: &serde_json::Value, json: bool) {
     if json {
@@ -75,6 +77,8 @@
         "work", "claimed idle", "unclaimed idle", "unobserved"
     );
     for (name, sum) in value["accelerator_ms"].as_object().into_iter().flatten() {
+        let day = name.parse().ok().filter(|_| by == "day").map(date::print);
+        let name = day.as_ref().unwrap_or(name);
         let hours = |field: &str| sum[field].as_f64().unwrap_or_default() / HOUR_MS;
         let (work, claimed) = (hours("work_ms"), hours("claimed_idle_ms"));
         let (unclaimed, unobserved) = (hours("unclaimed_idle_ms"), hours("unobserved_ms"));
--- a/crates/lagoonctl/src/run.rs
+++ b/crates/lagoonctl/src/run.rs
@@ -1,13 +1,16 @@
 //! The commands.
 
 use std::fs;
+use std::time;
 
 use lagoon_net::operator;
 use lagoon_net::wire;
 use lagoonline::check;
 use lagoonline::clock;
+use lagoonline::control::ledger;
 
 use super::arguments;
+use super::date;
 use super::print;
 
 /// Exit codes; bad usage is told apart in [`arguments`].
@@ -46,7 +49,13 @@
         arguments::Command::Orders(_) => {
             show(&client, wire::Verb::Orders, String::new(), json).await
         }
-        arguments::Command::Usage(usage) => show(&client, wire::Verb::Usage, usage.by, json).await,
+        arguments::Command::Usage(usage) => match usage_text(&usage) {
+            Ok(text) => show(&client, wire::Verb::Usage, text, json).await,
+            Err(message) => {
+                eprintln!("{message}");
+                return arguments::BAD_USAGE;
+            }
+        },
     };
     result.unwrap_or_else(|error| {
         print::error(&error, json);
@@ -54,6 +63,26 @@
     })
 }
 
+/// The arguments of a report on usage, as the steward takes them.
+fn usage_text(usage: &arguments::Usage) -> Result<String, String> {
+    usage.by.parse::<ledger::Grouping>().map_err(|error| error.to_string())?;
+    let today = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let today = today.map_or(0, |since| since.as_secs()) / DAY_SECONDS;
+    let day = |text: &Option<String>, usual: u64| match text {
+        None => Ok(usual),
+        Some(text) => date::parse(text).ok_or_else(|| format!("{text} is not a day, YYYY-MM-DD")),
+    };
+    let from = day(&usage.from, today)?;
+    let to = day(&usage.to, from)?;
+    if to < from {
+        return Err("the last day is before the first".to_owned());
+    }
+    let days = operator::Days { by: usage.by.clone(), from_day: from, to_day: to };
+    Ok(days.text())
+}
+
+const DAY_SECONDS: u64 = 86_400;
+
 async fn show(
     client: &operator::Client,
     verb: wire::Verb,
--- /dev/null
+++ b/crates/lagoonctl/tests/exit_codes.rs
@@ -0,0 +1,175 @@
+//! The program against one steward and the platform's stand-in: what it prints and how it ends.
+
+use std::env;
+use std::fs;
+use std::net;
+use std::path;
+use std::process;
+
+use lagoon_net::platform as client;
+use lagoon_net::steward;
+use lagoon_net::wire;
+use lagoon_standin::platform;
+use lagoon_standin::server;
+use rstest::rstest;
+use sha2::Digest;
+
+struct Fleet {
+    platform: server::Running<platform::Platform>,
+    steward: steward::Running,
+    folder: path::PathBuf,
+}
+
+impl Fleet {
+    fn start(name: &str) -> Fleet {
+        let platform = platform::start(platform::Settings::default()).unwrap();
+        let settings = client::Settings { address: platform.address(), ..Default::default() };
+        let steward = steward::start(steward::Settings {
+            key: wire::Key::new(b"fleet"),
+            platform: Some(settings),
+            operator_keys: vec![sha2::Sha256::digest("operators").into()],
+            ..steward::Settings::default()
+        });
+        let folder = env::temp_dir().join(format!("lagoonctl-{}-{name}", process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        Fleet { platform, steward: steward.unwrap(), folder }
+    }
+
+    fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.join(name);
+        fs::write(&path, text).unwrap();
+        path.to_str().unwrap().to_owned()
+    }
+
+    fn run(&self, key: &str, words: &[&str]) -> (Option<i32>, String) {
+        let settings = settings(self.steward.address(), key);
+        let settings = self.file("settings.json", &settings);
+        run(&[&["--settings", &settings], words].concat())
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn settings(steward: net::SocketAddr, key: &str) -> String {
+    format!(
+        r#"{{"stewards": ["{steward}"], "fleet_key": "fleet", "key": "{key}", "timeout_ms": 3000,
+            "patience_ms": 3000}}"#
+    )
+}
+
+/// The program's exit code, and what it printed on both of its outputs.
+fn run(words: &[&str]) -> (Option<i32>, String) {
+    let output = process::Command::new(env!("CARGO_BIN_EXE_lagoonctl")).args(words).output();
+    let output = output.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    (output.status.code(), String::from_utf8(text).unwrap())
+}
+
+#[rstest]
+#[case::no_command(&[])]
+#[case::unknown_command(&["sections"])]
+#[case::no_settings(&["--settings", "/nonexistent.json", "status"])]
+fn bad_usage_ends_with_two(#[case] words: &[&str]) {
+    assert_eq!(run(words).0, Some(2));
+}
+
+#[test]
+fn bad_settings_are_named_by_file_and_place() {
+    let path = env::temp_dir().join(format!("lagoonctl-{}-bad.json", process::id()));
+    fs::write(&path, r#"{"stewards": ["nowhere"], "fleet": "f"}"#).unwrap();
+    let (code, text) = run(&["--settings", path.to_str().unwrap(), "status"]);
+    fs::remove_file(&path).unwrap();
+    assert_eq!(code, Some(2), "{text}");
+    assert!(text.contains("bad.json: /fleet: unknown field"), "{text}");
+}
+
+#[test]
+fn sections_are_put_read_and_refused() {
+    // A section with a fault is refused with its place; a good one is stored, but not in force in
+    // any entry process, of which there is none yet: the wait ends with 1, and says what is missing.
+    // A second put from the same version is refused and shows what changed.
+    let fleet = Fleet::start("sections");
+    let bad = fleet.file("bad.json", r#"{"model": {}}"#);
+    let (code, text) = fleet.run("operators", &["section", "put", "labels", &bad, "--from", "0"]);
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("/model"), "{text}");
+    let good = fleet.file("good.json", r#"{"models": {"m": {}}}"#);
+    let put = ["section", "put", "labels", &good, "--from", "0", "--wait-ms", "100"];
+    let (code, text) = fleet.run("operators", &put);
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("stored as version 1") && text.contains("not accepted yet"), "{text}");
+    let (code, text) = fleet.run("operators", &["section", "get", "labels"]);
+    assert_eq!((code, text.as_str()), (Some(0), "{\"models\": {\"m\": {}}}\nversion 1\n"));
+    let (code, text) = fleet.run("operators", &put);
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("raced") && text.contains("+ /models"), "{text}");
+    let (code, text) = fleet.run("somebody", &["section", "get", "labels"]);
+    assert_eq!(code, Some(1), "{text}");
+    assert!(text.contains("denied"), "{text}");
+    assert_eq!(fleet.platform.node().rows("history/labels/").len(), 1);
+}
+
+#[test]
+fn status_names_hosts_and_needs_the_operators_key() {
+    let fleet = Fleet::start("status");
+    let (code, text) = fleet.run("operators", &["--json", "status"]);
+    assert_eq!(code, Some(0), "{text}");
+    let value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    assert_eq!(value["zones"][0]["zone"], "zone", "{text}");
+    assert_eq!(value["zones"][0]["hosts"][0]["steward"], "live", "{text}");
+    let (code, text) = fleet.run("somebody", &["status"]);
+    assert_eq!(code, Some(1), "{text}");
+    // The steward is gone: every try fails, and the program ends within its patience.
+    let settings = settings("127.0.0.1:1".parse().unwrap(), "operators");
+    let settings = fleet.file("silent.json", &settings);
+    assert_eq!(run(&["--settings", &settings, "status"]).0, Some(1));
+}
+
+fn seed(fleet: &Fleet, upstream: &str, interval: u64, work_ms: u64) {
+    let row = serde_json::json!({
+        "interval": interval, "owner": "owners", "model": "m", "accelerators": 2,
+        "claimant": "claimants", "idle_ms": 60_000 - work_ms, "unobserved_ms": 0,
+        "work": [{ "customer": "clerk", "team": "callers", "millis": work_ms }],
+    });
+    let key = format!("usage/{upstream}/{interval:012}");
+    fleet.platform.node().put(&key, &row.to_string());
+}
+
+#[test]
+fn usage_is_of_the_days_asked_for() {
+    // Two engines with an interval on 1, 2 and 3 March 2024. Asked for the 2nd, or up to the 3rd,
+    // the sums are of those days only. Days that are none are bad usage.
+    let fleet = Fleet::start("usage");
+    let day = 19_783 * 1_440;
+    for (index, upstream) in ["e1", "e2"].into_iter().enumerate() {
+        for days in 0..3 {
+            seed(&fleet, upstream, day + days * 1_440 + 5, 10_000 * (index as u64 + 1));
+        }
+    }
+    let json = |words: &[&str]| -> serde_json::Value {
+        let (code, text) = fleet.run("operators", &[&["--json", "usage"], words].concat());
+        assert_eq!(code, Some(0), "{text}");
+        serde_json::from_str(&text).unwrap()
+    };
+    let one = json(&["--by", "upstream", "--from", "2024-03-02"]);
+    assert_eq!(one["rows"], 2);
+    assert_eq!(one["accelerator_ms"]["e1"]["work_ms"], 20_000);
+    assert_eq!(one["accelerator_ms"]["e2"]["work_ms"], 40_000);
+    let two = json(&["--by", "customer", "--from", "2024-03-02", "--to", "2024-03-03"]);
+    assert_eq!(two["rows"], 4);
+    assert_eq!(two["accelerator_ms"]["clerk"]["work_ms"], 120_000);
+    let day = ["usage", "--by", "day", "--from", "2024-03-01", "--to", "2024-03-03"];
+    let (code, text) = fleet.run("operators", &day);
+    assert_eq!(code, Some(0), "{text}");
+    for date in ["2024-03-01", "2024-03-02", "2024-03-03"] {
+        assert!(text.contains(date), "{text}");
+    }
+    for words in [["--from", "2024-02-30"], ["--by", "moon"], ["--to", "1999-01-01"]] {
+        let (code, text) = fleet.run("operators", &[&["usage"], &words[..]].concat());
+        assert_eq!(code, Some(2), "{text}");
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/examples/fleet_size.rs
@@ -0,0 +1,69 @@
+//! Memory and time of the document at one host, by number of customers.
+//!
+//! `cargo run --release -p lagoonline --example fleet_size -- 26000`
+
+use std::fs;
+use std::time;
+
+use lagoonline::control::document;
+use lagoonline::control::trail;
+use lagoonline::id;
+use lagoonline::view;
+
+const TEAMS: usize = 20;
+
+fn resident_kb() -> u64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|line| line.starts_with("VmRSS:")).unwrap_or("");
+    line.split_whitespace().nth(1).and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+fn text(team: usize, customers: usize, weight: u32) -> String {
+    let line = |index: usize| {
+        let weight = if index == customers / 2 { weight } else { 1 };
+        let key = format!("{:064x}", team * 1_000_000 + index + 1);
+        format!(
+            r#""customer-{team}-{index}": {{"keys": ["{key}"], "models": ["m"], "weight": {weight}, "requests_per_second": 20.5, "tokens_per_second": 40000, "max_deadline_ms": 600000}}"#
+        )
+    };
+    let lines: Vec<_> = (0..customers).map(line).collect();
+    format!(r#"{{"customers": {{{}}}}}"#, lines.join(", "))
+}
+
+fn timed<T, Work>(work: Work) -> (T, f64)
+where
+    Work: FnOnce() -> T,
+{
+    let began = time::Instant::now();
+    let made = work();
+    (made, began.elapsed().as_secs_f64() * 1e3)
+}
+
+fn main() {
+    let word = std::env::args().nth(1);
+    let customers: usize = word.and_then(|word| word.parse().ok()).unwrap_or(26_000);
+    let parse = |team: usize, version, weight| {
+        let text = text(team, customers / TEAMS, weight);
+        let team = id::Team::from(format!("team-{team}"));
+        document::Section::parse(team, id::Version(version), &text).expect("a good section")
+    };
+    let start_kb = resident_kb();
+    let sections: Vec<_> = (0..TEAMS).map(|team| parse(team, 1, 1)).collect();
+    let sections_kb = resident_kb() - start_kb;
+    let (fleet, merge_ms) = timed(|| view::Fleet::merge(&sections));
+    let fleet_kb = resident_kb() - start_kb - sections_kb;
+    let (edited, parse_ms) = timed(|| parse(0, 2, 2));
+    let mut trail = trail::Trail::default();
+    let ((), record_ms) = timed(|| trail.record(&sections[0], &edited));
+    let deltas = trail.since(id::Version(1), &edited);
+    let bytes: usize = deltas.iter().map(document::Delta::size).sum();
+    let (made, follow_ms) = timed(|| trail::follow(Some(&sections[0]), &deltas));
+    assert_eq!(made.as_deref(), Some(&*edited.text));
+    println!(
+        "{} customers, section of {} bytes: sections {sections_kb} KB, fleet {fleet_kb} KB, \
+         merge {merge_ms:.1} ms, parse a section {parse_ms:.1} ms, make a change {record_ms:.1} ms, \
+         apply it {follow_ms:.1} ms, change of {bytes} bytes",
+        fleet.customers.len(),
+        edited.text.len(),
+    );
+}
