Tests of the platform's budget, breaker and backoff under a moved clock

Cause: they had doctests only. Change: control_platform.rs: bounds over 100 s, one trial a rest during a minute's outage, trials of 350 hosts spread, waits at their limit.

--- /dev/null
+++ b/crates/lagoonline/tests/control_platform.rs
@@ -0,0 +1,109 @@
+//! What keeps a host's calls to the platform bounded, under a clock that the tests move.
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::control::platform;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs;
+use rstest::rstest;
+
+#[rstest]
+#[case::slow(0.5, 1.0)]
+#[case::usual(20.0, 40.0)]
+fn a_budget_lets_through_its_burst_and_then_its_rate(#[case] rate: f64, #[case] burst: f64) {
+    // Calls are tried every 10 ms for 100 s: never more than burst and rate together allow, in
+    // any window from the start, and not less than the rate in the whole.
+    let mut budget = platform::Budget::new(rate, burst, Moment::START);
+    let mut let_through = 0.0;
+    for step in 0..=10_000_u64 {
+        let now = Moment::from_millis(step * 10);
+        let_through += f64::from(u8::from(budget.take(now)));
+        let most = burst + rate * now.since(Moment::START).as_secs_f64();
+        assert!(let_through <= most + 1e-6, "{let_through} calls at {now:?}");
+    }
+    assert!(let_through >= rate * 100.0, "{let_through} calls");
+}
+
+#[test]
+fn a_budget_saves_no_more_than_its_burst() {
+    // A host that made no call for a day may not make a day's calls at once.
+    let mut budget = platform::Budget::new(20.0, 40.0, Moment::START);
+    let later = Moment::START + Span::from_secs(86_400);
+    let made = (0..1_000).filter(|_| budget.take(later)).count();
+    assert_eq!(made, 40);
+}
+
+#[test]
+fn a_breaker_tries_once_a_rest_during_an_outage_and_closes_after_it() {
+    // The platform is out for a minute and each call would fail. After five failures one call a
+    // rest goes out, of the hundred that are wanted each second; the first that is answered opens
+    // the way for all.
+    let rest = Span::from_secs(1);
+    let mut breaker = platform::Breaker::new(rest);
+    let mut random = rngs::SmallRng::seed_from_u64(1);
+    let mut made = 0;
+    for step in 0..6_000_u64 {
+        let now = Moment::from_millis(step * 10);
+        if breaker.admit(now) {
+            made += 1;
+            breaker.failed(now, random.random());
+        }
+    }
+    assert!((5 + 59..=5 + 121).contains(&made), "{made} calls");
+    let back = Moment::from_millis(60_000) + rest;
+    assert!(breaker.admit(back));
+    breaker.answered();
+    assert!((0..100).all(|_| breaker.admit(back)));
+}
+
+#[test]
+fn a_breaker_stays_closed_while_calls_fail_now_and_then() {
+    // One call in three fails: there is something to be had, so nothing is held back.
+    let mut breaker = platform::Breaker::new(Span::from_secs(1));
+    for step in 0..300_u64 {
+        let now = Moment::from_millis(step * 10);
+        assert!(breaker.admit(now));
+        if step.is_multiple_of(3) {
+            breaker.failed(now, 0.5);
+        } else {
+            breaker.answered();
+        }
+    }
+}
+
+#[test]
+fn trials_of_many_hosts_after_an_outage_do_not_come_at_once() {
+    // 350 hosts lose the platform in the same moment. Their next calls are spread over half a rest:
+    // in no 50 ms are there more than a quarter of them.
+    let (rest, hosts) = (Span::from_secs(1), 350);
+    let mut random = rngs::SmallRng::seed_from_u64(2);
+    let mut times = Vec::new();
+    for _ in 0..hosts {
+        let mut breaker = platform::Breaker::new(rest);
+        for _ in 0..5 {
+            breaker.failed(Moment::START, random.random());
+        }
+        let first = (0..=100_u64).find(|step| breaker.admit(Moment::from_millis(step * 10)));
+        times.push(first.unwrap() * 10);
+    }
+    let in_window =
+        |start: u64| times.iter().filter(|at| (start..start + 50).contains(*at)).count();
+    let most = (0..=1_000).step_by(10).map(in_window).max();
+    assert!(most.unwrap() <= hosts / 4, "{most:?}");
+}
+
+#[rstest]
+#[case::first(1, 100)]
+#[case::third(3, 400)]
+#[case::limit(7, 5_000)]
+#[case::no_overflow(u32::MAX, 5_000)]
+fn waits_double_up_to_their_limit_and_are_drawn_from_zero(
+    #[case] failures: u32,
+    #[case] most: u64,
+) {
+    let backoff = platform::Backoff::default();
+    assert_eq!(backoff.wait(failures, 0.0), Span::ZERO);
+    assert_eq!(backoff.wait(failures, 0.5), Span::from_millis(most / 2));
+    assert_eq!(backoff.wait(failures, 1.0), Span::from_millis(most));
+    assert_eq!(backoff.wait(failures, 7.0), Span::from_millis(most));
+}
