lagoon-load http: named scenarios against entry hosts before stand-ins

Cause: the decisions were measured in virtual time only. Change: `lagoon-load http` starts entry hosts with stewards and engines on loopback through the trial's fleet, which takes its shape as a parameter now, plays the arrivals of `bench` by HTTP with latency from the intended time, and writes the same figures.

--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -10,6 +10,7 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::world;
+use lagoon_load::http;
 use lagoon_load::soak;
 use lagoon_net::logs;
 use lagoonline::check;
@@ -27,6 +28,7 @@
 #[argh(subcommand)]
 enum Command {
     Bench(Bench),
+    Http(Http),
     Soak(Soak),
 }
 
@@ -82,6 +84,42 @@
     figure: String,
 }
 
+/// Entry hosts with their stewards before stand-in engines on loopback, called by HTTP.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "http")]
+struct Http {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// policy by name; may be repeated; all by default
+    #[argh(option)]
+    policy: Vec<String>,
+    /// engines of the one zone
+    #[argh(option, default = "6")]
+    engines: u32,
+    /// entry hosts of the zone
+    #[argh(option, default = "3")]
+    hosts: u32,
+    /// seeds, from 1
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds of arrivals, at most 60
+    #[argh(option, default = "40.0")]
+    seconds: f64,
+    /// file for the figures; standard output by default
+    #[argh(option)]
+    json: Option<path::PathBuf>,
+    /// file for a plot
+    #[argh(option)]
+    svg: Option<path::PathBuf>,
+    /// figure of the plot
+    #[argh(option, default = "String::from(\"short_p95_ms\")")]
+    figure: String,
+}
+
+/// Longest arrivals of a run by HTTP, in seconds; with its deadlines it ends within two minutes.
+const HTTP_SECONDS: f64 = 60.0;
+
 /// The command line names something that there is not.
 #[derive(Debug, thiserror::Error)]
 #[error("unknown {kind} {name:?}")]
@@ -94,6 +132,7 @@
     let args: Args = argh::from_env();
     let result = match args.command {
         Command::Bench(bench) => run(&bench).map(|()| true),
+        Command::Http(http) => run_http(&http).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
@@ -140,14 +179,44 @@
             rows.push(report::row(scenario.name, &name, &runs));
         }
     }
+    write(&rows, bench.json.as_deref(), bench.svg.as_deref(), &bench.figure)
+}
+
+fn run_http(options: &Http) -> Result<(), Box<dyn error::Error>> {
+    let all = http::scenarios();
+    let policies = policies(&options.policy)?;
+    let seconds = options.seconds.clamp(1.0, HTTP_SECONDS);
+    let mut rows = Vec::new();
+    for scenario in named(&all, &options.scenario)? {
+        let (engines, hosts) = (options.engines.max(1), options.hosts.max(1));
+        let scenario = scenario::Scenario { engines, hosts, ..scenario };
+        for &policy in &policies {
+            let load = load::Settings { policy, ..load::Settings::default() };
+            let settings = http::Settings { scenario, load, seed: 1, seconds };
+            let runs = (1..=options.seeds)
+                .map(|seed| http::run(&http::Settings { seed, ..settings.clone() }));
+            let runs: Vec<_> = runs.collect::<Result<_, _>>()?;
+            rows.push(report::row(scenario.name, policy.as_str(), &runs));
+            eprintln!("{} {} done", scenario.name, policy.as_str());
+        }
+    }
+    write(&rows, options.json.as_deref(), options.svg.as_deref(), &options.figure)
+}
+
+fn write(
+    rows: &[report::Row],
+    json: Option<&path::Path>,
+    svg: Option<&path::Path>,
+    figure: &str,
+) -> Result<(), Box<dyn error::Error>> {
     let lines: Result<Vec<_>, _> = rows.iter().map(serde_json::to_string).collect();
     let text = format!("[\n{}\n]\n", lines?.join(",\n"));
-    match &bench.json {
+    match json {
         Some(file) => fs::write(file, text)?,
         None => println!("{text}"),
     }
-    if let Some(file) = &bench.svg {
-        plot::bars(file, &bench.figure, &rows)?;
+    if let Some(file) = svg {
+        plot::bars(file, figure, rows)?;
     }
     Ok(())
 }
@@ -164,9 +233,12 @@
 }
 
 fn scenarios(names: &[String]) -> Result<Vec<scenario::Scenario>, Unknown> {
-    let all = scenario::all();
+    named(&scenario::all(), names)
+}
+
+fn named(all: &[scenario::Scenario], names: &[String]) -> Result<Vec<scenario::Scenario>, Unknown> {
     if names.is_empty() {
-        return Ok(all);
+        return Ok(all.to_vec());
     }
     let find = |name: &String| {
         let found = all.iter().find(|scenario| scenario.name == name);
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! lagoon-load: load and experiment tools.
 
 pub mod bench;
+pub mod http;
 pub mod soak;
 pub mod trial;
--- a/crates/lagoon-load/src/trial/fleet.rs
+++ b/crates/lagoon-load/src/trial/fleet.rs
@@ -10,6 +10,7 @@
 use lagoon_standin::{engine, fleet, service};
 use lagoonline::control::document;
 use lagoonline::id;
+use lagoonline::load;
 use serde_json::json;
 use sha2::Digest;
 
@@ -39,6 +40,34 @@
 /// Longest time until all entry hosts are ready.
 const READY: time::Duration = time::Duration::from_secs(10);
 
+/// How many of each part, and how they are set.
+#[derive(Clone, Debug)]
+pub(crate) struct Shape {
+    /// Availability zones.
+    pub(crate) zones: &'static [&'static str],
+    /// Entry hosts of each zone.
+    pub(crate) hosts: usize,
+    /// Engines of each zone.
+    pub(crate) engines: usize,
+    /// Every engine but for its name.
+    pub(crate) engine: engine::Settings,
+    /// Decisions of every entry host but for its zone.
+    pub(crate) load: load::Settings,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        let engine = engine::Settings {
+            time_scale: TIME_SCALE,
+            prefill_rate: PREFILL_RATE,
+            kv_tokens: KV_TOKENS,
+            ..engine::Settings::default()
+        };
+        let load = load::Settings::default();
+        Shape { zones: &ZONES, hosts: HOSTS, engines: ENGINES, engine, load }
+    }
+}
+
 /// Running parts.
 pub(crate) struct Fleet {
     pub(crate) stand_ins: fleet::Fleet,
@@ -81,17 +110,14 @@
     hex(body)
 }
 
-fn stand_ins() -> io::Result<fleet::Fleet> {
+fn stand_ins(shape: &Shape) -> io::Result<fleet::Fleet> {
     let mut settings = fleet::Settings { platform: Some(Default::default()), ..Default::default() };
-    for zone in ZONES {
-        for number in 0..ENGINES {
+    for zone in shape.zones {
+        for number in 0..shape.engines {
             settings.engines.push(engine::Settings {
                 name: format!("{zone}-engine-{number}"),
                 model: "label".to_owned(),
-                time_scale: TIME_SCALE,
-                prefill_rate: PREFILL_RATE,
-                kv_tokens: KV_TOKENS,
-                ..engine::Settings::default()
+                ..shape.engine.clone()
             });
         }
         for number in 0..REPLICAS {
@@ -106,13 +132,14 @@
 fn section(stand_ins: &fleet::Fleet) -> String {
     let mut upstreams = serde_json::Map::new();
     for running in &stand_ins.engines {
-        let name = running.node().settings.name.clone();
+        let settings = &running.node().settings;
+        let name = settings.name.clone();
         let upstream = json!({
             "zone": zone_of(&name),
             "address": running.address(),
             "models": ["label"],
-            "kv_tokens": KV_TOKENS,
-            "prefill_rate": PREFILL_RATE * TIME_SCALE,
+            "kv_tokens": settings.kv_tokens,
+            "prefill_rate": settings.prefill_rate * settings.time_scale,
         });
         upstreams.insert(name, upstream);
     }
@@ -145,15 +172,15 @@
 /// # Errors
 ///
 /// A part could not be started, or a host is not ready in time.
-pub(crate) fn start() -> io::Result<Fleet> {
-    let stand_ins = stand_ins()?;
+pub(crate) fn start(shape: &Shape) -> io::Result<Fleet> {
+    let stand_ins = stand_ins(shape)?;
     let running = stand_ins.platform.as_ref().ok_or_else(|| io::Error::other("no platform"))?;
     let address = running.address();
     let key = wire::Key::new(b"key of the trial");
     let mut fleet = Fleet { stand_ins, entries: Vec::new(), stewards: Vec::new() };
-    for zone in ZONES {
-        for number in 0..HOSTS {
-            fleet.start_host(zone, number, address, &key)?;
+    for zone in shape.zones {
+        for number in 0..shape.hosts {
+            fleet.start_host(zone, number, address, &key, shape)?;
         }
     }
     fleet.wait_until_ready()?;
@@ -168,9 +195,11 @@
         number: usize,
         platform: net::SocketAddr,
         key: &wire::Key,
+        shape: &Shape,
     ) -> io::Result<()> {
         let host = id::Host::from(format!("{zone}-{number}"));
         let zone = id::Zone::from(zone);
+        let zone_name = zone.clone();
         let reach = platform::Settings { address: platform, ..platform::Settings::default() };
         let peers = self.stewards.iter().map(steward::Running::address).collect();
         let steward = steward::start(steward::Settings {
@@ -189,6 +218,7 @@
             steward: Some(steward.address()),
             key: key.clone(),
             platform: Some(reach),
+            load: load::Settings { zone: zone_name, ..shape.load.clone() },
             ..entry::Settings::default()
         })?;
         self.stewards.push(steward);
--- a/crates/lagoon-load/src/trial/mod.rs
+++ b/crates/lagoon-load/src/trial/mod.rs
@@ -48,7 +48,7 @@
 ///
 /// A process part could not be started, or a thread failed.
 pub fn run(settings: &Settings) -> io::Result<Report> {
-    let fleet = fleet::start()?;
+    let fleet = fleet::start(&fleet::Shape::default())?;
     let plan = plan::new(settings);
     let began = time::Instant::now();
     let balancer = sync::Arc::new(caller::Balancer::new(fleet.entry_hosts(), fleet::target()));
