Requests counted by zone, model or service, and customer; slowdown of short prompts

Cause: the burn report promises a view by customer, model and zone, but outcomes were counted by kind alone, customers without outcomes, and the slowdown of short prompts not at all. Change: an ended request is counted under its zone, name, outcome and reason, and under its customer (20 lines and 'other'); the slowdown is the first token's time as a multiple of that alone, learned by a small pure baseline. Figures: series a host at 5 models, 3 services, 21 customer lines: requests at most 8 x 20, customers at most 21 x 20, of which only those that happened exist. Conclusion: lagoon-burn reads what entry hosts expose.

--- a/crates/lagoon-burn/src/indicator.rs
+++ b/crates/lagoon-burn/src/indicator.rs
@@ -12,7 +12,7 @@
 /// Time between tokens, by model and zone.
 const BETWEEN_TOKENS: &str = "lagoon_between_tokens_seconds";
 /// Time to first token of short prompts as a multiple of that on an idle upstream.
-const SHORT_SLOWDOWN: &str = "lagoon_short_slowdown_ratio";
+const SHORT_SLOWDOWN: &str = "lagoon_short_slowdown_ratios";
 /// Requests by outcome and reason.
 const REQUESTS: &str = "lagoon_requests";
 /// Requests of the customers with most of them, by outcome and reason.
@@ -71,7 +71,7 @@
     fn holds(self, key: &series::Key) -> bool {
         match self {
             Part::All => true,
-            Part::Model(name) => key.label("model") == name,
+            Part::Model(name) => key.label("model") == name || key.is_of_model(name),
             Part::Zone(name) => key.label("zone") == name,
             Part::Customer(name) => key.label("customer") == name,
         }
--- a/crates/lagoon-burn/src/series.rs
+++ b/crates/lagoon-burn/src/series.rs
@@ -12,6 +12,11 @@
 }
 
 impl Key {
+    /// Whether it counts requests for the model.
+    pub(crate) fn is_of_model(&self, model: &str) -> bool {
+        self.label("kind") == "model" && self.label("name") == model
+    }
+
     /// The label's value, empty when it has none.
     pub fn label(&self, name: &str) -> &str {
         self.labels.get(name).map_or("", String::as_str)
--- a/crates/lagoon-net/src/entry/call.rs
+++ b/crates/lagoon-net/src/entry/call.rs
@@ -47,7 +47,6 @@
         let deadline = arrived + read_deadline(entry, headers)?;
         let key = read_key(headers)?;
         let from = read_from(headers, key.is_some())?;
-        state.metrics.customer(&view.fleet.customers[customer.0 as usize].name);
         Ok(Call { view, customer, arrived, deadline, key, from })
     }
 
--- a/crates/lagoon-net/src/entry/claims.rs
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -207,7 +207,7 @@
         let work = services::whole(&mut payload, limit);
         match limit::within(&self.worker.state, self.call.deadline, work).await {
             Ok(Some(whole)) => {
-                self.worker.state.metrics.done("service", answering.complete());
+                self.worker.state.metrics.done(&job.subject(), answering.complete());
                 let body = bytes::Bytes::copy_from_slice(&whole);
                 Ok(claim::Answer { status, content_type: kind, body })
             }
--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -11,6 +11,8 @@
 use lagoonline::clock;
 use lagoonline::control::document;
 use lagoonline::id;
+use lagoonline::load;
+use lagoonline::load::slowdown;
 use lagoonline::outcome;
 use prometheus_client::encoding;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -28,6 +30,9 @@
     300.0, 600.0,
 ];
 
+/// Upper bounds of the slowdown's buckets.
+const RATIOS: [f64; 12] = [1.05, 1.1, 1.2, 1.3, 1.5, 2.0, 3.0, 5.0, 8.0, 15.0, 30.0, 100.0];
+
 fn new_histogram() -> histogram::Histogram {
     histogram::Histogram::new(BOUNDS)
 }
@@ -35,6 +40,7 @@
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RequestLabels {
     kind: &'static str,
+    name: String,
     outcome: &'static str,
     reason: &'static str,
 }
@@ -60,6 +66,29 @@
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct CustomerLabels {
     customer: String,
+    outcome: &'static str,
+    reason: &'static str,
+}
+
+/// Whose request, and for what: the labels that it is counted under when it ends.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Subject {
+    kind: &'static str,
+    /// The model or service, empty while it is not known to exist.
+    name: String,
+    customer: Option<id::Customer>,
+}
+
+impl Subject {
+    /// A request of which no more is known than its path.
+    pub(crate) fn new(kind: &'static str) -> Subject {
+        Subject { kind, ..Subject::default() }
+    }
+
+    /// A request for a model or service that exists, of a known customer.
+    pub(crate) fn of(kind: &'static str, name: &str, customer: &id::Customer) -> Subject {
+        Subject { kind, name: name.to_owned(), customer: Some(customer.clone()) }
+    }
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
@@ -107,10 +136,13 @@
     first_token: Histograms<FirstLabels>,
     between_tokens: Histograms<ModelLabels>,
     completion: Histograms<CompletionLabels>,
+    short_slowdown: Histograms<ModelLabels>,
+    baseline: sync::Mutex<slowdown::Baseline>,
 }
 
-impl Default for Metrics {
-    fn default() -> Self {
+impl Metrics {
+    /// Metrics of an entry host in `zone`.
+    pub(crate) fn new(zone: &id::Zone) -> Self {
         let histograms = new_histogram as fn() -> histogram::Histogram;
         let mut metrics = Metrics {
             registry: registry::Registry::with_prefix("lagoon"),
@@ -136,18 +168,22 @@
             first_token: family::Family::new_with_constructor(histograms),
             between_tokens: family::Family::new_with_constructor(histograms),
             completion: family::Family::new_with_constructor(histograms),
+            short_slowdown: family::Family::new_with_constructor(|| {
+                histogram::Histogram::new(RATIOS)
+            }),
+            baseline: sync::Mutex::default(),
         };
-        metrics.register_counters();
+        metrics.register_counters(zone);
         metrics.register_others();
         metrics.begin();
         metrics
     }
-}
 
-impl Metrics {
-    fn register_counters(&mut self) {
+    fn register_counters(&mut self, zone: &id::Zone) {
         let Metrics { registry, .. } = self;
-        registry.register("requests", "Requests ended", self.requests.clone());
+        let in_zone = ("zone".into(), zone.to_string().into());
+        let requests = self.requests.clone();
+        registry.sub_registry_with_label(in_zone).register("requests", "Requests ended", requests);
         registry.register("refusals", "Requests refused or failed", self.refusals.clone());
         registry.register("attempts", "Dispatches to upstreams", self.attempts.clone());
         registry.register("retries", "Further dispatches of a request", self.retries.clone());
@@ -182,6 +218,9 @@
         let between = self.between_tokens.clone();
         registry.register_with_unit("between_tokens", "Between tokens", seconds(), between);
         let completion = self.completion.clone();
+        let slowdown = self.short_slowdown.clone();
+        let ratios = registry::Unit::Ratios;
+        registry.register_with_unit("short_slowdown", "Beside that alone", ratios, slowdown);
         registry.register_with_unit("completion", "To the whole answer", seconds(), completion);
     }
 
@@ -208,34 +247,47 @@
     }
 
     /// A request ended with its answer.
-    pub(crate) fn done(&self, kind: &'static str, outcome: outcome::Outcome) {
-        self.ended(kind, outcome, "");
-    }
-
-    fn ended(&self, kind: &'static str, outcome: outcome::Outcome, reason: &'static str) {
-        let labels = RequestLabels { kind, outcome: outcome.as_str(), reason };
-        self.requests.get_or_create(&labels).inc();
+    pub(crate) fn done(&self, subject: &Subject, outcome: outcome::Outcome) {
+        self.ended(subject, outcome.as_str(), "");
     }
 
     /// A request ended with a failure.
-    pub(crate) fn failed(&self, kind: &'static str, failure: &outcome::Failure) {
+    pub(crate) fn failed(&self, subject: &Subject, failure: &outcome::Failure) {
         let cause = failure.reason.as_str();
-        self.ended(kind, failure.outcome, cause);
+        self.ended(subject, failure.outcome.as_str(), cause);
         self.refusals.get_or_create(&CauseLabels { cause }).inc();
     }
 
-    /// A request of `customer` began.
-    pub(crate) fn customer(&self, customer: &id::Customer) {
+    fn ended(&self, subject: &Subject, outcome: &'static str, reason: &'static str) {
+        let (kind, name) = (subject.kind, subject.name.clone());
+        let labels = RequestLabels { kind, name, outcome, reason };
+        self.requests.get_or_create(&labels).inc();
+        if let Some(customer) = &subject.customer {
+            let customer = self.line(customer);
+            let labels = CustomerLabels { customer, outcome, reason };
+            self.customers.get_or_create(&labels).inc();
+        }
+    }
+
+    /// The customer's own line, or that of all beyond the cap.
+    fn line(&self, customer: &id::Customer) -> String {
         let lines = &self.customer_lines;
         let mut lines = lines.lock().unwrap_or_else(sync::PoisonError::into_inner);
         let known = lines.contains(customer);
         if !known && lines.len() < CUSTOMER_LINES {
             lines.insert(customer.clone());
         }
-        let listed = lines.contains(customer);
-        drop(lines);
-        let customer = if listed { customer.to_string() } else { "other".to_owned() };
-        self.customers.get_or_create(&CustomerLabels { customer }).inc();
+        if lines.contains(customer) { customer.to_string() } else { "other".to_owned() }
+    }
+
+    /// The first token of a short prompt came after `span`, from an engine that prefills `rate`
+    /// tokens a second.
+    pub(crate) fn short_slowdown(&self, ask: &load::Ask, span: clock::Span, rate: f64) {
+        let mut baseline = self.baseline.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let ratio = baseline.ratio(span, ask.prompt_tokens, rate);
+        drop(baseline);
+        let labels = ModelLabels { model: ask.model.to_string() };
+        self.short_slowdown.get_or_create(&labels).observe(ratio);
     }
 
     pub(crate) fn attempt(&self, cause: &'static str) {
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -38,6 +38,8 @@
     let body = body.map_err(|stop| stop.fault(Step::Read, Outcome::NotRun))??;
     let prompt = prompt::scan(form, &body).map_err(call::malformed)?;
     let job = new_job(call, &prompt, body)?;
+    let subject = job.subject();
+    request.extensions_mut().insert(subject.clone());
     let title = render::Title {
         form,
         id: call::new_attempt(),
@@ -65,7 +67,7 @@
         if let Some(kept) = replay {
             let usage = replay_usage(&pull, pull::replay(&kept, from, &mut writer))?;
             state.metrics.claim("replayed");
-            state.metrics.done("model", Outcome::Done);
+            state.metrics.done(&subject, Outcome::Done);
             writer.finish(usage, outcome_event);
             answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
             return Ok(answer.body(writer.take()));
@@ -78,7 +80,7 @@
     if let Some(kept) = replay {
         let usage = replay_usage(&pull, pull::replay(&kept, from, &mut text))?;
         state.metrics.claim("replayed");
-        state.metrics.done("model", Outcome::Done);
+        state.metrics.done(&subject, Outcome::Done);
         answer.set_header("Lagoon-Outcome", Outcome::Done.as_str());
         return Ok(answer.content_type("application/json").body(text.finish(&title, usage)));
     }
@@ -87,7 +89,7 @@
             break end;
         }
     };
-    state.metrics.done("model", end.outcome);
+    state.metrics.done(&subject, end.outcome);
     answer.set_header("Lagoon-Outcome", end.outcome.as_str());
     let json = text.finish(&title, relay::usage(&pull, end));
     Ok(answer.content_type("application/json").body(json))
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -25,6 +25,7 @@
 use super::fault;
 use super::group;
 use super::limit;
+use super::metrics;
 use super::render;
 use super::worker;
 use crate::engine;
@@ -41,6 +42,12 @@
     pub(crate) body: ntex::util::Bytes,
 }
 
+impl Job {
+    pub(crate) fn subject(&self) -> metrics::Subject {
+        metrics::Subject::of("model", self.ask.model.as_str(), &self.call.customer().name)
+    }
+}
+
 /// What the engine said at the end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct End {
@@ -233,10 +240,14 @@
         {
             open.place.first_token();
             let view = state.view();
-            let zone = view.fleet.upstream(open.place.upstream());
-            let zone = zone.map(|known| known.entry.zone.clone()).unwrap_or_default();
             let class = document::Class::of(ask.prompt_tokens);
-            state.metrics.first_token(class, &ask.model, &zone, now.since(ask.arrived));
+            let span = now.since(ask.arrived);
+            if let Some(known) = view.fleet.upstream(open.place.upstream()) {
+                state.metrics.first_token(class, &ask.model, &known.entry.zone, span);
+                if class == document::Class::Short {
+                    state.metrics.short_slowdown(ask, span, known.entry.prefill_rate);
+                }
+            }
         }
         state.metrics.tokens(&ask.model, came, self.last.map(|last| now.since(last)));
         self.last = Some(now);
--- a/crates/lagoon-net/src/entry/relay.rs
+++ b/crates/lagoon-net/src/entry/relay.rs
@@ -109,20 +109,20 @@
             () = sender.closed() => None,
             ended = self.copy() => Some(ended),
         };
-        let metrics = &self.state.metrics;
+        let (metrics, subject) = (&self.state.metrics, self.pull.job().subject());
         match ended {
             Some(Ok(outcome)) => {
-                metrics.done("model", outcome);
+                metrics.done(&subject, outcome);
                 self.ending.replace(Ending::Whole);
             }
             Some(Err(fault)) => {
-                metrics.failed("model", &fault.failure);
+                metrics.failed(&subject, &fault.failure);
                 self.writer.fail(&fault.object());
                 self.ending.replace(Ending::Failed(self.writer.take()));
             }
             None => {
                 let fault = fault::new(Reason::CallerLeft, Step::Stream, self.pull.leave());
-                metrics.failed("model", &fault.failure);
+                metrics.failed(&subject, &fault.failure);
             }
         }
         self.pull.job().call.left(&self.state) + self.state.settings.limits.linger
--- a/crates/lagoon-net/src/entry/server.rs
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -19,6 +19,7 @@
 use super::desk;
 use super::fault;
 use super::link;
+use super::metrics;
 use super::model;
 use super::prompt;
 use super::services;
@@ -277,14 +278,14 @@
     match path {
         "/healthz" => return web::HttpResponse::Ok().body("ok\n"),
         "/readyz" => return ready(state),
-        "/metrics" => return metrics(state),
+        "/metrics" => return expose(state),
         _ => {}
     }
     let request_id = call::request_id(request.headers());
     let kind = if path.starts_with("/services/") { "service" } else { "model" };
     if state.phase() >= state::Phase::Draining {
         let fault = fault::new(Reason::Draining, Step::Admit, Outcome::NotRun);
-        state.metrics.failed(kind, &fault.failure);
+        state.metrics.failed(&metrics::Subject::new(kind), &fault.failure);
         unread.discard(request.headers(), most).await;
         return fault.answer(&request_id, true);
     }
@@ -306,7 +307,9 @@
         None => work.await,
     };
     result.unwrap_or_else(|fault| {
-        state.metrics.failed(kind, &fault.failure);
+        let subject = request.extensions().get::<metrics::Subject>().cloned();
+        let subject = subject.unwrap_or_else(|| metrics::Subject::new(kind));
+        state.metrics.failed(&subject, &fault.failure);
         fault.answer(&request_id, state.phase() >= state::Phase::Draining)
     })
 }
@@ -348,7 +351,7 @@
     answer.set_header("Retry-After", "1").body(why)
 }
 
-fn metrics(state: &state::State) -> web::HttpResponse {
+fn expose(state: &state::State) -> web::HttpResponse {
     state.refresh();
     match state.metrics.encode() {
         Ok(text) => web::HttpResponse::Ok()
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -20,6 +20,7 @@
 use super::fault;
 use super::limit;
 use super::linger;
+use super::metrics;
 use super::replica;
 use super::source;
 use super::state;
@@ -64,6 +65,8 @@
     if !allowed.is_empty() && !allowed.contains(&service) {
         return refuse(Reason::Forbidden);
     }
+    let subject = metrics::Subject::of(KIND, service.as_str(), &call.customer().name);
+    request.extensions_mut().insert(subject);
     state.limits().take(state.clock.now(), &call.customer().name, call.rate(), 0)?;
     let method = request.method().as_str();
     let repeats = known.idempotent_methods.iter().any(|known| known == method);
@@ -98,7 +101,14 @@
     (name.to_owned(), format!("/{path}{query}"))
 }
 
+/// How the metrics call such requests.
+const KIND: &str = "service";
+
 impl Job {
+    pub(crate) fn subject(&self) -> metrics::Subject {
+        metrics::Subject::of(KIND, self.service.as_str(), &self.call.customer().name)
+    }
+
     pub(crate) async fn send(
         &self,
         mut held: request::Held,
@@ -247,7 +257,7 @@
                 }
             };
             let outcome = answering.complete();
-            state.metrics.done("service", outcome);
+            state.metrics.done(&self.subject(), outcome);
             head.set_header("Lagoon-Outcome", outcome.as_str());
             return Ok(match length {
                 // The length is that of the body which a GET would have had.
@@ -282,7 +292,8 @@
         let (open, watch) = linger::pair(self.request.io());
         let left = self.call.left(&state) + state.settings.limits.linger;
         drop(ntex::rt::spawn(watch.bound(left)));
-        let held = (answering, slot, active, open);
+        let subject = self.subject();
+        let held = (answering, slot, active, open, subject);
         let first = Some((payload, held));
         stream::unfold((state, first), move |(state, held)| async move {
             let (mut payload, held) = held?;
@@ -292,17 +303,18 @@
                     return Some((Ok(chunk), (state, Some((payload, held)))));
                 }
                 Ok(None) => {
-                    state.metrics.done("service", held.0.complete());
+                    state.metrics.done(&held.4, held.0.complete());
                     return None;
                 }
                 Ok(Some(Err(error))) => {
                     let outcome = held.0.broken().end();
                     let fault = fault::new(Reason::UpstreamFailed, Step::Stream, outcome);
-                    fault.with_detail(error.to_string())
+                    (held.4, fault.with_detail(error.to_string()))
                 }
-                Err(stop) => stop.fault(Step::Stream, held.0.broken().end()),
+                Err(stop) => (held.4, stop.fault(Step::Stream, held.0.broken().end())),
             };
-            state.metrics.failed("service", &fault.failure);
+            let (subject, fault) = fault;
+            state.metrics.failed(&subject, &fault.failure);
             let error = io::Error::other(fault.failure.to_string());
             let error: rc::Rc<dyn std::error::Error> = rc::Rc::new(error);
             Some((Err(error), (state, None)))
--- a/crates/lagoon-net/src/entry/state.rs
+++ b/crates/lagoon-net/src/entry/state.rs
@@ -86,9 +86,9 @@
         let sections = settings.sections.clone();
         let state = sync::Arc::new(State {
             owner: id::Owner { host: settings.host.clone(), incarnation },
+            metrics: metrics::Metrics::new(&settings.zone),
             settings,
             clock,
-            metrics: metrics::Metrics::default(),
             cancels,
             link,
             platform,
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -25,6 +25,7 @@
 mod shards;
 pub mod shift;
 pub mod silence;
+pub mod slowdown;
 pub mod tokens;
 mod upstream;
 pub mod usage;
