--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -2,6 +2,7 @@
 
 use std::error;
 use std::fs;
+use std::net;
 use std::path;
 use std::process;
 
@@ -10,6 +11,7 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::world;
+use lagoon_load::direct;
 use lagoon_load::soak;
 use lagoon_net::logs;
 use lagoonline::check;
@@ -27,9 +29,43 @@
 #[argh(subcommand)]
 enum Command {
     Bench(Bench),
+    Direct(Direct),
     Soak(Soak),
 }
 
+/// What a running entry host adds to calls and streams, beside the engine itself.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "direct")]
+struct Direct {
+    /// address of the entry host
+    #[argh(option)]
+    entry: net::SocketAddr,
+    /// process id of the entry host
+    #[argh(option)]
+    entry_id: u32,
+    /// address of the only engine of the model
+    #[argh(option)]
+    engine: net::SocketAddr,
+    /// caller key
+    #[argh(option)]
+    key: String,
+    /// model of the single calls
+    #[argh(option)]
+    model: String,
+    /// model of the streams
+    #[argh(option)]
+    stream_model: String,
+    /// streams at once
+    #[argh(option, default = "62")]
+    streams: usize,
+    /// seconds of streaming
+    #[argh(option, default = "20")]
+    seconds: u64,
+    /// rounds of single calls
+    #[argh(option, default = "5")]
+    rounds: usize,
+}
+
 /// Callers and fault switches against a running fleet of processes. Exit code: 0 only if every
 /// check held.
 #[derive(argh::FromArgs)]
@@ -94,6 +130,7 @@
     let args: Args = argh::from_env();
     let result = match args.command {
         Command::Bench(bench) => run(&bench).map(|()| true),
+        Command::Direct(direct) => run_direct(direct).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
@@ -120,6 +157,26 @@
     Ok(report.holds)
 }
 
+fn run_direct(args: Direct) -> Result<(), Box<dyn error::Error>> {
+    let Direct { entry, entry_id, engine, key, model, stream_model, streams, seconds, rounds } =
+        args;
+    let settings = direct::Settings {
+        entry,
+        entry_id,
+        engine,
+        key,
+        model,
+        stream_model,
+        streams,
+        seconds,
+        rounds,
+    };
+    let system = ntex::rt::System::new("direct", ntex::rt::DefaultRuntime);
+    let figures = system.block_on(async move { direct::run(&settings).await })?;
+    println!("{}", serde_json::to_string_pretty(&figures)?);
+    Ok(())
+}
+
 fn run(bench: &Bench) -> Result<(), Box<dyn error::Error>> {
     let scenarios = scenarios(&bench.scenario)?;
     let policies = policies(&bench.policy)?;
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -153,7 +153,7 @@
             return false;
         }
         if need.class >= document::Class::Long && self.safeguards().long_bound {
-            let pending = upstream.long_pending();
+            let pending = upstream.long_pending(self.now);
             return pending <= 0.0
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64;
         }
@@ -165,7 +165,7 @@
         }
         if need.class == document::Class::Medium && self.safeguards().long_bound {
             // In the engine a medium prompt moves at the floor of its rate when short ones abound.
-            let pending = upstream.later_pending();
+            let pending = upstream.later_pending(self.now);
             return pending <= 0.0
                 || pending + need.tokens as f64 <= self.settings.long_tokens as f64 * MEDIUM_PART;
         }
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -127,13 +127,26 @@
     }
 
     /// Long prefill that is outstanding here, by our count and the last report, in tokens.
-    pub fn long_pending(&self) -> f64 {
-        (self.pending[2] + self.pending[3]) as f64 + self.others[2] + self.others[3]
+    pub fn long_pending(&self, now: clock::Moment) -> f64 {
+        (self.pending[2] + self.pending[3]) as f64 + self.others_long(now)
+    }
+
+    /// The part of other hosts, as far as it is not done since the report.
+    ///
+    /// Failure answered: a report counts work of ours as theirs, because the engine is behind what
+    /// we predicted. Symptom: while nothing is sent there, nothing takes that work off again, so
+    /// a long prompt waits before an idle engine until it is refused.
+    fn others_long(&self, now: clock::Moment) -> f64 {
+        let others = self.others[2] + self.others[3];
+        if others <= 0.0 || !self.is_current(now) {
+            return 0.0;
+        }
+        (others - rate::seconds(self.drained, now) * self.rate(now)).max(0.0)
     }
 
     /// Prefill of all but the first rank that is outstanding here, in tokens.
-    pub fn later_pending(&self) -> f64 {
-        self.pending[1] as f64 + self.long_pending()
+    pub fn later_pending(&self, now: clock::Moment) -> f64 {
+        self.pending[1] as f64 + self.long_pending(now)
     }
 
     /// Slots that are free for this host.
--- a/crates/lagoonline/tests/load_cold.rs
+++ b/crates/lagoonline/tests/load_cold.rs
@@ -83,6 +83,35 @@
     assert!(matches!(wakes[..], [load::Wake::Dispatch(..)]), "{wakes:?}");
 }
 
+// An engine is slower than predicted: its report still shows a long prompt of ours that we take for
+// prefilled, so it counts as another host's. The prompt ends. The next long one waited before the
+// idle engine until it was refused, because nothing took that work off again.
+#[test]
+fn a_long_prompt_does_not_wait_for_work_that_is_done() {
+    let mut scheduler = scheduler();
+    let long = |now| load::Ask {
+        prompt_tokens: 300_000,
+        deadline: now + Span::from_secs(600),
+        ..ask(now, 8)
+    };
+    let first = scheduler.offer(Moment::START, long(Moment::START));
+    let Verdict::Dispatch(first) = first else { panic!("{first:?}") };
+    let busy = engine::Load {
+        running: 1,
+        prefill_tokens: 300_000,
+        kv_tokens: 1_000_000,
+        incarnation: 1,
+        ..no_load()
+    };
+    scheduler.observe(Moment::from_millis(16_000), &id::Upstream::from("e"), &busy);
+    let now = Moment::from_millis(19_000);
+    scheduler.first_token(now, first.ticket);
+    let ending = Ending::Done { prompt_tokens: 300_000, cached_tokens: 0, answer_tokens: 8 };
+    scheduler.finish(now, first.ticket, ending);
+    let verdict = scheduler.offer(now, long(now));
+    assert!(matches!(verdict, Verdict::Dispatch(_)), "{verdict:?}");
+}
+
 fn no_load() -> engine::Load {
     engine::Load { kv_free_tokens: 1_000_000, prefill_rate: 20_000.0, ..engine::Load::default() }
 }
