--- a/crates/lagoon-net/src/steward/settings.rs
+++ b/crates/lagoon-net/src/steward/settings.rs
@@ -126,9 +126,9 @@
     peers
 }
 
-/// At least three hours: a row is written until an hour after its request's deadline.
 fn read_claims(reader: &check::Reader<'_>) -> claim::Sweep {
-    let hours = reader.number("claim_retention_hours", 24, 3..=8_760);
+    let least = claim::LEAST_RETENTION.as_secs() / 3_600;
+    let hours = reader.number("claim_retention_hours", least, least..=8_760);
     let retention = clock::Span::from_secs(hours * 3_600);
     claim::Sweep { retention, ..claim::Sweep::default() }
 }
--- a/crates/lagoonline/src/control/document/section.rs
+++ b/crates/lagoonline/src/control/document/section.rs
@@ -8,6 +8,7 @@
 use crate::check;
 use crate::clock;
 use crate::id;
+use crate::life::claim;
 use crate::port::engine;
 
 /// One version of one team's section.
@@ -82,8 +83,8 @@
     }
 }
 
-/// Longest deadline that a document may allow, in milliseconds: one day.
-const DEADLINE_LIMIT_MS: u64 = 86_400_000;
+/// Longest deadline that a document may allow, in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = claim::LONGEST_DEADLINE.as_secs() * 1_000;
 
 fn read_customer(reader: &check::Reader<'_>) -> body::Customer {
     let usual = body::Customer::default();
--- a/crates/lagoonline/src/life/claim/mod.rs
+++ b/crates/lagoonline/src/life/claim/mod.rs
@@ -14,7 +14,7 @@
 
 pub use decision::{Verdict, decide};
 pub use driver::{Abandoned, Begin, Claims, Refusal, Unstored};
-pub use record::{Answer, Ask, Kept, Record, State, body_hash, row_key};
-pub use settings::Settings;
-pub use sweep::{Sweep, Sweeper};
+pub use record::{Answer, Ask, Kept, Record, State, body_hash, row_key, shard};
+pub use settings::{LEAST_RETENTION, LONGEST_DEADLINE, Settings};
+pub use sweep::{SHARDS, Sweep, Sweeper, turn};
 pub use ticket::{Expired, Running, Sent, Ticket};
--- a/crates/lagoonline/src/life/claim/record.rs
+++ b/crates/lagoonline/src/life/claim/record.rs
@@ -124,8 +124,24 @@
 /// ```
 /// use lagoonline::{id::Customer, life::claim::row_key};
 /// let key = row_key(&Customer::from("crew"), "../other/x");
-/// assert!(key.starts_with("claim/crew/") && !key.contains(".."));
+/// assert!(key.contains("/crew/") && !key.contains(".."));
 /// ```
 pub fn row_key(customer: &id::Customer, key: &str) -> String {
-    format!("claim/{customer}/{}", sha256(key.as_bytes()))
+    let hash = sha256(key.as_bytes());
+    format!("{}{customer}/{hash}", shard_prefix(shard(key)))
+}
+
+/// The shard of a key's row, by the key's hash: the sweep is divided by shards.
+///
+/// ```
+/// use lagoonline::{id::Customer, life::claim::{row_key, shard}};
+/// let row = row_key(&Customer::from("crew"), "k");
+/// assert!(row.starts_with(&format!("claim/{:02x}/crew/", shard("k"))));
+/// ```
+pub fn shard(key: &str) -> u8 {
+    sha2::Sha256::digest(key.as_bytes())[0]
+}
+
+pub(super) fn shard_prefix(shard: u8) -> String {
+    format!("claim/{shard:02x}/")
 }
--- a/crates/lagoonline/src/life/claim/settings.rs
+++ b/crates/lagoonline/src/life/claim/settings.rs
@@ -24,6 +24,13 @@
 
 /// Three commits ride out a lost answer and a lost race; more would add load to an outage.
 const ROUNDS: u32 = 3;
+/// Shortest retention of claims that a site may set.
+pub const LEAST_RETENTION: clock::Span = clock::Span::from_secs(24 * 3_600);
+/// Longest deadline that a document may allow. A row is written until [`PATIENCE`] after it, and as
+/// much again is left for a host that sleeps or a commit that is late, before retention can end:
+/// else a host dispatches, or frees, a key whose row is gone, and the call runs twice.
+pub const LONGEST_DEADLINE: clock::Span =
+    LEAST_RETENTION.saturating_sub(PATIENCE.saturating_mul(2));
 /// An outage of the platform may last this long before an answer stays unstored.
 const PATIENCE: clock::Span = clock::Span::from_secs(3_600);
 /// Most bookings answer in less; it keeps a scanned row small.
--- a/crates/lagoonline/tests/control_document.rs
+++ b/crates/lagoonline/tests/control_document.rs
@@ -148,3 +148,16 @@
     let Some(Err(document::Refusal::Faulty(faults))) = two else { panic!("{two:?}") };
     assert_eq!(faults.to_string(), "/models/m: belongs to the section of team a");
 }
+
+/// A host that may dispatch under a key for longer than the key's row is kept lets the call run
+/// twice. The longest deadline, an hour of writing after it and an hour for a host that sleeps are
+/// together the least retention that a site may set.
+#[rstest]
+#[case(79_200_000, true)]
+#[case(79_200_001, false)]
+fn a_deadline_ends_well_before_its_keys_retention(#[case] millis: u64, #[case] fits: bool) {
+    let text = format!(r#"{{"customers": {{"c": {{"max_deadline_ms": {millis}}}}}}}"#);
+    let parsed = document::Section::parse(id::Team::from("labels"), id::Version(1), &text);
+    let fault = "/customers/c/max_deadline_ms: 79200001 is not within 1 to 79200000";
+    assert_eq!(parsed.err().map(|faults| faults.to_string()), (!fits).then(|| fault.to_owned()));
+}
