--- a/crates/lagoon-net/tests/entry/takeover.rs
+++ b/crates/lagoon-net/tests/entry/takeover.rs
@@ -20,7 +20,7 @@
 
 struct Left {
     host: host::Host,
-    rows: claims::Rows,
+    rows: claims::Table,
     call: String,
 }
 
@@ -40,7 +40,7 @@
         },
     };
     let key = claim::row_key(&id::Customer::from("crew"), "k1");
-    rows.lock().unwrap().insert(key, (serde_json::to_string(&record).unwrap(), 1));
+    rows.node().put(&key, &serde_json::to_string(&record).unwrap());
     let mut dying = host::connect(host.engines[0].address());
     let head = format!(
         "POST /generate HTTP/1.1\r\nHost: e\r\nContent-Length: {}\r\nLagoon-Attempt: {ATTEMPT}\r\n\
@@ -117,7 +117,7 @@
     } else {
         assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
     }
-    assert!(!left.rows.lock().unwrap().is_empty());
+    assert!(!left.rows.node().rows("").is_empty());
     left.host.finish();
 }
 
