--- a/crates/lagoon-net/tests/entry/takeover.rs
+++ b/crates/lagoon-net/tests/entry/takeover.rs
@@ -154,3 +154,22 @@
     );
     left.host.finish();
 }
+
+/// A steward that finds the dead host's stream on the engine gives its memory back. One that was
+/// taken over is being read, so the engine has to know its new owner.
+#[test]
+fn its_stream_is_the_new_hosts() {
+    let left = leave("tin", true, false, 0.5);
+    let engine = left.host.engines[0].address();
+    let mut caller = left.host.connect();
+    let request = host::request("POST", "/v1/completions", &from_header(None), &left.call);
+    caller.write_all(&request).unwrap();
+    host::wait_until("the engine knows the new owner", || {
+        let mut stream = host::connect(engine);
+        let ask = "GET /holdings HTTP/1.1\r\nHost: e\r\nConnection: close\r\n\r\n";
+        stream.write_all(ask.as_bytes()).unwrap();
+        host::read_all(&mut stream).contains("\"owner\":\"suva-1/")
+    });
+    host::read_all(&mut caller);
+    left.host.finish();
+}
--- a/crates/lagoonline/src/life/request.rs
+++ b/crates/lagoonline/src/life/request.rs
@@ -12,6 +12,15 @@
 //! let lost = held.dispatch(Attempt(1)).lost();
 //! assert_eq!(lost.again().unwrap_err(), Outcome::Unknown);
 //! ```
+//!
+//! A second dispatch of what was dispatched does not compile:
+//!
+//! ```compile_fail,E0382
+//! use lagoonline::{id::Attempt, life::request::{Held, Repeat}};
+//! let held = Held::new(Repeat::Never);
+//! let first = held.dispatch(Attempt(1));
+//! let second = held.dispatch(Attempt(2));
+//! ```
 
 use crate::id;
 use crate::outcome;
