The soak's settings are checked against their fleet

Cause: a key or model that the fleet does not have would only show as refusals in a run of 5 minutes. Change: a test reads examples/soak.json beside Lakeshore's sections.

--- a/crates/lagoon-load/tests/examples.rs
+++ b/crates/lagoon-load/tests/examples.rs
@@ -6,6 +6,7 @@
 use std::net;
 use std::path;
 
+use lagoon_load::soak;
 use lagoon_net::{entry, operator, steward};
 use lagoon_standin::fleet;
 use lagoonline::control::document;
@@ -120,3 +121,20 @@
         assert_eq!(steward.operator_keys.len(), 1);
     }
 }
+
+#[test]
+fn the_soaks_settings_name_customers_of_their_fleet() {
+    let root = path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let text = fs::read_to_string(root.join("examples/soak.json")).unwrap();
+    let settings = check::parse(&text, soak::Settings::read).unwrap();
+    assert_eq!(settings.fleet, path::Path::new("examples/lakeshore"));
+    let example = Example::read("lakeshore");
+    let sections = ["assessment", "register", "planning"].map(|team| example.section(team));
+    let customers: Vec<_> =
+        sections.iter().flat_map(|section| section.body.customers.keys()).collect();
+    for key in &settings.keys {
+        assert!(customers.iter().any(|name| format!("{name}-key") == *key));
+    }
+    assert!(sections.iter().any(|section| section.body.models.contains_key(&*settings.model)));
+    assert!(sections.iter().any(|section| section.body.services.contains_key(&*settings.service)));
+}
