--- a/crates/lagoon-net/src/logs.rs
+++ b/crates/lagoon-net/src/logs.rs
@@ -22,11 +22,13 @@
     pub level: log::LevelFilter,
     /// Where lines go.
     pub target: Target,
+    /// Crates whose lines are dropped.
+    pub silent: &'static [&'static str],
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { level: log::LevelFilter::Info, target: Target::Stderr }
+        Settings { level: log::LevelFilter::Info, target: Target::Stderr, silent: &[] }
     }
 }
 
@@ -46,7 +48,7 @@
             "stderr" => Target::Stderr,
             path => Target::File(path.into()),
         };
-        Settings { level: level.unwrap_or(log::LevelFilter::Info), target }
+        Settings { level: level.unwrap_or(log::LevelFilter::Info), target, silent: &[] }
     }
 }
 
@@ -71,6 +73,9 @@
     for library in CHATTY {
         dispatch = dispatch.level_for(library, settings.level.min(log::LevelFilter::Warn));
     }
+    for library in settings.silent {
+        dispatch = dispatch.level_for(*library, log::LevelFilter::Off);
+    }
     let dispatch = match &settings.target {
         Target::Stderr => dispatch.chain(io::stderr()),
         Target::File(path) => dispatch.chain(fern::log_file(path)?),
--- a/crates/lagoon-standin/src/main.rs
+++ b/crates/lagoon-standin/src/main.rs
@@ -21,6 +21,8 @@
 }
 
 const PROGRAM: &str = "lagoon-standin";
+/// Says again and again that the port of a stand-in that is down does not accept.
+const ACCEPTING: [&str; 1] = ["ntex_server"];
 
 fn main() -> process::ExitCode {
     let args: Args = match program::arguments(PROGRAM) {
@@ -34,7 +36,8 @@
     if args.check {
         return process::ExitCode::SUCCESS;
     }
-    if let Err(error) = logs::start(&logs::Settings::default(), PROGRAM) {
+    let logs = logs::Settings { silent: &ACCEPTING, ..logs::Settings::default() };
+    if let Err(error) = logs::start(&logs, PROGRAM) {
         return program::failed(PROGRAM, &error);
     }
     match fleet::start(settings) {
