--- a/crates/lagoon-net/src/wire/message.rs
+++ b/crates/lagoon-net/src/wire/message.rs
@@ -28,7 +28,7 @@
     #[prost(bytes = "bytes", tag = "6")]
     pub nonce: prost::bytes::Bytes,
     /// The message. Tag 25 was used once.
-    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 26, 27, 28")]
+    #[prost(oneof = "Body", tags = "16, 17, 18, 19, 20, 21, 22, 23, 24, 26, 27, 28, 29")]
     pub body: Option<Body>,
 }
 
@@ -71,6 +71,9 @@
     /// Stewards, and votes on them.
     #[prost(message, tag = "28")]
     Members(Members),
+    /// States of entry processes, from steward to steward.
+    #[prost(message, tag = "29")]
+    Statuses(Statuses),
 }
 
 /// The accepting side's nonce, which every later frame of the other side carries.
@@ -229,9 +232,43 @@
     /// Its version.
     #[prost(uint64, tag = "2")]
     pub version: u64,
-    /// Its JSON text.
+    /// Its JSON text; empty when it is told by changes.
     #[prost(string, tag = "3")]
     pub text: String,
+    /// Changes that make it of the version that the receiver has.
+    #[prost(message, repeated, tag = "4")]
+    pub deltas: Vec<Delta>,
+}
+
+/// How one version of a section's text is made from an earlier one.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Delta {
+    /// The earlier version.
+    #[prost(uint64, tag = "1")]
+    pub from: u64,
+    /// The version made.
+    #[prost(uint64, tag = "2")]
+    pub to: u64,
+    /// SHA-256 of the text made.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub hash: prost::bytes::Bytes,
+    /// The steps, in order.
+    #[prost(message, repeated, tag = "4")]
+    pub steps: Vec<DeltaStep>,
+}
+
+/// One step: new text, or bytes of the earlier text.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct DeltaStep {
+    /// The new text; empty when bytes are copied.
+    #[prost(string, tag = "1")]
+    pub text: String,
+    /// Where the copied bytes start.
+    #[prost(uint32, tag = "2")]
+    pub start: u32,
+    /// How many are copied.
+    #[prost(uint32, tag = "3")]
+    pub length: u32,
 }
 
 /// Sections; the receiver applies those of a higher version than its own.
@@ -335,6 +372,23 @@
     /// Sections that its data path works with.
     #[prost(message, repeated, tag = "7")]
     pub in_force: Vec<TeamVersion>,
+    /// Counts the reports of its life, by its steward.
+    #[prost(uint64, tag = "8")]
+    pub number: u64,
+    /// Whether there has been no entry process for long.
+    #[prost(bool, tag = "9")]
+    pub gone: bool,
+    /// Whether only those sections are named that changed since the sender's last message.
+    #[prost(bool, tag = "10")]
+    pub changes: bool,
+}
+
+/// States of several entry processes.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Statuses {
+    /// The states.
+    #[prost(message, repeated, tag = "1")]
+    pub statuses: Vec<Status>,
 }
 
 /// What one customer used at one entry host since the last message.
