--- a/crates/lagoon-load/src/http/mod.rs
+++ b/crates/lagoon-load/src/http/mod.rs
@@ -106,7 +106,7 @@
         }
         Ok::<_, io::Error>(told)
     })?;
-    let left = fleet.wait_for_memory(SETTLE);
+    let (left, _) = fleet.wait_for_memory(SETTLE);
     let is_faulty = scenario.fault != scenario::Fault::None;
     let faulty = if is_faulty { on_faulty(&fleet) } else { collections::HashSet::new() };
     let mut tally = calls::tally(&arrivals, &told, began.1, settings.seconds, &faulty);
--- a/crates/lagoon-net/src/entry/desk.rs
+++ b/crates/lagoon-net/src/entry/desk.rs
@@ -113,6 +113,16 @@
         load::lock(&self.shard).observe(self.clock.now(), upstream, load);
     }
 
+    /// Bytes for each token of the model's prompts.
+    pub(crate) fn ratio(&self) -> load::tokens::Ratio {
+        load::lock(&self.shard).ratio()
+    }
+
+    /// An engine counted `tokens` tokens in a prompt of `bytes` bytes.
+    pub(crate) fn counted(&self, bytes: usize, tokens: u64) {
+        load::lock(&self.shard).counted(bytes as u64, tokens);
+    }
+
     pub(crate) fn waiters(&self) -> usize {
         self.waiting().len()
     }
--- a/crates/lagoon-net/src/entry/model.rs
+++ b/crates/lagoon-net/src/entry/model.rs
@@ -130,7 +130,8 @@
     if !customer.entry.models.is_empty() && !customer.entry.models.contains(&model) {
         return Err(fault::new(Reason::Forbidden, Step::Admit, Outcome::NotRun));
     }
-    let tokens = |bytes: usize| (bytes as f64 / known.bytes_per_token).ceil() as u64;
+    let ratio = desk.ratio();
+    let tokens = |bytes: usize| ratio.tokens(bytes as u64);
     let prompt_tokens = tokens(prompt.bytes).max(1);
     if prompt_tokens.saturating_add(prompt.answer_tokens) > known.max_tokens {
         let detail = format!("about {prompt_tokens} and {} tokens", prompt.answer_tokens);
@@ -151,7 +152,8 @@
         prefixes: prefixes.collect(),
     };
     let (desk, continues) = (sync::Arc::clone(desk), known.continues);
-    Ok(pull::Job { call, ask, desk, continues, body })
+    let prompt_bytes = prompt.bytes;
+    Ok(pull::Job { call, ask, prompt_bytes, desk, continues, body })
 }
 
 /// The models that the caller may use.
--- a/crates/lagoon-net/src/entry/pull/mod.rs
+++ b/crates/lagoon-net/src/entry/pull/mod.rs
@@ -36,6 +36,8 @@
 pub(crate) struct Job {
     pub(crate) call: call::Call,
     pub(crate) ask: load::Ask,
+    /// Bytes of the prompt, of which its tokens were estimated.
+    pub(crate) prompt_bytes: usize,
     pub(crate) desk: std::sync::Arc<desk::Desk>,
     pub(crate) continues: bool,
     pub(crate) body: ntex::util::Bytes,
@@ -251,6 +253,7 @@
             let End { answer_tokens, prompt_tokens, cached_tokens, .. } = end;
             let ending = load::Ending::Done { prompt_tokens, cached_tokens, answer_tokens };
             open.place.finish(ending);
+            self.job.desk.counted(self.job.prompt_bytes, prompt_tokens);
             end.outcome = open.answering.complete();
         }
         self.keep(end.prompt_tokens);
--- a/crates/lagoonline/src/load/scheduler/fleet.rs
+++ b/crates/lagoonline/src/load/scheduler/fleet.rs
@@ -10,6 +10,7 @@
 use crate::load::prefix;
 use crate::load::scheduler;
 use crate::load::settings;
+use crate::load::tokens;
 use crate::load::upstream;
 use crate::port::engine;
 use crate::view;
@@ -39,12 +40,22 @@
         let numbers = self.upstreams.iter().enumerate();
         self.by_number = numbers.map(|(index, upstream)| (upstream.number, index)).collect();
         self.measure();
+        self.estimate(fleet, model);
         self.started = true;
         if self.settings.weights.is_none() {
             self.weights = mean_weights(fleet);
         }
     }
 
+    /// Starts from the model's first estimate again if its owner has changed it.
+    fn estimate(&mut self, fleet: &view::Fleet, model: &id::Model) {
+        let Some(model) = fleet.models.get(model) else { return };
+        if model.bytes_per_token.to_bits() != self.first_ratio.to_bits() {
+            self.first_ratio = model.bytes_per_token;
+            self.ratio = tokens::Ratio::new(model.bytes_per_token);
+        }
+    }
+
     fn refreshed(
         &mut self,
         now: clock::Moment,
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -13,6 +13,7 @@
 use crate::load::queue;
 use crate::load::retry;
 use crate::load::settings;
+use crate::load::tokens;
 use crate::load::upstream;
 use crate::load::usage;
 use crate::outcome;
@@ -151,6 +152,9 @@
     typical: f64,
     forecast: predict::Forecast,
     prefixes: prefix::Map,
+    ratio: tokens::Ratio,
+    /// The model's first estimate, from which the ratio started.
+    first_ratio: f64,
     next: u64,
     numbers: u32,
     draws: u64,
@@ -311,6 +315,16 @@
         wakes
     }
 
+    /// Bytes for each token of the model's prompts, by answers that were seen.
+    pub fn ratio(&self) -> tokens::Ratio {
+        self.ratio
+    }
+
+    /// An engine counted `tokens` tokens in a prompt of `bytes` bytes.
+    pub fn counted(&mut self, bytes: u64, tokens: u64) {
+        self.ratio.learn(bytes, tokens);
+    }
+
     /// When to call [`Scheduler::poll`] next if nothing else happens.
     pub fn next_wake(&self) -> clock::Moment {
         if !self.displaced.is_empty() {
--- a/crates/lagoonline/src/load/tokens.rs
+++ b/crates/lagoonline/src/load/tokens.rs
@@ -6,6 +6,8 @@
 //! moves the estimate by a twentieth, so one odd prompt cannot bend it; bounds of 0.5 to 16 bytes
 //! keep a faulty engine's counts from breaking admission.
 
+use crate::control::document;
+
 /// Share by which one answer moves the estimate.
 const GAIN: f64 = 0.05;
 /// Fewest and most bytes for each token believed.
@@ -17,6 +19,12 @@
     bytes_per_token: f64,
 }
 
+impl Default for Ratio {
+    fn default() -> Self {
+        Ratio::new(document::Model::default().bytes_per_token)
+    }
+}
+
 impl Ratio {
     /// Starts from the model's first estimate.
     ///
