--- a/crates/lagoon-load/src/bench/arrival.rs
+++ b/crates/lagoon-load/src/bench/arrival.rs
@@ -72,7 +72,8 @@
 pub fn draw(scenario: &scenario::Scenario, seed: u64, seconds: f64) -> Vec<Arrival> {
     let engines = f64::from(scenario.zones * scenario.engines);
     let capacity = engines * scenario::RATE;
-    let loads = [(SHORT, scenario.short), (MEDIUM, scenario.medium), (LONG, scenario.long)];
+    let long = Kind { tokens: (LONG.tokens.0, scenario.longest), ..LONG };
+    let loads = [(SHORT, scenario.short), (MEDIUM, scenario.medium), (long, scenario.long)];
     let mut arrivals = Vec::new();
     for (stream, (kind, load)) in (0..).zip(loads) {
         let mut random = rngs::SmallRng::seed_from_u64(seed * 16 + stream);
--- a/crates/lagoon-load/src/bench/scenario.rs
+++ b/crates/lagoon-load/src/bench/scenario.rs
@@ -33,6 +33,8 @@
     pub medium: f64,
     /// Work of prompts of 100k tokens to a million.
     pub long: f64,
+    /// Longest of these, in tokens.
+    pub longest: f64,
     /// Every 30 s, short prompts come this many times as often for 3 s.
     pub burst: f64,
     /// The first of ten customers sends this many times its share.
@@ -55,6 +57,7 @@
             short: 0.7,
             medium: 0.0,
             long: 0.0,
+            longest: 1_000_000.0,
             burst: 1.0,
             heavy: 1.0,
             limit: 0.0,
--- a/crates/lagoon-load/src/http/calls.rs
+++ b/crates/lagoon-load/src/http/calls.rs
@@ -13,8 +13,6 @@
 use crate::trial::caller;
 use crate::trial::plan;
 
-/// Longest prompt, in tokens: prefilled alone it takes 15 s, which a run of a minute can hold.
-const LONGEST: u64 = 300_000;
 /// Longest deadline: a run ends at most this long after its last arrival.
 const DEADLINE: clock::Span = clock::Span::from_secs(50);
 
@@ -26,7 +24,6 @@
 ) -> Vec<arrival::Arrival> {
     let mut arrivals = arrival::draw(scenario, seed, seconds);
     for arrival in &mut arrivals {
-        arrival.tokens = arrival.tokens.min(LONGEST);
         arrival.deadline = arrival.deadline.min(DEADLINE);
     }
     arrivals
--- a/crates/lagoon-load/src/http/mod.rs
+++ b/crates/lagoon-load/src/http/mod.rs
@@ -30,6 +30,10 @@
 /// prefill take 26 ms, so that decoding costs about a tenth of the capacity for prefill.
 const DECODE_MS: (f64, f64) = (2.0, 0.05);
 
+/// Longest prompt, in tokens: so that a run of a minute has several over 100,000, each of which
+/// takes an engine some 7 s alone.
+const LONGEST: f64 = 150_000.0;
+
 /// One run.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -64,7 +68,8 @@
         "saturation-1.2",
         "saturation-2.0",
     ];
-    scenario::all().into_iter().filter(|scenario| names.contains(&scenario.name)).collect()
+    let all = scenario::all().into_iter().filter(|scenario| names.contains(&scenario.name));
+    all.map(|scenario| scenario::Scenario { longest: LONGEST, ..scenario }).collect()
 }
 
 /// Plays one run and tells what callers got.
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -154,7 +154,10 @@
         } else {
             let (policy, turn) = (self.settings.policy, self.next);
             let index = baseline::choose(policy, now, &self.upstreams, turn, draw)?;
-            route::Route::One { index, seconds: 0.0 }
+            let upstream = &self.upstreams[index];
+            // Without a prediction a long prompt would be given up as silent.
+            let seconds = rules.seconds(upstream, &need, upstream.rate(now));
+            route::Route::One { index, seconds }
         };
         if full && self.settings.safeguards.admit && self.is_late(now, ask, &need, &route) {
             return None;
