--- a/crates/lagoon-net/src/steward/retain.rs
+++ b/crates/lagoon-net/src/steward/retain.rs
@@ -15,9 +15,14 @@
     let Some(platform) = context.platform.clone() else { return };
     let settings = &context.settings.claims;
     let mut sweepers = collections::BTreeMap::new();
+    let mut done = None;
     loop {
         let now = context.clock.wall_millis();
         let (shard, wait) = claim::turn(now, settings.pace);
+        if done.replace(shard) == Some(shard) {
+            tokio::time::sleep(wait).await;
+            continue;
+        }
         if is_chosen(&context, shard) {
             let new = || claim::Sweeper::new(settings.clone(), shard);
             let sweeper = sweepers.entry(shard).or_insert_with(new);
@@ -28,7 +33,6 @@
         } else {
             sweepers.remove(&shard);
         }
-        tokio::time::sleep(wait).await;
     }
 }
 
