--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod bench;
 pub mod direct;
+pub mod http;
 pub mod soak;
 pub mod trial;
--- a/crates/lagoon-standin/src/port.rs
+++ b/crates/lagoon-standin/src/port.rs
@@ -53,7 +53,7 @@
     Ok(serde_json::from_slice(&body)?)
 }
 
-/// Reads away the body of a call that is refused.
+/// Reads away the body of a call that has no use for it.
 ///
 /// Failure answered: the refusal is sent and the connection closed while the body arrives.
 /// Symptom: the sender sees a broken connection, and cannot tell that nothing was done.
@@ -138,7 +138,6 @@
 where
     Look: Fn() -> fault::Port,
 {
-    let zone = header(request, "Lagoon-Zone").to_owned();
     let faults = look();
     if faults.down || (faults.loss > 0.0 && rand::rng().random_bool(faults.loss.clamp(0.0, 1.0))) {
         return Err(Gone);
@@ -146,6 +145,20 @@
     if faults.delay_ms > 0 {
         tokio::time::sleep(time::Duration::from_millis(faults.delay_ms)).await;
     }
+    healed(request, &look).await?;
+    if look().down { Err(Gone) } else { Ok(()) }
+}
+
+/// Holds what belongs to a request from a cut zone, until the cut heals.
+///
+/// # Errors
+///
+/// It did not heal in time.
+pub(crate) async fn healed<Look>(request: &http::Request, look: Look) -> Result<(), Gone>
+where
+    Look: Fn() -> fault::Port,
+{
+    let zone = header(request, "Lagoon-Zone").to_owned();
     let arrived = time::Instant::now();
     while !zone.is_empty() && look().cut.contains(&zone) {
         if arrived.elapsed() > CUT_HOLD {
@@ -153,7 +166,7 @@
         }
         tokio::time::sleep(CUT_LOOK).await;
     }
-    if look().down { Err(Gone) } else { Ok(()) }
+    Ok(())
 }
 
 /// Reads a settings address and binds it.
--- a/crates/lagoonctl/src/run.rs
+++ b/crates/lagoonctl/src/run.rs
@@ -1,30 +1,26 @@
 //! The commands.
 
 use std::fs;
+use std::process;
+use std::time;
 
 use lagoon_net::operator;
+use lagoon_net::program;
 use lagoon_net::wire;
-use lagoonline::check;
 use lagoonline::clock;
+use lagoonline::control::ledger;
 
 use super::arguments;
+use super::date;
 use super::print;
 
-/// Exit codes; bad usage is told apart in [`arguments`].
-const GOOD: i32 = 0;
-const FAILED: i32 = 1;
-
-/// Reads the settings; the message names the file, the place and the reason.
-pub(crate) fn settings(path: &str) -> Result<operator::Settings, String> {
-    let text = fs::read_to_string(path).map_err(|error| format!("{path}: {error}"))?;
-    check::parse(&text, operator::Settings::read).map_err(|faults| {
-        let lines = faults.0.iter().map(|fault| format!("{path}: {fault}"));
-        lines.collect::<Vec<_>>().join("\n")
-    })
-}
+const GOOD: u8 = 0;
 
 /// Carries out a command; its exit code.
-pub(crate) async fn run(settings: operator::Settings, arguments: arguments::Arguments) -> i32 {
+pub(crate) async fn run(
+    settings: operator::Settings,
+    arguments: arguments::Arguments,
+) -> process::ExitCode {
     let client = operator::Client::new(settings);
     let json = arguments.json;
     let result = match arguments.command {
@@ -46,20 +42,47 @@
         arguments::Command::Orders(_) => {
             show(&client, wire::Verb::Orders, String::new(), json).await
         }
-        arguments::Command::Usage(usage) => show(&client, wire::Verb::Usage, usage.by, json).await,
+        arguments::Command::Usage(usage) => match usage_text(&usage) {
+            Ok(text) => show(&client, wire::Verb::Usage, text, json).await,
+            Err(message) => {
+                eprintln!("{message}");
+                return process::ExitCode::from(program::BAD_USAGE);
+            }
+        },
     };
-    result.unwrap_or_else(|error| {
+    let code = result.unwrap_or_else(|error| {
         print::error(&error, json);
-        FAILED
-    })
+        program::FAILED
+    });
+    process::ExitCode::from(code)
 }
 
+/// The arguments of a report on usage, as the steward takes them.
+fn usage_text(usage: &arguments::Usage) -> Result<String, String> {
+    usage.by.parse::<ledger::Grouping>().map_err(|error| error.to_string())?;
+    let today = time::SystemTime::now().duration_since(time::UNIX_EPOCH);
+    let today = today.map_or(0, |since| since.as_secs()) / DAY_SECONDS;
+    let day = |text: &Option<String>, usual: u64| match text {
+        None => Ok(usual),
+        Some(text) => date::parse(text).ok_or_else(|| format!("{text} is not a day, YYYY-MM-DD")),
+    };
+    let from = day(&usage.from, today)?;
+    let to = day(&usage.to, from)?;
+    if to < from {
+        return Err("the last day is before the first".to_owned());
+    }
+    let days = operator::Days { by: usage.by.clone(), from_day: from, to_day: to };
+    Ok(days.text())
+}
+
+const DAY_SECONDS: u64 = 86_400;
+
 async fn show(
     client: &operator::Client,
     verb: wire::Verb,
     text: String,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let request = operator::Request { verb: Some(verb), text, ..operator::Request::default() };
     let value = client.call(&request).await?;
     match verb {
@@ -70,10 +93,10 @@
     Ok(GOOD)
 }
 
-fn read_file(path: &str) -> Result<String, i32> {
+fn read_file(path: &str) -> Result<String, u8> {
     fs::read_to_string(path).map_err(|error| {
         eprintln!("{path}: {error}");
-        arguments::BAD_USAGE
+        program::BAD_USAGE
     })
 }
 
@@ -81,7 +104,7 @@
     client: &operator::Client,
     get: arguments::Get,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let verb = Some(wire::Verb::SectionGet);
     let request = operator::Request { verb, team: get.team, ..operator::Request::default() };
     let value = client.call(&request).await?;
@@ -98,7 +121,7 @@
     client: &operator::Client,
     check: arguments::Check,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let text = match read_file(&check.file) {
         Ok(text) => text,
         Err(code) => return Ok(code),
@@ -114,7 +137,7 @@
     client: &operator::Client,
     put: arguments::Put,
     json: bool,
-) -> Result<i32, operator::Error> {
+) -> Result<u8, operator::Error> {
     let text = match read_file(&put.file) {
         Ok(text) => text,
         Err(code) => return Ok(code),
@@ -129,7 +152,7 @@
     Ok(finish(&put.team, &standing, json))
 }
 
-fn finish(team: &str, standing: &operator::Standing, json: bool) -> i32 {
+fn finish(team: &str, standing: &operator::Standing, json: bool) -> u8 {
     print::standing(team, standing, json);
-    if standing.accepted { GOOD } else { FAILED }
+    if standing.accepted { GOOD } else { program::FAILED }
 }
--- a/crates/lagoonline/tests/life_fuzz/memory.rs
+++ b/crates/lagoonline/tests/life_fuzz/memory.rs
@@ -12,7 +12,9 @@
 use proptest::prelude::*;
 use proptest_state_machine::StateMachineTest;
 
-const HOSTS: usize = 4;
+/// The last two are of another zone, heard of by its word only.
+const HOSTS: usize = 6;
+const OWN_ZONE: usize = 4;
 const ENGINES: usize = 2;
 const BEAT: Span = Span::from_secs(1);
 
@@ -34,6 +36,8 @@
     RestartEngine(usize),
     /// The sweeper hears no host.
     CutOff(bool),
+    /// The other zone is out of the sweeper's reach.
+    CutZone(bool),
     Pass {
         seconds: u64,
     },
@@ -50,7 +54,7 @@
 struct Host {
     incarnation: u64,
     alive: bool,
-    cancels: reap::Cancels,
+    cancels: reap::Cancels<(usize, u128)>,
 }
 
 pub struct World {
@@ -61,6 +65,7 @@
     sweep: reap::Sweep,
     lose: bool,
     cut_off: bool,
+    zone_cut: bool,
     reserved: u64,
     returned: u64,
 }
@@ -76,6 +81,7 @@
             1 => (1..HOSTS).prop_map(Step::Die),
             1 => (0..ENGINES).prop_map(Step::RestartEngine),
             2 => any::<bool>().prop_map(Step::CutOff),
+            2 => any::<bool>().prop_map(Step::CutZone),
             8 => (1..50_u64).prop_map(|seconds| Step::Pass { seconds }),
         ]
         .boxed()
@@ -87,13 +93,18 @@
 }
 
 fn owner(host: usize, incarnation: u64) -> id::Owner {
-    let host = id::Host::from(format!("host-{host}"));
-    id::Owner { host, incarnation: id::Incarnation(incarnation) }
+    id::Owner { host: name_of(host), incarnation: id::Incarnation(incarnation) }
 }
 
-fn cancels() -> reap::Cancels {
-    let pace = reap::Pace { safeguards: super::safeguards(), ..reap::Pace::default() };
-    reap::Cancels::new(pace)
+fn name_of(host: usize) -> id::Host {
+    id::Host::from(format!("host-{host}"))
+}
+
+fn cancels() -> reap::Cancels<(usize, u128)> {
+    // These engines have no expiry to wait for.
+    let limit = Span::from_secs(1_000_000);
+    let safeguards = super::safeguards();
+    reap::Cancels::new(reap::Pace { limit, safeguards, ..reap::Pace::default() })
 }
 
 impl World {
@@ -109,6 +120,7 @@
             sweep: reap::Sweep::new(settings),
             lose: false,
             cut_off: false,
+            zone_cut: false,
             reserved: 0,
             returned: 0,
         }
@@ -133,7 +145,7 @@
         let host = &mut self.hosts[held.host];
         if host.alive && host.incarnation == held.incarnation && !held.cancelled {
             held.cancelled = true;
-            host.cancels.add(name(held.engine), id::Attempt(*id), self.now);
+            host.cancels.add((held.engine, *id), self.now);
         }
     }
 
@@ -147,16 +159,13 @@
         let gone: Vec<_> =
             self.held.iter().filter(|(_, held)| held.engine == engine).map(|(id, _)| *id).collect();
         gone.into_iter().for_each(|id| self.give_back(id));
-        for host in &mut self.hosts {
-            host.cancels.restarted(&name(engine));
-        }
     }
 
     /// A second: heartbeats, due cancels, one sweep of each engine.
     fn second(&mut self) {
         self.now = self.now + BEAT;
         for number in 0..HOSTS {
-            if self.hosts[number].alive && !self.cut_off {
+            if self.hosts[number].alive && !self.cut_off && number < OWN_ZONE {
                 self.sweep.heard(&owner(number, self.hosts[number].incarnation), self.now);
             }
             self.send_cancels(number);
@@ -172,14 +181,31 @@
         if !self.hosts[number].alive {
             return;
         }
-        for (upstream, attempt) in self.hosts[number].cancels.due(self.now) {
+        for (engine, id) in self.hosts[number].cancels.due(self.now, 1.0) {
             if !self.lose {
-                self.give_back(attempt.0);
-                self.hosts[number].cancels.acknowledged(&upstream, attempt);
+                self.give_back(id);
+                self.hosts[number].cancels.acknowledged(&(engine, id));
             }
         }
     }
 
+    /// The word of an owner's zone, if it can be had.
+    fn answer(&mut self, owner: &id::Owner) {
+        let number = (0..HOSTS).find(|number| name_of(*number) == owner.host).expect("a host");
+        let host = &self.hosts[number];
+        if number < OWN_ZONE {
+            return;
+        }
+        if self.cut_off || self.zone_cut {
+            self.sweep.unsure(owner, self.now);
+        } else if host.alive {
+            let incarnation = id::Incarnation(host.incarnation);
+            self.sweep.told(&id::Owner { incarnation, ..owner.clone() }, self.now);
+        } else {
+            self.sweep.gone(owner, self.now);
+        }
+    }
+
     fn sweep_engine(&mut self, engine: usize) {
         let listed = self.held.iter().filter(|(_, held)| held.engine == engine);
         let holding = |(id, held): (&u128, &Held)| engine::Holding {
@@ -190,6 +216,9 @@
             expires_ms: 1,
         };
         let listed: Vec<_> = listed.map(holding).collect();
+        for owner in self.sweep.questions(&listed, self.now) {
+            self.answer(&owner);
+        }
         for id in self.sweep.releases(&name(engine), &listed, self.now) {
             let id = id.parse::<id::Attempt>().expect("an id of ours").0;
             let held = &self.held[&id];
@@ -228,6 +257,7 @@
             Step::Die(_) => {}
             Step::RestartEngine(engine) => world.restart_engine(engine),
             Step::CutOff(cut_off) => world.cut_off = cut_off,
+            Step::CutZone(cut) => world.zone_cut = cut,
             Step::Pass { seconds } => (0..seconds).for_each(|_| world.second()),
         }
         world
@@ -237,6 +267,7 @@
     fn teardown(mut world: World) {
         world.lose = false;
         world.cut_off = false;
+        world.zone_cut = false;
         let ids: Vec<_> = world.held.keys().copied().collect();
         for pick in 0..ids.len() {
             world.cancel(pick);
