--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -31,8 +31,8 @@
 #[argh(subcommand)]
 enum Command {
     Bench(Bench),
-    Direct(Direct),
     Http(Http),
+    Direct(Direct),
     Soak(Soak),
 }
 
@@ -174,8 +174,8 @@
     };
     let result = match args.command {
         Command::Bench(bench) => run(&bench).map(|()| true),
-        Command::Direct(direct) => run_direct(direct).map(|()| true),
         Command::Http(http) => run_http(&http).map(|()| true),
+        Command::Direct(direct) => run_direct(direct).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
