--- a/crates/lagoonline/src/load/admit.rs
+++ b/crates/lagoonline/src/load/admit.rs
@@ -5,6 +5,9 @@
 //! who is told early can go elsewhere; the Retry-After is the time by which the predicted wait is
 //! too long, so one who obeys it finds the queue short enough. It is spread by a quarter, else all
 //! who were refused in one burst come back in one burst.
+//!
+//! Without it at twice capacity 4,479 answers come in time and 28,741 late; with it 43,097 and none
+//! (`docs/measurements/load.md`, as for every figure of this folder).
 
 use crate::clock;
 use crate::outcome;
--- a/crates/lagoonline/src/load/clear.rs
+++ b/crates/lagoonline/src/load/clear.rs
@@ -6,6 +6,8 @@
 //! scaled by what the owners weigh. It moves by one engine at most every five seconds and only
 //! when it is off by three quarters of one: an engine that changes sides at every burst is of no
 //! use to either, since long prompts stay for tens of seconds.
+//!
+//! In runs of 300 s short prompts are no slower without it (p95 315 ms, with it 341).
 
 use crate::clock;
 use crate::control::document;
--- a/crates/lagoonline/src/load/fair.rs
+++ b/crates/lagoonline/src/load/fair.rs
@@ -6,6 +6,9 @@
 //! waits for at most one request of each other key. A key that was away starts at the current
 //! virtual time, so it can neither save up service nor be punished for having been served while
 //! nobody waited.
+//!
+//! Without fairness a customer at ten times its share moves the p95 of the others from 212 to 600 ms,
+//! with it to 260 ms.
 
 use std::collections;
 use std::hash;
--- a/crates/lagoonline/src/load/floor.rs
+++ b/crates/lagoonline/src/load/floor.rs
@@ -7,6 +7,8 @@
 //! they catch up, and a quarter at most: a million tokens at a fifth of 20,000 a second take 250 s
 //! of the usual 600 s. It holds for every engine, because a host does not know in time where the
 //! others have sent theirs.
+//!
+//! Without it 24 medium prompts end late at 1.2 times capacity, with it none.
 
 use crate::clock;
 
--- a/crates/lagoonline/src/load/outlier.rs
+++ b/crates/lagoonline/src/load/outlier.rs
@@ -5,6 +5,8 @@
 //! circuit (one can be the network, two a restart in progress). It is tried again by one request
 //! after a time that doubles from one second to thirty. The cap of a third keeps a fault of the
 //! callers or of this host, which looks like every upstream failing, from ejecting the zone.
+//!
+//! Without it 499 requests are refused after one engine of eight dies, with it none.
 
 use crate::clock;
 
--- a/crates/lagoonline/src/load/prefix.rs
+++ b/crates/lagoonline/src/load/prefix.rs
@@ -6,6 +6,9 @@
 //! all that was known of it in one step, since an eviction may be among the lost events. The load
 //! bound is the router's predicted wait: a hit only takes the cached tokens off, so a hot engine
 //! loses the prefix to another as soon as its queue costs more than the prefill saved.
+//!
+//! Without it p95 under few prefixes is 177 ms, with it 171: a small gain where every engine soon
+//! caches them all.
 
 use std::collections;
 
--- a/crates/lagoonline/src/load/queue.rs
+++ b/crates/lagoonline/src/load/queue.rs
@@ -4,6 +4,8 @@
 //! (memory of a small host) and each waiter in time (its `give_up`), and a caller who leaves frees
 //! its place at once. When it is full, the customer with most waiters loses its last one to a
 //! newcomer with fewer, else one customer's burst would fill the queue and shut out the others.
+//!
+//! Without priorities by length, short p95 beside long prompts is 2,609 ms, with them 341.
 
 use std::collections;
 
--- a/crates/lagoonline/src/load/ramp.rs
+++ b/crates/lagoonline/src/load/ramp.rs
@@ -4,6 +4,8 @@
 //! looks idle, so every host of the zone sends it its whole queue at once, and those requests wait
 //! together. Its slots open from an eighth to all within ten seconds, about the time in which the
 //! zone's hot prefixes come by again.
+//!
+//! No scenario has an engine that joins under heavy load: its worth is not measured.
 
 use crate::clock;
 
--- a/crates/lagoonline/src/load/rate.rs
+++ b/crates/lagoonline/src/load/rate.rs
@@ -14,6 +14,9 @@
 //! upstream is slow: it gets nothing but one request at a time, one each two seconds from all hosts
 //! of the zone together, until it is below one and a half. At most a third are slow at once, since
 //! all that look slow together are only busier than predicted.
+//!
+//! Without it 2.3% of the requests still go to a fivefold slower engine after two seconds, with it
+//! 0.5%.
 
 use std::collections;
 
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -4,6 +4,9 @@
 //! each failure becomes another request, the load doubles when there is least room for it, and the
 //! overload feeds itself. A tenth of first attempts is enough for one engine in ten to die with
 //! all its work; the burst of ten lets a quiet host repeat at all.
+//!
+//! No scenario uses the budget up since failing upstreams are left alone at once: its worth is not
+//! measured.
 
 /// What one first attempt adds.
 const SHARE: f64 = 0.1;
