Read-through: one shutdown, spending ordered over restarts, no unused cache events

Cause: the entry host had a shutdown of its own beside life::drain, which nobody ran; a steward's spending was told from old copies by a distance of 16, so two copies far apart could go round the ring and count as use for ever; the scheduler could take in cache events that nobody sends. Change: the entry host runs life::drain; a spending's sequence starts from the steward's life and one order decides; what would take in cache events is gone, as docs/design/prefix-hints.md says why. Conclusion: the endless copies were found by reading, no run has shown them.

--- a/crates/lagoon-net/src/entry/server.rs
+++ b/crates/lagoon-net/src/entry/server.rs
@@ -7,8 +7,10 @@
 use std::thread;
 
 use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use lagoonline::control::document;
 use lagoonline::id;
+use lagoonline::life::drain;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use ntex::http;
 use ntex::web;
@@ -29,6 +31,8 @@
 
 /// How long answers that are complete may take to leave when the server stops.
 const FLUSH: ntex::time::Seconds = ntex::time::Seconds(5);
+/// Time between two looks at a shutdown under way.
+const DRAIN_TICK: clock::Span = clock::Span::from_millis(10);
 /// How long failures told at the grace limit may take to be written.
 const LAST_WORDS: clock::Span = clock::Span::from_millis(500);
 
@@ -211,7 +215,7 @@
         drop(ntex::rt::spawn(task.run(link::Sink(state.clone()))));
         drop(ntex::rt::spawn(link::report(state.clone())));
     }
-    drain(&state).await;
+    drain_all(&state).await;
     server.stop(true).await;
     Ok(())
 }
@@ -227,21 +231,12 @@
 }
 
 /// Returns when the server may stop.
-async fn drain(state: &sync::Arc<state::State>) {
+async fn drain_all(state: &sync::Arc<state::State>) {
     let mut phase = state.watch_phase();
     // The sender is in `state`, so the wait ends only by a change.
     reach(&mut phase, state::Phase::Unready).await;
     log::info!("draining with {} requests under way", state.active());
-    let early = reach(&mut phase, state::Phase::Draining);
-    let _timeout = tokio::time::timeout(state.settings.unready, early).await;
-    state.advance(state::Phase::Draining);
-    tokio::select! {
-        biased;
-        () = idle(state) => {}
-        () = tokio::time::sleep(state.settings.grace) => {}
-        () = reach(&mut phase, state::Phase::Aborting) => {}
-    }
-    if state.active() > 0 {
+    if shut_down(state, &mut phase).await {
         log::warn!("drain cut short with {} requests under way", state.active());
         state.advance(state::Phase::Aborting);
         let _timeout = tokio::time::timeout(LAST_WORDS, idle(state)).await;
@@ -256,6 +251,30 @@
     log::info!("drained");
 }
 
+/// Follows the shutdown from its first signal to its end; whether requests were cut.
+async fn shut_down(
+    state: &state::State,
+    phase: &mut tokio::sync::watch::Receiver<state::Phase>,
+) -> bool {
+    let settings = drain::Settings { unready: state.settings.unready, grace: state.settings.grace };
+    let mut drain = drain::Drain::new(settings);
+    let mut reached = drain.signal(state.clock.now(), state.active());
+    loop {
+        match reached {
+            drain::State::Serving | drain::State::Unready => {}
+            drain::State::Draining => state.advance(state::Phase::Draining),
+            drain::State::Ended { cut } => return cut,
+        }
+        reached = tokio::select! {
+            biased;
+            () = reach(phase, state::Phase::Aborting) => {
+                drain.signal(state.clock.now(), state.active())
+            }
+            () = tokio::time::sleep(DRAIN_TICK) => drain.tick(state.clock.now(), state.active()),
+        };
+    }
+}
+
 /// Waits for a phase. The value that was seen is let go at once: it holds the channel's lock.
 async fn reach(phase: &mut tokio::sync::watch::Receiver<state::Phase>, wanted: state::Phase) {
     drop(phase.wait_for(|phase| *phase >= wanted).await);
--- a/crates/lagoon-net/src/steward/core/mod.rs
+++ b/crates/lagoon-net/src/steward/core/mod.rs
@@ -184,6 +184,7 @@
     ) -> Self {
         let now = clock.now();
         Core {
+            spending: spending::Spending::new(own.incarnation),
             group: membership::Group::new(own, settings.membership, now),
             replica: spread::Replica::default(),
             trail: trail::Trail::default(),
@@ -199,7 +200,6 @@
             told: id::Upstream::default(),
             lives: collections::BTreeMap::new(),
             codes: collections::HashMap::new(),
-            spending: spending::Spending::default(),
             reports: report::Reports::default(),
             removed: collections::BTreeSet::new(),
             dialing: collections::BTreeSet::new(),
--- a/crates/lagoon-net/src/steward/core/spending.rs
+++ b/crates/lagoon-net/src/steward/core/spending.rs
@@ -32,9 +32,6 @@
 /// then enforced by each host's own part.
 const WAITING: usize = 64;
 
-/// A sequence this far below the last one is that of a steward that started anew.
-const REORDERED: u64 = 16;
-
 /// Age at which what a customer used no longer says whom engines work for.
 const AGE: clock::Span = clock::Span::from_secs(10);
 
@@ -46,6 +43,12 @@
     /// Requests and tokens let in by the own entry process in this window.
     own: collections::BTreeMap<id::Customer, (u64, u64)>,
     window: clock::Moment,
+    /// Starts from the steward's life, a time in microseconds, so that it also grows over restarts.
+    ///
+    /// Failure answered: a steward starts anew at 1, and its messages have to be told from late
+    /// copies of its old ones. Symptom: taken by their distance, two copies far apart chase each
+    /// other round the ring, each counted as use, and customers below their limits are refused.
+    /// Growing over restarts, one order is enough.
     sequence: u64,
     /// Sequence of each host's last message.
     last: collections::HashMap<String, u64>,
@@ -53,6 +56,11 @@
 }
 
 impl Spending {
+    /// Nothing used yet, in this life of the steward.
+    pub(super) fn new(incarnation: id::Incarnation) -> Self {
+        Spending { sequence: incarnation.0, ..Spending::default() }
+    }
+
     /// The next message to be passed on, and who sent it, if it is no longer than `room` bytes.
     /// One that is longer than any room goes alone.
     pub(super) fn next(&mut self, room: usize) -> Option<(wire::Spending, id::Host)> {
@@ -114,8 +122,7 @@
     /// Takes what another host's entry process let in, by way of `from`.
     pub(in crate::steward) fn take_spending(&mut self, from: &id::Host, spending: wire::Spending) {
         let last = self.spending.last.entry(spending.host.clone()).or_default();
-        let is_old = spending.sequence <= *last && *last - spending.sequence < REORDERED;
-        if is_old || spending.host == self.group.own().host.as_str() {
+        if spending.sequence <= *last || spending.host == self.group.own().host.as_str() {
             return;
         }
         *last = spending.sequence;
--- a/crates/lagoonline/src/life/claim/settings.rs
+++ b/crates/lagoonline/src/life/claim/settings.rs
@@ -26,7 +26,7 @@
 const ROUNDS: u32 = 3;
 /// Shortest retention of claims that a site may set.
 pub const LEAST_RETENTION: clock::Span = clock::Span::from_secs(24 * 3_600);
-/// Longest deadline that a document may allow. A row is written until [`PATIENCE`] after it, and as
+/// Longest deadline that a document may allow. A row is written until `PATIENCE` after it, and as
 /// much again is left for a host that sleeps or a commit that is late, before retention can end:
 /// else a host dispatches, or frees, a key whose row is gone, and the call runs twice.
 pub const LONGEST_DEADLINE: clock::Span =
--- a/crates/lagoonline/src/load/prefix.rs
+++ b/crates/lagoonline/src/load/prefix.rs
@@ -1,10 +1,10 @@
 //! Where prompt prefixes are cached, as far as is known.
 //!
 //! Load pattern: a few prefixes with most of the load. Without affinity every engine prefills the
-//! same corridor survey again. What is known comes from our own placements and from cache events,
-//! which are late and have gaps: a gap or a new incarnation raises the engine's epoch, which voids
-//! all that was known of it in one step, since an eviction may be among the lost events. The load
-//! bound is the router's predicted wait: a hit only takes the cached tokens off, so a hot engine
+//! same corridor survey again. What is known comes from our own placements: engines' cache events come
+//! late and with gaps, and the bytes to spread them cost more than they save
+//! (docs/design/prefix-hints.md). A new incarnation raises the engine's epoch, which voids all that
+//! was known of it in one step. The load bound is the router's predicted wait: a hit only takes the cached tokens off, so a hot engine
 //! loses the prefix to another as soon as its queue costs more than the prefill saved.
 //!
 //! Without it p95 under few prefixes is 177 ms, with it 171: a small gain where every engine soon
@@ -45,16 +45,6 @@
         places[index.unwrap_or(place.engine as usize % PLACES)] = Some(place);
     }
 
-    /// The prefix is no longer cached there.
-    pub fn evicted(&mut self, prefix: u64, engine: u32) {
-        let Some(places) = self.places.get_mut(&prefix) else { return };
-        for place in places.iter_mut() {
-            if place.is_some_and(|place| place.engine == engine) {
-                *place = None;
-            }
-        }
-    }
-
     /// Engines that hold the prefix, by what is known.
     pub fn holders(&self, prefix: u64) -> [Option<Place>; PLACES] {
         self.places.get(&prefix).copied().unwrap_or_default()
--- a/crates/lagoonline/src/load/scheduler/fleet.rs
+++ b/crates/lagoonline/src/load/scheduler/fleet.rs
@@ -1,4 +1,4 @@
-//! What the scheduler is told of upstreams: the fleet, load reports, cache events, leaving marks.
+//! What the scheduler is told of upstreams: the fleet, load reports, leaving marks.
 
 use std::collections;
 use std::mem;
@@ -7,7 +7,6 @@
 use crate::id;
 use crate::load::group;
 use crate::load::outlier;
-use crate::load::prefix;
 use crate::load::scheduler;
 use crate::load::settings;
 use crate::load::tokens;
@@ -114,22 +113,6 @@
         self.nearest = delays.fold(f64::MAX, f64::min);
     }
 
-    /// Takes in one change of an engine's prefix cache; a gap voids what was known of it.
-    pub fn cache_event(&mut self, upstream: &id::Upstream, event: &engine::CacheEvent) {
-        let Some(&index) = self.index.get(upstream) else { return };
-        let upstream = &mut self.upstreams[index];
-        if event.sequence != upstream.cache_sequence + 1 {
-            upstream.epoch += 1;
-        }
-        upstream.cache_sequence = event.sequence;
-        let place = prefix::Place { engine: upstream.number, epoch: upstream.epoch };
-        if event.cached {
-            self.prefixes.cached(event.prefix, place);
-        } else {
-            self.prefixes.evicted(event.prefix, place.engine);
-        }
-    }
-
     /// Marks an upstream as leaving, or takes the mark back for a new incarnation.
     pub fn set_leaving(&mut self, _now: clock::Moment, upstream: &id::Upstream, leaving: bool) {
         if let Some(&index) = self.index.get(upstream) {
--- a/crates/lagoonline/src/load/slowdown.rs
+++ b/crates/lagoonline/src/load/slowdown.rs
@@ -3,7 +3,7 @@
 //! Load pattern: long among short. Without a figure for it, operators see that first tokens of
 //! short prompts got slower, and cannot tell longer prompts from slower links. What a prompt takes
 //! alone is its prefill at the engine's rate and an overhead of links and batching that is the
-//! same for all; the least overhead seen lately is taken for it. [`RISE`] lets that follow a fleet
+//! same for all; the least overhead seen lately is taken for it. `RISE` lets that follow a fleet
 //! that became slower for good within a few thousand prompts, while a busy minute hardly moves it.
 
 use crate::clock;
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -100,7 +100,6 @@
     pub kv: u64,
     pub nominal: f64,
     pub incarnation: u64,
-    pub cache_sequence: u64,
     others_requests: u32,
     others_kv: u64,
     reported: clock::Moment,
