lagoon-burn takes its arguments as the other programs do

Cause: bad usage ended with 1, the code of an alert; the other programs say 2. Conclusion: scripts can tell an alert or a failure from a wrong call.

--- a/crates/lagoon-burn/src/main.rs
+++ b/crates/lagoon-burn/src/main.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use lagoon_burn::{collect, page, report, store, text};
+use lagoon_net::program;
 use lagoonline::control::document;
 use lagoonline::id;
 
@@ -64,9 +65,10 @@
     html: Option<path::PathBuf>,
 }
 
-/// Exit codes.
-const ALERT: u8 = 1;
-const USAGE: u8 = 2;
+const PROGRAM: &str = "lagoon-burn";
+
+/// Exit code when an alert fires, the same as of a failure: scripts look at both.
+const ALERT: u8 = program::FAILED;
 
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -85,14 +87,17 @@
 impl Error {
     fn code(&self) -> u8 {
         match self {
-            Error::Pair(_) | Error::Section { .. } => USAGE,
+            Error::Pair(_) | Error::Section { .. } => program::BAD_USAGE,
             Error::Store(_) | Error::Io(_) | Error::Json(_) => ALERT,
         }
     }
 }
 
 fn main() -> process::ExitCode {
-    let args: Args = argh::from_env();
+    let args: Args = match program::arguments(PROGRAM) {
+        Ok(args) => args,
+        Err(code) => return code,
+    };
     let result = match args.command {
         Command::Collect(collect) => run_collect(collect),
         Command::Report(report) => run_report(&report),
@@ -100,7 +105,7 @@
     match result {
         Ok(code) => code,
         Err(error) => {
-            eprintln!("lagoon-burn: {error}");
+            eprintln!("{PROGRAM}: {error}");
             process::ExitCode::from(error.code())
         }
     }
@@ -113,7 +118,7 @@
 fn run_collect(args: Collect) -> Result<process::ExitCode, Error> {
     let hosts = args.hosts.iter().map(|text| pair(text));
     let hosts: Vec<(String, String)> = hosts.map(|pair| pair.map(own)).collect::<Result<_, _>>()?;
-    let system = ntex::rt::System::new("lagoon-burn", ntex::rt::DefaultRuntime);
+    let system = ntex::rt::System::new(PROGRAM, ntex::rt::DefaultRuntime);
     let whole = system.block_on(collect_all(args, hosts));
     Ok(if whole { process::ExitCode::SUCCESS } else { process::ExitCode::from(ALERT) })
 }
@@ -131,7 +136,7 @@
         }
         for (host, address) in &hosts {
             if let Err(error) = collect::save(&args.scrapes, host, address).await {
-                eprintln!("lagoon-burn: {error}");
+                eprintln!("{PROGRAM}: {error}");
                 whole = false;
             }
         }
