Objectives' names are escaped in the report's legend

Cause: a team's objective name went into the page as it came, by the legend. Change: escaped there too; a test with a name that would run. Conclusion: all names on the page pass one function.

--- a/crates/lagoon-burn/src/page.rs
+++ b/crates/lagoon-burn/src/page.rs
@@ -59,7 +59,8 @@
     date.map_or_else(|| second.to_string(), |date| date.format("%Y-%m-%d %H:%M UTC").to_string())
 }
 
-fn escape(text: &str) -> String {
+/// Makes a text safe within HTML: objectives are named by teams.
+pub(crate) fn escape(text: &str) -> String {
     text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;").replace('"', "&quot;")
 }
 
--- a/crates/lagoon-burn/src/plot.rs
+++ b/crates/lagoon-burn/src/plot.rs
@@ -2,6 +2,7 @@
 
 use plotters::prelude::*;
 
+use crate::page;
 use crate::report;
 
 /// Width and height of a plot, in pixels.
@@ -24,7 +25,7 @@
 fn legend(lines: &[Line]) -> String {
     let entry = |(index, line): (usize, &Line)| {
         let RGBColor(red, green, blue) = colour(index);
-        let name = &line.name;
+        let name = page::escape(&line.name);
         format!("<span style=\"color:rgb({red},{green},{blue})\">&#9473; {name}</span> ")
     };
     lines.iter().enumerate().map(entry).collect()
@@ -40,7 +41,7 @@
 }
 
 /// Plots `lines` over time with a logarithmic value axis, as a legend in HTML and an SVG; `None`
-/// when there is nothing. Names of lines must be safe in HTML: those of sections are.
+/// when there is nothing.
 ///
 /// ```
 /// use lagoon_burn::plot;
--- a/crates/lagoon-burn/tests/report.rs
+++ b/crates/lagoon-burn/tests/report.rs
@@ -142,3 +142,14 @@
     assert!(page.contains("burn at or above 14.4 over both 1h and 5m"));
     assert!(page.contains("<svg"));
 }
+
+/// A team names an objective `<script>`. An operator who opens the page must see the name, and no
+/// script may run: the name stands in the table, the alerts, and the legend of the plot.
+#[test]
+fn a_name_is_shown_and_not_run() {
+    let promised = r#"{"name": "<script>", "indicator": "within_deadline", "target": 0.99}"#;
+    let store = store(1_440, 1_380..1_440, 20);
+    let page = page::write(&report::Report::new(&[section(promised)], &store, 1_440 * STEP));
+    assert!(!page.contains("<script"), "{page}");
+    assert!(page.matches("labels/&lt;script&gt;").count() >= 3, "{page}");
+}
