--- a/crates/lagoon-burn/src/lib.rs
+++ b/crates/lagoon-burn/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod page;
 pub mod plot;
 pub mod report;
+pub mod scope;
 pub mod series;
 pub mod store;
 pub mod text;
--- a/crates/lagoon-burn/src/report.rs
+++ b/crates/lagoon-burn/src/report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::indicator;
+use crate::scope;
 use crate::series;
 use crate::store;
 use crate::window;
@@ -175,11 +176,13 @@
     }
 
     fn objective(&self, section: &document::Section, promised: &document::Objective) -> Objective {
-        let count = indicator::count(promised, &self.whole, indicator::Part::All);
-        let windows = window::WINDOWS.iter().zip(&self.windows);
-        let burns: Vec<Burn> = windows
-            .map(|(&(name, span), growth)| self.burn(promised, name, span, growth))
-            .collect();
+        let scope = scope::Scope::of(section);
+        let whole = scope.cut(&self.whole);
+        let count = indicator::count(promised, &whole, indicator::Part::All);
+        let windows: Vec<Growth> = self.windows.iter().map(|window| scope.cut(window)).collect();
+        let named = window::WINDOWS.iter().zip(&windows);
+        let burns: Vec<Burn> =
+            named.map(|(&(name, span), growth)| self.burn(promised, name, span, growth)).collect();
         Objective {
             team: section.team.to_string(),
             name: promised.name.to_string(),
@@ -188,10 +191,10 @@
             target: promised.target,
             events: count.all,
             good_share: count.share(),
-            budget_left: self.budget_left(promised),
+            budget_left: self.budget_left(promised, windows.last()),
             alerts: alerts(&burns),
-            offenders: offenders(promised, &self.whole),
-            course: self.course(promised),
+            offenders: offenders(promised, &whole),
+            course: self.course(promised, &scope),
             burns,
         }
     }
@@ -216,17 +219,26 @@
     }
 
     /// Bad events so far, against those allowed in four weeks at the rate of events seen.
-    fn budget_left(&self, promised: &document::Objective) -> Option<f64> {
+    fn budget_left(
+        &self,
+        promised: &document::Objective,
+        budget_window: Option<&Growth>,
+    ) -> Option<f64> {
         let from = self.at.saturating_sub(window::BUDGET_SPAN).max(self.begin);
-        let budget_window = self.windows.last()?;
-        let count = indicator::count(promised, budget_window, indicator::Part::All);
+        let count = indicator::count(promised, budget_window?, indicator::Part::All);
         let share_of_span = (self.at - from) as f64 / window::BUDGET_SPAN as f64;
         count.burn(promised.target).map(|burn| 1.0 - burn * share_of_span)
     }
 
-    fn course(&self, promised: &document::Objective) -> Vec<(u64, Option<f64>)> {
-        let burn =
-            |growth| indicator::count(promised, growth, indicator::Part::All).burn(promised.target);
+    fn course(
+        &self,
+        promised: &document::Objective,
+        scope: &scope::Scope<'_>,
+    ) -> Vec<(u64, Option<f64>)> {
+        let burn = |growth| {
+            let growth = scope.cut(growth);
+            indicator::count(promised, &growth, indicator::Part::All).burn(promised.target)
+        };
         self.steps.iter().map(|(end, growth)| (*end, burn(growth))).collect()
     }
 
--- /dev/null
+++ b/crates/lagoon-burn/src/scope.rs
@@ -0,0 +1,56 @@
+//! What a team's objectives speak of: its own models and services, and its own customers.
+
+use std::collections;
+
+use lagoonline::control::document;
+
+use crate::series;
+
+/// Part of all counters that is a team's business.
+#[derive(Clone, Copy, Debug)]
+pub struct Scope<'a> {
+    body: &'a document::Body,
+}
+
+impl<'a> Scope<'a> {
+    /// The scope of a team's section. A team without models and services, such as one that only
+    /// has customers, looks at all of them.
+    ///
+    /// ```
+    /// use lagoon_burn::{scope::Scope, series::Key};
+    /// use lagoonline::{control::document::Section, id};
+    /// let text = r#"{"models": {"tin-label": {}}}"#;
+    /// let section = Section::parse(id::Team::from("t"), id::Version(1), text).unwrap();
+    /// let key = |model: &str| Key {
+    ///     metric: "lagoon_first_token_seconds".into(),
+    ///     labels: [("model".into(), model.into())].into(),
+    /// };
+    /// let growth = [(key("tin-label"), 3.0), (key("other"), 4.0)].into();
+    /// assert_eq!(Scope::of(&section).cut(&growth), [(key("tin-label"), 3.0)].into());
+    /// ```
+    pub fn of(section: &'a document::Section) -> Self {
+        Scope { body: &section.body }
+    }
+
+    /// The counters within the scope.
+    pub fn cut(
+        &self,
+        growth: &collections::BTreeMap<series::Key, f64>,
+    ) -> collections::BTreeMap<series::Key, f64> {
+        let kept = growth.iter().filter(|(key, _)| self.holds(key));
+        kept.map(|(key, grown)| (key.clone(), *grown)).collect()
+    }
+
+    fn holds(&self, key: &series::Key) -> bool {
+        let customer = key.label("customer");
+        if !customer.is_empty() && !self.body.customers.is_empty() {
+            return self.body.customers.contains_key(customer);
+        }
+        let label = |name: &str| !key.label(name).is_empty();
+        let named = ["model", "name"].into_iter().find(|name| label(name));
+        let owns_none = self.body.models.is_empty() && self.body.services.is_empty();
+        // A request for a name that does not exist has none; it is nobody's.
+        let Some(name) = named.map(|name| key.label(name)) else { return true };
+        owns_none || self.body.models.contains_key(name) || self.body.services.contains_key(name)
+    }
+}
--- a/crates/lagoon-burn/tests/report.rs
+++ b/crates/lagoon-burn/tests/report.rs
@@ -153,3 +153,19 @@
     assert!(!page.contains("<script"), "{page}");
     assert!(page.matches("labels/&lt;script&gt;").count() >= 3, "{page}");
 }
+
+/// Two teams promise whole answers, and only one team's model fails. The other team is not paged
+/// for it: each objective counts the models and services of its own section.
+#[test]
+fn a_team_answers_for_its_own_models() {
+    let promised = r#"[{"name": "answers", "indicator": "within_deadline", "target": 0.99}]"#;
+    let team = |name: &str, model: &str| {
+        let text =
+            format!(r#"{{"models": {{"{model}": {{}}}}, "policy": {{"objectives": {promised}}}}}"#);
+        document::Section::parse(id::Team::from(name), id::Version(1), &text).unwrap()
+    };
+    let sections = [team("labels", "m"), team("audits", "other")];
+    let report = report::Report::new(&sections, &store(60, 0..60, 50), 60 * STEP);
+    let shares: Vec<_> = report.objectives.iter().map(|objective| objective.good_share).collect();
+    assert_eq!(shares, [Some(0.5), None]);
+}
