--- a/crates/lagoon-load/src/bin/lagoon-try.rs
+++ b/crates/lagoon-load/src/bin/lagoon-try.rs
@@ -16,8 +16,8 @@
     /// seconds of arrivals (default 32, at most 45)
     #[argh(option, default = "32.0")]
     seconds: f64,
-    /// level of log lines on standard error (default error)
-    #[argh(option, default = "log::LevelFilter::Error")]
+    /// level of log lines on standard error (default off: dead stand-ins make ntex report errors)
+    #[argh(option, default = "log::LevelFilter::Off")]
     log: log::LevelFilter,
     /// seed of the arrivals (default 1)
     #[argh(option, default = "1")]
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -9,6 +9,8 @@
 
 use super::Settings;
 
+/// Part of the run at whose end connections are open and rates learned.
+const WARM: f64 = 0.07;
 /// Part of the run at whose end short requests are no longer alone.
 const ALONE: f64 = 0.25;
 /// Part of the run at whose end faults begin.
@@ -50,6 +52,8 @@
 /// Part of a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Phase {
+    /// Short prompts alone, on connections just opened.
+    WarmUp,
     /// Short prompts alone.
     Alone,
     /// All lengths.
@@ -59,8 +63,17 @@
 }
 
 impl Phase {
+    /// Whether prompts of all lengths come.
+    pub(crate) fn is_mixed(self) -> bool {
+        match self {
+            Phase::WarmUp | Phase::Alone => false,
+            Phase::Mixed | Phase::Faults => true,
+        }
+    }
+
     fn at(part: f64) -> Phase {
         match part {
+            part if part < WARM => Phase::WarmUp,
             part if part < ALONE => Phase::Alone,
             part if part < CALM => Phase::Mixed,
             _ => Phase::Faults,
@@ -136,7 +149,7 @@
         let drawn = length(&mut random);
         let is_short = document::Class::of(drawn) == document::Class::Short;
         // The same short load alone: the longer calls of the first part are left out.
-        if is_short || phase(at) != Phase::Alone {
+        if is_short || phase(at).is_mixed() {
             calls.push(model(at, phase(at), drawn, &mut random));
         }
     }
--- a/crates/lagoon-load/src/trial/report.rs
+++ b/crates/lagoon-load/src/trial/report.rs
@@ -87,7 +87,7 @@
             results.iter().filter(move |told: &&caller::Told| told.call.class() == Some(class))
         };
         let classes = document::Class::ALL.map(|class| {
-            let mixed = of_class(class).filter(|told| told.call.phase != plan::Phase::Alone);
+            let mixed = of_class(class).filter(|told| told.call.phase.is_mixed());
             let first_token = Times::new(mixed.filter_map(|told| told.first_token));
             Class { class: class.as_str(), first_token }
         });
