One draw of prompt lengths for the trial and the soak

Cause: the same loop stood in both plans. Change: trial::plan::length takes the lengths; the soak calls it. Conclusion: behaviour as before, the same draws from the same seeds.

--- a/crates/lagoon-load/src/soak/plan.rs
+++ b/crates/lagoon-load/src/soak/plan.rs
@@ -27,7 +27,7 @@
     let mut random = rngs::SmallRng::seed_from_u64(settings.seed);
     let mut asked = Vec::new();
     for at in plan::arrivals(settings.rate, settings.seconds, &mut random) {
-        let tokens = length(&mut random);
+        let tokens = plan::length(&LENGTHS, &mut random);
         let answer = random.random_range(ANSWER);
         let stream = random.random_bool(STREAMED);
         asked.push((at, plan::Ask::Model { tokens, answer, stream }));
@@ -53,14 +53,3 @@
         plan::Ask::Model { .. } | plan::Ask::Booking { .. } => DEADLINE_SHORT,
     }
 }
-
-fn length(random: &mut rngs::SmallRng) -> u64 {
-    let mut draw: f64 = random.random();
-    for (tokens, share) in LENGTHS {
-        if draw < share {
-            return tokens;
-        }
-        draw -= share;
-    }
-    LENGTHS[0].0
-}
--- a/crates/lagoon-load/src/trial/plan.rs
+++ b/crates/lagoon-load/src/trial/plan.rs
@@ -146,7 +146,7 @@
     let phase = |at: f64| Phase::at(at / settings.seconds);
     let mut calls = Vec::new();
     for at in arrivals(settings.rate, settings.seconds, &mut random) {
-        let drawn = length(&mut random);
+        let drawn = length(&LENGTHS, &mut random);
         let is_short = document::Class::of(drawn) == document::Class::Short;
         // The same short load alone: the longer calls of the first part are left out.
         if is_short || phase(at).is_mixed() {
@@ -176,15 +176,16 @@
     times
 }
 
-fn length(random: &mut rngs::SmallRng) -> u64 {
+/// Draws one of `lengths`, in tokens, by the share of calls that each has.
+pub(crate) fn length(lengths: &[(u64, f64); 4], random: &mut rngs::SmallRng) -> u64 {
     let mut draw: f64 = random.random();
-    for (tokens, share) in LENGTHS {
-        if draw < share {
-            return tokens;
+    for (tokens, share) in lengths {
+        if draw < *share {
+            return *tokens;
         }
         draw -= share;
     }
-    LENGTHS[0].0
+    lengths[0].0
 }
 
 fn model(at: f64, phase: Phase, tokens: u64, random: &mut rngs::SmallRng) -> Call {
