--- /dev/null
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -0,0 +1,154 @@
+//! One request to an upstream or to the platform on a connection of its own.
+//!
+//! The connection is polled by whoever waits for the answer, not by a task: dropping an
+//! [`Exchange`] closes its connection at once, which is how an upstream learns that nobody waits
+//! for its answer any more.
+
+use std::future;
+use std::net;
+use std::pin;
+use std::time;
+
+use http_body_util::BodyExt;
+use hyper::body;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use crate::link;
+
+/// Body of a request.
+pub(crate) type Payload = http_body_util::Full<body::Bytes>;
+
+/// Why no answer, or no whole answer, came.
+#[derive(Clone, Debug, thiserror::Error)]
+pub(crate) enum Failure {
+    /// No connection came about, so no byte was sent.
+    #[error("no connection: {0}")]
+    Unsent(String),
+    /// The connection broke, or what came is no answer: the request may have been acted on.
+    #[error("lost: {0}")]
+    Lost(String),
+}
+
+type Driver = http1::Connection<TokioIo<TcpStream>, Payload>;
+
+/// A connection with at most one request on it.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    sender: http1::SendRequest<Payload>,
+    driver: Option<Driver>,
+}
+
+impl Exchange {
+    /// Connects within `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Unsent`].
+    pub(crate) async fn open(
+        address: net::SocketAddr,
+        timeout: time::Duration,
+    ) -> Result<Exchange, Failure> {
+        let stream = link::connect(address, timeout)
+            .await
+            .map_err(|error| Failure::Unsent(error.to_string()))?;
+        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| Failure::Unsent(error.to_string()))?;
+        Ok(Exchange { sender, driver: Some(driver) })
+    }
+
+    /// Sends the request and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Lost`]: a byte may have left.
+    pub(crate) async fn send(
+        &mut self,
+        request: hyper::Request<Payload>,
+    ) -> Result<hyper::Response<body::Incoming>, Failure> {
+        let answer = self.sender.send_request(request);
+        drive(&mut self.driver, answer).await.map_err(lost)
+    }
+
+    /// The next bytes of an answer's body; `None` at its whole end.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Lost`]: the answer broke off.
+    pub(crate) async fn chunk(
+        &mut self,
+        body: &mut body::Incoming,
+    ) -> Result<Option<body::Bytes>, Failure> {
+        loop {
+            let frame = drive(&mut self.driver, body.frame()).await;
+            match frame {
+                None => return Ok(None),
+                Some(Err(error)) => return Err(lost(error)),
+                // Trailers are no part of the body.
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The whole body, of at most `most` bytes.
+    ///
+    /// # Errors
+    ///
+    /// [`Failure::Lost`]: the answer broke off or is longer.
+    pub(crate) async fn whole(
+        &mut self,
+        body: &mut body::Incoming,
+        most: usize,
+    ) -> Result<bytes::BytesMut, Failure> {
+        let mut bytes = bytes::BytesMut::new();
+        while let Some(chunk) = self.chunk(body).await? {
+            if bytes.len() + chunk.len() > most {
+                return Err(Failure::Lost(format!("an answer of over {most} bytes")));
+            }
+            bytes.extend_from_slice(&chunk);
+        }
+        Ok(bytes)
+    }
+
+    /// Whether the connection can take another request.
+    pub(crate) fn is_reusable(&mut self) -> bool {
+        self.driver.is_some() && self.sender.is_ready()
+    }
+
+    /// Waits until the connection can take another request; false when it cannot.
+    pub(crate) async fn settle(&mut self) -> bool {
+        let ready = self.sender.ready();
+        let ready = drive(&mut self.driver, ready).await.is_ok();
+        ready && self.is_reusable()
+    }
+}
+
+fn lost(error: hyper::Error) -> Failure {
+    use std::error::Error;
+    let source = error.source().map(|source| format!(": {source}")).unwrap_or_default();
+    Failure::Lost(format!("{error}{source}"))
+}
+
+/// Polls the connection beside `work` until `work` is done.
+async fn drive<Work>(driver: &mut Option<Driver>, work: Work) -> Work::Output
+where
+    Work: Future,
+{
+    let mut work = pin::pin!(work);
+    future::poll_fn(move |context| {
+        if let Some(connection) = driver
+            && pin::Pin::new(connection).poll(context).is_ready()
+        {
+            // Its failure reaches `work` as the failure of the request.
+            *driver = None;
+        }
+        work.as_mut().poll(context)
+    })
+    .await
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -0,0 +1,598 @@
+//! One caller's request: what lets it in, where it goes, and what its caller is told.
+
+use std::sync;
+
+use bytes::Bytes;
+use lagoon_platform::{engine, head};
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::life::request;
+use lagoonline::load::placement;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use lagoonline::routing;
+use ntex::web;
+use rand::Rng;
+
+use crate::answer;
+use crate::event;
+use crate::exchange;
+use crate::reserve;
+use crate::state;
+use crate::stream;
+use crate::word;
+
+/// A caller's request, whole.
+#[derive(Debug)]
+pub(crate) struct Request {
+    pub(crate) method: String,
+    /// Path and query, as sent.
+    pub(crate) target: String,
+    pub(crate) path: String,
+    pub(crate) host: String,
+    pub(crate) fields: Vec<(String, Vec<u8>)>,
+    pub(crate) body: Bytes,
+    pub(crate) call: head::Call,
+    pub(crate) arrived: clock::Moment,
+}
+
+impl Request {
+    fn head(&self) -> impl Iterator<Item = (&str, &[u8])> + Clone {
+        self.fields.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
+    }
+}
+
+/// Longest answer of a plain service that is kept until it is whole.
+const WHOLE: usize = 8 << 20;
+/// Longest time for a connection to an upstream: zones are some milliseconds apart, and a lost
+/// packet is sent again after a fifth of a second.
+const CONNECT: clock::Span = clock::Span::from_millis(350);
+/// Time that must be left for another attempt to be worth it.
+const WORTH_TRYING: clock::Span = clock::Span::from_millis(40);
+/// Part of the bound on taken keys that the confirmation of the desired state may be old.
+const KEY_MARGIN: clock::Span = clock::Span::from_millis(250);
+/// Age of the confirmation up to which a name that is unknown is told as unknown; beyond it the
+/// caller is asked to come back.
+const FRESH: clock::Span = clock::Span::from_millis(4_000);
+/// When to come back if nothing better is known: a restarted upstream or a new version is seen
+/// within this.
+const COME_BACK: clock::Span = clock::Span::from_millis(400);
+/// Refusals that one request may meet beside its attempts.
+const REFUSALS: u32 = 2;
+
+/// What a request was let in as.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    pub(crate) state: sync::Arc<state::State>,
+    pub(crate) request: Request,
+    pub(crate) route: sync::Arc<routing::Route>,
+    pub(crate) service: id::Service,
+    pub(crate) customer: Option<id::Customer>,
+    pub(crate) deadline: clock::Moment,
+}
+
+/// An attempt whose answer has begun.
+#[derive(Debug)]
+pub(crate) struct Live {
+    pub(crate) exchange: exchange::Exchange,
+    pub(crate) answer: hyper::Response<hyper::body::Incoming>,
+    pub(crate) underway: Underway,
+    pub(crate) upstream: id::Upstream,
+}
+
+/// Why an attempt brought no answer that can be passed on.
+#[derive(Debug)]
+pub(crate) enum Miss {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The upstream said that it did not run the request.
+    Refused(String),
+    /// It may have run.
+    Lost(String),
+}
+
+/// Answers `request`.
+///
+/// # Errors
+///
+/// Why no upstream's answer came.
+pub(crate) async fn answer(
+    state: &sync::Arc<state::State>,
+    request: Request,
+    io: Option<ntex::io::IoRef>,
+) -> Result<web::HttpResponse, answer::Fault> {
+    let admitted = admit(state, request)?;
+    let active = state.enter();
+    let deadline = admitted.deadline;
+    let mut may_have_run = false;
+    let left = deadline.since(state.clock.now());
+    let work = attempts(admitted, io, active, &mut may_have_run);
+    match tokio::time::timeout(left, work).await {
+        Ok(result) => result,
+        Err(_) if may_have_run => Err(answer::Fault {
+            outcome: Outcome::Unknown,
+            ..answer::Fault::not_run(Reason::DeadlinePassed, Step::Stream, "no answer in time")
+        }),
+        Err(_) => {
+            Err(answer::Fault::not_run(Reason::DeadlinePassed, Step::Route, "no place in time"))
+        }
+    }
+}
+
+fn admit(
+    state: &sync::Arc<state::State>,
+    request: Request,
+) -> Result<Admitted, answer::Fault> {
+    let Some(table) = state.table() else {
+        let detail = "no desired state yet";
+        let fault = answer::Fault::not_run(Reason::PlatformDown, Step::Admit, detail);
+        return Err(fault.after(COME_BACK));
+    };
+    let age = state.confirmation_age();
+    let Some(route) = table.route(&request.host, &request.path) else {
+        return Err(unknown(age, Reason::UnknownName, "no such route"));
+    };
+    let key = request.call.key.as_deref();
+    let customer = match table.customer(route, key) {
+        routing::Match::Open => None,
+        routing::Match::Customer(customer) => Some(customer.name.clone()),
+        routing::Match::Unknown => {
+            return Err(unknown(age, Reason::Unauthenticated, "no customer holds this key"));
+        }
+    };
+    if customer.is_some() {
+        check_key_age(state)?;
+    }
+    let wait = request.call.time_left.unwrap_or(route.timeout).min(route.timeout);
+    Ok(Admitted {
+        state: state.clone(),
+        service: route.service(rand::rng().random()).clone(),
+        customer,
+        deadline: request.arrived + wait,
+        route: route.clone(),
+        request,
+    })
+}
+
+/// A name that this host does not know: told as unknown only while the host is in touch.
+fn unknown(age: Option<clock::Span>, reason: Reason, detail: &str) -> answer::Fault {
+    if age.is_some_and(|age| age <= FRESH) {
+        return answer::Fault::not_run(reason, Step::Authenticate, detail);
+    }
+    let detail = format!("{detail}, and the desired state was last confirmed {age:?} ago");
+    answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail).after(COME_BACK)
+}
+
+fn check_key_age(state: &state::State) -> Result<(), answer::Fault> {
+    let Some(bound) = state.settings.node.bounds.revoke else { return Ok(()) };
+    let age = state.confirmation_age();
+    if age.is_some_and(|age| age + KEY_MARGIN <= bound) {
+        return Ok(());
+    }
+    let detail = format!("keys were last confirmed {age:?} ago, beyond {bound:?}");
+    Err(answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail).after(COME_BACK))
+}
+
+async fn attempts(
+    admitted: Admitted,
+    io: Option<ntex::io::IoRef>,
+    active: state::Active,
+    may_have_run: &mut bool,
+) -> Result<web::HttpResponse, answer::Fault> {
+    let mut held = request::Held::new(admitted.repeat());
+    let mut avoid = Vec::new();
+    let mut refusals = 0;
+    let mut lost = false;
+    loop {
+        let placement = admitted.place(&avoid)?;
+        let upstream = placement.first.upstream.clone();
+        let dispatched = held.dispatch(id::Attempt(0));
+        *may_have_run = true;
+        let resume = admitted.request.call.last_event;
+        let taken = match admitted.attempt(placement, resume).await {
+            Ok(live) => admitted.take_answer(live, avoid.len()).await,
+            Err(miss) => Err(miss),
+        };
+        let missed = match taken {
+            Ok(taken) => return Ok(taken.deliver(admitted, io, active)),
+            Err(missed) => missed,
+        };
+        admitted.log_miss(&upstream, &missed);
+        avoid.push(upstream);
+        held = match &missed {
+            Miss::Unsent(_) => dispatched.refused(),
+            Miss::Refused(_) => {
+                refusals += 1;
+                dispatched.refused()
+            }
+            Miss::Lost(detail) => {
+                lost = true;
+                dispatched.lost().again().map_err(|outcome| failed(outcome, detail))?
+            }
+        };
+        *may_have_run = lost;
+        if !admitted.may_try_again(held.attempts(), refusals, &missed) {
+            return Err(give_up(held.end(), &missed));
+        }
+        admitted.state.metrics.repeats.inc();
+    }
+}
+
+fn failed(outcome: Outcome, detail: &str) -> answer::Fault {
+    let fault = answer::Fault::not_run(Reason::UpstreamFailed, Step::Dispatch, detail);
+    answer::Fault { outcome, ..fault }
+}
+
+fn give_up(outcome: Outcome, missed: &Miss) -> answer::Fault {
+    match missed {
+        Miss::Unsent(detail) | Miss::Refused(detail) => failed(outcome, detail).after(COME_BACK),
+        Miss::Lost(detail) => failed(outcome, detail),
+    }
+}
+
+/// An upstream's answer, checked as far as it must be before a caller sees any of it.
+#[derive(Debug)]
+pub(crate) enum Taken {
+    /// The whole answer.
+    Whole { status: u16, fields: Vec<head::Field>, body: Bytes },
+    /// A stream that has begun.
+    Stream { status: u16, fields: Vec<head::Field>, live: Live },
+}
+
+impl Taken {
+    fn deliver(
+        self,
+        admitted: Admitted,
+        io: Option<ntex::io::IoRef>,
+        active: state::Active,
+    ) -> web::HttpResponse {
+        let closing = admitted.state.phase() > state::Phase::Serving;
+        match self {
+            Taken::Whole { status, fields, body } => {
+                let span = admitted.state.clock.now().since(admitted.request.arrived);
+                admitted.state.metrics.first_event(0, span);
+                admitted.state.metrics.answered(admitted.service.as_str(), None);
+                admitted.log_end("whole", status);
+                let mut builder = answer::pass_back(status, &fields, closing);
+                builder.body(ntex::util::Bytes::copy_from_slice(&body))
+            }
+            Taken::Stream { status, fields, live } => {
+                let mut builder = answer::pass_back(status, &fields, closing);
+                let body = stream::start(admitted, live, io, active);
+                builder.streaming(body)
+            }
+        }
+    }
+}
+
+impl Admitted {
+    fn repeat(&self) -> request::Repeat {
+        if self.route.kind.may_repeat() { request::Repeat::Allowed } else { request::Repeat::Never }
+    }
+
+    /// Time until the request must be answered.
+    pub(crate) fn left(&self) -> clock::Span {
+        self.deadline.since(self.state.clock.now())
+    }
+
+    /// Where the request goes next.
+    pub(crate) fn place(
+        &self,
+        avoid: &[id::Upstream],
+    ) -> Result<placement::Placement, answer::Fault> {
+        if self.customer.is_some() {
+            check_key_age(&self.state)?;
+        }
+        let Some(desk) = self.state.desk(&self.service) else {
+            let detail = format!("{}: no such service", self.service);
+            return Err(answer::Fault::not_run(Reason::NoUpstream, Step::Route, detail)
+                .after(COME_BACK));
+        };
+        let now = self.state.clock.now();
+        let demand = placement::Demand {
+            prompt: self.request.call.prompt_tokens.unwrap_or(0),
+            answer: self.request.call.answer_tokens.unwrap_or(0),
+            target: (self.request.arrived + self.route.target).since(now),
+            gap: self.gap(),
+            zone: &self.state.settings.node.zone,
+            avoid,
+            draw: rand::rng().random(),
+        };
+        let placed = state::lock(&desk).board.place(&demand, now);
+        placed.map_err(|refusal| {
+            let detail = format!("{}: {refusal}", self.service);
+            let (reason, span) = match refusal {
+                placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
+                placement::Refusal::TooLong => (Reason::TooLong, COME_BACK),
+                placement::Refusal::Full(span) => (Reason::Saturated, span),
+            };
+            answer::Fault::not_run(reason, Step::Route, detail).after(span)
+        })
+    }
+
+    fn gap(&self) -> clock::Span {
+        match self.route.kind {
+            routing::Kind::Stream { gap, .. } => gap,
+            routing::Kind::Idempotent | routing::Kind::Once => clock::Span::ZERO,
+        }
+    }
+
+    /// Whether another attempt is allowed and worth it; takes it from the budget.
+    pub(crate) fn may_try_again(&self, attempts: u32, refusals: u32, missed: &Miss) -> bool {
+        let within = match missed {
+            Miss::Unsent(_) => attempts < self.route.attempts + REFUSALS,
+            Miss::Refused(_) => refusals <= REFUSALS,
+            Miss::Lost(_) => attempts < self.route.attempts + refusals,
+        };
+        if !within || self.left() < WORTH_TRYING {
+            return false;
+        }
+        let unsent = matches!(missed, Miss::Unsent(_));
+        let desk = self.state.desk(&self.service);
+        unsent || desk.is_some_and(|desk| state::lock(&desk).budget.take())
+    }
+
+    /// How long an upstream may be silent before another is asked.
+    fn patience(&self, expected: clock::Span) -> clock::Span {
+        let repeatable = self.route.kind.may_repeat();
+        if !repeatable {
+            return clock::Span::MAX;
+        }
+        expected + self.route.target * 2 + clock::Span::from_millis(300)
+    }
+
+    /// Sends the request to an upstream and waits for the head of its answer.
+    pub(crate) async fn attempt(
+        &self,
+        placement: placement::Placement,
+        last_event: Option<u64>,
+    ) -> Result<Live, Miss> {
+        let wanted: Vec<_> = placement
+            .helpers
+            .iter()
+            .filter(|helper| helper.reserve > 0)
+            .map(|helper| (helper.entry.clone(), helper.reserve))
+            .collect();
+        let work_id = self.state.next_work();
+        let reserved = if wanted.is_empty() {
+            None
+        } else {
+            let name = format!("{:x}-{}", self.state.number, work_id.number);
+            Some(reserve::take(&self.state, &name, &wanted).await.map_err(Miss::Unsent)?)
+        };
+        let first = &placement.first;
+        let connect = CONNECT.min(self.left());
+        let opened = exchange::Exchange::open(first.address, connect).await;
+        let mut exchange = opened.map_err(|failure| {
+            self.suspect(&first.upstream);
+            Miss::Unsent(format!("{}: {failure}", first.upstream))
+        })?;
+        let request = self.encode(&placement, reserved.as_ref(), last_event);
+        let request = request.map_err(|error| Miss::Unsent(error.to_string()))?;
+        self.log_dispatch(&placement, work_id.number);
+        let underway = Underway::begin(self, work_id, &placement, reserved);
+        let patience = self.patience(placement.expected);
+        let send = tokio::time::timeout(patience, exchange.send(request)).await;
+        let answer = match send {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(failure)) => {
+                self.suspect(&first.upstream);
+                return Err(Miss::Lost(format!("{}: {failure}", first.upstream)));
+            }
+            Err(_) => {
+                self.suspect(&first.upstream);
+                return Err(Miss::Lost(format!("{}: silent for {patience:?}", first.upstream)));
+            }
+        };
+        Ok(Live { exchange, answer, underway, upstream: first.upstream.clone() })
+    }
+
+    fn encode(
+        &self,
+        placement: &placement::Placement,
+        reserved: Option<&reserve::Held>,
+        last_event: Option<u64>,
+    ) -> Result<hyper::Request<exchange::Payload>, hyper::http::Error> {
+        let helper = |helper: &placement::Helper| {
+            let ticket = reserved.and_then(|held| held.on(&helper.entry.upstream));
+            engine::helper(helper.entry.address, ticket)
+        };
+        let dispatch = head::Dispatch {
+            upstream: placement.first.upstream.clone(),
+            customer: self.customer.clone(),
+            time_left: self.left(),
+            rank: self.rank(),
+            helpers: placement.helpers.iter().map(helper).collect(),
+            last_event,
+        };
+        let mut request = hyper::Request::builder()
+            .method(self.request.method.as_str())
+            .uri(self.request.target.as_str());
+        for field in head::forward(self.request.head(), &dispatch) {
+            request = request.header(field.name, field.value);
+        }
+        request.body(exchange::Payload::new(hyper::body::Bytes::from(self.request.body.clone())))
+    }
+
+    /// Rank in an engine: short prompts first.
+    fn rank(&self) -> Option<u8> {
+        let prompt = self.request.call.prompt_tokens?;
+        Some(match prompt {
+            0..25_000 => 1,
+            25_000..110_000 => 6,
+            _ => 8,
+        })
+    }
+
+    pub(crate) fn suspect(&self, upstream: &id::Upstream) {
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).board.suspect(upstream, self.state.clock.now());
+        }
+    }
+
+    /// Checks the head of an answer, and its body unless it is a stream.
+    pub(crate) async fn take_answer(
+        &self,
+        mut live: Live,
+        earlier: usize,
+    ) -> Result<Taken, Miss> {
+        let status = live.answer.status().as_u16();
+        let headers = live.answer.headers();
+        let fields: Vec<_> =
+            headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes())).collect();
+        let read = head::read_answer(status, fields.iter().copied());
+        let passed = head::pass_back(fields.into_iter());
+        let peer = &live.upstream;
+        if read.not_run {
+            if let Some(at_fault) = &read.at_fault {
+                self.suspect(at_fault);
+            }
+            return Err(Miss::Refused(format!("{peer}: refused with status {status}")));
+        }
+        let other = read.request_id.as_deref().is_some_and(|id| id != self.request.call.request_id);
+        let good = (200..300).contains(&status);
+        if other || good && (!read.proven || read.encoded) {
+            self.suspect(peer);
+            return Err(Miss::Lost(format!("{peer}: not the answer to this request")));
+        }
+        let streams = matches!(self.route.kind, routing::Kind::Stream { .. });
+        if good && streams {
+            live.underway.first_token();
+            return Ok(Taken::Stream { status, fields: passed, live });
+        }
+        let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
+        let body = body.map_err(|failure| Miss::Lost(format!("{peer}: {failure}")))?;
+        let repeatable = self.route.kind.may_repeat();
+        let last = earlier + 1 >= self.route.attempts as usize || self.left() < WORTH_TRYING;
+        if status >= 500 && repeatable && !last {
+            return Err(Miss::Lost(format!("{peer}: answered with status {status}")));
+        }
+        if good {
+            self.answered(peer);
+        }
+        Ok(Taken::Whole { status, fields: passed, body: body.freeze() })
+    }
+
+    pub(crate) fn answered(&self, upstream: &id::Upstream) {
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).board.answered(upstream);
+        }
+    }
+
+    fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
+        event::Line::new("dispatch")
+            .text("request", &self.request.call.request_id)
+            .text("route", &self.route.name)
+            .text("upstream", &placement.first.upstream)
+            .number("dispatch", number)
+            .number("prompt_tokens", self.request.call.prompt_tokens.unwrap_or(0))
+            .number("helpers", placement.helpers.len())
+            .span("expected_ms", placement.expected)
+            .span("left_ms", self.left())
+            .info();
+    }
+
+    pub(crate) fn log_miss(&self, upstream: &id::Upstream, missed: &Miss) {
+        let (outcome, detail) = match missed {
+            Miss::Unsent(detail) => ("unsent", detail),
+            Miss::Refused(detail) => ("refused", detail),
+            Miss::Lost(detail) => ("lost", detail),
+        };
+        event::Line::new("attempt_missed")
+            .text("request", &self.request.call.request_id)
+            .text("upstream", upstream)
+            .text("outcome", outcome)
+            .text("detail", detail)
+            .warn();
+    }
+
+    pub(crate) fn log_end(&self, how: &str, status: u16) {
+        let span = self.state.clock.now().since(self.request.arrived);
+        event::Line::new("answered")
+            .text("request", &self.request.call.request_id)
+            .text("route", &self.route.name)
+            .text("how", how)
+            .number("status", status)
+            .span("after_ms", span)
+            .info();
+    }
+}
+
+/// A dispatch that this host and the others count on its upstreams until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Underway {
+    state: sync::Arc<state::State>,
+    service: id::Service,
+    id: placement::WorkId,
+    read: bool,
+    /// Released when the dispatch ends.
+    _reserved: Option<reserve::Held>,
+}
+
+impl Underway {
+    fn begin(
+        admitted: &Admitted,
+        id: placement::WorkId,
+        placement: &placement::Placement,
+        reserved: Option<reserve::Held>,
+    ) -> Underway {
+        let now = admitted.state.clock.now();
+        let held = placement.helpers.iter().map(|helper| helper.reserve).filter(|held| *held > 0);
+        let work = placement::Work {
+            id,
+            first: placement.first.upstream.clone(),
+            helpers: placement.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
+            prompt: admitted.request.call.prompt_tokens.unwrap_or(0),
+            held: held.collect(),
+            gap: admitted.gap(),
+            until: admitted.deadline,
+        };
+        let sent = word::Sent {
+            first: work.first.to_string(),
+            helpers: work.helpers.iter().map(ToString::to_string).collect(),
+            held: work.held.clone(),
+            prompt: work.prompt,
+            gap_ms: u32::try_from(work.gap.as_millis()).unwrap_or(u32::MAX),
+            left_ms: u32::try_from(work.until.since(now).as_millis()).unwrap_or(u32::MAX),
+        };
+        if let Some(desk) = admitted.state.desk(&admitted.service) {
+            let mut desk = state::lock(&desk);
+            desk.board.begin(work, now);
+            desk.budget.first_attempt();
+        }
+        let underway = Underway {
+            state: admitted.state.clone(),
+            service: admitted.service.clone(),
+            id,
+            read: false,
+            _reserved: reserved,
+        };
+        underway.tell(word::What::Sent(sent));
+        underway
+    }
+
+    /// The first token came.
+    pub(crate) fn first_token(&mut self) {
+        if std::mem::replace(&mut self.read, true) {
+            return;
+        }
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).board.first_token(self.id, self.state.clock.now());
+        }
+        self.tell(word::What::First(word::Nothing {}));
+    }
+
+    fn tell(&self, what: word::What) {
+        let service = self.service.to_string();
+        self.state.tell(word::Word { number: self.id.number, service, what: Some(what) });
+    }
+}
+
+impl Drop for Underway {
+    fn drop(&mut self) {
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).board.end(self.id, self.state.clock.now());
+        }
+        self.tell(word::What::Ended(word::Nothing {}));
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -0,0 +1,163 @@
+//! The other entry hosts: where they are, and what is told between them.
+//!
+//! Each host keeps one row at the platform with the address at which it hears words. Rows of hosts
+//! that are gone stay until a host of the same name overwrites them; a word sent there is lost.
+
+use std::collections;
+use std::net;
+use std::sync;
+
+use lagoon_platform::store;
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load::placement;
+use prost::Message;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+
+use crate::event;
+use crate::state;
+use crate::store as client;
+use crate::watch;
+use crate::word;
+
+/// Table of the entry hosts.
+const TABLE: &str = "lagoon-hosts";
+/// Longest time for the write of the own row.
+const WRITE: clock::Span = clock::Span::from_millis(1_500);
+/// Pause before the write is tried again.
+const AGAIN: clock::Span = clock::Span::from_millis(700);
+
+/// A host's row.
+#[derive(Debug, Deserialize, Serialize)]
+struct Row {
+    address: net::SocketAddr,
+}
+
+type Peers = sync::Arc<sync::Mutex<collections::HashMap<String, net::SocketAddr>>>;
+
+/// Registers this host, follows the others, and passes words.
+pub(crate) async fn run(
+    state: sync::Arc<state::State>,
+    words: mpsc::Receiver<word::Word>,
+) -> std::io::Result<()> {
+    let node = &state.settings.node;
+    let address = net::SocketAddr::new(node.ip, node.ports.0);
+    let socket = sync::Arc::new(UdpSocket::bind(address).await?);
+    let peers = Peers::default();
+    drop(ntex::rt::spawn(register(state.clone(), address)));
+    drop(ntex::rt::spawn(follow(state.clone(), peers.clone())));
+    drop(ntex::rt::spawn(hear(state.clone(), socket.clone())));
+    drop(ntex::rt::spawn(tell(state.clone(), socket, peers, words)));
+    Ok(())
+}
+
+async fn register(state: sync::Arc<state::State>, address: net::SocketAddr) {
+    let mut client = client::Client::new(state.settings.node.store);
+    let row = serde_json::json!(Row { address }).to_string();
+    let call = store::put(TABLE, state.settings.node.host.as_str(), row.as_bytes());
+    let mut tries = 0_u32;
+    // Writing the row again is harmless, so a lost answer needs no reading back.
+    while let Err(error) = client.call(&call, WRITE).await {
+        tries += 1;
+        if tries == 1 {
+            event::Line::new("registration_failed").text("error", error).warn();
+        }
+        tokio::time::sleep(AGAIN).await;
+    }
+    event::Line::new("registered").text("address", address).number("tries", tries).info();
+}
+
+async fn follow(state: sync::Arc<state::State>, peers: Peers) {
+    let wait = state.settings.tuning.hosts_wait;
+    let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait);
+    let own = state.settings.node.host.as_str();
+    loop {
+        let news = watch.next().await;
+        let mut known = state::lock(&peers);
+        for row in news.rows.iter().filter(|row| row.key != own) {
+            let text = row.value.as_deref().unwrap_or_default();
+            match serde_json::from_slice::<Row>(text) {
+                Ok(peer) => drop(known.insert(row.key.clone(), peer.address)),
+                Err(error) => {
+                    known.remove(&row.key);
+                    event::Line::new("host_unreadable").text("host", &row.key).text("error", error);
+                }
+            }
+        }
+    }
+}
+
+async fn tell(
+    state: sync::Arc<state::State>,
+    socket: sync::Arc<UdpSocket>,
+    peers: Peers,
+    mut words: mpsc::Receiver<word::Word>,
+) {
+    let mut batch = Vec::new();
+    loop {
+        let count = words.recv_many(&mut batch, usize::MAX).await;
+        if count == 0 {
+            return;
+        }
+        tokio::time::sleep(state.settings.tuning.words_pause).await;
+        while let Ok(word) = words.try_recv() {
+            batch.push(word);
+        }
+        let datagrams = word::Batch::datagrams(state.number, std::mem::take(&mut batch));
+        let addresses: Vec<_> = state::lock(&peers).values().copied().collect();
+        for address in addresses {
+            for datagram in &datagrams {
+                if socket.send_to(datagram, address).await.is_err() {
+                    state.metrics.words_lost.inc();
+                }
+            }
+        }
+    }
+}
+
+async fn hear(state: sync::Arc<state::State>, socket: sync::Arc<UdpSocket>) {
+    let mut buffer = vec![0; 1 << 16];
+    loop {
+        let length = match socket.recv(&mut buffer).await {
+            Ok(length) => length,
+            Err(error) => {
+                event::Line::new("words_unheard").text("error", error).warn();
+                tokio::time::sleep(AGAIN).await;
+                continue;
+            }
+        };
+        match word::Batch::decode(&buffer[..length]) {
+            Ok(batch) => batch.words.into_iter().for_each(|word| take_in(&state, batch.host, word)),
+            Err(error) => event::Line::new("words_unreadable").text("error", error).warn(),
+        }
+    }
+}
+
+fn take_in(state: &state::State, host: u64, word: word::Word) {
+    let Some(desk) = state.desk(&id::Service::from(word.service.as_str())) else { return };
+    let now = state.clock.now();
+    let id = placement::WorkId { host, number: word.number };
+    let mut desk = state::lock(&desk);
+    match word.what {
+        Some(word::What::Sent(sent)) => desk.board.begin(work(id, sent, now), now),
+        Some(word::What::First(_)) => desk.board.first_token(id, now),
+        Some(word::What::Ended(_)) => desk.board.end(id, now),
+        // A later build's word.
+        None => {}
+    }
+}
+
+fn work(id: placement::WorkId, sent: word::Sent, now: clock::Moment) -> placement::Work {
+    placement::Work {
+        id,
+        first: id::Upstream::from(sent.first),
+        helpers: sent.helpers.into_iter().map(id::Upstream::from).collect(),
+        prompt: sent.prompt,
+        held: sent.held,
+        gap: clock::Span::from_millis(u64::from(sent.gap_ms)),
+        until: now + clock::Span::from_millis(u64::from(sent.left_ms)),
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! An entry host of lagoonline on the users' platform: one process that takes callers' requests,
+//! decides by the library [`lagoonline`] where they go, and speaks to upstreams, to the platform's
+//! store and to the other entry hosts.
+//!
+//! The platform's names and formats are in the crate [`lagoon_platform`]; nothing here knows them.
+
+mod answer;
+mod clock;
+mod event;
+mod exchange;
+mod forward;
+mod hosts;
+mod link;
+mod logs;
+mod metrics;
+mod reserve;
+mod server;
+mod settings;
+mod state;
+mod store;
+mod stream;
+mod watch;
+mod word;
+
+pub use clock::Boot;
+pub use logs::start as start_logs;
+pub use server::run;
+pub use settings::{Settings, load};
--- /dev/null
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -0,0 +1,114 @@
+//! Counters, gauges and histograms of the process.
+
+use std::sync;
+
+use lagoonline::outcome;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// What a counter of answers is split by.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Answered {
+    /// The service.
+    pub(crate) service: String,
+    /// The outcome, or why it failed.
+    pub(crate) reason: &'static str,
+}
+
+/// What a histogram of first events is split by.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct Length {
+    /// Class of the prompt's length.
+    pub(crate) length: &'static str,
+}
+
+/// All of them.
+#[derive(Clone, Debug)]
+pub(crate) struct Metrics {
+    /// Answers by service and reason; `done` for whole ones.
+    pub(crate) answers: Family<Answered, Counter>,
+    /// Seconds to the first event, or to the answer, by the prompt's length.
+    pub(crate) first: Family<Length, Histogram>,
+    /// Dispatches beyond a request's first.
+    pub(crate) repeats: Counter,
+    /// Words to other hosts that were dropped.
+    pub(crate) words_lost: Counter,
+    /// Version of the desired state in force.
+    pub(crate) desired_version: Gauge,
+    /// Milliseconds since that version was known to be the newest.
+    pub(crate) confirmation_age_ms: Gauge,
+    /// Reservations of engine memory that are not released yet.
+    pub(crate) reservations: Gauge,
+    registry: sync::Arc<sync::Mutex<Registry>>,
+}
+
+/// From 5 ms to 20 s.
+fn seconds() -> Histogram {
+    Histogram::new(exponential_buckets(0.005, 2.0, 13))
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let metrics = Metrics {
+            answers: Family::default(),
+            first: Family::new_with_constructor(seconds),
+            repeats: Counter::default(),
+            words_lost: Counter::default(),
+            desired_version: Gauge::default(),
+            confirmation_age_ms: Gauge::default(),
+            reservations: Gauge::default(),
+            registry: sync::Arc::default(),
+        };
+        metrics.register();
+        metrics
+    }
+}
+
+impl Metrics {
+    fn register(&self) {
+        let mut registry = crate::state::lock(&self.registry);
+        let registry = registry.sub_registry_with_prefix("lagoon_gateway");
+        registry.register("answers", "answers by service and reason", self.answers.clone());
+        registry.register("first_seconds", "time to the first event", self.first.clone());
+        registry.register("repeats", "dispatches beyond the first", self.repeats.clone());
+        registry.register("words_lost", "words to hosts dropped", self.words_lost.clone());
+        registry.register("desired_version", "version in force", self.desired_version.clone());
+        let help = "milliseconds since the version in force was known to be the newest";
+        registry.register("confirmation_age_ms", help, self.confirmation_age_ms.clone());
+        let help = "reservations of engine memory not released yet";
+        registry.register("reservations", help, self.reservations.clone());
+    }
+
+    /// A request of `service` was answered.
+    pub(crate) fn answered(&self, service: &str, reason: Option<outcome::Reason>) {
+        let reason = reason.map_or("done", outcome::Reason::as_str);
+        self.answers.get_or_create(&Answered { service: service.to_owned(), reason }).inc();
+    }
+
+    /// The first event of an answer to a prompt of `tokens` came after `span`.
+    pub(crate) fn first_event(&self, tokens: u64, span: std::time::Duration) {
+        let length = match tokens {
+            0 => "none",
+            1..10_000 => "short",
+            10_000..100_000 => "medium",
+            _ => "long",
+        };
+        self.first.get_or_create(&Length { length }).observe(span.as_secs_f64());
+    }
+
+    /// The metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// A value cannot be written.
+    pub(crate) fn encode(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        let registry = crate::state::lock(&self.registry);
+        prometheus_client::encoding::text::encode(&mut text, &registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/server.rs
@@ -0,0 +1,273 @@
+//! The listening side: callers, readiness and metrics, and the process's end.
+
+use std::io;
+use std::path;
+use std::sync;
+
+use lagoon_platform::head;
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::outcome::{Outcome, Reason, Step};
+use lagoonline::routing;
+use ntex::http;
+use ntex::web;
+use tokio::signal::unix;
+
+use crate::answer;
+use crate::event;
+use crate::forward;
+use crate::hosts;
+use crate::settings;
+use crate::state;
+use crate::watch;
+
+/// Time between the balancer's questions is a second, and two misses take a host out; half a
+/// second to spare.
+const UNREADY: clock::Span = clock::Span::from_millis(2_500);
+/// Time before the kill at which the process ends by itself.
+const LAST: clock::Span = clock::Span::from_millis(500);
+/// Time between two looks at what lapsed.
+const TICK: clock::Span = clock::Span::from_millis(100);
+/// Longest time for a head to arrive, in seconds; callers are told less, see `routing::Limits`.
+const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
+/// Longest idle time of a caller's connection: longer than callers keep one, so that none is
+/// closed under a request.
+const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(75);
+
+/// Runs an entry host until it is told to end.
+///
+/// # Errors
+///
+/// An address cannot be listened on.
+pub fn run(
+    settings: settings::Settings,
+    node: path::PathBuf,
+    own: Option<path::PathBuf>,
+) -> io::Result<()> {
+    let system = ntex::rt::System::build().name("gateway").build(ntex::rt::DefaultRuntime);
+    system.block_on(serve(settings, node, own))
+}
+
+async fn serve(
+    settings: settings::Settings,
+    node: path::PathBuf,
+    own: Option<path::PathBuf>,
+) -> io::Result<()> {
+    let (state, words) = state::State::new(settings);
+    let place = &state.settings.node;
+    event::Line::new("start")
+        .text("host", &place.host)
+        .text("zone", &place.zone)
+        .text("callers", place.callers)
+        .text("store", place.store)
+        .info();
+    let mut end = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    let callers = listen(state.clone(), place.callers, Side::Callers)?;
+    let ready = listen(state.clone(), place.ready, Side::Ready)?;
+    drop(ntex::rt::spawn(watch::desired(state.clone())));
+    drop(ntex::rt::spawn(watch::upstreams(state.clone())));
+    hosts::run(state.clone(), words).await?;
+    drop(ntex::rt::spawn(tick(state.clone())));
+    drop(ntex::rt::spawn(reload(node, own)));
+    tokio::select! {
+        _ = end.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    shut_down(&state, callers).await;
+    ready.stop(false).await;
+    event::Line::new("stop").info();
+    Ok(())
+}
+
+/// Unready first, so that the balancer stops sending; then no new connections; then the end of the
+/// last request, or of the time that is left.
+async fn shut_down(state: &state::State, callers: ntex::server::Server) {
+    let started = state.clock.now();
+    let grace = state.settings.node.bounds.grace.saturating_sub(LAST);
+    let mut active = state.watch_active();
+    event::Line::new("draining").number("active", *active.borrow()).info();
+    state.advance(state::Phase::Unready);
+    tokio::time::sleep(UNREADY.min(grace / 2)).await;
+    state.advance(state::Phase::Draining);
+    let left = grace.saturating_sub(state.clock.now().since(started));
+    let idle = active.wait_for(|count| *count == 0);
+    let idle = tokio::time::timeout(left, idle).await.is_ok();
+    event::Line::new("drained").number("all_ended", idle).info();
+    callers.stop(true).await;
+}
+
+async fn tick(state: sync::Arc<state::State>) {
+    loop {
+        tokio::time::sleep(TICK).await;
+        state.expire();
+        let age = state.confirmation_age().unwrap_or_default();
+        state.metrics.confirmation_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
+    }
+}
+
+/// Checks the settings again when the platform says that they changed. What they hold is fixed for
+/// a process's life, so a change is told and takes force at the next start.
+async fn reload(node: path::PathBuf, own: Option<path::PathBuf>) {
+    let mut hangup = match unix::signal(unix::SignalKind::hangup()) {
+        Ok(hangup) => hangup,
+        Err(error) => {
+            event::Line::new("no_reload").text("error", error).warn();
+            return;
+        }
+    };
+    while hangup.recv().await.is_some() {
+        match settings::load(&node, own.as_deref()) {
+            Ok(_) => event::Line::new("reload").text("settings", "good").info(),
+            Err(error) => event::Line::new("reload").text("settings", error).warn(),
+        }
+    }
+}
+
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Side {
+    Callers,
+    Ready,
+}
+
+fn listen(
+    state: sync::Arc<state::State>,
+    address: std::net::SocketAddr,
+    side: Side,
+) -> io::Result<ntex::server::Server> {
+    let limits = routing::Limits::default();
+    let config = http::HttpServiceConfig::new()
+        .set_max_headers(256)
+        .set_max_buf_size(limits.head_bytes * 2)
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(HEAD_TIMEOUT);
+    let config = ntex::SharedCfg::new("gateway").add(config);
+    let factory = async move || {
+        let state = state.clone();
+        let handler = move |request: web::HttpRequest, payload: web::types::Payload| {
+            let state = state.clone();
+            async move {
+                match side {
+                    Side::Callers => caller(&state, &request, payload).await,
+                    Side::Ready => look(&state, &request),
+                }
+            }
+        };
+        web::App::new().default_service(web::to(handler))
+    };
+    let server = web::HttpServer::new(factory)
+        .workers(1)
+        .disable_signals()
+        .shutdown_timeout(ntex::time::Seconds(1))
+        .config(config)
+        .bind(address)?;
+    Ok(server.run())
+}
+
+/// Readiness, as the balancer asks for it, and metrics.
+fn look(state: &state::State, request: &web::HttpRequest) -> web::HttpResponse {
+    if request.path() == "/metrics" {
+        return match state.metrics.encode() {
+            Ok(text) => web::HttpResponse::Ok().body(text),
+            Err(error) => {
+                event::Line::new("metrics_failed").text("error", error).warn();
+                web::HttpResponse::InternalServerError().finish()
+            }
+        };
+    }
+    if state.is_ready() {
+        web::HttpResponse::Ok().body("ready\n")
+    } else {
+        web::HttpResponse::ServiceUnavailable().body("not ready\n")
+    }
+}
+
+async fn caller(
+    state: &sync::Arc<state::State>,
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+) -> web::HttpResponse {
+    let arrived = state.clock.now();
+    let io = request.io().cloned();
+    let work = async {
+        let request = read(state, request, payload, arrived).await?;
+        let id = request.call.request_id.clone();
+        forward::answer(state, request, io.clone()).await.map_err(|fault| (id, fault))
+    };
+    let result = match &io {
+        Some(io) => tokio::select! {
+            biased;
+            result = work => result,
+            () = io.on_disconnect() => {
+                let fault = answer::Fault::not_run(Reason::CallerLeft, Step::Stream, "");
+                let fault = answer::Fault { outcome: Outcome::Unknown, ..fault };
+                Err((String::new(), fault))
+            }
+        },
+        None => work.await,
+    };
+    let closing = state.phase() > state::Phase::Serving;
+    result.unwrap_or_else(|(id, fault)| {
+        state.metrics.answered("", Some(fault.reason));
+        event::Line::new("failed")
+            .text("request", &id)
+            .text("reason", fault.reason.as_str())
+            .text("step", fault.step.as_str())
+            .text("outcome", fault.outcome)
+            .text("detail", &fault.detail)
+            .number("status", fault.status().as_u16())
+            .span("after_ms", state.clock.now().since(arrived))
+            .warn();
+        fault.answer(&id, closing)
+    })
+}
+
+/// Reads a caller's request whole: another attempt may need its body again.
+async fn read(
+    state: &state::State,
+    request: &web::HttpRequest,
+    payload: web::types::Payload,
+    arrived: clock::Moment,
+) -> Result<forward::Request, (String, answer::Fault)> {
+    let fields: Vec<(String, Vec<u8>)> = request
+        .headers()
+        .iter()
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    let pairs = fields.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
+    let call = head::read_call(pairs);
+    let most = state.table().map_or(routing::Limits::default().body_bytes, |table| {
+        table.limits().body_bytes
+    });
+    let body = whole(payload, most).await.map_err(|fault| (call.request_id.clone(), fault))?;
+    let host = request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
+    let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
+    Ok(forward::Request {
+        method: request.method().as_str().to_owned(),
+        target: target.to_owned(),
+        path: request.uri().path().to_owned(),
+        host: host.to_owned(),
+        body,
+        call,
+        arrived,
+        fields,
+    })
+}
+
+async fn whole(payload: web::types::Payload, most: usize) -> Result<bytes::Bytes, answer::Fault> {
+    use futures_util::StreamExt;
+    let mut payload = payload.into_inner();
+    let mut body = bytes::BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|error| {
+            answer::Fault::not_run(Reason::Malformed, Step::Read, error.to_string())
+        })?;
+        if body.len() + chunk.len() > most {
+            let detail = format!("a body of over {most} bytes");
+            return Err(answer::Fault::not_run(Reason::TooLong, Step::Read, detail));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -0,0 +1,112 @@
+//! Settings of the process: the host's, as the platform writes them, and the product's own.
+
+use std::fs;
+use std::path;
+
+use lagoon_platform::settings as node;
+use lagoonline::check;
+use lagoonline::clock;
+use lagoonline::load::placement;
+
+/// What the process runs with.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The host, as the platform describes it.
+    pub node: node::Node,
+    /// The product's own figures.
+    pub tuning: Tuning,
+}
+
+/// The product's own figures; all have defaults.
+#[derive(Clone, Debug)]
+pub struct Tuning {
+    /// Lines below this level are not logged.
+    pub level: log::LevelFilter,
+    /// How long the platform holds a watch of the desired state open. Each call costs, and a
+    /// version counts as confirmed from call to call, so this is well below the bound on keys.
+    pub desired_wait: clock::Span,
+    /// How long the platform holds a watch of the upstreams open.
+    pub upstreams_wait: clock::Span,
+    /// Pause after an answer of that watch, in which changes gather: several heartbeats come in
+    /// one call. Well below the bound on leaving upstreams.
+    pub upstreams_pause: clock::Span,
+    /// How long the platform holds a watch of the entry hosts open.
+    pub hosts_wait: clock::Span,
+    /// Time between two batches of words to the other entry hosts.
+    pub words_pause: clock::Span,
+    /// Figures of the placement.
+    pub placement: placement::Settings,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            level: log::LevelFilter::Info,
+            desired_wait: clock::Span::from_millis(2_000),
+            upstreams_wait: clock::Span::from_millis(5_000),
+            upstreams_pause: clock::Span::from_millis(800),
+            hosts_wait: clock::Span::from_millis(20_000),
+            words_pause: clock::Span::from_millis(40),
+            placement: placement::Settings::default(),
+        }
+    }
+}
+
+impl Tuning {
+    /// Reads the product's own settings; what is absent has its default.
+    fn read(reader: &check::Reader<'_>) -> Tuning {
+        let default = Tuning::default();
+        let millis = |name: &str, span: clock::Span, most: u64| {
+            let span = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+            clock::Span::from_millis(reader.number(name, span, 1..=most))
+        };
+        let level = reader.parsed("level", "off, error, warn, info, debug or trace");
+        let placement = placement::Settings {
+            part_ms: reader.float("part_ms", default.placement.part_ms, 1.0..=10_000.0),
+            ..default.placement
+        };
+        Tuning {
+            level: level.unwrap_or(default.level),
+            desired_wait: millis("desired_wait_ms", default.desired_wait, 30_000),
+            upstreams_wait: millis("upstreams_wait_ms", default.upstreams_wait, 30_000),
+            upstreams_pause: millis("upstreams_pause_ms", default.upstreams_pause, 30_000),
+            hosts_wait: millis("hosts_wait_ms", default.hosts_wait, 30_000),
+            words_pause: millis("words_pause_ms", default.words_pause, 10_000),
+            placement,
+        }
+    }
+}
+
+/// Reads the host's settings, and the product's own where a file of them is given.
+///
+/// # Errors
+///
+/// The files that cannot be read or used, each fault on a line of its own.
+///
+/// ```
+/// use std::path::Path;
+/// let error = lagoon_gateway::load(Path::new("/no/such/file"), None).unwrap_err();
+/// assert!(error.starts_with("/no/such/file: "));
+/// ```
+pub fn load(host: &path::Path, own: Option<&path::Path>) -> Result<Settings, String> {
+    let text = read(host)?;
+    let node = node::read(&text).map_err(|faults| prefixed(host, &faults.0))?;
+    let tuning = match own {
+        None => Tuning::default(),
+        Some(file) => check::parse(&read(file)?, Tuning::read).map_err(|faults| {
+            let lines: Vec<_> = faults.0.iter().map(ToString::to_string).collect();
+            prefixed(file, &lines)
+        })?,
+    };
+    Ok(Settings { node, tuning })
+}
+
+fn read(file: &path::Path) -> Result<String, String> {
+    fs::read_to_string(file).map_err(|error| format!("{}: {error}", file.display()))
+}
+
+fn prefixed(file: &path::Path, faults: &[String]) -> String {
+    let lines: Vec<_> =
+        faults.iter().map(|fault| format!("{}: {fault}", file.display())).collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/state.rs
@@ -0,0 +1,247 @@
+//! What the process knows, shared by its threads; each part under its own lock.
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load::{placement, retry};
+use lagoonline::routing;
+use rand::Rng;
+use tokio::sync::{mpsc, watch};
+
+use crate::event;
+use crate::metrics;
+use crate::settings;
+use crate::word;
+
+/// How far the process is on its way to its end.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Phase {
+    /// All is served.
+    Serving,
+    /// Not ready, and connections close after their answer; all is served.
+    Unready,
+    /// No new connections.
+    Draining,
+}
+
+/// What is decided for one service.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    /// What is under way on its upstreams.
+    pub(crate) board: placement::Board,
+    /// Repeats that are left.
+    pub(crate) budget: retry::Budget,
+}
+
+type Desks = collections::HashMap<id::Service, sync::Arc<sync::Mutex<Desk>>>;
+
+/// Words to the other hosts that wait to be sent; two seconds' worth at the highest rate.
+const WORDS: usize = 4_096;
+
+/// All that the process knows.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) settings: settings::Settings,
+    pub(crate) clock: crate::Boot,
+    pub(crate) metrics: metrics::Metrics,
+    /// This life of the process among the entry hosts.
+    pub(crate) number: u64,
+    table: ArcSwapOption<routing::Table>,
+    confirmation: sync::Mutex<routing::Confirmation>,
+    registry: sync::Mutex<routing::Registry>,
+    desks: ArcSwap<Desks>,
+    phase: watch::Sender<Phase>,
+    active: watch::Sender<usize>,
+    dispatches: atomic::AtomicU64,
+    words: mpsc::Sender<word::Word>,
+}
+
+/// Locks; a panic of another holder leaves figures that are still whole.
+pub(crate) fn lock<T>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+impl State {
+    /// The state of a process that knows nothing yet, and the words that it wants to send.
+    pub(crate) fn new(
+        settings: settings::Settings,
+    ) -> (sync::Arc<State>, mpsc::Receiver<word::Word>) {
+        let (words, receiver) = mpsc::channel(WORDS);
+        let state = State {
+            settings,
+            clock: crate::Boot::default(),
+            metrics: metrics::Metrics::default(),
+            number: rand::rng().random(),
+            table: ArcSwapOption::empty(),
+            confirmation: sync::Mutex::default(),
+            registry: sync::Mutex::default(),
+            desks: ArcSwap::default(),
+            phase: watch::Sender::new(Phase::Serving),
+            active: watch::Sender::new(0),
+            dispatches: atomic::AtomicU64::new(0),
+            words,
+        };
+        (sync::Arc::new(state), receiver)
+    }
+
+    /// The desired state in force; `None` before the first.
+    pub(crate) fn table(&self) -> Option<sync::Arc<routing::Table>> {
+        self.table.load_full()
+    }
+
+    /// Puts a version in force unless a later one is; it was the newest at `at`.
+    pub(crate) fn install(&self, desired: routing::Desired, at: clock::Moment) {
+        let version = desired.version;
+        let known = self.table.load().as_ref().map_or(0, |table| table.version());
+        if self.table.load().is_none() || version > known {
+            event::Line::new("desired_state_in_force")
+                .number("version", version)
+                .number("previous", known)
+                .number("routes", desired.routes.len())
+                .info();
+            self.table.store(Some(sync::Arc::new(routing::Table::new(desired))));
+            self.metrics.desired_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+            self.refresh_desks();
+        }
+        if version >= known {
+            self.confirm(at);
+        }
+    }
+
+    /// The version in force was the newest at `at`.
+    pub(crate) fn confirm(&self, at: clock::Moment) {
+        lock(&self.confirmation).confirm(at);
+    }
+
+    /// Time since the version in force was known to be the newest.
+    pub(crate) fn confirmation_age(&self) -> Option<clock::Span> {
+        lock(&self.confirmation).age(self.clock.now())
+    }
+
+    /// The platform answers again.
+    pub(crate) fn platform_returned(&self) {
+        lock(&self.registry).returned(self.clock.now());
+    }
+
+    /// Takes in the whole list of upstreams.
+    pub(crate) fn list_upstreams(&self, entries: Vec<routing::Entry>) {
+        lock(&self.registry).reset(entries, self.clock.now());
+        self.refresh_desks();
+    }
+
+    /// Takes in changes of the list of upstreams.
+    pub(crate) fn change_upstreams(&self, changes: Vec<routing::Change>) {
+        if changes.is_empty() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut registry = lock(&self.registry);
+        for change in changes {
+            registry.apply(change, now);
+        }
+        drop(registry);
+        self.refresh_desks();
+    }
+
+    /// Drops what has lapsed.
+    pub(crate) fn expire(&self) {
+        let now = self.clock.now();
+        if lock(&self.registry).expire(now) {
+            self.refresh_desks();
+        }
+        for desk in self.desks.load().values() {
+            lock(desk).board.expire(now);
+        }
+    }
+
+    /// The entry of an upstream.
+    pub(crate) fn desk(&self, service: &id::Service) -> Option<sync::Arc<sync::Mutex<Desk>>> {
+        self.desks.load().get(service).cloned()
+    }
+
+    fn refresh_desks(&self) {
+        let Some(table) = self.table() else { return };
+        let registry = lock(&self.registry);
+        let mut by_service: collections::HashMap<id::Service, Vec<routing::Entry>> =
+            table.services().map(|service| (service.name.clone(), Vec::new())).collect();
+        for entry in registry.entries() {
+            if let Some(entries) = by_service.get_mut(&entry.service) {
+                entries.push(entry.clone());
+            }
+        }
+        let known = self.desks.load_full();
+        let mut desks = Desks::default();
+        for (service, entries) in by_service {
+            let pace = table.service(&service).and_then(|service| service.pace);
+            let desk = known.get(&service).cloned().unwrap_or_else(|| self.new_desk());
+            lock(&desk).board.set_upstreams(&entries, pace);
+            desks.insert(service, desk);
+        }
+        self.desks.store(sync::Arc::new(desks));
+    }
+
+    fn new_desk(&self) -> sync::Arc<sync::Mutex<Desk>> {
+        let board = placement::Board::new(self.settings.tuning.placement);
+        sync::Arc::new(sync::Mutex::new(Desk { board, budget: retry::Budget::default() }))
+    }
+
+    /// The id of a new dispatch.
+    pub(crate) fn next_work(&self) -> placement::WorkId {
+        let number = self.dispatches.fetch_add(1, atomic::Ordering::Relaxed);
+        placement::WorkId { host: self.number, number }
+    }
+
+    /// Tells the other hosts. A full channel loses the word, which costs them only efficiency.
+    pub(crate) fn tell(&self, word: word::Word) {
+        if self.words.try_send(word).is_err() {
+            self.metrics.words_lost.inc();
+        }
+    }
+
+    /// How far the process is.
+    pub(crate) fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Goes on to `phase`; never back.
+    pub(crate) fn advance(&self, phase: Phase) {
+        self.phase.send_if_modified(|current| {
+            let later = phase > *current;
+            *current = phase.max(*current);
+            later
+        });
+    }
+
+    /// Whether the host may be sent callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == Phase::Serving && self.table.load().is_some()
+    }
+
+    /// Counts a request as under way until the guard is dropped.
+    pub(crate) fn enter(self: &sync::Arc<Self>) -> Active {
+        self.active.send_modify(|count| *count += 1);
+        Active { state: self.clone() }
+    }
+
+    /// Requests under way.
+    pub(crate) fn watch_active(&self) -> watch::Receiver<usize> {
+        self.active.subscribe()
+    }
+}
+
+/// A request under way.
+#[derive(Debug)]
+pub(crate) struct Active {
+    state: sync::Arc<State>,
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.state.active.send_modify(|count| *count -= 1);
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -0,0 +1,305 @@
+//! Streams of events to a caller: whole events only, and a visible end.
+//!
+//! Failure answered: an upstream breaks off in the middle of an event, another goes on, and the
+//! caller reads half an event joined to the next; or a stream that broke off ends like a whole
+//! one. Only whole events are passed on, an answer that goes on elsewhere starts after the last
+//! event that was passed on, and a stream that cannot go on cuts the caller's connection without
+//! the end mark of its body.
+
+use std::pin;
+use std::task;
+
+use bytes::{Buf, BytesMut};
+use futures_util::Stream;
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::outcome::Reason;
+use lagoonline::routing;
+use ntex::util;
+use tokio::sync::mpsc;
+
+use crate::event;
+use crate::exchange;
+use crate::forward;
+use crate::state;
+
+/// Events that wait for a slow caller; while they wait the upstream is not read.
+const WAITING: usize = 64;
+/// Pauses that an event may be late by before another upstream is asked.
+const GAPS: u32 = 4;
+/// Silence below this says nothing: a lost packet comes again within it.
+const LEAST_SILENCE: clock::Span = clock::Span::from_millis(900);
+/// What a stream may run beyond its route's time limit, so that one about to end does.
+const OVERTIME: clock::Span = clock::Span::from_millis(150);
+
+/// The body of a streamed answer.
+#[derive(Debug)]
+pub(crate) struct Body {
+    events: mpsc::Receiver<Result<util::Bytes, std::io::Error>>,
+}
+
+impl Stream for Body {
+    type Item = Result<util::Bytes, std::io::Error>;
+
+    fn poll_next(
+        mut self: pin::Pin<&mut Self>,
+        context: &mut task::Context<'_>,
+    ) -> task::Poll<Option<Self::Item>> {
+        self.events.poll_recv(context)
+    }
+}
+
+/// Passes the events of `live` to the body that is returned.
+pub(crate) fn start(
+    admitted: forward::Admitted,
+    live: forward::Live,
+    io: Option<ntex::io::IoRef>,
+    active: state::Active,
+) -> Body {
+    let (sender, events) = mpsc::channel(WAITING);
+    let gone = sender.clone();
+    let relay = Relay {
+        last_event: admitted.request.call.last_event,
+        admitted,
+        sender,
+        buffer: BytesMut::new(),
+        events: 0,
+        upstreams: 1,
+    };
+    drop(ntex::rt::spawn(async move {
+        let left = async {
+            match io {
+                Some(io) => tokio::select! {
+                    () = io.on_disconnect() => {}
+                    () = gone.closed() => {}
+                },
+                None => gone.closed().await,
+            }
+        };
+        relay.run(live, left).await;
+        drop(active);
+    }));
+    Body { events }
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    Whole,
+    CallerLeft,
+    Broken,
+}
+
+struct Relay {
+    admitted: forward::Admitted,
+    sender: mpsc::Sender<Result<util::Bytes, std::io::Error>>,
+    /// Bytes of an event that is not whole yet.
+    buffer: BytesMut,
+    last_event: Option<u64>,
+    events: u64,
+    upstreams: u32,
+}
+
+impl Relay {
+    async fn run<Left>(mut self, live: forward::Live, left: Left)
+    where
+        Left: Future<Output = ()>,
+    {
+        let mut left = pin::pin!(left);
+        let end = tokio::select! {
+            biased;
+            end = self.relay(live) => end,
+            () = &mut left => End::CallerLeft,
+        };
+        self.finish(end).await;
+    }
+
+    async fn finish(self, end: End) {
+        let (how, reason) = match end {
+            End::Whole => ("whole", None),
+            End::CallerLeft => ("caller_left", Some(Reason::CallerLeft)),
+            End::Broken => ("broken", Some(Reason::UpstreamFailed)),
+        };
+        self.admitted.state.metrics.answered(self.admitted.service.as_str(), reason);
+        event::Line::new("stream_ended")
+            .text("request", &self.admitted.request.call.request_id)
+            .text("how", how)
+            .number("events", self.events)
+            .number("upstreams", self.upstreams)
+            .span("after_ms", self.since_arrival())
+            .info();
+        if end == End::Broken {
+            let error = std::io::Error::other("the answer broke off");
+            // A caller that left needs no word.
+            drop(self.sender.send(Err(error)).await);
+        }
+    }
+
+    fn since_arrival(&self) -> clock::Span {
+        self.admitted.state.clock.now().since(self.admitted.request.arrived)
+    }
+
+    /// Relays one answer after the other until one is whole or none can go on.
+    async fn relay(&mut self, mut live: forward::Live) -> End {
+        let mut avoid: Vec<id::Upstream> = Vec::new();
+        loop {
+            let upstream = live.upstream.clone();
+            let failure = match self.relay_one(live).await {
+                Ok(()) => {
+                    self.admitted.answered(&upstream);
+                    return End::Whole;
+                }
+                Err(failure) => failure,
+            };
+            self.buffer.clear();
+            event::Line::new("stream_broke")
+                .text("request", &self.admitted.request.call.request_id)
+                .text("upstream", &upstream)
+                .text("error", &failure)
+                .number("events", self.events)
+                .span("after_ms", self.since_arrival())
+                .warn();
+            self.admitted.suspect(&upstream);
+            avoid.push(upstream);
+            match self.go_on(&mut avoid, failure).await {
+                Some(next) => live = next,
+                None => return End::Broken,
+            }
+        }
+    }
+
+    /// Another upstream that goes on after the last event, if there may be one.
+    async fn go_on(
+        &mut self,
+        avoid: &mut Vec<id::Upstream>,
+        failure: String,
+    ) -> Option<forward::Live> {
+        let routing::Kind::Stream { resumable: true, .. } = self.admitted.route.kind else {
+            return None;
+        };
+        let mut missed = forward::Miss::Lost(failure);
+        let mut refusals = 0;
+        while self.admitted.may_try_again(self.upstreams, refusals, &missed) {
+            self.admitted.state.metrics.repeats.inc();
+            let placement = self.admitted.place(avoid).ok()?;
+            let upstream = placement.first.upstream.clone();
+            let taken = match self.admitted.attempt(placement, self.last_event).await {
+                Ok(live) => self.admitted.take_answer(live, avoid.len()).await,
+                Err(miss) => Err(miss),
+            };
+            missed = match taken {
+                Ok(forward::Taken::Stream { live, .. }) => {
+                    self.upstreams += 1;
+                    return Some(live);
+                }
+                Ok(forward::Taken::Whole { status, .. }) => {
+                    forward::Miss::Lost(format!("{upstream}: answered with status {status}"))
+                }
+                Err(missed) => missed,
+            };
+            match missed {
+                forward::Miss::Refused(_) => refusals += 1,
+                forward::Miss::Lost(_) => self.upstreams += 1,
+                forward::Miss::Unsent(_) => {}
+            }
+            self.admitted.log_miss(&upstream, &missed);
+            avoid.push(upstream);
+        }
+        None
+    }
+
+    /// Relays one answer to its end.
+    async fn relay_one(&mut self, mut live: forward::Live) -> Result<(), String> {
+        loop {
+            let silence = self.silence();
+            let left = self.admitted.left() + OVERTIME;
+            let chunk = live.exchange.chunk(live.answer.body_mut());
+            let chunk = tokio::time::timeout(silence.min(left), chunk).await;
+            let chunk = match chunk {
+                Ok(chunk) => chunk.map_err(|failure: exchange::Failure| failure.to_string())?,
+                Err(_) if left <= silence => return Err("out of time".to_owned()),
+                Err(_) => return Err(format!("silent for {silence:?}")),
+            };
+            let Some(chunk) = chunk else {
+                return self.pass_rest().await;
+            };
+            self.buffer.extend_from_slice(&chunk);
+            self.pass_events().await?;
+        }
+    }
+
+    fn silence(&self) -> clock::Span {
+        let routing::Kind::Stream { gap, .. } = self.admitted.route.kind else {
+            return clock::Span::MAX;
+        };
+        (gap * GAPS).max(LEAST_SILENCE)
+    }
+
+    /// Passes on each whole event of the buffer.
+    async fn pass_events(&mut self) -> Result<(), String> {
+        while let Some(length) = whole_event(&self.buffer) {
+            let event = self.buffer.split_to(length);
+            let number = event_number(&event);
+            if let (Some(number), Some(last)) = (number, self.last_event)
+                && number <= last
+            {
+                // What the caller has already; an upstream that goes on may repeat its start.
+                continue;
+            }
+            self.last_event = number.or(self.last_event);
+            self.pass(util::Bytes::copy_from_slice(&event)).await?;
+            if self.events == 0 {
+                let tokens = self.admitted.request.call.prompt_tokens.unwrap_or(0);
+                self.admitted.state.metrics.first_event(tokens, self.since_arrival());
+                self.log_first();
+            }
+            self.events += 1;
+        }
+        Ok(())
+    }
+
+    fn log_first(&self) {
+        event::Line::new("first_event")
+            .text("request", &self.admitted.request.call.request_id)
+            .span("after_ms", self.since_arrival())
+            .info();
+    }
+
+    /// The body is whole: what is left of it is passed on as it is.
+    async fn pass_rest(&mut self) -> Result<(), String> {
+        if self.buffer.is_empty() {
+            return Ok(());
+        }
+        let rest = util::Bytes::copy_from_slice(&self.buffer);
+        self.buffer.advance(rest.len());
+        self.pass(rest).await
+    }
+
+    async fn pass(&mut self, bytes: util::Bytes) -> Result<(), String> {
+        self.sender.send(Ok(bytes)).await.map_err(|_| "the caller left".to_owned())
+    }
+}
+
+/// Length of the first event in `bytes`, its blank line included.
+fn whole_event(bytes: &[u8]) -> Option<usize> {
+    let mut line_start = 0;
+    for (index, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let line = &bytes[line_start..index];
+        if line.is_empty() || line == b"\r" {
+            return Some(index + 1);
+        }
+        line_start = index + 1;
+    }
+    None
+}
+
+/// The number in an event's `id` line.
+fn event_number(event: &[u8]) -> Option<u64> {
+    let lines = event.split(|byte| *byte == b'\n');
+    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
+    std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
+}
--- a/crates/lagoonline/src/id.rs
+++ b/crates/lagoonline/src/id.rs
@@ -68,6 +68,10 @@
     /// A plain service, as callers name it in `/services/NAME/`.
     Service
 }
+name! {
+    /// A route: requests of one host under one path prefix.
+    Route
+}
 name! {
     /// An upstream: one model engine or one replica of a plain service.
     Upstream
--- a/crates/lagoonline/src/lib.rs
+++ b/crates/lagoonline/src/lib.rs
@@ -22,4 +22,5 @@
 pub mod load;
 pub mod outcome;
 pub mod port;
+pub mod routing;
 pub mod view;
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -13,6 +13,8 @@
 pub mod group;
 pub mod limit;
 pub mod outlier;
+pub mod pass;
+pub mod placement;
 pub mod predict;
 pub mod prefix;
 mod queue;
--- /dev/null
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -0,0 +1,179 @@
+//! One upstream, as far as this host knows what is under way on it.
+
+use super::{Work, WorkId};
+use crate::clock;
+use crate::load::pass;
+use crate::routing;
+
+/// How far a request is on one upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Stage {
+    /// Its prompt, or a part of it, is still read; so many milliseconds of it are left.
+    Reading(f64),
+    /// Its answer is written here.
+    Writing,
+    /// Its part is read, and only its memory is used.
+    Holding,
+}
+
+/// A request on this upstream.
+#[derive(Clone, Debug, PartialEq)]
+struct Part {
+    work: WorkId,
+    stage: Stage,
+    /// Whether this upstream writes the answer.
+    writes: bool,
+    /// Tokens of memory.
+    memory: u64,
+}
+
+/// An upstream and what is under way on it.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    entry: routing::Entry,
+    pace: Option<pass::Pace>,
+    parts: Vec<Part>,
+    advanced: clock::Moment,
+    suspect_until: Option<clock::Moment>,
+    failures: u32,
+}
+
+impl Engine {
+    pub(super) fn new(entry: routing::Entry, pace: Option<pass::Pace>) -> Engine {
+        Engine {
+            entry,
+            pace,
+            parts: Vec::new(),
+            advanced: clock::Moment::START,
+            suspect_until: None,
+            failures: 0,
+        }
+    }
+
+    /// Its entry.
+    pub fn entry(&self) -> &routing::Entry {
+        &self.entry
+    }
+
+    /// How it works, where it is a model engine.
+    pub fn pace(&self) -> Option<pass::Pace> {
+        self.pace
+    }
+
+    /// Requests under way on it.
+    pub fn works(&self) -> usize {
+        self.parts.len()
+    }
+
+    pub(super) fn update(&mut self, entry: routing::Entry, pace: Option<pass::Pace>) {
+        if entry.born != self.entry.born {
+            self.parts.clear();
+        }
+        self.entry = entry;
+        self.pace = pace;
+    }
+
+    pub(super) fn begin_if_on(&mut self, work: &Work, now: clock::Moment) {
+        let name = &self.entry.upstream;
+        let writes = work.first == *name;
+        let helper = work.helpers.iter().position(|helper| helper == name);
+        if !writes && helper.is_none() {
+            return;
+        }
+        self.advance(now);
+        let parts = work.helpers.len() as u32 + 1;
+        let read = self.pace.map_or(0.0, |pace| pace.part_ms(work.prompt, parts));
+        let elsewhere: u64 = work.held.iter().sum();
+        let memory = match helper {
+            Some(index) => work.held.get(index).copied().unwrap_or(0),
+            None => work.prompt.saturating_sub(elsewhere),
+        };
+        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory });
+    }
+
+    pub(super) fn read_done(&mut self, work: WorkId, now: clock::Moment) {
+        self.advance(now);
+        for part in self.parts.iter_mut().filter(|part| part.work == work) {
+            part.stage = if part.writes { Stage::Writing } else { Stage::Holding };
+        }
+    }
+
+    pub(super) fn end(&mut self, work: WorkId, now: clock::Moment) {
+        self.advance(now);
+        self.parts.retain(|part| part.work != work);
+    }
+
+    pub(super) fn failed(&mut self, now: clock::Moment, span: clock::Span) {
+        self.failures = (self.failures + 1).min(4);
+        self.suspect_until = Some(now + span * self.failures);
+    }
+
+    pub(super) fn answered(&mut self) {
+        self.failures = 0;
+        self.suspect_until = None;
+    }
+
+    pub(super) fn is_suspect(&self, now: clock::Moment) -> bool {
+        self.suspect_until.is_some_and(|until| until > now)
+    }
+
+    /// Lets what is under way go on until `now`: prompts are read one after the other.
+    pub(super) fn advance(&mut self, now: clock::Moment) {
+        let mut budget = now.since(self.advanced).as_secs_f64() * 1e3;
+        self.advanced = self.advanced.max(now);
+        for part in &mut self.parts {
+            if let Stage::Reading(left) = &mut part.stage {
+                let done = left.min(budget);
+                *left -= done;
+                budget -= done;
+            }
+        }
+    }
+
+    /// Milliseconds until a prompt that arrives now begins to be read: the pass under way, and the
+    /// prompts before it.
+    pub(super) fn wait_ms(&self) -> f64 {
+        self.reading_ms() + self.pass_ms() / 2.0
+    }
+
+    /// Milliseconds of prompts that are not read yet.
+    pub(super) fn reading_ms(&self) -> f64 {
+        let left = |part: &Part| match part.stage {
+            Stage::Reading(left) => left,
+            Stage::Writing | Stage::Holding => 0.0,
+        };
+        self.parts.iter().map(left).sum()
+    }
+
+    /// Requests that write.
+    pub(super) fn writers(&self) -> u32 {
+        self.parts.iter().filter(|part| part.stage == Stage::Writing).count() as u32
+    }
+
+    /// Milliseconds of a pass in which nothing is read.
+    pub(super) fn pass_ms(&self) -> f64 {
+        let context = self.parts.iter().filter(|part| part.stage != Stage::Holding);
+        let context = context.map(|part| part.memory).sum();
+        self.pace.map_or(0.0, |pace| pace.pass_ms(self.writers(), context))
+    }
+
+    /// What the requests on it cost a newcomer beside its wait, in milliseconds; places that run
+    /// out weigh most.
+    pub(super) fn crowd_ms(&self) -> f64 {
+        let places = self.parts.iter().filter(|part| part.writes).count() as f64;
+        let slots = f64::from(self.entry.slots.max(1));
+        let over = (places + 1.0 - slots).max(0.0);
+        places / slots * 40.0 + over * 200.0
+    }
+
+    /// Tokens of memory that are planned with.
+    pub(super) fn memory(&self, share: f64) -> u64 {
+        self.pace.map_or(0, |pace| (pace.memory_tokens as f64 * share) as u64)
+    }
+
+    /// Tokens of memory that are free, as far as is known.
+    pub(super) fn room(&self, share: f64) -> u64 {
+        let used: u64 = self.parts.iter().map(|part| part.memory).sum();
+        self.memory(share).saturating_sub(used)
+    }
+}
--- /dev/null
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -0,0 +1,374 @@
+//! Which upstream gets a request, and which engines help to read a long prompt.
+//!
+//! Load pattern: short prompts beside long ones in shares that swing tenfold within seconds, seen
+//! by many entry hosts of which each sends only a part. Least outstanding puts a short prompt
+//! behind a long one and two long ones on one engine. So a [`Board`] keeps what all hosts have
+//! under way on each engine, as far as this host was told, lets it drain at the engine's published
+//! pace, and places a request where its first token comes soonest and delays the fewest writers.
+//! Words of other hosts that are late or lost cost efficiency only: the engine's own refusal is
+//! final.
+
+use std::collections;
+
+use super::pass;
+use crate::clock;
+use crate::id;
+use crate::routing;
+
+mod engine;
+
+pub use engine::{Engine, Stage};
+
+/// A request under way: the host that sent it, and its number there.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkId {
+    /// The host's number.
+    pub host: u64,
+    /// The host counts its dispatches.
+    pub number: u64,
+}
+
+/// What a request under way costs the upstreams that work on it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Work {
+    /// Which it is.
+    pub id: WorkId,
+    /// The upstream that answers it.
+    pub first: id::Upstream,
+    /// The engines that read parts of its prompt.
+    pub helpers: Vec<id::Upstream>,
+    /// Tokens of its prompt; 0 for a call of a plain service.
+    pub prompt: u64,
+    /// Tokens of its prompt whose memory lies at each of the first helpers.
+    pub held: Vec<u64>,
+    /// Longest pause between its events that is still in time.
+    pub gap: clock::Span,
+    /// When it is over at the latest.
+    pub until: clock::Moment,
+}
+
+/// What is to be placed.
+#[derive(Clone, Debug)]
+pub struct Demand<'a> {
+    /// Tokens of the prompt; 0 for a call of a plain service.
+    pub prompt: u64,
+    /// Most tokens of the answer.
+    pub answer: u64,
+    /// Time left until the first event would be late.
+    pub target: clock::Span,
+    /// Longest pause between events that is still in time.
+    pub gap: clock::Span,
+    /// Zone of this host.
+    pub zone: &'a id::Zone,
+    /// Upstreams that failed this request.
+    pub avoid: &'a [id::Upstream],
+    /// A draw that spreads equal choices.
+    pub draw: u64,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The upstream that gets it.
+    pub first: routing::Entry,
+    /// Engines that read parts of the prompt, in the order in which they are named to the first.
+    pub helpers: Vec<Helper>,
+    /// When its first token is expected, from now.
+    pub expected: clock::Span,
+}
+
+/// An engine that reads a part of a prompt for another.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Helper {
+    /// The engine.
+    pub entry: routing::Entry,
+    /// Tokens of memory to reserve on it; 0 for none.
+    pub reserve: u64,
+}
+
+/// Why a request cannot be placed now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Refusal {
+    /// No upstream that may be asked.
+    #[error("no upstream")]
+    NoUpstream,
+    /// The prompt is larger than the memory of all engines together that may help.
+    #[error("too long")]
+    TooLong,
+    /// All are full; a place is expected after this span.
+    #[error("full for {0:?}")]
+    Full(clock::Span),
+}
+
+/// Figures of the placement.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// A part of a prompt that one engine reads should take no longer than this, in milliseconds:
+    /// a pass of writers (some 50 ms) and two such parts stay below the pause of 250 ms that
+    /// answers to short prompts bear.
+    pub part_ms: f64,
+    /// Engines that may help with one prompt, the most that an engine takes.
+    pub helpers: usize,
+    /// Part of an engine's memory that is planned with; the rest is for answers and for what this
+    /// host has not heard of.
+    pub memory_share: f64,
+    /// Milliseconds that another zone's upstream must be ahead to be chosen.
+    pub remote_ms: f64,
+    /// How long an upstream that failed without a word is passed over.
+    pub suspect_span: clock::Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            part_ms: 60.0,
+            helpers: 16,
+            memory_share: 0.92,
+            remote_ms: 12.0,
+            suspect_span: clock::Span::from_secs(1),
+        }
+    }
+}
+
+/// What is under way on the upstreams of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    settings: Settings,
+    upstreams: collections::BTreeMap<id::Upstream, Engine>,
+    works: collections::HashMap<WorkId, Work>,
+}
+
+impl Board {
+    /// With other figures.
+    pub fn new(settings: Settings) -> Board {
+        Board { settings, ..Board::default() }
+    }
+
+    /// Takes in which upstreams there are; what is under way stays known.
+    pub fn set_upstreams(&mut self, entries: &[routing::Entry], pace: Option<pass::Pace>) {
+        let names: collections::BTreeSet<_> = entries.iter().map(|entry| &entry.upstream).collect();
+        self.upstreams.retain(|name, _| names.contains(name));
+        for entry in entries {
+            match self.upstreams.get_mut(&entry.upstream) {
+                Some(engine) => engine.update(entry.clone(), pace),
+                None => {
+                    let mut engine = Engine::new(entry.clone(), pace);
+                    for work in self.works.values() {
+                        engine.begin_if_on(work, clock::Moment::START);
+                    }
+                    self.upstreams.insert(entry.upstream.clone(), engine);
+                }
+            }
+        }
+    }
+
+    /// The upstreams, for gauges.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Engine> {
+        self.upstreams.values()
+    }
+
+    /// Requests under way.
+    pub fn works(&self) -> usize {
+        self.works.len()
+    }
+
+    /// A request was sent.
+    pub fn begin(&mut self, work: Work, now: clock::Moment) {
+        for name in std::iter::once(&work.first).chain(&work.helpers) {
+            if let Some(engine) = self.upstreams.get_mut(name) {
+                engine.begin_if_on(&work, now);
+            }
+        }
+        self.works.insert(work.id, work);
+    }
+
+    /// The first token of a request came: its prompt is read.
+    pub fn first_token(&mut self, id: WorkId, now: clock::Moment) {
+        self.each_engine(id, |engine| engine.read_done(id, now));
+    }
+
+    /// A request ended.
+    pub fn end(&mut self, id: WorkId, now: clock::Moment) {
+        self.each_engine(id, |engine| engine.end(id, now));
+        self.works.remove(&id);
+    }
+
+    /// Forgets what must be over, as of hosts that fell silent.
+    pub fn expire(&mut self, now: clock::Moment) {
+        let due: Vec<_> =
+            self.works.values().filter(|work| work.until <= now).map(|work| work.id).collect();
+        for id in due {
+            self.end(id, now);
+        }
+    }
+
+    /// An upstream failed without a word: it is passed over for a while.
+    pub fn suspect(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+        let span = self.settings.suspect_span;
+        if let Some(engine) = self.upstreams.get_mut(upstream) {
+            engine.failed(now, span);
+        }
+    }
+
+    /// An upstream answered.
+    pub fn answered(&mut self, upstream: &id::Upstream) {
+        if let Some(engine) = self.upstreams.get_mut(upstream) {
+            engine.answered();
+        }
+    }
+
+    fn each_engine<Act>(&mut self, id: WorkId, mut act: Act)
+    where
+        Act: FnMut(&mut Engine),
+    {
+        let Some(work) = self.works.get(&id) else { return };
+        for name in std::iter::once(&work.first).chain(&work.helpers) {
+            if let Some(engine) = self.upstreams.get_mut(name) {
+                act(engine);
+            }
+        }
+    }
+
+    /// Where `demand` goes.
+    ///
+    /// # Errors
+    ///
+    /// Why it cannot be placed now.
+    pub fn place(&mut self, demand: &Demand<'_>, now: clock::Moment) -> Result<Placement, Refusal> {
+        for engine in self.upstreams.values_mut() {
+            engine.advance(now);
+        }
+        let usable = self.usable(demand, now);
+        if usable.is_empty() {
+            return Err(Refusal::NoUpstream);
+        }
+        let pace = usable.iter().find_map(|engine| engine.pace());
+        match pace {
+            Some(pace) if demand.prompt > 0 => self.place_prompt(demand, &usable, pace),
+            _ => Ok(self.place_call(demand, &usable)),
+        }
+    }
+
+    /// Upstreams that may be asked: those not suspected, or all when every one is.
+    fn usable(&self, demand: &Demand<'_>, now: clock::Moment) -> Vec<&Engine> {
+        let open = |engine: &&Engine| {
+            !engine.entry().leaving && !demand.avoid.contains(&engine.entry().upstream)
+        };
+        let all: Vec<&Engine> = self.upstreams.values().filter(open).collect();
+        let sound: Vec<&Engine> =
+            all.iter().copied().filter(|engine| !engine.is_suspect(now)).collect();
+        if sound.is_empty() { all } else { sound }
+    }
+
+    /// A call of a plain service: the least used replica, in the own zone unless that is busier.
+    fn place_call(&self, demand: &Demand<'_>, usable: &[&Engine]) -> Placement {
+        let cost = |engine: &&&Engine| {
+            let remote = u64::from(engine.entry().zone != *demand.zone);
+            let slots = u64::from(engine.entry().slots.max(1));
+            let used = engine.works() as u64 * 1_000 / slots;
+            (used + remote * 300, spread(demand.draw, engine))
+        };
+        let first = usable.iter().min_by_key(cost).map_or(usable[0], |engine| *engine);
+        Placement {
+            first: first.entry().clone(),
+            helpers: Vec::new(),
+            expected: clock::Span::ZERO,
+        }
+    }
+
+    fn place_prompt(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        pace: pass::Pace,
+    ) -> Result<Placement, Refusal> {
+        let parts = (pace.read_ms(demand.prompt) / self.settings.part_ms).ceil() as usize;
+        let parts = parts.clamp(1, self.settings.helpers + 1);
+        let mut ranked: Vec<(f64, u64, &Engine)> = usable
+            .iter()
+            .map(|engine| (self.cost(demand, engine), spread(demand.draw, engine), *engine))
+            .collect();
+        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let need = demand.prompt + demand.answer;
+        let share = self.settings.memory_share;
+        let room = |engine: &Engine| engine.room(share);
+        // The first engine writes: it needs the memory, or helpers that hold a part of it.
+        let fits = ranked.iter().position(|(_, _, engine)| room(engine) >= need);
+        let (first, holders) = match fits {
+            Some(index) => (index, Vec::new()),
+            None => self.holders(&ranked, need)?,
+        };
+        let mut helpers: Vec<Helper> = holders
+            .iter()
+            .map(|(index, reserve)| Helper {
+                entry: ranked[*index].2.entry().clone(),
+                reserve: *reserve,
+            })
+            .collect();
+        let taken: Vec<usize> =
+            holders.iter().map(|(index, _)| *index).chain([first]).collect();
+        for (index, (_, _, engine)) in ranked.iter().enumerate() {
+            if helpers.len() + 1 >= parts {
+                break;
+            }
+            if !taken.contains(&index) {
+                helpers.push(Helper { entry: engine.entry().clone(), reserve: 0 });
+            }
+        }
+        let engine = ranked[first].2;
+        let part = pace.part_ms(demand.prompt, helpers.len() as u32 + 1);
+        let expected = engine.wait_ms() + part;
+        Ok(Placement {
+            first: engine.entry().clone(),
+            helpers,
+            expected: clock::Span::try_from_secs_f64(expected / 1e3).unwrap_or_default(),
+        })
+    }
+
+    /// Engines that hold a prompt larger than any one of them: the one with most room first, and
+    /// as few others as hold the rest.
+    fn holders(
+        &self,
+        ranked: &[(f64, u64, &Engine)],
+        need: u64,
+    ) -> Result<(usize, Vec<(usize, u64)>), Refusal> {
+        let share = self.settings.memory_share;
+        let total: u64 = ranked.iter().map(|(_, _, engine)| engine.memory(share)).sum();
+        if need > total {
+            return Err(Refusal::TooLong);
+        }
+        let mut by_room: Vec<usize> = (0..ranked.len()).collect();
+        by_room.sort_by_key(|index| std::cmp::Reverse(ranked[*index].2.room(share)));
+        let first = by_room[0];
+        let mut left = need.saturating_sub(ranked[first].2.room(share));
+        let mut holders = Vec::new();
+        for index in by_room.into_iter().skip(1).take(self.settings.helpers) {
+            if left == 0 {
+                break;
+            }
+            let part = left.min(ranked[index].2.room(share));
+            if part > 0 {
+                holders.push((index, part));
+                left -= part;
+            }
+        }
+        if left > 0 {
+            return Err(Refusal::Full(clock::Span::from_millis(500)));
+        }
+        Ok((first, holders))
+    }
+
+    /// What a placement on `engine` costs, in milliseconds of delay.
+    fn cost(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
+        let remote = if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms };
+        engine.wait_ms() + engine.crowd_ms() + remote
+    }
+}
+
+/// An order of equal choices that differs from draw to draw.
+fn spread(draw: u64, engine: &Engine) -> u64 {
+    use std::hash::{Hash, Hasher};
+    let mut hasher = collections::hash_map::DefaultHasher::new();
+    (draw, engine.entry().upstream.as_str()).hash(&mut hasher);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/lagoonline/src/routing/table.rs
@@ -0,0 +1,129 @@
+//! Lookups by request: the route with the longest prefix, and the customer of a key.
+
+use std::collections;
+use std::sync;
+
+use super::{Customer, Desired, Limits, Route, Service};
+use crate::id;
+
+/// One version of the routes, indexed.
+#[derive(Debug, Default)]
+pub struct Table {
+    version: u64,
+    limits: Limits,
+    /// Routes by host, longest prefix first.
+    hosts: collections::HashMap<String, Vec<sync::Arc<Route>>>,
+    services: collections::HashMap<id::Service, sync::Arc<Service>>,
+    customers: Option<collections::HashMap<String, sync::Arc<Customer>>>,
+}
+
+/// What the table says of a request's key.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Match {
+    /// No key is asked for.
+    Open,
+    /// The key is this customer's.
+    Customer(sync::Arc<Customer>),
+    /// No customer holds the key, or there was none.
+    Unknown,
+}
+
+impl Table {
+    /// Indexes `desired`.
+    ///
+    /// ```
+    /// use lagoonline::routing;
+    /// let table = routing::Table::new(routing::Desired::default());
+    /// assert!(table.route("a.example", "/x").is_none());
+    /// assert_eq!(table.version(), 0);
+    /// ```
+    pub fn new(desired: Desired) -> Table {
+        let mut hosts: collections::HashMap<String, Vec<sync::Arc<Route>>> = Default::default();
+        for route in desired.routes {
+            hosts.entry(route.host.clone()).or_default().push(sync::Arc::new(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        let services = desired.services.into_iter();
+        let services = services.map(|service| (service.name.clone(), sync::Arc::new(service)));
+        Table {
+            version: desired.version,
+            limits: desired.limits,
+            hosts,
+            services: services.collect(),
+            customers: desired.customers.map(by_key),
+        }
+    }
+
+    /// The version it was made of.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Bounds on callers.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The route of a request: among those of its host the one with the longest prefix that begins
+    /// the path. A port in `host` is passed over.
+    pub fn route(&self, host: &str, path: &str) -> Option<&sync::Arc<Route>> {
+        let host = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        self.hosts.get(&host)?.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &id::Service) -> Option<&sync::Arc<Service>> {
+        self.services.get(name)
+    }
+
+    /// All services.
+    pub fn services(&self) -> impl Iterator<Item = &sync::Arc<Service>> {
+        self.services.values()
+    }
+
+    /// Whose the key of a request on `route` is.
+    pub fn customer(&self, route: &Route, key: Option<&str>) -> Match {
+        let Some(customers) = &self.customers else { return Match::Open };
+        if let Some(customer) = key.and_then(|key| customers.get(key)) {
+            return Match::Customer(customer.clone());
+        }
+        if route.public { Match::Open } else { Match::Unknown }
+    }
+}
+
+fn by_key(customers: Vec<Customer>) -> collections::HashMap<String, sync::Arc<Customer>> {
+    let mut keys = collections::HashMap::new();
+    for customer in customers {
+        let customer = sync::Arc::new(customer);
+        for key in &customer.keys {
+            keys.insert(key.clone(), customer.clone());
+        }
+    }
+    keys
+}
+
+/// The share of `route` that a request goes to; `draw` is uniform over all numbers.
+pub fn share(route: &Route, draw: u64) -> &super::Share {
+    let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
+    let mut left = if total == 0 { 0 } else { draw % total };
+    for share in &route.shares {
+        if left < u64::from(share.weight) {
+            return share;
+        }
+        left -= u64::from(share.weight);
+    }
+    &route.shares[0]
+}
+
+impl Route {
+    /// The service that one request goes to; `draw` is uniform over all numbers.
+    ///
+    /// # Panics
+    ///
+    /// When the route has no share.
+    pub fn service(&self, draw: u64) -> &id::Service {
+        &share(self, draw).service
+    }
+}
