--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -25,6 +25,8 @@
     writes: bool,
     /// Tokens of memory.
     memory: u64,
+    /// Whether its caller bears only short pauses.
+    tight: bool,
 }
 
 /// An upstream and what is under way on it.
@@ -73,7 +75,7 @@
         self.pace = pace;
     }
 
-    pub(super) fn begin_if_on(&mut self, work: &Work, now: clock::Moment) {
+    pub(super) fn begin_if_on(&mut self, work: &Work, tight: bool, now: clock::Moment) {
         let name = &self.entry.upstream;
         let writes = work.first == *name;
         let helper = work.helpers.iter().position(|helper| helper == name);
@@ -88,7 +90,7 @@
             Some(index) => work.held.get(index).copied().unwrap_or(0),
             None => work.prompt.saturating_sub(elsewhere),
         };
-        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory });
+        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory, tight });
     }
 
     pub(super) fn read_done(&mut self, work: WorkId, now: clock::Moment) {
@@ -150,6 +152,11 @@
         self.parts.iter().filter(|part| part.stage == Stage::Writing).count() as u32
     }
 
+    /// Requests that write, or will, and bear only short pauses.
+    pub(super) fn tight_writers(&self) -> u32 {
+        self.parts.iter().filter(|part| part.writes && part.tight).count() as u32
+    }
+
     /// Milliseconds of a pass in which nothing is read.
     pub(super) fn pass_ms(&self) -> f64 {
         let context = self.parts.iter().filter(|part| part.stage != Stage::Holding);
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -114,6 +114,14 @@
     pub memory_share: f64,
     /// Milliseconds that another zone's upstream must be ahead to be chosen.
     pub remote_ms: f64,
+    /// Longest pause between events of an answer that counts as tight: three passes of writers
+    /// with a part of a prompt in each.
+    pub tight_gap: clock::Span,
+    /// Tight answers that one engine of those kept for them should write: of 16 places some are
+    /// left for a burst.
+    pub tight_writers: u32,
+    /// Milliseconds that an engine on the wrong side of the division must be ahead to be chosen.
+    pub side_ms: f64,
     /// How long an upstream that failed without a word is passed over.
     pub suspect_span: clock::Span,
 }
@@ -125,6 +133,9 @@
             helpers: 16,
             memory_share: 0.92,
             remote_ms: 12.0,
+            tight_gap: clock::Span::from_millis(400),
+            tight_writers: 11,
+            side_ms: 150.0,
             suspect_span: clock::Span::from_secs(1),
         }
     }
@@ -154,7 +165,7 @@
                 None => {
                     let mut engine = Engine::new(entry.clone(), pace);
                     for work in self.works.values() {
-                        engine.begin_if_on(work, clock::Moment::START);
+                        engine.begin_if_on(work, work.gap <= self.settings.tight_gap, clock::Moment::START);
                     }
                     self.upstreams.insert(entry.upstream.clone(), engine);
                 }
@@ -176,7 +187,7 @@
     pub fn begin(&mut self, work: Work, now: clock::Moment) {
         for name in std::iter::once(&work.first).chain(&work.helpers) {
             if let Some(engine) = self.upstreams.get_mut(name) {
-                engine.begin_if_on(&work, now);
+                engine.begin_if_on(&work, work.gap <= self.settings.tight_gap, now);
             }
         }
         self.works.insert(work.id, work);
@@ -276,6 +287,17 @@
         }
     }
 
+    /// How many engines, the first by name, are kept for answers that bear only short pauses.
+    ///
+    /// A long read in a pass delays every writer of its engine; spread evenly, long reads make all
+    /// answers to short prompts late. Kept apart, both are in time; the division moves with the
+    /// answers under way, since the mix swings.
+    fn kept_for_tight(&self, usable: &[&Engine]) -> usize {
+        let tight: u32 = usable.iter().map(|engine| engine.tight_writers()).sum();
+        let wanted = tight.div_ceil(self.settings.tight_writers.max(1)) as usize;
+        wanted.clamp(1, usable.len().saturating_sub(usable.len() / 5).max(1))
+    }
+
     fn place_prompt(
         &self,
         demand: &Demand<'_>,
@@ -284,9 +306,16 @@
     ) -> Result<Placement, Refusal> {
         let parts = (pace.read_ms(demand.prompt) / self.settings.part_ms).ceil() as usize;
         let parts = parts.clamp(1, self.settings.helpers + 1);
+        let tight = demand.gap <= self.settings.tight_gap;
+        let kept = self.kept_for_tight(usable);
         let mut ranked: Vec<(f64, u64, &Engine)> = usable
             .iter()
-            .map(|engine| (self.cost(demand, engine), spread(demand.draw, engine), *engine))
+            .enumerate()
+            .map(|(index, engine)| {
+                let wrong_side = (index < kept) != tight;
+                let side = if wrong_side { self.settings.side_ms } else { 0.0 };
+                (self.cost(demand, engine, tight) + side, spread(demand.draw, engine), *engine)
+            })
             .collect();
         ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         let need = demand.prompt + demand.answer;
@@ -305,10 +334,10 @@
                 reserve: *reserve,
             })
             .collect();
-        let taken: Vec<usize> =
-            holders.iter().map(|(index, _)| *index).chain([first]).collect();
+        let taken: Vec<usize> = holders.iter().map(|(index, _)| *index).chain([first]).collect();
+        let helping = usable.len() - if tight { 0 } else { kept };
         for (index, (_, _, engine)) in ranked.iter().enumerate() {
-            if helpers.len() + 1 >= parts {
+            if helpers.len() + 1 >= parts.min(helping.max(1)) {
                 break;
             }
             if !taken.contains(&index) {
@@ -359,12 +388,16 @@
     }
 
     /// What a placement on `engine` costs, in milliseconds of delay.
-    fn cost(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
+    fn cost(&self, demand: &Demand<'_>, engine: &Engine, tight: bool) -> f64 {
         let remote = if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms };
-        engine.wait_ms() + engine.crowd_ms() + remote
+        let harmed = if tight { 0.0 } else { f64::from(engine.tight_writers()) * HARM_MS };
+        engine.wait_ms() + engine.crowd_ms() + remote + harmed
     }
 }
 
+/// What delaying one tight answer by a part of a long prompt weighs, in milliseconds.
+const HARM_MS: f64 = 10.0;
+
 /// An order of equal choices that differs from draw to draw.
 fn spread(draw: u64, engine: &Engine) -> u64 {
     use std::hash::{Hash, Hasher};
