A broken stream closes its caller's connection and writes nothing more

Cause: an error handed to ntex as the body's next chunk is answered by ntex's control service, whose answer was written into the body that was under way. Ruled out: bytes of the second upstream (its first event is only passed on when whole). Now the connection is closed after what was passed on and the body is held open until it is gone, so no end mark is written.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -33,10 +33,13 @@
 /// What a stream may run beyond its route's time limit, so that one about to end does.
 const OVERTIME: clock::Span = clock::Span::from_millis(150);
 
+/// Longest time for a caller to take what was passed on before its stream broke.
+const CUT: clock::Span = clock::Span::from_secs(1);
+
 /// The body of a streamed answer.
 #[derive(Debug)]
 pub(crate) struct Body {
-    events: mpsc::Receiver<Result<util::Bytes, std::io::Error>>,
+    events: mpsc::Receiver<util::Bytes>,
 }
 
 impl Stream for Body {
@@ -46,7 +49,7 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Self::Item>> {
-        self.events.poll_recv(context)
+        self.events.poll_recv(context).map(|event| event.map(Ok))
     }
 }
 
@@ -69,7 +72,7 @@
     };
     drop(ntex::rt::spawn(async move {
         let left = async {
-            match io {
+            match &io {
                 Some(io) => tokio::select! {
                     () = io.on_disconnect() => {}
                     () = gone.closed() => {}
@@ -77,12 +80,30 @@
                 None => gone.closed().await,
             }
         };
-        relay.run(live, left).await;
+        if relay.run(live, left).await == End::Broken {
+            cut(io.as_ref(), &gone).await;
+        }
         drop(active);
     }));
     Body { events }
 }
 
+/// Closes the caller's connection after what was passed on, without the end mark of the body.
+///
+/// An error handed to the server instead would be written into the body as an answer of its own.
+/// The body must not end either: it is held open until the connection is gone.
+async fn cut(io: Option<&ntex::io::IoRef>, gone: &mpsc::Sender<util::Bytes>) {
+    if let Some(io) = io {
+        io.close();
+    }
+    if tokio::time::timeout(CUT, gone.closed()).await.is_err()
+        && let Some(io) = io
+    {
+        io.terminate();
+        gone.closed().await;
+    }
+}
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
@@ -93,7 +114,7 @@
 
 struct Relay {
     admitted: forward::Admitted,
-    sender: mpsc::Sender<Result<util::Bytes, std::io::Error>>,
+    sender: mpsc::Sender<util::Bytes>,
     /// Bytes of an event that is not whole yet.
     buffer: BytesMut,
     last_event: Option<u64>,
@@ -102,7 +123,7 @@
 }
 
 impl Relay {
-    async fn run<Left>(mut self, live: forward::Live, left: Left)
+    async fn run<Left>(mut self, live: forward::Live, left: Left) -> End
     where
         Left: Future<Output = ()>,
     {
@@ -112,10 +133,11 @@
             end = self.relay(live) => end,
             () = &mut left => End::CallerLeft,
         };
-        self.finish(end).await;
+        self.tell(end);
+        end
     }
 
-    async fn finish(self, end: End) {
+    fn tell(&self, end: End) {
         let (how, reason) = match end {
             End::Whole => ("whole", None),
             End::CallerLeft => ("caller_left", Some(Reason::CallerLeft)),
@@ -129,11 +151,6 @@
             .number("upstreams", self.upstreams)
             .span("after_ms", self.since_arrival())
             .info();
-        if end == End::Broken {
-            let error = std::io::Error::other("the answer broke off");
-            // A caller that left needs no word.
-            drop(self.sender.send(Err(error)).await);
-        }
     }
 
     fn since_arrival(&self) -> clock::Span {
@@ -277,7 +294,7 @@
     }
 
     async fn pass(&mut self, bytes: util::Bytes) -> Result<(), String> {
-        self.sender.send(Ok(bytes)).await.map_err(|_| "the caller left".to_owned())
+        self.sender.send(bytes).await.map_err(|_| "the caller left".to_owned())
     }
 }
 
