--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -26,6 +26,11 @@
 const UNREADY: clock::Span = clock::Span::from_millis(2_500);
 /// Time before the kill at which the process ends by itself.
 const LAST: clock::Span = clock::Span::from_millis(500);
+/// Longest time, in seconds, for requests under way once no more are taken; the process's own end
+/// comes first where it is nearer.
+const SHUTDOWN: u16 = 60;
+/// When a caller turned away by a host that ends may come back: at once, elsewhere.
+const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
 /// Time between two looks at what lapsed.
 const TICK: clock::Span = clock::Span::from_millis(100);
 /// Longest time for a head to arrive, in seconds; callers are told less, see `routing::Limits`.
@@ -91,10 +96,11 @@
     tokio::time::sleep(UNREADY.min(grace / 2)).await;
     state.advance(state::Phase::Draining);
     let left = grace.saturating_sub(state.clock.now().since(started));
+    // Closes idle connections: a request that came on one of them now might not end in time.
+    let stop = callers.stop(true);
     let idle = active.wait_for(|count| *count == 0);
-    let idle = tokio::time::timeout(left, idle).await.is_ok();
-    event::Line::new("drained").number("all_ended", idle).info();
-    callers.stop(true).await;
+    let ended = tokio::time::timeout(left, async { tokio::join!(idle, stop) }).await;
+    event::Line::new("drained").number("all_ended", ended.is_ok()).info();
 }
 
 async fn tick(state: sync::Arc<state::State>) {
@@ -159,7 +165,7 @@
     let server = web::HttpServer::new(factory)
         .workers(1)
         .disable_signals()
-        .shutdown_timeout(ntex::time::Seconds(1))
+        .shutdown_timeout(ntex::time::Seconds(SHUTDOWN))
         .config(config)
         .bind(address)?;
     Ok(server.run())
@@ -193,6 +199,11 @@
     let work = async {
         let request = read(state, request, payload, arrived).await?;
         let id = request.call.request_id.clone();
+        if state.phase() >= state::Phase::Draining {
+            let detail = "this host is shutting down";
+            let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
+            return Err((id, fault.after(ELSEWHERE)));
+        }
         forward::answer(state, request, io.clone()).await.map_err(|fault| (id, fault))
     };
     let result = match &io {
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -25,7 +25,8 @@
     /// How long the platform holds a watch of the desired state open. Each call costs, and a
     /// version counts as confirmed from call to call, so this is well below the bound on keys.
     pub desired_wait: clock::Span,
-    /// How long the platform holds a watch of the upstreams open.
+    /// How long the platform holds a watch of the upstreams open. A connection that fell silent is
+    /// found out after it, and what changed meanwhile must still be in force within the bounds.
     pub upstreams_wait: clock::Span,
     /// Pause after an answer of that watch, in which changes gather: several heartbeats come in
     /// one call. Well below the bound on leaving upstreams.
@@ -43,7 +44,7 @@
         Tuning {
             level: log::LevelFilter::Info,
             desired_wait: clock::Span::from_millis(2_000),
-            upstreams_wait: clock::Span::from_millis(5_000),
+            upstreams_wait: clock::Span::from_millis(2_500),
             upstreams_pause: clock::Span::from_millis(800),
             hosts_wait: clock::Span::from_millis(20_000),
             words_pause: clock::Span::from_millis(40),
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -130,6 +130,7 @@
 
     /// Takes in the whole list of upstreams.
     pub(crate) fn list_upstreams(&self, entries: Vec<routing::Entry>) {
+        event::Line::new("upstreams_read").number("count", entries.len()).info();
         lock(&self.registry).reset(entries, self.clock.now());
         self.refresh_desks();
     }
@@ -142,6 +143,7 @@
         let now = self.clock.now();
         let mut registry = lock(&self.registry);
         for change in changes {
+            log_change(&change);
             registry.apply(change, now);
         }
         drop(registry);
@@ -234,6 +236,20 @@
     }
 }
 
+fn log_change(change: &routing::Change) {
+    match change {
+        routing::Change::Put(entry) => event::Line::new("upstream_listed")
+            .text("upstream", &entry.upstream)
+            .text("service", &entry.service)
+            .text("address", entry.address)
+            .number("leaving", entry.leaving)
+            .info(),
+        routing::Change::Removed(upstream) => {
+            event::Line::new("upstream_vanished").text("upstream", upstream).info();
+        }
+    }
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub(crate) struct Active {
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -98,8 +98,11 @@
         version: u64,
         started: clock::Moment,
     ) -> Result<Option<News>, client::Trouble> {
-        let call = store::feed(self.table, version, self.wait);
-        let reply = self.client.call(&call, self.wait + SLACK).await?;
+        // After a failure the first answer must come at once: it tells since when the store is
+        // back, and entries that vanish later than that have not lapsed but are gone.
+        let wait = if self.failures > 0 { clock::Span::ZERO } else { self.wait };
+        let call = store::feed(self.table, version, wait);
+        let reply = self.client.call(&call, wait + SLACK).await?;
         let store::Reply::Rows(rows) = reply else {
             event::Line::new("history_forgotten")
                 .text("dependency", self.name)
@@ -110,7 +113,7 @@
         };
         self.version = Some(version.max(rows.version));
         // An answer without changes says that there was none while the store waited.
-        let quiet = if rows.rows.is_empty() { started + self.wait } else { started };
+        let quiet = if rows.rows.is_empty() { started + wait } else { started };
         let at = quiet.min(self.clock.now());
         Ok(Some(News { rows: rows.rows, all: false, at, returned: self.failures > 0 }))
     }
