Idle connections are closed by the gateway; a drain no longer cuts streams

Now the gateway closes the idle connections itself and stops the server when the last request has ended.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -15,6 +15,7 @@
 use rand::Rng;
 
 use crate::answer;
+use crate::connection;
 use crate::event;
 use crate::exchange;
 use crate::reserve;
@@ -42,6 +43,17 @@
     }
 }
 
+/// Who waits for the answer; held until its last byte was handed over.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    /// The caller's connection.
+    pub(crate) io: Option<ntex::io::IoRef>,
+    /// Keeps that connection from counting as idle.
+    pub(crate) _busy: Option<connection::Busy>,
+    /// Keeps the process from ending.
+    pub(crate) _active: state::Active,
+}
+
 /// Longest answer of a plain service that is kept until it is whole.
 const WHOLE: usize = 8 << 20;
 /// Longest time for a connection to an upstream: zones are some milliseconds apart, and a lost
@@ -99,14 +111,13 @@
 pub(crate) async fn answer(
     state: &sync::Arc<state::State>,
     request: Request,
-    io: Option<ntex::io::IoRef>,
+    caller: Caller,
 ) -> Result<web::HttpResponse, answer::Fault> {
     let admitted = admit(state, request)?;
-    let active = state.enter();
     let deadline = admitted.deadline;
     let mut may_have_run = false;
     let left = deadline.since(state.clock.now());
-    let work = attempts(admitted, io, active, &mut may_have_run);
+    let work = attempts(admitted, caller, &mut may_have_run);
     match tokio::time::timeout(left, work).await {
         Ok(result) => result,
         Err(_) if may_have_run => Err(answer::Fault {
@@ -175,8 +186,7 @@
 
 async fn attempts(
     admitted: Admitted,
-    io: Option<ntex::io::IoRef>,
-    active: state::Active,
+    caller: Caller,
     may_have_run: &mut bool,
 ) -> Result<web::HttpResponse, answer::Fault> {
     let mut held = request::Held::new(admitted.repeat());
@@ -194,7 +204,7 @@
             Err(miss) => Err(miss),
         };
         let missed = match taken {
-            Ok(taken) => return Ok(taken.deliver(admitted, io, active)),
+            Ok(taken) => return Ok(taken.deliver(admitted, caller)),
             Err(missed) => missed,
         };
         admitted.log_miss(&upstream, &missed);
@@ -243,8 +253,7 @@
     fn deliver(
         self,
         admitted: Admitted,
-        io: Option<ntex::io::IoRef>,
-        active: state::Active,
+        caller: Caller,
     ) -> web::HttpResponse {
         let closing = admitted.state.phase() > state::Phase::Serving;
         match self {
@@ -258,7 +267,7 @@
             }
             Taken::Stream { status, fields, live } => {
                 let mut builder = answer::pass_back(status, &fields, closing);
-                let body = stream::start(admitted, live, io, active);
+                let body = stream::start(admitted, live, caller);
                 builder.streaming(body)
             }
         }
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod clock;
+mod connection;
 mod event;
 mod exchange;
 mod forward;
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -14,6 +14,7 @@
 use tokio::signal::unix;
 
 use crate::answer;
+use crate::connection;
 use crate::event;
 use crate::forward;
 use crate::hosts;
@@ -26,9 +27,10 @@
 const UNREADY: clock::Span = clock::Span::from_millis(2_500);
 /// Time before the kill at which the process ends by itself.
 const LAST: clock::Span = clock::Span::from_millis(500);
-/// Longest time, in seconds, for requests under way once no more are taken; the process's own end
-/// comes first where it is nearer.
-const SHUTDOWN: u16 = 60;
+/// Longest time, in seconds, for connections to close at the end.
+const SHUTDOWN: u16 = 1;
+/// Time for the last answers to leave: two round trips to a caller.
+const FLUSH: clock::Span = clock::Span::from_millis(100);
 /// When a caller turned away by a host that ends may come back: at once, elsewhere.
 const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
 /// Time between two looks at what lapsed.
@@ -96,11 +98,11 @@
     tokio::time::sleep(UNREADY.min(grace / 2)).await;
     state.advance(state::Phase::Draining);
     let left = grace.saturating_sub(state.clock.now().since(started));
-    // Closes idle connections: a request that came on one of them now might not end in time.
-    let stop = callers.stop(true);
-    let idle = active.wait_for(|count| *count == 0);
-    let ended = tokio::time::timeout(left, async { tokio::join!(idle, stop) }).await;
-    event::Line::new("drained").number("all_ended", ended.is_ok()).info();
+    let ended = tokio::time::timeout(left, active.wait_for(|count| *count == 0)).await.is_ok();
+    event::Line::new("drained").number("all_ended", ended).info();
+    // The last answers are still on their way out of the buffers.
+    tokio::time::sleep(FLUSH).await;
+    callers.stop(true).await;
 }
 
 async fn tick(state: sync::Arc<state::State>) {
@@ -151,11 +153,13 @@
     let config = ntex::SharedCfg::new("gateway").add(config);
     let factory = async move || {
         let state = state.clone();
+        let connections = connection::Connections::default();
+        drop(ntex::rt::spawn(close_idle(state.clone(), connections.clone())));
         let handler = move |request: web::HttpRequest, payload: web::types::Payload| {
-            let state = state.clone();
+            let (state, connections) = (state.clone(), connections.clone());
             async move {
                 match side {
-                    Side::Callers => caller(&state, &request, payload).await,
+                    Side::Callers => caller(&state, &connections, &request, payload).await,
                     Side::Ready => look(&state, &request),
                 }
             }
@@ -171,6 +175,13 @@
     Ok(server.run())
 }
 
+/// Closes idle connections once no more requests are taken: one that came on them now might not
+/// end before the process does.
+async fn close_idle(state: sync::Arc<state::State>, connections: connection::Connections) {
+    state.reach(state::Phase::Draining).await;
+    connections.close_idle();
+}
+
 /// Readiness, as the balancer asks for it, and metrics.
 fn look(state: &state::State, request: &web::HttpRequest) -> web::HttpResponse {
     if request.path() == "/metrics" {
@@ -191,11 +202,13 @@
 
 async fn caller(
     state: &sync::Arc<state::State>,
+    connections: &connection::Connections,
     request: &web::HttpRequest,
     payload: web::types::Payload,
 ) -> web::HttpResponse {
     let arrived = state.clock.now();
     let io = request.io().cloned();
+    let busy = io.as_ref().map(|io| connections.busy(io));
     let work = async {
         let request = read(state, request, payload, arrived).await?;
         let id = request.call.request_id.clone();
@@ -204,7 +217,8 @@
             let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
             return Err((id, fault.after(ELSEWHERE)));
         }
-        forward::answer(state, request, io.clone()).await.map_err(|fault| (id, fault))
+        let caller = forward::Caller { io: io.clone(), _busy: busy, _active: state.enter() };
+        forward::answer(state, request, caller).await.map_err(|fault| (id, fault))
     };
     let result = match &io {
         Some(io) => tokio::select! {
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -219,6 +219,12 @@
         });
     }
 
+    /// Waits until the process is as far as `phase`.
+    pub(crate) async fn reach(&self, phase: Phase) {
+        // The sender lives as long as this state, so the wait ends only by a change.
+        drop(self.phase.subscribe().wait_for(|current| *current >= phase).await);
+    }
+
     /// Whether the host may be sent callers.
     pub(crate) fn is_ready(&self) -> bool {
         self.phase() == Phase::Serving && self.table.load().is_some()
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -22,7 +22,6 @@
 use crate::event;
 use crate::exchange;
 use crate::forward;
-use crate::state;
 
 /// Events that wait for a slow caller; while they wait the upstream is not read.
 const WAITING: usize = 64;
@@ -57,8 +56,7 @@
 pub(crate) fn start(
     admitted: forward::Admitted,
     live: forward::Live,
-    io: Option<ntex::io::IoRef>,
-    active: state::Active,
+    caller: forward::Caller,
 ) -> Body {
     let (sender, events) = mpsc::channel(WAITING);
     let gone = sender.clone();
@@ -72,7 +70,7 @@
     };
     drop(ntex::rt::spawn(async move {
         let left = async {
-            match &io {
+            match &caller.io {
                 Some(io) => tokio::select! {
                     () = io.on_disconnect() => {}
                     () = gone.closed() => {}
@@ -81,9 +79,9 @@
             }
         };
         if relay.run(live, left).await == End::Broken {
-            cut(io.as_ref(), &gone).await;
+            cut(caller.io.as_ref(), &gone).await;
         }
-        drop(active);
+        drop(caller);
     }));
     Body { events }
 }
