--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -130,10 +130,7 @@
     }
 }
 
-fn admit(
-    state: &sync::Arc<state::State>,
-    request: Request,
-) -> Result<Admitted, answer::Fault> {
+fn admit(state: &sync::Arc<state::State>, request: Request) -> Result<Admitted, answer::Fault> {
     let Some(table) = state.table() else {
         let detail = "no desired state yet";
         let fault = answer::Fault::not_run(Reason::PlatformDown, Step::Admit, detail);
@@ -246,15 +243,11 @@
     /// The whole answer.
     Whole { status: u16, fields: Vec<head::Field>, body: Bytes },
     /// A stream that has begun.
-    Stream { status: u16, fields: Vec<head::Field>, live: Live },
+    Stream { status: u16, fields: Vec<head::Field>, live: Box<Live> },
 }
 
 impl Taken {
-    fn deliver(
-        self,
-        admitted: Admitted,
-        caller: Caller,
-    ) -> web::HttpResponse {
+    fn deliver(self, admitted: Admitted, caller: Caller) -> web::HttpResponse {
         let closing = admitted.state.phase() > state::Phase::Serving;
         match self {
             Taken::Whole { status, fields, body } => {
@@ -267,7 +260,7 @@
             }
             Taken::Stream { status, fields, live } => {
                 let mut builder = answer::pass_back(status, &fields, closing);
-                let body = stream::start(admitted, live, caller);
+                let body = stream::start(admitted, *live, caller);
                 builder.streaming(body)
             }
         }
@@ -294,8 +287,9 @@
         }
         let Some(desk) = self.state.desk(&self.service) else {
             let detail = format!("{}: no such service", self.service);
-            return Err(answer::Fault::not_run(Reason::NoUpstream, Step::Route, detail)
-                .after(COME_BACK));
+            return Err(
+                answer::Fault::not_run(Reason::NoUpstream, Step::Route, detail).after(COME_BACK)
+            );
         };
         let now = self.state.clock.now();
         let demand = placement::Demand {
@@ -420,7 +414,7 @@
         for field in head::forward(self.request.head(), &dispatch) {
             request = request.header(field.name, field.value);
         }
-        request.body(exchange::Payload::new(hyper::body::Bytes::from(self.request.body.clone())))
+        request.body(exchange::Payload::new(self.request.body.clone()))
     }
 
     /// Rank in an engine: short prompts first.
@@ -440,11 +434,7 @@
     }
 
     /// Checks the head of an answer, and its body unless it is a stream.
-    pub(crate) async fn take_answer(
-        &self,
-        mut live: Live,
-        earlier: usize,
-    ) -> Result<Taken, Miss> {
+    pub(crate) async fn take_answer(&self, mut live: Live, earlier: usize) -> Result<Taken, Miss> {
         let status = live.answer.status().as_u16();
         let headers = live.answer.headers();
         let fields: Vec<_> =
@@ -467,7 +457,7 @@
         let streams = matches!(self.route.kind, routing::Kind::Stream { .. });
         if good && streams {
             live.underway.first_token();
-            return Ok(Taken::Stream { status, fields: passed, live });
+            return Ok(Taken::Stream { status, fields: passed, live: Box::new(live) });
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
         let body = body.map_err(|failure| Miss::Lost(format!("{peer}: {failure}")))?;
@@ -489,13 +479,15 @@
     }
 
     fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
+        let helpers: Vec<_> =
+            placement.helpers.iter().map(|helper| helper.entry.upstream.as_str()).collect();
         event::Line::new("dispatch")
             .text("request", &self.request.call.request_id)
             .text("route", &self.route.name)
             .text("upstream", &placement.first.upstream)
             .number("dispatch", number)
             .number("prompt_tokens", self.request.call.prompt_tokens.unwrap_or(0))
-            .number("helpers", placement.helpers.len())
+            .text("helpers", helpers.join(" "))
             .span("expected_ms", placement.expected)
             .span("left_ms", self.left())
             .info();
--- a/crates/lagoon-gateway/src/logs.rs
+++ b/crates/lagoon-gateway/src/logs.rs
@@ -53,8 +53,8 @@
     }
 
     fn log(&self, record: &log::Record<'_>) {
-        let sent = self.admits(record.level())
-            && self.lines.try_send(record.args().to_string()).is_ok();
+        let sent =
+            self.admits(record.level()) && self.lines.try_send(record.args().to_string()).is_ok();
         if !sent {
             self.dropped.fetch_add(1, atomic::Ordering::Relaxed);
         }
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -78,8 +78,7 @@
 ) -> Result<Held, String> {
     let mut ordered = wanted.to_vec();
     ordered.sort_by(|a, b| a.0.upstream.cmp(&b.0.upstream));
-    let mut held =
-        Held { state: state.clone(), tickets: Vec::new(), alive: sync::Arc::new(()) };
+    let mut held = Held { state: state.clone(), tickets: Vec::new(), alive: sync::Arc::new(()) };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
         let ticket = Ticket { id: format!("{name}-{index}"), entry, tokens };
         let body = engine::reserve(&ticket.id, tokens, hold(state));
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -262,9 +262,9 @@
         .collect();
     let pairs = fields.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
     let call = head::read_call(pairs);
-    let most = state.table().map_or(routing::Limits::default().body_bytes, |table| {
-        table.limits().body_bytes
-    });
+    let most = state
+        .table()
+        .map_or(routing::Limits::default().body_bytes, |table| table.limits().body_bytes);
     let body = whole(payload, most).await.map_err(|fault| (call.request_id.clone(), fault))?;
     let host = request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -107,7 +107,6 @@
 }
 
 fn prefixed(file: &path::Path, faults: &[String]) -> String {
-    let lines: Vec<_> =
-        faults.iter().map(|fault| format!("{}: {fault}", file.display())).collect();
+    let lines: Vec<_> = faults.iter().map(|fault| format!("{}: {fault}", file.display())).collect();
     lines.join("\n")
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -54,6 +54,8 @@
     table: ArcSwapOption<routing::Table>,
     confirmation: sync::Mutex<routing::Confirmation>,
     registry: sync::Mutex<routing::Registry>,
+    /// Whether the list of upstreams was ever read.
+    listed: atomic::AtomicBool,
     desks: ArcSwap<Desks>,
     phase: watch::Sender<Phase>,
     active: watch::Sender<usize>,
@@ -80,6 +82,7 @@
             table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
             registry: sync::Mutex::default(),
+            listed: atomic::AtomicBool::new(false),
             desks: ArcSwap::default(),
             phase: watch::Sender::new(Phase::Serving),
             active: watch::Sender::new(0),
@@ -131,6 +134,7 @@
     /// Takes in the whole list of upstreams.
     pub(crate) fn list_upstreams(&self, entries: Vec<routing::Entry>) {
         event::Line::new("upstreams_read").number("count", entries.len()).info();
+        self.listed.store(true, atomic::Ordering::Relaxed);
         lock(&self.registry).reset(entries, self.clock.now());
         self.refresh_desks();
     }
@@ -227,7 +231,8 @@
 
     /// Whether the host may be sent callers.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase() == Phase::Serving && self.table.load().is_some()
+        let listed = self.listed.load(atomic::Ordering::Relaxed);
+        self.phase() == Phase::Serving && self.table.load().is_some() && listed
     }
 
     /// Counts a request as under way until the guard is dropped.
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -67,6 +67,8 @@
         buffer: BytesMut::new(),
         events: 0,
         upstreams: 1,
+        passed: clock::Moment::START,
+        longest_pause: clock::Span::ZERO,
     };
     drop(ntex::rt::spawn(async move {
         let left = async {
@@ -118,6 +120,9 @@
     last_event: Option<u64>,
     events: u64,
     upstreams: u32,
+    /// When the last event was passed on, and the longest pause before one.
+    passed: clock::Moment,
+    longest_pause: clock::Span,
 }
 
 impl Relay {
@@ -147,6 +152,7 @@
             .text("how", how)
             .number("events", self.events)
             .number("upstreams", self.upstreams)
+            .span("longest_pause_ms", self.longest_pause)
             .span("after_ms", self.since_arrival())
             .info();
     }
@@ -206,7 +212,7 @@
             missed = match taken {
                 Ok(forward::Taken::Stream { live, .. }) => {
                     self.upstreams += 1;
-                    return Some(live);
+                    return Some(*live);
                 }
                 Ok(forward::Taken::Whole { status, .. }) => {
                     forward::Miss::Lost(format!("{upstream}: answered with status {status}"))
@@ -270,10 +276,19 @@
                 self.log_first();
             }
             self.events += 1;
+            self.note_pause();
         }
         Ok(())
     }
 
+    fn note_pause(&mut self) {
+        let now = self.admitted.state.clock.now();
+        if self.events > 1 {
+            self.longest_pause = self.longest_pause.max(now.since(self.passed));
+        }
+        self.passed = now;
+    }
+
     fn log_first(&self) {
         event::Line::new("first_event")
             .text("request", &self.admitted.request.call.request_id)
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -25,8 +25,8 @@
     writes: bool,
     /// Tokens of memory.
     memory: u64,
-    /// Whether its caller bears only short pauses.
-    tight: bool,
+    /// Longest pause that its caller bears, in milliseconds.
+    gap_ms: f64,
 }
 
 /// An upstream and what is under way on it.
@@ -75,7 +75,7 @@
         self.pace = pace;
     }
 
-    pub(super) fn begin_if_on(&mut self, work: &Work, tight: bool, now: clock::Moment) {
+    pub(super) fn begin_if_on(&mut self, work: &Work, now: clock::Moment) {
         let name = &self.entry.upstream;
         let writes = work.first == *name;
         let helper = work.helpers.iter().position(|helper| helper == name);
@@ -90,7 +90,8 @@
             Some(index) => work.held.get(index).copied().unwrap_or(0),
             None => work.prompt.saturating_sub(elsewhere),
         };
-        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory, tight });
+        let gap_ms = work.gap.as_secs_f64() * 1e3;
+        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory, gap_ms });
     }
 
     pub(super) fn read_done(&mut self, work: WorkId, now: clock::Moment) {
@@ -119,10 +120,16 @@
         self.suspect_until.is_some_and(|until| until > now)
     }
 
-    /// Lets what is under way go on until `now`: prompts are read one after the other.
+    /// Lets what is under way go on until `now`: prompts are read one after the other, and between
+    /// them the writers make their steps.
     pub(super) fn advance(&mut self, now: clock::Moment) {
-        let mut budget = now.since(self.advanced).as_secs_f64() * 1e3;
+        let span = now.since(self.advanced).as_secs_f64() * 1e3;
         self.advanced = self.advanced.max(now);
+        let reading = self.reading_ms();
+        if reading <= 0.0 {
+            return;
+        }
+        let mut budget = span * reading / (reading + self.pass_ms());
         for part in &mut self.parts {
             if let Stage::Reading(left) = &mut part.stage {
                 let done = left.min(budget);
@@ -152,9 +159,17 @@
         self.parts.iter().filter(|part| part.stage == Stage::Writing).count() as u32
     }
 
-    /// Requests that write, or will, and bear only short pauses.
-    pub(super) fn tight_writers(&self) -> u32 {
-        self.parts.iter().filter(|part| part.writes && part.tight).count() as u32
+    /// Requests that write, or will, and bear only pauses up to `gap_ms`.
+    pub(super) fn tight_writers(&self, gap_ms: f64) -> u32 {
+        self.parts.iter().filter(|part| part.writes && part.gap_ms <= gap_ms).count() as u32
+    }
+
+    /// Writers whose pause would be too long if a prompt that takes `read_ms` were read beside
+    /// them: a pass lasts for its steps and all reads that wait for it.
+    pub(super) fn harmed(&self, read_ms: f64, margin_ms: f64) -> u32 {
+        let pass = self.pass_ms() + self.reading_ms() + read_ms + margin_ms;
+        let writes = |part: &&Part| part.stage == Stage::Writing && part.gap_ms < pass;
+        self.parts.iter().filter(writes).count() as u32
     }
 
     /// Milliseconds of a pass in which nothing is read.
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -122,6 +122,11 @@
     pub tight_writers: u32,
     /// Milliseconds that an engine on the wrong side of the division must be ahead to be chosen.
     pub side_ms: f64,
+    /// Milliseconds of delay that one answer made late is worth.
+    pub harm_ms: f64,
+    /// Milliseconds by which pauses vary on the way to a caller and by what this host has not
+    /// heard of.
+    pub margin_ms: f64,
     /// How long an upstream that failed without a word is passed over.
     pub suspect_span: clock::Span,
 }
@@ -136,6 +141,8 @@
             tight_gap: clock::Span::from_millis(400),
             tight_writers: 11,
             side_ms: 150.0,
+            harm_ms: 60.0,
+            margin_ms: 30.0,
             suspect_span: clock::Span::from_secs(1),
         }
     }
@@ -165,7 +172,7 @@
                 None => {
                     let mut engine = Engine::new(entry.clone(), pace);
                     for work in self.works.values() {
-                        engine.begin_if_on(work, work.gap <= self.settings.tight_gap, clock::Moment::START);
+                        engine.begin_if_on(work, clock::Moment::START);
                     }
                     self.upstreams.insert(entry.upstream.clone(), engine);
                 }
@@ -187,7 +194,7 @@
     pub fn begin(&mut self, work: Work, now: clock::Moment) {
         for name in std::iter::once(&work.first).chain(&work.helpers) {
             if let Some(engine) = self.upstreams.get_mut(name) {
-                engine.begin_if_on(&work, work.gap <= self.settings.tight_gap, now);
+                engine.begin_if_on(&work, now);
             }
         }
         self.works.insert(work.id, work);
@@ -280,11 +287,7 @@
             (used + remote * 300, spread(demand.draw, engine))
         };
         let first = usable.iter().min_by_key(cost).map_or(usable[0], |engine| *engine);
-        Placement {
-            first: first.entry().clone(),
-            helpers: Vec::new(),
-            expected: clock::Span::ZERO,
-        }
+        Placement { first: first.entry().clone(), helpers: Vec::new(), expected: clock::Span::ZERO }
     }
 
     /// How many engines, the first by name, are kept for answers that bear only short pauses.
@@ -293,7 +296,8 @@
     /// answers to short prompts late. Kept apart, both are in time; the division moves with the
     /// answers under way, since the mix swings.
     fn kept_for_tight(&self, usable: &[&Engine]) -> usize {
-        let tight: u32 = usable.iter().map(|engine| engine.tight_writers()).sum();
+        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
+        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
         let wanted = tight.div_ceil(self.settings.tight_writers.max(1)) as usize;
         wanted.clamp(1, usable.len().saturating_sub(usable.len() / 5).max(1))
     }
@@ -304,99 +308,114 @@
         usable: &[&Engine],
         pace: pass::Pace,
     ) -> Result<Placement, Refusal> {
-        let parts = (pace.read_ms(demand.prompt) / self.settings.part_ms).ceil() as usize;
-        let parts = parts.clamp(1, self.settings.helpers + 1);
+        let total_ms = pace.read_ms(demand.prompt);
+        let wish = (total_ms / self.settings.part_ms).ceil() as usize;
+        let wish = wish.clamp(1, (self.settings.helpers + 1).min(usable.len()));
+        let part_ms = total_ms / wish as f64;
         let tight = demand.gap <= self.settings.tight_gap;
         let kept = self.kept_for_tight(usable);
-        let mut ranked: Vec<(f64, u64, &Engine)> = usable
-            .iter()
-            .enumerate()
-            .map(|(index, engine)| {
-                let wrong_side = (index < kept) != tight;
-                let side = if wrong_side { self.settings.side_ms } else { 0.0 };
-                (self.cost(demand, engine, tight) + side, spread(demand.draw, engine), *engine)
-            })
-            .collect();
-        ranked.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let side = |index: usize| if (index < kept) == tight { 0.0 } else { self.settings.side_ms };
+        let firsts = self.rank(demand, usable, |index, engine| {
+            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine) + side(index)
+        });
         let need = demand.prompt + demand.answer;
         let share = self.settings.memory_share;
-        let room = |engine: &Engine| engine.room(share);
         // The first engine writes: it needs the memory, or helpers that hold a part of it.
-        let fits = ranked.iter().position(|(_, _, engine)| room(engine) >= need);
+        let fits = firsts.iter().find(|index| usable[**index].room(share) >= need);
         let (first, holders) = match fits {
-            Some(index) => (index, Vec::new()),
-            None => self.holders(&ranked, need)?,
+            Some(index) => (*index, Vec::new()),
+            None => self.holders(usable, need)?,
         };
-        let mut helpers: Vec<Helper> = holders
-            .iter()
-            .map(|(index, reserve)| Helper {
-                entry: ranked[*index].2.entry().clone(),
-                reserve: *reserve,
-            })
-            .collect();
-        let taken: Vec<usize> = holders.iter().map(|(index, _)| *index).chain([first]).collect();
-        let helping = usable.len() - if tight { 0 } else { kept };
-        for (index, (_, _, engine)) in ranked.iter().enumerate() {
-            if helpers.len() + 1 >= parts.min(helping.max(1)) {
+        let mut chosen: Vec<(usize, u64)> = holders;
+        // Reading a part delays the short prompts behind it a little, wherever it is read.
+        let helpers = self.rank(demand, usable, |index, engine| {
+            self.cost(engine, part_ms) + side(index) * HELPER_SIDE
+        });
+        for index in helpers {
+            if chosen.len() + 1 >= wish {
                 break;
             }
-            if !taken.contains(&index) {
-                helpers.push(Helper { entry: engine.entry().clone(), reserve: 0 });
+            if index != first && chosen.iter().all(|(other, _)| *other != index) {
+                chosen.push((index, 0));
             }
         }
-        let engine = ranked[first].2;
-        let part = pace.part_ms(demand.prompt, helpers.len() as u32 + 1);
-        let expected = engine.wait_ms() + part;
+        let part_ms = total_ms / (chosen.len() + 1) as f64;
+        let parts = chosen.iter().map(|(index, _)| *index).chain([first]);
+        let waits = parts.map(|index| usable[index].wait_ms());
+        let expected = waits.fold(0.0, f64::max) + part_ms;
+        let helper = |(index, reserve): &(usize, u64)| Helper {
+            entry: usable[*index].entry().clone(),
+            reserve: *reserve,
+        };
         Ok(Placement {
-            first: engine.entry().clone(),
-            helpers,
+            first: usable[first].entry().clone(),
+            helpers: chosen.iter().map(helper).collect(),
             expected: clock::Span::try_from_secs_f64(expected / 1e3).unwrap_or_default(),
         })
     }
 
+    /// The indices of `usable` by cost, equal ones in an order that differs from draw to draw.
+    fn rank<Cost>(&self, demand: &Demand<'_>, usable: &[&Engine], cost: Cost) -> Vec<usize>
+    where
+        Cost: Fn(usize, &Engine) -> f64,
+    {
+        let keyed = usable.iter().enumerate();
+        let mut keyed: Vec<(f64, u64, usize)> = keyed
+            .map(|(index, engine)| (cost(index, engine), spread(demand.draw, engine), index))
+            .collect();
+        keyed.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        keyed.into_iter().map(|(_, _, index)| index).collect()
+    }
+
     /// Engines that hold a prompt larger than any one of them: the one with most room first, and
-    /// as few others as hold the rest.
+    /// as few others as hold the rest, each with the tokens to reserve on it.
     fn holders(
         &self,
-        ranked: &[(f64, u64, &Engine)],
+        usable: &[&Engine],
         need: u64,
     ) -> Result<(usize, Vec<(usize, u64)>), Refusal> {
         let share = self.settings.memory_share;
-        let total: u64 = ranked.iter().map(|(_, _, engine)| engine.memory(share)).sum();
+        let total: u64 = usable.iter().map(|engine| engine.memory(share)).sum();
         if need > total {
             return Err(Refusal::TooLong);
         }
-        let mut by_room: Vec<usize> = (0..ranked.len()).collect();
-        by_room.sort_by_key(|index| std::cmp::Reverse(ranked[*index].2.room(share)));
+        let mut by_room: Vec<usize> = (0..usable.len()).collect();
+        by_room.sort_by_key(|index| std::cmp::Reverse(usable[*index].room(share)));
         let first = by_room[0];
-        let mut left = need.saturating_sub(ranked[first].2.room(share));
+        let mut left = need.saturating_sub(usable[first].room(share));
         let mut holders = Vec::new();
         for index in by_room.into_iter().skip(1).take(self.settings.helpers) {
             if left == 0 {
                 break;
             }
-            let part = left.min(ranked[index].2.room(share));
+            let part = left.min(usable[index].room(share));
             if part > 0 {
                 holders.push((index, part));
                 left -= part;
             }
         }
         if left > 0 {
-            return Err(Refusal::Full(clock::Span::from_millis(500)));
+            return Err(Refusal::Full(FULL));
         }
         Ok((first, holders))
     }
 
-    /// What a placement on `engine` costs, in milliseconds of delay.
-    fn cost(&self, demand: &Demand<'_>, engine: &Engine, tight: bool) -> f64 {
-        let remote = if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms };
-        let harmed = if tight { 0.0 } else { f64::from(engine.tight_writers()) * HARM_MS };
-        engine.wait_ms() + engine.crowd_ms() + remote + harmed
+    /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
+    /// the writers that it makes late.
+    fn cost(&self, engine: &Engine, part_ms: f64) -> f64 {
+        let harmed = engine.harmed(part_ms, self.settings.margin_ms);
+        engine.wait_ms() + f64::from(harmed) * self.settings.harm_ms
+    }
+
+    fn far(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
+        if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms }
     }
 }
 
-/// What delaying one tight answer by a part of a long prompt weighs, in milliseconds.
-const HARM_MS: f64 = 10.0;
+/// When memory is expected to be free again: a long answer is written in a second or two.
+const FULL: clock::Span = clock::Span::from_millis(500);
+/// Part of the division's weight that counts against reading a part on the wrong side.
+const HELPER_SIDE: f64 = 0.4;
 
 /// An order of equal choices that differs from draw to draw.
 fn spread(draw: u64, engine: &Engine) -> u64 {
