--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -69,6 +69,8 @@
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
 /// within this.
 const COME_BACK: clock::Span = clock::Span::from_millis(400);
+/// Time between two looks for free memory: a fortieth of the time that a long answer takes.
+const MEMORY_PAUSE: clock::Span = clock::Span::from_millis(60);
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
 
@@ -92,6 +94,14 @@
     pub(crate) upstream: id::Upstream,
 }
 
+/// A place for a request, and the memory reserved there.
+#[derive(Debug)]
+pub(crate) struct Secured {
+    pub(crate) placement: placement::Placement,
+    id: placement::WorkId,
+    reserved: Option<reserve::Held>,
+}
+
 /// Why an attempt brought no answer that can be passed on.
 #[derive(Debug)]
 pub(crate) enum Miss {
@@ -191,12 +201,12 @@
     let mut refusals = 0;
     let mut lost = false;
     loop {
-        let placement = admitted.place(&avoid)?;
-        let upstream = placement.first.upstream.clone();
+        let secured = admitted.secure(&avoid).await?;
+        let upstream = secured.placement.first.upstream.clone();
         let dispatched = held.dispatch(id::Attempt(0));
         *may_have_run = true;
         let resume = admitted.request.call.last_event;
-        let taken = match admitted.attempt(placement, resume).await {
+        let taken = match admitted.attempt(secured, resume).await {
             Ok(live) => admitted.take_answer(live, avoid.len()).await,
             Err(miss) => Err(miss),
         };
@@ -277,6 +287,66 @@
         self.deadline.since(self.state.clock.now())
     }
 
+    /// A place for the request, with the memory that it needs reserved. While there is none, the
+    /// request waits: memory is free again when a long answer ends.
+    pub(crate) async fn secure(&self, avoid: &[id::Upstream]) -> Result<Secured, answer::Fault> {
+        let first_try = self.state.clock.now();
+        loop {
+            let waited = self.state.clock.now().since(first_try);
+            let may_wait = waited < self.route.target && self.left() > self.route.target / 2;
+            let placement = match self.place(avoid) {
+                Ok(placement) => placement,
+                Err(fault) if fault.reason == Reason::Saturated && may_wait => {
+                    tokio::time::sleep(MEMORY_PAUSE).await;
+                    continue;
+                }
+                Err(fault) => return Err(fault),
+            };
+            let id = self.state.next_work();
+            match self.reserve(&placement, id).await {
+                Ok(reserved) => return Ok(Secured { placement, id, reserved }),
+                Err(refusal) => {
+                    event::Line::new("not_reserved")
+                        .text("request", &self.request.call.request_id)
+                        .text("upstream", &refusal.upstream)
+                        .text("detail", &refusal.detail)
+                        .span("waited_ms", waited)
+                        .info();
+                    if let Some(desk) = self.state.desk(&self.service) {
+                        let now = self.state.clock.now();
+                        state::lock(&desk).board.full(&refusal.upstream, now);
+                    }
+                    if !may_wait {
+                        let fault = answer::Fault::not_run(
+                            Reason::Saturated,
+                            Step::Route,
+                            refusal.to_string(),
+                        );
+                        return Err(fault.after(COME_BACK));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn reserve(
+        &self,
+        placement: &placement::Placement,
+        id: placement::WorkId,
+    ) -> Result<Option<reserve::Held>, reserve::Refusal> {
+        let helpers = placement.helpers.iter().map(|helper| (&helper.entry, helper.reserve));
+        let wanted: Vec<_> = std::iter::once((&placement.first, placement.reserve))
+            .chain(helpers)
+            .filter(|(_, tokens)| *tokens > 0)
+            .map(|(entry, tokens)| (entry.clone(), tokens))
+            .collect();
+        if wanted.is_empty() {
+            return Ok(None);
+        }
+        let name = format!("{:x}-{}", self.state.number, id.number);
+        reserve::take(&self.state, &name, &wanted).await.map(Some)
+    }
+
     /// Where the request goes next.
     pub(crate) fn place(
         &self,
@@ -347,22 +417,10 @@
     /// Sends the request to an upstream and waits for the head of its answer.
     pub(crate) async fn attempt(
         &self,
-        placement: placement::Placement,
+        secured: Secured,
         last_event: Option<u64>,
     ) -> Result<Live, Miss> {
-        let wanted: Vec<_> = placement
-            .helpers
-            .iter()
-            .filter(|helper| helper.reserve > 0)
-            .map(|helper| (helper.entry.clone(), helper.reserve))
-            .collect();
-        let work_id = self.state.next_work();
-        let reserved = if wanted.is_empty() {
-            None
-        } else {
-            let name = format!("{:x}-{}", self.state.number, work_id.number);
-            Some(reserve::take(&self.state, &name, &wanted).await.map_err(Miss::Unsent)?)
-        };
+        let Secured { placement, id: work_id, reserved } = secured;
         let first = &placement.first;
         let connect = CONNECT.min(self.left());
         let opened = exchange::Exchange::open(first.address, connect).await;
@@ -400,12 +458,14 @@
             let ticket = reserved.and_then(|held| held.on(&helper.entry.upstream));
             engine::helper(helper.entry.address, ticket)
         };
+        let own = reserved.and_then(|held| held.on(&placement.first.upstream));
+        let own = own.map(|ticket| engine::helper(placement.first.address, Some(ticket)));
         let dispatch = head::Dispatch {
             upstream: placement.first.upstream.clone(),
             customer: self.customer.clone(),
             time_left: self.left(),
             rank: self.rank(),
-            helpers: placement.helpers.iter().map(helper).collect(),
+            helpers: own.into_iter().chain(placement.helpers.iter().map(helper)).collect(),
             last_event,
         };
         let mut request = hyper::Request::builder()
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -10,6 +10,7 @@
 
 use lagoon_platform::{engine, head};
 use lagoonline::clock::Clock as _;
+use lagoonline::id;
 use lagoonline::routing;
 
 use crate::event;
@@ -47,7 +48,7 @@
 
 impl Held {
     /// The ticket on the engine `upstream`.
-    pub(crate) fn on(&self, upstream: &lagoonline::id::Upstream) -> Option<&str> {
+    pub(crate) fn on(&self, upstream: &id::Upstream) -> Option<&str> {
         let found = self.tickets.iter().find(|ticket| ticket.entry.upstream == *upstream);
         found.map(|ticket| ticket.id.as_str())
     }
@@ -61,6 +62,14 @@
     }
 }
 
+/// An engine did not reserve memory.
+#[derive(Clone, Debug, thiserror::Error)]
+#[error("{upstream}: no reservation: {detail}")]
+pub(crate) struct Refusal {
+    pub(crate) upstream: id::Upstream,
+    pub(crate) detail: String,
+}
+
 fn hold(state: &state::State) -> time::Duration {
     let bounds = &state.settings.node.bounds;
     bounds.free.mul_f64(HOLD_SHARE).min(bounds.hold)
@@ -70,12 +79,12 @@
 ///
 /// # Errors
 ///
-/// The engine that did not grant it, and why; what was granted is released.
+/// The engine that did not grant it; what was granted is released.
 pub(crate) async fn take(
     state: &sync::Arc<state::State>,
     name: &str,
     wanted: &[(routing::Entry, u64)],
-) -> Result<Held, String> {
+) -> Result<Held, Refusal> {
     let mut ordered = wanted.to_vec();
     ordered.sort_by(|a, b| a.0.upstream.cmp(&b.0.upstream));
     let mut held = Held { state: state.clone(), tickets: Vec::new(), alive: sync::Arc::new(()) };
@@ -87,8 +96,8 @@
         state.metrics.reservations.inc();
         let status = order(&ticket.entry, body).await;
         if !matches!(status, Ok(200)) {
-            let status = status.map_or_else(|error| error.to_string(), |code| code.to_string());
-            return Err(format!("{}: {status}", ticket.entry.upstream));
+            let detail = status.map_or_else(|error| error.to_string(), |code| code.to_string());
+            return Err(Refusal { upstream: ticket.entry.upstream, detail });
         }
     }
     let alive = sync::Arc::downgrade(&held.alive);
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -47,7 +47,7 @@
             upstreams_wait: clock::Span::from_millis(2_500),
             upstreams_pause: clock::Span::from_millis(800),
             hosts_wait: clock::Span::from_millis(20_000),
-            words_pause: clock::Span::from_millis(40),
+            words_pause: clock::Span::from_millis(8),
             placement: placement::Settings::default(),
         }
     }
@@ -62,8 +62,18 @@
             clock::Span::from_millis(reader.number(name, span, 1..=most))
         };
         let level = reader.parsed("level", "off, error, warn, info, debug or trace");
+        let figure = |name: &str, value: f64| reader.float(name, value, 0.0..=10_000.0);
         let placement = placement::Settings {
             part_ms: reader.float("part_ms", default.placement.part_ms, 1.0..=10_000.0),
+            loose_part_ms: reader.float(
+                "loose_part_ms",
+                default.placement.loose_part_ms,
+                1.0..=10_000.0,
+            ),
+            target_share: figure("target_share", default.placement.target_share),
+            jitter_ms: figure("jitter_ms", default.placement.jitter_ms),
+            harm_ms: figure("harm_ms", default.placement.harm_ms),
+            margin_ms: figure("margin_ms", default.placement.margin_ms),
             ..default.placement
         };
         Tuning {
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -203,9 +203,9 @@
         let mut refusals = 0;
         while self.admitted.may_try_again(self.upstreams, refusals, &missed) {
             self.admitted.state.metrics.repeats.inc();
-            let placement = self.admitted.place(avoid).ok()?;
-            let upstream = placement.first.upstream.clone();
-            let taken = match self.admitted.attempt(placement, self.last_event).await {
+            let secured = self.admitted.secure(avoid).await.ok()?;
+            let upstream = secured.placement.first.upstream.clone();
+            let taken = match self.admitted.attempt(secured, self.last_event).await {
                 Ok(live) => self.admitted.take_answer(live, avoid.len()).await,
                 Err(miss) => Err(miss),
             };
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -38,6 +38,7 @@
     advanced: clock::Moment,
     suspect_until: Option<clock::Moment>,
     failures: u32,
+    full_until: Option<clock::Moment>,
 }
 
 impl Engine {
@@ -49,6 +50,7 @@
             advanced: clock::Moment::START,
             suspect_until: None,
             failures: 0,
+            full_until: None,
         }
     }
 
@@ -111,6 +113,10 @@
         self.suspect_until = Some(now + span * self.failures);
     }
 
+    pub(super) fn full(&mut self, until: clock::Moment) {
+        self.full_until = Some(until);
+    }
+
     pub(super) fn answered(&mut self) {
         self.failures = 0;
         self.suspect_until = None;
@@ -195,6 +201,9 @@
 
     /// Tokens of memory that are free, as far as is known.
     pub(super) fn room(&self, share: f64) -> u64 {
+        if self.full_until.is_some_and(|until| until > self.advanced) {
+            return 0;
+        }
         let used: u64 = self.parts.iter().map(|part| part.memory).sum();
         self.memory(share).saturating_sub(used)
     }
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -71,6 +71,8 @@
 pub struct Placement {
     /// The upstream that gets it.
     pub first: routing::Entry,
+    /// Tokens of memory to reserve on it; 0 for none.
+    pub reserve: u64,
     /// Engines that read parts of the prompt, in the order in which they are named to the first.
     pub helpers: Vec<Helper>,
     /// When its first token is expected, from now.
@@ -107,11 +109,21 @@
     /// a pass of writers (some 50 ms) and two such parts stay below the pause of 250 ms that
     /// answers to short prompts bear.
     pub part_ms: f64,
-    /// Engines that may help with one prompt, the most that an engine takes.
+    /// The same for prompts whose answers bear longer pauses, in milliseconds. Smaller parts wait
+    /// for more engines, and the first token comes after the last of them.
+    pub loose_part_ms: f64,
+    /// Engines that may help with one prompt: one less than an engine takes names of, since its own
+    /// reservation is named as well.
     pub helpers: usize,
     /// Part of an engine's memory that is planned with; the rest is for answers and for what this
     /// host has not heard of.
     pub memory_share: f64,
+    /// A prompt that needs more than this part of an engine's memory reserves it before it is sent:
+    /// two such prompts, sent at once by hosts that do not know of each other, do not fit together,
+    /// and the second waits in the engine for seconds until the first has ended.
+    pub reserve_share: f64,
+    /// How long an engine that had no memory to reserve is taken for full.
+    pub full_span: clock::Span,
     /// Milliseconds that another zone's upstream must be ahead to be chosen.
     pub remote_ms: f64,
     /// Longest pause between events of an answer that counts as tight: three passes of writers
@@ -120,8 +132,11 @@
     /// Tight answers that one engine of those kept for them should write: of 16 places some are
     /// left for a burst.
     pub tight_writers: u32,
-    /// Milliseconds that an engine on the wrong side of the division must be ahead to be chosen.
-    pub side_ms: f64,
+    /// Part of the time left to the first token within which a plan is good enough: a worse one
+    /// may use engines of the other side of the division.
+    pub target_share: f64,
+    /// Milliseconds by which equal choices are spread.
+    pub jitter_ms: f64,
     /// Milliseconds of delay that one answer made late is worth.
     pub harm_ms: f64,
     /// Milliseconds by which pauses vary on the way to a caller and by what this host has not
@@ -135,12 +150,16 @@
     fn default() -> Self {
         Settings {
             part_ms: 60.0,
-            helpers: 16,
+            loose_part_ms: 60.0,
+            helpers: 15,
             memory_share: 0.92,
+            reserve_share: 0.25,
+            full_span: clock::Span::from_millis(150),
             remote_ms: 12.0,
             tight_gap: clock::Span::from_millis(400),
             tight_writers: 11,
-            side_ms: 150.0,
+            target_share: 0.5,
+            jitter_ms: 20.0,
             harm_ms: 60.0,
             margin_ms: 30.0,
             suspect_span: clock::Span::from_secs(1),
@@ -228,6 +247,14 @@
         }
     }
 
+    /// An engine had no memory to reserve: it is taken for full for a moment.
+    pub fn full(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+        let until = now + self.settings.full_span;
+        if let Some(engine) = self.upstreams.get_mut(upstream) {
+            engine.full(until);
+        }
+    }
+
     /// An upstream answered.
     pub fn answered(&mut self, upstream: &id::Upstream) {
         if let Some(engine) = self.upstreams.get_mut(upstream) {
@@ -287,7 +314,7 @@
             (used + remote * 300, spread(demand.draw, engine))
         };
         let first = usable.iter().min_by_key(cost).map_or(usable[0], |engine| *engine);
-        Placement { first: first.entry().clone(), helpers: Vec::new(), expected: clock::Span::ZERO }
+        Placement { first: first.entry().clone(), reserve: 0, helpers: Vec::new(), expected: clock::Span::ZERO }
     }
 
     /// How many engines, the first by name, are kept for answers that bear only short pauses.
@@ -308,63 +335,125 @@
         usable: &[&Engine],
         pace: pass::Pace,
     ) -> Result<Placement, Refusal> {
-        let total_ms = pace.read_ms(demand.prompt);
-        let wish = (total_ms / self.settings.part_ms).ceil() as usize;
-        let wish = wish.clamp(1, (self.settings.helpers + 1).min(usable.len()));
-        let part_ms = total_ms / wish as f64;
         let tight = demand.gap <= self.settings.tight_gap;
         let kept = self.kept_for_tight(usable);
-        let side = |index: usize| if (index < kept) == tight { 0.0 } else { self.settings.side_ms };
-        let firsts = self.rank(demand, usable, |index, engine| {
-            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine) + side(index)
+        let total_ms = pace.read_ms(demand.prompt);
+        let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
+        let enough = demand.target.as_secs_f64() * 1e3 * self.settings.target_share;
+        let mut best: Option<Plan> = None;
+        let mut refusal = Refusal::NoUpstream;
+        for side in [Side::Unharmed, Side::Own, Side::Any] {
+            let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
+            match self.plan(demand, usable, &eligible, total_ms, part_ms) {
+                Ok(plan) => {
+                    let better = best.as_ref().is_none_or(|best| plan.expected < best.expected);
+                    if better {
+                        best = Some(plan);
+                    }
+                }
+                Err(error) => refusal = error,
+            }
+            if best.as_ref().is_some_and(|best| best.expected <= enough) {
+                break;
+            }
+        }
+        let plan = best.ok_or(refusal)?;
+        let helper = |(index, reserve): &(usize, u64)| Helper {
+            entry: usable[*index].entry().clone(),
+            reserve: *reserve,
+        };
+        let held: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
+        let need = (demand.prompt + demand.answer).saturating_sub(held);
+        let large = need as f64 > pace.memory_tokens as f64 * self.settings.reserve_share;
+        Ok(Placement {
+            first: usable[plan.first].entry().clone(),
+            reserve: if large { need } else { 0 },
+            helpers: plan.helpers.iter().map(helper).collect(),
+            expected: clock::Span::try_from_secs_f64(plan.expected / 1e3).unwrap_or_default(),
+        })
+    }
+
+    /// The engines that a plan may use.
+    fn eligible(
+        &self,
+        usable: &[&Engine],
+        side: Side,
+        kept: usize,
+        tight: bool,
+        part_ms: f64,
+    ) -> Vec<usize> {
+        let own = |index: usize| (index < kept) == tight;
+        let unharmed = |index: usize| usable[index].harmed(part_ms, self.settings.margin_ms) == 0;
+        let all = 0..usable.len();
+        match side {
+            Side::Unharmed => all.filter(|index| own(*index) && unharmed(*index)).collect(),
+            Side::Own => all.filter(|index| own(*index)).collect(),
+            Side::Any => all.collect(),
+        }
+    }
+
+    /// The best way to serve `demand` with the engines `eligible`.
+    fn plan(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        eligible: &[usize],
+        total_ms: f64,
+        part_ms: f64,
+    ) -> Result<Plan, Refusal> {
+        if eligible.is_empty() {
+            return Err(Refusal::NoUpstream);
+        }
+        let wish = (total_ms / part_ms).ceil() as usize;
+        let wish = wish.clamp(1, (self.settings.helpers + 1).min(eligible.len()));
+        let part_ms = total_ms / wish as f64;
+        let firsts = self.rank(demand, usable, eligible, |engine| {
+            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine)
         });
         let need = demand.prompt + demand.answer;
         let share = self.settings.memory_share;
         // The first engine writes: it needs the memory, or helpers that hold a part of it.
         let fits = firsts.iter().find(|index| usable[**index].room(share) >= need);
-        let (first, holders) = match fits {
+        let (first, mut helpers) = match fits {
             Some(index) => (*index, Vec::new()),
-            None => self.holders(usable, need)?,
+            None => self.holders(usable, eligible, need)?,
         };
-        let mut chosen: Vec<(usize, u64)> = holders;
-        // Reading a part delays the short prompts behind it a little, wherever it is read.
-        let helpers = self.rank(demand, usable, |index, engine| {
-            self.cost(engine, part_ms) + side(index) * HELPER_SIDE
-        });
-        for index in helpers {
-            if chosen.len() + 1 >= wish {
+        for index in self.rank(demand, usable, eligible, |engine| self.cost(engine, part_ms)) {
+            if helpers.len() + 1 >= wish {
                 break;
             }
-            if index != first && chosen.iter().all(|(other, _)| *other != index) {
-                chosen.push((index, 0));
+            if index != first && helpers.iter().all(|(other, _)| *other != index) {
+                helpers.push((index, 0));
             }
         }
-        let part_ms = total_ms / (chosen.len() + 1) as f64;
-        let parts = chosen.iter().map(|(index, _)| *index).chain([first]);
-        let waits = parts.map(|index| usable[index].wait_ms());
-        let expected = waits.fold(0.0, f64::max) + part_ms;
-        let helper = |(index, reserve): &(usize, u64)| Helper {
-            entry: usable[*index].entry().clone(),
-            reserve: *reserve,
-        };
-        Ok(Placement {
-            first: usable[first].entry().clone(),
-            helpers: chosen.iter().map(helper).collect(),
-            expected: clock::Span::try_from_secs_f64(expected / 1e3).unwrap_or_default(),
-        })
+        let part_ms = total_ms / (helpers.len() + 1) as f64;
+        let parts = helpers.iter().map(|(index, _)| *index).chain([first]);
+        let wait = parts.map(|index| usable[index].wait_ms()).fold(0.0, f64::max);
+        let expected = wait + part_ms + usable[first].pass_ms() / 2.0;
+        Ok(Plan { first, helpers, expected })
     }
 
-    /// The indices of `usable` by cost, equal ones in an order that differs from draw to draw.
-    fn rank<Cost>(&self, demand: &Demand<'_>, usable: &[&Engine], cost: Cost) -> Vec<usize>
+    /// The indices `eligible` by cost, in which a draw hides small differences: hosts that have not
+    /// yet heard of each other's choices would all choose the same engine, and several prompts
+    /// would be read in one pass.
+    fn rank<Cost>(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        eligible: &[usize],
+        cost: Cost,
+    ) -> Vec<usize>
     where
-        Cost: Fn(usize, &Engine) -> f64,
+        Cost: Fn(&Engine) -> f64,
     {
-        let keyed = usable.iter().enumerate();
-        let mut keyed: Vec<(f64, u64, usize)> = keyed
-            .map(|(index, engine)| (cost(index, engine), spread(demand.draw, engine), index))
-            .collect();
+        let keyed = eligible.iter().map(|index| {
+            let engine = usable[*index];
+            let jitter = spread(demand.draw, engine) % 1_000;
+            (cost(engine) + jitter as f64 / 1e3 * self.settings.jitter_ms, *index)
+        });
+        let mut keyed: Vec<(f64, usize)> = keyed.collect();
         keyed.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        keyed.into_iter().map(|(_, _, index)| index).collect()
+        keyed.into_iter().map(|(_, index)| index).collect()
     }
 
     /// Engines that hold a prompt larger than any one of them: the one with most room first, and
@@ -372,6 +461,7 @@
     fn holders(
         &self,
         usable: &[&Engine],
+        eligible: &[usize],
         need: u64,
     ) -> Result<(usize, Vec<(usize, u64)>), Refusal> {
         let share = self.settings.memory_share;
@@ -379,7 +469,7 @@
         if need > total {
             return Err(Refusal::TooLong);
         }
-        let mut by_room: Vec<usize> = (0..usable.len()).collect();
+        let mut by_room: Vec<usize> = eligible.to_vec();
         by_room.sort_by_key(|index| std::cmp::Reverse(usable[*index].room(share)));
         let first = by_room[0];
         let mut left = need.saturating_sub(usable[first].room(share));
@@ -414,8 +504,26 @@
 
 /// When memory is expected to be free again: a long answer is written in a second or two.
 const FULL: clock::Span = clock::Span::from_millis(500);
-/// Part of the division's weight that counts against reading a part on the wrong side.
-const HELPER_SIDE: f64 = 0.4;
+/// Which engines a plan may use, the strictest first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Side {
+    /// Those on the request's side of the division where no writer would be late by it.
+    Unharmed,
+    /// Those on its side.
+    Own,
+    /// All.
+    Any,
+}
+
+/// A way to serve a request, by indices of engines.
+#[derive(Clone, Debug)]
+struct Plan {
+    first: usize,
+    /// The helpers, and tokens to reserve on each.
+    helpers: Vec<(usize, u64)>,
+    /// Milliseconds until its first token.
+    expected: f64,
+}
 
 /// An order of equal choices that differs from draw to draw.
 fn spread(draw: u64, engine: &Engine) -> u64 {
