--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -69,6 +69,8 @@
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
 /// within this.
 const COME_BACK: clock::Span = clock::Span::from_millis(400);
+/// An upstream that said something within this is alive: several of its passes.
+const ALIVE: clock::Span = clock::Span::from_millis(500);
 /// Time between two looks for free memory: a fortieth of the time that a long answer takes.
 const MEMORY_PAUSE: clock::Span = clock::Span::from_millis(60);
 /// Refusals that one request may meet beside its attempts.
@@ -198,15 +200,17 @@
 ) -> Result<web::HttpResponse, answer::Fault> {
     let mut held = request::Held::new(admitted.repeat());
     let mut avoid = Vec::new();
+    let mut attempts = 0;
     let mut refusals = 0;
     let mut lost = false;
     loop {
         let secured = admitted.secure(&avoid).await?;
         let upstream = secured.placement.first.upstream.clone();
         let dispatched = held.dispatch(id::Attempt(0));
+        attempts += 1;
         *may_have_run = true;
         let resume = admitted.request.call.last_event;
-        let taken = match admitted.attempt(secured, resume).await {
+        let taken = match admitted.attempt(secured, resume, attempts).await {
             Ok(live) => admitted.take_answer(live, avoid.len()).await,
             Err(miss) => Err(miss),
         };
@@ -314,7 +318,12 @@
                         .info();
                     if let Some(desk) = self.state.desk(&self.service) {
                         let now = self.state.clock.now();
-                        state::lock(&desk).board.full(&refusal.upstream, now);
+                        let board = &mut state::lock(&desk).board;
+                        if refusal.reached {
+                            board.full(&refusal.upstream, now);
+                        } else {
+                            board.suspect(&refusal.upstream, now);
+                        }
                     }
                     if !may_wait {
                         let fault = answer::Fault::not_run(
@@ -405,10 +414,27 @@
         unsent || desk.is_some_and(|desk| state::lock(&desk).budget.take())
     }
 
+    /// Whether a request that an upstream leaves without a word is better left there: another
+    /// attempt would go beyond the budget, and a busy upstream still answers.
+    pub(crate) fn would_wait_on(&self, upstream: &id::Upstream) -> bool {
+        let Some(desk) = self.state.desk(&self.service) else { return true };
+        let desk = state::lock(&desk);
+        let now = self.state.clock.now();
+        !desk.budget.has_one() || desk.board.is_alive(upstream, ALIVE, now)
+    }
+
+    /// Something of an answer came.
+    pub(crate) fn heard(&self, upstream: &id::Upstream) {
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).board.heard(upstream, self.state.clock.now());
+        }
+    }
+
     /// How long an upstream may be silent before another is asked.
-    fn patience(&self, expected: clock::Span) -> clock::Span {
-        let repeatable = self.route.kind.may_repeat();
-        if !repeatable {
+    ///
+    /// The last upstream that may be asked is waited for: it may merely be busy.
+    fn patience(&self, expected: clock::Span, attempts: u32) -> clock::Span {
+        if !self.route.kind.may_repeat() || attempts >= self.route.attempts {
             return clock::Span::MAX;
         }
         expected + self.route.target * 2 + clock::Span::from_millis(300)
@@ -419,6 +445,7 @@
         &self,
         secured: Secured,
         last_event: Option<u64>,
+        attempts: u32,
     ) -> Result<Live, Miss> {
         let Secured { placement, id: work_id, reserved } = secured;
         let first = &placement.first;
@@ -432,17 +459,23 @@
         let request = request.map_err(|error| Miss::Unsent(error.to_string()))?;
         self.log_dispatch(&placement, work_id.number);
         let underway = Underway::begin(self, work_id, &placement, reserved);
-        let patience = self.patience(placement.expected);
-        let send = tokio::time::timeout(patience, exchange.send(request)).await;
-        let answer = match send {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(failure)) => {
-                self.suspect(&first.upstream);
-                return Err(Miss::Lost(format!("{}: {failure}", first.upstream)));
-            }
-            Err(_) => {
-                self.suspect(&first.upstream);
-                return Err(Miss::Lost(format!("{}: silent for {patience:?}", first.upstream)));
+        let patience = self.patience(placement.expected, attempts);
+        let answer = {
+            let mut send = std::pin::pin!(exchange.send(request));
+            loop {
+                match tokio::time::timeout(patience, &mut send).await {
+                    Ok(Ok(answer)) => break answer,
+                    Ok(Err(failure)) => {
+                        self.suspect(&first.upstream);
+                        return Err(Miss::Lost(format!("{}: {failure}", first.upstream)));
+                    }
+                    Err(_) if self.would_wait_on(&first.upstream) => {}
+                    Err(_) => {
+                        self.suspect(&first.upstream);
+                        let detail = format!("{}: silent for {patience:?}", first.upstream);
+                        return Err(Miss::Lost(detail));
+                    }
+                }
             }
         };
         Ok(Live { exchange, answer, underway, upstream: first.upstream.clone() })
@@ -503,10 +536,14 @@
         let passed = head::pass_back(fields.into_iter());
         let peer = &live.upstream;
         if read.not_run {
-            if let Some(at_fault) = &read.at_fault {
-                self.suspect(at_fault);
+            if let Some(helper) = read.at_fault.as_ref().filter(|at_fault| *at_fault != peer)
+                && let Some(desk) = self.state.desk(&self.service)
+            {
+                let now = self.state.clock.now();
+                state::lock(&desk).board.helper_failed(peer, helper, now);
             }
-            return Err(Miss::Refused(format!("{peer}: refused with status {status}")));
+            let by = read.at_fault.as_ref().map(|at| format!(" by {at}")).unwrap_or_default();
+            return Err(Miss::Refused(format!("{peer}: refused with status {status}{by}")));
         }
         let other = read.request_id.as_deref().is_some_and(|id| id != self.request.call.request_id);
         let good = (200..300).contains(&status);
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -67,6 +67,8 @@
 #[error("{upstream}: no reservation: {detail}")]
 pub(crate) struct Refusal {
     pub(crate) upstream: id::Upstream,
+    /// Whether the engine answered at all.
+    pub(crate) reached: bool,
     pub(crate) detail: String,
 }
 
@@ -96,8 +98,9 @@
         state.metrics.reservations.inc();
         let status = order(&ticket.entry, body).await;
         if !matches!(status, Ok(200)) {
+            let reached = status.is_ok();
             let detail = status.map_or_else(|error| error.to_string(), |code| code.to_string());
-            return Err(Refusal { upstream: ticket.entry.upstream, detail });
+            return Err(Refusal { upstream: ticket.entry.upstream, reached, detail });
         }
     }
     let alive = sync::Arc::downgrade(&held.alive);
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -205,7 +205,7 @@
             self.admitted.state.metrics.repeats.inc();
             let secured = self.admitted.secure(avoid).await.ok()?;
             let upstream = secured.placement.first.upstream.clone();
-            let taken = match self.admitted.attempt(secured, self.last_event).await {
+            let taken = match self.admitted.attempt(secured, self.last_event, self.upstreams + 1).await {
                 Ok(live) => self.admitted.take_answer(live, avoid.len()).await,
                 Err(miss) => Err(miss),
             };
@@ -232,16 +232,25 @@
 
     /// Relays one answer to its end.
     async fn relay_one(&mut self, mut live: forward::Live) -> Result<(), String> {
+        let silence = self.silence();
+        let mut silent = clock::Span::ZERO;
         loop {
-            let silence = self.silence();
             let left = self.admitted.left() + OVERTIME;
             let chunk = live.exchange.chunk(live.answer.body_mut());
-            let chunk = tokio::time::timeout(silence.min(left), chunk).await;
-            let chunk = match chunk {
+            let chunk = match tokio::time::timeout(silence.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure: exchange::Failure| failure.to_string())?,
                 Err(_) if left <= silence => return Err("out of time".to_owned()),
-                Err(_) => return Err(format!("silent for {silence:?}")),
+                Err(_) => {
+                    silent += silence;
+                    let last = self.upstreams >= self.admitted.route.attempts;
+                    if last || silent < silence * 2 && self.admitted.would_wait_on(&live.upstream) {
+                        continue;
+                    }
+                    return Err(format!("silent for {silent:?}"));
+                }
             };
+            silent = clock::Span::ZERO;
+            self.admitted.heard(&live.upstream);
             let Some(chunk) = chunk else {
                 return self.pass_rest().await;
             };
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -39,6 +39,7 @@
     suspect_until: Option<clock::Moment>,
     failures: u32,
     full_until: Option<clock::Moment>,
+    heard: clock::Moment,
 }
 
 impl Engine {
@@ -51,6 +52,7 @@
             suspect_until: None,
             failures: 0,
             full_until: None,
+            heard: clock::Moment::START,
         }
     }
 
@@ -98,6 +100,7 @@
 
     pub(super) fn read_done(&mut self, work: WorkId, now: clock::Moment) {
         self.advance(now);
+        self.hear(now);
         for part in self.parts.iter_mut().filter(|part| part.work == work) {
             part.stage = if part.writes { Stage::Writing } else { Stage::Holding };
         }
@@ -113,6 +116,14 @@
         self.suspect_until = Some(now + span * self.failures);
     }
 
+    pub(super) fn hear(&mut self, now: clock::Moment) {
+        self.heard = self.heard.max(now);
+    }
+
+    pub(super) fn heard(&self) -> clock::Moment {
+        self.heard
+    }
+
     pub(super) fn full(&mut self, until: clock::Moment) {
         self.full_until = Some(until);
     }
@@ -170,6 +181,11 @@
         self.parts.iter().filter(|part| part.writes && part.gap_ms <= gap_ms).count() as u32
     }
 
+    /// Requests that write, or will, and bear longer pauses.
+    pub(super) fn loose_writers(&self, gap_ms: f64) -> u32 {
+        self.parts.iter().filter(|part| part.writes && part.gap_ms > gap_ms).count() as u32
+    }
+
     /// Writers whose pause would be too long if a prompt that takes `read_ms` were read beside
     /// them: a pass lasts for its steps and all reads that wait for it.
     pub(super) fn harmed(&self, read_ms: f64, margin_ms: f64) -> u32 {
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -15,8 +15,10 @@
 use crate::id;
 use crate::routing;
 
+mod cut;
 mod engine;
 
+pub use cut::Cuts;
 pub use engine::{Engine, Stage};
 
 /// A request under way: the host that sent it, and its number there.
@@ -132,6 +134,8 @@
     /// Tight answers that one engine of those kept for them should write: of 16 places some are
     /// left for a burst.
     pub tight_writers: u32,
+    /// Answers that bear longer pauses for which one engine is kept back from the others.
+    pub loose_writers: u32,
     /// Part of the time left to the first token within which a plan is good enough: a worse one
     /// may use engines of the other side of the division.
     pub target_share: f64,
@@ -158,6 +162,7 @@
             remote_ms: 12.0,
             tight_gap: clock::Span::from_millis(400),
             tight_writers: 11,
+            loose_writers: 2,
             target_share: 0.5,
             jitter_ms: 20.0,
             harm_ms: 60.0,
@@ -173,12 +178,14 @@
     settings: Settings,
     upstreams: collections::BTreeMap<id::Upstream, Engine>,
     works: collections::HashMap<WorkId, Work>,
+    zone: id::Zone,
+    cuts: Cuts,
 }
 
 impl Board {
-    /// With other figures.
-    pub fn new(settings: Settings) -> Board {
-        Board { settings, ..Board::default() }
+    /// The board of a host in `zone`.
+    pub fn new(settings: Settings, zone: id::Zone) -> Board {
+        Board { settings, zone, ..Board::default() }
     }
 
     /// Takes in which upstreams there are; what is under way stays known.
@@ -239,14 +246,43 @@
         }
     }
 
-    /// An upstream failed without a word: it is passed over for a while.
+    /// An upstream could not be reached, or fell silent: it is passed over for a while.
     pub fn suspect(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         let span = self.settings.suspect_span;
         if let Some(engine) = self.upstreams.get_mut(upstream) {
             engine.failed(now, span);
+            self.cuts.failed(&self.zone, &engine.entry().zone, upstream, now);
         }
     }
 
+    /// The engine `first` could not reach `helper`, which was to read a part of a prompt.
+    pub fn helper_failed(
+        &mut self,
+        first: &id::Upstream,
+        helper: &id::Upstream,
+        now: clock::Moment,
+    ) {
+        let from = self.upstreams.get(first).map(|engine| engine.entry().zone.clone());
+        let span = self.settings.suspect_span;
+        if let (Some(from), Some(engine)) = (from, self.upstreams.get_mut(helper)) {
+            engine.failed(now, span);
+            self.cuts.failed(&from, &engine.entry().zone, helper, now);
+        }
+    }
+
+    /// Something came from an upstream.
+    pub fn heard(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+        if let Some(engine) = self.upstreams.get_mut(upstream) {
+            engine.hear(now);
+        }
+    }
+
+    /// Whether something came from an upstream within `span` before `now`: one that is silent to a
+    /// single request is busy with others, not gone.
+    pub fn is_alive(&self, upstream: &id::Upstream, span: clock::Span, now: clock::Moment) -> bool {
+        self.upstreams.get(upstream).is_some_and(|engine| now.since(engine.heard()) <= span)
+    }
+
     /// An engine had no memory to reserve: it is taken for full for a moment.
     pub fn full(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         let until = now + self.settings.full_span;
@@ -259,6 +295,7 @@
     pub fn answered(&mut self, upstream: &id::Upstream) {
         if let Some(engine) = self.upstreams.get_mut(upstream) {
             engine.answered();
+            self.cuts.answered(&self.zone, &engine.entry().zone);
         }
     }
 
@@ -289,7 +326,7 @@
         }
         let pace = usable.iter().find_map(|engine| engine.pace());
         match pace {
-            Some(pace) if demand.prompt > 0 => self.place_prompt(demand, &usable, pace),
+            Some(pace) if demand.prompt > 0 => self.place_prompt(demand, &usable, pace, now),
             _ => Ok(self.place_call(demand, &usable)),
         }
     }
@@ -300,9 +337,12 @@
             !engine.entry().leaving && !demand.avoid.contains(&engine.entry().upstream)
         };
         let all: Vec<&Engine> = self.upstreams.values().filter(open).collect();
-        let sound: Vec<&Engine> =
-            all.iter().copied().filter(|engine| !engine.is_suspect(now)).collect();
-        if sound.is_empty() { all } else { sound }
+        let sound = |engine: &&Engine| {
+            let cut = self.cuts.is_cut(&self.zone, &engine.entry().zone, now);
+            !engine.is_suspect(now) && !cut
+        };
+        let found: Vec<&Engine> = all.iter().copied().filter(sound).collect();
+        if found.is_empty() { all } else { found }
     }
 
     /// A call of a plain service: the least used replica, in the own zone unless that is busier.
@@ -321,12 +361,15 @@
     ///
     /// A long read in a pass delays every writer of its engine; spread evenly, long reads make all
     /// answers to short prompts late. Kept apart, both are in time; the division moves with the
-    /// answers under way, since the mix swings.
+    /// answers under way, since the mix swings. Long prompts keep what they have under way; short
+    /// ones take the rest when they need it.
     fn kept_for_tight(&self, usable: &[&Engine]) -> usize {
         let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
         let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
+        let loose: u32 = usable.iter().map(|engine| engine.loose_writers(gap_ms)).sum();
         let wanted = tight.div_ceil(self.settings.tight_writers.max(1)) as usize;
-        wanted.clamp(1, usable.len().saturating_sub(usable.len() / 5).max(1))
+        let needed = loose.div_ceil(self.settings.loose_writers.max(1)) as usize;
+        wanted.max(1).min(usable.len().saturating_sub(needed).max(1))
     }
 
     fn place_prompt(
@@ -334,6 +377,7 @@
         demand: &Demand<'_>,
         usable: &[&Engine],
         pace: pass::Pace,
+        now: clock::Moment,
     ) -> Result<Placement, Refusal> {
         let tight = demand.gap <= self.settings.tight_gap;
         let kept = self.kept_for_tight(usable);
@@ -344,7 +388,7 @@
         let mut refusal = Refusal::NoUpstream;
         for side in [Side::Unharmed, Side::Own, Side::Any] {
             let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
-            match self.plan(demand, usable, &eligible, total_ms, part_ms) {
+            match self.plan(demand, usable, &eligible, (total_ms, part_ms), now) {
                 Ok(plan) => {
                     let better = best.as_ref().is_none_or(|best| plan.expected < best.expected);
                     if better {
@@ -398,8 +442,8 @@
         demand: &Demand<'_>,
         usable: &[&Engine],
         eligible: &[usize],
-        total_ms: f64,
-        part_ms: f64,
+        (total_ms, part_ms): (f64, f64),
+        now: clock::Moment,
     ) -> Result<Plan, Refusal> {
         if eligible.is_empty() {
             return Err(Refusal::NoUpstream);
@@ -416,8 +460,12 @@
         let fits = firsts.iter().find(|index| usable[**index].room(share) >= need);
         let (first, mut helpers) = match fits {
             Some(index) => (*index, Vec::new()),
-            None => self.holders(usable, eligible, need)?,
+            None => {
+                let first = self.roomiest(usable, eligible);
+                (first, self.holders(usable, &self.in_reach(usable, eligible, first, now), need)?)
+            }
         };
+        let eligible = &self.in_reach(usable, eligible, first, now);
         for index in self.rank(demand, usable, eligible, |engine| self.cost(engine, part_ms)) {
             if helpers.len() + 1 >= wish {
                 break;
@@ -456,38 +504,54 @@
         keyed.into_iter().map(|(_, index)| index).collect()
     }
 
-    /// Engines that hold a prompt larger than any one of them: the one with most room first, and
-    /// as few others as hold the rest, each with the tokens to reserve on it.
+    /// The engines of `eligible` that the engine `first` can reach, itself first among them.
+    fn in_reach(
+        &self,
+        usable: &[&Engine],
+        eligible: &[usize],
+        first: usize,
+        now: clock::Moment,
+    ) -> Vec<usize> {
+        let from = &usable[first].entry().zone;
+        let others = eligible.iter().copied().filter(|index| {
+            *index != first && !self.cuts.is_cut(from, &usable[*index].entry().zone, now)
+        });
+        std::iter::once(first).chain(others).collect()
+    }
+
+    fn roomiest(&self, usable: &[&Engine], eligible: &[usize]) -> usize {
+        let share = self.settings.memory_share;
+        let most = eligible.iter().copied().max_by_key(|index| usable[*index].room(share));
+        most.unwrap_or(0)
+    }
+
+    /// Engines that hold what a prompt needs beyond the memory of the first of `eligible`, as few
+    /// as can, each with the tokens to reserve on it.
     fn holders(
         &self,
         usable: &[&Engine],
         eligible: &[usize],
         need: u64,
-    ) -> Result<(usize, Vec<(usize, u64)>), Refusal> {
+    ) -> Result<Vec<(usize, u64)>, Refusal> {
         let share = self.settings.memory_share;
         let total: u64 = usable.iter().map(|engine| engine.memory(share)).sum();
         if need > total {
             return Err(Refusal::TooLong);
         }
-        let mut by_room: Vec<usize> = eligible.to_vec();
-        by_room.sort_by_key(|index| std::cmp::Reverse(usable[*index].room(share)));
-        let first = by_room[0];
-        let mut left = need.saturating_sub(usable[first].room(share));
+        let room = |index: &usize| usable[*index].room(share);
+        let mut by_room: Vec<usize> = eligible[1..].to_vec();
+        by_room.sort_by_key(|index| std::cmp::Reverse(room(index)));
+        let mut left = need.saturating_sub(room(&eligible[0]));
         let mut holders = Vec::new();
-        for index in by_room.into_iter().skip(1).take(self.settings.helpers) {
-            if left == 0 {
+        for index in by_room.into_iter().take(self.settings.helpers) {
+            let part = left.min(room(&index));
+            if part == 0 {
                 break;
             }
-            let part = left.min(usable[index].room(share));
-            if part > 0 {
-                holders.push((index, part));
-                left -= part;
-            }
-        }
-        if left > 0 {
-            return Err(Refusal::Full(FULL));
+            holders.push((index, part));
+            left -= part;
         }
-        Ok((first, holders))
+        if left > 0 { Err(Refusal::Full(FULL)) } else { Ok(holders) }
     }
 
     /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
