--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -73,6 +73,8 @@
 const ALIVE: clock::Span = clock::Span::from_millis(500);
 /// Time between two looks for free memory: a fortieth of the time that a long answer takes.
 const MEMORY_PAUSE: clock::Span = clock::Span::from_millis(60);
+/// Time between two looks for engines with less to read: the tenth of what they may have.
+const BUSY_PAUSE: clock::Span = clock::Span::from_millis(40);
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
 
@@ -239,6 +241,11 @@
     }
 }
 
+/// A pause drawn from half to one and a half of `span`, so that hosts do not all look at once.
+fn spread(span: clock::Span) -> clock::Span {
+    span.mul_f64(rand::rng().random_range(0.5..1.5))
+}
+
 fn failed(outcome: Outcome, detail: &str) -> answer::Fault {
     let fault = answer::Fault::not_run(Reason::UpstreamFailed, Step::Dispatch, detail);
     answer::Fault { outcome, ..fault }
@@ -298,14 +305,21 @@
         loop {
             let waited = self.state.clock.now().since(first_try);
             let may_wait = waited < self.route.target && self.left() > self.route.target / 2;
-            let placement = match self.place(avoid) {
+            let placement = match self.place(avoid, waited) {
                 Ok(placement) => placement,
-                Err(fault) if fault.reason == Reason::Saturated && may_wait => {
-                    tokio::time::sleep(MEMORY_PAUSE).await;
+                Err(placement::Refusal::Busy(_)) if self.left() > WORTH_TRYING => {
+                    tokio::time::sleep(spread(BUSY_PAUSE)).await;
+                    continue;
+                }
+                Err(placement::Refusal::Full(_)) if may_wait => {
+                    tokio::time::sleep(spread(MEMORY_PAUSE)).await;
                     continue;
                 }
-                Err(fault) => return Err(fault),
+                Err(refusal) => return Err(self.refused(refusal)),
             };
+            if self.customer.is_some() {
+                check_key_age(&self.state)?;
+            }
             let id = self.state.next_work();
             match self.reserve(&placement, id).await {
                 Ok(reserved) => return Ok(Secured { placement, id, reserved }),
@@ -356,19 +370,14 @@
         reserve::take(&self.state, &name, &wanted).await.map(Some)
     }
 
-    /// Where the request goes next.
-    pub(crate) fn place(
+    /// Where the request goes next, after it has waited for `waited`.
+    fn place(
         &self,
         avoid: &[id::Upstream],
-    ) -> Result<placement::Placement, answer::Fault> {
-        if self.customer.is_some() {
-            check_key_age(&self.state)?;
-        }
+        waited: clock::Span,
+    ) -> Result<placement::Placement, placement::Refusal> {
         let Some(desk) = self.state.desk(&self.service) else {
-            let detail = format!("{}: no such service", self.service);
-            return Err(
-                answer::Fault::not_run(Reason::NoUpstream, Step::Route, detail).after(COME_BACK)
-            );
+            return Err(placement::Refusal::NoUpstream);
         };
         let now = self.state.clock.now();
         let demand = placement::Demand {
@@ -376,20 +385,24 @@
             answer: self.request.call.answer_tokens.unwrap_or(0),
             target: (self.request.arrived + self.route.target).since(now),
             gap: self.gap(),
+            waited,
             zone: &self.state.settings.node.zone,
             avoid,
             draw: rand::rng().random(),
         };
-        let placed = state::lock(&desk).board.place(&demand, now);
-        placed.map_err(|refusal| {
-            let detail = format!("{}: {refusal}", self.service);
-            let (reason, span) = match refusal {
-                placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
-                placement::Refusal::TooLong => (Reason::TooLong, COME_BACK),
-                placement::Refusal::Full(span) => (Reason::Saturated, span),
-            };
-            answer::Fault::not_run(reason, Step::Route, detail).after(span)
-        })
+        state::lock(&desk).board.place(&demand, now)
+    }
+
+    fn refused(&self, refusal: placement::Refusal) -> answer::Fault {
+        let detail = format!("{}: {refusal}", self.service);
+        let (reason, span) = match refusal {
+            placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
+            placement::Refusal::TooLong => (Reason::TooLong, COME_BACK),
+            placement::Refusal::Busy(span) | placement::Refusal::Full(span) => {
+                (Reason::Saturated, span)
+            }
+        };
+        answer::Fault::not_run(reason, Step::Route, detail).after(span)
     }
 
     fn gap(&self) -> clock::Span {
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -60,6 +60,8 @@
     pub target: clock::Span,
     /// Longest pause between events that is still in time.
     pub gap: clock::Span,
+    /// How long it has waited at this host.
+    pub waited: clock::Span,
     /// Zone of this host.
     pub zone: &'a id::Zone,
     /// Upstreams that failed this request.
@@ -99,6 +101,9 @@
     /// The prompt is larger than the memory of all engines together that may help.
     #[error("too long")]
     TooLong,
+    /// Engines have so much to read that others would come too late: it should wait a moment.
+    #[error("engines have {0:?} to read")]
+    Busy(clock::Span),
     /// All are full; a place is expected after this span.
     #[error("full for {0:?}")]
     Full(clock::Span),
@@ -141,6 +146,16 @@
     pub target_share: f64,
     /// Milliseconds by which equal choices are spread.
     pub jitter_ms: f64,
+    /// Milliseconds that engines may have to read, on the average, when a long prompt is sent: a
+    /// burst of short prompts waits no longer than this and their own reading.
+    pub backlog_ms: f64,
+    /// Milliseconds of reading of a prompt for which that bound holds in full; a larger prompt's is
+    /// smaller in proportion, down to a quarter.
+    pub backlog_prompt_ms: f64,
+    /// Part of the time that a prompt has waited by which its bound grows.
+    pub backlog_growth: f64,
+    /// How long a prompt waits at most for engines to have less to read.
+    pub patience: clock::Span,
     /// Milliseconds of delay that one answer made late is worth.
     pub harm_ms: f64,
     /// Milliseconds by which pauses vary on the way to a caller and by what this host has not
@@ -165,6 +180,10 @@
             loose_writers: 2,
             target_share: 0.5,
             jitter_ms: 20.0,
+            backlog_ms: 450.0,
+            backlog_prompt_ms: 1_200.0,
+            backlog_growth: 0.12,
+            patience: clock::Span::from_millis(5_000),
             harm_ms: 60.0,
             margin_ms: 30.0,
             suspect_span: clock::Span::from_secs(1),
@@ -383,6 +402,9 @@
         let kept = self.kept_for_tight(usable);
         let total_ms = pace.read_ms(demand.prompt);
         let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
+        if !tight {
+            self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms)?;
+        }
         let enough = demand.target.as_secs_f64() * 1e3 * self.settings.target_share;
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
@@ -417,6 +439,34 @@
         })
     }
 
+    /// Whether a long prompt may add to what the engines of its side have to read.
+    ///
+    /// Load pattern: a burst of long prompts brings more reading than engines can do. Sent at
+    /// once, they queue in the engines, where nobody passes them: every one of them is late, and
+    /// when short prompts return they find seconds of reading before them. So what is read is
+    /// bounded, and tighter for a larger prompt: smaller ones, which earn more for the time that
+    /// they take, pass it at the hosts. The bound grows while it waits, and ends after
+    /// [`Settings::patience`] of it.
+    fn check_backlog(
+        &self,
+        demand: &Demand<'_>,
+        engines: &[&Engine],
+        total_ms: f64,
+    ) -> Result<(), Refusal> {
+        let sum: f64 = engines.iter().map(|engine| engine.reading_ms()).sum();
+        let backlog = sum / engines.len().max(1) as f64;
+        let waited = demand.waited.as_secs_f64() * 1e3;
+        let scaled = self.settings.backlog_ms * self.settings.backlog_prompt_ms / total_ms.max(1.0);
+        let bound = scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
+            + waited * self.settings.backlog_growth;
+        let patient = demand.waited < self.settings.patience;
+        if patient && backlog > bound {
+            let span = clock::Span::try_from_secs_f64(backlog / 1e3).unwrap_or_default();
+            return Err(Refusal::Busy(span));
+        }
+        Ok(())
+    }
+
     /// The engines that a plan may use.
     fn eligible(
         &self,
