--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -71,9 +71,8 @@
 const COME_BACK: clock::Span = clock::Span::from_millis(400);
 /// An upstream that said something within this is alive: several of its passes.
 const ALIVE: clock::Span = clock::Span::from_millis(500);
-/// Time between two looks for free memory: a fortieth of the time that a long answer takes.
-const MEMORY_PAUSE: clock::Span = clock::Span::from_millis(60);
-/// Time between two looks for engines with less to read: the tenth of what they may have.
+/// Longest time between two looks for a place, for memory, or for engines with less to read: a
+/// tenth of what they may have to read.
 const BUSY_PAUSE: clock::Span = clock::Span::from_millis(40);
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
@@ -304,15 +303,11 @@
         let first_try = self.state.clock.now();
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let may_wait = waited < self.route.target && self.left() > self.route.target / 2;
             let placement = match self.place(avoid, waited) {
                 Ok(placement) => placement,
-                Err(placement::Refusal::Busy(_)) if self.left() > WORTH_TRYING => {
-                    tokio::time::sleep(spread(BUSY_PAUSE)).await;
-                    continue;
-                }
-                Err(placement::Refusal::Full(_)) if may_wait => {
-                    tokio::time::sleep(spread(MEMORY_PAUSE)).await;
+                Err(placement::Refusal::Busy) if self.left() > WORTH_TRYING => {
+                    let pause = BUSY_PAUSE.min(self.route.target / 20);
+                    tokio::time::sleep(spread(pause)).await;
                     continue;
                 }
                 Err(refusal) => return Err(self.refused(refusal)),
@@ -339,7 +334,8 @@
                             board.suspect(&refusal.upstream, now);
                         }
                     }
-                    if !may_wait {
+                    tokio::time::sleep(spread(BUSY_PAUSE)).await;
+                    if waited > self.route.target * 2 {
                         let fault = answer::Fault::not_run(
                             Reason::Saturated,
                             Step::Route,
@@ -398,9 +394,8 @@
         let (reason, span) = match refusal {
             placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
             placement::Refusal::TooLong => (Reason::TooLong, COME_BACK),
-            placement::Refusal::Busy(span) | placement::Refusal::Full(span) => {
-                (Reason::Saturated, span)
-            }
+            placement::Refusal::Busy => (Reason::Saturated, COME_BACK),
+            placement::Refusal::Full(span) => (Reason::Saturated, spread(span)),
         };
         answer::Fault::not_run(reason, Step::Route, detail).after(span)
     }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -192,10 +192,8 @@
     }
 
     fn new_desk(&self) -> sync::Arc<sync::Mutex<Desk>> {
-        let board = placement::Board::new(
-            self.settings.tuning.placement,
-            self.settings.node.zone.clone(),
-        );
+        let board =
+            placement::Board::new(self.settings.tuning.placement, self.settings.node.zone.clone());
         sync::Arc::new(sync::Mutex::new(Desk { board, budget: retry::Budget::default() }))
     }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -205,10 +205,11 @@
             self.admitted.state.metrics.repeats.inc();
             let secured = self.admitted.secure(avoid).await.ok()?;
             let upstream = secured.placement.first.upstream.clone();
-            let taken = match self.admitted.attempt(secured, self.last_event, self.upstreams + 1).await {
-                Ok(live) => self.admitted.take_answer(live, avoid.len()).await,
-                Err(miss) => Err(miss),
-            };
+            let taken =
+                match self.admitted.attempt(secured, self.last_event, self.upstreams + 1).await {
+                    Ok(live) => self.admitted.take_answer(live, avoid.len()).await,
+                    Err(miss) => Err(miss),
+                };
             missed = match taken {
                 Ok(forward::Taken::Stream { live, .. }) => {
                     self.upstreams += 1;
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -95,7 +95,13 @@
             None => work.prompt.saturating_sub(elsewhere),
         };
         let gap_ms = work.gap.as_secs_f64() * 1e3;
-        self.parts.push(Part { work: work.id, stage: Stage::Reading(read), writes, memory, gap_ms });
+        self.parts.push(Part {
+            work: work.id,
+            stage: Stage::Reading(read),
+            writes,
+            memory,
+            gap_ms,
+        });
     }
 
     pub(super) fn read_done(&mut self, work: WorkId, now: clock::Moment) {
@@ -201,6 +207,22 @@
         self.pace.map_or(0.0, |pace| pace.pass_ms(self.writers(), context))
     }
 
+    /// Whether another request would be worked on at once.
+    pub(super) fn has_place(&self) -> bool {
+        let places = self.parts.iter().filter(|part| part.writes).count();
+        places < self.entry.slots.max(1) as usize
+    }
+
+    /// The prompts of the writers whose pause would become too long by a read of `read_ms`, as
+    /// tokens of their memory; those that are late already are left out.
+    pub(super) fn made_late(&self, read_ms: f64, margin_ms: f64) -> impl Iterator<Item = u64> {
+        let before = self.pass_ms() + self.reading_ms() + margin_ms;
+        let after = before + read_ms;
+        let parts = self.parts.iter().filter(|part| part.stage == Stage::Writing);
+        let late = parts.filter(move |part| part.gap_ms < after && part.gap_ms >= before);
+        late.map(|part| part.memory)
+    }
+
     /// What the requests on it cost a newcomer beside its wait, in milliseconds; places that run
     /// out weigh most.
     pub(super) fn crowd_ms(&self) -> f64 {
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -101,11 +101,12 @@
     /// The prompt is larger than the memory of all engines together that may help.
     #[error("too long")]
     TooLong,
-    /// Engines have so much to read that others would come too late: it should wait a moment.
-    #[error("engines have {0:?} to read")]
-    Busy(clock::Span),
-    /// All are full; a place is expected after this span.
-    #[error("full for {0:?}")]
+    /// It should wait a moment at this host: engines have no place or no memory for it, or so much
+    /// to read that others would come too late.
+    #[error("engines are busy")]
+    Busy,
+    /// It would come too late; places are expected after this span.
+    #[error("engines are full for {0:?}")]
     Full(clock::Span),
 }
 
@@ -141,9 +142,11 @@
     pub tight_writers: u32,
     /// Answers that bear longer pauses for which one engine is kept back from the others.
     pub loose_writers: u32,
-    /// Part of the time left to the first token within which a plan is good enough: a worse one
-    /// may use engines of the other side of the division.
-    pub target_share: f64,
+    /// Milliseconds by which a short prompt's first token may come later without being late.
+    pub stall_ms: f64,
+    /// How long a short prompt's answer takes, by which the rate of short prompts is known from
+    /// those under way.
+    pub tight_life: clock::Span,
     /// Milliseconds by which equal choices are spread.
     pub jitter_ms: f64,
     /// Milliseconds that engines may have to read, on the average, when a long prompt is sent: a
@@ -154,6 +157,8 @@
     pub backlog_prompt_ms: f64,
     /// Part of the time that a prompt has waited by which its bound grows.
     pub backlog_growth: f64,
+    /// Part of the time left to its first token that a short prompt waits for a place.
+    pub hold_share: f64,
     /// How long a prompt waits at most for engines to have less to read.
     pub patience: clock::Span,
     /// Milliseconds of delay that one answer made late is worth.
@@ -178,11 +183,13 @@
             tight_gap: clock::Span::from_millis(400),
             tight_writers: 11,
             loose_writers: 2,
-            target_share: 0.5,
+            stall_ms: 100.0,
+            tight_life: clock::Span::from_millis(1_900),
             jitter_ms: 20.0,
             backlog_ms: 450.0,
             backlog_prompt_ms: 1_200.0,
             backlog_growth: 0.12,
+            hold_share: 0.3,
             patience: clock::Span::from_millis(5_000),
             harm_ms: 60.0,
             margin_ms: 30.0,
@@ -373,7 +380,12 @@
             (used + remote * 300, spread(demand.draw, engine))
         };
         let first = usable.iter().min_by_key(cost).map_or(usable[0], |engine| *engine);
-        Placement { first: first.entry().clone(), reserve: 0, helpers: Vec::new(), expected: clock::Span::ZERO }
+        Placement {
+            first: first.entry().clone(),
+            reserve: 0,
+            helpers: Vec::new(),
+            expected: clock::Span::ZERO,
+        }
     }
 
     /// How many engines, the first by name, are kept for answers that bear only short pauses.
@@ -402,28 +414,34 @@
         let kept = self.kept_for_tight(usable);
         let total_ms = pace.read_ms(demand.prompt);
         let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
+        let placeless = usable.iter().all(|engine| !engine.has_place());
+        if tight && placeless {
+            return Err(self.without_place(demand, pace));
+        }
         if !tight {
             self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms)?;
         }
-        let enough = demand.target.as_secs_f64() * 1e3 * self.settings.target_share;
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
         for side in [Side::Unharmed, Side::Own, Side::Any] {
             let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
+            if tight && eligible.iter().all(|index| !usable[*index].has_place()) {
+                continue;
+            }
             match self.plan(demand, usable, &eligible, (total_ms, part_ms), now) {
-                Ok(plan) => {
-                    let better = best.as_ref().is_none_or(|best| plan.expected < best.expected);
-                    if better {
+                Ok(mut plan) => {
+                    plan.net = self.net(demand, usable, kept, &plan);
+                    if best.as_ref().is_none_or(|best| plan.net > best.net) {
                         best = Some(plan);
                     }
                 }
                 Err(error) => refusal = error,
             }
-            if best.as_ref().is_some_and(|best| best.expected <= enough) {
-                break;
-            }
         }
         let plan = best.ok_or(refusal)?;
+        if !tight && plan.net < 0.0 {
+            return Err(self.unprofitable(demand));
+        }
         let helper = |(index, reserve): &(usize, u64)| Helper {
             entry: usable[*index].entry().clone(),
             reserve: *reserve,
@@ -439,6 +457,22 @@
         })
     }
 
+    /// What becomes of a short prompt when every place of every engine is taken.
+    ///
+    /// Load pattern: short prompts come faster than engines write their answers. Queued in the
+    /// engines, each waits behind all before it, and soon every answer is late though the engines
+    /// do all they can. So a prompt waits here for a place for as long as it can still be in time,
+    /// and is then refused: those that are let in are in time. By the time an answer usually takes
+    /// every place has changed hands once.
+    fn without_place(&self, demand: &Demand<'_>, pace: pass::Pace) -> Refusal {
+        if demand.waited < demand.target.mul_f64(self.settings.hold_share) {
+            return Refusal::Busy;
+        }
+        let context = u64::from(pace.slots) * pace.usual_prompt;
+        let pass_ms = pace.pass_ms(pace.slots, context);
+        Refusal::Full(pace.write_span(pace.usual_answer, pass_ms))
+    }
+
     /// Whether a long prompt may add to what the engines of its side have to read.
     ///
     /// Load pattern: a burst of long prompts brings more reading than engines can do. Sent at
@@ -461,8 +495,7 @@
             + waited * self.settings.backlog_growth;
         let patient = demand.waited < self.settings.patience;
         if patient && backlog > bound {
-            let span = clock::Span::try_from_secs_f64(backlog / 1e3).unwrap_or_default();
-            return Err(Refusal::Busy(span));
+            return Err(Refusal::Busy);
         }
         Ok(())
     }
@@ -501,7 +534,10 @@
         let wish = (total_ms / part_ms).ceil() as usize;
         let wish = wish.clamp(1, (self.settings.helpers + 1).min(eligible.len()));
         let part_ms = total_ms / wish as f64;
-        let firsts = self.rank(demand, usable, eligible, |engine| {
+        let open: Vec<usize> =
+            eligible.iter().copied().filter(|index| usable[*index].has_place()).collect();
+        let open = if open.is_empty() { eligible } else { &open };
+        let firsts = self.rank(demand, usable, open, |engine| {
             self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine)
         });
         let need = demand.prompt + demand.answer;
@@ -528,7 +564,42 @@
         let parts = helpers.iter().map(|(index, _)| *index).chain([first]);
         let wait = parts.map(|index| usable[index].wait_ms()).fold(0.0, f64::max);
         let expected = wait + part_ms + usable[first].pass_ms() / 2.0;
-        Ok(Plan { first, helpers, expected })
+        Ok(Plan { first, helpers, part_ms, expected, net: 0.0 })
+    }
+
+    /// What a plan earns less what it takes from the requests under way and from short prompts that
+    /// will come, in answers in time to a usual short prompt.
+    fn net(&self, demand: &Demand<'_>, usable: &[&Engine], kept: usize, plan: &Plan) -> f64 {
+        let target = demand.target.as_secs_f64() * 1e3;
+        let in_time = match plan.expected {
+            expected if expected <= target => 1.0,
+            expected if expected <= target * TOO_LATE => LATE_VALUE,
+            _ => 0.0,
+        };
+        let parts = || plan.helpers.iter().map(|(index, _)| *index).chain([plan.first]);
+        let margin = self.settings.margin_ms;
+        let late =
+            |index: usize| usable[index].made_late(plan.part_ms, margin).map(value).sum::<f64>();
+        let writers: f64 = parts().map(late).sum();
+        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
+        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
+        let touched = parts().filter(|index| *index < kept).count() as f64 / kept.max(1) as f64;
+        let stall = (plan.part_ms - self.settings.stall_ms).max(0.0) / 1e3;
+        let arrivals = f64::from(tight) / self.settings.tight_life.as_secs_f64() * touched * stall;
+        value(demand.prompt) * in_time - (writers + arrivals) * (1.0 - LATE_VALUE)
+    }
+
+    /// What becomes of a long prompt that would take more from others than its answer is worth.
+    ///
+    /// Load pattern: one prompt of several engines' memory among a burst of short ones. Its parts
+    /// stop every engine for seconds, and hundreds of answers are late for one. It waits for a
+    /// calmer moment, and is then asked to come back.
+    fn unprofitable(&self, demand: &Demand<'_>) -> Refusal {
+        if demand.waited < self.settings.patience {
+            Refusal::Busy
+        } else {
+            Refusal::Full(self.settings.patience / 2)
+        }
     }
 
     /// The indices `eligible` by cost, in which a draw hides small differences: hosts that have not
@@ -601,7 +672,7 @@
             holders.push((index, part));
             left -= part;
         }
-        if left > 0 { Err(Refusal::Full(FULL)) } else { Ok(holders) }
+        if left > 0 { Err(Refusal::Busy) } else { Ok(holders) }
     }
 
     /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
@@ -616,8 +687,6 @@
     }
 }
 
-/// When memory is expected to be free again: a long answer is written in a second or two.
-const FULL: clock::Span = clock::Span::from_millis(500);
 /// Which engines a plan may use, the strictest first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Side {
@@ -635,8 +704,29 @@
     first: usize,
     /// The helpers, and tokens to reserve on each.
     helpers: Vec<(usize, u64)>,
+    /// Milliseconds of reading on each engine.
+    part_ms: f64,
     /// Milliseconds until its first token.
     expected: f64,
+    /// What it earns less what it takes from others.
+    net: f64,
+}
+
+/// What an answer that is late is worth, of one in time: owners of services value it at a quarter.
+const LATE_VALUE: f64 = 0.25;
+/// Multiple of the target after which nobody waits for a first token any more.
+const TOO_LATE: f64 = 3.5;
+/// Tokens of a prompt whose answer is worth one.
+const UNIT_PROMPT: f64 = 5_000.0;
+/// Growth of an answer's worth with its prompt: owners value prompts of 5,000, 45,000 and 133,000
+/// tokens as 1, 3 and 11.5.
+const VALUE_EXPONENT: f64 = 0.72;
+/// Most that one answer is worth: four times that of a usual long prompt.
+const MOST_VALUE: f64 = 36.0;
+
+/// What an answer in time to a prompt of `tokens` is worth.
+fn value(tokens: u64) -> f64 {
+    (tokens as f64 / UNIT_PROMPT).powf(VALUE_EXPONENT).min(MOST_VALUE)
 }
 
 /// An order of equal choices that differs from draw to draw.
