--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -39,13 +39,17 @@
 type Peers = sync::Arc<sync::Mutex<collections::HashMap<String, net::SocketAddr>>>;
 
 /// Registers this host, follows the others, and passes words.
-pub(crate) async fn run(
+///
+/// # Errors
+///
+/// The socket cannot be used.
+pub(crate) fn run(
     state: sync::Arc<state::State>,
+    socket: net::UdpSocket,
     words: mpsc::Receiver<word::Word>,
 ) -> std::io::Result<()> {
-    let node = &state.settings.node;
-    let address = net::SocketAddr::new(node.ip, node.ports.0);
-    let socket = sync::Arc::new(UdpSocket::bind(address).await?);
+    let address = socket.local_addr()?;
+    let socket = sync::Arc::new(UdpSocket::from_std(socket)?);
     let peers = Peers::default();
     drop(ntex::rt::spawn(register(state.clone(), address)));
     drop(ntex::rt::spawn(follow(state.clone(), peers.clone())));
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -25,5 +25,5 @@
 
 pub use clock::Boot;
 pub use logs::start as start_logs;
-pub use server::run;
-pub use settings::{Settings, load};
+pub use server::{Handle, Running, start};
+pub use settings::{Settings, Tuning, load};
--- a/crates/lagoon-gateway/src/main.rs
+++ b/crates/lagoon-gateway/src/main.rs
@@ -3,10 +3,13 @@
 //! Exit codes: 0 good, 1 failed, 2 bad usage or settings.
 
 use std::env;
+use std::io;
 use std::path;
 use std::process;
+use std::thread;
 
 use lagoon_net::program;
+use lagoon_net::signals;
 
 /// Entry host on the users' platform.
 #[derive(argh::FromArgs)]
@@ -44,8 +47,34 @@
     if let Err(error) = lagoon_gateway::start_logs(settings.tuning.level) {
         return program::failed(PROGRAM, &error);
     }
-    match lagoon_gateway::run(settings, node, args.settings) {
+    match run(settings, &node, args.settings.as_deref()) {
         Ok(()) => process::ExitCode::SUCCESS,
         Err(error) => program::failed(PROGRAM, &error),
     }
 }
+
+fn run(
+    settings: lagoon_gateway::Settings,
+    node: &path::Path,
+    own: Option<&path::Path>,
+) -> io::Result<()> {
+    // Before anything can be asked to end: a signal that comes early drains too.
+    let mut signals = signals::Signals::new()?;
+    let running = lagoon_gateway::start(settings)?;
+    let handle = running.handle();
+    let (node, own) = (node.to_owned(), own.map(path::Path::to_owned));
+    thread::spawn(move || {
+        loop {
+            match signals.wait() {
+                signals::Signal::End => handle.drain(),
+                // What the settings hold is fixed for a process's life: a change is checked and
+                // told, and takes force at the next start.
+                signals::Signal::Reload => {
+                    let checked = lagoon_gateway::load(&node, own.as_deref());
+                    handle.reloaded(checked.map(|_| ()));
+                }
+            }
+        }
+    });
+    running.wait()
+}
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -1,8 +1,9 @@
 //! The listening side: callers, readiness and metrics, and the process's end.
 
 use std::io;
-use std::path;
+use std::net;
 use std::sync;
+use std::thread;
 
 use lagoon_platform::head;
 use lagoonline::clock;
@@ -11,7 +12,7 @@
 use lagoonline::routing;
 use ntex::http;
 use ntex::web;
-use tokio::signal::unix;
+use tokio::sync::mpsc;
 
 use crate::answer;
 use crate::connection;
@@ -21,6 +22,7 @@
 use crate::settings;
 use crate::state;
 use crate::watch;
+use crate::word;
 
 /// Time between the balancer's questions is a second, and two misses take a host out; half a
 /// second to spare.
@@ -41,26 +43,96 @@
 /// closed under a request.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(75);
 
-/// Runs an entry host until it is told to end.
+/// A running entry host.
+#[derive(Debug)]
+pub struct Running {
+    handle: Handle,
+    thread: thread::JoinHandle<io::Result<()>>,
+}
+
+/// Controls a running entry host from any thread.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    callers: net::SocketAddr,
+    ready: net::SocketAddr,
+    state: sync::Arc<state::State>,
+}
+
+impl Handle {
+    /// Where callers connect.
+    pub fn callers(&self) -> net::SocketAddr {
+        self.callers
+    }
+
+    /// Where readiness and metrics are asked for.
+    pub fn ready(&self) -> net::SocketAddr {
+        self.ready
+    }
+
+    /// Starts the shutdown: unready, then no new requests, then the end.
+    pub fn drain(&self) {
+        self.state.advance(state::Phase::Unready);
+    }
+
+    /// Tells that settings were checked again, and how that went.
+    pub fn reloaded(&self, checked: Result<(), String>) {
+        match checked {
+            Ok(()) => event::Line::new("reload").text("settings", "good").info(),
+            Err(error) => event::Line::new("reload").text("settings", error).warn(),
+        }
+    }
+}
+
+impl Running {
+    /// A handle to control it by.
+    pub fn handle(&self) -> Handle {
+        self.handle.clone()
+    }
+
+    /// Waits for the end.
+    ///
+    /// # Errors
+    ///
+    /// The server's thread failed.
+    pub fn wait(self) -> io::Result<()> {
+        self.thread.join().map_err(|_| io::Error::other("the server's thread panicked"))?
+    }
+}
+
+/// Starts an entry host on threads of its own.
 ///
 /// # Errors
 ///
 /// An address cannot be listened on.
-pub fn run(
-    settings: settings::Settings,
-    node: path::PathBuf,
-    own: Option<path::PathBuf>,
-) -> io::Result<()> {
-    let system = ntex::rt::System::build().name("gateway").build(ntex::rt::DefaultRuntime);
-    system.block_on(serve(settings, node, own))
+pub fn start(settings: settings::Settings) -> io::Result<Running> {
+    let callers = net::TcpListener::bind(settings.node.callers)?;
+    let ready = net::TcpListener::bind(settings.node.ready)?;
+    let words = net::UdpSocket::bind((settings.node.ip, settings.node.ports.0))?;
+    words.set_nonblocking(true)?;
+    let (state, said) = state::State::new(settings);
+    let handle =
+        Handle { callers: callers.local_addr()?, ready: ready.local_addr()?, state: state.clone() };
+    let work = move || {
+        let system = ntex::rt::System::build().name("gateway").build(ntex::rt::DefaultRuntime);
+        system.block_on(serve(state, Sockets { callers, ready, words }, said))
+    };
+    let thread = thread::Builder::new().name("gateway".to_owned()).spawn(work)?;
+    Ok(Running { handle, thread })
+}
+
+/// What the process listens on.
+#[derive(Debug)]
+struct Sockets {
+    callers: net::TcpListener,
+    ready: net::TcpListener,
+    words: net::UdpSocket,
 }
 
 async fn serve(
-    settings: settings::Settings,
-    node: path::PathBuf,
-    own: Option<path::PathBuf>,
+    state: sync::Arc<state::State>,
+    sockets: Sockets,
+    said: mpsc::Receiver<word::Word>,
 ) -> io::Result<()> {
-    let (state, words) = state::State::new(settings);
     let place = &state.settings.node;
     event::Line::new("start")
         .text("host", &place.host)
@@ -68,19 +140,13 @@
         .text("callers", place.callers)
         .text("store", place.store)
         .info();
-    let mut end = unix::signal(unix::SignalKind::terminate())?;
-    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-    let callers = listen(state.clone(), place.callers, Side::Callers)?;
-    let ready = listen(state.clone(), place.ready, Side::Ready)?;
+    let callers = listen(state.clone(), sockets.callers, Side::Callers)?;
+    let ready = listen(state.clone(), sockets.ready, Side::Ready)?;
     drop(ntex::rt::spawn(watch::desired(state.clone())));
     drop(ntex::rt::spawn(watch::upstreams(state.clone())));
-    hosts::run(state.clone(), words).await?;
+    hosts::run(state.clone(), sockets.words, said)?;
     drop(ntex::rt::spawn(tick(state.clone())));
-    drop(ntex::rt::spawn(reload(node, own)));
-    tokio::select! {
-        _ = end.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    state.reach(state::Phase::Unready).await;
     shut_down(&state, callers).await;
     ready.stop(false).await;
     event::Line::new("stop").info();
@@ -94,7 +160,6 @@
     let grace = state.settings.node.bounds.grace.saturating_sub(LAST);
     let mut active = state.watch_active();
     event::Line::new("draining").number("active", *active.borrow()).info();
-    state.advance(state::Phase::Unready);
     tokio::time::sleep(UNREADY.min(grace / 2)).await;
     state.advance(state::Phase::Draining);
     let left = grace.saturating_sub(state.clock.now().since(started));
@@ -114,24 +179,6 @@
     }
 }
 
-/// Checks the settings again when the platform says that they changed. What they hold is fixed for
-/// a process's life, so a change is told and takes force at the next start.
-async fn reload(node: path::PathBuf, own: Option<path::PathBuf>) {
-    let mut hangup = match unix::signal(unix::SignalKind::hangup()) {
-        Ok(hangup) => hangup,
-        Err(error) => {
-            event::Line::new("no_reload").text("error", error).warn();
-            return;
-        }
-    };
-    while hangup.recv().await.is_some() {
-        match settings::load(&node, own.as_deref()) {
-            Ok(_) => event::Line::new("reload").text("settings", "good").info(),
-            Err(error) => event::Line::new("reload").text("settings", error).warn(),
-        }
-    }
-}
-
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Side {
@@ -141,7 +188,7 @@
 
 fn listen(
     state: sync::Arc<state::State>,
-    address: std::net::SocketAddr,
+    listener: net::TcpListener,
     side: Side,
 ) -> io::Result<ntex::server::Server> {
     let limits = routing::Limits::default();
@@ -171,7 +218,7 @@
         .disable_signals()
         .shutdown_timeout(ntex::time::Seconds(SHUTDOWN))
         .config(config)
-        .bind(address)?;
+        .listen(listener)?;
     Ok(server.run())
 }
 
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -77,7 +77,6 @@
             hold_share: figure("hold_share", default.placement.hold_share),
             jitter_ms: figure("jitter_ms", default.placement.jitter_ms),
             harm_ms: figure("harm_ms", default.placement.harm_ms),
-            margin_ms: figure("margin_ms", default.placement.margin_ms),
             ..default.placement
         };
         Tuning {
--- /dev/null
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -0,0 +1,326 @@
+//! The whole path before a stand-in of the platform's store and upstreams, over sockets.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::io::{Read, Write};
+use std::net;
+use std::time;
+
+use rstest::rstest;
+use serde_json::json;
+
+use standin::{Manner, Standin, event};
+
+/// Longest time that a step may take on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+struct Host {
+    standin: Standin,
+    running: Option<lagoon_gateway::Running>,
+    callers: net::SocketAddr,
+    ready: net::SocketAddr,
+}
+
+fn node(standin: &Standin) -> lagoon_platform::settings::Node {
+    let text = format!(
+        "NodeName: h1\nIp: 127.0.0.1\nZone: a\nListen:\n  Front: \"127.0.0.1:0\"\n  \
+         Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{}\"\n\
+         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: 1500\n",
+        standin.store_address
+    );
+    lagoon_platform::settings::read(&text).unwrap()
+}
+
+fn desired(version: u64, keys: &[&str], timeout: u64) -> serde_json::Value {
+    let engine = json!({"Slots": 16, "KvCacheTokens": 232000, "Stride": 43, "step_ms": 1.0,
+        "read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048});
+    json!({"Version": version,
+        "Routes": [
+            {"Name": "talk", "Host": "x.example", "Prefix": "/talk/", "Kind": "streaming",
+             "TimeoutMs": timeout, "TargetLatencyMs": 300, "Service": "llm", "MaxAttempts": 2,
+             "Resumable": true, "TargetGapMs": 250},
+            {"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
+             "TimeoutMs": timeout, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1},
+            {"Name": "look", "Host": "x.example", "Prefix": "/look/", "Kind": "safe",
+             "TimeoutMs": timeout, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 2}],
+        "Services": [{"Name": "llm", "HealthPath": "/h", "MaxConnections": 100, "Engine": engine},
+                     {"Name": "app", "HealthPath": "/h", "MaxConnections": 100}],
+        "Tenants": [{"Name": "c1", "ApiKeys": keys}]})
+}
+
+impl Host {
+    /// A host that is ready, before two engines and two replicas.
+    fn start() -> Host {
+        let standin = Standin::start();
+        standin.put("op", "config", &desired(1, &["k1"], 10_000));
+        for name in ["e1", "e2"] {
+            standin.upstream(name, "llm", 16);
+        }
+        for name in ["r1", "r2"] {
+            standin.upstream(name, "app", 6);
+        }
+        let settings = lagoon_gateway::Settings {
+            node: node(&standin),
+            tuning: lagoon_gateway::Tuning {
+                desired_wait: time::Duration::from_millis(400),
+                upstreams_pause: time::Duration::from_millis(20),
+                ..Default::default()
+            },
+        };
+        let running = lagoon_gateway::start(settings).unwrap();
+        let handle = running.handle();
+        let host = Host {
+            standin,
+            running: Some(running),
+            callers: handle.callers(),
+            ready: handle.ready(),
+        };
+        host.until("ready", || host.readiness() == 200);
+        host
+    }
+
+    fn until<Check>(&self, what: &str, mut check: Check)
+    where
+        Check: FnMut() -> bool,
+    {
+        let began = time::Instant::now();
+        while !check() {
+            assert!(began.elapsed() < PATIENCE, "not {what} in time");
+            std::thread::sleep(time::Duration::from_millis(10));
+        }
+    }
+
+    fn readiness(&self) -> u16 {
+        exchange(self.ready, "GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n").0
+    }
+
+    fn call(&self, method: &str, path: &str, key: &str, more: &str) -> (u16, String) {
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+             authorization: Token {key}\r\nlagoonline-request-deadline: 8000\r\n{more}\r\n"
+        );
+        exchange(self.callers, &head)
+    }
+
+    fn talk(&self) -> (u16, String) {
+        self.call("POST", "/talk/a", "k1", "lagoonline-token-count: 5000,400\r\n")
+    }
+
+    fn ran(&self) -> usize {
+        self.standin.seen().iter().filter(|seen| seen.ran).count()
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.handle().drain();
+        }
+    }
+}
+
+/// Sends a request and reads its answer; the status, and the body as far as it came. Status 0 is
+/// no answer. A chunked body that ends without its end mark has " CUT" behind it.
+fn exchange(address: net::SocketAddr, head: &str) -> (u16, String) {
+    let mut stream = net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut bytes = Vec::new();
+    let mut buffer = [0; 4096];
+    loop {
+        let text = String::from_utf8_lossy(&bytes).into_owned();
+        if let Some(answer) = parse(&text, false) {
+            return answer;
+        }
+        match stream.read(&mut buffer) {
+            Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
+            _ => return parse(&text, true).unwrap_or((0, text)),
+        }
+    }
+}
+
+fn parse(text: &str, ended: bool) -> Option<(u16, String)> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    if !head.contains("chunked") {
+        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
+        let length: usize = length.trim().parse().ok()?;
+        return (body.len() >= length).then(|| (status, body.to_owned()));
+    }
+    let mut whole = String::new();
+    let mut left = body;
+    while let Some((size, rest)) = left.split_once("\r\n") {
+        let size = usize::from_str_radix(size, 16).ok()?;
+        if size == 0 {
+            return Some((status, whole));
+        }
+        if rest.len() < size + 2 {
+            break;
+        }
+        whole.push_str(&rest[..size]);
+        left = &rest[size + 2..];
+    }
+    ended.then(|| (status, whole + " CUT"))
+}
+
+fn all_events() -> String {
+    (1..=standin::EVENTS).map(event).collect()
+}
+
+/// A quiet day: a stream, a booking and a lookup are answered whole; the upstream is shown the
+/// customer and never the key, and gets the time that is left.
+#[rstest]
+fn a_quiet_day_is_served() {
+    let host = Host::start();
+    assert_eq!(host.talk(), (200, all_events()));
+    let (status, body) = host.call("POST", "/book/1", "k1", "content-length: 0\r\n");
+    assert!(status == 200 && body.starts_with("done by r"), "{status} {body}");
+    assert_eq!(host.call("GET", "/look/1?q=2", "k1", "").0, 200);
+    for seen in host.standin.seen() {
+        assert_eq!(seen.headers["lagoonline-tenant"], "c1");
+        assert!(!seen.headers.contains_key("authorization"));
+        assert_eq!(seen.headers["lagoonline-target-instance"], seen.upstream);
+        let left: u64 = seen.headers["lagoonline-request-deadline"].parse().unwrap();
+        assert!(left <= 8_000, "{left} ms handed on");
+    }
+    assert!(host.standin.seen().iter().any(|seen| seen.path == "/look/1?q=2"));
+}
+
+/// An engine crashes in the middle of an event. The caller sees one whole stream: the half event
+/// is dropped, and the other engine goes on after the last event that was passed on.
+#[rstest]
+fn a_stream_goes_on_at_another_engine() {
+    let host = Host::start();
+    host.standin.manner("e1", Manner::BreakAfter(4));
+    host.standin.manner("e2", Manner::BreakAfter(4));
+    let change = host.standin.clone();
+    // Whichever engine gets it first breaks; the other is mended as soon as one has got it.
+    std::thread::spawn(move || {
+        while change.seen().is_empty() {
+            std::thread::sleep(time::Duration::from_millis(1));
+        }
+        let first = change.seen()[0].upstream.clone();
+        let other = if first == "e1" { "e2" } else { "e1" };
+        change.manner(other, Manner::Whole);
+    });
+    let (status, body) = host.talk();
+    assert_eq!((status, body), (200, all_events()));
+    let seen = host.standin.seen();
+    assert_eq!(seen[1].headers["last-event-id"], "4");
+}
+
+/// Both engines break off. The caller's stream ends without its end mark and without any byte that
+/// no engine sent; it must not look complete.
+#[rstest]
+fn a_stream_that_cannot_go_on_is_cut() {
+    let host = Host::start();
+    host.standin.manner("e1", Manner::BreakAfter(2));
+    host.standin.manner("e2", Manner::BreakAfter(2));
+    let (status, body) = host.talk();
+    let expected: String = (1..=2).map(event).collect();
+    assert_eq!((status, body), (200, expected + " CUT"));
+}
+
+/// A replica runs a booking and its answer is lost. The caller hears 502, which promises nothing,
+/// and the booking is not sent again: a second run would book twice.
+#[rstest]
+fn a_booking_whose_answer_is_lost_runs_once() {
+    let host = Host::start();
+    host.standin.manner("r1", Manner::LoseAnswer);
+    host.standin.manner("r2", Manner::LoseAnswer);
+    assert_eq!(host.call("POST", "/book/1", "k1", "content-length: 0\r\n").0, 502);
+    assert_eq!(host.ran(), 1);
+}
+
+/// Both replicas say that they did not run a booking. The caller hears 503, which promises that it
+/// has not run, with a time to come back.
+#[rstest]
+fn a_booking_that_is_refused_has_not_run() {
+    let host = Host::start();
+    host.standin.manner("r1", Manner::Refuse);
+    host.standin.manner("r2", Manner::Refuse);
+    assert_eq!(host.call("POST", "/book/1", "k1", "content-length: 0\r\n").0, 503);
+    assert_eq!(host.ran(), 0);
+}
+
+/// A lookup may run again: the first replica loses its answer, the second one's reaches the caller.
+#[rstest]
+fn a_lookup_is_tried_again() {
+    let host = Host::start();
+    host.standin.manner("r1", Manner::LoseAnswer);
+    assert_eq!(host.call("GET", "/look/1", "k1", "").0, 200);
+}
+
+/// An answer without the upstream's proof is nobody's: the caller must not see it as a success.
+#[rstest]
+fn an_unproven_answer_is_not_passed_on() {
+    let host = Host::start();
+    host.standin.manner("r1", Manner::Unproven);
+    host.standin.manner("r2", Manner::Unproven);
+    assert_eq!(host.call("POST", "/book/1", "k1", "content-length: 0\r\n").0, 502);
+}
+
+/// A replica says that it is leaving. From then on every request goes to the other one.
+#[rstest]
+fn a_leaving_upstream_gets_nothing_new() {
+    let host = Host::start();
+    let entry = json!({"Service": "app", "Address": "127.0.0.1:1", "Zone": "a", "Slots": 6,
+        "State": "draining"});
+    host.standin.put("servers", "r1", &entry);
+    std::thread::sleep(time::Duration::from_millis(500));
+    for _ in 0..8 {
+        assert_eq!(host.call("GET", "/look/1", "k1", "").0, 200);
+    }
+    assert!(host.standin.seen().iter().all(|seen| seen.upstream == "r2"));
+}
+
+/// A route is dropped and a key is taken away by a new version; both are refused from then on, and
+/// neither comes back with an older version.
+#[rstest]
+fn a_new_desired_state_is_in_force() {
+    let host = Host::start();
+    assert_eq!(host.call("GET", "/look/1", "k1", "").0, 200);
+    host.standin.put("op", "config", &desired(3, &["k2"], 10_000));
+    host.until("revoked", || host.call("GET", "/look/1", "k1", "").0 == 401);
+    assert_eq!(host.call("GET", "/look/1", "k2", "").0, 200);
+    host.standin.put("op", "config", &desired(2, &["k1"], 10_000));
+    std::thread::sleep(time::Duration::from_millis(300));
+    assert_eq!(host.call("GET", "/look/1", "k1", "").0, 401);
+    assert_eq!(host.call("GET", "/nowhere/1", "k2", "").0, 404);
+}
+
+/// The platform is out for longer than the bound on keys. Requests with a key are refused as not
+/// run, since it may have been taken away meanwhile; they are served again when it is back.
+#[rstest]
+fn keys_are_not_trusted_beyond_their_bound() {
+    let host = Host::start();
+    host.standin.set_out(true);
+    host.until("refused", || host.call("GET", "/look/1", "k1", "").0 == 503);
+    let before = host.ran();
+    assert_eq!(host.call("GET", "/look/1", "k1", "").0, 503);
+    assert_eq!(host.ran(), before);
+    host.standin.set_out(false);
+    host.until("served", || host.call("GET", "/look/1", "k1", "").0 == 200);
+}
+
+/// The host is told to end while a stream runs: it says that it is not ready, the stream ends
+/// whole, and the process ends by itself.
+#[rstest]
+fn a_drain_cuts_no_stream() {
+    let mut host = Host::start();
+    host.standin.manner("e1", Manner::Slow);
+    host.standin.manner("e2", Manner::Slow);
+    let running = host.running.take().unwrap();
+    let callers = host.callers;
+    let stream = std::thread::spawn(move || {
+        let head = "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+             authorization: Token k1\r\nlagoonline-token-count: 5000,400\r\n\r\n";
+        exchange(callers, head)
+    });
+    host.until("streaming", || !host.standin.seen().is_empty());
+    running.handle().drain();
+    host.until("unready", || host.readiness() == 503);
+    assert_eq!(stream.join().unwrap(), (200, all_events()));
+    running.wait().unwrap();
+}
--- a/crates/lagoon-net/src/signals.rs
+++ b/crates/lagoon-net/src/signals.rs
@@ -1,4 +1,4 @@
-//! SIGTERM and SIGINT, received one after the other by a thread that waits for them.
+//! SIGTERM, SIGINT and SIGHUP, received one after the other by a thread that waits for them.
 
 use std::io;
 
@@ -44,3 +44,50 @@
         });
     }
 }
+
+/// What the host asks of the process.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Signal {
+    /// To end.
+    End,
+    /// To read its settings again.
+    Reload,
+}
+
+/// Asks to end and to reload.
+#[derive(Debug)]
+pub struct Signals {
+    ends: Terminations,
+    hangup: unix::Signal,
+}
+
+impl Signals {
+    /// From now on these signals no longer end the process by themselves.
+    ///
+    /// # Errors
+    ///
+    /// The signals cannot be received.
+    ///
+    /// ```
+    /// assert!(lagoon_net::signals::Signals::new().is_ok());
+    /// ```
+    pub fn new() -> io::Result<Signals> {
+        let ends = Terminations::new()?;
+        let guard = ends.runtime.enter();
+        let hangup = unix::signal(unix::SignalKind::hangup())?;
+        drop(guard);
+        Ok(Signals { ends, hangup })
+    }
+
+    /// Blocks the thread until the next one.
+    pub fn wait(&mut self) -> Signal {
+        let Signals { ends: Terminations { runtime, term, int }, hangup } = self;
+        runtime.block_on(async {
+            tokio::select! {
+                _ = term.recv() => Signal::End,
+                _ = int.recv() => Signal::End,
+                _ = hangup.recv() => Signal::Reload,
+            }
+        })
+    }
+}
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -194,8 +194,8 @@
 
     /// Writers whose pause would be too long if a prompt that takes `read_ms` were read beside
     /// them: a pass lasts for its steps and all reads that wait for it.
-    pub(super) fn harmed(&self, read_ms: f64, margin_ms: f64) -> u32 {
-        let pass = self.pass_ms() + self.reading_ms() + read_ms + margin_ms;
+    pub(super) fn harmed(&self, read_ms: f64) -> u32 {
+        let pass = self.pass_ms() + self.reading_ms() + read_ms;
         let writes = |part: &&Part| part.stage == Stage::Writing && part.gap_ms < pass;
         self.parts.iter().filter(writes).count() as u32
     }
@@ -215,8 +215,8 @@
 
     /// The prompts of the writers whose pause would become too long by a read of `read_ms`, as
     /// tokens of their memory; those that are late already are left out.
-    pub(super) fn made_late(&self, read_ms: f64, margin_ms: f64) -> impl Iterator<Item = u64> {
-        let before = self.pass_ms() + self.reading_ms() + margin_ms;
+    pub(super) fn made_late(&self, read_ms: f64) -> impl Iterator<Item = u64> {
+        let before = self.pass_ms() + self.reading_ms();
         let after = before + read_ms;
         let parts = self.parts.iter().filter(|part| part.stage == Stage::Writing);
         let late = parts.filter(move |part| part.gap_ms < after && part.gap_ms >= before);
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -163,9 +163,6 @@
     pub patience: clock::Span,
     /// Milliseconds of delay that one answer made late is worth.
     pub harm_ms: f64,
-    /// Milliseconds by which pauses vary on the way to a caller and by what this host has not
-    /// heard of.
-    pub margin_ms: f64,
     /// How long an upstream that failed without a word is passed over.
     pub suspect_span: clock::Span,
 }
@@ -186,13 +183,12 @@
             stall_ms: 100.0,
             tight_life: clock::Span::from_millis(1_900),
             jitter_ms: 20.0,
-            backlog_ms: 450.0,
+            backlog_ms: 200.0,
             backlog_prompt_ms: 1_200.0,
             backlog_growth: 0.12,
             hold_share: 0.3,
             patience: clock::Span::from_millis(5_000),
             harm_ms: 60.0,
-            margin_ms: 30.0,
             suspect_span: clock::Span::from_secs(1),
         }
     }
@@ -510,7 +506,7 @@
         part_ms: f64,
     ) -> Vec<usize> {
         let own = |index: usize| (index < kept) == tight;
-        let unharmed = |index: usize| usable[index].harmed(part_ms, self.settings.margin_ms) == 0;
+        let unharmed = |index: usize| usable[index].harmed(part_ms) == 0;
         let all = 0..usable.len();
         match side {
             Side::Unharmed => all.filter(|index| own(*index) && unharmed(*index)).collect(),
@@ -577,9 +573,7 @@
             _ => 0.0,
         };
         let parts = || plan.helpers.iter().map(|(index, _)| *index).chain([plan.first]);
-        let margin = self.settings.margin_ms;
-        let late =
-            |index: usize| usable[index].made_late(plan.part_ms, margin).map(value).sum::<f64>();
+        let late = |index: usize| usable[index].made_late(plan.part_ms).map(value).sum::<f64>();
         let writers: f64 = parts().map(late).sum();
         let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
         let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
@@ -678,7 +672,7 @@
     /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
     /// the writers that it makes late.
     fn cost(&self, engine: &Engine, part_ms: f64) -> f64 {
-        let harmed = engine.harmed(part_ms, self.settings.margin_ms);
+        let harmed = engine.harmed(part_ms);
         engine.wait_ms() + f64::from(harmed) * self.settings.harm_ms
     }
 
--- /dev/null
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -0,0 +1,309 @@
+//! Where requests go at the worst load: each test replays a load pattern on a [`Board`] and checks
+//! what callers would get.
+//!
+//! [`Board`]: lagoonline::load::placement::Board
+
+use std::collections;
+use std::net;
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::id;
+use lagoonline::load::{pass, placement};
+use lagoonline::routing;
+use rstest::rstest;
+
+const TIGHT: Span = Span::from_millis(250);
+const LOOSE: Span = Span::from_millis(1_000);
+
+fn pace() -> pass::Pace {
+    pass::Pace { step_ms: 1.02, read_per_ms: 206.0, pairs_ms_per_m: 0.138, ..Default::default() }
+}
+
+fn entry(index: usize, zone: &str) -> routing::Entry {
+    routing::Entry {
+        upstream: id::Upstream::from(format!("e{index:02}")),
+        service: id::Service::from("llm"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 8_000 + index as u16)),
+        zone: id::Zone::from(zone),
+        slots: 16,
+        leaving: false,
+        born: 1,
+    }
+}
+
+/// Engines in three zones, in turn.
+fn board(engines: usize) -> placement::Board {
+    let zones = ["a", "b", "c"];
+    let entries: Vec<_> = (0..engines).map(|index| entry(index, zones[index % 3])).collect();
+    let mut board = placement::Board::new(placement::Settings::default(), id::Zone::from("a"));
+    board.set_upstreams(&entries, Some(pace()));
+    board
+}
+
+/// Requests under way, by the order in which they were sent.
+struct Day {
+    board: placement::Board,
+    zone: id::Zone,
+    now: Moment,
+    number: u64,
+}
+
+impl Day {
+    fn new(engines: usize) -> Day {
+        Day {
+            board: board(engines),
+            zone: id::Zone::from("a"),
+            now: Moment::from_millis(10),
+            number: 0,
+        }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now = self.now + Span::from_millis(millis);
+    }
+
+    fn place(
+        &mut self,
+        prompt: u64,
+        gap: Span,
+        waited: u64,
+    ) -> Result<placement::Placement, placement::Refusal> {
+        let demand = placement::Demand {
+            prompt,
+            answer: 400,
+            target: if gap == TIGHT { Span::from_millis(300) } else { Span::from_millis(2_500) },
+            gap,
+            waited: Span::from_millis(waited),
+            zone: &self.zone,
+            avoid: &[],
+            draw: self.number,
+        };
+        self.board.place(&demand, self.now)
+    }
+
+    /// Places a request and sends it there.
+    fn send(
+        &mut self,
+        prompt: u64,
+        gap: Span,
+    ) -> Result<(placement::WorkId, placement::Placement), placement::Refusal> {
+        let placed = self.place(prompt, gap, 0)?;
+        self.number += 1;
+        let id = placement::WorkId { host: 1, number: self.number };
+        let work = placement::Work {
+            id,
+            first: placed.first.upstream.clone(),
+            helpers: placed.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
+            prompt,
+            held: placed.helpers.iter().map(|help| help.reserve).filter(|held| *held > 0).collect(),
+            gap,
+            until: self.now + Span::from_secs(10),
+        };
+        self.board.begin(work, self.now);
+        Ok((id, placed))
+    }
+
+    /// Short answers under way on all engines, all of them writing.
+    fn burst(&mut self, answers: usize) {
+        for _ in 0..answers {
+            let (id, _) = self.send(5_000, TIGHT).unwrap();
+            self.board.first_token(id, self.now);
+            self.pass(3);
+        }
+    }
+}
+
+fn engines(placed: &placement::Placement) -> collections::BTreeSet<&str> {
+    let helpers = placed.helpers.iter().map(|helper| helper.entry.upstream.as_str());
+    helpers.chain([placed.first.upstream.as_str()]).collect()
+}
+
+/// Long prompts come beside short ones. A long read in a pass delays every writer of its engine, so
+/// a dossier's parts must not lie where short answers are written while other engines are free.
+#[rstest]
+fn long_reads_keep_away_from_short_answers() {
+    let mut day = Day::new(18);
+    let mut short = collections::BTreeSet::new();
+    for _ in 0..20 {
+        let (id, placed) = day.send(5_000, TIGHT).unwrap();
+        short.insert(placed.first.upstream.to_string());
+        day.pass(60);
+        day.board.first_token(id, day.now);
+    }
+    assert!(short.len() <= 4, "short answers are spread over {short:?}");
+    let placed = day.place(133_000, LOOSE, 0).unwrap();
+    assert!(placed.helpers.len() >= 8, "read by {} engines only", placed.helpers.len() + 1);
+    let both = engines(&placed).into_iter().filter(|name| short.contains(*name)).count();
+    assert_eq!(both, 0, "parts are read where short answers are written");
+}
+
+/// One prompt of several engines' memory comes in a burst of short ones. Read at once it would stop
+/// every engine for 1.7 s: hundreds of answers late for one. It waits, and then is asked to come
+/// back; when the burst is over it is served.
+#[rstest]
+fn a_giant_does_not_stop_a_burst() {
+    let mut day = Day::new(18);
+    day.burst(200);
+    assert_eq!(day.place(600_000, LOOSE, 0), Err(placement::Refusal::Busy));
+    let patience = day.place(600_000, LOOSE, 6_000);
+    assert!(matches!(patience, Err(placement::Refusal::Full(_))), "{patience:?}");
+    day.pass(11_000);
+    day.board.expire(day.now);
+    assert!(day.place(600_000, LOOSE, 0).is_ok());
+}
+
+/// A prompt larger than any engine is held by several: what is reserved and the first engine's own
+/// memory cover it.
+#[rstest]
+#[case(300_000)]
+#[case(600_000)]
+fn memory_of_several_engines_holds_a_large_prompt(#[case] prompt: u64) {
+    let mut day = Day::new(18);
+    let placed = day.place(prompt, LOOSE, 0).unwrap();
+    let held: u64 = placed.helpers.iter().map(|helper| helper.reserve).sum();
+    assert!(held > 0 && held + placed.reserve >= prompt, "{held} + {}", placed.reserve);
+    assert!(placed.reserve <= pace().memory_tokens);
+    assert!(placed.helpers.iter().all(|helper| helper.reserve <= pace().memory_tokens));
+    assert!(placed.helpers.len() <= 15);
+}
+
+/// Two dossiers do not fit into one engine. The second must go elsewhere, or it waits in the engine
+/// for seconds until the first has ended.
+#[rstest]
+fn two_long_prompts_do_not_share_an_engine() {
+    let mut day = Day::new(6);
+    let (_, one) = day.send(130_000, LOOSE).unwrap();
+    day.pass(2_000);
+    let (_, two) = day.send(130_000, LOOSE).unwrap();
+    assert!(one.reserve > 0 && two.reserve > 0);
+    assert_ne!(one.first.upstream, two.first.upstream);
+}
+
+/// Short prompts come faster than engines write. Once every place is taken the next ones wait for
+/// a moment and are then refused with a time to come back; queued in the engines, all would be
+/// late.
+#[rstest]
+fn short_prompts_beyond_all_places_are_refused() {
+    let mut day = Day::new(3);
+    day.burst(48);
+    assert_eq!(day.place(5_000, TIGHT, 0), Err(placement::Refusal::Busy));
+    let Err(placement::Refusal::Full(span)) = day.place(5_000, TIGHT, 200) else {
+        panic!("not refused");
+    };
+    assert!(span > Span::from_millis(500) && span < Span::from_secs(5), "come back in {span:?}");
+}
+
+/// A burst of dossiers. What engines have to read is bounded, so a large one waits at its host while
+/// a smaller one, which earns more for its time, still goes; the bound ends with its patience.
+#[rstest]
+fn a_backlog_lets_small_prompts_pass_large_ones() {
+    let mut day = Day::new(18);
+    let mut sent = 0;
+    while day.send(133_000, LOOSE).is_ok() {
+        sent += 1;
+        assert!(sent < 50, "no bound on what is read");
+    }
+    day.pass(60);
+    assert_eq!(day.place(350_000, LOOSE, 0), Err(placement::Refusal::Busy));
+    assert!(day.place(40_000, LOOSE, 0).is_ok());
+    day.pass(1_500);
+    assert!(day.place(133_000, LOOSE, 0).is_ok());
+}
+
+/// A zone is cut off: two of its engines cannot be reached. Its others are passed over without a
+/// trial of each, and prompts are read on this side of the cut; when one answers again they are
+/// back.
+#[rstest]
+fn a_cut_zone_is_passed_over() {
+    let mut day = Day::new(18);
+    for name in ["e01", "e04"] {
+        day.board.suspect(&id::Upstream::from(name), day.now);
+    }
+    let zone_of = |name: &str| name[1..].parse::<usize>().unwrap() % 3;
+    let placed = day.place(133_000, LOOSE, 0).unwrap();
+    assert!(engines(&placed).into_iter().all(|name| zone_of(name) != 1));
+    day.pass(700);
+    day.board.answered(&id::Upstream::from("e07"));
+    day.board.answered(&id::Upstream::from("e01"));
+    day.board.answered(&id::Upstream::from("e04"));
+    let placed = day.place(133_000, LOOSE, 0).unwrap();
+    assert!(engines(&placed).into_iter().any(|name| zone_of(name) == 1));
+}
+
+/// Two zones cannot reach each other, though this host, in a third, reaches both. A prompt whose
+/// first engine is in one of them is not read in the other: it would be refused.
+#[rstest]
+fn helpers_are_within_reach_of_the_first_engine() {
+    let mut day = Day::new(18);
+    for (first, helper) in [("e01", "e02"), ("e04", "e05")] {
+        let (first, helper) = (id::Upstream::from(first), id::Upstream::from(helper));
+        day.board.helper_failed(&first, &helper, day.now);
+    }
+    let near: Vec<_> = (0..18).step_by(3).map(|index| entry(index, "a").upstream).collect();
+    let demand = placement::Demand {
+        prompt: 133_000,
+        answer: 400,
+        target: Span::from_millis(2_500),
+        gap: LOOSE,
+        waited: Span::ZERO,
+        zone: &day.zone,
+        avoid: &near,
+        draw: 3,
+    };
+    let placed = day.board.place(&demand, day.now).unwrap();
+    let zones: collections::BTreeSet<&str> = placed
+        .helpers
+        .iter()
+        .map(|helper| helper.entry.zone.as_str())
+        .chain([placed.first.zone.as_str()])
+        .collect();
+    assert!(!(zones.contains("b") && zones.contains("c")), "read in {zones:?}");
+}
+
+/// A host fell silent and its words of the end are lost. What it had under way is forgotten when it
+/// must be over, or its engines would look busy for ever.
+#[rstest]
+fn what_must_be_over_is_forgotten() {
+    let mut day = Day::new(3);
+    day.burst(30);
+    day.pass(11_000);
+    day.board.expire(day.now);
+    assert_eq!(day.board.works(), 0);
+}
+
+/// Plain services: the least used replica is chosen, one that failed is passed over while another
+/// is left, and one that leaves gets nothing.
+#[rstest]
+fn calls_go_to_the_least_used_replica() {
+    let mut board = placement::Board::new(placement::Settings::default(), id::Zone::from("a"));
+    let mut entries: Vec<_> = (0..3).map(|index| entry(index, "a")).collect();
+    entries[2].leaving = true;
+    board.set_upstreams(&entries, None);
+    let zone = id::Zone::from("a");
+    let demand = placement::Demand {
+        prompt: 0,
+        answer: 0,
+        target: Span::from_millis(200),
+        gap: Span::ZERO,
+        waited: Span::ZERO,
+        zone: &zone,
+        avoid: &[],
+        draw: 7,
+    };
+    let now = Moment::from_millis(10);
+    board.suspect(&id::Upstream::from("e00"), now);
+    assert_eq!(board.place(&demand, now).unwrap().first.upstream.as_str(), "e01");
+    let avoid = [id::Upstream::from("e01")];
+    let again = placement::Demand { avoid: &avoid, ..demand };
+    assert_eq!(board.place(&again, now).unwrap().first.upstream.as_str(), "e00");
+}
+
+/// The published pace predicts a pass: steps of all writers, and the reads that wait for it.
+#[rstest]
+#[case(5_000, 26.0)]
+#[case(45_000, 358.0)]
+#[case(133_000, 1_866.0)]
+fn reading_takes_as_long_as_published(#[case] prompt: u64, #[case] millis: f64) {
+    assert!((pace().read_ms(prompt) - millis).abs() < 1.0);
+    assert!((pace().part_ms(prompt, 4) * 4.0 - millis).abs() < 1.0);
+}
