--- a/crates/lagoon-gateway/src/answer.rs
+++ b/crates/lagoon-gateway/src/answer.rs
@@ -36,6 +36,12 @@
         Fault { retry_after: Some(span), ..self }
     }
 
+    /// The same fault of a request of which an earlier attempt may have run: it must not be told as
+    /// not run.
+    pub(crate) fn if_lost(self, lost: bool) -> Fault {
+        if lost { Fault { outcome: Outcome::Unknown, ..self } } else { self }
+    }
+
     /// The status that tells it. 503 promises that the request did not run and never will; where
     /// that is unknown the status promises nothing.
     pub(crate) fn status(&self) -> http::StatusCode {
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -205,7 +205,7 @@
     let mut refusals = 0;
     let mut lost = false;
     loop {
-        let secured = admitted.secure(&avoid).await?;
+        let secured = admitted.secure(&avoid).await.map_err(|fault| fault.if_lost(lost))?;
         let upstream = secured.placement.first.upstream.clone();
         let dispatched = held.dispatch(id::Attempt(0));
         attempts += 1;
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -27,10 +27,9 @@
 /// Time between the balancer's questions is a second, and two misses take a host out; half a
 /// second to spare.
 const UNREADY: clock::Span = clock::Span::from_millis(2_500);
-/// Time before the kill at which the process ends by itself.
-const LAST: clock::Span = clock::Span::from_millis(500);
-/// Longest time, in seconds, for connections to close at the end.
-const SHUTDOWN: u16 = 1;
+/// Time before the kill at which no request is waited for any more: the last answers leave and the
+/// threads end within it.
+const LAST: clock::Span = clock::Span::from_millis(700);
 /// Time for the last answers to leave: two round trips to a caller.
 const FLUSH: clock::Span = clock::Span::from_millis(100);
 /// When a caller turned away by a host that ends may come back: at once, elsewhere.
@@ -167,7 +166,7 @@
     event::Line::new("drained").number("all_ended", ended).info();
     // The last answers are still on their way out of the buffers.
     tokio::time::sleep(FLUSH).await;
-    callers.stop(true).await;
+    callers.stop(false).await;
 }
 
 async fn tick(state: sync::Arc<state::State>) {
@@ -216,7 +215,6 @@
     let server = web::HttpServer::new(factory)
         .workers(1)
         .disable_signals()
-        .shutdown_timeout(ntex::time::Seconds(SHUTDOWN))
         .config(config)
         .listen(listener)?;
     Ok(server.run())
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -434,23 +434,14 @@
                 Err(error) => refusal = error,
             }
         }
-        let plan = best.ok_or(refusal)?;
-        if !tight && plan.net < 0.0 {
-            return Err(self.unprofitable(demand));
+        match best {
+            Some(plan) if tight || plan.net >= 0.0 => {
+                Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share))
+            }
+            Some(_) => Err(self.not_now(demand)),
+            None if refusal == Refusal::Busy => Err(self.not_now(demand)),
+            None => Err(refusal),
         }
-        let helper = |(index, reserve): &(usize, u64)| Helper {
-            entry: usable[*index].entry().clone(),
-            reserve: *reserve,
-        };
-        let held: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
-        let need = (demand.prompt + demand.answer).saturating_sub(held);
-        let large = need as f64 > pace.memory_tokens as f64 * self.settings.reserve_share;
-        Ok(Placement {
-            first: usable[plan.first].entry().clone(),
-            reserve: if large { need } else { 0 },
-            helpers: plan.helpers.iter().map(helper).collect(),
-            expected: clock::Span::try_from_secs_f64(plan.expected / 1e3).unwrap_or_default(),
-        })
     }
 
     /// What becomes of a short prompt when every place of every engine is taken.
@@ -583,12 +574,13 @@
         value(demand.prompt) * in_time - (writers + arrivals) * (1.0 - LATE_VALUE)
     }
 
-    /// What becomes of a long prompt that would take more from others than its answer is worth.
+    /// What becomes of a long prompt for which there is no memory, or that would take more from
+    /// others than its answer is worth.
     ///
     /// Load pattern: one prompt of several engines' memory among a burst of short ones. Its parts
     /// stop every engine for seconds, and hundreds of answers are late for one. It waits for a
     /// calmer moment, and is then asked to come back.
-    fn unprofitable(&self, demand: &Demand<'_>) -> Refusal {
+    fn not_now(&self, demand: &Demand<'_>) -> Refusal {
         if demand.waited < self.settings.patience {
             Refusal::Busy
         } else {
@@ -723,6 +715,29 @@
     (tokens as f64 / UNIT_PROMPT).powf(VALUE_EXPONENT).min(MOST_VALUE)
 }
 
+/// The placement that a plan stands for.
+fn placed(
+    demand: &Demand<'_>,
+    usable: &[&Engine],
+    pace: pass::Pace,
+    plan: &Plan,
+    reserve_share: f64,
+) -> Placement {
+    let helper = |(index, reserve): &(usize, u64)| Helper {
+        entry: usable[*index].entry().clone(),
+        reserve: *reserve,
+    };
+    let held: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
+    let need = (demand.prompt + demand.answer).saturating_sub(held);
+    let large = need as f64 > pace.memory_tokens as f64 * reserve_share;
+    Placement {
+        first: usable[plan.first].entry().clone(),
+        reserve: if large { need } else { 0 },
+        helpers: plan.helpers.iter().map(helper).collect(),
+        expected: clock::Span::try_from_secs_f64(plan.expected / 1e3).unwrap_or_default(),
+    }
+}
+
 /// An order of equal choices that differs from draw to draw.
 fn spread(draw: u64, engine: &Engine) -> u64 {
     use std::hash::{Hash, Hasher};
