--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -87,10 +87,14 @@
                 Ok(peer) => drop(known.insert(row.key.clone(), peer.address)),
                 Err(error) => {
                     known.remove(&row.key);
-                    event::Line::new("host_unreadable").text("host", &row.key).text("error", error);
+                    event::Line::new("host_unreadable")
+                        .text("host", &row.key)
+                        .text("error", error)
+                        .warn();
                 }
             }
         }
+        state.set_hosts(known.len() + 1);
     }
 }
 
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -22,14 +22,14 @@
 pub struct Tuning {
     /// Lines below this level are not logged.
     pub level: log::LevelFilter,
-    /// How long the platform holds a watch of the desired state open. Each call costs, and a
-    /// version counts as confirmed from call to call, so this is well below the bound on keys.
+    /// How long the platform holds a watch of the desired state open, at most half of the bound on
+    /// keys: each call costs, and a version counts as confirmed from call to call.
     pub desired_wait: clock::Span,
     /// How long the platform holds a watch of the upstreams open. A connection that fell silent is
     /// found out after it, and what changed meanwhile must still be in force within the bounds.
     pub upstreams_wait: clock::Span,
-    /// Pause after an answer of that watch, in which changes gather: several heartbeats come in
-    /// one call. Well below the bound on leaving upstreams.
+    /// Pause after an answer of that watch, in which changes gather: several come in one call. At
+    /// most two fifths of the bound on leaving upstreams.
     pub upstreams_pause: clock::Span,
     /// How long the platform holds a watch of the entry hosts open.
     pub hosts_wait: clock::Span,
@@ -43,9 +43,9 @@
     fn default() -> Self {
         Tuning {
             level: log::LevelFilter::Info,
-            desired_wait: clock::Span::from_millis(2_000),
+            desired_wait: clock::Span::from_millis(2_500),
             upstreams_wait: clock::Span::from_millis(2_500),
-            upstreams_pause: clock::Span::from_millis(800),
+            upstreams_pause: clock::Span::from_millis(1_200),
             hosts_wait: clock::Span::from_millis(20_000),
             words_pause: clock::Span::from_millis(8),
             placement: placement::Settings::default(),
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -60,6 +60,7 @@
     phase: watch::Sender<Phase>,
     active: watch::Sender<usize>,
     dispatches: atomic::AtomicU64,
+    hosts: atomic::AtomicUsize,
     words: mpsc::Sender<word::Word>,
 }
 
@@ -87,6 +88,7 @@
             phase: watch::Sender::new(Phase::Serving),
             active: watch::Sender::new(0),
             dispatches: atomic::AtomicU64::new(0),
+            hosts: atomic::AtomicUsize::new(1),
             words,
         };
         (sync::Arc::new(state), receiver)
@@ -194,7 +196,21 @@
     fn new_desk(&self) -> sync::Arc<sync::Mutex<Desk>> {
         let board =
             placement::Board::new(self.settings.tuning.placement, self.settings.node.zone.clone());
-        sync::Arc::new(sync::Mutex::new(Desk { board, budget: retry::Budget::default() }))
+        let mut budget = retry::Budget::default();
+        let hosts = self.hosts.load(atomic::Ordering::Relaxed);
+        budget.share_slack(self.settings.node.bounds.retry_slack, hosts);
+        sync::Arc::new(sync::Mutex::new(Desk { board, budget }))
+    }
+
+    /// There are so many entry hosts, this one included.
+    pub(crate) fn set_hosts(&self, hosts: usize) {
+        if self.hosts.swap(hosts, atomic::Ordering::Relaxed) == hosts {
+            return;
+        }
+        let slack = self.settings.node.bounds.retry_slack;
+        for desk in self.desks.load().values() {
+            lock(desk).budget.share_slack(slack, hosts);
+        }
     }
 
     /// The id of a new dispatch.
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -18,6 +18,9 @@
 /// What an answer may take beyond the time that the store was asked to wait: a slow store takes a
 /// quarter of a second, and a lost packet costs as much again.
 const SLACK: clock::Span = clock::Span::from_millis(800);
+/// Part of the bound on leaving upstreams that may pass between two looks at them: the rest is for a
+/// slow answer and a lost packet.
+const PAUSE_SHARE: f64 = 0.4;
 /// First pause after a failed call.
 const FIRST_PAUSE: clock::Span = clock::Span::from_millis(60);
 /// Longest pause after failed calls: a host is back well within the bounds after an outage.
@@ -153,7 +156,8 @@
 
 /// Keeps the desired state in force.
 pub(crate) async fn desired(state: sync::Arc<state::State>) {
-    let wait = state.settings.tuning.desired_wait;
+    let bound = state.settings.node.bounds.revoke.unwrap_or(clock::Span::MAX);
+    let wait = state.settings.tuning.desired_wait.min(bound / 2);
     let mut watch = Watch::new(&state, "desired state", desired::TABLE, wait);
     loop {
         let news = watch.next().await;
@@ -173,6 +177,7 @@
 /// Keeps the list of upstreams.
 pub(crate) async fn upstreams(state: sync::Arc<state::State>) {
     let tuning = &state.settings.tuning;
+    let pause = tuning.upstreams_pause.min(state.settings.node.bounds.leaving.mul_f64(PAUSE_SHARE));
     let mut watch = Watch::new(&state, "upstreams", entry::TABLE, tuning.upstreams_wait);
     loop {
         let news = watch.next().await;
@@ -189,7 +194,7 @@
         } else {
             state.change_upstreams(entries.collect());
         }
-        tokio::time::sleep(tuning.upstreams_pause).await;
+        tokio::time::sleep(pause).await;
     }
 }
 
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -17,15 +17,38 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Budget {
     left: f64,
+    burst: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget { left: BURST }
+        Budget { left: BURST, burst: BURST }
     }
 }
 
+/// Part of a slack that all hosts share which their bursts may use up: the rest is for hosts that
+/// come and go.
+const SLACK_SHARE: f64 = 0.6;
+/// Least burst: with less a quiet host could never repeat.
+const LEAST_BURST: f64 = 1.0;
+
 impl Budget {
+    /// Bounds the burst so that those of `hosts` hosts together stay within `slack`.
+    ///
+    /// Load pattern: hundreds of hosts, each of which may repeat a few requests at once, when many
+    /// upstreams fail together. Each within its own burst, they go far beyond what all may repeat.
+    ///
+    /// ```
+    /// let mut budget = lagoonline::load::retry::Budget::default();
+    /// budget.share_slack(200.0, 60);
+    /// assert_eq!((0..100).filter(|_| budget.take()).count(), 2);
+    /// ```
+    pub fn share_slack(&mut self, slack: f64, hosts: usize) {
+        let share = slack * SLACK_SHARE / hosts.max(1) as f64;
+        self.burst = share.clamp(LEAST_BURST, BURST);
+        self.left = self.left.min(self.burst);
+    }
+
     /// A first attempt was made.
     ///
     /// ```
@@ -35,7 +58,7 @@
     /// assert_eq!((0..100).filter(|_| budget.take()).count(), 10);
     /// ```
     pub fn first_attempt(&mut self) {
-        self.left = (self.left + SHARE).min(BURST);
+        self.left = (self.left + SHARE).min(self.burst);
     }
 
     /// Whether a retry is left.
