--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -187,6 +187,68 @@
     assert!(host.standin.seen().iter().any(|seen| seen.path == "/look/1?q=2"));
 }
 
+/// A booking's body reaches the replica as it was sent.
+#[rstest]
+fn a_body_is_passed_on_unchanged() {
+    let host = Host::start();
+    let more = "content-type: text/plain\r\ncontent-length: 11\r\n\r\ntwo\r\n\r\nlines";
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+         authorization: Token k1\r\n{more}"
+    );
+    assert_eq!(exchange(host.callers, &head).0, 200);
+    assert_eq!(host.standin.seen()[0].body, b"two\r\n\r\nlines"[..11]);
+}
+
+/// An engine runs a request and its answer is lost; there is no other engine. The caller hears 502:
+/// 503 would promise that it has not run.
+#[rstest]
+fn a_request_that_was_lost_is_not_told_as_not_run() {
+    let host = Host::start();
+    host.standin.remove("servers", "e2");
+    std::thread::sleep(time::Duration::from_millis(500));
+    host.standin.manner("e1", Manner::LoseAnswer);
+    assert_eq!(host.talk().0, 502);
+    assert_eq!(host.ran(), 1);
+}
+
+/// A caller leaves in the middle of its stream. The engine stops within half a second: work for
+/// nobody would delay the others.
+#[rstest]
+fn the_engine_stops_when_the_caller_leaves() {
+    let host = Host::start();
+    host.standin.manner("e1", Manner::Slow);
+    host.standin.manner("e2", Manner::Slow);
+    let mut stream = net::TcpStream::connect(host.callers).unwrap();
+    let head = "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+         authorization: Token k1\r\nlagoonline-token-count: 5000,400\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut buffer = [0; 64];
+    assert!(stream.read(&mut buffer).unwrap() > 0);
+    drop(stream);
+    host.until("stopped", || host.standin.stopped() == 1);
+}
+
+/// A long prompt reserves its memory before it is sent and releases it when its answer has ended.
+#[rstest]
+fn memory_of_a_long_prompt_comes_back() {
+    let host = Host::start();
+    let call = host.call("POST", "/talk/a", "k1", "lagoonline-token-count: 150000,400\r\n");
+    assert_eq!(call, (200, all_events()));
+    let orders = || -> Vec<serde_json::Value> {
+        let seen = host.standin.seen();
+        let orders = seen.iter().filter(|seen| seen.path == "/api/order");
+        orders.map(|seen| serde_json::from_slice(&seen.body).unwrap()).collect()
+    };
+    host.until("released", || orders().iter().any(|order| order["Op"] == "release"));
+    let orders = orders();
+    assert_eq!(orders[0]["Op"], "reserve");
+    assert!(orders.iter().all(|order| order["Id"] == orders[0]["Id"]));
+    let sent = host.standin.seen();
+    let named = sent.iter().find_map(|seen| seen.headers.get("lagoonline-helpers")).unwrap();
+    assert!(named.contains(orders[0]["Id"].as_str().unwrap()), "{named} names no reservation");
+}
+
 /// An engine crashes in the middle of an event. The caller sees one whole stream: the half event
 /// is dropped, and the other engine goes on after the last event that was passed on.
 #[rstest]
