--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -566,6 +566,11 @@
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
         let body = body.map_err(|failure| Miss::Lost(format!("{peer}: {failure}")))?;
+        if status >= 500
+            && let Some(desk) = self.state.desk(&self.service)
+        {
+            state::lock(&desk).board.erred(peer, self.state.clock.now());
+        }
         let repeatable = self.route.kind.may_repeat();
         let last = earlier + 1 >= self.route.attempts as usize || self.left() < WORTH_TRYING;
         if status >= 500 && repeatable && !last {
@@ -579,7 +584,7 @@
 
     pub(crate) fn answered(&self, upstream: &id::Upstream) {
         if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.answered(upstream);
+            state::lock(&desk).board.answered(upstream, self.state.clock.now());
         }
     }
 
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -29,6 +29,13 @@
     gap_ms: f64,
 }
 
+/// What one failure adds to the share of failures that is remembered, of what is left to one.
+const FAILURE_WEIGHT: f64 = 0.35;
+/// What one answer leaves of that share.
+const ANSWER_WEIGHT: f64 = 0.8;
+/// Seconds after which half of it is forgotten: an upstream that gets nothing is tried again.
+const FORGET_S: f64 = 1.5;
+
 /// An upstream and what is under way on it.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -40,6 +47,9 @@
     failures: u32,
     full_until: Option<clock::Moment>,
     heard: clock::Moment,
+    /// Share of its requests that failed of late, as of `erred_at`.
+    errors: f64,
+    erred_at: clock::Moment,
 }
 
 impl Engine {
@@ -53,6 +63,8 @@
             failures: 0,
             full_until: None,
             heard: clock::Moment::START,
+            errors: 0.0,
+            erred_at: clock::Moment::START,
         }
     }
 
@@ -118,6 +130,7 @@
     }
 
     pub(super) fn failed(&mut self, now: clock::Moment, span: clock::Span) {
+        self.erred(now);
         self.failures = (self.failures + 1).min(4);
         self.suspect_until = Some(now + span * self.failures);
     }
@@ -134,7 +147,22 @@
         self.full_until = Some(until);
     }
 
-    pub(super) fn answered(&mut self) {
+    /// It answered with an error, or not at all.
+    pub(super) fn erred(&mut self, now: clock::Moment) {
+        let errors = self.errors(now);
+        self.errors = errors + (1.0 - errors) * FAILURE_WEIGHT;
+        self.erred_at = now;
+    }
+
+    /// Share of its requests that failed of late.
+    pub(super) fn errors(&self, now: clock::Moment) -> f64 {
+        let span = now.since(self.erred_at).as_secs_f64();
+        self.errors * 0.5_f64.powf(span / FORGET_S)
+    }
+
+    pub(super) fn answered(&mut self, now: clock::Moment) {
+        self.errors = self.errors(now) * ANSWER_WEIGHT;
+        self.erred_at = now;
         self.failures = 0;
         self.suspect_until = None;
     }
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -313,10 +313,20 @@
         }
     }
 
+    /// An upstream answered with an error of its own.
+    ///
+    /// Load pattern: an upstream that fails its requests at once, with a good health check, is
+    /// always the least busy one and draws all of them. Its share of failures counts as delay.
+    pub fn erred(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+        if let Some(engine) = self.upstreams.get_mut(upstream) {
+            engine.erred(now);
+        }
+    }
+
     /// An upstream answered.
-    pub fn answered(&mut self, upstream: &id::Upstream) {
+    pub fn answered(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         if let Some(engine) = self.upstreams.get_mut(upstream) {
-            engine.answered();
+            engine.answered(now);
             self.cuts.answered(&self.zone, &engine.entry().zone);
         }
     }
@@ -349,7 +359,7 @@
         let pace = usable.iter().find_map(|engine| engine.pace());
         match pace {
             Some(pace) if demand.prompt > 0 => self.place_prompt(demand, &usable, pace, now),
-            _ => Ok(self.place_call(demand, &usable)),
+            _ => Ok(self.place_call(demand, &usable, now)),
         }
     }
 
@@ -363,17 +373,20 @@
             let cut = self.cuts.is_cut(&self.zone, &engine.entry().zone, now);
             !engine.is_suspect(now) && !cut
         };
-        let found: Vec<&Engine> = all.iter().copied().filter(sound).collect();
+        let mut found: Vec<&Engine> = all.iter().copied().filter(sound).collect();
+        // Those that fail come last: the first ones are kept for short prompts.
+        found.sort_by_key(|engine| engine.errors(now) > FAILS);
         if found.is_empty() { all } else { found }
     }
 
     /// A call of a plain service: the least used replica, in the own zone unless that is busier.
-    fn place_call(&self, demand: &Demand<'_>, usable: &[&Engine]) -> Placement {
+    fn place_call(&self, demand: &Demand<'_>, usable: &[&Engine], now: clock::Moment) -> Placement {
         let cost = |engine: &&&Engine| {
             let remote = u64::from(engine.entry().zone != *demand.zone);
             let slots = u64::from(engine.entry().slots.max(1));
             let used = engine.works() as u64 * 1_000 / slots;
-            (used + remote * 300, spread(demand.draw, engine))
+            let errors = (engine.errors(now) * ERRORS_USED) as u64;
+            (used + remote * REMOTE_USED + errors, spread(demand.draw, engine))
         };
         let first = usable.iter().min_by_key(cost).map_or(usable[0], |engine| *engine);
         Placement {
@@ -426,7 +439,7 @@
             }
             match self.plan(demand, usable, &eligible, (total_ms, part_ms), now) {
                 Ok(mut plan) => {
-                    plan.net = self.net(demand, usable, kept, &plan);
+                    plan.net = self.net(demand, usable, kept, &plan, now);
                     if best.as_ref().is_none_or(|best| plan.net > best.net) {
                         best = Some(plan);
                     }
@@ -525,7 +538,8 @@
             eligible.iter().copied().filter(|index| usable[*index].has_place()).collect();
         let open = if open.is_empty() { eligible } else { &open };
         let firsts = self.rank(demand, usable, open, |engine| {
-            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine)
+            let errors = engine.errors(now) * ERRORS_MS;
+            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine) + errors
         });
         let need = demand.prompt + demand.answer;
         let share = self.settings.memory_share;
@@ -539,7 +553,9 @@
             }
         };
         let eligible = &self.in_reach(usable, eligible, first, now);
-        for index in self.rank(demand, usable, eligible, |engine| self.cost(engine, part_ms)) {
+        for index in self.rank(demand, usable, eligible, |engine| {
+            self.cost(engine, part_ms) + engine.errors(now) * ERRORS_MS
+        }) {
             if helpers.len() + 1 >= wish {
                 break;
             }
@@ -556,7 +572,14 @@
 
     /// What a plan earns less what it takes from the requests under way and from short prompts that
     /// will come, in answers in time to a usual short prompt.
-    fn net(&self, demand: &Demand<'_>, usable: &[&Engine], kept: usize, plan: &Plan) -> f64 {
+    fn net(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        kept: usize,
+        plan: &Plan,
+        now: clock::Moment,
+    ) -> f64 {
         let target = demand.target.as_secs_f64() * 1e3;
         let in_time = match plan.expected {
             expected if expected <= target => 1.0,
@@ -571,7 +594,8 @@
         let touched = parts().filter(|index| *index < kept).count() as f64 / kept.max(1) as f64;
         let stall = (plan.part_ms - self.settings.stall_ms).max(0.0) / 1e3;
         let arrivals = f64::from(tight) / self.settings.tight_life.as_secs_f64() * touched * stall;
-        value(demand.prompt) * in_time - (writers + arrivals) * (1.0 - LATE_VALUE)
+        let served = 1.0 - usable[plan.first].errors(now);
+        value(demand.prompt) * in_time * served - (writers + arrivals) * (1.0 - LATE_VALUE)
     }
 
     /// What becomes of a long prompt for which there is no memory, or that would take more from
@@ -673,6 +697,16 @@
     }
 }
 
+/// Share of failed requests above which an upstream counts as failing: twice what services fail of
+/// themselves.
+const FAILS: f64 = 0.3;
+/// Thousandths of a replica's places that being in another zone counts as: two of six taken.
+const REMOTE_USED: u64 = 300;
+/// The same for failing every request: full twice over.
+const ERRORS_USED: f64 = 2_000.0;
+/// Milliseconds of delay that failing every request counts as: more than any engine is worth.
+const ERRORS_MS: f64 = 1_500.0;
+
 /// Which engines a plan may use, the strictest first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Side {
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -223,9 +223,9 @@
     let placed = day.place(133_000, LOOSE, 0).unwrap();
     assert!(engines(&placed).into_iter().all(|name| zone_of(name) != 1));
     day.pass(700);
-    day.board.answered(&id::Upstream::from("e07"));
-    day.board.answered(&id::Upstream::from("e01"));
-    day.board.answered(&id::Upstream::from("e04"));
+    for name in ["e07", "e01", "e04"] {
+        day.board.answered(&id::Upstream::from(name), day.now);
+    }
     let placed = day.place(133_000, LOOSE, 0).unwrap();
     assert!(engines(&placed).into_iter().any(|name| zone_of(name) == 1));
 }
@@ -271,6 +271,41 @@
     assert_eq!(day.board.works(), 0);
 }
 
+/// An engine answers every request at once with an error, though its health check is good. It is
+/// always the least busy one, so it would get most requests and fail them; it must get few, and be
+/// tried again once it may have been mended.
+#[rstest]
+fn an_engine_that_errs_is_not_preferred() {
+    let mut day = Day::new(9);
+    let bad = id::Upstream::from("e00");
+    let mut failed = 0;
+    let mut writing = collections::VecDeque::new();
+    for _ in 0..200 {
+        if writing.len() > 40 {
+            day.board.end(writing.pop_front().unwrap(), day.now);
+        }
+        let (id, placed) = day.send(5_000, TIGHT).unwrap();
+        day.pass(10);
+        if placed.first.upstream == bad {
+            failed += 1;
+            day.board.erred(&bad, day.now);
+            day.board.end(id, day.now);
+        } else {
+            day.board.first_token(id, day.now);
+            day.board.answered(&placed.first.upstream, day.now);
+            writing.push_back(id);
+        }
+    }
+    assert!(failed <= 10, "{failed} of 200 requests went to the engine that fails them");
+    day.pass(11_000);
+    day.board.expire(day.now);
+    let tried = (0..40).any(|_| {
+        let (_, placed) = day.send(5_000, TIGHT).unwrap();
+        placed.first.upstream == bad
+    });
+    assert!(tried, "never tried again");
+}
+
 /// Plain services: the least used replica is chosen, one that failed is passed over while another
 /// is left, and one that leaves gets nothing.
 #[rstest]
