--- /dev/null
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -0,0 +1,83 @@
+//! What lets a request in: a desired state, a route, a customer, and a key that can be trusted now.
+
+use std::sync;
+
+use lagoonline::clock;
+use lagoonline::outcome::{Reason, Step};
+use lagoonline::routing;
+use rand::Rng;
+
+use crate::answer;
+use crate::forward;
+use crate::state;
+
+/// Part of the bound on taken keys that the confirmation of the desired state may be old.
+const KEY_MARGIN: clock::Span = clock::Span::from_millis(250);
+/// Age of the confirmation up to which a name that is unknown is told as unknown; beyond it the
+/// caller is asked to come back.
+const FRESH: clock::Span = clock::Span::from_millis(4_000);
+/// Lets a request in, or tells why not.
+///
+/// # Errors
+///
+/// No desired state yet, no such route, no customer with its key, or a key that cannot be trusted now.
+pub(crate) fn admit(
+    state: &sync::Arc<state::State>,
+    request: forward::Request,
+) -> Result<forward::Admitted, answer::Fault> {
+    let Some(table) = state.table() else {
+        let detail = "no desired state yet";
+        let fault = answer::Fault::not_run(Reason::PlatformDown, Step::Admit, detail);
+        return Err(fault.after(forward::COME_BACK));
+    };
+    let age = state.confirmation_age();
+    let Some(route) = table.route(&request.host, &request.path) else {
+        return Err(unknown(age, Reason::UnknownName, "no such route"));
+    };
+    let key = request.call.key.as_deref();
+    let customer = match table.customer(route, key) {
+        routing::Match::Open => None,
+        routing::Match::Customer(customer) => Some(customer.name.clone()),
+        routing::Match::Unknown => {
+            return Err(unknown(age, Reason::Unauthenticated, "no customer holds this key"));
+        }
+    };
+    if customer.is_some() {
+        check_key_age(state)?;
+    }
+    let wait = request.call.time_left.unwrap_or(route.timeout).min(route.timeout);
+    Ok(forward::Admitted {
+        state: state.clone(),
+        service: route.service(rand::rng().random()).clone(),
+        customer,
+        deadline: request.arrived + wait,
+        route: route.clone(),
+        request,
+    })
+}
+
+/// A name that this host does not know: told as unknown only while the host is in touch.
+fn unknown(age: Option<clock::Span>, reason: Reason, detail: &str) -> answer::Fault {
+    if age.is_some_and(|age| age <= FRESH) {
+        return answer::Fault::not_run(reason, Step::Authenticate, detail);
+    }
+    let detail = format!("{detail}, and the desired state was last confirmed {age:?} ago");
+    answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail)
+        .after(forward::COME_BACK)
+}
+
+/// Whether keys can be trusted: one that was taken away is known within the bound.
+///
+/// # Errors
+///
+/// The desired state was last confirmed too long ago.
+pub(crate) fn check_key_age(state: &state::State) -> Result<(), answer::Fault> {
+    let Some(bound) = state.settings.node.bounds.revoke else { return Ok(()) };
+    let age = state.confirmation_age();
+    if age.is_some_and(|age| age + KEY_MARGIN <= bound) {
+        return Ok(());
+    }
+    let detail = format!("keys were last confirmed {age:?} ago, beyond {bound:?}");
+    Err(answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail)
+        .after(forward::COME_BACK))
+}
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -14,6 +14,7 @@
 use ntex::web;
 use rand::Rng;
 
+use crate::admit;
 use crate::answer;
 use crate::connection;
 use crate::event;
@@ -21,7 +22,7 @@
 use crate::reserve;
 use crate::state;
 use crate::stream;
-use crate::word;
+use crate::underway;
 
 /// A caller's request, whole.
 #[derive(Debug)]
@@ -61,14 +62,9 @@
 const CONNECT: clock::Span = clock::Span::from_millis(350);
 /// Time that must be left for another attempt to be worth it.
 const WORTH_TRYING: clock::Span = clock::Span::from_millis(40);
-/// Part of the bound on taken keys that the confirmation of the desired state may be old.
-const KEY_MARGIN: clock::Span = clock::Span::from_millis(250);
-/// Age of the confirmation up to which a name that is unknown is told as unknown; beyond it the
-/// caller is asked to come back.
-const FRESH: clock::Span = clock::Span::from_millis(4_000);
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
 /// within this.
-const COME_BACK: clock::Span = clock::Span::from_millis(400);
+pub(crate) const COME_BACK: clock::Span = clock::Span::from_millis(400);
 /// An upstream that said something within this is alive: several of its passes.
 const ALIVE: clock::Span = clock::Span::from_millis(500);
 /// Longest time between two looks for a place, for memory, or for engines with less to read: a
@@ -93,7 +89,7 @@
 pub(crate) struct Live {
     pub(crate) exchange: exchange::Exchange,
     pub(crate) answer: hyper::Response<hyper::body::Incoming>,
-    pub(crate) underway: Underway,
+    pub(crate) underway: underway::Underway,
     pub(crate) upstream: id::Upstream,
 }
 
@@ -126,7 +122,7 @@
     request: Request,
     caller: Caller,
 ) -> Result<web::HttpResponse, answer::Fault> {
-    let admitted = admit(state, request)?;
+    let admitted = admit::admit(state, request)?;
     let deadline = admitted.deadline;
     let mut may_have_run = false;
     let left = deadline.since(state.clock.now());
@@ -143,57 +139,6 @@
     }
 }
 
-fn admit(state: &sync::Arc<state::State>, request: Request) -> Result<Admitted, answer::Fault> {
-    let Some(table) = state.table() else {
-        let detail = "no desired state yet";
-        let fault = answer::Fault::not_run(Reason::PlatformDown, Step::Admit, detail);
-        return Err(fault.after(COME_BACK));
-    };
-    let age = state.confirmation_age();
-    let Some(route) = table.route(&request.host, &request.path) else {
-        return Err(unknown(age, Reason::UnknownName, "no such route"));
-    };
-    let key = request.call.key.as_deref();
-    let customer = match table.customer(route, key) {
-        routing::Match::Open => None,
-        routing::Match::Customer(customer) => Some(customer.name.clone()),
-        routing::Match::Unknown => {
-            return Err(unknown(age, Reason::Unauthenticated, "no customer holds this key"));
-        }
-    };
-    if customer.is_some() {
-        check_key_age(state)?;
-    }
-    let wait = request.call.time_left.unwrap_or(route.timeout).min(route.timeout);
-    Ok(Admitted {
-        state: state.clone(),
-        service: route.service(rand::rng().random()).clone(),
-        customer,
-        deadline: request.arrived + wait,
-        route: route.clone(),
-        request,
-    })
-}
-
-/// A name that this host does not know: told as unknown only while the host is in touch.
-fn unknown(age: Option<clock::Span>, reason: Reason, detail: &str) -> answer::Fault {
-    if age.is_some_and(|age| age <= FRESH) {
-        return answer::Fault::not_run(reason, Step::Authenticate, detail);
-    }
-    let detail = format!("{detail}, and the desired state was last confirmed {age:?} ago");
-    answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail).after(COME_BACK)
-}
-
-fn check_key_age(state: &state::State) -> Result<(), answer::Fault> {
-    let Some(bound) = state.settings.node.bounds.revoke else { return Ok(()) };
-    let age = state.confirmation_age();
-    if age.is_some_and(|age| age + KEY_MARGIN <= bound) {
-        return Ok(());
-    }
-    let detail = format!("keys were last confirmed {age:?} ago, beyond {bound:?}");
-    Err(answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail).after(COME_BACK))
-}
-
 async fn attempts(
     admitted: Admitted,
     caller: Caller,
@@ -207,6 +152,7 @@
     loop {
         let secured = admitted.secure(&avoid).await.map_err(|fault| fault.if_lost(lost))?;
         let upstream = secured.placement.first.upstream.clone();
+        // Upstreams here know a request by its caller's id; an attempt needs none of its own.
         let dispatched = held.dispatch(id::Attempt(0));
         attempts += 1;
         *may_have_run = true;
@@ -299,6 +245,10 @@
 
     /// A place for the request, with the memory that it needs reserved. While there is none, the
     /// request waits: memory is free again when a long answer ends.
+    ///
+    /// # Errors
+    ///
+    /// Why it gets none; nothing was sent.
     pub(crate) async fn secure(&self, avoid: &[id::Upstream]) -> Result<Secured, answer::Fault> {
         let first_try = self.state.clock.now();
         loop {
@@ -313,27 +263,13 @@
                 Err(refusal) => return Err(self.refused(refusal)),
             };
             if self.customer.is_some() {
-                check_key_age(&self.state)?;
+                admit::check_key_age(&self.state)?;
             }
             let id = self.state.next_work();
             match self.reserve(&placement, id).await {
                 Ok(reserved) => return Ok(Secured { placement, id, reserved }),
                 Err(refusal) => {
-                    event::Line::new("not_reserved")
-                        .text("request", &self.request.call.request_id)
-                        .text("upstream", &refusal.upstream)
-                        .text("detail", &refusal.detail)
-                        .span("waited_ms", waited)
-                        .info();
-                    if let Some(desk) = self.state.desk(&self.service) {
-                        let now = self.state.clock.now();
-                        let board = &mut state::lock(&desk).board;
-                        if refusal.reached {
-                            board.full(&refusal.upstream, now);
-                        } else {
-                            board.suspect(&refusal.upstream, now);
-                        }
-                    }
+                    self.note_refusal(&refusal, waited);
                     tokio::time::sleep(spread(BUSY_PAUSE)).await;
                     if waited > self.route.target * 2 {
                         let fault = answer::Fault::not_run(
@@ -348,6 +284,24 @@
         }
     }
 
+    /// Remembers that an engine did not reserve memory.
+    fn note_refusal(&self, refusal: &reserve::Refusal, waited: clock::Span) {
+        event::Line::new("not_reserved")
+            .text("request", &self.request.call.request_id)
+            .text("upstream", &refusal.upstream)
+            .text("detail", &refusal.detail)
+            .span("waited_ms", waited)
+            .info();
+        let Some(desk) = self.state.desk(&self.service) else { return };
+        let now = self.state.clock.now();
+        let board = &mut state::lock(&desk).board;
+        if refusal.reached {
+            board.full(&refusal.upstream, now);
+        } else {
+            board.suspect(&refusal.upstream, now);
+        }
+    }
+
     async fn reserve(
         &self,
         placement: &placement::Placement,
@@ -393,14 +347,15 @@
         let detail = format!("{}: {refusal}", self.service);
         let (reason, span) = match refusal {
             placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
-            placement::Refusal::TooLong => (Reason::TooLong, COME_BACK),
+            // Engines may be missing for a moment, and a status of the caller's own fault is final.
+            placement::Refusal::TooLong => (Reason::Saturated, COME_BACK),
             placement::Refusal::Busy => (Reason::Saturated, COME_BACK),
             placement::Refusal::Full(span) => (Reason::Saturated, spread(span)),
         };
         answer::Fault::not_run(reason, Step::Route, detail).after(span)
     }
 
-    fn gap(&self) -> clock::Span {
+    pub(crate) fn gap(&self) -> clock::Span {
         match self.route.kind {
             routing::Kind::Stream { gap, .. } => gap,
             routing::Kind::Idempotent | routing::Kind::Once => clock::Span::ZERO,
@@ -466,7 +421,7 @@
         let request = self.encode(&placement, reserved.as_ref(), last_event);
         let request = request.map_err(|error| Miss::Unsent(error.to_string()))?;
         self.log_dispatch(&placement, work_id.number);
-        let underway = Underway::begin(self, work_id, &placement, reserved);
+        let underway = underway::Underway::begin(self, work_id, &placement, reserved);
         let patience = self.patience(placement.expected, attempts);
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
@@ -628,82 +583,3 @@
             .info();
     }
 }
-
-/// A dispatch that this host and the others count on its upstreams until it is dropped.
-#[derive(Debug)]
-pub(crate) struct Underway {
-    state: sync::Arc<state::State>,
-    service: id::Service,
-    id: placement::WorkId,
-    read: bool,
-    /// Released when the dispatch ends.
-    _reserved: Option<reserve::Held>,
-}
-
-impl Underway {
-    fn begin(
-        admitted: &Admitted,
-        id: placement::WorkId,
-        placement: &placement::Placement,
-        reserved: Option<reserve::Held>,
-    ) -> Underway {
-        let now = admitted.state.clock.now();
-        let held = placement.helpers.iter().map(|helper| helper.reserve).filter(|held| *held > 0);
-        let work = placement::Work {
-            id,
-            first: placement.first.upstream.clone(),
-            helpers: placement.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
-            prompt: admitted.request.call.prompt_tokens.unwrap_or(0),
-            held: held.collect(),
-            gap: admitted.gap(),
-            until: admitted.deadline,
-        };
-        let sent = word::Sent {
-            first: work.first.to_string(),
-            helpers: work.helpers.iter().map(ToString::to_string).collect(),
-            held: work.held.clone(),
-            prompt: work.prompt,
-            gap_ms: u32::try_from(work.gap.as_millis()).unwrap_or(u32::MAX),
-            left_ms: u32::try_from(work.until.since(now).as_millis()).unwrap_or(u32::MAX),
-        };
-        if let Some(desk) = admitted.state.desk(&admitted.service) {
-            let mut desk = state::lock(&desk);
-            desk.board.begin(work, now);
-            desk.budget.first_attempt();
-        }
-        let underway = Underway {
-            state: admitted.state.clone(),
-            service: admitted.service.clone(),
-            id,
-            read: false,
-            _reserved: reserved,
-        };
-        underway.tell(word::What::Sent(sent));
-        underway
-    }
-
-    /// The first token came.
-    pub(crate) fn first_token(&mut self) {
-        if std::mem::replace(&mut self.read, true) {
-            return;
-        }
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.first_token(self.id, self.state.clock.now());
-        }
-        self.tell(word::What::First(word::Nothing {}));
-    }
-
-    fn tell(&self, what: word::What) {
-        let service = self.service.to_string();
-        self.state.tell(word::Word { number: self.id.number, service, what: Some(what) });
-    }
-}
-
-impl Drop for Underway {
-    fn drop(&mut self) {
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.end(self.id, self.state.clock.now());
-        }
-        self.tell(word::What::Ended(word::Nothing {}));
-    }
-}
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! The platform's names and formats are in the crate [`lagoon_platform`]; nothing here knows them.
 
+mod admit;
 mod answer;
 mod clock;
 mod connection;
@@ -20,6 +21,7 @@
 mod state;
 mod store;
 mod stream;
+mod underway;
 mod watch;
 mod word;
 
--- /dev/null
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -0,0 +1,375 @@
+//! Where a prompt goes: the engines that may be used, the ways to use them, and what each way earns
+//! and takes from others.
+
+use super::{Board, Demand, Engine, Helper, Placement, Refusal, spread};
+use crate::clock;
+use crate::load::pass;
+
+/// Milliseconds of delay that failing every request counts as: more than any engine is worth.
+const ERRORS_MS: f64 = 1_500.0;
+
+/// Which engines a plan may use, the strictest first.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Side {
+    /// Those on the request's side of the division where no writer would be late by it.
+    Unharmed,
+    /// Those on its side.
+    Own,
+    /// All.
+    Any,
+}
+
+/// A way to serve a request, by indices of engines.
+#[derive(Clone, Debug)]
+struct Plan {
+    first: usize,
+    /// The helpers, and tokens to reserve on each.
+    helpers: Vec<(usize, u64)>,
+    /// Milliseconds of reading on each engine.
+    part_ms: f64,
+    /// Milliseconds until its first token.
+    expected: f64,
+    /// What it earns less what it takes from others.
+    net: f64,
+}
+
+/// What an answer that is late is worth, of one in time: owners of services value it at a quarter.
+const LATE_VALUE: f64 = 0.25;
+/// Multiple of the target after which nobody waits for a first token any more.
+const TOO_LATE: f64 = 3.5;
+/// Tokens of a prompt whose answer is worth one.
+const UNIT_PROMPT: f64 = 5_000.0;
+/// Growth of an answer's worth with its prompt: owners value prompts of 5,000, 45,000 and 133,000
+/// tokens as 1, 3 and 11.5.
+const VALUE_EXPONENT: f64 = 0.72;
+/// Most that one answer is worth: four times that of a usual long prompt.
+const MOST_VALUE: f64 = 36.0;
+
+/// What an answer in time to a prompt of `tokens` is worth.
+fn value(tokens: u64) -> f64 {
+    (tokens as f64 / UNIT_PROMPT).powf(VALUE_EXPONENT).min(MOST_VALUE)
+}
+
+impl Board {
+    /// How many engines, the first by name, are kept for answers that bear only short pauses.
+    ///
+    /// A long read in a pass delays every writer of its engine; spread evenly, long reads make all
+    /// answers to short prompts late. Kept apart, both are in time; the division moves with the
+    /// answers under way, since the mix swings. Long prompts keep what they have under way; short
+    /// ones take the rest when they need it.
+    fn kept_for_tight(&self, usable: &[&Engine]) -> usize {
+        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
+        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
+        let loose: u32 = usable.iter().map(|engine| engine.loose_writers(gap_ms)).sum();
+        let wanted = tight.div_ceil(self.settings.tight_writers.max(1)) as usize;
+        let needed = loose.div_ceil(self.settings.loose_writers.max(1)) as usize;
+        wanted.max(1).min(usable.len().saturating_sub(needed).max(1))
+    }
+
+    pub(super) fn place_prompt(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        pace: pass::Pace,
+        now: clock::Moment,
+    ) -> Result<Placement, Refusal> {
+        let tight = demand.gap <= self.settings.tight_gap;
+        let kept = self.kept_for_tight(usable);
+        let total_ms = pace.read_ms(demand.prompt);
+        let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
+        let placeless = usable.iter().all(|engine| !engine.has_place());
+        if tight && placeless {
+            return Err(self.without_place(demand, pace));
+        }
+        if !tight {
+            self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms)?;
+        }
+        let mut best: Option<Plan> = None;
+        let mut refusal = Refusal::NoUpstream;
+        for side in [Side::Unharmed, Side::Own, Side::Any] {
+            let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
+            if tight && eligible.iter().all(|index| !usable[*index].has_place()) {
+                continue;
+            }
+            match self.plan(demand, usable, &eligible, (total_ms, part_ms), now) {
+                Ok(mut plan) => {
+                    plan.net = self.net(demand, usable, kept, &plan, now);
+                    if best.as_ref().is_none_or(|best| plan.net > best.net) {
+                        best = Some(plan);
+                    }
+                }
+                Err(error) => refusal = error,
+            }
+        }
+        match best {
+            Some(plan) if tight || plan.net >= 0.0 => {
+                Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share))
+            }
+            Some(_) => Err(self.not_now(demand)),
+            None if refusal == Refusal::Busy => Err(self.not_now(demand)),
+            None => Err(refusal),
+        }
+    }
+
+    /// What becomes of a short prompt when every place of every engine is taken.
+    ///
+    /// Load pattern: short prompts come faster than engines write their answers. Queued in the
+    /// engines, each waits behind all before it, and soon every answer is late though the engines
+    /// do all they can. So a prompt waits here for a place for as long as it can still be in time,
+    /// and is then refused: those that are let in are in time. By the time an answer usually takes
+    /// every place has changed hands once.
+    fn without_place(&self, demand: &Demand<'_>, pace: pass::Pace) -> Refusal {
+        if demand.waited < demand.target.mul_f64(self.settings.hold_share) {
+            return Refusal::Busy;
+        }
+        let context = u64::from(pace.slots) * pace.usual_prompt;
+        let pass_ms = pace.pass_ms(pace.slots, context);
+        Refusal::Full(pace.write_span(pace.usual_answer, pass_ms))
+    }
+
+    /// Whether a long prompt may add to what the engines of its side have to read.
+    ///
+    /// Load pattern: a burst of long prompts brings more reading than engines can do. Sent at
+    /// once, they queue in the engines, where nobody passes them: every one of them is late, and
+    /// when short prompts return they find seconds of reading before them. So what is read is
+    /// bounded, and tighter for a larger prompt: smaller ones, which earn more for the time that
+    /// they take, pass it at the hosts. The bound grows while it waits, and ends after
+    /// [`Settings::patience`] of it.
+    fn check_backlog(
+        &self,
+        demand: &Demand<'_>,
+        engines: &[&Engine],
+        total_ms: f64,
+    ) -> Result<(), Refusal> {
+        let sum: f64 = engines.iter().map(|engine| engine.reading_ms()).sum();
+        let backlog = sum / engines.len().max(1) as f64;
+        let waited = demand.waited.as_secs_f64() * 1e3;
+        let scaled = self.settings.backlog_ms * self.settings.backlog_prompt_ms / total_ms.max(1.0);
+        let bound = scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
+            + waited * self.settings.backlog_growth;
+        let patient = demand.waited < self.settings.patience;
+        if patient && backlog > bound {
+            return Err(Refusal::Busy);
+        }
+        Ok(())
+    }
+
+    /// The engines that a plan may use.
+    fn eligible(
+        &self,
+        usable: &[&Engine],
+        side: Side,
+        kept: usize,
+        tight: bool,
+        part_ms: f64,
+    ) -> Vec<usize> {
+        let own = |index: usize| (index < kept) == tight;
+        let unharmed = |index: usize| usable[index].harmed(part_ms) == 0;
+        let all = 0..usable.len();
+        match side {
+            Side::Unharmed => all.filter(|index| own(*index) && unharmed(*index)).collect(),
+            Side::Own => all.filter(|index| own(*index)).collect(),
+            Side::Any => all.collect(),
+        }
+    }
+
+    /// The best way to serve `demand` with the engines `eligible`.
+    fn plan(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        eligible: &[usize],
+        (total_ms, part_ms): (f64, f64),
+        now: clock::Moment,
+    ) -> Result<Plan, Refusal> {
+        if eligible.is_empty() {
+            return Err(Refusal::NoUpstream);
+        }
+        let wish = (total_ms / part_ms).ceil() as usize;
+        let wish = wish.clamp(1, (self.settings.helpers + 1).min(eligible.len()));
+        let part_ms = total_ms / wish as f64;
+        let open: Vec<usize> =
+            eligible.iter().copied().filter(|index| usable[*index].has_place()).collect();
+        let open = if open.is_empty() { eligible } else { &open };
+        let firsts = self.rank(demand, usable, open, |engine| {
+            let errors = engine.errors(now) * ERRORS_MS;
+            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine) + errors
+        });
+        let need = demand.prompt + demand.answer;
+        let share = self.settings.memory_share;
+        // The first engine writes: it needs the memory, or helpers that hold a part of it.
+        let fits = firsts.iter().find(|index| usable[**index].room(share) >= need);
+        let (first, mut helpers) = match fits {
+            Some(index) => (*index, Vec::new()),
+            None => {
+                let first = self.roomiest(usable, eligible);
+                (first, self.holders(usable, &self.in_reach(usable, eligible, first, now), need)?)
+            }
+        };
+        let eligible = &self.in_reach(usable, eligible, first, now);
+        for index in self.rank(demand, usable, eligible, |engine| {
+            self.cost(engine, part_ms) + engine.errors(now) * ERRORS_MS
+        }) {
+            if helpers.len() + 1 >= wish {
+                break;
+            }
+            if index != first && helpers.iter().all(|(other, _)| *other != index) {
+                helpers.push((index, 0));
+            }
+        }
+        let part_ms = total_ms / (helpers.len() + 1) as f64;
+        let parts = helpers.iter().map(|(index, _)| *index).chain([first]);
+        let wait = parts.map(|index| usable[index].wait_ms()).fold(0.0, f64::max);
+        let expected = wait + part_ms + usable[first].pass_ms() / 2.0;
+        Ok(Plan { first, helpers, part_ms, expected, net: 0.0 })
+    }
+
+    /// What a plan earns less what it takes from the requests under way and from short prompts that
+    /// will come, in answers in time to a usual short prompt.
+    fn net(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        kept: usize,
+        plan: &Plan,
+        now: clock::Moment,
+    ) -> f64 {
+        let target = demand.target.as_secs_f64() * 1e3;
+        let in_time = match plan.expected {
+            expected if expected <= target => 1.0,
+            expected if expected <= target * TOO_LATE => LATE_VALUE,
+            _ => 0.0,
+        };
+        let parts = || plan.helpers.iter().map(|(index, _)| *index).chain([plan.first]);
+        let late = |index: usize| usable[index].made_late(plan.part_ms).map(value).sum::<f64>();
+        let writers: f64 = parts().map(late).sum();
+        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
+        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
+        let touched = parts().filter(|index| *index < kept).count() as f64 / kept.max(1) as f64;
+        let stall = (plan.part_ms - self.settings.stall_ms).max(0.0) / 1e3;
+        let arrivals = f64::from(tight) / self.settings.tight_life.as_secs_f64() * touched * stall;
+        let served = 1.0 - usable[plan.first].errors(now);
+        value(demand.prompt) * in_time * served - (writers + arrivals) * (1.0 - LATE_VALUE)
+    }
+
+    /// What becomes of a long prompt for which there is no memory, or that would take more from
+    /// others than its answer is worth.
+    ///
+    /// Load pattern: one prompt of several engines' memory among a burst of short ones. Its parts
+    /// stop every engine for seconds, and hundreds of answers are late for one. It waits for a
+    /// calmer moment, and is then asked to come back.
+    fn not_now(&self, demand: &Demand<'_>) -> Refusal {
+        if demand.waited < self.settings.patience {
+            Refusal::Busy
+        } else {
+            Refusal::Full(self.settings.patience / 2)
+        }
+    }
+
+    /// The indices `eligible` by cost, in which a draw hides small differences: hosts that have not
+    /// yet heard of each other's choices would all choose the same engine, and several prompts
+    /// would be read in one pass.
+    fn rank<Cost>(
+        &self,
+        demand: &Demand<'_>,
+        usable: &[&Engine],
+        eligible: &[usize],
+        cost: Cost,
+    ) -> Vec<usize>
+    where
+        Cost: Fn(&Engine) -> f64,
+    {
+        let keyed = eligible.iter().map(|index| {
+            let engine = usable[*index];
+            let jitter = spread(demand.draw, engine) % 1_000;
+            (cost(engine) + jitter as f64 / 1e3 * self.settings.jitter_ms, *index)
+        });
+        let mut keyed: Vec<(f64, usize)> = keyed.collect();
+        keyed.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        keyed.into_iter().map(|(_, index)| index).collect()
+    }
+
+    /// The engines of `eligible` that the engine `first` can reach, itself first among them.
+    fn in_reach(
+        &self,
+        usable: &[&Engine],
+        eligible: &[usize],
+        first: usize,
+        now: clock::Moment,
+    ) -> Vec<usize> {
+        let from = &usable[first].entry().zone;
+        let others = eligible.iter().copied().filter(|index| {
+            *index != first && !self.cuts.is_cut(from, &usable[*index].entry().zone, now)
+        });
+        std::iter::once(first).chain(others).collect()
+    }
+
+    fn roomiest(&self, usable: &[&Engine], eligible: &[usize]) -> usize {
+        let share = self.settings.memory_share;
+        let most = eligible.iter().copied().max_by_key(|index| usable[*index].room(share));
+        most.unwrap_or(0)
+    }
+
+    /// Engines that hold what a prompt needs beyond the memory of the first of `eligible`, as few
+    /// as can, each with the tokens to reserve on it.
+    fn holders(
+        &self,
+        usable: &[&Engine],
+        eligible: &[usize],
+        need: u64,
+    ) -> Result<Vec<(usize, u64)>, Refusal> {
+        let share = self.settings.memory_share;
+        let total: u64 = usable.iter().map(|engine| engine.memory(share)).sum();
+        if need > total {
+            return Err(Refusal::TooLong);
+        }
+        let room = |index: &usize| usable[*index].room(share);
+        let mut by_room: Vec<usize> = eligible[1..].to_vec();
+        by_room.sort_by_key(|index| std::cmp::Reverse(room(index)));
+        let mut left = need.saturating_sub(room(&eligible[0]));
+        let mut holders = Vec::new();
+        for index in by_room.into_iter().take(self.settings.helpers) {
+            let part = left.min(room(&index));
+            if part == 0 {
+                break;
+            }
+            holders.push((index, part));
+            left -= part;
+        }
+        if left > 0 { Err(Refusal::Busy) } else { Ok(holders) }
+    }
+
+    /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
+    /// the writers that it makes late.
+    fn cost(&self, engine: &Engine, part_ms: f64) -> f64 {
+        let harmed = engine.harmed(part_ms);
+        engine.wait_ms() + f64::from(harmed) * self.settings.harm_ms
+    }
+
+    fn far(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
+        if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms }
+    }
+}
+
+/// The placement that a plan stands for.
+fn placed(
+    demand: &Demand<'_>,
+    usable: &[&Engine],
+    pace: pass::Pace,
+    plan: &Plan,
+    reserve_share: f64,
+) -> Placement {
+    let helper = |(index, reserve): &(usize, u64)| Helper {
+        entry: usable[*index].entry().clone(),
+        reserve: *reserve,
+    };
+    let held: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
+    let need = (demand.prompt + demand.answer).saturating_sub(held);
+    let large = need as f64 > pace.memory_tokens as f64 * reserve_share;
+    Placement {
+        first: usable[plan.first].entry().clone(),
+        reserve: if large { need } else { 0 },
+        helpers: plan.helpers.iter().map(helper).collect(),
+        expected: clock::Span::try_from_secs_f64(plan.expected / 1e3).unwrap_or_default(),
+    }
+}
