--- a/crates/lagoon-net/tests/entry/leaving.rs
+++ b/crates/lagoon-net/tests/entry/leaving.rs
@@ -95,6 +95,16 @@
     thread::sleep(PACE);
 }
 
+/// Tells callers to stop, also when a check fails: threads that go on calling keep the scope, and
+/// so the failure, from ever being seen.
+struct Stop<'a>(&'a atomic::AtomicBool);
+
+impl Drop for Stop<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, atomic::Ordering::Relaxed);
+    }
+}
+
 /// Callers call both hosts all the time, and each gets its answer. One engine is to leave: the
 /// platform's list says so, or the engine itself when it is called, or that is heard of from the
 /// other host. Soon no call goes there, also when the list is stale and says live again, and also
@@ -112,6 +122,7 @@
     let (stop, second) = (atomic::AtomicBool::new(false), atomic::AtomicBool::new(true));
     let is_on = |flag: &atomic::AtomicBool| flag.load(atomic::Ordering::Relaxed);
     thread::scope(|scope| {
+        let _stop = Stop(&stop);
         let callers = site.hosts.iter().enumerate().map(|(index, host)| {
             let (stop, second) = (&stop, &second);
             scope.spawn(move || {
