Read-through of the gateway: one way to a service's board, figures named, a swallowed fault logged

Eight copies of looking up a service's desk, locking it and reading the clock are one call, State::with_board. Places and short answers under way are counted in one place each; unused accessors are gone. Why a broken stream found no other engine was dropped without a line and is now logged. No decision changes: the same figures, now with names and where they come from.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -116,16 +116,11 @@
         Ok(bytes)
     }
 
-    /// Whether the connection can take another request.
-    pub(crate) fn is_reusable(&mut self) -> bool {
-        self.driver.is_some() && self.sender.is_ready()
-    }
-
     /// Waits until the connection can take another request; false when it cannot.
     pub(crate) async fn settle(&mut self) -> bool {
         let ready = self.sender.ready();
         let ready = drive(&mut self.driver, ready).await.is_ok();
-        ready && self.is_reusable()
+        ready && self.driver.is_some() && self.sender.is_ready()
     }
 }
 
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -60,6 +60,10 @@
 /// Longest time for a connection to an upstream: zones are some milliseconds apart, and a lost
 /// packet is sent again after a fifth of a second.
 const CONNECT: clock::Span = clock::Span::from_millis(350);
+/// Multiple of a route's target that an upstream may be later than expected before another is asked.
+const PATIENT_TARGETS: u32 = 2;
+/// The same beside that multiple: a lost packet comes again within it.
+const PATIENCE: clock::Span = clock::Span::from_millis(300);
 /// Time that must be left for another attempt to be worth it.
 const WORTH_TRYING: clock::Span = clock::Span::from_millis(40);
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
@@ -70,6 +74,11 @@
 /// Longest time between two looks for a place, for memory, or for engines with less to read: a
 /// tenth of what they may have to read.
 const BUSY_PAUSE: clock::Span = clock::Span::from_millis(40);
+/// Tokens from which a prompt ranks behind short ones in an engine: the longest short prompt has
+/// some 24,000.
+const MEDIUM_PROMPT: u64 = 25_000;
+/// Tokens from which it ranks behind those too: the longest prompt of that kind.
+const LONG_PROMPT: u64 = 110_000;
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
 
@@ -292,14 +301,13 @@
             .text("detail", &refusal.detail)
             .span("waited_ms", waited)
             .info();
-        let Some(desk) = self.state.desk(&self.service) else { return };
-        let now = self.state.clock.now();
-        let board = &mut state::lock(&desk).board;
-        if refusal.reached {
-            board.full(&refusal.upstream, now);
-        } else {
-            board.suspect(&refusal.upstream, now);
-        }
+        self.state.with_board(&self.service, |board, now| {
+            if refusal.reached {
+                board.full(&refusal.upstream, now);
+            } else {
+                board.suspect(&refusal.upstream, now);
+            }
+        });
     }
 
     async fn reserve(
@@ -388,9 +396,7 @@
 
     /// Something of an answer came.
     pub(crate) fn heard(&self, upstream: &id::Upstream) {
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.heard(upstream, self.state.clock.now());
-        }
+        self.state.with_board(&self.service, |board, now| board.heard(upstream, now));
     }
 
     /// How long an upstream may be silent before another is asked.
@@ -400,7 +406,7 @@
         if !self.route.kind.may_repeat() || attempts >= self.route.attempts {
             return clock::Span::MAX;
         }
-        expected + self.route.target * 2 + clock::Span::from_millis(300)
+        expected + self.route.target * PATIENT_TARGETS + PATIENCE
     }
 
     /// Sends the request to an upstream and waits for the head of its answer.
@@ -477,16 +483,14 @@
     fn rank(&self) -> Option<u8> {
         let prompt = self.request.call.prompt_tokens?;
         Some(match prompt {
-            0..25_000 => 1,
-            25_000..110_000 => 6,
+            0..MEDIUM_PROMPT => 1,
+            MEDIUM_PROMPT..LONG_PROMPT => 6,
             _ => 8,
         })
     }
 
     pub(crate) fn suspect(&self, upstream: &id::Upstream) {
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.suspect(upstream, self.state.clock.now());
-        }
+        self.state.with_board(&self.service, |board, now| board.suspect(upstream, now));
     }
 
     /// Checks the head of an answer, and its body unless it is a stream.
@@ -499,11 +503,10 @@
         let passed = head::pass_back(fields.into_iter());
         let peer = &live.upstream;
         if read.not_run {
-            if let Some(helper) = read.at_fault.as_ref().filter(|at_fault| *at_fault != peer)
-                && let Some(desk) = self.state.desk(&self.service)
-            {
-                let now = self.state.clock.now();
-                state::lock(&desk).board.helper_failed(peer, helper, now);
+            if let Some(helper) = read.at_fault.as_ref().filter(|at_fault| *at_fault != peer) {
+                self.state.with_board(&self.service, |board, now| {
+                    board.helper_failed(peer, helper, now);
+                });
             }
             let by = read.at_fault.as_ref().map(|at| format!(" by {at}")).unwrap_or_default();
             return Err(Miss::Refused(format!("{peer}: refused with status {status}{by}")));
@@ -521,10 +524,8 @@
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
         let body = body.map_err(|failure| Miss::Lost(format!("{peer}: {failure}")))?;
-        if status >= 500
-            && let Some(desk) = self.state.desk(&self.service)
-        {
-            state::lock(&desk).board.erred(peer, self.state.clock.now());
+        if status >= 500 {
+            self.state.with_board(&self.service, |board, now| board.erred(peer, now));
         }
         let repeatable = self.route.kind.may_repeat();
         let last = earlier + 1 >= self.route.attempts as usize || self.left() < WORTH_TRYING;
@@ -538,9 +539,7 @@
     }
 
     pub(crate) fn answered(&self, upstream: &id::Upstream) {
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.answered(upstream, self.state.clock.now());
-        }
+        self.state.with_board(&self.service, |board, now| board.answered(upstream, now));
     }
 
     fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -167,11 +167,21 @@
         }
     }
 
-    /// The entry of an upstream.
+    /// What is decided for a service.
     pub(crate) fn desk(&self, service: &id::Service) -> Option<sync::Arc<sync::Mutex<Desk>>> {
         self.desks.load().get(service).cloned()
     }
 
+    /// Tells the board of a service what happened, at this moment; a service that is gone has none.
+    pub(crate) fn with_board<Act>(&self, service: &id::Service, act: Act)
+    where
+        Act: FnOnce(&mut placement::Board, clock::Moment),
+    {
+        if let Some(desk) = self.desk(service) {
+            act(&mut lock(&desk).board, self.clock.now());
+        }
+    }
+
     fn refresh_desks(&self) {
         let Some(table) = self.table() else { return };
         let registry = lock(&self.registry);
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -203,7 +203,16 @@
         let mut refusals = 0;
         while self.admitted.may_try_again(self.upstreams, refusals, &missed) {
             self.admitted.state.metrics.repeats.inc();
-            let secured = self.admitted.secure(avoid).await.ok()?;
+            let secured = match self.admitted.secure(avoid).await {
+                Ok(secured) => secured,
+                Err(fault) => {
+                    event::Line::new("stream_not_resumed")
+                        .text("request", &self.admitted.request.call.request_id)
+                        .text("detail", &fault)
+                        .warn();
+                    return None;
+                }
+            };
             let upstream = secured.placement.first.upstream.clone();
             let taken =
                 match self.admitted.attempt(secured, self.last_event, self.upstreams + 1).await {
--- a/crates/lagoon-gateway/src/underway.rs
+++ b/crates/lagoon-gateway/src/underway.rs
@@ -69,9 +69,7 @@
         if std::mem::replace(&mut self.read, true) {
             return;
         }
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.first_token(self.id, self.state.clock.now());
-        }
+        self.state.with_board(&self.service, |board, now| board.first_token(self.id, now));
         self.tell(word::What::First(word::Nothing {}));
     }
 
@@ -83,9 +81,7 @@
 
 impl Drop for Underway {
     fn drop(&mut self) {
-        if let Some(desk) = self.state.desk(&self.service) {
-            state::lock(&desk).board.end(self.id, self.state.clock.now());
-        }
+        self.state.with_board(&self.service, |board, now| board.end(self.id, now));
         self.tell(word::What::Ended(word::Nothing {}));
     }
 }
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -29,6 +29,13 @@
     gap_ms: f64,
 }
 
+/// Milliseconds that an engine with all places taken delays a newcomer beside its reads: two thirds of
+/// a full engine's pass.
+const CROWD_MS: f64 = 40.0;
+/// Milliseconds that each request beyond its places costs a newcomer: a tenth of an answer's time.
+const OVER_MS: f64 = 200.0;
+/// Failures in a row by which the time for which an upstream is passed over grows.
+const MOST_FAILURES: u32 = 4;
 /// What one failure adds to the share of failures that is remembered, of what is left to one.
 const FAILURE_WEIGHT: f64 = 0.35;
 /// What one answer leaves of that share.
@@ -131,7 +138,7 @@
 
     pub(super) fn failed(&mut self, now: clock::Moment, span: clock::Span) {
         self.erred(now);
-        self.failures = (self.failures + 1).min(4);
+        self.failures = (self.failures + 1).min(MOST_FAILURES);
         self.suspect_until = Some(now + span * self.failures);
     }
 
@@ -215,11 +222,6 @@
         self.parts.iter().filter(|part| part.writes && part.gap_ms <= gap_ms).count() as u32
     }
 
-    /// Requests that write, or will, and bear longer pauses.
-    pub(super) fn loose_writers(&self, gap_ms: f64) -> u32 {
-        self.parts.iter().filter(|part| part.writes && part.gap_ms > gap_ms).count() as u32
-    }
-
     /// Writers whose pause would be too long if a prompt that takes `read_ms` were read beside
     /// them: a pass lasts for its steps and all reads that wait for it.
     pub(super) fn harmed(&self, read_ms: f64) -> u32 {
@@ -237,8 +239,12 @@
 
     /// Whether another request would be worked on at once.
     pub(super) fn has_place(&self) -> bool {
-        let places = self.parts.iter().filter(|part| part.writes).count();
-        places < self.entry.slots.max(1) as usize
+        self.places() < self.entry.slots.max(1) as usize
+    }
+
+    /// Places that are taken, by requests that write or will.
+    pub(super) fn places(&self) -> usize {
+        self.parts.iter().filter(|part| part.writes).count()
     }
 
     /// The prompts of the writers whose pause would become too long by a read of `read_ms`, as
@@ -254,10 +260,10 @@
     /// What the requests on it cost a newcomer beside its wait, in milliseconds; places that run
     /// out weigh most.
     pub(super) fn crowd_ms(&self) -> f64 {
-        let places = self.parts.iter().filter(|part| part.writes).count() as f64;
+        let places = self.places() as f64;
         let slots = f64::from(self.entry.slots.max(1));
         let over = (places + 1.0 - slots).max(0.0);
-        places / slots * 40.0 + over * 200.0
+        places / slots * CROWD_MS + over * OVER_MS
     }
 
     /// Tokens of memory that are planned with.
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -21,7 +21,7 @@
 mod settings;
 
 pub use cut::Cuts;
-pub use engine::{Engine, Stage};
+use engine::Engine;
 pub use settings::Settings;
 
 /// A request under way: the host that sent it, and its number there.
@@ -147,11 +147,6 @@
         }
     }
 
-    /// The upstreams, for gauges.
-    pub fn upstreams(&self) -> impl Iterator<Item = &Engine> {
-        self.upstreams.values()
-    }
-
     /// Requests under way.
     pub fn works(&self) -> usize {
         self.works.len()
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -58,14 +58,20 @@
     /// answers under way, since the mix swings. Long prompts keep what they have under way; short
     /// ones take the rest when they need it.
     fn kept_for_tight(&self, usable: &[&Engine]) -> usize {
-        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
-        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
-        let loose: u32 = usable.iter().map(|engine| engine.loose_writers(gap_ms)).sum();
+        let tight = self.tight_writers(usable);
+        let writers: usize = usable.iter().map(|engine| engine.places()).sum();
+        let loose = (writers as u32).saturating_sub(tight);
         let wanted = tight.div_ceil(self.settings.tight_writers.max(1)) as usize;
         let needed = loose.div_ceil(self.settings.loose_writers.max(1)) as usize;
         wanted.max(1).min(usable.len().saturating_sub(needed).max(1))
     }
 
+    /// Answers under way that bear only short pauses.
+    fn tight_writers(&self, usable: &[&Engine]) -> u32 {
+        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
+        usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum()
+    }
+
     pub(super) fn place_prompt(
         &self,
         demand: &Demand<'_>,
@@ -243,8 +249,7 @@
         let parts = || plan.helpers.iter().map(|(index, _)| *index).chain([plan.first]);
         let late = |index: usize| usable[index].made_late(plan.part_ms).map(value).sum::<f64>();
         let writers: f64 = parts().map(late).sum();
-        let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
-        let tight: u32 = usable.iter().map(|engine| engine.tight_writers(gap_ms)).sum();
+        let tight = self.tight_writers(usable);
         let touched = parts().filter(|index| *index < kept).count() as f64 / kept.max(1) as f64;
         let stall = (plan.part_ms - self.settings.stall_ms).max(0.0) / 1e3;
         let arrivals = f64::from(tight) / self.settings.tight_life.as_secs_f64() * touched * stall;
--- a/crates/lagoonline/src/routing/table.rs
+++ b/crates/lagoonline/src/routing/table.rs
@@ -105,7 +105,7 @@
 }
 
 /// The share of `route` that a request goes to; `draw` is uniform over all numbers.
-pub fn share(route: &Route, draw: u64) -> &super::Share {
+fn share(route: &Route, draw: u64) -> &super::Share {
     let total: u64 = route.shares.iter().map(|share| u64::from(share.weight)).sum();
     let mut left = if total == 0 { 0 } else { draw % total };
     for share in &route.shares {
