One host of a zone reads the platform's tables for the others

Ruled out: longer waits of each host's own watches (the bounds on leaving upstreams and on keys leave no room); an elected reader (nothing may be agreed among hosts).

Change: lagoonline::routing::Sources decides whom a host asks; lagoon_gateway::relay asks and answers, mirror keeps which rows really changed; a host without a good answer reads for itself at once. Zones of fewer than six hosts go on as before. Hosts' table read at most each 5 s; longer pauses in an outage in zones of many hosts.

--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -12,12 +12,16 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::load::placement;
+use lagoonline::routing;
 use prost::Message;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc;
 
 use crate::event;
+use crate::feed;
+use crate::mirror;
+use crate::relay;
 use crate::state;
 use crate::store as client;
 use crate::watch;
@@ -33,7 +37,13 @@
 /// A host's row.
 #[derive(Debug, Deserialize, Serialize)]
 struct Row {
+    /// Where it hears words.
     address: net::SocketAddr,
+    /// Where it answers hosts of its zone.
+    reader: net::SocketAddr,
+    zone: id::Zone,
+    /// Part of a processor core that it has.
+    cores: f64,
 }
 
 type Peers = sync::Arc<sync::Mutex<collections::HashMap<String, net::SocketAddr>>>;
@@ -46,21 +56,26 @@
 pub(crate) fn run(
     state: sync::Arc<state::State>,
     socket: net::UdpSocket,
+    reader: net::SocketAddr,
     words: mpsc::Receiver<word::Word>,
 ) -> std::io::Result<()> {
     let address = socket.local_addr()?;
     let socket = sync::Arc::new(UdpSocket::from_std(socket)?);
     let peers = Peers::default();
-    drop(ntex::rt::spawn(register(state.clone(), address)));
-    drop(ntex::rt::spawn(follow(state.clone(), peers.clone())));
+    let node = &state.settings.node;
+    let row = Row { address, reader, zone: node.zone.clone(), cores: node.cpu_share };
+    drop(ntex::rt::spawn(register(state.clone(), row)));
+    let members = relay::Members::default();
+    drop(ntex::rt::spawn(follow(state.clone(), peers.clone(), members.clone())));
+    drop(ntex::rt::spawn(relay::follow(state.clone(), members)));
     drop(ntex::rt::spawn(hear(state.clone(), socket.clone())));
     drop(ntex::rt::spawn(tell(state.clone(), socket, peers, words)));
     Ok(())
 }
 
-async fn register(state: sync::Arc<state::State>, address: net::SocketAddr) {
+async fn register(state: sync::Arc<state::State>, own: Row) {
     let mut client = client::Client::new(state.settings.node.store);
-    let row = serde_json::json!(Row { address }).to_string();
+    let row = serde_json::json!(own).to_string();
     let call = store::put(TABLE, state.settings.node.host.as_str(), row.as_bytes());
     let mut tries = 0_u32;
     // Writing the row again is harmless, so a lost answer needs no reading back.
@@ -71,22 +86,40 @@
         }
         tokio::time::sleep(AGAIN).await;
     }
-    event::Line::new("registered").text("address", address).number("tries", tries).info();
+    event::Line::new("registered").text("address", own.address).number("tries", tries).info();
 }
 
-async fn follow(state: sync::Arc<state::State>, peers: Peers) {
+async fn follow(state: sync::Arc<state::State>, peers: Peers, members: relay::Members) {
     let wait = state.settings.tuning.hosts_wait;
-    let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait);
+    let mirror = sync::Arc::new(sync::Mutex::new(mirror::Mirror::new(feed::same_bytes)));
+    let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait, mirror);
+    watch.knock_seldom();
     let own = state.settings.node.host.as_str();
     loop {
         let news = watch.next().await;
         let mut known = state::lock(&peers);
+        let mut members = state::lock(&members);
         for row in news.rows.iter().filter(|row| row.key != own) {
-            let text = row.value.as_deref().unwrap_or_default();
+            let host = id::Host::from(row.key.as_str());
+            let Some(text) = &row.value else {
+                known.remove(&row.key);
+                members.remove(&host);
+                continue;
+            };
             match serde_json::from_slice::<Row>(text) {
-                Ok(peer) => drop(known.insert(row.key.clone(), peer.address)),
+                Ok(peer) => {
+                    known.insert(row.key.clone(), peer.address);
+                    let member = relay::Member {
+                        address: peer.reader,
+                        peer: routing::Peer { cores: peer.cores },
+                    };
+                    if peer.zone == state.settings.node.zone {
+                        members.insert(host, member);
+                    }
+                }
                 Err(error) => {
                     known.remove(&row.key);
+                    members.remove(&host);
                     event::Line::new("host_unreadable")
                         .text("host", &row.key)
                         .text("error", error)
@@ -94,7 +127,11 @@
                 }
             }
         }
+        state.feed.set_shared(members.len() as u64 + 1 >= state.settings.tuning.relay_hosts);
+        drop(members);
         state.set_hosts(known.len() + 1);
+        drop(known);
+        tokio::time::sleep(state.settings.tuning.hosts_pause).await;
     }
 }
 
--- a/crates/lagoon-gateway/src/link.rs
+++ b/crates/lagoon-gateway/src/link.rs
@@ -31,10 +31,19 @@
     let stream = tokio::time::timeout(timeout, TcpStream::connect(address))
         .await
         .map_err(|_| io::Error::new(io::ErrorKind::TimedOut, "no connection in time"))??;
+    tune(&stream)?;
+    Ok(stream)
+}
+
+/// Sets the options of a connection.
+///
+/// # Errors
+///
+/// The connection is gone.
+pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(&stream);
+    let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
     let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE).with_retries(PROBES);
-    socket.set_tcp_keepalive(&probes)?;
-    Ok(stream)
+    socket.set_tcp_keepalive(&probes)
 }
--- /dev/null
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -0,0 +1,151 @@
+//! Asks the host that reads for the zone, and decides when to read here instead.
+
+use std::collections;
+use std::io;
+use std::net;
+use std::sync;
+
+use futures_util::{SinkExt, StreamExt};
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::routing;
+use prost::Message;
+
+use super::message;
+use crate::event;
+use crate::feed;
+use crate::link;
+use crate::state;
+
+/// Longest time for a connection to another host of the zone: a lost packet comes again within it.
+const CONNECT: clock::Span = clock::Span::from_millis(350);
+/// What an answer may take beyond the time for which a reader holds the question: a lost packet
+/// comes again within it, and a change of the desired state is still in force in time.
+const SLACK: clock::Span = clock::Span::from_millis(350);
+/// Time between two looks for a reader while this host reads for itself.
+const SEARCH: clock::Span = clock::Span::from_millis(1_000);
+
+/// Another host of the zone.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Member {
+    /// Where it answers.
+    pub(crate) address: net::SocketAddr,
+    pub(crate) peer: routing::Peer,
+}
+
+/// The other hosts of the zone.
+pub(crate) type Members = sync::Arc<sync::Mutex<collections::BTreeMap<id::Host, Member>>>;
+
+/// Follows the reader of the zone as long as the process lives.
+pub(crate) async fn run(state: sync::Arc<state::State>, members: Members) {
+    let node = &state.settings.node;
+    let settings = routing::SourceSettings {
+        least_hosts: state.settings.tuning.relay_hosts,
+        ..routing::SourceSettings::default()
+    };
+    let mut sources = routing::Sources::new(settings, node.host.clone(), node.cpu_share);
+    let mut known = collections::BTreeMap::new();
+    loop {
+        update(&mut sources, &mut known, &members);
+        match sources.next(state.clock.now()) {
+            routing::Source::Platform => {
+                state.feed.set_reads(true);
+                tokio::time::sleep(SEARCH).await;
+                let age = feed::age(&state, state.feed.listed_at());
+                if age.is_none_or(|age| age > super::STALE) {
+                    sources.platform_failed(state.clock.now());
+                }
+            }
+            routing::Source::Peer(host) => {
+                let member = known.get(&host).copied();
+                let ended = match member {
+                    Some(member) => ask(&state, member.address).await,
+                    None => Ended::Silent("its address is not known".to_owned()),
+                };
+                state.feed.set_reads(true);
+                sources.failed(&host, state.clock.now());
+                event::Line::new("reader_left").text("host", &host).text("why", ended).info();
+            }
+        }
+    }
+}
+
+/// Takes over which hosts there are.
+fn update(
+    sources: &mut routing::Sources,
+    known: &mut collections::BTreeMap<id::Host, Member>,
+    members: &Members,
+) {
+    let now = state::lock(members).clone();
+    for gone in known.keys().filter(|host| !now.contains_key(*host)) {
+        sources.remove_peer(gone);
+    }
+    for (host, member) in &now {
+        sources.set_peer(host.clone(), member.peer);
+    }
+    *known = now;
+}
+
+/// Why a reader was left.
+#[derive(Debug, thiserror::Error)]
+enum Ended {
+    #[error("it does not read now")]
+    NotReading,
+    #[error("{0}")]
+    Silent(String),
+}
+
+impl From<io::Error> for Ended {
+    fn from(error: io::Error) -> Ended {
+        Ended::Silent(error.to_string())
+    }
+}
+
+/// Asks one host again and again, and takes in what it tells, until it fails.
+async fn ask(state: &state::State, address: net::SocketAddr) -> Ended {
+    match talk(state, address).await {
+        Ok(never) => match never {},
+        Err(ended) => ended,
+    }
+}
+
+async fn talk(
+    state: &state::State,
+    address: net::SocketAddr,
+) -> Result<std::convert::Infallible, Ended> {
+    let mut link = super::framed(link::connect(address, CONNECT).await?);
+    loop {
+        let asked = state.clock.now();
+        let ask = message::Ask {
+            desired: state::lock(&state.feed.desired).version(),
+            upstreams: state::lock(&state.feed.upstreams).version(),
+        };
+        link.send(bytes::Bytes::from(ask.encode_to_vec())).await?;
+        let told = tokio::time::timeout(super::HOLD + SLACK, link.next()).await;
+        let told = told.map_err(|_| Ended::Silent("no answer in time".to_owned()))?;
+        let frame = told.ok_or_else(|| Ended::Silent("connection closed".to_owned()))??;
+        let told = message::Told::decode(frame).map_err(io::Error::from)?;
+        let news = told.news.ok_or(Ended::NotReading)?;
+        take_in(state, news, asked);
+        state.feed.set_reads(false);
+    }
+}
+
+/// Takes in what a reader told; it knew as much at least when it was asked.
+fn take_in(state: &state::State, news: message::News, asked: clock::Moment) {
+    if let Some(returned) = news.returned_ms {
+        let age = clock::Span::from_millis(returned);
+        feed::platform_returned(state, state.clock.now().before(age));
+    }
+    if let Some(table) = news.desired {
+        let at = asked.before(clock::Span::from_millis(table.age_ms));
+        let rows = state::lock(&state.feed.desired).take(table.into_part());
+        feed::take_desired(state, &rows, at);
+    }
+    if let Some(table) = news.upstreams {
+        let at = asked.before(clock::Span::from_millis(table.age_ms));
+        let rows = state::lock(&state.feed.upstreams).take(table.into_part());
+        feed::take_upstreams(state, &rows, at);
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/relay/message.rs
@@ -0,0 +1,90 @@
+//! Messages between a host that reads the platform's tables and one that asks it.
+
+use lagoon_platform::store;
+
+use crate::mirror;
+
+/// What an asking host knows.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Ask {
+    /// Version up to which it knows the desired state.
+    #[prost(uint64, optional, tag = "1")]
+    pub(crate) desired: Option<u64>,
+    /// Version up to which it knows the list of upstreams.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) upstreams: Option<u64>,
+}
+
+/// What the reader tells it.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Told {
+    /// The rest; absent where the host that was asked does not read, or cannot.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) news: Option<News>,
+}
+
+/// News of the tables.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct News {
+    /// The desired state.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) desired: Option<Table>,
+    /// The list of upstreams.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) upstreams: Option<Table>,
+    /// Milliseconds since the platform answered again after an outage.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) returned_ms: Option<u64>,
+}
+
+/// News of one table.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Table {
+    /// The rows that changed, or all.
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) rows: Vec<Row>,
+    /// Whether these are all rows.
+    #[prost(bool, tag = "2")]
+    pub(crate) all: bool,
+    /// Version up to which the table is known.
+    #[prost(uint64, tag = "3")]
+    pub(crate) version: u64,
+    /// Milliseconds for which it has been known to be complete up to that version.
+    #[prost(uint64, tag = "4")]
+    pub(crate) age_ms: u64,
+}
+
+/// One row.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Row {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub(crate) key: String,
+    /// Its value; absent where it was removed.
+    #[prost(bytes = "vec", optional, tag = "2")]
+    pub(crate) value: Option<Vec<u8>>,
+    /// The version that wrote it.
+    #[prost(uint64, tag = "3")]
+    pub(crate) version: u64,
+}
+
+impl Table {
+    pub(crate) fn new(part: mirror::Part, age: std::time::Duration) -> Table {
+        let row = |row: store::Row| Row { key: row.key, value: row.value, version: row.version };
+        Table {
+            rows: part.rows.into_iter().map(row).collect(),
+            all: part.all,
+            version: part.version,
+            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        }
+    }
+
+    pub(crate) fn into_part(self) -> mirror::Part {
+        let row = |row: Row| store::Row { key: row.key, value: row.value, version: row.version };
+        mirror::Part {
+            rows: self.rows.into_iter().map(row).collect(),
+            all: self.all,
+            version: self.version,
+        }
+    }
+}
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -19,6 +19,7 @@
 use crate::event;
 use crate::forward;
 use crate::hosts;
+use crate::relay;
 use crate::settings;
 use crate::state;
 use crate::watch;
@@ -108,12 +109,13 @@
     let ready = net::TcpListener::bind(settings.node.ready)?;
     let words = net::UdpSocket::bind((settings.node.ip, settings.node.ports.0))?;
     words.set_nonblocking(true)?;
+    let peers = net::TcpListener::bind((settings.node.ip, settings.node.ports.0))?;
     let (state, said) = state::State::new(settings);
     let handle =
         Handle { callers: callers.local_addr()?, ready: ready.local_addr()?, state: state.clone() };
     let work = move || {
         let system = ntex::rt::System::build().name("gateway").build(ntex::rt::DefaultRuntime);
-        system.block_on(serve(state, Sockets { callers, ready, words }, said))
+        system.block_on(serve(state, Sockets { callers, ready, peers, words }, said))
     };
     let thread = thread::Builder::new().name("gateway".to_owned()).spawn(work)?;
     Ok(Running { handle, thread })
@@ -124,6 +126,8 @@
 struct Sockets {
     callers: net::TcpListener,
     ready: net::TcpListener,
+    /// For other hosts of the zone.
+    peers: net::TcpListener,
     words: net::UdpSocket,
 }
 
@@ -143,7 +147,9 @@
     let ready = listen(state.clone(), sockets.ready, Side::Ready)?;
     drop(ntex::rt::spawn(watch::desired(state.clone())));
     drop(ntex::rt::spawn(watch::upstreams(state.clone())));
-    hosts::run(state.clone(), sockets.words, said)?;
+    let peers = sockets.peers.local_addr()?;
+    relay::serve(state.clone(), sockets.peers)?;
+    hosts::run(state.clone(), sockets.words, peers, said)?;
     drop(ntex::rt::spawn(tick(state.clone())));
     state.reach(state::Phase::Unready).await;
     shut_down(&state, callers).await;
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -7,6 +7,7 @@
 use lagoonline::check;
 use lagoonline::clock;
 use lagoonline::load::placement;
+use lagoonline::routing;
 
 /// What the process runs with.
 #[derive(Clone, Debug)]
@@ -33,6 +34,18 @@
     pub upstreams_pause: clock::Span,
     /// How long the platform holds a watch of the entry hosts open.
     pub hosts_wait: clock::Span,
+    /// Pause after an answer of that watch. Without it, sixty hosts that restart in turn wake every
+    /// watch of all hosts sixty times; a host that is heard of later only costs words.
+    pub hosts_pause: clock::Span,
+    /// Hosts of a zone from which on one of them reads the platform for the others. A smaller zone
+    /// saves less by it than a silent reader costs, which is found out after a second.
+    pub relay_hosts: u64,
+    /// How long the platform holds a watch of a host that reads for others: what those believe is
+    /// older by it.
+    pub reader_wait: clock::Span,
+    /// Pause after an answer of the watch of the upstreams at such a host: few hosts read, so that
+    /// news may come sooner for fewer calls.
+    pub reader_pause: clock::Span,
     /// Time between two batches of words to the other entry hosts.
     pub words_pause: clock::Span,
     /// Figures of the placement.
@@ -47,6 +60,10 @@
             upstreams_wait: clock::Span::from_millis(2_500),
             upstreams_pause: clock::Span::from_millis(1_200),
             hosts_wait: clock::Span::from_millis(20_000),
+            relay_hosts: routing::SourceSettings::default().least_hosts,
+            reader_wait: clock::Span::from_millis(1_000),
+            reader_pause: clock::Span::from_millis(400),
+            hosts_pause: clock::Span::from_millis(5_000),
             words_pause: clock::Span::from_millis(8),
             placement: placement::Settings::default(),
         }
@@ -85,6 +102,10 @@
             upstreams_wait: millis("upstreams_wait_ms", default.upstreams_wait, 30_000),
             upstreams_pause: millis("upstreams_pause_ms", default.upstreams_pause, 30_000),
             hosts_wait: millis("hosts_wait_ms", default.hosts_wait, 30_000),
+            relay_hosts: reader.number("relay_hosts", default.relay_hosts, 2..=1_000_000),
+            reader_wait: millis("reader_wait_ms", default.reader_wait, 1_500),
+            reader_pause: millis("reader_pause_ms", default.reader_pause, 1_000),
+            hosts_pause: millis("hosts_pause_ms", default.hosts_pause, 30_000),
             words_pause: millis("words_pause_ms", default.words_pause, 10_000),
             placement,
         }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::event;
+use crate::feed;
 use crate::metrics;
 use crate::settings;
 use crate::word;
@@ -54,6 +55,8 @@
     table: ArcSwapOption<routing::Table>,
     confirmation: sync::Mutex<routing::Confirmation>,
     registry: sync::Mutex<routing::Registry>,
+    /// What is known of the platform's tables.
+    pub(crate) feed: feed::Feed,
     /// Whether the list of upstreams was ever read.
     listed: atomic::AtomicBool,
     desks: ArcSwap<Desks>,
@@ -83,6 +86,7 @@
             table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
             registry: sync::Mutex::default(),
+            feed: feed::Feed::default(),
             listed: atomic::AtomicBool::new(false),
             desks: ArcSwap::default(),
             phase: watch::Sender::new(Phase::Serving),
@@ -128,21 +132,14 @@
         lock(&self.confirmation).age(self.clock.now())
     }
 
-    /// The platform answers again.
-    pub(crate) fn platform_returned(&self) {
-        lock(&self.registry).returned(self.clock.now());
-    }
-
-    /// Takes in the whole list of upstreams.
-    pub(crate) fn list_upstreams(&self, entries: Vec<routing::Entry>) {
-        event::Line::new("upstreams_read").number("count", entries.len()).info();
-        self.listed.store(true, atomic::Ordering::Relaxed);
-        lock(&self.registry).reset(entries, self.clock.now());
-        self.refresh_desks();
+    /// The platform answers again since `at`.
+    pub(crate) fn platform_returned(&self, at: clock::Moment) {
+        lock(&self.registry).returned(at);
     }
 
     /// Takes in changes of the list of upstreams.
     pub(crate) fn change_upstreams(&self, changes: Vec<routing::Change>) {
+        self.listed.store(true, atomic::Ordering::Relaxed);
         if changes.is_empty() {
             return;
         }
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -8,10 +8,11 @@
 use lagoon_platform::{desired, entry, store};
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
-use lagoonline::routing;
 use rand::Rng;
 
 use crate::event;
+use crate::feed;
+use crate::mirror;
 use crate::state;
 use crate::store as client;
 
@@ -23,8 +24,13 @@
 const PAUSE_SHARE: f64 = 0.4;
 /// First pause after a failed call.
 const FIRST_PAUSE: clock::Span = clock::Span::from_millis(60);
+/// Doublings of it.
+const DOUBLINGS: u32 = 5;
 /// Longest pause after failed calls: a host is back well within the bounds after an outage.
 const LONGEST_PAUSE: clock::Span = clock::Span::from_millis(400);
+/// The same in a zone of many hosts: all of them knock while the platform is out, and the first that
+/// is let in tells the others.
+const LONGEST_SHARED_PAUSE: clock::Span = clock::Span::from_millis(1_600);
 
 /// A table that is watched.
 #[derive(Debug)]
@@ -33,19 +39,18 @@
     name: &'static str,
     table: &'static str,
     wait: clock::Span,
-    /// Version after which changes are asked for; `None` when all is to be read.
-    version: Option<u64>,
+    /// What is known of the table, and up to which version.
+    mirror: feed::Table,
     failures: u32,
+    longest_pause: clock::Span,
     clock: crate::Boot,
 }
 
 /// News of a table.
 #[derive(Debug)]
 pub(crate) struct News {
-    /// The rows that changed, or all of them.
+    /// The rows that changed.
     pub(crate) rows: Vec<store::Row>,
-    /// Whether these are all rows.
-    pub(crate) all: bool,
     /// The table had no later change up to this moment.
     pub(crate) at: clock::Moment,
     /// Whether the call before this one failed.
@@ -59,14 +64,16 @@
         name: &'static str,
         table: &'static str,
         wait: clock::Span,
+        mirror: feed::Table,
     ) -> Watch {
         Watch {
             client: client::Client::new(state.settings.node.store),
             name,
             table,
             wait,
-            version: None,
+            mirror,
             failures: 0,
+            longest_pause: LONGEST_PAUSE,
             clock: state.clock,
         }
     }
@@ -75,7 +82,8 @@
     pub(crate) async fn next(&mut self) -> News {
         loop {
             let started = self.clock.now();
-            let asked = match self.version {
+            let known = state::lock(&self.mirror).version();
+            let asked = match known {
                 Some(version) => self.changes(version, started).await,
                 None => self.read_all(started).await,
             };
@@ -111,14 +119,14 @@
                 .text("dependency", self.name)
                 .number("version", version)
                 .info();
-            self.version = None;
+            state::lock(&self.mirror).forget();
             return Ok(None);
         };
-        self.version = Some(version.max(rows.version));
         // An answer without changes says that there was none while the store waited.
         let quiet = if rows.rows.is_empty() { started + wait } else { started };
         let at = quiet.min(self.clock.now());
-        Ok(Some(News { rows: rows.rows, all: false, at, returned: self.failures > 0 }))
+        let part = mirror::Part { rows: rows.rows, all: false, version: rows.version };
+        Ok(Some(self.news(part, at)))
     }
 
     async fn read_all(&mut self, started: clock::Moment) -> Result<Option<News>, client::Trouble> {
@@ -136,8 +144,23 @@
                 _ => break,
             }
         }
-        self.version = version;
-        Ok(Some(News { rows, all: true, at: started, returned: self.failures > 0 }))
+        let part = mirror::Part { rows, all: true, version: version.unwrap_or_default() };
+        event::Line::new("table_read")
+            .text("dependency", self.name)
+            .number("rows", part.rows.len())
+            .number("version", part.version)
+            .info();
+        Ok(Some(self.news(part, started)))
+    }
+
+    fn news(&self, part: mirror::Part, at: clock::Moment) -> News {
+        let rows = state::lock(&self.mirror).take(part);
+        News { rows, at, returned: self.failures > 0 }
+    }
+
+    /// After an outage nobody waits for this table.
+    pub(crate) fn knock_seldom(&mut self) {
+        self.longest_pause = LONGEST_SHARED_PAUSE;
     }
 
     async fn pause(&mut self, error: &client::Trouble) {
@@ -148,64 +171,52 @@
                 .text("error", error)
                 .warn();
         }
-        let doubled = FIRST_PAUSE * 2u32.pow(self.failures.min(4));
-        let most = doubled.min(LONGEST_PAUSE);
+        let doubled = FIRST_PAUSE * 2u32.pow(self.failures.min(DOUBLINGS));
+        let most = doubled.min(self.longest_pause);
         tokio::time::sleep(most.mul_f64(rand::rng().random_range(0.5..1.0))).await;
     }
 }
 
-/// Keeps the desired state in force.
+fn longest_pause(state: &state::State) -> clock::Span {
+    if state.feed.is_shared() { LONGEST_SHARED_PAUSE } else { LONGEST_PAUSE }
+}
+
+/// Keeps the desired state in force, while this host reads for itself.
 pub(crate) async fn desired(state: sync::Arc<state::State>) {
     let bound = state.settings.node.bounds.revoke.unwrap_or(clock::Span::MAX);
-    let wait = state.settings.tuning.desired_wait.min(bound / 2);
-    let mut watch = Watch::new(&state, "desired state", desired::TABLE, wait);
+    let tuning = &state.settings.tuning;
+    let wait = tuning.desired_wait.min(bound / 2);
+    let mirror = state.feed.desired.clone();
+    let mut watch = Watch::new(&state, "desired state", desired::TABLE, wait, mirror);
     loop {
+        state.feed.until_reads().await;
+        let asked = state.feed.is_asked(state.clock.now());
+        watch.wait = if asked { wait.min(tuning.reader_wait) } else { wait };
+        watch.longest_pause = longest_pause(&state);
         let news = watch.next().await;
-        let row = news.rows.iter().rev().find(|row| row.key == desired::KEY);
-        let text = row.and_then(|row| row.value.as_deref());
-        match text.map(desired::read) {
-            Some(Ok(desired)) => state.install(desired, news.at),
-            Some(Err(error)) => {
-                event::Line::new("desired_state_unreadable").text("error", error).warn();
-            }
-            None if state.table().is_some() => state.confirm(news.at),
-            None => {}
-        }
+        feed::take_desired(&state, &news.rows, news.at);
     }
 }
 
-/// Keeps the list of upstreams.
+/// Keeps the list of upstreams, while this host reads for itself.
 pub(crate) async fn upstreams(state: sync::Arc<state::State>) {
     let tuning = &state.settings.tuning;
     let pause = tuning.upstreams_pause.min(state.settings.node.bounds.leaving.mul_f64(PAUSE_SHARE));
-    let mut watch = Watch::new(&state, "upstreams", entry::TABLE, tuning.upstreams_wait);
+    let mirror = state.feed.upstreams.clone();
+    let mut watch = Watch::new(&state, "upstreams", entry::TABLE, tuning.upstreams_wait, mirror);
     loop {
+        state.feed.until_reads().await;
+        watch.longest_pause = longest_pause(&state);
+        let (wait, pause) = match state.feed.is_asked(state.clock.now()) {
+            true => (tuning.reader_wait, pause.min(tuning.reader_pause)),
+            false => (tuning.upstreams_wait, pause),
+        };
+        watch.wait = wait;
         let news = watch.next().await;
         if news.returned {
-            state.platform_returned();
-        }
-        let entries = news.rows.iter().map(read_entry);
-        if news.all {
-            let listed = entries.filter_map(|change| match change {
-                routing::Change::Put(entry) => Some(entry),
-                routing::Change::Removed(_) => None,
-            });
-            state.list_upstreams(listed.collect());
-        } else {
-            state.change_upstreams(entries.collect());
+            feed::platform_returned(&state, state.clock.now());
         }
+        feed::take_upstreams(&state, &news.rows, news.at);
         tokio::time::sleep(pause).await;
     }
 }
-
-fn read_entry(row: &store::Row) -> routing::Change {
-    let removed = || routing::Change::Removed(lagoonline::id::Upstream::from(row.key.as_str()));
-    let Some(text) = &row.value else { return removed() };
-    match entry::read(&row.key, text) {
-        Ok(entry) => routing::Change::Put(entry),
-        Err(error) => {
-            event::Line::new("entry_unreadable").text("error", error).warn();
-            removed()
-        }
-    }
-}
--- /dev/null
+++ b/crates/lagoon-gateway/tests/relay.rs
@@ -0,0 +1,170 @@
+//! Several entry hosts of one zone, of which one reads the platform for the others, over sockets.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+mod standin;
+
+use std::io::{Read, Write};
+use std::net;
+use std::thread;
+use std::time;
+
+use rstest::rstest;
+use serde_json::json;
+
+use standin::Standin;
+
+/// Longest time that a step may take on a busy machine.
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+/// Bound on keys that were taken away.
+const REVOKE: time::Duration = time::Duration::from_millis(5_000);
+
+struct Host {
+    running: Option<lagoon_gateway::Running>,
+}
+
+impl Host {
+    /// A host named `name` with a part of a core; the one with the largest part reads.
+    fn start(standin: &Standin, name: &str, cores: f64) -> Host {
+        let text = format!(
+            "NodeName: {name}\nIp: 127.0.0.1\nZone: a\nListen:\n  Front: \"127.0.0.1:0\"\n  \
+             Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nLimits:\n  CpuShare: {cores}\n\
+             Platform:\n  Address: \"{}\"\nBounds:\n  GraceS: 8\n  StrictRevoke: true\n  \
+             RevokeMs: {}\n",
+            standin.store_address,
+            REVOKE.as_millis(),
+        );
+        let settings = lagoon_gateway::Settings {
+            node: lagoon_platform::settings::read(&text).unwrap(),
+            tuning: lagoon_gateway::Tuning {
+                relay_hosts: 2,
+                hosts_pause: time::Duration::from_millis(20),
+                ..Default::default()
+            },
+        };
+        let host = Host { running: Some(lagoon_gateway::start(settings).unwrap()) };
+        until("ready", || host.status("ready", "/", "") == 200);
+        host
+    }
+
+    /// Status of an answer at the callers' address, or at that of readiness.
+    fn status(&self, side: &str, path: &str, key: &str) -> u16 {
+        let handle = self.running.as_ref().unwrap().handle();
+        let address = if side == "ready" { handle.ready() } else { handle.callers() };
+        let mut stream = net::TcpStream::connect(address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        let head = format!(
+            "GET {path} HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+             authorization: Token {key}\r\nconnection: close\r\n\r\n"
+        );
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        text.split(' ').nth(1).unwrap().parse().unwrap()
+    }
+
+    fn look(&self, key: &str) -> u16 {
+        self.status("callers", "/look/1", key)
+    }
+
+    fn end(&mut self) {
+        let running = self.running.take().unwrap();
+        running.handle().drain();
+        running.wait().unwrap();
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(running) = self.running.take() {
+            running.handle().drain();
+        }
+    }
+}
+
+fn until<Check>(what: &str, mut check: Check)
+where
+    Check: FnMut() -> bool,
+{
+    let began = time::Instant::now();
+    while !check() {
+        assert!(began.elapsed() < PATIENCE, "not {what} in time");
+        thread::sleep(time::Duration::from_millis(10));
+    }
+}
+
+fn desired(version: u64, keys: &[&str]) -> serde_json::Value {
+    json!({"Version": version,
+        "Routes": [{"Name": "look", "Host": "x.example", "Prefix": "/look/", "Kind": "safe",
+             "TimeoutMs": 3000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 2}],
+        "Services": [{"Name": "app", "HealthPath": "/h", "MaxConnections": 100}],
+        "Tenants": [{"Name": "c1", "ApiKeys": keys}]})
+}
+
+/// A platform with one replica, and two hosts of which the first reads for the second.
+fn zone() -> (Standin, Host, Host) {
+    let standin = Standin::start();
+    standin.put("op", "config", &desired(1, &["k1"]));
+    standin.upstream("r1", "app", 6);
+    let first = Host::start(&standin, "h1", 0.5);
+    let second = Host::start(&standin, "h2", 0.1);
+    until("read by one host", || {
+        let before = standin.watches("op");
+        thread::sleep(time::Duration::from_millis(3_000));
+        // One that reads for others asks each second, and one that reads for itself each 2.5 s.
+        (2..=4).contains(&(standin.watches("op") - before))
+    });
+    (standin, first, second)
+}
+
+/// One host reads. A new key and a new replica are told to the other, whose callers are served by
+/// them, and a key that was taken away is refused there.
+#[rstest]
+fn a_host_that_does_not_read_is_told() {
+    let (standin, _first, second) = zone();
+    assert_eq!(second.look("k1"), 200);
+    standin.put("op", "config", &desired(2, &["k2"]));
+    until("told of the keys", || second.look("k2") == 200);
+    assert_eq!(second.look("k1"), 401);
+    standin.upstream("r2", "app", 6);
+    standin.remove("servers", "r1");
+    until("served by the new replica", || {
+        assert_eq!(second.look("k2"), 200);
+        standin.seen().last().is_some_and(|seen| seen.upstream == "r2")
+    });
+}
+
+/// The host that reads ends. The other reads for itself at once: its callers with a key are served
+/// all the while, and a change that comes just then is in force within the bound of two seconds.
+#[rstest]
+fn the_end_of_the_reader_is_made_up_for() {
+    let (standin, mut first, second) = zone();
+    let ending = thread::spawn(move || first.end());
+    standin.put("op", "config", &desired(2, &["k1", "k2"]));
+    let began = time::Instant::now();
+    until("told of the key", || second.look("k2") == 200);
+    assert!(began.elapsed() < time::Duration::from_secs(2), "after {:?}", began.elapsed());
+    while !ending.is_finished() {
+        assert_eq!(second.look("k1"), 200);
+    }
+    ending.join().unwrap();
+    standin.put("op", "config", &desired(3, &["k3"]));
+    until("told of the next key", || second.look("k3") == 200);
+}
+
+/// The platform is out. What one host tells the other grows old with it: neither serves a key
+/// beyond its bound, and both serve it again when the platform is back.
+#[rstest]
+fn told_keys_are_not_trusted_beyond_their_bound() {
+    let (standin, first, second) = zone();
+    standin.set_out(true);
+    let began = time::Instant::now();
+    for host in [&second, &first] {
+        until("refused", || host.look("k1") == 503);
+    }
+    let seen = began.elapsed();
+    assert!(seen < REVOKE + time::Duration::from_millis(500), "refused only after {seen:?}");
+    standin.set_out(false);
+    for host in [&second, &first] {
+        until("served", || host.look("k1") == 200);
+    }
+}
--- a/crates/lagoonline/src/clock.rs
+++ b/crates/lagoonline/src/clock.rs
@@ -49,6 +49,17 @@
     pub const fn since(self, earlier: Moment) -> Span {
         Span::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// The moment `span` earlier, or the first one.
+    ///
+    /// ```
+    /// use lagoonline::clock::{Moment, Span};
+    /// assert_eq!(Moment::from_millis(9).before(Span::from_millis(4)), Moment::from_millis(5));
+    /// assert_eq!(Moment::from_millis(9).before(Span::from_secs(1)), Moment::START);
+    /// ```
+    pub fn before(self, span: Span) -> Moment {
+        Moment(self.0.saturating_sub(u64::try_from(span.as_micros()).unwrap_or(u64::MAX)))
+    }
 }
 
 impl ops::Add<Span> for Moment {
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod confirm;
 mod registry;
+mod source;
 mod table;
 
 use std::net;
@@ -16,6 +17,7 @@
 
 pub use confirm::Confirmation;
 pub use registry::{Change, Registry, Settings as RegistrySettings};
+pub use source::{Peer, Settings as SourceSettings, Source, Sources};
 pub use table::{Match, Table};
 
 /// What may be done again with a request.
--- /dev/null
+++ b/crates/lagoonline/src/routing/source.rs
@@ -0,0 +1,124 @@
+//! From whom a host learns what the platform holds: from the platform itself, or from the one host
+//! of its zone that reads for the others.
+//!
+//! Load pattern: a zone of twenty entry hosts, each of which watches the platform's tables. The
+//! same rows are read twenty times a second or more, each call is paid for, and a platform that
+//! comes back after an outage meets all of them. So the first host in an order that all know reads,
+//! and the others ask it. Nobody is elected: a host that gets no good answer reads for itself at
+//! once and looks for another reader later. Two hosts that both read cost calls, never a promise.
+
+use std::collections;
+
+use crate::clock;
+use crate::id;
+
+/// Figures of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Hosts of a zone from which on one reads for the others. In a smaller zone the calls saved
+    /// are worth less than the second that a silent reader costs the others.
+    pub least_hosts: u64,
+    /// How long a host that gave no good answer is passed over. Within it a killed host is started
+    /// again and has read everything.
+    pub pass_over: clock::Span,
+    /// Hosts passed over at a time after which this one reads for itself: while the platform is
+    /// out nobody can answer, and asking all of a large zone would only be noise.
+    pub most_passed: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { least_hosts: 6, pass_over: clock::Span::from_secs(3), most_passed: 4 }
+    }
+}
+
+/// Another host of the same zone, as its own row at the platform tells.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Peer {
+    /// Part of a processor core that it has: the largest host reads.
+    pub cores: f64,
+}
+
+/// Where news of the platform comes from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Source {
+    /// This host reads for itself, and answers others that ask.
+    Platform,
+    /// Another host reads.
+    Peer(id::Host),
+}
+
+/// The order in which the hosts of a zone read for each other.
+///
+/// ```
+/// use lagoonline::{clock::Moment, id::Host, routing::{Peer, Source, SourceSettings, Sources}};
+/// let settings = SourceSettings { least_hosts: 2, ..SourceSettings::default() };
+/// let mut sources = Sources::new(settings, Host::from("b"), 0.1);
+/// let now = Moment::from_millis(10);
+/// assert_eq!(sources.next(now), Source::Platform);
+/// sources.set_peer(Host::from("a"), Peer { cores: 0.5 });
+/// assert_eq!(sources.next(now), Source::Peer(Host::from("a")));
+/// sources.failed(&Host::from("a"), now);
+/// assert_eq!(sources.next(now), Source::Platform);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Sources {
+    settings: Settings,
+    own: id::Host,
+    cores: f64,
+    peers: collections::BTreeMap<id::Host, Peer>,
+    passed: collections::BTreeMap<id::Host, clock::Moment>,
+}
+
+impl Sources {
+    /// The choice of the host `own`, which has `cores`.
+    pub fn new(settings: Settings, own: id::Host, cores: f64) -> Sources {
+        Sources {
+            settings,
+            own,
+            cores,
+            peers: collections::BTreeMap::new(),
+            passed: collections::BTreeMap::new(),
+        }
+    }
+
+    /// There is another host in the zone, or it changed.
+    pub fn set_peer(&mut self, host: id::Host, peer: Peer) {
+        self.peers.insert(host, peer);
+    }
+
+    /// A host is no longer there.
+    pub fn remove_peer(&mut self, host: &id::Host) {
+        self.peers.remove(host);
+        self.passed.remove(host);
+    }
+
+    /// A host gave no answer, or said that it does not read now.
+    pub fn failed(&mut self, host: &id::Host, now: clock::Moment) {
+        self.passed.insert(host.clone(), now + self.settings.pass_over);
+    }
+
+    /// The platform does not answer this host: others may still be answered.
+    pub fn platform_failed(&mut self, now: clock::Moment) {
+        self.failed(&self.own.clone(), now);
+    }
+
+    /// Whom to ask next: the first in order that is not passed over; the platform itself when that
+    /// is this host, when all are passed over, or in a small zone.
+    pub fn next(&self, now: clock::Moment) -> Source {
+        if self.peers.len() as u64 + 1 < self.settings.least_hosts {
+            return Source::Platform;
+        }
+        let own = (&self.own, self.cores);
+        let peers = self.peers.iter().map(|(host, peer)| (host, peer.cores));
+        let mut order: Vec<_> = peers.chain(std::iter::once(own)).collect();
+        order.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        let open = |host: &id::Host| self.passed.get(host).is_none_or(|until| *until <= now);
+        let mut asked = order.into_iter().take(self.settings.most_passed + 1);
+        let first = asked.find(|(host, _)| open(host));
+        match first {
+            Some((host, _)) if *host != self.own => Source::Peer(host.clone()),
+            Some(_) | None => Source::Platform,
+        }
+    }
+}
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -124,3 +124,65 @@
     let names: Vec<_> = registry.entries().map(|entry| entry.upstream.as_str()).collect();
     assert_eq!(names, ["v"]);
 }
+
+fn sources(own: &str, peers: &[&str]) -> routing::Sources {
+    let settings = routing::SourceSettings { least_hosts: 3, ..Default::default() };
+    let mut sources = routing::Sources::new(settings, id::Host::from(own), 0.1);
+    for peer in peers {
+        sources.set_peer(id::Host::from(*peer), routing::Peer { cores: 0.1 });
+    }
+    sources
+}
+
+fn peer(name: &str) -> routing::Source {
+    routing::Source::Peer(id::Host::from(name))
+}
+
+/// All hosts of a zone know the same hosts: exactly one of them reads the platform.
+#[rstest]
+fn one_host_of_a_zone_reads() {
+    let names = ["a", "b", "c", "d"];
+    let reads = |own: &&str| {
+        let others: Vec<_> = names.into_iter().filter(|name| name != own).collect();
+        sources(own, &others).next(Moment::START) == routing::Source::Platform
+    };
+    assert_eq!(names.into_iter().filter(reads).collect::<Vec<_>>(), ["a"]);
+    assert_eq!(sources("b", &["a"]).next(Moment::START), routing::Source::Platform);
+}
+
+/// The reader dies, and the host after it in the order too. Each is passed over for three seconds
+/// from its own failure, and asked again after that.
+#[rstest]
+fn readers_that_fail_are_passed_over_for_a_while() {
+    let mut sources = sources("c", &["a", "b", "d"]);
+    sources.failed(&id::Host::from("a"), Moment::from_millis(0));
+    assert_eq!(sources.next(Moment::from_millis(10)), peer("b"));
+    sources.failed(&id::Host::from("b"), Moment::from_millis(1_000));
+    assert_eq!(sources.next(Moment::from_millis(1_010)), routing::Source::Platform);
+    assert_eq!(sources.next(Moment::from_millis(3_000)), peer("a"));
+}
+
+/// The platform turns this host away and serves the others: the host asks them though it is the
+/// first in the order.
+#[rstest]
+fn a_host_that_the_platform_turns_away_asks_another() {
+    let mut sources = sources("a", &["b", "c"]);
+    sources.platform_failed(Moment::from_millis(0));
+    assert_eq!(sources.next(Moment::from_millis(10)), peer("b"));
+    assert_eq!(sources.next(Moment::from_millis(3_000)), routing::Source::Platform);
+}
+
+/// The platform is out, so no host of a zone of nine can answer. A host asks a few of them and no
+/// more, else all would ask all for as long as the outage lasts.
+#[rstest]
+fn a_host_asks_only_a_few_that_cannot_answer() {
+    let names = ["a", "b", "c", "d", "e", "f", "g", "h"];
+    let mut sources = sources("i", &names);
+    let now = Moment::from_millis(10);
+    let mut asked = 0;
+    while let routing::Source::Peer(host) = sources.next(now) {
+        sources.failed(&host, now);
+        asked += 1;
+    }
+    assert_eq!(asked, 5);
+}
