--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -97,44 +97,37 @@
     let own = state.settings.node.host.as_str();
     loop {
         let news = watch.next().await;
-        let mut known = state::lock(&peers);
-        let mut members = state::lock(&members);
         for row in news.rows.iter().filter(|row| row.key != own) {
-            let host = id::Host::from(row.key.as_str());
-            let Some(text) = &row.value else {
-                known.remove(&row.key);
-                members.remove(&host);
-                continue;
-            };
-            match serde_json::from_slice::<Row>(text) {
-                Ok(peer) => {
-                    known.insert(row.key.clone(), peer.address);
-                    let member = relay::Member {
-                        address: peer.reader,
-                        peer: routing::Peer { cores: peer.cores },
-                    };
-                    if peer.zone == state.settings.node.zone {
-                        members.insert(host, member);
-                    }
-                }
-                Err(error) => {
-                    known.remove(&row.key);
-                    members.remove(&host);
-                    event::Line::new("host_unreadable")
-                        .text("host", &row.key)
-                        .text("error", error)
-                        .warn();
-                }
-            }
+            take_row(&state, row, &peers, &members);
         }
-        state.feed.set_shared(members.len() as u64 + 1 >= state.settings.tuning.relay_hosts);
-        drop(members);
-        state.set_hosts(known.len() + 1);
-        drop(known);
+        let others = state::lock(&members).len() as u64;
+        state.feed.set_shared(others + 1 >= state.settings.tuning.relay_hosts);
+        state.set_hosts(state::lock(&peers).len() + 1);
         tokio::time::sleep(state.settings.tuning.hosts_pause).await;
     }
 }
 
+/// Takes in the row of another host; one that was removed or cannot be read names no host.
+fn take_row(state: &state::State, row: &store::Row, peers: &Peers, members: &relay::Members) {
+    let host = id::Host::from(row.key.as_str());
+    state::lock(peers).remove(&row.key);
+    state::lock(members).remove(&host);
+    let Some(text) = &row.value else { return };
+    match serde_json::from_slice::<Row>(text) {
+        Ok(peer) => {
+            state::lock(peers).insert(row.key.clone(), peer.address);
+            if peer.zone == state.settings.node.zone {
+                let known = routing::Peer { cores: peer.cores };
+                let member = relay::Member { address: peer.reader, peer: known };
+                state::lock(members).insert(host, member);
+            }
+        }
+        Err(error) => {
+            event::Line::new("host_unreadable").text("host", &row.key).text("error", error).warn()
+        }
+    }
+}
+
 async fn tell(
     state: sync::Arc<state::State>,
     socket: sync::Arc<UdpSocket>,
