A stand-in's port no longer locks its own state while it waits

Cause: the guard that wait_for gives back lived through the sleep in the select arm; the next switch waited for the lock, and new connections of the same thread waited behind the switch, for good. Ruled out: other guards of a watch held over an await (gateway's feed, relay and server drop theirs in the statement).

--- a/crates/lagoon-standin/src/gate.rs
+++ b/crates/lagoon-standin/src/gate.rs
@@ -68,9 +68,12 @@
     /// Ends `connection` when the port closes; returns when either is over.
     pub(crate) async fn watch(&self, connection: wire::IoRef) {
         let mut open = self.open.subscribe();
+        // What `wait_for` gives back locks the state of the port. Kept over the sleep below, it
+        // stops the next switch, and with it each new connection of this thread, for good.
+        // The sender lives as long as this gate, so the wait ends only by a change.
+        let closed = async { drop(open.wait_for(|open| !open).await) };
         tokio::select! {
-            // The sender lives as long as this gate.
-            _ = open.wait_for(|open| !open) => {
+            () = closed => {
                 tokio::time::sleep(LAST).await;
                 connection.terminate();
             }
--- a/crates/lagoon-standin/tests/service.rs
+++ b/crates/lagoon-standin/tests/service.rs
@@ -2,6 +2,10 @@
 
 mod common;
 
+use std::net;
+use std::sync::atomic;
+use std::sync::mpsc;
+use std::thread;
 use std::time;
 
 use common::{get, post, refuses, run};
@@ -106,3 +110,46 @@
         assert!(service.node().record().calls.is_empty());
     });
 }
+
+/// Switches of the port in the test below.
+const SWITCHES: usize = 200;
+/// Far beyond the time that they take.
+const PATIENCE: time::Duration = time::Duration::from_secs(20);
+
+// Callers connect all the time while the port closes and opens again at once. A connection that
+// ends with the port kept the state of the port locked while it waited; the next switch waited for
+// the lock, and a new connection on the same thread for the switch: nothing went on any more.
+#[test]
+fn a_port_that_closes_and_opens_again_stays_alive() {
+    run(async {
+        let service = service::start(service::Settings::default()).unwrap();
+        let (address, node) = (service.address(), service.node().clone());
+        let stop = std::sync::Arc::new(atomic::AtomicBool::new(false));
+        for _ in 0..8 {
+            let stop = stop.clone();
+            thread::spawn(move || {
+                let mut open = std::collections::VecDeque::new();
+                while !stop.load(atomic::Ordering::Relaxed) {
+                    open.extend(net::TcpStream::connect(address));
+                    open.truncate(16);
+                    if open.len() == 16 {
+                        open.pop_front();
+                    }
+                }
+            });
+        }
+        let (done, is_done) = mpsc::channel();
+        thread::spawn(move || {
+            for switch in 0..SWITCHES {
+                let down = switch % 2 == 0;
+                node.set_faults(service::Faults { down, ..service::Faults::default() });
+                thread::sleep(time::Duration::from_millis(3));
+            }
+            done.send(()).unwrap();
+        });
+        let ended = is_done.recv_timeout(PATIENCE);
+        stop.store(true, atomic::Ordering::Relaxed);
+        ended.expect("the port no longer opens or closes");
+        assert_eq!(call(address, "POST").await.unwrap().status().as_u16(), 200);
+    });
+}
