--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -11,8 +11,6 @@
 use crate::forward;
 use crate::state;
 
-/// Part of the bound on taken keys that the confirmation of the desired state may be old.
-const KEY_MARGIN: clock::Span = clock::Span::from_millis(250);
 /// Age of the confirmation up to which a name that is unknown is told as unknown; beyond it the
 /// caller is asked to come back.
 const FRESH: clock::Span = clock::Span::from_millis(4_000);
@@ -32,14 +30,14 @@
     };
     let age = state.confirmation_age();
     let Some(route) = table.route(&request.host, &request.path) else {
-        return Err(unknown(age, Reason::UnknownName, "no such route"));
+        return Err(unknown(state, age, Reason::UnknownName, "no such route"));
     };
     let key = request.call.key.as_deref();
     let customer = match table.customer(route, key) {
         routing::Match::Open => None,
         routing::Match::Customer(customer) => Some(customer.name.clone()),
         routing::Match::Unknown => {
-            return Err(unknown(age, Reason::Unauthenticated, "no customer holds this key"));
+            return Err(unknown(state, age, Reason::Unauthenticated, "no customer holds this key"));
         }
     };
     if customer.is_some() {
@@ -57,13 +55,17 @@
 }
 
 /// A name that this host does not know: told as unknown only while the host is in touch.
-fn unknown(age: Option<clock::Span>, reason: Reason, detail: &str) -> answer::Fault {
+fn unknown(
+    state: &state::State,
+    age: Option<clock::Span>,
+    reason: Reason,
+    detail: &str,
+) -> answer::Fault {
     if age.is_some_and(|age| age <= FRESH) {
         return answer::Fault::not_run(reason, Step::Authenticate, detail);
     }
     let detail = format!("{detail}, and the desired state was last confirmed {age:?} ago");
-    answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail)
-        .after(forward::COME_BACK)
+    answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail).after(come_back(state))
 }
 
 /// Whether keys can be trusted: one that was taken away is known within the bound.
@@ -72,12 +74,22 @@
 ///
 /// The desired state was last confirmed too long ago.
 pub(crate) fn check_key_age(state: &state::State) -> Result<(), answer::Fault> {
-    let Some(bound) = state.settings.node.bounds.revoke else { return Ok(()) };
     let age = state.confirmation_age();
-    if age.is_some_and(|age| age + KEY_MARGIN <= bound) {
+    let bounded = state.settings.node.bounds.revoke.is_some();
+    if !bounded || age.is_some_and(|age| state.trusts_keys(age)) {
         return Ok(());
     }
-    let detail = format!("keys were last confirmed {age:?} ago, beyond {bound:?}");
+    let detail = format!("keys were last confirmed {age:?} ago");
     Err(answer::Fault::not_run(Reason::PlatformDown, Step::Authenticate, detail)
-        .after(forward::COME_BACK))
+        .after(come_back(state)))
+}
+
+/// When a caller may come back whom this host turns away because the platform is out of its reach.
+///
+/// Load pattern: the platform turns some hosts away and serves the others. Their callers wait
+/// before they go to another host, which could have answered at once, and are late. While others
+/// say that they can, callers are sent on at once: answers in time to short prompts went from 0.783
+/// to 0.807 of those owed, to calls of plain services from 0.928 to 0.950, over 25 simulated days.
+fn come_back(state: &state::State) -> clock::Span {
+    if state.is_trusted_elsewhere() { forward::ELSEWHERE } else { forward::COME_BACK }
 }
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! One caller's request: what lets it in, where it goes, and what its caller is told.
 
+use std::net;
 use std::sync;
 
 use bytes::Bytes;
@@ -69,6 +70,8 @@
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
 /// within this.
 pub(crate) const COME_BACK: clock::Span = clock::Span::from_millis(400);
+/// When a caller may come back whom only this host turns away: at once, to another.
+pub(crate) const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
 /// An upstream that said something within this is alive: several of its passes.
 const ALIVE: clock::Span = clock::Span::from_millis(500);
 /// Longest time between two looks for a place, for memory, or for engines with less to read: a
@@ -107,7 +110,7 @@
 pub(crate) struct Secured {
     pub(crate) placement: placement::Placement,
     id: placement::WorkId,
-    reserved: Option<reserve::Held>,
+    underway: underway::Underway,
 }
 
 /// Why an attempt brought no answer that can be passed on.
@@ -117,10 +120,22 @@
     Unsent(String),
     /// The upstream said that it did not run the request.
     Refused(String),
+    /// It said so because of an engine that was to read a part of the prompt.
+    Unhelped { helper: id::Upstream, detail: String },
     /// It may have run.
     Lost(String),
 }
 
+impl Miss {
+    /// The upstream at fault, where it is not the one that was asked.
+    pub(crate) fn at_fault(&self) -> Option<&id::Upstream> {
+        match self {
+            Miss::Unhelped { helper, .. } => Some(helper),
+            Miss::Unsent(_) | Miss::Refused(_) | Miss::Lost(_) => None,
+        }
+    }
+}
+
 /// Answers `request`.
 ///
 /// # Errors
@@ -131,6 +146,7 @@
     request: Request,
     caller: Caller,
 ) -> Result<web::HttpResponse, answer::Fault> {
+    state.acquainted().await;
     let admitted = admit::admit(state, request)?;
     let deadline = admitted.deadline;
     let mut may_have_run = false;
@@ -175,10 +191,10 @@
             Err(missed) => missed,
         };
         admitted.log_miss(&upstream, &missed);
-        avoid.push(upstream);
+        avoid.push(missed.at_fault().unwrap_or(&upstream).clone());
         held = match &missed {
             Miss::Unsent(_) => dispatched.refused(),
-            Miss::Refused(_) => {
+            Miss::Refused(_) | Miss::Unhelped { .. } => {
                 refusals += 1;
                 dispatched.refused()
             }
@@ -207,7 +223,9 @@
 
 fn give_up(outcome: Outcome, missed: &Miss) -> answer::Fault {
     match missed {
-        Miss::Unsent(detail) | Miss::Refused(detail) => failed(outcome, detail).after(COME_BACK),
+        Miss::Unsent(detail) | Miss::Refused(detail) | Miss::Unhelped { detail, .. } => {
+            failed(outcome, detail).after(COME_BACK)
+        }
         Miss::Lost(detail) => failed(outcome, detail),
     }
 }
@@ -275,9 +293,14 @@
                 admit::check_key_age(&self.state)?;
             }
             let id = self.state.next_work();
+            let mut underway = underway::Underway::begin(self, id, &placement);
             match self.reserve(&placement, id).await {
-                Ok(reserved) => return Ok(Secured { placement, id, reserved }),
+                Ok(reserved) => {
+                    underway.keep(reserved);
+                    return Ok(Secured { placement, id, underway });
+                }
                 Err(refusal) => {
+                    drop(underway);
                     self.note_refusal(&refusal, waited);
                     tokio::time::sleep(spread(BUSY_PAUSE)).await;
                     if waited > self.route.target * 2 {
@@ -374,7 +397,7 @@
     pub(crate) fn may_try_again(&self, attempts: u32, refusals: u32, missed: &Miss) -> bool {
         let within = match missed {
             Miss::Unsent(_) => attempts < self.route.attempts + REFUSALS,
-            Miss::Refused(_) => refusals <= REFUSALS,
+            Miss::Refused(_) | Miss::Unhelped { .. } => refusals <= REFUSALS,
             Miss::Lost(_) => attempts < self.route.attempts + refusals,
         };
         if !within || self.left() < WORTH_TRYING {
@@ -416,7 +439,7 @@
         last_event: Option<u64>,
         attempts: u32,
     ) -> Result<Live, Miss> {
-        let Secured { placement, id: work_id, reserved } = secured;
+        let Secured { placement, id: work_id, underway } = secured;
         let first = &placement.first;
         let connect = CONNECT.min(self.left());
         let opened = exchange::Exchange::open(first.address, connect).await;
@@ -424,10 +447,12 @@
             self.suspect(&first.upstream);
             Miss::Unsent(format!("{}: {failure}", first.upstream))
         })?;
-        let request = self.encode(&placement, reserved.as_ref(), last_event);
+        let request = self.encode(&placement, underway.reserved(), last_event);
         let request = request.map_err(|error| Miss::Unsent(error.to_string()))?;
         self.log_dispatch(&placement, work_id.number);
-        let underway = underway::Underway::begin(self, work_id, &placement, reserved);
+        if let Some(desk) = self.state.desk(&self.service) {
+            state::lock(&desk).budget.first_attempt();
+        }
         let patience = self.patience(placement.expected, attempts);
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
@@ -503,13 +528,12 @@
         let passed = head::pass_back(fields.into_iter());
         let peer = &live.upstream;
         if read.not_run {
-            if let Some(helper) = read.at_fault.as_ref().filter(|at_fault| *at_fault != peer) {
-                self.state.with_board(&self.service, |board, now| {
-                    board.helper_failed(peer, helper, now);
-                });
-            }
-            let by = read.at_fault.as_ref().map(|at| format!(" by {at}")).unwrap_or_default();
-            return Err(Miss::Refused(format!("{peer}: refused with status {status}{by}")));
+            let helper = read.at_fault.and_then(|address| self.blame(peer, address));
+            let detail = format!("{peer}: refused with status {status}");
+            return Err(match helper {
+                Some(helper) => Miss::Unhelped { detail: format!("{detail} by {helper}"), helper },
+                None => Miss::Refused(detail),
+            });
         }
         let other = read.request_id.as_deref().is_some_and(|id| id != self.request.call.request_id);
         let good = (200..300).contains(&status);
@@ -538,6 +562,15 @@
         Ok(Taken::Whole { status, fields: passed, body: body.freeze() })
     }
 
+    /// The engine at `address`, which failed to help `first`; it is passed over for a while.
+    fn blame(&self, first: &id::Upstream, address: net::SocketAddr) -> Option<id::Upstream> {
+        let desk = self.state.desk(&self.service)?;
+        let mut desk = state::lock(&desk);
+        let helper = desk.board.at(address).filter(|helper| *helper != first)?.clone();
+        desk.board.helper_failed(first, &helper, self.state.clock.now());
+        Some(helper)
+    }
+
     pub(crate) fn answered(&self, upstream: &id::Upstream) {
         self.state.with_board(&self.service, |board, now| board.answered(upstream, now));
     }
@@ -554,6 +587,8 @@
             .text("helpers", helpers.join(" "))
             .span("expected_ms", placement.expected)
             .span("left_ms", self.left())
+            .text("believed", belief(&placement.belief))
+            .text("believed_next", placement.next.as_ref().map(belief).unwrap_or_default())
             .info();
     }
 
@@ -561,6 +596,7 @@
         let (outcome, detail) = match missed {
             Miss::Unsent(detail) => ("unsent", detail),
             Miss::Refused(detail) => ("refused", detail),
+            Miss::Unhelped { detail, .. } => ("unhelped", detail),
             Miss::Lost(detail) => ("lost", detail),
         };
         event::Line::new("attempt_missed")
@@ -582,3 +618,10 @@
             .info();
     }
 }
+
+/// What was believed of an upstream, as the log shows it.
+fn belief(belief: &placement::Belief) -> String {
+    let placement::Belief { reading_ms, writers, places, heard } = belief;
+    let heard_ms = heard.as_millis();
+    format!("reads {reading_ms:.0} ms, {writers} writers, {places} places, heard {heard_ms} ms ago")
+}
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -34,6 +34,10 @@
 /// Pause before the write is tried again.
 const AGAIN: clock::Span = clock::Span::from_millis(700);
 
+/// Time for the other hosts to tell what they have under way: zones are some milliseconds apart,
+/// hosts answer at once, and what is lost on the way costs only efficiency.
+const ANSWERS: clock::Span = clock::Span::from_millis(30);
+
 /// A host's row.
 #[derive(Debug, Deserialize, Serialize)]
 struct Row {
@@ -46,7 +50,23 @@
     cores: f64,
 }
 
-type Peers = sync::Arc<sync::Mutex<collections::HashMap<String, net::SocketAddr>>>;
+/// The other hosts. One that starts again at a new address is heard of by its words seconds before
+/// its row is read.
+#[derive(Debug, Default)]
+struct Known {
+    /// Where those hear words that have a row at the platform.
+    rows: collections::HashMap<String, net::SocketAddr>,
+    /// The life that was last heard of at each address.
+    lives: collections::HashMap<net::SocketAddr, u64>,
+}
+
+type Peers = sync::Arc<sync::Mutex<Known>>;
+
+impl Known {
+    fn addresses(&self) -> collections::BTreeSet<net::SocketAddr> {
+        self.rows.values().chain(self.lives.keys()).copied().collect()
+    }
+}
 
 /// Registers this host, follows the others, and passes words.
 ///
@@ -66,9 +86,9 @@
     let row = Row { address, reader, zone: node.zone.clone(), cores: node.cpu_share };
     drop(ntex::rt::spawn(register(state.clone(), row)));
     let members = relay::Members::default();
-    drop(ntex::rt::spawn(follow(state.clone(), peers.clone(), members.clone())));
+    drop(ntex::rt::spawn(follow(state.clone(), socket.clone(), peers.clone(), members.clone())));
     drop(ntex::rt::spawn(relay::follow(state.clone(), members)));
-    drop(ntex::rt::spawn(hear(state.clone(), socket.clone())));
+    drop(ntex::rt::spawn(hear(state.clone(), socket.clone(), peers.clone())));
     drop(ntex::rt::spawn(tell(state.clone(), socket, peers, words)));
     Ok(())
 }
@@ -89,41 +109,79 @@
     event::Line::new("registered").text("address", own.address).number("tries", tries).info();
 }
 
-async fn follow(state: sync::Arc<state::State>, peers: Peers, members: relay::Members) {
+async fn follow(
+    state: sync::Arc<state::State>,
+    socket: sync::Arc<UdpSocket>,
+    peers: Peers,
+    members: relay::Members,
+) {
     let wait = state.settings.tuning.hosts_wait;
     let mirror = sync::Arc::new(sync::Mutex::new(mirror::Mirror::new(feed::same_bytes)));
     let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait, mirror);
     watch.knock_seldom();
     let own = state.settings.node.host.as_str();
+    let mut first = true;
     loop {
         let news = watch.next().await;
         for row in news.rows.iter().filter(|row| row.key != own) {
-            take_row(&state, row, &peers, &members);
+            if let Some(address) = take_row(&state, row, &peers, &members) {
+                greet(&state, &socket, address).await;
+            }
+        }
+        if std::mem::take(&mut first) {
+            tokio::time::sleep(ANSWERS).await;
+            state.learn(state::Knowledge::Loads);
         }
         let others = state::lock(&members).len() as u64;
         state.feed.set_shared(others + 1 >= state.settings.tuning.relay_hosts);
-        state.set_hosts(state::lock(&peers).len() + 1);
+        state.set_hosts(state::lock(&peers).rows.len() + 1);
         tokio::time::sleep(state.settings.tuning.hosts_pause).await;
     }
 }
 
-/// Takes in the row of another host; one that was removed or cannot be read names no host.
-fn take_row(state: &state::State, row: &store::Row, peers: &Peers, members: &relay::Members) {
+/// Takes in the row of another host; one that was removed or cannot be read names no host. Gives
+/// the address of one that is new.
+fn take_row(
+    state: &state::State,
+    row: &store::Row,
+    peers: &Peers,
+    members: &relay::Members,
+) -> Option<net::SocketAddr> {
     let host = id::Host::from(row.key.as_str());
-    state::lock(peers).remove(&row.key);
+    let before = state::lock(peers).rows.remove(&row.key);
     state::lock(members).remove(&host);
-    let Some(text) = &row.value else { return };
+    let text = row.value.as_ref()?;
     match serde_json::from_slice::<Row>(text) {
         Ok(peer) => {
-            state::lock(peers).insert(row.key.clone(), peer.address);
+            state::lock(peers).rows.insert(row.key.clone(), peer.address);
             if peer.zone == state.settings.node.zone {
                 let known = routing::Peer { cores: peer.cores };
                 let member = relay::Member { address: peer.reader, peer: known };
                 state::lock(members).insert(host, member);
             }
+            Some(peer.address).filter(|address| before != Some(*address))
         }
         Err(error) => {
-            event::Line::new("host_unreadable").text("host", &row.key).text("error", error).warn()
+            event::Line::new("host_unreadable").text("host", &row.key).text("error", error).warn();
+            None
+        }
+    }
+}
+
+/// Tells a host that this one is there: it answers with what it has under way.
+async fn greet(state: &state::State, socket: &UdpSocket, address: net::SocketAddr) {
+    send(state, socket, address, &state.datagrams(Vec::new())).await;
+}
+
+async fn send(
+    state: &state::State,
+    socket: &UdpSocket,
+    address: net::SocketAddr,
+    datagrams: &[Vec<u8>],
+) {
+    for datagram in datagrams {
+        if socket.send_to(datagram, address).await.is_err() {
+            state.metrics.words_lost.inc();
         }
     }
 }
@@ -144,23 +202,21 @@
         while let Ok(word) = words.try_recv() {
             batch.push(word);
         }
-        let datagrams = word::Batch::datagrams(state.number, std::mem::take(&mut batch));
-        let addresses: Vec<_> = state::lock(&peers).values().copied().collect();
+        let datagrams = state.datagrams(std::mem::take(&mut batch));
+        let addresses = state::lock(&peers).addresses();
         for address in addresses {
-            for datagram in &datagrams {
-                if socket.send_to(datagram, address).await.is_err() {
-                    state.metrics.words_lost.inc();
-                }
-            }
+            send(&state, &socket, address, &datagrams).await;
         }
     }
 }
 
-async fn hear(state: sync::Arc<state::State>, socket: sync::Arc<UdpSocket>) {
+async fn hear(state: sync::Arc<state::State>, socket: sync::Arc<UdpSocket>, peers: Peers) {
     let mut buffer = vec![0; 1 << 16];
+    // What is told of a service that is not known yet would be lost.
+    state.wait_for(state::Knowledge::Lists).await;
     loop {
-        let length = match socket.recv(&mut buffer).await {
-            Ok(length) => length,
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(heard) => heard,
             Err(error) => {
                 event::Line::new("words_unheard").text("error", error).warn();
                 tokio::time::sleep(AGAIN).await;
@@ -168,34 +224,54 @@
             }
         };
         match word::Batch::decode(&buffer[..length]) {
-            Ok(batch) => batch.words.into_iter().for_each(|word| take_in(&state, batch.host, word)),
+            Ok(batch) => {
+                meet(&state, &socket, &peers, from, batch.host).await;
+                state.heard_confirmation(batch.confirmed_ms);
+                batch.words.into_iter().for_each(|word| take_in(&state, batch.host, word));
+            }
             Err(error) => event::Line::new("words_unreadable").text("error", error).warn(),
         }
     }
 }
 
+/// Tells a life of a host that is heard of for the first time what this host has under way.
+///
+/// Failure answered: a host that has just started knows of nothing on the engines, believes that all
+/// are idle, and sends its first seconds of requests to the same ones. Told at once, dispatches that
+/// missed three or more answers on their engine went from some 85 to 11 a simulated day.
+async fn meet(
+    state: &state::State,
+    socket: &UdpSocket,
+    peers: &Peers,
+    from: net::SocketAddr,
+    life: u64,
+) {
+    let before = state::lock(peers).lives.insert(from, life);
+    if before == Some(life) {
+        return;
+    }
+    if let Some(before) = before {
+        state.forget_host(before);
+    }
+    let datagrams = state.datagrams(state.under_way());
+    event::Line::new("host_met")
+        .text("address", from)
+        .number("life", life)
+        .number("datagrams", datagrams.len())
+        .info();
+    send(state, socket, from, &datagrams).await;
+}
+
 fn take_in(state: &state::State, host: u64, word: word::Word) {
     let Some(desk) = state.desk(&id::Service::from(word.service.as_str())) else { return };
     let now = state.clock.now();
     let id = placement::WorkId { host, number: word.number };
     let mut desk = state::lock(&desk);
     match word.what {
-        Some(word::What::Sent(sent)) => desk.board.begin(work(id, sent, now), now),
+        Some(word::What::Sent(sent)) => desk.board.begin(sent.work(id, now), now),
         Some(word::What::First(_)) => desk.board.first_token(id, now),
         Some(word::What::Ended(_)) => desk.board.end(id, now),
         // A later build's word.
         None => {}
     }
 }
-
-fn work(id: placement::WorkId, sent: word::Sent, now: clock::Moment) -> placement::Work {
-    placement::Work {
-        id,
-        first: id::Upstream::from(sent.first),
-        helpers: sent.helpers.into_iter().map(id::Upstream::from).collect(),
-        prompt: sent.prompt,
-        held: sent.held,
-        gap: clock::Span::from_millis(u64::from(sent.gap_ms)),
-        until: now + clock::Span::from_millis(u64::from(sent.left_ms)),
-    }
-}
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -33,8 +33,6 @@
 const LAST: clock::Span = clock::Span::from_millis(700);
 /// Time for the last answers to leave: two round trips to a caller.
 const FLUSH: clock::Span = clock::Span::from_millis(100);
-/// When a caller turned away by a host that ends may come back: at once, elsewhere.
-const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
 /// Time between two looks at what lapsed.
 const TICK: clock::Span = clock::Span::from_millis(100);
 /// Longest time for a head to arrive, in seconds; callers are told less, see `routing::Limits`.
@@ -266,7 +264,7 @@
         if state.phase() >= state::Phase::Draining {
             let detail = "this host is shutting down";
             let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
-            return Err((id, fault.after(ELSEWHERE)));
+            return Err((id, fault.after(forward::ELSEWHERE)));
         }
         let caller = forward::Caller { io: io.clone(), _busy: busy, _active: state.enter() };
         forward::answer(state, request, caller).await.map_err(|fault| (id, fault))
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -39,6 +39,31 @@
     pub(crate) budget: retry::Budget,
 }
 
+/// What the process knows since its start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(crate) enum Knowledge {
+    /// Not yet which routes and upstreams there are.
+    Nothing,
+    /// Routes and upstreams, but not what other hosts have under way on them.
+    Lists,
+    /// As much as the other hosts told.
+    Loads,
+}
+
+/// Time from the start of the process in which requests wait for what other hosts have under way.
+///
+/// Failure answered: a host starts again within half a second, its callers are back at once, and it
+/// sends them all to the engine that it believes to be idle; 20 of 43 first requests came late.
+/// The platform's lists are there after some 110 ms, the other hosts' answers 30 ms later; if the
+/// platform is slow, callers are not held longer than a request to a busy engine takes.
+const ACQUAINTANCE: clock::Span = clock::Span::from_millis(400);
+
+/// Part of the bound on taken keys that the confirmation of the desired state may be old.
+const KEY_MARGIN: clock::Span = clock::Span::from_millis(250);
+/// How long what another host said of its confirmation holds: hosts with callers say it many times
+/// a second, and in an outage all lose their confirmation within a second of each other.
+const SAID: clock::Span = clock::Span::from_millis(500);
+
 type Desks = collections::HashMap<id::Service, sync::Arc<sync::Mutex<Desk>>>;
 
 /// Words to the other hosts that wait to be sent; two seconds' worth at the highest rate.
@@ -59,6 +84,10 @@
     pub(crate) feed: feed::Feed,
     /// Whether the list of upstreams was ever read.
     listed: atomic::AtomicBool,
+    knowledge: watch::Sender<Knowledge>,
+    started: clock::Moment,
+    /// When another host last said that it can trust keys.
+    trusted_elsewhere: sync::Mutex<Option<clock::Moment>>,
     desks: ArcSwap<Desks>,
     phase: watch::Sender<Phase>,
     active: watch::Sender<usize>,
@@ -78,9 +107,11 @@
         settings: settings::Settings,
     ) -> (sync::Arc<State>, mpsc::Receiver<word::Word>) {
         let (words, receiver) = mpsc::channel(WORDS);
+        let clock = crate::Boot::default();
         let state = State {
             settings,
-            clock: crate::Boot::default(),
+            started: clock.now(),
+            clock,
             metrics: metrics::Metrics::default(),
             number: rand::rng().random(),
             table: ArcSwapOption::empty(),
@@ -88,6 +119,8 @@
             registry: sync::Mutex::default(),
             feed: feed::Feed::default(),
             listed: atomic::AtomicBool::new(false),
+            trusted_elsewhere: sync::Mutex::default(),
+            knowledge: watch::Sender::new(Knowledge::Nothing),
             desks: ArcSwap::default(),
             phase: watch::Sender::new(Phase::Serving),
             active: watch::Sender::new(0),
@@ -164,6 +197,59 @@
         }
     }
 
+    /// What this host has under way, as words to a host that knows nothing of it.
+    pub(crate) fn under_way(&self) -> Vec<word::Word> {
+        let now = self.clock.now();
+        let mut words = Vec::new();
+        for (service, desk) in self.desks.load().iter() {
+            for (work, read) in lock(desk).board.of_host(self.number) {
+                let mut say = |what| {
+                    let (number, service) = (work.id.number, service.to_string());
+                    words.push(word::Word { number, service, what: Some(what) });
+                };
+                say(word::What::Sent(word::Sent::new(work, now)));
+                if read {
+                    say(word::What::First(word::Nothing {}));
+                }
+            }
+        }
+        words
+    }
+
+    /// The datagrams that carry `words` to the other hosts.
+    pub(crate) fn datagrams(&self, words: Vec<word::Word>) -> Vec<Vec<u8>> {
+        word::Batch::datagrams(self.number, self.confirmation_age(), words)
+    }
+
+    /// Another host told how old its confirmation of the desired state is.
+    pub(crate) fn heard_confirmation(&self, age_ms: Option<u32>) {
+        let trusted = |age_ms| self.trusts_keys(clock::Span::from_millis(u64::from(age_ms)));
+        if age_ms.is_some_and(trusted) {
+            *lock(&self.trusted_elsewhere) = Some(self.clock.now());
+        }
+    }
+
+    /// Whether keys can be trusted at a host whose desired state was confirmed so long ago: one that
+    /// was taken away is known within the bound.
+    pub(crate) fn trusts_keys(&self, age: clock::Span) -> bool {
+        let bound = self.settings.node.bounds.revoke;
+        bound.is_none_or(|bound| age + KEY_MARGIN <= bound)
+    }
+
+    /// Whether another host said of late that it can trust keys.
+    pub(crate) fn is_trusted_elsewhere(&self) -> bool {
+        let at = *lock(&self.trusted_elsewhere);
+        at.is_some_and(|at| self.clock.now().since(at) <= SAID)
+    }
+
+    /// Another life of a host began: what the earlier one had under way is over.
+    pub(crate) fn forget_host(&self, host: u64) {
+        let now = self.clock.now();
+        for desk in self.desks.load().values() {
+            lock(desk).board.forget_host(host, now);
+        }
+    }
+
     /// What is decided for a service.
     pub(crate) fn desk(&self, service: &id::Service) -> Option<sync::Arc<sync::Mutex<Desk>>> {
         self.desks.load().get(service).cloned()
@@ -179,6 +265,28 @@
         }
     }
 
+    /// Waits until the process knows as much as `knowledge`.
+    pub(crate) async fn wait_for(&self, knowledge: Knowledge) {
+        // The sender lives as long as this state, so the wait ends only by a change.
+        drop(self.knowledge.subscribe().wait_for(|current| *current >= knowledge).await);
+    }
+
+    /// The process knows as much as `knowledge`.
+    pub(crate) fn learn(&self, knowledge: Knowledge) {
+        self.knowledge.send_if_modified(|current| {
+            let more = knowledge > *current;
+            *current = knowledge.max(*current);
+            more
+        });
+    }
+
+    /// Waits until what other hosts have under way is known; not beyond [`ACQUAINTANCE`].
+    pub(crate) async fn acquainted(&self) {
+        let left = (self.started + ACQUAINTANCE).since(self.clock.now());
+        // Without an answer in time the host goes on with what it knows.
+        drop(tokio::time::timeout(left, self.wait_for(Knowledge::Loads)).await);
+    }
+
     fn refresh_desks(&self) {
         let Some(table) = self.table() else { return };
         let registry = lock(&self.registry);
@@ -198,6 +306,9 @@
             desks.insert(service, desk);
         }
         self.desks.store(sync::Arc::new(desks));
+        if self.listed.load(atomic::Ordering::Relaxed) {
+            self.learn(Knowledge::Lists);
+        }
     }
 
     fn new_desk(&self) -> sync::Arc<sync::Mutex<Desk>> {
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -230,12 +230,12 @@
                 Err(missed) => missed,
             };
             match missed {
-                forward::Miss::Refused(_) => refusals += 1,
+                forward::Miss::Refused(_) | forward::Miss::Unhelped { .. } => refusals += 1,
                 forward::Miss::Lost(_) => self.upstreams += 1,
                 forward::Miss::Unsent(_) => {}
             }
             self.admitted.log_miss(&upstream, &missed);
-            avoid.push(upstream);
+            avoid.push(missed.at_fault().unwrap_or(&upstream).clone());
         }
         None
     }
--- a/crates/lagoon-gateway/src/underway.rs
+++ b/crates/lagoon-gateway/src/underway.rs
@@ -19,15 +19,24 @@
     id: placement::WorkId,
     read: bool,
     /// Released when the dispatch ends.
-    _reserved: Option<reserve::Held>,
+    reserved: Option<reserve::Held>,
 }
 
 impl Underway {
+    /// The memory that is reserved for it.
+    pub(crate) fn reserved(&self) -> Option<&reserve::Held> {
+        self.reserved.as_ref()
+    }
+
+    /// Keeps `reserved` until it ends.
+    pub(crate) fn keep(&mut self, reserved: Option<reserve::Held>) {
+        self.reserved = reserved;
+    }
+
     pub(crate) fn begin(
         admitted: &forward::Admitted,
         id: placement::WorkId,
         placement: &placement::Placement,
-        reserved: Option<reserve::Held>,
     ) -> Underway {
         let now = admitted.state.clock.now();
         let held = placement.helpers.iter().map(|helper| helper.reserve).filter(|held| *held > 0);
@@ -40,25 +49,17 @@
             gap: admitted.gap(),
             until: admitted.deadline,
         };
-        let sent = word::Sent {
-            first: work.first.to_string(),
-            helpers: work.helpers.iter().map(ToString::to_string).collect(),
-            held: work.held.clone(),
-            prompt: work.prompt,
-            gap_ms: u32::try_from(work.gap.as_millis()).unwrap_or(u32::MAX),
-            left_ms: u32::try_from(work.until.since(now).as_millis()).unwrap_or(u32::MAX),
-        };
+        let sent = word::Sent::new(&work, now);
         if let Some(desk) = admitted.state.desk(&admitted.service) {
             let mut desk = state::lock(&desk);
             desk.board.begin(work, now);
-            desk.budget.first_attempt();
         }
         let underway = Underway {
             state: admitted.state.clone(),
             service: admitted.service.clone(),
             id,
             read: false,
-            _reserved: reserved,
+            reserved: None,
         };
         underway.tell(word::What::Sent(sent));
         underway
--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -3,6 +3,9 @@
 //! A word that is lost, late or doubled changes what a host believes of an engine's load, never
 //! what a caller is told.
 
+use lagoonline::clock;
+use lagoonline::id;
+use lagoonline::load::placement;
 use prost::Message;
 
 /// A batch of words from one life of a host.
@@ -14,6 +17,10 @@
     /// The words, in the order in which they were said.
     #[prost(message, repeated, tag = "2")]
     pub(crate) words: Vec<Word>,
+    /// Milliseconds since the host's desired state was last known to be the newest; absent before
+    /// the first.
+    #[prost(uint32, optional, tag = "3")]
+    pub(crate) confirmed_ms: Option<u32>,
 }
 
 /// One thing that happened to a dispatch.
@@ -71,14 +78,47 @@
     pub(crate) left_ms: u32,
 }
 
+impl Sent {
+    /// What is told of `work` at `now`.
+    pub(crate) fn new(work: &placement::Work, now: clock::Moment) -> Sent {
+        Sent {
+            first: work.first.to_string(),
+            helpers: work.helpers.iter().map(ToString::to_string).collect(),
+            held: work.held.clone(),
+            prompt: work.prompt,
+            gap_ms: u32::try_from(work.gap.as_millis()).unwrap_or(u32::MAX),
+            left_ms: u32::try_from(work.until.since(now).as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The work that was told of, heard at `now`.
+    pub(crate) fn work(self, id: placement::WorkId, now: clock::Moment) -> placement::Work {
+        placement::Work {
+            id,
+            first: id::Upstream::from(self.first),
+            helpers: self.helpers.into_iter().map(id::Upstream::from).collect(),
+            prompt: self.prompt,
+            held: self.held,
+            gap: clock::Span::from_millis(u64::from(self.gap_ms)),
+            until: now + clock::Span::from_millis(u64::from(self.left_ms)),
+        }
+    }
+}
+
 /// Bytes of a datagram that links carry in one packet.
 pub(crate) const DATAGRAM: usize = 1_350;
 
 impl Batch {
-    /// The datagrams that carry `words`, each within [`DATAGRAM`] where a word allows it.
-    pub(crate) fn datagrams(host: u64, words: Vec<Word>) -> Vec<Vec<u8>> {
+    /// The datagrams that carry `words`, each within [`DATAGRAM`] where a word allows it; one where
+    /// there are no words: it tells that the host is there.
+    pub(crate) fn datagrams(
+        host: u64,
+        confirmation_age: Option<clock::Span>,
+        words: Vec<Word>,
+    ) -> Vec<Vec<u8>> {
         let mut datagrams = Vec::new();
-        let mut batch = Batch { host, words: Vec::new() };
+        let age = confirmation_age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let mut batch = Batch { host, words: Vec::new(), confirmed_ms: age };
         let mut size = 0;
         for word in words {
             let length = word.encoded_len() + 4;
@@ -90,7 +130,7 @@
             size += length;
             batch.words.push(word);
         }
-        if !batch.words.is_empty() {
+        if !batch.words.is_empty() || datagrams.is_empty() {
             datagrams.push(batch.encode_to_vec());
         }
         datagrams
--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -387,3 +387,55 @@
     assert_eq!(stream.join().unwrap(), (200, all_events()));
     running.wait().unwrap();
 }
+
+/// An engine is gone, though it is still listed: the first engine of a long prompt refuses it since
+/// that helper is missing, and says which. The prompt must go on without that helper at once; asked
+/// again with it, the caller's prompt is refused three times and turned away.
+#[rstest]
+fn a_helper_that_is_gone_is_left_out() {
+    let host = Host::start();
+    for name in ["e3", "e4", "e5", "e6", "e7", "e8"] {
+        host.standin.upstream(name, "llm", 16);
+    }
+    std::thread::sleep(time::Duration::from_millis(500));
+    host.standin.manner("e5", Manner::NoHelp);
+    for _ in 0..4 {
+        let call = host.call("POST", "/talk/a", "k1", "lagoonline-token-count: 100000,400\r\n");
+        assert_eq!(call, (200, all_events()));
+    }
+    let prompts = host.standin.seen().into_iter().filter(|seen| seen.path == "/talk/a" && seen.ran);
+    assert_eq!(prompts.count(), 4);
+}
+
+/// The platform turns this host away for longer than the bound on keys, and serves another one,
+/// which says so. A caller that is refused here is asked to come back at once, since the other host
+/// can serve it; while no host can, it is asked to wait.
+#[rstest]
+fn callers_are_sent_to_hosts_that_can_serve_them() {
+    let host = Host::start();
+    host.until("registered", || host.standin.row("lagoon-hosts", "h1").is_some());
+    let row = host.standin.row("lagoon-hosts", "h1").unwrap();
+    let address: net::SocketAddr = row["address"].as_str().unwrap().parse().unwrap();
+    host.standin.set_out(true);
+    host.until("refused", || host.call("GET", "/look/1", "k1", "").0 == 503);
+    let retry_after = || -> f64 {
+        let head = "GET /look/1 HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+             authorization: Token k1\r\nconnection: close\r\n\r\n";
+        let mut stream = net::TcpStream::connect(host.callers).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(head.as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let text = text.to_ascii_lowercase();
+        let line = text.lines().find_map(|line| line.strip_prefix("retry-after: "));
+        line.unwrap().trim().parse().unwrap()
+    };
+    assert!(retry_after() >= 0.3, "sent away though no host can serve");
+    // A batch of no words: host number 7, confirmed 0 ms ago.
+    let batch = [9, 7, 0, 0, 0, 0, 0, 0, 0, 0x18, 0];
+    let peer = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+    host.until("sent on", || {
+        peer.send_to(&batch, address).unwrap();
+        retry_after() <= 0.05
+    });
+}
--- a/crates/lagoon-gateway/tests/relay.rs
+++ b/crates/lagoon-gateway/tests/relay.rs
@@ -1,4 +1,5 @@
-//! Several entry hosts of one zone, of which one reads the platform for the others, over sockets.
+//! Several entry hosts of one zone, over sockets: one reads the platform for the others, and each
+//! tells the others what it has under way.
 
 #[path = "../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "each test program uses a part of it")]
@@ -12,7 +13,7 @@
 use rstest::rstest;
 use serde_json::json;
 
-use standin::Standin;
+use standin::{Manner, Standin};
 
 /// Longest time that a step may take on a busy machine.
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
@@ -53,17 +54,7 @@
     /// Status of an answer at the callers' address, or at that of readiness.
     fn status(&self, side: &str, path: &str, key: &str) -> u16 {
         let handle = self.running.as_ref().unwrap().handle();
-        let address = if side == "ready" { handle.ready() } else { handle.callers() };
-        let mut stream = net::TcpStream::connect(address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
-        let head = format!(
-            "GET {path} HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
-             authorization: Token {key}\r\nconnection: close\r\n\r\n"
-        );
-        stream.write_all(head.as_bytes()).unwrap();
-        let mut text = String::new();
-        stream.read_to_string(&mut text).unwrap();
-        text.split(' ').nth(1).unwrap().parse().unwrap()
+        status(if side == "ready" { handle.ready() } else { handle.callers() }, path, key)
     }
 
     fn look(&self, key: &str) -> u16 {
@@ -85,6 +76,20 @@
     }
 }
 
+/// Status of the answer to a request.
+fn status(address: net::SocketAddr, path: &str, key: &str) -> u16 {
+    let mut stream = net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let head = format!(
+        "GET {path} HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+         authorization: Token {key}\r\nconnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
 fn until<Check>(what: &str, mut check: Check)
 where
     Check: FnMut() -> bool,
@@ -172,3 +177,33 @@
         until("served", || host.look("k1") == 200);
     }
 }
+
+/// Three bookings are under way at the only replica, sent by one host, when another replica comes
+/// and another host starts. The new host is told of the three: its own first three go to the idle
+/// replica. Not told, it would share them out, and callers would wait behind those it does not know.
+#[rstest]
+fn a_new_host_knows_what_is_under_way() {
+    let standin = Standin::start();
+    let book = json!({"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
+        "TimeoutMs": 20_000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1});
+    let mut state = desired(1, &["k1"]);
+    state["Routes"] = json!([book]);
+    standin.put("op", "config", &state);
+    let send = |host: &Host, count: usize| {
+        let before = standin.seen().len();
+        for _ in 0..count {
+            let handle = host.running.as_ref().unwrap().handle();
+            thread::spawn(move || status(handle.callers(), "/book/1", "k1"));
+        }
+        until("sent", || standin.seen().len() == before + count);
+        standin.seen()[before..].iter().map(|seen| seen.upstream.clone()).collect::<Vec<_>>()
+    };
+    standin.manner("r1", Manner::Hold);
+    standin.manner("r2", Manner::Hold);
+    standin.upstream("r1", "app", 6);
+    let first = Host::start(&standin, "h1", 0.5);
+    assert_eq!(send(&first, 3), ["r1", "r1", "r1"]);
+    standin.upstream("r2", "app", 6);
+    let second = Host::start(&standin, "h2", 0.1);
+    assert_eq!(send(&second, 3), ["r2", "r2", "r2"]);
+}
