--- /dev/null
+++ b/crates/lagoon-gateway/src/attempt.rs
@@ -0,0 +1,68 @@
+//! What became of an attempt that brought no answer.
+
+use lagoonline::id;
+use lagoonline::outcome::{Outcome, Reason, Step};
+
+use crate::answer;
+use crate::forward;
+
+/// Why an attempt brought no answer that can be passed on.
+#[derive(Debug)]
+pub(crate) enum Miss {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The upstream said that it did not run the request.
+    Refused(String),
+    /// It said so because of an engine that was to read a part of the prompt.
+    Unhelped { helper: id::Upstream, detail: String },
+    /// It may have run.
+    Lost(String),
+}
+
+impl Miss {
+    /// The upstream at fault, where it is not the one that was asked.
+    pub(crate) fn at_fault(&self) -> Option<&id::Upstream> {
+        match self {
+            Miss::Unhelped { helper, .. } => Some(helper),
+            Miss::Unsent(_) | Miss::Refused(_) | Miss::Lost(_) => None,
+        }
+    }
+
+    /// Its word in the log.
+    pub(crate) fn word(&self) -> &'static str {
+        match self {
+            Miss::Unsent(_) => "unsent",
+            Miss::Refused(_) => "refused",
+            Miss::Unhelped { .. } => "unhelped",
+            Miss::Lost(_) => "lost",
+        }
+    }
+
+    /// What happened, with the upstream at which it did.
+    pub(crate) fn detail(&self) -> &str {
+        match self {
+            Miss::Unsent(detail)
+            | Miss::Refused(detail)
+            | Miss::Unhelped { detail, .. }
+            | Miss::Lost(detail) => detail,
+        }
+    }
+
+    /// What the caller is told if there is no further attempt. One that may have run is not asked to
+    /// come back: its status promises nothing.
+    pub(crate) fn give_up(&self, outcome: Outcome) -> answer::Fault {
+        let fault = failed(outcome, self.detail());
+        match self {
+            Miss::Lost(_) => fault,
+            Miss::Unsent(_) | Miss::Refused(_) | Miss::Unhelped { .. } => {
+                fault.after(forward::COME_BACK)
+            }
+        }
+    }
+}
+
+/// A failure of an upstream.
+pub(crate) fn failed(outcome: Outcome, detail: &str) -> answer::Fault {
+    let fault = answer::Fault::not_run(Reason::UpstreamFailed, Step::Dispatch, detail);
+    answer::Fault { outcome, ..fault }
+}
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -17,6 +17,7 @@
 
 use crate::admit;
 use crate::answer;
+use crate::attempt;
 use crate::connection;
 use crate::event;
 use crate::exchange;
@@ -113,29 +114,6 @@
     underway: underway::Underway,
 }
 
-/// Why an attempt brought no answer that can be passed on.
-#[derive(Debug)]
-pub(crate) enum Miss {
-    /// Nothing was sent.
-    Unsent(String),
-    /// The upstream said that it did not run the request.
-    Refused(String),
-    /// It said so because of an engine that was to read a part of the prompt.
-    Unhelped { helper: id::Upstream, detail: String },
-    /// It may have run.
-    Lost(String),
-}
-
-impl Miss {
-    /// The upstream at fault, where it is not the one that was asked.
-    pub(crate) fn at_fault(&self) -> Option<&id::Upstream> {
-        match self {
-            Miss::Unhelped { helper, .. } => Some(helper),
-            Miss::Unsent(_) | Miss::Refused(_) | Miss::Lost(_) => None,
-        }
-    }
-}
-
 /// Answers `request`.
 ///
 /// # Errors
@@ -193,19 +171,19 @@
         admitted.log_miss(&upstream, &missed);
         avoid.push(missed.at_fault().unwrap_or(&upstream).clone());
         held = match &missed {
-            Miss::Unsent(_) => dispatched.refused(),
-            Miss::Refused(_) | Miss::Unhelped { .. } => {
+            attempt::Miss::Unsent(_) => dispatched.refused(),
+            attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => {
                 refusals += 1;
                 dispatched.refused()
             }
-            Miss::Lost(detail) => {
+            attempt::Miss::Lost(detail) => {
                 lost = true;
-                dispatched.lost().again().map_err(|outcome| failed(outcome, detail))?
+                dispatched.lost().again().map_err(|outcome| attempt::failed(outcome, detail))?
             }
         };
         *may_have_run = lost;
         if !admitted.may_try_again(held.attempts(), refusals, &missed) {
-            return Err(give_up(held.end(), &missed));
+            return Err(missed.give_up(held.end()));
         }
         admitted.state.metrics.repeats.inc();
     }
@@ -216,20 +194,6 @@
     span.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
-fn failed(outcome: Outcome, detail: &str) -> answer::Fault {
-    let fault = answer::Fault::not_run(Reason::UpstreamFailed, Step::Dispatch, detail);
-    answer::Fault { outcome, ..fault }
-}
-
-fn give_up(outcome: Outcome, missed: &Miss) -> answer::Fault {
-    match missed {
-        Miss::Unsent(detail) | Miss::Refused(detail) | Miss::Unhelped { detail, .. } => {
-            failed(outcome, detail).after(COME_BACK)
-        }
-        Miss::Lost(detail) => failed(outcome, detail),
-    }
-}
-
 /// An upstream's answer, checked as far as it must be before a caller sees any of it.
 #[derive(Debug)]
 pub(crate) enum Taken {
@@ -394,16 +358,21 @@
     }
 
     /// Whether another attempt is allowed and worth it; takes it from the budget.
-    pub(crate) fn may_try_again(&self, attempts: u32, refusals: u32, missed: &Miss) -> bool {
+    pub(crate) fn may_try_again(
+        &self,
+        attempts: u32,
+        refusals: u32,
+        missed: &attempt::Miss,
+    ) -> bool {
         let within = match missed {
-            Miss::Unsent(_) => attempts < self.route.attempts + REFUSALS,
-            Miss::Refused(_) | Miss::Unhelped { .. } => refusals <= REFUSALS,
-            Miss::Lost(_) => attempts < self.route.attempts + refusals,
+            attempt::Miss::Unsent(_) => attempts < self.route.attempts + REFUSALS,
+            attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => refusals <= REFUSALS,
+            attempt::Miss::Lost(_) => attempts < self.route.attempts + refusals,
         };
         if !within || self.left() < WORTH_TRYING {
             return false;
         }
-        let unsent = matches!(missed, Miss::Unsent(_));
+        let unsent = matches!(missed, attempt::Miss::Unsent(_));
         let desk = self.state.desk(&self.service);
         unsent || desk.is_some_and(|desk| state::lock(&desk).budget.take())
     }
@@ -438,17 +407,17 @@
         secured: Secured,
         last_event: Option<u64>,
         attempts: u32,
-    ) -> Result<Live, Miss> {
+    ) -> Result<Live, attempt::Miss> {
         let Secured { placement, id: work_id, underway } = secured;
         let first = &placement.first;
         let connect = CONNECT.min(self.left());
         let opened = exchange::Exchange::open(first.address, connect).await;
         let mut exchange = opened.map_err(|failure| {
             self.suspect(&first.upstream);
-            Miss::Unsent(format!("{}: {failure}", first.upstream))
+            attempt::Miss::Unsent(format!("{}: {failure}", first.upstream))
         })?;
         let request = self.encode(&placement, underway.reserved(), last_event);
-        let request = request.map_err(|error| Miss::Unsent(error.to_string()))?;
+        let request = request.map_err(|error| attempt::Miss::Unsent(error.to_string()))?;
         self.log_dispatch(&placement, work_id.number);
         if let Some(desk) = self.state.desk(&self.service) {
             state::lock(&desk).budget.first_attempt();
@@ -461,13 +430,13 @@
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
                         self.suspect(&first.upstream);
-                        return Err(Miss::Lost(format!("{}: {failure}", first.upstream)));
+                        return Err(attempt::Miss::Lost(format!("{}: {failure}", first.upstream)));
                     }
                     Err(_) if self.would_wait_on(&first.upstream) => {}
                     Err(_) => {
                         self.suspect(&first.upstream);
                         let detail = format!("{}: silent for {patience:?}", first.upstream);
-                        return Err(Miss::Lost(detail));
+                        return Err(attempt::Miss::Lost(detail));
                     }
                 }
             }
@@ -519,7 +488,11 @@
     }
 
     /// Checks the head of an answer, and its body unless it is a stream.
-    pub(crate) async fn take_answer(&self, mut live: Live, earlier: usize) -> Result<Taken, Miss> {
+    pub(crate) async fn take_answer(
+        &self,
+        mut live: Live,
+        earlier: usize,
+    ) -> Result<Taken, attempt::Miss> {
         let status = live.answer.status().as_u16();
         let headers = live.answer.headers();
         let fields: Vec<_> =
@@ -531,15 +504,17 @@
             let helper = read.at_fault.and_then(|address| self.blame(peer, address));
             let detail = format!("{peer}: refused with status {status}");
             return Err(match helper {
-                Some(helper) => Miss::Unhelped { detail: format!("{detail} by {helper}"), helper },
-                None => Miss::Refused(detail),
+                Some(helper) => {
+                    attempt::Miss::Unhelped { detail: format!("{detail} by {helper}"), helper }
+                }
+                None => attempt::Miss::Refused(detail),
             });
         }
         let other = read.request_id.as_deref().is_some_and(|id| id != self.request.call.request_id);
         let good = (200..300).contains(&status);
         if other || good && (!read.proven || read.encoded) {
             self.suspect(peer);
-            return Err(Miss::Lost(format!("{peer}: not the answer to this request")));
+            return Err(attempt::Miss::Lost(format!("{peer}: not the answer to this request")));
         }
         let streams = matches!(self.route.kind, routing::Kind::Stream { .. });
         if good && streams {
@@ -547,14 +522,14 @@
             return Ok(Taken::Stream { status, fields: passed, live: Box::new(live) });
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
-        let body = body.map_err(|failure| Miss::Lost(format!("{peer}: {failure}")))?;
+        let body = body.map_err(|failure| attempt::Miss::Lost(format!("{peer}: {failure}")))?;
         if status >= 500 {
             self.state.with_board(&self.service, |board, now| board.erred(peer, now));
         }
         let repeatable = self.route.kind.may_repeat();
         let last = earlier + 1 >= self.route.attempts as usize || self.left() < WORTH_TRYING;
         if status >= 500 && repeatable && !last {
-            return Err(Miss::Lost(format!("{peer}: answered with status {status}")));
+            return Err(attempt::Miss::Lost(format!("{peer}: answered with status {status}")));
         }
         if good {
             self.answered(peer);
@@ -587,23 +562,17 @@
             .text("helpers", helpers.join(" "))
             .span("expected_ms", placement.expected)
             .span("left_ms", self.left())
-            .text("believed", belief(&placement.belief))
-            .text("believed_next", placement.next.as_ref().map(belief).unwrap_or_default())
+            .text("believed", placement.belief)
+            .text("believed_next", placement.next.map(|next| next.to_string()).unwrap_or_default())
             .info();
     }
 
-    pub(crate) fn log_miss(&self, upstream: &id::Upstream, missed: &Miss) {
-        let (outcome, detail) = match missed {
-            Miss::Unsent(detail) => ("unsent", detail),
-            Miss::Refused(detail) => ("refused", detail),
-            Miss::Unhelped { detail, .. } => ("unhelped", detail),
-            Miss::Lost(detail) => ("lost", detail),
-        };
+    pub(crate) fn log_miss(&self, upstream: &id::Upstream, missed: &attempt::Miss) {
         event::Line::new("attempt_missed")
             .text("request", &self.request.call.request_id)
             .text("upstream", upstream)
-            .text("outcome", outcome)
-            .text("detail", detail)
+            .text("outcome", missed.word())
+            .text("detail", missed.detail())
             .warn();
     }
 
@@ -618,10 +587,3 @@
             .info();
     }
 }
-
-/// What was believed of an upstream, as the log shows it.
-fn belief(belief: &placement::Belief) -> String {
-    let placement::Belief { reading_ms, writers, places, heard } = belief;
-    let heard_ms = heard.as_millis();
-    format!("reads {reading_ms:.0} ms, {writers} writers, {places} places, heard {heard_ms} ms ago")
-}
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -248,7 +248,7 @@
 ///
 /// Failure answered: a host that has just started knows of nothing on the engines, believes that all
 /// are idle, and sends its first seconds of requests to the same ones. Told at once, dispatches that
-/// missed three or more answers on their engine went from some 85 to 11 a simulated day.
+/// missed three or more answers on their engine went from 62 to 12 a simulated day (ten days).
 async fn meet(
     state: &state::State,
     socket: &UdpSocket,
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod admit;
 mod answer;
+mod attempt;
 mod clock;
 mod connection;
 mod event;
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -53,8 +53,7 @@
 /// Time from the start of the process in which requests wait for what other hosts have under way.
 ///
 /// Failure answered: a host starts again within half a second, its callers are back at once, and it
-/// sends them all to the engine that it believes to be idle; 20 of 43 first requests came late.
-/// The platform's lists are there after some 110 ms, the other hosts' answers 30 ms later; if the
+/// sends them all to the engine that it believes to be idle. The platform's lists are there after some 110 ms, the other hosts' answers 30 ms later; if the
 /// platform is slow, callers are not held longer than a request to a busy engine takes.
 const ACQUAINTANCE: clock::Span = clock::Span::from_millis(400);
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -19,6 +19,7 @@
 use ntex::util;
 use tokio::sync::mpsc;
 
+use crate::attempt;
 use crate::event;
 use crate::exchange;
 use crate::forward;
@@ -199,7 +200,7 @@
         let routing::Kind::Stream { resumable: true, .. } = self.admitted.route.kind else {
             return None;
         };
-        let mut missed = forward::Miss::Lost(failure);
+        let mut missed = attempt::Miss::Lost(failure);
         let mut refusals = 0;
         while self.admitted.may_try_again(self.upstreams, refusals, &missed) {
             self.admitted.state.metrics.repeats.inc();
@@ -225,14 +226,14 @@
                     return Some(*live);
                 }
                 Ok(forward::Taken::Whole { status, .. }) => {
-                    forward::Miss::Lost(format!("{upstream}: answered with status {status}"))
+                    attempt::Miss::Lost(format!("{upstream}: answered with status {status}"))
                 }
                 Err(missed) => missed,
             };
             match missed {
-                forward::Miss::Refused(_) | forward::Miss::Unhelped { .. } => refusals += 1,
-                forward::Miss::Lost(_) => self.upstreams += 1,
-                forward::Miss::Unsent(_) => {}
+                attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => refusals += 1,
+                attempt::Miss::Lost(_) => self.upstreams += 1,
+                attempt::Miss::Unsent(_) => {}
             }
             self.admitted.log_miss(&upstream, &missed);
             avoid.push(missed.at_fault().unwrap_or(&upstream).clone());
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -29,8 +29,9 @@
     gap_ms: f64,
 }
 
-/// Times its published pace from which an engine counts as slow: a usual short prompt then waits for
-/// two passes of twice the length, and half of those sent there come late.
+/// Times its published pace from which an engine counts as slow: a pass of a full engine, some 70 ms,
+/// and the reading of two usual short prompts in it, some 50 ms, then take most of the shortest pause
+/// that answers bear (250 ms).
 const SLOW: f64 = 1.6;
 /// How long a report of its pace holds: three reports, of which two may be lost.
 const SAID: clock::Span = clock::Span::from_millis(3_000);
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -9,6 +9,7 @@
 //! final.
 
 use std::collections;
+use std::fmt;
 use std::net;
 
 use super::pass;
@@ -106,6 +107,15 @@
     pub heard: clock::Span,
 }
 
+impl fmt::Display for Belief {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Belief { reading_ms, writers, places, heard } = self;
+        let heard_ms = heard.as_millis();
+        write!(formatter, "reads {reading_ms:.0} ms, {writers} writers, {places} places, ")?;
+        write!(formatter, "heard {heard_ms} ms ago")
+    }
+}
+
 /// An engine that reads a part of a prompt for another.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Helper {
@@ -187,13 +197,25 @@
                 engine.begin_if_on(&work, now);
             }
         }
-        if work.gap > self.settings.tight_gap {
-            let pace = self.upstreams.get(&work.first).and_then(Engine::pace);
-            self.reading.add(pace.map_or(0.0, |pace| pace.read_ms(work.prompt)), now);
-        }
+        self.reading.add(self.loose_read_ms(&work), now);
         self.works.insert(work.id, work);
     }
 
+    /// Milliseconds that an engine alone would read the prompt of `work`; 0 where its answer bears
+    /// only short pauses.
+    fn loose_read_ms(&self, work: &Work) -> f64 {
+        if work.gap <= self.settings.tight_gap {
+            return 0.0;
+        }
+        let pace = self.upstreams.get(&work.first).and_then(Engine::pace);
+        pace.map_or(0.0, |pace| pace.read_ms(work.prompt))
+    }
+
+    /// Whether the prompt of `work` is read.
+    fn is_read(&self, work: &Work) -> bool {
+        self.upstreams.get(&work.first).is_some_and(|engine| engine.writes(work.id))
+    }
+
     /// The first token of a request came: its prompt is read.
     pub fn first_token(&mut self, id: WorkId, now: clock::Moment) {
         self.each_engine(id, |engine| engine.read_done(id, now));
@@ -208,10 +230,7 @@
     /// What `host` has under way, and whether its prompt is read.
     pub fn of_host(&self, host: u64) -> Vec<(&Work, bool)> {
         let own = self.works.values().filter(|work| work.id.host == host);
-        let read = |work: &Work| {
-            self.upstreams.get(&work.first).is_some_and(|engine| engine.writes(work.id))
-        };
-        own.map(|work| (work, read(work))).collect()
+        own.map(|work| (work, self.is_read(work))).collect()
     }
 
     /// Forgets what `host` had under way: its process ended, its connections with it, and engines
