Read-through: one call to an engine, one way to its board, refusals of one kind

Behaviour is as before but for the text of a log line: a report without an answer in time now says 'lost: no answer in time'. Left as it is: Knowledge beside listed, since a list may be read before the first routes.

--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -14,6 +14,7 @@
 /// Age of the confirmation up to which a name that is unknown is told as unknown; beyond it the
 /// caller is asked to come back.
 const FRESH: clock::Span = clock::Span::from_millis(4_000);
+
 /// Lets a request in, or tells why not.
 ///
 /// # Errors
@@ -75,8 +76,7 @@
 /// The desired state was last confirmed too long ago.
 pub(crate) fn check_key_age(state: &state::State) -> Result<(), answer::Fault> {
     let age = state.confirmation_age();
-    let bounded = state.settings.node.bounds.revoke.is_some();
-    if !bounded || age.is_some_and(|age| state.trusts_keys(age)) {
+    if state.trusts_keys(age) {
         return Ok(());
     }
     let detail = format!("keys were last confirmed {age:?} ago");
--- a/crates/lagoon-gateway/src/attempt.rs
+++ b/crates/lagoon-gateway/src/attempt.rs
@@ -11,10 +11,9 @@
 pub(crate) enum Miss {
     /// Nothing was sent.
     Unsent(String),
-    /// The upstream said that it did not run the request.
-    Refused(String),
-    /// It said so because of an engine that was to read a part of the prompt.
-    Unhelped { helper: id::Upstream, detail: String },
+    /// The upstream said that it did not run the request; because of `helper` where that engine was
+    /// to read a part of the prompt.
+    Refused { helper: Option<id::Upstream>, detail: String },
     /// It may have run.
     Lost(String),
 }
@@ -23,8 +22,8 @@
     /// The upstream at fault, where it is not the one that was asked.
     pub(crate) fn at_fault(&self) -> Option<&id::Upstream> {
         match self {
-            Miss::Unhelped { helper, .. } => Some(helper),
-            Miss::Unsent(_) | Miss::Refused(_) | Miss::Lost(_) => None,
+            Miss::Refused { helper, .. } => helper.as_ref(),
+            Miss::Unsent(_) | Miss::Lost(_) => None,
         }
     }
 
@@ -32,8 +31,8 @@
     pub(crate) fn word(&self) -> &'static str {
         match self {
             Miss::Unsent(_) => "unsent",
-            Miss::Refused(_) => "refused",
-            Miss::Unhelped { .. } => "unhelped",
+            Miss::Refused { helper: None, .. } => "refused",
+            Miss::Refused { helper: Some(_), .. } => "unhelped",
             Miss::Lost(_) => "lost",
         }
     }
@@ -41,10 +40,7 @@
     /// What happened, with the upstream at which it did.
     pub(crate) fn detail(&self) -> &str {
         match self {
-            Miss::Unsent(detail)
-            | Miss::Refused(detail)
-            | Miss::Unhelped { detail, .. }
-            | Miss::Lost(detail) => detail,
+            Miss::Unsent(detail) | Miss::Refused { detail, .. } | Miss::Lost(detail) => detail,
         }
     }
 
@@ -54,9 +50,7 @@
         let fault = failed(outcome, self.detail());
         match self {
             Miss::Lost(_) => fault,
-            Miss::Unsent(_) | Miss::Refused(_) | Miss::Unhelped { .. } => {
-                fault.after(forward::COME_BACK)
-            }
+            Miss::Unsent(_) | Miss::Refused { .. } => fault.after(forward::COME_BACK),
         }
     }
 }
--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -124,6 +124,29 @@
     }
 }
 
+/// Sends one request on a connection of its own; the status and the whole answer of at most `most`
+/// bytes, within `timeout`, of which the connection may take `connect`.
+///
+/// # Errors
+///
+/// [`Failure`]: no connection, or no whole answer in time.
+pub(crate) async fn call(
+    address: net::SocketAddr,
+    request: hyper::Request<Payload>,
+    connect: time::Duration,
+    timeout: time::Duration,
+    most: usize,
+) -> Result<(u16, bytes::BytesMut), Failure> {
+    let work = async {
+        let mut exchange = Exchange::open(address, connect).await?;
+        let mut answer = exchange.send(request).await?;
+        let body = exchange.whole(answer.body_mut(), most).await?;
+        Ok((answer.status().as_u16(), body))
+    };
+    let timed = tokio::time::timeout(timeout, work).await;
+    timed.unwrap_or_else(|_| Err(Failure::Lost("no answer in time".to_owned())))
+}
+
 fn lost(error: hyper::Error) -> Failure {
     use std::error::Error;
     let source = error.source().map(|source| format!(": {source}")).unwrap_or_default();
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -172,7 +172,7 @@
         avoid.push(missed.at_fault().unwrap_or(&upstream).clone());
         held = match &missed {
             attempt::Miss::Unsent(_) => dispatched.refused(),
-            attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => {
+            attempt::Miss::Refused { .. } => {
                 refusals += 1;
                 dispatched.refused()
             }
@@ -366,7 +366,7 @@
     ) -> bool {
         let within = match missed {
             attempt::Miss::Unsent(_) => attempts < self.route.attempts + REFUSALS,
-            attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => refusals <= REFUSALS,
+            attempt::Miss::Refused { .. } => refusals <= REFUSALS,
             attempt::Miss::Lost(_) => attempts < self.route.attempts + refusals,
         };
         if !within || self.left() < WORTH_TRYING {
@@ -502,13 +502,9 @@
         let peer = &live.upstream;
         if read.not_run {
             let helper = read.at_fault.and_then(|address| self.blame(peer, address));
-            let detail = format!("{peer}: refused with status {status}");
-            return Err(match helper {
-                Some(helper) => {
-                    attempt::Miss::Unhelped { detail: format!("{detail} by {helper}"), helper }
-                }
-                None => attempt::Miss::Refused(detail),
-            });
+            let by = helper.as_ref().map(|helper| format!(" by {helper}")).unwrap_or_default();
+            let detail = format!("{peer}: refused with status {status}{by}");
+            return Err(attempt::Miss::Refused { helper, detail });
         }
         let other = read.request_id.as_deref().is_some_and(|id| id != self.request.call.request_id);
         let good = (200..300).contains(&status);
@@ -539,11 +535,12 @@
 
     /// The engine at `address`, which failed to help `first`; it is passed over for a while.
     fn blame(&self, first: &id::Upstream, address: net::SocketAddr) -> Option<id::Upstream> {
-        let desk = self.state.desk(&self.service)?;
-        let mut desk = state::lock(&desk);
-        let helper = desk.board.at(address).filter(|helper| *helper != first)?.clone();
-        desk.board.helper_failed(first, &helper, self.state.clock.now());
-        Some(helper)
+        let blamed = self.state.with_board(&self.service, |board, now| {
+            let helper = board.at(address).filter(|helper| *helper != first)?.clone();
+            board.helper_failed(first, &helper, now);
+            Some(helper)
+        });
+        blamed.flatten()
     }
 
     pub(crate) fn answered(&self, upstream: &id::Upstream) {
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -56,10 +56,15 @@
 }
 
 async fn ask(state: sync::Arc<state::State>, service: id::Service, entry: routing::Entry) {
-    let report = match tokio::time::timeout(ANSWER, fetch(&entry)).await {
-        Ok(Ok(report)) => report,
-        Ok(Err(error)) => return unreported(&entry, &error),
-        Err(_) => return unreported(&entry, "no answer in time"),
+    let report = match fetch(&entry).await {
+        Ok(report) => report,
+        Err(error) => {
+            event::Line::new("engine_unreported")
+                .text("upstream", &entry.upstream)
+                .text("error", error)
+                .warn();
+            return;
+        }
     };
     let Some(slowness) = report.slowness else { return };
     state.with_board(&service, |board, now| board.set_slowness(&entry.upstream, slowness, now));
@@ -70,25 +75,16 @@
             .info();
         let upstream = entry.upstream.to_string();
         let what = word::What::Reported(word::Reported { upstream, slowness });
-        state.tell(word::Word { number: 0, service: service.to_string(), what: Some(what) });
+        state.tell(word::Word::new(0, &service, what));
     }
 }
 
-fn unreported(entry: &routing::Entry, error: &str) {
-    event::Line::new("engine_unreported")
-        .text("upstream", &entry.upstream)
-        .text("error", error)
-        .warn();
-}
-
 async fn fetch(entry: &routing::Entry) -> Result<engine::Report, String> {
-    let text = |failure: exchange::Failure| failure.to_string();
-    let mut exchange = exchange::Exchange::open(entry.address, ANSWER).await.map_err(text)?;
     let request = hyper::Request::get(engine::REPORT_PATH)
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
         .map_err(|error| error.to_string())?;
-    let mut answer = exchange.send(request).await.map_err(text)?;
-    let body = exchange.whole(answer.body_mut(), LONGEST).await.map_err(text)?;
+    let call = exchange::call(entry.address, request, ANSWER, ANSWER, LONGEST).await;
+    let (_, body) = call.map_err(|failure| failure.to_string())?;
     engine::read_report(&body).map_err(|error| error.to_string())
 }
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -149,17 +149,11 @@
 }
 
 async fn order(entry: &routing::Entry, body: Vec<u8>) -> Result<u16, exchange::Failure> {
-    let work = async {
-        let mut exchange = exchange::Exchange::open(entry.address, CONNECT).await?;
-        let request = hyper::Request::post(engine::ORDER_PATH)
-            .header("host", entry.address.to_string())
-            .header("content-type", "application/json")
-            .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
-            .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
-        let mut answer = exchange.send(request).await?;
-        exchange.whole(answer.body_mut(), ANSWER).await?;
-        Ok(answer.status().as_u16())
-    };
-    let timed = tokio::time::timeout(ORDER, work).await;
-    timed.unwrap_or_else(|_| Err(exchange::Failure::Lost("no answer in time".to_owned())))
+    let request = hyper::Request::post(engine::ORDER_PATH)
+        .header("host", entry.address.to_string())
+        .header("content-type", "application/json")
+        .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
+        .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
+    let call = exchange::call(entry.address, request, CONNECT, ORDER, ANSWER);
+    call.await.map(|(status, _)| status)
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -53,8 +53,9 @@
 /// Time from the start of the process in which requests wait for what other hosts have under way.
 ///
 /// Failure answered: a host starts again within half a second, its callers are back at once, and it
-/// sends them all to the engine that it believes to be idle. The platform's lists are there after some 110 ms, the other hosts' answers 30 ms later; if the
-/// platform is slow, callers are not held longer than a request to a busy engine takes.
+/// sends them all to the engine that it believes to be idle. The platform's lists are there after
+/// some 110 ms, the other hosts' answers 30 ms later; if the platform is slow, callers are not held
+/// longer than a request to a busy engine takes.
 const ACQUAINTANCE: clock::Span = clock::Span::from_millis(400);
 
 /// Part of the bound on taken keys that the confirmation of the desired state may be old.
@@ -202,10 +203,7 @@
         let mut words = Vec::new();
         for (service, desk) in self.desks.load().iter() {
             for (work, read) in lock(desk).board.of_host(self.number) {
-                let mut say = |what| {
-                    let (number, service) = (work.id.number, service.to_string());
-                    words.push(word::Word { number, service, what: Some(what) });
-                };
+                let mut say = |what| words.push(word::Word::new(work.id.number, service, what));
                 say(word::What::Sent(word::Sent::new(work, now)));
                 if read {
                     say(word::What::First(word::Nothing {}));
@@ -222,17 +220,17 @@
 
     /// Another host told how old its confirmation of the desired state is.
     pub(crate) fn heard_confirmation(&self, age_ms: Option<u32>) {
-        let trusted = |age_ms| self.trusts_keys(clock::Span::from_millis(u64::from(age_ms)));
-        if age_ms.is_some_and(trusted) {
+        let age = age_ms.map(|age_ms| clock::Span::from_millis(u64::from(age_ms)));
+        if age.is_some() && self.trusts_keys(age) {
             *lock(&self.trusted_elsewhere) = Some(self.clock.now());
         }
     }
 
-    /// Whether keys can be trusted at a host whose desired state was confirmed so long ago: one that
-    /// was taken away is known within the bound.
-    pub(crate) fn trusts_keys(&self, age: clock::Span) -> bool {
-        let bound = self.settings.node.bounds.revoke;
-        bound.is_none_or(|bound| age + KEY_MARGIN <= bound)
+    /// Whether keys can be trusted at a host whose desired state was confirmed so long ago, or never:
+    /// one that was taken away is known within the bound, where there is one.
+    pub(crate) fn trusts_keys(&self, age: Option<clock::Span>) -> bool {
+        let Some(bound) = self.settings.node.bounds.revoke else { return true };
+        age.is_some_and(|age| age + KEY_MARGIN <= bound)
     }
 
     /// Whether another host said of late that it can trust keys.
@@ -265,13 +263,13 @@
     }
 
     /// Tells the board of a service what happened, at this moment; a service that is gone has none.
-    pub(crate) fn with_board<Act>(&self, service: &id::Service, act: Act)
+    pub(crate) fn with_board<Act, Told>(&self, service: &id::Service, act: Act) -> Option<Told>
     where
-        Act: FnOnce(&mut placement::Board, clock::Moment),
+        Act: FnOnce(&mut placement::Board, clock::Moment) -> Told,
     {
-        if let Some(desk) = self.desk(service) {
-            act(&mut lock(&desk).board, self.clock.now());
-        }
+        let desk = self.desk(service)?;
+        let mut desk = lock(&desk);
+        Some(act(&mut desk.board, self.clock.now()))
     }
 
     /// Waits until the process knows as much as `knowledge`.
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -231,7 +231,7 @@
                 Err(missed) => missed,
             };
             match missed {
-                attempt::Miss::Refused(_) | attempt::Miss::Unhelped { .. } => refusals += 1,
+                attempt::Miss::Refused { .. } => refusals += 1,
                 attempt::Miss::Lost(_) => self.upstreams += 1,
                 attempt::Miss::Unsent(_) => {}
             }
--- a/crates/lagoon-gateway/src/underway.rs
+++ b/crates/lagoon-gateway/src/underway.rs
@@ -50,10 +50,7 @@
             until: admitted.deadline,
         };
         let sent = word::Sent::new(&work, now);
-        if let Some(desk) = admitted.state.desk(&admitted.service) {
-            let mut desk = state::lock(&desk);
-            desk.board.begin(work, now);
-        }
+        admitted.state.with_board(&admitted.service, |board, _| board.begin(work, now));
         let underway = Underway {
             state: admitted.state.clone(),
             service: admitted.service.clone(),
@@ -75,8 +72,7 @@
     }
 
     fn tell(&self, what: word::What) {
-        let service = self.service.to_string();
-        self.state.tell(word::Word { number: self.id.number, service, what: Some(what) });
+        self.state.tell(word::Word::new(self.id.number, &self.service, what));
     }
 }
 
--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -37,6 +37,13 @@
     pub(crate) what: Option<What>,
 }
 
+impl Word {
+    /// What happened to the dispatch with this number to `service`.
+    pub(crate) fn new(number: u64, service: &id::Service, what: What) -> Word {
+        Word { number, service: service.to_string(), what: Some(what) }
+    }
+}
+
 /// What happened to a dispatch.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum What {
@@ -92,6 +99,10 @@
     pub(crate) left_ms: u32,
 }
 
+fn millis(span: clock::Span) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
+
 impl Sent {
     /// What is told of `work` at `now`.
     pub(crate) fn new(work: &placement::Work, now: clock::Moment) -> Sent {
@@ -100,8 +111,8 @@
             helpers: work.helpers.iter().map(ToString::to_string).collect(),
             held: work.held.clone(),
             prompt: work.prompt,
-            gap_ms: u32::try_from(work.gap.as_millis()).unwrap_or(u32::MAX),
-            left_ms: u32::try_from(work.until.since(now).as_millis()).unwrap_or(u32::MAX),
+            gap_ms: millis(work.gap),
+            left_ms: millis(work.until.since(now)),
         }
     }
 
@@ -131,8 +142,8 @@
         words: Vec<Word>,
     ) -> Vec<Vec<u8>> {
         let mut datagrams = Vec::new();
-        let age = confirmation_age.map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let mut batch = Batch { host, words: Vec::new(), confirmed_ms: age };
+        let confirmed_ms = confirmation_age.map(millis);
+        let mut batch = Batch { host, words: Vec::new(), confirmed_ms };
         let mut size = 0;
         for word in words {
             let length = word.encoded_len() + 4;
