One host of a large zone schedules for the others; failures are told within a zone

Cause: at 195 hosts each told each of every dispatch (some 200,000 datagrams a second in all), and each found out by itself which engines fail, with 1.8 requests a second to find out by.

Change: routing::Roster ranks the hosts of a zone by size and name and knows which answer heartbeats. The first live one places the zone's requests (a question by datagram, 60 ms, then the second host, then the own choice), asks the zone's engines for reports and tells other zones; the next two hear all that it hears. Every host tells all that it has under way three times a second, so a lost word costs a second, not its caller's time limit. The table of hosts is told by the host that reads for the zone. Zones below six hosts decide as before.

Ruled out: chosen among all rows of the table (rows of dead hosts stay, then nobody asks); words to the engine's zone only (a host still hears a fifth of all).

Tests: routing_roster (3, 40, 200 hosts in a model; failed first on asking times), relay (three new).

--- a/crates/lagoon-gateway/src/feed.rs
+++ b/crates/lagoon-gateway/src/feed.rs
@@ -27,6 +27,8 @@
 pub(crate) struct Feed {
     pub(crate) desired: Table,
     pub(crate) upstreams: Table,
+    /// The entry hosts.
+    pub(crate) hosts: Table,
     /// When the list of upstreams was last known to be complete.
     listed_at: sync::Mutex<Option<clock::Moment>>,
     /// When the platform last answered again after an outage.
@@ -47,6 +49,7 @@
         Feed {
             desired: table(same_bytes),
             upstreams: table(same_entry),
+            hosts: table(same_bytes),
             listed_at: sync::Mutex::default(),
             returned_at: sync::Mutex::default(),
             news: watch::Sender::new(0),
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -22,9 +22,11 @@
 use crate::event;
 use crate::exchange;
 use crate::reserve;
+use crate::schedule;
 use crate::state;
 use crate::stream;
 use crate::underway;
+use crate::word;
 
 /// A caller's request, whole.
 #[derive(Debug)]
@@ -86,6 +88,10 @@
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
 
+/// A dispatch's number, who decided where it goes, and where that is.
+type Placed =
+    (placement::WorkId, underway::Decider, Result<placement::Placement, placement::Refusal>);
+
 /// What a request was let in as.
 #[derive(Debug)]
 pub(crate) struct Admitted {
@@ -244,7 +250,8 @@
         let first_try = self.state.clock.now();
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let placement = match self.place(avoid, waited) {
+            let (id, decider, placed) = self.place(avoid, waited).await;
+            let placement = match placed {
                 Ok(placement) => placement,
                 Err(placement::Refusal::Busy) if self.left() > WORTH_TRYING => {
                     let pause = BUSY_PAUSE.min(self.route.target / 20);
@@ -256,8 +263,7 @@
             if self.customer.is_some() {
                 admit::check_key_age(&self.state)?;
             }
-            let id = self.state.next_work();
-            let mut underway = underway::Underway::begin(self, id, &placement);
+            let mut underway = underway::Underway::begin(self, id, &placement, decider);
             match self.reserve(&placement, id).await {
                 Ok(reserved) => {
                     underway.keep(reserved);
@@ -288,13 +294,8 @@
             .text("detail", &refusal.detail)
             .span("waited_ms", waited)
             .info();
-        self.state.with_board(&self.service, |board, now| {
-            if refusal.reached {
-                board.full(&refusal.upstream, now);
-            } else {
-                board.suspect(&refusal.upstream, now);
-            }
-        });
+        let manner = if refusal.reached { word::Manner::Full } else { word::Manner::Failed };
+        self.saw(&refusal.upstream, manner);
     }
 
     async fn reserve(
@@ -316,14 +317,7 @@
     }
 
     /// Where the request goes next, after it has waited for `waited`.
-    fn place(
-        &self,
-        avoid: &[id::Upstream],
-        waited: clock::Span,
-    ) -> Result<placement::Placement, placement::Refusal> {
-        let Some(desk) = self.state.desk(&self.service) else {
-            return Err(placement::Refusal::NoUpstream);
-        };
+    async fn place(&self, avoid: &[id::Upstream], waited: clock::Span) -> Placed {
         let now = self.state.clock.now();
         let demand = placement::Demand {
             prompt: self.request.call.prompt_tokens.unwrap_or(0),
@@ -335,7 +329,13 @@
             avoid,
             draw: rand::rng().random(),
         };
-        state::lock(&desk).board.place(&demand, now)
+        let asked = schedule::ask(&self.state, &self.service, &demand, self.left()).await;
+        if let Some(decided) = asked {
+            return (decided.id, underway::Decider::Scheduler, decided.result);
+        }
+        let placed = self.state.with_board(&self.service, |board, now| board.place(&demand, now));
+        let placed = placed.unwrap_or(Err(placement::Refusal::NoUpstream));
+        (self.state.next_work(), underway::Decider::Own, placed)
     }
 
     fn refused(&self, refusal: placement::Refusal) -> answer::Fault {
@@ -484,7 +484,11 @@
     }
 
     pub(crate) fn suspect(&self, upstream: &id::Upstream) {
-        self.state.with_board(&self.service, |board, now| board.suspect(upstream, now));
+        self.saw(upstream, word::Manner::Failed);
+    }
+
+    fn saw(&self, upstream: &id::Upstream, manner: word::Manner) {
+        self.state.saw(&self.service, word::Seen::new(upstream, manner));
     }
 
     /// Checks the head of an answer, and its body unless it is a stream.
@@ -520,7 +524,7 @@
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
         let body = body.map_err(|failure| attempt::Miss::Lost(format!("{peer}: {failure}")))?;
         if status >= 500 {
-            self.state.with_board(&self.service, |board, now| board.erred(peer, now));
+            self.saw(peer, word::Manner::Erred);
         }
         let repeatable = self.route.kind.may_repeat();
         let last = earlier + 1 >= self.route.attempts as usize || self.left() < WORTH_TRYING;
@@ -535,16 +539,14 @@
 
     /// The engine at `address`, which failed to help `first`; it is passed over for a while.
     fn blame(&self, first: &id::Upstream, address: net::SocketAddr) -> Option<id::Upstream> {
-        let blamed = self.state.with_board(&self.service, |board, now| {
-            let helper = board.at(address).filter(|helper| *helper != first)?.clone();
-            board.helper_failed(first, &helper, now);
-            Some(helper)
-        });
-        blamed.flatten()
+        let helper = self.state.with_board(&self.service, |board, _| board.at(address).cloned());
+        let helper = helper.flatten().filter(|helper| helper != first)?;
+        self.state.saw(&self.service, word::Seen::unhelped(first, &helper));
+        Some(helper)
     }
 
     pub(crate) fn answered(&self, upstream: &id::Upstream) {
-        self.state.with_board(&self.service, |board, now| board.answered(upstream, now));
+        self.saw(upstream, word::Manner::Answered);
     }
 
     fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -37,6 +37,8 @@
     pub(crate) repeats: Counter,
     /// Words to other hosts that were dropped.
     pub(crate) words_lost: Counter,
+    /// Questions to a host that schedules which it left unanswered or turned down.
+    pub(crate) schedulers_passed: Counter,
     /// Version of the desired state in force.
     pub(crate) desired_version: Gauge,
     /// Milliseconds since that version was known to be the newest.
@@ -58,6 +60,7 @@
             first: Family::new_with_constructor(seconds),
             repeats: Counter::default(),
             words_lost: Counter::default(),
+            schedulers_passed: Counter::default(),
             desired_version: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
             reservations: Gauge::default(),
@@ -76,6 +79,8 @@
         registry.register("first_seconds", "time to the first event", self.first.clone());
         registry.register("repeats", "dispatches beyond the first", self.repeats.clone());
         registry.register("words_lost", "words to hosts dropped", self.words_lost.clone());
+        let help = "questions that a scheduling host left unanswered or turned down";
+        registry.register("schedulers_passed", help, self.schedulers_passed.clone());
         registry.register("desired_version", "version in force", self.desired_version.clone());
         let help = "milliseconds since the version in force was known to be the newest";
         registry.register("confirmation_age_ms", help, self.confirmation_age_ms.clone());
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -15,6 +15,7 @@
 use super::message;
 use crate::event;
 use crate::feed;
+use crate::hosts;
 use crate::link;
 use crate::state;
 
@@ -38,7 +39,7 @@
 pub(crate) type Members = sync::Arc<sync::Mutex<collections::BTreeMap<id::Host, Member>>>;
 
 /// Follows the reader of the zone as long as the process lives.
-pub(crate) async fn run(state: sync::Arc<state::State>, members: Members) {
+pub(crate) async fn run(state: sync::Arc<state::State>) {
     let node = &state.settings.node;
     let settings = routing::SourceSettings {
         least_hosts: state.settings.tuning.relay_hosts,
@@ -47,7 +48,7 @@
     let mut sources = routing::Sources::new(settings, node.host.clone(), node.cpu_share);
     let mut known = collections::BTreeMap::new();
     loop {
-        update(&mut sources, &mut known, &members);
+        update(&mut sources, &mut known, &state.members);
         match sources.next(state.clock.now()) {
             routing::Source::Platform => {
                 state.feed.set_reads(true);
@@ -120,6 +121,7 @@
         let ask = message::Ask {
             desired: state::lock(&state.feed.desired).version(),
             upstreams: state::lock(&state.feed.upstreams).version(),
+            hosts: state::lock(&state.feed.hosts).version(),
         };
         link.send(bytes::Bytes::from(ask.encode_to_vec())).await?;
         let told = tokio::time::timeout(super::HOLD + SLACK, link.next()).await;
@@ -148,4 +150,8 @@
         let rows = state::lock(&state.feed.upstreams).take(table.into_part());
         feed::take_upstreams(state, &rows, at);
     }
+    if let Some(table) = news.hosts {
+        let rows = state::lock(&state.feed.hosts).take(table.into_part());
+        hosts::take(state, &rows);
+    }
 }
--- a/crates/lagoon-gateway/src/relay/message.rs
+++ b/crates/lagoon-gateway/src/relay/message.rs
@@ -13,6 +13,9 @@
     /// Version up to which it knows the list of upstreams.
     #[prost(uint64, optional, tag = "2")]
     pub(crate) upstreams: Option<u64>,
+    /// Version up to which it knows the entry hosts.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) hosts: Option<u64>,
 }
 
 /// What the reader tells it.
@@ -35,6 +38,9 @@
     /// Milliseconds since the platform answered again after an outage.
     #[prost(uint64, optional, tag = "3")]
     pub(crate) returned_ms: Option<u64>,
+    /// The entry hosts; absent while the reader does not know them.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) hosts: Option<Table>,
 }
 
 /// News of one table.
--- a/crates/lagoon-gateway/src/relay/serve.rs
+++ b/crates/lagoon-gateway/src/relay/serve.rs
@@ -92,10 +92,13 @@
     let upstreams_age = fresh(feed::age(state, state.feed.listed_at()))?;
     let desired = state::lock(&state.feed.desired).since(ask.desired)?;
     let upstreams = state::lock(&state.feed.upstreams).since(ask.upstreams)?;
+    // The entry hosts are told whatever their age: a host that is heard of late costs only words.
+    let hosts = state::lock(&state.feed.hosts).since(ask.hosts);
     let returned = feed::age(state, state.feed.returned_at());
     Some(message::News {
         desired: Some(message::Table::new(desired, desired_age)),
         upstreams: Some(message::Table::new(upstreams, upstreams_age)),
+        hosts: hosts.map(|hosts| message::Table::new(hosts, clock::Span::ZERO)),
         returned_ms: returned.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
     })
 }
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -4,14 +4,15 @@
 //! which it reads a part is late. An engine that only reads for others writes no answers whose gaps
 //! could tell; its own report does.
 //!
-//! Each engine is asked by one host, which tells the others. Which host that is follows from the
-//! hosts that were heard of lately, without agreement: two that differ ask the same engine twice.
+//! Each engine is asked by the first live host of its zone, which tells the others; see
+//! [`routing::Roster::asks`]. Two that differ on who that is ask the same engine twice.
 
+use std::collections;
 use std::sync;
 
 use lagoon_platform::engine;
 use lagoonline::clock;
-use lagoonline::control::owner;
+use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::routing;
 use rand::Rng;
@@ -23,8 +24,8 @@
 
 /// Time between two reports of an engine: one that turned slow has got some five prompts by then.
 const PERIOD: clock::Span = clock::Span::from_millis(1_000);
-/// How long a host counts as there after it was heard of: busy ones speak many times a second.
-const HEARD: clock::Span = clock::Span::from_millis(2_000);
+/// Time between two looks whether this host is the one to ask.
+const LOOK: clock::Span = clock::Span::from_millis(250);
 /// Longest time for a report: an engine that is slower to answer is found out by its requests.
 const ANSWER: clock::Span = clock::Span::from_millis(400);
 /// Longest report, in bytes.
@@ -32,29 +33,37 @@
 /// Slowness from which the other hosts are told.
 const WORTH_TELLING: f64 = 1.1;
 
-/// Asks engines for their reports for as long as the process runs. `others` gives the numbers of the
-/// hosts that were heard of within a span.
-pub(crate) async fn run<Others>(state: sync::Arc<state::State>, others: Others)
-where
-    Others: Fn(clock::Span) -> Vec<u64>,
-{
+/// Asks engines for their reports for as long as the process runs.
+pub(crate) async fn run(state: sync::Arc<state::State>) {
+    let mut rounds = routing::Rounds::default();
     loop {
-        tokio::time::sleep(PERIOD.mul_f64(rand::rng().random_range(0.9..1.1))).await;
+        tokio::time::sleep(LOOK.mul_f64(rand::rng().random_range(0.9..1.1))).await;
         if state.phase() > state::Phase::Serving {
             return;
         }
-        let own = state.number.to_string();
-        let mut hosts: Vec<String> = others(HEARD).iter().map(u64::to_string).collect();
-        hosts.push(own.clone());
-        for (service, entry) in state.engines() {
-            let names = hosts.iter().map(String::as_str);
-            if owner::choose(names, entry.upstream.as_str()) == Some(own.as_str()) {
-                drop(ntex::rt::spawn(ask(state.clone(), service, entry)));
-            }
+        for (service, entry) in due(&state, &mut rounds) {
+            drop(ntex::rt::spawn(ask(state.clone(), service, entry)));
         }
     }
 }
 
+/// The engines that this host asks now.
+fn due(state: &state::State, rounds: &mut routing::Rounds) -> Vec<(id::Service, routing::Entry)> {
+    let now = state.clock.now();
+    let peers = state::lock(&state.peers);
+    if !peers.roster.leads(now) {
+        return Vec::new();
+    }
+    let roster = peers.roster.clone();
+    drop(peers);
+    let mut engines = state.engines();
+    let zones: collections::BTreeSet<_> =
+        engines.iter().map(|(_, entry)| entry.zone.clone()).collect();
+    let asked = rounds.due(&roster, &zones, PERIOD, now);
+    engines.retain(|(_, entry)| asked.contains(&entry.zone));
+    engines
+}
+
 async fn ask(state: sync::Arc<state::State>, service: id::Service, entry: routing::Entry) {
     let report = match fetch(&entry).await {
         Ok(report) => report,
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -19,11 +19,12 @@
 use crate::event;
 use crate::forward;
 use crate::hosts;
+use crate::mesh;
 use crate::relay;
+use crate::report;
 use crate::settings;
 use crate::state;
 use crate::watch;
-use crate::word;
 
 /// Time between the balancer's questions is a second, and two misses take a host out; half a
 /// second to spare.
@@ -108,7 +109,7 @@
     let words = net::UdpSocket::bind((settings.node.ip, settings.node.ports.0))?;
     words.set_nonblocking(true)?;
     let peers = net::TcpListener::bind((settings.node.ip, settings.node.ports.0))?;
-    let (state, said) = state::State::new(settings);
+    let (state, said) = state::State::new(settings, words.try_clone()?);
     let handle =
         Handle { callers: callers.local_addr()?, ready: ready.local_addr()?, state: state.clone() };
     let work = move || {
@@ -132,7 +133,7 @@
 async fn serve(
     state: sync::Arc<state::State>,
     sockets: Sockets,
-    said: mpsc::Receiver<word::Word>,
+    said: mpsc::Receiver<mesh::Said>,
 ) -> io::Result<()> {
     let place = &state.settings.node;
     event::Line::new("start")
@@ -147,7 +148,11 @@
     drop(ntex::rt::spawn(watch::upstreams(state.clone())));
     let peers = sockets.peers.local_addr()?;
     relay::serve(state.clone(), sockets.peers)?;
-    hosts::run(state.clone(), sockets.words, peers, said)?;
+    let address = sockets.words.local_addr()?;
+    mesh::run(&state, sockets.words, said)?;
+    hosts::run(&state, address, peers);
+    drop(ntex::rt::spawn(relay::follow(state.clone())));
+    drop(ntex::rt::spawn(report::run(state.clone())));
     drop(ntex::rt::spawn(tick(state.clone())));
     state.reach(state::Phase::Unready).await;
     shut_down(&state, callers).await;
--- a/crates/lagoon-gateway/src/underway.rs
+++ b/crates/lagoon-gateway/src/underway.rs
@@ -7,10 +7,20 @@
 use lagoonline::load::placement;
 
 use crate::forward;
+use crate::mesh;
 use crate::reserve;
 use crate::state;
 use crate::word;
 
+/// Who decided where a dispatch goes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Decider {
+    /// This host, which tells the others.
+    Own,
+    /// The host that schedules for the zone, which has told them.
+    Scheduler,
+}
+
 /// A dispatch that this host and the others count on its upstreams until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Underway {
@@ -33,22 +43,17 @@
         self.reserved = reserved;
     }
 
+    /// The dispatch `id` begins, placed as `placement` by `decider`.
     pub(crate) fn begin(
         admitted: &forward::Admitted,
         id: placement::WorkId,
         placement: &placement::Placement,
+        decider: Decider,
     ) -> Underway {
         let now = admitted.state.clock.now();
-        let held = placement.helpers.iter().map(|helper| helper.reserve).filter(|held| *held > 0);
-        let work = placement::Work {
-            id,
-            first: placement.first.upstream.clone(),
-            helpers: placement.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
-            prompt: admitted.request.call.prompt_tokens.unwrap_or(0),
-            held: held.collect(),
-            gap: admitted.gap(),
-            until: admitted.deadline,
-        };
+        let prompt = admitted.request.call.prompt_tokens.unwrap_or(0);
+        let until = admitted.deadline;
+        let work = placement::Work::new(id, placement, prompt, admitted.gap(), until);
         let sent = word::Sent::new(&work, now);
         admitted.state.with_board(&admitted.service, |board, _| board.begin(work, now));
         let underway = Underway {
@@ -58,7 +63,10 @@
             read: false,
             reserved: None,
         };
-        underway.tell(word::What::Sent(sent));
+        if decider == Decider::Own {
+            let word = word::Word::new(id.number, &admitted.service, word::What::Sent(sent));
+            admitted.state.say(word, mesh::Reach::All);
+        }
         underway
     }
 
--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -8,6 +8,8 @@
 use lagoonline::load::placement;
 use prost::Message;
 
+use crate::question;
+
 /// A batch of words from one life of a host.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Batch {
@@ -21,6 +23,46 @@
     /// the first.
     #[prost(uint32, optional, tag = "3")]
     pub(crate) confirmed_ms: Option<u32>,
+    /// Who the host is, now and then.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) beat: Option<Beat>,
+    /// Questions where requests are to go.
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) questions: Vec<question::Question>,
+    /// Answers to such questions.
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) answers: Vec<question::Answer>,
+}
+
+/// A heartbeat: who the host is, and all that is under way for its callers.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Beat {
+    /// The host's name.
+    #[prost(string, tag = "1")]
+    pub(crate) host: String,
+    /// Its zone.
+    #[prost(string, tag = "2")]
+    pub(crate) zone: String,
+    /// Part of a processor core that it has.
+    #[prost(double, tag = "3")]
+    pub(crate) cores: f64,
+    /// What it has under way, or what the hosts of its zone have.
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) under_way: Vec<UnderWay>,
+    /// Whether it wants to be answered.
+    #[prost(bool, tag = "5")]
+    pub(crate) wants_answer: bool,
+}
+
+/// All dispatches that one life of a host has under way.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct UnderWay {
+    /// Number of that life.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) host: u64,
+    /// Their numbers.
+    #[prost(uint64, repeated, tag = "2")]
+    pub(crate) numbers: Vec<u64>,
 }
 
 /// One thing that happened to a dispatch.
@@ -33,14 +75,40 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened.
-    #[prost(oneof = "What", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7")]
     pub(crate) what: Option<What>,
+    /// The life whose dispatch it is, where that is not the one that tells.
+    #[prost(fixed64, optional, tag = "20")]
+    pub(crate) host: Option<u64>,
 }
 
 impl Word {
     /// What happened to the dispatch with this number to `service`.
     pub(crate) fn new(number: u64, service: &id::Service, what: What) -> Word {
-        Word { number, service: service.to_string(), what: Some(what) }
+        Word { number, service: service.to_string(), what: Some(what), host: None }
+    }
+
+    /// What happened to a dispatch of any host.
+    pub(crate) fn about(id: placement::WorkId, service: &id::Service, what: What) -> Word {
+        Word { host: Some(id.host), ..Word::new(id.number, service, what) }
+    }
+}
+
+impl UnderWay {
+    /// Parts of `all` that each fit into a datagram; what one life has under way is not divided.
+    pub(crate) fn split(all: Vec<UnderWay>) -> Vec<Vec<UnderWay>> {
+        let mut parts = vec![Vec::new()];
+        let mut size = 0;
+        for under_way in all {
+            let length = under_way.encoded_len() + 4;
+            if size + length > DATAGRAM && size > 0 {
+                parts.push(Vec::new());
+                size = 0;
+            }
+            size += length;
+            parts.last_mut().into_iter().for_each(|part| part.push(under_way.clone()));
+        }
+        parts
     }
 }
 
@@ -59,6 +127,37 @@
     /// No dispatch: an engine of the service said how fast it works.
     #[prost(message, tag = "6")]
     Reported(Reported),
+    /// No dispatch: a request showed how an upstream of the service fares.
+    #[prost(message, tag = "7")]
+    Seen(Seen),
+}
+
+/// How an upstream fared with a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Seen {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub(crate) upstream: String,
+    /// What it did.
+    #[prost(enumeration = "Manner", tag = "2")]
+    pub(crate) manner: i32,
+    /// The upstream that could not reach it, where that was not the host.
+    #[prost(string, optional, tag = "3")]
+    pub(crate) from: Option<String>,
+}
+
+/// What an upstream did with a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum Manner {
+    /// It answered.
+    Answered = 0,
+    /// It answered with an error of its own.
+    Erred = 1,
+    /// It could not be reached, or fell silent.
+    Failed = 2,
+    /// It had no memory to reserve.
+    Full = 3,
 }
 
 /// What an engine said of itself.
@@ -72,6 +171,32 @@
     pub(crate) slowness: f64,
 }
 
+impl Seen {
+    /// What `upstream` did.
+    pub(crate) fn new(upstream: &id::Upstream, manner: Manner) -> Seen {
+        Seen { upstream: upstream.to_string(), manner: manner.into(), from: None }
+    }
+
+    /// The engine `from` could not reach `upstream`, which was to read a part of a prompt.
+    pub(crate) fn unhelped(from: &id::Upstream, upstream: &id::Upstream) -> Seen {
+        Seen { from: Some(from.to_string()), ..Seen::new(upstream, Manner::Failed) }
+    }
+
+    /// Lets `board` know.
+    pub(crate) fn note(&self, board: &mut placement::Board, now: clock::Moment) {
+        let upstream = id::Upstream::from(self.upstream.as_str());
+        match (self.manner(), &self.from) {
+            (Manner::Answered, _) => board.answered(&upstream, now),
+            (Manner::Erred, _) => board.erred(&upstream, now),
+            (Manner::Full, _) => board.full(&upstream, now),
+            (Manner::Failed, None) => board.suspect(&upstream, now),
+            (Manner::Failed, Some(from)) => {
+                board.helper_failed(&id::Upstream::from(from.as_str()), &upstream, now);
+            }
+        }
+    }
+}
+
 /// No more to say.
 #[derive(Clone, Copy, PartialEq, prost::Message)]
 pub(crate) struct Nothing {}
@@ -99,7 +224,8 @@
     pub(crate) left_ms: u32,
 }
 
-fn millis(span: clock::Span) -> u32 {
+/// Whole milliseconds of `span`, as far as a word carries them.
+pub(crate) fn millis(span: clock::Span) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
 }
 
@@ -143,7 +269,7 @@
     ) -> Vec<Vec<u8>> {
         let mut datagrams = Vec::new();
         let confirmed_ms = confirmation_age.map(millis);
-        let mut batch = Batch { host, words: Vec::new(), confirmed_ms };
+        let mut batch = Batch { host, confirmed_ms, ..Batch::default() };
         let mut size = 0;
         for word in words {
             let length = word.encoded_len() + 4;
--- a/crates/lagoon-gateway/tests/relay.rs
+++ b/crates/lagoon-gateway/tests/relay.rs
@@ -1,5 +1,5 @@
-//! Several entry hosts of one zone, over sockets: one reads the platform for the others, and each
-//! tells the others what it has under way.
+//! Several entry hosts of one zone, over sockets: one reads the platform for the others and decides
+//! where their requests go, and each tells it what it has under way.
 
 #[path = "../../../platform/tests/standin/mod.rs"]
 #[allow(dead_code, reason = "each test program uses a part of it")]
@@ -43,6 +43,7 @@
                 desired_wait: WATCH,
                 relay_hosts: 2,
                 hosts_pause: time::Duration::from_millis(20),
+                upstreams_pause: time::Duration::from_millis(20),
                 ..Default::default()
             },
         };
@@ -78,6 +79,11 @@
 
 /// Status of the answer to a request.
 fn status(address: net::SocketAddr, path: &str, key: &str) -> u16 {
+    text(address, path, key).split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+/// The answer to a request.
+fn text(address: net::SocketAddr, path: &str, key: &str) -> String {
     let mut stream = net::TcpStream::connect(address).unwrap();
     stream.set_read_timeout(Some(PATIENCE)).unwrap();
     let head = format!(
@@ -87,7 +93,7 @@
     stream.write_all(head.as_bytes()).unwrap();
     let mut text = String::new();
     stream.read_to_string(&mut text).unwrap();
-    text.split(' ').nth(1).unwrap().parse().unwrap()
+    text
 }
 
 fn until<Check>(what: &str, mut check: Check)
@@ -207,3 +213,92 @@
     let second = Host::start(&standin, "h2", 0.1);
     assert_eq!(send(&second, 3), ["r2", "r2", "r2"]);
 }
+
+/// A zone of two hosts before two replicas that hold what they get: bookings that callers send to
+/// either host.
+struct Bookings {
+    standin: Standin,
+    hosts: Vec<Host>,
+}
+
+impl Bookings {
+    fn start() -> Bookings {
+        let standin = Standin::start();
+        let book = json!({"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
+            "TimeoutMs": 20_000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1});
+        let mut state = desired(1, &["k1"]);
+        state["Routes"] = json!([book]);
+        standin.put("op", "config", &state);
+        for name in ["r1", "r2"] {
+            standin.manner(name, Manner::Hold);
+            standin.upstream(name, "app", 6);
+        }
+        let hosts = vec![Host::start(&standin, "h1", 0.5), Host::start(&standin, "h2", 0.1)];
+        Bookings { standin, hosts }
+    }
+
+    /// Sends a booking to each of `hosts` and tells which replicas got them.
+    fn book(&self, hosts: &[usize]) -> Vec<String> {
+        let before = self.standin.seen().len();
+        for host in hosts {
+            let callers = self.hosts[*host].running.as_ref().unwrap().handle().callers();
+            thread::spawn(move || status(callers, "/book/1", "k1"));
+        }
+        until("sent", || self.standin.seen().len() == before + hosts.len());
+        self.standin.seen()[before..].iter().map(|seen| seen.upstream.clone()).collect()
+    }
+}
+
+/// Ten callers come to two hosts at the same moment. Each host alone would believe both replicas
+/// idle and send its first bookings where the other does; decided by one host, five go to each.
+#[rstest]
+fn one_host_decides_for_its_zone() {
+    let zone = Bookings::start();
+    let sent = zone.book(&[0, 1, 0, 1, 0, 1, 0, 1, 0, 1]);
+    for replica in ["r1", "r2"] {
+        assert_eq!(sent.iter().filter(|name| *name == replica).count(), 5, "{sent:?}");
+    }
+}
+
+/// The host that decides for its zone ends. The other's callers are served all the while: first it
+/// says that it does not decide any more, then it is silent, and the other decides by itself.
+#[rstest]
+fn the_end_of_the_host_that_decides_is_made_up_for() {
+    let mut zone = Bookings::start();
+    zone.book(&[1, 1]);
+    let mut first = zone.hosts.remove(0);
+    let ending = thread::spawn(move || first.end());
+    while !ending.is_finished() {
+        zone.book(&[0]);
+    }
+    ending.join().unwrap();
+    let began = time::Instant::now();
+    assert_eq!(zone.book(&[0]).len(), 1);
+    assert!(began.elapsed() < time::Duration::from_secs(2), "after {:?}", began.elapsed());
+}
+
+/// A replica closes its connections without an answer, and one host's caller meets that. The other host learns of it from
+/// the host that decides for both: its caller's lookup goes to the sound replica at once.
+#[rstest]
+fn a_failure_that_one_host_met_spares_the_others() {
+    let (standin, first, second) = zone();
+    standin.manner("r0", Manner::LoseAnswer);
+    standin.upstream("r0", "app", 6);
+    let missed = |host: &Host| -> u64 {
+        let ready = host.running.as_ref().unwrap().handle().ready();
+        let text = text(ready, "/metrics", "");
+        let line = text.lines().find(|line| line.starts_with("lagoon_gateway_repeats_total"));
+        line.unwrap().split(' ').nth(1).unwrap().parse().unwrap()
+    };
+    until("met", || {
+        assert_eq!(second.look("k1"), 200);
+        missed(&second) > 0
+    });
+    // Words gather for some milliseconds before they are sent.
+    thread::sleep(time::Duration::from_millis(100));
+    let before = missed(&first);
+    for _ in 0..20 {
+        assert_eq!(first.look("k1"), 200);
+    }
+    assert_eq!(missed(&first), before, "the other host met the failing replica too");
+}
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -56,6 +56,29 @@
     pub until: clock::Moment,
 }
 
+impl Work {
+    /// The work of a request with a prompt of `prompt` tokens that is placed as `placed`, bears
+    /// pauses up to `gap` and is over at `until`.
+    pub fn new(
+        id: WorkId,
+        placed: &Placement,
+        prompt: u64,
+        gap: clock::Span,
+        until: clock::Moment,
+    ) -> Work {
+        let held = placed.helpers.iter().map(|helper| helper.reserve).filter(|held| *held > 0);
+        Work {
+            id,
+            first: placed.first.upstream.clone(),
+            helpers: placed.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
+            prompt,
+            held: held.collect(),
+            gap,
+            until,
+        }
+    }
+}
+
 /// What is to be placed.
 #[derive(Clone, Debug)]
 pub struct Demand<'a> {
@@ -143,12 +166,19 @@
     Full(clock::Span),
 }
 
+/// A request under way, and since when this host knows of it.
+#[derive(Clone, Debug)]
+struct Begun {
+    work: Work,
+    at: clock::Moment,
+}
+
 /// What is under way on the upstreams of one service.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     settings: Settings,
     upstreams: collections::BTreeMap<id::Upstream, Engine>,
-    works: collections::HashMap<WorkId, Work>,
+    works: collections::HashMap<WorkId, Begun>,
     zone: id::Zone,
     cuts: Cuts,
     /// What long prompts ask of the engines.
@@ -170,8 +200,8 @@
                 Some(engine) => engine.update(entry.clone(), pace),
                 None => {
                     let mut engine = Engine::new(entry.clone(), pace);
-                    for work in self.works.values() {
-                        engine.begin_if_on(work, clock::Moment::START);
+                    for begun in self.works.values() {
+                        engine.begin_if_on(&begun.work, clock::Moment::START);
                     }
                     self.upstreams.insert(entry.upstream.clone(), engine);
                 }
@@ -198,7 +228,7 @@
             }
         }
         self.reading.add(self.loose_read_ms(&work), now);
-        self.works.insert(work.id, work);
+        self.works.insert(work.id, Begun { work, at: now });
     }
 
     /// Milliseconds that an engine alone would read the prompt of `work`; 0 where its answer bears
@@ -227,25 +257,49 @@
         self.works.remove(&id);
     }
 
-    /// What `host` has under way, and whether its prompt is read.
-    pub fn of_host(&self, host: u64) -> Vec<(&Work, bool)> {
-        let own = self.works.values().filter(|work| work.id.host == host);
-        own.map(|work| (work, self.is_read(work))).collect()
+    /// What the hosts of which `wanted` holds have under way, and whether its prompt is read.
+    pub fn under_way<Wanted>(&self, wanted: Wanted) -> impl Iterator<Item = (&Work, bool)>
+    where
+        Wanted: Fn(u64) -> bool,
+    {
+        let works = self.works.values().map(|begun| &begun.work);
+        let works = works.filter(move |work| wanted(work.id.host));
+        works.map(|work| (work, self.is_read(work)))
     }
 
     /// Forgets what `host` had under way: its process ended, its connections with it, and engines
     /// drop what nobody reads.
-    pub fn forget_host(&mut self, host: u64, now: clock::Moment) {
-        let of_host = self.works.keys().filter(|id| id.host == host);
-        for id in of_host.copied().collect::<Vec<_>>() {
-            self.end(id, now);
+    pub fn forget_host(&mut self, host: u64, now: clock::Moment) -> Vec<WorkId> {
+        self.keep_only(host, &collections::HashSet::new(), now, now)
+    }
+
+    /// Forgets what `host` does not have under way though this host knew of it before `before`: all
+    /// that it has are those of `numbers`.
+    ///
+    /// Failure answered: the word that a request ended is lost, and its place counts as taken until
+    /// its caller's time is over. A host that tells all that it has makes up for every lost word.
+    pub fn keep_only(
+        &mut self,
+        host: u64,
+        numbers: &collections::HashSet<u64>,
+        before: clock::Moment,
+        now: clock::Moment,
+    ) -> Vec<WorkId> {
+        let over = self.works.values().filter(|begun| {
+            let id = begun.work.id;
+            id.host == host && begun.at <= before && !numbers.contains(&id.number)
+        });
+        let over: Vec<_> = over.map(|begun| begun.work.id).collect();
+        for id in &over {
+            self.end(*id, now);
         }
+        over
     }
 
     /// Forgets what must be over, as of hosts that fell silent.
     pub fn expire(&mut self, now: clock::Moment) {
-        let due: Vec<_> =
-            self.works.values().filter(|work| work.until <= now).map(|work| work.id).collect();
+        let works = self.works.values().map(|begun| &begun.work);
+        let due: Vec<_> = works.filter(|work| work.until <= now).map(|work| work.id).collect();
         for id in due {
             self.end(id, now);
         }
@@ -281,6 +335,11 @@
         entries.find(|entry| entry.address == address).map(|entry| &entry.upstream)
     }
 
+    /// What is known of the upstream of this name.
+    pub fn entry(&self, name: &str) -> Option<&routing::Entry> {
+        self.upstreams.get(name).map(Engine::entry)
+    }
+
     /// Something came from an upstream.
     pub fn heard(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         if let Some(engine) = self.upstreams.get_mut(upstream) {
@@ -343,7 +402,7 @@
     where
         Act: FnMut(&mut Engine),
     {
-        let Some(work) = self.works.get(&id) else { return };
+        let Some(Begun { work, .. }) = self.works.get(&id) else { return };
         for name in std::iter::once(&work.first).chain(&work.helpers) {
             if let Some(engine) = self.upstreams.get_mut(name) {
                 act(engine);
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod confirm;
 mod registry;
+mod roster;
 mod source;
 mod table;
 
@@ -17,6 +18,7 @@
 
 pub use confirm::Confirmation;
 pub use registry::{Change, Registry, Settings as RegistrySettings};
+pub use roster::{Roster, Rounds, Settings as RosterSettings, Standing};
 pub use source::{Peer, Settings as SourceSettings, Source, Sources};
 pub use table::{Match, Table};
 
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -167,10 +167,11 @@
 fn what_a_host_has_under_way_can_be_told() {
     let mut day = Day::new(3);
     day.burst(20);
-    let told: Vec<_> = day.board.of_host(1).into_iter().map(|(work, _)| work.clone()).collect();
+    let of_first = |host| host == 1;
+    let told: Vec<_> = day.board.under_way(of_first).map(|(work, _)| work.clone()).collect();
     assert_eq!(told.len(), 20);
-    assert!(day.board.of_host(1).iter().all(|(_, read)| *read));
-    assert!(day.board.of_host(2).is_empty());
+    assert!(day.board.under_way(of_first).all(|(_, read)| read));
+    assert_eq!(day.board.under_way(|host| host == 2).count(), 0);
     let mut board = board(3);
     for work in told.iter().chain(&told) {
         board.begin(work.clone(), day.now);
@@ -184,6 +185,26 @@
     assert_eq!(board.works(), 0);
 }
 
+/// The word that a request ended is lost. Its place would count as taken until its caller's time is
+/// over; the host's next list of all that it has under way gives it back. What this host heard of
+/// after that list may have been sent is kept: the list was on its way when it began.
+#[rstest]
+fn what_is_no_longer_under_way_is_forgotten() {
+    let mut day = Day::new(3);
+    day.burst(5);
+    let before = day.now;
+    day.pass(50);
+    let (late, _) = day.send(5_000, TIGHT).unwrap();
+    let still = [1, 2].into();
+    let over = day.board.keep_only(1, &still, before, day.now);
+    let numbers: collections::BTreeSet<_> = over.iter().map(|id| id.number).collect();
+    assert_eq!(numbers, [3, 4, 5].into());
+    let left: collections::BTreeSet<_> =
+        day.board.under_way(|_| true).map(|(work, _)| work.id.number).collect();
+    assert_eq!(left, [1, 2, late.number].into());
+    assert!(day.board.keep_only(2, &still, day.now, day.now).is_empty());
+}
+
 /// A quarter of the engines turns four times slower, and reports it. Short prompts sent there would
 /// be late, and so would each long prompt of which one reads a part: neither goes there. Once that
 /// report is old they are tried again, and while no other engine is left they serve all the same.
