--- a/crates/lagoon-gateway/src/feed.rs
+++ b/crates/lagoon-gateway/src/feed.rs
@@ -90,6 +90,11 @@
         drop(self.reads.subscribe().wait_for(|reads| *reads).await);
     }
 
+    /// Waits until another host reads for this one.
+    pub(crate) async fn until_told(&self) {
+        drop(self.reads.subscribe().wait_for(|reads| !*reads).await);
+    }
+
     /// Whether hosts of this zone read for each other.
     pub(crate) fn is_shared(&self) -> bool {
         self.shared.load(atomic::Ordering::Relaxed)
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -86,7 +86,11 @@
     let mut first = true;
     loop {
         state.feed.until_reads().await;
-        let news = watch.next().await;
+        let news = tokio::select! {
+            news = watch.next() => news,
+            // What this watch waits for comes by the relay now.
+            () = state.feed.until_told() => continue,
+        };
         take(&state, &news.rows);
         let pause = state.settings.tuning.hosts_pause;
         if std::mem::take(&mut first) {
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -27,6 +27,12 @@
 /// Time between two looks for a reader while this host reads for itself.
 const SEARCH: clock::Span = clock::Span::from_millis(1_000);
 
+/// Pause before hosts are asked again that did not read a moment ago.
+const MOMENT: clock::Span = clock::Span::from_millis(150);
+/// Age of what is known of the tables up to which a host looks for a reader before it reads for
+/// itself: with the time that the look takes, keys are still believed for less than their bound.
+const FRESH: clock::Span = clock::Span::from_millis(2_500);
+
 /// Another host of the zone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Member {
@@ -50,6 +56,12 @@
     loop {
         update(&mut sources, &mut known, &state.members);
         match sources.next(state.clock.now()) {
+            // Those in order before this host do not read yet: one of them will in a moment.
+            routing::Source::Platform
+                if is_fresh(&state) && !sources.is_first(state.clock.now()) =>
+            {
+                tokio::time::sleep(MOMENT).await;
+            }
             routing::Source::Platform => {
                 state.feed.set_reads(true);
                 tokio::time::sleep(SEARCH).await;
@@ -61,23 +73,40 @@
             routing::Source::Peer(host) => {
                 let member = known.get(&host).copied();
                 let ended = match member {
-                    Some(member) => ask(&state, member.address).await,
+                    Some(member) => ask(&state, &mut sources, &mut known, &host, member).await,
                     None => Ended::Silent("its address is not known".to_owned()),
                 };
-                state.feed.set_reads(true);
-                sources.failed(&host, state.clock.now());
+                leave(&state, &mut sources, &host, &ended);
                 event::Line::new("reader_left").text("host", &host).text("why", ended).info();
             }
         }
     }
 }
 
+/// Turns away from a reader.
+fn leave(state: &state::State, sources: &mut routing::Sources, host: &id::Host, ended: &Ended) {
+    let now = state.clock.now();
+    match ended {
+        Ended::Outranked => {}
+        Ended::NotReading => sources.idle(host, now),
+        Ended::Silent(_) => sources.failed(host, now),
+    }
+    if !is_fresh(state) {
+        state.feed.set_reads(true);
+    }
+}
+
+/// Whether what is known of the tables is so young that there is time to ask other hosts.
+///
+/// Load pattern: the host that reads for forty others ends. If each of them read for itself until it
+/// had found the next reader, the platform would get a hundred calls for one.
+fn is_fresh(state: &state::State) -> bool {
+    let ages = [state.confirmation_age(), feed::age(state, state.feed.listed_at())];
+    ages.iter().all(|age| age.is_some_and(|age| age <= FRESH))
+}
+
 /// Takes over which hosts there are.
-fn update(
-    sources: &mut routing::Sources,
-    known: &mut collections::BTreeMap<id::Host, Member>,
-    members: &Members,
-) {
+fn update(sources: &mut routing::Sources, known: &mut Known, members: &Members) {
     let now = state::lock(members).clone();
     for gone in known.keys().filter(|host| !now.contains_key(*host)) {
         sources.remove_peer(gone);
@@ -93,6 +122,8 @@
 enum Ended {
     #[error("it does not read now")]
     NotReading,
+    #[error("another host comes before it")]
+    Outranked,
     #[error("{0}")]
     Silent(String),
 }
@@ -103,37 +134,59 @@
     }
 }
 
-/// Asks one host again and again, and takes in what it tells, until it fails.
-async fn ask(state: &state::State, address: net::SocketAddr) -> Ended {
-    match talk(state, address).await {
-        Ok(never) => match never {},
-        Err(ended) => ended,
-    }
-}
+type Known = collections::BTreeMap<id::Host, Member>;
 
-async fn talk(
+/// Asks one host again and again, and takes in what it tells, until it fails or another host comes
+/// before it.
+///
+/// Failure answered: hosts that start together do not all know of each other, and the first one
+/// follows another that it met earlier. If it stayed there, all who ask it would be told that it
+/// does not read.
+async fn ask(
     state: &state::State,
-    address: net::SocketAddr,
-) -> Result<std::convert::Infallible, Ended> {
-    let mut link = super::framed(link::connect(address, CONNECT).await?);
+    sources: &mut routing::Sources,
+    known: &mut Known,
+    host: &id::Host,
+    member: Member,
+) -> Ended {
+    let mut link = match open(member.address).await {
+        Ok(link) => link,
+        Err(ended) => return ended,
+    };
     loop {
-        let asked = state.clock.now();
-        let ask = message::Ask {
-            desired: state::lock(&state.feed.desired).version(),
-            upstreams: state::lock(&state.feed.upstreams).version(),
-            hosts: state::lock(&state.feed.hosts).version(),
-        };
-        link.send(bytes::Bytes::from(ask.encode_to_vec())).await?;
-        let told = tokio::time::timeout(super::HOLD + SLACK, link.next()).await;
-        let told = told.map_err(|_| Ended::Silent("no answer in time".to_owned()))?;
-        let frame = told.ok_or_else(|| Ended::Silent("connection closed".to_owned()))??;
-        let told = message::Told::decode(frame).map_err(io::Error::from)?;
-        let news = told.news.ok_or(Ended::NotReading)?;
-        take_in(state, news, asked);
-        state.feed.set_reads(false);
+        if let Err(ended) = talk(state, &mut link).await {
+            return ended;
+        }
+        update(sources, known, &state.members);
+        if sources.next(state.clock.now()) != routing::Source::Peer(host.clone()) {
+            return Ended::Outranked;
+        }
     }
 }
 
+async fn open(address: net::SocketAddr) -> Result<super::Link, Ended> {
+    Ok(super::framed(link::connect(address, CONNECT).await?))
+}
+
+/// Asks once, and takes in the answer.
+async fn talk(state: &state::State, link: &mut super::Link) -> Result<(), Ended> {
+    let asked = state.clock.now();
+    let ask = message::Ask {
+        desired: state::lock(&state.feed.desired).version(),
+        upstreams: state::lock(&state.feed.upstreams).version(),
+        hosts: state::lock(&state.feed.hosts).version(),
+    };
+    link.send(bytes::Bytes::from(ask.encode_to_vec())).await?;
+    let told = tokio::time::timeout(super::HOLD + SLACK, link.next()).await;
+    let told = told.map_err(|_| Ended::Silent("no answer in time".to_owned()))?;
+    let frame = told.ok_or_else(|| Ended::Silent("connection closed".to_owned()))??;
+    let told = message::Told::decode(frame).map_err(io::Error::from)?;
+    let news = told.news.ok_or(Ended::NotReading)?;
+    take_in(state, news, asked);
+    state.feed.set_reads(false);
+    Ok(())
+}
+
 /// Takes in what a reader told; it knew as much at least when it was asked.
 fn take_in(state: &state::State, news: message::News, asked: clock::Moment) {
     if let Some(returned) = news.returned_ms {
--- a/crates/lagoon-gateway/src/relay/serve.rs
+++ b/crates/lagoon-gateway/src/relay/serve.rs
@@ -69,8 +69,9 @@
 async fn answer(state: &state::State, ask: &message::Ask) -> Option<message::News> {
     let mut news = state.feed.watch_news();
     state.feed.asked(state.clock.now());
-    // A host that cannot answer says so at once.
-    look(state, ask)?;
+    // A host that cannot answer says so at once. One that reads a table anew, since the platform
+    // forgot its history, knows it in a moment.
+    ages(state)?;
     let waiting = news.wait_for(|_| knows_more(state, ask));
     // Whether there was news or the time has passed, what is known now is told.
     drop(tokio::time::timeout(super::HOLD, waiting).await);
@@ -83,13 +84,20 @@
         || ask.upstreams.is_none_or(|known| changed(&state.feed.upstreams) > known)
 }
 
-fn look(state: &state::State, ask: &message::Ask) -> Option<message::News> {
+/// How long this host has known the desired state and the list of upstreams to be the newest;
+/// `None` where it does not read, or has not of late.
+fn ages(state: &state::State) -> Option<(clock::Span, clock::Span)> {
     if !state.feed.reads() || state.phase() > state::Phase::Serving {
         return None;
     }
     let fresh = |age: Option<clock::Span>| age.filter(|age| *age <= super::STALE);
-    let desired_age = fresh(state.confirmation_age())?;
-    let upstreams_age = fresh(feed::age(state, state.feed.listed_at()))?;
+    let desired = fresh(state.confirmation_age())?;
+    let upstreams = fresh(feed::age(state, state.feed.listed_at()))?;
+    Some((desired, upstreams))
+}
+
+fn look(state: &state::State, ask: &message::Ask) -> Option<message::News> {
+    let (desired_age, upstreams_age) = ages(state)?;
     let desired = state::lock(&state.feed.desired).since(ask.desired)?;
     let upstreams = state::lock(&state.feed.upstreams).since(ask.upstreams)?;
     // The entry hosts are told whatever their age: a host that is heard of late costs only words.
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -94,6 +94,9 @@
             hold_share: figure("hold_share", default.placement.hold_share),
             jitter_ms: figure("jitter_ms", default.placement.jitter_ms),
             harm_ms: figure("harm_ms", default.placement.harm_ms),
+            tight_share: reader.float("tight_share", default.placement.tight_share, 0.05..=1.0),
+            stray_ms: figure("stray_ms", default.placement.stray_ms),
+            reader_ms: figure("reader_ms", default.placement.reader_ms),
             read_share: figure("read_share", default.placement.read_share),
             ..default.placement
         };
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -32,6 +32,9 @@
 /// is let in tells the others.
 const LONGEST_SHARED_PAUSE: clock::Span = clock::Span::from_millis(1_600);
 
+/// Longest pause after the first look at the desired state.
+const SETTLED: clock::Span = clock::Span::from_millis(400);
+
 /// A table that is watched.
 #[derive(Debug)]
 pub(crate) struct Watch {
@@ -188,6 +191,7 @@
     let wait = tuning.desired_wait.min(bound / 2);
     let mirror = state.feed.desired.clone();
     let mut watch = Watch::new(&state, "desired state", desired::TABLE, wait, mirror);
+    let mut first_pause = tuning.upstreams_pause.min(SETTLED);
     loop {
         state.feed.until_reads().await;
         let asked = state.feed.is_asked(state.clock.now());
@@ -195,6 +199,8 @@
         watch.longest_pause = longest_pause(&state);
         let news = watch.next().await;
         feed::take_desired(&state, &news.rows, news.at);
+        // Nobody else can be asked yet at the first look; a moment later another host may read.
+        tokio::time::sleep(std::mem::take(&mut first_pause)).await;
     }
 }
 
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -23,16 +23,34 @@
     stage: Stage,
     /// Whether this upstream writes the answer.
     writes: bool,
+    /// Milliseconds that an engine alone needs to read it.
+    whole_ms: f64,
     /// Tokens of memory.
     memory: u64,
     /// Longest pause that its caller bears, in milliseconds.
     gap_ms: f64,
 }
 
+impl Part {
+    /// Milliseconds of reading that are left, as far as is known.
+    fn left_ms(&self) -> f64 {
+        match self.stage {
+            Stage::Reading(left) => left.max(self.whole_ms * UNREAD_SHARE),
+            Stage::Writing | Stage::Holding => 0.0,
+        }
+    }
+}
+
 /// Times its published pace from which an engine counts as slow: a pass of a full engine, some 70 ms,
 /// and the reading of two usual short prompts in it, some 50 ms, then take most of the shortest pause
 /// that answers bear (250 ms).
 const SLOW: f64 = 1.6;
+/// Share of its reading that a part counts until its prompt's first token.
+///
+/// Load pattern: engines that fall behind what is planned for them. By plan their parts are read,
+/// they are believed idle and get the next ones too; that their prompts are still waited for tells
+/// which they are.
+const UNREAD_SHARE: f64 = 0.25;
 /// How long a report of its pace holds: three reports, of which two may be lost.
 const SAID: clock::Span = clock::Span::from_millis(3_000);
 /// Milliseconds that an engine with all places taken delays a newcomer beside its reads: two thirds of
@@ -126,6 +144,7 @@
         self.parts.push(Part {
             work: work.id,
             stage: Stage::Reading(read),
+            whole_ms: read,
             writes,
             memory,
             gap_ms,
@@ -212,7 +231,9 @@
             return;
         }
         let mut budget = span * reading / (reading + self.pass_ms());
-        for part in &mut self.parts {
+        // Parts of prompts that other engines answer are read ahead of the engine's own.
+        let (helped, own) = self.parts.iter_mut().partition::<Vec<_>, _>(|part| !part.writes);
+        for part in helped.into_iter().chain(own) {
             if let Stage::Reading(left) = &mut part.stage {
                 let done = left.min(budget);
                 *left -= done;
@@ -221,19 +242,27 @@
         }
     }
 
-    /// Milliseconds until a prompt that arrives now begins to be read: the pass under way, and the
-    /// prompts before it.
+    /// Milliseconds until a prompt that this engine is to answer begins to be read: the pass under
+    /// way, and the prompts before it.
     pub(super) fn wait_ms(&self) -> f64 {
         self.reading_ms() + self.pass_ms() / 2.0
     }
 
+    /// The same for a part of a prompt that another engine answers, which is read ahead of the
+    /// engine's own prompts.
+    pub(super) fn helper_wait_ms(&self) -> f64 {
+        let helped = self.parts.iter().filter(|part| !part.writes);
+        helped.map(Part::left_ms).sum::<f64>() + self.pass_ms() / 2.0
+    }
+
+    /// Its own prompts that are not read yet: a part that it reads for another delays each of them.
+    pub(super) fn unread(&self) -> usize {
+        self.parts.iter().filter(|part| part.writes && part.left_ms() > 0.0).count()
+    }
+
     /// Milliseconds of prompts that are not read yet.
     pub(super) fn reading_ms(&self) -> f64 {
-        let left = |part: &Part| match part.stage {
-            Stage::Reading(left) => left,
-            Stage::Writing | Stage::Holding => 0.0,
-        };
-        self.parts.iter().map(left).sum()
+        self.parts.iter().map(Part::left_ms).sum()
     }
 
     /// Requests that write.
@@ -271,9 +300,14 @@
         }
     }
 
+    /// Places for answers.
+    pub(super) fn slots(&self) -> u32 {
+        self.entry.slots.max(1)
+    }
+
     /// Whether another request would be worked on at once.
     pub(super) fn has_place(&self) -> bool {
-        self.places() < self.entry.slots.max(1) as usize
+        self.places() < self.slots() as usize
     }
 
     /// Places that are taken, by requests that write or will.
@@ -295,7 +329,7 @@
     /// out weigh most.
     pub(super) fn crowd_ms(&self) -> f64 {
         let places = self.places() as f64;
-        let slots = f64::from(self.entry.slots.max(1));
+        let slots = f64::from(self.slots());
         let over = (places + 1.0 - slots).max(0.0);
         places / slots * CROWD_MS + over * OVER_MS
     }
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -19,6 +19,14 @@
     Any,
 }
 
+/// The engines that may be used, of which the first are kept for answers that bear only short
+/// pauses.
+#[derive(Clone, Copy, Debug)]
+struct Division<'a> {
+    usable: &'a [&'a Engine],
+    kept: usize,
+}
+
 /// A way to serve a request, by indices of engines.
 #[derive(Clone, Debug)]
 struct Plan {
@@ -67,13 +75,20 @@
     /// (the longest) of those owed, over 25 simulated days with swings and faults.
     fn kept_for_tight(&self, usable: &[&Engine], now: clock::Moment) -> usize {
         let tight = self.tight_writers(usable);
-        let wanted = f64::from(tight) / f64::from(self.settings.tight_writers.max(1));
-        let needed = self.reading.engines(now) / self.settings.read_share;
+        let places: u32 = usable.iter().map(|engine| engine.slots()).sum();
         let engines = usable.len() as f64;
+        let each = f64::from(places) / engines.max(1.0) * self.settings.tight_share;
+        let wanted = f64::from(tight) / each.max(f64::MIN_POSITIVE);
+        let needed = self.reading.engines(now) / self.settings.read_share;
         let share = (engines / (wanted + needed).max(f64::MIN_POSITIVE)).min(1.0);
         ((wanted * share).ceil() as usize).clamp(1, usable.len())
     }
 
+    /// Whether the answer bears only short pauses.
+    fn is_tight(&self, demand: &Demand<'_>) -> bool {
+        demand.gap <= self.settings.tight_gap
+    }
+
     /// Answers under way that bear only short pauses.
     fn tight_writers(&self, usable: &[&Engine]) -> u32 {
         let gap_ms = self.settings.tight_gap.as_secs_f64() * 1e3;
@@ -87,7 +102,7 @@
         pace: pass::Pace,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
-        let tight = demand.gap <= self.settings.tight_gap;
+        let tight = self.is_tight(demand);
         let kept = self.kept_for_tight(usable, now);
         let total_ms = pace.read_ms(demand.prompt);
         let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
@@ -96,18 +111,22 @@
             return Err(self.without_place(demand, pace));
         }
         if !tight {
-            self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms)?;
+            let wish = self.wish(total_ms, part_ms);
+            self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms, wish)?;
         }
+        let division = Division { usable, kept };
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
-        for side in [Side::Unharmed, Side::Own, Side::Any] {
+        let sides: &[Side] =
+            if tight { &[Side::Any] } else { &[Side::Unharmed, Side::Own, Side::Any] };
+        for side in sides.iter().copied() {
             let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
             if tight && eligible.iter().all(|index| !usable[*index].has_place()) {
                 continue;
             }
-            match self.plan(demand, usable, &eligible, (total_ms, part_ms), now) {
+            match self.plan(demand, division, &eligible, (total_ms, part_ms), now) {
                 Ok(mut plan) => {
-                    plan.net = self.net(demand, usable, kept, &plan, now);
+                    plan.net = self.net(demand, division, &plan, now);
                     if best.as_ref().is_none_or(|best| plan.net > best.net) {
                         best = Some(plan);
                     }
@@ -120,6 +139,7 @@
                 Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share, now))
             }
             Some(_) => Err(self.not_now(demand)),
+            None if refusal == Refusal::Busy && tight => Err(self.without_place(demand, pace)),
             None if refusal == Refusal::Busy => Err(self.not_now(demand)),
             None => Err(refusal),
         }
@@ -148,15 +168,19 @@
     /// when short prompts return they find seconds of reading before them. So what is read is
     /// bounded, and tighter for a larger prompt: smaller ones, which earn more for the time that
     /// they take, pass it at the hosts. The bound grows while it waits, and ends after
-    /// [`Settings::patience`] of it.
+    /// [`Settings::patience`] of it. Those engines count that would read it: among hundreds some are
+    /// idle while others have much to read.
     fn check_backlog(
         &self,
         demand: &Demand<'_>,
         engines: &[&Engine],
         total_ms: f64,
+        wish: usize,
     ) -> Result<(), Refusal> {
-        let sum: f64 = engines.iter().map(|engine| engine.reading_ms()).sum();
-        let backlog = sum / engines.len().max(1) as f64;
+        let mut reading: Vec<f64> = engines.iter().map(|engine| engine.reading_ms()).collect();
+        reading.sort_by(f64::total_cmp);
+        reading.truncate(wish.max(1));
+        let backlog = reading.iter().sum::<f64>() / reading.len().max(1) as f64;
         let waited = demand.waited.as_secs_f64() * 1e3;
         let scaled = self.settings.backlog_ms * self.settings.backlog_prompt_ms / total_ms.max(1.0);
         let bound = scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
@@ -187,32 +211,49 @@
         }
     }
 
+    /// Engines among which a prompt is divided that takes `total_ms`, in parts of `part_ms`.
+    fn wish(&self, total_ms: f64, part_ms: f64) -> usize {
+        ((total_ms / part_ms).ceil() as usize).clamp(1, self.settings.helpers + 1)
+    }
+
     /// The best way to serve `demand` with the engines `eligible`.
     fn plan(
         &self,
         demand: &Demand<'_>,
-        usable: &[&Engine],
+        division: Division<'_>,
         eligible: &[usize],
         (total_ms, part_ms): (f64, f64),
         now: clock::Moment,
     ) -> Result<Plan, Refusal> {
+        let Division { usable, kept } = division;
+        let tight = self.is_tight(demand);
         if eligible.is_empty() {
             return Err(Refusal::NoUpstream);
         }
-        let wish = (total_ms / part_ms).ceil() as usize;
-        let wish = wish.clamp(1, (self.settings.helpers + 1).min(eligible.len()));
+        let wish = self.wish(total_ms, part_ms).min(eligible.len());
         let part_ms = total_ms / wish as f64;
         let open: Vec<usize> =
             eligible.iter().copied().filter(|index| usable[*index].has_place()).collect();
         let open = if open.is_empty() { eligible } else { &open };
-        let firsts = self.rank(demand, usable, open, |engine| {
+        let stray =
+            |index: usize| if tight && index >= kept { self.settings.stray_ms } else { 0.0 };
+        let firsts = self.rank(demand, usable, open, |index| {
+            let engine = usable[index];
             let errors = engine.errors(now) * ERRORS_MS;
-            self.cost(engine, part_ms) + engine.crowd_ms() + self.far(demand, engine) + errors
+            let opens = !tight && engine.places() == 0;
+            let reader = if opens { self.settings.reader_ms } else { 0.0 };
+            let place = engine.crowd_ms() + self.far(demand, engine) + stray(index) + reader;
+            self.cost(engine, part_ms) + place + errors
         });
         let need = demand.prompt + demand.answer;
         let share = self.settings.memory_share;
         // The first engine writes: it needs the memory, or helpers that hold a part of it.
         let fits = firsts.iter().find(|index| usable[**index].room(share) >= need);
+        let ever_fits = usable.iter().any(|engine| engine.memory(share) >= need);
+        if fits.is_none() && tight && ever_fits {
+            // An engine of which all places are taken may have the room; it would be late there.
+            return Err(Refusal::Busy);
+        }
         let (first, mut helpers) = match fits {
             Some(index) => (*index, Vec::new()),
             None => {
@@ -221,8 +262,9 @@
             }
         };
         let eligible = &self.in_reach(usable, eligible, first, now);
-        for index in self.rank(demand, usable, eligible, |engine| {
-            self.cost(engine, part_ms) + engine.errors(now) * ERRORS_MS
+        for index in self.rank(demand, usable, eligible, |index| {
+            let engine = usable[index];
+            self.helper_cost(engine, part_ms) + engine.errors(now) * ERRORS_MS + stray(index)
         }) {
             if helpers.len() + 1 >= wish {
                 break;
@@ -232,9 +274,9 @@
             }
         }
         let part_ms = total_ms / (helpers.len() + 1) as f64;
-        let parts = helpers.iter().map(|(index, _)| *index).chain([first]);
-        let wait = parts.map(|index| usable[index].wait_ms()).fold(0.0, f64::max);
-        let expected = wait + part_ms + usable[first].pass_ms() / 2.0;
+        let waits = helpers.iter().map(|(index, _)| usable[*index].helper_wait_ms());
+        let wait = waits.fold(usable[first].wait_ms(), f64::max);
+        let expected = wait + part_ms + usable[first].pass_ms();
         let next = firsts.iter().copied().find(|index| *index != first);
         Ok(Plan { first, helpers, part_ms, expected, net: 0.0, next })
     }
@@ -244,8 +286,7 @@
     fn net(
         &self,
         demand: &Demand<'_>,
-        usable: &[&Engine],
-        kept: usize,
+        Division { usable, kept }: Division<'_>,
         plan: &Plan,
         now: clock::Moment,
     ) -> f64 {
@@ -291,12 +332,11 @@
         cost: Cost,
     ) -> Vec<usize>
     where
-        Cost: Fn(&Engine) -> f64,
+        Cost: Fn(usize) -> f64,
     {
         let keyed = eligible.iter().map(|index| {
-            let engine = usable[*index];
-            let jitter = spread(demand.draw, engine) % 1_000;
-            (cost(engine) + jitter as f64 / 1e3 * self.settings.jitter_ms, *index)
+            let jitter = spread(demand.draw, usable[*index]) % 1_000;
+            (cost(*index) + jitter as f64 / 1e3 * self.settings.jitter_ms, *index)
         });
         let mut keyed: Vec<(f64, usize)> = keyed.collect();
         keyed.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -360,6 +400,17 @@
         engine.wait_ms() + f64::from(harmed) * self.settings.harm_ms
     }
 
+    /// The same for a part of a prompt that another engine answers: it passes the engine's own
+    /// prompts, and each of those is later by it.
+    ///
+    /// Load pattern: prompts that are each read by many engines, so that most engines both answer one
+    /// and help with others. Read behind a row of helped parts, the answering engine's own part is
+    /// the last of its prompt, and all others have waited for it.
+    fn helper_cost(&self, engine: &Engine, part_ms: f64) -> f64 {
+        let harmed = f64::from(engine.harmed(part_ms)) * self.settings.harm_ms;
+        engine.helper_wait_ms() + harmed + engine.unread() as f64 * part_ms
+    }
+
     fn far(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
         if engine.entry().zone == *demand.zone { 0.0 } else { self.settings.remote_ms }
     }
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -29,9 +29,16 @@
     /// Longest pause between events of an answer that counts as tight: three passes of writers
     /// with a part of a prompt in each.
     pub tight_gap: clock::Span,
-    /// Tight answers that one engine of those kept for them should write: of 16 places some are
+    /// Part of the places of an engine kept for tight answers that those should take; the rest is
     /// left for a burst.
-    pub tight_writers: u32,
+    pub tight_share: f64,
+    /// Milliseconds by which an engine that is kept for answers with long pauses must be ahead to
+    /// get a prompt whose answer bears only short ones.
+    pub stray_ms: f64,
+    /// Milliseconds by which an engine that writes no answer must be ahead to answer a prompt whose
+    /// answer bears long pauses: an engine makes all steps of a pass for one answer as for ten, so
+    /// one that writes none reads for others in half the time.
+    pub reader_ms: f64,
     /// Part of an engine's time that is planned for reading prompts whose answers bear long pauses:
     /// at 0.4 short prompts lack places, at 0.8 the long ones wait for each other (worth of a day
     /// 0.688 and 0.699 against 0.707, means of 25).
@@ -72,7 +79,9 @@
             full_span: clock::Span::from_millis(150),
             remote_ms: 12.0,
             tight_gap: clock::Span::from_millis(400),
-            tight_writers: 11,
+            tight_share: 0.69,
+            stray_ms: 120.0,
+            reader_ms: 150.0,
             read_share: 0.6,
             stall_ms: 100.0,
             tight_life: clock::Span::from_millis(1_900),
--- a/crates/lagoonline/src/routing/source.rs
+++ b/crates/lagoonline/src/routing/source.rs
@@ -21,6 +21,9 @@
     /// How long a host that gave no good answer is passed over. Within it a killed host is started
     /// again and has read everything.
     pub pass_over: clock::Span,
+    /// How long a host that does not read now is passed over: when a reader ends, all others learn
+    /// of it within moments, and the next one in order then reads.
+    pub pass_over_idle: clock::Span,
     /// Hosts passed over at a time after which this one reads for itself: while the platform is
     /// out nobody can answer, and asking all of a large zone would only be noise.
     pub most_passed: usize,
@@ -28,7 +31,12 @@
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { least_hosts: 6, pass_over: clock::Span::from_secs(3), most_passed: 4 }
+        Settings {
+            least_hosts: 6,
+            pass_over: clock::Span::from_secs(3),
+            pass_over_idle: clock::Span::from_millis(250),
+            most_passed: 4,
+        }
     }
 }
 
@@ -93,7 +101,12 @@
         self.passed.remove(host);
     }
 
-    /// A host gave no answer, or said that it does not read now.
+    /// A host said that it does not read now.
+    pub fn idle(&mut self, host: &id::Host, now: clock::Moment) {
+        self.passed.insert(host.clone(), now + self.settings.pass_over_idle);
+    }
+
+    /// A host gave no answer.
     pub fn failed(&mut self, host: &id::Host, now: clock::Moment) {
         self.passed.insert(host.clone(), now + self.settings.pass_over);
     }
@@ -103,22 +116,37 @@
         self.failed(&self.own.clone(), now);
     }
 
+    /// Whether this host is the first in order that is not passed over: it reads for the others.
+    pub fn is_first(&self, now: clock::Moment) -> bool {
+        self.order()
+            .find(|(host, _)| self.is_open(host, now))
+            .is_none_or(|(host, _)| host == &self.own)
+    }
+
     /// Whom to ask next: the first in order that is not passed over; the platform itself when that
     /// is this host, when all are passed over, or in a small zone.
     pub fn next(&self, now: clock::Moment) -> Source {
         if self.peers.len() as u64 + 1 < self.settings.least_hosts {
             return Source::Platform;
         }
-        let own = (&self.own, self.cores);
-        let peers = self.peers.iter().map(|(host, peer)| (host, peer.cores));
-        let mut order: Vec<_> = peers.chain(std::iter::once(own)).collect();
-        order.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
-        let open = |host: &id::Host| self.passed.get(host).is_none_or(|until| *until <= now);
-        let mut asked = order.into_iter().take(self.settings.most_passed + 1);
-        let first = asked.find(|(host, _)| open(host));
+        let mut asked = self.order().take(self.settings.most_passed + 1);
+        let first = asked.find(|(host, _)| self.is_open(host, now));
         match first {
             Some((host, _)) if *host != self.own => Source::Peer(host.clone()),
             Some(_) | None => Source::Platform,
         }
     }
+
+    fn is_open(&self, host: &id::Host, now: clock::Moment) -> bool {
+        self.passed.get(host).is_none_or(|until| *until <= now)
+    }
+
+    /// All hosts of the zone, the largest first.
+    fn order(&self) -> impl Iterator<Item = (&id::Host, f64)> {
+        let own = (&self.own, self.cores);
+        let peers = self.peers.iter().map(|(host, peer)| (host, peer.cores));
+        let mut order: Vec<_> = peers.chain(std::iter::once(own)).collect();
+        order.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        order.into_iter()
+    }
 }
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -185,6 +185,154 @@
     assert_eq!(board.works(), 0);
 }
 
+/// A fleet of `engines` with `slots` places each.
+fn day_with_slots(engines: usize, slots: u32) -> Day {
+    let entries: Vec<_> =
+        (0..engines).map(|index| routing::Entry { slots, ..entry(index, "a") }).collect();
+    let mut day = Day::new(1);
+    day.board = placement::Board::new(placement::Settings::default(), id::Zone::from("a"));
+    day.board.set_upstreams(&entries, Some(pass::Pace { slots, ..pace() }));
+    day
+}
+
+/// The mix turns to short prompts while long ones are still read. Of the engines kept for short
+/// answers one has a place but no memory, the others have all places taken. A newcomer waits for an
+/// answer's time behind those; on an idle engine of the other side it is in time.
+#[rstest]
+fn a_short_prompt_goes_where_it_has_a_place() {
+    let mut day = day_with_slots(8, 4);
+    let full = |day: &mut Day, first: usize, prompt: u64| {
+        day.number += 1;
+        let id = placement::WorkId { host: 2, number: day.number };
+        let work = placement::Work {
+            id,
+            first: entry(first, "a").upstream,
+            helpers: Vec::new(),
+            prompt,
+            held: Vec::new(),
+            gap: TIGHT,
+            until: day.now + Span::from_secs(10),
+        };
+        day.board.begin(work, day.now);
+        day.board.first_token(id, day.now);
+    };
+    full(&mut day, 0, 210_000);
+    for engine in 1..5 {
+        for _ in 0..4 {
+            full(&mut day, engine, 5_000);
+        }
+    }
+    for _ in 0..8 {
+        let (_, placed) = day.send(5_000, TIGHT).unwrap();
+        assert!(placed.first.upstream.as_str() >= "e05", "sent to {}", placed.first.upstream);
+        day.pass(30);
+    }
+}
+
+/// Prompts that are each read by sixteen engines come faster than one is read. Parts for others are
+/// read ahead of an engine's own: behind a row of them, an engine's own part is the last of its
+/// prompt, and all others have waited for it. So parts go to engines that have no prompt of their
+/// own to read, though those have a little more of others' to read.
+#[rstest]
+fn engines_that_answer_long_prompts_are_not_asked_to_help() {
+    let mut day = day_with_slots(32, 10);
+    let name = |index: usize| entry(index, "a").upstream;
+    let mut begin = |first: usize, helpers: Vec<id::Upstream>, prompt: u64| {
+        day.number += 1;
+        let work = placement::Work {
+            id: placement::WorkId { host: 2, number: day.number },
+            first: name(first),
+            helpers,
+            prompt,
+            held: Vec::new(),
+            gap: LOOSE,
+            until: day.now + Span::from_secs(10),
+        };
+        day.board.begin(work, day.now);
+    };
+    for first in 0..16 {
+        begin(first, Vec::new(), 9_000);
+    }
+    begin(31, (16..31).map(name).collect(), 92_000);
+    let placed = day.place(200_000, LOOSE, 400).unwrap();
+    let answering = placed.helpers.iter().filter(|helper| helper.entry.upstream < name(16));
+    assert!(answering.count() <= 1, "{placed:?}");
+}
+
+/// Long prompts come one after the other; their answers bear long pauses. An engine makes all steps
+/// of a pass for one answer as for ten, so twenty answers on twenty engines would halve the time in
+/// which those read for others. They are written by few engines, as far as memory allows.
+#[rstest]
+fn answers_with_long_pauses_are_written_by_few_engines() {
+    let mut day = day_with_slots(60, 10);
+    let mut firsts = collections::BTreeSet::new();
+    for _ in 0..20 {
+        let (id, placed) = day.send(20_000, LOOSE).unwrap();
+        firsts.insert(placed.first.upstream.to_string());
+        day.pass(60);
+        day.board.first_token(id, day.now);
+    }
+    assert!(firsts.len() <= 6, "written by {firsts:?}");
+}
+
+/// Two prompts are read by sixteen engines each and should both be read by now; only the first one's
+/// caller has a token. The engines of the other have fallen behind, and the next prompt's parts go
+/// elsewhere.
+#[rstest]
+fn engines_that_fall_behind_get_fewer_parts() {
+    let mut day = day_with_slots(50, 10);
+    let (done, _) = day.send(150_000, LOOSE).unwrap();
+    let (_, behind) = day.send(150_000, LOOSE).unwrap();
+    day.pass(400);
+    day.board.first_token(done, day.now);
+    day.board.end(done, day.now);
+    let next = day.place(150_000, LOOSE, 0).unwrap();
+    let both = engines(&next).intersection(&engines(&behind)).count();
+    assert_eq!(both, 0, "{both} parts on engines that have fallen behind");
+}
+
+/// A hundred engines have seconds of long prompts to read, ninety have nothing. A long prompt that
+/// sixteen engines can read at once is sent at once: it does not wait for the average to fall.
+#[rstest]
+fn idle_engines_are_used_while_others_are_behind() {
+    let mut day = day_with_slots(190, 10);
+    for first in 0..100 {
+        day.number += 1;
+        let work = placement::Work {
+            id: placement::WorkId { host: 2, number: day.number },
+            first: routing::Entry { ..entry(first, "a") }.upstream,
+            helpers: Vec::new(),
+            prompt: 180_000,
+            held: Vec::new(),
+            gap: LOOSE,
+            until: day.now + Span::from_secs(10),
+        };
+        day.board.begin(work, day.now);
+    }
+    let placed = day.place(250_000, LOOSE, 0).expect("sent at once");
+    assert!(placed.expected < Span::from_secs(1), "expected after {:?}", placed.expected);
+}
+
+/// Engines of few and of many places, short prompts only, as many as fill half of all places: no
+/// engine gets more than its places, whatever their number.
+#[rstest]
+#[case(16, 4)]
+#[case(30, 10)]
+#[case(195, 10)]
+#[case(18, 16)]
+#[case(16, 32)]
+fn short_answers_are_planned_by_places(#[case] engines: usize, #[case] slots: u32) {
+    let mut day = day_with_slots(engines, slots);
+    let mut taken = collections::BTreeMap::<String, u32>::new();
+    for _ in 0..engines * slots as usize / 2 {
+        let (id, placed) = day.send(2_000, TIGHT).unwrap();
+        day.pass(12);
+        day.board.first_token(id, day.now);
+        *taken.entry(placed.first.upstream.to_string()).or_default() += 1;
+    }
+    assert!(taken.values().all(|answers| *answers <= slots), "beyond {slots} places: {taken:?}");
+}
+
 /// The word that a request ended is lost. Its place would count as taken until its caller's time is
 /// over; the host's next list of all that it has under way gives it back. What this host heard of
 /// after that list may have been sent is kept: the list was on its way when it began.
