Memory is not renewed for an engine that went dark, nor left to a late order

Ruled out as the only cause: an order carried out after the release, which the same change answers (a ticket with an order to reserve that was not answered is released again until that order can no longer come).

Change: each round of renewals begins with the answering engine, by its own ticket or a connection; without its word nothing is renewed.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -313,7 +313,7 @@
             return Ok(None);
         }
         let name = format!("{:x}-{}", self.state.number, id.number);
-        reserve::take(&self.state, &name, &wanted).await.map(Some)
+        reserve::take(&self.state, &name, &placement.first, &wanted).await.map(Some)
     }
 
     /// Where the request goes next, after it has waited for `waited`.
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -4,17 +4,23 @@
 //! half of what they need. A reservation is short and renewed while its request runs: a host that
 //! dies leaves it to lapse within the bound on unused memory. At the end it is released; a release
 //! that is not answered is made again until the reservation has lapsed by itself.
+//!
+//! Failure answered: the engine that answers the prompt is gone without a word. Its host waits for
+//! it, and would renew the memory on the engines that helped until its patience ends. So the engine
+//! that answers is renewed or called first, and without its word nothing is renewed.
 
 use std::sync;
 use std::time;
 
 use lagoon_platform::{engine, head};
+use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::routing;
 
 use crate::event;
 use crate::exchange;
+use crate::link;
 use crate::state;
 
 /// Longest time for an order to be answered.
@@ -26,6 +32,12 @@
 const HOLD_SHARE: f64 = 0.85;
 /// Renewals within one hold: two may be lost.
 const RENEWALS: u32 = 3;
+/// Pause before a round of renewals is begun again that the answering engine left without a word.
+const AGAIN: time::Duration = time::Duration::from_millis(150);
+/// How long after it was sent an order without an answer may still be carried out.
+const LATE: time::Duration = time::Duration::from_secs(6);
+/// Time between two releases of a reservation that a late order may have made anew.
+const RELEASES: time::Duration = time::Duration::from_millis(700);
 /// Longest answer to an order.
 const ANSWER: usize = 64 << 10;
 
@@ -36,6 +48,24 @@
     pub(crate) id: String,
     entry: routing::Entry,
     tokens: u64,
+    /// When an order to reserve was last sent that is not answered.
+    unsure: sync::Arc<sync::Mutex<Option<clock::Moment>>>,
+}
+
+impl Ticket {
+    /// Reserves or renews.
+    async fn reserve(&self, state: &state::State) -> Result<u16, exchange::Failure> {
+        *state::lock(&self.unsure) = Some(state.clock.now());
+        let status =
+            order(&self.entry, engine::reserve(&self.id, self.tokens, hold(state))).await?;
+        *state::lock(&self.unsure) = None;
+        Ok(status)
+    }
+
+    /// Whether an order to reserve without an answer may still be carried out.
+    fn is_unsure(&self, now: clock::Moment) -> bool {
+        state::lock(&self.unsure).is_some_and(|sent| now.since(sent) <= LATE)
+    }
 }
 
 /// Reservations that are held; dropping them releases them.
@@ -77,7 +107,7 @@
     bounds.free.mul_f64(HOLD_SHARE).min(bounds.hold)
 }
 
-/// Reserves memory on each of `wanted`.
+/// Reserves memory on each of `wanted` for a prompt that `first` answers.
 ///
 /// # Errors
 ///
@@ -85,18 +115,19 @@
 pub(crate) async fn take(
     state: &sync::Arc<state::State>,
     name: &str,
+    first: &routing::Entry,
     wanted: &[(routing::Entry, u64)],
 ) -> Result<Held, Refusal> {
     let mut ordered = wanted.to_vec();
     ordered.sort_by(|a, b| a.0.upstream.cmp(&b.0.upstream));
     let mut held = Held { state: state.clone(), tickets: Vec::new(), alive: sync::Arc::new(()) };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
-        let ticket = Ticket { id: format!("{name}-{index}"), entry, tokens };
-        let body = engine::reserve(&ticket.id, tokens, hold(state));
+        let id = format!("{name}-{index}");
+        let ticket = Ticket { id, entry, tokens, unsure: sync::Arc::default() };
         // An order without an answer may be carried out: its ticket is released with the others.
         held.tickets.push(ticket.clone());
         state.metrics.reservations.inc();
-        let status = order(&ticket.entry, body).await;
+        let status = ticket.reserve(state).await;
         if !matches!(status, Ok(200)) {
             let reached = status.is_ok();
             let detail = status.map_or_else(|error| error.to_string(), |code| code.to_string());
@@ -104,28 +135,71 @@
         }
     }
     let alive = sync::Arc::downgrade(&held.alive);
-    drop(ntex::rt::spawn(renew(state.clone(), held.tickets.clone(), alive)));
+    let mut tickets = held.tickets.clone();
+    tickets.sort_by_key(|ticket| ticket.entry.upstream != first.upstream);
+    drop(ntex::rt::spawn(renew(state.clone(), first.clone(), tickets, alive)));
     Ok(held)
 }
 
-async fn renew(state: sync::Arc<state::State>, tickets: Vec<Ticket>, alive: sync::Weak<()>) {
+/// Renews `tickets`, that of the engine `first` before the others, while the reservations are held.
+async fn renew(
+    state: sync::Arc<state::State>,
+    first: routing::Entry,
+    tickets: Vec<Ticket>,
+    alive: sync::Weak<()>,
+) {
+    let mut pause = hold(&state) / RENEWALS;
     loop {
-        tokio::time::sleep(hold(&state) / RENEWALS).await;
-        for ticket in &tickets {
-            if alive.upgrade().is_none() {
-                return;
-            }
-            let body = engine::reserve(&ticket.id, ticket.tokens, hold(&state));
-            match order(&ticket.entry, body).await {
-                Ok(200) => {}
-                status => event::Line::new("renewal_failed")
-                    .text("reservation", &ticket.id)
-                    .text("upstream", &ticket.entry.upstream)
-                    .text("status", format!("{status:?}"))
-                    .warn(),
+        tokio::time::sleep(pause).await;
+        if alive.upgrade().is_none() {
+            return;
+        }
+        pause = match renew_all(&state, &first, &tickets, &alive).await {
+            Ok(()) => hold(&state) / RENEWALS,
+            Err(error) => {
+                event::Line::new("not_renewed")
+                    .text("upstream", &first.upstream)
+                    .text("error", error)
+                    .warn();
+                AGAIN
             }
+        };
+    }
+}
+
+/// One round of renewals.
+///
+/// # Errors
+///
+/// The engine `first` gave no word: nothing more was renewed.
+async fn renew_all(
+    state: &state::State,
+    first: &routing::Entry,
+    tickets: &[Ticket],
+    alive: &sync::Weak<()>,
+) -> Result<(), String> {
+    if tickets.first().is_none_or(|ticket| ticket.entry.upstream != first.upstream) {
+        let called = link::connect(first.address, CONNECT).await;
+        called.map_err(|error| error.to_string())?;
+    }
+    for ticket in tickets {
+        if alive.upgrade().is_none() {
+            return Ok(());
+        }
+        let status = ticket.reserve(state).await;
+        if matches!(status, Ok(200)) {
+            continue;
+        }
+        event::Line::new("renewal_failed")
+            .text("reservation", &ticket.id)
+            .text("upstream", &ticket.entry.upstream)
+            .text("status", format!("{status:?}"))
+            .warn();
+        if ticket.entry.upstream == first.upstream {
+            status.map_err(|error| error.to_string())?;
         }
     }
+    Ok(())
 }
 
 async fn release(state: sync::Arc<state::State>, ticket: Ticket) {
@@ -133,6 +207,11 @@
     loop {
         let status = order(&ticket.entry, engine::release(&ticket.id)).await;
         let released = matches!(status, Ok(200 | 202 | 404 | 409 | head::MISDIRECTED));
+        if released && ticket.is_unsure(state.clock.now()) {
+            // An order on its way may reserve it anew.
+            tokio::time::sleep(RELEASES).await;
+            continue;
+        }
         if released || state.clock.now() >= lapsed {
             if !released {
                 event::Line::new("release_failed")
--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -250,6 +250,37 @@
     assert!(named.contains(orders[0]["Id"].as_str().unwrap()), "{named} names no reservation");
 }
 
+/// A prompt larger than one engine is read by two, and the one that is to answer it goes dark. Its
+/// caller still waits, but the other engine's memory is no longer renewed: it lapses by itself and
+/// is back before the bound on unused memory, not only when the host's patience has ended.
+#[rstest]
+fn memory_for_an_engine_that_went_dark_is_not_renewed() {
+    let host = Host::start();
+    for name in ["e1", "e2"] {
+        host.standin.manner(name, Manner::Mute);
+    }
+    let (callers, standin) = (host.callers, host.standin.clone());
+    let head = "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+        authorization: Token k1\r\nlagoonline-request-deadline: 9000\r\n\
+        lagoonline-token-count: 300000,400\r\n\r\n";
+    let caller = std::thread::spawn(move || exchange(callers, head));
+    let prompt = || standin.seen().into_iter().find(|seen| seen.path == "/talk/a");
+    host.until("sent", || prompt().is_some());
+    let first = prompt().unwrap().upstream;
+    standin.manner(&first, Manner::Hold);
+    let renewals = || {
+        let seen = standin.seen();
+        let orders = seen.iter().filter(|seen| seen.path == "/api/order" && seen.upstream != first);
+        orders.filter(|seen| String::from_utf8_lossy(&seen.body).contains("reserve")).count()
+    };
+    let before = renewals();
+    assert_eq!(before, 1, "reserved on the engine that helps");
+    std::thread::sleep(time::Duration::from_secs(3));
+    assert_eq!(renewals(), before, "renewed for an engine that is gone");
+    drop(host);
+    drop(caller.join());
+}
+
 /// An engine crashes in the middle of an event. The caller sees one whole stream: the half event
 /// is dropped, and the other engine goes on after the last event that was passed on.
 #[rstest]
