In an outage the first hosts of a zone call the platform, the others ask them

Change: Roster::longest_pause: 0.8 s at the first three live hosts of a zone of six or more, 5 s at the others, which ask the first each second; 0.4 s in small zones as before.

--- a/crates/lagoon-gateway/src/feed.rs
+++ b/crates/lagoon-gateway/src/feed.rs
@@ -2,7 +2,6 @@
 //! here or told by the host that reads for the zone.
 
 use std::sync;
-use std::sync::atomic;
 
 use lagoon_platform::{desired, entry, store};
 use lagoonline::clock;
@@ -37,8 +36,6 @@
     news: watch::Sender<u64>,
     /// Whether this host reads for itself.
     reads: watch::Sender<bool>,
-    /// Whether hosts of this zone read for each other.
-    shared: atomic::AtomicBool,
     /// When another host last asked this one.
     asked_at: sync::Mutex<Option<clock::Moment>>,
 }
@@ -54,7 +51,6 @@
             returned_at: sync::Mutex::default(),
             news: watch::Sender::new(0),
             reads: watch::Sender::new(true),
-            shared: atomic::AtomicBool::new(false),
             asked_at: sync::Mutex::default(),
         }
     }
@@ -95,16 +91,6 @@
         drop(self.reads.subscribe().wait_for(|reads| !*reads).await);
     }
 
-    /// Whether hosts of this zone read for each other.
-    pub(crate) fn is_shared(&self) -> bool {
-        self.shared.load(atomic::Ordering::Relaxed)
-    }
-
-    /// From now on hosts of this zone read for each other, or each for itself.
-    pub(crate) fn set_shared(&self, shared: bool) {
-        self.shared.store(shared, atomic::Ordering::Relaxed);
-    }
-
     /// Another host asks.
     pub(crate) fn asked(&self, now: clock::Moment) {
         *state::lock(&self.asked_at) = Some(now);
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -82,10 +82,10 @@
     let wait = state.settings.tuning.hosts_wait;
     let mirror = state.feed.hosts.clone();
     let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait, mirror);
-    watch.knock_seldom();
     let mut first = true;
     loop {
         state.feed.until_reads().await;
+        watch.set_pause(&state);
         let news = tokio::select! {
             news = watch.next() => news,
             // What this watch waits for comes by the relay now.
@@ -110,8 +110,6 @@
     for row in rows.iter().filter(|row| row.key != own) {
         take_row(state, row);
     }
-    let others = state::lock(&state.members).len() as u64;
-    state.feed.set_shared(others + 1 >= state.settings.tuning.relay_hosts);
     let count = state::lock(&state.peers).roster.count();
     state.set_hosts(count);
 }
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -26,11 +26,6 @@
 const FIRST_PAUSE: clock::Span = clock::Span::from_millis(60);
 /// Doublings of it.
 const DOUBLINGS: u32 = 5;
-/// Longest pause after failed calls: a host is back well within the bounds after an outage.
-const LONGEST_PAUSE: clock::Span = clock::Span::from_millis(400);
-/// The same in a zone of many hosts: all of them knock while the platform is out, and the first that
-/// is let in tells the others.
-const LONGEST_SHARED_PAUSE: clock::Span = clock::Span::from_millis(1_600);
 
 /// Longest pause after the first look at the desired state.
 const SETTLED: clock::Span = clock::Span::from_millis(400);
@@ -76,7 +71,7 @@
             wait,
             mirror,
             failures: 0,
-            longest_pause: LONGEST_PAUSE,
+            longest_pause: longest_pause(state),
             clock: state.clock,
         }
     }
@@ -161,9 +156,9 @@
         News { rows, at, returned: self.failures > 0 }
     }
 
-    /// After an outage nobody waits for this table.
-    pub(crate) fn knock_seldom(&mut self) {
-        self.longest_pause = LONGEST_SHARED_PAUSE;
+    /// Calls a platform that fails no more often than this host is to.
+    pub(crate) fn set_pause(&mut self, state: &state::State) {
+        self.longest_pause = longest_pause(state);
     }
 
     async fn pause(&mut self, error: &client::Trouble) {
@@ -181,7 +176,7 @@
 }
 
 fn longest_pause(state: &state::State) -> clock::Span {
-    if state.feed.is_shared() { LONGEST_SHARED_PAUSE } else { LONGEST_PAUSE }
+    state::lock(&state.peers).roster.longest_pause(state.clock.now())
 }
 
 /// Keeps the desired state in force, while this host reads for itself.
@@ -196,7 +191,7 @@
         state.feed.until_reads().await;
         let asked = state.feed.is_asked(state.clock.now());
         watch.wait = if asked { wait.min(tuning.reader_wait) } else { wait };
-        watch.longest_pause = longest_pause(&state);
+        watch.set_pause(&state);
         let news = watch.next().await;
         feed::take_desired(&state, &news.rows, news.at);
         // Nobody else can be asked yet at the first look; a moment later another host may read.
@@ -212,7 +207,7 @@
     let mut watch = Watch::new(&state, "upstreams", entry::TABLE, tuning.upstreams_wait, mirror);
     loop {
         state.feed.until_reads().await;
-        watch.longest_pause = longest_pause(&state);
+        watch.set_pause(&state);
         let (wait, pause) = match state.feed.is_asked(state.clock.now()) {
             true => (tuning.reader_wait, pause.min(tuning.reader_pause)),
             false => (tuning.upstreams_wait, pause),
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -30,6 +30,13 @@
     pub silence: clock::Span,
     /// How long a host that left a question unanswered, or turned it down, is not asked again.
     pub pass_over: clock::Span,
+    /// Longest pause between two calls of a platform that fails, at a host of a small zone: it is
+    /// back well within the bounds after an outage.
+    pub pause_alone: clock::Span,
+    /// The same at one of the first hosts of a large zone, whom the others ask.
+    pub pause_first: clock::Span,
+    /// The same at the others.
+    pub pause_other: clock::Span,
     /// How long a host of another zone counts as there after it was heard of.
     pub heard: clock::Span,
 }
@@ -42,6 +49,9 @@
             most_watched: 12,
             silence: clock::Span::from_millis(700),
             pass_over: clock::Span::from_secs(1),
+            pause_alone: clock::Span::from_millis(400),
+            pause_first: clock::Span::from_millis(800),
+            pause_other: clock::Span::from_millis(5_000),
             heard: clock::Span::from_secs(3),
         }
     }
@@ -200,6 +210,19 @@
         !self.is_own_shared() || self.candidates(now).any(|host| *host == self.own)
     }
 
+    /// Longest pause between two calls of a platform that fails.
+    ///
+    /// Load pattern: the platform is out for seconds, and two hundred hosts call it again and again
+    /// until it is back. The first hosts of each zone are enough to find that out; the others ask
+    /// them each second, and call the platform seldom, for the case that it turns only those away.
+    pub fn longest_pause(&self, now: clock::Moment) -> clock::Span {
+        match (self.is_own_shared(), self.is_candidate(now)) {
+            (false, _) => self.settings.pause_alone,
+            (true, true) => self.settings.pause_first,
+            (true, false) => self.settings.pause_other,
+        }
+    }
+
     /// The other hosts of this zone to which heartbeats go: the first ones, until there are enough
     /// live ones among them.
     ///
--- a/crates/lagoonline/tests/routing_roster.rs
+++ b/crates/lagoonline/tests/routing_roster.rs
@@ -324,3 +324,16 @@
     roster.heard(&id::Host::from("l07"), now);
     assert!(far(&roster).contains(&"l07".to_owned()));
 }
+
+/// The platform is out. Of a zone of forty hosts three call it often, so that it is known at once
+/// when it is back; all forty together call it no more than twelve times a second.
+#[rstest]
+fn few_hosts_call_a_platform_that_is_out() {
+    let now = START;
+    let pauses: Vec<_> = (0..40).map(|own| roster(own, 40).longest_pause(now)).collect();
+    let often = pauses.iter().filter(|pause| **pause <= Span::from_secs(1)).count();
+    assert_eq!(often, 3);
+    let calls: f64 = pauses.iter().map(|pause| 1.0 / pause.as_secs_f64()).sum();
+    assert!(calls <= 12.0, "{calls} calls a second");
+    assert!(roster(4, 5).longest_pause(now) <= Span::from_millis(400), "of a small zone");
+}
