--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -88,8 +88,7 @@
 ///
 /// Load pattern: the platform turns some hosts away and serves the others. Their callers wait
 /// before they go to another host, which could have answered at once, and are late. While others
-/// say that they can, callers are sent on at once: answers in time to short prompts went from 0.783
-/// to 0.807 of those owed, to calls of plain services from 0.928 to 0.950, over 25 simulated days.
+/// say that they can, callers are sent on at once.
 fn come_back(state: &state::State) -> clock::Span {
     if state.is_trusted_elsewhere() { forward::ELSEWHERE } else { forward::COME_BACK }
 }
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -53,6 +53,7 @@
     };
     let mut sources = routing::Sources::new(settings, node.host.clone(), node.cpu_share);
     let mut known = collections::BTreeMap::new();
+    let mut idle = Idle::default();
     loop {
         update(&mut sources, &mut known, &state.members);
         match sources.next(state.clock.now()) {
@@ -63,7 +64,9 @@
                 tokio::time::sleep(MOMENT).await;
             }
             routing::Source::Platform => {
-                state.feed.set_reads(true);
+                if sources.is_first(state.clock.now()) || idle.is_over(&state) {
+                    state.feed.set_reads(true);
+                }
                 tokio::time::sleep(SEARCH).await;
                 let age = feed::age(&state, state.feed.listed_at());
                 if age.is_none_or(|age| age > super::STALE) {
@@ -76,7 +79,11 @@
                     Some(member) => ask(&state, &mut sources, &mut known, &host, member).await,
                     None => Ended::Silent("its address is not known".to_owned()),
                 };
+                idle.note(&state, &ended);
                 leave(&state, &mut sources, &host, &ended);
+                if !is_fresh(&state) && idle.is_over(&state) {
+                    state.feed.set_reads(true);
+                }
                 event::Line::new("reader_left").text("host", &host).text("why", ended).info();
             }
         }
@@ -91,8 +98,37 @@
         Ended::NotReading => sources.idle(host, now),
         Ended::Silent(_) => sources.failed(host, now),
     }
-    if !is_fresh(state) {
-        state.feed.set_reads(true);
+}
+
+/// The time in which the hosts that were asked are there and know nothing new of the platform.
+#[derive(Debug, Default)]
+struct Idle {
+    since: Option<clock::Moment>,
+}
+
+impl Idle {
+    /// An asked host was left because of `ended`.
+    fn note(&mut self, state: &state::State, ended: &Ended) {
+        if is_fresh(state) {
+            self.since = None;
+        }
+        match ended {
+            Ended::NotReading => drop(self.since.get_or_insert(state.clock.now())),
+            // It told something new until then.
+            Ended::Outranked => self.since = None,
+            // One that is gone says nothing of the platform.
+            Ended::Silent(_) => {}
+        }
+    }
+
+    /// Whether this host may call the platform itself: at once where no asked host is there.
+    fn is_over(&mut self, state: &state::State) -> bool {
+        let now = state.clock.now();
+        if is_fresh(state) {
+            self.since = None;
+        }
+        let turn = state::lock(&state.peers).roster.turn(now);
+        self.since.is_none_or(|since| now.since(since) >= turn)
     }
 }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -351,9 +351,7 @@
     ///
     /// Load pattern: a part of the engines turns several times slower for some seconds. Each prompt
     /// that is sent there is late, and so is each long prompt of which one reads a part, and those
-    /// that wait behind it. While another engine is left, slow ones get nothing new. A quarter of the
-    /// engines four times slower for half of a simulated day: worth 0.648 without, 0.784 with,
-    /// against 0.875 with none slow (means of five).
+    /// that wait behind it. While another engine is left, slow ones get nothing new.
     pub fn set_slowness(&mut self, upstream: &id::Upstream, factor: f64, now: clock::Moment) {
         if let Some(engine) = self.upstreams.get_mut(upstream) {
             engine.set_slowness(factor, now);
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -69,10 +69,8 @@
     /// time to be read, and where both want more than there is each gets its share of it.
     ///
     /// What long prompts ask to read decides, not how many of their answers are written: those
-    /// take a place and little time, and bear long pauses. By answers, four of sixteen engines
-    /// stood apart for one each while twelve had up to 22 short ones to write in 16 places. By
-    /// reading, answers in time went from 0.765 to 0.784 (short prompts) and from 0.793 to 0.820
-    /// (the longest) of those owed, over 25 simulated days with swings and faults.
+    /// take a place and little time, and bear long pauses. By answers, engines would stand apart for
+    /// one long answer each while short ones wait for places on the others.
     fn kept_for_tight(&self, usable: &[&Engine], now: clock::Moment) -> usize {
         let tight = self.tight_writers(usable);
         let places: u32 = usable.iter().map(|engine| engine.slots()).sum();
--- a/crates/lagoonline/src/load/placement/reading.rs
+++ b/crates/lagoonline/src/load/placement/reading.rs
@@ -6,9 +6,8 @@
 
 use crate::clock;
 
-/// Seconds after which a prompt weighs a third: some three long prompts' reading, so that one alone
-/// does not move the division. At 0.7 and 3 seconds a day's worth is lower by 0.002 and 0.009, a
-/// mean of 25 days each.
+/// Seconds after which a prompt weighs a third: long enough that one prompt alone does not move the
+/// division, short enough that the division follows a mix that swings within seconds.
 const MEMORY_S: f64 = 1.5;
 
 /// Reading asked for of late.
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -40,8 +40,7 @@
     /// one that writes none reads for others in half the time.
     pub reader_ms: f64,
     /// Part of an engine's time that is planned for reading prompts whose answers bear long pauses:
-    /// at 0.4 short prompts lack places, at 0.8 the long ones wait for each other (worth of a day
-    /// 0.688 and 0.699 against 0.707, means of 25).
+    /// with less, short prompts lack places; with more, the long ones wait for each other.
     pub read_share: f64,
     /// Milliseconds by which a short prompt's first token may come later without being late.
     pub stall_ms: f64,
