--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod state;
 mod store;
 mod stream;
+mod told;
 mod underway;
 mod watch;
 mod word;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -18,7 +18,6 @@
 
 use crate::event;
 use crate::peers;
-use crate::question;
 use crate::schedule;
 use crate::state;
 use crate::word;
@@ -283,31 +282,3 @@
         log::debug!("\"event\":\"word_of_unknown_service\"");
     }
 }
-
-/// Questions of this host that wait for their answers.
-#[derive(Debug, Default)]
-pub(crate) struct Questions {
-    open: sync::Mutex<collections::HashMap<u64, tokio::sync::oneshot::Sender<question::Answer>>>,
-}
-
-impl Questions {
-    /// Waits for the answer to the question about the dispatch `number`.
-    pub(crate) fn open(&self, number: u64) -> tokio::sync::oneshot::Receiver<question::Answer> {
-        let (sender, receiver) = tokio::sync::oneshot::channel();
-        state::lock(&self.open).insert(number, sender);
-        receiver
-    }
-
-    /// Nobody waits for that answer any more.
-    pub(crate) fn close(&self, number: u64) {
-        state::lock(&self.open).remove(&number);
-    }
-
-    fn answer(&self, answer: question::Answer) {
-        let waiting = state::lock(&self.open).remove(&answer.number);
-        // An answer that comes too late finds nobody: its dispatch was told to have ended.
-        if let Some(waiting) = waiting {
-            drop(waiting.send(answer));
-        }
-    }
-}
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -1,6 +1,8 @@
 //! Where a request goes, in a zone in which one host decides for the others: the question of a
 //! host, and the answer of the one that decides.
 
+use std::collections;
+use std::sync;
 use std::time;
 
 use lagoonline::clock;
@@ -8,6 +10,7 @@
 use lagoonline::id;
 use lagoonline::load::placement;
 use rand::Rng;
+use tokio::sync::oneshot;
 
 use crate::event;
 use crate::mesh;
@@ -21,6 +24,35 @@
 /// Hosts that are asked for one request before its own host decides.
 const ASKED: usize = 2;
 
+/// Questions of this host that wait for their answers.
+#[derive(Debug, Default)]
+pub(crate) struct Questions {
+    open: sync::Mutex<collections::HashMap<u64, oneshot::Sender<question::Answer>>>,
+}
+
+impl Questions {
+    /// Waits for the answer to the question about the dispatch `number`.
+    pub(crate) fn open(&self, number: u64) -> oneshot::Receiver<question::Answer> {
+        let (sender, receiver) = oneshot::channel();
+        state::lock(&self.open).insert(number, sender);
+        receiver
+    }
+
+    /// Nobody waits for that answer any more.
+    pub(crate) fn close(&self, number: u64) {
+        state::lock(&self.open).remove(&number);
+    }
+
+    /// An answer came.
+    pub(crate) fn answer(&self, answer: question::Answer) {
+        let waiting = state::lock(&self.open).remove(&answer.number);
+        // An answer that comes too late finds nobody: its dispatch was told to have ended.
+        if let Some(waiting) = waiting {
+            drop(waiting.send(answer));
+        }
+    }
+}
+
 /// What a host of the zone decided for a dispatch.
 #[derive(Debug)]
 pub(crate) struct Decided {
--- a/crates/lagoon-gateway/tests/relay.rs
+++ b/crates/lagoon-gateway/tests/relay.rs
@@ -115,6 +115,15 @@
         "Tenants": [{"Name": "c1", "ApiKeys": keys}]})
 }
 
+/// A desired state with one route, whose requests run once at most.
+fn bookings() -> serde_json::Value {
+    let book = json!({"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
+        "TimeoutMs": 20_000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1});
+    let mut state = desired(1, &["k1"]);
+    state["Routes"] = json!([book]);
+    state
+}
+
 /// A platform with one replica, and two hosts of which the first reads for the second.
 fn zone() -> (Standin, Host, Host) {
     let standin = Standin::start();
@@ -190,11 +199,7 @@
 #[rstest]
 fn a_new_host_knows_what_is_under_way() {
     let standin = Standin::start();
-    let book = json!({"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
-        "TimeoutMs": 20_000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1});
-    let mut state = desired(1, &["k1"]);
-    state["Routes"] = json!([book]);
-    standin.put("op", "config", &state);
+    standin.put("op", "config", &bookings());
     let send = |host: &Host, count: usize| {
         let before = standin.seen().len();
         for _ in 0..count {
@@ -224,11 +229,7 @@
 impl Bookings {
     fn start() -> Bookings {
         let standin = Standin::start();
-        let book = json!({"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
-            "TimeoutMs": 20_000, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1});
-        let mut state = desired(1, &["k1"]);
-        state["Routes"] = json!([book]);
-        standin.put("op", "config", &state);
+        standin.put("op", "config", &bookings());
         for name in ["r1", "r2"] {
             standin.manner(name, Manner::Hold);
             standin.upstream(name, "app", 6);
