--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -37,8 +37,9 @@
     /// Pause after an answer of that watch. Without it, sixty hosts that restart in turn wake every
     /// watch of all hosts sixty times; a host that is heard of later only costs words.
     pub hosts_pause: clock::Span,
-    /// Hosts of a zone from which on one of them reads the platform for the others. A smaller zone
-    /// saves less by it than a silent reader costs, which is found out after a second.
+    /// Hosts of a zone from which on one of them reads the platform for the others, and one decides
+    /// where their requests go. A smaller zone saves less by it than a silent reader costs, which is
+    /// found out after a second.
     pub relay_hosts: u64,
     /// How long the platform holds a watch of a host that reads for others: what those believe is
     /// older by it.
