A host whose reader knows nothing new reads for itself within the bound on changes

Change: the turns are gone with their test; a host looks for another reader up to 0.3 of the bound on changes (1.2 s of 4) and then reads for itself at once; the longest pause of the others in an outage is 2.5 s in place of 5, since calm hosts must be in touch 3 s after it. Test: routing::a_look_for_a_reader_ends_within_the_bound.

--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -29,10 +29,6 @@
 
 /// Pause before hosts are asked again that did not read a moment ago.
 const MOMENT: clock::Span = clock::Span::from_millis(150);
-/// Age of what is known of the tables up to which a host looks for a reader before it reads for
-/// itself: with the time that the look takes, keys are still believed for less than their bound.
-const FRESH: clock::Span = clock::Span::from_millis(2_500);
-
 /// Another host of the zone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Member {
@@ -53,7 +49,6 @@
     };
     let mut sources = routing::Sources::new(settings, node.host.clone(), node.cpu_share);
     let mut known = collections::BTreeMap::new();
-    let mut idle = Idle::default();
     loop {
         update(&mut sources, &mut known, &state.members);
         match sources.next(state.clock.now()) {
@@ -64,9 +59,7 @@
                 tokio::time::sleep(MOMENT).await;
             }
             routing::Source::Platform => {
-                if sources.is_first(state.clock.now()) || idle.is_over(&state) {
-                    state.feed.set_reads(true);
-                }
+                state.feed.set_reads(true);
                 tokio::time::sleep(SEARCH).await;
                 let age = feed::age(&state, state.feed.listed_at());
                 if age.is_none_or(|age| age > super::STALE) {
@@ -79,9 +72,8 @@
                     Some(member) => ask(&state, &mut sources, &mut known, &host, member).await,
                     None => Ended::Silent("its address is not known".to_owned()),
                 };
-                idle.note(&state, &ended);
                 leave(&state, &mut sources, &host, &ended);
-                if !is_fresh(&state) && idle.is_over(&state) {
+                if !is_fresh(&state) {
                     state.feed.set_reads(true);
                 }
                 event::Line::new("reader_left").text("host", &host).text("why", ended).info();
@@ -100,45 +92,15 @@
     }
 }
 
-/// The time in which the hosts that were asked are there and know nothing new of the platform.
-#[derive(Debug, Default)]
-struct Idle {
-    since: Option<clock::Moment>,
-}
-
-impl Idle {
-    /// An asked host was left because of `ended`.
-    fn note(&mut self, state: &state::State, ended: &Ended) {
-        if is_fresh(state) {
-            self.since = None;
-        }
-        match ended {
-            Ended::NotReading => drop(self.since.get_or_insert(state.clock.now())),
-            // It told something new until then.
-            Ended::Outranked => self.since = None,
-            // One that is gone says nothing of the platform.
-            Ended::Silent(_) => {}
-        }
-    }
-
-    /// Whether this host may call the platform itself: at once where no asked host is there.
-    fn is_over(&mut self, state: &state::State) -> bool {
-        let now = state.clock.now();
-        if is_fresh(state) {
-            self.since = None;
-        }
-        let turn = state::lock(&state.peers).roster.turn(now);
-        self.since.is_none_or(|since| now.since(since) >= turn)
-    }
-}
-
 /// Whether what is known of the tables is so young that there is time to ask other hosts.
 ///
 /// Load pattern: the host that reads for forty others ends. If each of them read for itself until it
-/// had found the next reader, the platform would get a hundred calls for one.
+/// had found the next reader, the platform would get a hundred calls for one. Beyond this age it
+/// reads for itself, whatever others say: the platform may turn away just those that it asks.
 fn is_fresh(state: &state::State) -> bool {
+    let span = routing::SourceSettings::default().look_span(state.settings.node.bounds.apply);
     let ages = [state.confirmation_age(), feed::age(state, state.feed.listed_at())];
-    ages.iter().all(|age| age.is_some_and(|age| age <= FRESH))
+    ages.iter().all(|age| age.is_some_and(|age| age <= span))
 }
 
 /// Takes over which hosts there are.
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -37,9 +37,6 @@
     pub pause_first: clock::Span,
     /// The same at the others.
     pub pause_other: clock::Span,
-    /// How much longer each host waits than the one before it, while those first in order are there
-    /// and know nothing new of the platform, before it calls the platform itself.
-    pub turn: clock::Span,
     /// How long a host of another zone counts as there after it was heard of.
     pub heard: clock::Span,
 }
@@ -54,8 +51,7 @@
             pass_over: clock::Span::from_secs(1),
             pause_alone: clock::Span::from_millis(400),
             pause_first: clock::Span::from_millis(800),
-            pause_other: clock::Span::from_millis(5_000),
-            turn: clock::Span::from_millis(300),
+            pause_other: clock::Span::from_millis(2_500),
             heard: clock::Span::from_secs(3),
         }
     }
@@ -227,20 +223,6 @@
         }
     }
 
-    /// How long this host waits before it calls the platform itself, while the first hosts of its zone
-    /// are there and know nothing new: nothing where it is one of them.
-    ///
-    /// Load pattern: as for [`Roster::longest_pause`]; and the platform turns away the first hosts of
-    /// a zone and would serve another. Called in turn, it is found out without a call of all.
-    pub fn turn(&self, now: clock::Moment) -> clock::Span {
-        if !self.is_own_shared() || self.is_candidate(now) {
-            return clock::Span::ZERO;
-        }
-        let live = self.ranked(&self.standing.zone).filter(|host| self.is_live(host, now));
-        let before = live.take_while(|host| **host != self.own).count();
-        self.settings.turn * u32::try_from(before).unwrap_or(u32::MAX)
-    }
-
     /// The other hosts of this zone to which heartbeats go: the first ones, until there are enough
     /// live ones among them.
     ///
--- a/crates/lagoonline/src/routing/source.rs
+++ b/crates/lagoonline/src/routing/source.rs
@@ -24,6 +24,9 @@
     /// How long a host that does not read now is passed over: when a reader ends, all others learn
     /// of it within moments, and the next one in order then reads.
     pub pass_over_idle: clock::Span,
+    /// Part of the bound on changes up to which what a host knows may be old while it looks for
+    /// another reader: the rest is for the question that it asks then and for its own reading.
+    pub look_share: f64,
     /// Hosts passed over at a time after which this one reads for itself: while the platform is
     /// out nobody can answer, and asking all of a large zone would only be noise.
     pub most_passed: usize,
@@ -35,11 +38,30 @@
             least_hosts: 6,
             pass_over: clock::Span::from_secs(3),
             pass_over_idle: clock::Span::from_millis(250),
+            look_share: 0.3,
             most_passed: 4,
         }
     }
 }
 
+impl Settings {
+    /// Age of what a host knows up to which it looks for another reader before it reads for itself,
+    /// where a change must be in force within `apply`.
+    ///
+    /// Failure answered: the platform turns away the first hosts of a zone, which tell the others
+    /// that they know nothing new. A host that waited for them would go on by an old version though
+    /// the platform would have told it the new one.
+    ///
+    /// ```
+    /// use lagoonline::{clock::Span, routing::SourceSettings};
+    /// let span = SourceSettings::default().look_span(Span::from_secs(4));
+    /// assert_eq!(span, Span::from_millis(1_200));
+    /// ```
+    pub fn look_span(&self, apply: clock::Span) -> clock::Span {
+        apply.mul_f64(self.look_share)
+    }
+}
+
 /// Another host of the same zone, as its own row at the platform tells.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Peer {
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -186,3 +186,16 @@
     }
     assert_eq!(asked, 5);
 }
+
+/// The platform turns away the hosts that the others ask. Those look for a reader in vain; what they
+/// know may be as old as the span for looking when they ask the last host, whose answer takes up to
+/// [`ASK`], and is then read anew, well within the bound.
+#[rstest]
+#[case(2_000)]
+#[case(4_000)]
+fn a_look_for_a_reader_ends_within_the_bound(#[case] apply: u64) {
+    const ASK: Span = Span::from_millis(1_300);
+    let apply = Span::from_millis(apply);
+    let look = routing::SourceSettings::default().look_span(apply);
+    assert!(look + ASK < apply, "{look:?} of {apply:?}");
+}
