Read again: one order of hosts, one packing of datagrams, no work for nothing

Found on reading the whole change: the order of a zone's hosts stood in Roster and in Sources; filling datagrams stood twice in word.rs; Peers kept zones that the roster has; a roster was copied four times a second to be read; a short prompt was placed by a loop over one side, with a second check for places and a net worth that nobody looked at; Board::forget_host was called by a test only; what was decided for a dispatch had a type and a tuple; a test's work of another host was written three times.

Two things do differ: a question whose caller left no longer stays in the map of open questions, and a host of a small zone looks for a reader each second again, not each 150 ms (test: routing::each_host_of_a_small_zone_reads).

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -88,10 +88,6 @@
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
 
-/// A dispatch's number, who decided where it goes, and where that is.
-type Placed =
-    (placement::WorkId, underway::Decider, Result<placement::Placement, placement::Refusal>);
-
 /// What a request was let in as.
 #[derive(Debug)]
 pub(crate) struct Admitted {
@@ -250,8 +246,8 @@
         let first_try = self.state.clock.now();
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let (id, decider, placed) = self.place(avoid, waited).await;
-            let placement = match placed {
+            let schedule::Decided { id, decider, result } = self.place(avoid, waited).await;
+            let placement = match result {
                 Ok(placement) => placement,
                 Err(placement::Refusal::Busy) if self.left() > WORTH_TRYING => {
                     let pause = BUSY_PAUSE.min(self.route.target / 20);
@@ -317,7 +313,7 @@
     }
 
     /// Where the request goes next, after it has waited for `waited`.
-    async fn place(&self, avoid: &[id::Upstream], waited: clock::Span) -> Placed {
+    async fn place(&self, avoid: &[id::Upstream], waited: clock::Span) -> schedule::Decided {
         let now = self.state.clock.now();
         let demand = placement::Demand {
             prompt: self.request.call.prompt_tokens.unwrap_or(0),
@@ -331,11 +327,14 @@
         };
         let asked = schedule::ask(&self.state, &self.service, &demand, self.left()).await;
         if let Some(decided) = asked {
-            return (decided.id, underway::Decider::Scheduler, decided.result);
+            return decided;
         }
         let placed = self.state.with_board(&self.service, |board, now| board.place(&demand, now));
-        let placed = placed.unwrap_or(Err(placement::Refusal::NoUpstream));
-        (self.state.next_work(), underway::Decider::Own, placed)
+        schedule::Decided {
+            id: self.state.next_work(),
+            decider: underway::Decider::Own,
+            result: placed.unwrap_or(Err(placement::Refusal::NoUpstream)),
+        }
     }
 
     fn refused(&self, refusal: placement::Refusal) -> answer::Fault {
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -153,7 +153,7 @@
     }
     let far = peers.far(now);
     drop(peers);
-    let datagrams: Vec<_> = word::UnderWay::split(state.numbers(&lives))
+    let datagrams: Vec<_> = word::pack(state.numbers(&lives))
         .into_iter()
         .map(|under_way| state.heartbeat(under_way, false))
         .collect();
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -25,7 +25,6 @@
     pub(crate) roster: routing::Roster,
     addresses: collections::HashMap<id::Host, net::SocketAddr>,
     names: collections::HashMap<net::SocketAddr, id::Host>,
-    zones: collections::HashMap<id::Host, id::Zone>,
     lives: collections::HashMap<net::SocketAddr, Life>,
 }
 
@@ -44,32 +43,28 @@
             roster,
             addresses: collections::HashMap::new(),
             names: collections::HashMap::new(),
-            zones: collections::HashMap::new(),
             lives: collections::HashMap::new(),
         }
     }
 
-    /// A host is there, and hears words at `address`. Whether that is new.
+    /// A host is there, and hears words at `address`.
     pub(crate) fn set(
         &mut self,
         host: &id::Host,
         standing: routing::Standing,
         address: net::SocketAddr,
-    ) -> bool {
-        self.zones.insert(host.clone(), standing.zone.clone());
+    ) {
         self.roster.set(host.clone(), standing);
         let before = self.addresses.insert(host.clone(), address);
         if let Some(before) = before.filter(|before| *before != address) {
             self.names.remove(&before);
         }
         self.names.insert(address, host.clone());
-        before != Some(address)
     }
 
     /// A host is no longer there.
     pub(crate) fn remove(&mut self, host: &id::Host) {
         self.roster.remove(host);
-        self.zones.remove(host);
         if let Some(address) = self.addresses.remove(host) {
             self.names.remove(&address);
         }
@@ -109,7 +104,7 @@
     /// Whether the host at `address` is in the zone `zone`.
     pub(crate) fn is_in(&self, address: net::SocketAddr, zone: &id::Zone) -> bool {
         let host = self.names.get(&address);
-        host.and_then(|host| self.zones.get(host)).is_some_and(|known| known == zone)
+        host.and_then(|host| self.roster.zone(host)).is_some_and(|known| known == zone)
     }
 
     /// Whether the host at `address` is among `hosts`.
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -40,10 +40,6 @@
     pub(crate) avoid: Vec<String>,
 }
 
-fn span(millis: u32) -> clock::Span {
-    clock::Span::from_millis(u64::from(millis))
-}
-
 impl Question {
     /// What is asked for the dispatch `number` to `service`, which must be over in `left`.
     pub(crate) fn new(
@@ -75,9 +71,9 @@
         placement::Demand {
             prompt: self.prompt,
             answer: self.answer,
-            target: span(self.target_ms),
-            gap: span(self.gap_ms),
-            waited: span(self.waited_ms),
+            target: word::span(self.target_ms),
+            gap: word::span(self.gap_ms),
+            waited: word::span(self.waited_ms),
             zone,
             avoid,
             draw,
@@ -91,8 +87,8 @@
         placed: &placement::Placement,
         now: clock::Moment,
     ) -> placement::Work {
-        let left = span(self.left_ms);
-        placement::Work::new(id, placed, self.prompt, span(self.gap_ms), now + left)
+        let left = word::span(self.left_ms);
+        placement::Work::new(id, placed, self.prompt, word::span(self.gap_ms), now + left)
     }
 }
 
@@ -209,7 +205,7 @@
             Reason::NoUpstream => placement::Refusal::NoUpstream,
             Reason::TooLong => placement::Refusal::TooLong,
             Reason::Busy => placement::Refusal::Busy,
-            Reason::Full => placement::Refusal::Full(span(refused.span_ms)),
+            Reason::Full => placement::Refusal::Full(word::span(refused.span_ms)),
         }
     }
 }
@@ -249,13 +245,13 @@
             reading_ms: belief.reading_ms,
             writers: belief.writers,
             places: belief.places as usize,
-            heard: span(belief.heard_ms),
+            heard: word::span(belief.heard_ms),
         });
         Some(placement::Placement {
             first: entry(&self.first)?,
             reserve: self.reserve,
             helpers: self.helpers.iter().map(helper).collect::<Option<_>>()?,
-            expected: span(self.expected_ms),
+            expected: word::span(self.expected_ms),
             belief: belief.unwrap_or_default(),
             next: None,
         })
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -26,9 +26,9 @@
 const SLACK: clock::Span = clock::Span::from_millis(350);
 /// Time between two looks for a reader while this host reads for itself.
 const SEARCH: clock::Span = clock::Span::from_millis(1_000);
-
 /// Pause before hosts are asked again that did not read a moment ago.
 const MOMENT: clock::Span = clock::Span::from_millis(150);
+
 /// Another host of the zone.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Member {
@@ -38,7 +38,9 @@
 }
 
 /// The other hosts of the zone.
-pub(crate) type Members = sync::Arc<sync::Mutex<collections::BTreeMap<id::Host, Member>>>;
+pub(crate) type Members = sync::Mutex<Known>;
+
+type Known = collections::BTreeMap<id::Host, Member>;
 
 /// Follows the reader of the zone as long as the process lives.
 pub(crate) async fn run(state: sync::Arc<state::State>) {
@@ -47,6 +49,7 @@
         least_hosts: state.settings.tuning.relay_hosts,
         ..routing::SourceSettings::default()
     };
+    let look = settings.look_span(node.bounds.apply);
     let mut sources = routing::Sources::new(settings, node.host.clone(), node.cpu_share);
     let mut known = collections::BTreeMap::new();
     loop {
@@ -54,7 +57,7 @@
         match sources.next(state.clock.now()) {
             // Those in order before this host do not read yet: one of them will in a moment.
             routing::Source::Platform
-                if is_fresh(&state) && !sources.is_first(state.clock.now()) =>
+                if is_fresh(&state, look) && !sources.is_first(state.clock.now()) =>
             {
                 tokio::time::sleep(MOMENT).await;
             }
@@ -73,7 +76,7 @@
                     None => Ended::Silent("its address is not known".to_owned()),
                 };
                 leave(&state, &mut sources, &host, &ended);
-                if !is_fresh(&state) {
+                if !is_fresh(&state, look) {
                     state.feed.set_reads(true);
                 }
                 event::Line::new("reader_left").text("host", &host).text("why", ended).info();
@@ -92,13 +95,12 @@
     }
 }
 
-/// Whether what is known of the tables is so young that there is time to ask other hosts.
+/// Whether what is known of the tables is no older than `span`, so that there is time to ask other hosts.
 ///
 /// Load pattern: the host that reads for forty others ends. If each of them read for itself until it
 /// had found the next reader, the platform would get a hundred calls for one. Beyond this age it
 /// reads for itself, whatever others say: the platform may turn away just those that it asks.
-fn is_fresh(state: &state::State) -> bool {
-    let span = routing::SourceSettings::default().look_span(state.settings.node.bounds.apply);
+fn is_fresh(state: &state::State, span: clock::Span) -> bool {
     let ages = [state.confirmation_age(), feed::age(state, state.feed.listed_at())];
     ages.iter().all(|age| age.is_some_and(|age| age <= span))
 }
@@ -132,8 +134,6 @@
     }
 }
 
-type Known = collections::BTreeMap<id::Host, Member>;
-
 /// Asks one host again and again, and takes in what it tells, until it fails or another host comes
 /// before it.
 ///
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -50,16 +50,13 @@
 /// The engines that this host asks now.
 fn due(state: &state::State, rounds: &mut routing::Rounds) -> Vec<(id::Service, routing::Entry)> {
     let now = state.clock.now();
-    let peers = state::lock(&state.peers);
-    if !peers.roster.leads(now) {
+    if !state::lock(&state.peers).roster.leads(now) {
         return Vec::new();
     }
-    let roster = peers.roster.clone();
-    drop(peers);
     let mut engines = state.engines();
     let zones: collections::BTreeSet<_> =
         engines.iter().map(|(_, entry)| entry.zone.clone()).collect();
-    let asked = rounds.due(&roster, &zones, PERIOD, now);
+    let asked = rounds.due(&state::lock(&state.peers).roster, &zones, PERIOD, now);
     engines.retain(|(_, entry)| asked.contains(&entry.zone));
     engines
 }
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -16,6 +16,7 @@
 use crate::mesh;
 use crate::question;
 use crate::state;
+use crate::underway;
 use crate::word;
 
 /// Time for an answer: hosts of a zone are well below a millisecond apart, and one that shares its
@@ -32,15 +33,10 @@
 
 impl Questions {
     /// Waits for the answer to the question about the dispatch `number`.
-    pub(crate) fn open(&self, number: u64) -> oneshot::Receiver<question::Answer> {
+    fn open(&self, number: u64) -> Open<'_> {
         let (sender, receiver) = oneshot::channel();
         state::lock(&self.open).insert(number, sender);
-        receiver
-    }
-
-    /// Nobody waits for that answer any more.
-    pub(crate) fn close(&self, number: u64) {
-        state::lock(&self.open).remove(&number);
+        Open { questions: self, number, receiver }
     }
 
     /// An answer came.
@@ -53,10 +49,26 @@
     }
 }
 
-/// What a host of the zone decided for a dispatch.
+/// A question that waits for its answer; forgotten when nobody waits any more, as when its caller
+/// leaves.
+#[derive(Debug)]
+struct Open<'a> {
+    questions: &'a Questions,
+    number: u64,
+    receiver: oneshot::Receiver<question::Answer>,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        state::lock(&self.questions.open).remove(&self.number);
+    }
+}
+
+/// What was decided for a dispatch, and by whom.
 #[derive(Debug)]
 pub(crate) struct Decided {
     pub(crate) id: placement::WorkId,
+    pub(crate) decider: underway::Decider,
     pub(crate) result: Result<placement::Placement, placement::Refusal>,
 }
 
@@ -73,10 +85,9 @@
         let id = state.next_work();
         let question = question::Question::new(id.number, service, demand, left);
         let batch = word::Batch { questions: vec![question], ..word::Batch::default() };
-        let answer = state.questions.open(id.number);
+        let mut open = state.questions.open(id.number);
         state.send(address, &[state.batch(batch)]);
-        let answer = tokio::time::timeout(ANSWER, answer).await;
-        state.questions.close(id.number);
+        let answer = tokio::time::timeout(ANSWER, &mut open.receiver).await;
         let decision = match answer {
             Ok(Ok(question::Answer { decision: Some(decision), .. })) => decision,
             Ok(_) => {
@@ -90,9 +101,10 @@
                 continue;
             }
         };
+        let decided = |result| Decided { id, decider: underway::Decider::Scheduler, result };
         return match decision {
             question::Decision::Refused(refused) => {
-                Some(Decided { id, result: Err(placement::Refusal::from(&refused)) })
+                Some(decided(Err(placement::Refusal::from(&refused))))
             }
             question::Decision::Placed(placed) => {
                 let known = state.with_board(service, |board, _| placed.placement(board));
@@ -100,7 +112,7 @@
                     state.say_ended(service, id);
                     return None;
                 };
-                Some(Decided { id, result: Ok(placement) })
+                Some(decided(Ok(placement)))
             }
         };
     }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -22,6 +22,7 @@
 use crate::relay;
 use crate::schedule;
 use crate::settings;
+use crate::word;
 
 /// How far the process is on its way to its end.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -57,9 +58,8 @@
 /// Time from the start of the process in which requests wait for what other hosts have under way.
 ///
 /// Failure answered: a host starts again within half a second, its callers are back at once, and it
-/// sends them all to the engine that it believes to be idle. The platform's lists are there after
-/// some 110 ms, the other hosts' answers 30 ms later; if the platform is slow, callers are not held
-/// longer than a request to a busy engine takes.
+/// sends them all to the engine that it believes to be idle. If the platform is slow, callers are not
+/// held longer than a request to a busy engine takes.
 const ACQUAINTANCE: clock::Span = clock::Span::from_millis(400);
 
 /// Part of the bound on taken keys that the confirmation of the desired state may be old.
@@ -224,7 +224,7 @@
 
     /// Another host told how old its confirmation of the desired state is.
     pub(crate) fn heard_confirmation(&self, age_ms: Option<u32>) {
-        let age = age_ms.map(|age_ms| clock::Span::from_millis(u64::from(age_ms)));
+        let age = age_ms.map(word::span);
         if age.is_some() && self.trusts_keys(age) {
             *lock(&self.trusted_elsewhere) = Some(self.clock.now());
         }
--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -94,24 +94,6 @@
     }
 }
 
-impl UnderWay {
-    /// Parts of `all` that each fit into a datagram; what one life has under way is not divided.
-    pub(crate) fn split(all: Vec<UnderWay>) -> Vec<Vec<UnderWay>> {
-        let mut parts = vec![Vec::new()];
-        let mut size = 0;
-        for under_way in all {
-            let length = under_way.encoded_len() + 4;
-            if size + length > DATAGRAM && size > 0 {
-                parts.push(Vec::new());
-                size = 0;
-            }
-            size += length;
-            parts.last_mut().into_iter().for_each(|part| part.push(under_way.clone()));
-        }
-        parts
-    }
-}
-
 /// What happened to a dispatch.
 #[derive(Clone, PartialEq, prost::Oneof)]
 pub(crate) enum What {
@@ -224,6 +206,11 @@
     pub(crate) left_ms: u32,
 }
 
+/// The span of so many milliseconds in a word.
+pub(crate) fn span(millis: u32) -> clock::Span {
+    clock::Span::from_millis(u64::from(millis))
+}
+
 /// Whole milliseconds of `span`, as far as a word carries them.
 pub(crate) fn millis(span: clock::Span) -> u32 {
     u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
@@ -250,8 +237,8 @@
             helpers: self.helpers.into_iter().map(id::Upstream::from).collect(),
             prompt: self.prompt,
             held: self.held,
-            gap: clock::Span::from_millis(u64::from(self.gap_ms)),
-            until: now + clock::Span::from_millis(u64::from(self.left_ms)),
+            gap: span(self.gap_ms),
+            until: now + span(self.left_ms),
         }
     }
 }
@@ -259,6 +246,30 @@
 /// Bytes of a datagram that links carry in one packet.
 pub(crate) const DATAGRAM: usize = 1_350;
 
+/// `items` in parts that each fit into a datagram, one part at least; an item that is larger by
+/// itself stands alone.
+pub(crate) fn pack<Item>(items: Vec<Item>) -> Vec<Vec<Item>>
+where
+    Item: Message,
+{
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut size = 0;
+    for item in items {
+        let length = item.encoded_len() + 4;
+        if size + length > DATAGRAM && !part.is_empty() {
+            parts.push(std::mem::take(&mut part));
+            size = 0;
+        }
+        size += length;
+        part.push(item);
+    }
+    if !part.is_empty() || parts.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
+
 impl Batch {
     /// The datagrams that carry `words`, each within [`DATAGRAM`] where a word allows it; one where
     /// there are no words: it tells that the host is there.
@@ -267,23 +278,8 @@
         confirmation_age: Option<clock::Span>,
         words: Vec<Word>,
     ) -> Vec<Vec<u8>> {
-        let mut datagrams = Vec::new();
         let confirmed_ms = confirmation_age.map(millis);
-        let mut batch = Batch { host, confirmed_ms, ..Batch::default() };
-        let mut size = 0;
-        for word in words {
-            let length = word.encoded_len() + 4;
-            if size + length > DATAGRAM && !batch.words.is_empty() {
-                datagrams.push(batch.encode_to_vec());
-                batch.words.clear();
-                size = 0;
-            }
-            size += length;
-            batch.words.push(word);
-        }
-        if !batch.words.is_empty() || datagrams.is_empty() {
-            datagrams.push(batch.encode_to_vec());
-        }
-        datagrams
+        let batch = |words| Batch { host, words, confirmed_ms, ..Batch::default() };
+        pack(words).into_iter().map(|words| batch(words).encode_to_vec()).collect()
     }
 }
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -41,9 +41,9 @@
     }
 }
 
-/// Times its published pace from which an engine counts as slow: a pass of a full engine, some 70 ms,
-/// and the reading of two usual short prompts in it, some 50 ms, then take most of the shortest pause
-/// that answers bear (250 ms).
+/// Times its published pace from which an engine counts as slow: a pass of a full engine
+/// and the reading of two usual short prompts in it then take most of the shortest pause that answers
+/// bear.
 const SLOW: f64 = 1.6;
 /// Share of its reading that a part counts until its prompt's first token.
 ///
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -267,12 +267,6 @@
         works.map(|work| (work, self.is_read(work)))
     }
 
-    /// Forgets what `host` had under way: its process ended, its connections with it, and engines
-    /// drop what nobody reads.
-    pub fn forget_host(&mut self, host: u64, now: clock::Moment) -> Vec<WorkId> {
-        self.keep_only(host, &collections::HashSet::new(), now, now)
-    }
-
     /// Forgets what `host` does not have under way though this host knew of it before `before`: all
     /// that it has are those of `numbers`.
     ///
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -8,7 +8,7 @@
 /// Milliseconds of delay that failing every request counts as: more than any engine is worth.
 const ERRORS_MS: f64 = 1_500.0;
 
-/// Which engines a plan may use, the strictest first.
+/// Which engines a plan for a prompt whose answer bears long pauses may use, the strictest first.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Side {
     /// Those on the request's side of the division where no writer would be late by it.
@@ -100,28 +100,54 @@
         pace: pass::Pace,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
-        let tight = self.is_tight(demand);
-        let kept = self.kept_for_tight(usable, now);
-        let total_ms = pace.read_ms(demand.prompt);
-        let part_ms = if tight { self.settings.part_ms } else { self.settings.loose_part_ms };
-        let placeless = usable.iter().all(|engine| !engine.has_place());
-        if tight && placeless {
+        let division = Division { usable, kept: self.kept_for_tight(usable, now) };
+        if self.is_tight(demand) {
+            self.place_tight(demand, division, pace, now)
+        } else {
+            self.place_loose(demand, division, pace, now)
+        }
+    }
+
+    /// A prompt whose answer bears only short pauses: on either side of the division, where a place
+    /// is free.
+    fn place_tight(
+        &self,
+        demand: &Demand<'_>,
+        division: Division<'_>,
+        pace: pass::Pace,
+        now: clock::Moment,
+    ) -> Result<Placement, Refusal> {
+        let usable = division.usable;
+        if usable.iter().all(|engine| !engine.has_place()) {
             return Err(self.without_place(demand, pace));
         }
-        if !tight {
-            let wish = self.wish(total_ms, part_ms);
-            self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms, wish)?;
+        let all: Vec<usize> = (0..usable.len()).collect();
+        let reading = (pace.read_ms(demand.prompt), self.settings.part_ms);
+        match self.plan(demand, division, &all, reading, now) {
+            Ok(plan) => Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share, now)),
+            Err(Refusal::Busy) => Err(self.without_place(demand, pace)),
+            Err(refusal) => Err(refusal),
         }
-        let division = Division { usable, kept };
+    }
+
+    /// A prompt whose answer bears long pauses: the way that earns most less what it takes from
+    /// others, if it earns anything.
+    fn place_loose(
+        &self,
+        demand: &Demand<'_>,
+        division: Division<'_>,
+        pace: pass::Pace,
+        now: clock::Moment,
+    ) -> Result<Placement, Refusal> {
+        let Division { usable, kept } = division;
+        let total_ms = pace.read_ms(demand.prompt);
+        let part_ms = self.settings.loose_part_ms;
+        let wish = self.wish(total_ms, part_ms);
+        self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms, wish)?;
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
-        let sides: &[Side] =
-            if tight { &[Side::Any] } else { &[Side::Unharmed, Side::Own, Side::Any] };
-        for side in sides.iter().copied() {
-            let eligible = self.eligible(usable, side, kept, tight, total_ms.min(part_ms));
-            if tight && eligible.iter().all(|index| !usable[*index].has_place()) {
-                continue;
-            }
+        for side in [Side::Unharmed, Side::Own, Side::Any] {
+            let eligible = self.eligible(division, side, total_ms.min(part_ms));
             match self.plan(demand, division, &eligible, (total_ms, part_ms), now) {
                 Ok(mut plan) => {
                     plan.net = self.net(demand, division, &plan, now);
@@ -133,11 +159,10 @@
             }
         }
         match best {
-            Some(plan) if tight || plan.net >= 0.0 => {
+            Some(plan) if plan.net >= 0.0 => {
                 Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share, now))
             }
             Some(_) => Err(self.not_now(demand)),
-            None if refusal == Refusal::Busy && tight => Err(self.without_place(demand, pace)),
             None if refusal == Refusal::Busy => Err(self.not_now(demand)),
             None => Err(refusal),
         }
@@ -190,22 +215,14 @@
         Ok(())
     }
 
-    /// The engines that a plan may use.
-    fn eligible(
-        &self,
-        usable: &[&Engine],
-        side: Side,
-        kept: usize,
-        tight: bool,
-        part_ms: f64,
-    ) -> Vec<usize> {
-        let own = |index: usize| (index < kept) == tight;
-        let unharmed = |index: usize| usable[index].harmed(part_ms) == 0;
-        let all = 0..usable.len();
+    /// The engines that a plan for a prompt whose answer bears long pauses may use.
+    fn eligible(&self, division: Division<'_>, side: Side, part_ms: f64) -> Vec<usize> {
+        let Division { usable, kept } = division;
+        let unharmed = |index: &usize| usable[*index].harmed(part_ms) == 0;
         match side {
-            Side::Unharmed => all.filter(|index| own(*index) && unharmed(*index)).collect(),
-            Side::Own => all.filter(|index| own(*index)).collect(),
-            Side::Any => all.collect(),
+            Side::Unharmed => (kept..usable.len()).filter(unharmed).collect(),
+            Side::Own => (kept..usable.len()).collect(),
+            Side::Any => (0..usable.len()).collect(),
         }
     }
 
@@ -394,8 +411,7 @@
     /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
     /// the writers that it makes late.
     fn cost(&self, engine: &Engine, part_ms: f64) -> f64 {
-        let harmed = engine.harmed(part_ms);
-        engine.wait_ms() + f64::from(harmed) * self.settings.harm_ms
+        engine.wait_ms() + self.harm(engine, part_ms)
     }
 
     /// The same for a part of a prompt that another engine answers: it passes the engine's own
@@ -405,8 +421,13 @@
     /// and help with others. Read behind a row of helped parts, the answering engine's own part is
     /// the last of its prompt, and all others have waited for it.
     fn helper_cost(&self, engine: &Engine, part_ms: f64) -> f64 {
-        let harmed = f64::from(engine.harmed(part_ms)) * self.settings.harm_ms;
-        engine.helper_wait_ms() + harmed + engine.unread() as f64 * part_ms
+        let harm = self.harm(engine, part_ms);
+        engine.helper_wait_ms() + harm + engine.unread() as f64 * part_ms
+    }
+
+    /// What the writers that a read makes late count as, in milliseconds of delay.
+    fn harm(&self, engine: &Engine, part_ms: f64) -> f64 {
+        f64::from(engine.harmed(part_ms)) * self.settings.harm_ms
     }
 
     fn far(&self, demand: &Demand<'_>, engine: &Engine) -> f64 {
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -8,6 +8,7 @@
 //! nothing is agreed on: two hosts that both schedule cost efficiency only, and a host that gets no
 //! answer asks the next one and then decides by itself.
 
+use std::cmp;
 use std::collections;
 
 use crate::clock;
@@ -66,6 +67,12 @@
     pub cores: f64,
 }
 
+/// The order in which hosts of a zone, each with its part of a processor core, do something for the
+/// others: the largest first, by name among equals.
+pub(super) fn by_rank(a: (&id::Host, f64), b: (&id::Host, f64)) -> cmp::Ordering {
+    b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0))
+}
+
 /// What is known of another host.
 #[derive(Clone, Debug)]
 struct Known {
@@ -179,6 +186,11 @@
         }
     }
 
+    /// Zone of another host.
+    pub fn zone(&self, host: &id::Host) -> Option<&id::Zone> {
+        self.hosts.get(host).map(|known| &known.standing.zone)
+    }
+
     /// Whether one host of `zone` schedules for the others.
     pub fn is_shared(&self, zone: &id::Zone) -> bool {
         self.ranks.get(zone).is_some_and(|hosts| hosts.len() as u64 >= self.settings.least_hosts)
@@ -316,7 +328,7 @@
         let own = (&self.own, &self.standing);
         let others = self.hosts.iter().map(|(host, known)| (host, &known.standing));
         let mut all: Vec<_> = others.chain([own]).collect();
-        all.sort_by(|a, b| b.1.cores.total_cmp(&a.1.cores).then_with(|| a.0.cmp(b.0)));
+        all.sort_by(|a, b| by_rank((a.0, a.1.cores), (b.0, b.1.cores)));
         let mut ranks: collections::BTreeMap<id::Zone, Vec<id::Host>> = Default::default();
         for (host, standing) in all {
             ranks.entry(standing.zone.clone()).or_default().push(host.clone());
--- a/crates/lagoonline/src/routing/source.rs
+++ b/crates/lagoonline/src/routing/source.rs
@@ -9,6 +9,7 @@
 
 use std::collections;
 
+use super::roster;
 use crate::clock;
 use crate::id;
 
@@ -138,17 +139,20 @@
         self.failed(&self.own.clone(), now);
     }
 
-    /// Whether this host is the first in order that is not passed over: it reads for the others.
+    /// Whether this host is to read for itself, whatever the others know: it is the first in order
+    /// that is not passed over, or its zone is small.
     pub fn is_first(&self, now: clock::Moment) -> bool {
-        self.order()
-            .find(|(host, _)| self.is_open(host, now))
-            .is_none_or(|(host, _)| host == &self.own)
+        self.is_small()
+            || self
+                .order()
+                .find(|(host, _)| self.is_open(host, now))
+                .is_none_or(|(host, _)| host == &self.own)
     }
 
     /// Whom to ask next: the first in order that is not passed over; the platform itself when that
     /// is this host, when all are passed over, or in a small zone.
     pub fn next(&self, now: clock::Moment) -> Source {
-        if self.peers.len() as u64 + 1 < self.settings.least_hosts {
+        if self.is_small() {
             return Source::Platform;
         }
         let mut asked = self.order().take(self.settings.most_passed + 1);
@@ -159,6 +163,10 @@
         }
     }
 
+    fn is_small(&self) -> bool {
+        (self.peers.len() as u64 + 1) < self.settings.least_hosts
+    }
+
     fn is_open(&self, host: &id::Host, now: clock::Moment) -> bool {
         self.passed.get(host).is_none_or(|until| *until <= now)
     }
@@ -168,7 +176,7 @@
         let own = (&self.own, self.cores);
         let peers = self.peers.iter().map(|(host, peer)| (host, peer.cores));
         let mut order: Vec<_> = peers.chain(std::iter::once(own)).collect();
-        order.sort_by(|a, b| b.1.total_cmp(&a.1).then_with(|| a.0.cmp(b.0)));
+        order.sort_by(|a, b| roster::by_rank(*a, *b));
         order.into_iter()
     }
 }
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -31,6 +31,10 @@
     }
 }
 
+fn name(index: usize) -> id::Upstream {
+    entry(index, "a").upstream
+}
+
 /// Engines in three zones, in turn.
 fn board(engines: usize) -> placement::Board {
     let zones = ["a", "b", "c"];
@@ -90,17 +94,33 @@
         let placed = self.place(prompt, gap, 0)?;
         self.number += 1;
         let id = placement::WorkId { host: 1, number: self.number };
+        let until = self.now + Span::from_secs(10);
+        let work = placement::Work::new(id, &placed, prompt, gap, until);
+        self.board.begin(work, self.now);
+        Ok((id, placed))
+    }
+
+    /// Another host sent a prompt to the engine `first`, which `helpers` help to read.
+    fn begin_elsewhere(
+        &mut self,
+        first: usize,
+        helpers: Vec<id::Upstream>,
+        prompt: u64,
+        gap: Span,
+    ) -> placement::WorkId {
+        self.number += 1;
+        let id = placement::WorkId { host: 2, number: self.number };
         let work = placement::Work {
             id,
-            first: placed.first.upstream.clone(),
-            helpers: placed.helpers.iter().map(|help| help.entry.upstream.clone()).collect(),
+            first: name(first),
+            helpers,
             prompt,
-            held: placed.helpers.iter().map(|help| help.reserve).filter(|held| *held > 0).collect(),
+            held: Vec::new(),
             gap,
             until: self.now + Span::from_secs(10),
         };
         self.board.begin(work, self.now);
-        Ok((id, placed))
+        id
     }
 
     /// Short answers under way on all engines, all of them writing.
@@ -181,7 +201,7 @@
         board.end(work.id, day.now);
     }
     assert_eq!(board.works(), 15);
-    board.forget_host(1, day.now);
+    board.keep_only(1, &collections::HashSet::new(), day.now, day.now);
     assert_eq!(board.works(), 0);
 }
 
@@ -202,18 +222,7 @@
 fn a_short_prompt_goes_where_it_has_a_place() {
     let mut day = day_with_slots(8, 4);
     let full = |day: &mut Day, first: usize, prompt: u64| {
-        day.number += 1;
-        let id = placement::WorkId { host: 2, number: day.number };
-        let work = placement::Work {
-            id,
-            first: entry(first, "a").upstream,
-            helpers: Vec::new(),
-            prompt,
-            held: Vec::new(),
-            gap: TIGHT,
-            until: day.now + Span::from_secs(10),
-        };
-        day.board.begin(work, day.now);
+        let id = day.begin_elsewhere(first, Vec::new(), prompt, TIGHT);
         day.board.first_token(id, day.now);
     };
     full(&mut day, 0, 210_000);
@@ -236,24 +245,10 @@
 #[rstest]
 fn engines_that_answer_long_prompts_are_not_asked_to_help() {
     let mut day = day_with_slots(32, 10);
-    let name = |index: usize| entry(index, "a").upstream;
-    let mut begin = |first: usize, helpers: Vec<id::Upstream>, prompt: u64| {
-        day.number += 1;
-        let work = placement::Work {
-            id: placement::WorkId { host: 2, number: day.number },
-            first: name(first),
-            helpers,
-            prompt,
-            held: Vec::new(),
-            gap: LOOSE,
-            until: day.now + Span::from_secs(10),
-        };
-        day.board.begin(work, day.now);
-    };
     for first in 0..16 {
-        begin(first, Vec::new(), 9_000);
+        day.begin_elsewhere(first, Vec::new(), 9_000, LOOSE);
     }
-    begin(31, (16..31).map(name).collect(), 92_000);
+    day.begin_elsewhere(31, (16..31).map(name).collect(), 92_000, LOOSE);
     let placed = day.place(200_000, LOOSE, 400).unwrap();
     let answering = placed.helpers.iter().filter(|helper| helper.entry.upstream < name(16));
     assert!(answering.count() <= 1, "{placed:?}");
@@ -297,17 +292,7 @@
 fn idle_engines_are_used_while_others_are_behind() {
     let mut day = day_with_slots(190, 10);
     for first in 0..100 {
-        day.number += 1;
-        let work = placement::Work {
-            id: placement::WorkId { host: 2, number: day.number },
-            first: routing::Entry { ..entry(first, "a") }.upstream,
-            helpers: Vec::new(),
-            prompt: 180_000,
-            held: Vec::new(),
-            gap: LOOSE,
-            until: day.now + Span::from_secs(10),
-        };
-        day.board.begin(work, day.now);
+        day.begin_elsewhere(first, Vec::new(), 180_000, LOOSE);
     }
     let placed = day.place(250_000, LOOSE, 0).expect("sent at once");
     assert!(placed.expected < Span::from_secs(1), "expected after {:?}", placed.expected);
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -199,3 +199,16 @@
     let look = routing::SourceSettings::default().look_span(apply);
     assert!(look + ASK < apply, "{look:?} of {apply:?}");
 }
+
+/// In a small zone every host reads for itself, the smallest too: it waits for nobody.
+#[rstest]
+fn each_host_of_a_small_zone_reads() {
+    let now = Moment::from_millis(10);
+    let settings = routing::SourceSettings { least_hosts: 3, ..Default::default() };
+    let mut sources = routing::Sources::new(settings, id::Host::from("b"), 0.1);
+    sources.set_peer(id::Host::from("a"), routing::Peer { cores: 0.5 });
+    assert_eq!(sources.next(now), routing::Source::Platform);
+    assert!(sources.is_first(now));
+    sources.set_peer(id::Host::from("c"), routing::Peer { cores: 0.1 });
+    assert!(!sources.is_first(now));
+}
