A caller that left before its answer is logged by its request id

Callers saw: nothing new, but a complaint could not be followed.

Cause: the id was read with the body, inside the work that is dropped when the connection closes; the line is written by the branch that saw the close. Ruled out: lines dropped for their rate (none).

Change: the head is decoded before anything is awaited. stream_ended tells how long ago the last event was passed on. The tests' host moves to a module that several test programs share.

Test: logs::a_caller_that_left_is_logged_by_its_request_id, "not logged in time" before, passes now.

--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -263,16 +263,19 @@
     let arrived = state.clock.now();
     let io = request.io().cloned();
     let busy = io.as_ref().map(|io| connections.busy(io));
+    let fields = fields(request);
+    let call = head::read_call(fields.iter().map(|(name, value)| (name.as_str(), &value[..])));
+    let id = call.request_id.clone();
     let work = async {
-        let request = read(state, request, payload, arrived).await?;
-        let id = request.call.request_id.clone();
+        let body = whole(payload, most_body(state)).await?;
+        let request = whole_request(request, fields, call, body, arrived);
         if state.phase() >= state::Phase::Draining {
             let detail = "this host is shutting down";
             let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
-            return Err((id, fault.after(forward::ELSEWHERE)));
+            return Err(fault.after(forward::ELSEWHERE));
         }
         let caller = forward::Caller { io: io.clone(), _busy: busy, _active: state.enter() };
-        forward::answer(state, request, caller).await.map_err(|fault| (id, fault))
+        forward::answer(state, request, caller).await
     };
     let result = match &io {
         Some(io) => tokio::select! {
@@ -280,14 +283,13 @@
             result = work => result,
             () = io.on_disconnect() => {
                 let fault = answer::Fault::not_run(Reason::CallerLeft, Step::Stream, "");
-                let fault = answer::Fault { outcome: Outcome::Unknown, ..fault };
-                Err((String::new(), fault))
+                Err(answer::Fault { outcome: Outcome::Unknown, ..fault })
             }
         },
         None => work.await,
     };
     let closing = state.phase() > state::Phase::Serving;
-    result.unwrap_or_else(|(id, fault)| {
+    result.unwrap_or_else(|fault| {
         state.metrics.answered("", Some(fault.reason));
         event::Line::new("failed")
             .text("request", &id)
@@ -302,27 +304,29 @@
     })
 }
 
-/// Reads a caller's request whole: another attempt may need its body again.
-async fn read(
-    state: &state::State,
+/// The headers of a caller's request.
+fn fields(request: &web::HttpRequest) -> Vec<(String, Vec<u8>)> {
+    let headers = request.headers().iter();
+    headers.map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec())).collect()
+}
+
+/// Longest body of a request, in bytes.
+fn most_body(state: &state::State) -> usize {
+    let table = state.table();
+    table.map_or(routing::Limits::default().body_bytes, |table| table.limits().body_bytes)
+}
+
+/// A caller's request with its whole body, which another attempt may need again.
+fn whole_request(
     request: &web::HttpRequest,
-    payload: web::types::Payload,
+    fields: Vec<(String, Vec<u8>)>,
+    call: head::Call,
+    body: bytes::Bytes,
     arrived: clock::Moment,
-) -> Result<forward::Request, (String, answer::Fault)> {
-    let fields: Vec<(String, Vec<u8>)> = request
-        .headers()
-        .iter()
-        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
-        .collect();
-    let pairs = fields.iter().map(|(name, value)| (name.as_str(), value.as_slice()));
-    let call = head::read_call(pairs);
-    let most = state
-        .table()
-        .map_or(routing::Limits::default().body_bytes, |table| table.limits().body_bytes);
-    let body = whole(payload, most).await.map_err(|fault| (call.request_id.clone(), fault))?;
+) -> forward::Request {
     let host = request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
-    Ok(forward::Request {
+    forward::Request {
         method: request.method().as_str().to_owned(),
         target: target.to_owned(),
         path: request.uri().path().to_owned(),
@@ -331,7 +335,7 @@
         call,
         arrived,
         fields,
-    })
+    }
 }
 
 async fn whole(payload: web::types::Payload, most: usize) -> Result<bytes::Bytes, answer::Fault> {
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -154,10 +154,17 @@
             .number("events", self.events)
             .number("upstreams", self.upstreams)
             .span("longest_pause_ms", self.longest_pause)
+            .span("silent_ms", self.silent())
             .span("after_ms", self.since_arrival())
             .info();
     }
 
+    /// Time since the last event was passed on, or since the arrival where none was.
+    fn silent(&self) -> clock::Span {
+        let last = if self.events == 0 { self.admitted.request.arrived } else { self.passed };
+        self.admitted.state.clock.now().since(last)
+    }
+
     fn since_arrival(&self) -> clock::Span {
         self.admitted.state.clock.now().since(self.admitted.request.arrived)
     }
--- /dev/null
+++ b/crates/lagoon-gateway/tests/logs.rs
@@ -0,0 +1,52 @@
+//! What the log says of a request, by which a failure is explained afterwards.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod standin;
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod host;
+
+use std::io::Write;
+use std::net;
+use std::sync;
+
+use rstest::rstest;
+
+use host::Host;
+use standin::Manner;
+
+/// Lines that the process has logged.
+static LINES: sync::Mutex<Vec<String>> = sync::Mutex::new(Vec::new());
+
+struct Lines;
+
+impl log::Log for Lines {
+    fn enabled(&self, _metadata: &log::Metadata<'_>) -> bool {
+        true
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        LINES.lock().unwrap().push(record.args().to_string());
+    }
+
+    fn flush(&self) {}
+}
+
+/// Guards against a failure line without the request's id when the caller left before its answer.
+#[rstest]
+fn a_caller_that_left_is_logged_by_its_request_id() {
+    log::set_logger(&Lines).unwrap();
+    log::set_max_level(log::LevelFilter::Info);
+    let host = Host::start();
+    host.standin.manner("e1", Manner::Hold);
+    host.standin.manner("e2", Manner::Hold);
+    let mut stream = net::TcpStream::connect(host.callers).unwrap();
+    let head = "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: left-early\r\n\
+         authorization: Token k1\r\nlagoonline-token-count: 5000,400\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    host.until("sent", || !host.standin.seen().is_empty());
+    drop(stream);
+    let logged = |line: &String| line.contains("caller_left") && line.contains("left-early");
+    host.until("logged", || LINES.lock().unwrap().iter().any(logged));
+}
--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -4,6 +4,9 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod standin;
 
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod host;
+
 use std::io::{Read, Write};
 use std::net;
 use std::time;
@@ -11,163 +14,8 @@
 use rstest::rstest;
 use serde_json::json;
 
-use standin::{Manner, Standin, event};
-
-/// Longest time that a step may take on a busy machine.
-const PATIENCE: time::Duration = time::Duration::from_secs(20);
-
-struct Host {
-    standin: Standin,
-    running: Option<lagoon_gateway::Running>,
-    callers: net::SocketAddr,
-    ready: net::SocketAddr,
-}
-
-fn node(standin: &Standin) -> lagoon_platform::settings::Node {
-    let text = format!(
-        "NodeName: h1\nIp: 127.0.0.1\nZone: a\nListen:\n  Front: \"127.0.0.1:0\"\n  \
-         Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{}\"\n\
-         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: 1500\n",
-        standin.store_address
-    );
-    lagoon_platform::settings::read(&text).unwrap()
-}
-
-fn desired(version: u64, keys: &[&str], timeout: u64) -> serde_json::Value {
-    let engine = json!({"Slots": 16, "KvCacheTokens": 232000, "Stride": 43, "step_ms": 1.0,
-        "read_per_s": 206000.0, "pairs_per_m": 0.138, "chunk": 2048});
-    json!({"Version": version,
-        "Routes": [
-            {"Name": "talk", "Host": "x.example", "Prefix": "/talk/", "Kind": "streaming",
-             "TimeoutMs": timeout, "TargetLatencyMs": 300, "Service": "llm", "MaxAttempts": 2,
-             "Resumable": true, "TargetGapMs": 250},
-            {"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
-             "TimeoutMs": timeout, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1},
-            {"Name": "look", "Host": "x.example", "Prefix": "/look/", "Kind": "safe",
-             "TimeoutMs": timeout, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 2}],
-        "Services": [{"Name": "llm", "HealthPath": "/h", "MaxConnections": 100, "Engine": engine},
-                     {"Name": "app", "HealthPath": "/h", "MaxConnections": 100}],
-        "Tenants": [{"Name": "c1", "ApiKeys": keys}]})
-}
-
-impl Host {
-    /// A host that is ready, before two engines and two replicas.
-    fn start() -> Host {
-        let standin = Standin::start();
-        standin.put("op", "config", &desired(1, &["k1"], 10_000));
-        for name in ["e1", "e2"] {
-            standin.upstream(name, "llm", 16);
-        }
-        for name in ["r1", "r2"] {
-            standin.upstream(name, "app", 6);
-        }
-        let settings = lagoon_gateway::Settings {
-            node: node(&standin),
-            tuning: lagoon_gateway::Tuning {
-                desired_wait: time::Duration::from_millis(400),
-                upstreams_pause: time::Duration::from_millis(20),
-                ..Default::default()
-            },
-        };
-        let running = lagoon_gateway::start(settings).unwrap();
-        let handle = running.handle();
-        let host = Host {
-            standin,
-            running: Some(running),
-            callers: handle.callers(),
-            ready: handle.ready(),
-        };
-        host.until("ready", || host.readiness() == 200);
-        host
-    }
-
-    fn until<Check>(&self, what: &str, mut check: Check)
-    where
-        Check: FnMut() -> bool,
-    {
-        let began = time::Instant::now();
-        while !check() {
-            assert!(began.elapsed() < PATIENCE, "not {what} in time");
-            std::thread::sleep(time::Duration::from_millis(10));
-        }
-    }
-
-    fn readiness(&self) -> u16 {
-        exchange(self.ready, "GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n").0
-    }
-
-    fn call(&self, method: &str, path: &str, key: &str, more: &str) -> (u16, String) {
-        let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
-             authorization: Token {key}\r\nlagoonline-request-deadline: 8000\r\n{more}\r\n"
-        );
-        exchange(self.callers, &head)
-    }
-
-    fn talk(&self) -> (u16, String) {
-        self.call("POST", "/talk/a", "k1", "lagoonline-token-count: 5000,400\r\n")
-    }
-
-    fn ran(&self) -> usize {
-        self.standin.seen().iter().filter(|seen| seen.ran).count()
-    }
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        if let Some(running) = self.running.take() {
-            running.handle().drain();
-        }
-    }
-}
-
-/// Sends a request and reads its answer; the status, and the body as far as it came. Status 0 is
-/// no answer. A chunked body that ends without its end mark has " CUT" behind it.
-fn exchange(address: net::SocketAddr, head: &str) -> (u16, String) {
-    let mut stream = net::TcpStream::connect(address).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
-    stream.write_all(head.as_bytes()).unwrap();
-    let mut bytes = Vec::new();
-    let mut buffer = [0; 4096];
-    loop {
-        let text = String::from_utf8_lossy(&bytes).into_owned();
-        if let Some(answer) = parse(&text, false) {
-            return answer;
-        }
-        match stream.read(&mut buffer) {
-            Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
-            _ => return parse(&text, true).unwrap_or((0, text)),
-        }
-    }
-}
-
-fn parse(text: &str, ended: bool) -> Option<(u16, String)> {
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    if !head.contains("chunked") {
-        let length = head.lines().find_map(|line| line.strip_prefix("content-length: "))?;
-        let length: usize = length.trim().parse().ok()?;
-        return (body.len() >= length).then(|| (status, body.to_owned()));
-    }
-    let mut whole = String::new();
-    let mut left = body;
-    while let Some((size, rest)) = left.split_once("\r\n") {
-        let size = usize::from_str_radix(size, 16).ok()?;
-        if size == 0 {
-            return Some((status, whole));
-        }
-        if rest.len() < size + 2 {
-            break;
-        }
-        whole.push_str(&rest[..size]);
-        left = &rest[size + 2..];
-    }
-    ended.then(|| (status, whole + " CUT"))
-}
-
-fn all_events() -> String {
-    (1..=standin::EVENTS).map(event).collect()
-}
+use host::{Host, PATIENCE, all_events, desired, exchange};
+use standin::{Manner, event};
 
 /// A quiet day: a stream, a booking and a lookup are answered whole; the upstream is shown the
 /// customer and never the key, and gets the time that is left.
