A long prompt waits only while it can be in time, and is refused at once behind a long queue

Cause: a fixed patience of 5 s, twice to three times the time in which a first token is due; and the queue is at the hosts, since what engines read is bounded at 200 ms, but nothing counted it.

Change: Outlook of the first token by the engines' backlog, by smaller prompts waiting at this host times the hosts, and by the pace of reading; refused as soon as it is beyond the target, with that time as Retry-After. Refusals carry a Shortage, also between hosts.

Tests, both fail with the check off: a_prompt_behind_a_long_queue_is_refused_at_once, a_prompt_that_can_no_longer_be_in_time_is_refused. Known asserts of Busy and Full now name the shortage too, which is stricter.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -116,6 +116,19 @@
     underway: underway::Underway,
 }
 
+/// A request's turn among the prompts that wait at this host, until it is dropped.
+#[derive(Debug)]
+struct Turn {
+    desk: sync::Arc<sync::Mutex<state::Desk>>,
+    number: u64,
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        state::lock(&self.desk).waiting.leave(self.number);
+    }
+}
+
 /// Answers `request`.
 ///
 /// # Errors
@@ -244,12 +257,20 @@
     /// Why it gets none; nothing was sent.
     pub(crate) async fn secure(&self, avoid: &[id::Upstream]) -> Result<Secured, answer::Fault> {
         let first_try = self.state.clock.now();
+        let mut lacking = None;
+        let mut turn: Option<Turn> = None;
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let schedule::Decided { id, decider, result } = self.place(avoid, waited).await;
+            let queued_ms = self.queued_ms(turn.as_ref());
+            let decided = self.place(avoid, waited, queued_ms).await;
+            let schedule::Decided { id, decider, result } = decided;
             let placement = match result {
                 Ok(placement) => placement,
-                Err(placement::Refusal::Busy) if self.left() > WORTH_TRYING => {
+                Err(placement::Refusal::Busy(shortage)) if self.left() > WORTH_TRYING => {
+                    turn = turn.or_else(|| self.join_waiting());
+                    if lacking.replace(shortage) != Some(shortage) {
+                        self.log_wait(shortage, waited);
+                    }
                     let pause = BUSY_PAUSE.min(self.route.target / 20);
                     tokio::time::sleep(spread(pause)).await;
                     continue;
@@ -312,8 +333,34 @@
         reserve::take(&self.state, &name, &placement.first, &wanted).await.map(Some)
     }
 
+    /// The request takes its turn among the prompts that wait at this host.
+    fn join_waiting(&self) -> Option<Turn> {
+        let desk = self.state.desk(&self.service)?;
+        let number = {
+            let mut desk = state::lock(&desk);
+            let read_ms = desk.board.read_ms(self.request.call.prompt_tokens.unwrap_or(0));
+            desk.waiting.join(read_ms)
+        };
+        Some(Turn { desk, number })
+    }
+
+    /// Milliseconds that one engine would read the prompts that wait before the request at all
+    /// hosts: callers are spread over hosts, so as much waits at each of them as at this one.
+    fn queued_ms(&self, turn: Option<&Turn>) -> f64 {
+        let Some(desk) = self.state.desk(&self.service) else { return 0.0 };
+        let desk = state::lock(&desk);
+        let read_ms = desk.board.read_ms(self.request.call.prompt_tokens.unwrap_or(0));
+        let ahead_ms = desk.waiting.ahead_ms(turn.map(|turn| turn.number), read_ms);
+        ahead_ms * self.state.hosts() as f64
+    }
+
     /// Where the request goes next, after it has waited for `waited`.
-    async fn place(&self, avoid: &[id::Upstream], waited: clock::Span) -> schedule::Decided {
+    async fn place(
+        &self,
+        avoid: &[id::Upstream],
+        waited: clock::Span,
+        queued_ms: f64,
+    ) -> schedule::Decided {
         let now = self.state.clock.now();
         let demand = placement::Demand {
             prompt: self.request.call.prompt_tokens.unwrap_or(0),
@@ -321,6 +368,7 @@
             target: (self.request.arrived + self.route.target).since(now),
             gap: self.gap(),
             waited,
+            queued_ms,
             zone: &self.state.settings.node.zone,
             avoid,
             draw: rand::rng().random(),
@@ -343,8 +391,8 @@
             placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
             // Engines may be missing for a moment, and a status of the caller's own fault is final.
             placement::Refusal::TooLong => (Reason::Saturated, COME_BACK),
-            placement::Refusal::Busy => (Reason::Saturated, COME_BACK),
-            placement::Refusal::Full(span) => (Reason::Saturated, spread(span)),
+            placement::Refusal::Busy(_) => (Reason::Saturated, COME_BACK),
+            placement::Refusal::Full(_, span) => (Reason::Saturated, spread(span)),
         };
         answer::Fault::not_run(reason, Step::Route, detail).after(span)
     }
@@ -565,6 +613,17 @@
             .info();
     }
 
+    /// The request waits, or waits for something else than before.
+    fn log_wait(&self, shortage: placement::Shortage, waited: clock::Span) {
+        event::Line::new("waits")
+            .text("request", &self.request.call.request_id)
+            .text("route", &self.route.name)
+            .number("prompt_tokens", self.request.call.prompt_tokens.unwrap_or(0))
+            .text("engines", shortage)
+            .span("waited_ms", waited)
+            .info();
+    }
+
     pub(crate) fn log_miss(&self, upstream: &id::Upstream, missed: &attempt::Miss) {
         event::Line::new("attempt_missed")
             .text("request", &self.request.call.request_id)
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -38,6 +38,9 @@
     /// Upstreams that failed it.
     #[prost(string, repeated, tag = "9")]
     pub(crate) avoid: Vec<String>,
+    /// Milliseconds that one engine would read the prompts that wait before it.
+    #[prost(uint32, tag = "10")]
+    pub(crate) queued_ms: u32,
 }
 
 impl Question {
@@ -58,6 +61,7 @@
             waited_ms: word::millis(demand.waited),
             left_ms: word::millis(left),
             avoid: demand.avoid.iter().map(ToString::to_string).collect(),
+            queued_ms: demand.queued_ms as u32,
         }
     }
 
@@ -74,6 +78,7 @@
             target: word::span(self.target_ms),
             gap: word::span(self.gap_ms),
             waited: word::span(self.waited_ms),
+            queued_ms: f64::from(self.queued_ms),
             zone,
             avoid,
             draw,
@@ -168,9 +173,48 @@
     /// The reason.
     #[prost(enumeration = "Reason", tag = "1")]
     pub(crate) reason: i32,
-    /// Milliseconds after which places are expected, where engines are full.
+    /// Milliseconds after which engines are expected to have what they lack, where they are full.
     #[prost(uint32, tag = "2")]
     pub(crate) span_ms: u32,
+    /// What they lack, where it should wait or they are full.
+    #[prost(enumeration = "Shortage", tag = "3")]
+    pub(crate) shortage: i32,
+}
+
+/// What engines lack.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, prost::Enumeration)]
+#[repr(i32)]
+pub(crate) enum Shortage {
+    /// A place for an answer.
+    Place = 0,
+    /// Memory for a prompt.
+    Memory = 1,
+    /// Time to read a prompt.
+    Reading = 2,
+    /// Pauses that answers under way can bear.
+    Pause = 3,
+}
+
+impl From<placement::Shortage> for Shortage {
+    fn from(shortage: placement::Shortage) -> Shortage {
+        match shortage {
+            placement::Shortage::Place => Shortage::Place,
+            placement::Shortage::Memory => Shortage::Memory,
+            placement::Shortage::Reading => Shortage::Reading,
+            placement::Shortage::Pause => Shortage::Pause,
+        }
+    }
+}
+
+impl From<Shortage> for placement::Shortage {
+    fn from(shortage: Shortage) -> placement::Shortage {
+        match shortage {
+            Shortage::Place => placement::Shortage::Place,
+            Shortage::Memory => placement::Shortage::Memory,
+            Shortage::Reading => placement::Shortage::Reading,
+            Shortage::Pause => placement::Shortage::Pause,
+        }
+    }
 }
 
 /// Why a request cannot be placed.
@@ -189,23 +233,30 @@
 
 impl From<placement::Refusal> for Refused {
     fn from(refusal: placement::Refusal) -> Refused {
-        let (reason, span) = match refusal {
-            placement::Refusal::NoUpstream => (Reason::NoUpstream, clock::Span::ZERO),
-            placement::Refusal::TooLong => (Reason::TooLong, clock::Span::ZERO),
-            placement::Refusal::Busy => (Reason::Busy, clock::Span::ZERO),
-            placement::Refusal::Full(span) => (Reason::Full, span),
+        let refused = |reason: Reason| Refused { reason: reason.into(), ..Refused::default() };
+        let lacking = |reason, shortage| Refused {
+            shortage: Shortage::from(shortage).into(),
+            ..refused(reason)
         };
-        Refused { reason: reason.into(), span_ms: word::millis(span) }
+        match refusal {
+            placement::Refusal::NoUpstream => refused(Reason::NoUpstream),
+            placement::Refusal::TooLong => refused(Reason::TooLong),
+            placement::Refusal::Busy(shortage) => lacking(Reason::Busy, shortage),
+            placement::Refusal::Full(shortage, span) => {
+                Refused { span_ms: word::millis(span), ..lacking(Reason::Full, shortage) }
+            }
+        }
     }
 }
 
 impl From<&Refused> for placement::Refusal {
     fn from(refused: &Refused) -> placement::Refusal {
+        let shortage = placement::Shortage::from(refused.shortage());
         match refused.reason() {
             Reason::NoUpstream => placement::Refusal::NoUpstream,
             Reason::TooLong => placement::Refusal::TooLong,
-            Reason::Busy => placement::Refusal::Busy,
-            Reason::Full => placement::Refusal::Full(word::span(refused.span_ms)),
+            Reason::Busy => placement::Refusal::Busy(shortage),
+            Reason::Full => placement::Refusal::Full(shortage, word::span(refused.span_ms)),
         }
     }
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -42,6 +42,8 @@
     pub(crate) board: placement::Board,
     /// Repeats that are left.
     pub(crate) budget: retry::Budget,
+    /// Prompts that wait at this host for engines to have less to read.
+    pub(crate) waiting: placement::Waiting,
 }
 
 /// What the process knows since its start.
@@ -320,7 +322,16 @@
         let mut budget = retry::Budget::default();
         let hosts = self.hosts.load(atomic::Ordering::Relaxed);
         budget.share_slack(self.settings.node.bounds.retry_slack, hosts);
-        sync::Arc::new(sync::Mutex::new(Desk { board, budget }))
+        sync::Arc::new(sync::Mutex::new(Desk {
+            board,
+            budget,
+            waiting: placement::Waiting::default(),
+        }))
+    }
+
+    /// Entry hosts, this one included.
+    pub(crate) fn hosts(&self) -> usize {
+        self.hosts.load(atomic::Ordering::Relaxed)
     }
 
     /// There are so many entry hosts, this one included.
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -22,11 +22,13 @@
 mod prompt;
 mod reading;
 mod settings;
+mod waiting;
 
 pub use cut::Cuts;
 use engine::Engine;
 use reading::Reading;
 pub use settings::Settings;
+pub use waiting::Waiting;
 
 /// A request under way: the host that sent it, and its number there.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -92,6 +94,8 @@
     pub gap: clock::Span,
     /// How long it has waited at this host.
     pub waited: clock::Span,
+    /// Milliseconds that one engine would read the prompts that wait before it at all hosts.
+    pub queued_ms: f64,
     /// Zone of this host.
     pub zone: &'a id::Zone,
     /// Upstreams that failed this request.
@@ -157,13 +161,30 @@
     /// The prompt is larger than the memory of all engines together that may help.
     #[error("too long")]
     TooLong,
-    /// It should wait a moment at this host: engines have no place or no memory for it, or so much
-    /// to read that others would come too late.
-    #[error("engines are busy")]
-    Busy,
-    /// It would come too late; places are expected after this span.
-    #[error("engines are full for {0:?}")]
-    Full(clock::Span),
+    /// It should wait a moment at this host for what engines lack.
+    #[error("engines are busy: {0}")]
+    Busy(Shortage),
+    /// It would come too late; engines are expected to have what they lack after this span.
+    #[error("engines are full for {1:?}: {0}")]
+    Full(Shortage, clock::Span),
+}
+
+/// What engines lack for a request that cannot be placed now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Shortage {
+    /// A place for its answer.
+    #[error("no place")]
+    Place,
+    /// Memory for its prompt.
+    #[error("no memory")]
+    Memory,
+    /// Time to read its prompt soon enough.
+    #[error("too much to read")]
+    Reading,
+    /// Pauses that answers under way can bear: its parts would make more of them late than its own
+    /// answer is worth.
+    #[error("answers under way would be late")]
+    Pause,
 }
 
 /// A request under way, and since when this host knows of it.
@@ -241,6 +262,12 @@
         pace.map_or(0.0, |pace| pace.read_ms(work.prompt))
     }
 
+    /// Milliseconds that one engine alone reads a prompt of `tokens`; 0 where nothing is read.
+    pub fn read_ms(&self, tokens: u64) -> f64 {
+        let pace = self.upstreams.values().find_map(Engine::pace);
+        pace.map_or(0.0, |pace| pace.read_ms(tokens))
+    }
+
     /// Whether the prompt of `work` is read.
     fn is_read(&self, work: &Work) -> bool {
         self.upstreams.get(&work.first).is_some_and(|engine| engine.writes(work.id))
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -1,7 +1,7 @@
 //! Where a prompt goes: the engines that may be used, the ways to use them, and what each way earns
 //! and takes from others.
 
-use super::{Board, Demand, Engine, Helper, Placement, Refusal, spread};
+use super::{Board, Demand, Engine, Helper, Placement, Refusal, Shortage, spread};
 use crate::clock;
 use crate::load::pass;
 
@@ -43,6 +43,17 @@
     next: Option<usize>,
 }
 
+/// When a request that cannot be placed now might be served.
+#[derive(Clone, Copy, Debug)]
+struct Outlook {
+    /// What engines lack for it.
+    shortage: Shortage,
+    /// Milliseconds until they are expected to have it.
+    free_ms: f64,
+    /// Milliseconds until its first token at the earliest.
+    first_ms: f64,
+}
+
 /// What an answer that is late is worth, of one in time: owners of services value it at a quarter.
 const LATE_VALUE: f64 = 0.25;
 /// Multiple of the target after which nobody waits for a first token any more.
@@ -125,7 +136,7 @@
         let reading = (pace.read_ms(demand.prompt), self.settings.part_ms);
         match self.plan(demand, division, &all, reading, now) {
             Ok(plan) => Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share, now)),
-            Err(Refusal::Busy) => Err(self.without_place(demand, pace)),
+            Err(Refusal::Busy(_)) => Err(self.without_place(demand, pace)),
             Err(refusal) => Err(refusal),
         }
     }
@@ -143,9 +154,11 @@
         let total_ms = pace.read_ms(demand.prompt);
         let part_ms = self.settings.loose_part_ms;
         let wish = self.wish(total_ms, part_ms);
-        self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms, wish)?;
+        self.check_backlog(demand, &usable[kept.min(usable.len() - 1)..], total_ms, wish, now)?;
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
+        let free_ms = self.write_span(pace).as_secs_f64() * 1e3;
+        let part_alone_ms = total_ms / wish as f64;
         for side in [Side::Unharmed, Side::Own, Side::Any] {
             let eligible = self.eligible(division, side, total_ms.min(part_ms));
             match self.plan(demand, division, &eligible, (total_ms, part_ms), now) {
@@ -162,9 +175,17 @@
             Some(plan) if plan.net >= 0.0 => {
                 Ok(placed(demand, usable, pace, &plan, self.settings.reserve_share, now))
             }
-            Some(_) => Err(self.not_now(demand)),
-            None if refusal == Refusal::Busy => Err(self.not_now(demand)),
-            None => Err(refusal),
+            Some(plan) => {
+                let first_ms = plan.expected;
+                Err(self.not_now(demand, Outlook { shortage: Shortage::Pause, free_ms, first_ms }))
+            }
+            None => match refusal {
+                Refusal::Busy(shortage) => {
+                    let first_ms = part_alone_ms;
+                    Err(self.not_now(demand, Outlook { shortage, free_ms, first_ms }))
+                }
+                other => Err(other),
+            },
         }
     }
 
@@ -177,11 +198,16 @@
     /// every place has changed hands once.
     fn without_place(&self, demand: &Demand<'_>, pace: pass::Pace) -> Refusal {
         if demand.waited < demand.target.mul_f64(self.settings.hold_share) {
-            return Refusal::Busy;
+            return Refusal::Busy(Shortage::Place);
         }
+        Refusal::Full(Shortage::Place, self.write_span(pace))
+    }
+
+    /// How long a full engine writes a usual answer: places and memory change hands within it.
+    fn write_span(&self, pace: pass::Pace) -> clock::Span {
         let context = u64::from(pace.slots) * pace.usual_prompt;
         let pass_ms = pace.pass_ms(pace.slots, context);
-        Refusal::Full(pace.write_span(pace.usual_answer, pass_ms))
+        pace.write_span(pace.usual_answer, pass_ms)
     }
 
     /// Whether a long prompt may add to what the engines of its side have to read.
@@ -190,15 +216,15 @@
     /// once, they queue in the engines, where nobody passes them: every one of them is late, and
     /// when short prompts return they find seconds of reading before them. So what is read is
     /// bounded, and tighter for a larger prompt: smaller ones, which earn more for the time that
-    /// they take, pass it at the hosts. The bound grows while it waits, and ends after
-    /// [`Settings::patience`] of it. Those engines count that would read it: among hundreds some are
-    /// idle while others have much to read.
+    /// they take, pass it at the hosts. The bound grows while it waits. Those engines count that
+    /// would read it: among hundreds some are idle while others have much to read.
     fn check_backlog(
         &self,
         demand: &Demand<'_>,
         engines: &[&Engine],
         total_ms: f64,
         wish: usize,
+        now: clock::Moment,
     ) -> Result<(), Refusal> {
         let mut reading: Vec<f64> = engines.iter().map(|engine| engine.reading_ms()).collect();
         reading.sort_by(f64::total_cmp);
@@ -208,11 +234,15 @@
         let scaled = self.settings.backlog_ms * self.settings.backlog_prompt_ms / total_ms.max(1.0);
         let bound = scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
             + waited * self.settings.backlog_growth;
-        let patient = demand.waited < self.settings.patience;
-        if patient && backlog > bound {
-            return Err(Refusal::Busy);
+        if backlog <= bound {
+            return Ok(());
         }
-        Ok(())
+        let drained_ms = (backlog - bound) / (1.0 + self.settings.backlog_growth);
+        let planned = engines.len() as f64 * self.settings.read_share;
+        let pace = self.reading.engines(now).max(planned).max(1.0);
+        let free_ms = drained_ms + demand.queued_ms / pace;
+        let first_ms = free_ms + bound + total_ms / wish as f64;
+        Err(self.not_now(demand, Outlook { shortage: Shortage::Reading, free_ms, first_ms }))
     }
 
     /// The engines that a plan for a prompt whose answer bears long pauses may use.
@@ -267,7 +297,7 @@
         let ever_fits = usable.iter().any(|engine| engine.memory(share) >= need);
         if fits.is_none() && tight && ever_fits {
             // An engine of which all places are taken may have the room; it would be late there.
-            return Err(Refusal::Busy);
+            return Err(Refusal::Busy(Shortage::Memory));
         }
         let (first, mut helpers) = match fits {
             Some(index) => (*index, Vec::new()),
@@ -322,18 +352,20 @@
         value(demand.prompt) * in_time * served - (writers + arrivals) * (1.0 - LATE_VALUE)
     }
 
-    /// What becomes of a long prompt for which there is no memory, or that would take more from
-    /// others than its answer is worth.
+    /// What becomes of a long prompt for which engines lack something.
     ///
-    /// Load pattern: one prompt of several engines' memory among a burst of short ones. Its parts
-    /// stop every engine for seconds, and hundreds of answers are late for one. It waits for a
-    /// calmer moment, and is then asked to come back.
-    fn not_now(&self, demand: &Demand<'_>) -> Refusal {
-        if demand.waited < self.settings.patience {
-            Refusal::Busy
-        } else {
-            Refusal::Full(self.settings.patience / 2)
+    /// Load pattern: long prompts come faster than engines read them, or one of several engines'
+    /// memory among a burst of short ones. Held until its patience ends, a prompt is refused seconds
+    /// after it could no longer be in time. So it waits only while it can be, and is refused as soon
+    /// as what waits before it or the time left shows that it cannot, with the time after which
+    /// engines are expected to have what they lack.
+    fn not_now(&self, demand: &Demand<'_>, outlook: Outlook) -> Refusal {
+        let in_time = outlook.first_ms <= demand.target.as_secs_f64() * 1e3;
+        if in_time && demand.waited < self.settings.patience {
+            return Refusal::Busy(outlook.shortage);
         }
+        let free = clock::Span::try_from_secs_f64(outlook.free_ms / 1e3).unwrap_or_default();
+        Refusal::Full(outlook.shortage, free.max(self.settings.full_span))
     }
 
     /// The indices `eligible` by cost, in which a draw hides small differences: hosts that have not
@@ -405,7 +437,7 @@
             holders.push((index, part));
             left -= part;
         }
-        if left > 0 { Err(Refusal::Busy) } else { Ok(holders) }
+        if left > 0 { Err(Refusal::Busy(Shortage::Memory)) } else { Ok(holders) }
     }
 
     /// What reading a part on `engine` costs, in milliseconds of delay: the wait of the part, and
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -5,6 +5,7 @@
 
 use std::collections;
 use std::net;
+use std::sync;
 
 use lagoonline::clock::{Moment, Span};
 use lagoonline::id;
@@ -47,19 +48,13 @@
 /// Requests under way, by the order in which they were sent.
 struct Day {
     board: placement::Board,
-    zone: id::Zone,
     now: Moment,
     number: u64,
 }
 
 impl Day {
     fn new(engines: usize) -> Day {
-        Day {
-            board: board(engines),
-            zone: id::Zone::from("a"),
-            now: Moment::from_millis(10),
-            number: 0,
-        }
+        Day { board: board(engines), now: Moment::from_millis(10), number: 0 }
     }
 
     fn pass(&mut self, millis: u64) {
@@ -72,17 +67,46 @@
         gap: Span,
         waited: u64,
     ) -> Result<placement::Placement, placement::Refusal> {
-        let demand = placement::Demand {
+        let target = if gap == TIGHT { Span::from_millis(300) } else { Span::from_millis(2_500) };
+        self.ask(&placement::Demand {
             prompt,
-            answer: 400,
-            target: if gap == TIGHT { Span::from_millis(300) } else { Span::from_millis(2_500) },
+            target,
             gap,
             waited: Span::from_millis(waited),
-            zone: &self.zone,
+            ..self.demand()
+        })
+    }
+
+    /// A long prompt that has just arrived.
+    fn demand(&self) -> placement::Demand<'static> {
+        static ZONE: sync::LazyLock<id::Zone> = sync::LazyLock::new(|| id::Zone::from("a"));
+        placement::Demand {
+            prompt: 133_000,
+            answer: 400,
+            target: Span::from_millis(2_500),
+            gap: LOOSE,
+            waited: Span::ZERO,
+            queued_ms: 0.0,
+            zone: &ZONE,
             avoid: &[],
             draw: self.number,
-        };
-        self.board.place(&demand, self.now)
+        }
+    }
+
+    fn ask(
+        &mut self,
+        demand: &placement::Demand<'_>,
+    ) -> Result<placement::Placement, placement::Refusal> {
+        self.board.place(demand, self.now)
+    }
+
+    /// Long prompts on all engines, as many as may be read at once.
+    fn fill_with_reading(&mut self) {
+        let mut sent = 0;
+        while self.send(133_000, LOOSE).is_ok() {
+            sent += 1;
+            assert!(sent < 50, "no bound on what is read");
+        }
     }
 
     /// Places a request and sends it there.
@@ -387,9 +411,9 @@
 fn a_giant_does_not_stop_a_burst() {
     let mut day = Day::new(18);
     day.burst(200);
-    assert_eq!(day.place(600_000, LOOSE, 0), Err(placement::Refusal::Busy));
+    assert!(matches!(day.place(600_000, LOOSE, 0), Err(placement::Refusal::Busy(_))));
     let patience = day.place(600_000, LOOSE, 6_000);
-    assert!(matches!(patience, Err(placement::Refusal::Full(_))), "{patience:?}");
+    assert!(matches!(patience, Err(placement::Refusal::Full(..))), "{patience:?}");
     day.pass(11_000);
     day.board.expire(day.now);
     assert!(day.place(600_000, LOOSE, 0).is_ok());
@@ -429,8 +453,9 @@
 fn short_prompts_beyond_all_places_are_refused() {
     let mut day = Day::new(3);
     day.burst(48);
-    assert_eq!(day.place(5_000, TIGHT, 0), Err(placement::Refusal::Busy));
-    let Err(placement::Refusal::Full(span)) = day.place(5_000, TIGHT, 200) else {
+    let no_place = placement::Shortage::Place;
+    assert_eq!(day.place(5_000, TIGHT, 0), Err(placement::Refusal::Busy(no_place)));
+    let Err(placement::Refusal::Full(_, span)) = day.place(5_000, TIGHT, 200) else {
         panic!("not refused");
     };
     assert!(span > Span::from_millis(500) && span < Span::from_secs(5), "come back in {span:?}");
@@ -447,12 +472,42 @@
         assert!(sent < 50, "no bound on what is read");
     }
     day.pass(60);
-    assert_eq!(day.place(350_000, LOOSE, 0), Err(placement::Refusal::Busy));
+    let reading = placement::Shortage::Reading;
+    assert_eq!(day.place(350_000, LOOSE, 0), Err(placement::Refusal::Busy(reading)));
     assert!(day.place(40_000, LOOSE, 0).is_ok());
     day.pass(1_500);
     assert!(day.place(133_000, LOOSE, 0).is_ok());
 }
 
+/// Guards against holding a prompt that cannot be in time behind those that wait at the hosts.
+#[rstest]
+fn a_prompt_behind_a_long_queue_is_refused_at_once() {
+    let mut day = Day::new(18);
+    day.fill_with_reading();
+    let short_queue = placement::Demand { queued_ms: 5_000.0, ..day.demand() };
+    let reading = placement::Shortage::Reading;
+    assert_eq!(day.ask(&short_queue), Err(placement::Refusal::Busy(reading)));
+    let long_queue = placement::Demand { queued_ms: 60_000.0, ..day.demand() };
+    let Err(placement::Refusal::Full(_, span)) = day.ask(&long_queue) else {
+        panic!("held behind a queue of 60 s of reading");
+    };
+    assert!(span > Span::from_secs(3) && span < Span::from_secs(8), "come back in {span:?}");
+}
+
+/// Guards against holding a prompt whose time to the first token is over.
+#[rstest]
+fn a_prompt_that_can_no_longer_be_in_time_is_refused() {
+    let mut day = Day::new(18);
+    day.fill_with_reading();
+    let late = placement::Demand {
+        target: Span::from_millis(50),
+        waited: Span::from_millis(100),
+        ..day.demand()
+    };
+    let refused = day.ask(&late);
+    assert!(matches!(refused, Err(placement::Refusal::Full(..))), "{refused:?}");
+}
+
 /// A zone is cut off: two of its engines cannot be reached. Its others are passed over without a
 /// trial of each, and prompts are read on this side of the cut; when one answers again they are
 /// back.
@@ -483,16 +538,7 @@
         day.board.helper_failed(&first, &helper, day.now);
     }
     let near: Vec<_> = (0..18).step_by(3).map(|index| entry(index, "a").upstream).collect();
-    let demand = placement::Demand {
-        prompt: 133_000,
-        answer: 400,
-        target: Span::from_millis(2_500),
-        gap: LOOSE,
-        waited: Span::ZERO,
-        zone: &day.zone,
-        avoid: &near,
-        draw: 3,
-    };
+    let demand = placement::Demand { avoid: &near, draw: 3, ..day.demand() };
     let placed = day.board.place(&demand, day.now).unwrap();
     let zones: collections::BTreeSet<&str> = placed
         .helpers
@@ -564,6 +610,7 @@
         target: Span::from_millis(200),
         gap: Span::ZERO,
         waited: Span::ZERO,
+        queued_ms: 0.0,
         zone: &zone,
         avoid: &[],
         draw: 7,
