The queue of prompts is known to the host that decides, not estimated from each caller's host

A host of a zone in which one decides counted its own waiting prompts times all hosts: at two hundred hosts one waiting prompt would have counted as a queue of two hundred, and its host's next callers been turned away.

The asking hosts keep no queue.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -116,19 +116,6 @@
     underway: underway::Underway,
 }
 
-/// A request's turn among the prompts that wait at this host, until it is dropped.
-#[derive(Debug)]
-struct Turn {
-    desk: sync::Arc<sync::Mutex<state::Desk>>,
-    number: u64,
-}
-
-impl Drop for Turn {
-    fn drop(&mut self) {
-        state::lock(&self.desk).waiting.leave(self.number);
-    }
-}
-
 /// Answers `request`.
 ///
 /// # Errors
@@ -258,16 +245,14 @@
     pub(crate) async fn secure(&self, avoid: &[id::Upstream]) -> Result<Secured, answer::Fault> {
         let first_try = self.state.clock.now();
         let mut lacking = None;
-        let mut turn: Option<Turn> = None;
+        let turn = self.state.next_work();
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let queued_ms = self.queued_ms(turn.as_ref());
-            let decided = self.place(avoid, waited, queued_ms).await;
+            let decided = self.place(avoid, waited, turn).await;
             let schedule::Decided { id, decider, result } = decided;
             let placement = match result {
                 Ok(placement) => placement,
                 Err(placement::Refusal::Busy(shortage)) if self.left() > WORTH_TRYING => {
-                    turn = turn.or_else(|| self.join_waiting());
                     if lacking.replace(shortage) != Some(shortage) {
                         self.log_wait(shortage, waited);
                     }
@@ -333,33 +318,13 @@
         reserve::take(&self.state, &name, &placement.first, &wanted).await.map(Some)
     }
 
-    /// The request takes its turn among the prompts that wait at this host.
-    fn join_waiting(&self) -> Option<Turn> {
-        let desk = self.state.desk(&self.service)?;
-        let number = {
-            let mut desk = state::lock(&desk);
-            let read_ms = desk.board.read_ms(self.request.call.prompt_tokens.unwrap_or(0));
-            desk.waiting.join(read_ms)
-        };
-        Some(Turn { desk, number })
-    }
-
-    /// Milliseconds that one engine would read the prompts that wait before the request at all
-    /// hosts: callers are spread over hosts, so as much waits at each of them as at this one.
-    fn queued_ms(&self, turn: Option<&Turn>) -> f64 {
-        let Some(desk) = self.state.desk(&self.service) else { return 0.0 };
-        let desk = state::lock(&desk);
-        let read_ms = desk.board.read_ms(self.request.call.prompt_tokens.unwrap_or(0));
-        let ahead_ms = desk.waiting.ahead_ms(turn.map(|turn| turn.number), read_ms);
-        ahead_ms * self.state.hosts() as f64
-    }
-
-    /// Where the request goes next, after it has waited for `waited`.
+    /// Where the request goes next, after it has waited for `waited`; `turn` names it while it
+    /// waits.
     async fn place(
         &self,
         avoid: &[id::Upstream],
         waited: clock::Span,
-        queued_ms: f64,
+        turn: placement::WorkId,
     ) -> schedule::Decided {
         let now = self.state.clock.now();
         let demand = placement::Demand {
@@ -368,7 +333,7 @@
             target: (self.request.arrived + self.route.target).since(now),
             gap: self.gap(),
             waited,
-            queued_ms,
+            turn,
             zone: &self.state.settings.node.zone,
             avoid,
             draw: rand::rng().random(),
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -110,8 +110,10 @@
     for row in rows.iter().filter(|row| row.key != own) {
         take_row(state, row);
     }
-    let count = state::lock(&state.peers).roster.count();
-    state.set_hosts(count);
+    let peers = state::lock(&state.peers);
+    let (hosts, deciders) = (peers.roster.count(), peers.roster.deciders());
+    drop(peers);
+    state.set_hosts(hosts, deciders);
 }
 
 /// Takes in the row of another host; one that was removed or cannot be read names no host.
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -38,9 +38,9 @@
     /// Upstreams that failed it.
     #[prost(string, repeated, tag = "9")]
     pub(crate) avoid: Vec<String>,
-    /// Milliseconds that one engine would read the prompts that wait before it.
-    #[prost(uint32, tag = "10")]
-    pub(crate) queued_ms: u32,
+    /// Number by which the asking host names it while it waits.
+    #[prost(uint64, tag = "10")]
+    pub(crate) turn: u64,
 }
 
 impl Question {
@@ -61,13 +61,14 @@
             waited_ms: word::millis(demand.waited),
             left_ms: word::millis(left),
             avoid: demand.avoid.iter().map(ToString::to_string).collect(),
-            queued_ms: demand.queued_ms as u32,
+            turn: demand.turn.number,
         }
     }
 
-    /// The demand at a host of the zone `zone`.
+    /// The demand of the life `asking` at a host of the zone `zone`.
     pub(crate) fn demand<'a>(
         &self,
+        asking: u64,
         zone: &'a id::Zone,
         avoid: &'a [id::Upstream],
         draw: u64,
@@ -78,7 +79,7 @@
             target: word::span(self.target_ms),
             gap: word::span(self.gap_ms),
             waited: word::span(self.waited_ms),
-            queued_ms: f64::from(self.queued_ms),
+            turn: placement::WorkId { host: asking, number: self.turn },
             zone,
             avoid,
             draw,
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -145,7 +145,7 @@
     let service = id::Service::from(question.service.as_str());
     let avoid: Vec<_> =
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
-    let demand = question.demand(&state.settings.node.zone, &avoid, rand::rng().random());
+    let demand = question.demand(asking, &state.settings.node.zone, &avoid, rand::rng().random());
     let id = placement::WorkId { host: asking, number: question.number };
     let decided = state.with_board(&service, |board, now| {
         let placed = board.place(&demand, now)?;
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -42,8 +42,6 @@
     pub(crate) board: placement::Board,
     /// Repeats that are left.
     pub(crate) budget: retry::Budget,
-    /// Prompts that wait at this host for engines to have less to read.
-    pub(crate) waiting: placement::Waiting,
 }
 
 /// What the process knows since its start.
@@ -99,6 +97,7 @@
     active: watch::Sender<usize>,
     dispatches: atomic::AtomicU64,
     hosts: atomic::AtomicUsize,
+    deciders: atomic::AtomicUsize,
     /// The other hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// Those of this zone, as the relay asks them.
@@ -149,6 +148,7 @@
             active: watch::Sender::new(0),
             dispatches: atomic::AtomicU64::new(0),
             hosts: atomic::AtomicUsize::new(1),
+            deciders: atomic::AtomicUsize::new(1),
             peers: sync::Mutex::new(peers::Peers::new(roster)),
             members: relay::Members::default(),
             questions: schedule::Questions::default(),
@@ -317,31 +317,28 @@
     }
 
     fn new_desk(&self) -> sync::Arc<sync::Mutex<Desk>> {
-        let board =
+        let mut board =
             placement::Board::new(self.settings.tuning.placement, self.settings.node.zone.clone());
         let mut budget = retry::Budget::default();
         let hosts = self.hosts.load(atomic::Ordering::Relaxed);
         budget.share_slack(self.settings.node.bounds.retry_slack, hosts);
-        sync::Arc::new(sync::Mutex::new(Desk {
-            board,
-            budget,
-            waiting: placement::Waiting::default(),
-        }))
+        board.set_deciders(self.deciders.load(atomic::Ordering::Relaxed));
+        sync::Arc::new(sync::Mutex::new(Desk { board, budget }))
     }
 
-    /// Entry hosts, this one included.
-    pub(crate) fn hosts(&self) -> usize {
-        self.hosts.load(atomic::Ordering::Relaxed)
-    }
-
-    /// There are so many entry hosts, this one included.
-    pub(crate) fn set_hosts(&self, hosts: usize) {
-        if self.hosts.swap(hosts, atomic::Ordering::Relaxed) == hosts {
+    /// There are so many entry hosts, this one included, of which `deciders` decide where requests
+    /// go.
+    pub(crate) fn set_hosts(&self, hosts: usize, deciders: usize) {
+        let before = self.hosts.swap(hosts, atomic::Ordering::Relaxed);
+        let decided = self.deciders.swap(deciders, atomic::Ordering::Relaxed);
+        if (before, decided) == (hosts, deciders) {
             return;
         }
         let slack = self.settings.node.bounds.retry_slack;
         for desk in self.desks.load().values() {
-            lock(desk).budget.share_slack(slack, hosts);
+            let mut desk = lock(desk);
+            desk.budget.share_slack(slack, hosts);
+            desk.board.set_deciders(deciders);
         }
     }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -28,7 +28,7 @@
 use engine::Engine;
 use reading::Reading;
 pub use settings::Settings;
-pub use waiting::Waiting;
+use waiting::Waiting;
 
 /// A request under way: the host that sent it, and its number there.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -94,8 +94,8 @@
     pub gap: clock::Span,
     /// How long it has waited at this host.
     pub waited: clock::Span,
-    /// Milliseconds that one engine would read the prompts that wait before it at all hosts.
-    pub queued_ms: f64,
+    /// Names the request while it waits.
+    pub turn: WorkId,
     /// Zone of this host.
     pub zone: &'a id::Zone,
     /// Upstreams that failed this request.
@@ -204,6 +204,8 @@
     cuts: Cuts,
     /// What long prompts ask of the engines.
     reading: Reading,
+    /// Prompts that wait for them.
+    waiting: Waiting,
 }
 
 impl Board {
@@ -262,10 +264,10 @@
         pace.map_or(0.0, |pace| pace.read_ms(work.prompt))
     }
 
-    /// Milliseconds that one engine alone reads a prompt of `tokens`; 0 where nothing is read.
-    pub fn read_ms(&self, tokens: u64) -> f64 {
-        let pace = self.upstreams.values().find_map(Engine::pace);
-        pace.map_or(0.0, |pace| pace.read_ms(tokens))
+    /// There are so many hosts, this one included, that decide where requests go. Each is taken to
+    /// have as many prompts waiting as this one.
+    pub fn set_deciders(&mut self, deciders: usize) {
+        self.waiting.set_deciders(deciders);
     }
 
     /// Whether the prompt of `work` is read.
@@ -444,7 +446,12 @@
         }
         let pace = usable.iter().find_map(|engine| engine.pace());
         match pace {
-            Some(pace) if demand.prompt > 0 => self.place_prompt(demand, &usable, pace, now),
+            Some(pace) if demand.prompt > 0 => {
+                let placed = self.place_prompt(demand, &usable, pace, now);
+                let waits = matches!(placed, Err(Refusal::Busy(_)));
+                self.waiting.note(demand.turn, pace.read_ms(demand.prompt), waits, now);
+                placed
+            }
             _ => Ok(self.place_call(demand, &usable, now)),
         }
     }
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -240,7 +240,7 @@
         let drained_ms = (backlog - bound) / (1.0 + self.settings.backlog_growth);
         let planned = engines.len() as f64 * self.settings.read_share;
         let pace = self.reading.engines(now).max(planned).max(1.0);
-        let free_ms = drained_ms + demand.queued_ms / pace;
+        let free_ms = drained_ms + self.waiting.ahead_ms(demand.turn, total_ms) / pace;
         let first_ms = free_ms + bound + total_ms / wish as f64;
         Err(self.not_now(demand, Outlook { shortage: Shortage::Reading, free_ms, first_ms }))
     }
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -164,6 +164,15 @@
         self.hosts.len() + 1
     }
 
+    /// Hosts that decide where requests go: one of each zone that shares its decisions, and all of
+    /// the others.
+    pub fn deciders(&self) -> usize {
+        let of_zone = |(zone, hosts): (&id::Zone, &Vec<id::Host>)| {
+            if self.is_shared(zone) { 1 } else { hosts.len() }
+        };
+        self.ranks.iter().map(of_zone).sum()
+    }
+
     /// Something came from a host.
     pub fn heard(&mut self, host: &id::Host, now: clock::Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
