Memory is not renewed for a request that is over at its engine; the cause of the leak is named

Callers saw: nothing themselves; the memory of an engine was kept from other prompts for 4 s after its request.

Ruled out: an order carried out after the release, every order was answered before.

Change: while a request is silent beyond what may be renewed after its end, only what the engine reports as used is renewed; orders and their answers are logged (memory_order); LATE is the 12 s that an order without an answer may take.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -315,7 +315,8 @@
             return Ok(None);
         }
         let name = format!("{:x}-{}", self.state.number, id.number);
-        reserve::take(&self.state, &name, &placement.first, &wanted).await.map(Some)
+        let (first, expected) = (&placement.first, placement.expected);
+        reserve::take(&self.state, &name, first, &wanted, expected).await.map(Some)
     }
 
     /// Where the request goes next, after it has waited for `waited`; `turn` names it while it
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -85,7 +85,12 @@
     }
 }
 
-async fn fetch(entry: &routing::Entry) -> Result<engine::Report, String> {
+/// The report of an engine.
+///
+/// # Errors
+///
+/// There is no answer in time, or it is no report.
+pub(crate) async fn fetch(entry: &routing::Entry) -> Result<engine::Report, String> {
     let request = hyper::Request::get(engine::REPORT_PATH)
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -5,9 +5,11 @@
 //! dies leaves it to lapse within the bound on unused memory. At the end it is released; a release
 //! that is not answered is made again until the reservation has lapsed by itself.
 //!
-//! Failure answered: the engine that answers the prompt is gone without a word. Its host waits for
-//! it, and would renew the memory on the engines that helped until its patience ends. So the engine
-//! that answers is renewed or called first, and without its word nothing is renewed.
+//! Failure answered: the request is over at the engine that answers it, and its host does not know:
+//! the engine went dark, or its answer is lost. Renewed until its host's patience ends, the memory on
+//! the engines that helped would be kept beyond the bound on unused memory. So a round of renewals
+//! begins with the engine that answers, and while that is silent to the request only what an engine
+//! reports as used is renewed.
 
 use std::sync;
 use std::time;
@@ -21,6 +23,7 @@
 use crate::event;
 use crate::exchange;
 use crate::link;
+use crate::report;
 use crate::state;
 
 /// Longest time for an order to be answered.
@@ -35,9 +38,10 @@
 /// Pause before a round of renewals is begun again that the answering engine left without a word.
 const AGAIN: time::Duration = time::Duration::from_millis(150);
 /// How long after it was sent an order without an answer may still be carried out.
-const LATE: time::Duration = time::Duration::from_secs(6);
-/// Time between two releases of a reservation that a late order may have made anew.
-const RELEASES: time::Duration = time::Duration::from_millis(700);
+const LATE: time::Duration = time::Duration::from_secs(12);
+/// Releases within one hold of a reservation that a late order may have made anew: it lapses by
+/// itself within the bound, and its memory should not lie idle until then.
+const RELEASES: u32 = 3;
 /// Longest answer to an order.
 const ANSWER: usize = 64 << 10;
 
@@ -68,15 +72,23 @@
     }
 }
 
+/// Until when the silence of a request says nothing.
+type Quiet = sync::Mutex<clock::Moment>;
+
 /// Reservations that are held; dropping them releases them.
 #[derive(Debug)]
 pub(crate) struct Held {
     state: sync::Arc<state::State>,
     tickets: Vec<Ticket>,
-    alive: sync::Arc<()>,
+    quiet_until: sync::Arc<Quiet>,
 }
 
 impl Held {
+    /// Something of the request's answer came.
+    pub(crate) fn heard(&self) {
+        *state::lock(&self.quiet_until) = self.state.clock.now() + spare(&self.state);
+    }
+
     /// The ticket on the engine `upstream`.
     pub(crate) fn on(&self, upstream: &id::Upstream) -> Option<&str> {
         let found = self.tickets.iter().find(|ticket| ticket.entry.upstream == *upstream);
@@ -107,7 +119,13 @@
     bounds.free.mul_f64(HOLD_SHARE).min(bounds.hold)
 }
 
-/// Reserves memory on each of `wanted` for a prompt that `first` answers.
+/// How long after a request has ended its memory may still be renewed.
+fn spare(state: &state::State) -> time::Duration {
+    state.settings.node.bounds.free.saturating_sub(hold(state))
+}
+
+/// Reserves memory on each of `wanted` for a prompt that `first` answers, whose first token is
+/// expected after `expected`.
 ///
 /// # Errors
 ///
@@ -117,10 +135,13 @@
     name: &str,
     first: &routing::Entry,
     wanted: &[(routing::Entry, u64)],
+    expected: clock::Span,
 ) -> Result<Held, Refusal> {
     let mut ordered = wanted.to_vec();
     ordered.sort_by(|a, b| a.0.upstream.cmp(&b.0.upstream));
-    let mut held = Held { state: state.clone(), tickets: Vec::new(), alive: sync::Arc::new(()) };
+    let quiet_until = state.clock.now() + expected + spare(state);
+    let quiet_until = sync::Arc::new(sync::Mutex::new(quiet_until));
+    let mut held = Held { state: state.clone(), tickets: Vec::new(), quiet_until };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
         let id = format!("{name}-{index}");
         let ticket = Ticket { id, entry, tokens, unsure: sync::Arc::default() };
@@ -134,10 +155,10 @@
             return Err(Refusal { upstream: ticket.entry.upstream, reached, detail });
         }
     }
-    let alive = sync::Arc::downgrade(&held.alive);
+    let quiet_until = sync::Arc::downgrade(&held.quiet_until);
     let mut tickets = held.tickets.clone();
     tickets.sort_by_key(|ticket| ticket.entry.upstream != first.upstream);
-    drop(ntex::rt::spawn(renew(state.clone(), first.clone(), tickets, alive)));
+    drop(ntex::rt::spawn(renew(state.clone(), first.clone(), tickets, quiet_until)));
     Ok(held)
 }
 
@@ -146,15 +167,15 @@
     state: sync::Arc<state::State>,
     first: routing::Entry,
     tickets: Vec<Ticket>,
-    alive: sync::Weak<()>,
+    held: sync::Weak<Quiet>,
 ) {
     let mut pause = hold(&state) / RENEWALS;
     loop {
         tokio::time::sleep(pause).await;
-        if alive.upgrade().is_none() {
+        if held.strong_count() == 0 {
             return;
         }
-        pause = match renew_all(&state, &first, &tickets, &alive).await {
+        pause = match renew_all(&state, &first, &tickets, &held).await {
             Ok(()) => hold(&state) / RENEWALS,
             Err(error) => {
                 event::Line::new("not_renewed")
@@ -176,15 +197,18 @@
     state: &state::State,
     first: &routing::Entry,
     tickets: &[Ticket],
-    alive: &sync::Weak<()>,
+    held: &sync::Weak<Quiet>,
 ) -> Result<(), String> {
     if tickets.first().is_none_or(|ticket| ticket.entry.upstream != first.upstream) {
         let called = link::connect(first.address, CONNECT).await;
         called.map_err(|error| error.to_string())?;
     }
     for ticket in tickets {
-        if alive.upgrade().is_none() {
+        let Some(quiet_until) = held.upgrade().map(|quiet| *state::lock(&quiet)) else {
             return Ok(());
+        };
+        if state.clock.now() > quiet_until && !is_used(ticket).await? {
+            return Err(format!("{}: no request uses {}", ticket.entry.upstream, ticket.id));
         }
         let status = ticket.reserve(state).await;
         if matches!(status, Ok(200)) {
@@ -202,6 +226,17 @@
     Ok(())
 }
 
+/// Whether the engine of `ticket` reports that a request uses it.
+///
+/// # Errors
+///
+/// The engine gave no report.
+async fn is_used(ticket: &Ticket) -> Result<bool, String> {
+    let report = report::fetch(&ticket.entry).await?;
+    let mut tickets = report.tickets.iter();
+    Ok(tickets.any(|known| known.id == ticket.id && known.state == engine::Use::Used))
+}
+
 async fn release(state: sync::Arc<state::State>, ticket: Ticket) {
     let lapsed = state.clock.now() + hold(&state);
     loop {
@@ -209,7 +244,7 @@
         let released = matches!(status, Ok(200 | 202 | 404 | 409 | head::MISDIRECTED));
         if released && ticket.is_unsure(state.clock.now()) {
             // An order on its way may reserve it anew.
-            tokio::time::sleep(RELEASES).await;
+            tokio::time::sleep(hold(&state) / RELEASES).await;
             continue;
         }
         if released || state.clock.now() >= lapsed {
@@ -228,11 +263,22 @@
 }
 
 async fn order(entry: &routing::Entry, body: Vec<u8>) -> Result<u16, exchange::Failure> {
+    let text = String::from_utf8_lossy(&body).into_owned();
     let request = hyper::Request::post(engine::ORDER_PATH)
         .header("host", entry.address.to_string())
         .header("content-type", "application/json")
         .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
         .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
-    let call = exchange::call(entry.address, request, CONNECT, ORDER, ANSWER);
-    call.await.map(|(status, _)| status)
+    let began = time::Instant::now();
+    let answer = exchange::call(entry.address, request, CONNECT, ORDER, ANSWER).await;
+    let answer = answer.map(|(status, _)| status);
+    let line = event::Line::new("memory_order")
+        .text("order", text)
+        .text("upstream", &entry.upstream)
+        .span("took_ms", began.elapsed());
+    match &answer {
+        Ok(status) => line.number("status", status).info(),
+        Err(failure) => line.text("error", failure).warn(),
+    }
+    answer
 }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -269,6 +269,7 @@
             };
             silent = clock::Span::ZERO;
             self.admitted.heard(&live.upstream);
+            live.underway.heard();
             let Some(chunk) = chunk else {
                 return self.pass_rest().await;
             };
--- a/crates/lagoon-gateway/src/underway.rs
+++ b/crates/lagoon-gateway/src/underway.rs
@@ -79,6 +79,13 @@
         self.tell(word::What::First(word::Nothing {}));
     }
 
+    /// Something of its answer came.
+    pub(crate) fn heard(&self) {
+        if let Some(reserved) = &self.reserved {
+            reserved.heard();
+        }
+    }
+
     fn tell(&self, what: word::What) {
         self.state.tell(word::Word::new(self.id.number, &self.service, what));
     }
--- /dev/null
+++ b/crates/lagoon-gateway/tests/silence.rs
@@ -0,0 +1,91 @@
+//! Upstreams that fall silent under a request while their connections stay open, and the memory
+//! that such requests have reserved.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod standin;
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod host;
+
+use std::thread;
+use std::time;
+
+use rstest::rstest;
+
+use host::{Host, exchange};
+use standin::Manner;
+
+/// A host before one engine, whose requests are answered as `manner` says.
+fn before_one_engine(manner: Manner) -> Host {
+    let host = Host::start();
+    host.standin.remove("servers", "e2");
+    thread::sleep(time::Duration::from_millis(300));
+    host.standin.manner("e1", manner);
+    host
+}
+
+/// Sends a prompt of `tokens` on `route`; the answer, and how long it took.
+fn prompt(
+    host: &Host,
+    route: &str,
+    tokens: u64,
+) -> thread::JoinHandle<((u16, String), time::Duration)> {
+    let callers = host.callers;
+    let head = format!(
+        "POST /{route}/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+         authorization: Token k1\r\nlagoonline-request-deadline: 9000\r\n\
+         lagoonline-token-count: {tokens},400\r\n\r\n"
+    );
+    thread::spawn(move || {
+        let began = time::Instant::now();
+        (exchange(callers, &head), began.elapsed())
+    })
+}
+
+/// Orders that engines got, each with its engine and its time of arrival in order.
+fn orders(host: &Host, op: &str) -> usize {
+    let seen = host.standin.seen();
+    let orders = seen.iter().filter(|seen| seen.path == "/api/order");
+    orders.filter(|seen| String::from_utf8_lossy(&seen.body).contains(op)).count()
+}
+
+/// Guards against renewing memory for a request that its engine has ended without an answer.
+#[rstest]
+fn memory_of_a_request_that_is_over_is_not_renewed() {
+    let host = Host::start();
+    for name in ["e1", "e2"] {
+        host.standin.manner(name, Manner::Mute);
+    }
+    let caller = prompt(&host, "review", 300_000);
+    host.until("sent", || host.standin.seen().iter().any(|seen| seen.path == "/review/a"));
+    // Its first token was due by now; the engines report that no request uses the memory.
+    thread::sleep(time::Duration::from_secs(5));
+    let before = orders(&host, "reserve");
+    thread::sleep(time::Duration::from_millis(2_500));
+    assert_eq!(orders(&host, "reserve"), before, "renewed for a request that is over");
+    drop(host);
+    drop(caller.join());
+}
+
+/// Guards against memory that an order reserves which is carried out after its release.
+#[rstest]
+fn a_reservation_that_was_not_answered_is_released_again() {
+    let host = before_one_engine(Manner::Hold);
+    let caller = prompt(&host, "review", 150_000);
+    host.until("ordered", || orders(&host, "reserve") > 0);
+    let first = host.standin.seen()[0].body.clone();
+    host.standin.manner("e1", Manner::Whole);
+    let id = serde_json::from_slice::<serde_json::Value>(&first).unwrap()["Id"].clone();
+    let releases = || {
+        let seen = host.standin.seen();
+        let orders = seen.iter().filter(|seen| seen.path == "/api/order");
+        let orders = orders.map(|seen| serde_json::from_slice::<serde_json::Value>(&seen.body));
+        let orders = orders.map(Result::unwrap);
+        orders.filter(|order| order["Op"] == "release" && order["Id"] == id).count()
+    };
+    host.until("released", || releases() >= 1);
+    host.until("released again", || releases() >= 3);
+    drop(host);
+    drop(caller.join());
+}
