An engine that answers others but not this request is given up; one that is lost, at once

Cause: (1) at the end of its patience a host asked whether anything had come of the engine within half a second; a mute engine answers others, so it was waited for again and again; (2) a stream that bears pauses of 1 s waited 4 s for an engine that other streams had lost after 1 s; (3) repeats were bounded at half of what is allowed for each request and ran out in a crash. Ruled out: hosts that did not know; the failures of other requests stand in the log before.

Change: placement::Board::is_overtaken (a later answer of the same kind has begun) and is_lost (it failed another request and nothing came since) decide, with the patience plus one target as the longest wait; where no repeat is left a lost engine is told to the caller at once; the ratio of repeats is three quarters of the published one; a prompt that goes on elsewhere counts its target anew; none is sent whose first token is expected beyond its time.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -75,6 +75,8 @@
 pub(crate) const COME_BACK: clock::Span = clock::Span::from_millis(400);
 /// When a caller may come back whom only this host turns away: at once, to another.
 pub(crate) const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
+/// Time between two looks at an upstream that is silent.
+pub(crate) const LOOK: clock::Span = clock::Span::from_millis(250);
 /// An upstream that said something within this is alive: several of its passes.
 const ALIVE: clock::Span = clock::Span::from_millis(500);
 /// Longest time between two looks for a place, for memory, or for engines with less to read: a
@@ -248,7 +250,10 @@
         let turn = self.state.next_work();
         loop {
             let waited = self.state.clock.now().since(first_try);
-            let decided = self.place(avoid, waited, turn).await;
+            // What goes on elsewhere is late already; its caller still waits for it.
+            let due = if avoid.is_empty() { self.request.arrived } else { first_try };
+            let due = due + self.route.target;
+            let decided = self.place(avoid, waited, due, turn).await;
             let schedule::Decided { id, decider, result } = decided;
             let placement = match result {
                 Ok(placement) => placement,
@@ -262,6 +267,14 @@
                 }
                 Err(refusal) => return Err(self.refused(refusal)),
             };
+            if placement.expected > self.left() {
+                let detail = format!("first token expected after {:?}", placement.expected);
+                return Err(answer::Fault::not_run(
+                    Reason::CannotMeetDeadline,
+                    Step::Route,
+                    detail,
+                ));
+            }
             if self.customer.is_some() {
                 admit::check_key_age(&self.state)?;
             }
@@ -319,19 +332,20 @@
         reserve::take(&self.state, &name, first, &wanted, expected).await.map(Some)
     }
 
-    /// Where the request goes next, after it has waited for `waited`; `turn` names it while it
-    /// waits.
+    /// Where the request goes next, after it has waited for `waited`; its first event is due at
+    /// `due`, and `turn` names it while it waits.
     async fn place(
         &self,
         avoid: &[id::Upstream],
         waited: clock::Span,
+        due: clock::Moment,
         turn: placement::WorkId,
     ) -> schedule::Decided {
         let now = self.state.clock.now();
         let demand = placement::Demand {
             prompt: self.request.call.prompt_tokens.unwrap_or(0),
             answer: self.request.call.answer_tokens.unwrap_or(0),
-            target: (self.request.arrived + self.route.target).since(now),
+            target: due.since(now),
             gap: self.gap(),
             waited,
             turn,
@@ -390,13 +404,55 @@
         unsent || desk.is_some_and(|desk| state::lock(&desk).budget.take())
     }
 
-    /// Whether a request that an upstream leaves without a word is better left there: another
-    /// attempt would go beyond the budget, and a busy upstream still answers.
-    pub(crate) fn would_wait_on(&self, upstream: &id::Upstream) -> bool {
-        let Some(desk) = self.state.desk(&self.service) else { return true };
-        let desk = state::lock(&desk);
-        let now = self.state.clock.now();
-        !desk.budget.has_one() || desk.board.is_alive(upstream, ALIVE, now)
+    /// Whether another attempt is within the budget.
+    pub(crate) fn has_repeat(&self) -> bool {
+        let desk = self.state.desk(&self.service);
+        desk.is_some_and(|desk| state::lock(&desk).budget.has_one())
+    }
+
+    /// Whether something came of an upstream of late: one that is silent to this request only may
+    /// be busy.
+    pub(crate) fn is_alive(&self, upstream: &id::Upstream) -> bool {
+        let alive = |board: &mut placement::Board, now| board.is_alive(upstream, ALIVE, now);
+        self.state.with_board(&self.service, alive).unwrap_or(false)
+    }
+
+    /// Whether an upstream failed another request and nothing has come of it since.
+    pub(crate) fn is_lost(&self, upstream: &id::Upstream) -> bool {
+        let lost = |board: &mut placement::Board, _| board.is_lost(upstream);
+        self.state.with_board(&self.service, lost).unwrap_or(false)
+    }
+
+    /// Whether the upstream has begun a later answer than that of the dispatch `id`.
+    fn is_overtaken(&self, id: placement::WorkId) -> bool {
+        let overtaken = |board: &mut placement::Board, _| board.is_overtaken(id);
+        self.state.with_board(&self.service, overtaken).unwrap_or(false)
+    }
+
+    /// Why the upstream of `placement` is given up that has been silent for `silent` since the
+    /// dispatch `id`, if it is. One that is lost is given up also where no repeat is left: the
+    /// caller, told at once, may go on elsewhere by itself.
+    fn give_up_after(
+        &self,
+        placement: &placement::Placement,
+        id: placement::WorkId,
+        silent: clock::Span,
+    ) -> Option<&'static str> {
+        let upstream = &placement.first.upstream;
+        let patience = self.patience(placement.expected);
+        if silent < placement.expected + PATIENCE {
+            None
+        } else if self.is_lost(upstream) {
+            Some("silent to others too")
+        } else if !self.has_repeat() || silent < patience {
+            None
+        } else if self.is_overtaken(id) {
+            Some("later requests were answered")
+        } else if silent >= patience + self.route.target || !self.is_alive(upstream) {
+            Some("silent")
+        } else {
+            None
+        }
     }
 
     /// Something of an answer came.
@@ -404,16 +460,16 @@
         self.state.with_board(&self.service, |board, now| board.heard(upstream, now));
     }
 
-    /// How long an upstream may be silent before another is asked.
-    ///
-    /// The last upstream that may be asked is waited for: it may merely be busy.
-    fn patience(&self, expected: clock::Span, attempts: u32) -> clock::Span {
-        if !self.route.kind.may_repeat() || attempts >= self.route.attempts {
-            return clock::Span::MAX;
-        }
+    /// How long an upstream may be silent before another is asked, unless it is merely busy.
+    fn patience(&self, expected: clock::Span) -> clock::Span {
         expected + self.route.target * PATIENT_TARGETS + PATIENCE
     }
 
+    /// Whether another upstream may be asked after so many attempts.
+    fn may_repeat(&self, attempts: u32) -> bool {
+        self.route.kind.may_repeat() && attempts < self.route.attempts
+    }
+
     /// Sends the request to an upstream and waits for the head of its answer.
     pub(crate) async fn attempt(
         &self,
@@ -435,21 +491,25 @@
         if let Some(desk) = self.state.desk(&self.service) {
             state::lock(&desk).budget.first_attempt();
         }
-        let patience = self.patience(placement.expected, attempts);
+        let sent = self.state.clock.now();
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
             loop {
-                match tokio::time::timeout(patience, &mut send).await {
+                match tokio::time::timeout(LOOK, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
                         self.suspect(&first.upstream);
                         return Err(attempt::Miss::Lost(format!("{}: {failure}", first.upstream)));
                     }
-                    Err(_) if self.would_wait_on(&first.upstream) => {}
+                    // The last upstream that may be asked is waited for: it may merely be busy.
+                    Err(_) if !self.may_repeat(attempts) => {}
                     Err(_) => {
-                        self.suspect(&first.upstream);
-                        let detail = format!("{}: silent for {patience:?}", first.upstream);
-                        return Err(attempt::Miss::Lost(detail));
+                        let silent = self.state.clock.now().since(sent);
+                        if let Some(why) = self.give_up_after(&placement, work_id, silent) {
+                            self.suspect(&first.upstream);
+                            let detail = format!("{}: {why}, for {silent:?}", first.upstream);
+                            return Err(attempt::Miss::Lost(detail));
+                        }
                     }
                 }
             }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -321,6 +321,7 @@
             placement::Board::new(self.settings.tuning.placement, self.settings.node.zone.clone());
         let mut budget = retry::Budget::default();
         let hosts = self.hosts.load(atomic::Ordering::Relaxed);
+        budget.allow_ratio(self.settings.node.bounds.retry_ratio);
         budget.share_slack(self.settings.node.bounds.retry_slack, hosts);
         board.set_deciders(self.deciders.load(atomic::Ordering::Relaxed));
         sync::Arc::new(sync::Mutex::new(Desk { board, budget }))
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -250,24 +250,22 @@
 
     /// Relays one answer to its end.
     async fn relay_one(&mut self, mut live: forward::Live) -> Result<(), String> {
-        let silence = self.silence();
-        let mut silent = clock::Span::ZERO;
+        let mut heard = self.admitted.state.clock.now();
         loop {
             let left = self.admitted.left() + OVERTIME;
             let chunk = live.exchange.chunk(live.answer.body_mut());
-            let chunk = match tokio::time::timeout(silence.min(left), chunk).await {
+            let chunk = match tokio::time::timeout(forward::LOOK.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure: exchange::Failure| failure.to_string())?,
-                Err(_) if left <= silence => return Err("out of time".to_owned()),
+                Err(_) if left <= forward::LOOK => return Err("out of time".to_owned()),
                 Err(_) => {
-                    silent += silence;
-                    let last = self.upstreams >= self.admitted.route.attempts;
-                    if last || silent < silence * 2 && self.admitted.would_wait_on(&live.upstream) {
-                        continue;
+                    let silent = self.admitted.state.clock.now().since(heard);
+                    if self.gives_up_after(&live.upstream, silent) {
+                        return Err(format!("silent for {silent:?}"));
                     }
-                    return Err(format!("silent for {silent:?}"));
+                    continue;
                 }
             };
-            silent = clock::Span::ZERO;
+            heard = self.admitted.state.clock.now();
             self.admitted.heard(&live.upstream);
             live.underway.heard();
             let Some(chunk) = chunk else {
@@ -278,6 +276,20 @@
         }
     }
 
+    /// Whether the upstream is given up after it has been silent for `silent`.
+    fn gives_up_after(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
+        let silence = self.silence();
+        // The last upstream that may be asked is waited for: it may merely be busy.
+        if self.upstreams >= self.admitted.route.attempts || silent < LEAST_SILENCE.min(silence) {
+            return false;
+        }
+        if self.admitted.is_lost(upstream) {
+            return true;
+        }
+        let may_be_busy = !self.admitted.has_repeat() || self.admitted.is_alive(upstream);
+        silent >= silence * 2 || silent >= silence && !may_be_busy
+    }
+
     fn silence(&self) -> clock::Span {
         let routing::Kind::Stream { gap, .. } = self.admitted.route.kind else {
             return clock::Span::MAX;
--- a/crates/lagoon-gateway/tests/silence.rs
+++ b/crates/lagoon-gateway/tests/silence.rs
@@ -13,7 +13,7 @@
 
 use rstest::rstest;
 
-use host::{Host, exchange};
+use host::{Host, all_events, exchange};
 use standin::Manner;
 
 /// A host before one engine, whose requests are answered as `manner` says.
@@ -50,6 +50,41 @@
     orders.filter(|seen| String::from_utf8_lossy(&seen.body).contains(op)).count()
 }
 
+/// Guards against waiting for an engine that answers others but not this request.
+#[rstest]
+fn a_prompt_leaves_an_engine_that_answers_later_ones() {
+    let host = before_one_engine(Manner::Mute);
+    let muted = prompt(&host, "talk", 5_000);
+    host.until("sent", || !host.standin.seen().is_empty());
+    host.standin.manner("e1", Manner::Whole);
+    assert_eq!(host.talk(), (200, all_events()));
+    host.standin.upstream("e3", "llm", 16);
+    while !muted.is_finished() {
+        // The engine stays alive: other callers' prompts are answered there.
+        assert_eq!(host.talk(), (200, all_events()));
+        thread::sleep(time::Duration::from_millis(100));
+    }
+    let (answer, took) = muted.join().unwrap();
+    assert_eq!(answer, (200, all_events()));
+    // Callers of such prompts leave after two seconds without an event.
+    assert!(took < time::Duration::from_secs(2), "answered after {took:?}");
+}
+
+/// Guards against waiting out a long pause of an engine that is known to have gone silent.
+#[rstest]
+fn a_stream_leaves_an_engine_that_another_stream_lost() {
+    let host = before_one_engine(Manner::HangAfter(3));
+    let review = prompt(&host, "review", 5_000);
+    let talk = prompt(&host, "talk", 5_000);
+    host.until("sent", || host.standin.seen().len() == 2);
+    host.standin.upstream("e3", "llm", 16);
+    for (stream, most) in [(talk, 2_500), (review, 3_000)] {
+        let (answer, took) = stream.join().unwrap();
+        assert_eq!(answer, (200, all_events()));
+        assert!(took < time::Duration::from_millis(most), "whole after {took:?}");
+    }
+}
+
 /// Guards against renewing memory for a request that its engine has ended without an answer.
 #[rstest]
 fn memory_of_a_request_that_is_over_is_not_renewed() {
--- a/crates/lagoonline/src/load/placement/engine.rs
+++ b/crates/lagoonline/src/load/placement/engine.rs
@@ -75,6 +75,8 @@
     parts: Vec<Part>,
     advanced: clock::Moment,
     suspect_until: Option<clock::Moment>,
+    /// When it last failed without a word.
+    failed: Option<clock::Moment>,
     failures: u32,
     full_until: Option<clock::Moment>,
     heard: clock::Moment,
@@ -93,6 +95,7 @@
             parts: Vec::new(),
             advanced: clock::Moment::START,
             suspect_until: None,
+            failed: None,
             failures: 0,
             full_until: None,
             heard: clock::Moment::START,
@@ -173,6 +176,7 @@
         self.erred(now);
         self.failures = (self.failures + 1).min(MOST_FAILURES);
         self.suspect_until = Some(now + span * self.failures);
+        self.failed = Some(now);
     }
 
     pub(super) fn set_slowness(&mut self, factor: f64, now: clock::Moment) {
@@ -221,6 +225,11 @@
         self.suspect_until.is_some_and(|until| until > now)
     }
 
+    /// Whether it failed and nothing has come of it since.
+    pub(super) fn is_lost(&self) -> bool {
+        self.failed.is_some_and(|failed| failed > self.heard)
+    }
+
     /// Lets what is under way go on until `now`: prompts are read one after the other, and between
     /// them the writers make their steps.
     pub(super) fn advance(&mut self, now: clock::Moment) {
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -393,6 +393,28 @@
         self.upstreams.get(upstream).is_some_and(|engine| now.since(engine.heard()) <= span)
     }
 
+    /// Whether an upstream failed another request and nothing has come of it since.
+    ///
+    /// Failure answered: an upstream goes silent under many requests. Each that waits for it on its
+    /// own waits as long as its own answer may pause, those with long pauses for seconds.
+    pub fn is_lost(&self, upstream: &id::Upstream) -> bool {
+        self.upstreams.get(upstream).is_some_and(Engine::is_lost)
+    }
+
+    /// Whether the engine that is to answer `id` has begun a later answer of the same kind to a
+    /// prompt at least as long. An engine takes prompts of one kind in their order.
+    ///
+    /// Failure answered: an engine works on, but never answers some of its requests. It is alive, so
+    /// those would be waited for until their callers have left.
+    pub fn is_overtaken(&self, id: WorkId) -> bool {
+        let Some(Begun { work, at }) = self.works.get(&id) else { return false };
+        let passes = |other: &&Begun| {
+            let Work { first, prompt, gap, .. } = &other.work;
+            other.at > *at && *first == work.first && *gap == work.gap && *prompt >= work.prompt
+        };
+        self.works.values().filter(passes).any(|other| self.is_read(&other.work))
+    }
+
     /// An engine had no memory to reserve: it is taken for full for a moment.
     pub fn full(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         let until = now + self.settings.full_span;
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -8,7 +8,7 @@
 //! No scenario uses the budget up since failing upstreams are left alone at once: its worth is not
 //! measured.
 
-/// What one first attempt adds.
+/// What one first attempt adds where nothing else is allowed.
 const SHARE: f64 = 0.1;
 /// Most that is kept.
 const BURST: f64 = 10.0;
@@ -18,17 +18,22 @@
 pub struct Budget {
     left: f64,
     burst: f64,
+    /// What one first attempt adds.
+    share: f64,
 }
 
 impl Default for Budget {
     fn default() -> Self {
-        Budget { left: BURST, burst: BURST }
+        Budget { left: BURST, burst: BURST, share: SHARE }
     }
 }
 
 /// Part of a slack that all hosts share which their bursts may use up: the rest is for hosts that
 /// come and go.
 const SLACK_SHARE: f64 = 0.6;
+/// Part of the retries allowed for each request that first attempts add: callers' requests that
+/// reach no upstream count too, and hosts that start bring a burst of their own.
+const RATIO_SHARE: f64 = 0.75;
 /// Least burst: with less a quiet host could never repeat.
 const LEAST_BURST: f64 = 1.0;
 
@@ -49,6 +54,19 @@
         self.left = self.left.min(self.burst);
     }
 
+    /// Allows `ratio` retries for each request of all hosts.
+    ///
+    /// ```
+    /// let mut budget = lagoonline::load::retry::Budget::default();
+    /// while budget.take() {}
+    /// budget.allow_ratio(0.4);
+    /// for _ in 0..10 { budget.first_attempt(); }
+    /// assert_eq!((0..100).filter(|_| budget.take()).count(), 3);
+    /// ```
+    pub fn allow_ratio(&mut self, ratio: f64) {
+        self.share = ratio * RATIO_SHARE;
+    }
+
     /// A first attempt was made.
     ///
     /// ```
@@ -58,7 +76,7 @@
     /// assert_eq!((0..100).filter(|_| budget.take()).count(), 10);
     /// ```
     pub fn first_attempt(&mut self) {
-        self.left = (self.left + SHARE).min(self.burst);
+        self.left = (self.left + self.share).min(self.burst);
     }
 
     /// Whether a retry is left.
