Rows of hosts that are gone are removed; promises without a test get theirs

Callers saw nothing yet.

Change: the first host of a zone removes rows of its zone after ten minutes of silence; a host whose row is gone though it lives writes it again.

Tests: rows_of_hosts_that_are_gone_are_removed, silent_hosts_are_forgotten_by_the_first_of_their_zone.

--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -1,15 +1,18 @@
 //! The rows of the entry hosts at the platform.
 //!
-//! Each host keeps one row with the addresses at which other hosts find it. Rows of hosts that are
-//! gone stay until a host of the same name overwrites them; a word sent there is lost.
+//! Each host keeps one row with the addresses at which other hosts find it. The first host of a zone
+//! removes rows of its zone whose hosts have long been silent; a host whose row was removed though
+//! it lives writes it again.
 
 use std::net;
 use std::sync;
 
 use lagoon_platform::store;
 use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::routing;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 use crate::event;
@@ -59,9 +62,40 @@
     let row = Row { address, reader, zone: node.zone.clone(), cores: node.cpu_share };
     drop(ntex::rt::spawn(register(state.clone(), row)));
     drop(ntex::rt::spawn(follow(state.clone())));
+    drop(ntex::rt::spawn(remove_gone(state.clone())));
 }
 
+/// Writes this host's row, again whenever it is gone.
 async fn register(state: sync::Arc<state::State>, own: Row) {
+    loop {
+        write_row(&state, &own).await;
+        state.unregistered.notified().await;
+    }
+}
+
+/// Removes the rows of hosts that are gone, while this host is the first of its zone.
+async fn remove_gone(state: sync::Arc<state::State>) {
+    let span = state.settings.tuning.hosts_gone;
+    let mut client = client::Client::new(state.settings.node.store);
+    loop {
+        tokio::time::sleep(span.mul_f64(rand::rng().random_range(0.2..0.3))).await;
+        let gone = state::lock(&state.peers).roster.gone(span, state.clock.now());
+        for host in gone {
+            let call = store::remove(TABLE, host.as_str());
+            match client.call(&call, WRITE).await {
+                Ok(_) => event::Line::new("host_forgotten").text("host", &host).info(),
+                Err(error) => {
+                    event::Line::new("host_not_forgotten")
+                        .text("host", &host)
+                        .text("error", error)
+                        .warn();
+                }
+            }
+        }
+    }
+}
+
+async fn write_row(state: &state::State, own: &Row) {
     let mut client = client::Client::new(state.settings.node.store);
     let row = serde_json::json!(own).to_string();
     let call = store::put(TABLE, state.settings.node.host.as_str(), row.as_bytes());
@@ -107,8 +141,12 @@
 /// Takes in rows of hosts that changed.
 pub(crate) fn take(state: &state::State, rows: &[store::Row]) {
     let own = state.settings.node.host.as_str();
-    for row in rows.iter().filter(|row| row.key != own) {
-        take_row(state, row);
+    for row in rows {
+        if row.key != own {
+            take_row(state, row);
+        } else if row.value.is_none() {
+            state.unregistered.notify_one();
+        }
     }
     let peers = state::lock(&state.peers);
     let (hosts, deciders) = (peers.roster.count(), peers.roster.deciders());
@@ -124,7 +162,7 @@
     match read {
         Some(Ok(peer)) => {
             let standing = routing::Standing { zone: peer.zone.clone(), cores: peer.cores };
-            state::lock(&state.peers).set(&host, standing, peer.address);
+            state::lock(&state.peers).set(&host, standing, peer.address, state.clock.now());
             if peer.zone == state.settings.node.zone {
                 let known = routing::Peer { cores: peer.cores };
                 let member = relay::Member { address: peer.reader, peer: known };
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -201,7 +201,7 @@
         let standing =
             routing::Standing { zone: id::Zone::from(beat.zone.as_str()), cores: beat.cores };
         let host = id::Host::from(beat.host.as_str());
-        state::lock(&state.peers).set(&host, standing, from);
+        state::lock(&state.peers).set(&host, standing, from, now);
     }
     let met = state::lock(&state.peers).heard(from, life, now);
     if let peers::Met::New { before } = met {
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -53,8 +53,9 @@
         host: &id::Host,
         standing: routing::Standing,
         address: net::SocketAddr,
+        now: clock::Moment,
     ) {
-        self.roster.set(host.clone(), standing);
+        self.roster.set(host.clone(), standing, now);
         let before = self.addresses.insert(host.clone(), address);
         if let Some(before) = before.filter(|before| *before != address) {
             self.names.remove(&before);
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -37,6 +37,9 @@
     /// Pause after an answer of that watch. Without it, sixty hosts that restart in turn wake every
     /// watch of all hosts sixty times; a host that is heard of later only costs words.
     pub hosts_pause: clock::Span,
+    /// Silence after which the row of a host is removed. A host that is cut off for longer writes
+    /// its row again.
+    pub hosts_gone: clock::Span,
     /// Hosts of a zone from which on one of them reads the platform for the others, and one decides
     /// where their requests go. A smaller zone saves less by it than a silent reader costs, which is
     /// found out after a second.
@@ -65,6 +68,7 @@
             reader_wait: clock::Span::from_millis(1_000),
             reader_pause: clock::Span::from_millis(400),
             hosts_pause: clock::Span::from_millis(5_000),
+            hosts_gone: clock::Span::from_secs(600),
             words_pause: clock::Span::from_millis(8),
             placement: placement::Settings::default(),
         }
@@ -111,6 +115,7 @@
             reader_wait: millis("reader_wait_ms", default.reader_wait, 1_500),
             reader_pause: millis("reader_pause_ms", default.reader_pause, 1_000),
             hosts_pause: millis("hosts_pause_ms", default.hosts_pause, 30_000),
+            hosts_gone: millis("hosts_gone_ms", default.hosts_gone, 86_400_000),
             words_pause: millis("words_pause_ms", default.words_pause, 10_000),
             placement,
         }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -12,7 +12,7 @@
 use lagoonline::load::{placement, retry};
 use lagoonline::routing;
 use rand::Rng;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::event;
 use crate::feed;
@@ -98,6 +98,8 @@
     dispatches: atomic::AtomicU64,
     hosts: atomic::AtomicUsize,
     deciders: atomic::AtomicUsize,
+    /// This host's row is gone from the platform's table.
+    pub(crate) unregistered: Notify,
     /// The other hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// Those of this zone, as the relay asks them.
@@ -149,6 +151,7 @@
             dispatches: atomic::AtomicU64::new(0),
             hosts: atomic::AtomicUsize::new(1),
             deciders: atomic::AtomicUsize::new(1),
+            unregistered: Notify::new(),
             peers: sync::Mutex::new(peers::Peers::new(roster)),
             members: relay::Members::default(),
             questions: schedule::Questions::default(),
--- /dev/null
+++ b/crates/lagoon-gateway/tests/decider/mod.rs
@@ -0,0 +1,82 @@
+//! A stand-in of the host that decides for its zone: it answers each question with one upstream.
+
+use std::net;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+
+use prost::Message;
+use serde_json::json;
+
+use super::standin::Standin;
+
+/// What hosts tell each other, as far as questions need it.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Batch {
+    #[prost(fixed64, tag = "1")]
+    host: u64,
+    #[prost(message, repeated, tag = "5")]
+    questions: Vec<Question>,
+    #[prost(message, repeated, tag = "6")]
+    answers: Vec<Answer>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Question {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Answer {
+    #[prost(uint64, tag = "1")]
+    number: u64,
+    #[prost(message, optional, tag = "2")]
+    placed: Option<Placed>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Placed {
+    #[prost(string, tag = "1")]
+    first: String,
+}
+
+/// The stand-in.
+#[derive(Debug)]
+pub struct Decider {
+    asked: sync::Arc<atomic::AtomicUsize>,
+}
+
+impl Decider {
+    /// Registers as the largest host of the zone and names `upstream` to whoever asks.
+    pub fn start(standin: &Standin, upstream: &str) -> Decider {
+        let socket = net::UdpSocket::bind("127.0.0.1:0").unwrap();
+        let reader = net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+        let address = socket.local_addr().unwrap().to_string();
+        let row =
+            json!({"address": address, "reader": reader.to_string(), "zone": "a", "cores": 0.9});
+        standin.put("lagoon-hosts", "h0", &row);
+        let asked = sync::Arc::new(atomic::AtomicUsize::new(0));
+        let (counter, upstream) = (asked.clone(), upstream.to_owned());
+        thread::spawn(move || {
+            let mut buffer = [0; 4_096];
+            while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+                let heard = Batch::decode(&buffer[..length]).unwrap();
+                counter.fetch_add(heard.questions.len(), atomic::Ordering::SeqCst);
+                let answer = |question: &Question| Answer {
+                    number: question.number,
+                    placed: Some(Placed { first: upstream.clone() }),
+                };
+                let answers = heard.questions.iter().map(answer).collect();
+                let said = Batch { host: 9, answers, ..Batch::default() };
+                socket.send_to(&said.encode_to_vec(), from).unwrap();
+            }
+        });
+        Decider { asked }
+    }
+
+    /// Questions that it got.
+    pub fn asked(&self) -> usize {
+        self.asked.load(atomic::Ordering::SeqCst)
+    }
+}
--- a/crates/lagoon-gateway/tests/relay.rs
+++ b/crates/lagoon-gateway/tests/relay.rs
@@ -5,6 +5,8 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod standin;
 
+mod decider;
+
 use std::io::{Read, Write};
 use std::net;
 use std::thread;
@@ -19,9 +21,14 @@
 const PATIENCE: time::Duration = time::Duration::from_secs(20);
 /// How long one watch of the desired state is held.
 const WATCH: time::Duration = time::Duration::from_millis(300);
+/// Within this after the hosts are back, callers are served.
+const RECOVERY: time::Duration = time::Duration::from_secs(12);
 /// Bound on keys that were taken away.
 const REVOKE: time::Duration = time::Duration::from_millis(5_000);
 
+/// Silence after which a host is gone.
+const GONE: time::Duration = time::Duration::from_millis(2_000);
+
 struct Host {
     running: Option<lagoon_gateway::Running>,
 }
@@ -43,6 +50,7 @@
                 desired_wait: WATCH,
                 relay_hosts: 2,
                 hosts_pause: time::Duration::from_millis(20),
+                hosts_gone: GONE,
                 upstreams_pause: time::Duration::from_millis(20),
                 ..Default::default()
             },
@@ -303,3 +311,68 @@
     }
     assert_eq!(missed(&first), before, "the other host met the failing replica too");
 }
+
+/// Guards against rows of replaced hosts that stay at the platform, and against the loss of a host
+/// that lives and whose row was removed.
+#[rstest]
+fn rows_of_hosts_that_are_gone_are_removed() {
+    let (standin, _first, second) = zone();
+    let row = |name: &str| standin.row("lagoon-hosts", name);
+    let mut gone = row("h2").unwrap();
+    gone["address"] = json!("127.0.0.1:9");
+    gone["cores"] = json!(0.01);
+    standin.put("lagoon-hosts", "h9", &gone);
+    until("removed", || row("h9").is_none());
+    assert!(row("h1").is_some() && row("h2").is_some(), "a host that lives was removed");
+    standin.remove("lagoon-hosts", "h2");
+    until("back", || row("h2").is_some());
+    assert_eq!(second.look("k1"), 200);
+}
+
+/// Guards against a system that is not served again after all of its hosts were gone at once.
+#[rstest]
+fn callers_are_served_again_after_all_hosts_were_gone() {
+    let (standin, mut first, mut second) = zone();
+    let ending = thread::spawn(move || first.end());
+    second.end();
+    ending.join().unwrap();
+    standin.put("op", "config", &desired(2, &["k2"]));
+    let began = time::Instant::now();
+    let hosts = [Host::start(&standin, "h1", 0.5), Host::start(&standin, "h3", 0.1)];
+    for host in &hosts {
+        until("served", || host.look("k2") == 200);
+        assert_eq!(host.look("k1"), 401, "an older version is in force again");
+    }
+    assert!(began.elapsed() < RECOVERY, "served after {:?}", began.elapsed());
+}
+
+/// Guards against a request sent to an upstream that the deciding host lists and this host knows to
+/// be leaving, or does not know.
+#[rstest]
+#[case::leaving(true)]
+#[case::unknown(false)]
+fn a_decision_for_an_upstream_that_is_not_listed_here_is_not_used(#[case] known: bool) {
+    let standin = Standin::start();
+    standin.put("op", "config", &desired(1, &["k1"]));
+    standin.upstream("r1", "app", 6);
+    let host = Host::start(&standin, "h5", 0.1);
+    let row = || standin.row("lagoon-hosts", "h5");
+    until("registered", || row().is_some());
+    let address = standin.upstream("r9", "app", 6).to_string();
+    if known {
+        let leaving = json!({"Service": "app", "Address": address, "Zone": "a", "Slots": 6,
+            "State": "draining", "born": 1});
+        standin.put("servers", "r9", &leaving);
+    } else {
+        standin.remove("servers", "r9");
+    }
+    // Two looks at the list.
+    thread::sleep(time::Duration::from_millis(500));
+    let before = standin.seen().len();
+    let decider = decider::Decider::start(&standin, "r9");
+    until("asked", || {
+        assert_eq!(host.look("k1"), 200);
+        decider.asked() > 0
+    });
+    assert!(standin.seen()[before..].iter().all(|seen| seen.upstream == "r1"));
+}
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -77,6 +77,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     standing: Standing,
+    /// When its row was first seen.
+    since: clock::Moment,
     heard: Option<clock::Moment>,
     /// When the first heartbeat was sent to it that it has not answered.
     unanswered: Option<clock::Moment>,
@@ -84,8 +86,13 @@
 }
 
 impl Known {
-    fn new(standing: Standing) -> Known {
-        Known { standing, heard: None, unanswered: None, passed_over: None }
+    fn new(standing: Standing, since: clock::Moment) -> Known {
+        Known { standing, since, heard: None, unanswered: None, passed_over: None }
+    }
+
+    /// How long nothing has come from it.
+    fn silence(&self, now: clock::Moment) -> clock::Span {
+        now.since(self.heard.map_or(self.since, |heard| heard.max(self.since)))
     }
 
     fn is_live(&self, settings: &Settings, now: clock::Moment) -> bool {
@@ -110,7 +117,7 @@
 /// let now = Moment::from_millis(10);
 /// let mut roster = Roster::new(settings, Host::from("b"), standing(0.1), now);
 /// assert!(roster.leads(now));
-/// roster.set(Host::from("a"), standing(0.5));
+/// roster.set(Host::from("a"), standing(0.5), now);
 /// assert_eq!(roster.scheduler(now), Some(Host::from("a")));
 /// roster.passed(&Host::from("a"), now);
 /// assert_eq!(roster.scheduler(now), None);
@@ -140,14 +147,14 @@
     }
 
     /// There is a host, or it changed.
-    pub fn set(&mut self, host: id::Host, standing: Standing) {
+    pub fn set(&mut self, host: id::Host, standing: Standing, now: clock::Moment) {
         if host == self.own {
             return;
         }
         match self.hosts.get_mut(&host) {
             Some(known) if known.standing == standing => return,
             Some(known) => known.standing = standing,
-            None => drop(self.hosts.insert(host, Known::new(standing))),
+            None => drop(self.hosts.insert(host, Known::new(standing, now))),
         }
         self.sort();
     }
@@ -159,6 +166,21 @@
         }
     }
 
+    /// Hosts of this host's zone that have been silent for longer than `span`, where it is for this
+    /// host to forget them: every host of a zone tells the first one that it is there.
+    ///
+    /// Failure answered: hosts are replaced under new names each day. After a year, each host would
+    /// read and rank tens of thousands that are gone, and share what all may do with them.
+    pub fn gone(&self, span: clock::Span, now: clock::Moment) -> Vec<id::Host> {
+        if !self.leads(now) {
+            return Vec::new();
+        }
+        let of_zone = |known: &Known| known.standing.zone == self.standing.zone;
+        let gone = self.hosts.iter().filter(|(_, known)| of_zone(known));
+        let gone = gone.filter(|(_, known)| known.silence(now) > span);
+        gone.map(|(host, _)| host.clone()).collect()
+    }
+
     /// All hosts, this one included.
     pub fn count(&self) -> usize {
         self.hosts.len() + 1
--- a/crates/lagoonline/tests/routing_roster.rs
+++ b/crates/lagoonline/tests/routing_roster.rs
@@ -58,7 +58,7 @@
             let settings = routing::RosterSettings::default();
             let mut roster = routing::Roster::new(settings, name.clone(), own.clone(), START);
             for (other, standing) in &named {
-                roster.set(other.clone(), standing.clone());
+                roster.set(other.clone(), standing.clone(), START);
             }
             let (name, zone) = (name.clone(), own.zone.clone());
             Host { name, zone, roster, rounds: Default::default(), runs: true }
@@ -258,7 +258,7 @@
     let settings = routing::RosterSettings::default();
     let mut roster = routing::Roster::new(settings, name(own), standing(&zone, own), START);
     for index in 0..hosts {
-        roster.set(name(index), standing(&zone, index));
+        roster.set(name(index), standing(&zone, index), START);
     }
     roster
 }
@@ -307,10 +307,10 @@
         routing::Roster::new(settings, id::Host::from("own"), standing(&zone, 0), START);
     for index in 0..20 {
         let other = standing(&id::Zone::from("large"), index);
-        roster.set(id::Host::from(format!("l{index:02}")), other);
+        roster.set(id::Host::from(format!("l{index:02}")), other, START);
         if index < 4 {
             let other = standing(&id::Zone::from("small"), index);
-            roster.set(id::Host::from(format!("s{index:02}")), other);
+            roster.set(id::Host::from(format!("s{index:02}")), other, START);
         }
     }
     let now = START;
@@ -337,3 +337,16 @@
     assert!(calls <= 20.0, "{calls} calls a second");
     assert!(roster(4, 5).longest_pause(now) <= Span::from_millis(400), "of a small zone");
 }
+
+/// Guards against rows of replaced hosts that are kept, read and ranked for ever.
+#[rstest]
+fn silent_hosts_are_forgotten_by_the_first_of_their_zone() {
+    const GONE: Span = Span::from_secs(600);
+    let name = |index: usize| id::Host::from(format!("h{index:02}"));
+    let mut first = roster(0, 5);
+    let (early, late) = (START + Span::from_secs(599), START + Span::from_secs(601));
+    assert!(first.gone(GONE, early).is_empty());
+    first.heard(&name(1), early);
+    assert_eq!(first.gone(GONE, late), [name(2), name(3), name(4)]);
+    assert!(roster(4, 5).gone(GONE, late).is_empty(), "forgotten by a host that is not the first");
+}
