A request that is placed and then not sent is told to have ended

Callers saw: with one host deciding for a zone, a request turned away after it was placed (its key can no longer be confirmed, or its first token would come beyond its time) kept its place counted at the deciding host until that host's next list of what is under way, up to a second. Found by reading.

Change: the dispatch begins before these checks, so that dropping it tells its end. The check of the time left stands in a function of its own.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -267,18 +267,12 @@
                 }
                 Err(refusal) => return Err(self.refused(refusal)),
             };
-            if placement.expected > self.left() {
-                let detail = format!("first token expected after {:?}", placement.expected);
-                return Err(answer::Fault::not_run(
-                    Reason::CannotMeetDeadline,
-                    Step::Route,
-                    detail,
-                ));
-            }
+            // Begun first: a request that is not sent after all is told to have ended.
+            let mut underway = underway::Underway::begin(self, id, &placement, decider);
+            self.check_time(&placement)?;
             if self.customer.is_some() {
                 admit::check_key_age(&self.state)?;
             }
-            let mut underway = underway::Underway::begin(self, id, &placement, decider);
             match self.reserve(&placement, id).await {
                 Ok(reserved) => {
                     underway.keep(reserved);
@@ -301,6 +295,19 @@
         }
     }
 
+    /// Whether the first token is expected in the time that is left.
+    ///
+    /// # Errors
+    ///
+    /// It is not: sent all the same, the request would take an engine's time for nothing.
+    fn check_time(&self, placement: &placement::Placement) -> Result<(), answer::Fault> {
+        if placement.expected <= self.left() {
+            return Ok(());
+        }
+        let detail = format!("first token expected after {:?}", placement.expected);
+        Err(answer::Fault::not_run(Reason::CannotMeetDeadline, Step::Route, detail))
+    }
+
     /// Remembers that an engine did not reserve memory.
     fn note_refusal(&self, refusal: &reserve::Refusal, waited: clock::Span) {
         event::Line::new("not_reserved")
--- a/crates/lagoon-gateway/tests/silence.rs
+++ b/crates/lagoon-gateway/tests/silence.rs
@@ -43,7 +43,7 @@
     })
 }
 
-/// Orders that engines got, each with its engine and its time of arrival in order.
+/// Orders that engines got, of the kind `op`.
 fn orders(host: &Host, op: &str) -> usize {
     let seen = host.standin.seen();
     let orders = seen.iter().filter(|seen| seen.path == "/api/order");
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -8,7 +8,7 @@
 //! No scenario uses the budget up since failing upstreams are left alone at once: its worth is not
 //! measured.
 
-/// What one first attempt adds where nothing else is allowed.
+/// What one first attempt adds unless [`Budget::allow_ratio`] says otherwise.
 const SHARE: f64 = 0.1;
 /// Most that is kept.
 const BURST: f64 = 10.0;
