Places and silence of upstreams have files of their own; the first list is one log line

Seen: a host before 201 upstreams that starts writes a line for each and uses up the lines of its first second; registered was dropped on 182 of 195 hosts after a loss of power. The first list is one line with its size now; changes after it have a line each as before. Test: the_first_list_of_upstreams_is_one_line.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -13,7 +13,6 @@
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
 use ntex::web;
-use rand::Rng;
 
 use crate::admit;
 use crate::answer;
@@ -21,8 +20,9 @@
 use crate::connection;
 use crate::event;
 use crate::exchange;
+use crate::place;
 use crate::reserve;
-use crate::schedule;
+use crate::silence;
 use crate::state;
 use crate::stream;
 use crate::underway;
@@ -64,24 +64,13 @@
 /// Longest time for a connection to an upstream: zones are some milliseconds apart, and a lost
 /// packet is sent again after a fifth of a second.
 const CONNECT: clock::Span = clock::Span::from_millis(350);
-/// Multiple of a route's target that an upstream may be later than expected before another is asked.
-const PATIENT_TARGETS: u32 = 2;
-/// The same beside that multiple: a lost packet comes again within it.
-const PATIENCE: clock::Span = clock::Span::from_millis(300);
 /// Time that must be left for another attempt to be worth it.
-const WORTH_TRYING: clock::Span = clock::Span::from_millis(40);
+pub(crate) const WORTH_TRYING: clock::Span = clock::Span::from_millis(40);
 /// When to come back if nothing better is known: a restarted upstream or a new version is seen
 /// within this.
 pub(crate) const COME_BACK: clock::Span = clock::Span::from_millis(400);
 /// When a caller may come back whom only this host turns away: at once, to another.
 pub(crate) const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
-/// Time between two looks at an upstream that is silent.
-pub(crate) const LOOK: clock::Span = clock::Span::from_millis(250);
-/// An upstream that said something within this is alive: several of its passes.
-const ALIVE: clock::Span = clock::Span::from_millis(500);
-/// Longest time between two looks for a place, for memory, or for engines with less to read: a
-/// tenth of what they may have to read.
-const BUSY_PAUSE: clock::Span = clock::Span::from_millis(40);
 /// Tokens from which a prompt ranks behind short ones in an engine: the longest short prompt has
 /// some 24,000.
 const MEDIUM_PROMPT: u64 = 25_000;
@@ -110,14 +99,6 @@
     pub(crate) upstream: id::Upstream,
 }
 
-/// A place for a request, and the memory reserved there.
-#[derive(Debug)]
-pub(crate) struct Secured {
-    pub(crate) placement: placement::Placement,
-    id: placement::WorkId,
-    underway: underway::Underway,
-}
-
 /// Answers `request`.
 ///
 /// # Errors
@@ -193,11 +174,6 @@
     }
 }
 
-/// A pause drawn from half to one and a half of `span`, so that hosts do not all look at once.
-fn spread(span: clock::Span) -> clock::Span {
-    span.mul_f64(rand::rng().random_range(0.5..1.5))
-}
-
 /// An upstream's answer, checked as far as it must be before a caller sees any of it.
 #[derive(Debug)]
 pub(crate) enum Taken {
@@ -238,152 +214,6 @@
         self.deadline.since(self.state.clock.now())
     }
 
-    /// A place for the request, with the memory that it needs reserved. While there is none, the
-    /// request waits: memory is free again when a long answer ends.
-    ///
-    /// # Errors
-    ///
-    /// Why it gets none; nothing was sent.
-    pub(crate) async fn secure(&self, avoid: &[id::Upstream]) -> Result<Secured, answer::Fault> {
-        let first_try = self.state.clock.now();
-        let mut lacking = None;
-        let turn = self.state.next_work();
-        loop {
-            let waited = self.state.clock.now().since(first_try);
-            // What goes on elsewhere is late already; its caller still waits for it.
-            let due = if avoid.is_empty() { self.request.arrived } else { first_try };
-            let due = due + self.route.target;
-            let decided = self.place(avoid, waited, due, turn).await;
-            let schedule::Decided { id, decider, result } = decided;
-            let placement = match result {
-                Ok(placement) => placement,
-                Err(placement::Refusal::Busy(shortage)) if self.left() > WORTH_TRYING => {
-                    if lacking.replace(shortage) != Some(shortage) {
-                        self.log_wait(shortage, waited);
-                    }
-                    let pause = BUSY_PAUSE.min(self.route.target / 20);
-                    tokio::time::sleep(spread(pause)).await;
-                    continue;
-                }
-                Err(refusal) => return Err(self.refused(refusal)),
-            };
-            // Begun first: a request that is not sent after all is told to have ended.
-            let mut underway = underway::Underway::begin(self, id, &placement, decider);
-            self.check_time(&placement)?;
-            if self.customer.is_some() {
-                admit::check_key_age(&self.state)?;
-            }
-            match self.reserve(&placement, id).await {
-                Ok(reserved) => {
-                    underway.keep(reserved);
-                    return Ok(Secured { placement, id, underway });
-                }
-                Err(refusal) => {
-                    drop(underway);
-                    self.note_refusal(&refusal, waited);
-                    tokio::time::sleep(spread(BUSY_PAUSE)).await;
-                    if waited > self.route.target * 2 {
-                        let fault = answer::Fault::not_run(
-                            Reason::Saturated,
-                            Step::Route,
-                            refusal.to_string(),
-                        );
-                        return Err(fault.after(COME_BACK));
-                    }
-                }
-            }
-        }
-    }
-
-    /// Whether the first token is expected in the time that is left.
-    ///
-    /// # Errors
-    ///
-    /// It is not: sent all the same, the request would take an engine's time for nothing.
-    fn check_time(&self, placement: &placement::Placement) -> Result<(), answer::Fault> {
-        if placement.expected <= self.left() {
-            return Ok(());
-        }
-        let detail = format!("first token expected after {:?}", placement.expected);
-        Err(answer::Fault::not_run(Reason::CannotMeetDeadline, Step::Route, detail))
-    }
-
-    /// Remembers that an engine did not reserve memory.
-    fn note_refusal(&self, refusal: &reserve::Refusal, waited: clock::Span) {
-        event::Line::new("not_reserved")
-            .text("request", &self.request.call.request_id)
-            .text("upstream", &refusal.upstream)
-            .text("detail", &refusal.detail)
-            .span("waited_ms", waited)
-            .info();
-        let manner = if refusal.reached { word::Manner::Full } else { word::Manner::Failed };
-        self.saw(&refusal.upstream, manner);
-    }
-
-    async fn reserve(
-        &self,
-        placement: &placement::Placement,
-        id: placement::WorkId,
-    ) -> Result<Option<reserve::Held>, reserve::Refusal> {
-        let helpers = placement.helpers.iter().map(|helper| (&helper.entry, helper.reserve));
-        let wanted: Vec<_> = std::iter::once((&placement.first, placement.reserve))
-            .chain(helpers)
-            .filter(|(_, tokens)| *tokens > 0)
-            .map(|(entry, tokens)| (entry.clone(), tokens))
-            .collect();
-        if wanted.is_empty() {
-            return Ok(None);
-        }
-        let name = format!("{:x}-{}", self.state.number, id.number);
-        let (first, expected) = (&placement.first, placement.expected);
-        reserve::take(&self.state, &name, first, &wanted, expected).await.map(Some)
-    }
-
-    /// Where the request goes next, after it has waited for `waited`; its first event is due at
-    /// `due`, and `turn` names it while it waits.
-    async fn place(
-        &self,
-        avoid: &[id::Upstream],
-        waited: clock::Span,
-        due: clock::Moment,
-        turn: placement::WorkId,
-    ) -> schedule::Decided {
-        let now = self.state.clock.now();
-        let demand = placement::Demand {
-            prompt: self.request.call.prompt_tokens.unwrap_or(0),
-            answer: self.request.call.answer_tokens.unwrap_or(0),
-            target: due.since(now),
-            gap: self.gap(),
-            waited,
-            turn,
-            zone: &self.state.settings.node.zone,
-            avoid,
-            draw: rand::rng().random(),
-        };
-        let asked = schedule::ask(&self.state, &self.service, &demand, self.left()).await;
-        if let Some(decided) = asked {
-            return decided;
-        }
-        let placed = self.state.with_board(&self.service, |board, now| board.place(&demand, now));
-        schedule::Decided {
-            id: self.state.next_work(),
-            decider: underway::Decider::Own,
-            result: placed.unwrap_or(Err(placement::Refusal::NoUpstream)),
-        }
-    }
-
-    fn refused(&self, refusal: placement::Refusal) -> answer::Fault {
-        let detail = format!("{}: {refusal}", self.service);
-        let (reason, span) = match refusal {
-            placement::Refusal::NoUpstream => (Reason::NoUpstream, COME_BACK),
-            // Engines may be missing for a moment, and a status of the caller's own fault is final.
-            placement::Refusal::TooLong => (Reason::Saturated, COME_BACK),
-            placement::Refusal::Busy(_) => (Reason::Saturated, COME_BACK),
-            placement::Refusal::Full(_, span) => (Reason::Saturated, spread(span)),
-        };
-        answer::Fault::not_run(reason, Step::Route, detail).after(span)
-    }
-
     pub(crate) fn gap(&self) -> clock::Span {
         match self.route.kind {
             routing::Kind::Stream { gap, .. } => gap,
@@ -411,80 +241,19 @@
         unsent || desk.is_some_and(|desk| state::lock(&desk).budget.take())
     }
 
-    /// Whether another attempt is within the budget.
-    pub(crate) fn has_repeat(&self) -> bool {
-        let desk = self.state.desk(&self.service);
-        desk.is_some_and(|desk| state::lock(&desk).budget.has_one())
-    }
-
-    /// Whether something came of an upstream of late: one that is silent to this request only may
-    /// be busy.
-    pub(crate) fn is_alive(&self, upstream: &id::Upstream) -> bool {
-        let alive = |board: &mut placement::Board, now| board.is_alive(upstream, ALIVE, now);
-        self.state.with_board(&self.service, alive).unwrap_or(false)
-    }
-
-    /// Whether an upstream failed another request and nothing has come of it since.
-    pub(crate) fn is_lost(&self, upstream: &id::Upstream) -> bool {
-        let lost = |board: &mut placement::Board, _| board.is_lost(upstream);
-        self.state.with_board(&self.service, lost).unwrap_or(false)
-    }
-
-    /// Whether the upstream has begun a later answer than that of the dispatch `id`.
-    fn is_overtaken(&self, id: placement::WorkId) -> bool {
-        let overtaken = |board: &mut placement::Board, _| board.is_overtaken(id);
-        self.state.with_board(&self.service, overtaken).unwrap_or(false)
-    }
-
-    /// Why the upstream of `placement` is given up that has been silent for `silent` since the
-    /// dispatch `id`, if it is. One that is lost is given up also where no repeat is left: the
-    /// caller, told at once, may go on elsewhere by itself.
-    fn give_up_after(
-        &self,
-        placement: &placement::Placement,
-        id: placement::WorkId,
-        silent: clock::Span,
-    ) -> Option<&'static str> {
-        let upstream = &placement.first.upstream;
-        let patience = self.patience(placement.expected);
-        if silent < placement.expected + PATIENCE {
-            None
-        } else if self.is_lost(upstream) {
-            Some("silent to others too")
-        } else if !self.has_repeat() || silent < patience {
-            None
-        } else if self.is_overtaken(id) {
-            Some("later requests were answered")
-        } else if silent >= patience + self.route.target || !self.is_alive(upstream) {
-            Some("silent")
-        } else {
-            None
-        }
-    }
-
     /// Something of an answer came.
     pub(crate) fn heard(&self, upstream: &id::Upstream) {
         self.state.with_board(&self.service, |board, now| board.heard(upstream, now));
     }
 
-    /// How long an upstream may be silent before another is asked, unless it is merely busy.
-    fn patience(&self, expected: clock::Span) -> clock::Span {
-        expected + self.route.target * PATIENT_TARGETS + PATIENCE
-    }
-
-    /// Whether another upstream may be asked after so many attempts.
-    fn may_repeat(&self, attempts: u32) -> bool {
-        self.route.kind.may_repeat() && attempts < self.route.attempts
-    }
-
     /// Sends the request to an upstream and waits for the head of its answer.
     pub(crate) async fn attempt(
         &self,
-        secured: Secured,
+        secured: place::Secured,
         last_event: Option<u64>,
         attempts: u32,
     ) -> Result<Live, attempt::Miss> {
-        let Secured { placement, id: work_id, underway } = secured;
+        let place::Secured { placement, id: work_id, underway } = secured;
         let first = &placement.first;
         let connect = CONNECT.min(self.left());
         let opened = exchange::Exchange::open(first.address, connect).await;
@@ -502,7 +271,7 @@
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
             loop {
-                match tokio::time::timeout(LOOK, &mut send).await {
+                match tokio::time::timeout(silence::LOOK, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
                         self.suspect(&first.upstream);
@@ -567,7 +336,7 @@
         self.saw(upstream, word::Manner::Failed);
     }
 
-    fn saw(&self, upstream: &id::Upstream, manner: word::Manner) {
+    pub(crate) fn saw(&self, upstream: &id::Upstream, manner: word::Manner) {
         self.state.saw(&self.service, word::Seen::new(upstream, manner));
     }
 
@@ -646,17 +415,6 @@
             .info();
     }
 
-    /// The request waits, or waits for something else than before.
-    fn log_wait(&self, shortage: placement::Shortage, waited: clock::Span) {
-        event::Line::new("waits")
-            .text("request", &self.request.call.request_id)
-            .text("route", &self.route.name)
-            .number("prompt_tokens", self.request.call.prompt_tokens.unwrap_or(0))
-            .text("engines", shortage)
-            .span("waited_ms", waited)
-            .info();
-    }
-
     pub(crate) fn log_miss(&self, upstream: &id::Upstream, missed: &attempt::Miss) {
         event::Line::new("attempt_missed")
             .text("request", &self.request.call.request_id)
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -202,14 +202,20 @@
 
     /// Takes in changes of the list of upstreams.
     pub(crate) fn change_upstreams(&self, changes: Vec<routing::Change>) {
-        self.listed.store(true, atomic::Ordering::Relaxed);
+        let is_first = !self.listed.swap(true, atomic::Ordering::Relaxed);
+        if is_first {
+            // A line each would use up the lines of the start's second.
+            event::Line::new("upstreams_listed").number("upstreams", changes.len()).info();
+        }
         if changes.is_empty() {
             return;
         }
         let now = self.clock.now();
         let mut registry = lock(&self.registry);
         for change in changes {
-            log_change(&change);
+            if !is_first {
+                log_change(&change);
+            }
             registry.apply(change, now);
         }
         drop(registry);
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -23,6 +23,7 @@
 use crate::event;
 use crate::exchange;
 use crate::forward;
+use crate::silence;
 
 /// Events that wait for a slow caller; while they wait the upstream is not read.
 const WAITING: usize = 64;
@@ -254,9 +255,9 @@
         loop {
             let left = self.admitted.left() + OVERTIME;
             let chunk = live.exchange.chunk(live.answer.body_mut());
-            let chunk = match tokio::time::timeout(forward::LOOK.min(left), chunk).await {
+            let chunk = match tokio::time::timeout(silence::LOOK.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure: exchange::Failure| failure.to_string())?,
-                Err(_) if left <= forward::LOOK => return Err("out of time".to_owned()),
+                Err(_) if left <= silence::LOOK => return Err("out of time".to_owned()),
                 Err(_) => {
                     let silent = self.admitted.state.clock.now().since(heard);
                     if self.gives_up_after(&live.upstream, silent) {
--- a/crates/lagoon-gateway/tests/logs.rs
+++ b/crates/lagoon-gateway/tests/logs.rs
@@ -33,11 +33,29 @@
     fn flush(&self) {}
 }
 
+/// Records the lines of this process from now on.
+fn record() {
+    static STARTED: sync::Once = sync::Once::new();
+    STARTED.call_once(|| {
+        log::set_logger(&Lines).unwrap();
+        log::set_max_level(log::LevelFilter::Info);
+    });
+}
+
+/// Guards against start lines lost behind a line for each of many upstreams.
+#[rstest]
+fn the_first_list_of_upstreams_is_one_line() {
+    record();
+    let _host = Host::start();
+    let lines = LINES.lock().unwrap();
+    assert!(lines.iter().any(|line| line.contains("\"upstreams_listed\",\"upstreams\":4")));
+    assert!(!lines.iter().any(|line| line.contains("\"upstream_listed\"")));
+}
+
 /// Guards against a failure line without the request's id when the caller left before its answer.
 #[rstest]
 fn a_caller_that_left_is_logged_by_its_request_id() {
-    log::set_logger(&Lines).unwrap();
-    log::set_max_level(log::LevelFilter::Info);
+    record();
     let host = Host::start();
     host.standin.manner("e1", Manner::Hold);
     host.standin.manner("e2", Manner::Hold);
