A time to come back is never earlier than what is expected

Callers saw: Retry-After was drawn from half to one and a half of the time after which engines are expected to have what they lack; half of the callers came back before it.

Change: drawn from the whole to one and a half of it.

--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -33,6 +33,12 @@
     span.mul_f64(rand::rng().random_range(0.5..1.5))
 }
 
+/// A time to come back drawn from `span` on, so that callers neither return too early nor all at
+/// once.
+fn later(span: clock::Span) -> clock::Span {
+    span.mul_f64(rand::rng().random_range(1.0..1.5))
+}
+
 impl forward::Admitted {
     /// A place for the request, with the memory that it needs reserved. While there is none, the
     /// request waits: memory is free again when a long answer ends.
@@ -175,7 +181,7 @@
             // Engines may be missing for a moment, and a status of the caller's own fault is final.
             placement::Refusal::TooLong => (Reason::Saturated, forward::COME_BACK),
             placement::Refusal::Busy(_) => (Reason::Saturated, forward::COME_BACK),
-            placement::Refusal::Full(_, span) => (Reason::Saturated, spread(span)),
+            placement::Refusal::Full(_, span) => (Reason::Saturated, later(span)),
         };
         answer::Fault::not_run(reason, Step::Route, detail).after(span)
     }
