--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -98,7 +98,7 @@
     assert!(named.contains(orders[0]["Id"].as_str().unwrap()), "{named} names no reservation");
 }
 
-/// A prompt larger than one engine is read by two, and the one that is to answer it goes dark. Its
+/// A prompt larger than one engine is read by two, and the one that is to answer it falls silent. Its
 /// caller still waits, but the other engine's memory is no longer renewed: it lapses by itself and
 /// is back before the bound on unused memory, not only when the host's patience has ended.
 #[rstest]
@@ -137,7 +137,7 @@
     host.standin.manner("e1", Manner::BreakAfter(4));
     host.standin.manner("e2", Manner::BreakAfter(4));
     let change = host.standin.clone();
-    // Whichever engine gets it first breaks; the other is mended as soon as one has got it.
+    // Whichever engine gets it first breaks; the other answers whole as soon as one has got it.
     std::thread::spawn(move || {
         while change.seen().is_empty() {
             std::thread::sleep(time::Duration::from_millis(1));
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -572,7 +572,7 @@
 
 /// An engine answers every request at once with an error, though its health check is good. It is
 /// always the least busy one, so it would get most requests and fail them; it must get few, and be
-/// tried again once it may have been mended.
+/// tried again once it may work again.
 #[rstest]
 fn an_engine_that_errs_is_not_preferred() {
     let mut day = Day::new(9);
