Tests of silence read orders in one place

orders() counted and a second copy read names and kinds; one function gives the reservations' names now.

--- a/crates/lagoon-gateway/tests/silence.rs
+++ b/crates/lagoon-gateway/tests/silence.rs
@@ -43,11 +43,14 @@
     })
 }
 
-/// Orders that engines got, of the kind `op`.
-fn orders(host: &Host, op: &str) -> usize {
+/// Names of the reservations in the orders that engines got, of the kind `op`.
+fn orders(host: &Host, op: &str) -> Vec<String> {
     let seen = host.standin.seen();
     let orders = seen.iter().filter(|seen| seen.path == "/api/order");
-    orders.filter(|seen| String::from_utf8_lossy(&seen.body).contains(op)).count()
+    let orders =
+        orders.map(|seen| serde_json::from_slice::<serde_json::Value>(&seen.body).unwrap());
+    let orders = orders.filter(|order| order["Op"] == op);
+    orders.map(|order| order["Id"].as_str().unwrap().to_owned()).collect()
 }
 
 /// Guards against waiting for an engine that answers others but not this request.
@@ -96,9 +99,9 @@
     host.until("sent", || host.standin.seen().iter().any(|seen| seen.path == "/review/a"));
     // Its first token was due by now; the engines report that no request uses the memory.
     thread::sleep(time::Duration::from_secs(5));
-    let before = orders(&host, "reserve");
+    let before = orders(&host, "reserve").len();
     thread::sleep(time::Duration::from_millis(2_500));
-    assert_eq!(orders(&host, "reserve"), before, "renewed for a request that is over");
+    assert_eq!(orders(&host, "reserve").len(), before, "renewed for a request that is over");
     drop(host);
     drop(caller.join());
 }
@@ -108,17 +111,10 @@
 fn a_reservation_that_was_not_answered_is_released_again() {
     let host = before_one_engine(Manner::Hold);
     let caller = prompt(&host, "review", 150_000);
-    host.until("ordered", || orders(&host, "reserve") > 0);
-    let first = host.standin.seen()[0].body.clone();
+    host.until("ordered", || !orders(&host, "reserve").is_empty());
+    let id = orders(&host, "reserve").remove(0);
     host.standin.manner("e1", Manner::Whole);
-    let id = serde_json::from_slice::<serde_json::Value>(&first).unwrap()["Id"].clone();
-    let releases = || {
-        let seen = host.standin.seen();
-        let orders = seen.iter().filter(|seen| seen.path == "/api/order");
-        let orders = orders.map(|seen| serde_json::from_slice::<serde_json::Value>(&seen.body));
-        let orders = orders.map(Result::unwrap);
-        orders.filter(|order| order["Op"] == "release" && order["Id"] == id).count()
-    };
+    let releases = || orders(&host, "release").iter().filter(|released| **released == id).count();
     host.until("released", || releases() >= 1);
     host.until("released again", || releases() >= 3);
     drop(host);
