A request is known by its fingerprint, and a broken connection is told from a crash

- The lines of a broken stream and of a missed attempt bear the request's fingerprint: a digest of customer, path and body, with the body's length.
- An upstream under which a connection broke is connected to once.
Refused: its process ended.
Accepted: only the connection broke.

--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -52,6 +52,7 @@
         deadline: request.arrived + wait,
         route: route.clone(),
         request,
+        fingerprint: sync::OnceLock::new(),
     })
 }
 
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::life::request;
+use lagoonline::life::{fingerprint, request};
 use lagoonline::load::placement;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
@@ -88,6 +88,8 @@
     pub(crate) service: id::Service,
     pub(crate) customer: Option<id::Customer>,
     pub(crate) deadline: clock::Moment,
+    /// Worked out when it is first asked for.
+    pub(crate) fingerprint: sync::OnceLock<fingerprint::Fingerprint>,
 }
 
 /// An attempt whose answer has begun.
@@ -97,6 +99,8 @@
     pub(crate) answer: hyper::Response<hyper::body::Incoming>,
     pub(crate) underway: underway::Underway,
     pub(crate) upstream: id::Upstream,
+    /// When the answer began.
+    pub(crate) began: clock::Moment,
 }
 
 /// Answers `request`.
@@ -275,6 +279,7 @@
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
                         self.suspect(&first.upstream);
+                        self.broke(&first.upstream, None);
                         return Err(attempt::Miss::Lost(format!("{}: {failure}", first.upstream)));
                     }
                     // The last upstream that may be asked is waited for: it may merely be busy.
@@ -290,7 +295,8 @@
                 }
             }
         };
-        Ok(Live { exchange, answer, underway, upstream: first.upstream.clone() })
+        let began = self.state.clock.now();
+        Ok(Live { exchange, answer, underway, upstream: first.upstream.clone(), began })
     }
 
     fn encode(
@@ -322,6 +328,14 @@
         request.body(exchange::Payload::new(self.request.body.clone()))
     }
 
+    /// What the request is, whatever its id.
+    pub(crate) fn fingerprint(&self) -> fingerprint::Fingerprint {
+        let customer = self.customer.as_ref().map_or("", id::Customer::as_str);
+        let request = &self.request;
+        let compute = || fingerprint::Fingerprint::new(customer, &request.target, &request.body);
+        *self.fingerprint.get_or_init(compute)
+    }
+
     /// Rank in an engine: short prompts first.
     fn rank(&self) -> Option<u8> {
         let prompt = self.request.call.prompt_tokens?;
@@ -371,7 +385,10 @@
             return Ok(Taken::Stream { status, fields: passed, live: Box::new(live) });
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
-        let body = body.map_err(|failure| attempt::Miss::Lost(format!("{peer}: {failure}")))?;
+        let body = body.map_err(|failure| {
+            self.broke(peer, Some(self.state.clock.now().since(live.began)));
+            attempt::Miss::Lost(format!("{peer}: {failure}"))
+        })?;
         if status >= 500 {
             self.saw(peer, word::Manner::Erred);
         }
@@ -421,6 +438,7 @@
             .text("upstream", upstream)
             .text("outcome", missed.word())
             .text("detail", missed.detail())
+            .text("fingerprint", self.fingerprint())
             .warn();
     }
 
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod attempt;
 mod clock;
 mod connection;
+mod crash;
 mod event;
 mod exchange;
 mod feed;
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use tokio::sync::{Notify, mpsc, watch};
 
+use crate::crash;
 use crate::event;
 use crate::feed;
 use crate::mesh;
@@ -109,6 +110,8 @@
     /// Words that wait to be told.
     pub(crate) words: mpsc::Sender<mesh::Said>,
     pub(crate) socket: net::UdpSocket,
+    /// Requests whose connections broke.
+    pub(crate) breaks: crash::Breaks,
 }
 
 /// Locks; a panic of another holder leaves figures that are still whole.
@@ -157,6 +160,7 @@
             questions: schedule::Questions::default(),
             words,
             socket,
+            breaks: crash::Breaks::default(),
         };
         (sync::Arc::new(state), receiver)
     }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -189,6 +189,7 @@
                 .text("error", &failure)
                 .number("events", self.events)
                 .span("after_ms", self.since_arrival())
+                .text("fingerprint", self.admitted.fingerprint())
                 .warn();
             self.admitted.suspect(&upstream);
             avoid.push(upstream);
@@ -249,6 +250,13 @@
         None
     }
 
+    /// The connection to the upstream of `live` broke.
+    fn broke(&self, live: &forward::Live, failure: &exchange::Failure) -> String {
+        let running = self.admitted.state.clock.now().since(live.began);
+        self.admitted.broke(&live.upstream, Some(running));
+        failure.to_string()
+    }
+
     /// Relays one answer to its end.
     async fn relay_one(&mut self, mut live: forward::Live) -> Result<(), String> {
         let mut heard = self.admitted.state.clock.now();
@@ -256,7 +264,7 @@
             let left = self.admitted.left() + OVERTIME;
             let chunk = live.exchange.chunk(live.answer.body_mut());
             let chunk = match tokio::time::timeout(silence::LOOK.min(left), chunk).await {
-                Ok(chunk) => chunk.map_err(|failure: exchange::Failure| failure.to_string())?,
+                Ok(chunk) => chunk.map_err(|failure| self.broke(&live, &failure))?,
                 Err(_) if left <= silence::LOOK => return Err("out of time".to_owned()),
                 Err(_) => {
                     let silent = self.admitted.state.clock.now().since(heard);
--- /dev/null
+++ b/crates/lagoonline/src/life/fingerprint.rs
@@ -0,0 +1,113 @@
+//! What makes two requests the same request, whatever ids they bear.
+
+use std::fmt;
+use std::ops;
+use std::str;
+
+use sha2::Digest as _;
+
+/// Bytes of a digest that are kept: too many for two requests to share by chance, or for a caller
+/// to find a body that bears the fingerprint of another request.
+const DIGEST: usize = 16;
+
+/// The identity of a request: its customer, path and query, and body.
+///
+/// The length of the body comes first in the order, so that a table of fingerprints can tell
+/// without any hashing that it holds none of a certain length.
+///
+/// ```
+/// use lagoonline::life::fingerprint::Fingerprint;
+/// let first = Fingerprint::new("acme", "/talk/a", b"hello");
+/// assert_eq!(first, Fingerprint::new("acme", "/talk/a", b"hello"));
+/// assert_ne!(first, Fingerprint::new("acme", "/talk/", b"ahello"));
+/// assert_eq!(first.to_string().parse(), Ok(first));
+/// ```
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint {
+    length: u64,
+    digest: [u8; DIGEST],
+}
+
+/// A text or bytes that are no fingerprint.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("not a fingerprint")]
+pub struct Malformed;
+
+impl Fingerprint {
+    /// The fingerprint of a request of `customer` (empty for none) to `target`, path and query, with
+    /// `body`. Takes time in proportion to the body.
+    pub fn new(customer: &str, target: &str, body: &[u8]) -> Fingerprint {
+        let mut hash = sha2::Sha256::new();
+        for part in [customer.as_bytes(), target.as_bytes(), body] {
+            hash.update(length(part).to_le_bytes());
+            hash.update(part);
+        }
+        let mut digest = [0; DIGEST];
+        digest.copy_from_slice(&hash.finalize()[..DIGEST]);
+        Fingerprint { length: length(body), digest }
+    }
+
+    /// All fingerprints of requests whose body has `length` bytes.
+    ///
+    /// ```
+    /// use lagoonline::life::fingerprint::Fingerprint;
+    /// let of_five = Fingerprint::of_length(5);
+    /// assert!(of_five.contains(&Fingerprint::new("acme", "/talk/a", b"hello")));
+    /// ```
+    pub const fn of_length(length: u64) -> ops::RangeInclusive<Fingerprint> {
+        let first = Fingerprint { length, digest: [0; DIGEST] };
+        first..=Fingerprint { length, digest: [u8::MAX; DIGEST] }
+    }
+
+    /// Length of the body, in bytes.
+    pub const fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// The digest of customer, target and body.
+    pub const fn digest(&self) -> &[u8] {
+        &self.digest
+    }
+
+    /// The fingerprint with these parts, as another host told them.
+    ///
+    /// # Errors
+    ///
+    /// The digest has another length.
+    ///
+    /// ```
+    /// use lagoonline::life::fingerprint::Fingerprint;
+    /// let first = Fingerprint::new("acme", "/talk/a", b"hello");
+    /// assert_eq!(Fingerprint::from_parts(5, first.digest()), Ok(first));
+    /// assert!(Fingerprint::from_parts(5, b"short").is_err());
+    /// ```
+    pub fn from_parts(length: u64, digest: &[u8]) -> Result<Fingerprint, Malformed> {
+        let digest = digest.try_into().map_err(|_| Malformed)?;
+        Ok(Fingerprint { length, digest })
+    }
+}
+
+fn length(bytes: &[u8]) -> u64 {
+    u64::try_from(bytes.len()).unwrap_or(u64::MAX)
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}-", self.length)?;
+        self.digest.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+    }
+}
+
+impl str::FromStr for Fingerprint {
+    type Err = Malformed;
+
+    fn from_str(text: &str) -> Result<Fingerprint, Malformed> {
+        let (length, digits) = text.split_once('-').ok_or(Malformed)?;
+        let length = u64::from_str_radix(length, 16).map_err(|_| Malformed)?;
+        if digits.len() != 2 * DIGEST || !digits.is_ascii() {
+            return Err(Malformed);
+        }
+        let digest = u128::from_str_radix(digits, 16).map_err(|_| Malformed)?;
+        Ok(Fingerprint { length, digest: digest.to_be_bytes() })
+    }
+}
--- a/crates/lagoonline/src/life/mod.rs
+++ b/crates/lagoonline/src/life/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod claim;
 pub mod drain;
+pub mod fingerprint;
 pub mod leaving;
 pub mod owner;
 pub mod reap;
