A failing test: a request that crashed three engines is sent on by all hosts

Four hosts of two zones stand before eight engines; the stand-in's engine crashes when it begins to run a marked body: it sends the head of the answer, closes all its connections, refuses new ones for 400 ms and is back.

The stand-in's requests bear the moment at which they came, and its hosts can be several in one test.

--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -19,9 +19,9 @@
     pub ready: net::SocketAddr,
 }
 
-fn node(standin: &Standin) -> lagoon_platform::settings::Node {
+fn node(standin: &Standin, name: &str, zone: &str) -> lagoon_platform::settings::Node {
     let text = format!(
-        "NodeName: h1\nIp: 127.0.0.1\nZone: a\nListen:\n  Front: \"127.0.0.1:0\"\n  \
+        "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:0\"\n  \
          Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{}\"\n\
          Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: 1500\n",
         standin.store_address
@@ -61,18 +61,24 @@
         for name in ["r1", "r2"] {
             standin.upstream(name, "app", 6);
         }
+        Host::join(&standin, "h1", "a")
+    }
+
+    /// A host that is ready, of a zone that stands before `standin`.
+    pub fn join(standin: &Standin, name: &str, zone: &str) -> Host {
         let settings = lagoon_gateway::Settings {
-            node: node(&standin),
+            node: node(standin, name, zone),
             tuning: lagoon_gateway::Tuning {
                 desired_wait: time::Duration::from_millis(400),
                 upstreams_pause: time::Duration::from_millis(20),
+                hosts_pause: time::Duration::from_millis(20),
                 ..Default::default()
             },
         };
         let running = lagoon_gateway::start(settings).unwrap();
         let handle = running.handle();
         let host = Host {
-            standin,
+            standin: standin.clone(),
             running: Some(running),
             callers: handle.callers(),
             ready: handle.ready(),
