A request that crashed three engines is refused by all hosts

Callers saw: one request, sent again and again under new ids, ended 44 to 51 engines of 23 (each is back after seconds and ends again); each end broke up to 20 answers of others, and over a tenth of short prompts were not served.

Cause: a request was known by its id alone, and an engine's end counted against the engine alone. Each attempt was placed as new, by each host, and resumed at a second engine when the first had ended under it. Class: a failure that belongs to the request is taken for one of the upstream.

Change: lagoonline::life::quarantine (pure) takes crashes and the requests that had just begun where they happened; three crashes at different moments that nothing else explains put a request in quarantine. Hosts tell each other crashes, suspects that were answered, and verdicts; each batch of words bears a checksum of the verdicts, so that a host which missed one is told. The first host of each zone writes them to the platform, and each host reads them at its start. First sends, repeats, resumed streams and reservations all pass one check in forward::secure. Operators list and release at the address of readiness.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -86,6 +86,11 @@
     let probed = probe(&state, &service, &upstream).await;
     let requests = state::lock(&state.breaks.0).remove(&upstream).unwrap_or_default();
     let listed: Vec<_> = requests.iter().map(ToString::to_string).collect();
+    if probed == Probed::Ended {
+        let suspects = requests.iter().filter(|request| state.is_suspect(request.running));
+        let suspects: Vec<_> = suspects.map(|request| request.fingerprint).collect();
+        state.crashed(&service, &upstream, &suspects);
+    }
     event::Line::new("upstream_probed")
         .text("upstream", &upstream)
         .text("probed", probed.as_str())
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -399,6 +399,9 @@
         }
         if good {
             self.answered(peer);
+            if !body.is_empty() {
+                self.clear();
+            }
         }
         Ok(Taken::Whole { status, fields: passed, body: body.freeze() })
     }
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod mirror;
 mod peers;
 mod place;
+mod quarantine;
 mod question;
 mod relay;
 mod report;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -225,6 +225,7 @@
     if let Some(beat) = batch.beat {
         take_beat(state, from, beat);
     }
+    state.compare_verdicts(from, batch.verdicts);
 }
 
 fn take_beat(state: &state::State, from: net::SocketAddr, beat: word::Beat) {
@@ -256,6 +257,20 @@
     }
 }
 
+/// Whether other zones hear `what` from the host that schedules for this one.
+fn is_relayed(what: &word::What) -> bool {
+    match what {
+        word::What::First(_)
+        | word::What::Ended(_)
+        | word::What::Crashed(_)
+        | word::What::Cleared(_) => true,
+        word::What::Sent(_)
+        | word::What::Reported(_)
+        | word::What::Seen(_)
+        | word::What::Verdict(_) => false,
+    }
+}
+
 /// Takes in a word of the life `from`, and tells other zones of it where `relays` says so.
 fn take_word(state: &state::State, from: u64, word: word::Word, relays: bool) {
     let service = id::Service::from(word.service.as_str());
@@ -265,9 +280,15 @@
         // A later build's word.
         return;
     };
-    if relays && is_own && matches!(what, word::What::First(_) | word::What::Ended(_)) {
+    if relays && is_own && is_relayed(&what) {
         state.say(word::Word::about(id, &service, what.clone()), Reach::Far);
     }
+    match &what {
+        word::What::Crashed(crashed) => return state.heard_crash(crashed),
+        word::What::Cleared(cleared) => return state.heard_cleared(cleared),
+        word::What::Verdict(verdict) => return state.heard_verdict(verdict),
+        _ => {}
+    }
     let told = state.with_board(&service, |board, now| match what {
         word::What::Sent(sent) => board.begin(sent.work(id, now), now),
         word::What::First(_) => board.first_token(id, now),
@@ -277,6 +298,7 @@
             board.set_slowness(&upstream, report.slowness, now);
         }
         word::What::Seen(seen) => seen.note(board, now),
+        word::What::Crashed(_) | word::What::Cleared(_) | word::What::Verdict(_) => {}
     });
     if told.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -45,6 +45,12 @@
     pub(crate) confirmation_age_ms: Gauge,
     /// Reservations of engine memory that are not released yet.
     pub(crate) reservations: Gauge,
+    /// Crashes of upstreams under requests of this host.
+    pub(crate) crashes: Counter,
+    /// Requests in quarantine.
+    pub(crate) quarantined: Gauge,
+    /// Requests that were under way at crashes.
+    pub(crate) suspects: Gauge,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -64,6 +70,9 @@
             desired_version: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
             reservations: Gauge::default(),
+            crashes: Counter::default(),
+            quarantined: Gauge::default(),
+            suspects: Gauge::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -86,6 +95,10 @@
         registry.register("confirmation_age_ms", help, self.confirmation_age_ms.clone());
         let help = "reservations of engine memory not released yet";
         registry.register("reservations", help, self.reservations.clone());
+        let help = "crashes of upstreams under requests of this host";
+        registry.register("upstream_crashes", help, self.crashes.clone());
+        registry.register("quarantined", "requests in quarantine", self.quarantined.clone());
+        registry.register("suspects", "requests that were at crashes", self.suspects.clone());
     }
 
     /// A request of `service` was answered.
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -51,6 +51,7 @@
         let mut lacking = None;
         let turn = self.state.next_work();
         loop {
+            self.check_quarantine().await?;
             let waited = self.state.clock.now().since(first_try);
             // What goes on elsewhere is late already; its caller still waits for it.
             let due = if avoid.is_empty() { self.request.arrived } else { first_try };
@@ -78,6 +79,7 @@
             match self.reserve(&placement, id).await {
                 Ok(reserved) => {
                     underway.keep(reserved);
+                    self.check_quarantine().await?;
                     return Ok(Secured { placement, id, underway });
                 }
                 Err(refusal) => {
--- /dev/null
+++ b/crates/lagoon-gateway/src/quarantine/mod.rs
@@ -0,0 +1,273 @@
+//! Requests that crash upstreams: what this host sees, hears and tells of them, and the check that
+//! each request passes before it is sent. [`lagoonline::life::quarantine`] decides.
+
+mod operator;
+mod rows;
+mod word;
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::sync::atomic;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::life::{fingerprint, quarantine};
+use lagoonline::outcome::{Reason, Step};
+use rand::seq::IndexedRandom;
+
+use crate::answer;
+use crate::event;
+use crate::forward;
+use crate::mesh;
+use crate::state;
+use crate::word as words;
+
+pub(crate) use operator::operate;
+pub(crate) use rows::run;
+pub(crate) use word::{Cleared, Crashed, Verdict};
+
+/// Least time between two times that a host is told verdicts which it seems to lack.
+const TOLD_AGAIN: clock::Span = clock::Span::from_millis(200);
+/// Most verdicts that it is told at once, drawn from all where there are more.
+const MOST_TOLD: usize = 256;
+
+/// The quarantine as the threads of the process share it.
+#[derive(Debug, Default)]
+pub(crate) struct Keeper {
+    quarantine: sync::Mutex<quarantine::Quarantine>,
+    /// That of the verdicts, which each batch of words carries.
+    checksum: atomic::AtomicU64,
+    /// When hosts were last told verdicts.
+    told: sync::Mutex<collections::HashMap<net::SocketAddr, clock::Moment>>,
+}
+
+impl forward::Admitted {
+    /// Lets the request be sent unless it is known to crash upstreams. One on which a decision is due
+    /// waits for it.
+    ///
+    /// # Errors
+    ///
+    /// It is in quarantine.
+    pub(crate) async fn check_quarantine(&self) -> Result<(), answer::Fault> {
+        if !self.is_noted() {
+            return Ok(());
+        }
+        let fingerprint = self.fingerprint();
+        loop {
+            let now = self.state.clock.now();
+            let standing = state::lock(&self.state.keeper.quarantine).standing(&fingerprint, now);
+            match standing {
+                quarantine::Standing::Free => return Ok(()),
+                quarantine::Standing::Undecided(span) => {
+                    tokio::time::sleep(span + crate::server::TICK).await;
+                }
+                quarantine::Standing::Held(record) => return Err(held(&record, now)),
+            }
+        }
+    }
+
+    /// Whether there may be evidence or a verdict on the request.
+    fn is_noted(&self) -> bool {
+        let length = u64::try_from(self.request.body.len()).unwrap_or(u64::MAX);
+        state::lock(&self.state.keeper.quarantine).knows_length(length)
+    }
+
+    /// The request was answered whole.
+    pub(crate) fn clear(&self) {
+        if !self.is_noted() {
+            return;
+        }
+        let fingerprint = self.fingerprint();
+        let is_news = self.state.clear(&fingerprint);
+        if is_news {
+            event::Line::new("suspect_cleared")
+                .text("request", &self.request.call.request_id)
+                .text("fingerprint", fingerprint)
+                .info();
+            let cleared = Cleared { request: Some(word::Identity::new(&fingerprint)) };
+            let what = words::What::Cleared(cleared);
+            self.state.tell(words::Word::new(0, &self.service, what));
+        }
+    }
+}
+
+fn held(record: &quarantine::Record, now: clock::Moment) -> answer::Fault {
+    let left = record.until.since(now);
+    let (fingerprint, crashes) = (&record.fingerprint, record.crashes);
+    let detail = format!("{fingerprint}: {crashes} upstreams crashed under this request");
+    answer::Fault::not_run(Reason::Quarantined, Step::Admit, detail).after(left)
+}
+
+impl state::State {
+    /// `upstream` crashed when `requests` of this host had just begun there.
+    pub(crate) fn crashed(
+        &self,
+        service: &id::Service,
+        upstream: &id::Upstream,
+        requests: &[fingerprint::Fingerprint],
+    ) {
+        self.metrics.crashes.inc();
+        if requests.is_empty() {
+            return;
+        }
+        state::lock(&self.keeper.quarantine).crashed(upstream, requests, self.clock.now());
+        let what = words::What::Crashed(Crashed::new(upstream, requests));
+        self.tell(words::Word::new(0, service, what));
+    }
+
+    /// Whether a crash speaks against a request that had been answered for `running`.
+    pub(crate) fn is_suspect(&self, running: Option<clock::Span>) -> bool {
+        state::lock(&self.keeper.quarantine).is_suspect(running)
+    }
+
+    /// Another host told of a crash.
+    pub(crate) fn heard_crash(&self, crashed: &Crashed) {
+        let read = crashed.requests.iter().map(word::Identity::fingerprint);
+        match read.collect::<Result<Vec<_>, _>>() {
+            Ok(requests) => {
+                let upstream = id::Upstream::from(crashed.upstream.as_str());
+                let now = self.clock.now();
+                state::lock(&self.keeper.quarantine).crashed(&upstream, &requests, now);
+            }
+            Err(error) => unreadable(error),
+        }
+    }
+
+    /// Another host told of a suspect that was answered.
+    pub(crate) fn heard_cleared(&self, cleared: &Cleared) {
+        match cleared.request.as_ref().map(word::Identity::fingerprint) {
+            Some(Ok(fingerprint)) => drop(self.clear(&fingerprint)),
+            Some(Err(error)) => unreadable(error),
+            None => unreadable(fingerprint::Malformed),
+        }
+    }
+
+    /// Another host told a verdict.
+    pub(crate) fn heard_verdict(&self, verdict: &Verdict) {
+        match verdict.record(self.clock.now()) {
+            Ok(record) => self.merge(record, "host"),
+            Err(error) => unreadable(error),
+        }
+    }
+
+    /// Takes in a verdict from `source`.
+    pub(crate) fn merge(&self, record: quarantine::Record, source: &str) {
+        let now = self.clock.now();
+        if !state::lock(&self.keeper.quarantine).merge(record, now) {
+            return;
+        }
+        event::Line::new("quarantine_learned")
+            .text("fingerprint", record.fingerprint)
+            .text("source", source)
+            .number("version", record.version)
+            .number("released", record.released)
+            .span("left_ms", record.until.since(now))
+            .info();
+        self.sum_up();
+    }
+
+    /// The request was answered; whether that is news.
+    fn clear(&self, fingerprint: &fingerprint::Fingerprint) -> bool {
+        let now = self.clock.now();
+        let (is_news, released) = state::lock(&self.keeper.quarantine).answered(fingerprint, now);
+        if let Some(record) = released {
+            self.announce(&record);
+        }
+        is_news
+    }
+
+    /// Ends the quarantine of a request; whether it was in one.
+    fn release(&self, fingerprint: &fingerprint::Fingerprint) -> bool {
+        let now = self.clock.now();
+        let released = state::lock(&self.keeper.quarantine).release(fingerprint, now);
+        if let Some(record) = &released {
+            self.announce(record);
+        }
+        released.is_some()
+    }
+
+    /// Verdicts that hold, and those that were ended early.
+    pub(crate) fn verdicts(&self) -> Vec<quarantine::Record> {
+        let now = self.clock.now();
+        state::lock(&self.keeper.quarantine).records(now).copied().collect()
+    }
+
+    /// Judges what is due and forgets what is old. Only a host that hears of the crashes of all hosts
+    /// judges: by its own alone, whatever lay beside a lethal request would look as bad.
+    pub(crate) fn tend_quarantine(&self) {
+        let now = self.clock.now();
+        let judges = state::lock(&self.peers).roster.is_candidate(now);
+        let mut quarantine = state::lock(&self.keeper.quarantine);
+        quarantine.expire(now);
+        let verdicts = if judges { quarantine.judge(now) } else { Vec::new() };
+        drop(quarantine);
+        for verdict in &verdicts {
+            let upstreams: Vec<_> = verdict.upstreams.iter().map(id::Upstream::as_str).collect();
+            event::Line::new("quarantined")
+                .text("fingerprint", verdict.record.fingerprint)
+                .text("upstreams", upstreams.join(" "))
+                .number("crashes", verdict.record.crashes)
+                .number("times", verdict.record.times)
+                .span("left_ms", verdict.record.until.since(now))
+                .warn();
+            self.announce(&verdict.record);
+        }
+        self.sum_up();
+    }
+
+    /// Tells all hosts a verdict of this one.
+    fn announce(&self, record: &quarantine::Record) {
+        self.say(verdict_word(record, self.clock.now()), mesh::Reach::All);
+        self.sum_up();
+    }
+
+    fn sum_up(&self) {
+        let now = self.clock.now();
+        let quarantine = state::lock(&self.keeper.quarantine);
+        let checksum = quarantine.checksum(now);
+        let held = quarantine.records(now).filter(|record| record.holds(now)).count();
+        let suspects = quarantine.suspects();
+        drop(quarantine);
+        self.keeper.checksum.store(checksum, atomic::Ordering::Relaxed);
+        self.metrics.quarantined.set(i64::try_from(held).unwrap_or(i64::MAX));
+        self.metrics.suspects.set(i64::try_from(suspects).unwrap_or(i64::MAX));
+    }
+
+    /// The checksum of this host's verdicts.
+    pub(crate) fn verdicts_checksum(&self) -> u64 {
+        self.keeper.checksum.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Tells the host at `address` this host's verdicts if it knows others.
+    ///
+    /// Failure answered: a word of a verdict is lost, or a host is started, paused or cut off when it
+    /// is said, and goes on sending a lethal request.
+    pub(crate) fn compare_verdicts(&self, address: net::SocketAddr, checksum: u64) {
+        if checksum == self.verdicts_checksum() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut told = state::lock(&self.keeper.told);
+        told.retain(|_, at| now.since(*at) < TOLD_AGAIN);
+        if told.contains_key(&address) {
+            return;
+        }
+        told.insert(address, now);
+        drop(told);
+        let verdicts = self.verdicts();
+        let some = verdicts.choose_multiple(&mut rand::rng(), MOST_TOLD);
+        let words = some.map(|record| verdict_word(record, now)).collect();
+        self.send(address, &self.datagrams(words));
+    }
+}
+
+fn verdict_word(record: &quarantine::Record, now: clock::Moment) -> words::Word {
+    let what = words::What::Verdict(Verdict::new(record, now));
+    words::Word::new(0, &id::Service::default(), what)
+}
+
+fn unreadable(error: fingerprint::Malformed) {
+    event::Line::new("quarantine_unreadable").text("error", error).warn();
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/quarantine/operator.rs
@@ -0,0 +1,60 @@
+//! What operators ask of the quarantine, at the address of readiness.
+
+use lagoonline::clock::Clock as _;
+use lagoonline::life::fingerprint;
+use ntex::http;
+use ntex::web;
+use serde_json::json;
+
+use crate::event;
+use crate::state;
+
+/// Lists the verdicts.
+const LIST: &str = "/quarantine";
+/// Ends the quarantine of the fingerprint that follows.
+const RELEASE: &str = "/quarantine/release/";
+
+/// Answers a question on the quarantine; `None` if `path` asks something else.
+pub(crate) fn operate(
+    state: &state::State,
+    method: &http::Method,
+    path: &str,
+) -> Option<web::HttpResponse> {
+    if path == LIST && method == http::Method::GET {
+        return Some(list(state));
+    }
+    let fingerprint = path.strip_prefix(RELEASE).filter(|_| method == http::Method::POST)?;
+    Some(release(state, fingerprint))
+}
+
+fn list(state: &state::State) -> web::HttpResponse {
+    let now = state.clock.now();
+    let verdict = |record: &lagoonline::life::quarantine::Record| {
+        json!({
+            "fingerprint": record.fingerprint.to_string(),
+            "crashes": record.crashes,
+            "times": record.times,
+            "left_s": record.until.since(now).as_secs(),
+            "released": record.released,
+        })
+    };
+    let verdicts: Vec<_> = state.verdicts().iter().map(verdict).collect();
+    let body = json!({"quarantine": verdicts}).to_string();
+    web::HttpResponse::Ok().content_type("application/json").body(body)
+}
+
+fn release(state: &state::State, fingerprint: &str) -> web::HttpResponse {
+    let released = match fingerprint.parse::<fingerprint::Fingerprint>() {
+        Ok(fingerprint) => state.release(&fingerprint),
+        Err(error) => return web::HttpResponse::BadRequest().body(format!("{error}\n")),
+    };
+    event::Line::new("quarantine_release")
+        .text("fingerprint", fingerprint)
+        .number("released", released)
+        .warn();
+    if released {
+        web::HttpResponse::Ok().body("released\n")
+    } else {
+        web::HttpResponse::NotFound().body("not in quarantine\n")
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -0,0 +1,151 @@
+//! Verdicts at the platform, where they outlast a kill of all hosts.
+//!
+//! Each host reads them once, after its start; from then on the others tell it. The first host of
+//! each zone writes those that are not there yet, and removes those that have lapsed.
+
+use std::collections;
+use std::sync;
+
+use lagoon_platform::store;
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::life::{fingerprint, quarantine};
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::event;
+use crate::state;
+use crate::store as client;
+
+/// Table of the verdicts.
+const TABLE: &str = "lagoon-quarantine";
+/// Longest time for a call.
+const CALL: clock::Span = clock::Span::from_millis(1_500);
+/// Pause between two looks for verdicts to write, and after a call that failed.
+const PAUSE: clock::Span = clock::Span::from_millis(700);
+/// Most calls between two pauses.
+const MOST_CALLS: usize = 10;
+
+/// A verdict's row; its key is the fingerprint.
+#[derive(Debug, Deserialize, Serialize)]
+struct Row {
+    version: u32,
+    times: u32,
+    crashes: u32,
+    /// Unix time in milliseconds at which it lapses.
+    until_ms: u64,
+    released: bool,
+}
+
+/// Versions of the verdicts that the platform is known to hold.
+type Stored = collections::BTreeMap<fingerprint::Fingerprint, u32>;
+
+/// Reads the verdicts, then keeps those at the platform up to date.
+pub(crate) async fn run(state: sync::Arc<state::State>) {
+    let mut client = client::Client::new(state.settings.node.store);
+    let mut stored = Stored::new();
+    while let Err(error) = read(&state, &mut client, &mut stored).await {
+        event::Line::new("quarantine_unread").text("error", error).warn();
+        pause().await;
+    }
+    loop {
+        pause().await;
+        if !state::lock(&state.peers).roster.leads(state.clock.now()) {
+            continue;
+        }
+        if let Err(error) = write(&state, &mut client, &mut stored).await {
+            event::Line::new("quarantine_unwritten").text("error", error).warn();
+        }
+    }
+}
+
+/// Drawn from a range, so that hosts which lost the platform together do not call it together.
+async fn pause() {
+    tokio::time::sleep(PAUSE.mul_f64(rand::rng().random_range(0.7..1.3))).await;
+}
+
+async fn read(
+    state: &state::State,
+    client: &mut client::Client,
+    stored: &mut Stored,
+) -> Result<(), client::Trouble> {
+    let mut from = String::new();
+    loop {
+        let reply = client.call(&store::rows(TABLE, &from), CALL).await?;
+        let store::Reply::Rows(rows) = reply else { return Ok(()) };
+        for row in &rows.rows {
+            take(state, row, stored);
+        }
+        match rows.rows.last() {
+            // The key that follows the last one.
+            Some(last) if rows.more => from = format!("{}\0", last.key),
+            _ => return Ok(()),
+        }
+    }
+}
+
+/// Takes in a row; one that cannot be read says nothing of any request.
+fn take(state: &state::State, row: &store::Row, stored: &mut Stored) {
+    let Some(value) = &row.value else { return };
+    let read = serde_json::from_slice::<Row>(value);
+    match (row.key.parse::<fingerprint::Fingerprint>(), read) {
+        (Ok(fingerprint), Ok(row)) => {
+            stored.insert(fingerprint, row.version);
+            let left = row.until_ms.saturating_sub(state.clock.wall_millis());
+            let record = quarantine::Record {
+                fingerprint,
+                version: row.version,
+                times: row.times,
+                crashes: row.crashes,
+                until: state.clock.now() + clock::Span::from_millis(left),
+                released: row.released,
+            };
+            state.merge(record, "platform");
+        }
+        (Err(error), _) => unreadable(&row.key, &error.to_string()),
+        (_, Err(error)) => unreadable(&row.key, &error.to_string()),
+    }
+}
+
+fn unreadable(key: &str, error: &str) {
+    event::Line::new("quarantine_unreadable").text("key", key).text("error", error).warn();
+}
+
+async fn write(
+    state: &state::State,
+    client: &mut client::Client,
+    stored: &mut Stored,
+) -> Result<(), client::Trouble> {
+    let records = state.verdicts();
+    let is_new = |record: &&quarantine::Record| {
+        stored.get(&record.fingerprint).is_none_or(|version| *version < record.version)
+    };
+    let new: Vec<_> = records.iter().filter(is_new).take(MOST_CALLS).copied().collect();
+    for record in new {
+        let row = serde_json::json!(row(state, &record)).to_string();
+        let call = store::put(TABLE, &record.fingerprint.to_string(), row.as_bytes());
+        // Writing a verdict again is harmless, so a lost answer needs no reading back.
+        client.call(&call, CALL).await?;
+        stored.insert(record.fingerprint, record.version);
+    }
+    let known: collections::BTreeSet<_> = records.iter().map(|known| known.fingerprint).collect();
+    let lapsed = stored.keys().filter(|stored| !known.contains(stored));
+    let lapsed: Vec<_> = lapsed.take(MOST_CALLS).copied().collect();
+    for fingerprint in lapsed {
+        client.call(&store::remove(TABLE, &fingerprint.to_string()), CALL).await?;
+        stored.remove(&fingerprint);
+    }
+    Ok(())
+}
+
+fn row(state: &state::State, record: &quarantine::Record) -> Row {
+    let left = record.until.since(state.clock.now()).as_millis();
+    let left = u64::try_from(left).unwrap_or(u64::MAX);
+    Row {
+        version: record.version,
+        times: record.times,
+        crashes: record.crashes,
+        until_ms: state.clock.wall_millis().saturating_add(left),
+        released: record.released,
+    }
+}
--- /dev/null
+++ b/crates/lagoon-gateway/src/quarantine/word.rs
@@ -0,0 +1,115 @@
+//! What hosts tell each other of requests that crash upstreams.
+
+use lagoonline::clock;
+use lagoonline::id;
+use lagoonline::life::fingerprint;
+use lagoonline::life::quarantine;
+
+/// A request's fingerprint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Identity {
+    /// Length of its body, in bytes.
+    #[prost(uint64, tag = "1")]
+    length: u64,
+    /// Digest of customer, target and body.
+    #[prost(bytes = "vec", tag = "2")]
+    digest: Vec<u8>,
+}
+
+impl Identity {
+    pub(crate) fn new(fingerprint: &fingerprint::Fingerprint) -> Identity {
+        Identity { length: fingerprint.length(), digest: fingerprint.digest().to_vec() }
+    }
+
+    /// The fingerprint.
+    ///
+    /// # Errors
+    ///
+    /// The digest is none of this build's.
+    pub(crate) fn fingerprint(&self) -> Result<fingerprint::Fingerprint, fingerprint::Malformed> {
+        fingerprint::Fingerprint::from_parts(self.length, &self.digest)
+    }
+}
+
+/// An upstream crashed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Crashed {
+    /// The upstream.
+    #[prost(string, tag = "1")]
+    pub(crate) upstream: String,
+    /// Requests of the host that tells which had just begun there.
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) requests: Vec<Identity>,
+}
+
+impl Crashed {
+    pub(crate) fn new(upstream: &id::Upstream, requests: &[fingerprint::Fingerprint]) -> Crashed {
+        let requests = requests.iter().map(Identity::new).collect();
+        Crashed { upstream: upstream.to_string(), requests }
+    }
+}
+
+/// A suspect was answered whole.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Cleared {
+    /// The request.
+    #[prost(message, optional, tag = "1")]
+    pub(crate) request: Option<Identity>,
+}
+
+/// A verdict on a request.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Verdict {
+    /// The request.
+    #[prost(message, optional, tag = "1")]
+    request: Option<Identity>,
+    /// Grows with each verdict on it.
+    #[prost(uint32, tag = "2")]
+    version: u32,
+    /// How often it was in quarantine.
+    #[prost(uint32, tag = "3")]
+    times: u32,
+    /// Crashes that proved it.
+    #[prost(uint32, tag = "4")]
+    crashes: u32,
+    /// Milliseconds until it lapses.
+    #[prost(uint64, tag = "5")]
+    left_ms: u64,
+    /// Whether it was ended early.
+    #[prost(bool, tag = "6")]
+    released: bool,
+}
+
+impl Verdict {
+    pub(crate) fn new(record: &quarantine::Record, now: clock::Moment) -> Verdict {
+        let left = record.until.since(now).as_millis();
+        Verdict {
+            request: Some(Identity::new(&record.fingerprint)),
+            version: record.version,
+            times: record.times,
+            crashes: record.crashes,
+            left_ms: u64::try_from(left).unwrap_or(u64::MAX),
+            released: record.released,
+        }
+    }
+
+    /// The verdict, heard at `now`.
+    ///
+    /// # Errors
+    ///
+    /// It names no request that this build knows.
+    pub(crate) fn record(
+        &self,
+        now: clock::Moment,
+    ) -> Result<quarantine::Record, fingerprint::Malformed> {
+        let request = self.request.as_ref().ok_or(fingerprint::Malformed)?;
+        Ok(quarantine::Record {
+            fingerprint: request.fingerprint()?,
+            version: self.version,
+            times: self.times,
+            crashes: self.crashes,
+            until: now + clock::Span::from_millis(self.left_ms),
+            released: self.released,
+        })
+    }
+}
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -20,6 +20,7 @@
 use crate::forward;
 use crate::hosts;
 use crate::mesh;
+use crate::quarantine;
 use crate::relay;
 use crate::report;
 use crate::settings;
@@ -37,7 +38,7 @@
 /// Longest time for the servers to stop; log lines are written meanwhile.
 const STOP: clock::Span = clock::Span::from_millis(150);
 /// Time between two looks at what lapsed.
-const TICK: clock::Span = clock::Span::from_millis(100);
+pub(crate) const TICK: clock::Span = clock::Span::from_millis(100);
 /// Longest time for a head to arrive, in seconds; callers are told less, see `routing::Limits`.
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
 /// Longest idle time of a caller's connection: longer than callers keep one, so that none is
@@ -155,6 +156,7 @@
     hosts::run(&state, address, peers);
     drop(ntex::rt::spawn(relay::follow(state.clone())));
     drop(ntex::rt::spawn(report::run(state.clone())));
+    drop(ntex::rt::spawn(quarantine::run(state.clone())));
     drop(ntex::rt::spawn(tick(state.clone())));
     state.reach(state::Phase::Unready).await;
     shut_down(&state).await;
@@ -189,6 +191,7 @@
     loop {
         tokio::time::sleep(TICK).await;
         state.expire();
+        state.tend_quarantine();
         let age = state.confirmation_age().unwrap_or_default();
         state.metrics.confirmation_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
     }
@@ -254,6 +257,9 @@
             }
         };
     }
+    if let Some(answer) = quarantine::operate(state, request.method(), request.path()) {
+        return answer;
+    }
     if state.is_ready() {
         web::HttpResponse::Ok().body("ready\n")
     } else {
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -20,6 +20,7 @@
 use crate::mesh;
 use crate::metrics;
 use crate::peers;
+use crate::quarantine;
 use crate::relay;
 use crate::schedule;
 use crate::settings;
@@ -112,6 +113,8 @@
     pub(crate) socket: net::UdpSocket,
     /// Requests whose connections broke.
     pub(crate) breaks: crash::Breaks,
+    /// Requests that crash upstreams.
+    pub(crate) keeper: quarantine::Keeper,
 }
 
 /// Locks; a panic of another holder leaves figures that are still whole.
@@ -161,6 +164,7 @@
             words,
             socket,
             breaks: crash::Breaks::default(),
+            keeper: quarantine::Keeper::default(),
         };
         (sync::Arc::new(state), receiver)
     }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -178,6 +178,10 @@
             let failure = match self.relay_one(live).await {
                 Ok(()) => {
                     self.admitted.answered(&upstream);
+                    // An answer without a length ends as if it were whole when its upstream crashes.
+                    if self.events > 0 {
+                        self.admitted.clear();
+                    }
                     return End::Whole;
                 }
                 Err(failure) => failure,
--- a/crates/lagoon-gateway/src/told.rs
+++ b/crates/lagoon-gateway/src/told.rs
@@ -83,13 +83,19 @@
 
     /// The datagram of `batch`, said by this life.
     pub(crate) fn batch(&self, batch: word::Batch) -> Vec<u8> {
+        self.said_always(batch).encode_to_vec()
+    }
+
+    /// `batch` with what each batch of this life tells.
+    fn said_always(&self, batch: word::Batch) -> word::Batch {
         let confirmed_ms = self.confirmation_age().map(word::millis);
-        word::Batch { host: self.number, confirmed_ms, ..batch }.encode_to_vec()
+        let verdicts = self.verdicts_checksum();
+        word::Batch { host: self.number, confirmed_ms, verdicts, ..batch }
     }
 
     /// The datagrams that carry `words` to the other hosts.
     pub(crate) fn datagrams(&self, words: Vec<word::Word>) -> Vec<Vec<u8>> {
-        word::Batch::datagrams(self.number, self.confirmation_age(), words)
+        self.said_always(word::Batch::default()).datagrams(words)
     }
 
     /// Sends `datagrams` to a host. One that cannot be sent now is lost, which costs only efficiency.
--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -8,6 +8,7 @@
 use lagoonline::load::placement;
 use prost::Message;
 
+use crate::quarantine;
 use crate::question;
 
 /// A batch of words from one life of a host.
@@ -32,6 +33,9 @@
     /// Answers to such questions.
     #[prost(message, repeated, tag = "6")]
     pub(crate) answers: Vec<question::Answer>,
+    /// Checksum of the verdicts that the host knows.
+    #[prost(fixed64, tag = "7")]
+    pub(crate) verdicts: u64,
 }
 
 /// A heartbeat: who the host is, and all that is under way for its callers.
@@ -75,7 +79,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened.
-    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "What", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
     pub(crate) what: Option<What>,
     /// The life whose dispatch it is, where that is not the one that tells.
     #[prost(fixed64, optional, tag = "20")]
@@ -112,6 +116,15 @@
     /// No dispatch: a request showed how an upstream of the service fares.
     #[prost(message, tag = "7")]
     Seen(Seen),
+    /// No dispatch: an upstream crashed.
+    #[prost(message, tag = "8")]
+    Crashed(quarantine::Crashed),
+    /// No dispatch: a suspect was answered whole.
+    #[prost(message, tag = "9")]
+    Cleared(quarantine::Cleared),
+    /// No dispatch: a verdict on a request.
+    #[prost(message, tag = "10")]
+    Verdict(quarantine::Verdict),
 }
 
 /// How an upstream fared with a request.
@@ -271,15 +284,11 @@
 }
 
 impl Batch {
-    /// The datagrams that carry `words`, each within [`DATAGRAM`] where a word allows it; one where
+    /// The datagrams that carry `words` beside what this batch holds, each within [`DATAGRAM`] where
+    /// a word allows it; one where
     /// there are no words: it tells that the host is there.
-    pub(crate) fn datagrams(
-        host: u64,
-        confirmation_age: Option<clock::Span>,
-        words: Vec<Word>,
-    ) -> Vec<Vec<u8>> {
-        let confirmed_ms = confirmation_age.map(millis);
-        let batch = |words| Batch { host, words, confirmed_ms, ..Batch::default() };
+    pub(crate) fn datagrams(&self, words: Vec<Word>) -> Vec<Vec<u8>> {
+        let batch = |words| Batch { words, ..self.clone() };
         pack(words).into_iter().map(|words| batch(words).encode_to_vec()).collect()
     }
 }
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -104,6 +104,14 @@
         exchange(self.ready, "GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n").0
     }
 
+    /// Requests that this host refuses since they crash engines.
+    pub fn held(&self) -> usize {
+        let list = exchange(self.ready, "GET /quarantine HTTP/1.1\r\nhost: h\r\n\r\n").1;
+        let list: serde_json::Value = serde_json::from_str(&list).unwrap();
+        let held = list["quarantine"].as_array().unwrap().iter();
+        held.filter(|verdict| verdict["released"] == false).count()
+    }
+
     /// Sends a request with `more` headers and reads its answer.
     pub fn call(&self, method: &str, path: &str, key: &str, more: &str) -> (u16, String) {
         let head = format!(
--- a/crates/lagoon-gateway/tests/lethal.rs
+++ b/crates/lagoon-gateway/tests/lethal.rs
@@ -12,8 +12,8 @@
 
 use rstest::rstest;
 
-use host::{Host, desired, exchange};
-use standin::{LETHAL, Standin};
+use host::{Host, PATIENCE, all_events, desired, exchange};
+use standin::{LETHAL, Manner, Standin};
 
 /// Time after the third crash in which all hosts have learnt of it.
 const STABLE_WINDOW: time::Duration = time::Duration::from_millis(3_000);
@@ -21,9 +21,26 @@
 const LATE_SENDS: usize = 3;
 /// Engines before which the hosts stand.
 const ENGINES: usize = 8;
+/// Table of the requests that are refused.
+const TABLE: &str = "lagoon-quarantine";
 /// Pause between two callers.
 const PAUSE: time::Duration = time::Duration::from_millis(80);
 
+fn engine(number: usize) -> String {
+    format!("e{number}")
+}
+
+/// Sends a prompt with `body` under the id `number`; the answer.
+fn send(host: &Host, number: u64, body: &str) -> (u16, String) {
+    let head = format!(
+        "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q{number}\r\n\
+         authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n\
+         lagoonline-token-count: 5000,400\r\ncontent-length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    exchange(host.callers, &head)
+}
+
 /// Hosts of two zones before the same engines.
 struct Fleet {
     standin: Standin,
@@ -36,7 +53,7 @@
         let standin = Standin::start();
         standin.put("op", "config", &desired(1, &["k1"], 10_000));
         for number in 0..ENGINES {
-            standin.upstream(&format!("e{number}"), "llm", 16);
+            standin.upstream(&engine(number), "llm", 16);
         }
         let places = [("h1", "a"), ("h2", "a"), ("h3", "b"), ("h4", "b")];
         let hosts = places.map(|(name, zone)| Host::join(&standin, name, zone));
@@ -47,14 +64,7 @@
     fn prompt(&mut self, body: &str) -> (u16, String) {
         self.sent += 1;
         let host = &self.hosts[self.sent as usize % self.hosts.len()];
-        let head = format!(
-            "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q{}\r\n\
-             authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n\
-             lagoonline-token-count: 5000,400\r\ncontent-length: {}\r\n\r\n{body}",
-            self.sent,
-            body.len(),
-        );
-        exchange(host.callers, &head)
+        send(host, self.sent, body)
     }
 
     /// Sends the lethal request again and again for `span`.
@@ -66,6 +76,29 @@
         }
     }
 
+    /// What all engines do from now on.
+    fn all_engines(&self, manner: Manner) {
+        for number in 0..ENGINES {
+            self.standin.manner(&engine(number), manner);
+        }
+    }
+
+    /// Sends the lethal request until it is refused as such.
+    fn attack_until_refused(&mut self) {
+        let began = time::Instant::now();
+        while !self.prompt(LETHAL).1.contains("quarantined") {
+            assert!(began.elapsed() < PATIENCE, "not refused in time");
+            thread::sleep(PAUSE);
+        }
+    }
+
+    /// Waits until the platform holds the verdict; its key.
+    fn await_row(&self) -> String {
+        let keys = || self.standin.keys(TABLE);
+        self.hosts[0].until("stored", || !keys().is_empty());
+        keys().remove(0)
+    }
+
     /// Sends of the lethal request that reached an engine after `moment`.
     fn lethal_after(&self, moment: time::Instant) -> usize {
         let seen = self.standin.seen();
@@ -90,3 +123,85 @@
     let crashes = fleet.standin.crashes().len();
     assert!(late <= LATE_SENDS, "sent {late} times more, {crashes} engines crashed");
 }
+
+/// Guards against hosts that forget a lethal request because all of them were killed.
+#[rstest]
+fn a_kill_of_all_hosts_forgets_no_lethal_request() {
+    let mut fleet = Fleet::start();
+    fleet.attack_until_refused();
+    fleet.await_row();
+    fleet.hosts.clear();
+    let began = time::Instant::now();
+    fleet.hosts.push(Host::join(&fleet.standin, "h5", "a"));
+    fleet.attack(STABLE_WINDOW);
+    let late = fleet.lethal_after(began);
+    assert!(late <= LATE_SENDS, "sent {late} times more after all hosts were killed");
+}
+
+/// Guards against a host that starts late and does not know what the others refuse.
+#[rstest]
+fn a_host_that_starts_late_learns_from_the_others() {
+    let mut fleet = Fleet::start();
+    fleet.attack_until_refused();
+    let row = fleet.await_row();
+    // The platform holds it no longer: only the other hosts can tell.
+    fleet.standin.remove(TABLE, &row);
+    let late = Host::join(&fleet.standin, "h5", "b");
+    late.until("learnt", || late.held() == 1);
+    fleet.hosts = vec![late];
+    let began = time::Instant::now();
+    let (status, body) = fleet.prompt(LETHAL);
+    assert_eq!(status, 503, "{body}");
+    assert!(body.contains("quarantined") && body.contains("not-run"), "{body}");
+    assert_eq!(fleet.lethal_after(began), 0);
+}
+
+/// Guards against refusing the prompts that lie beside a lethal one, popular ones among them.
+#[rstest]
+fn prompts_beside_a_lethal_one_are_answered() {
+    let mut fleet = Fleet::start();
+    for round in 0..40 {
+        let own = format!("prompt {round}");
+        for body in [LETHAL, "popular", own.as_str()] {
+            let (status, answer) = fleet.prompt(body);
+            let refused = answer.contains("quarantined");
+            assert!(body == LETHAL || !refused, "{body} is refused in round {round}: {answer}");
+            assert!(body == LETHAL || status != 200 || answer == all_events(), "{body}: {answer}");
+        }
+    }
+    assert!(fleet.prompt(LETHAL).1.contains("quarantined"));
+    assert_eq!(fleet.prompt("popular"), (200, all_events()));
+}
+
+/// Guards against refusing a request because its connections broke, whatever broke them.
+#[rstest]
+#[case::reset(Manner::LoseAnswer)]
+#[case::broken_off(Manner::BreakAfter(0))]
+#[case::spoiled(Manner::Unproven)]
+fn connections_that_break_refuse_no_request(#[case] manner: Manner) {
+    let mut fleet = Fleet::start();
+    fleet.all_engines(manner);
+    for _ in 0..6 {
+        let (_, answer) = fleet.prompt("unlucky");
+        assert!(!answer.contains("quarantined"), "{answer}");
+        thread::sleep(PAUSE);
+    }
+    fleet.all_engines(Manner::Whole);
+    assert_eq!(fleet.prompt("unlucky"), (200, all_events()));
+}
+
+/// Guards against a verdict that operators can neither see nor end.
+#[rstest]
+fn operators_list_and_release_what_is_refused() {
+    let mut fleet = Fleet::start();
+    fleet.attack_until_refused();
+    let row = fleet.await_row();
+    let release = format!("POST /quarantine/release/{row} HTTP/1.1\r\nhost: h\r\n\r\n");
+    assert_eq!(exchange(fleet.hosts[0].ready, &release).0, 200);
+    for host in &fleet.hosts {
+        host.until("released", || host.held() == 0);
+    }
+    let crashes = fleet.standin.crashes().len();
+    fleet.prompt(LETHAL);
+    fleet.hosts[0].until("sent again", || fleet.standin.crashes().len() > crashes);
+}
--- a/crates/lagoon-net/src/entry/fault.rs
+++ b/crates/lagoon-net/src/entry/fault.rs
@@ -104,7 +104,8 @@
         | Reason::SlowCaller
         | Reason::KeyReused
         | Reason::EarlierUnknown
-        | Reason::TooLong => "invalid_request_error",
+        | Reason::TooLong
+        | Reason::Quarantined => "invalid_request_error",
         Reason::CannotMeetDeadline
         | Reason::Saturated
         | Reason::Draining
--- a/crates/lagoonline/src/life/mod.rs
+++ b/crates/lagoonline/src/life/mod.rs
@@ -5,6 +5,7 @@
 pub mod fingerprint;
 pub mod leaving;
 pub mod owner;
+pub mod quarantine;
 pub mod reap;
 pub mod request;
 pub mod safeguard;
--- /dev/null
+++ b/crates/lagoonline/src/life/quarantine/evidence.rs
@@ -0,0 +1,243 @@
+//! Crashes, and the requests that were under way where they happened.
+
+use std::collections;
+
+use super::Settings;
+use crate::clock;
+use crate::id;
+use crate::life::fingerprint::Fingerprint;
+
+/// A crash of an upstream.
+#[derive(Clone, Debug)]
+struct Crash {
+    upstream: id::Upstream,
+    at: clock::Moment,
+    suspects: collections::BTreeSet<Fingerprint>,
+    /// A request in quarantine was under way there: it says nothing of the others.
+    explained: bool,
+}
+
+/// All that speaks for and against requests that are not in quarantine.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evidence {
+    settings: Settings,
+    crashes: collections::BTreeMap<u64, Crash>,
+    next: u64,
+    /// Numbers of the crashes that each suspect was at, in order.
+    suspects: collections::BTreeMap<Fingerprint, Vec<u64>>,
+    /// When requests were last answered whole.
+    trusted: collections::BTreeMap<Fingerprint, clock::Moment>,
+}
+
+impl Evidence {
+    pub(super) fn new(settings: Settings) -> Evidence {
+        Evidence { settings, ..Evidence::default() }
+    }
+
+    /// Whether a request with a body of this length is a suspect, or was trusted.
+    pub(super) fn knows_length(&self, length: u64) -> bool {
+        let range = Fingerprint::of_length(length);
+        self.suspects.range(range.clone()).next().is_some()
+            || self.trusted.range(range).next().is_some()
+    }
+
+    pub(super) fn suspects(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Takes in that `requests` were under way at `upstream` when it crashed.
+    pub(super) fn add(
+        &mut self,
+        upstream: &id::Upstream,
+        requests: &[Fingerprint],
+        explained: bool,
+        now: clock::Moment,
+    ) {
+        let number = self.number(upstream, now);
+        let Some(crash) = self.crashes.get_mut(&number) else { return };
+        crash.explained |= explained;
+        for request in requests {
+            let trust = self.trusted.get(request);
+            if trust.is_some_and(|at| now.since(*at) < self.settings.trust) {
+                continue;
+            }
+            if crash.suspects.insert(*request) {
+                self.suspects.entry(*request).or_default().push(number);
+            }
+        }
+    }
+
+    /// The number of the crash of `upstream` that is reported now.
+    fn number(&mut self, upstream: &id::Upstream, now: clock::Moment) -> u64 {
+        let same = self.settings.same;
+        let recent = self.crashes.iter().rev().take_while(|(_, crash)| now.since(crash.at) < same);
+        let mut recent = recent.filter(|(_, crash)| crash.upstream == *upstream);
+        if let Some((number, _)) = recent.next() {
+            return *number;
+        }
+        let number = self.next;
+        self.next += 1;
+        let suspects = collections::BTreeSet::new();
+        let crash = Crash { upstream: upstream.clone(), at: now, suspects, explained: false };
+        self.crashes.insert(number, crash);
+        number
+    }
+
+    /// The request was answered whole; whether that is news.
+    pub(super) fn trust(&mut self, request: &Fingerprint, now: clock::Moment) -> bool {
+        let was_suspect = self.drop_suspect(request);
+        let before = self.trusted.get(request).copied();
+        if !was_suspect && before.is_none() {
+            return false;
+        }
+        let is_stale = before.is_none_or(|at| now.since(at) * 2 > self.settings.trust);
+        if was_suspect || is_stale {
+            self.trusted.insert(*request, now);
+        }
+        was_suspect || is_stale
+    }
+
+    fn drop_suspect(&mut self, request: &Fingerprint) -> bool {
+        let Some(numbers) = self.suspects.remove(request) else { return false };
+        for number in numbers {
+            if let Some(crash) = self.crashes.get_mut(&number) {
+                crash.suspects.remove(request);
+            }
+        }
+        true
+    }
+
+    /// The request is in quarantine: it explains the crashes that it was at.
+    pub(super) fn explain(&mut self, request: &Fingerprint) {
+        for number in self.suspects.remove(request).unwrap_or_default() {
+            if let Some(crash) = self.crashes.get_mut(&number) {
+                crash.explained = true;
+                crash.suspects.remove(request);
+            }
+        }
+    }
+
+    /// Crashes that speak against `request` and are not explained.
+    fn open<'a>(&'a self, request: &Fingerprint) -> impl Iterator<Item = &'a Crash> + use<'a> {
+        let numbers = self.suspects.get(request).into_iter().flatten();
+        let crashes = numbers.filter_map(|number| self.crashes.get(number));
+        crashes.filter(|crash| !crash.explained)
+    }
+
+    /// Moments of `crashes`, those together counted once.
+    fn weight<'a, Crashes>(&self, crashes: Crashes) -> usize
+    where
+        Crashes: Iterator<Item = &'a Crash>,
+    {
+        let mut moments = 0;
+        let mut last: Option<clock::Moment> = None;
+        for crash in crashes {
+            if last.is_none_or(|last| crash.at.since(last) > self.settings.together) {
+                moments += 1;
+                last = Some(crash.at);
+            }
+        }
+        moments
+    }
+
+    /// Whether all that other hosts have to tell of the crashes so far is known.
+    pub(super) fn is_settled(&self, now: clock::Moment) -> bool {
+        let last = self.crashes.last_key_value();
+        last.is_none_or(|(_, crash)| now.since(crash.at) >= self.settings.settle)
+    }
+
+    /// How long a decision on `request` must wait for what other hosts have to tell, if the crashes
+    /// so far would be enough.
+    pub(super) fn unsettled(
+        &self,
+        request: &Fingerprint,
+        now: clock::Moment,
+    ) -> Option<clock::Span> {
+        if self.weight(self.open(request)) < self.settings.crashes {
+            return None;
+        }
+        let last = self.open(request).last()?;
+        let until = last.at + self.settings.settle;
+        (until > now).then(|| until.since(now))
+    }
+
+    /// The request against which most speaks, if that is proof, and how many crashes it was at.
+    ///
+    /// `on_probation` tells of a request whose quarantine has lapsed: one more crash proves it
+    /// again. For others a crash proves nothing as long as another suspect was at all the same
+    /// crashes: either may be the cause, and the next crash tells them apart.
+    pub(super) fn proven<Probation>(
+        &self,
+        on_probation: Probation,
+        now: clock::Moment,
+    ) -> Option<(Fingerprint, usize)>
+    where
+        Probation: Fn(&Fingerprint) -> bool,
+    {
+        let settled = |crash: &&Crash| now.since(crash.at) >= self.settings.settle;
+        let weigh = |request: &Fingerprint| self.weight(self.open(request).filter(settled));
+        let proves = |request: &Fingerprint, weight: usize| {
+            if on_probation(request) {
+                return weight > 0;
+            }
+            weight >= self.settings.crashes && !self.has_rival(request, now)
+        };
+        let weighed = self.suspects.keys().map(|request| (*request, weigh(request)));
+        let proven = weighed.filter(|(request, weight)| proves(request, *weight));
+        proven.max_by_key(|(_, weight)| *weight)
+    }
+
+    /// Whether another suspect was at all the settled crashes that `request` was at.
+    fn has_rival(&self, request: &Fingerprint, now: clock::Moment) -> bool {
+        let mut crashes =
+            self.open(request).filter(|crash| now.since(crash.at) >= self.settings.settle);
+        let Some(first) = crashes.next() else { return false };
+        let mut rivals = first.suspects.clone();
+        rivals.remove(request);
+        for crash in crashes {
+            rivals.retain(|rival| crash.suspects.contains(rival));
+        }
+        !rivals.is_empty()
+    }
+
+    /// Upstreams whose crashes speak against `request`.
+    pub(super) fn upstreams(&self, request: &Fingerprint) -> Vec<id::Upstream> {
+        self.open(request).map(|crash| crash.upstream.clone()).collect()
+    }
+
+    /// Forgets what is old; of too many suspects first those with the fewest crashes, and of these
+    /// the oldest.
+    pub(super) fn expire(&mut self, now: clock::Moment) {
+        let Settings { memory, trust, most, most_crashes, .. } = self.settings;
+        self.trusted.retain(|_, at| now.since(*at) < trust);
+        while let Some((number, oldest)) = self.crashes.first_key_value() {
+            if now.since(oldest.at) < memory && self.crashes.len() <= most_crashes {
+                break;
+            }
+            let number = *number;
+            self.crashes.remove(&number);
+        }
+        if let Some((first, _)) = self.crashes.first_key_value() {
+            for numbers in self.suspects.values_mut() {
+                numbers.retain(|number| number >= first);
+            }
+        } else {
+            self.suspects.clear();
+        }
+        self.suspects.retain(|_, numbers| !numbers.is_empty());
+        if self.suspects.len() > most {
+            self.drop_weakest(self.suspects.len() - most);
+        }
+    }
+
+    fn drop_weakest(&mut self, count: usize) {
+        let weighed = self.suspects.iter();
+        let mut weakest: Vec<_> = weighed
+            .map(|(request, numbers)| (numbers.len(), numbers.last().copied(), *request))
+            .collect();
+        weakest.sort_unstable();
+        for (_, _, request) in weakest.into_iter().take(count) {
+            self.drop_suspect(&request);
+        }
+    }
+}
--- a/crates/lagoonline/src/outcome.rs
+++ b/crates/lagoonline/src/outcome.rs
@@ -109,13 +109,15 @@
     UpstreamFailed,
     /// The caller went away.
     CallerLeft,
+    /// Upstreams crashed under this request, wherever it was sent.
+    Quarantined,
     /// A fault of our own.
     Internal,
 }
 
 impl Reason {
     /// Every reason, for metrics that list them all from the start.
-    pub const ALL: [Reason; 18] = [
+    pub const ALL: [Reason; 19] = [
         Reason::Malformed,
         Reason::Unauthenticated,
         Reason::Forbidden,
@@ -133,6 +135,7 @@
         Reason::DeadlinePassed,
         Reason::UpstreamFailed,
         Reason::CallerLeft,
+        Reason::Quarantined,
         Reason::Internal,
     ];
 
@@ -156,6 +159,7 @@
             Reason::DeadlinePassed => "deadline_passed",
             Reason::UpstreamFailed => "upstream_failed",
             Reason::CallerLeft => "caller_left",
+            Reason::Quarantined => "quarantined",
             Reason::Internal => "internal",
         }
     }
@@ -172,7 +176,8 @@
             | Reason::KeyReused
             | Reason::TooLong
             | Reason::OverLimit
-            | Reason::CallerLeft => true,
+            | Reason::CallerLeft
+            | Reason::Quarantined => true,
             Reason::EarlierUnknown
             | Reason::CannotMeetDeadline
             | Reason::Saturated
@@ -203,7 +208,8 @@
             | Reason::Saturated
             | Reason::Draining
             | Reason::NoUpstream
-            | Reason::PlatformDown => 503,
+            | Reason::PlatformDown
+            | Reason::Quarantined => 503,
             Reason::DeadlinePassed => 504,
         }
     }
