Only what an engine had just begun is suspected when it crashes

Now a request that had run for longer than 250 ms and brought events is no suspect, and one whose answer had not begun counts half.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -12,7 +12,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
-use lagoonline::life::fingerprint;
+use lagoonline::life::{fingerprint, quarantine};
 
 use crate::event;
 use crate::forward;
@@ -32,15 +32,19 @@
 pub(crate) struct Request {
     /// What it is, whatever its id.
     pub(crate) fingerprint: fingerprint::Fingerprint,
-    /// Time since the upstream began to answer it; `None` where it had not begun.
-    pub(crate) running: Option<clock::Span>,
+    /// How far the upstream was with it.
+    pub(crate) progress: quarantine::Progress,
 }
 
 impl fmt::Display for Request {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.running {
-            Some(running) => write!(f, "{} after {}ms", self.fingerprint, running.as_millis()),
-            None => write!(f, "{} before its answer", self.fingerprint),
+        write!(f, "{} ", self.fingerprint)?;
+        match self.progress {
+            quarantine::Progress::Unknown => f.write_str("under way"),
+            quarantine::Progress::Waiting => f.write_str("before its answer"),
+            quarantine::Progress::Begun { span, events } => {
+                write!(f, "after {}ms and {events} events", span.as_millis())
+            }
         }
     }
 }
@@ -64,9 +68,9 @@
 }
 
 impl forward::Admitted {
-    /// The connection to `upstream` broke under this request, which had been `running` there.
-    pub(crate) fn broke(&self, upstream: &id::Upstream, running: Option<clock::Span>) {
-        let request = Request { fingerprint: self.fingerprint(), running };
+    /// The connection to `upstream` broke under this request.
+    pub(crate) fn broke(&self, upstream: &id::Upstream, progress: quarantine::Progress) {
+        let request = Request { fingerprint: self.fingerprint(), progress };
         let mut breaks = state::lock(&self.state.breaks.0);
         let waiting = breaks.entry(upstream.clone()).or_default();
         waiting.push(request);
@@ -87,9 +91,7 @@
     let requests = state::lock(&state.breaks.0).remove(&upstream).unwrap_or_default();
     let listed: Vec<_> = requests.iter().map(ToString::to_string).collect();
     if probed == Probed::Ended {
-        let suspects = requests.iter().filter(|request| state.is_suspect(request.running));
-        let suspects: Vec<_> = suspects.map(|request| request.fingerprint).collect();
-        state.crashed(&service, &upstream, &suspects);
+        state.crashed(&service, &upstream, &requests);
     }
     event::Line::new("upstream_probed")
         .text("upstream", &upstream)
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::life::{fingerprint, request};
+use lagoonline::life::{fingerprint, quarantine, request};
 use lagoonline::load::placement;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
@@ -279,7 +279,7 @@
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
                         self.suspect(&first.upstream);
-                        self.broke(&first.upstream, None);
+                        self.broke(&first.upstream, self.before_answer());
                         return Err(attempt::Miss::Lost(format!("{}: {failure}", first.upstream)));
                     }
                     // The last upstream that may be asked is waited for: it may merely be busy.
@@ -336,6 +336,15 @@
         *self.fingerprint.get_or_init(compute)
     }
 
+    /// How far an upstream is known to be that has not begun to answer: only a stream begins with the
+    /// run.
+    fn before_answer(&self) -> quarantine::Progress {
+        match self.route.kind {
+            routing::Kind::Stream { .. } => quarantine::Progress::Waiting,
+            routing::Kind::Idempotent | routing::Kind::Once => quarantine::Progress::Unknown,
+        }
+    }
+
     /// Rank in an engine: short prompts first.
     fn rank(&self) -> Option<u8> {
         let prompt = self.request.call.prompt_tokens?;
@@ -386,7 +395,7 @@
         }
         let body = live.exchange.whole(live.answer.body_mut(), WHOLE).await;
         let body = body.map_err(|failure| {
-            self.broke(peer, Some(self.state.clock.now().since(live.began)));
+            self.broke(peer, quarantine::Progress::Unknown);
             attempt::Miss::Lost(format!("{peer}: {failure}"))
         })?;
         if status >= 500 {
--- a/crates/lagoon-gateway/src/quarantine/mod.rs
+++ b/crates/lagoon-gateway/src/quarantine/mod.rs
@@ -18,6 +18,7 @@
 use rand::seq::IndexedRandom;
 
 use crate::answer;
+use crate::crash;
 use crate::event;
 use crate::forward;
 use crate::mesh;
@@ -101,35 +102,36 @@
 }
 
 impl state::State {
-    /// `upstream` crashed when `requests` of this host had just begun there.
+    /// `upstream` crashed under `requests` of this host.
     pub(crate) fn crashed(
         &self,
         service: &id::Service,
         upstream: &id::Upstream,
-        requests: &[fingerprint::Fingerprint],
+        requests: &[crash::Request],
     ) {
         self.metrics.crashes.inc();
-        if requests.is_empty() {
+        let mut quarantine = state::lock(&self.keeper.quarantine);
+        let suspect = |request: &crash::Request| {
+            let weight = quarantine.weight(request.progress)?;
+            Some(quarantine::Suspect { fingerprint: request.fingerprint, weight })
+        };
+        let suspects: Vec<_> = requests.iter().filter_map(suspect).collect();
+        if suspects.is_empty() {
             return;
         }
-        state::lock(&self.keeper.quarantine).crashed(upstream, requests, self.clock.now());
-        let what = words::What::Crashed(Crashed::new(upstream, requests));
+        quarantine.crashed(upstream, &suspects, self.clock.now());
+        drop(quarantine);
+        let what = words::What::Crashed(Crashed::new(upstream, &suspects));
         self.tell(words::Word::new(0, service, what));
     }
 
-    /// Whether a crash speaks against a request that had been answered for `running`.
-    pub(crate) fn is_suspect(&self, running: Option<clock::Span>) -> bool {
-        state::lock(&self.keeper.quarantine).is_suspect(running)
-    }
-
     /// Another host told of a crash.
     pub(crate) fn heard_crash(&self, crashed: &Crashed) {
-        let read = crashed.requests.iter().map(word::Identity::fingerprint);
-        match read.collect::<Result<Vec<_>, _>>() {
-            Ok(requests) => {
+        match crashed.suspects() {
+            Ok(suspects) => {
                 let upstream = id::Upstream::from(crashed.upstream.as_str());
                 let now = self.clock.now();
-                state::lock(&self.keeper.quarantine).crashed(&upstream, &requests, now);
+                state::lock(&self.keeper.quarantine).crashed(&upstream, &suspects, now);
             }
             Err(error) => unreadable(error),
         }
--- a/crates/lagoon-gateway/src/quarantine/word.rs
+++ b/crates/lagoon-gateway/src/quarantine/word.rs
@@ -39,13 +39,37 @@
     pub(crate) upstream: String,
     /// Requests of the host that tells which had just begun there.
     #[prost(message, repeated, tag = "2")]
-    pub(crate) requests: Vec<Identity>,
+    begun: Vec<Identity>,
+    /// Requests of that host which may still have waited there.
+    #[prost(message, repeated, tag = "3")]
+    waiting: Vec<Identity>,
 }
 
 impl Crashed {
-    pub(crate) fn new(upstream: &id::Upstream, requests: &[fingerprint::Fingerprint]) -> Crashed {
-        let requests = requests.iter().map(Identity::new).collect();
-        Crashed { upstream: upstream.to_string(), requests }
+    pub(crate) fn new(upstream: &id::Upstream, suspects: &[quarantine::Suspect]) -> Crashed {
+        let of = |weight| {
+            let suspects = suspects.iter().filter(move |suspect| suspect.weight == weight);
+            suspects.map(|suspect| Identity::new(&suspect.fingerprint)).collect()
+        };
+        Crashed {
+            upstream: upstream.to_string(),
+            begun: of(quarantine::Weight::Begun),
+            waiting: of(quarantine::Weight::Waiting),
+        }
+    }
+
+    /// The requests, and how much the crash speaks against each.
+    ///
+    /// # Errors
+    ///
+    /// A digest is none of this build's.
+    pub(crate) fn suspects(&self) -> Result<Vec<quarantine::Suspect>, fingerprint::Malformed> {
+        let begun = self.begun.iter().map(|request| (request, quarantine::Weight::Begun));
+        let waiting = self.waiting.iter().map(|request| (request, quarantine::Weight::Waiting));
+        let suspect = |(request, weight): (&Identity, _)| {
+            Ok(quarantine::Suspect { fingerprint: request.fingerprint()?, weight })
+        };
+        begun.chain(waiting).map(suspect).collect()
     }
 }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::life::quarantine;
 use lagoonline::outcome::Reason;
 use lagoonline::routing;
 use ntex::util;
@@ -254,21 +255,24 @@
         None
     }
 
-    /// The connection to the upstream of `live` broke.
-    fn broke(&self, live: &forward::Live, failure: &exchange::Failure) -> String {
-        let running = self.admitted.state.clock.now().since(live.began);
-        self.admitted.broke(&live.upstream, Some(running));
+    /// The connection to the upstream of `live` broke after so many `events`.
+    fn broke(&self, live: &forward::Live, events: u64, failure: &exchange::Failure) -> String {
+        let span = self.admitted.state.clock.now().since(live.began);
+        self.admitted.broke(&live.upstream, quarantine::Progress::Begun { span, events });
         failure.to_string()
     }
 
     /// Relays one answer to its end.
     async fn relay_one(&mut self, mut live: forward::Live) -> Result<(), String> {
         let mut heard = self.admitted.state.clock.now();
+        let before = self.events;
         loop {
             let left = self.admitted.left() + OVERTIME;
             let chunk = live.exchange.chunk(live.answer.body_mut());
             let chunk = match tokio::time::timeout(silence::LOOK.min(left), chunk).await {
-                Ok(chunk) => chunk.map_err(|failure| self.broke(&live, &failure))?,
+                Ok(chunk) => {
+                    chunk.map_err(|failure| self.broke(&live, self.events - before, &failure))?
+                }
                 Err(_) if left <= silence::LOOK => return Err("out of time".to_owned()),
                 Err(_) => {
                     let silent = self.admitted.state.clock.now().since(heard);
--- a/crates/lagoonline/src/life/quarantine/evidence.rs
+++ b/crates/lagoonline/src/life/quarantine/evidence.rs
@@ -2,7 +2,7 @@
 
 use std::collections;
 
-use super::Settings;
+use super::{Settings, Suspect, Weight};
 use crate::clock;
 use crate::id;
 use crate::life::fingerprint::Fingerprint;
@@ -12,7 +12,7 @@
 struct Crash {
     upstream: id::Upstream,
     at: clock::Moment,
-    suspects: collections::BTreeSet<Fingerprint>,
+    suspects: collections::BTreeMap<Fingerprint, Weight>,
     /// A request in quarantine was under way there: it says nothing of the others.
     explained: bool,
 }
@@ -45,24 +45,26 @@
         self.suspects.len()
     }
 
-    /// Takes in that `requests` were under way at `upstream` when it crashed.
+    /// Takes in that `suspects` were under way at `upstream` when it crashed.
     pub(super) fn add(
         &mut self,
         upstream: &id::Upstream,
-        requests: &[Fingerprint],
+        suspects: &[Suspect],
         explained: bool,
         now: clock::Moment,
     ) {
         let number = self.number(upstream, now);
         let Some(crash) = self.crashes.get_mut(&number) else { return };
         crash.explained |= explained;
-        for request in requests {
-            let trust = self.trusted.get(request);
+        for Suspect { fingerprint, weight } in suspects {
+            let trust = self.trusted.get(fingerprint);
             if trust.is_some_and(|at| now.since(*at) < self.settings.trust) {
                 continue;
             }
-            if crash.suspects.insert(*request) {
-                self.suspects.entry(*request).or_default().push(number);
+            let known = crash.suspects.get(fingerprint).copied();
+            crash.suspects.insert(*fingerprint, known.map_or(*weight, |known| known.max(*weight)));
+            if known.is_none() {
+                self.suspects.entry(*fingerprint).or_default().push(number);
             }
         }
     }
@@ -77,7 +79,7 @@
         }
         let number = self.next;
         self.next += 1;
-        let suspects = collections::BTreeSet::new();
+        let suspects = collections::BTreeMap::new();
         let crash = Crash { upstream: upstream.clone(), at: now, suspects, explained: false };
         self.crashes.insert(number, crash);
         number
@@ -124,20 +126,28 @@
         crashes.filter(|crash| !crash.explained)
     }
 
-    /// Moments of `crashes`, those together counted once.
-    fn weight<'a, Crashes>(&self, crashes: Crashes) -> usize
+    /// How much `crashes` speak against `request`; of those together the one that does most.
+    fn weigh<'a, Crashes>(&self, request: &Fingerprint, crashes: Crashes) -> usize
     where
         Crashes: Iterator<Item = &'a Crash>,
     {
-        let mut moments = 0;
-        let mut last: Option<clock::Moment> = None;
+        let mut sum = 0;
+        let mut together = 0;
+        let mut first: Option<clock::Moment> = None;
         for crash in crashes {
-            if last.is_none_or(|last| crash.at.since(last) > self.settings.together) {
-                moments += 1;
-                last = Some(crash.at);
+            if first.is_none_or(|first| crash.at.since(first) > self.settings.together) {
+                sum += std::mem::take(&mut together);
+                first = Some(crash.at);
             }
+            together =
+                together.max(crash.suspects.get(request).map_or(0, |weight| weight.points()));
         }
-        moments
+        sum + together
+    }
+
+    /// How much is proof.
+    fn proof(&self) -> usize {
+        self.settings.crashes * Weight::Begun.points()
     }
 
     /// Whether all that other hosts have to tell of the crashes so far is known.
@@ -153,7 +163,7 @@
         request: &Fingerprint,
         now: clock::Moment,
     ) -> Option<clock::Span> {
-        if self.weight(self.open(request)) < self.settings.crashes {
+        if self.weigh(request, self.open(request)) < self.proof() {
             return None;
         }
         let last = self.open(request).last()?;
@@ -161,7 +171,7 @@
         (until > now).then(|| until.since(now))
     }
 
-    /// The request against which most speaks, if that is proof, and how many crashes it was at.
+    /// The request against which most speaks, if that is proof.
     ///
     /// `on_probation` tells of a request whose quarantine has lapsed: one more crash proves it
     /// again. For others a crash proves nothing as long as another suspect was at all the same
@@ -170,21 +180,21 @@
         &self,
         on_probation: Probation,
         now: clock::Moment,
-    ) -> Option<(Fingerprint, usize)>
+    ) -> Option<Fingerprint>
     where
         Probation: Fn(&Fingerprint) -> bool,
     {
         let settled = |crash: &&Crash| now.since(crash.at) >= self.settings.settle;
-        let weigh = |request: &Fingerprint| self.weight(self.open(request).filter(settled));
+        let weigh = |request: &Fingerprint| self.weigh(request, self.open(request).filter(settled));
         let proves = |request: &Fingerprint, weight: usize| {
             if on_probation(request) {
-                return weight > 0;
+                return weight >= Weight::Begun.points();
             }
-            weight >= self.settings.crashes && !self.has_rival(request, now)
+            weight >= self.proof() && !self.has_rival(request, now)
         };
         let weighed = self.suspects.keys().map(|request| (*request, weigh(request)));
         let proven = weighed.filter(|(request, weight)| proves(request, *weight));
-        proven.max_by_key(|(_, weight)| *weight)
+        proven.max_by_key(|(_, weight)| *weight).map(|(request, _)| request)
     }
 
     /// Whether another suspect was at all the settled crashes that `request` was at.
@@ -192,10 +202,10 @@
         let mut crashes =
             self.open(request).filter(|crash| now.since(crash.at) >= self.settings.settle);
         let Some(first) = crashes.next() else { return false };
-        let mut rivals = first.suspects.clone();
-        rivals.remove(request);
+        let rivals = first.suspects.keys().filter(|rival| *rival != request);
+        let mut rivals: Vec<_> = rivals.collect();
         for crash in crashes {
-            rivals.retain(|rival| crash.suspects.contains(rival));
+            rivals.retain(|rival| crash.suspects.contains_key(rival));
         }
         !rivals.is_empty()
     }
--- a/crates/lagoonline/src/life/quarantine/mod.rs
+++ b/crates/lagoonline/src/life/quarantine/mod.rs
@@ -6,7 +6,7 @@
 //!
 //! A request is known by its [`Fingerprint`]. Hosts tell each other which requests had just begun
 //! at an upstream that crashed. One that was at [`Settings::crashes`] crashes which nothing else
-//! explains is refused for a while. Each of these keeps others from being refused in its place:
+//! explains is refused for a while; one that may still have waited its turn, at twice as many. Each of these keeps others from being refused in its place:
 //!
 //! - crashes at one moment count once (a rack);
 //! - a request that is answered whole is no suspect (popular requests lie on many upstreams);
@@ -37,6 +37,49 @@
     Held(Record),
 }
 
+/// How far an upstream was with a request when its connection broke.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Progress {
+    /// Nothing tells: its answer comes as a whole.
+    Unknown,
+    /// The answer had not begun.
+    Waiting,
+    /// The answer had begun.
+    Begun {
+        /// For so long.
+        span: clock::Span,
+        /// So many of its events came.
+        events: u64,
+    },
+}
+
+/// How much a crash speaks against a request that was under way.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Weight {
+    /// It may still have waited its turn: it takes twice as many crashes.
+    Waiting,
+    /// The upstream had just begun with it.
+    Begun,
+}
+
+impl Weight {
+    const fn points(self) -> usize {
+        match self {
+            Weight::Waiting => 1,
+            Weight::Begun => 2,
+        }
+    }
+}
+
+/// A request under way at an upstream that crashed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Suspect {
+    /// The request.
+    pub fingerprint: Fingerprint,
+    /// How much that speaks against it.
+    pub weight: Weight,
+}
+
 /// A request that has been put in quarantine, and the upstreams that crashed under it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
@@ -52,14 +95,15 @@
 /// use lagoonline::clock::{Moment, Span};
 /// use lagoonline::id::Upstream;
 /// use lagoonline::life::fingerprint::Fingerprint;
-/// use lagoonline::life::quarantine::{Quarantine, Standing};
+/// use lagoonline::life::quarantine::{Quarantine, Standing, Suspect, Weight};
 ///
 /// let mut quarantine = Quarantine::default();
 /// let lethal = Fingerprint::new("acme", "/talk/a", b"a body");
+/// let suspect = Suspect { fingerprint: lethal, weight: Weight::Begun };
 /// let mut now = Moment::START;
 /// for upstream in ["e1", "e2", "e3"] {
 ///     assert_eq!(quarantine.standing(&lethal, now), Standing::Free);
-///     quarantine.crashed(&Upstream::from(upstream), &[lethal], now);
+///     quarantine.crashed(&Upstream::from(upstream), &[suspect], now);
 ///     now = now + Span::from_secs(1);
 /// }
 /// assert_eq!(quarantine.judge(now).len(), 1);
@@ -93,24 +137,24 @@
         self.records.knows_length(length) || self.evidence.knows_length(length)
     }
 
-    /// Whether a crash of its upstream speaks against a request that had been answered for
-    /// `running`; `None` where no answer had begun.
-    pub fn is_suspect(&self, running: Option<clock::Span>) -> bool {
-        running.is_none_or(|running| running <= self.settings.begin)
+    /// How much a crash of its upstream speaks against a request; `None` for one that ran too long: a
+    /// lethal request ends the upstream that begins to run it.
+    pub fn weight(&self, progress: Progress) -> Option<Weight> {
+        match progress {
+            Progress::Unknown | Progress::Begun { events: 0, .. } => Some(Weight::Begun),
+            Progress::Waiting => Some(Weight::Waiting),
+            Progress::Begun { span, .. } => (span <= self.settings.begin).then_some(Weight::Begun),
+        }
     }
 
-    /// `requests` had just begun at `upstream` when it crashed.
-    pub fn crashed(
-        &mut self,
-        upstream: &id::Upstream,
-        requests: &[Fingerprint],
-        now: clock::Moment,
-    ) {
-        let held = |request: &Fingerprint| {
-            self.records.get(request).is_some_and(|record| record.holds(now))
+    /// `suspects` were under way at `upstream` when it crashed.
+    pub fn crashed(&mut self, upstream: &id::Upstream, suspects: &[Suspect], now: clock::Moment) {
+        let held = |suspect: &Suspect| {
+            let record = self.records.get(&suspect.fingerprint);
+            record.is_some_and(|record| record.holds(now))
         };
         let (explain, suspects): (Vec<_>, Vec<_>) =
-            requests.iter().copied().partition(|request| held(request));
+            suspects.iter().copied().partition(|suspect| held(suspect));
         self.evidence.add(upstream, &suspects, !explain.is_empty(), now);
         self.unjudged = true;
     }
@@ -143,12 +187,12 @@
                 let record = self.records.get(request);
                 record.is_some_and(|record| !record.released && !record.holds(now))
             };
-            let Some((request, crashes)) = self.evidence.proven(on_probation, now) else {
+            let Some(request) = self.evidence.proven(on_probation, now) else {
                 self.unjudged = !self.evidence.is_settled(now);
                 break;
             };
             let upstreams = self.evidence.upstreams(&request);
-            let record = self.hold(request, crashes, now);
+            let record = self.hold(request, upstreams.len(), now);
             verdicts.push(Verdict { record, upstreams });
         }
         verdicts
--- a/crates/lagoonline/src/life/quarantine/settings.rs
+++ b/crates/lagoonline/src/life/quarantine/settings.rs
@@ -8,7 +8,7 @@
     /// Crashes, each at a moment of its own, that prove it.
     pub crashes: usize,
     /// Time since an upstream began to answer a request within which its crash may be the
-    /// request's doing: a lethal request ends the upstream that begins to run it.
+    /// request's doing, also where events of the answer came.
     pub begin: clock::Span,
     /// Time after a crash in which hosts tell what they had under way there. Judged earlier, a
     /// request that fell with a lethal one would look alone.
@@ -36,7 +36,7 @@
     fn default() -> Self {
         Settings {
             crashes: 3,
-            begin: clock::Span::from_secs(1),
+            begin: clock::Span::from_millis(250),
             settle: clock::Span::from_millis(300),
             together: clock::Span::from_millis(100),
             same: clock::Span::from_millis(700),
