--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -66,12 +66,18 @@
 
     /// A host that is ready, of a zone that stands before `standin`.
     pub fn join(standin: &Standin, name: &str, zone: &str) -> Host {
+        Host::join_with(standin, name, zone, lagoon_gateway::Tuning::default().relay_hosts)
+    }
+
+    /// The same, where one host decides for a zone of `relay_hosts`.
+    pub fn join_with(standin: &Standin, name: &str, zone: &str, relay_hosts: u64) -> Host {
         let settings = lagoon_gateway::Settings {
             node: node(standin, name, zone),
             tuning: lagoon_gateway::Tuning {
                 desired_wait: time::Duration::from_millis(400),
                 upstreams_pause: time::Duration::from_millis(20),
                 hosts_pause: time::Duration::from_millis(20),
+                relay_hosts,
                 ..Default::default()
             },
         };
--- a/crates/lagoon-gateway/tests/lethal.rs
+++ b/crates/lagoon-gateway/tests/lethal.rs
@@ -50,13 +50,18 @@
 
 impl Fleet {
     fn start() -> Fleet {
+        Fleet::start_with(lagoon_gateway::Tuning::default().relay_hosts)
+    }
+
+    /// One host judges and speaks for a zone of `relay_hosts`.
+    fn start_with(relay_hosts: u64) -> Fleet {
         let standin = Standin::start();
         standin.put("op", "config", &desired(1, &["k1"], 10_000));
         for number in 0..ENGINES {
             standin.upstream(&engine(number), "llm", 16);
         }
         let places = [("h1", "a"), ("h2", "a"), ("h3", "b"), ("h4", "b")];
-        let hosts = places.map(|(name, zone)| Host::join(&standin, name, zone));
+        let hosts = places.map(|(name, zone)| Host::join_with(&standin, name, zone, relay_hosts));
         Fleet { standin, hosts: hosts.into(), sent: 0 }
     }
 
@@ -116,8 +121,10 @@
 
 /// Guards against sending a request on that has crashed three engines.
 #[rstest]
-fn a_request_that_crashed_three_engines_is_sent_no_more() {
-    let mut fleet = Fleet::start();
+#[case::each_host_judges(6)]
+#[case::one_host_of_each_zone_judges(2)]
+fn a_request_that_crashed_three_engines_is_sent_no_more(#[case] relay_hosts: u64) {
+    let mut fleet = Fleet::start_with(relay_hosts);
     fleet.attack(STABLE_WINDOW * 2);
     let late = fleet.lethal_after(fleet.third_crash() + STABLE_WINDOW);
     let crashes = fleet.standin.crashes().len();
