--- a/crates/lagoonline/src/life/quarantine/evidence.rs
+++ b/crates/lagoonline/src/life/quarantine/evidence.rs
@@ -219,7 +219,10 @@
     /// the oldest.
     pub(super) fn expire(&mut self, now: clock::Moment) {
         let Settings { memory, trust, most, most_crashes, .. } = self.settings;
+        // A flood of suspects that are answered must not grow without bound: the later half stays.
+        let trust = if self.trusted.len() > most { trust / 2 } else { trust };
         self.trusted.retain(|_, at| now.since(*at) < trust);
+        let before = self.crashes.len();
         while let Some((number, oldest)) = self.crashes.first_key_value() {
             if now.since(oldest.at) < memory && self.crashes.len() <= most_crashes {
                 break;
@@ -227,14 +230,13 @@
             let number = *number;
             self.crashes.remove(&number);
         }
-        if let Some((first, _)) = self.crashes.first_key_value() {
-            for numbers in self.suspects.values_mut() {
-                numbers.retain(|number| number >= first);
-            }
-        } else {
-            self.suspects.clear();
+        if self.crashes.len() < before {
+            let first = self.crashes.first_key_value().map_or(self.next, |(number, _)| *number);
+            self.suspects.retain(|_, numbers| {
+                numbers.retain(|number| *number >= first);
+                !numbers.is_empty()
+            });
         }
-        self.suspects.retain(|_, numbers| !numbers.is_empty());
         if self.suspects.len() > most {
             self.drop_weakest(self.suspects.len() - most);
         }
