--- a/crates/lagoon-gateway/src/quarantine/mod.rs
+++ b/crates/lagoon-gateway/src/quarantine/mod.rs
@@ -22,6 +22,7 @@
 use crate::event;
 use crate::forward;
 use crate::mesh;
+use crate::server;
 use crate::state;
 use crate::word as words;
 
@@ -62,7 +63,7 @@
             match standing {
                 quarantine::Standing::Free => return Ok(()),
                 quarantine::Standing::Undecided(span) => {
-                    tokio::time::sleep(span + crate::server::TICK).await;
+                    tokio::time::sleep(span + server::TICK).await;
                 }
                 quarantine::Standing::Held(record) => return Err(held(&record, now)),
             }
@@ -140,7 +141,9 @@
     /// Another host told of a suspect that was answered.
     pub(crate) fn heard_cleared(&self, cleared: &Cleared) {
         match cleared.request.as_ref().map(word::Identity::fingerprint) {
-            Some(Ok(fingerprint)) => drop(self.clear(&fingerprint)),
+            Some(Ok(fingerprint)) => {
+                self.clear(&fingerprint);
+            }
             Some(Err(error)) => unreadable(error),
             None => unreadable(fingerprint::Malformed),
         }
--- a/crates/lagoon-gateway/src/quarantine/rows.rs
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -21,7 +21,7 @@
 const TABLE: &str = "lagoon-quarantine";
 /// Longest time for a call.
 const CALL: clock::Span = clock::Span::from_millis(1_500);
-/// Pause between two looks for verdicts to write, and after a call that failed.
+/// Pause between two looks for verdicts to write, and after the first call that failed.
 const PAUSE: clock::Span = clock::Span::from_millis(700);
 /// Most calls between two pauses.
 const MOST_CALLS: usize = 10;
@@ -44,24 +44,35 @@
 pub(crate) async fn run(state: sync::Arc<state::State>) {
     let mut client = client::Client::new(state.settings.node.store);
     let mut stored = Stored::new();
+    let mut failures = 0;
     while let Err(error) = read(&state, &mut client, &mut stored).await {
         event::Line::new("quarantine_unread").text("error", error).warn();
-        pause().await;
+        failures += 1;
+        pause(&state, failures).await;
     }
+    failures = 0;
     loop {
-        pause().await;
+        pause(&state, failures).await;
         if !state::lock(&state.peers).roster.leads(state.clock.now()) {
             continue;
         }
-        if let Err(error) = write(&state, &mut client, &mut stored).await {
-            event::Line::new("quarantine_unwritten").text("error", error).warn();
-        }
+        failures = match write(&state, &mut client, &mut stored).await {
+            Ok(()) => 0,
+            Err(error) => {
+                event::Line::new("quarantine_unwritten").text("error", error).warn();
+                failures + 1
+            }
+        };
     }
 }
 
-/// Drawn from a range, so that hosts which lost the platform together do not call it together.
-async fn pause() {
-    tokio::time::sleep(PAUSE.mul_f64(rand::rng().random_range(0.7..1.3))).await;
+/// Waits longer after each further failure, up to what a platform that is out bears; drawn from a
+/// range, so that hosts which lost it together do not call it together.
+async fn pause(state: &state::State, failures: u32) {
+    let longest = state::lock(&state.peers).roster.longest_pause(state.clock.now());
+    let span = PAUSE.saturating_mul(1_u32.checked_shl(failures).unwrap_or(u32::MAX));
+    let span = span.min(longest.max(PAUSE));
+    tokio::time::sleep(span.mul_f64(rand::rng().random_range(0.7..1.3))).await;
 }
 
 async fn read(
