--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -19,11 +19,30 @@
     pub ready: net::SocketAddr,
 }
 
-fn node(standin: &Standin, name: &str, zone: &str) -> lagoon_platform::settings::Node {
+/// Where a host stands, and how it is set.
+#[derive(Clone, Copy, Debug)]
+pub struct Place<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    /// Hosts of a zone from which on one decides for the others.
+    pub relay_hosts: u64,
+    /// Bound on keys that were taken away, in milliseconds.
+    pub revoke_ms: u64,
+}
+
+impl Default for Place<'_> {
+    fn default() -> Self {
+        let relay_hosts = lagoon_gateway::Tuning::default().relay_hosts;
+        Place { name: "h1", zone: "a", relay_hosts, revoke_ms: 1_500 }
+    }
+}
+
+fn node(standin: &Standin, place: Place<'_>) -> lagoon_platform::settings::Node {
+    let Place { name, zone, revoke_ms, .. } = place;
     let text = format!(
         "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:0\"\n  \
          Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{}\"\n\
-         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: 1500\n",
+         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n",
         standin.store_address
     );
     lagoon_platform::settings::read(&text).unwrap()
@@ -61,23 +80,18 @@
         for name in ["r1", "r2"] {
             standin.upstream(name, "app", 6);
         }
-        Host::join(&standin, "h1", "a")
-    }
-
-    /// A host that is ready, of a zone that stands before `standin`.
-    pub fn join(standin: &Standin, name: &str, zone: &str) -> Host {
-        Host::join_with(standin, name, zone, lagoon_gateway::Tuning::default().relay_hosts)
+        Host::join(&standin, Place::default())
     }
 
-    /// The same, where one host decides for a zone of `relay_hosts`.
-    pub fn join_with(standin: &Standin, name: &str, zone: &str, relay_hosts: u64) -> Host {
+    /// One more host before `standin`, once it is ready.
+    pub fn join(standin: &Standin, place: Place<'_>) -> Host {
         let settings = lagoon_gateway::Settings {
-            node: node(standin, name, zone),
+            node: node(standin, place),
             tuning: lagoon_gateway::Tuning {
                 desired_wait: time::Duration::from_millis(400),
                 upstreams_pause: time::Duration::from_millis(20),
                 hosts_pause: time::Duration::from_millis(20),
-                relay_hosts,
+                relay_hosts: place.relay_hosts,
                 ..Default::default()
             },
         };
--- a/crates/lagoon-gateway/tests/lethal.rs
+++ b/crates/lagoon-gateway/tests/lethal.rs
@@ -12,7 +12,7 @@
 
 use rstest::rstest;
 
-use host::{Host, PATIENCE, all_events, desired, exchange};
+use host::{Host, PATIENCE, Place, all_events, desired, exchange};
 use standin::{LETHAL, Manner, Standin};
 
 /// Time after the third crash in which all hosts have learnt of it.
@@ -23,9 +23,16 @@
 const ENGINES: usize = 8;
 /// Table of the requests that are refused.
 const TABLE: &str = "lagoon-quarantine";
+/// Table of the entry hosts.
+const HOSTS: &str = "lagoon-hosts";
 /// Pause between two callers.
 const PAUSE: time::Duration = time::Duration::from_millis(80);
 
+/// A host that starts after the others.
+fn late() -> Place<'static> {
+    Place { name: "h5", zone: "c", ..Place::default() }
+}
+
 fn engine(number: usize) -> String {
     format!("e{number}")
 }
@@ -50,18 +57,18 @@
 
 impl Fleet {
     fn start() -> Fleet {
-        Fleet::start_with(lagoon_gateway::Tuning::default().relay_hosts)
+        Fleet::start_with(Place::default())
     }
 
-    /// One host judges and speaks for a zone of `relay_hosts`.
-    fn start_with(relay_hosts: u64) -> Fleet {
+    /// All hosts are set as `place` is.
+    fn start_with(place: Place<'_>) -> Fleet {
         let standin = Standin::start();
         standin.put("op", "config", &desired(1, &["k1"], 10_000));
         for number in 0..ENGINES {
             standin.upstream(&engine(number), "llm", 16);
         }
         let places = [("h1", "a"), ("h2", "a"), ("h3", "b"), ("h4", "b")];
-        let hosts = places.map(|(name, zone)| Host::join_with(&standin, name, zone, relay_hosts));
+        let hosts = places.map(|(name, zone)| Host::join(&standin, Place { name, zone, ..place }));
         Fleet { standin, hosts: hosts.into(), sent: 0 }
     }
 
@@ -124,7 +131,7 @@
 #[case::each_host_judges(6)]
 #[case::one_host_of_each_zone_judges(2)]
 fn a_request_that_crashed_three_engines_is_sent_no_more(#[case] relay_hosts: u64) {
-    let mut fleet = Fleet::start_with(relay_hosts);
+    let mut fleet = Fleet::start_with(Place { relay_hosts, ..Place::default() });
     fleet.attack(STABLE_WINDOW * 2);
     let late = fleet.lethal_after(fleet.third_crash() + STABLE_WINDOW);
     let crashes = fleet.standin.crashes().len();
@@ -139,7 +146,7 @@
     fleet.await_row();
     fleet.hosts.clear();
     let began = time::Instant::now();
-    fleet.hosts.push(Host::join(&fleet.standin, "h5", "a"));
+    fleet.hosts.push(Host::join(&fleet.standin, late()));
     fleet.attack(STABLE_WINDOW);
     let late = fleet.lethal_after(began);
     assert!(late <= LATE_SENDS, "sent {late} times more after all hosts were killed");
@@ -153,7 +160,7 @@
     let row = fleet.await_row();
     // The platform holds it no longer: only the other hosts can tell.
     fleet.standin.remove(TABLE, &row);
-    let late = Host::join(&fleet.standin, "h5", "b");
+    let late = Host::join(&fleet.standin, late());
     late.until("learnt", || late.held() == 1);
     fleet.hosts = vec![late];
     let began = time::Instant::now();
@@ -212,3 +219,36 @@
     fleet.prompt(LETHAL);
     fleet.hosts[0].until("sent again", || fleet.standin.crashes().len() > crashes);
 }
+
+/// Guards against a zone that was cut off and goes on sending what the others refuse.
+#[rstest]
+fn a_zone_that_was_cut_off_learns_at_its_return() {
+    let mut fleet = Fleet::start();
+    // Behind the cut the zone sees the engines, but neither the platform of the others nor them.
+    let behind = Standin::start();
+    behind.put("op", "config", &desired(1, &["k1"], 10_000));
+    behind.copy(&fleet.standin, "servers");
+    let host = Host::join(&behind, late());
+    fleet.attack_until_refused();
+    assert_eq!(host.held(), 0);
+    behind.copy(&fleet.standin, HOSTS);
+    host.until("learnt", || host.held() == 1);
+    let began = time::Instant::now();
+    fleet.hosts = vec![host];
+    assert_eq!(fleet.prompt(LETHAL).0, 503);
+    assert_eq!(fleet.lethal_after(began), 0);
+}
+
+/// Guards against losing verdicts that are made while the platform is away.
+#[rstest]
+fn a_verdict_made_while_the_platform_is_away_is_kept() {
+    let mut fleet = Fleet::start_with(Place { revoke_ms: 20_000, ..Place::default() });
+    fleet.standin.set_out(true);
+    fleet.attack_until_refused();
+    for host in &fleet.hosts {
+        host.until("told", || host.held() == 1);
+    }
+    assert!(fleet.standin.keys(TABLE).is_empty());
+    fleet.standin.set_out(false);
+    fleet.await_row();
+}
--- /dev/null
+++ b/crates/lagoonline/tests/life_quarantine_fuzz.rs
@@ -0,0 +1,182 @@
+//! Hosts that share evidence and verdicts by words which are lost now and then, against counts of
+//! what happened to each request.
+
+use std::collections;
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::id::Upstream;
+use lagoonline::life::fingerprint::Fingerprint;
+use lagoonline::life::quarantine::{Quarantine, Record, Standing, Suspect, Weight};
+use proptest::prelude::*;
+use proptest::test_runner;
+use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+
+const HOSTS: usize = 3;
+const REQUESTS: usize = 6;
+/// Crashes that prove a request lethal.
+const PROOF: usize = 3;
+
+#[derive(Clone, Debug)]
+enum Transition {
+    /// An upstream crashes under the requests of which a bit is set; one host is not told.
+    Crash { requests: u8, deaf: usize },
+    /// A request is answered whole at a host; another is not told.
+    Answer { request: usize, host: usize, deaf: usize },
+    /// Time passes, and the hosts judge.
+    Pass { millis: u64 },
+    /// An operator ends a quarantine at a host.
+    Release { request: usize, host: usize },
+    /// A host is replaced by one that knows nothing.
+    Replace { host: usize },
+    /// Two hosts whose checksums differ tell each other their verdicts.
+    Compare { one: usize, other: usize },
+}
+
+#[derive(Clone, Debug, Default)]
+struct Reference;
+
+impl ReferenceStateMachine for Reference {
+    type State = Reference;
+    type Transition = Transition;
+
+    fn init_state() -> BoxedStrategy<Self::State> {
+        Just(Reference).boxed()
+    }
+
+    fn transitions(_: &Self::State) -> BoxedStrategy<Self::Transition> {
+        let host = || 0..HOSTS;
+        let request = || 0..REQUESTS;
+        prop_oneof![
+            6 => (1..1_u8 << REQUESTS, 0..HOSTS + 2)
+                .prop_map(|(requests, deaf)| Transition::Crash { requests, deaf }),
+            2 => (request(), host(), 0..HOSTS + 2)
+                .prop_map(|(request, host, deaf)| Transition::Answer { request, host, deaf }),
+            6 => (1..2_000_u64).prop_map(|millis| Transition::Pass { millis }),
+            1 => (request(), host())
+                .prop_map(|(request, host)| Transition::Release { request, host }),
+            1 => host().prop_map(|host| Transition::Replace { host }),
+            3 => (host(), host()).prop_map(|(one, other)| Transition::Compare { one, other }),
+        ]
+        .boxed()
+    }
+
+    fn apply(state: Self::State, _: &Self::Transition) -> Self::State {
+        state
+    }
+}
+
+struct System {
+    hosts: Vec<Quarantine>,
+    now: Moment,
+    crashes: u64,
+    /// Crashes that each request was at.
+    met: collections::BTreeMap<usize, usize>,
+}
+
+fn request(number: usize) -> Fingerprint {
+    Fingerprint::new("acme", "/talk/a", &vec![b'a'; number + 1])
+}
+
+impl System {
+    fn is_held(&self, host: usize, number: usize) -> bool {
+        let standing = self.hosts[host].standing(&request(number), self.now);
+        matches!(standing, Standing::Held(_))
+    }
+
+    fn crash(&mut self, requests: u8, deaf: usize) {
+        self.crashes += 1;
+        let upstream = Upstream::from(format!("e{}", self.crashes));
+        let numbers: Vec<_> =
+            (0..REQUESTS).filter(|number| requests & (1 << number) != 0).collect();
+        for number in &numbers {
+            *self.met.entry(*number).or_default() += 1;
+        }
+        let suspect =
+            |number: &usize| Suspect { fingerprint: request(*number), weight: Weight::Begun };
+        let suspects: Vec<_> = numbers.iter().map(suspect).collect();
+        for (number, host) in self.hosts.iter_mut().enumerate() {
+            if number != deaf {
+                host.crashed(&upstream, &suspects, self.now);
+            }
+        }
+    }
+
+    fn answer(&mut self, number: usize, host: usize, deaf: usize) {
+        let (news, _) = self.hosts[host].answered(&request(number), self.now);
+        assert!(!self.is_held(host, number), "held though it was answered there");
+        for other in (0..HOSTS).filter(|other| news && *other != host && *other != deaf) {
+            self.hosts[other].answered(&request(number), self.now);
+            assert!(!self.is_held(other, number), "held though its answer was told");
+        }
+    }
+
+    fn compare(&mut self, one: usize, other: usize) {
+        let records = |host: &Quarantine| host.records(self.now).copied().collect::<Vec<Record>>();
+        let told = [(other, records(&self.hosts[one])), (one, records(&self.hosts[other]))];
+        for (host, records) in told {
+            for record in records {
+                self.hosts[host].merge(record, self.now);
+            }
+        }
+        let checksum = |host: usize| self.hosts[host].checksum(self.now);
+        assert_eq!(checksum(one), checksum(other), "two hosts that told each other all");
+    }
+}
+
+impl StateMachineTest for System {
+    type SystemUnderTest = System;
+    type Reference = Reference;
+
+    fn init_test(_: &Reference) -> System {
+        System {
+            hosts: vec![Quarantine::default(); HOSTS],
+            now: Moment::START,
+            crashes: 0,
+            met: collections::BTreeMap::new(),
+        }
+    }
+
+    fn apply(mut system: System, _: &Reference, transition: Transition) -> System {
+        match transition {
+            Transition::Crash { requests, deaf } => system.crash(requests, deaf),
+            Transition::Answer { request, host, deaf } => system.answer(request, host, deaf),
+            Transition::Pass { millis } => {
+                system.now = system.now + Span::from_millis(millis);
+                for host in &mut system.hosts {
+                    host.expire(system.now);
+                    host.judge(system.now);
+                }
+            }
+            Transition::Release { request: number, host } => {
+                system.hosts[host].release(&request(number), system.now);
+                assert!(!system.is_held(host, number));
+            }
+            Transition::Replace { host } => system.hosts[host] = Quarantine::default(),
+            Transition::Compare { one, other } => system.compare(one, other),
+        }
+        system
+    }
+
+    fn check_invariants(system: &System, _: &Reference) {
+        for number in 0..REQUESTS {
+            let met = system.met.get(&number).copied().unwrap_or_default();
+            for host in 0..HOSTS {
+                assert!(met >= PROOF || !system.is_held(host, number), "held after {met} crashes");
+            }
+        }
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: test_runner::RngSeed::Fixed(20_261_203),
+        ..ProptestConfig::default()
+    })]
+
+    // No request is refused that was at fewer than three crashes, or whose answer or release the
+    // host knows; hosts that compared their verdicts agree.
+    #[test]
+    fn verdicts_are_proven_and_agreed_on(sequential 20..120 => System);
+}
