--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -71,10 +71,9 @@
 pub(crate) const COME_BACK: clock::Span = clock::Span::from_millis(400);
 /// When a caller may come back whom only this host turns away: at once, to another.
 pub(crate) const ELSEWHERE: clock::Span = clock::Span::from_millis(20);
-/// Tokens from which a prompt ranks behind short ones in an engine: the longest short prompt has
-/// some 24,000.
+/// Tokens from which a prompt ranks behind short ones in an engine.
 const MEDIUM_PROMPT: u64 = 25_000;
-/// Tokens from which it ranks behind those too: the longest prompt of that kind.
+/// Tokens from which it ranks behind those too.
 const LONG_PROMPT: u64 = 110_000;
 /// Refusals that one request may meet beside its attempts.
 const REFUSALS: u32 = 2;
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -54,16 +54,16 @@
     first_ms: f64,
 }
 
-/// What an answer that is late is worth, of one in time: owners of services value it at a quarter.
+/// What an answer that is late is worth, of one in time.
 const LATE_VALUE: f64 = 0.25;
 /// Multiple of the target after which nobody waits for a first token any more.
 const TOO_LATE: f64 = 3.5;
 /// Tokens of a prompt whose answer is worth one.
 const UNIT_PROMPT: f64 = 5_000.0;
-/// Growth of an answer's worth with its prompt: owners value prompts of 5,000, 45,000 and 133,000
-/// tokens as 1, 3 and 11.5.
+/// Growth of an answer's worth with its prompt: less than in proportion, since a long prompt is one
+/// caller's as a short one is.
 const VALUE_EXPONENT: f64 = 0.72;
-/// Most that one answer is worth: four times that of a usual long prompt.
+/// Most that one answer is worth, so that one giant prompt does not outweigh all others.
 const MOST_VALUE: f64 = 36.0;
 
 /// What an answer in time to a prompt of `tokens` is worth.
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -6,8 +6,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// A part of a prompt that one engine reads should take no longer than this, in milliseconds:
-    /// a pass of writers (some 50 ms) and two such parts stay below the pause of 250 ms that
-    /// answers to short prompts bear.
+    /// a pass of writers and two such parts stay below the pause that answers to short prompts bear.
     pub part_ms: f64,
     /// The same for prompts whose answers bear longer pauses, in milliseconds. Smaller parts wait
     /// for more engines, and the first token comes after the last of them.
