--- a/crates/lagoonline/benches/decision.rs
+++ b/crates/lagoonline/benches/decision.rs
@@ -1,4 +1,5 @@
-//! Cost of one admission and one routing decision, at today's size and at the target's.
+//! Cost of one admission, one routing decision and one fingerprint, at today's size and at the
+//! target's.
 
 #![allow(missing_docs, reason = "the macro of the library makes a public function")]
 
@@ -9,6 +10,7 @@
 use criterion::{Criterion, criterion_group, criterion_main};
 use lagoonline::clock::{Moment, Span};
 use lagoonline::control::document;
+use lagoonline::life::fingerprint::Fingerprint;
 use lagoonline::load::{self, Ending, Scheduler, Verdict};
 use lagoonline::{id, view};
 
@@ -160,5 +162,15 @@
     }
 }
 
-criterion_group!(benches, place, wait, limit);
+/// The fingerprint of a request, by the length of its body.
+fn fingerprint(criterion: &mut Criterion) {
+    for length in [1 << 10, 32 << 10, 1 << 20] {
+        let body = vec![b'a'; length];
+        criterion.bench_function(&format!("fingerprint/{length} bytes"), |bencher| {
+            bencher.iter(|| Fingerprint::new("customer", "/talk/a", hint::black_box(&body)));
+        });
+    }
+}
+
+criterion_group!(benches, place, wait, limit, fingerprint);
 criterion_main!(benches);
