--- a/crates/lagoon-gateway/src/word.rs
+++ b/crates/lagoon-gateway/src/word.rs
@@ -1,7 +1,8 @@
 //! What entry hosts tell each other of the requests that they send: datagrams of prost messages.
 //!
 //! A word that is lost, late or doubled changes what a host believes of an engine's load, never
-//! what a caller is told.
+//! what a caller is told. Verdicts of the quarantine are the exception: they decide what is refused,
+//! so hosts compare a checksum of them and tell each other what one lacks.
 
 use lagoonline::clock;
 use lagoonline::id;
