Call the platform less often in an outage and when a zone loses its reader

Now the desired state alone is tried in an outage and the others follow its first answer (at the latest after 5 s); a host stops calling once the relay has what it asked for; the table of hosts is followed only after 3 s of reading; a reader is kept for 2 s before better-ranked ones are asked; and hosts that nobody asks look for a reader until half of the propagation bound, less 1.5 s for reading themselves. With a bound of 2 s nothing changes.

--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -38,6 +38,9 @@
 /// Many then rank themselves first and read the platform for their zone until the next read of this
 /// table.
 const MAX_FIRST_PAUSE: clock::Span = clock::Span::from_millis(600);
+/// Time for which this host reads the platform before it follows this table as well: when a reader
+/// fails, many hosts read the platform for some moments until they have found the next one.
+const READING_BEFORE_FOLLOWING: clock::Span = clock::Span::from_secs(3);
 
 /// The row of a host.
 #[derive(Debug, Deserialize, Serialize)]
@@ -123,7 +126,14 @@
     let mut watch = watch::Watch::new(&state, "entry hosts", TABLE, wait, mirror);
     let mut first = true;
     loop {
+        let was_reading = state.tables.reads_platform();
         state.tables.wait_until_reading().await;
+        if !was_reading {
+            tokio::select! {
+                () = tokio::time::sleep(READING_BEFORE_FOLLOWING) => {}
+                () = state.tables.wait_until_relayed() => continue,
+            }
+        }
         watch.update_max_pause(&state);
         let changes = tokio::select! {
             changes = watch.next() => changes,
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -27,6 +27,9 @@
 const ANSWER_SLACK: clock::Span = clock::Span::from_millis(350);
 /// Interval between searches for a reader while this host reads the platform itself.
 const SEARCH_INTERVAL: clock::Span = clock::Span::from_millis(1_000);
+/// Time for which a host follows a reader before it asks the hosts ranked before that one again. One
+/// of those may have lost the platform, and then tells so each time.
+const MIN_FOLLOW_TIME: clock::Span = clock::Span::from_secs(2);
 /// Pause before the hosts ranked before this one are asked again when none of them reads yet. Hosts
 /// rank by their share of a processor core, as [`crate::mesh`] explains.
 const NOT_READING_PAUSE: clock::Span = clock::Span::from_millis(150);
@@ -51,12 +54,12 @@
         min_hosts: state.settings.tuning.relay_hosts,
         ..routing::SourceSettings::default()
     };
-    // Age of the tables beyond which this host reads the platform itself.
-    let max_age = settings.search_span(node.bounds.apply);
     let mut sources = routing::SourceSelector::new(settings, node.host.clone(), node.cpu_share);
     let mut known = collections::BTreeMap::new();
     loop {
         update_members(&mut sources, &mut known, &state.members);
+        // Age of the tables beyond which this host reads the platform itself.
+        let max_age = sources.search_span(node.bounds.apply);
         match sources.next(state.clock.now()) {
             // The hosts ranked before this one do not read yet, but one of them soon will.
             routing::Source::Platform
@@ -82,7 +85,9 @@
                     None => LeaveReason::Failed("its address is unknown".to_owned()),
                 };
                 record_leave(&state, &mut sources, &host, &reason);
-                if !is_fresh(&state, max_age) {
+                // A reader that was left for a better one did answer, and the better one is asked
+                // at once.
+                if !matches!(reason, LeaveReason::Outranked) && !is_fresh(&state, max_age) {
                     state.tables.set_reads_platform(true);
                 }
                 // This host stopped following the reader.
@@ -166,11 +171,15 @@
         Ok(connection) => connection,
         Err(reason) => return reason,
     };
+    let followed_since = state.clock.now();
     loop {
         if let Err(reason) = poll(state, &mut connection).await {
             return reason;
         }
         update_members(sources, known, &state.members);
+        if state.clock.now().since(followed_since) < MIN_FOLLOW_TIME {
+            continue;
+        }
         if sources.next(state.clock.now()) != routing::Source::Peer(host.clone()) {
             return LeaveReason::Outranked;
         }
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -36,6 +36,8 @@
     changes: watch::Sender<u64>,
     /// Whether this host reads the platform itself.
     reads_platform: watch::Sender<bool>,
+    /// Whether this host's last read of the desired state from the platform failed.
+    platform_fails: watch::Sender<bool>,
     /// When another host last sent a relay request.
     last_request_at: sync::Mutex<Option<clock::Moment>>,
 }
@@ -51,6 +53,7 @@
             recovered_at: sync::Mutex::default(),
             changes: watch::Sender::new(0),
             reads_platform: watch::Sender::new(true),
+            platform_fails: watch::Sender::new(false),
             last_request_at: sync::Mutex::default(),
         }
     }
@@ -92,6 +95,22 @@
         drop(self.reads_platform.subscribe().wait_for(|reads| !*reads).await);
     }
 
+    /// Records whether the platform answered the last read of the desired state.
+    pub(crate) fn set_platform_fails(&self, fails: bool) {
+        self.platform_fails.send_if_modified(|now| std::mem::replace(now, fails) != fails);
+    }
+
+    /// Whether the platform did not answer the last read of the desired state.
+    pub(crate) fn platform_fails(&self) -> bool {
+        *self.platform_fails.borrow()
+    }
+
+    /// Waits until the platform answers a read of the desired state.
+    pub(crate) async fn wait_until_platform_answers(&self) {
+        // The sender lives as long as these tables, so the wait ends only by a change.
+        drop(self.platform_fails.subscribe().wait_for(|fails| !*fails).await);
+    }
+
     /// Records a relay request of another host.
     pub(crate) fn record_request(&self, now: clock::Moment) {
         *state::lock(&self.last_request_at) = Some(now);
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -1,7 +1,9 @@
 //! Watches of the platform's tables.
 //!
 //! Each watch keeps one call open until the table changes. A failed call is repeated after a
-//! randomized exponential backoff, so that hosts do not all return at once.
+//! randomized exponential backoff, so that hosts do not all return at once. While the desired state
+//! cannot be read, the other tables are not tried either: one table is enough to notice that the
+//! platform is back, and each call to a platform in an outage adds to its load.
 
 use std::sync;
 
@@ -30,6 +32,8 @@
 
 /// Maximum pause after the first read of the desired state.
 const MAX_FIRST_PAUSE: clock::Span = clock::Span::from_millis(400);
+/// Longest time for which a failing table is not tried because the desired state cannot be read.
+const MAX_OUTAGE_WAIT: clock::Span = clock::Span::from_secs(5);
 
 /// A watch of one table.
 #[derive(Debug)]
@@ -42,6 +46,7 @@
     wait: clock::Span,
     /// The local copy of the table.
     mirror: tables::SharedTable,
+    state: sync::Arc<state::State>,
     /// Consecutive failed calls.
     failures: u32,
     max_pause: clock::Span,
@@ -62,7 +67,7 @@
 impl Watch {
     /// Creates a watch of `table`, called `name` in logs.
     pub(crate) fn new(
-        state: &state::State,
+        state: &sync::Arc<state::State>,
         name: &'static str,
         table: &'static str,
         wait: clock::Span,
@@ -74,6 +79,7 @@
             table,
             wait,
             mirror,
+            state: state.clone(),
             failures: 0,
             max_pause: max_pause(state),
             clock: state.clock,
@@ -99,6 +105,7 @@
                             .info();
                     }
                     self.failures = 0;
+                    self.record_result(true);
                     return changes;
                 }
                 Ok(None) => {}
@@ -173,6 +180,20 @@
         self.max_pause = max_pause(state);
     }
 
+    /// Forgets failed calls, because the changes have come through the relay since. Otherwise the
+    /// next answer would be taken for the recovery of the platform.
+    fn forget_failures(&mut self) {
+        self.failures = 0;
+        self.record_result(true);
+    }
+
+    /// Records for the watches of the other tables whether the platform answered.
+    fn record_result(&self, answered: bool) {
+        if self.table == desired::TABLE {
+            self.state.tables.set_platform_fails(!answered);
+        }
+    }
+
     /// Logs the first of several failures, and sleeps before the next call.
     async fn back_off(&mut self, error: &client::Error) {
         self.failures += 1;
@@ -183,6 +204,13 @@
                 .text("error", error)
                 .warn();
         }
+        self.record_result(false);
+        if self.table != desired::TABLE && self.state.tables.platform_fails() {
+            let answers = self.state.tables.wait_until_platform_answers();
+            // After this time the call is tried all the same.
+            drop(tokio::time::timeout(MAX_OUTAGE_WAIT, answers).await);
+            return;
+        }
         let doubled = BACKOFF_BASE * 2u32.pow(self.failures.min(MAX_DOUBLINGS));
         let limit = doubled.min(self.max_pause);
         tokio::time::sleep(limit.mul_f64(rand::rng().random_range(0.5..1.0))).await;
@@ -207,7 +235,13 @@
         let for_others = state.tables.reads_for_others(state.clock.now());
         watch.wait = if for_others { wait.min(tuning.reader_wait) } else { wait };
         watch.update_max_pause(&state);
-        let changes = watch.next().await;
+        let changes = tokio::select! {
+            changes = watch.next() => changes,
+            () = state.tables.wait_until_relayed() => {
+                watch.forget_failures();
+                continue;
+            }
+        };
         tables::apply_desired(&state, &changes.rows, changes.at);
         // A pause follows the first read only. No other host can be asked at that point, but during
         // the pause the relay may find one that reads the platform. This host then stops reading
@@ -230,7 +264,13 @@
             false => (tuning.upstreams_wait, pause),
         };
         watch.wait = wait;
-        let changes = watch.next().await;
+        let changes = tokio::select! {
+            changes = watch.next() => changes,
+            () = state.tables.wait_until_relayed() => {
+                watch.forget_failures();
+                continue;
+            }
+        };
         if changes.recovered {
             tables::platform_recovered(&state, state.clock.now());
         }
--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -373,3 +373,24 @@
     assert!(took < time::Duration::from_secs(8), "ended after {took:?}");
     drop(booking.join());
 }
+
+/// Guards against an outage of the platform in which each host goes on calling it for every table.
+/// Only the desired state is tried again; the list of upstreams is read at once after the recovery.
+#[rstest]
+fn one_table_is_tried_again_in_an_outage() {
+    let host = Host::start();
+    host.standin.set_down(true);
+    std::thread::sleep(time::Duration::from_secs(4));
+    let (tried, others) = (host.standin.refused("op"), host.standin.refused("servers"));
+    assert!(tried >= 4, "the recovery would be noticed late: {tried} calls in 4 s");
+    assert!(others <= 2, "{others} calls for the list of upstreams beside {tried} others");
+    host.standin.set_down(false);
+    host.standin.upstream("r3", "app", 6);
+    let recovered = time::Instant::now();
+    let reached = || host.standin.received_requests().iter().any(|at| at.upstream == "r3");
+    while !reached() {
+        // Refused until the keys are confirmed again.
+        host.call("GET", "/look/1", "k1", "");
+        assert!(recovered.elapsed() < time::Duration::from_secs(3), "the list is not read again");
+    }
+}
--- a/crates/lagoonline/src/routing/source.rs
+++ b/crates/lagoonline/src/routing/source.rs
@@ -27,10 +27,15 @@
     /// How long a host that is not reading is skipped. Short, because when a reader stops all
     /// others notice it at about the same time, and the next one in order then starts to read.
     pub skip_idle: clock::Span,
-    /// While looking for another reader, a host's state may be at most this share of the allowed
-    /// propagation time old. The rest is needed for the last question asked and for reading the
-    /// platform itself.
+    /// While looking for another reader, the state of a host that the others would ask may be at
+    /// most this share of the allowed propagation time old.
     pub search_share: f64,
+    /// The same for all other hosts. They go on looking for longer, so that the first ones have
+    /// taken over by then.
+    pub search_share_others: f64,
+    /// Part of the allowed propagation time that these hosts leave for the last question asked and
+    /// for reading the platform itself.
+    pub reserve: clock::Span,
     /// Number of hosts that are tried after the first one in order, before the platform itself is
     /// read. During a platform outage no host can answer, and asking every host of a large zone
     /// would only add load.
@@ -44,30 +49,13 @@
             skip_failed: clock::Span::from_secs(3),
             skip_idle: clock::Span::from_millis(250),
             search_share: 0.3,
+            search_share_others: 0.5,
+            reserve: clock::Span::from_millis(1_500),
             max_fallbacks: 4,
         }
     }
 }
 
-impl Settings {
-    /// Returns the maximum age of a host's state at which it still looks for another reader instead
-    /// of reading the platform itself, given that changes must take effect within
-    /// `max_propagation`.
-    ///
-    /// If the platform refuses only the first hosts of a zone, these report to the others that
-    /// nothing is new. A host that relied on them would keep using an old version although the
-    /// platform would give it the new one.
-    ///
-    /// ```
-    /// use lagoonline::{clock::Span, routing::SourceSettings};
-    /// let span = SourceSettings::default().search_span(Span::from_secs(4));
-    /// assert_eq!(span, Span::from_millis(1_200));
-    /// ```
-    pub fn search_span(&self, max_propagation: clock::Span) -> clock::Span {
-        max_propagation.mul_f64(self.search_share)
-    }
-}
-
 /// Another host of the same zone, as described by its row at the platform.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Peer {
@@ -170,6 +158,29 @@
         }
     }
 
+    /// Returns the maximum age of this host's state at which it still looks for another reader
+    /// instead of reading the platform itself, given that changes must take effect within
+    /// `max_propagation`.
+    ///
+    /// If the platform refuses only the first hosts of a zone, these report to the others that
+    /// nothing is new. A host that relied on them would keep using an old version although the
+    /// platform would give it the new one.
+    ///
+    /// ```
+    /// use lagoonline::{clock::Span, id::Host, routing::{SourceSelector, SourceSettings}};
+    /// let sources = SourceSelector::new(SourceSettings::default(), Host::from("a"), 0.5);
+    /// assert_eq!(sources.search_span(Span::from_secs(4)), Span::from_millis(1_200));
+    /// ```
+    pub fn search_span(&self, max_propagation: clock::Span) -> clock::Span {
+        let first_span = max_propagation.mul_f64(self.settings.search_share);
+        let mut asked = self.ranked_hosts().take(self.settings.max_fallbacks + 1);
+        if asked.any(|(host, _)| *host == self.own) {
+            return first_span;
+        }
+        let span = max_propagation.mul_f64(self.settings.search_share_others);
+        span.min(max_propagation.saturating_sub(self.settings.reserve)).max(first_span)
+    }
+
     fn is_small(&self) -> bool {
         (self.peers.len() as u64 + 1) < self.settings.min_hosts
     }
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -193,15 +193,40 @@
 /// Their state may be as old as the search span when they ask the last host, whose answer takes up
 /// to [`MAX_ANSWER_TIME`]. Reading the platform itself must still be possible within the bound.
 #[rstest]
-#[case(2_000)]
-#[case(4_000)]
-fn the_search_for_a_reader_ends_within_the_bound(#[case] max_propagation: u64) {
+fn the_search_for_a_reader_ends_within_the_bound(
+    #[values(2_000, 3_000, 4_000)] max_propagation: u64,
+    #[values("a", "z")] own: &str,
+) {
     const MAX_ANSWER_TIME: Span = Span::from_millis(1_300);
     let max_propagation = Span::from_millis(max_propagation);
-    let search = routing::SourceSettings::default().search_span(max_propagation);
+    let search = zone_of_ten(own).search_span(max_propagation);
     assert!(search + MAX_ANSWER_TIME < max_propagation, "{search:?} of {max_propagation:?}");
 }
 
+/// Guards against a platform that is read by all hosts of a zone at once when its reader fails. The
+/// hosts that the others ask read it first; the others have found one of them by the time they
+/// would read it themselves.
+#[rstest]
+#[case(3_000)]
+#[case(4_000)]
+fn hosts_that_others_ask_read_the_platform_first(#[case] max_propagation: u64) {
+    const ANSWER_TIME: Span = Span::from_millis(350);
+    let max_propagation = Span::from_millis(max_propagation);
+    let first = zone_of_ten("a").search_span(max_propagation);
+    let other = zone_of_ten("z").search_span(max_propagation);
+    assert!(first + ANSWER_TIME < other, "{first:?}, others {other:?}");
+}
+
+/// The selector of the host `own` beside nine others, called h0 to h8.
+fn zone_of_ten(own: &str) -> routing::SourceSelector {
+    let settings = routing::SourceSettings::default();
+    let mut sources = routing::SourceSelector::new(settings, id::Host::from(own), 0.1);
+    for index in 0..9 {
+        sources.set_peer(id::Host::from(format!("h{index}")), routing::Peer { cores: 0.1 });
+    }
+    sources
+}
+
 /// In a small zone every host reads the platform itself, even the smallest.
 #[rstest]
 fn each_host_of_a_small_zone_reads() {
