Weigh answers made late by the target of the prompt that does it

Callers saw: short answers pause for 300 to 650 ms while a long prompt with seconds to its target is prefilled beside them.

Cause: an answer made late counted as 60 ms of delay, for a prompt that may wait 3 s as for one that may wait 300 ms, so that an engine with three short answers was preferred to one with 200 ms queued. Now it counts as 0.4 of the time that the prompt has left to its own target. The setting harm_ms becomes harm_share.

a_giant_prompt_waits_rather_than_stall_short_answers fails with the old cost.

--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -104,7 +104,7 @@
             tight_slack_ms: float("stall_ms", default.placement.tight_slack_ms),
             slot_wait_share: float("hold_share", default.placement.slot_wait_share),
             jitter_ms: float("jitter_ms", default.placement.jitter_ms),
-            lateness_cost_ms: float("harm_ms", default.placement.lateness_cost_ms),
+            lateness_cost_share: float("harm_share", default.placement.lateness_cost_share),
             tight_share: reader.float("tight_share", default.placement.tight_share, 0.05..=1.0),
             spillover_penalty_ms: float("stray_ms", default.placement.spillover_penalty_ms),
             idle_penalty_ms: float("reader_ms", default.placement.idle_penalty_ms),
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -324,7 +324,7 @@
                 + self.remote_cost(request, engine)
                 + spillover(index)
                 + idle_penalty;
-            self.cost(engine, part_ms) + placement_cost + failures
+            self.cost(request, engine, part_ms) + placement_cost + failures
         });
         let need = request.prompt_tokens + request.answer_tokens;
         let share = self.settings.memory_share;
@@ -353,7 +353,7 @@
         let eligible = &self.reachable(usable, eligible, primary, now);
         for index in self.order_by_cost(request, usable, eligible, |index| {
             let engine = usable[index];
-            self.helper_cost(engine, part_ms)
+            self.helper_cost(request, engine, part_ms)
                 + engine.failure_rate(now) * FAILURE_PENALTY_MS
                 + spillover(index)
         }) {
@@ -496,8 +496,8 @@
 
     /// Cost of prefilling a part on `engine`, in milliseconds of delay: the wait until the part
     /// starts, and the answers that it makes late.
-    fn cost(&self, engine: &UpstreamState, part_ms: f64) -> f64 {
-        engine.wait_ms() + self.lateness_cost(engine, part_ms)
+    fn cost(&self, request: &Request<'_>, engine: &UpstreamState, part_ms: f64) -> f64 {
+        engine.wait_ms() + self.lateness_cost(request, engine, part_ms)
     }
 
     /// Cost of prefilling a part for another engine: it goes ahead of the engine's own prompts and
@@ -507,14 +507,16 @@
     /// answer one prompt and help with others. If an answering engine has many helper parts ahead
     /// of its own part, its own part is the last of its prompt to finish, and all the other engines
     /// have waited for it.
-    fn helper_cost(&self, engine: &UpstreamState, part_ms: f64) -> f64 {
-        let lateness_cost = self.lateness_cost(engine, part_ms);
+    fn helper_cost(&self, request: &Request<'_>, engine: &UpstreamState, part_ms: f64) -> f64 {
+        let lateness_cost = self.lateness_cost(request, engine, part_ms);
         engine.helper_wait_ms() + lateness_cost + engine.own_prefills() as f64 * part_ms
     }
 
-    /// Cost in milliseconds of delay of the answers that a prefill on `engine` would make late.
-    fn lateness_cost(&self, engine: &UpstreamState, part_ms: f64) -> f64 {
-        f64::from(engine.late_answers(part_ms)) * self.settings.lateness_cost_ms
+    /// Cost in milliseconds of delay of the answers that a prefill on `engine` would make late. A
+    /// prompt with a late target can wait for longer to spare the others.
+    fn lateness_cost(&self, request: &Request<'_>, engine: &UpstreamState, part_ms: f64) -> f64 {
+        let cost_ms = request.target.as_secs_f64() * 1e3 * self.settings.lateness_cost_share;
+        f64::from(engine.late_answers(part_ms)) * cost_ms
     }
 
     fn remote_cost(&self, request: &Request<'_>, engine: &UpstreamState) -> f64 {
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -73,8 +73,9 @@
     /// Longest time that a prompt with a loose gap limit waits at a host, whatever resource engines
     /// lack for it.
     pub max_wait: clock::Span,
-    /// Milliseconds of delay that count as much as one answer made late. Setting `harm_ms`.
-    pub lateness_cost_ms: f64,
+    /// Share of the time left until its own first token is late by which a prompt may be delayed to
+    /// avoid making one other answer late. Setting `harm_share`.
+    pub lateness_cost_share: f64,
     /// How long an upstream is avoided after a failure without a response. The span is multiplied
     /// by the number of its consecutive failures of this kind, up to four.
     pub avoid_span: clock::Span,
@@ -103,7 +104,7 @@
             backlog_growth: 0.12,
             slot_wait_share: 0.3,
             max_wait: clock::Span::from_millis(5_000),
-            lateness_cost_ms: 60.0,
+            lateness_cost_share: 0.4,
             avoid_span: clock::Span::from_secs(1),
         }
     }
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -123,12 +123,22 @@
         gap: Span,
     ) -> Result<(placement::DispatchId, placement::Placement), placement::Refusal> {
         let placed = self.place(prompt, gap, 0)?;
+        Ok((self.record(&placed, prompt, gap), placed))
+    }
+
+    /// Records the dispatch of a placed request.
+    fn record(
+        &mut self,
+        placed: &placement::Placement,
+        prompt: u64,
+        gap: Span,
+    ) -> placement::DispatchId {
         self.number += 1;
         let id = placement::DispatchId { host: 1, number: self.number };
         let deadline = self.now + Span::from_secs(10);
-        let dispatch = placement::Dispatch::new(id, &placed, prompt, gap, deadline);
+        let dispatch = placement::Dispatch::new(id, placed, prompt, gap, deadline);
         self.placer.record_dispatch(dispatch, self.now);
-        Ok((id, placed))
+        id
     }
 
     /// Records a dispatch by another host to the engine `primary`, with parts prefilled by
@@ -322,6 +332,79 @@
     assert_eq!(both, 0, "{both} parts on engines that have fallen behind");
 }
 
+/// Guards against short prompts that are late beside idle engines after all hosts were restarted.
+/// No answer is in flight, so one engine is dedicated to short prompts. All callers return at once,
+/// and the schedulers of three zones, which have not heard of each other's dispatches yet, queue
+/// their prompts on the same few engines.
+#[rstest]
+fn callers_that_return_at_once_are_spread_over_idle_engines() {
+    const NEWS_MS: u64 = 15;
+    let pass_ms = 60.0;
+    let zones = ["a", "b", "c"].map(id::Zone::from);
+    let mut schedulers = [(); 3].map(|()| Simulation::new(60));
+    let mut sent: collections::VecDeque<(u64, usize, placement::Dispatch)> = Default::default();
+    let mut prefill_ms: collections::BTreeMap<String, f64> = collections::BTreeMap::new();
+    for millis in 0..35 {
+        while sent.front().is_some_and(|(at, ..)| at + NEWS_MS <= millis) {
+            let (_, from, dispatch) = sent.pop_front().unwrap();
+            for (index, sim) in schedulers.iter_mut().enumerate().filter(|(at, _)| *at != from) {
+                let host = dispatch.id.host + 10 * index as u64;
+                let id = placement::DispatchId { host, ..dispatch.id };
+                sim.placer.record_dispatch(placement::Dispatch { id, ..dispatch.clone() }, sim.now);
+            }
+        }
+        for (index, sim) in schedulers.iter_mut().enumerate() {
+            sim.number = 3 * millis + index as u64;
+            let request = placement::Request {
+                prompt_tokens: 5_000,
+                target: Span::from_millis(300),
+                max_gap: TIGHT,
+                zone: &zones[index],
+                ..sim.request()
+            };
+            let placed = sim.place_request(&request).unwrap();
+            let queued = prefill_ms.entry(placed.primary.upstream.to_string()).or_default();
+            *queued += profile().prefill_ms(5_000);
+            let id = sim.record(&placed, 5_000, TIGHT);
+            let deadline = sim.now + Span::from_secs(10);
+            let dispatch = placement::Dispatch::new(id, &placed, 5_000, TIGHT, deadline);
+            sent.push_back((millis, index, dispatch));
+            sim.advance(1);
+        }
+    }
+    let longest = prefill_ms.values().copied().fold(0.0, f64::max);
+    assert!(longest + pass_ms <= 300.0, "{longest:.0} ms of prefill on one engine: {prefill_ms:?}");
+}
+
+/// Guards against a prompt with seconds to its target that makes short answers late to save a
+/// fraction of one. When the mix turns from short prompts to long ones, some engines are still
+/// decoding short answers and the others have a few hundred milliseconds of prefill queued. The
+/// parts of a giant prompt must wait for those.
+#[rstest]
+fn a_giant_prompt_waits_rather_than_stall_short_answers() {
+    const SHORT_ENGINES: usize = 16;
+    let mut sim = sim_with_slots(60, 12);
+    for engine in 0..SHORT_ENGINES {
+        for _ in 0..4 {
+            let id = sim.record_remote_dispatch(engine, Vec::new(), 5_000, TIGHT);
+            sim.placer.record_first_token(id, sim.now);
+        }
+    }
+    for _ in 0..5 {
+        sim.record_remote_dispatch(59, (SHORT_ENGINES..59).map(name).collect(), 200_000, LOOSE);
+    }
+    let request = placement::Request {
+        prompt_tokens: 205_000,
+        target: Span::from_millis(3_000),
+        waited: Span::from_millis(2_000),
+        ..sim.request()
+    };
+    let placed = sim.place_request(&request).unwrap();
+    let stalled =
+        engines(&placed).into_iter().filter(|engine| *engine < name(SHORT_ENGINES).as_str());
+    assert_eq!(stalled.count(), 0, "{placed:?}");
+}
+
 /// Guards against holding a prompt because of the average backlog: a hundred engines have seconds
 /// of prefill queued, ninety have none. A prompt that sixteen engines can prefill is dispatched at
 /// once.
