--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -104,7 +104,7 @@
             backlog_growth: 0.12,
             slot_wait_share: 0.3,
             max_wait: clock::Span::from_millis(5_000),
-            lateness_cost_share: 0.4,
+            lateness_cost_share: 0.15,
             avoid_span: clock::Span::from_secs(1),
         }
     }
