--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -140,14 +140,7 @@
         let all: Vec<usize> = (0..usable.len()).collect();
         let prefill = (profile.prefill_ms(request.prompt_tokens), self.settings.part_ms);
         match self.plan(request, division, &all, prefill, now) {
-            Ok(plan) => Ok(to_placement(
-                request,
-                usable,
-                profile,
-                &plan,
-                self.settings.reserve_threshold,
-                now,
-            )),
+            Ok(plan) => Ok(self.to_placement(request, usable, profile, &plan, now)),
             Err(Refusal::Deferred(_)) => Err(self.refuse_without_slot(request, profile)),
             Err(refusal) => Err(refusal),
         }
@@ -190,14 +183,9 @@
             }
         }
         match best {
-            Some(plan) if plan.net_value >= 0.0 => Ok(to_placement(
-                request,
-                usable,
-                profile,
-                &plan,
-                self.settings.reserve_threshold,
-                now,
-            )),
+            Some(plan) if plan.net_value >= 0.0 => {
+                Ok(self.to_placement(request, usable, profile, &plan, now))
+            }
             Some(plan) => {
                 let first_token_ms = plan.first_token_ms;
                 Err(self
@@ -522,30 +510,30 @@
     fn remote_cost(&self, request: &Request<'_>, engine: &UpstreamState) -> f64 {
         if engine.entry().zone == *request.zone { 0.0 } else { self.settings.remote_penalty_ms }
     }
-}
 
-/// Converts a plan into a placement.
-fn to_placement(
-    request: &Request<'_>,
-    usable: &[&UpstreamState],
-    profile: profile::Profile,
-    plan: &Plan,
-    reserve_threshold: f64,
-    now: clock::Moment,
-) -> Placement {
-    let helper = |(index, reserve): &(usize, u64)| Helper {
-        entry: usable[*index].entry().clone(),
-        reserve: *reserve,
-    };
-    let on_helpers: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
-    let need = (request.prompt_tokens + request.answer_tokens).saturating_sub(on_helpers);
-    let large = need as f64 > profile.memory_tokens as f64 * reserve_threshold;
-    Placement {
-        primary: usable[plan.primary].entry().clone(),
-        reserve: if large { need } else { 0 },
-        helpers: plan.helpers.iter().map(helper).collect(),
-        expected: clock::Span::try_from_secs_f64(plan.first_token_ms / 1e3).unwrap_or_default(),
-        estimate: usable[plan.primary].estimate(now),
-        runner_up: plan.runner_up.map(|index| usable[index].estimate(now)),
+    /// Converts a plan into a placement.
+    fn to_placement(
+        &self,
+        request: &Request<'_>,
+        usable: &[&UpstreamState],
+        profile: profile::Profile,
+        plan: &Plan,
+        now: clock::Moment,
+    ) -> Placement {
+        let helper = |(index, reserve): &(usize, u64)| Helper {
+            entry: usable[*index].entry().clone(),
+            reserve: *reserve,
+        };
+        let on_helpers: u64 = plan.helpers.iter().map(|(_, reserve)| reserve).sum();
+        let need = (request.prompt_tokens + request.answer_tokens).saturating_sub(on_helpers);
+        let large = need as f64 > profile.memory_tokens as f64 * self.settings.reserve_threshold;
+        Placement {
+            primary: usable[plan.primary].entry().clone(),
+            reserve: if large { need } else { 0 },
+            helpers: plan.helpers.iter().map(helper).collect(),
+            expected: clock::Span::try_from_secs_f64(plan.first_token_ms / 1e3).unwrap_or_default(),
+            estimate: usable[plan.primary].estimate(now),
+            runner_up: plan.runner_up.map(|index| usable[index].estimate(now)),
+        }
     }
 }
