Log and count answers that name a limit on the requests of their upstream

When an upstream that names a limit gets more than that, no log tells which answers named it and which host had seen them, so two hypotheses of the incident (nobody reads the header; each host applies it alone) look the same. No decision changes.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -417,6 +417,7 @@
         let read = head::read_answer(status, fields.iter().copied());
         let forwarded = head::forward_answer(fields.into_iter());
         let peer = &open.upstream;
+        self.log_rate_limit(peer, &read.rate_limit);
         if read.not_run {
             let failed_helper =
                 read.at_fault.and_then(|address| self.record_failed_helper(peer, address));
@@ -503,6 +504,19 @@
             .info();
     }
 
+    /// Logs and counts an answer that names a limit on the requests of its upstream.
+    fn log_rate_limit(&self, upstream: &id::Upstream, limit: &head::RateLimit) {
+        if *limit == head::RateLimit::Unlimited {
+            return;
+        }
+        self.state.metrics.rate_limited_answers.inc();
+        event::Line::new("limit_named")
+            .text("request", &self.request.head.request_id)
+            .text("upstream", upstream)
+            .text("limit", format!("{limit:?}"))
+            .info();
+    }
+
     pub(crate) fn log_failure(&self, upstream: &id::Upstream, failed: &attempt::Failure) {
         // An attempt failed.
         event::Line::new("attempt_missed")
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -51,6 +51,8 @@
     pub(crate) quarantined: Gauge,
     /// Requests that were in flight when an upstream crashed.
     pub(crate) suspects: Gauge,
+    /// Answers that name a limit on the requests of their upstream.
+    pub(crate) rate_limited_answers: Counter,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -73,6 +75,7 @@
             crashes: Counter::default(),
             quarantined: Gauge::default(),
             suspects: Gauge::default(),
+            rate_limited_answers: Counter::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -103,6 +106,8 @@
         registry.register("upstream_crashes", help, self.crashes.clone());
         registry.register("quarantined", "requests in quarantine", self.quarantined.clone());
         registry.register("suspects", "requests that were at crashes", self.suspects.clone());
+        let help = "answers that name a limit on the requests of their upstream";
+        registry.register("limited_answers", help, self.rate_limited_answers.clone());
     }
 
     /// Counts an answer of `service`, complete or with the `reason` of its failure.
