--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -13,6 +13,7 @@
 use lagoon_load::bench::simulation;
 use lagoon_load::direct;
 use lagoon_load::http;
+use lagoon_load::limits;
 use lagoon_load::soak;
 use lagoon_net::logs;
 use lagoon_net::program;
@@ -33,9 +34,22 @@
     Bench(Bench),
     Http(Http),
     Direct(Direct),
+    Limits(Limits),
     Soak(Soak),
 }
 
+/// Ways of keeping limits that upstreams name on their requests, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "limits")]
+struct Limits {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
 /// What a running entry host adds to calls and streams, beside the engine itself.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "direct")]
@@ -177,6 +191,7 @@
         Command::Bench(bench) => run_bench(&bench).map(|()| true),
         Command::Http(http) => run_http(&http).map(|()| true),
         Command::Direct(direct) => run_direct(direct).map(|()| true),
+        Command::Limits(limits) => run_limits(&limits).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
@@ -364,3 +379,50 @@
         _ => Err(UnknownName { kind: "choice", name: name.to_owned() }),
     }
 }
+
+/// Plays the scenarios of limits with each way, and prints the worst excess and the means of the
+/// other figures over all seeds.
+fn run_limits(args: &Limits) -> Result<(), Box<dyn error::Error>> {
+    let all = limits::all();
+    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
+    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
+        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
+    }
+    println!(
+        "scenario way excess over_limit used in_time late refused refused_twice misled held known_ms messages"
+    );
+    let wanted = |scenario: &&limits::Scenario| {
+        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
+    };
+    for scenario in all.iter().filter(wanted) {
+        for way in limits::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| limits::run(scenario, way, seed)).collect();
+            print_limits(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_limits(scenario: &str, way: limits::Way, reports: &[limits::Report]) {
+    let worst = |figure: fn(&limits::Report) -> f64| {
+        reports.iter().map(figure).fold(f64::NEG_INFINITY, f64::max)
+    };
+    let mean = |figure: fn(&limits::Report) -> f64| {
+        reports.iter().map(figure).sum::<f64>() / reports.len().max(1) as f64
+    };
+    println!(
+        "{scenario} {way:?} {:.1} {:.1} {:.2} {:.0} {:.0} {:.0} {:.0} {:.0} {:.0} {:.0} {:.2}",
+        worst(|report| report.excess),
+        worst(|report| report.excess_of_limit),
+        mean(|report| report.used),
+        mean(|report| report.in_time as f64),
+        mean(|report| report.late as f64),
+        mean(|report| report.refused as f64),
+        mean(|report| report.refused_twice as f64),
+        mean(|report| report.misled as f64),
+        mean(|report| report.held as f64),
+        worst(|report| report.known_ms as f64),
+        mean(|report| report.messages),
+    );
+}
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod bench;
 pub mod direct;
 pub mod http;
+pub mod limits;
 pub mod soak;
 pub mod trial;
