Confirm the desired state by the clock that the platform's answers show

Cause: an answer to a watch that carries a change was taken to be as old as its call, since the host did not know when it was made. A change late in a watch of 2.5 s, then a whole watch without one, make 5 s; the bound is 4.75.

Now the reading relates to earlier ones, less 0.5 s since a slow platform may read its clock after the rows, and less 200 millionths for drift; a reading that contradicts the host's own clock counts for nothing. The test failed before: 503 after 0.56 s of the second change, confirmed 1.25 s ago with a bound of 1.5 s.

--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -10,6 +10,7 @@
 use lagoon_platform::{desired, entry, store};
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
+use lagoonline::routing;
 use rand::Rng;
 
 use crate::event;
@@ -52,6 +53,8 @@
     failures: u32,
     max_pause: clock::Span,
     clock: crate::BootClock,
+    /// The platform's clock, as its answers show it.
+    platform_clock: routing::RemoteClock,
 }
 
 /// Changes of a table.
@@ -84,6 +87,7 @@
             failures: 0,
             max_pause: max_pause(state),
             clock: state.clock,
+            platform_clock: routing::RemoteClock::default(),
         }
     }
 
@@ -149,7 +153,7 @@
         };
         // An answer without changes means that there was none while the store waited.
         let unchanged_until = if rows.rows.is_empty() { started + wait } else { started };
-        let at = unchanged_until.min(self.clock.now());
+        let at = self.made_at(unchanged_until, rows.clock_ms);
         let delta = mirror::Delta { rows: rows.rows, all: false, version: rows.version };
         Ok(Some(self.apply(delta, at)))
     }
@@ -158,13 +162,16 @@
     async fn read_all(&mut self, started: clock::Moment) -> Result<Option<Changes>, client::Error> {
         let mut rows: Vec<store::Row> = Vec::new();
         let mut version = None;
+        let mut at = started;
         let mut from = String::new();
         loop {
             let reply = self.client.call(&store::rows(self.table, &from), ANSWER_SLACK).await?;
             let store::Reply::Rows(page) = reply else { return Ok(None) };
             // Changes made between two pages are reported by the feed after the first page's
             // version.
-            version = version.or(Some(page.version));
+            if version.replace(version.unwrap_or(page.version)).is_none() {
+                at = self.made_at(started, page.clock_ms);
+            }
             rows.extend(page.rows);
             match rows.last() {
                 Some(last) if page.more => from = format!("{}\0", last.key),
@@ -177,7 +184,15 @@
             .number("rows", delta.rows.len())
             .number("version", delta.version)
             .info();
-        Ok(Some(self.apply(delta, started)))
+        Ok(Some(self.apply(delta, at)))
+    }
+
+    /// Returns a moment up to which an answer that has just arrived is certainly new: it was made
+    /// at `earliest` at the earliest, when the platform's clock showed `clock_ms`.
+    fn made_at(&mut self, earliest: clock::Moment, clock_ms: Option<u64>) -> clock::Moment {
+        let now = self.clock.now();
+        let earliest = earliest.min(now);
+        clock_ms.map_or(earliest, |millis| self.platform_clock.made_at(earliest, millis, now))
     }
 
     /// Applies `delta` to the local copy.
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -28,12 +28,14 @@
     pub relay_hosts: u64,
     /// Key revocation bound in milliseconds.
     pub revoke_ms: u64,
+    /// How long the platform holds a watch of the desired state open, in milliseconds.
+    pub desired_wait_ms: u64,
 }
 
 impl Default for HostSettings<'_> {
     fn default() -> Self {
         let relay_hosts = lagoon_gateway::Tuning::default().relay_hosts;
-        HostSettings { name: "h1", zone: "a", relay_hosts, revoke_ms: 1_500 }
+        HostSettings { name: "h1", zone: "a", relay_hosts, revoke_ms: 1_500, desired_wait_ms: 400 }
     }
 }
 
@@ -89,7 +91,7 @@
         let settings = lagoon_gateway::Settings {
             node: node(standin, settings),
             tuning: lagoon_gateway::Tuning {
-                desired_wait: time::Duration::from_millis(400),
+                desired_wait: time::Duration::from_millis(settings.desired_wait_ms),
                 upstreams_pause: time::Duration::from_millis(20),
                 hosts_pause: time::Duration::from_millis(20),
                 relay_hosts: settings.relay_hosts,
--- a/crates/lagoon-gateway/tests/path.rs
+++ b/crates/lagoon-gateway/tests/path.rs
@@ -16,8 +16,8 @@
 use rstest::rstest;
 use serde_json::json;
 
-use host::{Host, STEP_TIMEOUT, all_events, desired, send_request};
-use standin::{Behavior, event};
+use host::{Host, HostSettings, STEP_TIMEOUT, all_events, desired, send_request};
+use standin::{Behavior, Standin, event};
 
 /// Without faults a stream, a booking and a lookup are answered completely. The upstream is given
 /// the customer but never the key, and the time that is left.
@@ -394,3 +394,23 @@
         assert!(recovered.elapsed() < time::Duration::from_secs(3), "the list is not read again");
     }
 }
+
+/// Keys must stay trusted while the desired state changes often. An answer with a change is as new
+/// as the moment at which the platform made it; taken to be as old as its call, the confirmation
+/// would be older than the bound before the next answer, and all callers with a key be refused.
+#[rstest]
+fn keys_are_trusted_while_the_desired_state_changes() {
+    let standin = Standin::start();
+    standin.put("op", "config", &desired(1, &["k1"], 10_000));
+    standin.upstream("e1", "llm", 16);
+    let settings = HostSettings { desired_wait_ms: 750, ..HostSettings::default() };
+    let host = Host::join(&standin, settings);
+    for version in 2..8 {
+        let changed = time::Instant::now();
+        standin.put("op", "config", &desired(version, &["k1"], 10_000));
+        while changed.elapsed() < time::Duration::from_millis(700) {
+            let (status, body) = host.talk();
+            assert_eq!(status, 200, "version {version}, after {:?}: {body}", changed.elapsed());
+        }
+    }
+}
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod confirm;
 mod registry;
+mod remote_clock;
 mod roster;
 mod source;
 mod table;
@@ -18,6 +19,7 @@
 
 pub use confirm::Confirmation;
 pub use registry::{Change, Registry, Settings as RegistrySettings};
+pub use remote_clock::RemoteClock;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
 pub use source::{Peer, Settings as SourceSettings, Source, SourceSelector};
 pub use table::{KeyMatch, Table};
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -239,3 +239,37 @@
     sources.set_peer(id::Host::from("c"), routing::Peer { cores: 0.1 });
     assert!(!sources.must_read_platform(now));
 }
+
+/// Answers that are held back for long must not be taken to be newer than they are, however late
+/// they arrive, nor the platform's clock be trusted after it was set anew.
+#[rstest]
+#[case::held_back(72_000, 3_100, 2_490..=2_500)]
+#[case::held_back_and_late(72_000, 9_000, 2_490..=2_500)]
+#[case::went_back(60_000, 3_100, 1_010..=1_010)]
+#[case::went_ahead(99_000, 3_100, 1_010..=1_010)]
+fn an_answer_is_as_new_as_the_platforms_clock_says(
+    #[case] millis: u64,
+    #[case] arrived: u64,
+    #[case] expected: std::ops::RangeInclusive<u64>,
+) {
+    let at = Moment::from_millis;
+    let mut remote = routing::RemoteClock::default();
+    assert_eq!(remote.made_at(at(1_000), 70_000, at(1_010)), at(1_000));
+    let made = remote.made_at(at(1_010), millis, at(arrived));
+    assert!(expected.contains(&made.as_millis()), "{made:?}");
+}
+
+/// The clocks differ in speed: readings of an hour ago must not make an answer newer than it is.
+#[rstest]
+fn a_slow_clock_of_the_platform_does_not_add_up() {
+    let mut remote = routing::RemoteClock::default();
+    let (mut now, mut millis) = (1_000_000_u64, 70_000_u64);
+    for _ in 0..3_600 {
+        // This host's clock runs slower, by 100 millionths.
+        now += 999_900;
+        millis += 1_000;
+        let (sent, arrived) = (Moment::from_micros(now - 900_000), Moment::from_micros(now + 500));
+        let made = remote.made_at(sent, millis, arrived);
+        assert!(made <= Moment::from_micros(now), "{made:?}");
+    }
+}
