--- a/crates/lagoon-gateway/src/in_flight.rs
+++ b/crates/lagoon-gateway/src/in_flight.rs
@@ -58,7 +58,7 @@
         let sent = message::Dispatch::new(&dispatch, now);
         admitted.state.with_placer(&admitted.service, |placer, _| {
             if decider == Decider::Own {
-                placer.record_chooser(admitted.state.incarnation, now);
+                placer.record_placing_host(admitted.state.incarnation, now);
             }
             placer.record_dispatch(dispatch, now);
         });
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -328,7 +328,7 @@
     }
     let applied = state.with_placer(&service, |placer, now| match what {
         message::Kind::Sent(sent) => {
-            placer.record_chooser(sender, now);
+            placer.record_placing_host(sender, now);
             placer.record_dispatch(sent.dispatch(id, now), now);
         }
         message::Kind::First(_) => placer.record_first_token(id, now),
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -162,7 +162,7 @@
         let placed = placer.place(&request, now)?;
         let dispatch = question.dispatch(id, &placed, now);
         let sent = message::Dispatch::new(&dispatch, now);
-        placer.record_chooser(own, now);
+        placer.record_placing_host(own, now);
         placer.record_dispatch(dispatch, now);
         Ok::<_, placement::Refusal>((question::Placed::from(&placed), sent))
     })?;
--- a/crates/lagoon-load/src/limits/host.rs
+++ b/crates/lagoon-load/src/limits/host.rs
@@ -96,7 +96,7 @@
         match message {
             Message::Sent { host, number, upstream } => {
                 if self.way == Way::Turns {
-                    self.placer.record_chooser(*host as u64, moment(now));
+                    self.placer.record_placing_host(*host as u64, moment(now));
                 }
                 if self.way.counts_others() {
                     self.record(*host, *number, *upstream, now);
@@ -141,7 +141,7 @@
         let name = placed.primary.upstream.as_str();
         let index = name[1..].parse().unwrap_or_default();
         if self.way == Way::Turns {
-            self.placer.record_chooser(self.number as u64, moment(now));
+            self.placer.record_placing_host(self.number as u64, moment(now));
         }
         self.record(self.number, number, index, now);
         Ok(index)
--- a/crates/lagoon-load/src/limits/scenario.rs
+++ b/crates/lagoon-load/src/limits/scenario.rs
@@ -33,7 +33,7 @@
 pub struct Scenario {
     /// Name on the command line.
     pub name: &'static str,
-    /// Number of hosts that choose upstreams.
+    /// Number of hosts that place requests.
     pub hosts: usize,
     /// Number of zones.
     pub zones: usize,
--- a/crates/lagoonline/src/load/placement/limited.rs
+++ b/crates/lagoonline/src/load/placement/limited.rs
@@ -25,9 +25,9 @@
     pub last: upstream_limit::Observation,
 }
 
-/// The claim of `request` to a permit.
-pub(super) fn claim(request: &Request<'_>) -> upstream_limit::Claim<DispatchId> {
-    upstream_limit::Claim { waiter: request.waiter, identity: request.identity }
+/// Who wants a permit for `request`.
+pub(super) fn requester(request: &Request<'_>) -> upstream_limit::Requester<DispatchId> {
+    upstream_limit::Requester { waiter: request.waiter, identity: request.identity }
 }
 
 impl Placer {
@@ -49,8 +49,8 @@
         change
     }
 
-    /// Records that `host` chose an upstream for a request.
-    pub fn record_chooser(&mut self, host: u64, now: clock::Moment) {
+    /// Records that `host` placed a request, its own or that of another host.
+    pub fn record_placing_host(&mut self, host: u64, now: clock::Moment) {
         if self.has_limits() {
             self.turns.record(host, now);
         }
@@ -143,13 +143,13 @@
         if usable.iter().any(|state| !state.is_limited()) {
             return Ok(());
         }
-        let claim = claim(request);
+        let requester = requester(request);
         let open = usable.iter().filter(|state| state.is_open());
         let permits: f64 = open
             .filter_map(|state| state.limit().bucket())
             .map(|bucket| bucket.level().floor().max(1.0))
             .sum();
-        if permits >= self.permit_queue.ahead(&claim, now) as f64 + 1.0 {
+        if permits >= self.permit_queue.ahead(&requester, now) as f64 + 1.0 {
             return Ok(());
         }
         // The permits that this host has been getting, of those of all hosts.
@@ -158,13 +158,13 @@
         let rate = rate * self.turns.own_share(now);
         let first = buckets().map(|bucket| bucket.until_permit(clock::Span::ZERO)).min();
         let first = first.unwrap_or_default();
-        let wait = self.permit_queue.wait(&claim, first, rate, now);
+        let wait = self.permit_queue.wait(&requester, first, rate, now);
         // Without its identity, no permit could be kept for the caller until it comes back.
-        let is_known = claim.identity.is_some();
-        if wait <= request.target || self.permit_queue.is_due(&claim, now) || !is_known {
+        let is_known = requester.identity.is_some();
+        if wait <= request.target || self.permit_queue.is_due(&requester, now) || !is_known {
             return Err(Refusal::Deferred(Shortage::Permit));
         }
-        let span = self.permit_queue.return_time(&claim, first, rate, now);
+        let span = self.permit_queue.return_time(&requester, first, rate, now);
         Err(Refusal::Rejected(Shortage::Permit, span.max(self.settings.full_span)))
     }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -225,7 +225,7 @@
     prefill_load: PrefillLoad,
     /// Prompts that wait for a placement.
     waitlist: Waitlist,
-    /// Which of the hosts that choose upstreams goes first at one that limits its requests.
+    /// Which of the hosts that place requests goes first at an upstream that limits them.
     turns: upstream_limit::Turns,
     /// This host's share of the limits of upstreams.
     share: f64,
@@ -548,7 +548,7 @@
             }
             _ => Ok(self.place_call(request, &usable, now)),
         }
-        .inspect(|_| self.permit_queue.leave(&limited::claim(request)))
+        .inspect(|_| self.permit_queue.leave(&limited::requester(request)))
     }
 
     /// Upstreams that may be used, in order of their names: those that look healthy, the failing
--- a/crates/lagoonline/src/load/upstream_limit/mod.rs
+++ b/crates/lagoonline/src/load/upstream_limit/mod.rs
@@ -5,10 +5,11 @@
 //! would not know; if each host applied the limit alone, it would be exceeded once per host; and a
 //! fixed share for each host would leave most of it unused where only some hosts have traffic.
 //!
-//! So the hosts tell each other what the answers say, and each counts the requests of all hosts,
-//! which hosts announce to each other anyway, in a [`Bucket`] of its own. Hosts that need the
-//! upstream at the same moment would all use the same permit before they hear of each other; the
-//! [`Turns`] let one of them go first, another one for each upstream, and the others a moment later.
+//! So the hosts tell each other what the answers say, and each host that places requests counts the
+//! requests of all hosts, which they announce to each other anyway, in a [`Bucket`] of its own.
+//! Hosts that need the upstream at the same moment would all use the same permit before they hear
+//! of each other; the [`Turns`] let one of them go first, another one for each upstream, and the
+//! others a moment later.
 //! A permit that is used twice all the same is a debt, which every host waits for. A host that does
 //! not hear from some zones fills its buckets only at the share of the zones that it hears from, as
 //! their hosts keep using theirs.
@@ -24,5 +25,5 @@
 
 pub use bucket::Bucket;
 pub use limit::{Change, Limit, Observation};
-pub use queue::{Claim, Queue};
+pub use queue::{Queue, Requester};
 pub use turns::Turns;
--- a/crates/lagoonline/src/load/upstream_limit/queue.rs
+++ b/crates/lagoonline/src/load/upstream_limit/queue.rs
@@ -30,7 +30,7 @@
 
 /// A request that wants a permit.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Claim<Key> {
+pub struct Requester<Key> {
     /// Identifies it while it waits.
     pub waiter: Key,
     /// What it is, if that is known: the same when its caller comes back.
@@ -38,6 +38,20 @@
 }
 
 /// The queue of one service at one host. `Key` identifies a waiting request.
+///
+/// ```
+/// use lagoonline::clock::{Moment, Span};
+/// use lagoonline::lifecycle::fingerprint::Fingerprint;
+/// use lagoonline::load::upstream_limit::{Queue, Requester};
+/// let (mut queue, now) = (Queue::default(), Moment::from_millis(10));
+/// let identity = Some(Fingerprint::new("acme", "/talk/a", b"hello"));
+/// let first = Requester { waiter: 1, identity };
+/// let span = queue.return_time(&first, Span::ZERO, 2.0, now);
+/// queue.promise(identity.unwrap(), span, now);
+/// let later = Requester { waiter: 2, identity: None };
+/// assert_eq!(queue.ahead(&later, now + span), 1);
+/// assert_eq!(queue.ahead(&Requester { waiter: 3, identity }, now + span), 0);
+/// ```
 #[derive(Clone, Debug)]
 pub struct Queue<Key> {
     /// For each waiting request its place in the order of arrival, and when it was last tried.
@@ -73,9 +87,9 @@
     }
 
     /// Records that a request has its permit, so that none is kept for its caller any more.
-    pub fn leave(&mut self, claim: &Claim<Key>) {
-        self.stop_waiting(claim.waiter);
-        if let Some(identity) = claim.identity {
+    pub fn leave(&mut self, requester: &Requester<Key>) {
+        self.stop_waiting(requester.waiter);
+        if let Some(identity) = requester.identity {
             self.promises.remove(&identity);
         }
     }
@@ -112,22 +126,22 @@
     }
 
     /// When the caller of the request was told to come back, if it was.
-    fn due(&self, claim: &Claim<Key>) -> Option<clock::Moment> {
-        self.promises.get(&claim.identity?).copied()
+    fn due(&self, requester: &Requester<Key>) -> Option<clock::Moment> {
+        self.promises.get(&requester.identity?).copied()
     }
 
     /// Whether the caller of the request has come back when it was told to.
-    pub fn is_due(&self, claim: &Claim<Key>, now: clock::Moment) -> bool {
-        self.due(claim).is_some_and(|due| due <= now + EARLY_SLACK)
+    pub fn is_due(&self, requester: &Requester<Key>, now: clock::Moment) -> bool {
+        self.due(requester).is_some_and(|due| due <= now + EARLY_SLACK)
     }
 
     /// Number of permits that go to others first: to requests that have waited longer, and to
     /// callers that should have come back by now. A caller that has come back goes before all.
-    pub fn ahead(&self, claim: &Claim<Key>, now: clock::Moment) -> usize {
-        if self.is_due(claim, now) {
+    pub fn ahead(&self, requester: &Requester<Key>, now: clock::Moment) -> usize {
+        if self.is_due(requester, now) {
             return 0;
         }
-        let order = self.waiting.get(&claim.waiter).map_or(u64::MAX, |(order, _)| *order);
+        let order = self.waiting.get(&requester.waiter).map_or(u64::MAX, |(order, _)| *order);
         let waiting = self.waiting.values().filter(|(other, _)| *other < order).count();
         waiting + self.promises.values().filter(|due| **due <= now).count()
     }
@@ -136,13 +150,13 @@
     /// `rate` a second.
     pub fn wait(
         &self,
-        claim: &Claim<Key>,
+        requester: &Requester<Key>,
         first: clock::Span,
         rate: f64,
         now: clock::Moment,
     ) -> clock::Span {
         let share = if self.promises.is_empty() { 1.0 } else { 1.0 - PROMISED_SHARE };
-        first + seconds(self.ahead(claim, now) as f64 / (rate * share))
+        first + seconds(self.ahead(requester, now) as f64 / (rate * share))
     }
 
     /// Time after which the caller of a request that is refused should come back: one that came too
@@ -150,12 +164,12 @@
     /// used.
     pub fn return_time(
         &self,
-        claim: &Claim<Key>,
+        requester: &Requester<Key>,
         first: clock::Span,
         rate: f64,
         now: clock::Moment,
     ) -> clock::Span {
-        match self.due(claim) {
+        match self.due(requester) {
             Some(due) => due.since(now),
             None => {
                 let next = (self.promises.len() + 1) as f64 / (rate * PROMISED_SHARE);
--- a/crates/lagoonline/src/load/upstream_limit/turns.rs
+++ b/crates/lagoonline/src/load/upstream_limit/turns.rs
@@ -33,7 +33,7 @@
     }
 }
 
-/// The hosts that choose upstreams, as far as they have done so lately.
+/// The hosts that place requests, as far as they have done so lately.
 ///
 /// ```
 /// use lagoonline::{clock::{Moment, Span}, id::Upstream, load::upstream_limit::Turns};
@@ -59,7 +59,7 @@
         Turns { own, active: collections::BTreeMap::new() }
     }
 
-    /// Records that `host` sent a request, wherever it went.
+    /// Records that `host` placed a request, wherever it went.
     pub fn record(&mut self, host: u64, now: clock::Moment) {
         let known = self.active.get(&host).map_or(0.0, |activity| activity.requests(now));
         self.active.insert(host, Activity { requests: known + 1.0, at: now });
--- a/crates/lagoonline/tests/load_upstream_limit.rs
+++ b/crates/lagoonline/tests/load_upstream_limit.rs
@@ -4,7 +4,9 @@
 use lagoonline::clock::{Moment, Span};
 use lagoonline::id;
 use lagoonline::lifecycle::fingerprint::Fingerprint;
-use lagoonline::load::upstream_limit::{Bucket, Change, Claim, Limit, Observation, Queue, Turns};
+use lagoonline::load::upstream_limit::{
+    Bucket, Change, Limit, Observation, Queue, Requester, Turns,
+};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -164,8 +166,8 @@
     Fingerprint::new("c", &number.to_string(), b"")
 }
 
-fn claim(waiter: u64) -> Claim<u64> {
-    Claim { waiter, identity: Some(identity(waiter)) }
+fn requester(waiter: u64) -> Requester<u64> {
+    Requester { waiter, identity: Some(identity(waiter)) }
 }
 
 /// A caller that was told to come back must not be refused again for those that came meanwhile.
@@ -176,13 +178,13 @@
         queue.record_try(waiter, at(0));
     }
     queue.promise(identity(9), Span::from_millis(100), at(0));
-    let back = Claim { waiter: 10, identity: Some(identity(9)) };
+    let back = Requester { waiter: 10, identity: Some(identity(9)) };
     assert_eq!(queue.ahead(&back, at(0)), 5, "it has come back too early");
     assert_eq!(queue.ahead(&back, at(100)), 0);
-    assert_eq!(queue.ahead(&claim(3), at(100)), 3, "a permit is kept for it");
-    assert_eq!(queue.ahead(&claim(3), at(0)), 2);
+    assert_eq!(queue.ahead(&requester(3), at(100)), 3, "a permit is kept for it");
+    assert_eq!(queue.ahead(&requester(3), at(0)), 2);
     queue.leave(&back);
-    assert_eq!(queue.ahead(&claim(11), at(100)), 5);
+    assert_eq!(queue.ahead(&requester(11), at(100)), 5);
 }
 
 /// Callers must not be told to come back all at once, nor later than they will wait.
@@ -191,14 +193,14 @@
     let mut queue: Queue<u64> = Queue::default();
     let mut last = Span::ZERO;
     for number in 0..100 {
-        let claim = claim(number);
-        let span = queue.return_time(&claim, Span::ZERO, 10.0, at(0));
+        let requester = requester(number);
+        let span = queue.return_time(&requester, Span::ZERO, 10.0, at(0));
         assert!(span >= last, "{span:?} after {last:?}");
         queue.promise(identity(number), span, at(0));
         last = span;
     }
     assert!(last >= Span::from_secs(6), "no permit is kept after 3 s: {last:?}");
-    let early = queue.return_time(&claim(4), Span::ZERO, 10.0, at(500));
+    let early = queue.return_time(&requester(4), Span::ZERO, 10.0, at(500));
     assert_eq!(early, Span::from_millis(500), "one that comes back too early keeps its time");
 }
 
@@ -209,9 +211,9 @@
     for waiter in 1..=2 {
         queue.record_try(waiter, at(0));
     }
-    let alone = queue.wait(&claim(3), Span::ZERO, 10.0, at(0));
+    let alone = queue.wait(&requester(3), Span::ZERO, 10.0, at(0));
     queue.promise(identity(9), Span::from_secs(1), at(0));
-    assert_eq!(queue.wait(&claim(3), Span::ZERO, 10.0, at(0)), alone * 2);
+    assert_eq!(queue.wait(&requester(3), Span::ZERO, 10.0, at(0)), alone * 2);
 }
 
 /// Callers that left or did not come back must not hold permits for ever.
@@ -221,7 +223,7 @@
     queue.record_try(1, at(0));
     queue.promise(identity(2), Span::from_secs(1), at(0));
     queue.expire(at(300));
-    assert_eq!(queue.ahead(&claim(3), at(1_000)), 1);
+    assert_eq!(queue.ahead(&requester(3), at(1_000)), 1);
     queue.expire(at(2_000));
     assert!(!queue.has_promises());
 }
@@ -233,8 +235,8 @@
     for number in 0..6_000 {
         queue.promise(identity(number), Span::from_micros(number * 100), at(0));
     }
-    assert_eq!(queue.ahead(&claim(9_999), at(1_000)), 4_096);
-    assert!(queue.is_due(&claim(0), at(0)), "the callers that are due first are kept");
+    assert_eq!(queue.ahead(&requester(9_999), at(1_000)), 4_096);
+    assert!(queue.is_due(&requester(0), at(0)), "the callers that are due first are kept");
 }
 
 proptest! {
