Count debts in the time after which a caller is told to come back

The estimate took the sum of the limits; now each upstream gives nothing until its debt is paid (Supply).

Only decisions while all upstreams are limited change.

--- a/crates/lagoonline/src/load/placement/limited.rs
+++ b/crates/lagoonline/src/load/placement/limited.rs
@@ -152,19 +152,16 @@
         if permits >= self.permit_queue.ahead(&requester, now) as f64 + 1.0 {
             return Ok(());
         }
-        // The permits that this host has been getting, of those of all hosts.
-        let buckets = || usable.iter().filter_map(|state| state.limit().bucket());
-        let rate: f64 = buckets().map(upstream_limit::Bucket::own_rate).sum();
-        let rate = rate * self.turns.own_share(now);
-        let first = buckets().map(|bucket| bucket.until_permit(clock::Span::ZERO)).min();
-        let first = first.unwrap_or_default();
-        let wait = self.permit_queue.wait(&requester, first, rate, now);
+        let buckets = usable.iter().filter_map(|state| state.limit().bucket());
+        let own_share = self.turns.own_share(now);
+        let supply = upstream_limit::Supply::new(buckets.copied().collect(), own_share);
+        let wait = self.permit_queue.wait(&requester, &supply, now);
         // Without its identity, no permit could be kept for the caller until it comes back.
         let is_known = requester.identity.is_some();
         if wait <= request.target || self.permit_queue.is_due(&requester, now) || !is_known {
             return Err(Refusal::Deferred(Shortage::Permit));
         }
-        let span = self.permit_queue.return_time(&requester, first, rate, now);
+        let span = self.permit_queue.return_time(&requester, &supply, now);
         Err(Refusal::Rejected(Shortage::Permit, span.max(self.settings.full_span)))
     }
 
--- a/crates/lagoonline/src/load/upstream_limit/bucket.rs
+++ b/crates/lagoonline/src/load/upstream_limit/bucket.rs
@@ -82,6 +82,11 @@
         self.level
     }
 
+    /// Permits in `seconds` seconds if none is taken, also those that would be too many to be kept.
+    pub(super) fn level_in(&self, seconds: f64) -> f64 {
+        self.level + self.own_rate() * seconds
+    }
+
     /// Whether there has been a permit for `lead`, the time by which other hosts go first.
     pub fn has_permit(&self, lead: clock::Span) -> bool {
         self.missing(lead) <= 0.0
--- a/crates/lagoonline/src/load/upstream_limit/mod.rs
+++ b/crates/lagoonline/src/load/upstream_limit/mod.rs
@@ -21,9 +21,11 @@
 mod bucket;
 mod limit;
 mod queue;
+mod supply;
 mod turns;
 
 pub use bucket::Bucket;
 pub use limit::{Change, Limit, Observation};
 pub use queue::{Queue, Requester};
+pub use supply::Supply;
 pub use turns::Turns;
--- a/crates/lagoonline/src/load/upstream_limit/queue.rs
+++ b/crates/lagoonline/src/load/upstream_limit/queue.rs
@@ -3,6 +3,7 @@
 use std::collections;
 use std::hash::Hash;
 
+use super::Supply;
 use crate::clock;
 use crate::lifecycle::fingerprint;
 
@@ -23,11 +24,6 @@
 /// Largest number of callers that a permit is kept for; the ones due first are kept.
 const MAX_PROMISES: usize = 4_096;
 
-/// The span of `seconds` seconds.
-fn seconds(seconds: f64) -> clock::Span {
-    clock::Span::try_from_secs_f64(seconds).unwrap_or(clock::Span::MAX / 2)
-}
-
 /// A request that wants a permit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Requester<Key> {
@@ -40,13 +36,14 @@
 /// The queue of one service at one host. `Key` identifies a waiting request.
 ///
 /// ```
-/// use lagoonline::clock::{Moment, Span};
+/// use lagoonline::clock::Moment;
 /// use lagoonline::lifecycle::fingerprint::Fingerprint;
-/// use lagoonline::load::upstream_limit::{Queue, Requester};
+/// use lagoonline::load::upstream_limit::{Bucket, Queue, Requester, Supply};
 /// let (mut queue, now) = (Queue::default(), Moment::from_millis(10));
+/// let supply = Supply::new(vec![Bucket::new(2.0, now)], 1.0);
 /// let identity = Some(Fingerprint::new("acme", "/talk/a", b"hello"));
 /// let first = Requester { waiter: 1, identity };
-/// let span = queue.return_time(&first, Span::ZERO, 2.0, now);
+/// let span = queue.return_time(&first, &supply, now);
 /// queue.promise(identity.unwrap(), span, now);
 /// let later = Requester { waiter: 2, identity: None };
 /// assert_eq!(queue.ahead(&later, now + span), 1);
@@ -146,17 +143,15 @@
         waiting + self.promises.values().filter(|due| **due <= now).count()
     }
 
-    /// Time until there is a permit for a request that stays, if there is one in `first` and then
-    /// `rate` a second.
+    /// Time until there is a permit for a request that stays.
     pub fn wait(
         &self,
         requester: &Requester<Key>,
-        first: clock::Span,
-        rate: f64,
+        supply: &Supply,
         now: clock::Moment,
     ) -> clock::Span {
         let share = if self.promises.is_empty() { 1.0 } else { 1.0 - PROMISED_SHARE };
-        first + seconds(self.ahead(requester, now) as f64 / (rate * share))
+        supply.time_until(1.0 + self.ahead(requester, now) as f64 / share)
     }
 
     /// Time after which the caller of a request that is refused should come back: one that came too
@@ -165,17 +160,13 @@
     pub fn return_time(
         &self,
         requester: &Requester<Key>,
-        first: clock::Span,
-        rate: f64,
+        supply: &Supply,
         now: clock::Moment,
     ) -> clock::Span {
-        match self.due(requester) {
-            Some(due) => due.since(now),
-            None => {
-                let next = (self.promises.len() + 1) as f64 / (rate * PROMISED_SHARE);
-                let span = first + seconds(next);
-                if span <= MAX_PROMISED_WAIT { span } else { span + MAX_PROMISED_WAIT }
-            }
+        if let Some(due) = self.due(requester) {
+            return due.since(now);
         }
+        let span = supply.time_until((self.promises.len() + 1) as f64 / PROMISED_SHARE);
+        if span <= MAX_PROMISED_WAIT { span } else { span + MAX_PROMISED_WAIT }
     }
 }
--- a/crates/lagoonline/tests/load_placement_limited.rs
+++ b/crates/lagoonline/tests/load_placement_limited.rs
@@ -190,3 +190,44 @@
     }
     assert!((8..=11).contains(&limited), "{limited} calls in 10 s");
 }
+
+/// Engines that got many requests before they named their limits are in debt for seconds. A caller
+/// that is refused meanwhile must be told a time at which there are permits.
+#[rstest]
+#[case(3)]
+#[case(5)]
+fn callers_are_told_a_time_that_counts_debts(#[case] in_debt: usize) {
+    let mut sim = Simulation::new(6);
+    for index in 0..6 {
+        name_limit(&mut sim, index, Some(1.0));
+    }
+    for index in 0..in_debt {
+        for _ in 0..10 {
+            sim.record_remote_dispatch(index, Vec::new(), 5_000, TIGHT);
+        }
+    }
+    sim.advance(500);
+    let mut again = 0;
+    let mut callers: Vec<(Moment, u64, Option<Span>)> =
+        (0..12).map(|number| (sim.now, number, None)).collect();
+    for _ in 0..1_000 {
+        sim.advance(10);
+        let now = sim.now;
+        for (due, number, told) in std::mem::take(&mut callers) {
+            if due > now {
+                callers.push((due, number, told));
+                continue;
+            }
+            match arrive(&mut sim, number) {
+                Ok(_) => {}
+                Err(placement::Refusal::Rejected(_, span)) => {
+                    again += u64::from(told.is_some_and(|told| told <= Span::from_secs(3)));
+                    callers.push((now + span, number, Some(span)));
+                }
+                Err(_) => callers.push((now + Span::from_millis(20), number, told)),
+            }
+        }
+    }
+    assert_eq!(again, 0, "callers were refused again");
+    assert!(callers.len() <= 4, "{} of 12 callers were not served in 10 s", callers.len());
+}
