Spread the callers that are refused without a permit kept for them

While all upstreams of a service limit their requests, callers beyond the permits of the next 3 s were all told the same time (6.10 s to seven of twelve in a trace) and would come back at once. They are now told a time 3 to 6 s later than the next free permit, at random. Test callers_without_a_permit_come_back_spread. Comments no longer say that a permit is kept for each. Bucket::until_permit, which Supply replaced, is gone.

--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -235,7 +235,7 @@
             // Engines may be missing only for a moment, and a 4xx status would be final.
             placement::Refusal::TooLong => (Reason::Saturated, forward::RETRY_AFTER),
             placement::Refusal::Deferred(_) => (Reason::Saturated, forward::RETRY_AFTER),
-            // Each caller has a time of its own, at which a permit is kept for it.
+            // The times are spread already, and a permit may be kept for the caller at its time.
             placement::Refusal::Rejected(placement::Shortage::Permit, span) => {
                 (Reason::Saturated, span)
             }
--- a/crates/lagoonline/src/load/placement/limited.rs
+++ b/crates/lagoonline/src/load/placement/limited.rs
@@ -56,8 +56,8 @@
         }
     }
 
-    /// Records a call to an upstream that is not a dispatch: an order about memory, which is never
-    /// held back. If the upstream counts it, its next requests have to wait for it.
+    /// Records a call to an upstream that is not a dispatch: a report about memory in use, or an
+    /// order, which are never held back. Its next requests have to wait for it.
     pub fn record_order(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
             state.take_permit(now);
@@ -161,7 +161,8 @@
         if wait <= request.target || self.permit_queue.is_due(&requester, now) || !is_known {
             return Err(Refusal::Deferred(Shortage::Permit));
         }
-        let span = self.permit_queue.return_time(&requester, &supply, now);
+        let spread = request.random as f64 / u64::MAX as f64;
+        let span = self.permit_queue.return_time(&requester, &supply, spread, now);
         Err(Refusal::Rejected(Shortage::Permit, span.max(self.settings.full_span)))
     }
 
--- a/crates/lagoonline/src/load/upstream_limit/bucket.rs
+++ b/crates/lagoonline/src/load/upstream_limit/bucket.rs
@@ -28,7 +28,7 @@
 /// bucket.fill(later);
 /// assert!(bucket.has_permit(Span::ZERO));
 /// bucket.take(later);
-/// assert_eq!(bucket.until_permit(Span::ZERO), Span::from_millis(500));
+/// assert!(!bucket.has_permit(Span::ZERO));
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Bucket {
@@ -89,16 +89,6 @@
 
     /// Whether there has been a permit for `lead`, the time by which other hosts go first.
     pub fn has_permit(&self, lead: clock::Span) -> bool {
-        self.missing(lead) <= 0.0
-    }
-
-    /// Time until [`Bucket::has_permit`] if no host sends until then.
-    pub fn until_permit(&self, lead: clock::Span) -> clock::Span {
-        let seconds = self.missing(lead).max(0.0) / self.own_rate();
-        clock::Span::try_from_secs_f64(seconds).unwrap_or(clock::Span::MAX)
-    }
-
-    fn missing(&self, lead: clock::Span) -> f64 {
-        1.0 + self.own_rate() * lead.as_secs_f64() - self.level
+        self.level >= 1.0 + self.own_rate() * lead.as_secs_f64()
     }
 }
--- a/crates/lagoonline/src/load/upstream_limit/mod.rs
+++ b/crates/lagoonline/src/load/upstream_limit/mod.rs
@@ -9,14 +9,13 @@
 //! requests of all hosts, which they announce to each other anyway, in a [`Bucket`] of its own.
 //! Hosts that need the upstream at the same moment would all use the same permit before they hear
 //! of each other; the [`Turns`] let one of them go first, another one for each upstream, and the
-//! others a moment later.
-//! A permit that is used twice all the same is a debt, which every host waits for. A host that does
-//! not hear from some zones fills its buckets only at the share of the zones that it hears from, as
-//! their hosts keep using theirs.
+//! others a moment later. A permit that is used twice all the same is a debt, which every host
+//! waits for. A host that does not hear from some zones fills its buckets only at the share of the
+//! zones that it hears from, as the hosts of the others keep using theirs.
 //!
 //! When all upstreams of a service have a limit, requests wait in the [`Queue`] while they can be
-//! in time. The others are refused at once, each with a time of its own to come back, at which a
-//! permit is kept for it.
+//! in time. The others are refused at once with a time to come back, as far as possible one at
+//! which a permit is kept for the caller; the [`Supply`] tells when there will be permits.
 
 mod bucket;
 mod limit;
--- a/crates/lagoonline/src/load/upstream_limit/queue.rs
+++ b/crates/lagoonline/src/load/upstream_limit/queue.rs
@@ -43,7 +43,7 @@
 /// let supply = Supply::new(vec![Bucket::new(2.0, now)], 1.0);
 /// let identity = Some(Fingerprint::new("acme", "/talk/a", b"hello"));
 /// let first = Requester { waiter: 1, identity };
-/// let span = queue.return_time(&first, &supply, now);
+/// let span = queue.return_time(&first, &supply, 0.0, now);
 /// queue.promise(identity.unwrap(), span, now);
 /// let later = Requester { waiter: 2, identity: None };
 /// assert_eq!(queue.ahead(&later, now + span), 1);
@@ -156,17 +156,23 @@
 
     /// Time after which the caller of a request that is refused should come back: one that came too
     /// early keeps its time. If no permit can be kept for it, that is when those kept now have been
-    /// used.
+    /// used and later, at `spread` (from 0 to 1) of as long a time, so that not all come back at
+    /// once.
     pub fn return_time(
         &self,
         requester: &Requester<Key>,
         supply: &Supply,
+        spread: f64,
         now: clock::Moment,
     ) -> clock::Span {
         if let Some(due) = self.due(requester) {
             return due.since(now);
         }
         let span = supply.time_until((self.promises.len() + 1) as f64 / PROMISED_SHARE);
-        if span <= MAX_PROMISED_WAIT { span } else { span + MAX_PROMISED_WAIT }
+        if span <= MAX_PROMISED_WAIT {
+            span
+        } else {
+            span + MAX_PROMISED_WAIT + MAX_PROMISED_WAIT.mul_f64(spread)
+        }
     }
 }
--- a/crates/lagoonline/tests/load_placement_limited.rs
+++ b/crates/lagoonline/tests/load_placement_limited.rs
@@ -164,6 +164,29 @@
     assert!(refused > 100 && again * 50 <= refused, "{again} of {refused} were refused again");
 }
 
+/// Callers for whom no permit can be kept must not all be told the same time.
+#[rstest]
+fn callers_without_a_permit_come_back_spread() {
+    let mut sim = Simulation::new(1);
+    name_limit(&mut sim, 0, Some(0.2));
+    let mut told = std::collections::BTreeSet::new();
+    for number in 0..20 {
+        let request = placement::Request {
+            prompt_tokens: 5_000,
+            target: Span::from_millis(300),
+            max_gap: TIGHT,
+            identity: Some(identity(number)),
+            random: number * (u64::MAX / 20),
+            ..sim.request()
+        };
+        let Err(placement::Refusal::Rejected(_, span)) = sim.place_request(&request) else {
+            panic!("not refused");
+        };
+        told.insert(span);
+    }
+    assert_eq!(told.len(), 20, "{told:?}");
+}
+
 /// Without its identity, no permit can be kept for a caller: the request is not refused before it
 /// is known.
 #[rstest]
--- a/crates/lagoonline/tests/load_upstream_limit.rs
+++ b/crates/lagoonline/tests/load_upstream_limit.rs
@@ -73,8 +73,8 @@
 /// can end the limit.
 #[rstest]
 fn a_tiny_limit_is_no_limit_of_nothing_forever() {
-    let bucket = Bucket::new(1e-9, at(0));
-    assert!(bucket.until_permit(Span::ZERO) <= Span::from_secs(20));
+    let supply = Supply::new(vec![Bucket::new(1e-9, at(0))], 1.0);
+    assert!(supply.time_until(1.0) <= Span::from_millis(20_001));
 }
 
 /// A huge limit and a share of almost nothing must not overflow or stop the count.
@@ -86,7 +86,7 @@
     bucket.set_share(share, at(0));
     bucket.take(at(1_000));
     assert!(bucket.level().is_finite());
-    assert!(bucket.until_permit(Span::from_millis(250)) > Span::ZERO || rate > 1.0e3);
+    assert!(Supply::new(vec![bucket], 1.0).time_until(1e6) > Span::ZERO);
 }
 
 /// Permits that nobody needs for a while must not be used in one burst later.
@@ -199,14 +199,16 @@
     let mut last = Span::ZERO;
     for number in 0..100 {
         let requester = requester(number);
-        let span = queue.return_time(&requester, &supply(), at(0));
+        let span = queue.return_time(&requester, &supply(), 0.0, at(0));
         assert!(span >= last, "{span:?} after {last:?}");
         queue.promise(identity(number), span, at(0));
         last = span;
     }
     assert!(last >= Span::from_secs(6), "no permit is kept after 3 s: {last:?}");
-    let early = queue.return_time(&requester(4), &supply(), at(500));
+    let early = queue.return_time(&requester(4), &supply(), 0.0, at(500));
     assert!(early < Span::from_millis(501), "one that comes back too early keeps its time");
+    let latest = queue.return_time(&requester(100), &supply(), 1.0, at(0));
+    assert_eq!(latest, last + Span::from_secs(3), "callers without a permit come back together");
 }
 
 /// Permits kept for callers that come back must leave some for those that come.
