Read the limits that upstreams name in answers to reports and orders

An engine that only helps others answers no requests: its limit was learnt with the first request that it got, though the zone's leader asks it for a report each second and threw the head of the answer away. Test hosts_learn_a_limit_from_reports (not learnt before). An answer without the header to a report or an order ends no limit.

A host's share of a limit in a partition had no test.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -125,8 +125,16 @@
     }
 }
 
-/// Sends one request on a new connection. Returns the status and the body, of at most `limit`
-/// bytes. The call must finish within `timeout`, and the connection must be open within `connect`.
+/// A complete answer.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) headers: hyper::HeaderMap,
+    pub(crate) body: bytes::BytesMut,
+}
+
+/// Sends one request on a new connection. Returns the answer, with a body of at most `limit` bytes.
+/// The call must finish within `timeout`, and the connection must be open within `connect`.
 ///
 /// # Errors
 ///
@@ -137,12 +145,13 @@
     connect: time::Duration,
     timeout: time::Duration,
     limit: usize,
-) -> Result<(u16, bytes::BytesMut), Failure> {
+) -> Result<Reply, Failure> {
     let work = async {
         let mut exchange = Exchange::open(address, connect).await?;
         let mut answer = exchange.send(request).await?;
         let body = exchange.read_body(answer.body_mut(), limit).await?;
-        Ok((answer.status().as_u16(), body))
+        let (head, _) = answer.into_parts();
+        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body })
     };
     let timed = tokio::time::timeout(timeout, work).await;
     timed.unwrap_or_else(|_| Err(Failure::Lost("no answer in time".to_owned())))
--- a/crates/lagoon-gateway/src/limits/message.rs
+++ b/crates/lagoon-gateway/src/limits/message.rs
@@ -25,7 +25,7 @@
     sent_ms: u32,
     /// Milliseconds since the answer arrived.
     #[prost(uint32, tag = "5")]
-    pub(crate) seen_ms: u32,
+    seen_ms: u32,
 }
 
 impl Limited {
@@ -45,21 +45,23 @@
         }
     }
 
-    /// Decodes the observation, received at `now`. A rate that no upstream can name counts as the
-    /// lowest that is enforced.
-    pub(crate) fn observation(&self, now: clock::Moment) -> upstream_limit::Observation {
-        let rate = self.rate.map(|rate| if rate.is_finite() { rate.max(0.0) } else { 0.0 });
-        upstream_limit::Observation {
-            rate,
+    /// Decodes the observation, received at `now`; `None` if its rate is one that no upstream can
+    /// name.
+    pub(crate) fn observation(&self, now: clock::Moment) -> Option<upstream_limit::Observation> {
+        if self.rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
+            return None;
+        }
+        Some(upstream_limit::Observation {
+            rate: self.rate,
             sent: now.saturating_sub(message::from_millis(self.sent_ms)),
             seen: now.saturating_sub(message::from_millis(self.seen_ms)),
-        }
+        })
     }
 }
 
-/// An order was sent to an upstream that has a limit.
+/// An upstream that has a limit was asked for a report, or sent an order.
 #[derive(Clone, PartialEq, prost::Message)]
-pub(crate) struct Ordered {
+pub(crate) struct Called {
     /// Name of the upstream.
     #[prost(string, tag = "1")]
     pub(crate) upstream: String,
--- a/crates/lagoon-gateway/src/limits/mod.rs
+++ b/crates/lagoon-gateway/src/limits/mod.rs
@@ -11,12 +11,13 @@
 use lagoonline::routing;
 
 use crate::event;
+use crate::exchange;
 use crate::forward;
 use crate::mesh;
 use crate::message as datagram;
 use crate::state;
 
-pub(crate) use message::{Limited, Ordered, Promised};
+pub(crate) use message::{Called, Limited, Promised};
 
 /// Time for which an answer that names a known limit again is not worth telling other hosts.
 const REPEAT_INTERVAL: clock::Span = clock::Span::from_millis(500);
@@ -30,35 +31,33 @@
     Host(u64),
 }
 
+/// Where and when an answer was made, as far as its upstream's limit is concerned.
+#[derive(Debug)]
+struct Origin<'a> {
+    service: &'a id::Service,
+    upstream: &'a id::Upstream,
+    /// When the upstream's lifetime began, as [`routing::Registration::started_ms`].
+    started_ms: u64,
+    /// When the request was sent.
+    sent_at: clock::Moment,
+    /// When the answer arrived.
+    seen_at: clock::Moment,
+    /// Whether the host that chose the upstream took it to have a limit.
+    limited: bool,
+}
+
 impl forward::Admitted {
     /// Applies what the answer `open` says of its upstream's limit, and tells other hosts.
     pub(crate) fn observe_limit(&self, open: &forward::OpenAnswer, answer: &head::Answer) {
-        let rate = match &answer.rate_limit {
-            head::RateLimit::PerSecond(rate) => Some(*rate),
-            // A refusal may be made before the upstream looks at its limit.
-            head::RateLimit::Unlimited if answer.signed => None,
-            head::RateLimit::Unlimited => return,
-            head::RateLimit::Invalid(text) => {
-                return self.state.log_invalid_limit(&self.service, &open.upstream, text);
-            }
+        let origin = Origin {
+            service: &self.service,
+            upstream: &open.upstream,
+            started_ms: open.started_ms,
+            sent_at: open.sent_at,
+            seen_at: open.head_at,
+            limited: open.limited,
         };
-        let seen = open.head_at;
-        let observation = upstream_limit::Observation { rate, sent: open.sent_at, seen };
-        let now = self.state.clock.now();
-        let age = self
-            .state
-            .with_placer(&self.service, |placer, now| placer.limit_age(&open.upstream, now));
-        let known_for = age.flatten();
-        if rate.is_none() && known_for.is_none() && !open.limited {
-            return;
-        }
-        let limited = Limited::new(&open.upstream, open.started_ms, &observation, now);
-        let change = self.state.apply_limit(&self.service, &limited, Source::OwnAnswer);
-        let is_recent = known_for.is_some_and(|age| age < REPEAT_INTERVAL);
-        if change.is_some() || !is_recent {
-            let what = datagram::Kind::Limited(limited);
-            self.state.publish(datagram::Update::new(0, &self.service, what));
-        }
+        self.state.observe_limit(&origin, answer);
     }
 
     /// Tells the other hosts of the zone that the caller was told to come back after `span`,
@@ -71,32 +70,119 @@
 }
 
 impl state::State {
+    /// Applies what the answer to a report or an order, sent at `sent_at`, says of the limit of the
+    /// engine `entry`, and tells other hosts. An engine that only helps others answers nothing else.
+    pub(crate) fn observe_reply(
+        &self,
+        entry: &routing::Registration,
+        sent_at: clock::Moment,
+        reply: &exchange::Reply,
+    ) {
+        if reply.status == head::MISDIRECTED {
+            return;
+        }
+        let fields = reply.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
+        let origin = Origin {
+            service: &entry.service,
+            upstream: &entry.upstream,
+            started_ms: entry.started_ms,
+            sent_at,
+            seen_at: self.clock.now(),
+            limited: false,
+        };
+        self.observe_limit(&origin, &head::read_answer(reply.status, fields));
+    }
+
+    fn observe_limit(&self, origin: &Origin<'_>, answer: &head::Answer) {
+        let Origin { service, upstream, started_ms, sent_at, seen_at, limited } = *origin;
+        let rate = match &answer.rate_limit {
+            head::RateLimit::PerSecond(rate) => Some(*rate),
+            // Refusals, reports and orders may be answered without a look at the limit.
+            head::RateLimit::Unlimited if answer.signed => None,
+            head::RateLimit::Unlimited => return,
+            head::RateLimit::Unreadable(text) => {
+                return self.log_unreadable_limit(service, upstream, text);
+            }
+        };
+        let age = self.with_placer(service, |placer, now| placer.limit_age(upstream, now));
+        let age = age.flatten();
+        if rate.is_none() && age.is_none() && !limited {
+            return;
+        }
+        let observation = upstream_limit::Observation { rate, sent: sent_at, seen: seen_at };
+        let change =
+            self.apply_limit(service, upstream, started_ms, &observation, Source::OwnAnswer);
+        let was_named_lately = age.is_some_and(|age| age < REPEAT_INTERVAL);
+        if change.is_some() || !was_named_lately {
+            let now = self.clock.now();
+            let limited = Limited::new(upstream, started_ms, &observation, now);
+            let what = datagram::Kind::Limited(limited);
+            self.publish(datagram::Update::new(0, service, what));
+        }
+    }
+
     /// Applies what another host was told of an upstream's limit.
     pub(crate) fn apply_limited(&self, service: &id::Service, sender: u64, limited: &Limited) {
-        self.apply_limit(service, limited, Source::Host(sender));
+        let upstream = id::Upstream::from(limited.upstream.as_str());
+        let Some(observation) = limited.observation(self.clock.now()) else {
+            // The host sent a rate that no upstream can name; it is ignored.
+            event::Line::new("words_unreadable")
+                .text("upstream", &upstream)
+                .text("error", format!("limit of {:?} a second", limited.rate))
+                .warn();
+            return;
+        };
+        self.apply_limit(service, &upstream, limited.life, &observation, Source::Host(sender));
     }
 
     fn apply_limit(
         &self,
         service: &id::Service,
-        limited: &Limited,
+        upstream: &id::Upstream,
+        started_ms: u64,
+        observation: &upstream_limit::Observation,
         source: Source,
     ) -> Option<upstream_limit::Change> {
-        let now = self.clock.now();
-        let upstream = id::Upstream::from(limited.upstream.as_str());
-        let observation = limited.observation(now);
         let change = self.with_placer(service, |placer, now| {
-            placer.observe_limit(&upstream, limited.life, &observation, now)
+            placer.observe_limit(upstream, started_ms, observation, now)
         });
         let change = change.flatten()?;
         self.update_limit_share();
-        log_change(change, limited, source, self.limit_share());
+        self.log_change(change, upstream, started_ms, observation, source);
         Some(change)
     }
 
+    fn log_change(
+        &self,
+        change: upstream_limit::Change,
+        upstream: &id::Upstream,
+        started_ms: u64,
+        observation: &upstream_limit::Observation,
+        source: Source,
+    ) {
+        let event = match change {
+            upstream_limit::Change::Learned => "limit_learned",
+            upstream_limit::Change::Changed => "limit_changed",
+            upstream_limit::Change::Ended => "limit_ended",
+        };
+        let line = event::Line::new(event)
+            .text("upstream", upstream)
+            .number("life", started_ms)
+            .span("age_ms", self.clock.now().since(observation.seen))
+            .number("share", self.limit_share());
+        let line = match observation.rate {
+            Some(rate) => line.number("per_second", rate),
+            None => line,
+        };
+        match source {
+            Source::OwnAnswer => line.text("source", "own answer").info(),
+            Source::Host(incarnation) => line.number("source", incarnation).info(),
+        }
+    }
+
     /// Logs a limit that cannot be read, once for each lifetime of its upstream. The limit in force
     /// stays.
-    fn log_invalid_limit(&self, service: &id::Service, upstream: &id::Upstream, text: &str) {
+    fn log_unreadable_limit(&self, service: &id::Service, upstream: &id::Upstream, text: &str) {
         let is_first =
             self.with_placer(service, |placer, _| placer.record_unreadable_limit(upstream));
         if is_first == Some(true) {
@@ -108,15 +194,16 @@
         }
     }
 
-    /// Records an order to an upstream, which counts against its limit, and tells other hosts.
-    pub(crate) fn record_order(&self, entry: &routing::Registration) {
+    /// Records a report or an order that an upstream is asked for, which counts against its limit,
+    /// and tells other hosts.
+    pub(crate) fn record_call(&self, entry: &routing::Registration) {
         let upstream = &entry.upstream;
         let limited = self.with_placer(&entry.service, |placer, now| {
-            placer.record_order(upstream, now);
+            placer.record_call(upstream, now);
             placer.is_limited(upstream)
         });
         if limited == Some(true) {
-            let what = datagram::Kind::Ordered(Ordered { upstream: upstream.to_string() });
+            let what = datagram::Kind::Called(Called { upstream: upstream.to_string() });
             self.publish(datagram::Update::new(0, &entry.service, what));
         }
     }
@@ -159,21 +246,3 @@
         updates
     }
 }
-
-fn log_change(change: upstream_limit::Change, limited: &Limited, source: Source, share: f64) {
-    let event = match change {
-        upstream_limit::Change::Learned => "limit_learned",
-        upstream_limit::Change::Changed => "limit_changed",
-        upstream_limit::Change::Ended => "limit_ended",
-    };
-    let line = event::Line::new(event)
-        .text("upstream", &limited.upstream)
-        .number("life", limited.life)
-        .number("per_second", limited.rate.unwrap_or(0.0))
-        .number("age_ms", limited.seen_ms)
-        .number("share", share);
-    match source {
-        Source::OwnAnswer => line.text("source", "own answer").info(),
-        Source::Host(incarnation) => line.number("source", incarnation).info(),
-    }
-}
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -296,7 +296,7 @@
         | message::Kind::Crashed(_)
         | message::Kind::Cleared(_)
         | message::Kind::Limited(_)
-        | message::Kind::Ordered(_) => true,
+        | message::Kind::Called(_) => true,
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
         | message::Kind::Seen(_)
@@ -338,8 +338,8 @@
             placer.set_slowness(&upstream, report.slowness, now);
         }
         message::Kind::Seen(seen) => seen.apply(placer, now),
-        message::Kind::Ordered(ordered) => {
-            placer.record_order(&id::Upstream::from(ordered.upstream), now);
+        message::Kind::Called(called) => {
+            placer.record_call(&id::Upstream::from(called.upstream), now);
         }
         message::Kind::Promised(promised) => {
             if let Some(request) = promised.request() {
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -130,9 +130,9 @@
     /// Not about a dispatch: what an answer says of its upstream's limit.
     #[prost(message, tag = "11")]
     Limited(limits::Limited),
-    /// Not about a dispatch: an order was sent to an upstream that has a limit.
+    /// Not about a dispatch: an upstream that has a limit got a report request or an order.
     #[prost(message, tag = "12")]
-    Ordered(limits::Ordered),
+    Called(limits::Called),
     /// Not about a dispatch: a caller was told to come back.
     #[prost(message, tag = "13")]
     Promised(limits::Promised),
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -76,7 +76,7 @@
     service: id::Service,
     entry: routing::Registration,
 ) {
-    let report = match fetch(&entry).await {
+    let report = match fetch(&state, &entry).await {
         Ok(report) => report,
         Err(error) => {
             // There is no report of this engine.
@@ -105,7 +105,12 @@
 /// # Errors
 ///
 /// There is no answer in time, or it is not a report.
-pub(crate) async fn fetch(entry: &routing::Registration) -> Result<engine::Report, String> {
+pub(crate) async fn fetch(
+    state: &state::State,
+    entry: &routing::Registration,
+) -> Result<engine::Report, String> {
+    state.record_call(entry);
+    let sent_at = state.clock.now();
     let request = hyper::Request::get(engine::REPORT_PATH)
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
@@ -113,6 +118,7 @@
     let call =
         exchange::call(entry.address, request, REPORT_TIMEOUT, REPORT_TIMEOUT, MAX_REPORT_BYTES)
             .await;
-    let (_, body) = call.map_err(|failure| failure.to_string())?;
-    engine::read_report(&body).map_err(|error| error.to_string())
+    let reply = call.map_err(|failure| failure.to_string())?;
+    state.observe_reply(entry, sent_at, &reply);
+    engine::read_report(&reply.body).map_err(|error| error.to_string())
 }
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -62,10 +62,12 @@
     /// Creates or renews the reservation. Returns the status of the engine's answer.
     async fn reserve(&self, state: &state::State) -> Result<u16, exchange::Failure> {
         *state::lock(&self.unanswered_since) = Some(state.clock.now());
-        state.record_order(&self.entry);
-        let status =
-            send_order(&self.entry, engine::reserve_order(&self.id, self.tokens, hold_time(state)))
-                .await?;
+        let status = send_order(
+            state,
+            &self.entry,
+            engine::reserve_order(&self.id, self.tokens, hold_time(state)),
+        )
+        .await?;
         *state::lock(&self.unanswered_since) = None;
         Ok(status)
     }
@@ -248,8 +250,7 @@
 ///
 /// The engine sent no report.
 async fn is_used(state: &state::State, reservation: &Reservation) -> Result<bool, String> {
-    state.record_order(&reservation.entry);
-    let report = report::fetch(&reservation.entry).await?;
+    let report = report::fetch(state, &reservation.entry).await?;
     let mut reservations = report.tickets.iter();
     Ok(reservations
         .any(|known| known.id == reservation.id && known.state == engine::ReservationState::Used))
@@ -260,8 +261,8 @@
 async fn release(state: sync::Arc<state::State>, reservation: Reservation) {
     let expiry = state.clock.now() + hold_time(&state);
     loop {
-        state.record_order(&reservation.entry);
-        let status = send_order(&reservation.entry, engine::release_order(&reservation.id)).await;
+        let order = engine::release_order(&reservation.id);
+        let status = send_order(&state, &reservation.entry, order).await;
         // Counts as released also if the order was only accepted, or was refused by an engine that
         // does not have the reservation.
         let released = matches!(status, Ok(200 | 202 | 404 | 409 | head::MISDIRECTED));
@@ -287,6 +288,7 @@
 
 /// Sends an order to an engine and logs it. Returns the status of the answer.
 async fn send_order(
+    state: &state::State,
     entry: &routing::Registration,
     body: Vec<u8>,
 ) -> Result<u16, exchange::Failure> {
@@ -296,11 +298,16 @@
         .header("content-type", "application/json")
         .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
         .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
+    state.record_call(entry);
+    let sent_at = state.clock.now();
     let began = time::Instant::now();
     let answer =
         exchange::call(entry.address, request, CONNECT_TIMEOUT, ORDER_TIMEOUT, MAX_ANSWER_BYTES)
             .await;
-    let answer = answer.map(|(status, _)| status);
+    let answer = answer.map(|reply| {
+        state.observe_reply(entry, sent_at, &reply);
+        reply.status
+    });
     let line = event::Line::new("memory_order")
         .text("order", text)
         .text("upstream", &entry.upstream)
--- a/crates/lagoon-gateway/tests/limits.rs
+++ b/crates/lagoon-gateway/tests/limits.rs
@@ -309,3 +309,15 @@
         requests.iter().filter_map(|request| request.headers.get("lagoonline-helpers"));
     assert!(!helpers.any(|helpers| helpers.contains(&address)));
 }
+
+/// An engine that only helps others answers no requests, but reports: all hosts must learn from
+/// these that it has a limit, before they send it any.
+#[rstest]
+fn hosts_learn_a_limit_from_reports() {
+    let fleet = Fleet::start(6);
+    fleet.standin.name_limit_in_reports("e5", "1.5");
+    for host in &fleet.hosts {
+        host.until("learnt", || applied_limit(host, "e5").as_deref() == Some("1.5"));
+    }
+    assert!(fleet.arrivals("e5").is_empty());
+}
--- a/crates/lagoonline/src/load/placement/limited.rs
+++ b/crates/lagoonline/src/load/placement/limited.rs
@@ -58,7 +58,7 @@
 
     /// Records a call to an upstream that is not a dispatch: a report about memory in use, or an
     /// order, which are never held back. Its next requests have to wait for it.
-    pub fn record_order(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+    pub fn record_call(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         if let Some(state) = self.upstreams.get_mut(upstream) {
             state.take_permit(now);
         }
--- a/crates/lagoonline/tests/routing_roster.rs
+++ b/crates/lagoonline/tests/routing_roster.rs
@@ -360,3 +360,30 @@
         "removed by a host that is not the first"
     );
 }
+
+/// A host that does not hear from some zones must leave them their share of a limit that holds for
+/// all; otherwise each side of a partition uses the whole of it.
+#[rstest]
+#[case::each_host_places(6)]
+#[case::one_host_of_each_zone_places(24)]
+fn a_cut_off_zone_uses_its_share_of_a_limit(#[case] hosts: usize) {
+    let mut fleet = Fleet::new(hosts, 3);
+    fleet.run(Span::from_secs(5));
+    let share = |fleet: &Fleet, index: usize| fleet.hosts[index].roster.limit_share(fleet.now);
+    assert_eq!([share(&fleet, 0), share(&fleet, 1)], [1.0, 1.0]);
+    fleet.cut.insert(fleet.zones[0].clone());
+    fleet.run(Span::from_secs(2));
+    assert_eq!([share(&fleet, 0), share(&fleet, 1)], [1.0 / 3.0, 2.0 / 3.0]);
+    fleet.cut.clear();
+    fleet.run(Span::from_secs(2));
+    assert_eq!([share(&fleet, 0), share(&fleet, 1)], [1.0, 1.0]);
+}
+
+/// A host for which another one places requests is told nothing of what the others use, so it may
+/// count only on the share of one host when it has to place a request itself.
+#[rstest]
+fn a_host_that_is_told_nothing_has_the_share_of_one_host() {
+    let mut fleet = Fleet::new(24, 3);
+    fleet.run(Span::from_secs(5));
+    assert_eq!(fleet.hosts[23].roster.limit_share(fleet.now), 1.0 / 24.0);
+}
