--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -27,6 +27,7 @@
 use crate::silence;
 use crate::state;
 use crate::stream;
+use crate::tables;
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -505,6 +506,9 @@
     fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
         let helpers: Vec<_> =
             placement.helpers.iter().map(|helper| helper.entry.upstream.as_str()).collect();
+        let tables = &self.state.tables;
+        let list_version = state::lock(&tables.upstreams).version().unwrap_or(0);
+        let list_age = tables::age(&self.state, tables.upstreams_confirmed_at());
         event::Line::new("dispatch")
             .text("request", &self.request.head.request_id)
             .text("route", &self.route.name)
@@ -515,6 +519,8 @@
             .span("expected_ms", placement.expected)
             .span("left_ms", self.time_left())
             .number("limited", placement.limited)
+            .number("list_version", list_version)
+            .span("list_age_ms", list_age.unwrap_or_default())
             // Estimated load of the chosen upstream and of the next best one.
             .text("believed", placement.estimate)
             .text(
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -222,8 +222,14 @@
         lock(&self.registry).record_recovery(at);
     }
 
-    /// Applies changes to the list of upstreams.
-    pub(crate) fn apply_upstream_changes(&self, changes: Vec<routing::Change>) {
+    /// Applies changes to the list of upstreams, each with the version of its row. They came by
+    /// `way` and are `age` old.
+    pub(crate) fn apply_upstream_changes(
+        &self,
+        changes: Vec<(routing::Change, u64)>,
+        way: tables::Way,
+        age: clock::Span,
+    ) {
         let is_first = !self.upstreams_listed.swap(true, atomic::Ordering::Relaxed);
         if is_first {
             // One line for the first list: a line per upstream would use up the log rate of the
@@ -235,11 +241,18 @@
         }
         let now = self.clock.now();
         let mut registry = lock(&self.registry);
-        for change in changes {
+        for (change, version) in changes {
+            let upstream = change.upstream().clone();
+            let line = change_line(&change);
+            registry.apply(change, now);
+            let kept = registry.kept_until(&upstream).map_or(clock::Span::ZERO, |at| at.since(now));
             if !is_first {
-                log_change(&change);
+                line.number("version", version)
+                    .text("way", way)
+                    .span("age_ms", age)
+                    .span("kept_ms", kept)
+                    .info();
             }
-            registry.apply(change, now);
         }
         drop(registry);
         self.refresh_service_states();
@@ -248,7 +261,12 @@
     /// Drops expired entries.
     pub(crate) fn expire(&self) {
         let now = self.clock.now();
-        if lock(&self.registry).expire(now) {
+        let overdue = lock(&self.registry).expire(now);
+        for upstream in &overdue {
+            // It had vanished around an outage of the platform and was kept in use until now.
+            event::Line::new("upstream_gone").text("upstream", upstream).info();
+        }
+        if !overdue.is_empty() {
             self.refresh_service_states();
         }
         for service_state in self.service_states.load().values() {
@@ -437,17 +455,18 @@
     }
 }
 
-fn log_change(change: &routing::Change) {
+/// Returns the log line of a change, to which the caller adds its origin.
+fn change_line(change: &routing::Change) -> event::Line {
     match change {
         routing::Change::Put(entry) => event::Line::new("upstream_listed")
             .text("upstream", &entry.upstream)
             .text("service", &entry.service)
             .text("address", entry.address)
-            .number("leaving", entry.leaving)
-            .info(),
+            .number("life", entry.started_ms)
+            .number("leaving", entry.leaving),
+        // The row of the upstream was removed.
         routing::Change::Removed(upstream) => {
-            // The row of the upstream was removed.
-            event::Line::new("upstream_vanished").text("upstream", upstream).info();
+            event::Line::new("upstream_vanished").text("upstream", upstream)
         }
     }
 }
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -1,6 +1,7 @@
 //! What this host knows of the platform's tables, and how changes are applied, whether this host
 //! reads them itself or receives them from the host that reads for the zone.
 
+use std::fmt;
 use std::sync;
 
 use lagoon_platform::{desired, entry, store};
@@ -18,6 +19,24 @@
 /// Recoveries of the platform closer together than this are the same one, reported twice.
 const SAME_RECOVERY: clock::Span = clock::Span::from_millis(500);
 
+/// The way by which changes of a table reached this host.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Way {
+    /// Read from the platform.
+    Platform,
+    /// Passed on by the host that reads for the zone.
+    Relay,
+}
+
+impl fmt::Display for Way {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Way::Platform => "platform",
+            Way::Relay => "relay",
+        })
+    }
+}
+
 /// A table that is shared by the watch that reads it and the relay that passes it on.
 pub(crate) type SharedTable = sync::Arc<sync::Mutex<mirror::Mirror>>;
 
@@ -165,9 +184,16 @@
     }
 }
 
-/// Applies changed rows of the list of upstreams, which had no later change up to `at`.
-pub(crate) fn apply_upstreams(state: &state::State, rows: &[store::Row], at: clock::Moment) {
-    state.apply_upstream_changes(rows.iter().map(read_entry).collect());
+/// Applies changed rows of the list of upstreams, which had no later change up to `at` and came by
+/// `way`.
+pub(crate) fn apply_upstreams(
+    state: &state::State,
+    rows: &[store::Row],
+    at: clock::Moment,
+    way: Way,
+) {
+    let changes = rows.iter().map(|row| (read_entry(row), row.version)).collect();
+    state.apply_upstream_changes(changes, way, age(state, Some(at)).unwrap_or_default());
     let mut upstreams_confirmed_at = state::lock(&state.tables.upstreams_confirmed_at);
     *upstreams_confirmed_at = (*upstreams_confirmed_at).max(Some(at));
     drop(upstreams_confirmed_at);
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -290,7 +290,7 @@
         if changes.recovered {
             tables::platform_recovered(&state, state.clock.now());
         }
-        tables::apply_upstreams(&state, &changes.rows, changes.at);
+        tables::apply_upstreams(&state, &changes.rows, changes.at, tables::Way::Platform);
         tokio::time::sleep(pause).await;
     }
 }
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -22,6 +22,16 @@
     Removed(id::Upstream),
 }
 
+impl Change {
+    /// Returns the upstream that it is about.
+    pub fn upstream(&self) -> &id::Upstream {
+        match self {
+            Change::Put(entry) => &entry.upstream,
+            Change::Removed(upstream) => upstream,
+        }
+    }
+}
+
 /// How long registrations that vanished stay in use.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
@@ -94,15 +104,21 @@
         }
     }
 
-    /// Drops vanished registrations whose grace time is over; returns whether there were any.
-    pub fn expire(&mut self, now: clock::Moment) -> bool {
+    /// Returns until when a registration that vanished around an outage stays in use; `None` for
+    /// any other.
+    pub fn kept_until(&self, upstream: &id::Upstream) -> Option<clock::Moment> {
+        self.vanished.get(upstream).copied()
+    }
+
+    /// Drops vanished registrations whose grace time is over, and returns their upstreams.
+    pub fn expire(&mut self, now: clock::Moment) -> Vec<id::Upstream> {
         let overdue: Vec<_> = self.vanished.iter().filter(|(_, until)| **until <= now).collect();
         let overdue: Vec<_> = overdue.into_iter().map(|(name, _)| name.clone()).collect();
         for upstream in &overdue {
             self.vanished.remove(upstream);
             self.entries.remove(upstream);
         }
-        !overdue.is_empty()
+        overdue
     }
 
     /// Returns the registrations in use, including those of leaving upstreams.
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -89,9 +89,9 @@
     registry.apply(routing::Change::Put(registration("u", false)), Moment::from_millis(0));
     registry.record_recovery(Moment::from_millis(9_000));
     registry.apply(removed("u"), Moment::from_millis(9_010));
-    assert!(!registry.expire(Moment::from_millis(11_000)));
+    assert!(registry.expire(Moment::from_millis(11_000)).is_empty());
     assert_eq!(registry.entries().count(), 1);
-    assert!(registry.expire(Moment::from_millis(11_400)));
+    assert!(!registry.expire(Moment::from_millis(11_400)).is_empty());
     assert_eq!(registry.entries().count(), 0);
 }
 
