--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -30,22 +30,31 @@
     pub revoke_ms: u64,
     /// How long the platform holds a watch of the desired state open, in milliseconds.
     pub desired_wait_ms: u64,
+    /// Address of the store; that of the stand-in if `None`.
+    pub store: Option<net::SocketAddr>,
 }
 
 impl Default for HostSettings<'_> {
     fn default() -> Self {
         let relay_hosts = lagoon_gateway::Tuning::default().relay_hosts;
-        HostSettings { name: "h1", zone: "a", relay_hosts, revoke_ms: 1_500, desired_wait_ms: 400 }
+        HostSettings {
+            name: "h1",
+            zone: "a",
+            relay_hosts,
+            revoke_ms: 1_500,
+            desired_wait_ms: 400,
+            store: None,
+        }
     }
 }
 
 fn node(standin: &Standin, settings: HostSettings<'_>) -> lagoon_platform::settings::Node {
-    let HostSettings { name, zone, revoke_ms, .. } = settings;
+    let HostSettings { name, zone, revoke_ms, store, .. } = settings;
+    let store = store.unwrap_or(standin.store_address);
     let text = format!(
         "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:0\"\n  \
-         Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{}\"\n\
-         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n",
-        standin.store_address
+         Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{store}\"\n\
+         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n"
     );
     lagoon_platform::settings::read(&text).unwrap()
 }
