--- /dev/null
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -0,0 +1,202 @@
+//! Departures of upstreams: applies those that the platform's list shows and those that other hosts
+//! report, and tells other hosts.
+//!
+//! A host that has lost the platform does not read that an upstream left. The hosts that read it
+//! tell all others at once, repeat it for a short time in case a datagram is lost, and tell each
+//! host that they meet. [`routing::Registry`] decides which word is the newer one.
+
+use std::collections;
+use std::fmt;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load::placement;
+use lagoonline::routing;
+
+use crate::event;
+use crate::message;
+use crate::state;
+use crate::tables;
+
+/// Time for which a departure is repeated with each heartbeat.
+const REPEAT_TIME: clock::Span = clock::Span::from_secs(1);
+/// Maximum number of departures that a host is told when it is met; the others it reads itself.
+const MAX_TOLD: usize = 500;
+
+/// The departure of an upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Departed {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    upstream: String,
+    /// When the upstream's lifetime began, in milliseconds since the Unix epoch.
+    #[prost(uint64, tag = "2")]
+    life: u64,
+    /// Version of the platform in which its entry was removed; absent if the upstream announced
+    /// its departure.
+    #[prost(uint64, optional, tag = "3")]
+    removed: Option<u64>,
+}
+
+impl Departed {
+    fn new(departure: &routing::Departure) -> Departed {
+        Departed {
+            upstream: departure.upstream.to_string(),
+            life: departure.started_ms,
+            removed: match departure.cause {
+                routing::DepartureCause::Announced => None,
+                routing::DepartureCause::Removed { version } => Some(version),
+            },
+        }
+    }
+
+    fn departure(&self) -> routing::Departure {
+        routing::Departure {
+            upstream: id::Upstream::from(self.upstream.as_str()),
+            started_ms: self.life,
+            cause: self.removed.map_or(routing::DepartureCause::Announced, |version| {
+                routing::DepartureCause::Removed { version }
+            }),
+        }
+    }
+
+    /// Creates the update that tells other hosts. It concerns no service in particular.
+    fn update(&self) -> message::Update {
+        message::Update::new(0, &id::Service::from(""), message::Kind::Departed(self.clone()))
+    }
+}
+
+/// Departures that this host has read and repeats to others, each with the time of the first.
+pub(crate) type Repeated = collections::VecDeque<(Departed, clock::Moment)>;
+
+/// The way by which a word about an upstream reached this host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Source {
+    /// The platform's list, read by this host or passed on, with its age.
+    List(tables::Way, clock::Span),
+    /// The host incarnation that reported it.
+    Host(u64),
+    /// The time that has passed.
+    Time,
+}
+
+impl fmt::Display for Source {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Source::List(way, _) => way.fmt(formatter),
+            Source::Host(incarnation) => write!(formatter, "host {incarnation}"),
+            Source::Time => formatter.write_str("time"),
+        }
+    }
+}
+
+impl state::State {
+    /// Applies a change of the list that came by `way` and is `age` old. Returns the upstream, and
+    /// what the change did.
+    pub(crate) fn apply_change(
+        &self,
+        registry: &mut routing::Registry,
+        change: routing::Change,
+        way: tables::Way,
+        age: clock::Span,
+    ) -> (id::Upstream, routing::Effect) {
+        let upstream = change.upstream().clone();
+        let version = change.version();
+        let effect = registry.apply(change, self.clock.now());
+        if let routing::Effect::Departed { departure, witnessed: true } = &effect
+            && way == tables::Way::Platform
+        {
+            self.publish_departure(departure);
+        }
+        self.log_effect(&upstream, version, &effect, Source::List(way, age));
+        (upstream, effect)
+    }
+
+    /// Applies a departure that another host reported.
+    pub(crate) fn apply_departed(&self, sender: u64, departed: &Departed) {
+        let departure = departed.departure();
+        let effect = self.registry().learn(&departure, self.clock.now());
+        let version = departed.removed.unwrap_or(0);
+        self.log_effect(&departure.upstream, version, &effect, Source::Host(sender));
+        if matches!(effect, routing::Effect::Departed { .. }) {
+            self.refresh_service_states();
+        }
+    }
+
+    /// Returns updates that tell a host the departures that this one knows.
+    pub(crate) fn departure_updates(&self) -> Vec<message::Update> {
+        let registry = self.registry();
+        let departures = registry.departures().take(MAX_TOLD);
+        departures.map(|departure| Departed::new(&departure).update()).collect()
+    }
+
+    /// Tells the other hosts again of recent departures.
+    pub(crate) fn repeat_departures(&self) {
+        let now = self.clock.now();
+        let mut repeated = state::lock(&self.repeated_departures);
+        repeated.retain(|(_, first)| now.since(*first) <= REPEAT_TIME);
+        let departures: Vec<_> = repeated.iter().map(|(departed, _)| departed.update()).collect();
+        drop(repeated);
+        for update in departures {
+            self.publish(update);
+        }
+    }
+
+    fn publish_departure(&self, departure: &routing::Departure) {
+        let departed = Departed::new(departure);
+        self.publish(departed.update());
+        state::lock(&self.repeated_departures).push_back((departed, self.clock.now()));
+    }
+
+    /// Whether none of the upstreams of `placement` has left since it was made, as far as this host
+    /// knows. If the service itself is gone, the request still goes where it was placed.
+    pub(crate) fn is_current(
+        &self,
+        service: &id::Service,
+        placement: &placement::Placement,
+    ) -> bool {
+        let is_current = |placer: &mut placement::Placer, placed: &routing::Registration| {
+            placer
+                .entry(placed.upstream.as_str())
+                .is_some_and(|entry| !entry.leaving && entry.started_ms == placed.started_ms)
+        };
+        let helpers = placement.helpers.iter().map(|helper| &helper.entry);
+        let mut placed = std::iter::once(&placement.primary).chain(helpers);
+        self.with_placer(service, |placer, _| placed.all(|entry| is_current(placer, entry)))
+            .unwrap_or(true)
+    }
+
+    /// Logs what a word about `upstream`, of this version of its row, did; 0 stands for a word that
+    /// comes from no row.
+    pub(crate) fn log_effect(
+        &self,
+        upstream: &id::Upstream,
+        version: u64,
+        effect: &routing::Effect,
+        source: Source,
+    ) {
+        let line = match effect {
+            routing::Effect::Listed | routing::Effect::Unchanged => return,
+            routing::Effect::Departed { departure, witnessed } => {
+                event::Line::new("upstream_departed")
+                    .number("life", departure.started_ms)
+                    .number("announced", departure.cause == routing::DepartureCause::Announced)
+                    .number("witnessed", witnessed)
+            }
+            routing::Effect::Kept(until) => {
+                event::Line::new("upstream_kept").span("kept_ms", until.since(self.clock.now()))
+            }
+            routing::Effect::Forgotten => event::Line::new("upstream_forgotten"),
+            routing::Effect::Ignored(older) => {
+                self.metrics.older_words.inc();
+                event::Line::new("older_word_ignored").text("reason", older)
+            }
+        };
+        let line = line.text("upstream", upstream).number("version", version);
+        match source {
+            Source::List(way, age) => line.text("way", way).span("age_ms", age).info(),
+            Source::Host(_) | Source::Time => line.text("way", source).info(),
+        }
+    }
+}
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -293,6 +293,11 @@
             self.record_failure(&primary.upstream);
             attempt::Failure::Unsent(format!("{}: {failure}", primary.upstream))
         })?;
+        if !self.state.is_current(&self.service, &placement) {
+            self.state.metrics.sends_prevented.inc();
+            let detail = format!("{}: an upstream of the placement left", primary.upstream);
+            return Err(attempt::Failure::Unsent(detail));
+        }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
         self.log_dispatch(&placement, dispatch_id.number);
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod connection;
 mod crash;
+mod departures;
 mod event;
 mod exchange;
 mod forward;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -119,6 +119,7 @@
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
         forget_silent_hosts(&state);
         send_zone_heartbeat(&state);
+        state.repeat_departures();
         if count % HEARTBEATS_PER_REMOTE_HEARTBEAT == 0 {
             send_remote_heartbeat(&state);
         }
@@ -272,7 +273,7 @@
     }
     // The dispatches come first: they were sent before, and take no permits of the limits.
     let mut updates = state.in_flight_for_new_host(from);
-    updates.extend(state.limits_for_new_host(from));
+    updates.extend(state.knowledge_for_new_host(from));
     // A new incarnation (`life`) was seen and got this many updates (`words`).
     event::Line::new("host_met")
         .text("address", from)
@@ -296,7 +297,8 @@
         | message::Kind::Crashed(_)
         | message::Kind::Cleared(_)
         | message::Kind::Limited(_)
-        | message::Kind::Called(_) => true,
+        | message::Kind::Called(_)
+        | message::Kind::Departed(_) => true,
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
         | message::Kind::Seen(_)
@@ -324,6 +326,7 @@
         message::Kind::Cleared(cleared) => return state.apply_cleared(cleared),
         message::Kind::Verdict(verdict) => return state.apply_verdict(verdict),
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
+        message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
@@ -349,7 +352,8 @@
         message::Kind::Crashed(_)
         | message::Kind::Cleared(_)
         | message::Kind::Verdict(_)
-        | message::Kind::Limited(_) => {}
+        | message::Kind::Limited(_)
+        | message::Kind::Departed(_) => {}
     });
     if applied.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -9,6 +9,7 @@
 use lagoonline::load::placement;
 use prost::Message;
 
+use crate::departures;
 use crate::limits;
 use crate::quarantine;
 use crate::question;
@@ -81,7 +82,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -136,6 +137,9 @@
     /// Not about a dispatch: a caller was told to come back.
     #[prost(message, tag = "13")]
     Promised(limits::Promised),
+    /// Not about a dispatch: an upstream left.
+    #[prost(message, tag = "14")]
+    Departed(departures::Departed),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -83,6 +83,16 @@
     pub(crate) held_for_limit: Counter,
     /// Requests that were refused because all upstreams limit their requests.
     pub(crate) refused_for_limit: Counter,
+    /// Upstreams that are listed and get no new requests.
+    pub(crate) upstreams_leaving: Gauge,
+    /// Upstreams that vanished around an outage and are in use.
+    pub(crate) upstreams_kept: Gauge,
+    /// Milliseconds since the list of upstreams was last confirmed to be complete.
+    pub(crate) list_age_ms: Gauge,
+    /// Words about upstreams that were older than what this host knew.
+    pub(crate) older_words: Counter,
+    /// Requests that were placed again since an upstream had left before they were sent.
+    pub(crate) sends_prevented: Counter,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -112,6 +122,11 @@
             limited_upstreams: sync::Arc::default(),
             held_for_limit: Counter::default(),
             refused_for_limit: Counter::default(),
+            upstreams_leaving: Gauge::default(),
+            upstreams_kept: Gauge::default(),
+            list_age_ms: Gauge::default(),
+            older_words: Counter::default(),
+            sends_prevented: Counter::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -143,6 +158,20 @@
         registry.register("quarantined", "requests in quarantine", self.quarantined.clone());
         registry.register("suspects", "requests that were at crashes", self.suspects.clone());
         self.register_limits(registry);
+        self.register_departures(registry);
+    }
+
+    fn register_departures(&self, registry: &mut Registry) {
+        let help = "listed upstreams that get no new requests";
+        registry.register("upstreams_leaving", help, self.upstreams_leaving.clone());
+        let help = "upstreams in use that vanished around an outage of the platform";
+        registry.register("upstreams_kept", help, self.upstreams_kept.clone());
+        let help = "milliseconds since the list of upstreams was known to be complete";
+        registry.register("upstreams_list_age_ms", help, self.list_age_ms.clone());
+        let help = "words about upstreams that were older than what was known";
+        registry.register("older_words_ignored", help, self.older_words.clone());
+        let help = "requests placed again since their upstream had left before they were sent";
+        registry.register("sends_prevented", help, self.sends_prevented.clone());
     }
 
     fn register_limits(&self, registry: &mut Registry) {
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -42,12 +42,17 @@
         self.in_flight_updates(|host| in_own_zone || incarnations.contains(&host))
     }
 
-    /// Returns the limits of upstreams to send to a new incarnation of the host at `address`: this
-    /// host tells the hosts to which it announces dispatches.
-    pub(crate) fn limits_for_new_host(&self, address: net::SocketAddr) -> Vec<message::Update> {
+    /// Returns what a new incarnation of the host at `address` is to know of upstreams, their limits
+    /// and departures: this host tells the hosts to which it announces dispatches.
+    pub(crate) fn knowledge_for_new_host(&self, address: net::SocketAddr) -> Vec<message::Update> {
         let (own_zone, remote) = self.tracking_addresses();
         let is_told = own_zone.contains(&address) || remote.contains(&address);
-        if is_told { self.limit_updates() } else { Vec::new() }
+        if !is_told {
+            return Vec::new();
+        }
+        let mut updates = self.limit_updates();
+        updates.extend(self.departure_updates());
+        updates
     }
 
     /// Returns updates that describe the dispatches in flight of the incarnations selected by
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -212,9 +212,12 @@
 /// Applies a reader's answer. The ages in it count from `asked_at`, the time of the request, and
 /// can only be too old.
 fn apply(state: &state::State, changes: message::Changes, asked_at: clock::Moment) {
+    let moment = |age_ms| state.clock.now().saturating_sub(clock::Span::from_millis(age_ms));
+    if let Some(failed_ms) = changes.failed_ms {
+        state.tables.record_failure(moment(failed_ms));
+    }
     if let Some(recovered_ms) = changes.returned_ms {
-        let age = clock::Span::from_millis(recovered_ms);
-        tables::platform_recovered(state, state.clock.now().saturating_sub(age));
+        tables::platform_recovered(state, moment(recovered_ms));
     }
     if let Some(table) = changes.desired {
         let at = asked_at.saturating_sub(clock::Span::from_millis(table.age_ms));
--- a/crates/lagoon-gateway/src/relay/message.rs
+++ b/crates/lagoon-gateway/src/relay/message.rs
@@ -43,6 +43,10 @@
     /// The entry hosts; absent until the reader has read them.
     #[prost(message, optional, tag = "4")]
     pub(crate) hosts: Option<TableChanges>,
+    /// Milliseconds since the reader started its last call to the platform that failed; absent if
+    /// there was none.
+    #[prost(uint64, optional, tag = "5")]
+    pub(crate) failed_ms: Option<u64>,
 }
 
 /// Changes of one table.
--- a/crates/lagoon-gateway/src/relay/serve.rs
+++ b/crates/lagoon-gateway/src/relay/serve.rs
@@ -114,11 +114,15 @@
     // The entry hosts are sent whatever their age: learning of a host late costs only some
     // messages.
     let hosts = state::lock(&state.tables.hosts).changes_since(request.hosts);
-    let recovery_age = tables::age(state, state.tables.recovered_at());
+    let age_ms = |at| {
+        let age = tables::age(state, at)?;
+        Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
+    };
     Some(message::Changes {
         desired: Some(message::TableChanges::new(desired, desired_age)),
         upstreams: Some(message::TableChanges::new(upstreams, upstreams_age)),
         hosts: hosts.map(|hosts| message::TableChanges::new(hosts, clock::Span::ZERO)),
-        returned_ms: recovery_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+        returned_ms: age_ms(state.tables.recovered_at()),
+        failed_ms: age_ms(state.tables.failed_at()),
     })
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -15,6 +15,7 @@
 use tokio::sync::{Notify, mpsc, watch};
 
 use crate::crash;
+use crate::departures;
 use crate::event;
 use crate::mesh;
 use crate::message;
@@ -70,6 +71,9 @@
 /// Margin that is subtracted from the key revocation bound when the age of the last confirmation is
 /// checked.
 const KEY_AGE_MARGIN: clock::Span = clock::Span::from_millis(250);
+/// Time that a request may take from the check of its upstream until it arrives there, and interval
+/// of the check itself.
+const SEND_MARGIN: clock::Span = clock::Span::from_millis(200);
 /// How long another host's report that it can trust keys stays valid. Hosts with callers report it
 /// many times a second, and in an outage all hosts lose their confirmation within a second of each
 /// other.
@@ -94,6 +98,8 @@
     confirmation: sync::Mutex<routing::Confirmation>,
     /// The registered upstreams.
     registry: sync::Mutex<routing::Registry>,
+    /// Departures of upstreams that are repeated to other hosts.
+    pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
     pub(crate) tables: tables::Tables,
     /// Whether the list of upstreams has been read at least once.
@@ -151,15 +157,22 @@
             ..routing::RosterSettings::default()
         };
         let roster = routing::Roster::new(roster, node.host.clone(), info, clock.now());
+        let bounds = &node.bounds;
+        let grace = routing::RegistrySettings {
+            grace_after_answer: bounds.leaving.saturating_sub(SEND_MARGIN),
+            grace_after_failure: bounds.stable.saturating_sub(SEND_MARGIN),
+            ..routing::RegistrySettings::default()
+        };
         let state = State {
+            clock,
+            registry: sync::Mutex::new(routing::Registry::new(grace, node.zone.clone())),
             settings,
             started_at: clock.now(),
-            clock,
             metrics: metrics::Metrics::default(),
             incarnation: rand::rng().random(),
             routing_table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
-            registry: sync::Mutex::default(),
+            repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
             peer_trusted_keys_at: sync::Mutex::default(),
@@ -217,16 +230,21 @@
         lock(&self.confirmation).age(self.clock.now())
     }
 
-    /// Records that the platform has answered again since `at`.
-    pub(crate) fn platform_recovered(&self, at: clock::Moment) {
-        lock(&self.registry).record_recovery(at);
+    /// Records that the platform answered at `answered_at`, after an outage in which the last call
+    /// that failed was started at `failed_at`.
+    pub(crate) fn platform_recovered(&self, failed_at: clock::Moment, answered_at: clock::Moment) {
+        lock(&self.registry).record_recovery(failed_at, answered_at);
+    }
+
+    /// Locks the registry of upstreams.
+    pub(crate) fn registry(&self) -> sync::MutexGuard<'_, routing::Registry> {
+        lock(&self.registry)
     }
 
-    /// Applies changes to the list of upstreams, each with the version of its row. They came by
-    /// `way` and are `age` old.
+    /// Applies changes to the list of upstreams. They came by `way` and are `age` old.
     pub(crate) fn apply_upstream_changes(
         &self,
-        changes: Vec<(routing::Change, u64)>,
+        changes: Vec<routing::Change>,
         way: tables::Way,
         age: clock::Span,
     ) {
@@ -239,20 +257,12 @@
         if changes.is_empty() {
             return;
         }
-        let now = self.clock.now();
         let mut registry = lock(&self.registry);
-        for (change, version) in changes {
-            let upstream = change.upstream().clone();
-            let line = change_line(&change);
-            registry.apply(change, now);
-            let kept = registry.kept_until(&upstream).map_or(clock::Span::ZERO, |at| at.since(now));
+        for change in changes {
             if !is_first {
-                line.number("version", version)
-                    .text("way", way)
-                    .span("age_ms", age)
-                    .span("kept_ms", kept)
-                    .info();
+                log_change(&change, way, age);
             }
+            self.apply_change(&mut registry, change, way, age);
         }
         drop(registry);
         self.refresh_service_states();
@@ -261,14 +271,20 @@
     /// Drops expired entries.
     pub(crate) fn expire(&self) {
         let now = self.clock.now();
-        let overdue = lock(&self.registry).expire(now);
-        for upstream in &overdue {
-            // It had vanished around an outage of the platform and was kept in use until now.
-            event::Line::new("upstream_gone").text("upstream", upstream).info();
+        let mut registry = lock(&self.registry);
+        let effects = registry.expire(now);
+        let leaving = registry.entries().filter(|entry| entry.leaving).count();
+        self.metrics.upstreams_leaving.set(i64::try_from(leaving).unwrap_or(i64::MAX));
+        self.metrics.upstreams_kept.set(i64::try_from(registry.kept()).unwrap_or(i64::MAX));
+        drop(registry);
+        for (upstream, effect) in &effects {
+            self.log_effect(upstream, 0, effect, departures::Source::Time);
         }
-        if !overdue.is_empty() {
+        if !effects.is_empty() {
             self.refresh_service_states();
         }
+        let list_age = tables::age(self, self.tables.upstreams_confirmed_at()).unwrap_or_default();
+        self.metrics.list_age_ms.set(i64::try_from(list_age.as_millis()).unwrap_or(i64::MAX));
         for service_state in self.service_states.load().values() {
             lock(service_state).placer.expire(now);
         }
@@ -351,7 +367,7 @@
 
     /// Updates the service states after a change of the desired state or of the registered
     /// upstreams. A service that is still listed keeps its state.
-    fn refresh_service_states(&self) {
+    pub(crate) fn refresh_service_states(&self) {
         let Some(table) = self.routing_table() else { return };
         let registry = lock(&self.registry);
         let mut by_service: collections::HashMap<id::Service, Vec<routing::Registration>> =
@@ -455,20 +471,28 @@
     }
 }
 
-/// Returns the log line of a change, to which the caller adds its origin.
-fn change_line(change: &routing::Change) -> event::Line {
-    match change {
-        routing::Change::Put(entry) => event::Line::new("upstream_listed")
-            .text("upstream", &entry.upstream)
-            .text("service", &entry.service)
-            .text("address", entry.address)
-            .number("life", entry.started_ms)
-            .number("leaving", entry.leaving),
-        // The row of the upstream was removed.
-        routing::Change::Removed(upstream) => {
-            event::Line::new("upstream_vanished").text("upstream", upstream)
+/// Logs a change of the list that came by `way` and is `age` old.
+fn log_change(change: &routing::Change, way: tables::Way, age: clock::Span) {
+    let line = match change {
+        routing::Change::Put(listing) => {
+            let entry = &listing.registration;
+            event::Line::new("upstream_listed")
+                .text("service", &entry.service)
+                .text("address", entry.address)
+                .number("life", entry.started_ms)
+                .number("sequence", listing.sequence)
+                .number("leaving", entry.leaving)
         }
-    }
+        // The row of the upstream was removed, or spoiled.
+        routing::Change::Removed { .. } | routing::Change::Invalid { .. } => {
+            event::Line::new("upstream_vanished")
+        }
+    };
+    line.text("upstream", change.upstream())
+        .number("version", change.version())
+        .text("way", way)
+        .span("age_ms", age)
+        .info();
 }
 
 /// Guard of an active request.
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -51,6 +51,8 @@
     upstreams_confirmed_at: sync::Mutex<Option<clock::Moment>>,
     /// When the platform last answered again after an outage.
     recovered_at: sync::Mutex<Option<clock::Moment>>,
+    /// When the last call to the platform that failed was started.
+    failed_at: sync::Mutex<Option<clock::Moment>>,
     /// Number of changes so far, to wake waiting relay requests.
     changes: watch::Sender<u64>,
     /// Whether this host reads the platform itself.
@@ -70,6 +72,7 @@
             hosts: table(same_bytes),
             upstreams_confirmed_at: sync::Mutex::default(),
             recovered_at: sync::Mutex::default(),
+            failed_at: sync::Mutex::default(),
             changes: watch::Sender::new(0),
             reads_platform: watch::Sender::new(true),
             platform_fails: watch::Sender::new(false),
@@ -151,6 +154,18 @@
         *state::lock(&self.upstreams_confirmed_at)
     }
 
+    /// Records that a call to the platform failed that was started at `started`, here or at the
+    /// host that reads for this one.
+    pub(crate) fn record_failure(&self, started: clock::Moment) {
+        let mut failed_at = state::lock(&self.failed_at);
+        *failed_at = (*failed_at).max(Some(started));
+    }
+
+    /// Returns when the last call to the platform that failed was started.
+    pub(crate) fn failed_at(&self) -> Option<clock::Moment> {
+        *state::lock(&self.failed_at)
+    }
+
     /// Returns when the platform last answered again after an outage.
     pub(crate) fn recovered_at(&self) -> Option<clock::Moment> {
         *state::lock(&self.recovered_at)
@@ -163,7 +178,7 @@
     let mut known = state::lock(&state.tables.recovered_at);
     if known.is_none_or(|known| at.since(known) > SAME_RECOVERY) {
         *known = Some(at);
-        state.platform_recovered(at);
+        state.platform_recovered(state.tables.failed_at().unwrap_or(at).min(at), at);
     }
 }
 
@@ -192,7 +207,7 @@
     at: clock::Moment,
     way: Way,
 ) {
-    let changes = rows.iter().map(|row| (read_entry(row), row.version)).collect();
+    let changes = rows.iter().map(read_entry).collect();
     state.apply_upstream_changes(changes, way, age(state, Some(at)).unwrap_or_default());
     let mut upstreams_confirmed_at = state::lock(&state.tables.upstreams_confirmed_at);
     *upstreams_confirmed_at = (*upstreams_confirmed_at).max(Some(at));
@@ -204,13 +219,14 @@
 
 /// Decodes a row of the list of upstreams. A row that cannot be read removes its upstream.
 fn read_entry(row: &store::Row) -> routing::Change {
-    let removed = || routing::Change::Removed(id::Upstream::from(row.key.as_str()));
-    let Some(text) = &row.value else { return removed() };
-    match entry::read(&row.key, text) {
-        Ok(entry) => routing::Change::Put(entry),
+    let upstream = id::Upstream::from(row.key.as_str());
+    let version = row.version;
+    let Some(text) = &row.value else { return routing::Change::Removed { upstream, version } };
+    match entry::read_listing(&row.key, text, version) {
+        Ok(listing) => routing::Change::Put(listing),
         Err(error) => {
             event::Line::new("entry_unreadable").text("error", error).warn();
-            removed()
+            routing::Change::Invalid { upstream, version }
         }
     }
 }
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -25,6 +25,9 @@
 /// Share of the bound on leaving upstreams that may pass between two reads of the list. The rest is
 /// for a slow answer and a lost packet.
 const PAUSE_SHARE: f64 = 0.4;
+/// Pause between two reads of the list while entries that vanished around an outage are in use, so
+/// that upstreams which register again are known before that ends.
+const RETURN_PAUSE: clock::Span = clock::Span::from_millis(250);
 /// Base of the pause after failed calls, doubled with each consecutive failure, including the
 /// first.
 const BACKOFF_BASE: clock::Span = clock::Span::from_millis(60);
@@ -126,7 +129,7 @@
                     return changes;
                 }
                 Ok(None) => {}
-                Err(error) => self.back_off(&error).await,
+                Err(error) => self.back_off(&error, started).await,
             }
         }
     }
@@ -222,9 +225,11 @@
         }
     }
 
-    /// Logs the first of several failures, and sleeps before the next call.
-    async fn back_off(&mut self, error: &client::Error) {
+    /// Logs the first of several failures, and sleeps before the next call. The call that failed
+    /// was started at `started`.
+    async fn back_off(&mut self, error: &client::Error, started: clock::Moment) {
         self.failures += 1;
+        self.state.tables.record_failure(started);
         if self.failures == 1 {
             // Calls for this table have begun to fail.
             event::Line::new("dependency_lost")
@@ -291,6 +296,7 @@
             tables::platform_recovered(&state, state.clock.now());
         }
         tables::apply_upstreams(&state, &changes.rows, changes.at, tables::Way::Platform);
-        tokio::time::sleep(pause).await;
+        let keeps = state.registry().kept() > 0;
+        tokio::time::sleep(if keeps { pause.min(RETURN_PAUSE) } else { pause }).await;
     }
 }
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -18,7 +18,7 @@
 use crate::load::profile;
 
 pub use confirm::Confirmation;
-pub use registry::{Change, Registry, Settings as RegistrySettings};
+pub use registry::{Change, Effect, Listing, Older, Registry, Settings as RegistrySettings};
 pub use remote_clock::RemoteClock;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
 pub use source::{Peer, Settings as SourceSettings, Source, SourceSelector};
@@ -156,6 +156,29 @@
     pub customers: Option<Vec<Customer>>,
 }
 
+/// The departure of one lifetime of an upstream, which gets no new requests from then on.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Departure {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Start time of the lifetime, as [`Registration::started_ms`].
+    pub started_ms: u64,
+    /// How it is known.
+    pub cause: DepartureCause,
+}
+
+/// How the departure of an upstream is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DepartureCause {
+    /// The upstream announced it; final for its lifetime.
+    Announced,
+    /// Its entry was removed. An entry of a later version ends it.
+    Removed {
+        /// Version of the platform.
+        version: u64,
+    },
+}
+
 /// An upstream, as it registered itself at the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -1,143 +1,538 @@
-//! Registry of upstreams, built from their registrations at the platform.
+//! Registry of upstreams, built from the platform's list and from what other hosts know.
 //!
-//! During an outage of the platform, registrations expire although their upstreams are alive. A
-//! host that dropped these upstreams when the platform recovers would have no upstream to send to
-//! for seconds. A registration that is found missing within [`Settings::recovery_grace`] after the
-//! recovery therefore stays in use until the end of that time, within which a live upstream
-//! registers again. One that vanishes at any other time is dropped at once, and one that is marked
-//! as leaving gets no new requests from then on.
+//! What a host learns of an upstream may come late, twice or out of order: from its own watch of
+//! the list, through the host that reads for the zone, from another host, or from a write that the
+//! platform carries out late. Three orders decide which word is the newer one:
+//!
+//! 1. The lifetime of the upstream, by its start time. An announced departure is final within a
+//!    lifetime ([`leaving::Marks`]); only a later lifetime ends it. A word that names no lifetime is
+//!    about the latest one known.
+//! 2. The platform's version of the row. An entry that is not newer than the one known, or than the
+//!    removal that is known, changes nothing.
+//! 3. The upstream's own sequence of reports. An entry with a lower one is an older write of the
+//!    same lifetime, whatever its version.
+//!
+//! An entry that vanishes may belong to an upstream that left without notice, or to a live one that
+//! could not report during an outage and registers again soon after it. One that vanishes while the
+//! platform answers this host is dropped at once. One that is found missing after an outage stays
+//! in use for a short time ([`Settings`]), unless a host of its own zone was served by the platform
+//! when the entry vanished: that zone had no outage, so the upstream left.
 
 use std::collections;
+use std::fmt;
 
-use super::Registration;
+use super::{Departure, DepartureCause, Registration};
 use crate::clock;
 use crate::id;
+use crate::lifecycle::leaving;
+
+/// An entry of the platform's list of upstreams.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Listing {
+    /// What the upstream registered.
+    pub registration: Registration,
+    /// Number of the upstream's report, which increases within a lifetime; 0 if unknown.
+    pub sequence: u64,
+    /// Version of the platform in which the entry was written.
+    pub version: u64,
+}
 
-/// A change of one registration.
+/// A change of the platform's list.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Change {
-    /// The registration was added or updated.
-    Put(Registration),
-    /// The registration was deleted, or no longer describes a usable upstream.
-    Removed(id::Upstream),
+    /// The entry was added or updated.
+    Put(Listing),
+    /// The entry was removed in this version.
+    Removed {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Version of the platform.
+        version: u64,
+    },
+    /// The entry was replaced in this version by one that describes no usable upstream.
+    Invalid {
+        /// The upstream.
+        upstream: id::Upstream,
+        /// Version of the platform.
+        version: u64,
+    },
 }
 
 impl Change {
     /// Returns the upstream that it is about.
     pub fn upstream(&self) -> &id::Upstream {
         match self {
-            Change::Put(entry) => &entry.upstream,
-            Change::Removed(upstream) => upstream,
+            Change::Put(listing) => &listing.registration.upstream,
+            Change::Removed { upstream, .. } | Change::Invalid { upstream, .. } => upstream,
         }
     }
+
+    /// Returns the version of the platform in which it was made.
+    pub fn version(&self) -> u64 {
+        match self {
+            Change::Put(listing) => listing.version,
+            Change::Removed { version, .. } | Change::Invalid { version, .. } => *version,
+        }
+    }
+}
+
+/// What a change, or a departure that another host reported, did to the registry.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    /// The upstream is in use as listed.
+    Listed,
+    /// The upstream gets no new requests from now on.
+    Departed {
+        /// Which lifetime, and how it is known.
+        departure: Departure,
+        /// Whether other hosts can rely on it, whatever outage they had.
+        witnessed: bool,
+    },
+    /// The entry vanished around an outage; the upstream stays in use until this moment at most.
+    Kept(clock::Moment),
+    /// An upstream that already gets no new requests is no longer listed.
+    Forgotten,
+    /// The word is older than what is known, and changes nothing.
+    Ignored(Older),
+    /// Nothing new.
+    Unchanged,
+}
+
+/// Why a word is older than what is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Older {
+    /// An entry of the same or a later version is known.
+    BeforeEntry,
+    /// The upstream's entry was removed in the same or a later version.
+    BeforeRemoval,
+    /// The upstream has announced its departure in the same lifetime.
+    AfterAnnouncement,
+    /// A later lifetime of the upstream is known.
+    EarlierLifetime,
+    /// A later report of the same lifetime is known.
+    EarlierReport,
+}
+
+impl fmt::Display for Older {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            Older::BeforeEntry => "a newer entry is known",
+            Older::BeforeRemoval => "its removal is known",
+            Older::AfterAnnouncement => "it has announced its departure",
+            Older::EarlierLifetime => "a later lifetime is known",
+            Older::EarlierReport => "a later report is known",
+        })
+    }
 }
 
-/// How long registrations that vanished stay in use.
+/// How long knowledge is kept that the platform no longer confirms.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// How long after an outage a vanished registration stays in use.
-    pub recovery_grace: clock::Span,
+    /// Maximum time for which a vanished entry stays in use after the platform has answered again.
+    /// It is shorter than the bound on leaving upstreams, since this host has read of the removal.
+    pub grace_after_answer: clock::Span,
+    /// Maximum time for which a vanished entry stays in use after the start of the last call that
+    /// failed, when the outage had not ended. It is shorter than the time after which a host that
+    /// can reach the platform is held to the bound on leaving upstreams, however late it notices.
+    pub grace_after_failure: clock::Span,
+    /// How long an entry of an earlier lifetime is taken for a late write. After that it is taken
+    /// for an upstream that restarted with its clock set back.
+    pub late_write_span: clock::Span,
+    /// How long the departure of an upstream is remembered that is no longer listed. Writes that
+    /// the platform carries out late are done by then, and the upstream has ended.
+    pub departure_memory: clock::Span,
+    /// Maximum number of such departures; the oldest is forgotten first.
+    pub max_departures: usize,
 }
 
-/// Live upstreams register again about two seconds after the platform recovers.
-const RECOVERY_GRACE: clock::Span = clock::Span::from_millis(2_300);
-
 impl Default for Settings {
     fn default() -> Self {
-        Settings { recovery_grace: RECOVERY_GRACE }
+        Settings {
+            grace_after_answer: clock::Span::from_millis(1_900),
+            grace_after_failure: clock::Span::from_millis(2_900),
+            late_write_span: clock::Span::from_secs(15),
+            departure_memory: clock::Span::from_secs(60),
+            max_departures: 4_096,
+        }
     }
 }
 
-/// All registrations.
+/// The end of an outage of the platform, as this host saw it.
+#[derive(Clone, Copy, Debug)]
+struct Recovery {
+    failed_at: clock::Moment,
+    answered_at: clock::Moment,
+}
+
+/// The removal of an entry that is no longer in use.
+#[derive(Clone, Debug)]
+struct Removal {
+    started_ms: u64,
+    sequence: u64,
+    version: u64,
+    /// Whether other hosts can rely on it.
+    witnessed: bool,
+    at: clock::Moment,
+}
+
+impl Removal {
+    /// The removal of an entry of which no more is known than the start time of its lifetime.
+    fn unlisted(started_ms: u64, version: u64, now: clock::Moment) -> Removal {
+        Removal { started_ms, sequence: 0, version, witnessed: false, at: now }
+    }
+}
+
+/// An entry that vanished around an outage and stays in use.
+#[derive(Clone, Copy, Debug)]
+struct Vanished {
+    until: clock::Moment,
+    version: u64,
+}
+
+/// An entry of the list that is not followed, because a newer word is known.
+#[derive(Clone, Debug)]
+struct Overruled {
+    listing: Listing,
+    since: clock::Moment,
+}
+
+/// All upstreams.
 ///
 /// ```
-/// use lagoonline::{clock::Moment, routing::Registry};
-/// let mut registry = Registry::default();
-/// registry.reset(Vec::new(), Moment::START);
+/// use lagoonline::{clock::Moment, id::Zone, routing::{Registry, RegistrySettings}};
+/// let mut registry = Registry::new(RegistrySettings::default(), Zone::from("a"));
 /// assert_eq!(registry.entries().count(), 0);
+/// assert!(registry.expire(Moment::from_millis(5)).is_empty());
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Registry {
     settings: Settings,
-    entries: collections::BTreeMap<id::Upstream, Registration>,
-    /// Registrations that vanished around an outage, and until when they stay in use.
-    vanished: collections::BTreeMap<id::Upstream, clock::Moment>,
-    /// When the platform last recovered from an outage.
-    recovered_at: Option<clock::Moment>,
+    /// Availability zone of this host.
+    zone: id::Zone,
+    entries: collections::BTreeMap<id::Upstream, Listing>,
+    vanished: collections::BTreeMap<id::Upstream, Vanished>,
+    overruled: collections::BTreeMap<id::Upstream, Overruled>,
+    removals: collections::BTreeMap<id::Upstream, Removal>,
+    /// The latest lifetime of each upstream, and whether it has announced its departure.
+    marks: leaving::Marks,
+    recovery: Option<Recovery>,
 }
 
 impl Registry {
-    /// Creates a registry with the given settings.
-    pub fn new(settings: Settings) -> Registry {
-        Registry { settings, ..Registry::default() }
+    /// Creates the registry of a host in `zone`.
+    pub fn new(settings: Settings, zone: id::Zone) -> Registry {
+        Registry {
+            settings,
+            zone,
+            entries: collections::BTreeMap::new(),
+            vanished: collections::BTreeMap::new(),
+            overruled: collections::BTreeMap::new(),
+            removals: collections::BTreeMap::new(),
+            marks: leaving::Marks::default(),
+            recovery: None,
+        }
     }
 
-    /// Records that the platform has recovered from an outage; call this before applying the
-    /// changes that it reports.
-    pub fn record_recovery(&mut self, now: clock::Moment) {
-        self.recovered_at = Some(now);
+    /// Records that the platform answered at `answered_at` after an outage. The last call that
+    /// failed was started at `failed_at`. Call this before applying the changes of that answer.
+    pub fn record_recovery(&mut self, failed_at: clock::Moment, answered_at: clock::Moment) {
+        self.recovery = Some(Recovery { failed_at, answered_at });
     }
 
-    /// Applies a single change.
-    pub fn apply(&mut self, change: Change, now: clock::Moment) {
+    /// Applies a change of the platform's list.
+    pub fn apply(&mut self, change: Change, now: clock::Moment) -> Effect {
         match change {
-            Change::Put(entry) => {
-                self.vanished.remove(&entry.upstream);
-                self.entries.insert(entry.upstream.clone(), entry);
-            }
-            Change::Removed(upstream) => self.remove(upstream, now),
+            Change::Put(listing) => self.put(listing, now),
+            Change::Removed { upstream, version } => self.remove(&upstream, version, true, now),
+            Change::Invalid { upstream, version } => self.remove(&upstream, version, false, now),
         }
     }
 
-    /// Applies a complete list of registrations read at `now`; those that are missing from it are
-    /// treated as deleted.
-    pub fn reset(&mut self, entries: Vec<Registration>, now: clock::Moment) {
-        let listed: collections::BTreeSet<_> =
-            entries.iter().map(|entry| entry.upstream.clone()).collect();
-        let missing: Vec<_> =
-            self.entries.keys().filter(|name| !listed.contains(*name)).cloned().collect();
-        for upstream in missing {
-            self.remove(upstream, now);
-        }
-        for entry in entries {
-            self.apply(Change::Put(entry), now);
+    /// Applies a departure that another host reported.
+    pub fn learn(&mut self, departure: &Departure, now: clock::Moment) -> Effect {
+        let started_ms = self.lifetime(&departure.upstream, departure.started_ms);
+        let departure = &Departure { started_ms, ..departure.clone() };
+        match departure.cause {
+            DepartureCause::Announced => self.learn_announcement(departure, now),
+            DepartureCause::Removed { version } => self.learn_removal(departure, version, now),
         }
     }
 
-    /// Returns until when a registration that vanished around an outage stays in use; `None` for
-    /// any other.
-    pub fn kept_until(&self, upstream: &id::Upstream) -> Option<clock::Moment> {
-        self.vanished.get(upstream).copied()
+    /// Applies what the time that has passed changes: vanished entries whose time is over are
+    /// dropped, old departures are forgotten. Returns the effects on upstreams in use.
+    pub fn expire(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
+        let mut effects = self.drop_vanished(now);
+        effects.extend(self.follow_overruled(now));
+        self.forget_departures(now);
+        effects
+    }
+
+    /// Returns the upstreams in use and the leaving ones that are still listed.
+    pub fn entries(&self) -> impl Iterator<Item = &Registration> {
+        self.entries.values().map(|listing| &listing.registration)
+    }
+
+    /// Returns the number of vanished entries that are in use.
+    pub fn kept(&self) -> usize {
+        self.vanished.len()
     }
 
-    /// Drops vanished registrations whose grace time is over, and returns their upstreams.
-    pub fn expire(&mut self, now: clock::Moment) -> Vec<id::Upstream> {
-        let overdue: Vec<_> = self.vanished.iter().filter(|(_, until)| **until <= now).collect();
-        let overdue: Vec<_> = overdue.into_iter().map(|(name, _)| name.clone()).collect();
-        for upstream in &overdue {
-            self.vanished.remove(upstream);
-            self.entries.remove(upstream);
+    /// Returns the departures that other hosts can rely on.
+    pub fn departures(&self) -> impl Iterator<Item = Departure> {
+        let announced = self.marks.iter().filter(|(_, mark)| mark.leaving);
+        let announced = announced.map(|(upstream, mark)| Departure {
+            upstream: upstream.clone(),
+            started_ms: mark.incarnation.0,
+            cause: DepartureCause::Announced,
+        });
+        let witnessed = self.removals.iter().filter(|(_, removal)| removal.witnessed);
+        let witnessed = witnessed.map(|(upstream, removal)| Departure {
+            upstream: upstream.clone(),
+            started_ms: removal.started_ms,
+            cause: DepartureCause::Removed { version: removal.version },
+        });
+        announced.chain(witnessed)
+    }
+
+    fn put(&mut self, mut listing: Listing, now: clock::Moment) -> Effect {
+        let registration = &mut listing.registration;
+        registration.started_ms = self.lifetime(&registration.upstream, registration.started_ms);
+        if let Some(older) = self.compare(&listing) {
+            return Effect::Ignored(older);
+        }
+        let Registration { upstream, started_ms, leaving, .. } = listing.registration.clone();
+        if let Some(older) = self.compare_with_mark(&listing.registration) {
+            self.overruled.insert(upstream, Overruled { listing, since: now });
+            return Effect::Ignored(older);
         }
-        overdue
+        let mark = leaving::Mark { incarnation: id::Incarnation(started_ms), leaving };
+        let is_news = self.marks.merge(&upstream, mark).is_some();
+        self.vanished.remove(&upstream);
+        self.overruled.remove(&upstream);
+        self.removals.remove(&upstream);
+        self.entries.insert(upstream.clone(), listing);
+        if !leaving {
+            return Effect::Listed;
+        }
+        let departure = Departure { upstream, started_ms, cause: DepartureCause::Announced };
+        if is_news { Effect::Departed { departure, witnessed: true } } else { Effect::Unchanged }
     }
 
-    /// Returns the registrations in use, including those of leaving upstreams.
-    pub fn entries(&self) -> impl Iterator<Item = &Registration> {
-        self.entries.values()
+    /// Returns the lifetime of a word about `upstream` that names `started_ms`. A word that names
+    /// none, 0, is about the latest one known.
+    fn lifetime(&self, upstream: &id::Upstream, started_ms: u64) -> u64 {
+        match (started_ms, self.marks.mark(upstream)) {
+            (0, Some(mark)) => mark.incarnation.0,
+            _ => started_ms,
+        }
     }
 
-    /// Drops a registration, or keeps it for the grace time if it vanished around an outage.
-    fn remove(&mut self, upstream: id::Upstream, now: clock::Moment) {
-        let until = self.recovered_at.map(|at| at + self.settings.recovery_grace);
-        let leaving = self.entries.get(&upstream).is_none_or(|entry| entry.leaving);
-        match until {
-            Some(until) if until > now && !leaving => {
-                self.vanished.entry(upstream).or_insert(until);
+    /// Returns why `listing` is older than the known entry or removal of its upstream; `None` if it
+    /// is not.
+    fn compare(&self, listing: &Listing) -> Option<Older> {
+        let Listing { registration, sequence, version } = listing;
+        let is_earlier_report = |started_ms: u64, known: u64| {
+            started_ms == registration.started_ms && *sequence > 0 && *sequence < known
+        };
+        if let Some(removal) = self.removals.get(&registration.upstream) {
+            if *version <= removal.version {
+                return Some(Older::BeforeRemoval);
             }
-            _ => {
-                self.vanished.remove(&upstream);
-                self.entries.remove(&upstream);
+            if is_earlier_report(removal.started_ms, removal.sequence) {
+                return Some(Older::EarlierReport);
             }
         }
+        if let Some(vanished) = self.vanished.get(&registration.upstream)
+            && *version <= vanished.version
+        {
+            return Some(Older::BeforeRemoval);
+        }
+        let known = self.entries.get(&registration.upstream)?;
+        if *version <= known.version {
+            return Some(Older::BeforeEntry);
+        }
+        is_earlier_report(known.registration.started_ms, known.sequence)
+            .then_some(Older::EarlierReport)
+    }
+
+    /// Returns why `registration` is older than the known lifetime of its upstream, or its
+    /// announced departure; `None` if it is not.
+    fn compare_with_mark(&self, registration: &Registration) -> Option<Older> {
+        let mark = self.marks.mark(&registration.upstream)?;
+        let incarnation = id::Incarnation(registration.started_ms);
+        if mark.incarnation > incarnation {
+            return Some(Older::EarlierLifetime);
+        }
+        let is_undone = mark.incarnation == incarnation && mark.leaving && !registration.leaving;
+        is_undone.then_some(Older::AfterAnnouncement)
+    }
+
+    /// Applies a removal. `stated` tells that the entry was removed, and not merely spoiled.
+    fn remove(
+        &mut self,
+        upstream: &id::Upstream,
+        version: u64,
+        stated: bool,
+        now: clock::Moment,
+    ) -> Effect {
+        if self.overruled.get(upstream).is_some_and(|known| known.listing.version < version) {
+            self.overruled.remove(upstream);
+        }
+        let Some(known) = self.entries.get(upstream) else {
+            return self.remember_removal(upstream, Removal::unlisted(0, version, now));
+        };
+        if known.version >= version {
+            return Effect::Ignored(Older::BeforeEntry);
+        }
+        if let Some(vanished) = self.vanished.get_mut(upstream) {
+            vanished.version = vanished.version.max(version);
+            return Effect::Kept(vanished.until);
+        }
+        let is_leaving = known.registration.leaving;
+        let until = self.grace_end().filter(|until| *until > now && !is_leaving);
+        if let Some(until) = until {
+            self.vanished.insert(upstream.clone(), Vanished { until, version });
+            return Effect::Kept(until);
+        }
+        let witnessed =
+            stated && !is_leaving && self.is_own(known) && !self.has_recovered_lately(now);
+        match self.drop_entry(upstream, version, witnessed, now) {
+            Some(departure) if !is_leaving => Effect::Departed { departure, witnessed },
+            _ => Effect::Forgotten,
+        }
+    }
+
+    /// Removes the entry of an upstream and remembers its removal in `version`. Returns its
+    /// departure; `None` if there is no entry.
+    fn drop_entry(
+        &mut self,
+        upstream: &id::Upstream,
+        version: u64,
+        witnessed: bool,
+        now: clock::Moment,
+    ) -> Option<Departure> {
+        self.vanished.remove(upstream);
+        let listing = self.entries.remove(upstream)?;
+        let started_ms = listing.registration.started_ms;
+        let sequence = listing.sequence;
+        let removal = Removal { started_ms, sequence, version, witnessed, at: now };
+        self.removals.insert(upstream.clone(), removal);
+        let cause = DepartureCause::Removed { version };
+        Some(Departure { upstream: upstream.clone(), started_ms, cause })
+    }
+
+    fn learn_announcement(&mut self, departure: &Departure, now: clock::Moment) -> Effect {
+        let Departure { upstream, started_ms, .. } = departure;
+        let incarnation = id::Incarnation(*started_ms);
+        let mark = leaving::Mark { incarnation, leaving: true };
+        if self.marks.merge(upstream, mark).is_none() {
+            let is_later = |known: leaving::Mark| known.incarnation > incarnation;
+            return match self.marks.mark(upstream).is_some_and(is_later) {
+                true => Effect::Ignored(Older::EarlierLifetime),
+                false => Effect::Unchanged,
+            };
+        }
+        self.vanished.remove(upstream);
+        match self.entries.get_mut(upstream) {
+            Some(known) => known.registration.leaving = true,
+            // The first version that the platform gives to a row is greater than 0.
+            None => drop(self.remember_removal(upstream, Removal::unlisted(*started_ms, 0, now))),
+        }
+        Effect::Departed { departure: departure.clone(), witnessed: true }
+    }
+
+    fn learn_removal(&mut self, departure: &Departure, version: u64, now: clock::Moment) -> Effect {
+        let Departure { upstream, started_ms, .. } = departure;
+        let Some(known) = self.entries.get(upstream) else {
+            let removal =
+                Removal { witnessed: true, ..Removal::unlisted(*started_ms, version, now) };
+            return self.remember_removal(upstream, removal);
+        };
+        if known.registration.started_ms > *started_ms {
+            return Effect::Ignored(Older::EarlierLifetime);
+        }
+        if known.version >= version {
+            return Effect::Ignored(Older::BeforeEntry);
+        }
+        let was_leaving = known.registration.leaving;
+        drop(self.drop_entry(upstream, version, true, now));
+        if was_leaving {
+            return Effect::Forgotten;
+        }
+        Effect::Departed { departure: departure.clone(), witnessed: true }
+    }
+
+    /// Remembers the removal of an upstream that is not listed here, so that an entry from before
+    /// it is not followed.
+    fn remember_removal(&mut self, upstream: &id::Upstream, removal: Removal) -> Effect {
+        let version = removal.version;
+        let known = self.removals.entry(upstream.clone()).or_insert(removal);
+        known.version = known.version.max(version);
+        Effect::Unchanged
+    }
+
+    /// Returns until when an entry that is found missing stays in use; `None` without an outage.
+    fn grace_end(&self) -> Option<clock::Moment> {
+        let Recovery { failed_at, answered_at } = self.recovery?;
+        let settings = &self.settings;
+        Some(
+            (failed_at + settings.grace_after_failure)
+                .min(answered_at + settings.grace_after_answer),
+        )
+    }
+
+    /// Whether an upstream is in the zone of this host.
+    fn is_own(&self, listing: &Listing) -> bool {
+        listing.registration.zone == self.zone
+    }
+
+    /// Whether entries may still be missing because of an outage of this host.
+    fn has_recovered_lately(&self, now: clock::Moment) -> bool {
+        let span = self.settings.grace_after_failure;
+        self.recovery.is_some_and(|recovery| recovery.answered_at + span > now)
+    }
+
+    fn drop_vanished(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
+        let overdue = self.vanished.iter().filter(|(_, vanished)| vanished.until <= now);
+        let overdue: Vec<_> =
+            overdue.map(|(name, vanished)| (name.clone(), vanished.version)).collect();
+        let dropped = overdue.into_iter().filter_map(|(upstream, version)| {
+            let departure = self.drop_entry(&upstream, version, false, now)?;
+            Some((upstream, Effect::Departed { departure, witnessed: false }))
+        });
+        dropped.collect()
+    }
+
+    /// Follows entries of earlier lifetimes that are too old for late writes.
+    fn follow_overruled(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
+        let span = self.settings.late_write_span;
+        let overdue = self.overruled.values().filter(|overruled| {
+            let older = self.compare_with_mark(&overruled.listing.registration);
+            overruled.since + span <= now && older == Some(Older::EarlierLifetime)
+        });
+        let overdue: Vec<_> = overdue.map(|overruled| overruled.listing.clone()).collect();
+        let mut effects = Vec::new();
+        for listing in overdue {
+            let upstream = listing.registration.upstream.clone();
+            self.marks.retain(|name| *name != upstream);
+            effects.push((upstream, self.put(listing, now)));
+        }
+        effects
+    }
+
+    fn forget_departures(&mut self, now: clock::Moment) {
+        let span = self.settings.departure_memory;
+        self.removals.retain(|_, removal| removal.at + span > now);
+        while self.removals.len() > self.settings.max_departures {
+            let oldest = self.removals.iter().min_by_key(|(_, removal)| removal.at);
+            let Some(oldest) = oldest.map(|(name, _)| name.clone()) else { break };
+            self.removals.remove(&oldest);
+        }
+        let Registry { entries, overruled, removals, marks, .. } = self;
+        marks.retain(|name| {
+            entries.contains_key(name)
+                || overruled.contains_key(name)
+                || removals.contains_key(name)
+        });
     }
 }
