--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -11,6 +11,7 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::simulation;
+use lagoon_load::departures;
 use lagoon_load::direct;
 use lagoon_load::http;
 use lagoon_load::limits;
@@ -34,10 +35,23 @@
     Bench(Bench),
     Http(Http),
     Direct(Direct),
+    Departures(Departures),
     Limits(Limits),
     Soak(Soak),
 }
 
+/// Ways of deciding which upstreams get requests while some leave, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "departures")]
+struct Departures {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
 /// Ways of keeping limits that upstreams name on their requests, in virtual time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "limits")]
@@ -191,6 +205,7 @@
         Command::Bench(bench) => run_bench(&bench).map(|()| true),
         Command::Http(http) => run_http(&http).map(|()| true),
         Command::Direct(direct) => run_direct(direct).map(|()| true),
+        Command::Departures(departures) => run_departures(&departures).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
@@ -380,6 +395,44 @@
     }
 }
 
+/// Plays the scenarios of departures with each way, and prints the worst of the times after the
+/// acknowledgement and the means of the other figures over all seeds.
+fn run_departures(args: &Departures) -> Result<(), Box<dyn error::Error>> {
+    let all = departures::all();
+    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
+    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
+        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
+    }
+    println!("scenario way late_ms latest_ms until_none_ms avoided_ms without_any_ms sent_bytes");
+    let wanted = |scenario: &&departures::Scenario| {
+        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
+    };
+    for scenario in all.iter().filter(wanted) {
+        for way in departures::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| departures::run(scenario, way, seed)).collect();
+            print_departures(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_departures(scenario: &str, way: departures::Way, reports: &[departures::Report]) {
+    let worst = |figure: fn(&departures::Report) -> u64| reports.iter().map(figure).max();
+    let mean = |figure: fn(&departures::Report) -> u64| {
+        reports.iter().map(figure).sum::<u64>() / (reports.len() as u64).max(1)
+    };
+    println!(
+        "{scenario} {way:?} {} {} {} {} {} {}",
+        mean(|report| report.late_ms),
+        worst(|report| report.latest_ms).unwrap_or(0),
+        worst(|report| report.until_none_ms).unwrap_or(0),
+        mean(|report| report.avoided_ms),
+        mean(|report| report.without_any_ms),
+        worst(|report| report.sent_bytes).unwrap_or(0),
+    );
+}
+
 /// Plays the scenarios of limits with each way, and prints the worst excess and the means of the
 /// other figures over all seeds.
 fn run_limits(args: &Limits) -> Result<(), Box<dyn error::Error>> {
