--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -204,20 +204,35 @@
     /// version is the number in the document, not the store's version of its row.
     pub(crate) fn install(&self, desired: routing::Desired, at: clock::Moment) {
         let version = desired.version;
-        let known = self.routing_table.load().as_ref().map_or(0, |table| table.version());
-        if self.routing_table.load().is_none() || version > known {
-            event::Line::new("desired_state_in_force")
-                .number("version", version)
-                .number("previous", known)
-                .number("routes", desired.routes.len())
-                .info();
-            self.routing_table.store(Some(sync::Arc::new(routing::Table::new(desired))));
-            self.metrics.desired_version.set(i64::try_from(version).unwrap_or(i64::MAX));
-            self.refresh_service_states();
+        // Held from the comparison to the change: versions come by two ways.
+        let mut confirmation = lock(&self.confirmation);
+        let known = self.routing_table.load().as_ref().map(|table| table.version());
+        if known.is_some_and(|known| version < known) {
+            drop(confirmation);
+            return self.log_older_version(version, known);
         }
-        if version >= known {
-            self.confirm(at);
+        confirmation.confirm(at);
+        if known == Some(version) {
+            return;
         }
+        event::Line::new("desired_state_in_force")
+            .number("version", version)
+            .number("previous", known.unwrap_or(0))
+            .number("routes", desired.routes.len())
+            .info();
+        self.routing_table.store(Some(sync::Arc::new(routing::Table::new(desired))));
+        drop(confirmation);
+        self.metrics.desired_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.refresh_service_states();
+    }
+
+    /// Logs and counts a version of the desired state that is older than the one in force.
+    fn log_older_version(&self, version: u64, known: Option<u64>) {
+        self.metrics.older_words.inc();
+        event::Line::new("older_version_ignored")
+            .number("version", version)
+            .number("in_force", known.unwrap_or(0))
+            .info();
     }
 
     /// Records that the desired state in force was the newest at `at`.
