--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -1,8 +1,10 @@
 //! Messages between entry hosts about dispatches and upstreams, sent as prost datagrams.
 //!
 //! A lost, late or duplicated update changes only a host's estimate of an engine's load, never an
-//! answer to a caller. Quarantine verdicts are the exception, since they decide which requests are
+//! answer to a caller. Quarantine verdicts are an exception, since they decide which requests are
 //! refused; so hosts compare a checksum of their verdicts and send each other what is missing.
+//! Departures of upstreams are another: they are repeated, sent to each host that is met, and
+//! ordered by the receiver.
 
 use lagoonline::clock;
 use lagoonline::id;
--- a/crates/lagoon-load/src/departures/simulation.rs
+++ b/crates/lagoon-load/src/departures/simulation.rs
@@ -156,7 +156,9 @@
     }
 
     fn is_frozen(&self, number: usize, now: u64) -> bool {
-        self.scenario.fault == Fault::Frozen && number % 4 == 0 && self.platform.is_faulty(now)
+        self.scenario.fault == Fault::Frozen
+            && number.is_multiple_of(4)
+            && self.platform.is_faulty(now)
     }
 
     fn access(&self, number: usize, now: u64) -> Access {
@@ -167,7 +169,7 @@
             Fault::None | Fault::Frozen => false,
             Fault::ZoneCut | Fault::ZoneTurnedAway => self.hosts[number].zone == 0,
             Fault::Silent | Fault::Busy => true,
-            Fault::HostsTurnedAway => number % 4 == 0,
+            Fault::HostsTurnedAway => number.is_multiple_of(4),
         };
         match is_out {
             false => Access::Served,
