--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -92,15 +92,14 @@
 }
 
 impl state::State {
-    /// Applies a change of the list that came by `way` and is `age` old. Returns the upstream, and
-    /// what the change did.
+    /// Applies a change of the list that came by `way` and is `age` old.
     pub(crate) fn apply_change(
         &self,
         registry: &mut routing::Registry,
         change: routing::Change,
         way: tables::Way,
         age: clock::Span,
-    ) -> (id::Upstream, routing::Effect) {
+    ) {
         let upstream = change.upstream().clone();
         let version = change.version();
         let effect = registry.apply(change, self.clock.now());
@@ -110,7 +109,6 @@
             self.publish_departure(departure);
         }
         self.log_effect(&upstream, version, &effect, Source::List(way, age));
-        (upstream, effect)
     }
 
     /// Applies a departure that another host reported.
@@ -149,8 +147,9 @@
         state::lock(&self.repeated_departures).push_back((departed, self.clock.now()));
     }
 
-    /// Whether none of the upstreams of `placement` has left since it was made, as far as this host
-    /// knows. If the service itself is gone, the request still goes where it was placed.
+    /// Whether each upstream of `placement` is still listed in the same lifetime and not leaving, as
+    /// far as this host knows. If the service itself is gone, the request still goes where it was
+    /// placed.
     pub(crate) fn is_current(
         &self,
         service: &id::Service,
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -4,6 +4,7 @@
 //! A [`Desired`] is one version of the configuration that operators have set (the desired state),
 //! as read by an adapter; a [`Table`] is the same, indexed for lookups by request.
 
+mod change;
 mod confirm;
 mod registry;
 mod remote_clock;
@@ -17,8 +18,9 @@
 use crate::id;
 use crate::load::profile;
 
+pub use change::{Change, Departure, DepartureCause, Effect, Listing, Older};
 pub use confirm::Confirmation;
-pub use registry::{Change, Effect, Listing, Older, Registry, Settings as RegistrySettings};
+pub use registry::{Registry, Settings as RegistrySettings};
 pub use remote_clock::RemoteClock;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
 pub use source::{Peer, Settings as SourceSettings, Source, SourceSelector};
@@ -156,29 +158,6 @@
     pub customers: Option<Vec<Customer>>,
 }
 
-/// The departure of one lifetime of an upstream, which gets no new requests from then on.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Departure {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// Start time of the lifetime, as [`Registration::started_ms`].
-    pub started_ms: u64,
-    /// How it is known.
-    pub cause: DepartureCause,
-}
-
-/// How the departure of an upstream is known.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum DepartureCause {
-    /// The upstream announced it; final for its lifetime.
-    Announced,
-    /// Its entry was removed. An entry of a later version ends it.
-    Removed {
-        /// Version of the platform.
-        version: u64,
-    },
-}
-
 /// An upstream, as it registered itself at the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Registration {
