--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -230,6 +230,7 @@
     async fn back_off(&mut self, error: &client::Error, started: clock::Moment) {
         self.failures += 1;
         self.state.tables.record_failure(started);
+        self.state.registry().record_failure(self.clock.now());
         if self.failures == 1 {
             // Calls for this table have begun to fail.
             event::Line::new("dependency_lost")
--- a/crates/lagoon-load/src/departures/host.rs
+++ b/crates/lagoon-load/src/departures/host.rs
@@ -107,6 +107,7 @@
         self.call = None;
         self.failures += 1;
         self.failed_at = started;
+        self.registry.record_failure(moment(now));
         let doubled = 60 << self.failures.min(5);
         let pause = self.max_pause.min(doubled) as f64 * random.random_range(0.5..1.0);
         self.next_call = now + pause as u64;
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -35,6 +35,10 @@
     /// failed, when the outage had not ended. It is shorter than the time after which a host that
     /// can reach the platform is held to the bound on leaving upstreams, however late it notices.
     pub grace_after_failure: clock::Span,
+    /// How long after a failed call, or an outage, this host does not tell others to rely on the
+    /// removals that it reads: the platform drops what it has not heard for three reports, and an
+    /// upstream registers again within two more.
+    pub doubt_span: clock::Span,
     /// How long an entry of an earlier lifetime is taken for a late write. After that it is taken
     /// for an upstream that restarted with its clock set back.
     pub late_write_span: clock::Span,
@@ -50,6 +54,7 @@
         Settings {
             grace_after_answer: clock::Span::from_millis(1_900),
             grace_after_failure: clock::Span::from_millis(2_900),
+            doubt_span: clock::Span::from_secs(6),
             late_write_span: clock::Span::from_secs(15),
             departure_memory: clock::Span::from_secs(60),
             max_departures: 4_096,
@@ -116,6 +121,8 @@
     /// The latest lifetime of each upstream, and whether it has announced its departure.
     marks: leaving::Marks,
     recovery: Option<Recovery>,
+    /// When a call to the platform last failed.
+    last_failure: Option<clock::Moment>,
 }
 
 impl Registry {
@@ -130,6 +137,7 @@
             removals: collections::BTreeMap::new(),
             marks: leaving::Marks::default(),
             recovery: None,
+            last_failure: None,
         }
     }
 
@@ -139,6 +147,11 @@
         self.recovery = Some(Recovery { failed_at, answered_at });
     }
 
+    /// Records that a call to the platform, for any of its tables, failed at `now`.
+    pub fn record_failure(&mut self, now: clock::Moment) {
+        self.last_failure = Some(now);
+    }
+
     /// Applies a change of the platform's list.
     pub fn apply(&mut self, change: Change, now: clock::Moment) -> Effect {
         match change {
@@ -294,8 +307,7 @@
             self.vanished.insert(upstream.clone(), Vanished { until, version });
             return Effect::Kept(until);
         }
-        let witnessed =
-            stated && !is_leaving && self.is_own(known) && !self.has_recovered_lately(now);
+        let witnessed = stated && !is_leaving && self.is_own(known) && !self.is_in_doubt(now);
         match self.drop_entry(upstream, version, witnessed, now) {
             Some(departure) if !is_leaving => Effect::Departed { departure, witnessed },
             _ => Effect::Forgotten,
@@ -386,10 +398,12 @@
         listing.registration.zone == self.zone
     }
 
-    /// Whether entries may still be missing because of an outage of this host.
-    fn has_recovered_lately(&self, now: clock::Moment) -> bool {
-        let span = self.settings.grace_after_failure;
-        self.recovery.is_some_and(|recovery| recovery.answered_at + span > now)
+    /// Whether entries may be missing because of an outage: this host had one, or may have missed a
+    /// short one of which only another call failed.
+    fn is_in_doubt(&self, now: clock::Moment) -> bool {
+        let span = self.settings.doubt_span;
+        let recovered_at = self.recovery.map(|recovery| recovery.answered_at);
+        recovered_at.max(self.last_failure).is_some_and(|at| at + span > now)
     }
 
     fn drop_vanished(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -132,24 +132,41 @@
     assert!(!is_used(&registry));
 }
 
-/// A zone was cut off and its upstreams' entries expired. A host of another zone, or one that was
-/// cut off itself, cannot tell these from upstreams that left, and must not tell others to drop
-/// them.
+/// What a host has noticed of an outage when it reads that an entry was removed at 10 s.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outage {
+    None,
+    /// Its calls for the list failed, and the time for which it keeps entries is over.
+    Recovered,
+    /// A call for another table failed.
+    CallFailed,
+    /// A call for another table failed long ago.
+    CallFailedLongAgo,
+}
+
+/// A zone was cut off, or the platform was out of reach, and the entries of live upstreams expired.
+/// A host of another zone, or one that may have had the outage too, cannot tell these from upstreams
+/// that left, and must not tell others to drop them.
 #[rstest]
-#[case::another_zone("other", false, false)]
-#[case::own_zone_without_outage(OWN_ZONE, false, true)]
-#[case::own_zone_after_an_outage(OWN_ZONE, true, false)]
+#[case::another_zone("other", Outage::None, false)]
+#[case::own_zone(OWN_ZONE, Outage::None, true)]
+#[case::after_an_outage(OWN_ZONE, Outage::Recovered, false)]
+#[case::after_a_failed_call(OWN_ZONE, Outage::CallFailed, false)]
+#[case::long_after_a_failed_call(OWN_ZONE, Outage::CallFailedLongAgo, true)]
 fn only_a_host_of_the_zone_without_outage_witnesses_a_removal(
     #[case] zone: &'static str,
-    #[case] outage: bool,
+    #[case] outage: Outage,
     #[case] expected: bool,
 ) {
     let mut registry = registry();
     registry.apply(Entry { zone, ..READY }.at_version(1), at(0));
-    if outage {
-        registry.record_recovery(at(1_000), at(4_500));
+    match outage {
+        Outage::None => {}
+        Outage::Recovered => registry.record_recovery(at(4_000), at(8_500)),
+        Outage::CallFailed => registry.record_failure(at(9_000)),
+        Outage::CallFailedLongAgo => registry.record_failure(at(3_000)),
     }
-    let effect = registry.apply(removed(2), at(5_000));
+    let effect = registry.apply(removed(2), at(10_000));
     assert!(matches!(effect, Effect::Departed { witnessed, .. } if witnessed == expected));
     assert_eq!(registry.departures().count(), usize::from(expected));
 }
