--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -3,7 +3,7 @@
 //!
 //! A host that has lost the platform does not read that an upstream left. The hosts that read it
 //! tell all others at once, repeat it for a short time in case a datagram is lost, and tell each
-//! host that they meet. [`routing::Registry`] decides which word is the newer one.
+//! host that they meet. [`routing::Registry`] decides which statement is the newer one.
 
 use std::collections;
 use std::fmt;
@@ -70,7 +70,7 @@
 /// Departures that this host has read and repeats to others, each with the time of the first.
 pub(crate) type Repeated = collections::VecDeque<(Departed, clock::Moment)>;
 
-/// The way by which a word about an upstream reached this host.
+/// The way by which a statement about an upstream reached this host.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Source {
     /// The platform's list, read by this host or passed on, with its age.
@@ -166,7 +166,7 @@
             .unwrap_or(true)
     }
 
-    /// Logs what a word about `upstream`, of this version of its row, did; 0 stands for a word that
+    /// Logs what a statement about `upstream`, of this version of its row, did; 0 stands for a statement that
     /// comes from no row.
     pub(crate) fn log_effect(
         &self,
@@ -188,7 +188,7 @@
             }
             routing::Effect::Forgotten => event::Line::new("upstream_forgotten"),
             routing::Effect::Ignored(older) => {
-                self.metrics.older_words.inc();
+                self.metrics.older_statements.inc();
                 event::Line::new("older_word_ignored").text("reason", older)
             }
         };
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -89,8 +89,8 @@
     pub(crate) upstreams_kept: Gauge,
     /// Milliseconds since the list of upstreams was last confirmed to be complete.
     pub(crate) list_age_ms: Gauge,
-    /// Words about upstreams that were older than what this host knew.
-    pub(crate) older_words: Counter,
+    /// Statements about upstreams that were older than what this host knew.
+    pub(crate) older_statements: Counter,
     /// Requests that were placed again since an upstream had left before they were sent.
     pub(crate) sends_prevented: Counter,
     registry: sync::Arc<sync::Mutex<Registry>>,
@@ -125,7 +125,7 @@
             upstreams_leaving: Gauge::default(),
             upstreams_kept: Gauge::default(),
             list_age_ms: Gauge::default(),
-            older_words: Counter::default(),
+            older_statements: Counter::default(),
             sends_prevented: Counter::default(),
             registry: sync::Arc::default(),
         };
@@ -168,8 +168,8 @@
         registry.register("upstreams_kept", help, self.upstreams_kept.clone());
         let help = "milliseconds since the list of upstreams was known to be complete";
         registry.register("upstreams_list_age_ms", help, self.list_age_ms.clone());
-        let help = "words about upstreams that were older than what was known";
-        registry.register("older_words_ignored", help, self.older_words.clone());
+        let help = "statements about upstreams that were older than what was known";
+        registry.register("older_words_ignored", help, self.older_statements.clone());
         let help = "requests placed again since their upstream had left before they were sent";
         registry.register("sends_prevented", help, self.sends_prevented.clone());
     }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -228,7 +228,7 @@
 
     /// Logs and counts a version of the desired state that is older than the one in force.
     fn log_older_version(&self, version: u64, known: Option<u64>) {
-        self.metrics.older_words.inc();
+        self.metrics.older_statements.inc();
         event::Line::new("older_version_ignored")
             .number("version", version)
             .number("in_force", known.unwrap_or(0))
--- a/crates/lagoon-load/src/departures/host.rs
+++ b/crates/lagoon-load/src/departures/host.rs
@@ -140,11 +140,11 @@
         told
     }
 
-    /// A host for which the last word counts takes each entry for one of a later lifetime.
+    /// A host for which the last statement counts takes each entry for one of a later lifetime.
     fn as_understood(&self, change: &routing::Change) -> routing::Change {
         let mut change = change.clone();
         if let routing::Change::Put(listing) = &mut change
-            && self.way.takes_last_word()
+            && self.way.takes_last_statement()
         {
             listing.registration.started_ms = listing.version;
             listing.sequence = 0;
--- a/crates/lagoon-load/src/departures/mod.rs
+++ b/crates/lagoon-load/src/departures/mod.rs
@@ -22,12 +22,12 @@
 /// A way of deciding which upstreams get requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Way {
-    /// The last word counts. What is missing after an outage is kept for 2.3 s from the moment at
+    /// The last statement counts. What is missing after an outage is kept for 2.3 s from the moment at
     /// which the host noticed its end.
     Noticed,
-    /// Older words are ignored, and nothing is kept.
+    /// Older statements are ignored, and nothing is kept.
     Dropped,
-    /// Older words are ignored. What is missing after an outage is kept for a time that is bounded
+    /// Older statements are ignored. What is missing after an outage is kept for a time that is bounded
     /// by the last failed call too.
     Bounded,
     /// As [`Way::Noticed`], and hosts tell each other which upstreams left.
@@ -46,8 +46,8 @@
         matches!(self, Way::Told | Way::BoundedAndTold)
     }
 
-    /// Whether the last word about an upstream counts, whatever it says of its own order.
-    fn takes_last_word(self) -> bool {
+    /// Whether the last statement about an upstream counts, whatever it says of its own order.
+    fn takes_last_statement(self) -> bool {
         matches!(self, Way::Noticed | Way::Told)
     }
 
--- a/crates/lagoonline/src/routing/change.rs
+++ b/crates/lagoonline/src/routing/change.rs
@@ -1,4 +1,4 @@
-//! Words about upstreams, and what they do to the [`super::Registry`].
+//! Statements about upstreams, and what they do to the [`super::Registry`].
 
 use std::fmt;
 
@@ -72,13 +72,13 @@
     Kept(clock::Moment),
     /// An upstream that already gets no new requests is no longer listed.
     Forgotten,
-    /// The word is older than what is known, and changes nothing.
+    /// The statement is older than what is known, and changes nothing.
     Ignored(Older),
     /// Nothing new.
     Unchanged,
 }
 
-/// Why a word is older than what is known.
+/// Why a statement is older than what is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Older {
     /// An entry of the same or a later version is known.
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -2,11 +2,11 @@
 //!
 //! What a host learns of an upstream may come late, twice or out of order: from its own watch of
 //! the list, through the host that reads for the zone, from another host, or from a write that the
-//! platform carries out late. Three orders decide which word is the newer one:
+//! platform carries out late. Three orders decide which statement is the newer one:
 //!
 //! 1. The lifetime of the upstream, by its start time. An announced departure is final within a
-//!    lifetime ([`leaving::Marks`]); only a later lifetime ends it. A word that names no lifetime is
-//!    about the latest one known.
+//!    lifetime ([`leaving::Marks`]); only a later lifetime ends it. A statement that names no
+//!    lifetime is about the latest one known.
 //! 2. The platform's version of the row. An entry that is not newer than the one known, or than the
 //!    removal that is known, changes nothing.
 //! 3. The upstream's own sequence of reports. An entry with a lower one is an older write of the
@@ -94,7 +94,7 @@
     version: u64,
 }
 
-/// An entry of the list that is not followed, because a newer word is known.
+/// An entry of the list that is not followed, because a newer statement is known.
 #[derive(Clone, Debug)]
 struct Overruled {
     listing: Listing,
@@ -231,7 +231,7 @@
         if is_news { Effect::Departed { departure, witnessed: true } } else { Effect::Unchanged }
     }
 
-    /// Returns the lifetime of a word about `upstream` that names `started_ms`. A word that names
+    /// Returns the lifetime of a statement about `upstream` that names `started_ms`. A statement that names
     /// none, 0, is about the latest one known.
     fn lifetime(&self, upstream: &id::Upstream, started_ms: u64) -> u64 {
         match (started_ms, self.marks.mark(upstream)) {
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -1,4 +1,4 @@
-//! The registry of upstreams: words that come late, twice or out of order, and entries that vanish
+//! The registry of upstreams: statements that come late, twice or out of order, and entries that vanish
 //! around an outage of the platform.
 
 use std::net;
@@ -229,7 +229,7 @@
     assert!(!is_used(&registry));
 }
 
-/// Other hosts' words may be older than the entry: the upstream has registered again since, or has
+/// Other hosts' statements may be older than the entry: the upstream has registered again since, or has
 /// started again under its name. A live upstream must not be avoided for them.
 #[rstest]
 #[case::removed_before_the_entry(7, DepartureCause::Removed { version: 4 })]
@@ -327,7 +327,7 @@
 
 /// One thing that is said of the upstream.
 #[derive(Clone, Copy, Debug)]
-enum Word {
+enum Statement {
     Put(Entry, u64),
     Removed(u64),
     Learned(u64, DepartureCause),
@@ -335,54 +335,54 @@
 
 /// Lives of an upstream as the platform records them: each registers, may vanish and register
 /// again, may announce its departure, and is removed.
-fn history(lives: Vec<(bool, bool)>) -> Vec<Word> {
-    let (mut words, mut version) = (Vec::new(), 0);
+fn history(lives: Vec<(bool, bool)>) -> Vec<Statement> {
+    let (mut statements, mut version) = (Vec::new(), 0);
     let mut next = || {
         version += 1;
         version
     };
     for (life, (vanishes, announces)) in (1..).zip(lives) {
         let ready = Entry { life, sequence: 1, ..READY };
-        words.push(Word::Put(ready, next()));
+        statements.push(Statement::Put(ready, next()));
         if vanishes {
-            words.push(Word::Removed(next()));
-            words.push(Word::Put(Entry { sequence: 2, ..ready }, next()));
+            statements.push(Statement::Removed(next()));
+            statements.push(Statement::Put(Entry { sequence: 2, ..ready }, next()));
         }
         if announces {
-            words.push(Word::Put(Entry { leaving: true, sequence: 3, ..ready }, next()));
-            words.push(Word::Learned(life, DepartureCause::Announced));
+            statements.push(Statement::Put(Entry { leaving: true, sequence: 3, ..ready }, next()));
+            statements.push(Statement::Learned(life, DepartureCause::Announced));
         }
         let version = next();
-        words.push(Word::Removed(version));
-        words.push(Word::Learned(life, DepartureCause::Removed { version }));
+        statements.push(Statement::Removed(version));
+        statements.push(Statement::Learned(life, DepartureCause::Removed { version }));
     }
-    words
+    statements
 }
 
 proptest! {
-    /// Words about an upstream arrive in any order, twice or not at all. No lifetime is used after
+    /// Statements about an upstream arrive in any order, twice or not at all. No lifetime is used after
     /// its departure was announced, and no entry after a removal of the same or a later version.
     #[test]
     fn no_older_word_undoes_a_departure(
         lives in prop::collection::vec((any::<bool>(), any::<bool>()), 1..4),
         order in prop::collection::vec(any::<prop::sample::Index>(), 1..40),
     ) {
-        let words = history(lives);
+        let statements = history(lives);
         let mut registry = registry();
         let (mut announced, mut removed_version, mut listed_version) = (0, 0, 0);
         for (millis, index) in (0..).zip(order) {
-            let word = *index.get(&words);
-            match word {
-                Word::Put(entry, version) => {
+            let statement = *index.get(&statements);
+            match statement {
+                Statement::Put(entry, version) => {
                     registry.apply(entry.at_version(version), at(millis));
                     announced = if entry.leaving { announced.max(entry.life) } else { announced };
                     listed_version = listed_version.max(version);
                 }
-                Word::Removed(version) => {
+                Statement::Removed(version) => {
                     registry.apply(removed(version), at(millis));
                     removed_version = removed_version.max(version);
                 }
-                Word::Learned(life, cause) => {
+                Statement::Learned(life, cause) => {
                     registry.learn(&departure(life, cause), at(millis));
                     match cause {
                         DepartureCause::Announced => announced = announced.max(life),
@@ -393,8 +393,8 @@
                 }
             }
             for entry in registry.entries().filter(|entry| !entry.leaving) {
-                prop_assert!(entry.started_ms > announced, "{word:?} undid the announcement");
-                prop_assert!(listed_version > removed_version, "{word:?} undid the removal");
+                prop_assert!(entry.started_ms > announced, "{statement:?} undid the announcement");
+                prop_assert!(listed_version > removed_version, "{statement:?} undid the removal");
             }
         }
     }
@@ -408,18 +408,18 @@
         order in Just((0..40_usize).collect::<Vec<_>>()).prop_shuffle(),
     ) {
         let all = history(lives);
-        let changes: Vec<_> = all.iter().filter(|word| !matches!(word, Word::Learned(..))).collect();
+        let changes: Vec<_> = all.iter().filter(|statement| !matches!(statement, Statement::Learned(..))).collect();
         let known = &changes[..=cut.index(changes.len())];
         let mut registry = registry();
         let order = order.into_iter().filter(|index| *index < known.len());
         for (millis, index) in (0..).zip(order) {
             match *known[index] {
-                Word::Put(entry, version) => registry.apply(entry.at_version(version), at(millis)),
-                Word::Removed(version) => registry.apply(removed(version), at(millis)),
-                Word::Learned(..) => Effect::Unchanged,
+                Statement::Put(entry, version) => registry.apply(entry.at_version(version), at(millis)),
+                Statement::Removed(version) => registry.apply(removed(version), at(millis)),
+                Statement::Learned(..) => Effect::Unchanged,
             };
         }
-        let expected = matches!(known.last(), Some(Word::Put(entry, _)) if !entry.leaving);
+        let expected = matches!(known.last(), Some(Statement::Put(entry, _)) if !entry.leaving);
         prop_assert_eq!(is_used(&registry), expected);
     }
 }
