Log and count how upstreams' answers are framed and how they end

No decision changes.

answer_end_unmarked: one line for each answer that ended without proof of being whole (framing, bytes, events, bytes left of an incomplete event, what the caller got); framing and bytes_left in stream_broke; answer_ends_total{framing,end}.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -11,8 +11,10 @@
 
 use http_body_util::BodyExt;
 use hyper::body;
+use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use lagoonline::lifecycle::completeness;
 use tokio::net::TcpStream;
 
 use crate::tcp;
@@ -125,6 +127,24 @@
     }
 }
 
+/// Returns how the end of an answer's body is marked.
+pub(crate) fn framing(answer: &hyper::Response<body::Incoming>) -> completeness::Framing {
+    // An exact size is that of the length, or zero if the answer has no body.
+    if answer.body().size_hint().exact().is_some() {
+        return completeness::Framing::Length;
+    }
+    let encodings = answer.headers().get_all(hyper::header::TRANSFER_ENCODING);
+    let last = encodings.iter().next_back().and_then(|value| value.to_str().ok());
+    let last = last.and_then(|value| value.rsplit(',').next()).unwrap_or_default();
+    // HTTP/1.0 has no chunks.
+    let has_chunks = answer.version() == hyper::Version::HTTP_11;
+    if has_chunks && last.trim().eq_ignore_ascii_case("chunked") {
+        completeness::Framing::Chunks
+    } else {
+        completeness::Framing::Connection
+    }
+}
+
 /// A complete answer.
 #[derive(Debug)]
 pub(crate) struct Reply {
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::lifecycle::{fingerprint, quarantine, request};
+use lagoonline::lifecycle::{completeness, fingerprint, quarantine, request};
 use lagoonline::load::placement;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
@@ -105,6 +105,8 @@
     pub(crate) sent_at: clock::Moment,
     /// When the head of the answer arrived.
     pub(crate) head_at: clock::Moment,
+    /// How the end of its body is marked.
+    pub(crate) framing: completeness::Framing,
     /// When the upstream's lifetime began, as [`routing::Registration::started_ms`].
     pub(crate) started_ms: u64,
     /// Whether the upstream had a limit on its requests when it was chosen.
@@ -339,6 +341,7 @@
             }
         };
         Ok(OpenAnswer {
+            framing: exchange::framing(&answer),
             exchange,
             answer,
             in_flight,
@@ -465,9 +468,18 @@
         }
         let body = open.exchange.read_body(open.answer.body_mut(), MAX_BUFFERED_BODY).await;
         let body = body.map_err(|failure| {
+            self.state.metrics.count_answer_end(open.framing, "broken");
             self.record_broken_connection(peer, quarantine::Progress::Unknown);
             attempt::Failure::Lost(format!("{peer}: {failure}"))
         })?;
+        self.state.metrics.count_answer_end(open.framing, "whole");
+        if open.framing == completeness::Framing::Connection {
+            self.log_unmarked_end(&open)
+                .number("status", status)
+                .number("bytes", body.len())
+                .text("caller_got", "a whole answer")
+                .warn();
+        }
         if status >= 500 {
             self.record_outcome(peer, message::UpstreamOutcome::Erred);
         }
@@ -535,6 +547,16 @@
             .info();
     }
 
+    /// Begins the log line of an answer that ended without proof of being whole.
+    pub(crate) fn log_unmarked_end(&self, open: &OpenAnswer) -> event::Line {
+        event::Line::new("answer_end_unmarked")
+            .text("request", &self.request.head.request_id)
+            .text("upstream", &open.upstream)
+            .number("life", open.started_ms)
+            .text("framing", open.framing.as_str())
+            .text("connection", "closed")
+    }
+
     pub(crate) fn log_failure(&self, upstream: &id::Upstream, failed: &attempt::Failure) {
         // An attempt failed.
         event::Line::new("attempt_missed")
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
+use lagoonline::lifecycle::completeness;
 use lagoonline::load::placement;
 use lagoonline::outcome;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -31,6 +32,15 @@
     pub(crate) length: &'static str,
 }
 
+/// Labels of the counter of upstreams' answers that have ended.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct EndLabels {
+    /// How the end of the body is marked.
+    pub(crate) framing: &'static str,
+    /// `whole` or `broken`.
+    pub(crate) end: &'static str,
+}
+
 /// Labels of the metrics of an upstream's limit.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct UpstreamLabels {
@@ -51,6 +61,8 @@
     pub(crate) answers: Family<AnswerLabels, Counter>,
     /// Seconds to the first event, or to the answer if it is not streamed, by prompt length.
     pub(crate) first_event_seconds: Family<FirstEventLabels, Histogram>,
+    /// Upstreams' answers that have ended, by framing and end.
+    answer_ends: Family<EndLabels, Counter>,
     /// Dispatches beyond a request's first one.
     pub(crate) retries: Counter,
     /// Updates to other hosts that were dropped.
@@ -106,6 +118,7 @@
         let metrics = Metrics {
             answers: Family::default(),
             first_event_seconds: Family::new_with_constructor(seconds),
+            answer_ends: Family::default(),
             retries: Counter::default(),
             updates_dropped: Counter::default(),
             schedulers_skipped: Counter::default(),
@@ -144,6 +157,8 @@
             "time to the first event",
             self.first_event_seconds.clone(),
         );
+        let help = "answers of upstreams that ended, by framing and end";
+        registry.register("answer_ends", help, self.answer_ends.clone());
         registry.register("repeats", "dispatches beyond the first", self.retries.clone());
         registry.register("words_lost", "words to hosts dropped", self.updates_dropped.clone());
         let help = "questions that a scheduling host left unanswered or turned down";
@@ -221,6 +236,12 @@
         self.answers.get_or_create(&AnswerLabels { service: service.to_owned(), reason }).inc();
     }
 
+    /// Counts an upstream's answer whose body has ended.
+    pub(crate) fn count_answer_end(&self, framing: completeness::Framing, end: &'static str) {
+        let labels = EndLabels { framing: framing.as_str(), end };
+        self.answer_ends.get_or_create(&labels).inc();
+    }
+
     /// Records that the first event of an answer to a prompt of `tokens` tokens was sent after
     /// `span`. Zero tokens, the label `none`, stand for an answer that is not streamed or a prompt
     /// of unknown length.
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -15,7 +15,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::lifecycle::quarantine;
+use lagoonline::lifecycle::{completeness, quarantine};
 use lagoonline::outcome::Reason;
 use lagoonline::routing;
 use ntex::util;
@@ -190,6 +190,7 @@
         let mut avoid: Vec<id::Upstream> = Vec::new();
         loop {
             let upstream = open.upstream.clone();
+            let framing = open.framing;
             let failure = match self.forward_answer(open).await {
                 Ok(()) => {
                     self.admitted.record_success(&upstream);
@@ -202,15 +203,18 @@
                 }
                 Err(failure) => failure,
             };
-            self.buffer.clear();
+            self.admitted.state.metrics.count_answer_end(framing, "broken");
             event::Line::new("stream_broke")
                 .text("request", &self.admitted.request.head.request_id)
                 .text("upstream", &upstream)
                 .text("error", &failure)
+                .text("framing", framing.as_str())
                 .number("events", self.events)
+                .number("bytes_left", self.buffer.len())
                 .span("after_ms", self.since_arrival())
                 .text("fingerprint", self.admitted.fingerprint())
                 .warn();
+            self.buffer.clear();
             self.admitted.record_failure(&upstream);
             avoid.push(upstream);
             match self.resume(&mut avoid, failure).await {
@@ -293,6 +297,7 @@
     async fn forward_answer(&mut self, mut open: forward::OpenAnswer) -> Result<(), String> {
         let mut last_activity = self.admitted.state.clock.now();
         let events_before = self.events;
+        let mut bytes = 0;
         loop {
             let left = self.admitted.time_left() + MAX_OVERTIME;
             let chunk = open.exchange.chunk(open.answer.body_mut());
@@ -315,13 +320,31 @@
             self.admitted.record_activity(&open.upstream);
             open.in_flight.keep_reservations();
             let Some(chunk) = chunk else {
+                self.record_end(&open, bytes, self.events - events_before);
                 return self.forward_rest().await;
             };
+            bytes += chunk.len();
             self.buffer.extend_from_slice(&chunk);
             self.forward_events().await?;
         }
     }
 
+    /// Counts the end of an answer of `bytes` bytes and `events` events, and logs it if nothing
+    /// shows that the answer is whole.
+    fn record_end(&self, open: &forward::OpenAnswer, bytes: usize, events: u64) {
+        self.admitted.state.metrics.count_answer_end(open.framing, "whole");
+        if open.framing != completeness::Framing::Connection && self.buffer.is_empty() {
+            return;
+        }
+        self.admitted
+            .log_unmarked_end(open)
+            .number("bytes", bytes)
+            .number("events", events)
+            .number("bytes_left", self.buffer.len())
+            .text("caller_got", "a whole answer")
+            .warn();
+    }
+
     /// Whether to abandon an upstream that has been silent for `silent`. One that may merely be
     /// busy gets twice the timeout.
     fn should_abandon(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
--- a/crates/lagoonline/src/lifecycle/mod.rs
+++ b/crates/lagoonline/src/lifecycle/mod.rs
@@ -2,6 +2,7 @@
 //! and shutdown.
 
 pub mod claim;
+pub mod completeness;
 pub mod drain;
 pub mod fingerprint;
 pub mod leaving;
