--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -1,5 +1,7 @@
 //! An entry host with a stand-in of the platform's store, two engines and two replicas.
 
+pub mod caller;
+
 use std::io::{Read, Write};
 use std::net;
 use std::time;
@@ -72,6 +74,9 @@
             {"Name": "review", "Host": "x.example", "Prefix": "/review/", "Kind": "streaming",
              "TimeoutMs": timeout, "TargetLatencyMs": 2500, "Service": "llm", "MaxAttempts": 2,
              "Resumable": true, "TargetGapMs": 1000},
+            {"Name": "tell", "Host": "x.example", "Prefix": "/tell/", "Kind": "streaming",
+             "TimeoutMs": timeout, "TargetLatencyMs": 300, "Service": "llm", "MaxAttempts": 2,
+             "TargetGapMs": 250},
             {"Name": "book", "Host": "x.example", "Prefix": "/book/", "Kind": "unsafe",
              "TimeoutMs": timeout, "TargetLatencyMs": 200, "Service": "app", "MaxAttempts": 1},
             {"Name": "look", "Host": "x.example", "Prefix": "/look/", "Kind": "safe",
@@ -95,6 +100,20 @@
         Host::join(&standin, HostSettings::default())
     }
 
+    /// Starts a host with two engines and two replicas that answer by [`Standin::script`], and waits
+    /// until it is ready.
+    pub fn start_raw() -> Host {
+        let standin = Standin::start();
+        standin.put("op", "config", &desired(1, &["k1"], 10_000));
+        for name in ["e1", "e2"] {
+            standin.raw_upstream(name, "llm", 16);
+        }
+        for name in ["r1", "r2"] {
+            standin.raw_upstream(name, "app", 6);
+        }
+        Host::join(&standin, HostSettings::default())
+    }
+
     /// Starts another host of `standin`, and waits until it is ready.
     pub fn join(standin: &Standin, settings: HostSettings<'_>) -> Host {
         let settings = lagoon_gateway::Settings {
