Read event streams with any line end of their format

Callers of an upstream whose lines end with CR got no event before the end of the stream, and after a break the whole stream again from its first event. Cause: the reader of events in the gateway knew LF and CR LF only. lagoonline::event_stream is a reader of its own: LF, CR LF and CR, in any pieces; comments and empty lines are no events; the last id counts.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -10,10 +10,10 @@
 use std::pin;
 use std::task;
 
-use bytes::{Buf, BytesMut};
 use futures_util::Stream;
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
+use lagoonline::event_stream;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, quarantine};
 use lagoonline::outcome::Reason;
@@ -68,7 +68,7 @@
         last_event: admitted.request.head.last_event,
         admitted,
         sender,
-        buffer: BytesMut::new(),
+        reader: event_stream::Reader::default(),
         events: 0,
         upstreams: 1,
         last_forwarded: clock::Moment::START,
@@ -122,8 +122,7 @@
 struct Forwarder {
     admitted: forward::Admitted,
     sender: mpsc::Sender<util::Bytes>,
-    /// Bytes of an incomplete event.
-    buffer: BytesMut,
+    reader: event_stream::Reader,
     /// Number of the last event that the caller has.
     last_event: Option<u64>,
     /// Events forwarded so far.
@@ -210,11 +209,11 @@
                 .text("error", &failure)
                 .text("framing", framing.as_str())
                 .number("events", self.events)
-                .number("bytes_left", self.buffer.len())
+                .number("bytes_left", self.reader.buffered())
                 .span("after_ms", self.since_arrival())
                 .text("fingerprint", self.admitted.fingerprint())
                 .warn();
-            self.buffer.clear();
+            drop(self.reader.take_rest());
             self.admitted.record_failure(&upstream);
             avoid.push(upstream);
             match self.resume(&mut avoid, failure).await {
@@ -324,7 +323,7 @@
                 return self.forward_rest().await;
             };
             bytes += chunk.len();
-            self.buffer.extend_from_slice(&chunk);
+            self.reader.push(&chunk);
             self.forward_events().await?;
         }
     }
@@ -333,14 +332,14 @@
     /// shows that the answer is whole.
     fn record_end(&self, open: &forward::OpenAnswer, bytes: usize, events: u64) {
         self.admitted.state.metrics.count_answer_end(open.framing, "whole");
-        if open.framing != completeness::Framing::Connection && self.buffer.is_empty() {
+        if open.framing != completeness::Framing::Connection && self.reader.buffered() == 0 {
             return;
         }
         self.admitted
             .log_unmarked_end(open)
             .number("bytes", bytes)
             .number("events", events)
-            .number("bytes_left", self.buffer.len())
+            .number("bytes_left", self.reader.buffered())
             .text("caller_got", "a whole answer")
             .warn();
     }
@@ -371,18 +370,16 @@
 
     /// Forwards each complete event in the buffer.
     async fn forward_events(&mut self) -> Result<(), String> {
-        while let Some(length) = first_event_length(&self.buffer) {
-            let event = self.buffer.split_to(length);
-            let number = event_number(&event);
-            if let (Some(number), Some(last)) = (number, self.last_event)
+        while let Some(event) = self.reader.next_event() {
+            if let (Some(number), Some(last)) = (event.number, self.last_event)
                 && number <= last
             {
                 // The caller has this event already; an upstream that resumes a stream may repeat
                 // its start.
                 continue;
             }
-            self.last_event = number.or(self.last_event);
-            self.forward(util::Bytes::copy_from_slice(&event)).await?;
+            self.last_event = event.number.or(self.last_event);
+            self.forward(util::Bytes::copy_from_slice(&event.bytes)).await?;
             if self.events == 0 {
                 let tokens = self.admitted.request.head.prompt_tokens.unwrap_or(0);
                 self.admitted.state.metrics.record_first_event(tokens, self.since_arrival());
@@ -413,38 +410,14 @@
     /// Forwards the rest of the buffer unchanged after the body has ended: the answer is complete
     /// even if its last event lacks the blank line.
     async fn forward_rest(&mut self) -> Result<(), String> {
-        if self.buffer.is_empty() {
+        let rest = self.reader.take_rest();
+        if rest.is_empty() {
             return Ok(());
         }
-        let rest = util::Bytes::copy_from_slice(&self.buffer);
-        self.buffer.advance(rest.len());
-        self.forward(rest).await
+        self.forward(util::Bytes::copy_from_slice(&rest)).await
     }
 
     async fn forward(&mut self, bytes: util::Bytes) -> Result<(), String> {
         self.sender.send(bytes).await.map_err(|_| "the caller left".to_owned())
     }
 }
-
-/// Returns the length of the first event in `bytes`, including its blank line.
-fn first_event_length(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (index, byte) in bytes.iter().enumerate() {
-        if *byte != b'\n' {
-            continue;
-        }
-        let line = &bytes[line_start..index];
-        if line.is_empty() || line == b"\r" {
-            return Some(index + 1);
-        }
-        line_start = index + 1;
-    }
-    None
-}
-
-/// Returns the number in an event's `id` line.
-fn event_number(event: &[u8]) -> Option<u64> {
-    let lines = event.split(|byte| *byte == b'\n');
-    let mut ids = lines.filter_map(|line| line.strip_prefix(b"id:"));
-    std::str::from_utf8(ids.next()?).ok()?.trim().parse().ok()
-}
--- a/crates/lagoonline/src/lib.rs
+++ b/crates/lagoonline/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod check;
 pub mod clock;
 pub mod control;
+pub mod event_stream;
 pub mod id;
 pub mod lifecycle;
 pub mod load;
