Take a stream that ends inside an event for broken off, whatever its framing

Callers got half an event joined to the stream, and its end as complete, when an upstream crashed under a stream without a length or chunks; nothing was tried again. Cause: the end of the body was taken for the end of the answer, and forward_rest passed the rest of an incomplete event on as part of a complete stream. The body is judged by framing and content (lifecycle::completeness): an event without its empty line is cut, so the stream goes on at another upstream after the last whole event, or the caller's body ends without its last chunk. Comments belong to no event.

--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -37,7 +37,7 @@
 pub(crate) struct EndLabels {
     /// How the end of the body is marked.
     pub(crate) framing: &'static str,
-    /// `whole` or `broken`.
+    /// Whether the answer is whole: `whole`, `broken` or `unknown`.
     pub(crate) end: &'static str,
 }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -23,7 +23,6 @@
 
 use crate::attempt;
 use crate::event;
-use crate::exchange;
 use crate::forward;
 use crate::silence;
 
@@ -202,7 +201,6 @@
                 }
                 Err(failure) => failure,
             };
-            self.admitted.state.metrics.count_answer_end(framing, "broken");
             event::Line::new("stream_broke")
                 .text("request", &self.admitted.request.head.request_id)
                 .text("upstream", &upstream)
@@ -276,20 +274,14 @@
         None
     }
 
-    /// Reports that the connection to the upstream of `open` broke after `events` events of its
-    /// answer. Returns the failure's text.
-    fn record_broken_connection(
-        &self,
-        open: &forward::OpenAnswer,
-        events: u64,
-        failure: &exchange::Failure,
-    ) -> String {
+    /// Reports that the answer of `open` was broken off after `events` events.
+    fn record_broken_answer(&self, open: &forward::OpenAnswer, events: u64) {
+        self.admitted.state.metrics.count_answer_end(open.framing, "broken");
         let span = self.admitted.state.clock.now().since(open.head_at);
         self.admitted.record_broken_connection(
             &open.upstream,
             quarantine::Progress::Answering { span, events },
         );
-        failure.to_string()
     }
 
     /// Forwards one answer to its end.
@@ -302,7 +294,8 @@
             let chunk = open.exchange.chunk(open.answer.body_mut());
             let chunk = match tokio::time::timeout(silence::CHECK_INTERVAL.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure| {
-                    self.record_broken_connection(&open, self.events - events_before, &failure)
+                    self.record_broken_answer(&open, self.events - events_before);
+                    failure.to_string()
                 })?,
                 Err(_) if left <= silence::CHECK_INTERVAL => {
                     return Err("deadline passed".to_owned());
@@ -319,8 +312,8 @@
             self.admitted.record_activity(&open.upstream);
             open.in_flight.keep_reservations();
             let Some(chunk) = chunk else {
-                self.record_end(&open, bytes, self.events - events_before);
-                return self.forward_rest().await;
+                let events = self.events - events_before;
+                return self.end_answer(&open, bytes, events).await;
             };
             bytes += chunk.len();
             self.reader.push(&chunk);
@@ -328,20 +321,34 @@
         }
     }
 
-    /// Counts the end of an answer of `bytes` bytes and `events` events, and logs it if nothing
-    /// shows that the answer is whole.
-    fn record_end(&self, open: &forward::OpenAnswer, bytes: usize, events: u64) {
-        self.admitted.state.metrics.count_answer_end(open.framing, "whole");
-        if open.framing != completeness::Framing::Connection && self.reader.buffered() == 0 {
-            return;
+    /// Ends the answer of `open`, whose body of `bytes` bytes and `events` events has ended in order.
+    async fn end_answer(
+        &mut self,
+        open: &forward::OpenAnswer,
+        bytes: usize,
+        events: u64,
+    ) -> Result<(), String> {
+        let content = if self.reader.is_inside_event() {
+            completeness::Content::Cut
+        } else {
+            completeness::Content::Silent
+        };
+        let completeness = completeness::Completeness::of_body(open.framing, content);
+        if completeness != completeness::Completeness::Whole {
+            self.admitted
+                .log_unmarked_end(open)
+                .text("end", completeness.as_str())
+                .number("bytes", bytes)
+                .number("events", events)
+                .number("bytes_left", self.reader.buffered())
+                .warn();
+        }
+        if completeness == completeness::Completeness::Broken {
+            self.record_broken_answer(open, events);
+            return Err("ended inside an event".to_owned());
         }
-        self.admitted
-            .log_unmarked_end(open)
-            .number("bytes", bytes)
-            .number("events", events)
-            .number("bytes_left", self.reader.buffered())
-            .text("caller_got", "a whole answer")
-            .warn();
+        self.admitted.state.metrics.count_answer_end(open.framing, completeness.as_str());
+        self.forward_rest().await
     }
 
     /// Whether to abandon an upstream that has been silent for `silent`. One that may merely be
@@ -407,8 +414,7 @@
             .info();
     }
 
-    /// Forwards the rest of the buffer unchanged after the body has ended: the answer is complete
-    /// even if its last event lacks the blank line.
+    /// Forwards what follows the last event, such as a comment.
     async fn forward_rest(&mut self) -> Result<(), String> {
         let rest = self.reader.take_rest();
         if rest.is_empty() {
--- a/crates/lagoonline/src/lifecycle/completeness.rs
+++ b/crates/lagoonline/src/lifecycle/completeness.rs
@@ -1,4 +1,10 @@
-//! Whether the body of an answer is whole.
+//! Whether an answer is whole, and what follows from it for its caller.
+//!
+//! A length and a last chunk mark the end of a body. A body without them ends with its connection,
+//! which looks the same after a crash. Then only the content can show that the body was cut, and
+//! only the end of the upstream's process that a crash did it; otherwise it is unknown whether the
+//! answer is whole. An answer never leaves a host with a stronger promise than it came with, unless
+//! its content is a proof.
 
 /// How the end of a body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -25,4 +31,161 @@
             Framing::Connection => "connection",
         }
     }
+
+    /// Whether the end is marked other than by the end of the connection.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::Framing;
+    /// assert!(Framing::Chunks.marks_end() && !Framing::Connection.marks_end());
+    /// ```
+    pub fn marks_end(self) -> bool {
+        self != Framing::Connection
+    }
+}
+
+/// What the content of a body shows about its end.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Content {
+    /// It ends where its format ends.
+    Whole,
+    /// It ends before its format may end, such as inside an event.
+    Cut,
+    /// It shows nothing.
+    Silent,
+}
+
+/// What is known of the process that made an answer, at some moment after the end of the answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    /// It still runs, so it ended the answer by itself.
+    Running,
+    /// It has ended.
+    Ended,
+    /// It could not be asked, or is about to end as planned.
+    Unknown,
+}
+
+impl Process {
+    /// Returns the name of the state in logs.
+    ///
+    /// ```
+    /// assert_eq!(lagoonline::lifecycle::completeness::Process::Running.as_str(), "alive");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Process::Running => "alive",
+            Process::Ended => "ended",
+            Process::Unknown => "unknown",
+        }
+    }
+}
+
+/// Whether an answer is whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Completeness {
+    /// Its framing or its content proves it.
+    Whole,
+    /// It was broken off.
+    Broken,
+    /// Nothing shows that it was broken off, and nothing proves the opposite.
+    Unknown,
+}
+
+impl Completeness {
+    /// Decides by the body alone, after its connection ended in order. An answer whose connection
+    /// failed before the end of its body is broken.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::{Completeness, Content, Framing};
+    /// let of = Completeness::of_body;
+    /// assert_eq!(of(Framing::Chunks, Content::Silent), Completeness::Whole);
+    /// assert_eq!(of(Framing::Chunks, Content::Cut), Completeness::Broken);
+    /// assert_eq!(of(Framing::Connection, Content::Silent), Completeness::Unknown);
+    /// ```
+    pub fn of_body(framing: Framing, content: Content) -> Completeness {
+        match content {
+            Content::Cut => Completeness::Broken,
+            Content::Whole => Completeness::Whole,
+            Content::Silent if framing.marks_end() => Completeness::Whole,
+            Content::Silent => Completeness::Unknown,
+        }
+    }
+
+    /// Adds what is known of the upstream's process. That it still runs excludes a crash but proves
+    /// nothing: a faulty process may break off its answers and go on.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::{Completeness, Process};
+    /// let unknown = Completeness::Unknown;
+    /// assert_eq!(unknown.with_process(Process::Ended), Completeness::Broken);
+    /// assert_eq!(unknown.with_process(Process::Running), Completeness::Unknown);
+    /// assert_eq!(Completeness::Whole.with_process(Process::Ended), Completeness::Whole);
+    /// ```
+    #[must_use]
+    pub fn with_process(self, process: Process) -> Completeness {
+        match (self, process) {
+            (Completeness::Unknown, Process::Ended) => Completeness::Broken,
+            _ => self,
+        }
+    }
+
+    /// Returns the name of the state in logs and metrics.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::Completeness;
+    /// assert_eq!(Completeness::Unknown.as_str(), "unknown");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Completeness::Whole => "whole",
+            Completeness::Broken => "broken",
+            Completeness::Unknown => "unknown",
+        }
+    }
+}
+
+/// What follows for the caller when an upstream's part of a stream has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// The caller's body ends as it was promised.
+    Finish,
+    /// Another upstream continues after the last event. If none may, the caller's body ends without
+    /// its end mark.
+    Resume,
+}
+
+/// Decides how a stream goes on whose caller was promised an end marked by `promised`. If nothing
+/// was promised, the end of the caller's connection passes the doubt on.
+///
+/// ```
+/// use lagoonline::lifecycle::completeness::{Completeness, Framing, Next, next};
+/// assert_eq!(next(Completeness::Unknown, Framing::Connection), Next::Finish);
+/// assert_eq!(next(Completeness::Unknown, Framing::Chunks), Next::Resume);
+/// ```
+pub fn next(completeness: Completeness, promised: Framing) -> Next {
+    match completeness {
+        Completeness::Whole => Next::Finish,
+        Completeness::Unknown if !promised.marks_end() => Next::Finish,
+        Completeness::Unknown | Completeness::Broken => Next::Resume,
+    }
+}
+
+/// Returns what a body shows about its end if it is JSON. Objects, arrays and texts end themselves;
+/// a number may go on.
+///
+/// ```
+/// use lagoonline::lifecycle::completeness::{Content, json};
+/// assert_eq!(json(br#"{"a": [1, 2]}"#), Content::Whole);
+/// assert_eq!(json(br#"{"a": [1, "#), Content::Cut);
+/// assert_eq!(json(b"12"), Content::Silent);
+/// ```
+pub fn json(body: &[u8]) -> Content {
+    let body = body.trim_ascii_end();
+    match serde_json::from_slice::<serde::de::IgnoredAny>(body) {
+        Ok(_) if body.ends_with(b"}") || body.ends_with(b"]") || body.ends_with(b"\"") => {
+            Content::Whole
+        }
+        Err(error) if error.is_eof() && !body.is_empty() => Content::Cut,
+        Ok(_) | Err(_) => Content::Silent,
+    }
 }
