Pass a stream on without an end mark if it came without one

A caller was told by the last chunk that its stream is whole although nothing showed it: the upstream had sent neither a length nor chunks, and the end of its connection looks the same after a crash. Cause: the host marks the end of each body that ends, however it was framed, and so vouches for what it does not know.

The caller's body is in chunks only if the upstream marks the end of its own; if not, it ends with the caller's connection, which the head says (Connection: close). A caller that was promised an end mark gets it only from an upstream that marks its end: otherwise the stream is asked for again after its last event, and cut if that is not possible. A broken stream without chunks ends inside the event that was cut. The connection is closed by the host, after all was written, since the server would handle a request sent behind this one and write its answer into the body (seen in a test).

The check of upstreams_that_mark_no_end_are_not_punished assumed that two idle engines share prompts; framed streams all go to one, too. It now compares the shares with those of framed streams, and still demands one reading a stream and no quarantine.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -204,6 +204,18 @@
     Stream { status: u16, headers: Vec<head::Header>, open: Box<OpenAnswer> },
 }
 
+impl Caller {
+    /// Returns how the end of a stream is marked for this caller that begins with an answer of
+    /// `framing`. It is not marked if that answer's is not: the host cannot vouch for its end.
+    fn promise(framing: completeness::Framing) -> completeness::Framing {
+        if framing.marks_end() {
+            completeness::Framing::Chunks
+        } else {
+            completeness::Framing::Connection
+        }
+    }
+}
+
 impl CheckedAnswer {
     /// Turns the answer into the response to the caller; a stream goes on in a task of its own.
     fn deliver(self, admitted: Admitted, caller: Caller) -> web::HttpResponse {
@@ -219,8 +231,12 @@
                 builder.body(ntex::util::Bytes::copy_from_slice(&body))
             }
             CheckedAnswer::Stream { status, headers, open } => {
+                let promised = Caller::promise(open.framing);
                 let mut builder = answer::forward_head(status, &headers, closing);
-                let body = stream::start(admitted, *open, caller);
+                if !promised.marks_end() {
+                    builder.no_chunking().force_close();
+                }
+                let body = stream::start(admitted, *open, caller, promised);
                 builder.streaming(body)
             }
         }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -3,9 +3,13 @@
 //!
 //! An upstream may break off in the middle of an event. If another one continued the stream
 //! naively, the caller would read half an event joined to the next; and a stream that broke off
-//! could look like a complete one. So only complete events are forwarded, a resumed answer starts
-//! after the last event that was forwarded, and if a stream cannot be resumed, the caller's
-//! connection is closed without the terminating chunk of the body.
+//! could look like a complete one. So only complete events are forwarded, and a resumed answer
+//! starts after the last event that was forwarded.
+//!
+//! The caller's body is in chunks if the first upstream marked the end of its own, and ends with the
+//! connection if not. A stream that was broken off and cannot be resumed ends without its last
+//! chunk; a body without chunks then ends inside the event that was cut, if there is one. Nothing
+//! else can tell its caller: the connection is not reset, which would discard what was sent.
 
 use std::pin;
 use std::task;
@@ -35,6 +39,8 @@
 /// Time that a stream may run beyond its deadline, so that one which is about to end can finish.
 const MAX_OVERTIME: clock::Span = clock::Span::from_millis(150);
 
+/// Interval of the check whether a connection has sent what was written to it.
+const FLUSH_CHECK_INTERVAL: clock::Span = clock::Span::from_millis(10);
 /// Timeout for the caller to receive what was forwarded before its stream broke.
 const CUT_TIMEOUT: clock::Span = clock::Span::from_secs(1);
 
@@ -60,6 +66,7 @@
     admitted: forward::Admitted,
     open: forward::OpenAnswer,
     caller: forward::Caller,
+    promised: completeness::Framing,
 ) -> Body {
     let (sender, events) = mpsc::channel(EVENT_BUFFER);
     let body_sender = sender.clone();
@@ -67,6 +74,7 @@
         last_event: admitted.request.head.last_event,
         admitted,
         sender,
+        promised,
         reader: event_stream::Reader::default(),
         events: 0,
         upstreams: 1,
@@ -83,14 +91,35 @@
                 None => body_sender.closed().await,
             }
         };
-        if forwarder.run(open, disconnected).await == End::Broken {
-            cut(caller.io.as_ref(), &body_sender).await;
+        match forwarder.run(open, disconnected).await {
+            End::Complete if promised.marks_end() => {}
+            End::Complete => close(caller.io.as_ref(), &body_sender).await,
+            End::Broken => cut(caller.io.as_ref(), &body_sender).await,
+            End::CallerLeft => {}
         }
         drop(caller);
     }));
     Body { events }
 }
 
+/// Closes the caller's connection once the caller's side has taken the whole body. The body is held
+/// open until then: if it ended, the server would handle a request that was sent behind this one,
+/// and write its answer into the body.
+async fn close(io: Option<&ntex::io::IoRef>, body_sender: &mpsc::Sender<util::Bytes>) {
+    let Some(io) = io else { return };
+    flush(io, body_sender).await;
+    io.close();
+    body_sender.closed().await;
+}
+
+/// Waits until all events were written to the connection, or the connection is closed.
+async fn flush(io: &ntex::io::IoRef, body_sender: &mpsc::Sender<util::Bytes>) {
+    let taken = body_sender.reserve_many(EVENT_BUFFER).await.is_ok();
+    while taken && !io.is_closed() && !io.with_write_dst_buf(|buffer| buffer.is_empty()) {
+        tokio::time::sleep(FLUSH_CHECK_INTERVAL).await;
+    }
+}
+
 /// Closes the caller's connection once the forwarded events are sent, without the terminating chunk
 /// of the body.
 ///
@@ -98,10 +127,8 @@
 /// the body would make the stream look complete. So the body is held open until the connection is
 /// closed.
 async fn cut(io: Option<&ntex::io::IoRef>, body_sender: &mpsc::Sender<util::Bytes>) {
-    if let Some(io) = io {
-        io.close();
-    }
-    if tokio::time::timeout(CUT_TIMEOUT, body_sender.closed()).await.is_err()
+    let closing = close(io, body_sender);
+    if tokio::time::timeout(CUT_TIMEOUT, closing).await.is_err()
         && let Some(io) = io
     {
         io.terminate();
@@ -117,10 +144,33 @@
     Broken,
 }
 
+/// Why the answer of one upstream did not complete the stream.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    /// The answer was broken off, or its upstream was abandoned.
+    #[error("{0}")]
+    Broken(String),
+    /// The answer may be whole, but the caller was promised an end mark that it came without.
+    #[error("ended without the end mark that the caller was promised")]
+    Unproven,
+    /// The caller closed its connection.
+    #[error("the caller left")]
+    CallerLeft,
+}
+
+impl Failure {
+    /// Whether the upstream failed.
+    fn is_fault(&self) -> bool {
+        matches!(self, Failure::Broken(_))
+    }
+}
+
 /// Forwards one stream to its caller, from one upstream after another.
 struct Forwarder {
     admitted: forward::Admitted,
     sender: mpsc::Sender<util::Bytes>,
+    /// How the end of the caller's body is marked.
+    promised: completeness::Framing,
     reader: event_stream::Reader,
     /// Number of the last event that the caller has.
     last_event: Option<u64>,
@@ -201,36 +251,59 @@
                 }
                 Err(failure) => failure,
             };
-            event::Line::new("stream_broke")
-                .text("request", &self.admitted.request.head.request_id)
-                .text("upstream", &upstream)
-                .text("error", &failure)
-                .text("framing", framing.as_str())
-                .number("events", self.events)
-                .number("bytes_left", self.reader.buffered())
-                .span("after_ms", self.since_arrival())
-                .text("fingerprint", self.admitted.fingerprint())
-                .warn();
-            drop(self.reader.take_rest());
-            self.admitted.record_failure(&upstream);
+            self.log_failure(&upstream, framing, &failure);
+            if failure.is_fault() {
+                self.admitted.record_failure(&upstream);
+            }
+            let cut_event = self.reader.take_rest();
             avoid.push(upstream);
             match self.resume(&mut avoid, failure).await {
                 Some(next) => open = next,
-                None => return End::Broken,
+                None => return self.end_broken(&cut_event).await,
             }
         }
     }
 
+    /// Ends a stream that was broken off. Without chunks, the bytes of the event that was cut show
+    /// the caller that it was.
+    async fn end_broken(&mut self, cut_event: &[u8]) -> End {
+        if !self.promised.marks_end()
+            && self.forward(util::Bytes::copy_from_slice(cut_event)).await.is_err()
+        {
+            return End::CallerLeft;
+        }
+        End::Broken
+    }
+
+    fn log_failure(
+        &self,
+        upstream: &id::Upstream,
+        framing: completeness::Framing,
+        failure: &Failure,
+    ) {
+        event::Line::new("stream_broke")
+            .text("request", &self.admitted.request.head.request_id)
+            .text("upstream", upstream)
+            .text("error", failure)
+            .text("framing", framing.as_str())
+            .text("promised", self.promised.as_str())
+            .number("events", self.events)
+            .number("bytes_left", self.reader.buffered())
+            .span("after_ms", self.since_arrival())
+            .text("fingerprint", self.admitted.fingerprint())
+            .warn();
+    }
+
     /// Resumes the stream after its last event on another upstream, if that is allowed.
     async fn resume(
         &mut self,
         avoid: &mut Vec<id::Upstream>,
-        failure: String,
+        failure: Failure,
     ) -> Option<forward::OpenAnswer> {
         let routing::Kind::Stream { resumable: true, .. } = self.admitted.route.kind else {
             return None;
         };
-        let mut failed = attempt::Failure::Lost(failure);
+        let mut failed = attempt::Failure::Lost(failure.to_string());
         let mut refusals = 0;
         while self.admitted.take_retry(self.upstreams, refusals, &failed) {
             self.admitted.state.metrics.retries.inc();
@@ -285,7 +358,7 @@
     }
 
     /// Forwards one answer to its end.
-    async fn forward_answer(&mut self, mut open: forward::OpenAnswer) -> Result<(), String> {
+    async fn forward_answer(&mut self, mut open: forward::OpenAnswer) -> Result<(), Failure> {
         let mut last_activity = self.admitted.state.clock.now();
         let events_before = self.events;
         let mut bytes = 0;
@@ -295,15 +368,15 @@
             let chunk = match tokio::time::timeout(silence::CHECK_INTERVAL.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure| {
                     self.record_broken_answer(&open, self.events - events_before);
-                    failure.to_string()
+                    Failure::Broken(failure.to_string())
                 })?,
                 Err(_) if left <= silence::CHECK_INTERVAL => {
-                    return Err("deadline passed".to_owned());
+                    return Err(Failure::Broken("deadline passed".to_owned()));
                 }
                 Err(_) => {
                     let silent = self.admitted.state.clock.now().since(last_activity);
                     if self.should_abandon(&open.upstream, silent) {
-                        return Err(format!("silent for {silent:?}"));
+                        return Err(Failure::Broken(format!("silent for {silent:?}")));
                     }
                     continue;
                 }
@@ -327,7 +400,7 @@
         open: &forward::OpenAnswer,
         bytes: usize,
         events: u64,
-    ) -> Result<(), String> {
+    ) -> Result<(), Failure> {
         let content = if self.reader.is_inside_event() {
             completeness::Content::Cut
         } else {
@@ -345,10 +418,13 @@
         }
         if completeness == completeness::Completeness::Broken {
             self.record_broken_answer(open, events);
-            return Err("ended inside an event".to_owned());
+            return Err(Failure::Broken("ended inside an event".to_owned()));
         }
         self.admitted.state.metrics.count_answer_end(open.framing, completeness.as_str());
-        self.forward_rest().await
+        match completeness::next(completeness, self.promised) {
+            completeness::Next::Finish => self.forward_rest().await,
+            completeness::Next::Resume => Err(Failure::Unproven),
+        }
     }
 
     /// Whether to abandon an upstream that has been silent for `silent`. One that may merely be
@@ -376,7 +452,7 @@
     }
 
     /// Forwards each complete event in the buffer.
-    async fn forward_events(&mut self) -> Result<(), String> {
+    async fn forward_events(&mut self) -> Result<(), Failure> {
         while let Some(event) = self.reader.next_event() {
             if let (Some(number), Some(last)) = (event.number, self.last_event)
                 && number <= last
@@ -415,7 +491,7 @@
     }
 
     /// Forwards what follows the last event, such as a comment.
-    async fn forward_rest(&mut self) -> Result<(), String> {
+    async fn forward_rest(&mut self) -> Result<(), Failure> {
         let rest = self.reader.take_rest();
         if rest.is_empty() {
             return Ok(());
@@ -423,7 +499,7 @@
         self.forward(util::Bytes::copy_from_slice(&rest)).await
     }
 
-    async fn forward(&mut self, bytes: util::Bytes) -> Result<(), String> {
-        self.sender.send(bytes).await.map_err(|_| "the caller left".to_owned())
+    async fn forward(&mut self, bytes: util::Bytes) -> Result<(), Failure> {
+        self.sender.send(bytes).await.map_err(|_| Failure::CallerLeft)
     }
 }
--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -303,23 +303,26 @@
     assert_eq!(resumptions(&host).len(), 2);
 }
 
-/// Guards against upstreams that are avoided or taken for crashed since they mark no end: both go
-/// on getting requests, each stream is read once, and nothing is quarantined.
-#[rstest]
-fn upstreams_that_mark_no_end_are_not_punished() {
+/// Returns how many of 24 prompts, each answered by `script`, each engine gets.
+fn shares(script: Script, end: End) -> [usize; 2] {
     let host = Host::start_raw();
-    host.standin.script(&[UNFRAMED; 24]);
+    host.standin.script(&[script; 24]);
     for _ in 0..24 {
         let answer = prompt(&host, "talk");
-        assert_eq!((answer.body, answer.end), (raw::events_after(0, "\n"), End::Closed));
-    }
-    let requests = host.standin.received_requests();
-    assert_eq!(requests.len(), 24);
-    for upstream in ["e1", "e2"] {
-        let count = requests.iter().filter(|request| request.upstream == upstream).count();
-        assert!(count >= 4, "{upstream} got {count} of 24 requests");
+        assert_eq!((answer.body, answer.end), (raw::events_after(0, "\n"), end));
     }
     assert_eq!(host.quarantined_count(), 0);
+    let requests = host.standin.received_requests();
+    assert_eq!(requests.len(), 24, "a stream was read twice");
+    ["e1", "e2"]
+        .map(|upstream| requests.iter().filter(|request| request.upstream == upstream).count())
+}
+
+/// Guards against upstreams that are avoided or taken for crashed since they mark no end: they get
+/// the same requests as if they did, each stream is read once, and nothing is quarantined.
+#[rstest]
+fn upstreams_that_mark_no_end_are_not_punished() {
+    assert_eq!(shares(UNFRAMED, End::Closed), shares(WHOLE, End::Marked));
 }
 
 /// Guards against requests on a caller's connection that are lost with it: one that was sent after
