End a broken stream to a caller of HTTP/1.0 inside the event that was cut

HTTP/1.0 has no chunks, so a stream that was broken off ended for such a caller between two events, with its connection, as if it were whole. Cause: the host took it for granted that each caller reads chunks, and dropped the bytes of the event that was cut. Its body is now treated as that of an unframed stream. A test over sockets failed before.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -52,6 +52,8 @@
 /// The caller that waits for the answer; held until the last byte has been handed over.
 #[derive(Debug)]
 pub(crate) struct Caller {
+    /// Whether it reads bodies in chunks, which HTTP/1.0 does not have.
+    pub(crate) reads_chunks: bool,
     /// The caller's connection.
     pub(crate) io: Option<ntex::io::IoRef>,
     /// Keeps the connection from being closed as idle.
@@ -207,8 +209,8 @@
 impl Caller {
     /// Returns how the end of a stream is marked for this caller that begins with an answer of
     /// `framing`. It is not marked if that answer's is not: the host cannot vouch for its end.
-    fn promise(framing: completeness::Framing) -> completeness::Framing {
-        if framing.marks_end() {
+    fn promise(&self, framing: completeness::Framing) -> completeness::Framing {
+        if framing.marks_end() && self.reads_chunks {
             completeness::Framing::Chunks
         } else {
             completeness::Framing::Connection
@@ -231,7 +233,7 @@
                 builder.body(ntex::util::Bytes::copy_from_slice(&body))
             }
             CheckedAnswer::Stream { status, headers, open } => {
-                let promised = Caller::promise(open.framing);
+                let promised = caller.promise(open.framing);
                 let mut builder = answer::forward_head(status, &headers, closing);
                 if !promised.marks_end() {
                     builder.no_chunking().force_close();
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -287,6 +287,7 @@
     let headers = headers(request);
     let head = head::read_request(headers.iter().map(|(name, value)| (name.as_str(), &value[..])));
     let id = head.request_id.clone();
+    let reads_chunks = request.version() >= http::Version::HTTP_11;
     let work = async {
         let body = read_body(payload, max_body_bytes(state)).await?;
         let request = build_request(request, headers, head, body, arrived);
@@ -295,8 +296,12 @@
             let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
             return Err(fault.with_retry_after(forward::RETRY_ELSEWHERE_AFTER));
         }
-        let caller =
-            forward::Caller { io: io.clone(), _busy: busy, _active: state.track_request() };
+        let caller = forward::Caller {
+            reads_chunks,
+            io: io.clone(),
+            _busy: busy,
+            _active: state.track_request(),
+        };
         forward::handle(state, request, caller).await
     };
     let result = match &io {
