Probe the process of an upstream whose stream ended without an end mark

Callers whose upstream crashed exactly between two events, or before the first one, got the stream so far as if it had ended there. The bytes show nothing then; the process does: it is gone a moment later. Cause: only broken connections were taken for signs of a crash.

An answer without an end mark is decided with a probe of its upstream (one connection, a round trip): if the process has ended, or another lifetime has taken its place, the answer was broken off and goes on elsewhere; that it still runs excludes a crash, but proves nothing, so the doubt is passed on as before. An upstream that is leaving, unlisted or silent stays unknown.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -12,7 +12,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
-use lagoonline::lifecycle::{fingerprint, quarantine};
+use lagoonline::lifecycle::{completeness, fingerprint, quarantine};
 
 use crate::event;
 use crate::forward;
@@ -50,25 +50,6 @@
     }
 }
 
-/// The result of a probe. It is unknown after a timeout, and if the upstream was not probed because
-/// it is leaving or no longer listed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum ProbeResult {
-    Ended,
-    Alive,
-    Unknown,
-}
-
-impl ProbeResult {
-    fn as_str(self) -> &'static str {
-        match self {
-            ProbeResult::Ended => "ended",
-            ProbeResult::Alive => "alive",
-            ProbeResult::Unknown => "unknown",
-        }
-    }
-}
-
 impl forward::Admitted {
     /// Records that the connection to `upstream` broke under this request, and probes the upstream.
     pub(crate) fn record_broken_connection(
@@ -92,16 +73,23 @@
     }
 }
 
+impl forward::Admitted {
+    /// Probes whether the process that made the answer of `open` still runs.
+    pub(crate) async fn probe_process(&self, open: &forward::OpenAnswer) -> completeness::Process {
+        probe(&self.state, &self.service, &open.upstream, Some(open.started_ms)).await
+    }
+}
+
 /// Probes an upstream whose connections broke, and records a crash if its process has ended.
 async fn probe_upstream(
     state: sync::Arc<state::State>,
     service: id::Service,
     upstream: id::Upstream,
 ) {
-    let result = probe(&state, &service, &upstream).await;
+    let result = probe(&state, &service, &upstream, None).await;
     let requests = state::lock(&state.broken_requests.0).remove(&upstream).unwrap_or_default();
     let listed: Vec<_> = requests.iter().map(ToString::to_string).collect();
-    if result == ProbeResult::Ended {
+    if result == completeness::Process::Ended {
         state.record_crash(&service, &upstream, &requests);
     }
     event::Line::new("upstream_probed")
@@ -111,20 +99,27 @@
         .info();
 }
 
-/// Probes whether `upstream` has ended. The result is unknown for an upstream that is leaving,
-/// which ends as planned, and for one that is no longer listed, which may have ended long ago.
+/// Probes whether the process of `upstream` still runs: that of the lifetime `started_ms`, if given.
+/// The result is unknown after a timeout, for an upstream that is leaving, which ends as planned,
+/// and for one that is no longer listed, which may have ended long ago.
 async fn probe(
     state: &state::State,
     service: &id::Service,
     upstream: &id::Upstream,
-) -> ProbeResult {
+    started_ms: Option<u64>,
+) -> completeness::Process {
     let entry = state.with_placer(service, |placer, _| placer.entry(upstream.as_str()).cloned());
     let Some(entry) = entry.flatten().filter(|entry| !entry.leaving) else {
-        return ProbeResult::Unknown;
+        return completeness::Process::Unknown;
     };
+    if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
+        return completeness::Process::Ended;
+    }
     match tcp::connect(entry.address, PROBE_TIMEOUT).await {
-        Ok(_) => ProbeResult::Alive,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Ended,
-        Err(_) => ProbeResult::Unknown,
+        Ok(_) => completeness::Process::Running,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            completeness::Process::Ended
+        }
+        Err(_) => completeness::Process::Unknown,
     }
 }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -406,19 +406,28 @@
         } else {
             completeness::Content::Silent
         };
-        let completeness = completeness::Completeness::of_body(open.framing, content);
+        let mut completeness = completeness::Completeness::of_body(open.framing, content);
+        let mut process = None;
+        if completeness == completeness::Completeness::Unknown {
+            let probed = self.admitted.probe_process(open).await;
+            completeness = completeness.with_process(probed);
+            process = Some(probed);
+        }
         if completeness != completeness::Completeness::Whole {
             self.admitted
                 .log_unmarked_end(open)
                 .text("end", completeness.as_str())
+                .text("process", process.map_or("not probed", completeness::Process::as_str))
                 .number("bytes", bytes)
                 .number("events", events)
                 .number("bytes_left", self.reader.buffered())
+                .text("promised", self.promised.as_str())
                 .warn();
         }
         if completeness == completeness::Completeness::Broken {
             self.record_broken_answer(open, events);
-            return Err(Failure::Broken("ended inside an event".to_owned()));
+            let reason = if process.is_some() { "its process ended" } else { "inside an event" };
+            return Err(Failure::Broken(format!("ended early: {reason}")));
         }
         self.admitted.state.metrics.count_answer_end(open.framing, completeness.as_str());
         match completeness::next(completeness, self.promised) {
