Learn from an answer only if its process outlived it

An upstream counted as healthy, and its request as harmless, whenever its connection ended: also when nobody could tell whether it had crashed (it was leaving, unlisted, or did not answer a probe). Breakers and the quarantine then forgot what they had seen. Now that is learnt from answers that are proven whole and from those whose process still runs after them; stream_ended says "unknown" for a stream that nothing proves to be whole. Found by reading: ended was taken for answered.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -486,13 +486,13 @@
         }
         let body = open.exchange.read_body(open.answer.body_mut(), MAX_BUFFERED_BODY).await;
         let body = body.map_err(|failure| {
-            self.state.metrics.count_answer_end(open.framing, "broken");
+            self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Broken);
             self.record_broken_connection(peer, quarantine::Progress::Unknown);
             attempt::Failure::Lost(format!("{peer}: {failure}"))
         })?;
-        self.state.metrics.count_answer_end(open.framing, "whole");
+        self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Whole);
         if open.framing == completeness::Framing::Connection {
-            self.log_unmarked_end(&open)
+            self.log_unproven_end(&open)
                 .number("status", status)
                 .number("bytes", body.len())
                 .text("caller_got", "a whole answer")
@@ -566,8 +566,8 @@
     }
 
     /// Begins the log line of an answer that ended without proof of being whole.
-    pub(crate) fn log_unmarked_end(&self, open: &OpenAnswer) -> event::Line {
-        event::Line::new("answer_end_unmarked")
+    pub(crate) fn log_unproven_end(&self, open: &OpenAnswer) -> event::Line {
+        event::Line::new("answer_end_unproven")
             .text("request", &self.request.head.request_id)
             .text("upstream", &open.upstream)
             .number("life", open.started_ms)
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -14,6 +14,8 @@
 mod answer;
 mod attempt;
 mod clock;
+mod conclude;
+
 mod connection;
 mod crash;
 mod departures;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -237,8 +237,12 @@
     }
 
     /// Counts an upstream's answer whose body has ended.
-    pub(crate) fn count_answer_end(&self, framing: completeness::Framing, end: &'static str) {
-        let labels = EndLabels { framing: framing.as_str(), end };
+    pub(crate) fn count_answer_end(
+        &self,
+        framing: completeness::Framing,
+        completeness: completeness::Completeness,
+    ) {
+        let labels = EndLabels { framing: framing.as_str(), end: completeness.as_str() };
         self.answer_ends.get_or_create(&labels).inc();
     }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 
 use crate::attempt;
+use crate::conclude;
 use crate::event;
 use crate::forward;
 use crate::silence;
@@ -93,7 +94,7 @@
         };
         match forwarder.run(open, disconnected).await {
             End::Complete if promised.marks_end() => {}
-            End::Complete => close(caller.io.as_ref(), &body_sender).await,
+            End::Complete | End::Unproven => close(caller.io.as_ref(), &body_sender).await,
             End::Broken => cut(caller.io.as_ref(), &body_sender).await,
             End::CallerLeft => {}
         }
@@ -140,6 +141,8 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
     Complete,
+    /// Nothing shows that it was broken off, and nothing that it is whole.
+    Unproven,
     CallerLeft,
     Broken,
 }
@@ -205,6 +208,7 @@
     fn log_end(&self, end: End) {
         let (how, reason) = match end {
             End::Complete => ("whole", None),
+            End::Unproven => ("unknown", None),
             End::CallerLeft => ("caller_left", Some(Reason::CallerLeft)),
             End::Broken => ("broken", Some(Reason::UpstreamFailed)),
         };
@@ -240,15 +244,7 @@
             let upstream = open.upstream.clone();
             let framing = open.framing;
             let failure = match self.forward_answer(open).await {
-                Ok(()) => {
-                    self.admitted.record_success(&upstream);
-                    // An answer without a length looks complete when its upstream crashes before
-                    // the first event.
-                    if self.events > 0 {
-                        self.admitted.clear();
-                    }
-                    return End::Complete;
-                }
+                Ok(conclusion) => return self.end_complete(&upstream, conclusion),
                 Err(failure) => failure,
             };
             self.log_failure(&upstream, framing, &failure);
@@ -264,6 +260,23 @@
         }
     }
 
+    /// Ends a stream whose last answer came from `upstream` and was not broken off.
+    fn end_complete(&self, upstream: &id::Upstream, conclusion: completeness::Conclusion) -> End {
+        if conclusion.is_outlived() {
+            self.admitted.record_success(upstream);
+            // An empty stream shows nothing of what its request does to an upstream.
+            if self.events > 0 {
+                self.admitted.clear();
+            }
+        }
+        match conclusion.completeness {
+            completeness::Completeness::Whole => End::Complete,
+            completeness::Completeness::Unknown | completeness::Completeness::Broken => {
+                End::Unproven
+            }
+        }
+    }
+
     /// Ends a stream that was broken off. Without chunks, the bytes of the event that was cut show
     /// the caller that it was.
     async fn end_broken(&mut self, cut_event: &[u8]) -> End {
@@ -349,7 +362,6 @@
 
     /// Reports that the answer of `open` was broken off after `events` events.
     fn record_broken_answer(&self, open: &forward::OpenAnswer, events: u64) {
-        self.admitted.state.metrics.count_answer_end(open.framing, "broken");
         let span = self.admitted.state.clock.now().since(open.head_at);
         self.admitted.record_broken_connection(
             &open.upstream,
@@ -358,7 +370,10 @@
     }
 
     /// Forwards one answer to its end.
-    async fn forward_answer(&mut self, mut open: forward::OpenAnswer) -> Result<(), Failure> {
+    async fn forward_answer(
+        &mut self,
+        mut open: forward::OpenAnswer,
+    ) -> Result<completeness::Conclusion, Failure> {
         let mut last_activity = self.admitted.state.clock.now();
         let events_before = self.events;
         let mut bytes = 0;
@@ -367,6 +382,8 @@
             let chunk = open.exchange.chunk(open.answer.body_mut());
             let chunk = match tokio::time::timeout(silence::CHECK_INTERVAL.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure| {
+                    let broken = completeness::Completeness::Broken;
+                    self.admitted.state.metrics.count_answer_end(open.framing, broken);
                     self.record_broken_answer(&open, self.events - events_before);
                     Failure::Broken(failure.to_string())
                 })?,
@@ -400,38 +417,21 @@
         open: &forward::OpenAnswer,
         bytes: usize,
         events: u64,
-    ) -> Result<(), Failure> {
+    ) -> Result<completeness::Conclusion, Failure> {
         let content = if self.reader.is_inside_event() {
             completeness::Content::Cut
         } else {
             completeness::Content::Silent
         };
-        let mut completeness = completeness::Completeness::of_body(open.framing, content);
-        let mut process = None;
-        if completeness == completeness::Completeness::Unknown {
-            let probed = self.admitted.probe_process(open).await;
-            completeness = completeness.with_process(probed);
-            process = Some(probed);
-        }
-        if completeness != completeness::Completeness::Whole {
-            self.admitted
-                .log_unmarked_end(open)
-                .text("end", completeness.as_str())
-                .text("process", process.map_or("not probed", completeness::Process::as_str))
-                .number("bytes", bytes)
-                .number("events", events)
-                .number("bytes_left", self.reader.buffered())
-                .text("promised", self.promised.as_str())
-                .warn();
-        }
-        if completeness == completeness::Completeness::Broken {
+        let received = conclude::Received { bytes, events, bytes_left: self.reader.buffered() };
+        let conclusion = self.admitted.conclude(open, content, received, self.promised).await;
+        if conclusion.completeness == completeness::Completeness::Broken {
             self.record_broken_answer(open, events);
-            let reason = if process.is_some() { "its process ended" } else { "inside an event" };
-            return Err(Failure::Broken(format!("ended early: {reason}")));
+            let how = if conclusion.process.is_some() { "its process" } else { "inside an event" };
+            return Err(Failure::Broken(format!("ended early: {how}")));
         }
-        self.admitted.state.metrics.count_answer_end(open.framing, completeness.as_str());
-        match completeness::next(completeness, self.promised) {
-            completeness::Next::Finish => self.forward_rest().await,
+        match completeness::next(conclusion.completeness, self.promised) {
+            completeness::Next::Finish => self.forward_rest().await.map(|()| conclusion),
             completeness::Next::Resume => Err(Failure::Unproven),
         }
     }
--- a/crates/lagoonline/src/lifecycle/completeness.rs
+++ b/crates/lagoonline/src/lifecycle/completeness.rs
@@ -144,6 +144,46 @@
     }
 }
 
+/// What is concluded from the end of an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Conclusion {
+    /// Whether the answer is whole.
+    pub completeness: Completeness,
+    /// The upstream's process, if it had to be asked.
+    pub process: Option<Process>,
+}
+
+impl Conclusion {
+    /// Concludes from the body alone, after its connection ended in order.
+    pub fn of_body(framing: Framing, content: Content) -> Conclusion {
+        Conclusion { completeness: Completeness::of_body(framing, content), process: None }
+    }
+
+    /// Adds what is known of the upstream's process.
+    #[must_use]
+    pub fn with_process(self, process: Process) -> Conclusion {
+        let completeness = self.completeness.with_process(process);
+        Conclusion { completeness, process: Some(process) }
+    }
+
+    /// Whether the process outlived its answer. Only then does the answer show that the upstream is
+    /// healthy and that the request does not crash it.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::{Conclusion, Content, Framing, Process};
+    /// let unframed = Conclusion::of_body(Framing::Connection, Content::Silent);
+    /// assert!(!unframed.with_process(Process::Unknown).is_outlived());
+    /// assert!(unframed.with_process(Process::Running).is_outlived());
+    /// assert!(Conclusion::of_body(Framing::Length, Content::Silent).is_outlived());
+    /// ```
+    pub fn is_outlived(&self) -> bool {
+        match self.process {
+            Some(process) => process == Process::Running,
+            None => self.completeness == Completeness::Whole,
+        }
+    }
+}
+
 /// What follows for the caller when an upstream's part of a stream has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
