Pass a plain answer on without an end mark if nothing proves it whole

Callers got half an answer with a length of its own, as a whole one, when a plain service crashed under an answer without a length or chunks; a lookup was not asked again, and half a booking passed for its result. Cause: as with streams, the end of the connection was taken for the end of the answer, and the host then wrote the length itself.

Framing and content decide; JSON that parses is a proof, JSON that ends before its value does is cut; else the process is probed. Broken: a request that may be repeated goes elsewhere, any other gets 502, which promises nothing. Unknown: the caller gets the body, ended by its connection.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use crate::admit;
 use crate::answer;
 use crate::attempt;
+use crate::conclude;
 use crate::connection;
 use crate::event;
 use crate::exchange;
@@ -197,11 +198,26 @@
     }
 }
 
+/// Returns what the body of an answer that is not streamed shows about its end. A body whose end is
+/// marked is forwarded whatever it holds.
+fn plain_content(
+    framing: completeness::Framing,
+    is_json: bool,
+    body: &[u8],
+) -> completeness::Content {
+    if is_json && !framing.marks_end() {
+        completeness::json(body)
+    } else {
+        completeness::Content::Silent
+    }
+}
+
 /// An upstream's answer, checked as far as needed before the caller sees any of it.
 #[derive(Debug)]
 pub(crate) enum CheckedAnswer {
-    /// A complete answer.
-    Complete { status: u16, headers: Vec<head::Header>, body: Bytes },
+    /// An answer that was read to its end. If nothing proves that it is whole, the caller's body
+    /// ends with its connection.
+    Complete { status: u16, headers: Vec<head::Header>, body: Bytes, is_proven: bool },
     /// A stream that has begun.
     Stream { status: u16, headers: Vec<head::Header>, open: Box<OpenAnswer> },
 }
@@ -223,14 +239,19 @@
     fn deliver(self, admitted: Admitted, caller: Caller) -> web::HttpResponse {
         let closing = admitted.state.phase() > state::Phase::Serving;
         match self {
-            CheckedAnswer::Complete { status, headers, body } => {
+            CheckedAnswer::Complete { status, headers, body, is_proven } => {
                 let span = admitted.state.clock.now().since(admitted.request.arrived);
                 // Answers that are not streamed are recorded without a prompt length.
                 admitted.state.metrics.record_first_event(0, span);
                 admitted.state.metrics.count_answer(admitted.service.as_str(), None);
-                admitted.log_end("whole", status);
+                admitted.log_end(if is_proven { "whole" } else { "unknown" }, status);
                 let mut builder = answer::forward_head(status, &headers, closing);
-                builder.body(ntex::util::Bytes::copy_from_slice(&body))
+                let body = ntex::util::Bytes::copy_from_slice(&body);
+                if is_proven {
+                    return builder.body(body);
+                }
+                let body = stream::unmarked_body(body, caller);
+                builder.no_chunking().force_close().streaming(body)
             }
             CheckedAnswer::Stream { status, headers, open } => {
                 let promised = caller.promise(open.framing);
@@ -490,13 +511,13 @@
             self.record_broken_connection(peer, quarantine::Progress::Unknown);
             attempt::Failure::Lost(format!("{peer}: {failure}"))
         })?;
-        self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Whole);
-        if open.framing == completeness::Framing::Connection {
-            self.log_unproven_end(&open)
-                .number("status", status)
-                .number("bytes", body.len())
-                .text("caller_got", "a whole answer")
-                .warn();
+        let content = plain_content(open.framing, read.json, &body);
+        let received = conclude::Received { bytes: body.len(), ..Default::default() };
+        let unmarked = completeness::Framing::Connection;
+        let conclusion = self.conclude(&open, content, received, unmarked).await;
+        if conclusion.completeness == completeness::Completeness::Broken {
+            self.record_broken_connection(peer, quarantine::Progress::Unknown);
+            return Err(attempt::Failure::Lost(format!("{peer}: the answer ended early")));
         }
         if status >= 500 {
             self.record_outcome(peer, message::UpstreamOutcome::Erred);
@@ -507,13 +528,15 @@
         if status >= 500 && repeatable && !is_last {
             return Err(attempt::Failure::Lost(format!("{peer}: answered with status {status}")));
         }
-        if success {
+        if success && conclusion.is_outlived() {
             self.record_success(peer);
             if !body.is_empty() {
                 self.clear();
             }
         }
-        Ok(CheckedAnswer::Complete { status, headers: forwarded, body: body.freeze() })
+        let is_proven = conclusion.completeness == completeness::Completeness::Whole;
+        let body = body.freeze();
+        Ok(CheckedAnswer::Complete { status, headers: forwarded, body, is_proven })
     }
 
     /// Records that the engine at `address` failed to help `primary`, so that it is avoided for a
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -103,6 +103,19 @@
     Body { events }
 }
 
+/// Returns a body whose end is that of the caller's connection, and starts the task that closes it.
+pub(crate) fn unmarked_body(bytes: util::Bytes, caller: forward::Caller) -> Body {
+    let (sender, events) = mpsc::channel(EVENT_BUFFER);
+    drop(ntex::rt::spawn(async move {
+        // A caller that has left needs no body.
+        if sender.send(bytes).await.is_ok() {
+            close(caller.io.as_ref(), &sender).await;
+        }
+        drop(caller);
+    }));
+    Body { events }
+}
+
 /// Closes the caller's connection once the caller's side has taken the whole body. The body is held
 /// open until then: if it ended, the server would handle a request that was sent behind this one,
 /// and write its answer into the body.
