--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -11,6 +11,7 @@
 use lagoon_load::bench::report;
 use lagoon_load::bench::scenario;
 use lagoon_load::bench::simulation;
+use lagoon_load::completeness;
 use lagoon_load::departures;
 use lagoon_load::direct;
 use lagoon_load::http;
@@ -35,11 +36,24 @@
     Bench(Bench),
     Http(Http),
     Direct(Direct),
+    Completeness(Completeness),
     Departures(Departures),
     Limits(Limits),
     Soak(Soak),
 }
 
+/// Ways of deciding whether a stream is whole whose upstream marked no end, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "completeness")]
+struct Completeness {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
 /// Ways of deciding which upstreams get requests while some leave, in virtual time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "departures")]
@@ -205,6 +219,7 @@
         Command::Bench(bench) => run_bench(&bench).map(|()| true),
         Command::Http(http) => run_http(&http).map(|()| true),
         Command::Direct(direct) => run_direct(direct).map(|()| true),
+        Command::Completeness(completeness) => run_completeness(&completeness).map(|()| true),
         Command::Departures(departures) => run_departures(&departures).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
@@ -395,6 +410,57 @@
     }
 }
 
+/// Plays the scenarios of broken streams with each way, and prints the sums of the figures over all
+/// seeds, and the quantiles of the times from a cut to the next event.
+fn run_completeness(args: &Completeness) -> Result<(), Box<dyn error::Error>> {
+    let all = completeness::all();
+    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
+    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
+        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
+    }
+    println!(
+        "scenario way streams cut marked_short doubtful_short whole_as_broken broken in_time late \
+         resumed resumed_whole tokens_again_k probes connections_closed gap_p50_ms gap_p99_ms"
+    );
+    let wanted = |scenario: &&completeness::Scenario| {
+        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
+    };
+    for scenario in all.iter().filter(wanted) {
+        for way in completeness::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| completeness::run(scenario, way, seed)).collect();
+            print_completeness(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_completeness(scenario: &str, way: completeness::Way, reports: &[completeness::Report]) {
+    let sum = |figure: fn(&completeness::Report) -> u64| reports.iter().map(figure).sum::<u64>();
+    let mut gaps_ms: Vec<_> = reports.iter().flat_map(|report| &report.gaps_ms).copied().collect();
+    gaps_ms.sort_unstable();
+    let gaps = completeness::Report { gaps_ms, ..Default::default() };
+    let gap = |share| gaps.gap_ms(share).map_or("-".to_owned(), |gap| gap.to_string());
+    println!(
+        "{scenario} {way:?} {} {} {} {} {} {} {} {} {} {} {} {} {} {} {}",
+        sum(|report| report.streams),
+        sum(|report| report.cut),
+        sum(|report| report.marked_short),
+        sum(|report| report.doubtful_short),
+        sum(|report| report.whole_as_broken),
+        sum(|report| report.broken),
+        sum(|report| report.in_time),
+        sum(|report| report.late),
+        sum(|report| report.resumed),
+        sum(|report| report.resumed_whole),
+        sum(|report| report.tokens_again),
+        sum(|report| report.probes),
+        sum(|report| report.connections_closed),
+        gap(0.5),
+        gap(0.99),
+    );
+}
+
 /// Plays the scenarios of departures with each way, and prints the worst of the times after the
 /// acknowledgement and the means of the other figures over all seeds.
 fn run_departures(args: &Departures) -> Result<(), Box<dyn error::Error>> {
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,6 +1,7 @@
 //! lagoon-load: load generators, fault tests and benchmarks.
 
 pub mod bench;
+pub mod completeness;
 pub mod departures;
 pub mod direct;
 pub mod http;
