Cut a stream whose event never ends once it is larger than any answer may be

An upstream that sends bytes without ever ending an event was buffered without a bound, and its caller waited. Found by reading; a test over sockets failed before: no end after 20 s with a deadline of 8 s, and all bytes kept. The bound is that of answers that are not streamed.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -64,7 +64,7 @@
 }
 
 /// Maximum size in bytes of an answer that is not streamed; it is buffered until complete.
-const MAX_BUFFERED_BODY: usize = 8 << 20;
+pub(crate) const MAX_BUFFERED_BODY: usize = 8 << 20;
 /// Timeout for connecting to an upstream: zones are some milliseconds apart, and a lost packet is
 /// retransmitted after 200 ms.
 const CONNECT_TIMEOUT: clock::Span = clock::Span::from_millis(350);
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -33,6 +33,9 @@
 
 /// Events buffered for a slow caller; while the buffer is full the upstream is not read.
 const EVENT_BUFFER: usize = 64;
+/// Maximum size of an event in bytes, as of an answer that is not streamed: an event is buffered
+/// until it is complete.
+const MAX_EVENT_BYTES: usize = forward::MAX_BUFFERED_BODY;
 /// Multiple of the route's gap target for which an upstream may be silent before another is tried.
 const SILENT_GAPS: u32 = 4;
 /// Minimum silence before another upstream is tried: a lost packet is retransmitted within it.
@@ -493,6 +496,9 @@
             self.events += 1;
             self.record_pause();
         }
+        if self.reader.buffered() > MAX_EVENT_BYTES {
+            return Err(Failure::Broken(format!("an event of over {MAX_EVENT_BYTES} bytes")));
+        }
         Ok(())
     }
 
--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -246,6 +246,29 @@
     assert_eq!(resumptions(&host), [None, Some("4".to_owned())]);
 }
 
+/// Guards against an event that never ends and fills the host's memory: the stream is cut as soon
+/// as the event is larger than any answer may be, not at its deadline.
+#[rstest]
+fn an_event_that_never_ends_does_not_fill_the_memory() {
+    let host = Host::start_raw();
+    let (body, end) = (Body::Text("data: x"), Ending::Endless);
+    host.standin.script(&[Script { framing: Framing::Unframed, body, end, ..WHOLE }]);
+    let began = std::time::Instant::now();
+    let answer = prompt(&host, "tell");
+    assert!(answer.body.len() < 12 << 20, "{} bytes", answer.body.len());
+    assert!(began.elapsed() < std::time::Duration::from_secs(5), "{:?}", began.elapsed());
+}
+
+/// Guards against a caller that waits for an upstream which fell silent inside an event.
+#[rstest]
+fn a_stream_that_falls_silent_inside_an_event_goes_on_elsewhere() {
+    let host = Host::start_raw();
+    host.standin.script(&[Script { cut: Some(after(4, 9)), end: Ending::Silent, ..UNFRAMED }]);
+    let answer = prompt(&host, "talk");
+    assert_eq!((answer.body, answer.end), (raw::events_after(0, "\n"), End::Closed));
+    assert_eq!(resumptions(&host), [None, Some("4".to_owned())]);
+}
+
 /// Guards against a host that vouches for a plain answer that came without an end mark: it is
 /// delivered, and its end is the end of the connection.
 #[rstest]
