Take a service's answer that ends with its connection for lost

Five cases over sockets failed before.

An answer with neither a length nor chunks now counts as lost: 502 with the outcome unknown, asked again only where the method may repeat, the key is marked as lost. Services and the platform of this interface have to mark the end of their answers (docs/PROTOCOLS.md).

--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -18,6 +18,7 @@
 
 pub mod engine;
 pub mod entry;
+mod framing;
 pub mod link;
 pub mod logs;
 pub mod operator;
--- a/crates/lagoon-net/src/platform/client.rs
+++ b/crates/lagoon-net/src/platform/client.rs
@@ -12,6 +12,7 @@
 use ntex::util;
 
 use super::settings;
+use crate::framing;
 
 /// Burst size of a budget, in seconds of its rate.
 const BURST_SECONDS: f64 = 5.0;
@@ -175,7 +176,7 @@
     async fn send(&self, call: Call<'_>) -> Result<Response, table::Error> {
         let step = call.step;
         let url = format!("http://{}{}", self.address, call.path);
-        let request = self.http.request(call.method, url);
+        let request = self.http.request(call.method.clone(), url);
         let request = request.set_header("Lagoon-Zone", self.zone.as_str());
         let request = request.timeout(time::Millis::ZERO);
         let request = match call.query {
@@ -192,6 +193,7 @@
             client::error::ClientError::Url(error) => self.refused(step, error),
             error => self.unknown(step, error),
         })?;
+        framing::check(&call.method, &response).map_err(|error| self.unknown(step, error))?;
         let body = response.body().limit(RESPONSE_LIMIT).timeout(time::Millis::ZERO).await;
         let body = body.map_err(|error| self.unknown(step, error))?;
         Ok(Response { status: response.status(), body })
--- a/crates/lagoon-net/src/service/mod.rs
+++ b/crates/lagoon-net/src/service/mod.rs
@@ -9,6 +9,7 @@
 use ntex::http::body;
 
 use crate::engine;
+use crate::framing;
 
 /// Headers that are not forwarded: they apply to one connection, are set by the HTTP client itself,
 /// or are meant for lagoonline (`authorization`). `Lagoon-*` headers are not forwarded either; the
@@ -77,8 +78,9 @@
     call: Call<'_>,
     body: body::Body,
 ) -> Result<client::ClientResponse, Failure> {
-    let mut request =
-        client.request(call.method, format!("http://{address}{}", call.target)).no_decompress();
+    let mut request = client
+        .request(call.method.clone(), format!("http://{address}{}", call.target))
+        .no_decompress();
     let names = call.headers.iter().filter(|(name, _)| is_forwarded(name));
     for (name, value) in names.filter(|(name, _)| !name.as_str().starts_with("lagoon-")) {
         request = request.header(name.clone(), value.clone());
@@ -102,5 +104,6 @@
     if echoed.and_then(|text| text.parse().ok()) != Some(call.attempt) {
         return Err(Failure::Lost("the answer names another attempt".to_owned()));
     }
+    framing::check(&call.method, &response).map_err(|error| Failure::Lost(error.to_string()))?;
     Ok(response)
 }
--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -76,6 +76,21 @@
     host.finish();
 }
 
+/// Guards against half an answer that is kept under a key and given again as the whole one: an
+/// answer that ends with its connection may have been broken off.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_not_kept() {
+    let (host, calls, table) = start(Runner::AnswerUnframed);
+    for status in ["502", "409"] {
+        let answer = book(&host, "tin");
+        assert_eq!(host::status(&answer), status, "{answer}");
+        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    }
+    assert!(!any_row(&table, "\"done\""));
+    assert_eq!(calls.lock().unwrap().len(), 1);
+    host.finish();
+}
+
 // The runner refuses the booking as not run. The key is released, and a retry sends the booking
 // again.
 #[test]
--- a/crates/lagoon-net/tests/entry/runner.rs
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -16,6 +16,10 @@
     /// Responds as to HEAD: the head of a long body, without the body.
     AnswerHead,
     AnswerOtherAttempt,
+    /// Answers with a body that ends with its connection.
+    AnswerUnframed,
+    /// The same, by HTTP/1.0.
+    AnswerHttp10,
     CloseAfterReading,
     RefuseAsNotRun,
 }
@@ -57,6 +61,12 @@
         Runner::AnswerOtherAttempt => {
             format!("HTTP/1.1 200 OK\r\nLagoon-Attempt: {other}\r\nContent-Length: 3\r\n\r\nbad")
         }
+        Runner::AnswerUnframed => format!(
+            "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nConnection: close\r\n\r\nbin"
+        ),
+        Runner::AnswerHttp10 => {
+            format!("HTTP/1.0 201 Created\r\nLagoon-Attempt: {attempt}\r\n\r\nbin")
+        }
         Runner::CloseAfterReading => String::new(),
         Runner::RefuseAsNotRun => "HTTP/1.1 503 Service Unavailable\r\nLagoon-Not-Run: 1\r\n\
              Content-Length: 0\r\nConnection: close\r\n\r\n"
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -60,6 +60,11 @@
 #[case("POST", Runner::CloseAfterReading, 1)]
 #[case("POST", Runner::AnswerOtherAttempt, 1)]
 #[case("GET", Runner::CloseAfterReading, 2)]
+// An answer that ends with its connection may have been broken off.
+#[case("POST", Runner::AnswerUnframed, 1)]
+#[case("POST", Runner::AnswerHttp10, 1)]
+#[case("GET", Runner::AnswerUnframed, 2)]
+#[case("GET", Runner::AnswerHttp10, 2)]
 fn a_lost_answer_is_unknown(#[case] method: &str, #[case] runner: Runner, #[case] sent: usize) {
     let (first, first_calls) = start(runner);
     let (second, second_calls) = start(runner);
