Close a body without an end mark once a slow caller has taken all of it

A caller that read slowly got the whole body but not its end for over 20 s: closing gracefully is not noticed by the server while it waits for the body, once its write buffer was full. All is flushed first, then the connection is closed at once.

The ends of callers' bodies move to a module of their own (body); a caller that leaves is no failure of its upstream; the probe of an upstream leaves time to deliver the answer before the deadline.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -22,6 +22,9 @@
 /// Timeout of a probe: some round trips between zones.
 const PROBE_TIMEOUT: clock::Span = clock::Span::from_millis(350);
 
+/// Time for an answer that is at hand to be delivered before its deadline.
+const DELIVERY_TIME: clock::Span = clock::Span::from_millis(50);
+
 /// Requests whose connections broke, by upstream, while that upstream is being probed.
 #[derive(Debug, Default)]
 pub(crate) struct BrokenRequests(
@@ -74,9 +77,12 @@
 }
 
 impl forward::Admitted {
-    /// Probes whether the process that made the answer of `open` still runs.
+    /// Probes whether the process that made the answer of `open` still runs. The result is unknown
+    /// if the deadline is too close: the answer has to be delivered before it.
     pub(crate) async fn probe_process(&self, open: &forward::OpenAnswer) -> completeness::Process {
-        probe(&self.state, &self.service, &open.upstream, Some(open.started_ms)).await
+        let probing = probe(&self.state, &self.service, &open.upstream, Some(open.started_ms));
+        let left = self.time_left().saturating_sub(DELIVERY_TIME);
+        tokio::time::timeout(left, probing).await.unwrap_or(completeness::Process::Unknown)
     }
 }
 
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -17,6 +17,7 @@
 use crate::admit;
 use crate::answer;
 use crate::attempt;
+use crate::body;
 use crate::conclude;
 use crate::connection;
 use crate::event;
@@ -250,7 +251,7 @@
                 if is_proven {
                     return builder.body(body);
                 }
-                let body = stream::unmarked_body(body, caller);
+                let body = body::unmarked(body, caller);
                 builder.no_chunking().force_close().streaming(body)
             }
             CheckedAnswer::Stream { status, headers, open } => {
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -4,7 +4,8 @@
 //!
 //! A request of a caller passes through these modules: `server` reads it, `admit` finds its
 //! route and customer, `place` chooses an upstream and reserves memory there, `forward` makes
-//! the attempts and `stream` forwards the events of a streamed answer. A dispatch is one attempt
+//! the attempts, `stream` forwards the events of a streamed answer, `conclude` decides whether
+//! what came is whole, and `body` ends the caller's answer accordingly. A dispatch is one attempt
 //! at one upstream. `mesh` shares dispatches in flight with the other hosts, and `relay` the
 //! platform's tables with the hosts of the same zone.
 //!
@@ -13,6 +14,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod body;
 mod clock;
 mod conclude;
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -12,9 +12,7 @@
 //! else can tell its caller: the connection is not reset, which would discard what was sent.
 
 use std::pin;
-use std::task;
 
-use futures_util::Stream;
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::event_stream;
@@ -26,13 +24,12 @@
 use tokio::sync::mpsc;
 
 use crate::attempt;
+use crate::body;
 use crate::conclude;
 use crate::event;
 use crate::forward;
 use crate::silence;
 
-/// Events buffered for a slow caller; while the buffer is full the upstream is not read.
-const EVENT_BUFFER: usize = 64;
 /// Maximum size of an event in bytes, as of an answer that is not streamed: an event is buffered
 /// until it is complete.
 const MAX_EVENT_BYTES: usize = forward::MAX_BUFFERED_BODY;
@@ -43,36 +40,14 @@
 /// Time that a stream may run beyond its deadline, so that one which is about to end can finish.
 const MAX_OVERTIME: clock::Span = clock::Span::from_millis(150);
 
-/// Interval of the check whether a connection has sent what was written to it.
-const FLUSH_CHECK_INTERVAL: clock::Span = clock::Span::from_millis(10);
-/// Timeout for the caller to receive what was forwarded before its stream broke.
-const CUT_TIMEOUT: clock::Span = clock::Span::from_secs(1);
-
-/// The body of a streamed answer.
-#[derive(Debug)]
-pub(crate) struct Body {
-    events: mpsc::Receiver<util::Bytes>,
-}
-
-impl Stream for Body {
-    type Item = Result<util::Bytes, std::io::Error>;
-
-    fn poll_next(
-        mut self: pin::Pin<&mut Self>,
-        context: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Self::Item>> {
-        self.events.poll_recv(context).map(|event| event.map(Ok))
-    }
-}
-
 /// Starts a task that forwards the events of `open`, and returns the body that it feeds.
 pub(crate) fn start(
     admitted: forward::Admitted,
     open: forward::OpenAnswer,
     caller: forward::Caller,
     promised: completeness::Framing,
-) -> Body {
-    let (sender, events) = mpsc::channel(EVENT_BUFFER);
+) -> body::Body {
+    let (sender, body) = body::channel();
     let body_sender = sender.clone();
     let forwarder = Forwarder {
         last_event: admitted.request.head.last_event,
@@ -97,60 +72,13 @@
         };
         match forwarder.run(open, disconnected).await {
             End::Complete if promised.marks_end() => {}
-            End::Complete | End::Unproven => close(caller.io.as_ref(), &body_sender).await,
-            End::Broken => cut(caller.io.as_ref(), &body_sender).await,
+            End::Complete | End::Unproven => body::close(caller.io.as_ref(), &body_sender).await,
+            End::Broken => body::cut(caller.io.as_ref(), &body_sender).await,
             End::CallerLeft => {}
         }
         drop(caller);
     }));
-    Body { events }
-}
-
-/// Returns a body whose end is that of the caller's connection, and starts the task that closes it.
-pub(crate) fn unmarked_body(bytes: util::Bytes, caller: forward::Caller) -> Body {
-    let (sender, events) = mpsc::channel(EVENT_BUFFER);
-    drop(ntex::rt::spawn(async move {
-        // A caller that has left needs no body.
-        if sender.send(bytes).await.is_ok() {
-            close(caller.io.as_ref(), &sender).await;
-        }
-        drop(caller);
-    }));
-    Body { events }
-}
-
-/// Closes the caller's connection once the caller's side has taken the whole body. The body is held
-/// open until then: if it ended, the server would handle a request that was sent behind this one,
-/// and write its answer into the body.
-async fn close(io: Option<&ntex::io::IoRef>, body_sender: &mpsc::Sender<util::Bytes>) {
-    let Some(io) = io else { return };
-    flush(io, body_sender).await;
-    io.close();
-    body_sender.closed().await;
-}
-
-/// Waits until all events were written to the connection, or the connection is closed.
-async fn flush(io: &ntex::io::IoRef, body_sender: &mpsc::Sender<util::Bytes>) {
-    let taken = body_sender.reserve_many(EVENT_BUFFER).await.is_ok();
-    while taken && !io.is_closed() && !io.with_write_dst_buf(|buffer| buffer.is_empty()) {
-        tokio::time::sleep(FLUSH_CHECK_INTERVAL).await;
-    }
-}
-
-/// Closes the caller's connection once the forwarded events are sent, without the terminating chunk
-/// of the body.
-///
-/// An error passed to the server would be written into the body as an answer of its own, and ending
-/// the body would make the stream look complete. So the body is held open until the connection is
-/// closed.
-async fn cut(io: Option<&ntex::io::IoRef>, body_sender: &mpsc::Sender<util::Bytes>) {
-    let closing = close(io, body_sender);
-    if tokio::time::timeout(CUT_TIMEOUT, closing).await.is_err()
-        && let Some(io) = io
-    {
-        io.terminate();
-        body_sender.closed().await;
-    }
+    body
 }
 
 /// How a stream ended.
@@ -177,13 +105,6 @@
     CallerLeft,
 }
 
-impl Failure {
-    /// Whether the upstream failed.
-    fn is_fault(&self) -> bool {
-        matches!(self, Failure::Broken(_))
-    }
-}
-
 /// Forwards one stream to its caller, from one upstream after another.
 struct Forwarder {
     admitted: forward::Admitted,
@@ -263,8 +184,11 @@
                 Ok(conclusion) => return self.end_complete(&upstream, conclusion),
                 Err(failure) => failure,
             };
+            if matches!(failure, Failure::CallerLeft) {
+                return End::CallerLeft;
+            }
             self.log_failure(&upstream, framing, &failure);
-            if failure.is_fault() {
+            if matches!(failure, Failure::Broken(_)) {
                 self.admitted.record_failure(&upstream);
             }
             let cut_event = self.reader.take_rest();
--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -290,6 +290,22 @@
     assert_eq!(resumptions(&host).len(), 1);
 }
 
+/// Guards against a body without an end mark whose connection is closed before a slow caller has
+/// taken all of it: what is missing would not show.
+#[rstest]
+fn a_slow_caller_gets_all_of_a_body_without_an_end_mark() {
+    let host = Host::start_raw();
+    let long: &'static str = Box::leak("x".repeat(7 << 20).into_boxed_str());
+    host.standin.script(&[Script { body: Body::Text(long), ..UNFRAMED_TEXT }]);
+    let mut stream = std::net::TcpStream::connect(host.callers).unwrap();
+    stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
+    let booking = request("POST", "/book/1", "content-length: 0\r\n");
+    std::io::Write::write_all(&mut stream, booking.as_bytes()).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(2_500));
+    let answer = host::caller::read(&mut stream);
+    assert_eq!((answer.body.len(), answer.end), (long.len(), End::Closed));
+}
+
 /// Guards against half a booking that passes for a whole one after a crash. It may have run, so the
 /// answer must not promise that it did not, and it must not be sent again.
 #[rstest]
--- a/crates/lagoon-gateway/tests/host/caller.rs
+++ b/crates/lagoon-gateway/tests/host/caller.rs
@@ -47,7 +47,7 @@
                 is_reset = true;
                 break;
             }
-            Err(error) => panic!("no end of the answer: {error}"),
+            Err(error) => panic!("no end of the answer: {error} after {}", bytes.len()),
         }
     }
     ended_answer(&bytes, is_reset)
