--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -11,18 +11,8 @@
 use host::Host;
 use host::caller::{Answer, End, call};
 use rstest::rstest;
-use standin::raw::{self, Body, End as Ending, Framing, Script};
-
-/// A whole answer in chunks.
-const WHOLE: Script = Script {
-    status: 200,
-    framing: Framing::Chunks,
-    content_type: "text/event-stream",
-    body: Body::Events,
-    line_end: "\n",
-    cut: None,
-    end: Ending::Close,
-};
+use standin::raw::{self, Body, End as Ending, Framing, Script, WHOLE};
+
 /// A whole answer that ends with its connection.
 const UNFRAMED: Script = Script { framing: Framing::Unframed, ..WHOLE };
 /// The same, not streamed.
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -89,27 +89,24 @@
 impl Host {
     /// Starts a host with two engines and two replicas, and waits until it is ready.
     pub fn start() -> Host {
-        let standin = Standin::start();
-        standin.put("op", "config", &desired(1, &["k1"], 10_000));
-        for name in ["e1", "e2"] {
-            standin.upstream(name, "llm", 16);
-        }
-        for name in ["r1", "r2"] {
-            standin.upstream(name, "app", 6);
-        }
-        Host::join(&standin, HostSettings::default())
+        Host::start_with(|standin, name, service, slots| {
+            standin.upstream(name, service, slots);
+        })
     }
 
-    /// Starts a host with two engines and two replicas that answer by [`Standin::script`], and waits
-    /// until it is ready.
+    /// As [`Host::start`], with upstreams that answer by [`Standin::script`].
     pub fn start_raw() -> Host {
+        Host::start_with(Standin::raw_upstream)
+    }
+
+    fn start_with(upstream: fn(&Standin, &str, &str, u32)) -> Host {
         let standin = Standin::start();
         standin.put("op", "config", &desired(1, &["k1"], 10_000));
         for name in ["e1", "e2"] {
-            standin.raw_upstream(name, "llm", 16);
+            upstream(&standin, name, "llm", 16);
         }
         for name in ["r1", "r2"] {
-            standin.raw_upstream(name, "app", 6);
+            upstream(&standin, name, "app", 6);
         }
         Host::join(&standin, HostSettings::default())
     }
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -410,22 +410,33 @@
     }
 }
 
+/// Returns the scenarios that are named in `names`, or all if there are no names.
+fn select<Scenario, Name>(
+    mut scenarios: Vec<Scenario>,
+    names: &[String],
+    name_of: Name,
+) -> Result<Vec<Scenario>, UnknownName>
+where
+    Name: Fn(&Scenario) -> &'static str,
+{
+    let is_known = |name: &String| scenarios.iter().any(|scenario| name_of(scenario) == *name);
+    if let Some(name) = names.iter().find(|name| !is_known(name)) {
+        return Err(UnknownName { kind: "scenario", name: name.clone() });
+    }
+    let is_wanted = |scenario: &Scenario| names.iter().any(|name| *name == name_of(scenario));
+    scenarios.retain(|scenario| names.is_empty() || is_wanted(scenario));
+    Ok(scenarios)
+}
+
 /// Plays the scenarios of broken streams with each way, and prints the sums of the figures over all
 /// seeds, and the quantiles of the times from a cut to the next event.
 fn run_completeness(args: &Completeness) -> Result<(), Box<dyn error::Error>> {
-    let all = completeness::all();
-    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
-    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
-        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
-    }
+    let scenarios = select(completeness::all(), &args.scenario, |scenario| scenario.name)?;
     println!(
         "scenario way streams cut marked_short doubtful_short whole_as_broken broken in_time late \
          resumed resumed_whole tokens_again_k probes connections_closed gap_p50_ms gap_p99_ms"
     );
-    let wanted = |scenario: &&completeness::Scenario| {
-        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
-    };
-    for scenario in all.iter().filter(wanted) {
+    for scenario in &scenarios {
         for way in completeness::Way::ALL {
             let reports: Vec<_> =
                 (1..=args.seeds).map(|seed| completeness::run(scenario, way, seed)).collect();
@@ -464,16 +475,9 @@
 /// Plays the scenarios of departures with each way, and prints the worst of the times after the
 /// acknowledgement and the means of the other figures over all seeds.
 fn run_departures(args: &Departures) -> Result<(), Box<dyn error::Error>> {
-    let all = departures::all();
-    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
-    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
-        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
-    }
+    let scenarios = select(departures::all(), &args.scenario, |scenario| scenario.name)?;
     println!("scenario way late_ms latest_ms until_none_ms avoided_ms without_any_ms sent_bytes");
-    let wanted = |scenario: &&departures::Scenario| {
-        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
-    };
-    for scenario in all.iter().filter(wanted) {
+    for scenario in &scenarios {
         for way in departures::Way::ALL {
             let reports: Vec<_> =
                 (1..=args.seeds).map(|seed| departures::run(scenario, way, seed)).collect();
@@ -502,18 +506,11 @@
 /// Plays the scenarios of limits with each way, and prints the worst excess and the means of the
 /// other figures over all seeds.
 fn run_limits(args: &Limits) -> Result<(), Box<dyn error::Error>> {
-    let all = limits::all();
-    let known = |name: &String| all.iter().any(|scenario| scenario.name == *name);
-    if let Some(name) = args.scenario.iter().find(|name| !known(name)) {
-        return Err(UnknownName { kind: "scenario", name: name.clone() }.into());
-    }
+    let scenarios = select(limits::all(), &args.scenario, |scenario| scenario.name)?;
     println!(
         "scenario way excess over_limit used in_time late refused refused_twice misled held known_ms messages"
     );
-    let wanted = |scenario: &&limits::Scenario| {
-        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
-    };
-    for scenario in all.iter().filter(wanted) {
+    for scenario in &scenarios {
         for way in limits::Way::ALL {
             let reports: Vec<_> =
                 (1..=args.seeds).map(|seed| limits::run(scenario, way, seed)).collect();
--- a/crates/lagoon-net/tests/entry/claims.rs
+++ b/crates/lagoon-net/tests/entry/claims.rs
@@ -10,6 +10,7 @@
 use lagoon_standin::engine;
 use lagoon_standin::platform as standin;
 use lagoon_standin::server;
+use rstest::rstest;
 
 use crate::host;
 use crate::runner::{self, Runner};
@@ -62,25 +63,15 @@
     host.finish();
 }
 
-// The runner reads the booking and closes the connection. The caller gets `unknown`, also when it
-// retries with the key: the booking is not sent again.
-#[test]
-fn a_lost_booking_is_not_sent_again() {
-    let (host, calls, _table) = start(Runner::CloseAfterReading);
-    for status in ["502", "409"] {
-        let answer = book(&host, "tin");
-        assert_eq!(host::status(&answer), status, "{answer}");
-        assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
-    }
-    assert_eq!(calls.lock().unwrap().len(), 1);
-    host.finish();
-}
-
-/// Guards against half an answer that is kept under a key and given again as the whole one: an
-/// answer that ends with its connection may have been broken off.
-#[test]
-fn an_answer_that_ends_with_its_connection_is_not_kept() {
-    let (host, calls, table) = start(Runner::AnswerUnframed);
+// The runner reads the booking and closes the connection, or its answer ends with the connection
+// and may have been broken off. The caller gets `unknown`, also when it retries with the key: the
+// booking is not sent again, and half an answer is not kept as the whole one.
+#[rstest]
+#[case(Runner::CloseAfterReading)]
+#[case(Runner::AnswerUnframed)]
+#[case(Runner::AnswerHttp10)]
+fn a_lost_booking_is_not_sent_again(#[case] runner: Runner) {
+    let (host, calls, table) = start(runner);
     for status in ["502", "409"] {
         let answer = book(&host, "tin");
         assert_eq!(host::status(&answer), status, "{answer}");
