--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -120,7 +120,8 @@
 #[rstest]
 fn a_crash_between_two_events_is_not_the_end_of_a_stream(
     #[values(Framing::Unframed, Framing::UnframedClose, Framing::Http10)] framing: Framing,
-    #[values(0, 1, 7)] events: u64,
+    // After the last one, the next upstream says that nothing is left.
+    #[values(0, 1, 7, 10)] events: u64,
 ) {
     let host = Host::start_raw();
     let cut = Some(after(events, 0));
@@ -296,6 +297,35 @@
     assert_eq!((answer.body.len(), answer.end), (long.len(), End::Closed));
 }
 
+/// Guards against answers without a body that are taken for cut or in doubt, since they come with
+/// neither a length nor chunks.
+#[rstest]
+fn an_answer_that_has_no_body_needs_no_end_mark(
+    #[values(("HEAD", 200), ("GET", 204), ("GET", 304))] (method, status): (&str, u16),
+) {
+    let host = Host::start_raw();
+    host.standin.script(&[Script { status, body: Body::Text(""), ..UNFRAMED_TEXT }]);
+    let mut stream = std::net::TcpStream::connect(host.callers).unwrap();
+    stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
+    let look = request(method, "/look/1", "");
+    std::io::Write::write_all(&mut stream, look.as_bytes()).unwrap();
+    let mut head = [0; 1024];
+    let length = std::io::Read::read(&mut stream, &mut head).unwrap();
+    let head = String::from_utf8_lossy(&head[..length]).to_ascii_lowercase();
+    assert!(head.starts_with(&format!("http/1.1 {status} ")), "{head}");
+    assert!(!head.contains("connection: close") && head.ends_with("\r\n\r\n"), "{head}");
+    assert_eq!(resumptions(&host).len(), 1);
+}
+
+/// An empty answer that ends with its connection is in doubt as any other.
+#[rstest]
+fn an_empty_answer_without_an_end_mark_is_passed_on_without_one() {
+    let host = Host::start_raw();
+    host.standin.script(&[Script { body: Body::Text(""), ..UNFRAMED_TEXT }]);
+    let answer = look(&host);
+    assert_eq!((answer.status, &answer.body[..], answer.end), (200, "", End::Closed));
+}
+
 /// Guards against half a booking that passes for a whole one after a crash. It may have run, so the
 /// answer must not promise that it did not, and it must not be sent again.
 #[rstest]
