--- a/crates/lagoon-gateway/src/conclude.rs
+++ b/crates/lagoon-gateway/src/conclude.rs
@@ -2,6 +2,7 @@
 
 use lagoonline::lifecycle::completeness;
 
+use crate::event;
 use crate::forward;
 
 /// What was received of an answer.
@@ -31,19 +32,33 @@
         if conclusion.completeness == completeness::Completeness::Unknown {
             conclusion = conclusion.with_process(self.probe_process(open).await);
         }
-        let completeness = conclusion.completeness;
-        self.state.metrics.count_answer_end(open.framing, completeness);
-        if completeness != completeness::Completeness::Whole {
-            let process = conclusion.process;
-            self.log_unproven_end(open)
-                .text("end", completeness.as_str())
-                .text("process", process.map_or("not probed", completeness::Process::as_str))
-                .number("bytes", received.bytes)
-                .number("events", received.events)
-                .number("bytes_left", received.bytes_left)
-                .text("promised", promised.as_str())
-                .warn();
+        self.state.metrics.count_answer_end(open.framing, conclusion.completeness);
+        if conclusion.completeness != completeness::Completeness::Whole {
+            self.log_unproven_end(open, conclusion, received, promised);
         }
         conclusion
     }
+
+    fn log_unproven_end(
+        &self,
+        open: &forward::OpenAnswer,
+        conclusion: completeness::Conclusion,
+        received: Received,
+        promised: completeness::Framing,
+    ) {
+        let process = conclusion.process.map_or("not probed", completeness::Process::as_str);
+        event::Line::new("answer_end_unproven")
+            .text("request", &self.request.head.request_id)
+            .text("upstream", &open.upstream)
+            .number("life", open.started_ms)
+            .text("framing", open.framing.as_str())
+            .text("connection", "closed")
+            .text("end", conclusion.completeness.as_str())
+            .text("process", process)
+            .number("bytes", received.bytes)
+            .number("events", received.events)
+            .number("bytes_left", received.bytes_left)
+            .text("promised", promised.as_str())
+            .warn();
+    }
 }
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -589,16 +589,6 @@
             .info();
     }
 
-    /// Begins the log line of an answer that ended without proof of being whole.
-    pub(crate) fn log_unproven_end(&self, open: &OpenAnswer) -> event::Line {
-        event::Line::new("answer_end_unproven")
-            .text("request", &self.request.head.request_id)
-            .text("upstream", &open.upstream)
-            .number("life", open.started_ms)
-            .text("framing", open.framing.as_str())
-            .text("connection", "closed")
-    }
-
     pub(crate) fn log_failure(&self, upstream: &id::Upstream, failed: &attempt::Failure) {
         // An attempt failed.
         event::Line::new("attempt_missed")
