Log and count what connections to upstreams show of the host's own paths

On call nothing told a host that had lost its paths from a fleet whose upstreams are gone: a connection that was refused and one that timed out differ only in a text, and no line says that a host reaches no upstream.

All connections to upstreams (requests, orders, probes, reports) now go through one place, crate::path, which counts them by outcome (upstream_connections, paths_lost) and logs paths_lost and paths_regained. routing::Paths keeps what they show. No decision changed.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -16,8 +16,8 @@
 
 use crate::event;
 use crate::forward;
+use crate::path;
 use crate::state;
-use crate::tcp;
 
 /// Timeout of a probe: some round trips between zones.
 const PROBE_TIMEOUT: clock::Span = clock::Span::from_millis(350);
@@ -121,7 +121,7 @@
     if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
         return completeness::Process::Ended;
     }
-    match tcp::connect(entry.address, PROBE_TIMEOUT).await {
+    match path::connect(state, &entry, PROBE_TIMEOUT).await {
         Ok(_) => completeness::Process::Running,
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
             completeness::Process::Ended
--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -5,7 +5,7 @@
 //! is no longer needed.
 
 use std::future;
-use std::net;
+use std::io;
 use std::pin;
 use std::time;
 
@@ -17,8 +17,6 @@
 use lagoonline::lifecycle::completeness;
 use tokio::net::TcpStream;
 
-use crate::tcp;
-
 /// Body of a request.
 pub(crate) type Payload = http_body_util::Full<body::Bytes>;
 
@@ -33,6 +31,13 @@
     Lost(String),
 }
 
+impl From<io::Error> for Failure {
+    /// The failure of a request whose connection failed.
+    fn from(error: io::Error) -> Failure {
+        Failure::Unsent(error.to_string())
+    }
+}
+
 /// The connection, which makes progress only while it is polled.
 type Driver = http1::Connection<TokioIo<TcpStream>, Payload>;
 
@@ -44,18 +49,12 @@
 }
 
 impl Exchange {
-    /// Connects within `timeout`.
+    /// Prepares to send requests on a connection.
     ///
     /// # Errors
     ///
     /// [`Failure::Unsent`].
-    pub(crate) async fn open(
-        address: net::SocketAddr,
-        timeout: time::Duration,
-    ) -> Result<Exchange, Failure> {
-        let stream = tcp::connect(address, timeout)
-            .await
-            .map_err(|error| Failure::Unsent(error.to_string()))?;
+    pub(crate) async fn open(stream: TcpStream) -> Result<Exchange, Failure> {
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| Failure::Unsent(error.to_string()))?;
@@ -153,21 +152,23 @@
     pub(crate) body: bytes::BytesMut,
 }
 
-/// Sends one request on a new connection. Returns the answer, with a body of at most `limit` bytes.
-/// The call must finish within `timeout`, and the connection must be open within `connect`.
+/// Sends one request on the connection that `connecting` opens. Returns the answer, with a body of
+/// at most `limit` bytes. The call must finish within `timeout`.
 ///
 /// # Errors
 ///
 /// [`Failure`]: no connection, or no complete answer in time.
-pub(crate) async fn call(
-    address: net::SocketAddr,
+pub(crate) async fn call<Connecting>(
+    connecting: Connecting,
     request: hyper::Request<Payload>,
-    connect: time::Duration,
     timeout: time::Duration,
     limit: usize,
-) -> Result<Reply, Failure> {
+) -> Result<Reply, Failure>
+where
+    Connecting: Future<Output = io::Result<TcpStream>>,
+{
     let work = async {
-        let mut exchange = Exchange::open(address, connect).await?;
+        let mut exchange = Exchange::open(connecting.await?).await?;
         let mut answer = exchange.send(request).await?;
         let body = exchange.read_body(answer.body_mut(), limit).await?;
         let (head, _) = answer.into_parts();
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::exchange;
 use crate::in_flight;
 use crate::message;
+use crate::path;
 use crate::place;
 use crate::reserve;
 use crate::silence;
@@ -330,7 +331,10 @@
         let place::Allocation { placement, id: dispatch_id, in_flight } = allocation;
         let primary = &placement.primary;
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let opened = exchange::Exchange::open(primary.address, connect).await;
+        let opened = match path::connect(&self.state, primary, connect).await {
+            Ok(stream) => exchange::Exchange::open(stream).await,
+            Err(error) => Err(exchange::Failure::from(error)),
+        };
         let mut exchange = opened.map_err(|failure| {
             self.record_failure(&primary.upstream);
             attempt::Failure::Unsent(format!("{}: {failure}", primary.upstream))
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod message;
 mod metrics;
 mod mirror;
+mod path;
 mod peers;
 mod place;
 mod publish;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and histograms of the process.
 
 use std::collections;
+use std::io;
 use std::sync;
 use std::sync::atomic;
 
@@ -54,6 +55,43 @@
     }
 }
 
+/// How a connection to an upstream came about, or not.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionOutcome {
+    Opened,
+    Refused,
+    TimedOut,
+    Failed,
+}
+
+impl ConnectionOutcome {
+    /// Returns the outcome of `opened`.
+    pub(crate) fn of<Connection>(opened: &io::Result<Connection>) -> ConnectionOutcome {
+        match opened.as_ref().map_err(io::Error::kind) {
+            Ok(_) => ConnectionOutcome::Opened,
+            Err(io::ErrorKind::ConnectionRefused) => ConnectionOutcome::Refused,
+            Err(io::ErrorKind::TimedOut) => ConnectionOutcome::TimedOut,
+            Err(_) => ConnectionOutcome::Failed,
+        }
+    }
+
+    fn as_str(self) -> &'static str {
+        match self {
+            ConnectionOutcome::Opened => "opened",
+            ConnectionOutcome::Refused => "refused",
+            ConnectionOutcome::TimedOut => "timed_out",
+            ConnectionOutcome::Failed => "failed",
+        }
+    }
+}
+
+/// Labels of the counter of connections to upstreams.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ConnectionLabels {
+    /// The [`ConnectionOutcome`].
+    pub(crate) outcome: &'static str,
+}
+
 /// All metrics of the process.
 #[derive(Clone, Debug)]
 pub(crate) struct Metrics {
@@ -105,6 +143,10 @@
     pub(crate) older_statements: Counter,
     /// Requests that were placed again since an upstream had left before they were sent.
     pub(crate) sends_prevented: Counter,
+    /// Direct connections to upstreams, by outcome.
+    connections: Family<ConnectionLabels, Counter>,
+    /// Upstreams to which direct connections failed since one last opened.
+    pub(crate) paths_lost: Gauge,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -140,6 +182,8 @@
             list_age_ms: Gauge::default(),
             older_statements: Counter::default(),
             sends_prevented: Counter::default(),
+            connections: Family::default(),
+            paths_lost: Gauge::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -174,6 +218,7 @@
         registry.register("suspects", "requests that were at crashes", self.suspects.clone());
         self.register_limits(registry);
         self.register_departures(registry);
+        self.register_paths(registry);
     }
 
     fn register_departures(&self, registry: &mut Registry) {
@@ -189,6 +234,19 @@
         registry.register("sends_prevented", help, self.sends_prevented.clone());
     }
 
+    fn register_paths(&self, registry: &mut Registry) {
+        let help = "direct connections to upstreams, by outcome";
+        registry.register("upstream_connections", help, self.connections.clone());
+        let help = "upstreams to which direct connections failed since one last opened";
+        registry.register("paths_lost", help, self.paths_lost.clone());
+    }
+
+    /// Counts a direct connection to an upstream.
+    pub(crate) fn count_connection(&self, outcome: ConnectionOutcome) {
+        let outcome = outcome.as_str();
+        self.connections.get_or_create(&ConnectionLabels { outcome }).inc();
+    }
+
     fn register_limits(&self, registry: &mut Registry) {
         let help = "requests a second that an upstream takes from all hosts";
         registry.register("upstream_limit", help, self.upstream_limits.clone());
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -20,6 +20,7 @@
 use crate::event;
 use crate::exchange;
 use crate::message;
+use crate::path;
 use crate::state;
 
 /// Interval between two reports of an engine: one that has become slow gets about five more prompts
@@ -115,9 +116,8 @@
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
         .map_err(|error| error.to_string())?;
-    let call =
-        exchange::call(entry.address, request, REPORT_TIMEOUT, REPORT_TIMEOUT, MAX_REPORT_BYTES)
-            .await;
+    let connecting = path::connect(state, entry, REPORT_TIMEOUT);
+    let call = exchange::call(connecting, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
     let reply = call.map_err(|failure| failure.to_string())?;
     state.observe_reply(entry, sent_at, &reply);
     engine::read_report(&reply.body).map_err(|error| error.to_string())
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -23,9 +23,9 @@
 
 use crate::event;
 use crate::exchange;
+use crate::path;
 use crate::report;
 use crate::state;
-use crate::tcp;
 
 /// Timeout for an order's answer.
 const ORDER_TIMEOUT: time::Duration = time::Duration::from_millis(600);
@@ -213,7 +213,7 @@
 ) -> Result<(), String> {
     if reservations.first().is_none_or(|reservation| reservation.entry.upstream != primary.upstream)
     {
-        let connected = tcp::connect(primary.address, CONNECT_TIMEOUT).await;
+        let connected = path::connect(state, primary, CONNECT_TIMEOUT).await;
         connected.map_err(|error| error.to_string())?;
     }
     for reservation in reservations {
@@ -301,9 +301,8 @@
     state.record_call(entry);
     let sent_at = state.clock.now();
     let began = time::Instant::now();
-    let answer =
-        exchange::call(entry.address, request, CONNECT_TIMEOUT, ORDER_TIMEOUT, MAX_ANSWER_BYTES)
-            .await;
+    let connecting = path::connect(state, entry, CONNECT_TIMEOUT);
+    let answer = exchange::call(connecting, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
     let answer = answer.map(|reply| {
         state.observe_reply(entry, sent_at, &reply);
         reply.status
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -121,6 +121,8 @@
     placing_hosts: atomic::AtomicUsize,
     /// Signalled when this host's row is missing from the platform's table.
     pub(crate) unregistered: Notify,
+    /// This host's paths to upstreams.
+    pub(crate) paths: sync::Mutex<routing::Paths>,
     /// The other entry hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The other hosts of this zone, as the relay uses them.
@@ -184,6 +186,7 @@
             host_count: atomic::AtomicUsize::new(1),
             placing_hosts: atomic::AtomicUsize::new(1),
             unregistered: Notify::new(),
+            paths: sync::Mutex::default(),
             peers: sync::Mutex::new(peers::Peers::new(roster)),
             members: relay::Members::default(),
             questions: schedule::PendingQuestions::default(),
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -6,6 +6,7 @@
 use lagoon_platform::store;
 
 use crate::exchange;
+use crate::tcp;
 
 /// Timeout for connecting to the store: three round trips between zones and a lost packet.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(1_000);
@@ -77,7 +78,10 @@
         }
         let mut exchange = match usable {
             Some(idle) => idle,
-            None => exchange::Exchange::open(self.address, CONNECT_TIMEOUT).await?,
+            None => {
+                let stream = tcp::connect(self.address, CONNECT_TIMEOUT).await;
+                exchange::Exchange::open(stream.map_err(exchange::Failure::from)?).await?
+            }
         };
         let mut answer = exchange.send(self.request(call)?).await?;
         let status = answer.status().as_u16();
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod change;
 mod confirm;
+mod paths;
 mod registry;
 mod remote_clock;
 mod roster;
@@ -20,6 +21,7 @@
 
 pub use change::{Change, Departure, DepartureCause, Effect, Listing, Older};
 pub use confirm::Confirmation;
+pub use paths::{Change as PathChange, Paths};
 pub use registry::{Registry, Settings as RegistrySettings};
 pub use remote_clock::RemoteClock;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
