Do not cut a stream that may not be resumed for a second of silence

Callers of routes whose streams may not be resumed got a cut answer when their upstream was silent for 1.0 s, though sound: the silence limit asked whether the route allows more attempts, not whether the stream may go on at another upstream, and the resumption then found that it may not.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -381,7 +381,7 @@
     fn should_abandon(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
         let timeout = self.silence_timeout();
         // The last upstream that may be tried is not abandoned: it may merely be busy.
-        if self.upstreams >= self.admitted.route.max_attempts || silent < MIN_SILENCE.min(timeout) {
+        if !self.admitted.has_attempts_left(self.upstreams) || silent < MIN_SILENCE.min(timeout) {
             return false;
         }
         if self.admitted.is_unresponsive(upstream) {
