Reach upstreams through other hosts while a host's own paths are lost

Cause: a host had only its own paths, and took what it could not reach itself for the state of the world: four upstreams in a row, 350 ms each, then a refusal; upstreams it could not reach counted as unreachable, or as crashed when its own lost path refused the probe, which blamed the requests that were on their way there; in a zone with a scheduler the others were told so.

Change: what does not connect directly is tried through another host, which opens the connection and passes bytes on. Admission, placement, attempts, retry budget, deadline, reservations and the end of the answer stay where they were, so a request runs once or not at all as before; nothing is sent until the connection is open. The other host connects directly only (no second detour), refuses upstreams that it knows to have left and requests that a newer desired state does not allow, and marks the end of the upstream's bytes, so that its own death never looks like one. The detour is also the second opinion: only what a host with working paths does not reach either is recorded as down or crashed. routing::Paths decides: a lost path is avoided and tried again every 0.25 to 0.5 s, hosts say whether they are cut off, and what nobody reaches is refused at once.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -7,7 +7,6 @@
 
 use std::collections;
 use std::fmt;
-use std::io;
 use std::sync;
 
 use lagoonline::clock;
@@ -121,11 +120,9 @@
     if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
         return completeness::Process::Ended;
     }
-    match path::connect(state, &entry, PROBE_TIMEOUT).await {
+    match path::connect(state, &entry, None, PROBE_TIMEOUT).await {
         Ok(_) => completeness::Process::Running,
-        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            completeness::Process::Ended
-        }
+        Err(failure) if failure.verdict == path::Verdict::Refused => completeness::Process::Ended,
         Err(_) => completeness::Process::Unknown,
     }
 }
--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -5,7 +5,6 @@
 //! is no longer needed.
 
 use std::future;
-use std::io;
 use std::pin;
 use std::time;
 
@@ -15,7 +14,8 @@
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use lagoonline::lifecycle::completeness;
-use tokio::net::TcpStream;
+
+use crate::path;
 
 /// Body of a request.
 pub(crate) type Payload = http_body_util::Full<body::Bytes>;
@@ -26,20 +26,16 @@
     /// No byte was sent: the connection failed, or the request could not be built.
     #[error("no connection: {0}")]
     Unsent(String),
+    /// No byte was sent: no connection to the upstream opened.
+    #[error("no connection: {0}")]
+    Unreachable(#[from] path::Failure),
     /// The connection broke, or the answer is invalid: the request may have been acted on.
     #[error("lost: {0}")]
     Lost(String),
 }
 
-impl From<io::Error> for Failure {
-    /// The failure of a request whose connection failed.
-    fn from(error: io::Error) -> Failure {
-        Failure::Unsent(error.to_string())
-    }
-}
-
 /// The connection, which makes progress only while it is polled.
-type Driver = http1::Connection<TokioIo<TcpStream>, Payload>;
+type Driver = http1::Connection<TokioIo<path::Connection>, Payload>;
 
 /// A connection with at most one request in progress.
 #[derive(Debug)]
@@ -54,8 +50,8 @@
     /// # Errors
     ///
     /// [`Failure::Unsent`].
-    pub(crate) async fn open(stream: TcpStream) -> Result<Exchange, Failure> {
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+    pub(crate) async fn open(connection: path::Connection) -> Result<Exchange, Failure> {
+        let (sender, driver) = http1::handshake(TokioIo::new(connection))
             .await
             .map_err(|error| Failure::Unsent(error.to_string()))?;
         Ok(Exchange { sender, driver: Some(driver) })
@@ -165,7 +161,7 @@
     limit: usize,
 ) -> Result<Reply, Failure>
 where
-    Connecting: Future<Output = io::Result<TcpStream>>,
+    Connecting: Future<Output = Result<path::Connection, path::Failure>>,
 {
     let work = async {
         let mut exchange = Exchange::open(connecting.await?).await?;
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -331,14 +331,21 @@
         let place::Allocation { placement, id: dispatch_id, in_flight } = allocation;
         let primary = &placement.primary;
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let opened = match path::connect(&self.state, primary, connect).await {
-            Ok(stream) => exchange::Exchange::open(stream).await,
-            Err(error) => Err(exchange::Failure::from(error)),
-        };
-        let mut exchange = opened.map_err(|failure| {
-            self.record_failure(&primary.upstream);
+        let admission = Some(self.admission());
+        let unsent = |failure: exchange::Failure| {
             attempt::Failure::Unsent(format!("{}: {failure}", primary.upstream))
-        })?;
+        };
+        let connection = match path::connect(&self.state, primary, admission, connect).await {
+            Ok(connection) => connection,
+            Err(failure) => {
+                if failure.verdict.is_down() {
+                    self.record_failure(&primary.upstream);
+                }
+                return Err(unsent(failure.into()));
+            }
+        };
+        let through = connection.through().cloned();
+        let mut exchange = exchange::Exchange::open(connection).await.map_err(unsent)?;
         if !self.state.is_current(&self.service, &placement) {
             self.state.metrics.sends_prevented.inc();
             let detail = format!("{}: an upstream of the placement left", primary.upstream);
@@ -346,7 +353,7 @@
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
-        self.log_dispatch(&placement, dispatch_id.number);
+        self.log_dispatch(&placement, dispatch_id.number, through.as_ref());
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
@@ -397,6 +404,18 @@
         })
     }
 
+    /// Returns how the request was admitted, for a host that carries its connection.
+    fn admission(&self) -> path::message::Admission {
+        path::message::Admission {
+            version: self.state.routing_table().map_or(0, |table| table.version()),
+            host: self.request.host.clone(),
+            path: self.request.path.clone(),
+            key: self.request.head.key.clone(),
+            customer: self.customer.as_ref().map(ToString::to_string),
+            request: self.request.head.request_id.clone(),
+        }
+    }
+
     /// Builds the request to the upstream of `placement`. The header for helpers also names the
     /// answering engine if it has a reservation.
     fn encode(
@@ -459,8 +478,8 @@
         })
     }
 
-    /// Records that an upstream failed: it was unreachable or stopped responding, its answer is not
-    /// a valid answer to the request, or the stream of its answer ended early.
+    /// Records that an upstream failed: no host reaches it, or its answer is not a valid answer to
+    /// the request.
     pub(crate) fn record_failure(&self, upstream: &id::Upstream) {
         self.record_outcome(upstream, message::UpstreamOutcome::Failed);
     }
@@ -566,7 +585,12 @@
         self.record_outcome(upstream, message::UpstreamOutcome::Answered);
     }
 
-    fn log_dispatch(&self, placement: &placement::Placement, number: u64) {
+    fn log_dispatch(
+        &self,
+        placement: &placement::Placement,
+        number: u64,
+        through: Option<&id::Host>,
+    ) {
         let helpers: Vec<_> =
             placement.helpers.iter().map(|helper| helper.entry.upstream.as_str()).collect();
         let tables = &self.state.tables;
@@ -577,6 +601,8 @@
             .text("route", &self.route.name)
             .text("upstream", &placement.primary.upstream)
             .number("dispatch", number)
+            // The host that carries the connection, if it is not direct.
+            .text("through", through.map_or("", id::Host::as_str))
             .number("prompt_tokens", self.request.head.prompt_tokens.unwrap_or(0))
             .text("helpers", helpers.join(" "))
             .span("expected_ms", placement.expected)
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -174,6 +174,8 @@
         Some(Ok(peer)) => {
             let info = routing::HostInfo { zone: peer.zone.clone(), cores: peer.cores };
             state::lock(&state.peers).set(&host, info, peer.address, state.clock.now());
+            state::lock(&state.paths).set_host(host.clone(), peer.zone.clone());
+            state::lock(&state.host_addresses).insert(host.clone(), peer.reader);
             if peer.zone == state.settings.node.zone {
                 let known = routing::Peer { cores: peer.cores };
                 let member = relay::Member { address: peer.reader, peer: known };
@@ -188,4 +190,6 @@
     }
     state::lock(&state.peers).remove(&host);
     state::lock(&state.members).remove(&host);
+    state::lock(&state.paths).remove_host(&host);
+    state::lock(&state.host_addresses).remove(&host);
 }
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -227,6 +227,7 @@
         send_in_flight(state, from, incarnation, previous);
     }
     state.record_peer_confirmation(batch.confirmed_ms);
+    record_sight(state, from, batch.reaches_upstreams);
     let forwards = state.forwards_for(from);
     for update in batch.words {
         apply_update(state, incarnation, update, forwards);
@@ -247,6 +248,16 @@
     state.compare_verdicts(from, batch.verdicts);
 }
 
+/// Records what the host at `from` says of its own paths to upstreams.
+fn record_sight(state: &state::State, from: net::SocketAddr, reaches_upstreams: Option<bool>) {
+    let sight = reaches_upstreams
+        .map(|reaches| if reaches { routing::Sight::Reaches } else { routing::Sight::CutOff });
+    let host = state::lock(&state.peers).host_at(from).cloned();
+    if let Some(host) = host {
+        state::lock(&state.paths).record_sight(&host, sight, state.clock.now());
+    }
+}
+
 /// Drops dispatches that a heartbeat no longer lists, and answers it if asked to.
 fn apply_heartbeat(state: &state::State, from: net::SocketAddr, beat: message::Heartbeat) {
     if beat.wants_answer {
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -41,6 +41,9 @@
     /// Checksum of the quarantine verdicts that the sender knows.
     #[prost(fixed64, tag = "7")]
     pub(crate) verdicts: u64,
+    /// Whether the sender has paths of its own to upstreams; absent if it has used none lately.
+    #[prost(bool, optional, tag = "8")]
+    pub(crate) reaches_upstreams: Option<bool>,
 }
 
 /// A heartbeat: identifies the host and lists its dispatches in flight.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -85,6 +85,31 @@
     }
 }
 
+/// The way by which a connection to an upstream opened.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum PathLabel {
+    Direct,
+    /// Through another host.
+    Through,
+    Failed,
+}
+
+/// Labels of the counter of ways to upstreams.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct PathLabels {
+    /// The [`PathLabel`].
+    pub(crate) path: &'static str,
+}
+
+/// Labels of the counter of connections through other hosts.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct TunnelLabels {
+    /// `asked` by this host of another, or `served` by this host.
+    pub(crate) side: &'static str,
+    /// The answer.
+    pub(crate) outcome: &'static str,
+}
+
 /// Labels of the counter of connections to upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ConnectionLabels {
@@ -145,8 +170,14 @@
     pub(crate) sends_prevented: Counter,
     /// Direct connections to upstreams, by outcome.
     connections: Family<ConnectionLabels, Counter>,
-    /// Upstreams to which direct connections failed since one last opened.
+    /// Upstreams to which this host's own path is lost.
     pub(crate) paths_lost: Gauge,
+    /// Connections to upstreams, by the way by which they opened.
+    paths: Family<PathLabels, Counter>,
+    /// Connections through other hosts, by side and answer.
+    tunnels: Family<TunnelLabels, Counter>,
+    /// Connections that this host carries for others.
+    pub(crate) tunnels_carried: Gauge,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -184,6 +215,9 @@
             sends_prevented: Counter::default(),
             connections: Family::default(),
             paths_lost: Gauge::default(),
+            paths: Family::default(),
+            tunnels: Family::default(),
+            tunnels_carried: Gauge::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -237,8 +271,29 @@
     fn register_paths(&self, registry: &mut Registry) {
         let help = "direct connections to upstreams, by outcome";
         registry.register("upstream_connections", help, self.connections.clone());
-        let help = "upstreams to which direct connections failed since one last opened";
+        let help = "upstreams to which this host's own path is lost";
         registry.register("paths_lost", help, self.paths_lost.clone());
+        let help = "connections to upstreams, by the way by which they opened";
+        registry.register("paths", help, self.paths.clone());
+        let help = "connections through other hosts, by side and answer";
+        registry.register("tunnels", help, self.tunnels.clone());
+        let help = "connections carried for other hosts";
+        registry.register("tunnels_carried", help, self.tunnels_carried.clone());
+    }
+
+    /// Counts a connection to an upstream, or that none opened.
+    pub(crate) fn count_path(&self, path: PathLabel) {
+        let path = match path {
+            PathLabel::Direct => "direct",
+            PathLabel::Through => "through",
+            PathLabel::Failed => "failed",
+        };
+        self.paths.get_or_create(&PathLabels { path }).inc();
+    }
+
+    /// Counts the answer to a request for a connection through another host.
+    pub(crate) fn count_tunnel(&self, side: &'static str, outcome: &'static str) {
+        self.tunnels.get_or_create(&TunnelLabels { side, outcome }).inc();
     }
 
     /// Counts a direct connection to an upstream.
--- /dev/null
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -0,0 +1,235 @@
+//! The serving side: opens a connection to an upstream for another host and passes bytes on.
+
+use std::io;
+use std::sync;
+use std::sync::atomic;
+
+use futures_util::{Sink, SinkExt, StreamExt};
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::routing;
+use rand::seq::IndexedRandom;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpStream, tcp};
+
+use super::message;
+use super::through::MAX_CHUNK;
+use crate::event;
+use crate::relay;
+use crate::state;
+use crate::tcp::connect as connect_tcp;
+
+/// Maximum number of connections carried for other hosts. Each takes two descriptors, of which a
+/// host has some thousands for its own callers.
+const MAX_CARRIED: usize = 512;
+/// Time after which a connection that does not open is compared with one to another upstream. It is
+/// longer than connections between zones take, and leaves time for the other one to open.
+const CONTROL_AFTER: clock::Span = clock::Span::from_millis(40);
+/// Time for which a host keeps reading after the upstream's last byte, so that closing the
+/// connection does not discard bytes that the asking host has yet to read.
+const LINGER_TIME: clock::Span = clock::Span::from_secs(2);
+
+/// Guard of a connection that this host carries for another.
+#[derive(Debug)]
+struct Carried {
+    state: sync::Arc<state::State>,
+    /// Keeps the process from shutting down.
+    _active: state::ActiveRequest,
+}
+
+impl Carried {
+    /// Takes a place among the carried connections; `None` if there are too many.
+    fn begin(state: &sync::Arc<state::State>) -> Option<Carried> {
+        let before = state.carried.fetch_add(1, atomic::Ordering::Relaxed);
+        state.metrics.tunnels_carried.inc();
+        let carried = Carried { state: state.clone(), _active: state.track_request() };
+        (before < MAX_CARRIED).then_some(carried)
+    }
+}
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.state.carried.fetch_sub(1, atomic::Ordering::Relaxed);
+        self.state.metrics.tunnels_carried.dec();
+    }
+}
+
+/// Answers `open`, which came on `connection`, and carries the connection to its end.
+///
+/// # Errors
+///
+/// The asking host's connection broke.
+pub(crate) async fn serve(
+    state: &sync::Arc<state::State>,
+    mut connection: relay::Connection,
+    open: &message::Open,
+) -> io::Result<()> {
+    let carried = Carried::begin(state);
+    let opened = match &carried {
+        Some(_) => connect(state, open).await,
+        None => Err(message::Outcome::Unavailable),
+    };
+    let outcome = opened.as_ref().map_or_else(|outcome| *outcome, |_| message::Outcome::Opened);
+    log(state, open, outcome);
+    let elsewhere = match outcome {
+        message::Outcome::CutOff => state::lock(&state.last_host_through).clone(),
+        _ => None,
+    };
+    let elsewhere = elsewhere.map(|host| host.to_string());
+    let answer = message::Answer { outcome: outcome.into(), elsewhere };
+    connection.send(relay::encode_answer(answer)).await?;
+    match opened {
+        Ok(upstream) => carry(connection, upstream).await,
+        Err(_) => Ok(()),
+    }
+}
+
+/// Logs and counts that another host asked for a connection.
+fn log(state: &state::State, open: &message::Open, outcome: message::Outcome) {
+    state.metrics.count_tunnel("served", outcome.as_str());
+    let request = open.admission.as_ref().map_or("", |admission| &admission.request);
+    event::Line::new("tunnel")
+        .text("request", request)
+        .text("for", &open.host)
+        .text("upstream", &open.upstream)
+        .text("outcome", outcome.as_str())
+        .info();
+}
+
+/// Connects to the upstream that `open` names, always directly.
+///
+/// # Errors
+///
+/// Why not.
+async fn connect(
+    state: &state::State,
+    open: &message::Open,
+) -> Result<TcpStream, message::Outcome> {
+    if state.phase() > state::Phase::Serving || !state.is_ready() {
+        return Err(message::Outcome::Unavailable);
+    }
+    if state::lock(&state.paths).is_cut_off() {
+        return Err(message::Outcome::CutOff);
+    }
+    let service = id::Service::from(open.service.as_str());
+    let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
+    if let (Some(admission), Some(table)) = (&open.admission, state.routing_table())
+        && !admission.is_allowed(&table, &service)
+    {
+        return Err(message::Outcome::NotAllowed);
+    }
+    let timeout = crate::message::from_millis(open.timeout_ms);
+    let mut connecting = std::pin::pin!(connect_tcp(entry.address, timeout));
+    let early = tokio::time::timeout(CONTROL_AFTER.min(timeout), &mut connecting).await;
+    let failed = match early {
+        Ok(Ok(stream)) => return Ok(stream),
+        Ok(Err(error)) => {
+            (error, reaches_another(state, &entry, timeout.saturating_sub(CONTROL_AFTER)).await)
+        }
+        Err(_) => {
+            let left = timeout.saturating_sub(CONTROL_AFTER);
+            let (opened, has_paths) =
+                tokio::join!(&mut connecting, reaches_another(state, &entry, left));
+            match opened {
+                Ok(stream) => return Ok(stream),
+                Err(error) => (error, has_paths),
+            }
+        }
+    };
+    Err(match failed {
+        (_, false) => message::Outcome::CutOff,
+        (error, true) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            message::Outcome::Refused
+        }
+        (_, true) => message::Outcome::Silent,
+    })
+}
+
+/// Returns the entry of the upstream that `open` names, if it is listed in the same lifetime and not
+/// leaving.
+fn listed(
+    state: &state::State,
+    service: &id::Service,
+    open: &message::Open,
+) -> Option<routing::Registration> {
+    let entry = state.with_placer(service, |placer, _| placer.entry(&open.upstream).cloned());
+    entry.flatten().filter(|entry| !entry.leaving && entry.started_ms == open.life)
+}
+
+/// Whether this host reaches another upstream than `failed` right now. Without that it cannot tell
+/// whether the upstream is down or its own path is lost.
+async fn reaches_another(
+    state: &state::State,
+    failed: &routing::Registration,
+    timeout: clock::Span,
+) -> bool {
+    let others: Vec<_> = state
+        .registry()
+        .entries()
+        .filter(|entry| entry.upstream != failed.upstream && !entry.leaving)
+        .cloned()
+        .collect();
+    // One of this zone, if there is one: while zones are partitioned from each other, upstreams of
+    // the other one are unreachable for all hosts of this zone, which have paths all the same.
+    let zone = &state.settings.node.zone;
+    let near: Vec<_> = others.iter().filter(|entry| entry.zone == *zone).collect();
+    let chosen = near.choose(&mut rand::rng()).copied().or_else(|| others.first());
+    let Some(control) = chosen else { return false };
+    let opened = connect_tcp(control.address, timeout).await;
+    if opened.is_ok() {
+        let change = state::lock(&state.paths).record_opened(&control.upstream, state.clock.now());
+        super::log_change(state, change);
+    }
+    opened.is_ok()
+}
+
+/// Passes bytes on between the asking host and the upstream. The upstream's connection closes as
+/// soon as the asking host closes its own, which is how it learns that the caller left.
+async fn carry(connection: relay::Connection, upstream: TcpStream) -> io::Result<()> {
+    let (mut to_host, mut from_host) = connection.split();
+    let (mut from_upstream, mut to_upstream) = upstream.into_split();
+    let request = async {
+        let mut is_taken = true;
+        while let Some(chunk) = from_host.next().await {
+            let chunk = chunk?;
+            // If the upstream reads no more, its answer may still come; reading it tells the rest.
+            is_taken = is_taken && to_upstream.write_all(&chunk).await.is_ok();
+        }
+        Ok(())
+    };
+    let answer = async {
+        let copied = copy_answer(&mut from_upstream, &mut to_host).await;
+        let closed = to_host.close().await;
+        copied.and(closed)
+    };
+    let mut request = std::pin::pin!(request);
+    tokio::select! {
+        biased;
+        ended = answer => {
+            let left = tokio::time::timeout(LINGER_TIME, &mut request).await;
+            ended.and(left.unwrap_or(Ok(())))
+        }
+        ended = &mut request => ended,
+    }
+}
+
+/// Passes on all that the upstream sends, and marks the end if it ends in order.
+async fn copy_answer<Sender>(
+    from_upstream: &mut tcp::OwnedReadHalf,
+    to_host: &mut Sender,
+) -> io::Result<()>
+where
+    Sender: Sink<bytes::Bytes, Error = io::Error> + Unpin,
+{
+    let mut buffer = bytes::BytesMut::new();
+    loop {
+        buffer.reserve(MAX_CHUNK);
+        let length = from_upstream.read_buf(&mut buffer).await?;
+        // The empty message of the last turn is the mark.
+        to_host.send(buffer.split().freeze()).await?;
+        if length == 0 {
+            return Ok(());
+        }
+    }
+}
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -103,6 +103,11 @@
         self.addresses.get(host).copied()
     }
 
+    /// Returns the host that sends datagrams from `address`.
+    pub(crate) fn host_at(&self, address: net::SocketAddr) -> Option<&id::Host> {
+        self.names.get(&address)
+    }
+
     /// Whether the host at `address` is in `zone`.
     pub(crate) fn is_in_zone(&self, address: net::SocketAddr, zone: &id::Zone) -> bool {
         let host = self.names.get(&address);
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -13,7 +13,6 @@
 use crate::event;
 use crate::forward;
 use crate::in_flight;
-use crate::message;
 use crate::reserve;
 use crate::schedule;
 
@@ -133,12 +132,9 @@
             .text("detail", &refusal.detail)
             .span("waited_ms", waited)
             .info();
-        let outcome = if refusal.answered {
-            message::UpstreamOutcome::Full
-        } else {
-            message::UpstreamOutcome::Failed
-        };
-        self.record_outcome(&refusal.upstream, outcome);
+        if let Some(outcome) = refusal.outcome {
+            self.record_outcome(&refusal.upstream, outcome);
+        }
     }
 
     /// Reserves the memory that `placement` asks for. Returns `None` if it needs none.
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -8,6 +8,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::load::placement;
+use lagoonline::routing;
 use prost::Message;
 
 use crate::mesh;
@@ -122,7 +123,15 @@
     fn with_common_fields(&self, batch: message::Batch) -> message::Batch {
         let confirmed_ms = self.confirmation_age().map(message::to_millis);
         let verdicts = self.verdicts_checksum();
-        message::Batch { host: self.incarnation, confirmed_ms, verdicts, ..batch }
+        let sight = state::lock(&self.paths).sight(self.clock.now());
+        let reaches_upstreams = sight.map(|sight| sight == routing::Sight::Reaches);
+        message::Batch {
+            host: self.incarnation,
+            confirmed_ms,
+            verdicts,
+            reaches_upstreams,
+            ..batch
+        }
     }
 
     /// Encodes `updates` as datagrams for the other hosts.
@@ -237,6 +246,15 @@
         observation: message::Observation,
     ) {
         self.with_placer(service, |placer, now| observation.apply(placer, now));
+        self.publish_observation(service, observation);
+    }
+
+    /// Tells the zone's scheduler, if there is one, how an upstream of `service` handled a request.
+    pub(crate) fn publish_observation(
+        &self,
+        service: &id::Service,
+        observation: message::Observation,
+    ) {
         if state::lock(&self.peers).roster.own_zone_has_scheduler() {
             let update = message::Update::new(0, service, message::Kind::Seen(observation));
             self.queue_update(update, mesh::Audience::OwnZone);
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -197,6 +197,7 @@
         desired: state::lock(&state.tables.desired).version(),
         upstreams: state::lock(&state.tables.upstreams).version(),
         hosts: state::lock(&state.tables.hosts).version(),
+        open: None,
     };
     connection.send(bytes::Bytes::from(request.encode_to_vec())).await?;
     let response = tokio::time::timeout(super::HOLD_TIME + ANSWER_SLACK, connection.next()).await;
--- a/crates/lagoon-gateway/src/relay/message.rs
+++ b/crates/lagoon-gateway/src/relay/message.rs
@@ -1,8 +1,12 @@
 //! Messages between a host that reads the platform's tables and one that asks it.
 
+use std::io;
+
 use lagoon_platform::store;
+use prost::Message;
 
 use crate::mirror;
+use crate::path;
 
 /// A relay request: the versions that the asking host has. All versions here are the store's
 /// versions of a table, not the number in the document of the desired state.
@@ -17,11 +21,17 @@
     /// Version up to which it has the table of entry hosts.
     #[prost(uint64, optional, tag = "3")]
     pub(crate) hosts: Option<u64>,
+    /// Asks for a connection to an upstream instead of the tables; it takes over this one.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) open: Option<path::message::Open>,
 }
 
 /// The answer to a relay request.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Response {
+    /// The answer to a request for a connection.
+    #[prost(message, optional, tag = "2")]
+    pub(crate) opened: Option<path::message::Answer>,
     /// Changes of the tables; absent if the host that was asked does not read the platform, or not
     /// successfully.
     #[prost(message, optional, tag = "1")]
@@ -81,6 +91,26 @@
     pub(crate) version: u64,
 }
 
+/// Encodes a request for a connection to an upstream.
+pub(crate) fn encode_open(open: path::message::Open) -> bytes::Bytes {
+    Request { open: Some(open), ..Request::default() }.encode_to_vec().into()
+}
+
+/// Encodes the answer to a request for a connection.
+pub(crate) fn encode_answer(answer: path::message::Answer) -> bytes::Bytes {
+    Response { opened: Some(answer), ..Response::default() }.encode_to_vec().into()
+}
+
+/// Decodes the answer to a request for a connection. A build that carries no connections answers
+/// without one.
+///
+/// # Errors
+///
+/// The message is not an answer.
+pub(crate) fn decode_answer(frame: bytes::BytesMut) -> io::Result<path::message::Answer> {
+    Ok(Response::decode(frame)?.opened.unwrap_or_default())
+}
+
 impl TableChanges {
     pub(crate) fn new(delta: mirror::Delta, age: std::time::Duration) -> TableChanges {
         let row = |row: store::Row| Row { key: row.key, value: row.value, version: row.version };
--- a/crates/lagoon-gateway/src/relay/mod.rs
+++ b/crates/lagoon-gateway/src/relay/mod.rs
@@ -18,6 +18,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 pub(crate) use follow::{Member, Members, run as follow};
+pub(crate) use message::{decode_answer, encode_answer, encode_open};
 pub(crate) use serve::run as serve;
 
 /// How long a reader holds a request when it has no changes. It bounds the time until a dead reader
@@ -36,6 +37,6 @@
 /// A connection that carries framed messages.
 pub(crate) type Connection = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn framed(stream: TcpStream) -> Connection {
+pub(crate) fn framed(stream: TcpStream) -> Connection {
     LengthDelimitedCodec::builder().max_frame_length(MAX_MESSAGE_BYTES).new_framed(stream)
 }
--- a/crates/lagoon-gateway/src/relay/serve.rs
+++ b/crates/lagoon-gateway/src/relay/serve.rs
@@ -12,6 +12,7 @@
 
 use super::message;
 use crate::event;
+use crate::path;
 use crate::state;
 use crate::tables;
 use crate::tcp;
@@ -54,12 +55,16 @@
 }
 
 /// Answers the requests on one connection until it is closed.
-async fn serve_requests(state: &state::State, stream: TcpStream) -> io::Result<()> {
+async fn serve_requests(state: &sync::Arc<state::State>, stream: TcpStream) -> io::Result<()> {
     tcp::set_options(&stream)?;
     let mut connection = super::framed(stream);
     while let Some(frame) = connection.next().await {
         let request = message::Request::decode(frame?)?;
-        let response = message::Response { news: answer(state, &request).await };
+        if let Some(open) = request.open {
+            return path::serve(state, connection, &open).await;
+        }
+        let news = answer(state, &request).await;
+        let response = message::Response { news, ..message::Response::default() };
         let sent = tokio::time::timeout(
             WRITE_TIMEOUT,
             connection.send(bytes::Bytes::from(response.encode_to_vec())),
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -116,7 +116,7 @@
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
         .map_err(|error| error.to_string())?;
-    let connecting = path::connect(state, entry, REPORT_TIMEOUT);
+    let connecting = path::connect(state, entry, None, REPORT_TIMEOUT);
     let call = exchange::call(connecting, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
     let reply = call.map_err(|failure| failure.to_string())?;
     state.observe_reply(entry, sent_at, &reply);
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -23,6 +23,7 @@
 
 use crate::event;
 use crate::exchange;
+use crate::message;
 use crate::path;
 use crate::report;
 use crate::state;
@@ -116,8 +117,8 @@
 #[error("{upstream}: no reservation: {detail}")]
 pub(crate) struct Refusal {
     pub(crate) upstream: id::Upstream,
-    /// Whether the engine answered at all.
-    pub(crate) answered: bool,
+    /// What it shows of the engine; `None` if only this host's path may be at fault.
+    pub(crate) outcome: Option<message::UpstreamOutcome>,
     pub(crate) detail: String,
 }
 
@@ -160,9 +161,13 @@
         state.metrics.reservations.inc();
         let status = reservation.reserve(state).await;
         if !matches!(status, Ok(200)) {
-            let answered = status.is_ok();
+            let outcome = match &status {
+                Ok(_) => Some(message::UpstreamOutcome::Full),
+                Err(exchange::Failure::Unreachable(failure)) if !failure.verdict.is_down() => None,
+                Err(_) => Some(message::UpstreamOutcome::Failed),
+            };
             let detail = status.map_or_else(|error| error.to_string(), |code| code.to_string());
-            return Err(Refusal { upstream: reservation.entry.upstream, answered, detail });
+            return Err(Refusal { upstream: reservation.entry.upstream, outcome, detail });
         }
     }
     let active_until = sync::Arc::downgrade(&held.active_until);
@@ -213,7 +218,7 @@
 ) -> Result<(), String> {
     if reservations.first().is_none_or(|reservation| reservation.entry.upstream != primary.upstream)
     {
-        let connected = path::connect(state, primary, CONNECT_TIMEOUT).await;
+        let connected = path::connect(state, primary, None, CONNECT_TIMEOUT).await;
         connected.map_err(|error| error.to_string())?;
     }
     for reservation in reservations {
@@ -301,7 +306,7 @@
     state.record_call(entry);
     let sent_at = state.clock.now();
     let began = time::Instant::now();
-    let connecting = path::connect(state, entry, CONNECT_TIMEOUT);
+    let connecting = path::connect(state, entry, None, CONNECT_TIMEOUT);
     let answer = exchange::call(connecting, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
     let answer = answer.map(|reply| {
         state.observe_reply(entry, sent_at, &reply);
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -123,6 +123,12 @@
     pub(crate) unregistered: Notify,
     /// This host's paths to upstreams.
     pub(crate) paths: sync::Mutex<routing::Paths>,
+    /// Addresses at which other hosts answer relay requests and carry connections.
+    pub(crate) host_addresses: sync::Mutex<collections::HashMap<id::Host, net::SocketAddr>>,
+    /// The host that last carried a connection of this one.
+    pub(crate) last_host_through: sync::Mutex<Option<id::Host>>,
+    /// Number of connections that this host carries for others.
+    pub(crate) carried: atomic::AtomicUsize,
     /// The other entry hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The other hosts of this zone, as the relay uses them.
@@ -159,6 +165,7 @@
             ..routing::RosterSettings::default()
         };
         let roster = routing::Roster::new(roster, node.host.clone(), info, clock.now());
+        let paths = routing::Paths::new(routing::PathSettings::default(), node.zone.clone());
         let bounds = &node.bounds;
         let grace = routing::RegistrySettings {
             grace_after_answer: bounds.leaving.saturating_sub(SEND_MARGIN),
@@ -186,7 +193,10 @@
             host_count: atomic::AtomicUsize::new(1),
             placing_hosts: atomic::AtomicUsize::new(1),
             unregistered: Notify::new(),
-            paths: sync::Mutex::default(),
+            paths: sync::Mutex::new(paths),
+            host_addresses: sync::Mutex::default(),
+            last_host_through: sync::Mutex::default(),
+            carried: atomic::AtomicUsize::new(0),
             peers: sync::Mutex::new(peers::Peers::new(roster)),
             members: relay::Members::default(),
             questions: schedule::PendingQuestions::default(),
@@ -360,6 +370,13 @@
         Some(act(&mut service_state.placer, self.clock.now()))
     }
 
+    /// Forgets which upstreams could not be reached.
+    pub(crate) fn forget_failures(&self) {
+        for service_state in self.service_states.load().values() {
+            lock(service_state).placer.forget_failures();
+        }
+    }
+
     /// Waits until the process has reached `level`.
     pub(crate) async fn wait_for_level(&self, level: SyncLevel) {
         // The sender lives as long as this state, so the wait ends only by a change.
@@ -395,6 +412,7 @@
                 entries.push(entry.clone());
             }
         }
+        lock(&self.paths).retain(|upstream| registry.is_listed(upstream));
         let known = self.service_states.load_full();
         let mut service_states = ServiceStates::default();
         for (service, entries) in by_service {
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -6,6 +6,7 @@
 use lagoon_platform::store;
 
 use crate::exchange;
+use crate::path;
 use crate::tcp;
 
 /// Timeout for connecting to the store: three round trips between zones and a lost packet.
@@ -80,7 +81,9 @@
             Some(idle) => idle,
             None => {
                 let stream = tcp::connect(self.address, CONNECT_TIMEOUT).await;
-                exchange::Exchange::open(stream.map_err(exchange::Failure::from)?).await?
+                let stream =
+                    stream.map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
+                exchange::Exchange::open(path::Connection::Direct(stream)).await?
             }
         };
         let mut answer = exchange.send(self.request(call)?).await?;
--- a/crates/lagoon-gateway/tests/paths.rs
+++ b/crates/lagoon-gateway/tests/paths.rs
@@ -120,12 +120,14 @@
 /// A host that lost its paths told the others of its zone that the upstreams were unreachable. They
 /// gave up on sound upstreams that were merely busy, and sent their requests once more.
 #[rstest]
-fn a_host_without_paths_tells_nobody_that_upstreams_are_unreachable() {
+fn a_host_without_paths_tells_nobody_that_upstreams_are_unreachable(
+    #[values(Mode::Open, Mode::Silent, Mode::Refusing)] mode: Mode,
+) {
     let fleet = Fleet::start_with(HostSettings { relay_hosts: 2, ..HostSettings::default() });
     for name in ["e1", "e2"] {
-        fleet.standin.behavior(name, Behavior::SilentBefore(0));
+        fleet.standin.behavior(name, Behavior::BusyBeforeHead);
     }
-    fleet.entrance.set_paths(Mode::Refusing);
+    fleet.entrance.set_paths(mode);
     thread::scope(|scope| {
         let elsewhere: Vec<_> = (0..4).map(|_| scope.spawn(|| fleet.other.talk())).collect();
         for _ in 0..TRIES {
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -386,6 +386,22 @@
         }
     }
 
+    /// Forgets that an upstream could not be reached: another host reached it meanwhile.
+    pub fn forget_failure(&mut self, upstream: &id::Upstream) {
+        if let Some(state) = self.upstreams.get_mut(upstream) {
+            state.forget_failure();
+            self.partitions.record_success(&self.zone, &state.entry().zone);
+        }
+    }
+
+    /// Forgets which upstreams could not be reached, for a host whose own paths were at fault.
+    pub fn forget_failures(&mut self) {
+        for state in self.upstreams.values_mut() {
+            state.forget_failure();
+        }
+        self.partitions = Partitions::default();
+    }
+
     /// Records that the engine `primary` could not reach `helper`, which was to prefill a part of a
     /// prompt.
     pub fn record_helper_failure(
--- a/crates/lagoonline/src/load/placement/upstream.rs
+++ b/crates/lagoonline/src/load/placement/upstream.rs
@@ -259,6 +259,13 @@
         self.unreachable_at = Some(now);
     }
 
+    /// Forgets that it could not be reached.
+    pub(super) fn forget_failure(&mut self) {
+        self.unreachable_count = 0;
+        self.avoided_until = None;
+        self.unreachable_at = None;
+    }
+
     pub(super) fn set_slowness(&mut self, factor: f64, now: clock::Moment) {
         self.slowness = Some((now, factor));
     }
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -21,7 +21,10 @@
 
 pub use change::{Change, Departure, DepartureCause, Effect, Listing, Older};
 pub use confirm::Confirmation;
-pub use paths::{Change as PathChange, Paths};
+pub use paths::{
+    Change as PathChange, Choice as PathChoice, Paths, Plan as PathPlan, Settings as PathSettings,
+    Sight,
+};
 pub use registry::{Registry, Settings as RegistrySettings};
 pub use remote_clock::RemoteClock;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -185,6 +185,11 @@
         self.entries.values().map(|listing| &listing.registration)
     }
 
+    /// Whether an upstream is in use, or leaving and still listed.
+    pub fn is_listed(&self, upstream: &id::Upstream) -> bool {
+        self.entries.contains_key(upstream)
+    }
+
     /// Returns the number of vanished entries that are in use.
     pub fn kept(&self) -> usize {
         self.vanished.len()
