Tell other hosts that an upstream stopped responding only once the own path is ruled out

Cause: silence on one host's connection was reported as a fact about the upstream.

Change: the host still avoids the upstream at once, but first connects to it once more. It tells the others if it is reached directly (then the upstream failed the request) or if another host does not reach it either. If only another host reaches it, nothing is told.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -368,7 +368,7 @@
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
-                        self.record_failure(&primary.upstream);
+                        self.record_unresponsive(&primary.upstream);
                         self.record_broken_connection(
                             &primary.upstream,
                             self.progress_before_answer(),
@@ -383,7 +383,7 @@
                     Err(_) => {
                         let silent = self.state.clock.now().since(sent);
                         if let Some(why) = self.abandon_reason(&placement, dispatch_id, silent) {
-                            self.record_failure(&primary.upstream);
+                            self.record_unresponsive(&primary.upstream);
                             let detail = format!("{}: {why}, for {silent:?}", primary.upstream);
                             return Err(attempt::Failure::Lost(detail));
                         }
--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod message;
 mod serve;
 mod through;
+mod verify;
 
 use std::io;
 use std::time;
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -129,6 +129,8 @@
     pub(crate) last_host_through: sync::Mutex<Option<id::Host>>,
     /// Number of connections that this host carries for others.
     pub(crate) carried: atomic::AtomicUsize,
+    /// Upstreams that failed on open connections and are connected to again.
+    pub(crate) looked_at: sync::Mutex<collections::HashSet<id::Upstream>>,
     /// The other entry hosts.
     pub(crate) peers: sync::Mutex<peers::Peers>,
     /// The other hosts of this zone, as the relay uses them.
@@ -197,6 +199,7 @@
             host_addresses: sync::Mutex::default(),
             last_host_through: sync::Mutex::default(),
             carried: atomic::AtomicUsize::new(0),
+            looked_at: sync::Mutex::default(),
             peers: sync::Mutex::new(peers::Peers::new(roster)),
             members: relay::Members::default(),
             questions: schedule::PendingQuestions::default(),
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -189,7 +189,7 @@
             }
             self.log_failure(&upstream, framing, &failure);
             if matches!(failure, Failure::Broken(_)) {
-                self.admitted.record_failure(&upstream);
+                self.admitted.record_unresponsive(&upstream);
             }
             let cut_event = self.reader.take_rest();
             avoid.push(upstream);
--- a/crates/lagoon-gateway/tests/paths.rs
+++ b/crates/lagoon-gateway/tests/paths.rs
@@ -141,6 +141,37 @@
     assert_eq!(metric(&fleet.other, "repeats_total"), 0.0, "requests sent once more");
 }
 
+/// The streams of a host that lost its paths fell silent. It told the zone that their upstreams did
+/// not respond, and other hosts gave up on them.
+#[rstest]
+fn a_stream_cut_by_a_lost_path_makes_nobody_give_up_on_its_upstream() {
+    let fleet = Fleet::start_with(HostSettings { relay_hosts: 2, ..HostSettings::default() });
+    for name in ["e1", "e2"] {
+        fleet.standin.behavior(name, Behavior::SlowEvents);
+    }
+    thread::scope(|scope| {
+        let streams: Vec<_> = (0..4).map(|_| scope.spawn(|| fleet.cut.talk())).collect();
+        fleet.cut.until("sent to both engines", || {
+            let received = fleet.standin.received_requests();
+            let slow = received.iter().skip(TRIES).filter(|request| request.path == "/talk/a");
+            slow.count() == streams.len()
+        });
+        fleet.entrance.set_paths(Mode::Silent);
+        for name in ["e1", "e2"] {
+            fleet.standin.behavior(name, Behavior::BusyBeforeHead);
+        }
+        let elsewhere = |_| {
+            scope.spawn(|| (0..4).for_each(|_| assert_eq!(fleet.other.talk(), (200, all_events()))))
+        };
+        let callers: Vec<_> = (0..4).map(elsewhere).collect();
+        callers.into_iter().for_each(|caller| caller.join().unwrap());
+        for stream in streams {
+            assert_eq!(stream.join().unwrap(), (200, all_events()));
+        }
+    });
+    assert_eq!(metric(&fleet.other, "repeats_total"), 0.0, "requests sent once more");
+}
+
 /// A sound upstream that was silent for a second, at any step of its answer, lost the answer.
 #[rstest]
 fn a_sound_upstream_may_be_silent_for_a_second(#[values("/talk/", "/tell/")] route: &str) {
