--- a/crates/lagoon-gateway/src/path/message.rs
+++ b/crates/lagoon-gateway/src/path/message.rs
@@ -94,6 +94,8 @@
     Left = 5,
     /// A newer desired state does not allow the request.
     NotAllowed = 6,
+    /// The host that was asked has lost its path to this upstream; it reaches others.
+    PathLost = 8,
     /// The host that was asked is shutting down, starting, or carries too many connections.
     Unavailable = 7,
 }
@@ -109,6 +111,7 @@
             Outcome::CutOff => "cut_off",
             Outcome::Left => "left",
             Outcome::NotAllowed => "not_allowed",
+            Outcome::PathLost => "path_lost",
             Outcome::Unavailable => "unavailable",
         }
     }
--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -231,8 +231,11 @@
             // through other hosts now.
             event::Line::new("paths_lost").number("upstreams", upstreams).warn();
         }
-        Some(routing::PathChange::Regained { after }) => {
-            event::Line::new("paths_regained").span("after_ms", after).info();
+        Some(routing::PathChange::Regained { after, still_lost }) => {
+            event::Line::new("paths_regained")
+                .span("after_ms", after)
+                .number("still_lost", still_lost)
+                .info();
         }
         None => {}
     }
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -109,9 +109,6 @@
     if state.phase() > state::Phase::Serving || !state.is_ready() {
         return Err(message::Outcome::Unavailable);
     }
-    if state::lock(&state.paths).is_cut_off() {
-        return Err(message::Outcome::CutOff);
-    }
     let service = id::Service::from(open.service.as_str());
     let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
     if let (Some(admission), Some(table)) = (&open.admission, state.routing_table())
@@ -119,6 +116,12 @@
     {
         return Err(message::Outcome::NotAllowed);
     }
+    let plan = state::lock(&state.paths).plan(&entry.upstream, state.clock.now());
+    if plan == routing::PathPlan::Through {
+        let is_cut_off = state::lock(&state.paths).is_cut_off();
+        let lost = message::Outcome::PathLost;
+        return Err(if is_cut_off { message::Outcome::CutOff } else { lost });
+    }
     let timeout = crate::message::from_millis(open.timeout_ms);
     let mut connecting = std::pin::pin!(connect_tcp(entry.address, timeout));
     let early = tokio::time::timeout(CONTROL_AFTER.min(timeout), &mut connecting).await;
@@ -138,7 +141,10 @@
         }
     };
     Err(match failed {
-        (_, false) => message::Outcome::CutOff,
+        (_, false) => {
+            super::record_lost(state, &entry.upstream);
+            message::Outcome::CutOff
+        }
         (error, true) if error.kind() == io::ErrorKind::ConnectionRefused => {
             message::Outcome::Refused
         }
--- a/crates/lagoon-gateway/src/path/through.rs
+++ b/crates/lagoon-gateway/src/path/through.rs
@@ -141,7 +141,10 @@
         // One host may have met a lost packet; what is refused or has left is certain.
         let is_certain = !matches!(
             outcome,
-            message::Outcome::Silent | message::Outcome::CutOff | message::Outcome::Unavailable
+            message::Outcome::Silent
+                | message::Outcome::CutOff
+                | message::Outcome::PathLost
+                | message::Outcome::Unavailable
         );
         if is_certain {
             break;
--- a/crates/lagoonline/src/routing/paths.rs
+++ b/crates/lagoonline/src/routing/paths.rs
@@ -16,7 +16,7 @@
 /// Settings of [`Paths`].
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
-    /// Distinct upstreams that must fail in a row before the host counts as cut off from all: a
+    /// Paths that must be lost in a row before the host counts as cut off from all: a
     /// single path may be lost alone.
     pub min_lost: usize,
     /// Time after which a connection is tried through another host beside the direct one. It is
@@ -88,7 +88,7 @@
 /// A change of what the host believes of its own paths.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Change {
-    /// Connections to this many upstreams failed in a row.
+    /// Paths to this many upstreams were lost in a row.
     Lost {
         /// Number of distinct upstreams.
         upstreams: usize,
@@ -97,6 +97,8 @@
     Regained {
         /// Time since the first connection that failed.
         after: clock::Span,
+        /// Number of paths that are still lost.
+        still_lost: usize,
     },
 }
 
@@ -161,7 +163,7 @@
     zone: id::Zone,
     /// Paths that are lost, and when each is tried again.
     lost: collections::BTreeMap<id::Upstream, Retry>,
-    /// Upstreams to which direct connections failed since one last opened.
+    /// Upstreams to which paths were newly lost since a direct connection last opened.
     in_a_row: collections::BTreeSet<id::Upstream>,
     /// When the first of them failed.
     lost_since: clock::Moment,
@@ -279,16 +281,15 @@
     pub fn record_opened(&mut self, upstream: &id::Upstream, now: clock::Moment) -> Option<Change> {
         let was_cut_off = self.is_cut_off();
         self.opened_at = Some(now);
-        self.lost.remove(upstream);
         self.in_a_row.clear();
-        if !was_cut_off {
-            return None;
-        }
-        // The other paths are most likely back too.
-        for retry in self.lost.values_mut() {
-            *retry = Retry { at: now, count: 0 };
+        if self.lost.remove(upstream).is_some() {
+            // The other paths that were lost are most likely back too.
+            for retry in self.lost.values_mut() {
+                *retry = Retry { at: now, count: 0 };
+            }
         }
-        Some(Change::Regained { after: now.since(self.lost_since) })
+        let after = now.since(self.lost_since);
+        was_cut_off.then_some(Change::Regained { after, still_lost: self.lost.len() })
     }
 
     /// Records that no direct connection to `upstream` opened and nothing shows that it is down:
@@ -296,7 +297,11 @@
     pub fn record_lost(&mut self, upstream: &id::Upstream, now: clock::Moment) -> Option<Change> {
         let was_cut_off = self.is_cut_off();
         let retry = Retry::after_loss(&self.settings, now);
-        self.lost.entry(upstream.clone()).or_insert(retry);
+        // A lost path that fails again shows nothing of the others.
+        if self.lost.contains_key(upstream) {
+            return None;
+        }
+        self.lost.insert(upstream.clone(), retry);
         if self.in_a_row.is_empty() {
             self.lost_since = now;
         }
