Simulate ways of serving callers at hosts that lost their paths, and bound the time of detours

A host that lost its paths tried a lost one again after 0.25 s, then 0.5 s; now always after 0.5 s: with less, requests one after the other all waited 350 ms for such a try where no host has a path. A host that does not answer is passed over for longer each time, since hosts are listed for minutes after they are gone. A stream that breaks while this host makes detours no longer makes it avoid an upstream that another host still reaches: the host in between may have ended.

--- a/crates/lagoon-gateway/src/path/verify.rs
+++ b/crates/lagoon-gateway/src/path/verify.rs
@@ -17,25 +17,32 @@
 impl forward::Admitted {
     /// Records that `upstream` stopped responding on an open connection, or broke it off. This host
     /// avoids it at once. The hosts that place requests for others are told once it is clear that
-    /// this host's own path is not at fault.
+    /// neither this host's own path nor a host in between is at fault.
     pub(crate) fn record_unresponsive(&self, upstream: &id::Upstream) {
         let avoid = |placer: &mut placement::Placer, now| placer.record_unreachable(upstream, now);
         self.state.with_placer(&self.service, avoid);
         let is_told = state::lock(&self.state.peers).roster.own_zone_has_scheduler();
-        if is_told && state::lock(&self.state.looked_at).insert(upstream.clone()) {
+        let makes_detours = state::lock(&self.state.paths).is_avoided(upstream);
+        if (is_told || makes_detours) && state::lock(&self.state.looked_at).insert(upstream.clone())
+        {
             let (state, service) = (self.state.clone(), self.service.clone());
             drop(ntex::rt::spawn(look(state, service, upstream.clone())));
         }
     }
 }
 
-/// Connects to `upstream` and tells the zone that it failed, unless only this host's path is lost.
+/// Connects to `upstream` and tells the zone that it failed. If only another host reaches it, this
+/// host's path was lost meanwhile, or a host in between broke off, and the upstream is used again.
 async fn look(state: sync::Arc<state::State>, service: id::Service, upstream: id::Upstream) {
     let entry = state.with_placer(&service, |placer, _| placer.entry(upstream.as_str()).cloned());
     if let Some(entry) = entry.flatten() {
         let failed = match super::connect(&state, &entry, None, LOOK_TIMEOUT).await {
             Ok(Connection::Direct(_)) => true,
-            Ok(Connection::Tunnel(_)) => false,
+            Ok(Connection::Tunnel(_)) => {
+                let forget = |placer: &mut placement::Placer, _| placer.forget_failure(&upstream);
+                state.with_placer(&service, forget);
+                false
+            }
             Err(failure) => failure.verdict.is_down(),
         };
         if failed {
--- a/crates/lagoon-gateway/src/tcp.rs
+++ b/crates/lagoon-gateway/src/tcp.rs
@@ -2,7 +2,9 @@
 //!
 //! A peer that lost power or is cut off neither answers nor resets its connections, which would
 //! hang for minutes. Unacknowledged bytes break a connection after [`UNACKNOWLEDGED_TIMEOUT`], and
-//! keepalive probes detect a dead peer on a connection that waits for an answer.
+//! keepalive probes detect a dead peer on a connection that waits for an answer. Linux applies that
+//! timeout to unanswered probes too, whatever their number: a peer may be silent for somewhat less
+//! than [`UNACKNOWLEDGED_TIMEOUT`], and is given up at the next probe.
 
 use std::io;
 use std::net;
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -16,6 +16,7 @@
 use lagoon_load::direct;
 use lagoon_load::http;
 use lagoon_load::limits;
+use lagoon_load::paths;
 use lagoon_load::soak;
 use lagoon_net::logs;
 use lagoon_net::program;
@@ -39,6 +40,7 @@
     Completeness(Completeness),
     Departures(Departures),
     Limits(Limits),
+    Paths(Paths),
     Soak(Soak),
 }
 
@@ -66,6 +68,18 @@
     seeds: u64,
 }
 
+/// Ways of serving callers at hosts that lose their paths to upstreams, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "paths")]
+struct Paths {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "3")]
+    seeds: u64,
+}
+
 /// Ways of keeping limits that upstreams name on their requests, in virtual time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "limits")]
@@ -222,6 +236,7 @@
         Command::Completeness(completeness) => run_completeness(&completeness).map(|()| true),
         Command::Departures(departures) => run_departures(&departures).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
+        Command::Paths(paths) => run_paths(&paths).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
@@ -542,3 +557,50 @@
         mean(|report| report.messages),
     );
 }
+
+/// Plays the scenarios of lost paths with each way, and prints the shares of first tries that were
+/// served, the worst times and the sums of the other figures over all seeds.
+fn run_paths(args: &Paths) -> Result<(), Box<dyn error::Error>> {
+    let scenarios = select(paths::all(), &args.scenario, |scenario| scenario.name)?;
+    println!(
+        "scenario way cut cut_first others calm until_served_ms detour_after_ms connect_ms through asked busiest misjudged refusals slow_refusals flips"
+    );
+    for scenario in &scenarios {
+        for way in paths::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| paths::run(scenario, way, seed)).collect();
+            print_paths(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_paths(scenario: &str, way: paths::Way, reports: &[paths::Report]) {
+    let sum = |figure: fn(&paths::Report) -> u64| reports.iter().map(figure).sum::<u64>();
+    let worst = |figure: fn(&paths::Report) -> u64| reports.iter().map(figure).max().unwrap_or(0);
+    let share = |figure: fn(&paths::Report) -> paths::Count| {
+        let counts = reports.iter().map(figure);
+        let total = counts.fold(paths::Count::default(), |total, count| paths::Count {
+            served: total.served + count.served,
+            all: total.all + count.all,
+        });
+        total.share()
+    };
+    println!(
+        "{scenario} {way:?} {:.3} {:.3} {:.3} {:.3} {} {} {} {} {} {} {} {} {} {}",
+        share(|report| report.cut),
+        share(|report| report.cut_first),
+        share(|report| report.others),
+        share(|report| report.calm),
+        worst(|report| report.until_served_ms),
+        worst(|report| report.detour_after_ms),
+        sum(|report| report.connect_ms),
+        sum(|report| report.through),
+        sum(|report| report.asked),
+        worst(|report| report.busiest),
+        sum(|report| report.misjudged),
+        sum(|report| report.refusals),
+        sum(|report| report.slow_refusals),
+        sum(|report| report.flips),
+    );
+}
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod direct;
 pub mod http;
 pub mod limits;
+pub mod paths;
 pub mod soak;
 pub mod trial;
--- a/crates/lagoonline/src/routing/paths.rs
+++ b/crates/lagoonline/src/routing/paths.rs
@@ -25,15 +25,16 @@
     /// The same while a path that was lost is tried again: a direct connection within the zone opens
     /// within it.
     pub retry_hedge_after: clock::Span,
-    /// Time after which a lost path is first tried again; doubled each time.
-    pub first_retry: clock::Span,
-    /// Longest time between two tries of a lost path. It bounds how long requests make a detour
-    /// after the path is back.
-    pub max_retry: clock::Span,
+    /// Time after which a lost path is tried again. It bounds how long requests make a detour, or
+    /// are refused where no host has a path, after the path is back. It is longer than the timeout
+    /// of a connection, so that not every request waits for such a try.
+    pub retry_after: clock::Span,
     /// How long a host's statement about its paths counts: hosts repeat it at least every 900 ms.
     pub statement_validity: clock::Span,
-    /// How long a host is passed over that did not answer.
+    /// How long a host is passed over that did not answer; doubled each time in a row.
     pub skip_span: clock::Span,
+    /// How often that span is doubled at most: hosts are listed for minutes after they are gone.
+    pub max_skip_doublings: u32,
     /// How long the last direct connection that opened shows that paths are there.
     pub opened_validity: clock::Span,
 }
@@ -44,10 +45,10 @@
             min_lost: 2,
             hedge_after: clock::Span::from_millis(100),
             retry_hedge_after: clock::Span::from_millis(20),
-            first_retry: clock::Span::from_millis(250),
-            max_retry: clock::Span::from_millis(500),
+            retry_after: clock::Span::from_millis(500),
             statement_validity: clock::Span::from_millis(2_000),
             skip_span: clock::Span::from_secs(1),
+            max_skip_doublings: 4,
             opened_validity: clock::Span::from_secs(5),
         }
     }
@@ -102,35 +103,14 @@
     },
 }
 
-/// When something lost is tried again.
-#[derive(Clone, Copy, Debug, Default)]
-struct Retry {
-    at: clock::Moment,
-    count: u32,
-}
-
-impl Retry {
-    fn after_loss(settings: &Settings, now: clock::Moment) -> Retry {
-        Retry { at: now + settings.first_retry, count: 0 }
-    }
-
-    /// Whether it is time to try again; if so, the next time is later.
-    fn take(&mut self, settings: &Settings, now: clock::Moment) -> bool {
-        if now < self.at {
-            return false;
-        }
-        self.count = (self.count + 1).min(8);
-        self.at = now + (settings.first_retry * 2u32.pow(self.count)).min(settings.max_retry);
-        true
-    }
-}
-
 /// Another host, as a way to upstreams.
 #[derive(Clone, Debug)]
 struct Host {
     zone: id::Zone,
     statement: Option<(Sight, clock::Moment)>,
     skipped_until: clock::Moment,
+    /// Times in a row that it did not answer.
+    skips: u32,
 }
 
 impl Host {
@@ -162,13 +142,13 @@
     settings: Settings,
     zone: id::Zone,
     /// Paths that are lost, and when each is tried again.
-    lost: collections::BTreeMap<id::Upstream, Retry>,
+    lost: collections::BTreeMap<id::Upstream, clock::Moment>,
     /// Upstreams to which paths were newly lost since a direct connection last opened.
     in_a_row: collections::BTreeSet<id::Upstream>,
     /// When the first of them failed.
     lost_since: clock::Moment,
     /// When a direct connection is tried again while the host is cut off from all.
-    retry: Retry,
+    retry_at: clock::Moment,
     /// When a direct connection last opened.
     opened_at: Option<clock::Moment>,
     hosts: collections::BTreeMap<id::Host, Host>,
@@ -183,7 +163,7 @@
             lost: collections::BTreeMap::new(),
             in_a_row: collections::BTreeSet::new(),
             lost_since: clock::Moment::START,
-            retry: Retry::default(),
+            retry_at: clock::Moment::START,
             opened_at: None,
             hosts: collections::BTreeMap::new(),
         }
@@ -191,7 +171,8 @@
 
     /// Adds another host, or updates its zone.
     pub fn set_host(&mut self, host: id::Host, zone: id::Zone) {
-        let added = Host { zone, statement: None, skipped_until: clock::Moment::START };
+        let skipped_until = clock::Moment::START;
+        let added = Host { zone, statement: None, skipped_until, skips: 0 };
         let zone = added.zone.clone();
         self.hosts.entry(host).or_insert(added).zone = zone;
     }
@@ -210,13 +191,15 @@
     pub fn record_sight(&mut self, host: &id::Host, sight: Option<Sight>, now: clock::Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
             known.statement = sight.map(|sight| (sight, now));
+            known.skips = 0;
         }
     }
 
     /// Records that another host did not answer, or takes no connections now.
     pub fn skip_host(&mut self, host: &id::Host, now: clock::Moment) {
         if let Some(known) = self.hosts.get_mut(host) {
-            known.skipped_until = now + self.settings.skip_span;
+            known.skipped_until = now + self.settings.skip_span * 2u32.pow(known.skips);
+            known.skips = (known.skips + 1).min(self.settings.max_skip_doublings);
         }
     }
 
@@ -233,11 +216,15 @@
     /// from time to time to find out whether it is back.
     pub fn plan(&mut self, upstream: &id::Upstream, now: clock::Moment) -> Plan {
         let is_cut_off = self.is_cut_off();
-        let retry = if is_cut_off { Some(&mut self.retry) } else { self.lost.get_mut(upstream) };
-        match retry.map(|retry| retry.take(&self.settings, now)) {
+        let retry_at =
+            if is_cut_off { Some(&mut self.retry_at) } else { self.lost.get_mut(upstream) };
+        match retry_at {
             None => Plan::Direct { hedge_after: self.settings.hedge_after },
-            Some(true) => Plan::Direct { hedge_after: self.settings.retry_hedge_after },
-            Some(false) => Plan::Through,
+            Some(at) if *at <= now => {
+                *at = now + self.settings.retry_after;
+                Plan::Direct { hedge_after: self.settings.retry_hedge_after }
+            }
+            Some(_) => Plan::Through,
         }
     }
 
@@ -284,9 +271,7 @@
         self.in_a_row.clear();
         if self.lost.remove(upstream).is_some() {
             // The other paths that were lost are most likely back too.
-            for retry in self.lost.values_mut() {
-                *retry = Retry { at: now, count: 0 };
-            }
+            self.lost.values_mut().for_each(|retry_at| *retry_at = now);
         }
         let after = now.since(self.lost_since);
         was_cut_off.then_some(Change::Regained { after, still_lost: self.lost.len() })
@@ -296,12 +281,12 @@
     /// another host reached it, or no host that reaches any upstream could be asked.
     pub fn record_lost(&mut self, upstream: &id::Upstream, now: clock::Moment) -> Option<Change> {
         let was_cut_off = self.is_cut_off();
-        let retry = Retry::after_loss(&self.settings, now);
         // A lost path that fails again shows nothing of the others.
         if self.lost.contains_key(upstream) {
             return None;
         }
-        self.lost.insert(upstream.clone(), retry);
+        let retry_at = now + self.settings.retry_after;
+        self.lost.insert(upstream.clone(), retry_at);
         if self.in_a_row.is_empty() {
             self.lost_since = now;
         }
@@ -309,7 +294,7 @@
         if was_cut_off || !self.is_cut_off() {
             return None;
         }
-        self.retry = retry;
+        self.retry_at = retry_at;
         Some(Change::Lost { upstreams: self.in_a_row.len() })
     }
 
@@ -333,6 +318,11 @@
         self.in_a_row.len() >= self.settings.min_lost
     }
 
+    /// Whether connections to `upstream` go through other hosts.
+    pub fn is_avoided(&self, upstream: &id::Upstream) -> bool {
+        self.is_cut_off() || self.lost.contains_key(upstream)
+    }
+
     /// Number of paths that are lost.
     pub fn lost(&self) -> usize {
         self.lost.len()
