Compare an upstream with two others before it is taken for down, and forget paths that nobody tries

From reading the change: the other host compared an upstream that it could not reach with one other alone, which is down too after a crash of a fifth of all in one of five cases, and then said that it was cut off itself. It now connects to two. Answers that come before it tries a path no longer count as a statement that it has paths; a lost path of its own that opens for another host is in use again.

Lost paths that no request tries for 5 s are forgotten.

--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -221,6 +221,17 @@
     log_change(state, change);
 }
 
+impl state::State {
+    /// Forgets lost paths that no request has tried for long.
+    pub(crate) fn expire_paths(&self) {
+        let was_cut_off = state::lock(&self.paths).expire(self.clock.now());
+        log_change(self, None);
+        if was_cut_off {
+            event::Line::new("paths_forgotten").info();
+        }
+    }
+}
+
 /// Logs that this host's paths were lost or regained.
 fn log_change(state: &state::State, change: Option<routing::PathChange>) {
     let lost = state::lock(&state.paths).lost();
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -18,7 +18,6 @@
 use crate::event;
 use crate::relay;
 use crate::state;
-use crate::tcp::connect as connect_tcp;
 
 /// Maximum number of connections carried for other hosts. Each takes two descriptors, of which a
 /// host has some thousands for its own callers.
@@ -106,52 +105,64 @@
     state: &state::State,
     open: &message::Open,
 ) -> Result<TcpStream, message::Outcome> {
-    if state.phase() > state::Phase::Serving || !state.is_ready() {
-        return Err(message::Outcome::Unavailable);
-    }
-    let service = id::Service::from(open.service.as_str());
-    let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
-    if let (Some(admission), Some(table)) = (&open.admission, state.routing_table())
-        && !admission.is_allowed(&table, &service)
-    {
-        return Err(message::Outcome::NotAllowed);
-    }
-    let plan = state::lock(&state.paths).plan(&entry.upstream, state.clock.now());
-    if plan == routing::PathPlan::Through {
-        let is_cut_off = state::lock(&state.paths).is_cut_off();
-        let lost = message::Outcome::PathLost;
-        return Err(if is_cut_off { message::Outcome::CutOff } else { lost });
+    let entry = admit(state, open)?;
+    match state::lock(&state.paths).plan(&entry.upstream, state.clock.now()) {
+        routing::PathPlan::Direct { .. } => {}
+        routing::PathPlan::Through => return Err(own_loss(state)),
     }
     let timeout = crate::message::from_millis(open.timeout_ms);
-    let mut connecting = std::pin::pin!(connect_tcp(entry.address, timeout));
+    let mut connecting = std::pin::pin!(super::connect_directly(state, &entry, timeout));
     let early = tokio::time::timeout(CONTROL_AFTER.min(timeout), &mut connecting).await;
-    let failed = match early {
-        Ok(Ok(stream)) => return Ok(stream),
-        Ok(Err(error)) => {
-            (error, reaches_another(state, &entry, timeout.saturating_sub(CONTROL_AFTER)).await)
-        }
-        Err(_) => {
-            let left = timeout.saturating_sub(CONTROL_AFTER);
-            let (opened, has_paths) =
-                tokio::join!(&mut connecting, reaches_another(state, &entry, left));
-            match opened {
-                Ok(stream) => return Ok(stream),
-                Err(error) => (error, has_paths),
-            }
-        }
+    if let Ok(Ok(stream)) = early {
+        return Ok(stream);
+    }
+    let comparing = reaches_another(state, &entry, timeout.saturating_sub(CONTROL_AFTER));
+    let (opened, has_paths) = match early {
+        Ok(opened) => (opened, comparing.await),
+        Err(_) => tokio::join!(connecting, comparing),
     };
-    Err(match failed {
-        (_, false) => {
+    opened.map_err(|error| {
+        if !has_paths {
             super::record_lost(state, &entry.upstream);
-            message::Outcome::CutOff
-        }
-        (error, true) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            message::Outcome::Refused
+            return message::Outcome::CutOff;
         }
-        (_, true) => message::Outcome::Silent,
+        let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+        if is_refused { message::Outcome::Refused } else { message::Outcome::Silent }
     })
 }
 
+/// Returns the upstream that `open` names, if this host may connect to it now.
+///
+/// # Errors
+///
+/// Why not.
+fn admit(
+    state: &state::State,
+    open: &message::Open,
+) -> Result<routing::Registration, message::Outcome> {
+    if state.phase() > state::Phase::Serving || !state.is_ready() {
+        return Err(message::Outcome::Unavailable);
+    }
+    let service = id::Service::from(open.service.as_str());
+    let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
+    let table = state.routing_table();
+    let is_allowed = match (&open.admission, &table) {
+        (Some(admission), Some(table)) => admission.is_allowed(table, &service),
+        // A host's own call, or a request that no table of this host speaks of.
+        (None, _) | (_, None) => true,
+    };
+    if is_allowed { Ok(entry) } else { Err(message::Outcome::NotAllowed) }
+}
+
+/// Returns the answer of a host whose own path is lost.
+fn own_loss(state: &state::State) -> message::Outcome {
+    if state::lock(&state.paths).is_cut_off() {
+        message::Outcome::CutOff
+    } else {
+        message::Outcome::PathLost
+    }
+}
+
 /// Returns the entry of the upstream that `open` names, if it is listed in the same lifetime and not
 /// leaving.
 fn listed(
@@ -163,8 +174,8 @@
     entry.flatten().filter(|entry| !entry.leaving && entry.started_ms == open.life)
 }
 
-/// Whether this host reaches another upstream than `failed` right now. Without that it cannot tell
-/// whether the upstream is down or its own path is lost.
+/// Whether this host reaches one of two other upstreams than `failed` right now. Without that it
+/// cannot tell whether the upstream is down or its own path is lost; one alone may be down too.
 async fn reaches_another(
     state: &state::State,
     failed: &routing::Registration,
@@ -179,15 +190,25 @@
     // One of this zone, if there is one: while zones are partitioned from each other, upstreams of
     // the other one are unreachable for all hosts of this zone, which have paths all the same.
     let zone = &state.settings.node.zone;
-    let near: Vec<_> = others.iter().filter(|entry| entry.zone == *zone).collect();
-    let chosen = near.choose(&mut rand::rng()).copied().or_else(|| others.first());
-    let Some(control) = chosen else { return false };
-    let opened = connect_tcp(control.address, timeout).await;
-    if opened.is_ok() {
-        let change = state::lock(&state.paths).record_opened(&control.upstream, state.clock.now());
-        super::log_change(state, change);
+    let near: Vec<_> = others.iter().filter(|entry| entry.zone == *zone).cloned().collect();
+    let candidates = if near.is_empty() { others } else { near };
+    let mut controls = candidates.choose_multiple(&mut rand::rng(), 2);
+    let (first, second) = (controls.next(), controls.next());
+    let (first, second) =
+        tokio::join!(reaches(state, first, timeout), reaches(state, second, timeout));
+    first || second
+}
+
+/// Whether this host reaches `control`, if there is one.
+async fn reaches(
+    state: &state::State,
+    control: Option<&routing::Registration>,
+    timeout: clock::Span,
+) -> bool {
+    match control {
+        Some(control) => super::connect_directly(state, control, timeout).await.is_ok(),
+        None => false,
     }
-    opened.is_ok()
 }
 
 /// Passes bytes on between the asking host and the upstream. The upstream's connection closes as
--- a/crates/lagoon-gateway/src/path/through.rs
+++ b/crates/lagoon-gateway/src/path/through.rs
@@ -123,6 +123,7 @@
         let answered = tokio::time::timeout(left, ask(state, &host, open)).await;
         let outcome = match answered.map_err(|_| io::Error::from(io::ErrorKind::TimedOut)) {
             Ok(Ok((message::Outcome::Opened, connection))) => {
+                state.metrics.count_tunnel("asked", message::Outcome::Opened.as_str());
                 *state::lock(&state.last_host_through) = Some(host.clone());
                 let unread = bytes::BytesMut::new();
                 return Ok(Tunnel { connection, host, unread, ended: false });
@@ -138,21 +139,29 @@
         };
         state.metrics.count_tunnel("asked", outcome.as_str());
         failure.answers.push((host, outcome));
-        // One host may have met a lost packet; what is refused or has left is certain.
-        let is_certain = !matches!(
-            outcome,
-            message::Outcome::Silent
-                | message::Outcome::CutOff
-                | message::Outcome::PathLost
-                | message::Outcome::Unavailable
-        );
-        if is_certain {
+        if is_certain(outcome) {
             break;
         }
     }
     Err(failure)
 }
 
+/// Whether no other host has to be asked. One that says that an upstream does not respond may have
+/// met a lost packet.
+fn is_certain(outcome: message::Outcome) -> bool {
+    match outcome {
+        message::Outcome::Opened
+        | message::Outcome::Refused
+        | message::Outcome::Left
+        | message::Outcome::NotAllowed => true,
+        message::Outcome::Silent
+        | message::Outcome::CutOff
+        | message::Outcome::PathLost
+        | message::Outcome::Unavailable
+        | message::Outcome::Unspecified => false,
+    }
+}
+
 fn open(
     state: &state::State,
     entry: &routing::Registration,
@@ -196,8 +205,12 @@
                 );
             }
         }
+        message::Outcome::Opened | message::Outcome::Refused | message::Outcome::Silent => {
+            paths.record_sight(host, Some(routing::Sight::Reaches), now);
+        }
         message::Outcome::Unspecified | message::Outcome::Unavailable => paths.skip_host(host, now),
-        _ => paths.record_sight(host, Some(routing::Sight::Reaches), now),
+        // Answered before the host tried any path.
+        message::Outcome::Left | message::Outcome::NotAllowed | message::Outcome::PathLost => {}
     }
     Ok((outcome, connection))
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -319,6 +319,7 @@
         for service_state in self.service_states.load().values() {
             lock(service_state).placer.expire(now);
         }
+        self.expire_paths();
     }
 
     /// Records the age of another host's last confirmation of the desired state.
--- a/crates/lagoonline/src/routing/paths.rs
+++ b/crates/lagoonline/src/routing/paths.rs
@@ -37,6 +37,8 @@
     pub max_skip_doublings: u32,
     /// How long the last direct connection that opened shows that paths are there.
     pub opened_validity: clock::Span,
+    /// How long lost paths are remembered while none is tried.
+    pub memory: clock::Span,
 }
 
 impl Default for Settings {
@@ -50,6 +52,7 @@
             skip_span: clock::Span::from_secs(1),
             max_skip_doublings: 4,
             opened_validity: clock::Span::from_secs(5),
+            memory: clock::Span::from_secs(5),
         }
     }
 }
@@ -149,6 +152,8 @@
     lost_since: clock::Moment,
     /// When a direct connection is tried again while the host is cut off from all.
     retry_at: clock::Moment,
+    /// When a lost path was last tried or found.
+    tried_at: clock::Moment,
     /// When a direct connection last opened.
     opened_at: Option<clock::Moment>,
     hosts: collections::BTreeMap<id::Host, Host>,
@@ -164,6 +169,7 @@
             in_a_row: collections::BTreeSet::new(),
             lost_since: clock::Moment::START,
             retry_at: clock::Moment::START,
+            tried_at: clock::Moment::START,
             opened_at: None,
             hosts: collections::BTreeMap::new(),
         }
@@ -222,6 +228,7 @@
             None => Plan::Direct { hedge_after: self.settings.hedge_after },
             Some(at) if *at <= now => {
                 *at = now + self.settings.retry_after;
+                self.tried_at = now;
                 Plan::Direct { hedge_after: self.settings.retry_hedge_after }
             }
             Some(_) => Plan::Through,
@@ -281,6 +288,7 @@
     /// another host reached it, or no host that reaches any upstream could be asked.
     pub fn record_lost(&mut self, upstream: &id::Upstream, now: clock::Moment) -> Option<Change> {
         let was_cut_off = self.is_cut_off();
+        self.tried_at = now;
         // A lost path that fails again shows nothing of the others.
         if self.lost.contains_key(upstream) {
             return None;
@@ -313,6 +321,18 @@
         self.in_a_row.retain(is_listed);
     }
 
+    /// Forgets lost paths that nobody has tried for long, and returns whether the host counted as cut
+    /// off: a path without requests would otherwise count as lost forever.
+    pub fn expire(&mut self, now: clock::Moment) -> bool {
+        let was_cut_off = self.is_cut_off();
+        if now.since(self.tried_at) <= self.settings.memory {
+            return false;
+        }
+        self.lost.clear();
+        self.in_a_row.clear();
+        was_cut_off
+    }
+
     /// Whether no direct connection has opened since those to several upstreams failed.
     pub fn is_cut_off(&self) -> bool {
         self.in_a_row.len() >= self.settings.min_lost
--- a/crates/lagoonline/tests/routing_paths.rs
+++ b/crates/lagoonline/tests/routing_paths.rs
@@ -109,6 +109,33 @@
     assert_eq!(paths.lost(), 0);
 }
 
+/// A path that got no requests after it was lost counted as lost forever, and its host as cut off.
+#[rstest]
+fn lost_paths_that_nobody_tries_are_forgotten() {
+    let mut paths = paths(1, 0);
+    cut_off(&mut paths);
+    let memory = PathSettings::default().memory;
+    assert!(!paths.expire(START + memory));
+    let later = START + memory + Span::from_millis(1);
+    assert!(paths.expire(later));
+    assert_eq!((paths.lost(), paths.sight(later)), (0, None));
+    assert!(!paths.expire(later));
+}
+
+/// A host that is cut off and goes on trying must not forget it between two tries.
+#[rstest]
+fn lost_paths_that_are_tried_are_remembered() {
+    let mut paths = paths(1, 0);
+    cut_off(&mut paths);
+    let pause = PathSettings::default().memory / 2;
+    for round in 1..10 {
+        let now = START + pause * round;
+        assert!(matches!(paths.plan(&upstream(7), now), PathPlan::Direct { .. }));
+        assert!(!paths.expire(now));
+        assert!(paths.is_cut_off(), "round {round}");
+    }
+}
+
 /// Connections of all cut-off hosts would go through the same one, or through another zone.
 #[rstest]
 fn hosts_of_the_own_zone_share_the_connections() {
