Go on with a silent stream that no other upstream takes

What callers saw: a stream whose upstream was silent for a second was given up, and cut if no other upstream took it, although the silent one was sound and would have gone on.

Cause: the connection was dropped before another upstream had taken over.

The stand-in's usual upstreams have one copy in the tests.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -57,6 +57,7 @@
         reader: event_stream::Reader::default(),
         events: 0,
         upstreams: 1,
+        waits_for_silent: false,
         last_forwarded: clock::Moment::START,
         longest_pause: clock::Span::ZERO,
     };
@@ -94,9 +95,12 @@
 /// Why the answer of one upstream did not complete the stream.
 #[derive(Debug, thiserror::Error)]
 enum Failure {
-    /// The answer was broken off, or its upstream was abandoned.
+    /// The answer was broken off.
     #[error("{0}")]
     Broken(String),
+    /// The upstream has been silent for this long. Its connection is still open.
+    #[error("silent for {0:?}")]
+    Silent(clock::Span),
     /// The answer may be whole, but the caller was promised an end mark that it came without.
     #[error("ended without the end mark that the caller was promised")]
     Unproven,
@@ -118,6 +122,8 @@
     events: u64,
     /// Upstreams that count against the route's limit; refused and unsent attempts do not.
     upstreams: u32,
+    /// Whether no other upstream took the stream when the current one was silent.
+    waits_for_silent: bool,
     /// When the last event was forwarded.
     last_forwarded: clock::Moment,
     longest_pause: clock::Span,
@@ -180,7 +186,7 @@
         loop {
             let upstream = open.upstream.clone();
             let framing = open.framing;
-            let failure = match self.forward_answer(open).await {
+            let failure = match self.forward_answer(&mut open).await {
                 Ok(conclusion) => return self.end_complete(&upstream, conclusion),
                 Err(failure) => failure,
             };
@@ -188,14 +194,21 @@
                 return End::CallerLeft;
             }
             self.log_failure(&upstream, framing, &failure);
-            if matches!(failure, Failure::Broken(_)) {
+            if matches!(failure, Failure::Broken(_) | Failure::Silent(_)) {
                 self.admitted.record_unresponsive(&upstream);
             }
-            let cut_event = self.reader.take_rest();
             avoid.push(upstream);
+            let is_open = matches!(failure, Failure::Silent(_));
             match self.resume(&mut avoid, failure).await {
-                Some(next) => open = next,
-                None => return self.end_broken(&cut_event).await,
+                Some(next) => {
+                    // The rest of an event that the next upstream sends from its beginning.
+                    drop(self.reader.take_rest());
+                    self.waits_for_silent = false;
+                    open = next;
+                }
+                // The silent upstream may be sound, and nobody else takes the stream.
+                None if is_open => self.waits_for_silent = true,
+                None => return self.end_broken().await,
             }
         }
     }
@@ -219,9 +232,10 @@
 
     /// Ends a stream that was broken off. Without chunks, the bytes of the event that was cut show
     /// the caller that it was.
-    async fn end_broken(&mut self, cut_event: &[u8]) -> End {
+    async fn end_broken(&mut self) -> End {
+        let cut_event = self.reader.take_rest();
         if !self.promised.marks_end()
-            && self.forward(util::Bytes::copy_from_slice(cut_event)).await.is_err()
+            && self.forward(util::Bytes::copy_from_slice(&cut_event)).await.is_err()
         {
             return End::CallerLeft;
         }
@@ -312,7 +326,7 @@
     /// Forwards one answer to its end.
     async fn forward_answer(
         &mut self,
-        mut open: forward::OpenAnswer,
+        open: &mut forward::OpenAnswer,
     ) -> Result<completeness::Conclusion, Failure> {
         let mut last_activity = self.admitted.state.clock.now();
         let events_before = self.events;
@@ -324,7 +338,7 @@
                 Ok(chunk) => chunk.map_err(|failure| {
                     let broken = completeness::Completeness::Broken;
                     self.admitted.state.metrics.count_answer_end(open.framing, broken);
-                    self.record_broken_answer(&open, self.events - events_before);
+                    self.record_broken_answer(open, self.events - events_before);
                     Failure::Broken(failure.to_string())
                 })?,
                 Err(_) if left <= silence::CHECK_INTERVAL => {
@@ -333,7 +347,7 @@
                 Err(_) => {
                     let silent = self.admitted.state.clock.now().since(last_activity);
                     if self.should_abandon(&open.upstream, silent) {
-                        return Err(Failure::Broken(format!("silent for {silent:?}")));
+                        return Err(Failure::Silent(silent));
                     }
                     continue;
                 }
@@ -343,7 +357,7 @@
             open.in_flight.keep_reservations();
             let Some(chunk) = chunk else {
                 let events = self.events - events_before;
-                return self.end_answer(&open, bytes, events).await;
+                return self.end_answer(open, bytes, events).await;
             };
             bytes += chunk.len();
             self.reader.push(&chunk);
@@ -381,7 +395,8 @@
     fn should_abandon(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
         let timeout = self.silence_timeout();
         // The last upstream that may be tried is not abandoned: it may merely be busy.
-        if !self.admitted.has_attempts_left(self.upstreams) || silent < MIN_SILENCE.min(timeout) {
+        let may_move = !self.waits_for_silent && self.admitted.has_attempts_left(self.upstreams);
+        if !may_move || silent < MIN_SILENCE.min(timeout) {
             return false;
         }
         if self.admitted.is_unresponsive(upstream) {
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -100,15 +100,7 @@
     }
 
     fn start_with(upstream: fn(&Standin, &str, &str, u32)) -> Host {
-        let standin = Standin::start();
-        standin.put("op", "config", &desired(1, &["k1"], 10_000));
-        for name in ["e1", "e2"] {
-            upstream(&standin, name, "llm", 16);
-        }
-        for name in ["r1", "r2"] {
-            upstream(&standin, name, "app", 6);
-        }
-        Host::join(&standin, HostSettings::default())
+        Host::join(&start_upstreams(upstream), HostSettings::default())
     }
 
     /// Starts another host of `standin`, and waits until it is ready.
@@ -188,6 +180,19 @@
     }
 }
 
+/// Starts a stand-in with two engines and two replicas, each started by `upstream`.
+pub fn start_upstreams(upstream: fn(&Standin, &str, &str, u32)) -> Standin {
+    let standin = Standin::start();
+    standin.put("op", "config", &desired(1, &["k1"], 10_000));
+    for name in ["e1", "e2"] {
+        upstream(&standin, name, "llm", 16);
+    }
+    for name in ["r1", "r2"] {
+        upstream(&standin, name, "app", 6);
+    }
+    standin
+}
+
 /// Sends a request and returns the status and the body as far as it came. Status 0 means no answer.
 /// " CUT" is appended to a chunked body without its terminating chunk.
 pub fn send_request(address: net::SocketAddr, head: &str) -> (u16, String) {
--- a/crates/lagoon-gateway/tests/paths.rs
+++ b/crates/lagoon-gateway/tests/paths.rs
@@ -17,7 +17,7 @@
 
 use rstest::rstest;
 
-use host::{Host, HostSettings, all_events, caller, desired, send_request};
+use host::{Host, HostSettings, all_events, caller, desired, send_request, start_upstreams};
 use standin::path::Mode;
 use standin::raw;
 use standin::{Behavior, Entrance, Standin};
@@ -85,14 +85,7 @@
         settings: HostSettings<'_>,
         upstream: fn(&Standin, &str, &str, u32),
     ) -> Fleet {
-        let standin = Standin::start();
-        standin.put("op", "config", &desired(1, &["k1"], 10_000));
-        for name in ["e1", "e2"] {
-            upstream(&standin, name, "llm", 16);
-        }
-        for name in ["r1", "r2"] {
-            upstream(&standin, name, "app", 6);
-        }
+        let standin = start_upstreams(upstream);
         let entrance = standin.entrance_with_paths();
         let settings = HostSettings { revoke_ms: settings.revoke_ms.max(5_000), ..settings };
         let other = Host::join(&standin, HostSettings { name: "h2", ..settings });
@@ -419,3 +412,23 @@
         assert_eq!(answer, (200, all_events()), "silent before event {step}");
     }
 }
+
+/// A stream was given up for a second of silence and then cut, since no other upstream took it: the
+/// silent one was sound and would have gone on.
+#[rstest]
+fn a_silent_stream_that_nobody_else_takes_is_not_cut() {
+    let fleet = Fleet::start();
+    fleet.standin.behavior("e1", Behavior::SilentBefore(4));
+    fleet.standin.behavior("e2", Behavior::Refuse);
+    assert_eq!(fleet.other.talk(), (200, all_events()));
+}
+
+/// A prompt was given up for a second of silence before its answer, and then failed, since no other
+/// upstream took it: the silent one was sound and would have answered.
+#[rstest]
+fn a_prompt_that_nobody_else_takes_is_not_given_up() {
+    let fleet = Fleet::start();
+    fleet.standin.behavior("e1", Behavior::SilentBefore(0));
+    fleet.standin.behavior("e2", Behavior::Refuse);
+    assert_eq!(fleet.other.talk(), (200, all_events()));
+}
