Answer a host that asks for a lost path instead of stopping for good

Found on the way: a host that reaches a few upstreams says that it has paths and was asked for all others; one that lost most of its paths now counts as cut off. It says that an upstream is down only if both upstreams that it compares with open and its path was not lost before. Connections that fail at the same moment count once when a host is passed over.

--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -106,9 +106,10 @@
     open: &message::Open,
 ) -> Result<TcpStream, message::Outcome> {
     let entry = admit(state, open)?;
-    match state::lock(&state.paths).plan(&entry.upstream, state.clock.now()) {
-        routing::PathPlan::Direct { .. } => {}
-        routing::PathPlan::Through => return Err(own_loss(state)),
+    let was_lost = state::lock(&state.paths).is_avoided(&entry.upstream);
+    let plan = state::lock(&state.paths).plan(&entry.upstream, state.clock.now());
+    if plan == routing::PathPlan::Through {
+        return Err(own_loss(state));
     }
     let timeout = crate::message::from_millis(open.timeout_ms);
     let mut connecting = std::pin::pin!(super::connect_directly(state, &entry, timeout));
@@ -116,19 +117,41 @@
     if let Ok(Ok(stream)) = early {
         return Ok(stream);
     }
-    let comparing = reaches_another(state, &entry, timeout.saturating_sub(CONTROL_AFTER));
-    let (opened, has_paths) = match early {
+    if let (Ok(Err(_)), true) = (&early, was_lost) {
+        return Err(own_loss(state));
+    }
+    let comparing = connect_to_others(state, &entry, timeout.saturating_sub(CONTROL_AFTER));
+    let (opened, controls) = match early {
         Ok(opened) => (opened, comparing.await),
         Err(_) => tokio::join!(connecting, comparing),
     };
-    opened.map_err(|error| {
-        if !has_paths {
-            super::record_lost(state, &entry.upstream);
-            return message::Outcome::CutOff;
-        }
-        let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
-        if is_refused { message::Outcome::Refused } else { message::Outcome::Silent }
-    })
+    opened.map_err(|error| conclude(state, &entry, &error, controls))
+}
+
+/// Returns what this host can say of `entry`, to which it did not connect because of `error`, after
+/// connecting to other upstreams.
+fn conclude(
+    state: &state::State,
+    entry: &routing::Registration,
+    error: &io::Error,
+    controls: Controls,
+) -> message::Outcome {
+    if controls.opened == 0 {
+        super::record_lost(state, &entry.upstream);
+    }
+    // Where one of the others is out of reach too, paths to some upstreams may be lost.
+    if controls.opened < controls.tried || state::lock(&state.paths).is_cut_off() {
+        return own_loss(state);
+    }
+    let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
+    if is_refused { message::Outcome::Refused } else { message::Outcome::Silent }
+}
+
+/// Other upstreams that this host connected to for comparison.
+#[derive(Clone, Copy, Debug)]
+struct Controls {
+    tried: usize,
+    opened: usize,
 }
 
 /// Returns the upstream that `open` names, if this host may connect to it now.
@@ -174,29 +197,31 @@
     entry.flatten().filter(|entry| !entry.leaving && entry.started_ms == open.life)
 }
 
-/// Whether this host reaches one of two other upstreams than `failed` right now. Without that it
-/// cannot tell whether the upstream is down or its own path is lost; one alone may be down too.
-async fn reaches_another(
+/// Connects to two other upstreams than `failed`. Without them this host cannot tell whether the
+/// upstream is down or its own path is lost.
+async fn connect_to_others(
     state: &state::State,
     failed: &routing::Registration,
     timeout: clock::Span,
-) -> bool {
+) -> Controls {
     let others: Vec<_> = state
         .registry()
         .entries()
         .filter(|entry| entry.upstream != failed.upstream && !entry.leaving)
         .cloned()
         .collect();
-    // One of this zone, if there is one: while zones are partitioned from each other, upstreams of
-    // the other one are unreachable for all hosts of this zone, which have paths all the same.
+    // Of this zone, if there are any: while zones are partitioned from each other, upstreams of the
+    // other one are unreachable for all hosts of this zone, which have paths all the same.
     let zone = &state.settings.node.zone;
     let near: Vec<_> = others.iter().filter(|entry| entry.zone == *zone).cloned().collect();
     let candidates = if near.is_empty() { others } else { near };
-    let mut controls = candidates.choose_multiple(&mut rand::rng(), 2);
-    let (first, second) = (controls.next(), controls.next());
+    let mut chosen = candidates.choose_multiple(&mut rand::rng(), 2);
+    let (first, second) = (chosen.next(), chosen.next());
+    let tried = usize::from(first.is_some()) + usize::from(second.is_some());
     let (first, second) =
         tokio::join!(reaches(state, first, timeout), reaches(state, second, timeout));
-    first || second
+    // A host that lists no other upstream has nothing to compare with.
+    Controls { tried: tried.max(1), opened: usize::from(first) + usize::from(second) }
 }
 
 /// Whether this host reaches `control`, if there is one.
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -416,7 +416,8 @@
                 entries.push(entry.clone());
             }
         }
-        lock(&self.paths).retain(|upstream| registry.is_listed(upstream));
+        let listed = registry.entries().count();
+        lock(&self.paths).retain(listed, |upstream| registry.is_listed(upstream));
         let known = self.service_states.load_full();
         let mut service_states = ServiceStates::default();
         for (service, entries) in by_service {
--- a/crates/lagoon-gateway/tests/paths.rs
+++ b/crates/lagoon-gateway/tests/paths.rs
@@ -226,6 +226,24 @@
     assert_eq!(metric(&fleet.other, "repeats_total"), 0.0, "requests sent once more");
 }
 
+/// A host that had lost one path stopped for good when another host asked it for that connection.
+#[rstest]
+fn a_host_that_lost_a_path_answers_a_host_that_asks_for_it() {
+    let fleet = Fleet::start();
+    let paths = fleet.standin.entrance_with_paths();
+    let settings = HostSettings { revoke_ms: 5_000, ..HostSettings::default() };
+    let settings = HostSettings { name: "h3", store: Some(paths.address), ..settings };
+    let third = Host::join(&fleet.standin, settings);
+    fleet.standin.behavior("e2", Behavior::Refuse);
+    paths.set_path("e1", Mode::Refusing);
+    assert_eq!(third.talk(), (200, all_events()));
+    fleet.entrance.set_path("e1", Mode::Refusing);
+    for _ in 0..20 {
+        assert_eq!(fleet.cut.talk(), (200, all_events()));
+    }
+    assert_eq!(third.talk(), (200, all_events()));
+}
+
 /// Where no host reaches an upstream, callers waited 0.7 to 1.4 s for a refusal that was certain.
 #[rstest]
 fn callers_are_refused_at_once_while_no_host_has_a_path() {
--- a/crates/lagoon-load/src/paths/simulation.rs
+++ b/crates/lagoon-load/src/paths/simulation.rs
@@ -88,6 +88,7 @@
         for (other, name) in names.iter().enumerate().filter(|(other, _)| *other != number) {
             paths.set_host(name.clone(), zones[other % scenario.zones].clone());
         }
+        paths.retain(scenario.upstreams, |_| true);
         Host {
             paths,
             avoided_until: vec![0; scenario.upstreams],
@@ -411,10 +412,15 @@
         if direct.is_open {
             return (Answer::Opened, direct.after);
         }
-        let control = self.random.random_range(0..self.scenario.upstreams);
-        if !self.reaches(other, control, now) {
+        let mut control = || self.random.random_range(0..self.scenario.upstreams);
+        let controls = [control(), control()];
+        let opened = controls.iter().filter(|control| self.reaches(other, **control, now)).count();
+        if opened == 0 {
             self.record_direct(other, &name, false, now);
-            return (Answer::CutOff, direct.after);
+        }
+        let is_cut_off = self.hosts[other].paths.is_cut_off();
+        if opened < controls.len() || is_cut_off {
+            return (if is_cut_off { Answer::CutOff } else { Answer::PathLost }, direct.after);
         }
         let is_silent = direct.after == CARRIED_CONNECT_MS;
         (if is_silent { Answer::Silent } else { Answer::Refused }, direct.after)
--- a/crates/lagoonline/src/routing/paths.rs
+++ b/crates/lagoonline/src/routing/paths.rs
@@ -144,6 +144,8 @@
 pub struct Paths {
     settings: Settings,
     zone: id::Zone,
+    /// Number of upstreams that are listed.
+    upstreams: usize,
     /// Paths that are lost, and when each is tried again.
     lost: collections::BTreeMap<id::Upstream, clock::Moment>,
     /// Upstreams to which paths were newly lost since a direct connection last opened.
@@ -165,6 +167,7 @@
         Paths {
             settings,
             zone,
+            upstreams: 0,
             lost: collections::BTreeMap::new(),
             in_a_row: collections::BTreeSet::new(),
             lost_since: clock::Moment::START,
@@ -203,7 +206,9 @@
 
     /// Records that another host did not answer, or takes no connections now.
     pub fn skip_host(&mut self, host: &id::Host, now: clock::Moment) {
-        if let Some(known) = self.hosts.get_mut(host) {
+        // Several connections may fail at the same host at once.
+        let known = self.hosts.get_mut(host).filter(|known| known.skipped_until <= now);
+        if let Some(known) = known {
             known.skipped_until = now + self.settings.skip_span * 2u32.pow(known.skips);
             known.skips = (known.skips + 1).min(self.settings.max_skip_doublings);
         }
@@ -279,9 +284,11 @@
         if self.lost.remove(upstream).is_some() {
             // The other paths that were lost are most likely back too.
             self.lost.values_mut().for_each(|retry_at| *retry_at = now);
+            self.retry_at = now;
         }
         let after = now.since(self.lost_since);
-        was_cut_off.then_some(Change::Regained { after, still_lost: self.lost.len() })
+        let is_regained = was_cut_off && !self.is_cut_off();
+        is_regained.then_some(Change::Regained { after, still_lost: self.lost.len() })
     }
 
     /// Records that no direct connection to `upstream` opened and nothing shows that it is down:
@@ -312,11 +319,12 @@
         self.in_a_row.remove(upstream);
     }
 
-    /// Forgets the paths to upstreams that are no longer listed.
-    pub fn retain<Listed>(&mut self, is_listed: Listed)
+    /// Sets the number of upstreams that are listed, and forgets the paths to others.
+    pub fn retain<Listed>(&mut self, upstreams: usize, is_listed: Listed)
     where
         Listed: Fn(&id::Upstream) -> bool,
     {
+        self.upstreams = upstreams;
         self.lost.retain(|upstream, _| is_listed(upstream));
         self.in_a_row.retain(is_listed);
     }
@@ -333,9 +341,11 @@
         was_cut_off
     }
 
-    /// Whether no direct connection has opened since those to several upstreams failed.
+    /// Whether no direct connection has opened since those to several upstreams failed, or the paths
+    /// to most upstreams are lost. A host that reaches a few must not be asked to carry connections
+    /// to the others, and cannot tell whether one of those is down.
     pub fn is_cut_off(&self) -> bool {
-        self.in_a_row.len() >= self.settings.min_lost
+        self.in_a_row.len() >= self.settings.min_lost || self.lost.len() * 2 > self.upstreams.max(2)
     }
 
     /// Whether connections to `upstream` go through other hosts.
