--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -120,40 +120,34 @@
     if let (Ok(Err(_)), true) = (&early, was_lost) {
         return Err(own_loss(state));
     }
-    let comparing = connect_to_others(state, &entry, timeout.saturating_sub(CONTROL_AFTER));
-    let (opened, controls) = match early {
+    let comparing = reaches_another(state, &entry, timeout.saturating_sub(CONTROL_AFTER));
+    let (opened, has_paths) = match early {
         Ok(opened) => (opened, comparing.await),
         Err(_) => tokio::join!(connecting, comparing),
     };
-    opened.map_err(|error| conclude(state, &entry, &error, controls))
+    opened.map_err(|error| conclude(state, &entry, &error, has_paths))
 }
 
-/// Returns what this host can say of `entry`, to which it did not connect because of `error`, after
-/// connecting to other upstreams.
+/// Returns what this host can say of `entry`, to which it did not connect because of `error`;
+/// `has_paths` tells whether it reached another upstream at the same time.
 fn conclude(
     state: &state::State,
     entry: &routing::Registration,
     error: &io::Error,
-    controls: Controls,
+    has_paths: bool,
 ) -> message::Outcome {
-    if controls.opened == 0 {
+    if !has_paths {
         super::record_lost(state, &entry.upstream);
+        return message::Outcome::CutOff;
     }
-    // Where one of the others is out of reach too, paths to some upstreams may be lost.
-    if controls.opened < controls.tried || state::lock(&state.paths).is_cut_off() {
-        return own_loss(state);
+    // A host that reaches a few upstreams cannot tell whether one of the others is down.
+    if state::lock(&state.paths).is_cut_off() {
+        return message::Outcome::CutOff;
     }
     let is_refused = error.kind() == io::ErrorKind::ConnectionRefused;
     if is_refused { message::Outcome::Refused } else { message::Outcome::Silent }
 }
 
-/// Other upstreams that this host connected to for comparison.
-#[derive(Clone, Copy, Debug)]
-struct Controls {
-    tried: usize,
-    opened: usize,
-}
-
 /// Returns the upstream that `open` names, if this host may connect to it now.
 ///
 /// # Errors
@@ -197,13 +191,13 @@
     entry.flatten().filter(|entry| !entry.leaving && entry.started_ms == open.life)
 }
 
-/// Connects to two other upstreams than `failed`. Without them this host cannot tell whether the
-/// upstream is down or its own path is lost.
-async fn connect_to_others(
+/// Whether this host reaches one of two other upstreams than `failed` right now. Without that it
+/// cannot tell whether the upstream is down or its own path is lost; one alone may be down too.
+async fn reaches_another(
     state: &state::State,
     failed: &routing::Registration,
     timeout: clock::Span,
-) -> Controls {
+) -> bool {
     let others: Vec<_> = state
         .registry()
         .entries()
@@ -217,11 +211,9 @@
     let candidates = if near.is_empty() { others } else { near };
     let mut chosen = candidates.choose_multiple(&mut rand::rng(), 2);
     let (first, second) = (chosen.next(), chosen.next());
-    let tried = usize::from(first.is_some()) + usize::from(second.is_some());
     let (first, second) =
         tokio::join!(reaches(state, first, timeout), reaches(state, second, timeout));
-    // A host that lists no other upstream has nothing to compare with.
-    Controls { tried: tried.max(1), opened: usize::from(first) + usize::from(second) }
+    first || second
 }
 
 /// Whether this host reaches `control`, if there is one.
--- a/crates/lagoon-load/src/paths/simulation.rs
+++ b/crates/lagoon-load/src/paths/simulation.rs
@@ -418,9 +418,8 @@
         if opened == 0 {
             self.record_direct(other, &name, false, now);
         }
-        let is_cut_off = self.hosts[other].paths.is_cut_off();
-        if opened < controls.len() || is_cut_off {
-            return (if is_cut_off { Answer::CutOff } else { Answer::PathLost }, direct.after);
+        if opened == 0 || self.hosts[other].paths.is_cut_off() {
+            return (Answer::CutOff, direct.after);
         }
         let is_silent = direct.after == CARRIED_CONNECT_MS;
         (if is_silent { Answer::Silent } else { Answer::Refused }, direct.after)
