Record a crash by the host's own sight where no other host can be asked

Where no other host can tell, a refusal counts if this host reaches another upstream at the same time and is not cut off. The tests of lethal pass, also twice beside six busy processes; those of paths too.

--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -32,6 +32,9 @@
 pub(crate) use connection::Connection;
 pub(crate) use serve::serve;
 
+/// Timeout for a connection to another upstream that shows whether this host has paths.
+const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// What is known of an upstream to which no connection opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Verdict {
@@ -101,14 +104,14 @@
     let mut through = std::pin::pin!(through::connect(state, entry, admission, left));
     match early {
         Ok(Ok(stream)) => return Ok(Connection::Direct(stream)),
-        Ok(Err(error)) => return after_direct(state, entry, &error, through.await),
+        Ok(Err(error)) => return after_direct(state, entry, &error, through.await).await,
         Err(_) => {}
     }
     let failure = tokio::select! {
         biased;
         opened = &mut direct => return match opened {
             Ok(stream) => Ok(Connection::Direct(stream)),
-            Err(error) => after_direct(state, entry, &error, through.await),
+            Err(error) => after_direct(state, entry, &error, through.await).await,
         },
         opened = &mut through => match opened {
             Ok(tunnel) => return use_tunnel(state, entry, tunnel),
@@ -117,12 +120,12 @@
     };
     match direct.await {
         Ok(stream) => Ok(Connection::Direct(stream)),
-        Err(error) => Err(conclude(state, entry, &error, &failure)),
+        Err(error) => Err(conclude(state, entry, &error, &failure).await),
     }
 }
 
 /// Ends a connection whose direct way failed with `error` and whose other way brought `through`.
-fn after_direct(
+async fn after_direct(
     state: &state::State,
     entry: &routing::Registration,
     error: &io::Error,
@@ -130,7 +133,7 @@
 ) -> Result<Connection, Failure> {
     match through {
         Ok(tunnel) => use_tunnel(state, entry, tunnel),
-        Err(failure) => Err(conclude(state, entry, error, &failure)),
+        Err(failure) => Err(conclude(state, entry, error, &failure).await),
     }
 }
 
@@ -161,12 +164,12 @@
     };
     if !failure.is_unasked() {
         let lost = io::Error::other("its path is lost");
-        return Err(conclude(state, entry, &lost, &failure));
+        return Err(conclude(state, entry, &lost, &failure).await);
     }
     let left = timeout.saturating_sub(state.clock.now().since(began));
     match connect_directly(state, entry, left).await {
         Ok(stream) => Ok(Connection::Direct(stream)),
-        Err(error) => Err(conclude(state, entry, &error, &failure)),
+        Err(error) => Err(conclude(state, entry, &error, &failure).await),
     }
 }
 
@@ -186,13 +189,16 @@
 }
 
 /// Concludes what two failures say of the upstream: the `direct` one, and that `through` other hosts.
-fn conclude(
+async fn conclude(
     state: &state::State,
     entry: &routing::Registration,
     direct: &io::Error,
     through: &through::Failure,
 ) -> Failure {
-    let verdict = through.verdict();
+    let verdict = match through.verdict() {
+        Verdict::Unknown => own_verdict(state, entry, direct).await,
+        verdict => verdict,
+    };
     match verdict {
         Verdict::Refused | Verdict::Silent => {
             state::lock(&state.paths).record_down(&entry.upstream);
@@ -200,15 +206,30 @@
         Verdict::Unknown => record_lost(state, &entry.upstream),
         Verdict::Outdated => {}
     }
-    // A host that knows no other has only its own attempts to go by.
+    Failure { verdict, detail: format!("{direct}; {through}") }
+}
+
+/// Returns what this host alone can say of `entry`, to which no other host could tell the way. A
+/// refusal counts if another upstream is reached at the same time, as when all other hosts have
+/// ended; a host that knows no other has only its own attempts to go by.
+async fn own_verdict(
+    state: &state::State,
+    entry: &routing::Registration,
+    direct: &io::Error,
+) -> Verdict {
     let is_alone = !state::lock(&state.paths).has_hosts();
+    let is_cut_off = state::lock(&state.paths).is_cut_off();
     let is_refused = direct.kind() == io::ErrorKind::ConnectionRefused;
-    let verdict = match (is_alone, is_refused) {
-        (false, _) => verdict,
+    match (is_alone, is_refused) {
         (true, true) => Verdict::Refused,
         (true, false) => Verdict::Silent,
-    };
-    Failure { verdict, detail: format!("{direct}; {through}") }
+        (false, true)
+            if !is_cut_off && serve::reaches_another(state, entry, LOOK_TIMEOUT).await =>
+        {
+            Verdict::Refused
+        }
+        (false, _) => Verdict::Unknown,
+    }
 }
 
 /// Records that this host's path to `upstream` is lost. Once it counts as cut off, what it believed
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -193,7 +193,7 @@
 
 /// Whether this host reaches one of two other upstreams than `failed` right now. Without that it
 /// cannot tell whether the upstream is down or its own path is lost; one alone may be down too.
-async fn reaches_another(
+pub(super) async fn reaches_another(
     state: &state::State,
     failed: &routing::Registration,
     timeout: clock::Span,
