Log and count why a failed attempt is not followed by another one

Whether a request failed since its route allows no more attempts, since its time was over or since the retry budget was empty could not be told from the lines of a host, nor how full the budget was. No decision changed.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::exchange;
 use crate::in_flight;
 use crate::message;
+use crate::metrics;
 use crate::path;
 use crate::place;
 use crate::reserve;
@@ -303,14 +304,32 @@
             attempt::Failure::Refused { .. } => refusals <= MAX_REFUSALS,
             attempt::Failure::Lost(_) => attempts < self.route.max_attempts + refusals,
         };
-        if !within_limits || self.time_left() < MIN_TIME_LEFT {
-            return false;
+        if !within_limits {
+            return self.refuse_retry(metrics::RetryRefusal::Attempts);
+        }
+        if self.time_left() < MIN_TIME_LEFT {
+            return self.refuse_retry(metrics::RetryRefusal::Deadline);
         }
         let unsent = matches!(failed, attempt::Failure::Unsent(_));
         let service_state = self.state.service_state(&self.service);
-        unsent
+        let is_taken = unsent
             || service_state
-                .is_some_and(|service_state| state::lock(&service_state).budget.take_retry())
+                .is_some_and(|service_state| state::lock(&service_state).budget.take_retry());
+        is_taken || self.refuse_retry(metrics::RetryRefusal::Budget)
+    }
+
+    /// Counts and logs that the request is not sent again; returns false.
+    fn refuse_retry(&self, reason: metrics::RetryRefusal) -> bool {
+        self.state.metrics.count_retry_refusal(reason);
+        let service_state = self.state.service_state(&self.service);
+        let budget = service_state.map(|service_state| state::lock(&service_state).budget);
+        event::Line::new("retry_refused")
+            .text("request", &self.request.head.request_id)
+            .text("reason", reason.as_str())
+            .number("retries_left", budget.map_or(0.0, |budget| budget.available()))
+            .number("burst", budget.map_or(0.0, |budget| budget.burst()))
+            .info();
+        false
     }
 
     /// Records for placement that bytes of an answer arrived from `upstream`, which shows that it
@@ -353,7 +372,7 @@
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
-        self.log_dispatch(&placement, dispatch_id.number, through.as_ref());
+        self.log_dispatch(&placement, dispatch_id.number, attempts, through.as_ref());
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
@@ -589,6 +608,7 @@
         &self,
         placement: &placement::Placement,
         number: u64,
+        attempt: u32,
         through: Option<&id::Host>,
     ) {
         let helpers: Vec<_> =
@@ -601,6 +621,7 @@
             .text("route", &self.route.name)
             .text("upstream", &placement.primary.upstream)
             .number("dispatch", number)
+            .number("attempt", attempt)
             // The host that carries the connection, if it is not direct.
             .text("through", through.map_or("", id::Host::as_str))
             .number("prompt_tokens", self.request.head.prompt_tokens.unwrap_or(0))
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -42,6 +42,35 @@
     pub(crate) end: &'static str,
 }
 
+/// Why a failed attempt is not followed by another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RetryRefusal {
+    /// The route allows no more attempts.
+    Attempts,
+    /// Too little time is left before the deadline.
+    Deadline,
+    /// No retry is left in the budget.
+    Budget,
+}
+
+impl RetryRefusal {
+    /// Returns the label in metrics and logs.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            RetryRefusal::Attempts => "attempts",
+            RetryRefusal::Deadline => "deadline",
+            RetryRefusal::Budget => "budget",
+        }
+    }
+}
+
+/// Labels of the counter of requests that are not sent again.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct RetryLabels {
+    /// The [`RetryRefusal`].
+    pub(crate) reason: &'static str,
+}
+
 /// Labels of the metrics of an upstream's limit.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct UpstreamLabels {
@@ -128,6 +157,8 @@
     answer_ends: Family<EndLabels, Counter>,
     /// Dispatches beyond a request's first one.
     pub(crate) retries: Counter,
+    /// Failed attempts after which a request was not sent again, by reason.
+    retry_refusals: Family<RetryLabels, Counter>,
     /// Updates to other hosts that were dropped.
     pub(crate) updates_dropped: Counter,
     /// Questions that a scheduler did not answer, or answered without a decision.
@@ -193,6 +224,7 @@
             first_event_seconds: Family::new_with_constructor(seconds),
             answer_ends: Family::default(),
             retries: Counter::default(),
+            retry_refusals: Family::default(),
             updates_dropped: Counter::default(),
             schedulers_skipped: Counter::default(),
             desired_version: Gauge::default(),
@@ -238,6 +270,8 @@
         let help = "answers of upstreams that ended, by framing and end";
         registry.register("answer_ends", help, self.answer_ends.clone());
         registry.register("repeats", "dispatches beyond the first", self.retries.clone());
+        let help = "failed attempts after which a request was not sent again, by reason";
+        registry.register("retries_refused", help, self.retry_refusals.clone());
         registry.register("words_lost", "words to hosts dropped", self.updates_dropped.clone());
         let help = "questions that a scheduling host left unanswered or turned down";
         registry.register("schedulers_passed", help, self.schedulers_skipped.clone());
@@ -343,6 +377,11 @@
         self.upstream_limit_sends.get_or_create(&UpstreamLabels::new(upstream)).inc();
     }
 
+    /// Counts a failed attempt that is not followed by another one.
+    pub(crate) fn count_retry_refusal(&self, reason: RetryRefusal) {
+        self.retry_refusals.get_or_create(&RetryLabels { reason: reason.as_str() }).inc();
+    }
+
     /// Counts an answer of `service`, complete or with the `reason` of its failure.
     pub(crate) fn count_answer(&self, service: &str, reason: Option<outcome::Reason>) {
         let reason = reason.map_or("done", outcome::Reason::as_str);
--- a/crates/lagoonline/src/load/retry.rs
+++ b/crates/lagoonline/src/load/retry.rs
@@ -84,6 +84,16 @@
         self.available = (self.available + self.ratio).min(self.burst);
     }
 
+    /// Returns the retries that are left, possibly a fraction.
+    pub fn available(&self) -> f64 {
+        self.available
+    }
+
+    /// Returns the largest number of retries that can accumulate.
+    pub fn burst(&self) -> f64 {
+        self.burst
+    }
+
     /// Whether a retry is left.
     pub fn has_retry(&self) -> bool {
         // A sum of tenths can be a rounding error below a whole number.
