--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -30,6 +30,10 @@
     pub relay_hosts: u64,
     /// Key revocation bound in milliseconds.
     pub revoke_ms: u64,
+    /// Window of the retry budget in seconds.
+    pub retry_window_s: u64,
+    /// Retries of all hosts in a window beyond the allowed share of requests.
+    pub retry_slack: u64,
     /// How long the platform holds a watch of the desired state open, in milliseconds.
     pub desired_wait_ms: u64,
     /// Address of the store; that of the stand-in if `None`.
@@ -44,6 +48,8 @@
             zone: "a",
             relay_hosts,
             revoke_ms: 1_500,
+            retry_window_s: 10,
+            retry_slack: 50,
             desired_wait_ms: 400,
             store: None,
         }
@@ -51,12 +57,13 @@
 }
 
 fn node(standin: &Standin, settings: HostSettings<'_>) -> lagoon_platform::settings::Node {
-    let HostSettings { name, zone, revoke_ms, store, .. } = settings;
+    let HostSettings { name, zone, revoke_ms, store, retry_window_s, retry_slack, .. } = settings;
     let store = store.unwrap_or(standin.store_address);
     let text = format!(
         "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:0\"\n  \
          Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{store}\"\n\
-         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n"
+         Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n  \
+         BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
     );
     lagoon_platform::settings::read(&text).unwrap()
 }
