--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -52,10 +52,12 @@
     if customer.is_some() {
         check_key_age(state)?;
     }
+    let service = route.service(rand::rng().random()).clone();
+    state.record_request(&service);
     let wait = request.head.time_left.unwrap_or(route.timeout).min(route.timeout);
     Ok(forward::Admitted {
         state: state.clone(),
-        service: route.service(rand::rng().random()).clone(),
+        service,
         customer,
         deadline: request.arrived + wait,
         route: route.clone(),
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -160,8 +160,17 @@
     let mut attempts = 0;
     let mut refusals = 0;
     let mut lost = false;
+    let mut last_failure: Option<attempt::Failure> = None;
     loop {
-        let allocation = admitted.allocate(&avoid).await.map_err(|fault| fault.or_unknown(lost))?;
+        let is_retry = lost || refusals > 0;
+        let allocation = match (admitted.allocate(&avoid, is_retry).await, last_failure) {
+            (Ok(allocation), _) => allocation,
+            (Err(place::Refusal::NoRetry), Some(failed)) => {
+                admitted.record_retry_refusal(metrics::RetryRefusal::Budget);
+                return Err(failed.to_fault(pending.end()));
+            }
+            (Err(refusal), _) => return Err(refusal.into_fault().or_unknown(lost)),
+        };
         let upstream = allocation.placement.primary.upstream.clone();
         // Upstreams identify a request by the id that its caller gave it, so an attempt needs no id
         // of its own.
@@ -194,10 +203,10 @@
             }
         };
         *may_have_run = lost;
-        if !admitted.take_retry(pending.attempts(), refusals, &failed) {
+        if !admitted.may_retry(pending.attempts(), refusals, &failed) {
             return Err(failed.to_fault(pending.end()));
         }
-        admitted.state.metrics.retries.inc();
+        last_failure = Some(failed);
     }
 }
 
@@ -289,11 +298,10 @@
         }
     }
 
-    /// Whether another attempt is allowed and worthwhile. `refusals` is the number of refused
-    /// attempts so far, and `attempts` the number of attempts so far, as passed to
-    /// [`Admitted::attempt`]. Takes the attempt from the retry budget unless the last one was not
-    /// sent.
-    pub(crate) fn take_retry(
+    /// Whether another attempt is worthwhile and within the limits of the request. `refusals` is the
+    /// number of refused attempts so far, and `attempts` the number of attempts so far, as passed to
+    /// [`Admitted::attempt`]. Whether the retry budget allows it is asked when it is placed.
+    pub(crate) fn may_retry(
         &self,
         attempts: u32,
         refusals: u32,
@@ -305,31 +313,24 @@
             attempt::Failure::Lost(_) => attempts < self.route.max_attempts + refusals,
         };
         if !within_limits {
-            return self.refuse_retry(metrics::RetryRefusal::Attempts);
+            self.record_retry_refusal(metrics::RetryRefusal::Attempts);
+            return false;
         }
-        if self.time_left() < MIN_TIME_LEFT {
-            return self.refuse_retry(metrics::RetryRefusal::Deadline);
+        let is_in_time = self.time_left() >= MIN_TIME_LEFT;
+        if !is_in_time {
+            self.record_retry_refusal(metrics::RetryRefusal::Deadline);
         }
-        let unsent = matches!(failed, attempt::Failure::Unsent(_));
-        let service_state = self.state.service_state(&self.service);
-        let is_taken = unsent
-            || service_state
-                .is_some_and(|service_state| state::lock(&service_state).budget.take_retry());
-        is_taken || self.refuse_retry(metrics::RetryRefusal::Budget)
+        is_in_time
     }
 
-    /// Counts and logs that the request is not sent again; returns false.
-    fn refuse_retry(&self, reason: metrics::RetryRefusal) -> bool {
+    /// Counts and logs that the request is not sent again.
+    pub(crate) fn record_retry_refusal(&self, reason: metrics::RetryRefusal) {
         self.state.metrics.count_retry_refusal(reason);
-        let service_state = self.state.service_state(&self.service);
-        let budget = service_state.map(|service_state| state::lock(&service_state).budget);
         event::Line::new("retry_refused")
             .text("request", &self.request.head.request_id)
             .text("reason", reason.as_str())
-            .number("retries_left", budget.map_or(0.0, |budget| budget.available()))
-            .number("burst", budget.map_or(0.0, |budget| budget.burst()))
+            .number("retries_left", self.state.retries_left(&self.service))
             .info();
-        false
     }
 
     /// Records for placement that bytes of an answer arrived from `upstream`, which shows that it
@@ -347,7 +348,7 @@
         last_event: Option<u64>,
         attempts: u32,
     ) -> Result<OpenAnswer, attempt::Failure> {
-        let place::Allocation { placement, id: dispatch_id, in_flight } = allocation;
+        let place::Allocation { placement, id: dispatch_id, in_flight, leave } = allocation;
         let primary = &placement.primary;
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let admission = Some(self.admission());
@@ -376,10 +377,7 @@
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
-        // Every attempt is recorded here, retries and resumptions included.
-        if let Some(service_state) = self.state.service_state(&self.service) {
-            state::lock(&service_state).budget.record_first_attempt();
-        }
+        self.record_send(leave);
         let sent = self.state.clock.now();
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
@@ -423,6 +421,16 @@
         })
     }
 
+    /// Records that a dispatch is sent now.
+    fn record_send(&self, leave: place::Leave) {
+        match leave {
+            place::Leave::First => return,
+            place::Leave::Own(charge) => charge.send(),
+            place::Leave::Scheduler => self.state.record_granted_retry(&self.service),
+        }
+        self.state.metrics.retries.inc();
+    }
+
     /// Returns how the request was admitted, for a host that carries its connection.
     fn admission(&self) -> path::message::Admission {
         path::message::Admission {
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -160,9 +160,10 @@
         }
     }
     let peers = state::lock(&state.peers);
-    let (hosts, placing_hosts) = (peers.roster.count(), peers.roster.placing_hosts());
+    let placing_hosts = peers.roster.placing_hosts();
     drop(peers);
-    state.set_host_counts(hosts, placing_hosts);
+    state.set_placing_hosts(placing_hosts);
+    state.update_retry_sharing(true);
 }
 
 /// Applies the row of another host. A row that was removed or cannot be read removes the host.
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -41,6 +41,7 @@
 mod relay;
 mod report;
 mod reserve;
+mod retries;
 mod schedule;
 mod server;
 mod settings;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -106,7 +106,10 @@
     if updates.is_empty() {
         return;
     }
-    let datagrams = state.encode_updates(updates);
+    let datagrams = match audience {
+        Audience::OwnZone => state.encode_updates_in_zone(updates),
+        Audience::OtherZones | Audience::AllZones => state.encode_updates(updates),
+    };
     for address in addresses {
         state.send(*address, &datagrams);
     }
@@ -228,6 +231,8 @@
     }
     state.record_peer_confirmation(batch.confirmed_ms);
     record_sight(state, from, batch.reaches_upstreams);
+    // Before the questions below, which may ask for another retry.
+    state.apply_used(incarnation, &batch.used);
     let forwards = state.forwards_for(from);
     for update in batch.words {
         apply_update(state, incarnation, update, forwards);
@@ -263,6 +268,7 @@
     if beat.wants_answer {
         state.send(from, &state.encode_updates(Vec::new()));
     }
+    state.update_retry_sharing(false);
     for dispatches in beat.under_way {
         let numbers = dispatches.numbers.into_iter().collect();
         state.retain_dispatches(dispatches.host, &numbers, IN_TRANSIT_GRACE);
@@ -300,7 +306,7 @@
 ///
 /// Forwarded are the kinds that a host sends only to its own zone and that matter to all zones.
 /// `Sent` and `Verdict` go to all zones from the start, and so does `Reported`, since only leaders
-/// poll engines. `Seen` and `Promised` are meant for the hosts of the own zone.
+/// poll engines. `Seen`, `Promised` and `Used` are meant for the hosts of the own zone.
 fn is_forwarded(what: &message::Kind) -> bool {
     match what {
         message::Kind::First(_)
@@ -314,7 +320,8 @@
         | message::Kind::Reported(_)
         | message::Kind::Seen(_)
         | message::Kind::Verdict(_)
-        | message::Kind::Promised(_) => false,
+        | message::Kind::Promised(_)
+        | message::Kind::Used(_) => false,
     }
 }
 
@@ -338,6 +345,7 @@
         message::Kind::Verdict(verdict) => return state.apply_verdict(verdict),
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
+        message::Kind::Used(usages) => return state.apply_usages(usages),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
@@ -364,7 +372,8 @@
         | message::Kind::Cleared(_)
         | message::Kind::Verdict(_)
         | message::Kind::Limited(_)
-        | message::Kind::Departed(_) => {}
+        | message::Kind::Departed(_)
+        | message::Kind::Used(_) => {}
     });
     if applied.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -15,6 +15,7 @@
 use crate::limits;
 use crate::quarantine;
 use crate::question;
+use crate::retries;
 
 /// A batch of updates from one host incarnation.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -44,6 +45,9 @@
     /// Whether the sender has paths of its own to upstreams; absent if it has used none lately.
     #[prost(bool, optional, tag = "8")]
     pub(crate) reaches_upstreams: Option<bool>,
+    /// What the sender used of the retry budgets in their last window; only within its zone.
+    #[prost(message, repeated, tag = "9")]
+    pub(crate) used: Vec<retries::Used>,
 }
 
 /// A heartbeat: identifies the host and lists its dispatches in flight.
@@ -87,7 +91,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -145,6 +149,9 @@
     /// Not about a dispatch: an upstream left.
     #[prost(message, tag = "14")]
     Departed(departures::Departed),
+    /// Not about a dispatch: what the hosts of the zone used of a retry budget.
+    #[prost(message, tag = "15")]
+    Used(retries::Usages),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -71,6 +71,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Labels of the metrics of a service's retry budget.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ServiceLabels {
+    /// Name of the service.
+    pub(crate) service: String,
+}
+
 /// Labels of the metrics of an upstream's limit.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct UpstreamLabels {
@@ -159,6 +166,11 @@
     pub(crate) retries: Counter,
     /// Failed attempts after which a request was not sent again, by reason.
     retry_refusals: Family<RetryLabels, Counter>,
+    /// Retries that this host made in the last window of each service's budget.
+    retries_in_window: Family<ServiceLabels, Gauge>,
+    /// Retries left of each service's budget: of the zone, or of this host if it does not hear of
+    /// the others.
+    retries_left: Family<ServiceLabels, Gauge<f64, atomic::AtomicU64>>,
     /// Updates to other hosts that were dropped.
     pub(crate) updates_dropped: Counter,
     /// Questions that a scheduler did not answer, or answered without a decision.
@@ -225,6 +237,8 @@
             answer_ends: Family::default(),
             retries: Counter::default(),
             retry_refusals: Family::default(),
+            retries_in_window: Family::default(),
+            retries_left: Family::default(),
             updates_dropped: Counter::default(),
             schedulers_skipped: Counter::default(),
             desired_version: Gauge::default(),
@@ -272,6 +286,10 @@
         registry.register("repeats", "dispatches beyond the first", self.retries.clone());
         let help = "failed attempts after which a request was not sent again, by reason";
         registry.register("retries_refused", help, self.retry_refusals.clone());
+        let help = "dispatches beyond the first in the last window of a service's retry budget";
+        registry.register("retries_in_window", help, self.retries_in_window.clone());
+        let help = "retries left of a service's budget";
+        registry.register("retries_left", help, self.retries_left.clone());
         registry.register("words_lost", "words to hosts dropped", self.updates_dropped.clone());
         let help = "questions that a scheduling host left unanswered or turned down";
         registry.register("schedulers_passed", help, self.schedulers_skipped.clone());
@@ -377,6 +395,13 @@
         self.upstream_limit_sends.get_or_create(&UpstreamLabels::new(upstream)).inc();
     }
 
+    /// Sets the retries that this host made of the budget of `service`, and those that are left.
+    pub(crate) fn set_retries(&self, service: &id::Service, made: u32, left: f64) {
+        let labels = ServiceLabels { service: service.to_string() };
+        self.retries_in_window.get_or_create(&labels).set(i64::from(made));
+        self.retries_left.get_or_create(&labels).set(left);
+    }
+
     /// Counts a failed attempt that is not followed by another one.
     pub(crate) fn count_retry_refusal(&self, reason: RetryRefusal) {
         self.retry_refusals.get_or_create(&RetryLabels { reason: reason.as_str() }).inc();
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -4,7 +4,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::lifecycle::fingerprint;
-use lagoonline::load::placement;
+use lagoonline::load::{placement, retry};
 use lagoonline::outcome::{Reason, Step};
 use rand::Rng;
 
@@ -14,6 +14,7 @@
 use crate::forward;
 use crate::in_flight;
 use crate::reserve;
+use crate::retries;
 use crate::schedule;
 
 /// Pause between two placement attempts, before jitter, while no engine has a free slot, free
@@ -27,6 +28,62 @@
     pub(crate) placement: placement::Placement,
     pub(crate) id: placement::DispatchId,
     pub(crate) in_flight: in_flight::Guard,
+    pub(crate) leave: Leave,
+}
+
+/// By what a dispatch may be sent.
+#[derive(Debug)]
+pub(crate) enum Leave {
+    /// It is the first of its request.
+    First,
+    /// This host took a retry for it.
+    Own(retries::Charge),
+    /// The zone's scheduler took a retry for it.
+    Scheduler,
+}
+
+/// What is to be placed.
+#[derive(Debug)]
+struct Wish<'a> {
+    /// Upstreams on which the request failed.
+    avoid: &'a [id::Upstream],
+    /// How long it has waited.
+    waited: clock::Span,
+    /// When its first event is due.
+    due: clock::Moment,
+    /// Identifies it while it waits.
+    waiter: placement::DispatchId,
+    identity: Option<fingerprint::Fingerprint>,
+    is_retry: bool,
+}
+
+/// Why a request is not sent.
+#[derive(Debug)]
+pub(crate) enum Refusal {
+    /// It cannot be placed.
+    Fault(answer::Fault),
+    /// It was sent before, and no retry is left.
+    NoRetry,
+}
+
+impl Refusal {
+    /// Returns the fault for a caller of whom nothing else is known.
+    pub(crate) fn into_fault(self) -> answer::Fault {
+        match self {
+            Refusal::Fault(fault) => fault,
+            Refusal::NoRetry => {
+                let detail = "no retry is left";
+                answer::Fault::not_run(Reason::UpstreamFailed, Step::Route, detail)
+                    .with_retry_after(forward::RETRY_AFTER)
+            }
+        }
+    }
+}
+
+impl From<answer::Fault> for Refusal {
+    fn from(fault: answer::Fault) -> Refusal {
+        Refusal::Fault(fault)
+    }
 }
 
 /// Returns a random pause between half and one and a half of `span`, so that hosts do not retry in
@@ -43,7 +100,8 @@
 
 impl forward::Admitted {
     /// Places the request and reserves the memory that it needs. Waits while there is no capacity:
-    /// memory becomes free when a long answer ends.
+    /// memory becomes free when a long answer ends. `is_retry` if it was sent before: then it also
+    /// needs a retry of the budget.
     ///
     /// # Errors
     ///
@@ -51,12 +109,17 @@
     pub(crate) async fn allocate(
         &self,
         avoid: &[id::Upstream],
-    ) -> Result<Allocation, answer::Fault> {
+        is_retry: bool,
+    ) -> Result<Allocation, Refusal> {
         let started = self.state.clock.now();
         let mut last_shortage: Option<placement::Shortage> = None;
         let waiter = self.state.next_dispatch_id();
+        let mut charge = None;
         loop {
             self.check_quarantine().await?;
+            if is_retry && charge.is_none() && !self.state.has_retry(&self.service) {
+                return Err(Refusal::NoRetry);
+            }
             let waited = self.state.clock.now().since(started);
             // A request that resumes on another upstream has already missed its target, but its
             // caller is still waiting, so the target counts from now.
@@ -64,8 +127,10 @@
             let due = due + self.route.target;
             let wants_permit = last_shortage == Some(placement::Shortage::Permit);
             let identity = self.identity(wants_permit);
-            let chosen = self.choose(avoid, waited, due, waiter, identity).await;
-            let schedule::PlacementResult { id, decider, result } = chosen;
+            let wish = Wish { avoid, waited, due, waiter, identity, is_retry };
+            let chosen = self.choose(wish).await;
+            let schedule::PlacementResult { id, decider, result } =
+                chosen.inspect_err(|_| self.state.record_retry_refusal(&self.service))?;
             self.record_permit_refusal(&result, decider);
             let placement = match result {
                 Ok(placement) => placement,
@@ -79,8 +144,18 @@
                     tokio::time::sleep(jittered(pause)).await;
                     continue;
                 }
-                Err(refusal) => return Err(self.placement_fault(refusal)),
+                Err(refusal) => return Err(self.placement_fault(refusal).into()),
             };
+            if is_retry && decider == in_flight::Decider::Own && charge.is_none() {
+                match self.state.charge_retry(&self.service) {
+                    Ok(taken) => charge = Some(taken),
+                    Err(retry::Verdict::Wait) if self.time_left() > forward::MIN_TIME_LEFT => {
+                        tokio::time::sleep(jittered(retry::TURN / 2)).await;
+                        continue;
+                    }
+                    Err(_) => return Err(Refusal::NoRetry),
+                }
+            }
             // Registered before the checks below: if the request is not sent after all, dropping
             // this publishes that the dispatch ended.
             let mut in_flight = in_flight::Guard::begin(self, id, &placement, decider);
@@ -92,7 +167,12 @@
                 Ok(reservations) => {
                     in_flight.set_reservations(reservations);
                     self.check_quarantine().await?;
-                    return Ok(Allocation { placement, id, in_flight });
+                    let leave = match (is_retry, charge) {
+                        (false, _) => Leave::First,
+                        (true, Some(charge)) => Leave::Own(charge),
+                        (true, None) => Leave::Scheduler,
+                    };
+                    return Ok(Allocation { placement, id, in_flight, leave });
                 }
                 Err(refusal) => {
                     drop(in_flight);
@@ -104,7 +184,7 @@
                             Step::Route,
                             refusal.to_string(),
                         );
-                        return Err(fault.with_retry_after(forward::RETRY_AFTER));
+                        return Err(fault.with_retry_after(forward::RETRY_AFTER).into());
                     }
                 }
             }
@@ -157,16 +237,13 @@
         reserve::reserve_all(&self.state, &name, primary, &wanted, expected).await.map(Some)
     }
 
-    /// Chooses where the request goes next, after it has waited for `waited`. Its first event is
-    /// due at `due`; `waiter` identifies it while it waits.
-    async fn choose(
-        &self,
-        avoid: &[id::Upstream],
-        waited: clock::Span,
-        due: clock::Moment,
-        waiter: placement::DispatchId,
-        identity: Option<fingerprint::Fingerprint>,
-    ) -> schedule::PlacementResult {
+    /// Chooses where the request goes next.
+    ///
+    /// # Errors
+    ///
+    /// The zone's scheduler has no retry left for it.
+    async fn choose(&self, wish: Wish<'_>) -> Result<schedule::PlacementResult, Refusal> {
+        let Wish { avoid, waited, due, waiter, identity, is_retry } = wish;
         let now = self.state.clock.now();
         let request = placement::Request {
             prompt_tokens: self.request.head.prompt_tokens.unwrap_or(0),
@@ -180,18 +257,23 @@
             random: rand::rng().random(),
             identity,
         };
-        let scheduled =
-            schedule::ask_scheduler(&self.state, &self.service, &request, self.time_left()).await;
-        if let Some(result) = scheduled {
+        let ask = schedule::ask_scheduler(
+            &self.state,
+            &self.service,
+            &request,
+            is_retry,
+            self.time_left(),
+        );
+        if let Some(result) = ask.await {
             return result;
         }
         let placed =
             self.state.with_placer(&self.service, |placer, now| placer.place(&request, now));
-        schedule::PlacementResult {
+        Ok(schedule::PlacementResult {
             id: self.state.next_dispatch_id(),
             decider: in_flight::Decider::Own,
             result: placed.unwrap_or(Err(placement::Refusal::NoUpstream)),
-        }
+        })
     }
 
     /// Returns what the request is if placement may need it: if it waits for a permit of an upstream
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -53,6 +53,9 @@
         }
         let mut updates = self.limit_updates();
         updates.extend(self.departure_updates());
+        if own_zone.contains(&address) {
+            updates.extend(self.usage_update());
+        }
         updates
     }
 
@@ -111,7 +114,9 @@
             under_way,
             wants_answer,
         };
-        self.encode_batch(message::Batch { beat: Some(beat), ..message::Batch::default() })
+        // Those to other zones ask for no answer.
+        let used = if wants_answer { self.used_retries() } else { Vec::new() };
+        self.encode_batch(message::Batch { beat: Some(beat), used, ..message::Batch::default() })
     }
 
     /// Encodes `batch` as a datagram of this host.
@@ -139,6 +144,13 @@
         self.with_common_fields(message::Batch::default()).datagrams(updates)
     }
 
+    /// Encodes `updates` as datagrams for the other hosts of this zone, with what this host used of
+    /// the retry budgets.
+    pub(crate) fn encode_updates_in_zone(&self, updates: Vec<message::Update>) -> Vec<Vec<u8>> {
+        let batch = message::Batch { used: self.used_retries(), ..message::Batch::default() };
+        self.with_common_fields(batch).datagrams(updates)
+    }
+
     /// Sends `datagrams` to a host. A datagram that cannot be sent now is dropped, which only makes
     /// placement less accurate.
     pub(crate) fn send(&self, address: net::SocketAddr, datagrams: &[Vec<u8>]) {
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -45,6 +45,9 @@
     /// What the request is, if the host has computed it.
     #[prost(message, optional, tag = "11")]
     pub(crate) identity: Option<quarantine::Identity>,
+    /// Whether the request was sent before, so that the dispatch is a retry.
+    #[prost(bool, tag = "12")]
+    pub(crate) is_retry: bool,
 }
 
 impl Question {
@@ -54,6 +57,7 @@
         number: u64,
         service: &id::Service,
         request: &placement::Request<'_>,
+        is_retry: bool,
         time_left: clock::Span,
     ) -> Question {
         Question {
@@ -68,6 +72,7 @@
             avoid: request.avoid.iter().map(ToString::to_string).collect(),
             turn: request.waiter.number,
             identity: request.identity.as_ref().map(quarantine::Identity::new),
+            is_retry,
         }
     }
 
@@ -119,7 +124,7 @@
     pub(crate) number: u64,
     /// The decision; absent if the host that was asked does not schedule now or does not know the
     /// service.
-    #[prost(oneof = "Decision", tags = "2, 3")]
+    #[prost(oneof = "Decision", tags = "2, 3, 4")]
     pub(crate) decision: Option<Decision>,
 }
 
@@ -132,6 +137,9 @@
     /// The request cannot be placed now.
     #[prost(message, tag = "3")]
     Refused(Refused),
+    /// The request may not be sent again.
+    #[prost(message, tag = "4")]
+    NoRetry(message::Empty),
 }
 
 /// Where a request is sent.
--- /dev/null
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -0,0 +1,267 @@
+//! The retries of all hosts together: counts them, tells the other hosts of the zone, and asks for
+//! leave. [`lagoonline::load::retry`] decides.
+//!
+//! In a small zone each host decides on its own retries and hears from the others what they used. In
+//! a zone with a scheduler, which places all retries anyway, the scheduler decides.
+
+mod message;
+
+use std::collections;
+use std::sync;
+use std::sync::atomic;
+
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
+use lagoonline::id;
+use lagoonline::load::retry;
+
+use crate::event;
+use crate::message as datagram;
+use crate::state;
+
+pub(crate) use message::{Usages, Used};
+
+/// Time for which a host takes the scheduler's refusal of a retry to hold for its other requests.
+const REFUSAL_VALIDITY: clock::Span = clock::Span::from_millis(500);
+
+/// The retry budgets of all services. They outlive the services in the desired state: one that is
+/// taken away and comes back must not bring new retries.
+#[derive(Debug, Default)]
+pub(crate) struct Budgets {
+    budgets: sync::Mutex<collections::BTreeMap<id::Service, retry::Budget>>,
+    /// Whether the table of hosts was read.
+    hosts_listed: atomic::AtomicBool,
+    /// The largest number of zones seen. A zone whose hosts are no longer listed may still serve.
+    zones: atomic::AtomicUsize,
+    /// When this host knows what its zone used in the whole window before; `None` if it does not
+    /// hear of that, or does not know the other hosts yet.
+    known_at: sync::Mutex<Option<clock::Moment>>,
+}
+
+/// A retry that was taken from the budget. Unless it is sent, it goes back when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Charge {
+    state: sync::Arc<state::State>,
+    service: id::Service,
+    at: clock::Moment,
+    is_sent: bool,
+}
+
+impl Charge {
+    /// Records that the retry is sent.
+    pub(crate) fn send(mut self) {
+        self.is_sent = true;
+    }
+}
+
+impl Drop for Charge {
+    fn drop(&mut self) {
+        if !self.is_sent {
+            self.state.with_budget(&self.service, |budget, _| budget.return_retry(self.at));
+        }
+    }
+}
+
+impl state::State {
+    /// Calls `act` with the retry budget of `service` and the current time.
+    fn with_budget<Act, Output>(&self, service: &id::Service, act: Act) -> Output
+    where
+        Act: FnOnce(&mut retry::Budget, clock::Moment) -> Output,
+    {
+        let bounds = &self.settings.node.bounds;
+        let settings = retry::Settings {
+            ratio: bounds.retry_ratio,
+            slack: bounds.retry_slack,
+            window: bounds.retry_window,
+        };
+        let mut budgets = state::lock(&self.retries.budgets);
+        let new = || retry::Budget::new(settings);
+        let budget = budgets.entry(service.clone()).or_insert_with(new);
+        act(budget, self.clock.now())
+    }
+
+    /// Calls `act` like [`State::with_budget`] after the division of the slack was updated.
+    fn with_current_budget<Act, Output>(&self, service: &id::Service, act: Act) -> Output
+    where
+        Act: FnOnce(&mut retry::Budget, clock::Moment) -> Output,
+    {
+        let sharing = self.retry_sharing();
+        self.with_budget(service, |budget, now| {
+            budget.set_sharing(sharing);
+            act(budget, now)
+        })
+    }
+
+    /// Returns how the slack is divided; `None` until the table of hosts was read.
+    fn retry_sharing(&self) -> Option<retry::Sharing> {
+        if !self.retries.hosts_listed.load(atomic::Ordering::Relaxed) {
+            return None;
+        }
+        let known_at = *state::lock(&self.retries.known_at);
+        let zones = self.retries.zones.load(atomic::Ordering::Relaxed);
+        let now = self.clock.now();
+        let peers = state::lock(&self.peers);
+        let roster = &peers.roster;
+        let part = 1.0 / roster.zone_size() as f64;
+        let Some(known_at) = known_at else {
+            // Only the own retries are known, from the start on.
+            let known_at = self.started_at() + self.settings.node.bounds.retry_window;
+            return Some(retry::Sharing { zones, deciders: 1, heard: part, known_at });
+        };
+        let heard = roster.heard_in_zone(now);
+        let deciders = if roster.own_zone_has_scheduler() { 1 } else { heard };
+        Some(retry::Sharing { zones, deciders, heard: part * heard as f64, known_at })
+    }
+
+    /// Updates what is known of the fleet from the table of hosts or from a heartbeat.
+    pub(crate) fn update_retry_sharing(&self, table_was_read: bool) {
+        let now = self.clock.now();
+        let peers = state::lock(&self.peers);
+        let zones = peers.roster.zone_count();
+        let hears_zone = peers.roster.tracks_in_flight(now);
+        drop(peers);
+        self.retries.zones.fetch_max(zones, atomic::Ordering::Relaxed);
+        if table_was_read {
+            self.retries.hosts_listed.store(true, atomic::Ordering::Relaxed);
+        }
+        let mut known_at = state::lock(&self.retries.known_at);
+        if !hears_zone {
+            *known_at = None;
+        } else if known_at.is_none() {
+            // What the hosts of the zone used before was told to other hosts only.
+            *known_at = Some(now + self.settings.node.bounds.retry_window);
+        }
+    }
+
+    /// Records a request of a caller.
+    pub(crate) fn record_request(&self, service: &id::Service) {
+        self.with_budget(service, |budget, now| budget.record_request(now));
+    }
+
+    /// Whether a retry is likely to be allowed.
+    pub(crate) fn has_retry(&self, service: &id::Service) -> bool {
+        if self.decides_on_retries() {
+            let verdict = |budget: &mut retry::Budget, now| budget.verdict(now);
+            return self.with_current_budget(service, verdict) != retry::Verdict::Refused;
+        }
+        let was_refused =
+            |budget: &mut retry::Budget, now| budget.was_refused(REFUSAL_VALIDITY, now);
+        !self.with_budget(service, was_refused)
+    }
+
+    /// Whether this host decides on its own retries while no scheduler is asked.
+    fn decides_on_retries(&self) -> bool {
+        state::lock(&self.peers).roster.tracks_in_flight(self.clock.now())
+    }
+
+    /// Takes a retry for a request of this host.
+    ///
+    /// # Errors
+    ///
+    /// Why none may be made now.
+    pub(crate) fn charge_retry(
+        self: &sync::Arc<Self>,
+        service: &id::Service,
+    ) -> Result<Charge, retry::Verdict> {
+        let taken = |budget: &mut retry::Budget, now| (budget.take_retry(now), now);
+        let (verdict, at) = self.with_current_budget(service, taken);
+        if verdict != retry::Verdict::Allowed {
+            return Err(verdict);
+        }
+        Ok(Charge { state: self.clone(), service: service.clone(), at, is_sent: false })
+    }
+
+    /// Returns whether the host incarnation `asking` may make a retry, as the scheduler of its zone.
+    pub(crate) fn retry_verdict(&self, service: &id::Service) -> retry::Verdict {
+        self.with_current_budget(service, |budget, now| budget.verdict(now))
+    }
+
+    /// Takes a retry for the host incarnation `asking`, as the scheduler of its zone.
+    pub(crate) fn grant_retry(&self, service: &id::Service, asking: u64) {
+        self.with_current_budget(service, |budget, now| budget.grant_retry(asking, now));
+    }
+
+    /// Records a retry of this host that the zone's scheduler allowed.
+    pub(crate) fn record_granted_retry(&self, service: &id::Service) {
+        self.with_budget(service, |budget, now| budget.record_retry(now));
+    }
+
+    /// Records that the zone's scheduler refused a retry of this host.
+    pub(crate) fn record_retry_refusal(&self, service: &id::Service) {
+        self.with_budget(service, |budget, now| budget.record_refusal(now));
+    }
+
+    /// Returns what this host used of each budget, for the other hosts of its zone.
+    pub(crate) fn used_retries(&self) -> Vec<Used> {
+        let now = self.clock.now();
+        let budgets = state::lock(&self.retries.budgets);
+        let used = budgets.iter().map(|(service, budget)| (service, budget.own_usage(now)));
+        let used = used.filter(|(_, usage)| *usage != retry::Usage::default());
+        used.map(|(service, usage)| Used::new(service, usage)).collect()
+    }
+
+    /// Applies what the host incarnation `sender` of this zone used.
+    pub(crate) fn apply_used(&self, sender: u64, used: &[Used]) {
+        for used in used {
+            let service = id::Service::from(used.service.as_str());
+            let record = |budget: &mut retry::Budget, now| {
+                budget.record_report(used.report(sender), now);
+            };
+            self.with_budget(&service, record);
+        }
+    }
+
+    /// Returns the update that tells a host of this zone that starts what the zone used; `None` if
+    /// this host does not know.
+    pub(crate) fn usage_update(&self) -> Option<datagram::Update> {
+        let now = self.clock.now();
+        let known_at = (*state::lock(&self.retries.known_at))?;
+        let mut reports = Vec::new();
+        for (service, budget) in state::lock(&self.retries.budgets).iter() {
+            let usage = budget.own_usage(now);
+            let own = retry::Report { host: self.incarnation, usage, age: clock::Span::ZERO };
+            let made = budget.reports(now).chain([own]).filter(|report| report.usage.retries > 0);
+            reports.extend(made.map(|report| message::Report::new(service, &report)));
+        }
+        let window = self.settings.node.bounds.retry_window;
+        let known = window.saturating_sub(known_at.since(now));
+        let usages = Usages { known_ms: datagram::to_millis(known), reports };
+        let service = id::Service::from("");
+        Some(datagram::Update::new(0, &service, datagram::Kind::Used(usages)))
+    }
+
+    /// Applies what another host of this zone knows of the zone's use.
+    pub(crate) fn apply_usages(&self, usages: &Usages) {
+        for (service, report) in usages.reports.iter().filter_map(message::Report::decode) {
+            if report.host != self.incarnation {
+                self.with_budget(&service, |budget, now| budget.record_report(report, now));
+            }
+        }
+        let window = self.settings.node.bounds.retry_window;
+        let unknown = window.saturating_sub(datagram::from_millis(usages.known_ms));
+        let told = self.clock.now() + unknown;
+        if let Some(known_at) = state::lock(&self.retries.known_at).as_mut() {
+            *known_at = told.min(*known_at);
+        }
+        event::Line::new("retries_learned")
+            .number("reports", usages.reports.len())
+            .number("known_ms", usages.known_ms)
+            .info();
+    }
+
+    /// Returns the retries left to this host, for the log: those of its zone if it hears of them.
+    pub(crate) fn retries_left(&self, service: &id::Service) -> f64 {
+        self.with_current_budget(service, |budget, now| budget.left(now))
+    }
+
+    /// Updates the metrics of the retry budgets, and forgets those that are not used any more.
+    pub(crate) fn update_retry_metrics(&self) {
+        let sharing = self.retry_sharing();
+        let now = self.clock.now();
+        let mut budgets = state::lock(&self.retries.budgets);
+        for (service, budget) in budgets.iter_mut() {
+            budget.set_sharing(sharing);
+            self.metrics.set_retries(service, budget.own_usage(now).retries, budget.left(now));
+        }
+    }
+}
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::placement;
+use lagoonline::load::{placement, retry};
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -16,6 +16,7 @@
 use crate::in_flight;
 use crate::mesh;
 use crate::message;
+use crate::place;
 use crate::question;
 use crate::state;
 
@@ -76,18 +77,24 @@
 }
 
 /// Asks the zone's scheduler to place a request. Returns `None` if this host has to place it
-/// itself: there is no scheduler, or none answers.
+/// itself: there is no scheduler, or none answers. `is_retry` if the request was sent before.
+///
+/// # Errors
+///
+/// The zone has no retry left for it.
 pub(crate) async fn ask_scheduler(
     state: &state::State,
     service: &id::Service,
     request: &placement::Request<'_>,
+    is_retry: bool,
     time_left: clock::Span,
-) -> Option<PlacementResult> {
+) -> Option<Result<PlacementResult, place::Refusal>> {
     for _ in 0..MAX_CANDIDATES_ASKED {
         let (host, address) = state::lock(&state.peers).scheduler(state.clock.now())?;
         let id = state.next_dispatch_id();
-        let question = question::Question::new(id.number, service, request, time_left);
-        let batch = message::Batch { questions: vec![question], ..message::Batch::default() };
+        let question = question::Question::new(id.number, service, request, is_retry, time_left);
+        let used = state.used_retries();
+        let batch = message::Batch { questions: vec![question], used, ..message::Batch::default() };
         let mut pending = state.questions.register(id.number);
         state.send(address, &[state.encode_batch(batch)]);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, &mut pending.receiver).await;
@@ -105,8 +112,9 @@
             }
         };
         let by_scheduler =
-            |result| PlacementResult { id, decider: in_flight::Decider::Scheduler, result };
+            |result| Ok(PlacementResult { id, decider: in_flight::Decider::Scheduler, result });
         return match decision {
+            question::Decision::NoRetry(_) => Some(Err(place::Refusal::NoRetry)),
             question::Decision::Refused(refused) => {
                 Some(by_scheduler(Err(placement::Refusal::from(&refused))))
             }
@@ -156,6 +164,9 @@
     let avoid: Vec<_> =
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
     let request = question.request(asking, &state.settings.node.zone, &avoid, rand::rng().random());
+    if question.is_retry && state.retry_verdict(&service) != retry::Verdict::Allowed {
+        return Some(question::Decision::NoRetry(message::Empty {}));
+    }
     let own = state.incarnation;
     let id = placement::DispatchId { host: asking, number: question.number };
     let decided = state.with_placer(&service, |placer, now| {
@@ -168,6 +179,9 @@
     })?;
     Some(match decided {
         Ok((placed, sent)) => {
+            if question.is_retry {
+                state.grant_retry(&service, asking);
+            }
             state.queue_update(
                 message::Update::about(id, &service, message::Kind::Sent(sent)),
                 mesh::Audience::AllZones,
--- a/crates/lagoon-gateway/src/silence.rs
+++ b/crates/lagoon-gateway/src/silence.rs
@@ -5,7 +5,6 @@
 use lagoonline::load::placement;
 
 use crate::forward;
-use crate::state;
 
 /// Multiple of the route's target for the first event that an upstream may take beyond the expected
 /// time before another is tried.
@@ -20,8 +19,7 @@
 impl forward::Admitted {
     /// Whether the retry budget allows another attempt.
     pub(crate) fn has_retry_budget(&self) -> bool {
-        let service_state = self.state.service_state(&self.service);
-        service_state.is_some_and(|service_state| state::lock(&service_state).budget.has_retry())
+        self.state.has_retry(&self.service)
     }
 
     /// Whether an upstream has been active recently. If so, silence to a single request may mean
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -9,7 +9,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::{placement, retry};
+use lagoonline::load::placement;
 use lagoonline::routing;
 use rand::Rng;
 use tokio::sync::{Notify, mpsc, watch};
@@ -23,6 +23,7 @@
 use crate::peers;
 use crate::quarantine;
 use crate::relay;
+use crate::retries;
 use crate::schedule;
 use crate::settings;
 use crate::tables;
@@ -39,13 +40,11 @@
     Draining,
 }
 
-/// Placement state and retry budget of one service.
+/// Placement state of one service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
     /// Places requests and tracks the dispatches in flight on the service's upstreams.
     pub(crate) placer: placement::Placer,
-    /// Retry budget of the service.
-    pub(crate) budget: retry::Budget,
 }
 
 /// How much the process has learned since its start.
@@ -108,15 +107,15 @@
     started_at: clock::Moment,
     /// When another host last reported that it can trust keys.
     peer_trusted_keys_at: sync::Mutex<Option<clock::Moment>>,
-    /// Placement state and retry budget of each service in the desired state.
+    /// Placement state of each service in the desired state.
     pub(crate) service_states: ArcSwap<ServiceStates>,
     phase: watch::Sender<Phase>,
     /// Number of active requests.
     active: watch::Sender<usize>,
     /// Number of the next dispatch.
     dispatch_counter: atomic::AtomicU64,
-    /// Number of entry hosts, including this one.
-    host_count: atomic::AtomicUsize,
+    /// Retry budget of each service.
+    pub(crate) retries: retries::Budgets,
     /// Number of hosts that place requests.
     placing_hosts: atomic::AtomicUsize,
     /// Signalled when this host's row is missing from the platform's table.
@@ -192,7 +191,7 @@
             phase: watch::Sender::new(Phase::Serving),
             active: watch::Sender::new(0),
             dispatch_counter: atomic::AtomicU64::new(0),
-            host_count: atomic::AtomicUsize::new(1),
+            retries: retries::Budgets::default(),
             placing_hosts: atomic::AtomicUsize::new(1),
             unregistered: Notify::new(),
             paths: sync::Mutex::new(paths),
@@ -320,6 +319,7 @@
             lock(service_state).placer.expire(now);
         }
         self.expire_paths();
+        self.update_retry_metrics();
     }
 
     /// Records the age of another host's last confirmation of the desired state.
@@ -439,30 +439,25 @@
             self.settings.node.zone.clone(),
             self.incarnation,
         );
-        let mut budget = retry::Budget::default();
-        let hosts = self.host_count.load(atomic::Ordering::Relaxed);
-        budget.set_ratio(self.settings.node.bounds.retry_ratio);
-        budget.set_slack(self.settings.node.bounds.retry_slack, hosts);
         placer.set_placing_hosts(self.placing_hosts.load(atomic::Ordering::Relaxed));
-        sync::Arc::new(sync::Mutex::new(ServiceState { placer, budget }))
+        sync::Arc::new(sync::Mutex::new(ServiceState { placer }))
     }
 
-    /// Sets the number of entry hosts, this one included, and how many of them place requests.
-    pub(crate) fn set_host_counts(&self, hosts: usize, placing_hosts: usize) {
-        let previous_hosts = self.host_count.swap(hosts, atomic::Ordering::Relaxed);
-        let previous_placing_hosts =
-            self.placing_hosts.swap(placing_hosts, atomic::Ordering::Relaxed);
-        if (previous_hosts, previous_placing_hosts) == (hosts, placing_hosts) {
+    /// Sets the number of hosts that place requests.
+    pub(crate) fn set_placing_hosts(&self, hosts: usize) {
+        if self.placing_hosts.swap(hosts, atomic::Ordering::Relaxed) == hosts {
             return;
         }
-        let slack = self.settings.node.bounds.retry_slack;
         for service_state in self.service_states.load().values() {
-            let mut service_state = lock(service_state);
-            service_state.budget.set_slack(slack, hosts);
-            service_state.placer.set_placing_hosts(placing_hosts);
+            lock(service_state).placer.set_placing_hosts(hosts);
         }
     }
 
+    /// Returns when this process started.
+    pub(crate) fn started_at(&self) -> clock::Moment {
+        self.started_at
+    }
+
     /// Returns the id of a new dispatch.
     pub(crate) fn next_dispatch_id(&self) -> placement::DispatchId {
         let number = self.dispatch_counter.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -28,6 +28,8 @@
 use crate::conclude;
 use crate::event;
 use crate::forward;
+use crate::metrics;
+use crate::place;
 use crate::silence;
 
 /// Maximum size of an event in bytes, as of an answer that is not streamed: an event is buffered
@@ -272,11 +274,14 @@
         };
         let mut failed = attempt::Failure::Lost(failure.to_string());
         let mut refusals = 0;
-        while self.admitted.take_retry(self.upstreams, refusals, &failed) {
-            self.admitted.state.metrics.retries.inc();
-            let allocation = match self.admitted.allocate(avoid).await {
+        while self.admitted.may_retry(self.upstreams, refusals, &failed) {
+            let allocation = match self.admitted.allocate(avoid, true).await {
                 Ok(allocation) => allocation,
-                Err(fault) => {
+                Err(place::Refusal::NoRetry) => {
+                    self.admitted.record_retry_refusal(metrics::RetryRefusal::Budget);
+                    return None;
+                }
+                Err(place::Refusal::Fault(fault)) => {
                     event::Line::new("stream_not_resumed")
                         .text("request", &self.admitted.request.head.request_id)
                         .text("detail", &fault)
--- /dev/null
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -0,0 +1,264 @@
+//! The retries that a host, or the scheduler of a zone, may still allow.
+
+use std::collections;
+
+use super::window::{Usage, Window};
+use crate::clock;
+
+/// Time within which hosts of a zone hear of each other's retries, and in which a host takes at most
+/// its part of what is left.
+pub const TURN: clock::Span = clock::Span::from_millis(50);
+/// Share of the allowed ratio that is used. Of the requests of any window of a budget, at least
+/// three quarters lie in the one window in which the bound counts them.
+const RATIO_SHARE: f64 = 0.75;
+/// Share of the slack that is used by hosts which know what was used in the whole window.
+const SLACK_SHARE: f64 = 0.7;
+/// Share of the slack that hosts which know less may use for the part of the window that they know.
+/// The lives before may have used up [`SLACK_SHARE`].
+const PARTIAL_SHARE: f64 = 0.15;
+/// Share of the slack that hosts which know nothing may use at once, so that a request is not lost
+/// with the first failure after a start. All hosts of a zone may start five times in a window before
+/// the three shares together exceed the slack.
+const START_SHARE: f64 = 0.03;
+
+/// The bound on the retries of all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Settings {
+    /// Retries in a window for each request in it.
+    pub ratio: f64,
+    /// Retries in a window beyond those.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: clock::Span,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { ratio: 0.2, slack: 50.0, window: clock::Span::from_secs(10) }
+    }
+}
+
+/// How the slack is divided, as far as this host knows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sharing {
+    /// Number of availability zones.
+    pub zones: usize,
+    /// Number of hosts of this zone that decide on retries at the same time.
+    pub deciders: usize,
+    /// Share of the hosts of this zone whose retries this host hears of, its own included.
+    pub heard: f64,
+    /// When everything will be known here that these hosts used in the window before.
+    pub known_at: clock::Moment,
+}
+
+impl Default for Sharing {
+    fn default() -> Self {
+        Sharing { zones: 1, deciders: 1, heard: 1.0, known_at: clock::Moment::START }
+    }
+}
+
+/// Whether a retry may be made now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It may.
+    Allowed,
+    /// Others may use what is left at this moment; ask again after a [`TURN`].
+    Wait,
+    /// None is left.
+    Refused,
+}
+
+/// What an incarnation of a host used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// The incarnation.
+    pub host: u64,
+    /// What it used in the window before the report.
+    pub usage: Usage,
+    /// Time since the report.
+    pub age: clock::Span,
+}
+
+/// A report that was received.
+#[derive(Clone, Copy, Debug)]
+struct Received {
+    usage: Usage,
+    /// When the window that it is about is over.
+    leaves_at: clock::Moment,
+}
+
+/// The retries of one service.
+///
+/// ```
+/// use lagoonline::clock::{Moment, Span};
+/// use lagoonline::load::retry::{Budget, Settings, Sharing, Verdict};
+/// let start = Moment::from_millis(10);
+/// let mut budget = Budget::new(Settings { slack: 100.0, ..Settings::default() });
+/// let take = |budget: &mut Budget, now| {
+///     (0..100).filter(|_| budget.take_retry(now) == Verdict::Allowed).count()
+/// };
+/// // The fleet is not known.
+/// assert_eq!(take(&mut budget, start), 0);
+/// // Nobody knows what was used before the start.
+/// let known_at = start + Span::from_secs(10);
+/// budget.set_sharing(Some(Sharing { known_at, ..Sharing::default() }));
+/// assert_eq!(take(&mut budget, start), 3);
+/// assert_eq!(take(&mut budget, known_at), 67);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Budget {
+    settings: Settings,
+    /// `None` as long as the hosts of the fleet are not known.
+    sharing: Option<Sharing>,
+    own: Window,
+    others: collections::BTreeMap<u64, Received>,
+    /// When this host took each retry of the last [`TURN`].
+    turn: collections::VecDeque<clock::Moment>,
+    /// When the zone's scheduler last refused a retry to this host.
+    refused_at: Option<clock::Moment>,
+}
+
+impl Budget {
+    /// The budget of a host that knows nothing of others.
+    pub fn new(settings: Settings) -> Budget {
+        Budget {
+            settings,
+            sharing: None,
+            own: Window::new(settings.window),
+            others: collections::BTreeMap::new(),
+            turn: collections::VecDeque::new(),
+            refused_at: None,
+        }
+    }
+
+    /// Sets how the slack is divided; `None` if that is not known, and none of it may be used.
+    pub fn set_sharing(&mut self, sharing: Option<Sharing>) {
+        self.sharing = sharing;
+    }
+
+    /// Records a request of a caller.
+    pub fn record_request(&mut self, now: clock::Moment) {
+        self.own.add(Usage { requests: 1, retries: 0 }, now);
+    }
+
+    /// Records a retry that the zone's scheduler allowed.
+    pub fn record_retry(&mut self, now: clock::Moment) {
+        self.own.add(Usage { requests: 0, retries: 1 }, now);
+    }
+
+    /// Records that the zone's scheduler refused a retry.
+    pub fn record_refusal(&mut self, now: clock::Moment) {
+        self.refused_at = Some(now);
+    }
+
+    /// Returns whether the zone's scheduler refused a retry within `span`.
+    pub fn was_refused(&self, span: clock::Span, now: clock::Moment) -> bool {
+        self.refused_at.is_some_and(|at| now.since(at) <= span)
+    }
+
+    /// Takes back a retry that was taken at `at` and not sent.
+    pub fn return_retry(&mut self, at: clock::Moment) {
+        self.own.remove_retry(at);
+    }
+
+    /// Records what another incarnation used. Of two reports of one incarnation the later counts.
+    pub fn record_report(&mut self, report: Report, now: clock::Moment) {
+        self.others.retain(|_, known| known.leaves_at > now);
+        let Some(left) = self.settings.window.checked_sub(report.age) else { return };
+        let received = Received { usage: report.usage, leaves_at: now + left };
+        let known = self.others.entry(report.host).or_insert(received);
+        if known.leaves_at <= received.leaves_at {
+            *known = received;
+        }
+    }
+
+    /// Returns what this host used in the last window.
+    pub fn own_usage(&self, now: clock::Moment) -> Usage {
+        self.own.usage(now)
+    }
+
+    /// Returns what is known of other incarnations.
+    pub fn reports(&self, now: clock::Moment) -> impl Iterator<Item = Report> {
+        let window = self.settings.window;
+        let known = self.others.iter().filter(move |(_, known)| known.leaves_at > now);
+        known.map(move |(host, known)| {
+            let age = window.saturating_sub(known.leaves_at.since(now));
+            Report { host: *host, usage: known.usage, age }
+        })
+    }
+
+    /// Returns the retries that are left, possibly a fraction or below zero.
+    pub fn left(&self, now: clock::Moment) -> f64 {
+        let own = self.own.usage(now);
+        let mut requests = f64::from(own.requests);
+        let mut retries = f64::from(own.retries);
+        for report in self.reports(now) {
+            // The requests of an incarnation that has fallen silent leave the window, and when its
+            // retries do is not known.
+            let in_window = 1.0 - report.age.as_secs_f64() / self.settings.window.as_secs_f64();
+            requests += f64::from(report.usage.requests) * in_window;
+            retries += f64::from(report.usage.retries);
+        }
+        self.settings.ratio * RATIO_SHARE * requests + self.slack(now) - retries
+    }
+
+    /// Returns the part of the slack that this host may use.
+    fn slack(&self, now: clock::Moment) -> f64 {
+        let Some(sharing) = self.sharing else { return 0.0 };
+        let unknown = sharing.known_at.since(now).as_secs_f64();
+        let window = self.settings.window.as_secs_f64();
+        let share = if unknown == 0.0 {
+            SLACK_SHARE
+        } else {
+            START_SHARE + PARTIAL_SHARE * (1.0 - unknown / window).max(0.0)
+        };
+        self.settings.slack * share * sharing.heard / sharing.zones.max(1) as f64
+    }
+
+    /// Returns whether a retry may be made now, without taking it.
+    pub fn verdict(&self, now: clock::Moment) -> Verdict {
+        let left = self.left(now);
+        let deciders = self.sharing.map_or(1, |sharing| sharing.deciders.max(1)) as f64;
+        // A sum of fractions can be a rounding error below a whole number.
+        if left + 1e-9 < deciders {
+            return Verdict::Refused;
+        }
+        let taken = self.taken(now) as f64;
+        let part = (left + taken) / deciders;
+        if taken + 1.0 <= part + 1e-9 { Verdict::Allowed } else { Verdict::Wait }
+    }
+
+    /// Takes a retry if the verdict allows it.
+    pub fn take_retry(&mut self, now: clock::Moment) -> Verdict {
+        let verdict = self.verdict(now);
+        if verdict == Verdict::Allowed {
+            self.count_turn(now);
+            self.record_retry(now);
+        }
+        verdict
+    }
+
+    /// Takes a retry for the incarnation `host`, for which this host decides.
+    pub fn grant_retry(&mut self, host: u64, now: clock::Moment) -> Verdict {
+        let verdict = self.verdict(now);
+        if verdict == Verdict::Allowed {
+            self.count_turn(now);
+            let leaves_at = now + self.settings.window;
+            let unknown = Received { usage: Usage::default(), leaves_at };
+            let known = self.others.entry(host).or_insert(unknown);
+            known.usage += Usage { requests: 0, retries: 1 };
+            known.leaves_at = leaves_at;
+        }
+        verdict
+    }
+
+    /// Returns how many retries this host took in the last turn.
+    fn taken(&self, now: clock::Moment) -> usize {
+        self.turn.iter().filter(|at| now.since(**at) < TURN).count()
+    }
+
+    fn count_turn(&mut self, now: clock::Moment) {
+        self.turn.retain(|at| now.since(*at) < TURN);
+        self.turn.push_back(now);
+    }
+}
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -151,7 +151,7 @@
     /// Refusals of displaced waiters, which the next poll returns.
     displaced: Vec<Wake>,
     in_flight: collections::HashMap<Ticket, InFlight>,
-    budget: retry::Budget,
+    budget: retry::Bucket,
     prompt_mix: clear::PromptMix,
     /// Recent use of customers, by length class.
     usage: [usage::Usage; 4],
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -46,8 +46,8 @@
     pub max_pause_others: clock::Span,
     /// How long a host of another zone counts as alive after it was last heard.
     pub remote_timeout: clock::Span,
-    /// How long a zone counts as reachable after one of its hosts was last heard, when limits that
-    /// hold for all zones together are divided. It covers a heartbeat between zones.
+    /// How long a host or zone counts as reachable after it was last heard, when limits that hold for
+    /// several hosts or zones together are divided. It covers a heartbeat between zones.
     pub zone_timeout: clock::Span,
 }
 
@@ -200,6 +200,21 @@
         self.hosts.len() + 1
     }
 
+    /// Returns the number of known zones.
+    pub fn zone_count(&self) -> usize {
+        self.ranks.len()
+    }
+
+    /// Returns the number of known hosts of this zone, including this one.
+    pub fn zone_size(&self) -> usize {
+        self.ranked(&self.info.zone).count()
+    }
+
+    /// Returns how many hosts of this zone are heard from, including this one.
+    pub fn heard_in_zone(&self, now: clock::Moment) -> usize {
+        self.ranked(&self.info.zone).filter(|host| self.is_heard_lately(host, now)).count()
+    }
+
     /// Returns the number of hosts that schedule requests: one for each zone with a scheduler, and
     /// all hosts of the other zones.
     pub fn placing_hosts(&self) -> usize {
@@ -367,14 +382,8 @@
         if !self.tracks_in_flight(now) {
             return 1.0 / self.count() as f64;
         }
-        let is_heard = |host: &id::Host| {
-            let known = self.hosts.get(host);
-            known.is_some_and(|known| known.silent_for(now) <= self.settings.zone_timeout)
-        };
-        let heard = self
-            .ranks
-            .iter()
-            .filter(|(zone, hosts)| **zone == self.info.zone || hosts.iter().any(&is_heard));
+        let is_heard = |host: &id::Host| self.is_heard_lately(host, now);
+        let heard = self.ranks.iter().filter(|(_, hosts)| hosts.iter().any(is_heard));
         heard.count() as f64 / self.ranks.len().max(1) as f64
     }
 
@@ -384,6 +393,13 @@
         ranked.filter(move |host| self.is_live(host, now)).take(self.settings.candidates)
     }
 
+    /// Whether a host is this one, or was heard within the timeout after which limits that hold for
+    /// several hosts are divided without it.
+    fn is_heard_lately(&self, host: &id::Host, now: clock::Moment) -> bool {
+        let is_heard = |known: &PeerState| known.silent_for(now) <= self.settings.zone_timeout;
+        *host == self.own || self.hosts.get(host).is_some_and(is_heard)
+    }
+
     fn ranked(&self, zone: &id::Zone) -> impl Iterator<Item = &id::Host> {
         self.ranks.get(zone).into_iter().flatten()
     }
