Do not count what cut-off and ended hosts used as unused

- Hosts without knowledge of the window used three quarters of the allowed ratio, as did the lives before them: a request counted twice.
They use a quarter now.
- A host took its part of what is left anew every 50 ms, also while it heard nobody.
It takes it anew once it has heard all others, for 0.7 s at most; then their parts are theirs.
- Requests that other hosts count were counted by both sides of a cut.
Those of a host that fell silent no longer count, those of one that ended count by the share of the hosts that are heard.
- What a host used that was silent for over 1.2 s before it ended is not known: its part of the slack counts as used.
A tenth of the slack is left for what nobody was told.

--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -186,10 +186,18 @@
 /// count as taken until the callers' deadlines.
 fn forget_silent_hosts(state: &state::State) {
     let silent = state::lock(&state.peers).remove_silent(state.clock.now());
-    for incarnation in silent {
+    for ended in silent {
         // The heartbeats of an incarnation (`life`) have stopped.
-        event::Line::new("host_silent").number("life", incarnation).info();
-        state.forget_incarnation(incarnation);
+        event::Line::new("host_silent").number("life", ended.number).info();
+        forget_ended(state, ended);
+    }
+}
+
+/// Drops the dispatches of a host incarnation that has ended.
+fn forget_ended(state: &state::State, ended: peers::Ended) {
+    state.forget_incarnation(ended.number);
+    if ended.in_own_zone {
+        state.end_retries_of(ended.number, ended.silent);
     }
 }
 
@@ -283,10 +291,10 @@
     state: &state::State,
     from: net::SocketAddr,
     incarnation: u64,
-    previous: Option<u64>,
+    previous: Option<peers::Ended>,
 ) {
     if let Some(previous) = previous {
-        state.forget_incarnation(previous);
+        forget_ended(state, previous);
     }
     // The dispatches come first: they were sent before, and take no permits of the limits.
     let mut updates = state.in_flight_for_new_host(from);
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -29,13 +29,23 @@
     incarnations: collections::HashMap<net::SocketAddr, Incarnation>,
 }
 
+/// An incarnation that has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Ended {
+    pub(crate) number: u64,
+    /// Time since its last datagram.
+    pub(crate) silent: clock::Span,
+    /// Whether its host is in this host's zone.
+    pub(crate) in_own_zone: bool,
+}
+
 /// Whether the incarnation that sent a datagram was known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Contact {
     /// The incarnation was seen before.
     Known,
     /// The incarnation is seen for the first time; `previous` is the previous one at its address.
-    New { previous: Option<u64> },
+    New { previous: Option<Ended> },
 }
 
 impl Peers {
@@ -85,15 +95,28 @@
         let previous = self.incarnations.insert(address, Incarnation { number, at: now });
         match previous {
             Some(previous) if previous.number == number => Contact::Known,
-            previous => Contact::New { previous: previous.map(|incarnation| incarnation.number) },
+            previous => Contact::New {
+                previous: previous.map(|incarnation| self.ended(address, incarnation, now)),
+            },
         }
     }
 
-    /// Removes the incarnations that have been silent too long, and returns their numbers.
-    pub(crate) fn remove_silent(&mut self, now: clock::Moment) -> Vec<u64> {
+    fn ended(
+        &self,
+        address: net::SocketAddr,
+        incarnation: Incarnation,
+        now: clock::Moment,
+    ) -> Ended {
+        let in_own_zone = self.is_in_zone(address, self.roster.own_zone());
+        Ended { number: incarnation.number, silent: now.since(incarnation.at), in_own_zone }
+    }
+
+    /// Removes the incarnations that have been silent too long, and returns them.
+    pub(crate) fn remove_silent(&mut self, now: clock::Moment) -> Vec<Ended> {
         let is_silent = |incarnation: &Incarnation| now.since(incarnation.at) > SILENCE_TIMEOUT;
-        let silent = self.incarnations.values().filter(|incarnation| is_silent(incarnation));
-        let silent = silent.map(|incarnation| incarnation.number).collect();
+        let silent = self.incarnations.iter().filter(|(_, incarnation)| is_silent(incarnation));
+        let silent = silent.map(|(address, incarnation)| self.ended(*address, *incarnation, now));
+        let silent = silent.collect();
         self.incarnations.retain(|_, incarnation| !is_silent(incarnation));
         silent
     }
--- a/crates/lagoon-gateway/src/retries/message.rs
+++ b/crates/lagoon-gateway/src/retries/message.rs
@@ -29,7 +29,7 @@
     /// Returns the report of the incarnation `host` that sent this now.
     pub(super) fn report(&self, host: u64) -> retry::Report {
         let usage = retry::Usage { requests: self.requests, retries: self.retries };
-        retry::Report { host, usage, age: clock::Span::ZERO }
+        retry::Report { host, usage, age: clock::Span::ZERO, has_ended: false }
     }
 }
 
@@ -57,6 +57,9 @@
     /// Milliseconds since the report.
     #[prost(uint32, tag = "3")]
     age_ms: u32,
+    /// Whether the incarnation has ended.
+    #[prost(bool, tag = "4")]
+    has_ended: bool,
 }
 
 impl Report {
@@ -65,6 +68,7 @@
             host: report.host,
             used: Some(Used::new(service, report.usage)),
             age_ms: message::to_millis(report.age),
+            has_ended: report.has_ended,
         }
     }
 
@@ -73,6 +77,7 @@
         let used = self.used.as_ref()?;
         let report = used.report(self.host);
         let service = id::Service::from(used.service.as_str());
-        Some((service, retry::Report { age: message::from_millis(self.age_ms), ..report }))
+        let age = message::from_millis(self.age_ms);
+        Some((service, retry::Report { age, has_ended: self.has_ended, ..report }))
     }
 }
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -102,15 +102,20 @@
         let now = self.clock.now();
         let peers = state::lock(&self.peers);
         let roster = &peers.roster;
-        let part = 1.0 / roster.zone_size() as f64;
+        let hosts = roster.zone_size();
+        let sharing = retry::Sharing { zones, hosts, ..retry::Sharing::default() };
         let Some(known_at) = known_at else {
-            // Only the own retries are known, from the start on.
-            let known_at = self.started_at() + self.settings.node.bounds.retry_window;
-            return Some(retry::Sharing { zones, deciders: 1, heard: part, known_at });
+            // Only the own retries are known here.
+            return Some(retry::Sharing { known_at: clock::Moment::NEVER, ..sharing });
         };
-        let heard = roster.heard_in_zone(now);
-        let deciders = if roster.own_zone_has_scheduler() { 1 } else { heard };
-        Some(retry::Sharing { zones, deciders, heard: part * heard as f64, known_at })
+        let others: Vec<_> = roster.heard_in_zone(now).collect();
+        let heard = others.len() + 1;
+        let sharing = retry::Sharing { heard, known_at, ..sharing };
+        if roster.own_zone_has_scheduler() {
+            return Some(sharing);
+        }
+        let heard_at = others.into_iter().min().unwrap_or(now);
+        Some(retry::Sharing { deciders: heard, heard_at, ..sharing })
     }
 
     /// Updates what is known of the fleet from the table of hosts or from a heartbeat.
@@ -211,6 +216,15 @@
         }
     }
 
+    /// Records that a host incarnation of this zone has ended, of which the last message arrived
+    /// `silent` ago.
+    pub(crate) fn end_retries_of(&self, incarnation: u64, silent: clock::Span) {
+        let now = self.clock.now();
+        for budget in state::lock(&self.retries.budgets).values_mut() {
+            budget.record_end(incarnation, silent, now);
+        }
+    }
+
     /// Returns the update that tells a host of this zone that starts what the zone used; `None` if
     /// this host does not know.
     pub(crate) fn usage_update(&self) -> Option<datagram::Update> {
@@ -219,7 +233,8 @@
         let mut reports = Vec::new();
         for (service, budget) in state::lock(&self.retries.budgets).iter() {
             let usage = budget.own_usage(now);
-            let own = retry::Report { host: self.incarnation, usage, age: clock::Span::ZERO };
+            let host = self.incarnation;
+            let own = retry::Report { host, usage, age: clock::Span::ZERO, has_ended: false };
             let made = budget.reports(now).chain([own]).filter(|report| report.usage.retries > 0);
             reports.extend(made.map(|report| message::Report::new(service, &report)));
         }
@@ -254,12 +269,13 @@
         self.with_current_budget(service, |budget, now| budget.left(now))
     }
 
-    /// Updates the metrics of the retry budgets, and forgets those that are not used any more.
+    /// Updates the metrics of the retry budgets, and forgets what is no longer in their windows.
     pub(crate) fn update_retry_metrics(&self) {
         let sharing = self.retry_sharing();
         let now = self.clock.now();
         let mut budgets = state::lock(&self.retries.budgets);
         for (service, budget) in budgets.iter_mut() {
+            budget.expire(now);
             budget.set_sharing(sharing);
             self.metrics.set_retries(service, budget.own_usage(now).retries, budget.left(now));
         }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -453,11 +453,6 @@
         }
     }
 
-    /// Returns when this process started.
-    pub(crate) fn started_at(&self) -> clock::Moment {
-        self.started_at
-    }
-
     /// Returns the id of a new dispatch.
     pub(crate) fn next_dispatch_id(&self) -> placement::DispatchId {
         let number = self.dispatch_counter.fetch_add(1, atomic::Ordering::Relaxed);
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -5,21 +5,33 @@
 use super::window::{Usage, Window};
 use crate::clock;
 
-/// Time within which hosts of a zone hear of each other's retries, and in which a host takes at most
-/// its part of what is left.
+/// Time within which hosts of a zone hear of each other's retries.
 pub const TURN: clock::Span = clock::Span::from_millis(50);
-/// Share of the allowed ratio that is used. Of the requests of any window of a budget, at least
-/// three quarters lie in the one window in which the bound counts them.
+/// Share of the allowed ratio that is used by hosts which know what was used in the whole window.
+/// Of the requests of any window of a budget, at least three quarters lie in the one window in which
+/// the bound counts them.
 const RATIO_SHARE: f64 = 0.75;
-/// Share of the slack that is used by hosts which know what was used in the whole window.
-const SLACK_SHARE: f64 = 0.7;
+/// Share of the allowed ratio that is used by other hosts. The lives before may have used up
+/// [`RATIO_SHARE`] of it just before they ended.
+const PARTIAL_RATIO_SHARE: f64 = 0.25;
+/// Share of the slack that is used by hosts which know what was used in the whole window. A tenth is
+/// never planned for: what a host used that was cut off and then killed is told to nobody.
+const SLACK_SHARE: f64 = 0.6;
 /// Share of the slack that hosts which know less may use for the part of the window that they know.
 /// The lives before may have used up [`SLACK_SHARE`].
-const PARTIAL_SHARE: f64 = 0.15;
+const PARTIAL_SLACK_SHARE: f64 = 0.15;
 /// Share of the slack that hosts which know nothing may use at once, so that a request is not lost
 /// with the first failure after a start. All hosts of a zone may start five times in a window before
-/// the three shares together exceed the slack.
-const START_SHARE: f64 = 0.03;
+/// the three shares together exceed nine tenths of the slack.
+const START_SLACK_SHARE: f64 = 0.03;
+
+/// Age of a report from which on the requests in it do not count: its host may be cut off, and uses
+/// them itself. It covers two heartbeats within a zone.
+const MAX_REPORT_AGE: clock::Span = clock::Span::from_millis(700);
+
+/// Time without a message after which an incarnation that has ended may have been cut off before,
+/// so that nobody knows what it used. A process that is killed starts again within it.
+const MAX_SILENCE: clock::Span = clock::Span::from_millis(1_200);
 
 /// The bound on the retries of all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -45,15 +57,33 @@
     pub zones: usize,
     /// Number of hosts of this zone that decide on retries at the same time.
     pub deciders: usize,
-    /// Share of the hosts of this zone whose retries this host hears of, its own included.
-    pub heard: f64,
+    /// Number of hosts of this zone.
+    pub hosts: usize,
+    /// Number of these whose retries this host hears of, itself included.
+    pub heard: usize,
     /// When everything will be known here that these hosts used in the window before.
     pub known_at: clock::Moment,
+    /// When the last one of the other deciders that are heard had been heard; now if there are none.
+    pub heard_at: clock::Moment,
 }
 
 impl Default for Sharing {
     fn default() -> Self {
-        Sharing { zones: 1, deciders: 1, heard: 1.0, known_at: clock::Moment::START }
+        Sharing {
+            zones: 1,
+            deciders: 1,
+            hosts: 1,
+            heard: 1,
+            known_at: clock::Moment::START,
+            heard_at: clock::Moment::NEVER,
+        }
+    }
+}
+
+impl Sharing {
+    /// Share of the hosts of this zone that are heard.
+    fn heard_share(self) -> f64 {
+        self.heard.min(self.hosts) as f64 / self.hosts.max(1) as f64
     }
 }
 
@@ -62,7 +92,7 @@
 pub enum Verdict {
     /// It may.
     Allowed,
-    /// Others may use what is left at this moment; ask again after a [`TURN`].
+    /// Others may have used what is left; ask again after a [`TURN`], when they may have been heard.
     Wait,
     /// None is left.
     Refused,
@@ -77,6 +107,8 @@
     pub usage: Usage,
     /// Time since the report.
     pub age: clock::Span,
+    /// Whether the incarnation is known to have ended.
+    pub has_ended: bool,
 }
 
 /// A report that was received.
@@ -85,6 +117,7 @@
     usage: Usage,
     /// When the window that it is about is over.
     leaves_at: clock::Moment,
+    has_ended: bool,
 }
 
 /// The retries of one service.
@@ -103,7 +136,7 @@
 /// let known_at = start + Span::from_secs(10);
 /// budget.set_sharing(Some(Sharing { known_at, ..Sharing::default() }));
 /// assert_eq!(take(&mut budget, start), 3);
-/// assert_eq!(take(&mut budget, known_at), 67);
+/// assert_eq!(take(&mut budget, known_at), 57);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -112,8 +145,8 @@
     sharing: Option<Sharing>,
     own: Window,
     others: collections::BTreeMap<u64, Received>,
-    /// When this host took each retry of the last [`TURN`].
-    turn: collections::VecDeque<clock::Moment>,
+    /// When this host took each retry of the last window.
+    taken: collections::VecDeque<clock::Moment>,
     /// When the zone's scheduler last refused a retry to this host.
     refused_at: Option<clock::Moment>,
 }
@@ -126,7 +159,7 @@
             sharing: None,
             own: Window::new(settings.window),
             others: collections::BTreeMap::new(),
-            turn: collections::VecDeque::new(),
+            taken: collections::VecDeque::new(),
             refused_at: None,
         }
     }
@@ -163,13 +196,37 @@
 
     /// Records what another incarnation used. Of two reports of one incarnation the later counts.
     pub fn record_report(&mut self, report: Report, now: clock::Moment) {
-        self.others.retain(|_, known| known.leaves_at > now);
         let Some(left) = self.settings.window.checked_sub(report.age) else { return };
-        let received = Received { usage: report.usage, leaves_at: now + left };
+        let received =
+            Received { usage: report.usage, leaves_at: now + left, has_ended: report.has_ended };
         let known = self.others.entry(report.host).or_insert(received);
+        let has_ended = known.has_ended || received.has_ended;
         if known.leaves_at <= received.leaves_at {
             *known = received;
         }
+        known.has_ended = has_ended;
+    }
+
+    /// Records at `now` that another incarnation has ended, of which the last message arrived `silent`
+    /// before. After a long silence its host's part of the slack counts as used, and so do the retries
+    /// that its requests allow.
+    pub fn record_end(&mut self, host: u64, silent: clock::Span, now: clock::Moment) {
+        let leaves_at = now + self.settings.window;
+        let unheard = Received { usage: Usage::default(), leaves_at, has_ended: true };
+        let known = self.others.entry(host).or_insert(unheard);
+        known.has_ended = true;
+        if silent > MAX_SILENCE {
+            let sharing = self.sharing.unwrap_or_default();
+            let part = SLACK_SHARE / (sharing.zones.max(1) * sharing.hosts.max(1)) as f64;
+            known.usage.requests = 0;
+            known.usage.retries += (self.settings.slack * part).ceil() as u32;
+            known.leaves_at = leaves_at;
+        }
+    }
+
+    /// Forgets incarnations whose reports are older than the window.
+    pub fn expire(&mut self, now: clock::Moment) {
+        self.others.retain(|_, known| known.leaves_at > now);
     }
 
     /// Returns what this host used in the last window.
@@ -183,7 +240,7 @@
         let known = self.others.iter().filter(move |(_, known)| known.leaves_at > now);
         known.map(move |(host, known)| {
             let age = window.saturating_sub(known.leaves_at.since(now));
-            Report { host: *host, usage: known.usage, age }
+            Report { host: *host, usage: known.usage, age, has_ended: known.has_ended }
         })
     }
 
@@ -193,13 +250,22 @@
         let mut requests = f64::from(own.requests);
         let mut retries = f64::from(own.retries);
         for report in self.reports(now) {
-            // The requests of an incarnation that has fallen silent leave the window, and when its
-            // retries do is not known.
-            let in_window = 1.0 - report.age.as_secs_f64() / self.settings.window.as_secs_f64();
-            requests += f64::from(report.usage.requests) * in_window;
+            requests += f64::from(report.usage.requests) * self.request_share(&report);
             retries += f64::from(report.usage.retries);
         }
-        self.settings.ratio * RATIO_SHARE * requests + self.slack(now) - retries
+        let is_known = self.sharing.is_some_and(|sharing| sharing.known_at <= now);
+        let ratio_share = if is_known { RATIO_SHARE } else { PARTIAL_RATIO_SHARE };
+        self.settings.ratio * ratio_share * requests + self.slack(now) - retries
+    }
+
+    /// Returns the share of the requests in a report that counts here. Its retries count until all of
+    /// them have left the window.
+    fn request_share(&self, report: &Report) -> f64 {
+        if !report.has_ended {
+            return f64::from(u8::from(report.age <= MAX_REPORT_AGE));
+        }
+        let heard = self.sharing.map_or(0.0, Sharing::heard_share);
+        heard * (1.0 - report.age.as_secs_f64() / self.settings.window.as_secs_f64())
     }
 
     /// Returns the part of the slack that this host may use.
@@ -210,20 +276,21 @@
         let share = if unknown == 0.0 {
             SLACK_SHARE
         } else {
-            START_SHARE + PARTIAL_SHARE * (1.0 - unknown / window).max(0.0)
+            START_SLACK_SHARE + PARTIAL_SLACK_SHARE * (1.0 - unknown / window).max(0.0)
         };
-        self.settings.slack * share * sharing.heard / sharing.zones.max(1) as f64
+        self.settings.slack * share * sharing.heard_share() / sharing.zones.max(1) as f64
     }
 
     /// Returns whether a retry may be made now, without taking it.
     pub fn verdict(&self, now: clock::Moment) -> Verdict {
         let left = self.left(now);
-        let deciders = self.sharing.map_or(1, |sharing| sharing.deciders.max(1)) as f64;
+        let sharing = self.sharing.unwrap_or_default();
+        let deciders = sharing.deciders.max(1) as f64;
         // A sum of fractions can be a rounding error below a whole number.
         if left + 1e-9 < deciders {
             return Verdict::Refused;
         }
-        let taken = self.taken(now) as f64;
+        let taken = self.taken_since(sharing.heard_at.min(now).saturating_sub(TURN)) as f64;
         let part = (left + taken) / deciders;
         if taken + 1.0 <= part + 1e-9 { Verdict::Allowed } else { Verdict::Wait }
     }
@@ -232,7 +299,7 @@
     pub fn take_retry(&mut self, now: clock::Moment) -> Verdict {
         let verdict = self.verdict(now);
         if verdict == Verdict::Allowed {
-            self.count_turn(now);
+            self.count_taken(now);
             self.record_retry(now);
         }
         verdict
@@ -242,9 +309,9 @@
     pub fn grant_retry(&mut self, host: u64, now: clock::Moment) -> Verdict {
         let verdict = self.verdict(now);
         if verdict == Verdict::Allowed {
-            self.count_turn(now);
+            self.count_taken(now);
             let leaves_at = now + self.settings.window;
-            let unknown = Received { usage: Usage::default(), leaves_at };
+            let unknown = Received { usage: Usage::default(), leaves_at, has_ended: false };
             let known = self.others.entry(host).or_insert(unknown);
             known.usage += Usage { requests: 0, retries: 1 };
             known.leaves_at = leaves_at;
@@ -252,13 +319,14 @@
         verdict
     }
 
-    /// Returns how many retries this host took in the last turn.
-    fn taken(&self, now: clock::Moment) -> usize {
-        self.turn.iter().filter(|at| now.since(**at) < TURN).count()
+    /// Returns how many retries this host took after `from`.
+    fn taken_since(&self, from: clock::Moment) -> usize {
+        self.taken.iter().filter(|at| **at > from).count()
     }
 
-    fn count_turn(&mut self, now: clock::Moment) {
-        self.turn.retain(|at| now.since(*at) < TURN);
-        self.turn.push_back(now);
+    fn count_taken(&mut self, now: clock::Moment) {
+        let oldest = now.saturating_sub(self.settings.window);
+        self.taken.retain(|at| *at >= oldest);
+        self.taken.push_back(now);
     }
 }
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -46,8 +46,8 @@
     pub max_pause_others: clock::Span,
     /// How long a host of another zone counts as alive after it was last heard.
     pub remote_timeout: clock::Span,
-    /// How long a host or zone counts as reachable after it was last heard, when limits that hold for
-    /// several hosts or zones together are divided. It covers a heartbeat between zones.
+    /// How long a zone counts as reachable after one of its hosts was last heard, when limits that
+    /// hold for all zones together are divided. It covers a heartbeat between zones.
     pub zone_timeout: clock::Span,
 }
 
@@ -200,6 +200,11 @@
         self.hosts.len() + 1
     }
 
+    /// Returns the zone of this host.
+    pub fn own_zone(&self) -> &id::Zone {
+        &self.info.zone
+    }
+
     /// Returns the number of known zones.
     pub fn zone_count(&self) -> usize {
         self.ranks.len()
@@ -210,9 +215,13 @@
         self.ranked(&self.info.zone).count()
     }
 
-    /// Returns how many hosts of this zone are heard from, including this one.
-    pub fn heard_in_zone(&self, now: clock::Moment) -> usize {
-        self.ranked(&self.info.zone).filter(|host| self.is_heard_lately(host, now)).count()
+    /// Returns when each other host of this zone that is heard from was last heard.
+    pub fn heard_in_zone(&self, now: clock::Moment) -> impl Iterator<Item = clock::Moment> {
+        let others = self.ranked(&self.info.zone).filter_map(|host| self.hosts.get(host));
+        let silent_for = others.map(move |known| known.silent_for(now));
+        silent_for
+            .filter(|span| *span <= self.settings.heartbeat_timeout)
+            .map(move |span| now.saturating_sub(span))
     }
 
     /// Returns the number of hosts that schedule requests: one for each zone with a scheduler, and
@@ -382,7 +391,10 @@
         if !self.tracks_in_flight(now) {
             return 1.0 / self.count() as f64;
         }
-        let is_heard = |host: &id::Host| self.is_heard_lately(host, now);
+        let is_heard = |host: &id::Host| {
+            let is_heard = |known: &PeerState| known.silent_for(now) <= self.settings.zone_timeout;
+            *host == self.own || self.hosts.get(host).is_some_and(is_heard)
+        };
         let heard = self.ranks.iter().filter(|(_, hosts)| hosts.iter().any(is_heard));
         heard.count() as f64 / self.ranks.len().max(1) as f64
     }
@@ -393,13 +405,6 @@
         ranked.filter(move |host| self.is_live(host, now)).take(self.settings.candidates)
     }
 
-    /// Whether a host is this one, or was heard within the timeout after which limits that hold for
-    /// several hosts are divided without it.
-    fn is_heard_lately(&self, host: &id::Host, now: clock::Moment) -> bool {
-        let is_heard = |known: &PeerState| known.silent_for(now) <= self.settings.zone_timeout;
-        *host == self.own || self.hosts.get(host).is_some_and(is_heard)
-    }
-
     fn ranked(&self, zone: &id::Zone) -> impl Iterator<Item = &id::Host> {
         self.ranks.get(zone).into_iter().flatten()
     }
--- /dev/null
+++ b/crates/lagoonline/tests/load_retry.rs
@@ -0,0 +1,118 @@
+//! The budget of the retries of all hosts together, with simulated time.
+
+use lagoonline::clock::{Moment, Span};
+use lagoonline::load::retry::{Budget, Report, Settings, Sharing, Usage, Verdict};
+use rstest::rstest;
+
+const WINDOW: Span = Span::from_secs(10);
+const NOW: Moment = Moment::from_millis(60_000);
+
+fn budget(sharing: Sharing) -> Budget {
+    let mut budget = Budget::new(Settings { ratio: 0.2, slack: 100.0, window: WINDOW });
+    budget.set_sharing(Some(sharing));
+    budget
+}
+
+fn take_all(budget: &mut Budget, now: Moment) -> usize {
+    (0..1_000).take_while(|_| budget.take_retry(now) == Verdict::Allowed).count()
+}
+
+fn report(host: u64, requests: u32, retries: u32) -> Report {
+    let usage = Usage { requests, retries };
+    Report { host, usage, age: Span::ZERO, has_ended: false }
+}
+
+/// A host that knows no other hosts yet must not take itself for the only one.
+#[rstest]
+fn an_unknown_fleet_leaves_no_slack() {
+    let mut budget = budget(Sharing::default());
+    budget.set_sharing(None);
+    assert_eq!(take_all(&mut budget, NOW), 0);
+}
+
+/// What the lives before a start used must count in the life after it.
+#[rstest]
+fn a_host_that_starts_counts_what_it_is_told() {
+    let mut budget = budget(Sharing::default());
+    let ended = Report { age: Span::from_secs(4), has_ended: true, ..report(1, 0, 50) };
+    budget.record_report(ended, NOW);
+    assert_eq!(take_all(&mut budget, NOW), 10);
+    // What the lives before used has left the window, what was taken here has not.
+    assert_eq!(take_all(&mut budget, NOW + Span::from_secs(7)), 50);
+}
+
+/// Without anybody who knows, three starts within a window stay within the part that the lives
+/// before cannot have used.
+#[rstest]
+fn starts_without_knowledge_add_up_to_less_than_the_slack() {
+    let known = take_all(&mut budget(Sharing::default()), NOW);
+    let starts = (0..3).map(|_| {
+        let mut budget = budget(Sharing { known_at: NOW + WINDOW, ..Sharing::default() });
+        take_all(&mut budget, NOW) + take_all(&mut budget, NOW + WINDOW / 4)
+    });
+    assert!(known + starts.sum::<usize>() < 100);
+}
+
+/// Hosts that need retries at the same moment must not each take all that is left.
+#[rstest]
+fn hosts_that_have_not_heard_of_each_other_share_what_is_left() {
+    let sharing = Sharing { deciders: 3, heard_at: NOW, ..Sharing::default() };
+    let taken: Vec<_> = (0..3).map(|_| take_all(&mut budget(sharing), NOW)).collect();
+    assert_eq!(taken, [20; 3]);
+    let mut one = budget(sharing);
+    take_all(&mut one, NOW);
+    assert_eq!(one.verdict(NOW), Verdict::Wait);
+    let later = NOW + Span::from_millis(200);
+    one.set_sharing(Some(Sharing { heard_at: later, ..sharing }));
+    assert_eq!(one.verdict(later), Verdict::Allowed, "the others used nothing");
+}
+
+/// A host that hears no other one uses its own part, and none for requests that others may count.
+#[rstest]
+fn a_host_that_is_cut_off_uses_its_own_part() {
+    let sharing = Sharing { hosts: 3, ..Sharing::default() };
+    let mut budget = budget(sharing);
+    budget.record_report(report(1, 200, 0), NOW);
+    assert!(budget.left(NOW) > 40.0);
+    assert_eq!(take_all(&mut budget, NOW + Span::from_secs(1)), 20);
+}
+
+/// Of two reports the later counts, whichever arrives first, and each counts once.
+#[rstest]
+fn reports_count_once_in_any_order() {
+    let older = Report { age: Span::from_secs(2), ..report(1, 0, 10) };
+    for reports in [[report(1, 0, 30), older], [older, report(1, 0, 30)]] {
+        let mut budget = budget(Sharing::default());
+        reports.into_iter().for_each(|report| budget.record_report(report, NOW));
+        assert_eq!(take_all(&mut budget, NOW), 30);
+    }
+}
+
+/// A retry that is not sent goes back.
+#[rstest]
+fn a_retry_that_is_not_sent_is_left_for_others() {
+    let mut budget = budget(Sharing::default());
+    let left = budget.left(NOW);
+    assert_eq!(budget.take_retry(NOW), Verdict::Allowed);
+    budget.return_retry(NOW);
+    assert_eq!(budget.left(NOW), left);
+}
+
+/// A retry that the scheduler allowed another host counts before that host tells of it.
+#[rstest]
+fn a_retry_allowed_to_another_host_counts_at_once() {
+    let mut budget = budget(Sharing::default());
+    let granted = (0..1_000).take_while(|_| budget.grant_retry(1, NOW) == Verdict::Allowed);
+    assert_eq!(granted.count(), 60);
+    assert_eq!(budget.verdict(NOW), Verdict::Refused);
+}
+
+/// What a host used that was cut off before it ended is told to nobody.
+#[rstest]
+#[case::killed(Span::from_millis(800), 60)]
+#[case::cut_off_and_killed(Span::from_secs(3), 40)]
+fn the_part_of_a_host_that_ended_unheard_counts_as_used(#[case] silent: Span, #[case] left: usize) {
+    let mut budget = budget(Sharing { hosts: 3, heard: 3, ..Sharing::default() });
+    budget.record_end(1, silent, NOW);
+    assert_eq!(take_all(&mut budget, NOW), left);
+}
