--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -17,6 +17,7 @@
 use lagoon_load::http;
 use lagoon_load::limits;
 use lagoon_load::paths;
+use lagoon_load::retries;
 use lagoon_load::soak;
 use lagoon_net::logs;
 use lagoon_net::program;
@@ -41,6 +42,7 @@
     Departures(Departures),
     Limits(Limits),
     Paths(Paths),
+    Retries(Retries),
     Soak(Soak),
 }
 
@@ -92,6 +94,18 @@
     seeds: u64,
 }
 
+/// Ways of keeping a bound on the retries of all hosts together, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "retries")]
+struct Retries {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
 /// What a running entry host adds to calls and streams, beside the engine itself.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "direct")]
@@ -237,6 +251,7 @@
         Command::Departures(departures) => run_departures(&departures).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
         Command::Paths(paths) => run_paths(&paths).map(|()| true),
+        Command::Retries(retries) => run_retries(&retries).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
     };
     match result {
@@ -558,6 +573,40 @@
     );
 }
 
+/// Plays the scenarios of retries with each way, and prints the largest share of what is allowed and
+/// the means of the other figures over all seeds.
+fn run_retries(args: &Retries) -> Result<(), Box<dyn error::Error>> {
+    let scenarios = select(retries::all(), &args.scenario, |scenario| scenario.name)?;
+    println!(
+        "scenario way worst_share retries served_by_retry requests served refused refused_with_room messages"
+    );
+    for scenario in &scenarios {
+        for way in retries::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| retries::run(scenario, way, seed)).collect();
+            print_retries(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_retries(scenario: &str, way: retries::Way, reports: &[retries::Report]) {
+    let mean = |figure: fn(&retries::Report) -> f64| {
+        reports.iter().map(figure).sum::<f64>() / reports.len().max(1) as f64
+    };
+    let worst = reports.iter().map(|report| report.worst_share).fold(0.0, f64::max);
+    println!(
+        "{scenario} {way:?} {worst:.2} {:.0} {:.0} {:.0} {:.0} {:.0} {:.0} {:.1}",
+        mean(|report| report.retries as f64),
+        mean(|report| report.served_by_retry as f64),
+        mean(|report| report.requests as f64),
+        mean(|report| report.served as f64),
+        mean(|report| report.refused as f64),
+        mean(|report| report.refused_with_room as f64),
+        mean(|report| report.messages),
+    );
+}
+
 /// Plays the scenarios of lost paths with each way, and prints the shares of first tries that were
 /// served, the worst times and the sums of the other figures over all seeds.
 fn run_paths(args: &Paths) -> Result<(), Box<dyn error::Error>> {
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod http;
 pub mod limits;
 pub mod paths;
+pub mod retries;
 pub mod soak;
 pub mod trial;
