--- a/crates/lagoonline/tests/load_limit.rs
+++ b/crates/lagoonline/tests/load_limit.rs
@@ -78,3 +78,26 @@
     assert!(count <= bound, "{count} admitted, bound {bound}");
     assert!(count >= SECONDS * 100, "{count}");
 }
+
+/// Hosts that start again and again must not bring a customer's burst with each of their lives.
+#[rstest]
+fn restarts_do_not_renew_the_burst_of_a_customer() {
+    let customer = Customer::from("c");
+    let mut all: Vec<_> = (0..3).map(|_| limit::Limits::new(3)).collect();
+    let mut count = 0;
+    for ms in 0..SECONDS * 1_000 {
+        let now = Moment::from_millis(ms);
+        for (index, host) in all.iter_mut().enumerate() {
+            if ms % 1_000 == 300 * index as u64 {
+                *host = limit::Limits::new(3);
+                host.apply_report(now, &[]);
+            }
+            count += u64::from(host.admit(now, &customer, RATE, 1).is_ok());
+        }
+        if ms % 250 == 0 {
+            exchange_reports(now, &mut all);
+        }
+    }
+    let bound = 100 * SECONDS + 200 + 2 * 100 / 4 + 3;
+    assert!(count <= bound, "{count} admitted, bound {bound}");
+}
