End a stream at its deadline also while its upstream never pauses

Callers of an upstream that sends without a pause got its stream beyond their deadline, without end: the deadline was looked at only when nothing had come for 250 ms.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -337,7 +337,11 @@
         let events_before = self.events;
         let mut bytes = 0;
         loop {
-            let left = self.admitted.time_left() + MAX_OVERTIME;
+            let now = self.admitted.state.clock.now();
+            let left = (self.admitted.deadline + MAX_OVERTIME).since(now);
+            if left.is_zero() {
+                return Err(Failure::Broken("deadline passed".to_owned()));
+            }
             let chunk = open.exchange.chunk(open.answer.body_mut());
             let chunk = match tokio::time::timeout(silence::CHECK_INTERVAL.min(left), chunk).await {
                 Ok(chunk) => chunk.map_err(|failure| {
--- a/crates/lagoon-gateway/tests/completeness.rs
+++ b/crates/lagoon-gateway/tests/completeness.rs
@@ -250,6 +250,19 @@
     assert!(began.elapsed() < std::time::Duration::from_secs(5), "{:?}", began.elapsed());
 }
 
+/// Guards against a stream that outlives its deadline because its upstream never pauses.
+#[rstest]
+fn a_stream_that_never_pauses_ends_at_its_deadline() {
+    let host = Host::start_raw();
+    let end = Ending::EndlessEvents;
+    host.standin.script(&[Script { framing: Framing::Unframed, end, ..WHOLE }]);
+    let began = std::time::Instant::now();
+    let answer = prompt(&host, "tell");
+    assert_eq!(answer.status, 200);
+    // Its deadline is 8 s.
+    assert!(began.elapsed() < std::time::Duration::from_secs(9), "{:?}", began.elapsed());
+}
+
 /// Guards against a caller that waits for an upstream which fell silent inside an event.
 #[rstest]
 fn a_stream_that_falls_silent_inside_an_event_goes_on_elsewhere() {
