--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -274,8 +274,12 @@
         let sharing = self.retry_sharing();
         let now = self.clock.now();
         let mut budgets = state::lock(&self.retries.budgets);
-        for (service, budget) in budgets.iter_mut() {
+        for budget in budgets.values_mut() {
             budget.expire(now);
+        }
+        budgets
+            .retain(|service, budget| self.service_state(service).is_some() || budget.is_used(now));
+        for (service, budget) in budgets.iter_mut() {
             budget.set_sharing(sharing);
             self.metrics.set_retries(service, budget.own_usage(now).retries, budget.left(now));
         }
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -229,6 +229,11 @@
         self.others.retain(|_, known| known.leaves_at > now);
     }
 
+    /// Whether anything is known that was used in the last window.
+    pub fn is_used(&self, now: clock::Moment) -> bool {
+        self.own_usage(now) != Usage::default() || self.reports(now).next().is_some()
+    }
+
     /// Returns what this host used in the last window.
     pub fn own_usage(&self, now: clock::Moment) -> Usage {
         self.own.usage(now)
