Let a fleet without earlier lives use its retries at once

Cause: the first form took every start for one of many, and three hosts that share less than three retries took none. A host now reads the table of hosts before it writes its row: no row of its own and no other host of its zone mean that nobody there had a life within minutes, so that nothing is unknown. The last retries left are no longer divided: each host may take one before it has heard the others, and they wait for what was too much. Shares without knowledge are 0.05 at once and 0.1 with time (0.03 and 0.15 before).

--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -26,6 +26,8 @@
 const TABLE: &str = "lagoon-hosts";
 /// Timeout for the write of this host's row.
 const WRITE_TIMEOUT: clock::Span = clock::Span::from_millis(1_500);
+/// Time that the first read of the table may take before this host writes its row all the same.
+const MAX_FIRST_READ_WAIT: clock::Span = clock::Span::from_millis(1_000);
 /// Pause before a failed write is retried.
 const WRITE_RETRY_PAUSE: clock::Span = clock::Span::from_millis(700);
 /// Time given to the other hosts to report their dispatches in flight: zones are some milliseconds
@@ -70,8 +72,10 @@
     drop(ntex::rt::spawn(remove_gone(state.clone())));
 }
 
-/// Writes this host's row, and writes it again whenever it is missing.
+/// Writes this host's row, and writes it again whenever it is missing. The table is read first: a row
+/// that is there already is of an earlier life of this host.
 async fn register(state: sync::Arc<state::State>, own: Row) {
+    drop(tokio::time::timeout(MAX_FIRST_READ_WAIT, state.hosts_read.notified()).await);
     loop {
         write_row(&state, &own).await;
         state.unregistered.notified().await;
@@ -163,7 +167,8 @@
     let placing_hosts = peers.roster.placing_hosts();
     drop(peers);
     state.set_placing_hosts(placing_hosts);
-    state.update_retry_sharing(true);
+    state.update_retry_sharing(Some(rows));
+    state.hosts_read.notify_one();
 }
 
 /// Applies the row of another host. A row that was removed or cannot be read removes the host.
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -118,6 +118,8 @@
     pub(crate) retries: retries::Budgets,
     /// Number of hosts that place requests.
     placing_hosts: atomic::AtomicUsize,
+    /// Signalled when the table of hosts was read.
+    pub(crate) hosts_read: Notify,
     /// Signalled when this host's row is missing from the platform's table.
     pub(crate) unregistered: Notify,
     /// This host's paths to upstreams.
@@ -193,6 +195,7 @@
             dispatch_counter: atomic::AtomicU64::new(0),
             retries: retries::Budgets::default(),
             placing_hosts: atomic::AtomicUsize::new(1),
+            hosts_read: Notify::new(),
             unregistered: Notify::new(),
             paths: sync::Mutex::new(paths),
             host_addresses: sync::Mutex::default(),
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -19,11 +19,11 @@
 const SLACK_SHARE: f64 = 0.6;
 /// Share of the slack that hosts which know less may use for the part of the window that they know.
 /// The lives before may have used up [`SLACK_SHARE`].
-const PARTIAL_SLACK_SHARE: f64 = 0.15;
+const PARTIAL_SLACK_SHARE: f64 = 0.1;
 /// Share of the slack that hosts which know nothing may use at once, so that a request is not lost
-/// with the first failure after a start. All hosts of a zone may start five times in a window before
+/// with the first failure after a start. All hosts of a zone may start four times in a window before
 /// the three shares together exceed nine tenths of the slack.
-const START_SLACK_SHARE: f64 = 0.03;
+const START_SLACK_SHARE: f64 = 0.05;
 
 /// Age of a report from which on the requests in it do not count: its host may be cut off, and uses
 /// them itself. It covers two heartbeats within a zone.
@@ -135,8 +135,8 @@
 /// // Nobody knows what was used before the start.
 /// let known_at = start + Span::from_secs(10);
 /// budget.set_sharing(Some(Sharing { known_at, ..Sharing::default() }));
-/// assert_eq!(take(&mut budget, start), 3);
-/// assert_eq!(take(&mut budget, known_at), 57);
+/// assert_eq!(take(&mut budget, start), 5);
+/// assert_eq!(take(&mut budget, known_at), 55);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -292,11 +292,12 @@
         let sharing = self.sharing.unwrap_or_default();
         let deciders = sharing.deciders.max(1) as f64;
         // A sum of fractions can be a rounding error below a whole number.
-        if left + 1e-9 < deciders {
+        if left + 1e-9 < 1.0 {
             return Verdict::Refused;
         }
         let taken = self.taken_since(sharing.heard_at.min(now).saturating_sub(TURN)) as f64;
-        let part = (left + taken) / deciders;
+        // The last ones are not divided; what hosts take too much then, they wait for.
+        let part = ((left + taken) / deciders).max(1.0);
         if taken + 1.0 <= part + 1e-9 { Verdict::Allowed } else { Verdict::Wait }
     }
 
