--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -184,7 +184,7 @@
         Ok(Charge { state: self.clone(), service: service.clone(), at, is_sent: false })
     }
 
-    /// Returns whether the host incarnation `asking` may make a retry, as the scheduler of its zone.
+    /// Returns whether a host of this zone may make a retry, as its scheduler.
     pub(crate) fn retry_verdict(&self, service: &id::Service) -> retry::Verdict {
         self.with_current_budget(service, |budget, now| budget.verdict(now))
     }
