Take a host that reports again for alive, and any count of another host

A host that nobody heard for 3 s was taken for ended for good: once it reported again, and was cut off anew, both sides counted its requests. And a count near the largest number overflowed as its host's part was added.

--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -200,11 +200,10 @@
         let received =
             Received { usage: report.usage, leaves_at: now + left, has_ended: report.has_ended };
         let known = self.others.entry(report.host).or_insert(received);
-        let has_ended = known.has_ended || received.has_ended;
+        // One that was taken for ended since nobody heard it, and reports again, has not.
         if known.leaves_at <= received.leaves_at {
             *known = received;
         }
-        known.has_ended = has_ended;
     }
 
     /// Records at `now` that another incarnation has ended, of which the last message arrived `silent`
@@ -219,7 +218,8 @@
             let sharing = self.sharing.unwrap_or_default();
             let part = SLACK_SHARE / (sharing.zones.max(1) * sharing.hosts.max(1)) as f64;
             known.usage.requests = 0;
-            known.usage.retries += (self.settings.slack * part).ceil() as u32;
+            let retries = (self.settings.slack * part).ceil() as u32;
+            known.usage += Usage { requests: 0, retries };
             known.leaves_at = leaves_at;
         }
     }
--- a/crates/lagoonline/tests/load_retry.rs
+++ b/crates/lagoonline/tests/load_retry.rs
@@ -116,3 +116,24 @@
     budget.record_end(1, silent, NOW);
     assert_eq!(take_all(&mut budget, NOW), left);
 }
+
+/// A host that was cut off and taken for ended must not count as ended once it reports again: cut off
+/// anew, it counts its requests itself.
+#[rstest]
+fn a_host_that_reports_again_has_not_ended() {
+    let mut budget = budget(Sharing { hosts: 2, heard: 2, ..Sharing::default() });
+    budget.record_end(1, Span::from_secs(3), NOW);
+    let back = NOW + Span::from_secs(1);
+    budget.record_report(report(1, 200, 0), back);
+    assert!(budget.left(back) > 80.0);
+    assert_eq!(budget.left(back + Span::from_secs(1)), 60.0);
+}
+
+/// A count from another host may be any number.
+#[rstest]
+fn a_huge_count_does_not_overflow() {
+    let mut budget = budget(Sharing::default());
+    budget.record_report(report(1, 0, u32::MAX), NOW);
+    budget.record_end(1, Span::from_secs(3), NOW);
+    assert_eq!(budget.verdict(NOW), Verdict::Refused);
+}
