--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -20,6 +20,7 @@
 use crate::relay;
 use crate::state;
 use crate::store as client;
+use crate::tables;
 use crate::watch;
 
 /// Table of the entry hosts.
@@ -140,7 +141,7 @@
         }
         watch.update_max_pause();
         let Some(changes) = watch.next_unless_relayed().await else { continue };
-        apply_rows(&state, &changes.rows);
+        apply_rows(&state, &changes.rows, tables::Way::Platform);
         let pause = state.settings.tuning.hosts_pause;
         if std::mem::take(&mut first) {
             mesh::announce(&state);
@@ -153,8 +154,8 @@
     }
 }
 
-/// Applies changed rows of the table.
-pub(crate) fn apply_rows(state: &state::State, rows: &[store::Row]) {
+/// Applies changed rows of the table, which came by `way`.
+pub(crate) fn apply_rows(state: &state::State, rows: &[store::Row], way: tables::Way) {
     let own = state.settings.node.host.as_str();
     for row in rows {
         if row.key != own {
@@ -167,7 +168,9 @@
     let placing_hosts = peers.roster.placing_hosts();
     drop(peers);
     state.set_placing_hosts(placing_hosts);
-    state.update_retry_sharing(Some(rows));
+    // A host that relays the table may not have read it yet.
+    let has_own = rows.iter().any(|row| row.key == own && row.value.is_some());
+    state.record_host_table(way == tables::Way::Platform && !has_own);
     state.hosts_read.notify_one();
 }
 
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -276,7 +276,7 @@
     if beat.wants_answer {
         state.send(from, &state.encode_updates(Vec::new()));
     }
-    state.update_retry_sharing(None);
+    state.update_retry_sharing(false);
     for dispatches in beat.under_way {
         let numbers = dispatches.numbers.into_iter().collect();
         state.retain_dispatches(dispatches.host, &numbers, IN_TRANSIT_GRACE);
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -232,6 +232,6 @@
     }
     if let Some(table) = changes.hosts {
         let rows = state::lock(&state.tables.hosts).apply(table.into_delta());
-        hosts::apply_rows(state, &rows);
+        hosts::apply_rows(state, &rows, tables::Way::Relay);
     }
 }
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -10,7 +10,6 @@
 use std::sync;
 use std::sync::atomic;
 
-use lagoon_platform::store;
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
@@ -119,9 +118,15 @@
         Some(retry::Sharing { deciders: heard, heard_at, ..sharing })
     }
 
-    /// Updates what is known of the fleet after a heartbeat, or after `rows` of the table of hosts
-    /// were read.
-    pub(crate) fn update_retry_sharing(&self, rows: Option<&[store::Row]>) {
+    /// Records that the table of hosts was read. `is_new` if it shows no row of this host, which stays
+    /// for minutes after a life.
+    pub(crate) fn record_host_table(&self, is_new: bool) {
+        let is_first = !self.retries.hosts_listed.swap(true, atomic::Ordering::Relaxed);
+        self.update_retry_sharing(is_first && is_new);
+    }
+
+    /// Updates what is known of the fleet. `is_new` if this host had no life within the window.
+    pub(crate) fn update_retry_sharing(&self, is_new: bool) {
         let now = self.clock.now();
         let peers = state::lock(&self.peers);
         let zones = peers.roster.zone_count();
@@ -129,16 +134,11 @@
         let is_alone = peers.roster.zone_size() == 1;
         drop(peers);
         self.retries.zones.fetch_max(zones, atomic::Ordering::Relaxed);
-        let own = self.settings.node.host.as_str();
-        let is_first_read =
-            rows.is_some() && !self.retries.hosts_listed.swap(true, atomic::Ordering::Relaxed);
-        let is_new =
-            |rows: &[store::Row]| !rows.iter().any(|row| row.key == own && row.value.is_some());
         let mut known_at = state::lock(&self.retries.known_at);
         if !hears_zone {
             *known_at = None;
-        } else if is_first_read && is_alone && rows.is_some_and(is_new) {
-            // Rows stay for minutes: no host of this zone had a life within the window.
+        } else if is_new && is_alone {
+            // No host of this zone had a life within the window.
             *known_at = Some(now);
         } else if known_at.is_none() {
             // What the hosts of the zone used before was told to other hosts only.
