Log the customer and the shared parts of prompts, count requests at crashes by progress

What callers saw: prompts crash one engine after the other, and no line says what they have in common. No decision changed.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -479,8 +479,8 @@
 
     /// Returns the fingerprint of the request, which does not depend on its id.
     pub(crate) fn fingerprint(&self) -> fingerprint::Fingerprint {
-        let customer = self.customer.as_ref().map_or("", id::Customer::as_str);
         let request = &self.request;
+        let customer = self.customer_name();
         let compute = || fingerprint::Fingerprint::new(customer, &request.target, &request.body);
         *self.fingerprint.get_or_init(compute)
     }
@@ -627,6 +627,8 @@
         event::Line::new("dispatch")
             .text("request", &self.request.head.request_id)
             .text("route", &self.route.name)
+            .text("customer", self.customer_name())
+            .text("parts", self.listed_parts())
             .text("upstream", &placement.primary.upstream)
             .number("dispatch", number)
             .number("attempt", attempt)
@@ -656,9 +658,22 @@
             .text("outcome", failed.label())
             .text("detail", failed.detail())
             .text("fingerprint", self.fingerprint())
+            .text("customer", self.customer_name())
+            .text("parts", self.listed_parts())
             .warn();
     }
 
+    /// Returns the name of the customer, empty if there is none.
+    pub(crate) fn customer_name(&self) -> &str {
+        self.customer.as_ref().map_or("", id::Customer::as_str)
+    }
+
+    /// Returns the shared parts of the prompt for the log.
+    pub(crate) fn listed_parts(&self) -> String {
+        let parts: Vec<_> = self.request.head.shared_parts.iter().map(id::Part::as_str).collect();
+        parts.join(" ")
+    }
+
     pub(crate) fn log_end(&self, how: &str, status: u16) {
         let span = self.state.clock.now().since(self.request.arrived);
         event::Line::new("answered")
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -7,7 +7,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
-use lagoonline::lifecycle::completeness;
+use lagoonline::lifecycle::{completeness, quarantine};
 use lagoonline::load::placement;
 use lagoonline::outcome;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -71,6 +71,13 @@
     pub(crate) reason: &'static str,
 }
 
+/// Labels of the counter of requests that were at an upstream when it crashed.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ProgressLabels {
+    /// The name of the [`quarantine::Progress`].
+    pub(crate) progress: &'static str,
+}
+
 /// Labels of the metrics of a service's retry budget.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ServiceLabels {
@@ -183,6 +190,8 @@
     pub(crate) reservations: Gauge,
     /// Crashes of upstreams under requests of this host.
     pub(crate) crashes: Counter,
+    /// Requests that were at an upstream when it crashed.
+    requests_at_crashes: Family<ProgressLabels, Counter>,
     /// Requests in quarantine.
     pub(crate) quarantined: Gauge,
     /// Requests that were in flight when an upstream crashed.
@@ -245,6 +254,7 @@
             confirmation_age_ms: Gauge::default(),
             reservations: Gauge::default(),
             crashes: Counter::default(),
+            requests_at_crashes: Family::default(),
             quarantined: Gauge::default(),
             suspects: Gauge::default(),
             upstream_limits: Family::default(),
@@ -300,6 +310,8 @@
         registry.register("reservations", help, self.reservations.clone());
         let help = "crashes of upstreams under requests of this host";
         registry.register("upstream_crashes", help, self.crashes.clone());
+        let help = "requests of this host at upstreams that crashed, by how far they had come";
+        registry.register("requests_at_crashes", help, self.requests_at_crashes.clone());
         registry.register("quarantined", "requests in quarantine", self.quarantined.clone());
         registry.register("suspects", "requests that were at crashes", self.suspects.clone());
         self.register_limits(registry);
@@ -423,6 +435,17 @@
         self.answer_ends.get_or_create(&labels).inc();
     }
 
+    /// Counts a request that was at an upstream when it crashed.
+    pub(crate) fn count_request_at_crash(&self, progress: quarantine::Progress) {
+        let progress = match progress {
+            quarantine::Progress::Unknown => "unknown",
+            quarantine::Progress::Waiting => "waiting",
+            quarantine::Progress::Answering { events: 0, .. } => "begun",
+            quarantine::Progress::Answering { .. } => "running",
+        };
+        self.requests_at_crashes.get_or_create(&ProgressLabels { progress }).inc();
+    }
+
     /// Records that the first event of an answer to a prompt of `tokens` tokens was sent after
     /// `span`. Zero tokens, the label `none`, stand for an answer that is not streamed or a prompt
     /// of unknown length.
--- a/crates/lagoon-gateway/src/quarantine/mod.rs
+++ b/crates/lagoon-gateway/src/quarantine/mod.rs
@@ -115,6 +115,9 @@
         requests: &[crash::BrokenRequest],
     ) {
         self.metrics.crashes.inc();
+        for request in requests {
+            self.metrics.count_request_at_crash(request.progress);
+        }
         let mut quarantine = state::lock(&self.quarantine.inner);
         let suspect = |request: &crash::BrokenRequest| {
             let weight = quarantine.weight(request.progress)?;
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -260,6 +260,8 @@
             .number("bytes_left", self.reader.buffered())
             .span("after_ms", self.since_arrival())
             .text("fingerprint", self.admitted.fingerprint())
+            .text("customer", self.admitted.customer_name())
+            .text("parts", self.admitted.listed_parts())
             .warn();
     }
 
--- a/crates/lagoonline/src/id.rs
+++ b/crates/lagoonline/src/id.rs
@@ -77,6 +77,10 @@
     /// An upstream: one model engine or one replica of a plain service.
     Upstream
 }
+name! {
+    /// A part of a prompt that other requests may have as well, such as a system prompt or a document.
+    Part
+}
 name! {
     /// An availability zone.
     Zone
