Refuse what prompts that crash engines have in common

What callers saw: prompts with one part in common crashed one engine after the other; 47 to 57 were sent on after the fifth crash, and of sound prompts beside them few were served.

Cause: the quarantine knew a request by customer, path and body together. No two of these prompts are alike, so none reached three crashes before the next one came; each crashed two engines, as it was resumed at once. Class: a safeguard keyed by what one incident repeated.

Change: reports of crashes name the shared parts and the customer of each suspect. The part that explains most crashes is refused together with the parts and the customer that always came with it, judged anew with each crash and each answer that begins and goes on; a verdict whose crashes another part explains is withdrawn. Crashes count only until an answer to a prompt with the part begins after them; hosts that hear of no crashes are asked with every batch. A prompt that was at a crash, with a part that was at one before, is sent again only after the reports. Verdicts use the records, words, rows and operator calls of the quarantine.

In life_quarantine a slow engine's answer without an event is now named Weight::Begun, with the points that Started had.

--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -2,6 +2,7 @@
 //! customer's key can still be trusted.
 
 use std::sync;
+use std::sync::atomic;
 
 use lagoonline::clock;
 use lagoonline::outcome::{Reason, Step};
@@ -63,6 +64,7 @@
         route: route.clone(),
         request,
         fingerprint: sync::OnceLock::new(),
+        was_at_crash: atomic::AtomicBool::new(false),
     })
 }
 
--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -8,6 +8,7 @@
 use std::collections;
 use std::fmt;
 use std::sync;
+use std::sync::atomic;
 
 use lagoonline::clock;
 use lagoonline::id;
@@ -31,10 +32,12 @@
 );
 
 /// A request whose connection broke.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct BrokenRequest {
     /// Fingerprint of the request, which does not depend on its id.
     pub(crate) fingerprint: fingerprint::Fingerprint,
+    /// Its customer and the shared parts of its prompt.
+    pub(crate) prompt: quarantine::Prompt,
     /// Progress of the upstream with the request.
     pub(crate) progress: quarantine::Progress,
 }
@@ -59,7 +62,11 @@
         upstream: &id::Upstream,
         progress: quarantine::Progress,
     ) {
-        let request = BrokenRequest { fingerprint: self.fingerprint(), progress };
+        let (fingerprint, prompt) = (self.fingerprint(), self.prompt());
+        if state::lock(&self.state.quarantine.inner).weight(progress).is_some() {
+            self.was_at_crash.store(true, atomic::Ordering::Relaxed);
+        }
+        let request = BrokenRequest { fingerprint, prompt, progress };
         let mut broken = state::lock(&self.state.broken_requests.0);
         let requests = broken.entry(upstream.clone()).or_default();
         requests.push(request);
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 
 use bytes::Bytes;
 use lagoon_platform::{engine, head};
@@ -98,6 +99,8 @@
     pub(crate) deadline: clock::Moment,
     /// Computed on first use.
     pub(crate) fingerprint: sync::OnceLock<fingerprint::Fingerprint>,
+    /// Whether its last connection broke in a way in which lethal requests break theirs.
+    pub(crate) was_at_crash: atomic::AtomicBool,
 }
 
 /// An attempt whose answer has begun.
@@ -583,6 +586,7 @@
             self.record_success(peer);
             if !body.is_empty() {
                 self.clear();
+                self.record_begun(open.head_at);
             }
         }
         let is_proven = conclusion.completeness == completeness::Completeness::Whole;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -258,6 +258,7 @@
     if let Some(beat) = batch.beat {
         apply_heartbeat(state, from, beat);
     }
+    state.answer_doubts(&batch.doubted);
     state.compare_verdicts(from, batch.verdicts);
 }
 
@@ -321,6 +322,7 @@
         | message::Kind::Ended(_)
         | message::Kind::Crashed(_)
         | message::Kind::Cleared(_)
+        | message::Kind::Begun(_)
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
         | message::Kind::Departed(_) => true,
@@ -350,6 +352,7 @@
     match &what {
         message::Kind::Crashed(crashed) => return state.apply_crash(crashed),
         message::Kind::Cleared(cleared) => return state.apply_cleared(cleared),
+        message::Kind::Begun(begun) => return state.apply_begun(begun),
         message::Kind::Verdict(verdict) => return state.apply_verdict(verdict),
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
@@ -378,6 +381,7 @@
         }
         message::Kind::Crashed(_)
         | message::Kind::Cleared(_)
+        | message::Kind::Begun(_)
         | message::Kind::Verdict(_)
         | message::Kind::Limited(_)
         | message::Kind::Departed(_)
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -48,6 +48,10 @@
     /// What the sender used of the retry budgets in their last window; only within its zone.
     #[prost(message, repeated, tag = "9")]
     pub(crate) used: Vec<retries::Used>,
+    /// Parts of prompts that were at several crashes; the sender asks when answers to prompts with
+    /// them last began and went on.
+    #[prost(string, repeated, tag = "10")]
+    pub(crate) doubted: Vec<String>,
 }
 
 /// A heartbeat: identifies the host and lists its dispatches in flight.
@@ -91,7 +95,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -152,6 +156,9 @@
     /// Not about a dispatch: what the hosts of the zone used of a retry budget.
     #[prost(message, tag = "15")]
     Used(retries::Usages),
+    /// Not about a dispatch: answers to prompts with these parts began and went on.
+    #[prost(message, tag = "16")]
+    Begun(quarantine::Begun),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -111,6 +111,9 @@
         avoid: &[id::Upstream],
         is_retry: bool,
     ) -> Result<Allocation, Refusal> {
+        if is_retry {
+            self.wait_for_crash_reports().await;
+        }
         let started = self.state.clock.now();
         let mut last_shortage: Option<placement::Shortage> = None;
         let waiter = self.state.next_dispatch_id();
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -135,6 +135,7 @@
             confirmed_ms,
             verdicts,
             reaches_upstreams,
+            doubted: self.doubted_parts(),
             ..batch
         }
     }
--- a/crates/lagoon-gateway/src/quarantine/message.rs
+++ b/crates/lagoon-gateway/src/quarantine/message.rs
@@ -31,6 +31,51 @@
     }
 }
 
+/// A request that was in flight at a crash.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Suspect {
+    /// Length of the body in bytes.
+    #[prost(uint64, tag = "1")]
+    length: u64,
+    /// Digest of customer, target and body.
+    #[prost(bytes = "vec", tag = "2")]
+    digest: Vec<u8>,
+    /// The customer; empty if there is none.
+    #[prost(string, tag = "3")]
+    customer: String,
+    /// Parts of the prompt that other prompts may have as well.
+    #[prost(string, repeated, tag = "4")]
+    parts: Vec<String>,
+    /// Whether the answer had begun and had no event yet.
+    #[prost(bool, tag = "5")]
+    no_event: bool,
+}
+
+impl Suspect {
+    fn new(suspect: &quarantine::Suspect) -> Suspect {
+        let quarantine::Suspect { fingerprint, weight, prompt } = suspect;
+        Suspect {
+            length: fingerprint.length(),
+            digest: fingerprint.digest().to_vec(),
+            customer: prompt.customer.to_string(),
+            parts: prompt.parts.iter().map(ToString::to_string).collect(),
+            no_event: *weight == quarantine::Weight::Begun,
+        }
+    }
+
+    fn decode(
+        &self,
+        weight: quarantine::Weight,
+    ) -> Result<quarantine::Suspect, fingerprint::Malformed> {
+        let weight = if self.no_event { quarantine::Weight::Begun } else { weight };
+        let fingerprint = fingerprint::Fingerprint::from_parts(self.length, &self.digest)?;
+        let parts = self.parts.iter().map(|part| id::Part::from(part.as_str())).collect();
+        let prompt =
+            quarantine::Prompt { customer: id::Customer::from(self.customer.as_str()), parts };
+        Ok(quarantine::Suspect { fingerprint, weight, prompt })
+    }
+}
+
 /// An upstream crashed.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Crashed {
@@ -39,23 +84,34 @@
     pub(crate) upstream: String,
     /// Requests of the reporting host that had just begun to run there.
     #[prost(message, repeated, tag = "2")]
-    begun: Vec<Identity>,
+    begun: Vec<Suspect>,
     /// Requests of the reporting host that may still have been queued there.
     #[prost(message, repeated, tag = "3")]
-    waiting: Vec<Identity>,
+    waiting: Vec<Suspect>,
 }
 
+/// Number of suspects in one report; a crash with more takes several, which stay small enough for a
+/// datagram with prompts of usual parts.
+const MAX_SUSPECTS: usize = 8;
+
 impl Crashed {
-    pub(crate) fn new(upstream: &id::Upstream, suspects: &[quarantine::Suspect]) -> Crashed {
-        let with_weight = |weight| {
-            let suspects = suspects.iter().filter(move |suspect| suspect.weight == weight);
-            suspects.map(|suspect| Identity::new(&suspect.fingerprint)).collect()
-        };
-        Crashed {
-            upstream: upstream.to_string(),
-            begun: with_weight(quarantine::Weight::Started),
-            waiting: with_weight(quarantine::Weight::MaybeQueued),
+    /// Returns the reports of one crash, at least one.
+    pub(crate) fn reports(
+        upstream: &id::Upstream,
+        suspects: &[quarantine::Suspect],
+    ) -> Vec<Crashed> {
+        if suspects.is_empty() {
+            return vec![Crashed::new(upstream, suspects)];
         }
+        suspects.chunks(MAX_SUSPECTS).map(|suspects| Crashed::new(upstream, suspects)).collect()
+    }
+
+    fn new(upstream: &id::Upstream, suspects: &[quarantine::Suspect]) -> Crashed {
+        let (waiting, begun): (Vec<_>, Vec<_>) =
+            suspects.iter().partition(|suspect| suspect.weight == quarantine::Weight::MaybeQueued);
+        let encode =
+            |suspects: Vec<&quarantine::Suspect>| suspects.into_iter().map(Suspect::new).collect();
+        Crashed { upstream: upstream.to_string(), begun: encode(begun), waiting: encode(waiting) }
     }
 
     /// Decodes the requests, with the weight of the evidence against each.
@@ -64,15 +120,23 @@
     ///
     /// A digest has a length that this build does not know.
     pub(crate) fn suspects(&self) -> Result<Vec<quarantine::Suspect>, fingerprint::Malformed> {
-        let begun = self.begun.iter().map(|request| (request, quarantine::Weight::Started));
-        let waiting = self.waiting.iter().map(|request| (request, quarantine::Weight::MaybeQueued));
-        let suspect = |(request, weight): (&Identity, _)| {
-            Ok(quarantine::Suspect { fingerprint: request.fingerprint()?, weight })
-        };
-        begun.chain(waiting).map(suspect).collect()
+        let begun = self.begun.iter().map(|suspect| (suspect, quarantine::Weight::Started));
+        let waiting = self.waiting.iter().map(|suspect| (suspect, quarantine::Weight::MaybeQueued));
+        begun.chain(waiting).map(|(suspect, weight)| suspect.decode(weight)).collect()
     }
 }
 
+/// Answers to prompts began and went on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Begun {
+    /// Parts of the prompts.
+    #[prost(string, repeated, tag = "1")]
+    pub(crate) parts: Vec<String>,
+    /// Milliseconds since the last such answer with each part began.
+    #[prost(uint32, repeated, tag = "2")]
+    pub(crate) ages_ms: Vec<u32>,
+}
+
 /// A suspect was answered completely.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Cleared {
@@ -81,7 +145,7 @@
     pub(crate) request: Option<Identity>,
 }
 
-/// A verdict on a request.
+/// A verdict on a request, or on what prompts have in common.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Verdict {
     /// The request.
@@ -102,6 +166,12 @@
     /// Whether the quarantine was ended early.
     #[prost(bool, tag = "6")]
     released: bool,
+    /// Parts that the refused prompts have in common; none if a single request is refused.
+    #[prost(string, repeated, tag = "7")]
+    parts: Vec<String>,
+    /// The only customer whose prompts are refused.
+    #[prost(string, optional, tag = "8")]
+    customer: Option<String>,
 }
 
 impl Verdict {
@@ -114,6 +184,8 @@
             crashes: record.crashes,
             left_ms: u64::try_from(left).unwrap_or(u64::MAX),
             released: record.released,
+            parts: listed_parts(record.pattern.as_ref()),
+            customer: only_customer(record.pattern.as_ref()),
         }
     }
 
@@ -134,6 +206,25 @@
             crashes: self.crashes,
             expires_at: now + clock::Span::from_millis(self.left_ms),
             released: self.released,
+            pattern: pattern(&self.parts, self.customer.as_deref()),
         })
     }
 }
+
+/// Returns the parts of `pattern`, none if there is no pattern.
+pub(super) fn listed_parts(pattern: Option<&quarantine::Pattern>) -> Vec<String> {
+    let parts = pattern.iter().flat_map(|pattern| pattern.parts.iter());
+    parts.map(ToString::to_string).collect()
+}
+
+/// Returns the only customer whose prompts `pattern` refuses.
+pub(super) fn only_customer(pattern: Option<&quarantine::Pattern>) -> Option<String> {
+    pattern.and_then(|pattern| pattern.customer.as_ref()).map(ToString::to_string)
+}
+
+/// Returns the pattern of `parts`; `None` if there are none.
+pub(super) fn pattern(parts: &[String], customer: Option<&str>) -> Option<quarantine::Pattern> {
+    let parts: Vec<_> = parts.iter().map(|part| id::Part::from(part.as_str())).collect();
+    let customer = customer.map(id::Customer::from);
+    (!parts.is_empty()).then_some(quarantine::Pattern { customer, parts })
+}
--- a/crates/lagoon-gateway/src/quarantine/mod.rs
+++ b/crates/lagoon-gateway/src/quarantine/mod.rs
@@ -4,6 +4,7 @@
 
 mod message;
 mod operator;
+mod parts;
 mod rows;
 
 use std::collections;
@@ -27,7 +28,7 @@
 use crate::server;
 use crate::state;
 
-pub(crate) use message::{Cleared, Crashed, Identity, Verdict};
+pub(crate) use message::{Begun, Cleared, Crashed, Identity, Verdict};
 pub(crate) use operator::handle_operator_call;
 pub(crate) use rows::run;
 
@@ -39,38 +40,76 @@
 /// The quarantine, shared by the threads of the process.
 #[derive(Debug, Default)]
 pub(crate) struct SharedQuarantine {
-    inner: sync::Mutex<quarantine::Quarantine>,
+    pub(crate) inner: sync::Mutex<quarantine::Quarantine>,
     /// Checksum of the verdicts, sent with each batch of updates.
     checksum: atomic::AtomicU64,
     /// When verdicts were last sent to each host.
     last_sent: sync::Mutex<collections::HashMap<net::SocketAddr, clock::Moment>>,
+    doubts: sync::Mutex<parts::Doubts>,
 }
 
 impl forward::Admitted {
-    /// Allows the request to be sent unless it is in quarantine. Waits if a verdict on it is due.
+    /// Allows the request to be sent unless it is in quarantine, alone or for a part of its prompt.
+    /// Waits if a verdict on it is due.
     ///
     /// # Errors
     ///
     /// The request is in quarantine.
     pub(crate) async fn check_quarantine(&self) -> Result<(), answer::Fault> {
-        if !self.may_be_known() {
-            return Ok(());
-        }
-        let fingerprint = self.fingerprint();
         loop {
-            let now = self.state.clock.now();
-            let status = state::lock(&self.state.quarantine.inner).status(&fingerprint, now);
-            match status {
+            match self.quarantine_status() {
                 quarantine::Status::Allowed => return Ok(()),
                 quarantine::Status::Pending(span) => {
                     // The verdict is made by the first evaluation after `span`.
                     tokio::time::sleep(span + server::EXPIRY_INTERVAL).await;
                 }
                 quarantine::Status::Quarantined(record) => {
-                    return Err(quarantine_fault(&record, now));
+                    return Err(quarantine_fault(&record, self.state.clock.now()));
+                }
+            }
+        }
+    }
+
+    fn quarantine_status(&self) -> quarantine::Status {
+        let now = self.state.clock.now();
+        if !self.request.head.shared_parts.is_empty() {
+            let quarantine = state::lock(&self.state.quarantine.inner);
+            if quarantine.has_parts() {
+                let status = quarantine.prompt_status(&self.prompt(), now);
+                if status != quarantine::Status::Allowed {
+                    return status;
                 }
             }
         }
+        if !self.may_be_known() {
+            return quarantine::Status::Allowed;
+        }
+        let fingerprint = self.fingerprint();
+        state::lock(&self.state.quarantine.inner).status(&fingerprint, now)
+    }
+
+    /// Waits before the request is sent once more until other hosts have reported on the crash that
+    /// it was at, if a part of its prompt is suspected: sent at once, a lethal prompt would crash
+    /// another upstream before anyone can know.
+    pub(crate) async fn wait_for_crash_reports(&self) {
+        if !self.was_at_crash.swap(false, atomic::Ordering::Relaxed) {
+            return;
+        }
+        let delay = {
+            let quarantine = state::lock(&self.state.quarantine.inner);
+            if !quarantine.has_parts() {
+                return;
+            }
+            quarantine.retry_delay(&self.fingerprint(), &self.prompt())
+        };
+        if !delay.is_zero() {
+            event::Line::new("retry_held")
+                .text("request", &self.request.head.request_id)
+                .text("parts", self.listed_parts())
+                .span("for_ms", delay + server::EXPIRY_INTERVAL)
+                .info();
+            tokio::time::sleep(delay + server::EXPIRY_INTERVAL).await;
+        }
     }
 
     /// Whether evidence or a verdict on the request may exist, judged by the length of its body.
@@ -102,10 +141,28 @@
 fn quarantine_fault(record: &quarantine::Record, now: clock::Moment) -> answer::Fault {
     let left = record.expires_at.since(now);
     let (fingerprint, crashes) = (&record.fingerprint, record.crashes);
-    let detail = format!("{fingerprint}: {crashes} upstreams crashed under this request");
+    let cause = match &record.pattern {
+        Some(pattern) => format!("prompts with the parts {}", listed(pattern)),
+        None => "this request".to_owned(),
+    };
+    let detail = format!("{fingerprint}: {crashes} upstreams crashed under {cause}");
     answer::Fault::not_run(Reason::Quarantined, Step::Admit, detail).with_retry_after(left)
 }
 
+/// Returns the parts of a pattern for the log.
+fn listed(pattern: &quarantine::Pattern) -> String {
+    let parts: Vec<_> = pattern.parts.iter().map(id::Part::as_str).collect();
+    parts.join(" ")
+}
+
+/// Adds what a verdict refuses to a log line about it.
+fn describe(line: event::Line, record: &quarantine::Record) -> event::Line {
+    let line = line.text("fingerprint", record.fingerprint);
+    let Some(pattern) = &record.pattern else { return line };
+    let customer = pattern.customer.as_ref().map_or("", id::Customer::as_str);
+    line.text("parts", listed(pattern)).text("customer", customer)
+}
+
 impl state::State {
     /// Records that `upstream` crashed while it had `requests` of this host, and publishes it.
     pub(crate) fn record_crash(
@@ -121,16 +178,16 @@
         let mut quarantine = state::lock(&self.quarantine.inner);
         let suspect = |request: &crash::BrokenRequest| {
             let weight = quarantine.weight(request.progress)?;
-            Some(quarantine::Suspect { fingerprint: request.fingerprint, weight })
+            let crash::BrokenRequest { fingerprint, prompt, .. } = request.clone();
+            Some(quarantine::Suspect { fingerprint, weight, prompt })
         };
         let suspects: Vec<_> = requests.iter().filter_map(suspect).collect();
-        if suspects.is_empty() {
-            return;
-        }
         quarantine.record_crash(upstream, &suspects, self.clock.now());
         drop(quarantine);
-        let what = datagram::Kind::Crashed(Crashed::new(upstream, &suspects));
-        self.publish(datagram::Update::new(0, service, what));
+        for report in Crashed::reports(upstream, &suspects) {
+            let what = datagram::Kind::Crashed(report);
+            self.publish(datagram::Update::new(0, service, what));
+        }
     }
 
     /// Applies another host's report of a crash.
@@ -167,11 +224,10 @@
     /// Merges a verdict that came from `source`.
     pub(crate) fn merge_verdict(&self, record: quarantine::Record, source: &str) {
         let now = self.clock.now();
-        if !state::lock(&self.quarantine.inner).merge(record, now) {
+        if !state::lock(&self.quarantine.inner).merge(record.clone(), now) {
             return;
         }
-        event::Line::new("quarantine_learned")
-            .text("fingerprint", record.fingerprint)
+        describe(event::Line::new("quarantine_learned"), &record)
             .text("source", source)
             .number("version", record.version)
             .number("released", record.released)
@@ -204,7 +260,7 @@
     /// Returns the verdicts that have not expired, including those that were released early.
     pub(crate) fn verdicts(&self) -> Vec<quarantine::Record> {
         let now = self.clock.now();
-        state::lock(&self.quarantine.inner).records(now).copied().collect()
+        state::lock(&self.quarantine.inner).records(now).cloned().collect()
     }
 
     /// Evaluates the suspects on which a verdict is due, and drops expired evidence. Only a host
@@ -217,15 +273,9 @@
         quarantine.expire(now);
         let verdicts = if evaluates { quarantine.evaluate(now) } else { Vec::new() };
         drop(quarantine);
+        self.update_doubts(evaluates);
         for verdict in &verdicts {
-            let upstreams: Vec<_> = verdict.upstreams.iter().map(id::Upstream::as_str).collect();
-            event::Line::new("quarantined")
-                .text("fingerprint", verdict.record.fingerprint)
-                .text("upstreams", upstreams.join(" "))
-                .number("crashes", verdict.record.crashes)
-                .number("times", verdict.record.occurrences)
-                .span("left_ms", verdict.record.expires_at.since(now))
-                .warn();
+            log_verdict(verdict, now);
             self.publish_verdict(&verdict.record);
         }
         self.update_checksum_and_metrics();
@@ -278,6 +328,22 @@
     }
 }
 
+fn log_verdict(verdict: &quarantine::Verdict, now: clock::Moment) {
+    let record = &verdict.record;
+    if record.released {
+        // Another part explains the crashes, or an answer to a prompt with it went on.
+        describe(event::Line::new("quarantine_withdrawn"), record).warn();
+        return;
+    }
+    let upstreams: Vec<_> = verdict.upstreams.iter().map(id::Upstream::as_str).collect();
+    describe(event::Line::new("quarantined"), record)
+        .text("upstreams", upstreams.join(" "))
+        .number("crashes", record.crashes)
+        .number("times", record.occurrences)
+        .span("left_ms", record.expires_at.since(now))
+        .warn();
+}
+
 fn verdict_update(record: &quarantine::Record, now: clock::Moment) -> datagram::Update {
     let what = datagram::Kind::Verdict(Verdict::new(record, now));
     datagram::Update::new(0, &id::Service::default(), what)
--- a/crates/lagoon-gateway/src/quarantine/operator.rs
+++ b/crates/lagoon-gateway/src/quarantine/operator.rs
@@ -6,6 +6,7 @@
 use ntex::web;
 use serde_json::json;
 
+use super::message;
 use crate::event;
 use crate::state;
 
@@ -32,6 +33,8 @@
     let verdict = |record: &lagoonline::lifecycle::quarantine::Record| {
         json!({
             "fingerprint": record.fingerprint.to_string(),
+            "parts": message::listed_parts(record.pattern.as_ref()),
+            "customer": message::only_customer(record.pattern.as_ref()),
             "crashes": record.crashes,
             "times": record.occurrences,
             "left_s": record.expires_at.since(now).as_secs(),
--- a/crates/lagoon-gateway/src/quarantine/rows.rs
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use super::message;
 use crate::event;
 use crate::state;
 use crate::store as client;
@@ -40,6 +41,12 @@
     until_ms: u64,
     /// Whether the quarantine was ended early.
     released: bool,
+    /// Parts that the refused prompts have in common; none if a single request is refused.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    parts: Vec<String>,
+    /// The only customer whose prompts are refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    customer: Option<String>,
 }
 
 /// Versions of the verdicts that the platform is known to hold.
@@ -119,6 +126,7 @@
                 crashes: row.crashes,
                 expires_at: state.clock.now() + clock::Span::from_millis(left),
                 released: row.released,
+                pattern: message::pattern(&row.parts, row.customer.as_deref()),
             };
             state.merge_verdict(record, "platform");
         }
@@ -141,7 +149,7 @@
     let is_new = |record: &&quarantine::Record| {
         stored.get(&record.fingerprint).is_none_or(|version| *version < record.version)
     };
-    let new: Vec<_> = records.iter().filter(is_new).take(MAX_CALLS).copied().collect();
+    let new: Vec<_> = records.iter().filter(is_new).take(MAX_CALLS).cloned().collect();
     for record in new {
         let text = serde_json::json!(encode_row(state, &record)).to_string();
         let call = store::put(TABLE, &record.fingerprint.to_string(), text.as_bytes());
@@ -168,5 +176,7 @@
         crashes: record.crashes,
         until_ms: state.clock.wall_millis().saturating_add(left),
         released: record.released,
+        parts: message::listed_parts(record.pattern.as_ref()),
+        customer: message::only_customer(record.pattern.as_ref()),
     }
 }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -59,6 +59,8 @@
         reader: event_stream::Reader::default(),
         events: 0,
         upstreams: 1,
+        begun: None,
+        went_on: false,
         waits_for_silent: false,
         last_forwarded: clock::Moment::START,
         longest_pause: clock::Span::ZERO,
@@ -124,6 +126,10 @@
     events: u64,
     /// Upstreams that count against the route's limit; refused and unsent attempts do not.
     upstreams: u32,
+    /// When the first event of the current upstream's answer arrived.
+    begun: Option<clock::Moment>,
+    /// Whether that answer went on for long enough to show that its prompt crashes no upstream.
+    went_on: bool,
     /// Whether no other upstream took the stream when the current one was silent.
     waits_for_silent: bool,
     /// When the last event was forwarded.
@@ -205,6 +211,8 @@
                 Some(next) => {
                     // The rest of an event that the next upstream sends from its beginning.
                     drop(self.reader.take_rest());
+                    self.begun = None;
+                    self.went_on = false;
                     self.waits_for_silent = false;
                     open = next;
                 }
@@ -223,6 +231,9 @@
             if self.events > 0 {
                 self.admitted.clear();
             }
+            if let Some(begun) = self.begun.filter(|_| !self.went_on) {
+                self.admitted.record_begun(begun);
+            }
         }
         match conclusion.completeness {
             completeness::Completeness::Whole => End::Complete,
@@ -445,6 +456,7 @@
             }
             self.events += 1;
             self.record_pause();
+            self.record_progress();
         }
         if self.reader.buffered() > MAX_EVENT_BYTES {
             return Err(Failure::Broken(format!("an event of over {MAX_EVENT_BYTES} bytes")));
@@ -452,6 +464,17 @@
         Ok(())
     }
 
+    /// Records once that the answer has gone on.
+    fn record_progress(&mut self) {
+        let now = self.admitted.state.clock.now();
+        let begun = *self.begun.get_or_insert(now);
+        let is_long = now.since(begun) > quarantine::Settings::default().start_window;
+        if is_long && !self.went_on {
+            self.went_on = true;
+            self.admitted.record_begun(begun);
+        }
+    }
+
     /// Updates the longest pause between two events.
     fn record_pause(&mut self) {
         let now = self.admitted.state.clock.now();
--- a/crates/lagoonline/src/lifecycle/fingerprint.rs
+++ b/crates/lagoonline/src/lifecycle/fingerprint.rs
@@ -38,16 +38,16 @@
     /// Computes the fingerprint of a request by `customer` (empty if there is none) to `target`,
     /// its path and query, with `body`. Takes time proportional to the body length.
     pub fn new(customer: &str, target: &str, body: &[u8]) -> Fingerprint {
-        let mut hash = sha2::Sha256::new();
-        for part in [customer.as_bytes(), target.as_bytes(), body] {
-            hash.update(length(part).to_le_bytes());
-            hash.update(part);
-        }
-        let mut digest = [0; DIGEST_BYTES];
-        digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
+        let digest = digest([customer.as_bytes(), target.as_bytes(), body]);
         Fingerprint { length: length(body), digest }
     }
 
+    /// Computes the fingerprint of what requests have in common. No request has a body of its length.
+    pub(super) fn of_pattern(customer: &str, scope: &str, parts: &str) -> Fingerprint {
+        let digest = digest([customer.as_bytes(), scope.as_bytes(), parts.as_bytes()]);
+        Fingerprint { length: u64::MAX, digest }
+    }
+
     /// Returns the range of all fingerprints of requests whose body has `length` bytes.
     ///
     /// ```
@@ -88,6 +88,17 @@
     }
 }
 
+fn digest(fields: [&[u8]; 3]) -> [u8; DIGEST_BYTES] {
+    let mut hash = sha2::Sha256::new();
+    for field in fields {
+        hash.update(length(field).to_le_bytes());
+        hash.update(field);
+    }
+    let mut digest = [0; DIGEST_BYTES];
+    digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
+    digest
+}
+
 fn length(bytes: &[u8]) -> u64 {
     u64::try_from(bytes.len()).unwrap_or(u64::MAX)
 }
--- a/crates/lagoonline/src/lifecycle/quarantine/evidence.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/evidence.rs
@@ -56,7 +56,7 @@
         let id = self.crash_id(upstream, now);
         let Some(crash) = self.crashes.get_mut(&id) else { return };
         crash.explained |= explained;
-        for Suspect { fingerprint, weight } in suspects {
+        for Suspect { fingerprint, weight, .. } in suspects {
             let answered = self.answered.get(fingerprint);
             if answered.is_some_and(|at| now.since(*at) < self.settings.trust_duration) {
                 continue;
--- a/crates/lagoonline/src/lifecycle/quarantine/mod.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/mod.rs
@@ -17,22 +17,33 @@
 //! - while two suspects were involved in the same crashes neither is refused, until a later crash
 //!   tells them apart.
 //!
+//! Prompts that differ may crash upstreams because of a part that they share. Then what they have in
+//! common is refused, a [`Pattern`]: the part that explains most crashes, with the parts and the
+//! customer that always came with it. Such verdicts follow from all evidence and are judged anew with
+//! each crash: one whose crashes another part explains better is withdrawn. Crashes count against a
+//! part only until an answer to a prompt with it begins and goes on, and each request counts once.
+//!
 //! A quarantine expires. After that a single crash is enough for the next one, which lasts twice as
 //! long.
 
 mod evidence;
+mod parts;
+mod pattern;
 mod record;
 mod settings;
 
+pub use pattern::{Pattern, Prompt};
 pub use record::Record;
 pub use settings::Settings;
 
+use std::collections;
+
 use crate::clock;
 use crate::id;
 use crate::lifecycle::fingerprint::Fingerprint;
 
 /// Whether a request may be sent.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Status {
     /// It may be sent.
     Allowed,
@@ -65,27 +76,40 @@
     MaybeQueued,
     /// The upstream had just started the request.
     Started,
+    /// The upstream had begun the answer, and sent no event of it: it crashed at the moment at which a
+    /// lethal request crashes it.
+    Begun,
 }
 
 impl Weight {
     const fn points(self) -> usize {
         match self {
             Weight::MaybeQueued => 1,
-            Weight::Started => 2,
+            Weight::Started | Weight::Begun => 2,
+        }
+    }
+
+    /// Returns the points against a part of the prompt, which other prompts at the crash may have too.
+    const fn part_points(self) -> usize {
+        match self {
+            Weight::MaybeQueued | Weight::Started => 1,
+            Weight::Begun => 2,
         }
     }
 }
 
 /// A request that was in flight at an upstream when it crashed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Suspect {
     /// The request's identity.
     pub fingerprint: Fingerprint,
     /// Weight of the evidence against it.
     pub weight: Weight,
+    /// Its customer and the shared parts of its prompt.
+    pub prompt: Prompt,
 }
 
-/// A decision to quarantine a request, with the upstreams that crashed while running it.
+/// A decision to quarantine a request or a pattern, or to withdraw the quarantine of a pattern, with the upstreams that crashed while running it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
     /// The record to share with other hosts.
@@ -100,15 +124,16 @@
 /// use lagoonline::clock::{Moment, Span};
 /// use lagoonline::id::Upstream;
 /// use lagoonline::lifecycle::fingerprint::Fingerprint;
-/// use lagoonline::lifecycle::quarantine::{Quarantine, Status, Suspect, Weight};
+/// use lagoonline::lifecycle::quarantine::{Prompt, Quarantine, Status, Suspect, Weight};
 ///
 /// let mut quarantine = Quarantine::default();
 /// let lethal = Fingerprint::new("acme", "/talk/a", b"a body");
-/// let suspect = Suspect { fingerprint: lethal, weight: Weight::Started };
+/// let prompt = Prompt::default();
+/// let suspect = Suspect { fingerprint: lethal, weight: Weight::Started, prompt };
 /// let mut now = Moment::START;
 /// for upstream in ["e1", "e2", "e3"] {
 ///     assert_eq!(quarantine.status(&lethal, now), Status::Allowed);
-///     quarantine.record_crash(&Upstream::from(upstream), &[suspect], now);
+///     quarantine.record_crash(&Upstream::from(upstream), &[suspect.clone()], now);
 ///     now = now + Span::from_secs(1);
 /// }
 /// assert_eq!(quarantine.evaluate(now).len(), 1);
@@ -118,7 +143,10 @@
 pub struct Quarantine {
     settings: Settings,
     evidence: evidence::Evidence,
+    parts: parts::Evidence,
     records: record::Records,
+    /// Patterns that the evidence of this host proves, by fingerprint.
+    found: collections::BTreeMap<Fingerprint, Pattern>,
     /// There is evidence that has not been evaluated, or not yet with all reports of other hosts.
     needs_evaluation: bool,
 }
@@ -136,7 +164,9 @@
         Quarantine {
             settings,
             evidence,
+            parts: parts::Evidence::new(settings),
             records: record::Records::default(),
+            found: collections::BTreeMap::new(),
             needs_evaluation: false,
         }
     }
@@ -153,7 +183,8 @@
     /// counts.
     pub fn weight(&self, progress: Progress) -> Option<Weight> {
         match progress {
-            Progress::Unknown | Progress::Answering { events: 0, .. } => Some(Weight::Started),
+            Progress::Answering { events: 0, .. } => Some(Weight::Begun),
+            Progress::Unknown => Some(Weight::Started),
             Progress::Waiting => Some(Weight::MaybeQueued),
             Progress::Answering { span, .. } => {
                 (span <= self.settings.start_window).then_some(Weight::Started)
@@ -172,12 +203,49 @@
             let record = self.records.get(&suspect.fingerprint);
             record.is_some_and(|record| record.is_active(now))
         };
-        let (quarantined, suspects): (Vec<_>, Vec<_>) =
-            suspects.iter().copied().partition(|suspect| is_quarantined(suspect));
-        self.evidence.add(upstream, &suspects, !quarantined.is_empty(), now);
+        let culprits: Vec<_> = suspects.iter().filter(|suspect| is_quarantined(suspect)).collect();
+        let culprits: Vec<_> = culprits.into_iter().map(|suspect| suspect.fingerprint).collect();
+        self.parts.add(upstream, suspects, &culprits, now);
+        let is_explained = |suspect: &Suspect| {
+            culprits.contains(&suspect.fingerprint)
+                || self.records.refusing(&suspect.prompt, now).is_some()
+        };
+        let (explained, suspects): (Vec<_>, Vec<_>) =
+            suspects.iter().cloned().partition(|suspect| is_explained(suspect));
+        self.evidence.add(upstream, &suspects, !explained.is_empty(), now);
         self.needs_evaluation = true;
     }
 
+    /// Records that an answer to a prompt with `part` began at `begun` and went on, which shows that
+    /// the part does not crash upstreams. Returns whether other hosts should be told.
+    pub fn record_begun(&mut self, part: &id::Part, begun: clock::Moment) -> bool {
+        let is_news = self.parts.record_begun(part, begun);
+        self.needs_evaluation |= is_news;
+        is_news
+    }
+
+    /// Returns when the last answer to a prompt with `part` began that went on, if this is known.
+    pub fn begun_at(&self, part: &id::Part) -> Option<clock::Moment> {
+        self.parts.begun_at(part)
+    }
+
+    /// Returns the parts that were at several crashes since `since` and that nothing has cleared, at
+    /// most `count`.
+    pub fn doubted_parts(&self, since: clock::Moment, count: usize) -> Vec<id::Part> {
+        self.parts.doubted(since, count)
+    }
+
+    /// Returns how long a request that was just at a crash must wait before it is sent to another
+    /// upstream: until other hosts have reported on the crash, if one of its parts was at a crash
+    /// before under another request.
+    pub fn retry_delay(&self, request: &Fingerprint, prompt: &Prompt) -> clock::Span {
+        if self.parts.is_suspected(request, prompt) {
+            self.settings.settle_time
+        } else {
+            clock::Span::ZERO
+        }
+    }
+
     /// Records that a request was answered completely, which shows that it does not crash
     /// upstreams. Returns whether other hosts should be told, and the record that ends its
     /// quarantine if it was in one.
@@ -190,37 +258,106 @@
         (self.evidence.record_answer(request, now) || released.is_some(), released)
     }
 
-    /// Returns whether a request may be sent.
+    /// Returns whether a request may be sent, by its identity alone.
     pub fn status(&self, request: &Fingerprint, now: clock::Moment) -> Status {
         if let Some(record) = self.records.get(request).filter(|record| record.is_active(now)) {
-            return Status::Quarantined(*record);
+            return Status::Quarantined(record.clone());
         }
         let pending = self.evidence.pending_delay(request, now);
         pending.map_or(Status::Allowed, Status::Pending)
     }
 
-    /// Quarantines the requests that are proven to crash upstreams.
+    /// Returns whether evidence or a quarantine of any part of prompts exists. If not,
+    /// [`Quarantine::prompt_status`] allows every prompt.
+    pub fn has_parts(&self) -> bool {
+        !self.parts.is_empty() || self.records.has_length(u64::MAX)
+    }
+
+    /// Returns whether a prompt may be sent, by the parts that it shares with others.
+    pub fn prompt_status(&self, prompt: &Prompt, now: clock::Moment) -> Status {
+        if let Some(record) = self.records.refusing(prompt, now) {
+            return Status::Quarantined(record.clone());
+        }
+        let pending = self.parts.pending_delay(prompt, now);
+        pending.map_or(Status::Allowed, Status::Pending)
+    }
+
+    /// Quarantines the requests that are proven to crash upstreams, and what prompts that crash them
+    /// have in common, and withdraws patterns that the evidence no longer shows.
     pub fn evaluate(&mut self, now: clock::Moment) -> Vec<Verdict> {
-        let mut verdicts = Vec::new();
-        while self.needs_evaluation {
+        if !self.needs_evaluation {
+            return Vec::new();
+        }
+        let mut verdicts = self.evaluate_patterns(now);
+        loop {
             let was_quarantined = |request: &Fingerprint| {
                 let record = self.records.get(request);
                 record.is_some_and(|record| !record.released && !record.is_active(now))
             };
-            let Some(request) = self.evidence.proven(was_quarantined, now) else {
-                self.needs_evaluation = !self.evidence.is_settled(now);
-                break;
-            };
+            let Some(request) = self.evidence.proven(was_quarantined, now) else { break };
             let upstreams = self.evidence.upstreams(&request);
-            let record = self.quarantine(request, upstreams.len(), now);
+            let record = self.quarantine(request, None, upstreams.len(), now);
             verdicts.push(Verdict { record, upstreams });
         }
+        self.needs_evaluation = !self.evidence.is_settled(now) || !self.parts.is_settled(now);
         verdicts
     }
 
+    fn evaluate_patterns(&mut self, now: clock::Moment) -> Vec<Verdict> {
+        let findings = self.parts.findings(&self.lapsed_parts(now), now);
+        let found: collections::BTreeSet<_> =
+            findings.iter().map(|finding| finding.pattern.clone()).collect();
+        let active = self.records.values().filter(|record| record.is_active(now));
+        let active = active.filter_map(|record| record.pattern.clone());
+        let others = active.filter(|active| !found.iter().any(|found| found.covers(active)));
+        let needless = self.parts.needless(&others.chain(found.iter().cloned()).collect());
+        let mut verdicts = Vec::new();
+        let mut found = collections::BTreeMap::new();
+        for parts::Finding { pattern, upstreams } in findings {
+            if needless.contains(&pattern) {
+                continue;
+            }
+            let fingerprint = pattern.fingerprint();
+            found.insert(fingerprint, pattern.clone());
+            if self.is_refused(&pattern, now) {
+                continue;
+            }
+            let record = self.quarantine(fingerprint, Some(pattern), upstreams.len(), now);
+            verdicts.push(Verdict { record, upstreams });
+        }
+        let known = std::mem::replace(&mut self.found, found);
+        let refuted = known.into_values().filter(|pattern| self.parts.knows(pattern));
+        let withdrawn: Vec<_> = refuted.chain(needless).collect();
+        for pattern in withdrawn {
+            // One that refuses more takes its place.
+            if self.found.values().any(|found| found.covers(&pattern)) {
+                continue;
+            }
+            if let Some(record) = self.release(&pattern.fingerprint(), now) {
+                verdicts.push(Verdict { record, upstreams: Vec::new() });
+            }
+        }
+        verdicts
+    }
+
+    /// Returns whether all prompts that match `pattern` are refused already.
+    fn is_refused(&self, pattern: &Pattern, now: clock::Moment) -> bool {
+        let mut active = self.records.values().filter(|record| record.is_active(now));
+        active.any(|record| record.pattern.as_ref().is_some_and(|known| known.covers(pattern)))
+    }
+
+    /// Returns the parts whose quarantine has expired.
+    fn lapsed_parts(&self, now: clock::Moment) -> collections::BTreeSet<id::Part> {
+        let lapsed =
+            self.records.values().filter(|record| !record.released && !record.is_active(now));
+        let patterns = lapsed.filter_map(|record| record.pattern.as_ref());
+        patterns.flat_map(|pattern| pattern.parts.iter().cloned()).collect()
+    }
+
     fn quarantine(
         &mut self,
         fingerprint: Fingerprint,
+        pattern: Option<Pattern>,
         crashes: usize,
         now: clock::Moment,
     ) -> Record {
@@ -233,13 +370,14 @@
             .saturating_mul(1_u32.checked_shl(occurrences).unwrap_or(u32::MAX));
         let record = Record {
             fingerprint,
+            pattern,
             version: version + 1,
             occurrences: occurrences + 1,
             crashes: u32::try_from(crashes).unwrap_or(u32::MAX),
             expires_at: now + span.min(self.settings.max_duration),
             released: false,
         };
-        self.merge(record, now);
+        self.merge(record.clone(), now);
         record
     }
 
@@ -247,21 +385,39 @@
     pub fn release(&mut self, request: &Fingerprint, now: clock::Moment) -> Option<Record> {
         let known = self.records.get(request).filter(|record| record.is_active(now))?;
         let record =
-            Record { version: known.version + 1, occurrences: 0, released: true, ..*known };
-        self.merge(record, now);
+            Record { version: known.version + 1, occurrences: 0, released: true, ..known.clone() };
+        self.merge(record.clone(), now);
         Some(record)
     }
 
     /// Merges a record received from another host or read from the platform; returns whether it is
     /// newer than the known one.
     pub fn merge(&mut self, record: Record, now: clock::Moment) -> bool {
-        let is_newer = self.records.merge(record);
+        let is_newer = self.records.merge(record.clone());
         if is_newer && record.is_active(now) {
             self.evidence.explain(&record.fingerprint);
         }
+        if is_newer && record.released {
+            self.clear_parts(&record, now);
+        }
         is_newer
     }
 
+    /// Clears the parts of a released pattern that no other one refuses.
+    fn clear_parts(&mut self, record: &Record, now: clock::Moment) {
+        let parts = record.pattern.iter().flat_map(|pattern| pattern.parts.iter());
+        let refused = |part: &&id::Part| {
+            let mut active = self.records.values().filter(|record| record.is_active(now));
+            active.any(|record| {
+                record.pattern.as_ref().is_some_and(|pattern| pattern.parts.contains(part))
+            })
+        };
+        let cleared: Vec<_> = parts.filter(|part| !refused(part)).cloned().collect();
+        for part in cleared {
+            self.parts.record_begun(&part, now);
+        }
+    }
+
     /// Returns the records that have not expired, for sharing with other hosts.
     pub fn records(&self, now: clock::Moment) -> impl Iterator<Item = &Record> {
         self.records.unexpired(now)
@@ -282,6 +438,7 @@
     /// expire, because a single crash within that time is enough for the next quarantine.
     pub fn expire(&mut self, now: clock::Moment) {
         self.evidence.expire(now);
+        self.parts.expire(now);
         self.records.expire(self.settings.base_duration, self.settings.max_entries, now);
     }
 }
--- a/crates/lagoonline/src/lifecycle/quarantine/record.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/record.rs
@@ -2,18 +2,21 @@
 
 use std::collections;
 
+use super::pattern::{Pattern, Prompt};
 use crate::clock;
 use crate::lifecycle::fingerprint::Fingerprint;
 
 /// Multiplier that spreads the version over all bits of the checksum.
 const VERSION_MULTIPLIER: u64 = 0x9e37_79b9_7f4a_7c15;
 
-/// The quarantine state of a request. Of two records of the same request the one with the higher
+/// The quarantine state of a request, or of a pattern of prompts. Of two records of the same request the one with the higher
 /// version is valid.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
-    /// The request's identity.
+    /// The identity of the request, or of the pattern.
     pub fingerprint: Fingerprint,
+    /// What the refused requests have in common; `None` if a single request is refused.
+    pub pattern: Option<Pattern>,
     /// Increases with each change to the request's quarantine.
     pub version: u32,
     /// Number of times the request was quarantined since its last release.
@@ -54,6 +57,20 @@
         self.0.get(request)
     }
 
+    /// Returns the record of a pattern that refuses `prompt`.
+    pub(super) fn refusing(&self, prompt: &Prompt, now: clock::Moment) -> Option<&Record> {
+        let patterns = self.0.range(Fingerprint::of_length(u64::MAX)).map(|(_, record)| record);
+        let mut refusing = patterns.filter(|record| {
+            let is_match = |pattern: &Pattern| pattern.matches(prompt);
+            record.is_active(now) && record.pattern.as_ref().is_some_and(is_match)
+        });
+        refusing.next()
+    }
+
+    pub(super) fn values(&self) -> impl Iterator<Item = &Record> {
+        self.0.values()
+    }
+
     pub(super) fn has_length(&self, length: u64) -> bool {
         self.0.range(Fingerprint::of_length(length)).next().is_some()
     }
--- a/crates/lagoonline/src/lifecycle/quarantine/settings.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/settings.rs
@@ -13,6 +13,9 @@
     /// Time after a crash during which hosts report what they had in flight there. If evaluated
     /// earlier, a request that merely ran beside a lethal one could look like the only suspect.
     pub settle_time: clock::Span,
+    /// As `settle_time`, for crashes that count against a part of prompts that were answered shortly
+    /// before: answers that clear it have time to begin and to go on.
+    pub sound_settle_time: clock::Span,
     /// Crashes within this time of each other count as one. A rack failure takes down several
     /// upstreams at once, and a request with many copies in flight runs on each of them.
     pub correlation_window: clock::Span,
@@ -30,6 +33,9 @@
     pub max_entries: usize,
     /// Maximum number of crashes kept in memory.
     pub max_crashes: usize,
+    /// Maximum number of crashes kept as evidence against parts of prompts, which is judged anew with
+    /// each crash.
+    pub max_part_crashes: usize,
 }
 
 impl Default for Settings {
@@ -38,6 +44,7 @@
             required_crashes: 3,
             start_window: clock::Span::from_millis(250),
             settle_time: clock::Span::from_millis(300),
+            sound_settle_time: clock::Span::from_millis(1_000),
             correlation_window: clock::Span::from_millis(100),
             dedup_window: clock::Span::from_millis(700),
             evidence_retention: clock::Span::from_secs(600),
@@ -46,6 +53,7 @@
             max_duration: clock::Span::from_secs(86_400),
             max_entries: 16_384,
             max_crashes: 2_048,
+            max_part_crashes: 512,
         }
     }
 }
