Withdraw verdicts on parts only for answers or better explanations, weigh herds of crashes

What callers saw, in the simulation of the fix's first form: where a part that had served became lethal and all engines crashed within half a second, its verdict came 3.5 s after the fifth crash (9 sends beyond the allowed time), or was withdrawn by a host whose evidence ranked a popular part first (18).

Cause: of crashes within 100 ms only the first counted, with its heaviest request, which may have been one that waited; and a verdict that was not found anew counted as refuted. Now the heaviest of the window counts, and a verdict ends only if an answer cleared one of its parts or other verdicts explain all of its crashes. What a host found before is no longer kept.

--- a/crates/lagoonline/src/lifecycle/quarantine/mod.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/mod.rs
@@ -145,8 +145,6 @@
     evidence: evidence::Evidence,
     parts: parts::Evidence,
     records: record::Records,
-    /// Patterns that the evidence of this host proves, by fingerprint.
-    found: collections::BTreeMap<Fingerprint, Pattern>,
     /// There is evidence that has not been evaluated, or not yet with all reports of other hosts.
     needs_evaluation: bool,
 }
@@ -166,7 +164,6 @@
             evidence,
             parts: parts::Evidence::new(settings),
             records: record::Records::default(),
-            found: collections::BTreeMap::new(),
             needs_evaluation: false,
         }
     }
@@ -307,36 +304,29 @@
         let findings = self.parts.findings(&self.lapsed_parts(now), now);
         let found: collections::BTreeSet<_> =
             findings.iter().map(|finding| finding.pattern.clone()).collect();
+        // One that refuses less than another one stays until it expires.
+        let is_narrower = |pattern: &Pattern| found.iter().any(|found| found.covers(pattern));
         let active = self.records.values().filter(|record| record.is_active(now));
         let active = active.filter_map(|record| record.pattern.clone());
-        let others = active.filter(|active| !found.iter().any(|found| found.covers(active)));
-        let needless = self.parts.needless(&others.chain(found.iter().cloned()).collect());
+        let others: Vec<_> = active.filter(|pattern| !is_narrower(pattern)).collect();
+        let all = others.iter().chain(&found).cloned().collect();
+        let needless = self.parts.needless(&all);
+        let refuted = others.into_iter().filter(|pattern| self.parts.refutes(pattern));
+        let withdrawn: collections::BTreeSet<_> = refuted.chain(needless.iter().cloned()).collect();
         let mut verdicts = Vec::new();
-        let mut found = collections::BTreeMap::new();
+        for pattern in withdrawn {
+            if let Some(record) = self.release(&pattern.fingerprint(), now) {
+                verdicts.push(Verdict { record, upstreams: Vec::new() });
+            }
+        }
         for parts::Finding { pattern, upstreams } in findings {
-            if needless.contains(&pattern) {
+            if needless.contains(&pattern) || self.is_refused(&pattern, now) {
                 continue;
             }
             let fingerprint = pattern.fingerprint();
-            found.insert(fingerprint, pattern.clone());
-            if self.is_refused(&pattern, now) {
-                continue;
-            }
             let record = self.quarantine(fingerprint, Some(pattern), upstreams.len(), now);
             verdicts.push(Verdict { record, upstreams });
         }
-        let known = std::mem::replace(&mut self.found, found);
-        let refuted = known.into_values().filter(|pattern| self.parts.knows(pattern));
-        let withdrawn: Vec<_> = refuted.chain(needless).collect();
-        for pattern in withdrawn {
-            // One that refuses more takes its place.
-            if self.found.values().any(|found| found.covers(&pattern)) {
-                continue;
-            }
-            if let Some(record) = self.release(&pattern.fingerprint(), now) {
-                verdicts.push(Verdict { record, upstreams: Vec::new() });
-            }
-        }
         verdicts
     }
 
--- a/crates/lagoonline/src/lifecycle/quarantine/parts.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/parts.rs
@@ -65,6 +65,13 @@
     holders: usize,
 }
 
+/// Notes that the heaviest request of a window is counted, and returns its points.
+fn count(heaviest: Option<(usize, Fingerprint)>, counted: &mut Vec<Fingerprint>) -> usize {
+    let Some((points, request)) = heaviest else { return 0 };
+    counted.push(request);
+    points
+}
+
 /// The evidence for and against parts of prompts.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
@@ -175,21 +182,23 @@
         self.settings.required_crashes * Weight::Begun.part_points()
     }
 
-    /// Sums the points of `crashes` against `part`. Of crashes within one correlation window only one
-    /// counts. The same request again says little of its parts: it counts less, and only if it was the
-    /// one that had begun.
+    /// Sums the points of `crashes` against `part`. Of crashes within one correlation window only the
+    /// heaviest counts. The same request again says little of its parts: it counts less, and only if
+    /// it was the one that had begun.
     fn weigh<'a, Crashes>(&self, part: &id::Part, crashes: Crashes) -> usize
     where
         Crashes: Iterator<Item = &'a Crash>,
     {
         let mut counted: Vec<Fingerprint> = Vec::new();
         let mut window_start: Option<clock::Moment> = None;
+        let mut heaviest = None;
         let mut sum = 0;
         for crash in crashes {
             let is_same = window_start
                 .is_some_and(|start| crash.at.since(start) <= self.settings.correlation_window);
-            if is_same {
-                continue;
+            if !is_same {
+                sum += count(heaviest.take(), &mut counted);
+                window_start = Some(crash.at);
             }
             let points = |holder: &Holder| match counted.contains(&holder.request) {
                 true if holder.weight == Weight::Begun => REPEATED_POINTS,
@@ -197,12 +206,9 @@
                 false => holder.weight.part_points(),
             };
             let weighed = crash.holders_of(part).map(|holder| (points(holder), holder.request));
-            let Some((points, request)) = weighed.max() else { continue };
-            window_start = Some(crash.at);
-            sum += points;
-            counted.push(request);
+            heaviest = heaviest.max(weighed.max());
         }
-        sum
+        sum + count(heaviest, &mut counted)
     }
 
     /// Returns whether enough time has passed since the last crash for it to count against each part.
@@ -383,9 +389,11 @@
         })
     }
 
-    /// Returns whether this evidence contains crashes of `pattern`.
-    pub(super) fn knows(&self, pattern: &Pattern) -> bool {
-        self.crashes_of(pattern).next().is_some()
+    /// Returns whether this evidence contains crashes of `pattern`, and an answer has cleared one of
+    /// its parts of all of them.
+    pub(super) fn refutes(&self, pattern: &Pattern) -> bool {
+        let is_cleared = |part: &id::Part| self.uncleared(part).next().is_none();
+        self.crashes_of(pattern).next().is_some() && pattern.parts.iter().any(is_cleared)
     }
 
     /// Returns the parts that were at two crashes since `since` and that no answer has cleared, those
