--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -16,6 +16,7 @@
 use lagoon_load::direct;
 use lagoon_load::http;
 use lagoon_load::limits;
+use lagoon_load::parts;
 use lagoon_load::paths;
 use lagoon_load::retries;
 use lagoon_load::soak;
@@ -41,6 +42,7 @@
     Completeness(Completeness),
     Departures(Departures),
     Limits(Limits),
+    Parts(Parts),
     Paths(Paths),
     Retries(Retries),
     Soak(Soak),
@@ -70,6 +72,18 @@
     seeds: u64,
 }
 
+/// Ways of finding parts of prompts that crash engines, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "parts")]
+struct Parts {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "3")]
+    seeds: u64,
+}
+
 /// Ways of serving callers at hosts that lose their paths to upstreams, in virtual time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "paths")]
@@ -250,6 +264,7 @@
         Command::Completeness(completeness) => run_completeness(&completeness).map(|()| true),
         Command::Departures(departures) => run_departures(&departures).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
+        Command::Parts(parts) => run_parts(&parts).map(|()| true),
         Command::Paths(paths) => run_paths(&paths).map(|()| true),
         Command::Retries(retries) => run_retries(&retries).map(|()| true),
         Command::Soak(soak) => run_soak(&soak),
@@ -607,6 +622,42 @@
     );
 }
 
+/// Plays the scenarios of lethal parts with each way, and prints means over all seeds; of the late
+/// sends and the share of sound prompts near the lethal ones the worst one, too.
+fn run_parts(args: &Parts) -> Result<(), Box<dyn error::Error>> {
+    let scenarios = select(parts::all(), &args.scenario, |scenario| scenario.name)?;
+    println!(
+        "scenario way crashes last_send_ms late_sends worst_late_sends near_share worst_near_share refused_sound sound begun words"
+    );
+    for scenario in &scenarios {
+        for way in parts::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| parts::run(scenario, way, seed)).collect();
+            print_parts(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_parts(scenario: &str, way: parts::Way, reports: &[parts::Report]) {
+    let mean = |figure: fn(&parts::Report) -> f64| {
+        reports.iter().map(figure).sum::<f64>() / reports.len().max(1) as f64
+    };
+    let most_late = reports.iter().map(|report| report.late_sends).max().unwrap_or(0);
+    let least_near = reports.iter().map(parts::Report::near_share).fold(1.0, f64::min);
+    println!(
+        "{scenario} {way:?} {:.1} {:.0} {:.1} {most_late} {:.3} {least_near:.3} {:.1} {:.0} {:.0} {:.0}",
+        mean(|report| report.crashes as f64),
+        mean(|report| report.last_send_ms as f64),
+        mean(|report| report.late_sends as f64),
+        mean(parts::Report::near_share),
+        mean(|report| report.refused_sound as f64),
+        mean(|report| report.sound as f64),
+        mean(|report| report.begun as f64),
+        mean(|report| report.words as f64),
+    );
+}
+
 /// Plays the scenarios of lost paths with each way, and prints the shares of first tries that were
 /// served, the worst times and the sums of the other figures over all seeds.
 fn run_paths(args: &Paths) -> Result<(), Box<dyn error::Error>> {
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod direct;
 pub mod http;
 pub mod limits;
+pub mod parts;
 pub mod paths;
 pub mod retries;
 pub mod soak;
