Sum the crashes of a part only while a verdict on it may be due

A prompt whose parts were at crashes within the last ten minutes cost the sum over these crashes each time it was sent (512 crashes at most). No verdict is due 300 ms after the last one.

--- a/crates/lagoonline/src/lifecycle/quarantine/parts.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/parts.rs
@@ -171,6 +171,12 @@
         })
     }
 
+    /// Returns when the last crash was that prompts with `part` were involved in.
+    fn last_crash_at(&self, part: &id::Part) -> Option<clock::Moment> {
+        let last = self.crashes_by_part.get(part)?.last()?;
+        self.crashes.get(last).map(|crash| crash.at)
+    }
+
     /// Returns whether prompts with `part` were answered shortly before `at`.
     fn was_sound(&self, part: &id::Part, at: clock::Moment) -> bool {
         let begun = self.begun.get(part);
@@ -368,6 +374,10 @@
     /// far would be sufficient proof against one of its parts.
     pub(super) fn pending_delay(&self, prompt: &Prompt, now: clock::Moment) -> Option<clock::Span> {
         let delays = prompt.parts.iter().filter_map(|part| {
+            // Spares the sum for the many prompts that come long after the last crash.
+            if now.since(self.last_crash_at(part)?) >= self.settings.settle_time {
+                return None;
+            }
             let crashes: Vec<_> = self.uncleared(part).map(|(_, crash)| crash).collect();
             let (first, last) = (crashes.first()?, crashes.last()?);
             let until = last.at + self.settings.settle_time;
