Refuse the rest of a verdict's parts when answers clear some of them

What callers would see: a verdict on two parts that could not be told apart ended when an answer cleared one of them at a host that could not prove the other, and the lethal one was then cleared at all hosts and sent again until it had crashed three more engines.

Now a verdict is withdrawn only if all its parts are cleared or other verdicts explain its crashes; otherwise what is left of it is refused.

--- a/crates/lagoonline/src/lifecycle/quarantine/mod.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/mod.rs
@@ -311,16 +311,28 @@
         let others: Vec<_> = active.filter(|pattern| !is_narrower(pattern)).collect();
         let all = others.iter().chain(&found).cloned().collect();
         let needless = self.parts.needless(&all);
-        let refuted = others.into_iter().filter(|pattern| self.parts.refutes(pattern));
-        let withdrawn: collections::BTreeSet<_> = refuted.chain(needless.iter().cloned()).collect();
+        let mut withdrawn = needless.clone();
+        let mut proven: Vec<_> = findings
+            .into_iter()
+            .filter(|finding| !needless.contains(&finding.pattern))
+            .map(|finding| (finding.pattern, finding.upstreams))
+            .collect();
+        for pattern in others {
+            match self.parts.narrowed(&pattern) {
+                Some(parts) if parts.is_empty() => withdrawn.push(pattern),
+                // One of the parts was proven lethal, so it is one of those that are left.
+                Some(parts) => proven.push((Pattern { parts, ..pattern }, Vec::new())),
+                None => {}
+            }
+        }
         let mut verdicts = Vec::new();
         for pattern in withdrawn {
             if let Some(record) = self.release(&pattern.fingerprint(), now) {
                 verdicts.push(Verdict { record, upstreams: Vec::new() });
             }
         }
-        for parts::Finding { pattern, upstreams } in findings {
-            if needless.contains(&pattern) || self.is_refused(&pattern, now) {
+        for (pattern, upstreams) in proven {
+            if self.is_refused(&pattern, now) {
                 continue;
             }
             let fingerprint = pattern.fingerprint();
--- a/crates/lagoonline/src/lifecycle/quarantine/parts.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/parts.rs
@@ -399,11 +399,14 @@
         })
     }
 
-    /// Returns whether this evidence contains crashes of `pattern`, and an answer has cleared one of
-    /// its parts of all of them.
-    pub(super) fn refutes(&self, pattern: &Pattern) -> bool {
-        let is_cleared = |part: &id::Part| self.uncleared(part).next().is_none();
-        self.crashes_of(pattern).next().is_some() && pattern.parts.iter().any(is_cleared)
+    /// Returns the parts of `pattern` that may still be lethal, if an answer has cleared one of them of
+    /// all crashes; `None` if not.
+    pub(super) fn narrowed(&self, pattern: &Pattern) -> Option<Vec<id::Part>> {
+        let is_cleared = |part: &&id::Part| {
+            self.crashes_by_part.contains_key(*part) && self.uncleared(part).next().is_none()
+        };
+        let (cleared, left): (Vec<_>, Vec<_>) = pattern.parts.iter().partition(is_cleared);
+        (!cleared.is_empty()).then(|| left.into_iter().cloned().collect())
     }
 
     /// Returns the parts that were at two crashes since `since` and that no answer has cleared, those
