--- a/crates/lagoonline/src/lifecycle/quarantine/parts.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/parts.rs
@@ -82,8 +82,8 @@
     crashes_by_part: collections::BTreeMap<id::Part, Vec<u64>>,
     /// When the last answer began that went on, to a prompt with each part.
     begun: collections::BTreeMap<id::Part, clock::Moment>,
-    /// Number of holders in all crashes.
-    holders: usize,
+    /// Number of parts of all prompts at all crashes, which bounds the memory.
+    held_parts: usize,
 }
 
 impl Evidence {
@@ -120,8 +120,8 @@
                     ids.push(id);
                 }
             }
+            self.held_parts += prompt.parts.len();
             crash.holders.push(Holder { request: fingerprint, prompt, weight });
-            self.holders += 1;
         }
     }
 
@@ -420,15 +420,15 @@
         doubted.into_iter().take(count).map(|(_, part)| part.clone()).collect()
     }
 
-    /// Drops expired evidence, and the oldest crashes while there are too many or too many prompts
-    /// were at them.
+    /// Drops expired evidence, and the oldest crashes while there are too many or too many parts
+    /// of prompts at them.
     pub(super) fn expire(&mut self, now: clock::Moment) {
         let Settings { evidence_retention, trust_duration, max_entries, .. } = self.settings;
         let max_crashes = self.settings.max_part_crashes;
         while let Some((id, oldest)) = self.crashes.first_key_value() {
             let is_kept = now.since(oldest.at) < evidence_retention
                 && self.crashes.len() <= max_crashes
-                && self.holders <= max_entries;
+                && self.held_parts <= max_entries;
             if is_kept {
                 break;
             }
@@ -447,7 +447,8 @@
 
     fn drop_crash(&mut self, id: u64) {
         let Some(crash) = self.crashes.remove(&id) else { return };
-        self.holders -= crash.holders.len();
+        self.held_parts -=
+            crash.holders.iter().map(|holder| holder.prompt.parts.len()).sum::<usize>();
         for part in crash.holders.iter().flat_map(|holder| holder.prompt.parts.iter()) {
             let Some(ids) = self.crashes_by_part.get_mut(part) else { continue };
             ids.retain(|known| *known != id);
