Let a lapsed verdict on several parts prove none of them

What callers would see: ten minutes after a verdict on parts that could not be told apart, one crash under a prompt with the sound one of them got that prompt's parts refused again.

Found by reading the change. One more crash is enough only after a verdict on a single part. The new test failed before.

--- a/crates/lagoonline/src/lifecycle/quarantine/mod.rs
+++ b/crates/lagoonline/src/lifecycle/quarantine/mod.rs
@@ -109,7 +109,8 @@
     pub prompt: Prompt,
 }
 
-/// A decision to quarantine a request or a pattern, or to withdraw the quarantine of a pattern, with the upstreams that crashed while running it.
+/// A decision to quarantine a request or a pattern, with the upstreams that crashed while running
+/// it, or to withdraw the quarantine of a pattern, without any.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verdict {
     /// The record to share with other hosts.
@@ -348,11 +349,13 @@
         active.any(|record| record.pattern.as_ref().is_some_and(|known| known.covers(pattern)))
     }
 
-    /// Returns the parts whose quarantine has expired.
+    /// Returns the parts whose quarantine has expired. A pattern of several says of none of them that
+    /// it is lethal.
     fn lapsed_parts(&self, now: clock::Moment) -> collections::BTreeSet<id::Part> {
         let lapsed =
             self.records.values().filter(|record| !record.released && !record.is_active(now));
         let patterns = lapsed.filter_map(|record| record.pattern.as_ref());
+        let patterns = patterns.filter(|pattern| pattern.parts.len() == 1);
         patterns.flat_map(|pattern| pattern.parts.iter().cloned()).collect()
     }
 
--- a/crates/lagoonline/tests/life_quarantine_parts.rs
+++ b/crates/lagoonline/tests/life_quarantine_parts.rs
@@ -279,6 +279,20 @@
     assert!(world.refuses(&prompt(&["lethal"])));
 }
 
+/// After a quarantine of parts that could not be told apart one crash must not be enough against the
+/// sound one.
+#[rstest]
+fn after_a_quarantine_of_two_parts_one_crash_proves_neither() {
+    let mut world = World::new();
+    let crash = &[prompt(&["first", "lethal"])];
+    world.crash_separately(&[crash, crash, crash]);
+    assert!(world.refuses(&prompt(&["first", "lethal"])));
+    world.advance(Settings::default().base_duration);
+    world.crash_separately(&[&[prompt(&["first"])]]);
+    world.advance(SOUND_SETTLE_TIME);
+    assert!(!world.refuses(&prompt(&["first"])));
+}
+
 /// Memory must stay bounded when callers crash upstreams with ever new parts.
 #[rstest]
 fn a_flood_of_parts_is_bounded() {
