Read the heads of all upstreams' answers at one place; log departures and times of further requests

What callers saw: nothing new. The logs could not tell whether an answer said that its upstream leaves or when it wants further requests, nor by which way it came. No decision changed.

heads::Origin says who was asked, for which request and through which host; all answers (requests, resumed streams, orders, reports) pass State::observe_head. Lines leaving_said and retry_after_said; counters leaving_answers_total, retry_after_answers_total. unread_answer_fields_total counts, by name and bounded, the fields of answers that nobody reads; the first of each name is logged.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use lagoonline::id;
 use lagoonline::lifecycle::completeness;
 
 use crate::path;
@@ -146,6 +147,8 @@
     pub(crate) status: u16,
     pub(crate) headers: hyper::HeaderMap,
     pub(crate) body: bytes::BytesMut,
+    /// The host that carried the connection, if it was not direct.
+    pub(crate) through: Option<id::Host>,
 }
 
 /// Sends one request on the connection that `connecting` opens. Returns the answer, with a body of
@@ -164,11 +167,13 @@
     Connecting: Future<Output = Result<path::Connection, path::Failure>>,
 {
     let work = async {
-        let mut exchange = Exchange::open(connecting.await?).await?;
+        let connection = connecting.await?;
+        let through = connection.through().cloned();
+        let mut exchange = Exchange::open(connection).await?;
         let mut answer = exchange.send(request).await?;
         let body = exchange.read_body(answer.body_mut(), limit).await?;
         let (head, _) = answer.into_parts();
-        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body })
+        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body, through })
     };
     let timed = tokio::time::timeout(timeout, work).await;
     timed.unwrap_or_else(|_| Err(Failure::Lost("no answer in time".to_owned())))
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -120,6 +120,8 @@
     pub(crate) started_ms: u64,
     /// Whether the upstream had a limit on its requests when it was chosen.
     pub(crate) limited: bool,
+    /// The host that carries the connection, if it is not direct.
+    pub(crate) through: Option<id::Host>,
 }
 
 /// Forwards `request` and returns the upstream's answer.
@@ -421,6 +423,7 @@
             head_at: self.state.clock.now(),
             started_ms: primary.started_ms,
             limited: placement.limited,
+            through,
         })
     }
 
@@ -538,9 +541,7 @@
         let peer = &open.upstream;
         let wrong_request =
             read.request_id.as_deref().is_some_and(|id| id != self.request.head.request_id);
-        if !wrong_request && status != head::MISDIRECTED {
-            self.observe_limit(&open, &read);
-        }
+        self.observe_head(&open, &read);
         if read.not_run {
             let failed_helper =
                 read.at_fault.and_then(|address| self.record_failed_helper(peer, address));
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -24,6 +24,7 @@
 mod event;
 mod exchange;
 mod forward;
+mod heads;
 mod hosts;
 mod in_flight;
 mod limits;
--- a/crates/lagoon-gateway/src/limits/mod.rs
+++ b/crates/lagoon-gateway/src/limits/mod.rs
@@ -11,8 +11,8 @@
 use lagoonline::routing;
 
 use crate::event;
-use crate::exchange;
 use crate::forward;
+use crate::heads;
 use crate::mesh;
 use crate::message as datagram;
 use crate::state;
@@ -31,35 +31,7 @@
     Host(u64),
 }
 
-/// Where and when an answer was made, as far as its upstream's limit is concerned.
-#[derive(Debug)]
-struct Origin<'a> {
-    service: &'a id::Service,
-    upstream: &'a id::Upstream,
-    /// When the upstream's lifetime began, as [`routing::Registration::started_ms`].
-    started_ms: u64,
-    /// When the request was sent.
-    sent_at: clock::Moment,
-    /// When the answer arrived.
-    seen_at: clock::Moment,
-    /// Whether the host that chose the upstream took it to have a limit.
-    limited: bool,
-}
-
 impl forward::Admitted {
-    /// Applies what the answer `open` says of its upstream's limit, and tells other hosts.
-    pub(crate) fn observe_limit(&self, open: &forward::OpenAnswer, answer: &head::Answer) {
-        let origin = Origin {
-            service: &self.service,
-            upstream: &open.upstream,
-            started_ms: open.started_ms,
-            sent_at: open.sent_at,
-            seen_at: open.head_at,
-            limited: open.limited,
-        };
-        self.state.observe_limit(&origin, answer);
-    }
-
     /// Tells the other hosts of the zone that the caller was told to come back after `span`,
     /// because all upstreams limit their requests.
     pub(crate) fn publish_promise(&self, span: clock::Span) {
@@ -70,31 +42,10 @@
 }
 
 impl state::State {
-    /// Applies what the answer to a report or an order, sent at `sent_at`, says of the limit of the
-    /// engine `entry`, and tells other hosts. An engine that only helps others answers nothing else.
-    pub(crate) fn observe_reply(
-        &self,
-        entry: &routing::Registration,
-        sent_at: clock::Moment,
-        reply: &exchange::Reply,
-    ) {
-        if reply.status == head::MISDIRECTED {
-            return;
-        }
-        let fields = reply.headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
-        let origin = Origin {
-            service: &entry.service,
-            upstream: &entry.upstream,
-            started_ms: entry.started_ms,
-            sent_at,
-            seen_at: self.clock.now(),
-            limited: false,
-        };
-        self.observe_limit(&origin, &head::read_answer(reply.status, fields));
-    }
-
-    fn observe_limit(&self, origin: &Origin<'_>, answer: &head::Answer) {
-        let Origin { service, upstream, started_ms, sent_at, seen_at, limited } = *origin;
+    /// Applies what the answer of `origin` says of its upstream's limit, and tells other hosts.
+    pub(crate) fn observe_limit(&self, origin: &heads::Origin<'_>, answer: &head::Answer) {
+        let heads::Origin { service, upstream, started_ms, sent_at, seen_at, limited, .. } =
+            *origin;
         let rate = match &answer.rate_limit {
             head::RateLimit::PerSecond(rate) => Some(*rate),
             // Refusals, reports and orders may be answered without a look at the limit.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -153,6 +153,13 @@
     pub(crate) outcome: &'static str,
 }
 
+/// Labels of the counter of fields of answers that nobody reads.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct FieldLabels {
+    /// Name of the field in lower case, or `other`.
+    pub(crate) name: String,
+}
+
 /// Labels of the counter of connections to upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ConnectionLabels {
@@ -220,6 +227,12 @@
     pub(crate) older_statements: Counter,
     /// Requests that were placed again since an upstream had left before they were sent.
     pub(crate) sends_prevented: Counter,
+    /// Answers of upstreams that say something of their departure.
+    pub(crate) leaving_answers: Counter,
+    /// Answers of upstreams that say when these want further requests.
+    pub(crate) retry_after_answers: Counter,
+    /// Fields of upstreams' answers that nobody reads, by name.
+    unread_fields: Family<FieldLabels, Counter>,
     /// Direct connections to upstreams, by outcome.
     connections: Family<ConnectionLabels, Counter>,
     /// Upstreams to which this host's own path is lost.
@@ -269,6 +282,9 @@
             list_age_ms: Gauge::default(),
             older_statements: Counter::default(),
             sends_prevented: Counter::default(),
+            leaving_answers: Counter::default(),
+            retry_after_answers: Counter::default(),
+            unread_fields: Family::default(),
             connections: Family::default(),
             paths_lost: Gauge::default(),
             paths: Family::default(),
@@ -317,6 +333,21 @@
         self.register_limits(registry);
         self.register_departures(registry);
         self.register_paths(registry);
+        self.register_heads(registry);
+    }
+
+    fn register_heads(&self, registry: &mut Registry) {
+        let help = "answers of upstreams that say something of their departure";
+        registry.register("leaving_answers", help, self.leaving_answers.clone());
+        let help = "answers of upstreams that say when these want further requests";
+        registry.register("retry_after_answers", help, self.retry_after_answers.clone());
+        let help = "fields of upstreams' answers that nobody reads, by name";
+        registry.register("unread_answer_fields", help, self.unread_fields.clone());
+    }
+
+    /// Counts a field of an answer that nobody reads.
+    pub(crate) fn count_unread_field(&self, name: &str) {
+        self.unread_fields.get_or_create(&FieldLabels { name: name.to_owned() }).inc();
     }
 
     fn register_departures(&self, registry: &mut Registry) {
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -17,6 +17,7 @@
 use crate::crash;
 use crate::departures;
 use crate::event;
+use crate::heads;
 use crate::mesh;
 use crate::message;
 use crate::metrics;
@@ -97,6 +98,8 @@
     confirmation: sync::Mutex<routing::Confirmation>,
     /// The registered upstreams.
     registry: sync::Mutex<routing::Registry>,
+    /// Names of fields of answers that nobody reads.
+    pub(crate) unread_names: sync::Mutex<heads::UnreadNames>,
     /// Departures of upstreams that are repeated to other hosts.
     pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
@@ -184,6 +187,7 @@
             incarnation: rand::rng().random(),
             routing_table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
+            unread_names: sync::Mutex::default(),
             repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
