Take an upstream out of use when an answer says that it is leaving

Cause: no host read the header. A departure was known from the platform's list, or from a host that had read it there, only; out of touch with the platform nobody knew. Class: a word of a peer that nobody reads. Change: an answer that certainly is the upstream's own (its request, not 421, no other instance named, signed if it is a success) announces the departure of the lifetime that was asked. It is merged as the same word of the list: final until a later lifetime, told to the other hosts at once and to hosts that are met. Every way to an upstream looks at it before it sends. Answers to orders and reports count alike. A value other than 1 is logged once and ignored.

--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -1,8 +1,8 @@
-//! Departures of upstreams: applies those that the platform's list shows and those that other hosts
-//! report, and tells other hosts.
+//! Departures of upstreams: applies those that the platform's list shows, those that upstreams say in
+//! their answers and those that other hosts report, and tells other hosts.
 //!
-//! A host that has lost the platform does not read that an upstream left. The hosts that read it
-//! tell all others at once, repeat it for a short time in case a datagram is lost, and tell each
+//! A host that has lost the platform does not read that an upstream left. The hosts that read it, or
+//! had an answer that says it, tell all others at once, repeat it for a short time in case a datagram is lost, and tell each
 //! host that they meet. [`routing::Registry`] decides which statement is the newer one.
 
 use std::collections;
@@ -67,7 +67,7 @@
     }
 }
 
-/// Departures that this host has read and repeats to others, each with the time of the first.
+/// Departures that this host has read, or was told by the upstream, and repeats to others, each with the time of the first.
 pub(crate) type Repeated = collections::VecDeque<(Departed, clock::Moment)>;
 
 /// The way by which a statement about an upstream reached this host.
@@ -75,16 +75,32 @@
 pub(crate) enum Source {
     /// The platform's list, read by this host or passed on, with its age.
     List(tables::Way, clock::Span),
+    /// An answer of the upstream itself.
+    Answer,
     /// The host incarnation that reported it.
     Host(u64),
     /// The time that has passed.
     Time,
 }
 
+impl Source {
+    /// Returns the kind of the way, for metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Source::List(tables::Way::Platform, _) => "platform",
+            Source::List(tables::Way::Relay, _) => "relay",
+            Source::Answer => "answer",
+            Source::Host(_) => "host",
+            Source::Time => "time",
+        }
+    }
+}
+
 impl fmt::Display for Source {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Source::List(way, _) => way.fmt(formatter),
+            Source::Answer => formatter.write_str("answer"),
             Source::Host(incarnation) => write!(formatter, "host {incarnation}"),
             Source::Time => formatter.write_str("time"),
         }
@@ -111,6 +127,19 @@
         self.log_effect(&upstream, version, &effect, Source::List(way, age));
     }
 
+    /// Applies that an upstream said in an answer that it is leaving, and tells other hosts. It is as
+    /// final as the same word in the platform's list. Returns whether it is news.
+    pub(crate) fn apply_announcement(&self, upstream: &id::Upstream, started_ms: u64) -> bool {
+        let cause = routing::DepartureCause::Announced;
+        let departure = routing::Departure { upstream: upstream.clone(), started_ms, cause };
+        let effect = self.registry().learn(&departure, self.clock.now());
+        self.log_effect(upstream, 0, &effect, Source::Answer);
+        let routing::Effect::Departed { departure, .. } = &effect else { return false };
+        self.publish_departure(departure);
+        self.refresh_service_states();
+        true
+    }
+
     /// Applies a departure that another host reported.
     pub(crate) fn apply_departed(&self, sender: u64, departed: &Departed) {
         let departure = departed.departure();
@@ -178,6 +207,7 @@
         let line = match effect {
             routing::Effect::Listed | routing::Effect::Unchanged => return,
             routing::Effect::Departed { departure, witnessed } => {
+                self.metrics.count_departure(source.label());
                 event::Line::new("upstream_departed")
                     .number("life", departure.started_ms)
                     .number("announced", departure.cause == routing::DepartureCause::Announced)
@@ -195,7 +225,7 @@
         let line = line.text("upstream", upstream).number("version", version);
         match source {
             Source::List(way, age) => line.text("way", way).span("age_ms", age).info(),
-            Source::Host(_) | Source::Time => line.text("way", source).info(),
+            Source::Answer | Source::Host(_) | Source::Time => line.text("way", source).info(),
         }
     }
 }
--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -19,6 +19,24 @@
 /// Label of unread fields beyond [`MAX_UNREAD_NAMES`].
 const OTHER_NAMES: &str = "other";
 
+/// Maximum number of unreadable values that are remembered so that each is logged once; the memory
+/// starts anew when it is full.
+const MAX_UNREADABLE_VALUES: usize = 256;
+
+/// Values of fields that could not be read, by upstream and lifetime.
+#[derive(Debug, Default)]
+pub(crate) struct UnreadableValues(collections::BTreeSet<(id::Upstream, u64, String)>);
+
+impl UnreadableValues {
+    /// Adds a value; returns whether it is new.
+    fn insert(&mut self, origin: &Origin<'_>, text: &str) -> bool {
+        if self.0.len() >= MAX_UNREADABLE_VALUES {
+            self.0.clear();
+        }
+        self.0.insert((origin.upstream.clone(), origin.started_ms, text.to_owned()))
+    }
+}
+
 /// Names of fields that nobody reads, as far as answers had them.
 pub(crate) type UnreadNames = collections::BTreeSet<String>;
 
@@ -46,10 +64,13 @@
     /// Whether the answer is that of the upstream that was asked, to this request. What another one
     /// says, whose answer came late or which listens at the same address now, is not believed of it.
     fn is_certain(&self, status: u16, answer: &head::Answer) -> bool {
-        let is_to_request = self.request.is_empty()
-            || answer.request_id.as_deref().is_none_or(|id| id == self.request);
         let is_by_upstream = answer.instance.as_ref().is_none_or(|by| by == self.upstream);
-        is_to_request && is_by_upstream && status != head::MISDIRECTED
+        let is_own_call = self.request.is_empty();
+        let is_to_request = answer.request_id.as_deref().is_none_or(|id| id == self.request);
+        let is_spoiled = (200..300).contains(&status) && (!answer.signed || answer.encoded);
+        is_by_upstream
+            && status != head::MISDIRECTED
+            && (is_own_call || is_to_request && !is_spoiled)
     }
 }
 
@@ -104,14 +125,31 @@
             return;
         }
         self.observe_limit(origin, answer);
-        self.log_leaving(origin, status, &answer.leaving);
+        self.observe_leaving(origin, status, &answer.leaving);
         self.log_retry_after(origin, status, &answer.retry_after);
     }
 
-    fn log_leaving(&self, origin: &Origin<'_>, status: u16, leaving: &head::Leaving) {
-        if *leaving != head::Leaving::Unsaid {
-            self.metrics.leaving_answers.inc();
-            origin.line("leaving_said", status).text("value", format!("{leaving:?}")).info();
+    /// Takes an upstream out of use that says that it is leaving.
+    fn observe_leaving(&self, origin: &Origin<'_>, status: u16, leaving: &head::Leaving) {
+        match leaving {
+            head::Leaving::Unsaid => {}
+            head::Leaving::Announced => {
+                self.metrics.leaving_answers.inc();
+                if self.apply_announcement(origin.upstream, origin.started_ms) {
+                    origin.line("leaving_said", status).info();
+                }
+            }
+            head::Leaving::Unreadable(text) => {
+                self.log_unreadable(origin, status, "leaving_unreadable", text);
+            }
+        }
+    }
+
+    /// Logs a value that cannot be read, once for each value of a lifetime of its upstream.
+    fn log_unreadable(&self, origin: &Origin<'_>, status: u16, event: &'static str, text: &str) {
+        let is_first = state::lock(&self.unreadable_values).insert(origin, text);
+        if is_first {
+            origin.line(event, status).text("value", text).text("outcome", "ignored").warn();
         }
     }
 
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -160,6 +160,13 @@
     pub(crate) name: String,
 }
 
+/// Labels of the counter of departures of upstreams.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct DepartureLabels {
+    /// The way by which this host learned of it.
+    pub(crate) way: &'static str,
+}
+
 /// Labels of the counter of connections to upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ConnectionLabels {
@@ -227,7 +234,9 @@
     pub(crate) older_statements: Counter,
     /// Requests that were placed again since an upstream had left before they were sent.
     pub(crate) sends_prevented: Counter,
-    /// Answers of upstreams that say something of their departure.
+    /// Departures of upstreams, by the way by which this host learned of them.
+    departures: Family<DepartureLabels, Counter>,
+    /// Answers of upstreams that say that these are leaving.
     pub(crate) leaving_answers: Counter,
     /// Answers of upstreams that say when these want further requests.
     pub(crate) retry_after_answers: Counter,
@@ -282,6 +291,7 @@
             list_age_ms: Gauge::default(),
             older_statements: Counter::default(),
             sends_prevented: Counter::default(),
+            departures: Family::default(),
             leaving_answers: Counter::default(),
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
@@ -337,7 +347,9 @@
     }
 
     fn register_heads(&self, registry: &mut Registry) {
-        let help = "answers of upstreams that say something of their departure";
+        let help = "departures of upstreams, by the way by which this host learned of them";
+        registry.register("upstream_departures", help, self.departures.clone());
+        let help = "answers of upstreams that say that these are leaving";
         registry.register("leaving_answers", help, self.leaving_answers.clone());
         let help = "answers of upstreams that say when these want further requests";
         registry.register("retry_after_answers", help, self.retry_after_answers.clone());
@@ -345,6 +357,11 @@
         registry.register("unread_answer_fields", help, self.unread_fields.clone());
     }
 
+    /// Counts a departure of an upstream.
+    pub(crate) fn count_departure(&self, way: &'static str) {
+        self.departures.get_or_create(&DepartureLabels { way }).inc();
+    }
+
     /// Counts a field of an answer that nobody reads.
     pub(crate) fn count_unread_field(&self, name: &str) {
         self.unread_fields.get_or_create(&FieldLabels { name: name.to_owned() }).inc();
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -100,6 +100,8 @@
     registry: sync::Mutex<routing::Registry>,
     /// Names of fields of answers that nobody reads.
     pub(crate) unread_names: sync::Mutex<heads::UnreadNames>,
+    /// Values of fields of answers that could not be read.
+    pub(crate) unreadable_values: sync::Mutex<heads::UnreadableValues>,
     /// Departures of upstreams that are repeated to other hosts.
     pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
@@ -188,6 +190,7 @@
             routing_table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
             unread_names: sync::Mutex::default(),
+            unreadable_values: sync::Mutex::default(),
             repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
