Send an upstream that turned this host away nothing until the time that it named

Cause: no host read the time. A refusal left no trace in placement; since the upstream then has the fewest requests under way, it was chosen first. Class: a word of a peer that nobody reads. Change: load::backoff keeps the times of a host, by upstream and lifetime: the later end holds, a later lifetime ends it, nothing else. Placement passes over such upstreams for the host that sends the request; a request for which none is left waits if the first one wants requests before its target, and is refused at once with that time, spread, if not. The host that places a zone's requests is told; a plan that names such an upstream is not followed, and it is told again. The last look before a send sees it too; what is withheld there, or for a departure, is no attempt, no failure and no retry. Orders about memory are not sent (renewals only if the reservation would expire before), reports not asked for. A host that carried the connection is told, obeys, and opens no connection to the upstream for others. 503 and 429, run or not; seconds with a fraction or a date; other values are logged once and ignored.

--- a/crates/lagoon-gateway/src/attempt.rs
+++ b/crates/lagoon-gateway/src/attempt.rs
@@ -11,6 +11,9 @@
 pub(crate) enum Failure {
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, since an upstream of the placement has left, or asked this host to wait,
+    /// after the request was placed. It says nothing of the upstream and is no attempt.
+    Withheld(String),
     /// The upstream reported that it did not run the request. `failed_helper` is set if the engine
     /// at fault is one that had to prefill a part of the prompt.
     Refused { failed_helper: Option<id::Upstream>, detail: String },
@@ -24,14 +27,20 @@
     pub(crate) fn at_fault(&self) -> Option<&id::Upstream> {
         match self {
             Failure::Refused { failed_helper, .. } => failed_helper.as_ref(),
-            Failure::Unsent(_) | Failure::Lost(_) => None,
+            Failure::Unsent(_) | Failure::Withheld(_) | Failure::Lost(_) => None,
         }
     }
 
+    /// Whether this host decided to send nothing.
+    pub(crate) fn is_withheld(&self) -> bool {
+        matches!(self, Failure::Withheld(_))
+    }
+
     /// Returns the name of the failure in the log.
     pub(crate) fn label(&self) -> &'static str {
         match self {
             Failure::Unsent(_) => "unsent",
+            Failure::Withheld(_) => "withheld",
             Failure::Refused { failed_helper: None, .. } => "refused",
             Failure::Refused { failed_helper: Some(_), .. } => "unhelped",
             Failure::Lost(_) => "lost",
@@ -41,9 +50,10 @@
     /// Returns what happened and at which upstream.
     pub(crate) fn detail(&self) -> &str {
         match self {
-            Failure::Unsent(detail) | Failure::Refused { detail, .. } | Failure::Lost(detail) => {
-                detail
-            }
+            Failure::Unsent(detail)
+            | Failure::Withheld(detail)
+            | Failure::Refused { detail, .. }
+            | Failure::Lost(detail) => detail,
         }
     }
 
@@ -53,7 +63,7 @@
         let fault = upstream_fault(outcome, self.detail());
         match self {
             Failure::Lost(_) => fault,
-            Failure::Unsent(_) | Failure::Refused { .. } => {
+            Failure::Unsent(_) | Failure::Withheld(_) | Failure::Refused { .. } => {
                 fault.with_retry_after(forward::RETRY_AFTER)
             }
         }
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -192,9 +192,15 @@
             Err(failed) => failed,
         };
         admitted.log_failure(&upstream, &failed);
-        avoid.push(failed.at_fault().unwrap_or(&upstream).clone());
+        if !failed.is_withheld() {
+            avoid.push(failed.at_fault().unwrap_or(&upstream).clone());
+        }
         pending = match &failed {
             attempt::Failure::Unsent(_) => dispatched.refused(),
+            attempt::Failure::Withheld(_) => {
+                attempts -= 1;
+                dispatched.withheld()
+            }
             attempt::Failure::Refused { .. } => {
                 refusals += 1;
                 dispatched.refused()
@@ -316,6 +322,7 @@
             attempt::Failure::Unsent(_) => attempts < self.route.max_attempts + MAX_REFUSALS,
             attempt::Failure::Refused { .. } => refusals <= MAX_REFUSALS,
             attempt::Failure::Lost(_) => attempts < self.route.max_attempts + refusals,
+            attempt::Failure::Withheld(_) => true,
         };
         if !within_limits {
             self.record_retry_refusal(metrics::RetryRefusal::Attempts);
@@ -371,10 +378,10 @@
         };
         let through = connection.through().cloned();
         let mut exchange = exchange::Exchange::open(connection).await.map_err(unsent)?;
-        if !self.state.is_current(&self.service, &placement) {
+        if let Some(why) = self.withhold_reason(&placement) {
             self.state.metrics.sends_prevented.inc();
-            let detail = format!("{}: an upstream of the placement left", primary.upstream);
-            return Err(attempt::Failure::Unsent(detail));
+            let detail = format!("{}: {why}", primary.upstream);
+            return Err(attempt::Failure::Withheld(detail));
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
@@ -383,6 +390,7 @@
             self.state.metrics.count_limited_send(&primary.upstream);
         }
         self.record_send(leave);
+        self.state.count_send(primary);
         let sent = self.state.clock.now();
         let answer = {
             let mut send = std::pin::pin!(exchange.send(request));
@@ -427,6 +435,15 @@
         })
     }
 
+    /// Returns why a placed request must not be sent now; `None` if it may be.
+    fn withhold_reason(&self, placement: &placement::Placement) -> Option<&'static str> {
+        if !self.state.is_current(&self.service, placement) {
+            return Some("an upstream of the placement left");
+        }
+        let is_asked = self.state.backoff_until(&placement.primary).is_some();
+        is_asked.then_some("it asked this host to wait")
+    }
+
     /// Records that a dispatch is sent now.
     fn record_send(&self, leave: place::Leave) {
         match leave {
@@ -629,6 +646,8 @@
         let tables = &self.state.tables;
         let list_version = state::lock(&tables.upstreams).version().unwrap_or(0);
         let list_age = tables::age(&self.state, tables.upstreams_confirmed_at());
+        let backoff_ended = self.state.backoff_ended(&placement.primary.upstream);
+        let backoff_ended = backoff_ended.map(|span| span.as_millis().to_string());
         event::Line::new("dispatch")
             .text("request", &self.request.head.request_id)
             .text("route", &self.route.name)
@@ -644,6 +663,8 @@
             .span("expected_ms", placement.expected)
             .span("left_ms", self.time_left())
             .number("limited", placement.limited)
+            // Since when the upstream, after it turned this host away, wants requests again.
+            .text("backoff_ended_ms", backoff_ended.unwrap_or_default())
             .number("list_version", list_version)
             .span("list_age_ms", list_age.unwrap_or_default())
             // Estimated load of the chosen upstream and of the next best one.
--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -126,7 +126,7 @@
         }
         self.observe_limit(origin, answer);
         self.observe_leaving(origin, status, &answer.leaving);
-        self.log_retry_after(origin, status, &answer.retry_after);
+        self.observe_retry_after(origin, status, &answer.retry_after);
     }
 
     /// Takes an upstream out of use that says that it is leaving.
@@ -146,20 +146,19 @@
     }
 
     /// Logs a value that cannot be read, once for each value of a lifetime of its upstream.
-    fn log_unreadable(&self, origin: &Origin<'_>, status: u16, event: &'static str, text: &str) {
+    pub(crate) fn log_unreadable(
+        &self,
+        origin: &Origin<'_>,
+        status: u16,
+        event: &'static str,
+        text: &str,
+    ) {
         let is_first = state::lock(&self.unreadable_values).insert(origin, text);
         if is_first {
             origin.line(event, status).text("value", text).text("outcome", "ignored").warn();
         }
     }
 
-    fn log_retry_after(&self, origin: &Origin<'_>, status: u16, after: &head::RetryAfter) {
-        if *after != head::RetryAfter::Unsaid {
-            self.metrics.retry_after_answers.inc();
-            origin.line("retry_after_said", status).text("value", format!("{after:?}")).info();
-        }
-    }
-
     /// Counts fields of answers that nobody reads by their names, and logs each name once: it may be
     /// one that should be read.
     fn count_unread_fields(&self, upstream: &id::Upstream, names: &[String]) {
@@ -181,7 +180,7 @@
 
 impl Origin<'_> {
     /// Begins a log line about what the answer says.
-    fn line(&self, event: &'static str, status: u16) -> event::Line {
+    pub(crate) fn line(&self, event: &'static str, status: u16) -> event::Line {
         event::Line::new(event)
             .text("request", self.request)
             .text("upstream", self.upstream)
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod admit;
 mod answer;
 mod attempt;
+mod backoffs;
 mod body;
 mod clock;
 mod conclude;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -123,6 +123,7 @@
         forget_silent_hosts(&state);
         send_zone_heartbeat(&state);
         state.repeat_departures();
+        state.repeat_backoffs();
         if count % HEARTBEATS_PER_REMOTE_HEARTBEAT == 0 {
             send_remote_heartbeat(&state);
         }
@@ -315,7 +316,7 @@
 ///
 /// Forwarded are the kinds that a host sends only to its own zone and that matter to all zones.
 /// `Sent` and `Verdict` go to all zones from the start, and so does `Reported`, since only leaders
-/// poll engines. `Seen`, `Promised` and `Used` are meant for the hosts of the own zone.
+/// poll engines. `Seen`, `Promised`, `Used` and `BackedOff` are meant for the hosts of the own zone.
 fn is_forwarded(what: &message::Kind) -> bool {
     match what {
         message::Kind::First(_)
@@ -331,7 +332,8 @@
         | message::Kind::Seen(_)
         | message::Kind::Verdict(_)
         | message::Kind::Promised(_)
-        | message::Kind::Used(_) => false,
+        | message::Kind::Used(_)
+        | message::Kind::BackedOff(_) => false,
     }
 }
 
@@ -357,6 +359,7 @@
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
         message::Kind::Used(usages) => return state.apply_usages(usages),
+        message::Kind::BackedOff(word) => return state.apply_backoff(sender, word),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
@@ -385,7 +388,8 @@
         | message::Kind::Verdict(_)
         | message::Kind::Limited(_)
         | message::Kind::Departed(_)
-        | message::Kind::Used(_) => {}
+        | message::Kind::Used(_)
+        | message::Kind::BackedOff(_) => {}
     });
     if applied.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -11,6 +11,7 @@
 use lagoonline::load::placement;
 use prost::Message;
 
+use crate::backoffs;
 use crate::departures;
 use crate::limits;
 use crate::quarantine;
@@ -95,7 +96,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -159,6 +160,9 @@
     /// Not about a dispatch: answers to prompts with these parts began and went on.
     #[prost(message, tag = "16")]
     Begun(quarantine::Begun),
+    /// Not about a dispatch: an upstream wants no requests from a host for a time.
+    #[prost(message, tag = "17")]
+    BackedOff(backoffs::BackedOff),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -238,7 +238,13 @@
     departures: Family<DepartureLabels, Counter>,
     /// Answers of upstreams that say that these are leaving.
     pub(crate) leaving_answers: Counter,
-    /// Answers of upstreams that say when these want further requests.
+    /// Upstreams that want no requests from this host now.
+    pub(crate) backoffs: Gauge,
+    /// Requests sent to such upstreams.
+    pub(crate) sends_in_backoff: Counter,
+    /// Requests refused because all upstreams had turned this host away.
+    pub(crate) refused_for_backoff: Counter,
+    /// Refusals of upstreams that say when these want further requests.
     pub(crate) retry_after_answers: Counter,
     /// Fields of upstreams' answers that nobody reads, by name.
     unread_fields: Family<FieldLabels, Counter>,
@@ -293,6 +299,9 @@
             sends_prevented: Counter::default(),
             departures: Family::default(),
             leaving_answers: Counter::default(),
+            backoffs: Gauge::default(),
+            sends_in_backoff: Counter::default(),
+            refused_for_backoff: Counter::default(),
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
             connections: Family::default(),
@@ -351,7 +360,13 @@
         registry.register("upstream_departures", help, self.departures.clone());
         let help = "answers of upstreams that say that these are leaving";
         registry.register("leaving_answers", help, self.leaving_answers.clone());
-        let help = "answers of upstreams that say when these want further requests";
+        let help = "upstreams that want no requests from this host now";
+        registry.register("upstream_backoffs", help, self.backoffs.clone());
+        let help = "requests sent to upstreams that want none from this host";
+        registry.register("sends_in_backoff", help, self.sends_in_backoff.clone());
+        let help = "requests refused because all upstreams had turned this host away";
+        registry.register("backoff_refused", help, self.refused_for_backoff.clone());
+        let help = "refusals of upstreams that say when these want further requests";
         registry.register("retry_after_answers", help, self.retry_after_answers.clone());
         let help = "fields of upstreams' answers that nobody reads, by name";
         registry.register("unread_answer_fields", help, self.unread_fields.clone());
--- a/crates/lagoon-gateway/src/path/message.rs
+++ b/crates/lagoon-gateway/src/path/message.rs
@@ -98,6 +98,8 @@
     PathLost = 8,
     /// The host that was asked is shutting down, starting, or carries too many connections.
     Unavailable = 7,
+    /// The upstream turned the host that was asked away, and wants no requests from it for a time.
+    BackedOff = 9,
 }
 
 impl Outcome {
@@ -113,6 +115,7 @@
             Outcome::NotAllowed => "not_allowed",
             Outcome::PathLost => "path_lost",
             Outcome::Unavailable => "unavailable",
+            Outcome::BackedOff => "backed_off",
         }
     }
 }
--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -46,6 +46,8 @@
     Unknown,
     /// It has left, or the request is no longer allowed, as another host knows.
     Outdated,
+    /// It wants no requests for a time from the host that would carry the connection.
+    BackedOff,
 }
 
 impl Verdict {
@@ -204,7 +206,7 @@
             state::lock(&state.paths).record_down(&entry.upstream);
         }
         Verdict::Unknown => record_lost(state, &entry.upstream),
-        Verdict::Outdated => {}
+        Verdict::Outdated | Verdict::BackedOff => {}
     }
     Failure { verdict, detail: format!("{direct}; {through}") }
 }
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -162,6 +162,9 @@
     }
     let service = id::Service::from(open.service.as_str());
     let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
+    if state.backoff_until(&entry).is_some() {
+        return Err(message::Outcome::BackedOff);
+    }
     let table = state.routing_table();
     let is_allowed = match (&open.admission, &table) {
         (Some(admission), Some(table)) => admission.is_allowed(table, &service),
--- a/crates/lagoon-gateway/src/path/through.rs
+++ b/crates/lagoon-gateway/src/path/through.rs
@@ -59,6 +59,8 @@
         let says = |outcome| self.answers.iter().any(|(_, answer)| *answer == outcome);
         if says(message::Outcome::Left) || says(message::Outcome::NotAllowed) {
             super::Verdict::Outdated
+        } else if says(message::Outcome::BackedOff) {
+            super::Verdict::BackedOff
         } else if says(message::Outcome::Refused) {
             super::Verdict::Refused
         } else if says(message::Outcome::Silent) {
@@ -153,7 +155,8 @@
         message::Outcome::Opened
         | message::Outcome::Refused
         | message::Outcome::Left
-        | message::Outcome::NotAllowed => true,
+        | message::Outcome::NotAllowed
+        | message::Outcome::BackedOff => true,
         message::Outcome::Silent
         | message::Outcome::CutOff
         | message::Outcome::PathLost
@@ -210,7 +213,10 @@
         }
         message::Outcome::Unspecified | message::Outcome::Unavailable => paths.skip_host(host, now),
         // Answered before the host tried any path.
-        message::Outcome::Left | message::Outcome::NotAllowed | message::Outcome::PathLost => {}
+        message::Outcome::Left
+        | message::Outcome::NotAllowed
+        | message::Outcome::PathLost
+        | message::Outcome::BackedOff => {}
     }
     Ok((outcome, connection))
 }
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -142,6 +142,11 @@
         self.names.get(&address).is_some_and(|host| hosts.contains(host))
     }
 
+    /// Returns the known incarnations of hosts.
+    pub(crate) fn incarnations(&self) -> collections::HashSet<u64> {
+        self.incarnations.values().map(|incarnation| incarnation.number).collect()
+    }
+
     /// Returns the known incarnations of hosts in `zone`.
     pub(crate) fn incarnations_in(&self, zone: &id::Zone) -> collections::HashSet<u64> {
         let incarnations =
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -22,6 +22,10 @@
 /// It is shorter on routes with a short target.
 const BUSY_PAUSE: clock::Span = clock::Span::from_millis(40);
 
+/// Longest time by which callers come back spread after upstreams turned the host away: they wait a
+/// few seconds at most.
+const MAX_BACKOFF_SPREAD: clock::Span = clock::Span::from_millis(500);
+
 /// A placement whose memory is reserved and which is counted as in flight.
 #[derive(Debug)]
 pub(crate) struct Allocation {
@@ -98,6 +102,13 @@
     span.mul_f64(rand::rng().random_range(1.0..1.5))
 }
 
+/// Returns a random time by which a caller comes back later than the upstreams want requests again.
+/// Their times often began at one moment and end at one moment.
+fn backoff_spread(span: clock::Span) -> clock::Span {
+    let longest = (span / 4).min(MAX_BACKOFF_SPREAD);
+    longest.mul_f64(rand::rng().random_range(0.0..1.0))
+}
+
 impl forward::Admitted {
     /// Places the request and reserves the memory that it needs. Waits while there is no capacity:
     /// memory becomes free when a long answer ends. `is_retry` if it was sent before: then it also
@@ -135,6 +146,7 @@
             let schedule::PlacementResult { id, decider, result } =
                 chosen.inspect_err(|_| self.state.record_retry_refusal(&self.service))?;
             self.record_permit_refusal(&result, decider);
+            self.record_backoff_refusal(&result);
             let placement = match result {
                 Ok(placement) => placement,
                 Err(placement::Refusal::Deferred(shortage))
@@ -248,6 +260,7 @@
     async fn choose(&self, wish: Wish<'_>) -> Result<schedule::PlacementResult, Refusal> {
         let Wish { avoid, waited, due, waiter, identity, is_retry } = wish;
         let now = self.state.clock.now();
+        let backoffs = self.state.backoffs_of(self.state.incarnation);
         let request = placement::Request {
             prompt_tokens: self.request.head.prompt_tokens.unwrap_or(0),
             answer_tokens: self.request.head.answer_tokens.unwrap_or(0),
@@ -257,6 +270,7 @@
             waiter,
             zone: &self.state.settings.node.zone,
             avoid,
+            backoffs: &backoffs,
             random: rand::rng().random(),
             identity,
         };
@@ -308,6 +322,13 @@
         }
     }
 
+    /// Counts a request that is refused because all upstreams asked this host to wait.
+    fn record_backoff_refusal(&self, result: &Result<placement::Placement, placement::Refusal>) {
+        if let Err(placement::Refusal::Rejected(placement::Shortage::Backoff, _)) = result {
+            self.state.metrics.refused_for_backoff.inc();
+        }
+    }
+
     /// Returns the fault for a request that cannot be placed.
     fn placement_fault(&self, refusal: placement::Refusal) -> answer::Fault {
         let detail = format!("{}: {refusal}", self.service);
@@ -320,6 +341,9 @@
             placement::Refusal::Rejected(placement::Shortage::Permit, span) => {
                 (Reason::Saturated, span)
             }
+            placement::Refusal::Rejected(placement::Shortage::Backoff, span) => {
+                (Reason::Saturated, span + backoff_spread(span))
+            }
             placement::Refusal::Rejected(_, span) => (Reason::Saturated, jittered_retry_time(span)),
         };
         answer::Fault::not_run(reason, Step::Route, detail).with_retry_after(span)
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -55,6 +55,7 @@
         updates.extend(self.departure_updates());
         if own_zone.contains(&address) {
             updates.extend(self.usage_update());
+            updates.extend(self.backoff_updates());
         }
         updates
     }
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -3,7 +3,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
-use lagoonline::load::placement;
+use lagoonline::load::{backoff, placement};
 
 use crate::message;
 use crate::quarantine;
@@ -76,12 +76,13 @@
         }
     }
 
-    /// Decodes the placement request of the host incarnation `asking` in `zone`.
+    /// Decodes the placement request of the host incarnation `asking` in `zone`, from which upstreams
+    /// want no requests for the times `backoffs`.
     pub(crate) fn request<'a>(
         &self,
         asking: u64,
         zone: &'a id::Zone,
-        avoid: &'a [id::Upstream],
+        (avoid, backoffs): (&'a [id::Upstream], &'a [backoff::Backoff]),
         random: u64,
     ) -> placement::Request<'a> {
         placement::Request {
@@ -93,6 +94,7 @@
             waiter: placement::DispatchId { host: asking, number: self.turn },
             zone,
             avoid,
+            backoffs,
             random,
             identity: self.identity.as_ref().and_then(|identity| identity.fingerprint().ok()),
         }
@@ -222,6 +224,8 @@
     Pause = 3,
     /// A request that an upstream takes: [`placement::Shortage::Permit`].
     Permit = 4,
+    /// An upstream that wants requests of the asking host: [`placement::Shortage::Backoff`].
+    Backoff = 5,
 }
 
 impl From<placement::Shortage> for Shortage {
@@ -232,6 +236,7 @@
             placement::Shortage::Prefill => Shortage::Reading,
             placement::Shortage::Gap => Shortage::Pause,
             placement::Shortage::Permit => Shortage::Permit,
+            placement::Shortage::Backoff => Shortage::Backoff,
         }
     }
 }
@@ -244,6 +249,7 @@
             Shortage::Reading => placement::Shortage::Prefill,
             Shortage::Pause => placement::Shortage::Gap,
             Shortage::Permit => placement::Shortage::Permit,
+            Shortage::Backoff => placement::Shortage::Backoff,
         }
     }
 }
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -67,7 +67,11 @@
         let limited = state.with_placer(service, |placer, _| placer.is_limited(&entry.upstream));
         limited == Some(true)
     };
-    engines.retain(|(service, entry)| asked.contains(&entry.zone) && !is_limited(service, entry));
+    engines.retain(|(service, entry)| {
+        asked.contains(&entry.zone)
+            && !is_limited(service, entry)
+            && state.backoff_until(entry).is_none()
+    });
     engines
 }
 
@@ -111,6 +115,7 @@
     entry: &routing::Registration,
 ) -> Result<engine::Report, String> {
     state.record_call(entry);
+    state.count_send(entry);
     let sent_at = state.clock.now();
     let request = hyper::Request::get(engine::REPORT_PATH)
         .header("host", entry.address.to_string())
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -45,6 +45,8 @@
 /// Releases within one hold time of a reservation that a late order may have recreated. It would
 /// expire by itself within the bound, but its memory should not lie idle until then.
 const RELEASES_PER_HOLD: u32 = 3;
+/// Status of an order that was carried out.
+const GRANTED: u16 = 200;
 /// Maximum size of an order's answer, in bytes.
 const MAX_ANSWER_BYTES: usize = 64 << 10;
 
@@ -57,12 +59,15 @@
     tokens: u64,
     /// When a reserve order was last sent that is still unanswered.
     unanswered_since: sync::Arc<sync::Mutex<Option<clock::Moment>>>,
+    /// When the last reserve order was sent that the engine carried out.
+    held_since: sync::Arc<sync::Mutex<clock::Moment>>,
 }
 
 impl Reservation {
     /// Creates or renews the reservation. Returns the status of the engine's answer.
     async fn reserve(&self, state: &state::State) -> Result<u16, exchange::Failure> {
-        *state::lock(&self.unanswered_since) = Some(state.clock.now());
+        let sent_at = state.clock.now();
+        *state::lock(&self.unanswered_since) = Some(sent_at);
         let status = send_order(
             state,
             &self.entry,
@@ -70,9 +75,20 @@
         )
         .await?;
         *state::lock(&self.unanswered_since) = None;
+        if status == GRANTED {
+            *state::lock(&self.held_since) = sent_at;
+        }
         Ok(status)
     }
 
+    /// Returns until when the engine wants no orders from this host, if the reservation lasts beyond
+    /// that.
+    fn postponed_until(&self, state: &state::State) -> Option<clock::Moment> {
+        let until = state.backoff_until(&self.entry)?;
+        let expiry = *state::lock(&self.held_since) + hold_time(state);
+        (until + ORDER_TIMEOUT <= expiry).then_some(until)
+    }
+
     /// Whether the engine may still carry out an unanswered reserve order.
     fn has_pending_order(&self, now: clock::Moment) -> bool {
         state::lock(&self.unanswered_since).is_some_and(|sent| now.since(sent) <= LATE_ORDER_WINDOW)
@@ -154,13 +170,23 @@
     let mut held = Reservations { state: state.clone(), reservations: Vec::new(), active_until };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
         let id = format!("{name}-{index}");
-        let reservation = Reservation { id, entry, tokens, unanswered_since: sync::Arc::default() };
+        if state.backoff_until(&entry).is_some() {
+            let detail = "it asked this host to wait".to_owned();
+            return Err(Refusal { upstream: entry.upstream, outcome: None, detail });
+        }
+        let reservation = Reservation {
+            id,
+            entry,
+            tokens,
+            unanswered_since: sync::Arc::default(),
+            held_since: sync::Arc::default(),
+        };
         // Added before the order is sent: an unanswered order may be carried out, so its
         // reservation has to be released as well.
         held.reservations.push(reservation.clone());
         state.metrics.reservations.inc();
         let status = reservation.reserve(state).await;
-        if !matches!(status, Ok(200)) {
+        if !matches!(status, Ok(GRANTED)) {
             let outcome = match &status {
                 Ok(_) => Some(message::UpstreamOutcome::Full),
                 Err(exchange::Failure::Unreachable(failure)) if !failure.verdict.is_down() => None,
@@ -192,7 +218,11 @@
             return;
         }
         pause = match renew_round(&state, &primary, &reservations, &active_until).await {
-            Ok(()) => hold_time(&state) / RENEWALS_PER_HOLD,
+            Ok(postponed) => {
+                let regular = hold_time(&state) / RENEWALS_PER_HOLD;
+                let now = state.clock.now();
+                postponed.map_or(regular, |until| regular.min(until.since(now)))
+            }
             Err(error) => {
                 event::Line::new("not_renewed")
                     .text("upstream", &primary.upstream)
@@ -204,7 +234,8 @@
     }
 }
 
-/// Runs one round of renewals.
+/// Runs one round of renewals. Returns when the first of those is due that were put off since their
+/// engines want no orders before.
 ///
 /// # Errors
 ///
@@ -215,7 +246,8 @@
     primary: &routing::Registration,
     reservations: &[Reservation],
     active_until: &sync::Weak<ActiveUntil>,
-) -> Result<(), String> {
+) -> Result<Option<clock::Moment>, String> {
+    let mut postponed = None;
     if reservations.first().is_none_or(|reservation| reservation.entry.upstream != primary.upstream)
     {
         let connected = path::connect(state, primary, None, CONNECT_TIMEOUT).await;
@@ -225,8 +257,12 @@
         let Some(active_until) =
             active_until.upgrade().map(|active_until| *state::lock(&active_until))
         else {
-            return Ok(());
+            return Ok(None);
         };
+        if let Some(until) = reservation.postponed_until(state) {
+            postponed = Some(postponed.map_or(until, |first: clock::Moment| first.min(until)));
+            continue;
+        }
         if state.clock.now() > active_until && !is_used(state, reservation).await? {
             return Err(format!(
                 "{}: no request uses {}",
@@ -234,7 +270,7 @@
             ));
         }
         let status = reservation.reserve(state).await;
-        if matches!(status, Ok(200)) {
+        if matches!(status, Ok(GRANTED)) {
             continue;
         }
         event::Line::new("renewal_failed")
@@ -246,7 +282,7 @@
             status.map_err(|error| error.to_string())?;
         }
     }
-    Ok(())
+    Ok(postponed)
 }
 
 /// Whether the engine reports that a request uses the reservation.
@@ -266,6 +302,14 @@
 async fn release(state: sync::Arc<state::State>, reservation: Reservation) {
     let expiry = state.clock.now() + hold_time(&state);
     loop {
+        // The engine wants no orders for a time; the reservation may expire before that.
+        if let Some(until) = state.backoff_until(&reservation.entry) {
+            tokio::time::sleep(until.min(expiry).since(state.clock.now())).await;
+            if until >= expiry {
+                state.metrics.reservations.dec();
+                return;
+            }
+        }
         let order = engine::release_order(&reservation.id);
         let status = send_order(&state, &reservation.entry, order).await;
         // Counts as released also if the order was only accepted, or was refused by an engine that
@@ -304,6 +348,7 @@
         .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
         .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
     state.record_call(entry);
+    state.count_send(entry);
     let sent_at = state.clock.now();
     let began = time::Instant::now();
     let connecting = path::connect(state, entry, None, CONNECT_TIMEOUT);
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::{placement, retry};
+use lagoonline::load::{backoff, placement, retry};
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -120,7 +120,8 @@
             }
             question::Decision::Placed(placed) => {
                 let placement = state.with_placer(service, |placer, _| placed.placement(placer));
-                let Some(placement) = placement.flatten() else {
+                let placement = placement.flatten().filter(|placed| !is_withheld(state, placed));
+                let Some(placement) = placement else {
                     state.publish_ended(service, id);
                     return None;
                 };
@@ -131,6 +132,24 @@
     None
 }
 
+/// Whether an upstream of `placement` wants no requests from this host now. The scheduler is told
+/// again: it has not heard of it, or forgot it.
+fn is_withheld(state: &state::State, placement: &placement::Placement) -> bool {
+    let helpers = placement.helpers.iter().map(|helper| &helper.entry);
+    let placed: Vec<_> = std::iter::once(&placement.primary).chain(helpers).collect();
+    let backoffs = state.backoffs_of(state.incarnation);
+    let is_placed = |backoff: &&backoff::Backoff| {
+        placed.iter().any(|entry| {
+            entry.upstream == backoff.upstream && entry.started_ms <= backoff.started_ms
+        })
+    };
+    let withheld: Vec<_> = backoffs.iter().filter(is_placed).collect();
+    for backoff in &withheld {
+        state.publish_backoff(backoff);
+    }
+    !withheld.is_empty()
+}
+
 /// Lets the roster skip a scheduler that did not answer or made no decision.
 fn skip_scheduler(state: &state::State, host: &id::Host, why: &str) {
     state::lock(&state.peers).roster.skip(host, state.clock.now());
@@ -163,7 +182,9 @@
     let service = id::Service::from(question.service.as_str());
     let avoid: Vec<_> =
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
-    let request = question.request(asking, &state.settings.node.zone, &avoid, rand::rng().random());
+    let backoffs = state.backoffs_of(asking);
+    let zone = &state.settings.node.zone;
+    let request = question.request(asking, zone, (&avoid, &backoffs), rand::rng().random());
     if question.is_retry && state.retry_verdict(&service) != retry::Verdict::Allowed {
         return Some(question::Decision::NoRetry(message::Empty {}));
     }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -9,11 +9,12 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::placement;
+use lagoonline::load::{backoff, placement};
 use lagoonline::routing;
 use rand::Rng;
 use tokio::sync::{Notify, mpsc, watch};
 
+use crate::backoffs;
 use crate::crash;
 use crate::departures;
 use crate::event;
@@ -102,6 +103,11 @@
     pub(crate) unread_names: sync::Mutex<heads::UnreadNames>,
     /// Values of fields of answers that could not be read.
     pub(crate) unreadable_values: sync::Mutex<heads::UnreadableValues>,
+    /// Times for which upstreams want no requests, of this host and of those for which it places
+    /// requests.
+    pub(crate) backoffs: sync::Mutex<backoff::Backoffs>,
+    /// Such times of hosts that carried connections, which are repeated to them.
+    pub(crate) repeated_backoffs: sync::Mutex<backoffs::Repeated>,
     /// Departures of upstreams that are repeated to other hosts.
     pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
@@ -191,6 +197,8 @@
             confirmation: sync::Mutex::default(),
             unread_names: sync::Mutex::default(),
             unreadable_values: sync::Mutex::default(),
+            backoffs: sync::Mutex::default(),
+            repeated_backoffs: sync::Mutex::default(),
             repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
@@ -329,6 +337,7 @@
             lock(service_state).placer.expire(now);
         }
         self.expire_paths();
+        self.expire_backoffs();
         self.update_retry_metrics();
     }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -324,10 +324,12 @@
             match failed {
                 attempt::Failure::Refused { .. } => refusals += 1,
                 attempt::Failure::Lost(_) => self.upstreams += 1,
-                attempt::Failure::Unsent(_) => {}
+                attempt::Failure::Unsent(_) | attempt::Failure::Withheld(_) => {}
             }
             self.admitted.log_failure(&upstream, &failed);
-            avoid.push(failed.at_fault().unwrap_or(&upstream).clone());
+            if !failed.is_withheld() {
+                avoid.push(failed.at_fault().unwrap_or(&upstream).clone());
+            }
         }
         None
     }
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -312,6 +312,7 @@
             },
             zone: &zone,
             avoid: &[],
+            backoffs: &[],
             random: self.random.random(),
             identity: Some(identity),
         };
--- a/crates/lagoonline/src/lifecycle/request.rs
+++ b/crates/lagoonline/src/lifecycle/request.rs
@@ -3,7 +3,8 @@
 //! If a non-idempotent call were sent again after its answer was lost, it would run twice and, for
 //! example, charge a fine twice. [`Dispatched`] is consumed by each event. Only
 //! [`Dispatched::refused`], which requires proof from the upstream that it did not run the call,
-//! and [`Lost::retry`], which checks that the call may repeat, lead back to [`Pending`]. This is
+//! [`Dispatched::withheld`], which nothing was sent before, and [`Lost::retry`], which checks that the
+//! call may repeat, lead back to [`Pending`]. This is
 //! sufficient because [`Pending::dispatch`] is the only way to start an attempt and `Pending`
 //! cannot be copied. For a request with an idempotency key, the typestates of
 //! [`crate::lifecycle::claim::Ticket`] apply as well.
@@ -92,6 +93,11 @@
         self.pending
     }
 
+    /// Takes back an attempt of which this host decided to send nothing; it does not count.
+    pub fn withheld(self) -> Pending {
+        Pending { attempts: self.pending.attempts - 1, ..self.pending }
+    }
+
     /// Handles the start of the answer.
     pub fn answering(self) -> Answering {
         Answering { attempt: self.attempt, pending: self.pending }
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -4,7 +4,8 @@
 //! `lagoon-net`, decides for one model at one entry host; its upstreams report their load.
 //! [`placement`], used by `lagoon-gateway`, decides for one service whose engines publish a
 //! performance [`profile`]; its hosts tell each other what they have in flight, and keep the
-//! [`upstream_limit`]s that upstreams name.
+//! [`upstream_limit`]s that upstreams name and the times for which these want no requests
+//! ([`backoff`]).
 //!
 //! A request to the [`Scheduler`] passes [`admit`] according to the [`predict`]ions, the queue
 //! ([`fair`] within length classes), the routing (by each upstream's [`slowness`], [`ramp`],
@@ -13,6 +14,7 @@
 //! larger than one engine go to a [`group`]. [`rebalance`] moves engines between models.
 
 pub mod admit;
+pub mod backoff;
 mod baseline;
 pub mod clear;
 pub mod fair;
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -17,7 +17,7 @@
 use std::fmt;
 use std::net;
 
-use super::{profile, upstream_limit};
+use super::{backoff, profile, upstream_limit};
 use crate::clock;
 use crate::id;
 use crate::lifecycle::fingerprint;
@@ -110,12 +110,28 @@
     pub zone: &'a id::Zone,
     /// Upstreams that have already failed this request.
     pub avoid: &'a [id::Upstream],
+    /// Upstreams that want no requests now from the host that sends this one, in the order of their
+    /// names.
+    pub backoffs: &'a [backoff::Backoff],
     /// Random number that breaks ties between equally good choices.
     pub random: u64,
     /// What the request is, if that has been computed; see [`Placer::wants_identity`].
     pub identity: Option<fingerprint::Fingerprint>,
 }
 
+impl Request<'_> {
+    /// Whether the upstream takes new requests and has not failed this one.
+    fn may_use(&self, state: &UpstreamState) -> bool {
+        !state.entry().leaving && !self.avoid.contains(&state.entry().upstream)
+    }
+
+    /// Returns when the upstream wants requests again; `None` if it does now.
+    fn backoff(&self, state: &UpstreamState) -> Option<clock::Moment> {
+        let entry = state.entry();
+        backoff::find(self.backoffs, &entry.upstream, entry.started_ms)
+    }
+}
+
 /// The outcome of a placement decision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -204,6 +220,9 @@
     /// A request that an upstream takes: all of them limit their requests.
     #[error("all upstreams limit their requests")]
     Permit,
+    /// An upstream that wants requests of this host: all have turned it away for a time.
+    #[error("all upstreams asked this host to wait")]
+    Backoff,
 }
 
 /// A dispatch in flight, and when this host learned of it.
@@ -543,7 +562,7 @@
         self.permit_queue.expire(now);
         let usable = self.usable(request, now);
         if usable.is_empty() {
-            return Err(Refusal::NoUpstream);
+            return Err(self.refuse_without_upstream(request, now));
         }
         if let Err(refusal) = self.check_permits(request, &usable, now) {
             self.record_refusal(request, refusal, now);
@@ -570,10 +589,11 @@
     /// Upstreams that may be used, in order of their names: those that look healthy, the failing
     /// ones last, or all if none does.
     fn usable(&self, request: &Request<'_>, now: clock::Moment) -> Vec<&UpstreamState> {
-        let eligible = |state: &&UpstreamState| {
-            !state.entry().leaving && !request.avoid.contains(&state.entry().upstream)
-        };
-        let all: Vec<&UpstreamState> = self.upstreams.values().filter(eligible).collect();
+        let all: Vec<&UpstreamState> = self
+            .upstreams
+            .values()
+            .filter(|state| request.may_use(state) && request.backoff(state).is_none())
+            .collect();
         let healthy = |state: &&UpstreamState| {
             let partitioned = self.partitions.is_partitioned(&self.zone, &state.entry().zone, now);
             !state.is_avoided(now) && !partitioned && !state.is_slow(now)
@@ -585,6 +605,19 @@
         if found.is_empty() { all } else { found }
     }
 
+    /// Returns the refusal of a request for which no upstream may be used. It waits if an upstream
+    /// that turned its host away wants requests again before its target.
+    fn refuse_without_upstream(&self, request: &Request<'_>, now: clock::Moment) -> Refusal {
+        let states = self.upstreams.values().filter(|state| request.may_use(state));
+        match states.filter_map(|state| request.backoff(state)).min() {
+            None => Refusal::NoUpstream,
+            Some(first) if first.since(now) <= request.target => {
+                Refusal::Deferred(Shortage::Backoff)
+            }
+            Some(first) => Refusal::Rejected(Shortage::Backoff, first.since(now)),
+        }
+    }
+
     /// Places a call of a plain service on the least-used replica, preferring the own zone unless
     /// it is busier.
     fn place_call(
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -190,6 +190,11 @@
         self.entries.contains_key(upstream)
     }
 
+    /// Whether an upstream is listed, or was until lately.
+    pub fn is_remembered(&self, upstream: &id::Upstream) -> bool {
+        self.is_listed(upstream) || self.marks.mark(upstream).is_some()
+    }
+
     /// Returns the number of vanished entries that are in use.
     pub fn kept(&self) -> usize {
         self.vanished.len()
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -562,6 +562,7 @@
         waiter: placement::DispatchId { host: 1, number: 7 },
         zone: &zone,
         avoid: &[],
+        backoffs: &[],
         random: 7,
         identity: None,
     };
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -94,6 +94,7 @@
             waiter: placement::DispatchId { host: 1, number: self.number },
             zone: &ZONE,
             avoid: &[],
+            backoffs: &[],
             random: self.number,
             identity: None,
         }
