Prefer other upstreams to those that turned another host away, while the others have room

Change: hosts tell each other, as they do of limits; for 10 s at most the others prefer upstreams that have room and turned nobody away, and use all if these have none. The rule stays for the pair alone. The simulations of limits and retries share the new timeline; their order of events is as before.

--- a/crates/lagoon-gateway/src/backoffs.rs
+++ b/crates/lagoon-gateway/src/backoffs.rs
@@ -1,5 +1,5 @@
 //! Times for which upstreams want no requests from a host that they turned away: takes them from
-//! answers, tells the host that places this zone's requests, and logs and counts them.
+//! answers, tells the hosts that place requests, and logs and counts them.
 //! [`lagoonline::load::backoff`] keeps them.
 //!
 //! An upstream knows a host by its connections. If another host carried the connection, the upstream
@@ -54,6 +54,11 @@
         }
     }
 
+    /// Whether it is about the host that receives it, and concerns no other.
+    pub(crate) fn is_for_receiver(&self) -> bool {
+        self.by_receiver
+    }
+
     /// Creates the update that tells other hosts. It concerns no service in particular.
     fn update(self) -> message::Update {
         message::Update::new(0, &id::Service::from(""), message::Kind::BackedOff(self))
@@ -103,23 +108,24 @@
         }
     }
 
-    /// Keeps a time of this host, and tells the host that places this zone's requests.
+    /// Keeps a time of this host, and tells the hosts that place requests.
     fn back_off(&self, backoff: &backoff::Backoff) -> Option<backoff::Change> {
         let now = self.clock.now();
         let backoff::Backoff { upstream, started_ms, until } = backoff;
         let pair = (self.incarnation, upstream);
-        let change =
-            state::lock(&self.backoffs).record(pair, *started_ms, until.since(now), now)?;
-        self.publish_backoff(backoff);
+        let span = until.since(now);
+        let mut backoffs = state::lock(&self.backoffs);
+        let change = backoffs.record(pair, *started_ms, span, now)?;
+        backoffs.record_hint(upstream, *started_ms, span, now);
+        drop(backoffs);
+        self.publish(BackedOff::new(backoff, now).update());
         Some(change)
     }
 
-    /// Tells the hosts that place requests for this zone, if there are any.
-    pub(crate) fn publish_backoff(&self, backoff: &backoff::Backoff) {
-        if state::lock(&self.peers).roster.own_zone_has_scheduler() {
-            let update = BackedOff::new(backoff, self.clock.now()).update();
-            self.queue_update(update, mesh::Audience::OwnZone);
-        }
+    /// Tells the host that places requests for this zone again.
+    pub(crate) fn remind_scheduler(&self, backoff: &backoff::Backoff) {
+        let update = BackedOff::new(backoff, self.clock.now()).update();
+        self.queue_update(update, mesh::Audience::OwnZone);
     }
 
     /// Tells the host that carried the connection of an answer that the upstream turned it away.
@@ -147,14 +153,15 @@
         self.send(address, &self.encode_updates(vec![word.update()]));
     }
 
-    /// Applies a time that the host incarnation `sender` reported.
-    pub(crate) fn apply_backoff(&self, sender: u64, word: &BackedOff) {
+    /// Applies a time of the host incarnation `host`, or of this one, which `host` reported.
+    pub(crate) fn apply_backoff(&self, host: u64, word: &BackedOff) {
         let now = self.clock.now();
         let upstream = id::Upstream::from(word.upstream.as_str());
         let span = clock::Span::from_millis(word.left_ms);
         if !word.by_receiver {
-            let pair = (sender, &upstream);
-            state::lock(&self.backoffs).record(pair, word.life, span, now);
+            let mut backoffs = state::lock(&self.backoffs);
+            backoffs.record((host, &upstream), word.life, span, now);
+            backoffs.record_hint(&upstream, word.life, span, now);
             return;
         }
         let backoff = backoff::Backoff { upstream, started_ms: word.life, until: now + span };
@@ -162,7 +169,7 @@
             event::Line::new("backoff_begun")
                 .text("upstream", &backoff.upstream)
                 .number("life", word.life)
-                .number("told_by", sender)
+                .number("told_by", host)
                 .span("span_ms", span)
                 .info();
         }
@@ -174,6 +181,11 @@
         state::lock(&self.backoffs).in_force(host, self.clock.now())
     }
 
+    /// Returns the upstreams that want no requests now from some host.
+    pub(crate) fn backoff_hints(&self) -> Vec<backoff::Backoff> {
+        state::lock(&self.backoffs).hints(self.clock.now())
+    }
+
     /// Returns updates that tell a host of this zone the times of this one.
     pub(crate) fn backoff_updates(&self) -> Vec<message::Update> {
         let now = self.clock.now();
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -316,7 +316,7 @@
 ///
 /// Forwarded are the kinds that a host sends only to its own zone and that matter to all zones.
 /// `Sent` and `Verdict` go to all zones from the start, and so does `Reported`, since only leaders
-/// poll engines. `Seen`, `Promised`, `Used` and `BackedOff` are meant for the hosts of the own zone.
+/// poll engines. `Seen`, `Promised` and `Used` are meant for the hosts of the own zone.
 fn is_forwarded(what: &message::Kind) -> bool {
     match what {
         message::Kind::First(_)
@@ -327,13 +327,13 @@
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
         | message::Kind::Departed(_) => true,
+        message::Kind::BackedOff(word) => !word.is_for_receiver(),
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
         | message::Kind::Seen(_)
         | message::Kind::Verdict(_)
         | message::Kind::Promised(_)
-        | message::Kind::Used(_)
-        | message::Kind::BackedOff(_) => false,
+        | message::Kind::Used(_) => false,
     }
 }
 
@@ -359,7 +359,7 @@
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
         message::Kind::Used(usages) => return state.apply_usages(usages),
-        message::Kind::BackedOff(word) => return state.apply_backoff(sender, word),
+        message::Kind::BackedOff(word) => return state.apply_backoff(id.host, word),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -271,6 +271,7 @@
             zone: &self.state.settings.node.zone,
             avoid,
             backoffs: &backoffs,
+            hints: &self.state.backoff_hints(),
             random: rand::rng().random(),
             identity,
         };
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -50,6 +50,14 @@
     pub(crate) is_retry: bool,
 }
 
+/// What the scheduler knows of upstreams for a request of another host; see [`placement::Request`].
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known<'a> {
+    pub(crate) avoid: &'a [id::Upstream],
+    pub(crate) backoffs: &'a [backoff::Backoff],
+    pub(crate) hints: &'a [backoff::Backoff],
+}
+
 impl Question {
     /// Creates the question for the dispatch `number` to `service`, which has `time_left` until its
     /// deadline.
@@ -76,13 +84,12 @@
         }
     }
 
-    /// Decodes the placement request of the host incarnation `asking` in `zone`, from which upstreams
-    /// want no requests for the times `backoffs`.
+    /// Decodes the placement request of the host incarnation `asking` in `zone`.
     pub(crate) fn request<'a>(
         &self,
         asking: u64,
         zone: &'a id::Zone,
-        (avoid, backoffs): (&'a [id::Upstream], &'a [backoff::Backoff]),
+        known: Known<'a>,
         random: u64,
     ) -> placement::Request<'a> {
         placement::Request {
@@ -93,8 +100,9 @@
             waited: message::from_millis(self.waited_ms),
             waiter: placement::DispatchId { host: asking, number: self.turn },
             zone,
-            avoid,
-            backoffs,
+            avoid: known.avoid,
+            backoffs: known.backoffs,
+            hints: known.hints,
             random,
             identity: self.identity.as_ref().and_then(|identity| identity.fingerprint().ok()),
         }
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -145,7 +145,7 @@
     };
     let withheld: Vec<_> = backoffs.iter().filter(is_placed).collect();
     for backoff in &withheld {
-        state.publish_backoff(backoff);
+        state.remind_scheduler(backoff);
     }
     !withheld.is_empty()
 }
@@ -184,7 +184,9 @@
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
     let backoffs = state.backoffs_of(asking);
     let zone = &state.settings.node.zone;
-    let request = question.request(asking, zone, (&avoid, &backoffs), rand::rng().random());
+    let known =
+        question::Known { avoid: &avoid, backoffs: &backoffs, hints: &state.backoff_hints() };
+    let request = question.request(asking, zone, known, rand::rng().random());
     if question.is_retry && state.retry_verdict(&service) != retry::Verdict::Allowed {
         return Some(question::Decision::NoRetry(message::Empty {}));
     }
--- a/crates/lagoon-gateway/tests/backoff.rs
+++ b/crates/lagoon-gateway/tests/backoff.rs
@@ -225,15 +225,15 @@
 #[case::one_host_places(2)]
 fn orders_parts_and_reports_wait_too(#[case] relay_hosts: u64) {
     let fleet = Fleet::start(&ZONES[..2], relay_hosts);
+    // It refuses late, so that both hosts have sent it a prompt before they tell each other.
+    fleet.standin.behavior(BUSY, Behavior::BusyBeforeHead);
     fleet.standin.turn_away(BUSY, Some("4"));
-    for host in 0..2 {
-        let is_turned_away = || {
-            let name = fleet.hosts[host].0;
-            !fleet.arrivals(BUSY, name, time::Instant::now() - REST_TIME).is_empty()
-        };
-        fleet.hosts[host].1.until("turned away", || fleet.talk(host) == 200 && is_turned_away());
+    let since = time::Instant::now();
+    let statuses = fleet.send_for(PAUSE, |host| fleet.talk(host));
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    for (name, _) in &fleet.hosts {
+        assert!(!fleet.arrivals(BUSY, name, since).is_empty(), "{name} was not turned away");
     }
-    thread::sleep(UNDER_WAY);
     let (received, reports) = (fleet.received(BUSY).len(), fleet.standin.reports(BUSY));
     let more = "lagoonline-token-count: 300000,400\r\n";
     let statuses = fleet.send_for(REST_TIME, |host| fleet.send(host, "POST", "/review/a", more).0);
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -6,6 +6,7 @@
 use std::path;
 use std::process;
 
+use lagoon_load::backoffs;
 use lagoon_load::bench::arrival;
 use lagoon_load::bench::plot;
 use lagoon_load::bench::report;
@@ -41,6 +42,7 @@
     Direct(Direct),
     Completeness(Completeness),
     Departures(Departures),
+    Backoffs(Backoffs),
     Limits(Limits),
     Parts(Parts),
     Paths(Paths),
@@ -96,6 +98,18 @@
     seeds: u64,
 }
 
+/// Ways of obeying upstreams that want no requests for a time, in virtual time.
+#[derive(argh::FromArgs)]
+#[argh(subcommand, name = "backoffs")]
+struct Backoffs {
+    /// scenario by name; may be repeated; all by default
+    #[argh(option)]
+    scenario: Vec<String>,
+    /// seeds, from 1
+    #[argh(option, default = "5")]
+    seeds: u64,
+}
+
 /// Ways of keeping limits that upstreams name on their requests, in virtual time.
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "limits")]
@@ -263,6 +277,7 @@
         Command::Direct(direct) => run_direct(direct).map(|()| true),
         Command::Completeness(completeness) => run_completeness(&completeness).map(|()| true),
         Command::Departures(departures) => run_departures(&departures).map(|()| true),
+        Command::Backoffs(backoffs) => run_backoffs(&backoffs).map(|()| true),
         Command::Limits(limits) => run_limits(&limits).map(|()| true),
         Command::Parts(parts) => run_parts(&parts).map(|()| true),
         Command::Paths(paths) => run_paths(&paths).map(|()| true),
@@ -548,6 +563,43 @@
     );
 }
 
+/// Plays the scenarios of backoffs with each way, and prints the means of the figures over all seeds,
+/// of the first two the largest.
+fn run_backoffs(args: &Backoffs) -> Result<(), Box<dyn error::Error>> {
+    let scenarios = select(backoffs::all(), &args.scenario, |scenario| scenario.name)?;
+    println!(
+        "scenario way late worst callers in_time served_late refused refused_with_room turned_away sent_back messages"
+    );
+    for scenario in &scenarios {
+        for way in backoffs::Way::ALL {
+            let reports: Vec<_> =
+                (1..=args.seeds).map(|seed| backoffs::run(scenario, way, seed)).collect();
+            print_backoffs(scenario.name, way, &reports);
+        }
+    }
+    Ok(())
+}
+
+fn print_backoffs(scenario: &str, way: backoffs::Way, reports: &[backoffs::Report]) {
+    let worst = |figure: fn(&backoffs::Report) -> u64| reports.iter().map(figure).max();
+    let mean = |figure: fn(&backoffs::Report) -> f64| {
+        reports.iter().map(figure).sum::<f64>() / reports.len().max(1) as f64
+    };
+    println!(
+        "{scenario} {way:?} {} {} {:.0} {:.0} {:.0} {:.0} {:.0} {:.0} {:.0} {:.3}",
+        worst(|report| report.late).unwrap_or(0),
+        worst(|report| report.worst).unwrap_or(0),
+        mean(|report| report.callers as f64),
+        mean(|report| report.in_time as f64),
+        mean(|report| report.served_late as f64),
+        mean(|report| report.refused as f64),
+        mean(|report| report.refused_with_room as f64),
+        mean(|report| report.turned_away as f64),
+        mean(|report| report.sent_back as f64),
+        mean(|report| report.messages),
+    );
+}
+
 /// Plays the scenarios of limits with each way, and prints the worst excess and the means of the
 /// other figures over all seeds.
 fn run_limits(args: &Limits) -> Result<(), Box<dyn error::Error>> {
--- a/crates/lagoon-load/src/lib.rs
+++ b/crates/lagoon-load/src/lib.rs
@@ -1,5 +1,6 @@
 //! lagoon-load: load generators, fault tests and benchmarks.
 
+pub mod backoffs;
 pub mod bench;
 pub mod completeness;
 pub mod departures;
@@ -10,4 +11,5 @@
 pub mod paths;
 pub mod retries;
 pub mod soak;
+mod timeline;
 pub mod trial;
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -1,8 +1,5 @@
 //! The event loop of a simulation.
 
-use std::cmp;
-use std::collections;
-
 use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::lifecycle::fingerprint;
@@ -14,6 +11,7 @@
 use super::host::{Host, Message, moment, upstream};
 use super::report::{Report, Schedule, limit_at};
 use super::scenario::{Fault, Scenario, Traffic};
+use crate::timeline::Timeline;
 
 /// When upstreams begin to name their limit, in milliseconds.
 const NAMED_MS: u64 = 5_000;
@@ -60,42 +58,15 @@
     Restart,
 }
 
-/// An event and its time; the earliest is the greatest.
-#[derive(Debug)]
-struct Timed {
-    at: u64,
-    order: u64,
-    event: Event,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Timed) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Timed) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Timed) -> cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 struct Simulation<'a> {
     scenario: &'a Scenario,
     way: Way,
     random: StdRng,
     hosts: Vec<Host>,
-    events: collections::BinaryHeap<Timed>,
+    events: Timeline<Event>,
     now: u64,
-    order: u64,
+    /// Number of the last dispatch.
+    number: u64,
     schedule: Schedule,
     /// When requests reached each upstream.
     arrivals: Vec<Vec<u64>>,
@@ -114,7 +85,7 @@
     simulation.push(0, Event::Heartbeat);
     simulation.push(0, Event::Shares);
     simulation.push(end / 3, Event::Restart);
-    while let Some(Timed { at, event, .. }) = simulation.events.pop() {
+    while let Some((at, event)) = simulation.events.pop() {
         if at >= end + DEADLINE_MS {
             break;
         }
@@ -139,9 +110,9 @@
             way,
             random: StdRng::seed_from_u64(seed),
             hosts: Vec::new(),
-            events: collections::BinaryHeap::new(),
+            events: Timeline::default(),
             now: 0,
-            order: 0,
+            number: 0,
             schedule,
             arrivals: vec![Vec::new(); scenario.upstreams],
             named: vec![None; scenario.upstreams],
@@ -163,8 +134,7 @@
     }
 
     fn push(&mut self, at: u64, event: Event) {
-        self.order += 1;
-        self.events.push(Timed { at, order: self.order, event });
+        self.events.push(at, event);
     }
 
     /// Draws the callers, which come at random moments.
@@ -313,11 +283,12 @@
             zone: &zone,
             avoid: &[],
             backoffs: &[],
+            hints: &[],
             random: self.random.random(),
             identity: Some(identity),
         };
-        self.order += 1;
-        let number = self.order;
+        self.number += 1;
+        let number = self.number;
         let placed = match placing {
             Some(placing) => self.hosts[placing].place(&request, number, now),
             None => Err(placement::Refusal::Rejected(
--- a/crates/lagoon-load/src/retries/simulation.rs
+++ b/crates/lagoon-load/src/retries/simulation.rs
@@ -1,8 +1,5 @@
 //! The event loop of a simulation.
 
-use std::cmp;
-use std::collections;
-
 use lagoonline::clock;
 use lagoonline::load::retry;
 use rand::rngs::StdRng;
@@ -12,6 +9,7 @@
 use super::host::{CANDIDATES, Host};
 use super::report::{Record, Report};
 use super::scenario::{Event, Fault, Hosts, Scenario, Traffic};
+use crate::timeline::Timeline;
 
 /// The allowed retries for each request, and the window.
 pub(super) const RATIO: f64 = 0.2;
@@ -74,43 +72,14 @@
     Happen(Event),
 }
 
-/// A step and its time; the earliest is the greatest.
-#[derive(Debug)]
-struct Timed {
-    at: u64,
-    order: u64,
-    step: Step,
-}
-
-impl PartialEq for Timed {
-    fn eq(&self, other: &Timed) -> bool {
-        (self.at, self.order) == (other.at, other.order)
-    }
-}
-
-impl Eq for Timed {}
-
-impl PartialOrd for Timed {
-    fn partial_cmp(&self, other: &Timed) -> Option<cmp::Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Timed {
-    fn cmp(&self, other: &Timed) -> cmp::Ordering {
-        (other.at, other.order).cmp(&(self.at, self.order))
-    }
-}
-
 struct Simulation<'a> {
     scenario: &'a Scenario,
     way: Way,
     random: StdRng,
     /// `None` while a host is down.
     hosts: Vec<Option<Host>>,
-    steps: collections::BinaryHeap<Timed>,
+    steps: Timeline<Step>,
     now: u64,
-    order: u64,
     lives: u64,
     cut_until: u64,
     messages: u64,
@@ -126,9 +95,8 @@
         way,
         random: StdRng::seed_from_u64(seed),
         hosts: (0..scenario.hosts).map(|_| None).collect(),
-        steps: collections::BinaryHeap::new(),
+        steps: Timeline::default(),
         now: 0,
-        order: 0,
         lives: 0,
         cut_until: 0,
         messages: 0,
@@ -136,7 +104,7 @@
         report: Report::default(),
     };
     simulation.draw(end);
-    while let Some(Timed { at, step, .. }) = simulation.steps.pop() {
+    while let Some((at, step)) = simulation.steps.pop() {
         if at >= end {
             break;
         }
@@ -150,8 +118,7 @@
 
 impl Simulation<'_> {
     fn push(&mut self, at: u64, step: Step) {
-        self.order += 1;
-        self.steps.push(Timed { at, order: self.order, step });
+        self.steps.push(at, step);
     }
 
     /// Draws the requests and plans the events.
--- a/crates/lagoonline/src/load/backoff.rs
+++ b/crates/lagoonline/src/load/backoff.rs
@@ -5,14 +5,20 @@
 //! up the retries. With the refusal it names the time after which it wants further requests.
 //!
 //! Such a time is for one host, the one that was turned away, and for one lifetime of the upstream.
-//! Nothing else ends it early: other hosts were asked for nothing, and of two times the later end
-//! holds. A host that places requests for others keeps their times as well.
+//! Nothing else ends it early, and of two times the later end holds. A host that places requests for
+//! others keeps their times as well.
+//!
+//! Other hosts were asked for nothing. If they obeyed, upstreams that are full for a moment would get
+//! no request from any host; if they knew nothing, each of hundreds of hosts would find out by a
+//! refused request. They are told, and prefer other upstreams while these have room.
 
 use std::collections;
 
 use crate::clock;
 use crate::id;
 
+/// Longest time for which a host prefers other upstreams because of what another host was told.
+const MAX_HINT: clock::Span = clock::Span::from_secs(10);
 /// How long the end of a time is remembered for logs.
 const MEMORY: clock::Span = clock::Span::from_secs(5);
 
@@ -45,6 +51,12 @@
     until: clock::Moment,
 }
 
+impl Time {
+    fn of(self, upstream: &id::Upstream) -> Backoff {
+        Backoff { upstream: upstream.clone(), started_ms: self.started_ms, until: self.until }
+    }
+}
+
 /// The times of one host, or of all hosts for which one places requests.
 ///
 /// ```
@@ -60,6 +72,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Backoffs {
     times: collections::BTreeMap<Pair, Time>,
+    /// What any host was told last, by upstream.
+    hints: collections::BTreeMap<id::Upstream, Time>,
 }
 
 impl Backoffs {
@@ -86,6 +100,27 @@
         Some(if was_in_force { Change::Extended } else { Change::Begun })
     }
 
+    /// Records that an upstream wants no requests from some host.
+    pub fn record_hint(
+        &mut self,
+        upstream: &id::Upstream,
+        started_ms: u64,
+        span: clock::Span,
+        now: clock::Moment,
+    ) {
+        let time = Time { started_ms, until: now + span.min(MAX_HINT) };
+        let known = self.hints.entry(upstream.clone()).or_insert(time);
+        if (known.started_ms, known.until) < (time.started_ms, time.until) {
+            *known = time;
+        }
+    }
+
+    /// Returns the upstreams that want no requests from some host now, in the order of their names.
+    pub fn hints(&self, now: clock::Moment) -> Vec<Backoff> {
+        let in_force = self.hints.iter().filter(|(_, time)| time.until > now);
+        in_force.map(|(upstream, time)| time.of(upstream)).collect()
+    }
+
     /// Returns until when an upstream in the lifetime that began at `started_ms` wants no requests
     /// from `host`; `None` if it takes them.
     pub fn until(
@@ -111,23 +146,18 @@
 
     /// Whether no time is kept, in force or over.
     pub fn is_empty(&self) -> bool {
-        self.times.is_empty()
+        self.times.is_empty() && self.hints.is_empty()
     }
 
     /// Returns the times of `host` in force, in the order of the upstreams' names.
     pub fn in_force(&self, host: u64, now: clock::Moment) -> Vec<Backoff> {
-        if self.is_empty() {
+        if self.times.is_empty() {
             return Vec::new();
         }
         let first = (host, id::Upstream::from(""));
         let of_host = self.times.range(first..).take_while(|((other, _), _)| *other == host);
         let in_force = of_host.filter(|(_, time)| time.until > now);
-        let backoff = |((_, upstream), time): (&Pair, &Time)| Backoff {
-            upstream: upstream.clone(),
-            started_ms: time.started_ms,
-            until: time.until,
-        };
-        in_force.map(backoff).collect()
+        in_force.map(|((_, upstream), time)| time.of(upstream)).collect()
     }
 
     /// Forgets times that ended a while ago, and those of hosts and upstreams that `is_known` says
@@ -139,6 +169,7 @@
         self.times.retain(|(host, upstream), time| {
             time.until + MEMORY > now && is_known(*host, upstream)
         });
+        self.hints.retain(|_, time| time.until > now);
     }
 }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -113,6 +113,9 @@
     /// Upstreams that want no requests now from the host that sends this one, in the order of their
     /// names.
     pub backoffs: &'a [backoff::Backoff],
+    /// Upstreams that want no requests now from some host, in the order of their names. Others are
+    /// preferred while they have room.
+    pub hints: &'a [backoff::Backoff],
     /// Random number that breaks ties between equally good choices.
     pub random: u64,
     /// What the request is, if that has been computed; see [`Placer::wants_identity`].
@@ -569,9 +572,14 @@
             return Err(refusal);
         }
         let profile = usable.iter().find_map(|state| state.profile());
+        let preferred = self.preferred(request, &usable);
         match profile {
             Some(profile) if request.prompt_tokens > 0 => {
-                let placed = self.place_prompt(request, &usable, profile, now);
+                let place = |among: &[_]| self.place_prompt(request, among, profile, now);
+                let placed = match preferred {
+                    Some(preferred) => place(&preferred).or_else(|_| place(&usable)),
+                    None => place(&usable),
+                };
                 let waits = matches!(placed, Err(Refusal::Deferred(_)));
                 self.waitlist.record_attempt(
                     request.waiter,
@@ -581,7 +589,7 @@
                 );
                 placed
             }
-            _ => Ok(self.place_call(request, &usable, now)),
+            _ => Ok(self.place_call(request, preferred.as_deref().unwrap_or(&usable), now)),
         }
         .inspect(|_| self.permit_queue.leave(&limited::requester(request)))
     }
@@ -605,6 +613,26 @@
         if found.is_empty() { all } else { found }
     }
 
+    /// Returns those of `usable` that have room and turned no host away lately; `None` if these are
+    /// all or none.
+    fn preferred<'a>(
+        &self,
+        request: &Request<'_>,
+        usable: &[&'a UpstreamState],
+    ) -> Option<Vec<&'a UpstreamState>> {
+        if request.hints.is_empty() {
+            return None;
+        }
+        let is_preferred = |state: &&&UpstreamState| {
+            let entry = state.entry();
+            let is_hinted = backoff::find(request.hints, &entry.upstream, entry.started_ms);
+            is_hinted.is_none() && state.has_free_slot() && state.is_open()
+        };
+        let preferred: Vec<_> = usable.iter().filter(is_preferred).copied().collect();
+        let is_some = !preferred.is_empty() && preferred.len() < usable.len();
+        is_some.then_some(preferred)
+    }
+
     /// Returns the refusal of a request for which no upstream may be used. It waits if an upstream
     /// that turned its host away wants requests again before its target.
     fn refuse_without_upstream(&self, request: &Request<'_>, now: clock::Moment) -> Refusal {
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -101,6 +101,7 @@
         zone: &zone,
         avoid,
         backoffs: &backoffs.in_force(HOST, moment(now)),
+        hints: &backoffs.hints(moment(now)),
         random: 3,
         identity: None,
     };
@@ -119,6 +120,21 @@
     assert_eq!(place(&backoffs, 2, &[upstream(2)], 3_000), Ok(upstream(1)));
 }
 
+/// An upstream turned other hosts away: this one prefers those with room, and must not do without
+/// the upstream if none has.
+#[rstest]
+fn other_upstreams_are_preferred_while_they_have_room() {
+    let mut backoffs = backoff::Backoffs::default();
+    backoffs.record_hint(&upstream(1), LIFE, span(3_600_000), moment(0));
+    assert_eq!(place(&backoffs, 2, &[], 10), Ok(upstream(2)));
+    assert_eq!(place(&backoffs, 1, &[], 10), Ok(upstream(1)));
+    assert_eq!(place(&backoffs, 2, &[upstream(2)], 10), Ok(upstream(1)));
+    assert!(backoffs.hints(moment(10_000)).is_empty());
+    let mut later = backoff::Backoffs::default();
+    later.record_hint(&upstream(1), LIFE - 1, span(3_000), moment(0));
+    assert_eq!(place(&later, 1, &[], 10), Ok(upstream(1)));
+}
+
 /// All upstreams turned the host away: a request waits if the first of them wants requests before its
 /// target, and its caller is told the time at once if not.
 #[rstest]
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -563,6 +563,7 @@
         zone: &zone,
         avoid: &[],
         backoffs: &[],
+        hints: &[],
         random: 7,
         identity: None,
     };
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -95,6 +95,7 @@
             zone: &ZONE,
             avoid: &[],
             backoffs: &[],
+            hints: &[],
             random: self.number,
             identity: None,
         }
