Tell other zones of an upstream that turns hosts away only when that is news

A host now tells the others only if no such time of the upstream is in force as far as it knows; the host that places its zone's requests is told each time, since it keeps the times of pairs.

--- a/crates/lagoon-gateway/src/backoffs.rs
+++ b/crates/lagoon-gateway/src/backoffs.rs
@@ -41,6 +41,9 @@
     /// Whether it is the receiver that was turned away, and not the sender.
     #[prost(bool, tag = "4")]
     by_receiver: bool,
+    /// Whether it is news to hosts that were not turned away.
+    #[prost(bool, tag = "5")]
+    is_hint: bool,
 }
 
 impl BackedOff {
@@ -51,12 +54,13 @@
             life: backoff.started_ms,
             left_ms: u64::try_from(left).unwrap_or(u64::MAX),
             by_receiver: false,
+            is_hint: false,
         }
     }
 
-    /// Whether it is about the host that receives it, and concerns no other.
-    pub(crate) fn is_for_receiver(&self) -> bool {
-        self.by_receiver
+    /// Whether hosts of other zones should hear of it.
+    pub(crate) fn is_for_all(&self) -> bool {
+        self.is_hint && !self.by_receiver
     }
 
     /// Creates the update that tells other hosts. It concerns no service in particular.
@@ -90,6 +94,9 @@
             }
         };
         self.metrics.retry_after_answers.inc();
+        if span.is_zero() {
+            return;
+        }
         let until = origin.seen_at + span;
         let backoff = backoff::Backoff {
             upstream: origin.upstream.clone(),
@@ -116,14 +123,19 @@
         let span = until.since(now);
         let mut backoffs = state::lock(&self.backoffs);
         let change = backoffs.record(pair, *started_ms, span, now)?;
-        backoffs.record_hint(upstream, *started_ms, span, now);
+        let is_hint = backoffs.record_hint(upstream, *started_ms, span, now);
         drop(backoffs);
-        self.publish(BackedOff::new(backoff, now).update());
+        if is_hint {
+            let word = BackedOff { is_hint, ..BackedOff::new(backoff, now) };
+            self.publish(word.update());
+        } else if state::lock(&self.peers).roster.own_zone_has_scheduler() {
+            self.tell_scheduler(backoff);
+        }
         Some(change)
     }
 
-    /// Tells the host that places requests for this zone again.
-    pub(crate) fn remind_scheduler(&self, backoff: &backoff::Backoff) {
+    /// Tells the host that places requests for this zone.
+    pub(crate) fn tell_scheduler(&self, backoff: &backoff::Backoff) {
         let update = BackedOff::new(backoff, self.clock.now()).update();
         self.queue_update(update, mesh::Audience::OwnZone);
     }
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -327,7 +327,7 @@
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
         | message::Kind::Departed(_) => true,
-        message::Kind::BackedOff(word) => !word.is_for_receiver(),
+        message::Kind::BackedOff(word) => word.is_for_all(),
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
         | message::Kind::Seen(_)
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -145,7 +145,7 @@
     };
     let withheld: Vec<_> = backoffs.iter().filter(is_placed).collect();
     for backoff in &withheld {
-        state.remind_scheduler(backoff);
+        state.tell_scheduler(backoff);
     }
     !withheld.is_empty()
 }
--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -140,10 +140,11 @@
         self.backoffs.record(pair, STARTED_MS, span, moment(now));
     }
 
-    /// Records that an upstream wants no requests from some host until `until`.
-    pub(super) fn record_hint(&mut self, index: usize, until: u64, now: u64) {
+    /// Records that an upstream wants no requests from some host until `until`. Returns whether that is
+    /// news.
+    pub(super) fn record_hint(&mut self, index: usize, until: u64, now: u64) -> bool {
         let span = moment(until).since(moment(now));
-        self.backoffs.record_hint(&upstream(index), STARTED_MS, span, moment(now));
+        self.backoffs.record_hint(&upstream(index), STARTED_MS, span, moment(now))
     }
 
     /// Returns until when an upstream wants no requests from the host `host`, in milliseconds.
--- a/crates/lagoon-load/src/backoffs/simulation.rs
+++ b/crates/lagoon-load/src/backoffs/simulation.rs
@@ -434,8 +434,9 @@
     /// upstream.
     fn tell_backoff(&mut self, host: usize, upstream: usize, until: u64) {
         let message = Message::BackedOff { host, upstream, until };
-        if self.way == Way::Preferred {
-            self.hosts[host].record_hint(upstream, until, self.now);
+        let is_hint =
+            self.way == Way::Preferred && self.hosts[host].record_hint(upstream, until, self.now);
+        if is_hint {
             self.tell(host, message);
         } else if self.way == Way::Shared {
             for to in 0..self.hosts.len() {
--- a/crates/lagoonline/src/load/backoff.rs
+++ b/crates/lagoonline/src/load/backoff.rs
@@ -100,19 +100,25 @@
         Some(if was_in_force { Change::Extended } else { Change::Begun })
     }
 
-    /// Records that an upstream wants no requests from some host.
+    /// Records that an upstream wants no requests from some host. Returns whether it is news: no such
+    /// time was in force, so that other hosts should hear of it.
     pub fn record_hint(
         &mut self,
         upstream: &id::Upstream,
         started_ms: u64,
         span: clock::Span,
         now: clock::Moment,
-    ) {
+    ) -> bool {
         let time = Time { started_ms, until: now + span.min(MAX_HINT) };
-        let known = self.hints.entry(upstream.clone()).or_insert(time);
-        if (known.started_ms, known.until) < (time.started_ms, time.until) {
-            *known = time;
+        let known = self.hints.get(upstream).copied();
+        let is_later = known
+            .is_none_or(|known| (known.started_ms, known.until) < (time.started_ms, time.until));
+        if is_later {
+            self.hints.insert(upstream.clone(), time);
         }
+        let was_in_force =
+            known.is_some_and(|known| known.started_ms >= started_ms && known.until > now);
+        is_later && !was_in_force
     }
 
     /// Returns the upstreams that want no requests from some host now, in the order of their names.
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -125,11 +125,13 @@
 #[rstest]
 fn other_upstreams_are_preferred_while_they_have_room() {
     let mut backoffs = backoff::Backoffs::default();
-    backoffs.record_hint(&upstream(1), LIFE, span(3_600_000), moment(0));
+    assert!(backoffs.record_hint(&upstream(1), LIFE, span(3_600_000), moment(0)));
+    assert!(!backoffs.record_hint(&upstream(1), LIFE, span(3_600_000), moment(1)), "no news");
     assert_eq!(place(&backoffs, 2, &[], 10), Ok(upstream(2)));
     assert_eq!(place(&backoffs, 1, &[], 10), Ok(upstream(1)));
     assert_eq!(place(&backoffs, 2, &[upstream(2)], 10), Ok(upstream(1)));
-    assert!(backoffs.hints(moment(10_000)).is_empty());
+    assert!(backoffs.hints(moment(10_001)).is_empty());
+    assert!(backoffs.record_hint(&upstream(1), LIFE, span(3_000), moment(10_001)));
     let mut later = backoff::Backoffs::default();
     later.record_hint(&upstream(1), LIFE - 1, span(3_000), moment(0));
     assert_eq!(place(&later, 1, &[], 10), Ok(upstream(1)));
