--- a/crates/lagoon-gateway/tests/backoff.rs
+++ b/crates/lagoon-gateway/tests/backoff.rs
@@ -390,3 +390,51 @@
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
     assert_eq!(fleet.received(BUSY).len(), before);
 }
+
+/// Returns when orders that begin with `operation` reached `upstream` after `since`.
+fn orders(
+    fleet: &Fleet,
+    upstream: &str,
+    operation: &str,
+    since: time::Instant,
+) -> Vec<time::Instant> {
+    let is_order = |request: &ReceivedRequest| {
+        let body = String::from_utf8_lossy(&request.body).into_owned();
+        request.path == "/api/order" && body.contains(operation)
+    };
+    let received = fleet.received(upstream).into_iter().filter(is_order);
+    received.map(|request| request.at).filter(|at| *at >= since).collect()
+}
+
+/// An engine that holds memory for a running prompt turns its host away: renewals and the release
+/// wait until its time, as long as the reservation lasts.
+#[rstest]
+fn orders_for_memory_in_use_wait() {
+    let fleet = Fleet::start(ONE, 6);
+    for name in [BUSY, "e2", "e3"] {
+        fleet.standin.behavior(name, Behavior::HangAfter(3));
+    }
+    let since = time::Instant::now();
+    let rest = time::Duration::from_millis(1_500);
+    thread::scope(|scope| {
+        let more = "lagoonline-token-count: 300000,400\r\n";
+        scope.spawn(|| fleet.send(0, "POST", "/review/a", more));
+        let holds = |name: &&str| !orders(&fleet, name, "reserve", since).is_empty();
+        let helper = || [BUSY, "e2", "e3"].into_iter().rfind(|name| holds(&name));
+        fleet.hosts[0].1.until("reserved", || helper().is_some());
+        thread::sleep(time::Duration::from_millis(200));
+        let helper = helper().unwrap();
+        let reserved = orders(&fleet, helper, "reserve", since).len();
+        fleet.standin.turn_away(helper, Some("1.5"));
+        let turned_away = || orders(&fleet, helper, "reserve", since).len() > reserved;
+        fleet.hosts[0].1.until("turned away", turned_away);
+        let asked = orders(&fleet, helper, "reserve", since)[reserved];
+        thread::sleep(rest);
+        let late = |at: &&time::Instant| **at > asked && **at < asked + rest;
+        assert_eq!(orders(&fleet, helper, "reserve", since).iter().filter(late).count(), 0);
+        assert_eq!(orders(&fleet, helper, "release", since).iter().filter(late).count(), 0);
+        fleet.standin.turn_away(helper, None);
+        let renewed = || orders(&fleet, helper, "re", since).iter().any(|at| *at >= asked + rest);
+        fleet.hosts[0].1.until("told again", renewed);
+    });
+}
