Tell the host that carried a connection of a departure that the answer names

What callers saw: nothing yet; found by reading. A host without paths that had the answer told the hosts that track what is under way. In a large zone the host that carried the connection, and passed the answer on, is mostly none of them, and while the platform is away it heard of the departure from nobody. Change: carriers::Word, a departure or a time, goes to the host that carried the connection at once and with each heartbeat for a second. Evidence: the new test fails without it (not told within 2 s) and passes. A call of a host's own is now told apart from a caller's request without an id.

--- a/crates/lagoon-gateway/src/backoffs.rs
+++ b/crates/lagoon-gateway/src/backoffs.rs
@@ -2,10 +2,8 @@
 //! answers, tells the hosts that place requests, and logs and counts them.
 //! [`lagoonline::load::backoff`] keeps them.
 //!
-//! An upstream knows a host by its connections. If another host carried the connection, the upstream
-//! turned that one away; it is told, and both send nothing.
-
-use std::collections;
+//! If another host carried the connection, the upstream turned that one away; it is told
+//! ([`crate::carriers`]), and both send nothing.
 
 use lagoon_platform::head;
 use lagoonline::clock;
@@ -14,6 +12,7 @@
 use lagoonline::load::backoff;
 use lagoonline::routing;
 
+use crate::carriers;
 use crate::event;
 use crate::heads;
 use crate::mesh;
@@ -22,9 +21,6 @@
 
 /// Statuses by which an upstream turns a host away. Of other answers the field is about the request.
 const TURNED_AWAY: [u16; 2] = [503, 429];
-/// Time for which a host that carried a connection is told again with each heartbeat, in case a
-/// datagram is lost.
-const REPEAT_TIME: clock::Span = clock::Span::from_secs(1);
 
 /// A time for which an upstream wants no requests.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -58,20 +54,22 @@
         }
     }
 
+    /// A time of the host that receives it, by which the upstream's connection went.
+    pub(crate) fn by_receiver(backoff: &backoff::Backoff, now: clock::Moment) -> BackedOff {
+        BackedOff { by_receiver: true, ..BackedOff::new(backoff, now) }
+    }
+
     /// Whether hosts of other zones should hear of it.
     pub(crate) fn is_for_all(&self) -> bool {
         self.is_hint && !self.by_receiver
     }
 
     /// Creates the update that tells other hosts. It concerns no service in particular.
-    fn update(self) -> message::Update {
+    pub(crate) fn update(self) -> message::Update {
         message::Update::new(0, &id::Service::from(""), message::Kind::BackedOff(self))
     }
 }
 
-/// Times of hosts that carried connections, which are repeated to them, each with when it was learned.
-pub(crate) type Repeated = collections::VecDeque<(id::Host, backoff::Backoff, clock::Moment)>;
-
 impl state::State {
     /// Applies what an answer says of the time after which its upstream wants further requests.
     pub(crate) fn observe_retry_after(
@@ -111,7 +109,7 @@
             origin.line(event, status).span("span_ms", span).info();
         }
         if let Some(host) = origin.through {
-            self.tell_carrier(host, backoff);
+            self.tell_carrier(host, carriers::Word::Backoff(backoff));
         }
     }
 
@@ -140,31 +138,6 @@
         self.queue_update(update, mesh::Audience::OwnZone);
     }
 
-    /// Tells the host that carried the connection of an answer that the upstream turned it away.
-    fn tell_carrier(&self, host: &id::Host, backoff: backoff::Backoff) {
-        self.send_to_carrier(host, &backoff);
-        let learned = (host.clone(), backoff, self.clock.now());
-        state::lock(&self.repeated_backoffs).push_back(learned);
-    }
-
-    /// Tells hosts that carried connections again.
-    pub(crate) fn repeat_backoffs(&self) {
-        let now = self.clock.now();
-        let mut repeated = state::lock(&self.repeated_backoffs);
-        repeated.retain(|(_, _, learned)| now.since(*learned) <= REPEAT_TIME);
-        let repeated: Vec<_> = repeated.iter().cloned().collect();
-        for (host, backoff, _) in repeated {
-            self.send_to_carrier(&host, &backoff);
-        }
-    }
-
-    fn send_to_carrier(&self, host: &id::Host, backoff: &backoff::Backoff) {
-        let address = state::lock(&self.peers).address(host);
-        let Some(address) = address else { return };
-        let word = BackedOff { by_receiver: true, ..BackedOff::new(backoff, self.clock.now()) };
-        self.send(address, &self.encode_updates(vec![word.update()]));
-    }
-
     /// Applies a time of the host incarnation `host`, or of this one, which `host` reported.
     pub(crate) fn apply_backoff(&self, host: u64, word: &BackedOff) {
         let now = self.clock.now();
--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -40,7 +40,7 @@
 }
 
 impl Departed {
-    fn new(departure: &routing::Departure) -> Departed {
+    pub(crate) fn new(departure: &routing::Departure) -> Departed {
         Departed {
             upstream: departure.upstream.to_string(),
             life: departure.started_ms,
@@ -62,7 +62,7 @@
     }
 
     /// Creates the update that tells other hosts. It concerns no service in particular.
-    fn update(&self) -> message::Update {
+    pub(crate) fn update(&self) -> message::Update {
         message::Update::new(0, &id::Service::from(""), message::Kind::Departed(self.clone()))
     }
 }
@@ -129,11 +129,9 @@
 
     /// Applies that an upstream said in an answer that it is leaving, and tells other hosts. It is as
     /// final as the same word in the platform's list. Returns whether it is news.
-    pub(crate) fn apply_announcement(&self, upstream: &id::Upstream, started_ms: u64) -> bool {
-        let cause = routing::DepartureCause::Announced;
-        let departure = routing::Departure { upstream: upstream.clone(), started_ms, cause };
-        let effect = self.registry().learn(&departure, self.clock.now());
-        self.log_effect(upstream, 0, &effect, Source::Answer);
+    pub(crate) fn apply_announcement(&self, departure: &routing::Departure) -> bool {
+        let effect = self.registry().learn(departure, self.clock.now());
+        self.log_effect(&departure.upstream, 0, &effect, Source::Answer);
         let routing::Effect::Departed { departure, .. } = &effect else { return false };
         self.publish_departure(departure);
         self.refresh_service_states();
--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -9,6 +9,7 @@
 use lagoonline::id;
 use lagoonline::routing;
 
+use crate::carriers;
 use crate::event;
 use crate::exchange;
 use crate::forward;
@@ -48,8 +49,8 @@
     pub(crate) upstream: &'a id::Upstream,
     /// When the upstream's lifetime began, as [`routing::Registration::started_ms`].
     pub(crate) started_ms: u64,
-    /// Id of the caller's request; empty for a call of this host's own.
-    pub(crate) request: &'a str,
+    /// Id of the caller's request; `None` for a call of this host's own.
+    pub(crate) request: Option<&'a str>,
     /// The host that carried the connection, if it was not direct.
     pub(crate) through: Option<&'a id::Host>,
     /// When the request was sent.
@@ -65,12 +66,12 @@
     /// says, whose answer came late or which listens at the same address now, is not believed of it.
     fn is_certain(&self, status: u16, answer: &head::Answer) -> bool {
         let is_by_upstream = answer.instance.as_ref().is_none_or(|by| by == self.upstream);
-        let is_own_call = self.request.is_empty();
-        let is_to_request = answer.request_id.as_deref().is_none_or(|id| id == self.request);
+        let is_to_request =
+            |request: &str| answer.request_id.as_deref().is_none_or(|id| id == request);
         let is_spoiled = (200..300).contains(&status) && (!answer.signed || answer.encoded);
         is_by_upstream
             && status != head::MISDIRECTED
-            && (is_own_call || is_to_request && !is_spoiled)
+            && self.request.is_none_or(|request| is_to_request(request) && !is_spoiled)
     }
 }
 
@@ -81,7 +82,7 @@
             service: &self.service,
             upstream: &open.upstream,
             started_ms: open.started_ms,
-            request: &self.request.head.request_id,
+            request: Some(&self.request.head.request_id),
             through: open.through.as_ref(),
             sent_at: open.sent_at,
             seen_at: open.head_at,
@@ -106,7 +107,7 @@
             service: &entry.service,
             upstream: &entry.upstream,
             started_ms: entry.started_ms,
-            request: "",
+            request: None,
             through: reply.through.as_ref(),
             sent_at,
             seen_at: self.clock.now(),
@@ -135,9 +136,17 @@
             head::Leaving::Unsaid => {}
             head::Leaving::Announced => {
                 self.metrics.leaving_answers.inc();
-                if self.apply_announcement(origin.upstream, origin.started_ms) {
+                let departure = routing::Departure {
+                    upstream: origin.upstream.clone(),
+                    started_ms: origin.started_ms,
+                    cause: routing::DepartureCause::Announced,
+                };
+                if self.apply_announcement(&departure) {
                     origin.line("leaving_said", status).info();
                 }
+                if let Some(host) = origin.through {
+                    self.tell_carrier(host, carriers::Word::Departure(departure));
+                }
             }
             head::Leaving::Unreadable(text) => {
                 self.log_unreadable(origin, status, "leaving_unreadable", text);
@@ -182,7 +191,7 @@
     /// Begins a log line about what the answer says.
     pub(crate) fn line(&self, event: &'static str, status: u16) -> event::Line {
         event::Line::new(event)
-            .text("request", self.request)
+            .text("request", self.request.unwrap_or_default())
             .text("upstream", self.upstream)
             .number("life", self.started_ms)
             .number("status", status)
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -123,7 +123,7 @@
         forget_silent_hosts(&state);
         send_zone_heartbeat(&state);
         state.repeat_departures();
-        state.repeat_backoffs();
+        state.repeat_to_carriers();
         if count % HEARTBEATS_PER_REMOTE_HEARTBEAT == 0 {
             send_remote_heartbeat(&state);
         }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -14,7 +14,7 @@
 use rand::Rng;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::backoffs;
+use crate::carriers;
 use crate::crash;
 use crate::departures;
 use crate::event;
@@ -106,8 +106,8 @@
     /// Times for which upstreams want no requests, of this host and of those for which it places
     /// requests.
     pub(crate) backoffs: sync::Mutex<backoff::Backoffs>,
-    /// Such times of hosts that carried connections, which are repeated to them.
-    pub(crate) repeated_backoffs: sync::Mutex<backoffs::Repeated>,
+    /// What upstreams said to hosts that carried connections, which is repeated to them.
+    pub(crate) repeated_to_carriers: sync::Mutex<carriers::Repeated>,
     /// Departures of upstreams that are repeated to other hosts.
     pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
@@ -198,7 +198,7 @@
             unread_names: sync::Mutex::default(),
             unreadable_values: sync::Mutex::default(),
             backoffs: sync::Mutex::default(),
-            repeated_backoffs: sync::Mutex::default(),
+            repeated_to_carriers: sync::Mutex::default(),
             repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
--- a/crates/lagoon-gateway/tests/leaving_answers.rs
+++ b/crates/lagoon-gateway/tests/leaving_answers.rs
@@ -14,12 +14,15 @@
 use rstest::rstest;
 use serde_json::json;
 
-use host::{Host, HostSettings, desired, send_request_for_head};
+use host::{Host, HostSettings, desired, send_request, send_request_for_head};
+use standin::path::Mode;
 use standin::{Behavior, Entrance, Standin};
 
 /// Time after the first answer that says so after which the upstream gets nothing from any host that
 /// was told: a request that was on its way has arrived then.
 const TOLD_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time after which a host that was told gets nothing to it by the rule.
+const LEAVING_BOUND: time::Duration = time::Duration::from_secs(2);
 /// Time for which requests are sent after that.
 const WATCH_TIME: time::Duration = time::Duration::from_secs(3);
 /// Pause between two requests.
@@ -308,3 +311,39 @@
     assert!(head.contains("retry-after: ") && body.contains("not-run"), "{head} {body}");
     assert_eq!(fleet.standin.received_requests().len(), before);
 }
+
+/// Hosts without paths are told through another one, which passed the answer on. In a large zone that
+/// host hears of departures from nobody else while the platform is away.
+#[rstest]
+fn a_host_that_carried_the_answer_knows_it() {
+    let standin = Standin::start();
+    standin.put("op", "config", &desired(1, &["k1"], 10_000));
+    standin.upstream(LEAVER, "app", 6);
+    let (cut, whole) = (standin.entrance_with_paths(), standin.entrance());
+    let settings = HostSettings { relay_hosts: 2, revoke_ms: 60_000, ..HostSettings::default() };
+    let join = |name, store| Host::join(&standin, HostSettings { name, store, ..settings });
+    // The first three by name track what is under way, and are told of departures. None has paths.
+    let _trackers = ["h0", "h1", "h2"].map(|name| join(name, Some(cut.address)));
+    let host = join("h3", Some(cut.address));
+    let carrier = join("h4", Some(whole.address));
+    cut.set_paths(Mode::Reset);
+    let look = || host.call("GET", "/look/1", "k1", "").0;
+    host.until("served through the other host", || look() == 200);
+    cut.set_closed(true);
+    whole.set_closed(true);
+    standin.say_leaving(LEAVER, "1");
+    host.until("told", || look() == 503);
+    let told = time::Instant::now();
+    while metric(&carrier, "upstream_departures_total{way=\"host\"}") < 1.0 {
+        assert!(told.elapsed() < LEAVING_BOUND, "the host in between was not told");
+        thread::sleep(PAUSE);
+    }
+}
+
+/// Returns the value of a metric of `host`; 0 if it has none yet.
+fn metric(host: &Host, name: &str) -> f64 {
+    let text = send_request(host.ready, "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n").1;
+    let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.find(|(key, _)| *key == format!("lagoon_gateway_{name}"));
+    found.map_or(0.0, |(_, value)| value.parse().unwrap())
+}
