--- a/crates/lagoon-gateway/tests/backoff.rs
+++ b/crates/lagoon-gateway/tests/backoff.rs
@@ -420,7 +420,7 @@
         let more = "lagoonline-token-count: 300000,400\r\n";
         scope.spawn(|| fleet.send(0, "POST", "/review/a", more));
         let holds = |name: &&str| !orders(&fleet, name, "reserve", since).is_empty();
-        let helper = || [BUSY, "e2", "e3"].into_iter().rfind(|name| holds(&name));
+        let helper = || [BUSY, "e2", "e3"].into_iter().rfind(|name| holds(name));
         fleet.hosts[0].1.until("reserved", || helper().is_some());
         thread::sleep(time::Duration::from_millis(200));
         let helper = helper().unwrap();
