Drop the entry of a kept upstream that announces its departure

Found by reading. An upstream whose row vanished around an outage stays in use for a while; if it then says in an answer, or through another host, that it leaves, its entry stayed in the list as leaving for good: its row is gone, so that no removal would ever be read. It got nothing, but cost memory and a wrong count in upstreams_leaving. The new test had one entry left before.

--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -354,11 +354,14 @@
                 false => Effect::Unchanged,
             };
         }
-        self.vanished.remove(upstream);
-        match self.entries.get_mut(upstream) {
-            Some(known) => known.registration.leaving = true,
+        match (self.vanished.remove(upstream), self.entries.get_mut(upstream)) {
+            // Its row is gone, and no further removal will be read.
+            (Some(vanished), _) => drop(self.drop_entry(upstream, vanished.version, false, now)),
+            (None, Some(known)) => known.registration.leaving = true,
             // The first version that the platform gives to a row is greater than 0.
-            None => drop(self.remember_removal(upstream, Removal::unlisted(*started_ms, 0, now))),
+            (None, None) => {
+                drop(self.remember_removal(upstream, Removal::unlisted(*started_ms, 0, now)));
+            }
         }
         Effect::Departed { departure: departure.clone(), witnessed: true }
     }
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -74,6 +74,22 @@
     assert!(!is_used(&registry));
 }
 
+/// A kept upstream says itself, or through another host, that it leaves. Its row is gone already, so that
+/// nothing would ever take its entry from the list.
+#[rstest]
+fn a_kept_upstream_that_announces_its_departure_is_listed_no_longer() {
+    let mut registry = registry();
+    registry.apply(READY.at_version(1), at(0));
+    registry.record_recovery(at(8_900), at(9_000));
+    registry.apply(removed(2), at(9_010));
+    let announced = departure(1, DepartureCause::Announced);
+    let effect = registry.learn(&announced, at(9_020));
+    assert_eq!(effect, Effect::Departed { departure: announced, witnessed: true });
+    assert_eq!((registry.entries().count(), registry.kept()), (0, 0));
+    let again = registry.apply(READY.at_version(3), at(9_500));
+    assert_eq!((again, is_used(&registry)), (Effect::Ignored(Older::AfterAnnouncement), false));
+}
+
 /// The platform recovered three seconds ago. A registration that vanishes now did not expire in the
 /// outage: its upstream left without notice, and if it were kept, requests would be sent to it for
 /// longer than the bound on leaving upstreams allows.
