Renew memory at an engine that wants no orders only at the last moment; look again before each order

Found by reading. If a time was longer than the reservation, renewals were not put off at all: an order each 1.1 s, some nine in a time of ten seconds, where two requests are allowed. They are sent once, just before the reservation expires, and an expired one waits for the end of the time. Memory on several engines is reserved one after the other, each within 0.6 s; one that announced its departure meanwhile was still asked.

--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -2,8 +2,9 @@
 //! their answers and those that other hosts report, and tells other hosts.
 //!
 //! A host that has lost the platform does not read that an upstream left. The hosts that read it, or
-//! had an answer that says it, tell all others at once, repeat it for a short time in case a datagram is lost, and tell each
-//! host that they meet. [`routing::Registry`] decides which statement is the newer one.
+//! had an answer that says it, tell all others at once, repeat it for a short time in case a datagram
+//! is lost, and tell each host that they meet. [`routing::Registry`] decides which statement is the
+//! newer one.
 
 use std::collections;
 use std::fmt;
@@ -67,7 +68,8 @@
     }
 }
 
-/// Departures that this host has read, or was told by the upstream, and repeats to others, each with the time of the first.
+/// Departures that this host has read, or was told by the upstream, and repeats to others, each with the
+/// time of the first.
 pub(crate) type Repeated = collections::VecDeque<(Departed, clock::Moment)>;
 
 /// The way by which a statement about an upstream reached this host.
@@ -174,23 +176,23 @@
         state::lock(&self.repeated_departures).push_back((departed, self.clock.now()));
     }
 
-    /// Whether each upstream of `placement` is still listed in the same lifetime and not leaving, as
-    /// far as this host knows. If the service itself is gone, the request still goes where it was
-    /// placed.
-    pub(crate) fn is_current(
-        &self,
-        service: &id::Service,
-        placement: &placement::Placement,
-    ) -> bool {
-        let is_current = |placer: &mut placement::Placer, placed: &routing::Registration| {
+    /// Whether an upstream that was chosen is still listed in the same lifetime and not leaving, as far
+    /// as this host knows. If its service itself is gone, the request still goes where it was placed.
+    pub(crate) fn is_current(&self, chosen: &routing::Registration) -> bool {
+        let is_current = |placer: &mut placement::Placer, _| {
             placer
-                .entry(placed.upstream.as_str())
-                .is_some_and(|entry| !entry.leaving && entry.started_ms == placed.started_ms)
+                .entry(chosen.upstream.as_str())
+                .is_some_and(|entry| !entry.leaving && entry.started_ms == chosen.started_ms)
         };
-        let helpers = placement.helpers.iter().map(|helper| &helper.entry);
-        let mut placed = std::iter::once(&placement.primary).chain(helpers);
-        self.with_placer(service, |placer, _| placed.all(|entry| is_current(placer, entry)))
-            .unwrap_or(true)
+        self.with_placer(&chosen.service, is_current).unwrap_or(true)
+    }
+
+    /// Returns why nothing must be sent now to an upstream that was chosen; `None` if it may be.
+    pub(crate) fn withhold_reason(&self, chosen: &routing::Registration) -> Option<&'static str> {
+        if !self.is_current(chosen) {
+            return Some("it has left");
+        }
+        self.backoff_until(chosen).map(|_| "it asked this host to wait")
     }
 
     /// Logs what a statement about `upstream`, of this version of its row, did; 0 stands for a statement that
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -378,9 +378,8 @@
         };
         let through = connection.through().cloned();
         let mut exchange = exchange::Exchange::open(connection).await.map_err(unsent)?;
-        if let Some(why) = self.withhold_reason(&placement) {
+        if let Some(detail) = self.withhold_reason(&placement) {
             self.state.metrics.sends_prevented.inc();
-            let detail = format!("{}: {why}", primary.upstream);
             return Err(attempt::Failure::Withheld(detail));
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
@@ -435,13 +434,15 @@
         })
     }
 
-    /// Returns why a placed request must not be sent now; `None` if it may be.
-    fn withhold_reason(&self, placement: &placement::Placement) -> Option<&'static str> {
-        if !self.state.is_current(&self.service, placement) {
-            return Some("an upstream of the placement left");
-        }
-        let is_asked = self.state.backoff_until(&placement.primary).is_some();
-        is_asked.then_some("it asked this host to wait")
+    /// Returns why a placed request must not be sent now, and because of which upstream; `None` if it
+    /// may be.
+    fn withhold_reason(&self, placement: &placement::Placement) -> Option<String> {
+        let helpers = placement.helpers.iter().map(|helper| &helper.entry);
+        let mut placed = std::iter::once(&placement.primary).chain(helpers);
+        placed.find_map(|entry| {
+            let why = self.state.withhold_reason(entry)?;
+            Some(format!("{}: {why}", entry.upstream))
+        })
     }
 
     /// Records that a dispatch is sent now.
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -81,12 +81,16 @@
         Ok(status)
     }
 
-    /// Returns until when the engine wants no orders from this host, if the reservation lasts beyond
-    /// that.
+    /// Returns when the next renewal is due at an engine that wants no orders from this host now: once
+    /// it wants them, or just before the reservation expires. `None` if it is due already. What has
+    /// expired can wait.
     fn postponed_until(&self, state: &state::State) -> Option<clock::Moment> {
         let until = state.backoff_until(&self.entry)?;
+        let now = state.clock.now();
         let expiry = *state::lock(&self.held_since) + hold_time(state);
-        (until + ORDER_TIMEOUT <= expiry).then_some(until)
+        let last_chance = expiry.saturating_sub(ORDER_TIMEOUT);
+        let due = if now < expiry { until.min(last_chance) } else { until };
+        (due > now).then_some(due)
     }
 
     /// Whether the engine may still carry out an unanswered reserve order.
@@ -170,8 +174,8 @@
     let mut held = Reservations { state: state.clone(), reservations: Vec::new(), active_until };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
         let id = format!("{name}-{index}");
-        if state.backoff_until(&entry).is_some() {
-            let detail = "it asked this host to wait".to_owned();
+        if let Some(why) = state.withhold_reason(&entry) {
+            let detail = why.to_owned();
             return Err(Refusal { upstream: entry.upstream, outcome: None, detail });
         }
         let reservation = Reservation {
@@ -235,7 +239,7 @@
 }
 
 /// Runs one round of renewals. Returns when the first of those is due that were put off since their
-/// engines want no orders before.
+/// engines want no orders now.
 ///
 /// # Errors
 ///
