Bound what is kept of names and values that upstreams make up

Found by reading. Unreadable values were kept and logged whole, and names of unread fields became labels whatever their length. Both end at 64 now; longer names are counted as others.

--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -17,7 +17,9 @@
 
 /// Maximum number of names of unread fields that are counted one by one; others count as `other`.
 const MAX_UNREAD_NAMES: usize = 64;
-/// Label of unread fields beyond [`MAX_UNREAD_NAMES`].
+/// Maximum length in bytes of such a name, and in characters of an unreadable value that is logged.
+const MAX_TEXT: usize = 64;
+/// Label of unread fields beyond [`MAX_UNREAD_NAMES`], or of longer names.
 const OTHER_NAMES: &str = "other";
 
 /// Maximum number of unreadable values that are remembered so that each is logged once; the memory
@@ -162,7 +164,8 @@
         event: &'static str,
         text: &str,
     ) {
-        let is_first = state::lock(&self.unreadable_values).insert(origin, text);
+        let text: String = text.chars().take(MAX_TEXT).collect();
+        let is_first = state::lock(&self.unreadable_values).insert(origin, &text);
         if is_first {
             origin.line(event, status).text("value", text).text("outcome", "ignored").warn();
         }
@@ -173,7 +176,8 @@
     fn count_unread_fields(&self, upstream: &id::Upstream, names: &[String]) {
         for name in names {
             let mut known = state::lock(&self.unread_names);
-            let is_counted = known.contains(name) || known.len() < MAX_UNREAD_NAMES;
+            let has_room = known.len() < MAX_UNREAD_NAMES && name.len() <= MAX_TEXT;
+            let is_counted = known.contains(name) || has_room;
             let is_first = is_counted && known.insert(name.clone());
             drop(known);
             self.metrics.count_unread_field(if is_counted { name } else { OTHER_NAMES });
