--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -40,7 +40,7 @@
     let key = request.head.key.as_deref();
     let customer = match table.customer(route, key) {
         routing::KeyMatch::Open => None,
-        routing::KeyMatch::Customer(customer) => Some(customer.name.clone()),
+        routing::KeyMatch::Customer(customer) => Some(customer),
         routing::KeyMatch::Unknown => {
             return Err(unknown_route_or_key(
                 state,
@@ -59,7 +59,8 @@
     Ok(forward::Admitted {
         state: state.clone(),
         service,
-        customer,
+        urgency: route.urgency(customer.as_deref()),
+        customer: customer.map(|customer| customer.name.clone()),
         deadline: request.arrived + wait,
         route: route.clone(),
         request,
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -96,6 +96,8 @@
     pub(crate) route: sync::Arc<routing::Route>,
     pub(crate) service: id::Service,
     pub(crate) customer: Option<id::Customer>,
+    /// Priority of the request, as [`routing::Route::urgency`].
+    pub(crate) urgency: u32,
     pub(crate) deadline: clock::Moment,
     /// Computed on first use.
     pub(crate) fingerprint: sync::OnceLock<fingerprint::Fingerprint>,
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -274,6 +274,8 @@
             hints: &self.state.backoff_hints(),
             random: rand::rng().random(),
             identity,
+            urgency: self.urgency,
+            customer: self.customer.as_ref(),
         };
         let ask = schedule::ask_scheduler(
             &self.state,
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -48,6 +48,12 @@
     /// Whether the request was sent before, so that the dispatch is a retry.
     #[prost(bool, tag = "12")]
     pub(crate) is_retry: bool,
+    /// Priority of the request; 0 is the most urgent.
+    #[prost(uint32, tag = "13")]
+    pub(crate) urgency: u32,
+    /// Customer that sent it; empty if there is none.
+    #[prost(string, tag = "14")]
+    pub(crate) customer: String,
 }
 
 /// What the scheduler knows of upstreams for a request of another host; see [`placement::Request`].
@@ -56,6 +62,7 @@
     pub(crate) avoid: &'a [id::Upstream],
     pub(crate) backoffs: &'a [backoff::Backoff],
     pub(crate) hints: &'a [backoff::Backoff],
+    pub(crate) customer: Option<&'a id::Customer>,
 }
 
 impl Question {
@@ -81,6 +88,8 @@
             turn: request.waiter.number,
             identity: request.identity.as_ref().map(quarantine::Identity::new),
             is_retry,
+            urgency: request.urgency,
+            customer: request.customer.map(ToString::to_string).unwrap_or_default(),
         }
     }
 
@@ -105,6 +114,8 @@
             hints: known.hints,
             random,
             identity: self.identity.as_ref().and_then(|identity| identity.fingerprint().ok()),
+            urgency: self.urgency,
+            customer: known.customer,
         }
     }
 
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -184,8 +184,14 @@
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
     let backoffs = state.backoffs_of(asking);
     let zone = &state.settings.node.zone;
-    let known =
-        question::Known { avoid: &avoid, backoffs: &backoffs, hints: &state.backoff_hints() };
+    let customer = Some(question.customer.as_str()).filter(|name| !name.is_empty());
+    let customer = customer.map(id::Customer::from);
+    let known = question::Known {
+        avoid: &avoid,
+        backoffs: &backoffs,
+        hints: &state.backoff_hints(),
+        customer: customer.as_ref(),
+    };
     let request = question.request(asking, zone, known, rand::rng().random());
     if question.is_retry && state.retry_verdict(&service) != retry::Verdict::Allowed {
         return Some(question::Decision::NoRetry(message::Empty {}));
--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -61,6 +61,7 @@
             slots: scenario.slots as u32,
             leaving: false,
             started_ms: STARTED_MS,
+            cold: clock::Span::ZERO,
         };
         let profile = profile::Profile {
             step_ms: 1.02,
@@ -100,6 +101,8 @@
             hints: &self.backoffs.hints(now),
             random,
             identity: None,
+            urgency: 0,
+            customer: None,
         };
         self.placer.place(&request, now).map(|placed| index(&placed.primary.upstream))
     }
--- a/crates/lagoon-load/src/departures/platform.rs
+++ b/crates/lagoon-load/src/departures/platform.rs
@@ -1,6 +1,7 @@
 //! The platform's list and the upstreams that report to it.
 
 use std::net;
+use std::time;
 
 use lagoonline::id;
 use lagoonline::routing;
@@ -181,6 +182,7 @@
             slots: 16,
             leaving,
             started_ms: 1,
+            cold: time::Duration::ZERO,
         };
         let listing = routing::Listing { registration, sequence, version };
         self.log.push((now, routing::Change::Put(listing)));
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -286,6 +286,8 @@
             hints: &[],
             random: self.random.random(),
             identity: Some(identity),
+            urgency: 0,
+            customer: None,
         };
         self.number += 1;
         let number = self.number;
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -120,6 +120,10 @@
     pub random: u64,
     /// What the request is, if that has been computed; see [`Placer::wants_identity`].
     pub identity: Option<fingerprint::Fingerprint>,
+    /// Its priority: that of its customer, or else of its route; 0 is the most urgent.
+    pub urgency: u32,
+    /// The customer that sent it; `None` on a route that needs no key.
+    pub customer: Option<&'a id::Customer>,
 }
 
 impl Request<'_> {
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -98,6 +98,8 @@
     pub max_attempts: u32,
     /// Whether requests are served without a customer's key.
     pub public: bool,
+    /// The only regions in which its requests may be processed; empty if all are allowed.
+    pub homes: Vec<id::Region>,
 }
 
 /// A group of upstreams that serve the same requests.
@@ -111,6 +113,17 @@
     pub max_connections: u32,
     /// Performance profile of its model engines; `None` for a plain service.
     pub profile: Option<profile::Profile>,
+    /// What its upstreams bear shortly after a start; `None` if they bear all that they ever do.
+    pub cold_start: Option<ColdStart>,
+}
+
+/// What an upstream bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdStart {
+    /// How long it is cold after a start.
+    pub span: clock::Span,
+    /// Requests per second, of all hosts together, that it bears meanwhile.
+    pub rate: f64,
 }
 
 /// A customer and its keys.
@@ -122,6 +135,8 @@
     pub keys: Vec<String>,
     /// Priority of its requests, where 0 is the highest; overrides the priority of the route.
     pub priority: Option<u32>,
+    /// The only regions in which its requests may be processed; empty if all are allowed.
+    pub homes: Vec<id::Region>,
 }
 
 /// Limits on the size and timing of requests.
@@ -180,4 +195,6 @@
     pub leaving: bool,
     /// Start time of this incarnation in Unix milliseconds; 0 if unknown.
     pub started_ms: u64,
+    /// How much longer it is cold, as of the report that says so.
+    pub cold: clock::Span,
 }
--- a/crates/lagoonline/src/routing/table.rs
+++ b/crates/lagoonline/src/routing/table.rs
@@ -122,6 +122,22 @@
 }
 
 impl Route {
+    /// Returns the priority of a request of `customer`; 0 is the most urgent. A customer's own
+    /// priority goes before that of the route.
+    ///
+    /// ```
+    /// use lagoonline::{id, routing::{Customer, Route}};
+    /// # fn check(route: Route, customer: Customer) {
+    /// let route = Route { priority: 2, ..route };
+    /// let urgent = Customer { priority: Some(0), ..customer };
+    /// assert_eq!(route.urgency(Some(&urgent)), 0);
+    /// assert_eq!(route.urgency(None), 2);
+    /// # }
+    /// ```
+    pub fn urgency(&self, customer: Option<&Customer>) -> u32 {
+        customer.and_then(|customer| customer.priority).unwrap_or(self.priority)
+    }
+
     /// Returns the service that a request goes to; `draw` must be uniformly distributed over all
     /// `u64` values.
     ///
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -78,6 +78,7 @@
         slots: 6,
         leaving: false,
         started_ms: LIFE,
+        cold: clock::Span::ZERO,
     }
 }
 
@@ -104,6 +105,8 @@
         hints: &backoffs.hints(moment(now)),
         random: 3,
         identity: None,
+        urgency: 0,
+        customer: None,
     };
     placer.place(&request, moment(now)).map(|placed| placed.primary.upstream)
 }
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -566,6 +566,8 @@
         hints: &[],
         random: 7,
         identity: None,
+        urgency: 0,
+        customer: None,
     };
     let now = Moment::from_millis(10);
     placer.record_unreachable(&id::Upstream::from("e00"), now);
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -34,6 +34,7 @@
         slots: 16,
         leaving: false,
         started_ms: 1,
+        cold: Span::ZERO,
     }
 }
 
@@ -98,6 +99,8 @@
             hints: &[],
             random: self.number,
             identity: None,
+            urgency: 0,
+            customer: None,
         }
     }
 
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -20,12 +20,13 @@
         ],
         max_attempts: 2,
         public: false,
+        homes: Vec::new(),
     }
 }
 
 fn customer(name: &str, keys: &[&str]) -> routing::Customer {
     let keys = keys.iter().map(|key| (*key).to_owned()).collect();
-    routing::Customer { name: id::Customer::from(name), keys, priority: None }
+    routing::Customer { name: id::Customer::from(name), keys, priority: None, homes: Vec::new() }
 }
 
 #[rstest]
