Count the parts of later prompts when a long prompt's engine is chosen

Traced: an engine prefills parts for others ahead of its own prompts, also those that come later; one prompt with all its memory reserved stood behind 25 later parts, 7.4 s of prefill, for 8.2 s. The estimate counted only the parts that were there.

The expected delay by later parts, the queue times the share of the fleet's time that long prompts take lately over what is left, is added to the cost of the engine that answers and to the expected first token. Without such load it is zero.

--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -56,6 +56,9 @@
     first_token_ms: f64,
 }
 
+/// Largest share of an engine's time that parts of later prompts are expected to take. With more, a
+/// queue of a few milliseconds would outweigh all other costs.
+const MAX_OVERTAKING_SHARE: f64 = 0.8;
 /// Value of a late answer relative to one in time.
 const LATE_VALUE: f64 = 0.25;
 /// Multiple of the target after which the caller is assumed to have given up.
@@ -319,7 +322,8 @@
                 + self.remote_cost(request, engine)
                 + spillover(index)
                 + idle_penalty;
-            self.cost(request, engine, part_ms) + placement_cost + failures
+            let overtaking_ms = self.overtaking_ms(request, usable, engine, now);
+            self.cost(request, engine, part_ms) + placement_cost + failures + overtaking_ms
         });
         let need = request.prompt_tokens + request.answer_tokens;
         let share = self.settings.memory_share;
@@ -361,7 +365,8 @@
         }
         let part_ms = total_ms / (helpers.len() + 1) as f64;
         let waits = helpers.iter().map(|(index, _)| usable[*index].helper_wait_ms());
-        let wait = waits.fold(usable[primary].wait_ms(), f64::max);
+        let overtaking_ms = self.overtaking_ms(request, usable, usable[primary], now);
+        let wait = waits.fold(usable[primary].wait_ms() + overtaking_ms, f64::max);
         let first_token_ms = wait + part_ms + usable[primary].pass_ms();
         let runner_up = by_cost.iter().copied().find(|index| *index != primary);
         Ok(Plan { primary, helpers, part_ms, first_token_ms, net_value: 0.0, runner_up })
@@ -489,6 +494,28 @@
         if left > 0 { Err(Refusal::Deferred(Shortage::Memory)) } else { Ok(memory_helpers) }
     }
 
+    /// Milliseconds by which parts of later prompts are expected to delay the prefill of a prompt
+    /// with a loose gap limit that `engine` answers.
+    ///
+    /// Load pattern: a burst of long prompts, each prefilled by many engines, keeps most engines
+    /// busy. An engine prefills parts for others ahead of its own prompts, also parts that come
+    /// later, so its queue shrinks only in the time that these leave. A prompt on an engine with a
+    /// short queue could wait for many seconds while prompts sent after it are answered.
+    fn overtaking_ms(
+        &self,
+        request: &Request<'_>,
+        usable: &[&UpstreamState],
+        engine: &UpstreamState,
+        now: clock::Moment,
+    ) -> f64 {
+        if self.is_tight(request) {
+            return 0.0;
+        }
+        let share = self.prefill_load.engines(now) / usable.len().max(1) as f64;
+        let share = share.min(MAX_OVERTAKING_SHARE);
+        engine.queued_prefill_ms() * share / (1.0 - share)
+    }
+
     /// Cost of prefilling a part on `engine`, in milliseconds of delay: the wait until the part
     /// starts, and the answers that it makes late.
     fn cost(&self, request: &Request<'_>, engine: &UpstreamState, part_ms: f64) -> f64 {
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -59,6 +59,29 @@
     assert!(short.values().all(|answers| *answers <= 16), "beyond its slots: {short:?}");
 }
 
+/// Guards against a long prompt that waits for seconds at an engine while prompts sent after it are
+/// answered. Engines prefill parts for others first, so in a burst of long prompts the queue of an
+/// engine is also behind the parts of later prompts. Without load an engine that answers already is
+/// preferred despite its queue; in a burst one with no queue is.
+#[rstest]
+#[case::calm(0, true)]
+#[case::burst(40, false)]
+fn long_prompts_avoid_queues_that_later_parts_overtake(
+    #[case] recent_prompts: usize,
+    #[case] goes_to_queue: bool,
+) {
+    let mut sim = Simulation::new(20);
+    let answering = sim.record_remote_dispatch(7, Vec::new(), 5_000, LOOSE);
+    sim.placer.record_first_token(answering, sim.now);
+    for _ in 0..recent_prompts {
+        let ended = sim.record_remote_dispatch(19, Vec::new(), 100_000, LOOSE);
+        sim.placer.record_end(ended, sim.now);
+    }
+    sim.record_remote_dispatch(7, Vec::new(), 14_000, LOOSE);
+    let placed = sim.place(100_000, LOOSE, 0).unwrap();
+    assert_eq!(placed.primary.upstream == name(7), goes_to_queue, "{placed:?}");
+}
+
 /// Guards against counting a dispatch twice. A starting host is told of the dispatches of other
 /// hosts, of some of them both in the list sent on connecting and separately. When such a host
 /// restarts, its dispatches have ended with its connections.
