Ask one question before every send: left, evacuated zone, homes, backoff

Cause: placement, the attempt, reservations, load reports and carried connections each had a check of their own for upstreams that left or want no requests for a time, and none knew of evacuated zones or home regions.

Change: routing::Eligibility keeps the evacuated zones by the version of the table `op` and answers for one send why nothing may be sent. All ways to an upstream ask it. Hosts tell each other of evacuations and their end; a request whose zones are all excluded is refused at once with 503. Calls about running requests are made in evacuated zones as before.

--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -60,6 +60,7 @@
         state: state.clone(),
         service,
         urgency: route.urgency(customer.as_deref()),
+        homes: routing::Homes::of(route, customer.as_deref()),
         customer: customer.map(|customer| customer.name.clone()),
         deadline: request.arrived + wait,
         route: route.clone(),
--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -127,7 +127,7 @@
     if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
         return completeness::Process::Ended;
     }
-    match path::connect(state, &entry, None, PROBE_TIMEOUT).await {
+    match path::connect(state, &entry, path::Purpose::RUNNING, PROBE_TIMEOUT).await {
         Ok(_) => completeness::Process::Running,
         Err(failure) if failure.verdict == path::Verdict::Refused => completeness::Process::Ended,
         Err(_) => completeness::Process::Unknown,
--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -12,7 +12,6 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::placement;
 use lagoonline::routing;
 
 use crate::event;
@@ -176,25 +175,6 @@
         state::lock(&self.repeated_departures).push_back((departed, self.clock.now()));
     }
 
-    /// Whether an upstream that was chosen is still listed in the same lifetime and not leaving, as far
-    /// as this host knows. If its service itself is gone, the request still goes where it was placed.
-    pub(crate) fn is_current(&self, chosen: &routing::Registration) -> bool {
-        let is_current = |placer: &mut placement::Placer, _| {
-            placer
-                .entry(chosen.upstream.as_str())
-                .is_some_and(|entry| !entry.leaving && entry.started_ms == chosen.started_ms)
-        };
-        self.with_placer(&chosen.service, is_current).unwrap_or(true)
-    }
-
-    /// Returns why nothing must be sent now to an upstream that was chosen; `None` if it may be.
-    pub(crate) fn withhold_reason(&self, chosen: &routing::Registration) -> Option<&'static str> {
-        if !self.is_current(chosen) {
-            return Some("it has left");
-        }
-        self.backoff_until(chosen).map(|_| "it asked this host to wait")
-    }
-
     /// Logs what a statement about `upstream`, of this version of its row, did; 0 stands for a statement that
     /// comes from no row.
     pub(crate) fn log_effect(
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -98,6 +98,8 @@
     pub(crate) customer: Option<id::Customer>,
     /// Priority of the request, as [`routing::Route::urgency`].
     pub(crate) urgency: u32,
+    /// Where it may be processed.
+    pub(crate) homes: routing::Homes,
     pub(crate) deadline: clock::Moment,
     /// Computed on first use.
     pub(crate) fingerprint: sync::OnceLock<fingerprint::Fingerprint>,
@@ -365,11 +367,11 @@
         let place::Allocation { placement, id: dispatch_id, in_flight, leave } = allocation;
         let primary = &placement.primary;
         let connect = CONNECT_TIMEOUT.min(self.time_left());
-        let admission = Some(self.admission());
+        let purpose = path::Purpose::Request(self.admission(), self.homes.clone());
         let unsent = |failure: exchange::Failure| {
             attempt::Failure::Unsent(format!("{}: {failure}", primary.upstream))
         };
-        let connection = match path::connect(&self.state, primary, admission, connect).await {
+        let connection = match path::connect(&self.state, primary, purpose, connect).await {
             Ok(connection) => connection,
             Err(failure) => {
                 if failure.verdict.is_down() {
@@ -442,7 +444,7 @@
         let helpers = placement.helpers.iter().map(|helper| &helper.entry);
         let mut placed = std::iter::once(&placement.primary).chain(helpers);
         placed.find_map(|entry| {
-            let why = self.state.withhold_reason(entry)?;
+            let why = self.state.exclusion(entry, &self.homes, routing::Work::New)?;
             Some(format!("{}: {why}", entry.upstream))
         })
     }
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod connection;
 mod crash;
 mod departures;
+mod eligibility;
 mod event;
 mod exchange;
 mod forward;
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -126,6 +126,7 @@
         state.repeat_to_carriers();
         if count % HEARTBEATS_PER_REMOTE_HEARTBEAT == 0 {
             send_remote_heartbeat(&state);
+            state.repeat_evacuations();
         }
         count += 1;
     }
@@ -326,7 +327,8 @@
         | message::Kind::Begun(_)
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
-        | message::Kind::Departed(_) => true,
+        | message::Kind::Departed(_)
+        | message::Kind::Evacuated(_) => true,
         message::Kind::BackedOff(word) => word.is_for_all(),
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
@@ -358,6 +360,7 @@
         message::Kind::Verdict(verdict) => return state.apply_verdict(verdict),
         message::Kind::Limited(limited) => return state.apply_limited(&service, sender, limited),
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
+        message::Kind::Evacuated(word) => return state.apply_evacuated(sender, word),
         message::Kind::Used(usages) => return state.apply_usages(usages),
         message::Kind::BackedOff(word) => return state.apply_backoff(id.host, word),
         _ => {}
@@ -388,6 +391,7 @@
         | message::Kind::Verdict(_)
         | message::Kind::Limited(_)
         | message::Kind::Departed(_)
+        | message::Kind::Evacuated(_)
         | message::Kind::Used(_)
         | message::Kind::BackedOff(_) => {}
     });
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -3,8 +3,8 @@
 //! A lost, late or duplicated update changes only a host's estimate of an engine's load, never an
 //! answer to a caller. Quarantine verdicts are an exception, since they decide which requests are
 //! refused; so hosts compare a checksum of their verdicts and send each other what is missing.
-//! Departures of upstreams are another: they are repeated, sent to each host that is met, and
-//! ordered by the receiver.
+//! Departures of upstreams and evacuations of zones are others: they are repeated, sent to each host
+//! that is met, and ordered by the receiver.
 
 use lagoonline::clock;
 use lagoonline::id;
@@ -13,6 +13,7 @@
 
 use crate::backoffs;
 use crate::departures;
+use crate::eligibility;
 use crate::limits;
 use crate::quarantine;
 use crate::question;
@@ -96,7 +97,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 19")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -163,6 +164,9 @@
     /// Not about a dispatch: an upstream wants no requests from a host for a time.
     #[prost(message, tag = "17")]
     BackedOff(backoffs::BackedOff),
+    /// Not about a dispatch: operators evacuated a zone, or returned it.
+    #[prost(message, tag = "19")]
+    Evacuated(eligibility::Evacuated),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -244,6 +244,10 @@
     pub(crate) sends_in_backoff: Counter,
     /// Requests refused because all upstreams had turned this host away.
     pub(crate) refused_for_backoff: Counter,
+    /// Zones that are evacuated, as far as this host knows.
+    pub(crate) evacuated_zones: Gauge,
+    /// Requests refused because all upstreams are in zones that are evacuated or no homes.
+    pub(crate) refused_for_zone: Counter,
     /// Refusals of upstreams that say when these want further requests.
     pub(crate) retry_after_answers: Counter,
     /// Fields of upstreams' answers that nobody reads, by name.
@@ -302,6 +306,8 @@
             backoffs: Gauge::default(),
             sends_in_backoff: Counter::default(),
             refused_for_backoff: Counter::default(),
+            evacuated_zones: Gauge::default(),
+            refused_for_zone: Counter::default(),
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
             connections: Family::default(),
@@ -366,6 +372,10 @@
         registry.register("sends_in_backoff", help, self.sends_in_backoff.clone());
         let help = "requests refused because all upstreams had turned this host away";
         registry.register("backoff_refused", help, self.refused_for_backoff.clone());
+        let help = "zones that are evacuated, as far as this host knows";
+        registry.register("evacuated_zones", help, self.evacuated_zones.clone());
+        let help = "requests refused because all upstreams are in zones evacuated or not allowed";
+        registry.register("zone_refused", help, self.refused_for_zone.clone());
         let help = "refusals of upstreams that say when these want further requests";
         registry.register("retry_after_answers", help, self.retry_after_answers.clone());
         let help = "fields of upstreams' answers that nobody reads, by name";
--- a/crates/lagoon-gateway/src/mirror.rs
+++ b/crates/lagoon-gateway/src/mirror.rs
@@ -58,6 +58,11 @@
         self.version
     }
 
+    /// Returns the rows that exist.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = &store::Row> {
+        self.rows.values().filter(|row| row.value.is_some())
+    }
+
     /// Returns the version of the last relevant change.
     pub(crate) fn last_change(&self) -> u64 {
         self.last_change
--- a/crates/lagoon-gateway/src/path/message.rs
+++ b/crates/lagoon-gateway/src/path/message.rs
@@ -24,6 +24,19 @@
     /// Name of the asking host.
     #[prost(string, tag = "6")]
     pub(crate) host: String,
+    /// Whether it is for a call of the asking host's own about a running request.
+    #[prost(bool, tag = "7")]
+    pub(crate) running: bool,
+}
+
+impl Open {
+    /// Returns what the connection is used for.
+    pub(crate) fn work(&self) -> routing::Work {
+        match (&self.admission, self.running) {
+            (None, true) => routing::Work::Running,
+            (Some(_), _) | (None, false) => routing::Work::New,
+        }
+    }
 }
 
 /// How a request was admitted, so that a host with a newer desired state can refuse it.
@@ -64,6 +77,19 @@
         };
         customer == self.customer && route.shares.iter().any(|share| share.service == *service)
     }
+
+    /// Returns where the request may be processed by `table`. A table that is no newer than the one
+    /// that admitted the request does not object.
+    pub(crate) fn homes(&self, table: &routing::Table) -> routing::Homes {
+        let route = table.route(&self.host, &self.path);
+        let Some(route) = route.filter(|_| table.version() > self.version) else {
+            return routing::Homes::default();
+        };
+        match table.customer(route, self.key.as_deref()) {
+            routing::KeyMatch::Customer(customer) => routing::Homes::of(route, Some(&customer)),
+            routing::KeyMatch::Open | routing::KeyMatch::Unknown => routing::Homes::of(route, None),
+        }
+    }
 }
 
 /// The answer to [`Open`]. If the connection is open, its bytes follow in both directions, in
@@ -100,6 +126,8 @@
     Unavailable = 7,
     /// The upstream turned the host that was asked away, and wants no requests from it for a time.
     BackedOff = 9,
+    /// The upstream's zone is evacuated.
+    Evacuated = 10,
 }
 
 impl Outcome {
@@ -116,6 +144,7 @@
             Outcome::PathLost => "path_lost",
             Outcome::Unavailable => "unavailable",
             Outcome::BackedOff => "backed_off",
+            Outcome::Evacuated => "evacuated",
         }
     }
 }
--- a/crates/lagoon-gateway/src/path/mod.rs
+++ b/crates/lagoon-gateway/src/path/mod.rs
@@ -35,6 +35,20 @@
 /// Timeout for a connection to another upstream that shows whether this host has paths.
 const LOOK_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
+/// What a connection is opened for.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    /// A caller's request that was admitted so and may be processed in these regions.
+    Request(message::Admission, routing::Homes),
+    /// A call of this host's own.
+    Call(routing::Work),
+}
+
+impl Purpose {
+    /// A call about a running request, or a look at an upstream that sends nothing.
+    pub(crate) const RUNNING: Purpose = Purpose::Call(routing::Work::Running);
+}
+
 /// What is known of an upstream to which no connection opened.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum Verdict {
@@ -44,7 +58,8 @@
     Silent,
     /// Nothing: this host may have lost its path, and no other host could tell.
     Unknown,
-    /// It has left, or the request is no longer allowed, as another host knows.
+    /// It has left, its zone is evacuated, or the request is no longer allowed, as another host
+    /// knows.
     Outdated,
     /// It wants no requests for a time from the host that would carry the connection.
     BackedOff,
@@ -65,8 +80,8 @@
     detail: String,
 }
 
-/// Connects to the upstream `entry` within `timeout`. A host in between checks `admission`, if
-/// given, against a newer desired state than this host's.
+/// Connects to the upstream `entry` within `timeout`. A host in between checks a request's admission
+/// against a newer desired state than this host's.
 ///
 /// # Errors
 ///
@@ -74,15 +89,15 @@
 pub(crate) async fn connect(
     state: &state::State,
     entry: &routing::Registration,
-    admission: Option<message::Admission>,
+    purpose: Purpose,
     timeout: time::Duration,
 ) -> Result<Connection, Failure> {
     let plan = state::lock(&state.paths).plan(&entry.upstream, state.clock.now());
     let opened = match plan {
         routing::PathPlan::Direct { hedge_after } => {
-            hedged(state, entry, admission, hedge_after, timeout).await
+            hedged(state, entry, purpose, hedge_after, timeout).await
         }
-        routing::PathPlan::Through => avoiding_direct(state, entry, admission, timeout).await,
+        routing::PathPlan::Through => avoiding_direct(state, entry, purpose, timeout).await,
     };
     state.metrics.count_path(match &opened {
         Ok(connection) => connection.label(),
@@ -96,14 +111,14 @@
 async fn hedged(
     state: &state::State,
     entry: &routing::Registration,
-    admission: Option<message::Admission>,
+    purpose: Purpose,
     hedge_after: time::Duration,
     timeout: time::Duration,
 ) -> Result<Connection, Failure> {
     let mut direct = std::pin::pin!(connect_directly(state, entry, timeout));
     let early = tokio::time::timeout(hedge_after.min(timeout), &mut direct).await;
     let left = timeout.saturating_sub(hedge_after);
-    let mut through = std::pin::pin!(through::connect(state, entry, admission, left));
+    let mut through = std::pin::pin!(through::connect(state, entry, purpose, left));
     match early {
         Ok(Ok(stream)) => return Ok(Connection::Direct(stream)),
         Ok(Err(error)) => return after_direct(state, entry, &error, through.await).await,
@@ -156,11 +171,11 @@
 async fn avoiding_direct(
     state: &state::State,
     entry: &routing::Registration,
-    admission: Option<message::Admission>,
+    purpose: Purpose,
     timeout: time::Duration,
 ) -> Result<Connection, Failure> {
     let began = state.clock.now();
-    let failure = match through::connect(state, entry, admission, timeout).await {
+    let failure = match through::connect(state, entry, purpose, timeout).await {
         Ok(tunnel) => return Ok(Connection::Tunnel(Box::new(tunnel))),
         Err(failure) => failure,
     };
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -161,17 +161,29 @@
         return Err(message::Outcome::Unavailable);
     }
     let service = id::Service::from(open.service.as_str());
-    let entry = listed(state, &service, open).ok_or(message::Outcome::Left)?;
-    if state.backoff_until(&entry).is_some() {
-        return Err(message::Outcome::BackedOff);
-    }
+    let entry = state.with_placer(&service, |placer, _| placer.entry(&open.upstream).cloned());
+    let entry = entry.flatten().ok_or(message::Outcome::Left)?;
+    let chosen = routing::Registration { started_ms: open.life, ..entry };
     let table = state.routing_table();
-    let is_allowed = match (&open.admission, &table) {
-        (Some(admission), Some(table)) => admission.is_allowed(table, &service),
-        // A host's own call, or a request that no table of this host speaks of.
-        (None, _) | (_, None) => true,
-    };
-    if is_allowed { Ok(entry) } else { Err(message::Outcome::NotAllowed) }
+    let admission = open.admission.as_ref().zip(table.as_ref());
+    let homes = admission.map(|(admission, table)| admission.homes(table)).unwrap_or_default();
+    if let Some(exclusion) = state.exclusion(&chosen, &homes, open.work()) {
+        return Err(outcome(&exclusion));
+    }
+    // A host's own call, or a request that no table of this host speaks of, is allowed.
+    let is_allowed =
+        admission.is_none_or(|(admission, table)| admission.is_allowed(table, &service));
+    if is_allowed { Ok(chosen) } else { Err(message::Outcome::NotAllowed) }
+}
+
+/// Returns the answer about an upstream to which nothing may be sent.
+fn outcome(exclusion: &routing::Exclusion) -> message::Outcome {
+    match exclusion {
+        routing::Exclusion::Left | routing::Exclusion::OtherLifetime => message::Outcome::Left,
+        routing::Exclusion::Evacuated(_) => message::Outcome::Evacuated,
+        routing::Exclusion::OutsideHomes(_) => message::Outcome::NotAllowed,
+        routing::Exclusion::BackedOff(_) => message::Outcome::BackedOff,
+    }
 }
 
 /// Returns the answer of a host whose own path is lost.
@@ -183,17 +195,6 @@
     }
 }
 
-/// Returns the entry of the upstream that `open` names, if it is listed in the same lifetime and not
-/// leaving.
-fn listed(
-    state: &state::State,
-    service: &id::Service,
-    open: &message::Open,
-) -> Option<routing::Registration> {
-    let entry = state.with_placer(service, |placer, _| placer.entry(&open.upstream).cloned());
-    entry.flatten().filter(|entry| !entry.leaving && entry.started_ms == open.life)
-}
-
 /// Whether this host reaches one of two other upstreams than `failed` right now. Without that it
 /// cannot tell whether the upstream is down or its own path is lost; one alone may be down too.
 pub(super) async fn reaches_another(
@@ -201,12 +202,14 @@
     failed: &routing::Registration,
     timeout: clock::Span,
 ) -> bool {
-    let others: Vec<_> = state
-        .registry()
-        .entries()
-        .filter(|entry| entry.upstream != failed.upstream && !entry.leaving)
-        .cloned()
-        .collect();
+    let eligibility = state.eligibility();
+    // Those of an evacuated zone may be shut down.
+    let is_control = |entry: &&routing::Registration| {
+        entry.upstream != failed.upstream
+            && !entry.leaving
+            && !eligibility.is_evacuated(&entry.zone)
+    };
+    let others: Vec<_> = state.registry().entries().filter(is_control).cloned().collect();
     // Of this zone, if there are any: while zones are partitioned from each other, upstreams of the
     // other one are unreachable for all hosts of this zone, which have paths all the same.
     let zone = &state.settings.node.zone;
--- a/crates/lagoon-gateway/src/path/through.rs
+++ b/crates/lagoon-gateway/src/path/through.rs
@@ -57,7 +57,9 @@
     /// Returns what the answers say of the upstream.
     pub(super) fn verdict(&self) -> super::Verdict {
         let says = |outcome| self.answers.iter().any(|(_, answer)| *answer == outcome);
-        if says(message::Outcome::Left) || says(message::Outcome::NotAllowed) {
+        let outdated =
+            [message::Outcome::Left, message::Outcome::NotAllowed, message::Outcome::Evacuated];
+        if outdated.into_iter().any(says) {
             super::Verdict::Outdated
         } else if says(message::Outcome::BackedOff) {
             super::Verdict::BackedOff
@@ -101,17 +103,22 @@
 pub(super) async fn connect(
     state: &state::State,
     entry: &routing::Registration,
-    admission: Option<message::Admission>,
+    purpose: super::Purpose,
     timeout: time::Duration,
 ) -> Result<Tunnel, Failure> {
     let began = state.clock.now();
     let mut failure = Failure::default();
-    let mut asked = Vec::new();
-    while asked.len() < MAX_HOSTS {
+    // Hosts that must not carry the connection are passed over as if they had been asked.
+    let mut passed = match &purpose {
+        super::Purpose::Request(_, homes) => state.barred_hosts(homes),
+        super::Purpose::Call(_) => Vec::new(),
+    };
+    let most = passed.len() + MAX_HOSTS;
+    while passed.len() < most {
         let now = state.clock.now();
         let left = timeout.saturating_sub(now.since(began)).min(ASK_TIMEOUT);
         let random = rand::rng().random();
-        let choice = state::lock(&state.paths).choose_host(&entry.zone, &asked, now, random);
+        let choice = state::lock(&state.paths).choose_host(&entry.zone, &passed, now, random);
         let host = match choice {
             routing::PathChoice::Host(host) if left > ASK_RESERVE => host,
             routing::PathChoice::Host(_) | routing::PathChoice::None => break,
@@ -120,8 +127,8 @@
                 break;
             }
         };
-        asked.push(host.clone());
-        let open = open(state, entry, admission.clone(), left.saturating_sub(ASK_RESERVE));
+        passed.push(host.clone());
+        let open = open(state, entry, &purpose, left.saturating_sub(ASK_RESERVE));
         let answered = tokio::time::timeout(left, ask(state, &host, open)).await;
         let outcome = match answered.map_err(|_| io::Error::from(io::ErrorKind::TimedOut)) {
             Ok(Ok((message::Outcome::Opened, connection))) => {
@@ -156,6 +163,7 @@
         | message::Outcome::Refused
         | message::Outcome::Left
         | message::Outcome::NotAllowed
+        | message::Outcome::Evacuated
         | message::Outcome::BackedOff => true,
         message::Outcome::Silent
         | message::Outcome::CutOff
@@ -168,9 +176,13 @@
 fn open(
     state: &state::State,
     entry: &routing::Registration,
-    admission: Option<message::Admission>,
+    purpose: &super::Purpose,
     timeout: time::Duration,
 ) -> message::Open {
+    let admission = match purpose {
+        super::Purpose::Request(admission, _) => Some(admission.clone()),
+        super::Purpose::Call(_) => None,
+    };
     message::Open {
         upstream: entry.upstream.to_string(),
         life: entry.started_ms,
@@ -178,6 +190,7 @@
         admission,
         service: entry.service.to_string(),
         host: state.settings.node.host.to_string(),
+        running: matches!(purpose, super::Purpose::Call(routing::Work::Running)),
     }
 }
 
@@ -215,6 +228,7 @@
         // Answered before the host tried any path.
         message::Outcome::Left
         | message::Outcome::NotAllowed
+        | message::Outcome::Evacuated
         | message::Outcome::PathLost
         | message::Outcome::BackedOff => {}
     }
--- a/crates/lagoon-gateway/src/path/verify.rs
+++ b/crates/lagoon-gateway/src/path/verify.rs
@@ -36,7 +36,9 @@
 async fn look(state: sync::Arc<state::State>, service: id::Service, upstream: id::Upstream) {
     let entry = state.with_placer(&service, |placer, _| placer.entry(upstream.as_str()).cloned());
     if let Some(entry) = entry.flatten() {
-        let failed = match super::connect(&state, &entry, None, LOOK_TIMEOUT).await {
+        let failed = match super::connect(&state, &entry, super::Purpose::RUNNING, LOOK_TIMEOUT)
+            .await
+        {
             Ok(Connection::Direct(_)) => true,
             Ok(Connection::Tunnel(_)) => {
                 let forget = |placer: &mut placement::Placer, _| placer.forget_failure(&upstream);
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -146,7 +146,7 @@
             let schedule::PlacementResult { id, decider, result } =
                 chosen.inspect_err(|_| self.state.record_retry_refusal(&self.service))?;
             self.record_permit_refusal(&result, decider);
-            self.record_backoff_refusal(&result);
+            self.record_exclusion_refusal(&result);
             let placement = match result {
                 Ok(placement) => placement,
                 Err(placement::Refusal::Deferred(shortage))
@@ -249,7 +249,8 @@
         }
         let name = format!("{:x}-{}", self.state.incarnation, id.number);
         let (primary, expected) = (&placement.primary, placement.expected);
-        reserve::reserve_all(&self.state, &name, primary, &wanted, expected).await.map(Some)
+        let homes = &self.homes;
+        reserve::reserve_all(&self.state, &name, primary, &wanted, expected, homes).await.map(Some)
     }
 
     /// Chooses where the request goes next.
@@ -276,6 +277,8 @@
             identity,
             urgency: self.urgency,
             customer: self.customer.as_ref(),
+            eligibility: &self.state.eligibility(),
+            homes: &self.homes,
         };
         let ask = schedule::ask_scheduler(
             &self.state,
@@ -325,10 +328,17 @@
         }
     }
 
-    /// Counts a request that is refused because all upstreams asked this host to wait.
-    fn record_backoff_refusal(&self, result: &Result<placement::Placement, placement::Refusal>) {
-        if let Err(placement::Refusal::Rejected(placement::Shortage::Backoff, _)) = result {
-            self.state.metrics.refused_for_backoff.inc();
+    /// Counts a request that is refused because all upstreams asked this host to wait, or are in
+    /// excluded zones.
+    fn record_exclusion_refusal(&self, result: &Result<placement::Placement, placement::Refusal>) {
+        match result {
+            Err(placement::Refusal::Rejected(placement::Shortage::Backoff, _)) => {
+                self.state.metrics.refused_for_backoff.inc();
+            }
+            Err(placement::Refusal::Rejected(placement::Shortage::Zone, _)) => {
+                self.state.metrics.refused_for_zone.inc();
+            }
+            _ => {}
         }
     }
 
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -44,7 +44,7 @@
     }
 
     /// Returns what a new incarnation of the host at `address` is to know of upstreams, their limits
-    /// and departures: this host tells the hosts to which it announces dispatches.
+    /// and departures, and of evacuated zones: this host tells the hosts to which it announces dispatches.
     pub(crate) fn knowledge_for_new_host(&self, address: net::SocketAddr) -> Vec<message::Update> {
         let (own_zone, remote) = self.tracking_addresses();
         let is_told = own_zone.contains(&address) || remote.contains(&address);
@@ -53,6 +53,7 @@
         }
         let mut updates = self.limit_updates();
         updates.extend(self.departure_updates());
+        updates.extend(self.evacuation_updates());
         if own_zone.contains(&address) {
             updates.extend(self.usage_update());
             updates.extend(self.backoff_updates());
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -4,6 +4,7 @@
 use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::load::{backoff, placement};
+use lagoonline::routing;
 
 use crate::message;
 use crate::quarantine;
@@ -54,6 +55,29 @@
     /// Customer that sent it; empty if there is none.
     #[prost(string, tag = "14")]
     pub(crate) customer: String,
+    /// Where it may be processed; absent if everywhere.
+    #[prost(message, optional, tag = "17")]
+    pub(crate) homes: Option<Homes>,
+}
+
+/// The only regions in which a request may be processed.
+#[derive(Clone, PartialEq, prost::Message)]
+pub(crate) struct Homes {
+    /// Names of the regions.
+    #[prost(string, repeated, tag = "1")]
+    regions: Vec<String>,
+}
+
+impl Homes {
+    /// Encodes `homes`; `None` if all regions are allowed.
+    fn new(homes: &routing::Homes) -> Option<Homes> {
+        let regions = homes.regions()?.map(ToString::to_string).collect();
+        Some(Homes { regions })
+    }
+
+    fn homes(&self) -> routing::Homes {
+        routing::Homes::only(self.regions.iter().map(|name| id::Region::from(name.as_str())))
+    }
 }
 
 /// What the scheduler knows of upstreams for a request of another host; see [`placement::Request`].
@@ -63,6 +87,8 @@
     pub(crate) backoffs: &'a [backoff::Backoff],
     pub(crate) hints: &'a [backoff::Backoff],
     pub(crate) customer: Option<&'a id::Customer>,
+    pub(crate) eligibility: &'a routing::Eligibility,
+    pub(crate) homes: &'a routing::Homes,
 }
 
 impl Question {
@@ -90,9 +116,15 @@
             is_retry,
             urgency: request.urgency,
             customer: request.customer.map(ToString::to_string).unwrap_or_default(),
+            homes: Homes::new(request.homes),
         }
     }
 
+    /// Decodes where the request may be processed.
+    pub(crate) fn homes(&self) -> routing::Homes {
+        self.homes.as_ref().map(Homes::homes).unwrap_or_default()
+    }
+
     /// Decodes the placement request of the host incarnation `asking` in `zone`.
     pub(crate) fn request<'a>(
         &self,
@@ -116,6 +148,8 @@
             identity: self.identity.as_ref().and_then(|identity| identity.fingerprint().ok()),
             urgency: self.urgency,
             customer: known.customer,
+            eligibility: known.eligibility,
+            homes: known.homes,
         }
     }
 
@@ -245,6 +279,8 @@
     Permit = 4,
     /// An upstream that wants requests of the asking host: [`placement::Shortage::Backoff`].
     Backoff = 5,
+    /// An upstream in a zone that may be used: [`placement::Shortage::Zone`].
+    Zone = 6,
 }
 
 impl From<placement::Shortage> for Shortage {
@@ -256,6 +292,7 @@
             placement::Shortage::Gap => Shortage::Pause,
             placement::Shortage::Permit => Shortage::Permit,
             placement::Shortage::Backoff => Shortage::Backoff,
+            placement::Shortage::Zone => Shortage::Zone,
         }
     }
 }
@@ -269,6 +306,7 @@
             Shortage::Pause => placement::Shortage::Gap,
             Shortage::Permit => placement::Shortage::Permit,
             Shortage::Backoff => placement::Shortage::Backoff,
+            Shortage::Zone => placement::Shortage::Zone,
         }
     }
 }
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -223,7 +223,7 @@
     if let Some(table) = changes.desired {
         let at = asked_at.saturating_sub(clock::Span::from_millis(table.age_ms));
         let rows = state::lock(&state.tables.desired).apply(table.into_delta());
-        tables::apply_desired(state, &rows, at);
+        tables::apply_desired(state, &rows, at, tables::Way::Relay);
     }
     if let Some(table) = changes.upstreams {
         let at = asked_at.saturating_sub(clock::Span::from_millis(table.age_ms));
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -67,10 +67,11 @@
         let limited = state.with_placer(service, |placer, _| placer.is_limited(&entry.upstream));
         limited == Some(true)
     };
+    let homes = routing::Homes::default();
     engines.retain(|(service, entry)| {
         asked.contains(&entry.zone)
             && !is_limited(service, entry)
-            && state.backoff_until(entry).is_none()
+            && state.exclusion(entry, &homes, routing::Work::New).is_none()
     });
     engines
 }
@@ -81,7 +82,7 @@
     service: id::Service,
     entry: routing::Registration,
 ) {
-    let report = match fetch(&state, &entry).await {
+    let report = match fetch(&state, &entry, routing::Work::New).await {
         Ok(report) => report,
         Err(error) => {
             // There is no report of this engine.
@@ -105,7 +106,7 @@
     }
 }
 
-/// Fetches the report of an engine.
+/// Fetches the report of an engine, as a part of `work`.
 ///
 /// # Errors
 ///
@@ -113,6 +114,7 @@
 pub(crate) async fn fetch(
     state: &state::State,
     entry: &routing::Registration,
+    work: routing::Work,
 ) -> Result<engine::Report, String> {
     state.record_call(entry);
     state.count_send(entry);
@@ -121,7 +123,7 @@
         .header("host", entry.address.to_string())
         .body(exchange::Payload::default())
         .map_err(|error| error.to_string())?;
-    let connecting = path::connect(state, entry, None, REPORT_TIMEOUT);
+    let connecting = path::connect(state, entry, path::Purpose::Call(work), REPORT_TIMEOUT);
     let call = exchange::call(connecting, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
     let reply = call.map_err(|failure| failure.to_string())?;
     state.observe_reply(entry, sent_at, &reply);
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -64,14 +64,20 @@
 }
 
 impl Reservation {
-    /// Creates or renews the reservation. Returns the status of the engine's answer.
-    async fn reserve(&self, state: &state::State) -> Result<u16, exchange::Failure> {
+    /// Creates or renews the reservation, which is `work` of that kind. Returns the status of the
+    /// engine's answer.
+    async fn reserve(
+        &self,
+        state: &state::State,
+        work: routing::Work,
+    ) -> Result<u16, exchange::Failure> {
         let sent_at = state.clock.now();
         *state::lock(&self.unanswered_since) = Some(sent_at);
         let status = send_order(
             state,
             &self.entry,
             engine::reserve_order(&self.id, self.tokens, hold_time(state)),
+            work,
         )
         .await?;
         *state::lock(&self.unanswered_since) = None;
@@ -85,7 +91,7 @@
     /// it wants them, or just before the reservation expires. `None` if it is due already. What has
     /// expired can wait.
     fn postponed_until(&self, state: &state::State) -> Option<clock::Moment> {
-        let until = state.backoff_until(&self.entry)?;
+        let until = state.running_work_until(&self.entry)?;
         let now = state.clock.now();
         let expiry = *state::lock(&self.held_since) + hold_time(state);
         let last_chance = expiry.saturating_sub(ORDER_TIMEOUT);
@@ -155,7 +161,7 @@
 }
 
 /// Reserves memory on each of `wanted` for a prompt that `primary` answers and whose first token is
-/// expected after `expected`.
+/// expected after `expected`. The request may be processed in `homes`.
 ///
 /// # Errors
 ///
@@ -166,6 +172,7 @@
     primary: &routing::Registration,
     wanted: &[(routing::Registration, u64)],
     expected: clock::Span,
+    homes: &routing::Homes,
 ) -> Result<Reservations, Refusal> {
     let mut ordered = wanted.to_vec();
     ordered.sort_by(|a, b| a.0.upstream.cmp(&b.0.upstream));
@@ -174,8 +181,8 @@
     let mut held = Reservations { state: state.clone(), reservations: Vec::new(), active_until };
     for (index, (entry, tokens)) in ordered.into_iter().enumerate() {
         let id = format!("{name}-{index}");
-        if let Some(why) = state.withhold_reason(&entry) {
-            let detail = why.to_owned();
+        if let Some(why) = state.exclusion(&entry, homes, routing::Work::New) {
+            let detail = why.to_string();
             return Err(Refusal { upstream: entry.upstream, outcome: None, detail });
         }
         let reservation = Reservation {
@@ -189,7 +196,7 @@
         // reservation has to be released as well.
         held.reservations.push(reservation.clone());
         state.metrics.reservations.inc();
-        let status = reservation.reserve(state).await;
+        let status = reservation.reserve(state, routing::Work::New).await;
         if !matches!(status, Ok(GRANTED)) {
             let outcome = match &status {
                 Ok(_) => Some(message::UpstreamOutcome::Full),
@@ -254,7 +261,8 @@
     let mut postponed = None;
     if reservations.first().is_none_or(|reservation| reservation.entry.upstream != primary.upstream)
     {
-        let connected = path::connect(state, primary, None, CONNECT_TIMEOUT).await;
+        let connected =
+            path::connect(state, primary, path::Purpose::RUNNING, CONNECT_TIMEOUT).await;
         connected.map_err(|error| error.to_string())?;
     }
     for reservation in reservations {
@@ -273,7 +281,7 @@
                 reservation.entry.upstream, reservation.id
             ));
         }
-        let status = reservation.reserve(state).await;
+        let status = reservation.reserve(state, routing::Work::Running).await;
         if matches!(status, Ok(GRANTED)) {
             continue;
         }
@@ -295,7 +303,7 @@
 ///
 /// The engine sent no report.
 async fn is_used(state: &state::State, reservation: &Reservation) -> Result<bool, String> {
-    let report = report::fetch(state, &reservation.entry).await?;
+    let report = report::fetch(state, &reservation.entry, routing::Work::Running).await?;
     let mut reservations = report.tickets.iter();
     Ok(reservations
         .any(|known| known.id == reservation.id && known.state == engine::ReservationState::Used))
@@ -307,7 +315,7 @@
     let expiry = state.clock.now() + hold_time(&state);
     loop {
         // The engine wants no orders for a time; the reservation may expire before that.
-        if let Some(until) = state.backoff_until(&reservation.entry) {
+        if let Some(until) = state.running_work_until(&reservation.entry) {
             tokio::time::sleep(until.min(expiry).since(state.clock.now())).await;
             if until >= expiry {
                 state.metrics.reservations.dec();
@@ -315,7 +323,7 @@
             }
         }
         let order = engine::release_order(&reservation.id);
-        let status = send_order(&state, &reservation.entry, order).await;
+        let status = send_order(&state, &reservation.entry, order, routing::Work::Running).await;
         // Counts as released also if the order was only accepted, or was refused by an engine that
         // does not have the reservation.
         let released = matches!(status, Ok(200 | 202 | 404 | 409 | head::MISDIRECTED));
@@ -339,11 +347,12 @@
     }
 }
 
-/// Sends an order to an engine and logs it. Returns the status of the answer.
+/// Sends an order to an engine, as a part of `work`, and logs it. Returns the status of the answer.
 async fn send_order(
     state: &state::State,
     entry: &routing::Registration,
     body: Vec<u8>,
+    work: routing::Work,
 ) -> Result<u16, exchange::Failure> {
     let text = String::from_utf8_lossy(&body).into_owned();
     let request = hyper::Request::post(engine::ORDER_PATH)
@@ -355,7 +364,7 @@
     state.count_send(entry);
     let sent_at = state.clock.now();
     let began = time::Instant::now();
-    let connecting = path::connect(state, entry, None, CONNECT_TIMEOUT);
+    let connecting = path::connect(state, entry, path::Purpose::Call(work), CONNECT_TIMEOUT);
     let answer = exchange::call(connecting, request, ORDER_TIMEOUT, MAX_ANSWER_BYTES).await;
     let answer = answer.map(|reply| {
         state.observe_reply(entry, sent_at, &reply);
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -8,7 +8,8 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::load::{backoff, placement, retry};
+use lagoonline::load::{placement, retry};
+use lagoonline::routing;
 use rand::Rng;
 use tokio::sync::oneshot;
 
@@ -120,7 +121,8 @@
             }
             question::Decision::Placed(placed) => {
                 let placement = state.with_placer(service, |placer, _| placed.placement(placer));
-                let placement = placement.flatten().filter(|placed| !is_withheld(state, placed));
+                let may_send = |placed: &placement::Placement| !is_withheld(state, request, placed);
+                let placement = placement.flatten().filter(may_send);
                 let Some(placement) = placement else {
                     state.publish_ended(service, id);
                     return None;
@@ -132,22 +134,22 @@
     None
 }
 
-/// Whether an upstream of `placement` wants no requests from this host now. The scheduler is told
-/// again: it has not heard of it, or forgot it.
-fn is_withheld(state: &state::State, placement: &placement::Placement) -> bool {
+/// Whether an upstream of `placement` must not get `request` now. The scheduler is told why.
+fn is_withheld(
+    state: &state::State,
+    request: &placement::Request<'_>,
+    placement: &placement::Placement,
+) -> bool {
     let helpers = placement.helpers.iter().map(|helper| &helper.entry);
-    let placed: Vec<_> = std::iter::once(&placement.primary).chain(helpers).collect();
-    let backoffs = state.backoffs_of(state.incarnation);
-    let is_placed = |backoff: &&backoff::Backoff| {
-        placed.iter().any(|entry| {
-            entry.upstream == backoff.upstream && entry.started_ms <= backoff.started_ms
-        })
-    };
-    let withheld: Vec<_> = backoffs.iter().filter(is_placed).collect();
-    for backoff in &withheld {
-        state.tell_scheduler(backoff);
+    let placed = std::iter::once(&placement.primary).chain(helpers);
+    let excluded = placed.filter_map(|entry| {
+        Some((entry, state.exclusion(entry, request.homes, routing::Work::New)?))
+    });
+    let excluded: Vec<_> = excluded.collect();
+    for (entry, exclusion) in &excluded {
+        state.tell_scheduler_why(entry, exclusion);
     }
-    !withheld.is_empty()
+    !excluded.is_empty()
 }
 
 /// Lets the roster skip a scheduler that did not answer or made no decision.
@@ -191,6 +193,8 @@
         backoffs: &backoffs,
         hints: &state.backoff_hints(),
         customer: customer.as_ref(),
+        eligibility: &state.eligibility(),
+        homes: &question.homes(),
     };
     let request = question.request(asking, zone, known, rand::rng().random());
     if question.is_retry && state.retry_verdict(&service) != retry::Verdict::Allowed {
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -25,7 +25,7 @@
     /// Minimum level of the lines that are logged.
     pub level: log::LevelFilter,
     /// How long the platform holds a watch of the desired state open, at most half of the key
-    /// revocation bound. Each call has a cost, and the version in force is confirmed once per call.
+    /// revocation bound and of the bound on evacuations. Each call has a cost, and the version in force is confirmed once per call.
     pub desired_wait: clock::Span,
     /// How long the platform holds a watch of the upstreams open. A dead connection is noticed only
     /// after this time, and changes made meanwhile must still be applied within the bounds.
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -108,6 +108,8 @@
     pub(crate) backoffs: sync::Mutex<backoff::Backoffs>,
     /// What upstreams said to hosts that carried connections, which is repeated to them.
     pub(crate) repeated_to_carriers: sync::Mutex<carriers::Repeated>,
+    /// The evacuated zones, and the region of each zone.
+    pub(crate) eligibility: sync::Mutex<sync::Arc<routing::Eligibility>>,
     /// Departures of upstreams that are repeated to other hosts.
     pub(crate) repeated_departures: sync::Mutex<departures::Repeated>,
     /// Contents of the platform's tables.
@@ -186,6 +188,7 @@
             grace_after_failure: bounds.stable.saturating_sub(SEND_MARGIN),
             ..routing::RegistrySettings::default()
         };
+        let eligibility = sync::Arc::new(routing::Eligibility::new(node.regions.clone()));
         let state = State {
             clock,
             registry: sync::Mutex::new(routing::Registry::new(grace, node.zone.clone())),
@@ -199,6 +202,7 @@
             unreadable_values: sync::Mutex::default(),
             backoffs: sync::Mutex::default(),
             repeated_to_carriers: sync::Mutex::default(),
+            eligibility: sync::Mutex::new(eligibility),
             repeated_departures: sync::Mutex::default(),
             tables: tables::Tables::default(),
             upstreams_listed: atomic::AtomicBool::new(false),
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -182,21 +182,28 @@
     }
 }
 
-/// Applies changed rows of the desired state, which had no later change up to `at`.
-pub(crate) fn apply_desired(state: &state::State, rows: &[store::Row], at: clock::Moment) {
+/// Applies changed rows of the table of the desired state, which had no later change up to `at` and
+/// came by `way`. The evacuated zones come first, so that a host knows them before it is ready.
+pub(crate) fn apply_desired(
+    state: &state::State,
+    rows: &[store::Row],
+    at: clock::Moment,
+    way: Way,
+) {
+    state.read_evacuations(way);
     let row = rows.iter().rev().find(|row| row.key == desired::KEY);
     let text = row.and_then(|row| row.value.as_deref());
     match text.map(desired::read) {
-        Some(Ok(desired)) => {
-            state.install(desired, at);
-            state.tables.changes.send_modify(|count| *count += 1);
-        }
+        Some(Ok(desired)) => state.install(desired, at),
         Some(Err(error)) => {
             event::Line::new("desired_state_unreadable").text("error", error).warn();
         }
         None if state.routing_table().is_some() => state.confirm(at),
         None => {}
     }
+    if !rows.is_empty() {
+        state.tables.changes.send_modify(|count| *count += 1);
+    }
 }
 
 /// Applies changed rows of the list of upstreams, which had no later change up to `at` and came by
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -258,7 +258,8 @@
 
 /// Keeps the desired state current while this host reads the platform itself.
 pub(crate) async fn desired(state: sync::Arc<state::State>) {
-    let bound = state.settings.node.bounds.revoke.unwrap_or(clock::Span::MAX);
+    let bounds = &state.settings.node.bounds;
+    let bound = bounds.revoke.unwrap_or(clock::Span::MAX).min(bounds.evacuate);
     let tuning = &state.settings.tuning;
     let wait = tuning.desired_wait.min(bound / 2);
     let mirror = state.tables.desired.clone();
@@ -270,7 +271,7 @@
         watch.wait = if for_others { wait.min(tuning.reader_wait) } else { wait };
         watch.update_max_pause();
         let Some(changes) = watch.next_unless_relayed().await else { continue };
-        tables::apply_desired(&state, &changes.rows, changes.at);
+        tables::apply_desired(&state, &changes.rows, changes.at, tables::Way::Platform);
         // A pause follows the first read only. No other host can be asked at that point, but during
         // the pause the relay may find one that reads the platform. This host then stops reading
         // here and does not begin a long watch.
--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -103,6 +103,8 @@
             identity: None,
             urgency: 0,
             customer: None,
+            eligibility: &routing::Eligibility::default(),
+            homes: &routing::Homes::default(),
         };
         self.placer.place(&request, now).map(|placed| index(&placed.primary.upstream))
     }
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -4,6 +4,7 @@
 use lagoonline::id;
 use lagoonline::lifecycle::fingerprint;
 use lagoonline::load::placement;
+use lagoonline::routing;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -288,6 +289,8 @@
             identity: Some(identity),
             urgency: 0,
             customer: None,
+            eligibility: &routing::Eligibility::default(),
+            homes: &routing::Homes::default(),
         };
         self.number += 1;
         let number = self.number;
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -124,18 +124,33 @@
     pub urgency: u32,
     /// The customer that sent it; `None` on a route that needs no key.
     pub customer: Option<&'a id::Customer>,
+    /// Which upstreams may get requests now.
+    pub eligibility: &'a routing::Eligibility,
+    /// Where it may be processed.
+    pub homes: &'a routing::Homes,
 }
 
 impl Request<'_> {
-    /// Whether the upstream takes new requests and has not failed this one.
+    /// Whether the upstream may get this request now and has not failed it.
     fn may_use(&self, state: &UpstreamState) -> bool {
-        !state.entry().leaving && !self.avoid.contains(&state.entry().upstream)
+        !self.has_failed_at(state) && self.exclusion(state).is_none()
     }
 
-    /// Returns when the upstream wants requests again; `None` if it does now.
-    fn backoff(&self, state: &UpstreamState) -> Option<clock::Moment> {
+    /// Whether the upstream has failed this request.
+    fn has_failed_at(&self, state: &UpstreamState) -> bool {
+        self.avoid.contains(&state.entry().upstream)
+    }
+
+    /// Returns why the upstream must not get this request now; `None` if it may.
+    fn exclusion(&self, state: &UpstreamState) -> Option<routing::Exclusion> {
         let entry = state.entry();
-        backoff::find(self.backoffs, &entry.upstream, entry.started_ms)
+        self.eligibility.exclusion(&routing::Send {
+            chosen: entry,
+            listed: Some(entry),
+            homes: self.homes,
+            backoff_until: backoff::find(self.backoffs, &entry.upstream, entry.started_ms),
+            work: routing::Work::New,
+        })
     }
 }
 
@@ -230,6 +245,10 @@
     /// An upstream that wants requests of this host: all have turned it away for a time.
     #[error("all upstreams asked this host to wait")]
     Backoff,
+    /// An upstream in a zone that may be used: all are in evacuated zones or outside the homes of
+    /// the request.
+    #[error("all upstreams are in zones that are evacuated or not allowed")]
+    Zone,
 }
 
 /// A dispatch in flight, and when this host learned of it.
@@ -601,11 +620,8 @@
     /// Upstreams that may be used, in order of their names: those that look healthy, the failing
     /// ones last, or all if none does.
     fn usable(&self, request: &Request<'_>, now: clock::Moment) -> Vec<&UpstreamState> {
-        let all: Vec<&UpstreamState> = self
-            .upstreams
-            .values()
-            .filter(|state| request.may_use(state) && request.backoff(state).is_none())
-            .collect();
+        let all: Vec<&UpstreamState> =
+            self.upstreams.values().filter(|state| request.may_use(state)).collect();
         let healthy = |state: &&UpstreamState| {
             let partitioned = self.partitions.is_partitioned(&self.zone, &state.entry().zone, now);
             !state.is_avoided(now) && !partitioned && !state.is_slow(now)
@@ -638,15 +654,28 @@
     }
 
     /// Returns the refusal of a request for which no upstream may be used. It waits if an upstream
-    /// that turned its host away wants requests again before its target.
+    /// that turned its host away wants requests again before its target. It does not wait for the
+    /// end of an evacuation, which only operators know.
     fn refuse_without_upstream(&self, request: &Request<'_>, now: clock::Moment) -> Refusal {
-        let states = self.upstreams.values().filter(|state| request.may_use(state));
-        match states.filter_map(|state| request.backoff(state)).min() {
-            None => Refusal::NoUpstream,
+        let states = self.upstreams.values().filter(|state| !request.has_failed_at(state));
+        let exclusions: Vec<_> = states.filter_map(|state| request.exclusion(state)).collect();
+        let backoffs = exclusions.iter().filter_map(|exclusion| match exclusion {
+            routing::Exclusion::BackedOff(until) => Some(*until),
+            _ => None,
+        });
+        let is_zone_excluded = |exclusion: &routing::Exclusion| {
+            use routing::Exclusion::{Evacuated, OutsideHomes};
+            matches!(exclusion, Evacuated(_) | OutsideHomes(_))
+        };
+        match backoffs.min() {
             Some(first) if first.since(now) <= request.target => {
                 Refusal::Deferred(Shortage::Backoff)
             }
             Some(first) => Refusal::Rejected(Shortage::Backoff, first.since(now)),
+            None if exclusions.iter().any(is_zone_excluded) => {
+                Refusal::Rejected(Shortage::Zone, ZONE_RETRY_TIME)
+            }
+            None => Refusal::NoUpstream,
         }
     }
 
@@ -679,6 +708,10 @@
     }
 }
 
+/// Retry time of a request whose upstreams are all in excluded zones. Nobody knows when operators
+/// return a zone, and hosts learn of it well within this time, so callers that come back so often
+/// find the zone soon and put little load on the hosts until then.
+const ZONE_RETRY_TIME: clock::Span = clock::Span::from_secs(2);
 /// Failure rate above which an upstream counts as failing: twice the rate at which services fail in
 /// normal operation.
 const FAILING_RATE: f64 = 0.3;
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -6,6 +6,7 @@
 
 mod change;
 mod confirm;
+mod eligibility;
 mod paths;
 mod registry;
 mod remote_clock;
@@ -21,6 +22,7 @@
 
 pub use change::{Change, Departure, DepartureCause, Effect, Listing, Older};
 pub use confirm::Confirmation;
+pub use eligibility::{Eligibility, Evacuation, Exclusion, Homes, Send, Work};
 pub use paths::{
     Change as PathChange, Choice as PathChoice, Paths, Plan as PathPlan, Settings as PathSettings,
     Sight,
--- a/crates/lagoonline/src/routing/paths.rs
+++ b/crates/lagoonline/src/routing/paths.rs
@@ -191,6 +191,11 @@
         self.hosts.remove(host);
     }
 
+    /// Returns the other hosts that are known, with their zones.
+    pub fn hosts(&self) -> impl Iterator<Item = (&id::Host, &id::Zone)> {
+        self.hosts.iter().map(|(name, host)| (name, &host.zone))
+    }
+
     /// Whether other hosts are known.
     pub fn has_hosts(&self) -> bool {
         !self.hosts.is_empty()
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -107,6 +107,8 @@
         identity: None,
         urgency: 0,
         customer: None,
+        eligibility: &routing::Eligibility::default(),
+        homes: &routing::Homes::default(),
     };
     placer.place(&request, moment(now)).map(|placed| placed.primary.upstream)
 }
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -568,6 +568,8 @@
         identity: None,
         urgency: 0,
         customer: None,
+        eligibility: &routing::Eligibility::default(),
+        homes: &routing::Homes::default(),
     };
     let now = Moment::from_millis(10);
     placer.record_unreachable(&id::Upstream::from("e00"), now);
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -86,6 +86,9 @@
     /// A long prompt that has just arrived.
     pub fn request(&self) -> placement::Request<'static> {
         static ZONE: sync::LazyLock<id::Zone> = sync::LazyLock::new(|| id::Zone::from("a"));
+        static ELIGIBILITY: sync::LazyLock<routing::Eligibility> =
+            sync::LazyLock::new(routing::Eligibility::default);
+        static HOMES: sync::LazyLock<routing::Homes> = sync::LazyLock::new(routing::Homes::default);
         placement::Request {
             prompt_tokens: 133_000,
             answer_tokens: 400,
@@ -101,6 +104,8 @@
             identity: None,
             urgency: 0,
             customer: None,
+            eligibility: &ELIGIBILITY,
+            homes: &HOMES,
         }
     }
 
