Test connections to an evacuated zone that other hosts ask for

Cause: a host that has not heard of an evacuation may ask one that has.

Change: asks a host over the relay protocol for a connection for new work and for one about a running request.

--- a/crates/lagoon-gateway/tests/evacuation.rs
+++ b/crates/lagoon-gateway/tests/evacuation.rs
@@ -10,10 +10,13 @@
 
 mod scheduler;
 
+use std::io::{Read, Write};
+use std::net;
 use std::sync::atomic;
 use std::thread;
 use std::time;
 
+use prost::Message;
 use rstest::rstest;
 use serde_json::json;
 
@@ -383,3 +386,69 @@
     let looks = looks.iter().filter(|request| request.path == "/look/1" && request.at >= began);
     assert_eq!(looks.count(), usize::from(expected == 200));
 }
+
+/// The request for a connection, and its answer, as far as the test needs them.
+#[derive(Clone, PartialEq, prost::Message)]
+struct Request {
+    #[prost(message, optional, tag = "4")]
+    open: Option<Open>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Open {
+    #[prost(string, tag = "1")]
+    upstream: String,
+    #[prost(uint64, tag = "2")]
+    life: u64,
+    #[prost(uint32, tag = "3")]
+    timeout_ms: u32,
+    #[prost(string, tag = "5")]
+    service: String,
+    #[prost(bool, tag = "7")]
+    running: bool,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Response {
+    #[prost(message, optional, tag = "2")]
+    opened: Option<Answer>,
+}
+
+#[derive(Clone, PartialEq, prost::Message)]
+struct Answer {
+    #[prost(int32, tag = "1")]
+    outcome: i32,
+}
+
+/// Asks the host that answers relay requests at `address` for a connection to the replica of zone a.
+fn ask_for_connection(address: &str, running: bool) -> i32 {
+    let (upstream, service) = ("ra".to_owned(), "app".to_owned());
+    let open = Open { upstream, life: 1, timeout_ms: 200, service, running };
+    let message = Request { open: Some(open) }.encode_to_vec();
+    let mut stream = net::TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
+    stream.write_all(&u32::try_from(message.len()).unwrap().to_be_bytes()).unwrap();
+    stream.write_all(&message).unwrap();
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).unwrap();
+    let mut answer = vec![0; u32::from_be_bytes(length) as usize];
+    stream.read_exact(&mut answer).unwrap();
+    Response::decode(&answer[..]).unwrap().opened.unwrap().outcome
+}
+
+/// A host that has not heard of an evacuation asks one that has for a connection to the zone. It must
+/// get none for new work, and one to renew or release the memory of a running request.
+#[rstest]
+fn a_connection_to_an_evacuated_zone_is_opened_only_for_running_requests() {
+    const OPENED: i32 = 1;
+    const ZONE_EVACUATED: i32 = 10;
+    let standin = start(&["a", "b"]);
+    let host = Host::join(&standin, settings("h1", "a", 6));
+    host.until("registered", || standin.row("lagoon-hosts", "h1").is_some());
+    let address = standin.row("lagoon-hosts", "h1").unwrap()["reader"].as_str().unwrap().to_owned();
+    assert_eq!(ask_for_connection(&address, false), OPENED);
+    evacuate(&standin, EVACUATED);
+    thread::sleep(LEARN_TIME);
+    assert_eq!(ask_for_connection(&address, false), ZONE_EVACUATED);
+    assert_eq!(ask_for_connection(&address, true), OPENED);
+}
