Limit the requests to cold upstreams in placement

Cause: a cold upstream takes ColdPerS requests a second of all hosts together and crashes at a rate well above that, and every host that sees it start takes it for an idle one. Change: lagoonline::load::cold keeps until when a lifetime is cold, from its start, entry and answers, and two buckets for each: one that counts the requests of all hosts, with a small burst, and one for the host's own choices at its part of the traffic, which bounds the sum of hosts that do not hear of each other. A cold upstream without a permit is not open; requests wait or are refused as for limits. Without a cold start of the service nothing changes.

--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -4,8 +4,8 @@
 //! `lagoon-net`, decides for one model at one entry host; its upstreams report their load.
 //! [`placement`], used by `lagoon-gateway`, decides for one service whose engines publish a
 //! performance [`profile`]; its hosts tell each other what they have in flight, and keep the
-//! [`upstream_limit`]s that upstreams name and the times for which these want no requests
-//! ([`backoff`]).
+//! [`upstream_limit`]s that upstreams name, the times for which these want no requests
+//! ([`backoff`]), and those for which they are [`cold`].
 //!
 //! A request to the [`Scheduler`] passes [`admit`] according to the [`predict`]ions, the queue
 //! ([`fair`] within length classes), the routing (by each upstream's [`slowness`], [`ramp`],
@@ -17,6 +17,7 @@
 pub mod backoff;
 mod baseline;
 pub mod clear;
+pub mod cold;
 pub mod fair;
 pub mod floor;
 pub mod group;
--- a/crates/lagoonline/src/load/placement/limited.rs
+++ b/crates/lagoonline/src/load/placement/limited.rs
@@ -51,7 +51,7 @@
 
     /// Records that `host` placed a request, its own or that of another host.
     pub fn record_placing_host(&mut self, host: u64, now: clock::Moment) {
-        if self.has_limits() {
+        if self.has_limits() || self.has_cold_start() {
             self.turns.record(host, now);
         }
     }
@@ -109,7 +109,7 @@
     pub fn wants_identity(&self) -> bool {
         let mut upstreams = self.upstreams.values();
         self.permit_queue.has_promises()
-            || !self.upstreams.is_empty() && upstreams.all(UpstreamState::is_limited)
+            || !self.upstreams.is_empty() && upstreams.all(UpstreamState::needs_permits)
     }
 
     /// Time since an answer last named the limit of `upstream`; `None` if it has none.
@@ -129,40 +129,43 @@
         self.permit_queue.promise(identity, span, now);
     }
 
-    /// Checks that an upstream without a limit may be used or that there is a permit for `request`.
+    /// Checks that an upstream without a limit that is not cold may be used, or that there is a
+    /// permit for `request`.
     ///
     /// # Errors
     ///
-    /// All of `usable` limit their requests, and their permits go to others first.
+    /// All of `usable` limit their requests or are cold, and their permits go to others first.
     pub(super) fn check_permits(
         &self,
         request: &Request<'_>,
         usable: &[&UpstreamState],
         now: clock::Moment,
     ) -> Result<(), Refusal> {
-        if usable.iter().any(|state| !state.is_limited()) {
+        if usable.iter().any(|state| !state.needs_permits()) {
             return Ok(());
         }
         let requester = requester(request);
         let open = usable.iter().filter(|state| state.is_open());
         let permits: f64 = open
-            .filter_map(|state| state.limit().bucket())
+            .filter_map(|state| state.bucket())
             .map(|bucket| bucket.level().floor().max(1.0))
             .sum();
         if permits >= self.permit_queue.ahead(&requester, now) as f64 + 1.0 {
             return Ok(());
         }
-        let buckets = usable.iter().filter_map(|state| state.limit().bucket());
+        let buckets = usable.iter().filter_map(|state| state.bucket());
         let own_share = self.turns.own_share(now);
         let supply = upstream_limit::Supply::new(buckets.copied().collect(), own_share);
-        let wait = self.permit_queue.wait(&requester, &supply, now);
+        let until_warm = Self::time_until_warm(usable, now);
+        let first = |span: clock::Span| until_warm.map_or(span, |warm| span.min(warm));
+        let wait = first(self.permit_queue.wait(&requester, &supply, now));
         // Without its identity, no permit could be kept for the caller until it comes back.
         let is_known = requester.identity.is_some();
         if wait <= request.target || self.permit_queue.is_due(&requester, now) || !is_known {
             return Err(Refusal::Deferred(Shortage::Permit));
         }
         let spread = request.random as f64 / u64::MAX as f64;
-        let span = self.permit_queue.return_time(&requester, &supply, spread, now);
+        let span = first(self.permit_queue.return_time(&requester, &supply, spread, now));
         Err(Refusal::Rejected(Shortage::Permit, span.max(self.settings.full_span)))
     }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -23,6 +23,7 @@
 use crate::lifecycle::fingerprint;
 use crate::routing;
 
+mod cold;
 mod limited;
 mod partition;
 mod prefill;
@@ -31,6 +32,7 @@
 mod upstream;
 mod waitlist;
 
+pub use cold::ColdUpstream;
 pub use limited::AppliedLimit;
 pub use partition::Partitions;
 use prefill::PrefillLoad;
@@ -224,7 +226,7 @@
     /// the request's own answer is worth.
     #[error("answers under way would be late")]
     Gap,
-    /// A request that an upstream takes: all of them limit their requests.
+    /// A request that an upstream takes: all of them limit their requests, or are cold.
     #[error("all upstreams limit their requests")]
     Permit,
     /// An upstream that wants requests of this host: all have turned it away for a time.
@@ -257,6 +259,8 @@
     share: f64,
     /// Requests that wait for a permit of any upstream.
     permit_queue: upstream_limit::Queue<DispatchId>,
+    /// What is known of cold upstreams as a whole.
+    cold: cold::ColdState,
 }
 
 impl Placer {
@@ -273,6 +277,7 @@
             turns: upstream_limit::Turns::new(own),
             share: 1.0,
             permit_queue: upstream_limit::Queue::default(),
+            cold: cold::ColdState::default(),
         }
     }
 
@@ -566,6 +571,7 @@
             state.advance(now);
             state.update_permits(&self.turns, now);
         }
+        self.update_cold_permits(now);
         self.permit_queue.expire(now);
         let usable = self.usable(request, now);
         if usable.is_empty() {
@@ -577,7 +583,7 @@
         }
         let profile = usable.iter().find_map(|state| state.profile());
         let preferred = self.preferred(request, &usable);
-        match profile {
+        let placed = match profile {
             Some(profile) if request.prompt_tokens > 0 => {
                 let place = |among: &[_]| self.place_prompt(request, among, profile, now);
                 let placed = match preferred {
@@ -594,8 +600,12 @@
                 placed
             }
             _ => Ok(self.place_call(request, preferred.as_deref().unwrap_or(&usable), now)),
+        };
+        if let Ok(placement) = &placed {
+            self.permit_queue.leave(&limited::requester(request));
+            self.record_choice(placement, now);
         }
-        .inspect(|_| self.permit_queue.leave(&limited::requester(request)))
+        placed
     }
 
     /// Upstreams that may be used, in order of their names: those that look healthy, the failing
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -134,12 +134,14 @@
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
         let usable = division.usable;
-        let all: Vec<usize> = (0..usable.len()).filter(|index| usable[*index].is_open()).collect();
+        let total_ms = profile.prefill_ms(request.prompt_tokens);
+        let may_share = Self::may_share(usable, total_ms > self.settings.part_ms);
+        let may_use = |index: &usize| usable[*index].is_open() && may_share(usable[*index]);
+        let all: Vec<usize> = (0..usable.len()).filter(may_use).collect();
         if all.iter().all(|index| !usable[*index].has_free_slot()) {
             return Err(self.refuse_without_slot(request, profile));
         }
-        let prefill = (profile.prefill_ms(request.prompt_tokens), self.settings.part_ms);
-        match self.plan(request, division, &all, prefill, now) {
+        match self.plan(request, division, &all, (total_ms, self.settings.part_ms), now) {
             Ok(plan) => Ok(self.to_placement(request, usable, profile, &plan, now)),
             Err(Refusal::Deferred(_)) => Err(self.refuse_without_slot(request, profile)),
             Err(refusal) => Err(refusal),
@@ -171,7 +173,7 @@
         let free_ms = self.mean_answer_span(profile).as_secs_f64() * 1e3;
         let part_alone_ms = total_ms / part_count as f64;
         for scope in [Scope::Harmless, Scope::Loose, Scope::All] {
-            let eligible = self.eligible(division, scope, total_ms.min(part_ms));
+            let eligible = self.eligible(division, scope, (total_ms, part_ms));
             match self.plan(request, division, &eligible, (total_ms, part_ms), now) {
                 Ok(mut plan) => {
                     plan.net_value = self.net_value(request, division, &plan, now);
@@ -267,15 +269,22 @@
 
     /// Indices of the engines that a plan for a prompt with a loose gap limit may use. Engines that
     /// limit their requests are used only if all do, since such a prompt takes several: its parts,
-    /// and the orders about its memory.
-    fn eligible(&self, division: Division<'_>, scope: Scope, part_ms: f64) -> Vec<usize> {
+    /// and the orders about its memory. Cold ones are used as [`Placer::may_share`] says.
+    fn eligible(
+        &self,
+        division: Division<'_>,
+        scope: Scope,
+        (total_ms, part_ms): (f64, f64),
+    ) -> Vec<usize> {
         let Division { usable, dedicated } = division;
-        let all_limited = usable.iter().all(|engine| engine.is_limited());
+        let all_limited = usable.iter().all(|engine| engine.needs_permits());
+        let may_share = Self::may_share(usable, total_ms > part_ms);
         let allowed = |index: &usize| {
             let engine = usable[*index];
-            engine.is_open() && (all_limited || !engine.is_limited())
+            engine.is_open() && (all_limited || !engine.is_limited()) && may_share(engine)
         };
-        let harmless = |index: &usize| usable[*index].late_answers(part_ms) == 0;
+        let alone_ms = total_ms.min(part_ms);
+        let harmless = |index: &usize| usable[*index].late_answers(alone_ms) == 0;
         match scope {
             Scope::Harmless => (dedicated..usable.len()).filter(allowed).filter(harmless).collect(),
             Scope::Loose => (dedicated..usable.len()).filter(allowed).collect(),
@@ -283,6 +292,17 @@
         }
     }
 
+    /// Whether an engine may prefill a prompt, alone or, if `is_shared`, together with others. Cold
+    /// engines share a prefill only if all of `usable` are cold or limited: it takes a permit of
+    /// each engine.
+    fn may_share<'a>(
+        usable: &[&UpstreamState],
+        is_shared: bool,
+    ) -> impl Fn(&'a UpstreamState) -> bool {
+        let all_need_permits = usable.iter().all(|engine| engine.needs_permits());
+        move |engine| !is_shared || all_need_permits || !engine.is_cold()
+    }
+
     /// Number of engines that should share a prefill of `total_ms` in parts of `part_ms`.
     fn part_count(&self, total_ms: f64, part_ms: f64) -> usize {
         ((total_ms / part_ms).ceil() as usize).clamp(1, self.settings.max_helpers + 1)
--- a/crates/lagoonline/src/load/placement/upstream.rs
+++ b/crates/lagoonline/src/load/placement/upstream.rs
@@ -3,7 +3,7 @@
 
 use super::{Dispatch, DispatchId};
 use crate::clock;
-use crate::load::{profile, upstream_limit};
+use crate::load::{cold, profile, upstream_limit};
 use crate::routing;
 
 /// Progress of a dispatch on one upstream.
@@ -98,7 +98,9 @@
     slowness: Option<(clock::Moment, f64)>,
     /// The limit that it names on its requests.
     limit: upstream_limit::Limit,
-    /// Whether its limit, if it has one, lets this host send it a request now.
+    /// Whether it is cold.
+    cold: cold::Cold,
+    /// Whether its limit, if it has one, and its being cold, if it is, let this host send it a request now.
     is_open: bool,
     /// Whether it has named a limit that cannot be read.
     named_unreadable_limit: bool,
@@ -123,6 +125,7 @@
             failure_rate_at: clock::Moment::START,
             slowness: None,
             limit: upstream_limit::Limit::default(),
+            cold: cold::Cold::default(),
             is_open: true,
             named_unreadable_limit: false,
         }
@@ -166,8 +169,58 @@
         });
     }
 
-    /// Takes a permit of its limit for a request of any host.
+    /// What is known of its being cold.
+    pub(super) fn cold(&self) -> &cold::Cold {
+        &self.cold
+    }
+
+    pub(super) fn cold_mut(&mut self) -> &mut cold::Cold {
+        &mut self.cold
+    }
+
+    /// Whether it is cold.
+    pub(super) fn is_cold(&self) -> bool {
+        self.cold.until().is_some()
+    }
+
+    /// Whether its requests need permits.
+    pub(super) fn needs_permits(&self) -> bool {
+        self.is_limited() || self.is_cold()
+    }
+
+    /// The permits of its limit, or of its cold time; the scarcer ones if it has both.
+    pub(super) fn bucket(&self) -> Option<&upstream_limit::Bucket> {
+        let cold = self.cold.permits().map(cold::Permits::bucket);
+        let both = self.limit.bucket().into_iter().chain(cold);
+        both.min_by(|a, b| a.own_rate().total_cmp(&b.own_rate()))
+    }
+
+    /// Fills the permits of its cold time, if it is cold, and closes it if there is none for this
+    /// host, one of `hosts` that place requests. After [`UpstreamState::update_permits`].
+    pub(super) fn update_cold_permits(
+        &mut self,
+        plan: &cold::Plan,
+        turns: &upstream_limit::Turns,
+        hosts: usize,
+        now: clock::Moment,
+    ) {
+        let Some(permits) = self.cold.permits_mut() else { return };
+        permits.fill(plan, hosts, turns.part(hosts, now), now);
+        self.is_open &= permits.has_permit(turns.lead(&self.entry.upstream, now));
+    }
+
+    /// Counts a choice of this host if it is cold.
+    pub(super) fn record_choice(&mut self, now: clock::Moment) {
+        if let Some(permits) = self.cold.permits_mut() {
+            permits.take_own(now);
+        }
+    }
+
+    /// Takes the permits of its limit and of its cold time for a request of any host.
     pub(super) fn take_permit(&mut self, now: clock::Moment) {
+        if let Some(permits) = self.cold.permits_mut() {
+            permits.take(now);
+        }
         if let Some(bucket) = self.limit.bucket_mut() {
             bucket.take(now);
         }
@@ -180,7 +233,15 @@
         }
     }
 
-    /// Whether its limit, if it has one, lets this host send it a request now.
+    /// Sets this host's share of the permits of its cold time.
+    pub(super) fn set_cold_share(&mut self, share: f64, now: clock::Moment) {
+        if let Some(permits) = self.cold.permits_mut() {
+            permits.set_share(share, now);
+        }
+    }
+
+    /// Whether its limit, if it has one, and its being cold, if it is, let this host send it a
+    /// request now.
     pub(super) fn is_open(&self) -> bool {
         self.is_open
     }
@@ -198,6 +259,7 @@
         if entry.started_ms != self.entry.started_ms {
             self.parts.clear();
             self.limit = upstream_limit::Limit::default();
+            self.cold = cold::Cold::default();
             self.is_open = true;
             self.named_unreadable_limit = false;
         }
--- a/crates/lagoonline/src/load/placement/waitlist.rs
+++ b/crates/lagoonline/src/load/placement/waitlist.rs
@@ -40,6 +40,10 @@
         self.placing_hosts = hosts.max(1);
     }
 
+    pub(super) fn placing_hosts(&self) -> usize {
+        self.placing_hosts
+    }
+
     /// Records an attempt to place a prompt with a prefill time of `prefill_ms`; `waits` tells
     /// whether it was deferred and will be tried again.
     pub(super) fn record_attempt(
--- a/crates/lagoonline/src/load/upstream_limit/bucket.rs
+++ b/crates/lagoonline/src/load/upstream_limit/bucket.rs
@@ -35,6 +35,8 @@
     rate: f64,
     /// This host's share of the rate, from 0 to 1.
     share: f64,
+    /// Most permits that are kept at the full share; `None` for those of [`TOLERANCE`] besides one.
+    burst: Option<f64>,
     level: f64,
     filled_at: clock::Moment,
 }
@@ -42,7 +44,27 @@
 impl Bucket {
     /// An empty bucket for `rate` requests per second.
     pub fn new(rate: f64, now: clock::Moment) -> Bucket {
-        Bucket { rate: rate.max(MIN_RATE), share: 1.0, level: 0.0, filled_at: now }
+        Bucket { rate: rate.max(MIN_RATE), share: 1.0, burst: None, level: 0.0, filled_at: now }
+    }
+
+    /// An empty bucket for `rate` requests per second that keeps `burst` permits at most, and as
+    /// many of them as its share, but at least one.
+    pub fn with_burst(rate: f64, burst: f64, now: clock::Moment) -> Bucket {
+        Bucket { burst: Some(burst), ..Bucket::new(rate, now) }
+    }
+
+    /// Changes the number of permits that are kept.
+    pub fn set_burst(&mut self, burst: f64) {
+        self.burst = Some(burst);
+        self.level = self.level.min(self.capacity());
+    }
+
+    /// Most permits that are kept.
+    fn capacity(&self) -> f64 {
+        match self.burst {
+            Some(burst) => (burst * self.share).max(1.0),
+            None => 1.0 + self.own_rate() * TOLERANCE.as_secs_f64(),
+        }
     }
 
     /// Changes the rate from `now` on; permits and debt are kept.
@@ -60,8 +82,7 @@
     /// Adds the permits for the time until `now`.
     pub fn fill(&mut self, now: clock::Moment) {
         let added = self.own_rate() * now.since(self.filled_at).as_secs_f64();
-        let most = 1.0 + self.own_rate() * TOLERANCE.as_secs_f64();
-        self.level = (self.level + added).min(most);
+        self.level = (self.level + added).min(self.capacity());
         self.filled_at = self.filled_at.max(now);
     }
 
@@ -87,8 +108,10 @@
         self.level + self.own_rate() * seconds
     }
 
-    /// Whether there has been a permit for `lead`, the time by which other hosts go first.
+    /// Whether there has been a permit for `lead`, the time by which other hosts go first, or as
+    /// many as are kept.
     pub fn has_permit(&self, lead: clock::Span) -> bool {
-        self.level >= 1.0 + self.own_rate() * lead.as_secs_f64()
+        let wanted = 1.0 + self.own_rate() * lead.as_secs_f64();
+        self.level >= wanted.min(self.capacity())
     }
 }
--- a/crates/lagoonline/src/load/upstream_limit/turns.rs
+++ b/crates/lagoonline/src/load/upstream_limit/turns.rs
@@ -15,6 +15,9 @@
 const MAX_LEAD: clock::Span = clock::Span::from_millis(250);
 /// Half-life of the number of requests by which a host's share of them is estimated.
 const SHARE_HALF_LIFE: clock::Span = clock::Span::from_secs(1);
+/// Number of requests, spread evenly over the hosts, that count besides those seen in an estimate
+/// for a known number of hosts: the first request after a pause must not give its host all.
+const EVEN_REQUESTS: f64 = 3.0;
 
 /// The recent requests of one host.
 #[derive(Clone, Copy, Debug)]
@@ -92,6 +95,17 @@
         if all > 0.0 { (own / all).max(least) } else { 1.0 }
     }
 
+    /// Share of the recent requests that were this host's, one of `hosts` hosts that place
+    /// requests; an even share if there were none. The shares that hosts with the same knowledge
+    /// find for themselves add up to one.
+    pub fn part(&self, hosts: usize, now: clock::Moment) -> f64 {
+        let requests = |activity: &Activity| activity.requests(now);
+        let all: f64 = self.active.values().map(requests).sum();
+        let own = self.active.get(&self.own).map_or(0.0, requests);
+        let even = EVEN_REQUESTS / hosts.max(1) as f64;
+        (own + even) / (all + EVEN_REQUESTS)
+    }
+
     fn others(&self, now: clock::Moment) -> impl Iterator<Item = u64> {
         let is_active = move |activity: &Activity| now.since(activity.at) <= ACTIVE_SPAN;
         let active = self.active.iter().filter(move |(_, activity)| is_active(activity));
