Take cold times from entries, answers and other hosts in the gateway

Cause: hosts sent a cold upstream as much as any other; what its entry and its answers say of it was decoded and used by nothing. Change: the service's cold start and the settings ColdOverage and ColdSlack reach the placers; answers are taken in heads.rs and told to other hosts (update kind 24, forwarded between zones, told to hosts that are met); reports and orders count at cold upstreams; a request that is sent more than 250 ms after its placement needs another permit; a host that another one schedules for counts on no permits. Lines upstream_cold, upstream_cold_for_longer and upstream_warm, metrics upstreams_cold, cold_held and cold_refused.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -362,7 +362,8 @@
         last_event: Option<u64>,
         attempts: u32,
     ) -> Result<OpenAnswer, attempt::Failure> {
-        let place::Allocation { placement, id: dispatch_id, in_flight, leave } = allocation;
+        let place::Allocation { placement, id: dispatch_id, in_flight, leave, placed_at } =
+            allocation;
         let primary = &placement.primary;
         let connect = CONNECT_TIMEOUT.min(self.time_left());
         let admission = Some(self.admission());
@@ -380,7 +381,8 @@
         };
         let through = connection.through().cloned();
         let mut exchange = exchange::Exchange::open(connection).await.map_err(unsent)?;
-        if let Some(detail) = self.withhold_reason(&placement) {
+        let withheld = self.withhold_reason(&placement);
+        if let Some(detail) = withheld.or_else(|| self.stale_permit(&placement, placed_at)) {
             self.state.metrics.sends_prevented.inc();
             return Err(attempt::Failure::Withheld(detail));
         }
--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -128,6 +128,7 @@
             return;
         }
         self.observe_limit(origin, answer);
+        self.observe_cold(origin, answer);
         self.observe_leaving(origin, status, &answer.leaving);
         self.observe_retry_after(origin, status, &answer.retry_after);
     }
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod body;
 mod carriers;
 mod clock;
+mod cold;
 mod conclude;
 
 mod connection;
--- a/crates/lagoon-gateway/src/limits/message.rs
+++ b/crates/lagoon-gateway/src/limits/message.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// An upstream that has a limit was asked for a report, or sent an order.
+/// An upstream that has a limit or is cold was asked for a report, or sent an order.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Called {
     /// Name of the upstream.
--- a/crates/lagoon-gateway/src/limits/mod.rs
+++ b/crates/lagoon-gateway/src/limits/mod.rs
@@ -145,15 +145,15 @@
         }
     }
 
-    /// Records a report or an order that an upstream is asked for, which counts against its limit,
-    /// and tells other hosts.
+    /// Records a report or an order that an upstream is asked for, which counts against its limit or
+    /// its permits while it is cold, and tells other hosts.
     pub(crate) fn record_call(&self, entry: &routing::Registration) {
         let upstream = &entry.upstream;
-        let limited = self.with_placer(&entry.service, |placer, now| {
+        let is_counted = self.with_placer(&entry.service, |placer, now| {
             placer.record_call(upstream, now);
-            placer.is_limited(upstream)
+            placer.is_limited(upstream) || placer.is_cold(upstream)
         });
-        if limited == Some(true) {
+        if is_counted == Some(true) {
             let what = datagram::Kind::Called(Called { upstream: upstream.to_string() });
             self.publish(datagram::Update::new(0, &entry.service, what));
         }
--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -326,7 +326,8 @@
         | message::Kind::Begun(_)
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
-        | message::Kind::Departed(_) => true,
+        | message::Kind::Departed(_)
+        | message::Kind::Cold(_) => true,
         message::Kind::BackedOff(word) => word.is_for_all(),
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
@@ -360,6 +361,7 @@
         message::Kind::Departed(departed) => return state.apply_departed(sender, departed),
         message::Kind::Used(usages) => return state.apply_usages(usages),
         message::Kind::BackedOff(word) => return state.apply_backoff(id.host, word),
+        message::Kind::Cold(cold) => return state.apply_cold(&service, cold),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
@@ -389,7 +391,8 @@
         | message::Kind::Limited(_)
         | message::Kind::Departed(_)
         | message::Kind::Used(_)
-        | message::Kind::BackedOff(_) => {}
+        | message::Kind::BackedOff(_)
+        | message::Kind::Cold(_) => {}
     });
     if applied.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::backoffs;
+use crate::cold;
 use crate::departures;
 use crate::limits;
 use crate::quarantine;
@@ -96,7 +97,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 24")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -163,6 +164,9 @@
     /// Not about a dispatch: an upstream wants no requests from a host for a time.
     #[prost(message, tag = "17")]
     BackedOff(backoffs::BackedOff),
+    /// Not about a dispatch: what an answer says of its upstream's being cold.
+    #[prost(message, tag = "24")]
+    Cold(cold::Cold),
 }
 
 /// How an upstream handled a request.
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -224,6 +224,12 @@
     pub(crate) held_for_limit: Counter,
     /// Requests that were refused because all upstreams limit their requests.
     pub(crate) refused_for_limit: Counter,
+    /// Tries to place a request that was held back because upstreams were cold, and requests that
+    /// were refused for it.
+    pub(crate) held_for_cold: Counter,
+    pub(crate) refused_for_cold: Counter,
+    /// Upstreams that are cold.
+    pub(crate) upstreams_cold: Gauge,
     /// Upstreams that are listed and get no new requests.
     pub(crate) upstreams_leaving: Gauge,
     /// Upstreams that vanished around an outage and are in use.
@@ -292,6 +298,9 @@
             limited_upstreams: sync::Arc::default(),
             held_for_limit: Counter::default(),
             refused_for_limit: Counter::default(),
+            held_for_cold: Counter::default(),
+            refused_for_cold: Counter::default(),
+            upstreams_cold: Gauge::default(),
             upstreams_leaving: Gauge::default(),
             upstreams_kept: Gauge::default(),
             list_age_ms: Gauge::default(),
@@ -442,6 +451,12 @@
         registry.register("limit_held", help, self.held_for_limit.clone());
         let help = "requests refused for limits of upstreams";
         registry.register("limit_refused", help, self.refused_for_limit.clone());
+        let help = "cold upstreams";
+        registry.register("upstreams_cold", help, self.upstreams_cold.clone());
+        let help = "tries to place requests held back while upstreams were cold";
+        registry.register("cold_held", help, self.held_for_cold.clone());
+        let help = "requests refused while upstreams were cold";
+        registry.register("cold_refused", help, self.refused_for_cold.clone());
     }
 
     /// Sets the metrics of the limits in force, and removes those of limits that ended.
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -33,6 +33,8 @@
     pub(crate) id: placement::DispatchId,
     pub(crate) in_flight: in_flight::Guard,
     pub(crate) leave: Leave,
+    /// When it was placed, and its permits were taken.
+    pub(crate) placed_at: clock::Moment,
 }
 
 /// By what a dispatch may be sent.
@@ -143,6 +145,7 @@
             let identity = self.identity(wants_permit);
             let wish = Wish { avoid, waited, due, waiter, identity, is_retry };
             let chosen = self.choose(wish).await;
+            let placed_at = self.state.clock.now();
             let schedule::PlacementResult { id, decider, result } =
                 chosen.inspect_err(|_| self.state.record_retry_refusal(&self.service))?;
             self.record_permit_refusal(&result, decider);
@@ -187,7 +190,7 @@
                         (true, Some(charge)) => Leave::Own(charge),
                         (true, None) => Leave::Scheduler,
                     };
-                    return Ok(Allocation { placement, id, in_flight, leave });
+                    return Ok(Allocation { placement, id, in_flight, leave, placed_at });
                 }
                 Err(refusal) => {
                     drop(in_flight);
@@ -313,18 +316,32 @@
     ) {
         match result {
             Err(placement::Refusal::Rejected(placement::Shortage::Permit, span)) => {
-                self.state.metrics.refused_for_limit.inc();
+                self.count_permit_refusal(true);
                 if decider == in_flight::Decider::Own {
                     self.publish_promise(*span);
                 }
             }
             Err(placement::Refusal::Deferred(placement::Shortage::Permit)) => {
-                self.state.metrics.held_for_limit.inc();
+                self.count_permit_refusal(false);
             }
             _ => {}
         }
     }
 
+    /// Counts a request without a permit: under cold upstreams if this host knows of any, and under
+    /// limits otherwise. `is_final` if it is refused, and not held back.
+    fn count_permit_refusal(&self, is_final: bool) {
+        let metrics = &self.state.metrics;
+        let has_cold = self.state.with_placer(&self.service, |placer, _| placer.has_cold());
+        let counter = match (has_cold == Some(true), is_final) {
+            (true, true) => &metrics.refused_for_cold,
+            (true, false) => &metrics.held_for_cold,
+            (false, true) => &metrics.refused_for_limit,
+            (false, false) => &metrics.held_for_limit,
+        };
+        counter.inc();
+    }
+
     /// Counts a request that is refused because all upstreams asked this host to wait.
     fn record_backoff_refusal(&self, result: &Result<placement::Placement, placement::Refusal>) {
         if let Err(placement::Refusal::Rejected(placement::Shortage::Backoff, _)) = result {
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -52,6 +52,7 @@
             return Vec::new();
         }
         let mut updates = self.limit_updates();
+        updates.extend(self.cold_updates());
         updates.extend(self.departure_updates());
         if own_zone.contains(&address) {
             updates.extend(self.usage_update());
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -188,14 +188,15 @@
     tokio::time::sleep(FLUSH_TIME).await;
 }
 
-/// Periodically removes expired state and updates the quarantine, the limits of
-/// upstreams and the confirmation age metric.
+/// Periodically removes expired state and updates the quarantine, the limits and
+/// cold times of upstreams and the confirmation age metric.
 async fn expire(state: sync::Arc<state::State>) {
     loop {
         tokio::time::sleep(EXPIRY_INTERVAL).await;
         state.expire();
         state.update_quarantine();
         state.update_limits();
+        state.update_cold();
         let age = state.confirmation_age().unwrap_or_default();
         state.metrics.confirmation_age_ms.set(i64::try_from(age.as_millis()).unwrap_or(i64::MAX));
     }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -439,14 +439,24 @@
         lock(&self.paths).retain(listed, |upstream| registry.is_listed(upstream));
         let known = self.service_states.load_full();
         let mut service_states = ServiceStates::default();
+        let mut changed = Vec::new();
         for (service, entries) in by_service {
             let profile = table.service(&service).and_then(|service| service.profile);
             let service_state =
                 known.get(&service).cloned().unwrap_or_else(|| self.new_service_state());
-            lock(&service_state).placer.set_upstreams(&entries, profile);
+            let mut locked = lock(&service_state);
+            locked.placer.set_upstreams(&entries, profile);
+            let cold_start = table.service(&service).and_then(|service| service.cold_start);
+            let now = self.clock.now();
+            let changes = locked.placer.update_cold(cold_start, self.cold_bound(), now);
+            drop(locked);
+            changed.push((service.clone(), changes));
             service_states.insert(service, service_state);
         }
         self.service_states.store(sync::Arc::new(service_states));
+        for (service, changes) in &changed {
+            self.log_cold(service, changes);
+        }
         if self.upstreams_listed.load(atomic::Ordering::Relaxed) {
             self.raise_level(SyncLevel::Tables);
         }
@@ -459,6 +469,8 @@
             self.incarnation,
         );
         placer.set_placing_hosts(self.placing_hosts.load(atomic::Ordering::Relaxed));
+        // Until the roster has been asked.
+        placer.set_cold_share(0.0, self.clock.now());
         sync::Arc::new(sync::Mutex::new(ServiceState { placer }))
     }
 
--- a/crates/lagoonline/src/load/cold.rs
+++ b/crates/lagoonline/src/load/cold.rs
@@ -19,6 +19,10 @@
 use crate::clock;
 use crate::routing;
 
+/// Longest time from a request's placement, which takes its permit, until it is sent without another
+/// permit. The permits of 1.25 s then arrive in one second: 25 of the 30 that the bound allows at 17
+/// a second.
+pub const MAX_SEND_DELAY: clock::Span = clock::Span::from_millis(250);
 /// Longest cold time that is believed.
 const MAX_SPAN: clock::Span = clock::Span::from_secs(3_600);
 /// Time for which an entry may be older than an answer: entries are rewritten every 1.2 s and may
@@ -318,6 +322,14 @@
         self.current.map(|current| current.until)
     }
 
+    /// The last answer that was taken, as an observation for other hosts; `None` if the time in force
+    /// is not from an answer.
+    pub fn observation(&self) -> Option<Observation> {
+        let current = self.current.filter(|current| current.source == Source::Answer)?;
+        let remaining = current.until.since(self.seen);
+        Some(Observation { remaining, sent: self.sent, seen: self.seen })
+    }
+
     /// By what it is known to be cold.
     pub fn source(&self) -> Option<Source> {
         self.current.map(|current| current.source)
--- a/crates/lagoonline/src/load/placement/cold.rs
+++ b/crates/lagoonline/src/load/placement/cold.rs
@@ -19,6 +19,8 @@
     pub source: cold::Source,
     /// Permits left; negative for a debt.
     pub permits: f64,
+    /// What the last answer said, if that is the source.
+    pub last: Option<cold::Observation>,
 }
 
 /// What is known of the service's cold upstreams as a whole.
@@ -110,6 +112,12 @@
         self.upstreams.get(upstream).is_some_and(UpstreamState::is_cold)
     }
 
+    /// Time since an answer last said that `upstream` is cold; `None` if no answer did.
+    pub fn cold_age(&self, upstream: &id::Upstream, now: clock::Moment) -> Option<clock::Span> {
+        let last = self.upstreams.get(upstream)?.cold().observation()?;
+        Some(now.since(last.seen))
+    }
+
     /// The cold upstreams.
     pub fn cold_upstreams(&self) -> impl Iterator<Item = ColdUpstream> {
         self.upstreams.values().filter_map(|state| {
@@ -119,6 +127,7 @@
                 until: state.cold().until()?,
                 source: state.cold().source()?,
                 permits: state.cold().permits()?.bucket().level(),
+                last: state.cold().observation(),
             })
         })
     }
