--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -114,6 +114,9 @@
 #[derive(argh::FromArgs)]
 #[argh(subcommand, name = "limits")]
 struct Limits {
+    /// play the scenarios of upstreams that return cold instead
+    #[argh(switch)]
+    cold: bool,
     /// scenario by name; may be repeated; all by default
     #[argh(option)]
     scenario: Vec<String>,
@@ -603,6 +606,9 @@
 /// Plays the scenarios of limits with each way, and prints the worst excess and the means of the
 /// other figures over all seeds.
 fn run_limits(args: &Limits) -> Result<(), Box<dyn error::Error>> {
+    if args.cold {
+        return run_cold(args);
+    }
     let scenarios = select(limits::all(), &args.scenario, |scenario| scenario.name)?;
     println!(
         "scenario way excess over_limit used in_time late refused refused_twice misled held known_ms messages"
@@ -617,6 +623,44 @@
     Ok(())
 }
 
+/// Plays the scenarios of upstreams that return cold with each way and fault, and prints the most
+/// arrivals in a second and the means of the other figures over all seeds.
+fn run_cold(args: &Limits) -> Result<(), Box<dyn error::Error>> {
+    let is_wanted = |scenario: &limits::cold::Scenario| {
+        args.scenario.is_empty() || args.scenario.iter().any(|name| name == scenario.name)
+    };
+    println!("hosts placing zones scenario fault way most allowed used sent given_up");
+    for scenario in limits::cold::all().iter().filter(|scenario| is_wanted(scenario)) {
+        for fault in limits::cold::Fault::ALL {
+            for way in limits::cold::Way::ALL {
+                let run = |seed| limits::cold::run(scenario, way, fault, seed);
+                print_cold(scenario, fault, way, &(1..=args.seeds).map(run).collect::<Vec<_>>());
+            }
+        }
+    }
+    Ok(())
+}
+
+fn print_cold(
+    scenario: &limits::cold::Scenario,
+    fault: limits::cold::Fault,
+    way: limits::cold::Way,
+    reports: &[limits::cold::Report],
+) {
+    let mean = |figure: fn(&limits::cold::Report) -> f64| {
+        reports.iter().map(figure).sum::<f64>() / reports.len().max(1) as f64
+    };
+    let limits::cold::Scenario { name, hosts, placing, zones, .. } = scenario;
+    println!(
+        "{hosts} {placing} {zones} {name} {fault:?} {way:?} {} {} {:.2} {:.0} {:.0}",
+        reports.iter().map(|report| report.most).max().unwrap_or(0),
+        limits::cold::allowed(),
+        mean(|report| report.used),
+        mean(|report| report.sent as f64),
+        mean(|report| report.given_up as f64),
+    );
+}
+
 fn print_limits(scenario: &str, way: limits::Way, reports: &[limits::Report]) {
     let worst = |figure: fn(&limits::Report) -> f64| {
         reports.iter().map(figure).fold(f64::NEG_INFINITY, f64::max)
--- a/crates/lagoon-load/src/limits/mod.rs
+++ b/crates/lagoon-load/src/limits/mod.rs
@@ -5,6 +5,7 @@
 //! arrive at random, wait, are refused, and come back once when they were told to. The same seed
 //! gives the same arrivals for every [`Way`] of keeping a limit.
 
+pub mod cold;
 mod host;
 mod report;
 mod scenario;
--- a/crates/lagoonline/src/load/cold.rs
+++ b/crates/lagoonline/src/load/cold.rs
@@ -10,7 +10,7 @@
 //! for a moment and the debt is paid back; here each single second counts. Hence a small burst, and
 //! a second bucket for the host's own choices: what the hosts send together stays within the bound
 //! even if none of them hears of the others, and what it adds to the first is only that a host whose
-//! share of the traffic grows suddenly gets its share of the permits about a second later.
+//! share of the traffic grows suddenly gets its share of the permits some seconds later.
 //!
 //! How long an upstream is cold is known from its entry, from its answers, and from its start: an
 //! entry may be older than the whole cold time. `docs/design/cold-upstreams.md` has the arithmetic.
@@ -36,6 +36,11 @@
 const OWN_BURST_PART: f64 = 0.5;
 /// Smallest burst: a bucket that never holds a whole permit gives none.
 const MIN_BURST: f64 = 1.0;
+/// Most by which the rates of the hosts' own choices together exceed the rate: a host that waits for
+/// a permit of all must not lose those of its own, of which it keeps only one.
+const MAX_OWN_RATE: f64 = 1.15;
+/// Growth of these rates until a zone that is cut off is noticed, for which the bound keeps room.
+const OWN_RATE_GROWTH: f64 = 1.1;
 /// Smallest number of placing hosts that a host's own burst is sized for: one that was frozen knows
 /// of no others at first.
 const MIN_PLACING_HOSTS: f64 = 2.0;
@@ -74,6 +79,8 @@
     pub burst: f64,
     /// Permits that all hosts together may use in a second beyond the rate.
     excess: f64,
+    /// Arrivals that the bound allows in a second.
+    allowed: f64,
 }
 
 impl Plan {
@@ -86,7 +93,7 @@
         // A bound without an excess leaves no room for a burst and for a permit that is used twice,
         // so that the rate has to be lower.
         let rate = cold_start.rate.min((allowed - 2.0 * burst).max(allowed / 2.0));
-        Plan { span: cold_start.span.min(MAX_SPAN), rate, burst, excess }
+        Plan { span: cold_start.span.min(MAX_SPAN), rate, burst, excess, allowed }
     }
 
     /// Most permits that one of `hosts` hosts which place requests keeps for its own choices.
@@ -94,6 +101,21 @@
         let hosts = (hosts as f64).max(MIN_PLACING_HOSTS);
         (self.excess * OWN_BURST_PART / hosts).max(MIN_BURST)
     }
+
+    /// Part of `hosts` hosts which place requests that may use a cold upstream at the same moment: if
+    /// there are very many, and each uses one permit before it hears of the others, the bound has no
+    /// room for all of them.
+    pub fn part_at_once(&self, hosts: usize) -> f64 {
+        (self.excess.max(MIN_BURST) / hosts.max(1) as f64).min(1.0)
+    }
+
+    /// Permits per second that `hosts` hosts which place requests have for their own choices
+    /// together: as many as the bound allows besides their bursts, and not much more than the rate.
+    fn own_rate(&self, hosts: usize) -> f64 {
+        let bursts = self.own_burst(hosts) * hosts as f64;
+        let room = (self.allowed - bursts) / self.rate / OWN_RATE_GROWTH;
+        self.rate * room.clamp(1.0, MAX_OWN_RATE)
+    }
 }
 
 /// By what an upstream is known to be cold.
@@ -157,7 +179,7 @@
     /// places the part `own_part` of all requests.
     pub fn fill(&mut self, plan: &Plan, hosts: usize, own_part: f64, now: clock::Moment) {
         self.all.fill(now);
-        self.own.set_rate(plan.rate * own_part, now);
+        self.own.set_rate(plan.own_rate(hosts) * own_part, now);
         self.own.set_burst(plan.own_burst(hosts));
     }
 
--- a/crates/lagoonline/src/load/placement/upstream.rs
+++ b/crates/lagoonline/src/load/placement/upstream.rs
@@ -206,7 +206,9 @@
     ) {
         let Some(permits) = self.cold.permits_mut() else { return };
         permits.fill(plan, hosts, turns.part(hosts, now), now);
-        self.is_open &= permits.has_permit(turns.lead(&self.entry.upstream, now));
+        let upstream = &self.entry.upstream;
+        self.is_open &= permits.has_permit(turns.lead(upstream, now))
+            && turns.is_drawn(upstream, plan.part_at_once(hosts), now);
     }
 
     /// Counts a choice of this host if it is cold.
--- a/crates/lagoonline/src/load/upstream_limit/turns.rs
+++ b/crates/lagoonline/src/load/upstream_limit/turns.rs
@@ -15,6 +15,11 @@
 const MAX_LEAD: clock::Span = clock::Span::from_millis(250);
 /// Half-life of the number of requests by which a host's share of them is estimated.
 const SHARE_HALF_LIFE: clock::Span = clock::Span::from_secs(1);
+/// The same for the estimate of [`Turns::part`]: the sum of the shares that hosts find for themselves
+/// must grow by little until a zone that is cut off is noticed, after 1.3 s.
+const PART_HALF_LIFE: clock::Span = clock::Span::from_secs(3);
+/// Time for which the same hosts are drawn: long enough to hear of their requests.
+const DRAW_SPAN: clock::Span = clock::Span::from_millis(250);
 /// Number of requests, spread evenly over the hosts, that count besides those seen in an estimate
 /// for a known number of hosts: the first request after a pause must not give its host all.
 const EVEN_REQUESTS: f64 = 3.0;
@@ -24,6 +29,8 @@
 struct Activity {
     /// Number of requests, decayed up to `at`.
     requests: f64,
+    /// The same with the half-life [`PART_HALF_LIFE`].
+    steady: f64,
     /// When the last one was sent.
     at: clock::Moment,
 }
@@ -34,6 +41,12 @@
         let half_lives = now.since(self.at).as_secs_f64() / SHARE_HALF_LIFE.as_secs_f64();
         self.requests * 0.5_f64.powf(half_lives)
     }
+
+    /// Number of requests, decayed up to `now` with the half-life [`PART_HALF_LIFE`].
+    fn steady(&self, now: clock::Moment) -> f64 {
+        let half_lives = now.since(self.at).as_secs_f64() / PART_HALF_LIFE.as_secs_f64();
+        self.steady * 0.5_f64.powf(half_lives)
+    }
 }
 
 /// The hosts that place requests, as far as they have done so lately.
@@ -64,8 +77,10 @@
 
     /// Records that `host` placed a request, wherever it went.
     pub fn record(&mut self, host: u64, now: clock::Moment) {
-        let known = self.active.get(&host).map_or(0.0, |activity| activity.requests(now));
-        self.active.insert(host, Activity { requests: known + 1.0, at: now });
+        let known = self.active.get(&host);
+        let requests = known.map_or(0.0, |activity| activity.requests(now)) + 1.0;
+        let steady = known.map_or(0.0, |activity| activity.steady(now)) + 1.0;
+        self.active.insert(host, Activity { requests, steady, at: now });
     }
 
     /// Forgets the hosts that have sent nothing lately.
@@ -95,13 +110,22 @@
         if all > 0.0 { (own / all).max(least) } else { 1.0 }
     }
 
+    /// Whether this host is drawn for `upstream` now, which `part` of the hosts are, from 0 to 1;
+    /// others are some moments later.
+    pub fn is_drawn(&self, upstream: &id::Upstream, part: f64, now: clock::Moment) -> bool {
+        let round = now.since(clock::Moment::START).as_millis() / DRAW_SPAN.as_millis();
+        let mut hasher = collections::hash_map::DefaultHasher::new();
+        (self.own, upstream.as_str(), round).hash(&mut hasher);
+        part >= 1.0 || (hasher.finish() as f64) < part * u64::MAX as f64
+    }
+
     /// Share of the recent requests that were this host's, one of `hosts` hosts that place
     /// requests; an even share if there were none. The shares that hosts with the same knowledge
     /// find for themselves add up to one.
     pub fn part(&self, hosts: usize, now: clock::Moment) -> f64 {
-        let requests = |activity: &Activity| activity.requests(now);
-        let all: f64 = self.active.values().map(requests).sum();
-        let own = self.active.get(&self.own).map_or(0.0, requests);
+        let steady = |activity: &Activity| activity.steady(now);
+        let all: f64 = self.active.values().map(steady).sum();
+        let own = self.active.get(&self.own).map_or(0.0, steady);
         let even = EVEN_REQUESTS / hosts.max(1) as f64;
         (own + even) / (all + EVEN_REQUESTS)
     }
