--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -328,7 +328,8 @@
         | message::Kind::Limited(_)
         | message::Kind::Called(_)
         | message::Kind::Departed(_)
-        | message::Kind::Evacuated(_) => true,
+        | message::Kind::Evacuated(_)
+        | message::Kind::Cold(_) => true,
         message::Kind::BackedOff(word) => word.is_for_all(),
         message::Kind::Sent(_)
         | message::Kind::Reported(_)
@@ -363,6 +364,7 @@
         message::Kind::Evacuated(word) => return state.apply_evacuated(sender, word),
         message::Kind::Used(usages) => return state.apply_usages(usages),
         message::Kind::BackedOff(word) => return state.apply_backoff(id.host, word),
+        message::Kind::Cold(cold) => return state.apply_cold(&service, cold),
         _ => {}
     }
     let applied = state.with_placer(&service, |placer, now| match what {
@@ -393,7 +395,8 @@
         | message::Kind::Departed(_)
         | message::Kind::Evacuated(_)
         | message::Kind::Used(_)
-        | message::Kind::BackedOff(_) => {}
+        | message::Kind::BackedOff(_)
+        | message::Kind::Cold(_) => {}
     });
     if applied.is_none() {
         log::debug!("\"event\":\"word_of_unknown_service\"");
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -12,6 +12,7 @@
 use prost::Message;
 
 use crate::backoffs;
+use crate::cold;
 use crate::departures;
 use crate::eligibility;
 use crate::limits;
@@ -97,7 +98,7 @@
     #[prost(string, tag = "2")]
     pub(crate) service: String,
     /// What happened; absent if only a later build knows its kind.
-    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 19")]
+    #[prost(oneof = "Kind", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 19, 24")]
     pub(crate) what: Option<Kind>,
     /// Incarnation whose dispatch it is, if not the sender's.
     #[prost(fixed64, optional, tag = "20")]
@@ -167,6 +168,9 @@
     /// Not about a dispatch: operators evacuated a zone, or returned it.
     #[prost(message, tag = "19")]
     Evacuated(eligibility::Evacuated),
+    /// Not about a dispatch: what an answer says of its upstream's being cold.
+    #[prost(message, tag = "24")]
+    Cold(cold::Cold),
 }
 
 /// How an upstream handled a request.
