Bound bytes of upstreams and of the store that become no answer

Cause: heads, informational heads, chunk extensions, trailers, comments and trickles were bounded only by the deadline of the request or by the library's defaults, and such an upstream kept its connection and its slot meanwhile.

Change: load::progress decides when bytes bring an answer no further; meter checks each read of a connection before the HTTP library sees it. A violation closes the connection, records the failure for placement, is counted by kind (answer_violations) and logged once, and the request is tried elsewhere where it may be. Orders, reports and the store have the same bounds.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -15,8 +15,18 @@
 use hyper_util::rt::TokioIo;
 use lagoonline::id;
 use lagoonline::lifecycle::completeness;
+use lagoonline::load::progress;
+use lagoonline::routing;
 
+use crate::event;
+use crate::message;
+use crate::meter;
 use crate::path;
+use crate::state;
+
+/// Maximum number of bytes that are read ahead of an answer. It exceeds the bound on heads of
+/// [`progress::Settings`], which is therefore the one that applies.
+const READ_BUFFER: usize = 128 << 10;
 
 /// Body of a request.
 pub(crate) type Payload = http_body_util::Full<body::Bytes>;
@@ -33,16 +43,21 @@
     /// The connection broke, or the answer is invalid: the request may have been acted on.
     #[error("lost: {0}")]
     Lost(String),
+    /// The upstream sent bytes that never become a valid answer, or too slowly. The request may have
+    /// been acted on.
+    #[error("lost: {0}")]
+    Violated(progress::Violation),
 }
 
 /// The connection, which makes progress only while it is polled.
-type Driver = http1::Connection<TokioIo<path::Connection>, Payload>;
+type Driver = http1::Connection<TokioIo<meter::Metered<path::Connection>>, Payload>;
 
 /// A connection with at most one request in progress.
 #[derive(Debug)]
 pub(crate) struct Exchange {
     sender: http1::SendRequest<Payload>,
     driver: Option<Driver>,
+    meter: meter::Meter,
 }
 
 impl Exchange {
@@ -52,30 +67,38 @@
     ///
     /// [`Failure::Unsent`].
     pub(crate) async fn open(connection: path::Connection) -> Result<Exchange, Failure> {
-        let (sender, driver) = http1::handshake(TokioIo::new(connection))
+        let meter = meter::Meter::default();
+        let metered = meter::Metered::new(connection, meter.clone());
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER)
+            .handshake(TokioIo::new(metered))
             .await
             .map_err(|error| Failure::Unsent(error.to_string()))?;
-        Ok(Exchange { sender, driver: Some(driver) })
+        Ok(Exchange { sender, driver: Some(driver), meter })
     }
 
     /// Sends the request and waits for the head of its answer.
     ///
     /// # Errors
     ///
-    /// [`Failure::Lost`]: a byte may have left.
+    /// [`Failure::Lost`] and [`Failure::Violated`]: a byte may have left.
     pub(crate) async fn send(
         &mut self,
         request: hyper::Request<Payload>,
     ) -> Result<hyper::Response<body::Incoming>, Failure> {
+        self.meter.begin_head();
         let answer = self.sender.send_request(request);
-        drive(&mut self.driver, answer).await.map_err(lost)
+        let answer = drive(&mut self.driver, answer).await;
+        let answer = answer.map_err(|error| self.failure(&error))?;
+        self.meter.begin_body();
+        Ok(answer)
     }
 
     /// Reads the next bytes of an answer's body; `None` at its end.
     ///
     /// # Errors
     ///
-    /// [`Failure::Lost`]: the answer broke off.
+    /// [`Failure::Lost`]: the answer broke off. [`Failure::Violated`]: its bytes bring no content.
     pub(crate) async fn chunk(
         &mut self,
         body: &mut body::Incoming,
@@ -84,10 +107,11 @@
             let frame = drive(&mut self.driver, body.frame()).await;
             match frame {
                 None => return Ok(None),
-                Some(Err(error)) => return Err(lost(error)),
+                Some(Err(error)) => return Err(self.failure(&error)),
                 // Trailers are not part of the body.
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.meter.deliver();
                         return Ok(Some(data));
                     }
                 }
@@ -99,17 +123,17 @@
     ///
     /// # Errors
     ///
-    /// [`Failure::Lost`]: the answer broke off or is longer.
+    /// [`Failure::Lost`]: the answer broke off. [`Failure::Violated`]: it is longer, or arrives too
+    /// slowly.
     pub(crate) async fn read_body(
         &mut self,
         body: &mut body::Incoming,
         limit: usize,
     ) -> Result<bytes::BytesMut, Failure> {
         let mut bytes = bytes::BytesMut::new();
+        let mut watch = progress::Body::new(limit);
         while let Some(chunk) = self.chunk(body).await? {
-            if bytes.len() + chunk.len() > limit {
-                return Err(Failure::Lost(format!("an answer of over {limit} bytes")));
-            }
+            watch.receive(chunk.len(), self.meter.now()).map_err(Failure::Violated)?;
             bytes.extend_from_slice(&chunk);
         }
         Ok(bytes)
@@ -121,6 +145,24 @@
         let ready = drive(&mut self.driver, ready).await.is_ok();
         ready && self.driver.is_some() && self.sender.is_ready()
     }
+
+    /// Returns the failure that `error` of the connection stands for.
+    fn failure(&self, error: &hyper::Error) -> Failure {
+        use std::error::Error;
+        let source = error.source();
+        let invalid = source
+            .and_then(|source| source.downcast_ref::<std::io::Error>())
+            .is_some_and(|source| source.kind() == std::io::ErrorKind::InvalidData);
+        if let Some(violation) = self.meter.violation() {
+            Failure::Violated(violation)
+        } else if !invalid {
+            let source = source.map(|source| format!(": {source}")).unwrap_or_default();
+            Failure::Lost(format!("{error}{source}"))
+        } else {
+            // The library's own bounds on chunk extensions and trailers.
+            Failure::Violated(progress::Violation::Framing)
+        }
+    }
 }
 
 /// Returns how the end of an answer's body is marked.
@@ -179,10 +221,26 @@
     timed.unwrap_or_else(|_| Err(Failure::Lost("no answer in time".to_owned())))
 }
 
-fn lost(error: hyper::Error) -> Failure {
-    use std::error::Error;
-    let source = error.source().map(|source| format!(": {source}")).unwrap_or_default();
-    Failure::Lost(format!("{error}{source}"))
+impl state::State {
+    /// Counts and logs that the connection to `entry` was closed since its bytes became no answer to
+    /// the call for `of`, and records the failure for placement. Other failures are ignored.
+    pub(crate) fn record_violation(
+        &self,
+        of: &'static str,
+        entry: &routing::Registration,
+        failure: &Failure,
+    ) {
+        let Failure::Violated(violation) = failure else { return };
+        self.metrics.count_violation(of, *violation);
+        let failed = message::UpstreamOutcome::Failed;
+        let observation = message::Observation::new(&entry.upstream, failed);
+        self.record_observation(&entry.service, observation);
+        event::Line::new("answer_violation")
+            .text("call", of)
+            .text("upstream", &entry.upstream)
+            .text("kind", violation.as_str())
+            .warn();
+    }
 }
 
 /// Polls the connection alongside `work` until `work` is done.
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, fingerprint, quarantine, request};
-use lagoonline::load::placement;
+use lagoonline::load::{placement, progress};
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
 use ntex::web;
@@ -399,11 +399,11 @@
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
-                        self.record_unresponsive(&primary.upstream);
-                        self.record_broken_connection(
-                            &primary.upstream,
-                            self.progress_before_answer(),
-                        );
+                        let progress = self.progress_before_answer();
+                        if matches!(failure, exchange::Failure::Lost(_)) {
+                            self.record_unresponsive(&primary.upstream);
+                        }
+                        self.record_broken_answer(&primary.upstream, &failure, progress);
                         return Err(attempt::Failure::Lost(format!(
                             "{}: {failure}",
                             primary.upstream
@@ -537,6 +537,33 @@
         self.record_outcome(upstream, message::UpstreamOutcome::Failed);
     }
 
+    /// Records that an answer of `upstream` was broken off after `progress`, by the upstream or, if
+    /// its bytes became no answer, by this host.
+    pub(crate) fn record_broken_answer(
+        &self,
+        upstream: &id::Upstream,
+        failure: &exchange::Failure,
+        progress: quarantine::Progress,
+    ) {
+        if let exchange::Failure::Violated(violation) = failure {
+            self.record_violation(upstream, *violation);
+        } else {
+            self.record_broken_connection(upstream, progress);
+        }
+    }
+
+    /// Records that the connection to `upstream` is closed because of `violation`. Its process has
+    /// not ended, so this is no evidence of a request that crashes upstreams.
+    pub(crate) fn record_violation(&self, upstream: &id::Upstream, violation: progress::Violation) {
+        self.record_failure(upstream);
+        self.state.metrics.count_violation("answer", violation);
+        event::Line::new("answer_violation")
+            .text("request", &self.request.head.request_id)
+            .text("upstream", upstream)
+            .text("kind", violation.as_str())
+            .warn();
+    }
+
     /// Records and publishes how an upstream handled the request.
     pub(crate) fn record_outcome(
         &self,
@@ -583,7 +610,7 @@
         let body = open.exchange.read_body(open.answer.body_mut(), MAX_BUFFERED_BODY).await;
         let body = body.map_err(|failure| {
             self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Broken);
-            self.record_broken_connection(peer, quarantine::Progress::Unknown);
+            self.record_broken_answer(peer, &failure, quarantine::Progress::Unknown);
             attempt::Failure::Lost(format!("{peer}: {failure}"))
         })?;
         let content = plain_content(open.framing, read.json, &body);
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -86,7 +86,7 @@
 /// Removes the rows of hosts that have been silent too long, while this host leads its zone.
 async fn remove_gone(state: sync::Arc<state::State>) {
     let span = state.settings.tuning.hosts_gone;
-    let mut client = client::Client::new(state.settings.node.store);
+    let mut client = client::Client::new(&state);
     loop {
         tokio::time::sleep(span.mul_f64(rand::rng().random_range(0.2..0.3))).await;
         let gone = state::lock(&state.peers).roster.expired(span, state.clock.now());
@@ -108,7 +108,7 @@
 
 /// Writes this host's row, and retries until that succeeds.
 async fn write_row(state: &state::State, own: &Row) {
-    let mut client = client::Client::new(state.settings.node.store);
+    let mut client = client::Client::new(state);
     let row = serde_json::json!(own).to_string();
     let call = store::put(TABLE, state.settings.node.host.as_str(), row.as_bytes());
     let mut tries = 0_u32;
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod logs;
 mod mesh;
 mod message;
+mod meter;
 mod metrics;
 mod mirror;
 mod path;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, quarantine};
-use lagoonline::load::placement;
+use lagoonline::load::{placement, progress};
 use lagoonline::outcome;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -167,6 +167,15 @@
     pub(crate) way: &'static str,
 }
 
+/// Labels of the counter of bytes that are no answer.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ViolationLabels {
+    /// What was asked for: `answer`, `order`, `report` or `store`.
+    pub(crate) of: &'static str,
+    /// The [`progress::Violation`].
+    pub(crate) kind: &'static str,
+}
+
 /// Labels of the counter of connections to upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ConnectionLabels {
@@ -250,6 +259,8 @@
     unread_fields: Family<FieldLabels, Counter>,
     /// Direct connections to upstreams, by outcome.
     connections: Family<ConnectionLabels, Counter>,
+    /// Connections that were closed since their bytes became no answer, by kind.
+    violations: Family<ViolationLabels, Counter>,
     /// Upstreams to which this host's own path is lost.
     pub(crate) paths_lost: Gauge,
     /// Connections to upstreams, by the way by which they opened.
@@ -305,6 +316,7 @@
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
             connections: Family::default(),
+            violations: Family::default(),
             paths_lost: Gauge::default(),
             paths: Family::default(),
             tunnels: Family::default(),
@@ -370,6 +382,13 @@
         registry.register("retry_after_answers", help, self.retry_after_answers.clone());
         let help = "fields of upstreams' answers that nobody reads, by name";
         registry.register("unread_answer_fields", help, self.unread_fields.clone());
+        let help = "connections closed since their bytes became no answer, by what was asked for";
+        registry.register("answer_violations", help, self.violations.clone());
+    }
+
+    /// Counts a connection that was closed because of `violation` while `of` was asked for.
+    pub(crate) fn count_violation(&self, of: &'static str, violation: progress::Violation) {
+        self.violations.get_or_create(&ViolationLabels { of, kind: violation.as_str() }).inc();
     }
 
     /// Counts a departure of an upstream.
--- a/crates/lagoon-gateway/src/quarantine/rows.rs
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -54,7 +54,7 @@
 
 /// Reads the stored verdicts, then keeps them up to date.
 pub(crate) async fn run(state: sync::Arc<state::State>) {
-    let mut client = client::Client::new(state.settings.node.store);
+    let mut client = client::Client::new(&state);
     let mut stored = Stored::new();
     let mut failures = 0;
     while let Err(error) = read(&state, &mut client, &mut stored).await {
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -123,7 +123,10 @@
         .map_err(|error| error.to_string())?;
     let connecting = path::connect(state, entry, None, REPORT_TIMEOUT);
     let call = exchange::call(connecting, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
-    let reply = call.map_err(|failure| failure.to_string())?;
+    let reply = call.map_err(|failure| {
+        state.record_violation("report", entry, &failure);
+        failure.to_string()
+    })?;
     state.observe_reply(entry, sent_at, &reply);
     engine::read_report(&reply.body).map_err(|error| error.to_string())
 }
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -367,7 +367,10 @@
         .span("took_ms", began.elapsed());
     match &answer {
         Ok(status) => line.number("status", status).info(),
-        Err(failure) => line.text("error", failure).warn(),
+        Err(failure) => {
+            state.record_violation("order", entry, failure);
+            line.text("error", failure).warn();
+        }
     }
     answer
 }
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -5,8 +5,11 @@
 
 use lagoon_platform::store;
 
+use crate::event;
 use crate::exchange;
+use crate::metrics;
 use crate::path;
+use crate::state;
 use crate::tcp;
 
 /// Timeout for connecting to the store: three round trips between zones and a lost packet.
@@ -35,13 +38,15 @@
 #[derive(Debug)]
 pub(crate) struct Client {
     address: net::SocketAddr,
+    metrics: metrics::Metrics,
     exchange: Option<exchange::Exchange>,
 }
 
 impl Client {
-    /// Creates a client of the store at `address`.
-    pub(crate) fn new(address: net::SocketAddr) -> Client {
-        Client { address, exchange: None }
+    /// Creates a client of the platform's store.
+    pub(crate) fn new(state: &state::State) -> Client {
+        let address = state.settings.node.store;
+        Client { address, metrics: state.metrics.clone(), exchange: None }
     }
 
     /// Makes one call. After a failure the connection is closed, so that a late answer is not taken
@@ -57,7 +62,15 @@
     ) -> Result<store::Reply, Error> {
         let idle = self.exchange.take();
         let work = tokio::time::timeout(timeout, self.call_on(idle, call));
-        let (exchange, reply) = work.await.map_err(|_| Error::TimedOut(timeout))??;
+        let result = work.await.map_err(|_| Error::TimedOut(timeout))?;
+        if let Err(Error::Failed(exchange::Failure::Violated(violation))) = &result {
+            self.metrics.count_violation("store", *violation);
+            event::Line::new("answer_violation")
+                .text("dependency", "store")
+                .text("kind", violation.as_str())
+                .warn();
+        }
+        let (exchange, reply) = result?;
         self.exchange = Some(exchange);
         match reply {
             store::Reply::Refused(status) => Err(Error::Refused(status)),
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -18,6 +18,7 @@
 use lagoonline::event_stream;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, quarantine};
+use lagoonline::load::progress;
 use lagoonline::outcome::Reason;
 use lagoonline::routing;
 use ntex::util;
@@ -27,6 +28,7 @@
 use crate::body;
 use crate::conclude;
 use crate::event;
+use crate::exchange;
 use crate::forward;
 use crate::metrics;
 use crate::place;
@@ -102,6 +104,9 @@
     /// The answer was broken off.
     #[error("{0}")]
     Broken(String),
+    /// The upstream's bytes become no event, or too slowly; the connection is closed.
+    #[error("{0}")]
+    Violated(progress::Violation),
     /// The upstream has been silent for this long. Its connection is still open.
     #[error("silent for {0:?}")]
     Silent(clock::Span),
@@ -205,6 +210,9 @@
             if matches!(failure, Failure::Broken(_) | Failure::Silent(_)) {
                 self.admitted.record_unresponsive(&upstream);
             }
+            if let Failure::Violated(violation) = failure {
+                self.admitted.record_violation(&upstream, violation);
+            }
             avoid.push(upstream);
             let is_open = matches!(failure, Failure::Silent(_));
             match self.resume(&mut avoid, failure).await {
@@ -349,6 +357,7 @@
         open: &mut forward::OpenAnswer,
     ) -> Result<completeness::Conclusion, Failure> {
         let mut last_activity = self.admitted.state.clock.now();
+        let mut watch = progress::Stream::new(last_activity);
         let events_before = self.events;
         let mut bytes = 0;
         loop {
@@ -362,6 +371,9 @@
                 Ok(chunk) => chunk.map_err(|failure| {
                     let broken = completeness::Completeness::Broken;
                     self.admitted.state.metrics.count_answer_end(open.framing, broken);
+                    if let exchange::Failure::Violated(violation) = failure {
+                        return Failure::Violated(violation);
+                    }
                     self.record_broken_answer(open, self.events - events_before);
                     Failure::Broken(failure.to_string())
                 })?,
@@ -385,7 +397,13 @@
             };
             bytes += chunk.len();
             self.reader.push(&chunk);
-            self.forward_events().await?;
+            if self.forward_events().await? {
+                watch.complete_event(last_activity);
+            } else {
+                watch
+                    .receive(chunk.len(), self.reader.rest(), last_activity)
+                    .map_err(Failure::Violated)?;
+            }
         }
     }
 
@@ -439,8 +457,10 @@
         (max_gap * SILENT_GAPS).max(MIN_SILENCE)
     }
 
-    /// Forwards each complete event in the buffer.
-    async fn forward_events(&mut self) -> Result<(), Failure> {
+    /// Forwards each complete event in the buffer. Returns whether one of them was more than a
+    /// comment.
+    async fn forward_events(&mut self) -> Result<bool, Failure> {
+        let mut has_content = false;
         while let Some(event) = self.reader.next_event() {
             if let (Some(number), Some(last)) = (event.number, self.last_event)
                 && number <= last
@@ -450,6 +470,7 @@
                 continue;
             }
             self.last_event = event.number.or(self.last_event);
+            has_content |= !event.is_comment();
             self.forward(util::Bytes::copy_from_slice(&event.bytes)).await?;
             if self.events == 0 {
                 let tokens = self.admitted.request.head.prompt_tokens.unwrap_or(0);
@@ -461,9 +482,9 @@
             self.record_progress();
         }
         if self.reader.buffered() > MAX_EVENT_BYTES {
-            return Err(Failure::Broken(format!("an event of over {MAX_EVENT_BYTES} bytes")));
+            return Err(Failure::Violated(progress::Violation::Event));
         }
-        Ok(())
+        Ok(has_content)
     }
 
     /// Records once that the answer has gone on.
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -81,7 +81,7 @@
         mirror: tables::SharedTable,
     ) -> Watch {
         Watch {
-            client: client::Client::new(state.settings.node.store),
+            client: client::Client::new(state),
             name,
             table,
             wait,
--- a/crates/lagoonline/src/event_stream.rs
+++ b/crates/lagoonline/src/event_stream.rs
@@ -17,6 +17,32 @@
     pub number: Option<u64>,
 }
 
+impl Event {
+    /// Whether it consists of comments only, as sent to keep a connection in use.
+    ///
+    /// ```
+    /// use lagoonline::event_stream;
+    /// let mut reader = event_stream::Reader::default();
+    /// reader.push(b": alive\n\ndata: x\n\n");
+    /// assert!(reader.next_event().unwrap().is_comment());
+    /// assert!(!reader.next_event().unwrap().is_comment());
+    /// ```
+    pub fn is_comment(&self) -> bool {
+        lines(&self.bytes).all(|line| line.is_empty() || line.starts_with(b":"))
+    }
+}
+
+/// What has arrived of a stream after its last event.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rest {
+    /// Nothing, or only empty lines and complete comments.
+    Nothing,
+    /// A comment whose line has not ended, and no part of an event.
+    Comment,
+    /// A part of an event.
+    Event,
+}
+
 /// Splits the bytes of a stream, which arrive in any pieces.
 ///
 /// ```
@@ -36,6 +62,8 @@
     line_start: usize,
     /// Whether a line that is not empty was read since the last event.
     has_content: bool,
+    /// Whether one of these lines is no comment.
+    has_field: bool,
     /// Whether the byte before the buffer is a CR, to which an LF may belong.
     after_cr: bool,
 }
@@ -55,6 +83,7 @@
                 LF if self.is_after_cr(index) => self.line_start = index + 1,
                 LF | CR if index > self.line_start => {
                     self.has_content = true;
+                    self.has_field |= self.buffer[self.line_start] != b':';
                     self.line_start = index + 1;
                 }
                 LF | CR if self.has_content => return Some(self.split_event(index)),
@@ -79,6 +108,7 @@
         self.scanned = 0;
         self.line_start = 0;
         self.has_content = false;
+        self.has_field = false;
         Event { number: event_number(&bytes), bytes }
     }
 
@@ -95,6 +125,26 @@
         lines(&self.buffer).any(|line| !line.is_empty() && !line.starts_with(b":"))
     }
 
+    /// Returns what has arrived after the last event, once [`Reader::next_event`] has returned
+    /// `None`. Unlike [`Reader::is_inside_event`], it does not read the bytes again.
+    ///
+    /// ```
+    /// use lagoonline::event_stream;
+    /// let mut reader = event_stream::Reader::default();
+    /// reader.push(b"\n: a com");
+    /// assert_eq!(reader.next_event(), None);
+    /// assert_eq!(reader.rest(), event_stream::Rest::Comment);
+    /// ```
+    pub fn rest(&self) -> Rest {
+        let begun = self.buffer.get(self.line_start);
+        match begun {
+            _ if self.has_field => Rest::Event,
+            Some(b':') => Rest::Comment,
+            Some(_) => Rest::Event,
+            None => Rest::Nothing,
+        }
+    }
+
     /// Returns the number of bytes that belong to no complete event.
     pub fn buffered(&self) -> usize {
         self.buffer.len()
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -26,6 +26,7 @@
 pub mod predict;
 pub mod prefix;
 pub mod profile;
+pub mod progress;
 mod queue;
 pub mod ramp;
 pub mod rebalance;
