Bound what a host holds for callers and upstreams

Cause: what was held for callers that read nothing, and for bodies being read or buffered, was bounded for each of them but not for the host, so some hundred could exceed its memory. A full event buffer stopped the reading of the upstream, which aborts an answer that stays unread.

Change: load::buffers counts what is held against a bound derived from the memory of the process, refuses new requests while too little is left for one of them, and chooses the caller that gives way: the one that has taken nothing for the longest time.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -119,21 +119,29 @@
         }
     }
 
-    /// Reads the complete body, of at most `limit` bytes.
+    /// Reads the complete body, of at most `limit` bytes. `hold` is called with the size of each
+    /// piece, and returns whether the host has memory for it.
     ///
     /// # Errors
     ///
     /// [`Failure::Lost`]: the answer broke off. [`Failure::Violated`]: it is longer, or arrives too
     /// slowly.
-    pub(crate) async fn read_body(
+    pub(crate) async fn read_body<Hold>(
         &mut self,
         body: &mut body::Incoming,
         limit: usize,
-    ) -> Result<bytes::BytesMut, Failure> {
+        mut hold: Hold,
+    ) -> Result<bytes::BytesMut, Failure>
+    where
+        Hold: FnMut(usize) -> bool,
+    {
         let mut bytes = bytes::BytesMut::new();
         let mut watch = progress::Body::new(limit);
         while let Some(chunk) = self.chunk(body).await? {
             watch.receive(chunk.len(), self.meter.now()).map_err(Failure::Violated)?;
+            if !hold(chunk.len()) {
+                return Err(Failure::Lost("no memory for the answer".to_owned()));
+            }
             bytes.extend_from_slice(&chunk);
         }
         Ok(bytes)
@@ -213,7 +221,7 @@
         let through = connection.through().cloned();
         let mut exchange = Exchange::open(connection).await?;
         let mut answer = exchange.send(request).await?;
-        let body = exchange.read_body(answer.body_mut(), limit).await?;
+        let body = exchange.read_body(answer.body_mut(), limit, |_| true).await?;
         let (head, _) = answer.into_parts();
         Ok(Reply { status: head.status.as_u16(), headers: head.headers, body, through })
     };
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Handling of one caller's request: admission, attempts at upstreams, and the answer.
 
+use std::cell;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -19,6 +20,7 @@
 use crate::answer;
 use crate::attempt;
 use crate::body;
+use crate::buffers;
 use crate::conclude;
 use crate::connection;
 use crate::event;
@@ -45,6 +47,8 @@
     pub(crate) headers: Vec<(String, Vec<u8>)>,
     pub(crate) body: Bytes,
     pub(crate) head: head::Request,
+    /// What this host holds for the request.
+    pub(crate) account: buffers::Account,
     pub(crate) arrived: clock::Moment,
 }
 
@@ -223,6 +227,36 @@
     }
 }
 
+/// Bytes of an answer that is being buffered; they are released if it is not forwarded.
+#[derive(Debug)]
+struct Held<'a> {
+    account: &'a buffers::Account,
+    bytes: cell::Cell<usize>,
+}
+
+impl Held<'_> {
+    fn new(account: &buffers::Account) -> Held<'_> {
+        Held { account, bytes: cell::Cell::new(0) }
+    }
+
+    /// Adds `bytes`; returns false if this host cannot hold them.
+    fn add(&self, bytes: usize) -> bool {
+        self.bytes.set(self.bytes.get() + bytes);
+        self.account.keep(bytes)
+    }
+
+    /// Keeps them until the caller takes them.
+    fn keep(self) {
+        self.bytes.set(0);
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.account.release(self.bytes.get());
+    }
+}
+
 /// Returns what the body of an answer that is not streamed shows about its end. A body whose end is
 /// marked is forwarded whatever it holds.
 fn plain_content(
@@ -272,10 +306,14 @@
                 admitted.log_end(if is_proven { "whole" } else { "unknown" }, status);
                 let mut builder = answer::forward_head(status, &headers, closing);
                 let body = ntex::util::Bytes::copy_from_slice(&body);
+                let account = admitted.request.account;
+                // From here on it waits for the caller.
+                account.release(body.len());
                 if is_proven {
+                    body::watch(body.len(), caller, account);
                     return builder.body(body);
                 }
-                let body = body::unmarked(body, caller);
+                let body = body::unmarked(body, caller, account);
                 builder.no_chunking().force_close().streaming(body)
             }
             CheckedAnswer::Stream { status, headers, open } => {
@@ -607,7 +645,11 @@
             open.in_flight.record_first_token();
             return Ok(CheckedAnswer::Stream { status, headers: forwarded, open: Box::new(open) });
         }
-        let body = open.exchange.read_body(open.answer.body_mut(), MAX_BUFFERED_BODY).await;
+        let held = Held::new(&self.request.account);
+        let body = open
+            .exchange
+            .read_body(open.answer.body_mut(), MAX_BUFFERED_BODY, |length| held.add(length))
+            .await;
         let body = body.map_err(|failure| {
             self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Broken);
             self.record_broken_answer(peer, &failure, quarantine::Progress::Unknown);
@@ -639,6 +681,7 @@
         }
         let is_proven = conclusion.completeness == completeness::Completeness::Whole;
         let body = body.freeze();
+        held.keep();
         Ok(CheckedAnswer::Complete { status, headers: forwarded, body, is_proven })
     }
 
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod attempt;
 mod backoffs;
 mod body;
+mod buffers;
 mod carriers;
 mod clock;
 mod conclude;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -259,6 +259,14 @@
     unread_fields: Family<FieldLabels, Counter>,
     /// Direct connections to upstreams, by outcome.
     connections: Family<ConnectionLabels, Counter>,
+    /// Bytes held for callers and upstreams.
+    buffered_bytes: Gauge,
+    /// Bytes that may be held for them.
+    buffer_bound_bytes: Gauge,
+    /// Slow callers that were cut off to free memory.
+    pub(crate) slow_callers_cut: Counter,
+    /// Requests and carried connections that were refused for lack of memory.
+    pub(crate) refused_for_memory: Counter,
     /// Connections that were closed since their bytes became no answer, by kind.
     violations: Family<ViolationLabels, Counter>,
     /// Upstreams to which this host's own path is lost.
@@ -316,6 +324,10 @@
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
             connections: Family::default(),
+            buffered_bytes: Gauge::default(),
+            buffer_bound_bytes: Gauge::default(),
+            slow_callers_cut: Counter::default(),
+            refused_for_memory: Counter::default(),
             violations: Family::default(),
             paths_lost: Gauge::default(),
             paths: Family::default(),
@@ -365,6 +377,28 @@
         self.register_departures(registry);
         self.register_paths(registry);
         self.register_heads(registry);
+        self.register_buffers(registry);
+    }
+
+    fn register_buffers(&self, registry: &mut Registry) {
+        let help = "bytes held for callers and upstreams";
+        registry.register("buffered_bytes", help, self.buffered_bytes.clone());
+        let help = "bytes that may be held for callers and upstreams";
+        registry.register("buffer_bound_bytes", help, self.buffer_bound_bytes.clone());
+        let help = "slow callers cut off to free memory";
+        registry.register("slow_callers_cut", help, self.slow_callers_cut.clone());
+        let help = "requests and carried connections refused for lack of memory";
+        registry.register("memory_refused", help, self.refused_for_memory.clone());
+    }
+
+    /// Sets the number of bytes that are held.
+    pub(crate) fn set_buffered(&self, bytes: usize) {
+        self.buffered_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of bytes that may be held.
+    pub(crate) fn set_buffer_bound(&self, bytes: usize) {
+        self.buffer_bound_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
     fn register_heads(&self, registry: &mut Registry) {
--- a/crates/lagoon-gateway/src/path/serve.rs
+++ b/crates/lagoon-gateway/src/path/serve.rs
@@ -15,6 +15,7 @@
 
 use super::message;
 use super::through::MAX_CHUNK;
+use crate::buffers;
 use crate::event;
 use crate::relay;
 use crate::state;
@@ -22,6 +23,8 @@
 /// Maximum number of connections carried for other hosts. Each takes two descriptors, of which a
 /// host has some thousands for its own callers.
 const MAX_CARRIED: usize = 512;
+/// Bytes that count for each carried connection: a message that is written, and one that is read.
+const BUFFER_BYTES: usize = 2 * MAX_CHUNK;
 /// Time after which a connection that does not open is compared with one to another upstream. It is
 /// longer than connections between zones take, and leaves time for the other one to open.
 const CONTROL_AFTER: clock::Span = clock::Span::from_millis(40);
@@ -35,15 +38,22 @@
     state: sync::Arc<state::State>,
     /// Keeps the process from shutting down.
     _active: state::ActiveRequest,
+    /// The buffers of both connections; `None` if there is no memory for them.
+    buffers: Option<buffers::Account>,
 }
 
 impl Carried {
-    /// Takes a place among the carried connections; `None` if there are too many.
+    /// Takes a place among the carried connections; `None` if there are too many, or if there is no
+    /// memory for another one.
     fn begin(state: &sync::Arc<state::State>) -> Option<Carried> {
         let before = state.carried.fetch_add(1, atomic::Ordering::Relaxed);
         state.metrics.tunnels_carried.inc();
-        let carried = Carried { state: state.clone(), _active: state.track_request() };
-        (before < MAX_CARRIED).then_some(carried)
+        let buffers = state.buffers.open(BUFFER_BYTES).filter(|account| account.keep(BUFFER_BYTES));
+        let carried = Carried { state: state.clone(), _active: state.track_request(), buffers };
+        if carried.buffers.is_none() {
+            state.metrics.refused_for_memory.inc();
+        }
+        (before < MAX_CARRIED && carried.buffers.is_some()).then_some(carried)
     }
 }
 
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -15,6 +15,7 @@
 use tokio::sync::mpsc;
 
 use crate::answer;
+use crate::buffers;
 use crate::connection;
 use crate::event;
 use crate::forward;
@@ -289,8 +290,15 @@
     let id = head.request_id.clone();
     let reads_chunks = request.version() >= http::Version::HTTP_11;
     let work = async {
-        let body = read_body(payload, max_body_bytes(state)).await?;
-        let request = build_request(request, headers, head, body, arrived);
+        let max_bytes = max_body_bytes(state);
+        let account = state.buffers.open(max_bytes).ok_or_else(|| out_of_memory(state))?;
+        let body = tokio::select! {
+            biased;
+            body = read_body(payload, max_bytes, &account) => body?,
+            () = account.wait_for_cut() => None,
+        };
+        let body = body.ok_or_else(|| out_of_memory(state))?;
+        let request = build_request(request, headers, Received { head, body, account, arrived });
         if state.phase() >= state::Phase::Draining {
             let detail = "this host is shutting down";
             let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
@@ -343,14 +351,29 @@
     table.map_or(routing::Limits::default().body_bytes, |table| table.limits().body_bytes)
 }
 
+/// Returns the refusal of a request for which this host has no memory; another host may have some.
+fn out_of_memory(state: &state::State) -> answer::Fault {
+    state.metrics.refused_for_memory.inc();
+    let detail = "this host has no memory for the request";
+    let fault = answer::Fault::not_run(Reason::Saturated, Step::Read, detail);
+    fault.with_retry_after(forward::RETRY_AFTER)
+}
+
+/// What was received of a request.
+struct Received {
+    head: head::Request,
+    body: bytes::Bytes,
+    account: buffers::Account,
+    arrived: clock::Moment,
+}
+
 /// Builds a request with its complete body, which is kept for further attempts.
 fn build_request(
     request: &web::HttpRequest,
     headers: Vec<(String, Vec<u8>)>,
-    head: head::Request,
-    body: bytes::Bytes,
-    arrived: clock::Moment,
+    received: Received,
 ) -> forward::Request {
+    let Received { head, body, account, arrived } = received;
     let host = request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
     forward::Request {
@@ -360,16 +383,19 @@
         host: host.to_owned(),
         body,
         head,
+        account,
         arrived,
         headers,
     }
 }
 
-/// Reads the body of a request, of at most `limit` bytes.
+/// Reads the body of a request, of at most `limit` bytes, into `account`. Returns `None` if this
+/// host has no memory for it.
 async fn read_body(
     payload: web::types::Payload,
     limit: usize,
-) -> Result<bytes::Bytes, answer::Fault> {
+    account: &buffers::Account,
+) -> Result<Option<bytes::Bytes>, answer::Fault> {
     use futures_util::StreamExt;
     let mut payload = payload.into_inner();
     let mut body = bytes::BytesMut::new();
@@ -381,7 +407,11 @@
             let detail = format!("a body of over {limit} bytes");
             return Err(answer::Fault::not_run(Reason::TooLong, Step::Read, detail));
         }
+        if !account.receive(chunk.len()) {
+            return Ok(None);
+        }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    account.complete();
+    Ok(Some(body.freeze()))
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use tokio::sync::{Notify, mpsc, watch};
 
+use crate::buffers;
 use crate::carriers;
 use crate::crash;
 use crate::departures;
@@ -91,6 +92,8 @@
     pub(crate) settings: settings::Settings,
     pub(crate) clock: crate::BootClock,
     pub(crate) metrics: metrics::Metrics,
+    /// What this host holds for callers and upstreams.
+    pub(crate) buffers: sync::Arc<buffers::Buffers>,
     /// Random number that identifies this run of the process among the entry hosts.
     pub(crate) incarnation: u64,
     /// The desired state in force.
@@ -186,12 +189,15 @@
             grace_after_failure: bounds.stable.saturating_sub(SEND_MARGIN),
             ..routing::RegistrySettings::default()
         };
+        let memory = node.memory;
+        let metrics = metrics::Metrics::default();
         let state = State {
             clock,
             registry: sync::Mutex::new(routing::Registry::new(grace, node.zone.clone())),
             settings,
             started_at: clock.now(),
-            metrics: metrics::Metrics::default(),
+            buffers: sync::Arc::new(buffers::Buffers::new(clock, memory, metrics.clone())),
+            metrics,
             incarnation: rand::rng().random(),
             routing_table: ArcSwapOption::empty(),
             confirmation: sync::Mutex::default(),
@@ -338,6 +344,7 @@
         }
         self.expire_paths();
         self.expire_backoffs();
+        self.buffers.update_metrics();
         self.update_retry_metrics();
     }
 
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -101,7 +101,7 @@
         };
         let mut answer = exchange.send(self.request(call)?).await?;
         let status = answer.status().as_u16();
-        let body = exchange.read_body(answer.body_mut(), MAX_ANSWER_BYTES).await?;
+        let body = exchange.read_body(answer.body_mut(), MAX_ANSWER_BYTES, |_| true).await?;
         Ok((exchange, store::read(status, &body)?))
     }
 
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -11,7 +11,9 @@
 //! chunk; a body without chunks then ends inside the event that was cut, if there is one. Nothing
 //! else can tell its caller: the connection is not reset, which would discard what was sent.
 
+use std::future;
 use std::pin;
+use std::task;
 
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
@@ -22,7 +24,6 @@
 use lagoonline::outcome::Reason;
 use lagoonline::routing;
 use ntex::util;
-use tokio::sync::mpsc;
 
 use crate::attempt;
 use crate::body;
@@ -37,6 +38,9 @@
 /// Maximum size of an event in bytes, as of an answer that is not streamed: an event is buffered
 /// until it is complete.
 const MAX_EVENT_BYTES: usize = forward::MAX_BUFFERED_BODY;
+/// Size in bytes from which on an incomplete event is accounted for; a smaller one is covered by
+/// what counts for each request.
+const MIN_ACCOUNTED_EVENT: usize = 16 << 10;
 /// Multiple of the route's gap target for which an upstream may be silent before another is tried.
 const SILENT_GAPS: u32 = 4;
 /// Minimum silence before another upstream is tried: a lost packet is retransmitted within it.
@@ -51,7 +55,8 @@
     caller: forward::Caller,
     promised: completeness::Framing,
 ) -> body::Body {
-    let (sender, body) = body::channel();
+    let account = admitted.request.account.clone();
+    let (sender, body) = body::channel(account.clone());
     let body_sender = sender.clone();
     let forwarder = Forwarder {
         last_event: admitted.request.head.last_event,
@@ -59,6 +64,7 @@
         sender,
         promised,
         reader: event_stream::Reader::default(),
+        partial: 0,
         events: 0,
         upstreams: 1,
         begun: None,
@@ -77,10 +83,12 @@
                 None => body_sender.closed().await,
             }
         };
-        match forwarder.run(open, disconnected).await {
-            End::Complete if promised.marks_end() => {}
-            End::Complete | End::Unproven => body::close(caller.io.as_ref(), &body_sender).await,
-            End::Broken => body::cut(caller.io.as_ref(), &body_sender).await,
+        let io = caller.io.as_ref();
+        match forwarder.run(open, disconnected, account.wait_for_cut()).await {
+            End::Complete if promised.marks_end() => body_sender.finish(io).await,
+            End::Complete | End::Unproven => body::close_or_cut(io, &body_sender).await,
+            End::Broken => body::cut(io, &body_sender).await,
+            End::TooSlow => body::terminate(io),
             End::CallerLeft => {}
         }
         drop(caller);
@@ -95,6 +103,8 @@
     /// Nothing shows that it was broken off, and nothing that it is whole.
     Unproven,
     CallerLeft,
+    /// The caller took nothing for so long that it was cut off to free memory.
+    TooSlow,
     Broken,
 }
 
@@ -116,15 +126,20 @@
     /// The caller closed its connection.
     #[error("the caller left")]
     CallerLeft,
+    /// The caller did not take what was read ahead for it before the deadline.
+    #[error("the caller reads too slowly")]
+    TooSlow,
 }
 
 /// Forwards one stream to its caller, from one upstream after another.
 struct Forwarder {
     admitted: forward::Admitted,
-    sender: mpsc::Sender<util::Bytes>,
+    sender: body::Sender,
     /// How the end of the caller's body is marked.
     promised: completeness::Framing,
     reader: event_stream::Reader,
+    /// Bytes of an incomplete event that are accounted for.
+    partial: usize,
     /// Number of the last event that the caller has.
     last_event: Option<u64>,
     /// Events forwarded so far.
@@ -143,19 +158,22 @@
 }
 
 impl Forwarder {
-    async fn run<Disconnected>(
+    async fn run<Disconnected, Cut>(
         mut self,
         open: forward::OpenAnswer,
         disconnected: Disconnected,
+        cut: Cut,
     ) -> End
     where
         Disconnected: Future<Output = ()>,
+        Cut: Future<Output = ()>,
     {
         let mut disconnected = pin::pin!(disconnected);
         let end = tokio::select! {
             biased;
             end = self.forward_all(open) => end,
             () = &mut disconnected => End::CallerLeft,
+            () = cut => End::TooSlow,
         };
         self.log_end(end);
         end
@@ -166,6 +184,7 @@
             End::Complete => ("whole", None),
             End::Unproven => ("unknown", None),
             End::CallerLeft => ("caller_left", Some(Reason::CallerLeft)),
+            End::TooSlow => ("too_slow", Some(Reason::SlowCaller)),
             End::Broken => ("broken", Some(Reason::UpstreamFailed)),
         };
         self.admitted.state.metrics.count_answer(self.admitted.service.as_str(), reason);
@@ -206,6 +225,9 @@
             if matches!(failure, Failure::CallerLeft) {
                 return End::CallerLeft;
             }
+            if matches!(failure, Failure::TooSlow) {
+                return End::TooSlow;
+            }
             self.log_failure(&upstream, framing, &failure);
             if matches!(failure, Failure::Broken(_) | Failure::Silent(_)) {
                 self.admitted.record_unresponsive(&upstream);
@@ -404,9 +426,27 @@
                     .receive(chunk.len(), self.reader.rest(), last_activity)
                     .map_err(Failure::Violated)?;
             }
+            self.account_partial()?;
         }
     }
 
+    /// Accounts for an incomplete event if it is large.
+    fn account_partial(&mut self) -> Result<(), Failure> {
+        let buffered = self.reader.buffered();
+        let partial = if buffered >= MIN_ACCOUNTED_EVENT { buffered } else { 0 };
+        let account = &self.admitted.request.account;
+        let is_held = if partial > self.partial {
+            account.keep(partial - self.partial)
+        } else {
+            if partial < self.partial {
+                account.release(self.partial - partial);
+            }
+            true
+        };
+        self.partial = partial;
+        is_held.then_some(()).ok_or_else(|| Failure::Broken("no memory for an event".to_owned()))
+    }
+
     /// Ends the answer of `open`, whose body of `bytes` bytes and `events` events has ended in order.
     async fn end_answer(
         &mut self,
@@ -524,6 +564,20 @@
     }
 
     async fn forward(&mut self, bytes: util::Bytes) -> Result<(), Failure> {
-        self.sender.send(bytes).await.map_err(|_| Failure::CallerLeft)
+        let left = (self.admitted.deadline + MAX_OVERTIME).since(self.admitted.state.clock.now());
+        let mut sending = pin::pin!(self.sender.send(bytes));
+        // The timer is only set if the caller reads too slowly.
+        let sent = match future::poll_fn(|context| {
+            task::Poll::Ready(sending.as_mut().poll(context))
+        })
+        .await
+        {
+            task::Poll::Ready(sent) => sent,
+            task::Poll::Pending => {
+                let sent = tokio::time::timeout(left, sending).await;
+                sent.map_err(|_| Failure::TooSlow)?
+            }
+        };
+        sent.map_err(|_| Failure::CallerLeft)
     }
 }
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -38,6 +38,8 @@
     pub desired_wait_ms: u64,
     /// Address of the store; that of the stand-in if `None`.
     pub store: Option<net::SocketAddr>,
+    /// Memory of the process in MB.
+    pub memory_mb: u64,
 }
 
 impl Default for HostSettings<'_> {
@@ -52,18 +54,21 @@
             retry_slack: 50,
             desired_wait_ms: 400,
             store: None,
+            memory_mb: 256,
         }
     }
 }
 
 fn node(standin: &Standin, settings: HostSettings<'_>) -> lagoon_platform::settings::Node {
     let HostSettings { name, zone, revoke_ms, store, retry_window_s, retry_slack, .. } = settings;
+    let memory_mb = settings.memory_mb;
     let store = store.unwrap_or(standin.store_address);
     let text = format!(
         "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:0\"\n  \
          Ready: \"127.0.0.1:0\"\nInternalPorts: [0, 0]\nPlatform:\n  Address: \"{store}\"\n\
          Bounds:\n  GraceS: 8\n  StrictRevoke: true\n  RevokeMs: {revoke_ms}\n  \
-         BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
+         BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n\
+         Limits:\n  MemoryMb: {memory_mb}\n"
     );
     lagoon_platform::settings::read(&text).unwrap()
 }
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -16,6 +16,7 @@
 pub mod admit;
 pub mod backoff;
 mod baseline;
+pub mod buffers;
 pub mod clear;
 pub mod fair;
 pub mod floor;
