Test reports of engines that never end

Cause: the bounds on reports had no test over sockets. Change: the raw stand-in can pour in place of a report.

--- a/crates/lagoon-gateway/tests/endless.rs
+++ b/crates/lagoon-gateway/tests/endless.rs
@@ -227,7 +227,19 @@
     assert!(answer.body.matches(": alive").count() > 20, "{}", answer.body);
 }
 
-/// A store that sends `text` to every call while `pours` is set, and is the stand-in's otherwise.
+/// Guards against the same bytes in place of an engine's report. Prompts go on to be answered, since
+/// an engine that fails is used if there is no other.
+#[rstest]
+fn a_report_that_pours_is_left() {
+    let host = Host::start_raw();
+    host.standin.report_poured.store(true, atomic::Ordering::Relaxed);
+    host.until("counted", || violations(&host, "report", "head") > 0);
+    assert_closed(&host);
+    host.standin.report_poured.store(false, atomic::Ordering::Relaxed);
+    assert_eq!(prompt(&host, "talk").body, raw::events_after(0, "\n"));
+}
+
+/// A store that sends `start` and filler to every call while `pours` is set, and is the stand-in's otherwise.
 fn pouring_store(
     standin: &Standin,
     start: &'static str,
