--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -1,5 +1,6 @@
 //! Handling of one caller's request: admission, attempts at upstreams, and the answer.
 
+use std::cell;
 use std::net;
 use std::sync;
 use std::sync::atomic;
@@ -10,7 +11,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, fingerprint, quarantine, request};
-use lagoonline::load::placement;
+use lagoonline::load::{placement, progress};
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
 use ntex::web;
@@ -19,6 +20,7 @@
 use crate::answer;
 use crate::attempt;
 use crate::body;
+use crate::buffers;
 use crate::conclude;
 use crate::connection;
 use crate::event;
@@ -45,6 +47,8 @@
     pub(crate) headers: Vec<(String, Vec<u8>)>,
     pub(crate) body: Bytes,
     pub(crate) head: head::Request,
+    /// What this host holds for the request.
+    pub(crate) account: buffers::Account,
     pub(crate) arrived: clock::Moment,
 }
 
@@ -225,6 +229,36 @@
     }
 }
 
+/// Bytes of an answer that is being buffered; they are released if it is not forwarded.
+#[derive(Debug)]
+struct Held<'a> {
+    account: &'a buffers::Account,
+    bytes: cell::Cell<usize>,
+}
+
+impl Held<'_> {
+    fn new(account: &buffers::Account) -> Held<'_> {
+        Held { account, bytes: cell::Cell::new(0) }
+    }
+
+    /// Adds `bytes`; returns false if this host cannot hold them.
+    fn add(&self, bytes: usize) -> bool {
+        self.bytes.set(self.bytes.get() + bytes);
+        self.account.keep(bytes)
+    }
+
+    /// Keeps them until the caller takes them.
+    fn keep(self) {
+        self.bytes.set(0);
+    }
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.account.release(self.bytes.get());
+    }
+}
+
 /// Returns what the body of an answer that is not streamed shows about its end. A body whose end is
 /// marked is forwarded whatever it holds.
 fn plain_content(
@@ -274,10 +308,14 @@
                 admitted.log_end(if is_proven { "whole" } else { "unknown" }, status);
                 let mut builder = answer::forward_head(status, &headers, closing);
                 let body = ntex::util::Bytes::copy_from_slice(&body);
+                let account = admitted.request.account;
+                // From here on it waits for the caller.
+                account.release(body.len());
                 if is_proven {
+                    body::watch(body.len(), caller, account);
                     return builder.body(body);
                 }
-                let body = body::unmarked(body, caller);
+                let body = body::unmarked(body, caller, account);
                 builder.no_chunking().force_close().streaming(body)
             }
             CheckedAnswer::Stream { status, headers, open } => {
@@ -403,11 +441,11 @@
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
-                        self.record_unresponsive(&primary.upstream);
-                        self.record_broken_connection(
-                            &primary.upstream,
-                            self.progress_before_answer(),
-                        );
+                        let progress = self.progress_before_answer();
+                        if matches!(failure, exchange::Failure::Lost(_)) {
+                            self.record_unresponsive(&primary.upstream);
+                        }
+                        self.record_broken_answer(&primary.upstream, &failure, progress);
                         return Err(attempt::Failure::Lost(format!(
                             "{}: {failure}",
                             primary.upstream
@@ -541,6 +579,33 @@
         self.record_outcome(upstream, message::UpstreamOutcome::Failed);
     }
 
+    /// Records that an answer of `upstream` was broken off after `progress`, by the upstream or, if
+    /// its bytes became no answer, by this host.
+    pub(crate) fn record_broken_answer(
+        &self,
+        upstream: &id::Upstream,
+        failure: &exchange::Failure,
+        progress: quarantine::Progress,
+    ) {
+        if let exchange::Failure::Violated(violation) = failure {
+            self.record_violation(upstream, *violation);
+        } else {
+            self.record_broken_connection(upstream, progress);
+        }
+    }
+
+    /// Records that the connection to `upstream` is closed because of `violation`. Its process has
+    /// not ended, so this is no evidence of a request that crashes upstreams.
+    pub(crate) fn record_violation(&self, upstream: &id::Upstream, violation: progress::Violation) {
+        self.record_failure(upstream);
+        self.state.metrics.count_violation("answer", violation);
+        event::Line::new("answer_violation")
+            .text("request", &self.request.head.request_id)
+            .text("upstream", upstream)
+            .text("kind", violation.as_str())
+            .warn();
+    }
+
     /// Records and publishes how an upstream handled the request.
     pub(crate) fn record_outcome(
         &self,
@@ -584,10 +649,14 @@
             open.in_flight.record_first_token();
             return Ok(CheckedAnswer::Stream { status, headers: forwarded, open: Box::new(open) });
         }
-        let body = open.exchange.read_body(open.answer.body_mut(), MAX_BUFFERED_BODY).await;
+        let held = Held::new(&self.request.account);
+        let body = open
+            .exchange
+            .read_body(open.answer.body_mut(), MAX_BUFFERED_BODY, |length| held.add(length))
+            .await;
         let body = body.map_err(|failure| {
             self.state.metrics.count_answer_end(open.framing, completeness::Completeness::Broken);
-            self.record_broken_connection(peer, quarantine::Progress::Unknown);
+            self.record_broken_answer(peer, &failure, quarantine::Progress::Unknown);
             attempt::Failure::Lost(format!("{peer}: {failure}"))
         })?;
         let content = plain_content(open.framing, read.json, &body);
@@ -616,6 +685,7 @@
         }
         let is_proven = conclusion.completeness == completeness::Completeness::Whole;
         let body = body.freeze();
+        held.keep();
         Ok(CheckedAnswer::Complete { status, headers: forwarded, body, is_proven })
     }
 
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -8,7 +8,7 @@
 use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, quarantine};
-use lagoonline::load::placement;
+use lagoonline::load::{placement, progress};
 use lagoonline::outcome;
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::metrics::counter::Counter;
@@ -167,6 +167,15 @@
     pub(crate) way: &'static str,
 }
 
+/// Labels of the counter of bytes that are no answer.
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+pub(crate) struct ViolationLabels {
+    /// What was asked for: `answer`, `order`, `report` or `store`.
+    pub(crate) of: &'static str,
+    /// The [`progress::Violation`].
+    pub(crate) kind: &'static str,
+}
+
 /// Labels of the counter of connections to upstreams.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct ConnectionLabels {
@@ -260,6 +269,16 @@
     unread_fields: Family<FieldLabels, Counter>,
     /// Direct connections to upstreams, by outcome.
     connections: Family<ConnectionLabels, Counter>,
+    /// Bytes held for callers and upstreams.
+    buffered_bytes: Gauge,
+    /// Bytes that may be held for them.
+    buffer_bound_bytes: Gauge,
+    /// Slow callers that were cut off to free memory.
+    pub(crate) slow_callers_cut: Counter,
+    /// Requests and carried connections that were refused for lack of memory.
+    pub(crate) refused_for_memory: Counter,
+    /// Connections that were closed since their bytes became no answer, by kind.
+    violations: Family<ViolationLabels, Counter>,
     /// Upstreams to which this host's own path is lost.
     pub(crate) paths_lost: Gauge,
     /// Connections to upstreams, by the way by which they opened.
@@ -320,6 +339,11 @@
             retry_after_answers: Counter::default(),
             unread_fields: Family::default(),
             connections: Family::default(),
+            buffered_bytes: Gauge::default(),
+            buffer_bound_bytes: Gauge::default(),
+            slow_callers_cut: Counter::default(),
+            refused_for_memory: Counter::default(),
+            violations: Family::default(),
             paths_lost: Gauge::default(),
             paths: Family::default(),
             tunnels: Family::default(),
@@ -368,6 +392,28 @@
         self.register_departures(registry);
         self.register_paths(registry);
         self.register_heads(registry);
+        self.register_buffers(registry);
+    }
+
+    fn register_buffers(&self, registry: &mut Registry) {
+        let help = "bytes held for callers and upstreams";
+        registry.register("buffered_bytes", help, self.buffered_bytes.clone());
+        let help = "bytes that may be held for callers and upstreams";
+        registry.register("buffer_bound_bytes", help, self.buffer_bound_bytes.clone());
+        let help = "slow callers cut off to free memory";
+        registry.register("slow_callers_cut", help, self.slow_callers_cut.clone());
+        let help = "requests and carried connections refused for lack of memory";
+        registry.register("memory_refused", help, self.refused_for_memory.clone());
+    }
+
+    /// Sets the number of bytes that are held.
+    pub(crate) fn set_buffered(&self, bytes: usize) {
+        self.buffered_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the number of bytes that may be held.
+    pub(crate) fn set_buffer_bound(&self, bytes: usize) {
+        self.buffer_bound_bytes.set(i64::try_from(bytes).unwrap_or(i64::MAX));
     }
 
     fn register_heads(&self, registry: &mut Registry) {
@@ -389,6 +435,13 @@
         registry.register("retry_after_answers", help, self.retry_after_answers.clone());
         let help = "fields of upstreams' answers that nobody reads, by name";
         registry.register("unread_answer_fields", help, self.unread_fields.clone());
+        let help = "connections closed since their bytes became no answer, by what was asked for";
+        registry.register("answer_violations", help, self.violations.clone());
+    }
+
+    /// Counts a connection that was closed because of `violation` while `of` was asked for.
+    pub(crate) fn count_violation(&self, of: &'static str, violation: progress::Violation) {
+        self.violations.get_or_create(&ViolationLabels { of, kind: violation.as_str() }).inc();
     }
 
     /// Counts a departure of an upstream.
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -16,6 +16,7 @@
 pub mod admit;
 pub mod backoff;
 mod baseline;
+pub mod buffers;
 pub mod clear;
 pub mod cold;
 pub mod fair;
@@ -27,6 +28,7 @@
 pub mod predict;
 pub mod prefix;
 pub mod profile;
+pub mod progress;
 mod queue;
 pub mod ramp;
 pub mod rebalance;
