Bound the belief in cached prefixes by memory, time and answers

Cause: a prefix counted as cached until its engine started anew, although engines evict the least recently used prefix when they need memory. The map of prefixes was cleared as a whole at its bound. Placement knew no prefixes.

Change: prefix::Memory keeps the tokens placed on each engine, and ends a belief by lifetime, memory, age or an answer's count of cached tokens. The map evicts the oldest prefix. Placement subtracts the prefill that a cached prefix saves from the cost of an engine, off unless Settings::retained is set. The bench engine evicts by memory and reports cached tokens, with two new scenarios and options for the number of hosts and engines. Entry hosts count the tokens believed cached at dispatch.

Gains are not measured yet.

--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -274,6 +274,8 @@
             hints: &self.state.backoff_hints(),
             random: rand::rng().random(),
             identity,
+            // The platform names parts of prompts without saying that engines retain them.
+            prefixes: &[],
             urgency: self.urgency,
             customer: self.customer.as_ref(),
         };
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -114,6 +114,8 @@
             hints: known.hints,
             random,
             identity: self.identity.as_ref().and_then(|identity| identity.fingerprint().ok()),
+            // The platform names parts of prompts without saying that engines retain them.
+            prefixes: &[],
             urgency: self.urgency,
             customer: known.customer,
         }
--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -101,6 +101,7 @@
             hints: &self.backoffs.hints(now),
             random,
             identity: None,
+            prefixes: &[],
             urgency: 0,
             customer: None,
         };
--- a/crates/lagoon-load/src/bench/arrival.rs
+++ b/crates/lagoon-load/src/bench/arrival.rs
@@ -1,7 +1,6 @@
 //! Open-loop request arrivals of a scenario, drawn from the seed before the run.
 
 use lagoonline::clock;
-use lagoonline::control::document;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs;
@@ -10,10 +9,6 @@
 
 /// Number of customers; the first one sends more in scenarios with a `heavy_factor`.
 pub const CUSTOMERS: u32 = 10;
-/// Length of a shared prefix, in tokens.
-const PREFIX_TOKENS: u64 = 1_536;
-/// Number of distinct shared prefixes.
-const PREFIX_COUNT: u64 = 8;
 
 /// One request of the run.
 #[derive(Clone, Debug, PartialEq)]
@@ -40,16 +35,27 @@
     tokens: (f64, f64),
     answer: (u64, u64),
     deadline: clock::Span,
+    /// Whether its prompts may start with a shared prefix.
+    shares_prefixes: bool,
 }
 
-const SHORT: Kind =
-    Kind { tokens: (200.0, 4_000.0), answer: (8, 96), deadline: clock::Span::from_secs(10) };
-const MEDIUM: Kind =
-    Kind { tokens: (8_000.0, 32_000.0), answer: (32, 256), deadline: clock::Span::from_secs(60) };
+const SHORT: Kind = Kind {
+    tokens: (200.0, 4_000.0),
+    answer: (8, 96),
+    deadline: clock::Span::from_secs(10),
+    shares_prefixes: true,
+};
+const MEDIUM: Kind = Kind {
+    tokens: (8_000.0, 32_000.0),
+    answer: (32, 256),
+    deadline: clock::Span::from_secs(60),
+    shares_prefixes: true,
+};
 const LONG: Kind = Kind {
     tokens: (100_000.0, 1_000_000.0),
     answer: (64, 512),
     deadline: clock::Span::from_secs(600),
+    shares_prefixes: false,
 };
 
 impl Kind {
@@ -120,9 +126,8 @@
         let (low, high) = kind.tokens;
         let tokens = (low * (high / low).powf(random.random::<f64>())) as u64;
         let draws_prefix = random.random::<f64>() < scenario.shared_prefixes;
-        let prefix = random.random_range(0..PREFIX_COUNT);
-        let is_short = document::Class::of(tokens) == document::Class::Short;
-        let has_prefix = draws_prefix && is_short && tokens > PREFIX_TOKENS;
+        let prefix = random.random_range(0..scenario.prefix_count);
+        let has_prefix = draws_prefix && kind.shares_prefixes && tokens > scenario.prefix_tokens;
         arrivals.push(Arrival {
             at: clock::Moment::from_micros((at * 1e6) as u64),
             host: random.random_range(0..hosts),
@@ -130,7 +135,7 @@
             prompt_tokens: tokens,
             answer_tokens: random.random_range(kind.answer.0..kind.answer.1),
             deadline: kind.deadline,
-            prefixes: if has_prefix { vec![(prefix, PREFIX_TOKENS)] } else { Vec::new() },
+            prefixes: has_prefix.then_some((prefix, scenario.prefix_tokens)).into_iter().collect(),
         });
     }
 }
--- a/crates/lagoon-load/src/bench/engine.rs
+++ b/crates/lagoon-load/src/bench/engine.rs
@@ -10,9 +10,6 @@
 pub const MAX_STEP_TOKENS: u64 = 1_024;
 /// Maximum length of an engine's queue; beyond it the engine rejects requests as full.
 const MAX_WAITING: usize = 64;
-/// Maximum number of prefixes in an engine's prefix cache; the oldest are evicted first. The
-/// present scenarios have eight prefixes at most, so that none is evicted in them.
-const MAX_CACHED_PREFIXES: usize = 2_000;
 
 /// An attempt of a request inside an engine. Ordered by priority, then first come, first served.
 #[derive(Clone, Debug)]
@@ -82,9 +79,9 @@
     prefill: collections::BinaryHeap<Job>,
     /// Job of the current prefill step, and the number of tokens of the step.
     step: Option<(Job, u64)>,
-    /// Hashes of the cached prefixes, oldest first.
-    cache_order: collections::VecDeque<u64>,
-    cached_hashes: collections::HashSet<u64>,
+    /// Cached prefixes as hash and length in tokens, least recently used first. They fill the
+    /// memory that requests leave free.
+    cache: collections::VecDeque<(u64, u64)>,
     report_sequence: u64,
 }
 
@@ -103,8 +100,7 @@
             waiting: collections::BinaryHeap::new(),
             prefill: collections::BinaryHeap::new(),
             step: None,
-            cache_order: collections::VecDeque::new(),
-            cached_hashes: collections::HashSet::new(),
+            cache: collections::VecDeque::new(),
             report_sequence: 0,
         }
     }
@@ -155,6 +151,7 @@
         let fits = self.kv_used + kv <= self.kv_tokens;
         if fits {
             self.kv_used += kv;
+            self.evict();
         }
         fits
     }
@@ -170,8 +167,7 @@
         let mut lost: Vec<Job> = self.waiting.drain().chain(self.prefill.drain()).collect();
         lost.extend(self.step.take().map(|(job, _)| job));
         (self.alive, self.kv_used, self.running) = (false, 0, 0);
-        self.cache_order.clear();
-        self.cached_hashes.clear();
+        self.cache.clear();
         lost
     }
 
@@ -181,23 +177,20 @@
         self.incarnation += 1;
     }
 
-    /// Returns the length in tokens of the longest cached prefix among `prefixes`.
-    pub fn cached_tokens(&self, prefixes: &[(u64, u64)]) -> u64 {
-        let cached = prefixes.iter().filter(|(hash, _)| self.cached_hashes.contains(hash));
-        cached.map(|(_, tokens)| *tokens).max().unwrap_or(0)
+    /// Returns the length in tokens of the longest cached prefix among `prefixes`, which counts as
+    /// used.
+    pub fn use_cached(&mut self, prefixes: &[(u64, u64)]) -> u64 {
+        let cached = prefixes.iter().filter(|prefix| self.cache.contains(prefix));
+        let Some(&longest) = cached.max_by_key(|(_, tokens)| *tokens) else { return 0 };
+        self.cache(&[longest]);
+        longest.1
     }
 
-    /// Adds the prefixes of a prompt to the prefix cache.
+    /// Adds the prefixes of a prompt to the prefix cache as the most recently used ones.
     pub fn cache(&mut self, prefixes: &[(u64, u64)]) {
-        for (hash, _) in prefixes {
-            if self.cached_hashes.insert(*hash) {
-                self.cache_order.push_back(*hash);
-            }
-        }
-        while self.cache_order.len() > MAX_CACHED_PREFIXES {
-            let oldest = self.cache_order.pop_front();
-            oldest.map(|hash| self.cached_hashes.remove(&hash));
-        }
+        self.cache.retain(|cached| !prefixes.contains(cached));
+        self.cache.extend(prefixes);
+        self.evict();
     }
 
     /// Returns a load report and advances its sequence number.
@@ -229,5 +222,16 @@
             self.kv_used += job.kv;
             self.prefill.extend(self.waiting.pop());
         }
+        self.evict();
+    }
+
+    /// Evicts the least recently used prefixes until the others fit beside the requests.
+    fn evict(&mut self) {
+        let mut cached: u64 = self.cache.iter().map(|(_, tokens)| tokens).sum();
+        while cached > self.kv_tokens - self.kv_used
+            && let Some((_, tokens)) = self.cache.pop_front()
+        {
+            cached -= tokens;
+        }
     }
 }
--- a/crates/lagoon-load/src/bench/report.rs
+++ b/crates/lagoon-load/src/bench/report.rs
@@ -53,6 +53,8 @@
     pub prefilled: u64,
     /// Prompt tokens found in prefix caches.
     pub cached: u64,
+    /// Prompt tokens that hosts believed cached at dispatch.
+    pub believed: u64,
     /// Requests that arrived more than two seconds after the fault began and were answered by the
     /// faulty engine.
     pub on_faulty: u64,
@@ -96,6 +98,7 @@
             good_tokens: 0,
             prefilled: 0,
             cached: 0,
+            believed: 0,
             on_faulty: 0,
             after_detection: 0,
             kv_held: 0,
@@ -205,6 +208,7 @@
         put("attempts_per_request", self.attempts as f64 / offered.max(1) as f64);
         put("long_tokens", self.long_tokens as f64);
         put("cached_part", self.cached as f64 / (self.cached + self.prefilled).max(1) as f64);
+        put("believed_part", self.believed as f64 / (self.cached + self.prefilled).max(1) as f64);
         put("on_faulty_part", self.on_faulty as f64 / self.after_detection.max(1) as f64);
         put("kv_held", self.kv_held as f64);
         put("tickets_held", self.tickets_held as f64);
--- a/crates/lagoon-load/src/bench/scenario.rs
+++ b/crates/lagoon-load/src/bench/scenario.rs
@@ -42,9 +42,13 @@
     /// Token rate limit of every customer, as a multiple of its equal share of the short load; 0
     /// disables limits.
     pub limit_factor: f64,
-    /// Fraction of the short prompts longer than 1,536 tokens that start with one of eight shared
-    /// prefixes of this length.
+    /// Fraction of the prompts longer than `prefix_tokens` that start with a shared prefix of this
+    /// length.
     pub shared_prefixes: f64,
+    /// Number of distinct shared prefixes.
+    pub prefix_count: u64,
+    /// Length of a shared prefix, in tokens.
+    pub prefix_tokens: u64,
     /// The injected fault.
     pub fault: Fault,
 }
@@ -64,6 +68,8 @@
             heavy_factor: 1.0,
             limit_factor: 0.0,
             shared_prefixes: 0.0,
+            prefix_count: 8,
+            prefix_tokens: 1_536,
             fault: Fault::None,
         }
     }
@@ -93,6 +99,14 @@
         let (short, medium, long) = (0.8 * load, 0.1 * load, 0.1 * load);
         Scenario { name, short, medium, long, ..base }
     };
+    let documents = |name| Scenario {
+        name,
+        short: 0.3,
+        medium: 0.6,
+        shared_prefixes: 0.9,
+        prefix_tokens: 10_240,
+        ..base
+    };
     vec![
         // "alone": short prompts only.
         base,
@@ -112,6 +126,10 @@
         },
         // Few distinct prefixes, and many prompts with each.
         Scenario { name: "few-prefixes", short: 0.9, shared_prefixes: 0.8, ..base },
+        // Distinct prefixes that fill about half of the fleet's memory, and five times of it. An
+        // engine holds at most 40 of these.
+        Scenario { prefix_count: 150, ..documents("document-prefixes") },
+        Scenario { prefix_count: 1_500, ..documents("many-prefixes") },
         // "no-slow-upstream" is the reference for "slow-upstream": the same load without the fault.
         Scenario { name: "slow-upstream", short: 0.55, fault: Fault::Slow(5.0), ..base },
         Scenario { name: "no-slow-upstream", short: 0.55, ..base },
--- a/crates/lagoon-load/src/bench/simulation/dispatch.rs
+++ b/crates/lagoon-load/src/bench/simulation/dispatch.rs
@@ -25,6 +25,7 @@
         request.reservations = reservations;
         let attempt = request.attempts;
         self.tally.attempts += 1;
+        self.tally.believed += placement.cached_tokens;
         let ending = self.start_attempt(index, engine, placement.priority);
         if let Err((delay, ending)) = ending {
             self.requests[index].reservations.clear();
@@ -95,7 +96,7 @@
         if reservations.len() > 1 && !reservations.iter().all(fits) {
             return Err(full);
         }
-        let cached = self.engines[engine].cached_tokens(&arrival.prefixes);
+        let cached = self.engines[engine].use_cached(&arrival.prefixes);
         self.sequence += 1;
         let prefill_left = (arrival.prompt_tokens - cached).max(1);
         let (kv, sequence) = (reservations[0].1, self.sequence);
@@ -103,6 +104,7 @@
         if !self.engines[engine].accept(job) {
             return Err(full);
         }
+        self.requests[index].cached_tokens = cached;
         self.tally.prefilled += prefill_left;
         self.tally.cached += cached;
         for (member, kv) in &reservations[1..] {
--- a/crates/lagoon-load/src/bench/simulation/mod.rs
+++ b/crates/lagoon-load/src/bench/simulation/mod.rs
@@ -66,6 +66,8 @@
     reservations: Vec<(usize, u64)>,
     /// Incarnations of these engines at the time of dispatch.
     incarnations: Vec<u64>,
+    /// Prompt tokens that the engine of the current attempt found cached.
+    cached_tokens: u64,
     first_token: Option<clock::Moment>,
     ended: bool,
 }
@@ -322,7 +324,7 @@
         let arrival = &self.arrivals[job.request];
         let ending = load::Ending::Done {
             prompt_tokens: arrival.prompt_tokens,
-            cached_tokens: 0,
+            cached_tokens: self.requests[job.request].cached_tokens,
             answer_tokens: arrival.answer_tokens,
         };
         let request = &mut self.requests[job.request];
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -202,6 +202,12 @@
     /// prefill that an engine may have ahead, in milliseconds
     #[argh(option, default = "150")]
     ahead_ms: u64,
+    /// entry hosts of each zone; those of the scenario by default
+    #[argh(option)]
+    hosts: Option<u32>,
+    /// engines of each zone; those of the scenario by default
+    #[argh(option)]
+    engines: Option<u32>,
     /// seeds, from 1
     #[argh(option, default = "5")]
     seeds: u64,
@@ -335,6 +341,11 @@
     let choice = choice(&bench.choice)?;
     let mut rows = Vec::new();
     for scenario in &scenarios {
+        let scenario = &scenario::Scenario {
+            hosts: bench.hosts.unwrap_or(scenario.hosts).max(1),
+            engines: bench.engines.unwrap_or(scenario.engines).max(1),
+            ..*scenario
+        };
         for &policy in &policies {
             let weights = Some(weights);
             let ahead = clock::Span::from_millis(bench.ahead_ms);
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -286,6 +286,7 @@
             hints: &[],
             random: self.random.random(),
             identity: Some(identity),
+            prefixes: &[],
             urgency: 0,
             customer: None,
         };
--- a/crates/lagoon-net/src/entry/admission.rs
+++ b/crates/lagoon-net/src/entry/admission.rs
@@ -189,6 +189,12 @@
         self.placement.as_ref().map_or(0, |placement| placement.priority)
     }
 
+    /// Returns the prompt tokens that the upstream was believed to have cached at dispatch; 0 after
+    /// the slot was released.
+    pub(crate) fn believed_cached_tokens(&self) -> u64 {
+        self.placement.as_ref().map_or(0, |placement| placement.cached_tokens)
+    }
+
     /// Returns the engines of a group with the tokens on each; empty when one engine holds the
     /// prompt.
     pub(crate) fn group_members(&self) -> Vec<(&id::Upstream, u64)> {
--- a/crates/lagoon-net/src/entry/generation/dispatch.rs
+++ b/crates/lagoon-net/src/entry/generation/dispatch.rs
@@ -38,7 +38,7 @@
             let (retry, ending, cause) = match self.dispatch(pending, slot).await? {
                 Attempted::Streaming(stream) => return Ok(Started::Streaming(stream)),
                 Attempted::Existing(pending, slot, existing) => {
-                    return Ok(Started::Existing(pending, slot, existing));
+                    return Ok(Started::Existing(pending, Box::new(slot), existing));
                 }
                 Attempted::Retry(pending, slot, ending, cause) => ((pending, slot), ending, cause),
             };
@@ -88,6 +88,11 @@
             return Ok(Attempted::Retry(pending, slot, load::Ending::Leaving, "unknown_upstream"));
         };
         let (attempt, address) = (call::random_id(), listed.entry.address);
+        log::debug!(
+            "dispatching attempt {attempt} to {upstream}, prompt tokens {}, believed cached {}",
+            self.input.request.prompt_tokens,
+            slot.believed_cached_tokens(),
+        );
         let group = match self.reserve(&slot).await {
             Ok(group) => group,
             Err(ReserveError::Interrupt(interrupt)) => {
@@ -292,7 +297,7 @@
 pub(super) enum Started {
     Streaming(Box<Stream>),
     /// Nothing was sent, because the call's idempotency key is already in use.
-    Existing(request::Pending, admission::Slot, idempotency::Existing),
+    Existing(request::Pending, Box<admission::Slot>, idempotency::Existing),
 }
 
 #[derive(Debug)]
--- a/crates/lagoon-net/src/entry/generation/mod.rs
+++ b/crates/lagoon-net/src/entry/generation/mod.rs
@@ -168,7 +168,7 @@
                     unsent,
                     slot,
                     idempotency::Existing::Running(deferred, running),
-                ) => match self.take_over(unsent, slot, deferred, running).await? {
+                ) => match self.take_over(unsent, *slot, deferred, running).await? {
                     None => return Ok(None),
                     Some(next) => pending = next,
                 },
@@ -301,6 +301,8 @@
     fn complete(&mut self, mut summary: Summary) -> Summary {
         if let Stage::Streaming(mut stream) = mem::replace(&mut self.stage, Stage::Ended) {
             stream.cancel.disarm();
+            let believed = stream.slot.believed_cached_tokens();
+            self.worker.state.metrics.count_believed_cached(&self.input.request.model, believed);
             let Summary { answer_tokens, prompt_tokens, cached_tokens, .. } = summary;
             let ending = load::Ending::Done { prompt_tokens, cached_tokens, answer_tokens };
             stream.slot.finish(ending);
--- a/crates/lagoon-net/src/entry/metrics.rs
+++ b/crates/lagoon-net/src/entry/metrics.rs
@@ -143,6 +143,7 @@
     tokens: Counters<ModelLabels>,
     prompt_tokens: Counters<ModelLabels>,
     cached_tokens: Counters<ModelLabels>,
+    believed_cached_tokens: Counters<ModelLabels>,
     first_token: Histograms<FirstLabels>,
     between_tokens: Histograms<ModelLabels>,
     completion: Histograms<CompletionLabels>,
@@ -176,6 +177,7 @@
             tokens: family::Family::default(),
             prompt_tokens: family::Family::default(),
             cached_tokens: family::Family::default(),
+            believed_cached_tokens: family::Family::default(),
             first_token: family::Family::new_with_constructor(histograms),
             between_tokens: family::Family::new_with_constructor(histograms),
             completion: family::Family::new_with_constructor(histograms),
@@ -212,6 +214,11 @@
             "Prompt tokens found cached",
             self.cached_tokens.clone(),
         );
+        registry.register(
+            "believed_cached_tokens",
+            "Prompt tokens believed cached at dispatch",
+            self.believed_cached_tokens.clone(),
+        );
     }
 
     fn register_gauges_and_histograms(&mut self) {
@@ -341,6 +348,13 @@
         self.cancels.get_or_create(&CauseLabels { cause }).inc();
     }
 
+    /// Counts the prompt tokens of a whole answer that its upstream was believed to have cached, to
+    /// compare with those found cached.
+    pub(crate) fn count_believed_cached(&self, model: &id::Model, tokens: u64) {
+        let labels = ModelLabels { model: model.to_string() };
+        self.believed_cached_tokens.get_or_create(&labels).inc_by(tokens);
+    }
+
     /// Counts an idempotency key by what was done with it.
     pub(crate) fn count_claim(&self, cause: &'static str) {
         self.claims.get_or_create(&CauseLabels { cause }).inc();
--- a/crates/lagoonline/benches/decision.rs
+++ b/crates/lagoonline/benches/decision.rs
@@ -107,7 +107,7 @@
 fn end(scheduler: &mut Scheduler, now: Moment, verdict: &Verdict) {
     let Verdict::Dispatch(placement) = verdict else { return };
     scheduler.record_first_token(now, placement.ticket);
-    let ending = Ending::Done { prompt_tokens: 1_000, cached_tokens: 0, answer_tokens: 10 };
+    let ending = Ending::Done { prompt_tokens: 1_000, cached_tokens: 512, answer_tokens: 10 };
     scheduler.finish(now, placement.ticket, ending);
 }
 
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -27,6 +27,7 @@
 mod partition;
 mod prefill;
 mod prompt;
+mod retained;
 mod settings;
 mod upstream;
 mod waitlist;
@@ -34,6 +35,7 @@
 pub use limited::AppliedLimit;
 pub use partition::Partitions;
 use prefill::PrefillLoad;
+use retained::Retained;
 pub use settings::Settings;
 use upstream::UpstreamState;
 use waitlist::Waitlist;
@@ -120,6 +122,9 @@
     pub random: u64,
     /// What the request is, if that has been computed; see [`Placer::wants_identity`].
     pub identity: Option<fingerprint::Fingerprint>,
+    /// Prefixes of its prompt that other requests may share, as hashes with lengths in tokens,
+    /// shortest first. Used only if the service retains them; see [`Settings::retained`].
+    pub prefixes: &'a [(u64, u64)],
     /// Its priority: that of its customer, or else of its route; 0 is the most urgent.
     pub urgency: u32,
     /// The customer that sent it; `None` on a route that needs no key.
@@ -257,6 +262,8 @@
     share: f64,
     /// Requests that wait for a permit of any upstream.
     permit_queue: upstream_limit::Queue<DispatchId>,
+    /// Prefixes that engines retain, if the service does.
+    retained: Option<Retained>,
 }
 
 impl Placer {
@@ -273,6 +280,7 @@
             turns: upstream_limit::Turns::new(own),
             share: 1.0,
             permit_queue: upstream_limit::Queue::default(),
+            retained: Retained::new(&settings),
         }
     }
 
@@ -296,6 +304,7 @@
                 }
             }
         }
+        self.update_retained();
     }
 
     /// Number of dispatches in flight.
@@ -345,12 +354,14 @@
     /// Records the first token of a request, which shows that its prompt has been prefilled.
     pub fn record_first_token(&mut self, id: DispatchId, now: clock::Moment) {
         self.for_each_upstream(id, |state| state.record_first_token(id, now));
+        self.retain_prompt(id, now);
     }
 
     /// Records the end of a request.
     pub fn record_end(&mut self, id: DispatchId, now: clock::Moment) {
         self.for_each_upstream(id, |state| state.record_end(id, now));
         self.dispatches.remove(&id);
+        self.forget_prompt(id);
     }
 
     /// The in-flight dispatches of the hosts that `wanted` selects, each with whether its prompt
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -27,6 +27,14 @@
 struct Division<'a> {
     usable: &'a [&'a UpstreamState],
     dedicated: usize,
+    /// Prefill time in milliseconds that each engine's cached prefix saves; empty if none does.
+    savings_ms: &'a [f64],
+}
+
+impl Division<'_> {
+    fn saving_ms(&self, index: usize) -> f64 {
+        self.savings_ms.get(index).copied().unwrap_or(0.0)
+    }
 }
 
 /// A way to serve a request; engines are given by their indices.
@@ -116,7 +124,9 @@
         profile: profile::Profile,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
-        let division = Division { usable, dedicated: self.dedicated_engines(usable, now) };
+        let savings_ms = &self.savings_ms(request, usable, profile, now);
+        let dedicated = self.dedicated_engines(usable, now);
+        let division = Division { usable, dedicated, savings_ms };
         if self.is_tight(request) {
             self.place_tight(request, division, profile, now)
         } else {
@@ -155,7 +165,7 @@
         profile: profile::Profile,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
-        let Division { usable, dedicated } = division;
+        let Division { usable, dedicated, .. } = division;
         let total_ms = profile.prefill_ms(request.prompt_tokens);
         let part_ms = self.settings.loose_part_ms;
         let part_count = self.part_count(total_ms, part_ms);
@@ -269,7 +279,7 @@
     /// limit their requests are used only if all do, since such a prompt takes several: its parts,
     /// and the orders about its memory.
     fn eligible(&self, division: Division<'_>, scope: Scope, part_ms: f64) -> Vec<usize> {
-        let Division { usable, dedicated } = division;
+        let Division { usable, dedicated, .. } = division;
         let all_limited = usable.iter().all(|engine| engine.is_limited());
         let allowed = |index: &usize| {
             let engine = usable[*index];
@@ -297,12 +307,13 @@
         (total_ms, part_ms): (f64, f64),
         now: clock::Moment,
     ) -> Result<Plan, Refusal> {
-        let Division { usable, dedicated } = division;
+        let Division { usable, dedicated, .. } = division;
         let tight = self.is_tight(request);
         if eligible.is_empty() {
             return Err(Refusal::NoUpstream);
         }
-        let part_count = self.part_count(total_ms, part_ms).min(eligible.len());
+        let wanted_ms = part_ms;
+        let part_count = self.part_count(total_ms, wanted_ms).min(eligible.len());
         let part_ms = total_ms / part_count as f64;
         let with_slot: Vec<usize> =
             eligible.iter().copied().filter(|index| usable[*index].has_free_slot()).collect();
@@ -319,7 +330,9 @@
                 + self.remote_cost(request, engine)
                 + spillover(index)
                 + idle_penalty;
-            self.cost(request, engine, part_ms) + placement_cost + failures
+            let saving_ms = division.saving_ms(index);
+            let saving = self.comparable_saving_ms(request, saving_ms, part_count);
+            self.cost(request, engine, part_ms) + placement_cost + failures - saving
         });
         let need = request.prompt_tokens + request.answer_tokens;
         let share = self.settings.memory_share;
@@ -345,6 +358,10 @@
                 )
             }
         };
+        // A prompt of which much is cached needs fewer helpers for the rest.
+        let total_ms = total_ms - division.saving_ms(primary);
+        let part_count = self.part_count(total_ms, wanted_ms).min(eligible.len());
+        let part_ms = total_ms / part_count as f64;
         let eligible = &self.reachable(usable, eligible, primary, now);
         for index in self.order_by_cost(request, usable, eligible, |index| {
             let engine = usable[index];
@@ -372,7 +389,7 @@
     fn net_value(
         &self,
         request: &Request<'_>,
-        Division { usable, dedicated }: Division<'_>,
+        Division { usable, dedicated, .. }: Division<'_>,
         plan: &Plan,
         now: clock::Moment,
     ) -> f64 {
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -1,6 +1,7 @@
 //! Parameters of placement.
 
 use crate::clock;
+use crate::load::prefix;
 
 /// Parameters of placement. Where a host's settings can set a field, the name of the setting is
 /// given.
@@ -79,6 +80,9 @@
     /// How long an upstream is avoided after a failure without a response. The span is multiplied
     /// by the number of its consecutive failures of this kind, up to four.
     pub avoid_span: clock::Span,
+    /// Bounds on the belief that engines have prefixes cached; `None` for a service that does not
+    /// say that its engines retain prompts, which is the case on the platform.
+    pub retained: Option<prefix::Settings>,
 }
 
 impl Default for Settings {
@@ -106,6 +110,7 @@
             max_wait: clock::Span::from_millis(5_000),
             lateness_cost_share: 0.15,
             avoid_span: clock::Span::from_secs(1),
+            retained: None,
         }
     }
 }
--- a/crates/lagoonline/src/load/profile.rs
+++ b/crates/lagoonline/src/load/profile.rs
@@ -74,6 +74,22 @@
         tokens / self.prefill_per_ms.max(f64::MIN_POSITIVE) + pairs * self.pairs_ms_per_m
     }
 
+    /// Milliseconds of prefill that the first `cached` tokens of a prompt of `tokens` save if they
+    /// are cached.
+    ///
+    /// The rest takes `prefill_ms(tokens) - prefill_ms(cached)`, which is more than the prefill of
+    /// a prompt as long as the rest, because its tokens still attend to the cached ones.
+    ///
+    /// ```
+    /// use lagoonline::load::profile::Profile;
+    /// let profile = Profile { prefill_per_ms: 200.0, pairs_ms_per_m: 0.1, ..Profile::default() };
+    /// let rest_ms = profile.prefill_ms(20_000) - profile.saving_ms(20_000, 10_000);
+    /// assert_eq!((rest_ms, profile.prefill_ms(10_000)), (65.0, 55.0));
+    /// ```
+    pub fn saving_ms(&self, tokens: u64, cached: u64) -> f64 {
+        self.prefill_ms(cached.min(tokens))
+    }
+
     /// Milliseconds that each of `parts` engines needs for its part of a prompt of `tokens`.
     pub fn part_ms(&self, tokens: u64, parts: u32) -> f64 {
         self.prefill_ms(tokens) / f64::from(parts.max(1))
--- a/crates/lagoonline/src/load/route.rs
+++ b/crates/lagoonline/src/load/route.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::control::document;
 use crate::load::group;
+use crate::load::prefix;
 use crate::load::settings;
 use crate::load::upstream;
 use crate::port::engine;
@@ -58,16 +59,14 @@
     pub tokens: u64,
     /// KV memory for prompt and answer, in tokens.
     pub kv: u64,
-    /// Engines by number, with the tokens of this prompt that they have cached; (0, 0) for an
-    /// unused entry, as numbers start at 1.
-    pub hits: [(u32, u64); 4],
+    /// Engines that probably have the longest known prefix of this prompt cached.
+    pub hits: prefix::Hits,
 }
 
 impl Need {
     /// Tokens of the prompt that are cached on the engine with this number.
     pub fn cached(&self, number: u32) -> u64 {
-        let hits = self.hits.iter().filter(|(engine, _)| *engine == number);
-        hits.map(|(_, tokens)| *tokens).max().unwrap_or(0).min(self.tokens)
+        self.hits.on(number).tokens.min(self.tokens)
     }
 }
 
@@ -265,10 +264,8 @@
     /// The best upstream among those with the prefix cached and a sample of all, own zone first.
     fn best_of_all(&self, need: &Need, random: u64) -> Option<(usize, f64)> {
         let mut best = None;
-        for &(number, tokens) in &need.hits {
-            if tokens > 0
-                && let Some(&index) = self.index_by_number.get(&number)
-            {
+        for hit in need.hits.iter() {
+            if let Some(&index) = self.index_by_number.get(&hit.location.engine) {
                 self.consider(index, need, &mut best);
             }
         }
--- a/crates/lagoonline/src/load/scheduler/fleet.rs
+++ b/crates/lagoonline/src/load/scheduler/fleet.rs
@@ -98,7 +98,7 @@
         let Some(&index) = self.index.get(upstream) else { return };
         let upstream = &mut self.upstreams[index];
         if upstream.incarnation != 0 && load.incarnation != upstream.incarnation {
-            upstream.epoch += 1;
+            upstream.cache.restart();
             upstream.joined_at = Some(now);
             upstream.health = outlier::Health::default();
         }
--- a/crates/lagoonline/src/load/scheduler/mod.rs
+++ b/crates/lagoonline/src/load/scheduler/mod.rs
@@ -74,6 +74,8 @@
     pub members: Vec<id::Upstream>,
     /// KV tokens to reserve at the upstream and each member, in this order; empty without a group.
     pub reserve_tokens: Vec<u64>,
+    /// Prompt tokens that the upstream probably has cached.
+    pub cached_tokens: u64,
     /// Priority that is passed to the engine; higher goes first.
     pub priority: u8,
     /// Silence before the first token after which the caller should ask
@@ -178,7 +180,10 @@
     parts: Vec<Part>,
     answer_tokens: u64,
     first_token_at: Option<clock::Moment>,
+    prompt_tokens: u64,
     prefixes: Vec<(u64, u64)>,
+    /// The prefix that the answering engine was expected to have cached.
+    hit: prefix::Hit,
 }
 
 /// What a request uses on one engine.
@@ -196,7 +201,8 @@
         let queue = queue::Queue::new(full_policy && settings.safeguards.fair);
         let weights = settings.weights.unwrap_or_default();
         let random_state = settings.seed;
-        Scheduler { settings, weights, queue, random_state, ..Scheduler::default() }
+        let prefixes = prefix::Map::new(settings.prefixes.max_prefixes);
+        Scheduler { settings, weights, queue, random_state, prefixes, ..Scheduler::default() }
     }
 
     /// Requests a placement for a new request.
@@ -239,15 +245,22 @@
         if dispatched.first_token_at.replace(now).is_some() {
             return;
         }
-        for part in &dispatched.parts {
+        let recorded = dispatched.prefixes.len().min(MAX_PROMPT_PREFIXES);
+        // The first engine of a group prefills the prompt from its start; the others hold later
+        // spans, which are the prefix of no prompt.
+        for (position, part) in dispatched.parts.iter().enumerate() {
             let Some(&index) = self.index.get(&part.upstream) else { continue };
             let upstream = &mut self.upstreams[index];
             upstream.remove_prefill(now, part.prefill);
             upstream.slowness.record_first_token(now, ticket);
-            let location = prefix::Location { engine: upstream.number, epoch: upstream.epoch };
-            for (hash, _) in dispatched.prefixes.iter().take(MAX_PROMPT_PREFIXES) {
-                self.prefixes.insert(*hash, location);
+            if position > 0 {
+                upstream.cache.place(part.kv);
+                continue;
             }
+            let location = upstream.cache.record_use(upstream.number, part.prefill.tokens, now);
+            let prefixes = &dispatched.prefixes[..recorded];
+            let fitting = prefixes.partition_point(|(_, tokens)| *tokens <= part.kv);
+            self.prefixes.insert_all(&prefixes[..fitting], location);
         }
         let first = dispatched.parts.first().and_then(|part| self.index.get(&part.upstream));
         if let Some(&index) = first {
@@ -275,6 +288,7 @@
     /// Records the end of a dispatched request.
     pub fn finish(&mut self, now: clock::Moment, ticket: Ticket, ending: Ending) {
         let Some(dispatched) = self.in_flight.remove(&ticket) else { return };
+        self.record_cached_tokens(&dispatched, ending);
         if let (Ending::Done { answer_tokens, .. }, Some(first)) =
             (ending, dispatched.first_token_at)
         {
@@ -306,6 +320,19 @@
         }
     }
 
+    /// Compares the engine's count of cached tokens with what was expected, and records the memory
+    /// that the answer has taken.
+    fn record_cached_tokens(&mut self, dispatched: &InFlight, ending: Ending) {
+        let Ending::Done { prompt_tokens, cached_tokens, answer_tokens } = ending else { return };
+        let first = dispatched.parts.first().and_then(|part| self.index.get(&part.upstream));
+        let Some(&index) = first else { return };
+        let cache = &mut self.upstreams[index].cache;
+        let estimated_tokens = dispatched.prompt_tokens;
+        let found = prefix::Found { estimated_tokens, prompt_tokens, cached_tokens };
+        cache.record_found(&dispatched.hit, found, &self.settings.prefixes);
+        cache.place(answer_tokens);
+    }
+
     /// Number of upstreams whose circuit is not closed.
     fn out_count(&self) -> usize {
         self.upstreams.iter().filter(|upstream| upstream.health.is_out()).count()
--- a/crates/lagoonline/src/load/scheduler/place.rs
+++ b/crates/lagoonline/src/load/scheduler/place.rs
@@ -226,6 +226,7 @@
                 upstream.slowness.record_dispatch(now, ticket, expected);
             }
         }
+        let hit = self.expected_hit(need, &route);
         let is_group = parts.len() > 1;
         let reserve_tokens = parts.iter().filter(|_| is_group).map(|part| part.kv).collect();
         let mut names = parts.iter().map(|part| part.upstream.clone());
@@ -233,9 +234,14 @@
         let members = names.collect();
         let priority = self.priority(need.rank, aged);
         let answer_tokens = request.answer_tokens;
-        let prefixes = request.prefixes.clone();
-        let dispatched =
-            scheduler::InFlight { parts, answer_tokens, first_token_at: None, prefixes };
+        let dispatched = scheduler::InFlight {
+            parts,
+            answer_tokens,
+            first_token_at: None,
+            prompt_tokens: need.tokens,
+            prefixes: request.prefixes.clone(),
+            hit,
+        };
         self.in_flight.insert(ticket, dispatched);
         let (route::Route::Single { seconds, .. } | route::Route::Group { seconds, .. }) = route;
         let first_token_silence =
@@ -246,12 +252,22 @@
             upstream,
             members,
             reserve_tokens,
+            cached_tokens: hit.tokens,
             priority,
             first_token_silence,
             token_silence,
         }
     }
 
+    /// The prefix that the answering engine of the route probably has cached.
+    fn expected_hit(&self, need: &route::Need, route: &route::Route) -> prefix::Hit {
+        let first = match route {
+            route::Route::Single { index, .. } => Some(*index),
+            route::Route::Group { plan, .. } => plan.allocations().first().map(|(index, _)| *index),
+        };
+        first.map_or_else(Default::default, |index| need.hits.on(self.upstreams[index].number))
+    }
+
     /// Whether a dispatched request without output would be better off on another upstream: one
     /// that has a slot and memory for it now, with a retry left in the budget.
     pub fn is_better_elsewhere(
@@ -368,36 +384,26 @@
 
     pub(super) fn need(&self, now: clock::Moment, request: &scheduler::Request) -> route::Need {
         let affinity = self.is_full_policy() && self.settings.safeguards.affinity;
-        let hits = if affinity { self.prefix_hits(&request.prefixes) } else { Default::default() };
+        let hits = if affinity { self.prefix_hits(now, request) } else { prefix::Hits::default() };
         let kv = request.prompt_tokens + request.answer_tokens;
         let (class, rank) = (scheduler::class(request), self.rank(now, request));
         route::Need { class, rank, tokens: request.prompt_tokens, kv, hits }
     }
 
-    /// Engines that hold the longest known prefix. A prefix is always cached together with the
-    /// shorter ones, so the longest known one is found by binary search.
-    fn prefix_hits(&self, prefixes: &[(u64, u64)]) -> [(u32, u64); 4] {
-        let mut hits = [(0, 0); 4];
+    /// Engines that probably have the longest known prefix of the prompt cached.
+    fn prefix_hits(&self, now: clock::Moment, request: &scheduler::Request) -> prefix::Hits {
+        let prefixes = &request.prefixes;
         let recorded = &prefixes[..prefixes.len().min(scheduler::MAX_PROMPT_PREFIXES)];
-        let holds = |(hash, _): &(u64, u64)| {
-            self.prefixes.holders(*hash).iter().flatten().any(|location| self.is_current(location))
-        };
-        let length = recorded.partition_point(holds);
-        let Some((hash, tokens)) = length.checked_sub(1).map(|index| recorded[index]) else {
-            return hits;
-        };
-        let locations = self.prefixes.holders(hash);
-        let current = locations.iter().flatten().filter(|location| self.is_current(location));
-        for (hit, location) in hits.iter_mut().zip(current) {
-            *hit = (location.engine, tokens);
-        }
-        hits
+        prefix::Hits::find(&self.prefixes, recorded, |location| self.holds(now, location))
     }
 
-    /// Whether the engine still has the cache that was recorded.
-    fn is_current(&self, location: &prefix::Location) -> bool {
-        let index = self.index_by_number.get(&location.engine);
-        index.is_some_and(|&index| self.upstreams[index].epoch == location.epoch)
+    /// Whether the engine probably still has what was recorded. Each of the zone's hosts is assumed
+    /// to place as much there as this one, so this one's prefixes have their share of the room.
+    fn holds(&self, now: clock::Moment, location: &prefix::Location) -> bool {
+        let Some(&index) = self.index_by_number.get(&location.engine) else { return false };
+        let upstream = &self.upstreams[index];
+        let room = upstream.free_kv(now) / u64::from(self.settings.hosts_in_zone.max(1));
+        upstream.cache.holds(location, room, &self.settings.prefixes, now)
     }
 
     fn refuse(&mut self, reason: outcome::Reason, seconds: f64) -> scheduler::Verdict {
--- a/crates/lagoonline/src/load/settings.rs
+++ b/crates/lagoonline/src/load/settings.rs
@@ -3,6 +3,7 @@
 use crate::clock;
 use crate::control::document;
 use crate::id;
+use crate::load::prefix;
 
 /// How requests are ordered and placed.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -184,6 +185,8 @@
     pub remote_zones: Vec<(id::Zone, clock::Span)>,
     /// The same for zones that are not listed.
     pub remote_default: clock::Span,
+    /// Bounds on the belief that a prefix is cached, unless affinity is off.
+    pub prefixes: prefix::Settings,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -204,6 +207,7 @@
             long_tokens: 65_536,
             remote_zones: Vec::new(),
             remote_default: clock::Span::from_millis(50),
+            prefixes: prefix::Settings::default(),
             seed: 1,
         }
     }
--- a/crates/lagoonline/src/load/upstream.rs
+++ b/crates/lagoonline/src/load/upstream.rs
@@ -10,6 +10,7 @@
 use crate::id;
 use crate::load::floor;
 use crate::load::outlier;
+use crate::load::prefix;
 use crate::load::ramp;
 use crate::load::slowness;
 use crate::port::engine;
@@ -79,8 +80,8 @@
     pub name: id::Upstream,
     /// Stable for the lifetime of the scheduler.
     pub number: u32,
-    /// Raised when what is known about its cache becomes invalid.
-    pub epoch: u32,
+    /// What this host has placed in its memory, from which its cached prefixes are estimated.
+    pub cache: prefix::Memory,
     /// Its index among the upstreams of this host's zone; none for those of other zones.
     pub local_index: Option<usize>,
     /// Delay and cost of its zone, as the seconds by which its first token must be predicted sooner
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -105,6 +105,7 @@
         hints: &backoffs.hints(moment(now)),
         random: 3,
         identity: None,
+        prefixes: &[],
         urgency: 0,
         customer: None,
     };
--- a/crates/lagoonline/tests/load_placement.rs
+++ b/crates/lagoonline/tests/load_placement.rs
@@ -566,6 +566,7 @@
         hints: &[],
         random: 7,
         identity: None,
+        prefixes: &[],
         urgency: 0,
         customer: None,
     };
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -99,6 +99,7 @@
             hints: &[],
             random: self.number,
             identity: None,
+            prefixes: &[],
             urgency: 0,
             customer: None,
         }
