--- a/crates/lagoon-net/src/entry/queue_settings.rs
+++ b/crates/lagoon-net/src/entry/queue_settings.rs
@@ -5,6 +5,7 @@
 use lagoonline::control::document;
 use lagoonline::id;
 use lagoonline::load;
+use lagoonline::load::prefix;
 
 use super::settings;
 
@@ -12,6 +13,8 @@
 const MAX_DELAY_MS: u64 = 60_000;
 /// Highest queue wait that may be configured, in milliseconds (one day).
 const MAX_WAIT_MS: u64 = 86_400_000;
+/// Highest age of a cached prefix that may be configured, in milliseconds (one day).
+const MAX_PREFIX_AGE_MS: u64 = 86_400_000;
 /// Highest weight that may be configured.
 const MAX_WEIGHT: f64 = 1e6;
 
@@ -21,7 +24,8 @@
 /// `policy` is the scheduling policy, and `choice` how the policy `full` chooses among upstreams.
 /// `ahead_ms` limits the prefill that is dispatched to an engine and not yet done, as the time that
 /// the engine needs for it: below the limit the engine gets more work. `long_tokens` limits the
-/// prefill of long prompts that an engine may have outstanding, in tokens. `remote_zones` and
+/// prefill of long prompts that an engine may have outstanding, in tokens. `prefix_age_ms` is how
+/// long a prompt prefix counts as cached after its last use through this host. `remote_zones` and
 /// `remote_default` say how much sooner a first token must be predicted in another zone for a
 /// request to go there; the default is for zones that are not listed.
 pub(crate) fn read(reader: &check::Reader<'_>, zone: &id::Zone) -> load::Settings {
@@ -57,6 +61,16 @@
         remote_default: reader
             .child("remote_default", read_zone_penalty)
             .unwrap_or(default.remote_default),
+        prefixes: prefix::Settings {
+            max_age: settings::read_span(
+                reader,
+                "prefix_age_ms",
+                default.prefixes.max_age,
+                1,
+                MAX_PREFIX_AGE_MS,
+            ),
+            ..default.prefixes
+        },
         ..default
     }
 }
