--- a/crates/lagoon-load/src/bench/simulation/mod.rs
+++ b/crates/lagoon-load/src/bench/simulation/mod.rs
@@ -66,6 +66,8 @@
     reservations: Vec<(usize, u64)>,
     /// Incarnations of these engines at the time of dispatch.
     incarnations: Vec<u64>,
+    /// Prompt tokens that the engine of the current attempt found cached.
+    cached_tokens: u64,
     first_token: Option<clock::Moment>,
     ended: bool,
 }
@@ -287,7 +289,7 @@
     /// the end of the answer. A job that its host has given up ends at once.
     fn complete_prefill(&mut self, engine: usize, incarnation: u64, job: engine::Job) {
         let arrival = &self.arrivals[job.request];
-        self.engines[engine].cache(&arrival.prefixes);
+        self.engines[engine].cache(&arrival.prefixes, arrival.prompt_tokens);
         if !self.is_current(&job) {
             self.schedule(self.now, Event::AnswerEnd { engine, incarnation, job });
             return;
@@ -322,7 +324,7 @@
         let arrival = &self.arrivals[job.request];
         let ending = load::Ending::Done {
             prompt_tokens: arrival.prompt_tokens,
-            cached_tokens: 0,
+            cached_tokens: self.requests[job.request].cached_tokens,
             answer_tokens: arrival.answer_tokens,
         };
         let request = &mut self.requests[job.request];
--- a/crates/lagoon-load/src/bin/lagoon-load.rs
+++ b/crates/lagoon-load/src/bin/lagoon-load.rs
@@ -205,6 +205,15 @@
     /// prefill that an engine may have ahead, in milliseconds
     #[argh(option, default = "150")]
     ahead_ms: u64,
+    /// entry hosts of each zone; those of the scenario by default
+    #[argh(option)]
+    hosts: Option<u32>,
+    /// engines of each zone; those of the scenario by default
+    #[argh(option)]
+    engines: Option<u32>,
+    /// share of an engine's memory that cached prefixes are assumed to fill
+    #[argh(option)]
+    prefix_share: Option<f64>,
     /// seeds, from 1
     #[argh(option, default = "5")]
     seeds: u64,
@@ -338,11 +347,19 @@
     let choice = choice(&bench.choice)?;
     let mut rows = Vec::new();
     for scenario in &scenarios {
+        let scenario = &scenario::Scenario {
+            hosts: bench.hosts.unwrap_or(scenario.hosts).max(1),
+            engines: bench.engines.unwrap_or(scenario.engines).max(1),
+            ..*scenario
+        };
         for &policy in &policies {
             let weights = Some(weights);
             let ahead = clock::Span::from_millis(bench.ahead_ms);
-            let settings =
+            let mut settings =
                 load::Settings { policy, choice, safeguards, weights, ahead, ..Default::default() };
+            if let Some(share) = bench.prefix_share {
+                settings.prefixes.memory_share = share;
+            }
             let runs = (1..=bench.seeds).map(|seed| run_once(scenario, &settings, seed, bench));
             let runs: Vec<_> = runs.collect();
             let off: String = bench.off.iter().map(|name| format!(" -{name}")).collect();
--- a/crates/lagoon-load/src/limits/cold.rs
+++ b/crates/lagoon-load/src/limits/cold.rs
@@ -452,6 +452,7 @@
             customer: None,
             eligibility: &routing::Eligibility::default(),
             homes: &routing::Homes::default(),
+            prefixes: &[],
         };
         match self.hosts[host].placer.place(&request, moment(now)) {
             Ok(placement) => self.send(host, waiter, &placement),
--- a/crates/lagoon-load/src/limits/simulation.rs
+++ b/crates/lagoon-load/src/limits/simulation.rs
@@ -287,6 +287,7 @@
             hints: &[],
             random: self.random.random(),
             identity: Some(identity),
+            prefixes: &[],
             urgency: 0,
             customer: None,
             eligibility: &routing::Eligibility::default(),
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -102,6 +102,7 @@
             hints: &[],
             random: self.number,
             identity: None,
+            prefixes: &[],
             urgency: 0,
             customer: None,
             eligibility: &ELIGIBILITY,
