Place waiting prompts by urgency and by fair share

Cause: a waiting prompt polls for room, and whoever asks first after a slot becomes free gets it. A customer with half of the demand got half of the engines, and urgent prompts waited behind less urgent ones.

Change: placement/order.rs orders the prompts that lack the same kind of room: classes of equal urgency by weighted share (8 to 1 per step that waits), customers of a class by equal share of recent engine time, then smaller and earlier prompts. A prompt is placed only if the free room exceeds what those ahead of it need. Dispatches carry urgency and a 32-bit number of the customer, so that shares count all zones. A prompt that is certain to be late behind those ahead of it is refused at once; its caller is remembered by fingerprint and goes first in its class when it comes back. Nothing of this applies while only prompts of one urgency and customer lack room.

--- a/crates/lagoon-gateway/src/in_flight.rs
+++ b/crates/lagoon-gateway/src/in_flight.rs
@@ -53,8 +53,10 @@
         let now = admitted.state.clock.now();
         let prompt = admitted.request.head.prompt_tokens.unwrap_or(0);
         let deadline = admitted.deadline;
+        let customer = placement::customer_number(admitted.customer.as_ref());
         let dispatch =
-            placement::Dispatch::new(id, placement, prompt, admitted.gap_target(), deadline);
+            placement::Dispatch::new(id, placement, prompt, admitted.gap_target(), deadline)
+                .charged_to(admitted.urgency, customer);
         let sent = message::Dispatch::new(&dispatch, now);
         admitted.state.with_placer(&admitted.service, |placer, _| {
             if decider == Decider::Own {
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -259,6 +259,12 @@
     /// Milliseconds until the deadline when the dispatch was sent.
     #[prost(uint32, tag = "6")]
     pub(crate) left_ms: u32,
+    /// Priority of the request; 0 is the most urgent.
+    #[prost(uint32, tag = "7")]
+    pub(crate) urgency: u32,
+    /// Number of the customer, as [`placement::customer_number`].
+    #[prost(fixed32, tag = "8")]
+    pub(crate) customer: u32,
 }
 
 /// Decodes a span from milliseconds.
@@ -281,6 +287,8 @@
             prompt: dispatch.prompt_tokens,
             gap_ms: to_millis(dispatch.max_gap),
             left_ms: to_millis(dispatch.deadline.since(now)),
+            urgency: dispatch.urgency,
+            customer: dispatch.customer,
         }
     }
 
@@ -298,6 +306,8 @@
             helper_reserves: self.held,
             max_gap: from_millis(self.gap_ms),
             deadline: now + from_millis(self.left_ms),
+            urgency: self.urgency,
+            customer: self.customer,
         }
     }
 }
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -139,8 +139,7 @@
             // caller is still waiting, so the target counts from now.
             let due = if avoid.is_empty() { self.request.arrived } else { started };
             let due = due + self.route.target;
-            let wants_permit = last_shortage == Some(placement::Shortage::Permit);
-            let identity = self.identity(wants_permit);
+            let identity = self.identity(last_shortage.is_some());
             let wish = Wish { avoid, waited, due, waiter, identity, is_retry };
             let chosen = self.choose(wish).await;
             let schedule::PlacementResult { id, decider, result } =
@@ -296,12 +295,12 @@
         })
     }
 
-    /// Returns what the request is if placement may need it: if it waits for a permit of an upstream
-    /// already, or this host knows that all upstreams limit their requests.
-    fn identity(&self, wants_permit: bool) -> Option<fingerprint::Fingerprint> {
+    /// Returns what the request is if placement may need it: if it waits already, so that its caller
+    /// may be told when to come back, or this host knows that all upstreams limit their requests.
+    fn identity(&self, waits: bool) -> Option<fingerprint::Fingerprint> {
         let wants_identity =
             || self.state.with_placer(&self.service, |placer, _| placer.wants_identity());
-        let is_wanted = wants_permit || wants_identity() == Some(true);
+        let is_wanted = waits || wants_identity() == Some(true);
         is_wanted.then(|| self.fingerprint())
     }
 
--- a/crates/lagoon-gateway/src/question.rs
+++ b/crates/lagoon-gateway/src/question.rs
@@ -93,6 +93,12 @@
         }
     }
 
+    /// Returns the customer that sent the request, if any.
+    pub(crate) fn customer(&self) -> Option<id::Customer> {
+        let name = Some(self.customer.as_str()).filter(|name| !name.is_empty());
+        name.map(id::Customer::from)
+    }
+
     /// Decodes the placement request of the host incarnation `asking` in `zone`.
     pub(crate) fn request<'a>(
         &self,
@@ -127,6 +133,7 @@
         now: clock::Moment,
     ) -> placement::Dispatch {
         let left = message::from_millis(self.left_ms);
+        let customer = self.customer();
         placement::Dispatch::new(
             id,
             placed,
@@ -134,6 +141,7 @@
             message::from_millis(self.gap_ms),
             now + left,
         )
+        .charged_to(self.urgency, placement::customer_number(customer.as_ref()))
     }
 }
 
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -184,8 +184,7 @@
         question.avoid.iter().map(|name| id::Upstream::from(name.as_str())).collect();
     let backoffs = state.backoffs_of(asking);
     let zone = &state.settings.node.zone;
-    let customer = Some(question.customer.as_str()).filter(|name| !name.is_empty());
-    let customer = customer.map(id::Customer::from);
+    let customer = question.customer();
     let known = question::Known {
         avoid: &avoid,
         backoffs: &backoffs,
--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -117,6 +117,8 @@
             helper_reserves: Vec::new(),
             max_gap: MAX_GAP,
             deadline: moment(now) + clock::Span::from_secs(10),
+            urgency: 0,
+            customer: 0,
         };
         self.placer.record_dispatch(dispatch, moment(now));
     }
--- a/crates/lagoon-load/src/limits/host.rs
+++ b/crates/lagoon-load/src/limits/host.rs
@@ -159,6 +159,8 @@
             helper_reserves: Vec::new(),
             max_gap: clock::Span::ZERO,
             deadline: moment(now),
+            urgency: 0,
+            customer: 0,
         };
         self.placer.record_dispatch(dispatch, moment(now));
         self.placer.record_end(id, moment(now));
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -24,6 +24,7 @@
 use crate::routing;
 
 mod limited;
+mod order;
 mod partition;
 mod prefill;
 mod prompt;
@@ -32,11 +33,13 @@
 mod waitlist;
 
 pub use limited::AppliedLimit;
+pub use order::customer_number;
+use order::{Account, Charges, Claim, Room};
 pub use partition::Partitions;
 use prefill::PrefillLoad;
 pub use settings::Settings;
 use upstream::UpstreamState;
-use waitlist::Waitlist;
+use waitlist::{Turn, Waitlist};
 
 /// Identifies a dispatch: the host that sent it, and its sequence number there.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -64,6 +67,10 @@
     pub max_gap: clock::Span,
     /// Time by which it has ended at the latest.
     pub deadline: clock::Moment,
+    /// Priority of the request; 0 is the most urgent.
+    pub urgency: u32,
+    /// [`customer_number`] of the customer that sent it.
+    pub customer: u32,
 }
 
 impl Dispatch {
@@ -86,8 +93,17 @@
             helper_reserves: reserves.collect(),
             max_gap,
             deadline,
+            urgency: 0,
+            customer: 0,
         }
     }
+
+    /// The dispatch with the priority `urgency`, where 0 is the most urgent, of the customer with
+    /// the [`customer_number`] `customer`.
+    #[must_use]
+    pub fn charged_to(self, urgency: u32, customer: u32) -> Dispatch {
+        Dispatch { urgency, customer, ..self }
+    }
 }
 
 /// A request that needs a placement.
@@ -239,6 +255,14 @@
     since: clock::Moment,
 }
 
+/// A prompt that is to be placed, and what goes before it.
+#[derive(Clone, Copy, Debug)]
+struct Queued {
+    claim: Claim,
+    /// `None` if the order of waiting prompts has no effect on it.
+    turn: Option<Turn>,
+}
+
 /// Tracks the dispatches in flight on the upstreams of one service and places new requests.
 #[derive(Clone, Debug)]
 pub struct Placer {
@@ -251,6 +275,8 @@
     prefill_load: PrefillLoad,
     /// Prompts that wait for a placement.
     waitlist: Waitlist,
+    /// Engine time that urgencies and customers got recently.
+    charges: Charges,
     /// Which of the hosts that place requests goes first at an upstream that limits them.
     turns: upstream_limit::Turns,
     /// This host's share of the limits of upstreams.
@@ -270,6 +296,7 @@
             partitions: Partitions::default(),
             prefill_load: PrefillLoad::default(),
             waitlist: Waitlist::default(),
+            charges: Charges::default(),
             turns: upstream_limit::Turns::new(own),
             share: 1.0,
             permit_queue: upstream_limit::Queue::default(),
@@ -318,6 +345,7 @@
             }
         }
         self.prefill_load.add(self.loose_prefill_ms(&dispatch), now);
+        self.charge(&dispatch, now);
         self.dispatches.insert(dispatch.id, Tracked { dispatch, since: now });
     }
 
@@ -579,25 +607,85 @@
         let preferred = self.preferred(request, &usable);
         match profile {
             Some(profile) if request.prompt_tokens > 0 => {
-                let place = |among: &[_]| self.place_prompt(request, among, profile, now);
+                let claim = self.claim(request, profile, now);
+                let turn = self.waitlist.turn(request.waiter, &claim, &self.charges, now);
+                let queued = Queued { claim, turn };
+                let place = |among: &[_]| self.place_prompt(request, among, profile, queued, now);
                 let placed = match preferred {
                     Some(preferred) => place(&preferred).or_else(|_| place(&usable)),
                     None => place(&usable),
                 };
-                let waits = matches!(placed, Err(Refusal::Deferred(_)));
-                self.waitlist.record_attempt(
-                    request.waiter,
-                    profile.prefill_ms(request.prompt_tokens),
-                    waits,
-                    now,
-                );
-                placed
+                self.record_attempt(request, queued, placed, now)
             }
             _ => Ok(self.place_call(request, preferred.as_deref().unwrap_or(&usable), now)),
         }
         .inspect(|_| self.permit_queue.leave(&limited::requester(request)))
     }
 
+    /// The room that a prompt with the gap limit `max_gap` waits for.
+    fn room(&self, max_gap: clock::Span) -> Room {
+        if max_gap <= self.settings.tight_gap { Room::Slot } else { Room::Prefill }
+    }
+
+    /// Engine time in milliseconds that a prompt of `tokens` takes: its prefill on all engines, and
+    /// a slot for the time of an average answer.
+    fn engine_ms(&self, tokens: u64, profile: profile::Profile) -> f64 {
+        let answer_ms = self.mean_answer_span(profile).as_secs_f64() * 1e3;
+        profile.prefill_ms(tokens) + answer_ms / f64::from(profile.slots.max(1))
+    }
+
+    /// Charges the engine time of `dispatch`.
+    fn charge(&mut self, dispatch: &Dispatch, now: clock::Moment) {
+        let profile = self.upstreams.get(&dispatch.primary).and_then(UpstreamState::profile);
+        let Some(profile) = profile.filter(|_| dispatch.prompt_tokens > 0) else { return };
+        let Dispatch { urgency, customer, max_gap, .. } = *dispatch;
+        let account = Account { room: self.room(max_gap), urgency, customer };
+        self.charges.add(account, self.engine_ms(dispatch.prompt_tokens, profile), now);
+    }
+
+    /// What the place of `request` among the waiting prompts depends on.
+    fn claim(&self, request: &Request<'_>, profile: profile::Profile, now: clock::Moment) -> Claim {
+        let account = Account {
+            room: self.room(request.max_gap),
+            urgency: request.urgency,
+            customer: customer_number(request.customer),
+        };
+        let claim = Claim {
+            account,
+            cost_ms: self.engine_ms(request.prompt_tokens, profile),
+            prefill_ms: profile.prefill_ms(request.prompt_tokens),
+            tokens: request.prompt_tokens + request.answer_tokens,
+            arrival: u64::MAX,
+            has_returned: false,
+        };
+        self.waitlist.recall(request.waiter, request.identity, claim, now)
+    }
+
+    /// Records the attempt to place a prompt, and returns its outcome for the caller: one that came
+    /// back too early keeps its time.
+    fn record_attempt(
+        &mut self,
+        request: &Request<'_>,
+        Queued { claim, turn }: Queued,
+        placed: Result<Placement, Refusal>,
+        now: clock::Moment,
+    ) -> Result<Placement, Refusal> {
+        let waits = matches!(placed, Err(Refusal::Deferred(_)));
+        self.waitlist.record_attempt(request.waiter, claim, waits, now);
+        let Some(identity) = request.identity.filter(|_| turn.is_some()) else { return placed };
+        match placed {
+            Ok(_) => self.waitlist.fulfil(&identity),
+            Err(Refusal::Rejected(shortage, span)) => {
+                let due = self.waitlist.due(Some(identity), now).filter(|due| *due > now);
+                let span = due.map_or(span, |due| due.since(now).max(self.settings.full_span));
+                self.waitlist.promise(identity, claim, span, now);
+                return Err(Refusal::Rejected(shortage, span));
+            }
+            Err(_) => {}
+        }
+        placed
+    }
+
     /// Upstreams that may be used, in order of their names: those that look healthy, the failing
     /// ones last, or all if none does.
     fn usable(&self, request: &Request<'_>, now: clock::Moment) -> Vec<&UpstreamState> {
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -1,7 +1,10 @@
 //! Placement of prompts: enumerates the engines that may be used and the candidate plans, and
 //! weighs the value of each plan against the harm that it does to other requests.
 
-use super::{Helper, Placement, Placer, Refusal, Request, Shortage, UpstreamState, tie_break};
+use super::waitlist::Turn;
+use super::{
+    Helper, Placement, Placer, Queued, Refusal, Request, Shortage, UpstreamState, tie_break,
+};
 use crate::clock;
 use crate::load::profile;
 
@@ -68,6 +71,45 @@
 /// Upper limit of the value of one answer, so that one giant prompt does not outweigh all others.
 const MAX_VALUE: f64 = 36.0;
 
+/// Share of the slots that become free that are promised to callers who come back. With all of
+/// them, no prompt would be served at its first attempt any more.
+const RETURNING_SHARE: f64 = 0.5;
+/// Slots per second that become free at least, so that a time can be named.
+const MIN_RATE: f64 = 0.1;
+/// How long a prompt waits for its host to send its identity: three attempts.
+const IDENTITY_WAIT: clock::Span = clock::Span::from_millis(100);
+/// Standard deviations by which the number of slots that become free may exceed its mean.
+const DEVIATIONS: f64 = 2.0;
+
+/// The slots of the engines that a prompt may use.
+#[derive(Clone, Copy, Debug, Default)]
+struct Slots {
+    all: u32,
+    free: usize,
+}
+
+impl Slots {
+    fn of<'a, Engines>(engines: Engines) -> Slots
+    where
+        Engines: Iterator<Item = &'a UpstreamState>,
+    {
+        engines.fold(Slots::default(), |sum, engine| Slots {
+            all: sum.all + engine.slots(),
+            free: sum.free + (engine.slots() as usize).saturating_sub(engine.used_slots()),
+        })
+    }
+
+    /// Slots that become free per second if an answer takes `span`.
+    fn per_second(self, span: clock::Span) -> f64 {
+        f64::from(self.all) / span.as_secs_f64().max(f64::MIN_POSITIVE)
+    }
+}
+
+/// Number that independent events, of which `mean` are expected, hardly ever exceed.
+fn most_arrivals(mean: f64) -> f64 {
+    mean + DEVIATIONS * mean.sqrt() + 1.0
+}
+
 /// Value of an answer in time to a prompt of `tokens`.
 fn value(tokens: u64) -> f64 {
     (tokens as f64 / UNIT_PROMPT).powf(VALUE_EXPONENT).min(MAX_VALUE)
@@ -114,13 +156,14 @@
         request: &Request<'_>,
         usable: &[&UpstreamState],
         profile: profile::Profile,
+        queued: Queued,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
         let division = Division { usable, dedicated: self.dedicated_engines(usable, now) };
         if self.is_tight(request) {
-            self.place_tight(request, division, profile, now)
+            self.place_tight(request, division, profile, queued, now)
         } else {
-            self.place_loose(request, division, profile, now)
+            self.place_loose(request, division, profile, queued, now)
         }
     }
 
@@ -131,17 +174,21 @@
         request: &Request<'_>,
         division: Division<'_>,
         profile: profile::Profile,
+        queued: Queued,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
         let usable = division.usable;
         let all: Vec<usize> = (0..usable.len()).filter(|index| usable[*index].is_open()).collect();
-        if all.iter().all(|index| !usable[*index].has_free_slot()) {
-            return Err(self.refuse_without_slot(request, profile));
+        let slots = Slots::of(all.iter().map(|index| usable[*index]));
+        if slots.free <= queued.turn.unwrap_or_default().ahead {
+            return Err(self.refuse_without_slot(request, profile, queued, slots, now));
         }
         let prefill = (profile.prefill_ms(request.prompt_tokens), self.settings.part_ms);
         match self.plan(request, division, &all, prefill, now) {
             Ok(plan) => Ok(self.to_placement(request, usable, profile, &plan, now)),
-            Err(Refusal::Deferred(_)) => Err(self.refuse_without_slot(request, profile)),
+            Err(Refusal::Deferred(_)) => {
+                Err(self.refuse_without_slot(request, profile, queued, slots, now))
+            }
             Err(refusal) => Err(refusal),
         }
     }
@@ -153,6 +200,7 @@
         request: &Request<'_>,
         division: Division<'_>,
         profile: profile::Profile,
+        queued: Queued,
         now: clock::Moment,
     ) -> Result<Placement, Refusal> {
         let Division { usable, dedicated } = division;
@@ -162,10 +210,11 @@
         self.check_backlog(
             request,
             &usable[dedicated.min(usable.len() - 1)..],
-            total_ms,
             part_count,
+            queued,
             now,
         )?;
+        self.check_memory(request, division, queued, profile)?;
         let mut best: Option<Plan> = None;
         let mut refusal = Refusal::NoUpstream;
         let free_ms = self.mean_answer_span(profile).as_secs_f64() * 1e3;
@@ -201,23 +250,76 @@
         }
     }
 
-    /// The refusal of a prompt with a tight gap limit when no slot is free, or no engine with a
-    /// free slot has the memory.
+    /// The refusal of a prompt with a tight gap limit when no slot is free, no engine with a free
+    /// slot has the memory, or the free slots go to others first.
     ///
     /// Load pattern: short prompts arrive faster than engines finish their answers. If they queued
     /// in the engines, each would wait behind all earlier ones, and soon every answer would be late
     /// although the engines work at full capacity. A prompt therefore waits at this host for a slot
     /// as long as it can still be in time, and is then refused, so that accepted prompts are in
     /// time. Within the duration of an average answer every slot becomes free once.
-    fn refuse_without_slot(&self, request: &Request<'_>, profile: profile::Profile) -> Refusal {
-        if request.waited < request.target.mul_f64(self.settings.slot_wait_share) {
+    ///
+    /// If others of another urgency or customer wait too, it is refused at once when it is certain
+    /// to be late: even with far more slots than usual becoming free, all would go to those ahead.
+    fn refuse_without_slot(
+        &self,
+        request: &Request<'_>,
+        profile: profile::Profile,
+        queued: Queued,
+        slots: Slots,
+        now: clock::Moment,
+    ) -> Refusal {
+        let longest = request.target.mul_f64(self.settings.slot_wait_share);
+        let mean_span = self.mean_answer_span(profile);
+        let Some(turn) = queued.turn else {
+            if request.waited < longest {
+                return Refusal::Deferred(Shortage::Slot);
+            }
+            return Refusal::Rejected(Shortage::Slot, mean_span);
+        };
+        let left = longest.saturating_sub(request.waited).as_secs_f64();
+        let missing = (turn.ahead * self.waitlist.placing_hosts() + 1).saturating_sub(slots.free);
+        let fastest = self.settings.tight_answer_span.min(mean_span);
+        let is_hopeless = missing as f64 > most_arrivals(slots.per_second(fastest) * left);
+        if request.waited < longest && (!is_hopeless || self.awaits_identity(request)) {
             return Refusal::Deferred(Shortage::Slot);
         }
-        Refusal::Rejected(Shortage::Slot, self.mean_answer_span(profile))
+        if missing == 0 {
+            // It lacks memory, not a slot.
+            return Refusal::Rejected(Shortage::Slot, mean_span);
+        }
+        let promised =
+            self.waitlist.promised_turn(request.waiter, &queued.claim, &self.charges, now);
+        let returning = promised.ahead.saturating_sub(turn.ahead);
+        let span = self.slot_span((missing, returning), slots.per_second(mean_span), longest);
+        Refusal::Rejected(Shortage::Slot, span.max(self.settings.full_span))
+    }
+
+    /// Time until a slot becomes free for a prompt that lacks `missing` slots as long as those
+    /// ahead of it wait, and whose caller goes behind `returning` others who come back, if `rate`
+    /// slots per second become free and prompts wait for at most `longest`.
+    fn slot_span(
+        &self,
+        (missing, returning): (usize, usize),
+        rate: f64,
+        longest: clock::Span,
+    ) -> clock::Span {
+        let rate = rate.max(MIN_RATE);
+        // Of those ahead only so many get a slot; the others are refused before that.
+        let waiting = (missing as f64).min(most_arrivals(rate * longest.as_secs_f64()));
+        let returning = (returning * self.waitlist.placing_hosts()) as f64;
+        let seconds = waiting / rate + returning / (rate * RETURNING_SHARE);
+        clock::Span::try_from_secs_f64(seconds).unwrap_or(clock::Span::MAX)
+    }
+
+    /// Whether the host that asks should be asked for the identity of `request` before it is
+    /// refused. Without it, the caller would be last again when it comes back.
+    fn awaits_identity(&self, request: &Request<'_>) -> bool {
+        request.identity.is_none() && request.waited < IDENTITY_WAIT
     }
 
     /// How long a full engine takes for an average answer; slots and memory become free within it.
-    fn mean_answer_span(&self, profile: profile::Profile) -> clock::Span {
+    pub(super) fn mean_answer_span(&self, profile: profile::Profile) -> clock::Span {
         let context = u64::from(profile.slots) * profile.mean_prompt;
         let pass_ms = profile.pass_ms(profile.slots, context);
         profile.decode_span(profile.mean_answer, pass_ms)
@@ -237,32 +339,98 @@
         &self,
         request: &Request<'_>,
         engines: &[&UpstreamState],
-        total_ms: f64,
         part_count: usize,
+        queued: Queued,
         now: clock::Moment,
     ) -> Result<(), Refusal> {
+        let Queued { claim, turn } = queued;
+        let total_ms = claim.prefill_ms;
         let mut backlogs: Vec<f64> =
             engines.iter().map(|engine| engine.queued_prefill_ms()).collect();
         backlogs.sort_by(f64::total_cmp);
         backlogs.truncate(part_count.max(1));
         let backlog = backlogs.iter().sum::<f64>() / backlogs.len().max(1) as f64;
-        let waited = request.waited.as_secs_f64() * 1e3;
-        let scaled =
-            self.settings.backlog_ms * self.settings.backlog_reference_ms / total_ms.max(1.0);
-        let bound = scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
-            + waited * self.settings.backlog_growth;
-        if backlog <= bound {
+        let bound = self.backlog_bound_ms(request, total_ms);
+        let ahead = turn.unwrap_or_default();
+        if backlog <= bound && self.has_prefill_room(request, engines, (bound, ahead)) {
             return Ok(());
         }
         // While the prompt waits, the backlog falls at one millisecond of prefill per millisecond
         // and the bound rises by `backlog_growth` of that, so they approach each other at the sum.
-        let until_bound_ms = (backlog - bound) / (1.0 + self.settings.backlog_growth);
+        let until_bound_ms = (backlog - bound).max(0.0) / (1.0 + self.settings.backlog_growth);
         let planned_engines = engines.len() as f64 * self.settings.prefill_share;
         let prefilling_engines = self.prefill_load.engines(now).max(planned_engines).max(1.0);
-        let free_ms =
-            until_bound_ms + self.waitlist.ahead_ms(request.waiter, total_ms) / prefilling_engines;
+        let hosts = self.waitlist.placing_hosts() as f64;
+        let ahead_ms = match turn {
+            Some(turn) => turn.prefill_ms * hosts,
+            None => self.waitlist.ahead_ms(request.waiter, total_ms),
+        };
+        let free_ms = until_bound_ms + ahead_ms / prefilling_engines;
         let first_token_ms = free_ms + bound + total_ms / part_count as f64;
-        Err(self.refuse(request, Outlook { shortage: Shortage::Prefill, free_ms, first_token_ms }))
+        let refusal =
+            self.refuse(request, Outlook { shortage: Shortage::Prefill, free_ms, first_token_ms });
+        let Refusal::Rejected(shortage, span) = refusal else { return Err(refusal) };
+        if turn.is_none() {
+            return Err(refusal);
+        }
+        if self.awaits_identity(request) {
+            return Err(Refusal::Deferred(shortage));
+        }
+        let promised = self.waitlist.promised_turn(request.waiter, &claim, &self.charges, now);
+        let promised_ms = until_bound_ms + promised.prefill_ms * hosts / prefilling_engines;
+        let promised = clock::Span::try_from_secs_f64(promised_ms / 1e3).unwrap_or(span);
+        Err(Refusal::Rejected(shortage, span.max(promised)))
+    }
+
+    /// Average prefill backlog per engine in milliseconds up to which a prompt with a prefill time
+    /// of `total_ms` is dispatched that has waited as long as `request`.
+    fn backlog_bound_ms(&self, request: &Request<'_>, total_ms: f64) -> f64 {
+        let waited = request.waited.as_secs_f64() * 1e3;
+        let scaled =
+            self.settings.backlog_ms * self.settings.backlog_reference_ms / total_ms.max(1.0);
+        scaled.clamp(self.settings.backlog_ms / 4.0, self.settings.backlog_ms)
+            + waited * self.settings.backlog_growth
+    }
+
+    /// Whether the prefill of the prompts `ahead`, and then that of `request`, fits into the backlog
+    /// of `engines`. The smallest bound of those ahead applies: under a larger one, smaller prompts
+    /// would keep the backlog too long for them.
+    fn has_prefill_room(
+        &self,
+        request: &Request<'_>,
+        engines: &[&UpstreamState],
+        (own_bound, ahead): (f64, Turn),
+    ) -> bool {
+        if ahead.ahead == 0 {
+            return true;
+        }
+        let bound = own_bound.min(self.backlog_bound_ms(request, ahead.largest_ms));
+        let room = engines.iter().map(|engine| (bound - engine.queued_prefill_ms()).max(0.0));
+        room.sum::<f64>() > ahead.prefill_ms
+    }
+
+    /// Checks that the free memory of `usable` is enough for the prompts ahead and then for
+    /// `request`.
+    ///
+    /// Load pattern: one prompt waits for the memory of several engines while smaller ones, each of
+    /// which fits somewhere, keep arriving. It would never find enough.
+    fn check_memory(
+        &self,
+        request: &Request<'_>,
+        Division { usable, .. }: Division<'_>,
+        Queued { claim, turn }: Queued,
+        profile: profile::Profile,
+    ) -> Result<(), Refusal> {
+        let ahead = turn.unwrap_or_default();
+        let share = self.settings.memory_share;
+        let free: u64 = usable.iter().map(|engine| engine.free_memory(share)).sum();
+        if ahead.ahead == 0 || free >= ahead.tokens + claim.tokens {
+            return Ok(());
+        }
+        let free_ms = self.mean_answer_span(profile).as_secs_f64() * 1e3;
+        let part_count = self.part_count(claim.prefill_ms, self.settings.loose_part_ms);
+        let first_token_ms = claim.prefill_ms / part_count as f64;
+        Err(self.refuse(request, Outlook { shortage: Shortage::Memory, free_ms, first_token_ms }))
     }
 
     /// Indices of the engines that a plan for a prompt with a loose gap limit may use. Engines that
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -164,6 +164,8 @@
             helper_reserves: Vec::new(),
             max_gap: gap,
             deadline: self.now + Span::from_secs(10),
+            urgency: 0,
+            customer: 0,
         };
         self.placer.record_dispatch(dispatch, self.now);
         id
