Weigh harm and engine queues by urgency where it differs

Cause: engines queue requests by prompt length only, and a long prompt may pay with its own value for the answers that it makes late, however urgent they are.

Change: routing::Urgencies holds the distinct priorities of a service's requests; if there are several, the priority passed to engines is by urgency first and length second. In placement, making a more urgent answer late outweighs the value of any plan. With one priority both are as before.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -84,6 +84,8 @@
 const MEDIUM_PROMPT_TOKENS: u64 = 25_000;
 /// Prompt length in tokens from which a prompt is queued behind medium ones.
 const LONG_PROMPT_TOKENS: u64 = 110_000;
+/// Priority in an engine's queue of short, medium and long prompts if all are equally urgent.
+const LENGTH_PRIORITIES: [u8; 3] = [1, 6, 8];
 /// Attempts beyond the route's limit that are allowed because upstreams refused the request or
 /// could not be reached.
 const MAX_REFUSALS: u32 = 2;
@@ -520,15 +522,21 @@
         }
     }
 
-    /// Returns the request's priority in an engine's queue, from 0, first, to 9, last: short
-    /// prompts come first.
+    /// Returns the request's priority in an engine's queue, from 0, first, to 9, last: urgent
+    /// requests come first if the service has some, then short prompts.
     fn queue_priority(&self) -> Option<u8> {
         let prompt = self.request.head.prompt_tokens?;
-        Some(match prompt {
-            0..MEDIUM_PROMPT_TOKENS => 1,
-            MEDIUM_PROMPT_TOKENS..LONG_PROMPT_TOKENS => 6,
-            _ => 8,
-        })
+        let length = match prompt {
+            0..MEDIUM_PROMPT_TOKENS => 0,
+            MEDIUM_PROMPT_TOKENS..LONG_PROMPT_TOKENS => 1,
+            _ => 2,
+        };
+        let table = self.state.routing_table();
+        let urgencies = table.as_ref().and_then(|table| table.urgencies(&self.service));
+        let by_urgency = urgencies.and_then(|urgencies| {
+            urgencies.queue_priority(self.urgency, length, LENGTH_PRIORITIES.len())
+        });
+        Some(by_urgency.unwrap_or(LENGTH_PRIORITIES[length]))
     }
 
     /// Records that an upstream failed: no host reaches it, or its answer is not a valid answer to
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -110,11 +110,20 @@
     mean + DEVIATIONS * mean.sqrt() + 1.0
 }
 
+/// Weight of making a more urgent answer late: one of value 0.5 outweighs any plan.
+const URGENT_HARM: f64 = 2.0 * MAX_VALUE / (1.0 - LATE_VALUE);
+
 /// Value of an answer in time to a prompt of `tokens`.
 fn value(tokens: u64) -> f64 {
     (tokens as f64 / UNIT_PROMPT).powf(VALUE_EXPONENT).min(MAX_VALUE)
 }
 
+/// Weight of making an answer of the priority `harmed` late by a plan for the priority `urgency`. A
+/// less urgent plan must not pay for it with its own value.
+fn harm_weight(urgency: u32, harmed: u32) -> f64 {
+    if harmed < urgency { URGENT_HARM } else { 1.0 }
+}
+
 impl Placer {
     /// Number of engines at the front of `usable` that are dedicated to answers with a tight gap
     /// limit. The order is that of [`Placer::usable`].
@@ -551,8 +560,8 @@
             _ => 0.0,
         };
         let parts = || plan.helpers.iter().map(|(index, _)| *index).chain([plan.primary]);
-        let lost =
-            |index: usize| usable[index].newly_late_tokens(plan.part_ms).map(value).sum::<f64>();
+        let harm = |(tokens, urgency)| value(tokens) * harm_weight(request.urgency, urgency);
+        let lost = |index: usize| usable[index].newly_late(plan.part_ms).map(harm).sum::<f64>();
         let late_value: f64 = parts().map(lost).sum();
         let tight = self.tight_requests(usable);
         let dedicated_share =
--- a/crates/lagoonline/src/load/placement/upstream.rs
+++ b/crates/lagoonline/src/load/placement/upstream.rs
@@ -31,6 +31,8 @@
     memory_tokens: u64,
     /// Longest pause between events that the caller tolerates, in milliseconds.
     max_gap_ms: f64,
+    /// Priority of its request; 0 is the most urgent.
+    urgency: u32,
 }
 
 impl Part {
@@ -229,6 +231,7 @@
             is_primary,
             memory_tokens,
             max_gap_ms,
+            urgency: dispatch.urgency,
         });
     }
 
@@ -416,14 +419,14 @@
         self.parts.iter().filter(|part| part.is_primary).count()
     }
 
-    /// KV tokens of each request in decode whose gap limit would be exceeded because of an added
-    /// prefill of `prefill_ms`; requests that are late already are left out.
-    pub(super) fn newly_late_tokens(&self, prefill_ms: f64) -> impl Iterator<Item = u64> {
+    /// KV tokens and priority of each request in decode whose gap limit would be exceeded because of
+    /// an added prefill of `prefill_ms`; requests that are late already are left out.
+    pub(super) fn newly_late(&self, prefill_ms: f64) -> impl Iterator<Item = (u64, u32)> {
         let before = self.pass_ms() + self.queued_prefill_ms();
         let after = before + prefill_ms;
         let parts = self.parts.iter().filter(|part| part.stage == Stage::Decode);
         let late = parts.filter(move |part| part.max_gap_ms < after && part.max_gap_ms >= before);
-        late.map(|part| part.memory_tokens)
+        late.map(|part| (part.memory_tokens, part.urgency))
     }
 
     /// Cost in milliseconds that the requests on this engine add for a new one besides its wait;
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -12,6 +12,7 @@
 mod roster;
 mod source;
 mod table;
+mod urgency;
 
 use std::net;
 
@@ -30,6 +31,7 @@
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
 pub use source::{Peer, Settings as SourceSettings, Source, SourceSelector};
 pub use table::{KeyMatch, Table};
+pub use urgency::Urgencies;
 
 /// How a request is answered, and whether it may be retried.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/lagoonline/src/routing/table.rs
+++ b/crates/lagoonline/src/routing/table.rs
@@ -3,7 +3,7 @@
 use std::collections;
 use std::sync;
 
-use super::{Customer, Desired, Limits, Route, Service};
+use super::{Customer, Desired, Limits, Route, Service, Urgencies};
 use crate::id;
 
 /// An indexed version of the routing configuration; not to be confused with the platform's
@@ -16,6 +16,7 @@
     routes_by_host: collections::HashMap<String, Vec<sync::Arc<Route>>>,
     services: collections::HashMap<id::Service, sync::Arc<Service>>,
     customers: Option<collections::HashMap<String, sync::Arc<Customer>>>,
+    urgencies: collections::HashMap<id::Service, Urgencies>,
 }
 
 /// Result of looking up a request's key.
@@ -40,6 +41,7 @@
     /// assert_eq!(table.version(), 0);
     /// ```
     pub fn new(desired: Desired) -> Table {
+        let urgencies = urgencies_by_service(&desired);
         let mut routes_by_host: collections::HashMap<String, Vec<sync::Arc<Route>>> =
             Default::default();
         for route in desired.routes {
@@ -56,6 +58,7 @@
             routes_by_host,
             services: services.collect(),
             customers: desired.customers.map(index_by_key),
+            urgencies,
         }
     }
 
@@ -81,6 +84,11 @@
         self.services.get(name)
     }
 
+    /// Returns the priorities that requests to `service` may have; `None` if it is not known.
+    pub fn urgencies(&self, service: &id::Service) -> Option<&Urgencies> {
+        self.urgencies.get(service)
+    }
+
     /// Returns all services.
     pub fn services(&self) -> impl Iterator<Item = &sync::Arc<Service>> {
         self.services.values()
@@ -96,6 +104,14 @@
     }
 }
 
+fn urgencies_by_service(desired: &Desired) -> collections::HashMap<id::Service, Urgencies> {
+    let of = |service: &id::Service| {
+        Urgencies::new(service, &desired.routes, desired.customers.as_deref())
+    };
+    let names = desired.services.iter().map(|service| &service.name);
+    names.map(|name| (name.clone(), of(name))).collect()
+}
+
 fn index_by_key(customers: Vec<Customer>) -> collections::HashMap<String, sync::Arc<Customer>> {
     let mut keys = collections::HashMap::new();
     for customer in customers {
--- a/crates/lagoonline/tests/load_placement_order.rs
+++ b/crates/lagoonline/tests/load_placement_order.rs
@@ -14,7 +14,7 @@
 use lagoonline::load::placement::{Refusal, Shortage};
 use rstest::rstest;
 
-use placer_simulation::{LOOSE, Simulation, TIGHT};
+use placer_simulation::{LOOSE, Simulation, TIGHT, placer};
 
 /// Mean duration of an answer in milliseconds.
 const ANSWER_MS: u64 = 1_900;
@@ -53,6 +53,8 @@
     sim: Simulation,
     waiting: Vec<Prompt>,
     answers: Vec<(Moment, placement::DispatchId)>,
+    /// When first tokens are due.
+    first_tokens: Vec<(Moment, placement::DispatchId)>,
     counts: collections::BTreeMap<(u32, String), Count>,
     /// Numbers of the prompts that were placed after they had waited.
     placed: collections::BTreeSet<u64>,
@@ -64,6 +66,7 @@
             sim: Simulation::new(engines),
             waiting: Vec::new(),
             answers: Vec::new(),
+            first_tokens: Vec::new(),
             counts: collections::BTreeMap::new(),
             placed: collections::BTreeSet::new(),
         }
@@ -116,6 +119,7 @@
         self.sim.placer.record_dispatch(dispatch, self.sim.now);
         let answer_ms = placed.expected.as_millis() as u64 + answer_ms(self.sim.number);
         self.answers.push((self.sim.now + Span::from_millis(answer_ms), id));
+        self.first_tokens.push((self.sim.now + placed.expected, id));
         Ok(id)
     }
 
@@ -132,17 +136,16 @@
     /// order they would get the slots.
     fn attempt_all(&mut self) {
         let now = self.sim.now;
-        let (ended, left) = std::mem::take(&mut self.answers).into_iter().partition(|a| a.0 <= now);
-        self.answers = left;
-        let ended: Vec<(Moment, placement::DispatchId)> = ended;
-        for (_, id) in ended {
+        for (_, id) in self.first_tokens.extract_if(.., |(due, _)| *due <= now) {
+            self.sim.placer.record_first_token(id, now);
+        }
+        for (_, id) in self.answers.extract_if(.., |(end, _)| *end <= now) {
             self.sim.placer.record_end(id, now);
         }
         let waiting = std::mem::take(&mut self.waiting);
         for prompt in waiting.into_iter().rev() {
             match self.try_place(&prompt) {
-                Ok(id) => {
-                    self.sim.placer.record_first_token(id, now);
+                Ok(_) => {
                     self.count(&prompt).served += 1;
                     self.placed.insert(prompt.number);
                 }
@@ -307,3 +310,70 @@
     }
     assert!(world.placed.contains(&returned.number), "{:?}", world.counts);
 }
+
+/// Guards against the prompts of one customer, at several times the usual rate, that take the
+/// prefill of all others, and against short prompts that find the engines full of them afterwards.
+#[rstest]
+fn a_burst_of_long_prompts_of_one_customer_leaves_room_for_others() {
+    let mut world = World::new(12);
+    let names = ["a", "b", "c", "d", "e"];
+    let mut demand = vec![(36.0, 45_000, 0, "large")];
+    demand.extend(names.map(|name| (2.0, 45_000, 0, name)));
+    world.run(9_500, &demand);
+    for name in names {
+        let Count { asked, served, .. } = world.of(0, name);
+        assert!(f64::from(served) >= 0.85 * f64::from(asked), "{name}: {:?}", world.counts);
+    }
+    let large = world.served(0, "large");
+    assert!(large >= 0.6 * 9.5 * 12.0 / 0.358 - 95.0, "engines are idle: {:?}", world.counts);
+    let late = world.waiting.drain(..).map(|prompt| prompt.customer.to_string());
+    assert!(late.filter(|name| name != "large").count() <= 5);
+    world.run(5_000, &names.map(|name| (12.0, 5_000, 0, name)));
+    let (asked, served) = names.iter().fold((0, 0), |sum, name| {
+        let count = world.of(0, name);
+        (sum.0 + count.asked, sum.1 + count.served)
+    });
+    assert!(f64::from(served) >= 0.9 * f64::from(asked), "{:?}", world.counts);
+}
+
+/// Guards against a long prompt that pays with its own value for more urgent answers that it makes
+/// late: it is worth eleven short ones.
+#[rstest]
+#[case::equal(0, true)]
+#[case::less_urgent(1, false)]
+fn a_less_urgent_prompt_does_not_make_urgent_answers_late(
+    #[case] urgency: u32,
+    #[case] is_placed: bool,
+) {
+    let mut world = World::new(1);
+    world.fill(3, 0, "desk");
+    let long = world.prompt(150_000, urgency, "batch");
+    assert_eq!(world.try_place(&long).is_ok(), is_placed);
+}
+
+/// Guards against losing what is in flight when the scheduler is replaced: the new one is told of
+/// the dispatches in flight with their urgency and customer, so the customer that has less goes
+/// first, and the prompts that wait keep waiting.
+#[rstest]
+fn a_new_scheduler_is_fair_by_what_is_in_flight() {
+    let mut world = World::new(3);
+    world.fill(40, 0, "first");
+    world.fill(8, 0, "second");
+    let prompts = [world.prompt(5_000, 0, "first"), world.prompt(5_000, 0, "second")];
+    let in_flight = world.sim.placer.in_flight(|_| true).map(|(dispatch, _)| dispatch.clone());
+    let in_flight: Vec<_> = in_flight.collect();
+    world.sim.placer = placer(3);
+    for dispatch in in_flight {
+        let id = dispatch.id;
+        world.sim.placer.record_dispatch(dispatch, world.sim.now);
+        world.sim.placer.record_first_token(id, world.sim.now);
+    }
+    world.sim.advance(30);
+    for prompt in &prompts {
+        assert_eq!(world.try_place(prompt), Err(Refusal::Deferred(Shortage::Slot)));
+    }
+    let (_, ended) = world.answers[0];
+    world.sim.placer.record_end(ended, world.sim.now);
+    assert!(world.try_place(&prompts[0]).is_err());
+    assert!(world.try_place(&prompts[1]).is_ok());
+}
--- a/crates/lagoonline/tests/routing.rs
+++ b/crates/lagoonline/tests/routing.rs
@@ -209,3 +209,22 @@
         assert!(made <= Moment::from_micros(now), "{made:?}");
     }
 }
+
+/// Guards against a less urgent short prompt ahead of an urgent long one in an engine's queue, and
+/// against another order than by length where all requests are equally urgent.
+#[rstest::rstest]
+#[case::equal(&[1], 1, 2, None)]
+#[case::urgent_and_long(&[0, 1, 2], 0, 2, Some(2))]
+#[case::less_urgent_and_short(&[0, 1, 2], 1, 0, Some(3))]
+#[case::least_urgent_and_long(&[0, 1, 2], 2, 2, Some(8))]
+#[case::two_of_five(&[0, 1, 2, 3, 4], 4, 2, Some(9))]
+#[case::more_urgencies_than_priorities(&[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11], 11, 2, Some(9))]
+fn urgency_goes_before_length_in_engines(
+    #[case] urgencies: &[u32],
+    #[case] urgency: u32,
+    #[case] length: usize,
+    #[case] priority: Option<u8>,
+) {
+    let urgencies = routing::Urgencies::from(urgencies.to_vec());
+    assert_eq!(urgencies.queue_priority(urgency, length, 3), priority);
+}
