Show waits, refusals and engine time by urgency and customer

Cause: operators could not see who waits for engines and who gets them.

Change: counters room_waited, room_refused and engine_ms by urgency (at most 10 labels) and customer (32, the rest "other"); urgency and customer in the log line "waits", a line "room_refused".

The label bound has no test.

--- a/crates/lagoon-gateway/src/in_flight.rs
+++ b/crates/lagoon-gateway/src/in_flight.rs
@@ -58,12 +58,18 @@
             placement::Dispatch::new(id, placement, prompt, admitted.gap_target(), deadline)
                 .charged_to(admitted.urgency, customer);
         let sent = message::Dispatch::new(&dispatch, now);
-        admitted.state.with_placer(&admitted.service, |placer, _| {
+        let engine_ms = admitted.state.with_placer(&admitted.service, |placer, _| {
             if decider == Decider::Own {
                 placer.record_placing_host(admitted.state.incarnation, now);
             }
+            let engine_ms = placer.charged_ms(&dispatch);
             placer.record_dispatch(dispatch, now);
+            engine_ms
         });
+        if let Some(engine_ms) = engine_ms.filter(|engine_ms| *engine_ms > 0.0) {
+            let (urgency, customer) = (admitted.urgency, admitted.customer.as_ref());
+            admitted.state.metrics.shares.count_engine_ms(urgency, customer, engine_ms);
+        }
         let in_flight = Guard {
             state: admitted.state.clone(),
             service: admitted.service.clone(),
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod schedule;
 mod server;
 mod settings;
+mod shares;
 mod silence;
 mod state;
 mod store;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -17,6 +17,8 @@
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
+use crate::shares;
+
 /// Labels of the counter of answers.
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 pub(crate) struct AnswerLabels {
@@ -258,6 +260,8 @@
     tunnels: Family<TunnelLabels, Counter>,
     /// Connections that this host carries for others.
     pub(crate) tunnels_carried: Gauge,
+    /// Counters by urgency and customer.
+    pub(crate) shares: shares::Shares,
     registry: sync::Arc<sync::Mutex<Registry>>,
 }
 
@@ -309,6 +313,7 @@
             paths: Family::default(),
             tunnels: Family::default(),
             tunnels_carried: Gauge::default(),
+            shares: shares::Shares::default(),
             registry: sync::Arc::default(),
         };
         metrics.register();
@@ -353,6 +358,7 @@
         self.register_departures(registry);
         self.register_paths(registry);
         self.register_heads(registry);
+        self.shares.register(registry);
     }
 
     fn register_heads(&self, registry: &mut Registry) {
--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -151,14 +151,18 @@
                 Err(placement::Refusal::Deferred(shortage))
                     if self.time_left() > forward::MIN_TIME_LEFT =>
                 {
-                    if last_shortage.replace(shortage) != Some(shortage) {
-                        self.log_wait(shortage, waited);
+                    let earlier = last_shortage.replace(shortage);
+                    if earlier != Some(shortage) {
+                        self.record_wait(shortage, waited, earlier.is_none());
                     }
                     let pause = BUSY_PAUSE.min(self.route.target / 20);
                     tokio::time::sleep(jittered(pause)).await;
                     continue;
                 }
-                Err(refusal) => return Err(self.placement_fault(refusal).into()),
+                Err(refusal) => {
+                    self.record_room_refusal(&refusal, waited);
+                    return Err(self.placement_fault(refusal).into());
+                }
             };
             if is_retry && decider == in_flight::Decider::Own && charge.is_none() {
                 match self.state.charge_retry(&self.service) {
@@ -350,15 +354,4 @@
         };
         answer::Fault::not_run(reason, Step::Route, detail).with_retry_after(span)
     }
-
-    /// Logs that the request waits, at the first shortage and whenever the shortage changes.
-    fn log_wait(&self, shortage: placement::Shortage, waited: clock::Span) {
-        event::Line::new("waits")
-            .text("request", &self.request.head.request_id)
-            .text("route", &self.route.name)
-            .number("prompt_tokens", self.request.head.prompt_tokens.unwrap_or(0))
-            .text("engines", shortage)
-            .span("waited_ms", waited)
-            .info();
-    }
 }
--- a/crates/lagoonline/benches/decision.rs
+++ b/crates/lagoonline/benches/decision.rs
@@ -4,6 +4,7 @@
 #![allow(missing_docs, reason = "the macro of the library makes a public function")]
 
 use std::hint;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -11,8 +12,8 @@
 use lagoonline::clock::{Moment, Span};
 use lagoonline::control::document;
 use lagoonline::lifecycle::fingerprint::Fingerprint;
-use lagoonline::load::{self, Ending, Scheduler, Verdict};
-use lagoonline::{id, view};
+use lagoonline::load::{self, Ending, Scheduler, Verdict, placement, profile};
+use lagoonline::{id, routing, view};
 
 struct Size {
     name: &'static str,
@@ -173,5 +174,75 @@
     }
 }
 
-criterion_group!(benches, place, wait, limit, fingerprint);
+/// Number of engines of the smaller and the larger deployment on the platform.
+const PLATFORM_ENGINES: [usize; 2] = [60, 1_200];
+/// Customers of such a deployment.
+const PLATFORM_CUSTOMERS: u64 = 24;
+
+fn placer(engines: usize) -> placement::Placer {
+    let zone = id::Zone::from("a");
+    let entry = |index: usize| routing::Registration {
+        upstream: id::Upstream::from(format!("e{index:04}")),
+        service: id::Service::from("llm"),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 8_000 + index as u16)),
+        zone: zone.clone(),
+        slots: 12,
+        leaving: false,
+        started_ms: 1,
+        cold: Span::ZERO,
+    };
+    let entries: Vec<_> = (0..engines).map(entry).collect();
+    let mut placer = placement::Placer::new(placement::Settings::default(), zone.clone(), 1);
+    placer.set_upstreams(&entries, Some(profile::Profile::default()));
+    placer
+}
+
+/// Placement of a short prompt on the platform: with room, and without room while prompts of all
+/// customers wait.
+fn place_on_platform(criterion: &mut Criterion) {
+    let zone = id::Zone::from("a");
+    let customers: Vec<id::Customer> =
+        (0..PLATFORM_CUSTOMERS).map(|index| id::Customer::from(format!("c{index}"))).collect();
+    let now = Moment::from_millis(10);
+    let request = |number: u64| placement::Request {
+        prompt_tokens: 5_000,
+        answer_tokens: 400,
+        target: Span::from_millis(300),
+        max_gap: Span::from_millis(250),
+        waited: Span::ZERO,
+        waiter: placement::DispatchId { host: 1, number },
+        zone: &zone,
+        avoid: &[],
+        backoffs: &[],
+        hints: &[],
+        random: number,
+        identity: None,
+        urgency: 0,
+        customer: Some(&customers[(number % PLATFORM_CUSTOMERS) as usize]),
+    };
+    for engines in PLATFORM_ENGINES {
+        let mut idle = placer(engines);
+        criterion.bench_function(&format!("platform with room {engines}"), |bencher| {
+            bencher.iter(|| hint::black_box(idle.place(&request(0), now)));
+        });
+        let mut full = placer(engines);
+        for number in 0..engines as u64 * 12 {
+            let placed = full.place(&request(number), now).unwrap();
+            let id = placement::DispatchId { host: 2, number };
+            let (gap, deadline) = (Span::from_millis(250), now + Span::from_secs(10));
+            full.record_dispatch(placement::Dispatch::new(id, &placed, 5_000, gap, deadline), now);
+        }
+        for waiting in [0, 60] {
+            for number in 0..waiting {
+                drop(full.place(&request(number), now));
+            }
+            let name = format!("platform without room {engines}, {waiting} wait");
+            criterion.bench_function(&name, |bencher| {
+                bencher.iter(|| hint::black_box(full.place(&request(0), now)));
+            });
+        }
+    }
+}
+
+criterion_group!(benches, place, wait, limit, fingerprint, place_on_platform);
 criterion_main!(benches);
--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -428,6 +428,7 @@
         }
         self.turns.expire(now);
         self.permit_queue.expire(now);
+        self.waitlist.expire(now);
     }
 
     /// Records that an upstream could not be reached or stopped responding; it is avoided for a
@@ -634,13 +635,21 @@
         profile.prefill_ms(tokens) + answer_ms / f64::from(profile.slots.max(1))
     }
 
+    /// Engine time in milliseconds that is charged for `dispatch`; 0 for a call of a plain service.
+    pub fn charged_ms(&self, dispatch: &Dispatch) -> f64 {
+        let profile = self.upstreams.get(&dispatch.primary).and_then(UpstreamState::profile);
+        let profile = profile.filter(|_| dispatch.prompt_tokens > 0);
+        profile.map_or(0.0, |profile| self.engine_ms(dispatch.prompt_tokens, profile))
+    }
+
     /// Charges the engine time of `dispatch`.
     fn charge(&mut self, dispatch: &Dispatch, now: clock::Moment) {
-        let profile = self.upstreams.get(&dispatch.primary).and_then(UpstreamState::profile);
-        let Some(profile) = profile.filter(|_| dispatch.prompt_tokens > 0) else { return };
-        let Dispatch { urgency, customer, max_gap, .. } = *dispatch;
-        let account = Account { room: self.room(max_gap), urgency, customer };
-        self.charges.add(account, self.engine_ms(dispatch.prompt_tokens, profile), now);
+        let engine_ms = self.charged_ms(dispatch);
+        if engine_ms > 0.0 {
+            let Dispatch { urgency, customer, max_gap, .. } = *dispatch;
+            let account = Account { room: self.room(max_gap), urgency, customer };
+            self.charges.add(account, engine_ms, now);
+        }
     }
 
     /// What the place of `request` among the waiting prompts depends on.
--- a/crates/lagoonline/src/load/placement/waitlist.rs
+++ b/crates/lagoonline/src/load/placement/waitlist.rs
@@ -23,7 +23,7 @@
 /// Longest time after which a caller is remembered until it comes back. Callers do not wait longer.
 const MAX_PROMISED_WAIT: clock::Span = clock::Span::from_secs(3);
 /// Largest number of callers that are remembered; the ones due first are kept.
-const MAX_PROMISES: usize = 4_096;
+const MAX_PROMISES: usize = 1_024;
 
 /// A waiting prompt.
 #[derive(Clone, Copy, Debug)]
@@ -39,6 +39,13 @@
     due: clock::Moment,
 }
 
+impl Promise {
+    /// Whether its caller may still come back.
+    fn is_valid(&self, now: clock::Moment) -> bool {
+        now.since(self.due) <= RETURN_GRACE
+    }
+}
+
 /// What goes before a prompt in the order of those that lack the same kind of room.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Turn {
@@ -103,7 +110,7 @@
         waits: bool,
         now: clock::Moment,
     ) {
-        self.expire(now);
+        self.prompts.retain(|_, prompt| now.since(prompt.last_attempt) <= ATTEMPT_VALIDITY);
         if !waits {
             self.prompts.remove(&waiter);
             return;
@@ -116,10 +123,9 @@
         prompt.claim.has_returned = claim.has_returned;
     }
 
-    /// Forgets prompts that are not tried any more and callers that did not come back.
-    fn expire(&mut self, now: clock::Moment) {
-        self.prompts.retain(|_, prompt| now.since(prompt.last_attempt) <= ATTEMPT_VALIDITY);
-        self.promises.retain(|_, promise| now.since(promise.due) <= RETURN_GRACE);
+    /// Forgets callers that did not come back.
+    pub(super) fn expire(&mut self, now: clock::Moment) {
+        self.promises.retain(|_, promise| promise.is_valid(now));
     }
 
     /// Records that the caller of the prompt `identity` was told to come back after `span`.
@@ -157,7 +163,7 @@
         now: clock::Moment,
     ) -> Option<clock::Moment> {
         let promise = self.promises.get(&identity?)?;
-        (now.since(promise.due) <= RETURN_GRACE).then_some(promise.due)
+        promise.is_valid(now).then_some(promise.due)
     }
 
     /// The claim of a prompt as it is known from earlier attempts.
@@ -190,7 +196,10 @@
         let others = self.others(waiter, claim, now);
         let has_rival = others.iter().any(|other| other.account != claim.account);
         let room = claim.account.room;
-        let is_promised = || self.promises.values().any(|other| other.claim.account.room == room);
+        let is_promised = || {
+            let mut promises = self.promises.values();
+            promises.any(|other| other.claim.account.room == room && other.is_valid(now))
+        };
         if !has_rival && !is_promised() {
             return None;
         }
