Arrange waiting prompts only where it can change the outcome

Change: the order is left out when there are slots for all that wait, or none and the prompt would wait even as the last of them. A promise is also removed when its caller is placed without the order.

The other tests of lagoonline and those of lagoon-gateway were not run again on this commit.

--- a/crates/lagoonline/src/load/placement/mod.rs
+++ b/crates/lagoonline/src/load/placement/mod.rs
@@ -609,8 +609,9 @@
         match profile {
             Some(profile) if request.prompt_tokens > 0 => {
                 let claim = self.claim(request, profile, now);
-                let turn = self.waitlist.turn(request.waiter, &claim, &self.charges, now);
-                let queued = Queued { claim, turn };
+                let matters = self.order_matters(request, &usable, &claim, profile, now);
+                let turn = || self.waitlist.turn(request.waiter, &claim, &self.charges, now);
+                let queued = Queued { claim, turn: matters.then(turn).flatten() };
                 let place = |among: &[_]| self.place_prompt(request, among, profile, queued, now);
                 let placed = match preferred {
                     Some(preferred) => place(&preferred).or_else(|_| place(&usable)),
@@ -681,10 +682,10 @@
     ) -> Result<Placement, Refusal> {
         let waits = matches!(placed, Err(Refusal::Deferred(_)));
         self.waitlist.record_attempt(request.waiter, claim, waits, now);
-        let Some(identity) = request.identity.filter(|_| turn.is_some()) else { return placed };
+        let Some(identity) = request.identity else { return placed };
         match placed {
             Ok(_) => self.waitlist.fulfil(&identity),
-            Err(Refusal::Rejected(shortage, span)) => {
+            Err(Refusal::Rejected(shortage, span)) if turn.is_some() => {
                 let due = self.waitlist.due(Some(identity), now).filter(|due| *due > now);
                 let span = due.map_or(span, |due| due.since(now).max(self.settings.full_span));
                 self.waitlist.promise(identity, claim, span, now);
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -3,7 +3,7 @@
 
 use super::waitlist::Turn;
 use super::{
-    Helper, Placement, Placer, Queued, Refusal, Request, Shortage, UpstreamState, tie_break,
+    Claim, Helper, Placement, Placer, Queued, Refusal, Request, Shortage, UpstreamState, tie_break,
 };
 use crate::clock;
 use crate::load::profile;
@@ -286,10 +286,8 @@
             }
             return Refusal::Rejected(Shortage::Slot, mean_span);
         };
-        let left = longest.saturating_sub(request.waited).as_secs_f64();
         let missing = (turn.ahead * self.waitlist.placing_hosts() + 1).saturating_sub(slots.free);
-        let fastest = self.settings.tight_answer_span.min(mean_span);
-        let is_hopeless = missing as f64 > most_arrivals(slots.per_second(fastest) * left);
+        let is_hopeless = self.is_hopeless(request, turn.ahead, slots, profile);
         if request.waited < longest && (!is_hopeless || self.awaits_identity(request)) {
             return Refusal::Deferred(Shortage::Slot);
         }
@@ -321,6 +319,44 @@
         clock::Span::try_from_secs_f64(seconds).unwrap_or(clock::Span::MAX)
     }
 
+    /// Whether the order of waiting prompts can change the outcome for `request`. It cannot if there
+    /// are slots for all that wait, nor if there are none and the prompt would wait even as the last.
+    pub(super) fn order_matters(
+        &self,
+        request: &Request<'_>,
+        usable: &[&UpstreamState],
+        claim: &Claim,
+        profile: profile::Profile,
+        now: clock::Moment,
+    ) -> bool {
+        if !self.is_tight(request) {
+            return true;
+        }
+        let slots = Slots::of(usable.iter().copied().filter(|engine| engine.is_open()));
+        let waiting = self.waitlist.rivals(request.waiter, claim, now).count();
+        if slots.free > 0 {
+            return slots.free <= waiting;
+        }
+        let longest = request.target.mul_f64(self.settings.slot_wait_share);
+        let can_be_hopeless = self.is_hopeless(request, waiting, slots, profile);
+        request.waited >= longest || can_be_hopeless && !self.awaits_identity(request)
+    }
+
+    /// Whether a slot for `request` behind `ahead` others at this host is certain to come too late.
+    fn is_hopeless(
+        &self,
+        request: &Request<'_>,
+        ahead: usize,
+        slots: Slots,
+        profile: profile::Profile,
+    ) -> bool {
+        let longest = request.target.mul_f64(self.settings.slot_wait_share);
+        let left = longest.saturating_sub(request.waited).as_secs_f64();
+        let missing = (ahead * self.waitlist.placing_hosts() + 1).saturating_sub(slots.free);
+        let fastest = self.settings.tight_answer_span.min(self.mean_answer_span(profile));
+        missing as f64 > most_arrivals(slots.per_second(fastest) * left)
+    }
+
     /// Whether the host that asks should be asked for the identity of `request` before it is
     /// refused. Without it, the caller would be last again when it comes back.
     fn awaits_identity(&self, request: &Request<'_>) -> bool {
--- a/crates/lagoonline/src/load/placement/waitlist.rs
+++ b/crates/lagoonline/src/load/placement/waitlist.rs
@@ -225,12 +225,23 @@
 
     /// The prompts that wait for the same kind of room as `claim` of `waiter`.
     fn others(&self, waiter: DispatchId, claim: &Claim, now: clock::Moment) -> Vec<Claim> {
-        let is_other = |(other, prompt): &(&DispatchId, &Prompt)| {
+        self.rivals(waiter, claim, now).copied().collect()
+    }
+
+    /// As [`Waitlist::others`], without a copy.
+    pub(super) fn rivals(
+        &self,
+        waiter: DispatchId,
+        claim: &Claim,
+        now: clock::Moment,
+    ) -> impl Iterator<Item = &Claim> {
+        let room = claim.account.room;
+        let is_other = move |(other, prompt): &(&DispatchId, &Prompt)| {
             **other != waiter
-                && prompt.claim.account.room == claim.account.room
+                && prompt.claim.account.room == room
                 && now.since(prompt.last_attempt) <= HOLD_VALIDITY
         };
-        self.prompts.iter().filter(is_other).map(|(_, prompt)| prompt.claim).collect()
+        self.prompts.iter().filter(is_other).map(|(_, prompt)| &prompt.claim)
     }
 
     /// Total prefill time at all hosts, in milliseconds, of the prompts ahead of one with a prefill
