--- a/crates/lagoon-gateway/src/place.rs
+++ b/crates/lagoon-gateway/src/place.rs
@@ -141,8 +141,7 @@
             // caller is still waiting, so the target counts from now.
             let due = if avoid.is_empty() { self.request.arrived } else { started };
             let due = due + self.route.target;
-            let wants_permit = last_shortage == Some(placement::Shortage::Permit);
-            let identity = self.identity(wants_permit);
+            let identity = self.identity(last_shortage.is_some());
             let wish = Wish { avoid, waited, due, waiter, identity, is_retry };
             let chosen = self.choose(wish).await;
             let placed_at = self.state.clock.now();
@@ -155,14 +154,18 @@
                 Err(placement::Refusal::Deferred(shortage))
                     if self.time_left() > forward::MIN_TIME_LEFT =>
                 {
-                    if last_shortage.replace(shortage) != Some(shortage) {
-                        self.log_wait(shortage, waited);
+                    let earlier = last_shortage.replace(shortage);
+                    if earlier != Some(shortage) {
+                        self.record_wait(shortage, waited, earlier.is_none());
                     }
                     let pause = BUSY_PAUSE.min(self.route.target / 20);
                     tokio::time::sleep(jittered(pause)).await;
                     continue;
                 }
-                Err(refusal) => return Err(self.placement_fault(refusal).into()),
+                Err(refusal) => {
+                    self.record_room_refusal(&refusal, waited);
+                    return Err(self.placement_fault(refusal).into());
+                }
             };
             if is_retry && decider == in_flight::Decider::Own && charge.is_none() {
                 match self.state.charge_retry(&self.service) {
@@ -304,12 +307,12 @@
         })
     }
 
-    /// Returns what the request is if placement may need it: if it waits for a permit of an upstream
-    /// already, or this host knows that all upstreams limit their requests.
-    fn identity(&self, wants_permit: bool) -> Option<fingerprint::Fingerprint> {
+    /// Returns what the request is if placement may need it: if it waits already, so that its caller
+    /// may be told when to come back, or this host knows that all upstreams limit their requests.
+    fn identity(&self, waits: bool) -> Option<fingerprint::Fingerprint> {
         let wants_identity =
             || self.state.with_placer(&self.service, |placer, _| placer.wants_identity());
-        let is_wanted = wants_permit || wants_identity() == Some(true);
+        let is_wanted = waits || wants_identity() == Some(true);
         is_wanted.then(|| self.fingerprint())
     }
 
@@ -380,15 +383,4 @@
         };
         answer::Fault::not_run(reason, Step::Route, detail).with_retry_after(span)
     }
-
-    /// Logs that the request waits, at the first shortage and whenever the shortage changes.
-    fn log_wait(&self, shortage: placement::Shortage, waited: clock::Span) {
-        event::Line::new("waits")
-            .text("request", &self.request.head.request_id)
-            .text("route", &self.route.name)
-            .number("prompt_tokens", self.request.head.prompt_tokens.unwrap_or(0))
-            .text("engines", shortage)
-            .span("waited_ms", waited)
-            .info();
-    }
 }
