--- a/crates/lagoon-load/src/limits/cold.rs
+++ b/crates/lagoon-load/src/limits/cold.rs
@@ -238,6 +238,8 @@
         helper_reserves: Vec::new(),
         max_gap: clock::Span::ZERO,
         deadline: moment(now + ANSWER_MS * 2),
+        urgency: 0,
+        customer: 0,
     }
 }
 
