Order long prompts of equal urgency by customer only where a setting asks for it

Deployments of before, whose urgencies are all equal, lost by the order of long prompts: room that is kept for a large prompt stays unused until there is enough of it.

The order now applies to prompts with a loose gap limit if urgencies differ, or with the setting fair_prefill, off by default. The test of a burst of one customer sets it; its checks are unchanged.

--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -109,6 +109,7 @@
             spillover_penalty_ms: float("stray_ms", default.placement.spillover_penalty_ms),
             idle_penalty_ms: float("reader_ms", default.placement.idle_penalty_ms),
             prefill_share: float("read_share", default.placement.prefill_share),
+            fair_prefill: reader.flag("fair_prefill", default.placement.fair_prefill),
             ..default.placement
         };
         Tuning {
--- a/crates/lagoonline/src/load/placement/prompt.rs
+++ b/crates/lagoonline/src/load/placement/prompt.rs
@@ -334,8 +334,10 @@
         clock::Span::try_from_secs_f64(seconds).unwrap_or(clock::Span::MAX)
     }
 
-    /// Whether the order of waiting prompts can change the outcome for `request`. It cannot if there
-    /// are slots for all that wait, nor if there are none and the prompt would wait even as the last.
+    /// Whether the order of waiting prompts applies to `request` and can change its outcome. It cannot
+    /// if there are slots for all that wait, nor if there are none and the prompt would wait even as
+    /// the last. Prompts with a loose gap limit have an order only if their urgencies differ or
+    /// [`super::Settings::fair_prefill`] asks for it.
     pub(super) fn order_matters(
         &self,
         request: &Request<'_>,
@@ -345,7 +347,9 @@
         now: clock::Moment,
     ) -> bool {
         if !self.is_tight(request) {
-            return true;
+            let mut rivals = self.waitlist.rivals(request.waiter, claim, now);
+            return self.settings.fair_prefill
+                || rivals.any(|rival| rival.account.urgency != claim.account.urgency);
         }
         let slots = Slots::of(usable.iter().copied().filter(|engine| engine.is_open()));
         let waiting = self.waitlist.rivals(request.waiter, claim, now).count();
--- a/crates/lagoonline/src/load/placement/settings.rs
+++ b/crates/lagoonline/src/load/placement/settings.rs
@@ -77,6 +77,10 @@
     /// Share of the time left until its own first token is late by which a prompt may be delayed to
     /// avoid making one other answer late. Setting `harm_share`.
     pub lateness_cost_share: f64,
+    /// Whether customers of equal urgency share prefill time fairly among their prompts with a loose
+    /// gap limit. Otherwise the smaller prompts go first, which leaves less of the engines' time
+    /// unused while a large one waits. Setting `fair_prefill`.
+    pub fair_prefill: bool,
     /// How long an upstream is avoided after a failure without a response. The span is multiplied
     /// by the number of its consecutive failures of this kind, up to four.
     pub avoid_span: clock::Span,
@@ -109,6 +113,7 @@
             slot_wait_share: 0.3,
             max_wait: clock::Span::from_millis(5_000),
             lateness_cost_share: 0.15,
+            fair_prefill: false,
             avoid_span: clock::Span::from_secs(1),
             retained: None,
         }
--- a/crates/lagoonline/tests/load_placement_order.rs
+++ b/crates/lagoonline/tests/load_placement_order.rs
@@ -14,7 +14,7 @@
 use lagoonline::load::placement::{Refusal, Shortage};
 use rstest::rstest;
 
-use placer_simulation::{LOOSE, Simulation, TIGHT, placer};
+use placer_simulation::{LOOSE, Simulation, TIGHT, placer, placer_with};
 
 /// Mean duration of an answer in milliseconds.
 const ANSWER_MS: u64 = 1_900;
@@ -316,6 +316,8 @@
 #[rstest]
 fn a_burst_of_long_prompts_of_one_customer_leaves_room_for_others() {
     let mut world = World::new(12);
+    let settings = placement::Settings { fair_prefill: true, ..Default::default() };
+    world.sim.placer = placer_with(settings, 12);
     let names = ["a", "b", "c", "d", "e"];
     let mut demand = vec![(36.0, 45_000, 0, "large")];
     demand.extend(names.map(|name| (2.0, 45_000, 0, name)));
