Take an upstream for cold that starts without saying how long

An entry without a readable ColdRemainingMs was read as 0, so that a new upstream counted as warm, at the moment at which all hosts see it idle. It now names nothing: at a start the upstream is cold for ColdStartS, later nothing changes.

--- a/crates/lagoon-load/src/backoffs/host.rs
+++ b/crates/lagoon-load/src/backoffs/host.rs
@@ -61,7 +61,7 @@
             slots: scenario.slots as u32,
             leaving: false,
             started_ms: STARTED_MS,
-            cold: clock::Span::ZERO,
+            cold: None,
         };
         let profile = profile::Profile {
             step_ms: 1.02,
--- a/crates/lagoon-load/src/departures/platform.rs
+++ b/crates/lagoon-load/src/departures/platform.rs
@@ -1,7 +1,6 @@
 //! The platform's list and the upstreams that report to it.
 
 use std::net;
-use std::time;
 
 use lagoonline::id;
 use lagoonline::routing;
@@ -182,7 +181,7 @@
             slots: 16,
             leaving,
             started_ms: 1,
-            cold: time::Duration::ZERO,
+            cold: None,
         };
         let listing = routing::Listing { registration, sequence, version };
         self.log.push((now, routing::Change::Put(listing)));
--- a/crates/lagoon-load/src/limits/cold.rs
+++ b/crates/lagoon-load/src/limits/cold.rs
@@ -280,7 +280,7 @@
                 slots: SLOTS,
                 leaving: false,
                 started_ms: if is_cold { STARTED_MS.1 } else { STARTED_MS.0 },
-                cold: clock::Span::from_millis(left),
+                cold: Some(clock::Span::from_millis(left)),
             }
         };
         let entries: Vec<_> = indices.map(entry).collect();
--- a/crates/lagoon-load/src/limits/host.rs
+++ b/crates/lagoon-load/src/limits/host.rs
@@ -69,7 +69,7 @@
             slots: 1_000,
             leaving: false,
             started_ms: STARTED_MS,
-            cold: clock::Span::ZERO,
+            cold: None,
         };
         placer.set_upstreams(&(0..upstreams).map(entry).collect::<Vec<_>>(), None);
         let heard = (0..zones).map(|zone| (zone, now)).collect();
--- a/crates/lagoonline/benches/decision.rs
+++ b/crates/lagoonline/benches/decision.rs
@@ -189,7 +189,7 @@
         slots: 12,
         leaving: false,
         started_ms: 1,
-        cold: Span::ZERO,
+        cold: None,
     };
     let entries: Vec<_> = (0..engines).map(entry).collect();
     let mut placer = placement::Placer::new(placement::Settings::default(), zone.clone(), 1);
--- a/crates/lagoonline/src/load/cold.rs
+++ b/crates/lagoonline/src/load/cold.rs
@@ -224,7 +224,7 @@
 /// use lagoonline::{clock::{Moment, Span}, routing::ColdStart};
 /// let plan = Plan::new(ColdStart { span: Span::from_secs(20), rate: 17.0 }, Bound::default());
 /// let (mut cold, now) = (Cold::default(), Moment::from_millis(10));
-/// let change = cold.observe_entry(Span::from_secs(3), true, &plan, now);
+/// let change = cold.observe_entry(Some(Span::from_secs(3)), true, &plan, now);
 /// assert_eq!((change, cold.until()), (Some(Change::Begun), Some(now + plan.span)));
 /// let later = now + Span::from_secs(1);
 /// let answer = Observation { remaining: Span::ZERO, sent: later, seen: later };
@@ -232,7 +232,9 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Cold {
-    /// What the last entry named; `None` before the first.
+    /// Whether an entry was taken.
+    is_listed: bool,
+    /// What the last entry named, if anything.
     named: Option<clock::Span>,
     current: Option<Current>,
     /// Of the answers that were taken: when the request of the last one was sent, and when the last
@@ -242,26 +244,34 @@
 }
 
 impl Cold {
-    /// Takes the entry of the upstream, which names `remaining`; `is_start` if this host has seen
-    /// the lifetime begin. An entry that was taken before has no effect.
+    /// Takes the entry of the upstream, which names `remaining`, or nothing; `is_start` if this host
+    /// has seen the lifetime begin. An entry that was taken before has no effect, nor has one that
+    /// names nothing unless it shows a start.
     pub fn observe_entry(
         &mut self,
-        remaining: clock::Span,
+        remaining: Option<clock::Span>,
         is_start: bool,
         plan: &Plan,
         now: clock::Moment,
     ) -> Option<Change> {
-        let remaining = remaining.min(MAX_SPAN);
-        let is_first = self.named.is_none();
-        if self.named.replace(remaining) == Some(remaining) {
+        let starts = is_start && !self.is_listed;
+        let is_known = self.is_listed && self.named == remaining;
+        self.is_listed = true;
+        self.named = remaining;
+        if is_known {
             return None;
         }
+        let remaining = match remaining {
+            Some(remaining) => remaining.min(MAX_SPAN),
+            None if starts => plan.span,
+            None => return None,
+        };
         if remaining.is_zero() {
             let by_answer = self.current.is_some_and(|current| current.source == Source::Answer);
             let is_older = by_answer && now.since(self.seen) < MAX_ENTRY_AGE;
             return if is_older { None } else { self.end() };
         }
-        if is_first && is_start {
+        if starts {
             self.begin(now + remaining.max(plan.span), Source::Start, plan, now)
         } else {
             self.begin(now + remaining, Source::Entry, plan, now)
@@ -335,7 +345,8 @@
     /// Forgets a cold time, and what the entry named.
     pub fn reset(&mut self) -> Option<Change> {
         let change = self.end();
-        *self = Cold { named: self.named.map(|_| clock::Span::ZERO), ..Cold::default() };
+        let named = self.is_listed.then_some(clock::Span::ZERO);
+        *self = Cold { is_listed: self.is_listed, named, ..Cold::default() };
         change
     }
 
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -199,6 +199,6 @@
     pub leaving: bool,
     /// Start time of this incarnation in Unix milliseconds; 0 if unknown.
     pub started_ms: u64,
-    /// How much longer it is cold, as of the report that says so.
-    pub cold: clock::Span,
+    /// How much longer it is cold, as of the report that says so; `None` if it does not say.
+    pub cold: Option<clock::Span>,
 }
--- a/crates/lagoonline/tests/load_backoff.rs
+++ b/crates/lagoonline/tests/load_backoff.rs
@@ -78,7 +78,7 @@
         slots: 6,
         leaving: false,
         started_ms: LIFE,
-        cold: clock::Span::ZERO,
+        cold: None,
     }
 }
 
--- a/crates/lagoonline/tests/load_placement_cold.rs
+++ b/crates/lagoonline/tests/load_placement_cold.rs
@@ -18,7 +18,7 @@
 const MOST_ARRIVALS: usize = 30;
 
 fn cold_entry(index: usize, started_ms: u64, cold: Span) -> routing::Registration {
-    routing::Registration { started_ms, cold, ..entry(index, "a") }
+    routing::Registration { started_ms, cold: Some(cold), ..entry(index, "a") }
 }
 
 /// Takes the list `entries`.
@@ -136,10 +136,11 @@
 }
 
 /// Guards against using an upstream that has just started as a warm one: its entry may have been
-/// read late, and names less than it needs.
+/// read late and name less than it needs, or name nothing.
 #[rstest]
 #[case::new_name(cold_entry(1, 7, Span::from_millis(1)))]
 #[case::new_lifetime(cold_entry(0, 7, Span::from_millis(1)))]
+#[case::says_nothing(routing::Registration { cold: None, ..cold_entry(1, 7, Span::ZERO) })]
 fn a_lifetime_seen_to_start_is_cold_for_the_whole_span(#[case] started: routing::Registration) {
     let mut sim = simulation(1, 0);
     sim.advance(1_000);
--- a/crates/lagoonline/tests/placer_simulation/mod.rs
+++ b/crates/lagoonline/tests/placer_simulation/mod.rs
@@ -34,7 +34,7 @@
         slots: 16,
         leaving: false,
         started_ms: 1,
-        cold: Span::ZERO,
+        cold: None,
     }
 }
 
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -3,7 +3,7 @@
 
 use std::net;
 
-use lagoonline::clock::{Moment, Span};
+use lagoonline::clock::Moment;
 use lagoonline::id;
 use lagoonline::routing::{self, DepartureCause, Effect, Older};
 use proptest::prelude::*;
@@ -42,7 +42,7 @@
             slots: 4,
             leaving: self.leaving,
             started_ms: self.life,
-            cold: Span::ZERO,
+            cold: None,
         };
         routing::Change::Put(routing::Listing { registration, sequence: self.sequence, version })
     }
