Log the store's era and ignored rows; tests of a store that comes back from an older copy

Callers on added routes got 404 after the store had come back with lower versions, and no log line told whether the change had arrived. A row that is ignored as older is logged with both versions, and the lines of read tables carry the era that the store names in its answers. No decision changes.

--- a/crates/lagoon-gateway/src/mirror.rs
+++ b/crates/lagoon-gateway/src/mirror.rs
@@ -8,9 +8,14 @@
 
 use lagoon_platform::store;
 
+use crate::event;
+
 /// Maximum number of removed rows that are kept, so that their removal can be reported.
 const MAX_REMOVED_ROWS: usize = 1_000;
 
+/// Maximum number of ignored rows that are kept for the log.
+const MAX_OLDER_ROWS: usize = 20;
+
 /// Compares two values of the row with the given key; true if they are equivalent.
 pub(crate) type SameValue = fn(&str, &[u8], &[u8]) -> bool;
 
@@ -28,6 +33,28 @@
     history_start: u64,
     /// Version of the last relevant change.
     last_change: u64,
+    /// Rows with other values that were ignored as older since they were last taken.
+    older_rows: Vec<OlderRow>,
+}
+
+/// A row that was ignored, as a newer one of its key is known.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct OlderRow {
+    key: String,
+    version: u64,
+    known: u64,
+}
+
+impl OlderRow {
+    /// Logs that this row of `table` was ignored.
+    pub(crate) fn log(&self, table: &str) {
+        event::Line::new("older_row_ignored")
+            .text("dependency", table)
+            .text("key", &self.key)
+            .number("version", self.version)
+            .number("known", self.known)
+            .info();
+    }
 }
 
 /// Changes of a table since some version, or all of its rows.
@@ -50,6 +77,7 @@
             version: None,
             history_start: 0,
             last_change: 0,
+            older_rows: Vec::new(),
         }
     }
 
@@ -68,6 +96,11 @@
         self.last_change
     }
 
+    /// Returns the rows that were ignored as older since the last call, and forgets them.
+    pub(crate) fn take_older_rows(&mut self) -> Vec<OlderRow> {
+        std::mem::take(&mut self.older_rows)
+    }
+
     /// Marks the copy as incomplete, so that all rows are read again.
     pub(crate) fn mark_incomplete(&mut self) {
         self.version = None;
@@ -119,6 +152,10 @@
     fn store_row(&mut self, row: &store::Row) -> bool {
         if let Some(known) = self.rows.get_mut(&row.key) {
             if known.version >= row.version {
+                if known.value != row.value && self.older_rows.len() < MAX_OLDER_ROWS {
+                    let (key, version) = (row.key.clone(), row.version);
+                    self.older_rows.push(OlderRow { key, version, known: known.version });
+                }
                 return false;
             }
             let same = match (&known.value, &row.value) {
--- a/crates/lagoon-gateway/src/quarantine/rows.rs
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -98,8 +98,8 @@
 ) -> Result<(), client::Error> {
     let mut from = String::new();
     loop {
-        let reply = client.call(&store::rows(TABLE, &from), CALL_TIMEOUT).await?;
-        let store::Reply::Rows(rows) = reply else { return Ok(()) };
+        let answer = client.call(&store::rows(TABLE, &from), CALL_TIMEOUT).await?;
+        let store::Reply::Rows(rows) = answer.reply else { return Ok(()) };
         for row in &rows.rows {
             merge_row(state, row, stored);
         }
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -59,7 +59,7 @@
         &mut self,
         call: &store::Call,
         timeout: time::Duration,
-    ) -> Result<store::Reply, Error> {
+    ) -> Result<store::Answer, Error> {
         let idle = self.exchange.take();
         let work = tokio::time::timeout(timeout, self.call_on(idle, call));
         let result = work.await.map_err(|_| Error::TimedOut(timeout))?;
@@ -70,11 +70,11 @@
                 .text("kind", violation.as_str())
                 .warn();
         }
-        let (exchange, reply) = result?;
+        let (exchange, answer) = result?;
         self.exchange = Some(exchange);
-        match reply {
+        match answer.reply {
             store::Reply::Refused(status) => Err(Error::Refused(status)),
-            reply => Ok(reply),
+            _ => Ok(answer),
         }
     }
 
@@ -83,7 +83,7 @@
         &self,
         idle: Option<exchange::Exchange>,
         call: &store::Call,
-    ) -> Result<(exchange::Exchange, store::Reply), Error> {
+    ) -> Result<(exchange::Exchange, store::Answer), Error> {
         let mut usable = None;
         if let Some(mut idle) = idle
             && idle.wait_reusable().await
@@ -101,8 +101,9 @@
         };
         let mut answer = exchange.send(self.request(call)?).await?;
         let status = answer.status().as_u16();
+        let era = answer.headers().get(store::ERA).cloned();
         let body = exchange.read_body(answer.body_mut(), MAX_ANSWER_BYTES, |_| true).await?;
-        Ok((exchange, store::read(status, &body)?))
+        Ok((exchange, store::read(status, era.as_ref().map(|era| era.as_bytes()), &body)?))
     }
 
     fn request(
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -145,11 +145,12 @@
         // outage.
         let wait = if self.failures > 0 { clock::Span::ZERO } else { self.wait };
         let call = store::feed(self.table, version, wait);
-        let reply = self.client.call(&call, wait + ANSWER_SLACK).await?;
-        let store::Reply::Rows(rows) = reply else {
+        let answer = self.client.call(&call, wait + ANSWER_SLACK).await?;
+        let store::Reply::Rows(rows) = answer.reply else {
             event::Line::new("history_forgotten")
                 .text("dependency", self.name)
                 .number("version", version)
+                .number("era", answer.era.unwrap_or_default())
                 .info();
             state::lock(&self.mirror).mark_incomplete();
             return Ok(None);
@@ -165,11 +166,13 @@
     async fn read_all(&mut self, started: clock::Moment) -> Result<Option<Changes>, client::Error> {
         let mut rows: Vec<store::Row> = Vec::new();
         let mut version = None;
+        let mut era;
         let mut at = started;
         let mut from = String::new();
         loop {
-            let reply = self.client.call(&store::rows(self.table, &from), ANSWER_SLACK).await?;
-            let store::Reply::Rows(page) = reply else { return Ok(None) };
+            let answer = self.client.call(&store::rows(self.table, &from), ANSWER_SLACK).await?;
+            let store::Reply::Rows(page) = answer.reply else { return Ok(None) };
+            era = answer.era;
             // Changes made between two pages are reported by the feed after the first page's
             // version.
             if version.replace(version.unwrap_or(page.version)).is_none() {
@@ -186,6 +189,7 @@
             .text("dependency", self.name)
             .number("rows", delta.rows.len())
             .number("version", delta.version)
+            .number("era", era.unwrap_or_default())
             .info();
         Ok(Some(self.apply(delta, at)))
     }
@@ -200,7 +204,13 @@
 
     /// Applies `delta` to the local copy.
     fn apply(&self, delta: mirror::Delta, at: clock::Moment) -> Changes {
-        let rows = state::lock(&self.mirror).apply(delta);
+        let mut mirror = state::lock(&self.mirror);
+        let rows = mirror.apply(delta);
+        let older = mirror.take_older_rows();
+        drop(mirror);
+        for row in &older {
+            row.log(self.name);
+        }
         Changes { rows, at, recovered: self.failures > 0 }
     }
 
--- a/crates/lagoon-gateway/tests/lethal.rs
+++ b/crates/lagoon-gateway/tests/lethal.rs
@@ -258,3 +258,16 @@
     fleet.standin.set_down(false);
     fleet.wait_for_row();
 }
+
+/// The platform's store comes back from a copy that lacks a stored verdict. It must be stored again,
+/// or it would not survive an end of all hosts.
+#[rstest]
+fn a_verdict_that_was_lost_by_a_restore_is_stored_again() {
+    let mut fleet = Fleet::start();
+    let backup = fleet.standin.backup();
+    fleet.send_lethal_until_refused();
+    fleet.wait_for_row();
+    fleet.standin.restore(&backup);
+    assert!(fleet.standin.keys(TABLE).is_empty());
+    fleet.wait_for_row();
+}
