Let the leader of each zone store the verdict before the restore in its test

In the commit before the test passed, since the leader of the second zone wrote the verdict after the restore.

--- a/crates/lagoon-gateway/tests/lethal.rs
+++ b/crates/lagoon-gateway/tests/lethal.rs
@@ -267,6 +267,8 @@
     let backup = fleet.standin.backup();
     fleet.send_lethal_until_refused();
     fleet.wait_for_row();
+    // The leader of each zone stores it.
+    thread::sleep(VERDICT_SPREAD_TIME);
     fleet.standin.restore(&backup);
     assert!(fleet.standin.keys(TABLE).is_empty());
     fleet.wait_for_row();
