--- a/crates/lagoon-gateway/src/departures.rs
+++ b/crates/lagoon-gateway/src/departures.rs
@@ -37,26 +37,34 @@
     /// its departure.
     #[prost(uint64, optional, tag = "3")]
     removed: Option<u64>,
+    /// Era of the platform's store in which its entry was removed; absent from a host of an earlier
+    /// build.
+    #[prost(uint64, optional, tag = "4")]
+    era: Option<u64>,
 }
 
 impl Departed {
     pub(crate) fn new(departure: &routing::Departure) -> Departed {
+        let revision = match departure.cause {
+            routing::DepartureCause::Announced => None,
+            routing::DepartureCause::Removed { revision } => Some(revision),
+        };
         Departed {
             upstream: departure.upstream.to_string(),
             life: departure.started_ms,
-            removed: match departure.cause {
-                routing::DepartureCause::Announced => None,
-                routing::DepartureCause::Removed { version } => Some(version),
-            },
+            removed: revision.map(|revision| revision.version),
+            era: revision.map(|revision| revision.era),
         }
     }
 
-    fn departure(&self) -> routing::Departure {
+    /// Decodes the departure. If it names no era, it is of `era`.
+    fn departure(&self, era: u64) -> routing::Departure {
+        let era = self.era.unwrap_or(era);
         routing::Departure {
             upstream: id::Upstream::from(self.upstream.as_str()),
             started_ms: self.life,
             cause: self.removed.map_or(routing::DepartureCause::Announced, |version| {
-                routing::DepartureCause::Removed { version }
+                routing::DepartureCause::Removed { revision: routing::Revision { era, version } }
             }),
         }
     }
@@ -118,21 +126,21 @@
         age: clock::Span,
     ) {
         let upstream = change.upstream().clone();
-        let version = change.version();
+        let revision = change.revision();
         let effect = registry.apply(change, self.clock.now());
         if let routing::Effect::Departed { departure, witnessed: true } = &effect
             && way == tables::Way::Platform
         {
             self.publish_departure(departure);
         }
-        self.log_effect(&upstream, version, &effect, Source::List(way, age));
+        self.log_effect(&upstream, Some(revision), &effect, Source::List(way, age));
     }
 
     /// Applies that an upstream said in an answer that it is leaving, and tells other hosts. It is as
     /// final as the same word in the platform's list. Returns whether it is news.
     pub(crate) fn apply_announcement(&self, departure: &routing::Departure) -> bool {
         let effect = self.registry().learn(departure, self.clock.now());
-        self.log_effect(&departure.upstream, 0, &effect, Source::Answer);
+        self.log_effect(&departure.upstream, None, &effect, Source::Answer);
         let routing::Effect::Departed { departure, .. } = &effect else { return false };
         self.publish_departure(departure);
         self.refresh_service_states();
@@ -141,10 +149,13 @@
 
     /// Applies a departure that another host reported.
     pub(crate) fn apply_departed(&self, sender: u64, departed: &Departed) {
-        let departure = departed.departure();
+        let departure = departed.departure(self.era.get().number());
         let effect = self.registry().learn(&departure, self.clock.now());
-        let version = departed.removed.unwrap_or(0);
-        self.log_effect(&departure.upstream, version, &effect, Source::Host(sender));
+        let revision = match departure.cause {
+            routing::DepartureCause::Announced => None,
+            routing::DepartureCause::Removed { revision } => Some(revision),
+        };
+        self.log_effect(&departure.upstream, revision, &effect, Source::Host(sender));
         if matches!(effect, routing::Effect::Departed { .. }) {
             self.refresh_service_states();
         }
@@ -175,12 +186,12 @@
         state::lock(&self.repeated_departures).push_back((departed, self.clock.now()));
     }
 
-    /// Logs what a statement about `upstream`, of this version of its row, did; 0 stands for a statement that
-    /// comes from no row.
+    /// Logs what a statement about `upstream`, of this revision of its row, did; `None` stands for a
+    /// statement that comes from no row.
     pub(crate) fn log_effect(
         &self,
         upstream: &id::Upstream,
-        version: u64,
+        revision: Option<routing::Revision>,
         effect: &routing::Effect,
         source: Source,
     ) {
@@ -202,7 +213,8 @@
                 event::Line::new("older_word_ignored").text("reason", older)
             }
         };
-        let line = line.text("upstream", upstream).number("version", version);
+        let revision = revision.unwrap_or_default();
+        let line = line.text("upstream", upstream).revision(revision);
         match source {
             Source::List(way, age) => line.text("way", way).span("age_ms", age).info(),
             Source::Answer | Source::Host(_) | Source::Time => line.text("way", source).info(),
--- a/crates/lagoon-gateway/src/eligibility.rs
+++ b/crates/lagoon-gateway/src/eligibility.rs
@@ -37,17 +37,24 @@
     /// Whether the zone is evacuated, or else returned to service.
     #[prost(bool, tag = "3")]
     in_force: bool,
+    /// Era of the platform's store for that version; absent from a host of an earlier build.
+    #[prost(uint64, optional, tag = "4")]
+    era: Option<u64>,
 }
 
 impl Evacuated {
     fn new(evacuation: &routing::Evacuation) -> Evacuated {
-        let routing::Evacuation { zone, version, in_force } = evacuation;
-        Evacuated { zone: zone.to_string(), version: *version, in_force: *in_force }
+        let routing::Evacuation { zone, revision, in_force } = evacuation;
+        let routing::Revision { era, version } = *revision;
+        Evacuated { zone: zone.to_string(), version, in_force: *in_force, era: Some(era) }
     }
 
-    fn evacuation(&self) -> routing::Evacuation {
+    /// Decodes the statement. If it names no era, it is of `era`.
+    fn evacuation(&self, era: u64) -> routing::Evacuation {
         let zone = id::Zone::from(self.zone.as_str());
-        routing::Evacuation { zone, version: self.version, in_force: self.in_force }
+        let era = self.era.unwrap_or(era);
+        let revision = routing::Revision { era, version: self.version };
+        routing::Evacuation { zone, revision, in_force: self.in_force }
     }
 
     /// Creates the update that tells other hosts. It concerns no service in particular.
@@ -142,13 +149,15 @@
     /// table is incomplete.
     pub(crate) fn read_evacuations(&self, way: tables::Way) {
         let mirror = state::lock(&self.tables.desired);
-        let Some(version) = mirror.version() else { return };
+        let Some(revision) = mirror.revision() else { return };
         let listed: Vec<_> =
             mirror.rows().filter_map(|row| desired::evacuated_zone(&row.key)).collect();
         drop(mirror);
         let mut eligibility = state::lock(&self.eligibility);
         let now = self.clock.now();
-        let changes = sync::Arc::make_mut(&mut eligibility).read(&listed, version, now);
+        let known = sync::Arc::make_mut(&mut eligibility);
+        known.set_settled_at(self.era.get().settled_at());
+        let changes = known.read(&listed, revision, now);
         drop(eligibility);
         for change in &changes {
             self.log_evacuation(change, Source::Table(way));
@@ -160,7 +169,7 @@
 
     /// Applies a statement of the host incarnation `sender`.
     pub(crate) fn apply_evacuated(&self, sender: u64, word: &Evacuated) {
-        let evacuation = word.evacuation();
+        let evacuation = word.evacuation(self.era.get().number());
         let mut eligibility = state::lock(&self.eligibility);
         let now = self.clock.now();
         let is_change = sync::Arc::make_mut(&mut eligibility).learn(&evacuation, now);
@@ -227,7 +236,7 @@
         let event = if evacuation.in_force { "zone_evacuated" } else { "zone_returned" };
         event::Line::new(event)
             .text("zone", &evacuation.zone)
-            .number("version", evacuation.version)
+            .revision(evacuation.revision)
             .text("way", source)
             .text("evacuated", zones.join(" "))
             .info();
--- a/crates/lagoon-gateway/src/event.rs
+++ b/crates/lagoon-gateway/src/event.rs
@@ -3,6 +3,8 @@
 
 use std::fmt;
 
+use lagoonline::routing;
+
 /// A log line under construction.
 ///
 /// The event and the keys are constants, so they are not escaped; values are escaped if they are
@@ -37,6 +39,11 @@
         self
     }
 
+    /// Adds a revision of the platform's store, as its version and era.
+    pub(crate) fn revision(self, revision: routing::Revision) -> Line {
+        self.number("version", revision.version).number("era", revision.era)
+    }
+
     /// Adds a time span in milliseconds.
     pub(crate) fn span(self, name: &'static str, value: std::time::Duration) -> Line {
         self.number(name, value.as_millis())
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -729,7 +729,7 @@
         let helpers: Vec<_> =
             placement.helpers.iter().map(|helper| helper.entry.upstream.as_str()).collect();
         let tables = &self.state.tables;
-        let list_version = state::lock(&tables.upstreams).version().unwrap_or(0);
+        let list = state::lock(&tables.upstreams).revision().unwrap_or_default();
         let list_age = tables::age(&self.state, tables.upstreams_confirmed_at());
         let backoff_ended = self.state.backoff_ended(&placement.primary.upstream);
         let backoff_ended = backoff_ended.map(|span| span.as_millis().to_string());
@@ -750,7 +750,8 @@
             .number("limited", placement.limited)
             // Since when the upstream, after it turned this host away, wants requests again.
             .text("backoff_ended_ms", backoff_ended.unwrap_or_default())
-            .number("list_version", list_version)
+            .number("list_version", list.version)
+            .number("list_era", list.era)
             .span("list_age_ms", list_age.unwrap_or_default())
             // Estimated load of the chosen upstream and of the next best one.
             .text("believed", placement.estimate)
--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -3,6 +3,10 @@
 //! Each host keeps one row with the addresses at which other hosts reach it. The leader of a zone,
 //! its first live host by rank (see [`crate::mesh`]), removes the rows of hosts in its zone that
 //! have been silent for long. A host whose row was removed while it is running writes it again.
+//!
+//! A row also tells in which era of the platform's store it was written, and when that era was seen to
+//! begin. A host that starts learns by it whether the store has been restored just now. After a restore
+//! the rows that were lost are written again, and those of the leaders, with the new era.
 
 use std::net;
 use std::sync;
@@ -31,6 +35,8 @@
 const MAX_FIRST_READ_WAIT: clock::Span = clock::Span::from_millis(1_000);
 /// Pause before a failed write is retried.
 const WRITE_RETRY_PAUSE: clock::Span = clock::Span::from_millis(700);
+/// Maximum pause before a row that is missing is written again.
+const MAX_REWRITE_PAUSE: clock::Span = clock::Span::from_millis(800);
 /// Time given to the other hosts to report their dispatches in flight: zones are some milliseconds
 /// apart and hosts answer at once. A lost answer only makes placement less accurate.
 const DISPATCHES_ANSWER_WAIT: clock::Span = clock::Span::from_millis(30);
@@ -56,6 +62,13 @@
     zone: id::Zone,
     /// Share of a processor core that the host may use.
     cores: f64,
+    /// Era of the platform's store; absent if it names none, or if it is not known when it began.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era: Option<u64>,
+    /// Reading of the platform's clock in milliseconds when a host saw that era begin; absent if none
+    /// did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    era_since_ms: Option<u64>,
 }
 
 /// Registers this host and follows the table of the others. This host receives datagrams at
@@ -66,8 +79,14 @@
     relay_address: net::SocketAddr,
 ) {
     let node = &state.settings.node;
-    let row =
-        Row { address, reader: relay_address, zone: node.zone.clone(), cores: node.cpu_share };
+    let row = Row {
+        address,
+        reader: relay_address,
+        zone: node.zone.clone(),
+        cores: node.cpu_share,
+        era: None,
+        era_since_ms: None,
+    };
     drop(ntex::rt::spawn(register(state.clone(), row)));
     drop(ntex::rt::spawn(follow(state.clone())));
     drop(ntex::rt::spawn(remove_gone(state.clone())));
@@ -75,11 +94,46 @@
 
 /// Writes this host's row, and writes it again whenever it is missing. The table is read first: a row
 /// that is there already is of an earlier life of this host.
-async fn register(state: sync::Arc<state::State>, own: Row) {
+async fn register(state: sync::Arc<state::State>, mut own: Row) {
     drop(tokio::time::timeout(MAX_FIRST_READ_WAIT, state.hosts_read.notified()).await);
     loop {
+        (own.era, own.era_since_ms) = era_record(&state);
         write_row(&state, &own).await;
         state.unregistered.notified().await;
+        // When all hosts have to, they do not write at the same moment.
+        let pause = MAX_REWRITE_PAUSE.mul_f64(rand::rng().random_range(0.0..1.0));
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// Returns the era of the platform's store and when it was seen to begin, as a row has them.
+fn era_record(state: &state::State) -> (Option<u64>, Option<u64>) {
+    let era = state.era.get();
+    let number = Some(era.number()).filter(|number| *number > 0);
+    let Some(since) = era.since() else { return (number, None) };
+    let Some((millis, at)) = state.tables.platform_clock() else { return (None, None) };
+    let millis_of = |span: clock::Span| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
+    // One of the two spans is zero.
+    let (later, earlier) = (millis_of(since.since(at)), millis_of(at.since(since)));
+    (number, Some(millis.saturating_add(later).saturating_sub(earlier)))
+}
+
+/// Learns from the rows of hosts when the era of the platform's store began. `is_first` if this host has
+/// known no earlier era. If there is no record at all, no host has run before.
+fn learn_era(state: &state::State, is_first: bool) {
+    let Some((millis, at)) = state.tables.platform_clock() else { return };
+    let latest = state.era.get().number();
+    let mirror = state::lock(&state.tables.hosts);
+    let rows = mirror.rows().filter_map(|row| row.value.as_ref());
+    let rows = rows.filter_map(|value| serde_json::from_slice::<Row>(value).ok());
+    let records: Vec<_> = rows.filter_map(|row| Some((row.era?, row.era_since_ms))).collect();
+    drop(mirror);
+    if is_first && records.is_empty() {
+        state.learn_era(latest, None);
+    }
+    for (era, since_ms) in records {
+        let age = |since_ms| clock::Span::from_millis(millis.saturating_sub(since_ms));
+        state.learn_era(era, since_ms.map(|since_ms| at.saturating_sub(age(since_ms))));
     }
 }
 
@@ -110,6 +164,7 @@
 async fn write_row(state: &state::State, own: &Row) {
     let mut client = client::Client::new(state);
     let row = serde_json::json!(own).to_string();
+    state.tables.set_own_row(row.as_bytes());
     let call = store::put(TABLE, state.settings.node.host.as_str(), row.as_bytes());
     let mut tries = 0_u32;
     // Writing the row again is harmless, so a lost answer needs no check.
@@ -141,7 +196,10 @@
         }
         watch.update_max_pause();
         let Some(changes) = watch.next_unless_relayed().await else { continue };
-        apply_rows(&state, &changes.rows, tables::Way::Platform);
+        if let Some(millis) = changes.clock_ms {
+            state.tables.record_platform_clock(millis, changes.at);
+        }
+        apply_rows(&state, &changes.applied, tables::Way::Platform);
         let pause = state.settings.tuning.hosts_pause;
         if std::mem::take(&mut first) {
             mesh::announce(&state);
@@ -154,28 +212,42 @@
     }
 }
 
-/// Applies changed rows of the table, which came by `way`.
-pub(crate) fn apply_rows(state: &state::State, rows: &[store::Row], way: tables::Way) {
+/// Applies changes of the table, which came by `way`.
+pub(crate) fn apply_rows(state: &state::State, applied: &tables::Applied, way: tables::Way) {
     let own = state.settings.node.host.as_str();
-    for row in rows {
-        if row.key != own {
-            apply_row(state, row);
-        } else if row.value.is_none() {
-            state.unregistered.notify_one();
-        }
+    for row in applied.rows.iter().filter(|row| row.key != own) {
+        apply_row(state, row);
+    }
+    let own_row = applied.rows.iter().find(|row| row.key == own);
+    let own_value = own_row.and_then(|row| row.value.as_ref());
+    let was_removed = own_row.is_some() && own_value.is_none();
+    let is_restore = applied.began.is_some_and(|began| began.is_restore);
+    if was_removed || (is_restore && must_write_again(state, own_value)) {
+        state.unregistered.notify_one();
+    }
+    if way == tables::Way::Platform {
+        learn_era(state, applied.began.is_some_and(|began| !began.is_restore));
     }
     let peers = state::lock(&state.peers);
     let placing_hosts = peers.roster.placing_hosts();
     drop(peers);
     state.set_placing_hosts(placing_hosts);
-    // A host that relays the table may not have read it yet.
-    let has_own = rows.iter().any(|row| row.key == own && row.value.is_some());
-    state.record_host_table(way == tables::Way::Platform && !has_own);
+    // A host that relays the table may not have read it yet, and a restore may have lost the row.
+    let is_settled = state.era.get().is_settled(state.clock.now());
+    let is_new = way == tables::Way::Platform && own_value.is_none() && is_settled;
+    state.record_host_table(is_new);
     state.hosts_read.notify_one();
 }
 
+/// Whether this host has to write its row after a restore of the platform, which now shows `value`: if
+/// that is not what it wrote last, or if it is the one in its zone that records the new era.
+fn must_write_again(state: &state::State, value: Option<&Vec<u8>>) -> bool {
+    let is_leader = state::lock(&state.peers).roster.is_leader(state.clock.now());
+    is_leader || value.is_none_or(|value| !state.tables.is_own_row(value))
+}
+
 /// Applies the row of another host. A row that was removed or cannot be read removes the host.
-fn apply_row(state: &state::State, row: &store::Row) {
+fn apply_row(state: &state::State, row: &routing::Row) {
     let host = id::Host::from(row.key.as_str());
     let text = row.value.as_ref();
     let read = text.map(|text| serde_json::from_slice::<Row>(text));
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -211,6 +211,10 @@
     pub(crate) desired_version: Gauge,
     /// Milliseconds since that version was last known to be the newest.
     pub(crate) confirmation_age_ms: Gauge,
+    /// Era of the platform's store.
+    pub(crate) store_era: Gauge,
+    /// Rows of the platform's tables that were older than what this host knew.
+    pub(crate) rows_ignored: Counter,
     /// Reservations of engine memory that have not been released yet.
     pub(crate) reservations: Gauge,
     /// Crashes of upstreams under requests of this host.
@@ -313,6 +317,8 @@
             schedulers_skipped: Counter::default(),
             desired_version: Gauge::default(),
             confirmation_age_ms: Gauge::default(),
+            store_era: Gauge::default(),
+            rows_ignored: Counter::default(),
             reservations: Gauge::default(),
             crashes: Counter::default(),
             requests_at_crashes: Family::default(),
@@ -385,6 +391,10 @@
         registry.register("desired_version", "version in force", self.desired_version.clone());
         let help = "milliseconds since the version in force was known to be the newest";
         registry.register("confirmation_age_ms", help, self.confirmation_age_ms.clone());
+        let help = "era of the platform's store, which rises when it is restored";
+        registry.register("store_era", help, self.store_era.clone());
+        let help = "rows of the platform's tables that were older than what was known";
+        registry.register("rows_ignored", help, self.rows_ignored.clone());
         let help = "reservations of engine memory not released yet";
         registry.register("reservations", help, self.reservations.clone());
         let help = "crashes of upstreams under requests of this host";
--- a/crates/lagoon-gateway/src/quarantine/rows.rs
+++ b/crates/lagoon-gateway/src/quarantine/rows.rs
@@ -64,15 +64,28 @@
         pause(&state, failures).await;
     }
     failures = 0;
+    let mut era = state.era.get().number();
     loop {
         pause(&state, failures).await;
         if !state::lock(&state.peers).roster.is_leader(state.clock.now()) {
             continue;
         }
-        failures = match write(&state, &mut client, &mut stored).await {
+        let latest = state.era.get().number();
+        if latest > era {
+            // A restore may have lost verdicts that were stored, and brought back others.
+            stored.clear();
+        }
+        let result = match latest > era {
+            true => read(&state, &mut client, &mut stored).await,
+            false => write(&state, &mut client, &mut stored).await,
+        };
+        if result.is_ok() {
+            era = latest;
+        }
+        failures = match result {
             Ok(()) => 0,
             Err(error) => {
-                // Verdicts could not be written or removed.
+                // Verdicts could not be written, removed or read again.
                 event::Line::new("quarantine_unwritten").text("error", error).warn();
                 failures + 1
             }
--- a/crates/lagoon-gateway/src/relay/follow.rs
+++ b/crates/lagoon-gateway/src/relay/follow.rs
@@ -120,8 +120,8 @@
 /// age a host does read it, whatever the others report: the platform may be refusing just the hosts
 /// that it asks.
 fn is_fresh(state: &state::State, span: clock::Span) -> bool {
-    let ages =
-        [state.confirmation_age(), tables::age(state, state.tables.upstreams_confirmed_at())];
+    let ages = [state.tables.desired_read_at(), state.tables.upstreams_confirmed_at()];
+    let ages = ages.map(|at| tables::age(state, at));
     ages.iter().all(|age| age.is_some_and(|age| age <= span))
 }
 
@@ -193,26 +193,31 @@
 /// Sends one request and applies the answer.
 async fn poll(state: &state::State, connection: &mut super::Connection) -> Result<(), LeaveReason> {
     let asked_at = state.clock.now();
-    let request = message::Request {
-        desired: state::lock(&state.tables.desired).version(),
-        upstreams: state::lock(&state.tables.upstreams).version(),
-        hosts: state::lock(&state.tables.hosts).version(),
-        open: None,
+    let known = message::Known {
+        desired: state::lock(&state.tables.desired).revision(),
+        upstreams: state::lock(&state.tables.upstreams).revision(),
+        hosts: state::lock(&state.tables.hosts).revision(),
     };
+    let request = message::Request::new(known);
     connection.send(bytes::Bytes::from(request.encode_to_vec())).await?;
     let response = tokio::time::timeout(super::HOLD_TIME + ANSWER_SLACK, connection.next()).await;
     let response = response.map_err(|_| LeaveReason::Failed("no answer in time".to_owned()))?;
     let frame = response.ok_or_else(|| LeaveReason::Failed("connection closed".to_owned()))??;
     let response = message::Response::decode(frame).map_err(io::Error::from)?;
     let changes = response.news.ok_or(LeaveReason::NotReading)?;
-    apply(state, changes, asked_at);
+    apply(state, changes, known, asked_at);
     state.tables.set_reads_platform(false);
     Ok(())
 }
 
-/// Applies a reader's answer. The ages in it count from `asked_at`, the time of the request, and
-/// can only be too old.
-fn apply(state: &state::State, changes: message::Changes, asked_at: clock::Moment) {
+/// Applies a reader's answer to a request that named the `known` revisions. The ages in it count from
+/// `asked_at`, the time of the request, and can only be too old.
+fn apply(
+    state: &state::State,
+    changes: message::Changes,
+    known: message::Known,
+    asked_at: clock::Moment,
+) {
     let moment = |age_ms| state.clock.now().saturating_sub(clock::Span::from_millis(age_ms));
     if let Some(failed_ms) = changes.failed_ms {
         state.tables.record_failure(moment(failed_ms));
@@ -220,18 +225,37 @@
     if let Some(recovered_ms) = changes.returned_ms {
         tables::platform_recovered(state, moment(recovered_ms));
     }
+    // A table of an earlier era than this host knows says nothing, and confirms nothing.
     if let Some(table) = changes.desired {
         let at = asked_at.saturating_sub(clock::Span::from_millis(table.age_ms));
-        let rows = state::lock(&state.tables.desired).apply(table.into_delta());
-        tables::apply_desired(state, &rows, at, tables::Way::Relay);
+        let delta = table.into_delta(known.desired, state.era.get().number());
+        if let Some(applied) = apply_delta(state, "desired state", &state.tables.desired, delta) {
+            tables::apply_desired(state, &applied.rows, at, tables::Way::Relay);
+        }
     }
     if let Some(table) = changes.upstreams {
         let at = asked_at.saturating_sub(clock::Span::from_millis(table.age_ms));
-        let rows = state::lock(&state.tables.upstreams).apply(table.into_delta());
-        tables::apply_upstreams(state, &rows, at, tables::Way::Relay);
+        let delta = table.into_delta(known.upstreams, state.era.get().number());
+        if let Some(applied) = apply_delta(state, "upstreams", &state.tables.upstreams, delta) {
+            tables::apply_upstreams(state, &applied, at, tables::Way::Relay);
+        }
     }
     if let Some(table) = changes.hosts {
-        let rows = state::lock(&state.tables.hosts).apply(table.into_delta());
-        hosts::apply_rows(state, &rows, tables::Way::Relay);
+        let delta = table.into_delta(known.hosts, state.era.get().number());
+        if let Some(applied) = apply_delta(state, "entry hosts", &state.tables.hosts, delta) {
+            hosts::apply_rows(state, &applied, tables::Way::Relay);
+        }
     }
 }
+
+/// Applies a reader's changes to the copy of the table called `name` in logs. Returns `None` if they do
+/// not follow what is known.
+fn apply_delta(
+    state: &state::State,
+    name: &'static str,
+    table: &tables::SharedTable,
+    delta: routing::Delta,
+) -> Option<tables::Applied> {
+    state.era.observe(delta.revision.era, state.clock.now());
+    tables::apply_delta(state, name, table, delta)
+}
--- a/crates/lagoon-gateway/src/relay/message.rs
+++ b/crates/lagoon-gateway/src/relay/message.rs
@@ -2,14 +2,15 @@
 
 use std::io;
 
-use lagoon_platform::store;
+use lagoonline::routing;
 use prost::Message;
 
-use crate::mirror;
 use crate::path;
 
-/// A relay request: the versions that the asking host has. All versions here are the store's
+/// A relay request: the revisions that the asking host has. All versions here are the store's
 /// versions of a table, not the number in the document of the desired state.
+///
+/// Hosts of an earlier build name no eras. Theirs is taken for the one that the receiver knows.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Request {
     /// Version up to which it has the table of the desired state.
@@ -24,6 +25,52 @@
     /// Asks for a connection to an upstream instead of the tables; it takes over this one.
     #[prost(message, optional, tag = "4")]
     pub(crate) open: Option<path::message::Open>,
+    /// Era of the store in which it has the desired state.
+    #[prost(uint64, optional, tag = "5")]
+    pub(crate) desired_era: Option<u64>,
+    /// Era of the store in which it has the list of upstreams.
+    #[prost(uint64, optional, tag = "6")]
+    pub(crate) upstreams_era: Option<u64>,
+    /// Era of the store in which it has the table of entry hosts.
+    #[prost(uint64, optional, tag = "7")]
+    pub(crate) hosts_era: Option<u64>,
+}
+
+/// The revisions up to which the asking host has each table; `None` for one that it does not have.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Known {
+    pub(crate) desired: Option<routing::Revision>,
+    pub(crate) upstreams: Option<routing::Revision>,
+    pub(crate) hosts: Option<routing::Revision>,
+}
+
+impl Request {
+    /// Creates a request of a host that has these revisions.
+    pub(crate) fn new(known: Known) -> Request {
+        let version = |revision: Option<routing::Revision>| Some(revision?.version);
+        let era = |revision: Option<routing::Revision>| Some(revision?.era);
+        Request {
+            desired: version(known.desired),
+            upstreams: version(known.upstreams),
+            hosts: version(known.hosts),
+            desired_era: era(known.desired),
+            upstreams_era: era(known.upstreams),
+            hosts_era: era(known.hosts),
+            open: None,
+        }
+    }
+
+    /// Returns the revisions that the asking host has. A version without an era is of `era`.
+    pub(crate) fn known(&self, era: u64) -> Known {
+        let revision = |version: Option<u64>, named: Option<u64>| {
+            Some(routing::Revision { era: named.unwrap_or(era), version: version? })
+        };
+        Known {
+            desired: revision(self.desired, self.desired_era),
+            upstreams: revision(self.upstreams, self.upstreams_era),
+            hosts: revision(self.hosts, self.hosts_era),
+        }
+    }
 }
 
 /// The answer to a relay request.
@@ -75,6 +122,9 @@
     /// and unused for the entry hosts, which are sent whatever their age.
     #[prost(uint64, tag = "4")]
     pub(crate) age_ms: u64,
+    /// Era of the store for all versions here; absent from a host of an earlier build.
+    #[prost(uint64, optional, tag = "5")]
+    pub(crate) era: Option<u64>,
 }
 
 /// One row.
@@ -112,22 +162,34 @@
 }
 
 impl TableChanges {
-    pub(crate) fn new(delta: mirror::Delta, age: std::time::Duration) -> TableChanges {
-        let row = |row: store::Row| Row { key: row.key, value: row.value, version: row.version };
+    pub(crate) fn new(delta: routing::Delta, age: std::time::Duration) -> TableChanges {
+        let row = |row: routing::Row| {
+            let routing::Row { key, value, revision } = row;
+            Row { key, value, version: revision.version }
+        };
         TableChanges {
             rows: delta.rows.into_iter().map(row).collect(),
-            all: delta.all,
-            version: delta.version,
+            all: delta.since.is_none(),
+            version: delta.revision.version,
+            era: Some(delta.revision.era),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         }
     }
 
-    pub(crate) fn into_delta(self) -> mirror::Delta {
-        let row = |row: Row| store::Row { key: row.key, value: row.value, version: row.version };
-        mirror::Delta {
+    /// Decodes the changes since `known`, the revision that was asked for. If they name no era, they are
+    /// of `era`.
+    pub(crate) fn into_delta(self, known: Option<routing::Revision>, era: u64) -> routing::Delta {
+        let era = self.era.unwrap_or(era);
+        let revision = |version| routing::Revision { era, version };
+        let row = |Row { key, value, version }: Row| routing::Row {
+            key,
+            value,
+            revision: revision(version),
+        };
+        routing::Delta {
             rows: self.rows.into_iter().map(row).collect(),
-            all: self.all,
-            version: self.version,
+            since: known.filter(|_| !self.all),
+            revision: revision(self.version),
         }
     }
 }
--- a/crates/lagoon-gateway/src/relay/serve.rs
+++ b/crates/lagoon-gateway/src/relay/serve.rs
@@ -7,6 +7,7 @@
 use futures_util::{SinkExt, StreamExt};
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
+use lagoonline::routing;
 use prost::Message;
 use tokio::net::{TcpListener, TcpStream};
 
@@ -86,39 +87,42 @@
     // being read again, because the platform dropped its history, count as known here: they are
     // complete again in a moment.
     ages(state)?;
-    let waiting = changes.wait_for(|_| has_changes(state, request));
+    let known = request.known(state.era.get().number());
+    let waiting = changes.wait_for(|_| has_changes(state, known));
     // Whether there was a change or the time has passed, the current state is sent.
     drop(tokio::time::timeout(super::HOLD_TIME, waiting).await);
-    snapshot(state, request)
+    snapshot(state, known)
 }
 
-/// Whether the desired state or the list of upstreams has changed since the versions in `request`.
-fn has_changes(state: &state::State, request: &message::Request) -> bool {
-    let changed = |table: &tables::SharedTable| state::lock(table).last_change();
-    request.desired.is_none_or(|known| changed(&state.tables.desired) > known)
-        || request.upstreams.is_none_or(|known| changed(&state.tables.upstreams) > known)
+/// Whether the desired state or the list of upstreams has changed since the `known` revisions.
+fn has_changes(state: &state::State, known: message::Known) -> bool {
+    let has_changed = |table: &tables::SharedTable, known: Option<routing::Revision>| {
+        known.is_none_or(|known| state::lock(table).is_ahead_of(known))
+    };
+    has_changed(&state.tables.desired, known.desired)
+        || has_changed(&state.tables.upstreams, known.upstreams)
 }
 
-/// Returns the ages of the last confirmations of the desired state and of the list of upstreams.
-/// Returns `None` if this host does not read the platform, or has not succeeded recently.
+/// Returns the ages of the last reads of the desired state and of the list of upstreams. Returns
+/// `None` if this host does not read the platform, or has not succeeded recently.
 fn ages(state: &state::State) -> Option<(clock::Span, clock::Span)> {
     if !state.tables.reads_platform() || state.phase() > state::Phase::Serving {
         return None;
     }
     let fresh = |age: Option<clock::Span>| age.filter(|age| *age <= super::MAX_ANSWER_AGE);
-    let desired = fresh(state.confirmation_age())?;
+    let desired = fresh(tables::age(state, state.tables.desired_read_at()))?;
     let upstreams = fresh(tables::age(state, state.tables.upstreams_confirmed_at()))?;
     Some((desired, upstreams))
 }
 
-/// Returns the changes of all tables since the versions in `request`.
-fn snapshot(state: &state::State, request: &message::Request) -> Option<message::Changes> {
+/// Returns the changes of all tables since the `known` revisions.
+fn snapshot(state: &state::State, known: message::Known) -> Option<message::Changes> {
     let (desired_age, upstreams_age) = ages(state)?;
-    let desired = state::lock(&state.tables.desired).changes_since(request.desired)?;
-    let upstreams = state::lock(&state.tables.upstreams).changes_since(request.upstreams)?;
+    let desired = state::lock(&state.tables.desired).changes_since(known.desired)?;
+    let upstreams = state::lock(&state.tables.upstreams).changes_since(known.upstreams)?;
     // The entry hosts are sent whatever their age: learning of a host late costs only some
     // messages.
-    let hosts = state::lock(&state.tables.hosts).changes_since(request.hosts);
+    let hosts = state::lock(&state.tables.hosts).changes_since(known.hosts);
     let age_ms = |at| {
         let age = tables::age(state, at)?;
         Some(u64::try_from(age.as_millis()).unwrap_or(u64::MAX))
--- a/crates/lagoon-gateway/src/settings.rs
+++ b/crates/lagoon-gateway/src/settings.rs
@@ -52,6 +52,9 @@
     /// Pause after an answer of the upstreams watch at a host that reads for others. Few hosts
     /// read, so changes can arrive sooner at fewer calls.
     pub reader_pause: clock::Span,
+    /// Time after a restore of the platform from an older copy in which operators write again what was
+    /// lost. What the platform shows until then confirms no keys. Setting `settle_ms`.
+    pub settle_span: clock::Span,
     /// Time for which updates to the other entry hosts are collected into a batch. Setting
     /// `words_pause_ms`.
     pub batch_window: clock::Span,
@@ -72,6 +75,7 @@
             reader_pause: clock::Span::from_millis(400),
             hosts_pause: clock::Span::from_millis(5_000),
             hosts_gone: clock::Span::from_secs(600),
+            settle_span: clock::Span::from_secs(2),
             batch_window: clock::Span::from_millis(8),
             placement: placement::Settings::default(),
         }
@@ -123,6 +127,7 @@
             reader_pause: millis("reader_pause_ms", default.reader_pause, 1_000),
             hosts_pause: millis("hosts_pause_ms", default.hosts_pause, 30_000),
             hosts_gone: millis("hosts_gone_ms", default.hosts_gone, 86_400_000),
+            settle_span: millis("settle_ms", default.settle_span, 60_000),
             batch_window: millis("words_pause_ms", default.batch_window, 10_000),
             placement,
         }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -18,6 +18,7 @@
 use crate::carriers;
 use crate::crash;
 use crate::departures;
+use crate::era;
 use crate::event;
 use crate::heads;
 use crate::mesh;
@@ -92,6 +93,8 @@
     pub(crate) settings: settings::Settings,
     pub(crate) clock: crate::BootClock,
     pub(crate) metrics: metrics::Metrics,
+    /// The era of the platform's store.
+    pub(crate) era: era::SharedEra,
     /// What this host holds for callers and upstreams.
     pub(crate) buffers: sync::Arc<buffers::Buffers>,
     /// Random number that identifies this run of the process among the entry hosts.
@@ -193,6 +196,7 @@
         };
         let eligibility = sync::Arc::new(routing::Eligibility::new(node.regions.clone()));
         let memory = node.memory;
+        let settle_span = settings.tuning.settle_span;
         let metrics = metrics::Metrics::default();
         let state = State {
             clock,
@@ -200,6 +204,7 @@
             settings,
             started_at: clock.now(),
             buffers: sync::Arc::new(buffers::Buffers::new(clock, memory, metrics.clone())),
+            era: era::SharedEra::new(settle_span, metrics.clone()),
             metrics,
             incarnation: rand::rng().random(),
             routing_table: ArcSwapOption::empty(),
@@ -254,7 +259,7 @@
             drop(confirmation);
             return self.log_older_version(version, known);
         }
-        confirmation.confirm(at);
+        self.confirm_held(&mut confirmation, at);
         if known == Some(version) {
             return;
         }
@@ -278,9 +283,22 @@
             .info();
     }
 
-    /// Records that the desired state in force was the newest at `at`.
+    /// Records that the platform showed no later version than the one in force at `at`.
     pub(crate) fn confirm(&self, at: clock::Moment) {
-        lock(&self.confirmation).confirm(at);
+        self.confirm_held(&mut lock(&self.confirmation), at);
+    }
+
+    /// Confirms the desired state at `at`, if the platform had been back for long enough from its last
+    /// restore.
+    fn confirm_held(&self, confirmation: &mut routing::Confirmation, at: clock::Moment) {
+        confirmation.hold_until(self.era.get().settled_at());
+        confirmation.confirm(at);
+    }
+
+    /// Records when other hosts saw the era `number` of the platform's store begin.
+    pub(crate) fn learn_era(&self, number: u64, since: Option<clock::Moment>) {
+        self.era.learn(number, since);
+        lock(&self.confirmation).hold_until(self.era.get().settled_at());
     }
 
     /// Returns the time since the desired state in force was last known to be the newest.
@@ -294,22 +312,34 @@
         lock(&self.registry).record_recovery(failed_at, answered_at);
     }
 
+    /// Records the first list of upstreams of an era of the platform's store. Has to be called before it
+    /// is applied.
+    pub(crate) fn begin_era(&self, began: &tables::Began) {
+        let now = self.clock.now();
+        let mut registry = lock(&self.registry);
+        if began.is_restore {
+            registry.record_recovery(now, now);
+        }
+        registry.begin_era(began.revision, now);
+    }
+
     /// Locks the registry of upstreams.
     pub(crate) fn registry(&self) -> sync::MutexGuard<'_, routing::Registry> {
         lock(&self.registry)
     }
 
-    /// Applies changes to the list of upstreams. They came by `way` and are `age` old.
+    /// Applies changes to the list of upstreams. They came by `way` and are `age` old. `is_first` if they
+    /// are the first list of an era of the platform's store.
     pub(crate) fn apply_upstream_changes(
         &self,
         changes: Vec<routing::Change>,
+        is_first: bool,
         way: tables::Way,
         age: clock::Span,
     ) {
-        let is_first = !self.upstreams_listed.swap(true, atomic::Ordering::Relaxed);
+        let is_first = !self.upstreams_listed.swap(true, atomic::Ordering::Relaxed) || is_first;
         if is_first {
-            // One line for the first list: a line per upstream would use up the log rate of the
-            // first second.
+            // One line for all of them: a line per upstream would use up the log rate of a second.
             event::Line::new("upstreams_listed").number("upstreams", changes.len()).info();
         }
         if changes.is_empty() {
@@ -336,7 +366,7 @@
         self.metrics.upstreams_kept.set(i64::try_from(registry.kept()).unwrap_or(i64::MAX));
         drop(registry);
         for (upstream, effect) in &effects {
-            self.log_effect(upstream, 0, effect, departures::Source::Time);
+            self.log_effect(upstream, None, effect, departures::Source::Time);
         }
         if !effects.is_empty() {
             self.refresh_service_states();
@@ -562,7 +592,7 @@
         }
     };
     line.text("upstream", change.upstream())
-        .number("version", change.version())
+        .revision(change.revision())
         .text("way", way)
         .span("age_ms", age)
         .info();
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -4,7 +4,9 @@
 use std::time;
 
 use lagoon_platform::store;
+use lagoonline::clock::Clock as _;
 
+use crate::era;
 use crate::event;
 use crate::exchange;
 use crate::metrics;
@@ -32,12 +34,22 @@
     /// The store refused the call and did nothing.
     #[error("refused with status {0}")]
     Refused(u16),
+    /// The answer was made before the store was restored, or names no era though others do.
+    #[error("answer of era {answered}, the store is in {latest}")]
+    EarlierEra {
+        /// Era of the answer; 0 if it names none.
+        answered: u64,
+        /// The latest known era.
+        latest: u64,
+    },
 }
 
 /// A client with one connection to the store, opened when it is needed.
 #[derive(Debug)]
 pub(crate) struct Client {
     address: net::SocketAddr,
+    clock: crate::BootClock,
+    era: era::SharedEra,
     metrics: metrics::Metrics,
     exchange: Option<exchange::Exchange>,
 }
@@ -45,8 +57,13 @@
 impl Client {
     /// Creates a client of the platform's store.
     pub(crate) fn new(state: &state::State) -> Client {
-        let address = state.settings.node.store;
-        Client { address, metrics: state.metrics.clone(), exchange: None }
+        Client {
+            address: state.settings.node.store,
+            clock: state.clock,
+            era: state.era.clone(),
+            metrics: state.metrics.clone(),
+            exchange: None,
+        }
     }
 
     /// Makes one call. After a failure the connection is closed, so that a late answer is not taken
@@ -72,9 +89,13 @@
         }
         let (exchange, answer) = result?;
         self.exchange = Some(exchange);
-        match answer.reply {
-            store::Reply::Refused(status) => Err(Error::Refused(status)),
-            _ => Ok(answer),
+        if let store::Reply::Refused(status) = answer.reply {
+            return Err(Error::Refused(status));
+        }
+        let answered = answer.era.unwrap_or_default();
+        match self.era.observe(answered, self.clock.now()) {
+            latest if latest == answered => Ok(answer),
+            latest => Err(Error::EarlierEra { answered, latest }),
         }
     }
 
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -4,7 +4,7 @@
 use std::fmt;
 use std::sync;
 
-use lagoon_platform::{desired, entry, store};
+use lagoon_platform::{desired, entry};
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
@@ -12,7 +12,6 @@
 use tokio::sync::watch;
 
 use crate::event;
-use crate::mirror;
 use crate::relay;
 use crate::state;
 
@@ -38,7 +37,68 @@
 }
 
 /// A table that is shared by the watch that reads it and the relay that passes it on.
-pub(crate) type SharedTable = sync::Arc<sync::Mutex<mirror::Mirror>>;
+pub(crate) type SharedTable = sync::Arc<sync::Mutex<routing::Mirror>>;
+
+/// Changes that were applied to the copy of a table.
+#[derive(Debug)]
+pub(crate) struct Applied {
+    /// The rows with relevant changes.
+    pub(crate) rows: Vec<routing::Row>,
+    /// The era that begins with them.
+    pub(crate) began: Option<Began>,
+}
+
+/// The first rows of an era of the platform's store.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Began {
+    /// Revision up to which they were read.
+    pub(crate) revision: routing::Revision,
+    /// Whether this host knew an earlier era, so that the store was restored meanwhile.
+    pub(crate) is_restore: bool,
+}
+
+/// Applies changes to the copy of the table called `name` in logs. Returns `None` if they do not
+/// follow what is known, see [`routing::Mirror::apply`].
+pub(crate) fn apply_delta(
+    state: &state::State,
+    name: &'static str,
+    table: &SharedTable,
+    delta: routing::Delta,
+) -> Option<Applied> {
+    let revision = delta.revision;
+    let mut mirror = state::lock(table);
+    let previous = mirror
+        .revision()
+        .unwrap_or_default()
+        .max(routing::Revision { era: mirror.era(), ..routing::Revision::default() });
+    let rows = mirror.apply(delta);
+    let ignored = mirror.take_ignored();
+    drop(mirror);
+    for row in &ignored {
+        state.metrics.rows_ignored.inc();
+        event::Line::new("older_row_ignored")
+            .text("dependency", name)
+            .text("key", &row.key)
+            .revision(row.revision)
+            .text("known", row.known)
+            .info();
+    }
+    let rows = rows?;
+    let began =
+        (revision.era > previous.era).then_some(Began { revision, is_restore: previous.era > 0 });
+    if began.is_some_and(|began| began.is_restore) {
+        // The store was restored from an older copy, and the copy of this table was replaced.
+        let removed = rows.iter().filter(|row| row.value.is_none()).count();
+        event::Line::new("table_restored")
+            .text("dependency", name)
+            .revision(revision)
+            .text("previous", previous)
+            .number("rows", rows.len() - removed)
+            .number("removed", removed)
+            .warn();
+    }
+    Some(Applied { rows, began })
+}
 
 /// The tables, and when they were last confirmed to be complete.
 #[derive(Debug)]
@@ -47,8 +107,16 @@
     pub(crate) upstreams: SharedTable,
     /// The entry hosts.
     pub(crate) hosts: SharedTable,
+    /// When the table of the desired state was last read to be complete.
+    desired_read_at: sync::Mutex<Option<clock::Moment>>,
+    /// Number of the desired state that the platform shows; `None` if it shows none.
+    desired_shown: sync::Mutex<Option<u64>>,
     /// When the list of upstreams was last confirmed to be complete.
     upstreams_confirmed_at: sync::Mutex<Option<clock::Moment>>,
+    /// Row of this host that was written last.
+    own_row: sync::Mutex<Vec<u8>>,
+    /// A reading of the platform's clock in milliseconds, and when it was made.
+    platform_clock: sync::Mutex<Option<(u64, clock::Moment)>>,
     /// When the platform last answered again after an outage.
     recovered_at: sync::Mutex<Option<clock::Moment>>,
     /// When the last call to the platform that failed was started.
@@ -65,12 +133,16 @@
 
 impl Default for Tables {
     fn default() -> Self {
-        let table = |same| sync::Arc::new(sync::Mutex::new(mirror::Mirror::new(same)));
+        let table = |same| sync::Arc::new(sync::Mutex::new(routing::Mirror::new(same)));
         Tables {
             desired: table(same_bytes),
             upstreams: table(same_entry),
             hosts: table(same_bytes),
+            desired_read_at: sync::Mutex::default(),
+            desired_shown: sync::Mutex::default(),
             upstreams_confirmed_at: sync::Mutex::default(),
+            own_row: sync::Mutex::default(),
+            platform_clock: sync::Mutex::default(),
             recovered_at: sync::Mutex::default(),
             failed_at: sync::Mutex::default(),
             changes: watch::Sender::new(0),
@@ -149,6 +221,12 @@
         self.changes.subscribe()
     }
 
+    /// Returns when the table of the desired state was last read to be complete. The platform may show
+    /// an older version than the one in force there.
+    pub(crate) fn desired_read_at(&self) -> Option<clock::Moment> {
+        *state::lock(&self.desired_read_at)
+    }
+
     /// Returns when the list of upstreams was last confirmed to be complete.
     pub(crate) fn upstreams_confirmed_at(&self) -> Option<clock::Moment> {
         *state::lock(&self.upstreams_confirmed_at)
@@ -166,6 +244,26 @@
         *state::lock(&self.failed_at)
     }
 
+    /// Records the row of this host that is written now.
+    pub(crate) fn set_own_row(&self, row: &[u8]) {
+        row.clone_into(&mut state::lock(&self.own_row));
+    }
+
+    /// Whether `row` is the row of this host that was written last.
+    pub(crate) fn is_own_row(&self, row: &[u8]) -> bool {
+        *state::lock(&self.own_row) == row
+    }
+
+    /// Records that the platform's clock showed `millis` at `at`.
+    pub(crate) fn record_platform_clock(&self, millis: u64, at: clock::Moment) {
+        *state::lock(&self.platform_clock) = Some((millis, at));
+    }
+
+    /// Returns a reading of the platform's clock in milliseconds, and when it was made.
+    pub(crate) fn platform_clock(&self) -> Option<(u64, clock::Moment)> {
+        *state::lock(&self.platform_clock)
+    }
+
     /// Returns when the platform last answered again after an outage.
     pub(crate) fn recovered_at(&self) -> Option<clock::Moment> {
         *state::lock(&self.recovered_at)
@@ -186,36 +284,55 @@
 /// came by `way`. The evacuated zones come first, so that a host knows them before it is ready.
 pub(crate) fn apply_desired(
     state: &state::State,
-    rows: &[store::Row],
+    rows: &[routing::Row],
     at: clock::Moment,
     way: Way,
 ) {
     state.read_evacuations(way);
     let row = rows.iter().rev().find(|row| row.key == desired::KEY);
     let text = row.and_then(|row| row.value.as_deref());
+    let mut shown = state::lock(&state.tables.desired_shown);
     match text.map(desired::read) {
-        Some(Ok(desired)) => state.install(desired, at),
+        Some(Ok(desired)) => {
+            *shown = Some(desired.version);
+            state.install(desired, at);
+        }
         Some(Err(error)) => {
             event::Line::new("desired_state_unreadable").text("error", error).warn();
         }
-        None if state.routing_table().is_some() => state.confirm(at),
-        None => {}
+        None if row.is_some() => *shown = None,
+        None => {
+            // After a restore the platform may show an older version than the one in force, and then
+            // does not tell whether there was a later one.
+            let in_force = state.routing_table().map(|table| table.version());
+            if in_force.is_some() && *shown >= in_force {
+                state.confirm(at);
+            }
+        }
     }
+    drop(shown);
+    let mut read_at = state::lock(&state.tables.desired_read_at);
+    *read_at = (*read_at).max(Some(at));
+    drop(read_at);
     if !rows.is_empty() {
         state.tables.changes.send_modify(|count| *count += 1);
     }
 }
 
-/// Applies changed rows of the list of upstreams, which had no later change up to `at` and came by
-/// `way`.
+/// Applies changes of the list of upstreams, which had no later change up to `at` and came by `way`.
 pub(crate) fn apply_upstreams(
     state: &state::State,
-    rows: &[store::Row],
+    applied: &Applied,
     at: clock::Moment,
     way: Way,
 ) {
+    let Applied { rows, began } = applied;
+    if let Some(began) = began {
+        state.begin_era(began);
+    }
     let changes = rows.iter().map(read_entry).collect();
-    state.apply_upstream_changes(changes, way, age(state, Some(at)).unwrap_or_default());
+    let age = age(state, Some(at)).unwrap_or_default();
+    state.apply_upstream_changes(changes, began.is_some(), way, age);
     let mut upstreams_confirmed_at = state::lock(&state.tables.upstreams_confirmed_at);
     *upstreams_confirmed_at = (*upstreams_confirmed_at).max(Some(at));
     drop(upstreams_confirmed_at);
@@ -225,15 +342,15 @@
 }
 
 /// Decodes a row of the list of upstreams. A row that cannot be read removes its upstream.
-fn read_entry(row: &store::Row) -> routing::Change {
+fn read_entry(row: &routing::Row) -> routing::Change {
     let upstream = id::Upstream::from(row.key.as_str());
-    let version = row.version;
-    let Some(text) = &row.value else { return routing::Change::Removed { upstream, version } };
-    match entry::read_listing(&row.key, text, version) {
+    let revision = row.revision;
+    let Some(text) = &row.value else { return routing::Change::Removed { upstream, revision } };
+    match entry::read_listing(&row.key, text, revision) {
         Ok(listing) => routing::Change::Put(listing),
         Err(error) => {
             event::Line::new("entry_unreadable").text("error", error).warn();
-            routing::Change::Invalid { upstream, version }
+            routing::Change::Invalid { upstream, revision }
         }
     }
 }
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -14,7 +14,6 @@
 use rand::Rng;
 
 use crate::event;
-use crate::mirror;
 use crate::state;
 use crate::store as client;
 use crate::tables;
@@ -56,15 +55,17 @@
     failures: u32,
     max_pause: clock::Span,
     clock: crate::BootClock,
-    /// The platform's clock, as its answers show it.
-    platform_clock: routing::RemoteClock,
+    /// The platform's clock, as its answers of one era show it.
+    platform_clock: (u64, routing::RemoteClock),
 }
 
 /// Changes of a table.
 #[derive(Debug)]
 pub(crate) struct Changes {
-    /// The changed rows.
-    pub(crate) rows: Vec<store::Row>,
+    /// The changes, as they were applied.
+    pub(crate) applied: tables::Applied,
+    /// Reading of the platform's clock in milliseconds when it made the answer.
+    pub(crate) clock_ms: Option<u64>,
     /// The table had no later change up to this moment.
     pub(crate) at: clock::Moment,
     /// Whether the previous call failed.
@@ -90,16 +91,19 @@
             failures: 0,
             max_pause: max_pause(state),
             clock: state.clock,
-            platform_clock: routing::RemoteClock::default(),
+            platform_clock: (0, routing::RemoteClock::default()),
         }
     }
 
-    /// Waits for the next answer of the platform, or until another host reads it for this one, which
-    /// returns `None`.
+    /// Waits for the next answer of the platform. Returns `None` when another host reads it for this one,
+    /// and when the platform was restored, of which another call has told: a watch that is held open
+    /// would tell so only at its end.
     pub(crate) async fn next_unless_relayed(&mut self) -> Option<Changes> {
         let state = self.state.clone();
+        let latest = state.era.get().number();
         tokio::select! {
             changes = self.next() => return Some(changes),
+            () = state.era.wait_for_later(latest) => return None,
             () = state.tables.wait_until_relayed() => {}
         }
         self.forget_failures();
@@ -110,9 +114,9 @@
     async fn next(&mut self) -> Changes {
         loop {
             let started = self.clock.now();
-            let known = state::lock(&self.mirror).version();
+            let known = self.known_revision();
             let result = match known {
-                Some(version) => self.read_changes(version, started).await,
+                Some(revision) => self.read_changes(revision, started).await,
                 None => self.read_all(started).await,
             };
             match result {
@@ -134,84 +138,106 @@
         }
     }
 
-    /// Waits for the changes since `version`. Returns `None` if the platform no longer has them.
+    /// Returns the revision up to which the local copy is complete; `None` if all rows have to be read.
+    fn known_revision(&self) -> Option<routing::Revision> {
+        let known = state::lock(&self.mirror).revision();
+        known.filter(|revision| revision.era == self.state.era.get().number())
+    }
+
+    /// Waits for the changes since `known`. Returns `None` if the platform does not have them, or is in
+    /// a later era.
     async fn read_changes(
         &mut self,
-        version: u64,
+        known: routing::Revision,
         started: clock::Moment,
     ) -> Result<Option<Changes>, client::Error> {
         // After a failure the first answer must come at once. It tells since when the store has
         // been back; entries that vanish later have been removed and have not merely expired in the
         // outage.
         let wait = if self.failures > 0 { clock::Span::ZERO } else { self.wait };
-        let call = store::feed(self.table, version, wait);
+        let call = store::feed(self.table, known.version, wait);
         let answer = self.client.call(&call, wait + ANSWER_SLACK).await?;
         let store::Reply::Rows(rows) = answer.reply else {
             event::Line::new("history_forgotten")
                 .text("dependency", self.name)
-                .number("version", version)
-                .number("era", answer.era.unwrap_or_default())
+                .revision(known)
+                .number("answered_era", answer.era.unwrap_or_default())
                 .info();
             state::lock(&self.mirror).mark_incomplete();
             return Ok(None);
         };
         // An answer without changes means that there was none while the store waited.
         let unchanged_until = if rows.rows.is_empty() { started + wait } else { started };
-        let at = self.made_at(unchanged_until, rows.clock_ms);
-        let delta = mirror::Delta { rows: rows.rows, all: false, version: rows.version };
-        Ok(Some(self.apply(delta, at)))
+        let era = answer.era.unwrap_or_default();
+        let clock_ms = rows.clock_ms;
+        let at = self.made_at(unchanged_until, era, clock_ms);
+        let revision = routing::Revision { era, version: rows.version };
+        let rows = as_of(era, rows.rows).collect();
+        let delta = routing::Delta { rows, since: Some(known), revision };
+        Ok(self.apply(delta, at, clock_ms))
     }
 
     /// Reads all rows of the table.
     async fn read_all(&mut self, started: clock::Moment) -> Result<Option<Changes>, client::Error> {
-        let mut rows: Vec<store::Row> = Vec::new();
-        let mut version = None;
-        let mut era;
+        let mut rows: Vec<routing::Row> = Vec::new();
+        let mut revision = None;
         let mut at = started;
         let mut from = String::new();
+        let mut clock_ms;
         loop {
             let answer = self.client.call(&store::rows(self.table, &from), ANSWER_SLACK).await?;
             let store::Reply::Rows(page) = answer.reply else { return Ok(None) };
-            era = answer.era;
+            clock_ms = page.clock_ms;
+            let era = answer.era.unwrap_or_default();
             // Changes made between two pages are reported by the feed after the first page's
             // version.
-            if version.replace(version.unwrap_or(page.version)).is_none() {
-                at = self.made_at(started, page.clock_ms);
+            let first = *revision.get_or_insert(routing::Revision { era, version: page.version });
+            if first.era != era {
+                return Ok(None);
+            }
+            if rows.is_empty() {
+                at = self.made_at(started, era, page.clock_ms);
             }
-            rows.extend(page.rows);
+            rows.extend(as_of(era, page.rows));
             match rows.last() {
                 Some(last) if page.more => from = format!("{}\0", last.key),
                 _ => break,
             }
         }
-        let delta = mirror::Delta { rows, all: true, version: version.unwrap_or_default() };
+        let delta = routing::Delta { rows, since: None, revision: revision.unwrap_or_default() };
         event::Line::new("table_read")
             .text("dependency", self.name)
             .number("rows", delta.rows.len())
-            .number("version", delta.version)
-            .number("era", era.unwrap_or_default())
+            .revision(delta.revision)
             .info();
-        Ok(Some(self.apply(delta, at)))
+        Ok(self.apply(delta, at, clock_ms))
     }
 
     /// Returns a moment up to which an answer that has just arrived is certainly new: it was made
     /// at `earliest` at the earliest, when the platform's clock showed `clock_ms`.
-    fn made_at(&mut self, earliest: clock::Moment, clock_ms: Option<u64>) -> clock::Moment {
+    fn made_at(
+        &mut self,
+        earliest: clock::Moment,
+        era: u64,
+        clock_ms: Option<u64>,
+    ) -> clock::Moment {
         let now = self.clock.now();
         let earliest = earliest.min(now);
-        clock_ms.map_or(earliest, |millis| self.platform_clock.made_at(earliest, millis, now))
+        if self.platform_clock.0 != era {
+            self.platform_clock = (era, routing::RemoteClock::default());
+        }
+        clock_ms.map_or(earliest, |millis| self.platform_clock.1.made_at(earliest, millis, now))
     }
 
-    /// Applies `delta` to the local copy.
-    fn apply(&self, delta: mirror::Delta, at: clock::Moment) -> Changes {
-        let mut mirror = state::lock(&self.mirror);
-        let rows = mirror.apply(delta);
-        let older = mirror.take_older_rows();
-        drop(mirror);
-        for row in &older {
-            row.log(self.name);
-        }
-        Changes { rows, at, recovered: self.failures > 0 }
+    /// Applies `delta` to the local copy. Returns `None` if it is of another era.
+    fn apply(
+        &self,
+        delta: routing::Delta,
+        at: clock::Moment,
+        clock_ms: Option<u64>,
+    ) -> Option<Changes> {
+        let applied = tables::apply_delta(&self.state, self.name, &self.mirror, delta)?;
+        Some(Changes { applied, clock_ms, at, recovered: self.failures > 0 })
     }
 
     /// Updates the longest pause between failing calls, so that this host calls a failing platform
@@ -261,6 +287,14 @@
     }
 }
 
+/// Adds the era of the store to rows that it has answered.
+fn as_of(era: u64, rows: Vec<store::Row>) -> impl Iterator<Item = routing::Row> {
+    rows.into_iter().map(move |row| {
+        let store::Row { key, value, version } = row;
+        routing::Row { key, value, revision: routing::Revision { era, version } }
+    })
+}
+
 /// Returns the longest pause between failing calls of this host.
 fn max_pause(state: &state::State) -> clock::Span {
     state::lock(&state.peers).roster.max_retry_pause(state.clock.now())
@@ -279,9 +313,14 @@
         state.tables.wait_until_reading().await;
         let for_others = state.tables.reads_for_others(state.clock.now());
         watch.wait = if for_others { wait.min(tuning.reader_wait) } else { wait };
+        // An answer counts again as soon as the store has settled after a restore.
+        let unsettled = state.era.get().settled_at().since(state.clock.now());
+        if !unsettled.is_zero() {
+            watch.wait = watch.wait.min(unsettled);
+        }
         watch.update_max_pause();
         let Some(changes) = watch.next_unless_relayed().await else { continue };
-        tables::apply_desired(&state, &changes.rows, changes.at, tables::Way::Platform);
+        tables::apply_desired(&state, &changes.applied.rows, changes.at, tables::Way::Platform);
         // A pause follows the first read only. No other host can be asked at that point, but during
         // the pause the relay may find one that reads the platform. This host then stops reading
         // here and does not begin a long watch.
@@ -307,7 +346,7 @@
         if changes.recovered {
             tables::platform_recovered(&state, state.clock.now());
         }
-        tables::apply_upstreams(&state, &changes.rows, changes.at, tables::Way::Platform);
+        tables::apply_upstreams(&state, &changes.applied, changes.at, tables::Way::Platform);
         let keeps = state.registry().kept() > 0;
         tokio::time::sleep(if keeps { pause.min(RETURN_PAUSE) } else { pause }).await;
     }
--- a/crates/lagoon-load/src/departures/host.rs
+++ b/crates/lagoon-load/src/departures/host.rs
@@ -146,7 +146,7 @@
         if let routing::Change::Put(listing) = &mut change
             && self.way.takes_last_statement()
         {
-            listing.registration.started_ms = listing.version;
+            listing.registration.started_ms = listing.revision.version;
             listing.sequence = 0;
         }
         change
--- a/crates/lagoon-load/src/departures/platform.rs
+++ b/crates/lagoon-load/src/departures/platform.rs
@@ -183,7 +183,8 @@
             started_ms: 1,
             cold: None,
         };
-        let listing = routing::Listing { registration, sequence, version };
+        let revision = routing::Revision { era: 0, version };
+        let listing = routing::Listing { registration, sequence, revision };
         self.log.push((now, routing::Change::Put(listing)));
     }
 
@@ -191,6 +192,7 @@
         let version = self.version() + 1;
         self.upstreams[index].listed = false;
         let upstream = name(index);
-        self.log.push((now, routing::Change::Removed { upstream, version }));
+        let revision = routing::Revision { era: 0, version };
+        self.log.push((now, routing::Change::Removed { upstream, revision }));
     }
 }
--- a/crates/lagoonline/src/routing/change.rs
+++ b/crates/lagoonline/src/routing/change.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::Registration;
+use super::{Registration, Revision};
 use crate::clock;
 use crate::id;
 
@@ -13,8 +13,8 @@
     pub registration: Registration,
     /// Number of the upstream's report, which increases within a lifetime; 0 if unknown.
     pub sequence: u64,
-    /// Version of the platform in which the entry was written.
-    pub version: u64,
+    /// When the entry was written.
+    pub revision: Revision,
 }
 
 /// A change of the platform's list.
@@ -22,19 +22,19 @@
 pub enum Change {
     /// The entry was added or updated.
     Put(Listing),
-    /// The entry was removed in this version.
+    /// The entry was removed.
     Removed {
         /// The upstream.
         upstream: id::Upstream,
-        /// Version of the platform.
-        version: u64,
+        /// When it was removed.
+        revision: Revision,
     },
-    /// The entry was replaced in this version by one that describes no usable upstream.
+    /// The entry was replaced by one that describes no usable upstream.
     Invalid {
         /// The upstream.
         upstream: id::Upstream,
-        /// Version of the platform.
-        version: u64,
+        /// When it was replaced.
+        revision: Revision,
     },
 }
 
@@ -47,11 +47,11 @@
         }
     }
 
-    /// Returns the version of the platform in which it was made.
-    pub fn version(&self) -> u64 {
+    /// Returns when it was made.
+    pub fn revision(&self) -> Revision {
         match self {
-            Change::Put(listing) => listing.version,
-            Change::Removed { version, .. } | Change::Invalid { version, .. } => *version,
+            Change::Put(listing) => listing.revision,
+            Change::Removed { revision, .. } | Change::Invalid { revision, .. } => *revision,
         }
     }
 }
@@ -81,10 +81,12 @@
 /// Why a statement is older than what is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Older {
-    /// An entry of the same or a later version is known.
+    /// An entry of the same or a later revision is known.
     BeforeEntry,
-    /// The upstream's entry was removed in the same or a later version.
+    /// The upstream's entry was removed in the same or a later revision.
     BeforeRemoval,
+    /// The upstream's entry was removed in a part of the history that a restore has lost.
+    BeforeRestore,
     /// The upstream has announced its departure in the same lifetime.
     AfterAnnouncement,
     /// A later lifetime of the upstream is known.
@@ -98,6 +100,7 @@
         formatter.write_str(match self {
             Older::BeforeEntry => "a newer entry is known",
             Older::BeforeRemoval => "its removal is known",
+            Older::BeforeRestore => "its removal was known before the store was restored",
             Older::AfterAnnouncement => "it has announced its departure",
             Older::EarlierLifetime => "a later lifetime is known",
             Older::EarlierReport => "a later report is known",
@@ -121,9 +124,9 @@
 pub enum DepartureCause {
     /// The upstream announced it; final for its lifetime.
     Announced,
-    /// Its entry was removed. An entry of a later version ends it.
+    /// Its entry was removed. An entry of a later revision ends it.
     Removed {
-        /// Version of the platform.
-        version: u64,
+        /// When it was removed.
+        revision: Revision,
     },
 }
--- a/crates/lagoonline/src/routing/eligibility.rs
+++ b/crates/lagoonline/src/routing/eligibility.rs
@@ -7,13 +7,16 @@
 //!
 //! An evacuation is a row of the platform that exists while the zone is evacuated. It binds from the
 //! moment at which this host learns of it, which is always within the bound. Statements about a zone
-//! are ordered by the version of the table that they were read from, so that a late or repeated one
-//! never undoes a newer one. A host ignores what others say of versions that it has read itself.
+//! are ordered by the revision of the table that they were read from, so that a late or repeated one
+//! never undoes a newer one. A host ignores what others say of revisions that it has read itself.
+//!
+//! A platform that was restored from an older copy may lack an evacuation until operators have written it
+//! again. Until then an evacuation of the earlier era stays in force, and may still be learned.
 
 use std::collections;
 use std::fmt;
 
-use super::{Customer, Registration, Route};
+use super::{Customer, Registration, Revision, Route};
 use crate::clock;
 use crate::id;
 
@@ -130,10 +133,10 @@
 pub struct Evacuation {
     /// The zone.
     pub zone: id::Zone,
-    /// Version of the platform's table that says so. It is the version up to which the host that
+    /// Revision of the platform's table that says so. It is the revision up to which the host that
     /// read it had read all rows, and not that of the row: a row that was removed and written again
     /// may be seen only once.
-    pub version: u64,
+    pub revision: Revision,
     /// Whether the zone is evacuated, or else returned to service.
     pub in_force: bool,
 }
@@ -141,7 +144,7 @@
 /// The newest statement about a zone.
 #[derive(Clone, Copy, Debug)]
 struct Statement {
-    version: u64,
+    revision: Revision,
     in_force: bool,
     /// When this host learned of it.
     since: clock::Moment,
@@ -150,20 +153,24 @@
 /// What this host knows of zones: which are evacuated, and in which region each is.
 ///
 /// ```
-/// use lagoonline::{clock::Moment, routing::{Eligibility, Evacuation}};
+/// use lagoonline::{clock::Moment, routing::{Eligibility, Evacuation, Revision}};
 /// let mut eligibility = Eligibility::default();
-/// let evacuation = Evacuation { zone: "erie".into(), version: 7, in_force: true };
+/// let revision = Revision { era: 1, version: 7 };
+/// let evacuation = Evacuation { zone: "erie".into(), revision, in_force: true };
 /// assert!(eligibility.learn(&evacuation, Moment::from_millis(5)));
 /// assert!(eligibility.is_evacuated(&"erie".into()));
-/// let older = Evacuation { version: 6, in_force: false, ..evacuation };
+/// let revision = Revision { era: 1, version: 6 };
+/// let older = Evacuation { revision, in_force: false, ..evacuation };
 /// assert!(!eligibility.learn(&older, Moment::from_millis(9)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Eligibility {
     regions: collections::BTreeMap<id::Zone, id::Region>,
     statements: collections::BTreeMap<id::Zone, Statement>,
-    /// Version of the platform up to which this host has read all rows.
-    read_version: u64,
+    /// Revision of the platform up to which this host has read all rows.
+    read_revision: Revision,
+    /// When operators have written again what the last restore of the platform has lost.
+    settled_at: Option<clock::Moment>,
 }
 
 impl Eligibility {
@@ -201,26 +208,36 @@
         self.statements.get(zone).is_some_and(|statement| statement.in_force)
     }
 
-    /// Applies the table of the platform as of `version`: the zones in `listed` are evacuated, and
-    /// no others. Returns what changed.
+    /// Sets when operators have written again what the last restore of the platform has lost.
+    pub fn set_settled_at(&mut self, settled_at: clock::Moment) {
+        self.settled_at = Some(settled_at);
+    }
+
+    /// Applies the table of the platform as of `revision`: the zones in `listed` are evacuated, and
+    /// no others but those that a restore may have lost. Returns what changed.
     ///
     /// The table is compared as a whole, since a host may know of an evacuation from others only,
     /// and then reads no removal when it first reads the table.
     pub fn read(
         &mut self,
         listed: &[id::Zone],
-        version: u64,
+        revision: Revision,
         now: clock::Moment,
     ) -> Vec<Evacuation> {
-        if version < self.read_version {
+        if revision < self.read_revision {
             return Vec::new();
         }
-        self.read_version = version;
-        let missing: Vec<_> = self.evacuated().filter(|zone| !listed.contains(zone)).collect();
+        self.read_revision = revision;
+        let is_lost = |zone: &id::Zone| {
+            let known = self.statements.get(zone);
+            known.is_some_and(|known| self.may_be_lost(known.revision, now))
+        };
+        let is_missing = |zone: &&id::Zone| !listed.contains(zone) && !is_lost(zone);
+        let missing: Vec<_> = self.evacuated().filter(is_missing).collect();
         let ended = missing.into_iter().cloned().map(|zone| (zone, false));
         let zones: Vec<_> = ended.chain(listed.iter().cloned().map(|zone| (zone, true))).collect();
         let statements =
-            zones.into_iter().map(|(zone, in_force)| Evacuation { zone, version, in_force });
+            zones.into_iter().map(|(zone, in_force)| Evacuation { zone, revision, in_force });
         statements.filter(|statement| self.apply(statement, now)).collect()
     }
 
@@ -228,8 +245,18 @@
     /// evacuated.
     pub fn learn(&mut self, evacuation: &Evacuation, now: clock::Moment) -> bool {
         let known = self.statements.get(&evacuation.zone);
-        let known_version = known.map_or(0, |known| known.version).max(self.read_version);
-        evacuation.version > known_version && self.apply(evacuation, now)
+        let known = known.map_or(Revision::default(), |known| known.revision);
+        let is_new = evacuation.revision > known.max(self.read_revision);
+        let is_lost = evacuation.in_force
+            && evacuation.revision > known
+            && self.may_be_lost(evacuation.revision, now);
+        (is_new || is_lost) && self.apply(evacuation, now)
+    }
+
+    /// Whether a restore may have lost what the platform said in `revision`, and operators may not have
+    /// written it again yet.
+    fn may_be_lost(&self, revision: Revision, now: clock::Moment) -> bool {
+        revision.era < self.read_revision.era && self.settled_at.is_some_and(|at| now < at)
     }
 
     /// Returns the zones that are evacuated.
@@ -243,17 +270,17 @@
         now: clock::Moment,
     ) -> impl Iterator<Item = (Evacuation, clock::Span)> {
         self.statements.iter().map(move |(zone, known)| {
-            let Statement { version, in_force, since } = *known;
-            (Evacuation { zone: zone.clone(), version, in_force }, now.since(since))
+            let Statement { revision, in_force, since } = *known;
+            (Evacuation { zone: zone.clone(), revision, in_force }, now.since(since))
         })
     }
 
     /// Applies a statement unless a newer one is known. Returns whether it changes which zones are
     /// evacuated.
     fn apply(&mut self, evacuation: &Evacuation, now: clock::Moment) -> bool {
-        let Evacuation { zone, version, in_force } = evacuation;
+        let Evacuation { zone, revision, in_force } = evacuation;
         let known = self.statements.get(zone).copied();
-        if known.is_some_and(|known| known.version > *version) {
+        if known.is_some_and(|known| known.revision > *revision) {
             return false;
         }
         if known.is_none() && self.statements.len() >= MAX_ZONES && !self.forget_oldest() {
@@ -261,7 +288,7 @@
         }
         let changes = known.is_some_and(|known| known.in_force) != *in_force;
         let since = known.filter(|_| !changes).map_or(now, |known| known.since);
-        let statement = Statement { version: *version, in_force: *in_force, since };
+        let statement = Statement { revision: *revision, in_force: *in_force, since };
         self.statements.insert(zone.clone(), statement);
         changes
     }
@@ -269,7 +296,7 @@
     /// Forgets the oldest evacuation that has ended. Returns whether there was one.
     fn forget_oldest(&mut self) -> bool {
         let ended = self.statements.iter().filter(|(_, known)| !known.in_force);
-        let oldest = ended.min_by_key(|(_, known)| known.version);
+        let oldest = ended.min_by_key(|(_, known)| known.revision);
         let Some(oldest) = oldest.map(|(zone, _)| zone.clone()) else { return false };
         self.statements.remove(&oldest).is_some()
     }
--- a/crates/lagoonline/src/routing/mod.rs
+++ b/crates/lagoonline/src/routing/mod.rs
@@ -7,9 +7,12 @@
 mod change;
 mod confirm;
 mod eligibility;
+mod era;
+mod mirror;
 mod paths;
 mod registry;
 mod remote_clock;
+mod revision;
 mod roster;
 mod source;
 mod table;
@@ -24,12 +27,15 @@
 pub use change::{Change, Departure, DepartureCause, Effect, Listing, Older};
 pub use confirm::Confirmation;
 pub use eligibility::{Eligibility, Evacuation, Exclusion, Homes, Send, Work};
+pub use era::Era;
+pub use mirror::{Delta, Ignored, Mirror, Row, SameValue};
 pub use paths::{
     Change as PathChange, Choice as PathChoice, Paths, Plan as PathPlan, Settings as PathSettings,
     Sight,
 };
 pub use registry::{Registry, Settings as RegistrySettings};
 pub use remote_clock::RemoteClock;
+pub use revision::Revision;
 pub use roster::{HostInfo, PollSchedule, Roster, Settings as RosterSettings};
 pub use source::{Peer, Settings as SourceSettings, Source, SourceSelector};
 pub use table::{KeyMatch, Table};
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -7,20 +7,25 @@
 //! 1. The lifetime of the upstream, by its start time. An announced departure is final within a
 //!    lifetime ([`leaving::Marks`]); only a later lifetime ends it. A statement that names no
 //!    lifetime is about the latest one known.
-//! 2. The platform's version of the row. An entry that is not newer than the one known, or than the
+//! 2. The platform's [`Revision`] of the row. An entry that is not newer than the one known, or than the
 //!    removal that is known, changes nothing.
 //! 3. The upstream's own sequence of reports. An entry with a lower one is an older write of the
-//!    same lifetime, whatever its version.
+//!    same lifetime, whatever its revision.
 //!
 //! An entry that vanishes may belong to an upstream that left without notice, or to a live one that
 //! could not report during an outage and registers again soon after it. One that vanishes while the
 //! platform answers this host is dropped at once. One that is found missing after an outage stays
 //! in use for a short time ([`Settings`]), unless a host of its own zone was served by the platform
 //! when the entry vanished: that zone had no outage, so the upstream left.
+//!
+//! A platform that was restored from an older copy may list an upstream whose removal is known, or lack
+//! one that registered later. Its list is right again once it has dropped what it does not hear and
+//! upstreams have registered again. Until then an entry of the copy does not undo a removal that came
+//! after it, and missing entries are treated as after an outage.
 
 use std::collections;
 
-use super::{Change, Departure, DepartureCause, Effect, Listing, Older, Registration};
+use super::{Change, Departure, DepartureCause, Effect, Listing, Older, Registration, Revision};
 use crate::clock;
 use crate::id;
 use crate::lifecycle::leaving;
@@ -36,8 +41,9 @@
     /// can reach the platform is held to the bound on leaving upstreams, however late it notices.
     pub grace_after_failure: clock::Span,
     /// How long after a failed call, or an outage, this host does not tell others to rely on the
-    /// removals that it reads: the platform drops what it has not heard for three reports, and an
-    /// upstream registers again within two more.
+    /// removals that it reads, and how long after a restore an entry of the copy does not undo a
+    /// removal: the platform drops what it has not heard for three reports, and an upstream registers
+    /// again within two more.
     pub doubt_span: clock::Span,
     /// How long an entry of an earlier lifetime is taken for a late write. After that it is taken
     /// for an upstream that restarted with its clock set back.
@@ -69,12 +75,22 @@
     answered_at: clock::Moment,
 }
 
+/// The beginning of the platform's era, as this host saw it.
+#[derive(Clone, Copy, Debug)]
+struct Beginning {
+    /// Revision of the first list, whose entries may be of the copy from which the platform was
+    /// restored.
+    revision: Revision,
+    /// Until when entries of the copy are in doubt.
+    doubt_until: clock::Moment,
+}
+
 /// The removal of an entry that is no longer in use.
 #[derive(Clone, Debug)]
 struct Removal {
     started_ms: u64,
     sequence: u64,
-    version: u64,
+    revision: Revision,
     /// Whether other hosts can rely on it.
     witnessed: bool,
     at: clock::Moment,
@@ -82,8 +98,8 @@
 
 impl Removal {
     /// The removal of an entry of which no more is known than the start time of its lifetime.
-    fn unlisted(started_ms: u64, version: u64, now: clock::Moment) -> Removal {
-        Removal { started_ms, sequence: 0, version, witnessed: false, at: now }
+    fn unlisted(started_ms: u64, revision: Revision, now: clock::Moment) -> Removal {
+        Removal { started_ms, sequence: 0, revision, witnessed: false, at: now }
     }
 }
 
@@ -91,7 +107,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Vanished {
     until: clock::Moment,
-    version: u64,
+    revision: Revision,
 }
 
 /// An entry of the list that is not followed, because a newer statement is known.
@@ -99,6 +115,8 @@
 struct Overruled {
     listing: Listing,
     since: clock::Moment,
+    /// Until when it is in doubt after a restore; `None` if that is not why.
+    doubted_until: Option<clock::Moment>,
 }
 
 /// All upstreams.
@@ -121,6 +139,7 @@
     /// The latest lifetime of each upstream, and whether it has announced its departure.
     marks: leaving::Marks,
     recovery: Option<Recovery>,
+    beginning: Option<Beginning>,
     /// When a call to the platform last failed.
     last_failure: Option<clock::Moment>,
 }
@@ -137,6 +156,7 @@
             removals: collections::BTreeMap::new(),
             marks: leaving::Marks::default(),
             recovery: None,
+            beginning: None,
             last_failure: None,
         }
     }
@@ -147,6 +167,14 @@
         self.recovery = Some(Recovery { failed_at, answered_at });
     }
 
+    /// Records that at `now` the platform listed all entries as of `revision`, the first list of its era
+    /// that this host reads. If it knew an earlier one, the platform was restored from an older copy of
+    /// itself, which counts as an outage too. Call this before applying the list.
+    pub fn begin_era(&mut self, revision: Revision, now: clock::Moment) {
+        let doubt_until = now + self.settings.doubt_span;
+        self.beginning = Some(Beginning { revision, doubt_until });
+    }
+
     /// Records that a call to the platform, for any of its tables, failed at `now`.
     pub fn record_failure(&mut self, now: clock::Moment) {
         self.last_failure = Some(now);
@@ -156,8 +184,8 @@
     pub fn apply(&mut self, change: Change, now: clock::Moment) -> Effect {
         match change {
             Change::Put(listing) => self.put(listing, now),
-            Change::Removed { upstream, version } => self.remove(&upstream, version, true, now),
-            Change::Invalid { upstream, version } => self.remove(&upstream, version, false, now),
+            Change::Removed { upstream, revision } => self.remove(&upstream, revision, true, now),
+            Change::Invalid { upstream, revision } => self.remove(&upstream, revision, false, now),
         }
     }
 
@@ -167,7 +195,7 @@
         let departure = &Departure { started_ms, ..departure.clone() };
         match departure.cause {
             DepartureCause::Announced => self.learn_announcement(departure, now),
-            DepartureCause::Removed { version } => self.learn_removal(departure, version, now),
+            DepartureCause::Removed { revision } => self.learn_removal(departure, revision, now),
         }
     }
 
@@ -212,7 +240,7 @@
         let witnessed = witnessed.map(|(upstream, removal)| Departure {
             upstream: upstream.clone(),
             started_ms: removal.started_ms,
-            cause: DepartureCause::Removed { version: removal.version },
+            cause: DepartureCause::Removed { revision: removal.revision },
         });
         announced.chain(witnessed)
     }
@@ -220,12 +248,19 @@
     fn put(&mut self, mut listing: Listing, now: clock::Moment) -> Effect {
         let registration = &mut listing.registration;
         registration.started_ms = self.lifetime(&registration.upstream, registration.started_ms);
+        if let Some(until) = self.doubted_until(&listing, now) {
+            let upstream = listing.registration.upstream.clone();
+            let overruled = Overruled { listing, since: now, doubted_until: Some(until) };
+            self.overruled.insert(upstream, overruled);
+            return Effect::Ignored(Older::BeforeRestore);
+        }
         if let Some(older) = self.compare(&listing) {
             return Effect::Ignored(older);
         }
         let Registration { upstream, started_ms, leaving, .. } = listing.registration.clone();
         if let Some(older) = self.compare_with_mark(&listing.registration) {
-            self.overruled.insert(upstream, Overruled { listing, since: now });
+            let overruled = Overruled { listing, since: now, doubted_until: None };
+            self.overruled.insert(upstream, overruled);
             return Effect::Ignored(older);
         }
         let mark = leaving::Mark { incarnation: id::Incarnation(started_ms), leaving };
@@ -250,15 +285,42 @@
         }
     }
 
+    /// Returns until when `listing` is in doubt: it may be of the copy from which the platform was
+    /// restored, and its removal came later in the part of the history that was lost.
+    fn doubted_until(&self, listing: &Listing, now: clock::Moment) -> Option<clock::Moment> {
+        let Registration { upstream, started_ms, .. } = &listing.registration;
+        let is_of_lifetime = |removal: &&Removal| removal.started_ms >= *started_ms;
+        let removal = self.removals.get(upstream).filter(is_of_lifetime);
+        let removal = removal.map(|removal| removal.revision);
+        let vanished = self.vanished.get(upstream).map(|vanished| vanished.revision);
+        let removed = removal.max(vanished)?;
+        self.doubt_end(listing, removed, now)
+    }
+
+    /// Returns until when the removal of an upstream in the revision `removed` counts though the
+    /// platform lists it; `None` if `listing` is certainly newer.
+    fn doubt_end(
+        &self,
+        listing: &Listing,
+        removed: Revision,
+        now: clock::Moment,
+    ) -> Option<clock::Moment> {
+        let Beginning { revision, doubt_until } = self.beginning?;
+        let is_of_copy =
+            listing.revision <= revision && listing.revision.version <= removed.version;
+        let is_lost = removed.era < revision.era;
+        (is_of_copy && is_lost && now < doubt_until).then_some(doubt_until)
+    }
+
     /// Returns why `listing` is older than the known entry or removal of its upstream; `None` if it
     /// is not.
     fn compare(&self, listing: &Listing) -> Option<Older> {
-        let Listing { registration, sequence, version } = listing;
+        let Listing { registration, sequence, revision } = listing;
         let is_earlier_report = |started_ms: u64, known: u64| {
             started_ms == registration.started_ms && *sequence > 0 && *sequence < known
         };
         if let Some(removal) = self.removals.get(&registration.upstream) {
-            if *version <= removal.version {
+            if *revision <= removal.revision {
                 return Some(Older::BeforeRemoval);
             }
             if is_earlier_report(removal.started_ms, removal.sequence) {
@@ -266,12 +328,12 @@
             }
         }
         if let Some(vanished) = self.vanished.get(&registration.upstream)
-            && *version <= vanished.version
+            && *revision <= vanished.revision
         {
             return Some(Older::BeforeRemoval);
         }
         let known = self.entries.get(&registration.upstream)?;
-        if *version <= known.version {
+        if *revision <= known.revision {
             return Some(Older::BeforeEntry);
         }
         is_earlier_report(known.registration.started_ms, known.sequence)
@@ -294,42 +356,42 @@
     fn remove(
         &mut self,
         upstream: &id::Upstream,
-        version: u64,
+        revision: Revision,
         stated: bool,
         now: clock::Moment,
     ) -> Effect {
-        if self.overruled.get(upstream).is_some_and(|known| known.listing.version < version) {
+        if self.overruled.get(upstream).is_some_and(|known| known.listing.revision < revision) {
             self.overruled.remove(upstream);
         }
         let Some(known) = self.entries.get(upstream) else {
-            return self.remember_removal(upstream, Removal::unlisted(0, version, now));
+            return self.remember_removal(upstream, Removal::unlisted(0, revision, now));
         };
-        if known.version >= version {
+        if known.revision >= revision {
             return Effect::Ignored(Older::BeforeEntry);
         }
         if let Some(vanished) = self.vanished.get_mut(upstream) {
-            vanished.version = vanished.version.max(version);
+            vanished.revision = vanished.revision.max(revision);
             return Effect::Kept(vanished.until);
         }
         let is_leaving = known.registration.leaving;
         let until = self.grace_end().filter(|until| *until > now && !is_leaving);
         if let Some(until) = until {
-            self.vanished.insert(upstream.clone(), Vanished { until, version });
+            self.vanished.insert(upstream.clone(), Vanished { until, revision });
             return Effect::Kept(until);
         }
         let witnessed = stated && !is_leaving && self.is_own(known) && !self.is_in_doubt(now);
-        match self.drop_entry(upstream, version, witnessed, now) {
+        match self.drop_entry(upstream, revision, witnessed, now) {
             Some(departure) if !is_leaving => Effect::Departed { departure, witnessed },
             _ => Effect::Forgotten,
         }
     }
 
-    /// Removes the entry of an upstream and remembers its removal in `version`. Returns its
+    /// Removes the entry of an upstream and remembers its removal in `revision`. Returns its
     /// departure; `None` if there is no entry.
     fn drop_entry(
         &mut self,
         upstream: &id::Upstream,
-        version: u64,
+        revision: Revision,
         witnessed: bool,
         now: clock::Moment,
     ) -> Option<Departure> {
@@ -337,9 +399,9 @@
         let listing = self.entries.remove(upstream)?;
         let started_ms = listing.registration.started_ms;
         let sequence = listing.sequence;
-        let removal = Removal { started_ms, sequence, version, witnessed, at: now };
+        let removal = Removal { started_ms, sequence, revision, witnessed, at: now };
         self.removals.insert(upstream.clone(), removal);
-        let cause = DepartureCause::Removed { version };
+        let cause = DepartureCause::Removed { revision };
         Some(Departure { upstream: upstream.clone(), started_ms, cause })
     }
 
@@ -356,31 +418,44 @@
         }
         match (self.vanished.remove(upstream), self.entries.get_mut(upstream)) {
             // Its row is gone, and no further removal will be read.
-            (Some(vanished), _) => drop(self.drop_entry(upstream, vanished.version, false, now)),
+            (Some(vanished), _) => drop(self.drop_entry(upstream, vanished.revision, false, now)),
             (None, Some(known)) => known.registration.leaving = true,
-            // The first version that the platform gives to a row is greater than 0.
             (None, None) => {
-                drop(self.remember_removal(upstream, Removal::unlisted(*started_ms, 0, now)));
+                // Precedes all rows.
+                let revision = Revision::default();
+                let removal = Removal::unlisted(*started_ms, revision, now);
+                drop(self.remember_removal(upstream, removal));
             }
         }
         Effect::Departed { departure: departure.clone(), witnessed: true }
     }
 
-    fn learn_removal(&mut self, departure: &Departure, version: u64, now: clock::Moment) -> Effect {
+    fn learn_removal(
+        &mut self,
+        departure: &Departure,
+        revision: Revision,
+        now: clock::Moment,
+    ) -> Effect {
         let Departure { upstream, started_ms, .. } = departure;
         let Some(known) = self.entries.get(upstream) else {
             let removal =
-                Removal { witnessed: true, ..Removal::unlisted(*started_ms, version, now) };
+                Removal { witnessed: true, ..Removal::unlisted(*started_ms, revision, now) };
             return self.remember_removal(upstream, removal);
         };
         if known.registration.started_ms > *started_ms {
             return Effect::Ignored(Older::EarlierLifetime);
         }
-        if known.version >= version {
+        let doubted_until = self.doubt_end(known, revision, now);
+        if doubted_until.is_none() && known.revision >= revision {
             return Effect::Ignored(Older::BeforeEntry);
         }
         let was_leaving = known.registration.leaving;
-        drop(self.drop_entry(upstream, version, true, now));
+        if doubted_until.is_some() {
+            // The list is not read again for an entry that a restore has brought back.
+            let overruled = Overruled { listing: known.clone(), since: now, doubted_until };
+            self.overruled.insert(upstream.clone(), overruled);
+        }
+        drop(self.drop_entry(upstream, revision, true, now));
         if was_leaving {
             return Effect::Forgotten;
         }
@@ -390,9 +465,9 @@
     /// Remembers the removal of an upstream that is not listed here, so that an entry from before
     /// it is not followed.
     fn remember_removal(&mut self, upstream: &id::Upstream, removal: Removal) -> Effect {
-        let version = removal.version;
+        let revision = removal.revision;
         let known = self.removals.entry(upstream.clone()).or_insert(removal);
-        known.version = known.version.max(version);
+        known.revision = known.revision.max(revision);
         Effect::Unchanged
     }
 
@@ -422,26 +497,40 @@
     fn drop_vanished(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
         let overdue = self.vanished.iter().filter(|(_, vanished)| vanished.until <= now);
         let overdue: Vec<_> =
-            overdue.map(|(name, vanished)| (name.clone(), vanished.version)).collect();
-        let dropped = overdue.into_iter().filter_map(|(upstream, version)| {
-            let departure = self.drop_entry(&upstream, version, false, now)?;
+            overdue.map(|(name, vanished)| (name.clone(), vanished.revision)).collect();
+        let dropped = overdue.into_iter().filter_map(|(upstream, revision)| {
+            let departure = self.drop_entry(&upstream, revision, false, now)?;
             Some((upstream, Effect::Departed { departure, witnessed: false }))
         });
         dropped.collect()
     }
 
-    /// Follows entries of earlier lifetimes that are too old for late writes.
+    /// Follows the entries that were not followed for some time only: those of earlier lifetimes that
+    /// are too old for late writes, and those that are still listed long after a restore.
     fn follow_overruled(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
         let span = self.settings.late_write_span;
-        let overdue = self.overruled.values().filter(|overruled| {
-            let older = self.compare_with_mark(&overruled.listing.registration);
-            overruled.since + span <= now && older == Some(Older::EarlierLifetime)
-        });
-        let overdue: Vec<_> = overdue.map(|overruled| overruled.listing.clone()).collect();
+        let is_due = |overruled: &&Overruled| match overruled.doubted_until {
+            Some(until) => until <= now,
+            None => {
+                let older = self.compare_with_mark(&overruled.listing.registration);
+                overruled.since + span <= now && older == Some(Older::EarlierLifetime)
+            }
+        };
+        let due: Vec<_> = self.overruled.values().filter(is_due).cloned().collect();
         let mut effects = Vec::new();
-        for listing in overdue {
+        for Overruled { listing, doubted_until, .. } in due {
             let upstream = listing.registration.upstream.clone();
-            self.marks.retain(|name| *name != upstream);
+            if doubted_until.is_some() {
+                self.overruled.remove(&upstream);
+                // The platform lists it still, so the removal of the earlier era no longer counts.
+                let era = self.beginning.map_or(0, |beginning| beginning.revision.era);
+                let is_kept = |name: &id::Upstream, removal: &Removal| {
+                    *name != upstream || removal.revision.era >= era
+                };
+                self.removals.retain(|name, removal| is_kept(name, removal));
+            } else {
+                self.marks.retain(|name| *name != upstream);
+            }
             effects.push((upstream, self.put(listing, now)));
         }
         effects
--- a/crates/lagoonline/tests/routing_eligibility.rs
+++ b/crates/lagoonline/tests/routing_eligibility.rs
@@ -5,7 +5,7 @@
 use lagoonline::clock::{Moment, Span};
 use lagoonline::id;
 use lagoonline::load::placement;
-use lagoonline::routing::{self, Eligibility, Evacuation, Exclusion, Homes, Send, Work};
+use lagoonline::routing::{self, Eligibility, Evacuation, Exclusion, Homes, Revision, Send, Work};
 use proptest::prelude::*;
 use rstest::rstest;
 
@@ -21,8 +21,13 @@
     id::Region::from(name)
 }
 
+/// A revision of an era without restores.
+fn revision(version: u64) -> Revision {
+    Revision { era: 1, version }
+}
+
 fn evacuation(name: &str, version: u64, in_force: bool) -> Evacuation {
-    Evacuation { zone: zone(name), version, in_force }
+    Evacuation { zone: zone(name), revision: revision(version), in_force }
 }
 
 /// Zones `a` and `b` are in region `east`, `c` is in `west`; that of `d` is unknown.
@@ -101,8 +106,8 @@
 fn the_platform_ends_an_evacuation_that_others_reported() {
     let mut eligibility = Eligibility::default();
     assert!(eligibility.learn(&evacuation("a", 5, true), NOW));
-    assert_eq!(eligibility.read(&[], 4, NOW), [], "the table is older than the word");
-    assert_eq!(eligibility.read(&[], 7, NOW), [evacuation("a", 7, false)]);
+    assert_eq!(eligibility.read(&[], revision(4), NOW), [], "the table is older than the word");
+    assert_eq!(eligibility.read(&[], revision(7), NOW), [evacuation("a", 7, false)]);
     assert!(!eligibility.learn(&evacuation("a", 5, true), NOW));
     assert!(!eligibility.learn(&evacuation("b", 6, true), NOW), "the table has no such row");
     assert!(eligibility.learn(&evacuation("a", 8, true), NOW), "newer than the table");
@@ -112,10 +117,14 @@
 #[rstest]
 fn the_platform_prevails_over_an_end_that_others_reported() {
     let mut eligibility = Eligibility::default();
-    assert_eq!(eligibility.read(&[zone("a")], 4, NOW), [evacuation("a", 4, true)]);
+    assert_eq!(eligibility.read(&[zone("a")], revision(4), NOW), [evacuation("a", 4, true)]);
     assert!(eligibility.learn(&evacuation("a", 6, false), NOW));
-    assert_eq!(eligibility.read(&[zone("a")], 5, NOW), [], "the table is older than the word");
-    assert_eq!(eligibility.read(&[zone("a")], 6, NOW), [evacuation("a", 6, true)]);
+    assert_eq!(
+        eligibility.read(&[zone("a")], revision(5), NOW),
+        [],
+        "the table is older than the word"
+    );
+    assert_eq!(eligibility.read(&[zone("a")], revision(6), NOW), [evacuation("a", 6, true)]);
 }
 
 /// A zone is returned and evacuated again between two reads of the table, which show no difference.
@@ -123,12 +132,62 @@
 #[rstest]
 fn an_evacuation_that_goes_on_is_told_as_of_the_last_read() {
     let mut eligibility = Eligibility::default();
-    eligibility.read(&[zone("a")], 4, NOW);
-    assert_eq!(eligibility.read(&[zone("a")], 9, Moment::from_millis(50)), []);
+    eligibility.read(&[zone("a")], revision(4), NOW);
+    assert_eq!(eligibility.read(&[zone("a")], revision(9), Moment::from_millis(50)), []);
     let told: Vec<_> = eligibility.statements(Moment::from_millis(60)).collect();
     assert_eq!(told, [(evacuation("a", 9, true), Span::from_millis(50))]);
 }
 
+/// Revision of the first table that is read after a restore; the versions go back.
+const RESTORED: Revision = Revision { era: 2, version: 3 };
+/// When operators have written again what the restore lost.
+const SETTLED: Moment = Moment::from_millis(2_000);
+
+/// A restore lost an evacuation. Until operators have written it again, a host that had read it sends
+/// nothing to the zone; if they do not, the zone is used again.
+#[rstest]
+fn an_evacuation_that_a_restore_lost_stays_in_force_for_a_while() {
+    let mut eligibility = Eligibility::default();
+    eligibility.read(&[zone("a")], revision(5), NOW);
+    eligibility.set_settled_at(SETTLED);
+    assert_eq!(eligibility.read(&[], RESTORED, Moment::from_millis(20)), []);
+    assert!(eligibility.is_evacuated(&zone("a")));
+    let ended = Evacuation { revision: RESTORED, ..evacuation("a", 0, false) };
+    assert_eq!(eligibility.read(&[], RESTORED, SETTLED), [ended]);
+}
+
+/// A host that starts on the copy learns a lost evacuation from others, but no end of one, and nothing
+/// once operators have written again.
+#[rstest]
+#[case::evacuated(true, Moment::from_millis(20), true)]
+#[case::returned(false, Moment::from_millis(20), false)]
+#[case::late(true, SETTLED, false)]
+fn a_host_on_a_copy_learns_what_was_lost(
+    #[case] in_force: bool,
+    #[case] at: Moment,
+    #[case] expected: bool,
+) {
+    let mut eligibility = Eligibility::default();
+    eligibility.set_settled_at(SETTLED);
+    eligibility.read(&[], RESTORED, NOW);
+    assert_eq!(eligibility.learn(&evacuation("a", 5, in_force), at), expected);
+    eligibility.read(&[], Revision { version: 4, ..RESTORED }, at);
+    assert_eq!(eligibility.is_evacuated(&zone("a")), expected);
+    eligibility.read(&[], Revision { version: 4, ..RESTORED }, SETTLED);
+    assert!(!eligibility.is_evacuated(&zone("a")));
+}
+
+/// An evacuation of the new era is newer than an end of the earlier one, though its version is lower.
+#[rstest]
+fn an_evacuation_after_a_restore_counts_whatever_its_version() {
+    let mut eligibility = Eligibility::default();
+    eligibility.read(&[zone("a")], revision(5), NOW);
+    eligibility.read(&[], revision(9), NOW);
+    let again = Evacuation { revision: RESTORED, ..evacuation("a", 0, true) };
+    assert!(eligibility.learn(&again, NOW));
+    assert!(!eligibility.learn(&evacuation("a", 12, false), NOW));
+}
+
 fn route(homes: &[&str]) -> routing::Route {
     routing::Route {
         name: id::Route::from("r"),
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -16,6 +16,11 @@
     Moment::from_millis(millis)
 }
 
+/// A revision of an era without restores.
+fn revision(version: u64) -> routing::Revision {
+    routing::Revision { era: 1, version }
+}
+
 fn registry() -> routing::Registry {
     routing::Registry::new(routing::RegistrySettings::default(), id::Zone::from(OWN_ZONE))
 }
@@ -44,12 +49,16 @@
             started_ms: self.life,
             cold: None,
         };
-        routing::Change::Put(routing::Listing { registration, sequence: self.sequence, version })
+        routing::Change::Put(routing::Listing {
+            registration,
+            sequence: self.sequence,
+            revision: revision(version),
+        })
     }
 }
 
 fn removed(version: u64) -> routing::Change {
-    routing::Change::Removed { upstream: id::Upstream::from("u"), version }
+    routing::Change::Removed { upstream: id::Upstream::from("u"), revision: revision(version) }
 }
 
 fn departure(life: u64, cause: DepartureCause) -> routing::Departure {
@@ -143,7 +152,7 @@
         registry.record_recovery(at(8_900), at(9_000));
         registry.apply(removed(7), at(9_010));
     }
-    let departure = departure(1, DepartureCause::Removed { version: 7 });
+    let departure = departure(1, DepartureCause::Removed { revision: revision(7) });
     let effect = registry.learn(&departure, at(9_020));
     assert_eq!(effect, Effect::Departed { departure, witnessed: true });
     assert!(!is_used(&registry));
@@ -194,7 +203,8 @@
     let mut registry = registry();
     registry.apply(READY.at_version(1), at(0));
     let upstream = id::Upstream::from("u");
-    let effect = registry.apply(routing::Change::Invalid { upstream, version: 2 }, at(10));
+    let effect =
+        registry.apply(routing::Change::Invalid { upstream, revision: revision(2) }, at(10));
     assert!(matches!(effect, Effect::Departed { witnessed: false, .. }));
     registry.apply(READY.at_version(3), at(20));
     assert!(is_used(&registry));
@@ -249,8 +259,8 @@
 /// Other hosts' statements may be older than the entry: the upstream has registered again since, or has
 /// started again under its name. A live upstream must not be avoided for them.
 #[rstest]
-#[case::removed_before_the_entry(7, DepartureCause::Removed { version: 4 })]
-#[case::an_earlier_lifetime_was_removed(6, DepartureCause::Removed { version: 9 })]
+#[case::removed_before_the_entry(7, DepartureCause::Removed { revision: revision(4) })]
+#[case::an_earlier_lifetime_was_removed(6, DepartureCause::Removed { revision: revision(9) })]
 #[case::an_earlier_lifetime_announced(6, DepartureCause::Announced)]
 fn an_older_departure_does_not_end_the_use(#[case] life: u64, #[case] cause: DepartureCause) {
     let mut registry = registry();
@@ -280,7 +290,7 @@
 fn a_removal_of_a_later_lifetime_counts_while_an_earlier_one_is_leaving() {
     let mut registry = registry();
     registry.apply(LEAVING.at_version(2), at(0));
-    registry.learn(&departure(2, DepartureCause::Removed { version: 5 }), at(10));
+    registry.learn(&departure(2, DepartureCause::Removed { revision: revision(5) }), at(10));
     let effect = registry.apply(Entry { life: 2, ..READY }.at_version(4), at(20));
     assert_eq!(effect, Effect::Ignored(Older::BeforeRemoval));
     assert!(!is_used(&registry));
@@ -289,7 +299,7 @@
 /// A host that has just started is told of a departure before it reads a list that lags.
 #[rstest]
 #[case::announced(DepartureCause::Announced)]
-#[case::removed(DepartureCause::Removed { version: 7 })]
+#[case::removed(DepartureCause::Removed { revision: revision(7) })]
 fn a_departure_that_is_known_before_the_entry_counts(#[case] cause: DepartureCause) {
     let mut registry = registry();
     registry.learn(&departure(1, cause), at(0));
@@ -332,7 +342,7 @@
     let mut registry = routing::Registry::new(settings, id::Zone::from(OWN_ZONE));
     for number in 0..100 {
         let upstream = id::Upstream::from(format!("u{number}"));
-        let cause = DepartureCause::Removed { version: number + 1 };
+        let cause = DepartureCause::Removed { revision: revision(number + 1) };
         let departure = routing::Departure { upstream, started_ms: 1, cause };
         registry.learn(&departure, at(number));
     }
@@ -342,6 +352,118 @@
     assert!(left.contains(&"u99".to_owned()));
 }
 
+/// The first list after a restore ends with this revision; the versions go back.
+const RESTORED: routing::Revision = routing::Revision { era: 2, version: 4 };
+
+/// Returns a change as it is read after the restore.
+fn restored(change: routing::Change) -> routing::Change {
+    let restored = |revision: routing::Revision| routing::Revision { era: 2, ..revision };
+    match change {
+        routing::Change::Put(listing) => {
+            let revision = restored(listing.revision);
+            routing::Change::Put(routing::Listing { revision, ..listing })
+        }
+        routing::Change::Removed { upstream, revision } => {
+            routing::Change::Removed { upstream, revision: restored(revision) }
+        }
+        routing::Change::Invalid { upstream, revision } => {
+            routing::Change::Invalid { upstream, revision: restored(revision) }
+        }
+    }
+}
+
+/// Lets a registry read a list after a restore at 10 s: the entry, or its absence.
+fn read_restored(registry: &mut routing::Registry, change: routing::Change) -> Effect {
+    registry.record_recovery(at(10_000), at(10_000));
+    registry.begin_era(RESTORED, at(10_000));
+    registry.apply(restored(change), at(10_000))
+}
+
+/// An upstream left without notice, and the copy from which the platform was restored lists it. It must
+/// get nothing until the platform has had time to drop it, and must not be avoided for good.
+#[rstest]
+#[case::read_here(false, false)]
+#[case::read_here_and_dropped(false, true)]
+#[case::told_by_another_host(true, false)]
+#[case::told_by_another_host_and_dropped(true, true)]
+fn a_copy_undoes_a_lost_removal_only_after_a_while(#[case] told: bool, #[case] dropped: bool) {
+    let mut registry = registry();
+    let lost = departure(1, DepartureCause::Removed { revision: revision(7) });
+    registry.apply(Entry { sequence: 9, ..READY }.at_version(2), at(0));
+    if !told {
+        registry.apply(removed(7), at(5_000));
+    }
+    let effect = read_restored(&mut registry, Entry { sequence: 8, ..READY }.at_version(2));
+    if told {
+        let effect = registry.learn(&lost, at(10_100));
+        assert_eq!(effect, Effect::Departed { departure: lost, witnessed: true });
+    } else {
+        assert_eq!(effect, Effect::Ignored(Older::BeforeRestore));
+    }
+    registry.expire(at(15_900));
+    assert!(!is_used(&registry));
+    if dropped {
+        registry.apply(restored(removed(5)), at(15_950));
+    }
+    registry.expire(at(16_200));
+    assert_eq!(is_used(&registry), !dropped);
+}
+
+/// An entry is certainly newer than a lost removal if it was written after the restore, if the copy has
+/// a later version of it, or if it is of a later lifetime. Such an upstream is used at once.
+#[rstest]
+#[case::written_after_the_restore(READY, 5)]
+#[case::of_a_later_lifetime(Entry { life: 2, ..READY }, 2)]
+fn an_entry_that_is_newer_than_a_lost_removal_is_used(#[case] entry: Entry, #[case] version: u64) {
+    let mut registry = registry();
+    registry.apply(READY.at_version(1), at(0));
+    registry.apply(removed(7), at(5_000));
+    registry.begin_era(RESTORED, at(10_000));
+    registry.apply(restored(entry.at_version(version)), at(10_100));
+    assert!(is_used(&registry));
+}
+
+/// A restore loses an entry, and its upstream registers again within two seconds. Callers must be served
+/// until then, and an upstream that does not come back must not be used for longer.
+#[rstest]
+#[case::registers_again(true)]
+#[case::is_gone(false)]
+fn an_entry_that_a_restore_lost_is_kept_for_a_while(#[case] returns: bool) {
+    let mut registry = registry();
+    registry.apply(READY.at_version(7), at(0));
+    let gone = routing::Change::Removed { upstream: id::Upstream::from("u"), revision: RESTORED };
+    let effect = read_restored(&mut registry, gone);
+    assert!(matches!(effect, Effect::Kept(_)), "{effect:?}");
+    assert!(is_used(&registry));
+    if returns {
+        registry.apply(restored(READY.at_version(5)), at(11_500));
+    }
+    registry.expire(at(12_000));
+    assert_eq!(is_used(&registry), returns);
+}
+
+/// The copy says `ready` of an upstream that has announced its departure. The announcement stands.
+#[rstest]
+fn a_copy_does_not_take_an_announcement_back() {
+    let mut registry = registry();
+    registry.apply(READY.at_version(2), at(0));
+    registry.apply(LEAVING.at_version(7), at(5_000));
+    read_restored(&mut registry, READY.at_version(2));
+    registry.expire(at(60_000));
+    assert!(!is_used(&registry));
+}
+
+/// A removal from before the restore is told late, after the upstream has registered again.
+#[rstest]
+fn a_lost_removal_that_is_told_late_does_not_end_the_use() {
+    let mut registry = registry();
+    read_restored(&mut registry, READY.at_version(2));
+    registry.apply(restored(Entry { sequence: 3, ..READY }.at_version(5)), at(11_000));
+    let lost = departure(1, DepartureCause::Removed { revision: revision(7) });
+    assert_eq!(registry.learn(&lost, at(11_100)), Effect::Ignored(Older::BeforeEntry));
+    assert!(is_used(&registry));
+}
+
 /// One thing that is said of the upstream.
 #[derive(Clone, Copy, Debug)]
 enum Statement {
@@ -371,7 +493,10 @@
         }
         let version = next();
         statements.push(Statement::Removed(version));
-        statements.push(Statement::Learned(life, DepartureCause::Removed { version }));
+        statements.push(Statement::Learned(
+            life,
+            DepartureCause::Removed { revision: revision(version) },
+        ));
     }
     statements
 }
@@ -403,8 +528,8 @@
                     registry.learn(&departure(life, cause), at(millis));
                     match cause {
                         DepartureCause::Announced => announced = announced.max(life),
-                        DepartureCause::Removed { version } => {
-                            removed_version = removed_version.max(version);
+                        DepartureCause::Removed { revision } => {
+                            removed_version = removed_version.max(revision.version);
                         }
                     }
                 }
