Count a head that the HTTP library finds too large as a head without end

An upstream that sends a head without end was left in time, but now and then counted as a broken connection instead of a violation: a single read may bring more than what the bound on heads leaves of the read buffer, and then the library refuses the head first. Its error is read now. Doubling the buffer was tried as well: then callers_that_read_nothing_give_way held 132 MB once (128 allowed).

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -25,7 +25,7 @@
 use crate::state;
 
 /// Maximum number of bytes that are read ahead of an answer. It exceeds the bound on heads of
-/// [`progress::Settings`], which is therefore the one that applies.
+/// [`progress::Settings`], which is mostly the one that applies.
 const READ_BUFFER: usize = 128 << 10;
 
 /// Body of a request.
@@ -163,6 +163,9 @@
             .is_some_and(|source| source.kind() == std::io::ErrorKind::InvalidData);
         if let Some(violation) = self.meter.violation() {
             Failure::Violated(violation)
+        } else if error.is_parse_too_large() {
+            // A single read may bring more than what the bound on heads leaves of the buffer.
+            Failure::Violated(progress::Violation::Head)
         } else if !invalid {
             let source = source.map(|source| format!(": {source}")).unwrap_or_default();
             Failure::Lost(format!("{error}{source}"))
