Hand on rows that were removed and written again unchanged, and no history from a list

A drawn model of a store that is restored (three hosts, late answers, relays, lost history) found four faults of the copies of tables; only the first draws needed no restore at all: - a row that was removed and written again with an equivalent value between two reads of the host that reads for others kept its old revision, so that a host which had read the removal was never told of it: a live upstream got no requests from that host until its entry changed; - a list of all rows says nothing of rows that were added and removed since the last read, and was taken for a complete history; - older rows that another host handed on completed a copy that was being read again; - a row from before the history of a copy was taken for a new one.

--- a/crates/lagoonline/src/routing/mirror.rs
+++ b/crates/lagoonline/src/routing/mirror.rs
@@ -1,8 +1,8 @@
 //! A local copy of a table of the platform, which can report the changes since a revision.
 //!
-//! Upstreams rewrite their entries every second, usually with only a counter changed. Such a row
-//! keeps the revision of its last relevant change, so that neither this host nor those that ask it
-//! apply it again.
+//! Upstreams rewrite their entries every second, usually with only a counter changed. Such a row wakes
+//! nobody that waits for changes, and is not applied again. It is handed on with the next changes, since
+//! another host may have read that it was removed in between.
 
 use std::collections;
 
@@ -147,7 +147,7 @@
         }
         let is_later_era = delta.revision.era > self.revision.era;
         let Some(since) = delta.since else {
-            return Some(if is_later_era { self.replace(delta) } else { self.apply_all(delta) });
+            return if is_later_era { Some(self.replace(delta)) } else { self.apply_all(delta) };
         };
         if is_later_era || since.era != delta.revision.era || since > self.revision {
             self.complete = false;
@@ -156,17 +156,18 @@
         Some(self.store_rows(delta.rows, delta.revision))
     }
 
-    /// Applies all rows of the known era.
-    fn apply_all(&mut self, delta: Delta) -> Vec<Row> {
-        if self.complete && self.revision > delta.revision {
-            return Vec::new();
-        }
-        if !self.complete {
-            self.history_start = delta.revision;
-            self.complete = true;
+    /// Applies all rows of the known era. Returns `None` if they do not make the copy complete, since
+    /// they are older than what has been read.
+    fn apply_all(&mut self, delta: Delta) -> Option<Vec<Row>> {
+        if self.revision > delta.revision {
+            return self.complete.then(Vec::new);
         }
         let removed = self.missing_rows(&delta);
-        self.store_rows(delta.rows.into_iter().chain(removed), delta.revision)
+        let changed = self.store_rows(delta.rows.into_iter().chain(removed), delta.revision);
+        // The list does not show rows that were added and removed since the last read.
+        self.history_start = delta.revision;
+        self.complete = true;
+        Some(changed)
     }
 
     /// Stores the rows that are newer than the known ones, and returns those with relevant changes.
@@ -223,9 +224,16 @@
                 let (key, revision) = (row.key.clone(), row.revision);
                 self.ignored.push(Ignored { key, revision, known: known.revision });
             }
-            if same || known.revision >= row.revision {
+            if known.revision >= row.revision {
+                return false;
+            }
+            if same {
+                known.revision = row.revision;
                 return false;
             }
+        } else if self.complete && row.revision <= self.history_start {
+            // It was removed before the history of this copy begins.
+            return false;
         }
         self.last_change = self.last_change.max(row.revision);
         self.rows.insert(row.key.clone(), row.clone());
