--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -102,11 +102,16 @@
         .with_retry_after(retry_time(state)))
 }
 
-/// Returns the retry time for a caller that is refused because this host cannot reach the platform.
+/// Returns the retry time for a caller that is refused because this host cannot reach the platform, or
+/// because the platform was restored just now and does not confirm keys yet.
 ///
 /// The platform may refuse some hosts, or be unreachable for them, and serve the others. A caller
 /// that waits here before it tries another host, which could have answered at once, misses its
 /// deadline. So the retry time is short while another host reports that it can trust keys.
 fn retry_time(state: &state::State) -> clock::Span {
-    if state.peer_trusts_keys() { forward::RETRY_ELSEWHERE_AFTER } else { forward::RETRY_AFTER }
+    if state.peer_trusts_keys() {
+        return forward::RETRY_ELSEWHERE_AFTER;
+    }
+    let unsettled = state.era.get().settled_at().since(state.clock.now());
+    unsettled.max(forward::RETRY_AFTER)
 }
