--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic;
 
 use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use lagoonline::outcome::{Reason, Step};
 use lagoonline::routing;
 use rand::Rng;
