Learn the age of an era only from a host's own start; wait longer for other hosts on a copy

Beside a busy machine a test failed once: a host served a key that was revoked in the part that a restore had lost. It had first read the table of hosts only after the restore, found no record of any era, and took itself for the first host ever. That is concluded only by a host that has known no earlier era.

An evacuation test failed twice in four runs there: the host that it starts took so long that operators' time to write again was over before they did. A host that starts on a copy also waits up to 0.3 s, not 0.03, for the other hosts, as only they know of evacuations and departures that were lost.

What the platform shows of the desired state has its revision, so that two ways cannot put an older one back; the clock's reading is that of a list's first page.

--- a/crates/lagoon-gateway/src/hosts.rs
+++ b/crates/lagoon-gateway/src/hosts.rs
@@ -41,6 +41,9 @@
 /// apart and hosts answer at once. A lost answer only makes placement less accurate.
 const DISPATCHES_ANSWER_WAIT: clock::Span = clock::Span::from_millis(30);
 
+/// The same just after a restore of the platform: only the other hosts know of evacuations and departures
+/// that it has lost.
+const UNSETTLED_ANSWER_WAIT: clock::Span = clock::Span::from_millis(300);
 /// Maximum pause after the first read of the table.
 ///
 /// When all hosts start within moments of each other, each finds only the rows of those before it.
@@ -118,18 +121,21 @@
     (number, Some(millis.saturating_add(later).saturating_sub(earlier)))
 }
 
-/// Learns from the rows of hosts when the era of the platform's store began. `is_first` if this host has
-/// known no earlier era. If there is no record at all, no host has run before.
-fn learn_era(state: &state::State, is_first: bool) {
+/// Learns from the rows of hosts when the era of the platform's store began. If a host that starts finds
+/// no record at all, no host has run before.
+fn learn_era(state: &state::State) {
     let Some((millis, at)) = state.tables.platform_clock() else { return };
-    let latest = state.era.get().number();
+    let latest = state.era.get();
+    if latest.is_settled(state.clock.now()) {
+        return;
+    }
     let mirror = state::lock(&state.tables.hosts);
     let rows = mirror.rows().filter_map(|row| row.value.as_ref());
     let rows = rows.filter_map(|value| serde_json::from_slice::<Row>(value).ok());
     let records: Vec<_> = rows.filter_map(|row| Some((row.era?, row.era_since_ms))).collect();
     drop(mirror);
-    if is_first && records.is_empty() {
-        state.learn_era(latest, None);
+    if !latest.has_followed() && records.is_empty() {
+        state.learn_era(latest.number(), None);
     }
     for (era, since_ms) in records {
         let age = |since_ms| clock::Span::from_millis(millis.saturating_sub(since_ms));
@@ -203,7 +209,9 @@
         let pause = state.settings.tuning.hosts_pause;
         if std::mem::take(&mut first) {
             mesh::announce(&state);
-            tokio::time::sleep(DISPATCHES_ANSWER_WAIT).await;
+            let is_settled = state.era.get().is_settled(state.clock.now());
+            let wait = if is_settled { DISPATCHES_ANSWER_WAIT } else { UNSETTLED_ANSWER_WAIT };
+            tokio::time::sleep(wait).await;
             state.raise_level(state::SyncLevel::Dispatches);
             tokio::time::sleep(pause.min(MAX_FIRST_PAUSE)).await;
         } else {
@@ -229,7 +237,7 @@
         state.unregistered.notify_one();
     }
     if way == tables::Way::Platform {
-        learn_era(state, applied.began.is_some_and(|began| !began.is_restore));
+        learn_era(state);
     }
     let peers = state::lock(&state.peers);
     let placing_hosts = peers.roster.placing_hosts();
--- a/crates/lagoon-gateway/src/tables.rs
+++ b/crates/lagoon-gateway/src/tables.rs
@@ -67,10 +67,7 @@
 ) -> Option<Applied> {
     let revision = delta.revision;
     let mut mirror = state::lock(table);
-    let previous = mirror
-        .revision()
-        .unwrap_or_default()
-        .max(routing::Revision { era: mirror.era(), ..routing::Revision::default() });
+    let previous = mirror.last_read();
     let rows = mirror.apply(delta);
     let ignored = mirror.take_ignored();
     drop(mirror);
@@ -100,6 +97,14 @@
     Some(Applied { rows, began })
 }
 
+/// The row of the desired state that the platform shows.
+#[derive(Clone, Copy, Debug, Default)]
+struct Shown {
+    revision: routing::Revision,
+    /// Number in the document; `None` if the row is missing or was never readable.
+    number: Option<u64>,
+}
+
 /// The tables, and when they were last confirmed to be complete.
 #[derive(Debug)]
 pub(crate) struct Tables {
@@ -109,8 +114,8 @@
     pub(crate) hosts: SharedTable,
     /// When the table of the desired state was last read to be complete.
     desired_read_at: sync::Mutex<Option<clock::Moment>>,
-    /// Number of the desired state that the platform shows; `None` if it shows none.
-    desired_shown: sync::Mutex<Option<u64>>,
+    /// The row of the desired state that the platform shows.
+    desired_shown: sync::Mutex<Shown>,
     /// When the list of upstreams was last confirmed to be complete.
     upstreams_confirmed_at: sync::Mutex<Option<clock::Moment>>,
     /// Row of this host that was written last.
@@ -289,28 +294,18 @@
     way: Way,
 ) {
     state.read_evacuations(way);
-    let row = rows.iter().rev().find(|row| row.key == desired::KEY);
-    let text = row.and_then(|row| row.value.as_deref());
-    let mut shown = state::lock(&state.tables.desired_shown);
-    match text.map(desired::read) {
-        Some(Ok(desired)) => {
-            *shown = Some(desired.version);
-            state.install(desired, at);
-        }
-        Some(Err(error)) => {
-            event::Line::new("desired_state_unreadable").text("error", error).warn();
-        }
-        None if row.is_some() => *shown = None,
+    match rows.iter().rev().find(|row| row.key == desired::KEY) {
+        Some(row) => apply_desired_row(state, row, at),
         None => {
             // After a restore the platform may show an older version than the one in force, and then
             // does not tell whether there was a later one.
+            let shown = state::lock(&state.tables.desired_shown).number;
             let in_force = state.routing_table().map(|table| table.version());
-            if in_force.is_some() && *shown >= in_force {
+            if in_force.is_some() && shown >= in_force {
                 state.confirm(at);
             }
         }
     }
-    drop(shown);
     let mut read_at = state::lock(&state.tables.desired_read_at);
     *read_at = (*read_at).max(Some(at));
     drop(read_at);
@@ -319,6 +314,26 @@
     }
 }
 
+/// Applies the row of the desired state, which had no later change up to `at`.
+fn apply_desired_row(state: &state::State, row: &routing::Row, at: clock::Moment) {
+    let show = |number| {
+        let mut shown = state::lock(&state.tables.desired_shown);
+        if row.revision >= shown.revision {
+            *shown = Shown { revision: row.revision, number };
+        }
+    };
+    match row.value.as_deref().map(desired::read) {
+        Some(Ok(desired)) => {
+            show(Some(desired.version));
+            state.install(desired, at);
+        }
+        Some(Err(error)) => {
+            event::Line::new("desired_state_unreadable").text("error", error).warn();
+        }
+        None => show(None),
+    }
+}
+
 /// Applies changes of the list of upstreams, which had no later change up to `at` and came by `way`.
 pub(crate) fn apply_upstreams(
     state: &state::State,
--- a/crates/lagoon-gateway/src/watch.rs
+++ b/crates/lagoon-gateway/src/watch.rs
@@ -183,11 +183,10 @@
         let mut revision = None;
         let mut at = started;
         let mut from = String::new();
-        let mut clock_ms;
+        let mut clock_ms = None;
         loop {
             let answer = self.client.call(&store::rows(self.table, &from), ANSWER_SLACK).await?;
             let store::Reply::Rows(page) = answer.reply else { return Ok(None) };
-            clock_ms = page.clock_ms;
             let era = answer.era.unwrap_or_default();
             // Changes made between two pages are reported by the feed after the first page's
             // version.
@@ -197,6 +196,7 @@
             }
             if rows.is_empty() {
                 at = self.made_at(started, era, page.clock_ms);
+                clock_ms = page.clock_ms;
             }
             rows.extend(as_of(era, page.rows));
             match rows.last() {
@@ -229,7 +229,7 @@
         clock_ms.map_or(earliest, |millis| self.platform_clock.1.made_at(earliest, millis, now))
     }
 
-    /// Applies `delta` to the local copy. Returns `None` if it is of another era.
+    /// Applies `delta` to the local copy. Returns `None` if it does not follow what is known.
     fn apply(
         &self,
         delta: routing::Delta,
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -42,6 +42,8 @@
     pub more: &'a str,
     /// Memory of the process in MB.
     pub memory_mb: u64,
+    /// Time after a restore of the store in which operators write again, in milliseconds.
+    pub settle_ms: u64,
 }
 
 impl Default for HostSettings<'_> {
@@ -58,6 +60,7 @@
             store: None,
             more: "",
             memory_mb: 256,
+            settle_ms: 2_000,
         }
     }
 }
@@ -126,6 +129,7 @@
                 upstreams_pause: time::Duration::from_millis(20),
                 hosts_pause: time::Duration::from_millis(20),
                 relay_hosts: settings.relay_hosts,
+                settle_span: time::Duration::from_millis(settings.settle_ms),
                 ..Default::default()
             },
         };
--- a/crates/lagoonline/src/routing/era.rs
+++ b/crates/lagoonline/src/routing/era.rs
@@ -20,6 +20,8 @@
 /// // Another host has seen this era for longer.
 /// era.learn(3, Some(at(400)));
 /// assert_eq!(era.settled_at(), at(2_400));
+/// assert!(!era.has_followed());
+/// assert!(era.observe(4, at(9_000)) && era.has_followed());
 /// ```
 #[derive(Clone, Copy, Debug)]
 pub struct Era {
@@ -29,13 +31,15 @@
     number: u64,
     /// When it had begun at the latest; `None` if it is not known to have begun lately.
     since: Option<clock::Moment>,
+    /// Whether this host knew an earlier one.
+    followed: bool,
 }
 
 impl Era {
     /// Creates the knowledge of a host that has had no answer of the store. What a restore lost is
     /// written again within `settle_span`.
     pub fn new(settle_span: clock::Span) -> Era {
-        Era { settle_span, number: 0, since: None }
+        Era { settle_span, number: 0, since: None, followed: false }
     }
 
     /// Returns the latest known era.
@@ -43,6 +47,11 @@
         self.number
     }
 
+    /// Returns whether this host knew an earlier era, so that the store was restored while it ran.
+    pub fn has_followed(&self) -> bool {
+        self.followed
+    }
+
     /// Returns when the latest known era had begun at the latest; `None` if it is not known to have
     /// begun lately.
     pub fn since(&self) -> Option<clock::Moment> {
@@ -55,6 +64,7 @@
         if number <= self.number {
             return false;
         }
+        self.followed = self.number > 0;
         (self.number, self.since) = (number, Some(now));
         true
     }
--- a/crates/lagoonline/src/routing/mirror.rs
+++ b/crates/lagoonline/src/routing/mirror.rs
@@ -107,9 +107,9 @@
         self.complete.then_some(self.revision)
     }
 
-    /// Returns the era of the store from which the rows were last read; 0 before the first read.
-    pub fn era(&self) -> u64 {
-        self.revision.era
+    /// Returns the revision up to which rows were last read, whether or not the copy is complete.
+    pub fn last_read(&self) -> Revision {
+        self.revision
     }
 
     /// Returns the rows that exist.
