--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -27,8 +27,26 @@
     began: Instant,
 }
 
+/// Time after which a run is given up.
+const LONGEST_RUN: Duration = Duration::from_secs(115);
+
+/// Processes that this run has started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends a run that takes too long, with the processes that it started.
+fn watch() {
+    thread::spawn(|| {
+        thread::sleep(LONGEST_RUN);
+        for process in STARTED.lock().unwrap().iter() {
+            let _ = Command::new("kill").arg("-KILL").arg(process.to_string()).status();
+        }
+        std::process::exit(2);
+    });
+}
+
 impl Record {
     pub fn create(path: &Path) -> io::Result<Record> {
+        watch();
         let file = Arc::new(Mutex::new(fs::File::create(path)?));
         Ok(Record { file, began: Instant::now() })
     }
@@ -439,6 +457,7 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
+        STARTED.lock().unwrap().push(child.id());
         let address = |port| SocketAddr::from(([127, 0, 0, 1], port));
         Ok(Gateway { child, callers: address(front), ready: address(ready), node_file })
     }
@@ -485,6 +504,7 @@
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
+        STARTED.lock().unwrap().retain(|process| *process != self.child.id());
     }
 }
 
