--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -1,7 +1,7 @@
 //! Case 1: the channel of an answer without a length is reset between two events of its stream, and
 //! the consumer gets an answer that ends in order.
 
-#[path = "../standin/platform.rs"]
+#[path = "../platform.rs"]
 mod platform;
 
 use std::io::Write;
@@ -61,7 +61,7 @@
     let listener = TcpListener::bind("127.0.0.1:0")?;
     let address = listener.local_addr()?;
     let entry = format!(
-        r#"{{"Service":"llm","Address":"{address}","Zone":"erie-shore","Version":"v1","Slots":16,
+        r#"{{"Service":"llm","Address":"{address}","Zone":"suva","Version":"v1","Slots":16,
         "State":"ready","ColdRemainingMs":0,"Stage":"unified","Sequence":4,"born":1700000000000}}"#
     );
     store.put("servers", id, &entry);
@@ -125,7 +125,7 @@
     for id in ["i-7f3a91c2", "i-02d9e6b4"] {
         start_runner(&store, id, runs.clone(), record.clone()).map_err(|error| error.to_string())?;
     }
-    let gateway = Gateway::start("edge-erie-shore-1", "erie-shore", store.address, &folder.0);
+    let gateway = Gateway::start("edge-suva-1", "suva", store.address, &folder.0);
     let gateway = gateway.map_err(|error| error.to_string())?;
     record.line(&format!("started {} as process {}", platform::GATEWAY, gateway.id()));
     if !gateway.wait_until_ready(Duration::from_secs(15)) {
--- a/review/standin/platform.rs
+++ b/review/platform.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::fs;
 use std::io::{self, Read, Write};
+use std::os::unix::process::CommandExt;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
@@ -412,6 +413,17 @@
     Err(io::Error::other("no free ports"))
 }
 
+/// Lets the kernel kill a started process if the run ends first, however it ends.
+fn end_with_parent() -> io::Result<()> {
+    unsafe extern "C" {
+        fn prctl(option: i32, value: u64) -> i32;
+    }
+    const PR_SET_PDEATHSIG: i32 = 1;
+    const SIGKILL: u64 = 9;
+    // SAFETY: the option takes a number.
+    if unsafe { prctl(PR_SET_PDEATHSIG, SIGKILL) } == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+}
+
 /// A running entry host, killed when it is dropped.
 pub struct Gateway {
     child: Child,
@@ -447,7 +459,10 @@
         );
         fs::write(&node_file, text)?;
         let log = fs::File::create(folder.join(format!("{name}.log")))?;
-        let child = Command::new(GATEWAY)
+        let mut command = Command::new(GATEWAY);
+        // SAFETY: prctl may be called between fork and exec.
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .env_clear()
             .envs(["PATH", "HOME", "LANG"].into_iter().filter_map(|name| {
                 std::env::var(name).ok().map(|value| (name, value))
