--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -122,6 +122,10 @@
 ) -> completeness::Process {
     let entry = state.with_placer(service, |placer, _| placer.entry(upstream.as_str()).cloned());
     let Some(entry) = entry.flatten().filter(|entry| !entry.leaving) else {
+        event::Line::new("not_probed")
+            .text("upstream", upstream)
+            .text("reason", "it is leaving or not listed")
+            .info();
         return completeness::Process::Unknown;
     };
     if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -191,6 +191,7 @@
         event::Line::new("stream_ended")
             .text("request", &self.admitted.request.head.request_id)
             .text("how", how)
+            .text("told", self.told(end))
             .number("events", self.events)
             .number("upstreams", self.upstreams)
             .span("longest_pause_ms", self.longest_pause)
@@ -199,6 +200,16 @@
             .info();
     }
 
+    /// Returns how the end of the stream looks to its caller.
+    fn told(&self, end: End) -> &'static str {
+        match (end, self.promised.marks_end()) {
+            (End::Complete, true) => "marked",
+            (End::Broken, true) | (End::TooSlow, _) => "cut",
+            (End::Complete | End::Unproven | End::Broken, _) => "closed in order",
+            (End::CallerLeft, _) => "",
+        }
+    }
+
     /// Returns the time since the last event was forwarded, or since the request arrived if there
     /// was none.
     fn silent_for(&self) -> clock::Span {
