Count the attempts of a request once, from its first dispatch to the end of its answer

Callers' requests ran on three upstreams where their route allows two: when an upstream was lost before its answer began, the stream's forwarder began with one upstream, whatever had been tried. Each time a stream was resumed it also began with no refusals, and a refusal allowed it one more run, since the count there left refused attempts out.

Cause: a count that a hand-over begins anew. lifecycle::attempts holds one count, which is handed over with the request. A stream that is resumed now has the refusals of the whole request (two) instead of two each time.

--- a/crates/lagoon-gateway/src/attempt.rs
+++ b/crates/lagoon-gateway/src/attempt.rs
@@ -1,6 +1,7 @@
 //! Failed attempts at an upstream.
 
 use lagoonline::id;
+use lagoonline::lifecycle::attempts;
 use lagoonline::outcome::{Outcome, Reason, Step};
 
 use crate::answer;
@@ -31,6 +32,16 @@
         }
     }
 
+    /// Returns how the attempt counts; `None` if it is none.
+    pub(crate) fn kind(&self) -> Option<attempts::Kind> {
+        match self {
+            Failure::Unsent(_) => Some(attempts::Kind::Unsent),
+            Failure::Withheld(_) => None,
+            Failure::Refused { .. } => Some(attempts::Kind::Refusal),
+            Failure::Lost(_) => Some(attempts::Kind::Run),
+        }
+    }
+
     /// Whether this host decided to send nothing.
     pub(crate) fn is_withheld(&self) -> bool {
         matches!(self, Failure::Withheld(_))
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -10,7 +10,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
-use lagoonline::lifecycle::{completeness, fingerprint, quarantine, request};
+use lagoonline::lifecycle::{attempts, completeness, fingerprint, quarantine, request};
 use lagoonline::load::{placement, progress};
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
@@ -171,60 +171,48 @@
 ) -> Result<web::HttpResponse, answer::Fault> {
     let mut pending = request::Pending::new(admitted.repeat_rule());
     let mut avoid = Vec::new();
-    // The same count as `pending.attempts()`, which cannot be read while an attempt is in flight.
-    let mut attempts = 0;
-    let mut refusals = 0;
-    let mut lost = false;
+    let mut attempts = admitted.no_attempts();
     let mut last_failure: Option<attempt::Failure> = None;
     loop {
-        let is_retry = lost || refusals > 0;
-        let allocation = match (admitted.allocate(&avoid, is_retry).await, last_failure) {
+        let allocation = match (admitted.allocate(&avoid, attempts.is_sent()).await, last_failure) {
             (Ok(allocation), _) => allocation,
             (Err(place::Refusal::NoRetry), Some(failed)) => {
                 admitted.record_retry_refusal(metrics::RetryRefusal::Budget);
                 return Err(failed.to_fault(pending.end()));
             }
-            (Err(refusal), _) => return Err(refusal.into_fault().or_unknown(lost)),
+            (Err(refusal), _) => return Err(refusal.into_fault().or_unknown(attempts.runs() > 0)),
         };
         let upstream = allocation.placement.primary.upstream.clone();
         // Upstreams identify a request by the id that its caller gave it, so an attempt needs no id
         // of its own.
         let dispatched = pending.dispatch(id::Attempt(0));
-        attempts += 1;
         *may_have_run = true;
         let resume = admitted.request.head.last_event;
-        let checked = match admitted.attempt(allocation, resume, attempts).await {
-            Ok(open) => admitted.check_answer(open, avoid.len()).await,
+        let checked = match admitted.attempt(allocation, resume, &attempts).await {
+            Ok(open) => admitted.check_answer(open, &attempts).await,
             Err(failed) => Err(failed),
         };
         let failed = match checked {
-            Ok(checked) => return Ok(checked.deliver(admitted, caller)),
+            Ok(checked) => return Ok(checked.deliver(admitted, caller, attempts)),
             Err(failed) => failed,
         };
         admitted.log_failure(&upstream, &failed);
         if !failed.is_withheld() {
             avoid.push(failed.at_fault().unwrap_or(&upstream).clone());
         }
+        if let Some(kind) = failed.kind() {
+            attempts.record(kind);
+        }
         pending = match &failed {
-            attempt::Failure::Unsent(_) => dispatched.refused(),
-            attempt::Failure::Withheld(_) => {
-                attempts -= 1;
-                dispatched.withheld()
-            }
-            attempt::Failure::Refused { .. } => {
-                refusals += 1;
-                dispatched.refused()
-            }
-            attempt::Failure::Lost(detail) => {
-                lost = true;
-                dispatched
-                    .lost()
-                    .retry()
-                    .map_err(|outcome| attempt::upstream_fault(outcome, detail))?
-            }
+            attempt::Failure::Unsent(_) | attempt::Failure::Refused { .. } => dispatched.refused(),
+            attempt::Failure::Withheld(_) => dispatched.withheld(),
+            attempt::Failure::Lost(detail) => dispatched
+                .lost()
+                .retry()
+                .map_err(|outcome| attempt::upstream_fault(outcome, detail))?,
         };
-        *may_have_run = lost;
-        if !admitted.may_retry(pending.attempts(), refusals, &failed) {
+        *may_have_run = attempts.runs() > 0;
+        if !admitted.may_retry(&attempts, &failed) {
             return Err(failed.to_fault(pending.end()));
         }
         last_failure = Some(failed);
@@ -299,7 +287,13 @@
 
 impl CheckedAnswer {
     /// Turns the answer into the response to the caller; a stream goes on in a task of its own.
-    fn deliver(self, admitted: Admitted, caller: Caller) -> web::HttpResponse {
+    /// `attempts` are those before it.
+    fn deliver(
+        self,
+        admitted: Admitted,
+        caller: Caller,
+        attempts: attempts::Attempts,
+    ) -> web::HttpResponse {
         let closing = admitted.state.phase() > state::Phase::Serving;
         match self {
             CheckedAnswer::Complete { status, headers, body, is_proven } => {
@@ -326,7 +320,7 @@
                 if !promised.marks_end() {
                     builder.no_chunking().force_close();
                 }
-                let body = stream::start(admitted, *open, caller, promised);
+                let body = stream::start(admitted, *open, caller, promised, attempts);
                 builder.streaming(body)
             }
         }
@@ -353,20 +347,27 @@
         }
     }
 
-    /// Whether another attempt is worthwhile and within the limits of the request. `refusals` is the
-    /// number of refused attempts so far, and `attempts` the number of attempts so far, as passed to
-    /// [`Admitted::attempt`]. Whether the retry budget allows it is asked when it is placed.
+    /// Returns the count of attempts of a request that was not sent.
+    fn no_attempts(&self) -> attempts::Attempts {
+        let runs = self.route.max_attempts;
+        attempts::Attempts::new(attempts::Limits {
+            runs,
+            refusals: MAX_REFUSALS,
+            unsent: runs + MAX_REFUSALS,
+        })
+    }
+
+    /// Whether another attempt is worthwhile and within the limits of the request. `attempts` are
+    /// those that ended, the one that `failed` included. Whether the retry budget allows it is asked
+    /// when it is placed.
     pub(crate) fn may_retry(
         &self,
-        attempts: u32,
-        refusals: u32,
+        attempts: &attempts::Attempts,
         failed: &attempt::Failure,
     ) -> bool {
-        let within_limits = match failed {
-            attempt::Failure::Unsent(_) => attempts < self.route.max_attempts + MAX_REFUSALS,
-            attempt::Failure::Refused { .. } => refusals <= MAX_REFUSALS,
-            attempt::Failure::Lost(_) => attempts < self.route.max_attempts + refusals,
-            attempt::Failure::Withheld(_) => true,
+        let within_limits = match failed.kind() {
+            Some(kind) => attempts.may_follow(kind),
+            None => attempts.runs_left() > 0,
         };
         if !within_limits {
             self.record_retry_refusal(metrics::RetryRefusal::Attempts);
@@ -395,14 +396,13 @@
         self.state.with_placer(&self.service, |placer, now| placer.record_activity(upstream, now));
     }
 
-    /// Sends the request to an upstream and waits for the head of its answer. `attempts` is the
-    /// number of attempts including this one; the resumption of a stream does not count those that
-    /// were refused or not sent.
+    /// Sends the request to an upstream and waits for the head of its answer. `attempts` are those
+    /// before this one.
     pub(crate) async fn attempt(
         &self,
         allocation: place::Allocation,
         last_event: Option<u64>,
-        attempts: u32,
+        attempts: &attempts::Attempts,
     ) -> Result<OpenAnswer, attempt::Failure> {
         let place::Allocation { placement, id: dispatch_id, in_flight, leave, placed_at } =
             allocation;
@@ -430,7 +430,7 @@
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
-        self.log_dispatch(&placement, dispatch_id.number, attempts, through.as_ref());
+        self.log_dispatch(&placement, dispatch_id.number, attempts.total() + 1, through.as_ref());
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
@@ -454,7 +454,7 @@
                         )));
                     }
                     // The last upstream that may be tried is not abandoned: it may merely be busy.
-                    Err(_) if !self.has_attempts_left(attempts) => {}
+                    Err(_) if !self.may_run_elsewhere(attempts) => {}
                     Err(_) => {
                         let silent = self.state.clock.now().since(sent);
                         if let Some(why) = self.abandon_reason(&placement, dispatch_id, silent) {
@@ -623,11 +623,12 @@
         self.state.record_observation(&self.service, message::Observation::new(upstream, outcome));
     }
 
-    /// Checks the head of an answer, and reads its body unless it is a stream.
+    /// Checks the head of an answer, and reads its body unless it is a stream. `attempts` are those
+    /// before it.
     pub(crate) async fn check_answer(
         &self,
         mut open: OpenAnswer,
-        earlier_attempts: usize,
+        attempts: &attempts::Attempts,
     ) -> Result<CheckedAnswer, attempt::Failure> {
         let status = open.answer.status().as_u16();
         let headers = open.answer.headers();
@@ -679,8 +680,7 @@
             self.record_outcome(peer, message::UpstreamOutcome::Erred);
         }
         let repeatable = self.route.kind.may_repeat();
-        let is_last = earlier_attempts + 1 >= self.route.max_attempts as usize
-            || self.time_left() < MIN_TIME_LEFT;
+        let is_last = attempts.runs_left() <= 1 || self.time_left() < MIN_TIME_LEFT;
         if status >= 500 && repeatable && !is_last {
             return Err(attempt::Failure::Lost(format!("{peer}: answered with status {status}")));
         }
--- a/crates/lagoon-gateway/src/silence.rs
+++ b/crates/lagoon-gateway/src/silence.rs
@@ -2,6 +2,7 @@
 
 use lagoonline::clock;
 use lagoonline::id;
+use lagoonline::lifecycle::attempts;
 use lagoonline::load::placement;
 
 use crate::forward;
@@ -75,8 +76,9 @@
         expected + self.route.target * MAX_LATE_TARGETS + LOST_PACKET_ALLOWANCE
     }
 
-    /// Whether another upstream may be tried after `attempts` attempts.
-    pub(crate) fn has_attempts_left(&self, attempts: u32) -> bool {
-        self.route.kind.may_repeat() && attempts < self.route.max_attempts
+    /// Whether the request may run on another upstream than the one that has it, after `attempts`
+    /// that ended.
+    pub(crate) fn may_run_elsewhere(&self, attempts: &attempts::Attempts) -> bool {
+        self.route.kind.may_repeat() && attempts.runs_left() > 1
     }
 }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -19,7 +19,7 @@
 use lagoonline::clock::Clock as _;
 use lagoonline::event_stream;
 use lagoonline::id;
-use lagoonline::lifecycle::{completeness, quarantine};
+use lagoonline::lifecycle::{attempts, completeness, quarantine};
 use lagoonline::load::progress;
 use lagoonline::outcome::Reason;
 use lagoonline::routing;
@@ -48,13 +48,16 @@
 /// Time that a stream may run beyond its deadline, so that one which is about to end can finish.
 const MAX_OVERTIME: clock::Span = clock::Span::from_millis(150);
 
-/// Starts a task that forwards the events of `open`, and returns the body that it feeds.
+/// Starts a task that forwards the events of `open`, and returns the body that it feeds. `attempts`
+/// are those of the request before.
 pub(crate) fn start(
     admitted: forward::Admitted,
     open: forward::OpenAnswer,
     caller: forward::Caller,
     promised: completeness::Framing,
+    mut attempts: attempts::Attempts,
 ) -> body::Body {
+    attempts.record(attempts::Kind::Run);
     let account = admitted.request.account.clone();
     let (sender, body) = body::channel(account.clone());
     let body_sender = sender.clone();
@@ -66,7 +69,7 @@
         reader: event_stream::Reader::default(),
         partial: 0,
         events: 0,
-        upstreams: 1,
+        attempts,
         begun: None,
         went_on: false,
         waits_for_silent: false,
@@ -144,8 +147,8 @@
     last_event: Option<u64>,
     /// Events forwarded so far.
     events: u64,
-    /// Upstreams that count against the route's limit; refused and unsent attempts do not.
-    upstreams: u32,
+    /// Attempts of the request, the current one included.
+    attempts: attempts::Attempts,
     /// When the first event of the current upstream's answer arrived.
     begun: Option<clock::Moment>,
     /// Whether that answer went on for long enough to show that its prompt crashes no upstream.
@@ -193,7 +196,7 @@
             .text("how", how)
             .text("told", self.told(end))
             .number("events", self.events)
-            .number("upstreams", self.upstreams)
+            .number("upstreams", self.attempts.runs())
             .span("longest_pause_ms", self.longest_pause)
             .span("silent_ms", self.silent_for())
             .span("after_ms", self.since_arrival())
@@ -327,8 +330,7 @@
             return None;
         };
         let mut failed = attempt::Failure::Lost(failure.to_string());
-        let mut refusals = 0;
-        while self.admitted.may_retry(self.upstreams, refusals, &failed) {
+        while self.admitted.may_retry(&self.attempts, &failed) {
             let allocation = match self.admitted.allocate(avoid, true).await {
                 Ok(allocation) => allocation,
                 Err(place::Refusal::NoRetry) => {
@@ -344,17 +346,14 @@
                 }
             };
             let upstream = allocation.placement.primary.upstream.clone();
-            let checked = match self
-                .admitted
-                .attempt(allocation, self.last_event, self.upstreams + 1)
-                .await
-            {
-                Ok(open) => self.admitted.check_answer(open, avoid.len()).await,
-                Err(failed) => Err(failed),
-            };
+            let checked =
+                match self.admitted.attempt(allocation, self.last_event, &self.attempts).await {
+                    Ok(open) => self.admitted.check_answer(open, &self.attempts).await,
+                    Err(failed) => Err(failed),
+                };
             failed = match checked {
                 Ok(forward::CheckedAnswer::Stream { open, .. }) => {
-                    self.upstreams += 1;
+                    self.attempts.record(attempts::Kind::Run);
                     return Some(*open);
                 }
                 Ok(forward::CheckedAnswer::Complete { status, .. }) => {
@@ -362,10 +361,8 @@
                 }
                 Err(failed) => failed,
             };
-            match failed {
-                attempt::Failure::Refused { .. } => refusals += 1,
-                attempt::Failure::Lost(_) => self.upstreams += 1,
-                attempt::Failure::Unsent(_) | attempt::Failure::Withheld(_) => {}
+            if let Some(kind) = failed.kind() {
+                self.attempts.record(kind);
             }
             self.admitted.log_failure(&upstream, &failed);
             if !failed.is_withheld() {
@@ -488,7 +485,9 @@
     fn should_abandon(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
         let timeout = self.silence_timeout();
         // The last upstream that may be tried is not abandoned: it may merely be busy.
-        let may_move = !self.waits_for_silent && self.admitted.has_attempts_left(self.upstreams);
+        let may_move = !self.waits_for_silent
+            && self.admitted.route.kind.may_repeat()
+            && self.attempts.runs_left() > 0;
         if !may_move || silent < MIN_SILENCE.min(timeout) {
             return false;
         }
--- a/crates/lagoonline/src/lifecycle/mod.rs
+++ b/crates/lagoonline/src/lifecycle/mod.rs
@@ -1,6 +1,7 @@
 //! Request lifecycle: at-most-once dispatch, idempotency keys, cleanup of engine memory, quarantine
 //! and shutdown.
 
+pub mod attempts;
 pub mod claim;
 pub mod completeness;
 pub mod drain;
