Mark the end of each answer to a caller, and only of whole ones

Callers saw streams that ended in order before their last event.

Cause: an answer that came without a length or chunks was passed on so, since 'the end of its connection promises nothing'. That premise was wrong: a client takes a body that ends in order for whole (RFC 9112, section 8). So a host that knew that an answer was broken had no way to say so, its own death looked like a good end, and a process that nobody asked counted as alive. Class: a hop turns what it knows into less than it knows.

Now each answer to a caller of HTTP/1.1 is in chunks or has a length, and ends so only if it is taken for whole. HTTP/1.0 has no chunks: its callers get streams with a length, or 502. A process is probed also if its upstream is leaving or no longer listed; if it cannot be asked, the stream goes on elsewhere or is told as broken. A body whose task panics never ends, and its connection is closed.

--- a/crates/lagoon-gateway/src/body.rs
+++ b/crates/lagoon-gateway/src/body.rs
@@ -21,10 +21,19 @@
 /// smaller one is covered by what counts for each request.
 const MIN_ACCOUNTED_BODY: usize = 16 << 10;
 
-/// A body whose pieces come from a task. It ends when all senders are dropped.
+/// What is sent of a body.
+#[derive(Debug)]
+enum Piece {
+    Bytes(util::Bytes),
+    /// The body is whole.
+    End,
+}
+
+/// A body whose pieces come from a task. It ends only if its sender finishes it: one that is dropped
+/// before, as by a panic, leaves a body that is not whole.
 #[derive(Debug)]
 pub(crate) struct Body {
-    events: mpsc::UnboundedReceiver<util::Bytes>,
+    events: mpsc::UnboundedReceiver<Piece>,
     account: buffers::Account,
     /// Cancelled when the server has taken the whole body, or needs no more of it.
     ended: CancellationToken,
@@ -37,11 +46,15 @@
         mut self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<Option<Self::Item>> {
-        let event = task::ready!(self.events.poll_recv(context));
-        if let Some(event) = &event {
-            self.account.take(event.len());
+        match task::ready!(self.events.poll_recv(context)) {
+            Some(Piece::Bytes(bytes)) => {
+                self.account.take(bytes.len());
+                task::Poll::Ready(Some(Ok(bytes)))
+            }
+            Some(Piece::End) => task::Poll::Ready(None),
+            // The connection is closed by whoever dropped the sender.
+            None => task::Poll::Pending,
         }
-        task::Poll::Ready(event.map(Ok))
     }
 }
 
@@ -54,7 +67,7 @@
 /// Sends the pieces of a body.
 #[derive(Clone, Debug)]
 pub(crate) struct Sender {
-    pieces: mpsc::UnboundedSender<util::Bytes>,
+    pieces: mpsc::UnboundedSender<Piece>,
     account: buffers::Account,
     ended: CancellationToken,
 }
@@ -83,7 +96,7 @@
     fn push(&self, piece: util::Bytes) -> Result<(), Closed> {
         let length = piece.len();
         self.account.wait(length);
-        self.pieces.send(piece).map_err(|_| {
+        self.pieces.send(Piece::Bytes(piece)).map_err(|_| {
             self.account.take(length);
             Closed
         })
@@ -98,7 +111,7 @@
     /// the caller is cut off before.
     pub(crate) async fn finish(self, io: Option<&ntex::io::IoRef>) {
         let Sender { pieces, account, ended } = self;
-        drop(pieces);
+        drop(pieces.send(Piece::End));
         tokio::select! {
             biased;
             () = ended.cancelled() => {}
@@ -115,24 +128,6 @@
     (sender, Body { events, account, ended })
 }
 
-/// Returns a body of `bytes` whose end is that of the caller's connection, and starts the task that
-/// closes it.
-pub(crate) fn unmarked(
-    bytes: util::Bytes,
-    caller: forward::Caller,
-    account: buffers::Account,
-) -> Body {
-    let (sender, body) = channel(account);
-    drop(ntex::rt::spawn(async move {
-        // A caller that has left needs no body.
-        if sender.push(bytes).is_ok() {
-            close_or_cut(caller.io.as_ref(), &sender).await;
-        }
-        drop(caller);
-    }));
-    body
-}
-
 /// Starts a task that accounts for a body of `length` bytes, which is not streamed, until the
 /// caller's connection has taken it.
 pub(crate) fn watch(length: usize, caller: forward::Caller, account: buffers::Account) {
@@ -158,6 +153,29 @@
     }
 }
 
+/// Closes the caller's connection when it is dropped, unless its answer ended by then.
+#[derive(Debug)]
+pub(crate) struct Guard {
+    io: Option<ntex::io::IoRef>,
+}
+
+impl Guard {
+    pub(crate) fn new(io: Option<&ntex::io::IoRef>) -> Guard {
+        Guard { io: io.cloned() }
+    }
+
+    /// Keeps the connection.
+    pub(crate) fn disarm(mut self) {
+        self.io = None;
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        terminate(self.io.as_ref());
+    }
+}
+
 /// Closes the connection and discards what was not sent.
 pub(crate) fn terminate(io: Option<&ntex::io::IoRef>) {
     if let Some(io) = io {
@@ -177,14 +195,6 @@
     }
 }
 
-/// As [`close`], unless the caller is cut off before to free memory.
-pub(crate) async fn close_or_cut(io: Option<&ntex::io::IoRef>, sender: &Sender) {
-    tokio::select! {
-        () = close(io, sender) => {}
-        () = sender.account.wait_for_cut() => terminate(io),
-    }
-}
-
 /// Waits until the whole body was written to the connection, or the connection is closed. Closing
 /// it earlier would discard what a slow caller has not taken within the server's timeout.
 async fn flush(io: &ntex::io::IoRef, sender: &Sender) {
--- a/crates/lagoon-gateway/src/conclude.rs
+++ b/crates/lagoon-gateway/src/conclude.rs
@@ -19,14 +19,12 @@
 impl forward::Admitted {
     /// Concludes whether the answer of `open` is whole whose body ended in order and whose content
     /// shows `content` about its end. If the body does not tell, the upstream's process is probed.
-    /// `promised` tells how the end is marked for the caller. Logs each answer that nothing proves
-    /// to be whole.
+    /// Logs each answer that nothing proves to be whole.
     pub(crate) async fn conclude(
         &self,
         open: &forward::OpenAnswer,
         content: completeness::Content,
         received: Received,
-        promised: completeness::Framing,
     ) -> completeness::Conclusion {
         let mut conclusion = completeness::Conclusion::of_body(open.framing, content);
         if conclusion.completeness == completeness::Completeness::Unknown {
@@ -34,7 +32,7 @@
         }
         self.state.metrics.count_answer_end(open.framing, conclusion.completeness);
         if conclusion.completeness != completeness::Completeness::Whole {
-            self.log_unproven_end(open, conclusion, received, promised);
+            self.log_unproven_end(open, conclusion, received);
         }
         conclusion
     }
@@ -44,13 +42,12 @@
         open: &forward::OpenAnswer,
         conclusion: completeness::Conclusion,
         received: Received,
-        promised: completeness::Framing,
     ) {
         let process = conclusion.process.map_or("not probed", completeness::Process::as_str);
         event::Line::new("answer_end_unproven")
             .text("request", &self.request.head.request_id)
             .text("upstream", &open.upstream)
-            .number("life", open.started_ms)
+            .number("life", open.entry.started_ms)
             .text("framing", open.framing.as_str())
             .text("connection", "closed")
             .text("end", conclusion.completeness.as_str())
@@ -58,7 +55,6 @@
             .number("bytes", received.bytes)
             .number("events", received.events)
             .number("bytes_left", received.bytes_left)
-            .text("promised", promised.as_str())
             .warn();
     }
 }
--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -13,6 +13,7 @@
 use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::lifecycle::{completeness, fingerprint, quarantine};
+use lagoonline::routing;
 
 use crate::event;
 use crate::forward;
@@ -86,7 +87,7 @@
     /// Probes whether the process that made the answer of `open` still runs. The result is unknown
     /// if the deadline is too close: the answer has to be delivered before it.
     pub(crate) async fn probe_process(&self, open: &forward::OpenAnswer) -> completeness::Process {
-        let probing = probe(&self.state, &self.service, &open.upstream, Some(open.started_ms));
+        let probing = probe_maker(&self.state, &self.service, &open.entry);
         let left = self.time_left().saturating_sub(DELIVERY_TIME);
         tokio::time::timeout(left, probing).await.unwrap_or(completeness::Process::Unknown)
     }
@@ -98,7 +99,7 @@
     service: id::Service,
     upstream: id::Upstream,
 ) {
-    let result = probe(&state, &service, &upstream, None).await;
+    let result = probe(&state, &service, &upstream).await;
     let requests = state::lock(&state.broken_requests.0).remove(&upstream).unwrap_or_default();
     let listed: Vec<_> = requests.iter().map(ToString::to_string).collect();
     if result == completeness::Process::Ended {
@@ -111,14 +112,33 @@
         .info();
 }
 
-/// Probes whether the process of `upstream` still runs: that of the lifetime `started_ms`, if given.
-/// The result is unknown after a timeout, for an upstream that is leaving, which ends as planned,
-/// and for one that is no longer listed, which may have ended long ago.
+/// Probes whether the process of `entry` still runs, which has just ended an answer. The result is
+/// unknown after a timeout, and if an upstream has ended that was leaving or is no longer listed: it
+/// may have ended as planned, after its last answer.
+async fn probe_maker(
+    state: &state::State,
+    service: &id::Service,
+    entry: &routing::Registration,
+) -> completeness::Process {
+    let name = entry.upstream.as_str();
+    let listed = state.with_placer(service, |placer, _| placer.entry(name).cloned()).flatten();
+    if listed.as_ref().is_some_and(|listed| listed.started_ms != entry.started_ms) {
+        return completeness::Process::Ended;
+    }
+    let is_staying = listed.is_some_and(|listed| !listed.leaving);
+    match connect(state, entry).await {
+        completeness::Process::Ended if !is_staying => completeness::Process::Unknown,
+        process => process,
+    }
+}
+
+/// Probes whether the process of `upstream` still runs. The result is unknown after a timeout, for
+/// an upstream that is leaving, which ends as planned, and for one that is no longer listed, which
+/// may have ended long ago.
 async fn probe(
     state: &state::State,
     service: &id::Service,
     upstream: &id::Upstream,
-    started_ms: Option<u64>,
 ) -> completeness::Process {
     let entry = state.with_placer(service, |placer, _| placer.entry(upstream.as_str()).cloned());
     let Some(entry) = entry.flatten().filter(|entry| !entry.leaving) else {
@@ -128,10 +148,12 @@
             .info();
         return completeness::Process::Unknown;
     };
-    if started_ms.is_some_and(|started_ms| started_ms != entry.started_ms) {
-        return completeness::Process::Ended;
-    }
-    match path::connect(state, &entry, path::Purpose::RUNNING, PROBE_TIMEOUT).await {
+    connect(state, &entry).await
+}
+
+/// Opens a connection to `entry`, which tells whether a process listens at its address.
+async fn connect(state: &state::State, entry: &routing::Registration) -> completeness::Process {
+    match path::connect(state, entry, path::Purpose::RUNNING, PROBE_TIMEOUT).await {
         Ok(_) => completeness::Process::Running,
         Err(failure) if failure.verdict == path::Verdict::Refused => completeness::Process::Ended,
         Err(_) => completeness::Process::Unknown,
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -126,8 +126,8 @@
     pub(crate) head_at: clock::Moment,
     /// How the end of its body is marked.
     pub(crate) framing: completeness::Framing,
-    /// When the upstream's lifetime began, as [`routing::Registration::started_ms`].
-    pub(crate) started_ms: u64,
+    /// The upstream as it was listed when it was chosen.
+    pub(crate) entry: routing::Registration,
     /// Whether the upstream had a limit on its requests when it was chosen.
     pub(crate) limited: bool,
     /// The host that carries the connection, if it is not direct.
@@ -193,7 +193,7 @@
             Err(failed) => Err(failed),
         };
         let failed = match checked {
-            Ok(checked) => return Ok(checked.deliver(admitted, caller, attempts)),
+            Ok(checked) => return checked.deliver(admitted, caller, attempts).await,
             Err(failed) => failed,
         };
         admitted.log_failure(&upstream, &failed);
@@ -266,62 +266,47 @@
 /// An upstream's answer, checked as far as needed before the caller sees any of it.
 #[derive(Debug)]
 pub(crate) enum CheckedAnswer {
-    /// An answer that was read to its end. If nothing proves that it is whole, the caller's body
-    /// ends with its connection.
-    Complete { status: u16, headers: Vec<head::Header>, body: Bytes, is_proven: bool },
+    /// An answer that was read to its end and is whole.
+    Complete { status: u16, headers: Vec<head::Header>, body: Bytes },
     /// A stream that has begun.
     Stream { status: u16, headers: Vec<head::Header>, open: Box<OpenAnswer> },
 }
 
-impl Caller {
-    /// Returns how the end of a stream is marked for this caller that begins with an answer of
-    /// `framing`. It is not marked if that answer's is not: the host cannot vouch for its end.
-    fn promise(&self, framing: completeness::Framing) -> completeness::Framing {
-        if framing.marks_end() && self.reads_chunks {
-            completeness::Framing::Chunks
-        } else {
-            completeness::Framing::Connection
-        }
-    }
-}
-
 impl CheckedAnswer {
     /// Turns the answer into the response to the caller; a stream goes on in a task of its own.
     /// `attempts` are those before it.
-    fn deliver(
+    async fn deliver(
         self,
         admitted: Admitted,
         caller: Caller,
         attempts: attempts::Attempts,
-    ) -> web::HttpResponse {
+    ) -> Result<web::HttpResponse, answer::Fault> {
         let closing = admitted.state.phase() > state::Phase::Serving;
         match self {
-            CheckedAnswer::Complete { status, headers, body, is_proven } => {
+            CheckedAnswer::Complete { status, headers, body } => {
                 let span = admitted.state.clock.now().since(admitted.request.arrived);
                 // Answers that are not streamed are recorded without a prompt length.
                 admitted.state.metrics.record_first_event(0, span);
                 admitted.state.metrics.count_answer(admitted.service.as_str(), None);
-                admitted.log_end(if is_proven { "whole" } else { "unknown" }, status);
+                admitted.log_end("whole", status);
                 let mut builder = answer::forward_head(status, &headers, closing);
                 let body = ntex::util::Bytes::copy_from_slice(&body);
                 let account = admitted.request.account;
                 // From here on it waits for the caller.
                 account.release(body.len());
-                if is_proven {
-                    body::watch(body.len(), caller, account);
-                    return builder.body(body);
-                }
-                let body = body::unmarked(body, caller, account);
-                builder.no_chunking().force_close().streaming(body)
+                body::watch(body.len(), caller, account);
+                Ok(builder.body(body))
             }
             CheckedAnswer::Stream { status, headers, open } => {
-                let promised = caller.promise(open.framing);
                 let mut builder = answer::forward_head(status, &headers, closing);
-                if !promised.marks_end() {
-                    builder.no_chunking().force_close();
+                if caller.reads_chunks {
+                    let body = stream::start(admitted, *open, caller, attempts);
+                    return Ok(builder.streaming(body));
                 }
-                let body = stream::start(admitted, *open, caller, promised, attempts);
-                builder.streaming(body)
+                let body = stream::collect(admitted, *open, caller, attempts).await;
+                body.map(|body| builder.body(body)).ok_or_else(|| {
+                    attempt::upstream_fault(Outcome::Unknown, "the stream was broken off")
+                })
             }
         }
     }
@@ -474,7 +459,7 @@
             upstream: primary.upstream.clone(),
             sent_at: sent,
             head_at: self.state.clock.now(),
-            started_ms: primary.started_ms,
+            entry: primary.clone(),
             limited: placement.limited,
             through,
         })
@@ -670,10 +655,11 @@
         })?;
         let content = plain_content(open.framing, read.json, &body);
         let received = conclude::Received { bytes: body.len(), ..Default::default() };
-        let unmarked = completeness::Framing::Connection;
-        let conclusion = self.conclude(&open, content, received, unmarked).await;
-        if conclusion.completeness == completeness::Completeness::Broken {
-            self.record_broken_connection(peer, quarantine::Progress::Unknown);
+        let conclusion = self.conclude(&open, content, received).await;
+        if !conclusion.is_deliverable() {
+            if conclusion.completeness == completeness::Completeness::Broken {
+                self.record_broken_connection(peer, quarantine::Progress::Unknown);
+            }
             return Err(attempt::Failure::Lost(format!("{peer}: the answer ended early")));
         }
         if status >= 500 {
@@ -691,10 +677,9 @@
                 self.record_begun(open.head_at);
             }
         }
-        let is_proven = conclusion.completeness == completeness::Completeness::Whole;
         let body = body.freeze();
         held.keep();
-        Ok(CheckedAnswer::Complete { status, headers: forwarded, body, is_proven })
+        Ok(CheckedAnswer::Complete { status, headers: forwarded, body })
     }
 
     /// Records that the engine at `address` failed to help `primary`, so that it is avoided for a
--- a/crates/lagoon-gateway/src/heads.rs
+++ b/crates/lagoon-gateway/src/heads.rs
@@ -83,7 +83,7 @@
         let origin = Origin {
             service: &self.service,
             upstream: &open.upstream,
-            started_ms: open.started_ms,
+            started_ms: open.entry.started_ms,
             request: Some(&self.request.head.request_id),
             through: open.through.as_ref(),
             sent_at: open.sent_at,
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -151,6 +151,11 @@
         self.with_budget(service, |budget, now| budget.record_request(now));
     }
 
+    /// Whether a retry is left that no failure asks for, see [`retry::Budget::has_spare`].
+    pub(crate) fn has_spare_retry(&self, service: &id::Service) -> bool {
+        self.with_current_budget(service, |budget, now| budget.has_spare(now))
+    }
+
     /// Whether a retry is likely to be allowed.
     pub(crate) fn has_retry(&self, service: &id::Service) -> bool {
         if self.decides_on_retries() {
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -6,15 +6,15 @@
 //! could look like a complete one. So only complete events are forwarded, and a resumed answer
 //! starts after the last event that was forwarded.
 //!
-//! The caller's body is in chunks if the first upstream marked the end of its own, and ends with the
-//! connection if not. A stream that was broken off and cannot be resumed ends without its last
-//! chunk; a body without chunks then ends inside the event that was cut, if there is one. Nothing
-//! else can tell its caller: the connection is not reset, which would discard what was sent.
+//! The caller's body is in chunks, whatever the framing of its upstreams. A stream that was broken off
+//! and cannot be resumed ends without its last chunk. A caller of HTTP/1.0, which has no chunks, gets
+//! the stream with a length once it has ended.
 
 use std::future;
 use std::pin;
 use std::task;
 
+use futures_util::{FutureExt, StreamExt};
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::event_stream;
@@ -54,29 +54,14 @@
     admitted: forward::Admitted,
     open: forward::OpenAnswer,
     caller: forward::Caller,
-    promised: completeness::Framing,
-    mut attempts: attempts::Attempts,
+    attempts: attempts::Attempts,
 ) -> body::Body {
-    attempts.record(attempts::Kind::Run);
     let account = admitted.request.account.clone();
     let (sender, body) = body::channel(account.clone());
     let body_sender = sender.clone();
-    let forwarder = Forwarder {
-        last_event: admitted.request.head.last_event,
-        admitted,
-        sender,
-        promised,
-        reader: event_stream::Reader::default(),
-        partial: 0,
-        events: 0,
-        attempts,
-        begun: None,
-        went_on: false,
-        waits_for_silent: false,
-        last_forwarded: clock::Moment::START,
-        longest_pause: clock::Span::ZERO,
-    };
+    let forwarder = Forwarder::new(admitted, sender, attempts);
     drop(ntex::rt::spawn(async move {
+        let guard = body::Guard::new(caller.io.as_ref());
         let disconnected = async {
             match &caller.io {
                 Some(io) => tokio::select! {
@@ -88,23 +73,51 @@
         };
         let io = caller.io.as_ref();
         match forwarder.run(open, disconnected, account.wait_for_cut()).await {
-            End::Complete if promised.marks_end() => body_sender.finish(io).await,
-            End::Complete | End::Unproven => body::close_or_cut(io, &body_sender).await,
+            End::Complete => {
+                body_sender.finish(io).await;
+                guard.disarm();
+            }
             End::Broken => body::cut(io, &body_sender).await,
-            End::TooSlow => body::terminate(io),
-            End::CallerLeft => {}
+            End::TooSlow | End::CallerLeft => {}
         }
         drop(caller);
     }));
     body
 }
 
+/// Returns the whole stream that begins with `open`; `None` if it was broken off, or is too large.
+pub(crate) async fn collect(
+    admitted: forward::Admitted,
+    open: forward::OpenAnswer,
+    caller: forward::Caller,
+    attempts: attempts::Attempts,
+) -> Option<util::BytesMut> {
+    let account = admitted.request.account.clone();
+    let (sender, mut body) = body::channel(account.clone());
+    let forwarder = Forwarder::new(admitted, sender, attempts);
+    let mut running = pin::pin!(forwarder.run(open, future::pending(), account.wait_for_cut()));
+    let mut bytes = util::BytesMut::new();
+    let end = loop {
+        tokio::select! {
+            biased;
+            piece = body.next() => bytes.extend_from_slice(&piece?.ok()?),
+            end = &mut running => break end,
+        }
+        if bytes.len() > forward::MAX_BUFFERED_BODY {
+            return None;
+        }
+    };
+    drop(caller);
+    while let Some(piece) = body.next().now_or_never().flatten() {
+        bytes.extend_from_slice(&piece.ok()?);
+    }
+    (end == End::Complete).then_some(bytes)
+}
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum End {
     Complete,
-    /// Nothing shows that it was broken off, and nothing that it is whole.
-    Unproven,
     CallerLeft,
     /// The caller took nothing for so long that it was cut off to free memory.
     TooSlow,
@@ -123,8 +136,11 @@
     /// The upstream has been silent for this long. Its connection is still open.
     #[error("silent for {0:?}")]
     Silent(clock::Span),
-    /// The answer may be whole, but the caller was promised an end mark that it came without.
-    #[error("ended without the end mark that the caller was promised")]
+    /// The answer ended in order, without an end mark, and its upstream still runs.
+    #[error("ended without an end mark")]
+    Unconfirmed(completeness::Conclusion),
+    /// As [`Failure::Unconfirmed`], but it is not known whether its upstream still runs.
+    #[error("ended without an end mark, and its upstream cannot be asked")]
     Unproven,
     /// The caller closed its connection.
     #[error("the caller left")]
@@ -138,8 +154,6 @@
 struct Forwarder {
     admitted: forward::Admitted,
     sender: body::Sender,
-    /// How the end of the caller's body is marked.
-    promised: completeness::Framing,
     reader: event_stream::Reader,
     /// Bytes of an incomplete event that are accounted for.
     partial: usize,
@@ -147,6 +161,8 @@
     last_event: Option<u64>,
     /// Events forwarded so far.
     events: u64,
+    /// The end of a stream that its upstream says is whole while another one is asked.
+    unconfirmed: Option<Unconfirmed>,
     /// Attempts of the request, the current one included.
     attempts: attempts::Attempts,
     /// When the first event of the current upstream's answer arrived.
@@ -160,7 +176,38 @@
     longest_pause: clock::Span,
 }
 
+/// An end in order without an end mark.
+#[derive(Clone, Debug)]
+struct Unconfirmed {
+    upstream: id::Upstream,
+    conclusion: completeness::Conclusion,
+}
+
 impl Forwarder {
+    /// `attempts` are those before the one that has begun to answer.
+    fn new(
+        admitted: forward::Admitted,
+        sender: body::Sender,
+        mut attempts: attempts::Attempts,
+    ) -> Forwarder {
+        attempts.record(attempts::Kind::Run);
+        Forwarder {
+            last_event: admitted.request.head.last_event,
+            admitted,
+            sender,
+            reader: event_stream::Reader::default(),
+            partial: 0,
+            events: 0,
+            unconfirmed: None,
+            attempts,
+            begun: None,
+            went_on: false,
+            waits_for_silent: false,
+            last_forwarded: clock::Moment::START,
+            longest_pause: clock::Span::ZERO,
+        }
+    }
+
     async fn run<Disconnected, Cut>(
         mut self,
         open: forward::OpenAnswer,
@@ -185,7 +232,6 @@
     fn log_end(&self, end: End) {
         let (how, reason) = match end {
             End::Complete => ("whole", None),
-            End::Unproven => ("unknown", None),
             End::CallerLeft => ("caller_left", Some(Reason::CallerLeft)),
             End::TooSlow => ("too_slow", Some(Reason::SlowCaller)),
             End::Broken => ("broken", Some(Reason::UpstreamFailed)),
@@ -194,7 +240,6 @@
         event::Line::new("stream_ended")
             .text("request", &self.admitted.request.head.request_id)
             .text("how", how)
-            .text("told", self.told(end))
             .number("events", self.events)
             .number("upstreams", self.attempts.runs())
             .span("longest_pause_ms", self.longest_pause)
@@ -203,16 +248,6 @@
             .info();
     }
 
-    /// Returns how the end of the stream looks to its caller.
-    fn told(&self, end: End) -> &'static str {
-        match (end, self.promised.marks_end()) {
-            (End::Complete, true) => "marked",
-            (End::Broken, true) | (End::TooSlow, _) => "cut",
-            (End::Complete | End::Unproven | End::Broken, _) => "closed in order",
-            (End::CallerLeft, _) => "",
-        }
-    }
-
     /// Returns the time since the last event was forwarded, or since the request arrived if there
     /// was none.
     fn silent_for(&self) -> clock::Span {
@@ -246,12 +281,16 @@
             if matches!(failure, Failure::Broken(_) | Failure::Silent(_)) {
                 self.admitted.record_unresponsive(&upstream);
             }
+            if let Failure::Unconfirmed(conclusion) = failure {
+                let upstream = upstream.clone();
+                self.unconfirmed = Some(Unconfirmed { upstream, conclusion });
+            }
             if let Failure::Violated(violation) = failure {
                 self.admitted.record_violation(&upstream, violation);
             }
             avoid.push(upstream);
             let is_open = matches!(failure, Failure::Silent(_));
-            match self.resume(&mut avoid, failure).await {
+            match self.continue_elsewhere(&mut avoid, failure).await {
                 Some(next) => {
                     // The rest of an event that the next upstream sends from its beginning.
                     drop(self.reader.take_rest());
@@ -260,9 +299,10 @@
                     self.waits_for_silent = false;
                     open = next;
                 }
+                None if self.unconfirmed.is_some() => return self.end_unconfirmed(),
                 // The silent upstream may be sound, and nobody else takes the stream.
                 None if is_open => self.waits_for_silent = true,
-                None => return self.end_broken().await,
+                None => return End::Broken,
             }
         }
     }
@@ -279,24 +319,36 @@
                 self.admitted.record_begun(begun);
             }
         }
-        match conclusion.completeness {
-            completeness::Completeness::Whole => End::Complete,
-            completeness::Completeness::Unknown | completeness::Completeness::Broken => {
-                End::Unproven
-            }
-        }
+        End::Complete
     }
 
-    /// Ends a stream that was broken off. Without chunks, the bytes of the event that was cut show
-    /// the caller that it was.
-    async fn end_broken(&mut self) -> End {
-        let cut_event = self.reader.take_rest();
-        if !self.promised.marks_end()
-            && self.forward(util::Bytes::copy_from_slice(&cut_event)).await.is_err()
-        {
-            return End::CallerLeft;
+    /// Ends a stream whose end only its own upstream vouches for.
+    fn end_unconfirmed(&mut self) -> End {
+        let Some(end) = self.unconfirmed.take() else { return End::Broken };
+        self.end_complete(&end.upstream, end.conclusion)
+    }
+
+    /// As [`Self::resume`], within the time for which a caller waits for the confirmation of an end.
+    async fn continue_elsewhere(
+        &mut self,
+        avoid: &mut Vec<id::Upstream>,
+        failure: Failure,
+    ) -> Option<forward::OpenAnswer> {
+        if self.unconfirmed.is_none() {
+            return self.resume(avoid, failure).await;
         }
-        End::Broken
+        let limit = self.silence_timeout();
+        tokio::time::timeout(limit, self.resume(avoid, failure)).await.ok().flatten()
+    }
+
+    /// Whether another upstream may be asked for what follows an end that nothing confirms. It reads
+    /// the prompt once more for a stream that is mostly whole.
+    fn may_confirm(&self) -> bool {
+        let routing::Kind::Stream { resumable, .. } = self.admitted.route.kind else {
+            return false;
+        };
+        let may_run = resumable && self.attempts.runs_left() > 0;
+        may_run && self.admitted.state.has_spare_retry(&self.admitted.service)
     }
 
     fn log_failure(
@@ -310,7 +362,6 @@
             .text("upstream", upstream)
             .text("error", failure)
             .text("framing", framing.as_str())
-            .text("promised", self.promised.as_str())
             .number("events", self.events)
             .number("bytes_left", self.reader.buffered())
             .span("after_ms", self.since_arrival())
@@ -468,14 +519,18 @@
             completeness::Content::Silent
         };
         let received = conclude::Received { bytes, events, bytes_left: self.reader.buffered() };
-        let conclusion = self.admitted.conclude(open, content, received, self.promised).await;
+        let conclusion = self.admitted.conclude(open, content, received).await;
         if conclusion.completeness == completeness::Completeness::Broken {
             self.record_broken_answer(open, events);
             let how = if conclusion.process.is_some() { "its process" } else { "inside an event" };
             return Err(Failure::Broken(format!("ended early: {how}")));
         }
-        match completeness::next(conclusion.completeness, self.promised) {
+        match conclusion.next() {
             completeness::Next::Finish => self.forward_rest().await.map(|()| conclusion),
+            completeness::Next::Confirm if !self.may_confirm() => {
+                self.forward_rest().await.map(|()| conclusion)
+            }
+            completeness::Next::Confirm => Err(Failure::Unconfirmed(conclusion)),
             completeness::Next::Resume => Err(Failure::Unproven),
         }
     }
@@ -484,6 +539,9 @@
     /// busy gets twice the timeout.
     fn should_abandon(&self, upstream: &id::Upstream, silent: clock::Span) -> bool {
         let timeout = self.silence_timeout();
+        if self.unconfirmed.is_some() {
+            return silent >= timeout;
+        }
         // The last upstream that may be tried is not abandoned: it may merely be busy.
         let may_move = !self.waits_for_silent
             && self.admitted.route.kind.may_repeat()
@@ -521,6 +579,12 @@
             }
             self.last_event = event.number.or(self.last_event);
             has_content |= !event.is_comment;
+            if !event.is_comment
+                && let Some(end) = self.unconfirmed.take()
+            {
+                // The upstream ended its answer early.
+                self.admitted.record_failure(&end.upstream);
+            }
             self.forward(util::Bytes::copy_from_slice(&event.bytes)).await?;
             if self.events == 0 {
                 let tokens = self.admitted.request.head.prompt_tokens.unwrap_or(0);
--- a/crates/lagoon-load/src/completeness/mod.rs
+++ b/crates/lagoon-load/src/completeness/mod.rs
@@ -23,8 +23,8 @@
     /// As [`Way::Content`], and another upstream is asked to continue after the last event of each
     /// other one, if the stream may be resumed.
     Asked,
-    /// As [`Way::Content`], and the process is probed: the stream is broken if it has ended and
-    /// whole if not.
+    /// As [`Way::Content`], and the process is probed: the stream is whole if it runs. If it does not
+    /// run or cannot be asked, another upstream continues or the stream is broken.
     Probed,
     /// As [`Way::Content`], and the caller of each other one gets no end mark either.
     Doubt,
--- a/crates/lagoon-load/src/completeness/simulation.rs
+++ b/crates/lagoon-load/src/completeness/simulation.rs
@@ -274,7 +274,9 @@
         let mut random = StdRng::seed_from_u64(stream.arrived ^ (stream.tokens << 20));
         let (conclusion, probe_ms) = self.conclude(framing, end, hop);
         let at = end.at + hop + probe_ms;
-        if completeness::next(conclusion, stream.promised) == completeness::Next::Finish {
+        let is_in_doubt = conclusion == completeness::Completeness::Unknown;
+        let passes_doubt_on = is_in_doubt && !stream.promised.marks_end();
+        if conclusion == completeness::Completeness::Whole || passes_doubt_on {
             return self.finish(&stream, is_whole);
         }
         let may_resume = stream.resumable && stream.attempts < MAX_ATTEMPTS && self.retries >= 1.0;
@@ -325,8 +327,7 @@
             _ => completeness::Process::Running,
         };
         conclusion = conclusion.with_process(process);
-        let is_vouched_for = self.way == Way::Probed
-            && conclusion.completeness == completeness::Completeness::Unknown;
+        let is_vouched_for = self.way == Way::Probed && conclusion.is_deliverable();
         let vouched = completeness::Completeness::Whole;
         (if is_vouched_for { vouched } else { conclusion.completeness }, 2 * hop)
     }
--- a/crates/lagoonline/src/lifecycle/completeness.rs
+++ b/crates/lagoonline/src/lifecycle/completeness.rs
@@ -3,8 +3,11 @@
 //! A length and a last chunk mark the end of a body. A body without them ends with its connection,
 //! which looks the same after a crash. Then only the content can show that the body was cut, and
 //! only the end of the upstream's process that a crash did it; otherwise it is unknown whether the
-//! answer is whole. An answer never leaves a host with a stronger promise than it came with, unless
-//! its content is a proof.
+//! answer is whole.
+//!
+//! To its reader, a body that ends in order is whole, also without a mark (RFC 9112, section 8). So
+//! a host lets a body end in order only if it takes it for whole, and marks the end of each body:
+//! without a mark it could not tell a broken one, and its own death would look like a good end.
 
 /// How the end of a body is marked (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -184,32 +187,50 @@
     }
 }
 
+impl Conclusion {
+    /// Decides how a stream goes on.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::{Conclusion, Content, Framing, Next, Process};
+    /// let unmarked = Conclusion::of_body(Framing::Connection, Content::Silent);
+    /// assert_eq!(unmarked.with_process(Process::Running).next(), Next::Confirm);
+    /// assert_eq!(unmarked.with_process(Process::Unknown).next(), Next::Resume);
+    /// ```
+    pub fn next(&self) -> Next {
+        match (self.completeness, self.process) {
+            (Completeness::Whole, _) => Next::Finish,
+            (Completeness::Unknown, Some(Process::Running)) => Next::Confirm,
+            (Completeness::Unknown | Completeness::Broken, _) => Next::Resume,
+        }
+    }
+
+    /// Whether an answer that cannot be asked for once more is delivered as whole.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::completeness::{Conclusion, Content, Framing, Process};
+    /// let unmarked = Conclusion::of_body(Framing::Connection, Content::Silent);
+    /// assert!(unmarked.with_process(Process::Running).is_deliverable());
+    /// assert!(!unmarked.with_process(Process::Ended).is_deliverable());
+    /// ```
+    pub fn is_deliverable(&self) -> bool {
+        self.next() != Next::Resume
+    }
+}
+
 /// What follows for the caller when an upstream's part of a stream has ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Next {
-    /// The caller's body ends as it was promised.
+    /// The caller's body ends with its end mark.
     Finish,
-    /// Another upstream continues after the last event. If none may, the caller's body ends without
-    /// its end mark.
+    /// The upstream ended it in order and still runs, so it is whole unless the upstream is faulty.
+    /// Another upstream is asked what follows the last event. If none may be, the body ends with its
+    /// end mark.
+    Confirm,
+    /// Another upstream continues after the last event. If none may, the body ends without its end
+    /// mark.
     Resume,
 }
 
-/// Decides how a stream goes on whose caller was promised an end marked by `promised`. If nothing
-/// was promised, the end of the caller's connection passes the doubt on.
-///
-/// ```
-/// use lagoonline::lifecycle::completeness::{Completeness, Framing, Next, next};
-/// assert_eq!(next(Completeness::Unknown, Framing::Connection), Next::Finish);
-/// assert_eq!(next(Completeness::Unknown, Framing::Chunks), Next::Resume);
-/// ```
-pub fn next(completeness: Completeness, promised: Framing) -> Next {
-    match completeness {
-        Completeness::Whole => Next::Finish,
-        Completeness::Unknown if !promised.marks_end() => Next::Finish,
-        Completeness::Unknown | Completeness::Broken => Next::Resume,
-    }
-}
-
 /// Returns what a body shows about its end if it is JSON. Objects, arrays and texts end themselves;
 /// a number may go on.
 ///
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -273,6 +273,27 @@
         heard * (1.0 - report.age.as_secs_f64() / self.settings.window.as_secs_f64())
     }
 
+    /// Whether more retries are left than were made, so that one which no failure asks for leaves
+    /// enough for those that follow a failure.
+    ///
+    /// ```
+    /// use lagoonline::clock::Moment;
+    /// use lagoonline::load::retry::{Budget, Settings, Sharing};
+    /// let now = Moment::from_millis(10);
+    /// let mut budget = Budget::new(Settings { slack: 10.0, ..Settings::default() });
+    /// budget.set_sharing(Some(Sharing::default()));
+    /// let optional = (0..10).filter(|_| budget.has_spare(now) && {
+    ///     budget.record_retry(now);
+    ///     true
+    /// });
+    /// assert_eq!(optional.count(), 3);
+    /// ```
+    pub fn has_spare(&self, now: clock::Moment) -> bool {
+        let others: u32 = self.reports(now).map(|report| report.usage.retries).sum();
+        let made = self.own.usage(now).retries + others;
+        self.left(now) >= f64::from(made) + 1.0
+    }
+
     /// Returns the part of the slack that this host may use.
     fn slack(&self, now: clock::Moment) -> f64 {
         let Some(sharing) = self.sharing else { return 0.0 };
