--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -221,18 +221,18 @@
 
 /// Bytes of an answer that is being buffered; they are released if it is not forwarded.
 #[derive(Debug)]
-struct Held<'a> {
+pub(crate) struct Held<'a> {
     account: &'a buffers::Account,
     bytes: cell::Cell<usize>,
 }
 
 impl Held<'_> {
-    fn new(account: &buffers::Account) -> Held<'_> {
+    pub(crate) fn new(account: &buffers::Account) -> Held<'_> {
         Held { account, bytes: cell::Cell::new(0) }
     }
 
     /// Adds `bytes`; returns false if this host cannot hold them.
-    fn add(&self, bytes: usize) -> bool {
+    pub(crate) fn add(&self, bytes: usize) -> bool {
         self.bytes.set(self.bytes.get() + bytes);
         self.account.keep(bytes)
     }
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -85,7 +85,8 @@
     body
 }
 
-/// Returns the whole stream that begins with `open`; `None` if it was broken off, or is too large.
+/// Returns the whole stream that begins with `open`; `None` if it was broken off, or if it is larger
+/// than the host can hold.
 pub(crate) async fn collect(
     admitted: forward::Admitted,
     open: forward::OpenAnswer,
@@ -96,20 +97,22 @@
     let (sender, mut body) = body::channel(account.clone());
     let forwarder = Forwarder::new(admitted, sender, attempts);
     let mut running = pin::pin!(forwarder.run(open, future::pending(), account.wait_for_cut()));
+    let held = forward::Held::new(&account);
     let mut bytes = util::BytesMut::new();
+    let mut add = |piece: util::Bytes| {
+        bytes.extend_from_slice(&piece);
+        (held.add(piece.len()) && bytes.len() <= forward::MAX_BUFFERED_BODY).then_some(())
+    };
     let end = loop {
         tokio::select! {
             biased;
-            piece = body.next() => bytes.extend_from_slice(&piece?.ok()?),
+            piece = body.next() => add(piece?.ok()?)?,
             end = &mut running => break end,
         }
-        if bytes.len() > forward::MAX_BUFFERED_BODY {
-            return None;
-        }
     };
     drop(caller);
     while let Some(piece) = body.next().now_or_never().flatten() {
-        bytes.extend_from_slice(&piece.ok()?);
+        add(piece.ok()?)?;
     }
     (end == End::Complete).then_some(bytes)
 }
