Take a part of an event for proof that a stream was ended early

A caller saw a stream as whole whose upstream had ended it early, though the upstream that was asked to confirm its end had begun to send the next event and was reset.

--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -325,10 +325,17 @@
         End::Complete
     }
 
-    /// Ends a stream whose end only its own upstream vouches for.
+    /// Ends a stream whose end only its own upstream vouches for, unless another one has begun to
+    /// send what follows.
     fn end_unconfirmed(&mut self) -> End {
-        let Some(end) = self.unconfirmed.take() else { return End::Broken };
-        self.end_complete(&end.upstream, end.conclusion)
+        match self.unconfirmed.take() {
+            Some(end) if self.reader.is_inside_event() => {
+                self.admitted.record_failure(&end.upstream);
+                End::Broken
+            }
+            Some(end) => self.end_complete(&end.upstream, end.conclusion),
+            None => End::Broken,
+        }
     }
 
     /// As [`Self::resume`], within the time for which a caller waits for the confirmation of an end.
--- a/crates/lagoon-gateway/tests/stream_ends.rs
+++ b/crates/lagoon-gateway/tests/stream_ends.rs
@@ -155,6 +155,18 @@
     assert_eq!((&answer.body[..], answer.end), (&raw::events_after(0, "\n")[..], End::Marked));
 }
 
+/// A stream that its upstream ended early looked complete although another one had begun to send what
+/// was missing.
+#[rstest]
+fn a_part_of_an_event_shows_that_a_stream_was_ended_early() {
+    let host = Host::start_raw();
+    let early = Script { cut: Some(after(4, 0)), ..UNFRAMED };
+    host.standin.script(&[early, Script { cut: Some(9), end: Ending::Reset, ..WHOLE }]);
+    let answer = prompt(&host, "talk", "1.1");
+    let events = &raw::events_after(0, "\n")[..after(4, 0)];
+    assert_eq!((&answer.body[..], answer.end), (events, End::Early));
+}
+
 /// Streams that are whole were told as broken since nobody could confirm their end.
 #[rstest]
 #[case::refused(&[UNFRAMED, REFUSED, REFUSED, REFUSED])]
