--- a/crates/lagoon-net/tests/entry/runner.rs
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -21,6 +21,8 @@
     /// The same, by HTTP/1.0.
     AnswerHttp10,
     CloseAfterReading,
+    /// Closes after this many bytes of the head of its answer.
+    CloseInsideHead(usize),
     RefuseAsNotRun,
 }
 
@@ -68,6 +70,11 @@
             format!("HTTP/1.0 201 Created\r\nLagoon-Attempt: {attempt}\r\n\r\nbin")
         }
         Runner::CloseAfterReading => String::new(),
+        Runner::CloseInsideHead(length) => {
+            let whole = answer(Runner::Answer, attempt);
+            let head = whole.split_once("\r\n\r\n").unwrap().0;
+            whole[..length.min(head.len() + 3)].to_owned()
+        }
         Runner::RefuseAsNotRun => "HTTP/1.1 503 Service Unavailable\r\nLagoon-Not-Run: 1\r\n\
              Content-Length: 0\r\nConnection: close\r\n\r\n"
             .to_owned(),
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -65,6 +65,15 @@
 #[case("POST", Runner::AnswerHttp10, 1)]
 #[case("GET", Runner::AnswerUnframed, 2)]
 #[case("GET", Runner::AnswerHttp10, 2)]
+// In the status line, after it, in a field, after all fields, and before the last line end.
+#[case("POST", Runner::CloseInsideHead(7), 1)]
+#[case("POST", Runner::CloseInsideHead(22), 1)]
+#[case("POST", Runner::CloseInsideHead(60), 1)]
+#[case("POST", Runner::CloseInsideHead(72), 1)]
+#[case("POST", Runner::CloseInsideHead(usize::MAX), 1)]
+#[case("GET", Runner::CloseInsideHead(22), 2)]
+#[case("GET", Runner::CloseInsideHead(72), 2)]
+#[case("GET", Runner::CloseInsideHead(usize::MAX), 2)]
 fn a_lost_answer_is_unknown(#[case] method: &str, #[case] runner: Runner, #[case] sent: usize) {
     let (first, first_calls) = start(runner);
     let (second, second_calls) = start(runner);
