Log what each host used of a retry budget; tests of its windows with gateways as processes

Each host now logs once a second what it did for a service since its start, with what it heard of the others and how old that is; dispatch says what it follows. retry_windows plays hosts as processes, upstreams that freeze with what the kernel keeps for them, and datagrams that take their time.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -415,11 +415,11 @@
         }
         let request = self.encode(&placement, in_flight.reservations(), last_event);
         let request = request.map_err(|error| attempt::Failure::Unsent(error.to_string()))?;
-        self.log_dispatch(&placement, dispatch_id.number, attempts.total() + 1, through.as_ref());
+        self.log_dispatch(&placement, dispatch_id.number, attempts, through.as_ref());
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
-        self.record_send(leave);
+        self.record_send(leave, attempts);
         self.state.count_send(primary);
         let sent = self.state.clock.now();
         let answer = {
@@ -476,13 +476,14 @@
         })
     }
 
-    /// Records that a dispatch is sent now.
-    fn record_send(&self, leave: place::Leave) {
+    /// Records that a dispatch is sent now, after `attempts`.
+    fn record_send(&self, leave: place::Leave, attempts: &attempts::Attempts) {
         match leave {
             place::Leave::First => return,
             place::Leave::Own(charge) => charge.send(),
             place::Leave::Scheduler => self.state.record_granted_retry(&self.service),
         }
+        self.state.count_retry(&self.service, attempts.last_sent());
         self.state.metrics.retries.inc();
     }
 
@@ -708,7 +709,7 @@
         &self,
         placement: &placement::Placement,
         number: u64,
-        attempt: u32,
+        attempts: &attempts::Attempts,
         through: Option<&id::Host>,
     ) {
         let helpers: Vec<_> =
@@ -725,7 +726,9 @@
             .text("parts", self.listed_parts())
             .text("upstream", &placement.primary.upstream)
             .number("dispatch", number)
-            .number("attempt", attempt)
+            .number("attempt", attempts.total() + 1)
+            // What the attempt that was sent before ended as; empty for the first.
+            .text("after", attempts.last_sent().map_or("", attempts::Kind::as_str))
             // The host that carries the connection, if it is not direct.
             .text("through", through.map_or("", id::Host::as_str))
             .number("prompt_tokens", self.request.head.prompt_tokens.unwrap_or(0))
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -5,6 +5,7 @@
 //! a zone with a scheduler, which places all retries anyway, the scheduler decides.
 
 mod message;
+mod totals;
 
 use std::collections;
 use std::sync;
@@ -13,6 +14,7 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::lifecycle::attempts;
 use lagoonline::load::retry;
 
 use crate::event;
@@ -28,7 +30,7 @@
 /// taken away and comes back must not bring new retries.
 #[derive(Debug, Default)]
 pub(crate) struct Budgets {
-    budgets: sync::Mutex<collections::BTreeMap<id::Service, retry::Budget>>,
+    budgets: sync::Mutex<collections::BTreeMap<id::Service, Account>>,
     /// Whether the table of hosts was read.
     hosts_listed: atomic::AtomicBool,
     /// The largest number of zones seen. A zone whose hosts are no longer listed may still serve.
@@ -38,6 +40,13 @@
     known_at: sync::Mutex<Option<clock::Moment>>,
 }
 
+/// The retry budget of a service, and what is logged of it.
+#[derive(Debug)]
+struct Account {
+    budget: retry::Budget,
+    totals: totals::Totals,
+}
+
 /// A retry that was taken from the budget. Unless it is sent, it goes back when it is dropped.
 #[derive(Debug)]
 pub(crate) struct Charge {
@@ -67,6 +76,14 @@
     fn with_budget<Act, Output>(&self, service: &id::Service, act: Act) -> Output
     where
         Act: FnOnce(&mut retry::Budget, clock::Moment) -> Output,
+    {
+        self.with_account(service, |account, now| act(&mut account.budget, now))
+    }
+
+    /// Calls `act` with the account of `service` and the current time.
+    fn with_account<Act, Output>(&self, service: &id::Service, act: Act) -> Output
+    where
+        Act: FnOnce(&mut Account, clock::Moment) -> Output,
     {
         let bounds = &self.settings.node.bounds;
         let settings = retry::Settings {
@@ -75,9 +92,10 @@
             window: bounds.retry_window,
         };
         let mut budgets = state::lock(&self.retries.budgets);
-        let new = || retry::Budget::new(settings);
-        let budget = budgets.entry(service.clone()).or_insert_with(new);
-        act(budget, self.clock.now())
+        let new =
+            || Account { budget: retry::Budget::new(settings), totals: totals::Totals::default() };
+        let account = budgets.entry(service.clone()).or_insert_with(new);
+        act(account, self.clock.now())
     }
 
     /// Calls `act` like [`State::with_budget`] after the division of the slack was updated.
@@ -148,7 +166,15 @@
 
     /// Records a request of a caller.
     pub(crate) fn record_request(&self, service: &id::Service) {
-        self.with_budget(service, |budget, now| budget.record_request(now));
+        self.with_account(service, |account, now| {
+            account.totals.requests += 1;
+            account.budget.record_request(now);
+        });
+    }
+
+    /// Counts a retry that is sent, for the log. `after` is how the attempt before it ended.
+    pub(crate) fn count_retry(&self, service: &id::Service, after: Option<attempts::Kind>) {
+        self.with_account(service, |account, _| account.totals.count_retry(after));
     }
 
     /// Whether a retry is left that no failure asks for, see [`retry::Budget::has_spare`].
@@ -213,7 +239,7 @@
     pub(crate) fn used_retries(&self) -> Vec<Used> {
         let now = self.clock.now();
         let budgets = state::lock(&self.retries.budgets);
-        let used = budgets.iter().map(|(service, budget)| (service, budget.own_usage(now)));
+        let used = budgets.iter().map(|(service, known)| (service, known.budget.own_usage(now)));
         let used = used.filter(|(_, usage)| *usage != retry::Usage::default());
         used.map(|(service, usage)| Used::new(service, usage)).collect()
     }
@@ -233,8 +259,8 @@
     /// `silent` ago.
     pub(crate) fn end_retries_of(&self, incarnation: u64, silent: clock::Span) {
         let now = self.clock.now();
-        for budget in state::lock(&self.retries.budgets).values_mut() {
-            budget.record_end(incarnation, silent, now);
+        for account in state::lock(&self.retries.budgets).values_mut() {
+            account.budget.record_end(incarnation, silent, now);
         }
     }
 
@@ -244,7 +270,7 @@
         let now = self.clock.now();
         let known_at = (*state::lock(&self.retries.known_at))?;
         let mut reports = Vec::new();
-        for (service, budget) in state::lock(&self.retries.budgets).iter() {
+        for (service, Account { budget, .. }) in state::lock(&self.retries.budgets).iter() {
             let usage = budget.own_usage(now);
             let host = self.incarnation;
             let own = retry::Report { host, usage, age: clock::Span::ZERO, has_ended: false };
@@ -282,19 +308,22 @@
         self.with_current_budget(service, |budget, now| budget.left(now))
     }
 
-    /// Updates the metrics of the retry budgets, and forgets what is no longer in their windows.
-    pub(crate) fn update_retry_metrics(&self) {
+    /// Updates the metrics of the retry budgets, logs them, and forgets what is no longer in their
+    /// windows.
+    pub(crate) fn report_retries(&self) {
         let sharing = self.retry_sharing();
         let now = self.clock.now();
         let mut budgets = state::lock(&self.retries.budgets);
-        for budget in budgets.values_mut() {
-            budget.expire(now);
+        for account in budgets.values_mut() {
+            account.budget.expire(now);
         }
-        budgets
-            .retain(|service, budget| self.service_state(service).is_some() || budget.is_used(now));
-        for (service, budget) in budgets.iter_mut() {
+        budgets.retain(|service, account| {
+            self.service_state(service).is_some() || account.budget.is_used(now)
+        });
+        for (service, Account { budget, totals }) in budgets.iter_mut() {
             budget.set_sharing(sharing);
             self.metrics.set_retries(service, budget.own_usage(now).retries, budget.left(now));
+            self.log_budget(service, budget, totals, sharing);
         }
     }
 }
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -379,7 +379,7 @@
         self.expire_paths();
         self.expire_backoffs();
         self.buffers.update_metrics();
-        self.update_retry_metrics();
+        self.report_retries();
     }
 
     /// Records the age of another host's last confirmation of the desired state.
--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -1,6 +1,7 @@
 //! An entry host with a stand-in of the platform's store, two engines and two replicas.
 
 pub mod caller;
+pub mod process;
 
 use std::io::{Read, Write};
 use std::net;
--- /dev/null
+++ b/crates/lagoon-gateway/tests/host/process.rs
@@ -0,0 +1,101 @@
+//! The gateway as a process of its own.
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net;
+use std::path;
+use std::process;
+use std::thread;
+use std::time;
+
+use crate::standin::Standin;
+
+/// Identity and settings of a process.
+#[derive(Clone, Copy, Debug)]
+pub struct ProcessSettings<'a> {
+    pub name: &'a str,
+    pub zone: &'a str,
+    /// Window of the retry budget in seconds.
+    pub retry_window_s: u64,
+    /// Retries of all hosts in a window beyond the allowed share of requests.
+    pub retry_slack: u64,
+    /// Address of the store; that of the stand-in if `None`.
+    pub store: Option<net::SocketAddr>,
+}
+
+impl Default for ProcessSettings<'_> {
+    fn default() -> Self {
+        ProcessSettings { name: "h1", zone: "a", retry_window_s: 10, retry_slack: 50, store: None }
+    }
+}
+
+/// A running process.
+#[derive(Debug)]
+pub struct Process {
+    pub child: process::Child,
+    pub callers: net::SocketAddr,
+    /// Where it writes its log.
+    log: path::PathBuf,
+    node: path::PathBuf,
+}
+
+impl Process {
+    /// Starts the gateway on free ports, and waits until it is ready.
+    pub fn start(standin: &Standin, settings: ProcessSettings<'_>) -> Process {
+        let ports = [(); 4].map(|()| {
+            let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
+            listener.local_addr().unwrap().port()
+        });
+        let [callers, ready, first, last] = ports;
+        let ProcessSettings { name, zone, retry_window_s, retry_slack, store } = settings;
+        let file = format!("lagoon-gateway-{}-{callers}", process::id());
+        let node = std::env::temp_dir().join(format!("{file}.yaml"));
+        let log = std::env::temp_dir().join(format!("{file}.log"));
+        let store = store.unwrap_or(standin.store_address);
+        let text = format!(
+            "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:{callers}\"\n  \
+             Ready: \"127.0.0.1:{ready}\"\nInternalPorts: [{first}, {last}]\nPlatform:\n  \
+             Address: \"{store}\"\nLimits:\n  MemoryMb: 256\nBounds:\n  GraceS: 8\n  \
+             RevokeMs: 5000\n  BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
+        );
+        fs::write(&node, text).unwrap();
+        let child = process::Command::new(env!("CARGO_BIN_EXE_lagoon-gateway"))
+            .arg("--node")
+            .arg(&node)
+            .stdout(fs::File::create(&log).unwrap())
+            .stderr(process::Stdio::null())
+            .spawn()
+            .unwrap();
+        let address = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
+        let process = Process { child, callers: address(callers), log, node };
+        let began = time::Instant::now();
+        while !is_ready(address(ready)) {
+            assert!(began.elapsed() < super::STEP_TIMEOUT, "not ready");
+            thread::sleep(time::Duration::from_millis(20));
+        }
+        process
+    }
+
+    /// Returns the lines logged so far about `event`.
+    pub fn logged(&self, event: &str) -> Vec<serde_json::Value> {
+        let text = fs::read_to_string(&self.log).unwrap();
+        let lines = text.lines().filter_map(|line| serde_json::from_str(line).ok());
+        lines.filter(|line: &serde_json::Value| line["event"] == event).collect()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        drop(self.child.kill());
+        drop(self.child.wait());
+        drop(fs::remove_file(&self.node));
+        drop(fs::remove_file(&self.log));
+    }
+}
+
+fn is_ready(address: net::SocketAddr) -> bool {
+    let Ok(mut stream) = net::TcpStream::connect(address) else { return false };
+    drop(stream.write_all(b"GET /api/ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"));
+    let mut head = [0; 16];
+    stream.read(&mut head).is_ok() && head.starts_with(b"HTTP/1.1 200")
+}
--- /dev/null
+++ b/crates/lagoon-gateway/tests/retry_windows.rs
@@ -0,0 +1,186 @@
+//! Tests of the bound on retries with the gateway as processes, counted when upstreams read them.
+
+#[path = "../../../platform/tests/standin/mod.rs"]
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod standin;
+
+#[allow(dead_code, reason = "each test program uses a part of it")]
+mod host;
+
+use std::collections;
+use std::net;
+use std::sync;
+use std::thread;
+use std::time;
+
+use rstest::rstest;
+
+use host::process::{Process, ProcessSettings};
+use host::{caller, desired};
+use standin::frozen::Freezer;
+use standin::mesh::Mesh;
+use standin::{Behavior, Standin};
+
+const ENGINES: usize = 6;
+/// Window in which retries are counted, and its length in seconds.
+const WINDOW_S: u64 = 4;
+const WINDOW: time::Duration = time::Duration::from_secs(WINDOW_S);
+/// Retries of all hosts in a window: this share of its requests, and this number beyond.
+const RETRY_RATIO: f64 = 0.2;
+const RETRY_SLACK: u64 = 20;
+/// Hosts and their zones.
+const HOSTS: [(&str, &str); 3] = [("h1", "a"), ("h2", "a"), ("h3", "a")];
+
+/// Hosts that are processes, and engines that may be frozen.
+struct Fleet {
+    standin: Standin,
+    engines: Vec<Freezer>,
+    hosts: Vec<Process>,
+    mesh: Mesh,
+    /// When each prompt was sent.
+    prompts: sync::Mutex<Vec<time::Instant>>,
+}
+
+impl Fleet {
+    fn start() -> Fleet {
+        let standin = Standin::start();
+        standin.put("op", "config", &desired(1, &["k1"], 8_000));
+        let start = |number| Freezer::start(&standin, &format!("e{number}"), "llm", 200);
+        let engines = (0..ENGINES).map(start).collect();
+        let mesh = Mesh::open(&HOSTS.map(|(name, _)| name));
+        let join = |(name, zone)| {
+            let entrance = standin.entrance();
+            entrance.set_mesh(name, &mesh);
+            let settings = ProcessSettings {
+                name,
+                zone,
+                retry_window_s: WINDOW_S,
+                retry_slack: RETRY_SLACK,
+                store: Some(entrance.address),
+            };
+            Process::start(&standin, settings)
+        };
+        let hosts = HOSTS.map(join).into();
+        // Until hosts that started know of the window before them.
+        thread::sleep(WINDOW);
+        Fleet { standin, engines, hosts, mesh, prompts: sync::Mutex::default() }
+    }
+
+    /// Makes all engines behave so from now on.
+    fn behave(&self, behavior: Behavior) {
+        (0..ENGINES).for_each(|number| self.standin.behavior(&format!("e{number}"), behavior));
+    }
+
+    /// Freezes all engines until `wake`.
+    fn freeze_until(&self, wake: time::Instant) {
+        let span = wake.saturating_duration_since(time::Instant::now());
+        self.engines.iter().for_each(|engine| engine.freeze(span));
+    }
+
+    /// Sends `count` prompts evenly over `span`, to the hosts in turn, and waits for their answers.
+    fn send(&self, count: u32, span: time::Duration) {
+        let began = time::Instant::now();
+        thread::scope(|scope| {
+            for index in 0..count {
+                let due = began + span * index / count;
+                thread::sleep(due.saturating_duration_since(time::Instant::now()));
+                let address = self.hosts[index as usize % self.hosts.len()].callers;
+                let mut prompts = self.prompts.lock().unwrap();
+                prompts.push(time::Instant::now());
+                let text = prompt(prompts.len());
+                scope.spawn(move || send_prompt(address, &text));
+            }
+        });
+    }
+
+    /// Returns when each arrival beyond the first of its request was read.
+    fn retries(&self) -> Vec<time::Instant> {
+        let mut seen = collections::HashSet::new();
+        let mut received = self.standin.received_requests();
+        received.retain(|request| request.path.starts_with("/talk/"));
+        received.sort_by_key(|request| request.at);
+        let id =
+            |request: &standin::ReceivedRequest| request.headers["lagoonline-request-id"].clone();
+        received.retain(|request| !seen.insert(id(request)));
+        received.iter().map(|request| request.at).collect()
+    }
+
+    /// Returns the largest share of the allowed retries in any window, counted as the users do: the
+    /// requests are those of the window, of the one before or of the one half a window before.
+    fn worst_share(&self) -> f64 {
+        let (prompts, retries) = (self.prompts.lock().unwrap(), self.retries());
+        let count = |times: &[time::Instant], end: time::Instant| {
+            times.iter().filter(|at| **at <= end && end - **at < WINDOW).count() as f64
+        };
+        let share = |end: &time::Instant| {
+            let requests = [0, 1, 2].map(|halves| count(&prompts, *end - WINDOW * halves / 2));
+            let requests = requests.into_iter().fold(0.0, f64::max);
+            count(&retries, *end) / (RETRY_RATIO * requests + RETRY_SLACK as f64)
+        };
+        retries.iter().map(share).fold(0.0, f64::max)
+    }
+
+    /// Checks that no window has more retries than allowed.
+    fn check_retries(&self) {
+        let share = self.worst_share();
+        let lines = self.hosts.iter().filter_map(|host| host.logged("retry_budget").pop());
+        let lines: Vec<_> = lines.map(|line| line.to_string()).collect();
+        assert!(share <= 1.0, "{share:.2} of the allowed retries; {}", lines.join("\n"));
+    }
+}
+
+fn prompt(number: usize) -> String {
+    format!(
+        "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: r{number}\r\n\
+         authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n\
+         lagoonline-token-count: 5000,400\r\ncontent-length: 0\r\n\r\n"
+    )
+}
+
+fn send_prompt(address: net::SocketAddr, text: &str) {
+    caller::call(address, text);
+}
+
+/// The log lines of a run alone must tell who used a window: no other record is left of many runs.
+#[rstest]
+fn log_lines_tell_who_made_the_retries() {
+    let fleet = Fleet::start();
+    fleet.behave(Behavior::Refuse);
+    fleet.send(60, WINDOW / 2);
+    thread::sleep(time::Duration::from_millis(1_300));
+    let last = |host: &Process| host.logged("retry_budget").pop().unwrap();
+    let lines: Vec<_> = fleet.hosts.iter().map(last).collect();
+    let sum = |field: &str| lines.iter().map(|line| line[field].as_u64().unwrap()).sum::<u64>();
+    assert_eq!(sum("requests"), 60);
+    assert_eq!(sum("retries_after_refusal"), fleet.retries().len() as u64);
+    assert_eq!(sum("retries_after_run"), 0);
+    assert!(sum("retries_after_refusal") > 0);
+}
+
+/// Retries to frozen upstreams, which the kernel keeps for them, arrived together when they woke.
+#[rstest]
+fn upstreams_that_wake_read_no_more_retries_than_allowed() {
+    let fleet = Fleet::start();
+    fleet.send(40, WINDOW / 2);
+    let wake = time::Instant::now() + WINDOW * 5 / 2;
+    fleet.freeze_until(wake);
+    fleet.send(200, WINDOW * 5 / 2);
+    fleet.send(40, WINDOW / 2);
+    thread::sleep(time::Duration::from_secs(1));
+    fleet.check_retries();
+}
+
+/// Hosts that heard late of each other's retries each took what was left for all of them.
+#[rstest]
+#[case::at_once(0)]
+#[case::a_tenth_of_a_second(100)]
+#[case::half_a_second(500)]
+fn hosts_that_hear_of_each_other_late_keep_the_bound(#[case] delay_ms: u64) {
+    let fleet = Fleet::start();
+    fleet.send(80, WINDOW);
+    fleet.mesh.set_delay(time::Duration::from_millis(delay_ms));
+    thread::sleep(time::Duration::from_secs(1));
+    fleet.behave(Behavior::Refuse);
+    fleet.send(150, time::Duration::from_millis(300));
+    fleet.check_retries();
+}
--- a/crates/lagoon-gateway/tests/stream_ends.rs
+++ b/crates/lagoon-gateway/tests/stream_ends.rs
@@ -8,13 +8,13 @@
 #[allow(dead_code, reason = "each test program uses a part of it")]
 mod host;
 
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net;
-use std::process;
 use std::thread;
 use std::time;
 
 use host::caller::{self, Answer, End, call};
+use host::process::{Process, ProcessSettings};
 use host::{Host, HostSettings};
 use rstest::rstest;
 use serde_json::json;
@@ -209,7 +209,7 @@
     let standin = host::start_upstreams(Standin::raw_upstream);
     let cut = Some(after(4, 0));
     standin.script(&[Script { framing, cut, end: Ending::Silent, ..WHOLE }]);
-    let mut process = Process::start(&standin);
+    let mut process = Process::start(&standin, ProcessSettings::default());
     let mut stream = net::TcpStream::connect(process.callers).unwrap();
     stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
     stream.write_all(prompt_text("tell", version).as_bytes()).unwrap();
@@ -218,64 +218,6 @@
     assert_whole_or_broken(&caller::read(&mut stream));
 }
 
-/// The gateway as a process of its own.
-struct Process {
-    child: process::Child,
-    callers: net::SocketAddr,
-    node: std::path::PathBuf,
-}
-
-impl Process {
-    /// Starts it on free ports, and waits until it is ready.
-    fn start(standin: &Standin) -> Process {
-        let ports = [(); 4].map(|()| {
-            let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-            listener.local_addr().unwrap().port()
-        });
-        let [callers, ready, first, last] = ports;
-        let name = format!("lagoon-gateway-{}-{callers}.yaml", process::id());
-        let node = std::env::temp_dir().join(name);
-        let store = standin.store_address;
-        let text = format!(
-            "NodeName: h1\nIp: 127.0.0.1\nZone: a\nListen:\n  Front: \"127.0.0.1:{callers}\"\n  \
-             Ready: \"127.0.0.1:{ready}\"\nInternalPorts: [{first}, {last}]\nPlatform:\n  \
-             Address: \"{store}\"\nLimits:\n  MemoryMb: 256\nBounds:\n  GraceS: 8\n  \
-             RevokeMs: 5000\n"
-        );
-        std::fs::write(&node, text).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_lagoon-gateway"))
-            .arg("--node")
-            .arg(&node)
-            .stdout(process::Stdio::null())
-            .stderr(process::Stdio::null())
-            .spawn()
-            .unwrap();
-        let address = |port| net::SocketAddr::from(([127, 0, 0, 1], port));
-        let process = Process { child, callers: address(callers), node };
-        let began = time::Instant::now();
-        while !is_ready(address(ready)) {
-            assert!(began.elapsed() < host::STEP_TIMEOUT, "not ready");
-            thread::sleep(time::Duration::from_millis(20));
-        }
-        process
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        drop(self.child.kill());
-        drop(self.child.wait());
-        drop(std::fs::remove_file(&self.node));
-    }
-}
-
-fn is_ready(address: net::SocketAddr) -> bool {
-    let Ok(mut stream) = net::TcpStream::connect(address) else { return false };
-    drop(stream.write_all(b"GET /api/ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"));
-    let mut head = [0; 16];
-    stream.read(&mut head).is_ok() && head.starts_with(b"HTTP/1.1 200")
-}
-
 /// The attempts that were made before a stream began did not count in it, so that it ran on more
 /// upstreams than its route allows.
 #[rstest]
--- a/crates/lagoonline/src/lifecycle/attempts.rs
+++ b/crates/lagoonline/src/lifecycle/attempts.rs
@@ -15,6 +15,22 @@
     Unsent,
 }
 
+impl Kind {
+    /// Returns the name in logs.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::attempts::Kind;
+    /// assert_eq!(Kind::Refusal.as_str(), "refusal");
+    /// ```
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Kind::Run => "run",
+            Kind::Refusal => "refusal",
+            Kind::Unsent => "unsent",
+        }
+    }
+}
+
 /// The bounds on the attempts of one request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -50,16 +66,20 @@
     runs: u32,
     refusals: u32,
     unsent: u32,
+    last_sent: Option<Kind>,
 }
 
 impl Attempts {
     /// The attempts of a request that was not dispatched.
     pub fn new(limits: Limits) -> Attempts {
-        Attempts { limits, runs: 0, refusals: 0, unsent: 0 }
+        Attempts { limits, runs: 0, refusals: 0, unsent: 0, last_sent: None }
     }
 
     /// Counts an attempt.
     pub fn record(&mut self, kind: Kind) {
+        if kind != Kind::Unsent {
+            self.last_sent = Some(kind);
+        }
         match kind {
             Kind::Run => self.runs += 1,
             Kind::Refusal => self.refusals += 1,
@@ -102,6 +122,19 @@
 
     /// Whether an attempt was sent to an upstream, so that another one is a retry.
     pub fn is_sent(&self) -> bool {
-        self.runs + self.refusals > 0
+        self.last_sent.is_some()
+    }
+
+    /// Returns how the last attempt ended that was sent to an upstream; a retry follows it.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::attempts::{Attempts, Kind, Limits};
+    /// let mut attempts = Attempts::new(Limits::default());
+    /// attempts.record(Kind::Refusal);
+    /// attempts.record(Kind::Unsent);
+    /// assert_eq!(attempts.last_sent(), Some(Kind::Refusal));
+    /// ```
+    pub fn last_sent(&self) -> Option<Kind> {
+        self.last_sent
     }
 }
