Divide what is left of the retries by what the other hosts know, not by when they were heard

Callers of all hosts saw their requests sent more often than the service allows. A host took its part of what was left of the zone's retries until it had heard all others again, and took the arrival of a datagram for that. Datagrams that take half a second show nothing of what was decided meanwhile, so each host took what was left for all of them. The zone's scheduler had the same fault: a report replaced the retries that it had allowed since the report was made.

A report of retries now carries the clock of its sender, and names the latest reports of the others that have arrived there. A host takes its part until all others that it hears have shown that they know what it took; after 0.7 s without that it refuses. Retries that a scheduler allowed count beside the reports.

--- a/crates/lagoon-gateway/src/mesh.rs
+++ b/crates/lagoon-gateway/src/mesh.rs
@@ -242,7 +242,7 @@
     state.record_peer_confirmation(batch.confirmed_ms);
     record_sight(state, from, batch.reaches_upstreams);
     // Before the questions below, which may ask for another retry.
-    state.apply_used(incarnation, &batch.used);
+    state.apply_retry_report(from, &batch);
     let forwards = state.forwards_for(from);
     for update in batch.words {
         apply_update(state, incarnation, update, forwards);
@@ -277,7 +277,7 @@
 /// Drops dispatches that a heartbeat no longer lists, and answers it if asked to.
 fn apply_heartbeat(state: &state::State, from: net::SocketAddr, beat: message::Heartbeat) {
     if beat.wants_answer {
-        state.send(from, &state.encode_updates(Vec::new()));
+        state.send(from, &state.encode_updates_in_zone(Vec::new()));
     }
     state.update_retry_sharing(false);
     for dispatches in beat.under_way {
--- a/crates/lagoon-gateway/src/message.rs
+++ b/crates/lagoon-gateway/src/message.rs
@@ -55,6 +55,12 @@
     /// them last began and went on.
     #[prost(string, repeated, tag = "10")]
     pub(crate) doubted: Vec<String>,
+    /// Clock of the sender in milliseconds, if `used` is its report of all budgets.
+    #[prost(uint64, optional, tag = "11")]
+    pub(crate) reported_ms: Option<u64>,
+    /// The latest such reports that have arrived at the sender from its zone.
+    #[prost(message, repeated, tag = "12")]
+    pub(crate) arrived: Vec<retries::Arrived>,
 }
 
 /// A heartbeat: identifies the host and lists its dispatches in flight.
--- a/crates/lagoon-gateway/src/peers.rs
+++ b/crates/lagoon-gateway/src/peers.rs
@@ -18,6 +18,10 @@
     number: u64,
     /// When its last datagram arrived.
     at: clock::Moment,
+    /// Its clock when it sent the latest report of its retries that arrived, in milliseconds.
+    reported_ms: Option<u64>,
+    /// When this host sent the latest report of its retries that had arrived there.
+    told_until: Option<clock::Moment>,
 }
 
 /// The other entry hosts.
@@ -92,7 +96,12 @@
         if let Some(host) = self.names.get(&address) {
             self.roster.record_contact(host, now);
         }
-        let previous = self.incarnations.insert(address, Incarnation { number, at: now });
+        let known = self.incarnations.get(&address).filter(|known| known.number == number);
+        let incarnation = match known {
+            Some(known) => Incarnation { at: now, ..*known },
+            None => Incarnation { number, at: now, reported_ms: None, told_until: None },
+        };
+        let previous = self.incarnations.insert(address, incarnation);
         match previous {
             Some(previous) if previous.number == number => Contact::Known,
             previous => Contact::New {
@@ -101,6 +110,48 @@
         }
     }
 
+    /// Records that the incarnation at `address` sent a report of its retries when its clock showed
+    /// `reported_ms`, and that until then one had arrived there which this host sent at `told_until`.
+    pub(crate) fn record_report(
+        &mut self,
+        address: net::SocketAddr,
+        reported_ms: u64,
+        told_until: Option<clock::Moment>,
+    ) {
+        if let Some(known) = self.incarnations.get_mut(&address) {
+            known.reported_ms = known.reported_ms.max(Some(reported_ms));
+            known.told_until = known.told_until.max(told_until);
+        }
+    }
+
+    /// Returns the incarnations of this zone that report their retries, each with its clock at its
+    /// latest report in milliseconds.
+    pub(crate) fn reported_in_zone(&self) -> impl Iterator<Item = (u64, u64)> {
+        let zone = self.roster.own_zone();
+        let known = self.incarnations.iter();
+        let known = known.filter(move |(address, _)| self.is_in_zone(**address, zone));
+        known.filter_map(|(_, known)| Some((known.number, known.reported_ms?)))
+    }
+
+    /// Returns, for each other host of this zone that is heard from, until when it knows of this
+    /// host's retries. Of one that does not tell, when it was last heard, less `usual`.
+    pub(crate) fn told_in_zone(
+        &self,
+        usual: clock::Span,
+        now: clock::Moment,
+    ) -> impl Iterator<Item = clock::Moment> {
+        self.roster.heard_in_zone(now).map(move |(host, at)| {
+            let address = self.addresses.get(host);
+            let known = address.and_then(|address| self.incarnations.get(address));
+            match known {
+                Some(Incarnation { reported_ms: Some(_), told_until, .. }) => {
+                    told_until.unwrap_or(clock::Moment::START)
+                }
+                _ => at.saturating_sub(usual),
+            }
+        })
+    }
+
     fn ended(
         &self,
         address: net::SocketAddr,
--- a/crates/lagoon-gateway/src/publish.rs
+++ b/crates/lagoon-gateway/src/publish.rs
@@ -117,9 +117,9 @@
             under_way,
             wants_answer,
         };
+        let batch = message::Batch { beat: Some(beat), ..message::Batch::default() };
         // Those to other zones ask for no answer.
-        let used = if wants_answer { self.used_retries() } else { Vec::new() };
-        self.encode_batch(message::Batch { beat: Some(beat), used, ..message::Batch::default() })
+        self.encode_batch(if wants_answer { self.with_retry_report(batch) } else { batch })
     }
 
     /// Encodes `batch` as a datagram of this host.
@@ -151,7 +151,7 @@
     /// Encodes `updates` as datagrams for the other hosts of this zone, with what this host used of
     /// the retry budgets.
     pub(crate) fn encode_updates_in_zone(&self, updates: Vec<message::Update>) -> Vec<Vec<u8>> {
-        let batch = message::Batch { used: self.used_retries(), ..message::Batch::default() };
+        let batch = self.with_retry_report(message::Batch::default());
         self.with_common_fields(batch).datagrams(updates)
     }
 
--- a/crates/lagoon-gateway/src/retries/message.rs
+++ b/crates/lagoon-gateway/src/retries/message.rs
@@ -33,6 +33,17 @@
     }
 }
 
+/// A report that has arrived, as its sender tells it from others.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub(crate) struct Arrived {
+    /// Number of the incarnation that sent it.
+    #[prost(fixed64, tag = "1")]
+    pub(crate) host: u64,
+    /// Clock of that incarnation when it sent it, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub(crate) reported_ms: u64,
+}
+
 /// What the hosts of a zone used of the retry budgets, told to a host that starts.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct Usages {
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -8,6 +8,7 @@
 mod totals;
 
 use std::collections;
+use std::net;
 use std::sync;
 use std::sync::atomic;
 
@@ -21,7 +22,7 @@
 use crate::message as datagram;
 use crate::state;
 
-pub(crate) use message::{Usages, Used};
+pub(crate) use message::{Arrived, Usages, Used};
 
 /// Time for which a host takes the scheduler's refusal of a retry to hold for its other requests.
 const REFUSAL_VALIDITY: clock::Span = clock::Span::from_millis(500);
@@ -126,14 +127,13 @@
             // Only the own retries are known here.
             return Some(retry::Sharing { known_at: clock::Moment::NEVER, ..sharing });
         };
-        let others: Vec<_> = roster.heard_in_zone(now).collect();
-        let heard = others.len() + 1;
+        let heard = roster.heard_in_zone(now).count() + 1;
         let sharing = retry::Sharing { heard, known_at, ..sharing };
         if roster.own_zone_has_scheduler() {
             return Some(sharing);
         }
-        let heard_at = others.into_iter().min().unwrap_or(now);
-        Some(retry::Sharing { deciders: heard, heard_at, ..sharing })
+        let told_until = peers.told_in_zone(retry::TURN, now).min().unwrap_or(now);
+        Some(retry::Sharing { deciders: heard, told_until, ..sharing })
     }
 
     /// Records that the table of hosts was read. `is_new` if it shows no row of this host, which stays
@@ -236,7 +236,7 @@
     }
 
     /// Returns what this host used of each budget, for the other hosts of its zone.
-    pub(crate) fn used_retries(&self) -> Vec<Used> {
+    fn used_retries(&self) -> Vec<Used> {
         let now = self.clock.now();
         let budgets = state::lock(&self.retries.budgets);
         let used = budgets.iter().map(|(service, known)| (service, known.budget.own_usage(now)));
@@ -244,8 +244,32 @@
         used.map(|(service, usage)| Used::new(service, usage)).collect()
     }
 
+    /// Adds to `batch`, for hosts of this zone, what this host used of each budget, and which reports
+    /// of others have arrived here.
+    pub(crate) fn with_retry_report(&self, batch: datagram::Batch) -> datagram::Batch {
+        let reported = self.clock.now().as_micros() / 1_000;
+        let peers = state::lock(&self.peers);
+        let is_shared = !peers.roster.own_zone_has_scheduler();
+        let arrived = peers.reported_in_zone().filter(|_| is_shared);
+        let arrived = arrived.map(|(host, reported_ms)| Arrived { host, reported_ms }).collect();
+        drop(peers);
+        let reported_ms = Some(reported);
+        datagram::Batch { used: self.used_retries(), reported_ms, arrived, ..batch }
+    }
+
+    /// Applies the report of retries in `batch`, which came from a host of this zone at `from`.
+    pub(crate) fn apply_retry_report(&self, from: net::SocketAddr, batch: &datagram::Batch) {
+        if let Some(reported_ms) = batch.reported_ms {
+            let own = batch.arrived.iter().filter(|arrived| arrived.host == self.incarnation);
+            let told = own.map(|arrived| clock::Moment::from_millis(arrived.reported_ms)).max();
+            let told = told.filter(|told| *told <= self.clock.now());
+            state::lock(&self.peers).record_report(from, reported_ms, told);
+        }
+        self.apply_used(batch.host, &batch.used);
+    }
+
     /// Applies what the host incarnation `sender` of this zone used.
-    pub(crate) fn apply_used(&self, sender: u64, used: &[Used]) {
+    fn apply_used(&self, sender: u64, used: &[Used]) {
         for used in used {
             let service = id::Service::from(used.service.as_str());
             let record = |budget: &mut retry::Budget, now| {
--- a/crates/lagoon-gateway/src/retries/totals.rs
+++ b/crates/lagoon-gateway/src/retries/totals.rs
@@ -86,7 +86,7 @@
             .number("zones", sharing.zones)
             .number("hosts", sharing.hosts)
             .number("heard", sharing.heard)
-            .span("heard_ms", now.since(sharing.heard_at.min(now)))
+            .span("told_ms", now.since(sharing.told_until.min(now)))
             .span("unknown_ms", unknown.min(self.settings.node.bounds.retry_window));
         // Where lines are dropped, those of retries are kept longest.
         if own.retries + others.retries > 0 { line.warn() } else { line.info() }
--- a/crates/lagoon-gateway/src/schedule.rs
+++ b/crates/lagoon-gateway/src/schedule.rs
@@ -94,8 +94,8 @@
         let (host, address) = state::lock(&state.peers).scheduler(state.clock.now())?;
         let id = state.next_dispatch_id();
         let question = question::Question::new(id.number, service, request, is_retry, time_left);
-        let used = state.used_retries();
-        let batch = message::Batch { questions: vec![question], used, ..message::Batch::default() };
+        let batch = message::Batch { questions: vec![question], ..message::Batch::default() };
+        let batch = state.with_retry_report(batch);
         let mut pending = state.questions.register(id.number);
         state.send(address, &[state.encode_batch(batch)]);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, &mut pending.receiver).await;
--- a/crates/lagoon-load/src/retries/host.rs
+++ b/crates/lagoon-load/src/retries/host.rs
@@ -29,6 +29,28 @@
     Budget(retry::Budget),
 }
 
+/// A message of one process to another.
+#[derive(Clone, Debug)]
+pub(super) struct Letter {
+    /// The host that sends it, and its process.
+    pub(super) from: usize,
+    pub(super) life: u64,
+    /// When it was sent.
+    pub(super) sent: u64,
+    /// The process of the receiver, and when it sent the last message that has arrived at the sender.
+    pub(super) arrived: Option<(u64, u64)>,
+    pub(super) reports: Vec<retry::Report>,
+    /// Time until the sender knows everything, if it tells that.
+    pub(super) unknown: Option<clock::Span>,
+}
+
+impl Letter {
+    /// A message of the process `life` of the host `from` that only shows that it runs.
+    pub(super) fn greeting(from: usize, life: u64, sent: u64) -> Letter {
+        Letter { from, life, sent, arrived: None, reports: Vec::new(), unknown: None }
+    }
+}
+
 /// A run of a host's process.
 #[derive(Debug)]
 pub(super) struct Host {
@@ -47,6 +69,10 @@
     heard: collections::BTreeMap<usize, u64>,
     /// The last process of each that was heard.
     lives: collections::BTreeMap<usize, u64>,
+    /// When each sent the last message that arrived here.
+    arrived: collections::BTreeMap<usize, u64>,
+    /// When this process sent the last message that each has shown to have got.
+    told: collections::BTreeMap<usize, u64>,
     /// When it knows what these used, on its own clock.
     known_at: clock::Moment,
     parts: usize,
@@ -107,6 +133,8 @@
             way,
             heard,
             lives: collections::BTreeMap::new(),
+            arrived: collections::BTreeMap::new(),
+            told: collections::BTreeMap::new(),
             known_at: clock::Moment::START + window(),
             parts,
             knowledge: scenario.knowledge,
@@ -157,15 +185,16 @@
             return Some(retry::Sharing { known_at: clock::Moment::NEVER, ..sharing });
         }
         let others = self.heard.iter().filter(|(other, _)| **other != self.number);
-        let heard = others.map(|(_, at)| *at).filter(|at| now.saturating_sub(*at) <= HEARD_MS);
-        let heard: Vec<_> = heard.collect();
+        let heard = others.filter(|(_, at)| now.saturating_sub(**at) <= HEARD_MS);
+        let heard: Vec<_> = heard.map(|(other, _)| *other).collect();
         let hosts = (heard.len() + 1).min(size);
         let sharing = retry::Sharing { heard: hosts, known_at: self.known_at, ..sharing };
         if self.asks() {
             return Some(sharing);
         }
-        let heard_at = self.moment(heard.into_iter().min().unwrap_or(now));
-        Some(retry::Sharing { deciders: hosts, heard_at, ..sharing })
+        let told = heard.iter().map(|other| self.told.get(other).copied().unwrap_or(self.born));
+        let told_until = self.moment(told.min().unwrap_or(now));
+        Some(retry::Sharing { deciders: hosts, told_until, ..sharing })
     }
 
     /// Records a request.
@@ -216,6 +245,12 @@
         }
     }
 
+    /// Returns the process of `other` that was heard last, and when it sent the last message that
+    /// arrived here.
+    pub(super) fn arrived(&self, other: usize) -> Option<(u64, u64)> {
+        Some((*self.lives.get(&other)?, *self.arrived.get(&other)?))
+    }
+
     /// Returns what this process used.
     pub(super) fn report(&self, now: u64) -> Option<retry::Report> {
         let Policy::Budget(budget) = &self.policy else { return None };
@@ -235,16 +270,20 @@
         Some((reports, self.known_at.since(at)))
     }
 
-    /// Applies reports that the process `from`, a host and its life, sent, with the time until it knows everything if it told
-    /// that.
-    pub(super) fn receive(
-        &mut self,
-        from: (usize, u64),
-        reports: &[retry::Report],
-        unknown: Option<clock::Span>,
-        now: u64,
-    ) {
-        let (from, life) = from;
+    /// Applies `letter`.
+    pub(super) fn receive(&mut self, letter: &Letter, now: u64) {
+        let Letter { from, life, sent, arrived, reports, unknown } = letter;
+        let (from, life, unknown) = (*from, *life, *unknown);
+        if self.lives.get(&from) != Some(&life) {
+            self.arrived.remove(&from);
+            self.told.remove(&from);
+        }
+        let last_sent = self.arrived.entry(from).or_default();
+        *last_sent = (*last_sent).max(*sent);
+        if let Some((_, told)) = arrived.filter(|(life, _)| *life == self.life) {
+            let known = self.told.entry(from).or_default();
+            *known = (*known).max(told);
+        }
         let last_heard = self.heard.insert(from, now).unwrap_or(self.born);
         let previous = self.lives.insert(from, life).filter(|previous| *previous != life);
         let (sharing, at) = (self.sharing(now), self.moment(now));
--- a/crates/lagoon-load/src/retries/scenario.rs
+++ b/crates/lagoon-load/src/retries/scenario.rs
@@ -84,6 +84,10 @@
     pub knowledge: Knowledge,
     /// Share of the messages that are lost.
     pub loss: f64,
+    /// Milliseconds that messages take beyond the usual time.
+    pub delay: u64,
+    /// Requests beyond the usual ones that come in the moment in which requests begin to fail.
+    pub burst: u64,
     /// What happens to hosts.
     pub events: Vec<Event>,
     /// Duration in seconds.
@@ -102,6 +106,8 @@
             traffic: Traffic::Even,
             knowledge: Knowledge::Right,
             loss: 0.0,
+            delay: 0,
+            burst: 0,
             events: Vec::new(),
             seconds: 40,
         }
@@ -161,6 +167,13 @@
             ..base.clone()
         },
         Scenario { name: "loss", loss: 0.05, events: series(4_000), ..base.clone() },
+        Scenario { name: "burst", burst: 300, ..base.clone() },
+        Scenario { name: "late-100", delay: 100, burst: 300, ..base.clone() },
+        Scenario { name: "late-400", delay: 400, burst: 300, ..base.clone() },
+        Scenario { name: "late-600", delay: 600, burst: 300, ..base.clone() },
+        Scenario { name: "late-900", delay: 900, burst: 300, ..base.clone() },
+        Scenario { name: "2-hosts-late", delay: 400, burst: 100, ..two.clone() },
+        Scenario { name: "85-hosts-late", delay: 400, burst: 500, ..many.clone() },
         Scenario {
             name: "count-unknown",
             knowledge: Knowledge::None,
--- a/crates/lagoon-load/src/retries/simulation.rs
+++ b/crates/lagoon-load/src/retries/simulation.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::Way;
-use super::host::{CANDIDATES, Host};
+use super::host::{CANDIDATES, Host, Letter};
 use super::report::{Record, Report};
 use super::scenario::{Event, Fault, Hosts, Scenario, Traffic};
 use crate::timeline::Timeline;
@@ -16,6 +16,8 @@
 pub(super) const WINDOW_MS: u64 = 10_000;
 /// When attempts begin to fail, in milliseconds.
 const FAILING_FROM_MS: u64 = 12_000;
+/// Milliseconds in which the requests of a burst arrive.
+const BURST_MS: u64 = 100;
 /// Milliseconds until an attempt has failed.
 const ATTEMPT_MS: std::ops::Range<u64> = 20..60;
 /// Most attempts of a request.
@@ -61,10 +63,7 @@
     },
     Deliver {
         to: usize,
-        /// The host and its process.
-        from: (usize, u64),
-        reports: Vec<retry::Report>,
-        unknown: Option<clock::Span>,
+        letter: Letter,
     },
     Start {
         host: usize,
@@ -133,6 +132,11 @@
             Traffic::Ending => (FAILING_FROM_MS + end) / 2,
             Traffic::Even | Traffic::OneHost => end,
         };
+        for number in 0..self.scenario.burst {
+            let host = self.random.random_range(0..self.scenario.hosts);
+            let at = FAILING_FROM_MS + number * BURST_MS / self.scenario.burst;
+            self.push(at, Step::Arrive { host });
+        }
         let mut at = 0.0;
         loop {
             at += -f64::ln(1.0 - self.random.random::<f64>()) * 1e3 / self.scenario.rate;
@@ -156,14 +160,14 @@
                 self.tell(host, true);
                 self.push(self.now + HEARTBEAT_MS, Step::Heartbeat { host });
             }
-            Step::Deliver { to, from, reports, unknown } => {
+            Step::Deliver { to, letter } => {
                 let now = self.now;
                 let Some(host) = self.hosts[to].as_mut() else { return };
                 if host.frozen_until > now {
                     let at = host.frozen_until;
-                    return self.push(at, Step::Deliver { to, from, reports, unknown });
+                    return self.push(at, Step::Deliver { to, letter });
                 }
-                host.receive(from, &reports, unknown, now);
+                host.receive(&letter, now);
             }
             Step::Start { host } => self.start(host),
             Step::Happen(event) => self.happen(event),
@@ -180,7 +184,7 @@
         for other in audience {
             let now = self.now;
             let Some(peer) = self.hosts[other].as_mut() else { continue };
-            peer.receive((number, self.lives), &[], None, now);
+            peer.receive(&Letter::greeting(number, self.lives, now), now);
             if let Some((reports, unknown)) = peer.knowledge(self.now) {
                 self.send(other, number, reports, Some(unknown));
             }
@@ -343,11 +347,13 @@
         if is_cut || self.random.random_bool(self.scenario.loss) {
             return;
         }
-        let delay =
-            self.random.random_range(DELAY_MS) + if is_remote { REMOTE_DELAY_MS } else { 0 };
-        let life = self.hosts[from].as_ref().map_or(0, |host| host.life);
-        let from = (from, life);
-        self.push(self.now + delay, Step::Deliver { to, from, reports, unknown });
+        let remote = if is_remote { REMOTE_DELAY_MS } else { 0 };
+        let delay = self.random.random_range(DELAY_MS) + self.scenario.delay + remote;
+        let Some(host) = self.hosts[from].as_ref() else { return };
+        let arrived = host.arrived(to);
+        let letter =
+            Letter { arrived, reports, unknown, ..Letter::greeting(from, host.life, self.now) };
+        self.push(self.now + delay, Step::Deliver { to, letter });
     }
 
     fn happen(&mut self, event: Event) {
--- a/crates/lagoon-load/tests/retries.rs
+++ b/crates/lagoon-load/tests/retries.rs
@@ -25,6 +25,12 @@
 #[case("isolated")]
 #[case("freeze")]
 #[case("loss")]
+#[case("late-100")]
+#[case("late-400")]
+#[case("late-600")]
+#[case("late-900")]
+#[case("2-hosts-late")]
+#[case("85-hosts-late")]
 #[case("count-unknown")]
 #[case("count-half")]
 #[case("count-double")]
@@ -129,8 +135,17 @@
         1 => Just(Knowledge::Double),
     ];
     let loss = prop_oneof![Just(0.0), Just(0.05)];
-    (fleet, traffic, knowledge, loss, 0.3..1.0_f64, schedule()).prop_map(
-        |((hosts, zones, rate, slack), traffic, knowledge, loss, failing, events)| Scenario {
+    let late = (prop_oneof![3 => Just(0), 1 => 50..1_000_u64], prop_oneof![Just(0), 50..400_u64]);
+    (fleet, traffic, knowledge, loss, late, 0.3..1.0_f64, schedule()).prop_map(
+        |(
+            (hosts, zones, rate, slack),
+            traffic,
+            knowledge,
+            loss,
+            (delay, burst),
+            failing,
+            events,
+        )| Scenario {
             name: "drawn",
             hosts,
             zones,
@@ -140,6 +155,8 @@
             traffic,
             knowledge,
             loss,
+            delay,
+            burst,
             events,
             seconds: 36,
         },
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -5,7 +5,7 @@
 use super::window::{Usage, Window};
 use crate::clock;
 
-/// Time within which hosts of a zone hear of each other's retries.
+/// Time within which hosts of a zone mostly hear of each other's retries.
 pub const TURN: clock::Span = clock::Span::from_millis(50);
 /// Share of the allowed ratio that is used by hosts which know what was used in the whole window.
 /// Of the requests of any window of a budget, at least three quarters lie in the one window in which
@@ -25,8 +25,9 @@
 /// the three shares together exceed nine tenths of the slack.
 const START_SLACK_SHARE: f64 = 0.05;
 
-/// Age of a report from which on the requests in it do not count: its host may be cut off, and uses
-/// them itself. It covers two heartbeats within a zone.
+/// Age of a report from which on the requests in it do not count, since its host may be cut off and
+/// uses them itself, and from which on nobody waits for what follows it. It covers two heartbeats
+/// within a zone.
 const MAX_REPORT_AGE: clock::Span = clock::Span::from_millis(700);
 
 /// Time without a message after which an incarnation that has ended may have been cut off before,
@@ -63,8 +64,9 @@
     pub heard: usize,
     /// When everything will be known here that these hosts used in the window before.
     pub known_at: clock::Moment,
-    /// When the last one of the other deciders that are heard had been heard; now if there are none.
-    pub heard_at: clock::Moment,
+    /// Until when each of the other deciders that are heard knows what this host took; now if there
+    /// are none. That they are heard does not show it: what arrives now may have been sent long ago.
+    pub told_until: clock::Moment,
 }
 
 impl Default for Sharing {
@@ -75,7 +77,7 @@
             hosts: 1,
             heard: 1,
             known_at: clock::Moment::START,
-            heard_at: clock::Moment::NEVER,
+            told_until: clock::Moment::NEVER,
         }
     }
 }
@@ -112,12 +114,27 @@
 }
 
 /// A report that was received.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Received {
     usage: Usage,
     /// When the window that it is about is over.
     leaves_at: clock::Moment,
     has_ended: bool,
+    /// When this host allowed the incarnation a retry. A report may have been made before that.
+    granted: collections::VecDeque<clock::Moment>,
+}
+
+impl Received {
+    fn new(usage: Usage, leaves_at: clock::Moment, has_ended: bool) -> Received {
+        Received { usage, leaves_at, has_ended, granted: collections::VecDeque::new() }
+    }
+
+    /// Returns what the incarnation used at least, with the retries that it was allowed after `oldest`.
+    fn usage(&self, oldest: clock::Moment) -> Usage {
+        let granted = self.granted.iter().filter(|at| **at >= oldest).count();
+        let granted = u32::try_from(granted).unwrap_or(u32::MAX);
+        Usage { retries: self.usage.retries.max(granted), ..self.usage }
+    }
 }
 
 /// The retries of one service.
@@ -197,12 +214,11 @@
     /// Records what another incarnation used. Of two reports of one incarnation the later counts.
     pub fn record_report(&mut self, report: Report, now: clock::Moment) {
         let Some(left) = self.settings.window.checked_sub(report.age) else { return };
-        let received =
-            Received { usage: report.usage, leaves_at: now + left, has_ended: report.has_ended };
-        let known = self.others.entry(report.host).or_insert(received);
+        let received = Received::new(report.usage, now + left, report.has_ended);
+        let known = self.others.entry(report.host).or_insert_with(|| received.clone());
         // One that was taken for ended since nobody heard it, and reports again, has not.
         if known.leaves_at <= received.leaves_at {
-            *known = received;
+            *known = Received { granted: std::mem::take(&mut known.granted), ..received };
         }
     }
 
@@ -211,7 +227,7 @@
     /// that its requests allow.
     pub fn record_end(&mut self, host: u64, silent: clock::Span, now: clock::Moment) {
         let leaves_at = now + self.settings.window;
-        let unheard = Received { usage: Usage::default(), leaves_at, has_ended: true };
+        let unheard = Received::new(Usage::default(), leaves_at, true);
         let known = self.others.entry(host).or_insert(unheard);
         known.has_ended = true;
         if silent > MAX_SILENCE {
@@ -245,7 +261,8 @@
         let known = self.others.iter().filter(move |(_, known)| known.leaves_at > now);
         known.map(move |(host, known)| {
             let age = window.saturating_sub(known.leaves_at.since(now));
-            Report { host: *host, usage: known.usage, age, has_ended: known.has_ended }
+            let usage = known.usage(now.saturating_sub(window));
+            Report { host: *host, usage, age, has_ended: known.has_ended }
         })
     }
 
@@ -316,10 +333,17 @@
         if left + 1e-9 < 1.0 {
             return Verdict::Refused;
         }
-        let taken = self.taken_since(sharing.heard_at.min(now).saturating_sub(TURN)) as f64;
+        let taken = self.taken_since(sharing.told_until.min(now)) as f64;
         // The last ones are not divided; what hosts take too much then, they wait for.
         let part = ((left + taken) / deciders).max(1.0);
-        if taken + 1.0 <= part + 1e-9 { Verdict::Allowed } else { Verdict::Wait }
+        if taken + 1.0 <= part + 1e-9 {
+            Verdict::Allowed
+        } else if now.since(sharing.told_until) <= MAX_REPORT_AGE {
+            Verdict::Wait
+        } else {
+            // One of them does not hear this host, and nobody knows when it will.
+            Verdict::Refused
+        }
     }
 
     /// Takes a retry if the verdict allows it.
@@ -338,9 +362,11 @@
         if verdict == Verdict::Allowed {
             self.count_taken(now);
             let leaves_at = now + self.settings.window;
-            let unknown = Received { usage: Usage::default(), leaves_at, has_ended: false };
+            let unknown = Received::new(Usage::default(), leaves_at, false);
             let known = self.others.entry(host).or_insert(unknown);
-            known.usage += Usage { requests: 0, retries: 1 };
+            let oldest = now.saturating_sub(self.settings.window);
+            known.granted.retain(|at| *at >= oldest);
+            known.granted.push_back(now);
             known.leaves_at = leaves_at;
         }
         verdict
@@ -348,7 +374,7 @@
 
     /// Returns how many retries this host took after `from`.
     fn taken_since(&self, from: clock::Moment) -> usize {
-        self.taken.iter().filter(|at| **at > from).count()
+        self.taken.iter().filter(|at| **at >= from).count()
     }
 
     fn count_taken(&mut self, now: clock::Moment) {
--- a/crates/lagoonline/src/load/retry/mod.rs
+++ b/crates/lagoonline/src/load/retry/mod.rs
@@ -17,7 +17,8 @@
 //!   start gets a small part of the slack that grows with the time that it has seen itself. A host
 //!   that hears only some hosts of its zone uses their part of the slack.
 //! - Hosts that decide at the same moment have not heard of each other yet. Each takes at most its
-//!   part of what is left until it has heard of all others, and the next retry waits for that.
+//!   part of what is left until all others have shown that they know of it, and the next retry waits
+//!   for that.
 //!
 //! A [`Bucket`] limits the retries of one process by itself.
 
--- a/crates/lagoonline/src/routing/roster.rs
+++ b/crates/lagoonline/src/routing/roster.rs
@@ -215,13 +215,17 @@
         self.ranked(&self.info.zone).count()
     }
 
-    /// Returns when each other host of this zone that is heard from was last heard.
-    pub fn heard_in_zone(&self, now: clock::Moment) -> impl Iterator<Item = clock::Moment> {
-        let others = self.ranked(&self.info.zone).filter_map(|host| self.hosts.get(host));
-        let silent_for = others.map(move |known| known.silent_for(now));
-        silent_for
-            .filter(|span| *span <= self.settings.heartbeat_timeout)
-            .map(move |span| now.saturating_sub(span))
+    /// Returns the other hosts of this zone that are heard from, and when each was last heard.
+    pub fn heard_in_zone(
+        &self,
+        now: clock::Moment,
+    ) -> impl Iterator<Item = (&id::Host, clock::Moment)> {
+        let others = self.ranked(&self.info.zone);
+        let others =
+            others.filter_map(move |host| Some((host, self.hosts.get(host)?.silent_for(now))));
+        others
+            .filter(|(_, span)| *span <= self.settings.heartbeat_timeout)
+            .map(move |(host, span)| (host, now.saturating_sub(span)))
     }
 
     /// Returns the number of hosts that schedule requests: one for each zone with a scheduler, and
--- a/crates/lagoonline/tests/load_retry.rs
+++ b/crates/lagoonline/tests/load_retry.rs
@@ -56,14 +56,14 @@
 /// Hosts that need retries at the same moment must not each take all that is left.
 #[rstest]
 fn hosts_that_have_not_heard_of_each_other_share_what_is_left() {
-    let sharing = Sharing { deciders: 3, heard_at: NOW, ..Sharing::default() };
+    let sharing = Sharing { deciders: 3, told_until: NOW, ..Sharing::default() };
     let taken: Vec<_> = (0..3).map(|_| take_all(&mut budget(sharing), NOW)).collect();
     assert_eq!(taken, [20; 3]);
     let mut one = budget(sharing);
     take_all(&mut one, NOW);
     assert_eq!(one.verdict(NOW), Verdict::Wait);
     let later = NOW + Span::from_millis(200);
-    one.set_sharing(Some(Sharing { heard_at: later, ..sharing }));
+    one.set_sharing(Some(Sharing { told_until: later, ..sharing }));
     assert_eq!(one.verdict(later), Verdict::Allowed, "the others used nothing");
 }
 
