--- a/crates/lagoon-gateway/tests/host/process.rs
+++ b/crates/lagoon-gateway/tests/host/process.rs
@@ -5,6 +5,7 @@
 use std::net;
 use std::path;
 use std::process;
+use std::sync::atomic;
 use std::thread;
 use std::time;
 
@@ -42,11 +43,7 @@
 impl Process {
     /// Starts the gateway on free ports, and waits until it is ready.
     pub fn start(standin: &Standin, settings: ProcessSettings<'_>) -> Process {
-        let ports = [(); 4].map(|()| {
-            let listener = net::TcpListener::bind("127.0.0.1:0").unwrap();
-            listener.local_addr().unwrap().port()
-        });
-        let [callers, ready, first, last] = ports;
+        let [callers, ready, first, last] = [(); 4].map(|()| free_port());
         let ProcessSettings { name, zone, retry_window_s, retry_slack, store } = settings;
         let file = format!("lagoon-gateway-{}-{callers}", process::id());
         let node = std::env::temp_dir().join(format!("{file}.yaml"));
@@ -93,6 +90,20 @@
     }
 }
 
+/// Returns a port that was not returned before and is free. The kernel gives none of this range to
+/// connections, which other processes open all the time.
+fn free_port() -> u16 {
+    static RETURNED: atomic::AtomicU16 = atomic::AtomicU16::new(0);
+    let first = 10_000 + u16::try_from(process::id() % 100).unwrap() * 200;
+    let mut ports =
+        std::iter::repeat_with(|| first + RETURNED.fetch_add(1, atomic::Ordering::SeqCst) % 200);
+    let is_free = |port: &u16| {
+        let address = (net::Ipv4Addr::LOCALHOST, *port);
+        net::TcpListener::bind(address).is_ok() && net::UdpSocket::bind(address).is_ok()
+    };
+    ports.find(is_free).unwrap()
+}
+
 fn is_ready(address: net::SocketAddr) -> bool {
     let Ok(mut stream) = net::TcpStream::connect(address) else { return false };
     drop(stream.write_all(b"GET /api/ready HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n"));
