Count retries that were given up until their upstreams show that they have read them

The rule counts arrivals. Closing the connection, in order or by a reset, does not help: Linux keeps what has arrived.

A request that is given up before the head of its answer is unread. Its retries count beyond the window until its upstreams answer anything, and for a window from then; not if the process has ended, and for 30 s at most if nothing is heard of it. One that was never retried counts as its first alone.

--- a/crates/lagoon-gateway/src/admit.rs
+++ b/crates/lagoon-gateway/src/admit.rs
@@ -12,6 +12,7 @@
 
 use crate::answer;
 use crate::forward;
+use crate::retries;
 use crate::state;
 
 /// Maximum age of the desired state's last confirmation at which an unknown route or key is
@@ -68,6 +69,7 @@
         request,
         fingerprint: sync::OnceLock::new(),
         was_at_crash: atomic::AtomicBool::new(false),
+        sends: retries::Sends::default(),
     })
 }
 
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -31,6 +31,7 @@
 use crate::path;
 use crate::place;
 use crate::reserve;
+use crate::retries;
 use crate::silence;
 use crate::state;
 use crate::stream;
@@ -111,6 +112,8 @@
     pub(crate) fingerprint: sync::OnceLock<fingerprint::Fingerprint>,
     /// Whether its last connection broke in a way in which lethal requests break theirs.
     pub(crate) was_at_crash: atomic::AtomicBool,
+    /// What was sent of it.
+    pub(crate) sends: retries::Sends,
 }
 
 /// An attempt whose answer has begun.
@@ -379,6 +382,7 @@
     /// is alive.
     pub(crate) fn record_activity(&self, upstream: &id::Upstream) {
         self.state.with_placer(&self.service, |placer, now| placer.record_activity(upstream, now));
+        self.state.record_awake(&self.service, upstream);
     }
 
     /// Sends the request to an upstream and waits for the head of its answer. `attempts` are those
@@ -403,6 +407,18 @@
                 if failure.verdict.is_down() {
                     self.record_failure(&primary.upstream);
                 }
+                match failure.verdict {
+                    path::Verdict::Refused => {
+                        self.state.record_gone(&self.service, &primary.upstream);
+                    }
+                    // The kernel of a frozen process connects for it, that of a host without power
+                    // keeps nothing.
+                    path::Verdict::Silent => {
+                        self.state.record_awake(&self.service, &primary.upstream);
+                    }
+                    path::Verdict::Unknown | path::Verdict::Outdated | path::Verdict::BackedOff => {
+                    }
+                }
                 return Err(unsent(failure.into()));
             }
         };
@@ -419,7 +435,7 @@
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
-        self.record_send(leave, attempts);
+        let unread = self.record_send(leave, attempts, &primary.upstream);
         self.state.count_send(primary);
         let sent = self.state.clock.now();
         let answer = {
@@ -428,6 +444,7 @@
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
+                        unread.end();
                         let progress = self.progress_before_answer();
                         if matches!(failure, exchange::Failure::Lost(_)) {
                             self.record_unresponsive(&primary.upstream);
@@ -451,6 +468,8 @@
                 }
             }
         };
+        unread.end();
+        self.state.record_awake(&self.service, &primary.upstream);
         Ok(OpenAnswer {
             framing: exchange::framing(&answer),
             exchange,
@@ -476,15 +495,22 @@
         })
     }
 
-    /// Records that a dispatch is sent now, after `attempts`.
-    fn record_send(&self, leave: place::Leave, attempts: &attempts::Attempts) {
+    /// Records that a dispatch is sent to `upstream` now, after `attempts`.
+    fn record_send<'a>(
+        &'a self,
+        leave: place::Leave,
+        attempts: &attempts::Attempts,
+        upstream: &'a id::Upstream,
+    ) -> retries::Sent<'a> {
         match leave {
-            place::Leave::First => return,
+            place::Leave::First => return retries::Sent::new(self, upstream),
             place::Leave::Own(charge) => charge.send(),
             place::Leave::Scheduler => self.state.record_granted_retry(&self.service),
         }
         self.state.count_retry(&self.service, attempts.last_sent());
         self.state.metrics.retries.inc();
+        self.record_retry_sent();
+        retries::Sent::new(self, upstream)
     }
 
     /// Returns how the request was admitted, for a host that carries its connection.
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -6,6 +6,7 @@
 
 mod message;
 mod totals;
+mod unread;
 
 use std::collections;
 use std::net;
@@ -23,6 +24,7 @@
 use crate::state;
 
 pub(crate) use message::{Arrived, Usages, Used};
+pub(crate) use unread::{Sends, Sent};
 
 /// Time for which a host takes the scheduler's refusal of a retry to hold for its other requests.
 const REFUSAL_VALIDITY: clock::Span = clock::Span::from_millis(500);
@@ -39,6 +41,8 @@
     /// When this host knows what its zone used in the whole window before; `None` if it does not
     /// hear of that, or does not know the other hosts yet.
     known_at: sync::Mutex<Option<clock::Moment>>,
+    /// Whether upstreams may still read a request that was given up.
+    has_unread: atomic::AtomicBool,
 }
 
 /// The retry budget of a service, and what is logged of it.
@@ -341,6 +345,8 @@
         for account in budgets.values_mut() {
             account.budget.expire(now);
         }
+        let has_unread = budgets.values().any(|account| account.budget.unread() > 0);
+        self.retries.has_unread.store(has_unread, atomic::Ordering::Relaxed);
         budgets.retain(|service, account| {
             self.service_state(service).is_some() || account.budget.is_used(now)
         });
--- a/crates/lagoon-gateway/src/retries/totals.rs
+++ b/crates/lagoon-gateway/src/retries/totals.rs
@@ -82,6 +82,7 @@
             .number("window_retries", own.retries)
             .number("others_requests", others.requests)
             .number("others_retries", others.retries)
+            .number("unread_retries", budget.unread())
             .number("left", format_args!("{:.1}", budget.left(now)))
             .number("zones", sharing.zones)
             .number("hosts", sharing.hosts)
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -2,8 +2,10 @@
 
 use std::collections;
 
+use super::unread::Unread;
 use super::window::{Usage, Window};
 use crate::clock;
+use crate::id;
 
 /// Time within which hosts of a zone mostly hear of each other's retries.
 pub const TURN: clock::Span = clock::Span::from_millis(50);
@@ -161,6 +163,7 @@
     /// `None` as long as the hosts of the fleet are not known.
     sharing: Option<Sharing>,
     own: Window,
+    unread: Unread,
     others: collections::BTreeMap<u64, Received>,
     /// When this host took each retry of the last window.
     taken: collections::VecDeque<clock::Moment>,
@@ -175,6 +178,7 @@
             settings,
             sharing: None,
             own: Window::new(settings.window),
+            unread: Unread::default(),
             others: collections::BTreeMap::new(),
             taken: collections::VecDeque::new(),
             refused_at: None,
@@ -211,6 +215,48 @@
         self.own.remove_retry(at);
     }
 
+    /// Records that a request was given up at `upstream`, which may not have read it yet. `request` tells
+    /// it from others of this host; `retries` of it were sent, the first of them at `sent_at`.
+    ///
+    /// ```
+    /// use lagoonline::{clock::{Moment, Span}, id::Upstream};
+    /// use lagoonline::load::retry::{Budget, Settings};
+    /// let mut budget = Budget::new(Settings::default());
+    /// let (sent_at, upstream) = (Moment::from_millis(10), Upstream::from("u"));
+    /// budget.record_retry(sent_at);
+    /// budget.record_unread(1, &upstream, 1, sent_at, sent_at + Span::from_secs(1));
+    /// let wakes_at = sent_at + Span::from_secs(15);
+    /// assert_eq!(budget.own_usage(wakes_at).retries, 1);
+    /// budget.record_awake(&upstream, wakes_at);
+    /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(9)).retries, 1);
+    /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(11)).retries, 0);
+    /// ```
+    pub fn record_unread(
+        &mut self,
+        request: u64,
+        upstream: &id::Upstream,
+        retries: u32,
+        sent_at: clock::Moment,
+        now: clock::Moment,
+    ) {
+        self.unread.add(request, upstream, retries, sent_at, now);
+    }
+
+    /// Records that `upstream` reads requests, also those that were given up.
+    pub fn record_awake(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+        self.unread.settle(upstream, &mut self.own, now);
+    }
+
+    /// Records that the process of `upstream` has ended, and reads nothing of what was sent to it.
+    pub fn record_gone(&mut self, upstream: &id::Upstream) {
+        self.unread.forget(upstream);
+    }
+
+    /// Returns the retries that upstreams may still read after they were given up.
+    pub fn unread(&self) -> u32 {
+        self.unread.retries()
+    }
+
     /// Records what another incarnation used. Of two reports of one incarnation the later counts.
     pub fn record_report(&mut self, report: Report, now: clock::Moment) {
         let Some(left) = self.settings.window.checked_sub(report.age) else { return };
@@ -240,9 +286,11 @@
         }
     }
 
-    /// Forgets incarnations whose reports are older than the window.
+    /// Forgets incarnations whose reports are older than the window, and requests that are too old to
+    /// be read.
     pub fn expire(&mut self, now: clock::Moment) {
         self.others.retain(|_, known| known.leaves_at > now);
+        self.unread.expire(now);
     }
 
     /// Whether anything is known that was used in the last window.
@@ -250,9 +298,12 @@
         self.own_usage(now) != Usage::default() || self.reports(now).next().is_some()
     }
 
-    /// Returns what this host used in the last window.
+    /// Returns what this host used in the last window, with earlier retries that may still be read.
     pub fn own_usage(&self, now: clock::Moment) -> Usage {
-        self.own.usage(now)
+        let mut usage = self.own.usage(now);
+        let unread = self.unread.before(now.saturating_sub(self.settings.window));
+        usage += Usage { requests: 0, retries: unread };
+        usage
     }
 
     /// Returns what is known of other incarnations.
@@ -268,7 +319,7 @@
 
     /// Returns the retries that are left, possibly a fraction or below zero.
     pub fn left(&self, now: clock::Moment) -> f64 {
-        let own = self.own.usage(now);
+        let own = self.own_usage(now);
         let mut requests = f64::from(own.requests);
         let mut retries = f64::from(own.retries);
         for report in self.reports(now) {
@@ -307,7 +358,7 @@
     /// ```
     pub fn has_spare(&self, now: clock::Moment) -> bool {
         let others: u32 = self.reports(now).map(|report| report.usage.retries).sum();
-        let made = self.own.usage(now).retries + others;
+        let made = self.own_usage(now).retries + others;
         self.left(now) >= f64::from(made) + 1.0
     }
 
--- a/crates/lagoonline/src/load/retry/mod.rs
+++ b/crates/lagoonline/src/load/retry/mod.rs
@@ -19,11 +19,14 @@
 //! - Hosts that decide at the same moment have not heard of each other yet. Each takes at most its
 //!   part of what is left until all others have shown that they know of it, and the next retry waits
 //!   for that.
+//! - Upstreams count a request when they read it, which for one that was given up may be much later.
+//!   Its retries count until then.
 //!
 //! A [`Bucket`] limits the retries of one process by itself.
 
 mod bucket;
 mod budget;
+mod unread;
 mod window;
 
 pub use bucket::Bucket;
