Follow an upstream again that an odd entry has hidden

Another writer's entry under the name of a sound upstream, with a start time or a report number far ahead, kept callers from it for good: all later entries of its own counted as older. There is a time after which an entry that stays is followed all the same, but each entry began it anew, and those of an earlier report had none.

Less far ahead, an upstream that goes on to register is followed 15 s after the first of these entries.

--- a/crates/lagoon-gateway/tests/host/mod.rs
+++ b/crates/lagoon-gateway/tests/host/mod.rs
@@ -14,6 +14,9 @@
 /// Maximum time of a step on a busy machine.
 pub const STEP_TIMEOUT: time::Duration = time::Duration::from_secs(20);
 
+/// Time within which a host has read a change of the store.
+pub const PAUSE: time::Duration = time::Duration::from_millis(2_500);
+
 /// A running host.
 pub struct Host {
     pub standin: Standin,
--- a/crates/lagoon-load/src/retries/host.rs
+++ b/crates/lagoon-load/src/retries/host.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 enum Policy {
     Bucket { available: f64, burst: f64 },
-    Budget(retry::Budget),
+    Budget(Box<retry::Budget>),
 }
 
 /// A message of one process to another.
@@ -113,7 +113,7 @@
             Way::FullBuckets => Policy::Bucket { available: burst, burst },
             Way::EmptyBuckets => Policy::Bucket { available: 0.0, burst },
             Way::EvenParts | Way::OnePool | Way::Zones => {
-                Policy::Budget(retry::Budget::new(settings))
+                Policy::Budget(Box::new(retry::Budget::new(settings)))
             }
         };
         let parts = match way {
--- a/crates/lagoonline/src/routing/registry.rs
+++ b/crates/lagoonline/src/routing/registry.rs
@@ -45,8 +45,9 @@
     /// removal: the platform drops what it has not heard for three reports, and an upstream registers
     /// again within two more.
     pub doubt_span: clock::Span,
-    /// How long an entry of an earlier lifetime is taken for a late write. After that it is taken
-    /// for an upstream that restarted with its clock set back.
+    /// How long an entry of an earlier lifetime or report is taken for a late write. After that it is
+    /// taken for an upstream that restarted with its clock set back, or whose last entry was of another
+    /// writer.
     pub late_write_span: clock::Span,
     /// How long the departure of an upstream is remembered that is no longer listed. Writes that
     /// the platform carries out late are done by then, and the upstream has ended.
@@ -249,20 +250,20 @@
         let registration = &mut listing.registration;
         registration.started_ms = self.lifetime(&registration.upstream, registration.started_ms);
         if let Some(until) = self.doubted_until(&listing, now) {
-            let upstream = listing.registration.upstream.clone();
-            let overruled = Overruled { listing, since: now, doubted_until: Some(until) };
-            self.overruled.insert(upstream, overruled);
+            self.overrule(listing, Some(until), now);
             return Effect::Ignored(Older::BeforeRestore);
         }
-        if let Some(older) = self.compare(&listing) {
+        let older = self.compare(&listing);
+        if let Some(older) = older.or_else(|| self.compare_with_mark(&listing.registration)) {
+            if matches!(
+                older,
+                Older::EarlierReport | Older::EarlierLifetime | Older::AfterAnnouncement
+            ) {
+                self.overrule(listing, None, now);
+            }
             return Effect::Ignored(older);
         }
         let Registration { upstream, started_ms, leaving, .. } = listing.registration.clone();
-        if let Some(older) = self.compare_with_mark(&listing.registration) {
-            let overruled = Overruled { listing, since: now, doubted_until: None };
-            self.overruled.insert(upstream, overruled);
-            return Effect::Ignored(older);
-        }
         let mark = leaving::Mark { incarnation: id::Incarnation(started_ms), leaving };
         let is_news = self.marks.merge(&upstream, mark).is_some();
         self.vanished.remove(&upstream);
@@ -276,6 +277,25 @@
         if is_news { Effect::Departed { departure, witnessed: true } } else { Effect::Unchanged }
     }
 
+    /// Keeps an entry that is not followed now. An upstream that registers again and again is not
+    /// followed since the first of these entries.
+    fn overrule(
+        &mut self,
+        listing: Listing,
+        doubted_until: Option<clock::Moment>,
+        now: clock::Moment,
+    ) {
+        let Registration { upstream, started_ms, .. } = &listing.registration;
+        let is_same = |known: &&Overruled| {
+            known.doubted_until.is_none()
+                && doubted_until.is_none()
+                && known.listing.registration.started_ms == *started_ms
+        };
+        let since = self.overruled.get(upstream).filter(is_same).map_or(now, |known| known.since);
+        let overruled = Overruled { since, doubted_until, listing: listing.clone() };
+        self.overruled.insert(upstream.clone(), overruled);
+    }
+
     /// Returns the lifetime of a statement about `upstream` that names `started_ms`. A statement that names
     /// none, 0, is about the latest one known.
     fn lifetime(&self, upstream: &id::Upstream, started_ms: u64) -> u64 {
@@ -505,15 +525,18 @@
         dropped.collect()
     }
 
-    /// Follows the entries that were not followed for some time only: those of earlier lifetimes that
-    /// are too old for late writes, and those that are still listed long after a restore.
+    /// Follows the entries that were not followed for some time only: those of earlier lifetimes or
+    /// reports that are too old for late writes, and those that are still listed long after a restore.
     fn follow_overruled(&mut self, now: clock::Moment) -> Vec<(id::Upstream, Effect)> {
         let span = self.settings.late_write_span;
         let is_due = |overruled: &&Overruled| match overruled.doubted_until {
             Some(until) => until <= now,
             None => {
-                let older = self.compare_with_mark(&overruled.listing.registration);
-                overruled.since + span <= now && older == Some(Older::EarlierLifetime)
+                let listing = &overruled.listing;
+                let older = self.compare(listing);
+                let older = older.or_else(|| self.compare_with_mark(&listing.registration));
+                let is_late = matches!(older, Some(Older::EarlierReport | Older::EarlierLifetime));
+                overruled.since + span <= now && is_late
             }
         };
         let due: Vec<_> = self.overruled.values().filter(is_due).cloned().collect();
@@ -528,6 +551,9 @@
                     *name != upstream || removal.revision.era >= era
                 };
                 self.removals.retain(|name, removal| is_kept(name, removal));
+            } else if self.compare(&listing) == Some(Older::EarlierReport) {
+                self.entries.remove(&upstream);
+                self.removals.remove(&upstream);
             } else {
                 self.marks.retain(|name| *name != upstream);
             }
--- a/crates/lagoonline/tests/routing_registry.rs
+++ b/crates/lagoonline/tests/routing_registry.rs
@@ -323,6 +323,32 @@
     assert!(is_used(&registry));
 }
 
+/// An upstream that goes on to register, once a second, under an entry of another writer with a later
+/// start time was shut out for good: each entry of its own began the time anew after which it counts.
+#[rstest]
+fn an_earlier_lifetime_that_registers_again_and_again_is_followed() {
+    let mut registry = registry();
+    registry.apply(Entry { life: 9_000_000, ..LEAVING }.at_version(1), at(0));
+    for second in 1..20 {
+        registry.apply(Entry { life: 4_000, ..READY }.at_version(1 + second), at(second * 1_000));
+        registry.expire(at(second * 1_000 + 500));
+        assert_eq!(is_used(&registry), second >= 16, "{second}");
+    }
+}
+
+/// As above, for an entry of another writer in the same lifetime with a later report.
+#[rstest]
+fn an_earlier_report_that_comes_again_and_again_is_followed() {
+    let mut registry = registry();
+    registry.apply(Entry { sequence: 9_000_000, ..READY }.at_version(1), at(0));
+    for second in 1..20 {
+        let entry = Entry { sequence: second, ..READY }.at_version(1 + second);
+        let effect = registry.apply(entry, at(second * 1_000));
+        assert_eq!(effect == Effect::Listed, second > 16, "{second}");
+        registry.expire(at(second * 1_000 + 500));
+    }
+}
+
 /// Departures of upstreams that are gone must not use memory for good.
 #[rstest]
 fn departures_are_forgotten_in_the_end() {
