Count a retry from when it is sent; drawn schedules of retry windows over sockets

A retry counted from when it was taken, and a long prompt may wait for memory and a connection after that, so that it was sent in a window in which it no longer counted. Found by reading; no run of ours came near a bound by it.

--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -62,9 +62,11 @@
 }
 
 impl Charge {
-    /// Records that the retry is sent.
+    /// Records that the retry is sent, which may be long after it was taken: the prompt waits for memory
+    /// and for its connection.
     pub(crate) fn send(mut self) {
         self.is_sent = true;
+        self.state.with_budget(&self.service, |budget, now| budget.move_retry(self.at, now));
     }
 }
 
--- a/crates/lagoon-gateway/tests/retry_windows.rs
+++ b/crates/lagoon-gateway/tests/retry_windows.rs
@@ -13,6 +13,8 @@
 use std::thread;
 use std::time;
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use rstest::rstest;
 
 use host::process::{Process, ProcessSettings};
@@ -48,24 +50,18 @@
         let start = |number| Freezer::start(&standin, &format!("e{number}"), "llm", 200);
         let engines = (0..ENGINES).map(start).collect();
         let mesh = Mesh::open(&HOSTS[..hosts]);
-        let join = |name: &&str| {
-            let entrance = standin.entrance();
-            entrance.set_mesh(name, &mesh);
-            let settings = ProcessSettings {
-                name,
-                retry_window_s: WINDOW_S,
-                retry_slack: RETRY_SLACK,
-                store: Some(entrance.address),
-                ..ProcessSettings::default()
-            };
-            Process::start(&standin, settings)
-        };
-        let hosts = HOSTS[..hosts].iter().map(join).collect();
+        let hosts = HOSTS[..hosts].iter().map(|name| join(&standin, &mesh, name)).collect();
         // Until hosts that started know of the window before them.
         thread::sleep(WINDOW);
         Fleet { standin, engines, hosts, mesh, prompts: sync::Mutex::default() }
     }
 
+    /// Kills the host `index` and starts it again.
+    fn restart(&mut self, index: usize) {
+        drop(self.hosts.remove(index));
+        self.hosts.insert(index, join(&self.standin, &self.mesh, HOSTS[index]));
+    }
+
     /// Makes all engines behave so from now on.
     fn behave(&self, behavior: Behavior) {
         (0..ENGINES).for_each(|number| self.standin.behavior(&format!("e{number}"), behavior));
@@ -129,6 +125,20 @@
     }
 }
 
+/// Starts the host `name`, which reaches the others through `mesh`.
+fn join(standin: &Standin, mesh: &Mesh, name: &str) -> Process {
+    let entrance = standin.entrance();
+    entrance.set_mesh(name, mesh);
+    let settings = ProcessSettings {
+        name,
+        retry_window_s: WINDOW_S,
+        retry_slack: RETRY_SLACK,
+        store: Some(entrance.address),
+        ..ProcessSettings::default()
+    };
+    Process::start(standin, settings)
+}
+
 fn prompt(number: usize) -> String {
     format!(
         "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: r{number}\r\n\
@@ -185,3 +195,61 @@
     fleet.send(300, time::Duration::from_millis(300));
     fleet.check_retries();
 }
+
+/// A step of a drawn schedule.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Behave(Behavior),
+    /// Freezes some engines for some milliseconds.
+    Freeze(usize, u64),
+    /// Lets datagrams between hosts take some milliseconds.
+    Delay(u64),
+    /// Kills a host and starts it again.
+    Restart(usize),
+    /// Sends some prompts at one moment.
+    Burst(u32),
+}
+
+fn draw_step(random: &mut StdRng, hosts: usize) -> Step {
+    match random.random_range(0..8) {
+        0 => Step::Behave(Behavior::Refuse),
+        1 => Step::Behave(Behavior::BreakAfter(random.random_range(0..4))),
+        2 => Step::Behave(Behavior::Complete),
+        3 | 4 => Step::Freeze(random.random_range(1..=ENGINES), random.random_range(300..9_000)),
+        5 => Step::Delay(random.random_range(0..700)),
+        6 => Step::Restart(random.random_range(0..hosts)),
+        _ => Step::Burst(random.random_range(20..150)),
+    }
+}
+
+/// Upstreams must read no more retries than allowed whatever freezes, is late, ends and starts.
+#[rstest]
+fn drawn_schedules_keep_the_bound() {
+    let seeds = std::env::var("LAGOON_RETRY_SEEDS").unwrap_or_else(|_| "1..3".to_owned());
+    let (first, last) = seeds.split_once("..").unwrap();
+    for seed in first.parse::<u64>().unwrap()..last.parse().unwrap() {
+        let mut random = StdRng::seed_from_u64(seed);
+        let hosts = random.random_range(2..=HOSTS.len());
+        let mut fleet = Fleet::start(hosts);
+        let mut steps = Vec::new();
+        for _ in 0..10 {
+            let step = draw_step(&mut random, hosts);
+            steps.push(step);
+            match step {
+                Step::Behave(behavior) => fleet.behave(behavior),
+                Step::Freeze(count, millis) => {
+                    let span = time::Duration::from_millis(millis);
+                    fleet.engines[..count].iter().for_each(|engine| engine.freeze(span));
+                }
+                Step::Delay(millis) => fleet.mesh.set_delay(time::Duration::from_millis(millis)),
+                Step::Restart(index) => fleet.restart(index),
+                Step::Burst(count) => fleet.send(count, time::Duration::from_millis(100)),
+            }
+            fleet.send(20, time::Duration::from_secs(1));
+        }
+        thread::sleep(time::Duration::from_secs(1));
+        let share = fleet.worst_share();
+        println!("seed {seed}: {hosts} hosts, {share:.2} of the allowed retries, {steps:?}");
+        fleet.check_retries();
+    }
+}
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -210,6 +210,23 @@
         self.refused_at.is_some_and(|at| now.since(at) <= span)
     }
 
+    /// Counts a retry that was taken at `at` from `now` on, when it is sent.
+    ///
+    /// ```
+    /// use lagoonline::clock::{Moment, Span};
+    /// use lagoonline::load::retry::{Budget, Settings};
+    /// let mut budget = Budget::new(Settings::default());
+    /// let (taken_at, sent_at) = (Moment::from_millis(10), Moment::from_millis(6_000));
+    /// budget.record_retry(taken_at);
+    /// budget.move_retry(taken_at, sent_at);
+    /// assert_eq!(budget.own_usage(taken_at + Span::from_secs(11)).retries, 1);
+    /// assert_eq!(budget.own_usage(sent_at + Span::from_secs(11)).retries, 0);
+    /// ```
+    pub fn move_retry(&mut self, at: clock::Moment, now: clock::Moment) {
+        self.own.remove_retry(at);
+        self.record_retry(now);
+    }
+
     /// Takes back a retry that was taken at `at` and not sent.
     pub fn return_retry(&mut self, at: clock::Moment) {
         self.own.remove_retry(at);
