--- a/crates/lagoon-load/src/retries/host.rs
+++ b/crates/lagoon-load/src/retries/host.rs
@@ -167,7 +167,8 @@
         !self.asks() || self.heard.keys().take(CANDIDATES).any(|other| *other == self.number)
     }
 
-    fn sharing(&self, now: u64) -> Option<retry::Sharing> {
+    /// Returns how the slack is divided. `schedules` if it decides as the scheduler of its zone.
+    fn sharing(&self, schedules: bool, now: u64) -> Option<retry::Sharing> {
         let size = match self.knowledge {
             Knowledge::Right => self.heard.len(),
             Knowledge::None => return None,
@@ -190,7 +191,9 @@
         let hosts = (heard.len() + 1).min(size);
         let sharing = retry::Sharing { heard: hosts, known_at: self.known_at, ..sharing };
         if self.asks() {
-            return Some(sharing);
+            let told_until = clock::Moment::START;
+            let alone = retry::Sharing { deciders: hosts, told_until, ..sharing };
+            return Some(if schedules { sharing } else { alone });
         }
         let told = heard.iter().map(|other| self.told.get(other).copied().unwrap_or(self.born));
         let told_until = self.moment(told.min().unwrap_or(now));
@@ -213,9 +216,15 @@
         }
     }
 
-    /// Takes a retry for itself, or for the process `asking`.
-    pub(super) fn take_retry(&mut self, asking: Option<u64>, now: u64) -> retry::Verdict {
-        let (sharing, at) = (self.sharing(now), self.moment(now));
+    /// Takes a retry for itself, or for the process `asking`. `schedules` if it decides as the scheduler
+    /// of its zone.
+    pub(super) fn take_retry(
+        &mut self,
+        asking: Option<u64>,
+        schedules: bool,
+        now: u64,
+    ) -> retry::Verdict {
+        let (sharing, at) = (self.sharing(schedules, now), self.moment(now));
         let verdict = match &mut self.policy {
             Policy::Bucket { available, .. } if *available < 1.0 - 1e-9 => retry::Verdict::Refused,
             Policy::Bucket { available, .. } => {
@@ -286,7 +295,7 @@
         }
         let last_heard = self.heard.insert(from, now).unwrap_or(self.born);
         let previous = self.lives.insert(from, life).filter(|previous| *previous != life);
-        let (sharing, at) = (self.sharing(now), self.moment(now));
+        let (sharing, at) = (self.sharing(true, now), self.moment(now));
         if let Policy::Budget(budget) = &mut self.policy {
             budget.set_sharing(sharing);
             if let Some(previous) = previous {
--- a/crates/lagoon-load/src/retries/simulation.rs
+++ b/crates/lagoon-load/src/retries/simulation.rs
@@ -251,13 +251,13 @@
             return;
         }
         let verdict = match self.decider(&request) {
-            Some(decider) if decider == request.host => self.take(request.host, None),
+            Some(decider) if decider == request.host => self.take(request.host, None, true),
             Some(decider) if self.is_silent(decider) => {
                 let request = Request { asked: request.asked + 1, ..request };
                 return self.push(now + ANSWER_TIMEOUT_MS, Step::Failed(request));
             }
-            Some(decider) => self.take(decider, Some(request)),
-            None => self.take(request.host, None),
+            Some(decider) => self.take(decider, Some(request), true),
+            None => self.take(request.host, None, false),
         };
         match verdict {
             retry::Verdict::Allowed => {
@@ -292,10 +292,10 @@
             .is_none_or(|host| host.frozen_until > self.now || host.isolated_until > self.now)
     }
 
-    fn take(&mut self, decider: usize, asking: Option<Request>) -> retry::Verdict {
+    fn take(&mut self, decider: usize, asking: Option<Request>, schedules: bool) -> retry::Verdict {
         let now = self.now;
         let Some(host) = self.hosts[decider].as_mut() else { return retry::Verdict::Refused };
-        let verdict = host.take_retry(asking.map(|request| request.life), now);
+        let verdict = host.take_retry(asking.map(|request| request.life), schedules, now);
         if let (retry::Verdict::Allowed, Some(request)) = (verdict, asking)
             && let Some(host) = self.hosts[request.host].as_mut()
         {
