--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -382,7 +382,7 @@
     /// is alive.
     pub(crate) fn record_activity(&self, upstream: &id::Upstream) {
         self.state.with_placer(&self.service, |placer, now| placer.record_activity(upstream, now));
-        self.state.record_awake(&self.service, upstream);
+        self.state.settle_unread(&self.service, upstream);
     }
 
     /// Sends the request to an upstream and waits for the head of its answer. `attempts` are those
@@ -409,12 +409,12 @@
                 }
                 match failure.verdict {
                     path::Verdict::Refused => {
-                        self.state.record_gone(&self.service, &primary.upstream);
+                        self.state.forget_unread(&self.service, &primary.upstream);
                     }
-                    // The kernel of a frozen process connects for it, that of a host without power
-                    // keeps nothing.
+                    // The kernel of a frozen process would connect for it, so this is a host that is
+                    // down and keeps nothing, or a path that is cut.
                     path::Verdict::Silent => {
-                        self.state.record_awake(&self.service, &primary.upstream);
+                        self.state.settle_unread(&self.service, &primary.upstream);
                     }
                     path::Verdict::Unknown | path::Verdict::Outdated | path::Verdict::BackedOff => {
                     }
@@ -435,7 +435,7 @@
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
-        let unread = self.record_send(leave, attempts, &primary.upstream);
+        let sending = self.record_send(leave, attempts, &primary.upstream);
         self.state.count_send(primary);
         let sent = self.state.clock.now();
         let answer = {
@@ -444,7 +444,7 @@
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
-                        unread.end();
+                        sending.end();
                         let progress = self.progress_before_answer();
                         if matches!(failure, exchange::Failure::Lost(_)) {
                             self.record_unresponsive(&primary.upstream);
@@ -468,8 +468,8 @@
                 }
             }
         };
-        unread.end();
-        self.state.record_awake(&self.service, &primary.upstream);
+        sending.end();
+        self.state.settle_unread(&self.service, &primary.upstream);
         Ok(OpenAnswer {
             framing: exchange::framing(&answer),
             exchange,
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -29,8 +29,8 @@
 /// Time for which a host takes the scheduler's refusal of a retry to hold for its other requests.
 const REFUSAL_VALIDITY: clock::Span = clock::Span::from_millis(500);
 
-/// Time from a report of this host's retries until it is known to have arrived at the other candidates of
-/// the zone, from which on they may take this host for dead, see
+/// Time for a report of this host's retries to arrive at the other candidates of its zone and for them to
+/// show it. Those of whom the answers take longer take this host for dead, see
 /// [`lagoonline::routing::RosterSettings::heartbeat_timeout`].
 const MAX_ROUND_TRIP: clock::Span = clock::Span::from_millis(700);
 
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -83,17 +83,19 @@
 }
 
 impl state::State {
-    /// Records that an upstream of `service` reads requests, also those that were given up.
-    pub(crate) fn record_awake(&self, service: &id::Service, upstream: &id::Upstream) {
+    /// Records that an upstream of `service` has read by now what it will read of the requests that were
+    /// given up there, since it answers, or its host keeps nothing for it.
+    pub(crate) fn settle_unread(&self, service: &id::Service, upstream: &id::Upstream) {
         if self.retries.has_unread.load(atomic::Ordering::Relaxed) {
-            self.with_budget(service, |budget, now| budget.record_awake(upstream, now));
+            self.with_budget(service, |budget, now| budget.settle_unread(upstream, now));
         }
     }
 
-    /// Records that the process of an upstream of `service` has ended.
-    pub(crate) fn record_gone(&self, service: &id::Service, upstream: &id::Upstream) {
+    /// Records that the process of an upstream of `service` has ended, and reads nothing of what was given
+    /// up there.
+    pub(crate) fn forget_unread(&self, service: &id::Service, upstream: &id::Upstream) {
         if self.retries.has_unread.load(atomic::Ordering::Relaxed) {
-            self.with_budget(service, |budget, _| budget.record_gone(upstream));
+            self.with_budget(service, |budget, _| budget.forget_unread(upstream));
         }
     }
 }
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -244,7 +244,7 @@
     /// budget.record_unread(1, &upstream, 1, sent_at, sent_at + Span::from_secs(1));
     /// let wakes_at = sent_at + Span::from_secs(15);
     /// assert_eq!(budget.own_usage(wakes_at).retries, 1);
-    /// budget.record_awake(&upstream, wakes_at);
+    /// budget.settle_unread(&upstream, wakes_at);
     /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(9)).retries, 1);
     /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(11)).retries, 0);
     /// ```
@@ -259,13 +259,13 @@
         self.unread.add(request, upstream, retries, sent_at, now);
     }
 
-    /// Records that `upstream` reads requests, also those that were given up.
-    pub fn record_awake(&mut self, upstream: &id::Upstream, now: clock::Moment) {
+    /// Records that `upstream` has read by `now` what it will read of the requests that were given up.
+    pub fn settle_unread(&mut self, upstream: &id::Upstream, now: clock::Moment) {
         self.unread.settle(upstream, &mut self.own, now);
     }
 
     /// Records that the process of `upstream` has ended, and reads nothing of what was sent to it.
-    pub fn record_gone(&mut self, upstream: &id::Upstream) {
+    pub fn forget_unread(&mut self, upstream: &id::Upstream) {
         self.unread.forget(upstream);
     }
 
