--- a/crates/lagoon-net/src/steward/memory_sweep.rs
+++ b/crates/lagoon-net/src/steward/memory_sweep.rs
@@ -107,7 +107,7 @@
     }
     let all_answered = other_zones(context).is_subset(&answered);
     for owner in remote_owners.iter().filter(|owner| !known.contains(&owner.host)) {
-        if all_answered { reaper.forget_unread(owner, now) } else { reaper.record_unsure(owner, now) }
+        if all_answered { reaper.record_gone(owner, now) } else { reaper.record_unsure(owner, now) }
     }
 }
 
--- a/crates/lagoonline/src/lifecycle/reap.rs
+++ b/crates/lagoonline/src/lifecycle/reap.rs
@@ -246,7 +246,7 @@
     /// Records that the steward of the owner's zone reports the process as gone, or that it is not
     /// known there. It counts as dead only after the usual timeout, because the process may merely
     /// have lost its steward.
-    pub fn forget_unread(&mut self, owner: &id::Owner, now: clock::Moment) {
+    pub fn record_gone(&mut self, owner: &id::Owner, now: clock::Moment) {
         let known = self.owners.get(&owner.host);
         if known.is_none_or(|known| known.incarnation < owner.incarnation) {
             self.record_seen(owner, now, None);
@@ -263,7 +263,7 @@
         match status.sign {
             owner::Liveness::Serving if is_own => self.record_heartbeat(&owner, now),
             owner::Liveness::Serving => self.record_remote_alive(&owner, now),
-            owner::Liveness::Gone => self.forget_unread(&owner, now),
+            owner::Liveness::Gone => self.record_gone(&owner, now),
             owner::Liveness::Unsure => self.record_unsure(&owner, now),
         }
     }
--- a/crates/lagoonline/tests/life_fuzz/memory.rs
+++ b/crates/lagoonline/tests/life_fuzz/memory.rs
@@ -213,7 +213,7 @@
             let incarnation = id::Incarnation(host.incarnation);
             self.reaper.record_remote_alive(&id::Owner { incarnation, ..owner.clone() }, self.now);
         } else {
-            self.reaper.forget_unread(owner, self.now);
+            self.reaper.record_gone(owner, self.now);
         }
     }
 
