Count a retry until the connection on which it was sent shows that it was read

What callers and upstreams saw: upstreams read more retries in a window than all hosts together may make, where some connections to an upstream stall while others to it go on, and are read together later.

Cause: a retry of a request that was given up counts until it is read, but any answer of the same upstream on any connection was taken to show that, a connection without an answer too, and a refused one to show that it never will be. Only the connection on which a request was sent tells. A retry that was still waiting for its answer counted from when it was sent, and what a host had sent and nobody had read was forgotten a window after the host had ended. Class: evidence about a path, a listener or another connection taken for evidence about this one.

Change: each send is unread until the head of its answer comes. A connection that is given up is kept with its writing side closed; bytes or an end that come back settle the send, and nothing else does, for two minutes. Connections through another host cannot be observed and count for 30 s. Hosts tell each other their unread retries, which count for 30 s beyond the window after a host ended.

--- a/crates/lagoon-gateway/src/crash.rs
+++ b/crates/lagoon-gateway/src/crash.rs
@@ -103,7 +103,6 @@
     let requests = state::lock(&state.broken_requests.0).remove(&upstream).unwrap_or_default();
     let listed: Vec<_> = requests.iter().map(ToString::to_string).collect();
     if result == completeness::Process::Ended {
-        state.forget_unread(&service, &upstream);
         state.record_crash(&service, &upstream, &requests);
     }
     event::Line::new("upstream_probed")
--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -154,6 +154,12 @@
         ready && self.driver.is_some() && self.sender.is_ready()
     }
 
+    /// Returns the connection, on which nothing more is sent; `None` if it has ended.
+    pub(crate) fn take_connection(&mut self) -> Option<path::Connection> {
+        let driver = self.driver.take()?;
+        Some(driver.into_parts().io.into_inner().into_inner())
+    }
+
     /// Returns the failure that `error` of the connection stands for.
     fn failure(&self, error: &hyper::Error) -> Failure {
         use std::error::Error;
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -382,7 +382,6 @@
     /// is alive.
     pub(crate) fn record_activity(&self, upstream: &id::Upstream) {
         self.state.with_placer(&self.service, |placer, now| placer.record_activity(upstream, now));
-        self.state.settle_unread(&self.service, upstream);
     }
 
     /// Sends the request to an upstream and waits for the head of its answer. `attempts` are those
@@ -407,18 +406,6 @@
                 if failure.verdict.is_down() {
                     self.record_failure(&primary.upstream);
                 }
-                match failure.verdict {
-                    path::Verdict::Refused => {
-                        self.state.forget_unread(&self.service, &primary.upstream);
-                    }
-                    // The kernel of a frozen process would connect for it, so this is a host that is
-                    // down and keeps nothing, or a path that is cut.
-                    path::Verdict::Silent => {
-                        self.state.settle_unread(&self.service, &primary.upstream);
-                    }
-                    path::Verdict::Unknown | path::Verdict::Outdated | path::Verdict::BackedOff => {
-                    }
-                }
                 return Err(unsent(failure.into()));
             }
         };
@@ -435,16 +422,15 @@
         if placement.limited {
             self.state.metrics.count_limited_send(&primary.upstream);
         }
-        let sending = self.record_send(leave, attempts, &primary.upstream);
+        let mut sent = self.record_send(leave, attempts, &mut exchange);
         self.state.count_send(primary);
-        let sent = self.state.clock.now();
+        let sent_at = self.state.clock.now();
         let answer = {
-            let mut send = std::pin::pin!(exchange.send(request));
+            let mut send = std::pin::pin!(sent.send(request));
             loop {
                 match tokio::time::timeout(silence::CHECK_INTERVAL, &mut send).await {
                     Ok(Ok(answer)) => break answer,
                     Ok(Err(failure)) => {
-                        sending.end();
                         let progress = self.progress_before_answer();
                         if matches!(failure, exchange::Failure::Lost(_)) {
                             self.record_unresponsive(&primary.upstream);
@@ -458,7 +444,7 @@
                     // The last upstream that may be tried is not abandoned: it may merely be busy.
                     Err(_) if !self.may_run_elsewhere(attempts) => {}
                     Err(_) => {
-                        let silent = self.state.clock.now().since(sent);
+                        let silent = self.state.clock.now().since(sent_at);
                         if let Some(why) = self.abandon_reason(&placement, dispatch_id, silent) {
                             self.record_unresponsive(&primary.upstream);
                             let detail = format!("{}: {why}, for {silent:?}", primary.upstream);
@@ -468,15 +454,14 @@
                 }
             }
         };
-        sending.end();
-        self.state.settle_unread(&self.service, &primary.upstream);
+        sent.read();
         Ok(OpenAnswer {
             framing: exchange::framing(&answer),
             exchange,
             answer,
             in_flight,
             upstream: primary.upstream.clone(),
-            sent_at: sent,
+            sent_at,
             head_at: self.state.clock.now(),
             entry: primary.clone(),
             limited: placement.limited,
@@ -495,22 +480,21 @@
         })
     }
 
-    /// Records that a dispatch is sent to `upstream` now, after `attempts`.
+    /// Records that a dispatch is sent on `exchange` now, after `attempts`.
     fn record_send<'a>(
         &'a self,
         leave: place::Leave,
         attempts: &attempts::Attempts,
-        upstream: &'a id::Upstream,
+        exchange: &'a mut exchange::Exchange,
     ) -> retries::Sent<'a> {
         match leave {
-            place::Leave::First => return retries::Sent::new(self, upstream),
+            place::Leave::First => return retries::Sent::new(self, exchange, false),
             place::Leave::Own(charge) => charge.send(),
             place::Leave::Scheduler => self.state.record_granted_retry(&self.service),
         }
         self.state.count_retry(&self.service, attempts.last_sent());
         self.state.metrics.retries.inc();
-        self.record_retry_sent();
-        retries::Sent::new(self, upstream)
+        retries::Sent::new(self, exchange, true)
     }
 
     /// Returns how the request was admitted, for a host that carries its connection.
--- a/crates/lagoon-gateway/src/meter.rs
+++ b/crates/lagoon-gateway/src/meter.rs
@@ -75,6 +75,11 @@
     pub(crate) fn new(connection: Connection, meter: Meter) -> Metered<Connection> {
         Metered { connection, meter }
     }
+
+    /// Returns the connection itself.
+    pub(crate) fn into_inner(self) -> Connection {
+        self.connection
+    }
 }
 
 impl<Connection> AsyncRead for Metered<Connection>
--- a/crates/lagoon-gateway/src/retries/message.rs
+++ b/crates/lagoon-gateway/src/retries/message.rs
@@ -1,6 +1,5 @@
 //! Messages between hosts of a zone about the requests and retries of each.
 
-use lagoonline::clock;
 use lagoonline::id;
 use lagoonline::load::retry;
 
@@ -18,18 +17,21 @@
     /// Sends to upstreams beyond the first of each request.
     #[prost(uint32, tag = "3")]
     retries: u32,
+    /// Retries that upstreams may still read.
+    #[prost(uint32, tag = "4")]
+    unread: u32,
 }
 
 impl Used {
-    pub(super) fn new(service: &id::Service, usage: retry::Usage) -> Used {
-        let retry::Usage { requests, retries } = usage;
-        Used { service: service.to_string(), requests, retries }
+    pub(super) fn new(service: &id::Service, report: &retry::Report) -> Used {
+        let retry::Report { usage: retry::Usage { requests, retries }, unread, .. } = *report;
+        Used { service: service.to_string(), requests, retries, unread }
     }
 
     /// Returns the report of the incarnation `host` that sent this now.
     pub(super) fn report(&self, host: u64) -> retry::Report {
         let usage = retry::Usage { requests: self.requests, retries: self.retries };
-        retry::Report { host, usage, age: clock::Span::ZERO, has_ended: false }
+        retry::Report { host, usage, unread: self.unread, ..retry::Report::default() }
     }
 }
 
@@ -77,7 +79,7 @@
     pub(super) fn new(service: &id::Service, report: &retry::Report) -> Report {
         Report {
             host: report.host,
-            used: Some(Used::new(service, report.usage)),
+            used: Some(Used::new(service, report)),
             age_ms: message::to_millis(report.age),
             has_ended: report.has_ended,
         }
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -46,8 +46,6 @@
     /// When this host knows what its zone used in the whole window before; `None` if it does not
     /// hear of that, or does not know the other hosts yet.
     known_at: sync::Mutex<Option<clock::Moment>>,
-    /// Whether upstreams may still read a request that was given up.
-    has_unread: atomic::AtomicBool,
 }
 
 /// For whose requests a retry is decided on.
@@ -275,9 +273,10 @@
     fn used_retries(&self) -> Vec<Used> {
         let now = self.clock.now();
         let budgets = state::lock(&self.retries.budgets);
-        let used = budgets.iter().map(|(service, known)| (service, known.budget.own_usage(now)));
-        let used = used.filter(|(_, usage)| *usage != retry::Usage::default());
-        used.map(|(service, usage)| Used::new(service, usage)).collect()
+        let report = |known: &Account| known.budget.own_report(self.incarnation, now);
+        let used = budgets.iter().map(|(service, known)| (service, report(known)));
+        let used = used.filter(|(_, report)| report.usage != retry::Usage::default());
+        used.map(|(service, report)| Used::new(service, &report)).collect()
     }
 
     /// Adds to `batch`, for hosts of this zone, what this host used of each budget, and which reports
@@ -330,9 +329,7 @@
         let known_at = (*state::lock(&self.retries.known_at))?;
         let mut reports = Vec::new();
         for (service, Account { budget, .. }) in state::lock(&self.retries.budgets).iter() {
-            let usage = budget.own_usage(now);
-            let host = self.incarnation;
-            let own = retry::Report { host, usage, age: clock::Span::ZERO, has_ended: false };
+            let own = budget.own_report(self.incarnation, now);
             let made = budget.reports(now).chain([own]).filter(|report| report.usage.retries > 0);
             reports.extend(made.map(|report| message::Report::new(service, &report)));
         }
@@ -376,8 +373,6 @@
         for account in budgets.values_mut() {
             account.budget.expire(now);
         }
-        let has_unread = budgets.values().any(|account| account.budget.unread() > 0);
-        self.retries.has_unread.store(has_unread, atomic::Ordering::Relaxed);
         budgets.retain(|service, account| {
             self.service_state(service).is_some() || account.budget.is_used(now)
         });
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -1,101 +1,191 @@
-//! Requests that are given up while nothing shows that their upstream has read them. It may read them
-//! later, so that their retries count on, see [`lagoonline::load::retry`].
+//! Requests of which nothing shows that their upstream has read them. It may read them later, so that
+//! their retries count on, see [`lagoonline::load::retry`].
+//!
+//! Only the connection on which a request was sent tells. It is kept after the request was given up, and
+//! its writing side is closed, so that the upstream learns that nobody waits for the answer. Whatever
+//! comes back then, bytes or an end, shows that the upstream has read the request or never will.
 
+use std::mem;
 use std::sync;
-use std::sync::atomic;
 
 use lagoonline::clock;
-use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use tokio::net::TcpStream;
+use tokio::runtime;
 
+use crate::exchange;
 use crate::forward;
+use crate::path;
 use crate::state;
 
+/// Time for which a connection is kept that shows nothing. An upstream that is stuck for longer is
+/// not expected to go on.
+const MAX_OBSERVATION: clock::Span = clock::Span::from_secs(120);
+/// Time for which a request may be read whose connection cannot be observed: it went through another
+/// host, which passes on what it holds, but not how the connection beyond it ends.
+const MAX_UNOBSERVED: clock::Span = clock::Span::from_secs(30);
+
 /// What was sent of a request.
 #[derive(Debug, Default)]
 pub(crate) struct Sends(sync::Mutex<Record>);
 
 #[derive(Debug, Default)]
 struct Record {
-    /// When each retry was sent.
-    retries: Vec<clock::Moment>,
-    /// Upstreams that may not have read it and that the budget does not know of yet: until it is
-    /// retried, what they read is its first.
-    unread: Vec<id::Upstream>,
-    /// Identifies the request in the budget.
+    /// Sends of which nothing shows that they were read.
+    unread: u32,
+    /// Identifies the request in the budget; `None` until it is retried, since what upstreams read
+    /// until then is its first.
     number: Option<u64>,
+    /// Connections on which it was given up before it was retried.
+    given_up: Vec<Remnant>,
+}
+
+/// A connection on which a request was given up.
+#[derive(Debug)]
+enum Remnant {
+    /// Its writing side is closed.
+    Open(TcpStream),
+    /// It has ended for this host, which shows nothing of the upstream's end.
+    Unobserved,
+}
+
+impl Remnant {
+    fn new(connection: path::Connection) -> Remnant {
+        match connection {
+            path::Connection::Direct(stream) => {
+                // Fails if the connection has ended, which is then seen when it is read.
+                drop(socket2::SockRef::from(&stream).shutdown(std::net::Shutdown::Write));
+                Remnant::Open(stream)
+            }
+            path::Connection::Tunnel(_) => Remnant::Unobserved,
+        }
+    }
+
+    /// Waits until the connection shows that the request was read or never will be. Returns false if
+    /// it shows nothing for so long that the request is taken for lost.
+    async fn wait(self) -> bool {
+        match self {
+            Remnant::Open(stream) => {
+                // A reset is an error, an end in order makes it readable.
+                tokio::time::timeout(MAX_OBSERVATION, stream.readable()).await.is_ok()
+            }
+            Remnant::Unobserved => {
+                tokio::time::sleep(MAX_UNOBSERVED).await;
+                false
+            }
+        }
+    }
 }
 
-/// A request that was sent to an upstream. Unless [`Sent::end`] is called, the upstream may not have
-/// read it when this is dropped.
+/// A request that is sent to an upstream. Unless [`Sent::read`] is called, the upstream may read it
+/// after this is dropped.
 #[derive(Debug)]
 pub(crate) struct Sent<'a> {
     admitted: &'a forward::Admitted,
-    upstream: &'a id::Upstream,
-    is_over: bool,
+    exchange: &'a mut exchange::Exchange,
+    is_read: bool,
 }
 
 impl<'a> Sent<'a> {
-    pub(crate) fn new(admitted: &'a forward::Admitted, upstream: &'a id::Upstream) -> Sent<'a> {
-        Sent { admitted, upstream, is_over: false }
+    /// Records that the request is sent on `exchange`.
+    pub(crate) fn new(
+        admitted: &'a forward::Admitted,
+        exchange: &'a mut exchange::Exchange,
+        is_retry: bool,
+    ) -> Sent<'a> {
+        admitted.record_sent(is_retry);
+        Sent { admitted, exchange, is_read: false }
+    }
+
+    /// Sends the request and waits for the head of its answer, see [`exchange::Exchange::send`].
+    pub(crate) async fn send(
+        &mut self,
+        request: hyper::Request<exchange::Payload>,
+    ) -> Result<hyper::Response<hyper::body::Incoming>, exchange::Failure> {
+        self.exchange.send(request).await
     }
 
-    /// Records that the upstream has read the request, or never will.
-    pub(crate) fn end(mut self) {
-        self.is_over = true;
+    /// Records that the upstream has read the request.
+    pub(crate) fn read(mut self) {
+        self.is_read = true;
+        self.admitted.record_read();
     }
 }
 
 impl Drop for Sent<'_> {
     fn drop(&mut self) {
-        if !self.is_over {
-            state::lock(&self.admitted.sends.0).unread.push(self.upstream.clone());
-            self.admitted.count_unread();
+        if self.is_read {
+            return;
+        }
+        match self.exchange.take_connection() {
+            Some(connection) => self.admitted.record_given_up(Remnant::new(connection)),
+            // It has ended, and so nothing more is read from it.
+            None => self.admitted.record_read(),
         }
     }
 }
 
 impl forward::Admitted {
-    /// Records that a retry of the request is sent now.
-    pub(crate) fn record_retry_sent(&self) {
-        state::lock(&self.sends.0).retries.push(self.state.clock.now());
-        self.count_unread();
-    }
-
-    /// Tells the budget which upstreams may still read the request, if it was retried.
-    fn count_unread(&self) {
+    /// Records that the request is sent to an upstream.
+    fn record_sent(&self, is_retry: bool) {
         let mut sends = state::lock(&self.sends.0);
-        let Some(sent_at) = sends.retries.first().copied() else { return };
-        let unread = std::mem::take(&mut sends.unread);
-        if unread.is_empty() {
+        sends.unread += 1;
+        if !is_retry {
             return;
         }
-        let retries = u32::try_from(sends.retries.len()).unwrap_or(u32::MAX);
         let number = *sends.number.get_or_insert_with(|| self.state.next_dispatch_id().number);
+        let (unread, given_up) = (sends.unread, mem::take(&mut sends.given_up));
         drop(sends);
         self.state.with_budget(&self.service, |budget, now| {
-            for upstream in &unread {
-                budget.record_unread(number, upstream, retries, sent_at, now);
-            }
-            self.state.retries.has_unread.store(true, atomic::Ordering::Relaxed);
+            budget.record_unread(number, unread, now);
         });
+        given_up.into_iter().for_each(|remnant| self.observe(remnant, number));
     }
-}
 
-impl state::State {
-    /// Records that an upstream of `service` has read by now what it will read of the requests that were
-    /// given up there, since it answers, or its host keeps nothing for it.
-    pub(crate) fn settle_unread(&self, service: &id::Service, upstream: &id::Upstream) {
-        if self.retries.has_unread.load(atomic::Ordering::Relaxed) {
-            self.with_budget(service, |budget, now| budget.settle_unread(upstream, now));
+    /// Records that an upstream has read the request, or never will.
+    fn record_read(&self) {
+        let mut sends = state::lock(&self.sends.0);
+        sends.unread = sends.unread.saturating_sub(1);
+        let number = sends.number;
+        drop(sends);
+        if let Some(number) = number {
+            self.state.with_budget(&self.service, |budget, now| budget.settle_unread(number, now));
         }
     }
 
-    /// Records that the process of an upstream of `service` has ended, and reads nothing of what was given
-    /// up there.
-    pub(crate) fn forget_unread(&self, service: &id::Service, upstream: &id::Upstream) {
-        if self.retries.has_unread.load(atomic::Ordering::Relaxed) {
-            self.with_budget(service, |budget, _| budget.forget_unread(upstream));
+    /// Records that the request was given up.
+    fn record_given_up(&self, remnant: Remnant) {
+        let mut sends = state::lock(&self.sends.0);
+        match sends.number {
+            Some(number) => {
+                drop(sends);
+                self.observe(remnant, number);
+            }
+            None => sends.given_up.push(remnant),
         }
     }
+
+    /// Waits in the background until `remnant` shows that the send of request `number` was read.
+    fn observe(&self, remnant: Remnant, number: u64) {
+        // There is none while the process ends.
+        let Ok(runtime) = runtime::Handle::try_current() else { return };
+        let (state, service) = (self.state.clone(), self.service.clone());
+        runtime.spawn(observe(state, service, remnant, number));
+    }
+}
+
+async fn observe(
+    state: sync::Arc<state::State>,
+    service: id::Service,
+    remnant: Remnant,
+    number: u64,
+) {
+    let is_read = remnant.wait().await;
+    state.with_budget(&service, |budget, now| {
+        if is_read {
+            budget.settle_unread(number, now);
+        } else {
+            budget.forget_unread(number);
+        }
+    });
 }
--- a/crates/lagoon-gateway/tests/host/process.rs
+++ b/crates/lagoon-gateway/tests/host/process.rs
@@ -9,6 +9,9 @@
 use std::thread;
 use std::time;
 
+use nix::sys::signal::{self, Signal};
+use nix::unistd;
+
 use crate::standin::Standin;
 
 /// Identity and settings of a process.
@@ -43,6 +46,11 @@
 impl Process {
     /// Starts the gateway on free ports, and waits until it is ready.
     pub fn start(standin: &Standin, settings: ProcessSettings<'_>) -> Process {
+        Process::try_start(standin, settings).expect("not ready")
+    }
+
+    /// As [`Process::start`]; `None` if it is not ready in time, as while the store is down.
+    pub fn try_start(standin: &Standin, settings: ProcessSettings<'_>) -> Option<Process> {
         let [callers, ready, first, last] = [(); 4].map(|()| free_port());
         let ProcessSettings { name, zone, retry_window_s, retry_slack, store } = settings;
         let file = format!("lagoon-gateway-{}-{callers}", process::id());
@@ -56,7 +64,7 @@
              RevokeMs: 5000\n  BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
         );
         fs::write(&node, text).unwrap();
-        let child = process::Command::new(env!("CARGO_BIN_EXE_lagoon-gateway"))
+        let child = process::Command::new(program())
             .arg("--node")
             .arg(&node)
             .stdout(fs::File::create(&log).unwrap())
@@ -67,10 +75,25 @@
         let process = Process { child, callers: address(callers), log, node };
         let began = time::Instant::now();
         while !is_ready(address(ready)) {
-            assert!(began.elapsed() < super::STEP_TIMEOUT, "not ready");
+            if began.elapsed() >= super::STEP_TIMEOUT {
+                return None;
+            }
             thread::sleep(time::Duration::from_millis(20));
         }
-        process
+        Some(process)
+    }
+
+    /// Copies the log to where it stays when the process ends, and prints where that is.
+    pub fn keep_log(&self) {
+        let kept = path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(self.log.file_name().unwrap());
+        fs::copy(&self.log, &kept).unwrap();
+        println!("log: {}", kept.display());
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        let id = unistd::Pid::from_raw(i32::try_from(self.child.id()).unwrap());
+        signal::kill(id, signal).unwrap();
     }
 
     /// Returns the lines logged so far about `event`.
@@ -110,3 +133,9 @@
     let mut head = [0; 16];
     stream.read(&mut head).is_ok() && head.starts_with(b"HTTP/1.1 200")
 }
+
+/// Returns the gateway to start: another build if the environment names one, to compare builds.
+fn program() -> String {
+    let built = env!("CARGO_BIN_EXE_lagoon-gateway");
+    std::env::var("LAGOON_GATEWAY").unwrap_or_else(|_| built.to_owned())
+}
--- a/crates/lagoon-gateway/tests/retry_windows.rs
+++ b/crates/lagoon-gateway/tests/retry_windows.rs
@@ -21,7 +21,8 @@
 use host::{caller, desired};
 use standin::frozen::Freezer;
 use standin::mesh::Mesh;
-use standin::{Behavior, Standin};
+use standin::path::Mode;
+use standin::{Behavior, Entrance, Standin};
 
 const ENGINES: usize = 6;
 /// Window in which retries are counted, and its length in seconds.
@@ -36,12 +37,19 @@
 const WITHOUT_SCHEDULER: usize = 5;
 const WITH_SCHEDULER: usize = 8;
 
+/// What is sent on half of the connections stays on the way.
+const HALF_HELD: Mode = Mode::Held { eighths: 4, refuses: false };
+
 /// Hosts that are processes, and engines that may be frozen.
 struct Fleet {
     standin: Standin,
     engines: Vec<Freezer>,
     hosts: Vec<Process>,
+    /// Where each host reaches the platform, which tells it its paths to the engines.
+    entrances: Vec<Entrance>,
     mesh: Mesh,
+    /// Time after which callers give up, in milliseconds.
+    deadline_ms: u64,
     /// When each prompt was sent.
     prompts: sync::Mutex<Vec<time::Instant>>,
 }
@@ -53,16 +61,20 @@
         let start = |number| Freezer::start(&standin, &format!("e{number}"), "llm", 200);
         let engines = (0..ENGINES).map(start).collect();
         let mesh = Mesh::open(&HOSTS[..hosts]);
-        let hosts = HOSTS[..hosts].iter().map(|name| join(&standin, &mesh, name)).collect();
+        let entrances: Vec<_> = (0..hosts).map(|_| standin.entrance_with_paths()).collect();
+        let names = HOSTS.iter().zip(&entrances);
+        let hosts = names.map(|(name, entrance)| join(&standin, &mesh, entrance, name)).collect();
         // Until hosts that started know of the window before them.
         thread::sleep(WINDOW);
-        Fleet { standin, engines, hosts, mesh, prompts: sync::Mutex::default() }
+        let prompts = sync::Mutex::default();
+        Fleet { standin, engines, hosts, entrances, mesh, deadline_ms: 8_000, prompts }
     }
 
     /// Kills the host `index` and starts it again.
     fn restart(&mut self, index: usize) {
         drop(self.hosts.remove(index));
-        self.hosts.insert(index, join(&self.standin, &self.mesh, HOSTS[index]));
+        let entrance = &self.entrances[index];
+        self.hosts.insert(index, join(&self.standin, &self.mesh, entrance, HOSTS[index]));
     }
 
     /// Makes all engines behave so from now on.
@@ -76,6 +88,26 @@
         self.engines.iter().for_each(|engine| engine.freeze(span));
     }
 
+    /// Sets the state of all paths to engines.
+    fn set_paths(&self, mode: Mode) {
+        self.entrances.iter().for_each(|entrance| entrance.set_paths(mode));
+    }
+
+    /// Opens all paths after `span` while `work` goes on.
+    fn open_paths_during<Work>(&self, span: time::Duration, work: Work)
+    where
+        Work: FnOnce(),
+    {
+        thread::scope(|scope| {
+            scope.spawn(|| {
+                thread::sleep(span);
+                self.set_paths(Mode::Open);
+            });
+            work();
+        });
+        thread::sleep(time::Duration::from_secs(1));
+    }
+
     /// Sends `count` prompts evenly over `span`, to the hosts in turn, and waits for their answers.
     fn send(&self, count: u32, span: time::Duration) {
         let began = time::Instant::now();
@@ -86,7 +118,7 @@
                 let address = self.hosts[index as usize % self.hosts.len()].callers;
                 let mut prompts = self.prompts.lock().unwrap();
                 prompts.push(time::Instant::now());
-                let text = prompt(prompts.len());
+                let text = prompt(prompts.len(), self.deadline_ms);
                 scope.spawn(move || send_prompt(address, &text));
             }
         });
@@ -129,9 +161,8 @@
     }
 }
 
-/// Starts the host `name`, which reaches the others through `mesh`.
-fn join(standin: &Standin, mesh: &Mesh, name: &str) -> Process {
-    let entrance = standin.entrance();
+/// Starts the host `name`, which reaches the others through `mesh` and the platform at `entrance`.
+fn join(standin: &Standin, mesh: &Mesh, entrance: &Entrance, name: &str) -> Process {
     entrance.set_mesh(name, mesh);
     let settings = ProcessSettings {
         name,
@@ -143,10 +174,10 @@
     Process::start(standin, settings)
 }
 
-fn prompt(number: usize) -> String {
+fn prompt(number: usize, deadline_ms: u64) -> String {
     format!(
         "POST /talk/a HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: r{number}\r\n\
-         authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n\
+         authorization: Token k1\r\nlagoonline-request-deadline: {deadline_ms}\r\n\
          lagoonline-token-count: 5000,400\r\ncontent-length: 0\r\n\r\n"
     )
 }
@@ -186,6 +217,63 @@
     fleet.check_retries();
 }
 
+/// Half of the connections of each engine stalled while the others answered, and were read together.
+#[rstest]
+fn connections_that_stall_bring_no_more_retries_than_allowed(
+    #[values(3, WITH_SCHEDULER)] hosts: usize,
+) {
+    let fleet = Fleet::start(hosts);
+    fleet.send(80, WINDOW);
+    fleet.set_paths(HALF_HELD);
+    fleet.open_paths_during(WINDOW * 4, || fleet.send(440, WINDOW * 11 / 2));
+    fleet.check_retries();
+}
+
+/// Retries that were allowed by requests which had left the window when they were read exceeded it.
+#[rstest]
+fn retries_that_are_read_after_the_load_has_gone_keep_the_bound(
+    #[values(3, WITH_SCHEDULER)] hosts: usize,
+) {
+    let fleet = Fleet::start(hosts);
+    fleet.send(80, WINDOW);
+    fleet.set_paths(HALF_HELD);
+    fleet.send(320, WINDOW * 4);
+    fleet.set_paths(Mode::Open);
+    fleet.send(40, WINDOW / 2);
+    thread::sleep(time::Duration::from_secs(1));
+    fleet.check_retries();
+}
+
+/// A refused connection was taken to show that nothing is read on those that stand.
+#[rstest]
+fn engines_that_refuse_connections_still_read_those_that_stand() {
+    let fleet = Fleet { deadline_ms: 1_500, ..Fleet::start(3) };
+    fleet.send(80, WINDOW);
+    for _ in 0..4 {
+        fleet.set_paths(HALF_HELD);
+        fleet.send(70, WINDOW * 3 / 4);
+        fleet.set_paths(Mode::Held { eighths: 4, refuses: true });
+        fleet.send(10, WINDOW / 8);
+    }
+    fleet.set_paths(HALF_HELD);
+    fleet.open_paths_during(WINDOW / 2, || fleet.send(120, WINDOW * 3 / 2));
+    fleet.check_retries();
+}
+
+/// What a host had sent and nobody had read was forgotten a window after the host ended.
+#[rstest]
+fn unread_retries_outlive_their_host() {
+    let mut fleet = Fleet { deadline_ms: 1_500, ..Fleet::start(3) };
+    fleet.send(80, WINDOW);
+    fleet.set_paths(HALF_HELD);
+    for index in [0, 1, 2] {
+        fleet.send(100, WINDOW * 5 / 4);
+        fleet.restart(index);
+    }
+    fleet.open_paths_during(WINDOW, || fleet.send(160, WINDOW * 2));
+    fleet.check_retries();
+}
+
 /// Hosts that heard late of each other's retries each took what was left for all of them.
 #[rstest]
 fn hosts_that_hear_of_each_other_late_keep_the_bound(
--- a/crates/lagoon-load/src/retries/host.rs
+++ b/crates/lagoon-load/src/retries/host.rs
@@ -263,8 +263,7 @@
     /// Returns what this process used.
     pub(super) fn report(&self, now: u64) -> Option<retry::Report> {
         let Policy::Budget(budget) = &self.policy else { return None };
-        let usage = budget.own_usage(self.moment(now));
-        Some(retry::Report { host: self.life, usage, age: clock::Span::ZERO, has_ended: false })
+        Some(budget.own_report(self.life, self.moment(now)))
     }
 
     /// Returns all that it knows of its zone, for a process that starts, and the time until it knows
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -5,7 +5,6 @@
 use super::unread::Unread;
 use super::window::{Usage, Window};
 use crate::clock;
-use crate::id;
 
 /// Time within which hosts of a zone mostly hear of each other's retries.
 pub const TURN: clock::Span = clock::Span::from_millis(50);
@@ -36,6 +35,10 @@
 /// so that nobody knows what it used. A process that is killed starts again within it.
 const MAX_SILENCE: clock::Span = clock::Span::from_millis(1_200);
 
+/// Time after the window of a report for which the unread retries in it count on. Only the incarnation
+/// itself sees when they are read, and it may have ended.
+const UNREAD_SPAN: clock::Span = clock::Span::from_secs(30);
+
 /// The bound on the retries of all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -103,12 +106,14 @@
 }
 
 /// What an incarnation of a host used.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Report {
     /// The incarnation.
     pub host: u64,
     /// What it used in the window before the report.
     pub usage: Usage,
+    /// Retries that upstreams may still read.
+    pub unread: u32,
     /// Time since the report.
     pub age: clock::Span,
     /// Whether the incarnation is known to have ended.
@@ -119,20 +124,40 @@
 #[derive(Clone, Debug)]
 struct Received {
     usage: Usage,
-    /// When the window that it is about is over.
-    leaves_at: clock::Moment,
+    unread: u32,
+    /// When nothing of it counts any more, [`UNREAD_SPAN`] after the window that it is about.
+    ends_at: clock::Moment,
     has_ended: bool,
     /// When this host allowed the incarnation a retry. A report may have been made before that.
     granted: collections::VecDeque<clock::Moment>,
 }
 
 impl Received {
-    fn new(usage: Usage, leaves_at: clock::Moment, has_ended: bool) -> Received {
-        Received { usage, leaves_at, has_ended, granted: collections::VecDeque::new() }
+    fn new(report: Report, ends_at: clock::Moment) -> Received {
+        let Report { usage, unread, has_ended, .. } = report;
+        Received { usage, unread, ends_at, has_ended, granted: collections::VecDeque::new() }
+    }
+
+    /// What is known of an incarnation that has sent no report.
+    fn unheard(ends_at: clock::Moment) -> Received {
+        Received::new(Report::default(), ends_at)
+    }
+
+    /// Whether the window of the report is not over.
+    fn is_in_window(&self, now: clock::Moment) -> bool {
+        self.ends_at.since(now) > UNREAD_SPAN
+    }
+
+    /// Whether any of it counts.
+    fn is_known(&self, now: clock::Moment) -> bool {
+        self.is_in_window(now) || (self.unread > 0 && self.ends_at > now)
     }
 
     /// Returns what the incarnation used at least, with the retries that it was allowed after `oldest`.
-    fn usage(&self, oldest: clock::Moment) -> Usage {
+    fn usage(&self, oldest: clock::Moment, now: clock::Moment) -> Usage {
+        if !self.is_in_window(now) {
+            return Usage { requests: 0, retries: self.unread };
+        }
         let granted = self.granted.iter().filter(|at| **at >= oldest).count();
         let granted = u32::try_from(granted).unwrap_or(u32::MAX);
         Usage { retries: self.usage.retries.max(granted), ..self.usage }
@@ -232,55 +257,51 @@
         self.own.remove_retry(at);
     }
 
-    /// Records that a request was given up at `upstream`, which may not have read it yet. `request` tells
-    /// it from others of this host; `retries` of it were sent, the first of them at `sent_at`.
+    /// Records that a retry of `request` is sent, of which `unread` sends may still be read, this one
+    /// included. The retry counts until those are settled.
     ///
     /// ```
-    /// use lagoonline::{clock::{Moment, Span}, id::Upstream};
+    /// use lagoonline::clock::{Moment, Span};
     /// use lagoonline::load::retry::{Budget, Settings};
     /// let mut budget = Budget::new(Settings::default());
-    /// let (sent_at, upstream) = (Moment::from_millis(10), Upstream::from("u"));
+    /// let sent_at = Moment::from_millis(10);
     /// budget.record_retry(sent_at);
-    /// budget.record_unread(1, &upstream, 1, sent_at, sent_at + Span::from_secs(1));
-    /// let wakes_at = sent_at + Span::from_secs(15);
-    /// assert_eq!(budget.own_usage(wakes_at).retries, 1);
-    /// budget.settle_unread(&upstream, wakes_at);
-    /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(9)).retries, 1);
-    /// assert_eq!(budget.own_usage(wakes_at + Span::from_secs(11)).retries, 0);
+    /// // Neither the first send nor the retry was answered.
+    /// budget.record_unread(1, 2, sent_at);
+    /// budget.settle_unread(1, sent_at + Span::from_millis(20));
+    /// let read_at = sent_at + Span::from_secs(60);
+    /// assert_eq!(budget.own_usage(read_at).retries, 1);
+    /// budget.settle_unread(1, read_at);
+    /// assert_eq!(budget.own_usage(read_at + Span::from_secs(9)).retries, 1);
+    /// assert_eq!(budget.own_usage(read_at + Span::from_secs(11)).retries, 0);
     /// ```
-    pub fn record_unread(
-        &mut self,
-        request: u64,
-        upstream: &id::Upstream,
-        retries: u32,
-        sent_at: clock::Moment,
-        now: clock::Moment,
-    ) {
-        self.unread.add(request, upstream, retries, sent_at, now);
+    pub fn record_unread(&mut self, request: u64, unread: u32, now: clock::Moment) {
+        self.unread.add(request, unread, now);
     }
 
-    /// Records that `upstream` has read by `now` what it will read of the requests that were given up.
-    pub fn settle_unread(&mut self, upstream: &id::Upstream, now: clock::Moment) {
-        self.unread.settle(upstream, &mut self.own, now);
+    /// Records that one of the sends of `request` was read by `now`, or can no longer be read.
+    pub fn settle_unread(&mut self, request: u64, now: clock::Moment) {
+        self.unread.settle(request, &mut self.own, now);
     }
 
-    /// Records that the process of `upstream` has ended, and reads nothing of what was sent to it.
-    pub fn forget_unread(&mut self, upstream: &id::Upstream) {
-        self.unread.forget(upstream);
+    /// Records that one of the sends of `request` is taken for lost, though nothing shows it.
+    pub fn forget_unread(&mut self, request: u64) {
+        self.unread.forget(request);
     }
 
-    /// Returns the retries that upstreams may still read after they were given up.
+    /// Returns the retries that upstreams may still read.
     pub fn unread(&self) -> u32 {
         self.unread.retries()
     }
 
     /// Records what another incarnation used. Of two reports of one incarnation the later counts.
     pub fn record_report(&mut self, report: Report, now: clock::Moment) {
-        let Some(left) = self.settings.window.checked_sub(report.age) else { return };
-        let received = Received::new(report.usage, now + left, report.has_ended);
+        let span = self.settings.window + UNREAD_SPAN;
+        let Some(left) = span.checked_sub(report.age) else { return };
+        let received = Received::new(report, now + left);
         let known = self.others.entry(report.host).or_insert_with(|| received.clone());
         // One that was taken for ended since nobody heard it, and reports again, has not.
-        if known.leaves_at <= received.leaves_at {
+        if known.ends_at <= received.ends_at {
             *known = Received { granted: std::mem::take(&mut known.granted), ..received };
         }
     }
@@ -289,9 +310,8 @@
     /// before. After a long silence its host's part of the slack counts as used, and so do the retries
     /// that its requests allow.
     pub fn record_end(&mut self, host: u64, silent: clock::Span, now: clock::Moment) {
-        let leaves_at = now + self.settings.window;
-        let unheard = Received::new(Usage::default(), leaves_at, true);
-        let known = self.others.entry(host).or_insert(unheard);
+        let ends_at = now + self.settings.window + UNREAD_SPAN;
+        let known = self.others.entry(host).or_insert_with(|| Received::unheard(ends_at));
         known.has_ended = true;
         if silent > MAX_SILENCE {
             let sharing = self.sharing.unwrap_or_default();
@@ -299,15 +319,13 @@
             known.usage.requests = 0;
             let retries = (self.settings.slack * part).ceil() as u32;
             known.usage += Usage { requests: 0, retries };
-            known.leaves_at = leaves_at;
+            known.ends_at = ends_at;
         }
     }
 
-    /// Forgets incarnations whose reports are older than the window, and requests that are too old to
-    /// be read.
+    /// Forgets incarnations of whose reports nothing counts any more.
     pub fn expire(&mut self, now: clock::Moment) {
-        self.others.retain(|_, known| known.leaves_at > now);
-        self.unread.expire(now);
+        self.others.retain(|_, known| known.is_known(now));
     }
 
     /// Whether anything is known that was used in the last window.
@@ -325,15 +343,24 @@
 
     /// Returns what is known of other incarnations.
     pub fn reports(&self, now: clock::Moment) -> impl Iterator<Item = Report> {
-        let window = self.settings.window;
-        let known = self.others.iter().filter(move |(_, known)| known.leaves_at > now);
-        known.map(move |(host, known)| {
-            let age = window.saturating_sub(known.leaves_at.since(now));
-            let usage = known.usage(now.saturating_sub(window));
-            Report { host: *host, usage, age, has_ended: known.has_ended }
+        let span = self.settings.window + UNREAD_SPAN;
+        let oldest = now.saturating_sub(self.settings.window);
+        let known = self.others.iter().filter(move |(_, known)| known.is_known(now));
+        known.map(move |(host, known)| Report {
+            host: *host,
+            usage: known.usage(oldest, now),
+            unread: known.unread,
+            age: span.saturating_sub(known.ends_at.since(now)),
+            has_ended: known.has_ended,
         })
     }
 
+    /// Returns the report of this host, the incarnation `host`.
+    pub fn own_report(&self, host: u64, now: clock::Moment) -> Report {
+        let usage = self.own_usage(now);
+        Report { host, usage, unread: self.unread(), age: clock::Span::ZERO, has_ended: false }
+    }
+
     /// Returns the retries that are left, possibly a fraction or below zero.
     pub fn left(&self, now: clock::Moment) -> f64 {
         let own = self.own_usage(now);
@@ -355,6 +382,7 @@
             return f64::from(u8::from(report.age <= MAX_REPORT_AGE));
         }
         let heard = self.sharing.map_or(0.0, Sharing::heard_share);
+        // Beyond the window there are no requests in it.
         heard * (1.0 - report.age.as_secs_f64() / self.settings.window.as_secs_f64())
     }
 
@@ -429,13 +457,12 @@
         let verdict = self.verdict(now);
         if verdict == Verdict::Allowed {
             self.count_taken(now);
-            let leaves_at = now + self.settings.window;
-            let unknown = Received::new(Usage::default(), leaves_at, false);
-            let known = self.others.entry(host).or_insert(unknown);
+            let ends_at = now + self.settings.window + UNREAD_SPAN;
+            let known = self.others.entry(host).or_insert_with(|| Received::unheard(ends_at));
             let oldest = now.saturating_sub(self.settings.window);
             known.granted.retain(|at| *at >= oldest);
             known.granted.push_back(now);
-            known.leaves_at = leaves_at;
+            known.ends_at = ends_at;
         }
         verdict
     }
--- a/crates/lagoonline/src/load/retry/mod.rs
+++ b/crates/lagoonline/src/load/retry/mod.rs
@@ -19,8 +19,8 @@
 //! - Hosts that decide at the same moment have not heard of each other yet. Each takes at most its
 //!   part of what is left until all others have shown that they know of it, and the next retry waits
 //!   for that.
-//! - Upstreams count a request when they read it, which for one that was given up may be much later.
-//!   Its retries count until then.
+//! - Upstreams count a request when they read it, which may be long after it was sent. Its retries
+//!   count until the connections on which it was sent show that they were read or have ended.
 //!
 //! A [`Bucket`] limits the retries of one process by itself.
 
--- a/crates/lagoonline/src/load/retry/unread.rs
+++ b/crates/lagoonline/src/load/retry/unread.rs
@@ -1,108 +1,81 @@
 //! Retries that upstreams may still read.
 //!
-//! A process that is frozen reads nothing, but the kernel takes connections and requests for it and
-//! keeps them, also when the sender has given them up. When the process wakes, it reads all of them
-//! at once. So a retry that has left the window counts on until the upstreams that may not have read
-//! the request show that they read again, and for a window from then on.
+//! What was sent may be read much later: a process that is frozen reads nothing while the kernel takes
+//! connections and requests for it, and a connection may stall while others to the same process work.
+//! So a retry counts until something shows that the connection on which it was sent is not read any more,
+//! and for a window from then on. Answers on other connections show nothing of it.
 
 use std::collections;
 
 use super::window::{Usage, Window};
 use crate::clock;
-use crate::id;
 
-/// Time after which a request that was given up is taken for lost, so that upstreams that never come
-/// back do not use up the retries of others.
-const MAX_AGE: clock::Span = clock::Span::from_secs(30);
-
-/// The retries of one request.
-#[derive(Clone, Debug)]
+/// The sends of one request.
+#[derive(Clone, Debug, Default)]
 struct Hold {
-    /// Upstreams that may not have read it yet.
-    upstreams: Vec<id::Upstream>,
-    /// Retries among what these may still read.
-    retries: u32,
-    /// When the first of the retries was sent, from which on it counts in the window.
-    sent_at: clock::Moment,
-    /// When the latest of the upstreams was given up.
-    given_up_at: clock::Moment,
+    /// Sends of which nothing shows that they were read or never will be.
+    unread: u32,
+    /// When the retries were sent that may still be read, from the first on. The first send that is
+    /// read is no retry, so there may be one less than unread sends.
+    sent: collections::VecDeque<clock::Moment>,
 }
 
-/// The retries of requests that upstreams may still read, by the number of the request.
+/// Retries that may still be read, by the number of their request.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Unread(collections::BTreeMap<u64, Hold>);
 
 impl Unread {
-    /// Records that `upstream` may not have read `request` yet, of which `retries` were sent, the first
-    /// of them at `sent_at`.
-    pub(super) fn add(
-        &mut self,
-        request: u64,
-        upstream: &id::Upstream,
-        retries: u32,
-        sent_at: clock::Moment,
-        now: clock::Moment,
-    ) {
-        let upstreams = Vec::new();
-        let new = Hold { upstreams, retries: 0, sent_at, given_up_at: now };
-        let hold = self.0.entry(request).or_insert(new);
-        hold.upstreams.push(upstream.clone());
-        hold.retries = retries.min(hold.retries + 1);
-        hold.sent_at = hold.sent_at.min(sent_at);
-        hold.given_up_at = now;
-    }
-
-    /// Returns the retries that were sent before the window and may still be read.
-    pub(super) fn before(&self, oldest: clock::Moment) -> u32 {
-        let held = self.0.values().filter(|hold| hold.sent_at <= oldest);
-        held.map(|hold| hold.retries).sum()
+    /// Records a retry of `request`, of which `unread` sends may still be read, this one included.
+    pub(super) fn add(&mut self, request: u64, unread: u32, now: clock::Moment) {
+        let hold = self.0.entry(request).or_default();
+        hold.unread = unread;
+        hold.sent.push_back(now);
     }
 
-    /// Records that `upstream` has read what it may read of the requests that were given up. Their
-    /// retries count from now on in `window`, unless other upstreams may still read them.
-    pub(super) fn settle(
-        &mut self,
-        upstream: &id::Upstream,
-        window: &mut Window,
-        now: clock::Moment,
-    ) {
-        self.remove(upstream, |hold| {
-            for _ in 0..hold.retries {
-                window.remove_retry(hold.sent_at);
-            }
-            window.add(Usage { requests: 0, retries: hold.retries }, now);
-        });
+    /// Records that one send of `request` was read at `now` or before: if that was a retry, it counts in
+    /// `window` from now on.
+    pub(super) fn settle(&mut self, request: u64, window: &mut Window, now: clock::Moment) {
+        if let Some(sent_at) = self.remove(request) {
+            window.remove_retry(sent_at);
+            window.add(Usage { requests: 0, retries: 1 }, now);
+        }
     }
 
-    /// Records that `upstream` has ended, and reads nothing any more.
-    pub(super) fn forget(&mut self, upstream: &id::Upstream) {
-        self.remove(upstream, |_| {});
+    /// Records that one send of `request` is taken for lost.
+    pub(super) fn forget(&mut self, request: u64) {
+        self.remove(request);
     }
 
-    /// Removes `upstream` from all requests, and calls `settled` for those that no other upstream may
-    /// read.
-    fn remove<Settled>(&mut self, upstream: &id::Upstream, mut settled: Settled)
-    where
-        Settled: FnMut(&Hold),
-    {
-        self.0.retain(|_, hold| {
-            let before = hold.upstreams.len();
-            hold.upstreams.retain(|known| known != upstream);
-            let is_settled = hold.upstreams.is_empty() && before > 0;
-            if is_settled {
-                settled(hold);
-            }
-            !is_settled
-        });
+    /// Removes one send of `request`. Returns when the retry was sent that can now no longer be read.
+    fn remove(&mut self, request: u64) -> Option<clock::Moment> {
+        let hold = self.0.get_mut(&request)?;
+        hold.unread = hold.unread.saturating_sub(1);
+        let is_fewer = hold.sent.len() > hold.unread as usize;
+        let sent_at = if is_fewer { hold.sent.pop_front() } else { None };
+        if hold.unread == 0 {
+            self.0.remove(&request);
+        }
+        sent_at
     }
 
-    /// Forgets requests that are too old to be read.
-    pub(super) fn expire(&mut self, now: clock::Moment) {
-        self.0.retain(|_, hold| now.since(hold.given_up_at) <= MAX_AGE);
+    /// Returns the retries that were sent at `oldest` or before and may still be read.
+    pub(super) fn before(&self, oldest: clock::Moment) -> u32 {
+        count(self.sent().filter(|at| *at <= oldest))
     }
 
     /// Returns the number of retries that may still be read.
     pub(super) fn retries(&self) -> u32 {
-        self.0.values().map(|hold| hold.retries).sum()
+        count(self.sent())
+    }
+
+    fn sent(&self) -> impl Iterator<Item = clock::Moment> {
+        self.0.values().flat_map(|hold| hold.sent.iter().copied())
     }
 }
+
+fn count<Items>(items: Items) -> u32
+where
+    Items: Iterator,
+{
+    u32::try_from(items.count()).unwrap_or(u32::MAX)
+}
--- a/crates/lagoonline/tests/load_retry.rs
+++ b/crates/lagoonline/tests/load_retry.rs
@@ -19,7 +19,7 @@
 
 fn report(host: u64, requests: u32, retries: u32) -> Report {
     let usage = Usage { requests, retries };
-    Report { host, usage, age: Span::ZERO, has_ended: false }
+    Report { host, usage, ..Report::default() }
 }
 
 /// A host that knows no other hosts yet must not take itself for the only one.
@@ -137,3 +137,41 @@
     budget.record_end(1, Span::from_secs(3), NOW);
     assert_eq!(budget.verdict(NOW), Verdict::Refused);
 }
+
+/// A retry to an upstream that stopped reading was forgotten when another answer of it came.
+#[rstest]
+fn a_retry_counts_until_its_own_connection_tells() {
+    let mut budget = budget(Sharing::default());
+    budget.record_retry(NOW);
+    budget.record_unread(1, 2, NOW);
+    budget.record_retry(NOW);
+    budget.record_unread(2, 1, NOW);
+    let later = NOW + WINDOW * 6;
+    budget.settle_unread(2, later);
+    assert_eq!(budget.own_usage(later), Usage { requests: 0, retries: 2 });
+    assert_eq!(budget.unread(), 1);
+    let after = later + WINDOW * 2;
+    assert_eq!(budget.own_usage(after).retries, 1);
+    budget.forget_unread(1);
+    assert_eq!(budget.own_usage(after).retries, 1);
+    budget.forget_unread(1);
+    assert_eq!(budget.own_usage(after).retries, 0);
+}
+
+/// What an incarnation had sent and nobody had read was forgotten a window after its end.
+#[rstest]
+fn unread_retries_of_an_ended_incarnation_count_on() {
+    let mut ended = budget(Sharing::default());
+    ended.record_report(Report { unread: 30, ..report(1, 100, 50) }, NOW);
+    ended.record_end(1, Span::ZERO, NOW);
+    let after_window = NOW + WINDOW + Span::from_secs(1);
+    ended.expire(after_window);
+    let told: Vec<_> = ended.reports(after_window).collect();
+    assert_eq!(told[0].usage, Usage { requests: 0, retries: 30 });
+    // A host that starts then is told so.
+    let mut started = budget(Sharing::default());
+    started.record_report(told[0], after_window);
+    assert_eq!(take_all(&mut started, after_window), 30);
+    let late = NOW + WINDOW + Span::from_secs(31);
+    assert_eq!(started.reports(late).count(), 0);
+}
