Allow as many unread retries as may be read after the load has ended

Cause: retries are allowed by the requests of the window in which they are sent, and counted by upstreams with those of the window in which they are read. Class: a bound that follows two moments, kept at one.

Change: besides what is left in the window, unread retries of a zone may not exceed its slack and a quarter of the ratio. A connection that is reported as readable is read, since such reports may be wrong.

--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -5,6 +5,7 @@
 //! its writing side is closed, so that the upstream learns that nobody waits for the answer. Whatever
 //! comes back then, bytes or an end, shows that the upstream has read the request or never will.
 
+use std::io;
 use std::mem;
 use std::sync;
 
@@ -66,8 +67,7 @@
     async fn wait(self) -> bool {
         match self {
             Remnant::Open(stream) => {
-                // A reset is an error, an end in order makes it readable.
-                tokio::time::timeout(MAX_OBSERVATION, stream.readable()).await.is_ok()
+                tokio::time::timeout(MAX_OBSERVATION, until_readable(&stream)).await.is_ok()
             }
             Remnant::Unobserved => {
                 tokio::time::sleep(MAX_UNOBSERVED).await;
@@ -77,6 +77,15 @@
     }
 }
 
+/// Waits until `stream` has bytes, ends or is reset.
+async fn until_readable(stream: &TcpStream) {
+    let is_pending = |read: io::Result<usize>| {
+        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    };
+    // It may be reported as readable though it is not.
+    while stream.readable().await.is_ok() && is_pending(stream.try_read(&mut [0])) {}
+}
+
 /// A request that is sent to an upstream. Unless [`Sent::read`] is called, the upstream may read it
 /// after this is dropped.
 #[derive(Debug)]
--- a/crates/lagoon-gateway/tests/deployment/mod.rs
+++ b/crates/lagoon-gateway/tests/deployment/mod.rs
@@ -159,6 +159,11 @@
                 }
                 set(Mode::Open);
             }
+            Kind::RefusePaths => {
+                set_paths(Mode::Reset);
+                thread::sleep(span);
+                set_paths(Mode::Open);
+            }
             Kind::CutPaths => {
                 set_paths(Mode::Silent);
                 thread::sleep(span);
--- a/crates/lagoon-gateway/tests/deployment/troubles.rs
+++ b/crates/lagoon-gateway/tests/deployment/troubles.rs
@@ -22,6 +22,8 @@
     FreezeUpstreams,
     /// Their connections to upstreams are disrupted; new ones work.
     Disrupt(Disruption),
+    /// Their connections to upstreams are reset and new ones refused for a moment.
+    RefusePaths,
     /// Nothing passes between them and upstreams; what was sent arrives later.
     CutPaths,
     /// What is sent to upstreams stays on the way; they refuse new connections for a part of each 4 s.
@@ -159,6 +161,7 @@
             series(Kind::FreezeUpstreams, 5_000..30_000, 10_000, 9_000, 0.9),
             series(rolls, 7_000..30_000, 9_000, 6_000, 1.0),
         ],
+        "refused-paths" => vec![series(Kind::RefusePaths, 3_000..33_000, 500, 30, 1.0)],
         "cuts" => vec![series(Kind::CutPaths, 4_000..32_000, 3_000, 1_800, 0.7)],
         "frozen-hosts" => vec![
             one(refusals, 4_000, 28_000, 1.0),
--- a/crates/lagoonline/src/load/retry/budget.rs
+++ b/crates/lagoonline/src/load/retry/budget.rs
@@ -15,6 +15,9 @@
 /// Share of the allowed ratio that is used by other hosts. The lives before may have used up
 /// [`RATIO_SHARE`] of it just before they ended.
 const PARTIAL_RATIO_SHARE: f64 = 0.25;
+/// Share of the allowed ratio that may be unread. The requests that allowed a retry may have left the
+/// window when it is read, and no others may have come.
+const UNREAD_RATIO_SHARE: f64 = 0.25;
 /// Share of the slack that is used by hosts which know what was used in the whole window. A tenth is
 /// never planned for: what a host used that was cut off and then killed is told to nobody.
 const SLACK_SHARE: f64 = 0.6;
@@ -361,18 +364,27 @@
         Report { host, usage, unread: self.unread(), age: clock::Span::ZERO, has_ended: false }
     }
 
-    /// Returns the retries that are left, possibly a fraction or below zero.
+    /// Returns the retries that are left in the window, possibly a fraction or below zero.
     pub fn left(&self, now: clock::Moment) -> f64 {
-        let own = self.own_usage(now);
-        let mut requests = f64::from(own.requests);
-        let mut retries = f64::from(own.retries);
-        for report in self.reports(now) {
-            requests += f64::from(report.usage.requests) * self.request_share(&report);
-            retries += f64::from(report.usage.retries);
-        }
+        let others: u32 = self.reports(now).map(|report| report.usage.retries).sum();
+        let retries = self.own_usage(now).retries + others;
         let is_known = self.sharing.is_some_and(|sharing| sharing.known_at <= now);
         let ratio_share = if is_known { RATIO_SHARE } else { PARTIAL_RATIO_SHARE };
-        self.settings.ratio * ratio_share * requests + self.slack(now) - retries
+        self.settings.ratio * ratio_share * self.requests(now) + self.slack(now)
+            - f64::from(retries)
+    }
+
+    /// Returns the retries that may be made until too many are unread, possibly a fraction or below zero.
+    fn left_unread(&self, now: clock::Moment) -> f64 {
+        let others: u32 = self.reports(now).map(|report| report.unread).sum();
+        let allowed = self.settings.ratio * UNREAD_RATIO_SHARE * self.requests(now);
+        allowed + self.slack_of_share(SLACK_SHARE) - f64::from(self.unread() + others)
+    }
+
+    /// Returns the requests of the window that count here.
+    fn requests(&self, now: clock::Moment) -> f64 {
+        let share = |report: Report| f64::from(report.usage.requests) * self.request_share(&report);
+        f64::from(self.own_usage(now).requests) + self.reports(now).map(share).sum::<f64>()
     }
 
     /// Returns the share of the requests in a report that counts here. Its retries count until all of
@@ -409,15 +421,21 @@
 
     /// Returns the part of the slack that this host may use.
     fn slack(&self, now: clock::Moment) -> f64 {
-        let Some(sharing) = self.sharing else { return 0.0 };
-        let unknown = sharing.known_at.since(now).as_secs_f64();
+        let known_at = self.sharing.map_or(clock::Moment::NEVER, |sharing| sharing.known_at);
+        let unknown = known_at.since(now).as_secs_f64();
         let window = self.settings.window.as_secs_f64();
         let share = if unknown == 0.0 {
             SLACK_SHARE
         } else {
             START_SLACK_SHARE + PARTIAL_SLACK_SHARE * (1.0 - unknown / window).max(0.0)
         };
-        self.settings.slack * share * sharing.heard_share() / sharing.zones.max(1) as f64
+        self.slack_of_share(share)
+    }
+
+    /// Returns the part of this host in `share` of the slack.
+    fn slack_of_share(&self, share: f64) -> f64 {
+        let part = |sharing: Sharing| sharing.heard_share() / sharing.zones.max(1) as f64;
+        self.settings.slack * share * self.sharing.map_or(0.0, part)
     }
 
     /// Returns whether a retry may be made now, without taking it.
@@ -429,6 +447,11 @@
         if left + 1e-9 < 1.0 {
             return Verdict::Refused;
         }
+        if self.left_unread(now) + 1e-9 < 1.0 {
+            // Those that were sent just now are mostly answered soon.
+            let is_recent = self.unread.was_added_since(now.saturating_sub(MAX_REPORT_AGE));
+            return if is_recent { Verdict::Wait } else { Verdict::Refused };
+        }
         let taken = self.taken_since(sharing.told_until.min(now)) as f64;
         // The last ones are not divided; what hosts take too much then, they wait for.
         let part = ((left + taken) / deciders).max(1.0);
--- a/crates/lagoonline/src/load/retry/unread.rs
+++ b/crates/lagoonline/src/load/retry/unread.rs
@@ -63,6 +63,11 @@
         count(self.sent().filter(|at| *at <= oldest))
     }
 
+    /// Whether one of them was sent at `from` or later.
+    pub(super) fn was_added_since(&self, from: clock::Moment) -> bool {
+        self.sent().any(|at| at >= from)
+    }
+
     /// Returns the number of retries that may still be read.
     pub(super) fn retries(&self) -> u32 {
         count(self.sent())
--- a/crates/lagoonline/tests/load_retry.rs
+++ b/crates/lagoonline/tests/load_retry.rs
@@ -175,3 +175,20 @@
     let late = NOW + WINDOW + Span::from_secs(31);
     assert_eq!(started.reports(late).count(), 0);
 }
+
+/// Retries that stalled were read together when the requests that had allowed them had left the window.
+#[rstest]
+fn unread_retries_stay_within_the_slack_when_requests_end() {
+    let mut budget = budget(Sharing::default());
+    (0..800).for_each(|_| budget.record_request(NOW));
+    let mut sent = 0;
+    while budget.take_retry(NOW) == Verdict::Allowed {
+        budget.record_unread(sent, 1, NOW);
+        sent += 1;
+    }
+    assert_eq!(sent, 100);
+    assert_eq!(budget.verdict(NOW), Verdict::Wait);
+    assert_eq!(budget.verdict(NOW + Span::from_secs(1)), Verdict::Refused);
+    budget.settle_unread(0, NOW);
+    assert_eq!(budget.verdict(NOW), Verdict::Allowed);
+}
