Let other tasks run after 32 chunks of an answer

What callers saw: while one upstream sent a stream or a body in chunks of one byte, as fast as it was taken, callers of the host had no answer within 20 s, and the upstream was not left when its own caller left.

Cause: one read of a connection brings up to 20,000 chunks of one byte, each of which is ready at once, so the task that reads them never waits, and all callers share its thread. Class: work on what a peer sends whose end depends on the peer, without a turn for others.

Change: an exchange gives way after 32 chunks. The runtime's cooperative budget was tried first: it serves other callers, but a nested select! that is out of budget polls none of its branches, so a caller's end was noticed after 8 s, at the deadline.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -28,6 +28,10 @@
 /// [`progress::Settings`], which is mostly the one that applies.
 const READ_BUFFER: usize = 128 << 10;
 
+/// Number of chunks of a body that are read before other tasks get a turn: one read may bring thousands
+/// of them.
+const CHUNKS_PER_TURN: u32 = 32;
+
 /// Body of a request.
 pub(crate) type Payload = http_body_util::Full<body::Bytes>;
 
@@ -58,6 +62,8 @@
     sender: http1::SendRequest<Payload>,
     driver: Option<Driver>,
     meter: meter::Meter,
+    /// Chunks read since other tasks had a turn.
+    chunks_in_turn: u32,
 }
 
 impl Exchange {
@@ -74,7 +80,7 @@
             .handshake(TokioIo::new(metered))
             .await
             .map_err(|error| Failure::Unsent(error.to_string()))?;
-        Ok(Exchange { sender, driver: Some(driver), meter })
+        Ok(Exchange { sender, driver: Some(driver), meter, chunks_in_turn: 0 })
     }
 
     /// Sends the request and waits for the head of its answer.
@@ -104,6 +110,7 @@
         body: &mut body::Incoming,
     ) -> Result<Option<body::Bytes>, Failure> {
         loop {
+            self.take_turn().await;
             let frame = drive(&mut self.driver, body.frame()).await;
             match frame {
                 None => return Ok(None),
@@ -119,6 +126,16 @@
         }
     }
 
+    /// Lets other tasks run after [`CHUNKS_PER_TURN`] chunks. The runtime's own budget would do so too,
+    /// but a `select!` that is out of budget polls none of its other branches, such as the caller's end.
+    async fn take_turn(&mut self) {
+        self.chunks_in_turn += 1;
+        if self.chunks_in_turn >= CHUNKS_PER_TURN {
+            self.chunks_in_turn = 0;
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Reads the complete body, of at most `limit` bytes. `hold` is called with the size of each
     /// piece, and returns whether the host has memory for it.
     ///
