Leave an upstream whose body or event comes in over 131,072 pieces

What callers saw, where an upstream pours one event or body in chunks of one byte: a resumable stream was cut and a lookup answered 504 at the deadline, after 10 s (build of the tests), and the host worked on it all the while.

Cause: bounds on what becomes no answer count bytes; a chunk of one byte costs a host what one of 64 bytes costs, and an event or a body may have 8 MB. Class: a bound on bytes where the cost is by piece.

Change: an event, or a body that is buffered, may come in 131,072 pieces, as many as 8 MB have of 64 bytes.

--- a/crates/lagoon-gateway/tests/small_chunks.rs
+++ b/crates/lagoon-gateway/tests/small_chunks.rs
@@ -18,7 +18,7 @@
 
 use host::caller::{End, call};
 use host::{Host, send_request};
-use standin::raw::{Body, End as Ending, Framing, Script, WHOLE};
+use standin::raw::{self, Body, End as Ending, Framing, Script, WHOLE};
 
 /// Heads of answers that go on without end.
 const EVENTS: &str = "HTTP/1.1 200 OK\r\nlagoonline-response-signature: e\r\n\
@@ -119,3 +119,23 @@
     assert!(left.elapsed() < LEAVE_TIME, "{:?}", left.elapsed());
     assert_eq!(send_request(host.ready, "GET /api/ready HTTP/1.1\r\nhost: h\r\n\r\n").0, 200);
 }
+
+/// Guards against an upstream that keeps a host at work with millions of chunks of one event or body.
+#[rstest]
+#[case::event("POST", "/talk/a", pouring(EVENTS, "x"))]
+#[case::body("GET", "/look/1", pouring(PLAIN, "x"))]
+fn an_upstream_whose_answer_comes_in_too_many_chunks_is_left(
+    #[case] method: &str,
+    #[case] path: &str,
+    #[case] script: Script,
+) {
+    let host = Host::start_raw();
+    host.standin.script(&[script]);
+    let text = request("q1", method, path, time::Duration::from_secs(15));
+    let answer = call(host.callers, &text);
+    assert_eq!((answer.status, answer.end), (200, End::Marked));
+    assert_eq!(answer.body, raw::events_after(0, "\n"));
+    let metrics = send_request(host.ready, "GET /metrics HTTP/1.1\r\nhost: h\r\n\r\n").1;
+    let counted = "lagoon_gateway_answer_violations_total{of=\"answer\",kind=\"pieces\"} 1";
+    assert!(metrics.contains(counted), "{metrics}");
+}
--- a/crates/lagoonline/src/load/progress.rs
+++ b/crates/lagoonline/src/load/progress.rs
@@ -47,6 +47,9 @@
     /// An event is too large to be buffered.
     #[error("an event that is too large")]
     Event,
+    /// A body that is buffered, or an event, arrives in too many pieces.
+    #[error("content in too many pieces")]
+    Pieces,
 }
 
 impl Violation {
@@ -63,6 +66,7 @@
             Violation::NoEvent => "no_event",
             Violation::SlowEvent => "slow_event",
             Violation::Event => "event",
+            Violation::Pieces => "pieces",
         }
     }
 }
@@ -83,6 +87,9 @@
     pub unit_time: clock::Span,
     /// Number of pieces from which on a unit can be too slow.
     pub min_pieces: u32,
+    /// Maximum number of pieces of a body that is buffered, and of an event. Receiving a piece of one
+    /// byte takes as much processor time as one of 64 bytes, of which 8 MB have as many.
+    pub max_pieces: u32,
     /// Minimum rate of a body in bytes per second while it arrives, and of an event.
     pub min_rate: f64,
     /// Time from the head of a stream to its first event, if bytes arrive. Keep-alive comments are
@@ -100,6 +107,7 @@
             comment_bytes: 64 << 10,
             unit_time: clock::Span::from_secs(3),
             min_pieces: 4,
+            max_pieces: 128 << 10,
             min_rate: 64.0,
             first_event: clock::Span::from_secs(30),
             next_event: clock::Span::from_secs(10),
@@ -251,6 +259,7 @@
     settings: Settings,
     limit: usize,
     bytes: usize,
+    pieces: u32,
     /// What has arrived since the rate was last sufficient.
     unit: Unit,
 }
@@ -258,7 +267,7 @@
 impl Body {
     /// Creates the watch of a body of at most `limit` bytes.
     pub fn new(limit: usize) -> Body {
-        Body { settings: Settings::default(), limit, bytes: 0, unit: Unit::default() }
+        Body { settings: Settings::default(), limit, bytes: 0, pieces: 0, unit: Unit::default() }
     }
 
     /// Records content that arrived.
@@ -271,6 +280,10 @@
         if self.bytes > self.limit {
             return Err(Violation::Body);
         }
+        self.pieces += 1;
+        if self.pieces > self.settings.max_pieces {
+            return Err(Violation::Pieces);
+        }
         self.unit.add(bytes, now);
         if self.unit.is_below_rate(&self.settings, now) {
             return Err(Violation::SlowBody);
@@ -345,6 +358,9 @@
         if self.part.is_below_rate(&self.settings, now) {
             return Err(Violation::SlowEvent);
         }
+        if self.unit.pieces > self.settings.max_pieces {
+            return Err(Violation::Pieces);
+        }
         let limit =
             if self.has_event { self.settings.next_event } else { self.settings.first_event };
         if self.unit.pieces >= self.settings.min_pieces && now.since(self.last) >= limit {
--- a/crates/lagoonline/tests/load_progress.rs
+++ b/crates/lagoonline/tests/load_progress.rs
@@ -121,3 +121,22 @@
     let slow = (0..).map(|second| watch.receive(1, Rest::Event, at(second * 1_000)));
     assert_eq!(slow.take_while(Result::is_ok).count(), 3);
 }
+
+// Guards against content of single bytes, which costs a host much more than its size tells. Events
+// are counted one by one.
+#[test]
+fn content_in_too_many_pieces_is_a_violation() {
+    let most = Settings::default().max_pieces as usize;
+    let mut watch = Body::new(8 << 20);
+    let accepted = (0..).take_while(|_| watch.receive(1, at(0)).is_ok()).count();
+    assert_eq!(accepted, most);
+    assert_eq!(watch.receive(1, at(0)), Err(Violation::Pieces));
+    let mut watch = Stream::new(at(0));
+    for _ in 0..most * 2 {
+        watch.complete_event(at(0));
+        assert_eq!(watch.receive(1, Rest::Event, at(0)), Ok(()));
+    }
+    let accepted = (1..).take_while(|_| watch.receive(1, Rest::Event, at(0)).is_ok()).count();
+    assert_eq!(accepted + 1, most);
+    assert_eq!(watch.receive(1, Rest::Event, at(0)), Err(Violation::Pieces));
+}
