Read answers in turns in the product's own interface, and its events once

What callers saw of an entry whose engine or service sent chunks of one byte: no answer within 20 s beside four streams of an engine, 1.1 to 1.7 s for each of ten calls beside four answers of a service (build of the tests).

Cause: the same class as in the gateway. Besides, each chunk of an unfinished event copied all that had arrived of it, and searched all of it for its end: work that grows with the square of up to 1 MB.

Change: turn::Turn moves to lagoon-net, whose answers are read by turns too; what arrives is appended, and only it is searched.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -13,6 +13,7 @@
 use hyper::body::Body as _;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use lagoon_net::turn;
 use lagoonline::id;
 use lagoonline::lifecycle::completeness;
 use lagoonline::load::progress;
@@ -23,7 +24,6 @@
 use crate::meter;
 use crate::path;
 use crate::state;
-use crate::turn;
 
 /// Maximum number of bytes that are read ahead of an answer. It exceeds the bound on heads of
 /// [`progress::Settings`], which is mostly the one that applies.
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -59,7 +59,6 @@
 mod stream;
 mod tables;
 mod tcp;
-mod turn;
 mod watch;
 
 pub use clock::BootClock;
--- a/crates/lagoon-gateway/src/stream.rs
+++ b/crates/lagoon-gateway/src/stream.rs
@@ -15,6 +15,7 @@
 use std::task;
 
 use futures_util::{FutureExt, StreamExt};
+use lagoon_net::turn;
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::event_stream;
@@ -34,7 +35,6 @@
 use crate::metrics;
 use crate::place;
 use crate::silence;
-use crate::turn;
 
 /// Maximum size of an event in bytes, as of an answer that is not streamed: an event is buffered
 /// until it is complete.
--- a/crates/lagoon-net/src/engine/event.rs
+++ b/crates/lagoon-net/src/engine/event.rs
@@ -10,6 +10,8 @@
 
 use lagoonline::lifecycle::stream;
 
+use crate::turn;
+
 /// Longest event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -94,14 +96,14 @@
 /// An event stream that is being received.
 #[derive(Debug)]
 pub struct Events {
-    payload: http::Payload,
-    incomplete: util::Bytes,
+    payload: turn::Body,
+    incomplete: util::BytesMut,
     load: Option<engine::LoadReport>,
 }
 
 impl Events {
     pub(crate) fn new(payload: http::Payload, load: Option<engine::LoadReport>) -> Events {
-        Events { payload, incomplete: util::Bytes::new(), load }
+        Events { payload: turn::Body::new(payload), incomplete: util::BytesMut::new(), load }
     }
 
     /// Returns the load from the response head; `None` from the second call on.
@@ -117,34 +119,22 @@
     /// The connection ended or failed, or an event is too long.
     pub async fn batch(&mut self) -> Result<util::Bytes, StreamError> {
         loop {
-            let bytes = match self.payload.recv().await {
+            let bytes = match self.payload.chunk().await {
                 Some(Ok(bytes)) => bytes,
                 Some(Err(error)) => return Err(StreamError::Connection(error.to_string())),
                 None => return Err(StreamError::Truncated),
             };
-            let mut whole = self.join(bytes);
-            if let Some(end) = whole.windows(2).rposition(|pair| pair == b"\n\n") {
-                self.incomplete = whole.split_off(end + 2);
-                return Ok(whole);
+            // An empty line may begin with the last byte before these.
+            let unread = self.incomplete.len().saturating_sub(1);
+            self.incomplete.extend_from_slice(&bytes);
+            let end = self.incomplete[unread..].windows(2).rposition(|pair| pair == b"\n\n");
+            if let Some(end) = end {
+                return Ok(self.incomplete.split_to(unread + end + 2));
             }
-            if whole.len() > MAX_EVENT_BYTES {
+            if self.incomplete.len() > MAX_EVENT_BYTES {
                 return Err(StreamError::Malformed("too long".to_owned()));
             }
-            self.incomplete = whole;
-        }
-    }
-
-    /// Appends received bytes to the incomplete event before them. Copies only when an event is
-    /// split over two reads.
-    fn join(&mut self, bytes: util::Bytes) -> util::Bytes {
-        if self.incomplete.is_empty() {
-            return bytes;
         }
-        let mut joined = util::BytesMut::with_capacity(self.incomplete.len() + bytes.len());
-        joined.extend_from_slice(&self.incomplete);
-        joined.extend_from_slice(&bytes);
-        self.incomplete = util::Bytes::new();
-        joined.freeze()
     }
 }
 
--- a/crates/lagoon-net/src/entry/claims.rs
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -30,6 +30,7 @@
 use super::state;
 use super::worker;
 use crate::platform;
+use crate::turn;
 
 /// Client that claims idempotency keys; one for each worker thread.
 pub(crate) type Claims = claim::Claims<platform::Client, platform::Client, clock::System>;
@@ -215,7 +216,7 @@
         let (status, content_type) = (response.status().as_u16(), response.header("content-type"));
         let content_type =
             content_type.and_then(|value| value.to_str().ok()).unwrap_or_default().to_owned();
-        let mut payload = response.take_payload();
+        let mut payload = turn::Body::new(response.take_payload());
         let limit = usize::try_from(self.max_answer_bytes).unwrap_or(usize::MAX);
         let work = services::read_whole(&mut payload, limit);
         match interrupt::within(&self.worker.state, self.call.deadline, work).await {
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -26,6 +26,7 @@
 use super::state;
 use super::worker;
 use crate::service;
+use crate::turn;
 
 /// Path prefix before the service's name.
 const PREFIX: &str = "/services/";
@@ -254,7 +255,7 @@
             head.force_close();
         }
         let length = body::content_length(response.headers());
-        let mut payload = response.take_payload();
+        let mut payload = turn::Body::new(response.take_payload());
         let bodyless = *self.request.method() == http::Method::HEAD;
         if bodyless || length.is_some_and(|length| length <= BUFFERED_RESPONSE_BYTES as u64) {
             let whole = interrupt::within(
@@ -299,7 +300,7 @@
     /// Streams the response to the caller. If it breaks off, the caller's connection is cut.
     fn stream(
         &self,
-        payload: http::Payload,
+        payload: turn::Body,
         answering: request::Answering,
         slot: replica::Slot,
         active: state::ActiveGuard,
@@ -317,7 +318,7 @@
         let first = Some((payload, owned));
         stream::unfold((state, first), move |(state, owned)| async move {
             let (mut payload, owned) = owned?;
-            let next = interrupt::within(&state, deadline, payload.recv()).await;
+            let next = interrupt::within(&state, deadline, payload.chunk()).await;
             let failed = match next {
                 Ok(Some(Ok(chunk))) => {
                     return Some((Ok(chunk), (state, Some((payload, owned)))));
@@ -343,9 +344,9 @@
 }
 
 /// Reads a whole response; `None` when it breaks off or is longer than `limit` bytes.
-pub(crate) async fn read_whole(payload: &mut http::Payload, limit: usize) -> Option<util::Bytes> {
+pub(crate) async fn read_whole(payload: &mut turn::Body, limit: usize) -> Option<util::Bytes> {
     let mut body = util::BytesMut::new();
-    while let Some(chunk) = payload.recv().await {
+    while let Some(chunk) = payload.chunk().await {
         body.extend_from_slice(&chunk.ok()?);
         if body.len() > limit {
             return None;
--- a/crates/lagoon-net/src/lib.rs
+++ b/crates/lagoon-net/src/lib.rs
@@ -7,7 +7,8 @@
 //! interface of engines: the steward reads loads (`steward::observe`) and sends commands
 //! (`steward::reconcile`) by itself. `entry` is the data path, `steward` the control process beside
 //! it, `link` the connection between the two and `wire` its messages. `operator` is the client of
-//! the operators' program. `program`, `signals` and `logs` are shared by the binaries.
+//! the operators' program. `program`, `signals` and `logs` are shared by the binaries, and `turn` by
+//! all that read answers.
 //!
 //! ```
 //! use lagoon_net::wire;
@@ -27,4 +28,5 @@
 pub mod service;
 pub mod signals;
 pub mod steward;
+pub mod turn;
 pub mod wire;
--- a/crates/lagoon-net/tests/entry/main.rs
+++ b/crates/lagoon-net/tests/entry/main.rs
@@ -13,5 +13,6 @@
 mod service;
 mod settings;
 mod silence;
+mod small_chunks;
 mod stream;
 mod takeover;
