Answer the requests that are left when the grace time of a stop ends

What callers saw: a booking and a prompt that their upstream had not answered when the grace time of their host ended were cut without an answer, though they had been passed on (status 0 in three tests). A caller that was still sending its body was cut when the last other request had ended.

Cause: the host waited for open requests until the end of the grace time, and then its process ended; a request counted as open only from when its body was read. Class: an end that a process reaches without those that wait for it.

Change: when the grace time ends, requests without an answer get one: 503 with a time to come back if they did not run, 502 if they may have. Requests are open from their head on, so one that arrives slowly is refused with 503.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -153,16 +153,20 @@
     let mut may_have_run = false;
     let left = deadline.since(state.clock.now());
     let work = attempts(admitted, caller, &mut may_have_run);
-    match tokio::time::timeout(left, work).await {
-        Ok(result) => result,
-        Err(_) if may_have_run => Err(answer::Fault {
-            outcome: Outcome::Unknown,
-            ..answer::Fault::not_run(Reason::DeadlinePassed, Step::Stream, "no answer in time")
-        }),
-        Err(_) => {
-            Err(answer::Fault::not_run(Reason::DeadlinePassed, Step::Route, "no place in time"))
-        }
-    }
+    let reason = tokio::select! {
+        biased;
+        result = work => return result,
+        () = tokio::time::sleep(left) => Reason::DeadlinePassed,
+        () = state.wait_for_phase(state::Phase::Ending) => Reason::Draining,
+    };
+    let (step, detail) = match may_have_run {
+        true => (Step::Stream, "no answer in time"),
+        false => (Step::Route, "no place in time"),
+    };
+    let fault = answer::Fault::not_run(reason, step, detail).or_unknown(may_have_run);
+    // Another host goes on.
+    let returns = reason == Reason::Draining && !may_have_run;
+    Err(if returns { fault.with_retry_after(RETRY_ELSEWHERE_AFTER) } else { fault })
 }
 
 /// Tries one upstream after another until one answers or no further attempt is allowed. Sets
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -184,7 +184,8 @@
     state.advance(state::Phase::Draining);
     let left = grace.saturating_sub(state.clock.now().since(started));
     let ended = tokio::time::timeout(left, active.wait_for(|count| *count == 0)).await.is_ok();
-    event::Line::new("drained").number("all_ended", ended).info();
+    event::Line::new("drained").number("all_ended", ended).number("left", *active.borrow()).info();
+    state.advance(state::Phase::Ending);
     // The last answers are still in the send buffers.
     tokio::time::sleep(FLUSH_TIME).await;
 }
@@ -290,6 +291,7 @@
     let head = head::read_request(headers.iter().map(|(name, value)| (name.as_str(), &value[..])));
     let id = head.request_id.clone();
     let reads_chunks = request.version() >= http::Version::HTTP_11;
+    let active = state.track_request();
     let work = async {
         let max_bytes = max_body_bytes(state);
         let account = state.buffers.open(max_bytes).ok_or_else(|| out_of_memory(state))?;
@@ -297,20 +299,14 @@
             biased;
             body = read_body(payload, max_bytes, &account) => body?,
             () = account.wait_for_cut() => None,
+            () = state.wait_for_phase(state::Phase::Ending) => return Err(draining()),
         };
         let body = body.ok_or_else(|| out_of_memory(state))?;
         let request = build_request(request, headers, Received { head, body, account, arrived });
         if state.phase() >= state::Phase::Draining {
-            let detail = "this host is shutting down";
-            let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, detail);
-            return Err(fault.with_retry_after(forward::RETRY_ELSEWHERE_AFTER));
+            return Err(draining());
         }
-        let caller = forward::Caller {
-            reads_chunks,
-            io: io.clone(),
-            _busy: busy,
-            _active: state.track_request(),
-        };
+        let caller = forward::Caller { reads_chunks, io: io.clone(), _busy: busy, _active: active };
         forward::handle(state, request, caller).await
     };
     let result = match &io {
@@ -360,6 +356,12 @@
     fault.with_retry_after(forward::RETRY_AFTER)
 }
 
+/// Returns the refusal of a request that a stopping host does not take; another host may.
+fn draining() -> answer::Fault {
+    let fault = answer::Fault::not_run(Reason::Draining, Step::Admit, "this host is shutting down");
+    fault.with_retry_after(forward::RETRY_ELSEWHERE_AFTER)
+}
+
 /// What was received of a request.
 struct Received {
     head: head::Request,
--- a/crates/lagoon-gateway/src/state.rs
+++ b/crates/lagoon-gateway/src/state.rs
@@ -42,6 +42,8 @@
     Unready,
     /// Accepts no new requests.
     Draining,
+    /// Gives up the requests that are left, since the grace time ends.
+    Ending,
 }
 
 /// Placement state of one service.
