--- a/crates/lagoon-gateway/tests/stop.rs
+++ b/crates/lagoon-gateway/tests/stop.rs
@@ -80,10 +80,10 @@
     assert!(body.contains("draining") && body.contains("unknown"), "{body}");
 }
 
-/// Guards against the same while a prompt waits for a place: its caller has to learn that it did not
-/// run.
+/// Guards against prompts that end without an answer in a stop, whether they were sent or wait for a
+/// place: the latter's caller has to learn that it did not run.
 #[rstest]
-fn a_prompt_that_waits_when_the_grace_time_ends_is_refused() {
+fn prompts_that_cannot_end_in_the_grace_time_are_answered() {
     let standin = start_upstreams(start_upstream);
     ["e1", "e2"].map(|name| standin.behavior(name, Behavior::IgnorePrompts));
     let process = start_process(&standin, "h1");
@@ -101,6 +101,7 @@
     stop(process);
     let (status, head, body) = waiting.join().unwrap();
     assert_eq!(status, 503, "{body}");
+    assert!(body.contains("not-run"), "{body}");
     assert!(head.to_ascii_lowercase().contains("retry-after: "), "{head}");
     assert_eq!(first.join().unwrap().0, 502);
 }
