--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -159,14 +159,13 @@
         () = tokio::time::sleep(left) => Reason::DeadlinePassed,
         () = state.wait_for_phase(state::Phase::Ending) => Reason::Draining,
     };
-    let (step, detail) = match may_have_run {
-        true => (Step::Stream, "no answer in time"),
-        false => (Step::Route, "no place in time"),
-    };
-    let fault = answer::Fault::not_run(reason, step, detail).or_unknown(may_have_run);
-    // Another host goes on.
-    let returns = reason == Reason::Draining && !may_have_run;
-    Err(if returns { fault.with_retry_after(RETRY_ELSEWHERE_AFTER) } else { fault })
+    if may_have_run {
+        let fault = answer::Fault::not_run(reason, Step::Stream, "no answer in time");
+        return Err(fault.or_unknown(true));
+    }
+    let fault = answer::Fault::not_run(reason, Step::Route, "no place in time");
+    let is_stopping = reason == Reason::Draining;
+    Err(if is_stopping { fault.with_retry_after(RETRY_ELSEWHERE_AFTER) } else { fault })
 }
 
 /// Tries one upstream after another until one answers or no further attempt is allowed. Sets
--- a/crates/lagoon-gateway/tests/deployment/troubles.rs
+++ b/crates/lagoon-gateway/tests/deployment/troubles.rs
@@ -113,6 +113,13 @@
     times.step_by(step).map(|at| trouble(kind, at, span, share)).collect()
 }
 
+/// Callers that move from zone to zone every `step` milliseconds.
+fn moving(times: ops::Range<u64>, step: usize) -> Vec<Trouble> {
+    let zones = ["a", "b", "c"].into_iter().cycle();
+    let times = times.step_by(step).zip(zones);
+    times.map(|(at, zone)| trouble(Kind::Crowd(zone), at, step as u64, 0.0)).collect()
+}
+
 /// Returns the troubles of a day by its name.
 ///
 /// # Panics
@@ -167,6 +174,21 @@
             one(refusals, 4_000, 28_000, 1.0),
             series(Kind::FreezeHosts, 6_000..30_000, 6_000, 4_000, 0.6),
         ],
+        "moving-refused" => vec![
+            moving(3_000..33_000, 2_000),
+            one(Kind::Behave(Behavior::BreakAfter(2)), 4_000, 28_000, 0.6),
+            series(Kind::RefusePaths, 5_000..30_000, 6_000, 4_000, 0.4),
+        ],
+        "moving-hangs" => vec![
+            moving(3_000..33_000, 2_000),
+            one(Kind::Behave(Behavior::HangAfter(1)), 4_000, 28_000, 0.5),
+            series(Kind::CutPaths, 6_000..30_000, 7_000, 5_000, 0.4),
+        ],
+        "moving-dark" => vec![
+            moving(3_000..33_000, 3_000),
+            series(Kind::FreezeUpstreams, 5_000..30_000, 8_000, 6_000, 0.8),
+            one(Kind::LateDatagrams(500), 4_000, 28_000, 1.0),
+        ],
         "breaks" => vec![
             one(Kind::Behave(Behavior::BreakAfter(2)), 4_000, 28_000, 1.0),
             series(rolls, 7_000..30_000, 9_000, 6_000, 1.0),
--- a/crates/lagoon-gateway/tests/stop.rs
+++ b/crates/lagoon-gateway/tests/stop.rs
@@ -36,6 +36,10 @@
     standin.upstream(name, service, slots);
 }
 
+fn behave(standin: &Standin, upstreams: &[&str], behavior: Behavior) {
+    upstreams.iter().for_each(|name| standin.behavior(name, behavior));
+}
+
 fn start_process(standin: &Standin, name: &str) -> Process {
     Process::start(standin, ProcessSettings { name, ..ProcessSettings::default() })
 }
@@ -69,7 +73,7 @@
     #[case] more: &str,
 ) {
     let standin = start_upstreams(start_upstream);
-    ["e1", "e2", "r1", "r2"].map(|name| standin.behavior(name, Behavior::IgnoreAll));
+    behave(&standin, &["e1", "e2", "r1", "r2"], Behavior::IgnoreAll);
     let process = start_process(&standin, "h1");
     let (callers, text) = (process.callers, request("q1", method, path, more));
     let sent = thread::spawn(move || send_request(callers, &text));
@@ -85,7 +89,7 @@
 #[rstest]
 fn prompts_that_cannot_end_in_the_grace_time_are_answered() {
     let standin = start_upstreams(start_upstream);
-    ["e1", "e2"].map(|name| standin.behavior(name, Behavior::IgnorePrompts));
+    behave(&standin, &["e1", "e2"], Behavior::IgnorePrompts);
     let process = start_process(&standin, "h1");
     let callers = process.callers;
     // A prompt that takes the memory of both engines.
@@ -155,7 +159,7 @@
 #[rstest]
 fn stops_that_overlap_cut_no_request() {
     let standin = start_upstreams(start_upstream);
-    ["e1", "e2"].map(|name| standin.behavior(name, Behavior::SlowEvents));
+    behave(&standin, &["e1", "e2"], Behavior::SlowEvents);
     let mut hosts = ["h1", "h2"].map(|name| start_process(&standin, name));
     let cut = Cut::default();
     let signals = [
