Failing test: retries beyond what is allowed where connections to frozen engines are reset

What upstreams see: engines are frozen for 10 s, their connections are reset every 0.7 s; when they wake they read 1.39 of the retries that are allowed (three hosts), 1.36 (eight and a scheduler).

--- a/crates/lagoon-gateway/tests/retry_windows.rs
+++ b/crates/lagoon-gateway/tests/retry_windows.rs
@@ -21,7 +21,7 @@
 use host::{caller, desired};
 use standin::frozen::Freezer;
 use standin::mesh::Mesh;
-use standin::path::Mode;
+use standin::path::{Disruption, Mode};
 use standin::{Behavior, Entrance, Standin};
 
 const ENGINES: usize = 6;
@@ -217,6 +217,30 @@
     fleet.check_retries();
 }
 
+/// A reset connection was taken to show that its upstream never reads what was sent on it.
+#[rstest]
+fn connections_that_are_reset_bring_no_more_retries_than_allowed(
+    #[values(3, WITH_SCHEDULER)] hosts: usize,
+) {
+    let fleet = Fleet::start(hosts);
+    fleet.send(80, WINDOW);
+    let wake = time::Instant::now() + WINDOW * 5 / 2;
+    thread::scope(|scope| {
+        scope.spawn(|| fleet.freeze_until(wake));
+        scope.spawn(|| {
+            while time::Instant::now() < wake {
+                thread::sleep(time::Duration::from_millis(700));
+                let entrances = fleet.entrances.iter();
+                entrances.for_each(|entrance| entrance.disrupt_paths(Disruption::Reset));
+            }
+        });
+        fleet.send(200, WINDOW * 5 / 2);
+    });
+    fleet.send(40, WINDOW / 2);
+    thread::sleep(time::Duration::from_secs(1));
+    fleet.check_retries();
+}
+
 /// Half of the connections of each engine stalled while the others answered, and were read together.
 #[rstest]
 fn connections_that_stall_bring_no_more_retries_than_allowed(
