Count a retry whose connection was reset as unread

Cause: a connection that ended was taken to show that its upstream reads nothing more from it. A reset may come from something in between, and the system keeps what had arrived, so that a process that wakes reads it.

Change: only bytes or an end in order settle a send. A reset one stays unread for 30 s, like one that went through another host. A system that closes a connection with unread bytes resets it, so an end in order shows that the request was read.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -5,6 +5,7 @@
 //! is no longer needed.
 
 use std::future;
+use std::io;
 use std::pin;
 use std::time;
 
@@ -60,6 +61,7 @@
     driver: Option<Driver>,
     meter: meter::Meter,
     turn: turn::Turn,
+    is_reset: bool,
 }
 
 impl Exchange {
@@ -76,7 +78,8 @@
             .handshake(TokioIo::new(metered))
             .await
             .map_err(|error| Failure::Unsent(error.to_string()))?;
-        Ok(Exchange { sender, driver: Some(driver), meter, turn: turn::Turn::default() })
+        let (turn, is_reset) = (turn::Turn::default(), false);
+        Ok(Exchange { sender, driver: Some(driver), meter, turn, is_reset })
     }
 
     /// Sends the request and waits for the head of its answer.
@@ -91,7 +94,10 @@
         self.meter.begin_head();
         let answer = self.sender.send_request(request);
         let answer = drive(&mut self.driver, answer).await;
-        let answer = answer.map_err(|error| self.failure(&error))?;
+        let answer = answer.map_err(|error| {
+            self.is_reset = self.meter.violation().is_none() && is_connection_error(&error);
+            self.failure(&error)
+        })?;
         self.meter.begin_body();
         Ok(answer)
     }
@@ -163,13 +169,18 @@
         Some(driver.into_parts().io.into_inner().into_inner())
     }
 
+    /// Whether the connection broke before an answer, and was not closed in order. The upstream may
+    /// still read what had arrived by then.
+    pub(crate) fn is_reset(&self) -> bool {
+        self.is_reset
+    }
+
     /// Returns the failure that `error` of the connection stands for.
     fn failure(&self, error: &hyper::Error) -> Failure {
         use std::error::Error;
         let source = error.source();
-        let invalid = source
-            .and_then(|source| source.downcast_ref::<std::io::Error>())
-            .is_some_and(|source| source.kind() == std::io::ErrorKind::InvalidData);
+        let invalid =
+            io_error(error).is_some_and(|source| source.kind() == io::ErrorKind::InvalidData);
         if let Some(violation) = self.meter.violation() {
             Failure::Violated(violation)
         } else if error.is_parse_too_large() {
@@ -185,6 +196,17 @@
     }
 }
 
+/// Returns the error of the connection that `error` stands for, if it is one.
+fn io_error(error: &hyper::Error) -> Option<&io::Error> {
+    use std::error::Error;
+    error.source()?.downcast_ref()
+}
+
+/// Whether `error` is one of the connection, and not of the bytes that came on it.
+fn is_connection_error(error: &hyper::Error) -> bool {
+    io_error(error).is_some_and(|source| source.kind() != io::ErrorKind::InvalidData)
+}
+
 /// Returns how the end of an answer's body is marked.
 pub(crate) fn framing(answer: &hyper::Response<body::Incoming>) -> completeness::Framing {
     // An exact size is that of the length, or zero if the answer has no body.
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -2,8 +2,10 @@
 //! their retries count on, see [`lagoonline::load::retry`].
 //!
 //! Only the connection on which a request was sent tells. It is kept after the request was given up, and
-//! its writing side is closed, so that the upstream learns that nobody waits for the answer. Whatever
-//! comes back then, bytes or an end, shows that the upstream has read the request or never will.
+//! its writing side is closed, so that the upstream learns that nobody waits for the answer. Bytes that
+//! come back then, or an end in order, show that the upstream has read the request: a system that closes
+//! a connection with unread bytes resets it. A reset shows nothing: it may come from something in
+//! between, and what had arrived stays readable.
 
 use std::io;
 use std::mem;
@@ -22,8 +24,8 @@
 /// Time for which a connection is kept that shows nothing. An upstream that is stuck for longer is
 /// not expected to go on.
 const MAX_OBSERVATION: clock::Span = clock::Span::from_secs(120);
-/// Time for which a request may be read whose connection cannot be observed: it went through another
-/// host, which passes on what it holds, but not how the connection beyond it ends.
+/// Time for which a request may be read whose connection cannot be observed any more: it was reset, or it
+/// went through another host, which passes on what it holds, but not how the connection beyond it ends.
 const MAX_UNOBSERVED: clock::Span = clock::Span::from_secs(30);
 
 /// What was sent of a request.
@@ -46,7 +48,7 @@
 enum Remnant {
     /// Its writing side is closed.
     Open(TcpStream),
-    /// It has ended for this host, which shows nothing of the upstream's end.
+    /// It has ended for this host, which shows nothing of the upstream's end of it.
     Unobserved,
 }
 
@@ -62,28 +64,36 @@
         }
     }
 
-    /// Waits until the connection shows that the request was read or never will be. Returns false if
-    /// it shows nothing for so long that the request is taken for lost.
+    /// Waits until the connection shows that the request was read. Returns false if it shows nothing for
+    /// so long that the request is taken for lost.
     async fn wait(self) -> bool {
-        match self {
-            Remnant::Open(stream) => {
-                tokio::time::timeout(MAX_OBSERVATION, until_readable(&stream)).await.is_ok()
-            }
-            Remnant::Unobserved => {
-                tokio::time::sleep(MAX_UNOBSERVED).await;
-                false
+        if let Remnant::Open(stream) = self {
+            match tokio::time::timeout(MAX_OBSERVATION, until_readable(&stream)).await {
+                Ok(Ok(())) => return true,
+                Ok(Err(_reset)) => {}
+                Err(_elapsed) => return false,
             }
         }
+        tokio::time::sleep(MAX_UNOBSERVED).await;
+        false
     }
 }
 
-/// Waits until `stream` has bytes, ends or is reset.
-async fn until_readable(stream: &TcpStream) {
-    let is_pending = |read: io::Result<usize>| {
-        read.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
-    };
-    // It may be reported as readable though it is not.
-    while stream.readable().await.is_ok() && is_pending(stream.try_read(&mut [0])) {}
+/// Waits until `stream` has bytes or ends in order.
+///
+/// # Errors
+///
+/// It is reset.
+async fn until_readable(stream: &TcpStream) -> io::Result<()> {
+    loop {
+        stream.readable().await?;
+        match stream.try_read(&mut [0]) {
+            Ok(_) => return Ok(()),
+            // It may be reported as readable though it is not.
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(error) => return Err(error),
+        }
+    }
 }
 
 /// A request that is sent to an upstream. Unless [`Sent::read`] is called, the upstream may read it
@@ -128,7 +138,8 @@
         }
         match self.exchange.take_connection() {
             Some(connection) => self.admitted.record_given_up(Remnant::new(connection)),
-            // It has ended, and so nothing more is read from it.
+            None if self.exchange.is_reset() => self.admitted.record_given_up(Remnant::Unobserved),
+            // It was closed in order, or its bytes were no answer.
             None => self.admitted.record_read(),
         }
     }
