--- a/crates/lagoon-gateway/tests/small_chunks.rs
+++ b/crates/lagoon-gateway/tests/small_chunks.rs
@@ -25,8 +25,8 @@
     content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
 const PLAIN: &str = "HTTP/1.1 200 OK\r\nlagoonline-response-signature: r\r\n\
     content-type: text/plain\r\ntransfer-encoding: chunked\r\n\r\n";
-/// Chunks that are written at a time.
-const CHUNKS: usize = 8 << 10;
+/// Bytes that are written at a time.
+const WRITE_BYTES: usize = 64 << 10;
 /// Time in which a caller beside such an answer gets its own: the deadline of its request.
 const DEADLINE: time::Duration = time::Duration::from_secs(1);
 /// Time in which requests that are sent together are passed on.
@@ -37,7 +37,7 @@
 /// Returns an answer that begins with `head` and goes on in chunks of `content`, without end.
 fn pouring(head: &'static str, content: &str) -> Script {
     let chunk = format!("{:x}\r\n{content}\r\n", content.len());
-    let text = Box::leak(chunk.repeat(CHUNKS).into_boxed_str());
+    let text = Box::leak(chunk.repeat(WRITE_BYTES.div_ceil(chunk.len())).into_boxed_str());
     let (body, end) = (Body::Text(head), Ending::Repeat(text, 0));
     Script { framing: Framing::Verbatim, body, end, ..WHOLE }
 }
