Close the caller's connection when a plain service's answer breaks off

Callers of the product's own interface saw, where the answer of a plain service broke off while it was streamed, the text "HTTP/1.1 500 Internal Server Error ..." behind what had come of it. Of an answer with a length that broke off within its last 113 bytes, this text completed the announced length: the answer looked whole and ended in bytes that no service sent.

Cause: the body's stream ends with an error, and the HTTP server answers an error of a body that has begun with a response of its own, written into the body.

Evidence: nothing_follows_an_answer_that_breaks_off fails before (a body of 300,073 bytes where 300,000 are announced and 299,960 were sent; chunks followed by a status line) and passes now, since the connection is closed before the server can write.

--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -297,7 +297,8 @@
         })
     }
 
-    /// Streams the response to the caller. If it breaks off, the caller's connection is cut.
+    /// Streams the response to the caller. If it breaks off, the caller's connection is closed: the
+    /// server would write an error into the body as a response of its own, which could complete it.
     fn stream(
         &self,
         payload: turn::Body,
@@ -308,7 +309,8 @@
     {
         let state = self.worker.state.clone();
         let deadline = self.call.deadline;
-        let (guard, watch) = linger::pair(self.request.io());
+        let connection = self.request.io().cloned();
+        let (guard, watch) = linger::pair(connection.as_ref());
         let left = self.call.time_left(&state) + state.settings.limits.linger;
         drop(ntex::rt::spawn(watch.close_after(left)));
         let labels = self.labels();
@@ -316,12 +318,12 @@
         // counted under `owned.4` (the labels). The rest is only kept until then and dropped.
         let owned = (answering, slot, active, guard, labels);
         let first = Some((payload, owned));
-        stream::unfold((state, first), move |(state, owned)| async move {
+        stream::unfold((state, connection, first), move |(state, connection, owned)| async move {
             let (mut payload, owned) = owned?;
             let next = interrupt::within(&state, deadline, payload.chunk()).await;
             let failed = match next {
                 Ok(Some(Ok(chunk))) => {
-                    return Some((Ok(chunk), (state, Some((payload, owned)))));
+                    return Some((Ok(chunk), (state, connection, Some((payload, owned)))));
                 }
                 Ok(None) => {
                     state.metrics.count_done(&owned.4, owned.0.complete());
@@ -336,9 +338,12 @@
             };
             let (labels, fault) = failed;
             state.metrics.count_failed(&labels, &fault.failure);
+            if let Some(connection) = &connection {
+                connection.terminate();
+            }
             let error = io::Error::other(fault.failure.to_string());
             let error: rc::Rc<dyn std::error::Error> = rc::Rc::new(error);
-            Some((Err(error), (state, None)))
+            Some((Err(error), (state, connection, None)))
         })
     }
 }
--- a/crates/lagoon-net/tests/entry/runner.rs
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -20,12 +20,19 @@
     AnswerUnframed,
     /// The same, by HTTP/1.0.
     AnswerHttp10,
+    /// Answers in chunks, but closes before the last one.
+    BreakOffChunks,
+    /// Closes before the last bytes of a body of [`LONG_BODY`] bytes.
+    BreakOffLength,
     CloseAfterReading,
     /// Closes after this many bytes of the head of its answer.
     CloseInsideHead(usize),
     RefuseAsNotRun,
 }
 
+/// Length of a body that is streamed to the caller, since it is too long to be read first.
+pub const LONG_BODY: usize = 300_000;
+
 /// Starts a runner that accepts one call per connection. Returns its address and the calls that it
 /// read.
 pub fn start(runner: Runner) -> (net::SocketAddr, sync::Arc<sync::Mutex<Vec<String>>>) {
@@ -69,6 +76,15 @@
         Runner::AnswerHttp10 => {
             format!("HTTP/1.0 201 Created\r\nLagoon-Attempt: {attempt}\r\n\r\nbin")
         }
+        Runner::BreakOffChunks => format!(
+            "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nTransfer-Encoding: chunked\r\n\
+             Connection: close\r\n\r\n3\r\ntin\r\n3\r\ncan\r\n"
+        ),
+        Runner::BreakOffLength => format!(
+            "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nContent-Length: {LONG_BODY}\r\n\
+             Connection: close\r\n\r\n{}",
+            "t".repeat(LONG_BODY - 40)
+        ),
         Runner::CloseAfterReading => String::new(),
         Runner::CloseInsideHead(length) => {
             let whole = answer(Runner::Answer, attempt);
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -11,7 +11,7 @@
 use rstest::rstest;
 
 use crate::host;
-use crate::runner::{Runner, start};
+use crate::runner::{LONG_BODY, Runner, start};
 
 fn start_host(services: &[(&str, net::SocketAddr)]) -> host::Host {
     let settings = host::settings(vec![host::section(&[], services, true)]);
@@ -87,6 +87,21 @@
     host.finish();
 }
 
+// Guards against an error that the HTTP server writes into the body of an answer that breaks off:
+// it would complete the announced length.
+#[rstest]
+#[case::length(Runner::BreakOffLength)]
+#[case::chunks(Runner::BreakOffChunks)]
+fn nothing_follows_an_answer_that_breaks_off(#[case] runner: Runner) {
+    let (address, _calls) = start(runner);
+    let host = start_host(&[("pickup", address)]);
+    let answer = host.exchange(&host::request("POST", "/services/pickup/x", "", "tin"));
+    let (_, body) = answer.split_once("\r\n\r\n").unwrap_or_default();
+    assert!(body.len() < LONG_BODY && !body.ends_with("0\r\n\r\n"), "{} bytes", body.len());
+    assert!(!body.contains("HTTP/1.1"), "{}", &body[body.len().saturating_sub(200)..]);
+    host.finish();
+}
+
 // No connection can be established, or the runner refuses the call as not run: the caller gets
 // `not-run`.
 #[rstest]
