Send callers of HTTP/1.0 answers of plain services with a length

Callers of HTTP/1.0 on the product's own interface got an answer without a length in chunks, which their version does not have: the sizes of the chunks stood in the body, and the body ended with its connection, in order, also where the answer had broken off. A break looked like the end.

Cause: an answer without a length is streamed whatever the caller's version.

Now such an answer is read completely, up to max_answer_bytes of the service, and sent with a length. One that breaks off or is larger gets 502, outcome unknown. HTTP/1.1 is not concerned.

--- a/crates/lagoon-net/src/entry/claims.rs
+++ b/crates/lagoon-net/src/entry/claims.rs
@@ -210,6 +210,7 @@
             service: self.service.clone(),
             target: self.target.clone(),
             body: forwarded_body::ForwardedBody::from_bytes(&self.worker.state, body),
+            max_answer_bytes: self.max_answer_bytes,
         };
         let pending = request::Pending::new(request::Repeat::Never);
         let (response, answering, slot) = job.send(pending).await?;
--- a/crates/lagoon-net/src/entry/services.rs
+++ b/crates/lagoon-net/src/entry/services.rs
@@ -46,6 +46,8 @@
     /// Path and query to forward.
     pub(crate) target: String,
     pub(crate) body: forwarded_body::ForwardedBody,
+    /// Maximum size of a response that is kept or read completely.
+    pub(crate) max_answer_bytes: u64,
 }
 
 /// Handles a service call.
@@ -73,6 +75,7 @@
     state.rate_limits().admit(state.clock.now(), &call.customer().name, call.rate(), 0)?;
     let method = request.method().as_str();
     let is_idempotent = entry.idempotent_methods.iter().any(|idempotent| idempotent == method);
+    let max_answer_bytes = entry.max_answer_bytes;
     // Idempotent methods need no claim: they may be sent again.
     if let (Some(key), false) = (call.idempotency_key.clone(), is_idempotent) {
         let keyed = claims::KeyedCall {
@@ -82,7 +85,7 @@
             service,
             target,
             request_id: request_id.to_owned(),
-            max_answer_bytes: entry.max_answer_bytes,
+            max_answer_bytes,
             active: rc::Rc::new(active),
             call,
         };
@@ -90,7 +93,7 @@
     }
     let body = forwarded_body::ForwardedBody::new(state, request.headers(), unread.take())?;
     let (worker, request) = (worker.clone(), request.clone());
-    let job = Job { worker, call, request, service, target, body };
+    let job = Job { worker, call, request, service, target, body, max_answer_bytes };
     let repeat = if is_idempotent { request::Repeat::Allowed } else { request::Repeat::Never };
     let (response, answering, slot) = job.send(request::Pending::new(repeat)).await?;
     job.forward_response(response, answering, slot, active, request_id).await
@@ -257,13 +260,9 @@
         let length = body::content_length(response.headers());
         let mut payload = turn::Body::new(response.take_payload());
         let bodyless = *self.request.method() == http::Method::HEAD;
-        if bodyless || length.is_some_and(|length| length <= BUFFERED_RESPONSE_BYTES as u64) {
-            let whole = interrupt::within(
-                state,
-                self.call.deadline,
-                read_whole(&mut payload, BUFFERED_RESPONSE_BYTES),
-            )
-            .await;
+        if let Some(limit) = self.buffered_bytes(length) {
+            let whole =
+                interrupt::within(state, self.call.deadline, read_whole(&mut payload, limit)).await;
             let whole = match whole {
                 Ok(Some(whole)) => whole,
                 Ok(None) => {
@@ -297,6 +296,19 @@
         })
     }
 
+    /// Returns up to how many bytes a response that announces `length` is read completely before its
+    /// head is sent; `None` if it is streamed. Callers of HTTP/1.0 have no chunks, so to them the end
+    /// of a response without a length would look the same as a break.
+    fn buffered_bytes(&self, length: Option<u64>) -> Option<usize> {
+        let is_short = length.is_some_and(|length| length <= BUFFERED_RESPONSE_BYTES as u64);
+        if is_short || *self.request.method() == http::Method::HEAD {
+            return Some(BUFFERED_RESPONSE_BYTES);
+        }
+        let has_chunks = self.request.version() >= http::Version::HTTP_11;
+        let is_unmarked = length.is_none() && !has_chunks;
+        is_unmarked.then(|| usize::try_from(self.max_answer_bytes).unwrap_or(usize::MAX))
+    }
+
     /// Streams the response to the caller. If it breaks off, the caller's connection is closed: the
     /// server would write an error into the body as a response of its own, which could complete it.
     fn stream(
--- a/crates/lagoon-net/tests/entry/runner.rs
+++ b/crates/lagoon-net/tests/entry/runner.rs
@@ -20,7 +20,9 @@
     AnswerUnframed,
     /// The same, by HTTP/1.0.
     AnswerHttp10,
-    /// Answers in chunks, but closes before the last one.
+    /// Answers in chunks.
+    AnswerInChunks,
+    /// The same, but closes before the last chunk.
     BreakOffChunks,
     /// Closes before the last bytes of a body of [`LONG_BODY`] bytes.
     BreakOffLength,
@@ -76,6 +78,9 @@
         Runner::AnswerHttp10 => {
             format!("HTTP/1.0 201 Created\r\nLagoon-Attempt: {attempt}\r\n\r\nbin")
         }
+        Runner::AnswerInChunks => {
+            format!("{}0\r\n\r\n", answer(Runner::BreakOffChunks, attempt))
+        }
         Runner::BreakOffChunks => format!(
             "HTTP/1.1 201 Created\r\nLagoon-Attempt: {attempt}\r\nTransfer-Encoding: chunked\r\n\
              Connection: close\r\n\r\n3\r\ntin\r\n3\r\ncan\r\n"
--- a/crates/lagoon-net/tests/entry/service.rs
+++ b/crates/lagoon-net/tests/entry/service.rs
@@ -87,6 +87,25 @@
     host.finish();
 }
 
+/// Returns what a caller of HTTP/1.0 gets for a booking.
+fn book_with_http10(host: &host::Host) -> String {
+    let request = host::request("POST", "/services/pickup/x", "", "tin");
+    let request = String::from_utf8(request).unwrap().replace("HTTP/1.1", "HTTP/1.0");
+    host.exchange(request.as_bytes())
+}
+
+// Guards against an answer that breaks off and looks whole to a caller of HTTP/1.0, which has no
+// chunks: its body would end with its connection.
+#[test]
+fn a_broken_answer_in_chunks_is_no_success_for_callers_of_http_1_0() {
+    let (address, _calls) = start(Runner::BreakOffChunks);
+    let host = start_host(&[("pickup", address)]);
+    let answer = book_with_http10(&host);
+    assert_eq!(host::status(&answer), "502", "{answer}");
+    assert!(answer.to_lowercase().contains("lagoon-outcome: unknown"), "{answer}");
+    host.finish();
+}
+
 // Guards against an error that the HTTP server writes into the body of an answer that breaks off:
 // it would complete the announced length.
 #[rstest]
@@ -102,6 +121,22 @@
     host.finish();
 }
 
+// Guards against an answer whose end a caller of HTTP/1.0 cannot see.
+#[test]
+fn an_answer_in_chunks_has_a_length_for_callers_of_http_1_0() {
+    let (address, _calls) = start(Runner::AnswerInChunks);
+    let host = start_host(&[("pickup", address)]);
+    let answer = book_with_http10(&host);
+    assert_eq!(host::status(&answer), "201", "{answer}");
+    let head = answer.to_lowercase();
+    assert!(
+        head.contains("content-length: 6") && head.contains("lagoon-outcome: done"),
+        "{answer}"
+    );
+    assert!(answer.ends_with("\r\n\r\ntincan"), "{answer}");
+    host.finish();
+}
+
 // No connection can be established, or the runner refuses the call as not run: the caller gets
 // `not-run`.
 #[rstest]
--- a/crates/lagoonline/src/control/document/body.rs
+++ b/crates/lagoonline/src/control/document/body.rs
@@ -96,7 +96,8 @@
 pub struct Service {
     /// HTTP methods whose calls may be executed more than once.
     pub idempotent_methods: Vec<String>,
-    /// Maximum size of an answer that is stored for replay by idempotency key, in bytes.
+    /// Maximum size in bytes of an answer that is stored for replay by idempotency key, or read
+    /// completely for a caller that has no chunks.
     pub max_answer_bytes: u64,
 }
 
