--- a/crates/lagoon-gateway/tests/deployment/mod.rs
+++ b/crates/lagoon-gateway/tests/deployment/mod.rs
@@ -59,6 +59,7 @@
             retry_window_s: WINDOW_S,
             retry_slack: RETRY_SLACK,
             store: Some(self.entrance.address),
+            ..ProcessSettings::default()
         };
         *self.process.lock().unwrap() = Process::try_start(standin, settings);
     }
--- a/crates/lagoon-gateway/tests/host/process.rs
+++ b/crates/lagoon-gateway/tests/host/process.rs
@@ -14,6 +14,10 @@
 
 use crate::standin::Standin;
 
+/// Time over which a calm process uses at most [`CALM_TICKS`] of the processor.
+const CALM_TIME: time::Duration = time::Duration::from_millis(500);
+const CALM_TICKS: u64 = 10;
+
 /// Identity and settings of a process.
 #[derive(Clone, Copy, Debug)]
 pub struct ProcessSettings<'a> {
@@ -25,11 +29,23 @@
     pub retry_slack: u64,
     /// Address of the store; that of the stand-in if `None`.
     pub store: Option<net::SocketAddr>,
+    /// Memory of the process in MB.
+    pub memory_mb: u64,
+    /// Descriptors that the process may have open.
+    pub max_fds: u64,
 }
 
 impl Default for ProcessSettings<'_> {
     fn default() -> Self {
-        ProcessSettings { name: "h1", zone: "a", retry_window_s: 10, retry_slack: 50, store: None }
+        ProcessSettings {
+            name: "h1",
+            zone: "a",
+            retry_window_s: 10,
+            retry_slack: 50,
+            store: None,
+            memory_mb: 256,
+            max_fds: 4_100,
+        }
     }
 }
 
@@ -52,7 +68,8 @@
     /// As [`Process::start`]; `None` if it is not ready in time, as while the store is down.
     pub fn try_start(standin: &Standin, settings: ProcessSettings<'_>) -> Option<Process> {
         let [callers, ready, first, last] = [(); 4].map(|()| free_port());
-        let ProcessSettings { name, zone, retry_window_s, retry_slack, store } = settings;
+        let ProcessSettings { name, zone, retry_window_s, retry_slack, store, .. } = settings;
+        let ProcessSettings { memory_mb, max_fds, .. } = settings;
         let file = format!("lagoon-gateway-{}-{callers}", process::id());
         let node = std::env::temp_dir().join(format!("{file}.yaml"));
         let log = std::env::temp_dir().join(format!("{file}.log"));
@@ -60,8 +77,8 @@
         let text = format!(
             "NodeName: {name}\nIp: 127.0.0.1\nZone: {zone}\nListen:\n  Front: \"127.0.0.1:{callers}\"\n  \
              Ready: \"127.0.0.1:{ready}\"\nInternalPorts: [{first}, {last}]\nPlatform:\n  \
-             Address: \"{store}\"\nLimits:\n  MemoryMb: 256\nBounds:\n  GraceS: 8\n  \
-             RevokeMs: 5000\n  BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
+             Address: \"{store}\"\nLimits:\n  MemoryMb: {memory_mb}\n  MaxFds: {max_fds}\n\
+             Bounds:\n  GraceS: 8\n  RevokeMs: 5000\n  BudgetWindowS: {retry_window_s}\n  BudgetSlack: {retry_slack}\n"
         );
         fs::write(&node, text).unwrap();
         let child = process::Command::new(program())
@@ -96,6 +113,46 @@
         signal::kill(id, signal).unwrap();
     }
 
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+
+    /// Returns the largest resident memory of the process so far, in MB.
+    pub fn peak_memory_mb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:")).unwrap();
+        line.trim().trim_end_matches(" kB").parse::<u64>().unwrap() >> 10
+    }
+
+    /// Waits until the process uses little processor time, or for [`super::STEP_TIMEOUT`].
+    pub fn wait_until_calm(&self) {
+        let began = time::Instant::now();
+        let mut before = self.processor_ticks();
+        while began.elapsed() < super::STEP_TIMEOUT {
+            thread::sleep(CALM_TIME);
+            let ticks = self.processor_ticks();
+            if ticks - before <= CALM_TICKS {
+                return;
+            }
+            before = ticks;
+        }
+    }
+
+    /// Returns the processor time used so far, in ticks of 10 ms.
+    fn processor_ticks(&self) -> u64 {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap();
+        let (_, fields) = stat.rsplit_once(')').unwrap();
+        let field = |number: usize| fields.split_whitespace().nth(number).unwrap();
+        // User and system time are the fields 14 and 15 of the line, 11 and 12 behind the name.
+        field(11).parse::<u64>().unwrap() + field(12).parse::<u64>().unwrap()
+    }
+
+    /// Returns how many descriptors the process has open.
+    pub fn open_descriptors(&self) -> u64 {
+        fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count() as u64
+    }
+
     /// Returns the lines logged so far about `event`.
     pub fn logged(&self, event: &str) -> Vec<serde_json::Value> {
         let text = fs::read_to_string(&self.log).unwrap();
