Let callers without progress give way to new requests

Cause: a new request needs room for the largest body, and a caller is cut off only once more is held than may be, which refusing new requests prevents. So whoever came first kept the room. Nothing held for 1,300 bodies that had not begun could be cut off either, since no byte of them waited.

Now a request that finds no room takes that of callers without progress, the longest idle ones first and those that hold much before those that hold little: less than 1 KB of a body in 2 s, or nothing of an answer taken in 10 s, since an answer has run. A byte now and then is no progress. Nobody gives way while there is room.

--- a/crates/lagoon-gateway/src/buffers.rs
+++ b/crates/lagoon-gateway/src/buffers.rs
@@ -64,20 +64,36 @@
     }
 
     /// Opens the account of a request that may need up to `bytes` bytes; `None` if too little is
-    /// left.
+    /// left and no caller gives way to it.
     pub(crate) fn open(self: &sync::Arc<Self>, bytes: usize) -> Option<Account> {
-        let cut = CancellationToken::new();
+        let now = self.clock.now();
         let mut inner = state::lock(&self.inner);
+        while let Some(id) = inner.ledger.make_room(bytes, now) {
+            self.cut_off(&inner, id);
+        }
         if !inner.ledger.admits(bytes) {
             return None;
         }
-        let id = inner.ledger.open(self.clock.now());
+        let id = inner.ledger.open(now);
+        let cut = CancellationToken::new();
         inner.cuts.insert(id, cut.clone());
         drop(inner);
         let buffers = self.clone();
         Some(Account(sync::Arc::new(Owned { buffers, id, cut, room: Notify::new() })))
     }
 
+    /// Signals to the request `id` that its caller gives way.
+    fn cut_off(&self, inner: &Inner, id: buffers::Id) {
+        let Some(cut) = inner.cuts.get(&id) else { return };
+        self.metrics.slow_callers_cut.inc();
+        event::Line::new("slow_caller_cut")
+            .number("waiting_bytes", inner.ledger.waiting(id))
+            .number("held_bytes", inner.ledger.held())
+            .number("bound_bytes", inner.ledger.bound())
+            .warn();
+        cut.cancel();
+    }
+
     /// Sets the metric of the bytes that are held.
     pub(crate) fn update_metrics(&self) {
         self.metrics.set_buffered(state::lock(&self.inner).ledger.held());
@@ -96,18 +112,7 @@
             return false;
         }
         let Some(id) = inner.ledger.cut(now) else { return inner.ledger.is_short() };
-        if let Some(cut) = inner.cuts.get(&id).cloned() {
-            let waiting = inner.ledger.waiting(id);
-            let (held, bound) = (inner.ledger.held(), inner.ledger.bound());
-            drop(inner);
-            self.metrics.slow_callers_cut.inc();
-            event::Line::new("slow_caller_cut")
-                .number("waiting_bytes", waiting)
-                .number("held_bytes", held)
-                .number("bound_bytes", bound)
-                .warn();
-            cut.cancel();
-        }
+        self.cut_off(&inner, id);
         false
     }
 }
@@ -124,6 +129,11 @@
         self.0.buffers.change(|ledger, _| ledger.release(self.0.id, bytes));
     }
 
+    /// Records that the caller begins to send its body.
+    pub(crate) fn upload(&self) {
+        self.0.buffers.change(|ledger, _| ledger.upload(self.0.id));
+    }
+
     /// Adds `bytes` that wait until the caller takes them.
     pub(crate) fn wait(&self, bytes: usize) {
         self.0.buffers.change(|ledger, now| ledger.wait(self.0.id, bytes, now));
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -295,6 +295,7 @@
     let work = async {
         let max_bytes = max_body_bytes(state);
         let account = state.buffers.open(max_bytes).ok_or_else(|| out_of_memory(state))?;
+        account.upload();
         let body = tokio::select! {
             biased;
             body = read_body(payload, max_bytes, &account) => body?,
--- a/crates/lagoonline/src/load/buffers.rs
+++ b/crates/lagoonline/src/load/buffers.rs
@@ -7,7 +7,9 @@
 //!
 //! So an answer is read ahead of its caller, up to [`Settings::read_ahead`], while memory lasts, and
 //! up to [`Settings::short_read_ahead`] once it does not. New
-//! requests are refused while less is left than one of them may need. If that is not enough, the
+//! requests are refused while less is left than one of them may need, unless callers without
+//! progress can give way to them: a few that stop before the end of their bodies would otherwise
+//! keep the host from all others. If that is not enough, the
 //! caller that has taken nothing for the longest time is cut off: it is the least likely to read on,
 //! and a caller that reads holds next to nothing.
 
@@ -40,6 +42,14 @@
     /// Time without progress from which on a caller may be cut off: lost packets are retransmitted
     /// within it.
     pub min_idle: clock::Span,
+    /// Bytes of a body that are progress. A caller that sends less is as idle as one that sends
+    /// nothing.
+    pub min_progress: usize,
+    /// Time without progress after which a caller that sends its body gives way to a new request.
+    pub upload_patience: clock::Span,
+    /// Time without progress after which a caller that reads its answer gives way to a new request.
+    /// It is longer than [`Settings::upload_patience`], since the request has run.
+    pub download_patience: clock::Span,
 }
 
 impl Default for Settings {
@@ -52,6 +62,9 @@
             read_ahead: 1 << 20,
             short_read_ahead: 32 << 10,
             min_idle: clock::Span::from_millis(500),
+            min_progress: 1 << 10,
+            upload_patience: clock::Span::from_secs(2),
+            download_patience: clock::Span::from_secs(10),
         }
     }
 }
@@ -79,12 +92,28 @@
     kept: usize,
     /// Bytes that wait for the caller, to take them or to send the rest.
     waiting: usize,
-    /// When the caller last took or sent some, or when the first of them began to wait.
+    /// Whether the caller has not sent its whole body yet.
+    is_uploading: bool,
+    /// Bytes that the caller has sent since `active`.
+    sent: usize,
+    /// When the caller last made progress, or when the first of the bytes began to wait.
     active: clock::Moment,
     /// Whether it was cut off, and what it holds is about to be released.
     is_cut: bool,
 }
 
+impl Holder {
+    /// Returns all bytes that are held for it.
+    fn held(&self) -> usize {
+        self.kept + self.waiting
+    }
+
+    /// Whether it holds anything until its caller makes progress.
+    fn waits_for_caller(&self) -> bool {
+        self.is_uploading || self.waiting > 0
+    }
+}
+
 /// Counts what a host holds.
 ///
 /// ```
@@ -123,9 +152,35 @@
         self.bound
     }
 
-    /// Whether a request may begin that needs up to `bytes` bytes.
+    /// Whether a request may begin that needs up to `bytes` bytes, once what is about to be released
+    /// is free.
     pub fn admits(&self, bytes: usize) -> bool {
-        self.held + bytes + self.settings.request_bytes <= self.bound
+        self.lasting() + bytes + self.settings.request_bytes <= self.bound
+    }
+
+    /// Chooses a holder that gives way to a new request of up to `bytes` bytes, if there is no room
+    /// for it: one without progress for longer than is waited for its caller.
+    ///
+    /// ```
+    /// use lagoonline::clock::{Moment, Span};
+    /// use lagoonline::load::buffers;
+    /// let mut ledger = buffers::Ledger::new(buffers::Settings::default(), 1_000_000);
+    /// let stopped = ledger.open(Moment::START);
+    /// ledger.upload(stopped);
+    /// ledger.receive(stopped, 900_000, Moment::START);
+    /// let later = Moment::START + Span::from_secs(2);
+    /// assert_eq!(ledger.make_room(100_000, later), Some(stopped));
+    /// assert_eq!(ledger.make_room(100_000, later), None);
+    /// assert!(ledger.admits(100_000));
+    /// ```
+    pub fn make_room(&mut self, bytes: usize, now: clock::Moment) -> Option<Id> {
+        if self.admits(bytes) {
+            return None;
+        }
+        let settings = self.settings;
+        self.cut_idle(now, |holder| {
+            if holder.is_uploading { settings.upload_patience } else { settings.download_patience }
+        })
     }
 
     /// Adds a holder, with the bytes that count for each request.
@@ -134,14 +189,23 @@
         self.next += 1;
         let kept = self.settings.request_bytes;
         self.held += kept;
-        self.holders.insert(id, Holder { kept, waiting: 0, active: now, is_cut: false });
+        let holder =
+            Holder { kept, waiting: 0, is_uploading: false, sent: 0, active: now, is_cut: false };
+        self.holders.insert(id, holder);
         id
     }
 
+    /// Records that the caller begins to send its body.
+    pub fn upload(&mut self, id: Id) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_uploading = true;
+        }
+    }
+
     /// Removes a holder with all that it holds.
     pub fn close(&mut self, id: Id) {
         if let Some(holder) = self.holders.remove(&id) {
-            self.held -= holder.kept + holder.waiting;
+            self.held -= holder.held();
         }
     }
 
@@ -187,13 +251,18 @@
     pub fn receive(&mut self, id: Id, bytes: usize, now: clock::Moment) {
         self.wait(id, bytes, now);
         if let Some(holder) = self.holders.get_mut(&id) {
-            holder.active = now;
+            holder.sent += bytes;
+            if holder.sent >= self.settings.min_progress {
+                holder.sent = 0;
+                holder.active = now;
+            }
         }
     }
 
     /// Keeps what has waited for the caller: its body is complete.
     pub fn complete(&mut self, id: Id) {
         if let Some(holder) = self.holders.get_mut(&id) {
+            holder.is_uploading = false;
             holder.kept += std::mem::take(&mut holder.waiting);
         }
     }
@@ -217,24 +286,38 @@
 
     /// Whether more is held than may be, without what is about to be released.
     pub fn is_short(&self) -> bool {
+        self.lasting() > self.bound
+    }
+
+    /// Returns the bytes that are held without those that are about to be released.
+    fn lasting(&self) -> usize {
         let cut = self.holders.values().filter(|holder| holder.is_cut);
-        let released: usize = cut.map(|holder| holder.kept + holder.waiting).sum();
-        self.held - released > self.bound
+        self.held - cut.map(Holder::held).sum::<usize>()
     }
 
-    /// Chooses the holder that gives way, if more is held than may be: the one that has taken
-    /// nothing for the longest time. `None` if what is about to be released is enough, or if all
-    /// make progress.
+    /// Chooses the holder that gives way, if more is held than may be: the one without progress for
+    /// the longest time. `None` if what is about to be released is enough, or if all make progress.
     pub fn cut(&mut self, now: clock::Moment) -> Option<Id> {
         if !self.is_over() || !self.is_short() {
             return None;
         }
-        let idle = |holder: &Holder| now.since(holder.active) >= self.settings.min_idle;
-        let slow = self.holders.iter_mut();
-        let slow = slow.filter(|(_, holder)| !holder.is_cut && holder.waiting > 0 && idle(holder));
+        let min_idle = self.settings.min_idle;
+        self.cut_idle(now, |_| min_idle)
+    }
+
+    /// Cuts off the holder that has waited for its caller for the longest time, and for at least its
+    /// `patience`.
+    fn cut_idle<Patience>(&mut self, now: clock::Moment, patience: Patience) -> Option<Id>
+    where
+        Patience: Fn(&Holder) -> clock::Span,
+    {
         let little = self.settings.short_read_ahead;
+        let idle = self.holders.iter_mut().filter(|(_, holder)| {
+            let is_idle = now.since(holder.active) >= patience(holder);
+            !holder.is_cut && holder.waits_for_caller() && is_idle
+        });
         let (id, holder) =
-            slow.min_by_key(|(id, holder)| (holder.waiting <= little, holder.active, **id))?;
+            idle.min_by_key(|(id, holder)| (holder.waiting <= little, holder.active, **id))?;
         holder.is_cut = true;
         Some(*id)
     }
--- a/crates/lagoonline/tests/load_buffers.rs
+++ b/crates/lagoonline/tests/load_buffers.rs
@@ -112,3 +112,71 @@
     assert!(ledger.is_ahead(slow));
     assert!(!ledger.is_ahead(fast));
 }
+
+/// Fills the ledger with bodies of 1 MB that have all but arrived at the start.
+fn unfinished_bodies(ledger: &mut Ledger) -> Vec<u64> {
+    let mut holders = Vec::new();
+    while ledger.admits(1_000_000) {
+        let holder = ledger.open(at(0));
+        ledger.upload(holder);
+        ledger.receive(holder, 999_999, at(0));
+        holders.push(holder);
+    }
+    holders
+}
+
+// Guards against callers that stop before the end of their bodies and keep a host from all others for
+// as long as they stay.
+#[test]
+fn a_body_that_stops_arriving_gives_way_to_a_new_request() {
+    let mut ledger = ledger();
+    let holders = unfinished_bodies(&mut ledger);
+    ledger.receive(holders[0], 2_000, at(1_900));
+    assert_eq!(ledger.make_room(1_000_000, at(1_999)), None, "a lost packet may be sent again");
+    assert_eq!(ledger.make_room(1_000_000, at(2_000)), Some(holders[1]));
+    assert!(ledger.admits(1_000_000), "what is released counts as free");
+    assert_eq!(ledger.make_room(1_000_000, at(2_000)), None, "no more than needed");
+}
+
+// Guards against callers that keep their memory by a byte now and then.
+#[test]
+fn a_byte_is_no_progress() {
+    let mut ledger = ledger();
+    let holders = unfinished_bodies(&mut ledger);
+    for millis in (100..2_000).step_by(100) {
+        ledger.receive(holders[0], 1, at(millis));
+        ledger.receive(holders[1], 100, at(millis));
+    }
+    assert_eq!(ledger.make_room(1_000_000, at(2_000)), Some(holders[0]));
+    assert_ne!(ledger.make_room(2_000_000, at(2_000)), Some(holders[1]), "it sends 1 KB a second");
+}
+
+// Guards against callers that send nothing at all of their bodies, which hold little each.
+#[test]
+fn a_body_that_does_not_begin_gives_way() {
+    let mut ledger = ledger();
+    let mut holders = Vec::new();
+    while ledger.admits(0) {
+        holders.push(ledger.open(at(0)));
+        ledger.upload(holders[holders.len() - 1]);
+    }
+    let request_bytes = Settings::default().request_bytes;
+    let missing = ledger.held() + 1_000_000 + request_bytes - BOUND;
+    let cut = (0..).take_while(|_| ledger.make_room(1_000_000, at(2_000)).is_some()).count();
+    assert_eq!(cut, missing.div_ceil(request_bytes));
+    assert!(ledger.admits(1_000_000));
+}
+
+// Guards against cutting off a request that runs, or the reader of an answer who only pauses.
+#[test]
+fn requests_that_run_do_not_give_way() {
+    let mut ledger = ledger();
+    let (running, reading) = (ledger.open(at(0)), ledger.open(at(0)));
+    ledger.upload(running);
+    ledger.receive(running, 8_000_000, at(0));
+    ledger.complete(running);
+    ledger.wait(reading, 1_500_000, at(0));
+    assert_eq!(ledger.make_room(1_000_000, at(9_000)), None);
+    assert_eq!(ledger.make_room(1_000_000, at(10_000)), Some(reading));
+    assert_eq!(ledger.make_room(4_000_000, at(90_000)), None);
+}
