Wait for a body until the deadline of its request

Now a body may take as long as its request: until the deadline that its caller gave and for the timeout of its route, or for 10 s if no route is known. After that the caller gets 503, truly not run.

--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -43,6 +43,8 @@
 /// Timeout for the head of a request; the limit that callers are told is shorter, see
 /// `routing::Limits`.
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
+/// Timeout for the body of a request whose route is not known.
+const UNROUTED_UPLOAD_TIMEOUT: clock::Span = clock::Span::from_secs(10);
 /// Idle timeout of a caller's connection: longer than callers keep one, so that no connection is
 /// closed just as a request is sent.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(75);
@@ -300,6 +302,10 @@
             biased;
             body = read_body(payload, max_bytes, &account) => body?,
             () = account.wait_for_cut() => None,
+            () = async { tokio::time::sleep(max_upload_time(state, request, &head)).await } => {
+                let detail = "the body did not arrive in time";
+                return Err(answer::Fault::not_run(Reason::DeadlinePassed, Step::Read, detail));
+            }
             () = state.wait_for_phase(state::Phase::Ending) => return Err(draining()),
         };
         let body = body.ok_or_else(|| out_of_memory(state))?;
@@ -349,6 +355,23 @@
     table.map_or(routing::Limits::default().body_bytes, |table| table.limits().body_bytes)
 }
 
+/// Returns how long the body of a request may take to arrive: as long as the request may take.
+fn max_upload_time(
+    state: &state::State,
+    request: &web::HttpRequest,
+    head: &head::Request,
+) -> clock::Span {
+    let table = state.routing_table();
+    let route = table.as_ref().and_then(|table| table.route(host(request), request.uri().path()));
+    let timeout = route.map_or(UNROUTED_UPLOAD_TIMEOUT, |route| route.timeout);
+    head.time_left.map_or(timeout, |left| left.min(timeout))
+}
+
+/// Returns the name of the host that a request is for.
+fn host(request: &web::HttpRequest) -> &str {
+    request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("")
+}
+
 /// Returns the refusal of a request for which this host has no memory; another host may have some.
 fn out_of_memory(state: &state::State) -> answer::Fault {
     state.metrics.refused_for_memory.inc();
@@ -378,13 +401,12 @@
     received: Received,
 ) -> forward::Request {
     let Received { head, body, account, arrived } = received;
-    let host = request.headers().get("host").and_then(|host| host.to_str().ok()).unwrap_or("");
     let target = request.uri().path_and_query().map_or("/", |target| target.as_str());
     forward::Request {
         method: request.method().as_str().to_owned(),
         target: target.to_owned(),
         path: request.uri().path().to_owned(),
-        host: host.to_owned(),
+        host: host(request).to_owned(),
         body,
         head,
         account,
