Bound the header of a chunk, and account for the read buffer of a body

Cause: the HTTP server leaves a chunk's header in the read buffer of its connection until it is complete, reads on, and scans it from its beginning with each read. These bytes belong to no body, so no account had them.

Reading a body is a module of its own.

--- a/crates/lagoon-gateway/src/buffers.rs
+++ b/crates/lagoon-gateway/src/buffers.rs
@@ -129,6 +129,18 @@
         self.0.buffers.change(|ledger, _| ledger.release(self.0.id, bytes));
     }
 
+    /// Replaces `old` bytes that were kept by `new` ones. Returns whether they may be kept, as
+    /// [`Account::keep`].
+    pub(crate) fn replace(&self, old: usize, new: usize) -> bool {
+        if new == old {
+            return true;
+        }
+        !self.0.buffers.change(|ledger, _| {
+            ledger.release(self.0.id, old);
+            ledger.keep(self.0.id, new);
+        })
+    }
+
     /// Records that the caller begins to send its body.
     pub(crate) fn upload(&self) {
         self.0.buffers.change(|ledger, _| ledger.upload(self.0.id));
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -59,6 +59,7 @@
 mod stream;
 mod tables;
 mod tcp;
+mod upload;
 mod watch;
 
 pub use clock::BootClock;
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -26,6 +26,7 @@
 use crate::report;
 use crate::settings;
 use crate::state;
+use crate::upload;
 use crate::watch;
 
 /// Time between reporting not ready and refusing requests. The balancer checks every second and
@@ -298,17 +299,21 @@
         let max_bytes = max_body_bytes(state);
         let account = state.buffers.open(max_bytes).ok_or_else(|| out_of_memory(state))?;
         account.upload();
+        let upload = upload::Upload::new(payload.into_inner(), io.as_ref(), &account, max_bytes);
         let body = tokio::select! {
             biased;
-            body = read_body(payload, max_bytes, &account) => body?,
-            () = account.wait_for_cut() => None,
+            body = upload.receive() => body,
+            () = account.wait_for_cut() => Err(upload::Failure::OutOfMemory),
             () = async { tokio::time::sleep(max_upload_time(state, request, &head)).await } => {
                 let detail = "the body did not arrive in time";
                 return Err(answer::Fault::not_run(Reason::DeadlinePassed, Step::Read, detail));
             }
             () = state.wait_for_phase(state::Phase::Ending) => return Err(draining()),
         };
-        let body = body.ok_or_else(|| out_of_memory(state))?;
+        let body = body.map_err(|failure| match failure {
+            upload::Failure::Invalid(fault) => fault,
+            upload::Failure::OutOfMemory => out_of_memory(state),
+        })?;
         let request = build_request(request, headers, Received { head, body, account, arrived });
         if state.phase() >= state::Phase::Draining {
             return Err(draining());
@@ -414,30 +419,3 @@
         headers,
     }
 }
-
-/// Reads the body of a request, of at most `limit` bytes, into `account`. Returns `None` if this
-/// host has no memory for it.
-async fn read_body(
-    payload: web::types::Payload,
-    limit: usize,
-    account: &buffers::Account,
-) -> Result<Option<bytes::Bytes>, answer::Fault> {
-    use futures_util::StreamExt;
-    let mut payload = payload.into_inner();
-    let mut body = bytes::BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|error| {
-            answer::Fault::not_run(Reason::Malformed, Step::Read, error.to_string())
-        })?;
-        if body.len() + chunk.len() > limit {
-            let detail = format!("a body of over {limit} bytes");
-            return Err(answer::Fault::not_run(Reason::TooLong, Step::Read, detail));
-        }
-        if !account.receive(chunk.len()) {
-            return Ok(None);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    account.complete();
-    Ok(Some(body.freeze()))
-}
--- /dev/null
+++ b/crates/lagoon-gateway/src/upload.rs
@@ -0,0 +1,112 @@
+//! The bodies that callers send, and what this host holds while they arrive.
+//!
+//! The HTTP server keeps the header of a chunk in the read buffer of its connection until it is
+//! complete, however long it is. So that buffer is accounted for beside the body itself.
+
+use std::future;
+use std::task;
+
+use futures_util::StreamExt;
+use lagoonline::outcome::{Reason, Step};
+use ntex::http;
+
+use crate::answer;
+use crate::buffers;
+
+/// Bytes of a read buffer that are covered by what counts for each request.
+const COVERED_READ_BUFFER: usize = 16 << 10;
+/// Maximum size of a read buffer in bytes. The server pauses reading at 16 KB and empties the buffer
+/// into the queue, so only a chunk's header that goes on exceeds this.
+const MAX_READ_BUFFER: usize = 64 << 10;
+
+/// Why a body was not received.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// The caller's fault.
+    Invalid(answer::Fault),
+    /// This host has no memory for it.
+    OutOfMemory,
+}
+
+/// A body that arrives.
+pub(crate) struct Upload<'a> {
+    payload: http::Payload,
+    io: Option<&'a ntex::io::IoRef>,
+    account: &'a buffers::Account,
+    max_bytes: usize,
+    body: bytes::BytesMut,
+    /// Bytes of the read buffer that are accounted for.
+    overhead: usize,
+}
+
+impl<'a> Upload<'a> {
+    /// Creates the body that arrives as `payload` on the connection `io`, of at most `max_bytes`
+    /// bytes.
+    pub(crate) fn new(
+        payload: http::Payload,
+        io: Option<&'a ntex::io::IoRef>,
+        account: &'a buffers::Account,
+        max_bytes: usize,
+    ) -> Upload<'a> {
+        let body = bytes::BytesMut::new();
+        Upload { payload, io, account, max_bytes, body, overhead: 0 }
+    }
+
+    /// Returns the whole body, which is then kept in the account.
+    ///
+    /// # Errors
+    ///
+    /// The body is malformed or too long, or this host has no memory for it.
+    pub(crate) async fn receive(mut self) -> Result<bytes::Bytes, Failure> {
+        future::poll_fn(|context| self.poll(context)).await?;
+        self.account.release(self.overhead);
+        self.account.complete();
+        Ok(self.body.freeze())
+    }
+
+    /// Takes all chunks that have arrived.
+    fn poll(&mut self, context: &mut task::Context<'_>) -> task::Poll<Result<(), Failure>> {
+        let before = self.body.len();
+        let polled = loop {
+            match self.payload.poll_next_unpin(context) {
+                task::Poll::Ready(Some(Ok(chunk))) => {
+                    self.append(&chunk)?;
+                }
+                task::Poll::Ready(Some(Err(error))) => {
+                    return task::Poll::Ready(Err(malformed(error.to_string())));
+                }
+                task::Poll::Ready(None) => break task::Poll::Ready(Ok(())),
+                task::Poll::Pending => break task::Poll::Pending,
+            }
+        };
+        self.account(self.body.len() - before)?;
+        polled
+    }
+
+    fn append(&mut self, chunk: &[u8]) -> Result<(), Failure> {
+        if self.body.len() + chunk.len() > self.max_bytes {
+            let detail = format!("a body of over {} bytes", self.max_bytes);
+            let fault = answer::Fault::not_run(Reason::TooLong, Step::Read, detail);
+            return Err(Failure::Invalid(fault));
+        }
+        self.body.extend_from_slice(chunk);
+        Ok(())
+    }
+
+    /// Accounts for `received` further bytes of the body and the read buffer.
+    fn account(&mut self, received: usize) -> Result<(), Failure> {
+        let unread = self.io.map_or(0, |io| io.with_read_src_buf(|buffer| buffer.len()));
+        if unread > MAX_READ_BUFFER {
+            return Err(malformed(format!("a chunk's header of over {MAX_READ_BUFFER} bytes")));
+        }
+        let overhead = unread.saturating_sub(COVERED_READ_BUFFER);
+        let is_held = self.account.replace(self.overhead, overhead)
+            && (received == 0 || self.account.receive(received));
+        self.overhead = overhead;
+        if is_held { Ok(()) } else { Err(Failure::OutOfMemory) }
+    }
+}
+
+fn malformed(detail: String) -> Failure {
+    Failure::Invalid(answer::Fault::not_run(Reason::Malformed, Step::Read, detail))
+}
