--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -46,6 +46,8 @@
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
 /// Timeout for the body of a request whose route is not known.
 const UNROUTED_UPLOAD_TIMEOUT: clock::Span = clock::Span::from_secs(10);
+/// Maximum number of read buffers that are kept for further use.
+const MAX_SPARE_READ_BUFFERS: usize = 128;
 /// Idle timeout of a caller's connection: longer than callers keep one, so that no connection is
 /// closed just as a request is sent.
 const KEEP_ALIVE: ntex::time::Seconds = ntex::time::Seconds(75);
@@ -227,7 +229,12 @@
         .set_max_buf_size(limits.head_bytes * 2)
         .set_keepalive(KEEP_ALIVE)
         .set_client_timeout(HEAD_TIMEOUT);
-    let config = ntex::SharedCfg::new("gateway").add(config);
+    let buffers = ntex::io::IoConfig::new().set_read_buf(
+        upload::READ_BUFFER,
+        upload::READ_BUFFER / 4,
+        MAX_SPARE_READ_BUFFERS,
+    );
+    let config = ntex::SharedCfg::new("gateway").add(config).add(buffers);
     let factory = async move || {
         let state = state.clone();
         let connections = connection::Connections::default();
