--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -24,15 +24,13 @@
 use crate::message;
 use crate::meter;
 use crate::path;
+use crate::payload;
 use crate::state;
 
 /// Maximum number of bytes that are read ahead of an answer. It exceeds the bound on heads of
 /// [`progress::Settings`], which is mostly the one that applies.
 const READ_BUFFER: usize = 128 << 10;
 
-/// Body of a request.
-pub(crate) type Payload = http_body_util::Full<body::Bytes>;
-
 /// Why there is no answer, or no complete one.
 #[derive(Clone, Debug, thiserror::Error)]
 pub(crate) enum Failure {
@@ -52,12 +50,12 @@
 }
 
 /// The connection, which makes progress only while it is polled.
-type Driver = http1::Connection<TokioIo<meter::Metered<path::Connection>>, Payload>;
+type Driver = http1::Connection<TokioIo<meter::Metered<path::Connection>>, payload::Payload>;
 
 /// A connection with at most one request in progress.
 #[derive(Debug)]
 pub(crate) struct Exchange {
-    sender: http1::SendRequest<Payload>,
+    sender: http1::SendRequest<payload::Payload>,
     driver: Option<Driver>,
     meter: meter::Meter,
     turn: turn::Turn,
@@ -89,7 +87,7 @@
     /// [`Failure::Lost`] and [`Failure::Violated`]: a byte may have left.
     pub(crate) async fn send(
         &mut self,
-        request: hyper::Request<Payload>,
+        request: hyper::Request<payload::Payload>,
     ) -> Result<hyper::Response<body::Incoming>, Failure> {
         self.meter.begin_head();
         let answer = self.sender.send_request(request);
@@ -243,7 +241,7 @@
 /// [`Failure`]: no connection, or no complete answer in time.
 pub(crate) async fn call<Connecting>(
     connecting: Connecting,
-    request: hyper::Request<Payload>,
+    request: hyper::Request<payload::Payload>,
     timeout: time::Duration,
     limit: usize,
 ) -> Result<Reply, Failure>
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -29,6 +29,7 @@
 use crate::message;
 use crate::metrics;
 use crate::path;
+use crate::payload;
 use crate::place;
 use crate::reserve;
 use crate::retries;
@@ -46,7 +47,7 @@
     pub(crate) path: String,
     pub(crate) host: String,
     pub(crate) headers: Vec<(String, Vec<u8>)>,
-    pub(crate) body: Bytes,
+    pub(crate) body: payload::Content,
     pub(crate) head: head::Request,
     /// What this host holds for the request.
     pub(crate) account: buffers::Account,
@@ -519,7 +520,7 @@
         placement: &placement::Placement,
         reservations: Option<&reserve::Reservations>,
         last_event: Option<u64>,
-    ) -> Result<hyper::Request<exchange::Payload>, hyper::http::Error> {
+    ) -> Result<hyper::Request<payload::Payload>, hyper::http::Error> {
         let helper = |helper: &placement::Helper| {
             let reservation =
                 reservations.and_then(|reservations| reservations.id_on(&helper.entry.upstream));
@@ -543,14 +544,17 @@
         for field in head::forward_request(self.request.header_pairs(), &dispatch) {
             request = request.header(field.name, field.value);
         }
-        request.body(exchange::Payload::new(self.request.body.clone()))
+        request.body(payload::Payload::new(self.request.body.clone()))
     }
 
     /// Returns the fingerprint of the request, which does not depend on its id.
     pub(crate) fn fingerprint(&self) -> fingerprint::Fingerprint {
         let request = &self.request;
         let customer = self.customer_name();
-        let compute = || fingerprint::Fingerprint::new(customer, &request.target, &request.body);
+        let compute = || {
+            let segments = request.body.segments();
+            fingerprint::Fingerprint::of_segments(customer, &request.target, segments)
+        };
         *self.fingerprint.get_or_init(compute)
     }
 
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod meter;
 mod metrics;
 mod path;
+mod payload;
 mod peers;
 mod place;
 mod publish;
--- a/crates/lagoon-gateway/src/report.rs
+++ b/crates/lagoon-gateway/src/report.rs
@@ -21,6 +21,7 @@
 use crate::exchange;
 use crate::message;
 use crate::path;
+use crate::payload;
 use crate::state;
 
 /// Interval between two reports of an engine: one that has become slow gets about five more prompts
@@ -121,7 +122,7 @@
     let sent_at = state.clock.now();
     let request = hyper::Request::get(engine::REPORT_PATH)
         .header("host", entry.address.to_string())
-        .body(exchange::Payload::default())
+        .body(payload::Payload::default())
         .map_err(|error| error.to_string())?;
     let connecting = path::connect(state, entry, path::Purpose::Call(work), REPORT_TIMEOUT);
     let call = exchange::call(connecting, request, REPORT_TIMEOUT, MAX_REPORT_BYTES).await;
--- a/crates/lagoon-gateway/src/reserve.rs
+++ b/crates/lagoon-gateway/src/reserve.rs
@@ -25,6 +25,7 @@
 use crate::exchange;
 use crate::message;
 use crate::path;
+use crate::payload;
 use crate::report;
 use crate::state;
 
@@ -358,7 +359,7 @@
     let request = hyper::Request::post(engine::ORDER_PATH)
         .header("host", entry.address.to_string())
         .header("content-type", "application/json")
-        .body(exchange::Payload::new(hyper::body::Bytes::from(body)))
+        .body(payload::Payload::new(hyper::body::Bytes::from(body)))
         .map_err(|error| exchange::Failure::Unsent(error.to_string()))?;
     state.record_call(entry);
     state.count_send(entry);
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -19,6 +19,7 @@
 use crate::exchange;
 use crate::forward;
 use crate::path;
+use crate::payload;
 use crate::state;
 
 /// Time for which a connection is kept that shows nothing. An upstream that is stuck for longer is
@@ -119,7 +120,7 @@
     /// Sends the request and waits for the head of its answer, see [`exchange::Exchange::send`].
     pub(crate) async fn send(
         &mut self,
-        request: hyper::Request<exchange::Payload>,
+        request: hyper::Request<payload::Payload>,
     ) -> Result<hyper::Response<hyper::body::Incoming>, exchange::Failure> {
         self.exchange.send(request).await
     }
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -21,6 +21,7 @@
 use crate::forward;
 use crate::hosts;
 use crate::mesh;
+use crate::payload;
 use crate::quarantine;
 use crate::relay;
 use crate::report;
@@ -401,7 +402,7 @@
 /// What was received of a request.
 struct Received {
     head: head::Request,
-    body: bytes::Bytes,
+    body: payload::Content,
     account: buffers::Account,
     arrived: clock::Moment,
 }
--- a/crates/lagoon-gateway/src/store.rs
+++ b/crates/lagoon-gateway/src/store.rs
@@ -11,6 +11,7 @@
 use crate::exchange;
 use crate::metrics;
 use crate::path;
+use crate::payload;
 use crate::state;
 use crate::tcp;
 
@@ -130,8 +131,8 @@
     fn request(
         &self,
         call: &store::Call,
-    ) -> Result<hyper::Request<exchange::Payload>, exchange::Failure> {
-        let body = exchange::Payload::new(hyper::body::Bytes::from(call.body.clone()));
+    ) -> Result<hyper::Request<payload::Payload>, exchange::Failure> {
+        let body = payload::Payload::new(hyper::body::Bytes::from(call.body.clone()));
         let mut request = hyper::Request::builder()
             .method(call.method)
             .uri(&call.path)
--- a/crates/lagoonline/src/lifecycle/fingerprint.rs
+++ b/crates/lagoonline/src/lifecycle/fingerprint.rs
@@ -38,14 +38,40 @@
     /// Computes the fingerprint of a request by `customer` (empty if there is none) to `target`,
     /// its path and query, with `body`. Takes time proportional to the body length.
     pub fn new(customer: &str, target: &str, body: &[u8]) -> Fingerprint {
-        let digest = digest([customer.as_bytes(), target.as_bytes(), body]);
-        Fingerprint { length: length(body), digest }
+        Fingerprint::of_segments(customer, target, [body])
+    }
+
+    /// As [`Fingerprint::new`], of a body in segments.
+    ///
+    /// ```
+    /// use lagoonline::lifecycle::fingerprint::Fingerprint;
+    /// let whole = Fingerprint::new("acme", "/talk/a", b"hello");
+    /// let segments = [&b"hel"[..], &b"lo"[..]];
+    /// assert_eq!(Fingerprint::of_segments("acme", "/talk/a", segments), whole);
+    /// ```
+    pub fn of_segments<'a, Segments>(
+        customer: &str,
+        target: &str,
+        segments: Segments,
+    ) -> Fingerprint
+    where
+        Segments: Clone + IntoIterator<Item = &'a [u8]>,
+    {
+        let length = segments.clone().into_iter().map(length).sum();
+        let mut digest = Digest::default();
+        digest.add(customer.as_bytes());
+        digest.add(target.as_bytes());
+        digest.add_segments(length, segments);
+        Fingerprint { length, digest: digest.finish() }
     }
 
     /// Computes the fingerprint of what requests have in common. No request has a body of its length.
     pub(super) fn of_pattern(customer: &str, scope: &str, parts: &str) -> Fingerprint {
-        let digest = digest([customer.as_bytes(), scope.as_bytes(), parts.as_bytes()]);
-        Fingerprint { length: u64::MAX, digest }
+        let mut digest = Digest::default();
+        digest.add(customer.as_bytes());
+        digest.add(scope.as_bytes());
+        digest.add(parts.as_bytes());
+        Fingerprint { length: u64::MAX, digest: digest.finish() }
     }
 
     /// Returns the range of all fingerprints of requests whose body has `length` bytes.
@@ -88,15 +114,30 @@
     }
 }
 
-fn digest(fields: [&[u8]; 3]) -> [u8; DIGEST_BYTES] {
-    let mut hash = sha2::Sha256::new();
-    for field in fields {
-        hash.update(length(field).to_le_bytes());
-        hash.update(field);
+/// Digest of fields, each with its length before it.
+#[derive(Clone, Debug, Default)]
+struct Digest(sha2::Sha256);
+
+impl Digest {
+    fn add(&mut self, field: &[u8]) {
+        self.add_segments(length(field), [field]);
+    }
+
+    fn add_segments<'a, Segments>(&mut self, length: u64, segments: Segments)
+    where
+        Segments: IntoIterator<Item = &'a [u8]>,
+    {
+        self.0.update(length.to_le_bytes());
+        for segment in segments {
+            self.0.update(segment);
+        }
+    }
+
+    fn finish(self) -> [u8; DIGEST_BYTES] {
+        let mut digest = [0; DIGEST_BYTES];
+        digest.copy_from_slice(&self.0.finalize()[..DIGEST_BYTES]);
+        digest
     }
-    let mut digest = [0; DIGEST_BYTES];
-    digest.copy_from_slice(&hash.finalize()[..DIGEST_BYTES]);
-    digest
 }
 
 fn length(bytes: &[u8]) -> u64 {
