Keep descriptors for upstreams when callers open very many connections

Cause: the HTTP server takes 25,000 connections, whatever the settings of the host say, and an idle one stays for 75 s.

Now three quarters of Limits.MaxFds, less 200 for files, may be connections of callers (2,925 of 4,100), and 128 those for readiness, metrics and operators. A further connection takes the place of the one that has been idle for the longest time, so that the host goes on taking connections while it says that it is ready; if all have requests, the new one is closed. All connections are known from when they are accepted, not only from their first request on, and closed ones are not looked for with each request any more.

--- a/crates/lagoon-gateway/src/connection.rs
+++ b/crates/lagoon-gateway/src/connection.rs
@@ -1,9 +1,12 @@
-//! The callers' connections of one server thread, to find those that are idle.
+//! The callers' connections of one server thread: how many may be open, and which give way to
+//! new ones.
 
 use std::cell;
 use std::collections;
 use std::rc;
 
+use lagoonline::clock;
+use lagoonline::clock::Clock as _;
 use ntex::io;
 
 /// A connection and the number of requests in progress on it.
@@ -11,14 +14,30 @@
 struct Connection {
     io: io::IoRef,
     requests: usize,
+    /// Whether a request has arrived on it.
+    is_used: bool,
+    /// When it was accepted or its last request ended.
+    idle_since: clock::Moment,
 }
 
-type OpenConnections = collections::HashMap<io::Id, Connection>;
+impl Connection {
+    fn is_idle(&self) -> bool {
+        self.requests == 0 && !self.io.is_closed()
+    }
+}
+
+#[derive(Debug)]
+struct Inner {
+    open: collections::HashMap<io::Id, Connection>,
+    /// Maximum number of open connections.
+    max_open: usize,
+}
 
-/// The connections on which a request has arrived.
-#[derive(Clone, Debug, Default)]
+/// The connections of a server thread.
+#[derive(Clone, Debug)]
 pub(crate) struct Connections {
-    open: rc::Rc<cell::RefCell<OpenConnections>>,
+    inner: rc::Rc<cell::RefCell<Inner>>,
+    clock: crate::BootClock,
 }
 
 /// Guard of a request in progress on a connection.
@@ -28,20 +47,60 @@
     connections: Connections,
 }
 
+impl Inner {
+    /// Removes closed connections, which keep their buffers as long as they are known here.
+    fn sweep(&mut self) {
+        self.open.retain(|_, connection| !connection.io.is_closed());
+    }
+
+    /// Returns the connection that has been idle for the longest time.
+    fn longest_idle(&self) -> Option<&Connection> {
+        let idle = self.open.values().filter(|connection| connection.is_idle());
+        idle.min_by_key(|connection| connection.idle_since)
+    }
+}
+
 impl Connections {
+    /// Creates the connections of a server thread, of which `max_open` may be open.
+    pub(crate) fn new(clock: crate::BootClock, max_open: usize) -> Connections {
+        let open = collections::HashMap::new();
+        let inner = Inner { open, max_open };
+        Connections { inner: rc::Rc::new(cell::RefCell::new(inner)), clock }
+    }
+
+    /// Records a connection that was accepted. If too many are open, the one that has been idle for
+    /// the longest time is closed; if none is idle, the new one is. Returns whether one was.
+    pub(crate) fn accept(&self, io: &io::IoRef) -> bool {
+        let now = self.clock.now();
+        let mut inner = self.inner.borrow_mut();
+        if inner.open.len() >= inner.max_open {
+            inner.sweep();
+        }
+        let is_full = inner.open.len() >= inner.max_open;
+        if is_full {
+            inner.longest_idle().map_or(io, |connection| &connection.io).terminate();
+            inner.sweep();
+        }
+        let connection =
+            Connection { io: io.clone(), requests: 0, is_used: false, idle_since: now };
+        inner.open.insert(io.id(), connection);
+        is_full
+    }
+
     /// Records that a request arrived on the connection `io`.
     pub(crate) fn track_request(&self, io: &io::IoRef) -> RequestGuard {
         let id = io.id();
-        let mut open = self.open.borrow_mut();
-        open.retain(|_, connection| !connection.io.is_closed());
-        open.entry(id).or_insert_with(|| Connection { io: io.clone(), requests: 0 }).requests += 1;
+        if let Some(connection) = self.inner.borrow_mut().open.get_mut(&id) {
+            connection.requests += 1;
+            connection.is_used = true;
+        }
         RequestGuard { id, connections: self.clone() }
     }
 
-    /// Closes every connection without a request in progress.
+    /// Closes every connection without a request in progress on which one has arrived before.
     pub(crate) fn close_idle(&self) {
-        for connection in self.open.borrow().values() {
-            if connection.requests == 0 {
+        for connection in self.inner.borrow().open.values() {
+            if connection.is_used && connection.requests == 0 {
                 connection.io.close();
             }
         }
@@ -50,8 +109,10 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        if let Some(connection) = self.connections.open.borrow_mut().get_mut(&self.id) {
+        let now = self.connections.clock.now();
+        if let Some(connection) = self.connections.inner.borrow_mut().open.get_mut(&self.id) {
             connection.requests -= 1;
+            connection.idle_since = now;
         }
     }
 }
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -283,6 +283,8 @@
     pub(crate) slow_callers_cut: Counter,
     /// Requests and carried connections that were refused for lack of memory.
     pub(crate) refused_for_memory: Counter,
+    /// Connections without a request that were closed to make room.
+    pub(crate) connections_closed: Counter,
     /// Connections that were closed since their bytes became no answer, by kind.
     violations: Family<ViolationLabels, Counter>,
     /// Upstreams to which this host's own path is lost.
@@ -353,6 +355,7 @@
             buffer_bound_bytes: Gauge::default(),
             slow_callers_cut: Counter::default(),
             refused_for_memory: Counter::default(),
+            connections_closed: Counter::default(),
             violations: Family::default(),
             paths_lost: Gauge::default(),
             paths: Family::default(),
@@ -420,6 +423,8 @@
         registry.register("slow_callers_cut", help, self.slow_callers_cut.clone());
         let help = "requests and carried connections refused for lack of memory";
         registry.register("memory_refused", help, self.refused_for_memory.clone());
+        let help = "connections without a request closed to make room";
+        registry.register("connections_closed", help, self.connections_closed.clone());
     }
 
     /// Sets the number of bytes that are held.
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -8,9 +8,12 @@
 use lagoon_platform::head;
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
+use lagoonline::load::connections;
 use lagoonline::outcome::{Outcome, Reason, Step};
 use lagoonline::routing;
 use ntex::http;
+use ntex::server;
+use ntex::service;
 use ntex::web;
 use tokio::sync::mpsc;
 
@@ -236,10 +239,13 @@
         MAX_SPARE_READ_BUFFERS,
     );
     let config = ntex::SharedCfg::new("gateway").add(config).add(buffers);
-    let factory = async move || {
+    let config = ntex::SharedCfg::from(config);
+    let factory = async move |service: server::Config| {
+        service.config(config.clone());
         let state = state.clone();
-        let connections = connection::Connections::default();
+        let connections = connections(&state, role);
         drop(ntex::rt::spawn(close_idle(state.clone(), connections.clone())));
+        let accepting = (state.clone(), connections.clone());
         let handler = move |request: web::HttpRequest, payload: web::types::Payload| {
             let (state, connections) = (state.clone(), connections.clone());
             async move {
@@ -249,14 +255,30 @@
                 }
             }
         };
-        web::App::new().default_service(web::to(handler))
+        let accept = move |io: ntex::io::Io| {
+            let (state, connections) = accepting.clone();
+            async move {
+                if connections.accept(&io.get_ref()) {
+                    state.metrics.connections_closed.inc();
+                }
+                Ok::<_, http::error::DispatchError>(io)
+            }
+        };
+        let app = web::App::new().default_service(web::to(handler));
+        service::chain_factory(service::fn_service(accept)).and_then(http::HttpService::new(app))
+    };
+    let server = server::build().workers(1).disable_signals();
+    Ok(server.listen("gateway", listener, factory)?.run())
+}
+
+/// Returns the connections of a server's thread.
+fn connections(state: &state::State, role: Role) -> connection::Connections {
+    let settings = connections::Settings::default();
+    let max_open = match role {
+        Role::Callers => settings.max_callers(state.settings.node.descriptors),
+        Role::Ready => settings.status_connections,
     };
-    let server = web::HttpServer::new(factory)
-        .workers(1)
-        .disable_signals()
-        .config(config)
-        .listen(listener)?;
-    Ok(server.run())
+    connection::Connections::new(state.clock, max_open)
 }
 
 /// Closes idle connections once requests are refused: a request that arrived on them now might not
--- a/crates/lagoonline/src/load/mod.rs
+++ b/crates/lagoonline/src/load/mod.rs
@@ -19,6 +19,7 @@
 pub mod buffers;
 pub mod clear;
 pub mod cold;
+pub mod connections;
 pub mod fair;
 pub mod floor;
 pub mod group;
