Bound what unfinished heads of requests may take

Now heads that have not arrived completely count for what the host holds, on hosts with so many connections that they could take more than a quarter of it, and beyond a quarter their connections are closed, the longest idle ones first.

--- a/crates/lagoon-gateway/src/buffers.rs
+++ b/crates/lagoon-gateway/src/buffers.rs
@@ -94,6 +94,19 @@
         cut.cancel();
     }
 
+    /// Returns the bytes that heads of requests may take which have not arrived completely.
+    pub(crate) fn head_bound(&self) -> usize {
+        state::lock(&self.inner).ledger.head_bound()
+    }
+
+    /// Sets the bytes of heads that have not arrived completely. Returns how many of them have to be
+    /// released.
+    pub(crate) fn set_heads(&self, bytes: usize) -> usize {
+        let mut excess = 0;
+        self.change(|ledger, _| excess = ledger.set_heads(bytes));
+        excess
+    }
+
     /// Sets the metric of the bytes that are held.
     pub(crate) fn update_metrics(&self) {
         self.metrics.set_buffered(state::lock(&self.inner).ledger.held());
--- a/crates/lagoon-gateway/src/connection.rs
+++ b/crates/lagoon-gateway/src/connection.rs
@@ -1,5 +1,5 @@
-//! The callers' connections of one server thread: how many may be open, and which give way to
-//! new ones.
+//! The callers' connections of one server thread: how many may be open, which give way to new ones,
+//! and what those without a request hold.
 
 use std::cell;
 use std::collections;
@@ -9,6 +9,8 @@
 use lagoonline::clock::Clock as _;
 use ntex::io;
 
+use crate::upload;
+
 /// A connection and the number of requests in progress on it.
 #[derive(Debug)]
 struct Connection {
@@ -24,6 +26,12 @@
     fn is_idle(&self) -> bool {
         self.requests == 0 && !self.io.is_closed()
     }
+
+    /// Returns the bytes of its read buffer, which grows by whole steps.
+    fn unread(&self) -> usize {
+        let length = self.io.with_read_src_buf(|buffer| buffer.len());
+        length.next_multiple_of(upload::READ_BUFFER)
+    }
 }
 
 #[derive(Debug)]
@@ -105,6 +113,43 @@
             }
         }
     }
+
+    /// Forgets closed connections. Returns how many are open.
+    pub(crate) fn sweep(&self) -> usize {
+        let mut inner = self.inner.borrow_mut();
+        inner.sweep();
+        inner.open.len()
+    }
+
+    /// Returns the bytes that are held for heads of requests that have not arrived completely.
+    pub(crate) fn heads(&self) -> usize {
+        let inner = self.inner.borrow();
+        let idle = inner.open.values().filter(|connection| connection.is_idle());
+        idle.map(Connection::unread).sum()
+    }
+
+    /// Closes connections on which a head has not arrived completely, the longest idle ones first,
+    /// until `bytes` bytes are released. Returns how many are closed.
+    pub(crate) fn close_heads(&self, bytes: usize) -> usize {
+        let mut inner = self.inner.borrow_mut();
+        let idle = inner.open.values().filter(|connection| connection.is_idle());
+        let mut idle: Vec<_> = idle
+            .map(|connection| (connection.idle_since, connection.unread(), connection))
+            .collect();
+        idle.retain(|(_, unread, _)| *unread > 0);
+        idle.sort_unstable_by_key(|(since, _, _)| *since);
+        let (mut released, mut closed) = (0, 0);
+        for (_, unread, connection) in idle {
+            if released >= bytes {
+                break;
+            }
+            connection.io.terminate();
+            released += unread;
+            closed += 1;
+        }
+        inner.sweep();
+        closed
+    }
 }
 
 impl Drop for RequestGuard {
--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -50,6 +50,10 @@
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
 /// Timeout for the body of a request whose route is not known.
 const UNROUTED_UPLOAD_TIMEOUT: clock::Span = clock::Span::from_secs(10);
+/// Maximum size in bytes of the read buffer of a head.
+const MAX_HEAD_BUFFER: usize = 40 << 10;
+/// Interval at which connections are looked at that could hold too much.
+const HEADS_INTERVAL: clock::Span = clock::Span::from_millis(20);
 /// Maximum number of read buffers that are kept for further use.
 const MAX_SPARE_READ_BUFFERS: usize = 128;
 /// Idle timeout of a caller's connection: longer than callers keep one, so that no connection is
@@ -245,6 +249,9 @@
         let state = state.clone();
         let connections = connections(&state, role);
         drop(ntex::rt::spawn(close_idle(state.clone(), connections.clone())));
+        if role == Role::Callers {
+            drop(ntex::rt::spawn(watch_connections(state.clone(), connections.clone())));
+        }
         let accepting = (state.clone(), connections.clone());
         let handler = move |request: web::HttpRequest, payload: web::types::Payload| {
             let (state, connections) = (state.clone(), connections.clone());
@@ -281,6 +288,34 @@
     connection::Connections::new(state.clock, max_open)
 }
 
+/// Forgets closed connections, and keeps heads that arrive slowly from filling the memory: without a
+/// request there is no account, so the connections are looked at, more often if they are many.
+async fn watch_connections(state: sync::Arc<state::State>, connections: connection::Connections) {
+    let mut interval = EXPIRY_INTERVAL;
+    loop {
+        tokio::time::sleep(interval).await;
+        let may_exceed = connections.sweep() * MAX_HEAD_BUFFER > state.buffers.head_bound();
+        interval = if may_exceed { HEADS_INTERVAL } else { EXPIRY_INTERVAL };
+        bound_heads(&state, &connections, may_exceed);
+    }
+}
+
+/// Closes connections if heads that have not arrived completely take more than they may.
+fn bound_heads(state: &state::State, connections: &connection::Connections, may_exceed: bool) {
+    let heads = if may_exceed { connections.heads() } else { 0 };
+    let excess = state.buffers.set_heads(heads);
+    if excess == 0 {
+        return;
+    }
+    let closed = connections.close_heads(excess);
+    state.metrics.connections_closed.inc_by(closed as u64);
+    event::Line::new("slow_heads_closed")
+        .number("connections", closed)
+        .number("head_bytes", heads)
+        .number("bound_bytes", state.buffers.head_bound())
+        .warn();
+}
+
 /// Closes idle connections once requests are refused: a request that arrived on them now might not
 /// end before the process does.
 async fn close_idle(state: sync::Arc<state::State>, connections: connection::Connections) {
--- a/crates/lagoonline/src/load/buffers.rs
+++ b/crates/lagoonline/src/load/buffers.rs
@@ -30,6 +30,8 @@
     pub share: f64,
     /// Minimum share of all memory that may be held, on hosts with little memory.
     pub min_share: f64,
+    /// Share of what may be held for heads of requests that have not arrived completely.
+    pub head_share: f64,
     /// Bytes that count for each request beside its body: buffers of both connections, tasks.
     pub request_bytes: usize,
     /// Maximum number of bytes of a stream that are read ahead of its caller: some minutes of
@@ -58,6 +60,7 @@
             process_bytes: 48 << 20,
             share: 0.6,
             min_share: 0.25,
+            head_share: 0.25,
             request_bytes: 32 << 10,
             read_ahead: 1 << 20,
             short_read_ahead: 32 << 10,
@@ -132,6 +135,8 @@
     settings: Settings,
     bound: usize,
     held: usize,
+    /// Bytes of heads that have not arrived completely.
+    heads: usize,
     next: Id,
     holders: collections::HashMap<Id, Holder>,
 }
@@ -139,12 +144,24 @@
 impl Ledger {
     /// Creates a ledger of at most `bound` bytes.
     pub fn new(settings: Settings, bound: usize) -> Ledger {
-        Ledger { settings, bound, held: 0, next: 0, holders: collections::HashMap::new() }
+        Ledger { settings, bound, held: 0, heads: 0, next: 0, holders: collections::HashMap::new() }
     }
 
     /// Returns the bytes that are held.
     pub fn held(&self) -> usize {
-        self.held
+        self.held + self.heads
+    }
+
+    /// Returns the bytes that heads of requests may take which have not arrived completely.
+    pub fn head_bound(&self) -> usize {
+        (self.bound as f64 * self.settings.head_share) as usize
+    }
+
+    /// Sets the bytes of heads that have not arrived completely. Returns how many of them have to be
+    /// released.
+    pub fn set_heads(&mut self, bytes: usize) -> usize {
+        self.heads = bytes;
+        bytes.saturating_sub(self.head_bound())
     }
 
     /// Returns the bytes that may be held.
@@ -281,7 +298,7 @@
 
     /// Whether more is held than may be.
     pub fn is_over(&self) -> bool {
-        self.held > self.bound
+        self.held() > self.bound
     }
 
     /// Whether more is held than may be, without what is about to be released.
@@ -292,7 +309,7 @@
     /// Returns the bytes that are held without those that are about to be released.
     fn lasting(&self) -> usize {
         let cut = self.holders.values().filter(|holder| holder.is_cut);
-        self.held - cut.map(Holder::held).sum::<usize>()
+        self.held() - cut.map(Holder::held).sum::<usize>()
     }
 
     /// Chooses the holder that gives way, if more is held than may be: the one without progress for
--- a/crates/lagoonline/tests/load_buffers.rs
+++ b/crates/lagoonline/tests/load_buffers.rs
@@ -180,3 +180,15 @@
     assert_eq!(ledger.make_room(1_000_000, at(10_000)), Some(reading));
     assert_eq!(ledger.make_room(4_000_000, at(90_000)), None);
 }
+
+// Guards against heads that never end, which no request accounts for.
+#[test]
+fn heads_take_a_part_and_count_for_new_requests() {
+    let mut ledger = ledger();
+    assert_eq!(ledger.set_heads(BOUND / 4), 0);
+    assert_eq!(ledger.set_heads(BOUND / 4 + 1_000), 1_000);
+    assert!(!ledger.admits(BOUND * 3 / 4));
+    assert_eq!(ledger.set_heads(0), 0);
+    assert!(ledger.admits(BOUND * 3 / 4));
+    assert_eq!(ledger.held(), 0);
+}
