--- a/crates/lagoon-gateway/src/server.rs
+++ b/crates/lagoon-gateway/src/server.rs
@@ -50,9 +50,9 @@
 const HEAD_TIMEOUT: ntex::time::Seconds = ntex::time::Seconds(10);
 /// Timeout for the body of a request whose route is not known.
 const UNROUTED_UPLOAD_TIMEOUT: clock::Span = clock::Span::from_secs(10);
-/// Maximum size in bytes of the read buffer of a head.
+/// Maximum size in bytes of a connection's read buffer while a head arrives.
 const MAX_HEAD_BUFFER: usize = 40 << 10;
-/// Interval at which connections are looked at that could hold too much.
+/// Interval at which read buffers are added up while they could take too much.
 const HEADS_INTERVAL: clock::Span = clock::Span::from_millis(20);
 /// Maximum number of read buffers that are kept for further use.
 const MAX_SPARE_READ_BUFFERS: usize = 128;
@@ -231,23 +231,11 @@
     listener: net::TcpListener,
     role: Role,
 ) -> io::Result<ntex::server::Server> {
-    let limits = routing::Limits::default();
-    let config = http::HttpServiceConfig::new()
-        .set_max_headers(256)
-        .set_max_buf_size(limits.head_bytes * 2)
-        .set_keepalive(KEEP_ALIVE)
-        .set_client_timeout(HEAD_TIMEOUT);
-    let buffers = ntex::io::IoConfig::new().set_read_buf(
-        upload::READ_BUFFER,
-        upload::READ_BUFFER / 4,
-        MAX_SPARE_READ_BUFFERS,
-    );
-    let config = ntex::SharedCfg::new("gateway").add(config).add(buffers);
-    let config = ntex::SharedCfg::from(config);
+    let config = http_config();
     let factory = async move |service: server::Config| {
         service.config(config.clone());
         let state = state.clone();
-        let connections = connections(&state, role);
+        let connections = connection::Connections::new(state.clock, max_open(&state, role));
         drop(ntex::rt::spawn(close_idle(state.clone(), connections.clone())));
         if role == Role::Callers {
             drop(ntex::rt::spawn(watch_connections(state.clone(), connections.clone())));
@@ -278,14 +266,29 @@
     Ok(server.listen("gateway", listener, factory)?.run())
 }
 
-/// Returns the connections of a server's thread.
-fn connections(state: &state::State, role: Role) -> connection::Connections {
+/// Returns the limits and timeouts of the HTTP servers.
+fn http_config() -> ntex::SharedCfg {
+    let limits = routing::Limits::default();
+    let http = http::HttpServiceConfig::new()
+        .set_max_headers(256)
+        .set_max_buf_size(limits.head_bytes * 2)
+        .set_keepalive(KEEP_ALIVE)
+        .set_client_timeout(HEAD_TIMEOUT);
+    let buffers = ntex::io::IoConfig::new().set_read_buf(
+        upload::READ_BUFFER,
+        upload::READ_BUFFER / 4,
+        MAX_SPARE_READ_BUFFERS,
+    );
+    ntex::SharedCfg::new("gateway").add(http).add(buffers).into()
+}
+
+/// Returns how many connections of a server may be open.
+fn max_open(state: &state::State, role: Role) -> usize {
     let settings = connections::Settings::default();
-    let max_open = match role {
+    match role {
         Role::Callers => settings.max_callers(state.settings.node.descriptors),
         Role::Ready => settings.status_connections,
-    };
-    connection::Connections::new(state.clock, max_open)
+    }
 }
 
 /// Forgets closed connections, and keeps heads that arrive slowly from filling the memory: without a
--- a/crates/lagoon-gateway/tests/uploads.rs
+++ b/crates/lagoon-gateway/tests/uploads.rs
@@ -29,6 +29,22 @@
     [chunks.concat(), b"0\r\n\r\n".to_vec()].concat()
 }
 
+/// Sends a booking with `field` and `sent` behind its head. Returns the status and the body that an upstream
+/// got.
+fn book(host: &Host, field: &str, sent: Vec<u8>) -> (u16, Option<Vec<u8>>) {
+    let head = format!(
+        "POST /book/1 HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
+         authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n{field}\r\n\r\n"
+    );
+    let mut stream = net::TcpStream::connect(host.callers).unwrap();
+    stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
+    stream.write_all(&[head.into_bytes(), sent].concat()).unwrap();
+    let status = caller::read(&mut stream).status;
+    let received = host.standin.received_requests();
+    let request = received.into_iter().find(|request| request.path == "/book/1");
+    (status, request.map(|request| request.body))
+}
+
 /// Guards against a body that is cut, doubled or out of order where it is kept in segments.
 #[rstest]
 fn bodies_arrive_unchanged(
@@ -37,20 +53,20 @@
 ) {
     let host = Host::start();
     let body = body(length);
-    let (field, sent) = match chunk {
-        Some(size) => ("transfer-encoding: chunked".to_owned(), chunked(&body, size)),
-        None => (format!("content-length: {length}"), body.clone()),
+    let (status, received) = match chunk {
+        Some(size) => book(&host, "transfer-encoding: chunked", chunked(&body, size)),
+        None => book(&host, &format!("content-length: {length}"), body.clone()),
     };
-    let head = format!(
-        "POST /book/1 HTTP/1.1\r\nhost: x.example\r\nlagoonline-request-id: q1\r\n\
-         authorization: Token k1\r\nlagoonline-request-deadline: 8000\r\n{field}\r\n\r\n"
-    );
-    let mut stream = net::TcpStream::connect(host.callers).unwrap();
-    stream.set_read_timeout(Some(host::STEP_TIMEOUT)).unwrap();
-    stream.write_all(&[head.into_bytes(), sent].concat()).unwrap();
-    assert_eq!(caller::read(&mut stream).status, 200);
-    let received = host.standin.received_requests();
-    let request = received.iter().find(|request| request.path == "/book/1").unwrap();
-    assert_eq!(request.body.len(), length);
-    assert!(request.body == body);
+    assert_eq!((status, received.as_ref().map(Vec::len)), (200, Some(length)));
+    assert!(received == Some(body));
+}
+
+/// Guards against refusing a single request for what only crowds may not do.
+#[rstest]
+#[case::chunks_of_one_byte(chunked(&body(100_000), 1), body(100_000))]
+#[case::extensions(b"5;name=value\r\nhello\r\n0;last\r\n\r\n".to_vec(), b"hello".to_vec())]
+fn an_unusual_body_is_served_in_calm(#[case] sent: Vec<u8>, #[case] body: Vec<u8>) {
+    let (status, received) = book(&Host::start(), "transfer-encoding: chunked", sent);
+    assert_eq!(status, 200);
+    assert!(received == Some(body));
 }
