Failing test: calls are handed on with more time than is left

The deployment of attempt_bounds gets settings, so that eight hosts before 23 engines are played beside the nine, and troubles that nobody has played: waves of load, callers that leave or return at once, hosts that are late, cut from each other, or frozen and then killed, zones that are cut, upstreams that leave in turn, a service that is taken away. Its verdict says whether the first send or the repeat was read late. A booking may run on one upstream only, which the verdict counted as two.

--- a/crates/lagoon-gateway/tests/deployment/mod.rs
+++ b/crates/lagoon-gateway/tests/deployment/mod.rs
@@ -25,24 +25,84 @@
 use crate::standin::{Behavior, Entrance, Standin};
 use troubles::{Kind, Trouble};
 
-/// Names of the hosts; the first letter is the zone.
-const HOSTS: [&str; 9] = ["a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1", "c2"];
-const ENGINES: usize = 18;
-const REPLICAS: usize = 3;
-/// Requests a second to all hosts.
-const RATE: f64 = 49.0;
 /// Window in which retries are counted, in seconds.
 const WINDOW_S: u64 = 10;
 const WINDOW: time::Duration = time::Duration::from_secs(WINDOW_S);
-/// Retries of all hosts in a window: this share of its requests, and this number beyond.
+/// Retries of all hosts in a window as a share of its requests.
 const RETRY_RATIO: f64 = 0.2;
-const RETRY_SLACK: u64 = 106;
-/// Length of a day.
-pub const DAY: time::Duration = time::Duration::from_secs(36);
+/// Zones of the upstreams in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// The size of a deployment and its load.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Names of the hosts; the first letter is the zone.
+    pub hosts: &'static [&'static str],
+    pub engines: usize,
+    pub replicas: usize,
+    /// Requests a second to all hosts.
+    pub rate: f64,
+    /// Share of the requests of each kind.
+    pub mix: requests::Mix,
+    /// Retries of all hosts in a window beyond the share of its requests.
+    pub retry_slack: u64,
+    /// Limit of the routes to the plain service, in milliseconds.
+    pub call_timeout_ms: u64,
+    /// Length of a day.
+    pub day: time::Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings {
+            hosts: &["a1", "a2", "a3", "a4", "b1", "b2", "b3", "c1", "c2"],
+            engines: 18,
+            replicas: 3,
+            rate: 49.0,
+            mix: requests::Mix::default(),
+            retry_slack: 106,
+            call_timeout_ms: 1_500,
+            day: time::Duration::from_secs(36),
+        }
+    }
+}
+
+impl Settings {
+    /// Fewer hosts before more engines, and callers that wait one second for a call.
+    pub fn eight_hosts() -> Settings {
+        Settings {
+            hosts: &["a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2"],
+            engines: 23,
+            rate: 61.3,
+            mix: requests::Mix { shares: [48.9, 2.67, 2.24, 4.61, 3.0], call_left_ms: 1_000 },
+            retry_slack: 104,
+            call_timeout_ms: 15_000,
+            ..Settings::default()
+        }
+    }
+
+    /// Two hosts that get nothing but calls of the plain service, on a short day.
+    pub fn calls() -> Settings {
+        Settings {
+            hosts: &["a1", "b1"],
+            engines: 1,
+            rate: 60.0,
+            mix: requests::Mix { shares: [0.0, 0.0, 0.0, 1.0, 4.0], call_left_ms: 1_000 },
+            call_timeout_ms: 15_000,
+            day: time::Duration::from_secs(14),
+            ..Settings::default()
+        }
+    }
+
+    pub fn upstreams(&self) -> usize {
+        self.engines + self.replicas
+    }
+}
 
 /// An entry host, which is down while it has no process.
 struct HostSlot {
     name: &'static str,
+    retry_slack: u64,
     entrance: Entrance,
     process: sync::Mutex<Option<Process>>,
 }
@@ -57,7 +117,7 @@
             name: self.name,
             zone: self.zone(),
             retry_window_s: WINDOW_S,
-            retry_slack: RETRY_SLACK,
+            retry_slack: self.retry_slack,
             store: Some(self.entrance.address),
             ..ProcessSettings::default()
         };
@@ -73,53 +133,76 @@
         self.start(standin);
     }
 
+    fn signal(&self, signal: Signal) {
+        if let Some(process) = self.process.lock().unwrap().as_ref() {
+            process.signal(signal);
+        }
+    }
+
     fn callers(&self) -> Option<net::SocketAddr> {
         self.process.lock().unwrap().as_ref().map(|process| process.callers)
     }
 }
 
-/// Nine hosts in three zones as processes, and their upstreams.
+/// How callers behave at some moment.
+#[derive(Clone, Copy, Debug)]
+struct Callers {
+    /// Zone of all requests, if callers moved there.
+    zone: Option<&'static str>,
+    /// Requests in percent of the usual ones.
+    load: u64,
+    /// Whether they send each request again at once and more often.
+    repeat_at_once: bool,
+    /// Whether a part of them leaves early.
+    leave: bool,
+}
+
+impl Default for Callers {
+    fn default() -> Self {
+        Callers { zone: None, load: 100, repeat_at_once: false, leave: false }
+    }
+}
+
+/// Hosts in three zones as processes, and their upstreams.
 pub struct Fleet {
+    settings: Settings,
     standin: Standin,
     upstreams: Vec<(String, Freezer)>,
     hosts: Vec<HostSlot>,
     mesh: Mesh,
     sent: sync::Mutex<collections::BTreeMap<String, requests::Sent>>,
-    /// Zone of all requests, if callers moved there.
-    crowded: sync::Mutex<Option<&'static str>>,
+    callers: sync::Mutex<Callers>,
     statuses: sync::Mutex<collections::BTreeMap<u16, usize>>,
 }
 
 impl Fleet {
     /// Starts all hosts and upstreams.
-    fn start() -> Fleet {
+    fn start(settings: Settings) -> Fleet {
         let standin = Standin::start();
-        standin.put("op", "config", &desired());
-        let names = (0..ENGINES).map(|number| (format!("e{number}"), "llm", 16));
-        let names = names.chain((0..REPLICAS).map(|number| (format!("r{number}"), "app", 6)));
+        standin.put("op", "config", &desired(settings, 1));
+        let names = (0..settings.engines).map(|number| (format!("e{number}"), "llm", 16));
+        let names =
+            names.chain((0..settings.replicas).map(|number| (format!("r{number}"), "app", 6)));
         let mut upstreams = Vec::new();
         for (number, (name, service, slots)) in names.enumerate() {
             let freezer = Freezer::start(&standin, &name, service, slots);
-            let zone = ["a", "b", "c"][number % 3];
-            let entry = json!({"Service": service, "Address": standin.address(&name).to_string(),
-                "Zone": zone, "Version": "v1", "Slots": slots, "State": "ready", "Sequence": 2,
-                "born": 1});
-            standin.put("servers", &name, &entry);
+            register(&standin, &name, number, service, slots, ("ready", 2));
             standin.behavior(&name, Behavior::SlowEvents);
             upstreams.push((name, freezer));
         }
-        let mesh = Mesh::open(&HOSTS);
-        let slot = |name| {
+        let mesh = Mesh::open(settings.hosts);
+        let slot = |name: &&'static str| {
             let entrance = standin.entrance_with_paths();
             entrance.set_mesh(name, &mesh);
-            HostSlot { name, entrance, process: sync::Mutex::default() }
+            let retry_slack = settings.retry_slack;
+            HostSlot { name, retry_slack, entrance, process: sync::Mutex::default() }
         };
-        let hosts: Vec<_> = HOSTS.into_iter().map(slot).collect();
+        let hosts: Vec<_> = settings.hosts.iter().map(slot).collect();
         thread::scope(|scope| {
             hosts.iter().for_each(|host| drop(scope.spawn(|| host.start(&standin))));
         });
-        let (sent, crowded, statuses) = Default::default();
-        Fleet { standin, upstreams, hosts, mesh, sent, crowded, statuses }
+        let (sent, callers, statuses) = Default::default();
+        Fleet { settings, standin, upstreams, hosts, mesh, sent, callers, statuses }
     }
 
     /// Applies `trouble` and, after its time, takes it back.
@@ -171,16 +254,65 @@
                 set_paths(Mode::Open);
             }
             Kind::FreezeHosts => {
-                let signal = |signal| {
+                hosts().for_each(|host| host.signal(Signal::SIGSTOP));
+                thread::sleep(span);
+                hosts().for_each(|host| host.signal(Signal::SIGCONT));
+            }
+            Kind::FreezeAndKillHosts => {
+                hosts().for_each(|host| host.signal(Signal::SIGSTOP));
+                thread::sleep(span);
+                thread::scope(|scope| {
                     for host in hosts() {
-                        if let Some(process) = host.process.lock().unwrap().as_ref() {
-                            process.signal(signal);
+                        scope.spawn(|| host.restart(&self.standin, Signal::SIGKILL));
+                    }
+                });
+            }
+            Kind::SlowHosts => thread::scope(|scope| {
+                let until = time::Instant::now() + span;
+                for host in hosts() {
+                    scope.spawn(move || {
+                        while time::Instant::now() < until {
+                            host.signal(Signal::SIGSTOP);
+                            thread::sleep(time::Duration::from_millis(300));
+                            host.signal(Signal::SIGCONT);
+                            thread::sleep(time::Duration::from_millis(90));
                         }
+                    });
+                    thread::sleep(time::Duration::from_millis(70));
+                }
+            }),
+            Kind::CutHosts => {
+                let set_cut = |is_cut| {
+                    for host in hosts() {
+                        let others =
+                            self.settings.hosts.iter().filter(|other| **other != host.name);
+                        others.for_each(|other| self.mesh.set_cut(host.name, other, is_cut));
                     }
                 };
-                signal(Signal::SIGSTOP);
+                set_cut(true);
+                thread::sleep(span);
+                set_cut(false);
+            }
+            Kind::CutZone(zone, mode) => {
+                self.set_zone_paths(zone, mode, true);
                 thread::sleep(span);
-                signal(Signal::SIGCONT);
+                self.set_zone_paths(zone, Mode::Open, false);
+            }
+            Kind::LeaveInTurn => {
+                for index in &trouble.chosen {
+                    self.register(*index, ("draining", 3));
+                    thread::sleep(span / 8);
+                    self.register(*index, ("ready", 4));
+                }
+            }
+            Kind::RemoveService => {
+                let mut without = desired(self.settings, 2);
+                let routes = without["Routes"].as_array_mut().unwrap();
+                routes.retain(|route| route["Service"] != "app");
+                without["Services"].as_array_mut().unwrap().retain(|of| of["Name"] != "app");
+                self.standin.put("op", "config", &without);
+                thread::sleep(span);
+                self.standin.put("op", "config", &desired(self.settings, 3));
             }
             Kind::RestartTogether(signal) => thread::scope(|scope| {
                 for host in hosts() {
@@ -208,40 +340,112 @@
                 thread::sleep(span);
                 self.mesh.set_delay(time::Duration::ZERO);
             }
-            Kind::Crowd(zone) => {
-                *self.crowded.lock().unwrap() = Some(zone);
-                thread::sleep(span);
-                *self.crowded.lock().unwrap() = None;
+            Kind::Crowd(zone) => self.change_callers(
+                span,
+                |callers| callers.zone = Some(zone),
+                |callers| callers.zone = None,
+            ),
+            Kind::Load(percent) => self.change_callers(
+                span,
+                |callers| callers.load = percent,
+                |callers| callers.load = 100,
+            ),
+            Kind::CallersRepeat => self.change_callers(
+                span,
+                |callers| callers.repeat_at_once = true,
+                |callers| callers.repeat_at_once = false,
+            ),
+            Kind::CallersLeave => self.change_callers(
+                span,
+                |callers| callers.leave = true,
+                |callers| callers.leave = false,
+            ),
+        }
+    }
+
+    /// Changes the behavior of callers for `span`.
+    fn change_callers<Change, Restore>(
+        &self,
+        span: time::Duration,
+        change: Change,
+        restore: Restore,
+    ) where
+        Change: FnOnce(&mut Callers),
+        Restore: FnOnce(&mut Callers),
+    {
+        change(&mut self.callers.lock().unwrap());
+        thread::sleep(span);
+        restore(&mut self.callers.lock().unwrap());
+    }
+
+    /// Sets the paths between `zone` and the others: those to upstreams to `mode`, and whether datagrams
+    /// between hosts are lost.
+    fn set_zone_paths(&self, zone: &str, mode: Mode, is_cut: bool) {
+        for host in &self.hosts {
+            let is_in = host.zone() == zone;
+            for (number, (name, _)) in self.upstreams.iter().enumerate() {
+                if is_in != (ZONES[number % 3] == zone) {
+                    host.entrance.set_path(name, mode);
+                }
             }
+            let others = self.hosts.iter().filter(|other| is_in != (other.zone() == zone));
+            others.for_each(|other| self.mesh.set_cut(host.name, other.name, is_cut));
         }
     }
 
+    /// Writes the entry of an upstream, with its state and the number of the entry.
+    fn register(&self, index: usize, state: (&str, u64)) {
+        let Some((name, _)) = self.upstreams.get(index) else { return };
+        let is_engine = index < self.settings.engines;
+        let (service, slots) = if is_engine { ("llm", 16) } else { ("app", 6) };
+        register(&self.standin, name, index, service, slots, state);
+    }
+
     /// Sends requests for `span`, and waits for their answers.
     fn send_for(&self, span: time::Duration, random: &mut StdRng) {
         let began = time::Instant::now();
         thread::scope(|scope| {
             let mut due = began;
             while due < began + span {
-                due += time::Duration::from_secs_f64(-(1.0 - random.random::<f64>()).ln() / RATE);
+                let load = self.callers.lock().unwrap().load as f64 / 100.0;
+                let pause = -(1.0 - random.random::<f64>()).ln() / (self.settings.rate * load);
+                due += time::Duration::from_secs_f64(pause);
                 thread::sleep(due.saturating_duration_since(time::Instant::now()));
-                let (shape, first, second) =
-                    (requests::Shape::draw(random), self.draw_host(random), self.draw_host(random));
+                let (mut shape, first, second) = (
+                    self.settings.mix.draw(random),
+                    self.draw_host(random),
+                    self.draw_host(random),
+                );
+                let callers = *self.callers.lock().unwrap();
+                if callers.leave && random.random_bool(0.3) {
+                    let stays = time::Duration::from_millis(random.random_range(20..1_500));
+                    shape.stays = Some(stays);
+                }
+
+                let hosts: &[_] = if callers.repeat_at_once {
+                    &[first, second, second, first]
+                } else {
+                    &[first, second]
+                };
+                let (hosts, at_once) = (hosts.to_vec(), callers.repeat_at_once);
                 let spawned = thread::Builder::new().stack_size(128 << 10);
-                spawned.spawn_scoped(scope, move || self.call_twice(shape, first, second)).unwrap();
+                spawned
+                    .spawn_scoped(scope, move || self.call_until_served(shape, &hosts, at_once))
+                    .unwrap();
             }
         });
     }
 
     fn draw_host(&self, random: &mut StdRng) -> &HostSlot {
-        let crowded = *self.crowded.lock().unwrap();
+        let crowded = self.callers.lock().unwrap().zone;
         let hosts = self.hosts.iter().filter(|host| crowded.is_none_or(|zone| host.zone() == zone));
         hosts.collect::<Vec<_>>().choose(random).unwrap()
     }
 
-    /// Sends a request, and once more if it fails.
-    fn call_twice(&self, shape: requests::Shape, first: &HostSlot, second: &HostSlot) {
+    /// Sends a request to one host after the other until it is served.
+    fn call_until_served(&self, shape: requests::Shape, hosts: &[&HostSlot], at_once: bool) {
         let began = time::Instant::now();
-        for host in [first, second] {
+        for host in hosts {
             let left = shape.left.saturating_sub(began.elapsed());
             let Some(address) = host.callers().filter(|_| !left.is_zero()) else { continue };
             let (status, wait) = self.call(shape, address, left);
@@ -250,7 +454,9 @@
             if status == 200 || !may_repeat {
                 return;
             }
-            thread::sleep(wait.min(left / 3));
+            if !at_once {
+                thread::sleep(wait.min(left / 3));
+            }
         }
     }
 
@@ -264,17 +470,18 @@
         let mut sent = self.sent.lock().unwrap();
         let id = format!("q{}", sent.len());
         let at = time::Instant::now();
-        sent.insert(id.clone(), requests::Sent { at, service: shape.service, left });
+        let requests::Shape { service, max_runs, .. } = shape;
+        sent.insert(id.clone(), requests::Sent { at, service, left, max_runs });
         drop(sent);
         let text = shape.request(&id, left);
         let Ok(mut stream) = net::TcpStream::connect(address) else {
             return (0, time::Duration::ZERO);
         };
-        stream.set_read_timeout(Some(left)).unwrap();
+        let until = at + shape.stays.map_or(left, |stays| stays.min(left));
         if stream.write_all(text.as_bytes()).is_err() {
             return (0, time::Duration::ZERO);
         }
-        let answer = requests::read_answer(&mut stream);
+        let answer = requests::read_answer(&mut stream, until);
         let head = answer.split("\r\n\r\n").next().unwrap_or_default().to_ascii_lowercase();
         let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
         let wait = head.lines().find_map(|line| line.strip_prefix("retry-after: "));
@@ -285,7 +492,8 @@
 
     /// Returns what upstreams saw of the bounds on attempts.
     fn judge(&self) -> verdict::Verdict {
-        verdict::Verdict::new(&self.sent.lock().unwrap(), self.standin.received_requests())
+        let slack = self.settings.retry_slack as f64;
+        verdict::Verdict::new(&self.sent.lock().unwrap(), self.standin.received_requests(), slack)
     }
 
     /// Keeps the logs of the hosts that run now.
@@ -296,8 +504,8 @@
 }
 
 /// Plays a day of `troubles` and returns what upstreams saw. The logs stay if a bound was broken.
-pub fn play_day(troubles: &[Trouble], seed: u64) -> verdict::Verdict {
-    let fleet = Fleet::start();
+pub fn play_day(settings: Settings, troubles: &[Trouble], seed: u64) -> verdict::Verdict {
+    let fleet = Fleet::start(settings);
     let mut random = StdRng::seed_from_u64(seed);
     thread::scope(|scope| {
         let began = time::Instant::now();
@@ -308,7 +516,7 @@
                 fleet.play(trouble);
             });
         }
-        fleet.send_for(DAY, &mut random);
+        fleet.send_for(settings.day, &mut random);
     });
     thread::sleep(time::Duration::from_secs(1));
     let verdict = fleet.judge();
@@ -319,13 +527,28 @@
     verdict
 }
 
-/// The desired state, with the classes of requests below.
-fn desired() -> serde_json::Value {
-    let mut desired = host::desired(1, &["k1"], 15_000);
+/// The desired state, with the classes of requests of `settings`.
+fn desired(settings: Settings, version: u64) -> serde_json::Value {
+    let mut desired = host::desired(version, &["k1"], 15_000);
     for route in desired["Routes"].as_array_mut().unwrap() {
         if route["Service"] == "app" {
-            route["TimeoutMs"] = json!(1_500);
+            route["TimeoutMs"] = json!(settings.call_timeout_ms);
         }
     }
     desired
 }
+
+/// Writes the entry of the upstream `number`, with its state and the number of the entry.
+fn register(
+    standin: &Standin,
+    name: &str,
+    number: usize,
+    service: &str,
+    slots: u32,
+    (state, sequence): (&str, u64),
+) {
+    let entry = json!({"Service": service, "Address": standin.address(name).to_string(),
+        "Zone": ZONES[number % 3], "Version": "v1", "Slots": slots, "State": state,
+        "Sequence": sequence, "born": 1});
+    standin.put("servers", name, &entry);
+}
--- a/crates/lagoon-gateway/tests/deployment/requests.rs
+++ b/crates/lagoon-gateway/tests/deployment/requests.rs
@@ -14,6 +14,8 @@
     pub service: &'static str,
     /// Time that its caller gave it.
     pub left: time::Duration,
+    /// Upstreams on which it may run.
+    pub max_runs: usize,
 }
 
 /// A kind of request.
@@ -26,28 +28,55 @@
     pub left: time::Duration,
     /// Whether its caller sends it again after any failure.
     pub may_repeat: bool,
+    /// Upstreams on which it may run.
+    pub max_runs: usize,
+    /// When its caller leaves, if earlier.
+    pub stays: Option<time::Duration>,
 }
 
-impl Shape {
+/// How often each kind of request comes.
+#[derive(Clone, Copy, Debug)]
+pub struct Mix {
+    /// Short, long and very long prompts, bookings and lookups.
+    pub shares: [f64; 5],
+    /// Time that callers give calls of the plain service, in milliseconds.
+    pub call_left_ms: u64,
+}
+
+impl Default for Mix {
+    fn default() -> Self {
+        Mix { shares: [38.3, 2.1, 1.8, 3.6, 3.0], call_left_ms: 3_000 }
+    }
+}
+
+impl Mix {
     /// Draws a request as often as its kind comes.
-    pub fn draw(random: &mut StdRng) -> Shape {
+    pub fn draw(&self, random: &mut StdRng) -> Shape {
         let stream = |path, tokens, seconds| {
             let left = time::Duration::from_secs(seconds);
-            Shape { path, service: "llm", tokens, left, may_repeat: true }
+            let (may_repeat, max_runs, stays) = (true, 2, None);
+            Shape { path, service: "llm", tokens, left, may_repeat, max_runs, stays }
         };
-        let plain = |path, may_repeat| {
-            let left = time::Duration::from_secs(3);
-            Shape { path, service: "app", tokens: 0, left, may_repeat }
+        let plain = |path, may_repeat, max_runs| {
+            let left = time::Duration::from_millis(self.call_left_ms);
+            Shape { path, service: "app", tokens: 0, left, may_repeat, max_runs, stays: None }
         };
-        match random.random_range(0.0..48.8) {
-            ..38.3 => stream("/talk/a", 5_000, 10),
-            38.3..40.4 => stream("/review/a", 45_000, 10),
-            40.4..42.2 => stream("/review/b", 133_000, 15),
-            42.2..45.8 => plain("/book/a", false),
-            _ => plain("/look/a", true),
+        let mut drawn = random.random_range(0.0..self.shares.iter().sum());
+        let chosen = self.shares.iter().position(|share| {
+            drawn -= share;
+            drawn < 0.0
+        });
+        match chosen {
+            Some(0) => stream("/talk/a", 5_000, 10),
+            Some(1) => stream("/review/a", 45_000, 10),
+            Some(2) => stream("/review/b", 133_000, 15),
+            Some(3) => plain("/book/a", false, 1),
+            _ => plain("/look/a", true, 2),
         }
     }
+}
 
+impl Shape {
     /// Returns the request on the wire.
     pub fn request(self, id: &str, left: time::Duration) -> String {
         let Shape { path, tokens, .. } = self;
@@ -66,8 +95,8 @@
     }
 }
 
-/// Reads one answer as far as it comes.
-pub fn read_answer(stream: &mut net::TcpStream) -> String {
+/// Reads one answer as far as it comes before `until`.
+pub fn read_answer(stream: &mut net::TcpStream, until: time::Instant) -> String {
     let mut bytes = Vec::new();
     let mut buffer = [0; 4096];
     loop {
@@ -79,6 +108,11 @@
                 return text.into_owned();
             }
         }
+        let left = until.saturating_duration_since(time::Instant::now());
+        if left.is_zero() {
+            return text.into_owned();
+        }
+        stream.set_read_timeout(Some(left)).unwrap();
         match stream.read(&mut buffer) {
             Ok(length) if length > 0 => bytes.extend_from_slice(&buffer[..length]),
             _ => return String::from_utf8_lossy(&bytes).into_owned(),
--- a/crates/lagoon-gateway/tests/deployment/troubles.rs
+++ b/crates/lagoon-gateway/tests/deployment/troubles.rs
@@ -8,9 +8,9 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::{ENGINES, HOSTS, REPLICAS};
+use super::Settings;
 use crate::standin::Behavior;
-use crate::standin::path::Disruption;
+use crate::standin::path::{Disruption, Mode};
 
 /// Time without troubles at the beginning and at the end of a day.
 const CALM: time::Duration = time::Duration::from_secs(3);
@@ -39,16 +39,35 @@
     LateDatagrams(u64),
     /// All requests come to hosts of one zone.
     Crowd(&'static str),
+    /// Hosts that are stopped most of the time, for 0.3 s each.
+    SlowHosts,
+    FreezeAndKillHosts,
+    /// Datagrams between them and all other hosts are lost.
+    CutHosts,
+    /// Datagrams between the hosts of a zone and the others are lost, and the paths between hosts and
+    /// upstreams of different sides are in this mode.
+    CutZone(&'static str, Mode),
+    /// Upstreams that leave one after the other, and come back.
+    LeaveInTurn,
+    /// The desired state is without the plain service.
+    RemoveService,
+    /// Requests in percent of the usual ones.
+    Load(u64),
+    /// Callers send a request again at once, three times.
+    CallersRepeat,
+    /// Some callers leave early.
+    CallersLeave,
 }
 
 impl Kind {
     /// Returns the number of upstreams or hosts that it may concern.
-    fn population(self) -> usize {
+    fn population(self, settings: &Settings) -> usize {
         match self {
-            Kind::Behave(_) | Kind::FreezeUpstreams | Kind::HoldConnections { .. } => {
-                ENGINES + REPLICAS
-            }
-            _ => HOSTS.len(),
+            Kind::Behave(_)
+            | Kind::FreezeUpstreams
+            | Kind::HoldConnections { .. }
+            | Kind::LeaveInTurn => settings.upstreams(),
+            _ => settings.hosts.len(),
         }
     }
 }
@@ -64,9 +83,10 @@
 }
 
 impl Trouble {
-    /// Draws a trouble of a day of length `day`.
-    fn draw(random: &mut StdRng, day: time::Duration) -> Trouble {
-        let kind = match random.random_range(0..16) {
+    /// Draws a trouble of a day, of the first `kinds` kinds.
+    fn draw(random: &mut StdRng, settings: &Settings, kinds: u32) -> Trouble {
+        let zone = |random: &mut StdRng| *["a", "b", "c"].choose(random).unwrap();
+        let kind = match random.random_range(0..kinds) {
             0 => Kind::Behave(Behavior::Refuse),
             1 => Kind::Behave(Behavior::BreakAfter(random.random_range(0..5))),
             2 => Kind::Behave(Behavior::DropAnswer),
@@ -81,11 +101,23 @@
             12 => Kind::RestartInTurn(Signal::SIGKILL),
             13 => *[Kind::StoreDown, Kind::StoreTurnsAway].choose(random).unwrap(),
             14 => Kind::LateDatagrams(random.random_range(50..700)),
-            _ => Kind::Crowd(["a", "b", "c"].choose(random).unwrap()),
+            15 => Kind::Crowd(zone(random)),
+            16 => Kind::SlowHosts,
+            17 => Kind::FreezeAndKillHosts,
+            18 => Kind::CutHosts,
+            19 => {
+                let mode = *[Mode::Silent, Mode::Reset, Mode::Refusing].choose(random).unwrap();
+                Kind::CutZone(zone(random), mode)
+            }
+            20 => Kind::LeaveInTurn,
+            21 => Kind::RemoveService,
+            22 => Kind::Load(random.random_range(30..250)),
+            23 => Kind::CallersRepeat,
+            _ => Kind::CallersLeave,
         };
         let share = random.random_range(0.15..1.0);
-        let chosen = (0..kind.population()).filter(|_| random.random_bool(share)).collect();
-        let last = (day - CALM * 2).as_secs_f64();
+        let chosen = (0..kind.population(settings)).filter(|_| random.random_bool(share)).collect();
+        let last = (settings.day - CALM * 2).as_secs_f64();
         Trouble {
             at: CALM + time::Duration::from_secs_f64(random.random_range(0.0..last)),
             kind,
@@ -97,27 +129,36 @@
 
 /// A trouble of `kind` from `at` on for `span`, both in milliseconds, of the first `share` of those that it
 /// concerns.
-fn trouble(kind: Kind, at: u64, span: u64, share: f64) -> Trouble {
-    let most = share * kind.population() as f64;
-    let chosen = (0..kind.population()).filter(|index| (*index as f64) < most).collect();
+fn trouble(settings: &Settings, kind: Kind, at: u64, span: u64, share: f64) -> Trouble {
+    let population = kind.population(settings);
+    let most = share * population as f64;
+    let chosen = (0..population).filter(|index| (*index as f64) < most).collect();
     let [at, span] = [at, span].map(time::Duration::from_millis);
     Trouble { at, kind, span, chosen }
 }
 
-fn one(kind: Kind, at: u64, span: u64, share: f64) -> Vec<Trouble> {
-    vec![trouble(kind, at, span, share)]
-}
-
-/// The same trouble every `step` milliseconds.
-fn series(kind: Kind, times: ops::Range<u64>, step: usize, span: u64, share: f64) -> Vec<Trouble> {
-    times.step_by(step).map(|at| trouble(kind, at, span, share)).collect()
-}
-
 /// Callers that move from zone to zone every `step` milliseconds.
 fn moving(times: ops::Range<u64>, step: usize) -> Vec<Trouble> {
     let zones = ["a", "b", "c"].into_iter().cycle();
     let times = times.step_by(step).zip(zones);
-    times.map(|(at, zone)| trouble(Kind::Crowd(zone), at, step as u64, 0.0)).collect()
+    let span = time::Duration::from_millis(step as u64);
+    let moved = |(at, zone)| {
+        let at = time::Duration::from_millis(at);
+        Trouble { at, kind: Kind::Crowd(zone), span, chosen: Vec::new() }
+    };
+    times.map(moved).collect()
+}
+
+/// A load that alternates between two and a half times and a third of the usual one.
+fn waves() -> Vec<Trouble> {
+    let loads = [250, 31].into_iter().cycle();
+    let times = (2_000..33_000).step_by(10_000).zip(loads);
+    let span = time::Duration::from_millis(9_500);
+    let wave = |(at, percent)| {
+        let at = time::Duration::from_millis(at);
+        Trouble { at, kind: Kind::Load(percent), span, chosen: Vec::new() }
+    };
+    times.map(wave).collect()
 }
 
 /// Returns the troubles of a day by its name.
@@ -125,7 +166,12 @@
 /// # Panics
 ///
 /// There is no such day.
-pub fn named(name: &str) -> Vec<Trouble> {
+pub fn named(name: &str, settings: &Settings) -> Vec<Trouble> {
+    let one = |kind, at, span, share| vec![trouble(settings, kind, at, span, share)];
+    // The same trouble every `step` milliseconds.
+    let series = |kind, times: ops::Range<u64>, step, span, share| -> Vec<_> {
+        times.step_by(step).map(|at| trouble(settings, kind, at, span, share)).collect()
+    };
     let refusals = Kind::Behave(Behavior::Refuse);
     let (half_held, held_often) = (
         Kind::HoldConnections { eighths: 4, refuses_ms: 0 },
@@ -152,6 +198,31 @@
             series(Kind::FreezeUpstreams, 4_000..33_000, 10_000, 8_000, 0.6),
             series(Kind::FreezeUpstreams, 9_000..33_000, 10_000, 3_000, 1.0),
         ],
+        // Each replica of the plain service once.
+        "dark-replicas" => {
+            let replicas = settings.engines..settings.upstreams();
+            let dark = |(replica, at)| {
+                let dark = trouble(settings, Kind::FreezeUpstreams, at, 4_500, 0.0);
+                Trouble { chosen: vec![replica], ..dark }
+            };
+            vec![replicas.zip([5_000, 14_000, 23_000]).map(dark).collect()]
+        }
+        "replicas-dark-in-turn" => {
+            // All replicas but one, which is another one each time.
+            let sound = (settings.engines..settings.upstreams()).cycle();
+            let dark = |(at, sound)| {
+                let dark = trouble(settings, Kind::FreezeUpstreams, at, 2_200, 1.0);
+                let chosen = dark.chosen.into_iter().filter(|index| *index != sound).collect();
+                Trouble { chosen, ..dark }
+            };
+            vec![(1_500..11_000).step_by(2_400).zip(sound).map(dark).collect()]
+        }
+        "connections-held" => vec![one(half_held, 1_500, 8_000, 1.0)],
+        "answers-lost-before-dark" => vec![
+            one(Kind::Behave(Behavior::DropAnswer), 1_000, 12_000, 1.0),
+            series(Kind::FreezeUpstreams, 1_500..10_000, 3_000, 2_500, 0.7),
+        ],
+        "calm" => vec![waves()],
         "dark-refusals" => vec![
             one(refusals, 4_000, 28_000, 0.6),
             series(Kind::FreezeUpstreams, 5_000..30_000, 10_000, 8_500, 1.0),
@@ -198,9 +269,26 @@
     days.concat()
 }
 
-/// Returns a day of some troubles of any kind.
-pub fn drawn(seed: u64, day: time::Duration) -> Vec<Trouble> {
+/// Draws the troubles of a day by a seed.
+pub type Draw = fn(u64, &Settings) -> Vec<Trouble>;
+
+/// Number of kinds of which [`drawn`] draws.
+const FIRST_KINDS: u32 = 16;
+/// Number of kinds of which [`drawn_of_all`] draws.
+const ALL_KINDS: u32 = 25;
+
+/// Returns a day of some troubles of the first kinds.
+pub fn drawn(seed: u64, settings: &Settings) -> Vec<Trouble> {
     let mut random = StdRng::seed_from_u64(seed);
     let count = random.random_range(4..12);
-    (0..count).map(|_| Trouble::draw(&mut random, day)).collect()
+    (0..count).map(|_| Trouble::draw(&mut random, settings, FIRST_KINDS)).collect()
+}
+
+/// Returns a day of more troubles of any kind, most of them on loads that rise and fall.
+pub fn drawn_of_all(seed: u64, settings: &Settings) -> Vec<Trouble> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let count = random.random_range(6..14);
+    let mut troubles = if random.random_bool(0.7) { waves() } else { Vec::new() };
+    troubles.extend((0..count).map(|_| Trouble::draw(&mut random, settings, ALL_KINDS)));
+    troubles
 }
--- a/crates/lagoon-gateway/tests/deployment/verdict.rs
+++ b/crates/lagoon-gateway/tests/deployment/verdict.rs
@@ -5,11 +5,9 @@
 use std::time;
 
 use super::requests;
-use super::{RETRY_RATIO, RETRY_SLACK, WINDOW};
+use super::{RETRY_RATIO, WINDOW};
 use crate::standin;
 
-/// Upstreams on which a request may run, from the desired state.
-const MAX_RUNS: usize = 2;
 /// Requests that may run on more.
 const MAX_OVERRUNS: usize = 3;
 /// Time by which a repeated request may seem to end later than its first send.
@@ -39,28 +37,32 @@
     pub overruns: usize,
     /// Requests that are no streams and were handed on with more time than was left.
     pub extended: usize,
+    /// Of those, first sends that were read after a repeat.
+    pub overtaken: usize,
     /// Repeats of those later than [`MAX_EXTENSION`] after the first send.
     pub repeated_late: usize,
 }
 
 impl fmt::Display for Verdict {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Verdict { worst, overruns, extended, repeated_late } = self;
+        let Verdict { worst, overruns, extended, overtaken, repeated_late } = self;
         let Window { service, retries, allowed } = worst;
         write!(
             f,
             "{retries} of {allowed:.0} retries of {service} ({:.2}), {overruns} overruns, {extended} \
-             extended beside {repeated_late} late repeats",
+             extended ({overtaken} overtaken) beside {repeated_late} late repeats",
             worst.share()
         )
     }
 }
 
 impl Verdict {
-    /// Judges what upstreams `received` of the requests that callers `sent`, by their ids.
+    /// Judges what upstreams `received` of the requests that callers `sent`, by their ids. `slack` are the
+    /// retries that are allowed beyond the share of requests.
     pub fn new(
         sent: &collections::BTreeMap<String, requests::Sent>,
         mut received: Vec<standin::ReceivedRequest>,
+        slack: f64,
     ) -> Verdict {
         received.sort_by_key(|request| request.at);
         let mut by_id = collections::BTreeMap::<_, (_, Vec<_>)>::new();
@@ -74,7 +76,7 @@
         let mut retries = Vec::new();
         for (sent, received) in by_id.values() {
             retries.extend(received[1..].iter().map(|request| (sent.service, request.at)));
-            verdict.overruns += usize::from(runs(received) > MAX_RUNS);
+            verdict.overruns += usize::from(runs(received) > sent.max_runs);
             if sent.service == "app" {
                 verdict.judge_time(sent, received);
             }
@@ -85,7 +87,7 @@
             let retries = retries.iter().filter(|(of, _)| *of == service);
             let retries: Vec<_> = retries.map(|(_, at)| *at).collect();
             for end in &retries {
-                let allowed = allowed(&requests, *end);
+                let allowed = RETRY_RATIO * requests_before(&requests, *end) + slack;
                 let window = Window { service, retries: count(&retries, *end), allowed };
                 if window.share() > verdict.worst.share() {
                     verdict.worst = window;
@@ -103,7 +105,10 @@
         for request in &received[1..] {
             if request.at - first.at > MAX_EXTENSION {
                 self.repeated_late += 1;
-                self.extended += usize::from(request.at + left(request) > end + MAX_EXTENSION);
+                let is_extended = request.at + left(request) > end + MAX_EXTENSION;
+                self.extended += usize::from(is_extended);
+                // The time left falls from send to send.
+                self.overtaken += usize::from(is_extended && left(request) > left(first));
             }
         }
     }
@@ -121,12 +126,11 @@
     ran.map(|request| &request.upstream).collect::<collections::BTreeSet<_>>().len()
 }
 
-/// Returns the retries that are allowed in the window up to `end`, whose requests are those of this
-/// window, of the one before it or of the one half a window before it.
-fn allowed(requests: &[time::Instant], end: time::Instant) -> f64 {
+/// Returns the requests that allow retries in the window up to `end`: those of this window, of the one
+/// before it or of the one half a window before it.
+fn requests_before(requests: &[time::Instant], end: time::Instant) -> f64 {
     let counts = [0, 1, 2].map(|halves| count(requests, end - WINDOW * halves / 2));
-    let requests = counts.into_iter().max().unwrap_or_default();
-    RETRY_RATIO * requests as f64 + RETRY_SLACK as f64
+    counts.into_iter().max().unwrap_or_default() as f64
 }
 
 /// Returns how many of `times` are in the window up to `end`.
