Send a call once more only where and when it is read at once

Cause: what is sent to a frozen process, or on a connection that stalls, is read when that goes on, and the time that was left when it was written counts from then. Two sends of one call meet this: the repeat, if it goes to such an upstream, and the first send, if the repeat is answered and the first is read after it.

A call is now sent once more only on a connection on which its upstream has just answered a health check, and not at all while it may still be read where it was given up. Its caller gets the 502 at the same moment as the repeat was sent before, and may return itself. Streams are left as they are: the rule does not count them, and their late reads are bounded by the account of unread retries.

--- a/crates/lagoon-gateway/src/exchange.rs
+++ b/crates/lagoon-gateway/src/exchange.rs
@@ -154,6 +154,23 @@
         Ok(bytes)
     }
 
+    /// Sends a request whose answer has a body of at most `limit` bytes, and reads it.
+    ///
+    /// # Errors
+    ///
+    /// As [`Exchange::send`] and [`Exchange::read_body`].
+    pub(crate) async fn fetch(
+        &mut self,
+        request: hyper::Request<payload::Payload>,
+        through: Option<id::Host>,
+        limit: usize,
+    ) -> Result<Reply, Failure> {
+        let mut answer = self.send(request).await?;
+        let body = self.read_body(answer.body_mut(), limit, |_| true).await?;
+        let (head, _) = answer.into_parts();
+        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body, through })
+    }
+
     /// Waits until the connection can take another request; returns false if it cannot.
     pub(crate) async fn wait_reusable(&mut self) -> bool {
         let ready = self.sender.ready();
@@ -251,11 +268,7 @@
     let work = async {
         let connection = connecting.await?;
         let through = connection.through().cloned();
-        let mut exchange = Exchange::open(connection).await?;
-        let mut answer = exchange.send(request).await?;
-        let body = exchange.read_body(answer.body_mut(), limit, |_| true).await?;
-        let (head, _) = answer.into_parts();
-        Ok(Reply { status: head.status.as_u16(), headers: head.headers, body, through })
+        Exchange::open(connection).await?.fetch(request, through, limit).await
     };
     let timed = tokio::time::timeout(timeout, work).await;
     timed.unwrap_or_else(|_| Err(Failure::Lost("no answer in time".to_owned())))
--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -365,6 +365,10 @@
             self.record_retry_refusal(metrics::RetryRefusal::Attempts);
             return false;
         }
+        if self.is_call() && self.sends.may_be_read_late() {
+            self.record_retry_refusal(metrics::RetryRefusal::Unread);
+            return false;
+        }
         let is_in_time = self.time_left() >= MIN_TIME_LEFT;
         if !is_in_time {
             self.record_retry_refusal(metrics::RetryRefusal::Deadline);
@@ -415,6 +419,9 @@
         };
         let through = connection.through().cloned();
         let mut exchange = exchange::Exchange::open(connection).await.map_err(unsent)?;
+        if self.is_call() && attempts.is_sent() {
+            self.check_reading(primary, &mut exchange, through.as_ref()).await?;
+        }
         let withheld = self.withhold_reason(&placement);
         if let Some(detail) = withheld.or_else(|| self.stale_permit(&placement, placed_at)) {
             self.state.metrics.sends_prevented.inc();
--- a/crates/lagoon-gateway/src/lib.rs
+++ b/crates/lagoon-gateway/src/lib.rs
@@ -46,6 +46,7 @@
 mod publish;
 mod quarantine;
 mod question;
+mod reading;
 mod relay;
 mod report;
 mod reserve;
--- a/crates/lagoon-gateway/src/metrics.rs
+++ b/crates/lagoon-gateway/src/metrics.rs
@@ -53,6 +53,8 @@
     Deadline,
     /// No retry is left in the budget.
     Budget,
+    /// The upstream that was given up may still read the request.
+    Unread,
 }
 
 impl RetryRefusal {
@@ -62,6 +64,7 @@
             RetryRefusal::Attempts => "attempts",
             RetryRefusal::Deadline => "deadline",
             RetryRefusal::Budget => "budget",
+            RetryRefusal::Unread => "unread",
         }
     }
 }
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -42,6 +42,16 @@
     number: Option<u64>,
     /// Connections on which it was given up before it was retried.
     given_up: Vec<Remnant>,
+    /// Whether it was given up on a connection that had not ended.
+    may_be_read_late: bool,
+}
+
+impl Sends {
+    /// Whether the request was given up on a connection that had not ended, so that its upstream may
+    /// still read it.
+    pub(crate) fn may_be_read_late(&self) -> bool {
+        state::lock(&self.0).may_be_read_late
+    }
 }
 
 /// A connection on which a request was given up.
@@ -138,7 +148,10 @@
             return;
         }
         match self.exchange.take_connection() {
-            Some(connection) => self.admitted.record_given_up(Remnant::new(connection)),
+            Some(connection) => {
+                state::lock(&self.admitted.sends.0).may_be_read_late = true;
+                self.admitted.record_given_up(Remnant::new(connection));
+            }
             None if self.exchange.is_reset() => self.admitted.record_given_up(Remnant::Unobserved),
             // It was closed in order, or its bytes were no answer.
             None => self.admitted.record_read(),
