Repeat a call after a reset only if its upstream has ended or reads

What had arrived on a connection that was reset stays readable.

Cause: as for calls that are given up, of which a reset was left out, since most resets come from a process that has ended. A connection and a health check tell the two apart: a refused connection shows that the process has ended, an answer that it reads.

--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -219,7 +219,8 @@
                 .map_err(|outcome| attempt::upstream_fault(outcome, detail))?,
         };
         *may_have_run = attempts.runs() > 0;
-        if !admitted.may_retry(&attempts, &failed) {
+        let may_follow = admitted.may_retry(&attempts, &failed);
+        if !may_follow || !admitted.is_read_by(&upstream).await {
             return Err(failed.to_fault(pending.end()));
         }
         last_failure = Some(failed);
@@ -365,10 +366,6 @@
             self.record_retry_refusal(metrics::RetryRefusal::Attempts);
             return false;
         }
-        if self.is_call() && self.sends.may_be_read_late() {
-            self.record_retry_refusal(metrics::RetryRefusal::Unread);
-            return false;
-        }
         let is_in_time = self.time_left() >= MIN_TIME_LEFT;
         if !is_in_time {
             self.record_retry_refusal(metrics::RetryRefusal::Deadline);
--- a/crates/lagoon-gateway/src/reading.rs
+++ b/crates/lagoon-gateway/src/reading.rs
@@ -6,8 +6,9 @@
 //! than once keep two rules:
 //!
 //! - A call is sent once more only on a connection on which its upstream has just answered a health check.
-//! - A call that was given up on a connection that shows nothing is not sent once more, since its upstream may
-//!   read it after the other one has answered. Its caller learns at once that it failed, and may return.
+//! - A call is not sent once more while its upstream may read it: if it was given up on a connection that
+//!   shows nothing, or if that was reset and the upstream neither has ended nor answers a health check. Its
+//!   caller learns at once that it failed, and may return.
 //!
 //! Streams are not covered: an upstream stops a stream whose connection is closed, and [`crate::retries`]
 //! bounds how many may be read late.
@@ -15,12 +16,16 @@
 use lagoonline::clock;
 use lagoonline::clock::Clock as _;
 use lagoonline::id;
+use lagoonline::load::placement;
 use lagoonline::routing;
 
 use crate::attempt;
 use crate::exchange;
 use crate::forward;
+use crate::metrics;
+use crate::path;
 use crate::payload;
+use crate::retries;
 
 /// Time for the answer to a health check. Zones are some milliseconds apart, and a lost packet is
 /// retransmitted after 200 ms.
@@ -38,12 +43,42 @@
         }
     }
 
-    /// Lets `entry` answer a health check on `exchange`, which shows that it reads what is sent there. Its
-    /// status does not matter: an upstream that is full may have room when the request arrives.
+    /// Whether a call may be sent once more, since `upstream`, which had it last, does not read it later than
+    /// now. Always true for streams.
+    pub(crate) async fn is_read_by(&self, upstream: &id::Upstream) -> bool {
+        let is_read = match self.sends.take_unread_end().filter(|_| self.is_call()) {
+            None => true,
+            Some(retries::UnreadEnd::GivenUp) => false,
+            Some(retries::UnreadEnd::Reset) => self.runs_or_ended(upstream).await,
+        };
+        if !is_read {
+            self.record_retry_refusal(metrics::RetryRefusal::Unread);
+        }
+        is_read
+    }
+
+    /// Whether the process of `upstream` reads what it has, or has ended.
+    async fn runs_or_ended(&self, upstream: &id::Upstream) -> bool {
+        let entry = |placer: &mut placement::Placer, _| placer.entry(upstream.as_str()).cloned();
+        let Some(entry) = self.state.with_placer(&self.service, entry).flatten() else {
+            return true;
+        };
+        let timeout = CHECK_TIMEOUT.min(self.time_left());
+        let opened = path::connect(&self.state, &entry, path::Purpose::RUNNING, timeout).await;
+        let connection = match opened {
+            Ok(connection) => connection,
+            Err(failure) => return failure.verdict == path::Verdict::Refused,
+        };
+        let through = connection.through().cloned();
+        let Ok(mut exchange) = exchange::Exchange::open(connection).await else { return false };
+        self.check_reading(&entry, &mut exchange, through.as_ref()).await.is_ok()
+    }
+
+    /// Lets `entry` answer a health check on `exchange`, which shows that it reads what is sent there.
     ///
     /// # Errors
     ///
-    /// The upstream does not answer, or no request may follow. Nothing of the request was sent.
+    /// The upstream does not answer with success, or no request may follow. Nothing of the request was sent.
     pub(crate) async fn check_reading(
         &self,
         entry: &routing::Registration,
@@ -79,6 +114,11 @@
         };
         self.state.observe_reply(entry, sent_at, &reply);
         self.record_activity(&entry.upstream);
+        // An upstream may send an answer twice. Another status than success could pass for that of the
+        // request, which needs a signature to succeed.
+        if !(200..300).contains(&reply.status) {
+            return Err(unsent(&format!("its health check has status {}", reply.status)));
+        }
         if exchange.wait_reusable().await { Ok(()) } else { Err(unsent("its connection ended")) }
     }
 }
--- a/crates/lagoon-gateway/src/retries/mod.rs
+++ b/crates/lagoon-gateway/src/retries/mod.rs
@@ -24,7 +24,7 @@
 use crate::state;
 
 pub(crate) use message::{Arrived, Usages, Used};
-pub(crate) use unread::{Sends, Sent};
+pub(crate) use unread::{Sends, Sent, UnreadEnd};
 
 /// Time for which a host takes the scheduler's refusal of a retry to hold for its other requests.
 const REFUSAL_VALIDITY: clock::Span = clock::Span::from_millis(500);
--- a/crates/lagoon-gateway/src/retries/unread.rs
+++ b/crates/lagoon-gateway/src/retries/unread.rs
@@ -42,15 +42,23 @@
     number: Option<u64>,
     /// Connections on which it was given up before it was retried.
     given_up: Vec<Remnant>,
-    /// Whether it was given up on a connection that had not ended.
-    may_be_read_late: bool,
+    /// How the last send ended that may still be read, until that is looked into.
+    unread_end: Option<UnreadEnd>,
+}
+
+/// How a send ended that may still be read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum UnreadEnd {
+    /// It was given up while its connection was open.
+    GivenUp,
+    /// Its connection was reset.
+    Reset,
 }
 
 impl Sends {
-    /// Whether the request was given up on a connection that had not ended, so that its upstream may
-    /// still read it.
-    pub(crate) fn may_be_read_late(&self) -> bool {
-        state::lock(&self.0).may_be_read_late
+    /// Takes how the last send ended that may still be read; `None` if there is none.
+    pub(crate) fn take_unread_end(&self) -> Option<UnreadEnd> {
+        state::lock(&self.0).unread_end.take()
     }
 }
 
@@ -149,10 +157,11 @@
         }
         match self.exchange.take_connection() {
             Some(connection) => {
-                state::lock(&self.admitted.sends.0).may_be_read_late = true;
-                self.admitted.record_given_up(Remnant::new(connection));
+                self.admitted.record_given_up(UnreadEnd::GivenUp, Remnant::new(connection));
+            }
+            None if self.exchange.is_reset() => {
+                self.admitted.record_given_up(UnreadEnd::Reset, Remnant::Unobserved);
             }
-            None if self.exchange.is_reset() => self.admitted.record_given_up(Remnant::Unobserved),
             // It was closed in order, or its bytes were no answer.
             None => self.admitted.record_read(),
         }
@@ -187,9 +196,10 @@
         }
     }
 
-    /// Records that the request was given up.
-    fn record_given_up(&self, remnant: Remnant) {
+    /// Records that a send ended and may still be read.
+    fn record_given_up(&self, end: UnreadEnd, remnant: Remnant) {
         let mut sends = state::lock(&self.sends.0);
+        sends.unread_end = Some(end);
         match sends.number {
             Some(number) => {
                 drop(sends);
--- a/crates/lagoon-gateway/tests/attempt_bounds.rs
+++ b/crates/lagoon-gateway/tests/attempt_bounds.rs
@@ -51,6 +51,7 @@
 #[rstest]
 #[case::upstreams_that_read_nothing_for_a_while("replicas-dark-in-turn")]
 #[case::connections_that_stall("connections-held")]
+#[case::resets_beside_frozen_upstreams("connections-reset-while-dark")]
 #[case::lost_answers_beside_frozen_upstreams("answers-lost-before-dark")]
 fn calls_are_not_handed_more_time_than_is_left(#[case] day: &str) {
     assert!(keeps_bounds(deployment::Settings::calls(), day));
--- a/crates/lagoon-gateway/tests/deployment/troubles.rs
+++ b/crates/lagoon-gateway/tests/deployment/troubles.rs
@@ -218,6 +218,10 @@
             vec![(1_500..11_000).step_by(2_400).zip(sound).map(dark).collect()]
         }
         "connections-held" => vec![one(half_held, 1_500, 8_000, 1.0)],
+        "connections-reset-while-dark" => vec![
+            series(Kind::FreezeUpstreams, 1_500..10_000, 3_000, 2_500, 0.7),
+            series(resets, 1_600..11_000, 300, 0, 1.0),
+        ],
         "answers-lost-before-dark" => vec![
             one(Kind::Behave(Behavior::DropAnswer), 1_000, 12_000, 1.0),
             series(Kind::FreezeUpstreams, 1_500..10_000, 3_000, 2_500, 0.7),
