--- a/crates/lagoon-gateway/src/forward.rs
+++ b/crates/lagoon-gateway/src/forward.rs
@@ -220,7 +220,7 @@
         };
         *may_have_run = attempts.runs() > 0;
         let may_follow = admitted.may_retry(&attempts, &failed);
-        if !may_follow || !admitted.is_read_by(&upstream).await {
+        if !may_follow || !admitted.cannot_read_late(&upstream).await {
             return Err(failed.to_fault(pending.end()));
         }
         last_failure = Some(failed);
--- a/crates/lagoon-gateway/src/reading.rs
+++ b/crates/lagoon-gateway/src/reading.rs
@@ -43,18 +43,18 @@
         }
     }
 
-    /// Whether a call may be sent once more, since `upstream`, which had it last, does not read it later than
-    /// now. Always true for streams.
-    pub(crate) async fn is_read_by(&self, upstream: &id::Upstream) -> bool {
-        let is_read = match self.sends.take_unread_end().filter(|_| self.is_call()) {
+    /// Whether `upstream`, to which a call was sent last, cannot read it later than now, so that it may be
+    /// sent once more. Always true for streams.
+    pub(crate) async fn cannot_read_late(&self, upstream: &id::Upstream) -> bool {
+        let cannot = match self.sends.take_unread_end().filter(|_| self.is_call()) {
             None => true,
             Some(retries::UnreadEnd::GivenUp) => false,
             Some(retries::UnreadEnd::Reset) => self.runs_or_ended(upstream).await,
         };
-        if !is_read {
+        if !cannot {
             self.record_retry_refusal(metrics::RetryRefusal::Unread);
         }
-        is_read
+        cannot
     }
 
     /// Whether the process of `upstream` reads what it has, or has ended.
@@ -78,7 +78,7 @@
     ///
     /// # Errors
     ///
-    /// The upstream does not answer with success, or no request may follow. Nothing of the request was sent.
+    /// The upstream does not answer with success, or nothing may be sent to it. Nothing of the request was sent.
     pub(crate) async fn check_reading(
         &self,
         entry: &routing::Registration,
