--- a/crates/lagoon-gateway/tests/deployment/mod.rs
+++ b/crates/lagoon-gateway/tests/deployment/mod.rs
@@ -233,7 +233,6 @@
                     let stays = time::Duration::from_millis(random.random_range(20..1_500));
                     shape.stays = Some(stays);
                 }
-
                 let hosts: &[_] = if callers.repeat_at_once {
                     &[first, second, second, first]
                 } else {
--- a/crates/lagoon-gateway/tests/deployment/troubles.rs
+++ b/crates/lagoon-gateway/tests/deployment/troubles.rs
@@ -227,6 +227,15 @@
             series(Kind::FreezeUpstreams, 1_500..10_000, 3_000, 2_500, 0.7),
         ],
         "calm" => vec![waves()],
+        // Retries that a high load allowed are read when the load is low, by hosts that know nothing of them.
+        // Retries that a high load allowed are read when the load is low, by hosts that know nothing of them.
+        "dark-as-load-falls" => vec![
+            one(Kind::Load(250), 1_000, 10_000, 0.0),
+            one(Kind::Load(31), 11_000, 25_000, 0.0),
+            one(Kind::FreezeUpstreams, 9_500, 17_000, 0.88),
+            one(Kind::Behave(Behavior::BreakAfter(1)), 26_000, 10_000, 1.0),
+            series(herds, 23_500..33_000, 2_300, 0, 1.0),
+        ],
         "dark-refusals" => vec![
             one(refusals, 4_000, 28_000, 0.6),
             series(Kind::FreezeUpstreams, 5_000..30_000, 10_000, 8_500, 1.0),
