--- a/crates/lagoon-gateway/tests/deployment/mod.rs
+++ b/crates/lagoon-gateway/tests/deployment/mod.rs
@@ -128,6 +128,8 @@
     fn restart(&self, standin: &Standin, signal: Signal) {
         let Some(mut process) = self.process.lock().unwrap().take() else { return };
         process.signal(signal);
+        // One that is stopped ends when it goes on.
+        process.signal(Signal::SIGCONT);
         process.child.wait().unwrap();
         thread::sleep(time::Duration::from_millis(300));
         self.start(standin);
@@ -279,7 +281,8 @@
         left: time::Duration,
     ) -> (u16, time::Duration) {
         let mut sent = self.sent.lock().unwrap();
-        let id = format!("q{}", sent.len());
+        // Ports may go from one deployment to another one that is played beside it.
+        let id = format!("{}-{}", self.standin.store_address.port(), sent.len());
         let at = time::Instant::now();
         let requests::Shape { service, max_runs, .. } = shape;
         sent.insert(id.clone(), requests::Sent { at, service, left, max_runs });
