--- /dev/null
+++ b/review/harness-2/deployment.rs
@@ -0,0 +1,107 @@
+//! A small deployment of real processes: gateways as the deploy file starts them, and runners.
+
+use std::fs;
+use std::io;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::http;
+
+/// The program of the deploy file's role.
+const GATEWAY: &str = "target/release/lagoon-gateway";
+/// Variable that names the settings file.
+const NODE_FILE: &str = "LAGOONLINE_NODE_FILE";
+/// Time for a gateway to be ready.
+const START: Duration = Duration::from_secs(15);
+
+/// A process that is killed when this is dropped.
+pub struct Process(pub Child);
+
+impl Process {
+    /// Sends a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.0.id().to_string();
+        drop(Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &pid]).status());
+    }
+
+    pub fn kill(&mut self) {
+        drop(self.0.kill());
+        drop(self.0.wait());
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Returns ports that are free now.
+pub fn free_ports<const N: usize>() -> io::Result<[u16; N]> {
+    let mut listeners = Vec::new();
+    let mut ports = [0; N];
+    for port in &mut ports {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        *port = listener.local_addr()?.port();
+        listeners.push(listener);
+    }
+    Ok(ports)
+}
+
+/// A gateway.
+pub struct Gateway {
+    pub name: String,
+    pub front: u16,
+    pub process: Process,
+    ready: u16,
+}
+
+impl Gateway {
+    /// Starts the gateway of `zone`. Its settings and its log stand in `folder`.
+    pub fn start(folder: &PathBuf, zone: &str, store: u16) -> io::Result<Gateway> {
+        let [front, ready, internal] = free_ports()?;
+        let name = format!("edge-{zone}-1");
+        let settings = format!(
+            "NodeName: \"{name}\"\nRole: \"gateway\"\nMachineClass: \"edge\"\nServes: [\"edge\"]\n\
+             Ip: \"127.0.0.1\"\nZone: \"{zone}\"\nRegion: \"r\"\n\
+             Zones: {{a: \"r\", b: \"r\", c: \"r\"}}\n\
+             Listen: {{Front: \"127.0.0.1:{front}\", Ready: \"127.0.0.1:{ready}\"}}\n\
+             InternalPorts: [{internal}, {internal}]\nSeeds: []\nBootstrap: true\n\
+             Limits: {{CpuShare: 0.25, Cores: 1, MemoryMb: 260, MaxFds: 4100, LinkMbps: 1000.0}}\n\
+             HeartbeatMs: 1200\n\
+             Bounds: {{SeedLagS: 3, ReuseAfterS: 2, StableWindowMs: 3000, AckMs: 4000, CatchUpS: 4, \
+             DrainMs: 2000, GraceS: 8, LossSlackMs: 200, ConfigApplyMs: 2000, \
+             RollbackSlackMs: 250, OuterMs: 5000, StrictRevoke: true, RevokeMs: 5000, \
+             RetryBudgetRatio: 0.2, BudgetWindowS: 10, BudgetSlack: 104, RecoveryS: 12, \
+             PassMs: 120, stall_ms: 1500, HoldMaxMs: 20000, FreeMs: 4000, IdleMaxMs: 9000}}\n\
+             Platform: {{Address: \"127.0.0.1:{store}\", form: \"table\", WritesPerS: 400, \
+             ReadsPerS: 2000, TxMs: 5.0, RowBytes: 65536, HistoryS: 20}}\n"
+        );
+        let file = folder.join(format!("{name}.yaml"));
+        fs::write(&file, settings)?;
+        let log = fs::File::create(folder.join(format!("{name}.log")))?;
+        let child = Command::new(GATEWAY)
+            .env(NODE_FILE, &file)
+            .stdout(log)
+            .stderr(Stdio::null())
+            .spawn()?;
+        Ok(Gateway { name, front, ready, process: Process(child) })
+    }
+
+    /// Waits until the gateway says that it is ready.
+    pub fn wait_ready(&self) -> bool {
+        let until = Instant::now() + START;
+        let request = b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+        while Instant::now() < until {
+            let answer = http::call(self.ready, request).ok().flatten();
+            if answer.is_some_and(|answer| answer.word(1) == "200") {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        false
+    }
+}
--- /dev/null
+++ b/review/harness-2/unframed.rs
@@ -0,0 +1,180 @@
+//! A gateway is frozen while a runner crashes in the middle of an answer without a length, and wakes
+//! after the runner has started again.
+
+use std::env;
+use std::fs;
+use std::io::{self, Write};
+use std::path::PathBuf;
+use std::process::Command;
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crate::deployment::{Gateway, Process, free_ports};
+use crate::http;
+use crate::runner::HALVES;
+use crate::store::Store;
+
+const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Runners of each zone; one of all is killed.
+const RUNNERS: usize = 2;
+/// Requests, half of them on a route that may not be repeated.
+const REQUESTS: usize = 12;
+/// Three intervals of reports.
+const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+
+/// What was sent, answered and run, with the time since the start.
+#[derive(Clone)]
+struct Record {
+    lines: Arc<Mutex<fs::File>>,
+    began: Instant,
+}
+
+impl Record {
+    fn add(&self, line: &str) {
+        let line = format!("{:7.3} s  {line}\n", self.began.elapsed().as_secs_f64());
+        print!("{line}");
+        drop(self.lines.lock().unwrap().write_all(line.as_bytes()));
+    }
+}
+
+fn start_runner(
+    name: &str,
+    zone: &str,
+    port: u16,
+    store: u16,
+    folder: &PathBuf,
+) -> io::Result<Process> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("runners.log"))?;
+    let words = ["runner", name, zone, &port.to_string(), &store.to_string()];
+    Ok(Process(Command::new(env::current_exe()?).args(words).stdout(log).spawn()?))
+}
+
+fn route(name: &str, kind: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"Host\":\"a.example\",\"Prefix\":\"/{name}/\",\"Kind\":\"{kind}\",\
+         \"TimeoutMs\":10000,\"TargetLatencyMs\":3000,\"Priority\":1,\"Service\":\"app\",\
+         \"MaxAttempts\":1,\"Public\":true}}"
+    )
+}
+
+/// Plays the case; returns whether the rule held.
+pub fn play(folder: &str, has_trouble: bool) -> io::Result<bool> {
+    let folder = PathBuf::from(folder);
+    let scratch = env::temp_dir().join(format!("review-unframed-{}", std::process::id()));
+    fs::create_dir_all(&scratch)?;
+    let result = play_in(&folder, &scratch, has_trouble);
+    drop(fs::remove_dir_all(&scratch));
+    result
+}
+
+fn play_in(folder: &PathBuf, scratch: &PathBuf, has_trouble: bool) -> io::Result<bool> {
+    let lines = Arc::new(Mutex::new(fs::File::create(folder.join("record.txt"))?));
+    let record = Record { lines, began: Instant::now() };
+    let store = Store::start(ENTRY_LIFETIME)?;
+    let routes = [route("filing", "unsafe"), route("lookup", "safe")].join(",");
+    let config = format!(
+        "{{\"Version\":7,\"Routes\":[{routes}],\"Services\":[{{\"Name\":\"app\",\
+         \"HealthPath\":\"/healthz\",\"MaxConnections\":110}}],\"Limits\":{{}},\"Tenants\":[]}}"
+    );
+    store.put("op", "config", &config);
+    let mut runners = Vec::new();
+    for index in 0..ZONES.len() * RUNNERS {
+        let [port] = free_ports()?;
+        let (name, zone) = (format!("i-{index}"), ZONES[index % ZONES.len()]);
+        let process = start_runner(&name, zone, port, store.port, scratch)?;
+        runners.push((name, zone, port, process));
+    }
+    let gateways = ZONES.iter().map(|zone| Gateway::start(scratch, zone, store.port));
+    let gateways = gateways.collect::<io::Result<Vec<_>>>()?;
+    if !gateways.iter().all(Gateway::wait_ready) {
+        return Err(io::Error::other("a gateway does not become ready"));
+    }
+    thread::sleep(Duration::from_secs(2));
+    let front = gateways[0].front;
+    let calls: Vec<_> = (0..REQUESTS)
+        .map(|number| {
+            let record = record.clone();
+            thread::spawn(move || call(&record, front, number))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(400));
+    if has_trouble {
+        disturb(&record, &gateways[0], &mut runners, store.port, scratch)?;
+    }
+    let results: Vec<_> =
+        calls.into_iter().map(|call| call.join().unwrap_or(Verdict::Failed)).collect();
+    for line in fs::read_to_string(scratch.join("runners.log"))?.lines() {
+        record.add(line);
+    }
+    let of = |verdict| results.iter().filter(|result| **result == verdict).count();
+    let (whole, failed, cut) = (of(Verdict::Whole), of(Verdict::Failed), of(Verdict::Cut));
+    record.add(&format!(
+        "{whole} whole answers, {failed} failures, {cut} cut answers that look whole"
+    ));
+    if whole == 0 || !has_trouble && whole < REQUESTS {
+        return Err(io::Error::other("the deployment does not serve"));
+    }
+    Ok(cut == 0)
+}
+
+/// Freezes the gateway; the runner crashes and starts again under its name meanwhile.
+fn disturb(
+    record: &Record,
+    gateway: &Gateway,
+    runners: &mut [(String, &str, u16, Process)],
+    store: u16,
+    scratch: &PathBuf,
+) -> io::Result<()> {
+    record.add(&format!("{} freezes", gateway.name));
+    gateway.process.signal("STOP");
+    thread::sleep(Duration::from_millis(200));
+    let (name, zone, port, process) = &mut runners[0];
+    record.add(&format!("runner {name} crashes"));
+    process.kill();
+    thread::sleep(Duration::from_millis(1_000));
+    *process = start_runner(name, zone, *port, store, scratch)?;
+    record.add(&format!("runner {name} starts again"));
+    thread::sleep(Duration::from_millis(1_800));
+    record.add(&format!("{} wakes", gateway.name));
+    gateway.process.signal("CONT");
+    Ok(())
+}
+
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum Verdict {
+    Whole,
+    Failed,
+    /// A success that looks whole, but is not.
+    Cut,
+}
+
+/// Sends a request and compares its answer with the whole body.
+fn call(record: &Record, front: u16, number: usize) -> Verdict {
+    let route = if number % 2 == 0 { "filing" } else { "lookup" };
+    let id = format!("{number:016x}");
+    let request = format!(
+        "POST /{route}/x HTTP/1.1\r\nHost: a.example\r\nLagoonline-Request-Id: {id}\r\n\
+         Lagoonline-Request-Deadline: 10000\r\nContent-Length: 2\r\n\r\n{{}}"
+    );
+    record.add(&format!("client sends {id} ({route})"));
+    let answer = http::call(front, request.as_bytes());
+    let Ok(Some(answer)) = answer else {
+        record.add(&format!("client gets no answer to {id}"));
+        return Verdict::Failed;
+    };
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    let length = answer.field("content-length").to_owned();
+    let signature = answer.field("lagoonline-response-signature").to_owned();
+    record.add(&format!(
+        "client gets {} to {id}: length {length:?}, signature {signature:?}, ended as framed: {}, body {body:?}",
+        answer.word(1),
+        answer.is_whole
+    ));
+    let is_success = answer.word(1).starts_with('2');
+    match is_success && answer.is_whole {
+        true if body == HALVES.concat() => Verdict::Whole,
+        true => Verdict::Cut,
+        false => Verdict::Failed,
+    }
+}
