Add review case 7: a reader's outage keeps a runner that is gone

Cause: hosts that follow a reader take the reader's outage of the store for their own, and keep an entry that was removed meanwhile for almost the bound on leaving runners, counted from the recovery.

Change: a script with six gateways in one zone, of which the first loses the store for 1.6 s while a runner leaves without notice.

--- a/review/harness-2/deployment.rs
+++ b/review/harness-2/deployment.rs
@@ -1,10 +1,12 @@
 //! A small deployment of real processes: gateways as the deploy file starts them, and runners.
 
+use std::env;
 use std::fs;
-use std::io;
+use std::io::{self, Write};
 use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -17,6 +19,55 @@
 /// Time for a gateway to be ready.
 const START: Duration = Duration::from_secs(15);
 
+/// The zones of the deployment.
+pub const ZONES: [&str; 3] = ["a", "b", "c"];
+/// Time after which an entry expires: three intervals of reports.
+pub const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
+
+/// What was sent, answered and run, with the time since the start.
+#[derive(Clone)]
+pub struct Record {
+    lines: Arc<Mutex<fs::File>>,
+    began: Instant,
+}
+
+impl Record {
+    /// Creates the record of the case in `folder`.
+    pub fn new(folder: &PathBuf) -> io::Result<Record> {
+        let lines = Arc::new(Mutex::new(fs::File::create(folder.join("record.txt"))?));
+        Ok(Record { lines, began: Instant::now() })
+    }
+
+    pub fn add(&self, line: &str) {
+        let line = format!("{:7.3} s  {line}\n", self.began.elapsed().as_secs_f64());
+        print!("{line}");
+        drop(self.lines.lock().unwrap().write_all(line.as_bytes()));
+    }
+}
+
+/// Starts a runner as a process of its own, with answers as `mode` says.
+pub fn start_runner(
+    name: &str,
+    zone: &str,
+    port: u16,
+    store: u16,
+    mode: &str,
+    folder: &PathBuf,
+) -> io::Result<Process> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("runners.log"))?;
+    let words = ["runner", name, zone, &port.to_string(), &store.to_string(), mode];
+    Ok(Process(Command::new(env::current_exe()?).args(words).stdout(log).spawn()?))
+}
+
+/// Returns a route to the only service, as the desired state has it.
+pub fn route(name: &str, kind: &str) -> String {
+    format!(
+        "{{\"Name\":\"{name}\",\"Host\":\"a.example\",\"Prefix\":\"/{name}/\",\"Kind\":\"{kind}\",\
+         \"TimeoutMs\":10000,\"TargetLatencyMs\":3000,\"Priority\":1,\"Service\":\"app\",\
+         \"MaxAttempts\":1,\"Public\":true}}"
+    )
+}
+
 /// A process that is killed when this is dropped.
 pub struct Process(pub Child);
 
@@ -60,10 +111,10 @@
 }
 
 impl Gateway {
-    /// Starts the gateway of `zone`. Its settings and its log stand in `folder`.
-    pub fn start(folder: &PathBuf, zone: &str, store: u16) -> io::Result<Gateway> {
+    /// Starts the gateway `number` of `zone`. Its settings and its log stand in `folder`.
+    pub fn start(folder: &PathBuf, zone: &str, number: usize, store: u16) -> io::Result<Gateway> {
         let [front, ready, internal] = free_ports()?;
-        let name = format!("edge-{zone}-1");
+        let name = format!("edge-{zone}-{number}");
         let settings = format!(
             "NodeName: \"{name}\"\nRole: \"gateway\"\nMachineClass: \"edge\"\nServes: [\"edge\"]\n\
              Ip: \"127.0.0.1\"\nZone: \"{zone}\"\nRegion: \"r\"\n\
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -5,7 +5,10 @@
 
 mod deployment;
 mod http;
+mod proxy;
+mod relayed;
 mod runner;
+mod silent;
 mod store;
 mod unframed;
 
@@ -15,13 +18,16 @@
 fn main() -> ExitCode {
     let words: Vec<String> = env::args().skip(1).collect();
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
     let result = match words[..] {
-        ["runner", name, zone, port, store] => {
+        ["runner", name, zone, port, store, mode] => {
             let ports = (port.parse().unwrap_or(0), store.parse().unwrap_or(0));
-            runner::run(name, zone, ports.0, ports.1).map(|()| true)
+            runner::run(name, zone, ports.0, ports.1, mode).map(|()| true)
         }
-        ["unframed", folder] => unframed::play(folder, env::var("TROUBLE").as_deref() != Ok("0")),
-        _ => Err(std::io::Error::other("usage: case unframed FOLDER")),
+        ["relayed", folder] => relayed::play(folder, has_trouble),
+        ["silent", folder] => silent::play(folder, has_trouble),
+        ["unframed", folder] => unframed::play(folder, has_trouble),
+        _ => Err(std::io::Error::other("usage: case relayed|silent|unframed FOLDER")),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/review/harness-2/runner.rs
+++ b/review/harness-2/runner.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, BufReader, Write};
 use std::net::{TcpListener, TcpStream};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -26,15 +26,26 @@
     port: u16,
     store: u16,
     born: u128,
+    /// Whether answers come with a length and at once.
+    is_quick: bool,
     slots: Arc<()>,
+    /// Whether it has left: it writes no more to the store, and still serves.
+    has_left: Mutex<bool>,
 }
 
 /// Runs the runner `name` in `zone` at `port` until it is killed.
-pub fn run(name: &str, zone: &str, port: u16, store: u16) -> io::Result<()> {
+pub fn run(name: &str, zone: &str, port: u16, store: u16, mode: &str) -> io::Result<()> {
     let listener = TcpListener::bind(("127.0.0.1", port))?;
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis());
-    let (name, zone) = (name.to_owned(), zone.to_owned());
-    let runner = Arc::new(Runner { name, zone, port, store, born, slots: Arc::new(()) });
+    let runner = Arc::new(Runner {
+        name: name.to_owned(),
+        zone: zone.to_owned(),
+        port,
+        store,
+        born: unix_millis(),
+        is_quick: mode == "quick",
+        slots: Arc::new(()),
+        has_left: Mutex::new(false),
+    });
     let beating = runner.clone();
     thread::spawn(move || beating.beat());
     for stream in listener.incoming().flatten() {
@@ -44,6 +55,11 @@
     Ok(())
 }
 
+/// Returns the milliseconds since the Unix epoch.
+pub fn unix_millis() -> u128 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis())
+}
+
 impl Runner {
     fn beat(&self) {
         for sequence in 1.. {
@@ -60,7 +76,12 @@
             );
             let head = "POST /api/rows-tx HTTP/1.1\r\nHost: store\r\nConnection: close\r\n";
             let request = format!("{head}Content-Length: {}\r\n\r\n{body}", body.len());
+            let has_left = self.has_left.lock().unwrap();
+            if *has_left {
+                return;
+            }
             drop(write_only(self.store, request.as_bytes()));
+            drop(has_left);
             thread::sleep(HEARTBEAT);
         }
     }
@@ -76,6 +97,10 @@
                     let report = format!("{{\"Stage\":\"unified\",\"born\":{}}}", self.born);
                     http::answer(&stream, "200 OK", &[instance], report.as_bytes())?;
                 }
+                "/leave" => {
+                    *self.has_left.lock().unwrap() = true;
+                    http::answer(&stream, "200 OK", &[], b"")?;
+                }
                 _ => return self.run_request(&request, &stream),
             }
         }
@@ -91,10 +116,17 @@
             return http::answer(stream, "421 Misdirected Request", &[not_run, instance], b"");
         }
         let slot = self.slots.clone();
+        // One is the runner's own.
         if Arc::strong_count(&slot) > SLOTS + 1 {
             return http::answer(stream, "503 Service Unavailable", &[not_run], b"");
         }
-        println!("runner {} (born {}) runs {id}", self.name, self.born);
+        println!("runner {} (born {}) runs {id} at {}", self.name, self.born, unix_millis());
+        if self.is_quick {
+            let signature = format!("s.{}.{id}", self.name);
+            let fields =
+                [("Lagoonline-Request-Id", id), ("Lagoonline-Response-Signature", &signature)];
+            return http::answer(stream, "200 OK", &fields, HALVES.concat().as_bytes());
+        }
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nConnection: close\r\n\
              Lagoonline-Request-Id: {id}\r\nLagoonline-Response-Signature: s.{}.{id}\r\n\r\n",
--- a/review/harness-2/unframed.rs
+++ b/review/harness-2/unframed.rs
@@ -3,60 +3,22 @@
 
 use std::env;
 use std::fs;
-use std::io::{self, Write};
+use std::io;
 use std::path::PathBuf;
-use std::process::Command;
-use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use crate::deployment::{Gateway, Process, free_ports};
+use crate::deployment::{
+    ENTRY_LIFETIME, Gateway, Process, Record, ZONES, free_ports, route, start_runner,
+};
 use crate::http;
 use crate::runner::HALVES;
 use crate::store::Store;
 
-const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Runners of each zone; one of all is killed.
 const RUNNERS: usize = 2;
 /// Requests, half of them on a route that may not be repeated.
 const REQUESTS: usize = 12;
-/// Three intervals of reports.
-const ENTRY_LIFETIME: Duration = Duration::from_millis(3_600);
-
-/// What was sent, answered and run, with the time since the start.
-#[derive(Clone)]
-struct Record {
-    lines: Arc<Mutex<fs::File>>,
-    began: Instant,
-}
-
-impl Record {
-    fn add(&self, line: &str) {
-        let line = format!("{:7.3} s  {line}\n", self.began.elapsed().as_secs_f64());
-        print!("{line}");
-        drop(self.lines.lock().unwrap().write_all(line.as_bytes()));
-    }
-}
-
-fn start_runner(
-    name: &str,
-    zone: &str,
-    port: u16,
-    store: u16,
-    folder: &PathBuf,
-) -> io::Result<Process> {
-    let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("runners.log"))?;
-    let words = ["runner", name, zone, &port.to_string(), &store.to_string()];
-    Ok(Process(Command::new(env::current_exe()?).args(words).stdout(log).spawn()?))
-}
-
-fn route(name: &str, kind: &str) -> String {
-    format!(
-        "{{\"Name\":\"{name}\",\"Host\":\"a.example\",\"Prefix\":\"/{name}/\",\"Kind\":\"{kind}\",\
-         \"TimeoutMs\":10000,\"TargetLatencyMs\":3000,\"Priority\":1,\"Service\":\"app\",\
-         \"MaxAttempts\":1,\"Public\":true}}"
-    )
-}
 
 /// Plays the case; returns whether the rule held.
 pub fn play(folder: &str, has_trouble: bool) -> io::Result<bool> {
@@ -69,8 +31,7 @@
 }
 
 fn play_in(folder: &PathBuf, scratch: &PathBuf, has_trouble: bool) -> io::Result<bool> {
-    let lines = Arc::new(Mutex::new(fs::File::create(folder.join("record.txt"))?));
-    let record = Record { lines, began: Instant::now() };
+    let record = Record::new(folder)?;
     let store = Store::start(ENTRY_LIFETIME)?;
     let routes = [route("filing", "unsafe"), route("lookup", "safe")].join(",");
     let config = format!(
@@ -82,10 +43,10 @@
     for index in 0..ZONES.len() * RUNNERS {
         let [port] = free_ports()?;
         let (name, zone) = (format!("i-{index}"), ZONES[index % ZONES.len()]);
-        let process = start_runner(&name, zone, port, store.port, scratch)?;
+        let process = start_runner(&name, zone, port, store.port, "halves", scratch)?;
         runners.push((name, zone, port, process));
     }
-    let gateways = ZONES.iter().map(|zone| Gateway::start(scratch, zone, store.port));
+    let gateways = ZONES.iter().map(|zone| Gateway::start(scratch, zone, 1, store.port));
     let gateways = gateways.collect::<io::Result<Vec<_>>>()?;
     if !gateways.iter().all(Gateway::wait_ready) {
         return Err(io::Error::other("a gateway does not become ready"));
@@ -133,7 +94,7 @@
     record.add(&format!("runner {name} crashes"));
     process.kill();
     thread::sleep(Duration::from_millis(1_000));
-    *process = start_runner(name, zone, *port, store, scratch)?;
+    *process = start_runner(name, zone, *port, store, "halves", scratch)?;
     record.add(&format!("runner {name} starts again"));
     thread::sleep(Duration::from_millis(1_800));
     record.add(&format!("{} wakes", gateway.name));
