Drop review case 9, which an earlier case shows

review/4 shows the same fault: a call for the desired state that began just before its channel went silent is given up after 3.3 s.

--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -27,18 +27,6 @@
     }
 }
 
-/// Sends a request on a connection of its own and reads the head of the answer.
-pub fn head(port: u16, request: &[u8]) -> io::Result<Option<Message>> {
-    let mut stream = TcpStream::connect(("127.0.0.1", port))?;
-    stream.set_nodelay(true)?;
-    stream.write_all(request)?;
-    let mut reader = BufReader::new(stream);
-    let mut message = Message::default();
-    let length = reader.read_line(&mut message.start)?;
-    message.start = message.start.trim_end().to_owned();
-    Ok((length > 0).then_some(message))
-}
-
 /// Reads a message; `None` if the connection ended before its head. The body of an answer without
 /// a length ends with the connection.
 pub fn read(reader: &mut BufReader<TcpStream>, is_answer: bool) -> io::Result<Option<Message>> {
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -8,7 +8,6 @@
 mod proxy;
 mod relayed;
 mod runner;
-mod silent;
 mod store;
 mod unframed;
 
@@ -25,9 +24,8 @@
             runner::run(name, zone, ports.0, ports.1, mode).map(|()| true)
         }
         ["relayed", folder] => relayed::play(folder, has_trouble),
-        ["silent", folder] => silent::play(folder, has_trouble),
         ["unframed", folder] => unframed::play(folder, has_trouble),
-        _ => Err(std::io::Error::other("usage: case relayed|silent|unframed FOLDER")),
+        _ => Err(std::io::Error::other("usage: case relayed|unframed FOLDER")),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/review/harness-2/store.rs
+++ b/review/harness-2/store.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufReader};
 use std::net::{TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -25,8 +24,6 @@
 pub struct Store {
     rows: Arc<(Mutex<Rows>, Condvar)>,
     began: Instant,
-    /// How often the open channels went silent.
-    silences: Arc<AtomicU64>,
     pub port: u16,
 }
 
@@ -35,8 +32,7 @@
     pub fn start(lifetime: Duration) -> io::Result<Store> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let port = listener.local_addr()?.port();
-        let (rows, silences) = (Arc::default(), Arc::default());
-        let store = Store { rows, began: Instant::now(), silences, port };
+        let store = Store { rows: Arc::default(), began: Instant::now(), port };
         let serving = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -62,12 +58,6 @@
         self.write(table, key, None);
     }
 
-    /// Lets all channels that are open now go silent for good: they stay open, and nothing comes back
-    /// on them. What has not been answered by now is not answered.
-    pub fn silence(&self) {
-        self.silences.fetch_add(1, Ordering::SeqCst);
-    }
-
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let (rows, changed) = &*self.rows;
         let mut rows = rows.lock().unwrap();
@@ -98,16 +88,8 @@
         drop(stream.set_nodelay(true));
         let Ok(copy) = stream.try_clone() else { return };
         let mut reader = BufReader::new(copy);
-        let opened_at = self.silences.load(Ordering::SeqCst);
-        let is_silent = || self.silences.load(Ordering::SeqCst) > opened_at;
         while let Ok(Some(request)) = http::read(&mut reader, false) {
-            if is_silent() {
-                continue;
-            }
             let body = self.handle(&request);
-            if is_silent() {
-                continue;
-            }
             let fields = [("Content-Type", "application/json")];
             if http::answer(&stream, "200 OK", &fields, body.as_bytes()).is_err() {
                 return;
