--- a/review/harness-2/http.rs
+++ b/review/harness-2/http.rs
@@ -2,6 +2,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
+use std::time::Duration;
 
 /// A request or an answer.
 #[derive(Debug, Default)]
@@ -94,10 +95,14 @@
     stream.write_all(&[head.as_bytes(), body].concat())
 }
 
+/// Longest time without a byte of an answer; every deadline of a request is shorter.
+const SILENCE: Duration = Duration::from_secs(20);
+
 /// Sends a request on a connection of its own and reads the answer.
 pub fn call(port: u16, request: &[u8]) -> io::Result<Option<Message>> {
     let mut stream = TcpStream::connect(("127.0.0.1", port))?;
     stream.set_nodelay(true)?;
+    stream.set_read_timeout(Some(SILENCE))?;
     stream.write_all(request)?;
     read(&mut BufReader::new(stream), true)
 }
