--- a/review/harness-2/deployment.rs
+++ b/review/standin_deployment.rs
@@ -5,12 +5,13 @@
 use std::io::{self, Write};
 use std::net::TcpListener;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 use crate::http;
+use crate::runner;
 
 /// The program of the deploy file's role.
 const GATEWAY: &str = "target/release/lagoon-gateway";
@@ -56,7 +57,7 @@
 ) -> io::Result<Process> {
     let log = fs::OpenOptions::new().create(true).append(true).open(folder.join("runners.log"))?;
     let words = ["runner", name, zone, &port.to_string(), &store.to_string(), mode];
-    Ok(Process(Command::new(env::current_exe()?).args(words).stdout(log).spawn()?))
+    Process::start(Command::new(env::current_exe()?).args(words).stdout(log))
 }
 
 /// Returns a route to the only service, as the desired state has it.
@@ -69,16 +70,38 @@
 }
 
 /// A process that is killed when this is dropped.
-pub struct Process(pub Child);
+pub struct Process(Child);
+
+/// Processes that run, and the time after which a case that hangs ends them and itself.
+static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+const MAX_TIME: Duration = Duration::from_secs(110);
+
+fn send_signal(name: &str, pid: u32) {
+    drop(Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &pid.to_string()]).status());
+}
+
+/// Ends all processes if the case is not over in time.
+fn watch() {
+    thread::sleep(MAX_TIME);
+    RUNNING.lock().unwrap().iter().for_each(|pid| send_signal("KILL", *pid));
+    eprintln!("the case took too long");
+    std::process::exit(2);
+}
 
 impl Process {
+    fn start(command: &mut Command) -> io::Result<Process> {
+        let child = command.spawn()?;
+        RUNNING.lock().unwrap().push(child.id());
+        Ok(Process(child))
+    }
+
     /// Sends a signal by its name.
     pub fn signal(&self, name: &str) {
-        let pid = self.0.id().to_string();
-        drop(Command::new("/bin/sh").args(["-c", "kill -$0 $1", name, &pid]).status());
+        send_signal(name, self.0.id());
     }
 
     pub fn kill(&mut self) {
+        RUNNING.lock().unwrap().retain(|pid| *pid != self.0.id());
         drop(self.0.kill());
         drop(self.0.wait());
     }
@@ -134,12 +157,10 @@
         let file = folder.join(format!("{name}.yaml"));
         fs::write(&file, settings)?;
         let log = fs::File::create(folder.join(format!("{name}.log")))?;
-        let child = Command::new(GATEWAY)
-            .env(NODE_FILE, &file)
-            .stdout(log)
-            .stderr(Stdio::null())
-            .spawn()?;
-        Ok(Gateway { name, front, ready, process: Process(child) })
+        let process = Process::start(
+            Command::new(GATEWAY).env(NODE_FILE, &file).stdout(log).stderr(Stdio::null()),
+        )?;
+        Ok(Gateway { name, front, ready, process })
     }
 
     /// Waits until the gateway says that it is ready.
@@ -156,3 +177,31 @@
         false
     }
 }
+
+/// Runs the program of a case: `runner ...` is a runner, which a case starts; otherwise the word is the
+/// folder of the record. `TROUBLE=0` leaves the disruptions out. Exit codes: 0 the rule held, 1 it was
+/// broken, 2 the case could not run.
+pub fn run(play: fn(&str, bool) -> io::Result<bool>) -> ExitCode {
+    let words: Vec<String> = env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let has_trouble = env::var("TROUBLE").as_deref() != Ok("0");
+    let result = match words[..] {
+        ["runner", name, zone, port, store, mode] => {
+            let ports = (port.parse().unwrap_or(0), store.parse().unwrap_or(0));
+            runner::run(name, zone, ports.0, ports.1, mode).map(|()| true)
+        }
+        [folder] => {
+            thread::spawn(watch);
+            play(folder, has_trouble)
+        }
+        _ => Err(io::Error::other("usage: case FOLDER")),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(error) => {
+            eprintln!("the case could not run: {error}");
+            ExitCode::from(2)
+        }
+    }
+}
