--- a/review/standin_deployment.rs
+++ b/review/standin_deployment.rs
@@ -17,6 +17,9 @@
 const GATEWAY: &str = "target/release/lagoon-gateway";
 /// Variable that names the settings file.
 const NODE_FILE: &str = "LAGOONLINE_NODE_FILE";
+/// Time within which a gateway that cannot listen has ended, and how often one is started.
+const STARTING: Duration = Duration::from_millis(150);
+const MAX_STARTS: usize = 5;
 /// Time for a gateway to be ready.
 const START: Duration = Duration::from_secs(15);
 
@@ -134,8 +137,20 @@
 }
 
 impl Gateway {
-    /// Starts the gateway `number` of `zone`. Its settings and its log stand in `folder`.
+    /// Starts the gateway `number` of `zone`. Its settings and its log stand in `folder`. A port that was
+    /// free may be taken before the gateway listens on it; then it ends at once, and gets others.
     pub fn start(folder: &PathBuf, zone: &str, number: usize, store: u16) -> io::Result<Gateway> {
+        for _ in 0..MAX_STARTS {
+            let mut gateway = Gateway::try_start(folder, zone, number, store)?;
+            thread::sleep(STARTING);
+            if gateway.process.0.try_wait()?.is_none() {
+                return Ok(gateway);
+            }
+        }
+        Err(io::Error::other("a gateway does not start"))
+    }
+
+    fn try_start(folder: &PathBuf, zone: &str, number: usize, store: u16) -> io::Result<Gateway> {
         let [front, ready, internal] = free_ports()?;
         let name = format!("edge-{zone}-{number}");
         let settings = format!(
